The whole path, thin: nodes, stand-ins and one request served end to end

A workspace of small crates: decisions without clocks or sockets (policy, config, authority, planner, engine-model) below thin wiring (node, cli). An operator applies resources through any node; they land in the key-value service behind the etcd v3 JSON gateway at one revision, guarded by a head key, and every node puts them in force. Callers stream completions and reach application workers. The holder of a pool drains an engine and changes its role by fenced orders.

crates/cli/tests/whole_path.rs runs all of it as separate processes: four streams of 400 tokens are in progress when the pool's bounds ask for a prefill engine; none is cut, and the engine's own record shows the drain before the change and no request in progress at it.

Known to be thin: every node follows the store by itself, membership between nodes does not exist yet, a change of role blocks the holder's other pools, non-repeatable requests are not recorded.

--- /dev/null
+++ b/crates/cli/src/bin/tansyhall-standin.rs
@@ -0,0 +1,93 @@
+//! `tansyhall-standin platform|engine|app`: the stand-ins as separate processes.
+
+#![forbid(unsafe_code)]
+
+use std::net::{SocketAddr, TcpListener};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::{bail, Context, Result};
+use pico_args::Arguments;
+use tansyhall_core::{ModelName, Role};
+use tansyhall_engine_model::CostModel;
+use tansyhall_standin::{app, engine, platform};
+
+const HELP: &str = "\
+Stand-ins for the systems around tansyhall, for tests and trials.
+
+USAGE:
+  tansyhall-standin platform --listen IP:PORT
+  tansyhall-standin engine   --listen IP:PORT --name NAME [--model NAME] [--role ROLE]
+                             [--role-change-ms N]
+  tansyhall-standin app      --listen IP:PORT --name NAME
+
+OPTIONS:
+  --listen IP:PORT     where to serve; port 0 takes a free one, printed as `listening IP:PORT`
+  --name NAME          the back end's name
+  --model NAME         the engine's first model (default: base)
+  --role ROLE          mixed, prefill or decode (default: mixed)
+  --role-change-ms N   how long a role change takes, in milliseconds (default: 3000)
+  --help               this text
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("tansyhall-standin: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run() -> Result<()> {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains("--help") {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let kind = arguments
+        .subcommand()?
+        .context("which stand-in? see --help")?;
+    let listen: SocketAddr = arguments.value_from_str("--listen")?;
+    let listener =
+        TcpListener::bind(listen).with_context(|| format!("cannot listen on {listen}"))?;
+    println!("listening {}", listener.local_addr()?);
+    actix_rt::System::new().block_on(async move {
+        let server = match kind.as_str() {
+            "platform" => platform::serve(listener)?,
+            "engine" => engine::serve(listener, engine_options(&mut arguments)?)?,
+            "app" => {
+                let name = arguments.value_from_str("--name")?;
+                app::serve(listener, app::AppOptions { name })?
+            }
+            other => bail!("unknown stand-in {other}; see --help"),
+        };
+        let rest = arguments.finish();
+        if !rest.is_empty() {
+            bail!("unknown arguments {rest:?}; see --help");
+        }
+        server.await.context("the server failed")
+    })
+}
+
+fn engine_options(arguments: &mut Arguments) -> Result<engine::EngineOptions> {
+    let name: String = arguments.value_from_str("--name")?;
+    let model: Option<String> = arguments.opt_value_from_str("--model")?;
+    let role: Option<String> = arguments.opt_value_from_str("--role")?;
+    let role = match role {
+        None => Role::Mixed,
+        Some(name) => Role::ALL
+            .into_iter()
+            .find(|role| role.name() == name)
+            .with_context(|| format!("unknown role {name}"))?,
+    };
+    let role_change: Option<u64> = arguments.opt_value_from_str("--role-change-ms")?;
+    Ok(engine::EngineOptions {
+        name: name.as_str().into(),
+        role,
+        model: ModelName::new(model.unwrap_or_else(|| "base".into())),
+        role_change: Duration::from_millis(role_change.unwrap_or(3_000)),
+        costs: CostModel::default(),
+    })
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,6 @@
+//! One module for each command.
+
+pub mod check;
+pub mod ctl;
+pub mod dev;
+pub mod node;
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,64 @@
+//! The `tansyhall` command: `node`, `ctl`, `check` and `dev`.
+
+#![forbid(unsafe_code)]
+
+mod commands;
+mod exit;
+
+use std::process::ExitCode;
+
+use anyhow::{bail, Result};
+use pico_args::Arguments;
+
+const HELP: &str = "\
+tansyhall: serving for a fixed fleet of model engines under a shifting mix.
+
+USAGE:
+  tansyhall node --settings FILE          run a node
+  tansyhall ctl COMMAND ...               operate a fleet; see `tansyhall ctl --help`
+  tansyhall check FILE...                 check settings, resource and policy files
+  tansyhall dev [--load NAME] [--duration TIME] [--seed N] [--json]
+                                          a whole small fleet in one process
+  tansyhall --help | --version
+
+EXIT CODES:
+  0  done
+  1  failed while running
+  2  wrong usage, or a fault in a file
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("tansyhall: {error:#}");
+            exit::code_of(&error)
+        }
+    }
+}
+
+fn run() -> Result<ExitCode> {
+    let mut arguments = Arguments::from_env();
+    let command = arguments.subcommand()?;
+    match command.as_deref() {
+        Some("node") => commands::node::run(arguments),
+        Some("ctl") => commands::ctl::run(arguments),
+        Some("check") => commands::check::run(arguments),
+        Some("dev") => commands::dev::run(arguments),
+        Some(other) => bail!(exit::Usage(format!(
+            "unknown command {other}; see tansyhall --help"
+        ))),
+        None if arguments.contains("--version") => {
+            println!("tansyhall {}", env!("CARGO_PKG_VERSION"));
+            Ok(ExitCode::SUCCESS)
+        }
+        None if arguments.contains(["-h", "--help"]) => {
+            print!("{HELP}");
+            Ok(ExitCode::SUCCESS)
+        }
+        None => {
+            eprint!("{HELP}");
+            Ok(ExitCode::from(exit::USAGE))
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/resource.rs
@@ -0,0 +1,207 @@
+//! The resources that operators create.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use tansyhall_core::{
+    EngineName, ModelName, PolicyName, PoolName, Role, ServiceName, SiteName, ZoneName,
+};
+
+/// A site: a place with its zones.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Site {
+    /// The site's name.
+    pub name: SiteName,
+    /// The region it belongs to.
+    pub region: String,
+    /// Its zones.
+    pub zones: Vec<ZoneName>,
+}
+
+/// What a service offers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ServiceKind {
+    /// Completions by model engines.
+    LanguageModel,
+    /// Plain HTTP by application workers.
+    Application,
+}
+
+/// A service that callers address.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// The service's name.
+    pub name: ServiceName,
+    /// The site that offers it.
+    pub site: SiteName,
+    /// What it offers.
+    pub kind: ServiceKind,
+    /// The policy that classifies its requests.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<PolicyName>,
+    /// For applications: the path prefix that callers use.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub path_prefix: Option<String>,
+}
+
+/// One engine or application worker of a pool.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Backend {
+    /// The back end's name, unique over all pools.
+    pub name: EngineName,
+    /// Where it is reached.
+    pub address: SocketAddr,
+}
+
+/// How many engines of a pool may play a role.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RoleBounds {
+    /// The role.
+    pub role: Role,
+    /// At least this many.
+    #[serde(default)]
+    pub least: u32,
+    /// At most this many; no bound if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub most: Option<u32>,
+}
+
+/// Back ends of one service in one zone.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// The pool's name.
+    pub name: PoolName,
+    /// The service it serves.
+    pub service: ServiceName,
+    /// The zone it stands in.
+    pub zone: ZoneName,
+    /// Its back ends.
+    pub backends: Vec<Backend>,
+    /// The model its engines load; required for language-model services.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub model: Option<ModelName>,
+    /// Bounds on roles; roles without a bound are the planner's choice.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub roles: Vec<RoleBounds>,
+}
+
+/// A policy program.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Policy {
+    /// The policy's name.
+    pub name: PolicyName,
+    /// The program's text.
+    pub source: String,
+}
+
+/// The kinds of resource.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ResourceKind {
+    /// [`Policy`]
+    Policy,
+    /// [`Site`]
+    Site,
+    /// [`Service`]
+    Service,
+    /// [`Pool`]
+    Pool,
+}
+
+impl ResourceKind {
+    /// Every kind, each after the kinds it refers to.
+    pub const ALL: [ResourceKind; 4] = [
+        ResourceKind::Policy,
+        ResourceKind::Site,
+        ResourceKind::Service,
+        ResourceKind::Pool,
+    ];
+
+    /// The kind's name in paths and keys.
+    pub const fn name(self) -> &'static str {
+        match self {
+            ResourceKind::Policy => "policy",
+            ResourceKind::Site => "site",
+            ResourceKind::Service => "service",
+            ResourceKind::Pool => "pool",
+        }
+    }
+
+    /// The kind with this name.
+    pub fn parse(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.name() == name)
+    }
+}
+
+/// Names one resource.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ResourceKey {
+    /// Its kind.
+    pub kind: ResourceKind,
+    /// Its name.
+    pub name: String,
+}
+
+impl fmt::Display for ResourceKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind.name(), self.name)
+    }
+}
+
+/// Any resource.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+pub enum Resource {
+    /// A policy.
+    Policy(Policy),
+    /// A site.
+    Site(Site),
+    /// A service.
+    Service(Service),
+    /// A pool.
+    Pool(Pool),
+}
+
+impl Resource {
+    /// The resource's key.
+    pub fn key(&self) -> ResourceKey {
+        let (kind, name) = match self {
+            Resource::Policy(policy) => (ResourceKind::Policy, policy.name.as_str()),
+            Resource::Site(site) => (ResourceKind::Site, site.name.as_str()),
+            Resource::Service(service) => (ResourceKind::Service, service.name.as_str()),
+            Resource::Pool(pool) => (ResourceKind::Pool, pool.name.as_str()),
+        };
+        ResourceKey {
+            kind,
+            name: name.to_owned(),
+        }
+    }
+
+    /// Decodes a resource of a known kind, whose body does not repeat the kind.
+    pub fn from_json(kind: ResourceKind, body: &[u8]) -> Result<Self, serde_json::Error> {
+        Ok(match kind {
+            ResourceKind::Policy => Resource::Policy(serde_json::from_slice(body)?),
+            ResourceKind::Site => Resource::Site(serde_json::from_slice(body)?),
+            ResourceKind::Service => Resource::Service(serde_json::from_slice(body)?),
+            ResourceKind::Pool => Resource::Pool(serde_json::from_slice(body)?),
+        })
+    }
+
+    /// Encodes the resource without its kind.
+    pub fn to_json(&self) -> Result<Vec<u8>, serde_json::Error> {
+        match self {
+            Resource::Policy(policy) => serde_json::to_vec(policy),
+            Resource::Site(site) => serde_json::to_vec(site),
+            Resource::Service(service) => serde_json::to_vec(service),
+            Resource::Pool(pool) => serde_json::to_vec(pool),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,20 @@
+//! What every other crate shares: identifiers, time, verdicts, rendezvous hashing and sharded
+//! state. Nothing here performs input or output, so decision crates can depend on it freely.
+
+#![forbid(unsafe_code)]
+
+pub mod hash;
+pub mod id;
+pub mod role;
+pub mod sharded;
+pub mod time;
+pub mod verdict;
+
+pub use id::{
+    EngineName, Incarnation, ModelName, NodeId, OperatorName, PolicyName, PoolName, RequestId,
+    ServiceName, SiteName, TenantName, ZoneName,
+};
+pub use role::Role;
+pub use sharded::Sharded;
+pub use time::{Duration, Timestamp};
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/engine-model/src/batch.rs
@@ -0,0 +1,271 @@
+//! Continuous batching. Work advances in iterations; each decoding sequence gains one token an
+//! iteration, and the tokens left in the iteration's budget go to prefill in chunks. An
+//! iteration's length grows with both, which is how prefill and decode get in each other's way.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tansyhall_core::{RequestId, Timestamp};
+
+/// Costs and sizes of one engine.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct CostModel {
+    /// Fixed cost of an iteration, in microseconds.
+    pub iteration_micros: u64,
+    /// Cost of prefilling one token, in nanoseconds.
+    pub prefill_token_nanos: u64,
+    /// Cost of one decoding sequence in an iteration, in nanoseconds.
+    pub decode_sequence_nanos: u64,
+    /// Most sequences in a batch.
+    pub max_sequences: usize,
+    /// Most prompt tokens prefilled in one iteration.
+    pub prefill_chunk_tokens: u32,
+    /// KV cache size, in tokens.
+    pub kv_capacity_tokens: u64,
+    /// Most requests waiting outside the batch.
+    pub max_queue: usize,
+}
+
+impl Default for CostModel {
+    fn default() -> Self {
+        Self {
+            iteration_micros: 4_000,
+            prefill_token_nanos: 40_000,
+            decode_sequence_nanos: 200_000,
+            max_sequences: 64,
+            prefill_chunk_tokens: 512,
+            kv_capacity_tokens: 200_000,
+            max_queue: 512,
+        }
+    }
+}
+
+/// One request as the engine sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Work {
+    /// The request.
+    pub id: RequestId,
+    /// Tokens to prefill: the prompt less what the prefix cache holds.
+    pub prefill_tokens: u32,
+    /// Tokens the sequence holds in the KV cache once prefilled.
+    pub context_tokens: u32,
+    /// Tokens to generate.
+    pub output_tokens: u32,
+    /// Queue order; lower runs first.
+    pub priority: u8,
+}
+
+/// Why work was not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SubmitError {
+    /// The queue is full.
+    QueueFull,
+    /// The request can never fit the KV cache.
+    TooLarge,
+    /// A request with this identifier is already in progress.
+    Duplicate,
+}
+
+/// What one iteration gave one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Progress {
+    /// The request.
+    pub id: RequestId,
+    /// Generated tokens so far.
+    pub generated: u32,
+    /// Whether that was the last token.
+    pub finished: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Sequence {
+    work: Work,
+    prefilled: u32,
+    generated: u32,
+    prefill_in_iteration: u32,
+}
+
+impl Sequence {
+    fn is_prefilled(&self) -> bool {
+        self.prefilled >= self.work.prefill_tokens
+    }
+
+    fn kv_reserved(&self) -> u64 {
+        kv_need(&self.work)
+    }
+}
+
+fn kv_need(work: &Work) -> u64 {
+    u64::from(work.context_tokens) + u64::from(work.output_tokens)
+}
+
+/// The engine's queue and batch.
+#[derive(Debug)]
+pub struct Batch {
+    costs: CostModel,
+    queue: VecDeque<Work>,
+    running: Vec<Sequence>,
+    known: HashMap<RequestId, ()>,
+    kv_reserved: u64,
+    in_iteration: bool,
+}
+
+impl Batch {
+    /// An idle engine.
+    pub fn new(costs: CostModel) -> Self {
+        Self {
+            costs,
+            queue: VecDeque::new(),
+            running: Vec::new(),
+            known: HashMap::new(),
+            kv_reserved: 0,
+            in_iteration: false,
+        }
+    }
+
+    /// Queues work behind everything of the same or a more urgent priority.
+    pub fn submit(&mut self, work: Work) -> Result<(), SubmitError> {
+        if kv_need(&work) > self.costs.kv_capacity_tokens {
+            return Err(SubmitError::TooLarge);
+        }
+        if self.queue.len() >= self.costs.max_queue {
+            return Err(SubmitError::QueueFull);
+        }
+        if self.known.insert(work.id, ()).is_some() {
+            return Err(SubmitError::Duplicate);
+        }
+        let position = self
+            .queue
+            .iter()
+            .position(|queued| queued.priority > work.priority);
+        self.queue
+            .insert(position.unwrap_or(self.queue.len()), work);
+        Ok(())
+    }
+
+    /// Drops a request wherever it stands; unknown ones are ignored.
+    pub fn cancel(&mut self, id: RequestId) {
+        if self.known.remove(&id).is_none() {
+            return;
+        }
+        self.queue.retain(|work| work.id != id);
+        let Some(position) = self
+            .running
+            .iter()
+            .position(|sequence| sequence.work.id == id)
+        else {
+            return;
+        };
+        let sequence = self.running.remove(position);
+        self.kv_reserved -= sequence.kv_reserved();
+    }
+
+    /// Begins an iteration and returns when it ends, or `None` if there is nothing to do.
+    pub fn begin_iteration(&mut self, now: Timestamp) -> Option<Timestamp> {
+        self.admit();
+        if self.running.is_empty() {
+            return None;
+        }
+        let mut budget = self.costs.prefill_chunk_tokens;
+        let mut nanos = self.costs.iteration_micros * 1_000;
+        for sequence in &mut self.running {
+            if sequence.is_prefilled() {
+                sequence.prefill_in_iteration = 0;
+                nanos += self.costs.decode_sequence_nanos;
+                continue;
+            }
+            let chunk = budget.min(sequence.work.prefill_tokens - sequence.prefilled);
+            sequence.prefill_in_iteration = chunk;
+            budget -= chunk;
+            nanos += u64::from(chunk) * self.costs.prefill_token_nanos;
+        }
+        self.in_iteration = true;
+        Some(now + Duration::from_nanos(nanos))
+    }
+
+    /// Ends the iteration and returns the requests that gained a token.
+    pub fn finish_iteration(&mut self) -> Vec<Progress> {
+        let mut progress = Vec::new();
+        if !std::mem::take(&mut self.in_iteration) {
+            return progress;
+        }
+        for sequence in &mut self.running {
+            sequence.prefilled += std::mem::take(&mut sequence.prefill_in_iteration);
+            if !sequence.is_prefilled() {
+                continue;
+            }
+            sequence.generated += 1;
+            progress.push(Progress {
+                id: sequence.work.id,
+                generated: sequence.generated,
+                finished: sequence.generated >= sequence.work.output_tokens,
+            });
+        }
+        for done in progress.iter().filter(|progress| progress.finished) {
+            self.cancel(done.id);
+        }
+        progress
+    }
+
+    /// Requests in progress, queued ones included.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// Whether no request is in progress.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// Requests waiting outside the batch.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Prompt tokens still to prefill, over all requests.
+    pub fn pending_prefill_tokens(&self) -> u64 {
+        let queued: u64 = self
+            .queue
+            .iter()
+            .map(|work| u64::from(work.prefill_tokens))
+            .sum();
+        let running: u64 = self
+            .running
+            .iter()
+            .map(|sequence| u64::from(sequence.work.prefill_tokens - sequence.prefilled))
+            .sum();
+        queued + running
+    }
+
+    /// KV cache tokens reserved by the batch.
+    pub fn kv_reserved(&self) -> u64 {
+        self.kv_reserved
+    }
+
+    /// KV cache size, in tokens.
+    pub fn kv_capacity(&self) -> u64 {
+        self.costs.kv_capacity_tokens
+    }
+
+    fn admit(&mut self) {
+        while self.running.len() < self.costs.max_sequences {
+            let Some(next) = self.queue.front() else {
+                return;
+            };
+            if self.kv_reserved + kv_need(next) > self.costs.kv_capacity_tokens {
+                return;
+            }
+            let Some(work) = self.queue.pop_front() else {
+                return;
+            };
+            self.kv_reserved += kv_need(&work);
+            self.running.push(Sequence {
+                work,
+                prefilled: 0,
+                generated: 0,
+                prefill_in_iteration: 0,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine-model/src/lib.rs
@@ -0,0 +1,11 @@
+//! How an engine behaves: continuous batching with a cost for each iteration, and the control
+//! side with its fence register. The stand-in runs this model in real time and the emulator runs
+//! the same model in virtual time, so that their figures can be compared.
+
+#![forbid(unsafe_code)]
+
+pub mod batch;
+pub mod control;
+
+pub use batch::{Batch, CostModel, Progress, SubmitError, Work};
+pub use control::{Control, ControlTiming};
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,42 @@
+//! The `tansyhall-lab` command: experiments on the system's own decisions and programs.
+
+#![forbid(unsafe_code)]
+
+use std::process::ExitCode;
+
+use anyhow::{bail, Result};
+use pico_args::Arguments;
+
+const HELP: &str = "\
+Experiments on tansyhall.
+
+USAGE:
+  tansyhall-lab COMMAND [OPTIONS]
+
+EXIT CODES:
+  0  done
+  1  failed while running, or a violation was found
+  2  wrong usage
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("tansyhall-lab: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run() -> Result<ExitCode> {
+    let mut arguments = Arguments::from_env();
+    let command = arguments.subcommand()?;
+    match command.as_deref() {
+        Some(other) => bail!("unknown command {other}; see tansyhall-lab --help"),
+        None => {
+            print!("{HELP}");
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/generator.rs
@@ -0,0 +1,234 @@
+//! Sends a workload's requests and judges the answers.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::StreamExt;
+use hdrhistogram::Histogram;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use tansyhall_engine::protocol::COMPLETIONS_PATH;
+use tansyhall_engine::sse::SseDecoder;
+use tansyhall_standin::engine::answer_text;
+
+use crate::summary::Summary;
+use crate::workload::{Phase, RequestShape, Workload};
+
+/// Longest wait for any one answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest first-token time recorded, in milliseconds.
+const MAX_RECORDED_MS: u64 = 120_000;
+
+struct Totals {
+    summary: Summary,
+    first_token: Histogram<u64>,
+}
+
+/// Runs a workload against nodes, in turn, and returns what came of it. `progress` is called about
+/// once a second with the counts so far.
+pub async fn run(
+    workload: &Workload,
+    nodes: &[SocketAddr],
+    model: &str,
+    mut progress: impl FnMut(&Summary),
+) -> Summary {
+    let first_token =
+        Histogram::new_with_bounds(1, MAX_RECORDED_MS, 3).expect("constant bounds are valid");
+    let totals = Rc::new(RefCell::new(Totals {
+        summary: Summary::default(),
+        first_token,
+    }));
+    let mut random = ChaCha8Rng::seed_from_u64(workload.seed);
+    let started = Instant::now();
+    let mut reported = Duration::ZERO;
+    let mut tasks = Vec::new();
+    for (sequence, (due, shape)) in arrivals(workload, &mut random).into_iter().enumerate() {
+        actix_rt::time::sleep(due.saturating_sub(started.elapsed())).await;
+        if started.elapsed() >= reported + Duration::from_secs(1) {
+            reported = started.elapsed();
+            progress(&totals.borrow().summary);
+        }
+        let node = nodes[sequence % nodes.len()];
+        let prompt = prompt_text(sequence, shape.prompt_tokens);
+        totals.borrow_mut().summary.requests += 1;
+        let totals = Rc::clone(&totals);
+        let model = model.to_owned();
+        tasks.push(actix_rt::spawn(async move {
+            let outcome = ask(node, &model, &prompt, &shape).await;
+            record(&mut totals.borrow_mut(), &shape, &outcome);
+        }));
+    }
+    for task in tasks {
+        let _ = task.await;
+    }
+    let totals = totals.borrow();
+    let mut summary = totals.summary.clone();
+    summary.p50_first_token_ms = totals.first_token.value_at_quantile(0.50);
+    summary.p95_first_token_ms = totals.first_token.value_at_quantile(0.95);
+    summary
+}
+
+/// Poisson arrivals of every phase, in order of time.
+fn arrivals(workload: &Workload, random: &mut ChaCha8Rng) -> Vec<(Duration, RequestShape)> {
+    let mut arrivals = Vec::new();
+    let mut phase_start = Duration::ZERO;
+    for phase in &workload.phases {
+        let length = workload.duration.mul_f64(phase.part);
+        phase_arrivals(phase, phase_start, length, random, &mut arrivals);
+        phase_start += length;
+    }
+    arrivals.sort_by_key(|(due, _)| *due);
+    arrivals
+}
+
+fn phase_arrivals(
+    phase: &Phase,
+    start: Duration,
+    length: Duration,
+    random: &mut ChaCha8Rng,
+    arrivals: &mut Vec<(Duration, RequestShape)>,
+) {
+    for (shape, rate) in &phase.rates {
+        let mut offset = 0.0;
+        loop {
+            let uniform: f64 = random.random();
+            offset += -(1.0 - uniform).ln() / rate;
+            if offset >= length.as_secs_f64() {
+                break;
+            }
+            arrivals.push((start + Duration::from_secs_f64(offset), shape.clone()));
+        }
+    }
+}
+
+fn prompt_text(sequence: usize, tokens: u32) -> String {
+    let words: Vec<String> = (0..tokens)
+        .map(|word| format!("w{sequence}.{word}"))
+        .collect();
+    words.join(" ")
+}
+
+#[derive(Debug, Default)]
+struct Outcome {
+    text: String,
+    expected: String,
+    verdict: Option<String>,
+    first_token: Option<Duration>,
+    whole: Duration,
+}
+
+#[derive(Deserialize)]
+struct Event {
+    #[serde(default)]
+    choices: Vec<EventChoice>,
+    #[serde(default)]
+    tansyhall_verdict: Option<String>,
+    #[serde(default)]
+    error: Option<EventError>,
+}
+
+#[derive(Deserialize)]
+struct EventChoice {
+    text: String,
+}
+
+#[derive(Deserialize)]
+struct EventError {
+    verdict: String,
+}
+
+async fn ask(node: SocketAddr, model: &str, prompt: &str, shape: &RequestShape) -> Outcome {
+    let mut outcome = Outcome {
+        expected: answer_text(model, prompt, shape.output_tokens),
+        ..Outcome::default()
+    };
+    let started = Instant::now();
+    let client = awc::Client::builder().disable_timeout().finish();
+    let body = serde_json::json!({
+        "model": model, "prompt": prompt, "max_tokens": shape.output_tokens, "stream": true,
+    });
+    let url = format!("http://{node}{COMPLETIONS_PATH}");
+    let sent = client
+        .post(url)
+        .timeout(ANSWER_TIMEOUT)
+        .send_json(&body)
+        .await;
+    let Ok(mut response) = sent else {
+        return outcome;
+    };
+    if !response.status().is_success() {
+        let event = response.json::<Event>().await.ok();
+        outcome.verdict = event
+            .and_then(|event| event.error)
+            .map(|error| error.verdict);
+        return outcome;
+    }
+    let mut decoder = SseDecoder::default();
+    while let Some(Ok(bytes)) = response.next().await {
+        let Ok(events) = decoder.push(&bytes) else {
+            break;
+        };
+        for event in events
+            .iter()
+            .filter_map(|data| serde_json::from_str::<Event>(data).ok())
+        {
+            outcome.first_token.get_or_insert_with(|| started.elapsed());
+            take_event(&mut outcome, event);
+        }
+    }
+    outcome.whole = started.elapsed();
+    outcome
+}
+
+fn take_event(outcome: &mut Outcome, event: Event) {
+    for choice in &event.choices {
+        outcome.text.push_str(&choice.text);
+    }
+    let verdict = event
+        .tansyhall_verdict
+        .or(event.error.map(|error| error.verdict));
+    if verdict.is_some() {
+        outcome.verdict = verdict;
+    }
+}
+
+fn record(totals: &mut Totals, shape: &RequestShape, outcome: &Outcome) {
+    let summary = &mut totals.summary;
+    if !outcome.expected.starts_with(&outcome.text) {
+        summary.wrong_answers += 1;
+        return;
+    }
+    match outcome.verdict.as_deref() {
+        Some("completed") if outcome.text == outcome.expected => summary.completed += 1,
+        Some("completed") => {
+            summary.cut_short += 1;
+            return;
+        }
+        Some("not-run") => {
+            summary.not_run += 1;
+            return;
+        }
+        Some(_) => {
+            summary.may_have_run += 1;
+            return;
+        }
+        None if outcome.text.is_empty() => {
+            summary.may_have_run += 1;
+            return;
+        }
+        None => {
+            summary.cut_short += 1;
+            return;
+        }
+    }
+    if outcome.whole <= shape.deadline {
+        summary.in_deadline += 1;
+    }
+    if let Some(first_token) = outcome.first_token {
+        let millis = u64::try_from(first_token.as_millis()).unwrap_or(MAX_RECORDED_MS);
+        totals.first_token.saturating_record(millis.max(1));
+    }
+}
--- /dev/null
+++ b/crates/node/src/configuration/mod.rs
@@ -0,0 +1,10 @@
+//! The configuration: how it is changed in the platform's store, how a node follows it, and the
+//! tables that requests are routed by.
+
+pub mod in_force;
+pub mod store;
+pub mod watcher;
+
+pub use in_force::InForce;
+pub use store::{ChangeError, ConfigurationStore, Snapshot};
+pub use watcher::ConfigurationWatcher;
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,16 @@
+//! The node process: wiring only. It serves callers and operators over HTTP, keeps the
+//! configuration in force, and holds the authority over some pools; every decision is taken by a
+//! crate without sockets, clocks or threads.
+
+#![forbid(unsafe_code)]
+
+pub mod admin;
+pub mod authority;
+pub mod callers;
+pub mod configuration;
+pub mod metrics;
+pub mod server;
+pub mod state;
+
+pub use server::{run, RunningNode};
+pub use state::Node;
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,74 @@
+//! Counters of a node, in Prometheus text form.
+
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+
+/// Every counter and gauge of a node.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests answered, by verdict.
+    pub requests: IntCounterVec,
+    /// Attempts at back ends, by outcome.
+    pub attempts: IntCounterVec,
+    /// Chunks that did not match their request; each ended an attempt.
+    pub mismatches: IntCounter,
+    /// Requests resumed at another engine.
+    pub resumed: IntCounter,
+    /// Requests in progress.
+    pub in_progress: IntGauge,
+    /// Revision of the configuration in force.
+    pub configuration_revision: IntGauge,
+    /// Configurations refused because they do not validate.
+    pub configuration_refused: IntCounter,
+    /// Orders sent to engines, by reply.
+    pub orders: IntCounterVec,
+    /// Pools this node has authority over.
+    pub pools_held: IntGauge,
+    /// Failed calls to the platform.
+    pub platform_errors: IntCounter,
+}
+
+impl Metrics {
+    /// Registers every metric.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, label: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label])?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok::<_, prometheus::Error>(counters)
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        Ok(Self {
+            requests: counters("tansyhall_requests_total", "Requests by verdict", "verdict")?,
+            attempts: counters("tansyhall_attempts_total", "Attempts by outcome", "outcome")?,
+            mismatches: counter("tansyhall_mismatches_total", "Chunks of the wrong request")?,
+            resumed: counter("tansyhall_resumed_total", "Requests resumed elsewhere")?,
+            in_progress: gauge("tansyhall_requests_in_progress", "Requests in progress")?,
+            configuration_revision: gauge(
+                "tansyhall_configuration_revision",
+                "Revision of the configuration in force",
+            )?,
+            configuration_refused: counter(
+                "tansyhall_configuration_refused_total",
+                "Configurations refused as invalid",
+            )?,
+            orders: counters("tansyhall_orders_total", "Orders by reply", "reply")?,
+            pools_held: gauge("tansyhall_pools_held", "Pools under this node's authority")?,
+            platform_errors: counter("tansyhall_platform_errors_total", "Failed platform calls")?,
+            registry,
+        })
+    }
+
+    /// The metrics as text.
+    pub fn render(&self) -> Result<String, prometheus::Error> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+}
--- /dev/null
+++ b/crates/node/src/state.rs
@@ -0,0 +1,95 @@
+//! State that the threads of one node share.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+use tansyhall_config::NodeSettings;
+use tansyhall_core::time::MonotonicClock;
+use tansyhall_core::EngineName;
+use tansyhall_engine::protocol::EngineState;
+
+use crate::configuration::InForce;
+use crate::metrics::Metrics;
+
+/// What a node knows about one engine.
+#[derive(Debug, Clone, Default)]
+pub struct EngineStatus {
+    /// The control state as last read.
+    pub state: Option<EngineState>,
+    /// Requests of this node in progress there.
+    pub in_flight: u32,
+}
+
+/// State shared by every thread.
+pub struct Node {
+    /// Settings.
+    pub settings: NodeSettings,
+    /// The monotonic clock.
+    pub clock: MonotonicClock,
+    /// The configuration in force.
+    pub in_force: ArcSwap<InForce>,
+    /// Counters.
+    pub metrics: Metrics,
+    engines: Mutex<HashMap<EngineName, EngineStatus>>,
+    stopping: AtomicBool,
+}
+
+impl Node {
+    /// The state of a node that knows nothing yet.
+    pub fn new(settings: NodeSettings) -> anyhow::Result<Arc<Self>> {
+        Ok(Arc::new(Self {
+            settings,
+            clock: MonotonicClock::start(),
+            in_force: ArcSwap::from_pointee(InForce::default()),
+            metrics: Metrics::new()?,
+            engines: Mutex::new(HashMap::new()),
+            stopping: AtomicBool::new(false),
+        }))
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Begins a planned stop: new requests are refused from now on.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Reads or changes what is known about engines.
+    pub fn with_engines<R>(
+        &self,
+        access: impl FnOnce(&mut HashMap<EngineName, EngineStatus>) -> R,
+    ) -> R {
+        access(&mut self.engines.lock())
+    }
+
+    /// Counts a request of this node at an engine until the guard is dropped.
+    pub fn track_in_flight(self: &Arc<Self>, engine: &EngineName) -> InFlight {
+        self.with_engines(|engines| engines.entry(engine.clone()).or_default().in_flight += 1);
+        InFlight {
+            node: Arc::clone(self),
+            engine: engine.clone(),
+        }
+    }
+}
+
+/// A request of this node in progress at an engine.
+pub struct InFlight {
+    node: Arc<Node>,
+    engine: EngineName,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.node.with_engines(|engines| {
+            if let Some(status) = engines.get_mut(&self.engine) {
+                status.in_flight = status.in_flight.saturating_sub(1);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/planner/src/lib.rs
@@ -0,0 +1,7 @@
+//! The planner: a pure function from a pool's state to the role changes to make.
+
+#![forbid(unsafe_code)]
+
+pub mod bounds;
+
+pub use bounds::{plan_bounds, EngineView, PlannedChange, RoleLimit};
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,145 @@
+//! The engine's stand-in: the engine model in real time behind the engine protocol. It records
+//! every order and every request, so that a test can judge what happened.
+
+mod answer;
+mod http;
+mod runner;
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use actix_web::dev::Server;
+use actix_web::{web, App, HttpServer};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tansyhall_core::time::MonotonicClock;
+use tansyhall_core::{EngineName, Incarnation, ModelName, Role};
+use tansyhall_engine::protocol::{Order, OrderAction, OrderReply};
+use tansyhall_engine_model::{Control, ControlTiming, CostModel};
+
+pub use answer::{answer_text, answer_token};
+use runner::Runner;
+
+/// How one engine is set up.
+#[derive(Debug, Clone)]
+pub struct EngineOptions {
+    /// Its name.
+    pub name: EngineName,
+    /// Its first role.
+    pub role: Role,
+    /// Its first model.
+    pub model: ModelName,
+    /// How long role changes take.
+    pub role_change: Duration,
+    /// Its speed and sizes.
+    pub costs: CostModel,
+}
+
+/// An order as the engine saw it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RecordedOrder {
+    /// Milliseconds since the engine's start.
+    pub at_millis: u64,
+    /// The order.
+    pub order: Order,
+    /// The engine's answer.
+    pub reply: OrderReply,
+    /// Requests in progress at that moment.
+    pub requests: u32,
+}
+
+/// A request as the engine saw it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RecordedRequest {
+    /// Milliseconds since the engine's start.
+    pub at_millis: u64,
+    /// The request.
+    pub request_id: String,
+    /// Hash of the model and prompt.
+    pub prompt_hash: u64,
+    /// Tokens the caller already had.
+    pub resume_after: u32,
+}
+
+/// Most records kept of each kind; older ones are dropped.
+const MAX_RECORDS: usize = 100_000;
+
+/// Everything recorded.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Records {
+    /// Orders, oldest first.
+    pub orders: Vec<RecordedOrder>,
+    /// Requests begun, oldest first.
+    pub requests: Vec<RecordedRequest>,
+}
+
+impl Records {
+    /// Changes of role that were begun.
+    pub fn role_changes(&self) -> u64 {
+        let begun = |record: &&RecordedOrder| {
+            matches!(record.order.action, OrderAction::SetRole { .. })
+                && record.reply == OrderReply::Accepted
+        };
+        self.orders.iter().filter(begun).count() as u64
+    }
+
+    fn push_order(&mut self, order: RecordedOrder) {
+        self.orders.push(order);
+        trim(&mut self.orders);
+    }
+
+    fn push_request(&mut self, request: RecordedRequest) {
+        self.requests.push(request);
+        trim(&mut self.requests);
+    }
+}
+
+fn trim<T>(records: &mut Vec<T>) {
+    if records.len() > MAX_RECORDS {
+        records.drain(..MAX_RECORDS / 2);
+    }
+}
+
+/// State shared by the stand-in's handlers.
+pub struct Engine {
+    clock: MonotonicClock,
+    control: Mutex<Control>,
+    records: Mutex<Records>,
+    runner: Runner,
+}
+
+/// Serves an engine on a listener.
+pub fn serve(listener: TcpListener, options: EngineOptions) -> std::io::Result<Server> {
+    let started = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let incarnation = Incarnation(u64::try_from(started.as_micros()).unwrap_or(0));
+    let timing = ControlTiming {
+        role_change: options.role_change,
+        ..ControlTiming::default()
+    };
+    let control = Control::new(
+        options.name,
+        incarnation,
+        options.role,
+        options.model,
+        timing,
+    );
+    let clock = MonotonicClock::start();
+    let engine = Arc::new(Engine {
+        clock,
+        control: Mutex::new(control),
+        records: Mutex::new(Records::default()),
+        runner: Runner::start(clock, options.costs),
+    });
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::from(Arc::clone(&engine)))
+            .app_data(web::JsonConfig::default().limit(MAX_BODY_BYTES))
+            .configure(http::routes)
+    });
+    Ok(server.workers(1).disable_signals().listen(listener)?.run())
+}
+
+const MAX_BODY_BYTES: usize = 64 << 20;
--- /dev/null
+++ b/crates/testing/src/lib.rs
@@ -0,0 +1,163 @@
+//! Runs the built programs as separate processes on loopback, and stops them when a test ends.
+
+#![forbid(unsafe_code)]
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+/// Bearer token of the operator account in [`node_settings`].
+pub const TOKEN: &str = "secret";
+/// SHA-256 of [`TOKEN`].
+const TOKEN_SHA256: &str = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
+/// Longest wait for a condition; reached only when the test fails.
+const CONDITION_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A process that is killed when the test ends.
+pub struct Process {
+    /// The process.
+    pub child: Child,
+    /// The first line it printed.
+    pub first_line: String,
+}
+
+impl Process {
+    fn spawn(program: PathBuf, arguments: &[&str]) -> Self {
+        let mut child = Command::new(&program)
+            .args(arguments)
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| panic!("cannot run {}: {error}", program.display()));
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut first_line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut first_line)
+            .expect("the process prints a line");
+        Self { child, first_line }
+    }
+
+    /// Sends a signal by name, such as `TERM` or `STOP`.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &pid]).status();
+        assert!(
+            status.is_ok_and(|status| status.success()),
+            "kill -s {name} {pid}"
+        );
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The program built beside the running test; tests of the package `tansyhall` have all of them.
+fn program(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("the test's own path");
+    let directory = test
+        .parent()
+        .and_then(|deps| deps.parent())
+        .expect("a target directory");
+    directory.join(name)
+}
+
+/// A stand-in process.
+pub struct Standin {
+    /// The process.
+    pub process: Process,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Starts a stand-in on a free port.
+pub fn standin(arguments: &[&str]) -> Standin {
+    let mut all = arguments.to_vec();
+    all.extend(["--listen", "127.0.0.1:0"]);
+    let process = Process::spawn(program("tansyhall-standin"), &all);
+    let address = process
+        .first_line
+        .trim()
+        .strip_prefix("listening ")
+        .expect("a listening line");
+    let address = address.parse().expect("an address");
+    Standin { process, address }
+}
+
+/// A node process.
+pub struct NodeProcess {
+    /// The process.
+    pub process: Process,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect.
+    pub admin: SocketAddr,
+}
+
+/// Settings of a node, in TOML.
+pub fn node_settings(name: &str, zone: &str, platform: SocketAddr) -> String {
+    format!(
+        "name = '{name}'\nzone = '{zone}'\nplatform = '{platform}'\nthreads = 2\n\
+         callers = '127.0.0.1:0'\nadmin = '127.0.0.1:0'\npeers = '127.0.0.1:0'\n\
+         [[operators]]\nname = 'test'\nrole = 'operator'\ntoken_sha256 = '{TOKEN_SHA256}'\n"
+    )
+}
+
+/// Starts a node with these settings.
+pub fn node(directory: &std::path::Path, name: &str, settings: &str) -> NodeProcess {
+    let file = directory.join(format!("{name}.toml"));
+    std::fs::write(&file, settings).expect("the settings are written");
+    let file = file.to_str().expect("a UTF-8 path");
+    let process = Process::spawn(program("tansyhall"), &["node", "--settings", file]);
+    let words: Vec<&str> = process.first_line.split_whitespace().collect();
+    let callers = words[1].parse().expect("an address");
+    let admin = words[3].parse().expect("an address");
+    NodeProcess {
+        process,
+        callers,
+        admin,
+    }
+}
+
+/// Runs `tansyhall` to its end and returns its standard output; fails the test if it fails.
+pub fn tansyhall(arguments: &[&str]) -> String {
+    let output = Command::new(program("tansyhall"))
+        .args(arguments)
+        .env("TANSYHALL_TOKEN", TOKEN)
+        .output()
+        .expect("tansyhall runs");
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(output.status.success(), "tansyhall {arguments:?}: {errors}");
+    String::from_utf8(output.stdout).expect("UTF-8 output")
+}
+
+/// Reads JSON with an HTTP GET.
+pub async fn get_json(address: SocketAddr, path: &str) -> Option<Value> {
+    let request = awc::Client::default().get(format!("http://{address}{path}"));
+    let mut response = request.bearer_auth(TOKEN).send().await.ok()?;
+    response.json().limit(64 << 20).await.ok()
+}
+
+/// Waits until `condition` yields a value.
+pub async fn eventually<T, F>(what: &str, mut condition: impl FnMut() -> F) -> T
+where
+    F: std::future::Future<Output = Option<T>>,
+{
+    let started = Instant::now();
+    loop {
+        if let Some(value) = condition().await {
+            return value;
+        }
+        assert!(
+            started.elapsed() < CONDITION_TIMEOUT,
+            "waited too long until {what}"
+        );
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
