Routing by predicted times and harm, a predictive planner, and the emulator that compares them

Routing weighs a request's own predicted time against the time it takes from answers in progress; a request that no engine can serve in time is refused at once. The planner predicts the part of the demand that each split of roles serves and changes a role only where the gain over the horizon passes the loss while the engine is away. The emulator runs the engine model in virtual time under either, beside fixed splits, round robin, least load, a reactive planner and a clairvoyant search.

--- a/crates/engine-model/src/batch.rs
+++ b/crates/engine-model/src/batch.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tansyhall_core::{RequestId, Timestamp};
+use tansyhall_core::{RequestId, Role, Timestamp};
 
 /// Costs and sizes of one engine.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -19,8 +19,11 @@
     pub decode_sequence_nanos: u64,
     /// Most sequences in a batch.
     pub max_sequences: usize,
-    /// Most prompt tokens prefilled in one iteration.
+    /// Most prompt tokens prefilled in one iteration of a mixed engine; small, so that answers in
+    /// progress are not held up for long.
     pub prefill_chunk_tokens: u32,
+    /// Most prompt tokens prefilled in one iteration of a prefill engine, which holds nobody up.
+    pub prefill_role_chunk_tokens: u32,
     /// KV cache size, in tokens.
     pub kv_capacity_tokens: u64,
     /// Most requests waiting outside the batch.
@@ -35,6 +38,7 @@
             decode_sequence_nanos: 200_000,
             max_sequences: 64,
             prefill_chunk_tokens: 512,
+            prefill_role_chunk_tokens: 4_096,
             kv_capacity_tokens: 200_000,
             max_queue: 512,
         }
@@ -109,10 +113,11 @@
     known: HashMap<RequestId, ()>,
     kv_reserved: u64,
     in_iteration: bool,
+    role: Role,
 }
 
 impl Batch {
-    /// An idle engine.
+    /// An idle mixed engine.
     pub fn new(costs: CostModel) -> Self {
         Self {
             costs,
@@ -121,9 +126,15 @@
             known: HashMap::new(),
             kv_reserved: 0,
             in_iteration: false,
+            role: Role::Mixed,
         }
     }
 
+    /// Changes the role, which sets how much is prefilled in one iteration.
+    pub fn set_role(&mut self, role: Role) {
+        self.role = role;
+    }
+
     /// Queues work behind everything of the same or a more urgent priority.
     pub fn submit(&mut self, work: Work) -> Result<(), SubmitError> {
         if kv_need(&work) > self.costs.kv_capacity_tokens {
@@ -167,7 +178,10 @@
         if self.running.is_empty() {
             return None;
         }
-        let mut budget = self.costs.prefill_chunk_tokens;
+        let mut budget = match self.role {
+            Role::Prefill => self.costs.prefill_role_chunk_tokens,
+            Role::Mixed | Role::Decode => self.costs.prefill_chunk_tokens,
+        };
         let mut nanos = self.costs.iteration_micros * 1_000;
         for sequence in &mut self.running {
             if sequence.is_prefilled() {
@@ -223,6 +237,20 @@
         self.queue.len()
     }
 
+    /// Sequences being decoded.
+    pub fn decoding(&self) -> usize {
+        self.running
+            .iter()
+            .filter(|sequence| sequence.is_prefilled())
+            .count()
+    }
+
+    /// Room in the batch, in sequences; negative when requests queue for it.
+    pub fn free_sequences(&self) -> i64 {
+        let taken = self.running.len() + self.queue.len();
+        self.costs.max_sequences as i64 - taken as i64
+    }
+
     /// Prompt tokens still to prefill, over all requests.
     pub fn pending_prefill_tokens(&self) -> u64 {
         let queued: u64 = self
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,7 +11,9 @@
 Experiments on tansyhall.
 
 USAGE:
-  tansyhall-lab COMMAND [OPTIONS]
+  tansyhall-lab compare --workload FILE ...   every strategy on the same traces, side by side
+
+`tansyhall-lab COMMAND --help` shows a command's options.
 
 EXIT CODES:
   0  done
@@ -33,6 +35,7 @@
     let mut arguments = Arguments::from_env();
     let command = arguments.subcommand()?;
     match command.as_deref() {
+        Some("compare") => tansyhall_lab::compare::command(arguments),
         Some(other) => bail!("unknown command {other}; see tansyhall-lab --help"),
         None => {
             print!("{HELP}");
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -3,5 +3,6 @@
 #![forbid(unsafe_code)]
 
 pub mod bounds;
+pub mod predictive;
 
 pub use bounds::{plan_bounds, EngineView, PlannedChange, RoleLimit};
--- /dev/null
+++ b/crates/routing/src/estimate.rs
@@ -0,0 +1,88 @@
+//! What a node believes about an engine: the last report, which is old, and the node's own
+//! requests since it was made.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+
+use tansyhall_core::{Role, Timestamp};
+
+/// A belief about one engine at the moment of a choice.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineEstimate {
+    /// Its role.
+    pub role: Role,
+    /// Whether it accepts work: it is not draining, changing or thought dead.
+    pub accepts_work: bool,
+    /// Sequences being decoded.
+    pub decoding: f64,
+    /// Requests still waiting for their prompts to be prefilled.
+    pub waiting: f64,
+    /// Prompt tokens still to prefill.
+    pub pending_prefill_tokens: f64,
+    /// Room in the batch, in sequences; negative when requests queue for it.
+    pub free_sequences: f64,
+    /// Prompt tokens a second that the engine has been given of late.
+    pub prefill_rate: f64,
+}
+
+/// An exponentially weighted rate of prompt tokens, in tokens a second.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PrefillRate {
+    time_constant: f64,
+    rate: f64,
+    updated: Timestamp,
+}
+
+impl PrefillRate {
+    /// A rate of zero that forgets with the given time constant, in seconds.
+    pub fn new(time_constant: f64) -> Self {
+        Self {
+            time_constant,
+            rate: 0.0,
+            updated: Timestamp::default(),
+        }
+    }
+
+    /// Counts tokens given at `now`.
+    pub fn add(&mut self, now: Timestamp, tokens: f64) {
+        self.rate = self.at(now) + tokens / self.time_constant;
+        self.updated = now;
+    }
+
+    /// The rate at `now`.
+    pub fn at(&self, now: Timestamp) -> f64 {
+        let elapsed = now.since(self.updated).as_secs_f64();
+        self.rate * (-elapsed / self.time_constant).exp()
+    }
+}
+
+/// Expected output lengths by class, learned from answers that ended.
+#[derive(Debug, Clone, Default)]
+pub struct OutputEstimator<C> {
+    means: HashMap<C, f64>,
+}
+
+/// Weight of the newest answer in a class's mean length.
+const NEWEST_WEIGHT: f64 = 0.05;
+
+impl<C: Hash + Eq> OutputEstimator<C> {
+    /// Nothing learned yet.
+    pub fn new() -> Self {
+        Self {
+            means: HashMap::new(),
+        }
+    }
+
+    /// Learns from an answer of `tokens` tokens.
+    pub fn learn(&mut self, class: C, tokens: f64) {
+        let mean = self.means.entry(class).or_insert(tokens);
+        *mean += NEWEST_WEIGHT * (tokens - *mean);
+    }
+
+    /// The expected length for a class, at most what the request allows.
+    pub fn expect(&self, class: &C, max_tokens: f64) -> f64 {
+        self.means
+            .get(class)
+            .map_or(max_tokens, |mean| mean.min(max_tokens))
+    }
+}
--- /dev/null
+++ b/crates/routing/src/tracker.rs
@@ -0,0 +1,161 @@
+//! Follows one engine: its last report, which was made some time ago, and this node's own requests
+//! since. A request that the report cannot know is added to it; one that moved on since is moved.
+
+use std::collections::HashMap;
+
+use tansyhall_core::{RequestId, Role, Timestamp};
+
+use crate::estimate::{EngineEstimate, PrefillRate};
+
+/// Time constant of the prefill rate, in seconds.
+const PREFILL_RATE_SECONDS: f64 = 3.0;
+
+/// An engine's load at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct LoadSnapshot {
+    /// When it was taken, on the node's clock.
+    pub taken: Timestamp,
+    /// Sequences being decoded.
+    pub decoding: f64,
+    /// Requests whose prompts are not prefilled yet.
+    pub waiting: f64,
+    /// Prompt tokens still to prefill.
+    pub pending_prefill_tokens: f64,
+    /// Room in the batch, in sequences.
+    pub free_sequences: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct OwnRequest {
+    prefill_tokens: f64,
+    sent: Timestamp,
+    first_token: Option<Timestamp>,
+    finished: Option<Timestamp>,
+}
+
+/// A node's knowledge of one engine.
+#[derive(Debug, Clone)]
+pub struct EngineTracker {
+    /// The engine's role as last heard.
+    pub role: Role,
+    /// Whether the engine accepts work as far as the node knows.
+    pub accepts_work: bool,
+    report: LoadSnapshot,
+    own: HashMap<RequestId, OwnRequest>,
+    prefill_rate: PrefillRate,
+}
+
+impl EngineTracker {
+    /// An engine that nothing is known of yet, with room for `max_sequences`.
+    pub fn new(role: Role, max_sequences: f64) -> Self {
+        Self {
+            role,
+            accepts_work: true,
+            report: LoadSnapshot {
+                free_sequences: max_sequences,
+                ..LoadSnapshot::default()
+            },
+            own: HashMap::new(),
+            prefill_rate: PrefillRate::new(PREFILL_RATE_SECONDS),
+        }
+    }
+
+    /// A request of this node was sent to the engine.
+    pub fn sent(&mut self, now: Timestamp, id: RequestId, prefill_tokens: f64) {
+        self.prefill_rate.add(now, prefill_tokens);
+        let request = OwnRequest {
+            prefill_tokens,
+            sent: now,
+            first_token: None,
+            finished: None,
+        };
+        self.own.insert(id, request);
+    }
+
+    /// A request's first token arrived.
+    pub fn first_token(&mut self, now: Timestamp, id: RequestId) {
+        if let Some(request) = self.own.get_mut(&id) {
+            request.first_token.get_or_insert(now);
+        }
+    }
+
+    /// A request ended, however it ended.
+    pub fn finished(&mut self, now: Timestamp, id: RequestId) {
+        if let Some(request) = self.own.get_mut(&id) {
+            request.finished = Some(now);
+        }
+    }
+
+    /// A load report arrived; an older one than the last is ignored. Requests that ended before it
+    /// was taken are forgotten.
+    pub fn report(&mut self, snapshot: LoadSnapshot) {
+        if snapshot.taken < self.report.taken {
+            return;
+        }
+        self.report = snapshot;
+        let known_ended = |ended: Timestamp| ended <= snapshot.taken;
+        self.own
+            .retain(|_, request| !request.finished.is_some_and(known_ended));
+    }
+
+    /// Requests of this node in progress at the engine.
+    pub fn in_flight(&self) -> usize {
+        self.own
+            .values()
+            .filter(|request| request.finished.is_none())
+            .count()
+    }
+
+    /// The belief at `now`.
+    pub fn estimate(&self, now: Timestamp) -> EngineEstimate {
+        let mut estimate = EngineEstimate {
+            role: self.role,
+            accepts_work: self.accepts_work,
+            decoding: self.report.decoding,
+            waiting: self.report.waiting,
+            pending_prefill_tokens: self.report.pending_prefill_tokens,
+            free_sequences: self.report.free_sequences,
+            prefill_rate: self.prefill_rate.at(now),
+        };
+        for request in self.own.values() {
+            self.correct(&mut estimate, request);
+        }
+        estimate.decoding = estimate.decoding.max(0.0);
+        estimate.waiting = estimate.waiting.max(0.0);
+        estimate.pending_prefill_tokens = estimate.pending_prefill_tokens.max(0.0);
+        estimate
+    }
+
+    fn correct(&self, estimate: &mut EngineEstimate, request: &OwnRequest) {
+        let in_report = request.sent <= self.report.taken;
+        let prefilled_in_report = request
+            .first_token
+            .is_some_and(|first_token| first_token <= self.report.taken);
+        if in_report {
+            remove(estimate, request, prefilled_in_report);
+        }
+        if request.finished.is_none() {
+            add(estimate, request, request.first_token.is_some());
+        }
+    }
+}
+
+fn add(estimate: &mut EngineEstimate, request: &OwnRequest, prefilled: bool) {
+    estimate.free_sequences -= 1.0;
+    if prefilled {
+        estimate.decoding += 1.0;
+    } else {
+        estimate.waiting += 1.0;
+        estimate.pending_prefill_tokens += request.prefill_tokens;
+    }
+}
+
+fn remove(estimate: &mut EngineEstimate, request: &OwnRequest, prefilled: bool) {
+    estimate.free_sequences += 1.0;
+    if prefilled {
+        estimate.decoding -= 1.0;
+    } else {
+        estimate.waiting -= 1.0;
+        estimate.pending_prefill_tokens -= request.prefill_tokens;
+    }
+}
