Routing counts what other nodes sent, learns an engine's prefill load from its reports, and refuses earlier

Cause of the gap to the clairvoyant: a node took an engine's prefill load from its own requests only, a fraction of the whole with several nodes, and counted no other node's requests since a report, so all nodes chose the same engines and admitted too much. Change: reports carry accepted prompt tokens, each other node is taken to have done a third of what this one did, and a request is refused above 0.8 of the time left instead of 1.1.

--- a/crates/lab/src/compare/mod.rs
+++ b/crates/lab/src/compare/mod.rs
@@ -65,16 +65,25 @@
     let conditions = options.conditions(workload, seed);
     let rates = service_rates(&conditions.costs, conditions.transfer_token);
     let mut strategies = baselines(&conditions, &rates, &trace);
-    let mut own = own_strategy(rates);
+    let mut own = own_strategy(rates, options.choice);
     strategies.push((own.name(), run(&conditions, &trace, &mut own)));
-    let best = search::clairvoyant(workload, &conditions, rates, &trace);
+    let search = search::Search {
+        conditions: &conditions,
+        rates,
+        trace: &trace,
+    };
+    let best = if options.without_search {
+        search.mixed(workload)
+    } else {
+        search.best(workload)
+    };
     strategies.push(("clairvoyant".into(), best));
     SeedOutcomes { strategies }
 }
 
-/// The system's own strategy with its default settings.
-pub fn own_strategy(rates: ServiceRates) -> Predictive {
-    Predictive::new(rates, ChoiceSettings::default(), PlannerSettings::default())
+/// The system's own strategy.
+pub fn own_strategy(rates: ServiceRates, choice: ChoiceSettings) -> Predictive {
+    Predictive::new(rates, choice, PlannerSettings::default())
 }
 
 fn baselines(
--- a/crates/lab/src/compare/options.rs
+++ b/crates/lab/src/compare/options.rs
@@ -6,6 +6,7 @@
 use anyhow::{bail, Result};
 use pico_args::Arguments;
 use tansyhall_engine_model::CostModel;
+use tansyhall_routing::ChoiceSettings;
 
 use crate::emulator::Conditions;
 use crate::workload::Workload;
@@ -25,6 +26,9 @@
   --faults          lose a tenth of the reports, let them be 2 s old, crash an engine a minute,
                     and take the store away for the middle third of the run
   --threads N       traces emulated at once (default: 4)
+  --without-search  keep the clairvoyant's engines mixed instead of searching for its roles
+  --harm-weight W, --refuse-above R, --safe-below R
+                    override settings of the system's own strategy
   --report DIR      write an HTML page with plots
   --json            one JSON object on the last line
 ";
@@ -42,6 +46,10 @@
     pub faults: bool,
     /// Traces emulated at once.
     pub threads: usize,
+    /// Whether to leave out the search for the clairvoyant's roles, which takes most of the time.
+    pub without_search: bool,
+    /// Overrides of the choice's settings.
+    pub choice: ChoiceSettings,
     /// Where to write a page.
     pub report: Option<PathBuf>,
     /// Whether to print JSON.
@@ -64,12 +72,25 @@
             print!("{HELP}");
             std::process::exit(0);
         }
+        let choice = ChoiceSettings::default();
         let options = Self {
             workload: arguments.value_from_str("--workload")?,
             seeds: arguments.opt_value_from_str("--seeds")?.unwrap_or(5),
             first_seed: arguments.opt_value_from_str("--first-seed")?.unwrap_or(1),
             faults: arguments.contains("--faults"),
             threads: arguments.opt_value_from_str("--threads")?.unwrap_or(4),
+            without_search: arguments.contains("--without-search"),
+            choice: ChoiceSettings {
+                harm_weight: arguments
+                    .opt_value_from_str("--harm-weight")?
+                    .unwrap_or(choice.harm_weight),
+                refuse_above: arguments
+                    .opt_value_from_str("--refuse-above")?
+                    .unwrap_or(choice.refuse_above),
+                safe_below: arguments
+                    .opt_value_from_str("--safe-below")?
+                    .unwrap_or(choice.safe_below),
+            },
             report: arguments.opt_value_from_str("--report")?,
             json: arguments.contains("--json"),
         };
--- a/crates/lab/src/compare/search.rs
+++ b/crates/lab/src/compare/search.rs
@@ -17,57 +17,56 @@
 /// Most engines for which every split is tried; above it splits are tried in steps.
 const EXHAUSTIVE_ENGINES: usize = 9;
 
-struct Search<'a> {
-    conditions: &'a Conditions,
-    rates: ServiceRates,
-    trace: &'a [TraceRequest],
+/// A trace to search on.
+pub struct Search<'a> {
+    /// What runs take place under.
+    pub conditions: &'a Conditions,
+    /// The engines' costs.
+    pub rates: ServiceRates,
+    /// The requests.
+    pub trace: &'a [TraceRequest],
 }
 
-/// The best outcome found.
-pub fn clairvoyant(
-    workload: &Workload,
-    conditions: &Conditions,
-    rates: ServiceRates,
-    trace: &[TraceRequest],
-) -> Outcome {
-    let search = Search {
-        conditions,
-        rates,
-        trace,
-    };
-    let mixed = vec![Role::Mixed; conditions.engines];
-    let starts = phase_starts(workload);
-    let mut schedule: Vec<ScheduleStep> = starts
-        .iter()
-        .map(|from| ScheduleStep {
-            from: *from,
-            roles: mixed.clone(),
-        })
-        .collect();
-    let (mut best, mut settings) = search.best_settings(&schedule);
-    for roles in splits(conditions.engines) {
-        let mut candidate = schedule.clone();
-        candidate
-            .iter_mut()
-            .for_each(|step| step.roles.clone_from(&roles));
-        search.improve(&mut best, &mut schedule, candidate, settings);
+impl Search<'_> {
+    fn mixed_schedule(&self, workload: &Workload) -> Vec<ScheduleStep> {
+        let roles = vec![Role::Mixed; self.conditions.engines];
+        let step = |from| ScheduleStep {
+            from,
+            roles: roles.clone(),
+        };
+        phase_starts(workload).into_iter().map(step).collect()
+    }
+
+    /// The best outcome with every engine mixed throughout.
+    pub fn mixed(&self, workload: &Workload) -> Outcome {
+        self.best_settings(&self.mixed_schedule(workload)).0
     }
-    for phase in 0..starts.len() {
-        for roles in splits(conditions.engines) {
+
+    /// The best outcome found.
+    pub fn best(&self, workload: &Workload) -> Outcome {
+        let mut schedule = self.mixed_schedule(workload);
+        let (mut best, settings) = self.best_settings(&schedule);
+        for roles in splits(self.conditions.engines) {
             let mut candidate = schedule.clone();
-            candidate[phase].roles = roles;
-            search.improve(&mut best, &mut schedule, candidate, settings);
+            candidate
+                .iter_mut()
+                .for_each(|step| step.roles.clone_from(&roles));
+            self.improve(&mut best, &mut schedule, candidate, settings);
         }
+        for phase in 0..schedule.len() {
+            for roles in splits(self.conditions.engines) {
+                let mut candidate = schedule.clone();
+                candidate[phase].roles = roles;
+                self.improve(&mut best, &mut schedule, candidate, settings);
+            }
+        }
+        let (again, _) = self.best_settings(&schedule);
+        if again.goodput() > best.goodput() {
+            return again;
+        }
+        best
     }
-    let (again, other) = search.best_settings(&schedule);
-    if again.goodput() > best.goodput() {
-        (best, settings) = (again, other);
-    }
-    let _ = settings;
-    best
-}
 
-impl Search<'_> {
     fn run(&self, schedule: &[ScheduleStep], settings: ChoiceSettings) -> Outcome {
         let mut strategy = Clairvoyant::new(self.rates, settings, schedule.to_vec());
         run(self.conditions, self.trace, &mut strategy)
--- a/crates/lab/src/emulator/engine.rs
+++ b/crates/lab/src/emulator/engine.rs
@@ -29,6 +29,8 @@
     pub incarnation: u32,
     /// Whether an iteration is under way.
     pub iterating: bool,
+    /// Prompt tokens accepted since the start.
+    pub accepted_prompt_tokens: f64,
     costs: CostModel,
 }
 
@@ -43,6 +45,7 @@
             mode: EngineMode::Serving,
             incarnation: 0,
             iterating: false,
+            accepted_prompt_tokens: 0.0,
             costs,
         }
     }
@@ -61,6 +64,7 @@
             waiting: (self.batch.len() - decoding) as f64,
             pending_prefill_tokens: self.batch.pending_prefill_tokens() as f64,
             free_sequences: self.batch.free_sequences() as f64,
+            accepted_prompt_tokens: self.accepted_prompt_tokens,
         }
     }
 
@@ -71,6 +75,7 @@
         self.mode = EngineMode::Down;
         self.incarnation += 1;
         self.iterating = false;
+        self.accepted_prompt_tokens = 0.0;
     }
 
     /// Plays a new role.
--- a/crates/lab/src/emulator/node.rs
+++ b/crates/lab/src/emulator/node.rs
@@ -11,8 +11,8 @@
 
 impl EmulatedNode {
     /// A node that knows the engines' first roles.
-    pub fn new(roles: &[Role], max_sequences: usize) -> Self {
-        let tracker = |role: &Role| EngineTracker::new(*role, max_sequences as f64);
+    pub fn new(roles: &[Role], max_sequences: usize, sharing_nodes: usize) -> Self {
+        let tracker = |role: &Role| EngineTracker::new(*role, max_sequences as f64, sharing_nodes);
         Self {
             engines: roles.iter().map(tracker).collect(),
         }
--- a/crates/lab/src/emulator/run.rs
+++ b/crates/lab/src/emulator/run.rs
@@ -89,7 +89,7 @@
         .last()
         .map_or(Timestamp::default(), |request| request.arrival);
     let seconds = (last.as_millis() / 1_000) as usize + 1;
-    let node = || EmulatedNode::new(&roles, conditions.costs.max_sequences);
+    let node = || EmulatedNode::new(&roles, conditions.costs.max_sequences, conditions.nodes);
     let mut emulation = Emulation {
         conditions,
         trace,
@@ -322,6 +322,7 @@
         let accepted =
             self.engines[engine].accepts_work() && self.engines[engine].batch.submit(work).is_ok();
         if accepted {
+            self.engines[engine].accepted_prompt_tokens += f64::from(work.prefill_tokens);
             return self.start_iteration(engine);
         }
         let node = self.node_of(request);
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -14,8 +14,8 @@
 pub struct ChoiceSettings {
     /// Seconds of a request's own time that a second taken from others is worth.
     pub harm_weight: f64,
-    /// A request is refused when its predicted time passes this many times the time left. Above
-    /// one, since predictions err on the late side when reports are old.
+    /// A request is refused when its predicted time passes this part of the time left. Below one:
+    /// what is predicted rests on old reports and errs on the early side in a rising load.
     pub refuse_above: f64,
     /// Predictions within this part of the time left count as meeting the deadline.
     pub safe_below: f64,
@@ -25,8 +25,8 @@
     fn default() -> Self {
         Self {
             harm_weight: 0.5,
-            refuse_above: 1.1,
-            safe_below: 0.9,
+            refuse_above: 0.8,
+            safe_below: 0.7,
         }
     }
 }
--- a/crates/routing/src/tracker.rs
+++ b/crates/routing/src/tracker.rs
@@ -10,6 +10,10 @@
 /// Time constant of the prefill rate, in seconds.
 const PREFILL_RATE_SECONDS: f64 = 3.0;
 
+/// How much of what this node did since a report each other node is taken to have done. One would be
+/// right in the mean; less is better in trials, since the assumption is wrong in both directions.
+pub const PEER_WEIGHT: f64 = 1.0 / 3.0;
+
 /// An engine's load at one moment.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct LoadSnapshot {
@@ -23,6 +27,8 @@
     pub pending_prefill_tokens: f64,
     /// Room in the batch, in sequences.
     pub free_sequences: f64,
+    /// Prompt tokens that the engine has accepted since it started.
+    pub accepted_prompt_tokens: f64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -43,11 +49,14 @@
     report: LoadSnapshot,
     own: HashMap<RequestId, OwnRequest>,
     prefill_rate: PrefillRate,
+    weight: f64,
 }
 
 impl EngineTracker {
-    /// An engine that nothing is known of yet, with room for `max_sequences`.
-    pub fn new(role: Role, max_sequences: f64) -> Self {
+    /// An engine that nothing is known of yet, with room for `max_sequences`; `sharing_nodes` nodes
+    /// send to it, this one included. The others' requests since the report are unknown, so each is
+    /// taken to have done [`PEER_WEIGHT`] of what this node did.
+    pub fn new(role: Role, max_sequences: f64, sharing_nodes: usize) -> Self {
         Self {
             role,
             accepts_work: true,
@@ -57,12 +66,12 @@
             },
             own: HashMap::new(),
             prefill_rate: PrefillRate::new(PREFILL_RATE_SECONDS),
+            weight: 1.0 + PEER_WEIGHT * (sharing_nodes.max(1) - 1) as f64,
         }
     }
 
     /// A request of this node was sent to the engine.
     pub fn sent(&mut self, now: Timestamp, id: RequestId, prefill_tokens: f64) {
-        self.prefill_rate.add(now, prefill_tokens);
         let request = OwnRequest {
             prefill_tokens,
             sent: now,
@@ -92,6 +101,8 @@
         if snapshot.taken < self.report.taken {
             return;
         }
+        let accepted = snapshot.accepted_prompt_tokens - self.report.accepted_prompt_tokens;
+        self.prefill_rate.add(snapshot.taken, accepted.max(0.0));
         self.report = snapshot;
         let known_ended = |ended: Timestamp| ended <= snapshot.taken;
         self.own
@@ -131,31 +142,26 @@
         let prefilled_in_report = request
             .first_token
             .is_some_and(|first_token| first_token <= self.report.taken);
+        let weight = self.weight;
         if in_report {
-            remove(estimate, request, prefilled_in_report);
+            remove(estimate, request, prefilled_in_report, weight);
         }
         if request.finished.is_none() {
-            add(estimate, request, request.first_token.is_some());
+            add(estimate, request, request.first_token.is_some(), weight);
         }
     }
 }
 
-fn add(estimate: &mut EngineEstimate, request: &OwnRequest, prefilled: bool) {
-    estimate.free_sequences -= 1.0;
+fn add(estimate: &mut EngineEstimate, request: &OwnRequest, prefilled: bool, weight: f64) {
+    estimate.free_sequences -= weight;
     if prefilled {
-        estimate.decoding += 1.0;
+        estimate.decoding += weight;
     } else {
-        estimate.waiting += 1.0;
-        estimate.pending_prefill_tokens += request.prefill_tokens;
+        estimate.waiting += weight;
+        estimate.pending_prefill_tokens += weight * request.prefill_tokens;
     }
 }
 
-fn remove(estimate: &mut EngineEstimate, request: &OwnRequest, prefilled: bool) {
-    estimate.free_sequences += 1.0;
-    if prefilled {
-        estimate.decoding -= 1.0;
-    } else {
-        estimate.waiting -= 1.0;
-        estimate.pending_prefill_tokens -= request.prefill_tokens;
-    }
+fn remove(estimate: &mut EngineEstimate, request: &OwnRequest, prefilled: bool, weight: f64) {
+    add(estimate, request, prefilled, -weight);
 }
