--- a/crates/lab/src/compare/mod.rs
+++ b/crates/lab/src/compare/mod.rs
@@ -16,7 +16,7 @@
 use crate::emulator::{run, Conditions, Outcome};
 use crate::strategy::{service_rates, Balance, Predictive, Reactive, Static, Strategy};
 use crate::workload::{TraceRequest, Workload};
-use options::Options;
+pub use options::Options;
 use statistics::{summarise, StrategySummary};
 
 /// Every strategy's outcome on one seed.
--- a/crates/lab/src/compare/options.rs
+++ b/crates/lab/src/compare/options.rs
@@ -56,6 +56,10 @@
     pub json: bool,
 }
 
+/// Traces of a comparison.
+const DEFAULT_SEEDS: u64 = 5;
+/// Traces emulated at once.
+const DEFAULT_THREADS: usize = 4;
 /// Age of reports without faults.
 const REPORT_LAG: Duration = Duration::from_millis(300);
 /// Age of reports under faults.
@@ -65,6 +69,22 @@
 /// Moving one token's KV cache: 100 KB at 10 GB/s, in seconds.
 const TRANSFER_TOKEN: f64 = 1e-5;
 
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            workload: PathBuf::new(),
+            seeds: DEFAULT_SEEDS,
+            first_seed: 1,
+            faults: false,
+            threads: DEFAULT_THREADS,
+            without_search: false,
+            choice: ChoiceSettings::default(),
+            report: None,
+            json: false,
+        }
+    }
+}
+
 impl Options {
     /// Parses the options.
     pub fn parse(mut arguments: Arguments) -> Result<Self> {
@@ -72,13 +92,20 @@
             print!("{HELP}");
             std::process::exit(0);
         }
-        let choice = ChoiceSettings::default();
+        let defaults = Self::default();
+        let choice = defaults.choice;
         let options = Self {
             workload: arguments.value_from_str("--workload")?,
-            seeds: arguments.opt_value_from_str("--seeds")?.unwrap_or(5),
-            first_seed: arguments.opt_value_from_str("--first-seed")?.unwrap_or(1),
+            seeds: arguments
+                .opt_value_from_str("--seeds")?
+                .unwrap_or(defaults.seeds),
+            first_seed: arguments
+                .opt_value_from_str("--first-seed")?
+                .unwrap_or(defaults.first_seed),
             faults: arguments.contains("--faults"),
-            threads: arguments.opt_value_from_str("--threads")?.unwrap_or(4),
+            threads: arguments
+                .opt_value_from_str("--threads")?
+                .unwrap_or(defaults.threads),
             without_search: arguments.contains("--without-search"),
             choice: ChoiceSettings {
                 harm_weight: arguments
--- a/crates/planner/src/predictive.rs
+++ b/crates/planner/src/predictive.rs
@@ -241,10 +241,11 @@
     present: &RoleCount,
     target: &RoleCount,
 ) -> f64 {
-    let gain = served(rates, settings, demand, target) - served(rates, settings, demand, present);
+    let served_now = served(rates, settings, demand, present);
+    let gain = served(rates, settings, demand, target) - served_now;
     let changes = present.changes_to(target) as f64;
     let away = settings.absence.as_secs_f64() * changes;
-    let lost = away / present.total() as f64;
+    let lost = served_now * away / present.total() as f64;
     gain * (settings.horizon.as_secs_f64() - away).max(0.0) - lost
 }
 
