--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decisions on whether a request may be attempted, attempted again, or should come back later.
+//! Each is a deterministic state machine: events carry the time, and nothing here reads a clock or
+//! a random source.
+
+#![forbid(unsafe_code)]
+
+pub mod backoff;
+pub mod circuit_breaker;
+pub mod retry_budget;
+pub mod service_rate;
+
+pub use backoff::Backoff;
+pub use circuit_breaker::{BreakerDecision, BreakerEvent, BreakerSettings, CircuitBreaker};
+pub use retry_budget::{BudgetDecision, BudgetEvent, BudgetSettings, RetryBudget};
+pub use service_rate::{ServiceEvent, ServiceRate};
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -106,6 +106,37 @@
     /// Longest time a planned stop waits for requests in progress.
     #[serde(with = "humantime_serde")]
     pub drain_timeout: Duration,
+    /// Longest wait for the whole body of a completion request.
+    #[serde(with = "humantime_serde")]
+    pub body_timeout: Duration,
+    /// Largest body forwarded to an application worker, in bytes; it is streamed, never held.
+    pub max_forwarded_body_bytes: u64,
+    /// Largest answer collected for a caller that does not stream, in bytes.
+    pub max_answer_bytes: usize,
+    /// Silence after which an engine that owes an answer is asked whether it still lives.
+    #[serde(with = "humantime_serde")]
+    pub engine_stall: Duration,
+    /// Longest time a caller may leave its answer unread before it is cut off.
+    #[serde(with = "humantime_serde")]
+    pub caller_stall: Duration,
+    /// Most connections to back ends from each worker thread.
+    pub max_backend_connections: usize,
+    /// Most requests whose status is kept, those in progress included.
+    pub max_request_records: usize,
+    /// Most finished answers kept for callers that asked to fetch them later.
+    pub max_kept_answers: usize,
+    /// How long a request's status and kept answer outlive its end.
+    #[serde(with = "humantime_serde")]
+    pub request_retention: Duration,
+    /// Most idempotency keys remembered.
+    pub max_idempotency_keys: usize,
+    /// How long an idempotency key is remembered.
+    #[serde(with = "humantime_serde")]
+    pub idempotency_retention: Duration,
+    /// Retries allowed for each thousand requests.
+    pub retries_per_thousand: u32,
+    /// Retries allowed beyond that fraction; one is gained back each second.
+    pub retry_reserve: u32,
 }
 
 impl Default for Limits {
@@ -117,6 +148,19 @@
             connect_timeout: Duration::from_millis(500),
             platform_timeout: Duration::from_secs(2),
             drain_timeout: Duration::from_secs(120),
+            body_timeout: Duration::from_secs(30),
+            max_forwarded_body_bytes: 256 << 20,
+            max_answer_bytes: 1 << 20,
+            engine_stall: Duration::from_secs(3),
+            caller_stall: Duration::from_secs(30),
+            max_backend_connections: 1_024,
+            max_request_records: 20_000,
+            max_kept_answers: 256,
+            request_retention: Duration::from_secs(60),
+            max_idempotency_keys: 100_000,
+            idempotency_retention: Duration::from_secs(3_600),
+            retries_per_thousand: 200,
+            retry_reserve: 20,
         }
     }
 }
--- a/crates/engine-model/src/control.rs
+++ b/crates/engine-model/src/control.rs
@@ -30,6 +30,7 @@
 #[derive(Debug, Clone)]
 struct ActiveOrder {
     order: Order,
+    began: Timestamp,
     ends: Timestamp,
 }
 
@@ -37,6 +38,7 @@
 #[derive(Debug, Clone)]
 pub struct Control {
     timing: ControlTiming,
+    first_state: EngineState,
     state: EngineState,
     active: Option<ActiveOrder>,
 }
@@ -65,11 +67,25 @@
         };
         Self {
             timing,
+            first_state: state.clone(),
             state,
             active: None,
         }
     }
 
+    /// A crash and a restart: the order in progress and everything loaded since the start are
+    /// lost, and so is the fence token, which the incarnation makes up for.
+    pub fn restart(&mut self, incarnation: Incarnation) {
+        *self = Self {
+            state: EngineState {
+                incarnation,
+                ..self.first_state.clone()
+            },
+            active: None,
+            ..self.clone()
+        };
+    }
+
     /// The control state, with `requests` in progress.
     pub fn state(&self, requests: u32) -> EngineState {
         EngineState {
@@ -125,6 +141,12 @@
         self.active.as_ref().map(|active| active.ends)
     }
 
+    /// When half of the active order's time has passed, if an order is active.
+    pub fn active_order_halfway(&self) -> Option<Timestamp> {
+        let active = self.active.as_ref()?;
+        Some(active.began + active.ends.since(active.began) / 2)
+    }
+
     /// Ends the active order if its time has come, and returns it.
     pub fn advance(&mut self, now: Timestamp) -> Option<Order> {
         let ends = self.active_order_ends()?;
@@ -156,6 +178,7 @@
         self.state.active_order = Some(order.order_id.clone());
         self.active = Some(ActiveOrder {
             order,
+            began: now,
             ends: now + takes,
         });
     }
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -1,5 +1,5 @@
-//! The engine client. Its errors carry a [`Verdict`]: a refused or never-connected request did not
-//! run; anything after the first byte was sent may have run.
+//! The engine client. Its errors say whether the work may have run: a refused or never-connected
+//! request did not; anything after the first byte was sent may have.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -11,7 +11,6 @@
 use futures_util::StreamExt;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
-use tansyhall_core::Verdict;
 
 use crate::protocol::{
     EngineChunk, EngineRequest, EngineState, FenceToken, LoadReport, Order, OrderReply, Refusal,
@@ -19,8 +18,6 @@
 };
 use crate::sse::{SseDecoder, SseError};
 
-/// How soon a caller may come back after an engine refused work.
-const REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Largest control answer read, in bytes.
 const MAX_CONTROL_BODY_BYTES: usize = 1 << 20;
 
@@ -50,15 +47,19 @@
 }
 
 impl EngineError {
-    /// Whether the work may have run.
-    pub fn verdict(&self) -> Verdict {
+    /// Whether the work may have run, in part or whole.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, EngineError::Broken(_) | EngineError::Mismatch(_))
+    }
+
+    /// The error's name in metrics.
+    pub const fn name(&self) -> &'static str {
         match self {
-            EngineError::Unreachable(_)
-            | EngineError::Refused(_)
-            | EngineError::Rejected { .. } => Verdict::NotRun {
-                retry_after: REFUSAL_RETRY_AFTER,
-            },
-            EngineError::Broken(_) | EngineError::Mismatch(_) => Verdict::MayHaveRun,
+            EngineError::Unreachable(_) => "unreachable",
+            EngineError::Refused(_) => "refused",
+            EngineError::Rejected { .. } => "rejected",
+            EngineError::Broken(_) => "broken",
+            EngineError::Mismatch(_) => "mismatch",
         }
     }
 }
@@ -81,18 +82,26 @@
 /// A client of one worker thread; cheap to clone within it.
 #[derive(Clone)]
 pub struct EngineClient {
-    http: awc::Client,
+    work: awc::Client,
+    control: awc::Client,
 }
 
 impl EngineClient {
-    /// A client that gives up connecting after `connect_timeout`.
+    /// A client that gives up connecting after `connect_timeout`. Work holds as many connections
+    /// as there are requests in progress; control calls have connections of their own, so that
+    /// work never keeps them waiting.
     pub fn new(connect_timeout: Duration) -> Self {
-        let connector = awc::Connector::new().timeout(connect_timeout).limit(0);
-        let http = awc::Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .finish();
-        Self { http }
+        let client = |connector: awc::Connector<_>| {
+            awc::Client::builder()
+                .connector(connector.timeout(connect_timeout))
+                .disable_timeout()
+                .disable_redirects()
+                .finish()
+        };
+        Self {
+            work: client(awc::Connector::new().limit(0)),
+            control: client(awc::Connector::new()),
+        }
     }
 
     /// Begins a completion and returns its stream once the engine has accepted it.
@@ -102,7 +111,7 @@
         request: &EngineRequest,
     ) -> Result<EngineStream, EngineError> {
         let url = format!("http://{address}{}", request.prompt.path());
-        let mut response = self.http.post(url).send_json(request).await?;
+        let mut response = self.work.post(url).send_json(request).await?;
         let status = response.status();
         if status == StatusCode::OK {
             let body = Box::pin(response.map(|item| item.map_err(|error| error.to_string())));
@@ -119,7 +128,7 @@
     /// Cancels a request; engines ignore identifiers they do not know.
     pub async fn cancel(&self, address: SocketAddr, request_id: &str) -> Result<(), EngineError> {
         let url = format!("http://{address}{REQUESTS_PATH}/{request_id}");
-        self.http
+        self.control
             .delete(url)
             .timeout(CONTROL_TIMEOUT)
             .send()
@@ -164,7 +173,7 @@
         body: &B,
     ) -> Result<R, EngineError> {
         let request = self
-            .http
+            .control
             .post(format!("http://{address}{path}"))
             .timeout(CONTROL_TIMEOUT);
         let mut response = request.send_json(body).await?;
@@ -178,7 +187,7 @@
         path: &str,
     ) -> Result<R, EngineError> {
         let request = self
-            .http
+            .control
             .get(format!("http://{address}{path}"))
             .timeout(CONTROL_TIMEOUT);
         let mut response = request.send().await?;
--- /dev/null
+++ b/crates/node/src/callers/admit.rs
@@ -0,0 +1,198 @@
+//! What stands between a request's arrival and its first attempt: the body, the options, the
+//! class, the node's limits, and for a request that is not repeatable, permission to run.
+
+use std::sync::Arc;
+
+use actix_rt::time::timeout;
+use actix_web::http::StatusCode;
+use actix_web::{web, HttpRequest};
+use bytes::Bytes;
+use tansyhall_core::{ModelName, RequestId, ServiceName, Timestamp};
+use tansyhall_engine::protocol::{estimate_tokens, Priority};
+use tansyhall_policy::ast::PriorityName;
+use tansyhall_policy::compile::Class;
+use tansyhall_policy::RequestFacts;
+
+use super::driver::InProgress;
+use super::failure::Failure;
+use super::options::RequestOptions;
+use super::requests::RequestRecord;
+use super::shape::CallerRequest;
+use crate::state::Node;
+
+/// Reads a completion request's body, within the node's limits on size and time.
+pub async fn read_body(node: &Node, payload: web::Payload) -> Result<Bytes, Failure> {
+    let limits = &node.settings.limits;
+    let read = payload.to_bytes_limited(limits.max_body_bytes);
+    match timeout(limits.body_timeout, read).await {
+        Ok(Ok(Ok(body))) => Ok(body),
+        Ok(Ok(Err(error))) => {
+            let message = format!("the body cannot be read: {error}");
+            Err(refused(node, "body", StatusCode::BAD_REQUEST, message))
+        }
+        Ok(Err(_)) => {
+            let message = format!("the body passes {} bytes", limits.max_body_bytes);
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            Err(refused(node, "too-large", status, message))
+        }
+        Err(_) => {
+            let message = "the body did not arrive in time".to_owned();
+            let status = StatusCode::REQUEST_TIMEOUT;
+            Err(refused(node, "slow-body", status, message))
+        }
+    }
+}
+
+/// Decodes a completion request's body.
+pub fn decode(node: &Node, body: &[u8]) -> Result<CallerRequest, Failure> {
+    serde_json::from_slice(body).map_err(|error| {
+        refused(
+            node,
+            "malformed",
+            StatusCode::BAD_REQUEST,
+            error.to_string(),
+        )
+    })
+}
+
+/// Reads a request's options.
+pub fn options(node: &Node, http: &HttpRequest) -> Result<RequestOptions, Failure> {
+    RequestOptions::parse(http.headers())
+        .map_err(|error| refused(node, "option", StatusCode::BAD_REQUEST, error.to_string()))
+}
+
+/// Counts and builds the failure of a request that is invalid as it stands.
+pub fn refused(node: &Node, reason: &str, status: StatusCode, message: String) -> Failure {
+    node.metrics.refused.with_label_values(&[reason]).inc();
+    Failure::invalid(status, message)
+}
+
+/// What a request's class and options together ask for.
+pub struct Terms {
+    /// The service asked.
+    pub service: ServiceName,
+    /// When the whole answer is due.
+    pub deadline: Timestamp,
+    /// Queue order.
+    pub priority: Priority,
+    /// Whether another attempt is allowed once the request may have run.
+    pub repeatable: bool,
+    /// Estimated tokens of the prompt; zero for an application's request.
+    pub prompt_tokens: u32,
+}
+
+/// Classifies a completion request.
+pub fn completion_terms(
+    node: &Node,
+    path: &str,
+    request: &CallerRequest,
+    options: &RequestOptions,
+    arrived: Timestamp,
+) -> Result<Terms, Failure> {
+    let service = service_of_model(node, &request.model)?;
+    let prompt_tokens = estimate_tokens(&request.prompt.flattened());
+    let mut terms = terms(node, service, path, prompt_tokens, options, arrived);
+    if let (None, Some(priority)) = (options.priority, request.priority) {
+        terms.priority = priority;
+    }
+    Ok(terms)
+}
+
+/// Classifies a request by its service's policy; the caller's options go before its class.
+pub fn terms(
+    node: &Node,
+    service: ServiceName,
+    path: &str,
+    prompt_tokens: u32,
+    options: &RequestOptions,
+    arrived: Timestamp,
+) -> Terms {
+    let facts = RequestFacts {
+        path,
+        prompt_tokens: u64::from(prompt_tokens),
+    };
+    let program = node.in_force.load().program(&service);
+    let class = program.classify(&facts);
+    Terms {
+        deadline: arrived + options.deadline.unwrap_or(class.deadline),
+        priority: options.priority.unwrap_or_else(|| priority_of(class)),
+        repeatable: class.repeatable && !options.not_repeatable,
+        prompt_tokens,
+        service,
+    }
+}
+
+fn service_of_model(node: &Node, model: &ModelName) -> Result<ServiceName, Failure> {
+    let in_force = node.in_force.load();
+    let pool = in_force.pools_of_model(model).next();
+    let service = pool.map(|pool| pool.service.clone());
+    service.ok_or_else(|| {
+        let message = format!("no pool loads the model {model}");
+        refused(node, "unknown-model", StatusCode::NOT_FOUND, message)
+    })
+}
+
+fn priority_of(class: &Class) -> Priority {
+    match class.priority {
+        PriorityName::Interactive => Priority::Interactive,
+        PriorityName::Standard => Priority::Standard,
+        PriorityName::Batch => Priority::Batch,
+    }
+}
+
+/// Admits a request to this node, and if it is not repeatable, asks for permission to run.
+pub async fn admit(
+    node: &Arc<Node>,
+    record: &Arc<RequestRecord>,
+    terms: &Terms,
+    options: &RequestOptions,
+) -> Result<Arc<InProgress>, Failure> {
+    record.set_deadline(terms.deadline);
+    check_limits(node, &terms.service)?;
+    let key = match &options.idempotency_key {
+        Some(key) if !terms.repeatable => Some(key.clone()),
+        _ => None,
+    };
+    if let Some(key) = &key {
+        let now = node.clock.now();
+        let permits = &node.callers.run_permits;
+        permits.acquire(key, record.id, now).await?;
+    }
+    let service = terms.service.clone();
+    let record = Arc::clone(record);
+    Ok(InProgress::begin(Arc::clone(node), record, service, key))
+}
+
+fn check_limits(node: &Node, service: &ServiceName) -> Result<(), Failure> {
+    let refuse = |reason: &str, message: &str| {
+        node.metrics.refused.with_label_values(&[reason]).inc();
+        let retry_after = node.callers.health.advised_wait(service);
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Err(Failure::not_run(status, message, retry_after))
+    };
+    if node.is_stopping() {
+        return refuse("stopping", "this node is stopping");
+    }
+    let limit = i64::try_from(node.settings.limits.max_requests).unwrap_or(i64::MAX);
+    if node.metrics.in_progress.get() >= limit {
+        return refuse("full", "too many requests in progress at this node");
+    }
+    Ok(())
+}
+
+/// Begins a request's record and names the request.
+pub fn arrive(node: &Node) -> Arc<RequestRecord> {
+    let id = RequestId(rand::random());
+    node.callers.requests.begin(id, node.clock.now())
+}
+
+/// Ends a request that failed before it was admitted.
+pub fn end_refused(node: &Node, record: &RequestRecord, failure: &Failure) {
+    let ending = super::requests::Ending::Failed(failure.clone());
+    if record.end(node.clock.now(), ending) {
+        node.metrics
+            .requests
+            .with_label_values(&[failure.verdict.name()])
+            .inc();
+    }
+}
--- a/crates/node/src/callers/application.rs
+++ b/crates/node/src/callers/application.rs
@@ -1,18 +1,33 @@
-//! Plain HTTP to application workers. Bodies are streamed both ways.
+//! Plain HTTP to application workers. Bodies are streamed both ways, and are never held whole.
 
-use actix_web::http::{header, StatusCode};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::time::{sleep, timeout};
+use actix_web::body::SizedStream;
+use actix_web::http::{header, Method, StatusCode};
 use actix_web::{web, HttpRequest, HttpResponse};
 use awc::error::SendRequestError;
+use awc::ClientResponse;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use tansyhall_admission::{BreakerDecision, BreakerEvent};
+use tansyhall_config::settings::Limits;
 use tansyhall_config::Backend;
-use tansyhall_core::verdict::VERDICT_HEADER;
-use tansyhall_core::Verdict;
+use tansyhall_core::{EngineName, ServiceName, Verdict};
 
-use super::failure::Failure;
+use super::admit::{admit, arrive, end_refused, options, refused, terms, Terms};
+use super::driver::InProgress;
+use super::failure::{answer_with, Failure};
+use super::replay::ReplayableBody;
+use super::requests::{Ending, RequestRecord};
 use crate::state::Node;
 
 /// Headers that belong to one connection and are not forwarded.
-const HOP_BY_HOP: [header::HeaderName; 6] = [
+const HOP_BY_HOP: [header::HeaderName; 7] = [
     header::CONNECTION,
+    header::CONTENT_LENGTH,
     header::TRANSFER_ENCODING,
     header::UPGRADE,
     header::TE,
@@ -20,88 +35,323 @@
     header::HOST,
 ];
 
+/// The client of one worker thread, with its pool of connections to application workers.
+pub fn client(limits: &Limits) -> awc::Client {
+    let connector = awc::Connector::new()
+        .timeout(limits.connect_timeout)
+        .limit(limits.max_backend_connections);
+    awc::Client::builder()
+        .connector(connector)
+        .no_default_headers()
+        .disable_redirects()
+        .disable_timeout()
+        .finish()
+}
+
 /// Forwards a request to a worker of the application whose prefix matches.
 pub async fn forward(
     node: web::Data<Node>,
     client: web::Data<awc::Client>,
     http: HttpRequest,
-    body: web::Payload,
+    payload: web::Payload,
 ) -> HttpResponse {
-    match try_forward(&node, &client, &http, body).await {
-        Ok(response) => {
-            node.metrics
-                .requests
-                .with_label_values(&["completed"])
-                .inc();
-            response
-        }
+    let node = node.into_inner();
+    let record = arrive(&node);
+    match try_forward(&node, &client, &http, payload, &record).await {
+        Ok(response) => response,
         Err(failure) => {
-            node.metrics
-                .requests
-                .with_label_values(&[failure.verdict.name()])
-                .inc();
-            failure.response()
+            end_refused(&node, &record, &failure);
+            failure.response(record.id)
         }
     }
 }
 
 async fn try_forward(
-    node: &Node,
+    node: &Arc<Node>,
     client: &awc::Client,
     http: &HttpRequest,
-    body: web::Payload,
+    payload: web::Payload,
+    record: &Arc<RequestRecord>,
 ) -> Result<HttpResponse, Failure> {
-    if node.is_stopping() {
-        let message = "this node is stopping";
-        return Err(Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, message));
+    let options = options(node, http)?;
+    let service = service_of_path(node, http.path())?;
+    let mut terms = terms(node, service, http.path(), 0, &options, record.arrived);
+    terms.repeatable = terms.repeatable && is_safe(http.method());
+    let max_bytes = node.settings.limits.max_forwarded_body_bytes;
+    let length = content_length(http);
+    if length.is_some_and(|length| length > max_bytes) {
+        let message = format!("the body passes {max_bytes} bytes");
+        let status = StatusCode::PAYLOAD_TOO_LARGE;
+        return Err(refused(node, "too-large", status, message));
     }
-    let worker = pick(node, http.path())?;
-    let url = format!("http://{}{}", worker.address, http.uri());
-    let mut request = client.request(http.method().clone(), url).no_decompress();
-    for (name, value) in http.headers() {
-        if !HOP_BY_HOP.contains(name) {
-            request = request.insert_header((name.clone(), value.clone()));
+    let in_progress = admit(node, record, &terms, &options).await?;
+    let forwarding = Forwarding {
+        node,
+        client,
+        http,
+        body: ReplayableBody::new(payload, max_bytes),
+        length,
+        terms,
+        record,
+    };
+    match forwarding.run().await {
+        Ok((response, worker)) => Ok(respond(response, worker, in_progress)),
+        Err(failure) => {
+            in_progress.end(Ending::Failed(failure.clone()));
+            Err(failure)
+        }
+    }
+}
+
+/// Whether the method only reads, so that a request may be sent again after it may have run.
+fn is_safe(method: &Method) -> bool {
+    [Method::GET, Method::HEAD, Method::OPTIONS].contains(method)
+}
+
+fn content_length(http: &HttpRequest) -> Option<u64> {
+    let value = http.headers().get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+fn service_of_path(node: &Node, path: &str) -> Result<ServiceName, Failure> {
+    let in_force = node.in_force.load();
+    let service = in_force.application(path);
+    service.map(|service| service.name.clone()).ok_or_else(|| {
+        let message = "no application serves this path".to_owned();
+        refused(node, "unknown-path", StatusCode::NOT_FOUND, message)
+    })
+}
+
+struct Forwarding<'a> {
+    node: &'a Arc<Node>,
+    client: &'a awc::Client,
+    http: &'a HttpRequest,
+    body: ReplayableBody,
+    length: Option<u64>,
+    terms: Terms,
+    record: &'a RequestRecord,
+}
+
+impl Forwarding<'_> {
+    /// Attempts workers until one answers; returns its answer and address.
+    async fn run(&self) -> Result<(ClientResponse, SocketAddr), Failure> {
+        let mut tried = Vec::new();
+        let mut verdict = Verdict::NotRun {
+            retry_after: self.advised_wait(),
+        };
+        loop {
+            let worker = self.choose(&tried, verdict)?;
+            self.record.attempted();
+            let Ok(sent) = timeout(self.remaining(), self.send(worker.address)).await else {
+                self.observe(worker.address, BreakerEvent::Failure);
+                let message = "the deadline passed before the worker answered";
+                return Err(Failure::may_have_run(StatusCode::GATEWAY_TIMEOUT, message));
+            };
+            let error = match sent {
+                Ok(response) => return Ok((response, worker.address)),
+                Err(error) => error,
+            };
+            let failure = self.send_failed(&worker, &error, verdict);
+            verdict = failure.verdict;
+            tried.push(worker.name);
+            self.wait_before_retry(&failure, tried.len()).await?;
+        }
+    }
+
+    async fn send(&self, address: SocketAddr) -> Result<ClientResponse, SendRequestError> {
+        let http = self.http;
+        let url = format!("http://{address}{}", http.uri());
+        let mut request = self
+            .client
+            .request(http.method().clone(), url)
+            .no_decompress();
+        for (name, value) in http.headers() {
+            if !HOP_BY_HOP.contains(name) {
+                request = request.append_header((name.clone(), value.clone()));
+            }
+        }
+        let body = self.body.clone();
+        let chunked = http.headers().contains_key(header::TRANSFER_ENCODING);
+        match self.length {
+            Some(length) if length > 0 => request.send_body(SizedStream::new(length, body)).await,
+            None if chunked => request.send_stream(body).await,
+            _ => request.send().await,
+        }
+    }
+
+    fn send_failed(&self, worker: &Backend, error: &SendRequestError, before: Verdict) -> Failure {
+        if self.body.is_too_large() {
+            let message = "the body passes the limit".to_owned();
+            let mut failure = refused(
+                self.node,
+                "too-large",
+                StatusCode::PAYLOAD_TOO_LARGE,
+                message,
+            );
+            failure.verdict = Verdict::MayHaveRun;
+            return failure;
+        }
+        let refused = matches!(error, SendRequestError::Connect(_));
+        let outcome = if refused { "unreachable" } else { "broken" };
+        let metrics = &self.node.metrics;
+        metrics.attempts.with_label_values(&[outcome]).inc();
+        self.observe(worker.address, BreakerEvent::Failure);
+        let (status, verdict) = if refused {
+            let retry_after = self.advised_wait();
+            let not_run = Verdict::NotRun { retry_after };
+            (StatusCode::SERVICE_UNAVAILABLE, not_run)
+        } else {
+            (StatusCode::BAD_GATEWAY, Verdict::MayHaveRun)
+        };
+        Failure {
+            status,
+            verdict: before.after_attempt(verdict),
+            message: error.to_string(),
         }
     }
-    let response = request.send_stream(body).await.map_err(send_failure)?;
-    let mut answer = HttpResponse::build(response.status());
-    answer.insert_header((VERDICT_HEADER, Verdict::Completed.name()));
+
+    /// Waits for the next attempt if the verdict, the body, the limits and the retry budget allow
+    /// one; otherwise gives up at once.
+    async fn wait_before_retry(&self, failure: &Failure, attempts: usize) -> Result<(), Failure> {
+        let max_attempts = self.node.settings.limits.max_attempts as usize;
+        let allowed = failure.verdict.allows_retry(self.terms.repeatable)
+            && !self.body.is_started()
+            && attempts < max_attempts;
+        if !allowed {
+            return Err(failure.clone());
+        }
+        let now = self.node.clock.now();
+        let retry = u32::try_from(attempts - 1).unwrap_or(u32::MAX);
+        let health = &self.node.callers.health;
+        let wait = health.retry(&self.node.metrics, now, retry);
+        let wait = wait.ok_or_else(|| failure.clone())?;
+        sleep(wait.min(self.remaining())).await;
+        Ok(())
+    }
+
+    /// A worker that has not been tried and whose breaker admits an attempt, at random.
+    fn choose(&self, tried: &[EngineName], verdict: Verdict) -> Result<Backend, Failure> {
+        let in_force = self.node.in_force.load();
+        let pools = in_force.pools_of_service(&self.terms.service);
+        let workers = pools.flat_map(|pool| &pool.backends);
+        let mut workers: Vec<&Backend> = workers
+            .filter(|worker| !tried.contains(&worker.name))
+            .collect();
+        let mut probe_in: Option<Duration> = None;
+        while !workers.is_empty() {
+            let worker = workers.swap_remove(rand::random_range(0..workers.len()));
+            match self.observe(worker.address, BreakerEvent::Attempt) {
+                BreakerDecision::Admit => return Ok(worker.clone()),
+                BreakerDecision::Refuse { probe_in: wait } => {
+                    probe_in = Some(probe_in.map_or(wait, |known| known.min(wait)));
+                }
+            }
+        }
+        let retry_after = probe_in.unwrap_or_else(|| self.advised_wait());
+        Err(Failure {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            verdict: verdict.after_attempt(Verdict::NotRun { retry_after }),
+            message: "no worker of the application accepts work now".into(),
+        })
+    }
+
+    fn remaining(&self) -> Duration {
+        self.terms.deadline.since(self.node.clock.now())
+    }
+
+    fn advised_wait(&self) -> Duration {
+        let health = &self.node.callers.health;
+        health.advised_wait(&self.terms.service)
+    }
+
+    fn observe(&self, address: SocketAddr, event: BreakerEvent) -> BreakerDecision {
+        let now = self.node.clock.now();
+        let health = &self.node.callers.health;
+        health.observe(&self.node.metrics, address, now, event)
+    }
+}
+
+/// Answers of a worker that cannot do its work, though it can be reached.
+fn is_worker_fault(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+    )
+}
+
+fn respond(
+    response: ClientResponse,
+    worker: SocketAddr,
+    in_progress: Arc<InProgress>,
+) -> HttpResponse {
+    let event = if is_worker_fault(response.status()) {
+        BreakerEvent::Failure
+    } else {
+        BreakerEvent::Success
+    };
+    let node = &in_progress.node;
+    let now = node.clock.now();
+    node.callers
+        .health
+        .observe(&node.metrics, worker, now, event);
+    let mut answer = answer_with(response.status(), in_progress.id(), Verdict::Completed);
     for (name, value) in response.headers() {
         if !HOP_BY_HOP.contains(name) {
             answer.append_header((name.clone(), value.clone()));
         }
     }
-    Ok(answer.streaming(response))
-}
-
-fn pick(node: &Node, path: &str) -> Result<Backend, Failure> {
-    let in_force = node.in_force.load();
-    let Some(service) = in_force.application(path) else {
-        return Err(Failure::not_run(
-            StatusCode::NOT_FOUND,
-            "no application serves this path",
-        ));
+    let length = response
+        .headers()
+        .get(header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok()?.parse().ok());
+    let body = WorkerBody {
+        response,
+        in_progress,
+        left: length,
     };
-    let workers: Vec<&Backend> = in_force
-        .pools_of_service(&service.name)
-        .flat_map(|pool| &pool.backends)
-        .collect();
-    if workers.is_empty() {
-        let message = "the application has no workers";
-        return Err(Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, message));
+    let body = futures_util::stream::unfold(Some(body), WorkerBody::read_next);
+    match length {
+        Some(length) => answer.body(SizedStream::new(length, body)),
+        None => answer.streaming(body),
     }
-    Ok(workers[rand::random_range(0..workers.len())].clone())
 }
 
-fn send_failure(error: SendRequestError) -> Failure {
-    match error {
-        SendRequestError::Connect(cause) => {
-            Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, cause.to_string())
+/// The worker's body on its way to the caller; its end, whole or broken, ends the request.
+struct WorkerBody {
+    response: ClientResponse,
+    in_progress: Arc<InProgress>,
+    /// Bytes still to come, if the worker said how many there are.
+    left: Option<u64>,
+}
+
+type BodyItem = Result<Bytes, std::io::Error>;
+
+impl WorkerBody {
+    async fn read_next(state: Option<Self>) -> Option<(BodyItem, Option<Self>)> {
+        let mut body = state?;
+        match body.response.next().await {
+            Some(Ok(bytes)) => {
+                body.count(bytes.len() as u64);
+                Some((Ok(bytes), Some(body)))
+            }
+            Some(Err(error)) => {
+                let message = format!("the worker's answer broke off: {error}");
+                let failure = Failure::may_have_run(StatusCode::BAD_GATEWAY, message.clone());
+                body.in_progress.end(Ending::Failed(failure));
+                Some((Err(std::io::Error::other(message)), None))
+            }
+            None => {
+                body.in_progress.end(Ending::Completed);
+                None
+            }
+        }
+    }
+
+    /// Ends the request with the last byte: nobody may ask for what comes after it.
+    fn count(&mut self, bytes: u64) {
+        self.left = self.left.map(|left| left.saturating_sub(bytes));
+        if self.left == Some(0) {
+            self.in_progress.end(Ending::Completed);
         }
-        other => Failure {
-            status: StatusCode::BAD_GATEWAY,
-            verdict: Verdict::MayHaveRun,
-            message: other.to_string(),
-        },
     }
 }
--- a/crates/node/src/callers/attempt.rs
+++ b/crates/node/src/callers/attempt.rs
@@ -1,57 +1,77 @@
 //! One request carried through as many attempts as it takes and its verdict allows. A stream that
 //! breaks is resumed at another engine from the tokens already delivered.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
+use actix_rt::time::{sleep, timeout};
 use actix_web::http::StatusCode;
-use tansyhall_core::{EngineName, Verdict};
+use tansyhall_admission::{BreakerDecision, BreakerEvent};
+use tansyhall_config::Backend;
+use tansyhall_core::{EngineName, ServiceName, Timestamp, Verdict};
 use tansyhall_engine::protocol::{EngineChunk, EngineRequest};
 use tansyhall_engine::{EngineClient, EngineError, EngineStream};
 
-use super::failure::{Failure, DEFAULT_RETRY_AFTER};
+use super::choice::{choose, Choice};
+use super::failure::Failure;
+use super::requests::RequestRecord;
 use crate::state::{InFlight, Node};
 
+/// Longest wait before looking again for an engine that accepts work.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
+/// What is known of a request before its first attempt.
+pub struct Plan {
+    /// The service asked.
+    pub service: ServiceName,
+    /// Whether the request may be attempted again after it may have run.
+    pub repeatable: bool,
+    /// When the whole answer is due.
+    pub deadline: Timestamp,
+    /// The request's record.
+    pub record: Arc<RequestRecord>,
+}
+
 struct Attempt {
     stream: EngineStream,
-    engine: EngineName,
+    engine: Backend,
     _in_flight: InFlight,
 }
 
-/// A completion under way.
+/// A completion under way. Dropping it cancels the work at its engine.
 pub struct Execution {
     node: Arc<Node>,
     client: EngineClient,
     request: EngineRequest,
-    repeatable: bool,
+    plan: Plan,
     verdict: Verdict,
     attempts: u32,
     excluded: Vec<EngineName>,
+    /// The engine that was sent the request and has not answered yet.
+    unanswered: Option<SocketAddr>,
     current: Option<Attempt>,
 }
 
 impl Execution {
-    /// Begins a completion; returns once an engine has accepted it.
-    pub async fn begin(
-        node: Arc<Node>,
-        client: EngineClient,
-        request: EngineRequest,
-        repeatable: bool,
-    ) -> Result<Self, Failure> {
-        let mut execution = Self {
+    /// A completion that has not been sent anywhere yet.
+    pub fn new(node: Arc<Node>, client: EngineClient, request: EngineRequest, plan: Plan) -> Self {
+        let verdict = Verdict::NotRun {
+            retry_after: node.callers.health.advised_wait(&plan.service),
+        };
+        Self {
             node,
             client,
             request,
-            repeatable,
-            verdict: Verdict::NotRun {
-                retry_after: DEFAULT_RETRY_AFTER,
-            },
+            plan,
+            verdict,
             attempts: 0,
             excluded: Vec::new(),
+            unanswered: None,
             current: None,
-        };
-        execution.connect().await?;
-        Ok(execution)
+        }
     }
 
     /// The next chunk of the answer, or `None` after the last one.
@@ -61,25 +81,55 @@
                 self.connect().await?;
                 continue;
             };
-            match attempt.stream.next().await {
-                Ok(chunk) => return Ok(chunk),
-                Err(error) => {
-                    self.request.resume_after = attempt.stream.next_token();
-                    let engine = attempt.engine.clone();
-                    self.current = None;
-                    self.attempt_failed(engine, &error)?;
-                    self.node.metrics.resumed.inc();
+            let address = attempt.engine.address;
+            let stall = self.node.settings.limits.engine_stall;
+            let chunk = watched(&self.client, address, stall, attempt.stream.next()).await;
+            match chunk {
+                Ok(chunk) => {
+                    self.progressed(chunk.as_ref());
+                    return Ok(chunk);
                 }
+                Err(error) => self.broke_off(&error).await?,
             }
         }
     }
 
+    fn progressed(&mut self, chunk: Option<&EngineChunk>) {
+        let Some(chunk) = chunk else {
+            return;
+        };
+        let tokens = chunk.token_index.saturating_add(chunk.tokens);
+        self.plan.record.generated(tokens);
+        if chunk.finish_reason.is_none() {
+            return;
+        }
+        if let Some(attempt) = self.current.take() {
+            self.observe(attempt.engine.address, BreakerEvent::Success);
+        }
+    }
+
+    /// Ends the present attempt after its stream broke, and prepares to resume elsewhere.
+    async fn broke_off(&mut self, error: &EngineError) -> Result<(), Failure> {
+        let Some(attempt) = self.current.take() else {
+            return Ok(());
+        };
+        self.request.resume_after = attempt.stream.next_token();
+        self.cancel_at(attempt.engine.address);
+        self.attempt_failed(&attempt.engine, error).await?;
+        self.node.metrics.resumed.inc();
+        Ok(())
+    }
+
     async fn connect(&mut self) -> Result<(), Failure> {
         loop {
-            let (engine, address) = self.pick()?;
+            let engine = self.next_engine().await?;
             self.attempts += 1;
-            let in_flight = self.node.track_in_flight(&engine);
-            match self.client.complete(address, &self.request).await {
+            self.plan.record.attempted();
+            let in_flight = self.node.track_in_flight(&engine.name);
+            self.unanswered = Some(engine.address);
+            let answer = self.send_to(&engine).await;
+            self.unanswered = None;
+            match answer? {
                 Ok(stream) => {
                     self.verdict = self.verdict.after_attempt(Verdict::MayHaveRun);
                     self.current = Some(Attempt {
@@ -89,79 +139,197 @@
                     });
                     return Ok(());
                 }
-                Err(error) => self.attempt_failed(engine, &error)?,
+                Err(error) => self.attempt_failed(&engine, &error).await?,
             }
         }
     }
 
-    /// Records a failed attempt; an error ends the request.
-    fn attempt_failed(&mut self, engine: EngineName, error: &EngineError) -> Result<(), Failure> {
-        let outcome = match error {
-            EngineError::Unreachable(_) => "unreachable",
-            EngineError::Refused(_) => "refused",
-            EngineError::Rejected { .. } => "rejected",
-            EngineError::Broken(_) => "broken",
-            EngineError::Mismatch(_) => "mismatch",
-        };
-        self.node
-            .metrics
-            .attempts
-            .with_label_values(&[outcome])
-            .inc();
-        if matches!(error, EngineError::Mismatch(_)) {
-            self.node.metrics.mismatches.inc();
+    /// Waits for an engine that accepts work, until the deadline.
+    async fn next_engine(&mut self) -> Result<Backend, Failure> {
+        loop {
+            let advised = self.advised_wait();
+            let choice = choose(&self.node, &self.request.model, &self.excluded);
+            let choice = choice.map_err(|error| {
+                let failure = error.failure(&self.request.model, advised);
+                self.failure(failure.status, failure.message, failure.verdict)
+            })?;
+            let Choice::Attempt(engine) = choice else {
+                self.wait_within_deadline(LOOK_AGAIN).await?;
+                continue;
+            };
+            let admitted = self.observe(engine.address, BreakerEvent::Attempt);
+            if admitted == BreakerDecision::Admit {
+                return Ok(engine);
+            }
         }
-        self.verdict = self.verdict.after_attempt(error.verdict());
+    }
+
+    /// Sends the request to an engine. The outer error is that the deadline passed first.
+    async fn send_to(
+        &mut self,
+        engine: &Backend,
+    ) -> Result<Result<EngineStream, EngineError>, Failure> {
+        let stall = self.node.settings.limits.engine_stall;
+        let call = self.client.complete(engine.address, &self.request);
+        let call = watched(&self.client, engine.address, stall, call);
+        if self.verdict == Verdict::MayHaveRun {
+            // Part of the answer may be with the caller: it is late now, and still wanted.
+            return Ok(call.await);
+        }
+        let remaining = self.remaining();
+        let Ok(result) = timeout(remaining, call).await else {
+            // The engine holds the request unanswered, and may yet run it.
+            self.cancel_at(engine.address);
+            self.observe(engine.address, BreakerEvent::Failure);
+            self.verdict = Verdict::MayHaveRun;
+            let message = "the deadline passed before an engine answered";
+            return Err(Failure::may_have_run(StatusCode::GATEWAY_TIMEOUT, message));
+        };
+        Ok(result)
+    }
+
+    /// Records a failed attempt and waits before the next; an error ends the request.
+    async fn attempt_failed(
+        &mut self,
+        engine: &Backend,
+        error: &EngineError,
+    ) -> Result<(), Failure> {
+        self.count_failure(engine, error);
+        self.verdict = self.verdict.after_attempt(self.outcome(error));
         if let EngineError::Rejected { status, message } = error {
             let status = StatusCode::from_u16(*status).unwrap_or(StatusCode::BAD_REQUEST);
-            return Err(self.failure(status, message.clone()));
+            return Err(self.failure(status, message.clone(), self.verdict));
         }
-        self.excluded.push(engine);
-        let allowed = self.verdict.allows_retry(self.repeatable)
-            && self.attempts < self.node.settings.limits.max_attempts;
-        if allowed {
-            return Ok(());
+        self.excluded.push(engine.name.clone());
+        let give_up = || self.failure(status_of(self.verdict), error.to_string(), self.verdict);
+        if !self.verdict.allows_retry(self.plan.repeatable)
+            || self.attempts >= self.node.settings.limits.max_attempts
+        {
+            return Err(give_up());
         }
-        Err(self.failure(StatusCode::BAD_GATEWAY, error.to_string()))
-    }
-
-    fn pick(&self) -> Result<(EngineName, SocketAddr), Failure> {
-        let in_force = self.node.in_force.load();
-        let mut candidates = Vec::new();
-        let mut known_model = false;
-        for pool in in_force.pools_of_model(&self.request.model) {
-            known_model = true;
-            candidates.extend(pool.backends.iter());
-        }
-        if !known_model {
-            let message = format!("no pool loads the model {}", self.request.model);
-            return Err(self.failure(StatusCode::NOT_FOUND, message));
-        }
-        candidates.retain(|backend| !self.excluded.contains(&backend.name));
-        let chosen = self.node.with_engines(|engines| {
-            let status = |name: &EngineName| engines.get(name).cloned().unwrap_or_default();
-            let usable = candidates.iter().filter(|backend| {
-                let state = status(&backend.name).state;
-                state.is_none_or(|state| !state.draining && state.role.serves_whole_requests())
-            });
-            usable
-                .min_by_key(|backend| status(&backend.name).in_flight)
-                .copied()
-        });
-        match chosen {
-            Some(backend) => Ok((backend.name.clone(), backend.address)),
-            None => {
-                let message = "no engine accepts work now".to_owned();
-                Err(self.failure(StatusCode::SERVICE_UNAVAILABLE, message))
+        let now = self.node.clock.now();
+        let retry = self.attempts.saturating_sub(1);
+        let wait = self
+            .node
+            .callers
+            .health
+            .retry(&self.node.metrics, now, retry);
+        let wait = wait.ok_or_else(give_up)?;
+        self.wait_within_deadline(wait).await
+    }
+
+    fn count_failure(&self, engine: &Backend, error: &EngineError) {
+        let metrics = &self.node.metrics;
+        metrics.attempts.with_label_values(&[error.name()]).inc();
+        if matches!(error, EngineError::Mismatch(_)) {
+            metrics.mismatches.inc();
+        }
+        let event = match error {
+            EngineError::Refused(_) | EngineError::Rejected { .. } => BreakerEvent::Success,
+            EngineError::Unreachable(_) | EngineError::Broken(_) | EngineError::Mismatch(_) => {
+                BreakerEvent::Failure
             }
+        };
+        self.observe(engine.address, event);
+    }
+
+    fn outcome(&self, error: &EngineError) -> Verdict {
+        match error {
+            EngineError::Rejected { .. } => Verdict::NotRun {
+                retry_after: Duration::ZERO,
+            },
+            _ if error.may_have_run() => Verdict::MayHaveRun,
+            _ => Verdict::NotRun {
+                retry_after: self.advised_wait(),
+            },
+        }
+    }
+
+    /// Waits, unless the deadline of a request that has not run comes first.
+    async fn wait_within_deadline(&self, wait: Duration) -> Result<(), Failure> {
+        if self.verdict == Verdict::MayHaveRun {
+            sleep(wait).await;
+            return Ok(());
         }
+        sleep(wait.min(self.remaining())).await;
+        if !self.remaining().is_zero() {
+            return Ok(());
+        }
+        Err(Failure::not_run(
+            StatusCode::GATEWAY_TIMEOUT,
+            "the deadline passed before an engine accepted the request",
+            self.advised_wait(),
+        ))
+    }
+
+    fn remaining(&self) -> Duration {
+        self.plan.deadline.since(self.node.clock.now())
+    }
+
+    fn advised_wait(&self) -> Duration {
+        self.node.callers.health.advised_wait(&self.plan.service)
+    }
+
+    fn observe(&self, address: SocketAddr, event: BreakerEvent) -> BreakerDecision {
+        let now = self.node.clock.now();
+        let health = &self.node.callers.health;
+        health.observe(&self.node.metrics, address, now, event)
     }
 
-    fn failure(&self, status: StatusCode, message: String) -> Failure {
+    /// A failure with `verdict`, unless the request may have run before.
+    fn failure(&self, status: StatusCode, message: String, verdict: Verdict) -> Failure {
         Failure {
             status,
-            verdict: self.verdict,
+            verdict: self.verdict.after_attempt(verdict),
             message,
         }
     }
+
+    fn cancel_at(&self, address: SocketAddr) {
+        let client = self.client.clone();
+        let request_id = self.request.request_id.clone();
+        actix_rt::spawn(async move {
+            // An engine that cannot be reached has nothing to cancel that anyone waits for.
+            let _ = client.cancel(address, &request_id).await;
+        });
+    }
+}
+
+impl Drop for Execution {
+    fn drop(&mut self) {
+        let current = self.current.as_ref().map(|attempt| attempt.engine.address);
+        if let Some(address) = current.or(self.unanswered) {
+            self.cancel_at(address);
+        }
+    }
+}
+
+fn status_of(verdict: Verdict) -> StatusCode {
+    match verdict {
+        Verdict::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        Verdict::Completed | Verdict::MayHaveRun => StatusCode::BAD_GATEWAY,
+    }
+}
+
+/// Awaits an engine's answer. Whenever nothing has come for the time `stall`, the engine is asked
+/// for its state; if it does not answer that either, the attempt is broken off.
+async fn watched<T>(
+    client: &EngineClient,
+    address: SocketAddr,
+    stall: Duration,
+    answer: impl Future<Output = Result<T, EngineError>>,
+) -> Result<T, EngineError> {
+    let mut answer = pin!(answer);
+    loop {
+        if let Ok(result) = timeout(stall, answer.as_mut()).await {
+            return result;
+        }
+        tokio::select! {
+            biased;
+            result = answer.as_mut() => return result,
+            state = client.state(address) => {
+                state.map_err(|error| EngineError::Broken(format!("a silent engine: {error}")))?;
+            }
+        }
+    }
 }
--- a/crates/node/src/callers/completion.rs
+++ b/crates/node/src/callers/completion.rs
@@ -1,206 +1,282 @@
 //! Chat and text completions.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use actix_rt::time::timeout;
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpRequest, HttpResponse};
 use bytes::Bytes;
 use futures_util::stream;
-use tansyhall_core::verdict::VERDICT_HEADER;
-use tansyhall_core::RequestId;
-use tansyhall_engine::protocol::{estimate_tokens, EngineRequest, Priority, Prompt};
+use tansyhall_core::Verdict;
+use tansyhall_engine::protocol::{EngineRequest, Prompt};
 use tansyhall_engine::EngineClient;
-use tansyhall_policy::ast::PriorityName;
-use tansyhall_policy::RequestFacts;
+use tokio::sync::{mpsc, oneshot};
 
-use super::attempt::Execution;
-use super::failure::Failure;
-use super::shape::{CallerRequest, Shape, DEFAULT_MAX_TOKENS};
+use super::admit::{admit, arrive, completion_terms, decode, end_refused, options, read_body};
+use super::attempt::{Execution, Plan};
+use super::driver::{collect, drive, Delivery, InProgress};
+use super::failure::{answer_with, Failure, REQUEST_ID_HEADER};
+use super::requests::{status_path, Ending, RequestRecord};
+use super::shape::{Shape, DEFAULT_MAX_TOKENS};
 use crate::state::Node;
 
-/// Header that carries the request's identifier on every answer.
-pub const REQUEST_ID_HEADER: &str = "tansyhall-request-id";
+/// How often a stream says how its request stands while nothing else arrives.
+const COMMENT_PERIOD: Duration = Duration::from_secs(1);
 
 /// Answers a completion request.
 pub async fn complete(
     node: web::Data<Node>,
     client: web::Data<EngineClient>,
     http: HttpRequest,
-    body: web::Bytes,
+    payload: web::Payload,
 ) -> HttpResponse {
     let node = node.into_inner();
-    match begin(&node, &client, &http, &body).await {
-        Ok(answer) if answer.stream => answer.respond_streaming(node),
-        Ok(answer) => answer.respond_whole(&node).await,
-        Err(failure) => finish_failed(&node, &failure),
+    let record = arrive(&node);
+    match begin(&node, &client, &http, payload, &record).await {
+        Ok(answer) => answer.respond().await,
+        Err(failure) => {
+            end_refused(&node, &record, &failure);
+            failure.response(record.id)
+        }
     }
 }
 
-fn finish_failed(node: &Node, failure: &Failure) -> HttpResponse {
-    node.metrics
-        .requests
-        .with_label_values(&[failure.verdict.name()])
-        .inc();
-    failure.response()
+/// How the caller wants its answer.
+#[derive(Debug, Clone, Copy)]
+enum Manner {
+    /// In a stream.
+    Stream,
+    /// Whole, however long it takes.
+    Whole,
+    /// Whole if it is there in this time, else the status resource.
+    WholeWithin(Duration),
 }
 
 struct Answer {
-    execution: Execution,
+    deliveries: mpsc::Receiver<Delivery>,
     shape: Shape,
-    stream: bool,
-    _in_progress: InProgress,
-}
-
-/// Counts a request in progress until it is dropped.
-struct InProgress(Arc<Node>);
-
-impl InProgress {
-    fn admit(node: &Arc<Node>) -> Result<Self, Failure> {
-        if node.is_stopping() {
-            let message = "this node is stopping";
-            return Err(Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, message));
-        }
-        let limit = i64::try_from(node.settings.limits.max_requests).unwrap_or(i64::MAX);
-        if node.metrics.in_progress.get() >= limit {
-            let message = "too many requests in progress at this node";
-            return Err(Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, message));
-        }
-        node.metrics.in_progress.inc();
-        Ok(Self(Arc::clone(node)))
-    }
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0.metrics.in_progress.dec();
-    }
+    manner: Manner,
+    in_progress: Arc<InProgress>,
 }
 
 async fn begin(
     node: &Arc<Node>,
     client: &EngineClient,
     http: &HttpRequest,
-    body: &[u8],
+    payload: web::Payload,
+    record: &Arc<RequestRecord>,
 ) -> Result<Answer, Failure> {
-    let in_progress = InProgress::admit(node)?;
-    let request: CallerRequest = serde_json::from_slice(body)
-        .map_err(|error| Failure::not_run(StatusCode::BAD_REQUEST, error.to_string()))?;
-    let prompt_tokens = estimate_tokens(&request.prompt.flattened());
-    let class = {
-        let in_force = node.in_force.load();
-        let pool = in_force.pools_of_model(&request.model).next();
-        let Some(pool) = pool else {
-            let message = format!("no pool loads the model {}", request.model);
-            return Err(Failure::not_run(StatusCode::NOT_FOUND, message));
-        };
-        let facts = RequestFacts {
-            path: http.path(),
-            prompt_tokens: u64::from(prompt_tokens),
-        };
-        in_force.program(&pool.service).classify(&facts).clone()
+    let options = options(node, http)?;
+    let body = read_body(node, payload).await?;
+    let request = decode(node, &body)?;
+    let terms = completion_terms(node, http.path(), &request, &options, record.arrived)?;
+    let in_progress = admit(node, record, &terms, &options).await?;
+    let manner = match (request.stream, options.wait) {
+        (true, _) => Manner::Stream,
+        (false, None) => Manner::Whole,
+        (false, Some(wait)) => Manner::WholeWithin(wait),
     };
-    let id = RequestId(rand::random()).to_string();
-    let engine_request = EngineRequest {
-        request_id: id.clone(),
+    let shape = Shape {
+        id: record.id.to_string(),
         model: request.model.clone(),
+        chat: matches!(request.prompt, Prompt::Chat { .. }),
+        prompt_tokens: terms.prompt_tokens,
+    };
+    let engine_request = EngineRequest {
+        request_id: shape.id.clone(),
+        model: request.model,
         adapter: request.adapter,
         prompt: request.prompt,
         max_tokens: request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1),
         stream: true,
-        priority: request.priority.unwrap_or(match class.priority {
-            PriorityName::Interactive => Priority::Interactive,
-            PriorityName::Standard => Priority::Standard,
-            PriorityName::Batch => Priority::Batch,
-        }),
+        priority: terms.priority,
         resume_after: 0,
     };
-    let chat = matches!(engine_request.prompt, Prompt::Chat { .. });
-    let shape = Shape {
-        id,
-        model: request.model,
-        chat,
-        prompt_tokens,
+    let plan = Plan {
+        service: terms.service,
+        repeatable: terms.repeatable,
+        deadline: terms.deadline,
+        record: Arc::clone(record),
     };
-    let execution = Execution::begin(
-        Arc::clone(node),
-        client.clone(),
-        engine_request,
-        class.repeatable,
-    )
-    .await?;
+    let execution = Execution::new(Arc::clone(node), client.clone(), engine_request, plan);
     Ok(Answer {
-        execution,
+        deliveries: drive(execution, Arc::clone(&in_progress)),
         shape,
-        stream: request.stream,
-        _in_progress: in_progress,
+        manner,
+        in_progress,
     })
 }
 
 impl Answer {
-    async fn respond_whole(mut self, node: &Node) -> HttpResponse {
-        let mut text = String::new();
-        loop {
-            let chunk = match self.execution.next().await {
-                Ok(Some(chunk)) => chunk,
-                Ok(None) => {
-                    let status = StatusCode::BAD_GATEWAY;
-                    return finish_failed(node, &Failure::not_run(status, "an empty answer"));
-                }
-                Err(failure) => return finish_failed(node, &failure),
-            };
-            text.push_str(&chunk.text);
-            let Some(reason) = &chunk.finish_reason else {
-                continue;
-            };
-            let tokens = chunk.token_index.saturating_add(chunk.tokens);
-            return match self.shape.whole(&text, tokens, reason) {
-                Ok(body) => {
-                    node.metrics
-                        .requests
-                        .with_label_values(&["completed"])
-                        .inc();
-                    HttpResponse::Ok()
-                        .insert_header((VERDICT_HEADER, "completed"))
-                        .insert_header((REQUEST_ID_HEADER, self.shape.id.clone()))
-                        .content_type("application/json")
-                        .body(body)
-                }
-                Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
-            };
+    async fn respond(self) -> HttpResponse {
+        match self.manner {
+            Manner::Stream => self.respond_streaming().await,
+            Manner::Whole => self.respond_whole().await,
+            Manner::WholeWithin(wait) => self.respond_within(wait).await,
         }
     }
 
-    fn respond_streaming(self, node: Arc<Node>) -> HttpResponse {
+    async fn respond_whole(mut self) -> HttpResponse {
+        let body = self.collect_body().await;
+        let in_progress = self.in_progress;
+        match body {
+            Ok(body) => whole_response(&in_progress, body),
+            Err(failure) => {
+                in_progress.end(Ending::Failed(failure.clone()));
+                failure.response(in_progress.id())
+            }
+        }
+    }
+
+    async fn collect_body(&mut self) -> Result<Bytes, Failure> {
+        let limits = &self.in_progress.node.settings.limits;
+        let (text, last) = collect(&mut self.deliveries, limits.max_answer_bytes).await?;
+        let tokens = last.token_index.saturating_add(last.tokens);
+        let reason = last.finish_reason.as_deref().unwrap_or_default();
+        let body = self.shape.whole(&text, tokens, reason);
+        body.map(Bytes::from).map_err(|error| {
+            let status = StatusCode::INTERNAL_SERVER_ERROR;
+            Failure::may_have_run(status, error.to_string())
+        })
+    }
+
+    /// Waits for the answer, but no longer than `wait`: then the work goes on, and the caller gets
+    /// the status resource, from which it can fetch the answer.
+    async fn respond_within(self, wait: Duration) -> HttpResponse {
+        let in_progress = Arc::clone(&self.in_progress);
+        let id = in_progress.id();
+        let node = Arc::clone(&in_progress.node);
+        if !node.callers.requests.reserve_answer(id) {
+            // Nowhere to keep the answer: the caller's preference cannot be met.
+            return self.respond_whole().await;
+        }
+        let (sender, mut receiver) = oneshot::channel();
+        actix_rt::spawn(self.collect_and_keep(sender));
+        match timeout(wait, &mut receiver).await {
+            Ok(Ok(Ok(body))) => whole_response(&in_progress, body),
+            Ok(Ok(Err(failure))) => failure.response(id),
+            Ok(Err(_)) => Failure::may_have_run(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "the request's task ended without an answer",
+            )
+            .response(id),
+            Err(_) => accepted_response(&node, &in_progress.record),
+        }
+    }
+
+    async fn collect_and_keep(mut self, sender: oneshot::Sender<Result<Bytes, Failure>>) {
+        let body = self.collect_body().await;
+        let in_progress = &self.in_progress;
+        match &body {
+            Ok(body) => in_progress.record.keep_answer(body.clone()),
+            Err(failure) => {
+                in_progress.node.callers.requests.release_answer();
+                in_progress.end(Ending::Failed(failure.clone()));
+            }
+        }
+        // The caller may have been sent to the status resource already.
+        let _ = sender.send(body);
+    }
+
+    /// Answers in a stream. The status code can still say that the request failed if that is known
+    /// within one comment period; after that, the stream itself says so.
+    async fn respond_streaming(mut self) -> HttpResponse {
+        let first = timeout(COMMENT_PERIOD, self.deliveries.recv()).await;
+        let first = match first {
+            Ok(Some(Delivery::Failed(failure))) => {
+                return failure.response(self.in_progress.id());
+            }
+            Ok(Some(delivery)) => StreamEvent::Delivery(delivery),
+            Ok(None) => StreamEvent::BrokenOff,
+            Err(_) => StreamEvent::Silence,
+        };
         let id = self.shape.id.clone();
-        let events = stream::unfold(Some((self, node)), next_event);
+        let events = EventStream {
+            answer: self,
+            next: Some(first),
+        };
         HttpResponse::Ok()
             .insert_header((REQUEST_ID_HEADER, id))
             .content_type("text/event-stream")
-            .streaming(events)
+            .streaming(stream::unfold(Some(events), EventStream::write_next))
     }
 }
 
-type StreamState = Option<(Answer, Arc<Node>)>;
+fn whole_response(in_progress: &InProgress, body: Bytes) -> HttpResponse {
+    answer_with(StatusCode::OK, in_progress.id(), Verdict::Completed)
+        .content_type("application/json")
+        .body(body)
+}
+
+/// Points a caller to its request's status resource. The request is under way, so that its
+/// verdict so far is that it may have run.
+fn accepted_response(node: &Node, record: &RequestRecord) -> HttpResponse {
+    answer_with(StatusCode::ACCEPTED, record.id, Verdict::MayHaveRun)
+        .insert_header(("location", status_path(record.id)))
+        .insert_header(("preference-applied", "wait"))
+        .json(record.status(node.clock.now()))
+}
 
-async fn next_event(state: StreamState) -> Option<(Result<Bytes, std::io::Error>, StreamState)> {
-    let (mut answer, node) = state?;
-    let (event, verdict) = match answer.execution.next().await {
-        Ok(Some(chunk)) => {
-            let verdict = chunk.finish_reason.is_some().then_some("completed");
-            (answer.shape.event(&chunk), verdict)
+enum StreamEvent {
+    Delivery(Delivery),
+    /// Nothing arrived for one comment period.
+    Silence,
+    /// The task that runs the request ended without a last piece.
+    BrokenOff,
+}
+
+struct EventStream {
+    answer: Answer,
+    next: Option<StreamEvent>,
+}
+
+type StreamItem = Result<Bytes, std::io::Error>;
+
+impl EventStream {
+    async fn next_event(&mut self) -> StreamEvent {
+        if let Some(event) = self.next.take() {
+            return event;
         }
-        Ok(None) => return None,
-        Err(failure) => {
-            let body = serde_json::to_string(&failure.body());
-            (
-                body.map(|json| format!("data: {json}\n\n")),
-                Some(failure.verdict.name()),
-            )
+        match timeout(COMMENT_PERIOD, self.answer.deliveries.recv()).await {
+            Ok(Some(delivery)) => StreamEvent::Delivery(delivery),
+            Ok(None) => StreamEvent::BrokenOff,
+            Err(_) => StreamEvent::Silence,
         }
-    };
-    if let Some(verdict) = verdict {
-        node.metrics.requests.with_label_values(&[verdict]).inc();
     }
-    let next = verdict.is_none().then_some((answer, node));
-    Some((event.map(Bytes::from).map_err(std::io::Error::other), next))
+
+    async fn write_next(state: Option<Self>) -> Option<(StreamItem, Option<Self>)> {
+        let mut events = state?;
+        let (text, last) = match events.next_event().await {
+            StreamEvent::Silence => (Ok(events.comment()), false),
+            StreamEvent::Delivery(Delivery::Chunk(chunk)) => {
+                let last = chunk.finish_reason.is_some();
+                (events.answer.shape.event(&chunk), last)
+            }
+            StreamEvent::Delivery(Delivery::Failed(failure)) => {
+                let body = serde_json::to_string(&failure.body());
+                (body.map(|json| format!("data: {json}\n\n")), true)
+            }
+            StreamEvent::BrokenOff => {
+                // An error cuts the connection, so that the caller cannot take the part it has for
+                // the whole.
+                let error = std::io::Error::other("the answer broke off");
+                return Some((Err(error), None));
+            }
+        };
+        let item = text.map(Bytes::from).map_err(std::io::Error::other);
+        Some((item, (!last).then_some(events)))
+    }
+
+    /// A comment that says how the request stands.
+    fn comment(&self) -> String {
+        let in_progress = &self.answer.in_progress;
+        let status = in_progress.record.status(in_progress.node.clock.now());
+        format!(
+            ": tansyhall state={} waited_ms={} deadline_ms={}\n\n",
+            status.state.name(),
+            status.waited_ms,
+            status.deadline_ms
+        )
+    }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -13,6 +13,18 @@
     pub mismatches: IntCounter,
     /// Requests resumed at another engine.
     pub resumed: IntCounter,
+    /// Retries asked of the retry budget, by its answer.
+    pub retries: IntCounterVec,
+    /// Circuit breakers opened.
+    pub breakers_opened: IntCounter,
+    /// Requests answered with an error before any attempt, by reason.
+    pub refused: IntCounterVec,
+    /// Callers that went away before their answers were whole.
+    pub callers_gone: IntCounter,
+    /// Callers that stopped reading their answers and were cut off.
+    pub callers_stalled: IntCounter,
+    /// Requests that passed their deadlines before they ended.
+    pub late: IntCounter,
     /// Requests in progress.
     pub in_progress: IntGauge,
     /// Revision of the configuration in force.
@@ -51,6 +63,25 @@
             attempts: counters("tansyhall_attempts_total", "Attempts by outcome", "outcome")?,
             mismatches: counter("tansyhall_mismatches_total", "Chunks of the wrong request")?,
             resumed: counter("tansyhall_resumed_total", "Requests resumed elsewhere")?,
+            retries: counters("tansyhall_retries_total", "Retries by decision", "decision")?,
+            breakers_opened: counter("tansyhall_breakers_opened_total", "Circuit breakers opened")?,
+            refused: counters(
+                "tansyhall_refused_total",
+                "Requests refused before any attempt, by reason",
+                "reason",
+            )?,
+            callers_gone: counter(
+                "tansyhall_callers_gone_total",
+                "Callers gone before their answers were whole",
+            )?,
+            callers_stalled: counter(
+                "tansyhall_callers_stalled_total",
+                "Callers cut off because they stopped reading",
+            )?,
+            late: counter(
+                "tansyhall_late_total",
+                "Requests that passed their deadlines",
+            )?,
             in_progress: gauge("tansyhall_requests_in_progress", "Requests in progress")?,
             configuration_revision: gauge(
                 "tansyhall_configuration_revision",
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -48,6 +48,7 @@
     for server in servers {
         actix_rt::spawn(server);
     }
+    callers::start_sweeping(Arc::clone(&node));
     let store = EtcdStore::new(platform, timeout);
     ConfigurationWatcher::new(Arc::clone(&node), store.clone()).start();
     AuthorityKeeper::new(Arc::clone(&node), store).start();
@@ -63,21 +64,22 @@
     TcpListener::bind(address).with_context(|| format!("cannot listen on {address}"))
 }
 
-fn serve_callers(listener: TcpListener, node: Arc<Node>) -> std::io::Result<Server> {
+/// Serves callers on a listener, on as many threads as the settings name.
+pub fn serve_callers(listener: TcpListener, node: Arc<Node>) -> std::io::Result<Server> {
     let threads = node.settings.threads;
     let server = HttpServer::new(move || {
-        let connect_timeout = node.settings.limits.connect_timeout;
-        let connector = awc::Connector::new().timeout(connect_timeout);
-        let applications = awc::Client::builder().connector(connector).finish();
+        let limits = &node.settings.limits;
+        let engines = EngineClient::new(limits.connect_timeout);
         App::new()
             .app_data(web::Data::from(Arc::clone(&node)))
-            .app_data(web::Data::new(EngineClient::new(connect_timeout)))
-            .app_data(web::Data::new(applications))
-            .app_data(web::PayloadConfig::new(node.settings.limits.max_body_bytes))
+            .app_data(web::Data::new(engines))
+            .app_data(web::Data::new(callers::application_client(limits)))
             .configure(callers::routes)
     });
     Ok(server
         .workers(threads)
+        // A caller that closes its side is gone, and its work is cancelled.
+        .h1_allow_half_closed(false)
         .disable_signals()
         .listen(listener)?
         .run())
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -11,6 +11,7 @@
 use tansyhall_core::EngineName;
 use tansyhall_engine::protocol::EngineState;
 
+use crate::callers::CallersState;
 use crate::configuration::InForce;
 use crate::metrics::Metrics;
 
@@ -33,6 +34,8 @@
     pub in_force: ArcSwap<InForce>,
     /// Counters.
     pub metrics: Metrics,
+    /// What the callers' side keeps.
+    pub callers: CallersState,
     engines: Mutex<HashMap<EngineName, EngineStatus>>,
     stopping: AtomicBool,
 }
@@ -41,6 +44,7 @@
     /// The state of a node that knows nothing yet.
     pub fn new(settings: NodeSettings) -> anyhow::Result<Arc<Self>> {
         Ok(Arc::new(Self {
+            callers: CallersState::new(&settings.limits),
             settings,
             clock: MonotonicClock::start(),
             in_force: ArcSwap::from_pointee(InForce::default()),
--- /dev/null
+++ b/crates/node/tests/requests.rs
@@ -0,0 +1,251 @@
+//! Deadlines, visible lateness, the status resource, retries and the callers that go away.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use futures_util::FutureExt;
+use serde_json::{json, Value};
+use support::{
+    ask, body, client, dead_address, expected, header, json_of, set_faults, start_engine,
+    start_node, Reader,
+};
+use tansyhall_engine::protocol::{FenceToken, Order, OrderAction};
+use tansyhall_engine::EngineClient;
+use tansyhall_node::Node;
+use tansyhall_testing::{eventually, get_json};
+
+const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Orders an engine to drain or resume, and lets the node know its state.
+async fn order(node: &Node, engine: SocketAddr, action: OrderAction) {
+    let orders = EngineClient::new(CONNECT_TIMEOUT);
+    let state = orders.state(engine).await.expect("a state");
+    let order = Order {
+        order_id: format!("{action:?}"),
+        fence_token: FenceToken(1),
+        incarnation: state.incarnation,
+        action,
+    };
+    orders.order(engine, &order).await.expect("a reply");
+    let state = orders.state(engine).await.expect("a state");
+    node.with_engines(|engines| engines.entry("engine-0".into()).or_default().state = Some(state));
+}
+
+fn assert_not_run_with_advice(response: &awc::ClientResponse) {
+    assert_eq!(header(response, "tansyhall-verdict"), "not-run");
+    assert!(!header(response, "tansyhall-request-id").is_empty());
+    let seconds: u64 = header(response, "retry-after").parse().expect("seconds");
+    assert!(seconds >= 1);
+}
+
+async fn records(engine: SocketAddr) -> Value {
+    let records = get_json(engine, "/standin/records").await;
+    records.expect("the engine's records")
+}
+
+#[actix_rt::test]
+async fn a_deadline_that_passes_before_any_engine_accepts_is_answered_not_run() {
+    let engine = start_engine("engine-0");
+    let (node, address) = start_node(&[engine], &[], "");
+    order(&node, engine, OrderAction::Drain).await;
+    for stream in [false, true] {
+        let deadline = [("tansyhall-deadline-ms", "200")];
+        let response = ask(address, &deadline, &body(4, stream)).await;
+        assert_eq!(response.status(), 504);
+        assert_not_run_with_advice(&response);
+    }
+    assert_eq!(records(engine).await["requests"], json!([]));
+    assert_eq!(node.metrics.late.get(), 2);
+}
+
+#[actix_rt::test]
+async fn a_stream_says_that_it_is_queued_and_is_served_once_an_engine_accepts() {
+    let engine = start_engine("engine-0");
+    let (node, address) = start_node(&[engine], &[], "");
+    order(&node, engine, OrderAction::Drain).await;
+    let mut reader = Reader::new(ask(address, &[], &body(4, true)).await);
+    while reader.comments.is_empty() {
+        assert!(reader.read().await);
+    }
+    assert!(reader.comments[0].starts_with(": tansyhall state=queued waited_ms="));
+    assert!(reader.comments[0].ends_with(" deadline_ms=20000"));
+    order(&node, engine, OrderAction::Resume).await;
+    let reader = reader.read_all().await;
+    assert_eq!(reader.text, expected(4));
+    assert_eq!(reader.verdict.as_deref(), Some("completed"));
+}
+
+#[actix_rt::test]
+async fn a_request_is_given_up_on_at_once_when_no_engine_will_accept_it() {
+    let engine = start_engine("engine-0");
+    let (_node, address) = start_node(&[engine], &[], "");
+    set_faults(engine, json!({ "refuse_work": true })).await;
+    let response = ask(address, &[], &body(4, true)).await;
+    assert_eq!(response.status(), 503);
+    assert_not_run_with_advice(&response);
+}
+
+#[actix_rt::test]
+async fn a_late_answer_is_seen_to_be_late_and_still_comes_whole() {
+    let engine = start_engine("engine-0");
+    let (node, address) = start_node(&[engine], &[], "engine_stall = '60s'");
+    let deadline = [("tansyhall-deadline-ms", "400")];
+    let response = ask(address, &deadline, &body(100, true)).await;
+    let id = header(&response, "tansyhall-request-id").to_owned();
+    let mut reader = Reader::new(response);
+    reader.read_text().await;
+    set_faults(engine, json!({ "frozen": true })).await;
+    let late = |comment: &String| comment.starts_with(": tansyhall state=late waited_ms=");
+    while !reader.comments.iter().any(late) {
+        assert!(reader.read().await);
+    }
+    let status = get_json(address, &format!("/v1/requests/{id}")).await;
+    let status = status.expect("a status");
+    assert_eq!(status["state"], "late");
+    assert_eq!(status["deadline_ms"], 400);
+    assert!(status["waited_ms"].as_u64() > Some(400));
+    set_faults(engine, json!({})).await;
+    let reader = reader.read_all().await;
+    assert_eq!(reader.text, expected(100));
+    assert_eq!(node.metrics.late.get(), 1);
+    let status = get_json(address, &format!("/v1/requests/{id}")).await;
+    assert_eq!(status.expect("a status")["state"], "completed");
+}
+
+#[actix_rt::test]
+async fn a_caller_that_prefers_not_to_wait_fetches_its_answer_later() {
+    let engine = start_engine("engine-0");
+    let (_node, address) = start_node(&[engine], &[], "");
+    set_faults(engine, json!({ "frozen": true })).await;
+    let prefer = [("prefer", "respond-async, wait=0")];
+    let mut response = ask(address, &prefer, &body(5, false)).await;
+    assert_eq!(response.status(), 202);
+    assert_eq!(header(&response, "tansyhall-verdict"), "may-have-run");
+    let location = header(&response, "location").to_owned();
+    assert_eq!(json_of(&mut response).await["state"], "queued");
+    let answer = format!("http://{address}{location}/answer");
+    let early = client().get(&answer).send().await.expect("an answer");
+    assert_eq!(early.status(), 202);
+    set_faults(engine, json!({})).await;
+    eventually("the request is completed", || async {
+        let status = get_json(address, &location).await?;
+        (status["state"] == "completed" && status["answer"].is_string()).then_some(())
+    })
+    .await;
+    let mut whole = client().get(&answer).send().await.expect("an answer");
+    assert_eq!(whole.status(), 200);
+    assert_eq!(header(&whole, "tansyhall-verdict"), "completed");
+    assert_eq!(json_of(&mut whole).await["choices"][0]["text"], expected(5));
+}
+
+#[actix_rt::test]
+async fn an_unknown_request_has_no_status() {
+    let (_node, address) = start_node(&[dead_address()], &[], "");
+    for id in ["x", "00000000000000000000000000000001"] {
+        let url = format!("http://{address}/v1/requests/{id}");
+        let response = client().get(url).send().await.expect("an answer");
+        assert_eq!(response.status(), 404);
+    }
+}
+
+#[actix_rt::test]
+async fn a_caller_that_goes_away_cancels_its_work() {
+    let engine = start_engine("engine-0");
+    let (node, address) = start_node(&[engine], &[], "");
+    let mut reader = Reader::new(ask(address, &[], &body(50_000, true)).await);
+    reader.read_text().await;
+    drop(reader);
+    let url = format!("http://{address}/v1/completions");
+    let whole = client().post(url).send_json(&body(50_000, false));
+    let mut whole = Box::pin(whole);
+    eventually("the second request is at the engine", || {
+        let _ = whole.as_mut().now_or_never();
+        async { (records(engine).await["requests"].as_array()?.len() == 2).then_some(()) }
+    })
+    .await;
+    drop(whole);
+    eventually("both requests are cancelled", || async {
+        let state = get_json(engine, "/control/state").await?;
+        let records = records(engine).await;
+        (state["requests"] == 0 && records["cancelled"] == 2).then_some(())
+    })
+    .await;
+    assert_eq!(node.metrics.callers_gone.get(), 2);
+    assert_eq!(node.metrics.in_progress.get(), 0);
+}
+
+#[actix_rt::test]
+async fn a_frozen_engine_is_found_and_the_stream_resumed_elsewhere() {
+    let engines = [start_engine("engine-0"), start_engine("engine-1")];
+    let (node, address) = start_node(&engines, &[], "engine_stall = '200ms'");
+    let busy = node.track_in_flight(&"engine-1".into());
+    let mut reader = Reader::new(ask(address, &[], &body(200, true)).await);
+    reader.read_text().await;
+    drop(busy);
+    set_faults(engines[0], json!({ "frozen": true })).await;
+    let reader = reader.read_all().await;
+    assert_eq!(reader.text, expected(200));
+    assert_eq!(reader.verdict.as_deref(), Some("completed"));
+    assert_eq!(node.metrics.resumed.get(), 1);
+    let resumed = &records(engines[1]).await["requests"][0]["resume_after"];
+    assert!(
+        resumed.as_u64() > Some(0),
+        "only the rest is generated again"
+    );
+}
+
+#[actix_rt::test]
+async fn an_unreachable_engine_is_avoided_after_a_few_failures() {
+    let engines = [dead_address(), start_engine("engine-1")];
+    let (node, address) = start_node(&engines, &[], "");
+    // Both engines look idle, and the first is preferred: its failures open its breaker.
+    for _ in 0..8 {
+        let busy = node.track_in_flight(&"engine-1".into());
+        let mut response = ask(address, &[], &body(2, false)).await;
+        assert_eq!(response.status(), 200);
+        let text = &json_of(&mut response).await["choices"][0]["text"];
+        assert_eq!(*text, expected(2));
+        drop(busy);
+    }
+    assert_eq!(node.metrics.breakers_opened.get(), 1);
+    let unreachable = node.metrics.attempts.with_label_values(&["unreachable"]);
+    assert!(unreachable.get() < 8, "the open breaker spares attempts");
+}
+
+#[actix_rt::test]
+async fn the_retry_budget_ends_retries_when_it_is_spent() {
+    let engines = [dead_address(), dead_address()];
+    let limits = "retries_per_thousand = 0\nretry_reserve = 0";
+    let (node, address) = start_node(&engines, &[], limits);
+    let response = ask(address, &[], &body(2, false)).await;
+    assert_eq!(response.status(), 503);
+    assert_not_run_with_advice(&response);
+    let spent = node.metrics.retries.with_label_values(&["budget-spent"]);
+    assert_eq!(spent.get(), 1);
+}
+
+#[actix_rt::test]
+async fn a_request_with_a_key_runs_at_most_once_at_this_node() {
+    let engine = start_engine("engine-0");
+    let (_node, address) = start_node(&[engine], &[], "");
+    let once = [
+        ("tansyhall-not-repeatable", "true"),
+        ("idempotency-key", "slip-7"),
+    ];
+    set_faults(engine, json!({ "refuse_work": true })).await;
+    let refused = ask(address, &once, &body(3, false)).await;
+    assert_eq!(header(&refused, "tansyhall-verdict"), "not-run");
+    set_faults(engine, json!({})).await;
+    let first = ask(address, &once, &body(3, false)).await;
+    assert_eq!(
+        first.status(),
+        200,
+        "a try that did not run may be repeated"
+    );
+    let second = ask(address, &once, &body(3, false)).await;
+    assert_eq!(second.status(), 409);
+    assert_eq!(header(&second, "tansyhall-verdict"), "may-have-run");
+    let runs = records(engine).await["requests"].as_array().map(Vec::len);
+    assert_eq!(runs, Some(1));
+}
--- /dev/null
+++ b/crates/node/tests/rogue_engine.rs
@@ -0,0 +1,164 @@
+//! An engine that answers with foreign, duplicate, reordered, late, truncated and garbage chunks:
+//! the caller gets its own whole answer or an honest verdict, and never anything else.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use actix_web::{web, App, HttpResponse, HttpServer};
+use serde_json::{json, Value};
+use support::{ask, body, expected, listener, start_engine, start_node, Reader, MODEL, PROMPT};
+use tansyhall_engine::protocol::{EngineRequest, COMPLETIONS_PATH};
+use tansyhall_standin::engine::answer_text;
+
+const TOKENS: u32 = 6;
+/// A request that is not this one.
+const FOREIGN_ID: &str = "0123456789abcdef0123456789abcdef";
+
+/// How the rogue engine spoils its answer, after the chunks for which it is right.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    ForeignChunk,
+    DuplicateChunk,
+    ReorderedChunks,
+    LateChunk,
+    TruncatedStream,
+    TruncatedEvent,
+    Garbage,
+    GarbageJson,
+    TooLongEvent,
+    ServerError,
+}
+
+const FAULTS: [Fault; 10] = [
+    Fault::ForeignChunk,
+    Fault::DuplicateChunk,
+    Fault::ReorderedChunks,
+    Fault::LateChunk,
+    Fault::TruncatedStream,
+    Fault::TruncatedEvent,
+    Fault::Garbage,
+    Fault::GarbageJson,
+    Fault::TooLongEvent,
+    Fault::ServerError,
+];
+
+fn event(id: &str, index: u32, text: &str, last: bool) -> String {
+    let reason = last.then_some("length");
+    let chunk = json!({
+        "id": id, "token_index": index, "tokens": 1, "text": text, "finish_reason": reason,
+    });
+    format!("data: {chunk}\n\n")
+}
+
+/// The events of an answer whose first `right` chunks are as they should be.
+fn answer(fault: Fault, request: &EngineRequest, right: u32) -> Vec<u8> {
+    let id = &request.request_id;
+    let token = |index: u32| {
+        let before = answer_text(MODEL, PROMPT, index).len();
+        answer_text(MODEL, PROMPT, index + 1)[before..].to_owned()
+    };
+    let own = |index: u32| event(id, index, &token(index), index + 1 == TOKENS);
+    let mut events: String = (0..right).map(own).collect();
+    let foreign = || event(FOREIGN_ID, right, "of another family ", false);
+    match fault {
+        Fault::ForeignChunk => events.push_str(&(foreign() + &own(right))),
+        Fault::DuplicateChunk => {
+            let again = right.saturating_sub(1);
+            events.push_str(&own(again));
+            events.push_str(&own(again));
+        }
+        Fault::ReorderedChunks => events.push_str(&(own(right + 1) + &own(right))),
+        Fault::LateChunk => {
+            let rest: String = (right..TOKENS).map(own).collect();
+            events.push_str(&(rest + &own(right)));
+        }
+        Fault::TruncatedStream => {}
+        Fault::TruncatedEvent => events.push_str(&own(right)[..20]),
+        Fault::Garbage => return [events.as_bytes(), b"data: \xff\xfe\x00\n\n"].concat(),
+        Fault::GarbageJson => events.push_str("data: {\"id\":[]}\n\n"),
+        Fault::TooLongEvent => events.push_str(&format!("data: {}", "x".repeat(2 << 20))),
+        Fault::ServerError => {}
+    }
+    events.into_bytes()
+}
+
+async fn respond(
+    rogue: web::Data<(Fault, u32)>,
+    request: web::Json<EngineRequest>,
+) -> HttpResponse {
+    let (fault, right) = **rogue;
+    if let (Fault::ServerError, 0) = (fault, right) {
+        return HttpResponse::InternalServerError().body("out of memory");
+    }
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .body(answer(fault, &request, right))
+}
+
+fn start_rogue(fault: Fault, right: u32) -> SocketAddr {
+    let (listener, address) = listener();
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new((fault, right)))
+            .route(COMPLETIONS_PATH, web::post().to(respond))
+    });
+    let server = server.workers(1).disable_signals().listen(listener);
+    actix_rt::spawn(server.expect("a server").run());
+    address
+}
+
+/// Makes the node prefer the rogue engine, by work that it believes is at the other one.
+async fn ask_rogue_first(
+    fault: Fault,
+    right: u32,
+    headers: &[(&str, &str)],
+    request: &Value,
+) -> (Reader, u64) {
+    let engines = [start_rogue(fault, right), start_engine("engine-1")];
+    let (node, address) = start_node(&engines, &[], "");
+    let _busy = node.track_in_flight(&"engine-1".into());
+    let reader = Reader::new(ask(address, headers, request).await)
+        .read_all()
+        .await;
+    let kinds = ["broken", "mismatch"];
+    let attempts = &node.metrics.attempts;
+    let counted = kinds.map(|kind| attempts.with_label_values(&[kind]).get());
+    (reader, counted.iter().sum())
+}
+
+#[actix_rt::test]
+async fn a_repeatable_request_gets_its_own_whole_answer_from_another_engine() {
+    for fault in FAULTS {
+        for right in [0, 3] {
+            let (reader, errors) = ask_rogue_first(fault, right, &[], &body(TOKENS, true)).await;
+            assert_eq!(reader.text, expected(TOKENS), "{fault:?} after {right}");
+            assert_eq!(reader.verdict.as_deref(), Some("completed"), "{fault:?}");
+            // A chunk after the last one is never read: the answer was whole before it came.
+            let unread = matches!(fault, Fault::LateChunk);
+            assert_eq!(errors, u64::from(!unread), "{fault:?} after {right}");
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_request_that_is_not_repeatable_gets_an_honest_verdict_and_no_second_run() {
+    let once = [("tansyhall-not-repeatable", "true")];
+    for fault in FAULTS {
+        for right in [0, 3] {
+            let (reader, errors) = ask_rogue_first(fault, right, &once, &body(TOKENS, true)).await;
+            let own = expected(TOKENS);
+            assert!(own.starts_with(&reader.text), "{fault:?}: {}", reader.text);
+            if matches!(fault, Fault::LateChunk) {
+                assert_eq!(reader.verdict.as_deref(), Some("completed"), "{fault:?}");
+                continue;
+            }
+            assert!(reader.text.len() < own.len(), "{fault:?} after {right}");
+            assert_eq!(
+                reader.verdict.as_deref().unwrap_or("may-have-run"),
+                "may-have-run"
+            );
+            assert_eq!(errors, 1, "{fault:?} after {right}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,213 @@
+//! A node's callers' side in this process, with engines and workers of the test's choice, and no
+//! platform.
+
+#![allow(dead_code)]
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use awc::ClientResponse;
+use futures_util::StreamExt;
+use serde_json::{json, Value};
+use tansyhall_config::file::ResourceFile;
+use tansyhall_config::{Configuration, NodeSettings};
+use tansyhall_core::{ModelName, Role};
+use tansyhall_engine::sse::SseDecoder;
+use tansyhall_node::configuration::InForce;
+use tansyhall_node::Node;
+use tansyhall_standin::engine::{self, answer_text, EngineOptions};
+
+pub const MODEL: &str = "base";
+pub const PROMPT: &str = "which families receive rice and lentils";
+
+pub fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// An address where nobody listens.
+pub fn dead_address() -> SocketAddr {
+    listener().1
+}
+
+/// A stand-in engine.
+pub fn start_engine(name: &str) -> SocketAddr {
+    let (listener, address) = listener();
+    let options = EngineOptions {
+        name: name.into(),
+        role: Role::Mixed,
+        model: ModelName::from(MODEL),
+        role_change: Duration::from_millis(100),
+        costs: Default::default(),
+    };
+    actix_rt::spawn(engine::serve(listener, options).expect("an engine"));
+    address
+}
+
+fn backends(name: &str, addresses: &[SocketAddr]) -> String {
+    let entries: Vec<String> = addresses
+        .iter()
+        .enumerate()
+        .map(|(index, address)| format!("{{ name = '{name}-{index}', address = '{address}' }}"))
+        .collect();
+    entries.join(", ")
+}
+
+fn configuration(engines: &[SocketAddr], workers: &[SocketAddr]) -> Configuration {
+    let text = format!(
+        "[[policy]]\nname = 'assistant'\nsource = 'class counter {{ deadline 20s; }}'\n\
+         [[site]]\nname = 'valley'\nregion = 'valley'\nzones = ['kalimati']\n\
+         [[service]]\nname = 'assistant'\nsite = 'valley'\nkind = 'language-model'\n\
+         policy = 'assistant'\n\
+         [[service]]\nname = 'stock'\nsite = 'valley'\nkind = 'application'\n\
+         path_prefix = '/stock'\n\
+         [[pool]]\nname = 'stock-kalimati'\nservice = 'stock'\nzone = 'kalimati'\n\
+         backends = [{}]\n\
+         [[pool]]\nname = 'assistant-kalimati'\nservice = 'assistant'\nzone = 'kalimati'\n\
+         model = '{MODEL}'\nbackends = [{}]\n",
+        backends("app", workers),
+        backends("engine", engines),
+    );
+    let mut configuration = Configuration::default();
+    for resource in ResourceFile::parse(&text)
+        .expect("resources")
+        .into_resources()
+    {
+        configuration.put(resource);
+    }
+    configuration
+}
+
+/// Starts a node's callers' side; `limits` is the settings' table of that name.
+pub fn start_node(
+    engines: &[SocketAddr],
+    workers: &[SocketAddr],
+    limits: &str,
+) -> (Arc<Node>, SocketAddr) {
+    let text = format!(
+        "name = 'node-0'\nzone = 'kalimati'\nplatform = '127.0.0.1:1'\nthreads = 2\n\
+         callers = '127.0.0.1:0'\nadmin = '127.0.0.1:0'\npeers = '127.0.0.1:0'\n\
+         [limits]\n{limits}"
+    );
+    let settings = NodeSettings::parse("test", &text).expect("settings");
+    let node = Node::new(settings).expect("a node");
+    let in_force = InForce::new(configuration(engines, workers)).expect("a configuration");
+    node.in_force.store(Arc::new(in_force));
+    let (listener, address) = listener();
+    let server = tansyhall_node::server::serve_callers(listener, Arc::clone(&node));
+    actix_rt::spawn(server.expect("a server"));
+    (node, address)
+}
+
+/// A client with no timeouts of its own.
+pub fn client() -> awc::Client {
+    awc::Client::builder()
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
+}
+
+pub fn body(max_tokens: u32, stream: bool) -> Value {
+    json!({ "model": MODEL, "prompt": PROMPT, "max_tokens": max_tokens, "stream": stream })
+}
+
+pub fn expected(tokens: u32) -> String {
+    answer_text(MODEL, PROMPT, tokens)
+}
+
+/// Asks for a completion.
+pub async fn ask(node: SocketAddr, headers: &[(&str, &str)], body: &Value) -> ClientResponse {
+    let mut request = client().post(format!("http://{node}/v1/completions"));
+    for (name, value) in headers {
+        request = request.insert_header((*name, *value));
+    }
+    request.send_json(body).await.expect("an answer")
+}
+
+pub fn header<'a>(response: &'a ClientResponse, name: &str) -> &'a str {
+    let value = response.headers().get(name);
+    value.and_then(|value| value.to_str().ok()).unwrap_or("")
+}
+
+pub async fn json_of(response: &mut ClientResponse) -> Value {
+    response.json().await.expect("a JSON body")
+}
+
+/// Switches an engine's faults.
+pub async fn set_faults(engine: SocketAddr, faults: Value) {
+    let url = format!("http://{engine}/standin/faults");
+    let response = client().post(url).send_json(&faults).await;
+    assert_eq!(response.expect("an answer").status(), 204);
+}
+
+/// A streamed answer as far as it has been read.
+pub struct Reader {
+    response: ClientResponse,
+    decoder: SseDecoder,
+    /// Generated text.
+    pub text: String,
+    /// Comment lines.
+    pub comments: Vec<String>,
+    /// The verdict, once the stream has said it.
+    pub verdict: Option<String>,
+    /// Whether the connection broke.
+    pub broken: bool,
+}
+
+impl Reader {
+    pub fn new(response: ClientResponse) -> Self {
+        Self {
+            response,
+            decoder: SseDecoder::default(),
+            text: String::new(),
+            comments: Vec::new(),
+            verdict: None,
+            broken: false,
+        }
+    }
+
+    /// Reads one piece of the stream; false at its end.
+    pub async fn read(&mut self) -> bool {
+        let bytes = match self.response.next().await {
+            None => return false,
+            Some(Err(_)) => {
+                self.broken = true;
+                return false;
+            }
+            Some(Ok(bytes)) => bytes,
+        };
+        let lines = String::from_utf8_lossy(&bytes).into_owned();
+        let comments = lines.lines().filter(|line| line.starts_with(':'));
+        self.comments.extend(comments.map(str::to_owned));
+        for data in self.decoder.push(&bytes).expect("an event stream") {
+            let Ok(event) = serde_json::from_str::<Value>(&data) else {
+                assert_eq!(data, "[DONE]");
+                continue;
+            };
+            let text = event["choices"][0]["text"].as_str();
+            self.text.push_str(text.unwrap_or(""));
+            let verdict = &event["tansyhall_verdict"];
+            let failed = &event["error"]["verdict"];
+            let verdict = verdict.as_str().or(failed.as_str());
+            if let Some(verdict) = verdict {
+                self.verdict = Some(verdict.to_owned());
+            }
+        }
+        true
+    }
+
+    /// Reads until some text has come.
+    pub async fn read_text(&mut self) {
+        while self.text.is_empty() {
+            assert!(self.read().await, "the stream ended before any text");
+        }
+    }
+
+    /// Reads to the end.
+    pub async fn read_all(mut self) -> Self {
+        while self.read().await {}
+        self
+    }
+}
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -1,5 +1,7 @@
 //! The engine protocol over HTTP.
 
+use std::time::Duration;
+
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpResponse};
 use bytes::Bytes;
@@ -13,8 +15,9 @@
 use tokio::sync::mpsc;
 
 use super::answer::{answer_token, prompt_hash};
-use super::runner::Runner;
-use super::{Engine, RecordedOrder, RecordedRequest};
+use super::faults::EngineFaults;
+use super::load::SAMPLE_PERIOD;
+use super::{next_incarnation, Engine, RecordedOrder, RecordedRequest};
 
 pub(super) fn routes(config: &mut web::ServiceConfig) {
     config
@@ -25,7 +28,8 @@
         .route(SEAL_PATH, web::post().to(seal))
         .route(STATE_PATH, web::get().to(state))
         .route(LOAD_PATH, web::get().to(load))
-        .route("/standin/records", web::get().to(records));
+        .route("/standin/records", web::get().to(records))
+        .route("/standin/faults", web::post().to(set_faults));
 }
 
 fn refuse(status: StatusCode, reason: &str) -> HttpResponse {
@@ -37,13 +41,19 @@
 
 /// Cancels the request when its caller goes away.
 struct CancelOnDrop {
-    runner: Runner,
+    engine: web::Data<Engine>,
     id: RequestId,
 }
 
 impl Drop for CancelOnDrop {
     fn drop(&mut self) {
-        self.runner.cancel(self.id);
+        cancel_work(&self.engine, self.id);
+    }
+}
+
+fn cancel_work(engine: &Engine, id: RequestId) {
+    if engine.runner.cancel(id) {
+        engine.records.lock().cancelled += 1;
     }
 }
 
@@ -75,6 +85,9 @@
         output_tokens: request.max_tokens - request.resume_after,
         priority: request.priority as u8,
     };
+    if engine.faults.lock().refuse_work {
+        return refuse(StatusCode::TOO_MANY_REQUESTS, "queue full");
+    }
     let submitted = {
         let control = engine.control.lock();
         if !control.accepts_work() {
@@ -91,7 +104,7 @@
         Err(SubmitError::TooLarge) => {
             return HttpResponse::PayloadTooLarge().body("too many tokens")
         }
-        Err(SubmitError::Duplicate) => return HttpResponse::Conflict().body("duplicate request"),
+        Err(SubmitError::Duplicate) => return refuse(StatusCode::CONFLICT, "in progress already"),
     };
     engine.records.lock().push_request(RecordedRequest {
         at_millis: engine.clock.now().as_millis(),
@@ -100,7 +113,7 @@
         resume_after: request.resume_after,
     });
     let cancel = CancelOnDrop {
-        runner: engine.runner.clone(),
+        engine: engine.clone(),
         id,
     };
     let answer = Answer {
@@ -142,7 +155,7 @@
 
 async fn cancel(engine: web::Data<Engine>, id: web::Path<String>) -> HttpResponse {
     if let Some(id) = RequestId::parse(&id) {
-        engine.runner.cancel(id);
+        cancel_work(&engine, id);
     }
     HttpResponse::NoContent().finish()
 }
@@ -170,12 +183,24 @@
     }
 }
 
+/// Ends the active order in time, or crashes halfway through it.
 fn schedule_end(engine: &web::Data<Engine>) {
-    let Some(ends) = engine.control.lock().active_order_ends() else {
+    let (ends, halfway) = {
+        let control = engine.control.lock();
+        (control.active_order_ends(), control.active_order_halfway())
+    };
+    let (Some(ends), Some(halfway)) = (ends, halfway) else {
         return;
     };
+    let crash = std::mem::take(&mut engine.faults.lock().crash_halfway);
     let engine = engine.clone();
     actix_rt::spawn(async move {
+        if crash {
+            actix_rt::time::sleep(halfway.since(engine.clock.now())).await;
+            engine.control.lock().restart(next_incarnation());
+            engine.runner.crash();
+            return;
+        }
         actix_rt::time::sleep(ends.since(engine.clock.now())).await;
         engine.control.lock().advance(engine.clock.now());
     });
@@ -194,15 +219,35 @@
 }
 
 async fn load(engine: web::Data<Engine>) -> HttpResponse {
-    let report = engine.runner.with_batch(|batch| LoadReport {
+    let lag = Duration::from_millis(engine.faults.lock().load_lag_ms);
+    let report = engine.load.lock().report(engine.clock.now(), lag);
+    HttpResponse::Ok().json(report.unwrap_or_default())
+}
+
+/// Samples the load for as long as the engine runs.
+pub(super) async fn sample_load(engine: web::Data<Engine>) {
+    let mut ticks = actix_rt::time::interval(SAMPLE_PERIOD);
+    loop {
+        ticks.tick().await;
+        let report = load_now(&engine);
+        engine.load.lock().push(engine.clock.now(), report);
+    }
+}
+
+fn load_now(engine: &Engine) -> LoadReport {
+    engine.runner.with_batch(|batch| LoadReport {
         age_ms: 0,
         running: u32::try_from(batch.len() - batch.queued()).unwrap_or(u32::MAX),
         queued: u32::try_from(batch.queued()).unwrap_or(u32::MAX),
         pending_prefill_tokens: batch.pending_prefill_tokens(),
         kv_used_tokens: batch.kv_reserved(),
         kv_capacity_tokens: batch.kv_capacity(),
-    });
-    HttpResponse::Ok().json(report)
+    })
+}
+
+async fn set_faults(engine: web::Data<Engine>, faults: web::Json<EngineFaults>) -> HttpResponse {
+    *engine.faults.lock() = faults.into_inner();
+    HttpResponse::NoContent().finish()
 }
 
 async fn records(engine: web::Data<Engine>) -> HttpResponse {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -2,7 +2,9 @@
 //! every order and every request, so that a test can judge what happened.
 
 mod answer;
+mod faults;
 mod http;
+mod load;
 mod runner;
 
 use std::net::TcpListener;
@@ -10,6 +12,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use actix_web::dev::Server;
+use actix_web::middleware::from_fn;
 use actix_web::{web, App, HttpServer};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -19,6 +22,8 @@
 use tansyhall_engine_model::{Control, ControlTiming, CostModel};
 
 pub use answer::{answer_text, answer_token};
+pub use faults::EngineFaults;
+use load::LoadHistory;
 use runner::Runner;
 
 /// How one engine is set up.
@@ -72,6 +77,8 @@
     pub orders: Vec<RecordedOrder>,
     /// Requests begun, oldest first.
     pub requests: Vec<RecordedRequest>,
+    /// Requests cancelled, or left by their callers, before their last token.
+    pub cancelled: u64,
 }
 
 impl Records {
@@ -106,22 +113,28 @@
     clock: MonotonicClock,
     control: Mutex<Control>,
     records: Mutex<Records>,
+    faults: Mutex<EngineFaults>,
+    load: Mutex<LoadHistory>,
     runner: Runner,
 }
 
-/// Serves an engine on a listener.
-pub fn serve(listener: TcpListener, options: EngineOptions) -> std::io::Result<Server> {
-    let started = SystemTime::now()
+/// An incarnation that is larger than those of earlier starts.
+fn next_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    let incarnation = Incarnation(u64::try_from(started.as_micros()).unwrap_or(0));
+    Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(0))
+}
+
+/// Serves an engine on a listener.
+pub fn serve(listener: TcpListener, options: EngineOptions) -> std::io::Result<Server> {
     let timing = ControlTiming {
         role_change: options.role_change,
         ..ControlTiming::default()
     };
     let control = Control::new(
         options.name,
-        incarnation,
+        next_incarnation(),
         options.role,
         options.model,
         timing,
@@ -131,12 +144,18 @@
         clock,
         control: Mutex::new(control),
         records: Mutex::new(Records::default()),
-        runner: Runner::start(clock, options.costs),
+        faults: Mutex::new(EngineFaults::default()),
+        load: Mutex::new(LoadHistory::default()),
+        runner: Runner::new(options.costs),
     });
+    let data = web::Data::from(Arc::clone(&engine));
+    actix_rt::spawn(runner::run(data.clone()));
+    actix_rt::spawn(http::sample_load(data));
     let server = HttpServer::new(move || {
         App::new()
             .app_data(web::Data::from(Arc::clone(&engine)))
             .app_data(web::JsonConfig::default().limit(MAX_BODY_BYTES))
+            .wrap(from_fn(faults::hold_while_frozen))
             .configure(http::routes)
     });
     Ok(server.workers(1).disable_signals().listen(listener)?.run())
--- a/crates/standin/src/engine/runner.rs
+++ b/crates/standin/src/engine/runner.rs
@@ -3,12 +3,15 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use actix_web::web;
 use parking_lot::Mutex;
-use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::RequestId;
 use tansyhall_engine_model::{Batch, CostModel, Progress, SubmitError, Work};
 use tokio::sync::{mpsc, Notify};
 
+use super::faults::while_frozen;
+use super::Engine;
+
 /// Progress messages a request may lag behind before it is cancelled.
 const PROGRESS_BUFFER: usize = 65_536;
 
@@ -25,30 +28,41 @@
 }
 
 impl Runner {
-    /// Starts the batch on the current thread's runtime.
-    pub fn start(clock: MonotonicClock, costs: CostModel) -> Self {
+    /// An idle batch, advanced by [`run`].
+    pub fn new(costs: CostModel) -> Self {
         let shared = Arc::new(Shared {
             batch: Mutex::new(Batch::new(costs)),
             listeners: Mutex::new(HashMap::new()),
             wake: Notify::new(),
         });
-        actix_rt::spawn(run(clock, Arc::clone(&shared)));
         Self { shared }
     }
 
+    /// Drops every request, so that each answer breaks off.
+    pub fn crash(&self) {
+        let mut listeners = self.shared.listeners.lock();
+        let mut batch = self.shared.batch.lock();
+        for (id, _) in listeners.drain() {
+            batch.cancel(id);
+        }
+    }
+
     /// Submits work and returns its progress.
     pub fn submit(&self, work: Work) -> Result<mpsc::Receiver<Progress>, SubmitError> {
-        self.shared.batch.lock().submit(work)?;
         let (sender, receiver) = mpsc::channel(PROGRESS_BUFFER);
-        self.shared.listeners.lock().insert(work.id, sender);
+        // Held over both steps, so that no progress is reported before its listener is there.
+        let mut listeners = self.shared.listeners.lock();
+        self.shared.batch.lock().submit(work)?;
+        listeners.insert(work.id, sender);
+        drop(listeners);
         self.shared.wake.notify_one();
         Ok(receiver)
     }
 
-    /// Cancels a request.
-    pub fn cancel(&self, id: RequestId) {
+    /// Cancels a request; false if it had ended before.
+    pub fn cancel(&self, id: RequestId) -> bool {
         self.shared.batch.lock().cancel(id);
-        self.shared.listeners.lock().remove(&id);
+        self.shared.listeners.lock().remove(&id).is_some()
     }
 
     /// Requests in progress.
@@ -62,9 +76,12 @@
     }
 }
 
-async fn run(clock: MonotonicClock, shared: Arc<Shared>) {
+/// Advances the batch for as long as the engine runs.
+pub(super) async fn run(engine: web::Data<Engine>) {
+    let shared = &engine.runner.shared;
     loop {
-        let now = clock.now();
+        while_frozen(&engine).await;
+        let now = engine.clock.now();
         let ends = shared.batch.lock().begin_iteration(now);
         let Some(ends) = ends else {
             shared.wake.notified().await;
@@ -72,17 +89,26 @@
         };
         actix_rt::time::sleep(ends.since(now)).await;
         let progress = shared.batch.lock().finish_iteration();
-        let mut listeners = shared.listeners.lock();
         for step in progress {
-            let delivered = listeners
-                .get(&step.id)
-                .is_some_and(|listener| listener.try_send(step).is_ok());
+            shared.report(step);
+        }
+    }
+}
+
+impl Shared {
+    /// Sends a request its progress; one that nobody listens to is cancelled.
+    fn report(&self, step: Progress) {
+        let delivered = {
+            let mut listeners = self.listeners.lock();
+            let listener = listeners.get(&step.id);
+            let delivered = listener.is_some_and(|listener| listener.try_send(step).is_ok());
             if step.finished || !delivered {
                 listeners.remove(&step.id);
             }
-            if !step.finished && !delivered {
-                shared.batch.lock().cancel(step.id);
-            }
+            delivered
+        };
+        if !step.finished && !delivered {
+            self.batch.lock().cancel(step.id);
         }
     }
 }
