Back ends: a request that was sent is never called not-run, nor a cut answer whole

Cause: two faults of the HTTP client library as it was used. It reports a connection that closed after the request had been sent as a connect error, which was read as not-run, so that a request marked as not repeatable was sent again. And it ends a body without an error when the connection closes between two chunks, so that a worker's cut answer was passed off as whole.

Ruled out: counting bytes (chunked answers name no length); detecting the cut in the engine client alone (engine streams have a last chunk, workers' answers have none).

Change: tansyhall_engine::transport has a connector whose connections report their end as an error, and the one test of whether a request was never sent. Both clients use it. Answers that only end with their connection fail, because they cannot be told from cut ones.

Before: the new tests of applications failed with 503 not-run where 502 may-have-run was due, and a worker that closed after the request was tried twice. After: they pass, with cuts by length, between chunks and within one.

Conclusion: the verdict holds for both kinds of back end.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -17,10 +17,16 @@
     Seal, LOAD_PATH, ORDERS_PATH, REQUESTS_PATH, SEAL_PATH, STATE_PATH, STREAM_DONE,
 };
 use crate::sse::{SseDecoder, SseError};
+use crate::transport::{connector, never_sent};
 
 /// Largest control answer read, in bytes.
 const MAX_CONTROL_BODY_BYTES: usize = 1 << 20;
 
+/// No limit on connections: requests in progress are limited before they come here.
+const NO_LIMIT: usize = 0;
+/// Most connections for control calls.
+const MAX_CONTROL_CONNECTIONS: usize = 128;
+
 /// What went wrong with a call to an engine.
 #[derive(Debug, Clone, thiserror::Error)]
 pub enum EngineError {
@@ -67,8 +73,8 @@
 impl From<SendRequestError> for EngineError {
     fn from(error: SendRequestError) -> Self {
         match error {
-            SendRequestError::Connect(cause) => EngineError::Unreachable(cause.to_string()),
-            other => EngineError::Broken(other.to_string()),
+            error if never_sent(&error) => EngineError::Unreachable(error.to_string()),
+            error => EngineError::Broken(error.to_string()),
         }
     }
 }
@@ -91,16 +97,16 @@
     /// as there are requests in progress; control calls have connections of their own, so that
     /// work never keeps them waiting.
     pub fn new(connect_timeout: Duration) -> Self {
-        let client = |connector: awc::Connector<_>| {
+        let client = |max_connections| {
             awc::Client::builder()
-                .connector(connector.timeout(connect_timeout))
+                .connector(connector(connect_timeout, max_connections))
                 .disable_timeout()
                 .disable_redirects()
                 .finish()
         };
         Self {
-            work: client(awc::Connector::new().limit(0)),
-            control: client(awc::Connector::new()),
+            work: client(NO_LIMIT),
+            control: client(MAX_CONTROL_CONNECTIONS),
         }
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod client;
 pub mod protocol;
 pub mod sse;
+pub mod transport;
 
 pub use client::{EngineClient, EngineError, EngineStream};
--- a/crates/node/src/callers/application.rs
+++ b/crates/node/src/callers/application.rs
@@ -16,6 +16,7 @@
 use tansyhall_config::settings::Limits;
 use tansyhall_config::Backend;
 use tansyhall_core::{EngineName, ServiceName, Verdict};
+use tansyhall_engine::transport::{connector, never_sent};
 
 use super::admit::{admit, arrive, end_refused, options, refused, terms, Terms};
 use super::driver::InProgress;
@@ -25,9 +26,10 @@
 use crate::state::Node;
 
 /// Headers that belong to one connection and are not forwarded.
-const HOP_BY_HOP: [header::HeaderName; 7] = [
+const HOP_BY_HOP: [header::HeaderName; 8] = [
     header::CONNECTION,
     header::CONTENT_LENGTH,
+    header::EXPECT,
     header::TRANSFER_ENCODING,
     header::UPGRADE,
     header::TE,
@@ -37,9 +39,7 @@
 
 /// The client of one worker thread, with its pool of connections to application workers.
 pub fn client(limits: &Limits) -> awc::Client {
-    let connector = awc::Connector::new()
-        .timeout(limits.connect_timeout)
-        .limit(limits.max_backend_connections);
+    let connector = connector(limits.connect_timeout, limits.max_backend_connections);
     awc::Client::builder()
         .connector(connector)
         .no_default_headers()
@@ -191,12 +191,12 @@
             failure.verdict = Verdict::MayHaveRun;
             return failure;
         }
-        let refused = matches!(error, SendRequestError::Connect(_));
-        let outcome = if refused { "unreachable" } else { "broken" };
+        let unsent = never_sent(error);
+        let outcome = if unsent { "unreachable" } else { "broken" };
         let metrics = &self.node.metrics;
         metrics.attempts.with_label_values(&[outcome]).inc();
         self.observe(worker.address, BreakerEvent::Failure);
-        let (status, verdict) = if refused {
+        let (status, verdict) = if unsent {
             let retry_after = self.advised_wait();
             let not_run = Verdict::NotRun { retry_after };
             (StatusCode::SERVICE_UNAVAILABLE, not_run)
--- /dev/null
+++ b/crates/node/tests/applications.rs
@@ -0,0 +1,210 @@
+//! Plain HTTP to application workers: bodies streamed both ways, retries only where allowed.
+
+mod support;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use awc::http::Method;
+use bytes::Bytes;
+use futures_util::{stream, StreamExt};
+use support::{client, dead_address, header, json_of, listener, start_node};
+use tansyhall_standin::app::{self, AppOptions};
+use tansyhall_testing::get_json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+fn start_worker(name: &str) -> SocketAddr {
+    let (listener, address) = listener();
+    let options = AppOptions { name: name.into() };
+    actix_rt::spawn(app::serve(listener, options).expect("a worker"));
+    address
+}
+
+/// A worker that reads a request's head and closes the connection; it counts its requests.
+fn start_broken_worker() -> (SocketAddr, Rc<Cell<u32>>) {
+    let (listener, address) = listener();
+    listener.set_nonblocking(true).expect("a listener");
+    let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+    let requests = Rc::new(Cell::new(0));
+    let counter = Rc::clone(&requests);
+    actix_rt::spawn(async move {
+        while let Ok((mut connection, _)) = listener.accept().await {
+            let mut head = [0; 1024];
+            if connection
+                .read(&mut head)
+                .await
+                .is_ok_and(|bytes| bytes > 0)
+            {
+                counter.set(counter.get() + 1);
+            }
+        }
+    });
+    (address, requests)
+}
+
+async fn send(node: SocketAddr, method: Method, body: &'static str) -> awc::ClientResponse {
+    let request = client().request(method, format!("http://{node}/stock/rice"));
+    request.send_body(body).await.expect("an answer")
+}
+
+#[actix_rt::test]
+async fn a_refused_connection_is_retried_whatever_the_method() {
+    let workers = [dead_address(), start_worker("app-1")];
+    let (node, address) = start_node(&[], &workers, "retry_reserve = 100");
+    for _ in 0..20 {
+        let mut response = send(address, Method::POST, "two sacks").await;
+        assert_eq!(response.status(), 200);
+        assert_eq!(header(&response, "tansyhall-verdict"), "completed");
+        assert!(!header(&response, "tansyhall-request-id").is_empty());
+        let echo = json_of(&mut response).await;
+        assert_eq!(echo["body"], "two sacks");
+        assert_eq!(echo["method"], "POST");
+    }
+    let unreachable = node.metrics.attempts.with_label_values(&["unreachable"]);
+    assert!(unreachable.get() <= 6, "the breaker spares attempts");
+    assert_eq!(node.metrics.in_progress.get(), 0);
+}
+
+#[actix_rt::test]
+async fn only_methods_that_read_are_sent_again_after_they_may_have_run() {
+    let (broken, requests) = start_broken_worker();
+    let (_node, address) = start_node(&[], &[broken], "");
+    let response = send(address, Method::POST, "print slip 7").await;
+    assert_eq!(response.status(), 502);
+    assert_eq!(header(&response, "tansyhall-verdict"), "may-have-run");
+    assert_eq!(requests.get(), 1);
+
+    let working = start_worker("app-1");
+    let (_node, address) = start_node(&[], &[broken, working], "retry_reserve = 100");
+    for _ in 0..10 {
+        let response = send(address, Method::GET, "").await;
+        assert_eq!(response.status(), 200);
+    }
+}
+
+#[actix_rt::test]
+async fn a_not_repeatable_read_is_sent_once() {
+    let (broken, requests) = start_broken_worker();
+    let (broken_too, requests_too) = start_broken_worker();
+    let (_node, address) = start_node(&[], &[broken, broken_too], "");
+    let request = client().get(format!("http://{address}/stock/charge"));
+    let request = request.insert_header(("tansyhall-not-repeatable", "true"));
+    let response = request.send().await.expect("an answer");
+    assert_eq!(header(&response, "tansyhall-verdict"), "may-have-run");
+    assert_eq!(requests.get() + requests_too.get(), 1);
+}
+
+#[actix_rt::test]
+async fn large_bodies_pass_in_both_directions() {
+    const CHUNKS: usize = 256;
+    const CHUNK_BYTES: usize = 64 << 10;
+    let (_node, address) = start_node(&[], &[start_worker("app-0")], "");
+    let chunk = Bytes::from(vec![b'r'; CHUNK_BYTES]);
+    let body = stream::repeat_with(move || Ok::<_, std::io::Error>(chunk.clone())).take(CHUNKS);
+    let request = client().post(format!("http://{address}/stock/ledger"));
+    let mut response = request.send_stream(body).await.expect("an answer");
+    assert_eq!(response.status(), 200);
+    let mut bytes = 0;
+    while let Some(piece) = response.next().await {
+        bytes += piece.expect("the answer is not cut").len();
+    }
+    assert!(bytes > CHUNKS * CHUNK_BYTES);
+}
+
+#[actix_rt::test]
+async fn a_body_past_the_limit_is_refused_with_or_without_its_length() {
+    let limits = "max_forwarded_body_bytes = 10";
+    let (node, address) = start_node(&[], &[start_worker("app-0")], limits);
+    let known = send(address, Method::POST, "more than ten bytes").await;
+    assert_eq!(known.status(), 413);
+    assert_eq!(header(&known, "tansyhall-verdict"), "not-run");
+    assert_eq!(
+        header(&known, "retry-after"),
+        "",
+        "coming back does not help"
+    );
+    let piece = || Ok::<_, std::io::Error>(Bytes::from_static(b"eight by"));
+    let request = client().post(format!("http://{address}/stock/ledger"));
+    let body = stream::repeat_with(piece).take(4);
+    let unknown = request.send_stream(body).await.expect("an answer");
+    assert_eq!(unknown.status(), 413);
+    assert_eq!(header(&unknown, "tansyhall-verdict"), "may-have-run");
+    let counted = node.metrics.refused.with_label_values(&["too-large"]);
+    assert_eq!(counted.get(), 2);
+}
+
+#[actix_rt::test]
+async fn a_worker_that_answers_too_late_is_given_up_on_at_the_deadline() {
+    let (_node, address) = start_node(&[], &[start_worker("app-0")], "");
+    let request = client().get(format!("http://{address}/stock/rice?delay_ms=60000"));
+    let request = request.insert_header(("tansyhall-deadline-ms", "100"));
+    let response = request.send().await.expect("an answer");
+    assert_eq!(response.status(), 504);
+    assert_eq!(header(&response, "tansyhall-verdict"), "may-have-run");
+}
+
+/// A worker that answers its first request with `part` and closes the connection.
+fn start_cut_worker(part: &'static [u8]) -> SocketAddr {
+    let (listener, address) = listener();
+    listener.set_nonblocking(true).expect("a listener");
+    let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+    actix_rt::spawn(async move {
+        let (mut connection, _) = listener.accept().await.expect("a connection");
+        let mut head = [0; 1024];
+        let _ = connection.read(&mut head).await;
+        let _ = connection.write_all(part).await;
+    });
+    address
+}
+
+#[actix_rt::test]
+async fn an_answer_that_breaks_off_is_cut_and_counted() {
+    let parts: [&[u8]; 3] = [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nfive ",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfive \r\n",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfiv",
+    ];
+    for part in parts {
+        let (node, address) = start_node(&[], &[start_cut_worker(part)], "");
+        let mut caller = TcpStream::connect(address).await.expect("a connection");
+        let request = b"GET /stock/rice HTTP/1.1\r\nhost: x\r\n\r\n";
+        caller
+            .write_all(request)
+            .await
+            .expect("the request is sent");
+        let mut answer = Vec::new();
+        // The node closes the connection; a reset is as good a sign of it as an end.
+        let _ = caller.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer);
+        let whole = answer.contains("content-length: 5") || answer.ends_with("0\r\n\r\n");
+        assert!(!whole, "a part is passed off as the whole: {answer}");
+        let verdict = node.metrics.requests.with_label_values(&["may-have-run"]);
+        assert_eq!(verdict.get(), 1, "{answer}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_redirect_reaches_the_caller() {
+    let (listener, worker) = listener();
+    let server = actix_web::HttpServer::new(|| {
+        let moved = || async {
+            let mut response = actix_web::HttpResponse::Found();
+            response
+                .insert_header(("location", "/stock/lentils"))
+                .finish()
+        };
+        actix_web::App::new().default_service(actix_web::web::to(moved))
+    });
+    let server = server.workers(1).disable_signals().listen(listener);
+    actix_rt::spawn(server.expect("a server").run());
+    let (_node, address) = start_node(&[], &[worker], "");
+    let response = send(address, Method::GET, "").await;
+    assert_eq!(response.status(), 302);
+    assert_eq!(header(&response, "location"), "/stock/lentils");
+    let head = send(address, Method::HEAD, "").await;
+    assert_eq!(head.status(), 302);
+    let nowhere = get_json(address, "/elsewhere").await.expect("an error");
+    assert_eq!(nowhere["error"]["verdict"], "not-run");
+}
--- a/crates/node/tests/rogue_engine.rs
+++ b/crates/node/tests/rogue_engine.rs
@@ -7,9 +7,12 @@
 
 use actix_web::{web, App, HttpResponse, HttpServer};
 use serde_json::{json, Value};
-use support::{ask, body, expected, listener, start_engine, start_node, Reader, MODEL, PROMPT};
+use support::{
+    ask, body, expected, header, listener, start_engine, start_node, Reader, MODEL, PROMPT,
+};
 use tansyhall_engine::protocol::{EngineRequest, COMPLETIONS_PATH};
 use tansyhall_standin::engine::answer_text;
+use tokio::io::AsyncReadExt;
 
 const TOKENS: u32 = 6;
 /// A request that is not this one.
@@ -127,6 +130,32 @@
     (reader, counted.iter().sum())
 }
 
+/// An engine that reads a request, which it may run, and closes the connection unanswered.
+fn start_closing_engine() -> SocketAddr {
+    let (listener, address) = listener();
+    listener.set_nonblocking(true).expect("a listener");
+    let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+    actix_rt::spawn(async move {
+        while let Ok((mut connection, _)) = listener.accept().await {
+            let _ = connection.read(&mut [0; 4_096]).await;
+        }
+    });
+    address
+}
+
+#[actix_rt::test]
+async fn a_request_that_an_engine_read_and_never_answered_may_have_run() {
+    let engines = [start_closing_engine(), start_engine("engine-1")];
+    let (node, address) = start_node(&engines, &[], "");
+    let _busy = node.track_in_flight(&"engine-1".into());
+    let once = [("tansyhall-not-repeatable", "true")];
+    let response = ask(address, &once, &body(TOKENS, false)).await;
+    assert_eq!(response.status(), 502);
+    assert_eq!(header(&response, "tansyhall-verdict"), "may-have-run");
+    let repeatable = ask(address, &[], &body(TOKENS, false)).await;
+    assert_eq!(repeatable.status(), 200);
+}
+
 #[actix_rt::test]
 async fn a_repeatable_request_gets_its_own_whole_answer_from_another_engine() {
     for fault in FAULTS {
