Choosing an engine counts the request there in one step

Cause: an engine was chosen under one lock and the request counted under the next, so that two threads could choose the same idle engine at once. The whole-path test saw it once: all its streams stood at one engine, and the other was drained with nothing in progress.

Ruled out: the drain itself (the record shows the order of drain and role change kept, and no stream was cut).

Change: Node::choose_in_flight chooses and counts under one lock.

--- a/crates/node/src/callers/attempt.rs
+++ b/crates/node/src/callers/attempt.rs
@@ -122,10 +122,9 @@
 
     async fn connect(&mut self) -> Result<(), Failure> {
         loop {
-            let engine = self.next_engine().await?;
+            let (engine, in_flight) = self.next_engine().await?;
             self.attempts += 1;
             self.plan.record.attempted();
-            let in_flight = self.node.track_in_flight(&engine.name);
             self.unanswered = Some(engine.address);
             let answer = self.send_to(&engine).await;
             self.unanswered = None;
@@ -145,7 +144,7 @@
     }
 
     /// Waits for an engine that accepts work, until the deadline.
-    async fn next_engine(&mut self) -> Result<Backend, Failure> {
+    async fn next_engine(&mut self) -> Result<(Backend, InFlight), Failure> {
         loop {
             let advised = self.advised_wait();
             let choice = choose(&self.node, &self.request.model, &self.excluded);
@@ -153,13 +152,13 @@
                 let failure = error.failure(&self.request.model, advised);
                 self.failure(failure.status, failure.message, failure.verdict)
             })?;
-            let Choice::Attempt(engine) = choice else {
+            let Choice::Attempt(engine, in_flight) = choice else {
                 self.wait_within_deadline(LOOK_AGAIN).await?;
                 continue;
             };
             let admitted = self.observe(engine.address, BreakerEvent::Attempt);
             if admitted == BreakerDecision::Admit {
-                return Ok(engine);
+                return Ok((engine, in_flight));
             }
         }
     }
--- a/crates/node/src/callers/choice.rs
+++ b/crates/node/src/callers/choice.rs
@@ -1,5 +1,6 @@
 //! Chooses the engine for the next attempt of a request.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_web::http::StatusCode;
@@ -9,12 +10,12 @@
 use tansyhall_engine::protocol::EngineState;
 
 use super::failure::Failure;
-use crate::state::{EngineStatus, Node};
+use crate::state::{EngineStatus, InFlight, Node};
 
 /// What to do about the next attempt.
 pub enum Choice {
-    /// Make it at this engine.
-    Attempt(Backend),
+    /// Make it at this engine, where the request is counted already.
+    Attempt(Backend, InFlight),
     /// No engine accepts work now, but one is about to: it is changing, or ends its work first.
     Wait,
 }
@@ -22,7 +23,7 @@
 /// Chooses among the engines that load `model`, except those in `excluded`. Fails at once if no
 /// engine accepts work and none is about to.
 pub fn choose(
-    node: &Node,
+    node: &Arc<Node>,
     model: &ModelName,
     excluded: &[EngineName],
 ) -> Result<Choice, ChoiceError> {
@@ -38,24 +39,27 @@
     }
     engines.retain(|engine| !excluded.contains(&engine.name));
     let probe_in = remove_broken(node, &mut engines);
-    let (ready, changing) = node.with_engines(|statuses| {
-        let status = |name: &EngineName| statuses.get(name).cloned().unwrap_or_default();
+    let ready = node.choose_in_flight(|statuses| {
+        let status = |engine: &&Backend| statuses.get(&engine.name).cloned().unwrap_or_default();
         let ready = engines
             .iter()
-            .map(|engine| (*engine, status(&engine.name)))
-            .filter(|(_, status)| accepts_work(status))
-            .min_by_key(|(_, status)| status.in_flight);
-        let ready = ready.map(|(engine, _)| engine.clone());
-        let changing = engines
-            .iter()
-            .any(|engine| is_changing(&status(&engine.name)));
-        (ready, changing)
+            .copied()
+            .map(|engine| (engine, status(&engine)));
+        let ready = ready.filter(|(_, status)| accepts_work(status));
+        let least_loaded = ready.min_by_key(|(_, status)| status.in_flight);
+        least_loaded.map(|(engine, _)| engine.clone())
+    });
+    if let Some((engine, in_flight)) = ready {
+        return Ok(Choice::Attempt(engine, in_flight));
+    }
+    let changing = node.with_engines(|statuses| {
+        let status = |engine: &&Backend| statuses.get(&engine.name);
+        engines.iter().filter_map(status).any(is_changing)
     });
-    match ready {
-        Some(engine) => Ok(Choice::Attempt(engine)),
-        None if changing => Ok(Choice::Wait),
-        None => Err(ChoiceError::NoEngine { probe_in }),
+    if changing {
+        return Ok(Choice::Wait);
     }
+    Err(ChoiceError::NoEngine { probe_in })
 }
 
 /// Removes the engines whose breakers are open; returns the time until the next probe.
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
-use tansyhall_config::NodeSettings;
+use tansyhall_config::{Backend, NodeSettings};
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::EngineName;
 use tansyhall_engine::protocol::EngineState;
@@ -72,6 +72,23 @@
         access(&mut self.engines.lock())
     }
 
+    /// Chooses an engine and counts a request there, with no other choice in between.
+    pub fn choose_in_flight(
+        self: &Arc<Self>,
+        choose: impl FnOnce(&HashMap<EngineName, EngineStatus>) -> Option<Backend>,
+    ) -> Option<(Backend, InFlight)> {
+        let engine = self.with_engines(|engines| {
+            let engine = choose(engines)?;
+            engines.entry(engine.name.clone()).or_default().in_flight += 1;
+            Some(engine)
+        })?;
+        let in_flight = InFlight {
+            node: Arc::clone(self),
+            engine: engine.name.clone(),
+        };
+        Some((engine, in_flight))
+    }
+
     /// Counts a request of this node at an engine until the guard is dropped.
     pub fn track_in_flight(self: &Arc<Self>, engine: &EngineName) -> InFlight {
         self.with_engines(|engines| engines.entry(engine.clone()).or_default().in_flight += 1);
