Engine stand-in: prefix cache with events, KV hand-over, weights' store, lag

Ruled out: a cache that is filled when a request is submitted (two equal prompts at once would both count as cached); handles that outlive the engine's incarnation.

A model change begins with empty caches, and a crash with a new incarnation. The load generator names each request's deadline, and dev prints its summary in aligned lines.

Separate processes have a store of weights each; a shared one belongs to the platform's stand-in.

--- a/crates/cli/src/bin/tansyhall-standin.rs
+++ b/crates/cli/src/bin/tansyhall-standin.rs
@@ -4,6 +4,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::{bail, Context, Result};
@@ -18,7 +19,8 @@
 USAGE:
   tansyhall-standin platform --listen IP:PORT
   tansyhall-standin engine   --listen IP:PORT --name NAME [--model NAME] [--role ROLE]
-                             [--role-change-ms N]
+                             [--role-change-ms N] [--model-bytes N]
+                             [--weights-bytes-per-second N]
   tansyhall-standin app      --listen IP:PORT --name NAME
 
 OPTIONS:
@@ -27,6 +29,9 @@
   --model NAME         the engine's first model (default: base)
   --role ROLE          mixed, prefill or decode (default: mixed)
   --role-change-ms N   how long a role change takes, in milliseconds (default: 3000)
+  --model-bytes N      size of a model in the store of weights (default: 2147483648)
+  --weights-bytes-per-second N
+                       rate at which weights are fetched (default: 1073741824)
   --help               this text
 ";
 
@@ -83,11 +88,19 @@
             .with_context(|| format!("unknown role {name}"))?,
     };
     let role_change: Option<u64> = arguments.opt_value_from_str("--role-change-ms")?;
+    let mut weights = engine::Weights::default();
+    if let Some(rate) = arguments.opt_value_from_str("--weights-bytes-per-second")? {
+        weights.store = Arc::new(engine::WeightsStore::new(rate));
+    }
+    if let Some(bytes) = arguments.opt_value_from_str("--model-bytes")? {
+        weights.model_bytes = bytes;
+    }
     Ok(engine::EngineOptions {
         name: name.as_str().into(),
         role,
         model: ModelName::new(model.unwrap_or_else(|| "base".into())),
         role_change: Duration::from_millis(role_change.unwrap_or(3_000)),
         costs: CostModel::default(),
+        weights,
     })
 }
--- a/crates/cli/src/commands/dev.rs
+++ b/crates/cli/src/commands/dev.rs
@@ -81,6 +81,7 @@
         let (listener, platform) = free_listener()?;
         actix_rt::spawn(platform::serve(listener)?);
         let mut engines = Vec::new();
+        let weights = engine::Weights::default();
         for index in 0..ENGINES {
             let (listener, address) = free_listener()?;
             let options = EngineOptions {
@@ -89,6 +90,7 @@
                 model: ModelName::from(MODEL),
                 role_change: Duration::from_secs(3),
                 costs: Default::default(),
+                weights: weights.clone(),
             };
             actix_rt::spawn(engine::serve(listener, options)?);
             engines.push(address);
@@ -163,7 +165,7 @@
         if json {
             println!("{}", serde_json::to_string(&summary)?);
         } else {
-            println!("{summary:#?}");
+            println!("{summary}");
         }
         Ok(())
     }
--- a/crates/engine-model/src/control.rs
+++ b/crates/engine-model/src/control.rs
@@ -141,6 +141,13 @@
         self.active.as_ref().map(|active| active.ends)
     }
 
+    /// Makes the active order take longer, as a slow fetch of weights does.
+    pub fn extend_active_order(&mut self, by: Duration) {
+        if let Some(active) = &mut self.active {
+            active.ends = active.ends + by;
+        }
+    }
+
     /// When half of the active order's time has passed, if an order is active.
     pub fn active_order_halfway(&self) -> Option<Timestamp> {
         let active = self.active.as_ref()?;
--- a/crates/engine-model/src/lib.rs
+++ b/crates/engine-model/src/lib.rs
@@ -6,6 +6,8 @@
 
 pub mod batch;
 pub mod control;
+pub mod prefix_cache;
 
 pub use batch::{Batch, CostModel, Progress, SubmitError, Work};
 pub use control::{Control, ControlTiming};
+pub use prefix_cache::PrefixCache;
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -13,8 +13,10 @@
 use serde::Serialize;
 
 use crate::protocol::{
-    EngineChunk, EngineRequest, EngineState, FenceToken, LoadReport, Order, OrderReply, Refusal,
-    Seal, LOAD_PATH, ORDERS_PATH, REQUESTS_PATH, SEAL_PATH, STATE_PATH, STREAM_DONE,
+    CacheEvents, EngineChunk, EngineRequest, EngineState, FenceToken, KvBlocks, KvExport, KvHandle,
+    KvImport, KvImported, LoadReport, Order, OrderReply, Refusal, Seal, CACHE_EVENTS_PATH,
+    KV_EXPORT_PATH, KV_IMPORT_PATH, KV_PATH, LOAD_PATH, ORDERS_PATH, REQUESTS_PATH, SEAL_PATH,
+    STATE_PATH, STREAM_DONE,
 };
 use crate::sse::{SseDecoder, SseError};
 use crate::transport::{connector, never_sent};
@@ -172,6 +174,44 @@
         self.get_control(address, LOAD_PATH).await
     }
 
+    /// Reads the cache events after a sequence number.
+    pub async fn cache_events(
+        &self,
+        address: SocketAddr,
+        after: u64,
+    ) -> Result<CacheEvents, EngineError> {
+        let path = format!("{CACHE_EVENTS_PATH}?after={after}");
+        self.get_control(address, &path).await
+    }
+
+    /// Asks for a handle to a request's KV cache.
+    pub async fn export_kv(
+        &self,
+        address: SocketAddr,
+        export: &KvExport,
+    ) -> Result<KvHandle, EngineError> {
+        self.post_control(address, KV_EXPORT_PATH, export).await
+    }
+
+    /// Lets an engine fetch a KV cache from another; returns once it is there.
+    pub async fn import_kv(
+        &self,
+        address: SocketAddr,
+        import: &KvImport,
+    ) -> Result<KvImported, EngineError> {
+        self.post_control(address, KV_IMPORT_PATH, import).await
+    }
+
+    /// Reads the blocks behind a handle, as an importing engine does.
+    pub async fn read_kv(
+        &self,
+        address: SocketAddr,
+        handle: &str,
+    ) -> Result<KvBlocks, EngineError> {
+        let path = format!("{KV_PATH}/{handle}");
+        self.get_control(address, &path).await
+    }
+
     async fn post_control<B: Serialize, R: DeserializeOwned>(
         &self,
         address: SocketAddr,
@@ -210,10 +250,15 @@
     body: Result<Bytes, String>,
 ) -> Result<R, EngineError> {
     let body = body.map_err(EngineError::Broken)?;
-    if !status.is_success() && status != StatusCode::CONFLICT {
-        return Err(refusal(status, &body));
+    // Engines answer refused orders with a conflict whose body says why.
+    let decoded = serde_json::from_slice(&body);
+    match (status, decoded) {
+        (StatusCode::CONFLICT, Err(_)) => Err(refusal(status, &body)),
+        (status, _) if !status.is_success() && status != StatusCode::CONFLICT => {
+            Err(refusal(status, &body))
+        }
+        (_, decoded) => decoded.map_err(|error| EngineError::Mismatch(error.to_string())),
     }
-    serde_json::from_slice(&body).map_err(|error| EngineError::Mismatch(error.to_string()))
 }
 
 fn refusal(status: StatusCode, body: &[u8]) -> EngineError {
--- a/crates/engine/src/protocol.rs
+++ b/crates/engine/src/protocol.rs
@@ -4,6 +4,8 @@
 //! under `/control`. Every order carries a fence token, an order identifier and the incarnation it
 //! is meant for, so that an engine can refuse what is stale without asking anyone.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 use tansyhall_core::{EngineName, Incarnation, ModelName, Role};
 
@@ -19,6 +21,14 @@
 pub const STATE_PATH: &str = "/control/state";
 /// Path of the engine's load report.
 pub const LOAD_PATH: &str = "/control/load";
+/// Path of the engine's cache events: `?after=N` asks for those with larger sequence numbers.
+pub const CACHE_EVENTS_PATH: &str = "/control/cache-events";
+/// Path that exports a request's KV cache.
+pub const KV_EXPORT_PATH: &str = "/control/kv/export";
+/// Path that imports a KV cache from another engine.
+pub const KV_IMPORT_PATH: &str = "/control/kv/import";
+/// Prefix of the path at which engines fetch exported KV caches: `GET {KV_PATH}/{handle}`.
+pub const KV_PATH: &str = "/control/kv/blocks";
 /// Prefix of the path that cancels one request: `DELETE {REQUESTS_PATH}/{id}`.
 pub const REQUESTS_PATH: &str = "/v1/requests";
 /// Last data line of a stream.
@@ -272,3 +282,76 @@
     /// The reason, for people.
     pub reason: String,
 }
+
+/// What happened to a block of an engine's prefix cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CacheEventKind {
+    /// The block is held from now on.
+    Stored,
+    /// The block is no longer held.
+    Evicted,
+}
+
+/// One cache event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Grows by one with each event of an incarnation; a gap means that events were lost.
+    pub sequence: u64,
+    /// What happened.
+    pub kind: CacheEventKind,
+    /// The block's hash, which covers everything before the block.
+    pub block: u64,
+}
+
+/// Cache events in order of their sequence numbers; they may be late and have gaps.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvents {
+    /// The incarnation they belong to; a new one holds nothing of what an earlier one held.
+    pub incarnation: Incarnation,
+    /// The events.
+    pub events: Vec<CacheEvent>,
+}
+
+/// Asks for a handle to a request's KV cache.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvExport {
+    /// The request, which has generated a token at this engine.
+    pub request_id: String,
+}
+
+/// A handle to an exported KV cache.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvHandle {
+    /// Names the cache at the engine that exported it.
+    pub handle: String,
+    /// The incarnation that exported it; the handle ends with it.
+    pub incarnation: Incarnation,
+    /// Tokens in the cache.
+    pub tokens: u32,
+}
+
+/// Orders a KV cache to be fetched from another engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvImport {
+    /// The exporting engine.
+    pub source: SocketAddr,
+    /// Its handle.
+    pub handle: KvHandle,
+}
+
+/// The answer to an import that has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvImported {
+    /// Tokens imported.
+    pub tokens: u32,
+}
+
+/// What one engine hands to another for a handle.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KvBlocks {
+    /// The incarnation that hands it over.
+    pub incarnation: Incarnation,
+    /// The cache's blocks, by hash, from the first on.
+    pub blocks: Vec<u64>,
+}
--- a/crates/load/src/generator.rs
+++ b/crates/load/src/generator.rs
@@ -17,6 +17,8 @@
 use crate::summary::Summary;
 use crate::workload::{Phase, RequestShape, Workload};
 
+/// Header that tells the node when the whole answer is due, in milliseconds.
+const DEADLINE_HEADER: &str = "tansyhall-deadline-ms";
 /// Longest wait for any one answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(60);
 /// Longest first-token time recorded, in milliseconds.
@@ -153,6 +155,7 @@
     let url = format!("http://{node}{COMPLETIONS_PATH}");
     let sent = client
         .post(url)
+        .insert_header((DEADLINE_HEADER, shape.deadline.as_millis().to_string()))
         .timeout(ANSWER_TIMEOUT)
         .send_json(&body)
         .await;
--- a/crates/load/src/summary.rs
+++ b/crates/load/src/summary.rs
@@ -1,5 +1,7 @@
 //! What came of a load.
 
+use std::fmt;
+
 use serde::Serialize;
 
 /// Counts over all requests.
@@ -26,3 +28,31 @@
     /// 95th percentile of the time to the first token, in milliseconds.
     pub p95_first_token_ms: u64,
 }
+
+impl Summary {
+    fn percent(&self, part: u64) -> f64 {
+        100.0 * part as f64 / self.requests.max(1) as f64
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let outcomes = [
+            ("completed", self.completed),
+            ("  in deadline", self.in_deadline),
+            ("not run", self.not_run),
+            ("may have run", self.may_have_run),
+            ("wrong answers", self.wrong_answers),
+            ("cut short", self.cut_short),
+        ];
+        writeln!(f, "{:<16}{:>9}", "requests", self.requests)?;
+        for (name, count) in outcomes {
+            let percent = self.percent(count);
+            writeln!(f, "{name:<16}{count:>9}{percent:>8.1} %")?;
+        }
+        writeln!(f, "{:<16}{:>9}", "role changes", self.role_changes)?;
+        writeln!(f, "first token")?;
+        writeln!(f, "{:<16}{:>9} ms", "  median", self.p50_first_token_ms)?;
+        write!(f, "{:<16}{:>9} ms", "  95th", self.p95_first_token_ms)
+    }
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -41,6 +41,7 @@
         model: ModelName::from(MODEL),
         role_change: Duration::from_millis(100),
         costs: Default::default(),
+        weights: Default::default(),
     };
     actix_rt::spawn(engine::serve(listener, options).expect("an engine"));
     address
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -8,14 +8,18 @@
 use futures_util::stream;
 use tansyhall_core::RequestId;
 use tansyhall_engine::protocol::{
-    estimate_tokens, EngineChunk, EngineRequest, LoadReport, Order, OrderReply, Refusal, Seal,
-    CHAT_COMPLETIONS_PATH, COMPLETIONS_PATH, LOAD_PATH, ORDERS_PATH, SEAL_PATH, STATE_PATH,
+    estimate_tokens, EngineChunk, EngineRequest, LoadReport, Order, OrderAction, OrderReply,
+    Refusal, Seal, CACHE_EVENTS_PATH, CHAT_COMPLETIONS_PATH, COMPLETIONS_PATH, KV_EXPORT_PATH,
+    KV_IMPORT_PATH, KV_PATH, LOAD_PATH, ORDERS_PATH, SEAL_PATH, STATE_PATH,
 };
+use tansyhall_engine_model::prefix_cache::{block_hashes, BlockHash};
 use tansyhall_engine_model::{Progress, SubmitError, Work};
 use tokio::sync::mpsc;
 
 use super::answer::{answer_token, prompt_hash};
+use super::cache::{self, Caches};
 use super::faults::EngineFaults;
+use super::kv;
 use super::load::SAMPLE_PERIOD;
 use super::{next_incarnation, Engine, RecordedOrder, RecordedRequest};
 
@@ -28,11 +32,15 @@
         .route(SEAL_PATH, web::post().to(seal))
         .route(STATE_PATH, web::get().to(state))
         .route(LOAD_PATH, web::get().to(load))
+        .route(CACHE_EVENTS_PATH, web::get().to(cache::events))
+        .route(KV_EXPORT_PATH, web::post().to(kv::export))
+        .route(KV_IMPORT_PATH, web::post().to(kv::import))
+        .route(&format!("{KV_PATH}/{{handle}}"), web::get().to(kv::read))
         .route("/standin/records", web::get().to(records))
         .route("/standin/faults", web::post().to(set_faults));
 }
 
-fn refuse(status: StatusCode, reason: &str) -> HttpResponse {
+pub(super) fn refuse(status: StatusCode, reason: &str) -> HttpResponse {
     HttpResponse::build(status).json(Refusal {
         refused: true,
         reason: reason.to_owned(),
@@ -61,8 +69,21 @@
     progress: mpsc::Receiver<Progress>,
     request: EngineRequest,
     hash: u64,
+    blocks: Vec<BlockHash>,
+    cached_tokens: u32,
     finished: bool,
-    _cancel: CancelOnDrop,
+    cancel: CancelOnDrop,
+}
+
+impl Answer {
+    /// Holds the prompt in the caches, now that it has been prefilled.
+    fn prefilled(&mut self) {
+        let engine = &self.cancel.engine;
+        let lose_one_in = engine.faults.lock().lose_one_cache_event_in;
+        let mut caches = engine.caches.lock();
+        caches.insert(engine.clock.now(), &self.blocks, lose_one_in);
+        caches.make_exportable(self.cancel.id, std::mem::take(&mut self.blocks));
+    }
 }
 
 async fn complete(engine: web::Data<Engine>, request: web::Json<EngineRequest>) -> HttpResponse {
@@ -75,13 +96,13 @@
     }
     let prompt = request.prompt.flattened();
     let hash = prompt_hash(request.model.as_str(), &prompt);
-    let prefill = estimate_tokens(&prompt)
-        .saturating_add(request.resume_after)
-        .max(1);
+    let blocks = block_hashes(request.model.as_str(), &prompt);
+    let cached_tokens = engine.caches.lock().cached_tokens(&blocks);
+    let context_tokens = estimate_tokens(&prompt).saturating_add(request.resume_after);
     let work = Work {
         id,
-        prefill_tokens: prefill,
-        context_tokens: prefill,
+        prefill_tokens: context_tokens.saturating_sub(cached_tokens).max(1),
+        context_tokens: context_tokens.max(1),
         output_tokens: request.max_tokens - request.resume_after,
         priority: request.priority as u8,
     };
@@ -120,8 +141,10 @@
         progress,
         request,
         hash,
+        blocks,
+        cached_tokens,
         finished: false,
-        _cancel: cancel,
+        cancel,
     };
     HttpResponse::Ok()
         .content_type("text/event-stream")
@@ -134,6 +157,9 @@
     }
     let step = answer.progress.recv().await?;
     answer.finished = step.finished;
+    if step.generated == 1 {
+        answer.prefilled();
+    }
     let index = answer.request.resume_after + step.generated - 1;
     let chunk = EngineChunk {
         id: answer.request.request_id.clone(),
@@ -141,7 +167,7 @@
         tokens: 1,
         text: answer_token(answer.hash, index),
         finish_reason: step.finished.then(|| "length".to_owned()),
-        cached_tokens: (step.generated == 1).then_some(0),
+        cached_tokens: (step.generated == 1).then_some(answer.cached_tokens),
     };
     let mut event = match serde_json::to_string(&chunk) {
         Ok(json) => format!("data: {json}\n\n"),
@@ -163,11 +189,16 @@
 async fn order(engine: web::Data<Engine>, order: web::Json<Order>) -> HttpResponse {
     let order = order.into_inner();
     let now = engine.clock.now();
+    advance(&engine);
     let (reply, requests) = {
         let mut control = engine.control.lock();
-        control.advance(now);
         let requests = engine.runner.requests();
-        (control.order(now, order.clone(), requests), requests)
+        let was_idle = control.active_order_ends().is_none();
+        let reply = control.order(now, order.clone(), requests);
+        if was_idle && control.active_order_ends().is_some() {
+            control.extend_active_order(fetch_weights(&engine, &order.action));
+        }
+        (reply, requests)
     };
     let record = RecordedOrder {
         at_millis: now.as_millis(),
@@ -183,6 +214,25 @@
     }
 }
 
+/// Ends the active order if its time has come; another model begins with empty caches.
+fn advance(engine: &Engine) {
+    let now = engine.clock.now();
+    let ended = engine.control.lock().advance(now);
+    if ended.is_some_and(|order| matches!(order.action, OrderAction::LoadModel { .. })) {
+        engine.caches.lock().clear(now);
+    }
+}
+
+/// Time to fetch what an order loads.
+fn fetch_weights(engine: &Engine, action: &OrderAction) -> Duration {
+    let weights = &engine.weights;
+    match action {
+        OrderAction::LoadModel { .. } => weights.store.fetch(weights.model_bytes),
+        OrderAction::LoadAdapter { .. } => weights.store.fetch(weights.adapter_bytes),
+        OrderAction::Drain | OrderAction::Resume | OrderAction::SetRole { .. } => Duration::ZERO,
+    }
+}
+
 /// Ends the active order in time, or crashes halfway through it.
 fn schedule_end(engine: &web::Data<Engine>) {
     let (ends, halfway) = {
@@ -199,10 +249,11 @@
             actix_rt::time::sleep(halfway.since(engine.clock.now())).await;
             engine.control.lock().restart(next_incarnation());
             engine.runner.crash();
+            *engine.caches.lock() = Caches::new(engine.kv_capacity_tokens());
             return;
         }
         actix_rt::time::sleep(ends.since(engine.clock.now())).await;
-        engine.control.lock().advance(engine.clock.now());
+        advance(&engine);
     });
 }
 
@@ -213,8 +264,8 @@
 }
 
 async fn state(engine: web::Data<Engine>) -> HttpResponse {
-    let mut control = engine.control.lock();
-    control.advance(engine.clock.now());
+    advance(&engine);
+    let control = engine.control.lock();
     HttpResponse::Ok().json(control.state(engine.runner.requests()))
 }
 
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -2,10 +2,13 @@
 //! every order and every request, so that a test can judge what happened.
 
 mod answer;
+mod cache;
 mod faults;
 mod http;
+mod kv;
 mod load;
 mod runner;
+mod weights;
 
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -22,9 +25,11 @@
 use tansyhall_engine_model::{Control, ControlTiming, CostModel};
 
 pub use answer::{answer_text, answer_token};
+use cache::Caches;
 pub use faults::EngineFaults;
 use load::LoadHistory;
 use runner::Runner;
+pub use weights::WeightsStore;
 
 /// How one engine is set up.
 #[derive(Debug, Clone)]
@@ -39,6 +44,29 @@
     pub role_change: Duration,
     /// Its speed and sizes.
     pub costs: CostModel,
+    /// Where it fetches models from.
+    pub weights: Weights,
+}
+
+/// Where an engine fetches models from, and how large they are.
+#[derive(Debug, Clone)]
+pub struct Weights {
+    /// The store.
+    pub store: Arc<WeightsStore>,
+    /// Size of a model, in bytes.
+    pub model_bytes: u64,
+    /// Size of an adapter, in bytes.
+    pub adapter_bytes: u64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self {
+            store: Arc::new(WeightsStore::new(1 << 30)),
+            model_bytes: 2 << 30,
+            adapter_bytes: 64 << 20,
+        }
+    }
 }
 
 /// An order as the engine saw it.
@@ -115,9 +143,17 @@
     records: Mutex<Records>,
     faults: Mutex<EngineFaults>,
     load: Mutex<LoadHistory>,
+    caches: Mutex<Caches>,
+    weights: Weights,
     runner: Runner,
 }
 
+impl Engine {
+    fn kv_capacity_tokens(&self) -> u64 {
+        self.runner.with_batch(|batch| batch.kv_capacity())
+    }
+}
+
 /// An incarnation that is larger than those of earlier starts.
 fn next_incarnation() -> Incarnation {
     let since_epoch = SystemTime::now()
@@ -146,6 +182,8 @@
         records: Mutex::new(Records::default()),
         faults: Mutex::new(EngineFaults::default()),
         load: Mutex::new(LoadHistory::default()),
+        caches: Mutex::new(Caches::new(options.costs.kv_capacity_tokens)),
+        weights: options.weights,
         runner: Runner::new(options.costs),
     });
     let data = web::Data::from(Arc::clone(&engine));
