A draining engine costs a node no retries, only a wait

Cause: a node without authority over a pool does not know that an engine drains. That engine looks least loaded, so each request tried it first, was refused, and paid for its second attempt from the retry budget: in a role change the budget would be spent on refusals that ran nothing.

Ruled out: raising the budget (it would no longer bound retries when back ends fail together); waiting on every refusal (a full queue is to be told at once).

Change: engines that refuse because they drain or change answer 503, which the client tells from other refusals. Such an engine is left alone for 200 ms, and the attempt counts neither as an attempt nor as a retry. If no other engine is left, the request waits until its deadline and says so. Waiting for an engine ends at the deadline also for a stream that was to be resumed. A caller that goes away while it prefers to wait has its work cancelled. Limits that would stop a node are refused.

Before: not tested. After: ten requests past a draining engine are served with a retry budget of zero, and 40 callers at once get their own answers while an engine freezes.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -254,9 +254,47 @@
         if self.limits.max_attempts == 0 {
             return refuse("limits.max_attempts", "0".into(), "1 or more");
         }
+        self.validate_callers(file)?;
         self.validate_authority(file)
     }
 
+    fn validate_callers(&self, file: &str) -> Result<(), SettingsError> {
+        let limits = &self.limits;
+        let durations = [
+            ("limits.body_timeout", limits.body_timeout),
+            ("limits.engine_stall", limits.engine_stall),
+            ("limits.caller_stall", limits.caller_stall),
+        ];
+        let zero = durations.iter().find(|(_, duration)| duration.is_zero());
+        if let Some((key, _)) = zero {
+            return Err(SettingsError::Value {
+                file: file.to_owned(),
+                key,
+                value: "0s".into(),
+                allowed: "more than 0s",
+            });
+        }
+        let counts = [
+            ("limits.max_answer_bytes", limits.max_answer_bytes),
+            (
+                "limits.max_backend_connections",
+                limits.max_backend_connections,
+            ),
+            ("limits.max_request_records", limits.max_request_records),
+            ("limits.max_idempotency_keys", limits.max_idempotency_keys),
+        ];
+        let zero = counts.iter().find(|(_, count)| *count == 0);
+        match zero {
+            None => Ok(()),
+            Some((key, _)) => Err(SettingsError::Value {
+                file: file.to_owned(),
+                key,
+                value: "0".into(),
+                allowed: "1 or more",
+            }),
+        }
+    }
+
     fn validate_authority(&self, file: &str) -> Result<(), SettingsError> {
         let authority = &self.authority;
         if authority.renewal + authority.margin < authority.lease {
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -35,6 +35,9 @@
     /// No connection could be made.
     #[error("no connection to the engine: {0}")]
     Unreachable(String),
+    /// The engine accepts no work now, because it is draining or changing; it did not begin.
+    #[error("the engine accepts no work now: {0}")]
+    Unavailable(String),
     /// The engine refused the work before beginning it.
     #[error("the engine refused: {0}")]
     Refused(String),
@@ -64,6 +67,7 @@
     pub const fn name(&self) -> &'static str {
         match self {
             EngineError::Unreachable(_) => "unreachable",
+            EngineError::Unavailable(_) => "unavailable",
             EngineError::Refused(_) => "refused",
             EngineError::Rejected { .. } => "rejected",
             EngineError::Broken(_) => "broken",
@@ -263,7 +267,10 @@
 
 fn refusal(status: StatusCode, body: &[u8]) -> EngineError {
     if let Ok(refusal) = serde_json::from_slice::<Refusal>(body) {
-        return EngineError::Refused(refusal.reason);
+        return match status {
+            StatusCode::SERVICE_UNAVAILABLE => EngineError::Unavailable(refusal.reason),
+            _ => EngineError::Refused(refusal.reason),
+        };
     }
     let message = String::from_utf8_lossy(&body[..body.len().min(200)]).into_owned();
     if status.is_client_error() {
--- a/crates/node/src/callers/attempt.rs
+++ b/crates/node/src/callers/attempt.rs
@@ -153,7 +153,7 @@
                 self.failure(failure.status, failure.message, failure.verdict)
             })?;
             let Choice::Attempt(engine, in_flight) = choice else {
-                self.wait_within_deadline(LOOK_AGAIN).await?;
+                self.wait_for_an_engine().await?;
                 continue;
             };
             let admitted = self.observe(engine.address, BreakerEvent::Attempt);
@@ -199,6 +199,11 @@
             let status = StatusCode::from_u16(*status).unwrap_or(StatusCode::BAD_REQUEST);
             return Err(self.failure(status, message.clone(), self.verdict));
         }
+        if let EngineError::Unavailable(_) = error {
+            // Nothing was run and nobody is to blame: this is no retry, only a wait.
+            self.attempts -= 1;
+            return Ok(());
+        }
         self.excluded.push(engine.name.clone());
         let give_up = || self.failure(status_of(self.verdict), error.to_string(), self.verdict);
         if !self.verdict.allows_retry(self.plan.repeatable)
@@ -213,8 +218,8 @@
             .callers
             .health
             .retry(&self.node.metrics, now, retry);
-        let wait = wait.ok_or_else(give_up)?;
-        self.wait_within_deadline(wait).await
+        sleep(wait.ok_or_else(give_up)?).await;
+        Ok(())
     }
 
     fn count_failure(&self, engine: &Backend, error: &EngineError) {
@@ -223,8 +228,14 @@
         if matches!(error, EngineError::Mismatch(_)) {
             metrics.mismatches.inc();
         }
+        if let EngineError::Unavailable(_) = error {
+            let now = self.node.clock.now();
+            self.node.callers.health.pause(engine.address, now);
+        }
         let event = match error {
-            EngineError::Refused(_) | EngineError::Rejected { .. } => BreakerEvent::Success,
+            EngineError::Unavailable(_)
+            | EngineError::Refused(_)
+            | EngineError::Rejected { .. } => BreakerEvent::Success,
             EngineError::Unreachable(_) | EngineError::Broken(_) | EngineError::Mismatch(_) => {
                 BreakerEvent::Failure
             }
@@ -244,21 +255,18 @@
         }
     }
 
-    /// Waits, unless the deadline of a request that has not run comes first.
-    async fn wait_within_deadline(&self, wait: Duration) -> Result<(), Failure> {
-        if self.verdict == Verdict::MayHaveRun {
-            sleep(wait).await;
-            return Ok(());
-        }
-        sleep(wait.min(self.remaining())).await;
-        if !self.remaining().is_zero() {
+    /// Waits a moment for an engine to accept work; fails once the deadline has passed.
+    async fn wait_for_an_engine(&self) -> Result<(), Failure> {
+        let remaining = self.remaining();
+        if !remaining.is_zero() {
+            sleep(LOOK_AGAIN.min(remaining)).await;
             return Ok(());
         }
-        Err(Failure::not_run(
-            StatusCode::GATEWAY_TIMEOUT,
-            "the deadline passed before an engine accepted the request",
-            self.advised_wait(),
-        ))
+        let not_run = Verdict::NotRun {
+            retry_after: self.advised_wait(),
+        };
+        let message = "the deadline passed before an engine accepted the request".to_owned();
+        Err(self.failure(StatusCode::GATEWAY_TIMEOUT, message, not_run))
     }
 
     fn remaining(&self) -> Duration {
--- a/crates/node/src/callers/choice.rs
+++ b/crates/node/src/callers/choice.rs
@@ -39,6 +39,9 @@
     }
     engines.retain(|engine| !excluded.contains(&engine.name));
     let probe_in = remove_broken(node, &mut engines);
+    let now = node.clock.now();
+    let paused = |engine: &&Backend| node.callers.health.is_paused(engine.address, now);
+    let (paused, engines): (Vec<&Backend>, Vec<&Backend>) = engines.into_iter().partition(paused);
     let ready = node.choose_in_flight(|statuses| {
         let status = |engine: &&Backend| statuses.get(&engine.name).cloned().unwrap_or_default();
         let ready = engines
@@ -56,7 +59,7 @@
         let status = |engine: &&Backend| statuses.get(&engine.name);
         engines.iter().filter_map(status).any(is_changing)
     });
-    if changing {
+    if changing || !paused.is_empty() {
         return Ok(Choice::Wait);
     }
     Err(ChoiceError::NoEngine { probe_in })
--- a/crates/node/src/callers/completion.rs
+++ b/crates/node/src/callers/completion.rs
@@ -53,6 +53,9 @@
     WholeWithin(Duration),
 }
 
+/// The caller was sent to the status resource: the work goes on without it.
+struct Detached;
+
 struct Answer {
     deliveries: mpsc::Receiver<Delivery>,
     shape: Shape,
@@ -152,7 +155,8 @@
             return self.respond_whole().await;
         }
         let (sender, mut receiver) = oneshot::channel();
-        actix_rt::spawn(self.collect_and_keep(sender));
+        let (detach, detached) = oneshot::channel();
+        actix_rt::spawn(self.collect_and_keep(sender, detached));
         match timeout(wait, &mut receiver).await {
             Ok(Ok(Ok(body))) => whole_response(&in_progress, body),
             Ok(Ok(Err(failure))) => failure.response(id),
@@ -161,13 +165,35 @@
                 "the request's task ended without an answer",
             )
             .response(id),
-            Err(_) => accepted_response(&node, &in_progress.record),
+            Err(_) => {
+                // If the task has ended meanwhile, its answer is kept already.
+                let _ = detach.send(Detached);
+                accepted_response(&node, &in_progress.record)
+            }
         }
     }
 
-    async fn collect_and_keep(mut self, sender: oneshot::Sender<Result<Bytes, Failure>>) {
-        let body = self.collect_body().await;
-        let in_progress = &self.in_progress;
+    /// Collects the answer and keeps it. A caller that goes away before it has been sent to the
+    /// status resource ends the work.
+    async fn collect_and_keep(
+        mut self,
+        sender: oneshot::Sender<Result<Bytes, Failure>>,
+        detached: oneshot::Receiver<Detached>,
+    ) {
+        let in_progress = Arc::clone(&self.in_progress);
+        let caller_gone = async {
+            if detached.await.is_ok() {
+                std::future::pending::<()>().await;
+            }
+        };
+        let body = tokio::select! {
+            biased;
+            body = self.collect_body() => body,
+            () = caller_gone => {
+                in_progress.node.callers.requests.release_answer();
+                return;
+            }
+        };
         match &body {
             Ok(body) => in_progress.record.keep_answer(body.clone()),
             Err(failure) => {
--- a/crates/node/src/callers/health.rs
+++ b/crates/node/src/callers/health.rs
@@ -30,12 +30,15 @@
     },
     probe: Duration::from_secs(5),
 };
+/// How long an engine that accepts no work is left alone before it is asked again.
+const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(200);
 /// Time in which the budget's reserve gains one retry.
 const BUDGET_REFILL: Duration = Duration::from_secs(1);
 
 /// The observations, shared by every thread.
 pub struct BackendHealth {
     breakers: Sharded<SocketAddr, CircuitBreaker>,
+    paused_until: Sharded<SocketAddr, Timestamp>,
     rates: Sharded<ServiceName, ServiceRate>,
     budget: Mutex<RetryBudget>,
 }
@@ -50,6 +53,7 @@
         };
         Self {
             breakers: Sharded::with_capacity_limit(MAX_FOLLOWED),
+            paused_until: Sharded::with_capacity_limit(MAX_FOLLOWED),
             rates: Sharded::with_capacity_limit(MAX_FOLLOWED),
             budget: Mutex::new(RetryBudget::new(budget, Timestamp::default())),
         }
@@ -90,6 +94,18 @@
         BreakerDecision::Admit
     }
 
+    /// Leaves an engine alone for a moment that said it accepts no work now.
+    pub fn pause(&self, address: SocketAddr, now: Timestamp) {
+        let _ = self.paused_until.insert(address, now + UNAVAILABLE_PAUSE);
+    }
+
+    /// Whether an engine said a moment ago that it accepts no work.
+    pub fn is_paused(&self, address: SocketAddr, now: Timestamp) -> bool {
+        self.paused_until.with(&address, |shard| {
+            shard.get(&address).is_some_and(|until| now < *until)
+        })
+    }
+
     /// Counts a request for the retry budget.
     pub fn request_arrived(&self, now: Timestamp) {
         self.budget.lock().step(now, BudgetEvent::Request);
@@ -125,8 +141,9 @@
         })
     }
 
-    /// Forgets the breakers of back ends whose last attempt succeeded.
-    pub fn sweep(&self) {
+    /// Forgets pauses that are over, and breakers of back ends whose last attempt succeeded.
+    pub fn sweep(&self, now: Timestamp) {
+        self.paused_until.retain(|_, until| now < *until);
         self.breakers.retain(|_, breaker| !breaker.is_quiet());
     }
 }
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -66,7 +66,7 @@
             let now = node.clock.now();
             node.callers.requests.sweep(now);
             node.callers.run_permits.sweep(now);
-            node.callers.health.sweep();
+            node.callers.health.sweep(now);
         }
     });
 }
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -8,11 +8,12 @@
 use serde_json::{json, Value};
 use support::{
     ask, body, client, dead_address, expected, header, json_of, set_faults, start_engine,
-    start_node, Reader,
+    start_node, Reader, MODEL,
 };
 use tansyhall_engine::protocol::{FenceToken, Order, OrderAction};
 use tansyhall_engine::EngineClient;
 use tansyhall_node::Node;
+use tansyhall_standin::engine::answer_text;
 use tansyhall_testing::{eventually, get_json};
 
 const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(5);
@@ -76,6 +77,86 @@
     assert_eq!(reader.verdict.as_deref(), Some("completed"));
 }
 
+#[actix_rt::test]
+async fn a_draining_engine_costs_no_retries_at_a_node_that_does_not_know_of_it() {
+    let engines = [start_engine("engine-0"), start_engine("engine-1")];
+    let limits = "retries_per_thousand = 0\nretry_reserve = 0";
+    let (_node, address) = start_node(&engines, &[], limits);
+    let (elsewhere, _) = start_node(&engines, &[], "");
+    order(&elsewhere, engines[0], OrderAction::Drain).await;
+    for _ in 0..10 {
+        let response = ask(address, &[], &body(2, false)).await;
+        assert_eq!(response.status(), 200);
+    }
+    order(&elsewhere, engines[1], OrderAction::Drain).await;
+    let mut reader = Reader::new(ask(address, &[], &body(2, true)).await);
+    while reader.comments.is_empty() {
+        assert!(reader.read().await);
+    }
+    assert!(reader.comments[0].starts_with(": tansyhall state=queued "));
+    order(&elsewhere, engines[0], OrderAction::Resume).await;
+    assert_eq!(reader.read_all().await.text, expected(2));
+}
+
+#[actix_rt::test]
+async fn a_caller_that_goes_away_while_it_prefers_to_wait_cancels_its_work() {
+    let engine = start_engine("engine-0");
+    let (node, address) = start_node(&[engine], &[], "");
+    let request = client().post(format!("http://{address}/v1/completions"));
+    let request = request.insert_header(("prefer", "wait=600"));
+    let mut whole = Box::pin(request.send_json(&body(50_000, false)));
+    eventually("the request is at the engine", || {
+        let _ = whole.as_mut().now_or_never();
+        async { (records(engine).await["requests"].as_array()?.len() == 1).then_some(()) }
+    })
+    .await;
+    drop(whole);
+    eventually("the request is cancelled", || async {
+        let records = records(engine).await;
+        (records["cancelled"] == 1 && node.metrics.in_progress.get() == 0).then_some(())
+    })
+    .await;
+}
+
+/// Callers at once in the test below.
+const CALLERS: usize = 40;
+
+#[actix_rt::test]
+async fn many_callers_at_once_get_their_own_answers_while_engines_fail() {
+    let engines = ["engine-0", "engine-1", "engine-2"].map(start_engine);
+    let limits = "engine_stall = '200ms'\nmax_attempts = 20\nretry_reserve = 10000";
+    let (node, address) = start_node(&engines, &[], limits);
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let prompt = format!("how much rice has family {caller}");
+            let expected = answer_text(MODEL, &prompt, 100);
+            let body = json!({
+                "model": MODEL, "prompt": prompt, "max_tokens": 100, "stream": true,
+            });
+            actix_rt::spawn(async move {
+                let reader = Reader::new(ask(address, &[], &body).await).read_all().await;
+                (reader, expected)
+            })
+        })
+        .collect();
+    eventually("the callers' requests are at the engines", || async {
+        (node.metrics.in_progress.get() == CALLERS as i64).then_some(())
+    })
+    .await;
+    set_faults(engines[0], json!({ "frozen": true })).await;
+    eventually("streams are resumed elsewhere", || async {
+        (node.metrics.resumed.get() > 0).then_some(())
+    })
+    .await;
+    set_faults(engines[0], json!({})).await;
+    for caller in callers {
+        let (reader, expected) = caller.await.expect("the caller's task ends");
+        assert_eq!(reader.text, expected);
+        assert_eq!(reader.verdict.as_deref(), Some("completed"));
+    }
+    assert_eq!(node.metrics.mismatches.get(), 0);
+}
+
 #[actix_rt::test]
 async fn a_request_is_given_up_on_at_once_when_no_engine_will_accept_it() {
     let engine = start_engine("engine-0");
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -115,7 +115,7 @@
             return refuse(StatusCode::SERVICE_UNAVAILABLE, "draining or changing");
         }
         if control.state(0).model != request.model {
-            return refuse(StatusCode::SERVICE_UNAVAILABLE, "another model is loaded");
+            return refuse(StatusCode::CONFLICT, "another model is loaded");
         }
         engine.runner.submit(work)
     };
