A request whose deadline has passed is not sent any more

Cause: after a backoff the deadline could have passed, and the request was still offered to an engine with no time left, which turned a not-run into a may-have-run.

Ruled out: shortening the backoff alone (the wait for an engine ends the same way).

Change: the deadline is checked before each choice of an engine, for as long as the request has not run. A silent engine is asked after 1 s instead of 3 s, as most deadlines are a few seconds. New tests: a full node advises the wait that it observed; bytes that are not HTTP leave the node serving.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -151,7 +151,7 @@
             body_timeout: Duration::from_secs(30),
             max_forwarded_body_bytes: 256 << 20,
             max_answer_bytes: 1 << 20,
-            engine_stall: Duration::from_secs(3),
+            engine_stall: Duration::from_secs(1),
             caller_stall: Duration::from_secs(30),
             max_backend_connections: 1_024,
             max_request_records: 20_000,
--- a/crates/node/src/callers/attempt.rs
+++ b/crates/node/src/callers/attempt.rs
@@ -146,23 +146,44 @@
     /// Waits for an engine that accepts work, until the deadline.
     async fn next_engine(&mut self) -> Result<(Backend, InFlight), Failure> {
         loop {
-            let advised = self.advised_wait();
-            let choice = choose(&self.node, &self.request.model, &self.excluded);
-            let choice = choice.map_err(|error| {
-                let failure = error.failure(&self.request.model, advised);
-                self.failure(failure.status, failure.message, failure.verdict)
-            })?;
-            let Choice::Attempt(engine, in_flight) = choice else {
-                self.wait_for_an_engine().await?;
-                continue;
-            };
-            let admitted = self.observe(engine.address, BreakerEvent::Attempt);
-            if admitted == BreakerDecision::Admit {
-                return Ok((engine, in_flight));
+            if self.verdict != Verdict::MayHaveRun {
+                self.check_deadline()?;
+            }
+            match self.choose()? {
+                Choice::Attempt(engine, in_flight) => {
+                    let admitted = self.observe(engine.address, BreakerEvent::Attempt);
+                    if admitted == BreakerDecision::Admit {
+                        return Ok((engine, in_flight));
+                    }
+                }
+                Choice::Wait => {
+                    self.check_deadline()?;
+                    sleep(LOOK_AGAIN.min(self.remaining())).await;
+                }
             }
         }
     }
 
+    fn choose(&self) -> Result<Choice, Failure> {
+        let model = &self.request.model;
+        choose(&self.node, model, &self.excluded).map_err(|error| {
+            let failure = error.failure(model, self.advised_wait());
+            self.failure(failure.status, failure.message, failure.verdict)
+        })
+    }
+
+    /// Fails a request whose deadline has passed while no engine holds it.
+    fn check_deadline(&self) -> Result<(), Failure> {
+        if !self.remaining().is_zero() {
+            return Ok(());
+        }
+        let not_run = Verdict::NotRun {
+            retry_after: self.advised_wait(),
+        };
+        let message = "the deadline passed before an engine accepted the request".to_owned();
+        Err(self.failure(StatusCode::GATEWAY_TIMEOUT, message, not_run))
+    }
+
     /// Sends the request to an engine. The outer error is that the deadline passed first.
     async fn send_to(
         &mut self,
@@ -205,21 +226,24 @@
             return Ok(());
         }
         self.excluded.push(engine.name.clone());
-        let give_up = || self.failure(status_of(self.verdict), error.to_string(), self.verdict);
-        if !self.verdict.allows_retry(self.plan.repeatable)
-            || self.attempts >= self.node.settings.limits.max_attempts
-        {
-            return Err(give_up());
+        let Some(wait) = self.wait_before_retry() else {
+            let status = status_of(self.verdict);
+            return Err(self.failure(status, error.to_string(), self.verdict));
+        };
+        sleep(wait).await;
+        Ok(())
+    }
+
+    /// The wait before the next attempt, or `None` if none is allowed.
+    fn wait_before_retry(&self) -> Option<Duration> {
+        let max_attempts = self.node.settings.limits.max_attempts;
+        let allowed = self.verdict.allows_retry(self.plan.repeatable);
+        if !allowed || self.attempts >= max_attempts {
+            return None;
         }
         let now = self.node.clock.now();
-        let retry = self.attempts.saturating_sub(1);
-        let wait = self
-            .node
-            .callers
-            .health
-            .retry(&self.node.metrics, now, retry);
-        sleep(wait.ok_or_else(give_up)?).await;
-        Ok(())
+        let health = &self.node.callers.health;
+        health.retry(&self.node.metrics, now, self.attempts.saturating_sub(1))
     }
 
     fn count_failure(&self, engine: &Backend, error: &EngineError) {
@@ -255,20 +279,6 @@
         }
     }
 
-    /// Waits a moment for an engine to accept work; fails once the deadline has passed.
-    async fn wait_for_an_engine(&self) -> Result<(), Failure> {
-        let remaining = self.remaining();
-        if !remaining.is_zero() {
-            sleep(LOOK_AGAIN.min(remaining)).await;
-            return Ok(());
-        }
-        let not_run = Verdict::NotRun {
-            retry_after: self.advised_wait(),
-        };
-        let message = "the deadline passed before an engine accepted the request".to_owned();
-        Err(self.failure(StatusCode::GATEWAY_TIMEOUT, message, not_run))
-    }
-
     fn remaining(&self) -> Duration {
         self.plan.deadline.since(self.node.clock.now())
     }
--- a/crates/node/tests/bad_input.rs
+++ b/crates/node/tests/bad_input.rs
@@ -209,3 +209,27 @@
         prop_assert!(serde_json::from_slice::<CallerRequest>(&text.as_bytes()[..cut]).is_err());
     }
 }
+
+#[actix_rt::test]
+async fn bytes_that_are_not_http_are_refused_and_the_next_caller_is_served() {
+    let (_node, address) = start_node(&[start_engine("engine-0")], &[], "");
+    let huge_header = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "x".repeat(1 << 20));
+    let heads: [&[u8]; 3] = [
+        b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n",
+        b"GET\r\n\r\n",
+        huge_header.as_bytes(),
+    ];
+    for head in heads {
+        let mut connection = TcpStream::connect(address).await.expect("a connection");
+        // The node may close before it has read everything.
+        let _ = connection.write_all(head).await;
+        let mut answer = Vec::new();
+        let _ = connection.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer);
+        let refused = answer.is_empty() || answer.starts_with("HTTP/1.1 4");
+        assert!(refused, "{answer}");
+    }
+    let mut response = ask(address, &[], &body(3, false)).await;
+    let text = &json_of(&mut response).await["choices"][0]["text"];
+    assert_eq!(*text, expected(3));
+}
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -10,6 +10,7 @@
     ask, body, client, dead_address, expected, header, json_of, set_faults, start_engine,
     start_node, Reader, MODEL,
 };
+use tansyhall_admission::service_rate::UNOBSERVED_WAIT;
 use tansyhall_engine::protocol::{FenceToken, Order, OrderAction};
 use tansyhall_engine::EngineClient;
 use tansyhall_node::Node;
@@ -294,6 +295,32 @@
     assert!(unreachable.get() < 8, "the open breaker spares attempts");
 }
 
+#[actix_rt::test]
+async fn a_full_node_advises_the_wait_that_it_observed() {
+    let engine = start_engine("engine-0");
+    let (node, address) = start_node(&[engine], &[], "max_requests = 2");
+    for _ in 0..5 {
+        let served = ask(address, &[], &body(5, false)).await;
+        assert_eq!(served.status(), 200);
+    }
+    let mut readers = Vec::new();
+    for _ in 0..2 {
+        let mut reader = Reader::new(ask(address, &[], &body(50_000, true)).await);
+        reader.read_text().await;
+        readers.push(reader);
+    }
+    let mut refused = ask(address, &[], &body(5, false)).await;
+    assert_eq!(refused.status(), 503);
+    assert_not_run_with_advice(&refused);
+    let seconds: u64 = header(&refused, "retry-after").parse().expect("seconds");
+    let advised = json_of(&mut refused).await["error"]["retry_after_ms"].as_u64();
+    let advised = advised.expect("milliseconds");
+    let observed = node.callers.health.advised_wait(&"assistant".into());
+    assert_eq!(u128::from(advised), observed.as_millis());
+    assert_ne!(observed, UNOBSERVED_WAIT);
+    assert_eq!(seconds, advised.div_ceil(1_000));
+}
+
 #[actix_rt::test]
 async fn the_retry_budget_ends_retries_when_it_is_spent() {
     let engines = [dead_address(), dead_address()];
