Kept answers hold their places by ownership

Cause: a place for a kept answer was given back by hand in three branches; a record that was swept between its end and its answer would have lost its place for good.

Ruled out: a longer retention (it only hides the window).

Change: AnswerSlot gives the place back when it is dropped, wherever that is.

--- a/crates/node/src/callers/completion.rs
+++ b/crates/node/src/callers/completion.rs
@@ -17,7 +17,7 @@
 use super::attempt::{Execution, Plan};
 use super::driver::{collect, drive, Delivery, InProgress};
 use super::failure::{answer_with, Failure, REQUEST_ID_HEADER};
-use super::requests::{status_path, Ending, RequestRecord};
+use super::requests::{status_path, AnswerSlot, Ending, RequestRecord};
 use super::shape::{Shape, DEFAULT_MAX_TOKENS};
 use crate::state::Node;
 
@@ -150,13 +150,13 @@
         let in_progress = Arc::clone(&self.in_progress);
         let id = in_progress.id();
         let node = Arc::clone(&in_progress.node);
-        if !node.callers.requests.reserve_answer(id) {
+        let Some(slot) = node.callers.requests.reserve_answer(id) else {
             // Nowhere to keep the answer: the caller's preference cannot be met.
             return self.respond_whole().await;
-        }
+        };
         let (sender, mut receiver) = oneshot::channel();
         let (detach, detached) = oneshot::channel();
-        actix_rt::spawn(self.collect_and_keep(sender, detached));
+        actix_rt::spawn(self.collect_and_keep(slot, sender, detached));
         match timeout(wait, &mut receiver).await {
             Ok(Ok(Ok(body))) => whole_response(&in_progress, body),
             Ok(Ok(Err(failure))) => failure.response(id),
@@ -177,6 +177,7 @@
     /// status resource ends the work.
     async fn collect_and_keep(
         mut self,
+        slot: AnswerSlot,
         sender: oneshot::Sender<Result<Bytes, Failure>>,
         detached: oneshot::Receiver<Detached>,
     ) {
@@ -189,17 +190,11 @@
         let body = tokio::select! {
             biased;
             body = self.collect_body() => body,
-            () = caller_gone => {
-                in_progress.node.callers.requests.release_answer();
-                return;
-            }
+            () = caller_gone => return,
         };
         match &body {
-            Ok(body) => in_progress.record.keep_answer(body.clone()),
-            Err(failure) => {
-                in_progress.node.callers.requests.release_answer();
-                in_progress.end(Ending::Failed(failure.clone()));
-            }
+            Ok(body) => in_progress.record.keep_answer(body.clone(), slot),
+            Err(failure) => in_progress.end(Ending::Failed(failure.clone())),
         }
         // The caller may have been sent to the status resource already.
         let _ = sender.send(body);
--- a/crates/node/src/callers/requests.rs
+++ b/crates/node/src/callers/requests.rs
@@ -84,7 +84,23 @@
     attempts: u32,
     tokens: u32,
     ended: Option<(Timestamp, Ending)>,
-    answer: Option<Bytes>,
+    answer: Option<KeptAnswer>,
+}
+
+/// A place for a kept answer, free again once this is dropped.
+#[derive(Debug)]
+pub struct AnswerSlot(Arc<AtomicUsize>);
+
+impl Drop for AnswerSlot {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+#[derive(Debug)]
+struct KeptAnswer {
+    body: Bytes,
+    _slot: AnswerSlot,
 }
 
 /// One request's record.
@@ -141,13 +157,14 @@
     }
 
     /// Keeps the whole answer for the caller to fetch.
-    pub fn keep_answer(&self, answer: Bytes) {
-        self.progress.lock().answer = Some(answer);
+    pub fn keep_answer(&self, body: Bytes, slot: AnswerSlot) {
+        self.progress.lock().answer = Some(KeptAnswer { body, _slot: slot });
     }
 
     /// The kept answer.
     pub fn answer(&self) -> Option<Bytes> {
-        self.progress.lock().answer.clone()
+        let progress = self.progress.lock();
+        progress.answer.as_ref().map(|answer| answer.body.clone())
     }
 
     /// The failure that ended the request.
@@ -225,7 +242,7 @@
 pub struct RequestTable {
     records: Sharded<RequestId, Arc<RequestRecord>>,
     retention: Duration,
-    kept_answers: AtomicUsize,
+    kept_answers: Arc<AtomicUsize>,
     max_kept_answers: usize,
 }
 
@@ -235,7 +252,7 @@
         Self {
             records: Sharded::with_capacity_limit(capacity),
             retention,
-            kept_answers: AtomicUsize::new(0),
+            kept_answers: Arc::default(),
             max_kept_answers,
         }
     }
@@ -253,32 +270,21 @@
         self.records.with(&id, |shard| shard.get(&id).cloned())
     }
 
-    /// Takes a place for a kept answer; false if there is none or the request has no record.
-    pub fn reserve_answer(&self, id: RequestId) -> bool {
-        if self.get(id).is_none() {
-            return false;
-        }
+    /// Takes a place for a request's answer, if there is one and the request has a record.
+    pub fn reserve_answer(&self, id: RequestId) -> Option<AnswerSlot> {
+        self.get(id)?;
         let most = self.max_kept_answers;
         let take = |kept: usize| (kept < most).then_some(kept + 1);
         self.kept_answers
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, take)
-            .is_ok()
-    }
-
-    /// Gives back a place for a kept answer that was not used.
-    pub fn release_answer(&self) {
-        self.kept_answers.fetch_sub(1, Ordering::AcqRel);
+            .ok()?;
+        Some(AnswerSlot(Arc::clone(&self.kept_answers)))
     }
 
     /// Forgets the requests that ended longer ago than the retention time.
     pub fn sweep(&self, now: Timestamp) {
-        self.records.retain(|_, record| {
-            let expired = record.expired(now, self.retention);
-            if expired && record.answer().is_some() {
-                self.release_answer();
-            }
-            !expired
-        });
+        self.records
+            .retain(|_, record| !record.expired(now, self.retention));
     }
 
     /// Records in the table.
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -221,6 +221,29 @@
     assert_eq!(json_of(&mut whole).await["choices"][0]["text"], expected(5));
 }
 
+#[actix_rt::test]
+async fn answers_are_kept_within_their_bound_and_for_their_time() {
+    let engine = start_engine("engine-0");
+    let limits = "max_kept_answers = 1\nrequest_retention = '1h'";
+    let (node, address) = start_node(&[engine], &[], limits);
+    let prefer = [("prefer", "wait=0")];
+    let first = ask(address, &prefer, &body(5, false)).await;
+    assert_eq!(first.status(), 202);
+    let second = ask(address, &prefer, &body(5, false)).await;
+    assert_eq!(second.status(), 200, "there is no place to keep its answer");
+    eventually("the first request has its answer", || async {
+        let status = get_json(address, header(&first, "location")).await?;
+        status["answer"].is_string().then_some(())
+    })
+    .await;
+    let retention = node.settings.limits.request_retention;
+    let later = node.clock.now() + retention + retention;
+    node.callers.requests.sweep(later);
+    assert!(node.callers.requests.is_empty());
+    let third = ask(address, &prefer, &body(5, false)).await;
+    assert_eq!(third.status(), 202, "the place is free again");
+}
+
 #[actix_rt::test]
 async fn an_unknown_request_has_no_status() {
     let (_node, address) = start_node(&[dead_address()], &[], "");
