--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -1,5 +1,5 @@
-//! The engine client. Its errors carry a [`Verdict`]: a refused or never-connected request did not
-//! run; anything after the first byte was sent may have run.
+//! The engine client. Its errors say whether the work may have run: a refused or never-connected
+//! request did not; anything after the first byte was sent may have.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -11,25 +11,33 @@
 use futures_util::StreamExt;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
-use tansyhall_core::Verdict;
 
 use crate::protocol::{
-    EngineChunk, EngineRequest, EngineState, FenceToken, LoadReport, Order, OrderReply, Refusal,
-    Seal, LOAD_PATH, ORDERS_PATH, REQUESTS_PATH, SEAL_PATH, STATE_PATH, STREAM_DONE,
+    CacheEvents, EngineChunk, EngineRequest, EngineState, FenceToken, KvBlocks, KvExport, KvHandle,
+    KvImport, KvImported, LoadReport, Order, OrderReply, Refusal, Seal, CACHE_EVENTS_PATH,
+    KV_EXPORT_PATH, KV_IMPORT_PATH, KV_PATH, LOAD_PATH, ORDERS_PATH, REQUESTS_PATH, SEAL_PATH,
+    STATE_PATH, STREAM_DONE,
 };
 use crate::sse::{SseDecoder, SseError};
+use crate::transport::{connector, never_sent};
 
-/// How soon a caller may come back after an engine refused work.
-const REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Largest control answer read, in bytes.
 const MAX_CONTROL_BODY_BYTES: usize = 1 << 20;
 
+/// No limit on connections: requests in progress are limited before they come here.
+const NO_LIMIT: usize = 0;
+/// Most connections for control calls.
+const MAX_CONTROL_CONNECTIONS: usize = 128;
+
 /// What went wrong with a call to an engine.
 #[derive(Debug, Clone, thiserror::Error)]
 pub enum EngineError {
     /// No connection could be made.
     #[error("no connection to the engine: {0}")]
     Unreachable(String),
+    /// The engine accepts no work now, because it is draining or changing; it did not begin.
+    #[error("the engine accepts no work now: {0}")]
+    Unavailable(String),
     /// The engine refused the work before beginning it.
     #[error("the engine refused: {0}")]
     Refused(String),
@@ -50,15 +58,20 @@
 }
 
 impl EngineError {
-    /// Whether the work may have run.
-    pub fn verdict(&self) -> Verdict {
+    /// Whether the work may have run, in part or whole.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, EngineError::Broken(_) | EngineError::Mismatch(_))
+    }
+
+    /// The error's name in metrics.
+    pub const fn name(&self) -> &'static str {
         match self {
-            EngineError::Unreachable(_)
-            | EngineError::Refused(_)
-            | EngineError::Rejected { .. } => Verdict::NotRun {
-                retry_after: REFUSAL_RETRY_AFTER,
-            },
-            EngineError::Broken(_) | EngineError::Mismatch(_) => Verdict::MayHaveRun,
+            EngineError::Unreachable(_) => "unreachable",
+            EngineError::Unavailable(_) => "unavailable",
+            EngineError::Refused(_) => "refused",
+            EngineError::Rejected { .. } => "rejected",
+            EngineError::Broken(_) => "broken",
+            EngineError::Mismatch(_) => "mismatch",
         }
     }
 }
@@ -66,8 +79,8 @@
 impl From<SendRequestError> for EngineError {
     fn from(error: SendRequestError) -> Self {
         match error {
-            SendRequestError::Connect(cause) => EngineError::Unreachable(cause.to_string()),
-            other => EngineError::Broken(other.to_string()),
+            error if never_sent(&error) => EngineError::Unreachable(error.to_string()),
+            error => EngineError::Broken(error.to_string()),
         }
     }
 }
@@ -81,18 +94,26 @@
 /// A client of one worker thread; cheap to clone within it.
 #[derive(Clone)]
 pub struct EngineClient {
-    http: awc::Client,
+    work: awc::Client,
+    control: awc::Client,
 }
 
 impl EngineClient {
-    /// A client that gives up connecting after `connect_timeout`.
+    /// A client that gives up connecting after `connect_timeout`. Work holds as many connections
+    /// as there are requests in progress; control calls have connections of their own, so that
+    /// work never keeps them waiting.
     pub fn new(connect_timeout: Duration) -> Self {
-        let connector = awc::Connector::new().timeout(connect_timeout).limit(0);
-        let http = awc::Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .finish();
-        Self { http }
+        let client = |max_connections| {
+            awc::Client::builder()
+                .connector(connector(connect_timeout, max_connections))
+                .disable_timeout()
+                .disable_redirects()
+                .finish()
+        };
+        Self {
+            work: client(NO_LIMIT),
+            control: client(MAX_CONTROL_CONNECTIONS),
+        }
     }
 
     /// Begins a completion and returns its stream once the engine has accepted it.
@@ -102,7 +123,7 @@
         request: &EngineRequest,
     ) -> Result<EngineStream, EngineError> {
         let url = format!("http://{address}{}", request.prompt.path());
-        let mut response = self.http.post(url).send_json(request).await?;
+        let mut response = self.work.post(url).send_json(request).await?;
         let status = response.status();
         if status == StatusCode::OK {
             let body = Box::pin(response.map(|item| item.map_err(|error| error.to_string())));
@@ -119,7 +140,7 @@
     /// Cancels a request; engines ignore identifiers they do not know.
     pub async fn cancel(&self, address: SocketAddr, request_id: &str) -> Result<(), EngineError> {
         let url = format!("http://{address}{REQUESTS_PATH}/{request_id}");
-        self.http
+        self.control
             .delete(url)
             .timeout(CONTROL_TIMEOUT)
             .send()
@@ -157,6 +178,44 @@
         self.get_control(address, LOAD_PATH).await
     }
 
+    /// Reads the cache events after a sequence number.
+    pub async fn cache_events(
+        &self,
+        address: SocketAddr,
+        after: u64,
+    ) -> Result<CacheEvents, EngineError> {
+        let path = format!("{CACHE_EVENTS_PATH}?after={after}");
+        self.get_control(address, &path).await
+    }
+
+    /// Asks for a handle to a request's KV cache.
+    pub async fn export_kv(
+        &self,
+        address: SocketAddr,
+        export: &KvExport,
+    ) -> Result<KvHandle, EngineError> {
+        self.post_control(address, KV_EXPORT_PATH, export).await
+    }
+
+    /// Lets an engine fetch a KV cache from another; returns once it is there.
+    pub async fn import_kv(
+        &self,
+        address: SocketAddr,
+        import: &KvImport,
+    ) -> Result<KvImported, EngineError> {
+        self.post_control(address, KV_IMPORT_PATH, import).await
+    }
+
+    /// Reads the blocks behind a handle, as an importing engine does.
+    pub async fn read_kv(
+        &self,
+        address: SocketAddr,
+        handle: &str,
+    ) -> Result<KvBlocks, EngineError> {
+        let path = format!("{KV_PATH}/{handle}");
+        self.get_control(address, &path).await
+    }
+
     async fn post_control<B: Serialize, R: DeserializeOwned>(
         &self,
         address: SocketAddr,
@@ -164,7 +223,7 @@
         body: &B,
     ) -> Result<R, EngineError> {
         let request = self
-            .http
+            .control
             .post(format!("http://{address}{path}"))
             .timeout(CONTROL_TIMEOUT);
         let mut response = request.send_json(body).await?;
@@ -178,7 +237,7 @@
         path: &str,
     ) -> Result<R, EngineError> {
         let request = self
-            .http
+            .control
             .get(format!("http://{address}{path}"))
             .timeout(CONTROL_TIMEOUT);
         let mut response = request.send().await?;
@@ -195,15 +254,23 @@
     body: Result<Bytes, String>,
 ) -> Result<R, EngineError> {
     let body = body.map_err(EngineError::Broken)?;
-    if !status.is_success() && status != StatusCode::CONFLICT {
-        return Err(refusal(status, &body));
+    // Engines answer refused orders with a conflict whose body says why.
+    let decoded = serde_json::from_slice(&body);
+    match (status, decoded) {
+        (StatusCode::CONFLICT, Err(_)) => Err(refusal(status, &body)),
+        (status, _) if !status.is_success() && status != StatusCode::CONFLICT => {
+            Err(refusal(status, &body))
+        }
+        (_, decoded) => decoded.map_err(|error| EngineError::Mismatch(error.to_string())),
     }
-    serde_json::from_slice(&body).map_err(|error| EngineError::Mismatch(error.to_string()))
 }
 
 fn refusal(status: StatusCode, body: &[u8]) -> EngineError {
     if let Ok(refusal) = serde_json::from_slice::<Refusal>(body) {
-        return EngineError::Refused(refusal.reason);
+        return match status {
+            StatusCode::SERVICE_UNAVAILABLE => EngineError::Unavailable(refusal.reason),
+            _ => EngineError::Refused(refusal.reason),
+        };
     }
     let message = String::from_utf8_lossy(&body[..body.len().min(200)]).into_owned();
     if status.is_client_error() {
--- /dev/null
+++ b/crates/node/tests/requests.rs
@@ -0,0 +1,382 @@
+//! Deadlines, visible lateness, the status resource, retries and the callers that go away.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use futures_util::FutureExt;
+use serde_json::{json, Value};
+use support::{
+    ask, body, client, dead_address, expected, header, json_of, set_faults, start_engine,
+    start_node, Reader, MODEL,
+};
+use tansyhall_admission::service_rate::UNOBSERVED_WAIT;
+use tansyhall_engine::protocol::{FenceToken, Order, OrderAction};
+use tansyhall_engine::EngineClient;
+use tansyhall_node::Node;
+use tansyhall_standin::engine::answer_text;
+use tansyhall_testing::{eventually, get_json};
+
+const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Orders an engine to drain or resume, and lets the node know its state.
+async fn order(node: &Node, engine: SocketAddr, action: OrderAction) {
+    let orders = EngineClient::new(CONNECT_TIMEOUT);
+    let state = orders.state(engine).await.expect("a state");
+    let order = Order {
+        order_id: format!("{action:?}"),
+        fence_token: FenceToken(1),
+        incarnation: state.incarnation,
+        action,
+    };
+    orders.order(engine, &order).await.expect("a reply");
+    let state = orders.state(engine).await.expect("a state");
+    node.with_engines(|engines| engines.entry("engine-0".into()).or_default().state = Some(state));
+}
+
+fn assert_not_run_with_advice(response: &awc::ClientResponse) {
+    assert_eq!(header(response, "tansyhall-verdict"), "not-run");
+    assert!(!header(response, "tansyhall-request-id").is_empty());
+    let seconds: u64 = header(response, "retry-after").parse().expect("seconds");
+    assert!(seconds >= 1);
+}
+
+async fn records(engine: SocketAddr) -> Value {
+    let records = get_json(engine, "/standin/records").await;
+    records.expect("the engine's records")
+}
+
+#[actix_rt::test]
+async fn a_deadline_that_passes_before_any_engine_accepts_is_answered_not_run() {
+    let engine = start_engine("engine-0");
+    let (node, address) = start_node(&[engine], &[], "");
+    order(&node, engine, OrderAction::Drain).await;
+    for stream in [false, true] {
+        let deadline = [("tansyhall-deadline-ms", "200")];
+        let response = ask(address, &deadline, &body(4, stream)).await;
+        assert_eq!(response.status(), 504);
+        assert_not_run_with_advice(&response);
+    }
+    assert_eq!(records(engine).await["requests"], json!([]));
+    assert_eq!(node.metrics.late.get(), 2);
+}
+
+#[actix_rt::test]
+async fn a_stream_says_that_it_is_queued_and_is_served_once_an_engine_accepts() {
+    let engine = start_engine("engine-0");
+    let (node, address) = start_node(&[engine], &[], "");
+    order(&node, engine, OrderAction::Drain).await;
+    let mut reader = Reader::new(ask(address, &[], &body(4, true)).await);
+    while reader.comments.is_empty() {
+        assert!(reader.read().await);
+    }
+    assert!(reader.comments[0].starts_with(": tansyhall state=queued waited_ms="));
+    assert!(reader.comments[0].ends_with(" deadline_ms=20000"));
+    order(&node, engine, OrderAction::Resume).await;
+    let reader = reader.read_all().await;
+    assert_eq!(reader.text, expected(4));
+    assert_eq!(reader.verdict.as_deref(), Some("completed"));
+}
+
+#[actix_rt::test]
+async fn a_draining_engine_costs_no_retries_at_a_node_that_does_not_know_of_it() {
+    let engines = [start_engine("engine-0"), start_engine("engine-1")];
+    let limits = "retries_per_thousand = 0\nretry_reserve = 0";
+    let (_node, address) = start_node(&engines, &[], limits);
+    let (elsewhere, _) = start_node(&engines, &[], "");
+    order(&elsewhere, engines[0], OrderAction::Drain).await;
+    for _ in 0..10 {
+        let response = ask(address, &[], &body(2, false)).await;
+        assert_eq!(response.status(), 200);
+    }
+    order(&elsewhere, engines[1], OrderAction::Drain).await;
+    let mut reader = Reader::new(ask(address, &[], &body(2, true)).await);
+    while reader.comments.is_empty() {
+        assert!(reader.read().await);
+    }
+    assert!(reader.comments[0].starts_with(": tansyhall state=queued "));
+    order(&elsewhere, engines[0], OrderAction::Resume).await;
+    assert_eq!(reader.read_all().await.text, expected(2));
+}
+
+#[actix_rt::test]
+async fn a_caller_that_goes_away_while_it_prefers_to_wait_cancels_its_work() {
+    let engine = start_engine("engine-0");
+    let (node, address) = start_node(&[engine], &[], "");
+    let request = client().post(format!("http://{address}/v1/completions"));
+    let request = request.insert_header(("prefer", "wait=600"));
+    let mut whole = Box::pin(request.send_json(&body(50_000, false)));
+    eventually("the request is at the engine", || {
+        let _ = whole.as_mut().now_or_never();
+        async { (records(engine).await["requests"].as_array()?.len() == 1).then_some(()) }
+    })
+    .await;
+    drop(whole);
+    eventually("the request is cancelled", || async {
+        let records = records(engine).await;
+        (records["cancelled"] == 1 && node.metrics.in_progress.get() == 0).then_some(())
+    })
+    .await;
+}
+
+/// Callers at once in the test below.
+const CALLERS: usize = 40;
+
+#[actix_rt::test]
+async fn many_callers_at_once_get_their_own_answers_while_engines_fail() {
+    let engines = ["engine-0", "engine-1", "engine-2"].map(start_engine);
+    let limits = "engine_stall = '200ms'\nmax_attempts = 20\nretry_reserve = 10000";
+    let (node, address) = start_node(&engines, &[], limits);
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let prompt = format!("how much rice has family {caller}");
+            let expected = answer_text(MODEL, &prompt, 100);
+            let body = json!({
+                "model": MODEL, "prompt": prompt, "max_tokens": 100, "stream": true,
+            });
+            actix_rt::spawn(async move {
+                let reader = Reader::new(ask(address, &[], &body).await).read_all().await;
+                (reader, expected)
+            })
+        })
+        .collect();
+    eventually("the callers' requests are at the engines", || async {
+        (node.metrics.in_progress.get() == CALLERS as i64).then_some(())
+    })
+    .await;
+    set_faults(engines[0], json!({ "frozen": true })).await;
+    eventually("streams are resumed elsewhere", || async {
+        (node.metrics.resumed.get() > 0).then_some(())
+    })
+    .await;
+    set_faults(engines[0], json!({})).await;
+    for caller in callers {
+        let (reader, expected) = caller.await.expect("the caller's task ends");
+        assert_eq!(reader.text, expected);
+        assert_eq!(reader.verdict.as_deref(), Some("completed"));
+    }
+    assert_eq!(node.metrics.mismatches.get(), 0);
+}
+
+#[actix_rt::test]
+async fn a_request_is_given_up_on_at_once_when_no_engine_will_accept_it() {
+    let engine = start_engine("engine-0");
+    let (_node, address) = start_node(&[engine], &[], "");
+    set_faults(engine, json!({ "refuse_work": true })).await;
+    let response = ask(address, &[], &body(4, true)).await;
+    assert_eq!(response.status(), 503);
+    assert_not_run_with_advice(&response);
+}
+
+#[actix_rt::test]
+async fn a_late_answer_is_seen_to_be_late_and_still_comes_whole() {
+    let engine = start_engine("engine-0");
+    let (node, address) = start_node(&[engine], &[], "engine_stall = '60s'");
+    let deadline = [("tansyhall-deadline-ms", "400")];
+    let response = ask(address, &deadline, &body(100, true)).await;
+    let id = header(&response, "tansyhall-request-id").to_owned();
+    let mut reader = Reader::new(response);
+    reader.read_text().await;
+    set_faults(engine, json!({ "frozen": true })).await;
+    let late = |comment: &String| comment.starts_with(": tansyhall state=late waited_ms=");
+    while !reader.comments.iter().any(late) {
+        assert!(reader.read().await);
+    }
+    let status = get_json(address, &format!("/v1/requests/{id}")).await;
+    let status = status.expect("a status");
+    assert_eq!(status["state"], "late");
+    assert_eq!(status["deadline_ms"], 400);
+    assert!(status["waited_ms"].as_u64() > Some(400));
+    set_faults(engine, json!({})).await;
+    let reader = reader.read_all().await;
+    assert_eq!(reader.text, expected(100));
+    assert_eq!(node.metrics.late.get(), 1);
+    let status = get_json(address, &format!("/v1/requests/{id}")).await;
+    assert_eq!(status.expect("a status")["state"], "completed");
+}
+
+#[actix_rt::test]
+async fn a_caller_that_prefers_not_to_wait_fetches_its_answer_later() {
+    let engine = start_engine("engine-0");
+    let (_node, address) = start_node(&[engine], &[], "");
+    set_faults(engine, json!({ "frozen": true })).await;
+    let prefer = [("prefer", "respond-async, wait=0")];
+    let mut response = ask(address, &prefer, &body(5, false)).await;
+    assert_eq!(response.status(), 202);
+    assert_eq!(header(&response, "tansyhall-verdict"), "may-have-run");
+    let location = header(&response, "location").to_owned();
+    assert_eq!(json_of(&mut response).await["state"], "queued");
+    let answer = format!("http://{address}{location}/answer");
+    let early = client().get(&answer).send().await.expect("an answer");
+    assert_eq!(early.status(), 202);
+    set_faults(engine, json!({})).await;
+    eventually("the request is completed", || async {
+        let status = get_json(address, &location).await?;
+        (status["state"] == "completed" && status["answer"].is_string()).then_some(())
+    })
+    .await;
+    let mut whole = client().get(&answer).send().await.expect("an answer");
+    assert_eq!(whole.status(), 200);
+    assert_eq!(header(&whole, "tansyhall-verdict"), "completed");
+    assert_eq!(json_of(&mut whole).await["choices"][0]["text"], expected(5));
+}
+
+#[actix_rt::test]
+async fn answers_are_kept_within_their_bound_and_for_their_time() {
+    let engine = start_engine("engine-0");
+    let limits = "max_kept_answers = 1\nrequest_retention = '1h'";
+    let (node, address) = start_node(&[engine], &[], limits);
+    let prefer = [("prefer", "wait=0")];
+    let first = ask(address, &prefer, &body(5, false)).await;
+    assert_eq!(first.status(), 202);
+    let second = ask(address, &prefer, &body(5, false)).await;
+    assert_eq!(second.status(), 200, "there is no place to keep its answer");
+    eventually("the first request has its answer", || async {
+        let status = get_json(address, header(&first, "location")).await?;
+        status["answer"].is_string().then_some(())
+    })
+    .await;
+    let retention = node.settings.limits.request_retention;
+    let later = node.clock.now() + retention + retention;
+    node.callers.requests.sweep(later);
+    assert!(node.callers.requests.is_empty());
+    let third = ask(address, &prefer, &body(5, false)).await;
+    assert_eq!(third.status(), 202, "the place is free again");
+}
+
+#[actix_rt::test]
+async fn an_unknown_request_has_no_status() {
+    let (_node, address) = start_node(&[dead_address()], &[], "");
+    for id in ["x", "00000000000000000000000000000001"] {
+        let url = format!("http://{address}/v1/requests/{id}");
+        let response = client().get(url).send().await.expect("an answer");
+        assert_eq!(response.status(), 404);
+    }
+}
+
+#[actix_rt::test]
+async fn a_caller_that_goes_away_cancels_its_work() {
+    let engine = start_engine("engine-0");
+    let (node, address) = start_node(&[engine], &[], "");
+    let mut reader = Reader::new(ask(address, &[], &body(50_000, true)).await);
+    reader.read_text().await;
+    drop(reader);
+    let url = format!("http://{address}/v1/completions");
+    let whole = client().post(url).send_json(&body(50_000, false));
+    let mut whole = Box::pin(whole);
+    eventually("the second request is at the engine", || {
+        let _ = whole.as_mut().now_or_never();
+        async { (records(engine).await["requests"].as_array()?.len() == 2).then_some(()) }
+    })
+    .await;
+    drop(whole);
+    eventually("both requests are cancelled", || async {
+        let state = get_json(engine, "/control/state").await?;
+        let records = records(engine).await;
+        (state["requests"] == 0 && records["cancelled"] == 2).then_some(())
+    })
+    .await;
+    assert_eq!(node.metrics.callers_gone.get(), 2);
+    assert_eq!(node.metrics.in_progress.get(), 0);
+}
+
+#[actix_rt::test]
+async fn a_frozen_engine_is_found_and_the_stream_resumed_elsewhere() {
+    let engines = [start_engine("engine-0"), start_engine("engine-1")];
+    let (node, address) = start_node(&engines, &[], "engine_stall = '200ms'");
+    let busy = node.track_in_flight(&"engine-1".into());
+    let mut reader = Reader::new(ask(address, &[], &body(200, true)).await);
+    reader.read_text().await;
+    drop(busy);
+    set_faults(engines[0], json!({ "frozen": true })).await;
+    let reader = reader.read_all().await;
+    assert_eq!(reader.text, expected(200));
+    assert_eq!(reader.verdict.as_deref(), Some("completed"));
+    assert_eq!(node.metrics.resumed.get(), 1);
+    let resumed = &records(engines[1]).await["requests"][0]["resume_after"];
+    assert!(
+        resumed.as_u64() > Some(0),
+        "only the rest is generated again"
+    );
+}
+
+#[actix_rt::test]
+async fn an_unreachable_engine_is_avoided_after_a_few_failures() {
+    let engines = [dead_address(), start_engine("engine-1")];
+    let (node, address) = start_node(&engines, &[], "");
+    // Both engines look idle, and the first is preferred: its failures open its breaker.
+    for _ in 0..8 {
+        let busy = node.track_in_flight(&"engine-1".into());
+        let mut response = ask(address, &[], &body(2, false)).await;
+        assert_eq!(response.status(), 200);
+        let text = &json_of(&mut response).await["choices"][0]["text"];
+        assert_eq!(*text, expected(2));
+        drop(busy);
+    }
+    assert_eq!(node.metrics.breakers_opened.get(), 1);
+    let unreachable = node.metrics.attempts.with_label_values(&["unreachable"]);
+    assert!(unreachable.get() < 8, "the open breaker spares attempts");
+}
+
+#[actix_rt::test]
+async fn a_full_node_advises_the_wait_that_it_observed() {
+    let engine = start_engine("engine-0");
+    let (node, address) = start_node(&[engine], &[], "max_requests = 2");
+    for _ in 0..5 {
+        let served = ask(address, &[], &body(5, false)).await;
+        assert_eq!(served.status(), 200);
+    }
+    let mut readers = Vec::new();
+    for _ in 0..2 {
+        let mut reader = Reader::new(ask(address, &[], &body(50_000, true)).await);
+        reader.read_text().await;
+        readers.push(reader);
+    }
+    let mut refused = ask(address, &[], &body(5, false)).await;
+    assert_eq!(refused.status(), 503);
+    assert_not_run_with_advice(&refused);
+    let seconds: u64 = header(&refused, "retry-after").parse().expect("seconds");
+    let advised = json_of(&mut refused).await["error"]["retry_after_ms"].as_u64();
+    let advised = advised.expect("milliseconds");
+    let observed = node.callers.health.advised_wait(&"assistant".into());
+    assert_eq!(u128::from(advised), observed.as_millis());
+    assert_ne!(observed, UNOBSERVED_WAIT);
+    assert_eq!(seconds, advised.div_ceil(1_000));
+}
+
+#[actix_rt::test]
+async fn the_retry_budget_ends_retries_when_it_is_spent() {
+    let engines = [dead_address(), dead_address()];
+    let limits = "retries_per_thousand = 0\nretry_reserve = 0";
+    let (node, address) = start_node(&engines, &[], limits);
+    let response = ask(address, &[], &body(2, false)).await;
+    assert_eq!(response.status(), 503);
+    assert_not_run_with_advice(&response);
+    let spent = node.metrics.retries.with_label_values(&["budget-spent"]);
+    assert_eq!(spent.get(), 1);
+}
+
+#[actix_rt::test]
+async fn a_request_with_a_key_runs_at_most_once_at_this_node() {
+    let engine = start_engine("engine-0");
+    let (_node, address) = start_node(&[engine], &[], "");
+    let once = [
+        ("tansyhall-not-repeatable", "true"),
+        ("idempotency-key", "slip-7"),
+    ];
+    set_faults(engine, json!({ "refuse_work": true })).await;
+    let refused = ask(address, &once, &body(3, false)).await;
+    assert_eq!(header(&refused, "tansyhall-verdict"), "not-run");
+    set_faults(engine, json!({})).await;
+    let first = ask(address, &once, &body(3, false)).await;
+    assert_eq!(
+        first.status(),
+        200,
+        "a try that did not run may be repeated"
+    );
+    let second = ask(address, &once, &body(3, false)).await;
+    assert_eq!(second.status(), 409);
+    assert_eq!(header(&second, "tansyhall-verdict"), "may-have-run");
+    let runs = records(engine).await["requests"].as_array().map(Vec::len);
+    assert_eq!(runs, Some(1));
+}
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -1,20 +1,27 @@
 //! The engine protocol over HTTP.
 
+use std::time::Duration;
+
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpResponse};
 use bytes::Bytes;
 use futures_util::stream;
 use tansyhall_core::RequestId;
 use tansyhall_engine::protocol::{
-    estimate_tokens, EngineChunk, EngineRequest, LoadReport, Order, OrderReply, Refusal, Seal,
-    CHAT_COMPLETIONS_PATH, COMPLETIONS_PATH, LOAD_PATH, ORDERS_PATH, SEAL_PATH, STATE_PATH,
+    estimate_tokens, EngineChunk, EngineRequest, LoadReport, Order, OrderAction, OrderReply,
+    Refusal, Seal, CACHE_EVENTS_PATH, CHAT_COMPLETIONS_PATH, COMPLETIONS_PATH, KV_EXPORT_PATH,
+    KV_IMPORT_PATH, KV_PATH, LOAD_PATH, ORDERS_PATH, SEAL_PATH, STATE_PATH,
 };
+use tansyhall_engine_model::prefix_cache::{block_hashes, BlockHash};
 use tansyhall_engine_model::{Progress, SubmitError, Work};
 use tokio::sync::mpsc;
 
 use super::answer::{answer_token, prompt_hash};
-use super::runner::Runner;
-use super::{Engine, RecordedOrder, RecordedRequest};
+use super::cache::{self, Caches};
+use super::faults::EngineFaults;
+use super::kv;
+use super::load::SAMPLE_PERIOD;
+use super::{next_incarnation, Engine, RecordedOrder, RecordedRequest};
 
 pub(super) fn routes(config: &mut web::ServiceConfig) {
     config
@@ -25,10 +32,15 @@
         .route(SEAL_PATH, web::post().to(seal))
         .route(STATE_PATH, web::get().to(state))
         .route(LOAD_PATH, web::get().to(load))
-        .route("/standin/records", web::get().to(records));
+        .route(CACHE_EVENTS_PATH, web::get().to(cache::events))
+        .route(KV_EXPORT_PATH, web::post().to(kv::export))
+        .route(KV_IMPORT_PATH, web::post().to(kv::import))
+        .route(&format!("{KV_PATH}/{{handle}}"), web::get().to(kv::read))
+        .route("/standin/records", web::get().to(records))
+        .route("/standin/faults", web::post().to(set_faults));
 }
 
-fn refuse(status: StatusCode, reason: &str) -> HttpResponse {
+pub(super) fn refuse(status: StatusCode, reason: &str) -> HttpResponse {
     HttpResponse::build(status).json(Refusal {
         refused: true,
         reason: reason.to_owned(),
@@ -37,13 +49,19 @@
 
 /// Cancels the request when its caller goes away.
 struct CancelOnDrop {
-    runner: Runner,
+    engine: web::Data<Engine>,
     id: RequestId,
 }
 
 impl Drop for CancelOnDrop {
     fn drop(&mut self) {
-        self.runner.cancel(self.id);
+        cancel_work(&self.engine, self.id);
+    }
+}
+
+fn cancel_work(engine: &Engine, id: RequestId) {
+    if engine.runner.cancel(id) {
+        engine.records.lock().cancelled += 1;
     }
 }
 
@@ -51,8 +69,21 @@
     progress: mpsc::Receiver<Progress>,
     request: EngineRequest,
     hash: u64,
+    blocks: Vec<BlockHash>,
+    cached_tokens: u32,
     finished: bool,
-    _cancel: CancelOnDrop,
+    cancel: CancelOnDrop,
+}
+
+impl Answer {
+    /// Holds the prompt in the caches, now that it has been prefilled.
+    fn prefilled(&mut self) {
+        let engine = &self.cancel.engine;
+        let lose_one_in = engine.faults.lock().lose_one_cache_event_in;
+        let mut caches = engine.caches.lock();
+        caches.insert(engine.clock.now(), &self.blocks, lose_one_in);
+        caches.make_exportable(self.cancel.id, std::mem::take(&mut self.blocks));
+    }
 }
 
 async fn complete(engine: web::Data<Engine>, request: web::Json<EngineRequest>) -> HttpResponse {
@@ -65,23 +96,26 @@
     }
     let prompt = request.prompt.flattened();
     let hash = prompt_hash(request.model.as_str(), &prompt);
-    let prefill = estimate_tokens(&prompt)
-        .saturating_add(request.resume_after)
-        .max(1);
+    let blocks = block_hashes(request.model.as_str(), &prompt);
+    let cached_tokens = engine.caches.lock().cached_tokens(&blocks);
+    let context_tokens = estimate_tokens(&prompt).saturating_add(request.resume_after);
     let work = Work {
         id,
-        prefill_tokens: prefill,
-        context_tokens: prefill,
+        prefill_tokens: context_tokens.saturating_sub(cached_tokens).max(1),
+        context_tokens: context_tokens.max(1),
         output_tokens: request.max_tokens - request.resume_after,
         priority: request.priority as u8,
     };
+    if engine.faults.lock().refuse_work {
+        return refuse(StatusCode::TOO_MANY_REQUESTS, "queue full");
+    }
     let submitted = {
         let control = engine.control.lock();
         if !control.accepts_work() {
             return refuse(StatusCode::SERVICE_UNAVAILABLE, "draining or changing");
         }
         if control.state(0).model != request.model {
-            return refuse(StatusCode::SERVICE_UNAVAILABLE, "another model is loaded");
+            return refuse(StatusCode::CONFLICT, "another model is loaded");
         }
         engine.runner.submit(work)
     };
@@ -91,7 +125,7 @@
         Err(SubmitError::TooLarge) => {
             return HttpResponse::PayloadTooLarge().body("too many tokens")
         }
-        Err(SubmitError::Duplicate) => return HttpResponse::Conflict().body("duplicate request"),
+        Err(SubmitError::Duplicate) => return refuse(StatusCode::CONFLICT, "in progress already"),
     };
     engine.records.lock().push_request(RecordedRequest {
         at_millis: engine.clock.now().as_millis(),
@@ -100,15 +134,17 @@
         resume_after: request.resume_after,
     });
     let cancel = CancelOnDrop {
-        runner: engine.runner.clone(),
+        engine: engine.clone(),
         id,
     };
     let answer = Answer {
         progress,
         request,
         hash,
+        blocks,
+        cached_tokens,
         finished: false,
-        _cancel: cancel,
+        cancel,
     };
     HttpResponse::Ok()
         .content_type("text/event-stream")
@@ -121,6 +157,9 @@
     }
     let step = answer.progress.recv().await?;
     answer.finished = step.finished;
+    if step.generated == 1 {
+        answer.prefilled();
+    }
     let index = answer.request.resume_after + step.generated - 1;
     let chunk = EngineChunk {
         id: answer.request.request_id.clone(),
@@ -128,7 +167,7 @@
         tokens: 1,
         text: answer_token(answer.hash, index),
         finish_reason: step.finished.then(|| "length".to_owned()),
-        cached_tokens: (step.generated == 1).then_some(0),
+        cached_tokens: (step.generated == 1).then_some(answer.cached_tokens),
     };
     let mut event = match serde_json::to_string(&chunk) {
         Ok(json) => format!("data: {json}\n\n"),
@@ -142,7 +181,7 @@
 
 async fn cancel(engine: web::Data<Engine>, id: web::Path<String>) -> HttpResponse {
     if let Some(id) = RequestId::parse(&id) {
-        engine.runner.cancel(id);
+        cancel_work(&engine, id);
     }
     HttpResponse::NoContent().finish()
 }
@@ -150,11 +189,16 @@
 async fn order(engine: web::Data<Engine>, order: web::Json<Order>) -> HttpResponse {
     let order = order.into_inner();
     let now = engine.clock.now();
+    advance(&engine);
     let (reply, requests) = {
         let mut control = engine.control.lock();
-        control.advance(now);
         let requests = engine.runner.requests();
-        (control.order(now, order.clone(), requests), requests)
+        let was_idle = control.active_order_ends().is_none();
+        let reply = control.order(now, order.clone(), requests);
+        if was_idle && control.active_order_ends().is_some() {
+            control.extend_active_order(fetch_weights(&engine, &order.action));
+        }
+        (reply, requests)
     };
     let record = RecordedOrder {
         at_millis: now.as_millis(),
@@ -170,14 +214,46 @@
     }
 }
 
+/// Ends the active order if its time has come; another model begins with empty caches.
+fn advance(engine: &Engine) {
+    let now = engine.clock.now();
+    let ended = engine.control.lock().advance(now);
+    if ended.is_some_and(|order| matches!(order.action, OrderAction::LoadModel { .. })) {
+        engine.caches.lock().clear(now);
+    }
+}
+
+/// Time to fetch what an order loads.
+fn fetch_weights(engine: &Engine, action: &OrderAction) -> Duration {
+    let weights = &engine.weights;
+    match action {
+        OrderAction::LoadModel { .. } => weights.store.fetch(weights.model_bytes),
+        OrderAction::LoadAdapter { .. } => weights.store.fetch(weights.adapter_bytes),
+        OrderAction::Drain | OrderAction::Resume | OrderAction::SetRole { .. } => Duration::ZERO,
+    }
+}
+
+/// Ends the active order in time, or crashes halfway through it.
 fn schedule_end(engine: &web::Data<Engine>) {
-    let Some(ends) = engine.control.lock().active_order_ends() else {
+    let (ends, halfway) = {
+        let control = engine.control.lock();
+        (control.active_order_ends(), control.active_order_halfway())
+    };
+    let (Some(ends), Some(halfway)) = (ends, halfway) else {
         return;
     };
+    let crash = std::mem::take(&mut engine.faults.lock().crash_halfway);
     let engine = engine.clone();
     actix_rt::spawn(async move {
+        if crash {
+            actix_rt::time::sleep(halfway.since(engine.clock.now())).await;
+            engine.control.lock().restart(next_incarnation());
+            engine.runner.crash();
+            *engine.caches.lock() = Caches::new(engine.kv_capacity_tokens());
+            return;
+        }
         actix_rt::time::sleep(ends.since(engine.clock.now())).await;
-        engine.control.lock().advance(engine.clock.now());
+        advance(&engine);
     });
 }
 
@@ -188,21 +264,41 @@
 }
 
 async fn state(engine: web::Data<Engine>) -> HttpResponse {
-    let mut control = engine.control.lock();
-    control.advance(engine.clock.now());
+    advance(&engine);
+    let control = engine.control.lock();
     HttpResponse::Ok().json(control.state(engine.runner.requests()))
 }
 
 async fn load(engine: web::Data<Engine>) -> HttpResponse {
-    let report = engine.runner.with_batch(|batch| LoadReport {
+    let lag = Duration::from_millis(engine.faults.lock().load_lag_ms);
+    let report = engine.load.lock().report(engine.clock.now(), lag);
+    HttpResponse::Ok().json(report.unwrap_or_default())
+}
+
+/// Samples the load for as long as the engine runs.
+pub(super) async fn sample_load(engine: web::Data<Engine>) {
+    let mut ticks = actix_rt::time::interval(SAMPLE_PERIOD);
+    loop {
+        ticks.tick().await;
+        let report = load_now(&engine);
+        engine.load.lock().push(engine.clock.now(), report);
+    }
+}
+
+fn load_now(engine: &Engine) -> LoadReport {
+    engine.runner.with_batch(|batch| LoadReport {
         age_ms: 0,
         running: u32::try_from(batch.len() - batch.queued()).unwrap_or(u32::MAX),
         queued: u32::try_from(batch.queued()).unwrap_or(u32::MAX),
         pending_prefill_tokens: batch.pending_prefill_tokens(),
         kv_used_tokens: batch.kv_reserved(),
         kv_capacity_tokens: batch.kv_capacity(),
-    });
-    HttpResponse::Ok().json(report)
+    })
+}
+
+async fn set_faults(engine: web::Data<Engine>, faults: web::Json<EngineFaults>) -> HttpResponse {
+    *engine.faults.lock() = faults.into_inner();
+    HttpResponse::NoContent().finish()
 }
 
 async fn records(engine: web::Data<Engine>) -> HttpResponse {
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -2,14 +2,20 @@
 //! every order and every request, so that a test can judge what happened.
 
 mod answer;
+mod cache;
+mod faults;
 mod http;
+mod kv;
+mod load;
 mod runner;
+mod weights;
 
 use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use actix_web::dev::Server;
+use actix_web::middleware::from_fn;
 use actix_web::{web, App, HttpServer};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -19,7 +25,11 @@
 use tansyhall_engine_model::{Control, ControlTiming, CostModel};
 
 pub use answer::{answer_text, answer_token};
+use cache::Caches;
+pub use faults::EngineFaults;
+use load::LoadHistory;
 use runner::Runner;
+pub use weights::WeightsStore;
 
 /// How one engine is set up.
 #[derive(Debug, Clone)]
@@ -34,6 +44,29 @@
     pub role_change: Duration,
     /// Its speed and sizes.
     pub costs: CostModel,
+    /// Where it fetches models from.
+    pub weights: Weights,
+}
+
+/// Where an engine fetches models from, and how large they are.
+#[derive(Debug, Clone)]
+pub struct Weights {
+    /// The store.
+    pub store: Arc<WeightsStore>,
+    /// Size of a model, in bytes.
+    pub model_bytes: u64,
+    /// Size of an adapter, in bytes.
+    pub adapter_bytes: u64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self {
+            store: Arc::new(WeightsStore::new(1 << 30)),
+            model_bytes: 2 << 30,
+            adapter_bytes: 64 << 20,
+        }
+    }
 }
 
 /// An order as the engine saw it.
@@ -72,6 +105,8 @@
     pub orders: Vec<RecordedOrder>,
     /// Requests begun, oldest first.
     pub requests: Vec<RecordedRequest>,
+    /// Requests cancelled, or left by their callers, before their last token.
+    pub cancelled: u64,
 }
 
 impl Records {
@@ -106,22 +141,36 @@
     clock: MonotonicClock,
     control: Mutex<Control>,
     records: Mutex<Records>,
+    faults: Mutex<EngineFaults>,
+    load: Mutex<LoadHistory>,
+    caches: Mutex<Caches>,
+    weights: Weights,
     runner: Runner,
 }
 
-/// Serves an engine on a listener.
-pub fn serve(listener: TcpListener, options: EngineOptions) -> std::io::Result<Server> {
-    let started = SystemTime::now()
+impl Engine {
+    fn kv_capacity_tokens(&self) -> u64 {
+        self.runner.with_batch(|batch| batch.kv_capacity())
+    }
+}
+
+/// An incarnation that is larger than those of earlier starts.
+fn next_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
-    let incarnation = Incarnation(u64::try_from(started.as_micros()).unwrap_or(0));
+    Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(0))
+}
+
+/// Serves an engine on a listener.
+pub fn serve(listener: TcpListener, options: EngineOptions) -> std::io::Result<Server> {
     let timing = ControlTiming {
         role_change: options.role_change,
         ..ControlTiming::default()
     };
     let control = Control::new(
         options.name,
-        incarnation,
+        next_incarnation(),
         options.role,
         options.model,
         timing,
@@ -131,12 +180,20 @@
         clock,
         control: Mutex::new(control),
         records: Mutex::new(Records::default()),
-        runner: Runner::start(clock, options.costs),
+        faults: Mutex::new(EngineFaults::default()),
+        load: Mutex::new(LoadHistory::default()),
+        caches: Mutex::new(Caches::new(options.costs.kv_capacity_tokens)),
+        weights: options.weights,
+        runner: Runner::new(options.costs),
     });
+    let data = web::Data::from(Arc::clone(&engine));
+    actix_rt::spawn(runner::run(data.clone()));
+    actix_rt::spawn(http::sample_load(data));
     let server = HttpServer::new(move || {
         App::new()
             .app_data(web::Data::from(Arc::clone(&engine)))
             .app_data(web::JsonConfig::default().limit(MAX_BODY_BYTES))
+            .wrap(from_fn(faults::hold_while_frozen))
             .configure(http::routes)
     });
     Ok(server.workers(1).disable_signals().listen(listener)?.run())
