The policy language: conditions, routes, shares, limits and bounds

Cause: a program could compare one number or one path and set a deadline; nothing could be said about tenants, zones, versions or pools, and errors had no hint.

Ruled out: evaluating the syntax tree's own comparisons in a table (steps of about 100 bytes). The compact table stays, since it holds no strings in its steps.

Change: lexer, recursive-descent parser with bounded depth, rule checker, formatter, and a compiler to small tests with jumps to smaller indices only, so that evaluation ends and never allocates.

Property tests: arbitrary text never crashes the compiler, a formatted tree parses to itself, compiled conditions mean what the tree means; a test aborts if evaluation allocates.

Conclusion: programs are bounded by construction; docs/policy-language.md is the reference.

--- a/crates/node/src/callers/completion.rs
+++ b/crates/node/src/callers/completion.rs
@@ -93,10 +93,7 @@
             let message = format!("no pool loads the model {}", request.model);
             return Err(Failure::not_run(StatusCode::NOT_FOUND, message));
         };
-        let facts = RequestFacts {
-            path: http.path(),
-            prompt_tokens: u64::from(prompt_tokens),
-        };
+        let facts = RequestFacts::new(http.path(), u64::from(prompt_tokens));
         in_force.program(&pool.service).classify(&facts).clone()
     };
     let id = RequestId(rand::random()).to_string();
--- a/crates/policy/src/lexer.rs
+++ b/crates/policy/src/lexer.rs
@@ -1,7 +1,11 @@
 //! Tokens of the policy language.
 
+use std::ops::Range;
+
 use logos::Logos;
 
+use crate::diagnostic::Diagnostic;
+
 /// A token; numbers keep their unit as a separate word token.
 #[derive(Logos, Debug, Clone, PartialEq, Eq)]
 #[logos(skip r"[ \t\r\n]+")]
@@ -22,16 +26,72 @@
     /// `}`
     #[token("}")]
     CloseBrace,
+    /// `(`
+    #[token("(")]
+    OpenParenthesis,
+    /// `)`
+    #[token(")")]
+    CloseParenthesis,
     /// `;`
     #[token(";")]
     Semicolon,
+    /// `,`
+    #[token(",")]
+    Comma,
+    /// `%`
+    #[token("%")]
+    Percent,
     /// `>`
     #[token(">")]
     Greater,
+    /// `>=`
+    #[token(">=")]
+    GreaterOrEqual,
     /// `<`
     #[token("<")]
     Less,
+    /// `<=`
+    #[token("<=")]
+    LessOrEqual,
     /// `==`
     #[token("==")]
     Equal,
+    /// `!=`
+    #[token("!=")]
+    NotEqual,
+}
+
+/// Whether `text` is one [`Token::Word`].
+pub fn is_word(text: &str) -> bool {
+    let mut characters = text.chars();
+    let starts = |c: char| c.is_ascii_alphabetic() || c == '_';
+    let continues = |c: char| c.is_ascii_alphanumeric() || matches!(c, '_' | '.' | '-');
+    characters.next().is_some_and(starts) && characters.all(continues)
+}
+
+/// Splits a source into tokens with their byte ranges.
+pub fn tokens(source: &str) -> Result<Vec<(Token, Range<usize>)>, Diagnostic> {
+    let spanned = Token::lexer(source).spanned();
+    spanned
+        .map(|(token, span)| match token {
+            Ok(token) => Ok((token, span)),
+            Err(()) => Err(unknown_text(source, span)),
+        })
+        .collect()
+}
+
+fn unknown_text(source: &str, span: Range<usize>) -> Diagnostic {
+    let text = &source[span.clone()];
+    if text.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Diagnostic::new(span, "the number is too large", "at most 2^64 - 1");
+    }
+    if text.starts_with('"') {
+        return Diagnostic::new(
+            span,
+            "the quoted text does not end",
+            "'\"' on the same line",
+        );
+    }
+    let expected = "a word, a number, a quoted string or one of { } ( ) ; , % < <= > >= == !=";
+    Diagnostic::new(span, format!("unknown text {text:?}"), expected)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,13 +1,29 @@
-//! The policy language: short programs that put requests into classes and give each class its
-//! deadline, priority and repeatability. A program is checked and compiled when it is accepted, so
-//! that evaluation can neither fail nor allocate.
+//! The policy language: short programs that put requests into classes, give each class its
+//! deadline, priority, route and versions, and set limits of tenants and bounds of pools. A
+//! program is checked and compiled when it is accepted, so that evaluation can neither fail nor
+//! allocate. The reference is docs/policy-language.md.
 
 #![forbid(unsafe_code)]
 
 pub mod ast;
+pub mod check;
+pub mod class;
+mod compact;
 pub mod compile;
+pub mod diagnostic;
+pub mod facts;
+pub mod format;
 pub mod lexer;
 pub mod parser;
+pub mod program;
+pub mod reference;
+pub mod suggest;
 
-pub use compile::{compile, Class, Program, RequestFacts};
-pub use parser::Diagnostic;
+pub use class::{
+    Bounded, ChangeBudget, Class, EngineBound, Fallback, PoolBounds, Route, Share, TenantLimits,
+};
+pub use compile::{compile, compile_all};
+pub use diagnostic::Diagnostic;
+pub use facts::{Headers, RequestFacts};
+pub use program::{Cost, EvaluatedTest, Explanation, Program};
+pub use reference::{Reference, ReferenceKind};
--- /dev/null
+++ b/crates/policy/src/parser/items.rs
@@ -0,0 +1,216 @@
+//! Classes, tenants and pools.
+
+use tansyhall_core::Role;
+
+use super::cursor::Cursor;
+use super::{MAX_BLOCKS, MAX_CLASSES, MAX_ENTRIES};
+use crate::ast::{
+    BoundSubject, ClassAst, ClassSetting, FallbackAst, Name, PolicyAst, PoolAst, PoolSetting,
+    PriorityName, ShareAst, TenantAst, TenantLimit,
+};
+use crate::diagnostic::Diagnostic;
+use crate::lexer::Token;
+
+#[derive(Clone, Copy)]
+enum Block {
+    Class,
+    Tenant,
+    Pool,
+}
+
+#[derive(Clone, Copy)]
+enum ClassKeyword {
+    Deadline,
+    Priority,
+    NotRepeatable,
+    Prefer,
+    Fallback,
+    Versions,
+    Adapters,
+}
+
+const CLASS_KEYWORDS: [(&str, ClassKeyword); 7] = [
+    ("deadline", ClassKeyword::Deadline),
+    ("priority", ClassKeyword::Priority),
+    ("not-repeatable", ClassKeyword::NotRepeatable),
+    ("prefer", ClassKeyword::Prefer),
+    ("fallback", ClassKeyword::Fallback),
+    ("versions", ClassKeyword::Versions),
+    ("adapters", ClassKeyword::Adapters),
+];
+
+#[derive(Clone, Copy)]
+enum PoolKeyword {
+    Least,
+    Most,
+    Changes,
+    ChangeWorth,
+}
+
+const POOL_KEYWORDS: [(&str, PoolKeyword); 4] = [
+    ("least", PoolKeyword::Least),
+    ("most", PoolKeyword::Most),
+    ("changes", PoolKeyword::Changes),
+    ("change-worth", PoolKeyword::ChangeWorth),
+];
+
+impl Cursor {
+    /// The whole program.
+    pub(super) fn policy(mut self) -> Result<PolicyAst, Diagnostic> {
+        const BLOCKS: [(&str, Block); 3] = [
+            ("class", Block::Class),
+            ("tenant", Block::Tenant),
+            ("pool", Block::Pool),
+        ];
+        let mut policy = PolicyAst::default();
+        while self.peek().is_some() {
+            match self.choose(&BLOCKS)? {
+                Block::Class => {
+                    self.room(policy.classes.len(), MAX_CLASSES, "classes")?;
+                    policy.classes.push(self.class()?);
+                }
+                Block::Tenant => {
+                    self.room(policy.tenants.len(), MAX_BLOCKS, "tenants")?;
+                    policy.tenants.push(self.tenant()?);
+                }
+                Block::Pool => {
+                    self.room(policy.pools.len(), MAX_BLOCKS, "pools")?;
+                    policy.pools.push(self.pool()?);
+                }
+            }
+        }
+        Ok(policy)
+    }
+
+    fn block<T>(
+        &mut self,
+        entry: fn(&mut Self) -> Result<T, Diagnostic>,
+    ) -> Result<Vec<T>, Diagnostic> {
+        self.expect(&Token::OpenBrace, "'{'")?;
+        let mut entries = Vec::new();
+        while !self.take(&Token::CloseBrace) {
+            self.room(entries.len(), MAX_ENTRIES, "settings")?;
+            entries.push(entry(self)?);
+            self.expect(&Token::Semicolon, "';'")?;
+        }
+        Ok(entries)
+    }
+
+    fn list<T>(
+        &mut self,
+        entry: fn(&mut Self) -> Result<T, Diagnostic>,
+    ) -> Result<Vec<T>, Diagnostic> {
+        let mut entries = vec![entry(self)?];
+        while self.take(&Token::Comma) {
+            self.room(entries.len(), MAX_ENTRIES, "names")?;
+            entries.push(entry(self)?);
+        }
+        Ok(entries)
+    }
+
+    fn class(&mut self) -> Result<ClassAst, Diagnostic> {
+        let name = self.name("a class name")?;
+        let condition = match self.take_word("when") {
+            true => Some(self.condition()?),
+            false => None,
+        };
+        let settings = self.block(Self::class_setting)?;
+        Ok(ClassAst {
+            name,
+            condition,
+            settings,
+        })
+    }
+
+    fn class_setting(&mut self) -> Result<ClassSetting, Diagnostic> {
+        Ok(match self.choose(&CLASS_KEYWORDS)? {
+            ClassKeyword::Deadline => ClassSetting::Deadline(self.duration()?),
+            ClassKeyword::Priority => ClassSetting::Priority(self.choose(&PriorityName::NAMES)?),
+            ClassKeyword::NotRepeatable => ClassSetting::NotRepeatable,
+            ClassKeyword::Prefer => {
+                self.expect_word("zone")?;
+                ClassSetting::Prefer(self.list(Self::zone)?)
+            }
+            ClassKeyword::Fallback => ClassSetting::Fallback(self.fallback()?),
+            ClassKeyword::Versions => ClassSetting::Versions(self.list(Self::share)?),
+            ClassKeyword::Adapters => ClassSetting::Adapters(self.list(Self::share)?),
+        })
+    }
+
+    fn zone(&mut self) -> Result<Name, Diagnostic> {
+        self.name("a zone's name")
+    }
+
+    fn share(&mut self) -> Result<ShareAst, Diagnostic> {
+        let name = self.name("the name of a version or adapter")?;
+        let percent = self.percent()?;
+        Ok(ShareAst { name, percent })
+    }
+
+    fn fallback(&mut self) -> Result<FallbackAst, Diagnostic> {
+        const KINDS: [(&str, FallbackAst); 3] = [
+            ("zone", FallbackAst::Zones(Vec::new())),
+            ("any", FallbackAst::Any),
+            ("none", FallbackAst::None),
+        ];
+        match self.choose(&KINDS)? {
+            FallbackAst::Zones(_) => self.list(Self::zone).map(FallbackAst::Zones),
+            other => Ok(other),
+        }
+    }
+
+    fn tenant(&mut self) -> Result<TenantAst, Diagnostic> {
+        let name = self.name("a tenant's name")?;
+        let limits = self.block(Self::tenant_limit)?;
+        Ok(TenantAst { name, limits })
+    }
+
+    fn tenant_limit(&mut self) -> Result<TenantLimit, Diagnostic> {
+        type Make = fn(u64) -> TenantLimit;
+        const UNITS: [(&str, (Make, bool)); 3] = [
+            ("requests", (TenantLimit::RequestsPerSecond, true)),
+            ("tokens", (TenantLimit::TokensPerSecond, true)),
+            ("concurrent", (TenantLimit::Concurrent, false)),
+        ];
+        self.expect_word("limit")?;
+        let number = self.number()?;
+        let (make, is_rate) = self.choose(&UNITS)?;
+        if is_rate {
+            self.expect_word("per")?;
+            self.expect_word("s")?;
+        }
+        Ok(make(number))
+    }
+
+    fn pool(&mut self) -> Result<PoolAst, Diagnostic> {
+        let name = self.name("a pool's name")?;
+        let settings = self.block(Self::pool_setting)?;
+        Ok(PoolAst { name, settings })
+    }
+
+    fn pool_setting(&mut self) -> Result<PoolSetting, Diagnostic> {
+        Ok(match self.choose(&POOL_KEYWORDS)? {
+            PoolKeyword::Least => PoolSetting::Least(self.bound_subject()?, self.number()?),
+            PoolKeyword::Most => PoolSetting::Most(self.bound_subject()?, self.number()?),
+            PoolKeyword::Changes => {
+                let count = self.number()?;
+                self.expect_word("per")?;
+                PoolSetting::Changes(count, self.duration()?)
+            }
+            PoolKeyword::ChangeWorth => PoolSetting::ChangeWorth(self.percent()?),
+        })
+    }
+
+    fn bound_subject(&mut self) -> Result<BoundSubject, Diagnostic> {
+        const SUBJECTS: [(&str, Option<Role>); 4] = [
+            ("prefill", Some(Role::Prefill)),
+            ("decode", Some(Role::Decode)),
+            ("mixed", Some(Role::Mixed)),
+            ("model", None),
+        ];
+        match self.choose(&SUBJECTS)? {
+            Some(role) => Ok(BoundSubject::Role(role)),
+            None => self.name("a model's name").map(BoundSubject::Model),
+        }
+    }
+}
