Resources, settings and check: fields, values, hints and positions; both users' examples

Cause: a broken rule was one sentence without field or position, a settings fault had no hint, there were no tenants, versions or adapters among the resources, and no examples to start from.

Ruled out: a position kept with every decoded value (the types would no longer be plain data, and a resource that comes from the store has no file); instead a field is located in the file's text only when a fault is shown.

Change: tenants, owners, versions and adapters as resources and fields; validation in one module for each kind, one pass each, naming resource, field, value, what is allowed and the likely name; names in policies are resolved; referrers of a resource; node settings with a template and a reference; check for settings, resource files and bare policies. Settings gain max_admin_body_bytes and the tenant of an account; two accounts may no longer share a name or a token.

Conclusion: what check accepts is what a node accepts, since both run the same validation.

--- /dev/null
+++ b/crates/cli/src/commands/check/files.rs
@@ -0,0 +1,95 @@
+//! Reads the files that operators write: settings, resources in TOML, and bare policies.
+
+use std::ffi::OsStr;
+use std::path::Path;
+
+use anyhow::Result;
+use tansyhall_config::{Policy, Resource, ResourceFile, ResourceKey, ResourceKind};
+use tansyhall_policy::Diagnostic;
+
+use crate::exit::Usage;
+
+/// Extension of a file that holds one policy, named by the file.
+const POLICY_EXTENSION: &str = "policy";
+/// A key that every settings file has and no resource file.
+const SETTINGS_KEY: &str = "callers";
+
+/// A file with its content.
+pub struct OperatorFile {
+    /// The file's path, as given.
+    pub name: String,
+    /// Its text.
+    pub text: String,
+    /// What it holds.
+    pub kind: FileKind,
+}
+
+/// What a file holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FileKind {
+    /// Settings of a node.
+    Settings,
+    /// Resources in TOML.
+    Resources,
+    /// One policy.
+    Policy,
+}
+
+impl OperatorFile {
+    /// Reads a file.
+    pub fn read(path: &OsStr) -> Result<Self> {
+        let name = path.to_string_lossy().into_owned();
+        let text = std::fs::read_to_string(path).map_err(|e| Usage(format!("{name}: {e}")))?;
+        let kind = kind_of(&name, &text);
+        Ok(Self { name, text, kind })
+    }
+
+    /// The resources of the file; none if it holds settings.
+    pub fn resources(&self) -> Result<Vec<Resource>, Diagnostic> {
+        match self.kind {
+            FileKind::Settings => Ok(Vec::new()),
+            FileKind::Resources => {
+                ResourceFile::parse(&self.text).map(ResourceFile::into_resources)
+            }
+            FileKind::Policy => Ok(vec![self.policy()]),
+        }
+    }
+
+    /// The resource of a bare policy file.
+    fn policy(&self) -> Resource {
+        let stem = Path::new(&self.name).file_stem();
+        let name = stem.map_or_else(String::new, |stem| stem.to_string_lossy().into_owned());
+        Resource::Policy(Policy {
+            name: name.as_str().into(),
+            source: self.text.clone(),
+            tenant: None,
+        })
+    }
+
+    /// Where a resource's field stands in this file, if it is in this file.
+    pub fn locate(&self, key: &ResourceKey, field: &str) -> Option<std::ops::Range<usize>> {
+        match self.kind {
+            FileKind::Settings => None,
+            FileKind::Resources => tansyhall_config::locate(&self.text, key, field),
+            FileKind::Policy => {
+                let is_own = key.kind == ResourceKind::Policy && self.policy().key() == *key;
+                is_own.then_some(0..self.text.len())
+            }
+        }
+    }
+}
+
+fn kind_of(name: &str, text: &str) -> FileKind {
+    if Path::new(name).extension() == Some(OsStr::new(POLICY_EXTENSION)) {
+        return FileKind::Policy;
+    }
+    let has_settings_key = |line: &str| {
+        let key = line.split('=').next().unwrap_or("");
+        line.contains('=') && key.trim() == SETTINGS_KEY
+    };
+    if text.lines().any(has_settings_key) {
+        FileKind::Settings
+    } else {
+        FileKind::Resources
+    }
+}
--- a/crates/cli/src/commands/dev.rs
+++ b/crates/cli/src/commands/dev.rs
@@ -207,6 +207,7 @@
     settings.operators.push(OperatorAccount {
         name: "dev".into(),
         role: OperatorRole::Operator,
+        tenant: None,
         token_sha256: hex::encode(Sha256::digest(TOKEN.as_bytes())),
     });
     Ok(settings)
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -1,13 +1,18 @@
 //! Resource files: TOML with one table array for each kind of resource.
 
 use serde::Deserialize;
+use tansyhall_policy::Diagnostic;
 
-use crate::resource::{Policy, Pool, Resource, Service, Site};
+use crate::resource::{Policy, Pool, Resource, Service, Site, Tenant};
+use crate::syntax;
 
 /// The content of one resource file.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ResourceFile {
+    /// Tenants.
+    #[serde(default)]
+    pub tenant: Vec<Tenant>,
     /// Policies.
     #[serde(default)]
     pub policy: Vec<Policy>,
@@ -24,16 +29,18 @@
 
 impl ResourceFile {
     /// Parses a file.
-    pub fn parse(text: &str) -> Result<Self, toml::de::Error> {
-        toml::from_str(text)
+    pub fn parse(text: &str) -> Result<Self, Diagnostic> {
+        syntax::parse(text)
     }
 
-    /// The resources, each after those it refers to.
+    /// The resources, each after those that its fields refer to.
     pub fn into_resources(self) -> Vec<Resource> {
+        let tenants = self.tenant.into_iter().map(Resource::Tenant);
         let policies = self.policy.into_iter().map(Resource::Policy);
         let sites = self.site.into_iter().map(Resource::Site);
         let services = self.service.into_iter().map(Resource::Service);
         let pools = self.pool.into_iter().map(Resource::Pool);
-        policies.chain(sites).chain(services).chain(pools).collect()
+        let owners = tenants.chain(policies);
+        owners.chain(sites).chain(services).chain(pools).collect()
     }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,13 +5,19 @@
 
 pub mod configuration;
 pub mod file;
+pub mod problem;
 pub mod resource;
 pub mod settings;
+pub mod syntax;
+pub mod validation;
 
-pub use configuration::{Configuration, ConfigurationError, Problem};
+pub use configuration::Configuration;
 pub use file::ResourceFile;
+pub use problem::{ConfigurationError, Problem};
 pub use resource::{
     Backend, Policy, Pool, Resource, ResourceKey, ResourceKind, RoleBounds, Service, ServiceKind,
-    Site,
+    Site, Tenant,
 };
 pub use settings::{NodeSettings, SettingsError};
+pub use syntax::locate;
+pub use validation::Programs;
--- a/crates/config/src/resource.rs
+++ b/crates/config/src/resource.rs
@@ -5,8 +5,23 @@
 
 use serde::{Deserialize, Serialize};
 use tansyhall_core::{
-    EngineName, ModelName, PolicyName, PoolName, Role, ServiceName, SiteName, ZoneName,
+    AdapterName, EngineName, ModelName, PolicyName, PoolName, Role, ServiceName, SiteName,
+    TenantName, VersionName, ZoneName,
 };
+use tansyhall_policy::TenantLimits;
+
+/// A tenant: a team that shares the fleet with others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    /// The tenant's name.
+    pub name: TenantName,
+    /// Who answers for it, such as a person or a mail address.
+    pub owner: String,
+    /// What it may use.
+    #[serde(default)]
+    pub limits: TenantLimits,
+}
 
 /// A site: a place with its zones.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +58,9 @@
     /// The policy that classifies its requests.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub policy: Option<PolicyName>,
+    /// The tenant that owns it; absent if it belongs to the fleet's operators.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<TenantName>,
     /// For applications: the path prefix that callers use.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub path_prefix: Option<String>,
@@ -87,6 +105,12 @@
     /// The model its engines load; required for language-model services.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub model: Option<ModelName>,
+    /// Versions of the model that its engines may load, the usual one first; any if empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub versions: Vec<VersionName>,
+    /// Adapters that its engines may load beside the model.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub adapters: Vec<AdapterName>,
     /// Bounds on roles; roles without a bound are the planner's choice.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub roles: Vec<RoleBounds>,
@@ -100,12 +124,17 @@
     pub name: PolicyName,
     /// The program's text.
     pub source: String,
+    /// The tenant that owns it; absent if it belongs to the fleet's operators.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<TenantName>,
 }
 
 /// The kinds of resource.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ResourceKind {
+    /// [`Tenant`]
+    Tenant,
     /// [`Policy`]
     Policy,
     /// [`Site`]
@@ -117,8 +146,9 @@
 }
 
 impl ResourceKind {
-    /// Every kind, each after the kinds it refers to.
-    pub const ALL: [ResourceKind; 4] = [
+    /// Every kind, each after the kinds that its fields refer to.
+    pub const ALL: [ResourceKind; 5] = [
+        ResourceKind::Tenant,
         ResourceKind::Policy,
         ResourceKind::Site,
         ResourceKind::Service,
@@ -128,6 +158,7 @@
     /// The kind's name in paths and keys.
     pub const fn name(self) -> &'static str {
         match self {
+            ResourceKind::Tenant => "tenant",
             ResourceKind::Policy => "policy",
             ResourceKind::Site => "site",
             ResourceKind::Service => "service",
@@ -150,6 +181,16 @@
     pub name: String,
 }
 
+impl ResourceKey {
+    /// The key of a resource by kind and name.
+    pub fn new(kind: ResourceKind, name: &str) -> Self {
+        Self {
+            kind,
+            name: name.to_owned(),
+        }
+    }
+}
+
 impl fmt::Display for ResourceKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/{}", self.kind.name(), self.name)
@@ -160,6 +201,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
 pub enum Resource {
+    /// A tenant.
+    Tenant(Tenant),
     /// A policy.
     Policy(Policy),
     /// A site.
@@ -174,20 +217,19 @@
     /// The resource's key.
     pub fn key(&self) -> ResourceKey {
         let (kind, name) = match self {
+            Resource::Tenant(tenant) => (ResourceKind::Tenant, tenant.name.as_str()),
             Resource::Policy(policy) => (ResourceKind::Policy, policy.name.as_str()),
             Resource::Site(site) => (ResourceKind::Site, site.name.as_str()),
             Resource::Service(service) => (ResourceKind::Service, service.name.as_str()),
             Resource::Pool(pool) => (ResourceKind::Pool, pool.name.as_str()),
         };
-        ResourceKey {
-            kind,
-            name: name.to_owned(),
-        }
+        ResourceKey::new(kind, name)
     }
 
     /// Decodes a resource of a known kind, whose body does not repeat the kind.
     pub fn from_json(kind: ResourceKind, body: &[u8]) -> Result<Self, serde_json::Error> {
         Ok(match kind {
+            ResourceKind::Tenant => Resource::Tenant(serde_json::from_slice(body)?),
             ResourceKind::Policy => Resource::Policy(serde_json::from_slice(body)?),
             ResourceKind::Site => Resource::Site(serde_json::from_slice(body)?),
             ResourceKind::Service => Resource::Service(serde_json::from_slice(body)?),
@@ -198,6 +240,7 @@
     /// Encodes the resource without its kind.
     pub fn to_json(&self) -> Result<Vec<u8>, serde_json::Error> {
         match self {
+            Resource::Tenant(tenant) => serde_json::to_vec(tenant),
             Resource::Policy(policy) => serde_json::to_vec(policy),
             Resource::Site(site) => serde_json::to_vec(site),
             Resource::Service(service) => serde_json::to_vec(service),
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,25 +1,31 @@
 //! Settings of one node: what it cannot learn from the configuration that it fetches.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tansyhall_core::id::check_name;
-use tansyhall_core::{NodeId, ZoneName};
+use tansyhall_core::{NodeId, TenantName, ZoneName};
+use tansyhall_policy::Diagnostic;
+
+use crate::syntax;
 
 /// Settings that cannot be used.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum SettingsError {
     /// The file does not parse.
-    #[error("{file}: {message}")]
+    #[error("{}", .fault.render(.file, .text))]
     Syntax {
         /// The file.
         file: String,
-        /// The parser's words, with position.
-        message: String,
+        /// Its content.
+        text: String,
+        /// The fault, with position.
+        fault: Box<Diagnostic>,
     },
     /// A value is not allowed.
-    #[error("{file}: {key} = {value}: {allowed}")]
+    #[error("{file}: {key} = {value} is not allowed; allowed: {allowed}")]
     Value {
         /// The file.
         file: String,
@@ -83,6 +89,9 @@
     pub name: String,
     /// What it may do.
     pub role: OperatorRole,
+    /// The tenant whose resources it may see and change; every resource if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<TenantName>,
     /// SHA-256 of the bearer token, in hexadecimal; the token itself is stored nowhere.
     pub token_sha256: String,
 }
@@ -93,6 +102,8 @@
 pub struct Limits {
     /// Largest request body accepted from a caller, in bytes.
     pub max_body_bytes: usize,
+    /// Largest request body accepted from an operator, in bytes.
+    pub max_admin_body_bytes: usize,
     /// Most requests in progress at once; more are answered `not-run` at once.
     pub max_requests: usize,
     /// Most attempts for one request.
@@ -112,6 +123,7 @@
     fn default() -> Self {
         Self {
             max_body_bytes: 4 << 20,
+            max_admin_body_bytes: 4 << 20,
             max_requests: 10_000,
             max_attempts: 3,
             connect_timeout: Duration::from_millis(500),
@@ -156,77 +168,122 @@
     }
 }
 
+/// Hexadecimal digits of a SHA-256 hash.
+const SHA256_DIGITS: usize = 64;
 /// Most worker threads.
 const MAX_THREADS: usize = 256;
 
 impl NodeSettings {
     /// Parses and validates settings; `file` names the source in errors.
     pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let settings: Self = toml::from_str(text).map_err(|error| SettingsError::Syntax {
+        let settings: Self = syntax::parse(text).map_err(|fault| SettingsError::Syntax {
             file: file.to_owned(),
-            message: error.to_string(),
+            text: text.to_owned(),
+            fault: Box::new(fault),
         })?;
         settings.validate(file)?;
         Ok(settings)
     }
 
-    /// Checks every value.
+    /// Checks every value; reports the first that is not allowed.
     pub fn validate(&self, file: &str) -> Result<(), SettingsError> {
-        let refuse = |key, value: String, allowed| {
-            Err(SettingsError::Value {
-                file: file.to_owned(),
-                key,
-                value,
-                allowed,
-            })
-        };
-        if check_name(self.name.as_str()).is_err() {
-            return refuse(
-                "name",
-                self.name.to_string(),
-                "1 to 63 of a-z A-Z 0-9 . _ -",
-            );
-        }
-        if check_name(self.zone.as_str()).is_err() {
-            return refuse(
-                "zone",
-                self.zone.to_string(),
-                "1 to 63 of a-z A-Z 0-9 . _ -",
-            );
-        }
-        if !(1..=MAX_THREADS).contains(&self.threads) {
-            return refuse("threads", self.threads.to_string(), "1 to 256");
-        }
+        self.validate_names(file)?;
+        self.validate_operators(file)?;
+        self.validate_limits(file)?;
+        self.validate_authority(file)
+    }
+
+    fn validate_names(&self, file: &str) -> Result<(), SettingsError> {
+        const NAME_RULE: &str = "1 to 63 of a-z A-Z 0-9 . _ -";
+        let is_name = |name: &str| check_name(name).is_ok();
+        let (name, zone) = (self.name.as_str(), self.zone.as_str());
+        require(is_name(name), file, "name", name, NAME_RULE)?;
+        require(is_name(zone), file, "zone", zone, NAME_RULE)?;
+        let threads = (1..=MAX_THREADS).contains(&self.threads);
+        require(threads, file, "threads", self.threads, "1 to 256")
+    }
+
+    fn validate_operators(&self, file: &str) -> Result<(), SettingsError> {
+        let mut names = HashSet::new();
+        let mut tokens = HashSet::new();
         for account in &self.operators {
-            let is_hash = hex_digits(&account.token_sha256) && account.token_sha256.len() == 64;
-            if !is_hash {
-                let value = format!("(of {})", account.name);
-                return refuse("operators.token_sha256", value, "64 hexadecimal digits");
-            }
+            let name = account.name.as_str();
+            let key = "operators.name";
+            require(check_name(name).is_ok(), file, key, name, "a name")?;
+            require(names.insert(name), file, key, name, "each name once")?;
+            let hash = account.token_sha256.as_str();
+            let is_hash = hash.len() == SHA256_DIGITS && hex_digits(hash);
+            let of_account = format!("(of {name})");
+            let key = "operators.token_sha256";
+            require(is_hash, file, key, &of_account, "64 hexadecimal digits")?;
+            let is_new = tokens.insert(hash.to_ascii_lowercase());
+            require(
+                is_new,
+                file,
+                key,
+                &of_account,
+                "a token of its own for each account",
+            )?;
         }
-        if self.limits.max_requests == 0 {
-            return refuse("limits.max_requests", "0".into(), "1 or more");
+        Ok(())
+    }
+
+    fn validate_limits(&self, file: &str) -> Result<(), SettingsError> {
+        let limits = &self.limits;
+        let sizes = [
+            ("limits.max_body_bytes", limits.max_body_bytes),
+            ("limits.max_admin_body_bytes", limits.max_admin_body_bytes),
+            ("limits.max_requests", limits.max_requests),
+            ("limits.max_attempts", limits.max_attempts as usize),
+        ];
+        for (key, value) in sizes {
+            require(value > 0, file, key, value, "1 or more")?;
         }
-        if self.limits.max_attempts == 0 {
-            return refuse("limits.max_attempts", "0".into(), "1 or more");
+        let times = [
+            ("limits.connect_timeout", limits.connect_timeout),
+            ("limits.platform_timeout", limits.platform_timeout),
+            ("limits.drain_timeout", limits.drain_timeout),
+            ("authority.renewal", self.authority.renewal),
+            ("authority.plan_period", self.authority.plan_period),
+        ];
+        for (key, value) in times {
+            let shown = humantime_serde::re::humantime::format_duration(value);
+            require(
+                !value.is_zero(),
+                file,
+                key,
+                shown,
+                "a time above zero, such as 2s",
+            )?;
         }
-        self.validate_authority(file)
+        Ok(())
     }
 
     fn validate_authority(&self, file: &str) -> Result<(), SettingsError> {
         let authority = &self.authority;
-        if authority.renewal + authority.margin < authority.lease {
-            return Ok(());
-        }
-        let value = format!("{:?}", authority.lease);
+        let holds = authority.renewal + authority.margin < authority.lease;
+        let shown = humantime_serde::re::humantime::format_duration(authority.lease);
         let allowed = "more than authority.renewal and authority.margin together";
-        Err(SettingsError::Value {
-            file: file.to_owned(),
-            key: "authority.lease",
-            value,
-            allowed,
-        })
+        require(holds, file, "authority.lease", shown, allowed)
+    }
+}
+
+fn require(
+    holds: bool,
+    file: &str,
+    key: &'static str,
+    value: impl std::fmt::Display,
+    allowed: &'static str,
+) -> Result<(), SettingsError> {
+    if holds {
+        return Ok(());
     }
+    Err(SettingsError::Value {
+        file: file.to_owned(),
+        key,
+        value: value.to_string(),
+        allowed,
+    })
 }
 
 fn hex_digits(text: &str) -> bool {
--- /dev/null
+++ b/crates/config/src/validation/policies.rs
@@ -0,0 +1,166 @@
+//! Policies: they compile, and every name in them exists.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use tansyhall_policy::{Bounded, Diagnostic, Program, Reference, ReferenceKind};
+
+use super::{check_exists, Programs};
+use crate::configuration::Configuration;
+use crate::problem::Problem;
+use crate::resource::{Policy, ResourceKey, ResourceKind};
+
+/// Every name that a program may refer to.
+struct KnownNames<'a> {
+    configuration: &'a Configuration,
+    zones: BTreeSet<&'a str>,
+    models: BTreeSet<&'a str>,
+    versions: BTreeSet<&'a str>,
+    adapters: BTreeSet<&'a str>,
+}
+
+impl<'a> KnownNames<'a> {
+    fn new(configuration: &'a Configuration) -> Self {
+        let pools = || configuration.pools.values();
+        let models = pools().filter_map(|pool| pool.model.as_ref());
+        let versions = pools().flat_map(|pool| &pool.versions);
+        let adapters = pools().flat_map(|pool| &pool.adapters);
+        Self {
+            configuration,
+            zones: configuration.zones(),
+            models: models.map(|model| model.as_str()).collect(),
+            versions: versions.map(|version| version.as_str()).collect(),
+            adapters: adapters.map(|adapter| adapter.as_str()).collect(),
+        }
+    }
+
+    fn contains(&self, kind: ReferenceKind, name: &str) -> bool {
+        match kind {
+            ReferenceKind::Service => self.configuration.services.contains_key(&name.into()),
+            ReferenceKind::Tenant => self.configuration.tenants.contains_key(&name.into()),
+            ReferenceKind::Pool => self.configuration.pools.contains_key(&name.into()),
+            ReferenceKind::Zone => self.zones.contains(name),
+            ReferenceKind::Model => self.models.contains(name),
+            ReferenceKind::Version => self.versions.contains(name),
+            ReferenceKind::Adapter => self.adapters.contains(name),
+        }
+    }
+
+    fn names(&self, kind: ReferenceKind) -> Box<dyn Iterator<Item = &str> + '_> {
+        match kind {
+            ReferenceKind::Service => self.configuration.names(ResourceKind::Service),
+            ReferenceKind::Tenant => self.configuration.names(ResourceKind::Tenant),
+            ReferenceKind::Pool => self.configuration.names(ResourceKind::Pool),
+            ReferenceKind::Zone => Box::new(self.zones.iter().copied()),
+            ReferenceKind::Model => Box::new(self.models.iter().copied()),
+            ReferenceKind::Version => Box::new(self.versions.iter().copied()),
+            ReferenceKind::Adapter => Box::new(self.adapters.iter().copied()),
+        }
+    }
+}
+
+pub(super) fn check(configuration: &Configuration, problems: &mut Vec<Problem>) -> Programs {
+    let names = KnownNames::new(configuration);
+    let mut programs = Programs::new();
+    for policy in configuration.policies.values() {
+        check_tenant(configuration, policy, problems);
+        match tansyhall_policy::compile_all(&policy.source) {
+            Ok(program) => {
+                check_references(&names, policy, &program, problems);
+                check_pool_sizes(configuration, policy, &program, problems);
+                programs.insert(policy.name.clone(), Arc::new(program));
+            }
+            Err(faults) => {
+                let faults = faults.into_iter();
+                problems.extend(faults.map(|fault| problem_of(policy, fault)));
+            }
+        }
+    }
+    programs
+}
+
+fn key(policy: &Policy) -> ResourceKey {
+    ResourceKey::new(ResourceKind::Policy, policy.name.as_str())
+}
+
+fn check_tenant(configuration: &Configuration, policy: &Policy, problems: &mut Vec<Problem>) {
+    let Some(tenant) = &policy.tenant else { return };
+    let missing = || {
+        let message = "no tenant has this name";
+        Problem::new(
+            key(policy),
+            "tenant",
+            tenant,
+            message,
+            "the name of a tenant",
+        )
+    };
+    let exists = configuration.tenants.contains_key(tenant);
+    check_exists(
+        problems,
+        missing,
+        exists,
+        configuration.names(ResourceKind::Tenant),
+    );
+}
+
+fn problem_of(policy: &Policy, fault: Diagnostic) -> Problem {
+    let value = policy.source.get(fault.span.clone()).unwrap_or("");
+    Problem {
+        hint: fault.hint,
+        span: Some(fault.span),
+        ..Problem::new(key(policy), "source", value, fault.message, fault.expected)
+    }
+}
+
+fn check_references(
+    names: &KnownNames<'_>,
+    policy: &Policy,
+    program: &Program,
+    problems: &mut Vec<Problem>,
+) {
+    for Reference { kind, name, span } in program.references() {
+        let missing = || Problem {
+            span: Some(span.clone()),
+            ..Problem::new(
+                key(policy),
+                "source",
+                name,
+                format!("no {kind} has this name"),
+                format!("the name of a {kind} in the configuration"),
+            )
+        };
+        check_exists(
+            problems,
+            missing,
+            names.contains(*kind, name),
+            names.names(*kind),
+        );
+    }
+}
+
+fn check_pool_sizes(
+    configuration: &Configuration,
+    policy: &Policy,
+    program: &Program,
+    problems: &mut Vec<Problem>,
+) {
+    for (name, bounds) in program.pools() {
+        let Some(pool) = configuration.pools.get(name) else {
+            continue;
+        };
+        let engines = pool.backends.len() as u64;
+        let is_role = |subject: &Bounded| matches!(subject, Bounded::Role(_));
+        let roles = bounds
+            .engines
+            .iter()
+            .filter(|bound| is_role(&bound.subject));
+        let least = roles.fold(0_u64, |sum, bound| sum.saturating_add(bound.least));
+        if least > engines {
+            let message =
+                format!("the least of pool {name}'s roles add up to more than its engines");
+            let allowed = format!("a sum of at most {engines}");
+            problems.push(Problem::new(key(policy), "source", least, message, allowed));
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/tests/settings.rs
@@ -0,0 +1,125 @@
+//! Node settings: the template, defaults, and what is refused.
+
+use tansyhall_config::NodeSettings;
+
+const TEMPLATE: &str = include_str!("../../../examples/settings/node.toml");
+
+/// The template with every default written out.
+fn with_defaults() -> String {
+    let uncomment = |line: &str| match line.strip_prefix("# ") {
+        Some(setting) if setting.contains(" = ") => setting.to_owned(),
+        _ => line.to_owned(),
+    };
+    let lines: Vec<String> = TEMPLATE.lines().map(uncomment).collect();
+    lines.join("\n")
+}
+
+#[test]
+fn the_template_shows_every_default() {
+    let bare = NodeSettings::parse("node.toml", TEMPLATE).expect("the template is valid");
+    let full = NodeSettings::parse("node.toml", &with_defaults()).expect("the defaults are valid");
+    assert_eq!(format!("{bare:?}"), format!("{full:?}"));
+}
+
+#[test]
+fn the_template_and_the_reference_name_every_key() {
+    let settings = NodeSettings::parse("node.toml", TEMPLATE).expect("the template is valid");
+    let value = serde_json::to_value(&settings).expect("settings are plain data");
+    let reference = include_str!("../../../docs/settings.md");
+    let mut objects = vec![("", &value), ("limits.", &value["limits"])];
+    objects.push(("authority.", &value["authority"]));
+    for (prefix, object) in objects {
+        for key in object.as_object().expect("an object").keys() {
+            assert!(
+                TEMPLATE.contains(key.as_str()),
+                "the template lacks {prefix}{key}"
+            );
+            let full = format!("`{prefix}{key}`");
+            let is_table = object[key].is_object() || key == "operators";
+            assert!(
+                is_table || reference.contains(&full),
+                "docs/settings.md lacks {full}"
+            );
+        }
+    }
+}
+
+/// What is replaced by what, and what the error names.
+const REFUSED: &[(&str, &str, &[&str])] = &[
+    (
+        "zone = \"kalimati\"",
+        "zone = \"a b\"",
+        &["zone = a b", "a-z"],
+    ),
+    ("threads = 4", "threads = 0", &["threads = 0", "1 to 256"]),
+    (
+        "threads = 4",
+        "thread = 4",
+        &["node.toml:", "did you mean 'threads'?"],
+    ),
+    (
+        "max_attempts = 3",
+        "max_attempts = 0",
+        &["limits.max_attempts = 0", "1 or more"],
+    ),
+    (
+        "lease = \"6s\"",
+        "lease = \"3s\"",
+        &["authority.lease = 3s", "authority.renewal"],
+    ),
+    (
+        "drain_timeout = \"2m\"",
+        "drain_timeout = \"0s\"",
+        &["limits.drain_timeout", "above zero"],
+    ),
+    (
+        "renewal = \"2s\"",
+        "renewal = \"2 lightyears\"",
+        &["node.toml:", "lightyears"],
+    ),
+    (
+        "role = \"operator\"",
+        "role = \"operater\"",
+        &["did you mean 'operator'?"],
+    ),
+    (
+        "2bb80d",
+        "zzzzzz",
+        &["operators.token_sha256", "64 hexadecimal digits"],
+    ),
+    (
+        "callers = \"10.20.1.5:8080\"",
+        "callers = \"localhost:80\"",
+        &["node.toml:", "callers"],
+    ),
+];
+
+#[test]
+fn an_error_names_file_key_value_and_what_is_allowed() {
+    let text = with_defaults();
+    for (from, to, named) in REFUSED {
+        assert!(text.contains(from), "{from}");
+        let refused = NodeSettings::parse("node.toml", &text.replacen(from, to, 1));
+        let error = refused.expect_err(to).to_string();
+        for part in named.iter().chain(&["node.toml"]) {
+            assert!(error.contains(part), "{to}: {error}");
+        }
+    }
+}
+
+#[test]
+fn two_accounts_share_neither_name_nor_token() {
+    let hash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
+    for (name, token) in [
+        ("on-call", &hash.replace('2', "3")),
+        ("other", &hash.to_owned()),
+    ] {
+        let account =
+            format!("[[operators]]\nname = '{name}'\nrole = 'viewer'\ntoken_sha256 = '{token}'\n");
+        let text = TEMPLATE.replace("[limits]", &format!("{account}[limits]"));
+        assert!(
+            NodeSettings::parse("node.toml", &text).is_err(),
+            "{account}"
+        );
+    }
+}
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -107,6 +107,14 @@
     /// A model, with its version and adapter named separately.
     ModelName
 );
+name_type!(
+    /// A version of a model's weights.
+    VersionName
+);
+name_type!(
+    /// An adapter that an engine loads beside a model.
+    AdapterName
+);
 name_type!(
     /// A policy program.
     PolicyName
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,8 +11,8 @@
 pub mod verdict;
 
 pub use id::{
-    EngineName, Incarnation, ModelName, NodeId, OperatorName, PolicyName, PoolName, RequestId,
-    ServiceName, SiteName, TenantName, ZoneName,
+    AdapterName, EngineName, Incarnation, ModelName, NodeId, OperatorName, PolicyName, PoolName,
+    RequestId, ServiceName, SiteName, TenantName, VersionName, ZoneName,
 };
 pub use role::Role;
 pub use sharded::Sharded;
--- a/crates/node/src/configuration/in_force.rs
+++ b/crates/node/src/configuration/in_force.rs
@@ -1,10 +1,9 @@
 //! The configuration in force at this node, with its policies compiled.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
-use tansyhall_config::{Configuration, ConfigurationError, Pool, Service, ServiceKind};
-use tansyhall_core::{ModelName, PolicyName, ServiceName};
+use tansyhall_config::{Configuration, ConfigurationError, Pool, Programs, Service, ServiceKind};
+use tansyhall_core::{ModelName, ServiceName};
 use tansyhall_policy::Program;
 
 /// A validated configuration, ready to route by.
@@ -12,19 +11,14 @@
 pub struct InForce {
     /// The resources.
     pub configuration: Configuration,
-    programs: HashMap<PolicyName, Arc<Program>>,
+    programs: Programs,
     fallback: Arc<Program>,
 }
 
 impl InForce {
     /// Validates and compiles a configuration.
     pub fn new(configuration: Configuration) -> Result<Self, ConfigurationError> {
-        configuration.validate()?;
-        let programs = configuration.policies.values().filter_map(|policy| {
-            let program = tansyhall_policy::compile(&policy.source).ok()?;
-            Some((policy.name.clone(), Arc::new(program)))
-        });
-        let programs = programs.collect();
+        let programs = configuration.compile()?;
         Ok(Self {
             configuration,
             programs,
