Administration API and ctl: entity tags needed, scopes of tenants, audit, explain, OpenAPI

Cause: a PUT without If-Match overwrote whatever was there; deletion of a resource in use was told as a broken rule of another resource; accounts saw everything; nobody could see who changed what; and apply overwrote another operator's change. A test of diff also showed that a service in JSON had two keys 'kind', its own and the resource's tag, of which readers keep one.

Ruled out: a whole-configuration entity tag for apply (unrelated changes would conflict); an audit trail in each node's memory (gone with the machine): the head of the configuration holds the last 64 changes with account and time, and serves to find out about lost answers as before. After a lost answer the head's revision is no longer given as the tag when another change came after it: it would let the caller overwrite that change unseen.

Change: 428 without If-Match, 412 with what is there now, 409 naming the referrers, dry run with effects, list filters, apply at an expected revision, GET configuration, audit, explain, status with pools desired and observed, members (a seam) and staleness; tenants' accounts see and change their own resources only, never limits or others' pools; an OpenAPI document by utoipa; ctl apply, diff, get, delete, status, plan, policy explain and format, audit, with documented exit codes. The tag of a resource in JSON is now 'type'.

Before/after: crates/cli/tests/operators_admin runs a platform and two nodes as processes: 15 tests, among them eight rounds of two operators racing through two nodes (one 200, one 412 showing the winner's content each time) and a write whose answer is lost (one audit entry, a true tag).

Conclusion: no change is made over something that its author has not seen, unless a file is applied through the API without an expected revision; ctl always sends one.

--- a/crates/cli/src/commands/ctl/mod.rs
+++ b/crates/cli/src/commands/ctl/mod.rs
@@ -1,40 +1,22 @@
 //! `tansyhall ctl`: the operators' command line, a client of any node's administration API.
 
+mod api;
+mod apply;
+mod command;
+mod table;
+
+use std::ffi::OsString;
 use std::process::ExitCode;
-use std::time::Duration;
 
-use anyhow::{bail, Context, Result};
+use anyhow::Result;
 use awc::http::Method;
-use comfy_table::{presets, Table};
 use pico_args::Arguments;
 use serde_json::Value;
 
-use crate::exit::{self, Usage};
-
-const HELP: &str = "\
-Operate a fleet through any node's administration API.
-
-USAGE:
-  tansyhall ctl [OPTIONS] apply FILE [--dry-run]   create or replace the file's resources, all or none
-  tansyhall ctl [OPTIONS] get KIND [NAME]          list resources, or show one
-  tansyhall ctl [OPTIONS] delete KIND NAME         delete a resource
-  tansyhall ctl [OPTIONS] status                   what the node has in force and observes
-
-OPTIONS:
-  --node IP:PORT   a node's administration address (or TANSYHALL_NODE)
-  --token TOKEN    bearer token (or TANSYHALL_TOKEN)
-  --json           the API's JSON instead of tables
-
-KINDS: policy, site, service, pool
-";
-
-const TIMEOUT: Duration = Duration::from_secs(15);
-
-struct Api {
-    node: String,
-    token: String,
-    json: bool,
-}
+use crate::exit::Usage;
+use api::{Api, Call, CallError};
+use command::{Command, Options, HELP};
+use table::{cell, print_items};
 
 /// Runs the command.
 pub fn run(mut arguments: Arguments) -> Result<ExitCode> {
@@ -42,160 +24,273 @@
         print!("{HELP}");
         return Ok(ExitCode::SUCCESS);
     }
-    let option = |value: Option<String>, variable: &str, name: &str| {
-        let value = value.or_else(|| std::env::var(variable).ok());
-        value
-            .with_context(|| format!("{name} or {variable} is needed"))
-            .map_err(|error| anyhow::Error::new(Usage(error.to_string())))
+    let options = Options::take(&mut arguments)?;
+    let command = Command::take(arguments)?;
+    if let Command::Format(path) = &command {
+        return format(path);
+    }
+    let ctl = Ctl {
+        api: Api {
+            node: required(options.node, "TANSYHALL_NODE", "--node")?,
+            token: required(options.token, "TANSYHALL_TOKEN", "--token")?,
+        },
+        json: options.json,
     };
-    let node = arguments.opt_value_from_str("--node")?;
-    let token = arguments.opt_value_from_str("--token")?;
-    let api = Api {
-        node: option(node, "TANSYHALL_NODE", "--node")?,
-        token: option(token, "TANSYHALL_TOKEN", "--token")?,
-        json: arguments.contains("--json"),
+    let outcome = actix_rt::System::new().block_on(ctl.run(command));
+    let Err(error) = outcome else {
+        return Ok(ExitCode::SUCCESS);
     };
-    let dry_run = arguments.contains("--dry-run");
-    let command: String = arguments.free_from_str()?;
-    let first: Option<String> = arguments.opt_free_from_str()?;
-    let second: Option<String> = arguments.opt_free_from_str()?;
-    exit::finish(arguments)?;
-    actix_rt::System::new().block_on(async move {
-        match (command.as_str(), first, second) {
-            ("apply", Some(file), None) => api.apply(&file, dry_run).await,
-            ("get", Some(kind), None) => api.list(&kind).await,
-            ("get", Some(kind), Some(name)) => api.show(&format!("/admin/v1/{kind}/{name}")).await,
-            ("delete", Some(kind), Some(name)) => {
-                let path = format!("/admin/v1/{kind}/{name}");
-                api.call(Method::DELETE, &path, String::new())
-                    .await
-                    .map(|value| print(&value))
-            }
-            ("status", None, None) => api.status().await,
-            _ => bail!(Usage("unknown command; see tansyhall ctl --help".into())),
+    match error.downcast_ref::<CallError>() {
+        Some(refused) => {
+            eprintln!("tansyhall: {refused}");
+            Ok(refused.exit_code())
         }
-    })?;
-    Ok(ExitCode::SUCCESS)
+        None => Err(error),
+    }
 }
 
-fn print(value: &Value) {
-    println!("{value:#}");
+fn required(value: Option<String>, variable: &str, name: &str) -> Result<String> {
+    let value = value.or_else(|| std::env::var(variable).ok());
+    let missing = || Usage(format!("{name} or {variable} is needed"));
+    Ok(value.ok_or_else(missing)?)
 }
 
-fn cell(value: &Value) -> String {
-    match value {
-        Value::String(text) => text.clone(),
-        Value::Null => String::new(),
-        Value::Array(items) => {
-            let cells: Vec<String> = items.iter().map(cell).collect();
-            cells.join(", ")
-        }
-        Value::Object(fields) => fields.get("name").map_or_else(|| value.to_string(), cell),
-        other => other.to_string(),
-    }
+fn read_text(path: &OsString) -> Result<String> {
+    let name = path.to_string_lossy();
+    Ok(std::fs::read_to_string(path).map_err(|error| Usage(format!("{name}: {error}")))?)
 }
 
-fn print_table(items: &[Value], columns: &[&str]) {
-    let mut table = Table::new();
-    table.load_style(presets::NOTHING).set_header(columns);
-    for item in items {
-        table.add_row(columns.iter().map(|column| cell(&item[*column])));
-    }
-    println!("{table}");
+fn format(path: &OsString) -> Result<ExitCode> {
+    let text = read_text(path)?;
+    let name = path.to_string_lossy();
+    let fault = |fault: tansyhall_policy::Diagnostic| Usage(fault.render(&name, &text));
+    print!(
+        "{}",
+        tansyhall_policy::format::format(&text).map_err(fault)?
+    );
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_json(value: &impl serde::Serialize) -> Result<()> {
+    println!("{}", serde_json::to_string_pretty(value)?);
+    Ok(())
 }
 
-impl Api {
-    async fn call(&self, method: Method, path: &str, body: String) -> Result<Value> {
-        let url = format!("http://{}{path}", self.node);
-        let client = awc::Client::builder().timeout(TIMEOUT).finish();
-        let request = client.request(method, url).bearer_auth(&self.token);
-        let mut response = request
-            .send_body(body)
-            .await
-            .map_err(|error| anyhow::anyhow!("no answer from {}: {error}", self.node))?;
-        let bytes = response.body().limit(64 << 20).await?;
-        let value: Value = serde_json::from_slice(&bytes)
-            .unwrap_or_else(|_| Value::String(String::from_utf8_lossy(&bytes).into_owned()));
-        if response.status().is_success() {
-            return Ok(value);
+struct Ctl {
+    api: Api,
+    json: bool,
+}
+
+impl Ctl {
+    async fn run(&self, command: Command) -> Result<()> {
+        match command {
+            Command::Apply {
+                files,
+                dry_run,
+                revision,
+            } => self.apply(&files, dry_run, revision).await,
+            Command::Diff(files) => self.diff(&files).await,
+            Command::List(kind) => self.list(&kind).await,
+            Command::Get(kind, name) => self.get(&kind, &name).await,
+            Command::Delete {
+                kind,
+                name,
+                revision,
+            } => self.delete(&kind, &name, revision).await,
+            Command::Status => self.status().await,
+            Command::Plan => self.plan().await,
+            Command::Explain(file) => self.explain(&file).await,
+            Command::Audit => self.audit().await,
+            Command::Format(_) => Ok(()),
         }
-        let message = value["error"]["message"]
-            .as_str()
-            .map_or(value.to_string(), str::to_owned);
-        bail!("{}: {message}", response.status())
     }
 
-    async fn show(&self, path: &str) -> Result<()> {
-        self.call(Method::GET, path, String::new())
-            .await
-            .map(|value| print(&value))
+    async fn apply(&self, files: &[OsString], dry_run: bool, revision: Option<u64>) -> Result<()> {
+        let resources = apply::read_files(files)?;
+        let diff = apply::diff(&self.api, &resources).await?;
+        let revision = revision.unwrap_or(diff.revision);
+        let answer = apply::apply(&self.api, resources, revision, dry_run).await?;
+        if self.json {
+            return print_json(&answer);
+        }
+        diff.print();
+        match (dry_run, answer["revision"].as_u64()) {
+            (true, _) => println!("would be accepted; nothing was changed"),
+            (false, Some(revision)) => println!("accepted at revision {revision}"),
+            (false, None) => println!("accepted; another change came after it"),
+        }
+        Ok(())
     }
 
-    async fn apply(&self, file: &str, dry_run: bool) -> Result<()> {
-        let text = std::fs::read_to_string(file).map_err(|e| Usage(format!("{file}: {e}")))?;
-        let path = if dry_run {
-            "/admin/v1/apply?dry-run"
-        } else {
-            "/admin/v1/apply"
-        };
-        let value = self.call(Method::POST, path, text).await?;
+    async fn diff(&self, files: &[OsString]) -> Result<()> {
+        let resources = apply::read_files(files)?;
+        let diff = apply::diff(&self.api, &resources).await?;
         if self.json {
-            print(&value);
-        } else if dry_run {
-            println!("{file} would be accepted");
-        } else {
-            println!("{file} is accepted at revision {}", value["revision"]);
+            return print_json(&diff);
         }
+        diff.print();
         Ok(())
     }
 
     async fn list(&self, kind: &str) -> Result<()> {
-        let value = self
-            .call(Method::GET, &format!("/admin/v1/{kind}"), String::new())
-            .await?;
+        let value = self.api.read(&format!("/admin/v1/{kind}")).await?;
         if self.json {
-            print(&value);
-            return Ok(());
+            return print_json(&value);
         }
         let columns: &[&str] = match kind {
+            "tenant" => &["name", "owner", "limits"],
+            "policy" => &["name", "tenant"],
             "site" => &["name", "region", "zones"],
-            "service" => &["name", "site", "kind", "policy", "path_prefix"],
-            "pool" => &["name", "service", "zone", "model", "backends"],
+            "service" => &["name", "site", "kind", "policy", "tenant", "path_prefix"],
+            "pool" => &["name", "service", "zone", "model", "versions", "backends"],
             _ => &["name"],
         };
-        print_table(
-            value["items"].as_array().map_or(&[], Vec::as_slice),
-            columns,
-        );
+        print_items(&value["items"], columns);
+        Ok(())
+    }
+
+    async fn get(&self, kind: &str, name: &str) -> Result<()> {
+        let path = format!("/admin/v1/{kind}/{name}");
+        let answer = self.api.call(Call::get(&path)).await?;
+        if !self.json {
+            let tag = answer.entity_tag.unwrap_or_default();
+            println!("{kind}/{name} at revision {}", tag.trim_matches('"'));
+        }
+        print_json(&answer.value)
+    }
+
+    async fn delete(&self, kind: &str, name: &str, revision: Option<u64>) -> Result<()> {
+        let path = format!("/admin/v1/{kind}/{name}");
+        let tag = match revision {
+            Some(revision) => Some(format!("\"{revision}\"")),
+            None => self.api.call(Call::get(&path)).await?.entity_tag,
+        };
+        let call = Call {
+            if_match: tag,
+            ..Call::new(Method::DELETE, &path)
+        };
+        let answer = self.api.call(call).await?;
+        if self.json {
+            return print_json(&answer.value);
+        }
+        println!("{kind}/{name} is deleted");
         Ok(())
     }
 
     async fn status(&self) -> Result<()> {
-        let value = self
-            .call(Method::GET, "/admin/v1/status", String::new())
-            .await?;
+        let status = self.api.read("/admin/v1/status").await?;
         if self.json {
-            print(&value);
-            return Ok(());
+            return print_json(&status);
         }
         println!(
-            "node {} in zone {}, configuration revision {}",
-            cell(&value["node"]),
-            cell(&value["zone"]),
-            value["configuration_revision"]
+            "node {} in zone {}: configuration revision {}, seen in the store {} ms ago",
+            cell(&status["node"]),
+            cell(&status["zone"]),
+            status["configuration_revision"],
+            status["configuration_seen_millis_ago"],
         );
-        let engines = value["engines"].as_array().map_or(&[][..], Vec::as_slice);
-        print_table(
-            engines,
-            &[
-                "engine",
-                "role",
-                "model",
-                "requests",
-                "draining",
-                "fence_token",
-            ],
+        println!("\nOTHER NODES");
+        let members = ["node", "zone", "configuration_revision", "heard_millis_ago"];
+        print_items(&status["members"], &members);
+        self.print_pools(&status);
+        println!("\nENGINES");
+        let engines = [
+            "engine",
+            "role",
+            "model",
+            "version",
+            "requests",
+            "draining",
+            "fence_token",
+        ];
+        print_items(&status["engines"], &engines);
+        Ok(())
+    }
+
+    async fn plan(&self) -> Result<()> {
+        let status = self.api.read("/admin/v1/status").await?;
+        if self.json {
+            return print_json(&status["pools"]);
+        }
+        self.print_pools(&status);
+        Ok(())
+    }
+
+    fn print_pools(&self, status: &Value) {
+        println!("\nPOOLS (desired: model, bounds; observed: roles, draining, other_model)");
+        let columns = [
+            "pool",
+            "zone",
+            "model",
+            "bounds",
+            "backends",
+            "unobserved",
+            "roles",
+            "draining",
+            "other_model",
+            "settled",
+        ];
+        print_items(&status["pools"], &columns);
+    }
+
+    async fn explain(&self, file: &OsString) -> Result<()> {
+        let text = read_text(file)?;
+        let request: Value = match serde_json::from_str(&text) {
+            Ok(request) => request,
+            Err(_) => toml::from_str(&text).map_err(|fault| {
+                Usage(format!(
+                    "{}: neither JSON nor TOML: {fault}",
+                    file.to_string_lossy()
+                ))
+            })?,
+        };
+        let call = Call {
+            body: request.to_string(),
+            ..Call::new(Method::POST, "/admin/v1/explain")
+        };
+        let answer = self.api.call(call).await?.value;
+        if self.json {
+            return print_json(&answer);
+        }
+        println!(
+            "class {} of policy {}, revision {}",
+            cell(&answer["class"]),
+            cell(&answer["policy"]),
+            answer["revision"]
         );
+        let settings = [
+            "deadline_millis",
+            "priority",
+            "repeatable",
+            "prefer",
+            "fallback",
+        ];
+        for setting in settings.into_iter().chain(["versions", "adapters"]) {
+            println!("  {setting}: {}", cell(&answer[setting]));
+        }
+        println!("because, in this order:");
+        print_items(&answer["tests"], &["class", "test", "held"]);
+        Ok(())
+    }
+
+    async fn audit(&self) -> Result<()> {
+        let answer = self.api.read("/admin/v1/audit").await?;
+        if self.json {
+            return print_json(&answer);
+        }
+        let entries = answer["entries"].as_array().map_or(&[][..], Vec::as_slice);
+        let rows = entries.iter().map(|entry| {
+            let millis = entry["at_unix_millis"].as_u64().unwrap_or(0);
+            let at = std::time::UNIX_EPOCH + std::time::Duration::from_millis(millis);
+            let at = humantime::format_rfc3339_millis(at).to_string();
+            vec![
+                at,
+                cell(&entry["account"]),
+                cell(&entry["resources"]),
+                cell(&entry["more"]),
+            ]
+        });
+        table::print_rows(&["at", "account", "resources", "more"], rows);
         Ok(())
     }
 }
--- /dev/null
+++ b/crates/cli/tests/operators_admin/race.rs
@@ -0,0 +1,90 @@
+//! Two operators change one policy through two nodes, and a write loses its answer.
+
+use crate::support::{policy, Call, Fleet};
+use awc::http::StatusCode;
+use serde_json::json;
+use tansyhall_testing::get_json;
+
+const ROUNDS: u32 = 8;
+
+#[actix_rt::test]
+async fn of_two_operators_one_wins_and_the_other_sees_what_is_there() {
+    let fleet = Fleet::start();
+    let path = "/admin/v1/policy/shared";
+    let created = Call::put(fleet.admin(0), path, &policy("shared", 1))
+        .send()
+        .await;
+    assert_eq!(created.status, StatusCode::OK, "{created:?}");
+    for round in 0..ROUNDS {
+        let seen = [
+            Call::get(fleet.admin(0), path)
+                .send()
+                .await
+                .tag
+                .expect("a tag"),
+            Call::get(fleet.admin(1), path)
+                .send()
+                .await
+                .tag
+                .expect("a tag"),
+        ];
+        assert_eq!(seen[0], seen[1]);
+        let wanted = [
+            policy("shared", 10 + 2 * round),
+            policy("shared", 11 + 2 * round),
+        ];
+        let put = |index: usize| {
+            let call = Call::put(fleet.admin(index), path, &wanted[index]);
+            call.if_match(&seen[index]).send()
+        };
+        let (first, second) = futures_util::future::join(put(0), put(1)).await;
+        let is_ok = |status| status == StatusCode::OK;
+        let winner = usize::from(!is_ok(first.status));
+        let answers = [first, second];
+        let (won, lost) = (&answers[winner], &answers[1 - winner]);
+        assert_eq!(won.status, StatusCode::OK, "{won:?}");
+        assert_eq!(lost.status, StatusCode::PRECONDITION_FAILED, "{lost:?}");
+        assert_eq!(lost.body["present"]["source"], wanted[winner]["source"]);
+        assert_eq!(lost.tag, won.tag);
+        let present = Call::get(fleet.admin(1 - winner), path).send().await;
+        assert_eq!(present.body["source"], wanted[winner]["source"]);
+        assert_eq!(present.tag, won.tag);
+    }
+}
+
+#[actix_rt::test]
+async fn a_write_whose_answer_is_lost_resolves_to_the_truth() {
+    let fleet = Fleet::start();
+    let path = "/admin/v1/policy/p";
+    let created = Call::put(fleet.admin(0), path, &policy("p", 1))
+        .send()
+        .await;
+    let tag = created.tag.expect("a tag");
+    let lose = json!({ "lose_answers": 1 });
+    let faults = format!("http://{}/standin/faults", fleet.platform.address);
+    let sent = awc::Client::default().post(faults).send_json(&lose).await;
+    assert!(sent.expect("the platform answers").status().is_success());
+
+    let changed = Call::put(fleet.admin(0), path, &policy("p", 2))
+        .if_match(&tag)
+        .send()
+        .await;
+    assert_eq!(changed.status, StatusCode::OK, "{changed:?}");
+    let report = get_json(fleet.platform.address, "/standin/faults")
+        .await
+        .expect("a report");
+    assert_eq!(report["switches"]["lose_answers"], 0, "the answer was lost");
+
+    let present = Call::get(fleet.admin(1), path).send().await;
+    assert_eq!(present.body["source"], policy("p", 2)["source"]);
+    assert_eq!(present.tag, changed.tag, "the tag speaks for this change");
+    let audit = Call::get(fleet.admin(1), "/admin/v1/audit").send().await;
+    let entries = audit.body["entries"].as_array().expect("entries");
+    assert_eq!(entries.len(), 2, "the change was made once: {entries:?}");
+
+    let again = Call::put(fleet.admin(0), path, &policy("p", 3))
+        .if_match(&tag)
+        .send()
+        .await;
+    assert_eq!(again.status, StatusCode::PRECONDITION_FAILED, "{again:?}");
+}
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -1,29 +1,29 @@
 //! Resource files: TOML with one table array for each kind of resource.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use tansyhall_policy::Diagnostic;
 
 use crate::resource::{Policy, Pool, Resource, Service, Site, Tenant};
 use crate::syntax;
 
 /// The content of one resource file.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ResourceFile {
     /// Tenants.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub tenant: Vec<Tenant>,
     /// Policies.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub policy: Vec<Policy>,
     /// Sites.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub site: Vec<Site>,
     /// Services.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub service: Vec<Service>,
     /// Pools.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub pool: Vec<Pool>,
 }
 
@@ -33,6 +33,26 @@
         syntax::parse(text)
     }
 
+    /// A file with these resources.
+    pub fn from_resources(resources: Vec<Resource>) -> Self {
+        let mut file = Self::default();
+        for resource in resources {
+            match resource {
+                Resource::Tenant(tenant) => file.tenant.push(tenant),
+                Resource::Policy(policy) => file.policy.push(policy),
+                Resource::Site(site) => file.site.push(site),
+                Resource::Service(service) => file.service.push(service),
+                Resource::Pool(pool) => file.pool.push(pool),
+            }
+        }
+        file
+    }
+
+    /// The file's text.
+    pub fn to_text(&self) -> Result<String, toml::ser::Error> {
+        toml::to_string(self)
+    }
+
     /// The resources, each after those that its fields refer to.
     pub fn into_resources(self) -> Vec<Resource> {
         let tenants = self.tenant.into_iter().map(Resource::Tenant);
--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -8,7 +8,7 @@
 use crate::resource::ResourceKey;
 
 /// One broken rule.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, utoipa::ToSchema)]
 pub struct Problem {
     /// The resource that breaks it.
     pub resource: ResourceKey,
@@ -25,6 +25,7 @@
     pub hint: Option<String>,
     /// Byte range within a policy's source.
     #[serde(skip_serializing_if = "Option::is_none")]
+    #[schema(value_type = Option<Object>)]
     pub span: Option<Range<usize>>,
 }
 
--- a/crates/config/src/resource.rs
+++ b/crates/config/src/resource.rs
@@ -9,34 +9,39 @@
     TenantName, VersionName, ZoneName,
 };
 use tansyhall_policy::TenantLimits;
+use utoipa::ToSchema;
 
 /// A tenant: a team that shares the fleet with others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Tenant {
     /// The tenant's name.
+    #[schema(value_type = String)]
     pub name: TenantName,
     /// Who answers for it, such as a person or a mail address.
     pub owner: String,
     /// What it may use.
     #[serde(default)]
+    #[schema(value_type = Object)]
     pub limits: TenantLimits,
 }
 
 /// A site: a place with its zones.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Site {
     /// The site's name.
+    #[schema(value_type = String)]
     pub name: SiteName,
     /// The region it belongs to.
     pub region: String,
     /// Its zones.
+    #[schema(value_type = Vec<String>)]
     pub zones: Vec<ZoneName>,
 }
 
 /// What a service offers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
 #[serde(rename_all = "kebab-case")]
 pub enum ServiceKind {
     /// Completions by model engines.
@@ -46,20 +51,24 @@
 }
 
 /// A service that callers address.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// The service's name.
+    #[schema(value_type = String)]
     pub name: ServiceName,
     /// The site that offers it.
+    #[schema(value_type = String)]
     pub site: SiteName,
     /// What it offers.
     pub kind: ServiceKind,
     /// The policy that classifies its requests.
     #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schema(value_type = Option<String>)]
     pub policy: Option<PolicyName>,
     /// The tenant that owns it; absent if it belongs to the fleet's operators.
     #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schema(value_type = Option<String>)]
     pub tenant: Option<TenantName>,
     /// For applications: the path prefix that callers use.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -67,20 +76,23 @@
 }
 
 /// One engine or application worker of a pool.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Backend {
     /// The back end's name, unique over all pools.
+    #[schema(value_type = String)]
     pub name: EngineName,
     /// Where it is reached.
+    #[schema(value_type = String)]
     pub address: SocketAddr,
 }
 
 /// How many engines of a pool may play a role.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
 #[serde(deny_unknown_fields)]
 pub struct RoleBounds {
     /// The role.
+    #[schema(value_type = String)]
     pub role: Role,
     /// At least this many.
     #[serde(default)]
@@ -91,25 +103,31 @@
 }
 
 /// Back ends of one service in one zone.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Pool {
     /// The pool's name.
+    #[schema(value_type = String)]
     pub name: PoolName,
     /// The service it serves.
+    #[schema(value_type = String)]
     pub service: ServiceName,
     /// The zone it stands in.
+    #[schema(value_type = String)]
     pub zone: ZoneName,
     /// Its back ends.
     pub backends: Vec<Backend>,
     /// The model its engines load; required for language-model services.
     #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schema(value_type = Option<String>)]
     pub model: Option<ModelName>,
     /// Versions of the model that its engines may load, the usual one first; any if empty.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[schema(value_type = Vec<String>)]
     pub versions: Vec<VersionName>,
     /// Adapters that its engines may load beside the model.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[schema(value_type = Vec<String>)]
     pub adapters: Vec<AdapterName>,
     /// Bounds on roles; roles without a bound are the planner's choice.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
@@ -117,20 +135,24 @@
 }
 
 /// A policy program.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Policy {
     /// The policy's name.
+    #[schema(value_type = String)]
     pub name: PolicyName,
     /// The program's text.
     pub source: String,
     /// The tenant that owns it; absent if it belongs to the fleet's operators.
     #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schema(value_type = Option<String>)]
     pub tenant: Option<TenantName>,
 }
 
 /// The kinds of resource.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, ToSchema,
+)]
 #[serde(rename_all = "kebab-case")]
 pub enum ResourceKind {
     /// [`Tenant`]
@@ -173,7 +195,7 @@
 }
 
 /// Names one resource.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, ToSchema)]
 pub struct ResourceKey {
     /// Its kind.
     pub kind: ResourceKind,
@@ -197,9 +219,9 @@
     }
 }
 
-/// Any resource.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "kind", rename_all = "kebab-case")]
+/// Any resource. The tag is `type`, since a service has a `kind` of its own.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
+#[serde(tag = "type", rename_all = "kebab-case")]
 pub enum Resource {
     /// A tenant.
     Tenant(Tenant),
--- a/crates/node/src/admin/access.rs
+++ b/crates/node/src/admin/access.rs
@@ -6,6 +6,9 @@
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 use tansyhall_config::settings::{OperatorAccount, OperatorRole};
+use tansyhall_config::{Configuration, Resource};
+
+use crate::configuration::Author;
 
 /// Why access was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -43,3 +46,19 @@
     }
     Ok(account)
 }
+
+/// Whether an account may see a resource: all of them, or those of its tenant.
+pub fn sees(account: &OperatorAccount, configuration: &Configuration, resource: &Resource) -> bool {
+    match &account.tenant {
+        None => true,
+        Some(tenant) => configuration.owner(resource).as_ref() == Some(tenant),
+    }
+}
+
+/// The account as the author of a change.
+pub fn author(account: &OperatorAccount) -> Author {
+    Author {
+        account: account.name.clone(),
+        tenant: account.tenant.clone(),
+    }
+}
--- a/crates/node/src/admin/health.rs
+++ b/crates/node/src/admin/health.rs
@@ -1,12 +1,7 @@
-//! Health, metrics and status.
+//! Health and metrics.
 
-use actix_web::{web, HttpRequest, HttpResponse};
-use serde::Serialize;
-use tansyhall_config::settings::OperatorRole;
-use tansyhall_engine::protocol::EngineState;
+use actix_web::{web, HttpResponse};
 
-use super::access;
-use super::error::ApiError;
 use crate::state::Node;
 
 /// Answers as long as the process runs.
@@ -34,32 +29,3 @@
         Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
     }
 }
-
-#[derive(Debug, Serialize)]
-struct Status {
-    node: String,
-    zone: String,
-    configuration_revision: u64,
-    stopping: bool,
-    engines: Vec<EngineState>,
-}
-
-/// What this node has in force and observes.
-pub async fn status(node: web::Data<Node>, request: HttpRequest) -> Result<HttpResponse, ApiError> {
-    access::check(&node.settings.operators, &request, OperatorRole::Viewer)?;
-    let engines = node.with_engines(|engines| {
-        let mut states: Vec<EngineState> = engines
-            .values()
-            .filter_map(|status| status.state.clone())
-            .collect();
-        states.sort_by(|left, right| left.engine.cmp(&right.engine));
-        states
-    });
-    Ok(HttpResponse::Ok().json(Status {
-        node: node.settings.name.to_string(),
-        zone: node.settings.zone.to_string(),
-        configuration_revision: node.in_force.load().configuration.revision,
-        stopping: node.is_stopping(),
-        engines,
-    }))
-}
--- /dev/null
+++ b/crates/node/src/configuration/head.rs
@@ -0,0 +1,91 @@
+//! The head of the configuration: which changes were made last, by whom and when.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+use tansyhall_core::TenantName;
+use utoipa::ToSchema;
+
+use super::change::Change;
+
+/// Changes that the head remembers; the audit trail and the way to find out whether a write whose
+/// answer was lost took effect.
+const RECENT_CHANGES: usize = 64;
+/// Resources that a record lists by name.
+const MAX_LISTED: usize = 16;
+
+/// Who makes a change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Author {
+    /// The account.
+    pub account: String,
+    /// The tenant whose resources the account may change; every resource if absent.
+    pub tenant: Option<TenantName>,
+}
+
+/// One accepted change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, ToSchema)]
+pub struct ChangeRecord {
+    /// Unique identifier.
+    pub id: String,
+    /// The account that made it.
+    pub account: String,
+    /// The account's tenant, if it has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schema(value_type = Option<String>)]
+    pub tenant: Option<TenantName>,
+    /// When, by the clock of the node that took it, in milliseconds since 1970.
+    pub at_unix_millis: u64,
+    /// The first resources that were changed, as `kind/name`.
+    pub resources: Vec<String>,
+    /// How many more were changed.
+    pub more: usize,
+}
+
+impl ChangeRecord {
+    /// A record of changes that begin now, with a new identifier.
+    pub fn new(author: &Author, changes: &[Change]) -> Self {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let millis = now.map_or(0, |elapsed| elapsed.as_millis());
+        let listed = changes.iter().take(MAX_LISTED);
+        Self {
+            id: format!("{:032x}", rand::random::<u128>()),
+            account: author.account.clone(),
+            tenant: author.tenant.clone(),
+            at_unix_millis: u64::try_from(millis).unwrap_or(u64::MAX),
+            resources: listed.map(|change| change.key.to_string()).collect(),
+            more: changes.len().saturating_sub(MAX_LISTED),
+        }
+    }
+}
+
+/// The value of the head key.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(super) struct Head {
+    recent_changes: Vec<ChangeRecord>,
+}
+
+impl Head {
+    pub(super) fn with(&self, record: &ChangeRecord) -> Self {
+        let mut recent_changes = self.recent_changes.clone();
+        recent_changes.push(record.clone());
+        let excess = recent_changes.len().saturating_sub(RECENT_CHANGES);
+        recent_changes.drain(..excess);
+        Self { recent_changes }
+    }
+
+    pub(super) fn contains(&self, id: &str) -> bool {
+        self.recent_changes.iter().any(|record| record.id == id)
+    }
+
+    /// Whether this is the last change that was made.
+    pub(super) fn ends_with(&self, id: &str) -> bool {
+        self.recent_changes
+            .last()
+            .is_some_and(|record| record.id == id)
+    }
+
+    pub(super) fn records(&self) -> &[ChangeRecord] {
+        &self.recent_changes
+    }
+}
--- a/crates/node/src/configuration/mod.rs
+++ b/crates/node/src/configuration/mod.rs
@@ -1,10 +1,14 @@
 //! The configuration: how it is changed in the platform's store, how a node follows it, and the
 //! tables that requests are routed by.
 
+pub mod change;
+pub mod head;
 pub mod in_force;
 pub mod store;
 pub mod watcher;
 
+pub use change::{Change, ChangeError, Effect, Precondition};
+pub use head::{Author, ChangeRecord};
 pub use in_force::InForce;
-pub use store::{ChangeError, ConfigurationStore, Snapshot};
+pub use store::{Committed, ConfigurationStore, Snapshot};
 pub use watcher::ConfigurationWatcher;
--- a/crates/node/src/configuration/store.rs
+++ b/crates/node/src/configuration/store.rs
@@ -2,75 +2,27 @@
 //!
 //! Each resource is a key. Every change also rewrites one head key and is conditional on the
 //! head's revision, so that the whole configuration is validated against exactly what it will be
-//! in force with. The head lists the identifiers of recent changes: a writer whose answer was lost
+//! in force with. The head lists the recent
+//! changes with account and time: a writer whose answer was lost
 //! reads it back, and when its identifier is missing rewrites the head, after which the lost write
 //! can never take effect.
 
 use std::collections::HashMap;
 
-use serde::{Deserialize, Serialize};
-use tansyhall_config::{Configuration, ConfigurationError, Resource, ResourceKey, ResourceKind};
+use tansyhall_config::{Configuration, Resource, ResourceKey, ResourceKind};
 use tansyhall_platform::store::RangeOutcome;
 use tansyhall_platform::{Compare, KeyValueStore, Operation, Revision, StoreError, Transaction};
 
+use super::change::{self, Change, ChangeError, Effect, MAX_CHANGES};
+use super::head::{Author, ChangeRecord, Head};
+
 /// Prefix of every key of the configuration.
 pub const CONFIGURATION_PREFIX: &str = "/tansyhall/config/";
 const HEAD_KEY: &str = "/tansyhall/config/head";
 const RESOURCE_PREFIX: &str = "/tansyhall/config/resources/";
-/// Identifiers of changes that the head remembers.
-const RECENT_CHANGES: usize = 64;
 /// Tries when other operators' changes come in between.
 const MAX_TRIES: usize = 8;
 
-/// Why a change did not take effect, or may not have.
-#[derive(Debug, thiserror::Error)]
-pub enum ChangeError {
-    /// The resource is not at the revision that the operator saw.
-    #[error("{key} is at revision {present:?}, not at the one given")]
-    Conflict {
-        /// The resource.
-        key: ResourceKey,
-        /// Its revision now; absent if it does not exist.
-        present: Option<Revision>,
-        /// What is there now.
-        resource: Option<Box<Resource>>,
-    },
-    /// The configuration would not hold together.
-    #[error("{0}")]
-    Invalid(#[from] ConfigurationError),
-    /// The store did not take the change.
-    #[error("the change was not made: {0}")]
-    NotApplied(StoreError),
-    /// The store's answer was lost and could not be read back.
-    #[error("the change may have been made: {0}")]
-    Unknown(StoreError),
-    /// Other changes kept coming in between.
-    #[error("other changes kept coming in between; try again")]
-    Contended,
-}
-
-/// What an operator saw of a resource before changing it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Precondition {
-    /// Nothing is asked.
-    None,
-    /// The resource does not exist.
-    Absent,
-    /// The resource was last changed at this revision.
-    At(Revision),
-}
-
-/// One change to one resource.
-#[derive(Debug, Clone)]
-pub struct Change {
-    /// The resource.
-    pub key: ResourceKey,
-    /// Its new content; `None` deletes it.
-    pub resource: Option<Resource>,
-    /// What the operator saw.
-    pub precondition: Precondition,
-}
-
 /// The configuration with the revision of each resource.
 #[derive(Debug, Clone, Default)]
 pub struct Snapshot {
@@ -82,23 +34,14 @@
     head_revision: Option<Revision>,
 }
 
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-struct Head {
-    recent_changes: Vec<String>,
-}
-
-impl Head {
-    fn with(&self, change_id: &str) -> Self {
-        let mut recent_changes = self.recent_changes.clone();
-        recent_changes.push(change_id.to_owned());
-        let excess = recent_changes.len().saturating_sub(RECENT_CHANGES);
-        recent_changes.drain(..excess);
-        Self { recent_changes }
-    }
-
-    fn contains(&self, change_id: &str) -> bool {
-        self.recent_changes.iter().any(|id| id == change_id)
-    }
+/// A change that took effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Committed {
+    /// The revision at which it did. Absent if the store's answer was lost and another change came
+    /// after it, so that no entity tag can be given that speaks for this change alone.
+    pub revision: Option<Revision>,
+    /// Resources written or deleted.
+    pub changed: usize,
 }
 
 impl Snapshot {
@@ -124,21 +67,13 @@
         Ok(snapshot)
     }
 
-    fn check(&self, change: &Change) -> Result<(), ChangeError> {
-        let present = self.revisions.get(&change.key).copied();
-        let holds = match change.precondition {
-            Precondition::None => true,
-            Precondition::Absent => present.is_none(),
-            Precondition::At(revision) => present == Some(revision),
-        };
-        if holds {
-            return Ok(());
-        }
-        Err(ChangeError::Conflict {
-            key: change.key.clone(),
-            present,
-            resource: self.configuration.get(&change.key).map(Box::new),
-        })
+    /// The last changes, the oldest first.
+    pub fn records(&self) -> &[ChangeRecord] {
+        self.head.records()
+    }
+
+    fn head_revision_or_zero(&self) -> Revision {
+        self.head_revision.unwrap_or_default()
     }
 }
 
@@ -167,27 +102,48 @@
         Snapshot::decode(&self.store.range(CONFIGURATION_PREFIX).await?)
     }
 
-    /// Checks changes against the configuration without making them.
-    pub async fn dry_run(&self, changes: &[Change]) -> Result<(), ChangeError> {
+    /// Checks changes against the configuration without making them; returns what each would do.
+    pub async fn dry_run(
+        &self,
+        author: &Author,
+        changes: &[Change],
+    ) -> Result<Vec<Effect>, ChangeError> {
         let snapshot = self.read().await.map_err(ChangeError::NotApplied)?;
-        changed(&snapshot, changes).map(|_| ())
+        change::apply(&snapshot, changes, author.tenant.as_ref())?;
+        let effects = changes
+            .iter()
+            .map(|change| change.effect(&snapshot.configuration));
+        Ok(effects.collect())
     }
 
-    /// Makes all changes at one revision, or none. `change_id` must be unique.
+    /// Makes all changes at one revision, or none.
     pub async fn change(
         &self,
-        change_id: &str,
+        author: &Author,
         changes: &[Change],
-    ) -> Result<Revision, ChangeError> {
+    ) -> Result<Committed, ChangeError> {
+        let record = ChangeRecord::new(author, changes);
         for _ in 0..MAX_TRIES {
             let snapshot = self.read().await.map_err(ChangeError::NotApplied)?;
-            let transaction = commit(&snapshot, change_id, changes)?;
+            change::apply(&snapshot, changes, author.tenant.as_ref())?;
+            let is_effective = |change: &&Change| !change.is_idle(&snapshot.configuration);
+            let effective: Vec<&Change> = changes.iter().filter(is_effective).collect();
+            let committed = |revision| Committed {
+                revision,
+                changed: effective.len(),
+            };
+            if effective.is_empty() {
+                return Ok(committed(Some(snapshot.head_revision_or_zero())));
+            }
+            let transaction = commit(&snapshot, &record, &effective)?;
             match self.store.transact(&transaction).await {
-                Ok(outcome) if outcome.succeeded => return Ok(outcome.revision),
+                Ok(outcome) if outcome.succeeded => return Ok(committed(Some(outcome.revision))),
                 Ok(_) => continue,
                 Err(StoreError::Unknown(cause)) => {
-                    if let Some(revision) = self.resolve(change_id, &cause).await? {
-                        return Ok(revision);
+                    let key = &effective[0].key;
+                    match self.resolve(&record.id, key, &cause).await? {
+                        Resolution::Made(revision) => return Ok(committed(revision)),
+                        Resolution::NeverMade => continue,
                     }
                 }
                 Err(error) => return Err(ChangeError::NotApplied(error)),
@@ -198,18 +154,23 @@
 
     /// Finds out whether a change whose answer was lost took effect; if not, makes sure that it
     /// never will.
-    async fn resolve(&self, change_id: &str, cause: &str) -> Result<Option<Revision>, ChangeError> {
+    async fn resolve(
+        &self,
+        id: &str,
+        key: &ResourceKey,
+        cause: &str,
+    ) -> Result<Resolution, ChangeError> {
         let unknown = |error: StoreError| {
             ChangeError::Unknown(StoreError::Unknown(format!("{cause}; then {error}")))
         };
         for _ in 0..MAX_TRIES {
             let snapshot = self.read().await.map_err(unknown)?;
-            if snapshot.head.contains(change_id) {
-                return Ok(snapshot.head_revision);
+            if snapshot.head.contains(id) {
+                return Ok(Resolution::Made(revision_of(&snapshot, id, key)));
             }
             let seal = seal(&snapshot).map_err(unknown)?;
             match self.store.transact(&seal).await {
-                Ok(outcome) if outcome.succeeded => return Ok(None),
+                Ok(outcome) if outcome.succeeded => return Ok(Resolution::NeverMade),
                 Ok(_) | Err(StoreError::Unknown(_)) => continue,
                 Err(error) => return Err(unknown(error)),
             }
@@ -220,6 +181,22 @@
     }
 }
 
+/// What became of a change whose answer was lost.
+enum Resolution {
+    Made(Option<Revision>),
+    NeverMade,
+}
+
+/// The revision of a change that is in the head. The key's own revision speaks for the change only
+/// while no other change came after it.
+fn revision_of(snapshot: &Snapshot, id: &str, key: &ResourceKey) -> Option<Revision> {
+    if !snapshot.head.ends_with(id) {
+        return None;
+    }
+    let written = snapshot.revisions.get(key).copied();
+    written.or(snapshot.head_revision)
+}
+
 fn head_condition(snapshot: &Snapshot) -> Compare {
     match snapshot.head_revision {
         Some(revision) => Compare::ModifiedAt(HEAD_KEY.into(), revision),
@@ -244,45 +221,19 @@
     })
 }
 
-fn changed(snapshot: &Snapshot, changes: &[Change]) -> Result<Configuration, ChangeError> {
-    let mut configuration = snapshot.configuration.clone();
-    for change in changes {
-        snapshot.check(change)?;
-        match &change.resource {
-            Some(resource) => configuration.put(resource.clone()),
-            None => {
-                configuration.remove(&change.key);
-            }
-        }
-    }
-    configuration.validate()?;
-    Ok(configuration)
-}
-
 fn commit(
     snapshot: &Snapshot,
-    change_id: &str,
-    changes: &[Change],
+    record: &ChangeRecord,
+    changes: &[&Change],
 ) -> Result<Transaction, ChangeError> {
-    changed(snapshot, changes)?;
+    if changes.len() > MAX_CHANGES {
+        return Err(ChangeError::TooMany(changes.len()));
+    }
     let mut operations =
-        vec![put_head(&snapshot.head.with(change_id)).map_err(ChangeError::NotApplied)?];
+        vec![put_head(&snapshot.head.with(record)).map_err(ChangeError::NotApplied)?];
     for change in changes {
-        let key = store_key(&change.key);
-        let operation = match &change.resource {
-            None => Operation::Delete { key },
-            Some(resource) => {
-                let value = resource.to_json();
-                let value = value.map_err(|error| {
-                    ChangeError::NotApplied(StoreError::NotApplied(error.to_string()))
-                })?;
-                Operation::Put {
-                    key,
-                    value,
-                    lease: None,
-                }
-            }
-        };
+        let operation = operation_of(change)
+            .map_err(|error| ChangeError::NotApplied(StoreError::NotApplied(error.to_string())))?;
         operations.push(operation);
     }
     Ok(Transaction {
@@ -290,3 +241,15 @@
         operations,
     })
 }
+
+fn operation_of(change: &Change) -> Result<Operation, serde_json::Error> {
+    let key = store_key(&change.key);
+    Ok(match &change.resource {
+        None => Operation::Delete { key },
+        Some(resource) => Operation::Put {
+            key,
+            value: resource.to_json()?,
+            lease: None,
+        },
+    })
+}
--- a/crates/node/src/configuration/watcher.rs
+++ b/crates/node/src/configuration/watcher.rs
@@ -70,6 +70,7 @@
 
 /// Puts a configuration in force unless it is older than the present one or does not validate.
 pub fn put_in_force(node: &Node, configuration: tansyhall_config::Configuration) {
+    node.note_configuration_seen();
     let present = node.in_force.load().configuration.revision;
     if configuration.revision <= present {
         return;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -19,6 +19,8 @@
     pub configuration_revision: IntGauge,
     /// Configurations refused because they do not validate.
     pub configuration_refused: IntCounter,
+    /// Changes that operators asked for through this node, by outcome.
+    pub changes: IntCounterVec,
     /// Orders sent to engines, by reply.
     pub orders: IntCounterVec,
     /// Pools this node has authority over.
@@ -60,6 +62,11 @@
                 "tansyhall_configuration_refused_total",
                 "Configurations refused as invalid",
             )?,
+            changes: counters(
+                "tansyhall_configuration_changes_total",
+                "Changes asked for by operators, by outcome",
+                "outcome",
+            )?,
             orders: counters("tansyhall_orders_total", "Orders by reply", "reply")?,
             pools_held: gauge("tansyhall_pools_held", "Pools under this node's authority")?,
             platform_errors: counter("tansyhall_platform_errors_total", "Failed platform calls")?,
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -90,7 +90,7 @@
         App::new()
             .app_data(web::Data::from(Arc::clone(&node)))
             .app_data(web::Data::new(ConfigurationStore::new(store)))
-            .app_data(web::PayloadConfig::new(limits.max_body_bytes))
+            .app_data(web::PayloadConfig::new(limits.max_admin_body_bytes))
             .configure(admin::routes)
     });
     Ok(server.workers(1).disable_signals().listen(listener)?.run())
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -1,16 +1,17 @@
 //! State that the threads of one node share.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 use tansyhall_config::NodeSettings;
 use tansyhall_core::time::MonotonicClock;
-use tansyhall_core::EngineName;
+use tansyhall_core::{EngineName, Timestamp};
 use tansyhall_engine::protocol::EngineState;
 
+use crate::admin::status::MemberStatus;
 use crate::configuration::InForce;
 use crate::metrics::Metrics;
 
@@ -31,8 +32,13 @@
     pub clock: MonotonicClock,
     /// The configuration in force.
     pub in_force: ArcSwap<InForce>,
+    /// Other nodes, as far as this one knows them.
+    pub members: ArcSwap<Vec<MemberStatus>>,
     /// Counters.
     pub metrics: Metrics,
+    /// When the configuration was last seen in the store, in microseconds of the clock; zero
+    /// before the first time.
+    configuration_seen: AtomicU64,
     engines: Mutex<HashMap<EngineName, EngineStatus>>,
     stopping: AtomicBool,
 }
@@ -44,7 +50,9 @@
             settings,
             clock: MonotonicClock::start(),
             in_force: ArcSwap::from_pointee(InForce::default()),
+            members: ArcSwap::default(),
             metrics: Metrics::new()?,
+            configuration_seen: AtomicU64::new(0),
             engines: Mutex::new(HashMap::new()),
             stopping: AtomicBool::new(false),
         }))
@@ -60,6 +68,19 @@
         self.stopping.store(true, Ordering::Release);
     }
 
+    /// Notes that the configuration was just seen in the store.
+    pub fn note_configuration_seen(&self) {
+        self.configuration_seen
+            .store(self.clock.now().0, Ordering::Release);
+    }
+
+    /// Milliseconds since the configuration was last seen in the store.
+    pub fn configuration_age_millis(&self) -> Option<u64> {
+        let seen = self.configuration_seen.load(Ordering::Acquire);
+        let age = self.clock.now().since(Timestamp(seen));
+        (seen > 0).then(|| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// Reads or changes what is known about engines.
     pub fn with_engines<R>(
         &self,
