--- a/crates/config/src/validation/policies.rs
+++ b/crates/config/src/validation/policies.rs
@@ -8,7 +8,7 @@
 use super::{check_exists, Programs};
 use crate::configuration::Configuration;
 use crate::problem::Problem;
-use crate::resource::{Policy, ResourceKey, ResourceKind};
+use crate::resource::{Policy, Pool, ResourceKey, ResourceKind};
 
 /// Every name that a program may refer to.
 struct KnownNames<'a> {
@@ -67,7 +67,7 @@
         match tansyhall_policy::compile_all(&policy.source) {
             Ok(program) => {
                 check_references(&names, policy, &program, problems);
-                check_pool_sizes(configuration, policy, &program, problems);
+                check_pools(configuration, policy, &program, problems);
                 programs.insert(policy.name.clone(), Arc::new(program));
             }
             Err(faults) => {
@@ -139,7 +139,7 @@
     }
 }
 
-fn check_pool_sizes(
+fn check_pools(
     configuration: &Configuration,
     policy: &Policy,
     program: &Program,
@@ -149,6 +149,7 @@
         let Some(pool) = configuration.pools.get(name) else {
             continue;
         };
+        check_in_effect(configuration, policy, pool, problems);
         let engines = pool.backends.len() as u64;
         let is_role = |subject: &Bounded| matches!(subject, Bounded::Role(_));
         let roles = bounds
@@ -164,3 +165,26 @@
         }
     }
 }
+
+/// Bounds of a pool come from the policy of its service; in another one they would do nothing.
+fn check_in_effect(
+    configuration: &Configuration,
+    policy: &Policy,
+    pool: &Pool,
+    problems: &mut Vec<Problem>,
+) {
+    let service = configuration.services.get(&pool.service);
+    let Some(service) = service else { return };
+    if service.policy.as_ref() == Some(&policy.name) {
+        return;
+    }
+    let message = format!("the pool's service {} has another policy", service.name);
+    let allowed = "pools of the services that name this policy";
+    problems.push(Problem::new(
+        key(policy),
+        "source",
+        &pool.name,
+        message,
+        allowed,
+    ));
+}
--- a/crates/config/tests/validation.rs
+++ b/crates/config/tests/validation.rs
@@ -8,7 +8,7 @@
 owner = 'desk'
 [[policy]]
 name = 'p'
-source = 'class c when tenant == \"clinic\" and service == \"assistant\" { prefer zone z1; versions v1 100%; }'
+source = 'class c when tenant == \"clinic\" and service == \"assistant\" { prefer zone z1; versions v1 100%; } pool p1 { changes 1 per 5m; }'
 [[site]]
 name = 's'
 region = 'r'
@@ -167,7 +167,7 @@
         ["policy/p", "pool/p1"]
     );
     assert_eq!(referrers(ResourceKind::Policy, "p"), ["service/assistant"]);
-    assert!(referrers(ResourceKind::Pool, "p1").is_empty());
+    assert_eq!(referrers(ResourceKind::Pool, "p1"), ["policy/p"]);
 }
 
 #[test]
--- a/crates/node/src/configuration/in_force.rs
+++ b/crates/node/src/configuration/in_force.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use tansyhall_config::{Configuration, ConfigurationError, Pool, Programs, Service, ServiceKind};
-use tansyhall_core::{ModelName, ServiceName};
-use tansyhall_policy::Program;
+use tansyhall_core::{ModelName, ServiceName, TenantName};
+use tansyhall_policy::{PoolBounds, Program, TenantLimits};
 
 /// A validated configuration, ready to route by.
 #[derive(Debug, Clone, Default)]
@@ -34,6 +34,26 @@
         Arc::clone(program.unwrap_or(&self.fallback))
     }
 
+    /// Limits of a tenant for requests of a service: each one from the service's policy, or else
+    /// from the tenant's resource.
+    pub fn tenant_limits(&self, service: &ServiceName, tenant: &TenantName) -> TenantLimits {
+        let own = self.configuration.tenants.get(tenant);
+        let own = own.map(|tenant| tenant.limits).unwrap_or_default();
+        let program = self.program(service);
+        let policy = program.tenants().get(tenant).copied().unwrap_or_default();
+        TenantLimits {
+            requests_per_second: policy.requests_per_second.or(own.requests_per_second),
+            tokens_per_second: policy.tokens_per_second.or(own.tokens_per_second),
+            concurrent: policy.concurrent.or(own.concurrent),
+        }
+    }
+
+    /// Bounds of a pool that the policy of its service sets, beside those of its resource.
+    pub fn pool_bounds(&self, pool: &Pool) -> PoolBounds {
+        let program = self.program(&pool.service);
+        program.pools().get(&pool.name).cloned().unwrap_or_default()
+    }
+
     /// Pools that load a model.
     pub fn pools_of_model<'a>(&'a self, model: &'a ModelName) -> impl Iterator<Item = &'a Pool> {
         self.configuration
