Policies see headers, service, model, output tokens and body size of completions

Cause: completions were classified by path and prompt size only, so that a class by header or service never applied; the settings template showed the hash of a token that anybody could guess.

Ruled out: asking the header map by name, which allocates a name for each lookup.

Change: RequestHeaders compares names; the completion path fills the facts that it knows (the tenant is not known there yet); the template's hash belongs to no token.

--- a/crates/cli/src/commands/ctl/mod.rs
+++ b/crates/cli/src/commands/ctl/mod.rs
@@ -76,6 +76,23 @@
     Ok(())
 }
 
+fn print_pools(status: &Value) {
+    println!("\nPOOLS (desired: model, bounds; observed: roles, draining, other_model)");
+    let columns = [
+        "pool",
+        "zone",
+        "model",
+        "bounds",
+        "backends",
+        "unobserved",
+        "roles",
+        "draining",
+        "other_model",
+        "settled",
+    ];
+    print_items(&status["pools"], &columns);
+}
+
 struct Ctl {
     api: Api,
     json: bool,
@@ -192,7 +209,7 @@
         println!("\nOTHER NODES");
         let members = ["node", "zone", "configuration_revision", "heard_millis_ago"];
         print_items(&status["members"], &members);
-        self.print_pools(&status);
+        print_pools(&status);
         println!("\nENGINES");
         let engines = [
             "engine",
@@ -212,27 +229,10 @@
         if self.json {
             return print_json(&status["pools"]);
         }
-        self.print_pools(&status);
+        print_pools(&status);
         Ok(())
     }
 
-    fn print_pools(&self, status: &Value) {
-        println!("\nPOOLS (desired: model, bounds; observed: roles, draining, other_model)");
-        let columns = [
-            "pool",
-            "zone",
-            "model",
-            "bounds",
-            "backends",
-            "unobserved",
-            "roles",
-            "draining",
-            "other_model",
-            "settled",
-        ];
-        print_items(&status["pools"], &columns);
-    }
-
     async fn explain(&self, file: &OsString) -> Result<()> {
         let text = read_text(file)?;
         let request: Value = match serde_json::from_str(&text) {
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -83,8 +83,8 @@
         &["did you mean 'operator'?"],
     ),
     (
-        "2bb80d",
-        "zzzzzz",
+        "= \"000000",
+        "= \"zzzzzz",
         &["operators.token_sha256", "64 hexadecimal digits"],
     ),
     (
@@ -109,9 +109,9 @@
 
 #[test]
 fn two_accounts_share_neither_name_nor_token() {
-    let hash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b";
+    let hash = "0000000000000000000000000000000000000000000000000000000000000000";
     for (name, token) in [
-        ("on-call", &hash.replace('2', "3")),
+        ("on-call", &hash.replace('0', "3")),
         ("other", &hash.to_owned()),
     ] {
         let account =
--- a/crates/node/src/callers/completion.rs
+++ b/crates/node/src/callers/completion.rs
@@ -16,6 +16,7 @@
 use super::attempt::Execution;
 use super::failure::Failure;
 use super::shape::{CallerRequest, Shape, DEFAULT_MAX_TOKENS};
+use crate::configuration::RequestHeaders;
 use crate::state::Node;
 
 /// Header that carries the request's identifier on every answer.
@@ -93,7 +94,15 @@
             let message = format!("no pool loads the model {}", request.model);
             return Err(Failure::not_run(StatusCode::NOT_FOUND, message));
         };
-        let facts = RequestFacts::new(http.path(), u64::from(prompt_tokens));
+        let headers = RequestHeaders(http.headers());
+        let facts = RequestFacts {
+            output_tokens: u64::from(request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS)),
+            body_bytes: body.len() as u64,
+            service: pool.service.as_str(),
+            model: request.model.as_str(),
+            headers: &headers,
+            ..RequestFacts::new(http.path(), u64::from(prompt_tokens))
+        };
         in_force.program(&pool.service).classify(&facts).clone()
     };
     let id = RequestId(rand::random()).to_string();
--- a/crates/node/src/configuration/mod.rs
+++ b/crates/node/src/configuration/mod.rs
@@ -3,12 +3,14 @@
 
 pub mod change;
 pub mod head;
+pub mod headers;
 pub mod in_force;
 pub mod store;
 pub mod watcher;
 
 pub use change::{Change, ChangeError, Effect, Precondition};
 pub use head::{Author, ChangeRecord};
+pub use headers::RequestHeaders;
 pub use in_force::InForce;
 pub use store::{Committed, ConfigurationStore, Snapshot};
 pub use watcher::ConfigurationWatcher;
