The lost-answer test makes sure that the change's own answer was lost

Cause: in one run of five the test ended in half a second instead of two: a renewal of a node's lease had taken the fault, and the change was answered as usual, so that run proved nothing. The fault was in the test, not in the store.

Ruled out: longer renewals in the test's settings; the first grant of a lease can still come late.

Change: the answer of a change says read_back when the store's answer was lost and the change was found in the head; the test tries changes, each checked as before, until one was read back.

Conclusion: the test is stricter than before; the field is of use to operators' programs as well.

--- a/crates/cli/tests/operators_admin/race.rs
+++ b/crates/cli/tests/operators_admin/race.rs
@@ -3,9 +3,10 @@
 use crate::support::{policy, Call, Fleet};
 use awc::http::StatusCode;
 use serde_json::json;
-use tansyhall_testing::get_json;
 
 const ROUNDS: u32 = 8;
+/// Changes tried until one loses its answer; the audit trail holds 64.
+const MOST_CHANGES: u32 = 40;
 
 #[actix_rt::test]
 async fn of_two_operators_one_wins_and_the_other_sees_what_is_there() {
@@ -59,32 +60,34 @@
     let created = Call::put(fleet.admin(0), path, &policy("p", 1))
         .send()
         .await;
-    let tag = created.tag.expect("a tag");
-    let lose = json!({ "lose_answers": 1 });
-    let faults = format!("http://{}/standin/faults", fleet.platform.address);
-    let sent = awc::Client::default().post(faults).send_json(&lose).await;
-    assert!(sent.expect("the platform answers").status().is_success());
+    let mut tag = created.tag.expect("a tag");
+    let mut changes = 1;
+    // A renewal of a lease can take the fault instead of the change; then the next change is tried.
+    loop {
+        let lose = json!({ "lose_answers": 1 });
+        let faults = format!("http://{}/standin/faults", fleet.platform.address);
+        let sent = awc::Client::default().post(faults).send_json(&lose).await;
+        assert!(sent.expect("the platform answers").status().is_success());
 
-    let changed = Call::put(fleet.admin(0), path, &policy("p", 2))
-        .if_match(&tag)
-        .send()
-        .await;
-    assert_eq!(changed.status, StatusCode::OK, "{changed:?}");
-    let report = get_json(fleet.platform.address, "/standin/faults")
-        .await
-        .expect("a report");
-    assert_eq!(report["switches"]["lose_answers"], 0, "the answer was lost");
-
-    let present = Call::get(fleet.admin(1), path).send().await;
-    assert_eq!(present.body["source"], policy("p", 2)["source"]);
-    assert_eq!(present.tag, changed.tag, "the tag speaks for this change");
-    let audit = Call::get(fleet.admin(1), "/admin/v1/audit").send().await;
-    let entries = audit.body["entries"].as_array().expect("entries");
-    assert_eq!(entries.len(), 2, "the change was made once: {entries:?}");
+        changes += 1;
+        let wanted = policy("p", changes);
+        let put = Call::put(fleet.admin(0), path, &wanted).if_match(&tag);
+        let changed = put.send().await;
+        assert_eq!(changed.status, StatusCode::OK, "{changed:?}");
+        let present = Call::get(fleet.admin(1), path).send().await;
+        assert_eq!(present.body["source"], wanted["source"]);
+        assert_eq!(present.tag, changed.tag, "the tag speaks for this change");
+        let audit = Call::get(fleet.admin(1), "/admin/v1/audit").send().await;
+        let entries = audit.body["entries"].as_array().expect("entries").len();
+        assert_eq!(entries, changes as usize, "each change was made once");
 
-    let again = Call::put(fleet.admin(0), path, &policy("p", 3))
-        .if_match(&tag)
-        .send()
-        .await;
-    assert_eq!(again.status, StatusCode::PRECONDITION_FAILED, "{again:?}");
+        let again = Call::put(fleet.admin(0), path, &policy("p", 99)).if_match(&tag);
+        let refused = again.send().await.status;
+        assert_eq!(refused, StatusCode::PRECONDITION_FAILED);
+        if changed.body["read_back"] == true {
+            return;
+        }
+        assert!(changes < MOST_CHANGES, "no change ever lost its answer");
+        tag = changed.tag.expect("a tag");
+    }
 }
--- a/crates/node/src/admin/changes.rs
+++ b/crates/node/src/admin/changes.rs
@@ -40,6 +40,8 @@
     pub revision: Option<u64>,
     /// Resources written or deleted.
     pub changed: usize,
+    /// Whether the store's answer was lost and the change was found by reading it back.
+    pub read_back: bool,
 }
 
 /// What a change would do.
@@ -157,6 +159,7 @@
     Ok(response.json(ChangeAnswer {
         revision: committed.revision.map(|revision| revision.0),
         changed: committed.changed,
+        read_back: committed.read_back,
     }))
 }
 
--- a/crates/node/src/configuration/store.rs
+++ b/crates/node/src/configuration/store.rs
@@ -42,6 +42,8 @@
     pub revision: Option<Revision>,
     /// Resources written or deleted.
     pub changed: usize,
+    /// Whether the store's answer was lost and the change was found by reading it back.
+    pub read_back: bool,
 }
 
 impl Snapshot {
@@ -128,21 +130,24 @@
             change::apply(&snapshot, changes, author.tenant.as_ref())?;
             let is_effective = |change: &&Change| !change.is_idle(&snapshot.configuration);
             let effective: Vec<&Change> = changes.iter().filter(is_effective).collect();
-            let committed = |revision| Committed {
+            let committed = |revision, read_back| Committed {
                 revision,
                 changed: effective.len(),
+                read_back,
             };
             if effective.is_empty() {
-                return Ok(committed(Some(snapshot.head_revision_or_zero())));
+                return Ok(committed(Some(snapshot.head_revision_or_zero()), false));
             }
             let transaction = commit(&snapshot, &record, &effective)?;
             match self.store.transact(&transaction).await {
-                Ok(outcome) if outcome.succeeded => return Ok(committed(Some(outcome.revision))),
+                Ok(outcome) if outcome.succeeded => {
+                    return Ok(committed(Some(outcome.revision), false))
+                }
                 Ok(_) => continue,
                 Err(StoreError::Unknown(cause)) => {
                     let key = &effective[0].key;
                     match self.resolve(&record.id, key, &cause).await? {
-                        Resolution::Made(revision) => return Ok(committed(revision)),
+                        Resolution::Made(revision) => return Ok(committed(revision, true)),
                         Resolution::NeverMade => continue,
                     }
                 }
