--- a/crates/node/src/callers/admit.rs
+++ b/crates/node/src/callers/admit.rs
@@ -10,14 +10,15 @@
 use tansyhall_core::{ModelName, RequestId, ServiceName, Timestamp};
 use tansyhall_engine::protocol::{estimate_tokens, Priority};
 use tansyhall_policy::ast::PriorityName;
-use tansyhall_policy::compile::Class;
+use tansyhall_policy::Class;
 use tansyhall_policy::RequestFacts;
 
 use super::driver::InProgress;
 use super::failure::Failure;
 use super::options::RequestOptions;
 use super::requests::RequestRecord;
-use super::shape::CallerRequest;
+use super::shape::{CallerRequest, DEFAULT_MAX_TOKENS};
+use crate::configuration::RequestHeaders;
 use crate::state::Node;
 
 /// Reads a completion request's body, within the node's limits on size and time.
@@ -84,14 +85,24 @@
 /// Classifies a completion request.
 pub fn completion_terms(
     node: &Node,
-    path: &str,
+    http: &HttpRequest,
+    body_bytes: usize,
     request: &CallerRequest,
     options: &RequestOptions,
     arrived: Timestamp,
 ) -> Result<Terms, Failure> {
     let service = service_of_model(node, &request.model)?;
     let prompt_tokens = estimate_tokens(&request.prompt.flattened());
-    let mut terms = terms(node, service, path, prompt_tokens, options, arrived);
+    let headers = RequestHeaders(http.headers());
+    let facts = RequestFacts {
+        output_tokens: u64::from(request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS)),
+        body_bytes: body_bytes as u64,
+        service: service.as_str(),
+        model: request.model.as_str(),
+        headers: &headers,
+        ..RequestFacts::new(http.path(), u64::from(prompt_tokens))
+    };
+    let mut terms = terms(node, service.clone(), &facts, options, arrived);
     if let (None, Some(priority)) = (options.priority, request.priority) {
         terms.priority = priority;
     }
@@ -102,22 +113,17 @@
 pub fn terms(
     node: &Node,
     service: ServiceName,
-    path: &str,
-    prompt_tokens: u32,
+    facts: &RequestFacts<'_>,
     options: &RequestOptions,
     arrived: Timestamp,
 ) -> Terms {
-    let facts = RequestFacts {
-        path,
-        prompt_tokens: u64::from(prompt_tokens),
-    };
     let program = node.in_force.load().program(&service);
-    let class = program.classify(&facts);
+    let class = program.classify(facts);
     Terms {
         deadline: arrived + options.deadline.unwrap_or(class.deadline),
         priority: options.priority.unwrap_or_else(|| priority_of(class)),
         repeatable: class.repeatable && !options.not_repeatable,
-        prompt_tokens,
+        prompt_tokens: u32::try_from(facts.prompt_tokens).unwrap_or(u32::MAX),
         service,
     }
 }
--- a/crates/node/src/callers/application.rs
+++ b/crates/node/src/callers/application.rs
@@ -23,7 +23,9 @@
 use super::failure::{answer_with, Failure};
 use super::replay::ReplayableBody;
 use super::requests::{Ending, RequestRecord};
+use crate::configuration::RequestHeaders;
 use crate::state::Node;
+use tansyhall_policy::RequestFacts;
 
 /// Headers that belong to one connection and are not forwarded.
 const HOP_BY_HOP: [header::HeaderName; 8] = [
@@ -75,7 +77,13 @@
 ) -> Result<HttpResponse, Failure> {
     let options = options(node, http)?;
     let service = service_of_path(node, http.path())?;
-    let mut terms = terms(node, service, http.path(), 0, &options, record.arrived);
+    let headers = RequestHeaders(http.headers());
+    let facts = RequestFacts {
+        service: service.as_str(),
+        headers: &headers,
+        ..RequestFacts::new(http.path(), 0)
+    };
+    let mut terms = terms(node, service.clone(), &facts, &options, record.arrived);
     terms.repeatable = terms.repeatable && is_safe(http.method());
     let max_bytes = node.settings.limits.max_forwarded_body_bytes;
     let length = content_length(http);
--- a/crates/node/src/callers/completion.rs
+++ b/crates/node/src/callers/completion.rs
@@ -73,7 +73,7 @@
     let options = options(node, http)?;
     let body = read_body(node, payload).await?;
     let request = decode(node, &body)?;
-    let terms = completion_terms(node, http.path(), &request, &options, record.arrived)?;
+    let terms = completion_terms(node, http, body.len(), &request, &options, record.arrived)?;
     let in_progress = admit(node, record, &terms, &options).await?;
     let manner = match (request.stream, options.wait) {
         (true, _) => Manner::Stream,
--- a/crates/node/src/configuration/in_force.rs
+++ b/crates/node/src/configuration/in_force.rs
@@ -1,30 +1,24 @@
 //! The configuration in force at this node, with its policies compiled.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
-use tansyhall_config::{Configuration, ConfigurationError, Pool, Service, ServiceKind};
-use tansyhall_core::{ModelName, PolicyName, ServiceName};
-use tansyhall_policy::Program;
+use tansyhall_config::{Configuration, ConfigurationError, Pool, Programs, Service, ServiceKind};
+use tansyhall_core::{ModelName, ServiceName, TenantName};
+use tansyhall_policy::{PoolBounds, Program, TenantLimits};
 
 /// A validated configuration, ready to route by.
 #[derive(Debug, Clone, Default)]
 pub struct InForce {
     /// The resources.
     pub configuration: Configuration,
-    programs: HashMap<PolicyName, Arc<Program>>,
+    programs: Programs,
     fallback: Arc<Program>,
 }
 
 impl InForce {
     /// Validates and compiles a configuration.
     pub fn new(configuration: Configuration) -> Result<Self, ConfigurationError> {
-        configuration.validate()?;
-        let programs = configuration.policies.values().filter_map(|policy| {
-            let program = tansyhall_policy::compile(&policy.source).ok()?;
-            Some((policy.name.clone(), Arc::new(program)))
-        });
-        let programs = programs.collect();
+        let programs = configuration.compile()?;
         Ok(Self {
             configuration,
             programs,
@@ -40,6 +34,26 @@
         Arc::clone(program.unwrap_or(&self.fallback))
     }
 
+    /// Limits of a tenant for requests of a service: each one from the service's policy, or else
+    /// from the tenant's resource.
+    pub fn tenant_limits(&self, service: &ServiceName, tenant: &TenantName) -> TenantLimits {
+        let own = self.configuration.tenants.get(tenant);
+        let own = own.map(|tenant| tenant.limits).unwrap_or_default();
+        let program = self.program(service);
+        let policy = program.tenants().get(tenant).copied().unwrap_or_default();
+        TenantLimits {
+            requests_per_second: policy.requests_per_second.or(own.requests_per_second),
+            tokens_per_second: policy.tokens_per_second.or(own.tokens_per_second),
+            concurrent: policy.concurrent.or(own.concurrent),
+        }
+    }
+
+    /// Bounds of a pool that the policy of its service sets, beside those of its resource.
+    pub fn pool_bounds(&self, pool: &Pool) -> PoolBounds {
+        let program = self.program(&pool.service);
+        program.pools().get(&pool.name).cloned().unwrap_or_default()
+    }
+
     /// Pools that load a model.
     pub fn pools_of_model<'a>(&'a self, model: &'a ModelName) -> impl Iterator<Item = &'a Pool> {
         self.configuration
