--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod compare;
 pub mod emulator;
+pub mod load;
 pub mod strategy;
 pub mod workload;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,6 +12,7 @@
 
 USAGE:
   tansyhall-lab compare --workload FILE ...   every strategy on the same traces, side by side
+  tansyhall-lab load ...                      what a node adds to a request, against going straight
 
 `tansyhall-lab COMMAND --help` shows a command's options.
 
@@ -35,6 +36,7 @@
     let mut arguments = Arguments::from_env();
     let command = arguments.subcommand()?;
     match command.as_deref() {
+        Some("load") => tansyhall_lab::load::command(arguments),
         Some("compare") => tansyhall_lab::compare::command(arguments),
         Some(other) => bail!("unknown command {other}; see tansyhall-lab --help"),
         None => {
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -58,14 +58,16 @@
     }
 }
 
-/// The program built beside the running test; tests of the package `tansyhall` have all of them.
+/// The program built beside the running one, or beside the running test's directory; tests of the
+/// package `tansyhall` have all of them.
 fn program(name: &str) -> PathBuf {
-    let test = std::env::current_exe().expect("the test's own path");
-    let directory = test
-        .parent()
-        .and_then(|deps| deps.parent())
-        .expect("a target directory");
-    directory.join(name)
+    let running = std::env::current_exe().expect("the running program's own path");
+    let directory = running.parent().expect("a target directory");
+    let beside = directory.join(name);
+    if beside.exists() {
+        return beside;
+    }
+    directory.with_file_name(name)
 }
 
 /// A stand-in process.
