Membership and configuration spread as pure state machines, with their wire format

Cause: nodes did not know of each other, so every one of them read the configuration store, and none could tell that another had died or was leaving.

Ruled out: every node watching the store (its service is rate-limited and has outages), and full-mesh heartbeats (their cost grows with the square of the zone's size).

Change: crates/membership is a SWIM-like detector within one zone, with incarnations, suspicion before death, a leaving state that is passed on at once, and digests that a few relay members exchange between zones. crates/dissemination decides whom to pull a newer revision from, and when a node that has just started knows enough to serve. crates/proto holds the encoding, generated by crates/proto-gen and committed; a test compares the two.

Not wired into the node yet.

--- /dev/null
+++ b/crates/dissemination/tests/spread.rs
@@ -0,0 +1,321 @@
+//! The spread of revisions over many nodes in virtual time: how fast, never backwards, and what a
+//! restarted node does before it serves.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tansyhall_core::{Duration, Timestamp};
+use tansyhall_dissemination::{Action, Mark, Peer, PullOutcome, Spread, SpreadSettings, View};
+
+const TICK: Duration = Duration::from_millis(100);
+/// Ticks between the probes of a node; each tells the other side what is in force.
+const TICKS_PER_PROBE: u64 = 10;
+const DELIVERY: Duration = Duration::from_millis(2);
+
+fn peer(index: usize) -> Peer {
+    Peer {
+        name: format!("node-{index:03}").as_str().into(),
+        address: SocketAddr::from(([10, 0, 0, 1], 7_000 + index as u16)),
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Heard { from: usize, mark: Mark },
+    Pulled { from: usize, mark: Option<Mark> },
+}
+
+struct Zone {
+    now: Timestamp,
+    nodes: Vec<Spread>,
+    running: BTreeSet<usize>,
+    in_force: Vec<u64>,
+    /// The store's newest revision; absent while the store is down.
+    store: Option<u64>,
+    events: BTreeMap<(Timestamp, u64), (usize, Event)>,
+    order: u64,
+    ticks: u64,
+    announcements: usize,
+    went_back: bool,
+}
+
+impl Zone {
+    fn new(size: usize) -> Self {
+        let spread = |seed| Spread::new(SpreadSettings::default(), seed as u64);
+        Self {
+            now: Timestamp::from_millis(1_000),
+            nodes: (0..size).map(spread).collect(),
+            running: (0..size).collect(),
+            in_force: vec![0; size],
+            store: Some(1),
+            events: BTreeMap::new(),
+            order: 0,
+            ticks: 0,
+            announcements: 0,
+            went_back: false,
+        }
+    }
+
+    fn watcher(&self) -> Option<usize> {
+        self.running.first().copied()
+    }
+
+    fn restart(&mut self, index: usize, seed: u64) {
+        self.nodes[index] = Spread::new(SpreadSettings::default(), seed);
+        self.in_force[index] = 0;
+        self.running.insert(index);
+    }
+
+    fn step(&mut self) {
+        let running: Vec<usize> = self.running.iter().copied().collect();
+        for index in running.iter().copied() {
+            let others = running.iter().filter(|other| **other != index);
+            let view = View {
+                is_watcher: self.watcher() == Some(index),
+                is_settled: true,
+                neighbours: others.map(|other| peer(*other)).collect(),
+            };
+            let actions = self.nodes[index].tick(self.now, view);
+            self.carry_out(index, actions);
+            if let Some(revision) = self.store.filter(|_| self.nodes[index].follows_store()) {
+                let actions = self.nodes[index].store_read(self.now, revision);
+                self.carry_out(index, actions);
+            }
+        }
+        self.ticks += 1;
+        if self.ticks % TICKS_PER_PROBE == 0 {
+            self.probe(self.ticks / TICKS_PER_PROBE);
+        }
+        let end = self.now + TICK;
+        while let Some(next) = self.events.first_entry().filter(|next| next.key().0 < end) {
+            self.now = self.now.max(next.key().0);
+            let (to, event) = next.remove();
+            self.deliver(to, event);
+        }
+        self.now = end;
+    }
+
+    /// Each node exchanges marks with one other, in turn.
+    fn probe(&mut self, round: u64) {
+        let size = self.nodes.len();
+        let distance = 1 + round as usize % (size - 1);
+        for from in self.running.clone() {
+            let to = (from + distance) % size;
+            if self.running.contains(&to) {
+                let mark = self.nodes[from].mark(self.now);
+                self.post(to, Event::Heard { from, mark });
+                let mark = self.nodes[to].mark(self.now);
+                self.post(from, Event::Heard { from: to, mark });
+            }
+        }
+    }
+
+    fn deliver(&mut self, to: usize, event: Event) {
+        if !self.running.contains(&to) {
+            return;
+        }
+        let now = self.now;
+        let node = &mut self.nodes[to];
+        let actions = match event {
+            Event::Heard { from, mark } => node.heard(now, &peer(from), mark),
+            Event::Pulled { from, mark } => {
+                let outcome = mark.map_or(PullOutcome::Failed, PullOutcome::Held);
+                node.pulled(now, &peer(from), outcome)
+            }
+        };
+        self.carry_out(to, actions);
+    }
+
+    fn post(&mut self, to: usize, event: Event) {
+        self.order += 1;
+        let key = (self.now + DELIVERY, self.order);
+        self.events.insert(key, (to, event));
+    }
+
+    fn carry_out(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Pull { peer, .. } => {
+                    let from = peer.address.port() as usize - 7_000;
+                    let answers = self.running.contains(&from);
+                    let mark = answers.then(|| self.nodes[from].mark(self.now));
+                    self.post(index, Event::Pulled { from, mark });
+                }
+                Action::PutInForce => self.put_in_force(index),
+                Action::Announce { peers } => {
+                    let mark = self.nodes[index].mark(self.now);
+                    for peer in peers {
+                        self.announcements += 1;
+                        let to = peer.address.port() as usize - 7_000;
+                        self.post(to, Event::Heard { from: index, mark });
+                    }
+                }
+            }
+        }
+    }
+
+    fn put_in_force(&mut self, index: usize) {
+        let revision = self.nodes[index].revision_held();
+        self.went_back |= revision < self.in_force[index];
+        self.in_force[index] = revision;
+        let actions = self.nodes[index].in_force(revision);
+        self.carry_out(index, actions);
+    }
+
+    fn run_until(&mut self, condition: impl Fn(&Self) -> bool) -> Duration {
+        let start = self.now;
+        while !condition(self) {
+            let limit = Duration::from_secs(30);
+            assert!(self.now.since(start) < limit, "not within {limit:?}");
+            self.step();
+        }
+        self.now.since(start)
+    }
+
+    fn all_have(&self, revision: u64) -> bool {
+        let mut running = self.running.iter();
+        running.all(|index| self.in_force[*index] == revision)
+    }
+}
+
+#[test]
+fn a_change_is_in_force_everywhere_within_five_seconds() {
+    let mut zone = Zone::new(64);
+    zone.run_until(|zone| zone.all_have(1));
+    zone.announcements = 0;
+    zone.store = Some(2);
+    let took = zone.run_until(|zone| zone.all_have(2));
+    println!(
+        "64 nodes after {took:?}, {} announcements",
+        zone.announcements
+    );
+    assert!(took < Duration::from_secs(5));
+    assert!(!zone.went_back);
+}
+
+#[test]
+fn a_restarted_node_takes_the_newest_of_its_peers_while_the_store_is_down() {
+    let mut zone = Zone::new(9);
+    zone.run_until(|zone| zone.all_have(1));
+    zone.store = None;
+    // Some have a newer revision than the others and have not yet told them.
+    for index in [6, 7, 8] {
+        let actions = zone.nodes[index].store_read(zone.now, 5);
+        zone.carry_out(index, actions);
+    }
+    zone.events.clear();
+    zone.restart(3, 99);
+    zone.run_until(|zone| zone.nodes[3].is_recovered());
+    assert_eq!(zone.in_force[3], 5);
+}
+
+#[test]
+fn nodes_that_all_restarted_without_a_store_are_not_ready() {
+    let mut zone = Zone::new(5);
+    zone.store = None;
+    for _ in 0..200 {
+        zone.step();
+    }
+    assert!(zone.nodes.iter().all(|node| !node.is_recovered()));
+    zone.store = Some(3);
+    zone.run_until(|zone| zone.all_have(3));
+}
+
+#[test]
+fn a_revision_that_does_not_validate_is_not_asked_for_again() {
+    let mut node = Spread::new(SpreadSettings::default(), 1);
+    let now = Timestamp::from_millis(1);
+    let view = View {
+        is_watcher: true,
+        is_settled: true,
+        neighbours: vec![peer(1)],
+    };
+    node.tick(now, view.clone());
+    node.store_read(now, 4);
+    node.in_force(4);
+    let mark = Mark {
+        revision: 5,
+        confirmation_age: Duration::ZERO,
+    };
+    let actions = node.heard(now, &peer(1), mark);
+    assert!(matches!(actions[..], [Action::Pull { .. }]));
+    node.pulled(now, &peer(1), PullOutcome::Refused { revision: 5 });
+    let later = now + Duration::from_secs(60);
+    assert_eq!(node.heard(later, &peer(1), mark), Vec::new());
+    assert_eq!(node.tick(later, view), Vec::new());
+    assert_eq!(node.revision_in_force(), 4);
+}
+
+#[test]
+fn staleness_follows_the_confirmations_of_others() {
+    let mut zone = Zone::new(3);
+    zone.run_until(|zone| zone.all_have(1));
+    let mark = Mark {
+        revision: 1,
+        confirmation_age: Duration::from_secs(1),
+    };
+    let later = zone.now + Duration::from_secs(40);
+    assert!(zone.nodes[2].staleness(later) >= Some(Duration::from_secs(40)));
+    zone.nodes[2].heard(later, &peer(0), mark);
+    assert_eq!(zone.nodes[2].staleness(later), Some(Duration::from_secs(1)));
+}
+
+#[derive(Debug, Clone)]
+enum Fault {
+    Change,
+    StoreDown,
+    StoreUp,
+    Stop(usize),
+    Restart(usize),
+    Wait,
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        3 => Just(Fault::Change),
+        1 => Just(Fault::StoreDown),
+        1 => Just(Fault::StoreUp),
+        2 => (0..7_usize).prop_map(Fault::Stop),
+        2 => (0..7_usize).prop_map(Fault::Restart),
+        3 => Just(Fault::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever stops, restarts and changes, no node goes back, and once all is well every node
+    /// has the newest.
+    #[test]
+    fn no_node_goes_back(faults in vec(fault(), 1..30)) {
+        let mut zone = Zone::new(7);
+        let mut newest = 1;
+        for (seed, fault) in faults.into_iter().enumerate() {
+            match fault {
+                Fault::Change => {
+                    newest += u64::from(zone.store.is_some());
+                    zone.store = zone.store.map(|_| newest);
+                }
+                Fault::StoreDown => zone.store = None,
+                Fault::StoreUp => zone.store = Some(newest),
+                Fault::Stop(index) => {
+                    zone.running.remove(&index);
+                }
+                Fault::Restart(index) => zone.restart(index, seed as u64 + 100),
+                Fault::Wait => (0..20).for_each(|_| zone.step()),
+            }
+            zone.step();
+            prop_assert!(!zone.went_back);
+        }
+        zone.store = Some(newest);
+        zone.running = (0..7).collect();
+        zone.run_until(|zone| zone.all_have(newest));
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/between_zones.rs
@@ -0,0 +1,82 @@
+//! Several zones in virtual time: digests reach every member, and no more is sent than the budget.
+
+mod support;
+
+use support::{address, Network};
+use tansyhall_core::{Duration, Timestamp};
+use tansyhall_membership::{ConfigurationMark, KnownMachine};
+
+const ZONES: [(&str, usize); 5] = [
+    ("cluj-a", 64),
+    ("cluj-b", 64),
+    ("brasov-c", 64),
+    ("kalimati", 64),
+    ("thimi", 64),
+];
+const LIMIT: Duration = Duration::from_secs(60);
+/// What a node may spend on control, in bytes sent and received a second.
+const CONTROL_BYTES_PER_SECOND: u64 = 3_000;
+
+fn machine(index: usize, zone: &str) -> KnownMachine {
+    KnownMachine {
+        name: format!("node-{index:03}").as_str().into(),
+        zone: zone.into(),
+        peers: address(index),
+        leaving: false,
+    }
+}
+
+/// All zones, each member with a machine list of one node a zone.
+fn network() -> Network {
+    let mut network = Network::new(&ZONES, 1);
+    let listed: Vec<KnownMachine> = ZONES
+        .iter()
+        .enumerate()
+        .map(|(zone, (name, size))| machine(zone * size, name))
+        .collect();
+    for host in &mut network.hosts {
+        let actions = host.membership.observe_machines(Timestamp(0), &listed);
+        assert!(actions.is_empty());
+    }
+    network
+}
+
+fn all_know_every_zone(network: &Network) -> bool {
+    let others = ZONES.len() - 1;
+    let mut hosts = network.hosts.iter();
+    hosts.all(|host| host.membership.zone_digests().count() == others)
+}
+
+#[test]
+fn every_member_hears_of_every_zone_and_of_its_newest_revision() {
+    let mut network = network();
+    network.run_until(LIMIT, all_know_every_zone);
+    let now = network.now;
+    let mark = ConfigurationMark {
+        revision: 42,
+        confirmation_age: Duration::ZERO,
+    };
+    for host in network.hosts.iter_mut().take(64) {
+        host.membership.set_configuration(now, mark);
+    }
+    network.run_until(LIMIT, |network| {
+        network.hosts.iter().skip(64).all(|host| {
+            let mut digests = host.membership.zone_digests();
+            digests.any(|it| it.zone.as_str() == "cluj-a" && it.configuration_revision == 42)
+        })
+    });
+}
+
+#[test]
+fn a_relay_spends_less_than_its_budget() {
+    let mut network = network();
+    network.run_until(LIMIT, all_know_every_zone);
+    network.run(Duration::from_secs(60));
+    network.reset_byte_counts();
+    network.run(Duration::from_secs(60));
+    let bytes = network.bytes_per_second(60);
+    let most = bytes.iter().max().copied().unwrap_or_default();
+    let mean = bytes.iter().sum::<u64>() / bytes.len() as u64;
+    println!("320 members in 5 zones: {mean} B/s on average, {most} B/s at most");
+    assert!(most < CONTROL_BYTES_PER_SECOND);
+}
