Nodes know each other and pass configurations on

Cause: each node read the configuration store for itself, so a restarted node had nothing while the store was away, and the store's load grew with the fleet.

Ruled out: passing on what a peer holds but has not yet put in force (a node that is recovering could then vote for an older revision); reading the whole configuration in each anti-entropy round (only the newest revision's number is read now, and the rest when it has changed).

Change: crates/node/src/peers runs membership and the spread of revisions over UDP and TCP on the peers address. Nothing is put in force, and so the node is not ready, before the store or a majority of the zone's members have answered. A planned stop announces that the node is leaving before it drains.

Tests: separate processes, five nodes: killed, frozen and woken, planned stop; a change through one reader of the store; the follower killed; a restart in an outage of the store; a lone restart in an outage is not ready.

Before: a node restarted in an outage had no configuration until the outage ended. After: it has the newest of its peers.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -63,6 +63,9 @@
     /// Authority over pools.
     #[serde(default)]
     pub authority: AuthoritySettings,
+    /// Talk with other nodes.
+    #[serde(default)]
+    pub peer_limits: PeerLimits,
 }
 
 /// What an operator may do.
@@ -150,12 +153,41 @@
     }
 }
 
+/// Times and limits of the talk with other nodes.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PeerLimits {
+    /// Time between probes; each node probes one other member of its zone a period.
+    #[serde(with = "humantime_serde")]
+    pub probe_period: Duration,
+    /// Time between reads of the platform's list of machines, by the members that read it.
+    #[serde(with = "humantime_serde")]
+    pub machines_period: Duration,
+    /// Largest frame sent or accepted when a configuration is pulled, in bytes.
+    pub max_frame_bytes: usize,
+    /// Most peers that pull at once; more are turned away.
+    pub max_connections: usize,
+}
+
+impl Default for PeerLimits {
+    fn default() -> Self {
+        Self {
+            probe_period: Duration::from_secs(1),
+            machines_period: Duration::from_secs(5),
+            max_frame_bytes: 16 << 20,
+            max_connections: 64,
+        }
+    }
+}
+
 mod defaults {
     pub(super) fn threads() -> usize {
         4
     }
 }
 
+/// Shortest time between probes; the timer behind them is a fraction of it.
+const SHORTEST_PROBE_PERIOD: Duration = Duration::from_millis(100);
 /// Most worker threads.
 const MAX_THREADS: usize = 256;
 
@@ -210,6 +242,13 @@
         if self.limits.max_attempts == 0 {
             return refuse("limits.max_attempts", "0".into(), "1 or more");
         }
+        if self.peer_limits.probe_period < SHORTEST_PROBE_PERIOD {
+            let value = format!("{:?}", self.peer_limits.probe_period);
+            return refuse("peer_limits.probe_period", value, "100ms or more");
+        }
+        if self.peer_limits.max_connections == 0 {
+            return refuse("peer_limits.max_connections", "0".into(), "1 or more");
+        }
         self.validate_authority(file)
     }
 
--- a/crates/node/src/configuration/mod.rs
+++ b/crates/node/src/configuration/mod.rs
@@ -1,10 +1,12 @@
-//! The configuration: how it is changed in the platform's store, how a node follows it, and the
-//! tables that requests are routed by.
+//! The configuration: how it is changed in the platform's store, how a node follows it there or
+//! takes it from its peers, and the tables that requests are routed by.
 
+pub mod held;
 pub mod in_force;
 pub mod store;
 pub mod watcher;
 
+pub use held::{hold, put_held_in_force, take_answer, Held, Refused};
 pub use in_force::InForce;
 pub use store::{ChangeError, ConfigurationStore, Snapshot};
 pub use watcher::ConfigurationWatcher;
--- a/crates/node/src/configuration/store.rs
+++ b/crates/node/src/configuration/store.rs
@@ -167,6 +167,13 @@
         Snapshot::decode(&self.store.range(CONFIGURATION_PREFIX).await?)
     }
 
+    /// Reads the newest revision's number alone; zero if there is no configuration.
+    pub async fn read_revision(&self) -> Result<u64, StoreError> {
+        let range = self.store.range(HEAD_KEY).await?;
+        let head = range.entries.iter().find(|entry| entry.key == HEAD_KEY);
+        Ok(head.map_or(0, |entry| entry.modified.0))
+    }
+
     /// Checks changes against the configuration without making them.
     pub async fn dry_run(&self, changes: &[Change]) -> Result<(), ChangeError> {
         let snapshot = self.read().await.map_err(ChangeError::NotApplied)?;
--- a/crates/node/src/configuration/watcher.rs
+++ b/crates/node/src/configuration/watcher.rs
@@ -1,31 +1,35 @@
-//! Follows the configuration in the store and puts each newer revision in force.
+//! Follows the configuration in the store, as long as this node is the one that does so for its
+//! zone, or has just started and its peers have not told it enough.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{Actor, AsyncContext, Context, WrapFuture};
+use actix::{Actor, AsyncContext, Context, Recipient, WrapFuture};
 use futures_util::StreamExt;
 use tansyhall_platform::{EtcdStore, KeyValueStore, Revision, StoreError};
 
-use super::in_force::InForce;
 use super::store::{ConfigurationStore, CONFIGURATION_PREFIX};
+use crate::peers::StoreRead;
 use crate::state::Node;
 
 /// Wait after a failed read or a broken watch.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Longest silence of a watch before the range is read anyway.
+/// Time between looks at whether this node is to follow the store.
+const TURN_POLL: Duration = Duration::from_millis(50);
+/// Longest silence of a watch before the newest revision is read anyway.
 const ANTI_ENTROPY_PERIOD: Duration = Duration::from_secs(2);
 
 /// The actor that follows the store.
 pub struct ConfigurationWatcher {
     node: Arc<Node>,
     store: EtcdStore,
+    reads: Recipient<StoreRead>,
 }
 
 impl ConfigurationWatcher {
-    /// A watcher for a node.
-    pub fn new(node: Arc<Node>, store: EtcdStore) -> Self {
-        Self { node, store }
+    /// A watcher for a node that passes on what it reads.
+    pub fn new(node: Arc<Node>, store: EtcdStore, reads: Recipient<StoreRead>) -> Self {
+        Self { node, store, reads }
     }
 }
 
@@ -33,59 +37,73 @@
     type Context = Context<Self>;
 
     fn started(&mut self, context: &mut Self::Context) {
-        let node = Arc::clone(&self.node);
-        let store = self.store.clone();
-        context.spawn(follow(node, store).into_actor(self));
+        let follower = Follower {
+            node: Arc::clone(&self.node),
+            store: self.store.clone(),
+            configurations: ConfigurationStore::new(self.store.clone()),
+            reads: self.reads.clone(),
+        };
+        context.spawn(follower.run().into_actor(self));
     }
 }
 
-async fn follow(node: Arc<Node>, store: EtcdStore) {
-    loop {
-        if let Err(error) = follow_once(&node, &store).await {
-            node.metrics.platform_errors.inc();
-            log::debug!("the configuration watch ended: {error}");
+struct Follower {
+    node: Arc<Node>,
+    store: EtcdStore,
+    configurations: ConfigurationStore<EtcdStore>,
+    reads: Recipient<StoreRead>,
+}
+
+impl Follower {
+    async fn run(self) {
+        loop {
+            if !self.node.peers.follows_store() {
+                actix_rt::time::sleep(TURN_POLL).await;
+                continue;
+            }
+            if let Err(error) = self.follow().await {
+                self.node.metrics.platform_errors.inc();
+                log::debug!("the configuration watch ended: {error}");
+                actix_rt::time::sleep(RETRY_DELAY).await;
+            }
         }
-        actix_rt::time::sleep(RETRY_DELAY).await;
     }
-}
 
-async fn follow_once(node: &Node, store: &EtcdStore) -> Result<(), StoreError> {
-    let configurations = ConfigurationStore::new(store.clone());
-    let snapshot = configurations.read().await?;
-    let next = Revision(snapshot.configuration.revision + 1);
-    put_in_force(node, snapshot.configuration);
-    let mut watch = store.watch(CONFIGURATION_PREFIX, next).await?;
-    loop {
-        let events = actix_rt::time::timeout(ANTI_ENTROPY_PERIOD, watch.next()).await;
-        match events {
-            Ok(None) => return Ok(()),
-            Ok(Some(Err(error))) => return Err(error),
-            Ok(Some(Ok(events))) if events.is_empty() => continue,
-            Ok(Some(Ok(_))) | Err(_) => {
-                put_in_force(node, configurations.read().await?.configuration)
+    /// Follows the store until it fails or it is another node's turn.
+    async fn follow(&self) -> Result<(), StoreError> {
+        let mut revision = self.read().await?;
+        let start = Revision(revision + 1);
+        let mut watch = self.store.watch(CONFIGURATION_PREFIX, start).await?;
+        while self.node.peers.follows_store() {
+            let events = actix_rt::time::timeout(ANTI_ENTROPY_PERIOD, watch.next()).await;
+            match events {
+                Ok(None) => return Ok(()),
+                Ok(Some(Err(error))) => return Err(error),
+                Ok(Some(Ok(events))) if events.is_empty() => {}
+                Ok(Some(Ok(_))) => revision = self.read().await?,
+                Err(_) => revision = self.confirm(revision).await?,
             }
         }
+        Ok(())
     }
-}
 
-/// Puts a configuration in force unless it is older than the present one or does not validate.
-pub fn put_in_force(node: &Node, configuration: tansyhall_config::Configuration) {
-    let present = node.in_force.load().configuration.revision;
-    if configuration.revision <= present {
-        return;
+    async fn read(&self) -> Result<u64, StoreError> {
+        let configuration = self.configurations.read().await?.configuration;
+        let revision = configuration.revision;
+        self.reads
+            .do_send(StoreRead::Newest(Box::new(configuration)));
+        Ok(revision)
     }
-    let revision = configuration.revision;
-    match InForce::new(configuration) {
-        Ok(in_force) => {
-            node.in_force.store(Arc::new(in_force));
-            node.metrics
-                .configuration_revision
-                .set(i64::try_from(revision).unwrap_or(i64::MAX));
-            log::info!("configuration revision {revision} is in force");
+
+    /// Reads only the newest revision's number, and the rest if that has changed.
+    async fn confirm(&self, known: u64) -> Result<u64, StoreError> {
+        if self.configurations.read_revision().await? != known {
+            return self.read().await;
         }
-        Err(error) => {
-            node.metrics.configuration_refused.inc();
-            log::error!("configuration revision {revision} is refused: {error}");
+        let held = self.node.held.lock().revision();
+        if held == known {
+            self.reads.do_send(StoreRead::Unchanged(known));
         }
+        Ok(known)
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod callers;
 pub mod configuration;
 pub mod metrics;
+pub mod peers;
 pub mod server;
 pub mod state;
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters of a node, in Prometheus text form.
 
+use crate::peers::PeerMetrics;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
 /// Every counter and gauge of a node.
@@ -25,6 +26,8 @@
     pub pools_held: IntGauge,
     /// Failed calls to the platform.
     pub platform_errors: IntCounter,
+    /// What passes between nodes.
+    pub peers: PeerMetrics,
 }
 
 impl Metrics {
@@ -63,6 +66,7 @@
             orders: counters("tansyhall_orders_total", "Orders by reply", "reply")?,
             pools_held: gauge("tansyhall_pools_held", "Pools under this node's authority")?,
             platform_errors: counter("tansyhall_platform_errors_total", "Failed platform calls")?,
+            peers: PeerMetrics::register(&registry)?,
             registry,
         })
     }
--- /dev/null
+++ b/crates/node/src/peers/actor.rs
@@ -0,0 +1,395 @@
+//! The actor that runs membership and the spread of configurations: it hands them datagrams,
+//! pulls and the time, and carries out what they decide.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use actix::{
+    Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, StreamHandler, WrapFuture,
+};
+use tansyhall_config::Configuration;
+use tansyhall_core::{Incarnation, Timestamp};
+use tansyhall_dissemination::{self as dissemination, Mark, Peer, PullOutcome, Spread, View};
+use tansyhall_membership::{
+    self as membership, ConfigurationMark, MemberAddresses, MemberRecord, MemberState, Membership,
+    MembershipSettings,
+};
+use tansyhall_platform::machines::MachineList;
+use tansyhall_proto::{decode_datagram, encode_datagram, PullAnswer};
+use tokio::net::{TcpListener, UdpSocket};
+
+use super::machines::{self, MachineSchedule};
+use super::pull;
+use super::transport::{self, Datagram, PeerTransport};
+use super::view::state_name;
+use crate::configuration::{self, Refused};
+use crate::state::Node;
+
+/// The timer runs this many times in a probe period.
+const TICKS_PER_PROBE: u32 = 20;
+/// A probe is tried through others after this fraction of its period.
+const PROBE_TIMEOUT_FRACTION: f64 = 0.3;
+/// Every state a member can be in, for the gauges.
+const STATES: [MemberState; 4] = [
+    MemberState::Alive,
+    MemberState::Suspect,
+    MemberState::Leaving,
+    MemberState::Dead,
+];
+
+/// Announces that this node is leaving.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Leave;
+
+/// The configuration store was read.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub enum StoreRead {
+    /// This is the newest configuration.
+    Newest(Box<Configuration>),
+    /// The newest configuration is still this revision.
+    Unchanged(u64),
+}
+
+/// The actor.
+pub struct PeersActor {
+    node: Arc<Node>,
+    membership: Membership,
+    spread: Spread,
+    spread_settings: dissemination::SpreadSettings,
+    transport: Option<PeerTransport>,
+    socket: Option<Rc<UdpSocket>>,
+    list: MachineList,
+    schedule: MachineSchedule,
+}
+
+impl PeersActor {
+    /// An actor that speaks for a node which is reached at these addresses.
+    pub fn new(node: Arc<Node>, transport: PeerTransport, addresses: MemberAddresses) -> Self {
+        let settings = &node.settings;
+        let own = MemberRecord {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            addresses,
+            incarnation: incarnation_of_this_process(),
+            state: MemberState::Alive,
+            configuration_revision: 0,
+        };
+        let mut membership = Membership::new(membership_settings(&node), own, rand::random());
+        for seed in &settings.seeds {
+            membership.add_contact(*seed);
+        }
+        let spread_settings = dissemination::SpreadSettings::default();
+        let schedule = MachineSchedule {
+            period: settings.peer_limits.machines_period,
+            next: Timestamp::default(),
+            in_progress: false,
+        };
+        Self {
+            membership,
+            spread: Spread::new(spread_settings.clone(), rand::random()),
+            spread_settings,
+            transport: Some(transport),
+            socket: None,
+            list: MachineList::new(settings.platform, settings.limits.platform_timeout),
+            schedule,
+            node,
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context<Self>) {
+        let now = self.node.clock.now();
+        let actions = self.membership.tick(now);
+        self.carry_out_membership(now, actions, context);
+        self.hear_of_other_zones();
+        let view = self.view(now);
+        let actions = self.spread.tick(now, view);
+        self.carry_out_spread(now, actions, context);
+        self.read_machines(now, context);
+        self.publish(now);
+    }
+
+    fn view(&self, now: Timestamp) -> View {
+        let own = &self.node.settings.name;
+        let neighbours = self.membership.reachable().filter(|it| it.name != *own);
+        View {
+            is_watcher: self.membership.is_watcher(now),
+            is_settled: self.membership.is_settled(now),
+            neighbours: neighbours.map(peer_of).collect(),
+        }
+    }
+
+    /// The members that speak for the zone also pull from other zones, should those be ahead.
+    fn hear_of_other_zones(&mut self) {
+        if !self.membership.relays().contains(&self.node.settings.name) {
+            return;
+        }
+        for digest in self.membership.zone_digests() {
+            for contact in &digest.contacts {
+                let peer = Peer {
+                    name: contact.name.clone(),
+                    address: contact.peers,
+                };
+                self.spread.heard_of(&peer, contact.configuration_revision);
+            }
+        }
+    }
+
+    fn carry_out_membership(
+        &mut self,
+        now: Timestamp,
+        actions: Vec<membership::Action>,
+        context: &mut Context<Self>,
+    ) {
+        for action in actions {
+            match action {
+                membership::Action::Send { to, message } => self.send(to, &message),
+                membership::Action::StateChanged { record, before } => log_change(&record, before),
+                membership::Action::Heard { sender, from } => {
+                    let peer = Peer {
+                        name: sender.name,
+                        address: from,
+                    };
+                    let mark = Mark {
+                        revision: sender.configuration.revision,
+                        confirmation_age: sender.configuration.confirmation_age,
+                    };
+                    let actions = self.spread.heard(now, &peer, mark);
+                    self.carry_out_spread(now, actions, context);
+                }
+                membership::Action::AskedToLeave => {
+                    log::info!("this machine is listed as leaving; other nodes send no new work");
+                }
+            }
+        }
+    }
+
+    fn carry_out_spread(
+        &mut self,
+        now: Timestamp,
+        actions: Vec<dissemination::Action>,
+        context: &mut Context<Self>,
+    ) {
+        for action in actions {
+            match action {
+                dissemination::Action::Pull {
+                    peer,
+                    held_revision,
+                } => self.pull(peer, held_revision, context),
+                dissemination::Action::PutInForce => {
+                    let revision = configuration::put_held_in_force(&self.node);
+                    let actions = self.spread.in_force(revision);
+                    self.update_mark(now);
+                    self.carry_out_spread(now, actions, context);
+                }
+                dissemination::Action::Announce { peers } => {
+                    let message = self.membership.notice(now);
+                    for peer in peers {
+                        self.send(peer.address, &message);
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddr, message: &membership::Message) {
+        let metrics = &self.node.metrics.peers;
+        let bytes = encode_datagram(message);
+        let sent = self.socket.as_ref().map(|it| it.try_send_to(&bytes, to));
+        if matches!(sent, Some(Ok(_))) {
+            let sent_bytes = metrics.datagram_bytes.with_label_values(&["sent"]);
+            sent_bytes.inc_by(bytes.len() as u64);
+        } else {
+            metrics.unsent.inc();
+        }
+    }
+
+    fn pull(&self, peer: Peer, held_revision: u64, context: &mut Context<Self>) {
+        let max_bytes = self.node.settings.peer_limits.max_frame_bytes;
+        let timeout = self.spread_settings.pull_timeout;
+        let pull = pull::pull(peer.address, held_revision, max_bytes, timeout);
+        let pull = pull.into_actor(self);
+        context.spawn(pull.map(move |answer, actor, context| {
+            actor.pull_ended(peer, answer, context);
+        }));
+    }
+
+    fn pull_ended(
+        &mut self,
+        peer: Peer,
+        answer: anyhow::Result<PullAnswer>,
+        context: &mut Context<Self>,
+    ) {
+        let outcome = match answer {
+            Ok(answer) => configuration::take_answer(&self.node, answer),
+            Err(error) => {
+                log::debug!("pull from {}: {error:#}", peer.name);
+                PullOutcome::Failed
+            }
+        };
+        let label = match outcome {
+            PullOutcome::Held(_) => "held",
+            PullOutcome::Refused { .. } => "refused",
+            PullOutcome::Failed => "failed",
+        };
+        self.node
+            .metrics
+            .peers
+            .pulls
+            .with_label_values(&[label])
+            .inc();
+        let now = self.node.clock.now();
+        let actions = self.spread.pulled(now, &peer, outcome);
+        self.carry_out_spread(now, actions, context);
+    }
+
+    fn read_machines(&mut self, now: Timestamp, context: &mut Context<Self>) {
+        let speaks = self.membership.relays().contains(&self.node.settings.name);
+        let is_needed = speaks || !self.membership.is_settled(now);
+        if self.schedule.in_progress || now < self.schedule.next || !is_needed {
+            return;
+        }
+        self.schedule.in_progress = true;
+        self.schedule.next = now + self.schedule.period;
+        let fetch = machines::fetch(self.list.clone()).into_actor(self);
+        context.spawn(fetch.map(|machines, actor, context| {
+            actor.schedule.in_progress = false;
+            let Some(machines) = machines else {
+                actor.node.metrics.platform_errors.inc();
+                return;
+            };
+            let now = actor.node.clock.now();
+            let actions = actor.membership.observe_machines(now, &machines);
+            actor.carry_out_membership(now, actions, context);
+        }));
+    }
+
+    /// Tells membership what is in force, so that every message says so.
+    fn update_mark(&mut self, now: Timestamp) {
+        let mark = self.spread.mark(now);
+        let mark = ConfigurationMark {
+            revision: mark.revision,
+            confirmation_age: mark.confirmation_age,
+        };
+        self.membership.set_configuration(now, mark);
+    }
+
+    fn publish(&mut self, now: Timestamp) {
+        self.update_mark(now);
+        let follows_store = self.spread.follows_store();
+        self.node.peers.set_follows_store(follows_store);
+        self.node.peers.publish(&self.membership);
+        let metrics = &self.node.metrics.peers;
+        metrics.follows_store.set(follows_store.into());
+        let staleness = self.spread.staleness(now);
+        let staleness = staleness.map_or(f64::INFINITY, |age| age.as_secs_f64());
+        metrics.staleness_seconds.set(staleness);
+        for state in STATES {
+            let members = self.membership.members();
+            let count = members.filter(|record| record.state == state).count();
+            let gauge = metrics.members.with_label_values(&[state_name(state)]);
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+}
+
+impl Actor for PeersActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        let Some(transport) = self.transport.take() else {
+            return;
+        };
+        // Both sockets are bound and non-blocking; registering them fails only without a reactor.
+        let socket = UdpSocket::from_std(transport.datagrams).expect("a reactor runs");
+        let listener = TcpListener::from_std(transport.pulls).expect("a reactor runs");
+        let socket = Rc::new(socket);
+        context.add_stream(transport::receive_all(Rc::clone(&socket)));
+        self.socket = Some(socket);
+        actix_rt::spawn(pull::serve(Arc::clone(&self.node), listener));
+        let period = self.node.settings.peer_limits.probe_period / TICKS_PER_PROBE;
+        self.tick(context);
+        context.run_interval(period, Self::tick);
+    }
+}
+
+impl StreamHandler<Datagram> for PeersActor {
+    fn handle(&mut self, datagram: Datagram, context: &mut Self::Context) {
+        let metrics = &self.node.metrics.peers;
+        let received_bytes = metrics.datagram_bytes.with_label_values(&["received"]);
+        received_bytes.inc_by(datagram.bytes.len() as u64);
+        let Ok(message) = decode_datagram(&datagram.bytes) else {
+            metrics.malformed.inc();
+            return;
+        };
+        let now = self.node.clock.now();
+        let actions = self.membership.receive(now, datagram.from, message);
+        self.carry_out_membership(now, actions, context);
+    }
+}
+
+impl Handler<Leave> for PeersActor {
+    type Result = ();
+
+    fn handle(&mut self, _: Leave, context: &mut Self::Context) {
+        let now = self.node.clock.now();
+        let actions = self.membership.leave(now);
+        self.carry_out_membership(now, actions, context);
+    }
+}
+
+impl Handler<StoreRead> for PeersActor {
+    type Result = ();
+
+    fn handle(&mut self, read: StoreRead, context: &mut Self::Context) {
+        let now = self.node.clock.now();
+        let revision = match read {
+            StoreRead::Unchanged(revision) => revision,
+            StoreRead::Newest(newest) => {
+                let revision = newest.revision;
+                let held = configuration::hold(&self.node, *newest);
+                if matches!(held, Err(Refused)) {
+                    return;
+                }
+                revision
+            }
+        };
+        let actions = self.spread.store_read(now, revision);
+        self.carry_out_spread(now, actions, context);
+    }
+}
+
+fn incarnation_of_this_process() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let micros = since_epoch.unwrap_or(Duration::ZERO).as_micros();
+    Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
+}
+
+fn membership_settings(node: &Node) -> MembershipSettings {
+    let probe_period = node.settings.peer_limits.probe_period;
+    MembershipSettings {
+        probe_period,
+        probe_timeout: probe_period.mul_f64(PROBE_TIMEOUT_FRACTION),
+        ..MembershipSettings::default()
+    }
+}
+
+fn peer_of(record: &MemberRecord) -> Peer {
+    Peer {
+        name: record.name.clone(),
+        address: record.addresses.peers,
+    }
+}
+
+fn log_change(record: &MemberRecord, before: Option<MemberState>) {
+    let before = before.map_or("unknown", state_name);
+    let state = state_name(record.state);
+    let incarnation = record.incarnation.0;
+    log::info!(
+        "member {} ({incarnation}): {before} -> {state}",
+        record.name
+    );
+}
--- /dev/null
+++ b/crates/node/src/peers/metrics.rs
@@ -0,0 +1,73 @@
+//! Counters and gauges of the talk between nodes.
+
+use prometheus::{Gauge, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
+
+/// What passes between nodes, counted.
+pub struct PeerMetrics {
+    /// Members of the zone, by state.
+    pub members: IntGaugeVec,
+    /// Bytes of datagrams, by direction.
+    pub datagram_bytes: IntCounterVec,
+    /// Datagrams that are no message of this protocol.
+    pub malformed: IntCounter,
+    /// Datagrams that the system did not take for sending.
+    pub unsent: IntCounter,
+    /// Configuration pulls by this node, by outcome.
+    pub pulls: IntCounterVec,
+    /// Configuration pulls served to peers.
+    pub pulls_served: IntCounter,
+    /// Whether this node follows the configuration store.
+    pub follows_store: IntGauge,
+    /// Seconds since the configuration was last known to be the newest; infinite before that.
+    pub staleness_seconds: Gauge,
+}
+
+impl PeerMetrics {
+    /// Registers every metric.
+    pub fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
+        let members = Opts::new("tansyhall_members", "Members of the zone by state");
+        let bytes = Opts::new(
+            "tansyhall_peer_datagram_bytes_total",
+            "Bytes of membership datagrams by direction",
+        );
+        let pulls = Opts::new(
+            "tansyhall_configuration_pulls_total",
+            "Configuration pulls from peers by outcome",
+        );
+        let metrics = Self {
+            members: IntGaugeVec::new(members, &["state"])?,
+            datagram_bytes: IntCounterVec::new(bytes, &["direction"])?,
+            malformed: IntCounter::new(
+                "tansyhall_peer_malformed_total",
+                "Messages of peers that do not decode",
+            )?,
+            unsent: IntCounter::new(
+                "tansyhall_peer_unsent_total",
+                "Datagrams that could not be sent",
+            )?,
+            pulls: IntCounterVec::new(pulls, &["outcome"])?,
+            pulls_served: IntCounter::new(
+                "tansyhall_configuration_pulls_served_total",
+                "Configuration pulls served to peers",
+            )?,
+            follows_store: IntGauge::new(
+                "tansyhall_configuration_follows_store",
+                "Whether this node follows the configuration store",
+            )?,
+            staleness_seconds: Gauge::new(
+                "tansyhall_configuration_staleness_seconds",
+                "Time since the configuration was last known to be the newest",
+            )?,
+        };
+        metrics.staleness_seconds.set(f64::INFINITY);
+        registry.register(Box::new(metrics.members.clone()))?;
+        registry.register(Box::new(metrics.datagram_bytes.clone()))?;
+        registry.register(Box::new(metrics.malformed.clone()))?;
+        registry.register(Box::new(metrics.unsent.clone()))?;
+        registry.register(Box::new(metrics.pulls.clone()))?;
+        registry.register(Box::new(metrics.pulls_served.clone()))?;
+        registry.register(Box::new(metrics.follows_store.clone()))?;
+        registry.register(Box::new(metrics.staleness_seconds.clone()))?;
+        Ok(metrics)
+    }
+}
--- /dev/null
+++ b/crates/node/src/peers/mod.rs
@@ -0,0 +1,15 @@
+//! What passes between nodes: membership datagrams over UDP, configuration pulls over TCP. The
+//! decisions are those of the membership and dissemination crates; here are the sockets, the
+//! clock, and what the rest of the node may see.
+
+mod actor;
+mod machines;
+mod metrics;
+mod pull;
+mod transport;
+mod view;
+
+pub use actor::{Leave, PeersActor, StoreRead};
+pub use metrics::PeerMetrics;
+pub use transport::PeerTransport;
+pub use view::{MemberStatus, PeersSnapshot, PeersView, ZoneStatus};
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -4,16 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::Actor;
+use actix::{Actor, Addr};
 use actix_web::dev::{Server, ServerHandle};
 use actix_web::{web, App, HttpServer};
 use anyhow::{Context, Result};
 use tansyhall_config::NodeSettings;
 use tansyhall_engine::EngineClient;
+use tansyhall_membership::MemberAddresses;
 use tansyhall_platform::EtcdStore;
 
 use crate::authority::AuthorityKeeper;
 use crate::configuration::{ConfigurationStore, ConfigurationWatcher};
+use crate::peers::{Leave, PeerTransport, PeersActor};
 use crate::state::Node;
 use crate::{admin, callers};
 
@@ -28,6 +30,9 @@
     pub callers: SocketAddr,
     /// Where operators connect.
     pub admin: SocketAddr,
+    /// Where other nodes connect.
+    pub peers: SocketAddr,
+    peers_actor: Addr<PeersActor>,
     handles: Vec<ServerHandle>,
 }
 
@@ -40,6 +45,8 @@
     let admin = listen(node.settings.admin)?;
     let callers_address = callers.local_addr()?;
     let admin_address = admin.local_addr()?;
+    let transport = PeerTransport::bind(node.settings.peers)?;
+    let peers_address = transport.address();
     let servers = [
         serve_callers(callers, Arc::clone(&node))?,
         serve_admin(admin, Arc::clone(&node))?,
@@ -49,12 +56,21 @@
         actix_rt::spawn(server);
     }
     let store = EtcdStore::new(platform, timeout);
-    ConfigurationWatcher::new(Arc::clone(&node), store.clone()).start();
+    let addresses = MemberAddresses {
+        peers: peers_address,
+        admin: admin_address,
+        callers: callers_address,
+    };
+    let peers_actor = PeersActor::new(Arc::clone(&node), transport, addresses).start();
+    let updates = peers_actor.clone().recipient();
+    ConfigurationWatcher::new(Arc::clone(&node), store.clone(), updates).start();
     AuthorityKeeper::new(Arc::clone(&node), store).start();
     Ok(RunningNode {
         node,
         callers: callers_address,
         admin: admin_address,
+        peers: peers_address,
+        peers_actor,
         handles,
     })
 }
@@ -100,6 +116,8 @@
     /// Refuses new requests, lets those in progress end, then stops.
     pub async fn stop(self) {
         self.node.begin_stop();
+        // The mailbox refuses only when the actor has ended, and then there is nobody to tell.
+        let _ = self.peers_actor.send(Leave).await;
         log::info!("stopping: new requests are refused");
         let deadline = self.node.clock.now() + self.node.settings.limits.drain_timeout;
         while self.node.metrics.in_progress.get() > 0 && self.node.clock.now() < deadline {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -11,8 +11,9 @@
 use tansyhall_core::EngineName;
 use tansyhall_engine::protocol::EngineState;
 
-use crate::configuration::InForce;
+use crate::configuration::{Held, InForce};
 use crate::metrics::Metrics;
+use crate::peers::PeersView;
 
 /// What a node knows about one engine.
 #[derive(Debug, Clone, Default)]
@@ -31,6 +32,10 @@
     pub clock: MonotonicClock,
     /// The configuration in force.
     pub in_force: ArcSwap<InForce>,
+    /// The newest configuration held, which peers pull from this node.
+    pub held: Mutex<Held>,
+    /// Other nodes as this one sees them.
+    pub peers: PeersView,
     /// Counters.
     pub metrics: Metrics,
     engines: Mutex<HashMap<EngineName, EngineStatus>>,
@@ -44,6 +49,8 @@
             settings,
             clock: MonotonicClock::start(),
             in_force: ArcSwap::from_pointee(InForce::default()),
+            held: Mutex::new(Held::default()),
+            peers: PeersView::default(),
             metrics: Metrics::new()?,
             engines: Mutex::new(HashMap::new()),
             stopping: AtomicBool::new(false),
--- /dev/null
+++ b/crates/testing/src/fleet.rs
@@ -0,0 +1,138 @@
+//! Several nodes of one zone as separate processes that know each other.
+
+use std::net::SocketAddr;
+
+use tempfile::TempDir;
+
+use crate::{
+    eventually, free_peer_address, get_metric, node, peer_node_settings, standin, tansyhall,
+    NodeProcess, Standin,
+};
+
+/// The zone of every node of a fleet.
+const ZONE: &str = "kalimati";
+/// Nodes that each node is told of.
+const SEEDS: usize = 2;
+/// The gauge of members by state; the label follows.
+const MEMBERS: &str = "tansyhall_members";
+/// The gauge of the revision in force.
+const REVISION: &str = "tansyhall_configuration_revision";
+
+/// A platform stand-in and nodes of one zone.
+pub struct Fleet {
+    /// The platform.
+    pub platform: Standin,
+    /// The nodes, by index.
+    pub nodes: Vec<NodeProcess>,
+    directory: TempDir,
+    peers: Vec<SocketAddr>,
+}
+
+impl Fleet {
+    /// Starts this many nodes and waits until they know each other.
+    pub async fn start(size: usize) -> Self {
+        let mut fleet = Self {
+            platform: standin(&["platform"]),
+            nodes: Vec::new(),
+            directory: tempfile::tempdir().expect("a directory"),
+            peers: (0..size).map(|_| free_peer_address()).collect(),
+        };
+        for index in 0..size {
+            let node = fleet.process(index);
+            fleet.nodes.push(node);
+        }
+        for index in 0..size {
+            fleet.await_members(index, "alive", size).await;
+        }
+        fleet
+    }
+
+    fn process(&self, index: usize) -> NodeProcess {
+        let name = format!("node-{index}");
+        let seeds = &self.peers[..SEEDS.min(self.peers.len())];
+        let platform = self.platform.address;
+        let settings = peer_node_settings(&name, ZONE, platform, self.peers[index], seeds);
+        node(self.directory.path(), &name, &settings)
+    }
+
+    /// Kills a node's process and starts a new one with the same name and peer address.
+    pub fn restart(&mut self, index: usize) {
+        self.kill(index);
+        self.nodes[index] = self.process(index);
+    }
+
+    /// Kills a node's process and waits until it has ended.
+    pub fn kill(&mut self, index: usize) {
+        let child = &mut self.nodes[index].process.child;
+        child.kill().expect("the process is killed");
+        child.wait().expect("the process ends");
+    }
+
+    /// Where operators reach a node.
+    pub fn admin(&self, index: usize) -> SocketAddr {
+        self.nodes[index].admin
+    }
+
+    /// Applies a configuration with one site of this name, through a node.
+    pub fn apply_site(&self, index: usize, name: &str) {
+        let text = format!("[[site]]\nname = '{name}'\nregion = 'valley'\nzones = ['{ZONE}']\n");
+        let file = self.directory.path().join("resources.toml");
+        std::fs::write(&file, text).expect("the resources are written");
+        let file = file.to_str().expect("a UTF-8 path");
+        tansyhall(&[
+            "ctl",
+            "--node",
+            &self.admin(index).to_string(),
+            "apply",
+            file,
+        ]);
+    }
+
+    /// Sets the platform stand-in's fault switches.
+    pub async fn set_faults(&self, switches: serde_json::Value) {
+        let url = format!("http://{}/standin/faults", self.platform.address);
+        let answer = awc::Client::default().post(url).send_json(&switches).await;
+        assert!(answer.expect("an answer").status().is_success());
+    }
+
+    /// Members in a state, as a node counts them.
+    pub async fn members(&self, index: usize, state: &str) -> Option<usize> {
+        let name = format!("{MEMBERS}{{state=\"{state}\"}}");
+        let count = get_metric(self.admin(index), &name).await?;
+        Some(count as usize)
+    }
+
+    /// Waits until a node counts this many members in a state.
+    pub async fn await_members(&self, index: usize, state: &str, count: usize) {
+        eventually(&format!("node {index} sees {count} {state}"), || async {
+            (self.members(index, state).await? == count).then_some(())
+        })
+        .await;
+    }
+
+    /// The revision that a node has in force; zero for none.
+    pub async fn revision(&self, index: usize) -> Option<u64> {
+        let revision = get_metric(self.admin(index), REVISION).await?;
+        Some(revision as u64)
+    }
+
+    /// Waits until a node has this revision, or a newer one, in force.
+    pub async fn await_revision(&self, index: usize, revision: u64) {
+        let what = format!("node {index} has revision {revision} in force");
+        eventually(&what, || async {
+            (self.revision(index).await? >= revision).then_some(())
+        })
+        .await;
+    }
+
+    /// Nodes that follow the configuration store.
+    pub async fn followers(&self) -> usize {
+        let mut followers = 0;
+        for index in 0..self.nodes.len() {
+            let name = "tansyhall_configuration_follows_store";
+            let follows = get_metric(self.admin(index), name).await;
+            followers += usize::from(follows == Some(1.0));
+        }
+        followers
+    }
+}
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -2,10 +2,15 @@
 
 #![forbid(unsafe_code)]
 
+mod fleet;
+
+pub use fleet::Fleet;
+
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
@@ -109,6 +114,54 @@
     )
 }
 
+/// First of the ports handed out by [`free_peer_address`]. They lie below those that the system
+/// gives to outgoing connections, so that none is taken between two runs of a node.
+const FIRST_PEER_PORT: u32 = 16_000;
+/// Ports handed out by [`free_peer_address`].
+const PEER_PORTS: u32 = 16_000;
+/// Distance between the first ports of two test processes with neighbouring numbers.
+const PORTS_PER_PROCESS: u32 = 37;
+/// Ports handed out so far by this process.
+static PEER_PORTS_USED: AtomicU32 = AtomicU32::new(0);
+
+/// An address on loopback that is free for both UDP and TCP.
+pub fn free_peer_address() -> SocketAddr {
+    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    loop {
+        let next = PEER_PORTS_USED.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PEER_PORT + first.wrapping_add(next) % PEER_PORTS;
+        let port = u16::try_from(port).expect("a port below 32,000");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// Settings of a node that talks with others at `peers` and knows `seeds`, in TOML.
+pub fn peer_node_settings(
+    name: &str,
+    zone: &str,
+    platform: SocketAddr,
+    peers: SocketAddr,
+    seeds: &[SocketAddr],
+) -> String {
+    let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
+    let settings = node_settings(name, zone, platform);
+    let settings = settings.replace("peers = '127.0.0.1:0'", &format!("peers = '{peers}'"));
+    format!("seeds = {seeds:?}\n{settings}\n[peer_limits]\nprobe_period = '200ms'\n")
+}
+
+/// Reads one metric of a node by its name with labels, as it stands in the text form.
+pub async fn get_metric(admin: SocketAddr, name: &str) -> Option<f64> {
+    let request = awc::Client::default().get(format!("http://{admin}/metrics"));
+    let mut response = request.send().await.ok()?;
+    let text = response.body().limit(64 << 20).await.ok()?;
+    let text = String::from_utf8_lossy(&text).into_owned();
+    let value = text.lines().find_map(|line| line.strip_prefix(name));
+    value?.trim().parse().ok()
+}
+
 /// Starts a node with these settings.
 pub fn node(directory: &std::path::Path, name: &str, settings: &str) -> NodeProcess {
     let file = directory.join(format!("{name}.toml"));
