Calls to the platform keep within a share of its rate limit

Cause: every thread of a node called the key-value service as often as it liked, and the configuration watch came back from an outage on a fixed beat together with all other nodes.

Change: a token bucket, pure and tested in virtual time, shared by all threads of a node (limits.platform_calls_per_second, 50 by default); a call that would wait longer than its timeout fails as not applied before it is sent. A retry policy says whether a failed call may be repeated and after what wait, with jitter handed in; a call that may have taken effect and must not do so twice is to be read back, never repeated. The configuration watch uses it.

Tests: the bucket against its definition for random gaps, a clock that steps back, a rate of zero; bounds of the waits; lost answers.

Conclusion: the authority's calls still have their own handling of lost answers; only their rate is limited here.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -106,6 +106,8 @@
     /// Longest wait for the platform's answer.
     #[serde(with = "humantime_serde")]
     pub platform_timeout: Duration,
+    /// Most calls to the platform's key-value service in a second.
+    pub platform_calls_per_second: u32,
     /// Longest time a planned stop waits for requests in progress.
     #[serde(with = "humantime_serde")]
     pub drain_timeout: Duration,
@@ -119,6 +121,7 @@
             max_attempts: 3,
             connect_timeout: Duration::from_millis(500),
             platform_timeout: Duration::from_secs(2),
+            platform_calls_per_second: 50,
             drain_timeout: Duration::from_secs(120),
         }
     }
@@ -242,6 +245,10 @@
         if self.limits.max_attempts == 0 {
             return refuse("limits.max_attempts", "0".into(), "1 or more");
         }
+        if self.limits.platform_calls_per_second == 0 {
+            let allowed = "1 or more";
+            return refuse("limits.platform_calls_per_second", "0".into(), allowed);
+        }
         if self.peer_limits.probe_period < SHORTEST_PROBE_PERIOD {
             let value = format!("{:?}", self.peer_limits.probe_period);
             return refuse("peer_limits.probe_period", value, "100ms or more");
--- a/crates/node/src/configuration/watcher.rs
+++ b/crates/node/src/configuration/watcher.rs
@@ -6,14 +6,21 @@
 
 use actix::{Actor, AsyncContext, Context, Recipient, WrapFuture};
 use futures_util::StreamExt;
-use tansyhall_platform::{EtcdStore, KeyValueStore, Revision, StoreError};
+use tansyhall_platform::{
+    EtcdStore, KeyValueStore, NextStep, Repeatability, RetryPolicy, Revision, StoreError,
+};
 
 use super::store::{ConfigurationStore, CONFIGURATION_PREFIX};
 use crate::peers::StoreRead;
 use crate::state::Node;
 
-/// Wait after a failed read or a broken watch.
-const RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Reads of the store are tried again for ever, but never so rarely that a change made right after
+/// an outage is late.
+const RETRIES: RetryPolicy = RetryPolicy {
+    max_tries: u32::MAX,
+    first_wait: Duration::from_millis(250),
+    longest_wait: Duration::from_secs(2),
+};
 /// Time between looks at whether this node is to follow the store.
 const TURN_POLL: Duration = Duration::from_millis(50);
 /// Longest silence of a watch before the newest revision is read anyway.
@@ -56,22 +63,33 @@
 
 impl Follower {
     async fn run(self) {
+        let mut failures = 0;
         loop {
             if !self.node.peers.follows_store() {
                 actix_rt::time::sleep(TURN_POLL).await;
                 continue;
             }
-            if let Err(error) = self.follow().await {
-                self.node.metrics.platform_errors.inc();
-                log::debug!("the configuration watch ended: {error}");
-                actix_rt::time::sleep(RETRY_DELAY).await;
+            let Err(error) = self.follow(&mut failures).await else {
+                actix_rt::time::sleep(TURN_POLL).await;
+                continue;
+            };
+            self.node.metrics.platform_errors.inc();
+            log::debug!("the configuration watch ended: {error}");
+            failures += 1;
+            let repeatability = Repeatability::Repeatable;
+            let next = RETRIES.after_failure(&error, repeatability, failures, rand::random());
+            match next {
+                NextStep::Retry(wait) => actix_rt::time::sleep(wait).await,
+                // The watch was too far behind: begin anew with a read of everything.
+                NextStep::ReadBack | NextStep::GiveUp => {}
             }
         }
     }
 
     /// Follows the store until it fails or it is another node's turn.
-    async fn follow(&self) -> Result<(), StoreError> {
+    async fn follow(&self, failures: &mut u32) -> Result<(), StoreError> {
         let mut revision = self.read().await?;
+        *failures = 0;
         let start = Revision(revision + 1);
         let mut watch = self.store.watch(CONFIGURATION_PREFIX, start).await?;
         while self.node.peers.follows_store() {
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -11,7 +11,7 @@
 use tansyhall_config::NodeSettings;
 use tansyhall_engine::EngineClient;
 use tansyhall_membership::MemberAddresses;
-use tansyhall_platform::EtcdStore;
+use tansyhall_platform::{EtcdStore, RateLimit};
 
 use crate::authority::AuthorityKeeper;
 use crate::configuration::{ConfigurationStore, ConfigurationWatcher};
@@ -41,6 +41,7 @@
     let node = Node::new(settings)?;
     let platform = node.settings.platform;
     let timeout = node.settings.limits.platform_timeout;
+    let limit = RateLimit::new(node.settings.limits.platform_calls_per_second);
     let callers = listen(node.settings.callers)?;
     let admin = listen(node.settings.admin)?;
     let callers_address = callers.local_addr()?;
@@ -49,13 +50,13 @@
     let peers_address = transport.address();
     let servers = [
         serve_callers(callers, Arc::clone(&node))?,
-        serve_admin(admin, Arc::clone(&node))?,
+        serve_admin(admin, Arc::clone(&node), limit.clone())?,
     ];
     let handles = servers.iter().map(Server::handle).collect();
     for server in servers {
         actix_rt::spawn(server);
     }
-    let store = EtcdStore::new(platform, timeout);
+    let store = EtcdStore::new(platform, timeout).with_limit(limit);
     let addresses = MemberAddresses {
         peers: peers_address,
         admin: admin_address,
@@ -99,10 +100,15 @@
         .run())
 }
 
-fn serve_admin(listener: TcpListener, node: Arc<Node>) -> std::io::Result<Server> {
+fn serve_admin(
+    listener: TcpListener,
+    node: Arc<Node>,
+    limit: RateLimit,
+) -> std::io::Result<Server> {
     let server = HttpServer::new(move || {
         let limits = &node.settings.limits;
         let store = EtcdStore::new(node.settings.platform, limits.platform_timeout);
+        let store = store.with_limit(limit.clone());
         App::new()
             .app_data(web::Data::from(Arc::clone(&node)))
             .app_data(web::Data::new(ConfigurationStore::new(store)))
--- a/crates/platform/src/etcd.rs
+++ b/crates/platform/src/etcd.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
+use crate::limiter::RateLimit;
 use crate::store::{
     Compare, KeyValue, KeyValueStore, LeaseId, Operation, RangeOutcome, Revision, StoreError,
     Transaction, TransactionOutcome, WatchEvent, WatchStream,
@@ -28,6 +29,7 @@
     http: awc::Client,
     address: SocketAddr,
     timeout: Duration,
+    limit: Option<RateLimit>,
 }
 
 impl EtcdStore {
@@ -42,10 +44,26 @@
             http,
             address,
             timeout,
+            limit: None,
         }
     }
 
+    /// Makes calls wait, or fail before they are sent, when the process's share is used up.
+    pub fn with_limit(self, limit: RateLimit) -> Self {
+        let limit = Some(limit);
+        Self { limit, ..self }
+    }
+
+    async fn admit(&self) -> Result<(), StoreError> {
+        let Some(limit) = &self.limit else {
+            return Ok(());
+        };
+        let admitted = limit.admit(self.timeout).await;
+        admitted.map_err(|error| StoreError::NotApplied(error.to_string()))
+    }
+
     async fn call<R: DeserializeOwned>(&self, path: &str, body: &Value) -> Result<R, StoreError> {
+        self.admit().await?;
         let url = format!("http://{}{path}", self.address);
         let request = self.http.post(url).timeout(self.timeout);
         let mut response = request.send_json(body).await.map_err(send_error)?;
@@ -292,6 +310,7 @@
     }
 
     async fn watch(&self, prefix: &str, start: Revision) -> Result<WatchStream, StoreError> {
+        self.admit().await?;
         let create = json!({ "create_request": {
             "key": encode(prefix),
             "range_end": encode(prefix_end(prefix)),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,10 +5,14 @@
 #![forbid(unsafe_code)]
 
 pub mod etcd;
+pub mod limiter;
 pub mod machines;
+pub mod retry;
 pub mod store;
 
 pub use etcd::EtcdStore;
+pub use limiter::{Admission, RateLimit, ShareUsedUp, TokenBucket};
+pub use retry::{NextStep, Repeatability, RetryPolicy};
 pub use store::{
     Compare, KeyValue, KeyValueStore, LeaseId, Operation, Revision, StoreError, Transaction,
     TransactionOutcome, WatchEvent, WatchStream,
--- /dev/null
+++ b/crates/platform/tests/limits.rs
@@ -0,0 +1,92 @@
+//! The token bucket and the retry policy, in virtual time.
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tansyhall_core::{Duration, Timestamp};
+use tansyhall_platform::{
+    Admission, NextStep, Repeatability, RetryPolicy, StoreError, TokenBucket,
+};
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Over any stretch from the start, no more calls pass than the burst and the rate allow, and
+    /// a call that waits as long as it was told to is let through.
+    #[test]
+    fn no_more_calls_pass_than_the_rate_allows(
+        rate in 1_u32..200, burst in 1_u32..20, gaps in vec(0_u64..100_000, 1..200),
+    ) {
+        let mut bucket = TokenBucket::new(rate, burst, Timestamp(0));
+        let mut now = Timestamp(0);
+        let mut admitted = 0_u64;
+        for gap in gaps {
+            now = now + Duration::from_micros(gap);
+            match bucket.take(now) {
+                Admission::Now => admitted += 1,
+                Admission::After(wait) => {
+                    now = now + wait;
+                    prop_assert_eq!(bucket.take(now), Admission::Now);
+                    admitted += 1;
+                }
+                Admission::Never => prop_assert!(false, "the rate is not zero"),
+            }
+            let earned = now.0 * u64::from(rate) / 1_000_000;
+            prop_assert!(admitted <= u64::from(burst) + earned);
+        }
+    }
+
+    #[test]
+    fn waits_grow_up_to_a_bound(tries in 1_u32..100, jitter in 0.0..1.0) {
+        let policy = RetryPolicy { max_tries: 1_000, ..RetryPolicy::default() };
+        let error = StoreError::NotApplied("limited".into());
+        let step = policy.after_failure(&error, Repeatability::Once, tries, jitter);
+        let NextStep::Retry(wait) = step else {
+            panic!("{step:?}");
+        };
+        prop_assert!(wait <= policy.longest_wait);
+        prop_assert!(wait <= policy.first_wait.saturating_mul(1 << (tries - 1).min(31)));
+    }
+}
+
+#[test]
+fn a_clock_that_stands_still_or_steps_back_earns_nothing() {
+    let start = Timestamp::from_millis(1_000);
+    let mut bucket = TokenBucket::new(10, 1, start);
+    assert_eq!(bucket.take(start), Admission::Now);
+    let wait = Duration::from_millis(100);
+    assert_eq!(bucket.take(start), Admission::After(wait));
+    assert_eq!(bucket.take(Timestamp(0)), Admission::After(wait));
+    assert_eq!(bucket.take(start), Admission::After(wait));
+    assert_eq!(bucket.take(start + wait), Admission::Now);
+}
+
+#[test]
+fn a_rate_of_zero_admits_nothing() {
+    let mut bucket = TokenBucket::new(0, 5, Timestamp(0));
+    assert_eq!(bucket.take(Timestamp(1)), Admission::Never);
+}
+
+#[test]
+fn what_may_have_taken_effect_is_read_back_and_not_repeated() {
+    let policy = RetryPolicy::default();
+    let lost = StoreError::Unknown("the answer is lost".into());
+    let once = policy.after_failure(&lost, Repeatability::Once, 1, 0.5);
+    assert_eq!(once, NextStep::ReadBack);
+    let read = policy.after_failure(&lost, Repeatability::Repeatable, 1, 0.5);
+    assert_eq!(read, NextStep::Retry(Duration::from_millis(50)));
+}
+
+#[test]
+fn the_last_try_is_the_last() {
+    let policy = RetryPolicy::default();
+    let refused = StoreError::NotApplied("limited".into());
+    let step = policy.after_failure(&refused, Repeatability::Once, policy.max_tries, 0.5);
+    assert_eq!(step, NextStep::GiveUp);
+    let lapsed = policy.after_failure(&StoreError::LeaseLapsed, Repeatability::Once, 1, 0.5);
+    assert_eq!(lapsed, NextStep::GiveUp);
+}
