A zone cut off from the store follows other zones; zones meet through one contact

Cause: contacts in another zone were asked once, while joining, and never again, so zones that share only a seed could miss each other; and a node whose configuration was never confirmed told others an age of zero.

The age that was never confirmed is now told as unknown (some hundred years). The harness gets a link that can be cut, and fleets of several zones.

--- a/crates/cli/tests/configuration_spread.rs
+++ b/crates/cli/tests/configuration_spread.rs
@@ -2,7 +2,7 @@
 //! take what it read, and a restarted one is given what its peers have.
 
 use serde_json::json;
-use tansyhall_testing::{eventually, get_json, get_metric, Fleet};
+use tansyhall_testing::{eventually, get_json, get_metric, standin, Fleet, Link, NodePlan};
 
 const SIZE: usize = 5;
 const SUBJECT: usize = 3;
@@ -116,3 +116,24 @@
     fleet.set_faults(json!({})).await;
     fleet.await_revision(0, 1).await;
 }
+
+#[actix_rt::test]
+async fn a_zone_cut_off_from_the_store_follows_another_zone() {
+    let platform = standin(&["platform"]);
+    let link = Link::open(platform.address).await;
+    let near = NodePlan {
+        zone: "kalimati",
+        platform: platform.address,
+    };
+    let far = NodePlan {
+        zone: "balkhu",
+        platform: link.entrance,
+    };
+    let fleet = Fleet::start_planned(platform, vec![near, near, near, far, far]).await;
+    let before = apply_everywhere(&fleet, "valley").await;
+    link.set_cut(true);
+    let after = apply_everywhere(&fleet, "hills").await;
+    assert!(after > before);
+    link.set_cut(false);
+    apply_everywhere(&fleet, "lakes").await;
+}
--- a/crates/dissemination/src/spread.rs
+++ b/crates/dissemination/src/spread.rs
@@ -12,6 +12,9 @@
 use crate::recovery::Recovery;
 use crate::settings::SpreadSettings;
 
+/// Told to others as long as the revision in force was never confirmed; some hundred years.
+const UNKNOWN_AGE: Duration = Duration::from_secs(u32::MAX as u64);
+
 /// A node that can be asked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Peer {
@@ -233,7 +236,7 @@
     pub fn mark(&self, now: Timestamp) -> Mark {
         Mark {
             revision: self.in_force,
-            confirmation_age: self.staleness(now).unwrap_or_default(),
+            confirmation_age: self.staleness(now).unwrap_or(UNKNOWN_AGE),
         }
     }
 
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -92,14 +92,14 @@
             Body::Ack { sequence } => self.take_ack(now, sequence),
             Body::PingRequest { sequence, target } => self.probe_for(now, from, sequence, target),
             Body::Join if is_neighbour => self.send_table(now, from),
-            Body::Join => self.send_known_digests(now, from),
             Body::Sync { table_hash } if is_neighbour => {
                 if table_hash != self.table.hash() {
                     self.send_table(now, from);
                 }
             }
+            Body::Join | Body::Sync { .. } => self.send_known_digests(now, from),
             Body::Table if is_neighbour => self.joined = true,
-            Body::Sync { .. } | Body::Table | Body::Notice => {}
+            Body::Table | Body::Notice => {}
         }
     }
 
--- a/crates/membership/tests/between_zones.rs
+++ b/crates/membership/tests/between_zones.rs
@@ -67,6 +67,13 @@
     });
 }
 
+#[test]
+fn zones_find_each_other_through_one_contact() {
+    let mut network = Network::new(&ZONES, 2);
+    let took = network.run_until(LIMIT, all_know_every_zone);
+    println!("every member knows every zone after {took:?}");
+}
+
 #[test]
 fn a_relay_spends_less_than_its_budget() {
     let mut network = network();
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -89,6 +89,7 @@
                 let host = network.start(index, zone, 1_000, first);
                 network.hosts.push(host);
             }
+            network.hosts[first].membership.add_contact(address(0));
         }
         network
     }
--- a/crates/testing/src/fleet.rs
+++ b/crates/testing/src/fleet.rs
@@ -1,4 +1,4 @@
-//! Several nodes of one zone as separate processes that know each other.
+//! Several nodes as separate processes that know each other.
 
 use std::net::SocketAddr;
 
@@ -9,16 +9,23 @@
     NodeProcess, Standin,
 };
 
-/// The zone of every node of a fleet.
+/// The zone of nodes for which no other is given.
 const ZONE: &str = "kalimati";
-/// Nodes that each node is told of.
-const SEEDS: usize = 2;
 /// The gauge of members by state; the label follows.
 const MEMBERS: &str = "tansyhall_members";
 /// The gauge of the revision in force.
 const REVISION: &str = "tansyhall_configuration_revision";
 
-/// A platform stand-in and nodes of one zone.
+/// What is to be started as one node.
+#[derive(Debug, Clone, Copy)]
+pub struct NodePlan {
+    /// Its zone.
+    pub zone: &'static str,
+    /// Where it reaches the platform.
+    pub platform: SocketAddr,
+}
+
+/// A platform stand-in and nodes. Every node knows the first two as contacts.
 pub struct Fleet {
     /// The platform.
     pub platform: Standin,
@@ -26,23 +33,41 @@
     pub nodes: Vec<NodeProcess>,
     directory: TempDir,
     peers: Vec<SocketAddr>,
+    plans: Vec<NodePlan>,
 }
 
+/// Nodes that each node is told of.
+const SEEDS: usize = 2;
+
 impl Fleet {
-    /// Starts this many nodes and waits until they know each other.
+    /// Starts this many nodes of one zone and waits until they know each other.
     pub async fn start(size: usize) -> Self {
+        let platform = standin(&["platform"]);
+        let plan = NodePlan {
+            zone: ZONE,
+            platform: platform.address,
+        };
+        Self::start_planned(platform, vec![plan; size]).await
+    }
+
+    /// Starts nodes and waits until those of each zone know each other.
+    pub async fn start_planned(platform: Standin, plans: Vec<NodePlan>) -> Self {
         let mut fleet = Self {
-            platform: standin(&["platform"]),
+            platform,
             nodes: Vec::new(),
             directory: tempfile::tempdir().expect("a directory"),
-            peers: (0..size).map(|_| free_peer_address()).collect(),
+            peers: plans.iter().map(|_| free_peer_address()).collect(),
+            plans,
         };
-        for index in 0..size {
+        for index in 0..fleet.plans.len() {
             let node = fleet.process(index);
             fleet.nodes.push(node);
         }
-        for index in 0..size {
-            fleet.await_members(index, "alive", size).await;
+        for (index, plan) in fleet.plans.iter().enumerate() {
+            let neighbours = fleet.plans.iter().filter(|it| it.zone == plan.zone);
+            fleet
+                .await_members(index, "alive", neighbours.count())
+                .await;
         }
         fleet
     }
@@ -50,8 +75,8 @@
     fn process(&self, index: usize) -> NodeProcess {
         let name = format!("node-{index}");
         let seeds = &self.peers[..SEEDS.min(self.peers.len())];
-        let platform = self.platform.address;
-        let settings = peer_node_settings(&name, ZONE, platform, self.peers[index], seeds);
+        let NodePlan { zone, platform } = self.plans[index];
+        let settings = peer_node_settings(&name, zone, platform, self.peers[index], seeds);
         node(self.directory.path(), &name, &settings)
     }
 
@@ -68,6 +93,11 @@
         child.wait().expect("the process ends");
     }
 
+    /// Where other nodes reach a node.
+    pub fn peers(&self, index: usize) -> SocketAddr {
+        self.peers[index]
+    }
+
     /// Where operators reach a node.
     pub fn admin(&self, index: usize) -> SocketAddr {
         self.nodes[index].admin
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -3,8 +3,10 @@
 #![forbid(unsafe_code)]
 
 mod fleet;
+mod link;
 
-pub use fleet::Fleet;
+pub use fleet::{Fleet, NodePlan};
+pub use link::Link;
 
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
