--- a/crates/membership/tests/zone.rs
+++ b/crates/membership/tests/zone.rs
@@ -85,6 +85,21 @@
     assert!(network.hosts[3].membership.statistics().refutations > 0);
 }
 
+#[test]
+fn a_member_that_was_paused_with_a_suspicion_lets_it_be_refuted() {
+    let mut network = converged(16, 10);
+    network.hosts[2].is_running = false;
+    network.run_until(LIMIT, |network| {
+        network.state(1, 2) == Some(MemberState::Suspect)
+    });
+    network.hosts[1].is_running = false;
+    network.hosts[2].is_running = true;
+    network.run(Duration::from_secs(60));
+    network.hosts[1].is_running = true;
+    network.run_until(LIMIT, |network| network.has_converged(16));
+    assert_eq!(network.false_deaths, 0);
+}
+
 #[test]
 fn a_zone_that_was_cut_in_two_finds_together() {
     let mut network = converged(SIZE, 6);
--- a/crates/node/src/peers/actor.rs
+++ b/crates/node/src/peers/actor.rs
@@ -31,6 +31,8 @@
 const TICKS_PER_PROBE: u32 = 20;
 /// A probe is tried through others after this fraction of its period.
 const PROBE_TIMEOUT_FRACTION: f64 = 0.3;
+/// Longest age of the snapshot and the gauges; a change of a member's state renews them at once.
+const PUBLISH_PERIOD: Duration = Duration::from_millis(250);
 /// Every state a member can be in, for the gauges.
 const STATES: [MemberState; 4] = [
     MemberState::Alive,
@@ -64,6 +66,7 @@
     socket: Option<Rc<UdpSocket>>,
     list: MachineList,
     schedule: MachineSchedule,
+    publish_at: Timestamp,
 }
 
 impl PeersActor {
@@ -96,6 +99,7 @@
             socket: None,
             list: MachineList::new(settings.platform, settings.limits.platform_timeout),
             schedule,
+            publish_at: Timestamp::default(),
             node,
         }
     }
@@ -147,7 +151,10 @@
         for action in actions {
             match action {
                 membership::Action::Send { to, message } => self.send(to, &message),
-                membership::Action::StateChanged { record, before } => log_change(&record, before),
+                membership::Action::StateChanged { record, before } => {
+                    log_change(&record, before);
+                    self.publish_at = now;
+                }
                 membership::Action::Heard { sender, from } => {
                     let peer = Peer {
                         name: sender.name,
@@ -208,9 +215,9 @@
     }
 
     fn pull(&self, peer: Peer, held_revision: u64, context: &mut Context<Self>) {
-        let max_bytes = self.node.settings.peer_limits.max_frame_bytes;
         let timeout = self.spread_settings.pull_timeout;
-        let pull = pull::pull(peer.address, held_revision, max_bytes, timeout);
+        let node = Arc::clone(&self.node);
+        let pull = pull::pull(node, peer.address, held_revision, timeout);
         let pull = pull.into_actor(self);
         context.spawn(pull.map(move |answer, actor, context| {
             actor.pull_ended(peer, answer, context);
@@ -281,6 +288,10 @@
         self.update_mark(now);
         let follows_store = self.spread.follows_store();
         self.node.peers.set_follows_store(follows_store);
+        if now < self.publish_at {
+            return;
+        }
+        self.publish_at = now + PUBLISH_PERIOD;
         self.node.peers.publish(&self.membership);
         let metrics = &self.node.metrics.peers;
         metrics.follows_store.set(follows_store.into());
--- a/crates/node/src/peers/metrics.rs
+++ b/crates/node/src/peers/metrics.rs
@@ -8,6 +8,8 @@
     pub members: IntGaugeVec,
     /// Bytes of datagrams, by direction.
     pub datagram_bytes: IntCounterVec,
+    /// Bytes of configuration pulls, asked for and served, by direction.
+    pub pull_bytes: IntCounterVec,
     /// Datagrams that are no message of this protocol.
     pub malformed: IntCounter,
     /// Datagrams that the system did not take for sending.
@@ -30,6 +32,10 @@
             "tansyhall_peer_datagram_bytes_total",
             "Bytes of membership datagrams by direction",
         );
+        let pull_bytes = Opts::new(
+            "tansyhall_peer_pull_bytes_total",
+            "Bytes of configuration pulls by direction",
+        );
         let pulls = Opts::new(
             "tansyhall_configuration_pulls_total",
             "Configuration pulls from peers by outcome",
@@ -37,6 +43,7 @@
         let metrics = Self {
             members: IntGaugeVec::new(members, &["state"])?,
             datagram_bytes: IntCounterVec::new(bytes, &["direction"])?,
+            pull_bytes: IntCounterVec::new(pull_bytes, &["direction"])?,
             malformed: IntCounter::new(
                 "tansyhall_peer_malformed_total",
                 "Messages of peers that do not decode",
@@ -62,6 +69,7 @@
         metrics.staleness_seconds.set(f64::INFINITY);
         registry.register(Box::new(metrics.members.clone()))?;
         registry.register(Box::new(metrics.datagram_bytes.clone()))?;
+        registry.register(Box::new(metrics.pull_bytes.clone()))?;
         registry.register(Box::new(metrics.malformed.clone()))?;
         registry.register(Box::new(metrics.unsent.clone()))?;
         registry.register(Box::new(metrics.pulls.clone()))?;
@@ -71,3 +79,14 @@
         Ok(metrics)
     }
 }
+
+impl PeerMetrics {
+    /// Bytes of every kind that this node has sent to its peers and received from them.
+    pub fn total_bytes(&self) -> u64 {
+        let kinds = [&self.datagram_bytes, &self.pull_bytes];
+        let directions = kinds.iter().flat_map(|bytes| {
+            ["sent", "received"].map(|direction| bytes.with_label_values(&[direction]).get())
+        });
+        directions.sum()
+    }
+}
--- a/crates/node/src/peers/pull.rs
+++ b/crates/node/src/peers/pull.rs
@@ -32,19 +32,29 @@
     Framed::new(stream, codec)
 }
 
+fn count(node: &Node, sent: usize, received: usize) {
+    let bytes = &node.metrics.peers.pull_bytes;
+    bytes.with_label_values(&["sent"]).inc_by(sent as u64);
+    let received_bytes = bytes.with_label_values(&["received"]);
+    received_bytes.inc_by(received as u64);
+}
+
 /// Asks a peer for what is newer than `held_revision`.
 pub(super) async fn pull(
+    node: Arc<Node>,
     peer: SocketAddr,
     held_revision: u64,
-    max_bytes: usize,
     timeout: Duration,
 ) -> Result<PullAnswer> {
+    let max_bytes = node.settings.peer_limits.max_frame_bytes;
     let exchange = async {
         let stream = TcpStream::connect(peer).await?;
         let mut framed = framed(stream, max_bytes);
         let request = encode_pull_request(held_revision);
+        let sent = request.len();
         framed.send(Bytes::from(request)).await?;
         let answer = framed.next().await.context("the peer did not answer")??;
+        count(&node, sent, answer.len());
         Ok(decode_pull_answer(&answer)?)
     };
     let answer = tokio::time::timeout(timeout, exchange).await;
