Leaving marks of back ends spread through the zone

Cause: the list of machines says which engines and workers are about to be taken away, but only the nodes among them were looked at, so each caller-side node went on sending them work.

Ruled out: every node reading the list (320 reads of all machines every few seconds on a rate-limited service), and marks by both relays (the list lags, so they take back each other's).

Change: the first relay of a zone reads the list every 2 s and marks the back ends; the marks ride on membership datagrams, are passed on at once, and are part of the periodic comparison, so a restarted node gets them. Node::peers.is_backend_leaving answers for the caller side, which does not ask yet.

Tests: 60 members in virtual time with a tenth of the datagrams lost know of a leaving back end within 3 s, a restarted one too, and that it is taken back; five processes and the stand-in's list.

--- a/crates/cli/tests/membership_processes.rs
+++ b/crates/cli/tests/membership_processes.rs
@@ -1,5 +1,6 @@
 //! Failure detection between separate processes: a killed node, a frozen one, a planned stop.
 
+use serde_json::json;
 use tansyhall_testing::{eventually, get_metric, Fleet};
 use tokio::io::AsyncWriteExt;
 
@@ -48,6 +49,29 @@
     }
 }
 
+#[actix_rt::test]
+async fn a_back_end_listed_as_leaving_is_known_to_all_as_such() {
+    let fleet = Fleet::start(SIZE).await;
+    let list = |leaving: bool| {
+        json!([{
+            "name": "engine-0", "kind": "engine", "zone": "kalimati",
+            "address": "127.0.0.1:9", "leaving": leaving,
+        }])
+    };
+    for leaving in [true, false] {
+        fleet.list_machines(list(leaving)).await;
+        let expected = if leaving { 1.0 } else { 0.0 };
+        for index in 0..SIZE {
+            eventually("the mark is known", || async {
+                let gauge = "tansyhall_leaving_backends";
+                let marked = get_metric(fleet.admin(index), gauge).await?;
+                (marked == expected).then_some(())
+            })
+            .await;
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn garbage_on_the_peer_port_is_counted_and_does_no_harm() {
     let fleet = Fleet::start(2).await;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -163,7 +163,8 @@
     /// Time between probes; each node probes one other member of its zone a period.
     #[serde(with = "humantime_serde")]
     pub probe_period: Duration,
-    /// Time between reads of the platform's list of machines, by the members that read it.
+    /// Time between reads of the platform's list of machines, by the member
+    /// of each zone that reads it.
     #[serde(with = "humantime_serde")]
     pub machines_period: Duration,
     /// Largest frame sent or accepted when a configuration is pulled, in bytes.
@@ -176,7 +177,7 @@
     fn default() -> Self {
         Self {
             probe_period: Duration::from_secs(1),
-            machines_period: Duration::from_secs(5),
+            machines_period: Duration::from_secs(2),
             max_frame_bytes: 16 << 20,
             max_connections: 64,
         }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,6 +7,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod backends;
 mod broadcast;
 pub mod digest;
 pub mod member;
@@ -18,6 +19,7 @@
 mod table;
 mod zones;
 
+pub use backends::{BackendMark, KnownBackend};
 pub use digest::{Contact, LoadSummary, ZoneDigest};
 pub use member::{MemberAddresses, MemberRecord, MemberState};
 pub use membership::{Action, KnownMachine, Membership, Statistics};
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -6,8 +6,9 @@
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tansyhall_core::{Duration, Incarnation, NodeId, Timestamp, ZoneName};
+use tansyhall_core::{Duration, EngineName, Incarnation, NodeId, Timestamp, ZoneName};
 
+use crate::backends::{BackendMark, BackendMarks};
 use crate::broadcast::BroadcastQueue;
 use crate::digest::{LoadSummary, ZoneDigest, ZoneDigests};
 use crate::member::{MemberRecord, MemberState};
@@ -40,6 +41,8 @@
         /// Where it sent from.
         from: SocketAddr,
     },
+    /// A back end is leaving, or no longer is.
+    BackendChanged(BackendMark),
     /// Others say that this node's machine is about to be taken away.
     AskedToLeave,
 }
@@ -99,6 +102,8 @@
     pub(crate) broadcasts: BroadcastQueue<NodeId>,
     pub(crate) digest_broadcasts: BroadcastQueue<ZoneName>,
     pub(crate) digests: ZoneDigests,
+    pub(crate) backends: BackendMarks,
+    pub(crate) backend_broadcasts: BroadcastQueue<EngineName>,
     pub(crate) prober: Prober,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) timers: Timers,
@@ -133,6 +138,8 @@
             broadcasts,
             digest_broadcasts: BroadcastQueue::default(),
             digests: ZoneDigests::default(),
+            backends: BackendMarks::default(),
+            backend_broadcasts: BroadcastQueue::default(),
             prober: Prober::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             timers: Timers::default(),
@@ -227,6 +234,12 @@
         self.digests.iter()
     }
 
+    /// Back ends that get no new work, because their machines are about to be taken away.
+    pub fn leaving_backends(&self) -> impl Iterator<Item = &EngineName> {
+        let leaving = self.backends.iter().filter(|mark| mark.is_leaving);
+        leaving.map(|mark| &mark.name)
+    }
+
     /// Whether a member has answered, or none is to be expected.
     pub fn is_settled(&self, now: Timestamp) -> bool {
         let grace = self.settings.join_grace;
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -5,6 +5,7 @@
 
 use tansyhall_core::{Duration, Incarnation, NodeId, ZoneName};
 
+use crate::backends::BackendMark;
 use crate::digest::ZoneDigest;
 use crate::member::MemberRecord;
 
@@ -74,4 +75,6 @@
     pub updates: Vec<MemberRecord>,
     /// What is known about zones.
     pub digests: Vec<ZoneDigest>,
+    /// Changes of back ends of the sender's zone.
+    pub backends: Vec<BackendMark>,
 }
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -5,6 +5,7 @@
 use rand::seq::SliceRandom;
 use tansyhall_core::{Incarnation, NodeId, Timestamp};
 
+use crate::backends::BackendMark;
 use crate::member::{MemberRecord, MemberState};
 use crate::membership::{Action, Membership};
 use crate::message::{Body, ConfigurationMark, Message, Sender};
@@ -27,6 +28,9 @@
             for record in &message.updates {
                 self.take_record(now, record);
             }
+            for mark in &message.backends {
+                self.take_backend_mark(mark);
+            }
             self.greet_stranger(now, from, &message);
         }
         self.answer(now, from, &message, is_neighbour);
@@ -54,6 +58,15 @@
         self.apply(now, record);
     }
 
+    /// Takes a mark of a back end, and passes it on.
+    pub(crate) fn take_backend_mark(&mut self, mark: &BackendMark) {
+        if self.backends.offer(mark, self.settings.max_backend_marks) {
+            self.backend_broadcasts.push(mark.name.clone());
+            self.notice_due = true;
+            self.actions.push(Action::BackendChanged(mark.clone()));
+        }
+    }
+
     /// Refutes what is wrong about this node; accepts that its machine is to be taken away.
     fn take_own_record(&mut self, now: Timestamp, record: &MemberRecord) {
         let own = self.own().clone();
@@ -93,7 +106,7 @@
             Body::PingRequest { sequence, target } => self.probe_for(now, from, sequence, target),
             Body::Join if is_neighbour => self.send_table(now, from),
             Body::Sync { table_hash } if is_neighbour => {
-                if table_hash != self.table.hash() {
+                if table_hash != self.state_hash() {
                     self.send_table(now, from);
                 }
             }
@@ -122,13 +135,16 @@
     /// Sends the whole table in as many messages as it takes.
     fn send_table(&mut self, now: Timestamp, to: SocketAddr) {
         let records: Vec<MemberRecord> = self.table.records().cloned().collect();
-        for page in records.chunks(self.settings.max_updates) {
-            let message = Message {
-                sender: self.sender(now),
-                body: Body::Table,
-                updates: page.to_vec(),
-                digests: Vec::new(),
-            };
+        let max_updates = self.settings.max_updates;
+        for page in records.chunks(max_updates) {
+            let mut message = self.empty_message(now, Body::Table);
+            message.updates = page.to_vec();
+            self.actions.push(Action::Send { to, message });
+        }
+        let marks: Vec<BackendMark> = self.backends.iter().cloned().collect();
+        for page in marks.chunks(max_updates) {
+            let mut message = self.empty_message(now, Body::Notice);
+            message.backends = page.to_vec();
             self.actions.push(Action::Send { to, message });
         }
         self.send_known_digests(now, to);
@@ -136,7 +152,7 @@
 
     /// Asks for the table if it differs, and tells of this node itself.
     pub(crate) fn send_sync(&mut self, now: Timestamp, to: SocketAddr, name: Option<&NodeId>) {
-        let table_hash = self.table.hash();
+        let table_hash = self.state_hash();
         self.send_with_own(now, to, name, Body::Sync { table_hash });
     }
 
@@ -195,14 +211,35 @@
             .digest_broadcasts
             .take(self.settings.max_digests, limit);
         let digests = digests.iter().filter_map(|zone| self.digests.get(zone));
+        let backends = self
+            .backend_broadcasts
+            .take(self.settings.max_updates, limit);
+        let backends = backends.iter().filter_map(|name| self.backends.get(name));
         Message {
             sender: self.sender(now),
             body,
             updates,
             digests: digests.cloned().collect(),
+            backends: backends.cloned().collect(),
+        }
+    }
+
+    /// A message that carries nothing yet.
+    pub(crate) fn empty_message(&self, now: Timestamp, body: Body) -> Message {
+        Message {
+            sender: self.sender(now),
+            body,
+            updates: Vec::new(),
+            digests: Vec::new(),
+            backends: Vec::new(),
         }
     }
 
+    /// A hash of what members of a zone should agree on.
+    fn state_hash(&self) -> u64 {
+        self.table.hash() ^ self.backends.hash()
+    }
+
     pub(crate) fn sender(&self, now: Timestamp) -> Sender {
         let own = self.own();
         let elapsed = now.since(self.configuration_at);
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -43,6 +43,8 @@
     pub digest_period: Duration,
     /// Most other zones remembered.
     pub max_zones: usize,
+    /// Back ends remembered as leaving or as having left.
+    pub max_backend_marks: usize,
     /// Most probes carried out for others at once.
     pub max_relayed_probes: usize,
 }
@@ -69,6 +71,7 @@
             relays: 2,
             digest_period: Duration::from_secs(2),
             max_zones: 32,
+            max_backend_marks: 1_024,
             max_relayed_probes: 64,
         }
     }
--- a/crates/membership/src/zones.rs
+++ b/crates/membership/src/zones.rs
@@ -7,10 +7,11 @@
 use tansyhall_core::hash::rendezvous_rank;
 use tansyhall_core::{NodeId, Timestamp, ZoneName};
 
+use crate::backends::KnownBackend;
 use crate::digest::{Contact, DigestOutcome, ZoneDigest};
 use crate::member::{MemberRecord, MemberState};
 use crate::membership::{Action, KnownMachine, Membership};
-use crate::message::{Body, Message};
+use crate::message::Body;
 
 impl Membership {
     /// The members that speak for this zone, first the one that follows the configuration store.
@@ -55,6 +56,29 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Takes the back ends of this zone on the platform's list of machines. Only the first relay
+    /// makes marks: the list lags, and two members that read it at different moments would take
+    /// back each other's marks.
+    pub fn observe_backends(&mut self, now: Timestamp, backends: &[KnownBackend]) -> Vec<Action> {
+        if self.relays().first() != Some(&self.name) {
+            return Vec::new();
+        }
+        let version = self.version(now);
+        for backend in backends.iter().take(self.settings.max_backend_marks) {
+            if let Some(mark) = self.backends.observe(backend, version) {
+                self.take_backend_mark(&mark);
+            }
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// A number that grows with time, across restarts too, as far as wall clocks do.
+    fn version(&self, now: Timestamp) -> u64 {
+        let elapsed = now.since(self.started.unwrap_or(now));
+        let elapsed = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        self.first_incarnation.0.saturating_add(elapsed)
+    }
+
     fn mark_leaving(&mut self, now: Timestamp, name: NodeId) {
         let Some(record) = self.table.get(&name).cloned() else {
             return;
@@ -78,12 +102,10 @@
                 configuration_revision: record.configuration_revision,
             })
         };
-        let elapsed = now.since(self.started.unwrap_or(now));
-        let elapsed = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
         let reachable = self.table.reachable();
         ZoneDigest {
             zone: self.zone.clone(),
-            version: self.first_incarnation.0.saturating_add(elapsed),
+            version: self.version(now),
             live_members: u32::try_from(reachable.count()).unwrap_or(u32::MAX),
             configuration_revision: self.highest_revision(),
             contacts: relays.iter().filter_map(contact).collect(),
@@ -123,12 +145,8 @@
         }
         let digest = self.own_digest(now);
         for to in self.zone_contacts() {
-            let message = Message {
-                sender: self.sender(now),
-                body: Body::Notice,
-                updates: Vec::new(),
-                digests: vec![digest.clone()],
-            };
+            let mut message = self.empty_message(now, Body::Notice);
+            message.digests.push(digest.clone());
             self.actions.push(Action::Send { to, message });
         }
     }
@@ -164,12 +182,8 @@
         let mut digests = vec![self.own_digest(now)];
         digests.extend(self.digests.iter().cloned());
         for page in digests.chunks(self.settings.max_digests) {
-            let message = Message {
-                sender: self.sender(now),
-                body: Body::Notice,
-                updates: Vec::new(),
-                digests: page.to_vec(),
-            };
+            let mut message = self.empty_message(now, Body::Notice);
+            message.digests = page.to_vec();
             self.actions.push(Action::Send { to, message });
         }
     }
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -168,7 +168,7 @@
                     self.false_deaths += usize::from(runs);
                 }
                 Action::AskedToLeave => self.hosts[index].asked_to_leave = true,
-                Action::StateChanged { .. } | Action::Heard { .. } => {}
+                Action::StateChanged { .. } | Action::Heard { .. } | Action::BackendChanged(_) => {}
             }
         }
     }
--- a/crates/membership/tests/zone.rs
+++ b/crates/membership/tests/zone.rs
@@ -5,7 +5,7 @@
 
 use support::{record, Network};
 use tansyhall_core::{Duration, NodeId};
-use tansyhall_membership::{KnownMachine, MemberState};
+use tansyhall_membership::{KnownBackend, KnownMachine, MemberState};
 
 const ZONE: &str = "kalimati";
 const SIZE: usize = 120;
@@ -154,6 +154,38 @@
     assert!(network.all_see(4, &[MemberState::Alive]));
 }
 
+#[test]
+fn a_leaving_back_end_is_known_to_all_within_three_seconds() {
+    let mut network = converged(60, 11);
+    network.loss = 0.1;
+    let list = |leaving| KnownBackend {
+        name: "engine-0".into(),
+        leaving,
+    };
+    let knowing = |network: &Network| {
+        let hosts = network.hosts.iter();
+        let knows = hosts.filter(|host| host.membership.leaving_backends().count() == 1);
+        knows.count()
+    };
+    let observe = |network: &mut Network, leaving| {
+        for index in 0..60 {
+            let now = network.now;
+            let membership = &mut network.hosts[index].membership;
+            let actions = membership.observe_backends(now, &[list(leaving)]);
+            network.carry_out(index, actions);
+        }
+    };
+    observe(&mut network, true);
+    assert_eq!(knowing(&network), 1, "only the first relay makes marks");
+    let limit = Duration::from_secs(3);
+    let took = network.run_until(limit, |network| knowing(network) == 60);
+    println!("a leaving back end is known to all after {took:?}");
+    network.restart(7, ZONE, 2_000_000, 0);
+    network.run_until(LIMIT, |network| knowing(network) == 60);
+    observe(&mut network, false);
+    network.run_until(LIMIT, |network| knowing(network) == 0);
+}
+
 #[test]
 fn members_agree_on_the_relays_and_replace_a_dead_one() {
     let mut network = converged(30, 9);
--- a/crates/node/src/peers/actor.rs
+++ b/crates/node/src/peers/actor.rs
@@ -167,6 +167,10 @@
                     let actions = self.spread.heard(now, &peer, mark);
                     self.carry_out_spread(now, actions, context);
                 }
+                membership::Action::BackendChanged(mark) => {
+                    log::info!("back end {}: leaving {}", mark.name, mark.is_leaving);
+                    self.publish_at = now;
+                }
                 membership::Action::AskedToLeave => {
                     log::info!("this machine is listed as leaving; other nodes send no new work");
                 }
@@ -254,22 +258,24 @@
     }
 
     fn read_machines(&mut self, now: Timestamp, context: &mut Context<Self>) {
-        let speaks = self.membership.relays().contains(&self.node.settings.name);
-        let is_needed = speaks || !self.membership.is_settled(now);
+        let is_settled = self.membership.is_settled(now);
+        let is_needed = !is_settled || self.membership.is_watcher(now);
         if self.schedule.in_progress || now < self.schedule.next || !is_needed {
             return;
         }
         self.schedule.in_progress = true;
         self.schedule.next = now + self.schedule.period;
-        let fetch = machines::fetch(self.list.clone()).into_actor(self);
-        context.spawn(fetch.map(|machines, actor, context| {
+        let zone = self.node.settings.zone.clone();
+        let fetch = machines::fetch(self.list.clone(), zone).into_actor(self);
+        context.spawn(fetch.map(|listed, actor, context| {
             actor.schedule.in_progress = false;
-            let Some(machines) = machines else {
+            let Some(listed) = listed else {
                 actor.node.metrics.platform_errors.inc();
                 return;
             };
             let now = actor.node.clock.now();
-            let actions = actor.membership.observe_machines(now, &machines);
+            let mut actions = actor.membership.observe_machines(now, &listed.nodes);
+            actions.extend(actor.membership.observe_backends(now, &listed.backends));
             actor.carry_out_membership(now, actions, context);
         }));
     }
@@ -298,6 +304,9 @@
         let staleness = self.spread.staleness(now);
         let staleness = staleness.map_or(f64::INFINITY, |age| age.as_secs_f64());
         metrics.staleness_seconds.set(staleness);
+        let leaving_backends = self.membership.leaving_backends().count();
+        let leaving_backends = i64::try_from(leaving_backends).unwrap_or(i64::MAX);
+        metrics.leaving_backends.set(leaving_backends);
         for state in STATES {
             let members = self.membership.members();
             let count = members.filter(|record| record.state == state).count();
--- a/crates/node/src/peers/machines.rs
+++ b/crates/node/src/peers/machines.rs
@@ -1,19 +1,35 @@
-//! Reads the platform's list of machines. It lags and its service is rate-limited, so only those
-//! members read it that speak for their zone, and those that know no other member yet.
+//! Reads the platform's list of machines. It lags and its service is rate-limited, so only
+//! the first relay of each zone reads it, and nodes that know no other member yet.
 
 use std::time::Duration;
 
-use tansyhall_core::{NodeId, ZoneName};
-use tansyhall_membership::KnownMachine;
+use tansyhall_core::{EngineName, NodeId, ZoneName};
+use tansyhall_membership::{KnownBackend, KnownMachine};
 use tansyhall_platform::machines::{Machine, MachineKind, MachineList};
 
+/// What the list says.
+#[derive(Debug, Default)]
+pub(super) struct Listed {
+    /// Nodes of every zone.
+    pub(super) nodes: Vec<KnownMachine>,
+    /// Back ends of this node's zone.
+    pub(super) backends: Vec<KnownBackend>,
+}
+
 /// Reads the list; absent if it could not be read.
-pub(super) async fn fetch(list: MachineList) -> Option<Vec<KnownMachine>> {
-    let machines = list.fetch().await.ok()?;
-    let nodes = machines
-        .into_iter()
-        .filter(|it| it.kind == MachineKind::Node);
-    Some(nodes.map(known_machine).collect())
+pub(super) async fn fetch(list: MachineList, zone: ZoneName) -> Option<Listed> {
+    let mut listed = Listed::default();
+    for machine in list.fetch().await.ok()? {
+        if machine.kind == MachineKind::Node {
+            listed.nodes.push(known_machine(machine));
+        } else if machine.zone == zone.as_str() {
+            listed.backends.push(KnownBackend {
+                name: EngineName::new(machine.name),
+                leaving: machine.leaving,
+            });
+        }
+    }
+    Some(listed)
 }
 
 fn known_machine(machine: Machine) -> KnownMachine {
--- a/crates/node/src/peers/metrics.rs
+++ b/crates/node/src/peers/metrics.rs
@@ -6,6 +6,8 @@
 pub struct PeerMetrics {
     /// Members of the zone, by state.
     pub members: IntGaugeVec,
+    /// Back ends of the zone that get no new work because they are leaving.
+    pub leaving_backends: IntGauge,
     /// Bytes of datagrams, by direction.
     pub datagram_bytes: IntCounterVec,
     /// Bytes of configuration pulls, asked for and served, by direction.
@@ -42,6 +44,10 @@
         );
         let metrics = Self {
             members: IntGaugeVec::new(members, &["state"])?,
+            leaving_backends: IntGauge::new(
+                "tansyhall_leaving_backends",
+                "Back ends that get no new work because they are leaving",
+            )?,
             datagram_bytes: IntCounterVec::new(bytes, &["direction"])?,
             pull_bytes: IntCounterVec::new(pull_bytes, &["direction"])?,
             malformed: IntCounter::new(
@@ -68,6 +74,7 @@
         };
         metrics.staleness_seconds.set(f64::INFINITY);
         registry.register(Box::new(metrics.members.clone()))?;
+        registry.register(Box::new(metrics.leaving_backends.clone()))?;
         registry.register(Box::new(metrics.datagram_bytes.clone()))?;
         registry.register(Box::new(metrics.pull_bytes.clone()))?;
         registry.register(Box::new(metrics.malformed.clone()))?;
--- a/crates/node/src/peers/view.rs
+++ b/crates/node/src/peers/view.rs
@@ -1,12 +1,13 @@
 //! Other nodes as the rest of this node may see them: a snapshot that is cheap to read.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
 use serde::Serialize;
-use tansyhall_core::{Incarnation, NodeId, ZoneName};
+use tansyhall_core::{EngineName, Incarnation, NodeId, ZoneName};
 use tansyhall_membership::{MemberRecord, MemberState, Membership, ZoneDigest};
 
 /// One member of the zone.
@@ -50,6 +51,9 @@
     pub zones: Vec<ZoneStatus>,
     /// Members that speak for the zone; the first follows the configuration store.
     pub relays: Vec<NodeId>,
+    /// Back ends of the zone that get no new work, because their machines are about to be taken
+    /// away.
+    pub leaving_backends: BTreeSet<EngineName>,
 }
 
 /// What the node's threads see of its peers.
@@ -75,6 +79,11 @@
         self.snapshot.load_full()
     }
 
+    /// Whether a back end's machine is about to be taken away, so that it gets no new work.
+    pub fn is_backend_leaving(&self, name: &EngineName) -> bool {
+        self.snapshot.load().leaving_backends.contains(name)
+    }
+
     /// Whether this node should follow the configuration store now.
     pub fn follows_store(&self) -> bool {
         self.follows_store.load(Ordering::Acquire)
@@ -89,6 +98,7 @@
             members: membership.members().map(member_status).collect(),
             zones: membership.zone_digests().map(zone_status).collect(),
             relays: membership.relays(),
+            leaving_backends: membership.leaving_backends().cloned().collect(),
         };
         self.snapshot.store(Arc::new(snapshot));
     }
--- a/crates/proto/src/datagram.rs
+++ b/crates/proto/src/datagram.rs
@@ -4,10 +4,10 @@
 
 use prost::Message as _;
 use tansyhall_core::id::check_name;
-use tansyhall_core::{Duration, Incarnation, NodeId, ZoneName};
+use tansyhall_core::{Duration, EngineName, Incarnation, NodeId, ZoneName};
 use tansyhall_membership::{
-    Body, ConfigurationMark, Contact, LoadSummary, MemberAddresses, MemberRecord, MemberState,
-    Message, Sender, ZoneDigest,
+    BackendMark, Body, ConfigurationMark, Contact, LoadSummary, MemberAddresses, MemberRecord,
+    MemberState, Message, Sender, ZoneDigest,
 };
 
 use crate::address;
@@ -32,6 +32,7 @@
         body: Some(encode_body(message.body)),
         updates: message.updates.iter().map(encode_record).collect(),
         digests: message.digests.iter().map(encode_digest).collect(),
+        backends: message.backends.iter().map(encode_backend).collect(),
     };
     datagram.encode_to_vec()
 }
@@ -41,6 +42,7 @@
     let datagram = wire::Datagram::decode(bytes)?;
     check_length(datagram.updates.len(), "updates")?;
     check_length(datagram.digests.len(), "digests")?;
+    check_length(datagram.backends.len(), "back ends")?;
     let confirmation_age = Duration::from_millis(datagram.confirmation_age_millis);
     let sender = Sender {
         name: decode_node(datagram.sender)?,
@@ -53,11 +55,13 @@
     };
     let updates = datagram.updates.into_iter().map(decode_record);
     let digests = datagram.digests.into_iter().map(decode_digest);
+    let backends = datagram.backends.into_iter().map(decode_backend);
     Ok(Message {
         sender,
         body: decode_body(datagram.body.ok_or(DecodeError::Missing("body"))?)?,
         updates: updates.collect::<Result<_, _>>()?,
         digests: digests.collect::<Result<_, _>>()?,
+        backends: backends.collect::<Result<_, _>>()?,
     })
 }
 
@@ -169,6 +173,22 @@
     })
 }
 
+fn encode_backend(mark: &BackendMark) -> wire::BackendMark {
+    wire::BackendMark {
+        name: mark.name.to_string(),
+        is_leaving: mark.is_leaving,
+        version: mark.version,
+    }
+}
+
+fn decode_backend(mark: wire::BackendMark) -> Result<BackendMark, DecodeError> {
+    Ok(BackendMark {
+        name: EngineName::new(checked(mark.name)?),
+        is_leaving: mark.is_leaving,
+        version: mark.version,
+    })
+}
+
 fn encode_digest(digest: &ZoneDigest) -> wire::ZoneDigest {
     let contacts = digest.contacts.iter().map(|contact| wire::Contact {
         name: contact.name.to_string(),
--- a/crates/proto/tests/codec.rs
+++ b/crates/proto/tests/codec.rs
@@ -10,8 +10,8 @@
 use tansyhall_core::{Duration, Incarnation};
 use tansyhall_dissemination::{Delta, Document, PullBody, ResourceChange};
 use tansyhall_membership::{
-    Body, ConfigurationMark, Contact, LoadSummary, MemberAddresses, MemberRecord, MemberState,
-    Message, Sender, ZoneDigest,
+    BackendMark, Body, ConfigurationMark, Contact, LoadSummary, MemberAddresses, MemberRecord,
+    MemberState, Message, Sender, ZoneDigest,
 };
 use tansyhall_proto::{
     decode_datagram, decode_pull_answer, decode_pull_request, encode_datagram, encode_pull_answer,
@@ -92,7 +92,13 @@
         name in NAME, zone in NAME, incarnation in any::<u64>(), revision in any::<u64>(),
         age in any::<u32>(), body in body(),
         updates in vec(record(), 0..8), digests in vec(digest(), 0..3),
+        backends in vec((NAME, any::<bool>(), any::<u64>()), 0..4),
     ) -> Message {
+        let backends = backends.into_iter().map(|(name, is_leaving, version)| BackendMark {
+            name: name.as_str().into(),
+            is_leaving,
+            version,
+        });
         Message {
             sender: Sender {
                 name: name.as_str().into(),
@@ -106,6 +112,7 @@
             body,
             updates,
             digests,
+            backends: backends.collect(),
         }
     }
 }
--- a/crates/testing/src/fleet.rs
+++ b/crates/testing/src/fleet.rs
@@ -125,6 +125,13 @@
         assert!(answer.expect("an answer").status().is_success());
     }
 
+    /// Replaces the platform stand-in's list of machines; it shows after the stand-in's lag.
+    pub async fn list_machines(&self, machines: serde_json::Value) {
+        let url = format!("http://{}/standin/machines", self.platform.address);
+        let answer = awc::Client::default().put(url).send_json(&machines).await;
+        assert!(answer.expect("an answer").status().is_success());
+    }
+
     /// Members in a state, as a node counts them.
     pub async fn members(&self, index: usize, state: &str) -> Option<usize> {
         let name = format!("{MEMBERS}{{state=\"{state}\"}}");
