Split what had grown large in membership and in the peers actor

Failure detection and the mending of differences are modules of their own, and so are the actor's handlers.

--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -9,12 +9,14 @@
 
 pub mod backends;
 mod broadcast;
+mod detect;
 pub mod digest;
 pub mod member;
 pub mod membership;
 pub mod message;
 mod probe;
 mod receive;
+mod repair;
 pub mod settings;
 mod table;
 mod zones;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tansyhall_core::{Duration, EngineName, Incarnation, NodeId, Timestamp, ZoneName};
@@ -13,7 +12,7 @@
 use crate::digest::{LoadSummary, ZoneDigest, ZoneDigests};
 use crate::member::{MemberRecord, MemberState};
 use crate::message::{Body, ConfigurationMark, Message, Sender};
-use crate::probe::{Probe, Prober};
+use crate::probe::Prober;
 use crate::settings::MembershipSettings;
 use crate::table::{MemberTable, Outcome};
 
@@ -280,96 +279,6 @@
         };
     }
 
-    fn expire(&mut self, now: Timestamp) {
-        for mut record in self.table.due(now) {
-            if record.state == MemberState::Dead {
-                self.table.remove(&record.name);
-                self.broadcasts.remove(&record.name);
-                continue;
-            }
-            record.state = MemberState::Dead;
-            self.statistics.deaths += 1;
-            self.apply(now, &record);
-        }
-    }
-
-    fn advance_probe(&mut self, now: Timestamp) {
-        let Some(probe) = self.prober.current.clone() else {
-            return;
-        };
-        if now >= probe.fails_at {
-            self.prober.current = None;
-            self.statistics.failed_probes += 1;
-            self.suspect(now, &probe.target);
-            return;
-        }
-        if probe.indirect_at.is_some_and(|due| now >= due) {
-            self.probe_indirectly(now, &probe);
-        }
-    }
-
-    fn probe_indirectly(&mut self, now: Timestamp, probe: &Probe) {
-        if let Some(current) = &mut self.prober.current {
-            current.indirect_at = None;
-        }
-        let Some(target) = self.table.get(&probe.target) else {
-            return;
-        };
-        let body = Body::PingRequest {
-            sequence: probe.sequence,
-            target: target.addresses.peers,
-        };
-        for helper in self.random_others(self.settings.indirect_probes, &probe.target) {
-            self.send(now, &helper, body);
-        }
-    }
-
-    fn begin_probe(&mut self, now: Timestamp) {
-        if now < self.timers.probe {
-            return;
-        }
-        self.timers.probe = now + self.settings.probe_period;
-        let table = &self.table;
-        let own = &self.name;
-        let is_candidate = |name: &NodeId| {
-            let record = table.get(name);
-            name != own && record.is_some_and(MemberRecord::is_reachable)
-        };
-        let candidates = || {
-            let names = table.reachable().map(|record| record.name.clone());
-            names.filter(|name| name != own).collect()
-        };
-        let target = self
-            .prober
-            .next_target(&mut self.rng, candidates, is_candidate);
-        let Some(record) = target.and_then(|name| self.table.get(&name).cloned()) else {
-            return;
-        };
-        let sequence = self.prober.sequence();
-        self.statistics.probes += 1;
-        self.prober.current = Some(Probe {
-            target: record.name.clone(),
-            sequence,
-            indirect_at: Some(now + self.settings.probe_timeout),
-            fails_at: now + self.settings.probe_period,
-        });
-        self.send(now, &record, Body::Ping { sequence });
-    }
-
-    /// A member that fails a probe becomes suspect; one that was leaving has left.
-    fn suspect(&mut self, now: Timestamp, name: &NodeId) {
-        let Some(mut record) = self.table.get(name).cloned() else {
-            return;
-        };
-        record.state = match record.state {
-            MemberState::Alive => MemberState::Suspect,
-            MemberState::Leaving => MemberState::Dead,
-            MemberState::Suspect | MemberState::Dead => return,
-        };
-        self.apply(now, &record);
-        self.send(now, &record, Body::Notice);
-    }
-
     /// Takes a record about another member or about this node's own leaving, and passes it on.
     pub(crate) fn apply(&mut self, now: Timestamp, record: &MemberRecord) {
         let deadline = match record.state {
@@ -409,52 +318,4 @@
             });
         }
     }
-
-    fn synchronise(&mut self, now: Timestamp) {
-        if now < self.timers.sync {
-            return;
-        }
-        self.timers.sync = now + self.settings.sync_period;
-        let own = self.name.clone();
-        for record in self.random_others(1, &own) {
-            self.send_sync(now, record.addresses.peers, Some(&record.name));
-        }
-    }
-
-    /// Tries one dead member or one address that is no member's, so that zones which were cut in
-    /// two find together again, and zones that know of each other only by a contact do at all.
-    fn reconnect(&mut self, now: Timestamp) {
-        if now < self.timers.reconnect {
-            return;
-        }
-        self.timers.reconnect = now + self.settings.reconnect_period;
-        let mut candidates = self.lost_addresses();
-        candidates.shuffle(&mut self.rng);
-        if let Some(address) = candidates.pop() {
-            let at_address = |record: &&MemberRecord| record.addresses.peers == address;
-            let name = self.table.records().find(at_address);
-            let name = name.map(|record| record.name.clone());
-            self.send_sync(now, address, name.as_ref());
-        }
-    }
-
-    /// Addresses where no reachable member is. Contacts may be in other zones, where the few nodes
-    /// that are everyone's contact would be asked by everyone; so only relays try those.
-    fn lost_addresses(&self) -> Vec<SocketAddr> {
-        let known: Vec<SocketAddr> = self
-            .table
-            .reachable()
-            .map(|record| record.addresses.peers)
-            .collect();
-        let dead = self.table.records().filter(|it| !it.is_reachable());
-        let dead = dead.map(|record| record.addresses.peers);
-        let machines = self.machines.values().filter(|it| it.zone == self.zone);
-        let machines = machines.map(|machine| machine.peers);
-        let is_relay = self.relays().contains(&self.name);
-        let contacts = self.contacts.iter().filter(|_| is_relay).copied();
-        let addresses = dead.chain(machines).chain(contacts);
-        addresses
-            .filter(|address| !known.contains(address))
-            .collect()
-    }
 }
--- a/crates/node/src/peers/actor.rs
+++ b/crates/node/src/peers/actor.rs
@@ -6,10 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use actix::{
-    Actor, ActorFutureExt, AsyncContext, Context, Handler, Message, StreamHandler, WrapFuture,
-};
-use tansyhall_config::Configuration;
+use actix::{Actor, ActorFutureExt, AsyncContext, Context, WrapFuture};
 use tansyhall_core::{Incarnation, Timestamp};
 use tansyhall_dissemination::{self as dissemination, Mark, Peer, PullOutcome, Spread, View};
 use tansyhall_membership::{
@@ -17,14 +14,14 @@
     MembershipSettings,
 };
 use tansyhall_platform::machines::MachineList;
-use tansyhall_proto::{decode_datagram, encode_datagram, PullAnswer};
+use tansyhall_proto::{encode_datagram, PullAnswer};
 use tokio::net::{TcpListener, UdpSocket};
 
 use super::machines::{self, MachineSchedule};
 use super::pull;
-use super::transport::{self, Datagram, PeerTransport};
+use super::transport::{self, PeerTransport};
 use super::view::state_name;
-use crate::configuration::{self, Refused};
+use crate::configuration;
 use crate::state::Node;
 
 /// The timer runs this many times in a probe period.
@@ -41,26 +38,11 @@
     MemberState::Dead,
 ];
 
-/// Announces that this node is leaving.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct Leave;
-
-/// The configuration store was read.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub enum StoreRead {
-    /// This is the newest configuration.
-    Newest(Box<Configuration>),
-    /// The newest configuration is still this revision.
-    Unchanged(u64),
-}
-
 /// The actor.
 pub struct PeersActor {
-    node: Arc<Node>,
-    membership: Membership,
-    spread: Spread,
+    pub(super) node: Arc<Node>,
+    pub(super) membership: Membership,
+    pub(super) spread: Spread,
     spread_settings: dissemination::SpreadSettings,
     transport: Option<PeerTransport>,
     socket: Option<Rc<UdpSocket>>,
@@ -142,7 +124,7 @@
         }
     }
 
-    fn carry_out_membership(
+    pub(super) fn carry_out_membership(
         &mut self,
         now: Timestamp,
         actions: Vec<membership::Action>,
@@ -178,7 +160,7 @@
         }
     }
 
-    fn carry_out_spread(
+    pub(super) fn carry_out_spread(
         &mut self,
         now: Timestamp,
         actions: Vec<dissemination::Action>,
@@ -336,52 +318,6 @@
     }
 }
 
-impl StreamHandler<Datagram> for PeersActor {
-    fn handle(&mut self, datagram: Datagram, context: &mut Self::Context) {
-        let metrics = &self.node.metrics.peers;
-        let received_bytes = metrics.datagram_bytes.with_label_values(&["received"]);
-        received_bytes.inc_by(datagram.bytes.len() as u64);
-        let Ok(message) = decode_datagram(&datagram.bytes) else {
-            metrics.malformed.inc();
-            return;
-        };
-        let now = self.node.clock.now();
-        let actions = self.membership.receive(now, datagram.from, message);
-        self.carry_out_membership(now, actions, context);
-    }
-}
-
-impl Handler<Leave> for PeersActor {
-    type Result = ();
-
-    fn handle(&mut self, _: Leave, context: &mut Self::Context) {
-        let now = self.node.clock.now();
-        let actions = self.membership.leave(now);
-        self.carry_out_membership(now, actions, context);
-    }
-}
-
-impl Handler<StoreRead> for PeersActor {
-    type Result = ();
-
-    fn handle(&mut self, read: StoreRead, context: &mut Self::Context) {
-        let now = self.node.clock.now();
-        let revision = match read {
-            StoreRead::Unchanged(revision) => revision,
-            StoreRead::Newest(newest) => {
-                let revision = newest.revision;
-                let held = configuration::hold(&self.node, *newest);
-                if matches!(held, Err(Refused)) {
-                    return;
-                }
-                revision
-            }
-        };
-        let actions = self.spread.store_read(now, revision);
-        self.carry_out_spread(now, actions, context);
-    }
-}
-
 fn incarnation_of_this_process() -> Incarnation {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     let micros = since_epoch.unwrap_or(Duration::ZERO).as_micros();
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -3,13 +3,15 @@
 //! clock, and what the rest of the node may see.
 
 mod actor;
+mod handlers;
 mod machines;
 mod metrics;
 mod pull;
 mod transport;
 mod view;
 
-pub use actor::{Leave, PeersActor, StoreRead};
+pub use actor::PeersActor;
+pub use handlers::{Leave, StoreRead};
 pub use metrics::PeerMetrics;
 pub use transport::PeerTransport;
 pub use view::{MemberStatus, PeersSnapshot, PeersView, ZoneStatus};
