Changes of members are counted, and the planned stop's test rests on them

Cause: the test counted members that are leaving or dead, and so would also have passed for a node that just disappears.

Change: tansyhall_member_changes_total counts changes by new state, and the test waits until every other node has counted one to leaving.

--- a/crates/cli/tests/membership_processes.rs
+++ b/crates/cli/tests/membership_processes.rs
@@ -40,10 +40,10 @@
     let fleet = Fleet::start(SIZE).await;
     fleet.nodes[SUBJECT].process.signal("TERM");
     for index in OTHERS {
-        eventually("the node is known to have left", || async {
-            let leaving = fleet.members(index, "leaving").await?;
-            let dead = fleet.members(index, "dead").await.unwrap_or_default();
-            (leaving + dead == 1).then_some(())
+        eventually("the node is known to be leaving", || async {
+            let leaving = "tansyhall_member_changes_total{state=\"leaving\"}";
+            let changes = get_metric(fleet.admin(index), leaving).await?;
+            (changes >= 1.0).then_some(())
         })
         .await;
     }
--- a/crates/node/src/peers/actor.rs
+++ b/crates/node/src/peers/actor.rs
@@ -134,6 +134,7 @@
             match action {
                 membership::Action::Send { to, message } => self.send(to, &message),
                 membership::Action::StateChanged { record, before } => {
+                    self.count_change(record.state);
                     log_change(&record, before);
                     self.publish_at = now;
                 }
@@ -188,6 +189,11 @@
         }
     }
 
+    fn count_change(&self, state: MemberState) {
+        let changes = &self.node.metrics.peers.member_changes;
+        changes.with_label_values(&[state_name(state)]).inc();
+    }
+
     fn send(&self, to: SocketAddr, message: &membership::Message) {
         let metrics = &self.node.metrics.peers;
         let bytes = encode_datagram(message);
--- a/crates/node/src/peers/metrics.rs
+++ b/crates/node/src/peers/metrics.rs
@@ -6,6 +6,8 @@
 pub struct PeerMetrics {
     /// Members of the zone, by state.
     pub members: IntGaugeVec,
+    /// Changes of members' states, by the new state.
+    pub member_changes: IntCounterVec,
     /// Back ends of the zone that get no new work because they are leaving.
     pub leaving_backends: IntGauge,
     /// Bytes of datagrams, by direction.
@@ -30,6 +32,10 @@
     /// Registers every metric.
     pub fn register(registry: &Registry) -> Result<Self, prometheus::Error> {
         let members = Opts::new("tansyhall_members", "Members of the zone by state");
+        let changes = Opts::new(
+            "tansyhall_member_changes_total",
+            "Changes of members' states by the new state",
+        );
         let bytes = Opts::new(
             "tansyhall_peer_datagram_bytes_total",
             "Bytes of membership datagrams by direction",
@@ -44,6 +50,7 @@
         );
         let metrics = Self {
             members: IntGaugeVec::new(members, &["state"])?,
+            member_changes: IntCounterVec::new(changes, &["state"])?,
             leaving_backends: IntGauge::new(
                 "tansyhall_leaving_backends",
                 "Back ends that get no new work because they are leaving",
@@ -74,6 +81,7 @@
         };
         metrics.staleness_seconds.set(f64::INFINITY);
         registry.register(Box::new(metrics.members.clone()))?;
+        registry.register(Box::new(metrics.member_changes.clone()))?;
         registry.register(Box::new(metrics.leaving_backends.clone()))?;
         registry.register(Box::new(metrics.datagram_bytes.clone()))?;
         registry.register(Box::new(metrics.pull_bytes.clone()))?;
