Merge membership, peers and the spread of configurations

Status shows the members and zones that the peers' side knows, and the age of the configuration is the peers' staleness: two ways of keeping either became one. Two tests gave one zone to two sites, which validation refuses now; each site has a zone of its own. The status test expected no members from a node that knew none; it now expects the node itself, alive.

--- a/crates/cli/src/commands/ctl/mod.rs
+++ b/crates/cli/src/commands/ctl/mod.rs
@@ -207,8 +207,16 @@
             status["configuration_seen_millis_ago"],
         );
         println!("\nOTHER NODES");
-        let members = ["node", "zone", "configuration_revision", "heard_millis_ago"];
+        let members = [
+            "name",
+            "state",
+            "configuration_revision",
+            "callers",
+            "admin",
+        ];
         print_items(&status["members"], &members);
+        let zones = ["zone", "live_members", "configuration_revision"];
+        print_items(&status["zones"], &zones);
         print_pools(&status);
         println!("\nENGINES");
         let engines = [
--- a/crates/cli/tests/operators_admin/api.rs
+++ b/crates/cli/tests/operators_admin/api.rs
@@ -358,7 +358,10 @@
     let status = Call::get(admin, "/admin/v1/status").send().await.body;
     assert_eq!(status["pools"][0]["pool"], "maps-balkhu");
     assert_eq!(status["pools"][0]["settled"], true);
-    assert_eq!(status["members"], json!([]));
+    let members = status["members"].as_array().expect("members");
+    assert_eq!(members.len(), 1, "{status}");
+    assert_eq!(members[0]["name"], status["node"]);
+    assert_eq!(members[0]["state"], "alive");
     assert!(status["configuration_seen_millis_ago"].is_u64(), "{status}");
     let audit = Call::get(admin, "/admin/v1/audit").send().await.body;
     assert_eq!(audit["entries"][0]["account"], "test");
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -69,6 +69,9 @@
     /// Authority over pools.
     #[serde(default)]
     pub authority: AuthoritySettings,
+    /// Talk with other nodes.
+    #[serde(default)]
+    pub peer_limits: PeerLimits,
 }
 
 /// What an operator may do.
@@ -114,6 +117,8 @@
     /// Longest wait for the platform's answer.
     #[serde(with = "humantime_serde")]
     pub platform_timeout: Duration,
+    /// Most calls to the platform's key-value service in a second.
+    pub platform_calls_per_second: u32,
     /// Longest time a planned stop waits for requests in progress.
     #[serde(with = "humantime_serde")]
     pub drain_timeout: Duration,
@@ -159,6 +164,7 @@
             max_attempts: 3,
             connect_timeout: Duration::from_millis(500),
             platform_timeout: Duration::from_secs(2),
+            platform_calls_per_second: 50,
             drain_timeout: Duration::from_secs(120),
             body_timeout: Duration::from_secs(30),
             max_forwarded_body_bytes: 256 << 20,
@@ -206,6 +212,34 @@
     }
 }
 
+/// Times and limits of the talk with other nodes.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PeerLimits {
+    /// Time between probes; each node probes one other member of its zone a period.
+    #[serde(with = "humantime_serde")]
+    pub probe_period: Duration,
+    /// Time between reads of the platform's list of machines, by the member
+    /// of each zone that reads it.
+    #[serde(with = "humantime_serde")]
+    pub machines_period: Duration,
+    /// Largest frame sent or accepted when a configuration is pulled, in bytes.
+    pub max_frame_bytes: usize,
+    /// Most peers that pull at once; more are turned away.
+    pub max_connections: usize,
+}
+
+impl Default for PeerLimits {
+    fn default() -> Self {
+        Self {
+            probe_period: Duration::from_secs(1),
+            machines_period: Duration::from_secs(2),
+            max_frame_bytes: 16 << 20,
+            max_connections: 64,
+        }
+    }
+}
+
 mod defaults {
     pub(super) fn threads() -> usize {
         4
@@ -214,6 +248,8 @@
 
 /// Hexadecimal digits of a SHA-256 hash.
 const SHA256_DIGITS: usize = 64;
+/// Shortest time between probes; the timer behind them is a fraction of it.
+const SHORTEST_PROBE_PERIOD: Duration = Duration::from_millis(100);
 /// Most worker threads.
 const MAX_THREADS: usize = 256;
 
@@ -235,6 +271,7 @@
         self.validate_operators(file)?;
         self.validate_limits(file)?;
         self.validate_callers(file)?;
+        self.validate_peers(file)?;
         self.validate_authority(file)
     }
 
@@ -280,6 +317,10 @@
             ("limits.max_admin_body_bytes", limits.max_admin_body_bytes),
             ("limits.max_requests", limits.max_requests),
             ("limits.max_attempts", limits.max_attempts as usize),
+            (
+                "limits.platform_calls_per_second",
+                limits.platform_calls_per_second as usize,
+            ),
         ];
         for (key, value) in sizes {
             require(value > 0, file, key, value, "1 or more")?;
@@ -330,6 +371,27 @@
         Ok(())
     }
 
+    fn validate_peers(&self, file: &str) -> Result<(), SettingsError> {
+        let peers = &self.peer_limits;
+        let shown = humantime_serde::re::humantime::format_duration(peers.probe_period);
+        let is_long = peers.probe_period >= SHORTEST_PROBE_PERIOD;
+        require(
+            is_long,
+            file,
+            "peer_limits.probe_period",
+            shown,
+            "100ms or more",
+        )?;
+        let count = peers.max_connections;
+        require(
+            count > 0,
+            file,
+            "peer_limits.max_connections",
+            count,
+            "1 or more",
+        )
+    }
+
     fn validate_authority(&self, file: &str) -> Result<(), SettingsError> {
         let authority = &self.authority;
         let holds = authority.renewal + authority.margin < authority.lease;
--- a/crates/node/src/admin/status.rs
+++ b/crates/node/src/admin/status.rs
@@ -13,21 +13,9 @@
 use super::access;
 use super::changes::Answer;
 use crate::configuration::InForce;
+use crate::peers::{MemberStatus, ZoneStatus};
 use crate::state::{EngineStatus, Node};
 
-/// What is known about one node of the fleet.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, ToSchema)]
-pub struct MemberStatus {
-    /// The node's name.
-    pub node: String,
-    /// Its zone.
-    pub zone: String,
-    /// The revision in force there when it was last heard of; absent if it never was.
-    pub configuration_revision: Option<u64>,
-    /// Milliseconds since it was last heard of; absent if it never was.
-    pub heard_millis_ago: Option<u64>,
-}
-
 /// What this node has in force and observes.
 #[derive(Debug, Serialize, ToSchema)]
 pub struct Status {
@@ -37,13 +25,17 @@
     pub zone: String,
     /// The revision in force here.
     pub configuration_revision: u64,
-    /// Milliseconds since the configuration was last seen in the store; absent before the first
-    /// time.
+    /// Milliseconds since the configuration in force was last confirmed as the newest; absent
+    /// before the first time.
     pub configuration_seen_millis_ago: Option<u64>,
     /// Whether a planned stop has begun.
     pub stopping: bool,
-    /// Other nodes, as far as this one knows them.
+    /// Nodes of this node's zone, itself included, as this one sees them.
+    #[schema(value_type = Vec<Object>)]
     pub members: Vec<MemberStatus>,
+    /// Other zones, as last heard.
+    #[schema(value_type = Vec<Object>)]
+    pub zones: Vec<ZoneStatus>,
     /// Pools, desired and observed.
     pub pools: Vec<PoolStatus>,
     /// Engines, as last observed by this node.
@@ -135,13 +127,15 @@
         }
         (statuses, states)
     });
+    let peers = node.peers.snapshot();
     Ok(HttpResponse::Ok().json(Status {
         node: node.settings.name.to_string(),
         zone: node.settings.zone.to_string(),
         configuration_revision: in_force.configuration.revision,
-        configuration_seen_millis_ago: node.configuration_age_millis(),
+        configuration_seen_millis_ago: node.metrics.peers.staleness_millis(),
         stopping: node.is_stopping(),
-        members: node.members.load().as_ref().clone(),
+        members: peers.members.clone(),
+        zones: peers.zones.clone(),
         pools,
         engines,
     }))
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -4,16 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::Actor;
+use actix::{Actor, Addr};
 use actix_web::dev::{Server, ServerHandle};
 use actix_web::{web, App, HttpServer};
 use anyhow::{Context, Result};
 use tansyhall_config::NodeSettings;
 use tansyhall_engine::EngineClient;
-use tansyhall_platform::EtcdStore;
+use tansyhall_membership::MemberAddresses;
+use tansyhall_platform::{EtcdStore, RateLimit};
 
 use crate::authority::AuthorityKeeper;
 use crate::configuration::{ConfigurationStore, ConfigurationWatcher};
+use crate::peers::{Leave, PeerTransport, PeersActor};
 use crate::state::Node;
 use crate::{admin, callers};
 
@@ -28,6 +30,9 @@
     pub callers: SocketAddr,
     /// Where operators connect.
     pub admin: SocketAddr,
+    /// Where other nodes connect.
+    pub peers: SocketAddr,
+    peers_actor: Addr<PeersActor>,
     handles: Vec<ServerHandle>,
 }
 
@@ -36,26 +41,38 @@
     let node = Node::new(settings)?;
     let platform = node.settings.platform;
     let timeout = node.settings.limits.platform_timeout;
+    let limit = RateLimit::new(node.settings.limits.platform_calls_per_second);
     let callers = listen(node.settings.callers)?;
     let admin = listen(node.settings.admin)?;
     let callers_address = callers.local_addr()?;
     let admin_address = admin.local_addr()?;
+    let transport = PeerTransport::bind(node.settings.peers)?;
+    let peers_address = transport.address();
     let servers = [
         serve_callers(callers, Arc::clone(&node))?,
-        serve_admin(admin, Arc::clone(&node))?,
+        serve_admin(admin, Arc::clone(&node), limit.clone())?,
     ];
     let handles = servers.iter().map(Server::handle).collect();
     for server in servers {
         actix_rt::spawn(server);
     }
     callers::start_sweeping(Arc::clone(&node));
-    let store = EtcdStore::new(platform, timeout);
-    ConfigurationWatcher::new(Arc::clone(&node), store.clone()).start();
+    let store = EtcdStore::new(platform, timeout).with_limit(limit);
+    let addresses = MemberAddresses {
+        peers: peers_address,
+        admin: admin_address,
+        callers: callers_address,
+    };
+    let peers_actor = PeersActor::new(Arc::clone(&node), transport, addresses).start();
+    let updates = peers_actor.clone().recipient();
+    ConfigurationWatcher::new(Arc::clone(&node), store.clone(), updates).start();
     AuthorityKeeper::new(Arc::clone(&node), store).start();
     Ok(RunningNode {
         node,
         callers: callers_address,
         admin: admin_address,
+        peers: peers_address,
+        peers_actor,
         handles,
     })
 }
@@ -85,10 +102,15 @@
         .run())
 }
 
-fn serve_admin(listener: TcpListener, node: Arc<Node>) -> std::io::Result<Server> {
+fn serve_admin(
+    listener: TcpListener,
+    node: Arc<Node>,
+    limit: RateLimit,
+) -> std::io::Result<Server> {
     let server = HttpServer::new(move || {
         let limits = &node.settings.limits;
         let store = EtcdStore::new(node.settings.platform, limits.platform_timeout);
+        let store = store.with_limit(limit.clone());
         App::new()
             .app_data(web::Data::from(Arc::clone(&node)))
             .app_data(web::Data::new(ConfigurationStore::new(store)))
@@ -102,6 +124,8 @@
     /// Refuses new requests, lets those in progress end, then stops.
     pub async fn stop(self) {
         self.node.begin_stop();
+        // The mailbox refuses only when the actor has ended, and then there is nobody to tell.
+        let _ = self.peers_actor.send(Leave).await;
         log::info!("stopping: new requests are refused");
         let deadline = self.node.clock.now() + self.node.settings.limits.drain_timeout;
         while self.node.metrics.in_progress.get() > 0 && self.node.clock.now() < deadline {
