At-most-once records as state machines: replica, attempt, change of view

Cause: nothing kept a second try of a request that is not repeatable, made through another node, from running it again.

Ruled out: members known by name only (a restarted replica votes as if it knew), votes of two views added up, and not-run told without a quorum on a key that the caller chose: an earlier try through another node may have run, so that verdict is may-have-run. Only for a key that the node made up itself is not-run true without a quorum.

Conclusion: the record is safe under restarts, one change of view left halfway and lost answers within the stated bounds. Wiring it into the callers' path is to do.

--- /dev/null
+++ b/crates/journal/tests/journal_machine.rs
@@ -0,0 +1,287 @@
+//! Tries of one key through several nodes, with replicas that restart, views that change and are
+//! left halfway, and messages that are lost, late and repeated. The oracle counts the tries that
+//! were permitted to run.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
+use tansyhall_core::{Duration, Incarnation, RequestId, Timestamp};
+use tansyhall_journal::{
+    Attempt, AttemptId, ChangeStep, Decision, KeyOrigin, Member, RecordKey, Replica, ReplicaLimits,
+    View, ViewChange, ViewNumber,
+};
+
+const NODES: usize = 4;
+const TRIES: usize = 3;
+const SEED: u64 = 0x6a6f_7572_6e61;
+
+#[derive(Debug, Clone, Copy)]
+enum Message {
+    Delivered,
+    QuestionLost,
+    AnswerLost,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Ask {
+        attempt: usize,
+        node: usize,
+        message: Message,
+    },
+    /// A question that was asked before arrives again, in the view of that time.
+    AskLate {
+        attempt: usize,
+        node: usize,
+    },
+    GiveUp(usize),
+    NotTaken(usize),
+    Release {
+        attempt: usize,
+        node: usize,
+    },
+    LearnView(usize),
+    Prepare {
+        left_out: usize,
+    },
+    Change {
+        node: usize,
+        message: Message,
+    },
+    AbandonChange,
+    Restart(usize),
+}
+
+struct Histories;
+
+impl ReferenceStateMachine for Histories {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let message = || {
+            prop_oneof![
+                4 => Just(Message::Delivered),
+                1 => Just(Message::QuestionLost),
+                1 => Just(Message::AnswerLost),
+            ]
+        };
+        prop_oneof![
+            24 => (0..TRIES, 0..NODES, message())
+                .prop_map(|(attempt, node, message)| Step::Ask { attempt, node, message }),
+            1 => (0..TRIES, 0..NODES).prop_map(|(attempt, node)| Step::AskLate { attempt, node }),
+            1 => (0..TRIES).prop_map(Step::GiveUp),
+            1 => (0..TRIES).prop_map(Step::NotTaken),
+            2 => (0..TRIES, 0..NODES).prop_map(|(attempt, node)| Step::Release { attempt, node }),
+            6 => (0..TRIES).prop_map(Step::LearnView),
+            3 => (0..NODES).prop_map(|left_out| Step::Prepare { left_out }),
+            24 => (0..NODES, message()).prop_map(|(node, message)| Step::Change { node, message }),
+            1 => Just(Step::AbandonChange),
+            1 => (0..NODES).prop_map(Step::Restart),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: (), _: &Step) {
+        state
+    }
+}
+
+struct Zone {
+    replicas: Vec<Replica>,
+    active: View,
+    prepared: Option<View>,
+    change: Option<ViewChange>,
+    attempts: Vec<Attempt>,
+    permitted: Vec<bool>,
+}
+
+fn now() -> Timestamp {
+    Timestamp::default()
+}
+
+fn key() -> RecordKey {
+    RecordKey("slip-7".into())
+}
+
+fn replica(node: usize, incarnation: u64) -> Replica {
+    let member = Member {
+        node: format!("node-{node}").as_str().into(),
+        incarnation: Incarnation(incarnation),
+    };
+    let limits = ReplicaLimits {
+        max_records: 16,
+        retention: Duration::from_secs(600),
+    };
+    Replica::new(member, limits)
+}
+
+impl Zone {
+    fn ask(&mut self, index: usize, node: usize, view: ViewNumber, message: Message) {
+        if matches!(message, Message::QuestionLost) {
+            return;
+        }
+        let attempt = &mut self.attempts[index];
+        let replica = &mut self.replicas[node];
+        let reply = replica.vote(now(), view, &key(), attempt.id());
+        if matches!(message, Message::AnswerLost) {
+            return;
+        }
+        let member = replica.member().clone();
+        if attempt.reply(&member, view, reply) == Some(Decision::Run) {
+            self.permitted[index] = true;
+        }
+        let running = self.permitted.iter().filter(|permitted| **permitted);
+        assert!(running.count() <= 1, "two tries of one key may run");
+    }
+
+    fn assert_truthful(&self, decision: Decision) {
+        let nobody_runs = !self.permitted.contains(&true);
+        assert!(
+            decision != Decision::NotRun || nobody_runs,
+            "told not-run, but a try may run"
+        );
+    }
+
+    fn not_taken(&mut self, index: usize) {
+        if !self.permitted[index] || self.attempts[index].releases() {
+            return;
+        }
+        self.permitted[index] = false;
+        let decision = self.attempts[index].not_taken();
+        self.assert_truthful(decision);
+    }
+
+    fn prepare(&mut self, left_out: usize) {
+        if self.prepared.is_none() {
+            let members = self.replicas.iter().enumerate();
+            let members = members.filter(|(node, _)| *node != left_out);
+            let members: Vec<Member> = members.map(|(_, r)| r.member().clone()).collect();
+            self.prepared = Some(View {
+                number: self.active.number.next(),
+                members: members.try_into().expect("three members"),
+            });
+        }
+        let next = self.prepared.clone().expect("a prepared view");
+        self.change = Some(ViewChange::new(self.active.clone(), next));
+    }
+
+    fn advance_change(&mut self, node: usize, message: Message) {
+        let Some(change) = self.change.as_mut() else {
+            return;
+        };
+        let replica = &mut self.replicas[node];
+        let answered = !matches!(message, Message::AnswerLost);
+        match change.step() {
+            ChangeStep::Activate => {
+                self.active = change.next().clone();
+                self.prepared = None;
+                self.change = None;
+            }
+            _ if matches!(message, Message::QuestionLost) => {}
+            ChangeStep::Seal => {
+                let reply = replica.seal(now(), change.next().number);
+                if answered {
+                    change.seal_reply(replica.member(), reply);
+                }
+            }
+            ChangeStep::Install(records) => {
+                if replica.install(now(), change.next(), &records) && answered {
+                    change.installed(replica.member());
+                }
+            }
+        }
+    }
+}
+
+impl StateMachineTest for Zone {
+    type SystemUnderTest = Self;
+    type Reference = Histories;
+
+    fn init_test((): &()) -> Self {
+        let mut replicas: Vec<Replica> = (0..NODES).map(|node| replica(node, 1)).collect();
+        let members = [0, 1, 2].map(|node: usize| replicas[node].member().clone());
+        let active = View {
+            number: ViewNumber(1),
+            members,
+        };
+        for replica in &mut replicas {
+            replica.install(now(), &active, &Default::default());
+        }
+        let attempt = |index: usize| {
+            let id = AttemptId(RequestId(index as u128));
+            Attempt::new(key(), id, KeyOrigin::Caller, active.clone())
+        };
+        let attempts = (0..TRIES).map(attempt).collect();
+        Self {
+            replicas,
+            active: active.clone(),
+            prepared: None,
+            change: None,
+            attempts,
+            permitted: vec![false; TRIES],
+        }
+    }
+
+    fn apply(mut zone: Self, (): &(), step: Step) -> Self {
+        match step {
+            Step::Ask {
+                attempt,
+                node,
+                message,
+            } => {
+                // A try that has decided asks no more.
+                let decided = zone.permitted[attempt] || zone.attempts[attempt].releases();
+                if !decided {
+                    let view = zone.attempts[attempt].view();
+                    zone.ask(attempt, node, view, message);
+                }
+            }
+            Step::AskLate { attempt, node } => {
+                let view = zone.attempts[attempt].view();
+                zone.ask(attempt, node, view, Message::AnswerLost);
+            }
+            Step::GiveUp(index) => {
+                if !zone.permitted[index] {
+                    let decision = zone.attempts[index].give_up();
+                    zone.assert_truthful(decision);
+                }
+            }
+            Step::NotTaken(index) => zone.not_taken(index),
+            Step::Release { attempt, node } => {
+                if zone.attempts[attempt].releases() {
+                    let id = zone.attempts[attempt].id();
+                    zone.replicas[node].release(&key(), id);
+                }
+            }
+            Step::LearnView(index) => {
+                let active = zone.active.clone();
+                zone.attempts[index].view_changed(active);
+            }
+            Step::Prepare { left_out } => zone.prepare(left_out),
+            Step::Change { node, message } => zone.advance_change(node, message),
+            Step::AbandonChange => zone.change = None,
+            Step::Restart(node) => {
+                let incarnation = zone.replicas[node].member().incarnation.0 + 1;
+                zone.replicas[node] = replica(node, incarnation);
+            }
+        }
+        zone
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(Config {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn one_try_at_most_runs_and_not_run_is_true(sequential 1..100 => Zone);
+}
