--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,8 @@
 
 #![forbid(unsafe_code)]
 
+mod soak;
+
 use std::process::ExitCode;
 
 use anyhow::{bail, Result};
@@ -13,6 +15,10 @@
 USAGE:
   tansyhall-lab COMMAND [OPTIONS]
 
+COMMANDS:
+  soak --seconds N [--seed S] [--break fence|drain|journal|verdict] [--json]
+      random faults in virtual time against an oracle; --break switches a mechanism off
+
 EXIT CODES:
   0  done
   1  failed while running, or a violation was found
@@ -33,6 +39,7 @@
     let mut arguments = Arguments::from_env();
     let command = arguments.subcommand()?;
     match command.as_deref() {
+        Some("soak") => soak::run(arguments),
         Some(other) => bail!("unknown command {other}; see tansyhall-lab --help"),
         None => {
             print!("{HELP}");
