--- a/crates/node/src/authority/pool.rs
+++ b/crates/node/src/authority/pool.rs
@@ -68,9 +68,13 @@
             return period;
         };
         if !self.authority.is_valid() {
+            self.node.metrics.orders_withheld.inc();
             return period;
         }
         let progress = self.advance_all(&pool.backends).await;
+        if progress.contains(&Progress::LeaseInvalid) {
+            self.node.metrics.orders_withheld.inc();
+        }
         if progress.contains(&Progress::Settled(Outcome::GivenUp)) {
             self.give_up();
         }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -27,6 +27,8 @@
     pub lease_valid: IntGauge,
     /// Pools this node has acquired, counted each time.
     pub pools_acquired: IntCounter,
+    /// Rounds of a held pool in which no order was sent because the lease was not valid.
+    pub orders_withheld: IntCounter,
     /// Changes given up because requests did not end in time.
     pub changes_given_up: IntCounter,
     /// Failed calls to the platform.
@@ -70,6 +72,10 @@
             pools_held: gauge("tansyhall_pools_held", "Pools under this node's authority")?,
             lease_valid: gauge("tansyhall_lease_valid", "Whether the node's lease is valid")?,
             pools_acquired: counter("tansyhall_pools_acquired_total", "Pools acquired")?,
+            orders_withheld: counter(
+                "tansyhall_orders_withheld_total",
+                "Rounds without orders for want of a valid lease",
+            )?,
             changes_given_up: counter("tansyhall_changes_given_up_total", "Changes given up")?,
             platform_errors: counter("tansyhall_platform_errors_total", "Failed platform calls")?,
             registry,
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -78,8 +78,14 @@
 
 /// Starts a stand-in on a free port.
 pub fn standin(arguments: &[&str]) -> Standin {
+    standin_at(arguments, SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+/// Starts a stand-in at an address, such as that of one which has been killed.
+pub fn standin_at(arguments: &[&str], address: SocketAddr) -> Standin {
+    let listen = address.to_string();
     let mut all = arguments.to_vec();
-    all.extend(["--listen", "127.0.0.1:0"]);
+    all.extend(["--listen", &listen]);
     let process = Process::spawn(program("tansyhall-standin"), &all);
     let address = process
         .first_line
@@ -144,6 +150,18 @@
     response.json().limit(64 << 20).await.ok()
 }
 
+/// Reads one metric without labels from a node's administration address.
+pub async fn metric(node: SocketAddr, name: &str) -> Option<u64> {
+    let request = awc::Client::default().get(format!("http://{node}/metrics"));
+    let mut response = request.bearer_auth(TOKEN).send().await.ok()?;
+    let body = response.body().await.ok()?;
+    let text = std::str::from_utf8(&body).ok()?;
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix(name)?.strip_prefix(' '))?;
+    line.trim().parse().ok()
+}
+
 /// Waits until `condition` yields a value.
 pub async fn eventually<T, F>(what: &str, mut condition: impl FnMut() -> F) -> T
 where
