--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -13,7 +13,7 @@
 use tansyhall_membership::MemberAddresses;
 use tansyhall_platform::{EtcdStore, RateLimit};
 
-use crate::authority::AuthorityKeeper;
+use crate::authority::{AuthorityKeeper, Release};
 use crate::configuration::{ConfigurationStore, ConfigurationWatcher};
 use crate::peers::{Leave, PeerTransport, PeersActor};
 use crate::state::Node;
@@ -34,6 +34,7 @@
     pub peers: SocketAddr,
     peers_actor: Addr<PeersActor>,
     handles: Vec<ServerHandle>,
+    authority: Addr<AuthorityKeeper>,
 }
 
 /// Starts a node on the current actix system.
@@ -66,7 +67,7 @@
     let peers_actor = PeersActor::new(Arc::clone(&node), transport, addresses).start();
     let updates = peers_actor.clone().recipient();
     ConfigurationWatcher::new(Arc::clone(&node), store.clone(), updates).start();
-    AuthorityKeeper::new(Arc::clone(&node), store).start();
+    let authority = AuthorityKeeper::new(Arc::clone(&node), store).start();
     Ok(RunningNode {
         node,
         callers: callers_address,
@@ -74,6 +75,7 @@
         peers: peers_address,
         peers_actor,
         handles,
+        authority,
     })
 }
 
@@ -127,6 +129,9 @@
         // The mailbox refuses only when the actor has ended, and then there is nobody to tell.
         let _ = self.peers_actor.send(Leave).await;
         log::info!("stopping: new requests are refused");
+        if let Err(error) = self.authority.send(Release).await {
+            log::warn!("the authority is not released: {error}");
+        }
         let deadline = self.node.clock.now() + self.node.settings.limits.drain_timeout;
         while self.node.metrics.in_progress.get() > 0 && self.node.clock.now() < deadline {
             actix_rt::time::sleep(DRAIN_POLL).await;
