The soak spreads configurations too: never an older one, in force everywhere in time

The real spread state machine runs on every node of the soak, under the same kills, pauses, partitions and outages.

Ruled out: drawing the spread's delays from the episode's own random source. The spread's links have a source of their own, and the other rules' episodes are what they were.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -8,6 +8,7 @@
 use tansyhall_core::{Duration, Role, Timestamp};
 use tansyhall_journal::{Member, VoteReply};
 
+use crate::configuration::{Configurations, Message, Pull, Receiver};
 use crate::engines::{Engine, EngineReply};
 use crate::faults::{Fault, FaultKind, PlannedFault};
 use crate::journal::{Journal, VoteRequest};
@@ -24,6 +25,13 @@
 const ENGINE_WORK: Duration = Duration::from_millis(100);
 const SLIP_EVERY: Duration = Duration::from_millis(400);
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Changes of the configuration that follow each other quickly.
+const CHANGES_IN_ROW: u64 = 3;
+/// Time between such changes.
+const CHANGE_EVERY: Duration = Duration::from_secs(1);
+/// Time after such changes in which the last of them must come into force everywhere, unless
+/// something is in the way. Links that lose messages and delay them by up to 10 s are not.
+const SETTLES_WITHIN: Duration = Duration::from_secs(15);
 const LOSS: f64 = 0.03;
 const DUPLICATION: f64 = 0.05;
 const LONG_DELAY: f64 = 0.03;
@@ -68,12 +76,20 @@
     },
     AttemptTimeout(usize),
     Maintain,
+    Spread {
+        node: usize,
+        run: u64,
+    },
+    Configuration(Message),
+    PullTimeout(Pull),
+    ConfigurationChange(u64),
 }
 
 /// The cluster at one moment.
 pub struct Cluster {
     now: Timestamp,
     random: ChaCha8Rng,
+    spread_random: ChaCha8Rng,
     queue: BinaryHeap<Reverse<(Timestamp, u64)>>,
     events: BTreeMap<u64, Event>,
     scheduled: u64,
@@ -83,11 +99,30 @@
     outage_until: Timestamp,
     lost_answers: u32,
     journal: Journal,
+    configurations: Configurations,
+    quiet_since: Timestamp,
     wanted: Vec<Role>,
     oracle: Oracle,
     steps: u64,
 }
 
+/// When a message arrives: never, once or twice.
+fn deliveries(random: &mut ChaCha8Rng) -> Vec<Duration> {
+    if random.random_bool(LOSS) {
+        return Vec::new();
+    }
+    let copies = 1 + usize::from(random.random_bool(DUPLICATION));
+    (0..copies).map(|_| delay(random)).collect()
+}
+
+fn delay(random: &mut ChaCha8Rng) -> Duration {
+    let longest = match random.random_bool(LONG_DELAY) {
+        true => 10_000,
+        false => 20,
+    };
+    Duration::from_millis(random.random_range(1..=longest))
+}
+
 fn claim_delay(node: usize) -> Duration {
     Duration::from_millis(200 * node as u64)
 }
@@ -98,6 +133,7 @@
         let mut cluster = Self {
             now: Timestamp::default(),
             random: ChaCha8Rng::seed_from_u64(seed),
+            spread_random: ChaCha8Rng::seed_from_u64(!seed),
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             scheduled: 0,
@@ -107,18 +143,22 @@
             outage_until: Timestamp::default(),
             lost_answers: 0,
             journal: Journal::new(broken),
+            configurations: Configurations::new(broken),
+            quiet_since: Timestamp::default(),
             wanted: vec![Role::Mixed; ENGINES],
             oracle: Oracle::default(),
             steps: 0,
         };
         for node in 0..NODES {
             cluster.at(Duration::ZERO, Event::Tick { node, run: 1 });
+            cluster.at(Duration::ZERO, Event::Spread { node, run: 1 });
         }
         for engine in 0..ENGINES {
             cluster.at(Duration::ZERO, Event::EngineWork(engine));
         }
         cluster.at(Duration::ZERO, Event::Slip(0));
         cluster.at(Duration::ZERO, Event::Maintain);
+        cluster.at(SETTLES_WITHIN, Event::ConfigurationChange(0));
         for planned in faults {
             let after = Duration::from_micros(planned.at_micros);
             cluster.at(after, Event::Strike(planned.fault));
@@ -154,23 +194,17 @@
 
     /// Sends over a link that loses, repeats and delays, so that messages overtake each other.
     fn send(&mut self, event: Event) {
-        if self.random.random_bool(LOSS) {
-            return;
-        }
-        if self.random.random_bool(DUPLICATION) {
-            let delay = self.delay();
+        for delay in deliveries(&mut self.random) {
             self.at(delay, event.clone());
         }
-        let delay = self.delay();
-        self.at(delay, event);
     }
 
-    fn delay(&mut self) -> Duration {
-        let longest = match self.random.random_bool(LONG_DELAY) {
-            true => 10_000,
-            false => 20,
-        };
-        Duration::from_millis(self.random.random_range(1..=longest))
+    /// Sends a message of the configuration's spread. Its links have a random source of their own,
+    /// so that what else happens in an episode does not depend on them.
+    fn send_configuration(&mut self, message: Message) {
+        for delay in deliveries(&mut self.spread_random) {
+            self.at(delay, Event::Configuration(message));
+        }
     }
 
     fn is_cut(&self, node: usize) -> bool {
@@ -252,6 +286,93 @@
                 self.maintain();
                 self.at(TICK, event);
             }
+            Event::Spread { node, run } => {
+                if self.receives(node, run, &event) {
+                    self.spread(node, run);
+                }
+            }
+            Event::Configuration(message) => self.configuration(message, &event),
+            Event::PullTimeout(pull) => {
+                if self.receives(pull.node, pull.run, &event) {
+                    let oracle = &mut self.oracle;
+                    let messages = self.configurations.time_out(self.now, pull, oracle);
+                    self.send_messages(pull.node, messages);
+                }
+            }
+            Event::ConfigurationChange(number) => self.change_configuration(number),
+        }
+    }
+
+    fn up(&self) -> Vec<bool> {
+        let is_up = |node: usize| !self.is_cut(node) && self.now >= self.nodes[node].paused_until;
+        (0..NODES).map(is_up).collect()
+    }
+
+    fn spread(&mut self, node: usize, run: u64) {
+        let up = self.up();
+        let oracle = &mut self.oracle;
+        let messages = self.configurations.tick(self.now, node, run, &up, oracle);
+        self.send_messages(node, messages);
+        self.at(TICK, Event::Spread { node, run });
+    }
+
+    fn send_messages(&mut self, from: usize, messages: Vec<Message>) {
+        for message in messages {
+            if let Message::Ask(pull) = message {
+                let timeout = Configurations::pull_timeout();
+                self.at(timeout, Event::PullTimeout(pull));
+            }
+            if !self.is_cut(from) {
+                self.send_configuration(message);
+            }
+        }
+    }
+
+    fn configuration(&mut self, message: Message, event: &Event) {
+        let (node, run) = match (message.receiver(), message) {
+            (Receiver::Run(node, run), _) => (node, run),
+            (Receiver::Node(node), _) => (node, self.nodes[node].run),
+            (Receiver::Store, Message::ReadStore { node, run }) => {
+                if self.now >= self.outage_until {
+                    let answer = self.configurations.read_store(node, run);
+                    self.send_configuration(answer);
+                }
+                return;
+            }
+            (Receiver::Store, _) => return,
+        };
+        if self.receives(node, run, event) && !self.is_cut(node) {
+            let oracle = &mut self.oracle;
+            let messages = self.configurations.deliver(self.now, message, run, oracle);
+            self.send_messages(node, messages);
+        }
+    }
+
+    fn change_configuration(&mut self, number: u64) {
+        if number % CHANGES_IN_ROW == 0 {
+            self.judge_configuration();
+        }
+        self.configurations.change();
+        self.quiet_since = self.quiet_since.max(self.now);
+        let is_last = (number + 1) % CHANGES_IN_ROW == 0;
+        let wait = if is_last {
+            SETTLES_WITHIN
+        } else {
+            CHANGE_EVERY
+        };
+        self.at(wait, Event::ConfigurationChange(number + 1));
+    }
+
+    /// Whatever was accepted must be in force everywhere by now, if nothing
+    /// was in the way since.
+    fn judge_configuration(&mut self) {
+        let is_undisturbed = self.now.since(self.quiet_since) >= SETTLES_WITHIN;
+        if !is_undisturbed || self.now < self.outage_until || self.up().contains(&false) {
+            return;
+        }
+        let newest = self.configurations.store_revision();
+        if (0..NODES).any(|node| self.configurations.in_force(node) < newest) {
+            self.oracle.configuration_late();
         }
     }
 
@@ -260,8 +381,7 @@
         if self.now < self.outage_until {
             return;
         }
-        let is_up = |node: usize| !self.is_cut(node) && self.now >= self.nodes[node].paused_until;
-        let reachable: Vec<bool> = (0..NODES).map(is_up).collect();
+        let reachable = self.up();
         self.journal
             .maintain(self.now, &reachable, &mut self.random);
     }
@@ -319,13 +439,21 @@
 
     fn strike(&mut self, fault: Fault) {
         let until = self.now + fault.lasts;
+        if !matches!(
+            fault.kind,
+            FaultKind::OperatorChange | FaultKind::EngineCrash
+        ) {
+            self.quiet_since = self.quiet_since.max(until);
+        }
         match fault.kind {
             FaultKind::Kill => {
                 let run = self.nodes[fault.target].run + 1;
                 self.nodes[fault.target] = Node::new(run, claim_delay(fault.target));
                 self.journal.restart(self.now, fault.target, run);
+                self.configurations.restart(fault.target, run);
                 let node = fault.target;
                 self.at(Duration::ZERO, Event::Tick { node, run });
+                self.at(Duration::ZERO, Event::Spread { node, run });
             }
             FaultKind::Pause => self.nodes[fault.target].paused_until = until,
             FaultKind::Partition => self.nodes[fault.target].cut_until = until,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,6 +1,6 @@
 //! Nodes, a store, engines and journal replicas in virtual time, under random faults, judged by an
 //! oracle that shares no code with the mechanisms. The nodes run the real lease keeper, claims,
-//! orders, attempts and changes of view; the engines are the engine model's control side.
+//! orders, attempts, changes of view and spread of configurations; the engines are the engine model's control side.
 //!
 //! An episode is decided by its seed and its list of faults, so a failing one can be run again with
 //! fewer faults until no fault can be dropped.
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 pub mod cluster;
+pub mod configuration;
 pub mod engines;
 pub mod faults;
 pub mod journal;
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -19,6 +19,10 @@
     RanTwice,
     /// A caller was told that a request was not run, though it was.
     FalseNotRun,
+    /// A node put an older configuration in force after a newer one.
+    ConfigurationReverted,
+    /// A configuration did not come into force everywhere in time, with nothing in its way.
+    ConfigurationLate,
 }
 
 #[derive(Debug, Default)]
@@ -39,6 +43,8 @@
     pub slips_run: u64,
     /// Callers told that a request was not run.
     pub told_not_run: u64,
+    /// Configurations put in force, at any node.
+    pub configurations: u64,
 }
 
 impl std::ops::AddAssign for Activity {
@@ -47,6 +53,7 @@
         self.role_changes += other.role_changes;
         self.slips_run += other.slips_run;
         self.told_not_run += other.told_not_run;
+        self.configurations += other.configurations;
     }
 }
 
@@ -56,6 +63,7 @@
     activity: Activity,
     engines: HashMap<usize, EngineView>,
     runs: HashMap<u64, u32>,
+    in_force: HashMap<(usize, u64), u64>,
     violations: Vec<Violation>,
 }
 
@@ -143,4 +151,20 @@
             self.violations.push(Violation::FalseNotRun);
         }
     }
+
+    /// One run of a node puts a configuration in force.
+    pub fn configuration_in_force(&mut self, node: usize, run: u64, revision: u64) {
+        self.activity.configurations += 1;
+        let newest = self.in_force.entry((node, run)).or_default();
+        if revision < *newest {
+            self.violations.push(Violation::ConfigurationReverted);
+        }
+        *newest = revision.max(*newest);
+    }
+
+    /// Nothing has been in the way of a configuration for long enough, and a node still has an
+    /// older one in force.
+    pub fn configuration_late(&mut self) {
+        self.violations.push(Violation::ConfigurationLate);
+    }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -25,11 +25,19 @@
     Journal,
     /// Without a quorum the verdict is not `not-run`.
     Verdict,
+    /// An older configuration never replaces a newer one.
+    Monotonic,
 }
 
 impl Rule {
     /// Every rule.
-    pub const ALL: [Rule; 4] = [Rule::Fence, Rule::Drain, Rule::Journal, Rule::Verdict];
+    pub const ALL: [Rule; 5] = [
+        Rule::Fence,
+        Rule::Drain,
+        Rule::Journal,
+        Rule::Verdict,
+        Rule::Monotonic,
+    ];
 
     /// The rule's name on the command line.
     pub const fn name(self) -> &'static str {
@@ -38,6 +46,7 @@
             Rule::Drain => "drain",
             Rule::Journal => "journal",
             Rule::Verdict => "verdict",
+            Rule::Monotonic => "monotonic",
         }
     }
 }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -16,6 +16,7 @@
     assert!(activity.role_changes > EPISODES, "{activity:?}");
     assert!(activity.slips_run > EPISODES, "{activity:?}");
     assert!(activity.told_not_run > EPISODES, "{activity:?}");
+    assert!(activity.configurations > EPISODES, "{activity:?}");
 }
 
 #[test]
