--- a/crates/lab/src/emulator/run.rs
+++ b/crates/lab/src/emulator/run.rs
@@ -2,17 +2,17 @@
 
 use std::time::Duration;
 
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use tansyhall_core::{RequestId, Timestamp};
-use tansyhall_engine_model::{CostModel, Work};
+use tansyhall_core::Timestamp;
+use tansyhall_engine_model::CostModel;
 use tansyhall_routing::{Choice, EngineEstimate, Placement, PrefillRate};
 
 use super::engine::{EmulatedEngine, EngineMode};
 use super::events::{Event, EventQueue};
 use super::node::EmulatedNode;
 use super::outcome::Outcome;
-use crate::strategy::{PoolFacts, RequestFacts, Strategy};
+use crate::strategy::{RequestFacts, Strategy};
 use crate::workload::TraceRequest;
 
 /// What a run takes place under.
@@ -54,28 +54,28 @@
 const MAX_TOKENS_FACTOR: f64 = 2.0;
 
 #[derive(Debug, Clone, Copy, Default)]
-struct Progress {
-    attempts: u32,
-    generated: u32,
-    base: u32,
-    placement: Option<Placement>,
-    first_token: Option<Timestamp>,
-    done: bool,
+pub(super) struct Progress {
+    pub(super) attempts: u32,
+    pub(super) generated: u32,
+    pub(super) base: u32,
+    pub(super) placement: Option<Placement>,
+    pub(super) first_token: Option<Timestamp>,
+    pub(super) done: bool,
 }
 
-struct Emulation<'a> {
-    conditions: &'a Conditions,
-    trace: &'a [TraceRequest],
-    strategy: &'a mut dyn Strategy,
-    now: Timestamp,
-    events: EventQueue,
-    engines: Vec<EmulatedEngine>,
-    true_rates: Vec<PrefillRate>,
-    nodes: Vec<EmulatedNode>,
-    progress: Vec<Progress>,
-    random: ChaCha8Rng,
-    outcome: Outcome,
-    end: Timestamp,
+pub(super) struct Emulation<'a> {
+    pub(super) conditions: &'a Conditions,
+    pub(super) trace: &'a [TraceRequest],
+    pub(super) strategy: &'a mut dyn Strategy,
+    pub(super) now: Timestamp,
+    pub(super) events: EventQueue,
+    pub(super) engines: Vec<EmulatedEngine>,
+    pub(super) true_rates: Vec<PrefillRate>,
+    pub(super) nodes: Vec<EmulatedNode>,
+    pub(super) progress: Vec<Progress>,
+    pub(super) random: ChaCha8Rng,
+    pub(super) outcome: Outcome,
+    pub(super) end: Timestamp,
 }
 
 /// Runs a trace under a strategy.
@@ -118,7 +118,7 @@
 const DRAIN_TIME: Duration = Duration::from_secs(60);
 
 impl Emulation<'_> {
-    fn schedule(&mut self) {
+    pub(super) fn schedule(&mut self) {
         for (index, request) in self.trace.iter().enumerate() {
             self.events
                 .push(request.arrival, Event::Arrival { request: index });
@@ -131,20 +131,7 @@
         self.schedule_crash();
     }
 
-    fn schedule_crash(&mut self) {
-        if self.conditions.crashes_per_minute <= 0.0 {
-            return;
-        }
-        let mean = 60.0 / self.conditions.crashes_per_minute;
-        let wait = -(1.0 - self.random.random::<f64>()).ln() * mean;
-        let engine = self.random.random_range(0..self.engines.len());
-        self.events.push(
-            self.now + Duration::from_secs_f64(wait),
-            Event::Crash { engine },
-        );
-    }
-
-    fn run(&mut self) {
+    pub(super) fn run(&mut self) {
         while let Some((at, event)) = self.events.pop() {
             if at > self.end {
                 return;
@@ -154,7 +141,7 @@
         }
     }
 
-    fn handle(&mut self, event: Event) {
+    pub(super) fn handle(&mut self, event: Event) {
         match event {
             Event::Arrival { request } => self.arrive(request),
             Event::Submit {
@@ -194,15 +181,15 @@
         }
     }
 
-    fn second(&self, at: Timestamp) -> usize {
+    pub(super) fn second(&self, at: Timestamp) -> usize {
         ((at.as_millis() / 1_000) as usize).min(self.outcome.timeline.len() - 1)
     }
 
-    fn node_of(&self, request: usize) -> usize {
+    pub(super) fn node_of(&self, request: usize) -> usize {
         request % self.nodes.len()
     }
 
-    fn facts(&self, request: usize) -> RequestFacts {
+    pub(super) fn facts(&self, request: usize) -> RequestFacts {
         let traced = &self.trace[request];
         let remaining = f64::from(traced.output_tokens - self.progress[request].generated);
         RequestFacts {
@@ -215,7 +202,7 @@
         }
     }
 
-    fn arrive(&mut self, request: usize) {
+    pub(super) fn arrive(&mut self, request: usize) {
         let traced = self.trace[request];
         let second = self.second(traced.arrival);
         let point = &mut self.outcome.timeline[second];
@@ -228,7 +215,7 @@
         self.route(request);
     }
 
-    fn estimates(&self, node: usize) -> Vec<EngineEstimate> {
+    pub(super) fn estimates(&self, node: usize) -> Vec<EngineEstimate> {
         if !self.strategy.sees_true_state() {
             return self.nodes[node].estimates(self.now);
         }
@@ -249,7 +236,7 @@
             .collect()
     }
 
-    fn route(&mut self, request: usize) {
+    pub(super) fn route(&mut self, request: usize) {
         self.progress[request].attempts += 1;
         if self.progress[request].attempts > MAX_ATTEMPTS {
             return self.reject(request);
@@ -274,279 +261,8 @@
         );
     }
 
-    fn send(
-        &mut self,
-        request: usize,
-        engine: usize,
-        decode_part: bool,
-        prefill_tokens: f64,
-        delay: Duration,
-    ) {
-        let node = self.node_of(request);
-        let id = RequestId(request as u128);
-        self.nodes[node].engines[engine].sent(self.now, id, prefill_tokens);
-        self.true_rates[engine].add(self.now, prefill_tokens);
-        self.events.push(
-            self.now + delay,
-            Event::Submit {
-                engine,
-                request,
-                decode_part,
-            },
-        );
-    }
-
-    fn reject(&mut self, request: usize) {
+    pub(super) fn reject(&mut self, request: usize) {
         self.progress[request].done = true;
         self.outcome.rejected += 1;
     }
-
-    fn submit(&mut self, engine: usize, request: usize, decode_part: bool) {
-        let traced = self.trace[request];
-        let progress = self.progress[request];
-        let split = matches!(progress.placement, Some(Placement::Split { .. }));
-        let context = traced.prompt_tokens + progress.generated;
-        let remaining = traced.output_tokens - progress.generated;
-        let priority = if self.strategy.uses_priorities() {
-            traced.priority
-        } else {
-            1
-        };
-        let work = Work {
-            id: RequestId(request as u128),
-            prefill_tokens: if decode_part { 0 } else { context },
-            context_tokens: context,
-            output_tokens: if split && !decode_part { 1 } else { remaining },
-            priority,
-        };
-        let accepted =
-            self.engines[engine].accepts_work() && self.engines[engine].batch.submit(work).is_ok();
-        if accepted {
-            self.engines[engine].accepted_prompt_tokens += f64::from(work.prefill_tokens);
-            return self.start_iteration(engine);
-        }
-        let node = self.node_of(request);
-        self.nodes[node].engines[engine].finished(self.now, work.id);
-        self.nodes[node].engines[engine].accepts_work = self.engines[engine].accepts_work();
-        self.route(request);
-    }
-
-    fn start_iteration(&mut self, engine: usize) {
-        let state = &mut self.engines[engine];
-        if state.iterating || state.mode == EngineMode::Down {
-            return;
-        }
-        if let Some(ends) = state.batch.begin_iteration(self.now) {
-            state.iterating = true;
-            let incarnation = state.incarnation;
-            self.events.push(
-                ends,
-                Event::IterationEnd {
-                    engine,
-                    incarnation,
-                },
-            );
-        }
-    }
-
-    fn iteration_end(&mut self, engine: usize, incarnation: u32) {
-        if self.engines[engine].incarnation != incarnation {
-            return;
-        }
-        self.engines[engine].iterating = false;
-        for step in self.engines[engine].batch.finish_iteration() {
-            self.advance(engine, step.id.0 as usize, step.generated, step.finished);
-        }
-        self.start_iteration(engine);
-        self.change_if_idle(engine);
-    }
-
-    fn advance(&mut self, engine: usize, request: usize, generated: u32, finished: bool) {
-        let node = self.node_of(request);
-        let id = RequestId(request as u128);
-        let progress = &mut self.progress[request];
-        progress.generated = progress.base + generated;
-        progress.first_token.get_or_insert(self.now);
-        self.nodes[node].engines[engine].first_token(self.now, id);
-        if !finished {
-            return;
-        }
-        self.nodes[node].engines[engine].finished(self.now, id);
-        let progress = &mut self.progress[request];
-        if progress.generated >= self.trace[request].output_tokens {
-            return self.complete(request);
-        }
-        if let Some(Placement::Split { decode, .. }) = progress.placement {
-            progress.base = progress.generated;
-            let context = self.trace[request].prompt_tokens + progress.generated;
-            let transfer = f64::from(context) * self.conditions.transfer_token;
-            let delay = Duration::from_secs_f64(transfer) + self.conditions.link_delay;
-            self.send(request, decode, true, 0.0, delay);
-        }
-    }
-
-    fn complete(&mut self, request: usize) {
-        let traced = &self.trace[request];
-        let progress = &mut self.progress[request];
-        progress.done = true;
-        let delivered = self.now + self.conditions.link_delay;
-        self.outcome.completed += 1;
-        if let Some(first_token) = progress.first_token {
-            let micros = (first_token + self.conditions.link_delay).since(traced.arrival);
-            let micros = micros.as_micros() as u64;
-            self.outcome
-                .first_token
-                .record(micros.max(1))
-                .expect("the histogram resizes");
-            let between = self.now.since(first_token).as_micros() as u64;
-            let gaps = u64::from(traced.output_tokens.saturating_sub(1)).max(1);
-            self.outcome
-                .inter_token
-                .record((between / gaps).max(1))
-                .expect("it resizes");
-        }
-        self.strategy
-            .finished(traced.class, f64::from(traced.output_tokens));
-        if delivered <= traced.deadline {
-            self.outcome.met += 1;
-            let second = self.second(traced.arrival);
-            self.outcome.timeline[second].met += 1;
-        }
-    }
-
-    fn make_reports(&mut self) {
-        for engine in 0..self.engines.len() {
-            if self.engines[engine].mode == EngineMode::Down {
-                continue;
-            }
-            let state = &self.engines[engine];
-            let (role, accepts_work) = (state.role, state.accepts_work());
-            let snapshot = state.snapshot(self.now);
-            for node in 0..self.nodes.len() {
-                if self.random.random::<f64>() < self.conditions.report_loss {
-                    continue;
-                }
-                let report = Event::Report {
-                    node,
-                    engine,
-                    role,
-                    accepts_work,
-                    snapshot,
-                };
-                self.events
-                    .push(self.now + self.conditions.report_lag, report);
-            }
-        }
-        self.events
-            .push(self.now + self.conditions.report_period, Event::MakeReports);
-    }
-
-    fn may_plan(&self) -> bool {
-        let since_start = self.now.since(Timestamp::default());
-        let inside = |(start, length): (Duration, Duration)| {
-            since_start >= start && since_start < start + length
-        };
-        !self.conditions.outage.is_some_and(inside)
-    }
-
-    fn plan(&mut self) {
-        self.events
-            .push(self.now + self.conditions.plan_period, Event::Plan);
-        if !self.may_plan() {
-            return;
-        }
-        let facts = PoolFacts {
-            now: self.now,
-            engines: self.estimates(0),
-        };
-        let Some(change) = self.strategy.plan(&facts) else {
-            return;
-        };
-        if self.engines[change.engine].mode != EngineMode::Serving {
-            return;
-        }
-        self.engines[change.engine].mode = EngineMode::Draining(change.role);
-        self.outcome.role_changes += 1;
-        let second = self.second(self.now);
-        self.outcome.timeline[second].role_changes += 1;
-        self.tell_nodes(change.engine);
-        self.change_if_idle(change.engine);
-    }
-
-    /// Nodes learn of drains and restarts by gossip, well before the next report.
-    fn tell_nodes(&mut self, engine: usize) {
-        let accepts_work = self.engines[engine].accepts_work();
-        for node in &mut self.nodes {
-            node.engines[engine].accepts_work = accepts_work;
-            node.engines[engine].role = self.engines[engine].role;
-        }
-    }
-
-    fn change_if_idle(&mut self, engine: usize) {
-        let state = &mut self.engines[engine];
-        let EngineMode::Draining(role) = state.mode else {
-            return;
-        };
-        if !state.batch.is_empty() {
-            return;
-        }
-        state.mode = EngineMode::Changing(role);
-        let ends = self.now + self.conditions.role_change;
-        let incarnation = state.incarnation;
-        self.events.push(
-            ends,
-            Event::RoleChanged {
-                engine,
-                incarnation,
-            },
-        );
-    }
-
-    fn role_changed(&mut self, engine: usize, incarnation: u32) {
-        let state = &mut self.engines[engine];
-        if state.incarnation != incarnation {
-            return;
-        }
-        let EngineMode::Changing(role) = state.mode else {
-            return;
-        };
-        state.take_role(role);
-        self.tell_nodes(engine);
-    }
-
-    fn crash(&mut self, engine: usize) {
-        self.schedule_crash();
-        if self.engines[engine].mode == EngineMode::Down {
-            return;
-        }
-        self.engines[engine].crash();
-        self.tell_nodes(engine);
-        let back = self.now + self.conditions.restart;
-        self.events.push(back, Event::Restart { engine });
-        let lost: Vec<usize> = (0..self.trace.len())
-            .filter(|request| self.is_at(*request, engine))
-            .collect();
-        for request in lost {
-            let node = self.node_of(request);
-            let id = RequestId(request as u128);
-            self.nodes[node].engines[engine].finished(self.now, id);
-            self.route(request);
-        }
-    }
-
-    /// Whether a request is in progress at an engine.
-    fn is_at(&self, request: usize, engine: usize) -> bool {
-        let progress = &self.progress[request];
-        if progress.done || self.trace[request].arrival > self.now {
-            return false;
-        }
-        match progress.placement {
-            Some(Placement::Whole(at)) => at == engine,
-            Some(Placement::Split { prefill, decode }) => {
-                let decoding = progress.generated > 0;
-                (decoding && decode == engine) || (!decoding && prefill == engine)
-            }
-            None => false,
-        }
-    }
 }
