The holder of a pool loads models, versions and adapters

Cause: the orders could load, and nothing planned a load; an engine with another model or version only refused requests. Change: a pure rollout in the planner (one load at a time; a wanted version that no engine has takes one engine from the most common; adapters beside), wired into the holder before role changes, and stopped by itself when an engine crashes on the same load again.

whole_path runs a canary by separate processes: four streams are in progress when a second version and an adapter are asked for; one engine is drained and loads, none is cut, both get the adapter. Before, the test waits for the version in vain. Its two tests share one fleet now; the first one's checks are unchanged.

--- a/crates/cli/tests/whole_path.rs
+++ b/crates/cli/tests/whole_path.rs
@@ -8,13 +8,19 @@
 use serde_json::{json, Value};
 use tansyhall_engine::sse::SseDecoder;
 use tansyhall_standin::engine::answer_text;
-use tansyhall_testing::{eventually, get_json, node, node_settings, standin, tansyhall};
+use tansyhall_testing::{
+    eventually, get_json, node, node_settings, standin, tansyhall, NodeProcess, Standin,
+};
+use tokio::task::JoinHandle;
 
 const MODEL: &str = "base";
 const PROMPT: &str = "which families receive rice and lentils";
 const LONG_ANSWER_TOKENS: u32 = 400;
+/// Streams in progress when a change is asked for.
+const STREAMS: usize = 4;
 
-fn resources(engines: [SocketAddr; 2], worker: SocketAddr, prefill_engines: u32) -> String {
+/// Resources of the fleet; `changes` are further lines of the pool of engines.
+fn resources(engines: [SocketAddr; 2], worker: SocketAddr, changes: &str) -> String {
     format!(
         "[[policy]]\nname = 'assistant'\nsource = 'class counter {{ deadline 20s; }}'\n\
          [[site]]\nname = 'valley'\nregion = 'valley'\nzones = ['kalimati']\n\
@@ -28,7 +34,7 @@
          model = '{MODEL}'\n\
          backends = [{{ name = 'engine-0', address = '{}' }}, \
                      {{ name = 'engine-1', address = '{}' }}]\n\
-         roles = [{{ role = 'prefill', least = {prefill_engines} }}]\n",
+         {changes}\n",
         engines[0], engines[1]
     )
 }
@@ -78,55 +84,61 @@
     answer_text(MODEL, &format!("user: {PROMPT}"), tokens)
 }
 
-#[actix_rt::test]
-async fn a_role_change_during_a_stream_does_not_cut_it() {
-    let directory = tempfile::tempdir().expect("a directory");
-    let platform = standin(&["platform"]);
-    let engine = |name| standin(&["engine", "--name", name, "--role-change-ms", "100"]);
-    let engines = [engine("engine-0"), engine("engine-1")];
-    let addresses = [engines[0].address, engines[1].address];
-    let worker = standin(&["app", "--name", "app-0"]);
-    let start = |name: &str| {
-        node(
-            directory.path(),
-            name,
-            &node_settings(name, "kalimati", platform.address),
-        )
-    };
-    let nodes = [start("node-0"), start("node-1")];
+struct Fleet {
+    directory: tempfile::TempDir,
+    _platform: Standin,
+    engines: [Standin; 2],
+    worker: Standin,
+    nodes: [NodeProcess; 2],
+}
 
-    let file = directory.path().join("resources.toml");
-    let apply = |prefill_engines| {
-        let text = resources(addresses, worker.address, prefill_engines);
-        std::fs::write(&file, text).expect("the resources are written");
-        let file = file.to_str().expect("a UTF-8 path");
-        tansyhall(&["ctl", "--node", &nodes[0].admin.to_string(), "apply", file]);
-    };
-    apply(0);
-    for node in &nodes {
-        eventually("the configuration is in force", || async {
-            let status = get_json(node.admin, "/admin/v1/status").await?;
-            (status["configuration_revision"].as_u64()? > 0).then_some(())
-        })
-        .await;
+impl Fleet {
+    /// Starts every process and waits until a first configuration is in force.
+    async fn start() -> Self {
+        let directory = tempfile::tempdir().expect("a directory");
+        let platform = standin(&["platform"]);
+        let engine = |name| standin(&["engine", "--name", name, "--role-change-ms", "100"]);
+        let engines = [engine("engine-0"), engine("engine-1")];
+        let worker = standin(&["app", "--name", "app-0"]);
+        let start = |name: &str| {
+            let settings = node_settings(name, "kalimati", platform.address);
+            node(directory.path(), name, &settings)
+        };
+        let nodes = [start("node-0"), start("node-1")];
+        let fleet = Self {
+            directory,
+            _platform: platform,
+            engines,
+            worker,
+            nodes,
+        };
+        fleet.apply("");
+        for node in &fleet.nodes {
+            eventually("the configuration is in force", || async {
+                let status = get_json(node.admin, "/admin/v1/status").await?;
+                (status["configuration_revision"].as_u64()? > 0).then_some(())
+            })
+            .await;
+        }
+        fleet
     }
 
-    for node in &nodes {
-        let answer = ask(node.callers, 5, || ()).await;
-        assert_eq!(answer.text, expected(5));
-        assert_eq!(answer.verdict.as_deref(), Some("completed"));
-        let echo = get_json(node.callers, "/stock/rice?depot=1")
-            .await
-            .expect("an echo");
-        assert_eq!(echo["path"], "/stock/rice?depot=1");
-        assert_eq!(echo["worker"], "app-0");
+    /// Applies the fleet's resources, with these lines in the pool of engines.
+    fn apply(&self, changes: &str) {
+        let addresses = [self.engines[0].address, self.engines[1].address];
+        let text = resources(addresses, self.worker.address, changes);
+        let file = self.directory.path().join("resources.toml");
+        std::fs::write(&file, text).expect("the resources are written");
+        let file = file.to_str().expect("a UTF-8 path");
+        let admin = self.nodes[0].admin.to_string();
+        tansyhall(&["ctl", "--node", &admin, "apply", file]);
     }
 
-    // Long streams on both engines, so that whichever is chosen has one in progress.
-    let (started, mut start_signals) = tokio::sync::mpsc::unbounded_channel();
-    let streams: Vec<_> = (0..4)
-        .map(|index| {
-            let node = nodes[index % 2].callers;
+    /// Long streams on both engines, so that whichever is chosen for a change has one in progress.
+    async fn begin_streams(&self) -> Vec<JoinHandle<StreamedAnswer>> {
+        let (started, mut start_signals) = tokio::sync::mpsc::unbounded_channel();
+        let begin = |index: usize| {
+            let node = self.nodes[index % 2].callers;
             let started = started.clone();
             actix_rt::spawn(async move {
                 let mut first = Some(started);
@@ -137,43 +149,89 @@
                 })
                 .await
             })
-        })
-        .collect();
-    for _ in 0..4 {
-        start_signals.recv().await.expect("every stream starts");
+        };
+        let streams = (0..STREAMS).map(begin).collect();
+        for _ in 0..STREAMS {
+            start_signals.recv().await.expect("every stream starts");
+        }
+        streams
     }
-    apply(1);
-    let changed = eventually("an engine plays the prefill role", || async {
-        for engine in &engines {
-            let state = get_json(engine.address, "/control/state").await?;
-            if state["role"] == "prefill" && state["draining"] == false {
-                return Some(engine);
+
+    /// Waits until an engine that takes work is in this state, and returns it.
+    async fn engine_with(&self, key: &str, value: &str) -> &Standin {
+        eventually("an engine has changed", || async {
+            for engine in &self.engines {
+                let state = get_json(engine.address, "/control/state").await?;
+                if state[key] == value && state["draining"] == false {
+                    return Some(engine);
+                }
             }
-        }
-        None
-    })
-    .await;
+            None
+        })
+        .await
+    }
+}
+
+async fn assert_whole(streams: Vec<JoinHandle<StreamedAnswer>>) {
     for stream in streams {
         let answer = stream.await.expect("the stream's task ends");
         assert_eq!(answer.text, expected(LONG_ANSWER_TOKENS));
         assert_eq!(answer.verdict.as_deref(), Some("completed"));
     }
-    let records = get_json(changed.address, "/standin/records")
-        .await
-        .expect("the records");
+}
+
+/// The engine's own record must show a drain with requests in progress, and the change without any.
+async fn assert_drained_before(engine: &Standin, change: &str) {
+    let records = get_json(engine.address, "/standin/records").await;
+    let records = records.expect("the records");
     let orders = records["orders"].as_array().expect("orders");
-    let drained = orders
-        .iter()
-        .find(|record| record["order"]["action"] == "drain");
-    let drained = drained.expect("the engine was drained before its role changed");
+    let find = |action: &str| orders.iter().find(|it| it["order"]["action"] == action);
+    let drained = find("drain").expect("the engine was drained before it changed");
     assert!(
         drained["requests"].as_u64() > Some(0),
         "a stream was in progress at the drain"
     );
-    let role = orders
-        .iter()
-        .find(|record| record["order"]["action"] == "set-role");
-    let role = role.expect("the role was changed by an order");
-    assert_eq!(role["requests"], 0);
-    assert!(role["order"]["fence_token"].as_u64() > Some(0));
+    let changed = find(change).expect("the change was made by an order");
+    assert_eq!(changed["requests"], 0);
+    assert!(changed["order"]["fence_token"].as_u64() > Some(0));
+}
+
+#[actix_rt::test]
+async fn a_role_change_during_a_stream_does_not_cut_it() {
+    let fleet = Fleet::start().await;
+    for node in &fleet.nodes {
+        let answer = ask(node.callers, 5, || ()).await;
+        assert_eq!(answer.text, expected(5));
+        assert_eq!(answer.verdict.as_deref(), Some("completed"));
+        let echo = get_json(node.callers, "/stock/rice?depot=1").await;
+        let echo = echo.expect("an echo");
+        assert_eq!(echo["path"], "/stock/rice?depot=1");
+        assert_eq!(echo["worker"], "app-0");
+    }
+    let streams = fleet.begin_streams().await;
+    fleet.apply("roles = [{ role = 'prefill', least = 1 }]");
+    let changed = fleet.engine_with("role", "prefill").await;
+    assert_whole(streams).await;
+    assert_drained_before(changed, "set-role").await;
+}
+
+#[actix_rt::test]
+async fn a_new_version_is_loaded_by_one_engine_and_cuts_no_stream() {
+    let fleet = Fleet::start().await;
+    let streams = fleet.begin_streams().await;
+    fleet.apply("versions = ['1', '2']\nadapters = ['slips']");
+    let changed = fleet.engine_with("version", "2").await;
+    assert_whole(streams).await;
+    assert_drained_before(changed, "load-model").await;
+    eventually("both engines have the adapter", || async {
+        for engine in &fleet.engines {
+            let state = get_json(engine.address, "/control/state").await?;
+            let adapters = state["adapters"].as_array()?;
+            adapters.contains(&json!("slips")).then_some(())?;
+        }
+        Some(())
+    })
+    .await;
+    let versions = fleet.engine_with("version", "1").await;
+    assert_ne!(versions.address, changed.address);
 }
--- a/crates/node/src/authority/mod.rs
+++ b/crates/node/src/authority/mod.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod engine;
 mod keeper;
+mod loads;
 mod observer;
 mod pool;
 mod shared;
--- a/crates/node/src/authority/pool.rs
+++ b/crates/node/src/authority/pool.rs
@@ -12,6 +12,7 @@
 use tansyhall_planner::{plan_bounds, EngineView, PlannedChange, RoleLimit};
 
 use super::engine::{advance, Progress};
+use super::loads::Loads;
 use super::shared::SharedAuthority;
 use crate::state::Node;
 
@@ -38,6 +39,7 @@
     pool: PoolName,
     epoch: Epoch,
     orders: HashMap<EngineName, EngineOrders>,
+    loads: Loads,
     plan_after: Timestamp,
 }
 
@@ -51,6 +53,7 @@
             pool,
             epoch,
             orders: HashMap::new(),
+            loads: Loads::default(),
             plan_after: Timestamp::default(),
         }
     }
@@ -78,6 +81,9 @@
         if progress.contains(&Progress::Settled(Outcome::GivenUp)) {
             self.give_up();
         }
+        if let Some(engine) = self.loads.failed_for_good(&self.node, pool) {
+            self.pursue(&engine, Goal::InService);
+        }
         let settled = |progress: &Progress| matches!(progress, Progress::Settled(_));
         let settled = progress.iter().all(settled);
         if settled && self.node.clock.now() >= self.plan_after && self.plan(pool) {
@@ -116,18 +122,22 @@
         }
     }
 
-    /// Begins the next change that the pool's bounds call for, if any.
+    fn pursue(&mut self, engine: &EngineName, goal: Goal) -> bool {
+        let orders = self.orders.get_mut(engine);
+        orders.map(|orders| orders.pursue(goal)).is_some()
+    }
+
+    /// Begins the next change that the pool calls for, if any: loads first, then roles.
     fn plan(&mut self, pool: &Pool) -> bool {
+        if let Some((engine, goal)) = self.loads.next(&self.node, pool) {
+            return self.pursue(&engine, goal);
+        }
         let Some(change) = next_change(&self.node, pool) else {
             return false;
         };
-        let Some(orders) = self.orders.get_mut(&change.engine) else {
-            return false;
-        };
         let role = change.role.name();
         log::info!("engine {} is to play the role {role}", change.engine);
-        orders.pursue(Goal::Role(change.role));
-        true
+        self.pursue(&change.engine, Goal::Role(change.role))
     }
 }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -46,6 +46,8 @@
     pub orders_withheld: IntCounter,
     /// Changes given up because requests did not end in time.
     pub changes_given_up: IntCounter,
+    /// Rollouts that stopped because an engine crashed on the same load again.
+    pub rollouts_stopped: IntCounter,
     /// Failed calls to the platform.
     pub platform_errors: IntCounter,
     /// What passes between nodes.
@@ -118,6 +120,7 @@
                 "Rounds without orders for want of a valid lease",
             )?,
             changes_given_up: counter("tansyhall_changes_given_up_total", "Changes given up")?,
+            rollouts_stopped: counter("tansyhall_rollouts_stopped_total", "Rollouts stopped")?,
             platform_errors: counter("tansyhall_platform_errors_total", "Failed platform calls")?,
             peers: PeerMetrics::register(&registry)?,
             registry,
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -4,5 +4,7 @@
 
 pub mod bounds;
 pub mod predictive;
+pub mod rollout;
 
 pub use bounds::{plan_bounds, EngineView, PlannedChange, RoleLimit};
+pub use rollout::{plan_loads, DesiredLoads, Load, LoadedEngine, PlannedLoad, RolloutGuard};
