Nodes follow engines' load and choose by prediction

Cause: a node sent each completion to the engine with the fewest of its own requests, and knew nothing of what other nodes sent, of prompts' lengths or of deadlines.

Ruled out: one lock over all engines (a choice would wait for every report); reading reports on the request's path (a frozen engine would hold requests up); expecting an answer to use all its max_tokens until a length is learned (requests that allow much are refused, and nothing is ever learned).

Change: an actor reads the load reports of a deterministic subset of each pool into one tracker an engine, in shards. The load report carries what the trackers need. The choice uses the routing crate with the request's deadline, the learned length of its class and the costs of the settings' [routing] table; a request that no engine can answer in time is answered not-run at once, with the time to come back. Choices and actual over predicted times are counted. An engine that does not report is used by the node's own count; a report older than 10 s says nothing.

The test of late answers first asks for a short one, so that its long one is still admitted with the same deadline; its checks are unchanged.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod configuration;
 pub mod file;
 pub mod resource;
+pub mod routing;
 pub mod settings;
 
 pub use configuration::{Configuration, ConfigurationError, Problem};
@@ -14,4 +15,5 @@
     Backend, Policy, Pool, Resource, ResourceKey, ResourceKind, RoleBounds, Service, ServiceKind,
     Site,
 };
+pub use routing::RoutingSettings;
 pub use settings::{NodeSettings, SettingsError};
--- /dev/null
+++ b/crates/config/src/routing.rs
@@ -0,0 +1,91 @@
+//! Settings of routing: what a node follows, and what it expects of engines.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// How a node learns engines' load and predicts their times. The costs default to those of the
+/// stand-in engine; measure them on the engines in use.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RoutingSettings {
+    /// Most engines of a pool that a node follows and sends to.
+    pub followed_engines: usize,
+    /// Most engines whose load is kept, over all pools.
+    pub max_tracked_engines: usize,
+    /// Time between reads of an engine's load report.
+    #[serde(with = "humantime_serde")]
+    pub load_poll_period: Duration,
+    /// Most load reports read in a second, over all engines; beyond it each is read less often.
+    pub max_load_polls_per_second: u32,
+    /// Most classes whose answers' lengths are learned.
+    pub max_learned_classes: usize,
+    /// Most tokens expected of an answer of a class whose lengths are not learned yet.
+    pub unlearned_output_tokens: u32,
+    /// Nodes that send to the same engines, this one included.
+    pub sharing_nodes: usize,
+    /// Sequences in an engine's batch, until its report says better.
+    pub max_sequences: u32,
+    /// Fixed cost of an engine's iteration.
+    #[serde(with = "humantime_serde")]
+    pub iteration: Duration,
+    /// Cost of prefilling one prompt token.
+    #[serde(with = "humantime_serde")]
+    pub prefill_token: Duration,
+    /// Cost of one decoding sequence in an iteration.
+    #[serde(with = "humantime_serde")]
+    pub decode_sequence: Duration,
+    /// Moving the KV cache of one token between engines.
+    #[serde(with = "humantime_serde")]
+    pub transfer_token: Duration,
+    /// Prompt tokens prefilled in one iteration of a mixed engine.
+    pub mixed_chunk_tokens: u32,
+    /// Prompt tokens prefilled in one iteration of a prefill engine.
+    pub prefill_chunk_tokens: u32,
+}
+
+impl Default for RoutingSettings {
+    fn default() -> Self {
+        Self {
+            followed_engines: 32,
+            max_tracked_engines: 4_096,
+            load_poll_period: Duration::from_millis(250),
+            max_load_polls_per_second: 40,
+            max_learned_classes: 1_024,
+            unlearned_output_tokens: 256,
+            sharing_nodes: 2,
+            max_sequences: 64,
+            iteration: Duration::from_millis(4),
+            prefill_token: Duration::from_micros(40),
+            decode_sequence: Duration::from_micros(200),
+            transfer_token: Duration::from_micros(10),
+            mixed_chunk_tokens: 512,
+            prefill_chunk_tokens: 4_096,
+        }
+    }
+}
+
+impl RoutingSettings {
+    /// The first setting that must not be zero and is.
+    pub fn zero_setting(&self) -> Option<&'static str> {
+        let settings = [
+            ("routing.followed_engines", self.followed_engines == 0),
+            ("routing.max_tracked_engines", self.max_tracked_engines == 0),
+            ("routing.load_poll_period", self.load_poll_period.is_zero()),
+            (
+                "routing.max_load_polls_per_second",
+                self.max_load_polls_per_second == 0,
+            ),
+            ("routing.sharing_nodes", self.sharing_nodes == 0),
+            ("routing.max_sequences", self.max_sequences == 0),
+            ("routing.iteration", self.iteration.is_zero()),
+            ("routing.mixed_chunk_tokens", self.mixed_chunk_tokens == 0),
+            (
+                "routing.prefill_chunk_tokens",
+                self.prefill_chunk_tokens == 0,
+            ),
+        ];
+        let zero = settings.iter().find(|(_, is_zero)| *is_zero);
+        zero.map(|(key, _)| *key)
+    }
+}
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -7,6 +7,8 @@
 use tansyhall_core::id::check_name;
 use tansyhall_core::{NodeId, ZoneName};
 
+use crate::routing::RoutingSettings;
+
 /// Settings that cannot be used.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum SettingsError {
@@ -63,6 +65,9 @@
     /// Authority over pools.
     #[serde(default)]
     pub authority: AuthoritySettings,
+    /// Routing of completions to engines.
+    #[serde(default)]
+    pub routing: RoutingSettings,
 }
 
 /// What an operator may do.
@@ -254,6 +259,9 @@
         if self.limits.max_attempts == 0 {
             return refuse("limits.max_attempts", "0".into(), "1 or more");
         }
+        if let Some(key) = self.routing.zero_setting() {
+            return refuse(key, "0".into(), "more than 0");
+        }
         self.validate_callers(file)?;
         self.validate_authority(file)
     }
--- a/crates/engine/src/protocol.rs
+++ b/crates/engine/src/protocol.rs
@@ -272,6 +272,18 @@
     pub kv_used_tokens: u64,
     /// KV cache tokens in all.
     pub kv_capacity_tokens: u64,
+    /// Sequences being decoded.
+    pub decoding: u32,
+    /// Requests whose prompts are not prefilled yet, in the batch or outside it.
+    pub waiting: u32,
+    /// Room in the batch, in sequences; negative when requests queue for it.
+    pub free_sequences: i64,
+    /// Tokens to prefill of all requests accepted since the start; falls only at a restart.
+    pub accepted_prompt_tokens: u64,
+    /// The role in force.
+    pub role: Role,
+    /// Whether new work is accepted: the engine neither drains nor changes.
+    pub accepts_work: bool,
 }
 
 /// Why an engine refused work that it did not begin.
--- a/crates/node/src/callers/admit.rs
+++ b/crates/node/src/callers/admit.rs
@@ -71,6 +71,8 @@
 pub struct Terms {
     /// The service asked.
     pub service: ServiceName,
+    /// Name of the request's class in the service's policy.
+    pub class: Arc<str>,
     /// When the whole answer is due.
     pub deadline: Timestamp,
     /// Queue order.
@@ -114,6 +116,7 @@
     let program = node.in_force.load().program(&service);
     let class = program.classify(&facts);
     Terms {
+        class: Arc::clone(&class.name),
         deadline: arrived + options.deadline.unwrap_or(class.deadline),
         priority: options.priority.unwrap_or_else(|| priority_of(class)),
         repeatable: class.repeatable && !options.not_repeatable,
--- a/crates/node/src/callers/attempt.rs
+++ b/crates/node/src/callers/attempt.rs
@@ -1,9 +1,7 @@
 //! One request carried through as many attempts as it takes and its verdict allows. A stream that
 //! breaks is resumed at another engine from the tokens already delivered.
 
-use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,22 +9,31 @@
 use actix_web::http::StatusCode;
 use tansyhall_admission::{BreakerDecision, BreakerEvent};
 use tansyhall_config::Backend;
-use tansyhall_core::{EngineName, ServiceName, Timestamp, Verdict};
+use tansyhall_core::{EngineName, Timestamp, Verdict};
 use tansyhall_engine::protocol::{EngineChunk, EngineRequest};
 use tansyhall_engine::{EngineClient, EngineError, EngineStream};
+use tansyhall_routing::RequestEstimate;
 
-use super::choice::{choose, Choice};
+use super::choice::{choose, Choice, Chosen, Question};
 use super::failure::Failure;
 use super::requests::RequestRecord;
-use crate::state::{InFlight, Node};
+use super::watch::watched;
+use crate::dispatch::transfer::move_kv_cache;
+use crate::dispatch::{InFlight, RequestClass};
+use crate::state::Node;
 
 /// Longest wait before looking again for an engine that accepts work.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
 
+/// Prompt tokens left to prefill once a request's KV cache has been handed over.
+const HANDED_OVER_TOKENS: f64 = 0.0;
+
 /// What is known of a request before its first attempt.
 pub struct Plan {
-    /// The service asked.
-    pub service: ServiceName,
+    /// The service asked, and the request's class in its policy.
+    pub class: RequestClass,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
     /// Whether the request may be attempted again after it may have run.
     pub repeatable: bool,
     /// When the whole answer is due.
@@ -38,9 +45,26 @@
 struct Attempt {
     stream: EngineStream,
     engine: Backend,
-    _in_flight: InFlight,
+    in_flight: InFlight,
+    /// The engine that generates the answer after this one has prefilled the prompt.
+    decode: Option<Backend>,
+}
+
+/// A request whose prompt is prefilled, on its way to the engine that generates the answer.
+struct HandOver {
+    source: Backend,
+    target: Backend,
+}
+
+/// What was expected of the first attempt.
+struct Expectation {
+    sent: Timestamp,
+    predicted: Duration,
 }
 
+/// Why an engine ended an answer that has as many tokens as it was asked for.
+const FINISHED_BY_LENGTH: &str = "length";
+
 /// A completion under way. Dropping it cancels the work at its engine.
 pub struct Execution {
     node: Arc<Node>,
@@ -53,13 +77,15 @@
     /// The engine that was sent the request and has not answered yet.
     unanswered: Option<SocketAddr>,
     current: Option<Attempt>,
+    hand_over: Option<HandOver>,
+    expectation: Option<Expectation>,
 }
 
 impl Execution {
     /// A completion that has not been sent anywhere yet.
     pub fn new(node: Arc<Node>, client: EngineClient, request: EngineRequest, plan: Plan) -> Self {
         let verdict = Verdict::NotRun {
-            retry_after: node.callers.health.advised_wait(&plan.service),
+            retry_after: node.callers.health.advised_wait(&plan.class.service),
         };
         Self {
             node,
@@ -71,6 +97,8 @@
             excluded: Vec::new(),
             unanswered: None,
             current: None,
+            hand_over: None,
+            expectation: None,
         }
     }
 
@@ -78,33 +106,57 @@
     pub async fn next(&mut self) -> Result<Option<EngineChunk>, Failure> {
         loop {
             let Some(attempt) = &mut self.current else {
-                self.connect().await?;
+                match self.hand_over.take() {
+                    Some(hand_over) => self.continue_at(hand_over).await?,
+                    None => self.connect().await?,
+                }
                 continue;
             };
             let address = attempt.engine.address;
             let stall = self.node.settings.limits.engine_stall;
             let chunk = watched(&self.client, address, stall, attempt.stream.next()).await;
             match chunk {
-                Ok(chunk) => {
-                    self.progressed(chunk.as_ref());
-                    return Ok(chunk);
-                }
+                Ok(chunk) => return Ok(chunk.map(|chunk| self.progressed(chunk))),
                 Err(error) => self.broke_off(&error).await?,
             }
         }
     }
 
-    fn progressed(&mut self, chunk: Option<&EngineChunk>) {
-        let Some(chunk) = chunk else {
-            return;
-        };
+    /// Notes a chunk and returns it as the caller gets it.
+    fn progressed(&mut self, mut chunk: EngineChunk) -> EngineChunk {
         let tokens = chunk.token_index.saturating_add(chunk.tokens);
         self.plan.record.generated(tokens);
-        if chunk.finish_reason.is_none() {
-            return;
+        if let Some(attempt) = &self.current {
+            attempt.in_flight.first_token();
+        }
+        let Some(reason) = &chunk.finish_reason else {
+            return chunk;
+        };
+        let Some(attempt) = self.current.take() else {
+            return chunk;
+        };
+        self.observe(attempt.engine.address, BreakerEvent::Success);
+        let whole = reason != FINISHED_BY_LENGTH || tokens >= self.request.max_tokens;
+        match attempt.decode {
+            Some(target) if !whole => {
+                self.request.resume_after = tokens;
+                let source = attempt.engine;
+                self.hand_over = Some(HandOver { source, target });
+                chunk.finish_reason = None;
+            }
+            _ => self.completed(tokens),
         }
-        if let Some(attempt) = self.current.take() {
-            self.observe(attempt.engine.address, BreakerEvent::Success);
+        chunk
+    }
+
+    /// Learns from a whole answer.
+    fn completed(&mut self, tokens: u32) {
+        let lengths = &self.node.dispatch.lengths;
+        lengths.learn(&self.plan.class, tokens);
+        if let Some(expectation) = self.expectation.take() {
+            let actual = self.node.clock.now().since(expectation.sent);
+            let ratio = actual.as_secs_f64() / expectation.predicted.as_secs_f64();
+            self.node.metrics.prediction_ratio.observe(ratio);
         }
     }
 
@@ -114,6 +166,7 @@
             return Ok(());
         };
         self.request.resume_after = attempt.stream.next_token();
+        self.expectation = None;
         self.cancel_at(attempt.engine.address);
         self.attempt_failed(&attempt.engine, error).await?;
         self.node.metrics.resumed.inc();
@@ -122,39 +175,90 @@
 
     async fn connect(&mut self) -> Result<(), Failure> {
         loop {
-            let (engine, in_flight) = self.next_engine().await?;
+            let Chosen {
+                engine,
+                in_flight,
+                decode,
+                predicted,
+            } = *self.next_engine().await?;
             self.attempts += 1;
             self.plan.record.attempted();
-            self.unanswered = Some(engine.address);
-            let answer = self.send_to(&engine).await;
-            self.unanswered = None;
-            match answer? {
-                Ok(stream) => {
-                    self.verdict = self.verdict.after_attempt(Verdict::MayHaveRun);
-                    self.current = Some(Attempt {
-                        stream,
-                        engine,
-                        _in_flight: in_flight,
-                    });
-                    return Ok(());
+            let sent = self.node.clock.now();
+            self.expectation = (self.attempts == 1).then_some(Expectation { sent, predicted });
+            let mut request = self.request.clone();
+            if decode.is_some() {
+                request.max_tokens = request.resume_after + 1;
+            }
+            if self.begin(engine, in_flight, decode, &request).await? {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Continues at the engine that generates the answer. If its KV cache cannot be moved there,
+    /// that engine prefills the prompt itself; if it fails, the request is resumed elsewhere.
+    async fn continue_at(&mut self, hand_over: HandOver) -> Result<(), Failure> {
+        let HandOver { source, target } = hand_over;
+        let in_flight = InFlight::begin(&self.node, &target.name, HANDED_OVER_TOKENS);
+        let request_id = &self.request.request_id;
+        let moved = move_kv_cache(&self.client, request_id, source.address, target.address).await;
+        let outcome = moved
+            .as_ref()
+            .map_or_else(|error| error.name(), |()| "moved");
+        let transfers = &self.node.metrics.kv_transfers;
+        transfers.with_label_values(&[outcome]).inc();
+        let request = self.request.clone();
+        self.begin(target, in_flight, None, &request).await?;
+        Ok(())
+    }
+
+    /// Sends the request to an engine; false if it did not accept and another is to be chosen.
+    async fn begin(
+        &mut self,
+        engine: Backend,
+        in_flight: InFlight,
+        decode: Option<Backend>,
+        request: &EngineRequest,
+    ) -> Result<bool, Failure> {
+        self.unanswered = Some(engine.address);
+        let answer = self.send_to(&engine, request).await;
+        self.unanswered = None;
+        match answer? {
+            Ok(stream) => {
+                self.verdict = self.verdict.after_attempt(Verdict::MayHaveRun);
+                self.current = Some(Attempt {
+                    stream,
+                    engine,
+                    in_flight,
+                    decode,
+                });
+                Ok(true)
+            }
+            Err(error) => {
+                if error.may_have_run() {
+                    drop(in_flight);
+                } else {
+                    in_flight.refused();
                 }
-                Err(error) => self.attempt_failed(&engine, &error).await?,
+                self.attempt_failed(&engine, &error).await?;
+                Ok(false)
             }
         }
     }
 
     /// Waits for an engine that accepts work, until the deadline.
-    async fn next_engine(&mut self) -> Result<(Backend, InFlight), Failure> {
+    async fn next_engine(&mut self) -> Result<Box<Chosen>, Failure> {
         loop {
             if self.verdict != Verdict::MayHaveRun {
                 self.check_deadline()?;
             }
             match self.choose()? {
-                Choice::Attempt(engine, in_flight) => {
-                    let admitted = self.observe(engine.address, BreakerEvent::Attempt);
+                Choice::Attempt(chosen) => {
+                    let admitted = self.observe(chosen.engine.address, BreakerEvent::Attempt);
                     if admitted == BreakerDecision::Admit {
-                        return Ok((engine, in_flight));
+                        return Ok(chosen);
                     }
+                    chosen.in_flight.refused();
                 }
                 Choice::Wait => {
                     self.check_deadline()?;
@@ -165,13 +269,40 @@
     }
 
     fn choose(&self) -> Result<Choice, Failure> {
-        let model = &self.request.model;
-        choose(&self.node, model, &self.excluded).map_err(|error| {
-            let failure = error.failure(model, self.advised_wait());
+        let question = Question {
+            model: &self.request.model,
+            excluded: &self.excluded,
+            request: self.estimate(),
+            time_left: self.time_left(),
+        };
+        choose(&self.node, &question).map_err(|error| {
+            let failure = error.failure(&self.request.model, self.advised_wait());
             self.failure(failure.status, failure.message, failure.verdict)
         })
     }
 
+    /// What is left of the request to ask of an engine.
+    fn estimate(&self) -> RequestEstimate {
+        let request = &self.request;
+        let lengths = &self.node.dispatch.lengths;
+        let output_tokens = lengths.expect(&self.plan.class, request.max_tokens);
+        let delivered = f64::from(request.resume_after);
+        let prompt_tokens = f64::from(self.plan.prompt_tokens) + delivered;
+        RequestEstimate {
+            prefill_tokens: prompt_tokens,
+            prompt_tokens,
+            output_tokens: (output_tokens - delivered).max(1.0),
+        }
+    }
+
+    /// Seconds to the deadline. A request that may have run is finished however late it is.
+    fn time_left(&self) -> f64 {
+        match self.verdict {
+            Verdict::MayHaveRun => f64::INFINITY,
+            Verdict::NotRun { .. } | Verdict::Completed => self.remaining().as_secs_f64(),
+        }
+    }
+
     /// Fails a request whose deadline has passed while no engine holds it.
     fn check_deadline(&self) -> Result<(), Failure> {
         if !self.remaining().is_zero() {
@@ -188,9 +319,10 @@
     async fn send_to(
         &mut self,
         engine: &Backend,
+        request: &EngineRequest,
     ) -> Result<Result<EngineStream, EngineError>, Failure> {
         let stall = self.node.settings.limits.engine_stall;
-        let call = self.client.complete(engine.address, &self.request);
+        let call = self.client.complete(engine.address, request);
         let call = watched(&self.client, engine.address, stall, call);
         if self.verdict == Verdict::MayHaveRun {
             // Part of the answer may be with the caller: it is late now, and still wanted.
@@ -284,7 +416,10 @@
     }
 
     fn advised_wait(&self) -> Duration {
-        self.node.callers.health.advised_wait(&self.plan.service)
+        self.node
+            .callers
+            .health
+            .advised_wait(&self.plan.class.service)
     }
 
     fn observe(&self, address: SocketAddr, event: BreakerEvent) -> BreakerDecision {
@@ -327,26 +462,3 @@
         Verdict::Completed | Verdict::MayHaveRun => StatusCode::BAD_GATEWAY,
     }
 }
-
-/// Awaits an engine's answer. Whenever nothing has come for the time `stall`, the engine is asked
-/// for its state; if it does not answer that either, the attempt is broken off.
-async fn watched<T>(
-    client: &EngineClient,
-    address: SocketAddr,
-    stall: Duration,
-    answer: impl Future<Output = Result<T, EngineError>>,
-) -> Result<T, EngineError> {
-    let mut answer = pin!(answer);
-    loop {
-        if let Ok(result) = timeout(stall, answer.as_mut()).await {
-            return result;
-        }
-        tokio::select! {
-            biased;
-            result = answer.as_mut() => return result,
-            state = client.state(address) => {
-                state.map_err(|error| EngineError::Broken(format!("a silent engine: {error}")))?;
-            }
-        }
-    }
-}
--- a/crates/node/src/callers/choice.rs
+++ b/crates/node/src/callers/choice.rs
@@ -1,97 +1,165 @@
-//! Chooses the engine for the next attempt of a request.
+//! Chooses the engine, or the pair of engines, for the next attempt of a request. The decision is
+//! [`tansyhall_routing::choose`]; here it is told which engines may be used at all.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix_web::http::StatusCode;
 use tansyhall_admission::BreakerDecision;
-use tansyhall_config::Backend;
+use tansyhall_config::{Backend, Pool};
 use tansyhall_core::{EngineName, ModelName};
-use tansyhall_engine::protocol::EngineState;
+use tansyhall_routing::{ChoiceSettings, EngineEstimate, Placement, RequestEstimate};
 
 use super::failure::Failure;
-use crate::state::{EngineStatus, InFlight, Node};
+use crate::dispatch::{followed, InFlight};
+use crate::state::Node;
+
+/// A request that needs an engine.
+pub struct Question<'a> {
+    /// The model to run.
+    pub model: &'a ModelName,
+    /// Engines that failed the request before.
+    pub excluded: &'a [EngineName],
+    /// What the request asks of an engine.
+    pub request: RequestEstimate,
+    /// Seconds to its deadline; infinite for a request that is to be finished however late.
+    pub time_left: f64,
+}
+
+/// The engines chosen for an attempt.
+pub struct Chosen {
+    /// The engine that is sent the request first.
+    pub engine: Backend,
+    /// The request, counted at that engine already.
+    pub in_flight: InFlight,
+    /// The engine that generates the answer once the first one has prefilled the prompt, if that is
+    /// another one.
+    pub decode: Option<Backend>,
+    /// Expected time to the last token.
+    pub predicted: Duration,
+}
 
 /// What to do about the next attempt.
 pub enum Choice {
-    /// Make it at this engine, where the request is counted already.
-    Attempt(Backend, InFlight),
+    /// Make it.
+    Attempt(Box<Chosen>),
     /// No engine accepts work now, but one is about to: it is changing, or ends its work first.
     Wait,
 }
 
-/// Chooses among the engines that load `model`, except those in `excluded`. Fails at once if no
-/// engine accepts work and none is about to.
-pub fn choose(
-    node: &Arc<Node>,
-    model: &ModelName,
-    excluded: &[EngineName],
-) -> Result<Choice, ChoiceError> {
-    let in_force = node.in_force.load();
-    let mut known_model = false;
-    let mut engines = Vec::new();
-    for pool in in_force.pools_of_model(model) {
-        known_model = true;
-        engines.extend(pool.backends.iter());
-    }
-    if !known_model {
-        return Err(ChoiceError::UnknownModel);
-    }
-    engines.retain(|engine| !excluded.contains(&engine.name));
-    let probe_in = remove_broken(node, &mut engines);
-    let now = node.clock.now();
-    let paused = |engine: &&Backend| node.callers.health.is_paused(engine.address, now);
-    let (paused, engines): (Vec<&Backend>, Vec<&Backend>) = engines.into_iter().partition(paused);
-    let ready = node.choose_in_flight(|statuses| {
-        let status = |engine: &&Backend| statuses.get(&engine.name).cloned().unwrap_or_default();
-        let ready = engines
-            .iter()
-            .copied()
-            .map(|engine| (engine, status(&engine)));
-        let ready = ready.filter(|(_, status)| accepts_work(status));
-        let least_loaded = ready.min_by_key(|(_, status)| status.in_flight);
-        least_loaded.map(|(engine, _)| engine.clone())
-    });
-    if let Some((engine, in_flight)) = ready {
-        return Ok(Choice::Attempt(engine, in_flight));
-    }
-    let changing = node.with_engines(|statuses| {
-        let status = |engine: &&Backend| statuses.get(&engine.name);
-        engines.iter().filter_map(status).any(is_changing)
-    });
-    if changing || !paused.is_empty() {
-        return Ok(Choice::Wait);
-    }
-    Err(ChoiceError::NoEngine { probe_in })
+/// Chooses among the engines that load the model. Fails at once if none can make the deadline, or
+/// none accepts work and none is about to.
+pub fn choose(node: &Arc<Node>, question: &Question) -> Result<Choice, ChoiceError> {
+    let candidates = Candidates::collect(node, question)?;
+    let settings = ChoiceSettings::default();
+    let rates = &node.dispatch.rates;
+    let (request, time_left) = (&question.request, question.time_left);
+    let estimates = &candidates.estimates;
+    let choice = tansyhall_routing::choose(rates, &settings, estimates, request, time_left);
+    let count = |name| node.metrics.choices.with_label_values(&[name]).inc();
+    let (placement, prediction) = match choice {
+        tansyhall_routing::Choice::Send {
+            placement,
+            prediction,
+        } => (placement, prediction),
+        tansyhall_routing::Choice::Refuse { retry_after } => {
+            count("refused");
+            return Err(ChoiceError::TooLate { retry_after });
+        }
+        tansyhall_routing::Choice::NoEngine if candidates.some_is_changing => {
+            return Ok(Choice::Wait);
+        }
+        tansyhall_routing::Choice::NoEngine => {
+            count("no-engine");
+            let probe_in = candidates.probe_in;
+            return Err(ChoiceError::NoEngine { probe_in });
+        }
+    };
+    let engine = |index: usize| candidates.engines[index].clone();
+    let (first, decode) = match placement {
+        Placement::Whole(index) => (engine(index), None),
+        Placement::Split { prefill, decode } => (engine(prefill), Some(engine(decode))),
+    };
+    count(if decode.is_some() { "split" } else { "whole" });
+    let in_flight = InFlight::begin(node, &first.name, request.prefill_tokens);
+    Ok(Choice::Attempt(Box::new(Chosen {
+        engine: first,
+        in_flight,
+        decode,
+        predicted: prediction.whole_duration(),
+    })))
 }
 
-/// Removes the engines whose breakers are open; returns the time until the next probe.
-fn remove_broken(node: &Node, engines: &mut Vec<&Backend>) -> Option<Duration> {
-    let now = node.clock.now();
-    let mut soonest: Option<Duration> = None;
-    engines.retain(
-        |engine| match node.callers.health.peek(engine.address, now) {
-            BreakerDecision::Admit => true,
-            BreakerDecision::Refuse { probe_in } => {
-                soonest = Some(soonest.map_or(probe_in, |known| known.min(probe_in)));
-                false
-            }
-        },
-    );
-    soonest
+/// The engines to choose among, and what is believed of each.
+struct Candidates {
+    engines: Vec<Backend>,
+    estimates: Vec<EngineEstimate>,
+    /// Whether an engine is left out only for a while.
+    some_is_changing: bool,
+    /// Time until the next probe of an engine that was found broken.
+    probe_in: Option<Duration>,
 }
 
-fn accepts_work(status: &EngineStatus) -> bool {
-    let accepts = |state: &EngineState| {
-        !state.draining && state.active_order.is_none() && state.role.serves_whole_requests()
-    };
-    // An engine whose state is not known yet is tried: it refuses by itself what it cannot do.
-    status.state.as_ref().is_none_or(accepts)
+impl Candidates {
+    /// The engines that the node follows; if none of them is usable, those it does not.
+    fn collect(node: &Node, question: &Question) -> Result<Self, ChoiceError> {
+        let in_force = node.in_force.load();
+        let pools: Vec<&Pool> = in_force.pools_of_model(question.model).collect();
+        if pools.is_empty() {
+            return Err(ChoiceError::UnknownModel);
+        }
+        let followed = pools.iter().flat_map(|pool| followed_backends(node, pool));
+        let candidates = Self::among(node, question, followed);
+        if !candidates.engines.is_empty() || candidates.some_is_changing {
+            return Ok(candidates);
+        }
+        let all = pools.iter().flat_map(|pool| pool.backends.iter());
+        Ok(Self::among(node, question, all))
+    }
+
+    fn among<'a>(
+        node: &Node,
+        question: &Question,
+        engines: impl Iterator<Item = &'a Backend>,
+    ) -> Self {
+        let now = node.clock.now();
+        let health = &node.callers.health;
+        let mut candidates = Self {
+            engines: Vec::new(),
+            estimates: Vec::new(),
+            some_is_changing: false,
+            probe_in: None,
+        };
+        for engine in engines.filter(|engine| !question.excluded.contains(&engine.name)) {
+            if let BreakerDecision::Refuse { probe_in } = health.peek(engine.address, now) {
+                let soonest = candidates.probe_in.unwrap_or(probe_in);
+                candidates.probe_in = Some(soonest.min(probe_in));
+                continue;
+            }
+            let state = node.with_engines(|engines| {
+                let status = engines.get(&engine.name);
+                status.and_then(|status| status.state.clone())
+            });
+            let trackers = &node.dispatch.trackers;
+            let estimate = trackers.estimate(&engine.name, now, state.as_ref());
+            if !estimate.accepts_work || health.is_paused(engine.address, now) {
+                candidates.some_is_changing = true;
+                continue;
+            }
+            candidates.engines.push(engine.clone());
+            candidates.estimates.push(estimate);
+        }
+        candidates
+    }
 }
 
-fn is_changing(status: &EngineStatus) -> bool {
-    let changing = |state: &EngineState| state.draining || state.active_order.is_some();
-    status.state.as_ref().is_some_and(changing)
+fn followed_backends<'a>(node: &Node, pool: &'a Pool) -> impl Iterator<Item = &'a Backend> {
+    let names = pool.backends.iter().map(|backend| &backend.name);
+    let names: HashSet<&EngineName> = followed(node, names).into_iter().collect();
+    pool.backends
+        .iter()
+        .filter(move |backend| names.contains(&backend.name))
 }
 
 /// Why there is no engine to attempt.
@@ -99,6 +167,11 @@
 pub enum ChoiceError {
     /// No pool loads the model.
     UnknownModel,
+    /// No engine is expected to answer before the deadline.
+    TooLate {
+        /// When one is expected to.
+        retry_after: Duration,
+    },
     /// No engine accepts work.
     NoEngine {
         /// Time until the next probe of an engine that was found broken.
@@ -115,6 +188,11 @@
                 StatusCode::NOT_FOUND,
                 format!("no pool loads the model {model}"),
             ),
+            ChoiceError::TooLate { retry_after } => Failure::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no engine is expected to answer before the deadline",
+                retry_after,
+            ),
             ChoiceError::NoEngine { probe_in } => Failure::not_run(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "no engine accepts work now",
--- a/crates/node/src/callers/completion.rs
+++ b/crates/node/src/callers/completion.rs
@@ -19,6 +19,7 @@
 use super::failure::{answer_with, Failure, REQUEST_ID_HEADER};
 use super::requests::{status_path, AnswerSlot, Ending, RequestRecord};
 use super::shape::{Shape, DEFAULT_MAX_TOKENS};
+use crate::dispatch::RequestClass;
 use crate::state::Node;
 
 /// How often a stream says how its request stands while nothing else arrives.
@@ -97,7 +98,11 @@
         resume_after: 0,
     };
     let plan = Plan {
-        service: terms.service,
+        class: RequestClass {
+            service: terms.service,
+            class: terms.class,
+        },
+        prompt_tokens: terms.prompt_tokens,
         repeatable: terms.repeatable,
         deadline: terms.deadline,
         record: Arc::clone(record),
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -14,6 +14,7 @@
 pub mod requests;
 pub mod shape;
 pub mod status;
+pub mod watch;
 
 use std::sync::Arc;
 use std::time::Duration;
--- /dev/null
+++ b/crates/node/src/dispatch/mod.rs
@@ -0,0 +1,67 @@
+//! Dispatch of completions to engines: what the node believes of the engines it follows, and the
+//! wiring between that and the routing decisions.
+
+pub mod follower;
+mod in_flight;
+mod lengths;
+mod trackers;
+pub mod transfer;
+
+use tansyhall_config::RoutingSettings;
+use tansyhall_core::{Duration, EngineName};
+use tansyhall_routing::{followed_engines, ServiceRates};
+
+pub use follower::LoadFollower;
+pub use in_flight::InFlight;
+pub use lengths::{OutputLengths, RequestClass};
+pub use trackers::EngineTrackers;
+
+use crate::state::Node;
+
+/// What dispatch keeps, shared by every thread.
+pub struct DispatchState {
+    /// What is believed of each engine.
+    pub trackers: EngineTrackers,
+    /// Lengths of answers, by class.
+    pub lengths: OutputLengths,
+    /// Costs of the engines' iterations.
+    pub rates: ServiceRates,
+}
+
+impl DispatchState {
+    /// Nothing known yet.
+    pub fn new(settings: &RoutingSettings) -> Self {
+        Self {
+            trackers: EngineTrackers::new(settings),
+            lengths: OutputLengths::new(settings),
+            rates: service_rates(settings),
+        }
+    }
+}
+
+fn service_rates(settings: &RoutingSettings) -> ServiceRates {
+    ServiceRates {
+        iteration: settings.iteration.as_secs_f64(),
+        prefill_token: settings.prefill_token.as_secs_f64(),
+        decode_sequence: settings.decode_sequence.as_secs_f64(),
+        mixed_chunk: f64::from(settings.mixed_chunk_tokens),
+        prefill_chunk: f64::from(settings.prefill_chunk_tokens),
+        transfer_token: settings.transfer_token.as_secs_f64(),
+    }
+}
+
+/// The engines of a pool that the node follows, by name.
+pub fn followed<'a>(
+    node: &Node,
+    engines: impl IntoIterator<Item = &'a EngineName>,
+) -> Vec<&'a EngineName> {
+    let limit = node.settings.routing.followed_engines;
+    followed_engines(&node.settings.name, engines, limit)
+}
+
+/// Time between reads of one engine's load report when `engines` are followed.
+pub fn poll_period(settings: &RoutingSettings, engines: usize) -> Duration {
+    let engines = u32::try_from(engines).unwrap_or(u32::MAX);
+    let spread = Duration::from_secs(1) * engines / settings.max_load_polls_per_second;
+    settings.load_poll_period.max(spread)
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Counters of a node, in Prometheus text form.
 
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 
 /// Every counter and gauge of a node.
 pub struct Metrics {
@@ -37,8 +39,19 @@
     pub pools_held: IntGauge,
     /// Failed calls to the platform.
     pub platform_errors: IntCounter,
+    /// Choices of engines for completions, by placement or refusal.
+    pub choices: IntCounterVec,
+    /// Actual over predicted time of answers that were not interrupted.
+    pub prediction_ratio: Histogram,
+    /// KV caches handed from prefill to decode engines, by outcome.
+    pub kv_transfers: IntCounterVec,
+    /// Load reports of engines, by outcome.
+    pub load_reports: IntCounterVec,
 }
 
+/// Upper ends of the buckets of [`Metrics::prediction_ratio`].
+const RATIO_BUCKETS: [f64; 10] = [0.25, 0.5, 0.75, 0.9, 1.0, 1.1, 1.33, 2.0, 4.0, 8.0];
+
 impl Metrics {
     /// Registers every metric.
     pub fn new() -> Result<Self, prometheus::Error> {
@@ -58,6 +71,12 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let ratio = HistogramOpts::new(
+            "tansyhall_prediction_ratio",
+            "Actual over predicted time of whole answers",
+        );
+        let prediction_ratio = Histogram::with_opts(ratio.buckets(RATIO_BUCKETS.to_vec()))?;
+        registry.register(Box::new(prediction_ratio.clone()))?;
         Ok(Self {
             requests: counters("tansyhall_requests_total", "Requests by verdict", "verdict")?,
             attempts: counters("tansyhall_attempts_total", "Attempts by outcome", "outcome")?,
@@ -94,6 +113,22 @@
             orders: counters("tansyhall_orders_total", "Orders by reply", "reply")?,
             pools_held: gauge("tansyhall_pools_held", "Pools under this node's authority")?,
             platform_errors: counter("tansyhall_platform_errors_total", "Failed platform calls")?,
+            choices: counters(
+                "tansyhall_choices_total",
+                "Choices of engines, by placement or refusal",
+                "choice",
+            )?,
+            prediction_ratio,
+            kv_transfers: counters(
+                "tansyhall_kv_transfers_total",
+                "KV caches handed between engines, by outcome",
+                "outcome",
+            )?,
+            load_reports: counters(
+                "tansyhall_load_reports_total",
+                "Load reports of engines, by outcome",
+                "outcome",
+            )?,
             registry,
         })
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -6,13 +6,14 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
-use tansyhall_config::{Backend, NodeSettings};
+use tansyhall_config::NodeSettings;
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::EngineName;
 use tansyhall_engine::protocol::EngineState;
 
 use crate::callers::CallersState;
 use crate::configuration::InForce;
+use crate::dispatch::{DispatchState, InFlight};
 use crate::metrics::Metrics;
 
 /// What a node knows about one engine.
@@ -20,8 +21,6 @@
 pub struct EngineStatus {
     /// The control state as last read.
     pub state: Option<EngineState>,
-    /// Requests of this node in progress there.
-    pub in_flight: u32,
 }
 
 /// State shared by every thread.
@@ -36,6 +35,8 @@
     pub metrics: Metrics,
     /// What the callers' side keeps.
     pub callers: CallersState,
+    /// What dispatch to engines keeps.
+    pub dispatch: DispatchState,
     engines: Mutex<HashMap<EngineName, EngineStatus>>,
     stopping: AtomicBool,
 }
@@ -45,6 +46,7 @@
     pub fn new(settings: NodeSettings) -> anyhow::Result<Arc<Self>> {
         Ok(Arc::new(Self {
             callers: CallersState::new(&settings.limits),
+            dispatch: DispatchState::new(&settings.routing),
             settings,
             clock: MonotonicClock::start(),
             in_force: ArcSwap::from_pointee(InForce::default()),
@@ -72,45 +74,8 @@
         access(&mut self.engines.lock())
     }
 
-    /// Chooses an engine and counts a request there, with no other choice in between.
-    pub fn choose_in_flight(
-        self: &Arc<Self>,
-        choose: impl FnOnce(&HashMap<EngineName, EngineStatus>) -> Option<Backend>,
-    ) -> Option<(Backend, InFlight)> {
-        let engine = self.with_engines(|engines| {
-            let engine = choose(engines)?;
-            engines.entry(engine.name.clone()).or_default().in_flight += 1;
-            Some(engine)
-        })?;
-        let in_flight = InFlight {
-            node: Arc::clone(self),
-            engine: engine.name.clone(),
-        };
-        Some((engine, in_flight))
-    }
-
     /// Counts a request of this node at an engine until the guard is dropped.
     pub fn track_in_flight(self: &Arc<Self>, engine: &EngineName) -> InFlight {
-        self.with_engines(|engines| engines.entry(engine.clone()).or_default().in_flight += 1);
-        InFlight {
-            node: Arc::clone(self),
-            engine: engine.clone(),
-        }
-    }
-}
-
-/// A request of this node in progress at an engine.
-pub struct InFlight {
-    node: Arc<Node>,
-    engine: EngineName,
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.node.with_engines(|engines| {
-            if let Some(status) = engines.get_mut(&self.engine) {
-                status.in_flight = status.in_flight.saturating_sub(1);
-            }
-        });
+        InFlight::begin(self, engine, 0.0)
     }
 }
--- a/crates/node/tests/requests.rs
+++ b/crates/node/tests/requests.rs
@@ -172,6 +172,8 @@
 async fn a_late_answer_is_seen_to_be_late_and_still_comes_whole() {
     let engine = start_engine("engine-0");
     let (node, address) = start_node(&[engine], &[], "engine_stall = '60s'");
+    // Short answers so far: the long one is expected to meet its deadline, and is not refused.
+    assert_eq!(ask(address, &[], &body(1, false)).await.status(), 200);
     let deadline = [("tansyhall-deadline-ms", "400")];
     let response = ask(address, &deadline, &body(100, true)).await;
     let id = header(&response, "tansyhall-request-id").to_owned();
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -13,7 +13,9 @@
 use tansyhall_config::file::ResourceFile;
 use tansyhall_config::{Configuration, NodeSettings};
 use tansyhall_core::{ModelName, Role};
+use tansyhall_engine::protocol::{FenceToken, Order, OrderAction, OrderReply};
 use tansyhall_engine::sse::SseDecoder;
+use tansyhall_engine::EngineClient;
 use tansyhall_node::configuration::InForce;
 use tansyhall_node::Node;
 use tansyhall_standin::engine::{self, answer_text, EngineOptions};
@@ -32,12 +34,17 @@
     listener().1
 }
 
-/// A stand-in engine.
+/// A mixed stand-in engine.
 pub fn start_engine(name: &str) -> SocketAddr {
+    start_engine_as(name, Role::Mixed)
+}
+
+/// A stand-in engine in a role.
+pub fn start_engine_as(name: &str, role: Role) -> SocketAddr {
     let (listener, address) = listener();
     let options = EngineOptions {
         name: name.into(),
-        role: Role::Mixed,
+        role,
         model: ModelName::from(MODEL),
         role_change: Duration::from_millis(100),
         costs: Default::default(),
@@ -136,6 +143,26 @@
     response.json().await.expect("a JSON body")
 }
 
+/// What an engine recorded.
+pub async fn get_records(engine: SocketAddr) -> Value {
+    let sent = client().get(format!("http://{engine}/standin/records"));
+    json_of(&mut sent.send().await.expect("an answer")).await
+}
+
+/// Drains an engine under an authority of the test's own.
+pub async fn order_drain(engine: SocketAddr) {
+    let engines = EngineClient::new(Duration::from_secs(1));
+    let state = engines.state(engine).await.expect("a state");
+    let order = Order {
+        order_id: "drain".to_owned(),
+        fence_token: FenceToken(1),
+        incarnation: state.incarnation,
+        action: OrderAction::Drain,
+    };
+    let reply = engines.order(engine, &order).await.expect("a reply");
+    assert_eq!(reply, OrderReply::Accepted);
+}
+
 /// Switches an engine's faults.
 pub async fn set_faults(engine: SocketAddr, faults: Value) {
     let url = format!("http://{engine}/standin/faults");
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -57,32 +57,55 @@
 }
 
 /// Expected output lengths by class, learned from answers that ended.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct OutputEstimator<C> {
     means: HashMap<C, f64>,
+    max_classes: usize,
+    unlearned: f64,
 }
 
 /// Weight of the newest answer in a class's mean length.
 const NEWEST_WEIGHT: f64 = 0.05;
 
+impl<C> Default for OutputEstimator<C> {
+    fn default() -> Self {
+        Self {
+            means: HashMap::new(),
+            max_classes: usize::MAX,
+            unlearned: f64::INFINITY,
+        }
+    }
+}
+
 impl<C: Hash + Eq> OutputEstimator<C> {
     /// Nothing learned yet.
     pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Nothing learned yet; at most `max_classes` classes will be. An answer of a class of which
+    /// nothing is known is expected to have at most `unlearned` tokens: if it were expected to use
+    /// all that it may, requests that allow much would be refused, and nothing would be learned.
+    pub fn with_limits(max_classes: usize, unlearned: f64) -> Self {
         Self {
             means: HashMap::new(),
+            max_classes,
+            unlearned,
         }
     }
 
     /// Learns from an answer of `tokens` tokens.
     pub fn learn(&mut self, class: C, tokens: f64) {
+        if self.means.len() >= self.max_classes && !self.means.contains_key(&class) {
+            return;
+        }
         let mean = self.means.entry(class).or_insert(tokens);
         *mean += NEWEST_WEIGHT * (tokens - *mean);
     }
 
     /// The expected length for a class, at most what the request allows.
     pub fn expect(&self, class: &C, max_tokens: f64) -> f64 {
-        self.means
-            .get(class)
-            .map_or(max_tokens, |mean| mean.min(max_tokens))
+        let mean = self.means.get(class).copied();
+        mean.unwrap_or(self.unlearned).min(max_tokens)
     }
 }
--- /dev/null
+++ b/crates/routing/tests/tracker.rs
@@ -0,0 +1,71 @@
+//! What a tracker believes when reports stop, and of requests that no report will hold.
+
+use tansyhall_core::{Duration, RequestId, Role, Timestamp};
+use tansyhall_routing::tracker::REPORT_LIFETIME;
+use tansyhall_routing::{EngineTracker, LoadSnapshot, OutputEstimator};
+
+fn busy_report(taken: Timestamp) -> LoadSnapshot {
+    LoadSnapshot {
+        taken,
+        decoding: 8.0,
+        free_sequences: 56.0,
+        ..LoadSnapshot::default()
+    }
+}
+
+#[test]
+fn a_report_counts_no_more_once_its_lifetime_is_over() {
+    let mut tracker = EngineTracker::new(Role::Mixed, 64.0, 1);
+    let taken = Timestamp::from_millis(1_000);
+    tracker.report(busy_report(taken));
+    tracker.sent(taken, RequestId(1), 100.0);
+    tracker.first_token(taken, RequestId(1));
+    let later = taken + REPORT_LIFETIME;
+    assert_eq!(tracker.estimate(later).decoding, 8.0);
+    assert!(tracker.is_reporting(later));
+    let after = later + Duration::from_millis(1);
+    assert!(!tracker.is_reporting(after));
+    assert_eq!(tracker.estimate(after).decoding, 1.0, "the node's own");
+    assert_eq!(tracker.estimate(after).free_sequences, 63.0);
+}
+
+#[test]
+fn a_refused_request_is_not_taken_for_part_of_a_report() {
+    let mut tracker = EngineTracker::new(Role::Mixed, 64.0, 1);
+    let sent = Timestamp::from_millis(1_000);
+    tracker.sent(sent, RequestId(1), 100.0);
+    tracker.refused(RequestId(1));
+    tracker.report(busy_report(Timestamp::from_millis(1_100)));
+    let estimate = tracker.estimate(Timestamp::from_millis(1_200));
+    assert_eq!(estimate.decoding, 8.0);
+    assert_eq!(estimate.free_sequences, 56.0);
+}
+
+#[test]
+fn requests_of_an_engine_that_never_reports_are_forgotten() {
+    let mut tracker = EngineTracker::new(Role::Mixed, 64.0, 1);
+    let mut now = Timestamp::default();
+    for id in 0..1_000 {
+        now = now + Duration::from_millis(100);
+        tracker.sent(now, RequestId(id), 10.0);
+        tracker.finished(now, RequestId(id));
+    }
+    assert_eq!(tracker.in_flight(), 0);
+    let lifetime_and_look = 110 + 1;
+    assert!(tracker.tracked() <= lifetime_and_look);
+}
+
+#[test]
+fn lengths_are_learned_within_the_limits() {
+    let mut lengths = OutputEstimator::with_limits(1, 256.0);
+    assert_eq!(lengths.expect(&"counter", 50_000.0), 256.0);
+    assert_eq!(lengths.expect(&"counter", 10.0), 10.0);
+    lengths.learn("counter", 400.0);
+    lengths.learn("review", 400.0);
+    assert_eq!(lengths.expect(&"counter", 50_000.0), 400.0);
+    assert_eq!(
+        lengths.expect(&"review", 50_000.0),
+        256.0,
+        "beyond the limit"
+    );
+}
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -1,5 +1,6 @@
 //! The engine protocol over HTTP.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix_web::http::StatusCode;
@@ -127,6 +128,10 @@
         }
         Err(SubmitError::Duplicate) => return refuse(StatusCode::CONFLICT, "in progress already"),
     };
+    let accepted = u64::from(work.prefill_tokens);
+    engine
+        .accepted_prompt_tokens
+        .fetch_add(accepted, Ordering::Relaxed);
     engine.records.lock().push_request(RecordedRequest {
         at_millis: engine.clock.now().as_millis(),
         request_id: request.request_id.clone(),
@@ -249,6 +254,7 @@
             actix_rt::time::sleep(halfway.since(engine.clock.now())).await;
             engine.control.lock().restart(next_incarnation());
             engine.runner.crash();
+            engine.accepted_prompt_tokens.store(0, Ordering::Relaxed);
             *engine.caches.lock() = Caches::new(engine.kv_capacity_tokens());
             return;
         }
@@ -272,7 +278,7 @@
 async fn load(engine: web::Data<Engine>) -> HttpResponse {
     let lag = Duration::from_millis(engine.faults.lock().load_lag_ms);
     let report = engine.load.lock().report(engine.clock.now(), lag);
-    HttpResponse::Ok().json(report.unwrap_or_default())
+    HttpResponse::Ok().json(report.unwrap_or_else(|| load_now(&engine)))
 }
 
 /// Samples the load for as long as the engine runs.
@@ -286,16 +292,31 @@
 }
 
 fn load_now(engine: &Engine) -> LoadReport {
+    let (role, accepts_work) = {
+        let control = engine.control.lock();
+        (control.state(0).role, control.accepts_work())
+    };
+    let accepted_prompt_tokens = engine.accepted_prompt_tokens.load(Ordering::Relaxed);
     engine.runner.with_batch(|batch| LoadReport {
         age_ms: 0,
-        running: u32::try_from(batch.len() - batch.queued()).unwrap_or(u32::MAX),
-        queued: u32::try_from(batch.queued()).unwrap_or(u32::MAX),
+        running: count(batch.len() - batch.queued()),
+        queued: count(batch.queued()),
         pending_prefill_tokens: batch.pending_prefill_tokens(),
         kv_used_tokens: batch.kv_reserved(),
         kv_capacity_tokens: batch.kv_capacity(),
+        decoding: count(batch.decoding()),
+        waiting: count(batch.len() - batch.decoding()),
+        free_sequences: batch.free_sequences(),
+        accepted_prompt_tokens,
+        role,
+        accepts_work,
     })
 }
 
+fn count(requests: usize) -> u32 {
+    u32::try_from(requests).unwrap_or(u32::MAX)
+}
+
 async fn set_faults(engine: web::Data<Engine>, faults: web::Json<EngineFaults>) -> HttpResponse {
     *engine.faults.lock() = faults.into_inner();
     HttpResponse::NoContent().finish()
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod weights;
 
 use std::net::TcpListener;
+use std::sync::atomic::AtomicU64;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -143,6 +144,7 @@
     records: Mutex<Records>,
     faults: Mutex<EngineFaults>,
     load: Mutex<LoadHistory>,
+    accepted_prompt_tokens: AtomicU64,
     caches: Mutex<Caches>,
     weights: Weights,
     runner: Runner,
@@ -182,6 +184,7 @@
         records: Mutex::new(Records::default()),
         faults: Mutex::new(EngineFaults::default()),
         load: Mutex::new(LoadHistory::default()),
+        accepted_prompt_tokens: AtomicU64::new(0),
         caches: Mutex::new(Caches::new(options.costs.kv_capacity_tokens)),
         weights: options.weights,
         runner: Runner::new(options.costs),
