--- a/crates/node/src/dispatch/transfer.rs
+++ b/crates/node/src/dispatch/transfer.rs
@@ -25,6 +25,14 @@
             TransferError::Import(_) => "import-failed",
         }
     }
+
+    /// Whether the prefill engine did not answer at all.
+    pub const fn source_is_lost(&self) -> bool {
+        matches!(
+            self,
+            TransferError::Export(EngineError::Unreachable(_) | EngineError::Broken(_))
+        )
+    }
 }
 
 /// Moves the KV cache of a request that `source` has prefilled to `target`.
--- a/crates/standin/src/engine/faults.rs
+++ b/crates/standin/src/engine/faults.rs
@@ -25,6 +25,8 @@
     pub crash_halfway: bool,
     /// Work is refused as if the queue were full.
     pub refuse_work: bool,
+    /// KV caches are not handed over: exports, and reads by other engines, are refused.
+    pub forget_kv_caches: bool,
     /// Load reports are at least this old, in milliseconds.
     pub load_lag_ms: u64,
     /// Cache events are published at least this late, in milliseconds.
--- a/crates/standin/src/engine/kv.rs
+++ b/crates/standin/src/engine/kv.rs
@@ -67,6 +67,9 @@
 }
 
 fn blocks_of(engine: &Engine, request_id: &str) -> Option<Vec<u64>> {
+    if engine.faults.lock().forget_kv_caches {
+        return None;
+    }
     let id = RequestId::parse(request_id)?;
     engine.caches.lock().exported(id)
 }
