Prefix affinity: requests go where their prompts' beginnings are cached

Cause: ledgers and dossiers are asked about again and again, and an engine that holds a prompt's beginning prefills only the rest; routing did not know.

Ruled out: keeping what was known over a gap of sequence numbers (the lost events may be evictions, and the index would promise what is gone); a table over all engines (one lock for every choice; each engine's index lies beside its tracker).

Change: routing has a bounded prefix index an engine, fed by cache events and by the node's own sends. A gap or a restart forgets that engine's entries. Tokens that are believed to be cached are taken off the tokens to prefill in every prediction. The hash that names a prompt's blocks moved from the engine model to the protocol crate, where the node can use it. Cache events are read each second at most.

A ledger that an engine served for another node is sent to that engine, and not to the first of two that are equal otherwise (a_prompt_goes_to_the_engine_that_holds_its_beginning). With nothing cached the predictions are as before, and so is the emulator, which has no prefix cache.

Conclusion: affinity costs one lookup a block in each candidate's shard. A block counts as held from the moment it is sent, before the engine has prefilled it.

--- a/crates/config/src/routing.rs
+++ b/crates/config/src/routing.rs
@@ -18,6 +18,11 @@
     pub load_poll_period: Duration,
     /// Most load reports read in a second, over all engines; beyond it each is read less often.
     pub max_load_polls_per_second: u32,
+    /// Time between reads of an engine's cache events.
+    #[serde(with = "humantime_serde")]
+    pub cache_event_period: Duration,
+    /// Most prompt blocks that an engine is remembered to hold in its prefix cache.
+    pub max_cached_blocks: usize,
     /// Most classes whose answers' lengths are learned.
     pub max_learned_classes: usize,
     /// Most tokens expected of an answer of a class whose lengths are not learned yet.
@@ -51,6 +56,8 @@
             max_tracked_engines: 4_096,
             load_poll_period: Duration::from_millis(250),
             max_load_polls_per_second: 40,
+            cache_event_period: Duration::from_secs(1),
+            max_cached_blocks: 16_384,
             max_learned_classes: 1_024,
             unlearned_output_tokens: 256,
             sharing_nodes: 2,
--- a/crates/engine-model/src/prefix_cache.rs
+++ b/crates/engine-model/src/prefix_cache.rs
@@ -4,26 +4,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use tansyhall_core::hash::rendezvous_weight;
-
-/// Tokens in one block.
-pub const BLOCK_TOKENS: u32 = 16;
-
-/// Identifies a block by its content and everything before it.
-pub type BlockHash = u64;
-
-/// The hashes of a prompt's whole blocks, from the first on. `model` keeps equal prompts of
-/// different models apart.
-pub fn block_hashes(model: &str, prompt: &str) -> Vec<BlockHash> {
-    let words: Vec<&str> = prompt.split_whitespace().collect();
-    let mut previous = rendezvous_weight(model.as_bytes(), &[]);
-    let mut hashes = Vec::new();
-    for block in words.chunks_exact(BLOCK_TOKENS as usize) {
-        previous = rendezvous_weight(&previous.to_le_bytes(), block.join(" ").as_bytes());
-        hashes.push(previous);
-    }
-    hashes
-}
+pub use tansyhall_engine::blocks::{block_hashes, BlockHash, BLOCK_TOKENS};
 
 /// A change of what the cache holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod blocks;
 pub mod client;
 pub mod protocol;
 pub mod sse;
--- a/crates/lab/src/emulator/run.rs
+++ b/crates/lab/src/emulator/run.rs
@@ -244,6 +244,7 @@
                     pending_prefill_tokens: snapshot.pending_prefill_tokens,
                     free_sequences: snapshot.free_sequences,
                     prefill_rate: self.true_rates[index].at(self.now),
+                    cached_tokens: 0.0,
                 }
             })
             .collect()
--- a/crates/node/src/callers/attempt.rs
+++ b/crates/node/src/callers/attempt.rs
@@ -12,6 +12,7 @@
 use tansyhall_admission::{BreakerDecision, BreakerEvent};
 use tansyhall_config::Backend;
 use tansyhall_core::{EngineName, Timestamp, Verdict};
+use tansyhall_engine::blocks::BlockHash;
 use tansyhall_engine::protocol::{EngineChunk, EngineRequest};
 use tansyhall_engine::{EngineClient, EngineError, EngineStream};
 
@@ -27,6 +28,8 @@
     pub class: RequestClass,
     /// Estimated tokens of the prompt.
     pub prompt_tokens: u32,
+    /// The prompt's blocks, as engines name them in their cache events.
+    pub blocks: Vec<BlockHash>,
     /// Whether the request may be attempted again after it may have run.
     pub repeatable: bool,
     /// When the whole answer is due.
--- a/crates/node/src/callers/attempt/connect.rs
+++ b/crates/node/src/callers/attempt/connect.rs
@@ -51,7 +51,12 @@
     /// that engine prefills the prompt itself; if it fails, the request is resumed elsewhere.
     pub(super) async fn continue_at(&mut self, hand_over: HandOver) -> Result<(), Failure> {
         let HandOver { source, target } = hand_over;
-        let in_flight = InFlight::begin(&self.node, &target.name, HANDED_OVER_TOKENS);
+        let in_flight = InFlight::begin(
+            &self.node,
+            &target.name,
+            HANDED_OVER_TOKENS,
+            &self.plan.blocks,
+        );
         let request_id = &self.request.request_id;
         let moved = move_kv_cache(&self.client, request_id, source.address, target.address).await;
         let outcome = moved
@@ -128,6 +133,7 @@
             model: &self.request.model,
             excluded: &self.excluded,
             request: self.estimate(),
+            blocks: &self.plan.blocks,
             time_left: self.time_left(),
         };
         choose(&self.node, &question).map_err(|error| {
--- a/crates/node/src/callers/choice.rs
+++ b/crates/node/src/callers/choice.rs
@@ -9,6 +9,7 @@
 use tansyhall_admission::BreakerDecision;
 use tansyhall_config::{Backend, Pool};
 use tansyhall_core::{EngineName, ModelName};
+use tansyhall_engine::blocks::BlockHash;
 use tansyhall_routing::{ChoiceSettings, EngineEstimate, Placement, RequestEstimate};
 
 use super::failure::Failure;
@@ -23,6 +24,8 @@
     pub excluded: &'a [EngineName],
     /// What the request asks of an engine.
     pub request: RequestEstimate,
+    /// The prompt's blocks.
+    pub blocks: &'a [BlockHash],
     /// Seconds to its deadline; infinite for a request that is to be finished however late.
     pub time_left: f64,
 }
@@ -77,12 +80,14 @@
         }
     };
     let engine = |index: usize| candidates.engines[index].clone();
-    let (first, decode) = match placement {
-        Placement::Whole(index) => (engine(index), None),
-        Placement::Split { prefill, decode } => (engine(prefill), Some(engine(decode))),
+    let (first_index, decode) = match placement {
+        Placement::Whole(index) => (index, None),
+        Placement::Split { prefill, decode } => (prefill, Some(engine(decode))),
     };
+    let first = engine(first_index);
     count(if decode.is_some() { "split" } else { "whole" });
-    let in_flight = InFlight::begin(node, &first.name, request.prefill_tokens);
+    let prefill_tokens = estimates[first_index].tokens_to_prefill(request.prefill_tokens);
+    let in_flight = InFlight::begin(node, &first.name, prefill_tokens, question.blocks);
     Ok(Choice::Attempt(Box::new(Chosen {
         engine: first,
         in_flight,
@@ -142,7 +147,7 @@
                 status.and_then(|status| status.state.clone())
             });
             let trackers = &node.dispatch.trackers;
-            let estimate = trackers.estimate(&engine.name, now, state.as_ref());
+            let estimate = trackers.estimate(&engine.name, now, state.as_ref(), question.blocks);
             if !estimate.accepts_work || health.is_paused(engine.address, now) {
                 candidates.some_is_changing = true;
                 continue;
--- a/crates/node/src/callers/completion.rs
+++ b/crates/node/src/callers/completion.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use tansyhall_core::Verdict;
+use tansyhall_engine::blocks::block_hashes;
 use tansyhall_engine::protocol::{EngineRequest, Prompt};
 use tansyhall_engine::EngineClient;
 use tokio::sync::{mpsc, oneshot};
@@ -97,12 +98,15 @@
         priority: terms.priority,
         resume_after: 0,
     };
+    let prompt = engine_request.prompt.flattened();
+    let blocks = block_hashes(engine_request.model.as_str(), &prompt);
     let plan = Plan {
         class: RequestClass {
             service: terms.service,
             class: terms.class,
         },
         prompt_tokens: terms.prompt_tokens,
+        blocks,
         repeatable: terms.repeatable,
         deadline: terms.deadline,
         record: Arc::clone(record),
--- a/crates/node/src/dispatch/follower.rs
+++ b/crates/node/src/dispatch/follower.rs
@@ -1,6 +1,6 @@
-//! Reads the load reports of the engines that the node follows.
+//! Reads the load reports and cache events of the engines that the node follows.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use actix::fut::wrap_future;
@@ -19,6 +19,7 @@
     node: Arc<Node>,
     client: EngineClient,
     asked: HashSet<EngineName>,
+    cache_events_read: HashMap<EngineName, Timestamp>,
 }
 
 impl LoadFollower {
@@ -29,6 +30,7 @@
             node,
             client,
             asked: HashSet::new(),
+            cache_events_read: HashMap::new(),
         }
     }
 
@@ -47,9 +49,41 @@
     fn ask(&self, engine: Backend, context: &mut Context<Self>) {
         let client = self.client.clone();
         let asked_at = self.node.clock.now();
-        let question = async move { client.load(engine.address).await };
-        let answered = wrap_future::<_, Self>(question).map(move |report, follower, _| {
+        let address = engine.address;
+        let question = async move { client.load(address).await };
+        let answered = wrap_future::<_, Self>(question).map(move |report, follower, context| {
+            let reported = report.is_ok();
             follower.answered(&engine.name, asked_at, report);
+            if reported && follower.cache_events_are_due(&engine.name) {
+                follower.ask_for_cache_events(engine, context);
+            }
+        });
+        context.spawn(answered);
+    }
+
+    /// Whether an engine's cache events are to be read now; if so, they are not for a while.
+    fn cache_events_are_due(&mut self, engine: &EngineName) -> bool {
+        let now = self.node.clock.now();
+        let period = self.node.settings.routing.cache_event_period;
+        let read = self.cache_events_read.get(engine);
+        let due = read.is_none_or(|read| now.since(*read) >= period);
+        if due {
+            self.cache_events_read.insert(engine.clone(), now);
+        }
+        due
+    }
+
+    fn ask_for_cache_events(&self, engine: Backend, context: &mut Context<Self>) {
+        let client = self.client.clone();
+        let trackers = &self.node.dispatch.trackers;
+        let after = trackers.latest_cache_event(&engine.name);
+        let question = async move { client.cache_events(engine.address, after).await };
+        let answered = wrap_future::<_, Self>(question).map(move |events, follower, _| {
+            // Without events, the index holds what it held: predictions are less exact.
+            if let Ok(events) = events {
+                let trackers = &follower.node.dispatch.trackers;
+                trackers.cache_events(&engine.name, &events);
+            }
         });
         context.spawn(answered);
     }
@@ -75,7 +109,7 @@
 
     /// The followed engines of every pool that loads a model. Engines that are in no pool any more
     /// are forgotten.
-    fn followed_backends(&self) -> Vec<Backend> {
+    fn followed_backends(&mut self) -> Vec<Backend> {
         let in_force = self.node.in_force.load();
         let pools = in_force.configuration.pools.values();
         let mut engines = Vec::new();
@@ -94,6 +128,8 @@
             .dispatch
             .trackers
             .retain(|engine| names.contains(engine));
+        self.cache_events_read
+            .retain(|engine, _| names.contains(engine));
         engines
     }
 }
--- a/crates/node/src/dispatch/in_flight.rs
+++ b/crates/node/src/dispatch/in_flight.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use tansyhall_core::{EngineName, RequestId};
+use tansyhall_engine::blocks::BlockHash;
 
 use crate::state::Node;
 
@@ -15,13 +16,18 @@
 }
 
 impl InFlight {
-    /// Counts a request with `prefill_tokens` to prefill.
-    pub fn begin(node: &Arc<Node>, engine: &EngineName, prefill_tokens: f64) -> Self {
+    /// Counts a request with `prefill_tokens` to prefill of a prompt with these blocks.
+    pub fn begin(
+        node: &Arc<Node>,
+        engine: &EngineName,
+        prefill_tokens: f64,
+        blocks: &[BlockHash],
+    ) -> Self {
         let attempt = RequestId(rand::random());
         let now = node.clock.now();
         node.dispatch
             .trackers
-            .sent(engine, now, attempt, prefill_tokens);
+            .sent(engine, now, attempt, prefill_tokens, blocks);
         Self {
             node: Arc::clone(node),
             engine: engine.clone(),
--- a/crates/node/src/dispatch/trackers.rs
+++ b/crates/node/src/dispatch/trackers.rs
@@ -3,12 +3,24 @@
 
 use tansyhall_config::RoutingSettings;
 use tansyhall_core::{Duration, EngineName, RequestId, Role, Sharded, Timestamp};
-use tansyhall_engine::protocol::{EngineState, LoadReport};
-use tansyhall_routing::{EngineEstimate, EngineTracker, LoadSnapshot};
+use tansyhall_engine::blocks::{BlockHash, BLOCK_TOKENS};
+use tansyhall_engine::protocol::{
+    CacheEvent, CacheEventKind, CacheEvents, EngineState, LoadReport,
+};
+use tansyhall_routing::{
+    BlockChange, BlockEvent, EngineEstimate, EngineTracker, LoadSnapshot, PrefixIndex,
+};
+
+/// What is known of one engine.
+struct TrackedEngine {
+    load: EngineTracker,
+    prefixes: PrefixIndex,
+}
 
 /// The trackers, shared by every thread.
 pub struct EngineTrackers {
-    trackers: Sharded<EngineName, EngineTracker>,
+    trackers: Sharded<EngineName, TrackedEngine>,
+    max_cached_blocks: usize,
     max_sequences: f64,
     sharing_nodes: usize,
 }
@@ -18,25 +30,30 @@
     pub fn new(settings: &RoutingSettings) -> Self {
         Self {
             trackers: Sharded::with_capacity_limit(settings.max_tracked_engines),
+            max_cached_blocks: settings.max_cached_blocks,
             max_sequences: f64::from(settings.max_sequences),
             sharing_nodes: settings.sharing_nodes,
         }
     }
 
-    /// The belief about an engine at `now`. `state` is the control state as last read, which counts
-    /// while the engine does not report.
+    /// The belief about an engine at `now`, for a prompt of these blocks. `state` is the control
+    /// state as last read, which counts while the engine does not report.
     pub fn estimate(
         &self,
         engine: &EngineName,
         now: Timestamp,
         state: Option<&EngineState>,
+        blocks: &[BlockHash],
     ) -> EngineEstimate {
         let known = self.trackers.with(engine, |shard| {
-            let tracker = shard.get(engine)?;
-            Some((tracker.estimate(now), tracker.is_reporting(now)))
+            let tracked = shard.get(engine)?;
+            let mut estimate = tracked.load.estimate(now);
+            let cached_blocks = tracked.prefixes.held_blocks(blocks);
+            estimate.cached_tokens = cached_blocks as f64 * f64::from(BLOCK_TOKENS);
+            Some((estimate, tracked.load.is_reporting(now)))
         });
         let (mut estimate, reporting) =
-            known.unwrap_or_else(|| (self.new_tracker().estimate(now), false));
+            known.unwrap_or_else(|| (self.new_tracker().load.estimate(now), false));
         if reporting {
             return estimate;
         }
@@ -50,37 +67,66 @@
     /// Notes a load report that was asked for at `asked`.
     pub fn report(&self, engine: &EngineName, asked: Timestamp, report: &LoadReport) {
         let snapshot = snapshot(asked, report);
-        self.with(engine, |tracker| {
-            tracker.role = report.role;
-            tracker.accepts_work = report.accepts_work;
-            tracker.report(snapshot);
+        self.with(engine, |tracked| {
+            tracked.load.role = report.role;
+            tracked.load.accepts_work = report.accepts_work;
+            tracked.load.report(snapshot);
         });
     }
 
-    /// A request was sent.
-    pub fn sent(&self, engine: &EngineName, now: Timestamp, id: RequestId, prefill_tokens: f64) {
-        self.with(engine, |tracker| tracker.sent(now, id, prefill_tokens));
+    /// Notes cache events.
+    pub fn cache_events(&self, engine: &EngineName, events: &CacheEvents) {
+        let changes: Vec<BlockEvent> = events.events.iter().map(block_event).collect();
+        self.with(engine, |tracked| {
+            tracked.prefixes.events(events.incarnation, &changes);
+        });
+    }
+
+    /// The sequence number after which an engine's cache events are wanted.
+    pub fn latest_cache_event(&self, engine: &EngineName) -> u64 {
+        self.trackers.with(engine, |shard| {
+            shard
+                .get(engine)
+                .map_or(0, |tracked| tracked.prefixes.latest())
+        })
+    }
+
+    /// A request was sent, whose prompt has these blocks.
+    pub fn sent(
+        &self,
+        engine: &EngineName,
+        now: Timestamp,
+        id: RequestId,
+        prefill_tokens: f64,
+        blocks: &[BlockHash],
+    ) {
+        self.with(engine, |tracked| {
+            tracked.load.sent(now, id, prefill_tokens);
+            tracked.prefixes.sent(blocks);
+        });
     }
 
     /// A request's first token arrived.
     pub fn first_token(&self, engine: &EngineName, now: Timestamp, id: RequestId) {
-        self.with(engine, |tracker| tracker.first_token(now, id));
+        self.with(engine, |tracked| tracked.load.first_token(now, id));
     }
 
     /// A request ended.
     pub fn finished(&self, engine: &EngineName, now: Timestamp, id: RequestId) {
-        self.with(engine, |tracker| tracker.finished(now, id));
+        self.with(engine, |tracked| tracked.load.finished(now, id));
     }
 
     /// A request was refused, or never arrived.
     pub fn refused(&self, engine: &EngineName, id: RequestId) {
-        self.with(engine, |tracker| tracker.refused(id));
+        self.with(engine, |tracked| tracked.load.refused(id));
     }
 
     /// Requests of this node in progress at an engine.
     pub fn in_flight(&self, engine: &EngineName) -> usize {
         self.trackers.with(engine, |shard| {
-            shard.get(engine).map_or(0, EngineTracker::in_flight)
+            shard
+                .get(engine)
+                .map_or(0, |tracked| tracked.load.in_flight())
         })
     }
 
@@ -89,14 +135,14 @@
         self.trackers.with(engine, |shard| {
             shard
                 .get(engine)
-                .is_some_and(|tracker| tracker.is_reporting(now))
+                .is_some_and(|tracked| tracked.load.is_reporting(now))
         })
     }
 
     /// Forgets the engines that `keep` does not name and that run nothing of this node's.
     pub fn retain(&self, keep: impl Fn(&EngineName) -> bool) {
         self.trackers
-            .retain(|engine, tracker| keep(engine) || tracker.in_flight() > 0);
+            .retain(|engine, tracked| keep(engine) || tracked.load.in_flight() > 0);
     }
 
     /// Engines known.
@@ -109,7 +155,7 @@
         self.trackers.is_empty()
     }
 
-    fn with(&self, engine: &EngineName, change: impl Fn(&mut EngineTracker)) {
+    fn with(&self, engine: &EngineName, change: impl Fn(&mut TrackedEngine)) {
         let known = self
             .trackers
             .with(engine, |shard| shard.get_mut(engine).map(&change).is_some());
@@ -122,8 +168,21 @@
         let _ = self.trackers.insert(engine.clone(), tracker);
     }
 
-    fn new_tracker(&self) -> EngineTracker {
-        EngineTracker::new(Role::Mixed, self.max_sequences, self.sharing_nodes)
+    fn new_tracker(&self) -> TrackedEngine {
+        TrackedEngine {
+            load: EngineTracker::new(Role::Mixed, self.max_sequences, self.sharing_nodes),
+            prefixes: PrefixIndex::new(self.max_cached_blocks),
+        }
+    }
+}
+
+fn block_event(event: &CacheEvent) -> BlockEvent {
+    BlockEvent {
+        sequence: event.sequence,
+        change: match event.kind {
+            CacheEventKind::Stored => BlockChange::Stored(event.block),
+            CacheEventKind::Evicted => BlockChange::Evicted(event.block),
+        },
     }
 }
 
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -76,6 +76,6 @@
 
     /// Counts a request of this node at an engine until the guard is dropped.
     pub fn track_in_flight(self: &Arc<Self>, engine: &EngineName) -> InFlight {
-        InFlight::begin(self, engine, 0.0)
+        InFlight::begin(self, engine, 0.0, &[])
     }
 }
--- a/crates/node/tests/dispatch_choice.rs
+++ b/crates/node/tests/dispatch_choice.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use support::*;
 use tansyhall_core::{EngineName, Role};
+use tansyhall_engine::blocks::block_hashes;
 use tansyhall_node::dispatch::LoadFollower;
 use tansyhall_node::Node;
 use tansyhall_testing::eventually;
@@ -65,7 +66,7 @@
         let belief = node
             .dispatch
             .trackers
-            .estimate(&"engine-0".into(), now, None);
+            .estimate(&"engine-0".into(), now, None, &[]);
         async move { (belief.decoding >= 8.0).then_some(()) }
     })
     .await;
@@ -86,7 +87,7 @@
         let belief = node
             .dispatch
             .trackers
-            .estimate(&"engine-0".into(), now, None);
+            .estimate(&"engine-0".into(), now, None, &[]);
         async move { (!belief.accepts_work).then_some(()) }
     })
     .await;
@@ -154,3 +155,28 @@
     let text = node.metrics.render().expect("metrics");
     assert!(text.contains("tansyhall_prediction_ratio_bucket"));
 }
+
+#[actix_rt::test]
+async fn a_prompt_goes_to_the_engine_that_holds_its_beginning() {
+    let engines = [start_engine("engine-0"), start_engine("engine-1")];
+    let (node, address) = start_node(&engines, &[], "");
+    let (_, elsewhere) = start_node(&engines[1..], &[], "");
+    let ledger: Vec<String> = (0..160).map(|word| format!("family{word}")).collect();
+    let ask_ledger = async |node| {
+        let body = json!({ "model": MODEL, "prompt": ledger.join(" "), "max_tokens": 2 });
+        assert_eq!(ask(node, &[], &body).await.status(), 200);
+    };
+    ask_ledger(elsewhere).await;
+    follow(&node, engines.len()).await;
+    let blocks = block_hashes(MODEL, &ledger.join(" "));
+    eventually("the engine's cache is known", || {
+        let now = node.clock.now();
+        let trackers = &node.dispatch.trackers;
+        let belief = trackers.estimate(&"engine-1".into(), now, None, &blocks);
+        async move { (belief.cached_tokens >= 160.0).then_some(()) }
+    })
+    .await;
+    ask_ledger(address).await;
+    let records = get_records(engines[1]).await;
+    assert_eq!(records["requests"].as_array().map(Vec::len), Some(2));
+}
--- a/crates/routing/benches/choice.rs
+++ b/crates/routing/benches/choice.rs
@@ -26,6 +26,7 @@
         pending_prefill_tokens: (index * 37 % 4_000) as f64,
         free_sequences: 24.0,
         prefill_rate: (index * 91 % 9_000) as f64,
+        cached_tokens: 0.0,
     }
 }
 
--- a/crates/routing/src/estimate.rs
+++ b/crates/routing/src/estimate.rs
@@ -23,6 +23,16 @@
     pub free_sequences: f64,
     /// Prompt tokens a second that the engine has been given of late.
     pub prefill_rate: f64,
+    /// Tokens of the request's prompt that the engine is believed to hold in its prefix cache.
+    pub cached_tokens: f64,
+}
+
+impl EngineEstimate {
+    /// Tokens that the engine would prefill for a request: at least one, which gives the first
+    /// token of the answer.
+    pub fn tokens_to_prefill(&self, prompt_tokens: f64) -> f64 {
+        (prompt_tokens - self.cached_tokens).max(1.0)
+    }
 }
 
 /// An exponentially weighted rate of prompt tokens, in tokens a second.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod choice;
 pub mod estimate;
 pub mod prediction;
+pub mod prefix;
 pub mod subset;
 pub mod tracker;
 
@@ -19,5 +20,6 @@
 pub use prediction::{
     predict_decode, predict_mixed, predict_prefill, Prediction, RequestEstimate, ServiceRates,
 };
+pub use prefix::{BlockChange, BlockEvent, PrefixIndex};
 pub use subset::followed_engines;
 pub use tracker::{EngineTracker, LoadSnapshot};
--- a/crates/routing/src/prediction.rs
+++ b/crates/routing/src/prediction.rs
@@ -33,7 +33,7 @@
 /// What a request asks of an engine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RequestEstimate {
-    /// Prompt tokens that are not in the engine's prefix cache.
+    /// Tokens to prefill where none of the prompt is cached.
     pub prefill_tokens: f64,
     /// Tokens of the whole prompt.
     pub prompt_tokens: f64,
@@ -90,16 +90,16 @@
     request: &RequestEstimate,
 ) -> Prediction {
     let wait = admission_seconds(rates, engine, request.output_tokens);
-    let prefill = prefill_seconds(rates, engine, request.prefill_tokens, rates.mixed_chunk);
+    let prefill_tokens = engine.tokens_to_prefill(request.prefill_tokens);
+    let prefill = prefill_seconds(rates, engine, prefill_tokens, rates.mixed_chunk);
     let first_token = wait + prefill;
     let per_token = iteration_seconds(rates, engine, engine.decoding + 1.0);
-    let added = request.prefill_tokens * rates.prefill_token
-        + request.output_tokens * rates.decode_sequence;
+    let added =
+        prefill_tokens * rates.prefill_token + request.output_tokens * rates.decode_sequence;
     Prediction {
         first_token,
         whole: first_token + request.output_tokens * per_token,
-        harm: added * engine.decoding
-            + request.prefill_tokens * rates.prefill_token * engine.waiting,
+        harm: added * engine.decoding + prefill_tokens * rates.prefill_token * engine.waiting,
     }
 }
 
@@ -109,8 +109,9 @@
     engine: &EngineEstimate,
     request: &RequestEstimate,
 ) -> Prediction {
-    let seconds = prefill_seconds(rates, engine, request.prefill_tokens, rates.prefill_chunk);
-    let added = request.prefill_tokens * rates.prefill_token;
+    let prefill_tokens = engine.tokens_to_prefill(request.prefill_tokens);
+    let seconds = prefill_seconds(rates, engine, prefill_tokens, rates.prefill_chunk);
+    let added = prefill_tokens * rates.prefill_token;
     Prediction {
         first_token: seconds,
         whole: seconds,
--- a/crates/routing/src/tracker.rs
+++ b/crates/routing/src/tracker.rs
@@ -173,6 +173,7 @@
             pending_prefill_tokens: report.pending_prefill_tokens,
             free_sequences: report.free_sequences,
             prefill_rate: self.prefill_rate.at(now),
+            cached_tokens: 0.0,
         };
         for request in self.own.values() {
             self.correct(&mut estimate, report.taken, request);
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -25,6 +25,7 @@
         pending_prefill_tokens: 0.0,
         free_sequences: 64.0,
         prefill_rate: 0.0,
+        cached_tokens: 0.0,
     }
 }
 
@@ -159,6 +160,7 @@
                 pending_prefill_tokens: pending,
                 free_sequences,
                 prefill_rate,
+                cached_tokens: 0.0,
             }
         },
     );
