tansyhall-lab agree: one trace for real and through the emulator

Cause: nothing showed whether what the emulator says holds for the programs.

Ruled out: starting the fleet's parts as processes from the lab (a process starts no other; the fleet of `dev` runs the same code over loopback); comparing goodput alone (it is 1 in both for a modest load, and hid a difference of a third in the times).

Change: the fleet of `dev` moved to the load crate, where the lab uses it too. The load's summary has times of whole answers. The stand-in engine begins an iteration when the one before it was due to end, not when its timer fired: timers were about 1 ms late, which made each iteration of 4 ms longer than the cost model says.

Agreement on goodput where deadlines are missed is not shown yet.

--- a/crates/lab/src/emulator/outcome.rs
+++ b/crates/lab/src/emulator/outcome.rs
@@ -32,6 +32,8 @@
     pub role_changes: u64,
     /// Times to the first token, in microseconds.
     pub first_token: Histogram<u64>,
+    /// Times to the last token, in microseconds.
+    pub whole: Histogram<u64>,
     /// Mean times between tokens of each answer, in microseconds.
     pub inter_token: Histogram<u64>,
     /// Second by second.
@@ -49,6 +51,7 @@
             rejected: 0,
             role_changes: 0,
             first_token: histogram(),
+            whole: histogram(),
             inter_token: histogram(),
             timeline: vec![TimePoint::default(); seconds],
         }
--- a/crates/lab/src/emulator/run.rs
+++ b/crates/lab/src/emulator/run.rs
@@ -392,6 +392,11 @@
         progress.done = true;
         let delivered = self.now + self.conditions.link_delay;
         self.outcome.completed += 1;
+        let whole = delivered.since(traced.arrival).as_micros() as u64;
+        self.outcome
+            .whole
+            .record(whole.max(1))
+            .expect("the histogram resizes");
         if let Some(first_token) = progress.first_token {
             let micros = (first_token + self.conditions.link_delay).since(traced.arrival);
             let micros = micros.as_micros() as u64;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod agree;
 pub mod compare;
 pub mod emulator;
 pub mod strategy;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,6 +12,7 @@
 
 USAGE:
   tansyhall-lab compare --workload FILE ...   every strategy on the same traces, side by side
+  tansyhall-lab agree [--load NAME] ...       one trace in real time and through the emulator
 
 `tansyhall-lab COMMAND --help` shows a command's options.
 
@@ -36,6 +37,7 @@
     let command = arguments.subcommand()?;
     match command.as_deref() {
         Some("compare") => tansyhall_lab::compare::command(arguments),
+        Some("agree") => tansyhall_lab::agree::command(arguments),
         Some(other) => bail!("unknown command {other}; see tansyhall-lab --help"),
         None => {
             print!("{HELP}");
--- a/crates/load/src/generator.rs
+++ b/crates/load/src/generator.rs
@@ -27,6 +27,7 @@
 struct Totals {
     summary: Summary,
     first_token: Histogram<u64>,
+    whole: Histogram<u64>,
 }
 
 /// Runs a workload against nodes, in turn, and returns what came of it. `progress` is called about
@@ -37,17 +38,17 @@
     model: &str,
     mut progress: impl FnMut(&Summary),
 ) -> Summary {
-    let first_token =
-        Histogram::new_with_bounds(1, MAX_RECORDED_MS, 3).expect("constant bounds are valid");
+    let times =
+        || Histogram::new_with_bounds(1, MAX_RECORDED_MS, 3).expect("constant bounds are valid");
     let totals = Rc::new(RefCell::new(Totals {
         summary: Summary::default(),
-        first_token,
+        first_token: times(),
+        whole: times(),
     }));
-    let mut random = ChaCha8Rng::seed_from_u64(workload.seed);
     let started = Instant::now();
     let mut reported = Duration::ZERO;
     let mut tasks = Vec::new();
-    for (sequence, (due, shape)) in arrivals(workload, &mut random).into_iter().enumerate() {
+    for (sequence, (due, shape)) in arrivals(workload).into_iter().enumerate() {
         actix_rt::time::sleep(due.saturating_sub(started.elapsed())).await;
         if started.elapsed() >= reported + Duration::from_secs(1) {
             reported = started.elapsed();
@@ -70,16 +71,19 @@
     let mut summary = totals.summary.clone();
     summary.p50_first_token_ms = totals.first_token.value_at_quantile(0.50);
     summary.p95_first_token_ms = totals.first_token.value_at_quantile(0.95);
+    summary.p50_whole_ms = totals.whole.value_at_quantile(0.50);
+    summary.p95_whole_ms = totals.whole.value_at_quantile(0.95);
     summary
 }
 
-/// Poisson arrivals of every phase, in order of time.
-fn arrivals(workload: &Workload, random: &mut ChaCha8Rng) -> Vec<(Duration, RequestShape)> {
+/// Poisson arrivals of every phase, in order of time, each with what is asked.
+pub fn arrivals(workload: &Workload) -> Vec<(Duration, RequestShape)> {
+    let mut random = ChaCha8Rng::seed_from_u64(workload.seed);
     let mut arrivals = Vec::new();
     let mut phase_start = Duration::ZERO;
     for phase in &workload.phases {
         let length = workload.duration.mul_f64(phase.part);
-        phase_arrivals(phase, phase_start, length, random, &mut arrivals);
+        phase_arrivals(phase, phase_start, length, &mut random, &mut arrivals);
         phase_start += length;
     }
     arrivals.sort_by_key(|(due, _)| *due);
@@ -231,7 +235,12 @@
         summary.in_deadline += 1;
     }
     if let Some(first_token) = outcome.first_token {
-        let millis = u64::try_from(first_token.as_millis()).unwrap_or(MAX_RECORDED_MS);
-        totals.first_token.saturating_record(millis.max(1));
+        totals.first_token.saturating_record(millis(first_token));
     }
+    totals.whole.saturating_record(millis(outcome.whole));
+}
+
+fn millis(duration: Duration) -> u64 {
+    let millis = u64::try_from(duration.as_millis()).unwrap_or(MAX_RECORDED_MS);
+    millis.max(1)
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -4,10 +4,12 @@
 
 #![forbid(unsafe_code)]
 
+pub mod fleet;
 pub mod generator;
 pub mod summary;
 pub mod workload;
 
-pub use generator::run;
+pub use fleet::Fleet;
+pub use generator::{arrivals, run};
 pub use summary::Summary;
 pub use workload::{Phase, RequestShape, Workload};
--- a/crates/load/src/summary.rs
+++ b/crates/load/src/summary.rs
@@ -27,6 +27,10 @@
     pub p50_first_token_ms: u64,
     /// 95th percentile of the time to the first token, in milliseconds.
     pub p95_first_token_ms: u64,
+    /// Median time to the last token, in milliseconds.
+    pub p50_whole_ms: u64,
+    /// 95th percentile of the time to the last token, in milliseconds.
+    pub p95_whole_ms: u64,
 }
 
 impl Summary {
@@ -53,6 +57,9 @@
         writeln!(f, "{:<16}{:>9}", "role changes", self.role_changes)?;
         writeln!(f, "first token")?;
         writeln!(f, "{:<16}{:>9} ms", "  median", self.p50_first_token_ms)?;
-        write!(f, "{:<16}{:>9} ms", "  95th", self.p95_first_token_ms)
+        writeln!(f, "{:<16}{:>9} ms", "  95th", self.p95_first_token_ms)?;
+        writeln!(f, "whole answer")?;
+        writeln!(f, "{:<16}{:>9} ms", "  median", self.p50_whole_ms)?;
+        write!(f, "{:<16}{:>9} ms", "  95th", self.p95_whole_ms)
     }
 }
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -56,7 +56,7 @@
 }
 
 /// Names of the built-in workloads.
-pub const NAMES: [&str; 2] = ["mix-shift", "steady"];
+pub const NAMES: [&str; 3] = ["mix-shift", "mix-surge", "steady"];
 
 impl Workload {
     /// A built-in workload by name.
@@ -76,6 +76,21 @@
                     rates: vec![(review(), 8.0), (counter(), 2.0)],
                 },
             ],
+            // The same shifts with many times the requests.
+            "mix-surge" => vec![
+                Phase {
+                    part: 0.3,
+                    rates: vec![(review(), 25.0), (counter(), 60.0)],
+                },
+                Phase {
+                    part: 0.4,
+                    rates: vec![(review(), 5.0), (counter(), 150.0)],
+                },
+                Phase {
+                    part: 0.3,
+                    rates: vec![(review(), 45.0), (counter(), 20.0)],
+                },
+            ],
             "steady" => {
                 vec![Phase {
                     part: 1.0,
--- a/crates/load/tests/summary.rs
+++ b/crates/load/tests/summary.rs
@@ -11,6 +11,8 @@
         role_changes: 2,
         p50_first_token_ms: 12,
         p95_first_token_ms: 340,
+        p50_whole_ms: 290,
+        p95_whole_ms: 1_200,
         ..Summary::default()
     }
 }
@@ -28,7 +30,10 @@
 role changes            2
 first token
   median               12 ms
-  95th                340 ms";
+  95th                340 ms
+whole answer
+  median              290 ms
+  95th               1200 ms";
     assert_eq!(summary().to_string(), expected);
 }
 
--- a/crates/standin/src/engine/runner.rs
+++ b/crates/standin/src/engine/runner.rs
@@ -2,10 +2,11 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_web::web;
 use parking_lot::Mutex;
-use tansyhall_core::RequestId;
+use tansyhall_core::{RequestId, Timestamp};
 use tansyhall_engine_model::{Batch, CostModel, Progress, SubmitError, Work};
 use tokio::sync::{mpsc, Notify};
 
@@ -15,6 +16,9 @@
 /// Progress messages a request may lag behind before it is cancelled.
 const PROGRESS_BUFFER: usize = 65_536;
 
+/// Lateness of timers that is made up for by the next iterations.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(20);
+
 struct Shared {
     batch: Mutex<Batch>,
     listeners: Mutex<HashMap<RequestId, mpsc::Sender<Progress>>>,
@@ -76,18 +80,21 @@
     }
 }
 
-/// Advances the batch for as long as the engine runs.
+/// Advances the batch for as long as the engine runs. An iteration begins when the one before it
+/// was due to end, so that late timers hold up single tokens and do not slow the engine down.
 pub(super) async fn run(engine: web::Data<Engine>) {
     let shared = &engine.runner.shared;
+    let mut due = None;
     loop {
         while_frozen(&engine).await;
-        let now = engine.clock.now();
-        let ends = shared.batch.lock().begin_iteration(now);
+        let begins = begin_at(due, engine.clock.now());
+        let ends = shared.batch.lock().begin_iteration(begins);
+        due = ends;
         let Some(ends) = ends else {
             shared.wake.notified().await;
             continue;
         };
-        actix_rt::time::sleep(ends.since(now)).await;
+        actix_rt::time::sleep(ends.since(engine.clock.now())).await;
         let progress = shared.batch.lock().finish_iteration();
         for step in progress {
             shared.report(step);
@@ -95,6 +102,13 @@
     }
 }
 
+/// When an iteration begins: when the one before it was due to end, unless the engine was held up
+/// for longer than timers are late.
+fn begin_at(due: Option<Timestamp>, now: Timestamp) -> Timestamp {
+    due.filter(|due| now.since(*due) <= MAX_TIMER_DELAY)
+        .unwrap_or(now)
+}
+
 impl Shared {
     /// Sends a request its progress; one that nobody listens to is cancelled.
     fn report(&self, step: Progress) {
