--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod file;
 pub mod problem;
 pub mod resource;
+pub mod routing;
 pub mod settings;
 pub mod syntax;
 pub mod validation;
@@ -18,6 +19,7 @@
     Backend, Policy, Pool, Resource, ResourceKey, ResourceKind, RoleBounds, Service, ServiceKind,
     Site, Tenant,
 };
+pub use routing::RoutingSettings;
 pub use settings::{NodeSettings, SettingsError};
 pub use syntax::locate;
 pub use validation::Programs;
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -9,6 +9,7 @@
 use tansyhall_core::{NodeId, TenantName, ZoneName};
 use tansyhall_policy::Diagnostic;
 
+use crate::routing::RoutingSettings;
 use crate::syntax;
 
 /// Settings that cannot be used.
@@ -72,6 +73,9 @@
     /// Talk with other nodes.
     #[serde(default)]
     pub peer_limits: PeerLimits,
+    /// Routing of completions to engines.
+    #[serde(default)]
+    pub routing: RoutingSettings,
 }
 
 /// What an operator may do.
@@ -270,6 +274,7 @@
         self.validate_names(file)?;
         self.validate_operators(file)?;
         self.validate_limits(file)?;
+        self.validate_routing(file)?;
         self.validate_callers(file)?;
         self.validate_peers(file)?;
         self.validate_authority(file)
@@ -371,6 +376,13 @@
         Ok(())
     }
 
+    fn validate_routing(&self, file: &str) -> Result<(), SettingsError> {
+        match self.routing.zero_setting() {
+            None => Ok(()),
+            Some(key) => require(false, file, key, 0, "more than 0"),
+        }
+    }
+
     fn validate_peers(&self, file: &str) -> Result<(), SettingsError> {
         let peers = &self.peer_limits;
         let shown = humantime_serde::re::humantime::format_duration(peers.probe_period);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -16,6 +16,7 @@
   tansyhall-lab compare --workload FILE ...   every strategy on the same traces, side by side
   tansyhall-lab load ...                      what a node adds to a request, against going straight
   tansyhall-lab soak --seconds N ...          random faults in virtual time against an oracle
+  tansyhall-lab agree [--load NAME] ...       one trace in real time and through the emulator
 
 `tansyhall-lab COMMAND --help` shows a command's options.
 
@@ -42,6 +43,7 @@
         Some("load") => tansyhall_lab::load::command(arguments),
         Some("compare") => tansyhall_lab::compare::command(arguments),
         Some("soak") => soak::run(arguments),
+        Some("agree") => tansyhall_lab::agree::command(arguments),
         Some(other) => bail!("unknown command {other}; see tansyhall-lab --help"),
         None => {
             print!("{HELP}");
--- a/crates/node/src/callers/attempt.rs
+++ b/crates/node/src/callers/attempt.rs
@@ -1,32 +1,35 @@
 //! One request carried through as many attempts as it takes and its verdict allows. A stream that
 //! breaks is resumed at another engine from the tokens already delivered.
 
-use std::future::Future;
+mod connect;
+
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_rt::time::{sleep, timeout};
+use actix_rt::time::sleep;
 use actix_web::http::StatusCode;
 use tansyhall_admission::{BreakerDecision, BreakerEvent};
 use tansyhall_config::Backend;
-use tansyhall_core::{EngineName, ServiceName, Timestamp, Verdict};
+use tansyhall_core::{EngineName, Timestamp, Verdict};
+use tansyhall_engine::blocks::BlockHash;
 use tansyhall_engine::protocol::{EngineChunk, EngineRequest};
 use tansyhall_engine::{EngineClient, EngineError, EngineStream};
 
-use super::choice::{choose, Choice};
 use super::failure::Failure;
 use super::requests::RequestRecord;
-use crate::state::{InFlight, Node};
-
-/// Longest wait before looking again for an engine that accepts work.
-const LOOK_AGAIN: Duration = Duration::from_millis(50);
+use super::watch::watched;
+use crate::dispatch::{InFlight, RequestClass};
+use crate::state::Node;
 
 /// What is known of a request before its first attempt.
 pub struct Plan {
-    /// The service asked.
-    pub service: ServiceName,
+    /// The service asked, and the request's class in its policy.
+    pub class: RequestClass,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// The prompt's blocks, as engines name them in their cache events.
+    pub blocks: Vec<BlockHash>,
     /// Whether the request may be attempted again after it may have run.
     pub repeatable: bool,
     /// When the whole answer is due.
@@ -38,9 +41,26 @@
 struct Attempt {
     stream: EngineStream,
     engine: Backend,
-    _in_flight: InFlight,
+    in_flight: InFlight,
+    /// The engine that generates the answer after this one has prefilled the prompt.
+    decode: Option<Backend>,
+}
+
+/// A request whose prompt is prefilled, on its way to the engine that generates the answer.
+struct HandOver {
+    source: Backend,
+    target: Backend,
 }
 
+/// What was expected of the first attempt.
+struct Expectation {
+    sent: Timestamp,
+    predicted: Duration,
+}
+
+/// Why an engine ended an answer that has as many tokens as it was asked for.
+const FINISHED_BY_LENGTH: &str = "length";
+
 /// A completion under way. Dropping it cancels the work at its engine.
 pub struct Execution {
     node: Arc<Node>,
@@ -53,13 +73,15 @@
     /// The engine that was sent the request and has not answered yet.
     unanswered: Option<SocketAddr>,
     current: Option<Attempt>,
+    hand_over: Option<HandOver>,
+    expectation: Option<Expectation>,
 }
 
 impl Execution {
     /// A completion that has not been sent anywhere yet.
     pub fn new(node: Arc<Node>, client: EngineClient, request: EngineRequest, plan: Plan) -> Self {
         let verdict = Verdict::NotRun {
-            retry_after: node.callers.health.advised_wait(&plan.service),
+            retry_after: node.callers.health.advised_wait(&plan.class.service),
         };
         Self {
             node,
@@ -71,6 +93,8 @@
             excluded: Vec::new(),
             unanswered: None,
             current: None,
+            hand_over: None,
+            expectation: None,
         }
     }
 
@@ -78,33 +102,57 @@
     pub async fn next(&mut self) -> Result<Option<EngineChunk>, Failure> {
         loop {
             let Some(attempt) = &mut self.current else {
-                self.connect().await?;
+                match self.hand_over.take() {
+                    Some(hand_over) => self.continue_at(hand_over).await?,
+                    None => self.connect().await?,
+                }
                 continue;
             };
             let address = attempt.engine.address;
             let stall = self.node.settings.limits.engine_stall;
             let chunk = watched(&self.client, address, stall, attempt.stream.next()).await;
             match chunk {
-                Ok(chunk) => {
-                    self.progressed(chunk.as_ref());
-                    return Ok(chunk);
-                }
+                Ok(chunk) => return Ok(chunk.map(|chunk| self.progressed(chunk))),
                 Err(error) => self.broke_off(&error).await?,
             }
         }
     }
 
-    fn progressed(&mut self, chunk: Option<&EngineChunk>) {
-        let Some(chunk) = chunk else {
-            return;
-        };
+    /// Notes a chunk and returns it as the caller gets it.
+    fn progressed(&mut self, mut chunk: EngineChunk) -> EngineChunk {
         let tokens = chunk.token_index.saturating_add(chunk.tokens);
         self.plan.record.generated(tokens);
-        if chunk.finish_reason.is_none() {
-            return;
+        if let Some(attempt) = &self.current {
+            attempt.in_flight.first_token();
         }
-        if let Some(attempt) = self.current.take() {
-            self.observe(attempt.engine.address, BreakerEvent::Success);
+        let Some(reason) = &chunk.finish_reason else {
+            return chunk;
+        };
+        let Some(attempt) = self.current.take() else {
+            return chunk;
+        };
+        self.observe(attempt.engine.address, BreakerEvent::Success);
+        let whole = reason != FINISHED_BY_LENGTH || tokens >= self.request.max_tokens;
+        match attempt.decode {
+            Some(target) if !whole => {
+                self.request.resume_after = tokens;
+                let source = attempt.engine;
+                self.hand_over = Some(HandOver { source, target });
+                chunk.finish_reason = None;
+            }
+            _ => self.completed(tokens),
+        }
+        chunk
+    }
+
+    /// Learns from a whole answer.
+    fn completed(&mut self, tokens: u32) {
+        let lengths = &self.node.dispatch.lengths;
+        lengths.learn(&self.plan.class, tokens);
+        if let Some(expectation) = self.expectation.take() {
+            let actual = self.node.clock.now().since(expectation.sent);
+            let ratio = actual.as_secs_f64() / expectation.predicted.as_secs_f64();
+            self.node.metrics.prediction_ratio.observe(ratio);
         }
     }
 
@@ -114,100 +162,13 @@
             return Ok(());
         };
         self.request.resume_after = attempt.stream.next_token();
+        self.expectation = None;
         self.cancel_at(attempt.engine.address);
         self.attempt_failed(&attempt.engine, error).await?;
         self.node.metrics.resumed.inc();
         Ok(())
     }
 
-    async fn connect(&mut self) -> Result<(), Failure> {
-        loop {
-            let (engine, in_flight) = self.next_engine().await?;
-            self.attempts += 1;
-            self.plan.record.attempted();
-            self.unanswered = Some(engine.address);
-            let answer = self.send_to(&engine).await;
-            self.unanswered = None;
-            match answer? {
-                Ok(stream) => {
-                    self.verdict = self.verdict.after_attempt(Verdict::MayHaveRun);
-                    self.current = Some(Attempt {
-                        stream,
-                        engine,
-                        _in_flight: in_flight,
-                    });
-                    return Ok(());
-                }
-                Err(error) => self.attempt_failed(&engine, &error).await?,
-            }
-        }
-    }
-
-    /// Waits for an engine that accepts work, until the deadline.
-    async fn next_engine(&mut self) -> Result<(Backend, InFlight), Failure> {
-        loop {
-            if self.verdict != Verdict::MayHaveRun {
-                self.check_deadline()?;
-            }
-            match self.choose()? {
-                Choice::Attempt(engine, in_flight) => {
-                    let admitted = self.observe(engine.address, BreakerEvent::Attempt);
-                    if admitted == BreakerDecision::Admit {
-                        return Ok((engine, in_flight));
-                    }
-                }
-                Choice::Wait => {
-                    self.check_deadline()?;
-                    sleep(LOOK_AGAIN.min(self.remaining())).await;
-                }
-            }
-        }
-    }
-
-    fn choose(&self) -> Result<Choice, Failure> {
-        let model = &self.request.model;
-        choose(&self.node, model, &self.excluded).map_err(|error| {
-            let failure = error.failure(model, self.advised_wait());
-            self.failure(failure.status, failure.message, failure.verdict)
-        })
-    }
-
-    /// Fails a request whose deadline has passed while no engine holds it.
-    fn check_deadline(&self) -> Result<(), Failure> {
-        if !self.remaining().is_zero() {
-            return Ok(());
-        }
-        let not_run = Verdict::NotRun {
-            retry_after: self.advised_wait(),
-        };
-        let message = "the deadline passed before an engine accepted the request".to_owned();
-        Err(self.failure(StatusCode::GATEWAY_TIMEOUT, message, not_run))
-    }
-
-    /// Sends the request to an engine. The outer error is that the deadline passed first.
-    async fn send_to(
-        &mut self,
-        engine: &Backend,
-    ) -> Result<Result<EngineStream, EngineError>, Failure> {
-        let stall = self.node.settings.limits.engine_stall;
-        let call = self.client.complete(engine.address, &self.request);
-        let call = watched(&self.client, engine.address, stall, call);
-        if self.verdict == Verdict::MayHaveRun {
-            // Part of the answer may be with the caller: it is late now, and still wanted.
-            return Ok(call.await);
-        }
-        let remaining = self.remaining();
-        let Ok(result) = timeout(remaining, call).await else {
-            // The engine holds the request unanswered, and may yet run it.
-            self.cancel_at(engine.address);
-            self.observe(engine.address, BreakerEvent::Failure);
-            self.verdict = Verdict::MayHaveRun;
-            let message = "the deadline passed before an engine answered";
-            return Err(Failure::may_have_run(StatusCode::GATEWAY_TIMEOUT, message));
-        };
-        Ok(result)
-    }
-
     /// Records a failed attempt and waits before the next; an error ends the request.
     async fn attempt_failed(
         &mut self,
@@ -284,7 +245,10 @@
     }
 
     fn advised_wait(&self) -> Duration {
-        self.node.callers.health.advised_wait(&self.plan.service)
+        self.node
+            .callers
+            .health
+            .advised_wait(&self.plan.class.service)
     }
 
     fn observe(&self, address: SocketAddr, event: BreakerEvent) -> BreakerDecision {
@@ -327,26 +291,3 @@
         Verdict::Completed | Verdict::MayHaveRun => StatusCode::BAD_GATEWAY,
     }
 }
-
-/// Awaits an engine's answer. Whenever nothing has come for the time `stall`, the engine is asked
-/// for its state; if it does not answer that either, the attempt is broken off.
-async fn watched<T>(
-    client: &EngineClient,
-    address: SocketAddr,
-    stall: Duration,
-    answer: impl Future<Output = Result<T, EngineError>>,
-) -> Result<T, EngineError> {
-    let mut answer = pin!(answer);
-    loop {
-        if let Ok(result) = timeout(stall, answer.as_mut()).await {
-            return result;
-        }
-        tokio::select! {
-            biased;
-            result = answer.as_mut() => return result,
-            state = client.state(address) => {
-                state.map_err(|error| EngineError::Broken(format!("a silent engine: {error}")))?;
-            }
-        }
-    }
-}
--- a/crates/node/src/callers/completion.rs
+++ b/crates/node/src/callers/completion.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use tansyhall_core::Verdict;
+use tansyhall_engine::blocks::block_hashes;
 use tansyhall_engine::protocol::{EngineRequest, Prompt};
 use tansyhall_engine::EngineClient;
 use tokio::sync::{mpsc, oneshot};
@@ -19,6 +20,7 @@
 use super::failure::{answer_with, Failure, REQUEST_ID_HEADER};
 use super::requests::{status_path, AnswerSlot, Ending, RequestRecord};
 use super::shape::{Shape, DEFAULT_MAX_TOKENS};
+use crate::dispatch::RequestClass;
 use crate::state::Node;
 
 /// How often a stream says how its request stands while nothing else arrives.
@@ -96,8 +98,15 @@
         priority: terms.priority,
         resume_after: 0,
     };
+    let prompt = engine_request.prompt.flattened();
+    let blocks = block_hashes(engine_request.model.as_str(), &prompt);
     let plan = Plan {
-        service: terms.service,
+        class: RequestClass {
+            service: terms.service,
+            class: terms.class,
+        },
+        prompt_tokens: terms.prompt_tokens,
+        blocks,
         repeatable: terms.repeatable,
         deadline: terms.deadline,
         record: Arc::clone(record),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,7 +1,9 @@
 //! Counters of a node, in Prometheus text form.
 
 use crate::peers::PeerMetrics;
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 
 /// Every counter and gauge of a node.
 pub struct Metrics {
@@ -52,8 +54,19 @@
     pub platform_errors: IntCounter,
     /// What passes between nodes.
     pub peers: PeerMetrics,
+    /// Choices of engines for completions, by placement or refusal.
+    pub choices: IntCounterVec,
+    /// Actual over predicted time of answers that were not interrupted.
+    pub prediction_ratio: Histogram,
+    /// KV caches handed from prefill to decode engines, by outcome.
+    pub kv_transfers: IntCounterVec,
+    /// Load reports of engines, by outcome.
+    pub load_reports: IntCounterVec,
 }
 
+/// Upper ends of the buckets of [`Metrics::prediction_ratio`].
+const RATIO_BUCKETS: [f64; 10] = [0.25, 0.5, 0.75, 0.9, 1.0, 1.1, 1.33, 2.0, 4.0, 8.0];
+
 impl Metrics {
     /// Registers every metric.
     pub fn new() -> Result<Self, prometheus::Error> {
@@ -73,6 +86,12 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
+        let ratio = HistogramOpts::new(
+            "tansyhall_prediction_ratio",
+            "Actual over predicted time of whole answers",
+        );
+        let prediction_ratio = Histogram::with_opts(ratio.buckets(RATIO_BUCKETS.to_vec()))?;
+        registry.register(Box::new(prediction_ratio.clone()))?;
         Ok(Self {
             requests: counters("tansyhall_requests_total", "Requests by verdict", "verdict")?,
             attempts: counters("tansyhall_attempts_total", "Attempts by outcome", "outcome")?,
@@ -123,6 +142,22 @@
             rollouts_stopped: counter("tansyhall_rollouts_stopped_total", "Rollouts stopped")?,
             platform_errors: counter("tansyhall_platform_errors_total", "Failed platform calls")?,
             peers: PeerMetrics::register(&registry)?,
+            choices: counters(
+                "tansyhall_choices_total",
+                "Choices of engines, by placement or refusal",
+                "choice",
+            )?,
+            prediction_ratio,
+            kv_transfers: counters(
+                "tansyhall_kv_transfers_total",
+                "KV caches handed between engines, by outcome",
+                "outcome",
+            )?,
+            load_reports: counters(
+                "tansyhall_load_reports_total",
+                "Load reports of engines, by outcome",
+                "outcome",
+            )?,
             registry,
         })
     }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -15,6 +15,7 @@
 
 use crate::authority::{AuthorityKeeper, Release};
 use crate::configuration::{ConfigurationStore, ConfigurationWatcher};
+use crate::dispatch::LoadFollower;
 use crate::peers::{Leave, PeerTransport, PeersActor};
 use crate::state::Node;
 use crate::{admin, callers};
@@ -58,6 +59,7 @@
         actix_rt::spawn(server);
     }
     callers::start_sweeping(Arc::clone(&node));
+    LoadFollower::new(Arc::clone(&node)).start();
     let store = EtcdStore::new(platform, timeout).with_limit(limit);
     let addresses = MemberAddresses {
         peers: peers_address,
