tansyhall-lab scale: nodes with authority over hollow engines, faults, several sizes

Cause: the scale run had no engines and no authority, did not count the calls to the platform and left the list of machines out, so what a node spends on control could not be told. Its memory was that of the stand-in as well, and it was a program of its own beside tansyhall-lab.

Ruled out: the stand-in engines of the tests, each a server with a thread of its own; 630 of them do not fit one process. Hollow engines share one server and are told apart by port.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,8 @@
 
 #![forbid(unsafe_code)]
 
+mod scale;
+mod scale_report;
 mod soak;
 
 use std::process::ExitCode;
@@ -15,6 +17,7 @@
 USAGE:
   tansyhall-lab compare --workload FILE ...   every strategy on the same traces, side by side
   tansyhall-lab load ...                      what a node adds to a request, against going straight
+  tansyhall-lab scale --nodes N ...           hollow nodes over sockets and what they cost
   tansyhall-lab soak --seconds N ...          random faults in virtual time against an oracle
 
 `tansyhall-lab COMMAND --help` shows a command's options.
@@ -41,6 +44,7 @@
     match command.as_deref() {
         Some("load") => tansyhall_lab::load::command(arguments),
         Some("compare") => tansyhall_lab::compare::command(arguments),
+        Some("scale") => scale::run(arguments),
         Some("soak") => soak::run(arguments),
         Some(other) => bail!("unknown command {other}; see tansyhall-lab --help"),
         None => {
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -1,142 +1,210 @@
 //! The steps of a scale run.
 
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
-use anyhow::{bail, Context, Result};
-use tansyhall_config::{Resource, ResourceKind};
-use tansyhall_node::configuration::{Author, Change, ConfigurationStore, Precondition};
+use anyhow::{bail, Result};
 use tansyhall_platform::EtcdStore;
 
+use crate::cost;
 use crate::fleet::{Fleet, HollowNode};
-use crate::options::ScaleOptions;
+use crate::holders::{self, Holder};
+use crate::options::{Fault, ScaleOptions};
 use crate::report::{PerNode, ScaleReport};
+use crate::resources;
+use crate::stand_ins::StandIns;
 use crate::usage;
 
 /// Time between looks at a condition, which bounds how exact the times are.
 const POLL: Duration = Duration::from_millis(5);
 /// Longest wait for the platform's answer to the harness.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which the nodes of a restart storm are away.
+const RESTART_PAUSE: Duration = Duration::from_secs(1);
+
+/// What followed a death.
+#[derive(Default)]
+struct Aftermath {
+    detect: Option<PerNode>,
+    takeover: Option<PerNode>,
+    rejoin: Option<PerNode>,
+}
 
 /// Runs hollow nodes and reports what they cost and how fast they are.
 pub async fn run(options: ScaleOptions) -> Result<ScaleReport> {
+    let stand_ins = StandIns::start(options.stand_ins.as_deref(), options.workers)?;
+    let engines = &stand_ins.addresses.engines;
+    let store = EtcdStore::new(stand_ins.addresses.platform, PLATFORM_TIMEOUT);
+    resources::fill(&store, &options, engines).await?;
     let memory_before = usage::resident_megabytes()?;
-    let fleet = Fleet::start(&options).await?;
+    let mut fleet = Fleet::start(&options, &stand_ins.addresses).await?;
     let started = Instant::now();
-    let sizes = zone_sizes(&options);
-    let knows_zone = |hollow: &HollowNode| alive(hollow) == sizes[hollow.zone];
-    let joined = when_each(&options, &fleet.nodes, started, knows_zone).await?;
-    change(&fleet, "first").await?;
+    let joined = when_each(&options, fleet.running(), started, knows_zone(&options)).await?;
     actix_rt::time::sleep(options.warm_up).await;
-    let cost = measure(&options, &fleet).await?;
+    let held = holders::read(&store).await?;
+    let pools_held = held.len();
+    let mut aftermath = Aftermath::default();
+    let watch = bring_about(&options, &mut fleet, &store, held, &mut aftermath).await?;
+    let cost = cost::measure(&options, &fleet, engines.first().copied()).await?;
     let memory = usage::resident_megabytes()? - memory_before;
-    let config_in_force_ms = measure_change(&options, &fleet).await?;
-    let detect_ms = measure_detection(&options, &fleet).await?;
+    let config_in_force_ms = measure_change(&options, &fleet, &store).await?;
+    match watch {
+        Some(watch) => aftermath.takeover = PerNode::of(&watch.await??),
+        None if options.fault == Fault::None => {
+            aftermath = kill_one(&options, &mut fleet, &store).await?;
+        }
+        None => {}
+    }
     Ok(ScaleReport {
         nodes: options.nodes,
+        authority_nodes: fleet.nodes.iter().filter(|node| node.authority).count(),
+        workers: options.workers,
         zones: options.zones,
-        join_ms: joined.into_iter().fold(0.0, f64::max) as u64,
-        control_bytes_per_s: cost.bytes_per_second,
-        control_cpu_percent: cost.cpu_percent,
+        pools_held,
+        tenants: options.tenants,
+        fault: options.fault.name().to_owned(),
+        join_ms: joined.into_iter().fold(0.0, f64::max),
+        control_bytes_per_s: cost.control_bytes,
+        peer_bytes_per_s: cost.peer_bytes,
+        platform_bytes_per_s: cost.platform_bytes,
+        engine_bytes_per_s: cost.engine_bytes,
+        engine_calls_per_s: cost.engine_calls,
+        control_cpu_percent: cost.authority_cpu_percent,
+        member_cpu_percent: cost.member_cpu_percent,
         memory_mb: memory / options.nodes as f64,
-        store_ops_per_s: cost.store_ops_per_second,
+        store_ops_per_s: cost.platform_calls,
         config_in_force_ms,
-        detect_ms,
+        detect_ms: aftermath.detect,
+        takeover_ms: aftermath.takeover,
+        rejoin_ms: aftermath.rejoin,
     })
 }
 
-struct Cost {
-    bytes_per_second: PerNode,
-    cpu_percent: f64,
-    store_ops_per_second: f64,
-}
+/// A watch of the pools that dead nodes held.
+type Takeovers = actix_rt::task::JoinHandle<Result<Vec<f64>>>;
 
-async fn measure(options: &ScaleOptions, fleet: &Fleet) -> Result<Cost> {
-    let bytes = || -> Vec<u64> {
-        let nodes = fleet.nodes.iter();
-        nodes
-            .map(|it| it.node.metrics.peers.total_bytes())
-            .collect()
-    };
-    let calls_before = fleet.platform_calls().await?;
-    let cpu_before = usage::node_cpu_seconds()?;
-    let bytes_before = bytes();
-    let started = Instant::now();
-    actix_rt::time::sleep(options.duration).await;
-    let bytes_after = bytes();
-    let cpu_after = usage::node_cpu_seconds()?;
-    let seconds = started.elapsed().as_secs_f64();
-    let calls_after = fleet.platform_calls().await?;
-    let per_second: Vec<f64> = bytes_after
-        .iter()
-        .zip(&bytes_before)
-        .map(|(after, before)| (after - before) as f64 / seconds)
-        .collect();
-    let cpu_share = (cpu_after - cpu_before) / seconds;
-    Ok(Cost {
-        bytes_per_second: PerNode::of(&per_second),
-        cpu_percent: cpu_share * 100.0 / options.nodes as f64,
-        store_ops_per_second: (calls_after - calls_before) as f64 / seconds,
-    })
+/// Brings the fault about. Returns a watch of the pools that can have another holder after it.
+async fn bring_about(
+    options: &ScaleOptions,
+    fleet: &mut Fleet,
+    store: &EtcdStore,
+    held: HashMap<String, Holder>,
+    aftermath: &mut Aftermath,
+) -> Result<Option<Takeovers>> {
+    match options.fault {
+        Fault::None => Ok(None),
+        Fault::Zone => {
+            let in_zone = |index: &usize| fleet.nodes[*index].zone == 0;
+            let nodes: Vec<usize> = (0..fleet.nodes.len()).filter(in_zone).collect();
+            fleet.kill(&nodes);
+            Ok(None)
+        }
+        Fault::RestartStorm => {
+            let nodes = fleet.victims();
+            let watch = watch_takeovers(options, fleet, store, held, &nodes);
+            fleet.kill(&nodes);
+            let killed = Instant::now();
+            actix_rt::time::sleep(RESTART_PAUSE).await;
+            fleet.restart(options, &nodes).await?;
+            let rejoined = rejoined(fleet, &nodes);
+            let times = when_each(options, fleet.running(), killed, rejoined).await?;
+            aftermath.rejoin = PerNode::of(&times);
+            Ok(Some(watch))
+        }
+    }
 }
 
-async fn measure_change(options: &ScaleOptions, fleet: &Fleet) -> Result<PerNode> {
-    let revision = change(fleet, "second").await?;
-    let accepted = Instant::now();
-    let has_it = |it: &HollowNode| it.node.in_force.load().configuration.revision >= revision;
-    let times = when_each(options, &fleet.nodes, accepted, has_it).await?;
-    Ok(PerNode::of(&times))
+fn watch_takeovers(
+    options: &ScaleOptions,
+    fleet: &Fleet,
+    store: &EtcdStore,
+    held: HashMap<String, Holder>,
+    nodes: &[usize],
+) -> Takeovers {
+    let name = |index: &usize| fleet.nodes[*index].node.settings.name.to_string();
+    let killed: HashSet<String> = nodes.iter().map(name).collect();
+    actix_rt::spawn(holders::takeovers(
+        store.clone(),
+        held,
+        killed,
+        options.patience,
+    ))
 }
 
-async fn measure_detection(options: &ScaleOptions, fleet: &Fleet) -> Result<PerNode> {
-    let victim = &fleet.nodes[0];
-    fleet.kill_first();
+/// Kills the node that holds the most pools, of those that can die alone.
+async fn kill_one(
+    options: &ScaleOptions,
+    fleet: &mut Fleet,
+    store: &EtcdStore,
+) -> Result<Aftermath> {
+    let held = holders::read(store).await?;
+    let pools = |index: &usize| {
+        let name = &fleet.nodes[*index].node.settings.name;
+        held.values().filter(|it| it.node == name.as_str()).count()
+    };
+    let Some(victim) = fleet.victims().into_iter().max_by_key(pools) else {
+        bail!("no node can die alone");
+    };
+    let watch = watch_takeovers(options, fleet, store, held, &[victim]);
+    fleet.kill(&[victim]);
     let killed = Instant::now();
-    let name = &victim.node.settings.name;
+    let name = fleet.nodes[victim].node.settings.name.clone();
+    let zone = fleet.nodes[victim].zone;
     let sees_death = |hollow: &HollowNode| {
         let snapshot = hollow.node.peers.snapshot();
         let mut members = snapshot.members.iter();
-        members.any(|member| member.name == *name && member.state == "dead")
+        members.any(|member| member.name == name && member.state == "dead")
     };
-    let neighbours = fleet.nodes.iter().skip(1);
-    let neighbours = neighbours.filter(|hollow| hollow.zone == victim.zone);
+    let neighbours = fleet.running().filter(|hollow| hollow.zone == zone);
     let times = when_each(options, neighbours, killed, sees_death).await?;
-    Ok(PerNode::of(&times))
+    Ok(Aftermath {
+        detect: PerNode::of(&times),
+        takeover: PerNode::of(&watch.await??),
+        rejoin: None,
+    })
 }
 
-/// Makes a change of one site and returns the store's revision.
-async fn change(fleet: &Fleet, site: &str) -> Result<u64> {
-    let body = format!(r#"{{"name":"{site}","region":"scale","zones":["{site}-zone"]}}"#);
-    let resource = Resource::from_json(ResourceKind::Site, body.as_bytes())?;
-    let change = Change {
-        key: resource.key(),
-        resource: Some(resource),
-        precondition: Precondition::None,
-    };
-    let store = EtcdStore::new(fleet.platform, PLATFORM_TIMEOUT);
-    let store = ConfigurationStore::new(store);
-    let author = Author {
-        account: "scale".into(),
-        tenant: None,
-    };
-    let committed = store.change(&author, &[change]).await?;
-    let revision = committed
-        .revision
-        .context("the change's own revision is not known")?;
-    Ok(revision.0)
+async fn measure_change(
+    options: &ScaleOptions,
+    fleet: &Fleet,
+    store: &EtcdStore,
+) -> Result<Option<PerNode>> {
+    let revision = resources::change_one(store).await?;
+    let accepted = Instant::now();
+    let has_it = |it: &HollowNode| it.node.in_force.load().configuration.revision >= revision;
+    let times = when_each(options, fleet.running(), accepted, has_it).await?;
+    Ok(PerNode::of(&times))
 }
 
-fn zone_sizes(options: &ScaleOptions) -> Vec<usize> {
+/// Whether a node has every member of its zone as alive.
+fn knows_zone(options: &ScaleOptions) -> impl Fn(&HollowNode) -> bool {
     let mut sizes = vec![0; options.zones];
     for index in 0..options.nodes {
         sizes[index % options.zones] += 1;
     }
-    sizes
+    move |hollow| {
+        let snapshot = hollow.node.peers.snapshot();
+        let members = snapshot.members.iter();
+        let alive = members.filter(|member| member.state == "alive").count();
+        alive == sizes[hollow.zone]
+    }
 }
 
-fn alive(hollow: &HollowNode) -> usize {
-    let snapshot = hollow.node.peers.snapshot();
-    let members = snapshot.members.iter();
-    members.filter(|member| member.state == "alive").count()
+/// Whether a node has the restarted members of its zone as alive where they are now.
+fn rejoined(fleet: &Fleet, nodes: &[usize]) -> impl Fn(&HollowNode) -> bool {
+    let expected: Vec<_> = nodes
+        .iter()
+        .map(|index| &fleet.nodes[*index])
+        .map(|it| (it.zone, it.node.settings.name.clone(), it.peers))
+        .collect();
+    move |hollow| {
+        let snapshot = hollow.node.peers.snapshot();
+        let mut expected = expected.iter().filter(|(zone, _, _)| *zone == hollow.zone);
+        expected.all(|(_, name, peers)| {
+            let mut members = snapshot.members.iter();
+            members.any(|it| it.name == *name && it.peers == *peers && it.state == "alive")
+        })
+    }
 }
 
 /// Milliseconds from `start` until the condition first held, for each node.
--- a/crates/scale/src/usage.rs
+++ b/crates/scale/src/usage.rs
@@ -1,22 +1,26 @@
-//! Processor time and memory of this process, from `/proc`.
+//! Processor time of threads and memory of this process, from `/proc`.
 
 use anyhow::{Context, Result};
 
-/// How the threads that run hollow nodes are named, as far as the system keeps a thread's name.
-const NODE_THREAD: &str = "actix-rt|system";
 const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
 
-/// Processor time that the threads of hollow nodes have used so far, in seconds.
-pub(crate) fn node_cpu_seconds() -> Result<f64> {
-    let process = procfs::process::Process::myself()?;
-    let mut ticks = 0;
-    for task in process.tasks()? {
-        let stat = task?.stat()?;
-        if stat.comm.starts_with(NODE_THREAD) {
-            ticks += stat.utime + stat.stime;
-        }
-    }
-    Ok(ticks as f64 / procfs::ticks_per_second() as f64)
+/// A thread of this process, as the system numbers it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) struct ThreadId(i32);
+
+/// The calling thread.
+pub(crate) fn this_thread() -> Result<ThreadId> {
+    let link = std::fs::read_link("/proc/thread-self")?;
+    let name = link.file_name().and_then(|name| name.to_str());
+    Ok(ThreadId(name.context("no thread in /proc")?.parse()?))
+}
+
+/// Processor time that a thread has used so far, in seconds; absent if it has ended.
+pub(crate) fn cpu_seconds(thread: ThreadId) -> Option<f64> {
+    let process = procfs::process::Process::myself().ok()?;
+    let stat = process.task_from_tid(thread.0).ok()?.stat().ok()?;
+    let ticks = stat.utime + stat.stime;
+    Some(ticks as f64 / procfs::ticks_per_second() as f64)
 }
 
 /// Resident memory of the whole process, in megabytes.
