Scale run: a restart storm's costs begin with the restart, not with its end

Cause: the run waited until every restarted node was back before it began to measure, so that the costs of coming back were left out.

Ruled out: one measurement for before and after; the counters of a restarted node begin anew.

Change: the measurement and the wait for the nodes to be back run at the same time. The small test measures for 3 s instead of 1 s: since claims are watched, nodes that started together call the platform only when they renew their leases, every 2 s and all at once, and a window of 1 s saw no call (the test failed so, twice). It asks for the same figures as before.

--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -27,7 +27,6 @@
 struct Aftermath {
     detect: Option<PerNode>,
     takeover: Option<PerNode>,
-    rejoin: Option<PerNode>,
 }
 
 /// Runs hollow nodes and reports what they cost and how fast they are.
@@ -43,18 +42,21 @@
     actix_rt::time::sleep(options.warm_up).await;
     let held = holders::read(&store).await?;
     let pools_held = held.len();
-    let mut aftermath = Aftermath::default();
-    let watch = bring_about(&options, &mut fleet, &store, held, &mut aftermath).await?;
-    let cost = cost::measure(&options, &fleet, engines.first().copied()).await?;
+    let killed = Instant::now();
+    let struck = bring_about(&options, &mut fleet, &store, held).await?;
+    let (cost, rejoin) = tokio::join!(
+        cost::measure(&options, &fleet, engines.first().copied()),
+        when_each(
+            &options,
+            fleet.running(),
+            killed,
+            rejoined(&fleet, &struck.restarted)
+        ),
+    );
+    let (cost, rejoin) = (cost?, rejoin?);
     let memory = usage::resident_megabytes()? - memory_before;
     let config_in_force_ms = measure_change(&options, &fleet, &store).await?;
-    match watch {
-        Some(watch) => aftermath.takeover = PerNode::of(&watch.await??),
-        None if options.fault == Fault::None => {
-            aftermath = kill_one(&options, &mut fleet, &store).await?;
-        }
-        None => {}
-    }
+    let aftermath = aftermath(&options, &mut fleet, &store, struck.takeovers).await?;
     Ok(ScaleReport {
         nodes: options.nodes,
         authority_nodes: fleet.nodes.iter().filter(|node| node.authority).count(),
@@ -76,44 +78,70 @@
         config_in_force_ms,
         detect_ms: aftermath.detect,
         takeover_ms: aftermath.takeover,
-        rejoin_ms: aftermath.rejoin,
+        rejoin_ms: PerNode::of(&rejoin).filter(|_| !struck.restarted.is_empty()),
     })
 }
 
 /// A watch of the pools that dead nodes held.
 type Takeovers = actix_rt::task::JoinHandle<Result<Vec<f64>>>;
 
-/// Brings the fault about. Returns a watch of the pools that can have another holder after it.
+/// What a fault has left behind.
+#[derive(Default)]
+struct Struck {
+    /// Nodes that were started again.
+    restarted: Vec<usize>,
+    /// The watch, if the pools can have other holders.
+    takeovers: Option<Takeovers>,
+}
+
+/// Brings the fault about.
 async fn bring_about(
     options: &ScaleOptions,
     fleet: &mut Fleet,
     store: &EtcdStore,
     held: HashMap<String, Holder>,
-    aftermath: &mut Aftermath,
-) -> Result<Option<Takeovers>> {
+) -> Result<Struck> {
     match options.fault {
-        Fault::None => Ok(None),
+        Fault::None => Ok(Struck::default()),
         Fault::Zone => {
             let in_zone = |index: &usize| fleet.nodes[*index].zone == 0;
             let nodes: Vec<usize> = (0..fleet.nodes.len()).filter(in_zone).collect();
             fleet.kill(&nodes);
-            Ok(None)
+            Ok(Struck::default())
         }
         Fault::RestartStorm => {
             let nodes = fleet.victims();
             let watch = watch_takeovers(options, fleet, store, held, &nodes);
             fleet.kill(&nodes);
-            let killed = Instant::now();
             actix_rt::time::sleep(RESTART_PAUSE).await;
             fleet.restart(options, &nodes).await?;
-            let rejoined = rejoined(fleet, &nodes);
-            let times = when_each(options, fleet.running(), killed, rejoined).await?;
-            aftermath.rejoin = PerNode::of(&times);
-            Ok(Some(watch))
+            Ok(Struck {
+                restarted: nodes,
+                takeovers: Some(watch),
+            })
         }
     }
 }
 
+/// Waits for what the fault began to end, or kills one node if there was no fault.
+async fn aftermath(
+    options: &ScaleOptions,
+    fleet: &mut Fleet,
+    store: &EtcdStore,
+    takeovers: Option<Takeovers>,
+) -> Result<Aftermath> {
+    if let Some(watch) = takeovers {
+        return Ok(Aftermath {
+            detect: None,
+            takeover: PerNode::of(&watch.await??),
+        });
+    }
+    if options.fault == Fault::None {
+        return kill_one(options, fleet, store).await;
+    }
+    Ok(Aftermath::default())
+}
+
 fn watch_takeovers(
     options: &ScaleOptions,
     fleet: &Fleet,
@@ -160,7 +188,6 @@
     Ok(Aftermath {
         detect: PerNode::of(&times),
         takeover: PerNode::of(&watch.await??),
-        rejoin: None,
     })
 }
 
--- a/crates/scale/tests/small.rs
+++ b/crates/scale/tests/small.rs
@@ -4,6 +4,10 @@
 
 use tansyhall_scale::{run, Fault, ScaleOptions};
 
+/// Longer than the time between two renewals of a lease: nodes that started together renew together,
+/// and a shorter measurement may see no call to the platform at all.
+const MEASUREMENT: Duration = Duration::from_secs(3);
+
 fn small() -> ScaleOptions {
     ScaleOptions {
         nodes: 12,
@@ -12,7 +16,7 @@
         models: 2,
         tenants: 3,
         warm_up: Duration::from_secs(2),
-        duration: Duration::from_secs(1),
+        duration: MEASUREMENT,
         ..ScaleOptions::default()
     }
 }
