Recovery: a node that holds nothing asks one member at a time

Cause: a node that has just started asked four members of its zone at once, and one more that it had heard of, and while it held nothing each answered with the whole configuration. After 35 of 320 nodes restarted at once, the busiest node had 6,833 bytes a second to and from its peers over 30 s, above the 3 KB/s for control.

Ruled out: the start of all nodes as the cause, by waiting 120 s before the restarts. Not asking the members heard of; with the store away and a first member that is recovering itself they are the quickest way.

Change: one member is asked until something is held, then four at a time. Members never asked come first, since one that is recovering itself is due again at once and would keep the others from being asked. With the store away and the first member frozen a start takes up to one pull timeout (2 s) longer.

Tests: dissemination 9 passed, one of them new; configuration_spread 5 and membership_processes 5 passed.

--- a/crates/dissemination/src/recovery.rs
+++ b/crates/dissemination/src/recovery.rs
@@ -44,7 +44,8 @@
         self.store_revision = Some(revision);
     }
 
-    /// Peers to ask now.
+    /// Peers to ask now, those first that have never been asked: one that is recovering itself is
+    /// due again at once, and must not keep the others from being asked.
     pub(crate) fn next_inquiries(
         &mut self,
         now: Timestamp,
@@ -60,8 +61,10 @@
             Some(Inquiry::Pending(until)) | Some(Inquiry::Failed(until)) => *until <= now,
             Some(Inquiry::Answered(_)) => false,
         };
-        let due = neighbours.iter().filter(is_due);
+        let mut due: Vec<&Peer> = neighbours.iter().filter(is_due).collect();
+        due.sort_by_key(|peer| self.inquiries.contains_key(&peer.name));
         let asked: Vec<Peer> = due
+            .into_iter()
             .take(parallelism.saturating_sub(in_progress))
             .cloned()
             .collect();
--- a/crates/dissemination/src/spread.rs
+++ b/crates/dissemination/src/spread.rs
@@ -12,6 +12,10 @@
 use crate::recovery::Recovery;
 use crate::settings::SpreadSettings;
 
+/// Peers that a node asks at once while it holds nothing: each answers with everything, so that one
+/// is enough. The others then answer with what is newer than that, which is mostly nothing.
+const PARALLELISM_WITH_NOTHING_HELD: usize = 1;
+
 /// Told to others as long as the revision in force was never confirmed; some hundred years.
 const UNKNOWN_AGE: Duration = Duration::from_secs(u32::MAX as u64);
 
@@ -283,7 +287,10 @@
         let Some(recovery) = &mut self.recovery else {
             return Vec::new();
         };
-        let parallelism = self.settings.recovery_parallelism;
+        let parallelism = match self.held {
+            0 => PARALLELISM_WITH_NOTHING_HELD,
+            _ => self.settings.recovery_parallelism,
+        };
         let timeout = self.settings.pull_timeout;
         let asked = recovery.next_inquiries(now, &self.view.neighbours, parallelism, timeout);
         let held_revision = self.held;
--- a/crates/dissemination/tests/spread.rs
+++ b/crates/dissemination/tests/spread.rs
@@ -319,3 +319,40 @@
         zone.run_until(|zone| zone.all_have(newest));
     }
 }
+
+/// Peers that a step asks, with the revision that each is told is held.
+fn pulls(actions: &[Action]) -> Vec<(Peer, u64)> {
+    let pull = |action: &Action| match action {
+        Action::Pull {
+            peer,
+            held_revision,
+        } => Some((peer.clone(), *held_revision)),
+        _ => None,
+    };
+    actions.iter().filter_map(pull).collect()
+}
+
+#[test]
+fn a_node_that_holds_nothing_asks_one_peer_at_a_time_and_another_after_each() {
+    let mut node = Spread::new(SpreadSettings::default(), 1);
+    let view = View {
+        is_watcher: false,
+        is_settled: true,
+        neighbours: (1..7).map(peer).collect(),
+    };
+    let mark = |revision| Mark {
+        revision,
+        confirmation_age: Duration::ZERO,
+    };
+    let now = Timestamp::from_millis(1_000);
+    let first = pulls(&node.tick(now, view.clone()));
+    assert_eq!(first, [(peer(1), 0)]);
+    // The first is recovering itself.
+    node.pulled(now, &peer(1), PullOutcome::Held(mark(0)));
+    let second = pulls(&node.tick(now, view.clone()));
+    assert_eq!(second, [(peer(2), 0)]);
+    node.pulled(now, &peer(2), PullOutcome::Held(mark(5)));
+    let rest = pulls(&node.tick(now, view));
+    assert_eq!(rest.len(), SpreadSettings::default().recovery_parallelism);
+    assert!(rest.iter().all(|(_, held_revision)| *held_revision == 5));
+}
