Requests that are not repeatable are recorded on replicas before they run

Cause: the at-most-once records were state machines that no node ran. A key was known only to the node that had been asked, so a second try through another node, or after a restart, ran again. The status of a request was known only at its serving node.

Ruled out: a record in the store for each request (rate-limited, and away for long stretches); a view for each zone (a second try in another zone would not find the first); records of requests without a caller's key (no other try can name them, so a record would only cost availability).

Change: a node has a replica, answers votes, seals and installs over the peers' TCP port, and follows the views that the store holds in one record. The node that follows the store for its zone replaces members that have restarted, are stopping, or were silent at three looks. A request with a caller's key runs once two of three replicas granted it; without, the caller is told may-have-run at once. A duplicate is told what the holder's serving node knows. Request identifiers carry a tag of their serving node, so that its status is asked of that node only, or of one contact of each other zone. A replica no longer walks its whole table for each vote.

Conclusion: one key runs at most once through any node, while its replicas are killed, frozen or restarted one after the other. If two are lost at once, nothing with a caller's key runs until an operator removes the record of views, after the keys' retention.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -72,6 +72,9 @@
     /// Talk with other nodes.
     #[serde(default)]
     pub peer_limits: PeerLimits,
+    /// At-most-once records.
+    #[serde(default)]
+    pub journal: JournalSettings,
 }
 
 /// What an operator may do.
@@ -240,6 +243,41 @@
     }
 }
 
+/// Replicas of the at-most-once records, unless they stay at the serving node.
+pub const JOURNAL_REPLICAS: u32 = 3;
+
+/// The at-most-once records of requests that are not repeatable.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct JournalSettings {
+    /// Replicas of each record: [`JOURNAL_REPLICAS`], or 1 for a fleet with fewer nodes, whose
+    /// records stay at the serving node.
+    pub replicas: u32,
+    /// Longest wait for a replica's answer.
+    #[serde(with = "humantime_serde")]
+    pub vote_timeout: Duration,
+    /// Time between reads of who the replicas are, and between looks at whether they answer.
+    #[serde(with = "humantime_serde")]
+    pub view_period: Duration,
+}
+
+impl JournalSettings {
+    /// Whether records are replicated.
+    pub fn is_replicated(&self) -> bool {
+        self.replicas == JOURNAL_REPLICAS
+    }
+}
+
+impl Default for JournalSettings {
+    fn default() -> Self {
+        Self {
+            replicas: JOURNAL_REPLICAS,
+            vote_timeout: Duration::from_millis(500),
+            view_period: Duration::from_secs(1),
+        }
+    }
+}
+
 mod defaults {
     pub(super) fn threads() -> usize {
         4
@@ -272,6 +310,7 @@
         self.validate_limits(file)?;
         self.validate_callers(file)?;
         self.validate_peers(file)?;
+        self.validate_journal(file)?;
         self.validate_authority(file)
     }
 
@@ -331,6 +370,8 @@
             ("limits.drain_timeout", limits.drain_timeout),
             ("authority.renewal", self.authority.renewal),
             ("authority.plan_period", self.authority.plan_period),
+            ("journal.vote_timeout", self.journal.vote_timeout),
+            ("journal.view_period", self.journal.view_period),
         ];
         for (key, value) in times {
             let shown = humantime_serde::re::humantime::format_duration(value);
@@ -392,6 +433,12 @@
         )
     }
 
+    fn validate_journal(&self, file: &str) -> Result<(), SettingsError> {
+        let replicas = self.journal.replicas;
+        let is_known = [1, JOURNAL_REPLICAS].contains(&replicas);
+        require(is_known, file, "journal.replicas", replicas, "1 or 3")
+    }
+
     fn validate_authority(&self, file: &str) -> Result<(), SettingsError> {
         let authority = &self.authority;
         let holds = authority.renewal + authority.margin < authority.lease;
--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -29,6 +29,7 @@
     let mut objects = vec![("", &value), ("limits.", &value["limits"])];
     objects.push(("authority.", &value["authority"]));
     objects.push(("peer_limits.", &value["peer_limits"]));
+    objects.push(("journal.", &value["journal"]));
     for (prefix, object) in objects {
         for key in object.as_object().expect("an object").keys() {
             assert!(
--- a/crates/journal/src/attempt.rs
+++ b/crates/journal/src/attempt.rs
@@ -113,6 +113,12 @@
         self.decision
     }
 
+    /// Whether the replicas that have not answered could still complete a quorum of grants.
+    pub fn is_open(&self) -> bool {
+        let refused = self.answered.len() - self.granted.len();
+        self.decision.is_none() && VIEW_SIZE - refused >= QUORUM
+    }
+
     /// No more answers are waited for.
     pub fn give_up(&mut self) -> Decision {
         let decision = self.decision.unwrap_or_else(|| self.without_quorum());
--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -87,7 +87,7 @@
         if !self.votes_in(view) {
             return VoteReply::NotVoting;
         }
-        self.forget_old(now);
+        self.make_room(now, key);
         match self.records.get(key).map(|record| record.state) {
             Some(RecordState::Granted(holder)) if holder == attempt => VoteReply::Granted,
             Some(_) => VoteReply::Taken,
@@ -99,6 +99,14 @@
         }
     }
 
+    /// The try that holds a key, unless the key is free or was taken over from an earlier view.
+    pub fn holder(&self, key: &RecordKey) -> Option<AttemptId> {
+        match self.records.get(key)?.state {
+            RecordState::Granted(holder) => Some(holder),
+            RecordState::Closed => None,
+        }
+    }
+
     /// Takes back the record of a try that will never run.
     pub fn release(&mut self, key: &RecordKey, attempt: AttemptId) {
         let state = self.records.get(key).map(|record| record.state);
@@ -142,7 +150,20 @@
         self.records.insert(key, Record { state, since: now });
     }
 
-    fn forget_old(&mut self, now: Timestamp) {
+    /// Forgets the key if its time has passed, and every such key if the table is full: a vote costs
+    /// no walk over the table otherwise.
+    fn make_room(&mut self, now: Timestamp, key: &RecordKey) {
+        let retention = self.limits.retention;
+        let record = self.records.get(key);
+        if record.is_some_and(|record| now.since(record.since) >= retention) {
+            self.records.remove(key);
+        } else if self.records.len() >= self.limits.max_records {
+            self.forget_old(now);
+        }
+    }
+
+    /// Forgets every key whose time has passed.
+    pub fn forget_old(&mut self, now: Timestamp) {
         let retention = self.limits.retention;
         self.records
             .retain(|_, record| now.since(record.since) < retention);
--- /dev/null
+++ b/crates/node/src/at_most_once/replica.rs
@@ -0,0 +1,98 @@
+//! This node's replica, and the view that its own tries use.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use parking_lot::Mutex;
+use tansyhall_config::NodeSettings;
+use tansyhall_core::{Incarnation, Timestamp};
+use tansyhall_journal::{Member, Replica, ReplicaLimits, VoteReply};
+use tansyhall_proto::{JournalAnswer, JournalRequest};
+
+use super::views::PlacedView;
+
+/// The node's part of the at-most-once records.
+#[derive(Debug)]
+pub struct Journal {
+    member: Member,
+    replica: Mutex<Replica>,
+    view: ArcSwapOption<PlacedView>,
+}
+
+impl Journal {
+    /// A replica that knows nothing, in an incarnation of its own. Only whether two incarnations are
+    /// the same counts, so that one is drawn at random.
+    pub fn new(settings: &NodeSettings) -> Self {
+        let member = Member {
+            node: settings.name.clone(),
+            incarnation: Incarnation(rand::random()),
+        };
+        let limits = ReplicaLimits {
+            max_records: settings.limits.max_idempotency_keys,
+            retention: settings.limits.idempotency_retention,
+        };
+        Self {
+            replica: Mutex::new(Replica::new(member.clone(), limits)),
+            member,
+            view: ArcSwapOption::empty(),
+        }
+    }
+
+    /// The node in this incarnation.
+    pub fn member(&self) -> &Member {
+        &self.member
+    }
+
+    /// The view that tries use.
+    pub fn view(&self) -> Option<Arc<PlacedView>> {
+        self.view.load_full()
+    }
+
+    /// Uses a view from now on, unless it is older than the one in use; returns whether it is new.
+    pub(super) fn use_view(&self, view: &PlacedView) -> bool {
+        let is_new = self.view().is_none_or(|held| held.number < view.number);
+        if is_new {
+            self.view.store(Some(Arc::new(view.clone())));
+        }
+        is_new
+    }
+
+    /// Forgets records whose time has passed; returns how many are left.
+    pub(super) fn sweep(&self, now: Timestamp) -> usize {
+        let mut replica = self.replica.lock();
+        replica.forget_old(now);
+        replica.len()
+    }
+
+    /// Answers a request to the replica.
+    pub fn answer(
+        &self,
+        now: Timestamp,
+        request: JournalRequest,
+        is_stopping: bool,
+    ) -> JournalAnswer {
+        let mut replica = self.replica.lock();
+        match request {
+            JournalRequest::Identify => JournalAnswer::Identity {
+                member: self.member.clone(),
+                is_stopping,
+            },
+            JournalRequest::Vote { view, key, attempt } => {
+                let reply = replica.vote(now, view, &key, attempt);
+                let is_taken = reply == VoteReply::Taken;
+                JournalAnswer::Voted {
+                    reply,
+                    holder: is_taken.then(|| replica.holder(&key)).flatten(),
+                }
+            }
+            JournalRequest::Release { key, attempt } => {
+                replica.release(&key, attempt);
+                JournalAnswer::Released
+            }
+            JournalRequest::Seal { next } => JournalAnswer::Sealed(replica.seal(now, next)),
+            JournalRequest::Install { view, records } => {
+                JournalAnswer::Installed(replica.install(now, &view, &records))
+            }
+        }
+    }
+}
--- a/crates/node/src/callers/admit.rs
+++ b/crates/node/src/callers/admit.rs
@@ -7,15 +7,17 @@
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpRequest};
 use bytes::Bytes;
-use tansyhall_core::{ModelName, RequestId, ServiceName, Timestamp};
+use tansyhall_core::{ModelName, ServiceName, Timestamp};
 use tansyhall_engine::protocol::{estimate_tokens, Priority};
 use tansyhall_policy::ast::PriorityName;
 use tansyhall_policy::Class;
 use tansyhall_policy::RequestFacts;
 
+use super::at_most_once::Permission;
 use super::driver::InProgress;
 use super::failure::Failure;
 use super::options::RequestOptions;
+use super::origin::new_request_id;
 use super::requests::RequestRecord;
 use super::shape::{CallerRequest, DEFAULT_MAX_TOKENS};
 use crate::configuration::RequestHeaders;
@@ -155,18 +157,16 @@
 ) -> Result<Arc<InProgress>, Failure> {
     record.set_deadline(terms.deadline);
     check_limits(node, &terms.service)?;
-    let key = match &options.idempotency_key {
-        Some(key) if !terms.repeatable => Some(key.clone()),
+    let permission = match &options.idempotency_key {
+        Some(key) if !terms.repeatable => {
+            Some(Permission::acquire(node, &terms.service, key, record.id).await?)
+        }
         _ => None,
     };
-    if let Some(key) = &key {
-        let now = node.clock.now();
-        let permits = &node.callers.run_permits;
-        permits.acquire(key, record.id, now).await?;
-    }
     let service = terms.service.clone();
     let record = Arc::clone(record);
-    Ok(InProgress::begin(Arc::clone(node), record, service, key))
+    let node = Arc::clone(node);
+    Ok(InProgress::begin(node, record, service, permission))
 }
 
 fn check_limits(node: &Node, service: &ServiceName) -> Result<(), Failure> {
@@ -188,7 +188,7 @@
 
 /// Begins a request's record and names the request.
 pub fn arrive(node: &Node) -> Arc<RequestRecord> {
-    let id = RequestId(rand::random());
+    let id = new_request_id(node);
     node.callers.requests.begin(id, node.clock.now())
 }
 
--- a/crates/node/src/callers/driver.rs
+++ b/crates/node/src/callers/driver.rs
@@ -11,9 +11,9 @@
 use tansyhall_engine::protocol::EngineChunk;
 use tokio::sync::mpsc;
 
+use super::at_most_once::Permission;
 use super::attempt::Execution;
 use super::failure::Failure;
-use super::options::IdempotencyKey;
 use super::requests::{Ending, RequestRecord};
 use crate::state::Node;
 
@@ -37,16 +37,16 @@
     /// The request's record.
     pub record: Arc<RequestRecord>,
     service: ServiceName,
-    key: Option<IdempotencyKey>,
+    permission: Option<Permission>,
 }
 
 impl InProgress {
-    /// Counts a request in. `key` is the permission to give back if the request does not run.
+    /// Counts a request in. `permission` is given back if the request does not run.
     pub fn begin(
         node: Arc<Node>,
         record: Arc<RequestRecord>,
         service: ServiceName,
-        key: Option<IdempotencyKey>,
+        permission: Option<Permission>,
     ) -> Arc<Self> {
         let now = node.clock.now();
         node.metrics.in_progress.inc();
@@ -58,7 +58,7 @@
             node,
             record,
             service,
-            key,
+            permission,
         })
     }
 
@@ -82,10 +82,8 @@
             .requests
             .with_label_values(&[verdict.name()])
             .inc();
-        if let Some(key) = &self.key {
-            node.callers
-                .run_permits
-                .settle(key, self.record.id, verdict);
+        if let Some(permission) = &self.permission {
+            permission.settle(node, self.record.id, verdict);
         }
     }
 
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -10,6 +10,7 @@
 pub mod failure;
 pub mod health;
 pub mod options;
+pub mod origin;
 pub mod replay;
 pub mod requests;
 pub mod shape;
--- a/crates/node/src/callers/status.rs
+++ b/crates/node/src/callers/status.rs
@@ -4,9 +4,11 @@
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpResponse};
 use tansyhall_core::{RequestId, Verdict};
+use tansyhall_proto::StatusAnswer;
 
 use super::failure::{answer_with, Failure};
-use super::requests::{RequestRecord, RequestStatus};
+use super::origin::ask_peers;
+use super::requests::RequestRecord;
 use crate::state::Node;
 
 /// Answers how a request stands.
@@ -14,14 +16,16 @@
     let Some(id) = RequestId::parse(&path) else {
         return unknown(RequestId(0));
     };
-    let here = node.callers.requests.get(id);
-    let status = match here {
-        Some(record) => Some(record.status(node.clock.now())),
-        None => ask_peers(&node, id).await,
-    };
-    match status {
-        Some(status) => answer_with(StatusCode::OK, id, Verdict::Completed).json(status),
-        None => unknown(id),
+    if let Some(record) = node.callers.requests.get(id) {
+        let status = record.status(node.clock.now());
+        return answer_with(StatusCode::OK, id, Verdict::Completed).json(status);
+    }
+    match ask_peers(&node, id).await {
+        StatusAnswer::Known(resource) => answer_with(StatusCode::OK, id, Verdict::Completed)
+            .content_type("application/json")
+            .body(resource),
+        StatusAnswer::Unreachable => unreachable_server(id),
+        StatusAnswer::Unknown => unknown(id),
     }
 }
 
@@ -48,13 +52,13 @@
     answer_with(StatusCode::ACCEPTED, record.id, Verdict::MayHaveRun).json(status)
 }
 
-/// Asks other nodes about a request that this one does not know. No node is asked yet: a request's
-/// status is known at the node that served it.
-async fn ask_peers(_node: &Node, _id: RequestId) -> Option<RequestStatus> {
-    None
+/// The node that knows how the request stands does not answer this one.
+fn unreachable_server(id: RequestId) -> HttpResponse {
+    let message = "the node that served this request cannot be reached; the request may have run";
+    Failure::may_have_run(StatusCode::SERVICE_UNAVAILABLE, message).response(id)
 }
 
 fn unknown(id: RequestId) -> HttpResponse {
-    let message = "this node knows no such request, or no longer";
+    let message = "no node that can be reached knows such a request, or no longer";
     Failure::invalid(StatusCode::NOT_FOUND, message).response(id)
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod admin;
+pub mod at_most_once;
 pub mod authority;
 pub mod callers;
 pub mod configuration;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters of a node, in Prometheus text form.
 
+use crate::at_most_once::JournalMetrics;
 use crate::peers::PeerMetrics;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
@@ -50,6 +51,8 @@
     pub platform_errors: IntCounter,
     /// What passes between nodes.
     pub peers: PeerMetrics,
+    /// The at-most-once records.
+    pub journal: JournalMetrics,
 }
 
 impl Metrics {
@@ -120,6 +123,7 @@
             changes_given_up: counter("tansyhall_changes_given_up_total", "Changes given up")?,
             platform_errors: counter("tansyhall_platform_errors_total", "Failed platform calls")?,
             peers: PeerMetrics::register(&registry)?,
+            journal: JournalMetrics::register(&registry)?,
             registry,
         })
     }
--- a/crates/node/src/peers/actor.rs
+++ b/crates/node/src/peers/actor.rs
@@ -17,6 +17,7 @@
 use tansyhall_proto::{encode_datagram, PullAnswer};
 use tokio::net::{TcpListener, UdpSocket};
 
+use super::exchange;
 use super::machines::{self, MachineSchedule};
 use super::pull;
 use super::transport::{self, PeerTransport};
@@ -317,7 +318,7 @@
         let socket = Rc::new(socket);
         context.add_stream(transport::receive_all(Rc::clone(&socket)));
         self.socket = Some(socket);
-        actix_rt::spawn(pull::serve(Arc::clone(&self.node), listener));
+        actix_rt::spawn(exchange::serve(Arc::clone(&self.node), listener));
         let period = self.node.settings.peer_limits.probe_period / TICKS_PER_PROBE;
         self.tick(context);
         context.run_interval(period, Self::tick);
--- /dev/null
+++ b/crates/node/src/peers/exchange.rs
@@ -0,0 +1,107 @@
+//! Requests between nodes over TCP: one length-delimited request, one length-delimited answer, then
+//! the connection ends.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use bytes::{Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use tansyhall_proto::{
+    decode_request, encode_journal_answer, encode_pull_answer, encode_request,
+    encode_status_answer, PeerRequest,
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use super::pull;
+use crate::callers::origin;
+use crate::state::Node;
+
+/// Longest time that one connection may take.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(5);
+/// Wait after a connection could not be accepted, for example for want of descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+fn framed(node: &Node, stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(node.settings.peer_limits.max_frame_bytes)
+        .new_codec();
+    Framed::new(stream, codec)
+}
+
+fn count(node: &Node, sent: usize, received: usize) {
+    let bytes = &node.metrics.peers.pull_bytes;
+    bytes.with_label_values(&["sent"]).inc_by(sent as u64);
+    let received_bytes = bytes.with_label_values(&["received"]);
+    received_bytes.inc_by(received as u64);
+}
+
+/// Sends a request to a peer and returns its answer, still encoded.
+pub async fn ask(
+    node: &Node,
+    peer: SocketAddr,
+    request: &PeerRequest,
+    timeout: Duration,
+) -> Result<BytesMut> {
+    let request = Bytes::from(encode_request(request));
+    let exchange = async {
+        let stream = TcpStream::connect(peer).await?;
+        stream.set_nodelay(true)?;
+        let mut framed = framed(node, stream);
+        let sent = request.len();
+        framed.send(request).await?;
+        let answer = framed.next().await.context("the peer did not answer")??;
+        count(node, sent, answer.len());
+        Ok(answer)
+    };
+    let answer = tokio::time::timeout(timeout, exchange).await;
+    answer.context("the peer did not answer in time")?
+}
+
+/// Serves requests for as long as the process runs; peers beyond the limit are turned away.
+pub(super) async fn serve(node: Arc<Node>, listener: TcpListener) {
+    let permits = Arc::new(Semaphore::new(node.settings.peer_limits.max_connections));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            actix_rt::time::sleep(ACCEPT_RETRY).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            continue;
+        };
+        let node = Arc::clone(&node);
+        actix_rt::spawn(async move {
+            let served = tokio::time::timeout(CONNECTION_TIMEOUT, serve_one(&node, stream)).await;
+            if !matches!(served, Ok(Ok(()))) {
+                node.metrics.peers.malformed.inc();
+            }
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_one(node: &Arc<Node>, stream: TcpStream) -> Result<()> {
+    let mut framed = framed(node, stream);
+    let request = framed.next().await.context("no request")??;
+    let answer = answer(node, decode_request(&request)?).await;
+    framed.send(Bytes::from(answer)).await?;
+    Ok(())
+}
+
+async fn answer(node: &Arc<Node>, request: PeerRequest) -> Vec<u8> {
+    match request {
+        PeerRequest::Pull { held_revision } => {
+            node.metrics.peers.pulls_served.inc();
+            encode_pull_answer(&pull::answer(node, held_revision))
+        }
+        PeerRequest::Journal(request) => {
+            let now = node.clock.now();
+            let is_stopping = node.is_stopping();
+            encode_journal_answer(&node.journal.answer(now, request, is_stopping))
+        }
+        PeerRequest::Status(query) => encode_status_answer(&origin::answer_peer(node, query).await),
+    }
+}
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -1,8 +1,9 @@
-//! What passes between nodes: membership datagrams over UDP, configuration pulls over TCP. The
-//! decisions are those of the membership and dissemination crates; here are the sockets, the
+//! What passes between nodes: membership datagrams over UDP, requests over TCP. The
+//! decisions are those of the membership, dissemination and journal crates; here are the sockets, the
 //! clock, and what the rest of the node may see.
 
 mod actor;
+pub mod exchange;
 mod handlers;
 mod machines;
 mod metrics;
@@ -14,4 +15,4 @@
 pub use handlers::{Leave, StoreRead};
 pub use metrics::PeerMetrics;
 pub use transport::PeerTransport;
-pub use view::{MemberStatus, PeersSnapshot, PeersView, ZoneStatus};
+pub use view::{MemberStatus, PeersSnapshot, PeersView, ZoneContact, ZoneStatus};
--- a/crates/node/src/peers/view.rs
+++ b/crates/node/src/peers/view.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use serde::Serialize;
 use tansyhall_core::{EngineName, Incarnation, NodeId, ZoneName};
-use tansyhall_membership::{MemberRecord, MemberState, Membership, ZoneDigest};
+use tansyhall_membership::{Contact, MemberRecord, MemberState, Membership, ZoneDigest};
 
 /// One member of the zone.
 #[derive(Debug, Clone, Serialize)]
@@ -31,6 +31,15 @@
     pub takes_work: bool,
 }
 
+/// A member of another zone that may be asked.
+#[derive(Debug, Clone)]
+pub struct ZoneContact {
+    /// Its name.
+    pub name: NodeId,
+    /// Where nodes reach it.
+    pub peers: SocketAddr,
+}
+
 /// Another zone, as last heard.
 #[derive(Debug, Clone, Serialize)]
 pub struct ZoneStatus {
@@ -40,6 +49,9 @@
     pub live_members: u32,
     /// Highest revision of the configuration in force there.
     pub configuration_revision: u64,
+    /// Members to contact.
+    #[serde(skip)]
+    pub contacts: Vec<ZoneContact>,
 }
 
 /// Members and zones at one moment.
@@ -122,5 +134,13 @@
         zone: digest.zone.clone(),
         live_members: digest.live_members,
         configuration_revision: digest.configuration_revision,
+        contacts: digest.contacts.iter().map(zone_contact).collect(),
+    }
+}
+
+fn zone_contact(contact: &Contact) -> ZoneContact {
+    ZoneContact {
+        name: contact.name.clone(),
+        peers: contact.peers,
     }
 }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -13,6 +13,7 @@
 use tansyhall_membership::MemberAddresses;
 use tansyhall_platform::{EtcdStore, RateLimit};
 
+use crate::at_most_once::JournalKeeper;
 use crate::authority::{AuthorityKeeper, Release};
 use crate::configuration::{ConfigurationStore, ConfigurationWatcher};
 use crate::peers::{Leave, PeerTransport, PeersActor};
@@ -67,6 +68,9 @@
     let peers_actor = PeersActor::new(Arc::clone(&node), transport, addresses).start();
     let updates = peers_actor.clone().recipient();
     ConfigurationWatcher::new(Arc::clone(&node), store.clone(), updates).start();
+    if node.settings.journal.is_replicated() {
+        JournalKeeper::new(Arc::clone(&node), store.clone()).start();
+    }
     let authority = AuthorityKeeper::new(Arc::clone(&node), store).start();
     Ok(RunningNode {
         node,
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -11,6 +11,7 @@
 use tansyhall_core::EngineName;
 use tansyhall_engine::protocol::EngineState;
 
+use crate::at_most_once::Journal;
 use crate::callers::CallersState;
 use crate::configuration::{Held, InForce};
 use crate::metrics::Metrics;
@@ -37,6 +38,8 @@
     pub held: Mutex<Held>,
     /// Other nodes as this one sees them.
     pub peers: PeersView,
+    /// This node's part of the at-most-once records.
+    pub journal: Journal,
     /// Counters.
     pub metrics: Metrics,
     /// What the callers' side keeps.
@@ -50,6 +53,7 @@
     pub fn new(settings: NodeSettings) -> anyhow::Result<Arc<Self>> {
         Ok(Arc::new(Self {
             callers: CallersState::new(&settings.limits),
+            journal: Journal::new(&settings),
             settings,
             clock: MonotonicClock::start(),
             in_force: ArcSwap::from_pointee(InForce::default()),
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -90,7 +90,7 @@
     let text = format!(
         "name = 'node-0'\nzone = 'kalimati'\nplatform = '127.0.0.1:1'\nthreads = 2\n\
          callers = '127.0.0.1:0'\nadmin = '127.0.0.1:0'\npeers = '127.0.0.1:0'\n\
-         [limits]\n{limits}"
+         [journal]\nreplicas = 1\n[limits]\n{limits}"
     );
     let settings = NodeSettings::parse("test", &text).expect("settings");
     let node = Node::new(settings).expect("a node");
--- a/crates/proto/src/datagram.rs
+++ b/crates/proto/src/datagram.rs
@@ -81,7 +81,7 @@
     Ok(name.into())
 }
 
-fn decode_node(name: String) -> Result<NodeId, DecodeError> {
+pub(crate) fn decode_node(name: String) -> Result<NodeId, DecodeError> {
     Ok(NodeId::new(checked(name)?))
 }
 
--- a/crates/proto/src/error.rs
+++ b/crates/proto/src/error.rs
@@ -9,6 +9,9 @@
     /// A field that every message has is missing.
     #[error("the field {0} is missing")]
     Missing(&'static str),
+    /// An identifier has not 16 bytes, or an enumerated value is not one of those defined.
+    #[error("the field {0} is not well formed")]
+    Invalid(&'static str),
     /// An address has neither 4 nor 16 bytes, or a port above 65535.
     #[error("an address is not well formed")]
     Address,
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -9,10 +9,14 @@
 #[allow(missing_docs)]
 #[path = "generated/tansyhall.peers.rs"]
 pub mod generated;
+mod journal;
 mod pull;
+mod request;
+mod status;
 
 pub use datagram::{decode_datagram, encode_datagram, MAX_DATAGRAM_BYTES};
 pub use error::DecodeError;
-pub use pull::{
-    decode_pull_answer, decode_pull_request, encode_pull_answer, encode_pull_request, PullAnswer,
-};
+pub use journal::{decode_journal_answer, encode_journal_answer, JournalAnswer, JournalRequest};
+pub use pull::{decode_pull_answer, encode_pull_answer, PullAnswer};
+pub use request::{decode_request, encode_request, PeerRequest};
+pub use status::{decode_status_answer, encode_status_answer, StatusAnswer, StatusQuery};
--- a/crates/proto/src/pull.rs
+++ b/crates/proto/src/pull.rs
@@ -1,4 +1,4 @@
-//! Configuration pulls: a peer's request for what is newer than it holds, and the answer.
+//! Answers to configuration pulls.
 
 use prost::Message as _;
 use tansyhall_core::Duration;
@@ -17,16 +17,6 @@
     pub body: PullBody,
 }
 
-/// Encodes a request for what is newer than `held_revision`.
-pub fn encode_pull_request(held_revision: u64) -> Vec<u8> {
-    wire::PullRequest { held_revision }.encode_to_vec()
-}
-
-/// The revision held by a peer that asks.
-pub fn decode_pull_request(bytes: &[u8]) -> Result<u64, DecodeError> {
-    Ok(wire::PullRequest::decode(bytes)?.held_revision)
-}
-
 /// Encodes an answer.
 pub fn encode_pull_answer(answer: &PullAnswer) -> Vec<u8> {
     let body = match &answer.body {
--- a/crates/proto/tests/codec.rs
+++ b/crates/proto/tests/codec.rs
@@ -14,8 +14,8 @@
     MemberState, Message, Sender, ZoneDigest,
 };
 use tansyhall_proto::{
-    decode_datagram, decode_pull_answer, decode_pull_request, encode_datagram, encode_pull_answer,
-    encode_pull_request, DecodeError, PullAnswer,
+    decode_datagram, decode_pull_answer, decode_request, encode_datagram, encode_pull_answer,
+    encode_request, DecodeError, PeerRequest, PullAnswer,
 };
 
 const NAME: &str = "[a-z][a-z0-9-]{0,20}";
@@ -165,7 +165,8 @@
 
     #[test]
     fn a_pull_survives_encoding(held in any::<u64>(), age in any::<u32>(), body in pull_body()) {
-        prop_assert_eq!(decode_pull_request(&encode_pull_request(held)), Ok(held));
+        let request = PeerRequest::Pull { held_revision: held };
+        prop_assert_eq!(decode_request(&encode_request(&request)), Ok(request));
         let confirmation_age = Duration::from_millis(age.into());
         let answer = PullAnswer { confirmation_age, body };
         prop_assert_eq!(decode_pull_answer(&encode_pull_answer(&answer)), Ok(answer));
@@ -174,7 +175,7 @@
     #[test]
     fn garbage_is_refused_without_a_panic(bytes in vec(any::<u8>(), 0..600)) {
         let _ = decode_datagram(&bytes);
-        let _ = decode_pull_request(&bytes);
+        let _ = decode_request(&bytes);
         let _ = decode_pull_answer(&bytes);
     }
 
--- /dev/null
+++ b/crates/proto/tests/requests.rs
@@ -0,0 +1,150 @@
+//! Requests between nodes over TCP and their answers survive encoding, and no bytes make a decoder
+//! panic.
+
+use bytes::Bytes;
+use proptest::collection::vec;
+use proptest::option;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tansyhall_core::{Incarnation, RequestId};
+use tansyhall_journal::{
+    AttemptId, Member, RecordKey, Records, SealReply, View, ViewNumber, VoteReply,
+};
+use tansyhall_proto::{
+    decode_journal_answer, decode_request, decode_status_answer, encode_journal_answer,
+    encode_request, encode_status_answer, DecodeError, JournalAnswer, JournalRequest, PeerRequest,
+    StatusAnswer, StatusQuery,
+};
+
+fn attempt() -> impl Strategy<Value = AttemptId> {
+    any::<u128>().prop_map(|id| AttemptId(RequestId(id)))
+}
+
+fn key() -> impl Strategy<Value = RecordKey> {
+    "[0-9a-f]{32}".prop_map(RecordKey)
+}
+
+fn records() -> impl Strategy<Value = Records> {
+    vec(key(), 0..8).prop_map(Records)
+}
+
+fn member() -> impl Strategy<Value = Member> {
+    ("[a-z][a-z0-9-]{0,20}", any::<u64>()).prop_map(|(node, incarnation)| Member {
+        node: node.as_str().into(),
+        incarnation: Incarnation(incarnation),
+    })
+}
+
+fn view() -> impl Strategy<Value = View> {
+    (any::<u64>(), [member(), member(), member()]).prop_map(|(number, members)| View {
+        number: ViewNumber(number),
+        members,
+    })
+}
+
+fn journal_request() -> impl Strategy<Value = JournalRequest> {
+    prop_oneof![
+        Just(JournalRequest::Identify),
+        (any::<u64>(), key(), attempt()).prop_map(|(view, key, attempt)| JournalRequest::Vote {
+            view: ViewNumber(view),
+            key,
+            attempt,
+        }),
+        (key(), attempt()).prop_map(|(key, attempt)| JournalRequest::Release { key, attempt }),
+        any::<u64>().prop_map(|next| JournalRequest::Seal {
+            next: ViewNumber(next)
+        }),
+        (view(), records()).prop_map(|(view, records)| JournalRequest::Install { view, records }),
+    ]
+}
+
+fn request() -> impl Strategy<Value = PeerRequest> {
+    prop_oneof![
+        any::<u64>().prop_map(|held_revision| PeerRequest::Pull { held_revision }),
+        journal_request().prop_map(PeerRequest::Journal),
+        (any::<u128>(), any::<bool>()).prop_map(|(id, may_forward)| PeerRequest::Status(
+            StatusQuery {
+                request: RequestId(id),
+                may_forward,
+            }
+        )),
+    ]
+}
+
+fn vote() -> impl Strategy<Value = VoteReply> {
+    prop_oneof![
+        Just(VoteReply::Granted),
+        Just(VoteReply::Taken),
+        Just(VoteReply::NotVoting),
+        Just(VoteReply::Full),
+    ]
+}
+
+fn journal_answer() -> impl Strategy<Value = JournalAnswer> {
+    prop_oneof![
+        (member(), any::<bool>()).prop_map(|(member, is_stopping)| JournalAnswer::Identity {
+            member,
+            is_stopping,
+        }),
+        (vote(), option::of(attempt()))
+            .prop_map(|(reply, holder)| JournalAnswer::Voted { reply, holder }),
+        Just(JournalAnswer::Released),
+        records().prop_map(|records| JournalAnswer::Sealed(SealReply::Sealed(records))),
+        Just(JournalAnswer::Sealed(SealReply::NotMember)),
+        any::<bool>().prop_map(JournalAnswer::Installed),
+    ]
+}
+
+fn status_answer() -> impl Strategy<Value = StatusAnswer> {
+    prop_oneof![
+        Just(StatusAnswer::Unknown),
+        Just(StatusAnswer::Unreachable),
+        vec(any::<u8>(), 0..64).prop_map(|resource| StatusAnswer::Known(Bytes::from(resource))),
+    ]
+}
+
+fn fixed_cases() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    #[test]
+    fn a_request_survives_encoding(request in request()) {
+        prop_assert_eq!(decode_request(&encode_request(&request)), Ok(request));
+    }
+
+    #[test]
+    fn an_answer_survives_encoding(journal in journal_answer(), status in status_answer()) {
+        prop_assert_eq!(decode_journal_answer(&encode_journal_answer(&journal)), Ok(journal));
+        prop_assert_eq!(decode_status_answer(&encode_status_answer(&status)), Ok(status));
+    }
+
+    #[test]
+    fn garbage_is_refused_without_a_panic(bytes in vec(any::<u8>(), 0..300)) {
+        let _ = decode_request(&bytes);
+        let _ = decode_journal_answer(&bytes);
+        let _ = decode_status_answer(&bytes);
+    }
+
+    #[test]
+    fn a_damaged_request_never_panics(
+        request in request(), position in any::<prop::sample::Index>(), byte in any::<u8>(),
+    ) {
+        let mut bytes = encode_request(&request);
+        let position = position.index(bytes.len());
+        bytes[position] = byte;
+        let _ = decode_request(&bytes);
+        let _ = decode_request(&bytes[..position]);
+    }
+}
+
+#[test]
+fn a_request_without_a_body_is_refused() {
+    assert_eq!(decode_request(&[]), Err(DecodeError::Missing("body")));
+}
