Applications' workers on leaving machines get no new request

Cause: the mark of a leaving back end was spread between nodes, but the choice of an application's worker did not ask for it.

Ruled out: leaving it to the breaker; the worker answers until its machine is gone, so the breaker stays closed.

Change: the choice of a worker passes over those that are marked.

Before and after, leaving_workers (separate processes, judged by the workers' records): without the filter, in a trial, it failed since the leaving worker had been asked; with it, the test passes.

Conclusion: once the mark has spread, no new request reaches the worker.

--- a/crates/node/src/callers/application.rs
+++ b/crates/node/src/callers/application.rs
@@ -237,13 +237,15 @@
         Ok(())
     }
 
-    /// A worker that has not been tried and whose breaker admits an attempt, at random.
+    /// A worker that is not leaving, has not been tried and whose breaker admits an attempt, at
+    /// random.
     fn choose(&self, tried: &[EngineName], verdict: Verdict) -> Result<Backend, Failure> {
         let in_force = self.node.in_force.load();
         let pools = in_force.pools_of_service(&self.terms.service);
         let workers = pools.flat_map(|pool| &pool.backends);
         let mut workers: Vec<&Backend> = workers
             .filter(|worker| !tried.contains(&worker.name))
+            .filter(|worker| !self.node.peers.is_backend_leaving(&worker.name))
             .collect();
         let mut probe_in: Option<Duration> = None;
         while !workers.is_empty() {
