--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -246,6 +246,10 @@
 /// Replicas of the at-most-once records, unless they stay at the serving node.
 pub const JOURNAL_REPLICAS: u32 = 3;
 
+/// Bytes of a frame for each key that a replica may hold: the next view is given the records of
+/// three replicas, which may all differ.
+const JOURNAL_BYTES_PER_KEY: usize = 128;
+
 /// The at-most-once records of requests that are not repeatable.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -436,7 +440,12 @@
     fn validate_journal(&self, file: &str) -> Result<(), SettingsError> {
         let replicas = self.journal.replicas;
         let is_known = [1, JOURNAL_REPLICAS].contains(&replicas);
-        require(is_known, file, "journal.replicas", replicas, "1 or 3")
+        require(is_known, file, "journal.replicas", replicas, "1 or 3")?;
+        let keys = self.limits.max_idempotency_keys;
+        let most = self.peer_limits.max_frame_bytes / JOURNAL_BYTES_PER_KEY;
+        let allowed = "at most peer_limits.max_frame_bytes / 128";
+        let fits = keys <= most || !self.journal.is_replicated();
+        require(fits, file, "limits.max_idempotency_keys", keys, allowed)
     }
 
     fn validate_authority(&self, file: &str) -> Result<(), SettingsError> {
--- a/crates/node/src/at_most_once/members.rs
+++ b/crates/node/src/at_most_once/members.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use anyhow::Result;
 use futures_util::future::join_all;
@@ -16,6 +17,9 @@
 /// Nodes asked at most when a member is sought.
 const MAX_CANDIDATES: usize = 8;
 
+/// Longest wait for an answer that carries, or follows, a whole table of records.
+const TABLE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A node that may become a member.
 struct Candidate {
     zone: ZoneName,
@@ -28,7 +32,12 @@
     address: SocketAddr,
     request: JournalRequest,
 ) -> Result<JournalAnswer> {
-    let timeout = node.settings.journal.vote_timeout;
+    let timeout = match &request {
+        JournalRequest::Seal { .. } | JournalRequest::Install { .. } => TABLE_TIMEOUT,
+        JournalRequest::Identify | JournalRequest::Vote { .. } | JournalRequest::Release { .. } => {
+            node.settings.journal.vote_timeout
+        }
+    };
     let request = PeerRequest::Journal(request);
     let answer = exchange::ask(node, address, &request, timeout).await?;
     Ok(decode_journal_answer(&answer)?)
--- /dev/null
+++ b/crates/node/tests/at_most_once_messages.rs
@@ -0,0 +1,242 @@
+//! The node's replicas by their encoded messages, which are lost, repeated and reordered while
+//! nodes restart and views change: of several tries of one key at most one may run.
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tansyhall_config::NodeSettings;
+use tansyhall_core::{RequestId, Timestamp};
+use tansyhall_journal::{
+    Attempt, AttemptId, ChangeStep, Decision, KeyOrigin, Member, RecordKey, Records, View,
+    ViewChange, ViewNumber, VIEW_SIZE,
+};
+use tansyhall_node::at_most_once::Journal;
+use tansyhall_proto::{
+    decode_journal_answer, decode_request, encode_journal_answer, encode_request, JournalAnswer,
+    JournalRequest, PeerRequest,
+};
+
+const NODES: usize = 4;
+const TRIES: usize = 3;
+const NOW: Timestamp = Timestamp(0);
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// A vote request arrives; its answer may be lost.
+    Vote {
+        attempt: usize,
+        node: usize,
+        answer_lost: bool,
+    },
+    /// A try ends without its quorum, and its records are given back where the messages arrive.
+    GiveUp {
+        attempt: usize,
+        heard: [bool; NODES],
+    },
+    /// A node restarts and knows nothing.
+    Restart { node: usize },
+    /// One step of a change of view, at the nodes that hear of it.
+    Change {
+        left_out: usize,
+        heard: [bool; NODES],
+    },
+    /// The node that carries the change out is replaced by another.
+    ForgetChange,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (0..TRIES, 0..NODES, any::<bool>()).prop_map(|(attempt, node, answer_lost)| {
+            Step::Vote { attempt, node, answer_lost }
+        }),
+        1 => (0..TRIES, any::<[bool; NODES]>())
+            .prop_map(|(attempt, heard)| Step::GiveUp { attempt, heard }),
+        1 => (0..NODES).prop_map(|node| Step::Restart { node }),
+        4 => (0..NODES, any::<[bool; NODES]>())
+            .prop_map(|(left_out, heard)| Step::Change { left_out, heard }),
+        1 => Just(Step::ForgetChange),
+    ]
+}
+
+fn journal(node: usize) -> Journal {
+    let text = format!(
+        "name = 'node-{node}'\nzone = 'kalimati'\nplatform = '127.0.0.1:1'\n\
+         callers = '127.0.0.1:0'\nadmin = '127.0.0.1:0'\npeers = '127.0.0.1:0'\n"
+    );
+    Journal::new(&NodeSettings::parse("test", &text).expect("settings"))
+}
+
+/// Sends a request as the wire carries it, and returns the answer as the wire carries it.
+fn exchange(journal: &Journal, request: JournalRequest) -> JournalAnswer {
+    let bytes = encode_request(&PeerRequest::Journal(request));
+    let Ok(PeerRequest::Journal(request)) = decode_request(&bytes) else {
+        panic!("a request to a replica");
+    };
+    let answer = encode_journal_answer(&journal.answer(NOW, request, false));
+    decode_journal_answer(&answer).expect("an answer")
+}
+
+struct Cluster {
+    nodes: Vec<Journal>,
+    active: View,
+    prepared: Option<View>,
+    change: Option<ViewChange>,
+    tries: Vec<Attempt>,
+    given_up: [bool; TRIES],
+    running: usize,
+}
+
+impl Cluster {
+    fn new() -> Self {
+        let nodes: Vec<Journal> = (0..NODES).map(journal).collect();
+        let members: [Member; VIEW_SIZE] = std::array::from_fn(|node| nodes[node].member().clone());
+        let active = View {
+            number: ViewNumber(1),
+            members,
+        };
+        for node in &nodes {
+            let install = JournalRequest::Install {
+                view: active.clone(),
+                records: Records::default(),
+            };
+            exchange(node, install);
+        }
+        let attempt = |id: usize| {
+            let id = AttemptId(RequestId(id as u128));
+            let key = RecordKey("slip".into());
+            Attempt::new(key, id, KeyOrigin::Caller, active.clone())
+        };
+        Self {
+            tries: (0..TRIES).map(attempt).collect(),
+            nodes,
+            prepared: None,
+            change: None,
+            given_up: [false; TRIES],
+            running: 0,
+            active,
+        }
+    }
+
+    fn apply(&mut self, step: Step) {
+        match step {
+            Step::Vote {
+                attempt,
+                node,
+                answer_lost,
+            } => self.vote(attempt, node, answer_lost),
+            Step::GiveUp { attempt, heard } => self.give_up(attempt, heard),
+            Step::Restart { node } => self.nodes[node] = journal(node),
+            Step::Change { left_out, heard } => self.change(left_out, heard),
+            Step::ForgetChange => self.change = None,
+        }
+    }
+
+    fn vote(&mut self, index: usize, node: usize, answer_lost: bool) {
+        let attempt = &mut self.tries[index];
+        attempt.view_changed(self.active.clone());
+        let request = JournalRequest::Vote {
+            view: attempt.view(),
+            key: attempt.key().clone(),
+            attempt: attempt.id(),
+        };
+        let JournalAnswer::Voted { reply, .. } = exchange(&self.nodes[node], request) else {
+            panic!("a vote");
+        };
+        if answer_lost || self.given_up[index] {
+            return;
+        }
+        let ran = attempt.reply(self.nodes[node].member(), attempt.view(), reply);
+        if ran == Some(Decision::Run) {
+            self.given_up[index] = true;
+            self.running += 1;
+        }
+    }
+
+    fn give_up(&mut self, index: usize, heard: [bool; NODES]) {
+        if self.given_up[index] {
+            return;
+        }
+        self.given_up[index] = true;
+        let attempt = &mut self.tries[index];
+        attempt.give_up();
+        let reached = self.nodes.iter().zip(heard).filter(|(_, heard)| *heard);
+        for (node, _) in reached {
+            let key = attempt.key().clone();
+            let attempt = attempt.id();
+            exchange(node, JournalRequest::Release { key, attempt });
+        }
+    }
+
+    fn change(&mut self, left_out: usize, heard: [bool; NODES]) {
+        let next = self.prepared.get_or_insert_with(|| {
+            let nodes = self.nodes.iter().enumerate();
+            let members = nodes.filter(|(node, _)| *node != left_out);
+            let members: Vec<Member> = members.map(|(_, it)| it.member().clone()).collect();
+            View {
+                number: self.active.number.next(),
+                members: members.try_into().expect("three members"),
+            }
+        });
+        let active = self.active.clone();
+        let change = self
+            .change
+            .get_or_insert_with(|| ViewChange::new(active, next.clone()));
+        let step = change.step();
+        if step == ChangeStep::Activate {
+            self.active = change.next().clone();
+            self.prepared = None;
+            self.change = None;
+            return;
+        }
+        let reached = self.nodes.iter().zip(heard).filter(|(_, heard)| *heard);
+        for (node, _) in reached {
+            let request = match &step {
+                ChangeStep::Install(records) => JournalRequest::Install {
+                    view: change.next().clone(),
+                    records: records.clone(),
+                },
+                ChangeStep::Seal | ChangeStep::Activate => JournalRequest::Seal {
+                    next: change.next().number,
+                },
+            };
+            match exchange(node, request) {
+                JournalAnswer::Sealed(reply) => change.seal_reply(node.member(), reply),
+                JournalAnswer::Installed(true) => change.installed(node.member()),
+                _ => {}
+            }
+        }
+    }
+}
+
+fn fixed_cases() -> ProptestConfig {
+    ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed_cases())]
+
+    #[test]
+    fn one_key_runs_at_most_once(steps in vec(step(), 0..60)) {
+        let mut cluster = Cluster::new();
+        for step in steps {
+            cluster.apply(step);
+            prop_assert!(cluster.running <= 1);
+        }
+    }
+}
+
+#[test]
+fn a_try_whose_messages_arrive_runs_and_the_next_does_not() {
+    let mut cluster = Cluster::new();
+    for attempt in 0..TRIES {
+        for node in 0..NODES {
+            cluster.vote(attempt, node, false);
+        }
+        assert_eq!(cluster.running, 1);
+    }
+}
