Requests between nodes wait for a connection instead of being turned away

Cause: a node closed a peer's connection at once when max_connections were open. Votes for at-most-once records come over them, so that a burst of requests with keys was refused for want of a quorum.

Ruled out: a larger limit, which moves the cliff; a limit of its own for votes, which still turns some away.

Change: a connection is accepted once there is room for it. Those beyond wait in the listener's backlog, for as long as the asking node waits.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -226,9 +226,9 @@
     /// of each zone that reads it.
     #[serde(with = "humantime_serde")]
     pub machines_period: Duration,
-    /// Largest frame sent or accepted when a configuration is pulled, in bytes.
+    /// Largest frame sent or accepted between nodes over TCP, in bytes.
     pub max_frame_bytes: usize,
-    /// Most peers that pull at once; more are turned away.
+    /// Most requests of peers over TCP at once; more wait.
     pub max_connections: usize,
 }
 
--- a/crates/node/src/peers/exchange.rs
+++ b/crates/node/src/peers/exchange.rs
@@ -61,17 +61,15 @@
     answer.context("the peer did not answer in time")?
 }
 
-/// Serves requests for as long as the process runs; peers beyond the limit are turned away.
+/// Serves requests for as long as the process runs. Peers beyond the limit wait in the listener's
+/// backlog, and give up in their own time.
 pub(super) async fn serve(node: Arc<Node>, listener: TcpListener) {
     let permits = Arc::new(Semaphore::new(node.settings.peer_limits.max_connections));
-    loop {
+    while let Ok(permit) = Arc::clone(&permits).acquire_owned().await {
         let Ok((stream, _)) = listener.accept().await else {
             actix_rt::time::sleep(ACCEPT_RETRY).await;
             continue;
         };
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            continue;
-        };
         let node = Arc::clone(&node);
         actix_rt::spawn(async move {
             let served = tokio::time::timeout(CONNECTION_TIMEOUT, serve_one(&node, stream)).await;
