--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -76,6 +76,9 @@
     /// Routing of completions to engines.
     #[serde(default)]
     pub routing: RoutingSettings,
+    /// At-most-once records.
+    #[serde(default)]
+    pub journal: JournalSettings,
 }
 
 /// What an operator may do.
@@ -227,9 +230,9 @@
     /// of each zone that reads it.
     #[serde(with = "humantime_serde")]
     pub machines_period: Duration,
-    /// Largest frame sent or accepted when a configuration is pulled, in bytes.
+    /// Largest frame sent or accepted between nodes over TCP, in bytes.
     pub max_frame_bytes: usize,
-    /// Most peers that pull at once; more are turned away.
+    /// Most requests of peers over TCP at once; more wait.
     pub max_connections: usize,
 }
 
@@ -244,6 +247,45 @@
     }
 }
 
+/// Replicas of the at-most-once records, unless they stay at the serving node.
+pub const JOURNAL_REPLICAS: u32 = 3;
+
+/// Bytes of a frame for each key that a replica may hold: the next view is given the records of
+/// three replicas, which may all differ.
+const JOURNAL_BYTES_PER_KEY: usize = 128;
+
+/// The at-most-once records of requests that are not repeatable.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct JournalSettings {
+    /// Replicas of each record: [`JOURNAL_REPLICAS`], or 1 for a fleet with fewer nodes, whose
+    /// records stay at the serving node.
+    pub replicas: u32,
+    /// Longest wait for a replica's answer.
+    #[serde(with = "humantime_serde")]
+    pub vote_timeout: Duration,
+    /// Time between reads of who the replicas are, and between looks at whether they answer.
+    #[serde(with = "humantime_serde")]
+    pub view_period: Duration,
+}
+
+impl JournalSettings {
+    /// Whether records are replicated.
+    pub fn is_replicated(&self) -> bool {
+        self.replicas == JOURNAL_REPLICAS
+    }
+}
+
+impl Default for JournalSettings {
+    fn default() -> Self {
+        Self {
+            replicas: JOURNAL_REPLICAS,
+            vote_timeout: Duration::from_millis(500),
+            view_period: Duration::from_secs(1),
+        }
+    }
+}
+
 mod defaults {
     pub(super) fn threads() -> usize {
         4
@@ -277,6 +319,7 @@
         self.validate_routing(file)?;
         self.validate_callers(file)?;
         self.validate_peers(file)?;
+        self.validate_journal(file)?;
         self.validate_authority(file)
     }
 
@@ -336,6 +379,8 @@
             ("limits.drain_timeout", limits.drain_timeout),
             ("authority.renewal", self.authority.renewal),
             ("authority.plan_period", self.authority.plan_period),
+            ("journal.vote_timeout", self.journal.vote_timeout),
+            ("journal.view_period", self.journal.view_period),
         ];
         for (key, value) in times {
             let shown = humantime_serde::re::humantime::format_duration(value);
@@ -404,6 +449,17 @@
         )
     }
 
+    fn validate_journal(&self, file: &str) -> Result<(), SettingsError> {
+        let replicas = self.journal.replicas;
+        let is_known = [1, JOURNAL_REPLICAS].contains(&replicas);
+        require(is_known, file, "journal.replicas", replicas, "1 or 3")?;
+        let keys = self.limits.max_idempotency_keys;
+        let most = self.peer_limits.max_frame_bytes / JOURNAL_BYTES_PER_KEY;
+        let allowed = "at most peer_limits.max_frame_bytes / 128";
+        let fits = keys <= most || !self.journal.is_replicated();
+        require(fits, file, "limits.max_idempotency_keys", keys, allowed)
+    }
+
     fn validate_authority(&self, file: &str) -> Result<(), SettingsError> {
         let authority = &self.authority;
         let holds = authority.renewal + authority.margin < authority.lease;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters of a node, in Prometheus text form.
 
+use crate::at_most_once::JournalMetrics;
 use crate::peers::PeerMetrics;
 use prometheus::{
     Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
@@ -62,6 +63,8 @@
     pub kv_transfers: IntCounterVec,
     /// Load reports of engines, by outcome.
     pub load_reports: IntCounterVec,
+    /// The at-most-once records.
+    pub journal: JournalMetrics,
 }
 
 /// Upper ends of the buckets of [`Metrics::prediction_ratio`].
@@ -158,6 +161,7 @@
                 "Load reports of engines, by outcome",
                 "outcome",
             )?,
+            journal: JournalMetrics::register(&registry)?,
             registry,
         })
     }
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -11,6 +11,7 @@
 use tansyhall_core::EngineName;
 use tansyhall_engine::protocol::EngineState;
 
+use crate::at_most_once::Journal;
 use crate::callers::CallersState;
 use crate::configuration::{Held, InForce};
 use crate::dispatch::{DispatchState, InFlight};
@@ -36,6 +37,8 @@
     pub held: Mutex<Held>,
     /// Other nodes as this one sees them.
     pub peers: PeersView,
+    /// This node's part of the at-most-once records.
+    pub journal: Journal,
     /// Counters.
     pub metrics: Metrics,
     /// What the callers' side keeps.
@@ -52,6 +55,7 @@
         Ok(Arc::new(Self {
             callers: CallersState::new(&settings.limits),
             dispatch: DispatchState::new(&settings.routing),
+            journal: Journal::new(&settings),
             settings,
             clock: MonotonicClock::start(),
             in_force: ArcSwap::from_pointee(InForce::default()),
