Token buckets with a rate that changes, and fair places at a node that is nearly full

Cause: nothing spent a share of a limit, and a full node served whoever came first.

Ruled out: fair parts by what others hold now; then the last place goes to the tenant that holds most, and the next request of the other is refused.

Change: TokenBucket (debts for large requests, corrections, an exact time to come back) and FairPlaces (the last eighth of the places is for tenants below an equal part) in admission.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,10 +6,14 @@
 
 pub mod backoff;
 pub mod circuit_breaker;
+pub mod fairness;
 pub mod retry_budget;
 pub mod service_rate;
+pub mod token_bucket;
 
 pub use backoff::Backoff;
 pub use circuit_breaker::{BreakerDecision, BreakerEvent, BreakerSettings, CircuitBreaker};
+pub use fairness::{FairPlaces, PlaceDecision};
 pub use retry_budget::{BudgetDecision, BudgetEvent, BudgetSettings, RetryBudget};
 pub use service_rate::{ServiceEvent, ServiceRate};
+pub use token_bucket::{BucketDecision, BucketEvent, TokenBucket};
