Nodes enforce tenants' limits, share their places fairly and pick versions and adapters

Cause: a tenant's limits, and the versions and adapters of a class, were accepted in policies and had no effect.

Ruled out: asking another node for each request; counting tokens only at the end, which lets a burst of large requests in before the first is counted.

Change: crates/node/src/limits. The caller's tenant comes from the tansyhall-tenant header or the service and is seen by policies; an unknown one is refused. Buckets filled at the node's share, a concurrent limit and fair places stand before the first attempt; a guard gives them back however the request ends and corrects the tokens. Class shares pick a version and an adapter by hash; the adapter goes to the engine. ShareTransport is the seam for messages between nodes; the only transport so far loses them, so that nodes which do not know of each other admit the limit once each.

Before: no request was refused for a limit.

Conclusion: one node enforces the whole limit. Shares between node processes and the choice of an engine by version are left.

--- a/crates/node/src/callers/admit.rs
+++ b/crates/node/src/callers/admit.rs
@@ -7,7 +7,7 @@
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpRequest};
 use bytes::Bytes;
-use tansyhall_core::{ModelName, RequestId, ServiceName, Timestamp};
+use tansyhall_core::{ModelName, RequestId, ServiceName, TenantName, Timestamp};
 use tansyhall_engine::protocol::{estimate_tokens, Priority};
 use tansyhall_policy::ast::PriorityName;
 use tansyhall_policy::Class;
@@ -19,6 +19,7 @@
 use super::requests::RequestRecord;
 use super::shape::{CallerRequest, DEFAULT_MAX_TOKENS};
 use crate::configuration::RequestHeaders;
+use crate::limits::{tenant_of, Admission, Refusal, Variant};
 use crate::state::Node;
 
 /// Reads a completion request's body, within the node's limits on size and time.
@@ -72,14 +73,20 @@
 pub struct Terms {
     /// The service asked.
     pub service: ServiceName,
+    /// The caller's tenant, if it has one.
+    pub tenant: Option<TenantName>,
     /// When the whole answer is due.
     pub deadline: Timestamp,
     /// Queue order.
     pub priority: Priority,
     /// Whether another attempt is allowed once the request may have run.
     pub repeatable: bool,
+    /// The version to prefer and the adapter to apply.
+    pub variant: Variant,
     /// Estimated tokens of the prompt; zero for an application's request.
     pub prompt_tokens: u32,
+    /// Most tokens of the answer; zero for an application's request.
+    pub output_tokens: u32,
 }
 
 /// Classifies a completion request.
@@ -89,20 +96,23 @@
     body_bytes: usize,
     request: &CallerRequest,
     options: &RequestOptions,
-    arrived: Timestamp,
+    record: &RequestRecord,
 ) -> Result<Terms, Failure> {
     let service = service_of_model(node, &request.model)?;
+    let tenant = tenant(node, http, &service)?;
     let prompt_tokens = estimate_tokens(&request.prompt.flattened());
     let headers = RequestHeaders(http.headers());
     let facts = RequestFacts {
         output_tokens: u64::from(request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS)),
         body_bytes: body_bytes as u64,
         service: service.as_str(),
+        tenant: tenant.as_ref().map_or("", TenantName::as_str),
         model: request.model.as_str(),
         headers: &headers,
         ..RequestFacts::new(http.path(), u64::from(prompt_tokens))
     };
-    let mut terms = terms(node, service.clone(), &facts, options, arrived);
+    let mut terms = terms(node, http, service.clone(), &facts, options, record);
+    terms.tenant = tenant.clone();
     if let (None, Some(priority)) = (options.priority, request.priority) {
         terms.priority = priority;
     }
@@ -112,22 +122,38 @@
 /// Classifies a request by its service's policy; the caller's options go before its class.
 pub fn terms(
     node: &Node,
+    http: &HttpRequest,
     service: ServiceName,
     facts: &RequestFacts<'_>,
     options: &RequestOptions,
-    arrived: Timestamp,
+    record: &RequestRecord,
 ) -> Terms {
     let program = node.in_force.load().program(&service);
     let class = program.classify(facts);
     Terms {
-        deadline: arrived + options.deadline.unwrap_or(class.deadline),
+        deadline: record.arrived + options.deadline.unwrap_or(class.deadline),
         priority: options.priority.unwrap_or_else(|| priority_of(class)),
         repeatable: class.repeatable && !options.not_repeatable,
         prompt_tokens: u32::try_from(facts.prompt_tokens).unwrap_or(u32::MAX),
+        output_tokens: u32::try_from(facts.output_tokens).unwrap_or(u32::MAX),
+        tenant: None,
+        variant: Variant::pick(class, http.headers(), record.id),
         service,
     }
 }
 
+/// The caller's tenant, checked against the configuration.
+pub fn tenant(
+    node: &Node,
+    http: &HttpRequest,
+    service: &ServiceName,
+) -> Result<Option<TenantName>, Failure> {
+    tenant_of(&node.in_force.load(), service, http.headers()).map_err(|error| {
+        let status = StatusCode::BAD_REQUEST;
+        refused(node, "unknown-tenant", status, error.to_string())
+    })
+}
+
 fn service_of_model(node: &Node, model: &ModelName) -> Result<ServiceName, Failure> {
     let in_force = node.in_force.load();
     let pool = in_force.pools_of_model(model).next();
@@ -155,6 +181,8 @@
 ) -> Result<Arc<InProgress>, Failure> {
     record.set_deadline(terms.deadline);
     check_limits(node, &terms.service)?;
+    let asked = Admission::ask(node, terms);
+    let admission = asked.map_err(|refusal| over_limit(node, &terms.service, refusal))?;
     let key = match &options.idempotency_key {
         Some(key) if !terms.repeatable => Some(key.clone()),
         _ => None,
@@ -166,7 +194,27 @@
     }
     let service = terms.service.clone();
     let record = Arc::clone(record);
-    Ok(InProgress::begin(Arc::clone(node), record, service, key))
+    Ok(InProgress::begin(
+        Arc::clone(node),
+        record,
+        service,
+        key,
+        admission,
+    ))
+}
+
+/// Counts and builds the failure of a request that its tenant's limits or the node's places refuse.
+fn over_limit(node: &Node, service: &ServiceName, refusal: Refusal) -> Failure {
+    let reason = refusal.name();
+    node.metrics.refused.with_label_values(&[reason]).inc();
+    let advised = || node.callers.health.advised_wait(service);
+    let retry_after = refusal.retry_after().unwrap_or_else(advised);
+    if refusal.is_limit() {
+        let message = format!("the tenant's limit is reached: {reason}");
+        return Failure::not_run(StatusCode::TOO_MANY_REQUESTS, message, retry_after);
+    }
+    let message = "too many requests in progress at this node";
+    Failure::not_run(StatusCode::SERVICE_UNAVAILABLE, message, retry_after)
 }
 
 fn check_limits(node: &Node, service: &ServiceName) -> Result<(), Failure> {
--- a/crates/node/src/callers/application.rs
+++ b/crates/node/src/callers/application.rs
@@ -15,10 +15,10 @@
 use tansyhall_admission::{BreakerDecision, BreakerEvent};
 use tansyhall_config::settings::Limits;
 use tansyhall_config::Backend;
-use tansyhall_core::{EngineName, ServiceName, Verdict};
+use tansyhall_core::{EngineName, ServiceName, TenantName, Verdict};
 use tansyhall_engine::transport::{connector, never_sent};
 
-use super::admit::{admit, arrive, end_refused, options, refused, terms, Terms};
+use super::admit::{admit, arrive, end_refused, options, refused, tenant, terms, Terms};
 use super::driver::InProgress;
 use super::failure::{answer_with, Failure};
 use super::replay::ReplayableBody;
@@ -77,13 +77,16 @@
 ) -> Result<HttpResponse, Failure> {
     let options = options(node, http)?;
     let service = service_of_path(node, http.path())?;
+    let tenant = tenant(node, http, &service)?;
     let headers = RequestHeaders(http.headers());
     let facts = RequestFacts {
         service: service.as_str(),
+        tenant: tenant.as_ref().map_or("", TenantName::as_str),
         headers: &headers,
         ..RequestFacts::new(http.path(), 0)
     };
-    let mut terms = terms(node, service.clone(), &facts, &options, record.arrived);
+    let mut terms = terms(node, http, service.clone(), &facts, &options, record);
+    terms.tenant = tenant.clone();
     terms.repeatable = terms.repeatable && is_safe(http.method());
     let max_bytes = node.settings.limits.max_forwarded_body_bytes;
     let length = content_length(http);
--- a/crates/node/src/callers/completion.rs
+++ b/crates/node/src/callers/completion.rs
@@ -73,7 +73,7 @@
     let options = options(node, http)?;
     let body = read_body(node, payload).await?;
     let request = decode(node, &body)?;
-    let terms = completion_terms(node, http, body.len(), &request, &options, record.arrived)?;
+    let terms = completion_terms(node, http, body.len(), &request, &options, record)?;
     let in_progress = admit(node, record, &terms, &options).await?;
     let manner = match (request.stream, options.wait) {
         (true, _) => Manner::Stream,
@@ -86,10 +86,12 @@
         chat: matches!(request.prompt, Prompt::Chat { .. }),
         prompt_tokens: terms.prompt_tokens,
     };
+    let adapter = terms.variant.adapter.as_ref();
+    let adapter = adapter.map(|adapter| adapter.as_str().to_owned());
     let engine_request = EngineRequest {
         request_id: shape.id.clone(),
         model: request.model,
-        adapter: request.adapter,
+        adapter: adapter.or(request.adapter),
         prompt: request.prompt,
         max_tokens: request.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS).max(1),
         stream: true,
--- a/crates/node/src/callers/driver.rs
+++ b/crates/node/src/callers/driver.rs
@@ -15,6 +15,7 @@
 use super::failure::Failure;
 use super::options::IdempotencyKey;
 use super::requests::{Ending, RequestRecord};
+use crate::limits::Admission;
 use crate::state::Node;
 
 /// Chunks that may wait for the caller to read them.
@@ -38,6 +39,7 @@
     pub record: Arc<RequestRecord>,
     service: ServiceName,
     key: Option<IdempotencyKey>,
+    admission: Admission,
 }
 
 impl InProgress {
@@ -47,6 +49,7 @@
         record: Arc<RequestRecord>,
         service: ServiceName,
         key: Option<IdempotencyKey>,
+        admission: Admission,
     ) -> Arc<Self> {
         let now = node.clock.now();
         node.metrics.in_progress.inc();
@@ -59,6 +62,7 @@
             record,
             service,
             key,
+            admission,
         })
     }
 
@@ -127,6 +131,8 @@
         };
         let (delivery, ending) = match next {
             Ok(Some(chunk)) => {
+                let generated = chunk.token_index.saturating_add(chunk.tokens);
+                in_progress.admission.note_generated(generated);
                 let last = chunk.finish_reason.is_some();
                 (Delivery::Chunk(chunk), last.then_some(Ending::Completed))
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod authority;
 pub mod callers;
 pub mod configuration;
+pub mod limits;
 pub mod metrics;
 pub mod server;
 pub mod state;
--- /dev/null
+++ b/crates/node/src/limits/mod.rs
@@ -0,0 +1,16 @@
+//! Limits of tenants at this node: who the caller's tenant is, what it may use, and the shares of
+//! its limits that this node holds.
+
+pub mod admission;
+pub mod canary;
+pub mod keeper;
+pub mod keys;
+pub mod tenant;
+pub mod ticker;
+pub mod transport;
+
+pub use admission::{Admission, Refusal};
+pub use canary::{Variant, AFFINITY_HEADER};
+pub use keeper::LimitKeeper;
+pub use tenant::{tenant_of, TENANT_HEADER};
+pub use transport::{Alone, ShareTransport};
--- /dev/null
+++ b/crates/node/src/limits/tenant.rs
@@ -0,0 +1,34 @@
+//! The tenant that a request belongs to.
+
+use actix_web::http::header::HeaderMap;
+use tansyhall_core::{ServiceName, TenantName};
+
+use crate::configuration::InForce;
+
+/// Header by which a caller names its tenant.
+pub const TENANT_HEADER: &str = "tansyhall-tenant";
+
+/// A tenant that the configuration does not know.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("header {TENANT_HEADER}: no tenant has this name")]
+pub struct UnknownTenant;
+
+/// The tenant that the caller names, or else the one that owns the service, if any.
+pub fn tenant_of(
+    in_force: &InForce,
+    service: &ServiceName,
+    headers: &HeaderMap,
+) -> Result<Option<TenantName>, UnknownTenant> {
+    let configuration = &in_force.configuration;
+    let Some(named) = headers.get(TENANT_HEADER) else {
+        let service = configuration.services.get(service);
+        return Ok(service.and_then(|service| service.tenant.clone()));
+    };
+    let named = named.to_str().map_err(|_| UnknownTenant)?.trim();
+    let named = configuration
+        .tenants
+        .get_key_value(&TenantName::from(named));
+    named
+        .map(|(name, _)| Some(name.clone()))
+        .ok_or(UnknownTenant)
+}
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -14,6 +14,7 @@
 
 use crate::authority::AuthorityKeeper;
 use crate::configuration::{ConfigurationStore, ConfigurationWatcher};
+use crate::limits::{self, Alone};
 use crate::state::Node;
 use crate::{admin, callers};
 
@@ -49,6 +50,7 @@
         actix_rt::spawn(server);
     }
     callers::start_sweeping(Arc::clone(&node));
+    limits::ticker::start(Arc::clone(&node), Arc::new(Alone));
     let store = EtcdStore::new(platform, timeout);
     ConfigurationWatcher::new(Arc::clone(&node), store.clone()).start();
     AuthorityKeeper::new(Arc::clone(&node), store).start();
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
@@ -14,6 +15,7 @@
 use crate::admin::status::MemberStatus;
 use crate::callers::CallersState;
 use crate::configuration::InForce;
+use crate::limits::LimitKeeper;
 use crate::metrics::Metrics;
 
 /// What a node knows about one engine.
@@ -39,6 +41,8 @@
     pub metrics: Metrics,
     /// What the callers' side keeps.
     pub callers: CallersState,
+    /// Limits of tenants.
+    pub limits: LimitKeeper,
     /// When the configuration was last seen in the store, in microseconds of the clock; zero
     /// before the first time.
     configuration_seen: AtomicU64,
@@ -49,10 +53,15 @@
 impl Node {
     /// The state of a node that knows nothing yet.
     pub fn new(settings: NodeSettings) -> anyhow::Result<Arc<Self>> {
+        let clock = MonotonicClock::start();
+        let name = settings.name.clone();
+        let places = settings.limits.max_requests;
+        let incarnation = incarnation();
         Ok(Arc::new(Self {
+            limits: LimitKeeper::new(name, incarnation, places, clock.now()),
             callers: CallersState::new(&settings.limits),
             settings,
-            clock: MonotonicClock::start(),
+            clock,
             in_force: ArcSwap::from_pointee(InForce::default()),
             members: ArcSwap::default(),
             metrics: Metrics::new()?,
@@ -120,6 +129,14 @@
     }
 }
 
+/// Tells this run of the node apart from earlier ones: microseconds of the wall clock, so that
+/// later runs have larger numbers.
+fn incarnation() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let micros = since_epoch.map_or(0, |elapsed| elapsed.as_micros());
+    u64::try_from(micros).unwrap_or(u64::MAX)
+}
+
 /// A request of this node in progress at an engine.
 pub struct InFlight {
     node: Arc<Node>,
--- /dev/null
+++ b/crates/node/tests/limits_of_tenants.rs
@@ -0,0 +1,169 @@
+//! Tenants' limits at one node: who the tenant is, what is refused and with which advice, and what
+//! is given back when a request ends.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use awc::ClientResponse;
+use futures_util::future::join_all;
+use support::{ask, body, header, json_of, start_engine, start_node, Reader, MODEL};
+use tansyhall_config::file::ResourceFile;
+use tansyhall_config::Configuration;
+use tansyhall_node::configuration::InForce;
+use tansyhall_node::Node;
+use tansyhall_testing::eventually;
+
+const COOPERATIVE: (&str, &str) = ("tansyhall-tenant", "cooperative");
+const REGISTRY: (&str, &str) = ("tansyhall-tenant", "registry");
+/// Tokens that take an engine far longer than a test needs.
+const LONG: u32 = 50_000;
+/// Tokens of streams that fit an engine's memory together.
+const SEVERAL: u32 = 3_000;
+
+/// A node with one engine, whose service has this policy and belongs to the cooperative.
+fn start(policy: &str, limits: &str) -> (Arc<Node>, SocketAddr) {
+    let engine = start_engine("engine-0");
+    let (node, address) = start_node(&[], &[], limits);
+    let text = format!(
+        "[[tenant]]\nname = 'cooperative'\nowner = 'depot'\n\
+         [[tenant]]\nname = 'registry'\nowner = 'desk'\n\
+         [[policy]]\nname = 'assistant'\nsource = '{policy}'\n\
+         [[site]]\nname = 'valley'\nregion = 'valley'\nzones = ['kalimati']\n\
+         [[service]]\nname = 'assistant'\nsite = 'valley'\nkind = 'language-model'\n\
+         policy = 'assistant'\ntenant = 'cooperative'\n\
+         [[pool]]\nname = 'assistant-kalimati'\nservice = 'assistant'\nzone = 'kalimati'\n\
+         model = '{MODEL}'\nbackends = [{{ name = 'engine-0', address = '{engine}' }}]\n"
+    );
+    let resources = ResourceFile::parse(&text).expect("resources");
+    let mut configuration = Configuration::default();
+    for resource in resources.into_resources() {
+        configuration.put(resource);
+    }
+    let in_force = InForce::new(configuration).expect("a configuration");
+    node.in_force.store(Arc::new(in_force));
+    (node, address)
+}
+
+fn assert_over_limit(answer: &ClientResponse) {
+    assert_eq!(answer.status(), 429);
+    assert_eq!(header(answer, "tansyhall-verdict"), "not-run");
+    let seconds: u64 = header(answer, "retry-after").parse().expect("seconds");
+    assert!(seconds >= 1);
+}
+
+/// Begins a long stream and reads its first text.
+async fn hold(address: SocketAddr, tenant: (&str, &str), tokens: u32) -> Reader {
+    let answer = ask(address, &[tenant], &body(tokens, true)).await;
+    assert_eq!(answer.status(), 200);
+    let mut reader = Reader::new(answer);
+    reader.read_text().await;
+    reader
+}
+
+#[actix_rt::test]
+async fn requests_beyond_the_rate_are_refused_with_the_time_to_come_back() {
+    let policy = "tenant cooperative { limit 2 requests per s; }";
+    let (node, address) = start(policy, "");
+    let began = Instant::now();
+    let request = body(1, false);
+    let asks = (0..40).map(|_| ask(address, &[], &request));
+    let answers = join_all(asks).await;
+    let allowed = 2 + 2 * (began.elapsed().as_secs() + 1);
+    let admitted = answers.iter().filter(|answer| answer.status() == 200);
+    let admitted = admitted.count() as u64;
+    assert!((1..=allowed).contains(&admitted), "{admitted} of {allowed}");
+    let refused: Vec<_> = answers.into_iter().filter(|a| a.status() != 200).collect();
+    assert!(!refused.is_empty());
+    let counted = node.metrics.refused.with_label_values(&["requests-limit"]);
+    assert_eq!(counted.get(), refused.len() as u64);
+    for mut answer in refused {
+        assert_over_limit(&answer);
+        let advised = json_of(&mut answer).await["error"]["retry_after_ms"].clone();
+        assert!(
+            advised.as_u64().is_some_and(|millis| millis <= 500),
+            "{advised}"
+        );
+    }
+    let unlimited = ask(address, &[REGISTRY], &request).await;
+    assert_eq!(unlimited.status(), 200, "another tenant has its own limits");
+}
+
+#[actix_rt::test]
+async fn an_unknown_tenant_is_refused_and_a_known_one_is_seen_by_policies() {
+    let policy = "class desk when tenant == \"registry\" { deadline 7s; }";
+    let (node, address) = start(policy, "");
+    let request = body(1, false);
+    let unknown = ask(address, &[("tansyhall-tenant", "nobody")], &request).await;
+    assert_eq!(unknown.status(), 400);
+    assert_eq!(header(&unknown, "tansyhall-verdict"), "not-run");
+    let counted = node.metrics.refused.with_label_values(&["unknown-tenant"]);
+    assert_eq!(counted.get(), 1);
+    assert!(deadline_millis(address, &[]).await > 7_000);
+    assert!(deadline_millis(address, &[REGISTRY]).await <= 7_000);
+}
+
+/// The deadline of a long request, as its status resource states it.
+async fn deadline_millis(address: SocketAddr, tenant: &[(&str, &str)]) -> u64 {
+    let headers = [&[("prefer", "wait=0")], tenant].concat();
+    let mut answer = ask(address, &headers, &body(LONG, false)).await;
+    assert_eq!(answer.status(), 202);
+    let status = json_of(&mut answer).await;
+    status["deadline_ms"].as_u64().expect("a deadline")
+}
+
+#[actix_rt::test]
+async fn a_place_within_the_concurrent_limit_is_given_back_when_a_caller_goes_away() {
+    let policy = "tenant cooperative { limit 1 concurrent; }";
+    let (node, address) = start(policy, "");
+    let held = hold(address, COOPERATIVE, LONG).await;
+    assert_over_limit(&ask(address, &[], &body(1, false)).await);
+    let counted = node
+        .metrics
+        .refused
+        .with_label_values(&["concurrent-limit"]);
+    assert_eq!(counted.get(), 1);
+    drop(held);
+    eventually("the place is given back", || async {
+        let answer = ask(address, &[], &body(1, false)).await;
+        (answer.status() == 200).then_some(())
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn tokens_are_taken_by_estimate_and_corrected_by_use() {
+    let policy = "tenant cooperative { limit 100 tokens per s; }";
+    let (_node, address) = start(policy, "");
+    let held = hold(address, COOPERATIVE, LONG).await;
+    let mut refused = ask(address, &[], &body(1, false)).await;
+    assert_over_limit(&refused);
+    let advised = json_of(&mut refused).await["error"]["retry_after_ms"].clone();
+    let debt_millis = u64::from(LONG) * 1_000 / 100;
+    assert!(advised.as_u64() > Some(debt_millis / 2), "{advised}");
+    drop(held);
+    eventually("what was not used is given back", || async {
+        let answer = ask(address, &[], &body(1, false)).await;
+        (answer.status() == 200).then_some(())
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn the_last_places_of_a_node_are_for_the_tenant_that_holds_fewer() {
+    let (node, address) = start("", "max_requests = 8");
+    let _registry = hold(address, REGISTRY, SEVERAL).await;
+    let mut held = Vec::new();
+    for _ in 0..6 {
+        held.push(hold(address, COOPERATIVE, SEVERAL).await);
+    }
+    let refused = ask(address, &[], &body(1, false)).await;
+    assert_eq!(refused.status(), 503);
+    assert_eq!(header(&refused, "tansyhall-verdict"), "not-run");
+    let counted = node.metrics.refused.with_label_values(&["fair-part"]);
+    assert_eq!(counted.get(), 1);
+    let other = ask(address, &[REGISTRY], &body(1, true)).await;
+    assert_eq!(other.status(), 200);
+}
