--- a/crates/node/src/limits/keeper.rs
+++ b/crates/node/src/limits/keeper.rs
@@ -1,7 +1,7 @@
 //! What this node keeps about limits: the shares that it holds, a meter for each limit in use, and
 //! the places that tenants take.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use parking_lot::Mutex;
@@ -65,10 +65,17 @@
             return;
         }
         let limits = limits_in_force(in_force);
+        self.forget_meters(&limits);
         shares.node.step(now, Event::Limits(limits));
         shares.divided = Some(Arc::clone(in_force));
     }
 
+    /// Forgets meters of limits that are no longer in force, unless requests are in progress.
+    fn forget_meters(&self, limits: &BTreeMap<LimitKey, Amount>) {
+        self.meters
+            .retain(|key, meter| limits.contains_key(key) || meter.in_progress > 0);
+    }
+
     /// Takes a view of the fleet.
     pub fn set_view(&self, now: Timestamp, view: View) {
         self.shares.lock().node.step(now, Event::View(view));
--- a/crates/node/tests/limits_of_tenants.rs
+++ b/crates/node/tests/limits_of_tenants.rs
@@ -7,14 +7,17 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use actix_web::{web, App, HttpResponse, HttpServer};
 use awc::ClientResponse;
 use futures_util::future::join_all;
-use support::{ask, body, header, json_of, start_engine, start_node, Reader, MODEL};
+use support::{ask, body, header, json_of, listener, start_engine, start_node, Reader, MODEL};
 use tansyhall_config::file::ResourceFile;
 use tansyhall_config::Configuration;
+use tansyhall_engine::protocol::{EngineRequest, COMPLETIONS_PATH};
 use tansyhall_node::configuration::InForce;
 use tansyhall_node::Node;
 use tansyhall_testing::eventually;
+use tokio::sync::mpsc;
 
 const COOPERATIVE: (&str, &str) = ("tansyhall-tenant", "cooperative");
 const REGISTRY: (&str, &str) = ("tansyhall-tenant", "registry");
@@ -25,7 +28,10 @@
 
 /// A node with one engine, whose service has this policy and belongs to the cooperative.
 fn start(policy: &str, limits: &str) -> (Arc<Node>, SocketAddr) {
-    let engine = start_engine("engine-0");
+    start_before(start_engine("engine-0"), policy, limits)
+}
+
+fn start_before(engine: SocketAddr, policy: &str, limits: &str) -> (Arc<Node>, SocketAddr) {
     let (node, address) = start_node(&[], &[], limits);
     let text = format!(
         "[[tenant]]\nname = 'cooperative'\nowner = 'depot'\n\
@@ -35,7 +41,7 @@
          [[service]]\nname = 'assistant'\nsite = 'valley'\nkind = 'language-model'\n\
          policy = 'assistant'\ntenant = 'cooperative'\n\
          [[pool]]\nname = 'assistant-kalimati'\nservice = 'assistant'\nzone = 'kalimati'\n\
-         model = '{MODEL}'\nbackends = [{{ name = 'engine-0', address = '{engine}' }}]\n"
+         model = '{MODEL}'\nadapters = ['tuned']\nbackends = [{{ name = 'engine-0', address = '{engine}' }}]\n"
     );
     let resources = ResourceFile::parse(&text).expect("resources");
     let mut configuration = Configuration::default();
@@ -167,3 +173,29 @@
     let other = ask(address, &[REGISTRY], &body(1, true)).await;
     assert_eq!(other.status(), 200);
 }
+
+#[actix_rt::test]
+async fn the_adapter_that_a_class_picks_reaches_the_engine() {
+    let (listener, engine) = listener();
+    let (sender, mut received) = mpsc::unbounded_channel();
+    let server = HttpServer::new(move || {
+        let sender = sender.clone();
+        let answer = move |request: web::Json<EngineRequest>| {
+            let sender = sender.clone();
+            async move {
+                sender
+                    .send(request.adapter.clone())
+                    .expect("the test waits");
+                HttpResponse::BadRequest()
+            }
+        };
+        App::new().route(COMPLETIONS_PATH, web::post().to(answer))
+    });
+    let server = server.workers(1).disable_signals().listen(listener);
+    actix_rt::spawn(server.expect("a server").run());
+    let policy = "class counter { adapters tuned 100%; }";
+    let (_node, address) = start_before(engine, policy, "");
+    ask(address, &[], &body(1, false)).await;
+    let adapter = received.recv().await.expect("a request");
+    assert_eq!(adapter.as_deref(), Some("tuned"));
+}
