A node that comes to be alone takes its lent shares back

Cause: two keepers joined in a new test showed that the node left of two kept a quarter of the limit for a loan's length after the other had gone from the fleet: it had gone on lending to itself and no longer asked.

Ruled out: asking itself for ever in a fleet of one, which makes the whole limit depend on demand seen a second earlier.

Change: once a fleet of one is in force, after the length of a loan, loans and grants end.

--- a/crates/node/tests/limits_of_tenants.rs
+++ b/crates/node/tests/limits_of_tenants.rs
@@ -186,7 +186,7 @@
                 sender
                     .send(request.adapter.clone())
                     .expect("the test waits");
-                HttpResponse::BadRequest()
+                HttpResponse::BadRequest().finish()
             }
         };
         App::new().route(COMPLETIONS_PATH, web::post().to(answer))
--- /dev/null
+++ b/crates/node/tests/limits_two_keepers.rs
@@ -0,0 +1,109 @@
+//! Two nodes' keepers of limits, joined by a transport of the test's own, in virtual time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tansyhall_config::file::ResourceFile;
+use tansyhall_config::Configuration;
+use tansyhall_core::{NodeId, Timestamp};
+use tansyhall_node::configuration::InForce;
+use tansyhall_node::limits::keys::limits_in_force;
+use tansyhall_node::limits::{LimitKeeper, ShareTransport};
+use tansyhall_shares::{Amount, LimitKey, Message, View};
+
+const RESOURCES: &str = "[[tenant]]\nname = 'cooperative'\nowner = 'depot'\n\
+                         limits = { requests_per_second = 100 }\n";
+/// The limit, in thousandths.
+const LIMIT: Amount = 100_000;
+/// Longer than a loan, a grant and a renewal together.
+const SETTLED_SECONDS: usize = 60;
+
+/// Keeps what is sent until the test delivers it.
+#[derive(Default)]
+struct Outbox(Mutex<Vec<(NodeId, Message)>>);
+
+impl ShareTransport for Outbox {
+    fn send(&self, to: &NodeId, message: &Message) {
+        self.0.lock().push((to.clone(), message.clone()));
+    }
+}
+
+struct Pair {
+    names: [NodeId; 2],
+    keepers: [LimitKeeper; 2],
+    outboxes: [Outbox; 2],
+    now: Timestamp,
+}
+
+impl Pair {
+    fn new(in_force: &Arc<InForce>) -> Self {
+        let names = ["node-0", "node-1"].map(NodeId::from);
+        let now = Timestamp::from_millis(1);
+        let keepers = names.clone().map(|name| LimitKeeper::new(name, 1, 10, now));
+        for keeper in &keepers {
+            keeper.divide(now, in_force);
+        }
+        let outboxes = Default::default();
+        Self {
+            names,
+            keepers,
+            outboxes,
+            now,
+        }
+    }
+
+    fn second(&mut self, alive: &[usize]) {
+        self.now = self.now + Duration::from_secs(1);
+        for index in alive.iter().copied() {
+            let live = alive
+                .iter()
+                .map(|index| self.names[*index].clone())
+                .collect();
+            let fleet_size = alive.len() as u64;
+            self.keepers[index].set_view(self.now, View { live, fleet_size });
+            self.keepers[index].tick(self.now, &self.outboxes[index]);
+        }
+        while alive.iter().any(|index| self.deliver_from(*index)) {}
+    }
+
+    /// Delivers what a node has sent; false if it has sent nothing.
+    fn deliver_from(&self, index: usize) -> bool {
+        let sent = std::mem::take(&mut *self.outboxes[index].0.lock());
+        let delivered = !sent.is_empty();
+        for (to, message) in sent {
+            let receiver = usize::from(to == self.names[1]);
+            let from = self.names[index].clone();
+            let outbox = &self.outboxes[receiver];
+            self.keepers[receiver].receive(self.now, from, message, outbox);
+        }
+        delivered
+    }
+
+    fn usable(&self, key: LimitKey) -> [Amount; 2] {
+        [0, 1].map(|index: usize| self.keepers[index].usable(self.now, key))
+    }
+}
+
+#[test]
+fn two_nodes_divide_a_limit_and_the_one_that_is_left_has_all_of_it() {
+    let resources = ResourceFile::parse(RESOURCES).expect("resources");
+    let mut configuration = Configuration::default();
+    for resource in resources.into_resources() {
+        configuration.put(resource);
+    }
+    let in_force = Arc::new(InForce::new(configuration).expect("a configuration"));
+    let limits = limits_in_force(&in_force);
+    let (key, limit) = limits.first_key_value().expect("a limit");
+    assert_eq!(*limit, LIMIT);
+    let mut pair = Pair::new(&in_force);
+    assert_eq!(pair.usable(*key)[0], LIMIT, "alone, each has the whole");
+    for _ in 0..SETTLED_SECONDS {
+        pair.second(&[0, 1]);
+        assert!(pair.usable(*key).iter().sum::<Amount>() <= LIMIT);
+    }
+    for _ in 0..SETTLED_SECONDS {
+        pair.second(&[1]);
+    }
+    assert_eq!(pair.usable(*key)[1], LIMIT);
+}
--- a/crates/shares/src/holder.rs
+++ b/crates/shares/src/holder.rs
@@ -80,6 +80,12 @@
         self.division = division;
     }
 
+    /// Takes back what is lent, and forgets what was granted: no other node is left.
+    pub fn reclaim(&mut self) {
+        self.lent = None;
+        self.granted.clear();
+    }
+
     /// The share of a limit that this node may use now.
     pub fn usable(&self, now: Timestamp, key: LimitKey) -> Amount {
         self.own(now, key) + self.borrowed(now, key)
--- a/crates/shares/src/node.rs
+++ b/crates/shares/src/node.rs
@@ -168,6 +168,9 @@
             if now >= at {
                 self.shrinks = None;
                 self.view.fleet_size = size;
+                if size <= 1 {
+                    self.reclaim();
+                }
                 self.divide();
             }
         }
@@ -178,6 +181,16 @@
         asks.collect()
     }
 
+    /// Ends every loan and grant. The fleet has been this node alone for longer than any of them.
+    fn reclaim(&mut self) {
+        for held in &mut self.held {
+            held.reclaim();
+        }
+        for owned in &mut self.owned {
+            *owned = OwnedGroup::new(self.settings, Arc::default());
+        }
+    }
+
     fn ask(&mut self, now: Timestamp, group: GroupId) -> Option<Action> {
         let owner = self.owners[index(group)].clone();
         let ask = self.held[index(group)].ask(now, self.incarnation, &owner)?;
