The bound on meters of limits is a setting

Cause: the table of meters was bounded by a constant that operators could not see.

Conclusion: tables of limits are bounded by named settings or by the limits in force.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -144,6 +144,8 @@
     /// How long an idempotency key is remembered.
     #[serde(with = "humantime_serde")]
     pub idempotency_retention: Duration,
+    /// Most limits of tenants metered at once; a request that needs one more is refused.
+    pub max_limit_meters: usize,
     /// Retries allowed for each thousand requests.
     pub retries_per_thousand: u32,
     /// Retries allowed beyond that fraction; one is gained back each second.
@@ -171,6 +173,7 @@
             request_retention: Duration::from_secs(60),
             max_idempotency_keys: 100_000,
             idempotency_retention: Duration::from_secs(3_600),
+            max_limit_meters: 16_384,
             retries_per_thousand: 200,
             retry_reserve: 20,
         }
@@ -323,6 +326,7 @@
             ),
             ("limits.max_request_records", limits.max_request_records),
             ("limits.max_idempotency_keys", limits.max_idempotency_keys),
+            ("limits.max_limit_meters", limits.max_limit_meters),
         ];
         for (key, value) in counts {
             require(value > 0, file, key, value, "1 or more")?;
--- a/crates/node/src/limits/keeper.rs
+++ b/crates/node/src/limits/keeper.rs
@@ -6,6 +6,7 @@
 
 use parking_lot::Mutex;
 use tansyhall_admission::{BucketDecision, BucketEvent, FairPlaces, TokenBucket};
+use tansyhall_config::settings::Limits;
 use tansyhall_core::{NodeId, Sharded, TenantName, Timestamp};
 use tansyhall_shares::key::UNIT;
 use tansyhall_shares::{Action, Amount, Event, LimitKey, Message, ShareNode, ShareSettings, View};
@@ -14,8 +15,6 @@
 use super::transport::ShareTransport;
 use crate::configuration::InForce;
 
-/// Most limits that are metered at once; a request that needs another one is refused.
-const MAX_METERS: usize = 16_384;
 /// Wanted beyond the demand seen, so that it can grow before more is granted: one part in this.
 const HEADROOM_DIVISOR: Amount = 4;
 
@@ -40,20 +39,22 @@
 pub struct LimitKeeper {
     shares: Mutex<Shares>,
     meters: Sharded<LimitKey, Meter>,
+    max_meters: usize,
     /// Places of this node, by tenant; requests without a tenant count as one.
     pub(super) places: Mutex<FairPlaces<Option<TenantName>>>,
 }
 
 impl LimitKeeper {
-    /// A node that starts and believes to be the only one, with this many places for requests.
-    pub fn new(name: NodeId, incarnation: u64, places: usize, now: Timestamp) -> Self {
+    /// A node that starts and believes to be the only one.
+    pub fn new(name: NodeId, incarnation: u64, limits: &Limits, now: Timestamp) -> Self {
         let settings = ShareSettings::default();
         let node = ShareNode::new(settings, name, incarnation, 1, now);
         let divided = None;
         Self {
             shares: Mutex::new(Shares { node, divided }),
-            meters: Sharded::with_capacity_limit(MAX_METERS),
-            places: Mutex::new(FairPlaces::new(places)),
+            meters: Sharded::with_capacity_limit(limits.max_limit_meters),
+            max_meters: limits.max_limit_meters,
+            places: Mutex::new(FairPlaces::new(limits.max_requests)),
         }
     }
 
@@ -153,7 +154,7 @@
     /// Reads or changes a meter; `None` if there are too many to begin another one.
     fn with_meter<R>(&self, key: LimitKey, access: impl FnOnce(&mut Meter) -> R) -> Option<R> {
         let known = self.meters.with(&key, |meters| meters.contains_key(&key));
-        if !known && self.meters.len() >= MAX_METERS {
+        if !known && self.meters.len() >= self.max_meters {
             return None;
         }
         self.meters
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -55,10 +55,9 @@
     pub fn new(settings: NodeSettings) -> anyhow::Result<Arc<Self>> {
         let clock = MonotonicClock::start();
         let name = settings.name.clone();
-        let places = settings.limits.max_requests;
         let incarnation = incarnation();
         Ok(Arc::new(Self {
-            limits: LimitKeeper::new(name, incarnation, places, clock.now()),
+            limits: LimitKeeper::new(name, incarnation, &settings.limits, clock.now()),
             callers: CallersState::new(&settings.limits),
             settings,
             clock,
--- a/crates/node/tests/limits_two_keepers.rs
+++ b/crates/node/tests/limits_two_keepers.rs
@@ -5,6 +5,7 @@
 
 use parking_lot::Mutex;
 use tansyhall_config::file::ResourceFile;
+use tansyhall_config::settings::Limits;
 use tansyhall_config::Configuration;
 use tansyhall_core::{NodeId, Timestamp};
 use tansyhall_node::configuration::InForce;
@@ -40,7 +41,10 @@
     fn new(in_force: &Arc<InForce>) -> Self {
         let names = ["node-0", "node-1"].map(NodeId::from);
         let now = Timestamp::from_millis(1);
-        let keepers = names.clone().map(|name| LimitKeeper::new(name, 1, 10, now));
+        let limits = Limits::default();
+        let keepers = names
+            .clone()
+            .map(|name| LimitKeeper::new(name, 1, &limits, now));
         for keeper in &keepers {
             keeper.divide(now, in_force);
         }
