--- a/crates/shares/tests/movement.rs
+++ b/crates/shares/tests/movement.rs
@@ -114,13 +114,21 @@
     fleet.sent.clear();
     fleet.seconds(WINDOW, &wants);
     let messages = fleet.sent.len();
-    let bytes: usize = fleet.sent.iter().sum();
-    let largest = fleet.sent.iter().max().copied().unwrap_or(0);
+    let sizes = || fleet.sent.iter().map(|sent| sent.bytes);
+    let bytes: usize = sizes().sum();
+    let largest = sizes().max().unwrap_or(0);
+    let bytes_from = |node: usize| {
+        let own = fleet.sent.iter().filter(|sent| sent.from == node);
+        own.map(|sent| sent.bytes).sum::<usize>()
+    };
+    let busiest = (0..NODES).map(bytes_from).max().unwrap_or(0);
     let node_seconds = (NODES * WINDOW) as f64;
     println!(
-        "{:.2} messages and {:.0} bytes a second for each node; largest {largest} bytes",
+        "{:.2} messages and {:.0} bytes a second for each node; largest {largest} bytes; \
+         the busiest node sends {:.0} bytes a second",
         messages as f64 / node_seconds,
         bytes as f64 / node_seconds,
+        busiest as f64 / WINDOW as f64,
     );
     assert!(
         messages < 5 * NODES * WINDOW,
--- a/crates/shares/tests/support/mod.rs
+++ b/crates/shares/tests/support/mod.rs
@@ -17,6 +17,13 @@
     pub message: Message,
 }
 
+/// A message that was sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Sent {
+    pub from: usize,
+    pub bytes: usize,
+}
+
 struct Process {
     node: ShareNode,
     incarnation: u64,
@@ -29,7 +36,7 @@
 pub struct Fleet {
     pub now: Timestamp,
     pub in_flight: Vec<Envelope>,
-    pub sent: Vec<usize>,
+    pub sent: Vec<Sent>,
     limits: BTreeMap<LimitKey, Amount>,
     processes: Vec<Process>,
 }
@@ -93,7 +100,8 @@
             let to = to.as_str().strip_prefix("node-").expect("a node's name");
             let to = to.parse().expect("an index");
             let from = index;
-            self.sent.push(message.encoded_bytes());
+            let bytes = message.encoded_bytes();
+            self.sent.push(Sent { from, bytes });
             self.in_flight.push(Envelope { from, to, message });
         }
     }
