Merge tenants' limits

Shares do not travel between nodes yet: each node keeps its own part of a limit, the limit over the size of the known fleet, and lends to nobody, so that the sum stays within the limit. whole_path waits until a node has authority before it begins streams, and its streams are longer: since claims are watched, the first holder came after the streams had ended.

--- a/crates/cli/tests/whole_path.rs
+++ b/crates/cli/tests/whole_path.rs
@@ -9,14 +9,14 @@
 use tansyhall_engine::sse::SseDecoder;
 use tansyhall_standin::engine::answer_text;
 use tansyhall_testing::{
-    eventually, get_json, node, node_settings, standin, tansyhall, NodeProcess, Standin,
+    eventually, get_json, get_metric, node, node_settings, standin, tansyhall, NodeProcess, Standin,
 };
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
 const MODEL: &str = "base";
 const PROMPT: &str = "which families receive rice and lentils";
-const LONG_ANSWER_TOKENS: u32 = 400;
+const LONG_ANSWER_TOKENS: u32 = 1_000;
 /// Streams within which both engines must have one.
 const MOST_STREAMS: usize = 16;
 
@@ -132,6 +132,16 @@
             })
             .await;
         }
+        // Only then does a change follow its order within a stream's length.
+        eventually("a node has authority over the pool", || async {
+            for node in &fleet.nodes {
+                if get_metric(node.admin, "tansyhall_pools_held").await? > 0.0 {
+                    return Some(());
+                }
+            }
+            None
+        })
+        .await;
         fleet
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod callers;
 pub mod configuration;
 pub mod dispatch;
+pub mod limits;
 pub mod metrics;
 pub mod peers;
 pub mod server;
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -17,6 +17,7 @@
 use crate::authority::{AuthorityKeeper, Release};
 use crate::configuration::{ConfigurationStore, ConfigurationWatcher};
 use crate::dispatch::LoadFollower;
+use crate::limits::{self, Alone};
 use crate::peers::{Leave, PeerTransport, PeersActor};
 use crate::state::Node;
 use crate::{admin, callers};
@@ -60,6 +61,7 @@
         actix_rt::spawn(server);
     }
     callers::start_sweeping(Arc::clone(&node));
+    limits::ticker::start(Arc::clone(&node), Arc::new(Alone));
     LoadFollower::new(Arc::clone(&node)).start();
     let store = EtcdStore::new(platform, timeout).with_limit(limit);
     let addresses = MemberAddresses {
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
@@ -15,6 +16,7 @@
 use crate::callers::CallersState;
 use crate::configuration::{Held, InForce};
 use crate::dispatch::{DispatchState, InFlight};
+use crate::limits::LimitKeeper;
 use crate::metrics::Metrics;
 use crate::peers::PeersView;
 
@@ -45,6 +47,8 @@
     pub callers: CallersState,
     /// What dispatch to engines keeps.
     pub dispatch: DispatchState,
+    /// Limits of tenants.
+    pub limits: LimitKeeper,
     engines: Mutex<HashMap<EngineName, EngineStatus>>,
     stopping: AtomicBool,
 }
@@ -52,12 +56,16 @@
 impl Node {
     /// The state of a node that knows nothing yet.
     pub fn new(settings: NodeSettings) -> anyhow::Result<Arc<Self>> {
+        let clock = MonotonicClock::start();
+        let name = settings.name.clone();
+        let incarnation = incarnation();
         Ok(Arc::new(Self {
+            limits: LimitKeeper::new(name, incarnation, &settings.limits, clock.now()),
             callers: CallersState::new(&settings.limits),
             dispatch: DispatchState::new(&settings.routing),
             journal: Journal::new(&settings),
             settings,
-            clock: MonotonicClock::start(),
+            clock,
             in_force: ArcSwap::from_pointee(InForce::default()),
             held: Mutex::new(Held::default()),
             peers: PeersView::default(),
@@ -90,3 +98,11 @@
         InFlight::begin(self, engine, 0.0, &[])
     }
 }
+
+/// Tells this run of the node apart from earlier ones: microseconds of the wall clock, so that
+/// later runs have larger numbers.
+fn incarnation() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let micros = since_epoch.map_or(0, |elapsed| elapsed.as_micros());
+    u64::try_from(micros).unwrap_or(u64::MAX)
+}
