--- a/crates/cli/tests/authority_failures.rs
+++ b/crates/cli/tests/authority_failures.rs
@@ -11,8 +11,8 @@
 use tansyhall_engine::protocol::{FenceToken, OrderAction, OrderReply};
 use tansyhall_standin::engine::{RecordedOrder, Records};
 use tansyhall_testing::{
-    eventually, get_json, metric, node, node_settings, standin, standin_at, tansyhall, NodeProcess,
-    Standin,
+    eventually, get_json, get_metric, node, node_settings, standin, standin_at, tansyhall,
+    NodeProcess, Standin,
 };
 
 const POOL: &str = "assistant-kalimati";
@@ -22,7 +22,7 @@
 const LEASE_VALID: &str = "tansyhall_lease_valid";
 const WITHHELD: &str = "tansyhall_orders_withheld_total";
 /// Rounds without orders that show that the holder had the chance to send one.
-const WITHHELD_ROUNDS: u64 = 3;
+const WITHHELD_ROUNDS: f64 = 3.0;
 const ENGINE: [&str; 5] = ["engine", "--name", "engine-0", "--role-change-ms", "1500"];
 /// Long enough for a stream to outlast a lease.
 const LONG_ANSWER_TOKENS: u32 = 3_000;
@@ -79,7 +79,7 @@
     async fn holder(&self) -> usize {
         eventually("a node holds the pool", || async {
             for (index, node) in self.nodes.iter().enumerate() {
-                if metric(node.admin, HELD).await == Some(1) {
+                if get_metric(node.admin, HELD).await == Some(1.0) {
                     return Some(index);
                 }
             }
@@ -229,7 +229,7 @@
     cluster.plays("mixed").await;
     cluster.nodes[holder].process.signal("CONT");
     eventually("the woken node knows that it holds nothing", || async {
-        (metric(cluster.nodes[holder].admin, HELD).await? == 0).then_some(())
+        (get_metric(cluster.nodes[holder].admin, HELD).await? == 0.0).then_some(())
     })
     .await;
     assert_orderly(&cluster.orders().await);
@@ -278,7 +278,7 @@
     cluster.drained().await;
     cluster.set_faults(json!({ "outage": true })).await;
     eventually("the lease is not valid", || async {
-        (metric(node.admin, LEASE_VALID).await? == 0).then_some(())
+        (get_metric(node.admin, LEASE_VALID).await? == 0.0).then_some(())
     })
     .await;
     let before = cluster.orders().await.len();
@@ -287,9 +287,9 @@
         (cluster.state().await?["requests"] == 0).then_some(())
     })
     .await;
-    let withheld = metric(node.admin, WITHHELD).await.expect("the metric");
+    let withheld = get_metric(node.admin, WITHHELD).await.expect("the metric");
     eventually("the holder had the chance to send an order", || async {
-        let now = metric(node.admin, WITHHELD).await?;
+        let now = get_metric(node.admin, WITHHELD).await?;
         (now >= withheld + WITHHELD_ROUNDS).then_some(())
     })
     .await;
@@ -304,7 +304,7 @@
     let mut cluster = Cluster::start(&["node-0"]).await;
     cluster.start_node("node-1");
     eventually("the second node has its lease", || async {
-        (metric(cluster.nodes[1].admin, LEASE_VALID).await? == 1).then_some(())
+        (get_metric(cluster.nodes[1].admin, LEASE_VALID).await? == 1.0).then_some(())
     })
     .await;
     // The next write is the second node's claim, once the first one's lease has lapsed.
@@ -328,7 +328,7 @@
     let stream = begin_stream(cluster.nodes[holder].callers, LONG_ANSWER_TOKENS).await;
     cluster.nodes[holder].process.signal("TERM");
     eventually("the other node holds the pool", || async {
-        (metric(cluster.nodes[other].admin, HELD).await? == 1).then_some(())
+        (get_metric(cluster.nodes[other].admin, HELD).await? == 1.0).then_some(())
     })
     .await;
     assert!(
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -168,8 +168,8 @@
     let mut response = request.send().await.ok()?;
     let text = response.body().limit(64 << 20).await.ok()?;
     let text = String::from_utf8_lossy(&text).into_owned();
-    let value = text.lines().find_map(|line| line.strip_prefix(name));
-    value?.trim().parse().ok()
+    let value = |line| str::strip_prefix(line, name)?.strip_prefix(' ');
+    text.lines().find_map(value)?.trim().parse().ok()
 }
 
 /// Starts a node with these settings.
@@ -207,18 +207,6 @@
     response.json().limit(64 << 20).await.ok()
 }
 
-/// Reads one metric without labels from a node's administration address.
-pub async fn metric(node: SocketAddr, name: &str) -> Option<u64> {
-    let request = awc::Client::default().get(format!("http://{node}/metrics"));
-    let mut response = request.bearer_auth(TOKEN).send().await.ok()?;
-    let body = response.body().await.ok()?;
-    let text = std::str::from_utf8(&body).ok()?;
-    let line = text
-        .lines()
-        .find_map(|line| line.strip_prefix(name)?.strip_prefix(' '))?;
-    line.trim().parse().ok()
-}
-
 /// Waits until `condition` yields a value.
 pub async fn eventually<T, F>(what: &str, mut condition: impl FnMut() -> F) -> T
 where
