One caller of streamed completions for the tests of crashes

Two test files had the same 25 lines. The harness keeps the stricter of them, which fails a test whose stream held no text, so that none can pass without having struck.

--- a/crates/cli/tests/callers_crash.rs
+++ b/crates/cli/tests/callers_crash.rs
@@ -4,12 +4,10 @@
 
 use std::net::SocketAddr;
 
-use futures_util::StreamExt;
-use serde_json::{json, Value};
-use tansyhall_engine::sse::SseDecoder;
 use tansyhall_standin::engine::answer_text;
 use tansyhall_testing::{
-    eventually, get_json, node, node_settings, standin, tansyhall, NodeProcess, Standin,
+    eventually, get_json, node, node_settings, standin, stream_completion, tansyhall, NodeProcess,
+    Standin, StreamOutcome, StreamRequest,
 };
 
 const MODEL: &str = "base";
@@ -59,42 +57,15 @@
     }
 }
 
-#[derive(Debug, Default)]
-struct Outcome {
-    text: String,
-    verdict: Option<String>,
-}
-
 /// Asks for a long streamed completion; `on_text` is called once, after the first text.
-async fn ask(node: SocketAddr, repeatable: bool, on_text: impl AsyncFnOnce()) -> Outcome {
-    let body = json!({ "model": MODEL, "stream": true, "max_tokens": TOKENS, "prompt": PROMPT });
-    let client = awc::Client::builder().disable_timeout().finish();
-    let request = client
-        .post(format!("http://{node}/v1/completions"))
-        .insert_header(("tansyhall-not-repeatable", (!repeatable).to_string()));
-    let mut response = request.send_json(&body).await.expect("an answer");
-    assert_eq!(response.status(), 200);
-    let mut decoder = SseDecoder::default();
-    let mut outcome = Outcome::default();
-    let mut on_text = Some(on_text);
-    while let Some(bytes) = response.next().await {
-        let bytes = bytes.expect("the stream is not cut");
-        for data in decoder.push(&bytes).expect("an event stream") {
-            let event: Value = serde_json::from_str(&data).unwrap_or_default();
-            let text = event["choices"][0]["text"].as_str();
-            outcome.text.push_str(text.unwrap_or(""));
-            let verdict = event["tansyhall_verdict"].as_str();
-            let verdict = verdict.or(event["error"]["verdict"].as_str());
-            outcome.verdict = verdict.map(str::to_owned).or(outcome.verdict);
-        }
-        if outcome.text.is_empty() {
-            continue;
-        }
-        if let Some(on_text) = on_text.take() {
-            on_text().await;
-        }
-    }
-    outcome
+async fn ask(node: SocketAddr, repeatable: bool, on_text: impl AsyncFnOnce()) -> StreamOutcome {
+    let asked = StreamRequest {
+        model: MODEL,
+        prompt: PROMPT,
+        tokens: TOKENS,
+        repeatable,
+    };
+    stream_completion(node, &asked, on_text).await
 }
 
 /// The engine that holds a request now.
--- a/crates/cli/tests/dispatch_split.rs
+++ b/crates/cli/tests/dispatch_split.rs
@@ -5,14 +5,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_util::StreamExt;
-use serde_json::{json, Value};
+use serde_json::json;
 use tansyhall_engine::protocol::{FenceToken, Order, OrderAction, OrderReply};
-use tansyhall_engine::sse::SseDecoder;
 use tansyhall_engine::EngineClient;
 use tansyhall_standin::engine::answer_text;
 use tansyhall_testing::{
-    eventually, get_json, node, node_settings, standin, tansyhall, NodeProcess, Standin,
+    eventually, get_json, node, node_settings, standin, stream_completion, tansyhall, NodeProcess,
+    Standin, StreamOutcome, StreamRequest,
 };
 
 const MODEL: &str = "base";
@@ -141,17 +140,9 @@
     words.join(" ")
 }
 
-#[derive(Debug, Default)]
-struct Outcome {
-    text: String,
-    verdict: Option<String>,
-}
-
-impl Outcome {
-    fn assert_whole(&self, prompt: &str) {
-        assert_eq!(self.verdict.as_deref(), Some("completed"));
-        assert!(self.text == answer_text(MODEL, prompt, TOKENS));
-    }
+fn assert_whole(outcome: &StreamOutcome, prompt: &str) {
+    assert_eq!(outcome.verdict.as_deref(), Some("completed"));
+    assert!(outcome.text == answer_text(MODEL, prompt, TOKENS));
 }
 
 /// Asks for a long streamed completion; `on_text` is called once, after the first text.
@@ -160,37 +151,14 @@
     prompt: &str,
     repeatable: bool,
     on_text: impl AsyncFnOnce(),
-) -> Outcome {
-    let body = json!({ "model": MODEL, "stream": true, "max_tokens": TOKENS, "prompt": prompt });
-    let client = awc::Client::builder().disable_timeout().finish();
-    let request = client
-        .post(format!("http://{node}/v1/completions"))
-        .insert_header(("tansyhall-not-repeatable", (!repeatable).to_string()));
-    let mut response = request.send_json(&body).await.expect("an answer");
-    assert_eq!(response.status(), 200);
-    let mut decoder = SseDecoder::default();
-    let mut outcome = Outcome::default();
-    let mut on_text = Some(on_text);
-    while let Some(bytes) = response.next().await {
-        let bytes = bytes.expect("the stream is not cut");
-        for data in decoder.push(&bytes).expect("an event stream") {
-            let event: Value = serde_json::from_str(&data).unwrap_or_default();
-            let text = event["choices"][0]["text"].as_str();
-            outcome.text.push_str(text.unwrap_or(""));
-            let verdict = event["tansyhall_verdict"].as_str();
-            let verdict = verdict.or(event["error"]["verdict"].as_str());
-            outcome.verdict = verdict.map(str::to_owned).or(outcome.verdict);
-        }
-        // The first bytes may be a comment.
-        if outcome.text.is_empty() {
-            continue;
-        }
-        if let Some(on_text) = on_text.take() {
-            on_text().await;
-        }
-    }
-    assert!(on_text.is_none(), "some text came");
-    outcome
+) -> StreamOutcome {
+    let asked = StreamRequest {
+        model: MODEL,
+        prompt,
+        tokens: TOKENS,
+        repeatable,
+    };
+    stream_completion(node, &asked, on_text).await
 }
 
 /// The engine that holds a request now.
@@ -215,7 +183,7 @@
         let warm_up = resumed_after(fleet.decode()).await.len();
         let prompt = prompt("split");
         let outcome = ask(fleet.node.callers, &prompt, repeatable, async || ()).await;
-        outcome.assert_whole(&prompt);
+        assert_whole(&outcome, &prompt);
         let resumed = resumed_after(fleet.decode()).await;
         assert_eq!(resumed.len(), warm_up + 1);
         let mut cached = 0;
@@ -236,7 +204,7 @@
         let strike = async { busy_engine(fleet.prefill()).await.process.signal(signal) };
         let answer = ask(fleet.node.callers, &prompt, true, async || ());
         let (outcome, ()) = futures_util::join!(answer, strike);
-        outcome.assert_whole(&prompt);
+        assert_whole(&outcome, &prompt);
     }
 }
 
@@ -251,7 +219,7 @@
             }
         };
         let outcome = ask(fleet.node.callers, &prompt, true, strike).await;
-        outcome.assert_whole(&prompt);
+        assert_whole(&outcome, &prompt);
     }
 }
 
@@ -289,7 +257,7 @@
             order(other, "resume", OrderAction::Resume).await;
         };
         let outcome = ask(fleet.node.callers, &prompt, true, strike).await;
-        outcome.assert_whole(&prompt);
+        assert_whole(&outcome, &prompt);
         let failed = "tansyhall_kv_transfers_total{outcome=\"import-failed\"} 1";
         let metrics = metrics(&fleet).await;
         assert!(metrics.contains(failed), "SIG{signal}: {metrics}");
@@ -308,7 +276,7 @@
     }
     let prompt = prompt("forgotten");
     let outcome = ask(fleet.node.callers, &prompt, true, async || ()).await;
-    outcome.assert_whole(&prompt);
+    assert_whole(&outcome, &prompt);
     let failed = "tansyhall_kv_transfers_total{outcome=\"export-failed\"} 1";
     assert!(metrics(&fleet).await.contains(failed));
 }
@@ -321,6 +289,6 @@
         let strike = async { busy_engine(fleet.decode()).await.process.signal(signal) };
         let answer = ask(fleet.node.callers, &prompt, true, async || ());
         let (outcome, ()) = futures_util::join!(answer, strike);
-        outcome.assert_whole(&prompt);
+        assert_whole(&outcome, &prompt);
     }
 }
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -2,6 +2,8 @@
 
 #![forbid(unsafe_code)]
 
+mod completion;
+
 mod fleet;
 mod link;
 
@@ -17,6 +19,8 @@
 
 use serde_json::Value;
 
+pub use completion::{stream_completion, StreamOutcome, StreamRequest};
+
 /// Bearer token of the operator account in [`node_settings`].
 pub const TOKEN: &str = "secret";
 /// SHA-256 of [`TOKEN`].
