--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -7,8 +7,26 @@
 use pico_args::Arguments;
 use tansyhall_soak::{soak, Episode, Report, Rule};
 
+const HELP: &str = "\
+Random faults in virtual time against an oracle, until the time is up or a violation is found.
+
+USAGE:
+  tansyhall-lab soak --seconds N [--seed S] [--break RULE] [--json]
+
+OPTIONS:
+  --seconds N    how long to run
+  --seed S       seed of the first episode (default: the time)
+  --break RULE   switch a mechanism off, which must find a violation: fence, drain, journal,
+                 verdict or monotonic
+  --json         one JSON object on the last line
+";
+
 /// Runs the command.
 pub fn run(mut arguments: Arguments) -> Result<ExitCode> {
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    }
     let seconds: u64 = arguments.value_from_str("--seconds")?;
     let seed: Option<u64> = arguments.opt_value_from_str("--seed")?;
     let broken: Option<String> = arguments.opt_value_from_str("--break")?;
--- a/crates/lab/src/strategy/clairvoyant.rs
+++ b/crates/lab/src/strategy/clairvoyant.rs
@@ -3,9 +3,7 @@
 //! comparison searches for the schedule that serves the whole trace best.
 
 use tansyhall_core::{Role, Timestamp};
-use tansyhall_routing::{
-    choose, Choice, ChoiceSettings, EngineEstimate, RequestEstimate, ServiceRates,
-};
+use tansyhall_routing::{choose, Choice, ChoiceSettings, EngineEstimate, ServiceRates};
 
 use super::{PoolFacts, RequestFacts, RoleChange, Strategy};
 
@@ -57,11 +55,7 @@
     }
 
     fn route(&mut self, facts: &RequestFacts, engines: &[EngineEstimate]) -> Choice {
-        let request = RequestEstimate {
-            prefill_tokens: facts.prompt_tokens,
-            prompt_tokens: facts.prompt_tokens,
-            output_tokens: facts.true_output_tokens,
-        };
+        let request = facts.estimate(facts.true_output_tokens);
         choose(
             &self.rates,
             &self.settings,
--- a/crates/lab/src/strategy/mod.rs
+++ b/crates/lab/src/strategy/mod.rs
@@ -7,7 +7,7 @@
 mod simple;
 
 use tansyhall_core::{Role, Timestamp};
-use tansyhall_routing::{Choice, EngineEstimate, ServiceRates};
+use tansyhall_routing::{Choice, EngineEstimate, RequestEstimate, ServiceRates};
 
 pub use clairvoyant::Clairvoyant;
 pub use predictive::Predictive;
@@ -31,6 +31,17 @@
     pub time_left: f64,
 }
 
+impl RequestFacts {
+    /// What the request asks of an engine, if its answer has this many tokens.
+    pub fn estimate(&self, output_tokens: f64) -> RequestEstimate {
+        RequestEstimate {
+            prefill_tokens: self.prompt_tokens,
+            prompt_tokens: self.prompt_tokens,
+            output_tokens,
+        }
+    }
+}
+
 /// What the holder knows of the pool when it plans.
 #[derive(Debug, Clone)]
 pub struct PoolFacts {
--- a/crates/lab/src/strategy/predictive.rs
+++ b/crates/lab/src/strategy/predictive.rs
@@ -4,7 +4,7 @@
 use tansyhall_core::{Role, Timestamp};
 use tansyhall_planner::predictive::{Demand, Planner, PlannerSettings, PoolState, RoleCount};
 use tansyhall_routing::{
-    choose, Choice, ChoiceSettings, EngineEstimate, OutputEstimator, RequestEstimate, ServiceRates,
+    choose, Choice, ChoiceSettings, EngineEstimate, OutputEstimator, ServiceRates,
 };
 
 use super::{PoolFacts, RequestFacts, RoleChange, Strategy};
@@ -44,11 +44,7 @@
     }
 
     fn route(&mut self, facts: &RequestFacts, engines: &[EngineEstimate]) -> Choice {
-        let request = RequestEstimate {
-            prefill_tokens: facts.prompt_tokens,
-            prompt_tokens: facts.prompt_tokens,
-            output_tokens: self.outputs.expect(&facts.class, facts.max_tokens),
-        };
+        let request = facts.estimate(self.outputs.expect(&facts.class, facts.max_tokens));
         choose(
             &self.rates,
             &self.settings,
