--- /dev/null
+++ b/crates/cli/src/commands/gateway.rs
@@ -0,0 +1,32 @@
+//! `tansyhall gateway`: passes callers' requests to workers on the users' platform until SIGTERM
+//! or SIGINT, then stops without cutting a request.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::Result;
+use pico_args::Arguments;
+use tansyhall_gateway::GatewaySettings;
+
+use crate::exit::{self, Usage};
+
+/// Log specification of libraries when `RUST_LOG` is not set.
+const DEFAULT_LOG: &str = "warn, actix_server=error";
+
+/// Runs the command.
+pub fn run(mut arguments: Arguments) -> Result<ExitCode> {
+    let file: PathBuf = arguments.value_from_str("--settings")?;
+    exit::finish(arguments)?;
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(&file).map_err(|e| Usage(format!("{name}: {e}")))?;
+    let settings = GatewaySettings::parse(&name, &text).map_err(|e| Usage(e.to_string()))?;
+    let _logger = flexi_logger::Logger::try_with_env_or_str(DEFAULT_LOG)?
+        .format(flexi_logger::detailed_format)
+        .log_to_stderr()
+        .start()?;
+    actix_rt::System::new().block_on(async move {
+        let adapter = tansyhall_platform::adapter(settings.store.address);
+        tansyhall_gateway::run(&file, settings, adapter).await?;
+        Ok(ExitCode::SUCCESS)
+    })
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,4 +3,5 @@
 pub mod check;
 pub mod ctl;
 pub mod dev;
+pub mod gateway;
 pub mod node;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -15,6 +15,7 @@
 
 USAGE:
   tansyhall node --settings FILE          run a node
+  tansyhall gateway --settings FILE       run a gateway on the users' platform
   tansyhall ctl COMMAND ...               operate a fleet; see `tansyhall ctl --help`
   tansyhall check FILE...                 check settings, resource and policy files
   tansyhall dev [--load NAME] [--duration TIME] [--seed N] [--json]
@@ -42,6 +43,7 @@
     let command = arguments.subcommand()?;
     match command.as_deref() {
         Some("node") => commands::node::run(arguments),
+        Some("gateway") => commands::gateway::run(arguments),
         Some("ctl") => commands::ctl::run(arguments),
         Some("check") => commands::check::run(arguments),
         Some("dev") => commands::dev::run(arguments),
--- a/crates/cli/tests/application_cluster/mod.rs
+++ b/crates/cli/tests/application_cluster/mod.rs
@@ -8,7 +8,7 @@
 
 use serde_json::Value;
 use tansyhall_node::at_most_once::ViewRecord;
-use tansyhall_platform::{EtcdStore, KeyValueStore};
+use tansyhall_store::{EtcdStore, KeyValueStore};
 use tansyhall_testing::{eventually, get_json, get_metric, standin, tansyhall, Fleet, Standin};
 
 const VIEW: &str = "tansyhall_journal_view";
--- a/crates/cli/tests/at_most_once_processes.rs
+++ b/crates/cli/tests/at_most_once_processes.rs
@@ -152,7 +152,7 @@
     let (members, others) = cluster.members().await;
     cluster.fleet.set_faults(json!({ "outage": true })).await;
     eventually("the outage is noticed", || async {
-        let name = "tansyhall_platform_errors_total";
+        let name = "tansyhall_store_errors_total";
         let errors = get_metric(cluster.fleet.admin(others[0]), name).await?;
         (errors >= 2.0).then_some(())
     })
--- /dev/null
+++ b/crates/forwarding/src/lib.rs
@@ -0,0 +1,32 @@
+//! Decisions on requests that a gateway passes to workers byte for byte: which route a request
+//! takes, which worker gets it, what follows when an attempt fails, and how many retries the whole
+//! fleet may spend. Everything here is deterministic: time comes with each call, and nothing reads
+//! a clock, a socket or a random source.
+
+#![forbid(unsafe_code)]
+
+pub mod configuration;
+pub mod directory;
+pub mod event_stream;
+pub mod mirror;
+pub mod request;
+pub mod retry_share;
+pub mod route_table;
+pub mod selection;
+pub mod worker;
+
+pub use configuration::{
+    Configuration, ConfigurationError, EngineCapacity, Limits, Repeatability, Route, Service,
+    Target,
+};
+pub use directory::{Directory, SendResult};
+pub use event_stream::{CompleteEvents, EventFramer};
+pub use mirror::{Item, Mirror, MirrorChange, Snapshot};
+pub use request::{
+    Action, AttemptPolicy, Conclusion, EventId, PromptHandle, RequestEvent, RequestMachine,
+    SendFailure,
+};
+pub use retry_share::{RetryShare, RetryShareSettings};
+pub use route_table::RouteTable;
+pub use selection::{affinity_part, prompt_tokens, Need, PromptPart};
+pub use worker::{Worker, WorkerId, WorkerState};
--- /dev/null
+++ b/crates/forwarding/src/request.rs
@@ -0,0 +1,334 @@
+//! The life of one request as a state machine: `step(event) -> action`.
+//!
+//! The wiring performs one action at a time and reports what came of it. The machine alone decides
+//! whether another worker may get the request and what the caller is told:
+//!
+//! - A send that provably did not run is repeated on another worker, a few times.
+//! - A send that may have run is repeated only if the request allows a second run, and only on as
+//!   many workers as its route allows.
+//! - Every send past the first asks the retry budget.
+//! - The caller is told "not run" only while no send may have run.
+//!
+//! A model request may have its prompt read apart first. Reading runs nothing, so that its failure
+//! leaves the request as it was; the worker that runs it then reads the prompt itself.
+
+use crate::configuration::Repeatability;
+use crate::worker::WorkerId;
+
+/// Sends that a request may lose to refusals before it is refused itself.
+const MAX_REFUSED_SENDS: u32 = 2;
+
+/// The id of an event of a stream.
+pub type EventId = String;
+
+/// Where the KV cache of a prompt that was read apart lies.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptHandle {
+    /// The worker that read it.
+    pub worker: WorkerId,
+    /// That worker's address, as its protocol names it.
+    pub address: String,
+    /// That worker's name for it.
+    pub handle: String,
+}
+
+/// What a request's route allows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptPolicy {
+    /// Whether it may run twice.
+    pub repeatability: Repeatability,
+    /// The most workers that may run it.
+    pub max_attempts: u32,
+    /// Whether its prompt is to be read apart.
+    pub read_apart: bool,
+}
+
+/// Why a send brought no whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendFailure {
+    /// The worker says, or the connection proves, that the request did not run.
+    NotRun,
+    /// It may have run: broken, silent, or an answer that is none.
+    MayHaveRun,
+    /// The worker ran it and answered with a failure of its own, which is kept for the caller.
+    ErrorAnswer,
+}
+
+/// What happened.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RequestEvent {
+    /// The request is whole and has a route.
+    Arrived,
+    /// The answer to [`Action::Select`] and [`Action::SelectReader`].
+    Selected(Option<WorkerId>),
+    /// The answer to [`Action::AskBudget`].
+    BudgetAnswered(bool),
+    /// The prompt has been read.
+    PromptRead(PromptHandle),
+    /// The prompt has not been read.
+    PromptNotRead,
+    /// The whole answer was delivered, or is ready to be.
+    Completed,
+    /// The send failed before any part of its answer was delivered.
+    Failed(SendFailure),
+    /// The answer broke off after a part of it was delivered, up to and including this event.
+    BrokenOff(Option<EventId>),
+    /// The time is over.
+    DeadlinePassed,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Choose a worker to read the prompt, other than these.
+    SelectReader {
+        /// Workers that failed.
+        avoid: Vec<WorkerId>,
+    },
+    /// Choose a worker to run the request, other than these.
+    Select {
+        /// Workers that failed.
+        avoid: Vec<WorkerId>,
+    },
+    /// Ask the retry budget for one more send.
+    AskBudget,
+    /// Have the prompt read.
+    ReadPrompt {
+        /// Where.
+        worker: WorkerId,
+    },
+    /// Send the request to run.
+    Run {
+        /// Where.
+        worker: WorkerId,
+        /// The prompt's KV cache, if it was read apart.
+        source: Option<PromptHandle>,
+        /// The last event that the caller has, if the stream goes on.
+        resume_after: Option<EventId>,
+    },
+    /// The request is over.
+    Finish(Conclusion),
+}
+
+/// What the caller gets in the end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Conclusion {
+    /// The whole answer.
+    Delivered,
+    /// A worker's own failure, unchanged.
+    WorkerError,
+    /// The request did not run and will not: come back soon.
+    Refused,
+    /// The request may have run and its answer is lost.
+    Lost,
+    /// The time is over and the request may have run.
+    TimedOut,
+    /// The answer has begun and cannot be completed: break the connection.
+    Broken,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    New,
+    SelectingReader,
+    Reading,
+    AskingBudget,
+    Selecting,
+    Running,
+    Over,
+}
+
+/// One request.
+#[derive(Debug)]
+pub struct RequestMachine {
+    policy: AttemptPolicy,
+    phase: Phase,
+    sends: u32,
+    refused: u32,
+    runs: u32,
+    may_have_run: bool,
+    error_answer: bool,
+    begun: bool,
+    last_event: Option<EventId>,
+    source: Option<PromptHandle>,
+    avoid: Vec<WorkerId>,
+    current: Option<WorkerId>,
+}
+
+impl RequestMachine {
+    /// A request that has not arrived yet.
+    pub fn new(policy: AttemptPolicy) -> Self {
+        Self {
+            policy,
+            phase: Phase::New,
+            sends: 0,
+            refused: 0,
+            runs: 0,
+            may_have_run: false,
+            error_answer: false,
+            begun: false,
+            last_event: None,
+            source: None,
+            avoid: Vec::new(),
+            current: None,
+        }
+    }
+
+    /// Takes what happened and says what to do next. Events that do not fit the phase change
+    /// nothing and end nothing twice: a request that is over stays over.
+    pub fn step(&mut self, event: RequestEvent) -> Action {
+        if self.phase == Phase::Over {
+            return Action::Finish(self.give_up());
+        }
+        match event {
+            RequestEvent::Arrived => self.arrived(),
+            RequestEvent::Selected(worker) => self.selected(worker),
+            RequestEvent::BudgetAnswered(true) => self.select(),
+            RequestEvent::BudgetAnswered(false) => self.finish(self.give_up()),
+            RequestEvent::PromptRead(handle) => {
+                self.source = Some(handle);
+                self.select()
+            }
+            RequestEvent::PromptNotRead => {
+                self.current = None;
+                self.select()
+            }
+            RequestEvent::Completed => self.finish(Conclusion::Delivered),
+            RequestEvent::Failed(failure) => self.failed(failure),
+            RequestEvent::BrokenOff(last_event) => self.broken_off(last_event),
+            RequestEvent::DeadlinePassed => self.deadline_passed(),
+        }
+    }
+
+    /// Whether a part of the answer has been delivered.
+    pub fn has_begun(&self) -> bool {
+        self.begun
+    }
+
+    /// Sends so far, reading of the prompt left out.
+    pub fn sends(&self) -> u32 {
+        self.sends
+    }
+
+    /// Whether a worker may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Whether a further worker may get the request if the present one fails.
+    pub fn may_try_elsewhere(&self) -> bool {
+        self.policy.repeatability.allows_second_run() && self.runs < self.policy.max_attempts
+    }
+
+    fn arrived(&mut self) -> Action {
+        if !self.policy.read_apart {
+            return self.select();
+        }
+        self.phase = Phase::SelectingReader;
+        Action::SelectReader { avoid: Vec::new() }
+    }
+
+    fn select(&mut self) -> Action {
+        self.phase = Phase::Selecting;
+        Action::Select {
+            avoid: self.avoid.clone(),
+        }
+    }
+
+    fn selected(&mut self, worker: Option<WorkerId>) -> Action {
+        match (self.phase, worker) {
+            (Phase::SelectingReader, Some(worker)) => {
+                self.phase = Phase::Reading;
+                self.current = Some(worker.clone());
+                Action::ReadPrompt { worker }
+            }
+            (Phase::SelectingReader, None) => self.select(),
+            (_, Some(worker)) => self.run(worker),
+            (_, None) => self.finish(self.give_up()),
+        }
+    }
+
+    fn run(&mut self, worker: WorkerId) -> Action {
+        self.phase = Phase::Running;
+        self.sends += 1;
+        self.runs += 1;
+        self.current = Some(worker.clone());
+        Action::Run {
+            worker,
+            source: self.source.take(),
+            resume_after: self.last_event.clone(),
+        }
+    }
+
+    fn failed(&mut self, failure: SendFailure) -> Action {
+        self.avoid.extend(self.current.take());
+        match failure {
+            SendFailure::NotRun => {
+                self.runs = self.runs.saturating_sub(1);
+                self.refused += 1;
+                if self.refused > MAX_REFUSED_SENDS {
+                    return self.finish(self.give_up());
+                }
+            }
+            SendFailure::MayHaveRun => self.may_have_run = true,
+            SendFailure::ErrorAnswer => {
+                self.may_have_run = true;
+                self.error_answer = true;
+            }
+        }
+        self.try_again()
+    }
+
+    fn broken_off(&mut self, last_event: Option<EventId>) -> Action {
+        self.avoid.extend(self.current.take());
+        self.may_have_run = true;
+        self.begun = true;
+        if last_event.is_some() {
+            self.last_event = last_event;
+        }
+        let resumable = self.policy.repeatability == Repeatability::Stream { resumable: true };
+        if !resumable || self.last_event.is_none() {
+            return self.finish(Conclusion::Broken);
+        }
+        self.try_again()
+    }
+
+    fn try_again(&mut self) -> Action {
+        let second_run_allowed = self.policy.repeatability.allows_second_run();
+        let may_send = !self.may_have_run || second_run_allowed;
+        if !may_send || self.runs >= self.policy.max_attempts {
+            return self.finish(self.give_up());
+        }
+        self.phase = Phase::AskingBudget;
+        Action::AskBudget
+    }
+
+    fn deadline_passed(&mut self) -> Action {
+        if matches!(self.phase, Phase::Running) {
+            self.may_have_run = true;
+        }
+        let conclusion = match self.give_up() {
+            Conclusion::Lost => Conclusion::TimedOut,
+            other => other,
+        };
+        self.finish(conclusion)
+    }
+
+    fn give_up(&self) -> Conclusion {
+        if self.begun {
+            return Conclusion::Broken;
+        }
+        if self.error_answer {
+            return Conclusion::WorkerError;
+        }
+        match self.may_have_run {
+            true => Conclusion::Lost,
+            false => Conclusion::Refused,
+        }
+    }
+
+    fn finish(&mut self, conclusion: Conclusion) -> Action {
+        self.phase = Phase::Over;
+        Action::Finish(conclusion)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/connections.rs
@@ -0,0 +1,333 @@
+//! Connections to workers: kept between requests, one request at a time on each, never more than
+//! this gateway's part of what a worker accepts.
+//!
+//! Errors say whether the request may have reached the worker. A connection that brought anything
+//! but one whole answer is not used again.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use tansyhall_core::time::MonotonicClock;
+use tansyhall_core::Timestamp;
+use tansyhall_forwarding::WorkerId;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::headers::HeaderList;
+
+/// Time for a new connection to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time after which unacknowledged bytes break a connection.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a connection is kept if the worker does not say.
+const DEFAULT_IDLE: Duration = Duration::from_millis(400);
+/// How much earlier than the worker a kept connection is given up.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub struct Destination {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The most connections this gateway may have there.
+    pub max_connections: u32,
+}
+
+/// A request for a worker.
+#[derive(Debug, Clone)]
+pub struct WorkerRequest {
+    /// The method.
+    pub method: String,
+    /// Path and query as the caller sent them.
+    pub target: String,
+    /// Headers without those of one connection.
+    pub headers: HeaderList,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Why a request brought no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum SendError {
+    /// No byte of it was sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// It may have arrived.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+}
+
+/// An answer whose body is still to be read.
+#[derive(Debug)]
+pub struct WorkerAnswer {
+    /// The status.
+    pub status: u16,
+    /// All headers.
+    pub headers: HeaderList,
+    /// The body.
+    pub body: AnswerBody,
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub struct AnswerBody {
+    incoming: Incoming,
+    returning: Option<Returning>,
+}
+
+#[derive(Debug)]
+struct Returning {
+    connections: Arc<Connections>,
+    worker: WorkerId,
+    connection: Connection,
+}
+
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    usable_until: Timestamp,
+    _open: OpenCount,
+}
+
+#[derive(Debug)]
+struct OpenCount(Arc<AtomicU32>);
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+#[derive(Debug, Default)]
+struct Pool {
+    idle: Vec<Connection>,
+    open: Arc<AtomicU32>,
+}
+
+/// Connections to all workers.
+#[derive(Debug)]
+pub struct Connections {
+    clock: MonotonicClock,
+    pools: Mutex<HashMap<WorkerId, Pool>>,
+}
+
+impl Connections {
+    /// No connection yet.
+    pub fn new(clock: MonotonicClock) -> Self {
+        Self {
+            clock,
+            pools: Mutex::default(),
+        }
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(
+        self: &Arc<Self>,
+        destination: &Destination,
+        request: &WorkerRequest,
+    ) -> Result<WorkerAnswer, SendError> {
+        let mut request = build(destination, request)?;
+        while let Some(connection) = self.take_idle(&destination.worker) {
+            match self.send_on(destination, connection, request).await {
+                Ok(answer) => return Ok(answer),
+                Err(Attempt::Failed(error)) => return Err(error),
+                Err(Attempt::Unused(unused)) => request = *unused,
+            }
+        }
+        let connection = self.connect(destination).await?;
+        match self.send_on(destination, connection, request).await {
+            Ok(answer) => Ok(answer),
+            Err(Attempt::Failed(error)) => Err(error),
+            Err(Attempt::Unused(_)) => Err(SendError::NotSent("closed at once".into())),
+        }
+    }
+
+    /// Closes connections that have rested too long, and those to workers that are gone.
+    pub fn prune(&self, is_known: impl Fn(&WorkerId) -> bool) {
+        let now = self.clock.now();
+        self.pools.lock().retain(|worker, pool| {
+            pool.idle
+                .retain(|connection| connection.usable_until > now && connection.sender.is_ready());
+            is_known(worker) || pool.open.load(Ordering::Relaxed) > 0
+        });
+    }
+
+    fn take_idle(&self, worker: &WorkerId) -> Option<Connection> {
+        let now = self.clock.now();
+        let mut pools = self.pools.lock();
+        let idle = &mut pools.get_mut(worker)?.idle;
+        while let Some(connection) = idle.pop() {
+            if connection.usable_until > now && connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self, destination: &Destination) -> Result<Connection, SendError> {
+        let open = self.count_open(destination)?;
+        let not_sent = |reason: String| SendError::NotSent(reason);
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(destination.address))
+            .await
+            .map_err(|_| not_sent("no connection in time".into()))?
+            .map_err(|error| not_sent(error.to_string()))?;
+        let _ = stream.set_nodelay(true);
+        let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (sender, driver) = handshake.map_err(|error| not_sent(error.to_string()))?;
+        actix_rt::spawn(async move {
+            if let Err(error) = driver.await {
+                log::debug!("connection to a worker: {error}");
+            }
+        });
+        Ok(Connection {
+            sender,
+            usable_until: self.clock.now() + DEFAULT_IDLE,
+            _open: open,
+        })
+    }
+
+    fn count_open(&self, destination: &Destination) -> Result<OpenCount, SendError> {
+        let mut pools = self.pools.lock();
+        let pool = pools.entry(destination.worker.clone()).or_default();
+        if pool.open.load(Ordering::Relaxed) >= destination.max_connections {
+            return Err(SendError::NotSent("too many connections".into()));
+        }
+        pool.open.fetch_add(1, Ordering::Relaxed);
+        Ok(OpenCount(Arc::clone(&pool.open)))
+    }
+
+    async fn send_on(
+        self: &Arc<Self>,
+        destination: &Destination,
+        mut connection: Connection,
+        request: hyper::Request<Full<Bytes>>,
+    ) -> Result<WorkerAnswer, Attempt> {
+        let response = match connection.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                return Err(match error.take_message() {
+                    Some(unused) => Attempt::Unused(Box::new(unused)),
+                    None => Attempt::Failed(SendError::NoAnswer(error.into_error().to_string())),
+                })
+            }
+        };
+        let (head, incoming) = response.into_parts();
+        let headers = header_list(&head.headers);
+        let returning = self.keep_until(&headers).map(|usable_until| {
+            connection.usable_until = usable_until;
+            Returning {
+                connections: Arc::clone(self),
+                worker: destination.worker.clone(),
+                connection,
+            }
+        });
+        Ok(WorkerAnswer {
+            status: head.status.as_u16(),
+            headers,
+            body: AnswerBody {
+                incoming,
+                returning,
+            },
+        })
+    }
+
+    /// How long a connection may rest after an answer with these headers.
+    fn keep_until(&self, headers: &HeaderList) -> Option<Timestamp> {
+        let closes = headers
+            .get("connection")
+            .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+        if closes {
+            return None;
+        }
+        let idle = match headers.get("keep-alive").and_then(keep_alive_timeout) {
+            Some(given) => given.saturating_sub(IDLE_MARGIN),
+            None => DEFAULT_IDLE,
+        };
+        Some(self.clock.now() + idle)
+    }
+}
+
+enum Attempt {
+    Unused(Box<hyper::Request<Full<Bytes>>>),
+    Failed(SendError),
+}
+
+impl AnswerBody {
+    /// The next bytes; none after the last. An error means that the body is not whole.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, SendError> {
+        loop {
+            match self.incoming.frame().await {
+                None => {
+                    self.give_back();
+                    return Ok(None);
+                }
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(bytes) if !bytes.is_empty() => return Ok(Some(bytes)),
+                    _ => continue,
+                },
+                Some(Err(error)) => {
+                    self.returning = None;
+                    return Err(SendError::NoAnswer(error.to_string()));
+                }
+            }
+        }
+    }
+
+    fn give_back(&mut self) {
+        let Some(returning) = self.returning.take() else {
+            return;
+        };
+        if returning.connection.sender.is_closed() {
+            return;
+        }
+        let mut pools = returning.connections.pools.lock();
+        let pool = pools.entry(returning.worker).or_default();
+        pool.idle.push(returning.connection);
+    }
+}
+
+fn keep_alive_timeout(value: &str) -> Option<Duration> {
+    let seconds = value
+        .split(',')
+        .filter_map(|parameter| parameter.trim().strip_prefix("timeout="))
+        .find_map(|text| text.trim().parse::<u64>().ok());
+    seconds.map(Duration::from_secs)
+}
+
+fn build(
+    destination: &Destination,
+    request: &WorkerRequest,
+) -> Result<hyper::Request<Full<Bytes>>, SendError> {
+    let mut builder = hyper::Request::builder()
+        .method(request.method.as_str())
+        .uri(request.target.as_str());
+    for header in request.headers.iter() {
+        builder = builder.header(header.name.as_str(), header.value.as_slice());
+    }
+    if request.headers.get("host").is_none() {
+        builder = builder.header("host", destination.address.to_string());
+    }
+    builder
+        .body(Full::new(request.body.clone()))
+        .map_err(|error| SendError::NotSent(error.to_string()))
+}
+
+fn header_list(headers: &hyper::HeaderMap) -> HeaderList {
+    let mut list = HeaderList::default();
+    for (name, value) in headers {
+        list.push(name.as_str(), value.as_bytes());
+    }
+    list
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,213 @@
+//! Structured log lines: one JSON object for each decision that touches a request or changes what
+//! this gateway believes.
+//!
+//! Writing never blocks: lines wait in a bounded queue for one writer thread. Routine lines may
+//! fill half of it, all others the whole; what finds no room is dropped and counted, and the count
+//! is written when there is room again.
+
+use std::collections::VecDeque;
+use std::io::Write;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use parking_lot::{Condvar, Mutex};
+use serde::Serialize;
+
+/// What is logged. Field names are stable; operators' pages list them.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event<'a> {
+    /// The process has read its settings and listens.
+    Started {
+        /// The gateway's name.
+        node: &'a str,
+        /// Its zone.
+        zone: &'a str,
+    },
+    /// SIGTERM came: no new callers, what is under way is finished.
+    Stopping {
+        /// Requests under way.
+        in_flight: u64,
+    },
+    /// The process ends.
+    Stopped {
+        /// Requests that were cut.
+        in_flight: u64,
+    },
+    /// Settings were read again.
+    Reloaded {
+        /// `applied`, or why not.
+        outcome: &'a str,
+    },
+    /// A configuration is in force.
+    ConfigurationApplied {
+        /// Its version.
+        version: u64,
+        /// The store's revision of it.
+        revision: u64,
+        /// Its routes.
+        routes: usize,
+    },
+    /// An item of the store cannot be used; what was in force stays so.
+    ItemRefused {
+        /// The item's key.
+        key: &'a str,
+        /// Its revision.
+        revision: u64,
+        /// Why.
+        reason: &'a str,
+    },
+    /// The set of workers has changed.
+    WorkersChanged {
+        /// Workers that take requests.
+        ready: usize,
+        /// The store's revision.
+        revision: u64,
+    },
+    /// The store, or a peer in its place, cannot be reached any more or again.
+    Dependency {
+        /// `store` or `peers`.
+        name: &'a str,
+        /// `lost` or `regained`.
+        state: &'a str,
+        /// The last error.
+        reason: &'a str,
+    },
+    /// A send to a worker ended.
+    Send {
+        /// The caller's id of the request.
+        request: &'a str,
+        /// The worker.
+        worker: &'a str,
+        /// `run` or `read_prompt`.
+        work: &'a str,
+        /// How it ended.
+        outcome: &'a str,
+        /// Milliseconds it took.
+        took_ms: u64,
+    },
+    /// A request is over.
+    Request {
+        /// The caller's id of it.
+        request: &'a str,
+        /// Its route.
+        route: &'a str,
+        /// The version of the configuration that chose the route.
+        configuration: u64,
+        /// How it ended.
+        outcome: &'a str,
+        /// Workers it was sent to.
+        sends: u32,
+        /// Milliseconds since it arrived.
+        took_ms: u64,
+        /// Milliseconds that were left.
+        left_ms: u64,
+    },
+    /// Lines were dropped for lack of room.
+    LinesDropped {
+        /// How many.
+        count: u64,
+    },
+}
+
+/// How much a line matters when there is little room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Weight {
+    /// A request that went well.
+    Routine,
+    /// A failure, or a change of what is believed.
+    Important,
+}
+
+/// The queue before the writer.
+#[derive(Debug)]
+pub struct EventLog {
+    queue: Mutex<Queue>,
+    filled: Condvar,
+    capacity: usize,
+    routine: bool,
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    lines: VecDeque<String>,
+    dropped: u64,
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    at_ms: u64,
+    #[serde(flatten)]
+    event: &'a Event<'a>,
+}
+
+impl EventLog {
+    /// A log without a writer; see [`EventLog::start_writer`].
+    pub fn new(capacity: usize, routine: bool) -> Self {
+        Self {
+            queue: Mutex::default(),
+            filled: Condvar::new(),
+            capacity,
+            routine,
+        }
+    }
+
+    /// Writes lines to standard output from a thread of its own.
+    pub fn start_writer(self: &Arc<Self>) -> std::io::Result<()> {
+        let log = Arc::clone(self);
+        std::thread::Builder::new()
+            .name("event-log".into())
+            .spawn(move || log.write_to(&mut std::io::stdout()))?;
+        Ok(())
+    }
+
+    /// Puts an event in the queue, if it has room.
+    pub fn record(&self, weight: Weight, event: &Event<'_>) {
+        let room = match weight {
+            Weight::Routine if !self.routine => return,
+            Weight::Routine => self.capacity / 2,
+            Weight::Important => self.capacity,
+        };
+        let mut queue = self.queue.lock();
+        if queue.lines.len() >= room {
+            queue.dropped += 1;
+            return;
+        }
+        queue.lines.push_back(encode(event));
+        drop(queue);
+        self.filled.notify_one();
+    }
+
+    /// Waits for lines and takes all of them.
+    pub fn take(&self) -> Vec<String> {
+        let mut queue = self.queue.lock();
+        while queue.lines.is_empty() {
+            self.filled.wait(&mut queue);
+        }
+        let mut lines: Vec<String> = queue.lines.drain(..).collect();
+        let dropped = std::mem::take(&mut queue.dropped);
+        if dropped > 0 {
+            lines.push(encode(&Event::LinesDropped { count: dropped }));
+        }
+        lines
+    }
+
+    fn write_to(&self, output: &mut impl Write) {
+        loop {
+            let text: String = self.take().concat();
+            if output.write_all(text.as_bytes()).is_err() {
+                return;
+            }
+            let _ = output.flush();
+        }
+    }
+}
+
+fn encode(event: &Event<'_>) -> String {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let at_ms = since_epoch.map_or(0, |time| time.as_millis() as u64);
+    let line = Line { at_ms, event };
+    let mut text = serde_json::to_string(&line).unwrap_or_default();
+    text.push('\n');
+    text
+}
--- /dev/null
+++ b/crates/gateway/src/exchange/mod.rs
@@ -0,0 +1,257 @@
+//! One request from its arrival to its end: performs the actions of its
+//! [`RequestMachine`] and reports back what came of them.
+
+mod deliver;
+mod prompt;
+mod run;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tansyhall_core::Timestamp;
+use tansyhall_forwarding::{
+    affinity_part, prompt_tokens, Action, AttemptPolicy, Conclusion, Need, PromptHandle,
+    RequestEvent, RequestMachine, Route, SendFailure, Worker, WorkerId,
+};
+use tokio::time::Instant;
+
+use crate::answer::{Answer, AnswerHead, AnswerSink, OwnAnswer};
+use crate::connections::WorkerRequest;
+use crate::events::{Event, Weight};
+use crate::headers::HeaderList;
+use crate::protocol::{CallerTerms, SendTerms, Work};
+use crate::state::{whole_millis, InFlight, Routed, Shared};
+
+/// Prompts of at least this many tokens are read apart where a worker does that.
+const READ_APART_TOKENS: u64 = 2_000;
+/// When a refused caller should come back.
+const RETRY_AFTER: Duration = Duration::from_millis(150);
+/// A silent worker is given up after this many times the latency objective, where another may try.
+const SILENCE_FACTOR: u32 = 2;
+
+/// A request as it came from its caller, with its route.
+pub struct CallerRequest {
+    /// The method.
+    pub method: String,
+    /// Path and query as sent.
+    pub target: String,
+    /// Headers without those of one connection.
+    pub headers: HeaderList,
+    /// The whole body.
+    pub body: Bytes,
+    /// What the caller says of it.
+    pub terms: CallerTerms,
+    /// Where it goes.
+    pub routed: Routed,
+    /// When it arrived.
+    pub arrived: Timestamp,
+    /// When its time is over.
+    pub deadline: Timestamp,
+}
+
+/// A request under way.
+pub struct Exchange {
+    shared: Arc<Shared>,
+    request: CallerRequest,
+    sink: AnswerSink,
+    error_answer: Option<(AnswerHead, Bytes)>,
+    unused_handle: Option<PromptHandle>,
+    _in_flight: InFlight,
+}
+
+impl Exchange {
+    /// A request that is about to begin.
+    pub fn new(shared: &Arc<Shared>, request: CallerRequest, sink: AnswerSink) -> Self {
+        Self {
+            _in_flight: InFlight::begin(shared),
+            shared: Arc::clone(shared),
+            request,
+            sink,
+            error_answer: None,
+            unused_handle: None,
+        }
+    }
+
+    /// Runs the request to its end, or until its caller leaves.
+    pub async fn run(mut self) {
+        let caller = self.sink.watch_caller();
+        let ended = tokio::select! {
+            biased;
+            ended = self.drive() => Some(ended),
+            () = caller.closed() => None,
+        };
+        match ended {
+            Some((conclusion, sends)) => self.conclude(conclusion, sends).await,
+            None => self.record("caller_left", 0, Weight::Routine),
+        }
+        self.release_unused_handle();
+    }
+
+    async fn drive(&mut self) -> (Conclusion, u32) {
+        let now = self.shared.now();
+        self.shared.retries.lock().record_request(now);
+        let mut machine = RequestMachine::new(self.policy());
+        let mut event = RequestEvent::Arrived;
+        loop {
+            event = match machine.step(event) {
+                Action::SelectReader { avoid } => {
+                    RequestEvent::Selected(self.select(&self.reading_need(), &avoid))
+                }
+                Action::Select { avoid } => {
+                    RequestEvent::Selected(self.select(&self.running_need(), &avoid))
+                }
+                Action::AskBudget => RequestEvent::BudgetAnswered(self.ask_budget()),
+                Action::ReadPrompt { worker } => self.read_prompt(&worker).await,
+                Action::Run {
+                    worker,
+                    source,
+                    resume_after,
+                } => {
+                    let patient = !machine.may_try_elsewhere();
+                    self.run_on(&worker, source, resume_after, patient).await
+                }
+                Action::Finish(conclusion) => return (conclusion, machine.sends()),
+            };
+        }
+    }
+
+    fn route(&self) -> &Route {
+        &self.request.routed.route
+    }
+
+    fn request_id(&self) -> &str {
+        self.request.terms.request_id.as_deref().unwrap_or_default()
+    }
+
+    fn policy(&self) -> AttemptPolicy {
+        let tokens = prompt_tokens(&self.request.terms.prompt);
+        let service = &self.request.routed.service;
+        let read_apart =
+            tokens >= READ_APART_TOKENS && self.shared.directory.lock().reads_apart(service);
+        AttemptPolicy {
+            repeatability: self.route().repeatability,
+            max_attempts: self.route().max_attempts,
+            read_apart,
+        }
+    }
+
+    fn reading_need(&self) -> Need {
+        let parts = &self.request.terms.prompt;
+        Need::ReadPrompt {
+            affinity: affinity_part(parts)
+                .map(|part| part.id.clone())
+                .unwrap_or_default(),
+            tokens: prompt_tokens(parts),
+        }
+    }
+
+    fn running_need(&self) -> Need {
+        match &self.unused_handle {
+            Some(handle) => Need::Continue {
+                reader: handle.worker.clone(),
+            },
+            None => Need::Run,
+        }
+    }
+
+    fn select(&self, need: &Need, avoid: &[WorkerId]) -> Option<WorkerId> {
+        let now = self.shared.now();
+        let zone = self.shared.zone();
+        let directory = self.shared.directory.lock();
+        let service = &self.request.routed.service;
+        let worker = directory.select(now, service, need, avoid, &zone)?;
+        Some(worker.id.clone())
+    }
+
+    fn ask_budget(&self) -> bool {
+        let now = self.shared.now();
+        self.shared.retries.lock().try_retry(now)
+    }
+
+    fn worker(&self, id: &WorkerId) -> Option<Worker> {
+        self.shared.directory.lock().get(id).cloned()
+    }
+
+    fn time_left(&self) -> Duration {
+        self.request.deadline.since(self.shared.now())
+    }
+
+    fn deadline(&self) -> Instant {
+        Instant::now() + self.time_left()
+    }
+
+    /// The moment at which a worker that has said nothing is given up.
+    fn silence_limit(&self) -> Instant {
+        Instant::now() + self.route().latency_objective * SILENCE_FACTOR
+    }
+
+    fn worker_request(&self, worker: &Worker, work: Work) -> WorkerRequest {
+        let terms = SendTerms {
+            worker: worker.id.clone(),
+            time_left: self.time_left(),
+            work,
+        };
+        let protocol = &self.shared.protocol;
+        WorkerRequest {
+            method: self.request.method.clone(),
+            target: self.request.target.clone(),
+            headers: protocol.worker_headers(&self.request.headers, &terms),
+            body: self.request.body.clone(),
+        }
+    }
+
+    async fn conclude(&mut self, conclusion: Conclusion, sends: u32) {
+        let (outcome, own) = match conclusion {
+            Conclusion::Delivered => ("delivered", None),
+            Conclusion::WorkerError => ("worker_error", None),
+            Conclusion::Refused => {
+                let retry_after = RETRY_AFTER;
+                ("refused", Some(OwnAnswer::NotRun { retry_after }))
+            }
+            Conclusion::Lost => ("lost", Some(OwnAnswer::Lost)),
+            Conclusion::TimedOut => ("timed_out", Some(OwnAnswer::TimedOut)),
+            Conclusion::Broken => ("broken", None),
+        };
+        let weight = match conclusion {
+            Conclusion::Delivered | Conclusion::WorkerError => Weight::Routine,
+            _ => Weight::Important,
+        };
+        self.record(outcome, sends, weight);
+        if let Some(own) = own {
+            self.sink.begin(Answer::Own(own));
+        }
+        match (conclusion, self.error_answer.take()) {
+            (Conclusion::WorkerError, Some((head, body))) => {
+                self.sink.begin(Answer::Whole(head, body));
+            }
+            (Conclusion::WorkerError, None) => self.sink.begin(Answer::Own(OwnAnswer::Lost)),
+            _ => {}
+        }
+    }
+
+    fn record(&self, outcome: &str, sends: u32, weight: Weight) {
+        let route = &self.route().name;
+        let metrics = &self.shared.metrics;
+        metrics
+            .requests
+            .with_label_values(&[route.as_str(), outcome])
+            .inc();
+        let now = self.shared.now();
+        let event = Event::Request {
+            request: self.request_id(),
+            route,
+            configuration: self.request.routed.version,
+            outcome,
+            sends,
+            took_ms: whole_millis(now.since(self.request.arrived)),
+            left_ms: whole_millis(self.request.deadline.since(now)),
+        };
+        self.shared.log.record(weight, &event);
+    }
+}
+
+/// The event for a send that failed.
+fn failed(failure: SendFailure) -> RequestEvent {
+    RequestEvent::Failed(failure)
+}
--- /dev/null
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -0,0 +1,121 @@
+//! Reading a prompt apart, and freeing what was read for nothing.
+
+use std::time::Duration;
+
+use bytes::BytesMut;
+use tansyhall_forwarding::{
+    prompt_tokens, PromptHandle, RequestEvent, SendResult, Worker, WorkerId,
+};
+use tokio::time::{timeout, timeout_at};
+
+use super::Exchange;
+use crate::connections::{AnswerBody, SendError, WorkerRequest};
+use crate::protocol::{AnswerKind, Work};
+use crate::send_guard::SendGuard;
+
+/// The longest answer to the reading of a prompt.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+/// Time for a handle to be freed.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Exchange {
+    /// Has the prompt read by a worker.
+    pub(super) async fn read_prompt(&mut self, id: &WorkerId) -> RequestEvent {
+        let Some(worker) = self.worker(id) else {
+            return RequestEvent::PromptNotRead;
+        };
+        let tokens = prompt_tokens(&self.request.terms.prompt);
+        let mut guard = SendGuard::begin(
+            &self.shared,
+            id,
+            &worker.service,
+            self.request_id(),
+            "read_prompt",
+            tokens,
+        );
+        let reading = self.try_read_prompt(&worker);
+        let limit = self.silence_limit().min(self.deadline());
+        let Ok(read) = timeout_at(limit, reading).await else {
+            return RequestEvent::PromptNotRead;
+        };
+        match read {
+            Ok(handle) => {
+                guard.answered();
+                self.unused_handle = Some(handle.clone());
+                RequestEvent::PromptRead(handle)
+            }
+            Err(result) => {
+                guard.ended(result);
+                RequestEvent::PromptNotRead
+            }
+        }
+    }
+
+    async fn try_read_prompt(&self, worker: &Worker) -> Result<PromptHandle, SendResult> {
+        let destination = self.shared.destination(worker);
+        let request = self.worker_request(worker, Work::ReadPrompt);
+        let sent = self.shared.connections.send(&destination, &request).await;
+        let mut answer = sent.map_err(|error| match error {
+            SendError::NotSent(_) => SendResult::Unreachable,
+            SendError::NoAnswer(_) => SendResult::Failed,
+        })?;
+        let protocol = &self.shared.protocol;
+        let kind = protocol.answer_kind(answer.status, &answer.headers, &self.request.terms);
+        if kind == AnswerKind::NotRun {
+            return Err(SendResult::Refused);
+        }
+        if answer.status != 200 {
+            return Err(SendResult::Failed);
+        }
+        let body = read_whole(&mut answer.body)
+            .await
+            .ok_or(SendResult::Failed)?;
+        let handle = protocol.prompt_handle(&body).map_err(|error| {
+            log::debug!("answer of {} to reading a prompt: {error:#}", worker.id);
+            SendResult::Failed
+        })?;
+        Ok(PromptHandle {
+            worker: worker.id.clone(),
+            address: worker.address.to_string(),
+            handle,
+        })
+    }
+
+    /// Frees a KV cache that no worker took over.
+    pub(super) fn release_unused_handle(&mut self) {
+        let Some(handle) = self.unused_handle.take() else {
+            return;
+        };
+        let Some(worker) = self.worker(&handle.worker) else {
+            return;
+        };
+        let call = self.shared.protocol.release_handle(&handle.handle);
+        let request = WorkerRequest {
+            method: call.method.to_owned(),
+            target: call.path,
+            headers: call.headers,
+            body: bytes::Bytes::new(),
+        };
+        let destination = self.shared.destination(&worker);
+        let connections = std::sync::Arc::clone(&self.shared.connections);
+        actix_rt::spawn(async move {
+            let released = async {
+                if let Ok(mut answer) = connections.send(&destination, &request).await {
+                    let _ = read_whole(&mut answer.body).await;
+                }
+            };
+            let _ = timeout(RELEASE_TIMEOUT, released).await;
+        });
+    }
+}
+
+async fn read_whole(body: &mut AnswerBody) -> Option<BytesMut> {
+    let mut whole = BytesMut::new();
+    while let Some(bytes) = body.next().await.ok()? {
+        if whole.len() + bytes.len() > MAX_ANSWER_BYTES {
+            return None;
+        }
+        whole.extend_from_slice(&bytes);
+    }
+    Some(whole)
+}
--- /dev/null
+++ b/crates/gateway/src/exchange/run.rs
@@ -0,0 +1,106 @@
+//! Sending a request to a worker and judging the head of its answer.
+
+use tansyhall_forwarding::{
+    prompt_tokens, EventId, PromptHandle, RequestEvent, SendFailure, SendResult, WorkerId,
+};
+use tokio::time::timeout_at;
+
+use super::{failed, Exchange};
+use crate::connections::{SendError, WorkerAnswer};
+use crate::protocol::{AnswerKind, Work};
+use crate::send_guard::SendGuard;
+
+impl Exchange {
+    /// Sends the request to a worker and delivers what it can of the answer. A `patient` send
+    /// waits for a silent worker until the request's time is over.
+    pub(super) async fn run_on(
+        &mut self,
+        id: &WorkerId,
+        source: Option<PromptHandle>,
+        resume_after: Option<EventId>,
+        patient: bool,
+    ) -> RequestEvent {
+        let Some(worker) = self.worker(id) else {
+            return failed(SendFailure::NotRun);
+        };
+        let tokens = match source {
+            Some(_) => 0,
+            None => prompt_tokens(&self.request.terms.prompt),
+        };
+        let service = worker.service.clone();
+        let request_id = self.request_id();
+        let mut guard = SendGuard::begin(&self.shared, id, &service, request_id, "run", tokens);
+        let work = Work::Run {
+            source,
+            resume_after,
+        };
+        let request = self.worker_request(&worker, work);
+        let destination = self.shared.destination(&worker);
+        let connections = self.shared.connections.clone();
+        let mut sending = std::pin::pin!(connections.send(&destination, &request));
+        let deadline = self.deadline();
+        let silence = self.silence_limit();
+        let mut sent = None;
+        if !patient && silence < deadline {
+            sent = timeout_at(silence, &mut sending).await.ok();
+            if sent.is_none() && self.retries_left() {
+                guard.ended(SendResult::Abandoned { silent: true });
+                return failed(SendFailure::MayHaveRun);
+            }
+        }
+        if sent.is_none() {
+            sent = timeout_at(deadline, &mut sending).await.ok();
+        }
+        match sent {
+            None => RequestEvent::DeadlinePassed,
+            Some(Ok(answer)) => self.judge(answer, guard).await,
+            Some(Err(SendError::NotSent(_))) => {
+                guard.ended(SendResult::Unreachable);
+                failed(SendFailure::NotRun)
+            }
+            Some(Err(SendError::NoAnswer(_))) => {
+                guard.ended(SendResult::Failed);
+                failed(SendFailure::MayHaveRun)
+            }
+        }
+    }
+
+    fn retries_left(&self) -> bool {
+        let now = self.shared.now();
+        self.shared.retries.lock().left(now) >= 1.0
+    }
+
+    async fn judge(&mut self, answer: WorkerAnswer, mut guard: SendGuard) -> RequestEvent {
+        let protocol = &self.shared.protocol;
+        let kind = protocol.answer_kind(answer.status, &answer.headers, &self.request.terms);
+        match kind {
+            AnswerKind::Foreign => {
+                guard.ended(SendResult::Failed);
+                failed(SendFailure::MayHaveRun)
+            }
+            AnswerKind::NotRun => {
+                guard.ended(SendResult::Refused);
+                failed(SendFailure::NotRun)
+            }
+            AnswerKind::Failure => {
+                guard.ended(SendResult::Failed);
+                self.keep_error(answer).await
+            }
+            AnswerKind::Success => {
+                self.unused_handle = None;
+                guard.answered();
+                let event = match self.route().repeatability.is_stream() {
+                    true => self.deliver_stream(answer).await,
+                    false => self.deliver_whole(answer).await,
+                };
+                if !matches!(
+                    event,
+                    RequestEvent::Completed | RequestEvent::DeadlinePassed
+                ) {
+                    guard.ended(SendResult::Failed);
+                }
+                event
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follower.rs
@@ -0,0 +1,217 @@
+//! Follows the store: reads it once, then asks for changes at a steady pace, so that the calls of
+//! a fleet grow with its gateways and not with how often workers write. What the copy holds becomes
+//! the configuration in force, the workers and the fleet's size.
+
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use tansyhall_core::Timestamp;
+use tansyhall_forwarding::{Item, MirrorChange, Snapshot, Worker};
+use tansyhall_store::{KeyValue, KeyValueStore, Revision, StoreError, WatchEvent};
+use tokio::time::{sleep, timeout};
+
+use crate::events::{Event, Weight};
+use crate::presence;
+use crate::state::{InForce, Shared};
+
+/// Every key.
+const EVERYTHING: &str = "";
+/// Pause between two calls for changes.
+const PACE: Duration = Duration::from_millis(400);
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+/// Time for one call, its wait for changes included.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// When the store last answered.
+#[derive(Debug, Default)]
+pub struct StoreContact(AtomicU64);
+
+impl StoreContact {
+    fn mark(&self, now: Timestamp) {
+        self.0.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Time since the store last answered, or since the clock's start.
+    pub fn age(&self, now: Timestamp) -> Duration {
+        now.since(Timestamp(self.0.load(Ordering::Relaxed)))
+    }
+}
+
+/// Follows the store for ever.
+pub async fn follow(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>, contact: Arc<StoreContact>) {
+    let mut lost = false;
+    loop {
+        let Err(error) = follow_until_error(&shared, &*store, &contact, &mut lost).await;
+        if !lost && !matches!(error, StoreError::Compacted) {
+            lost = true;
+            record_dependency(&shared, "lost", &error.to_string());
+        }
+        sleep(FAILURE_PAUSE).await;
+    }
+}
+
+async fn follow_until_error(
+    shared: &Arc<Shared>,
+    store: &dyn KeyValueStore,
+    contact: &StoreContact,
+    lost: &mut bool,
+) -> Result<std::convert::Infallible, StoreError> {
+    read_all(shared, store).await?;
+    reached(shared, contact, lost);
+    let start = shared.mirror.lock().revision() + 1;
+    let mut watch = in_time(store.watch(EVERYTHING, Revision(start))).await?;
+    loop {
+        let Some(events) = in_time(async { watch.next().await.transpose() }).await? else {
+            return Err(StoreError::NotApplied("the watch ended".into()));
+        };
+        reached(shared, contact, lost);
+        let changes: Vec<MirrorChange> = events.into_iter().map(change).collect();
+        let revision = changes.iter().map(MirrorChange::revision).max();
+        let changed = shared
+            .mirror
+            .lock()
+            .apply(changes, revision.unwrap_or_default());
+        if changed {
+            refresh(shared);
+        }
+        sleep(PACE).await;
+    }
+}
+
+async fn read_all(shared: &Arc<Shared>, store: &dyn KeyValueStore) -> Result<(), StoreError> {
+    let range = in_time(store.range(EVERYTHING)).await?;
+    let snapshot = Snapshot {
+        items: range.entries.into_iter().map(item).collect(),
+        revision: range.revision.0,
+    };
+    if shared.mirror.lock().replace(snapshot) {
+        refresh(shared);
+    }
+    Ok(())
+}
+
+async fn in_time<T>(
+    call: impl std::future::Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    timeout(CALL_TIMEOUT, call)
+        .await
+        .unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".into())))
+}
+
+fn reached(shared: &Shared, contact: &StoreContact, lost: &mut bool) {
+    contact.mark(shared.now());
+    if *lost {
+        *lost = false;
+        record_dependency(shared, "regained", "");
+    }
+}
+
+fn record_dependency(shared: &Shared, state: &str, reason: &str) {
+    let event = Event::Dependency {
+        name: "store",
+        state,
+        reason,
+    };
+    shared.log.record(Weight::Important, &event);
+}
+
+fn item(entry: KeyValue) -> Item {
+    Item {
+        key: entry.key,
+        value: entry.value,
+        revision: entry.modified.0,
+        created: entry.created.0,
+    }
+}
+
+fn change(event: WatchEvent) -> MirrorChange {
+    match event {
+        WatchEvent::Put(entry) => MirrorChange::Written(item(entry)),
+        WatchEvent::Delete { key, revision } => MirrorChange::Removed {
+            key,
+            revision: revision.0,
+        },
+    }
+}
+
+/// Takes in what the copy of the store holds now.
+pub fn refresh(shared: &Arc<Shared>) {
+    refresh_configuration(shared);
+    refresh_workers(shared);
+    let members = presence::members(&shared.mirror.lock()).len() as u64;
+    shared.gateways.store(members.max(1), Ordering::Relaxed);
+    shared.retries.lock().set_gateways(members as u32);
+    shared.metrics.gateways.set(members as i64);
+}
+
+fn refresh_configuration(shared: &Arc<Shared>) {
+    let key = shared.catalogue.configuration_key();
+    let Some(item) = shared.mirror.lock().get(key).cloned() else {
+        return;
+    };
+    let known = shared.in_force().map_or(0, |in_force| in_force.revision);
+    if item.revision <= known {
+        return;
+    }
+    let configuration = shared.catalogue.configuration(&item.value);
+    let checked = configuration.and_then(|configuration| {
+        configuration.validate()?;
+        Ok(configuration)
+    });
+    match checked {
+        Ok(configuration) => {
+            let event = Event::ConfigurationApplied {
+                version: configuration.version,
+                revision: item.revision,
+                routes: configuration.routes.len(),
+            };
+            shared.log.record(Weight::Important, &event);
+            let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
+            shared.metrics.configuration_version.set(version);
+            let in_force = InForce::new(configuration, item.revision);
+            *shared.in_force.write() = Some(Arc::new(in_force));
+        }
+        Err(error) => record_refused(shared, &item, &error),
+    }
+}
+
+fn refresh_workers(shared: &Arc<Shared>) {
+    let prefix = shared.catalogue.worker_prefix();
+    let mirror = shared.mirror.lock();
+    let revision = mirror.revision();
+    let workers: Vec<Worker> = mirror
+        .below(prefix)
+        .filter_map(|item| {
+            let id = &item.key[prefix.len()..];
+            let decoded = shared.catalogue.worker(id, &item.value);
+            decoded
+                .map_err(|error| record_refused(shared, item, &error))
+                .ok()
+        })
+        .collect();
+    drop(mirror);
+    let mut directory = shared.directory.lock();
+    let before = directory.ready_workers();
+    directory.announce(workers);
+    let ready = directory.ready_workers();
+    drop(directory);
+    shared.metrics.ready_workers.set(ready as i64);
+    shared.metrics.mirror_revision.set(revision as i64);
+    if before != ready {
+        let event = Event::WorkersChanged { ready, revision };
+        shared.log.record(Weight::Important, &event);
+    }
+}
+
+fn record_refused(shared: &Shared, item: &Item, error: &anyhow::Error) {
+    let event = Event::ItemRefused {
+        key: &item.key,
+        revision: item.revision,
+        reason: &format!("{error:#}"),
+    };
+    shared.log.record(Weight::Important, &event);
+}
--- /dev/null
+++ b/crates/gateway/src/ingress.rs
@@ -0,0 +1,182 @@
+//! Callers' side: takes a request in, gives it an [`Exchange`] and passes its answer out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::body::BodyStream;
+use actix_web::http::StatusCode;
+use actix_web::web::{self, Payload};
+use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use tokio::time::timeout;
+
+use crate::answer::{self, Answer, AnswerHead, AnswerSource, OwnAnswer};
+use crate::exchange::{CallerRequest, Exchange};
+use crate::headers::HeaderList;
+use crate::state::{InFlight, InForce, Routed, Shared};
+
+/// When a caller should come back to a gateway that cannot serve yet.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
+
+/// Why a request is refused before it has an exchange.
+enum Refusal {
+    NotReady,
+    NoRoute,
+    BadRequest(String),
+    BodyTooLong,
+    BodyBroken,
+    BodyLate,
+}
+
+/// Serves one request.
+pub async fn serve(
+    request: HttpRequest,
+    payload: Payload,
+    shared: web::Data<Arc<Shared>>,
+) -> HttpResponse {
+    let shared: &Arc<Shared> = &shared;
+    let in_flight = InFlight::begin(shared);
+    let response = match take_in(&request, payload, shared).await {
+        Ok(caller_request) => forward(shared, caller_request).await,
+        Err(refusal) => refuse(&refusal),
+    };
+    drop(in_flight);
+    close_if_stopping(response, shared)
+}
+
+async fn take_in(
+    request: &HttpRequest,
+    payload: Payload,
+    shared: &Arc<Shared>,
+) -> Result<CallerRequest, Refusal> {
+    let arrived = shared.now();
+    let in_force = shared.in_force().ok_or(Refusal::NotReady)?;
+    let routed = route(request, &in_force).ok_or(Refusal::NoRoute)?;
+    let mut headers = caller_headers(request);
+    headers.remove_connection_headers();
+    let terms = shared
+        .protocol
+        .caller_terms(&headers)
+        .map_err(|bad| Refusal::BadRequest(bad.to_string()))?;
+    let limits = in_force.limits();
+    let held = terms.patience.unwrap_or(routed.route.timeout);
+    let time = held.min(routed.route.timeout);
+    let body = timeout(time, read_body(payload, limits.body_bytes))
+        .await
+        .map_err(|_| Refusal::BodyLate)??;
+    Ok(CallerRequest {
+        method: request.method().as_str().to_owned(),
+        target: target(request),
+        headers,
+        body,
+        terms,
+        routed,
+        arrived,
+        deadline: arrived + time,
+    })
+}
+
+fn route(request: &HttpRequest, in_force: &InForce) -> Option<Routed> {
+    let named = request.headers().get("host").and_then(|h| h.to_str().ok());
+    let host = named.or_else(|| request.uri().host())?;
+    in_force.route(host, request.uri().path())
+}
+
+fn target(request: &HttpRequest) -> String {
+    let uri = request.uri();
+    uri.path_and_query().map_or_else(
+        || uri.path().to_owned(),
+        |target| target.as_str().to_owned(),
+    )
+}
+
+fn caller_headers(request: &HttpRequest) -> HeaderList {
+    let mut headers = HeaderList::default();
+    for (name, value) in request.headers() {
+        headers.push(name.as_str(), value.as_bytes());
+    }
+    headers
+}
+
+async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, Refusal> {
+    let mut body = BytesMut::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|_| Refusal::BodyBroken)?;
+        if body.len() + part.len() > limit {
+            return Err(Refusal::BodyTooLong);
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(body.freeze())
+}
+
+async fn forward(shared: &Arc<Shared>, request: CallerRequest) -> HttpResponse {
+    let (sink, source) = answer::channel();
+    let arrived = request.arrived;
+    let route = request.routed.route.name.clone();
+    actix_rt::spawn(Exchange::new(shared, request, sink).run());
+    let response = answer_caller(source).await;
+    let latency = shared.now().since(arrived).as_secs_f64();
+    shared
+        .metrics
+        .latency
+        .with_label_values(&[route.as_str()])
+        .observe(latency);
+    response
+}
+
+async fn answer_caller(mut source: AnswerSource) -> HttpResponse {
+    match source.head().await {
+        Some(Answer::Whole(head, body)) => builder(&head).body(body),
+        Some(Answer::Streamed(head)) => builder(&head).body(BodyStream::new(source.into_parts())),
+        Some(Answer::Own(own)) => own_answer(own),
+        None => own_answer(OwnAnswer::Lost),
+    }
+}
+
+fn builder(head: &AnswerHead) -> HttpResponseBuilder {
+    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    for header in head.headers.iter() {
+        builder.append_header((header.name.as_str(), header.value.as_slice()));
+    }
+    builder
+}
+
+fn own_answer(own: OwnAnswer) -> HttpResponse {
+    match own {
+        OwnAnswer::NotRun { retry_after } => not_run(retry_after, "no worker can take it now"),
+        OwnAnswer::Lost => HttpResponse::BadGateway().body("the answer is lost; it may have run\n"),
+        OwnAnswer::TimedOut => {
+            HttpResponse::GatewayTimeout().body("no answer in time; it may have run\n")
+        }
+    }
+}
+
+fn not_run(retry_after: Duration, reason: &'static str) -> HttpResponse {
+    HttpResponse::ServiceUnavailable()
+        .append_header(("Retry-After", format!("{:.3}", retry_after.as_secs_f64())))
+        .body(format!("not run: {reason}\n"))
+}
+
+fn refuse(refusal: &Refusal) -> HttpResponse {
+    match refusal {
+        Refusal::NotReady => not_run(NOT_READY_RETRY_AFTER, "no configuration is known yet"),
+        Refusal::NoRoute => HttpResponse::NotFound().body("no route for this host and path\n"),
+        Refusal::BadRequest(reason) => HttpResponse::BadRequest().body(format!("{reason}\n")),
+        Refusal::BodyTooLong => HttpResponse::PayloadTooLarge().body("the body is too long\n"),
+        Refusal::BodyBroken => HttpResponse::BadRequest().body("the body broke off\n"),
+        Refusal::BodyLate => HttpResponse::RequestTimeout().body("the body came too late\n"),
+    }
+}
+
+/// A gateway that stops asks callers for a new connection, which reaches another gateway.
+fn close_if_stopping(mut response: HttpResponse, shared: &Shared) -> HttpResponse {
+    if shared.is_stopping() {
+        response
+            .head_mut()
+            .set_connection_type(actix_web::http::ConnectionType::Close);
+    }
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,27 @@
+//! The gateway: sockets, tasks and state around the decisions of `tansyhall-forwarding`.
+//!
+//! Callers' requests come in through [`ingress`], each lives in a [`exchange`], and leaves through
+//! [`connections`] to a worker. [`follower`] keeps a copy of the store, [`peers`] fetches it from
+//! other gateways while the store is out of reach, [`presence`] announces this gateway.
+
+#![forbid(unsafe_code)]
+
+pub mod answer;
+pub mod connections;
+pub mod events;
+pub mod exchange;
+pub mod follower;
+pub mod headers;
+pub mod ingress;
+pub mod metrics;
+pub mod peers;
+pub mod presence;
+pub mod protocol;
+pub mod readiness;
+pub mod run;
+pub mod send_guard;
+pub mod settings;
+pub mod state;
+
+pub use run::{run, Adapter};
+pub use settings::{GatewaySettings, SettingsError};
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,81 @@
+//! Counters and histograms of a gateway, served as text on its metrics address.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// All metrics.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by route and outcome.
+    pub requests: IntCounterVec,
+    /// Seconds from a request's arrival to the head of its answer, by route.
+    pub latency: HistogramVec,
+    /// Sends to workers by service and outcome.
+    pub sends: IntCounterVec,
+    /// The version of the configuration in force.
+    pub configuration_version: IntGauge,
+    /// Workers that take requests.
+    pub ready_workers: IntGauge,
+    /// The revision of the copy of the store.
+    pub mirror_revision: IntGauge,
+    /// Gateways that share the fleet's budgets.
+    pub gateways: IntGauge,
+}
+
+impl Metrics {
+    /// Metrics at zero.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let metrics = Self {
+            requests: IntCounterVec::new(
+                Opts::new("gateway_requests_total", "Requests by route and outcome"),
+                &["route", "outcome"],
+            )?,
+            latency: HistogramVec::new(
+                HistogramOpts::new("gateway_latency_seconds", "Arrival to the answer's head"),
+                &["route"],
+            )?,
+            sends: IntCounterVec::new(
+                Opts::new("gateway_sends_total", "Sends to workers by outcome"),
+                &["service", "outcome"],
+            )?,
+            configuration_version: IntGauge::new(
+                "gateway_configuration_version",
+                "Version of the configuration in force",
+            )?,
+            ready_workers: IntGauge::new("gateway_ready_workers", "Workers that take requests")?,
+            mirror_revision: IntGauge::new(
+                "gateway_mirror_revision",
+                "Revision of the copy of the store",
+            )?,
+            gateways: IntGauge::new("gateway_gateways", "Gateways that share budgets")?,
+            registry,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        if let Err(error) = TextEncoder::new().encode(&families, &mut text) {
+            log::warn!("metrics cannot be encoded: {error}");
+        }
+        text
+    }
+
+    fn register(&self) -> Result<(), prometheus::Error> {
+        self.registry.register(Box::new(self.requests.clone()))?;
+        self.registry.register(Box::new(self.latency.clone()))?;
+        self.registry.register(Box::new(self.sends.clone()))?;
+        self.registry
+            .register(Box::new(self.configuration_version.clone()))?;
+        self.registry
+            .register(Box::new(self.ready_workers.clone()))?;
+        self.registry
+            .register(Box::new(self.mirror_revision.clone()))?;
+        self.registry.register(Box::new(self.gateways.clone()))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/protocol.rs
@@ -0,0 +1,104 @@
+//! The seams between the gateway and the protocols around it. An adapter implements these traits;
+//! it translates and decides nothing.
+
+use std::time::Duration;
+
+use tansyhall_forwarding::{Configuration, PromptHandle, PromptPart, Worker, WorkerId};
+
+use crate::headers::HeaderList;
+
+/// What a caller says of its request.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct CallerTerms {
+    /// The caller's id of the request, echoed by the worker that runs it.
+    pub request_id: Option<String>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The prompt, for requests to model engines.
+    pub prompt: Vec<PromptPart>,
+}
+
+/// Why a request cannot be understood.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("header {header}: {reason}")]
+pub struct BadRequest {
+    /// The header.
+    pub header: &'static str,
+    /// What is wrong with it, and what is allowed.
+    pub reason: String,
+}
+
+/// What a worker is told beyond what the caller sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SendTerms {
+    /// The incarnation that the request is meant for.
+    pub worker: WorkerId,
+    /// The time left.
+    pub time_left: Duration,
+    /// What is asked.
+    pub work: Work,
+}
+
+/// What is asked of a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Work {
+    /// Run the request.
+    Run {
+        /// The prompt's KV cache, if it was read apart.
+        source: Option<PromptHandle>,
+        /// The last event that the caller has, if the stream goes on.
+        resume_after: Option<String>,
+    },
+    /// Read the prompt and keep its KV cache.
+    ReadPrompt,
+}
+
+/// What an answer's head says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerKind {
+    /// A success that a worker signed.
+    Success,
+    /// A failure of the worker, which ran the request.
+    Failure,
+    /// The worker did not run the request and never will.
+    NotRun,
+    /// The answer to another request, or none that can be passed on: nothing is known.
+    Foreign,
+}
+
+/// A call to a worker beside requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorkerCall {
+    /// The method.
+    pub method: &'static str,
+    /// The path.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderList,
+}
+
+/// How callers and workers speak.
+pub trait Protocol: Send + Sync {
+    /// Reads what a caller says of its request.
+    fn caller_terms(&self, headers: &HeaderList) -> Result<CallerTerms, BadRequest>;
+    /// The headers for a worker, from the caller's.
+    fn worker_headers(&self, caller: &HeaderList, terms: &SendTerms) -> HeaderList;
+    /// What the head of a worker's answer says.
+    fn answer_kind(&self, status: u16, headers: &HeaderList, terms: &CallerTerms) -> AnswerKind;
+    /// The handle in the answer to [`Work::ReadPrompt`].
+    fn prompt_handle(&self, body: &[u8]) -> anyhow::Result<String>;
+    /// The call that frees a handle which will not be used.
+    fn release_handle(&self, handle: &str) -> WorkerCall;
+}
+
+/// How the store's items read.
+pub trait Catalogue: Send + Sync {
+    /// The key of the configuration.
+    fn configuration_key(&self) -> &str;
+    /// The prefix of workers' keys.
+    fn worker_prefix(&self) -> &str;
+    /// Decodes a configuration.
+    fn configuration(&self, value: &[u8]) -> anyhow::Result<Configuration>;
+    /// Decodes a worker; `id` is its key without the prefix.
+    fn worker(&self, id: &str, value: &[u8]) -> anyhow::Result<Worker>;
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,232 @@
+//! Wires a gateway and runs it until it is told to stop.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::dev::Server;
+use actix_web::{web, App, HttpServer};
+use anyhow::{Context, Result};
+use parking_lot::{Mutex, RwLock};
+use tansyhall_core::time::MonotonicClock;
+use tansyhall_forwarding::{Directory, Mirror, RetryShare};
+use tansyhall_store::KeyValueStore;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::time::{sleep, Instant};
+
+use crate::connections::Connections;
+use crate::events::{Event, EventLog, Weight};
+use crate::follower::{self, StoreContact};
+use crate::metrics::Metrics;
+use crate::protocol::{Catalogue, Protocol};
+use crate::settings::GatewaySettings;
+use crate::state::Shared;
+use crate::{ingress, peers, presence, readiness};
+
+/// Time that callers' connections may rest.
+const CALLER_IDLE: Duration = Duration::from_secs(75);
+/// Time for a request's head.
+const CALLER_HEAD: Duration = Duration::from_secs(10);
+/// New connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// After SIGTERM, time in which new callers may still be sent here.
+const LEAVING: Duration = Duration::from_millis(3_300);
+/// How long before SIGKILL the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(300);
+/// Pause between two looks at what is under way.
+const STOP_PACE: Duration = Duration::from_millis(20);
+/// Pause between two sweeps of kept connections.
+const PRUNE_PACE: Duration = Duration::from_millis(1_000);
+/// Gateways that share the fleet's budgets before the store has been read.
+const ASSUMED_GATEWAYS: u32 = 16;
+
+/// The world around a gateway.
+pub struct Adapter {
+    /// How callers and workers speak.
+    pub protocol: Arc<dyn Protocol>,
+    /// How the store's items read.
+    pub catalogue: Arc<dyn Catalogue>,
+    /// The store.
+    pub store: Rc<dyn KeyValueStore>,
+}
+
+/// Runs a gateway until SIGTERM or SIGINT; SIGHUP reads the settings again.
+pub async fn run(file: &Path, settings: GatewaySettings, adapter: Adapter) -> Result<()> {
+    let log = Arc::new(EventLog::new(
+        settings.log.queue_lines,
+        settings.log.routine,
+    ));
+    log.start_writer().context("no thread for the log")?;
+    let shared = share(settings, &adapter, log)?;
+    let settings = shared.settings.read().clone();
+    serve_callers(&shared, &settings)?;
+    serve_peers(&shared, settings.listen.peers)?;
+    serve_checks(&shared, settings.listen.ready, settings.listen.metrics)?;
+    let contact = Arc::new(StoreContact::default());
+    actix_rt::spawn(follower::follow(
+        Arc::clone(&shared),
+        Rc::clone(&adapter.store),
+        Arc::clone(&contact),
+    ));
+    actix_rt::spawn(peers::follow(Arc::clone(&shared), contact));
+    actix_rt::spawn(prune(Arc::clone(&shared)));
+    let presence = presence::announce(Arc::clone(&shared), Rc::clone(&adapter.store));
+    let presence = actix_rt::spawn(presence);
+    let event = Event::Started {
+        node: &settings.node.name,
+        zone: settings.node.zone.as_str(),
+    };
+    shared.log.record(Weight::Important, &event);
+    until_told_to_stop(&shared, file).await?;
+    stop(&shared).await;
+    presence.abort();
+    Ok(())
+}
+
+fn share(settings: GatewaySettings, adapter: &Adapter, log: Arc<EventLog>) -> Result<Arc<Shared>> {
+    let clock = MonotonicClock::start();
+    let retries = RetryShare::new(settings.retry_share(), ASSUMED_GATEWAYS);
+    Ok(Arc::new(Shared {
+        settings: RwLock::new(Arc::new(settings)),
+        clock,
+        protocol: Arc::clone(&adapter.protocol),
+        catalogue: Arc::clone(&adapter.catalogue),
+        mirror: Mutex::new(Mirror::default()),
+        in_force: RwLock::new(None),
+        directory: Mutex::new(Directory::default()),
+        retries: Mutex::new(retries),
+        connections: Arc::new(Connections::new(clock)),
+        log,
+        metrics: Metrics::new()?,
+        gateways: AtomicU64::new(u64::from(ASSUMED_GATEWAYS)),
+        stopping: AtomicBool::new(false),
+        in_flight: AtomicU64::new(0),
+    }))
+}
+
+fn serve_callers(shared: &Arc<Shared>, settings: &GatewaySettings) -> Result<()> {
+    let data = web::Data::new(Arc::clone(shared));
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .default_service(web::to(ingress::serve))
+    })
+    .workers(settings.node.threads)
+    .backlog(BACKLOG)
+    .keep_alive(CALLER_IDLE)
+    .client_request_timeout(CALLER_HEAD)
+    .h1_allow_half_closed(false)
+    .disable_signals()
+    .bind(settings.listen.callers)
+    .with_context(|| format!("listen.callers = {}", settings.listen.callers))?;
+    detach(server.run());
+    Ok(())
+}
+
+fn serve_peers(shared: &Arc<Shared>, address: SocketAddr) -> Result<()> {
+    let data = web::Data::new(Arc::clone(shared));
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .route("/copy", web::get().to(peers::hand_over))
+    })
+    .workers(1)
+    .disable_signals()
+    .bind(address)
+    .with_context(|| format!("listen.peers = {address}"))?;
+    detach(server.run());
+    Ok(())
+}
+
+fn serve_checks(shared: &Arc<Shared>, ready: SocketAddr, metrics: SocketAddr) -> Result<()> {
+    let data = web::Data::new(Arc::clone(shared));
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .route("/metrics", web::get().to(readiness::metrics))
+            .default_service(web::to(readiness::answer))
+    })
+    .workers(1)
+    .disable_signals()
+    .bind(ready)
+    .with_context(|| format!("listen.ready = {ready}"))?
+    .bind(metrics)
+    .with_context(|| format!("listen.metrics = {metrics}"))?;
+    detach(server.run());
+    Ok(())
+}
+
+fn detach(server: Server) {
+    actix_rt::spawn(async move {
+        if let Err(error) = server.await {
+            log::error!("a server ended: {error}");
+        }
+    });
+}
+
+async fn prune(shared: Arc<Shared>) {
+    loop {
+        sleep(PRUNE_PACE).await;
+        shared
+            .connections
+            .prune(|worker| shared.directory.lock().get(worker).is_some());
+    }
+}
+
+async fn until_told_to_stop(shared: &Shared, file: &Path) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("no signal handler")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("no signal handler")?;
+    let mut hangup = signal(SignalKind::hangup()).context("no signal handler")?;
+    let file: PathBuf = file.to_owned();
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => reload(shared, &file),
+        }
+    }
+}
+
+/// Reads the settings again; what was in force stays so if they are faulty. Addresses and threads
+/// take effect at the next start.
+fn reload(shared: &Shared, file: &Path) {
+    let name = file.display().to_string();
+    let outcome = std::fs::read_to_string(file)
+        .map_err(anyhow::Error::from)
+        .and_then(|text| Ok(GatewaySettings::parse(&name, &text)?));
+    let outcome = match outcome {
+        Ok(settings) => {
+            *shared.settings.write() = Arc::new(settings);
+            "applied".to_owned()
+        }
+        Err(error) => format!("{error:#}"),
+    };
+    let event = Event::Reloaded { outcome: &outcome };
+    shared.log.record(Weight::Important, &event);
+}
+
+/// Finishes what is under way. New callers are served until whoever distributes them has noticed.
+async fn stop(shared: &Shared) {
+    let in_flight = || shared.in_flight.load(Ordering::Relaxed);
+    shared.stopping.store(true, Ordering::Relaxed);
+    let event = Event::Stopping {
+        in_flight: in_flight(),
+    };
+    shared.log.record(Weight::Important, &event);
+    let grace = shared.settings.read().grace();
+    let began = Instant::now();
+    let last_moment = began + grace.saturating_sub(END_MARGIN);
+    let first_moment = last_moment.min(began + LEAVING);
+    sleep(first_moment.duration_since(began)).await;
+    while in_flight() > 0 && Instant::now() < last_moment {
+        sleep(STOP_PACE).await;
+    }
+    let event = Event::Stopped {
+        in_flight: in_flight(),
+    };
+    shared.log.record(Weight::Important, &event);
+    sleep(STOP_PACE).await;
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,170 @@
+//! What the tasks of a gateway share. Each part stands under its own lock, held for a few
+//! microseconds and never across a wait.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::{Mutex, RwLock};
+use tansyhall_core::time::MonotonicClock;
+use tansyhall_core::{ServiceName, Timestamp, ZoneName};
+use tansyhall_forwarding::{
+    Configuration, Directory, Limits, Mirror, RetryShare, Route, RouteTable, Worker,
+};
+
+use crate::connections::{Connections, Destination};
+use crate::events::EventLog;
+use crate::metrics::Metrics;
+use crate::protocol::{Catalogue, Protocol};
+use crate::settings::GatewaySettings;
+
+/// The part of a worker's connections that gateways use together; the rest is for health checks
+/// and gateways that are not known yet.
+const CONNECTION_PART: f64 = 0.8;
+/// The least connections to one worker that a gateway may have.
+const MIN_CONNECTIONS: u32 = 4;
+
+/// Shared state.
+pub struct Shared {
+    /// Settings, replaced at a reload.
+    pub settings: RwLock<Arc<GatewaySettings>>,
+    /// Time.
+    pub clock: MonotonicClock,
+    /// How callers and workers speak.
+    pub protocol: Arc<dyn Protocol>,
+    /// How the store's items read.
+    pub catalogue: Arc<dyn Catalogue>,
+    /// The copy of the store.
+    pub mirror: Mutex<Mirror>,
+    /// The configuration in force and its routes.
+    pub in_force: RwLock<Option<Arc<InForce>>>,
+    /// Workers.
+    pub directory: Mutex<Directory>,
+    /// Retries.
+    pub retries: Mutex<RetryShare>,
+    /// Connections to workers.
+    pub connections: Arc<Connections>,
+    /// Log.
+    pub log: Arc<EventLog>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Gateways that share the fleet's budgets, this one included.
+    pub gateways: AtomicU64,
+    /// Whether SIGTERM has come.
+    pub stopping: AtomicBool,
+    /// Requests under way.
+    pub in_flight: AtomicU64,
+}
+
+/// A configuration in force.
+pub struct InForce {
+    /// The configuration.
+    pub configuration: Configuration,
+    /// The store's revision of it.
+    pub revision: u64,
+    routes: Mutex<RouteTable>,
+}
+
+/// Where a request goes.
+pub struct Routed {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service whose turn it is.
+    pub service: ServiceName,
+    /// The version of the configuration.
+    pub version: u64,
+}
+
+impl InForce {
+    /// Indexes a configuration.
+    pub fn new(configuration: Configuration, revision: u64) -> Self {
+        let routes = Mutex::new(RouteTable::new(&configuration));
+        Self {
+            configuration,
+            revision,
+            routes,
+        }
+    }
+
+    /// The route of a request.
+    pub fn route(&self, host: &str, path: &str) -> Option<Routed> {
+        let (route, service) = self.routes.lock().take(host, path)?;
+        Some(Routed {
+            route,
+            service,
+            version: self.configuration.version,
+        })
+    }
+
+    /// Bounds on what callers may send.
+    pub fn limits(&self) -> Limits {
+        self.configuration.limits
+    }
+}
+
+impl Shared {
+    /// Now.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// The zone of this gateway.
+    pub fn zone(&self) -> ZoneName {
+        self.settings.read().node.zone.clone()
+    }
+
+    /// The configuration in force, if any has been seen.
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.in_force.read().clone()
+    }
+
+    /// Whether this gateway can serve.
+    pub fn can_serve(&self) -> bool {
+        self.in_force.read().is_some() && self.directory.lock().ready_workers() > 0
+    }
+
+    /// Whether SIGTERM has come.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// How a worker is reached, within this gateway's part of its connections.
+    pub fn destination(&self, worker: &Worker) -> Destination {
+        let announced = self
+            .in_force()
+            .and_then(|in_force| {
+                let service = in_force.configuration.service(&worker.service)?;
+                Some(service.max_connections)
+            })
+            .unwrap_or(worker.slots);
+        let gateways = self.gateways.load(Ordering::Relaxed).max(1) as f64;
+        let part = (f64::from(announced) * CONNECTION_PART / gateways) as u32;
+        Destination {
+            worker: worker.id.clone(),
+            address: worker.address,
+            max_connections: part.max(MIN_CONNECTIONS),
+        }
+    }
+}
+
+/// Counts a request as under way for as long as it lives.
+pub struct InFlight(Arc<Shared>);
+
+impl InFlight {
+    /// Begins to count.
+    pub fn begin(shared: &Arc<Shared>) -> Self {
+        shared.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Milliseconds of a duration, as logs show them.
+pub fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/node/src/admin/changes.rs
+++ b/crates/node/src/admin/changes.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use tansyhall_config::settings::{OperatorAccount, OperatorRole};
 use tansyhall_config::{Resource, ResourceFile, ResourceKey};
-use tansyhall_platform::{EtcdStore, Revision};
+use tansyhall_store::{EtcdStore, Revision};
 use utoipa::{IntoParams, ToSchema};
 
 use super::access;
--- a/crates/node/src/admin/error.rs
+++ b/crates/node/src/admin/error.rs
@@ -4,7 +4,7 @@
 use actix_web::{HttpResponse, ResponseError};
 use serde::Serialize;
 use tansyhall_config::{Problem, Resource, ResourceKey};
-use tansyhall_platform::{Revision, StoreError};
+use tansyhall_store::{Revision, StoreError};
 use utoipa::ToSchema;
 
 use super::access::AccessError;
--- a/crates/node/src/admin/resources.rs
+++ b/crates/node/src/admin/resources.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use tansyhall_config::settings::OperatorRole;
 use tansyhall_config::{Resource, ResourceKey, ResourceKind};
-use tansyhall_platform::Revision;
+use tansyhall_store::Revision;
 use utoipa::{IntoParams, ToSchema};
 
 use super::access;
--- a/crates/node/src/at_most_once/keeper.rs
+++ b/crates/node/src/at_most_once/keeper.rs
@@ -7,8 +7,8 @@
 use actix::{Actor, AsyncContext, Context, WrapFuture};
 use futures_util::future::join_all;
 use tansyhall_journal::{ChangeStep, Member, Records, ViewChange, ViewNumber, QUORUM};
-use tansyhall_platform::{EtcdStore, StoreError};
 use tansyhall_proto::{JournalAnswer, JournalRequest};
+use tansyhall_store::{EtcdStore, StoreError};
 
 use super::members::{ask_member, choose, look_at, Presence};
 use super::views::{PlacedMember, PlacedView, StoredViews, ViewRecord};
--- a/crates/node/src/at_most_once/views.rs
+++ b/crates/node/src/at_most_once/views.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use tansyhall_journal::{Member, View, ViewNumber, VIEW_SIZE};
-use tansyhall_platform::{
+use tansyhall_store::{
     Compare, EtcdStore, KeyValueStore, Operation, Revision, StoreError, Transaction,
 };
 
--- a/crates/node/src/authority/claim_records.rs
+++ b/crates/node/src/authority/claim_records.rs
@@ -8,7 +8,7 @@
 use tansyhall_authority::{ClaimRecord, Epoch, Lease};
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::{Duration, NodeId, PoolName, Timestamp, ZoneName};
-use tansyhall_platform::{
+use tansyhall_store::{
     EtcdStore, KeyValue, KeyValueStore, Revision, StoreError, WatchEvent, WatchStream,
 };
 
--- a/crates/node/src/authority/claims.rs
+++ b/crates/node/src/authority/claims.rs
@@ -8,7 +8,7 @@
 use tansyhall_authority::claim::claim_delay;
 use tansyhall_authority::{ClaimAction, ClaimEvent, ClaimRecord, Epoch, Lease, PoolClaim};
 use tansyhall_core::{Duration, PoolName};
-use tansyhall_platform::{
+use tansyhall_store::{
     Compare, EtcdStore, KeyValueStore, LeaseId, Operation, StoreError, Transaction,
 };
 
--- a/crates/node/src/authority/keeper.rs
+++ b/crates/node/src/authority/keeper.rs
@@ -5,7 +5,7 @@
 use actix::{Actor, AsyncContext, Context, Handler, Message, ResponseFuture, WrapFuture};
 use tansyhall_authority::{Lease, LeaseAction, LeaseEvent};
 use tansyhall_core::Duration;
-use tansyhall_platform::{EtcdStore, KeyValueStore, LeaseId, StoreError};
+use tansyhall_store::{EtcdStore, KeyValueStore, LeaseId, StoreError};
 
 use super::shared::SharedAuthority;
 use super::{claims, observer};
--- a/crates/node/src/configuration/change.rs
+++ b/crates/node/src/configuration/change.rs
@@ -2,7 +2,7 @@
 
 use tansyhall_config::{Configuration, ConfigurationError, Resource, ResourceKey, ResourceKind};
 use tansyhall_core::TenantName;
-use tansyhall_platform::{Revision, StoreError};
+use tansyhall_store::{Revision, StoreError};
 
 use super::store::Snapshot;
 
--- a/crates/node/src/configuration/store.rs
+++ b/crates/node/src/configuration/store.rs
@@ -10,8 +10,8 @@
 use std::collections::HashMap;
 
 use tansyhall_config::{Configuration, Resource, ResourceKey, ResourceKind};
-use tansyhall_platform::store::RangeOutcome;
-use tansyhall_platform::{Compare, KeyValueStore, Operation, Revision, StoreError, Transaction};
+use tansyhall_store::store::RangeOutcome;
+use tansyhall_store::{Compare, KeyValueStore, Operation, Revision, StoreError, Transaction};
 
 use super::change::{self, Change, ChangeError, Effect, MAX_CHANGES};
 use super::head::{Author, ChangeRecord, Head};
--- a/crates/node/src/configuration/watcher.rs
+++ b/crates/node/src/configuration/watcher.rs
@@ -6,7 +6,7 @@
 
 use actix::{Actor, AsyncContext, Context, Recipient, WrapFuture};
 use futures_util::StreamExt;
-use tansyhall_platform::{
+use tansyhall_store::{
     EtcdStore, KeyValueStore, NextStep, Repeatability, RetryPolicy, Revision, StoreError,
 };
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -143,7 +143,7 @@
             )?,
             changes_given_up: counter("tansyhall_changes_given_up_total", "Changes given up")?,
             rollouts_stopped: counter("tansyhall_rollouts_stopped_total", "Rollouts stopped")?,
-            platform_errors: counter("tansyhall_platform_errors_total", "Failed platform calls")?,
+            platform_errors: counter("tansyhall_store_errors_total", "Failed platform calls")?,
             peers: PeerMetrics::register(&registry)?,
             choices: counters(
                 "tansyhall_choices_total",
--- a/crates/node/src/peers/actor.rs
+++ b/crates/node/src/peers/actor.rs
@@ -13,8 +13,8 @@
     self as membership, ConfigurationMark, MemberAddresses, MemberRecord, MemberState, Membership,
     MembershipSettings,
 };
-use tansyhall_platform::machines::MachineList;
 use tansyhall_proto::{encode_datagram, PullAnswer};
+use tansyhall_store::machines::MachineList;
 use tokio::net::{TcpListener, UdpSocket};
 
 use super::exchange;
--- a/crates/node/src/peers/machines.rs
+++ b/crates/node/src/peers/machines.rs
@@ -5,7 +5,7 @@
 
 use tansyhall_core::{EngineName, NodeId, ZoneName};
 use tansyhall_membership::{KnownBackend, KnownMachine};
-use tansyhall_platform::machines::{Machine, MachineKind, MachineList};
+use tansyhall_store::machines::{Machine, MachineKind, MachineList};
 
 /// What the list says.
 #[derive(Debug, Default)]
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -11,7 +11,7 @@
 use tansyhall_config::NodeSettings;
 use tansyhall_engine::EngineClient;
 use tansyhall_membership::MemberAddresses;
-use tansyhall_platform::{EtcdStore, RateLimit};
+use tansyhall_store::{EtcdStore, RateLimit};
 
 use crate::at_most_once::JournalKeeper;
 use crate::authority::{AuthorityKeeper, Release};
--- a/crates/node/tests/configuration_store.rs
+++ b/crates/node/tests/configuration_store.rs
@@ -13,8 +13,8 @@
 use tansyhall_node::configuration::{
     Author, Change, ChangeError, ConfigurationStore, Precondition,
 };
-use tansyhall_platform::store::{KeyValue, LeaseId, RangeOutcome, TransactionOutcome, WatchStream};
-use tansyhall_platform::{Compare, KeyValueStore, Operation, Revision, StoreError, Transaction};
+use tansyhall_store::store::{KeyValue, LeaseId, RangeOutcome, TransactionOutcome, WatchStream};
+use tansyhall_store::{Compare, KeyValueStore, Operation, Revision, StoreError, Transaction};
 
 const POLICY: &str = "shared";
 const POLICY_KEY: &str = "/tansyhall/config/resources/policy/shared";
--- a/crates/scale/src/fleet.rs
+++ b/crates/scale/src/fleet.rs
@@ -12,8 +12,8 @@
 use tansyhall_node::configuration::ConfigurationWatcher;
 use tansyhall_node::peers::{PeerTransport, PeersActor};
 use tansyhall_node::Node;
-use tansyhall_platform::machines::{Machine, MachineKind};
-use tansyhall_platform::{EtcdStore, RateLimit};
+use tansyhall_store::machines::{Machine, MachineKind};
+use tansyhall_store::{EtcdStore, RateLimit};
 
 use crate::options::ScaleOptions;
 use crate::relay::Relay;
--- a/crates/scale/src/holders.rs
+++ b/crates/scale/src/holders.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{bail, Result};
 use serde::Deserialize;
-use tansyhall_platform::{EtcdStore, KeyValue, KeyValueStore};
+use tansyhall_store::{EtcdStore, KeyValue, KeyValueStore};
 
 /// Prefix of the keys that tell who holds each pool.
 const AUTHORITY_PREFIX: &str = "/tansyhall/authority/";
--- a/crates/scale/src/resources.rs
+++ b/crates/scale/src/resources.rs
@@ -6,7 +6,7 @@
 use serde_json::{json, Value};
 use tansyhall_config::{Resource, ResourceKind};
 use tansyhall_node::configuration::{Author, Change, ConfigurationStore, Precondition};
-use tansyhall_platform::EtcdStore;
+use tansyhall_store::EtcdStore;
 
 use crate::options::ScaleOptions;
 
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{bail, Result};
-use tansyhall_platform::EtcdStore;
+use tansyhall_store::EtcdStore;
 
 use crate::cost;
 use crate::fleet::{Fleet, HollowNode};
--- a/crates/standin/src/platform/machines.rs
+++ b/crates/standin/src/platform/machines.rs
@@ -1,7 +1,7 @@
 //! The list of machines. Changes show after a lag, as on the real platform.
 
 use actix_web::{web, HttpResponse};
-use tansyhall_platform::machines::{Machine, MACHINES_PATH};
+use tansyhall_store::machines::{Machine, MACHINES_PATH};
 
 use super::Platform;
 
--- a/crates/platform/tests/limits.rs
+++ b/crates/store/tests/limits.rs
@@ -4,9 +4,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use tansyhall_core::{Duration, Timestamp};
-use tansyhall_platform::{
-    Admission, NextStep, Repeatability, RetryPolicy, StoreError, TokenBucket,
-};
+use tansyhall_store::{Admission, NextStep, Repeatability, RetryPolicy, StoreError, TokenBucket};
 
 proptest! {
     #![proptest_config(ProptestConfig {
