--- a/crates/cli/src/commands/gateway.rs
+++ b/crates/cli/src/commands/gateway.rs
@@ -11,7 +11,7 @@
 use crate::exit::{self, Usage};
 
 /// Log specification of libraries when `RUST_LOG` is not set.
-const DEFAULT_LOG: &str = "warn, actix_server=error";
+const DEFAULT_LOG: &str = "warn, actix_server=error, actix_http=off";
 
 /// Runs the command.
 pub fn run(mut arguments: Arguments) -> Result<ExitCode> {
--- a/crates/forwarding/src/request.rs
+++ b/crates/forwarding/src/request.rs
@@ -6,11 +6,13 @@
 //! - A send that provably did not run is repeated on another worker, a few times.
 //! - A send that may have run is repeated only if the request allows a second run, and only on as
 //!   many workers as its route allows.
-//! - Every send past the first asks the retry budget.
+//! - Every send past the first asks the retry budget; the reading of a prompt is free only if it
+//!   succeeds.
 //! - The caller is told "not run" only while no send may have run.
 //!
 //! A model request may have its prompt read apart first. Reading runs nothing, so that its failure
-//! leaves the request as it was; the worker that runs it then reads the prompt itself.
+//! leaves the request as it was; the worker that runs it then reads the prompt itself. The reading
+//! may still have reached its worker, so that going on without it asks the retry budget.
 
 use crate::configuration::Repeatability;
 use crate::worker::WorkerId;
@@ -191,7 +193,8 @@
             }
             RequestEvent::PromptNotRead => {
                 self.current = None;
-                self.select()
+                self.phase = Phase::AskingBudget;
+                Action::AskBudget
             }
             RequestEvent::Completed => self.finish(Conclusion::Delivered),
             RequestEvent::Failed(failure) => self.failed(failure),
--- /dev/null
+++ b/crates/forwarding/tests/request_machine.rs
@@ -0,0 +1,216 @@
+//! One request's life: what each failure leads to, and what its caller is told.
+
+use proptest::prelude::*;
+use tansyhall_forwarding::{
+    Action, AttemptPolicy, Conclusion, PromptHandle, Repeatability, RequestEvent, RequestMachine,
+    SendFailure, WorkerId,
+};
+
+const RESUMABLE: Repeatability = Repeatability::Stream { resumable: true };
+const FINAL_STREAM: Repeatability = Repeatability::Stream { resumable: false };
+
+fn machine(repeatability: Repeatability, max_attempts: u32, read_apart: bool) -> RequestMachine {
+    RequestMachine::new(AttemptPolicy {
+        repeatability,
+        max_attempts,
+        read_apart,
+    })
+}
+
+fn worker(name: &str) -> WorkerId {
+    WorkerId::from(name)
+}
+
+fn selected(name: &str) -> RequestEvent {
+    RequestEvent::Selected(Some(worker(name)))
+}
+
+/// A machine whose request runs on worker `a`.
+fn running(repeatability: Repeatability, max_attempts: u32) -> RequestMachine {
+    let mut machine = machine(repeatability, max_attempts, false);
+    machine.step(RequestEvent::Arrived);
+    machine.step(selected("a"));
+    machine
+}
+
+#[test]
+fn a_request_that_did_not_run_goes_to_another_worker() {
+    let mut machine = running(Repeatability::AtMostOnce, 1);
+    let action = machine.step(RequestEvent::Failed(SendFailure::NotRun));
+    assert_eq!(action, Action::AskBudget);
+    let avoid = vec![worker("a")];
+    let action = machine.step(RequestEvent::BudgetAnswered(true));
+    assert_eq!(action, Action::Select { avoid });
+}
+
+#[test]
+fn a_request_that_may_have_run_at_most_once_is_lost_not_refused() {
+    let mut machine = running(Repeatability::AtMostOnce, 3);
+    let action = machine.step(RequestEvent::Failed(SendFailure::MayHaveRun));
+    assert_eq!(action, Action::Finish(Conclusion::Lost));
+}
+
+#[test]
+fn a_spent_budget_refuses_what_did_not_run() {
+    let mut machine = running(Repeatability::AtMostOnce, 1);
+    machine.step(RequestEvent::Failed(SendFailure::NotRun));
+    let action = machine.step(RequestEvent::BudgetAnswered(false));
+    assert_eq!(action, Action::Finish(Conclusion::Refused));
+}
+
+#[test]
+fn a_workers_own_failure_reaches_the_caller_when_nothing_better_comes() {
+    let mut machine = running(Repeatability::Repeatable, 2);
+    machine.step(RequestEvent::Failed(SendFailure::ErrorAnswer));
+    machine.step(RequestEvent::BudgetAnswered(true));
+    machine.step(selected("b"));
+    let action = machine.step(RequestEvent::Failed(SendFailure::ErrorAnswer));
+    assert_eq!(action, Action::Finish(Conclusion::WorkerError));
+}
+
+#[test]
+fn a_resumable_stream_goes_on_after_the_last_whole_event() {
+    let mut machine = running(RESUMABLE, 2);
+    let broken = RequestEvent::BrokenOff(Some("3".into()));
+    assert_eq!(machine.step(broken), Action::AskBudget);
+    machine.step(RequestEvent::BudgetAnswered(true));
+    let action = machine.step(selected("b"));
+    let expected = Action::Run {
+        worker: worker("b"),
+        source: None,
+        resume_after: Some("3".into()),
+    };
+    assert_eq!(action, expected);
+}
+
+#[test]
+fn a_stream_that_cannot_be_resumed_breaks() {
+    let mut machine = running(FINAL_STREAM, 2);
+    let action = machine.step(RequestEvent::BrokenOff(Some("3".into())));
+    assert_eq!(action, Action::Finish(Conclusion::Broken));
+}
+
+#[test]
+fn a_prompt_read_apart_is_handed_to_the_worker_that_runs_it() {
+    let mut machine = machine(FINAL_STREAM, 1, true);
+    let reader = Action::SelectReader { avoid: Vec::new() };
+    assert_eq!(machine.step(RequestEvent::Arrived), reader);
+    let read = Action::ReadPrompt {
+        worker: worker("p"),
+    };
+    assert_eq!(machine.step(selected("p")), read);
+    let handle = PromptHandle {
+        worker: worker("p"),
+        address: "10.0.0.1:1".into(),
+        handle: "h".into(),
+    };
+    machine.step(RequestEvent::PromptRead(handle.clone()));
+    let run = Action::Run {
+        worker: worker("d"),
+        source: Some(handle),
+        resume_after: None,
+    };
+    assert_eq!(machine.step(selected("d")), run);
+}
+
+/// Found by the users' bench (a burst of long prompts, rule BUDGET): a reading that is given up may
+/// wait in its worker's queue and counts as a rejected arrival there.
+#[test]
+fn going_on_without_a_reading_that_failed_asks_the_budget() {
+    let mut machine = machine(FINAL_STREAM, 1, true);
+    machine.step(RequestEvent::Arrived);
+    machine.step(selected("p"));
+    assert_eq!(machine.step(RequestEvent::PromptNotRead), Action::AskBudget);
+    let action = machine.step(RequestEvent::BudgetAnswered(false));
+    assert_eq!(action, Action::Finish(Conclusion::Refused));
+}
+
+#[test]
+fn a_deadline_while_a_worker_runs_it_promises_nothing() {
+    let mut machine = running(Repeatability::Repeatable, 1);
+    let action = machine.step(RequestEvent::DeadlinePassed);
+    assert_eq!(action, Action::Finish(Conclusion::TimedOut));
+}
+
+#[derive(Debug, Clone)]
+enum Fate {
+    NotRun,
+    MayHaveRun,
+    ErrorAnswer,
+    BrokenOff(bool),
+    Completed,
+    Deadline,
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        Just(Fate::NotRun),
+        Just(Fate::MayHaveRun),
+        Just(Fate::ErrorAnswer),
+        any::<bool>().prop_map(Fate::BrokenOff),
+        Just(Fate::Completed),
+        Just(Fate::Deadline),
+    ]
+}
+
+fn repeatability() -> impl Strategy<Value = Repeatability> {
+    prop_oneof![
+        Just(Repeatability::Repeatable),
+        Just(Repeatability::AtMostOnce),
+        Just(RESUMABLE),
+        Just(FINAL_STREAM),
+    ]
+}
+
+fn event_of(fate: &Fate) -> RequestEvent {
+    match fate {
+        Fate::NotRun => RequestEvent::Failed(SendFailure::NotRun),
+        Fate::MayHaveRun => RequestEvent::Failed(SendFailure::MayHaveRun),
+        Fate::ErrorAnswer => RequestEvent::Failed(SendFailure::ErrorAnswer),
+        Fate::BrokenOff(with_event) => RequestEvent::BrokenOff(with_event.then(|| "7".to_owned())),
+        Fate::Completed => RequestEvent::Completed,
+        Fate::Deadline => RequestEvent::DeadlinePassed,
+    }
+}
+
+proptest! {
+    /// Whatever happens to the sends: the request ends; no more workers may have run it than its
+    /// route allows; one that runs at most once is not sent again after it may have run; and "not
+    /// run" is said only if no send may have run.
+    #[test]
+    fn promises_hold_whatever_happens(
+        repeatability in repeatability(),
+        max_attempts in 1_u32..4,
+        fates in prop::collection::vec(fate(), 12),
+        budget in prop::collection::vec(any::<bool>(), 12),
+    ) {
+        let mut machine = machine(repeatability, max_attempts, false);
+        let mut fates = fates.iter();
+        let mut budget = budget.iter();
+        let mut may_have_run = 0;
+        let mut action = machine.step(RequestEvent::Arrived);
+        for _ in 0..64 {
+            let event = match &action {
+                Action::Select { .. } => selected("w"),
+                Action::AskBudget => RequestEvent::BudgetAnswered(*budget.next().unwrap_or(&false)),
+                Action::Run { .. } => {
+                    let once = !repeatability.allows_second_run();
+                    prop_assert!(!(once && may_have_run > 0));
+                    prop_assert!(may_have_run < max_attempts);
+                    let fate = fates.next().unwrap_or(&Fate::Completed);
+                    may_have_run += u32::from(!matches!(fate, Fate::NotRun));
+                    event_of(fate)
+                }
+                Action::Finish(conclusion) => {
+                    if *conclusion == Conclusion::Refused {
+                        prop_assert_eq!(may_have_run, 0);
+                    }
+                    return Ok(());
+                }
+                other => panic!("no prompt is read apart here: {other:?}"),
+            };
+            action = machine.step(event);
+        }
+        prop_assert!(false, "the request does not end");
+    }
+}
--- /dev/null
+++ b/crates/forwarding/tests/routes.rs
@@ -0,0 +1,97 @@
+//! Routes: the longest prefix of the host, and exact shares of a split.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tansyhall_core::ServiceName;
+use tansyhall_forwarding::{
+    Configuration, ConfigurationError, Limits, Repeatability, Route, RouteTable, Service, Target,
+};
+
+fn route(name: &str, prefix: &str, targets: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.into(),
+        host: "Shop.example".into(),
+        path_prefix: prefix.into(),
+        repeatability: Repeatability::Repeatable,
+        timeout: Duration::from_secs(1),
+        latency_objective: Duration::from_millis(100),
+        max_attempts: 1,
+        rank: 0,
+        targets: targets
+            .iter()
+            .map(|(service, weight)| Target {
+                service: ServiceName::new(*service),
+                weight: *weight,
+            })
+            .collect(),
+    }
+}
+
+fn configuration(routes: Vec<Route>) -> Configuration {
+    let services = ["a", "b"].map(|name| Service {
+        name: ServiceName::new(name),
+        max_connections: 10,
+        engine: None,
+    });
+    Configuration {
+        version: 1,
+        routes,
+        services: services.to_vec(),
+        limits: Limits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_timeout: Duration::ZERO,
+            idle_timeout: Duration::ZERO,
+        },
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("short", "/x/", &[("a", 1)]),
+        route("long", "/x/y/", &[("b", 1)]),
+    ];
+    let mut table = RouteTable::new(&configuration(routes));
+    let mut name_of = |host: &str, path: &str| {
+        let taken = table.take(host, path);
+        taken.map(|(route, _)| route.name.clone())
+    };
+    assert_eq!(name_of("shop.example", "/x/y/z"), Some("long".into()));
+    assert_eq!(name_of("SHOP.example:8080", "/x/z"), Some("short".into()));
+    assert_eq!(name_of("shop.example", "/x"), None);
+    assert_eq!(name_of("other.example", "/x/z"), None);
+}
+
+#[test]
+fn a_split_is_exact_after_each_round() {
+    let routes = vec![route("split", "/s/", &[("a", 90), ("b", 10)])];
+    let mut table = RouteTable::new(&configuration(routes));
+    let mut counts: HashMap<String, u32> = HashMap::new();
+    for _ in 0..50 {
+        let (_, service) = table.take("shop.example", "/s/").expect("a route");
+        *counts.entry(service.to_string()).or_default() += 1;
+    }
+    assert_eq!(counts["a"], 45);
+    assert_eq!(counts["b"], 5);
+}
+
+#[test]
+fn faulty_configurations_are_refused_as_a_whole() {
+    let twice = vec![
+        route("r", "/x/", &[("a", 1)]),
+        route("r", "/y/", &[("a", 1)]),
+    ];
+    let refused = |routes| configuration(routes).validate().expect_err("a fault");
+    assert_eq!(
+        refused(twice),
+        ConfigurationError::DuplicateRoute("r".into())
+    );
+    let unknown = refused(vec![route("r", "/x/", &[("c", 1)])]);
+    assert!(matches!(unknown, ConfigurationError::UnknownService { .. }));
+    let prefix = refused(vec![route("r", "x/", &[("a", 1)])]);
+    assert!(matches!(prefix, ConfigurationError::Prefix { .. }));
+    let weightless = refused(vec![route("r", "/x/", &[("a", 0)])]);
+    assert_eq!(weightless, ConfigurationError::NoTarget("r".into()));
+}
