Gateway: a stop plan; requests long after SIGTERM are refused at once

Cause: LOST when machines are removed in turn: requests accepted seconds after SIGTERM were cut at the kill.

--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod retry_share;
 pub mod route_table;
 pub mod selection;
+pub mod stop_plan;
 pub mod worker;
 
 pub use configuration::{
@@ -29,4 +30,5 @@
 pub use retry_share::{RetryShare, RetryShareSettings};
 pub use route_table::RouteTable;
 pub use selection::{affinity_part, prompt_tokens, Need, PromptPart};
+pub use stop_plan::StopPlan;
 pub use worker::{Worker, WorkerId, WorkerState};
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -19,9 +19,13 @@
 /// When a caller should come back to a gateway that cannot serve yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// When a caller of a gateway that leaves should come back; another takes it at once.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(10);
+
 /// Why a request is refused before it has an exchange.
 enum Refusal {
     NotReady,
+    Leaving,
     NoRoute,
     BadRequest(String),
     BodyTooLong,
@@ -51,6 +55,9 @@
     shared: &Arc<Shared>,
 ) -> Result<CallerRequest, Refusal> {
     let arrived = shared.now();
+    if !shared.accepts() {
+        return Err(Refusal::Leaving);
+    }
     let in_force = shared.in_force().ok_or(Refusal::NotReady)?;
     let routed = route(request, &in_force).ok_or(Refusal::NoRoute)?;
     let mut headers = caller_headers(request);
@@ -163,6 +170,7 @@
 fn refuse(refusal: &Refusal) -> HttpResponse {
     match refusal {
         Refusal::NotReady => not_run(NOT_READY_RETRY_AFTER, "no configuration is known yet"),
+        Refusal::Leaving => not_run(LEAVING_RETRY_AFTER, "this gateway is leaving"),
         Refusal::NoRoute => HttpResponse::NotFound().body("no route for this host and path\n"),
         Refusal::BadRequest(reason) => HttpResponse::BadRequest().body(format!("{reason}\n")),
         Refusal::BodyTooLong => HttpResponse::PayloadTooLarge().body("the body is too long\n"),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use actix_web::dev::Server;
@@ -15,7 +15,7 @@
 use tansyhall_forwarding::{Directory, Mirror, RetryShare};
 use tansyhall_store::KeyValueStore;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::time::{sleep, Instant};
+use tokio::time::sleep;
 
 use crate::connections::Connections;
 use crate::events::{Event, EventLog, Weight};
@@ -32,10 +32,6 @@
 const CALLER_HEAD: Duration = Duration::from_secs(10);
 /// New connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
-/// After SIGTERM, time in which new callers may still be sent here.
-const LEAVING: Duration = Duration::from_millis(3_300);
-/// How long before SIGKILL the process ends by itself.
-const END_MARGIN: Duration = Duration::from_millis(300);
 /// Pause between two looks at what is under way.
 const STOP_PACE: Duration = Duration::from_millis(20);
 /// Pause between two sweeps of kept connections.
@@ -102,7 +98,7 @@
         log,
         metrics: Metrics::new()?,
         gateways: AtomicU64::new(u64::from(ASSUMED_GATEWAYS)),
-        stopping: AtomicBool::new(false),
+        stopping_since: OnceLock::new(),
         in_flight: AtomicU64::new(0),
     }))
 }
@@ -211,17 +207,13 @@
 /// Finishes what is under way. New callers are served until whoever distributes them has noticed.
 async fn stop(shared: &Shared) {
     let in_flight = || shared.in_flight.load(Ordering::Relaxed);
-    shared.stopping.store(true, Ordering::Relaxed);
+    let since = *shared.stopping_since.get_or_init(|| shared.now());
     let event = Event::Stopping {
         in_flight: in_flight(),
     };
     shared.log.record(Weight::Important, &event);
-    let grace = shared.settings.read().grace();
-    let began = Instant::now();
-    let last_moment = began + grace.saturating_sub(END_MARGIN);
-    let first_moment = last_moment.min(began + LEAVING);
-    sleep(first_moment.duration_since(began)).await;
-    while in_flight() > 0 && Instant::now() < last_moment {
+    let plan = shared.stop_plan();
+    while !plan.may_end(shared.now().since(since), in_flight()) {
         sleep(STOP_PACE).await;
     }
     let event = Event::Stopped {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,15 +1,15 @@
 //! What the tasks of a gateway share. Each part stands under its own lock, held for a few
 //! microseconds and never across a wait.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::{ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    Configuration, Directory, Limits, Mirror, RetryShare, Route, RouteTable, Worker,
+    Configuration, Directory, Limits, Mirror, RetryShare, Route, RouteTable, StopPlan, Worker,
 };
 
 use crate::connections::{Connections, Destination};
@@ -50,8 +50,8 @@
     pub metrics: Metrics,
     /// Gateways that share the fleet's budgets, this one included.
     pub gateways: AtomicU64,
-    /// Whether SIGTERM has come.
-    pub stopping: AtomicBool,
+    /// When SIGTERM came.
+    pub stopping_since: OnceLock<Timestamp>,
     /// Requests under way.
     pub in_flight: AtomicU64,
 }
@@ -125,7 +125,24 @@
 
     /// Whether SIGTERM has come.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping_since.get().is_some()
+    }
+
+    /// Time since SIGTERM came, if it has.
+    pub fn stopping_for(&self) -> Option<Duration> {
+        let since = self.stopping_since.get()?;
+        Some(self.now().since(*since))
+    }
+
+    /// The plan of a stop.
+    pub fn stop_plan(&self) -> StopPlan {
+        StopPlan::new(self.settings.read().grace())
+    }
+
+    /// Whether a request that arrives now is served.
+    pub fn accepts(&self) -> bool {
+        self.stopping_for()
+            .is_none_or(|elapsed| self.stop_plan().accepts(elapsed))
     }
 
     /// How a worker is reached, within this gateway's part of its connections.
