Gateways exchange their load at engines; prompts are read where the predicted time is least

Cause: each gateway knew only its own sends, a seventh of the load, and readers were ranked by hash alone: reviews queued at busy readers. Change: reports of absolute loads and of parts read, as datagrams; reading time predicted from all waiting tokens and what the cache lacks; read apart only where the move pays; the rate is learnt.

--- a/crates/forwarding/src/directory.rs
+++ b/crates/forwarding/src/directory.rs
@@ -1,12 +1,33 @@
-//! The workers that a gateway knows, with what it has learnt about each from its own sends.
+//! The workers that a gateway knows, with what it has learnt about each from its own sends and
+//! from the reports of other gateways.
+//!
+//! Workers are compared by the time in which they are expected to answer.
+//!
+//! - For requests without a prompt: the smoothed latency of a worker's answers, stretched by the
+//!   work under way there.
+//! - For prompts: the time to read what is waiting there and what of this prompt its cache lacks,
+//!   plus a little for each request under way, stretched by how much slower than expected the
+//!   worker has been.
+//!
+//! Both are divided by the cube of the share of sends that came back whole, and a worker in another
+//! zone costs the way there. Equal readers are told apart by rendezvous hashing of the prompt's
+//! largest shared part, so that gateways which know nothing yet agree.
+//!
+//! Whether a prompt is read apart follows from the same times: the best reader, the move of the KV
+//! cache included, against the best worker that reads it while decoding.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use tansyhall_core::hash::rendezvous_weight;
 use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
 
-use crate::selection::Need;
+use crate::cache_view::{CacheView, PartKey};
+use crate::load_exchange::{
+    GatewayKey, Load, LoadReport, LoadReporter, PartRead, WorkerKey, STALE_AFTER,
+};
+use crate::reading_rate::ReadingRate;
+use crate::selection::{affinity_part, prompt_tokens, Need, PromptPart};
 use crate::worker::{Worker, WorkerId, WorkerState};
 
 /// Latency assumed of a worker that has not answered yet.
@@ -15,17 +36,27 @@
 const LATENCY_WEIGHT: f64 = 0.1;
 /// Weight of the newest outcome in the smoothed share of successes.
 const SUCCESS_WEIGHT: f64 = 0.1;
-/// The lowest share of successes that a score reckons with, so that a failing worker still gets a
+/// The lowest share of successes that is reckoned with, so that a failing worker still gets a
 /// probe now and then.
 const SUCCESS_FLOOR: f64 = 0.05;
 /// Seconds that a send to another zone costs.
 const OTHER_ZONE_COST: f64 = 0.004;
+/// Seconds that each request under way at an engine adds for one more.
+const SHARED_STEP_COST: f64 = 0.0004;
+/// Seconds by which an answer of an engine takes longer than its reading.
+const FIRST_TOKEN_COST: f64 = 0.015;
+/// Seconds that moving a KV cache costs, its price included.
+const MOVE_COST: f64 = 0.035;
+/// How far a worker's slowness may be from the expected.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 30.0);
 /// How long a worker that refused a request is passed over.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
 /// How long a worker that cannot be reached is passed over.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1000);
-/// Prompt tokens by which the first-ranked reader may be ahead of the least busy one.
-const READ_AHEAD_TOKENS: u64 = 20_000;
+/// Other gateways are told of the parts of prompts that are at least this long.
+const REPORTED_PROMPT_TOKENS: u64 = 1_000;
+/// Tokens that a cache is taken to hold if the configuration does not say.
+const DEFAULT_CACHE_TOKENS: u64 = 200_000;
 
 /// How a send ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,19 +79,37 @@
     },
 }
 
+/// A send under way.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SendTicket {
+    worker: WorkerId,
+    reads: bool,
+    reading_tokens: u64,
+    expected_seconds: f64,
+    alone: bool,
+}
+
 /// The workers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Directory {
     workers: BTreeMap<WorkerId, Tracked>,
+    by_key: HashMap<WorkerKey, WorkerId>,
+    cache_tokens: HashMap<ServiceName, u64>,
+    rates: HashMap<ServiceName, ReadingRate>,
+    reporter: LoadReporter,
+    heard: HashMap<GatewayKey, u64>,
 }
 
 #[derive(Debug)]
 struct Tracked {
     worker: Worker,
+    key: WorkerKey,
     announced: bool,
-    in_flight: u32,
-    tokens_in_flight: u64,
+    own: Load,
+    others: HashMap<GatewayKey, (Load, Timestamp)>,
+    cache: CacheView,
     latency: f64,
+    slowness: f64,
     success: f64,
     pause_until: Timestamp,
 }
@@ -68,11 +117,14 @@
 impl Tracked {
     fn new(worker: Worker) -> Self {
         Self {
+            key: WorkerKey::of(&worker.id),
             worker,
             announced: true,
-            in_flight: 0,
-            tokens_in_flight: 0,
+            own: Load::default(),
+            others: HashMap::new(),
+            cache: CacheView::default(),
             latency: INITIAL_LATENCY,
+            slowness: 1.0,
             success: 1.0,
             pause_until: Timestamp::default(),
         }
@@ -82,18 +134,73 @@
         self.announced && self.worker.state == WorkerState::Ready
     }
 
-    fn score(&self, zone: &ZoneName) -> f64 {
-        let busy = f64::from(self.in_flight) / f64::from(self.worker.slots.max(1));
-        let success = self.success.max(SUCCESS_FLOOR);
+    fn load(&self, now: Timestamp) -> Load {
+        let fresh = self
+            .others
+            .values()
+            .filter(|(_, heard)| now.since(*heard) < STALE_AFTER);
+        fresh.fold(self.own, |sum, (load, _)| Load {
+            sends: sum.sends + load.sends,
+            reading_tokens: sum.reading_tokens + load.reading_tokens,
+        })
+    }
+
+    /// Seconds until an answer of a worker that reads no prompts.
+    fn plain_seconds(&self, now: Timestamp) -> f64 {
+        let busy = f64::from(self.load(now).sends) / f64::from(self.worker.slots.max(1));
+        self.latency * (1.0 + busy)
+    }
+
+    /// Seconds until the prompt is read and the first token made.
+    fn reading_seconds(&self, now: Timestamp, prompt: &[PromptPart], rate: ReadingRate) -> f64 {
+        let load = self.load(now);
+        let tokens = load.reading_tokens + self.missing_tokens(prompt);
+        let reading = match self.worker.role {
+            Some(Role::Decode) => rate.while_decoding(tokens),
+            _ => rate.apart(tokens),
+        };
+        let sharing = SHARED_STEP_COST * f64::from(load.sends);
+        (reading + sharing + FIRST_TOKEN_COST) * self.slowness
+    }
+
+    fn missing_tokens(&self, prompt: &[PromptPart]) -> u64 {
+        let whole: u64 = prompt.iter().map(|part| part.tokens).sum();
+        whole - self.cache.kept_tokens(prompt)
+    }
+
+    fn weigh(&self, seconds: f64, zone: &ZoneName) -> f64 {
         let way = match self.worker.zone == *zone {
             true => 0.0,
             false => OTHER_ZONE_COST,
         };
-        (self.latency * (1.0 + busy) + way) / success.powi(3)
+        (seconds + way) / self.success.max(SUCCESS_FLOOR).powi(3)
     }
 }
 
+/// What a worker is chosen for.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The prompt, for model engines.
+    pub prompt: &'a [PromptPart],
+    /// The zone of the gateway.
+    pub zone: &'a ZoneName,
+}
+
 impl Directory {
+    /// No worker yet; `gateway` signs reports of load.
+    pub fn new(gateway: GatewayKey) -> Self {
+        Self {
+            workers: BTreeMap::new(),
+            by_key: HashMap::new(),
+            cache_tokens: HashMap::new(),
+            rates: HashMap::new(),
+            reporter: LoadReporter::new(gateway),
+            heard: HashMap::new(),
+        }
+    }
+
     /// Takes in the workers that are announced now. What is under way at others stays counted
     /// until it ends.
     pub fn announce(&mut self, workers: Vec<Worker>) {
@@ -107,12 +214,18 @@
                     tracked.worker = worker;
                 }
                 None => {
-                    self.workers.insert(worker.id.clone(), Tracked::new(worker));
+                    let tracked = Tracked::new(worker);
+                    self.by_key.insert(tracked.key, tracked.worker.id.clone());
+                    self.workers.insert(tracked.worker.id.clone(), tracked);
                 }
             }
         }
-        self.workers
-            .retain(|_, tracked| tracked.announced || tracked.in_flight > 0);
+        self.forget_idle_strangers();
+    }
+
+    /// Takes in how many tokens the engines of each service hold.
+    pub fn set_cache_tokens(&mut self, cache_tokens: HashMap<ServiceName, u64>) {
+        self.cache_tokens = cache_tokens;
     }
 
     /// Workers that take new requests.
@@ -131,66 +244,135 @@
             .map(|tracked| &tracked.worker)
     }
 
-    /// Whether the service has a worker that reads prompts for others.
-    pub fn reads_apart(&self, service: &ServiceName) -> bool {
-        self.workers.values().any(|tracked| {
-            tracked.takes_new_requests()
-                && tracked.worker.service == *service
-                && tracked.worker.role == Some(Role::Prefill)
-        })
+    /// Whether the prompt is better read apart than by the worker that decodes.
+    pub fn reads_apart(&self, now: Timestamp, demand: Demand<'_>) -> bool {
+        if demand.prompt.is_empty() {
+            return false;
+        }
+        let best = |need: &Need| {
+            let candidates = self.candidates(now, demand.service, need, &[]);
+            let seconds = candidates
+                .iter()
+                .map(|tracked| self.expected_seconds(now, tracked, need, demand));
+            seconds.min_by(f64::total_cmp)
+        };
+        match (best(&Need::ReadPrompt), best(&Need::Run)) {
+            (Some(apart), Some(whole)) => apart + MOVE_COST < whole,
+            _ => false,
+        }
     }
 
-    /// Chooses a worker of `service` for a gateway in `zone`.
+    /// Chooses a worker for a gateway in the demand's zone.
     pub fn select(
         &self,
         now: Timestamp,
-        service: &ServiceName,
+        demand: Demand<'_>,
         need: &Need,
         avoid: &[WorkerId],
-        zone: &ZoneName,
     ) -> Option<&Worker> {
-        let fits = |tracked: &&Tracked| {
-            tracked.takes_new_requests()
-                && tracked.worker.service == *service
-                && serves(tracked.worker.role, need)
-                && !avoid.contains(&tracked.worker.id)
+        let affinity = affinity_part(demand.prompt);
+        let rank = |tracked: &Tracked| {
+            let key = affinity.map_or(&[][..], |part| part.id.as_bytes());
+            rendezvous_weight(key, tracked.worker.id.as_str().as_bytes())
         };
-        let fitting: Vec<&Tracked> = self.workers.values().filter(fits).collect();
-        let rested: Vec<&Tracked> = fitting
-            .iter()
-            .copied()
-            .filter(|tracked| tracked.pause_until <= now)
-            .collect();
-        let candidates = match rested.is_empty() {
-            true => fitting,
-            false => rested,
+        self.candidates(now, demand.service, need, avoid)
+            .into_iter()
+            .map(|tracked| (self.expected_seconds(now, tracked, need, demand), tracked))
+            .min_by(|(left_seconds, left), (right_seconds, right)| {
+                left_seconds
+                    .total_cmp(right_seconds)
+                    .then_with(|| rank(right).cmp(&rank(left)))
+            })
+            .map(|(_, tracked)| &tracked.worker)
+    }
+
+    /// A send to a worker begins, which `reads` its prompt there or fetches its KV cache.
+    pub fn send_began(
+        &mut self,
+        now: Timestamp,
+        id: &WorkerId,
+        prompt: &[PromptPart],
+        reads: bool,
+    ) -> SendTicket {
+        let rate = self.rate_of(id);
+        let mut ticket = SendTicket {
+            worker: id.clone(),
+            reads,
+            reading_tokens: 0,
+            expected_seconds: 0.0,
+            alone: false,
         };
-        let chosen = match need {
-            Need::ReadPrompt { affinity, .. } => first_ranked_reader(&candidates, affinity),
-            Need::Run => least_score(&candidates, zone),
-            Need::Continue { reader } => {
-                let near = self.workers.get(reader).map(|t| &t.worker.zone);
-                least_score(&candidates, near.unwrap_or(zone))
-            }
+        let Some(tracked) = self.workers.get_mut(id) else {
+            return ticket;
         };
-        chosen.map(|tracked| &tracked.worker)
+        if reads {
+            ticket.reading_tokens = tracked.missing_tokens(prompt);
+        }
+        ticket.expected_seconds = tracked.reading_seconds(now, prompt, rate) / tracked.slowness;
+        ticket.alone = tracked.load(now).reading_tokens == 0;
+        tracked.own.sends += 1;
+        tracked.own.reading_tokens += ticket.reading_tokens;
+        if tracked.worker.role.is_some() {
+            self.reporter.record_load(tracked.key, tracked.own);
+        }
+        ticket
     }
 
-    /// A send to a worker begins; `tokens` of prompt are read there.
-    pub fn send_began(&mut self, id: &WorkerId, tokens: u64) {
-        if let Some(tracked) = self.workers.get_mut(id) {
-            tracked.in_flight += 1;
-            tracked.tokens_in_flight += tokens;
+    /// The worker has read the prompt of a send: its answer begins after `latency`.
+    pub fn prompt_was_read(
+        &mut self,
+        now: Timestamp,
+        ticket: &mut SendTicket,
+        prompt: &[PromptPart],
+        latency: Duration,
+    ) {
+        let Some(tracked) = self.workers.get_mut(&ticket.worker) else {
+            return;
+        };
+        let service = &tracked.worker.service;
+        if ticket.alone && tracked.worker.role == Some(Role::Prefill) {
+            let rate = self.rates.entry(service.clone()).or_default();
+            rate.record(ticket.reading_tokens, latency);
+        }
+        if ticket.reads && !prompt.is_empty() && ticket.expected_seconds > 0.0 {
+            let observed = latency.as_secs_f64() / ticket.expected_seconds;
+            let (least, most) = SLOWNESS_BOUNDS;
+            let slowness = smooth(tracked.slowness, observed, LATENCY_WEIGHT);
+            tracked.slowness = slowness.clamp(least, most);
+        }
+        let read = std::mem::take(&mut ticket.reading_tokens);
+        tracked.own.reading_tokens = tracked.own.reading_tokens.saturating_sub(read);
+        let capacity = self.cache_tokens.get(service).copied();
+        for part in prompt {
+            let key = PartKey::of(part);
+            let capacity = capacity.unwrap_or(DEFAULT_CACHE_TOKENS);
+            tracked.cache.used(now, key, part.tokens, capacity);
+        }
+        if prompt_tokens(prompt) >= REPORTED_PROMPT_TOKENS {
+            for part in prompt {
+                self.reporter.record_part(PartRead {
+                    worker: tracked.key,
+                    part: PartKey::of(part),
+                    tokens: part.tokens,
+                });
+            }
+        }
+        if tracked.worker.role.is_some() {
+            self.reporter.record_load(tracked.key, tracked.own);
         }
     }
 
     /// A send that began has ended.
-    pub fn send_ended(&mut self, now: Timestamp, id: &WorkerId, tokens: u64, result: SendResult) {
-        let Some(tracked) = self.workers.get_mut(id) else {
+    pub fn send_ended(&mut self, now: Timestamp, ticket: &SendTicket, result: SendResult) {
+        let Some(tracked) = self.workers.get_mut(&ticket.worker) else {
             return;
         };
-        tracked.in_flight = tracked.in_flight.saturating_sub(1);
-        tracked.tokens_in_flight = tracked.tokens_in_flight.saturating_sub(tokens);
+        tracked.own.sends = tracked.own.sends.saturating_sub(1);
+        let unread = ticket.reading_tokens;
+        tracked.own.reading_tokens = tracked.own.reading_tokens.saturating_sub(unread);
+        if tracked.worker.role.is_some() {
+            self.reporter.record_load(tracked.key, tracked.own);
+        }
         match result {
             SendResult::Answered { latency } => {
                 tracked.success = smooth(tracked.success, 1.0, SUCCESS_WEIGHT);
@@ -206,10 +388,108 @@
             }
             SendResult::Abandoned { silent: false } => {}
         }
-        if !tracked.announced && tracked.in_flight == 0 {
-            self.workers.remove(id);
+        self.forget_idle_strangers();
+    }
+
+    /// The report of this gateway's load that is due, if any.
+    pub fn report_due(&mut self, now: Timestamp) -> Option<LoadReport> {
+        self.reporter.flush(now)
+    }
+
+    /// Takes in another gateway's report.
+    pub fn hear(&mut self, now: Timestamp, report: &LoadReport) {
+        let last = self.heard.entry(report.sender).or_default();
+        if report.sequence <= *last {
+            return;
+        }
+        *last = report.sequence;
+        for entry in &report.loads {
+            if let Some(tracked) = self.tracked_by_key(entry.worker) {
+                tracked.others.insert(report.sender, (entry.load, now));
+            }
+        }
+        for read in &report.parts {
+            let capacity = self.capacity_by_key(read.worker);
+            if let Some(tracked) = self.tracked_by_key(read.worker) {
+                tracked.cache.used(now, read.part, read.tokens, capacity);
+            }
+        }
+    }
+
+    fn candidates(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        need: &Need,
+        avoid: &[WorkerId],
+    ) -> Vec<&Tracked> {
+        let fits = |tracked: &&Tracked| {
+            tracked.takes_new_requests()
+                && tracked.worker.service == *service
+                && serves(tracked.worker.role, need)
+                && !avoid.contains(&tracked.worker.id)
+        };
+        let fitting: Vec<&Tracked> = self.workers.values().filter(fits).collect();
+        let is_rested = |tracked: &&Tracked| tracked.pause_until <= now;
+        let rested: Vec<&Tracked> = fitting.iter().copied().filter(is_rested).collect();
+        match rested.is_empty() {
+            true => fitting,
+            false => rested,
+        }
+    }
+
+    fn expected_seconds(
+        &self,
+        now: Timestamp,
+        tracked: &Tracked,
+        need: &Need,
+        demand: Demand<'_>,
+    ) -> f64 {
+        let rate = self.rates.get(demand.service).copied().unwrap_or_default();
+        match need {
+            Need::Run if demand.prompt.is_empty() => {
+                tracked.weigh(tracked.plain_seconds(now), demand.zone)
+            }
+            Need::Run | Need::ReadPrompt => {
+                let seconds = tracked.reading_seconds(now, demand.prompt, rate);
+                tracked.weigh(seconds, demand.zone)
+            }
+            Need::Continue { reader } => {
+                let reader_zone = self.workers.get(reader).map(|t| &t.worker.zone);
+                let seconds = tracked.reading_seconds(now, &[], rate);
+                tracked.weigh(seconds, reader_zone.unwrap_or(demand.zone))
+            }
         }
     }
+
+    fn rate_of(&self, id: &WorkerId) -> ReadingRate {
+        self.workers
+            .get(id)
+            .and_then(|tracked| self.rates.get(&tracked.worker.service))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    fn tracked_by_key(&mut self, key: WorkerKey) -> Option<&mut Tracked> {
+        let id = self.by_key.get(&key)?;
+        self.workers.get_mut(id)
+    }
+
+    fn capacity_by_key(&self, key: WorkerKey) -> u64 {
+        self.by_key
+            .get(&key)
+            .and_then(|id| self.workers.get(id))
+            .and_then(|tracked| self.cache_tokens.get(&tracked.worker.service))
+            .copied()
+            .unwrap_or(DEFAULT_CACHE_TOKENS)
+    }
+
+    fn forget_idle_strangers(&mut self) {
+        self.workers
+            .retain(|_, tracked| tracked.announced || tracked.own.sends > 0);
+        let workers = &self.workers;
+        self.by_key.retain(|_, id| workers.contains_key(id));
+    }
 }
 
 fn smooth(old: f64, new: f64, weight: f64) -> f64 {
@@ -218,26 +498,7 @@
 
 fn serves(role: Option<Role>, need: &Need) -> bool {
     match need {
-        Need::ReadPrompt { .. } => role == Some(Role::Prefill),
+        Need::ReadPrompt => role == Some(Role::Prefill),
         Need::Run | Need::Continue { .. } => role != Some(Role::Prefill),
     }
 }
-
-fn least_score<'a>(candidates: &[&'a Tracked], zone: &ZoneName) -> Option<&'a Tracked> {
-    candidates
-        .iter()
-        .copied()
-        .min_by(|left, right| left.score(zone).total_cmp(&right.score(zone)))
-}
-
-fn first_ranked_reader<'a>(candidates: &[&'a Tracked], affinity: &str) -> Option<&'a Tracked> {
-    let least_busy = candidates.iter().map(|t| t.tokens_in_flight).min()?;
-    candidates
-        .iter()
-        .copied()
-        .filter(|tracked| tracked.tokens_in_flight <= least_busy + READ_AHEAD_TOKENS)
-        .max_by_key(|tracked| {
-            let member = tracked.worker.id.as_str().as_bytes();
-            rendezvous_weight(affinity.as_bytes(), member)
-        })
-}
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -5,10 +5,13 @@
 
 #![forbid(unsafe_code)]
 
+pub mod cache_view;
 pub mod configuration;
 pub mod directory;
 pub mod event_stream;
+pub mod load_exchange;
 pub mod mirror;
+pub mod reading_rate;
 pub mod request;
 pub mod retry_share;
 pub mod route_table;
@@ -16,12 +19,16 @@
 pub mod stop_plan;
 pub mod worker;
 
+pub use cache_view::{CacheView, PartKey};
 pub use configuration::{
     Configuration, ConfigurationError, EngineCapacity, Limits, Repeatability, Route, Service,
     Target,
 };
-pub use directory::{Directory, SendResult};
+pub use directory::{Demand, Directory, SendResult, SendTicket};
 pub use event_stream::{CompleteEvents, EventFramer};
+pub use load_exchange::{
+    GatewayKey, Load, LoadEntry, LoadReport, LoadReporter, PartRead, WorkerKey,
+};
 pub use mirror::{Item, Mirror, MirrorChange, Snapshot};
 pub use request::{
     Action, AttemptPolicy, Conclusion, EventId, PromptHandle, RequestEvent, RequestMachine,
--- /dev/null
+++ b/crates/forwarding/src/load_exchange.rs
@@ -0,0 +1,162 @@
+//! What gateways tell each other of the load that they put on model engines.
+//!
+//! Each report carries absolute figures, so that a lost one is made good by the next: the sends and
+//! the prompt tokens that its sender has under way at each engine, and the parts of prompts that
+//! it has had read lately. A change of many tokens is reported at the next flush; a change of sends
+//! alone waits for a slower pace; and what is not zero is repeated, since figures that are not
+//! repeated are dropped as stale.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use tansyhall_core::Timestamp;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::cache_view::PartKey;
+use crate::worker::WorkerId;
+
+/// A change of this many tokens is reported at once.
+const URGENT_TOKENS: u64 = 256;
+/// Pace of reports on small changes.
+const SMALL_CHANGE_PACE: Duration = Duration::from_millis(150);
+/// Pace at which figures that are not zero are repeated.
+const REPEAT_PACE: Duration = Duration::from_millis(500);
+/// Age at which a figure is dropped.
+pub const STALE_AFTER: Duration = Duration::from_millis(1_600);
+
+/// Names a worker in messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct WorkerKey(pub u64);
+
+impl WorkerKey {
+    /// The key of a worker.
+    pub fn of(worker: &WorkerId) -> Self {
+        Self(xxh3_64(worker.as_str().as_bytes()))
+    }
+}
+
+/// Names a gateway in messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct GatewayKey(pub u64);
+
+impl GatewayKey {
+    /// The key of one life of a gateway: another life of the same name has another.
+    pub fn of(name: &str, life: u64) -> Self {
+        Self(xxh3_64(name.as_bytes()) ^ life)
+    }
+}
+
+/// What one gateway has under way at one worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Load {
+    /// Sends.
+    pub sends: u32,
+    /// Prompt tokens that are still to be read there.
+    pub reading_tokens: u64,
+}
+
+/// A load at a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadEntry {
+    /// Where.
+    pub worker: WorkerKey,
+    /// How much.
+    pub load: Load,
+}
+
+/// A part of a prompt that a worker has read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartRead {
+    /// Where.
+    pub worker: WorkerKey,
+    /// What.
+    pub part: PartKey,
+    /// Its length.
+    pub tokens: u64,
+}
+
+/// What a gateway tells the others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Who.
+    pub sender: GatewayKey,
+    /// Grows with each report of a sender; older ones are passed over.
+    pub sequence: u64,
+    /// Loads.
+    pub loads: Vec<LoadEntry>,
+    /// Parts read since the last report.
+    pub parts: Vec<PartRead>,
+}
+
+/// Gathers what is to be told.
+#[derive(Debug)]
+pub struct LoadReporter {
+    sender: GatewayKey,
+    sequence: u64,
+    loads: BTreeMap<WorkerKey, Load>,
+    urgent: BTreeSet<WorkerKey>,
+    small: BTreeSet<WorkerKey>,
+    parts: Vec<PartRead>,
+    small_reported: Timestamp,
+    repeated: Timestamp,
+}
+
+impl LoadReporter {
+    /// Nothing to tell yet.
+    pub fn new(sender: GatewayKey) -> Self {
+        Self {
+            sender,
+            sequence: 0,
+            loads: BTreeMap::new(),
+            urgent: BTreeSet::new(),
+            small: BTreeSet::new(),
+            parts: Vec::new(),
+            small_reported: Timestamp::default(),
+            repeated: Timestamp::default(),
+        }
+    }
+
+    /// What this gateway has under way at a worker now.
+    pub fn record_load(&mut self, worker: WorkerKey, load: Load) {
+        let before = self.loads.insert(worker, load).unwrap_or_default();
+        let difference = before.reading_tokens.abs_diff(load.reading_tokens);
+        match difference >= URGENT_TOKENS {
+            true => self.urgent.insert(worker),
+            false => self.small.insert(worker),
+        };
+    }
+
+    /// A worker has read a part.
+    pub fn record_part(&mut self, part: PartRead) {
+        self.parts.push(part);
+    }
+
+    /// The report that is due now, if any.
+    pub fn flush(&mut self, now: Timestamp) -> Option<LoadReport> {
+        let mut due = std::mem::take(&mut self.urgent);
+        if now.since(self.small_reported) >= SMALL_CHANGE_PACE {
+            self.small_reported = now;
+            due.append(&mut self.small);
+        }
+        if now.since(self.repeated) >= REPEAT_PACE {
+            self.repeated = now;
+            due.extend(self.loads.keys().copied());
+        }
+        if due.is_empty() && self.parts.is_empty() {
+            return None;
+        }
+        let loads = due.iter().map(|worker| LoadEntry {
+            worker: *worker,
+            load: self.loads.get(worker).copied().unwrap_or_default(),
+        });
+        let loads = loads.collect();
+        self.loads.retain(|_, load| *load != Load::default());
+        self.sequence += 1;
+        Some(LoadReport {
+            sender: self.sender,
+            sequence: self.sequence,
+            loads,
+            parts: std::mem::take(&mut self.parts),
+        })
+    }
+}
--- a/crates/forwarding/src/selection.rs
+++ b/crates/forwarding/src/selection.rs
@@ -1,11 +1,4 @@
-//! What a request needs of a worker, and the score by which workers are compared.
-//!
-//! Workers are compared by the time in which they are expected to answer: the smoothed latency of
-//! their answers, stretched by the work that this gateway has under way there, and divided by the
-//! cube of the share of sends that came back whole. A worker in another zone costs the way there.
-//! Prompts go to the worker that the hash of their largest shared part ranks first, unless it has
-//! clearly more prompt under way than the others: every gateway ranks alike, so that a shared part
-//! is read on few workers without any message between gateways.
+//! What a request needs of a worker.
 
 use crate::worker::WorkerId;
 
@@ -24,12 +17,7 @@
     /// Runs the whole request.
     Run,
     /// Reads a prompt and hands its KV cache over.
-    ReadPrompt {
-        /// The part that decides where.
-        affinity: String,
-        /// Tokens to read.
-        tokens: u64,
-    },
+    ReadPrompt,
     /// Runs a request whose prompt was read by this worker.
     Continue {
         /// The reader.
@@ -37,8 +25,8 @@
     },
 }
 
-/// The part that decides where a prompt is read: the largest of those before the last, which is
-/// the request's own; the last if it is alone.
+/// The part by which gateways that know nothing of any cache agree on a worker: the largest of
+/// those before the last, which is the request's own; the last if it is alone.
 pub fn affinity_part(parts: &[PromptPart]) -> Option<&PromptPart> {
     let shared = match parts.len() {
         0 | 1 => parts,
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tansyhall_core::Timestamp;
+use tansyhall_core::{Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    affinity_part, prompt_tokens, Action, AttemptPolicy, Conclusion, Need, PromptHandle,
-    RequestEvent, RequestMachine, Route, SendFailure, Worker, WorkerId,
+    Action, AttemptPolicy, Conclusion, Demand, Need, PromptHandle, RequestEvent, RequestMachine,
+    Route, SendFailure, Worker, WorkerId,
 };
 use tokio::time::Instant;
 
@@ -21,10 +21,9 @@
 use crate::events::{Event, Weight};
 use crate::headers::HeaderList;
 use crate::protocol::{CallerTerms, SendTerms, Work};
+use crate::send_guard::{SendGuard, Sent};
 use crate::state::{whole_millis, InFlight, Routed, Shared};
 
-/// Prompts of at least this many tokens are read apart where a worker does that.
-const READ_APART_TOKENS: u64 = 2_000;
 /// When a refused caller should come back.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 /// A silent worker is given up after this many times the latency objective, where another may try.
@@ -96,7 +95,7 @@
         loop {
             event = match machine.step(event) {
                 Action::SelectReader { avoid } => {
-                    RequestEvent::Selected(self.select(&self.reading_need(), &avoid))
+                    RequestEvent::Selected(self.select(&Need::ReadPrompt, &avoid))
                 }
                 Action::Select { avoid } => {
                     RequestEvent::Selected(self.select(&self.running_need(), &avoid))
@@ -125,24 +124,21 @@
     }
 
     fn policy(&self) -> AttemptPolicy {
-        let tokens = prompt_tokens(&self.request.terms.prompt);
-        let service = &self.request.routed.service;
-        let read_apart =
-            tokens >= READ_APART_TOKENS && self.shared.directory.lock().reads_apart(service);
+        let now = self.shared.now();
+        let zone = self.shared.zone();
+        let directory = self.shared.directory.lock();
         AttemptPolicy {
             repeatability: self.route().repeatability,
             max_attempts: self.route().max_attempts,
-            read_apart,
+            read_apart: directory.reads_apart(now, self.demand(&zone)),
         }
     }
 
-    fn reading_need(&self) -> Need {
-        let parts = &self.request.terms.prompt;
-        Need::ReadPrompt {
-            affinity: affinity_part(parts)
-                .map(|part| part.id.clone())
-                .unwrap_or_default(),
-            tokens: prompt_tokens(parts),
+    fn demand<'a>(&'a self, zone: &'a ZoneName) -> Demand<'a> {
+        Demand {
+            service: &self.request.routed.service,
+            prompt: &self.request.terms.prompt,
+            zone,
         }
     }
 
@@ -159,8 +155,7 @@
         let now = self.shared.now();
         let zone = self.shared.zone();
         let directory = self.shared.directory.lock();
-        let service = &self.request.routed.service;
-        let worker = directory.select(now, service, need, avoid, &zone)?;
+        let worker = directory.select(now, self.demand(&zone), need, avoid)?;
         Some(worker.id.clone())
     }
 
@@ -173,6 +168,18 @@
         self.shared.directory.lock().get(id).cloned()
     }
 
+    fn begin_send(&self, worker: &Worker, work: &'static str, reads: bool) -> SendGuard {
+        let sent = Sent {
+            request_id: self.request_id().to_owned(),
+            worker: worker.id.clone(),
+            service: worker.service.clone(),
+            work,
+            prompt: self.request.terms.prompt.clone(),
+            reads,
+        };
+        SendGuard::begin(&self.shared, sent)
+    }
+
     fn time_left(&self) -> Duration {
         self.request.deadline.since(self.shared.now())
     }
--- a/crates/gateway/src/exchange/prompt.rs
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -3,15 +3,12 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use tansyhall_forwarding::{
-    prompt_tokens, PromptHandle, RequestEvent, SendResult, Worker, WorkerId,
-};
+use tansyhall_forwarding::{PromptHandle, RequestEvent, SendResult, Worker, WorkerId};
 use tokio::time::{timeout, timeout_at};
 
 use super::Exchange;
 use crate::connections::{AnswerBody, SendError, WorkerRequest};
 use crate::protocol::{AnswerKind, Work};
-use crate::send_guard::SendGuard;
 
 /// The longest answer to the reading of a prompt.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
@@ -24,15 +21,7 @@
         let Some(worker) = self.worker(id) else {
             return RequestEvent::PromptNotRead;
         };
-        let tokens = prompt_tokens(&self.request.terms.prompt);
-        let mut guard = SendGuard::begin(
-            &self.shared,
-            id,
-            &worker.service,
-            self.request_id(),
-            "read_prompt",
-            tokens,
-        );
+        let mut guard = self.begin_send(&worker, "read_prompt", true);
         let reading = self.try_read_prompt(&worker);
         let limit = self.silence_limit().min(self.deadline());
         let Ok(read) = timeout_at(limit, reading).await else {
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -1,7 +1,7 @@
 //! Sending a request to a worker and judging the head of its answer.
 
 use tansyhall_forwarding::{
-    prompt_tokens, EventId, PromptHandle, RequestEvent, SendFailure, SendResult, WorkerId,
+    EventId, PromptHandle, RequestEvent, SendFailure, SendResult, WorkerId,
 };
 use tokio::time::timeout_at;
 
@@ -23,13 +23,8 @@
         let Some(worker) = self.worker(id) else {
             return failed(SendFailure::NotRun);
         };
-        let tokens = match source {
-            Some(_) => 0,
-            None => prompt_tokens(&self.request.terms.prompt),
-        };
-        let service = worker.service.clone();
-        let request_id = self.request_id();
-        let mut guard = SendGuard::begin(&self.shared, id, &service, request_id, "run", tokens);
+        let reads = source.is_none();
+        let mut guard = self.begin_send(&worker, "run", reads);
         let work = Work::Run {
             source,
             resume_after,
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -2,14 +2,15 @@
 //! a fleet grow with its gateways and not with how often workers write. What the copy holds becomes
 //! the configuration in force, the workers and the fleet's size.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::StreamExt;
-use tansyhall_core::Timestamp;
-use tansyhall_forwarding::{Item, MirrorChange, Snapshot, Worker};
+use tansyhall_core::{ServiceName, Timestamp};
+use tansyhall_forwarding::{Configuration, Item, MirrorChange, Snapshot, Worker};
 use tansyhall_store::{KeyValue, KeyValueStore, Revision, StoreError, WatchEvent};
 use tokio::time::{sleep, timeout};
 
@@ -172,6 +173,8 @@
             shared.log.record(Weight::Important, &event);
             let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
             shared.metrics.configuration_version.set(version);
+            let caches = cache_tokens(&configuration);
+            shared.directory.lock().set_cache_tokens(caches);
             let in_force = InForce::new(configuration, item.revision);
             *shared.in_force.write() = Some(Arc::new(in_force));
         }
@@ -179,6 +182,14 @@
     }
 }
 
+fn cache_tokens(configuration: &Configuration) -> HashMap<ServiceName, u64> {
+    let engines = configuration.services.iter().filter_map(|service| {
+        let engine = service.engine?;
+        Some((service.name.clone(), engine.cache_tokens))
+    });
+    engines.collect()
+}
+
 fn refresh_workers(shared: &Arc<Shared>) {
     let prefix = shared.catalogue.worker_prefix();
     let mirror = shared.mirror.lock();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod follower;
 pub mod headers;
 pub mod ingress;
+pub mod load_exchange;
 pub mod metrics;
 pub mod peers;
 pub mod presence;
--- /dev/null
+++ b/crates/gateway/src/load_exchange.rs
@@ -0,0 +1,148 @@
+//! Sends reports of this gateway's load to the others and takes theirs in, as datagrams. A lost
+//! one is made good by the next.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use prost::Message;
+use tansyhall_forwarding::{GatewayKey, Load, LoadEntry, LoadReport, PartKey, PartRead, WorkerKey};
+use tokio::net::UdpSocket;
+use tokio::time::{interval, MissedTickBehavior};
+
+use crate::presence;
+use crate::state::Shared;
+
+/// Pace at which reports that are due are sent.
+const PACE: Duration = Duration::from_millis(20);
+/// The longest datagram.
+const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+
+/// A report on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct ReportMessage {
+    /// The sender's key.
+    #[prost(fixed64, tag = "1")]
+    pub sender: u64,
+    /// Grows with each report.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// Loads.
+    #[prost(message, repeated, tag = "3")]
+    pub loads: Vec<LoadMessage>,
+    /// Parts read.
+    #[prost(message, repeated, tag = "4")]
+    pub parts: Vec<PartMessage>,
+}
+
+/// A load on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct LoadMessage {
+    /// The worker's key.
+    #[prost(fixed64, tag = "1")]
+    pub worker: u64,
+    /// Sends under way.
+    #[prost(uint32, tag = "2")]
+    pub sends: u32,
+    /// Prompt tokens still to be read.
+    #[prost(uint64, tag = "3")]
+    pub reading_tokens: u64,
+}
+
+/// A part read on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartMessage {
+    /// The worker's key.
+    #[prost(fixed64, tag = "1")]
+    pub worker: u64,
+    /// The part's key.
+    #[prost(fixed64, tag = "2")]
+    pub part: u64,
+    /// Its length.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+}
+
+/// Binds the socket; the returned task sends and receives for ever.
+pub async fn run(shared: Arc<Shared>, address: SocketAddr) -> Result<impl Future<Output = ()>> {
+    let socket = UdpSocket::bind(address)
+        .await
+        .with_context(|| format!("listen.load = {address}"))?;
+    Ok(async move {
+        tokio::join!(send(&shared, &socket), receive(&shared, &socket));
+    })
+}
+
+async fn send(shared: &Shared, socket: &UdpSocket) {
+    let mut ticks = interval(PACE);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let due = shared.directory.lock().report_due(shared.now());
+        let Some(report) = due else { continue };
+        let datagram = encode(&report).encode_to_vec();
+        let own = shared.settings.read().listen.load;
+        let members = presence::members(&shared.mirror.lock());
+        for member in members.iter().filter(|member| member.load != own) {
+            let _ = socket.try_send_to(&datagram, member.load);
+        }
+    }
+}
+
+async fn receive(shared: &Shared, socket: &UdpSocket) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        match ReportMessage::decode(&buffer[..length]) {
+            Ok(message) => {
+                let now = shared.now();
+                shared.directory.lock().hear(now, &decode(message));
+            }
+            Err(error) => log::debug!("a datagram that is no report: {error}"),
+        }
+    }
+}
+
+fn encode(report: &LoadReport) -> ReportMessage {
+    let loads = report.loads.iter().map(|entry| LoadMessage {
+        worker: entry.worker.0,
+        sends: entry.load.sends,
+        reading_tokens: entry.load.reading_tokens,
+    });
+    let parts = report.parts.iter().map(|read| PartMessage {
+        worker: read.worker.0,
+        part: read.part.0,
+        tokens: read.tokens,
+    });
+    ReportMessage {
+        sender: report.sender.0,
+        sequence: report.sequence,
+        loads: loads.collect(),
+        parts: parts.collect(),
+    }
+}
+
+fn decode(message: ReportMessage) -> LoadReport {
+    let loads = message.loads.into_iter().map(|entry| LoadEntry {
+        worker: WorkerKey(entry.worker),
+        load: Load {
+            sends: entry.sends,
+            reading_tokens: entry.reading_tokens,
+        },
+    });
+    let parts = message.parts.into_iter().map(|read| PartRead {
+        worker: WorkerKey(read.worker),
+        part: PartKey(read.part),
+        tokens: read.tokens,
+    });
+    LoadReport {
+        sender: GatewayKey(message.sender),
+        sequence: message.sequence,
+        loads: loads.collect(),
+        parts: parts.collect(),
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -136,7 +136,7 @@
 fn pick(shared: &Shared) -> Option<SocketAddr> {
     let settings = shared.settings.read().clone();
     let members = presence::members(&shared.mirror.lock());
-    let mut peers: Vec<SocketAddr> = members.into_iter().map(|member| member.address).collect();
+    let mut peers: Vec<SocketAddr> = members.into_iter().map(|member| member.copy).collect();
     peers.extend(&settings.store.seeds);
     peers.retain(|peer| *peer != settings.listen.peers);
     peers.choose(&mut rand::rng()).copied()
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -28,8 +28,10 @@
 pub struct Member {
     /// Its name.
     pub name: String,
-    /// Where other gateways reach it.
-    pub address: SocketAddr,
+    /// Where other gateways ask for its copy of the store.
+    pub copy: SocketAddr,
+    /// Where it takes reports of load.
+    pub load: SocketAddr,
 }
 
 /// The gateways in a copy of the store.
@@ -37,9 +39,12 @@
     mirror
         .below(PREFIX)
         .filter_map(|item| {
-            let address = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
-            let name = item.key[PREFIX.len()..].to_owned();
-            Some(Member { name, address })
+            let (copy, load) = std::str::from_utf8(&item.value).ok()?.split_once(' ')?;
+            Some(Member {
+                name: item.key[PREFIX.len()..].to_owned(),
+                copy: copy.parse().ok()?,
+                load: load.parse().ok()?,
+            })
         })
         .collect()
 }
@@ -71,7 +76,7 @@
     let lease = in_time(store.grant_lease(TIME_TO_LIVE)).await?;
     let put = Operation::Put {
         key: format!("{PREFIX}{}", settings.node.name),
-        value: settings.listen.peers.to_string().into_bytes(),
+        value: format!("{} {}", settings.listen.peers, settings.listen.load).into_bytes(),
         lease: Some(lease),
     };
     let transaction = Transaction {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,7 +12,7 @@
 use anyhow::{Context, Result};
 use parking_lot::{Mutex, RwLock};
 use tansyhall_core::time::MonotonicClock;
-use tansyhall_forwarding::{Directory, Mirror, RetryShare};
+use tansyhall_forwarding::{Directory, GatewayKey, Mirror, RetryShare};
 use tansyhall_store::KeyValueStore;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::sleep;
@@ -24,7 +24,7 @@
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
-use crate::{ingress, peers, presence, readiness};
+use crate::{ingress, load_exchange, peers, presence, readiness};
 
 /// Time that callers' connections may rest.
 const CALLER_IDLE: Duration = Duration::from_secs(75);
@@ -68,6 +68,8 @@
         Arc::clone(&contact),
     ));
     actix_rt::spawn(peers::follow(Arc::clone(&shared), contact));
+    let exchange = load_exchange::run(Arc::clone(&shared), settings.listen.load);
+    actix_rt::spawn(exchange.await?);
     actix_rt::spawn(prune(Arc::clone(&shared)));
     let presence = presence::announce(Arc::clone(&shared), Rc::clone(&adapter.store));
     let presence = actix_rt::spawn(presence);
@@ -84,6 +86,7 @@
 
 fn share(settings: GatewaySettings, adapter: &Adapter, log: Arc<EventLog>) -> Result<Arc<Shared>> {
     let clock = MonotonicClock::start();
+    let gateway = GatewayKey::of(&settings.node.name, rand::random());
     let retries = RetryShare::new(settings.retry_share(), ASSUMED_GATEWAYS);
     Ok(Arc::new(Shared {
         settings: RwLock::new(Arc::new(settings)),
@@ -92,7 +95,7 @@
         catalogue: Arc::clone(&adapter.catalogue),
         mirror: Mutex::new(Mirror::default()),
         in_force: RwLock::new(None),
-        directory: Mutex::new(Directory::default()),
+        directory: Mutex::new(Directory::new(gateway)),
         retries: Mutex::new(retries),
         connections: Arc::new(Connections::new(clock)),
         log,
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -3,49 +3,59 @@
 use std::sync::Arc;
 
 use tansyhall_core::{ServiceName, Timestamp};
-use tansyhall_forwarding::{SendResult, WorkerId};
+use tansyhall_forwarding::{PromptPart, SendResult, SendTicket, WorkerId};
 
 use crate::events::{Event, Weight};
 use crate::state::{whole_millis, Shared};
 
+/// What is sent where.
+pub struct Sent {
+    /// The caller's id of the request.
+    pub request_id: String,
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its service.
+    pub service: ServiceName,
+    /// `run` or `read_prompt`.
+    pub work: &'static str,
+    /// The prompt, for model engines.
+    pub prompt: Vec<PromptPart>,
+    /// Whether the worker reads the prompt, and doesn't fetch its KV cache.
+    pub reads: bool,
+}
+
 /// One send under way.
 pub struct SendGuard {
     shared: Arc<Shared>,
-    worker: WorkerId,
-    service: ServiceName,
-    request_id: String,
-    work: &'static str,
-    tokens: u64,
+    sent: Sent,
+    ticket: SendTicket,
     began: Timestamp,
     result: SendResult,
 }
 
 impl SendGuard {
     /// Counts a send as begun.
-    pub fn begin(
-        shared: &Arc<Shared>,
-        worker: &WorkerId,
-        service: &ServiceName,
-        request_id: &str,
-        work: &'static str,
-        tokens: u64,
-    ) -> Self {
-        shared.directory.lock().send_began(worker, tokens);
+    pub fn begin(shared: &Arc<Shared>, sent: Sent) -> Self {
+        let now = shared.now();
+        let mut directory = shared.directory.lock();
+        let ticket = directory.send_began(now, &sent.worker, &sent.prompt, sent.reads);
+        drop(directory);
         Self {
             shared: Arc::clone(shared),
-            worker: worker.clone(),
-            service: service.clone(),
-            request_id: request_id.to_owned(),
-            work,
-            tokens,
-            began: shared.now(),
+            sent,
+            ticket,
+            began: now,
             result: SendResult::Abandoned { silent: true },
         }
     }
 
-    /// The head of an answer has come.
+    /// The answer begins: the prompt has been read.
     pub fn answered(&mut self) {
-        let latency = self.shared.now().since(self.began);
+        let now = self.shared.now();
+        let latency = now.since(self.began);
+        let mut directory = self.shared.directory.lock();
+        directory.prompt_was_read(now, &mut self.ticket, &self.sent.prompt, latency);
+        drop(directory);
         self.result = SendResult::Answered { latency };
     }
 
@@ -59,22 +69,22 @@
     fn drop(&mut self) {
         let now = self.shared.now();
         let mut directory = self.shared.directory.lock();
-        directory.send_ended(now, &self.worker, self.tokens, self.result);
+        directory.send_ended(now, &self.ticket, self.result);
         drop(directory);
         let outcome = outcome_name(self.result);
         self.shared
             .metrics
             .sends
-            .with_label_values(&[self.service.as_str(), outcome])
+            .with_label_values(&[self.sent.service.as_str(), outcome])
             .inc();
         let weight = match self.result {
             SendResult::Answered { .. } => Weight::Routine,
             _ => Weight::Important,
         };
         let event = Event::Send {
-            request: &self.request_id,
-            worker: self.worker.as_str(),
-            work: self.work,
+            request: &self.sent.request_id,
+            worker: self.sent.worker.as_str(),
+            work: self.sent.work,
             outcome,
             took_ms: whole_millis(now.since(self.began)),
         };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -46,6 +46,8 @@
     pub ready: SocketAddr,
     /// Other gateways.
     pub peers: SocketAddr,
+    /// Reports of load from other gateways, datagrams.
+    pub load: SocketAddr,
     /// Metrics.
     pub metrics: SocketAddr,
 }
