Parts of prompts are fetched from workers that hold them; retry shares for each service

Change: a send names a holder to fetch from; parts that are being read count for later prompts at the same worker; a silent worker is given up only after four times what was expected.

--- a/crates/forwarding/src/cache_view.rs
+++ b/crates/forwarding/src/cache_view.rs
@@ -27,6 +27,7 @@
 struct Held {
     tokens: u64,
     used: Timestamp,
+    ready: bool,
 }
 
 /// A worker's cache as it is believed to be.
@@ -37,33 +38,58 @@
 }
 
 impl CacheView {
-    /// Tokens at the start of a prompt that need not be read again.
+    /// Tokens at the start of a prompt that need not be read again here: what is being read now
+    /// will be there when the worker gets to this prompt.
     pub fn kept_tokens(&self, prompt: &[PromptPart]) -> u64 {
+        self.leading_tokens(prompt, |_| true)
+    }
+
+    /// Tokens at the start of a prompt that another worker could fetch from here now.
+    pub fn ready_tokens(&self, prompt: &[PromptPart]) -> u64 {
+        self.leading_tokens(prompt, |held| held.ready)
+    }
+
+    fn leading_tokens(&self, prompt: &[PromptPart], counts: impl Fn(&Held) -> bool) -> u64 {
+        let is_kept = |part: &&PromptPart| self.parts.get(&PartKey::of(part)).is_some_and(&counts);
         prompt
             .iter()
-            .take_while(|part| self.parts.contains_key(&PartKey::of(part)))
+            .take_while(is_kept)
             .map(|part| part.tokens)
             .sum()
     }
 
+    /// A part is being read.
+    pub fn began(&mut self, now: Timestamp, key: PartKey, tokens: u64, capacity: u64) {
+        let ready = self.parts.get(&key).is_some_and(|held| held.ready);
+        self.put(now, key, tokens, capacity, ready);
+    }
+
     /// A part has been read or used; `capacity` tokens fit.
     pub fn used(&mut self, now: Timestamp, key: PartKey, tokens: u64, capacity: u64) {
-        let held = Held { tokens, used: now };
-        match self.parts.insert(key, held) {
-            Some(before) => self.tokens = self.tokens - before.tokens + tokens,
-            None => self.tokens += tokens,
-        }
+        self.put(now, key, tokens, capacity, true);
+    }
+
+    fn put(&mut self, now: Timestamp, key: PartKey, tokens: u64, capacity: u64, ready: bool) {
+        let held = Held {
+            tokens,
+            used: now,
+            ready,
+        };
+        let before = self.parts.insert(key, held).map_or(0, |held| held.tokens);
+        self.tokens = self.tokens - before + tokens;
         let usable = (capacity as f64 * USABLE_PART) as u64;
         while self.tokens > usable && self.parts.len() > 1 {
             self.drop_oldest();
         }
     }
 
-    /// Forgets parts that were believed to be there.
-    pub fn forget(&mut self, prompt: &[PromptPart]) {
+    /// Forgets parts whose reading did not come to its end.
+    pub fn forget_unread(&mut self, prompt: &[PromptPart]) {
         for part in prompt {
-            if let Some(held) = self.parts.remove(&PartKey::of(part)) {
-                self.tokens -= held.tokens;
+            let key = PartKey::of(part);
+            if self.parts.get(&key).is_some_and(|held| !held.ready) {
+                let held = self.parts.remove(&key);
+                self.tokens -= held.map_or(0, |held| held.tokens);
             }
         }
     }
--- a/crates/forwarding/src/configuration.rs
+++ b/crates/forwarding/src/configuration.rs
@@ -98,6 +98,10 @@
     pub slots: u32,
     /// Tokens of KV cache.
     pub cache_tokens: u64,
+    /// Bytes of KV cache that one token takes.
+    pub token_bytes: f64,
+    /// Bytes a second between two engines of a zone.
+    pub link_bytes_per_second: f64,
 }
 
 /// Bounds on what callers may send.
--- a/crates/forwarding/src/directory.rs
+++ b/crates/forwarding/src/directory.rs
@@ -5,8 +5,8 @@
 //!
 //! - For requests without a prompt: the smoothed latency of a worker's answers, stretched by the
 //!   work under way there.
-//! - For prompts: the time to read what is waiting there and what of this prompt its cache lacks,
-//!   plus a little for each request under way, stretched by how much slower than expected the
+//! - For prompts: the time to read what is waiting there and what of this prompt neither its cache
+//!   nor another worker's holds, to fetch what another holds, plus a little for each request under way, stretched by how much slower than expected the
 //!   worker has been.
 //!
 //! Both are divided by the cube of the share of sends that came back whole, and a worker in another
@@ -17,12 +17,14 @@
 //! cache included, against the best worker that reads it while decoding.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tansyhall_core::hash::rendezvous_weight;
 use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
 
 use crate::cache_view::{CacheView, PartKey};
+use crate::configuration::EngineCapacity;
 use crate::load_exchange::{
     GatewayKey, Load, LoadReport, LoadReporter, PartRead, WorkerKey, STALE_AFTER,
 };
@@ -47,6 +49,16 @@
 const FIRST_TOKEN_COST: f64 = 0.015;
 /// Seconds that moving a KV cache costs, its price included.
 const MOVE_COST: f64 = 0.035;
+/// Seconds that fetching a part of a KV cache costs beside its transfer, its price included.
+const FETCH_COST: f64 = 0.010;
+/// How many times longer a transfer between zones takes.
+const OTHER_ZONE_FETCH: f64 = 2.0;
+/// Shorter parts are read again rather than fetched.
+const MIN_FETCHED_TOKENS: u64 = 1_000;
+/// Shorter prompts are not read apart.
+const MIN_APART_TOKENS: u64 = 1_000;
+/// A bound on times that are expected.
+const MAX_EXPECTED_SECONDS: f64 = 600.0;
 /// How far a worker's slowness may be from the expected.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 30.0);
 /// How long a worker that refused a request is passed over.
@@ -87,6 +99,32 @@
     reading_tokens: u64,
     expected_seconds: f64,
     alone: bool,
+    fetch_from: Option<SocketAddr>,
+}
+
+impl SendTicket {
+    /// The worker from which the chosen one should fetch what it lacks of the prompt.
+    pub fn fetch_from(&self) -> Option<SocketAddr> {
+        self.fetch_from
+    }
+
+    /// The time after which the answer was expected when the send began.
+    pub fn expected(&self) -> Duration {
+        Duration::from_secs_f64(self.expected_seconds.clamp(0.0, MAX_EXPECTED_SECONDS))
+    }
+}
+
+/// A worker that holds a part of a prompt which another lacks.
+struct Source<'a> {
+    holder: &'a Tracked,
+    tokens: u64,
+}
+
+/// What reading a prompt takes.
+struct Reading {
+    missing_tokens: u64,
+    fetch_seconds: f64,
+    source: Option<SocketAddr>,
 }
 
 /// The workers.
@@ -94,7 +132,7 @@
 pub struct Directory {
     workers: BTreeMap<WorkerId, Tracked>,
     by_key: HashMap<WorkerKey, WorkerId>,
-    cache_tokens: HashMap<ServiceName, u64>,
+    engines: HashMap<ServiceName, EngineCapacity>,
     rates: HashMap<ServiceName, ReadingRate>,
     reporter: LoadReporter,
     heard: HashMap<GatewayKey, u64>,
@@ -151,10 +189,10 @@
         self.latency * (1.0 + busy)
     }
 
-    /// Seconds until the prompt is read and the first token made.
-    fn reading_seconds(&self, now: Timestamp, prompt: &[PromptPart], rate: ReadingRate) -> f64 {
+    /// Seconds until `missing` tokens of a prompt are read and the first token made.
+    fn reading_seconds(&self, now: Timestamp, missing: u64, rate: ReadingRate) -> f64 {
         let load = self.load(now);
-        let tokens = load.reading_tokens + self.missing_tokens(prompt);
+        let tokens = load.reading_tokens + missing;
         let reading = match self.worker.role {
             Some(Role::Decode) => rate.while_decoding(tokens),
             _ => rate.apart(tokens),
@@ -163,11 +201,6 @@
         (reading + sharing + FIRST_TOKEN_COST) * self.slowness
     }
 
-    fn missing_tokens(&self, prompt: &[PromptPart]) -> u64 {
-        let whole: u64 = prompt.iter().map(|part| part.tokens).sum();
-        whole - self.cache.kept_tokens(prompt)
-    }
-
     fn weigh(&self, seconds: f64, zone: &ZoneName) -> f64 {
         let way = match self.worker.zone == *zone {
             true => 0.0,
@@ -194,7 +227,7 @@
         Self {
             workers: BTreeMap::new(),
             by_key: HashMap::new(),
-            cache_tokens: HashMap::new(),
+            engines: HashMap::new(),
             rates: HashMap::new(),
             reporter: LoadReporter::new(gateway),
             heard: HashMap::new(),
@@ -223,9 +256,9 @@
         self.forget_idle_strangers();
     }
 
-    /// Takes in how many tokens the engines of each service hold.
-    pub fn set_cache_tokens(&mut self, cache_tokens: HashMap<ServiceName, u64>) {
-        self.cache_tokens = cache_tokens;
+    /// Takes in what the engines of each service can hold.
+    pub fn set_engines(&mut self, engines: HashMap<ServiceName, EngineCapacity>) {
+        self.engines = engines;
     }
 
     /// Workers that take new requests.
@@ -246,7 +279,7 @@
 
     /// Whether the prompt is better read apart than by the worker that decodes.
     pub fn reads_apart(&self, now: Timestamp, demand: Demand<'_>) -> bool {
-        if demand.prompt.is_empty() {
+        if prompt_tokens(demand.prompt) < MIN_APART_TOKENS {
             return false;
         }
         let best = |need: &Need| {
@@ -294,24 +327,37 @@
         prompt: &[PromptPart],
         reads: bool,
     ) -> SendTicket {
-        let rate = self.rate_of(id);
         let mut ticket = SendTicket {
             worker: id.clone(),
             reads,
             reading_tokens: 0,
             expected_seconds: 0.0,
             alone: false,
+            fetch_from: None,
         };
-        let Some(tracked) = self.workers.get_mut(id) else {
+        let rate = self.rate_of(id);
+        let Some(tracked) = self.workers.get(id) else {
             return ticket;
         };
         if reads {
-            ticket.reading_tokens = tracked.missing_tokens(prompt);
+            let reading = self.reading(tracked, prompt);
+            ticket.reading_tokens = reading.missing_tokens;
+            ticket.fetch_from = reading.source;
         }
-        ticket.expected_seconds = tracked.reading_seconds(now, prompt, rate) / tracked.slowness;
+        let seconds = tracked.reading_seconds(now, ticket.reading_tokens, rate);
+        ticket.expected_seconds = seconds / tracked.slowness;
         ticket.alone = tracked.load(now).reading_tokens == 0;
+        let capacity = self.capacity_of(&tracked.worker.service);
+        let Some(tracked) = self.workers.get_mut(id) else {
+            return ticket;
+        };
         tracked.own.sends += 1;
         tracked.own.reading_tokens += ticket.reading_tokens;
+        for part in prompt {
+            let key = PartKey::of(part);
+            tracked.cache.began(now, key, part.tokens, capacity);
+        }
+        report_parts(&mut self.reporter, tracked.key, prompt, false);
         if tracked.worker.role.is_some() {
             self.reporter.record_load(tracked.key, tracked.own);
         }
@@ -330,6 +376,10 @@
             return;
         };
         let service = &tracked.worker.service;
+        let capacity = self
+            .engines
+            .get(service)
+            .map_or(DEFAULT_CACHE_TOKENS, |engine| engine.cache_tokens);
         if ticket.alone && tracked.worker.role == Some(Role::Prefill) {
             let rate = self.rates.entry(service.clone()).or_default();
             rate.record(ticket.reading_tokens, latency);
@@ -342,31 +392,28 @@
         }
         let read = std::mem::take(&mut ticket.reading_tokens);
         tracked.own.reading_tokens = tracked.own.reading_tokens.saturating_sub(read);
-        let capacity = self.cache_tokens.get(service).copied();
         for part in prompt {
             let key = PartKey::of(part);
-            let capacity = capacity.unwrap_or(DEFAULT_CACHE_TOKENS);
             tracked.cache.used(now, key, part.tokens, capacity);
         }
-        if prompt_tokens(prompt) >= REPORTED_PROMPT_TOKENS {
-            for part in prompt {
-                self.reporter.record_part(PartRead {
-                    worker: tracked.key,
-                    part: PartKey::of(part),
-                    tokens: part.tokens,
-                });
-            }
-        }
+        report_parts(&mut self.reporter, tracked.key, prompt, true);
         if tracked.worker.role.is_some() {
             self.reporter.record_load(tracked.key, tracked.own);
         }
     }
 
     /// A send that began has ended.
-    pub fn send_ended(&mut self, now: Timestamp, ticket: &SendTicket, result: SendResult) {
+    pub fn send_ended(
+        &mut self,
+        now: Timestamp,
+        ticket: &SendTicket,
+        prompt: &[PromptPart],
+        result: SendResult,
+    ) {
         let Some(tracked) = self.workers.get_mut(&ticket.worker) else {
             return;
         };
+        tracked.cache.forget_unread(prompt);
         tracked.own.sends = tracked.own.sends.saturating_sub(1);
         let unread = ticket.reading_tokens;
         tracked.own.reading_tokens = tracked.own.reading_tokens.saturating_sub(unread);
@@ -411,7 +458,10 @@
         for read in &report.parts {
             let capacity = self.capacity_by_key(read.worker);
             if let Some(tracked) = self.tracked_by_key(read.worker) {
-                tracked.cache.used(now, read.part, read.tokens, capacity);
+                match read.ready {
+                    true => tracked.cache.used(now, read.part, read.tokens, capacity),
+                    false => tracked.cache.began(now, read.part, read.tokens, capacity),
+                }
             }
         }
     }
@@ -451,17 +501,35 @@
                 tracked.weigh(tracked.plain_seconds(now), demand.zone)
             }
             Need::Run | Need::ReadPrompt => {
-                let seconds = tracked.reading_seconds(now, demand.prompt, rate);
-                tracked.weigh(seconds, demand.zone)
+                let reading = self.reading(tracked, demand.prompt);
+                let seconds = tracked.reading_seconds(now, reading.missing_tokens, rate);
+                tracked.weigh(seconds + reading.fetch_seconds, demand.zone)
             }
             Need::Continue { reader } => {
                 let reader_zone = self.workers.get(reader).map(|t| &t.worker.zone);
-                let seconds = tracked.reading_seconds(now, &[], rate);
+                let seconds = tracked.reading_seconds(now, 0, rate);
                 tracked.weigh(seconds, reader_zone.unwrap_or(demand.zone))
             }
         }
     }
 
+    /// What reading a prompt at a worker takes.
+    fn reading(&self, tracked: &Tracked, prompt: &[PromptPart]) -> Reading {
+        let lacking = prompt_tokens(prompt) - tracked.cache.kept_tokens(prompt);
+        match self.best_source(tracked, prompt) {
+            Some(source) => Reading {
+                missing_tokens: lacking - source.tokens,
+                fetch_seconds: self.fetch_seconds(tracked, &source),
+                source: Some(source.holder.worker.address),
+            },
+            None => Reading {
+                missing_tokens: lacking,
+                fetch_seconds: 0.0,
+                source: None,
+            },
+        }
+    }
+
     fn rate_of(&self, id: &WorkerId) -> ReadingRate {
         self.workers
             .get(id)
@@ -479,9 +547,43 @@
         self.by_key
             .get(&key)
             .and_then(|id| self.workers.get(id))
-            .and_then(|tracked| self.cache_tokens.get(&tracked.worker.service))
-            .copied()
-            .unwrap_or(DEFAULT_CACHE_TOKENS)
+            .map_or(DEFAULT_CACHE_TOKENS, |tracked| {
+                self.capacity_of(&tracked.worker.service)
+            })
+    }
+
+    fn capacity_of(&self, service: &ServiceName) -> u64 {
+        self.engines
+            .get(service)
+            .map_or(DEFAULT_CACHE_TOKENS, |engine| engine.cache_tokens)
+    }
+
+    /// The worker from which `reader` would fetch the most of a prompt that it lacks.
+    fn best_source(&self, reader: &Tracked, prompt: &[PromptPart]) -> Option<Source<'_>> {
+        let own = reader.cache.kept_tokens(prompt);
+        let offers = self.workers.values().filter_map(|holder| {
+            let same_service = holder.worker.service == reader.worker.service;
+            if !holder.announced || !same_service || holder.key == reader.key {
+                return None;
+            }
+            let tokens = holder.cache.ready_tokens(prompt).saturating_sub(own);
+            (tokens >= MIN_FETCHED_TOKENS).then_some(Source { holder, tokens })
+        });
+        let near = |source: &Source<'_>| source.holder.worker.zone == reader.worker.zone;
+        offers.max_by_key(|source| (source.tokens, near(source)))
+    }
+
+    /// Seconds for `reader` to fetch tokens from a source.
+    fn fetch_seconds(&self, reader: &Tracked, source: &Source<'_>) -> f64 {
+        let Some(engine) = self.engines.get(&reader.worker.service) else {
+            return FETCH_COST;
+        };
+        let bytes = source.tokens as f64 * engine.token_bytes;
+        let seconds = bytes / engine.link_bytes_per_second.max(1.0);
+        match source.holder.worker.zone == reader.worker.zone {
+            true => FETCH_COST + seconds,
+            false => FETCH_COST + seconds * OTHER_ZONE_FETCH,
+        }
     }
 
     fn forget_idle_strangers(&mut self) {
@@ -492,6 +594,25 @@
     }
 }
 
+fn report_parts(
+    reporter: &mut LoadReporter,
+    worker: WorkerKey,
+    prompt: &[PromptPart],
+    ready: bool,
+) {
+    if prompt_tokens(prompt) < REPORTED_PROMPT_TOKENS {
+        return;
+    }
+    for part in prompt {
+        reporter.record_part(PartRead {
+            worker,
+            part: PartKey::of(part),
+            tokens: part.tokens,
+            ready,
+        });
+    }
+}
+
 fn smooth(old: f64, new: f64, weight: f64) -> f64 {
     old + (new - old) * weight
 }
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -34,7 +34,7 @@
     Action, AttemptPolicy, Conclusion, EventId, PromptHandle, RequestEvent, RequestMachine,
     SendFailure,
 };
-pub use retry_share::{RetryShare, RetryShareSettings};
+pub use retry_share::{RetryShare, RetryShareSettings, RetryShares};
 pub use route_table::RouteTable;
 pub use selection::{affinity_part, prompt_tokens, Need, PromptPart};
 pub use stop_plan::StopPlan;
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -73,6 +73,8 @@
     pub part: PartKey,
     /// Its length.
     pub tokens: u64,
+    /// Whether the reading has ended.
+    pub ready: bool,
 }
 
 /// What a gateway tells the others.
--- a/crates/forwarding/src/retry_share.rs
+++ b/crates/forwarding/src/retry_share.rs
@@ -1,15 +1,15 @@
-//! One gateway's share of the fleet's retry budget.
+//! One gateway's share of the fleet's retry budgets, one for each service.
 //!
-//! The budget bounds, over any window, the sends past the first of each request: a fixed number
-//! for the whole fleet plus a ratio of its requests. Each gateway keeps within the ratio of its own
+//! A budget bounds, over any window, the sends to a service past the first of each request: a fixed
+//! number for the whole fleet plus a ratio of the requests for that service. Each gateway keeps within the ratio of its own
 //! requests plus its part of the fixed number, so that the sum holds without any message between
 //! gateways, also while they are cut off from each other. Only half of the fixed number is handed
 //! out: the other half covers gateways that start again with an empty window or join unnoticed.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use tansyhall_core::Timestamp;
+use tansyhall_core::{ServiceName, Timestamp};
 
 /// Buckets that a window is counted in.
 const BUCKETS: u32 = 10;
@@ -29,6 +29,55 @@
     pub window: Duration,
 }
 
+/// One gateway's share for every service.
+#[derive(Debug)]
+pub struct RetryShares {
+    settings: RetryShareSettings,
+    gateways: u32,
+    services: HashMap<ServiceName, RetryShare>,
+}
+
+impl RetryShares {
+    /// Empty windows. Until told otherwise, `gateways` share the fixed number.
+    pub fn new(settings: RetryShareSettings, gateways: u32) -> Self {
+        Self {
+            settings,
+            gateways,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Takes in how many gateways share the budgets.
+    pub fn set_gateways(&mut self, gateways: u32) {
+        self.gateways = gateways;
+        for share in self.services.values_mut() {
+            share.set_gateways(gateways);
+        }
+    }
+
+    /// Counts a request for a service.
+    pub fn record_request(&mut self, now: Timestamp, service: &ServiceName) {
+        self.share(service).record_request(now);
+    }
+
+    /// Asks for one more send to a service; counts it if it is allowed.
+    pub fn try_retry(&mut self, now: Timestamp, service: &ServiceName) -> bool {
+        self.share(service).try_retry(now)
+    }
+
+    /// Sends past the first that are still allowed to a service in the current window.
+    pub fn left(&mut self, now: Timestamp, service: &ServiceName) -> f64 {
+        self.share(service).left(now)
+    }
+
+    fn share(&mut self, service: &ServiceName) -> &mut RetryShare {
+        let (settings, gateways) = (self.settings, self.gateways);
+        self.services
+            .entry(service.clone())
+            .or_insert_with(|| RetryShare::new(settings, gateways))
+    }
+}
+
 /// A sliding count of requests and retries.
 #[derive(Debug)]
 pub struct RetryShare {
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -26,8 +26,10 @@
 
 /// When a refused caller should come back.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
-/// A silent worker is given up after this many times the latency objective, where another may try.
+/// A silent worker is given up after this many times the latency objective, where another may try,
 const SILENCE_FACTOR: u32 = 2;
+/// but not before this many times the time that was expected.
+const EXPECTED_FACTOR: u32 = 4;
 
 /// A request as it came from its caller, with its route.
 pub struct CallerRequest {
@@ -89,7 +91,8 @@
 
     async fn drive(&mut self) -> (Conclusion, u32) {
         let now = self.shared.now();
-        self.shared.retries.lock().record_request(now);
+        let service = &self.request.routed.service;
+        self.shared.retries.lock().record_request(now, service);
         let mut machine = RequestMachine::new(self.policy());
         let mut event = RequestEvent::Arrived;
         loop {
@@ -161,7 +164,8 @@
 
     fn ask_budget(&self) -> bool {
         let now = self.shared.now();
-        self.shared.retries.lock().try_retry(now)
+        let service = &self.request.routed.service;
+        self.shared.retries.lock().try_retry(now, service)
     }
 
     fn worker(&self, id: &WorkerId) -> Option<Worker> {
@@ -189,15 +193,18 @@
     }
 
     /// The moment at which a worker that has said nothing is given up.
-    fn silence_limit(&self) -> Instant {
-        Instant::now() + self.route().latency_objective * SILENCE_FACTOR
+    fn silence_limit(&self, guard: &SendGuard) -> Instant {
+        let usual = self.route().latency_objective * SILENCE_FACTOR;
+        let expected = guard.ticket().expected() * EXPECTED_FACTOR;
+        Instant::now() + usual.max(expected)
     }
 
-    fn worker_request(&self, worker: &Worker, work: Work) -> WorkerRequest {
+    fn worker_request(&self, worker: &Worker, work: Work, guard: &SendGuard) -> WorkerRequest {
         let terms = SendTerms {
             worker: worker.id.clone(),
             time_left: self.time_left(),
             work,
+            fetch_from: guard.ticket().fetch_from(),
         };
         let protocol = &self.shared.protocol;
         WorkerRequest {
--- a/crates/gateway/src/exchange/prompt.rs
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -9,6 +9,7 @@
 use super::Exchange;
 use crate::connections::{AnswerBody, SendError, WorkerRequest};
 use crate::protocol::{AnswerKind, Work};
+use crate::send_guard::SendGuard;
 
 /// The longest answer to the reading of a prompt.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
@@ -22,8 +23,8 @@
             return RequestEvent::PromptNotRead;
         };
         let mut guard = self.begin_send(&worker, "read_prompt", true);
-        let reading = self.try_read_prompt(&worker);
-        let limit = self.silence_limit().min(self.deadline());
+        let reading = self.try_read_prompt(&worker, &guard);
+        let limit = self.silence_limit(&guard).min(self.deadline());
         let Ok(read) = timeout_at(limit, reading).await else {
             return RequestEvent::PromptNotRead;
         };
@@ -40,9 +41,13 @@
         }
     }
 
-    async fn try_read_prompt(&self, worker: &Worker) -> Result<PromptHandle, SendResult> {
+    async fn try_read_prompt(
+        &self,
+        worker: &Worker,
+        guard: &SendGuard,
+    ) -> Result<PromptHandle, SendResult> {
         let destination = self.shared.destination(worker);
-        let request = self.worker_request(worker, Work::ReadPrompt);
+        let request = self.worker_request(worker, Work::ReadPrompt, guard);
         let sent = self.shared.connections.send(&destination, &request).await;
         let mut answer = sent.map_err(|error| match error {
             SendError::NotSent(_) => SendResult::Unreachable,
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -29,12 +29,12 @@
             source,
             resume_after,
         };
-        let request = self.worker_request(&worker, work);
+        let request = self.worker_request(&worker, work, &guard);
         let destination = self.shared.destination(&worker);
         let connections = self.shared.connections.clone();
         let mut sending = std::pin::pin!(connections.send(&destination, &request));
         let deadline = self.deadline();
-        let silence = self.silence_limit();
+        let silence = self.silence_limit(&guard);
         let mut sent = None;
         if !patient && silence < deadline {
             sent = timeout_at(silence, &mut sending).await.ok();
@@ -62,7 +62,8 @@
 
     fn retries_left(&self) -> bool {
         let now = self.shared.now();
-        self.shared.retries.lock().left(now) >= 1.0
+        let service = &self.request.routed.service;
+        self.shared.retries.lock().left(now, service) >= 1.0
     }
 
     async fn judge(&mut self, answer: WorkerAnswer, mut guard: SendGuard) -> RequestEvent {
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -10,7 +10,7 @@
 
 use futures_util::StreamExt;
 use tansyhall_core::{ServiceName, Timestamp};
-use tansyhall_forwarding::{Configuration, Item, MirrorChange, Snapshot, Worker};
+use tansyhall_forwarding::{Configuration, EngineCapacity, Item, MirrorChange, Snapshot, Worker};
 use tansyhall_store::{KeyValue, KeyValueStore, Revision, StoreError, WatchEvent};
 use tokio::time::{sleep, timeout};
 
@@ -173,8 +173,8 @@
             shared.log.record(Weight::Important, &event);
             let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
             shared.metrics.configuration_version.set(version);
-            let caches = cache_tokens(&configuration);
-            shared.directory.lock().set_cache_tokens(caches);
+            let engines = engines(&configuration);
+            shared.directory.lock().set_engines(engines);
             let in_force = InForce::new(configuration, item.revision);
             *shared.in_force.write() = Some(Arc::new(in_force));
         }
@@ -182,11 +182,11 @@
     }
 }
 
-fn cache_tokens(configuration: &Configuration) -> HashMap<ServiceName, u64> {
-    let engines = configuration.services.iter().filter_map(|service| {
-        let engine = service.engine?;
-        Some((service.name.clone(), engine.cache_tokens))
-    });
+fn engines(configuration: &Configuration) -> HashMap<ServiceName, EngineCapacity> {
+    let engines = configuration
+        .services
+        .iter()
+        .filter_map(|service| Some((service.name.clone(), service.engine?)));
     engines.collect()
 }
 
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -63,6 +63,9 @@
     /// Its length.
     #[prost(uint64, tag = "3")]
     pub tokens: u64,
+    /// Whether the reading has ended.
+    #[prost(bool, tag = "4")]
+    pub ready: bool,
 }
 
 /// Binds the socket; the returned task sends and receives for ever.
@@ -117,6 +120,7 @@
         worker: read.worker.0,
         part: read.part.0,
         tokens: read.tokens,
+        ready: read.ready,
     });
     ReportMessage {
         sender: report.sender.0,
@@ -138,6 +142,7 @@
         worker: WorkerKey(read.worker),
         part: PartKey(read.part),
         tokens: read.tokens,
+        ready: read.ready,
     });
     LoadReport {
         sender: GatewayKey(message.sender),
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -1,6 +1,7 @@
 //! The seams between the gateway and the protocols around it. An adapter implements these traits;
 //! it translates and decides nothing.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tansyhall_forwarding::{Configuration, PromptHandle, PromptPart, Worker, WorkerId};
@@ -37,6 +38,8 @@
     pub time_left: Duration,
     /// What is asked.
     pub work: Work,
+    /// A worker from which this one should fetch what it lacks of the prompt's KV cache.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// What is asked of a worker.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,7 +12,7 @@
 use anyhow::{Context, Result};
 use parking_lot::{Mutex, RwLock};
 use tansyhall_core::time::MonotonicClock;
-use tansyhall_forwarding::{Directory, GatewayKey, Mirror, RetryShare};
+use tansyhall_forwarding::{Directory, GatewayKey, Mirror, RetryShares};
 use tansyhall_store::KeyValueStore;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::time::sleep;
@@ -87,7 +87,7 @@
 fn share(settings: GatewaySettings, adapter: &Adapter, log: Arc<EventLog>) -> Result<Arc<Shared>> {
     let clock = MonotonicClock::start();
     let gateway = GatewayKey::of(&settings.node.name, rand::random());
-    let retries = RetryShare::new(settings.retry_share(), ASSUMED_GATEWAYS);
+    let retries = RetryShares::new(settings.retry_share(), ASSUMED_GATEWAYS);
     Ok(Arc::new(Shared {
         settings: RwLock::new(Arc::new(settings)),
         clock,
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// The send as the directory knows it.
+    pub fn ticket(&self) -> &SendTicket {
+        &self.ticket
+    }
+
     /// The answer begins: the prompt has been read.
     pub fn answered(&mut self) {
         let now = self.shared.now();
@@ -69,7 +74,7 @@
     fn drop(&mut self) {
         let now = self.shared.now();
         let mut directory = self.shared.directory.lock();
-        directory.send_ended(now, &self.ticket, self.result);
+        directory.send_ended(now, &self.ticket, &self.sent.prompt, self.result);
         drop(directory);
         let outcome = outcome_name(self.result);
         self.shared
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,7 +9,7 @@
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::{ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    Configuration, Directory, Limits, Mirror, RetryShare, Route, RouteTable, StopPlan, Worker,
+    Configuration, Directory, Limits, Mirror, RetryShares, Route, RouteTable, StopPlan, Worker,
 };
 
 use crate::connections::{Connections, Destination};
@@ -41,7 +41,7 @@
     /// Workers.
     pub directory: Mutex<Directory>,
     /// Retries.
-    pub retries: Mutex<RetryShare>,
+    pub retries: Mutex<RetryShares>,
     /// Connections to workers.
     pub connections: Arc<Connections>,
     /// Log.
