Rank of the route to workers; harm to decoding streams; short prompts may be read apart

Change: reading beside streams counts its harm for each stream, so that prompts move to engines that only read when queries are many.

--- a/crates/forwarding/src/directory.rs
+++ b/crates/forwarding/src/directory.rs
@@ -9,7 +9,8 @@
 //!   nor another worker's holds, to fetch what another holds, plus a little for each request under way, stretched by how much slower than expected the
 //!   worker has been.
 //!
-//! Both are divided by the cube of the share of sends that came back whole, and a worker in another
+//! A prompt that is read beside decoding streams slows them all, which counts as time too. Both are
+//! divided by the cube of the share of sends that came back whole, and a worker in another
 //! zone costs the way there. Equal readers are told apart by rendezvous hashing of the prompt's
 //! largest shared part, so that gateways which know nothing yet agree.
 //!
@@ -47,6 +48,8 @@
 const SHARED_STEP_COST: f64 = 0.0004;
 /// Seconds by which an answer of an engine takes longer than its reading.
 const FIRST_TOKEN_COST: f64 = 0.015;
+/// Seconds that each second of reading beside decoding streams counts for, for each of them.
+const DECODING_HARM: f64 = 0.75;
 /// Seconds that moving a KV cache costs, its price included.
 const MOVE_COST: f64 = 0.035;
 /// Seconds that fetching a part of a KV cache costs beside its transfer, its price included.
@@ -56,7 +59,7 @@
 /// Shorter parts are read again rather than fetched.
 const MIN_FETCHED_TOKENS: u64 = 1_000;
 /// Shorter prompts are not read apart.
-const MIN_APART_TOKENS: u64 = 1_000;
+const MIN_APART_TOKENS: u64 = 200;
 /// A bound on times that are expected.
 const MAX_EXPECTED_SECONDS: f64 = 600.0;
 /// How far a worker's slowness may be from the expected.
@@ -201,6 +204,15 @@
         (reading + sharing + FIRST_TOKEN_COST) * self.slowness
     }
 
+    /// Seconds that reading `missing` tokens costs the streams that decode here meanwhile.
+    fn harm_seconds(&self, now: Timestamp, missing: u64, rate: ReadingRate) -> f64 {
+        let streams = 1.0 + f64::from(self.load(now).sends);
+        match self.worker.role {
+            Some(Role::Prefill) => 0.0,
+            _ => rate.while_decoding(missing) * streams * DECODING_HARM,
+        }
+    }
+
     fn weigh(&self, seconds: f64, zone: &ZoneName) -> f64 {
         let way = match self.worker.zone == *zone {
             true => 0.0,
@@ -503,7 +515,8 @@
             Need::Run | Need::ReadPrompt => {
                 let reading = self.reading(tracked, demand.prompt);
                 let seconds = tracked.reading_seconds(now, reading.missing_tokens, rate);
-                tracked.weigh(seconds + reading.fetch_seconds, demand.zone)
+                let harm = tracked.harm_seconds(now, reading.missing_tokens, rate);
+                tracked.weigh(seconds + reading.fetch_seconds + harm, demand.zone)
             }
             Need::Continue { reader } => {
                 let reader_zone = self.workers.get(reader).map(|t| &t.worker.zone);
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -203,6 +203,7 @@
         let terms = SendTerms {
             worker: worker.id.clone(),
             time_left: self.time_left(),
+            rank: self.route().rank,
             work,
             fetch_from: guard.ticket().fetch_from(),
         };
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -36,6 +36,8 @@
     pub worker: WorkerId,
     /// The time left.
     pub time_left: Duration,
+    /// The rank of the request's route; 0 is the most urgent.
+    pub rank: u8,
     /// What is asked.
     pub work: Work,
     /// A worker from which this one should fetch what it lacks of the prompt's KV cache.
