--- a/crates/forwarding/src/directory.rs
+++ b/crates/forwarding/src/directory.rs
@@ -54,6 +54,9 @@
 const MOVE_COST: f64 = 0.035;
 /// Seconds that fetching a part of a KV cache costs beside its transfer, its price included.
 const FETCH_COST: f64 = 0.010;
+/// A copy pushes as many tokens out of a full cache: the part of the time to read them again that
+/// this counts for.
+const DISPLACEMENT: f64 = 0.3;
 /// How many times longer a transfer between zones takes.
 const OTHER_ZONE_FETCH: f64 = 2.0;
 /// Shorter parts are read again rather than fetched.
@@ -111,6 +114,11 @@
         self.fetch_from
     }
 
+    /// Prompt tokens that are still to be read.
+    pub fn reading_tokens(&self) -> u64 {
+        self.reading_tokens
+    }
+
     /// The time after which the answer was expected when the send began.
     pub fn expected(&self) -> Duration {
         Duration::from_secs_f64(self.expected_seconds.clamp(0.0, MAX_EXPECTED_SECONDS))
@@ -520,8 +528,11 @@
             }
             Need::Continue { reader } => {
                 let reader_zone = self.workers.get(reader).map(|t| &t.worker.zone);
+                let copied =
+                    prompt_tokens(demand.prompt) - tracked.cache.kept_tokens(demand.prompt);
                 let seconds = tracked.reading_seconds(now, 0, rate);
-                tracked.weigh(seconds, reader_zone.unwrap_or(demand.zone))
+                let displaced = rate.apart(copied) * DISPLACEMENT;
+                tracked.weigh(seconds + displaced, reader_zone.unwrap_or(demand.zone))
             }
         }
     }
@@ -588,15 +599,18 @@
 
     /// Seconds for `reader` to fetch tokens from a source.
     fn fetch_seconds(&self, reader: &Tracked, source: &Source<'_>) -> f64 {
+        let rate = self.rates.get(&reader.worker.service).copied();
+        let displaced = rate.unwrap_or_default().apart(source.tokens) * DISPLACEMENT;
         let Some(engine) = self.engines.get(&reader.worker.service) else {
-            return FETCH_COST;
+            return FETCH_COST + displaced;
         };
         let bytes = source.tokens as f64 * engine.token_bytes;
         let seconds = bytes / engine.link_bytes_per_second.max(1.0);
-        match source.holder.worker.zone == reader.worker.zone {
-            true => FETCH_COST + seconds,
-            false => FETCH_COST + seconds * OTHER_ZONE_FETCH,
-        }
+        let transfer = match source.holder.worker.zone == reader.worker.zone {
+            true => seconds,
+            false => seconds * OTHER_ZONE_FETCH,
+        };
+        FETCH_COST + transfer + displaced
     }
 
     fn forget_idle_strangers(&mut self) {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -83,6 +83,12 @@
         work: &'a str,
         /// How it ended.
         outcome: &'a str,
+        /// Prompt tokens that were expected to be read there.
+        reading_tokens: u64,
+        /// Whether a part was to be fetched from another worker.
+        fetched: bool,
+        /// Milliseconds after which the answer was expected to begin.
+        expected_ms: u64,
         /// Milliseconds it took.
         took_ms: u64,
     },
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -29,6 +29,7 @@
     shared: Arc<Shared>,
     sent: Sent,
     ticket: SendTicket,
+    planned_tokens: u64,
     began: Timestamp,
     result: SendResult,
 }
@@ -42,6 +43,7 @@
         drop(directory);
         Self {
             shared: Arc::clone(shared),
+            planned_tokens: ticket.reading_tokens(),
             sent,
             ticket,
             began: now,
@@ -91,6 +93,9 @@
             worker: self.sent.worker.as_str(),
             work: self.sent.work,
             outcome,
+            reading_tokens: self.planned_tokens,
+            fetched: self.ticket.fetch_from().is_some(),
+            expected_ms: whole_millis(self.ticket.expected()),
             took_ms: whole_millis(now.since(self.began)),
         };
         self.shared.log.record(weight, &event);
