--- a/crates/cli/src/commands/check/files.rs
+++ b/crates/cli/src/commands/check/files.rs
@@ -14,6 +14,9 @@
 /// A key that every settings file has and no resource file.
 const SETTINGS_KEY: &str = "callers";
 
+/// A table that every settings file of a gateway has and no other file.
+const GATEWAY_TABLE: &str = "[retries]";
+
 /// A file with its content.
 pub struct OperatorFile {
     /// The file's path, as given.
@@ -29,6 +32,8 @@
 pub enum FileKind {
     /// Settings of a node.
     Settings,
+    /// Settings of a gateway.
+    GatewaySettings,
     /// Resources in TOML.
     Resources,
     /// One policy.
@@ -47,7 +52,7 @@
     /// The resources of the file; none if it holds settings.
     pub fn resources(&self) -> Result<Vec<Resource>, Diagnostic> {
         match self.kind {
-            FileKind::Settings => Ok(Vec::new()),
+            FileKind::Settings | FileKind::GatewaySettings => Ok(Vec::new()),
             FileKind::Resources => {
                 ResourceFile::parse(&self.text).map(ResourceFile::into_resources)
             }
@@ -83,6 +88,9 @@
     if Path::new(name).extension() == Some(OsStr::new(POLICY_EXTENSION)) {
         return FileKind::Policy;
     }
+    if text.lines().any(|line| line.trim() == GATEWAY_TABLE) {
+        return FileKind::GatewaySettings;
+    }
     let has_settings_key = |line: &str| {
         let key = line.split('=').next().unwrap_or("");
         line.contains('=') && key.trim() == SETTINGS_KEY
--- a/crates/cli/src/commands/check/mod.rs
+++ b/crates/cli/src/commands/check/mod.rs
@@ -7,13 +7,14 @@
 use anyhow::Result;
 use pico_args::Arguments;
 use tansyhall_config::{Configuration, ConfigurationError, NodeSettings, Problem, Programs};
+use tansyhall_gateway::GatewaySettings;
 use tansyhall_policy::Diagnostic;
 
 use crate::exit::{Usage, USAGE};
 use files::{FileKind, OperatorFile};
 
 const HELP: &str = "\
-Check files before anything runs: settings of nodes (TOML), resources (TOML) and policies
+Check files before anything runs: settings of nodes and gateways (TOML), resources (TOML) and policies
 (*.policy, each named by its file). All resources together must form one valid configuration.
 
 USAGE:
@@ -60,6 +61,10 @@
             let settings = NodeSettings::parse(&file.name, &file.text);
             faults.extend(settings.err().map(|error| error.to_string()));
         }
+        if file.kind == FileKind::GatewaySettings {
+            let settings = GatewaySettings::parse(&file.name, &file.text);
+            faults.extend(settings.err().map(|error| error.to_string()));
+        }
         match file.resources() {
             Ok(resources) => resources.into_iter().for_each(|resource| {
                 let key = resource.key();
--- /dev/null
+++ b/crates/cli/tests/gateway_check.rs
@@ -0,0 +1,65 @@
+//! `tansyhall check` takes the settings that the deployed template renders, and refuses damaged
+//! ones with the key, the value and what is allowed.
+
+use std::process::Command;
+
+use serde_json::json;
+use tansyhall_platform_standin::render;
+
+const TEMPLATE: &str = include_str!("../../../deploy/node.toml");
+
+fn rendered(ratio: f64) -> String {
+    let fields = json!({
+        "node": "gateway-1",
+        "zone": "kalimati",
+        "ip": "10.1.0.35",
+        "limits": { "cores": 1 },
+        "listen": {
+            "front": "10.1.0.35:8144", "ready": "10.1.0.35:8140", "control": "10.1.0.35:8146",
+        },
+        "port_range": [7660, 7675],
+        "seeds": ["10.1.0.35:8146", "10.2.0.28:8146"],
+        "provider": { "address": "10.200.1.7:8142" },
+        "bounds": {
+            "retry_budget_ratio": ratio, "budget_extra": 54, "budget_window_s": 10, "grace_s": 8,
+        },
+    });
+    render(TEMPLATE, &fields).expect("a template")
+}
+
+struct Checked {
+    code: Option<i32>,
+    errors: String,
+}
+
+fn check(settings: &str) -> Checked {
+    let directory = tempfile::tempdir().expect("a directory");
+    let file = directory.path().join("node.toml");
+    std::fs::write(&file, settings).expect("the file is written");
+    let output = Command::new(env!("CARGO_BIN_EXE_tansyhall"))
+        .arg("check")
+        .arg(&file)
+        .output()
+        .expect("tansyhall runs");
+    Checked {
+        code: output.status.code(),
+        errors: String::from_utf8_lossy(&output.stderr).into_owned(),
+    }
+}
+
+#[test]
+fn rendered_settings_are_accepted() {
+    let checked = check(&rendered(0.2));
+    assert_eq!(checked.code, Some(0), "{}", checked.errors);
+}
+
+#[test]
+fn damaged_settings_are_refused() {
+    let checked = check(&rendered(7.5));
+    assert_eq!(checked.code, Some(2));
+    let expected = "retries.ratio = 7.5: must be 0 to 1";
+    assert!(checked.errors.contains(expected), "{}", checked.errors);
+    let checked = check(&rendered(0.2).replace("10.1.0.35:8144", "nowhere"));
+    assert_eq!(checked.code, Some(2));
+    assert!(checked.errors.contains("callers"), "{}", checked.errors);
+}
--- /dev/null
+++ b/crates/cli/tests/gateway_support/mod.rs
@@ -0,0 +1,315 @@
+//! A site of gateways, workers and a store.
+
+use std::cell::Cell;
+use std::ops::Deref;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use tansyhall_platform_standin::{
+    render, Behaviour, Operator, RoutePlan, Store, StoreDoor, Worker, WorkerPlan, DEADLINE,
+    PROMPT_PARTS, REQUEST_ID, SEAL,
+};
+use tansyhall_testing::{eventually, gateway, get_metric, GatewayAddresses, GatewayProcess};
+use tokio::net::TcpStream;
+
+/// The template that is deployed.
+const TEMPLATE: &str = include_str!("../../../../deploy/node.toml");
+const HOST: &str = "site.example";
+const ZONE: &str = "kalimati";
+const OTHER_ZONE: &str = "balkhu";
+/// Paths of routes.
+pub const REPEATABLE: &str = "/repeat/x";
+/// A request that runs at most once.
+pub const AT_MOST_ONCE: &str = "/once/x";
+/// A stream that may be resumed.
+pub const RESUMABLE: &str = "/resume/x";
+/// A stream that may not.
+pub const FINAL_STREAM: &str = "/stream/x";
+const MODEL: &str = "/model/x";
+
+/// A worker with its signature.
+pub struct SiteWorker {
+    /// The worker.
+    pub worker: Worker,
+}
+
+impl SiteWorker {
+    /// How it signs.
+    pub fn seal(&self) -> String {
+        format!("seal-of-{}", self.worker.id)
+    }
+}
+
+/// A gateway of the site.
+pub struct SiteGateway(GatewayProcess);
+
+impl Deref for SiteGateway {
+    type Target = GatewayProcess;
+
+    fn deref(&self) -> &GatewayProcess {
+        &self.0
+    }
+}
+
+impl SiteGateway {
+    /// One of its metrics.
+    pub async fn metric(&self, name: &str) -> Option<f64> {
+        get_metric(self.addresses.metrics, name).await
+    }
+
+    /// Whether it says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let url = format!("http://{}/ready", self.addresses.ready);
+        let answer = awc::Client::default().get(url).send().await;
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+}
+
+/// The whole site.
+pub struct Site {
+    /// Workers it started with.
+    pub workers: Vec<SiteWorker>,
+    /// Gateways.
+    pub gateways: Vec<SiteGateway>,
+    /// The store's door of each gateway.
+    pub doors: Vec<StoreDoor>,
+    store: Store,
+    operator: Operator,
+    version: Cell<u64>,
+    _directory: tempfile::TempDir,
+}
+
+/// Service, stage and behaviour of a worker.
+pub type WorkerSpec = (&'static str, Option<&'static str>, Behaviour);
+
+impl Site {
+    /// Starts a site and waits until every gateway is ready and knows every worker.
+    pub async fn start(workers: &[WorkerSpec], gateways: usize) -> Self {
+        let store = Store::default();
+        let operator = Operator::new(&store, HOST);
+        operator.configure(1, &routes());
+        let workers: Vec<SiteWorker> = workers
+            .iter()
+            .map(|spec| start_worker(&store, ZONE, spec))
+            .collect();
+        let directory = tempfile::tempdir().expect("a directory");
+        let mut site = Self {
+            workers,
+            gateways: Vec::new(),
+            doors: Vec::new(),
+            store,
+            operator,
+            version: Cell::new(1),
+            _directory: directory,
+        };
+        for number in 0..gateways {
+            site.start_gateway(number);
+        }
+        for index in 0..gateways {
+            let all = site.workers.len() as f64;
+            site.until_ready_workers(index, all).await;
+            let gateway = &site.gateways[index];
+            eventually("the gateway is ready", || async {
+                gateway.is_ready().await.then_some(())
+            })
+            .await;
+        }
+        site
+    }
+
+    fn start_gateway(&mut self, number: usize) {
+        let door = self.store.open_door().expect("a free port");
+        let addresses = GatewayAddresses::free();
+        let name = format!("gateway-{number}");
+        let settings = render(TEMPLATE, &fields(&name, &addresses, &door)).expect("a template");
+        let process = gateway(self._directory.path(), &name, &settings, addresses);
+        self.gateways.push(SiteGateway(process));
+        self.doors.push(door);
+    }
+
+    /// Adds a worker in another zone, which is chosen after equal ones here, and waits until the first gateway knows it.
+    pub async fn add_worker(
+        &self,
+        service: &'static str,
+        stage: Option<&'static str>,
+        behaviour: Behaviour,
+    ) -> SiteWorker {
+        let worker = start_worker(&self.store, OTHER_ZONE, &(service, stage, behaviour));
+        self.until_ready_workers(0, self.workers.len() as f64 + 1.0)
+            .await;
+        worker
+    }
+
+    /// Waits until a gateway knows this many workers that take requests.
+    pub async fn until_ready_workers(&self, index: usize, count: f64) {
+        eventually("the gateway knows the workers", || async {
+            let known = self.gateways[index].metric("gateway_ready_workers").await?;
+            (known == count).then_some(())
+        })
+        .await;
+    }
+
+    /// Waits until every gateway knows how many they are.
+    pub async fn until_gateways_know_each_other(&self) {
+        for gateway in &self.gateways {
+            eventually("gateways know each other", || async {
+                let known = gateway.metric("gateway_gateways").await?;
+                (known == self.gateways.len() as f64).then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// Waits until workers have begun to run a request this often.
+    pub async fn until_runs(&self, id: &str, count: usize) {
+        eventually("the request runs", || async {
+            (self.runs_of(id) == count).then_some(())
+        })
+        .await;
+    }
+
+    /// Puts the next configuration in force and returns its version.
+    pub fn configure_next(&self) -> u64 {
+        let version = self.version.get() + 3;
+        self.version.set(version);
+        self.operator.configure(version, &routes());
+        version
+    }
+
+    /// How often workers ran a request.
+    pub fn runs_of(&self, id: &str) -> usize {
+        let runs = self.workers.iter().flat_map(|worker| worker.worker.runs());
+        runs.filter(|run| run.request_id == id).count()
+    }
+}
+
+fn start_worker(
+    store: &Store,
+    zone: &'static str,
+    (service, stage, behaviour): &WorkerSpec,
+) -> SiteWorker {
+    let plan = WorkerPlan {
+        service,
+        zone,
+        stage: *stage,
+    };
+    let worker = Worker::start(store, plan, *behaviour).expect("a free port");
+    SiteWorker { worker }
+}
+
+fn routes() -> Vec<RoutePlan> {
+    let route = |name, prefix, kind, resumable, max_attempts, service| RoutePlan {
+        name,
+        prefix,
+        kind,
+        resumable,
+        max_attempts,
+        service,
+    };
+    vec![
+        route("repeat", "/repeat/", "idempotent", false, 2, "app"),
+        route("once", "/once/", "non_idempotent", false, 1, "app"),
+        route("resume", "/resume/", "streaming", true, 2, "app"),
+        route("stream", "/stream/", "streaming", false, 1, "app"),
+        route("model", "/model/", "non_idempotent", false, 1, "llm"),
+    ]
+}
+
+fn fields(name: &str, addresses: &GatewayAddresses, door: &StoreDoor) -> serde_json::Value {
+    json!({
+        "node": name,
+        "zone": ZONE,
+        "ip": "127.0.0.1",
+        "limits": { "cores": 1 },
+        "listen": {
+            "front": addresses.callers.to_string(),
+            "ready": addresses.ready.to_string(),
+            "control": addresses.peers.to_string(),
+        },
+        "port_range": [addresses.metrics.port(), addresses.load.port()],
+        "seeds": [],
+        "provider": { "address": door.address.to_string() },
+        "bounds": {
+            "retry_budget_ratio": 0.2,
+            "budget_extra": 54,
+            "budget_window_s": 10,
+            "grace_s": 8,
+        },
+    })
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub struct CallerAnswer {
+    /// The status.
+    pub status: u16,
+    /// The body, as far as it came.
+    pub body: Vec<u8>,
+    /// Whether it ended as a whole body does.
+    pub whole: bool,
+    /// The worker's signature.
+    pub seal: Option<String>,
+    /// When to come back, in seconds.
+    pub retry_after: Option<f64>,
+}
+
+/// Asks a gateway.
+pub async fn ask(gateway: &SiteGateway, id: &str, path: &str, body: &[u8]) -> CallerAnswer {
+    ask_with(gateway, id, path, body, &[]).await
+}
+
+/// Asks a gateway for the answer of a model to a prompt of this length.
+pub async fn ask_model(gateway: &SiteGateway, id: &str, tokens: u64) -> CallerAnswer {
+    let prompt = format!("a1:{tokens},b2:100");
+    ask_with(gateway, id, MODEL, b"prompt", &[(PROMPT_PARTS, prompt)]).await
+}
+
+async fn ask_with(
+    gateway: &SiteGateway,
+    id: &str,
+    path: &str,
+    body: &[u8],
+    headers: &[(&str, String)],
+) -> CallerAnswer {
+    let stream = TcpStream::connect(gateway.addresses.callers).await;
+    let stream = TokioIo::new(stream.expect("a connection"));
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(stream)
+        .await
+        .expect("a connection");
+    actix_rt::spawn(connection);
+    let mut request = hyper::Request::post(path)
+        .header("Host", HOST)
+        .header(REQUEST_ID, id)
+        .header(DEADLINE, "15000");
+    for (name, value) in headers {
+        request = request.header(*name, value.as_str());
+    }
+    let request = request.body(Full::new(Bytes::copy_from_slice(body)));
+    let response = sender.send_request(request.expect("a request")).await;
+    let (head, mut incoming) = response.expect("an answer").into_parts();
+    let text = |name: &str| {
+        let value = head.headers.get(name)?.to_str().ok()?;
+        Some(value.to_owned())
+    };
+    let mut received = Vec::new();
+    let mut whole = true;
+    while let Some(frame) = incoming.frame().await {
+        match frame.map(|frame| frame.into_data()) {
+            Ok(Ok(bytes)) => received.extend_from_slice(&bytes),
+            Ok(Err(_)) => {}
+            Err(_) => {
+                whole = false;
+                break;
+            }
+        }
+    }
+    CallerAnswer {
+        status: head.status.as_u16(),
+        body: received,
+        whole,
+        seal: text(SEAL),
+        retry_after: text("Retry-After").and_then(|value| value.parse().ok()),
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -36,6 +36,19 @@
     /// Its items.
     #[prost(message, repeated, tag = "2")]
     pub items: Vec<ItemMessage>,
+    /// How many items there are: a copy that was cut short still decodes.
+    #[prost(uint64, tag = "3")]
+    pub count: u64,
+}
+
+/// A copy that was cut short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("a copy of {count} items has only {found}")]
+pub struct Incomplete {
+    /// Items that the sender had.
+    pub count: u64,
+    /// Items that arrived.
+    pub found: u64,
 }
 
 /// One item on the wire.
@@ -69,25 +82,36 @@
             revision: item.revision,
             created: item.created,
         });
+        let items: Vec<ItemMessage> = items.collect();
         Self {
             revision: snapshot.revision,
-            items: items.collect(),
+            count: items.len() as u64,
+            items,
         }
     }
 }
 
-impl From<CopyMessage> for Snapshot {
-    fn from(message: CopyMessage) -> Self {
+impl TryFrom<CopyMessage> for Snapshot {
+    type Error = Incomplete;
+
+    fn try_from(message: CopyMessage) -> Result<Self, Incomplete> {
+        let found = message.items.len() as u64;
+        if found != message.count {
+            return Err(Incomplete {
+                count: message.count,
+                found,
+            });
+        }
         let items = message.items.into_iter().map(|item| Item {
             key: item.key,
             value: item.value,
             revision: item.revision,
             created: item.created,
         });
-        Self {
+        Ok(Self {
             items: items.collect(),
             revision: message.revision,
-        }
+        })
     }
 }
 
@@ -150,6 +174,6 @@
         return Ok(false);
     }
     let body = response.body().limit(MAX_COPY_BYTES).await?;
-    let snapshot = Snapshot::from(CopyMessage::decode(body)?);
+    let snapshot = Snapshot::try_from(CopyMessage::decode(body)?)?;
     Ok(shared.mirror.lock().replace(snapshot))
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -135,12 +135,6 @@
         Ok(settings)
     }
 
-    /// Whether a TOML file is meant as these settings.
-    pub fn describes(text: &str) -> bool {
-        let table: Result<toml::Table, _> = toml::from_str(text);
-        table.is_ok_and(|table| table.contains_key("retries") && table.contains_key("listen"))
-    }
-
     fn validate(&self, file: &str) -> Result<(), SettingsError> {
         let range = |key: &'static str, value: String, allowed: &'static str, ok: bool| match ok {
             true => Ok(()),
--- /dev/null
+++ b/crates/testing/src/gateway.rs
@@ -0,0 +1,62 @@
+//! Gateways as separate processes.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use crate::{free_peer_address, program, Process};
+
+/// The addresses of a gateway.
+#[derive(Debug, Clone, Copy)]
+pub struct GatewayAddresses {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Health checks.
+    pub ready: SocketAddr,
+    /// Other gateways.
+    pub peers: SocketAddr,
+    /// Reports of load.
+    pub load: SocketAddr,
+    /// Metrics.
+    pub metrics: SocketAddr,
+}
+
+impl GatewayAddresses {
+    /// Free addresses on loopback.
+    pub fn free() -> Self {
+        Self {
+            callers: free_peer_address(),
+            ready: free_peer_address(),
+            peers: free_peer_address(),
+            load: free_peer_address(),
+            metrics: free_peer_address(),
+        }
+    }
+}
+
+/// A gateway process.
+pub struct GatewayProcess {
+    /// The process.
+    pub process: Process,
+    /// Its addresses.
+    pub addresses: GatewayAddresses,
+    /// Its settings file.
+    pub settings: PathBuf,
+}
+
+/// Starts a gateway with these settings, which name these addresses.
+pub fn gateway(
+    directory: &Path,
+    name: &str,
+    settings: &str,
+    addresses: GatewayAddresses,
+) -> GatewayProcess {
+    let file = directory.join(format!("{name}.toml"));
+    std::fs::write(&file, settings).expect("the settings are written");
+    let path = file.to_str().expect("a UTF-8 path");
+    let process = Process::spawn(program("tansyhall"), &["gateway", "--settings", path]);
+    GatewayProcess {
+        process,
+        addresses,
+        settings: file,
+    }
+}
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -5,9 +5,11 @@
 mod completion;
 
 mod fleet;
+mod gateway;
 mod link;
 
 pub use fleet::{Fleet, NodePlan};
+pub use gateway::{gateway, GatewayAddresses, GatewayProcess};
 pub use link::Link;
 
 use std::io::{BufRead, BufReader};
