--- a/crates/cli/src/commands/check/files.rs
+++ b/crates/cli/src/commands/check/files.rs
@@ -74,7 +74,7 @@
     /// Where a resource's field stands in this file, if it is in this file.
     pub fn locate(&self, key: &ResourceKey, field: &str) -> Option<std::ops::Range<usize>> {
         match self.kind {
-            FileKind::Settings => None,
+            FileKind::Settings | FileKind::GatewaySettings => None,
             FileKind::Resources => tansyhall_config::locate(&self.text, key, field),
             FileKind::Policy => {
                 let is_own = key.kind == ResourceKind::Policy && self.policy().key() == *key;
