Prompts that would wait too long are refused at once, with the time after which the queue is short

Cause: in bursts of long prompts every prompt waited 1 to 3 s at the readers and all were late; callers gave up at 2.4 s and their prompts were read for nothing. Change: a prompt whose wait alone exceeds 0.6 of its objective and which would be late is refused; its own length does not count against it.

--- a/crates/forwarding/src/directory.rs
+++ b/crates/forwarding/src/directory.rs
@@ -63,6 +63,8 @@
 const MIN_FETCHED_TOKENS: u64 = 1_000;
 /// Shorter prompts are not read apart.
 const MIN_APART_TOKENS: u64 = 200;
+/// The part of its latency objective for which any prompt may wait.
+const PATIENT_PART: f64 = 0.6;
 /// A bound on times that are expected.
 const MAX_EXPECTED_SECONDS: f64 = 600.0;
 /// How far a worker's slowness may be from the expected.
@@ -230,6 +232,29 @@
     }
 }
 
+/// Whether a prompt is taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It is.
+    Taken,
+    /// Its wait would be too long.
+    Refused {
+        /// When the queue is expected to be short enough.
+        retry_after: Duration,
+    },
+}
+
+/// Where a prompt is best read.
+struct Planned<'a> {
+    worker: &'a Tracked,
+    read_apart: bool,
+}
+
+struct ExpectedWait {
+    waiting: f64,
+    own: f64,
+}
+
 /// What a worker is chosen for.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand<'a> {
@@ -299,22 +324,80 @@
 
     /// Whether the prompt is better read apart than by the worker that decodes.
     pub fn reads_apart(&self, now: Timestamp, demand: Demand<'_>) -> bool {
-        if prompt_tokens(demand.prompt) < MIN_APART_TOKENS {
-            return false;
-        }
+        self.plan(now, demand)
+            .is_some_and(|planned| planned.read_apart)
+    }
+
+    /// Where a prompt would best be read, and whether apart.
+    fn plan(&self, now: Timestamp, demand: Demand<'_>) -> Option<Planned<'_>> {
         let best = |need: &Need| {
-            let candidates = self.candidates(now, demand.service, need, &[]);
-            let seconds = candidates
-                .iter()
-                .map(|tracked| self.expected_seconds(now, tracked, need, demand));
-            seconds.min_by(f64::total_cmp)
+            let candidates = self.candidates(now, demand.service, need, &[]).into_iter();
+            candidates
+                .map(|worker| (self.expected_seconds(now, worker, need, demand), worker))
+                .min_by(|(left, _), (right, _)| left.total_cmp(right))
         };
-        match (best(&Need::ReadPrompt), best(&Need::Run)) {
-            (Some(apart), Some(whole)) => apart + MOVE_COST < whole,
-            _ => false,
+        let whole = best(&Need::Run);
+        let apart = match prompt_tokens(demand.prompt) < MIN_APART_TOKENS {
+            true => None,
+            false => best(&Need::ReadPrompt),
+        };
+        let (whole_seconds, worker) = whole?;
+        match apart {
+            Some((seconds, reader)) if seconds + MOVE_COST < whole_seconds => Some(Planned {
+                worker: reader,
+                read_apart: true,
+            }),
+            _ => Some(Planned {
+                worker,
+                read_apart: false,
+            }),
         }
     }
 
+    /// Whether a prompt is taken now. It is not if it would wait long enough to be late and for more
+    /// than a part of its latency objective: what is refused can come back when the queue is
+    /// shorter, and what is taken is in time. Only the wait counts against a prompt, not its own
+    /// length, so that long ones are not starved.
+    pub fn admit(&self, now: Timestamp, demand: Demand<'_>, objective: Duration) -> Admission {
+        let objective = objective.as_secs_f64();
+        let wait = self
+            .plan(now, demand)
+            .and_then(|planned| self.expected_wait(now, planned.worker, demand));
+        match wait {
+            Some(wait)
+                if wait.waiting > objective * PATIENT_PART
+                    && wait.waiting + wait.own > objective =>
+            {
+                let excess = wait.waiting - objective * PATIENT_PART;
+                Admission::Refused {
+                    retry_after: Duration::from_secs_f64(excess.min(MAX_EXPECTED_SECONDS)),
+                }
+            }
+            _ => Admission::Taken,
+        }
+    }
+
+    fn expected_wait(
+        &self,
+        now: Timestamp,
+        tracked: &Tracked,
+        demand: Demand<'_>,
+    ) -> Option<ExpectedWait> {
+        if demand.prompt.is_empty() {
+            return None;
+        }
+        let rate = self.rates.get(demand.service).copied().unwrap_or_default();
+        let seconds = |tokens: u64| match tracked.worker.role {
+            Some(Role::Prefill) => rate.apart(tokens) * tracked.slowness,
+            _ => rate.while_decoding(tokens) * tracked.slowness,
+        };
+        let reading = self.reading(tracked, demand.prompt);
+        Some(ExpectedWait {
+            waiting: seconds(tracked.load(now).reading_tokens),
+            own: seconds(reading.missing_tokens) + reading.fetch_seconds + FIRST_TOKEN_COST,
+        })
+    }
+
     /// Chooses a worker for a gateway in the demand's zone.
     pub fn select(
         &self,
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -11,8 +11,8 @@
 use bytes::Bytes;
 use tansyhall_core::{Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    Action, AttemptPolicy, Conclusion, Demand, Need, PromptHandle, RequestEvent, RequestMachine,
-    Route, SendFailure, Worker, WorkerId,
+    Action, Admission, AttemptPolicy, Conclusion, Demand, Need, PromptHandle, RequestEvent,
+    RequestMachine, Route, SendFailure, Worker, WorkerId,
 };
 use tokio::time::Instant;
 
@@ -24,8 +24,10 @@
 use crate::send_guard::{SendGuard, Sent};
 use crate::state::{whole_millis, InFlight, Routed, Shared};
 
-/// When a refused caller should come back.
+/// When a refused caller should come back, if nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
+/// The longest time after which a refused caller should come back.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 /// A silent worker is given up after this many times the latency objective, where another may try,
 const SILENCE_FACTOR: u32 = 2;
 /// but not before this many times the time that was expected.
@@ -58,6 +60,7 @@
     sink: AnswerSink,
     error_answer: Option<(AnswerHead, Bytes)>,
     unused_handle: Option<PromptHandle>,
+    retry_after: Duration,
     _in_flight: InFlight,
 }
 
@@ -71,6 +74,7 @@
             sink,
             error_answer: None,
             unused_handle: None,
+            retry_after: RETRY_AFTER,
         }
     }
 
@@ -93,6 +97,10 @@
         let now = self.shared.now();
         let service = &self.request.routed.service;
         self.shared.retries.lock().record_request(now, service);
+        if let Admission::Refused { retry_after } = self.admit(now) {
+            self.retry_after = retry_after.clamp(RETRY_AFTER, MAX_RETRY_AFTER);
+            return (Conclusion::Refused, 0);
+        }
         let mut machine = RequestMachine::new(self.policy());
         let mut event = RequestEvent::Arrived;
         loop {
@@ -126,6 +134,13 @@
         self.request.terms.request_id.as_deref().unwrap_or_default()
     }
 
+    fn admit(&self, now: Timestamp) -> Admission {
+        let zone = self.shared.zone();
+        let objective = self.route().latency_objective;
+        let directory = self.shared.directory.lock();
+        directory.admit(now, self.demand(&zone), objective)
+    }
+
     fn policy(&self) -> AttemptPolicy {
         let now = self.shared.now();
         let zone = self.shared.zone();
@@ -221,7 +236,7 @@
             Conclusion::Delivered => ("delivered", None),
             Conclusion::WorkerError => ("worker_error", None),
             Conclusion::Refused => {
-                let retry_after = RETRY_AFTER;
+                let retry_after = self.retry_after;
                 ("refused", Some(OwnAnswer::NotRun { retry_after }))
             }
             Conclusion::Lost => ("lost", Some(OwnAnswer::Lost)),
