One holder orders engines' roles: as many decoders as the streams need, all others read

The claim is a key under the gateway's lease, the fence its creation's revision (the machines of crates/authority); desired roles lie in the store, are heard by every gateway before the order, and orders carry the number of orders taken, so that one carried out late has no effect. A new holder waits a lease's time before its first order.

--- a/crates/forwarding/src/directory.rs
+++ b/crates/forwarding/src/directory.rs
@@ -156,6 +156,7 @@
     worker: Worker,
     key: WorkerKey,
     announced: bool,
+    desired_role: Option<Role>,
     own: Load,
     others: HashMap<GatewayKey, (Load, Timestamp)>,
     cache: CacheView,
@@ -171,6 +172,7 @@
             key: WorkerKey::of(&worker.id),
             worker,
             announced: true,
+            desired_role: None,
             own: Load::default(),
             others: HashMap::new(),
             cache: CacheView::default(),
@@ -182,7 +184,8 @@
     }
 
     fn takes_new_requests(&self) -> bool {
-        self.announced && self.worker.state == WorkerState::Ready
+        let role_stays = self.desired_role.is_none() || self.desired_role == self.worker.role;
+        self.announced && self.worker.state == WorkerState::Ready && role_stays
     }
 
     fn load(&self, now: Timestamp) -> Load {
@@ -232,6 +235,15 @@
     }
 }
 
+/// An engine with what is under way there.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineLoad {
+    /// The engine.
+    pub worker: Worker,
+    /// Sends of all gateways.
+    pub sends: u32,
+}
+
 /// Whether a prompt is taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -306,6 +318,26 @@
         self.engines = engines;
     }
 
+    /// Takes in the roles that engines should have: one that has another gets no new request.
+    pub fn set_desired_roles(&mut self, role_of: impl Fn(&WorkerId) -> Option<Role>) {
+        for (id, tracked) in &mut self.workers {
+            tracked.desired_role = role_of(id);
+        }
+    }
+
+    /// The engines that have a role and are not leaving, with what is under way there.
+    pub fn engine_loads(&self, now: Timestamp) -> Vec<EngineLoad> {
+        let engines = self.workers.values().filter(|tracked| {
+            let ready = tracked.announced && tracked.worker.state == WorkerState::Ready;
+            ready && tracked.worker.role.is_some()
+        });
+        let loads = engines.map(|tracked| EngineLoad {
+            worker: tracked.worker.clone(),
+            sends: tracked.load(now).sends,
+        });
+        loads.collect()
+    }
+
     /// Workers that take new requests.
     pub fn ready_workers(&self) -> usize {
         self.workers
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -24,7 +24,7 @@
     Configuration, ConfigurationError, EngineCapacity, Limits, Repeatability, Route, Service,
     Target,
 };
-pub use directory::{Admission, Demand, Directory, SendResult, SendTicket};
+pub use directory::{Admission, Demand, Directory, EngineLoad, SendResult, SendTicket};
 pub use event_stream::{CompleteEvents, EventFramer};
 pub use load_exchange::{
     GatewayKey, Load, LoadEntry, LoadReport, LoadReporter, PartRead, WorkerKey,
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
@@ -285,6 +285,18 @@
         }
     }
 
+    /// The whole body, if it is whole and not longer than `most`.
+    pub async fn read_whole(&mut self, most: usize) -> Option<Bytes> {
+        let mut whole = BytesMut::new();
+        while let Some(bytes) = self.next().await.ok()? {
+            if whole.len() + bytes.len() > most {
+                return None;
+            }
+            whole.extend_from_slice(&bytes);
+        }
+        Some(whole.freeze())
+    }
+
     fn give_back(&mut self) {
         let Some(returning) = self.returning.take() else {
             return;
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -109,6 +109,26 @@
         /// Milliseconds that were left.
         left_ms: u64,
     },
+    /// This gateway came to hold the authority over roles, or lost it.
+    Authority {
+        /// `acquired` or `lost`.
+        state: &'a str,
+        /// The fence of the claim; 0 when it is lost.
+        epoch: u64,
+    },
+    /// An engine was ordered to change its role.
+    Order {
+        /// The engine.
+        worker: &'a str,
+        /// The role.
+        role: &'a str,
+        /// The fence.
+        fence: u64,
+        /// Orders that the engine had taken before.
+        orders_taken: u64,
+        /// `taken` or `unknown`.
+        outcome: &'a str,
+    },
     /// Lines were dropped for lack of room.
     LinesDropped {
         /// How many.
--- a/crates/gateway/src/exchange/prompt.rs
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use bytes::BytesMut;
 use tansyhall_forwarding::{PromptHandle, RequestEvent, SendResult, Worker, WorkerId};
 use tokio::time::{timeout, timeout_at};
 
 use super::Exchange;
-use crate::connections::{AnswerBody, SendError, WorkerRequest};
+use crate::connections::{SendError, WorkerRequest};
 use crate::protocol::{AnswerKind, Work};
 use crate::send_guard::SendGuard;
 
@@ -61,7 +60,9 @@
         if answer.status != 200 {
             return Err(SendResult::Failed);
         }
-        let body = read_whole(&mut answer.body)
+        let body = answer
+            .body
+            .read_whole(MAX_ANSWER_BYTES)
             .await
             .ok_or(SendResult::Failed)?;
         let handle = protocol.prompt_handle(&body).map_err(|error| {
@@ -88,28 +89,17 @@
             method: call.method.to_owned(),
             target: call.path,
             headers: call.headers,
-            body: bytes::Bytes::new(),
+            body: call.body,
         };
         let destination = self.shared.destination(&worker);
         let connections = std::sync::Arc::clone(&self.shared.connections);
         actix_rt::spawn(async move {
             let released = async {
                 if let Ok(mut answer) = connections.send(&destination, &request).await {
-                    let _ = read_whole(&mut answer.body).await;
+                    let _ = answer.body.read_whole(MAX_ANSWER_BYTES).await;
                 }
             };
             let _ = timeout(RELEASE_TIMEOUT, released).await;
         });
     }
 }
-
-async fn read_whole(body: &mut AnswerBody) -> Option<BytesMut> {
-    let mut whole = BytesMut::new();
-    while let Some(bytes) = body.next().await.ok()? {
-        if whole.len() + bytes.len() > MAX_ANSWER_BYTES {
-            return None;
-        }
-        whole.extend_from_slice(&bytes);
-    }
-    Some(whole)
-}
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -12,11 +12,13 @@
 use tansyhall_core::{ServiceName, Timestamp};
 use tansyhall_forwarding::{Configuration, EngineCapacity, Item, MirrorChange, Snapshot, Worker};
 use tansyhall_store::{KeyValue, KeyValueStore, Revision, StoreError, WatchEvent};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
+use crate::desired_roles::DesiredRoles;
 use crate::events::{Event, Weight};
 use crate::presence;
 use crate::state::{InForce, Shared};
+use crate::store_call::in_time;
 
 /// Every key.
 const EVERYTHING: &str = "";
@@ -24,8 +26,6 @@
 const PACE: Duration = Duration::from_millis(400);
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(150);
-/// Time for one call, its wait for changes included.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// When the store last answered.
 #[derive(Debug, Default)]
@@ -95,14 +95,6 @@
     Ok(())
 }
 
-async fn in_time<T>(
-    call: impl std::future::Future<Output = Result<T, StoreError>>,
-) -> Result<T, StoreError> {
-    timeout(CALL_TIMEOUT, call)
-        .await
-        .unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".into())))
-}
-
 fn reached(shared: &Shared, contact: &StoreContact, lost: &mut bool) {
     contact.mark(shared.now());
     if *lost {
@@ -194,6 +186,7 @@
     let prefix = shared.catalogue.worker_prefix();
     let mirror = shared.mirror.lock();
     let revision = mirror.revision();
+    let desired = DesiredRoles::read(&mirror);
     let workers: Vec<Worker> = mirror
         .below(prefix)
         .filter_map(|item| {
@@ -208,6 +201,7 @@
     let mut directory = shared.directory.lock();
     let before = directory.ready_workers();
     directory.announce(workers);
+    directory.set_desired_roles(|id| desired.get(id));
     let ready = directory.ready_workers();
     drop(directory);
     shared.metrics.ready_workers.set(ready as i64);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,21 +8,25 @@
 
 pub mod answer;
 pub mod connections;
+pub mod desired_roles;
 pub mod events;
 pub mod exchange;
 pub mod follower;
 pub mod headers;
 pub mod ingress;
+pub mod lease;
 pub mod load_exchange;
 pub mod metrics;
 pub mod peers;
 pub mod presence;
 pub mod protocol;
 pub mod readiness;
+pub mod role_authority;
 pub mod run;
 pub mod send_guard;
 pub mod settings;
 pub mod state;
+pub mod store_call;
 
 pub use run::{run, Adapter};
 pub use settings::{GatewaySettings, SettingsError};
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+use tansyhall_core::Role;
 use tansyhall_forwarding::{Configuration, PromptHandle, PromptPart, Worker, WorkerId};
 
 use crate::headers::HeaderList;
@@ -80,6 +82,34 @@
     pub path: String,
     /// Headers.
     pub headers: HeaderList,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// An order to an engine to change its role.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RoleOrder {
+    /// The incarnation that is meant.
+    pub worker: WorkerId,
+    /// The role it shall have.
+    pub role: Role,
+    /// Who orders.
+    pub holder: String,
+    /// The fence of the holder's claim.
+    pub fence: u64,
+    /// Orders that the engine has taken so far; it refuses the order if it has taken another.
+    pub orders_taken: u64,
+}
+
+/// What an engine says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Orders that it has taken.
+    pub orders_taken: u64,
+    /// Its role.
+    pub role: Option<Role>,
+    /// Whether an order is under way.
+    pub busy: bool,
 }
 
 /// How callers and workers speak.
@@ -94,6 +124,12 @@
     fn prompt_handle(&self, body: &[u8]) -> anyhow::Result<String>;
     /// The call that frees a handle which will not be used.
     fn release_handle(&self, handle: &str) -> WorkerCall;
+    /// The call for an engine's report.
+    fn report_call(&self) -> WorkerCall;
+    /// Decodes an engine's report.
+    fn engine_report(&self, body: &[u8]) -> anyhow::Result<EngineReport>;
+    /// The call that orders an engine to change its role.
+    fn role_order(&self, order: &RoleOrder) -> WorkerCall;
 }
 
 /// How the store's items read.
--- /dev/null
+++ b/crates/gateway/src/role_authority.rs
@@ -0,0 +1,305 @@
+//! The authority over engines' roles: one gateway at a time holds it and orders engines.
+//!
+//! The claim is a key that is created under this gateway's lease; its fence is the revision of its
+//! creation, which only grows. The holder writes the roles that engines should have (under the
+//! condition that its claim still stands), waits until every gateway has heard of it, and orders
+//! each engine with its fence and the number of orders that the engine has taken. An order that is
+//! carried out late finds another number and has no effect. The lease is asked before each order,
+//! and a new holder waits until the orders of the one before it are over.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tansyhall_authority::{
+    claim::claim_delay, ClaimAction, ClaimEvent, ClaimRecord, Epoch, Lease, PoolClaim,
+};
+use tansyhall_core::{NodeId, PoolName, Role, Timestamp};
+use tansyhall_forwarding::{EngineLoad, Worker, WorkerId};
+use tansyhall_planner::{balance_roles, BalancedEngine};
+use tansyhall_store::{Compare, KeyValueStore, LeaseId, Operation, Revision, Transaction};
+use tokio::time::{sleep, timeout};
+
+use crate::connections::WorkerRequest;
+use crate::desired_roles::{self, DesiredRoles};
+use crate::events::{Event, Weight};
+use crate::lease::NodeLease;
+use crate::protocol::{EngineReport, RoleOrder, WorkerCall};
+use crate::state::Shared;
+use crate::store_call::in_time;
+
+/// The key of the claim.
+const CLAIM_KEY: &str = "tansyhall/authority/roles";
+/// What is claimed, for the spreading of claims.
+const CLAIM_NAME: &str = "roles";
+/// Pause between two looks.
+const PACE: Duration = Duration::from_millis(300);
+/// Longest wait before a free claim is taken.
+const CLAIM_SPREAD: Duration = Duration::from_millis(1_500);
+/// Time in which every gateway hears of a desired role.
+const NOTICE: Duration = Duration::from_millis(1_300);
+/// Time between two changes of the desired roles.
+const SETTLING: Duration = Duration::from_millis(1_500);
+/// Time after which an order that changed nothing is sent again.
+const ORDER_PATIENCE: Duration = Duration::from_secs(4);
+/// Time for one call to an engine.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Weight of the newest count in an engine's smoothed streams.
+const STREAMS_WEIGHT: f64 = 0.15;
+/// The longest answer of an engine.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+
+/// Holds or seeks the authority until the gateway stops.
+pub async fn run(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>, lease: NodeLease) {
+    let node = NodeId::new(shared.settings.read().node.name.clone());
+    let delay = claim_delay(&PoolName::new(CLAIM_NAME), &node, CLAIM_SPREAD);
+    let mut authority = RoleAuthority {
+        shared,
+        store,
+        lease,
+        claim: PoolClaim::new(delay),
+        acquired: Timestamp::default(),
+        changed: Timestamp::default(),
+        ordered: HashMap::new(),
+        streams: HashMap::new(),
+    };
+    while !authority.shared.is_stopping() {
+        sleep(PACE).await;
+        authority.look().await;
+    }
+}
+
+struct RoleAuthority {
+    shared: Arc<Shared>,
+    store: Rc<dyn KeyValueStore>,
+    lease: NodeLease,
+    claim: PoolClaim,
+    acquired: Timestamp,
+    changed: Timestamp,
+    ordered: HashMap<WorkerId, Timestamp>,
+    streams: HashMap<WorkerId, f64>,
+}
+
+impl RoleAuthority {
+    async fn look(&mut self) {
+        let now = self.shared.now();
+        let event = self.observe();
+        match self.claim.step(now, event) {
+            ClaimAction::Create(lease) => self.create_claim(lease).await,
+            ClaimAction::Acquired(epoch) => {
+                self.acquired = now;
+                self.record("acquired", epoch);
+            }
+            ClaimAction::Lost => self.record("lost", Epoch(0)),
+            ClaimAction::Wait => {}
+        }
+        let Some(epoch) = self.claim.held() else {
+            return;
+        };
+        let pause = self.shared.settings.read().takeover_pause();
+        let settled = now.since(self.acquired) >= pause;
+        if settled && self.lease.clock().is_valid(now) {
+            self.change_desired_roles(epoch).await;
+            self.order_engines(epoch).await;
+        }
+    }
+
+    fn observe(&self) -> ClaimEvent {
+        let lease = self.lease.held();
+        let mirror = self.shared.mirror.lock();
+        let record = mirror.get(CLAIM_KEY).and_then(|item| {
+            let text = std::str::from_utf8(&item.value).ok()?;
+            Some(ClaimRecord {
+                lease: Lease(text.parse().ok()?),
+                epoch: Epoch(item.created),
+            })
+        });
+        ClaimEvent::Observed { record, lease }
+    }
+
+    async fn create_claim(&self, Lease(lease): Lease) {
+        let transaction = Transaction {
+            compare: vec![Compare::Absent(CLAIM_KEY.into())],
+            operations: vec![Operation::Put {
+                key: CLAIM_KEY.into(),
+                value: lease.to_string().into_bytes(),
+                lease: Some(LeaseId(lease)),
+            }],
+        };
+        // Whatever the answer: the claim is read back from the copy of the store.
+        let _ = in_time(self.store.transact(&transaction)).await;
+    }
+
+    async fn change_desired_roles(&mut self, epoch: Epoch) {
+        let now = self.shared.now();
+        let engines = self.engines(now);
+        if now.since(self.changed) < SETTLING {
+            return;
+        }
+        let mut desired = DesiredRoles::read(&self.shared.mirror.lock());
+        let mut changes = 0;
+        for service in services_of(&engines) {
+            let members: Vec<&EngineLoad> = engines
+                .iter()
+                .filter(|engine| engine.worker.service == service)
+                .collect();
+            let balanced: Vec<BalancedEngine> = members
+                .iter()
+                .map(|engine| self.balanced(engine, &desired))
+                .collect();
+            for change in balance_roles(&balanced) {
+                desired.set(&members[change.engine].worker.id, change.role);
+                changes += 1;
+            }
+        }
+        if changes > 0 {
+            desired.retain(|id| engines.iter().any(|e| e.worker.id.as_str() == id));
+            self.changed = now;
+            self.write_desired_roles(epoch, &desired).await;
+        }
+    }
+
+    fn engines(&mut self, now: Timestamp) -> Vec<EngineLoad> {
+        let engines = self.shared.directory.lock().engine_loads(now);
+        for engine in &engines {
+            let streams = self.streams.entry(engine.worker.id.clone()).or_default();
+            *streams += (f64::from(engine.sends) - *streams) * STREAMS_WEIGHT;
+        }
+        self.streams
+            .retain(|id, _| engines.iter().any(|engine| engine.worker.id == *id));
+        engines
+    }
+
+    fn balanced(&self, engine: &EngineLoad, desired: &DesiredRoles) -> BalancedEngine {
+        let worker = &engine.worker;
+        let role = worker.role.unwrap_or_default();
+        let wanted = desired.get(&worker.id).unwrap_or(role);
+        let streams = self.streams.get(&worker.id).copied().unwrap_or_default();
+        BalancedEngine {
+            zone: worker.zone.clone(),
+            role: wanted,
+            changing: wanted != role,
+            streams: streams.round() as u32,
+            slots: worker.slots,
+        }
+    }
+
+    async fn write_desired_roles(&self, Epoch(epoch): Epoch, desired: &DesiredRoles) {
+        let known = {
+            let mirror = self.shared.mirror.lock();
+            mirror.get(desired_roles::KEY).map(|item| item.revision)
+        };
+        let unchanged = match known {
+            Some(revision) => Compare::ModifiedAt(desired_roles::KEY.into(), Revision(revision)),
+            None => Compare::Absent(desired_roles::KEY.into()),
+        };
+        let transaction = Transaction {
+            compare: vec![
+                Compare::ModifiedAt(CLAIM_KEY.into(), Revision(epoch)),
+                unchanged,
+            ],
+            operations: vec![Operation::Put {
+                key: desired_roles::KEY.into(),
+                value: desired.encode(),
+                lease: None,
+            }],
+        };
+        let _ = in_time(self.store.transact(&transaction)).await;
+    }
+
+    async fn order_engines(&mut self, epoch: Epoch) {
+        let now = self.shared.now();
+        if now.since(self.changed) < NOTICE {
+            return;
+        }
+        let desired = DesiredRoles::read(&self.shared.mirror.lock());
+        let due: Vec<(Worker, Role)> = {
+            let directory = self.shared.directory.lock();
+            let due = desired.iter().filter_map(|(id, role)| {
+                let worker = directory.get(&WorkerId::from(id))?;
+                (worker.role != Some(role)).then(|| (worker.clone(), role))
+            });
+            due.collect()
+        };
+        for (worker, role) in due {
+            let ordered = self.ordered.get(&worker.id);
+            if ordered.is_some_and(|at| now.since(*at) < ORDER_PATIENCE) {
+                continue;
+            }
+            self.ordered.insert(worker.id.clone(), now);
+            self.order(epoch, &worker, role).await;
+        }
+    }
+
+    async fn order(&self, Epoch(fence): Epoch, worker: &Worker, role: Role) {
+        let protocol = &self.shared.protocol;
+        let report = self.call(worker, protocol.report_call()).await;
+        let report = report.and_then(|body| protocol.engine_report(&body).ok());
+        let Some(EngineReport {
+            orders_taken,
+            role: present,
+            busy,
+        }) = report
+        else {
+            return;
+        };
+        if busy || present == Some(role) || !self.lease.clock().is_valid(self.shared.now()) {
+            return;
+        }
+        let order = RoleOrder {
+            worker: worker.id.clone(),
+            role,
+            holder: self.shared.settings.read().node.name.clone(),
+            fence,
+            orders_taken,
+        };
+        let answered = self.call(worker, protocol.role_order(&order)).await;
+        let event = Event::Order {
+            worker: worker.id.as_str(),
+            role: role.name(),
+            fence,
+            orders_taken,
+            outcome: if answered.is_some() {
+                "taken"
+            } else {
+                "unknown"
+            },
+        };
+        self.shared.log.record(Weight::Important, &event);
+    }
+
+    /// The body of a successful answer.
+    async fn call(&self, worker: &Worker, call: WorkerCall) -> Option<Bytes> {
+        let request = WorkerRequest {
+            method: call.method.to_owned(),
+            target: call.path,
+            headers: call.headers,
+            body: call.body,
+        };
+        let destination = self.shared.destination(worker);
+        let answered = async {
+            let sent = self.shared.connections.send(&destination, &request).await;
+            let mut answer = sent.ok()?;
+            let body = answer.body.read_whole(MAX_ANSWER_BYTES).await?;
+            (200..300).contains(&answer.status).then_some(body)
+        };
+        timeout(CALL_TIMEOUT, answered).await.ok().flatten()
+    }
+
+    fn record(&self, state: &str, Epoch(epoch): Epoch) {
+        let event = Event::Authority { state, epoch };
+        self.shared.log.record(Weight::Important, &event);
+    }
+}
+
+fn services_of(engines: &[EngineLoad]) -> Vec<tansyhall_core::ServiceName> {
+    let mut services: Vec<_> = engines
+        .iter()
+        .map(|engine| engine.worker.service.clone())
+        .collect();
+    services.sort();
+    services.dedup();
+    services
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,11 +20,12 @@
 use crate::connections::Connections;
 use crate::events::{Event, EventLog, Weight};
 use crate::follower::{self, StoreContact};
+use crate::lease::NodeLease;
 use crate::metrics::Metrics;
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
-use crate::{ingress, load_exchange, peers, presence, readiness};
+use crate::{ingress, load_exchange, peers, presence, readiness, role_authority};
 
 /// Time that callers' connections may rest.
 const CALLER_IDLE: Duration = Duration::from_secs(75);
@@ -71,8 +72,8 @@
     let exchange = load_exchange::run(Arc::clone(&shared), settings.listen.load);
     actix_rt::spawn(exchange.await?);
     actix_rt::spawn(prune(Arc::clone(&shared)));
-    let presence = presence::announce(Arc::clone(&shared), Rc::clone(&adapter.store));
-    let presence = actix_rt::spawn(presence);
+    let lease = NodeLease::default();
+    spawn_under_lease(&shared, &adapter.store, &lease);
     let event = Event::Started {
         node: &settings.node.name,
         zone: settings.node.zone.as_str(),
@@ -80,10 +81,19 @@
     shared.log.record(Weight::Important, &event);
     until_told_to_stop(&shared, file).await?;
     stop(&shared).await;
-    presence.abort();
     Ok(())
 }
 
+/// Starts what hangs on the lease; each task ends when the gateway stops.
+fn spawn_under_lease(shared: &Arc<Shared>, store: &Rc<dyn KeyValueStore>, lease: &NodeLease) {
+    let kept = lease.clone().keep(Arc::clone(shared), Rc::clone(store));
+    actix_rt::spawn(kept);
+    let announced = presence::announce(Arc::clone(shared), Rc::clone(store), lease.clone());
+    actix_rt::spawn(announced);
+    let authority = role_authority::run(Arc::clone(shared), Rc::clone(store), lease.clone());
+    actix_rt::spawn(authority);
+}
+
 fn share(settings: GatewaySettings, adapter: &Adapter, log: Arc<EventLog>) -> Result<Arc<Shared>> {
     let clock = MonotonicClock::start();
     let gateway = GatewayKey::of(&settings.node.name, rand::random());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -21,6 +21,8 @@
     pub retries: RetrySection,
     /// Stops.
     pub stop: StopSection,
+    /// Orders to engines.
+    pub orders: OrdersSection,
     /// Lines about decisions.
     #[serde(default)]
     pub log: LogSection,
@@ -80,6 +82,13 @@
     pub grace_seconds: f64,
 }
 
+/// Orders to engines.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct OrdersSection {
+    /// Seconds that a new holder of the authority waits before its first order, 0 to 600.
+    pub takeover_pause_seconds: f64,
+}
+
 /// Lines about decisions.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(default)]
@@ -192,6 +201,14 @@
             "must be 1 to 600",
             grace_fits,
         )?;
+        let pause = self.orders.takeover_pause_seconds;
+        let pause_fits = (0.0..=600.0).contains(&pause);
+        range(
+            "orders.takeover_pause_seconds",
+            pause.to_string(),
+            "must be 0 to 600",
+            pause_fits,
+        )?;
         let lines = self.log.queue_lines;
         let lines_fit = (16..=1_000_000).contains(&lines);
         range(
@@ -211,6 +228,11 @@
         }
     }
 
+    /// Time that a new holder of the authority waits before its first order.
+    pub fn takeover_pause(&self) -> Duration {
+        Duration::from_secs_f64(self.orders.takeover_pause_seconds)
+    }
+
     /// Time from SIGTERM to SIGKILL.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop.grace_seconds)
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -26,6 +26,9 @@
 
 [stop]
 grace_seconds = 8
+
+[orders]
+takeover_pause_seconds = 3.0
 "#;
 
 fn error_of(from: &str, to: &str) -> String {
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -4,7 +4,9 @@
 
 pub mod bounds;
 pub mod predictive;
+pub mod role_balance;
 pub mod rollout;
 
 pub use bounds::{plan_bounds, EngineView, PlannedChange, RoleLimit};
+pub use role_balance::{balance_roles, BalancedEngine, RoleChange};
 pub use rollout::{plan_loads, DesiredLoads, Load, LoadedEngine, PlannedLoad, RolloutGuard};
--- /dev/null
+++ b/crates/planner/tests/role_balance.rs
@@ -0,0 +1,110 @@
+//! How many engines decode: as the streams need, never none, and never back and forth.
+
+use proptest::prelude::*;
+use tansyhall_core::{Role, ZoneName};
+use tansyhall_planner::{balance_roles, BalancedEngine};
+
+fn engine(zone: &str, role: Role, streams: u32) -> BalancedEngine {
+    BalancedEngine {
+        zone: ZoneName::new(zone),
+        role,
+        changing: false,
+        streams,
+        slots: 32,
+    }
+}
+
+fn apply(engines: &mut [BalancedEngine]) -> usize {
+    let changes = balance_roles(engines);
+    for change in &changes {
+        engines[change.engine].role = change.role;
+    }
+    changes.len()
+}
+
+fn decoders(engines: &[BalancedEngine]) -> usize {
+    let decode = engines.iter().filter(|engine| engine.role == Role::Decode);
+    decode.count()
+}
+
+#[test]
+fn idle_decoders_become_readers_until_each_zone_has_one_left() {
+    let mut engines: Vec<BalancedEngine> = (0..12)
+        .map(|number| engine(&format!("z{}", number % 4), Role::Decode, 0))
+        .collect();
+    while apply(&mut engines) > 0 {}
+    assert!(
+        (4..=5).contains(&decoders(&engines)),
+        "{}",
+        decoders(&engines)
+    );
+    for zone in ["z0", "z1", "z2", "z3"] {
+        let there = |e: &&BalancedEngine| e.zone.as_str() == zone && e.role == Role::Decode;
+        assert!(engines.iter().any(|engine| there(&engine)), "{zone}");
+    }
+}
+
+#[test]
+fn many_streams_need_more_decoders() {
+    let mut engines: Vec<BalancedEngine> = (0..12)
+        .map(|number| match number < 4 {
+            true => engine("z", Role::Decode, 26),
+            false => engine("z", Role::Prefill, 0),
+        })
+        .collect();
+    apply(&mut engines);
+    assert_eq!(decoders(&engines), 7);
+}
+
+#[test]
+fn a_small_difference_changes_nothing() {
+    let mut engines: Vec<BalancedEngine> = (0..8).map(|_| engine("z", Role::Prefill, 0)).collect();
+    for decoder in engines.iter_mut().take(3) {
+        decoder.role = Role::Decode;
+    }
+    assert_eq!(apply(&mut engines), 0);
+}
+
+#[test]
+fn engines_that_do_both_and_engines_that_change_are_left_alone() {
+    let mut engines = vec![engine("z", Role::Mixed, 0); 6];
+    assert_eq!(apply(&mut engines), 0);
+    let mut engines: Vec<BalancedEngine> = (0..8).map(|_| engine("z", Role::Decode, 0)).collect();
+    for changing in engines.iter_mut().take(3) {
+        changing.changing = true;
+    }
+    assert_eq!(apply(&mut engines), 0);
+}
+
+fn engines() -> impl Strategy<Value = Vec<BalancedEngine>> {
+    let one = (0..4_usize, any::<bool>(), 0..8_u32);
+    prop::collection::vec(one, 2..40).prop_map(|rows| {
+        rows.into_iter()
+            .map(|(zone, decodes, streams)| {
+                let role = if decodes { Role::Decode } else { Role::Prefill };
+                engine(&format!("z{zone}"), role, streams)
+            })
+            .collect()
+    })
+}
+
+proptest! {
+    /// With constant streams the changes come to an end, and both roles are there.
+    #[test]
+    fn changes_end_with_both_roles_filled(mut engines in engines()) {
+        let mut rounds = 0;
+        let streams: Vec<u32> = engines.iter().map(|engine| engine.streams).collect();
+        loop {
+            for (engine, streams) in engines.iter_mut().zip(&streams) {
+                engine.streams = if engine.role == Role::Decode { *streams } else { 0 };
+            }
+            if apply(&mut engines) == 0 {
+                break;
+            }
+            rounds += 1;
+            prop_assert!(rounds < 60, "the changes do not end");
+        }
+        let decoders = decoders(&engines);
+        prop_assert!(decoders > 0 && decoders < engines.len());
+    }
+}
