What caches hold is learnt at a start: from another gateway, or from the engines' lists

Cause: after a restart a gateway knew nothing of caches and had shared parts read again; after the loss of all gateways all did.

--- a/crates/forwarding/src/cache_view.rs
+++ b/crates/forwarding/src/cache_view.rs
@@ -58,6 +58,12 @@
             .sum()
     }
 
+    /// Parts that another worker could fetch from here now, with their lengths.
+    pub fn ready_parts(&self) -> impl Iterator<Item = (PartKey, u64)> + '_ {
+        let ready = self.parts.iter().filter(|(_, held)| held.ready);
+        ready.map(|(key, held)| (*key, held.tokens))
+    }
+
     /// A part is being read.
     pub fn began(&mut self, now: Timestamp, key: PartKey, tokens: u64, capacity: u64) {
         let ready = self.parts.get(&key).is_some_and(|held| held.ready);
--- a/crates/forwarding/src/directory.rs
+++ b/crates/forwarding/src/directory.rs
@@ -601,6 +601,53 @@
         }
     }
 
+    /// The parts of prompts that are believed to lie in caches.
+    pub fn known_parts(&self) -> Vec<PartRead> {
+        let parts = self.workers.values().flat_map(|tracked| {
+            let ready = tracked.cache.ready_parts();
+            ready.map(|(part, tokens)| PartRead {
+                worker: tracked.key,
+                part,
+                tokens,
+                ready: true,
+            })
+        });
+        parts.collect()
+    }
+
+    /// Takes in what another gateway believes of caches.
+    pub fn learn_parts(&mut self, now: Timestamp, parts: &[PartRead]) {
+        for read in parts {
+            let capacity = self.capacity_by_key(read.worker);
+            if let Some(tracked) = self.tracked_by_key(read.worker) {
+                tracked.cache.used(now, read.part, read.tokens, capacity);
+            }
+        }
+    }
+
+    /// Takes in what an engine says that its cache holds, and tells the other gateways.
+    pub fn list_parts(&mut self, now: Timestamp, id: &WorkerId, parts: &[PromptPart]) {
+        let Some(tracked) = self.workers.get_mut(id) else {
+            return;
+        };
+        let capacity = self
+            .engines
+            .get(&tracked.worker.service)
+            .map_or(DEFAULT_CACHE_TOKENS, |engine| engine.cache_tokens);
+        for part in parts {
+            let key = PartKey::of(part);
+            tracked.cache.used(now, key, part.tokens, capacity);
+            if part.tokens >= REPORTED_PROMPT_TOKENS {
+                self.reporter.record_part(PartRead {
+                    worker: tracked.key,
+                    part: key,
+                    tokens: part.tokens,
+                    ready: true,
+                });
+            }
+        }
+    }
+
     fn candidates(
         &self,
         now: Timestamp,
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -21,6 +21,8 @@
 const SMALL_CHANGE_PACE: Duration = Duration::from_millis(150);
 /// Pace at which figures that are not zero are repeated.
 const REPEAT_PACE: Duration = Duration::from_millis(500);
+/// Parts in one report, so that it fits a datagram.
+const MAX_REPORTED_PARTS: usize = 40;
 /// Age at which a figure is dropped.
 pub const STALE_AFTER: Duration = Duration::from_millis(1_600);
 
@@ -158,7 +160,10 @@
             sender: self.sender,
             sequence: self.sequence,
             loads,
-            parts: std::mem::take(&mut self.parts),
+            parts: self
+                .parts
+                .drain(..self.parts.len().min(MAX_REPORTED_PARTS))
+                .collect(),
         })
     }
 }
--- /dev/null
+++ b/crates/gateway/src/cache_recovery.rs
@@ -0,0 +1,129 @@
+//! What engines' caches hold is known from what was sent there. A gateway that starts asks another
+//! gateway for what it knows. If nobody knows anything, as after the loss of all gateways, engines
+//! are asked for lists: each by the gateway that the hash of its identity ranks first, which tells
+//! the others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::{web, HttpResponse};
+use awc::Client;
+use prost::Message;
+use tansyhall_core::hash::rendezvous_rank;
+use tansyhall_forwarding::{PartRead, Worker};
+use tokio::time::{sleep, timeout};
+
+use crate::connections::WorkerRequest;
+use crate::load_exchange::{decode_part, encode_part, PartMessage};
+use crate::presence;
+use crate::state::Shared;
+
+/// Pause between two looks for workers and gateways.
+const PACE: Duration = Duration::from_millis(100);
+/// Looks before a gateway that sees no other goes on alone.
+const PATIENCE: u32 = 8;
+/// Gateways that are asked.
+const ASKED_GATEWAYS: usize = 3;
+/// Time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// The longest answer.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// What a gateway knows of caches, on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct CachesMessage {
+    /// Parts and where they lie.
+    #[prost(message, repeated, tag = "1")]
+    pub parts: Vec<PartMessage>,
+}
+
+/// Answers a gateway that asks what caches hold.
+pub async fn hand_over(shared: web::Data<Arc<Shared>>) -> HttpResponse {
+    let parts = shared.directory.lock().known_parts();
+    let message = CachesMessage {
+        parts: parts.iter().map(encode_part).collect(),
+    };
+    HttpResponse::Ok().body(message.encode_to_vec())
+}
+
+/// Learns what caches hold, once.
+pub async fn run(shared: Arc<Shared>) {
+    wait_for_the_fleet(&shared).await;
+    let client = Client::builder().timeout(CALL_TIMEOUT).finish();
+    for gateway in other_gateways(&shared).into_iter().take(ASKED_GATEWAYS) {
+        let parts = ask_gateway(&client, gateway).await.unwrap_or_default();
+        if !parts.is_empty() {
+            let now = shared.now();
+            shared.directory.lock().learn_parts(now, &parts);
+            return;
+        }
+    }
+    for worker in own_engines(&shared) {
+        let parts = list_engine(&shared, &worker).await.unwrap_or_default();
+        let now = shared.now();
+        shared.directory.lock().list_parts(now, &worker.id, &parts);
+    }
+}
+
+async fn wait_for_the_fleet(shared: &Shared) {
+    let mut looks = 0;
+    while !shared.can_serve() || (looks < PATIENCE && other_gateways(shared).is_empty()) {
+        sleep(PACE).await;
+        looks += 1;
+    }
+}
+
+fn other_gateways(shared: &Shared) -> Vec<SocketAddr> {
+    let own = shared.settings.read().listen.peers;
+    let members = presence::members(&shared.mirror.lock());
+    let others = members.into_iter().map(|member| member.copy);
+    others.filter(|address| *address != own).collect()
+}
+
+fn own_engines(shared: &Shared) -> Vec<Worker> {
+    let own = shared.settings.read().node.name.clone();
+    let mut names: Vec<String> = {
+        let members = presence::members(&shared.mirror.lock());
+        members.into_iter().map(|member| member.name).collect()
+    };
+    if !names.contains(&own) {
+        names.push(own.clone());
+    }
+    let engines = shared.directory.lock().engine_loads(shared.now());
+    let is_own = |worker: &Worker| {
+        let ranked = rendezvous_rank(worker.id.as_str().as_bytes(), names.iter());
+        ranked.first().is_some_and(|name| **name == own)
+    };
+    let engines = engines.into_iter().map(|engine| engine.worker);
+    engines.filter(is_own).collect()
+}
+
+async fn ask_gateway(client: &Client, gateway: SocketAddr) -> Option<Vec<PartRead>> {
+    let call = client.get(format!("http://{gateway}/caches"));
+    let mut response = call.send().await.ok()?;
+    let body = response.body().limit(MAX_ANSWER_BYTES).await.ok()?;
+    let message = CachesMessage::decode(body).ok()?;
+    Some(message.parts.into_iter().map(decode_part).collect())
+}
+
+async fn list_engine(
+    shared: &Shared,
+    worker: &Worker,
+) -> Option<Vec<tansyhall_forwarding::PromptPart>> {
+    let call = shared.protocol.cache_list_call();
+    let request = WorkerRequest {
+        method: call.method.to_owned(),
+        target: call.path,
+        headers: call.headers,
+        body: call.body,
+    };
+    let destination = shared.destination(worker);
+    let answered = async {
+        let sent = shared.connections.send(&destination, &request).await;
+        let mut answer = sent.ok().filter(|answer| answer.status == 200)?;
+        answer.body.read_whole(MAX_ANSWER_BYTES).await
+    };
+    let body = timeout(CALL_TIMEOUT, answered).await.ok().flatten()?;
+    shared.protocol.cache_list(&body).ok()
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 pub mod answer;
+pub mod cache_recovery;
 pub mod connections;
 pub mod desired_roles;
 pub mod events;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -116,17 +116,31 @@
         sends: entry.load.sends,
         reading_tokens: entry.load.reading_tokens,
     });
-    let parts = report.parts.iter().map(|read| PartMessage {
-        worker: read.worker.0,
-        part: read.part.0,
-        tokens: read.tokens,
-        ready: read.ready,
-    });
     ReportMessage {
         sender: report.sender.0,
         sequence: report.sequence,
         loads: loads.collect(),
-        parts: parts.collect(),
+        parts: report.parts.iter().map(encode_part).collect(),
+    }
+}
+
+/// A part for the wire.
+pub fn encode_part(read: &PartRead) -> PartMessage {
+    PartMessage {
+        worker: read.worker.0,
+        part: read.part.0,
+        tokens: read.tokens,
+        ready: read.ready,
+    }
+}
+
+/// A part from the wire.
+pub fn decode_part(message: PartMessage) -> PartRead {
+    PartRead {
+        worker: WorkerKey(message.worker),
+        part: PartKey(message.part),
+        tokens: message.tokens,
+        ready: message.ready,
     }
 }
 
@@ -138,16 +152,10 @@
             reading_tokens: entry.reading_tokens,
         },
     });
-    let parts = message.parts.into_iter().map(|read| PartRead {
-        worker: WorkerKey(read.worker),
-        part: PartKey(read.part),
-        tokens: read.tokens,
-        ready: read.ready,
-    });
     LoadReport {
         sender: GatewayKey(message.sender),
         sequence: message.sequence,
         loads: loads.collect(),
-        parts: parts.collect(),
+        parts: message.parts.into_iter().map(decode_part).collect(),
     }
 }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -128,6 +128,10 @@
     fn report_call(&self) -> WorkerCall;
     /// Decodes an engine's report.
     fn engine_report(&self, body: &[u8]) -> anyhow::Result<EngineReport>;
+    /// The call for the list of what an engine's cache holds.
+    fn cache_list_call(&self) -> WorkerCall;
+    /// Decodes that list.
+    fn cache_list(&self, body: &[u8]) -> anyhow::Result<Vec<PromptPart>>;
     /// The call that orders an engine to change its role.
     fn role_order(&self, order: &RoleOrder) -> WorkerCall;
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -25,7 +25,7 @@
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
-use crate::{ingress, load_exchange, peers, presence, readiness, role_authority};
+use crate::{cache_recovery, ingress, load_exchange, peers, presence, readiness, role_authority};
 
 /// Time that callers' connections may rest.
 const CALLER_IDLE: Duration = Duration::from_secs(75);
@@ -71,6 +71,7 @@
     actix_rt::spawn(peers::follow(Arc::clone(&shared), contact));
     let exchange = load_exchange::run(Arc::clone(&shared), settings.listen.load);
     actix_rt::spawn(exchange.await?);
+    actix_rt::spawn(cache_recovery::run(Arc::clone(&shared)));
     actix_rt::spawn(prune(Arc::clone(&shared)));
     let lease = NodeLease::default();
     spawn_under_lease(&shared, &adapter.store, &lease);
@@ -141,6 +142,7 @@
         App::new()
             .app_data(data.clone())
             .route("/copy", web::get().to(peers::hand_over))
+            .route("/caches", web::get().to(cache_recovery::hand_over))
     })
     .workers(1)
     .disable_signals()
