--- /dev/null
+++ b/crates/cli/src/commands/explain.rs
@@ -0,0 +1,123 @@
+//! `tansyhall explain`: the life of one request, from the logs of all gateways, and its cause.
+
+use std::process::ExitCode;
+
+use anyhow::Result;
+use pico_args::Arguments;
+use serde_json::Value;
+
+use crate::exit::Usage;
+
+const HELP: &str = "\
+Print what gateways logged about a request, in order, and why it ended as it did.
+
+USAGE:
+  tansyhall explain --request ID [--json] FILE...
+
+FILE holds lines of standard output of one or more gateways; what stands before a line's JSON is
+passed over. --json prints one JSON object: the lines and the cause.
+
+EXIT CODES:
+  0  the request was found
+  1  no line names it
+  2  wrong usage, or a file that cannot be read
+";
+
+/// Runs the command.
+pub fn run(mut arguments: Arguments) -> Result<ExitCode> {
+    if arguments.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    let request: String = arguments.value_from_str("--request")?;
+    let as_json = arguments.contains("--json");
+    let files = arguments.finish();
+    if files.is_empty() {
+        anyhow::bail!(Usage("which files? see tansyhall explain --help".into()));
+    }
+    let mut lines = Vec::new();
+    for file in &files {
+        let name = file.to_string_lossy();
+        let text = std::fs::read(file).map_err(|e| Usage(format!("{name}: {e}")))?;
+        lines.extend(lines_about(&String::from_utf8_lossy(&text), &request));
+    }
+    lines.sort_by_key(|line| line["at_ms"].as_u64().unwrap_or_default());
+    if lines.is_empty() {
+        eprintln!("no line names request {request}");
+        return Ok(ExitCode::FAILURE);
+    }
+    let cause = cause(&lines);
+    match as_json {
+        true => println!("{}", serde_json::json!({ "lines": lines, "cause": cause })),
+        false => print(&lines, &cause),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn lines_about(text: &str, request: &str) -> Vec<Value> {
+    let parse = |line: &str| {
+        let start = line.find('{')?;
+        let value: Value = serde_json::from_str(&line[start..]).ok()?;
+        (value["request"] == request).then_some(value)
+    };
+    text.lines().filter_map(parse).collect()
+}
+
+fn text<'a>(line: &'a Value, field: &str) -> &'a str {
+    line[field].as_str().unwrap_or_default()
+}
+
+/// One sentence on why the request ended as it did.
+fn cause(lines: &[Value]) -> String {
+    let last = |event: &str| lines.iter().rev().find(|line| text(line, "event") == event);
+    if let Some(refused) = last("refused") {
+        return format!(
+            "refused before anything was tried: {}, with configuration {} in force and the store \
+             heard {} ms before",
+            text(refused, "reason"),
+            refused["configuration"],
+            refused["store_age_ms"]
+        );
+    }
+    let failed_send = lines
+        .iter()
+        .rev()
+        .find(|line| text(line, "event") == "send" && text(line, "outcome") != "answered");
+    let send = failed_send.map_or_else(String::new, |send| {
+        format!(
+            "; last failed send: {} at {} {} after {} ms ({} ms were expected)",
+            text(send, "work"),
+            text(send, "worker"),
+            text(send, "outcome"),
+            send["took_ms"],
+            send["expected_ms"]
+        )
+    });
+    match last("request") {
+        Some(end) => format!(
+            "{} after {} ms and {} sends, {} ms and {} retries left{send}",
+            text(end, "outcome"),
+            end["took_ms"],
+            end["sends"],
+            end["left_ms"],
+            end["retries_left"]
+        ),
+        None => {
+            format!("no end is logged: the gateway ended first, or its lines were dropped{send}")
+        }
+    }
+}
+
+fn print(lines: &[Value], cause: &str) {
+    for line in lines {
+        let fields = line.as_object().into_iter().flatten();
+        let fields = fields
+            .filter(|(name, _)| !matches!(name.as_str(), "at_ms" | "node" | "event" | "request"));
+        let fields: Vec<String> = fields
+            .map(|(name, value)| format!("{name}={value}"))
+            .collect();
+        let (at, node, event) = (&line["at_ms"], text(line, "node"), text(line, "event"));
+        println!("{at} {node} {event} {}", fields.join(" "));
+    }
+    println!("cause: {cause}");
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,5 +3,6 @@
 pub mod check;
 pub mod ctl;
 pub mod dev;
+pub mod explain;
 pub mod gateway;
 pub mod node;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -18,6 +18,7 @@
   tansyhall gateway --settings FILE       run a gateway on the users' platform
   tansyhall ctl COMMAND ...               operate a fleet; see `tansyhall ctl --help`
   tansyhall check FILE...                 check settings, resource and policy files
+  tansyhall explain --request ID FILE...  why a request ended as it did, from gateways' logs
   tansyhall dev [--load NAME] [--duration TIME] [--seed N] [--json]
                                           a whole small fleet in one process
   tansyhall --help | --version
@@ -43,6 +44,7 @@
     let command = arguments.subcommand()?;
     match command.as_deref() {
         Some("node") => commands::node::run(arguments),
+        Some("explain") => commands::explain::run(arguments),
         Some("gateway") => commands::gateway::run(arguments),
         Some("ctl") => commands::ctl::run(arguments),
         Some("check") => commands::check::run(arguments),
--- /dev/null
+++ b/crates/cli/tests/explain.rs
@@ -0,0 +1,60 @@
+//! `tansyhall explain` merges the lines of several gateways and names the cause.
+
+use std::process::{Command, Output};
+
+const FIRST: &str = r#"
+  1.25 gateway-1 {"at_ms":30,"node":"gateway-1","event":"request","request":"r-1","route":"x","configuration":4,"outcome":"lost","sends":1,"took_ms":25,"left_ms":975,"retries_left":3,"store_age_ms":40}
+not a line of ours
+{"at_ms":5,"node":"gateway-1","event":"started","zone":"z"}
+{"at_ms":28,"node":"gateway-1","event":"send","request":"r-1","worker":"i-1","work":"run","outcome":"failed","reading_tokens":0,"fetched":false,"expected_ms":15,"took_ms":20}
+"#;
+const SECOND: &str = r#"
+{"at_ms":10,"node":"gateway-2","event":"refused","request":"r-2","reason":"no_route","configuration":4,"store_age_ms":77}
+{"at_ms":1,"node":"gateway-2","event":"send","request":"r-1","worker":"i-9","work":"read_prompt","outcome":"answered","reading_tokens":9,"fetched":true,"expected_ms":15,"took_ms":20}
+"#;
+
+fn explain(arguments: &[&str]) -> Output {
+    let directory = tempfile::tempdir().expect("a directory");
+    for (name, text) in [("first.log", FIRST), ("second.log", SECOND)] {
+        std::fs::write(directory.path().join(name), text).expect("the file is written");
+    }
+    Command::new(env!("CARGO_BIN_EXE_tansyhall"))
+        .current_dir(directory.path())
+        .arg("explain")
+        .args(arguments)
+        .output()
+        .expect("tansyhall runs")
+}
+
+#[test]
+fn lines_of_all_gateways_stand_in_order_with_the_cause_last() {
+    let output = explain(&["--request", "r-1", "first.log", "second.log"]);
+    assert!(output.status.success());
+    let text = String::from_utf8_lossy(&output.stdout);
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 4);
+    assert!(lines[0].starts_with("1 gateway-2 send"));
+    assert!(lines[1].starts_with("28 gateway-1 send"));
+    assert_eq!(
+        lines[3],
+        "cause: lost after 25 ms and 1 sends, 975 ms and 3 retries left; last failed send: run at \
+         i-1 failed after 20 ms (15 ms were expected)"
+    );
+}
+
+#[test]
+fn programs_get_json() {
+    let output = explain(&["--json", "--request", "r-2", "first.log", "second.log"]);
+    let value: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(value["lines"].as_array().map(Vec::len), Some(1));
+    let cause = value["cause"].as_str().expect("a cause");
+    assert!(cause.contains("no_route") && cause.contains("configuration 4"));
+}
+
+#[test]
+fn an_unknown_request_and_a_missing_file_are_errors() {
+    let unknown = explain(&["--request", "r-9", "first.log"]);
+    assert_eq!(unknown.status.code(), Some(1));
+    let missing = explain(&["--request", "r-1", "third.log"]);
+    assert_eq!(missing.status.code(), Some(2));
+}
--- a/crates/cli/tests/gateway_support/mod.rs
+++ b/crates/cli/tests/gateway_support/mod.rs
@@ -124,6 +124,10 @@
         let addresses = GatewayAddresses::free();
         let name = format!("gateway-{number}");
         let settings = render(TEMPLATE, &fields(&name, &addresses, &door)).expect("a template");
+        let settings = settings.replace(
+            "metrics = \"127.0.0.1:9464\"",
+            &format!("metrics = \"{}\"", addresses.metrics),
+        );
         let process = gateway(self._directory.path(), &name, &settings, addresses);
         self.gateways.push(SiteGateway(process));
         self.doors.push(door);
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -2,11 +2,12 @@
 //! this gateway believes.
 //!
 //! Writing never blocks: lines wait in a bounded queue for one writer thread. Routine lines may
-//! fill half of it, all others the whole; what finds no room is dropped and counted, and the count
-//! is written when there is room again.
+//! fill half of it and come at a bounded rate, all others may fill the whole; what finds no room is
+//! dropped and counted, and the count is written when there is room again.
 
 use std::collections::VecDeque;
 use std::io::Write;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -92,6 +93,17 @@
         /// Milliseconds it took.
         took_ms: u64,
     },
+    /// A request was refused before anything was tried.
+    Refused {
+        /// The caller's id of the request.
+        request: &'a str,
+        /// Why.
+        reason: &'a str,
+        /// The version of the configuration in force; 0 if none is.
+        configuration: u64,
+        /// Milliseconds since the store last answered.
+        store_age_ms: u64,
+    },
     /// A request is over.
     Request {
         /// The caller's id of it.
@@ -108,6 +120,10 @@
         took_ms: u64,
         /// Milliseconds that were left.
         left_ms: u64,
+        /// Retries that this gateway could still spend on the service.
+        retries_left: u64,
+        /// Milliseconds since the store last answered.
+        store_age_ms: u64,
     },
     /// This gateway came to hold the authority over roles, or lost it.
     Authority {
@@ -148,36 +164,58 @@
 /// The queue before the writer.
 #[derive(Debug)]
 pub struct EventLog {
+    node: String,
     queue: Mutex<Queue>,
     filled: Condvar,
     capacity: usize,
-    routine: bool,
+    routine_per_second: AtomicU32,
 }
 
 #[derive(Debug, Default)]
 struct Queue {
     lines: VecDeque<String>,
     dropped: u64,
+    second: u64,
+    routine_in_second: u32,
+}
+
+impl Queue {
+    fn admits_routine(&mut self, at_ms: u64, most: u32) -> bool {
+        let second = at_ms / 1_000;
+        if second != self.second {
+            self.second = second;
+            self.routine_in_second = 0;
+        }
+        self.routine_in_second = self.routine_in_second.saturating_add(1);
+        self.routine_in_second <= most
+    }
 }
 
 #[derive(Serialize)]
 struct Line<'a> {
     at_ms: u64,
+    node: &'a str,
     #[serde(flatten)]
     event: &'a Event<'a>,
 }
 
 impl EventLog {
     /// A log without a writer; see [`EventLog::start_writer`].
-    pub fn new(capacity: usize, routine: bool) -> Self {
+    pub fn new(node: &str, capacity: usize, routine_per_second: u32) -> Self {
         Self {
+            node: node.to_owned(),
             queue: Mutex::default(),
             filled: Condvar::new(),
             capacity,
-            routine,
+            routine_per_second: AtomicU32::new(routine_per_second),
         }
     }
 
+    /// Changes how many routine lines are written in a second at the most.
+    pub fn set_routine_per_second(&self, most: u32) {
+        self.routine_per_second.store(most, Ordering::Relaxed);
+    }
+
     /// Writes lines to standard output from a thread of its own.
     pub fn start_writer(self: &Arc<Self>) -> std::io::Result<()> {
         let log = Arc::clone(self);
@@ -189,17 +227,18 @@
 
     /// Puts an event in the queue, if it has room.
     pub fn record(&self, weight: Weight, event: &Event<'_>) {
+        let at_ms = since_epoch_ms();
+        let mut queue = self.queue.lock();
         let room = match weight {
-            Weight::Routine if !self.routine => return,
-            Weight::Routine => self.capacity / 2,
             Weight::Important => self.capacity,
+            Weight::Routine if !queue.admits_routine(at_ms, self.routine_limit()) => 0,
+            Weight::Routine => self.capacity / 2,
         };
-        let mut queue = self.queue.lock();
         if queue.lines.len() >= room {
             queue.dropped += 1;
             return;
         }
-        queue.lines.push_back(encode(event));
+        queue.lines.push_back(self.encode(at_ms, event));
         drop(queue);
         self.filled.notify_one();
     }
@@ -213,11 +252,27 @@
         let mut lines: Vec<String> = queue.lines.drain(..).collect();
         let dropped = std::mem::take(&mut queue.dropped);
         if dropped > 0 {
-            lines.push(encode(&Event::LinesDropped { count: dropped }));
+            let event = Event::LinesDropped { count: dropped };
+            lines.push(self.encode(since_epoch_ms(), &event));
         }
         lines
     }
 
+    fn routine_limit(&self) -> u32 {
+        self.routine_per_second.load(Ordering::Relaxed)
+    }
+
+    fn encode(&self, at_ms: u64, event: &Event<'_>) -> String {
+        let line = Line {
+            at_ms,
+            node: &self.node,
+            event,
+        };
+        let mut text = serde_json::to_string(&line).unwrap_or_default();
+        text.push('\n');
+        text
+    }
+
     fn write_to(&self, output: &mut impl Write) {
         loop {
             let text: String = self.take().concat();
@@ -229,11 +284,7 @@
     }
 }
 
-fn encode(event: &Event<'_>) -> String {
+fn since_epoch_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    let at_ms = since_epoch.map_or(0, |time| time.as_millis() as u64);
-    let line = Line { at_ms, event };
-    let mut text = serde_json::to_string(&line).unwrap_or_default();
-    text.push('\n');
-    text
+    since_epoch.map_or(0, |time| time.as_millis() as u64)
 }
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -183,6 +183,12 @@
         self.shared.retries.lock().try_retry(now, service)
     }
 
+    fn retries_left(&self, now: Timestamp) -> u64 {
+        let service = &self.request.routed.service;
+        let left = self.shared.retries.lock().left(now, service);
+        left.max(0.0) as u64
+    }
+
     fn worker(&self, id: &WorkerId) -> Option<Worker> {
         self.shared.directory.lock().get(id).cloned()
     }
@@ -276,6 +282,8 @@
             sends,
             took_ms: whole_millis(now.since(self.request.arrived)),
             left_ms: whole_millis(self.request.deadline.since(now)),
+            retries_left: self.retries_left(now),
+            store_age_ms: self.shared.store_age_ms(),
         };
         self.shared.log.record(weight, &event);
     }
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -38,7 +38,7 @@
         let mut sent = None;
         if !patient && silence < deadline {
             sent = timeout_at(silence, &mut sending).await.ok();
-            if sent.is_none() && self.retries_left() {
+            if sent.is_none() && self.retries_left(self.shared.now()) > 0 {
                 guard.ended(SendResult::Abandoned { silent: true });
                 return failed(SendFailure::MayHaveRun);
             }
@@ -60,12 +60,6 @@
         }
     }
 
-    fn retries_left(&self) -> bool {
-        let now = self.shared.now();
-        let service = &self.request.routed.service;
-        self.shared.retries.lock().left(now, service) >= 1.0
-    }
-
     async fn judge(&mut self, answer: WorkerAnswer, mut guard: SendGuard) -> RequestEvent {
         let protocol = &self.shared.protocol;
         let kind = protocol.answer_kind(answer.status, &answer.headers, &self.request.terms);
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -43,10 +43,10 @@
 }
 
 /// Follows the store for ever.
-pub async fn follow(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>, contact: Arc<StoreContact>) {
+pub async fn follow(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>) {
     let mut lost = false;
     loop {
-        let Err(error) = follow_until_error(&shared, &*store, &contact, &mut lost).await;
+        let Err(error) = follow_until_error(&shared, &*store, &mut lost).await;
         if !lost && !matches!(error, StoreError::Compacted) {
             lost = true;
             record_dependency(&shared, "lost", &error.to_string());
@@ -58,18 +58,17 @@
 async fn follow_until_error(
     shared: &Arc<Shared>,
     store: &dyn KeyValueStore,
-    contact: &StoreContact,
     lost: &mut bool,
 ) -> Result<std::convert::Infallible, StoreError> {
     read_all(shared, store).await?;
-    reached(shared, contact, lost);
+    reached(shared, lost);
     let start = shared.mirror.lock().revision() + 1;
     let mut watch = in_time(store.watch(EVERYTHING, Revision(start))).await?;
     loop {
         let Some(events) = in_time(async { watch.next().await.transpose() }).await? else {
             return Err(StoreError::NotApplied("the watch ended".into()));
         };
-        reached(shared, contact, lost);
+        reached(shared, lost);
         let changes: Vec<MirrorChange> = events.into_iter().map(change).collect();
         let revision = changes.iter().map(MirrorChange::revision).max();
         let changed = shared
@@ -95,8 +94,8 @@
     Ok(())
 }
 
-fn reached(shared: &Shared, contact: &StoreContact, lost: &mut bool) {
-    contact.mark(shared.now());
+fn reached(shared: &Shared, lost: &mut bool) {
+    shared.store_contact.mark(shared.now());
     if *lost {
         *lost = false;
         record_dependency(shared, "regained", "");
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::answer::{self, Answer, AnswerHead, AnswerSource, OwnAnswer};
+use crate::events::{Event, Weight};
 use crate::exchange::{CallerRequest, Exchange};
 use crate::headers::HeaderList;
 use crate::state::{InFlight, InForce, Routed, Shared};
@@ -43,7 +44,10 @@
     let in_flight = InFlight::begin(shared);
     let response = match take_in(&request, payload, shared).await {
         Ok(caller_request) => forward(shared, caller_request).await,
-        Err(refusal) => refuse(&refusal),
+        Err(refusal) => {
+            record_refusal(&request, &refusal, shared);
+            refuse(&refusal)
+        }
     };
     drop(in_flight);
     close_if_stopping(response, shared)
@@ -167,6 +171,33 @@
         .body(format!("not run: {reason}\n"))
 }
 
+fn record_refusal(request: &HttpRequest, refusal: &Refusal, shared: &Shared) {
+    let terms = shared.protocol.caller_terms(&caller_headers(request));
+    let request_id = terms.ok().and_then(|terms| terms.request_id);
+    let in_force = shared.in_force();
+    let event = Event::Refused {
+        request: request_id.as_deref().unwrap_or_default(),
+        reason: refusal.name(),
+        configuration: in_force.map_or(0, |in_force| in_force.configuration.version),
+        store_age_ms: shared.store_age_ms(),
+    };
+    shared.log.record(Weight::Important, &event);
+}
+
+impl Refusal {
+    fn name(&self) -> &'static str {
+        match self {
+            Refusal::NotReady => "no_configuration",
+            Refusal::Leaving => "leaving",
+            Refusal::NoRoute => "no_route",
+            Refusal::BadRequest(_) => "bad_request",
+            Refusal::BodyTooLong => "body_too_long",
+            Refusal::BodyBroken => "body_broken",
+            Refusal::BodyLate => "body_late",
+        }
+    }
+}
+
 fn refuse(refusal: &Refusal) -> HttpResponse {
     match refusal {
         Refusal::NotReady => not_run(NOT_READY_RETRY_AFTER, "no configuration is known yet"),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::events::{Event, Weight};
-use crate::follower::{refresh, StoreContact};
+use crate::follower::refresh;
 use crate::presence;
 use crate::state::Shared;
 
@@ -126,12 +126,12 @@
 }
 
 /// Asks peers while the store is silent.
-pub async fn follow(shared: Arc<Shared>, contact: Arc<StoreContact>) {
+pub async fn follow(shared: Arc<Shared>) {
     let client = Client::builder().timeout(CALL_TIMEOUT).finish();
     let mut relying = false;
     loop {
         sleep(PACE).await;
-        let silent = contact.age(shared.now()) > STORE_SILENCE;
+        let silent = shared.store_contact.age(shared.now()) > STORE_SILENCE;
         if silent != relying {
             relying = silent;
             record(&shared, relying);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -53,8 +53,9 @@
 /// Runs a gateway until SIGTERM or SIGINT; SIGHUP reads the settings again.
 pub async fn run(file: &Path, settings: GatewaySettings, adapter: Adapter) -> Result<()> {
     let log = Arc::new(EventLog::new(
+        &settings.node.name,
         settings.log.queue_lines,
-        settings.log.routine,
+        settings.log.routine_per_second,
     ));
     log.start_writer().context("no thread for the log")?;
     let shared = share(settings, &adapter, log)?;
@@ -62,13 +63,11 @@
     serve_callers(&shared, &settings)?;
     serve_peers(&shared, settings.listen.peers)?;
     serve_checks(&shared, settings.listen.ready, settings.listen.metrics)?;
-    let contact = Arc::new(StoreContact::default());
     actix_rt::spawn(follower::follow(
         Arc::clone(&shared),
         Rc::clone(&adapter.store),
-        Arc::clone(&contact),
     ));
-    actix_rt::spawn(peers::follow(Arc::clone(&shared), contact));
+    actix_rt::spawn(peers::follow(Arc::clone(&shared)));
     let exchange = load_exchange::run(Arc::clone(&shared), settings.listen.load);
     actix_rt::spawn(exchange.await?);
     actix_rt::spawn(cache_recovery::run(Arc::clone(&shared)));
@@ -108,6 +107,7 @@
         in_force: RwLock::new(None),
         directory: Mutex::new(Directory::new(gateway)),
         retries: Mutex::new(retries),
+        store_contact: StoreContact::default(),
         connections: Arc::new(Connections::new(clock)),
         log,
         metrics: Metrics::new()?,
@@ -163,9 +163,15 @@
     .workers(1)
     .disable_signals()
     .bind(ready)
-    .with_context(|| format!("listen.ready = {ready}"))?
-    .bind(metrics)
-    .with_context(|| format!("listen.metrics = {metrics}"))?;
+    .with_context(|| format!("listen.ready = {ready}"))?;
+    // Metrics are worth a warning, not the gateway, if their port is taken.
+    let server = match std::net::TcpListener::bind(metrics) {
+        Ok(listener) => server.listen(listener)?,
+        Err(error) => {
+            log::warn!("listen.metrics = {metrics}: {error}");
+            server
+        }
+    };
     detach(server.run());
     Ok(())
 }
@@ -210,6 +216,8 @@
         .and_then(|text| Ok(GatewaySettings::parse(&name, &text)?));
     let outcome = match outcome {
         Ok(settings) => {
+            let routine = settings.log.routine_per_second;
+            shared.log.set_routine_per_second(routine);
             *shared.settings.write() = Arc::new(settings);
             "applied".to_owned()
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -93,8 +93,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(default)]
 pub struct LogSection {
-    /// Whether requests that went well get a line too.
-    pub routine: bool,
+    /// Lines a second about what went well, at the most; 0 for none.
+    pub routine_per_second: u32,
     /// Lines that wait for a slow reader; more are dropped and counted.
     pub queue_lines: usize,
 }
@@ -102,7 +102,7 @@
 impl Default for LogSection {
     fn default() -> Self {
         Self {
-            routine: false,
+            routine_per_second: 200,
             queue_lines: 4096,
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 
 use crate::connections::{Connections, Destination};
 use crate::events::EventLog;
+use crate::follower::StoreContact;
 use crate::metrics::Metrics;
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
@@ -42,6 +43,8 @@
     pub directory: Mutex<Directory>,
     /// Retries.
     pub retries: Mutex<RetryShares>,
+    /// When the store last answered.
+    pub store_contact: StoreContact,
     /// Connections to workers.
     pub connections: Arc<Connections>,
     /// Log.
@@ -123,6 +126,11 @@
         self.in_force.read().is_some() && self.directory.lock().ready_workers() > 0
     }
 
+    /// Milliseconds since the store last answered.
+    pub fn store_age_ms(&self) -> u64 {
+        whole_millis(self.store_contact.age(self.now()))
+    }
+
     /// Whether SIGTERM has come.
     pub fn is_stopping(&self) -> bool {
         self.stopping_since.get().is_some()
