A reading that its worker took up and failed costs no budget

Cause (both incidents): engines failed a third of everything for some seconds; what followed a failed reading asked the retry budget although the reading was taken up and is free, so that 56 and 126 requests were refused that could have run.

--- a/crates/forwarding/src/request.rs
+++ b/crates/forwarding/src/request.rs
@@ -6,13 +6,14 @@
 //! - A send that provably did not run is repeated on another worker, a few times.
 //! - A send that may have run is repeated only if the request allows a second run, and only on as
 //!   many workers as its route allows.
-//! - Every send past the first asks the retry budget; the reading of a prompt is free only if it
-//!   succeeds.
+//! - Every send past the first asks the retry budget; the reading of a prompt is free if a
+//!   worker took it up.
 //! - The caller is told "not run" only while no send may have run.
 //!
 //! A model request may have its prompt read apart first. Reading runs nothing, so that its failure
-//! leaves the request as it was; the worker that runs it then reads the prompt itself. The reading
-//! may still have reached its worker, so that going on without it asks the retry budget.
+//! leaves the request as it was; the worker that runs it then reads the prompt itself. A reading
+//! that was left in its worker's queue was one more arrival there, so that going on without it asks
+//! the retry budget; one that its worker took up is free, whether it succeeded or not.
 
 use crate::configuration::Repeatability;
 use crate::worker::WorkerId;
@@ -68,7 +69,10 @@
     /// The prompt has been read.
     PromptRead(PromptHandle),
     /// The prompt has not been read.
-    PromptNotRead,
+    PromptNotRead {
+        /// Whether a worker took the reading up and failed, and did not leave it in its queue.
+        taken_up: bool,
+    },
     /// The whole answer was delivered, or is ready to be.
     Completed,
     /// The send failed before any part of its answer was delivered.
@@ -191,8 +195,11 @@
                 self.source = Some(handle);
                 self.select()
             }
-            RequestEvent::PromptNotRead => {
+            RequestEvent::PromptNotRead { taken_up } => {
                 self.current = None;
+                if taken_up {
+                    return self.select();
+                }
                 self.phase = Phase::AskingBudget;
                 Action::AskBudget
             }
--- a/crates/forwarding/tests/request_machine.rs
+++ b/crates/forwarding/tests/request_machine.rs
@@ -120,11 +120,24 @@
     let mut machine = machine(FINAL_STREAM, 1, true);
     machine.step(RequestEvent::Arrived);
     machine.step(selected("p"));
-    assert_eq!(machine.step(RequestEvent::PromptNotRead), Action::AskBudget);
+    let left_waiting = RequestEvent::PromptNotRead { taken_up: false };
+    assert_eq!(machine.step(left_waiting), Action::AskBudget);
     let action = machine.step(RequestEvent::BudgetAnswered(false));
     assert_eq!(action, Action::Finish(Conclusion::Refused));
 }
 
+/// Found in both recorded incidents: engines failed a third of everything, readings too, and the
+/// budget that these did not owe was missing for what could have run.
+#[test]
+fn a_reading_that_its_worker_took_up_and_failed_costs_no_budget() {
+    let mut machine = machine(FINAL_STREAM, 1, true);
+    machine.step(RequestEvent::Arrived);
+    machine.step(selected("p"));
+    let failed = RequestEvent::PromptNotRead { taken_up: true };
+    let avoid = Vec::new();
+    assert_eq!(machine.step(failed), Action::Select { avoid });
+}
+
 #[test]
 fn a_deadline_while_a_worker_runs_it_promises_nothing() {
     let mut machine = running(Repeatability::Repeatable, 1);
--- a/crates/gateway/src/exchange/prompt.rs
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -15,17 +15,41 @@
 /// Time for a handle to be freed.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Why a prompt was not read.
+struct ReadingFailure {
+    result: SendResult,
+    taken_up: bool,
+}
+
+impl ReadingFailure {
+    /// The worker did not take it up, as far as is known.
+    fn left(result: SendResult) -> Self {
+        Self {
+            result,
+            taken_up: false,
+        }
+    }
+
+    /// The worker took it up and failed.
+    fn taken_up() -> Self {
+        Self {
+            result: SendResult::Failed,
+            taken_up: true,
+        }
+    }
+}
+
 impl Exchange {
     /// Has the prompt read by a worker.
     pub(super) async fn read_prompt(&mut self, id: &WorkerId) -> RequestEvent {
         let Some(worker) = self.worker(id) else {
-            return RequestEvent::PromptNotRead;
+            return RequestEvent::PromptNotRead { taken_up: false };
         };
         let mut guard = self.begin_send(&worker, "read_prompt", true);
         let reading = self.try_read_prompt(&worker, &guard);
         let limit = self.silence_limit(&guard).min(self.deadline());
         let Ok(read) = timeout_at(limit, reading).await else {
-            return RequestEvent::PromptNotRead;
+            return RequestEvent::PromptNotRead { taken_up: false };
         };
         match read {
             Ok(handle) => {
@@ -33,9 +57,11 @@
                 self.unused_handle = Some(handle.clone());
                 RequestEvent::PromptRead(handle)
             }
-            Err(result) => {
-                guard.ended(result);
-                RequestEvent::PromptNotRead
+            Err(failure) => {
+                guard.ended(failure.result);
+                RequestEvent::PromptNotRead {
+                    taken_up: failure.taken_up,
+                }
             }
         }
     }
@@ -44,30 +70,27 @@
         &self,
         worker: &Worker,
         guard: &SendGuard,
-    ) -> Result<PromptHandle, SendResult> {
+    ) -> Result<PromptHandle, ReadingFailure> {
         let destination = self.shared.destination(worker);
         let request = self.worker_request(worker, Work::ReadPrompt, guard);
         let sent = self.shared.connections.send(&destination, &request).await;
         let mut answer = sent.map_err(|error| match error {
-            SendError::NotSent(_) => SendResult::Unreachable,
-            SendError::NoAnswer(_) => SendResult::Failed,
+            SendError::NotSent(_) => ReadingFailure::left(SendResult::Unreachable),
+            SendError::NoAnswer(_) => ReadingFailure::left(SendResult::Failed),
         })?;
         let protocol = &self.shared.protocol;
         let kind = protocol.answer_kind(answer.status, &answer.headers, &self.request.terms);
-        if kind == AnswerKind::NotRun {
-            return Err(SendResult::Refused);
-        }
-        if answer.status != 200 {
-            return Err(SendResult::Failed);
+        match kind {
+            AnswerKind::NotRun => return Err(ReadingFailure::left(SendResult::Refused)),
+            AnswerKind::Failure => return Err(ReadingFailure::taken_up()),
+            _ if answer.status != 200 => return Err(ReadingFailure::left(SendResult::Failed)),
+            _ => {}
         }
-        let body = answer
-            .body
-            .read_whole(MAX_ANSWER_BYTES)
-            .await
-            .ok_or(SendResult::Failed)?;
+        let body = answer.body.read_whole(MAX_ANSWER_BYTES).await;
+        let body = body.ok_or(ReadingFailure::taken_up())?;
         let handle = protocol.prompt_handle(&body).map_err(|error| {
             log::debug!("answer of {} to reading a prompt: {error:#}", worker.id);
-            SendResult::Failed
+            ReadingFailure::taken_up()
         })?;
         Ok(PromptHandle {
             worker: worker.id.clone(),
