The directory in modules; loads of others kept as sums; a ticket that was not counted ends nothing; fixed seeds

Found by the new property test: a send to a worker that was not known when it began was subtracted from another's count when it ended.

--- /dev/null
+++ b/crates/forwarding/src/directory/choice.rs
@@ -0,0 +1,304 @@
+//! Choosing a worker, and deciding whether a prompt is taken and read apart. See the module doc of
+//! the directory for how workers are compared.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tansyhall_core::hash::rendezvous_weight;
+use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
+
+use super::tracked::{Tracked, FIRST_TOKEN_COST};
+use super::{Directory, MAX_EXPECTED_SECONDS};
+use crate::reading_rate::ReadingRate;
+use crate::selection::{affinity_part, prompt_tokens, Need, PromptPart};
+use crate::worker::{Worker, WorkerId};
+
+/// Seconds that moving a KV cache costs, its price included.
+const MOVE_COST: f64 = 0.035;
+/// Seconds that fetching a part of a KV cache costs beside its transfer, its price included.
+const FETCH_COST: f64 = 0.010;
+/// A copy pushes as many tokens out of a full cache: the part of the time to read them again that
+/// this counts for.
+const DISPLACEMENT: f64 = 0.3;
+/// How many times longer a transfer between zones takes.
+const OTHER_ZONE_FETCH: f64 = 2.0;
+/// Shorter parts are read again rather than fetched.
+const MIN_FETCHED_TOKENS: u64 = 1_000;
+/// Shorter prompts are not read apart.
+const MIN_APART_TOKENS: u64 = 200;
+/// The part of its latency objective for which any prompt may wait.
+const PATIENT_PART: f64 = 0.6;
+
+/// What a worker is chosen for.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The prompt, for model engines.
+    pub prompt: &'a [PromptPart],
+    /// The zone of the gateway.
+    pub zone: &'a ZoneName,
+}
+
+/// Whether a prompt is taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It is.
+    Taken,
+    /// Its wait would be too long.
+    Refused {
+        /// How long it would have waited.
+        waiting: Duration,
+        /// When the queue is expected to be short enough.
+        retry_after: Duration,
+    },
+}
+
+/// A demand with what is the same for every worker that is compared for it.
+struct Comparison<'a> {
+    demand: Demand<'a>,
+    rate: ReadingRate,
+    holders: Vec<Holder<'a>>,
+    prompt_tokens: u64,
+}
+
+/// A worker that holds the start of a prompt.
+struct Holder<'a> {
+    tracked: &'a Tracked,
+    tokens: u64,
+}
+
+/// What reading a prompt at a worker takes.
+pub(super) struct Reading {
+    /// Tokens that neither the worker nor another holds.
+    pub(super) missing_tokens: u64,
+    /// Seconds to fetch what another holds, with what the copy displaces.
+    fetch_seconds: f64,
+    /// The worker to fetch from.
+    pub(super) source: Option<SocketAddr>,
+}
+
+/// Where a prompt is best read.
+struct Planned<'a> {
+    worker: &'a Tracked,
+    read_apart: bool,
+}
+
+impl Directory {
+    /// Whether the prompt is better read apart than by the worker that decodes.
+    pub fn reads_apart(&self, now: Timestamp, demand: Demand<'_>) -> bool {
+        let comparison = self.comparison(demand);
+        let planned = self.plan(now, &comparison);
+        planned.is_some_and(|planned| planned.read_apart)
+    }
+
+    /// Whether a prompt is taken now. It is not if it would wait long enough to be late and for more
+    /// than a part of its latency objective: what is refused can come back when the queue is
+    /// shorter, and what is taken is in time. Only the wait counts against a prompt, not its own
+    /// length, so that long ones are not starved.
+    pub fn admit(&self, now: Timestamp, demand: Demand<'_>, objective: Duration) -> Admission {
+        if demand.prompt.is_empty() {
+            return Admission::Taken;
+        }
+        let comparison = self.comparison(demand);
+        let Some(planned) = self.plan(now, &comparison) else {
+            return Admission::Taken;
+        };
+        let objective = objective.as_secs_f64();
+        let patience = objective * PATIENT_PART;
+        let worker = planned.worker;
+        let waiting = worker.tokens_seconds(worker.load().reading_tokens, comparison.rate);
+        let reading = self.reading(worker, &comparison);
+        let own = worker.tokens_seconds(reading.missing_tokens, comparison.rate)
+            + reading.fetch_seconds
+            + FIRST_TOKEN_COST;
+        if waiting <= patience || waiting + own <= objective {
+            return Admission::Taken;
+        }
+        let bounded = |seconds: f64| Duration::from_secs_f64(seconds.min(MAX_EXPECTED_SECONDS));
+        Admission::Refused {
+            waiting: bounded(waiting),
+            retry_after: bounded(waiting - patience),
+        }
+    }
+
+    /// Chooses a worker for a gateway in the demand's zone.
+    pub fn select(
+        &self,
+        now: Timestamp,
+        demand: Demand<'_>,
+        need: &Need,
+        avoid: &[WorkerId],
+    ) -> Option<&Worker> {
+        let comparison = self.comparison(demand);
+        let affinity = affinity_part(demand.prompt);
+        let rank = |tracked: &Tracked| {
+            let key = affinity.map_or(&[][..], |part| part.id.as_bytes());
+            rendezvous_weight(key, tracked.worker.id.as_str().as_bytes())
+        };
+        self.candidates(now, demand.service, need, avoid)
+            .into_iter()
+            .map(|tracked| (self.expected_seconds(tracked, need, &comparison), tracked))
+            .min_by(|(left_seconds, left), (right_seconds, right)| {
+                left_seconds
+                    .total_cmp(right_seconds)
+                    .then_with(|| rank(right).cmp(&rank(left)))
+            })
+            .map(|(_, tracked)| &tracked.worker)
+    }
+
+    /// What reading a prompt at a worker takes.
+    pub(super) fn reading_of(&self, tracked: &Tracked, prompt: &[PromptPart]) -> Reading {
+        let comparison = self.comparison(Demand {
+            service: &tracked.worker.service,
+            prompt,
+            zone: &tracked.worker.zone,
+        });
+        self.reading(tracked, &comparison)
+    }
+
+    fn comparison<'a>(&'a self, demand: Demand<'a>) -> Comparison<'a> {
+        let tokens = prompt_tokens(demand.prompt);
+        let holders = match tokens < MIN_FETCHED_TOKENS {
+            true => Vec::new(),
+            false => self.holders(demand),
+        };
+        Comparison {
+            demand,
+            rate: self.rates.get(demand.service).copied().unwrap_or_default(),
+            holders,
+            prompt_tokens: tokens,
+        }
+    }
+
+    fn holders<'a>(&'a self, demand: Demand<'a>) -> Vec<Holder<'a>> {
+        let members = self
+            .workers
+            .values()
+            .filter(|tracked| tracked.announced && tracked.worker.service == *demand.service);
+        members
+            .map(|tracked| Holder {
+                tracked,
+                tokens: tracked.cache.ready_tokens(demand.prompt),
+            })
+            .filter(|holder| holder.tokens >= MIN_FETCHED_TOKENS)
+            .collect()
+    }
+
+    /// Where a prompt would best be read, and whether apart.
+    fn plan<'a>(&'a self, now: Timestamp, comparison: &Comparison<'a>) -> Option<Planned<'a>> {
+        let best = |need: &Need| {
+            let candidates = self.candidates(now, comparison.demand.service, need, &[]);
+            candidates
+                .into_iter()
+                .map(|worker| (self.expected_seconds(worker, need, comparison), worker))
+                .min_by(|(left, _), (right, _)| left.total_cmp(right))
+        };
+        let (whole_seconds, worker) = best(&Need::Run)?;
+        let apart = match comparison.prompt_tokens < MIN_APART_TOKENS {
+            true => None,
+            false => best(&Need::ReadPrompt),
+        };
+        match apart {
+            Some((seconds, reader)) if seconds + MOVE_COST < whole_seconds => Some(Planned {
+                worker: reader,
+                read_apart: true,
+            }),
+            _ => Some(Planned {
+                worker,
+                read_apart: false,
+            }),
+        }
+    }
+
+    fn candidates(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        need: &Need,
+        avoid: &[WorkerId],
+    ) -> Vec<&Tracked> {
+        let fits = |tracked: &&Tracked| {
+            tracked.takes_new_requests()
+                && tracked.worker.service == *service
+                && serves(tracked.worker.role, need)
+                && !avoid.contains(&tracked.worker.id)
+        };
+        let fitting: Vec<&Tracked> = self.workers.values().filter(fits).collect();
+        let is_rested = |tracked: &&Tracked| !tracked.is_paused(now);
+        let rested: Vec<&Tracked> = fitting.iter().copied().filter(is_rested).collect();
+        match rested.is_empty() {
+            true => fitting,
+            false => rested,
+        }
+    }
+
+    fn expected_seconds(&self, tracked: &Tracked, need: &Need, comparison: &Comparison<'_>) -> f64 {
+        let demand = &comparison.demand;
+        match need {
+            Need::Run if demand.prompt.is_empty() => {
+                tracked.weigh(tracked.plain_seconds(), demand.zone)
+            }
+            Need::Run | Need::ReadPrompt => {
+                let reading = self.reading(tracked, comparison);
+                let missing = reading.missing_tokens;
+                let seconds = tracked.reading_seconds(missing, comparison.rate)
+                    + tracked.harm_seconds(missing, comparison.rate)
+                    + reading.fetch_seconds;
+                tracked.weigh(seconds, demand.zone)
+            }
+            Need::Continue { reader } => {
+                let reader = self.workers.get(reader).map(|reader| &reader.worker.zone);
+                let copied = comparison.prompt_tokens - tracked.cache.kept_tokens(demand.prompt);
+                let displaced = comparison.rate.apart(copied) * DISPLACEMENT;
+                let seconds = tracked.reading_seconds(0, comparison.rate) + displaced;
+                tracked.weigh(seconds, reader.unwrap_or(demand.zone))
+            }
+        }
+    }
+
+    fn reading(&self, tracked: &Tracked, comparison: &Comparison<'_>) -> Reading {
+        let kept = tracked.cache.kept_tokens(comparison.demand.prompt);
+        let lacking = comparison.prompt_tokens - kept;
+        let same_zone = |holder: &&Holder<'_>| holder.tracked.worker.zone == tracked.worker.zone;
+        let source = comparison
+            .holders
+            .iter()
+            .filter(|holder| holder.tracked.key != tracked.key)
+            .filter(|holder| holder.tokens >= kept + MIN_FETCHED_TOKENS)
+            .max_by_key(|holder| (holder.tokens, same_zone(holder)));
+        let Some(holder) = source else {
+            return Reading {
+                missing_tokens: lacking,
+                fetch_seconds: 0.0,
+                source: None,
+            };
+        };
+        let fetched = holder.tokens - kept;
+        let displaced = comparison.rate.apart(fetched) * DISPLACEMENT;
+        let transfer = self.transfer_seconds(comparison.demand.service, fetched);
+        let way = match same_zone(&holder) {
+            true => 1.0,
+            false => OTHER_ZONE_FETCH,
+        };
+        Reading {
+            missing_tokens: lacking - fetched,
+            fetch_seconds: FETCH_COST + transfer * way + displaced,
+            source: Some(holder.tracked.worker.address),
+        }
+    }
+
+    /// Seconds for tokens to move between two engines of a zone.
+    fn transfer_seconds(&self, service: &ServiceName, tokens: u64) -> f64 {
+        self.engines.get(service).map_or(0.0, |engine| {
+            tokens as f64 * engine.token_bytes / engine.link_bytes_per_second.max(1.0)
+        })
+    }
+}
+
+fn serves(role: Option<Role>, need: &Need) -> bool {
+    match need {
+        Need::ReadPrompt => role == Some(Role::Prefill),
+        Need::Run | Need::Continue { .. } => role != Some(Role::Prefill),
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/directory/mod.rs
@@ -0,0 +1,308 @@
+//! The workers that a gateway knows, with what it has learnt about each from its own sends and
+//! from the reports of other gateways.
+//!
+//! Workers are compared by the time in which they are expected to answer.
+//!
+//! - For requests without a prompt: the smoothed latency of a worker's answers, stretched by the
+//!   work under way there.
+//! - For prompts: the time to read what is waiting there and what of this prompt neither its cache
+//!   nor another worker's holds, to fetch what another holds, plus a little for each request under
+//!   way, stretched by how much slower than expected the worker has been.
+//!
+//! A prompt that is read beside decoding streams slows them all, which counts as time too, and so
+//! does what a copy pushes out of a cache. All is divided by the cube of the share of sends that
+//! came back whole, and a worker in another zone costs the way there. Equal workers are told apart
+//! by rendezvous hashing of the prompt's largest shared part, so that gateways which know nothing
+//! yet agree.
+//!
+//! Whether a prompt is read apart follows from the same times: the best reader, the move of the KV
+//! cache included, against the best worker that reads it while decoding.
+
+mod choice;
+mod sharing;
+mod tracked;
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tansyhall_core::{Role, ServiceName, Timestamp};
+
+use crate::cache_view::PartKey;
+use crate::configuration::EngineCapacity;
+use crate::load_exchange::{GatewayKey, LoadReporter, WorkerKey};
+use crate::reading_rate::ReadingRate;
+use crate::selection::PromptPart;
+use crate::worker::{Worker, WorkerId, WorkerState};
+
+pub use choice::{Admission, Demand};
+pub use tracked::SendResult;
+
+use sharing::report_prompt;
+use tracked::Tracked;
+
+/// Tokens that a cache is taken to hold if the configuration does not say.
+const DEFAULT_CACHE_TOKENS: u64 = 200_000;
+/// A bound on times that are expected.
+const MAX_EXPECTED_SECONDS: f64 = 600.0;
+
+/// The workers.
+#[derive(Debug)]
+pub struct Directory {
+    workers: BTreeMap<WorkerId, Tracked>,
+    by_key: HashMap<WorkerKey, WorkerId>,
+    engines: HashMap<ServiceName, EngineCapacity>,
+    rates: HashMap<ServiceName, ReadingRate>,
+    reporter: LoadReporter,
+    heard: HashMap<GatewayKey, u64>,
+    stale_dropped: Timestamp,
+}
+
+/// A send under way.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SendTicket {
+    worker: WorkerId,
+    counted: bool,
+    reads: bool,
+    reading_tokens: u64,
+    expected_seconds: f64,
+    alone: bool,
+    fetch_from: Option<SocketAddr>,
+}
+
+impl SendTicket {
+    /// The worker from which the chosen one should fetch what it lacks of the prompt.
+    pub fn fetch_from(&self) -> Option<SocketAddr> {
+        self.fetch_from
+    }
+
+    /// Prompt tokens that are still to be read.
+    pub fn reading_tokens(&self) -> u64 {
+        self.reading_tokens
+    }
+
+    /// The time after which the answer was expected when the send began.
+    pub fn expected(&self) -> Duration {
+        Duration::from_secs_f64(self.expected_seconds.clamp(0.0, MAX_EXPECTED_SECONDS))
+    }
+}
+
+/// An engine with what is under way there.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineLoad {
+    /// The engine.
+    pub worker: Worker,
+    /// Sends of all gateways.
+    pub sends: u32,
+}
+
+impl Directory {
+    /// No worker yet; `gateway` signs reports of load.
+    pub fn new(gateway: GatewayKey) -> Self {
+        Self {
+            workers: BTreeMap::new(),
+            by_key: HashMap::new(),
+            engines: HashMap::new(),
+            rates: HashMap::new(),
+            reporter: LoadReporter::new(gateway),
+            heard: HashMap::new(),
+            stale_dropped: Timestamp::default(),
+        }
+    }
+
+    /// Takes in the workers that are announced now. What is under way at others stays counted
+    /// until it ends.
+    pub fn announce(&mut self, workers: Vec<Worker>) {
+        for tracked in self.workers.values_mut() {
+            tracked.announced = false;
+        }
+        for worker in workers {
+            match self.workers.get_mut(&worker.id) {
+                Some(tracked) => {
+                    tracked.announced = true;
+                    tracked.worker = worker;
+                }
+                None => {
+                    let tracked = Tracked::new(worker);
+                    self.by_key.insert(tracked.key, tracked.worker.id.clone());
+                    self.workers.insert(tracked.worker.id.clone(), tracked);
+                }
+            }
+        }
+        self.forget_idle_strangers();
+    }
+
+    /// Takes in what the engines of each service can hold.
+    pub fn set_engines(&mut self, engines: HashMap<ServiceName, EngineCapacity>) {
+        self.engines = engines;
+    }
+
+    /// Takes in the roles that engines should have: one that has another gets no new request.
+    pub fn set_desired_roles(&mut self, role_of: impl Fn(&WorkerId) -> Option<Role>) {
+        for (id, tracked) in &mut self.workers {
+            tracked.desired_role = role_of(id);
+        }
+    }
+
+    /// The engines that have a role and are not leaving, with what is under way there.
+    pub fn engine_loads(&self) -> Vec<EngineLoad> {
+        let engines = self.workers.values().filter(|tracked| {
+            let ready = tracked.announced && tracked.worker.state == WorkerState::Ready;
+            ready && tracked.worker.role.is_some()
+        });
+        let loads = engines.map(|tracked| EngineLoad {
+            worker: tracked.worker.clone(),
+            sends: tracked.load().sends,
+        });
+        loads.collect()
+    }
+
+    /// Workers that take new requests.
+    pub fn ready_workers(&self) -> usize {
+        self.workers
+            .values()
+            .filter(|tracked| tracked.takes_new_requests())
+            .count()
+    }
+
+    /// The service and the state of each worker that is announced.
+    pub fn worker_states(&self) -> impl Iterator<Item = (&ServiceName, WorkerState)> {
+        let announced = self.workers.values().filter(|tracked| tracked.announced);
+        announced.map(|tracked| (&tracked.worker.service, tracked.worker.state))
+    }
+
+    /// The worker of that identity, if it is announced.
+    pub fn get(&self, id: &WorkerId) -> Option<&Worker> {
+        self.workers
+            .get(id)
+            .filter(|tracked| tracked.announced)
+            .map(|tracked| &tracked.worker)
+    }
+
+    /// A send to a worker begins, which `reads` its prompt there or fetches its KV cache.
+    pub fn send_began(
+        &mut self,
+        now: Timestamp,
+        id: &WorkerId,
+        prompt: &[PromptPart],
+        reads: bool,
+    ) -> SendTicket {
+        let mut ticket = self.ticket(id, prompt, reads);
+        let service = self.workers.get(id).map(|tracked| &tracked.worker.service);
+        let capacity = self.capacity_of(service);
+        let Some(tracked) = self.workers.get_mut(id) else {
+            return ticket;
+        };
+        ticket.counted = true;
+        tracked.own.sends += 1;
+        tracked.own.reading_tokens += ticket.reading_tokens;
+        for part in prompt {
+            let key = PartKey::of(part);
+            tracked.cache.began(now, key, part.tokens, capacity);
+        }
+        report_prompt(&mut self.reporter, tracked.key, prompt, false);
+        report_load(&mut self.reporter, tracked);
+        ticket
+    }
+
+    fn ticket(&self, id: &WorkerId, prompt: &[PromptPart], reads: bool) -> SendTicket {
+        let mut ticket = SendTicket {
+            worker: id.clone(),
+            counted: false,
+            reads,
+            reading_tokens: 0,
+            expected_seconds: 0.0,
+            alone: false,
+            fetch_from: None,
+        };
+        let Some(tracked) = self.workers.get(id) else {
+            return ticket;
+        };
+        if reads && !prompt.is_empty() {
+            let reading = self.reading_of(tracked, prompt);
+            ticket.reading_tokens = reading.missing_tokens;
+            ticket.fetch_from = reading.source;
+        }
+        let rate = self.rates.get(&tracked.worker.service).copied();
+        let rate = rate.unwrap_or_default();
+        ticket.expected_seconds = match prompt.is_empty() {
+            true => tracked.plain_seconds(),
+            false => tracked.reading_seconds(ticket.reading_tokens, rate) / tracked.slowness,
+        };
+        ticket.alone = tracked.load().reading_tokens == 0;
+        ticket
+    }
+
+    /// The worker has read the prompt of a send: its answer begins after `latency`.
+    pub fn prompt_was_read(
+        &mut self,
+        now: Timestamp,
+        ticket: &mut SendTicket,
+        prompt: &[PromptPart],
+        latency: Duration,
+    ) {
+        let service = self.workers.get(&ticket.worker);
+        let capacity = self.capacity_of(service.map(|tracked| &tracked.worker.service));
+        let Some(tracked) = self.workers.get_mut(&ticket.worker) else {
+            return;
+        };
+        if ticket.alone && tracked.worker.role == Some(Role::Prefill) {
+            let rate = self.rates.entry(tracked.worker.service.clone());
+            rate.or_default().record(ticket.reading_tokens, latency);
+        }
+        if ticket.reads && !prompt.is_empty() && ticket.expected_seconds > 0.0 {
+            tracked.learn_slowness(ticket.expected_seconds, latency);
+        }
+        let read = std::mem::take(&mut ticket.reading_tokens);
+        tracked.own.reading_tokens = tracked.own.reading_tokens.saturating_sub(read);
+        for part in prompt {
+            let key = PartKey::of(part);
+            tracked.cache.used(now, key, part.tokens, capacity);
+        }
+        report_prompt(&mut self.reporter, tracked.key, prompt, true);
+        report_load(&mut self.reporter, tracked);
+    }
+
+    /// A send that began has ended.
+    pub fn send_ended(
+        &mut self,
+        now: Timestamp,
+        ticket: &SendTicket,
+        prompt: &[PromptPart],
+        result: SendResult,
+    ) {
+        let tracked = self.workers.get_mut(&ticket.worker);
+        let Some(tracked) = tracked.filter(|_| ticket.counted) else {
+            return;
+        };
+        tracked.cache.forget_unread(prompt);
+        tracked.own.sends = tracked.own.sends.saturating_sub(1);
+        let unread = ticket.reading_tokens;
+        tracked.own.reading_tokens = tracked.own.reading_tokens.saturating_sub(unread);
+        report_load(&mut self.reporter, tracked);
+        tracked.learn_result(now, result);
+        if !tracked.announced && tracked.own.sends == 0 {
+            self.forget_idle_strangers();
+        }
+    }
+
+    fn capacity_of(&self, service: Option<&ServiceName>) -> u64 {
+        service
+            .and_then(|service| self.engines.get(service))
+            .map_or(DEFAULT_CACHE_TOKENS, |engine| engine.cache_tokens)
+    }
+
+    fn forget_idle_strangers(&mut self) {
+        self.workers
+            .retain(|_, tracked| tracked.announced || tracked.own.sends > 0);
+        let workers = &self.workers;
+        self.by_key.retain(|_, id| workers.contains_key(id));
+    }
+}
+
+/// Tells other gateways of the load at a model engine.
+fn report_load(reporter: &mut LoadReporter, tracked: &Tracked) {
+    if tracked.worker.role.is_some() {
+        reporter.record_load(tracked.key, tracked.own);
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/directory/sharing.rs
@@ -0,0 +1,123 @@
+//! What the directory tells other gateways and learns from them.
+
+use std::time::Duration;
+
+use tansyhall_core::Timestamp;
+
+use super::tracked::Tracked;
+use super::Directory;
+use crate::cache_view::PartKey;
+use crate::load_exchange::{LoadReport, LoadReporter, PartRead, WorkerKey};
+use crate::selection::{prompt_tokens, PromptPart};
+use crate::worker::WorkerId;
+
+/// Other gateways are told of the parts of prompts that are at least this long.
+const REPORTED_PROMPT_TOKENS: u64 = 1_000;
+/// Pace at which loads that were not repeated are looked for.
+const STALE_PACE: Duration = Duration::from_millis(200);
+
+impl Directory {
+    /// The report of this gateway's load that is due, if any.
+    pub fn report_due(&mut self, now: Timestamp) -> Option<LoadReport> {
+        if now.since(self.stale_dropped) >= STALE_PACE {
+            self.stale_dropped = now;
+            for tracked in self.workers.values_mut() {
+                tracked.drop_stale(now);
+            }
+        }
+        self.reporter.flush(now)
+    }
+
+    /// Takes in another gateway's report.
+    pub fn hear(&mut self, now: Timestamp, report: &LoadReport) {
+        let last = self.heard.entry(report.sender).or_default();
+        if report.sequence <= *last {
+            return;
+        }
+        *last = report.sequence;
+        for entry in &report.loads {
+            if let Some(tracked) = self.tracked_by_key(entry.worker) {
+                tracked.hear(now, report.sender, entry.load);
+            }
+        }
+        self.learn_parts(now, &report.parts);
+    }
+
+    /// The parts of prompts that are believed to lie in caches.
+    pub fn known_parts(&self) -> Vec<PartRead> {
+        let parts = self.workers.values().flat_map(|tracked| {
+            let ready = tracked.cache.ready_parts();
+            ready.map(|(part, tokens)| PartRead {
+                worker: tracked.key,
+                part,
+                tokens,
+                ready: true,
+            })
+        });
+        parts.collect()
+    }
+
+    /// Takes in what another gateway believes of caches.
+    pub fn learn_parts(&mut self, now: Timestamp, parts: &[PartRead]) {
+        for read in parts {
+            let capacity = self.capacity_by_key(read.worker);
+            let Some(tracked) = self.tracked_by_key(read.worker) else {
+                continue;
+            };
+            match read.ready {
+                true => tracked.cache.used(now, read.part, read.tokens, capacity),
+                false => tracked.cache.began(now, read.part, read.tokens, capacity),
+            }
+        }
+    }
+
+    /// Takes in what an engine says that its cache holds, and tells the other gateways.
+    pub fn list_parts(&mut self, now: Timestamp, id: &WorkerId, parts: &[PromptPart]) {
+        let Some(key) = self.workers.get(id).map(|tracked| tracked.key) else {
+            return;
+        };
+        let listed = parts.iter().map(|part| PartRead {
+            worker: key,
+            part: PartKey::of(part),
+            tokens: part.tokens,
+            ready: true,
+        });
+        let listed: Vec<PartRead> = listed.collect();
+        self.learn_parts(now, &listed);
+        let long = listed
+            .into_iter()
+            .filter(|read| read.tokens >= REPORTED_PROMPT_TOKENS);
+        long.for_each(|read| self.reporter.record_part(read));
+    }
+
+    fn tracked_by_key(&mut self, key: WorkerKey) -> Option<&mut Tracked> {
+        let id = self.by_key.get(&key)?;
+        self.workers.get_mut(id)
+    }
+
+    fn capacity_by_key(&self, key: WorkerKey) -> u64 {
+        let id = self.by_key.get(&key);
+        let tracked = id.and_then(|id| self.workers.get(id));
+        self.capacity_of(tracked.map(|tracked| &tracked.worker.service))
+    }
+}
+
+/// Tells other gateways that a worker reads, or has read, a prompt.
+pub(super) fn report_prompt(
+    reporter: &mut LoadReporter,
+    worker: WorkerKey,
+    prompt: &[PromptPart],
+    ready: bool,
+) {
+    if prompt_tokens(prompt) < REPORTED_PROMPT_TOKENS {
+        return;
+    }
+    for part in prompt {
+        reporter.record_part(PartRead {
+            worker,
+            part: PartKey::of(part),
+            tokens: part.tokens,
+            ready,
+        });
+    }
+}
--- /dev/null
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -0,0 +1,204 @@
+//! One worker, with what is known of it: its load, its cache, and how it has answered.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tansyhall_core::{Role, Timestamp, ZoneName};
+
+use crate::cache_view::CacheView;
+use crate::load_exchange::{GatewayKey, Load, WorkerKey, STALE_AFTER};
+use crate::reading_rate::ReadingRate;
+use crate::worker::{Worker, WorkerState};
+
+/// Latency assumed of a worker that has not answered yet.
+const INITIAL_LATENCY: f64 = 0.030;
+/// Weight of the newest latency in the smoothed one.
+const LATENCY_WEIGHT: f64 = 0.1;
+/// Weight of the newest outcome in the smoothed share of successes.
+const SUCCESS_WEIGHT: f64 = 0.1;
+/// The lowest share of successes that is reckoned with, so that a failing worker still gets a
+/// probe now and then.
+const SUCCESS_FLOOR: f64 = 0.05;
+/// Seconds that a send to another zone costs.
+const OTHER_ZONE_COST: f64 = 0.004;
+/// Seconds that each request under way at an engine adds for one more.
+const SHARED_STEP_COST: f64 = 0.0004;
+/// Seconds by which an answer of an engine takes longer than its reading.
+pub(super) const FIRST_TOKEN_COST: f64 = 0.015;
+/// Seconds that each second of reading beside decoding streams counts for, for each of them.
+const DECODING_HARM: f64 = 0.75;
+/// How far a worker's slowness may be from the expected.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 30.0);
+/// How long a worker that refused a request is passed over.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
+/// How long a worker that cannot be reached is passed over.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1000);
+
+/// How a send ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendResult {
+    /// A whole answer, its head after this time.
+    Answered {
+        /// From the send to the head of the answer.
+        latency: Duration,
+    },
+    /// The worker's own failure, or an answer that is none.
+    Failed,
+    /// The worker says that it has no room.
+    Refused,
+    /// The worker is not there.
+    Unreachable,
+    /// The caller left or the time ran out; says nothing about the worker unless it was silent.
+    Abandoned {
+        /// Whether no part of an answer had come.
+        silent: bool,
+    },
+}
+
+/// A worker and what is known of it.
+#[derive(Debug)]
+pub(super) struct Tracked {
+    pub(super) worker: Worker,
+    pub(super) key: WorkerKey,
+    pub(super) announced: bool,
+    pub(super) desired_role: Option<Role>,
+    pub(super) own: Load,
+    pub(super) cache: CacheView,
+    pub(super) slowness: f64,
+    others: HashMap<GatewayKey, HeardLoad>,
+    others_total: Load,
+    latency: f64,
+    success: f64,
+    pause_until: Timestamp,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct HeardLoad {
+    load: Load,
+    heard: Timestamp,
+}
+
+impl Tracked {
+    pub(super) fn new(worker: Worker) -> Self {
+        Self {
+            key: WorkerKey::of(&worker.id),
+            worker,
+            announced: true,
+            desired_role: None,
+            own: Load::default(),
+            cache: CacheView::default(),
+            slowness: 1.0,
+            others: HashMap::new(),
+            others_total: Load::default(),
+            latency: INITIAL_LATENCY,
+            success: 1.0,
+            pause_until: Timestamp::default(),
+        }
+    }
+
+    pub(super) fn takes_new_requests(&self) -> bool {
+        let role_stays = self.desired_role.is_none() || self.desired_role == self.worker.role;
+        self.announced && self.worker.state == WorkerState::Ready && role_stays
+    }
+
+    pub(super) fn is_paused(&self, now: Timestamp) -> bool {
+        self.pause_until > now
+    }
+
+    /// What all gateways have under way here.
+    pub(super) fn load(&self) -> Load {
+        self.own.plus(self.others_total)
+    }
+
+    /// Another gateway says what it has under way here.
+    pub(super) fn hear(&mut self, now: Timestamp, sender: GatewayKey, load: Load) {
+        let heard = HeardLoad { load, heard: now };
+        let before = self.others.insert(sender, heard).map(|heard| heard.load);
+        let rest = self.others_total.minus(before.unwrap_or_default());
+        self.others_total = rest.plus(load);
+    }
+
+    /// Drops what was not repeated in time.
+    pub(super) fn drop_stale(&mut self, now: Timestamp) {
+        let total = &mut self.others_total;
+        self.others.retain(|_, heard| {
+            let fresh = now.since(heard.heard) < STALE_AFTER;
+            if !fresh {
+                *total = total.minus(heard.load);
+            }
+            fresh
+        });
+    }
+
+    /// Seconds until an answer of a worker that reads no prompts.
+    pub(super) fn plain_seconds(&self) -> f64 {
+        let busy = f64::from(self.load().sends) / f64::from(self.worker.slots.max(1));
+        self.latency * (1.0 + busy)
+    }
+
+    /// Seconds until `missing` tokens of a prompt are read and the first token made.
+    pub(super) fn reading_seconds(&self, missing: u64, rate: ReadingRate) -> f64 {
+        let load = self.load();
+        let reading = self.tokens_seconds(load.reading_tokens + missing, rate);
+        let sharing = SHARED_STEP_COST * f64::from(load.sends) * self.slowness;
+        reading + sharing + FIRST_TOKEN_COST * self.slowness
+    }
+
+    /// Seconds to read tokens here.
+    pub(super) fn tokens_seconds(&self, tokens: u64, rate: ReadingRate) -> f64 {
+        let seconds = match self.worker.role {
+            Some(Role::Decode) => rate.while_decoding(tokens),
+            _ => rate.apart(tokens),
+        };
+        seconds * self.slowness
+    }
+
+    /// Seconds that reading `missing` tokens costs the streams that decode here meanwhile.
+    pub(super) fn harm_seconds(&self, missing: u64, rate: ReadingRate) -> f64 {
+        let streams = 1.0 + f64::from(self.load().sends);
+        match self.worker.role {
+            Some(Role::Prefill) => 0.0,
+            _ => rate.while_decoding(missing) * streams * DECODING_HARM,
+        }
+    }
+
+    /// Seconds as they count for a gateway in `zone`, given how often answers come back whole.
+    pub(super) fn weigh(&self, seconds: f64, zone: &ZoneName) -> f64 {
+        let way = match self.worker.zone == *zone {
+            true => 0.0,
+            false => OTHER_ZONE_COST,
+        };
+        (seconds + way) / self.success.max(SUCCESS_FLOOR).powi(3)
+    }
+
+    /// Learns from a send that ended.
+    pub(super) fn learn_result(&mut self, now: Timestamp, result: SendResult) {
+        match result {
+            SendResult::Answered { latency } => {
+                self.success = smooth(self.success, 1.0, SUCCESS_WEIGHT);
+                self.latency = smooth(self.latency, latency.as_secs_f64(), LATENCY_WEIGHT);
+            }
+            SendResult::Failed | SendResult::Abandoned { silent: true } => {
+                self.success = smooth(self.success, 0.0, SUCCESS_WEIGHT);
+            }
+            SendResult::Refused => self.pause_until = now + REFUSAL_PAUSE,
+            SendResult::Unreachable => {
+                self.success = smooth(self.success, 0.0, SUCCESS_WEIGHT);
+                self.pause_until = now + UNREACHABLE_PAUSE;
+            }
+            SendResult::Abandoned { silent: false } => {}
+        }
+    }
+
+    /// Learns how much slower than expected a prompt was read.
+    pub(super) fn learn_slowness(&mut self, expected_seconds: f64, latency: Duration) {
+        let observed = latency.as_secs_f64() / expected_seconds;
+        let (least, most) = SLOWNESS_BOUNDS;
+        let slowness = smooth(self.slowness, observed, LATENCY_WEIGHT);
+        self.slowness = slowness.clamp(least, most);
+    }
+}
+
+fn smooth(old: f64, new: f64, weight: f64) -> f64 {
+    old + (new - old) * weight
+}
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -57,6 +57,24 @@
     pub reading_tokens: u64,
 }
 
+impl Load {
+    /// Both together.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            sends: self.sends.saturating_add(other.sends),
+            reading_tokens: self.reading_tokens.saturating_add(other.reading_tokens),
+        }
+    }
+
+    /// What is left without the other.
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            sends: self.sends.saturating_sub(other.sends),
+            reading_tokens: self.reading_tokens.saturating_sub(other.reading_tokens),
+        }
+    }
+}
+
 /// A load at a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LoadEntry {
--- a/crates/forwarding/tests/budget_and_mirror.rs
+++ b/crates/forwarding/tests/budget_and_mirror.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{Item, Mirror, MirrorChange, RetryShare, RetryShareSettings, Snapshot};
 
@@ -12,7 +13,16 @@
     window: Duration::from_secs(10),
 };
 
+/// Seed of the property tests.
+const SEED: u64 = 20_261_202;
+
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// Gateways that know each other's number and ask for retries as often as they like stay
     /// within the fleet's budget in every window.
     #[test]
--- /dev/null
+++ b/crates/forwarding/tests/directory.rs
@@ -0,0 +1,329 @@
+//! Which worker is chosen: by what is under way, what caches hold, and how workers answered.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
+use tansyhall_forwarding::{
+    Admission, Demand, Directory, EngineCapacity, GatewayKey, Load, LoadEntry, LoadReport, Need,
+    PromptPart, SendResult, Worker, WorkerId, WorkerKey, WorkerState,
+};
+
+const NOW: Timestamp = Timestamp::from_millis(10_000);
+const OBJECTIVE: Duration = Duration::from_millis(500);
+
+fn worker(id: &str, zone: &str, role: Option<Role>) -> Worker {
+    Worker {
+        id: WorkerId::from(id),
+        service: ServiceName::new("s"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: ZoneName::new(zone),
+        slots: 8,
+        state: WorkerState::Ready,
+        role,
+    }
+}
+
+fn directory(workers: Vec<Worker>) -> Directory {
+    let mut directory = Directory::new(GatewayKey(1));
+    directory.announce(workers);
+    let engine = EngineCapacity {
+        slots: 8,
+        cache_tokens: 500_000,
+        token_bytes: 160_000.0,
+        link_bytes_per_second: 200e9,
+    };
+    directory.set_engines(HashMap::from([(ServiceName::new("s"), engine)]));
+    directory
+}
+
+fn prompt(shared: &str, tokens: u64) -> Vec<PromptPart> {
+    let part = |id: &str, tokens| PromptPart {
+        id: id.into(),
+        tokens,
+    };
+    vec![part(shared, tokens), part("own", 2_000)]
+}
+
+struct Asker {
+    service: ServiceName,
+    zone: ZoneName,
+}
+
+impl Asker {
+    fn new() -> Self {
+        Self {
+            service: ServiceName::new("s"),
+            zone: ZoneName::new("z"),
+        }
+    }
+
+    fn demand<'a>(&'a self, prompt: &'a [PromptPart]) -> Demand<'a> {
+        Demand {
+            service: &self.service,
+            prompt,
+            zone: &self.zone,
+        }
+    }
+
+    fn choose(&self, directory: &Directory, prompt: &[PromptPart], need: &Need) -> Option<String> {
+        let worker = directory.select(NOW, self.demand(prompt), need, &[])?;
+        Some(worker.id.to_string())
+    }
+}
+
+/// Has a worker read a prompt from its begin to its end.
+fn read(directory: &mut Directory, id: &str, prompt: &[PromptPart]) {
+    let mut ticket = directory.send_began(NOW, &WorkerId::from(id), prompt, true);
+    let latency = Duration::from_millis(100);
+    directory.prompt_was_read(NOW, &mut ticket, prompt, latency);
+    directory.send_ended(NOW, &ticket, prompt, SendResult::Answered { latency });
+}
+
+#[test]
+fn only_workers_that_take_requests_of_the_service_are_chosen() {
+    let asker = Asker::new();
+    let mut leaving = worker("a", "z", None);
+    leaving.state = WorkerState::Draining;
+    let mut foreign = worker("b", "z", None);
+    foreign.service = ServiceName::new("t");
+    let directory = directory(vec![leaving, foreign, worker("c", "far", None)]);
+    assert_eq!(asker.choose(&directory, &[], &Need::Run), Some("c".into()));
+    let avoid = [WorkerId::from("c")];
+    let none = directory.select(NOW, asker.demand(&[]), &Need::Run, &avoid);
+    assert!(none.is_none());
+}
+
+#[test]
+fn equal_workers_of_the_own_zone_come_first_until_they_fail() {
+    let asker = Asker::new();
+    let mut directory = directory(vec![worker("near", "z", None), worker("far", "y", None)]);
+    assert_eq!(
+        asker.choose(&directory, &[], &Need::Run),
+        Some("near".into())
+    );
+    for _ in 0..6 {
+        let ticket = directory.send_began(NOW, &WorkerId::from("near"), &[], false);
+        directory.send_ended(NOW, &ticket, &[], SendResult::Failed);
+    }
+    assert_eq!(
+        asker.choose(&directory, &[], &Need::Run),
+        Some("far".into())
+    );
+}
+
+#[test]
+fn a_worker_that_refuses_rests_unless_there_is_no_other() {
+    let asker = Asker::new();
+    let mut directory = directory(vec![worker("near", "z", None), worker("far", "y", None)]);
+    let ticket = directory.send_began(NOW, &WorkerId::from("near"), &[], false);
+    directory.send_ended(NOW, &ticket, &[], SendResult::Refused);
+    assert_eq!(
+        asker.choose(&directory, &[], &Need::Run),
+        Some("far".into())
+    );
+    directory.announce(vec![worker("near", "z", None)]);
+    assert_eq!(
+        asker.choose(&directory, &[], &Need::Run),
+        Some("near".into())
+    );
+}
+
+#[test]
+fn a_long_prompt_is_read_apart_and_a_cached_one_is_not() {
+    let asker = Asker::new();
+    let mut directory = directory(vec![
+        worker("reader", "z", Some(Role::Prefill)),
+        worker("decoder", "z", Some(Role::Decode)),
+    ]);
+    let long = prompt("doc", 15_000);
+    assert!(directory.reads_apart(NOW, asker.demand(&long)));
+    assert_eq!(
+        asker.choose(&directory, &long, &Need::ReadPrompt),
+        Some("reader".into())
+    );
+    assert_eq!(
+        asker.choose(&directory, &long, &Need::Run),
+        Some("decoder".into())
+    );
+    read(&mut directory, "decoder", &long);
+    assert!(!directory.reads_apart(NOW, asker.demand(&long)));
+}
+
+#[test]
+fn the_reader_that_holds_a_part_reads_the_next_prompt_with_it() {
+    let asker = Asker::new();
+    let readers = ["a", "b", "c", "d"].map(|id| worker(id, "z", Some(Role::Prefill)));
+    let mut directory = directory(readers.to_vec());
+    let long = prompt("doc", 15_000);
+    for holder in ["a", "b", "c", "d"] {
+        let mut directory = Directory::new(GatewayKey(1));
+        directory.announce(readers.to_vec());
+        read(&mut directory, holder, &long);
+        let chosen = asker.choose(&directory, &long, &Need::ReadPrompt);
+        assert_eq!(chosen.as_deref(), Some(holder));
+    }
+    // A holder that is busy is fetched from.
+    read(&mut directory, "a", &long);
+    let busy = prompt("other", 60_000);
+    directory.send_began(NOW, &WorkerId::from("a"), &busy, true);
+    let chosen = asker
+        .choose(&directory, &long, &Need::ReadPrompt)
+        .expect("a reader");
+    assert_ne!(chosen, "a");
+    let ticket = directory.send_began(NOW, &WorkerId::from(chosen.as_str()), &long, true);
+    assert!(ticket.fetch_from().is_some());
+    assert!(ticket.reading_tokens() < 15_000);
+}
+
+#[test]
+fn what_other_gateways_have_under_way_counts_until_it_is_stale() {
+    let asker = Asker::new();
+    let mut directory = directory(vec![
+        worker("a", "z", Some(Role::Prefill)),
+        worker("b", "y", Some(Role::Prefill)),
+    ]);
+    let long = prompt("doc", 15_000);
+    let report = |sequence, reading_tokens| LoadReport {
+        sender: GatewayKey(2),
+        sequence,
+        loads: vec![LoadEntry {
+            worker: WorkerKey::of(&WorkerId::from("a")),
+            load: Load {
+                sends: 1,
+                reading_tokens,
+            },
+        }],
+        parts: Vec::new(),
+    };
+    directory.hear(NOW, &report(2, 40_000));
+    assert_eq!(
+        asker.choose(&directory, &long, &Need::ReadPrompt),
+        Some("b".into())
+    );
+    // An older report changes nothing.
+    directory.hear(NOW, &report(1, 0));
+    assert_eq!(
+        asker.choose(&directory, &long, &Need::ReadPrompt),
+        Some("b".into())
+    );
+    directory.report_due(NOW + Duration::from_secs(2));
+    assert_eq!(
+        asker.choose(&directory, &long, &Need::ReadPrompt),
+        Some("a".into())
+    );
+}
+
+#[test]
+fn a_prompt_that_would_wait_too_long_is_refused_but_not_for_its_own_length() {
+    let asker = Asker::new();
+    let mut directory = directory(vec![
+        worker("reader", "z", Some(Role::Prefill)),
+        worker("decoder", "z", Some(Role::Decode)),
+    ]);
+    let huge = prompt("huge", 90_000);
+    let taken = directory.admit(NOW, asker.demand(&huge), OBJECTIVE);
+    assert_eq!(taken, Admission::Taken);
+    directory.send_began(NOW, &WorkerId::from("reader"), &huge, true);
+    directory.send_began(
+        NOW,
+        &WorkerId::from("decoder"),
+        &prompt("second", 90_000),
+        true,
+    );
+    let next = prompt("doc", 15_000);
+    let refused = directory.admit(NOW, asker.demand(&next), OBJECTIVE);
+    assert!(matches!(refused, Admission::Refused { retry_after, .. } if !retry_after.is_zero()));
+    assert_eq!(
+        directory.admit(NOW, asker.demand(&[]), OBJECTIVE),
+        Admission::Taken
+    );
+}
+
+#[test]
+fn an_engine_whose_role_is_to_change_gets_no_new_work() {
+    let asker = Asker::new();
+    let engines = ["a", "b"].map(|id| worker(id, "z", Some(Role::Decode)));
+    let mut directory = directory(engines.to_vec());
+    directory.set_desired_roles(|id| (id.as_str() == "a").then_some(Role::Prefill));
+    assert_eq!(asker.choose(&directory, &[], &Need::Run), Some("b".into()));
+    let mut changed = engines.to_vec();
+    changed[0].role = Some(Role::Prefill);
+    directory.announce(changed);
+    let long = prompt("doc", 15_000);
+    assert_eq!(
+        asker.choose(&directory, &long, &Need::ReadPrompt),
+        Some("a".into())
+    );
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Begin(usize, u64),
+    Read(usize),
+    End(usize),
+    Announce(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..4_usize, 0_u64..30_000).prop_map(|(worker, tokens)| Step::Begin(worker, tokens)),
+        any::<usize>().prop_map(Step::Read),
+        any::<usize>().prop_map(Step::End),
+        (0..5_usize).prop_map(Step::Announce),
+    ]
+}
+
+/// Seed of the property tests.
+const SEED: u64 = 20_261_202;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// However sends begin and end and workers come and go, nothing stays counted once all sends
+    /// have ended.
+    #[test]
+    fn loads_return_to_nothing(steps in prop::collection::vec(step(), 0..80)) {
+        let all: Vec<Worker> =
+            (0..4).map(|n| worker(&format!("w{n}"), "z", Some(Role::Prefill))).collect();
+        let mut directory = directory(all.clone());
+        let mut open = Vec::new();
+        for step in steps {
+            match step {
+                Step::Begin(number, tokens) => {
+                    let prompt = prompt(&format!("p{tokens}"), tokens);
+                    let id = WorkerId::from(format!("w{number}").as_str());
+                    open.push((directory.send_began(NOW, &id, &prompt, true), prompt));
+                }
+                Step::Read(index) if !open.is_empty() => {
+                    let index = index % open.len();
+                    let (ticket, prompt) = &mut open[index];
+                    directory.prompt_was_read(NOW, ticket, prompt, Duration::from_millis(9));
+                }
+                Step::End(index) if !open.is_empty() => {
+                    let (ticket, prompt) = open.swap_remove(index % open.len());
+                    directory.send_ended(NOW, &ticket, &prompt, SendResult::Failed);
+                }
+                Step::Announce(count) => directory.announce(all[..count.min(4)].to_vec()),
+                Step::Read(_) | Step::End(_) => {}
+            }
+        }
+        for (ticket, prompt) in open {
+            directory.send_ended(NOW, &ticket, &prompt, SendResult::Failed);
+        }
+        directory.announce(all);
+        for engine in directory.engine_loads() {
+            prop_assert_eq!(engine.sends, 0);
+        }
+        let report = directory.report_due(NOW + Duration::from_secs(9));
+        for entry in report.into_iter().flat_map(|report| report.loads) {
+            prop_assert_eq!(entry.load, Load::default());
+        }
+    }
+}
--- a/crates/forwarding/tests/request_machine.rs
+++ b/crates/forwarding/tests/request_machine.rs
@@ -1,6 +1,7 @@
 //! One request's life: what each failure leads to, and what its caller is told.
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use tansyhall_forwarding::{
     Action, AttemptPolicy, Conclusion, PromptHandle, Repeatability, RequestEvent, RequestMachine,
     SendFailure, WorkerId,
@@ -186,7 +187,16 @@
     }
 }
 
+/// Seed of the property tests.
+const SEED: u64 = 20_261_202;
+
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// Whatever happens to the sends: the request ends; no more workers may have run it than its
     /// route allows; one that runs at most once is not sent again after it may have run; and "not
     /// run" is said only if no send may have run.
--- a/crates/forwarding/tests/streams.rs
+++ b/crates/forwarding/tests/streams.rs
@@ -1,6 +1,7 @@
 //! Streams of events are cut at the boundaries of events, however their bytes arrive.
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use tansyhall_forwarding::EventFramer;
 
 #[test]
@@ -16,7 +17,16 @@
     assert_eq!(events.last_id.as_deref(), Some("2"));
 }
 
+/// Seed of the property tests.
+const SEED: u64 = 20_261_202;
+
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// However a stream is cut into parts, its events come out whole, once and in order.
     #[test]
     fn cuts_do_not_matter(count in 1_usize..20, cuts in prop::collection::vec(1_usize..40, 1..60)) {
--- a/crates/gateway/src/cache_recovery.rs
+++ b/crates/gateway/src/cache_recovery.rs
@@ -90,7 +90,7 @@
     if !names.contains(&own) {
         names.push(own.clone());
     }
-    let engines = shared.directory.lock().engine_loads(shared.now());
+    let engines = shared.directory.lock().engine_loads();
     let is_own = |worker: &Worker| {
         let ranked = rendezvous_rank(worker.id.as_str().as_bytes(), names.iter());
         ranked.first().is_some_and(|name| **name == own)
--- a/crates/gateway/src/role_authority.rs
+++ b/crates/gateway/src/role_authority.rs
@@ -134,7 +134,7 @@
 
     async fn change_desired_roles(&mut self, epoch: Epoch) {
         let now = self.shared.now();
-        let engines = self.engines(now);
+        let engines = self.engines();
         if now.since(self.changed) < SETTLING {
             return;
         }
@@ -161,8 +161,8 @@
         }
     }
 
-    fn engines(&mut self, now: Timestamp) -> Vec<EngineLoad> {
-        let engines = self.shared.directory.lock().engine_loads(now);
+    fn engines(&mut self) -> Vec<EngineLoad> {
+        let engines = self.shared.directory.lock().engine_loads();
         for engine in &engines {
             let streams = self.streams.entry(engine.worker.id.clone()).or_default();
             *streams += (f64::from(engine.sends) - *streams) * STREAMS_WEIGHT;
--- a/crates/planner/tests/role_balance.rs
+++ b/crates/planner/tests/role_balance.rs
@@ -1,6 +1,7 @@
 //! How many engines decode: as the streams need, never none, and never back and forth.
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use tansyhall_core::{Role, ZoneName};
 use tansyhall_planner::{balance_roles, BalancedEngine};
 
@@ -88,7 +89,16 @@
     })
 }
 
+/// Seed of the property tests.
+const SEED: u64 = 20_261_202;
+
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     /// With constant streams the changes come to an end, and both roles are there.
     #[test]
     fn changes_end_with_both_roles_filled(mut engines in engines()) {
