--- /dev/null
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -0,0 +1,6 @@
+//! Gateways as separate processes, with the settings that the deployed template renders, against
+//! stand-ins of the users' platform.
+
+mod requests;
+mod roles;
+mod support;
--- a/crates/cli/tests/gateway_platform.rs
+++ b/crates/cli/tests/gateway_platform/requests.rs
@@ -1,11 +1,8 @@
-//! Gateways as separate processes, with the settings that the deployed template renders, against
-//! stand-ins of the users' platform.
-
-mod gateway_support;
+//! Requests through gateways: what callers get and what workers see.
 
 use std::time::Duration;
 
-use gateway_support::{ask, Site, AT_MOST_ONCE, FINAL_STREAM, REPEATABLE, RESUMABLE};
+use crate::support::{self, ask, Site, AT_MOST_ONCE, FINAL_STREAM, REPEATABLE, RESUMABLE};
 use tansyhall_platform_standin::{Behaviour, StoreFault};
 use tansyhall_testing::eventually;
 
@@ -202,7 +199,7 @@
         ("llm", Some("decode"), ECHO),
     ];
     let site = Site::start(&workers, 1).await;
-    let answer = gateway_support::ask_model(&site.gateways[0], "m", 8_000).await;
+    let answer = support::ask_model(&site.gateways[0], "m", 8_000).await;
     assert_eq!(answer.status, 200);
     assert_eq!(site.workers[0].worker.prompts_read(), 1);
     assert_eq!(site.workers[0].worker.runs().len(), 0);
--- /dev/null
+++ b/crates/cli/tests/gateway_platform/roles.rs
@@ -0,0 +1,74 @@
+//! Engines' roles under one holder of the authority, by separate processes: the holder is killed
+//! between two orders, and another goes on with a higher fence.
+
+use std::collections::BTreeSet;
+
+use crate::support::{Site, WorkerSpec};
+use tansyhall_platform_standin::{Behaviour, Order};
+use tansyhall_testing::eventually;
+
+const ENGINES: usize = 10;
+const DECODER: WorkerSpec = ("llm", Some("decode"), Behaviour::Serve { events: 0 });
+
+/// Announces each engine with the stage that it was ordered to, as an engine does itself.
+fn announce_stages(site: &Site) {
+    for worker in &site.workers {
+        worker.worker.announce("ready");
+    }
+}
+
+fn orders(site: &Site) -> Vec<Order> {
+    let orders = site
+        .workers
+        .iter()
+        .flat_map(|worker| worker.worker.orders());
+    orders.collect()
+}
+
+/// The gateway that holds the authority.
+async fn holder(site: &Site) -> Option<usize> {
+    for (index, gateway) in site.gateways.iter().enumerate() {
+        if gateway.metric("gateway_holds_authority").await == Some(1.0) {
+            return Some(index);
+        }
+    }
+    None
+}
+
+#[actix_rt::test]
+async fn one_holder_orders_and_the_next_goes_on_with_a_higher_fence() {
+    let mut site = Site::start(&[DECODER; ENGINES], 2).await;
+    eventually("the first engines are ordered", || async {
+        (!orders(&site).is_empty()).then_some(())
+    })
+    .await;
+    let before = orders(&site);
+    let holders: BTreeSet<&str> = before.iter().map(|order| order.holder.as_str()).collect();
+    assert_eq!(holders.len(), 1, "{before:?}");
+    let first = holder(&site).await.expect("a holder");
+    let killed = site.gateways.remove(first);
+    drop(killed);
+    announce_stages(&site);
+    let count = before.len();
+    eventually("another holder orders further engines", || async {
+        announce_stages(&site);
+        (orders(&site).len() > count).then_some(())
+    })
+    .await;
+    let fences: BTreeSet<u64> = orders(&site).iter().map(|order| order.fence).collect();
+    assert_eq!(fences.len(), 2);
+    for worker in &site.workers {
+        let taken = worker.worker.orders();
+        assert!(taken.windows(2).all(|pair| pair[0].fence <= pair[1].fence));
+        for (number, order) in taken.iter().enumerate() {
+            assert_eq!(order.expected_count, number as u64);
+        }
+    }
+    eventually("as many engines decode as are needed", || async {
+        announce_stages(&site);
+        let prefill = |order: &&Order| order.stage == "prefill";
+        let readers = orders(&site).iter().filter(prefill).count();
+        (readers >= ENGINES - 4).then_some(())
+    })
+    .await;
+}
--- a/crates/cli/tests/gateway_support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -240,6 +240,7 @@
             "budget_extra": 54,
             "budget_window_s": 10,
             "grace_s": 8,
+            "lease_ms": 300,
         },
     })
 }
