Test of roles: waits for the next holder's fence, not for one more order

The test failed in 4 of 20 runs: the killed holder had ordered a second engine of its batch between the reading of its orders and its kill. The condition is now the higher fence itself; the assertions are as before.

--- a/crates/cli/tests/gateway_platform/roles.rs
+++ b/crates/cli/tests/gateway_platform/roles.rs
@@ -49,10 +49,11 @@
     let killed = site.gateways.remove(first);
     drop(killed);
     announce_stages(&site);
-    let count = before.len();
-    eventually("another holder orders further engines", || async {
+    let first_fence = before[0].fence;
+    eventually("another holder orders with a higher fence", || async {
         announce_stages(&site);
-        (orders(&site).len() > count).then_some(())
+        let higher = |order: &Order| order.fence > first_fence;
+        orders(&site).iter().any(higher).then_some(())
     })
     .await;
     let fences: BTreeSet<u64> = orders(&site).iter().map(|order| order.fence).collect();
