--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -9,8 +9,11 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use tansyhall_admission::Backoff;
 use tansyhall_core::{ServiceName, Timestamp};
-use tansyhall_forwarding::{Configuration, EngineCapacity, Item, MirrorChange, Snapshot, Worker};
+use tansyhall_forwarding::{
+    Configuration, EngineCapacity, Item, Mirror, MirrorChange, Snapshot, Worker,
+};
 use tansyhall_store::{KeyValue, KeyValueStore, Revision, StoreError, WatchEvent};
 use tokio::time::sleep;
 
@@ -24,8 +27,20 @@
 const EVERYTHING: &str = "";
 /// Pause between two calls for changes.
 const PACE: Duration = Duration::from_millis(400);
-/// Pause after a failed call.
-const FAILURE_PAUSE: Duration = Duration::from_millis(150);
+/// Pauses after failed calls; gateways that fail together do not come back together.
+const BACKOFF: Backoff = Backoff {
+    base: Duration::from_millis(120),
+    most: Duration::from_millis(300),
+};
+/// The shortest pause after a failed call.
+const MIN_PAUSE: Duration = Duration::from_millis(30);
+
+/// A worker's item, decoded once for each of its revisions.
+#[derive(Debug)]
+pub struct DecodedWorker {
+    revision: u64,
+    worker: Option<Worker>,
+}
 
 /// When the store last answered.
 #[derive(Debug, Default)]
@@ -36,22 +51,33 @@
         self.0.store(now.0, Ordering::Relaxed);
     }
 
+    /// When the store last answered.
+    pub fn heard(&self) -> Timestamp {
+        Timestamp(self.0.load(Ordering::Relaxed))
+    }
+
     /// Time since the store last answered, or since the clock's start.
     pub fn age(&self, now: Timestamp) -> Duration {
-        now.since(Timestamp(self.0.load(Ordering::Relaxed)))
+        now.since(self.heard())
     }
 }
 
 /// Follows the store for ever.
 pub async fn follow(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>) {
     let mut lost = false;
+    let mut failures = 0;
     loop {
+        let heard = shared.store_contact.heard();
         let Err(error) = follow_until_error(&shared, &*store, &mut lost).await;
         if !lost && !matches!(error, StoreError::Compacted) {
             lost = true;
             record_dependency(&shared, "lost", &error.to_string());
         }
-        sleep(FAILURE_PAUSE).await;
+        failures = match shared.store_contact.heard() == heard {
+            true => failures + 1,
+            false => 0,
+        };
+        sleep(BACKOFF.wait(failures, rand::random()).max(MIN_PAUSE)).await;
     }
 }
 
@@ -182,20 +208,10 @@
 }
 
 fn refresh_workers(shared: &Arc<Shared>) {
-    let prefix = shared.catalogue.worker_prefix();
     let mirror = shared.mirror.lock();
     let revision = mirror.revision();
     let desired = DesiredRoles::read(&mirror);
-    let workers: Vec<Worker> = mirror
-        .below(prefix)
-        .filter_map(|item| {
-            let id = &item.key[prefix.len()..];
-            let decoded = shared.catalogue.worker(id, &item.value);
-            decoded
-                .map_err(|error| record_refused(shared, item, &error))
-                .ok()
-        })
-        .collect();
+    let workers = decode_workers(shared, &mirror);
     drop(mirror);
     let mut directory = shared.directory.lock();
     let before = directory.ready_workers();
@@ -211,6 +227,35 @@
     }
 }
 
+/// The workers in the copy; an item that has not changed is not decoded again.
+fn decode_workers(shared: &Shared, mirror: &Mirror) -> Vec<Worker> {
+    let prefix = shared.catalogue.worker_prefix();
+    let mut known = shared.decoded_workers.lock();
+    let mut decoded = HashMap::new();
+    for item in mirror.below(prefix) {
+        let id = &item.key[prefix.len()..];
+        let unchanged = known
+            .remove(id)
+            .filter(|worker| worker.revision == item.revision);
+        let worker = unchanged.unwrap_or_else(|| decode_worker(shared, id, item));
+        decoded.insert(id.to_owned(), worker);
+    }
+    let workers = decoded.values().filter_map(|entry| entry.worker.clone());
+    let workers = workers.collect();
+    *known = decoded;
+    workers
+}
+
+fn decode_worker(shared: &Shared, id: &str, item: &Item) -> DecodedWorker {
+    let worker = shared.catalogue.worker(id, &item.value);
+    DecodedWorker {
+        revision: item.revision,
+        worker: worker
+            .map_err(|error| record_refused(shared, item, &error))
+            .ok(),
+    }
+}
+
 fn record_refused(shared: &Shared, item: &Item, error: &anyhow::Error) {
     let event = Event::ItemRefused {
         key: &item.key,
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -3,6 +3,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,12 +11,14 @@
 use prost::Message;
 use tansyhall_forwarding::{GatewayKey, Load, LoadEntry, LoadReport, PartKey, PartRead, WorkerKey};
 use tokio::net::UdpSocket;
-use tokio::time::{interval, MissedTickBehavior};
+use tokio::time::sleep;
 
 use crate::presence;
 use crate::state::Shared;
 
-/// Pace at which reports that are due are sent.
+/// Gateways up to which reports are sent at the full pace.
+const GATEWAYS_AT_FULL_PACE: u64 = 12;
+/// Pause between reports.
 const PACE: Duration = Duration::from_millis(20);
 /// The longest datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
@@ -79,10 +82,8 @@
 }
 
 async fn send(shared: &Shared, socket: &UdpSocket) {
-    let mut ticks = interval(PACE);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        sleep(pace(shared)).await;
         let due = shared.directory.lock().report_due(shared.now());
         let Some(report) = due else { continue };
         let datagram = encode(&report).encode_to_vec();
@@ -94,6 +95,13 @@
     }
 }
 
+/// The pause between reports: it grows with the fleet, so that what a gateway sends does not.
+fn pace(shared: &Shared) -> Duration {
+    let gateways = shared.gateways.load(Ordering::Relaxed);
+    let stretch = gateways.div_ceil(GATEWAYS_AT_FULL_PACE).max(1);
+    PACE * u32::try_from(stretch).unwrap_or(u32::MAX)
+}
+
 async fn receive(shared: &Shared, socket: &UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -104,6 +104,7 @@
         protocol: Arc::clone(&adapter.protocol),
         catalogue: Arc::clone(&adapter.catalogue),
         mirror: Mutex::new(Mirror::default()),
+        decoded_workers: Mutex::default(),
         in_force: RwLock::new(None),
         directory: Mutex::new(Directory::new(gateway)),
         retries: Mutex::new(retries),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! What the tasks of a gateway share. Each part stands under its own lock, held for a few
 //! microseconds and never across a wait.
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -14,7 +15,7 @@
 
 use crate::connections::{Connections, Destination};
 use crate::events::EventLog;
-use crate::follower::StoreContact;
+use crate::follower::{DecodedWorker, StoreContact};
 use crate::metrics::Metrics;
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
@@ -37,6 +38,8 @@
     pub catalogue: Arc<dyn Catalogue>,
     /// The copy of the store.
     pub mirror: Mutex<Mirror>,
+    /// Workers as they were decoded last, by their identity.
+    pub decoded_workers: Mutex<HashMap<String, DecodedWorker>>,
     /// The configuration in force and its routes.
     pub in_force: RwLock<Option<Arc<InForce>>>,
     /// Workers.
