--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -15,6 +15,9 @@
 
 /// Seconds that moving a KV cache costs, its price included.
 const MOVE_COST: f64 = 0.035;
+/// How many times longer than its transfer a move takes: moves of one link wait for each other, and
+/// half of them cross zones.
+const MOVE_WAIT: f64 = 2.5;
 /// Seconds that fetching a part of a KV cache costs beside its transfer, its price included.
 const FETCH_COST: f64 = 0.010;
 /// A copy pushes as many tokens out of a full cache: the part of the time to read them again that
@@ -194,13 +197,15 @@
                 .map(|worker| (self.expected_seconds(worker, need, comparison), worker))
                 .min_by(|(left, _), (right, _)| left.total_cmp(right))
         };
+        let transfer = self.transfer_seconds(comparison.demand.service, comparison.prompt_tokens);
+        let move_seconds = MOVE_COST + transfer * MOVE_WAIT;
         let (whole_seconds, worker) = best(&Need::Run)?;
         let apart = match comparison.prompt_tokens < MIN_APART_TOKENS {
             true => None,
             false => best(&Need::ReadPrompt),
         };
         match apart {
-            Some((seconds, reader)) if seconds + MOVE_COST < whole_seconds => Some(Planned {
+            Some((seconds, reader)) if seconds + move_seconds < whole_seconds => Some(Planned {
                 worker: reader,
                 read_apart: true,
             }),
@@ -251,7 +256,8 @@
                 let reader = self.workers.get(reader).map(|reader| &reader.worker.zone);
                 let copied = comparison.prompt_tokens - tracked.cache.kept_tokens(demand.prompt);
                 let displaced = comparison.rate.apart(copied) * DISPLACEMENT;
-                let seconds = tracked.reading_seconds(0, comparison.rate) + displaced;
+                let transfer = self.transfer_seconds(demand.service, copied);
+                let seconds = tracked.reading_seconds(0, comparison.rate) + displaced + transfer;
                 tracked.weigh(seconds, reader.unwrap_or(demand.zone))
             }
         }
