--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -14,10 +14,9 @@
 use crate::worker::{Worker, WorkerId};
 
 /// Seconds that moving a KV cache costs, its price included.
-const MOVE_COST: f64 = 0.035;
-/// How many times longer than its transfer a move takes: moves of one link wait for each other, and
-/// half of them cross zones.
-const MOVE_WAIT: f64 = 2.5;
+const MOVE_COST: f64 = 0.020;
+/// How many times longer than its transfer a move takes: most cross zones.
+const MOVE_WAIT: f64 = 1.0;
 /// Seconds that fetching a part of a KV cache costs beside its transfer, its price included.
 const FETCH_COST: f64 = 0.010;
 /// A copy pushes as many tokens out of a full cache: the part of the time to read them again that
@@ -198,7 +197,8 @@
                 .min_by(|(left, _), (right, _)| left.total_cmp(right))
         };
         let transfer = self.transfer_seconds(comparison.demand.service, comparison.prompt_tokens);
-        let move_seconds = MOVE_COST + transfer * MOVE_WAIT;
+        let waits = self.move_waits.get(comparison.demand.service);
+        let move_seconds = MOVE_COST + transfer * MOVE_WAIT + waits.copied().unwrap_or_default();
         let (whole_seconds, worker) = best(&Need::Run)?;
         let apart = match comparison.prompt_tokens < MIN_APART_TOKENS {
             true => None,
@@ -295,7 +295,7 @@
     }
 
     /// Seconds for tokens to move between two engines of a zone.
-    fn transfer_seconds(&self, service: &ServiceName, tokens: u64) -> f64 {
+    pub(super) fn transfer_seconds(&self, service: &ServiceName, tokens: u64) -> f64 {
         self.engines.get(service).map_or(0.0, |engine| {
             tokens as f64 * engine.token_bytes / engine.link_bytes_per_second.max(1.0)
         })
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -32,7 +32,7 @@
 use crate::configuration::EngineCapacity;
 use crate::load_exchange::{GatewayKey, LoadReporter, WorkerKey};
 use crate::reading_rate::ReadingRate;
-use crate::selection::PromptPart;
+use crate::selection::{prompt_tokens, PromptPart};
 use crate::worker::{Worker, WorkerId, WorkerState};
 
 pub use choice::{Admission, Demand};
@@ -43,6 +43,10 @@
 
 /// Tokens that a cache is taken to hold if the configuration does not say.
 const DEFAULT_CACHE_TOKENS: u64 = 200_000;
+/// Weight of the newest wait for a move in the smoothed one.
+const MOVE_WAIT_WEIGHT: f64 = 0.05;
+/// The longest wait for a move in seconds that is learnt from.
+const MAX_MOVE_WAIT: f64 = 2.0;
 /// A bound on times that are expected.
 const MAX_EXPECTED_SECONDS: f64 = 600.0;
 
@@ -53,6 +57,7 @@
     by_key: HashMap<WorkerKey, WorkerId>,
     engines: HashMap<ServiceName, EngineCapacity>,
     rates: HashMap<ServiceName, ReadingRate>,
+    move_waits: HashMap<ServiceName, f64>,
     reporter: LoadReporter,
     heard: HashMap<GatewayKey, u64>,
     stale_dropped: Timestamp,
@@ -104,6 +109,7 @@
             by_key: HashMap::new(),
             engines: HashMap::new(),
             rates: HashMap::new(),
+            move_waits: HashMap::new(),
             reporter: LoadReporter::new(gateway),
             heard: HashMap::new(),
             stale_dropped: Timestamp::default(),
@@ -229,6 +235,10 @@
             true => tracked.plain_seconds(),
             false => tracked.reading_seconds(ticket.reading_tokens, rate) / tracked.slowness,
         };
+        if !reads && !prompt.is_empty() {
+            let tokens = prompt_tokens(prompt);
+            ticket.expected_seconds += self.transfer_seconds(&tracked.worker.service, tokens);
+        }
         ticket.alone = tracked.load().reading_tokens == 0;
         ticket
     }
@@ -253,6 +263,12 @@
         if ticket.reads && !prompt.is_empty() && ticket.expected_seconds > 0.0 {
             tracked.learn_slowness(ticket.expected_seconds, latency);
         }
+        if !ticket.reads && !prompt.is_empty() {
+            let service = tracked.worker.service.clone();
+            let waited = latency.as_secs_f64() - ticket.expected_seconds;
+            let wait = self.move_waits.entry(service).or_default();
+            *wait += (waited.clamp(0.0, MAX_MOVE_WAIT) - *wait) * MOVE_WAIT_WEIGHT;
+        }
         let read = std::mem::take(&mut ticket.reading_tokens);
         tracked.own.reading_tokens = tracked.own.reading_tokens.saturating_sub(read);
         for part in prompt {
