--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -16,6 +16,8 @@
 
 /// The template that is deployed.
 const TEMPLATE: &str = include_str!("../../../../deploy/node.toml");
+/// Keys of others in the store, so that it is read in several pages.
+const FOREIGN_KEYS: usize = 130;
 const HOST: &str = "site.example";
 const ZONE: &str = "kalimati";
 const OTHER_ZONE: &str = "balkhu";
@@ -88,6 +90,9 @@
     /// Starts a site and waits until every gateway is ready and knows every worker.
     pub async fn start(workers: &[WorkerSpec], gateways: usize) -> Self {
         let store = Store::default();
+        for number in 0..FOREIGN_KEYS {
+            store.put(&format!("other/{number:04}"), &json!(number));
+        }
         let operator = Operator::new(&store, HOST);
         operator.configure(1, &routes());
         let workers: Vec<SiteWorker> = workers
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -14,7 +14,7 @@
 use tansyhall_forwarding::{
     Configuration, EngineCapacity, Item, Mirror, MirrorChange, Snapshot, Worker,
 };
-use tansyhall_store::{KeyValue, KeyValueStore, Revision, StoreError, WatchEvent};
+use tansyhall_store::{KeyValue, KeyValueStore, RangePage, Revision, StoreError, WatchEvent};
 use tokio::time::sleep;
 
 use crate::desired_roles::DesiredRoles;
@@ -32,6 +32,8 @@
     base: Duration::from_millis(120),
     most: Duration::from_millis(300),
 };
+/// How often a page after the first is asked for again.
+const PAGE_ATTEMPTS: u32 = 40;
 /// The shortest pause after a failed call.
 const MIN_PAUSE: Duration = Duration::from_millis(30);
 
@@ -108,11 +110,20 @@
     }
 }
 
+/// Reads everything page by page. A page that is refused is asked for again, so that many gateways
+/// that start together get through a store that serves some of them at a time.
 async fn read_all(shared: &Arc<Shared>, store: &dyn KeyValueStore) -> Result<(), StoreError> {
-    let range = in_time(store.range(EVERYTHING)).await?;
+    let mut page = read_page(store, None).await?;
+    let revision = page.revision.0;
+    let mut entries = page.entries;
+    while let (true, Some(last)) = (page.more, entries.last()) {
+        let after = last.key.clone();
+        page = read_page(store, Some(&after)).await?;
+        entries.append(&mut page.entries);
+    }
     let snapshot = Snapshot {
-        items: range.entries.into_iter().map(item).collect(),
-        revision: range.revision.0,
+        items: entries.into_iter().map(item).collect(),
+        revision,
     };
     if shared.mirror.lock().replace(snapshot) {
         refresh(shared);
@@ -120,6 +131,22 @@
     Ok(())
 }
 
+async fn read_page(
+    store: &dyn KeyValueStore,
+    after: Option<&str>,
+) -> Result<RangePage, StoreError> {
+    let mut failures = 0;
+    loop {
+        match in_time(store.range_page(EVERYTHING, after)).await {
+            Err(StoreError::NotApplied(_)) if after.is_some() && failures < PAGE_ATTEMPTS => {
+                failures += 1;
+                sleep(BACKOFF.wait(failures, rand::random()).max(MIN_PAUSE)).await;
+            }
+            answered => return answered,
+        }
+    }
+}
+
 fn reached(shared: &Shared, lost: &mut bool) {
     shared.store_contact.mark(shared.now());
     if *lost {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -14,6 +14,6 @@
 pub use limiter::{Admission, RateLimit, ShareUsedUp, TokenBucket};
 pub use retry::{NextStep, Repeatability, RetryPolicy};
 pub use store::{
-    Compare, KeyValue, KeyValueStore, LeaseId, Operation, RangeOutcome, Revision, StoreError,
-    Transaction, TransactionOutcome, WatchEvent, WatchStream,
+    Compare, KeyValue, KeyValueStore, LeaseId, Operation, RangeOutcome, RangePage, Revision,
+    StoreError, Transaction, TransactionOutcome, WatchEvent, WatchStream,
 };
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -87,6 +87,18 @@
     pub revision: Revision,
 }
 
+/// One page of a read; pages are no snapshot, but nothing that changed after the first page's
+/// revision is missed by a watch from there.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct RangePage {
+    /// The page's keys, in order.
+    pub entries: Vec<KeyValue>,
+    /// The store's revision at the read of this page.
+    pub revision: Revision,
+    /// Whether further keys follow.
+    pub more: bool,
+}
+
 /// A change seen by a watch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum WatchEvent {
@@ -126,6 +138,19 @@
 pub trait KeyValueStore {
     /// Reads every key that starts with `prefix`.
     async fn range(&self, prefix: &str) -> Result<RangeOutcome, StoreError>;
+    /// Reads the keys that start with `prefix` and follow `after`, as many as one call gives. A
+    /// store without pages gives all of them.
+    async fn range_page(&self, prefix: &str, after: Option<&str>) -> Result<RangePage, StoreError> {
+        let mut range = self.range(prefix).await?;
+        range
+            .entries
+            .retain(|entry| after.is_none_or(|after| entry.key.as_str() > after));
+        Ok(RangePage {
+            entries: range.entries,
+            revision: range.revision,
+            more: false,
+        })
+    }
     /// Runs a transaction.
     async fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome, StoreError>;
     /// Creates a lease.
