--- /dev/null
+++ b/crates/cli/tests/gateway_platform/logs.rs
@@ -0,0 +1,116 @@
+//! What a gateway writes of its decisions: a line for each, and nothing that is not its own.
+
+use serde_json::Value;
+use tansyhall_platform_standin::Behaviour;
+use tansyhall_testing::eventually;
+
+use crate::support::{ask, Site, AT_MOST_ONCE, FINAL_STREAM, REPEATABLE};
+
+const SECRET: &[u8] = b"the body of a ledger";
+
+/// Whether a line has these fields with these values.
+fn has(lines: &[Value], fields: &[(&str, &str)]) -> bool {
+    let fits = |line: &Value| fields.iter().all(|(name, value)| line[*name] == **value);
+    lines.iter().any(fits)
+}
+
+#[actix_rt::test]
+async fn each_decision_has_its_line_and_no_line_has_a_body() {
+    let mut site = Site::start(&[("app", None, Behaviour::Serve { events: 0 })], 1).await;
+    let worker = site.workers[0].worker.clone();
+    let gateway = &site.gateways[0];
+    ask(gateway, "delivered", REPEATABLE, SECRET).await;
+    ask(gateway, "no-route", "/nowhere/", SECRET).await;
+    ask(gateway, "too-long", AT_MOST_ONCE, &[b'x'; 100_000]).await;
+    for (id, path, behaviour) in [
+        ("lost", AT_MOST_ONCE, Behaviour::WrongId),
+        ("broken", FINAL_STREAM, Behaviour::BreakOff { events: 1 }),
+        ("failed", AT_MOST_ONCE, Behaviour::Fail),
+        ("refused", AT_MOST_ONCE, Behaviour::NotRun),
+    ] {
+        worker.behave(behaviour);
+        ask(gateway, id, path, SECRET).await;
+    }
+    std::fs::write(&gateway.settings, "not = 'settings'").expect("the file is written");
+    gateway.process.signal("HUP");
+    worker.announce("draining");
+    site.until_ready_workers(0, 0.0).await;
+    ask(gateway, "nobody", REPEATABLE, SECRET).await;
+    eventually("it holds the authority over roles", || async {
+        let holds = gateway.metric("gateway_holds_authority").await?;
+        (holds == 1.0).then_some(())
+    })
+    .await;
+    let lines = site.gateways.remove(0).stop_and_read();
+    for expected in [
+        &[("event", "started"), ("zone", "kalimati")][..],
+        &[("event", "configuration_applied")],
+        &[("event", "workers_changed")],
+        &[("event", "authority"), ("state", "acquired")],
+        &[("event", "reloaded")],
+        &[("event", "stopping")],
+        &[("event", "stopped")],
+        &[
+            ("event", "refused"),
+            ("request", "no-route"),
+            ("reason", "no_route"),
+        ],
+        &[
+            ("event", "refused"),
+            ("request", "too-long"),
+            ("reason", "body_too_long"),
+        ],
+        &[
+            ("event", "send"),
+            ("request", "delivered"),
+            ("outcome", "answered"),
+        ],
+        &[
+            ("event", "request"),
+            ("request", "delivered"),
+            ("outcome", "delivered"),
+        ],
+        &[
+            ("event", "send"),
+            ("request", "lost"),
+            ("outcome", "failed"),
+        ],
+        &[
+            ("event", "request"),
+            ("request", "lost"),
+            ("outcome", "lost"),
+        ],
+        &[
+            ("event", "request"),
+            ("request", "broken"),
+            ("outcome", "broken"),
+        ],
+        &[
+            ("event", "request"),
+            ("request", "failed"),
+            ("outcome", "worker_error"),
+        ],
+        &[
+            ("event", "send"),
+            ("request", "refused"),
+            ("outcome", "refused"),
+        ],
+        &[
+            ("event", "request"),
+            ("request", "refused"),
+            ("outcome", "refused"),
+        ],
+        &[
+            ("event", "request"),
+            ("request", "nobody"),
+            ("cause", "no_worker"),
+        ],
+    ] {
+        assert!(
+            has(&lines, expected),
+            "no line with {expected:?} in {lines:#?}"
+        );
+    }
+    let secret = String::from_utf8_lossy(SECRET).into_owned();
+    assert!(lines.iter().all(|line| !line.to_string().contains(&secret)));
+}
--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
-use serde_json::json;
+use serde_json::{json, Value};
 use tansyhall_platform_standin::{
     render, Behaviour, Operator, RoutePlan, Store, StoreDoor, Worker, WorkerPlan, DEADLINE,
     PROMPT_PARTS, REQUEST_ID, SEAL,
@@ -47,6 +47,16 @@
 /// A gateway of the site.
 pub struct SiteGateway(GatewayProcess);
 
+impl SiteGateway {
+    /// Stops it as planned and returns the lines that it has written, its first line included.
+    pub fn stop_and_read(mut self) -> Vec<Value> {
+        self.0.process.signal("TERM");
+        let text = self.0.process.first_line.clone() + &self.0.process.output_to_end();
+        let parse = |line| serde_json::from_str(line).expect("one JSON object a line");
+        text.lines().map(parse).collect()
+    }
+}
+
 impl Deref for SiteGateway {
     type Target = GatewayProcess;
 
--- a/crates/forwarding/src/retry_share.rs
+++ b/crates/forwarding/src/retry_share.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Takes in budgets that were changed; what was spent in the window stays counted.
+    pub fn set_settings(&mut self, settings: RetryShareSettings) {
+        self.settings = settings;
+        for share in self.services.values_mut() {
+            share.settings = settings;
+        }
+    }
+
     /// Takes in how many gateways share the budgets.
     pub fn set_gateways(&mut self, gateways: u32) {
         self.gateways = gateways;
--- a/crates/forwarding/tests/budget_and_mirror.rs
+++ b/crates/forwarding/tests/budget_and_mirror.rs
@@ -4,8 +4,10 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use tansyhall_core::Timestamp;
-use tansyhall_forwarding::{Item, Mirror, MirrorChange, RetryShare, RetryShareSettings, Snapshot};
+use tansyhall_core::{ServiceName, Timestamp};
+use tansyhall_forwarding::{
+    Item, Mirror, MirrorChange, RetryShare, RetryShareSettings, RetryShares, Snapshot,
+};
 
 const FLEET: RetryShareSettings = RetryShareSettings {
     ratio: 0.2,
@@ -100,3 +102,20 @@
     assert_eq!(keys, ["p/b"]);
     assert_eq!(mirror.revision(), 4);
 }
+
+#[test]
+fn a_changed_budget_counts_what_was_spent() {
+    let service = ServiceName::new("s");
+    let now = Timestamp::from_millis(1_000);
+    let mut shares = RetryShares::new(FLEET, 1);
+    for _ in 0..20 {
+        assert!(shares.try_retry(now, &service));
+    }
+    shares.set_settings(RetryShareSettings {
+        fleet_extra: 42.0,
+        ..FLEET
+    });
+    assert!(shares.try_retry(now, &service));
+    assert!(!shares.try_retry(now, &service));
+    assert_eq!(shares.all_left(now).len(), 1);
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -134,6 +134,8 @@
         left_ms: u64,
         /// Retries that this gateway could still spend on the service.
         retries_left: u64,
+        /// Gateways that share the budgets, as this one believes.
+        gateways: u64,
         /// Milliseconds since the store last answered.
         store_age_ms: u64,
     },
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -5,6 +5,7 @@
 mod prompt;
 mod run;
 
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -300,7 +301,12 @@
         let metrics = &self.shared.metrics;
         metrics
             .requests
-            .with_label_values(&[route.as_str(), outcome])
+            .with_label_values(&[
+                route.as_str(),
+                self.request.routed.service.as_str(),
+                outcome,
+                self.cause,
+            ])
             .inc();
         let now = self.shared.now();
         let event = Event::Request {
@@ -317,6 +323,7 @@
             left_ms: whole_millis(self.request.deadline.since(now)),
             retries_left: self.retries_left(now),
             store_age_ms: self.shared.store_age_ms(),
+            gateways: self.shared.gateways.load(Ordering::Relaxed),
         };
         self.shared.log.record(weight, &event);
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,7 +8,7 @@
 /// All metrics.
 pub struct Metrics {
     registry: Registry,
-    /// Requests by route and outcome.
+    /// Requests by route, service, outcome (which tells the verdict) and cause.
     pub requests: IntCounterVec,
     /// Seconds from a request's arrival to the head of its answer, by route.
     pub latency: HistogramVec,
@@ -40,8 +40,11 @@
         let registry = Registry::new();
         let metrics = Self {
             requests: IntCounterVec::new(
-                Opts::new("gateway_requests_total", "Requests by route and outcome"),
-                &["route", "outcome"],
+                Opts::new(
+                    "gateway_requests_total",
+                    "Requests by route, service, outcome and cause",
+                ),
+                &["route", "service", "outcome", "cause"],
             )?,
             latency: HistogramVec::new(
                 HistogramOpts::new("gateway_latency_seconds", "Arrival to the answer's head"),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -219,6 +219,7 @@
         Ok(settings) => {
             let routine = settings.log.routine_per_second;
             shared.log.set_routine_per_second(routine);
+            shared.retries.lock().set_settings(settings.retry_share());
             *shared.settings.write() = Arc::new(settings);
             "applied".to_owned()
         }
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -12,7 +12,7 @@
 pub use gateway::{gateway, GatewayAddresses, GatewayProcess};
 pub use link::Link;
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -60,6 +60,17 @@
         }
     }
 
+    /// Everything that it prints after its first line, once it has ended.
+    pub fn output_to_end(&mut self) -> String {
+        let mut text = String::new();
+        if let Some(mut output) = self.unread.take() {
+            output
+                .read_to_string(&mut text)
+                .expect("the process prints UTF-8");
+        }
+        text
+    }
+
     /// Closes the reading end of its standard output.
     pub fn close_output(&mut self) {
         self.unread = None;
