--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -2,6 +2,7 @@
 //! stand-ins of the users' platform.
 
 mod logs;
+mod relays;
 mod requests;
 mod roles;
 mod support;
--- /dev/null
+++ b/crates/cli/tests/gateway_platform/relays.rs
@@ -0,0 +1,85 @@
+//! One gateway of a zone follows the store and tells the others; another takes its place when it is
+//! killed, or when the store does not answer it any more.
+
+use tansyhall_platform_standin::{Behaviour, StoreFault};
+use tansyhall_testing::eventually;
+
+use crate::support::{Site, WorkerSpec};
+
+const APP: WorkerSpec = ("app", None, Behaviour::Serve { events: 0 });
+const GATEWAYS: usize = 4;
+
+/// The gateways that ask the store itself for changes.
+async fn relays(site: &Site) -> Vec<usize> {
+    let mut relays = Vec::new();
+    for (index, gateway) in site.gateways.iter().enumerate() {
+        if gateway.metric("gateway_follows_store").await == Some(1.0) {
+            relays.push(index);
+        }
+    }
+    relays
+}
+
+/// Waits until a single gateway, other than `former`, asks the store.
+async fn only_relay(site: &Site, former: Option<usize>) -> usize {
+    eventually("one gateway follows the store", || async {
+        match relays(site).await.as_slice() {
+            [relay] if Some(*relay) != former => Some(*relay),
+            _ => None,
+        }
+    })
+    .await
+}
+
+async fn until_in_force(site: &Site, version: u64) {
+    for gateway in &site.gateways {
+        eventually("the configuration is in force", || async {
+            let known = gateway.metric("gateway_configuration_version").await?;
+            (known == version as f64).then_some(())
+        })
+        .await;
+    }
+}
+
+async fn site() -> Site {
+    let site = Site::start(&[APP], GATEWAYS).await;
+    site.until_gateways_know_each_other().await;
+    site
+}
+
+#[actix_rt::test]
+async fn the_next_gateway_follows_the_store_when_the_relay_is_killed() {
+    let mut site = site().await;
+    let relay = only_relay(&site, None).await;
+    until_in_force(&site, site.configure_next()).await;
+    drop(site.gateways.remove(relay));
+    until_in_force(&site, site.configure_next()).await;
+    only_relay(&site, None).await;
+}
+
+#[actix_rt::test]
+async fn a_relay_that_the_store_does_not_answer_is_replaced_and_told() {
+    let site = site().await;
+    let relay = only_relay(&site, None).await;
+    for fault in [StoreFault::Silent, StoreFault::Refuse] {
+        site.doors[relay].set_fault(fault);
+        until_in_force(&site, site.configure_next()).await;
+        site.doors[relay].set_fault(StoreFault::None);
+        until_in_force(&site, site.configure_next()).await;
+    }
+}
+
+#[actix_rt::test]
+async fn what_a_subscriber_missed_during_an_outage_reaches_it_afterwards() {
+    let site = site().await;
+    only_relay(&site, None).await;
+    for door in &site.doors {
+        door.set_fault(StoreFault::Refuse);
+    }
+    let version = site.configure_next();
+    for door in &site.doors {
+        door.set_fault(StoreFault::None);
+    }
+    until_in_force(&site, version).await;
+    only_relay(&site, None).await;
+}
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod load_exchange;
 pub mod mirror;
 pub mod reading_rate;
+pub mod relay_plan;
 pub mod request;
 pub mod retry_share;
 pub mod route_table;
@@ -29,7 +30,8 @@
 pub use load_exchange::{
     GatewayKey, Load, LoadEntry, LoadReport, LoadReporter, PartRead, WorkerKey,
 };
-pub use mirror::{Item, Mirror, MirrorChange, Snapshot};
+pub use mirror::{Item, Mirror, MirrorChange, Snapshot, Update};
+pub use relay_plan::{RelayPlan, Upstream};
 pub use request::{
     Action, AttemptPolicy, Conclusion, EventId, PromptHandle, RequestEvent, RequestMachine,
     SendFailure,
--- a/crates/forwarding/src/mirror.rs
+++ b/crates/forwarding/src/mirror.rs
@@ -1,8 +1,15 @@
 //! A copy of the store's items that a gateway decides from. It is filled by reads and watches of
 //! the store, or by a peer that has a newer copy while the store cannot be reached, and it never
 //! goes back: an item, once seen at a revision, is not replaced by an older one.
+//!
+//! The copy remembers its latest changes, so that a peer that has nearly all of it gets just those.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Changes that are remembered,
+const HISTORY_CHANGES: usize = 256;
+/// and the most that their keys and values may take together.
+const HISTORY_BYTES: usize = 1 << 20;
 
 /// One item of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -48,6 +55,64 @@
             MirrorChange::Removed { revision, .. } => *revision,
         }
     }
+
+    fn bytes(&self) -> usize {
+        match self {
+            MirrorChange::Written(item) => item.key.len() + item.value.len(),
+            MirrorChange::Removed { key, .. } => key.len(),
+        }
+    }
+}
+
+/// What a peer that has an older copy lacks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Update {
+    /// The changes since its revision, in their order, up to `revision`.
+    Changes {
+        /// The changes.
+        changes: Vec<MirrorChange>,
+        /// The revision that it then has.
+        revision: u64,
+    },
+    /// Everything, as the changes are not remembered.
+    Whole(Snapshot),
+}
+
+/// The latest changes, all of those after `floor`.
+#[derive(Debug, Default)]
+struct History {
+    changes: VecDeque<MirrorChange>,
+    bytes: usize,
+    floor: u64,
+}
+
+impl History {
+    fn restart(&mut self, floor: u64) {
+        self.changes.clear();
+        self.bytes = 0;
+        self.floor = floor;
+    }
+
+    fn push(&mut self, change: MirrorChange) {
+        self.bytes += change.bytes();
+        self.changes.push_back(change);
+        while self.changes.len() > HISTORY_CHANGES || self.bytes > HISTORY_BYTES {
+            let Some(dropped) = self.changes.pop_front() else {
+                break;
+            };
+            self.bytes -= dropped.bytes();
+            self.floor = dropped.revision();
+        }
+    }
+
+    /// The changes after a revision, if all of them are remembered.
+    fn after(&self, revision: u64) -> Option<Vec<MirrorChange>> {
+        if revision < self.floor {
+            return None;
+        }
+        let later = |change: &&MirrorChange| change.revision() > revision;
+        Some(self.changes.iter().filter(later).cloned().collect())
+    }
 }
 
 /// The copy.
@@ -55,6 +120,7 @@
 pub struct Mirror {
     items: BTreeMap<String, Item>,
     revision: u64,
+    history: History,
 }
 
 impl Mirror {
@@ -69,6 +135,7 @@
             return false;
         }
         self.revision = snapshot.revision;
+        self.history.restart(snapshot.revision);
         self.items = snapshot
             .items
             .into_iter()
@@ -87,6 +154,7 @@
                 continue;
             }
             changed = true;
+            self.history.push(change.clone());
             match change {
                 MirrorChange::Written(item) => {
                     self.items.insert(item.key.clone(), item);
@@ -100,6 +168,29 @@
         changed
     }
 
+    /// Takes in what a peer handed over; returns whether anything changed.
+    pub fn take_in(&mut self, update: Update) -> bool {
+        match update {
+            Update::Changes { changes, revision } => self.apply(changes, revision),
+            Update::Whole(snapshot) => self.replace(snapshot),
+        }
+    }
+
+    /// What a peer whose copy has this revision lacks; nothing if it is as new as this one.
+    pub fn update_after(&self, revision: u64) -> Option<Update> {
+        if revision >= self.revision {
+            return None;
+        }
+        let update = match self.history.after(revision) {
+            Some(changes) => Update::Changes {
+                changes,
+                revision: self.revision,
+            },
+            None => Update::Whole(self.snapshot()),
+        };
+        Some(update)
+    }
+
     /// Items below a prefix, in the order of their keys.
     pub fn below<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = &'a Item> {
         self.items
--- /dev/null
+++ b/crates/forwarding/src/relay_plan.rs
@@ -0,0 +1,155 @@
+//! Where a gateway gets the store's changes from: the store itself, or another gateway of its zone
+//! that relays them. Calls to the store then grow with zones and not with gateways.
+//!
+//! Gateways of a zone rank each other by rendezvous hashing of their names under the zone's name,
+//! so that they agree on the relays without talking. Each passes over those that failed it lately.
+//!
+//! 1. The first gateways of the ranking, one for each [`GATEWAYS_PER_RELAY`], are relays and follow
+//!    the store. Every other asks one of them, chosen by hashing too.
+//! 2. What a relay tells comes with its age: the time since the store answered it. A gateway whose
+//!    knowledge becomes older than its patience asks the store itself. Patience grows with the
+//!    rank, so that the successor of a relay that is cut off goes first and serves the others.
+//! 3. A relay that does not answer, or tells old news, is passed over for a while. If it was the
+//!    first of the ranking, the next takes its place.
+//! 4. A gateway that the store does not answer asks another gateway in between.
+//!
+//! Nothing depends on gateways agreeing: two that both take themselves for the relay cost some
+//! calls, and one that finds no relay asks the store.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tansyhall_core::hash::rendezvous_weight;
+use tansyhall_core::{Timestamp, ZoneName};
+
+/// Gateways of a zone for which one relay suffices.
+pub const GATEWAYS_PER_RELAY: usize = 32;
+/// Age of its knowledge at which the first successor of a relay asks the store itself.
+pub const PATIENCE: Duration = Duration::from_millis(1_200);
+/// What each further rank waits longer,
+const PATIENCE_STEP: Duration = Duration::from_millis(60);
+/// up to this many ranks.
+const PATIENCE_STEPS: usize = 5;
+/// How long a gateway that did not answer is passed over.
+const SILENCE_MEMORY: Duration = Duration::from_secs(3);
+/// How long a gateway that told old news is passed over.
+const STALENESS_MEMORY: Duration = Duration::from_secs(1);
+/// How long a relay that the store did not answer waits before it asks again.
+const RELAY_REST: Duration = Duration::from_millis(250);
+/// The same for other gateways: a relay notices first that the store is back.
+const SUBSCRIBER_REST: Duration = Duration::from_millis(800);
+
+/// Whom to ask next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Upstream {
+    /// The store.
+    Store,
+    /// The gateway of that name.
+    Relay(String),
+    /// Nobody for now: the store has just failed, and no other gateway is left.
+    Nobody,
+}
+
+/// The plan of one gateway.
+#[derive(Debug)]
+pub struct RelayPlan {
+    own: String,
+    zone: ZoneName,
+    passed_over: HashMap<String, Timestamp>,
+    store_failed: Option<Timestamp>,
+}
+
+/// The gateways that are not passed over, as this one ranks them.
+struct Ranking<'a> {
+    ranked: Vec<&'a str>,
+    own_rank: usize,
+    relays: usize,
+}
+
+impl RelayPlan {
+    /// The plan of the gateway `own` in `zone`.
+    pub fn new(own: &str, zone: &ZoneName) -> Self {
+        Self {
+            own: own.to_owned(),
+            zone: zone.clone(),
+            passed_over: HashMap::new(),
+            store_failed: None,
+        }
+    }
+
+    /// Whom to ask now. `members` are the names of the zone's gateways, and `age` is the time since
+    /// the store gave the answer that this gateway's knowledge rests on.
+    pub fn upstream(&mut self, now: Timestamp, members: &[&str], age: Duration) -> Upstream {
+        self.passed_over.retain(|_, until| *until > now);
+        let ranking = self.rank(members);
+        let is_relay = ranking.own_rank < ranking.relays;
+        let asks_store = is_relay || age > patience(&ranking);
+        let rest = match is_relay {
+            true => RELAY_REST,
+            false => SUBSCRIBER_REST,
+        };
+        let store_rests = self.store_failed.is_some_and(|at| now.since(at) < rest);
+        if asks_store && !store_rests {
+            return Upstream::Store;
+        }
+        match self.relay(&ranking) {
+            Some(relay) => Upstream::Relay(relay.to_owned()),
+            None if store_rests => Upstream::Nobody,
+            None => Upstream::Store,
+        }
+    }
+
+    /// The store has answered.
+    pub fn store_answered(&mut self) {
+        self.store_failed = None;
+    }
+
+    /// The store has not answered, or has refused.
+    pub fn store_failed(&mut self, now: Timestamp) {
+        self.store_failed = Some(now);
+    }
+
+    /// A relay has answered, and its knowledge has this age.
+    pub fn relay_answered(&mut self, now: Timestamp, relay: &str, age: Duration) {
+        if age > PATIENCE {
+            self.pass_over(relay, now + STALENESS_MEMORY);
+        }
+    }
+
+    /// A relay has not answered.
+    pub fn relay_failed(&mut self, now: Timestamp, relay: &str) {
+        self.pass_over(relay, now + SILENCE_MEMORY);
+    }
+
+    fn pass_over(&mut self, relay: &str, until: Timestamp) {
+        self.passed_over.insert(relay.to_owned(), until);
+    }
+
+    fn rank<'a>(&'a self, members: &[&'a str]) -> Ranking<'a> {
+        let usable = |member: &&str| *member != self.own && !self.passed_over.contains_key(*member);
+        let mut ranked: Vec<&str> = members.iter().copied().filter(usable).collect();
+        ranked.push(&self.own);
+        let weight = |name: &str| rendezvous_weight(self.zone.as_str().as_bytes(), name.as_bytes());
+        ranked.sort_by_key(|name| (std::cmp::Reverse(weight(name)), *name));
+        let own_rank = ranked.iter().position(|name| *name == self.own);
+        Ranking {
+            own_rank: own_rank.unwrap_or_default(),
+            relays: ranked.len().div_ceil(GATEWAYS_PER_RELAY),
+            ranked,
+        }
+    }
+
+    /// The relay to ask: one of the first of the ranking other than this gateway, by hashing.
+    fn relay<'a>(&self, ranking: &Ranking<'a>) -> Option<&'a str> {
+        let others = ranking.ranked.iter().filter(|name| **name != self.own);
+        others
+            .take(ranking.relays)
+            .max_by_key(|name| rendezvous_weight(self.own.as_bytes(), name.as_bytes()))
+            .copied()
+    }
+}
+
+fn patience(ranking: &Ranking<'_>) -> Duration {
+    let successors_before = ranking.own_rank.saturating_sub(ranking.relays);
+    PATIENCE + PATIENCE_STEP * successors_before.min(PATIENCE_STEPS) as u32
+}
--- /dev/null
+++ b/crates/forwarding/tests/mirror_updates.rs
@@ -0,0 +1,108 @@
+//! A peer that takes updates in holds the same copy as the one that gives them.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tansyhall_forwarding::{Item, Mirror, MirrorChange, Snapshot, Update};
+
+/// Seed of the property test.
+const SEED: u64 = 20_261_204;
+
+fn written(key: u8, revision: u64) -> MirrorChange {
+    MirrorChange::Written(Item {
+        key: format!("key-{key}"),
+        value: vec![key; 3],
+        revision,
+        created: 1,
+    })
+}
+
+fn removed(key: u8, revision: u64) -> MirrorChange {
+    MirrorChange::Removed {
+        key: format!("key-{key}"),
+        revision,
+    }
+}
+
+/// A mirror that was read once, at revision 1.
+fn read_mirror() -> Mirror {
+    let mut mirror = Mirror::default();
+    mirror.replace(Snapshot {
+        items: Vec::new(),
+        revision: 1,
+    });
+    mirror
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_peer_that_asks_now_and_then_has_the_same_copy(
+        steps in prop::collection::vec((0_u8..12, any::<bool>(), 0_u8..4), 1..900),
+    ) {
+        let mut source = read_mirror();
+        let mut peer = Mirror::default();
+        let mut revision = 1;
+        for (key, is_written, asks) in steps {
+            revision += 1;
+            let change = match is_written {
+                true => written(key, revision),
+                false => removed(key, revision),
+            };
+            source.apply(vec![change], revision);
+            if asks == 0 {
+                let update = source.update_after(peer.revision());
+                peer.take_in(update.expect("something new"));
+                prop_assert_eq!(peer.snapshot(), source.snapshot());
+            }
+        }
+    }
+}
+
+#[test]
+fn a_peer_that_is_up_to_date_lacks_nothing() {
+    assert_eq!(read_mirror().update_after(1), None);
+}
+
+#[test]
+fn a_peer_that_has_nearly_all_gets_just_the_changes() {
+    let mut source = read_mirror();
+    source.apply(vec![written(1, 2), written(2, 3)], 3);
+    let update = Update::Changes {
+        changes: vec![written(2, 3)],
+        revision: 3,
+    };
+    assert_eq!(source.update_after(2), Some(update));
+}
+
+#[test]
+fn a_peer_whose_changes_are_forgotten_gets_everything() {
+    let mut source = read_mirror();
+    for revision in 2..2_000 {
+        source.apply(vec![written(1, revision)], revision);
+    }
+    assert!(matches!(source.update_after(1), Some(Update::Whole(_))));
+}
+
+#[test]
+fn large_changes_are_forgotten_sooner() {
+    let mut source = read_mirror();
+    for revision in 2..6 {
+        let item = Item {
+            key: "large".into(),
+            value: vec![0; 400_000],
+            revision,
+            created: 1,
+        };
+        source.apply(vec![MirrorChange::Written(item)], revision);
+    }
+    assert!(matches!(source.update_after(1), Some(Update::Whole(_))));
+    assert!(matches!(
+        source.update_after(4),
+        Some(Update::Changes { .. })
+    ));
+}
--- /dev/null
+++ b/crates/forwarding/tests/relay_plan.rs
@@ -0,0 +1,164 @@
+//! Who relays the store's changes in a zone, and what follows when a relay or the store fails.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tansyhall_core::{Timestamp, ZoneName};
+use tansyhall_forwarding::relay_plan::{GATEWAYS_PER_RELAY, PATIENCE};
+use tansyhall_forwarding::{RelayPlan, Upstream};
+
+/// Seed of the property tests.
+const SEED: u64 = 20_261_203;
+const FRESH: Duration = Duration::from_millis(300);
+const STALE: Duration = Duration::from_millis(2_000);
+const SECOND: u64 = 1_000;
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("g-{number}")).collect()
+}
+
+fn borrowed(names: &[String]) -> Vec<&str> {
+    names.iter().map(String::as_str).collect()
+}
+
+fn plans(names: &[String]) -> Vec<RelayPlan> {
+    let zone = ZoneName::new("z");
+    names
+        .iter()
+        .map(|name| RelayPlan::new(name, &zone))
+        .collect()
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+/// The relay that the others ask, and the index of one that asks it.
+fn relay_and_subscriber(plans: &mut [RelayPlan], members: &[&str]) -> (String, usize) {
+    let asked = plans.iter_mut().enumerate().find_map(|(index, plan)| {
+        match plan.upstream(at(0), members, FRESH) {
+            Upstream::Relay(relay) => Some((relay, index)),
+            _ => None,
+        }
+    });
+    asked.expect("a subscriber")
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Gateways that know the same members agree: as many follow the store as the zone needs, and
+    /// every other asks one of those.
+    #[test]
+    fn a_zone_agrees_on_its_relays(count in 1_usize..100) {
+        let names = names(count);
+        let members = borrowed(&names);
+        let mut relays = BTreeSet::new();
+        let mut asked = BTreeSet::new();
+        for (name, plan) in names.iter().zip(&mut plans(&names)) {
+            match plan.upstream(at(0), &members, FRESH) {
+                Upstream::Store => { relays.insert(name.clone()); }
+                Upstream::Relay(relay) => { asked.insert(relay); }
+                Upstream::Nobody => prop_assert!(false, "somebody can be asked"),
+            }
+        }
+        prop_assert_eq!(relays.len(), count.div_ceil(GATEWAYS_PER_RELAY));
+        prop_assert!(asked.is_subset(&relays));
+    }
+
+    /// Whatever has failed, a gateway with old knowledge comes to ask the store within a second.
+    #[test]
+    fn old_knowledge_leads_to_the_store(
+        count in 1_usize..40,
+        failures in prop::collection::vec((0_usize..40, any::<bool>()), 0..60),
+    ) {
+        let names = names(count);
+        let members = borrowed(&names);
+        let mut plan = plans(&names).remove(0);
+        plan.store_failed(at(0));
+        for (index, silent) in failures {
+            let name = &names[index % count];
+            match silent {
+                true => plan.relay_failed(at(0), name),
+                false => plan.relay_answered(at(0), name, STALE),
+            }
+        }
+        let asked = (0..10).map(|step| plan.upstream(at(step * 100), &members, STALE));
+        prop_assert!(asked.into_iter().any(|upstream| upstream == Upstream::Store));
+    }
+}
+
+#[test]
+fn a_gateway_that_knows_nobody_asks_the_store() {
+    let mut plan = RelayPlan::new("a", &ZoneName::new("z"));
+    assert_eq!(plan.upstream(at(0), &[], FRESH), Upstream::Store);
+}
+
+#[test]
+fn the_next_of_the_ranking_replaces_a_silent_relay() {
+    let names = names(5);
+    let members = borrowed(&names);
+    let mut plans = plans(&names);
+    let (relay, _) = relay_and_subscriber(&mut plans, &members);
+    let mut following = Vec::new();
+    for (name, plan) in names.iter().zip(&mut plans) {
+        if *name == relay {
+            continue;
+        }
+        plan.relay_failed(at(0), &relay);
+        if plan.upstream(at(1), &members, FRESH) == Upstream::Store {
+            following.push(name);
+        }
+    }
+    assert_eq!(following.len(), 1, "one successor");
+}
+
+#[test]
+fn a_relay_that_tells_old_news_is_passed_over_for_a_while() {
+    let names = names(6);
+    let members = borrowed(&names);
+    let mut plans = plans(&names);
+    let (relay, subscriber) = relay_and_subscriber(&mut plans, &members);
+    let plan = &mut plans[subscriber];
+    plan.relay_answered(at(0), &relay, PATIENCE + FRESH);
+    assert_ne!(
+        plan.upstream(at(1), &members, FRESH),
+        Upstream::Relay(relay.clone())
+    );
+    assert_eq!(
+        plan.upstream(at(5 * SECOND), &members, FRESH),
+        Upstream::Relay(relay)
+    );
+}
+
+#[test]
+fn a_relay_that_the_store_refuses_asks_another_gateway_in_between() {
+    let names = names(4);
+    let members = borrowed(&names);
+    let mut plans = plans(&names);
+    let (relay, _) = relay_and_subscriber(&mut plans, &members);
+    let index = names.iter().position(|name| *name == relay);
+    let plan = &mut plans[index.expect("a member")];
+    assert_eq!(plan.upstream(at(0), &members, STALE), Upstream::Store);
+    plan.store_failed(at(0));
+    let asked = plan.upstream(at(10), &members, STALE);
+    assert!(matches!(asked, Upstream::Relay(other) if other != relay));
+    assert_eq!(plan.upstream(at(SECOND), &members, FRESH), Upstream::Store);
+}
+
+#[test]
+fn nobody_is_asked_while_everything_has_just_failed() {
+    let names = names(2);
+    let members = borrowed(&names);
+    let mut plan = plans(&names).remove(0);
+    plan.store_failed(at(0));
+    plan.relay_failed(at(0), "g-1");
+    assert_eq!(plan.upstream(at(10), &members, STALE), Upstream::Nobody);
+    assert_eq!(plan.upstream(at(SECOND), &members, STALE), Upstream::Store);
+}
--- /dev/null
+++ b/crates/gateway/src/copy_message.rs
@@ -0,0 +1,156 @@
+//! Copies of the store, and changes of them, on the wire between gateways.
+
+use std::time::Duration;
+
+use prost::Message;
+use tansyhall_forwarding::{Item, MirrorChange, Snapshot, Update};
+
+/// What a gateway tells another of the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct UpdateMessage {
+    /// The revision that the receiver then has.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Items that were written, or all items.
+    #[prost(message, repeated, tag = "2")]
+    pub items: Vec<ItemMessage>,
+    /// Whether the items are the whole copy, and not changes of it.
+    #[prost(bool, tag = "4")]
+    pub whole: bool,
+    /// Milliseconds since the store last answered the sender, or whom it asks.
+    #[prost(uint64, tag = "5")]
+    pub age_ms: u64,
+    /// True in every whole message. It stands last, as a message that was cut short still decodes.
+    #[prost(bool, tag = "6")]
+    pub complete: bool,
+}
+
+/// One item on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct ItemMessage {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Its value.
+    #[prost(bytes = "vec", tag = "2")]
+    pub value: Vec<u8>,
+    /// The revision of its last change.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+    /// The revision of its creation; 0 if the item is gone.
+    #[prost(uint64, tag = "4")]
+    pub created: u64,
+    /// Whether the item is gone.
+    #[prost(bool, tag = "5")]
+    pub gone: bool,
+}
+
+/// An update that was cut short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("an update was cut short")]
+pub struct Incomplete;
+
+/// An update as it arrived.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Received {
+    /// What is new, if anything.
+    pub update: Option<Update>,
+    /// Time since the store last answered the sender.
+    pub age: Duration,
+}
+
+impl UpdateMessage {
+    /// The message for a receiver that lacks `update`, from a sender whose knowledge is this old.
+    pub fn new(update: Option<Update>, age: Duration) -> Self {
+        let (items, revision, whole) = match update {
+            None => (Vec::new(), 0, false),
+            Some(Update::Changes { changes, revision }) => {
+                let items = changes.into_iter().map(ItemMessage::from).collect();
+                (items, revision, false)
+            }
+            Some(Update::Whole(snapshot)) => {
+                let items = snapshot.items.into_iter().map(ItemMessage::from);
+                (items.collect(), snapshot.revision, true)
+            }
+        };
+        Self {
+            revision,
+            items,
+            whole,
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            complete: true,
+        }
+    }
+
+    /// What the message says, if it is complete.
+    pub fn into_received(self) -> Result<Received, Incomplete> {
+        if !self.complete {
+            return Err(Incomplete);
+        }
+        let update = match (self.revision, self.whole) {
+            (0, _) => None,
+            (revision, true) => Some(Update::Whole(Snapshot {
+                items: self.items.into_iter().map(Item::from).collect(),
+                revision,
+            })),
+            (revision, false) => Some(Update::Changes {
+                changes: self.items.into_iter().map(MirrorChange::from).collect(),
+                revision,
+            }),
+        };
+        Ok(Received {
+            update,
+            age: Duration::from_millis(self.age_ms),
+        })
+    }
+}
+
+impl From<Item> for ItemMessage {
+    fn from(item: Item) -> Self {
+        Self {
+            key: item.key,
+            value: item.value,
+            revision: item.revision,
+            created: item.created,
+            gone: false,
+        }
+    }
+}
+
+impl From<MirrorChange> for ItemMessage {
+    fn from(change: MirrorChange) -> Self {
+        match change {
+            MirrorChange::Written(item) => Self::from(item),
+            MirrorChange::Removed { key, revision } => Self {
+                key,
+                value: Vec::new(),
+                revision,
+                created: 0,
+                gone: true,
+            },
+        }
+    }
+}
+
+impl From<ItemMessage> for Item {
+    fn from(message: ItemMessage) -> Self {
+        Self {
+            key: message.key,
+            value: message.value,
+            revision: message.revision,
+            created: message.created,
+        }
+    }
+}
+
+impl From<ItemMessage> for MirrorChange {
+    fn from(message: ItemMessage) -> Self {
+        match message.gone {
+            true => Self::Removed {
+                key: message.key,
+                revision: message.revision,
+            },
+            false => Self::Written(Item::from(message)),
+        }
+    }
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -74,6 +74,13 @@
         /// The last error.
         reason: &'a str,
     },
+    /// This gateway gets the store's changes from elsewhere now.
+    Upstream {
+        /// The relay that is asked, or empty for the store itself.
+        relay: &'a str,
+        /// Milliseconds since the store last answered, itself or through a relay.
+        store_age_ms: u64,
+    },
     /// A send to a worker ended.
     Send {
         /// The caller's id of the request.
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -1,32 +1,34 @@
-//! Follows the store: reads it once, then asks for changes at a steady pace, so that the calls of
-//! a fleet grow with its gateways and not with how often workers write. What the copy holds becomes
-//! the configuration in force, the workers and the fleet's size.
+//! Follows the store, itself or through the relay of its zone (see
+//! [`tansyhall_forwarding::relay_plan`]): reads it once, then asks for changes, so that the calls of
+//! a fleet grow with its zones and not with its gateways or with how often workers write.
 
-use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
+use awc::Client;
 use futures_util::StreamExt;
 use tansyhall_admission::Backoff;
-use tansyhall_core::{ServiceName, Timestamp};
-use tansyhall_forwarding::{
-    Configuration, EngineCapacity, Item, Mirror, MirrorChange, Snapshot, Worker,
+use tansyhall_core::Timestamp;
+use tansyhall_forwarding::{Item, MirrorChange, RelayPlan, Snapshot, Upstream};
+use tansyhall_store::{
+    KeyValue, KeyValueStore, RangePage, Revision, StoreError, WatchEvent, WatchStream,
 };
-use tansyhall_store::{KeyValue, KeyValueStore, RangePage, Revision, StoreError, WatchEvent};
 use tokio::time::sleep;
 
-use crate::desired_roles::DesiredRoles;
 use crate::events::{Event, Weight};
-use crate::presence;
-use crate::state::{InForce, Shared};
+use crate::peers::{self, RELAY_WAIT};
+use crate::presence::{self, Member};
+use crate::state::Shared;
 use crate::store_call::in_time;
+use crate::store_copy::refresh;
 
 /// Every key.
 const EVERYTHING: &str = "";
 /// Pause between two calls for changes.
-const PACE: Duration = Duration::from_millis(400);
+const PACE: Duration = Duration::from_millis(100);
 /// Pauses after failed calls; gateways that fail together do not come back together.
 const BACKOFF: Backoff = Backoff {
     base: Duration::from_millis(120),
@@ -37,76 +39,206 @@
 /// The shortest pause after a failed call.
 const MIN_PAUSE: Duration = Duration::from_millis(30);
 
-/// A worker's item, decoded once for each of its revisions.
-#[derive(Debug)]
-pub struct DecodedWorker {
-    revision: u64,
-    worker: Option<Worker>,
-}
-
-/// When the store last answered.
+/// When the store gave the answer that this gateway's knowledge rests on, in microseconds.
 #[derive(Debug, Default)]
 pub struct StoreContact(AtomicU64);
 
 impl StoreContact {
-    fn mark(&self, now: Timestamp) {
-        self.0.store(now.0, Ordering::Relaxed);
+    /// The store gave an answer `age` ago, to this gateway or to one that told it.
+    pub fn mark(&self, now: Timestamp, age: Duration) {
+        let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        self.0
+            .fetch_max(now.0.saturating_sub(age), Ordering::Relaxed);
     }
 
-    /// When the store last answered.
-    pub fn heard(&self) -> Timestamp {
-        Timestamp(self.0.load(Ordering::Relaxed))
-    }
-
-    /// Time since the store last answered, or since the clock's start.
+    /// Time since that answer, or since the clock's start.
     pub fn age(&self, now: Timestamp) -> Duration {
-        now.since(self.heard())
+        now.since(Timestamp(self.0.load(Ordering::Relaxed)))
     }
 }
 
 /// Follows the store for ever.
 pub async fn follow(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>) {
-    let mut lost = false;
-    let mut failures = 0;
+    let plan = {
+        let settings = shared.settings.read();
+        RelayPlan::new(&settings.node.name, &settings.node.zone)
+    };
+    let mut follower = Follower {
+        shared,
+        store,
+        client: peers::client(),
+        plan,
+        watch: None,
+        upstream: Upstream::Nobody,
+        reads_whole: true,
+        store_lost: false,
+        failures: 0,
+    };
     loop {
-        let heard = shared.store_contact.heard();
-        let Err(error) = follow_until_error(&shared, &*store, &mut lost).await;
-        if !lost && !matches!(error, StoreError::Compacted) {
-            lost = true;
-            record_dependency(&shared, "lost", &error.to_string());
-        }
-        failures = match shared.store_contact.heard() == heard {
-            true => failures + 1,
-            false => 0,
-        };
-        sleep(BACKOFF.wait(failures, rand::random()).max(MIN_PAUSE)).await;
+        follower.ask().await;
     }
 }
 
-async fn follow_until_error(
-    shared: &Arc<Shared>,
-    store: &dyn KeyValueStore,
-    lost: &mut bool,
-) -> Result<std::convert::Infallible, StoreError> {
-    read_all(shared, store).await?;
-    reached(shared, lost);
-    let start = shared.mirror.lock().revision() + 1;
-    let mut watch = in_time(store.watch(EVERYTHING, Revision(start))).await?;
-    loop {
+struct Follower {
+    shared: Arc<Shared>,
+    store: Rc<dyn KeyValueStore>,
+    client: Client,
+    plan: RelayPlan,
+    watch: Option<WatchStream>,
+    upstream: Upstream,
+    /// Whether the next answer of the store must be everything it holds.
+    reads_whole: bool,
+    store_lost: bool,
+    failures: u32,
+}
+
+impl Follower {
+    /// Asks whom the plan names, once.
+    async fn ask(&mut self) {
+        let relays = self.zone_members();
+        let names: Vec<&str> = relays.iter().map(|member| member.name.as_str()).collect();
+        let now = self.shared.now();
+        let age = self.shared.store_contact.age(now);
+        let upstream = self.plan.upstream(now, &names, age);
+        self.record_upstream(&upstream);
+        match upstream {
+            Upstream::Store => self.ask_store().await,
+            Upstream::Relay(name) => {
+                let relay = relays.iter().find(|member| member.name == name);
+                if let Some(address) = relay.map(|member| member.copy) {
+                    self.ask_relay(&name, address).await;
+                }
+            }
+            Upstream::Nobody => self.pause().await,
+        }
+    }
+
+    fn zone_members(&self) -> Vec<Member> {
+        let zone = self.shared.zone();
+        let mut members = presence::members(&self.shared.mirror.lock());
+        members.retain(|member| member.zone.as_ref() == Some(&zone));
+        members
+    }
+
+    async fn ask_relay(&mut self, name: &str, address: SocketAddr) {
+        self.watch = None;
+        let answered = peers::ask(&self.client, address, RELAY_WAIT, &self.shared).await;
+        let now = self.shared.now();
+        match answered {
+            Ok(age) => {
+                self.reads_whole = false;
+                self.plan.relay_answered(now, name, age);
+            }
+            Err(error) => {
+                log::debug!("relay {name}: {error:#}");
+                self.plan.relay_failed(now, name);
+            }
+        }
+    }
+
+    async fn ask_store(&mut self) {
+        match self.take_changes().await {
+            Ok(()) => {
+                self.failures = 0;
+                self.plan.store_answered();
+                sleep(PACE).await;
+            }
+            Err(error) => {
+                self.watch = None;
+                self.reads_whole = true;
+                self.plan.store_failed(self.shared.now());
+                self.record_lost(&error);
+                self.failures = self.failures.saturating_add(1);
+                self.pause().await;
+            }
+        }
+    }
+
+    async fn pause(&self) {
+        let pause = BACKOFF.wait(self.failures, rand::random());
+        sleep(pause.max(MIN_PAUSE)).await;
+    }
+
+    /// Takes the next changes in, or everything if nothing is being watched. A gateway that has just
+    /// been told everything by a relay goes on from there.
+    async fn take_changes(&mut self) -> Result<(), StoreError> {
+        let known = self.shared.mirror.lock().revision();
+        let mut watch = match self.watch.take() {
+            Some(watch) => watch,
+            None if known > 0 && !self.reads_whole => self.watch_after(known).await?,
+            None => {
+                read_all(&self.shared, &*self.store).await?;
+                self.reached();
+                self.reads_whole = false;
+                let known = self.shared.mirror.lock().revision();
+                self.watch = Some(self.watch_after(known).await?);
+                return Ok(());
+            }
+        };
         let Some(events) = in_time(async { watch.next().await.transpose() }).await? else {
             return Err(StoreError::NotApplied("the watch ended".into()));
         };
-        reached(shared, lost);
+        self.watch = Some(watch);
+        self.reached();
         let changes: Vec<MirrorChange> = events.into_iter().map(change).collect();
         let revision = changes.iter().map(MirrorChange::revision).max();
-        let changed = shared
-            .mirror
-            .lock()
-            .apply(changes, revision.unwrap_or_default());
+        let mut mirror = self.shared.mirror.lock();
+        let changed = mirror.apply(changes, revision.unwrap_or_default());
+        drop(mirror);
         if changed {
-            refresh(shared);
+            refresh(&self.shared);
+        }
+        Ok(())
+    }
+
+    async fn watch_after(&self, known: u64) -> Result<WatchStream, StoreError> {
+        in_time(self.store.watch(EVERYTHING, Revision(known + 1))).await
+    }
+
+    fn reached(&mut self) {
+        let now = self.shared.now();
+        self.shared.store_contact.mark(now, Duration::ZERO);
+        if std::mem::take(&mut self.store_lost) {
+            self.record_dependency("regained", "");
+        }
+    }
+
+    fn record_lost(&mut self, error: &StoreError) {
+        if matches!(error, StoreError::Compacted) {
+            return;
+        }
+        if !std::mem::replace(&mut self.store_lost, true) {
+            self.record_dependency("lost", &error.to_string());
+        }
+    }
+
+    fn record_dependency(&self, state: &str, reason: &str) {
+        let event = Event::Dependency {
+            name: "store",
+            state,
+            reason,
+        };
+        self.shared.log.record(Weight::Important, &event);
+    }
+
+    fn record_upstream(&mut self, upstream: &Upstream) {
+        if *upstream == Upstream::Nobody || *upstream == self.upstream {
+            return;
         }
-        sleep(PACE).await;
+        self.upstream = upstream.clone();
+        let relay = match upstream {
+            Upstream::Relay(name) => name.as_str(),
+            Upstream::Store | Upstream::Nobody => "",
+        };
+        self.shared
+            .metrics
+            .follows_store
+            .set(i64::from(relay.is_empty()));
+        let event = Event::Upstream {
+            relay,
+            store_age_ms: self.shared.store_age_ms(),
+        };
+        self.shared.log.record(Weight::Important, &event);
     }
 }
 
@@ -147,23 +279,6 @@
     }
 }
 
-fn reached(shared: &Shared, lost: &mut bool) {
-    shared.store_contact.mark(shared.now());
-    if *lost {
-        *lost = false;
-        record_dependency(shared, "regained", "");
-    }
-}
-
-fn record_dependency(shared: &Shared, state: &str, reason: &str) {
-    let event = Event::Dependency {
-        name: "store",
-        state,
-        reason,
-    };
-    shared.log.record(Weight::Important, &event);
-}
-
 fn item(entry: KeyValue) -> Item {
     Item {
         key: entry.key,
@@ -182,112 +297,3 @@
         },
     }
 }
-
-/// Takes in what the copy of the store holds now.
-pub fn refresh(shared: &Arc<Shared>) {
-    refresh_configuration(shared);
-    refresh_workers(shared);
-    let members = presence::members(&shared.mirror.lock()).len() as u64;
-    shared.gateways.store(members.max(1), Ordering::Relaxed);
-    shared.retries.lock().set_gateways(members as u32);
-    shared.metrics.gateways.set(members as i64);
-}
-
-fn refresh_configuration(shared: &Arc<Shared>) {
-    let key = shared.catalogue.configuration_key();
-    let Some(item) = shared.mirror.lock().get(key).cloned() else {
-        return;
-    };
-    let known = shared.in_force().map_or(0, |in_force| in_force.revision);
-    if item.revision <= known {
-        return;
-    }
-    let configuration = shared.catalogue.configuration(&item.value);
-    let checked = configuration.and_then(|configuration| {
-        configuration.validate()?;
-        Ok(configuration)
-    });
-    match checked {
-        Ok(configuration) => {
-            let event = Event::ConfigurationApplied {
-                version: configuration.version,
-                revision: item.revision,
-                routes: configuration.routes.len(),
-            };
-            shared.log.record(Weight::Important, &event);
-            let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
-            shared.metrics.configuration_version.set(version);
-            let engines = engines(&configuration);
-            shared.directory.lock().set_engines(engines);
-            let in_force = InForce::new(configuration, item.revision);
-            *shared.in_force.write() = Some(Arc::new(in_force));
-        }
-        Err(error) => record_refused(shared, &item, &error),
-    }
-}
-
-fn engines(configuration: &Configuration) -> HashMap<ServiceName, EngineCapacity> {
-    let engines = configuration
-        .services
-        .iter()
-        .filter_map(|service| Some((service.name.clone(), service.engine?)));
-    engines.collect()
-}
-
-fn refresh_workers(shared: &Arc<Shared>) {
-    let mirror = shared.mirror.lock();
-    let revision = mirror.revision();
-    let desired = DesiredRoles::read(&mirror);
-    let workers = decode_workers(shared, &mirror);
-    drop(mirror);
-    let mut directory = shared.directory.lock();
-    let before = directory.ready_workers();
-    directory.announce(workers);
-    directory.set_desired_roles(|id| desired.get(id));
-    let ready = directory.ready_workers();
-    drop(directory);
-    shared.metrics.ready_workers.set(ready as i64);
-    shared.metrics.mirror_revision.set(revision as i64);
-    if before != ready {
-        let event = Event::WorkersChanged { ready, revision };
-        shared.log.record(Weight::Important, &event);
-    }
-}
-
-/// The workers in the copy; an item that has not changed is not decoded again.
-fn decode_workers(shared: &Shared, mirror: &Mirror) -> Vec<Worker> {
-    let prefix = shared.catalogue.worker_prefix();
-    let mut known = shared.decoded_workers.lock();
-    let mut decoded = HashMap::new();
-    for item in mirror.below(prefix) {
-        let id = &item.key[prefix.len()..];
-        let unchanged = known
-            .remove(id)
-            .filter(|worker| worker.revision == item.revision);
-        let worker = unchanged.unwrap_or_else(|| decode_worker(shared, id, item));
-        decoded.insert(id.to_owned(), worker);
-    }
-    let workers = decoded.values().filter_map(|entry| entry.worker.clone());
-    let workers = workers.collect();
-    *known = decoded;
-    workers
-}
-
-fn decode_worker(shared: &Shared, id: &str, item: &Item) -> DecodedWorker {
-    let worker = shared.catalogue.worker(id, &item.value);
-    DecodedWorker {
-        revision: item.revision,
-        worker: worker
-            .map_err(|error| record_refused(shared, item, &error))
-            .ok(),
-    }
-}
-
-fn record_refused(shared: &Shared, item: &Item, error: &anyhow::Error) {
-    let event = Event::ItemRefused {
-        key: &item.key,
-        revision: item.revision,
-        reason: &format!("{error:#}"),
-    };
-    shared.log.record(Weight::Important, &event);
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,14 +1,16 @@
 //! The gateway: sockets, tasks and state around the decisions of `tansyhall-forwarding`.
 //!
 //! Callers' requests come in through [`ingress`], each lives in a [`exchange`], and leaves through
-//! [`connections`] to a worker. [`follower`] keeps a copy of the store, [`peers`] fetches it from
-//! other gateways while the store is out of reach, [`presence`] announces this gateway.
+//! [`connections`] to a worker. [`follower`] keeps a copy of the store, [`store_copy`] makes it the
+//! configuration in force, [`peers`] tells other gateways what is new in it, [`presence`] announces
+//! this gateway.
 
 #![forbid(unsafe_code)]
 
 pub mod answer;
 pub mod cache_recovery;
 pub mod connections;
+pub mod copy_message;
 pub mod desired_roles;
 pub mod events;
 pub mod exchange;
@@ -28,6 +30,7 @@
 pub mod settings;
 pub mod state;
 pub mod store_call;
+pub mod store_copy;
 
 pub use run::{run, Adapter};
 pub use settings::{GatewaySettings, SettingsError};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub holds_authority: IntGauge,
     /// Milliseconds since the store last answered.
     pub store_age_ms: IntGauge,
+    /// Whether this gateway asks the store itself for changes, and not a relay.
+    pub follows_store: IntGauge,
     /// Retries that this gateway could still spend, by service.
     pub retries_left: IntGaugeVec,
     /// Requests under way.
@@ -76,6 +78,10 @@
                 "gateway_store_age_ms",
                 "Milliseconds since the store last answered",
             )?,
+            follows_store: IntGauge::new(
+                "gateway_follows_store",
+                "Whether this gateway asks the store itself for changes",
+            )?,
             retries_left: IntGaugeVec::new(
                 Opts::new("gateway_retries_left", "Retries that could still be spent"),
                 &["service"],
@@ -113,6 +119,8 @@
             .register(Box::new(self.holds_authority.clone()))?;
         self.registry
             .register(Box::new(self.store_age_ms.clone()))?;
+        self.registry
+            .register(Box::new(self.follows_store.clone()))?;
         self.registry
             .register(Box::new(self.retries_left.clone()))?;
         self.registry.register(Box::new(self.in_flight.clone()))
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,5 +1,6 @@
-//! Gateways hand each other their copies of the store, so that one that cannot reach the store
-//! still follows the configuration and the workers. Only newer copies are taken.
+//! Gateways tell each other what is new in the store. A relay's subscribers ask it again and again
+//! and are answered when something has changed; a gateway that hears nothing new from either the
+//! store or a relay asks any gateway it knows. Only newer knowledge is taken.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,140 +11,96 @@
 use prost::Message;
 use rand::seq::IndexedRandom;
 use serde::Deserialize;
-use tansyhall_forwarding::{Item, Snapshot};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+use crate::copy_message::{Received, UpdateMessage};
 use crate::events::{Event, Weight};
-use crate::follower::refresh;
 use crate::presence;
 use crate::state::Shared;
+use crate::store_copy::refresh;
 
-/// Silence of the store after which peers are asked.
-const STORE_SILENCE: Duration = Duration::from_millis(900);
+/// Age of this gateway's knowledge at which any gateway is asked.
+const STALE_AFTER: Duration = Duration::from_millis(1_500);
 /// Pause between two questions.
 const PACE: Duration = Duration::from_millis(250);
-/// Time for one question.
+/// Time for one question beside its wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
-/// The longest copy that is taken.
-const MAX_COPY_BYTES: usize = 16 << 20;
-
-/// A copy of the store on the wire.
-#[derive(Clone, PartialEq, Message)]
-pub struct CopyMessage {
-    /// The revision of the copy.
-    #[prost(uint64, tag = "1")]
-    pub revision: u64,
-    /// Its items.
-    #[prost(message, repeated, tag = "2")]
-    pub items: Vec<ItemMessage>,
-    /// How many items there are: a copy that was cut short still decodes.
-    #[prost(uint64, tag = "3")]
-    pub count: u64,
-}
-
-/// A copy that was cut short.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("a copy of {count} items has only {found}")]
-pub struct Incomplete {
-    /// Items that the sender had.
-    pub count: u64,
-    /// Items that arrived.
-    pub found: u64,
-}
-
-/// One item on the wire.
-#[derive(Clone, PartialEq, Message)]
-pub struct ItemMessage {
-    /// Its key.
-    #[prost(string, tag = "1")]
-    pub key: String,
-    /// Its value.
-    #[prost(bytes = "vec", tag = "2")]
-    pub value: Vec<u8>,
-    /// The revision of its last change.
-    #[prost(uint64, tag = "3")]
-    pub revision: u64,
-    /// The revision of its creation.
-    #[prost(uint64, tag = "4")]
-    pub created: u64,
-}
-
-/// What a gateway that asks has already.
+/// How long a relay may hold a question while nothing changes.
+pub const RELAY_WAIT: Duration = Duration::from_millis(300);
+/// The longest wait that is granted.
+const MAX_WAIT: Duration = Duration::from_secs(2);
+/// The longest update that is taken.
+const MAX_UPDATE_BYTES: usize = 16 << 20;
+
+/// What a gateway that asks has already, and how long it waits for something new.
 #[derive(Debug, Deserialize)]
-pub struct Known {
+pub struct Question {
     after: u64,
+    wait_ms: u64,
 }
 
-impl From<Snapshot> for CopyMessage {
-    fn from(snapshot: Snapshot) -> Self {
-        let items = snapshot.items.into_iter().map(|item| ItemMessage {
-            key: item.key,
-            value: item.value,
-            revision: item.revision,
-            created: item.created,
-        });
-        let items: Vec<ItemMessage> = items.collect();
-        Self {
-            revision: snapshot.revision,
-            count: items.len() as u64,
-            items,
-        }
-    }
+/// Answers a gateway that asks what is new.
+pub async fn hand_over(
+    question: web::Query<Question>,
+    shared: web::Data<Arc<Shared>>,
+) -> HttpResponse {
+    let wait = Duration::from_millis(question.wait_ms).min(MAX_WAIT);
+    let mut revision = shared.mirror_revision.subscribe();
+    let newer = revision.wait_for(|revision| *revision > question.after);
+    let _ = timeout(wait, newer).await;
+    let update = shared.mirror.lock().update_after(question.after);
+    let age = shared.store_contact.age(shared.now());
+    let message = UpdateMessage::new(update, age);
+    HttpResponse::Ok().body(message.encode_to_vec())
 }
 
-impl TryFrom<CopyMessage> for Snapshot {
-    type Error = Incomplete;
-
-    fn try_from(message: CopyMessage) -> Result<Self, Incomplete> {
-        let found = message.items.len() as u64;
-        if found != message.count {
-            return Err(Incomplete {
-                count: message.count,
-                found,
-            });
-        }
-        let items = message.items.into_iter().map(|item| Item {
-            key: item.key,
-            value: item.value,
-            revision: item.revision,
-            created: item.created,
-        });
-        Ok(Self {
-            items: items.collect(),
-            revision: message.revision,
-        })
-    }
+/// A client for questions to gateways.
+pub fn client() -> Client {
+    Client::builder()
+        .timeout(RELAY_WAIT + CALL_TIMEOUT)
+        .finish()
 }
 
-/// Answers a gateway that asks for a newer copy.
-pub async fn hand_over(known: web::Query<Known>, shared: web::Data<Arc<Shared>>) -> HttpResponse {
-    let mirror = shared.mirror.lock();
-    if mirror.revision() <= known.after {
-        return HttpResponse::NoContent().finish();
+/// Asks a gateway what is new, takes it in, and returns how old the gateway's knowledge is.
+pub async fn ask(
+    client: &Client,
+    peer: SocketAddr,
+    wait: Duration,
+    shared: &Arc<Shared>,
+) -> anyhow::Result<Duration> {
+    let after = shared.mirror.lock().revision();
+    let wait_ms = wait.as_millis();
+    let url = format!("http://{peer}/changes?after={after}&wait_ms={wait_ms}");
+    let call = client.get(url).send().await;
+    let mut response = call.map_err(|error| anyhow::anyhow!("{error}"))?;
+    anyhow::ensure!(response.status() == 200, "status {}", response.status());
+    let body = response.body().limit(MAX_UPDATE_BYTES).await?;
+    let Received { update, age } = UpdateMessage::decode(body)?.into_received()?;
+    let changed = update.is_some_and(|update| shared.mirror.lock().take_in(update));
+    if changed {
+        refresh(shared);
     }
-    let message = CopyMessage::from(mirror.snapshot());
-    HttpResponse::Ok().body(message.encode_to_vec())
+    shared.store_contact.mark(shared.now(), age);
+    Ok(age)
 }
 
-/// Asks peers while the store is silent.
+/// Asks any gateway while neither the store nor a relay tells anything.
 pub async fn follow(shared: Arc<Shared>) {
-    let client = Client::builder().timeout(CALL_TIMEOUT).finish();
+    let client = client();
     let mut relying = false;
     loop {
         sleep(PACE).await;
-        let silent = shared.store_contact.age(shared.now()) > STORE_SILENCE;
-        if silent != relying {
-            relying = silent;
+        let stale = shared.store_contact.age(shared.now()) > STALE_AFTER;
+        if stale != relying {
+            relying = stale;
             record(&shared, relying);
         }
-        if !silent {
+        if !stale {
             continue;
         }
         let Some(peer) = pick(&shared) else { continue };
-        match ask(&client, peer, &shared).await {
-            Ok(true) => refresh(&shared),
-            Ok(false) => {}
-            Err(error) => log::debug!("peer {peer}: {error:#}"),
+        if let Err(error) = ask(&client, peer, Duration::ZERO, &shared).await {
+            log::debug!("peer {peer}: {error:#}");
         }
     }
 }
@@ -165,15 +122,3 @@
     peers.retain(|peer| *peer != settings.listen.peers);
     peers.choose(&mut rand::rng()).copied()
 }
-
-async fn ask(client: &Client, peer: SocketAddr, shared: &Shared) -> anyhow::Result<bool> {
-    let after = shared.mirror.lock().revision();
-    let call = client.get(format!("http://{peer}/copy?after={after}"));
-    let mut response = call.send().await.map_err(|e| anyhow::anyhow!("{e}"))?;
-    if response.status() != 200 {
-        return Ok(false);
-    }
-    let body = response.body().limit(MAX_COPY_BYTES).await?;
-    let snapshot = Snapshot::try_from(CopyMessage::decode(body)?)?;
-    Ok(shared.mirror.lock().replace(snapshot))
-}
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use tansyhall_authority::Lease;
+use tansyhall_core::ZoneName;
 use tansyhall_forwarding::Mirror;
 use tansyhall_store::{KeyValueStore, LeaseId, Operation, StoreError, Transaction};
 use tokio::time::sleep;
@@ -31,6 +32,8 @@
     pub copy: SocketAddr,
     /// Where it takes reports of load.
     pub load: SocketAddr,
+    /// Its zone, unless an older version announced it.
+    pub zone: Option<ZoneName>,
 }
 
 /// The gateways in a copy of the store.
@@ -38,11 +41,14 @@
     mirror
         .below(PREFIX)
         .filter_map(|item| {
-            let (copy, load) = std::str::from_utf8(&item.value).ok()?.split_once(' ')?;
+            let mut words = std::str::from_utf8(&item.value).ok()?.split(' ');
+            let copy = words.next()?;
+            let load = words.next()?;
             Some(Member {
                 name: item.key[PREFIX.len()..].to_owned(),
                 copy: copy.parse().ok()?,
                 load: load.parse().ok()?,
+                zone: words.next().map(ZoneName::new),
             })
         })
         .collect()
@@ -69,9 +75,12 @@
     Lease(lease): Lease,
 ) -> Result<(), StoreError> {
     let settings = shared.settings.read().clone();
+    let listen = &settings.listen;
+    let zone = &settings.node.zone;
+    let announcement = format!("{} {} {zone}", listen.peers, listen.load);
     let put = Operation::Put {
         key: format!("{PREFIX}{}", settings.node.name),
-        value: format!("{} {}", settings.listen.peers, settings.listen.load).into_bytes(),
+        value: announcement.into_bytes(),
         lease: Some(LeaseId(lease)),
     };
     let transaction = Transaction {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -15,6 +15,7 @@
 use tansyhall_forwarding::{Directory, GatewayKey, Mirror, RetryShares};
 use tansyhall_store::KeyValueStore;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::connections::Connections;
@@ -104,6 +105,7 @@
         protocol: Arc::clone(&adapter.protocol),
         catalogue: Arc::clone(&adapter.catalogue),
         mirror: Mutex::new(Mirror::default()),
+        mirror_revision: watch::Sender::default(),
         decoded_workers: Mutex::default(),
         in_force: RwLock::new(None),
         directory: Mutex::new(Directory::new(gateway)),
@@ -142,7 +144,7 @@
     let server = HttpServer::new(move || {
         App::new()
             .app_data(data.clone())
-            .route("/copy", web::get().to(peers::hand_over))
+            .route("/changes", web::get().to(peers::hand_over))
             .route("/caches", web::get().to(cache_recovery::hand_over))
     })
     .workers(1)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,13 +12,15 @@
 use tansyhall_forwarding::{
     Configuration, Directory, Limits, Mirror, RetryShares, Route, RouteTable, StopPlan, Worker,
 };
+use tokio::sync::watch;
 
 use crate::connections::{Connections, Destination};
 use crate::events::EventLog;
-use crate::follower::{DecodedWorker, StoreContact};
+use crate::follower::StoreContact;
 use crate::metrics::Metrics;
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
+use crate::store_copy::DecodedWorker;
 
 /// The part of a worker's connections that gateways use together; the rest is for health checks
 /// and gateways that are not known yet.
@@ -38,6 +40,8 @@
     pub catalogue: Arc<dyn Catalogue>,
     /// The copy of the store.
     pub mirror: Mutex<Mirror>,
+    /// The revision of the copy, for those who wait for a newer one.
+    pub mirror_revision: watch::Sender<u64>,
     /// Workers as they were decoded last, by their identity.
     pub decoded_workers: Mutex<HashMap<String, DecodedWorker>>,
     /// The configuration in force and its routes.
@@ -46,7 +50,7 @@
     pub directory: Mutex<Directory>,
     /// Retries.
     pub retries: Mutex<RetryShares>,
-    /// When the store last answered.
+    /// When the store last answered, itself or through a relay.
     pub store_contact: StoreContact,
     /// Connections to workers.
     pub connections: Arc<Connections>,
--- /dev/null
+++ b/crates/gateway/src/store_copy.rs
@@ -0,0 +1,132 @@
+//! What the copy of the store holds becomes what this gateway decides by: the configuration in
+//! force, the workers, their desired roles, and the fleet's size.
+
+use std::collections::HashMap;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use tansyhall_core::ServiceName;
+use tansyhall_forwarding::{Configuration, EngineCapacity, Item, Mirror, Worker};
+
+use crate::desired_roles::DesiredRoles;
+use crate::events::{Event, Weight};
+use crate::presence;
+use crate::state::{InForce, Shared};
+
+/// A worker's item, decoded once for each of its revisions.
+#[derive(Debug)]
+pub struct DecodedWorker {
+    revision: u64,
+    worker: Option<Worker>,
+}
+
+/// Takes in what the copy of the store holds now.
+pub fn refresh(shared: &Arc<Shared>) {
+    refresh_configuration(shared);
+    refresh_workers(shared);
+    let members = presence::members(&shared.mirror.lock()).len() as u64;
+    shared.gateways.store(members.max(1), Ordering::Relaxed);
+    let revision = shared.mirror.lock().revision();
+    shared.mirror_revision.send_replace(revision);
+    shared.retries.lock().set_gateways(members as u32);
+    shared.metrics.gateways.set(members as i64);
+}
+
+fn refresh_configuration(shared: &Arc<Shared>) {
+    let key = shared.catalogue.configuration_key();
+    let Some(item) = shared.mirror.lock().get(key).cloned() else {
+        return;
+    };
+    let known = shared.in_force().map_or(0, |in_force| in_force.revision);
+    if item.revision <= known {
+        return;
+    }
+    let configuration = shared.catalogue.configuration(&item.value);
+    let checked = configuration.and_then(|configuration| {
+        configuration.validate()?;
+        Ok(configuration)
+    });
+    match checked {
+        Ok(configuration) => {
+            let event = Event::ConfigurationApplied {
+                version: configuration.version,
+                revision: item.revision,
+                routes: configuration.routes.len(),
+            };
+            shared.log.record(Weight::Important, &event);
+            let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
+            shared.metrics.configuration_version.set(version);
+            let engines = engines(&configuration);
+            shared.directory.lock().set_engines(engines);
+            let in_force = InForce::new(configuration, item.revision);
+            *shared.in_force.write() = Some(Arc::new(in_force));
+        }
+        Err(error) => record_refused(shared, &item, &error),
+    }
+}
+
+fn engines(configuration: &Configuration) -> HashMap<ServiceName, EngineCapacity> {
+    let engines = configuration
+        .services
+        .iter()
+        .filter_map(|service| Some((service.name.clone(), service.engine?)));
+    engines.collect()
+}
+
+fn refresh_workers(shared: &Arc<Shared>) {
+    let mirror = shared.mirror.lock();
+    let revision = mirror.revision();
+    let desired = DesiredRoles::read(&mirror);
+    let workers = decode_workers(shared, &mirror);
+    drop(mirror);
+    let mut directory = shared.directory.lock();
+    let before = directory.ready_workers();
+    directory.announce(workers);
+    directory.set_desired_roles(|id| desired.get(id));
+    let ready = directory.ready_workers();
+    drop(directory);
+    shared.metrics.ready_workers.set(ready as i64);
+    shared.metrics.mirror_revision.set(revision as i64);
+    if before != ready {
+        let event = Event::WorkersChanged { ready, revision };
+        shared.log.record(Weight::Important, &event);
+    }
+}
+
+/// The workers in the copy; an item that has not changed is not decoded again.
+fn decode_workers(shared: &Shared, mirror: &Mirror) -> Vec<Worker> {
+    let prefix = shared.catalogue.worker_prefix();
+    let mut known = shared.decoded_workers.lock();
+    let mut decoded = HashMap::new();
+    for item in mirror.below(prefix) {
+        let id = &item.key[prefix.len()..];
+        let unchanged = known
+            .remove(id)
+            .filter(|worker| worker.revision == item.revision);
+        let worker = unchanged.unwrap_or_else(|| decode_worker(shared, id, item));
+        decoded.insert(id.to_owned(), worker);
+    }
+    let workers = decoded.values().filter_map(|entry| entry.worker.clone());
+    let workers = workers.collect();
+    *known = decoded;
+    workers
+}
+
+fn decode_worker(shared: &Shared, id: &str, item: &Item) -> DecodedWorker {
+    let worker = shared.catalogue.worker(id, &item.value);
+    DecodedWorker {
+        revision: item.revision,
+        worker: worker
+            .map_err(|error| record_refused(shared, item, &error))
+            .ok(),
+    }
+}
+
+fn record_refused(shared: &Shared, item: &Item, error: &anyhow::Error) {
+    let event = Event::ItemRefused {
+        key: &item.key,
+        revision: item.revision,
+        reason: &format!("{error:#}"),
+    };
+    shared.log.record(Weight::Important, &event);
+}
