--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -7,6 +7,7 @@
 use tansyhall_core::hash::rendezvous_weight;
 use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
 
+use super::lanes::ShortLane;
 use super::tracked::{Tracked, FIRST_TOKEN_COST};
 use super::{Directory, MAX_EXPECTED_SECONDS};
 use crate::reading_rate::ReadingRate;
@@ -28,6 +29,10 @@
 const MIN_FETCHED_TOKENS: u64 = 1_000;
 /// Shorter prompts are not read apart.
 const MIN_APART_TOKENS: u64 = 200;
+/// Engines count as nearly equal if they differ by less than this many seconds,
+const NEARLY_EQUAL_SECONDS: f64 = 0.004;
+/// or by this part of the time of the best.
+const NEARLY_EQUAL_PART: f64 = 0.1;
 /// The part of its latency objective for which any prompt may wait.
 const PATIENT_PART: f64 = 0.6;
 
@@ -40,6 +45,8 @@
     pub prompt: &'a [PromptPart],
     /// The zone of the gateway.
     pub zone: &'a ZoneName,
+    /// A random number, by which one of nearly equal engines is drawn.
+    pub draw: u64,
 }
 
 /// Whether a prompt is taken.
@@ -60,7 +67,9 @@
 struct Comparison<'a> {
     demand: Demand<'a>,
     rate: ReadingRate,
+    hold: f64,
     holders: Vec<Holder<'a>>,
+    short_lane: ShortLane,
     prompt_tokens: u64,
 }
 
@@ -84,6 +93,8 @@
 struct Planned<'a> {
     worker: &'a Tracked,
     read_apart: bool,
+    /// Seconds that the stream waits for a place where it is decoded.
+    place_seconds: f64,
 }
 
 impl Directory {
@@ -109,7 +120,8 @@
         let objective = objective.as_secs_f64();
         let patience = objective * PATIENT_PART;
         let worker = planned.worker;
-        let waiting = worker.tokens_seconds(worker.load().reading_tokens, comparison.rate);
+        let waiting = worker.tokens_seconds(worker.load().reading_tokens, comparison.rate)
+            + planned.place_seconds;
         let reading = self.reading(worker, &comparison);
         let own = worker.tokens_seconds(reading.missing_tokens, comparison.rate)
             + reading.fetch_seconds
@@ -138,15 +150,23 @@
             let key = affinity.map_or(&[][..], |part| part.id.as_bytes());
             rendezvous_weight(key, tracked.worker.id.as_str().as_bytes())
         };
-        self.candidates(now, demand.service, need, avoid)
+        let candidates: Vec<(f64, &Tracked)> = self
+            .candidates(now, demand.service, need, avoid)
             .into_iter()
             .map(|tracked| (self.expected_seconds(tracked, need, &comparison), tracked))
-            .min_by(|(left_seconds, left), (right_seconds, right)| {
-                left_seconds
-                    .total_cmp(right_seconds)
-                    .then_with(|| rank(right).cmp(&rank(left)))
-            })
-            .map(|(_, tracked)| &tracked.worker)
+            .collect();
+        let best = candidates.iter().min_by(|left, right| {
+            let by_time = left.0.total_cmp(&right.0);
+            by_time.then_with(|| rank(right.1).cmp(&rank(left.1)))
+        });
+        let (least, best) = best.copied()?;
+        if demand.prompt.is_empty() || comparison.prompt_tokens >= MIN_FETCHED_TOKENS {
+            return Some(&best.worker);
+        }
+        let most = least * (1.0 + NEARLY_EQUAL_PART) + NEARLY_EQUAL_SECONDS;
+        let near = candidates.iter().filter(|(seconds, _)| *seconds <= most);
+        let drawn = near.max_by_key(|(_, tracked)| tracked.key.0 ^ demand.draw);
+        drawn.map(|(_, tracked)| &tracked.worker)
     }
 
     /// What reading a prompt at a worker takes.
@@ -155,6 +175,7 @@
             service: &tracked.worker.service,
             prompt,
             zone: &tracked.worker.zone,
+            draw: 0,
         });
         self.reading(tracked, &comparison)
     }
@@ -168,11 +189,24 @@
         Comparison {
             demand,
             rate: self.rates.get(demand.service).copied().unwrap_or_default(),
+            hold: self.hold_seconds.get(demand.service).copied().unwrap_or_default(),
             holders,
+            short_lane: self.short_lane(demand),
             prompt_tokens: tokens,
         }
     }
 
+    fn short_lane(&self, demand: Demand<'_>) -> ShortLane {
+        let Some(mix) = self.mixes.get(demand.service) else {
+            return ShortLane::default();
+        };
+        let readers = self.workers.values().filter(|tracked| {
+            let reads = tracked.worker.role == Some(Role::Prefill);
+            reads && tracked.takes_new_requests() && tracked.worker.service == *demand.service
+        });
+        ShortLane::of(*mix, readers.map(|tracked| tracked.key))
+    }
+
     fn holders<'a>(&'a self, demand: Demand<'a>) -> Vec<Holder<'a>> {
         let members = self
             .workers
@@ -200,22 +234,36 @@
         let waits = self.move_waits.get(comparison.demand.service);
         let move_seconds = MOVE_COST + transfer * MOVE_WAIT + waits.copied().unwrap_or_default();
         let (whole_seconds, worker) = best(&Need::Run)?;
+        let place_seconds = self.least_place_seconds(now, comparison);
         let apart = match comparison.prompt_tokens < MIN_APART_TOKENS {
             true => None,
             false => best(&Need::ReadPrompt),
         };
         match apart {
-            Some((seconds, reader)) if seconds + move_seconds < whole_seconds => Some(Planned {
-                worker: reader,
-                read_apart: true,
-            }),
+            Some((seconds, reader)) if seconds + move_seconds + place_seconds < whole_seconds => {
+                Some(Planned {
+                    worker: reader,
+                    read_apart: true,
+                    place_seconds,
+                })
+            }
             _ => Some(Planned {
                 worker,
                 read_apart: false,
+                place_seconds: worker.place_seconds(comparison.hold),
             }),
         }
     }
 
+    /// Seconds that a stream waits for a place at the engine where it waits least.
+    fn least_place_seconds(&self, now: Timestamp, comparison: &Comparison<'_>) -> f64 {
+        let engines = self.candidates(now, comparison.demand.service, &Need::Run, &[]);
+        let seconds = engines
+            .into_iter()
+            .map(|engine| engine.place_seconds(comparison.hold));
+        seconds.reduce(f64::min).unwrap_or_default()
+    }
+
     fn candidates(
         &self,
         now: Timestamp,
@@ -247,8 +295,16 @@
             Need::Run | Need::ReadPrompt => {
                 let reading = self.reading(tracked, comparison);
                 let missing = reading.missing_tokens;
+                let detour = match tracked.worker.role {
+                    Some(Role::Prefill) => comparison
+                        .short_lane
+                        .detour_seconds(tracked.key, comparison.prompt_tokens),
+                    _ => 0.0,
+                };
                 let seconds = tracked.reading_seconds(missing, comparison.rate)
                     + tracked.harm_seconds(missing, comparison.rate)
+                    + tracked.place_seconds(comparison.hold)
+                    + detour
                     + reading.fetch_seconds;
                 tracked.weigh(seconds, demand.zone)
             }
@@ -257,7 +313,10 @@
                 let copied = comparison.prompt_tokens - tracked.cache.kept_tokens(demand.prompt);
                 let displaced = comparison.rate.apart(copied) * DISPLACEMENT;
                 let transfer = self.transfer_seconds(demand.service, copied);
-                let seconds = tracked.reading_seconds(0, comparison.rate) + displaced + transfer;
+                let seconds = tracked.reading_seconds(0, comparison.rate)
+                    + tracked.place_seconds(comparison.hold)
+                    + displaced
+                    + transfer;
                 tracked.weigh(seconds, reader.unwrap_or(demand.zone))
             }
         }
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -9,16 +9,21 @@
 //!   nor another worker's holds, to fetch what another holds, plus a little for each request under
 //!   way, stretched by how much slower than expected the worker has been.
 //!
+//! A request that finds every place of a decoding engine taken waits until one is free; how long a
+//! stream holds its place is learnt.
+//!
 //! A prompt that is read beside decoding streams slows them all, which counts as time too, and so
 //! does what a copy pushes out of a cache. All is divided by the cube of the share of sends that
 //! came back whole, and a worker in another zone costs the way there. Equal workers are told apart
 //! by rendezvous hashing of the prompt's largest shared part, so that gateways which know nothing
-//! yet agree.
+//! yet agree. Short prompts gain nothing from a cache: they are drawn among nearly equal engines,
+//! so that many gateways, each with reports that are a little old, do not all choose the same.
 //!
 //! Whether a prompt is read apart follows from the same times: the best reader, the move of the KV
 //! cache included, against the best worker that reads it while decoding.
 
 mod choice;
+mod lanes;
 mod sharing;
 mod tracked;
 
@@ -38,6 +43,7 @@
 pub use choice::{Admission, Demand};
 pub use tracked::SendResult;
 
+use lanes::ReadingMix;
 use sharing::report_prompt;
 use tracked::Tracked;
 
@@ -47,6 +53,10 @@
 const MOVE_WAIT_WEIGHT: f64 = 0.05;
 /// The longest wait for a move in seconds that is learnt from.
 const MAX_MOVE_WAIT: f64 = 2.0;
+/// Weight of the newest time in the smoothed time for which a stream holds its place.
+const HOLD_WEIGHT: f64 = 0.05;
+/// The longest hold in seconds that is learnt from.
+const MAX_HOLD: f64 = 10.0;
 /// A bound on times that are expected.
 const MAX_EXPECTED_SECONDS: f64 = 600.0;
 
@@ -58,6 +68,8 @@
     engines: HashMap<ServiceName, EngineCapacity>,
     rates: HashMap<ServiceName, ReadingRate>,
     move_waits: HashMap<ServiceName, f64>,
+    hold_seconds: HashMap<ServiceName, f64>,
+    mixes: HashMap<ServiceName, ReadingMix>,
     reporter: LoadReporter,
     heard: HashMap<GatewayKey, u64>,
     stale_dropped: Timestamp,
@@ -73,6 +85,7 @@
     expected_seconds: f64,
     alone: bool,
     fetch_from: Option<SocketAddr>,
+    read_at: Option<Timestamp>,
 }
 
 impl SendTicket {
@@ -110,6 +123,8 @@
             engines: HashMap::new(),
             rates: HashMap::new(),
             move_waits: HashMap::new(),
+            hold_seconds: HashMap::new(),
+            mixes: HashMap::new(),
             reporter: LoadReporter::new(gateway),
             heard: HashMap::new(),
             stale_dropped: Timestamp::default(),
@@ -200,6 +215,11 @@
             return ticket;
         };
         ticket.counted = true;
+        if reads && !prompt.is_empty() {
+            let mix = self.mixes.entry(tracked.worker.service.clone());
+            let mix = mix.or_default();
+            mix.record(now, prompt_tokens(prompt), ticket.reading_tokens);
+        }
         tracked.own.sends += 1;
         tracked.own.reading_tokens += ticket.reading_tokens;
         for part in prompt {
@@ -220,6 +240,7 @@
             expected_seconds: 0.0,
             alone: false,
             fetch_from: None,
+            read_at: None,
         };
         let Some(tracked) = self.workers.get(id) else {
             return ticket;
@@ -269,6 +290,7 @@
             let wait = self.move_waits.entry(service).or_default();
             *wait += (waited.clamp(0.0, MAX_MOVE_WAIT) - *wait) * MOVE_WAIT_WEIGHT;
         }
+        ticket.read_at = Some(now);
         let read = std::mem::take(&mut ticket.reading_tokens);
         tracked.own.reading_tokens = tracked.own.reading_tokens.saturating_sub(read);
         for part in prompt {
@@ -297,6 +319,15 @@
         tracked.own.reading_tokens = tracked.own.reading_tokens.saturating_sub(unread);
         report_load(&mut self.reporter, tracked);
         tracked.learn_result(now, result);
+        let answered = matches!(result, SendResult::Answered { .. });
+        if let (true, Some(read_at), Some(Role::Decode)) =
+            (answered, ticket.read_at, tracked.worker.role)
+        {
+            let service = tracked.worker.service.clone();
+            let held = now.since(read_at).as_secs_f64().min(MAX_HOLD);
+            let hold = self.hold_seconds.entry(service).or_insert(held);
+            *hold += (held - *hold) * HOLD_WEIGHT;
+        }
         if !tracked.announced && tracked.own.sends == 0 {
             self.forget_idle_strangers();
         }
--- a/crates/forwarding/src/directory/tracked.rs
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -144,6 +144,17 @@
         reading + sharing + FIRST_TOKEN_COST * self.slowness
     }
 
+    /// Seconds that one more request waits for a place, if all are taken: those that have one hold it
+    /// for `hold` seconds each. An engine that only reads takes prompts one after the other anyway.
+    pub(super) fn place_seconds(&self, hold: f64) -> f64 {
+        if self.worker.role == Some(Role::Prefill) {
+            return 0.0;
+        }
+        let slots = self.worker.slots.max(1);
+        let ahead = (self.load().sends + 1).saturating_sub(slots);
+        f64::from(ahead) / f64::from(slots) * hold * self.slowness
+    }
+
     /// Seconds to read tokens here.
     pub(super) fn tokens_seconds(&self, tokens: u64, rate: ReadingRate) -> f64 {
         let seconds = match self.worker.role {
--- a/crates/forwarding/src/request.rs
+++ b/crates/forwarding/src/request.rs
@@ -16,6 +16,7 @@
 //! the retry budget; one that its worker took up is free, whether it succeeded or not.
 
 use crate::configuration::Repeatability;
+use crate::selection::Need;
 use crate::worker::WorkerId;
 
 /// Sends that a request may lose to refusals before it is refused itself.
@@ -62,7 +63,7 @@
 pub enum RequestEvent {
     /// The request is whole and has a route.
     Arrived,
-    /// The answer to [`Action::Select`] and [`Action::SelectReader`].
+    /// The answer to [`Action::Select`].
     Selected(Option<WorkerId>),
     /// The answer to [`Action::AskBudget`].
     BudgetAnswered(bool),
@@ -86,13 +87,10 @@
 /// What to do next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Action {
-    /// Choose a worker to read the prompt, other than these.
-    SelectReader {
-        /// Workers that failed.
-        avoid: Vec<WorkerId>,
-    },
-    /// Choose a worker to run the request, other than these.
+    /// Choose a worker.
     Select {
+        /// What it has to do.
+        need: Need,
         /// Workers that failed.
         avoid: Vec<WorkerId>,
     },
@@ -235,12 +233,22 @@
             return self.select();
         }
         self.phase = Phase::SelectingReader;
-        Action::SelectReader { avoid: Vec::new() }
+        Action::Select {
+            need: Need::ReadPrompt,
+            avoid: Vec::new(),
+        }
     }
 
     fn select(&mut self) -> Action {
         self.phase = Phase::Selecting;
+        let need = match &self.source {
+            Some(source) => Need::Continue {
+                reader: source.worker.clone(),
+            },
+            None => Need::Run,
+        };
         Action::Select {
+            need,
             avoid: self.avoid.clone(),
         }
     }
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -65,6 +65,7 @@
             service: &self.service,
             prompt,
             zone: &self.zone,
+            draw: 1,
         }
     }
 
--- a/crates/forwarding/tests/request_machine.rs
+++ b/crates/forwarding/tests/request_machine.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use tansyhall_forwarding::{
-    Action, AttemptPolicy, Conclusion, PromptHandle, Repeatability, RequestEvent, RequestMachine,
+    Action, AttemptPolicy, Conclusion, Need, PromptHandle, Repeatability, RequestEvent, RequestMachine,
     SendFailure, WorkerId,
 };
 
@@ -41,7 +41,8 @@
     assert_eq!(action, Action::AskBudget);
     let avoid = vec![worker("a")];
     let action = machine.step(RequestEvent::BudgetAnswered(true));
-    assert_eq!(action, Action::Select { avoid });
+    let need = Need::Run;
+    assert_eq!(action, Action::Select { need, avoid });
 }
 
 #[test]
@@ -94,7 +95,10 @@
 #[test]
 fn a_prompt_read_apart_is_handed_to_the_worker_that_runs_it() {
     let mut machine = machine(FINAL_STREAM, 1, true);
-    let reader = Action::SelectReader { avoid: Vec::new() };
+    let reader = Action::Select {
+        need: Need::ReadPrompt,
+        avoid: Vec::new(),
+    };
     assert_eq!(machine.step(RequestEvent::Arrived), reader);
     let read = Action::ReadPrompt {
         worker: worker("p"),
@@ -114,6 +118,33 @@
     assert_eq!(machine.step(selected("d")), run);
 }
 
+/// Found by reading: the worker that is chosen after a refused hand-over reads the prompt itself,
+/// so that it must not be chosen as one that need not.
+#[test]
+fn after_a_refused_hand_over_a_worker_is_chosen_that_reads_the_prompt() {
+    let mut machine = machine(FINAL_STREAM, 2, true);
+    machine.step(RequestEvent::Arrived);
+    machine.step(selected("p"));
+    let reader = worker("p");
+    let handle = PromptHandle {
+        worker: reader.clone(),
+        address: "10.0.0.1:1".into(),
+        handle: "h".into(),
+    };
+    let handed_over = Action::Select {
+        need: Need::Continue { reader },
+        avoid: Vec::new(),
+    };
+    assert_eq!(machine.step(RequestEvent::PromptRead(handle)), handed_over);
+    machine.step(selected("d"));
+    machine.step(RequestEvent::Failed(SendFailure::NotRun));
+    let read_there = Action::Select {
+        need: Need::Run,
+        avoid: vec![worker("d")],
+    };
+    assert_eq!(machine.step(RequestEvent::BudgetAnswered(true)), read_there);
+}
+
 /// Found by the users' bench (a burst of long prompts, rule BUDGET): a reading that is given up may
 /// wait in its worker's queue and counts as a rejected arrival there.
 #[test]
@@ -136,7 +167,8 @@
     machine.step(selected("p"));
     let failed = RequestEvent::PromptNotRead { taken_up: true };
     let avoid = Vec::new();
-    assert_eq!(machine.step(failed), Action::Select { avoid });
+    let need = Need::Run;
+    assert_eq!(machine.step(failed), Action::Select { need, avoid });
 }
 
 #[test]
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -65,6 +65,8 @@
     waiting: Duration,
     cause: &'static str,
     begun_after: Option<Duration>,
+    /// Draws one of nearly equal engines.
+    draw: u64,
     _in_flight: InFlight,
 }
 
@@ -82,6 +84,7 @@
             waiting: Duration::ZERO,
             cause: "",
             begun_after: None,
+            draw: rand::random(),
         }
     }
 
@@ -125,12 +128,9 @@
         let mut event = RequestEvent::Arrived;
         loop {
             event = match machine.step(event) {
-                Action::SelectReader { avoid } => {
-                    RequestEvent::Selected(self.select(&Need::ReadPrompt, &avoid))
-                }
-                Action::Select { avoid } => {
-                    let selected = self.select(&self.running_need(), &avoid);
-                    if selected.is_none() {
+                Action::Select { need, avoid } => {
+                    let selected = self.select(&need, &avoid);
+                    if selected.is_none() && need != Need::ReadPrompt {
                         self.cause = "no_worker";
                     }
                     RequestEvent::Selected(selected)
@@ -187,15 +187,7 @@
             service: &self.request.routed.service,
             prompt: &self.request.terms.prompt,
             zone,
-        }
-    }
-
-    fn running_need(&self) -> Need {
-        match &self.unused_handle {
-            Some(handle) => Need::Continue {
-                reader: handle.worker.clone(),
-            },
-            None => Need::Run,
+            draw: self.draw,
         }
     }
 
