--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -189,7 +189,11 @@
         Comparison {
             demand,
             rate: self.rates.get(demand.service).copied().unwrap_or_default(),
-            hold: self.hold_seconds.get(demand.service).copied().unwrap_or_default(),
+            hold: self
+                .hold_seconds
+                .get(demand.service)
+                .copied()
+                .unwrap_or_default(),
             holders,
             short_lane: self.short_lane(demand),
             prompt_tokens: tokens,
@@ -278,11 +282,16 @@
                 && !avoid.contains(&tracked.worker.id)
         };
         let fitting: Vec<&Tracked> = self.workers.values().filter(fits).collect();
-        let is_rested = |tracked: &&Tracked| !tracked.is_paused(now);
+        let is_rested = |tracked: &&Tracked| !tracked.is_paused(now) && !tracked.is_absent(now);
         let rested: Vec<&Tracked> = fitting.iter().copied().filter(is_rested).collect();
-        match rested.is_empty() {
+        if !rested.is_empty() {
+            return rested;
+        }
+        let is_there = |tracked: &&Tracked| !tracked.is_absent(now);
+        let there: Vec<&Tracked> = fitting.iter().copied().filter(is_there).collect();
+        match there.is_empty() {
             true => fitting,
-            false => rested,
+            false => there,
         }
     }
 
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -139,10 +139,7 @@
         }
         for worker in workers {
             match self.workers.get_mut(&worker.id) {
-                Some(tracked) => {
-                    tracked.announced = true;
-                    tracked.worker = worker;
-                }
+                Some(tracked) => tracked.announce(worker),
                 None => {
                     let tracked = Tracked::new(worker);
                     self.by_key.insert(tracked.key, tracked.worker.id.clone());
@@ -318,6 +315,9 @@
         let unread = ticket.reading_tokens;
         tracked.own.reading_tokens = tracked.own.reading_tokens.saturating_sub(unread);
         report_load(&mut self.reporter, tracked);
+        if result == SendResult::Absent && !tracked.is_absent(now) {
+            self.reporter.record_absence(tracked.key);
+        }
         tracked.learn_result(now, result);
         let answered = matches!(result, SendResult::Answered { .. });
         if let (true, Some(read_at), Some(Role::Decode)) =
--- a/crates/forwarding/src/directory/sharing.rs
+++ b/crates/forwarding/src/directory/sharing.rs
@@ -41,6 +41,11 @@
             }
         }
         self.learn_parts(now, &report.parts);
+        for absence in &report.absences {
+            if let Some(tracked) = self.tracked_by_key(absence.worker) {
+                tracked.found_absent(now);
+            }
+        }
     }
 
     /// The parts of prompts that are believed to lie in caches.
--- a/crates/forwarding/src/directory/tracked.rs
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -31,8 +31,14 @@
 const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 30.0);
 /// How long a worker that refused a request is passed over.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
-/// How long a worker that cannot be reached is passed over.
-const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1000);
+/// How long a worker that cannot be reached is passed over at first; twice as long each further
+/// time,
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1_000);
+/// up to this long.
+const MAX_UNREACHABLE_PAUSE: Duration = Duration::from_secs(4);
+/// How long a worker that was found absent is passed over, unless it is announced anew: its entry
+/// is removed after it has been silent for about as long.
+const ABSENCE_PAUSE: Duration = Duration::from_secs(5);
 
 /// How a send ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,8 +52,10 @@
     Failed,
     /// The worker says that it has no room.
     Refused,
-    /// The worker is not there.
+    /// The worker cannot be reached.
     Unreachable,
+    /// The worker proved not to be there: nothing listens at its address, or another answers.
+    Absent,
     /// The caller left or the time ran out; says nothing about the worker unless it was silent.
     Abandoned {
         /// Whether no part of an answer had come.
@@ -70,6 +78,8 @@
     latency: f64,
     success: f64,
     pause_until: Timestamp,
+    unreachable_pause: Duration,
+    absent_until: Timestamp,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -93,9 +103,29 @@
             latency: INITIAL_LATENCY,
             success: 1.0,
             pause_until: Timestamp::default(),
+            unreachable_pause: UNREACHABLE_PAUSE,
+            absent_until: Timestamp::default(),
         }
     }
 
+    /// The worker is announced; if anything about it is new, it is there.
+    pub(super) fn announce(&mut self, worker: Worker) {
+        if self.worker != worker {
+            self.absent_until = Timestamp::default();
+        }
+        self.announced = true;
+        self.worker = worker;
+    }
+
+    /// This gateway or another found that the worker is not there.
+    pub(super) fn found_absent(&mut self, now: Timestamp) {
+        self.absent_until = now + ABSENCE_PAUSE;
+    }
+
+    pub(super) fn is_absent(&self, now: Timestamp) -> bool {
+        self.absent_until > now
+    }
+
     pub(super) fn takes_new_requests(&self) -> bool {
         let role_stays = self.desired_role.is_none() || self.desired_role == self.worker.role;
         self.announced && self.worker.state == WorkerState::Ready && role_stays
@@ -188,6 +218,7 @@
             SendResult::Answered { latency } => {
                 self.success = smooth(self.success, 1.0, SUCCESS_WEIGHT);
                 self.latency = smooth(self.latency, latency.as_secs_f64(), LATENCY_WEIGHT);
+                self.unreachable_pause = UNREACHABLE_PAUSE;
             }
             SendResult::Failed | SendResult::Abandoned { silent: true } => {
                 self.success = smooth(self.success, 0.0, SUCCESS_WEIGHT);
@@ -195,8 +226,10 @@
             SendResult::Refused => self.pause_until = now + REFUSAL_PAUSE,
             SendResult::Unreachable => {
                 self.success = smooth(self.success, 0.0, SUCCESS_WEIGHT);
-                self.pause_until = now + UNREACHABLE_PAUSE;
+                self.pause_until = now + self.unreachable_pause;
+                self.unreachable_pause = (self.unreachable_pause * 2).min(MAX_UNREACHABLE_PAUSE);
             }
+            SendResult::Absent => self.found_absent(now),
             SendResult::Abandoned { silent: false } => {}
         }
     }
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -28,13 +28,13 @@
 pub use directory::{Admission, Demand, Directory, EngineLoad, SendResult, SendTicket};
 pub use event_stream::{CompleteEvents, EventFramer};
 pub use load_exchange::{
-    GatewayKey, Load, LoadEntry, LoadReport, LoadReporter, PartRead, WorkerKey,
+    Absence, GatewayKey, Load, LoadEntry, LoadReport, LoadReporter, PartRead, WorkerKey,
 };
 pub use mirror::{Item, Mirror, MirrorChange, Snapshot, Update};
 pub use relay_plan::{RelayPlan, Upstream};
 pub use request::{
-    Action, AttemptPolicy, Conclusion, EventId, PromptHandle, RequestEvent, RequestMachine,
-    SendFailure,
+    Action, AttemptPolicy, Conclusion, EventId, PromptHandle, ReadingFailure, RequestEvent,
+    RequestMachine, SendFailure,
 };
 pub use retry_share::{RetryShare, RetryShareSettings, RetryShares};
 pub use route_table::RouteTable;
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -97,6 +97,14 @@
     pub ready: bool,
 }
 
+/// A worker that is announced and proved not to be there: nothing listens at its address, or another
+/// answers in its place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Absence {
+    /// The worker.
+    pub worker: WorkerKey,
+}
+
 /// What a gateway tells the others.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LoadReport {
@@ -108,6 +116,8 @@
     pub loads: Vec<LoadEntry>,
     /// Parts read since the last report.
     pub parts: Vec<PartRead>,
+    /// Workers found absent since the last report.
+    pub absences: Vec<Absence>,
 }
 
 /// Gathers what is to be told.
@@ -119,6 +129,7 @@
     urgent: BTreeSet<WorkerKey>,
     small: BTreeSet<WorkerKey>,
     parts: Vec<PartRead>,
+    absences: Vec<Absence>,
     small_reported: Timestamp,
     repeated: Timestamp,
 }
@@ -133,6 +144,7 @@
             urgent: BTreeSet::new(),
             small: BTreeSet::new(),
             parts: Vec::new(),
+            absences: Vec::new(),
             small_reported: Timestamp::default(),
             repeated: Timestamp::default(),
         }
@@ -153,6 +165,11 @@
         self.parts.push(part);
     }
 
+    /// A worker was found absent.
+    pub fn record_absence(&mut self, worker: WorkerKey) {
+        self.absences.push(Absence { worker });
+    }
+
     /// The report that is due now, if any.
     pub fn flush(&mut self, now: Timestamp) -> Option<LoadReport> {
         let mut due = std::mem::take(&mut self.urgent);
@@ -164,7 +181,7 @@
             self.repeated = now;
             due.extend(self.loads.keys().copied());
         }
-        if due.is_empty() && self.parts.is_empty() {
+        if due.is_empty() && self.parts.is_empty() && self.absences.is_empty() {
             return None;
         }
         let loads = due.iter().map(|worker| LoadEntry {
@@ -182,6 +199,7 @@
                 .parts
                 .drain(..self.parts.len().min(MAX_REPORTED_PARTS))
                 .collect(),
+            absences: std::mem::take(&mut self.absences),
         })
     }
 }
--- a/crates/forwarding/src/request.rs
+++ b/crates/forwarding/src/request.rs
@@ -3,11 +3,13 @@
 //! The wiring performs one action at a time and reports what came of it. The machine alone decides
 //! whether another worker may get the request and what the caller is told:
 //!
+//! - A send that reached no worker is repeated on another; nothing was received, so that it costs no
+//!   retry.
 //! - A send that provably did not run is repeated on another worker, a few times.
 //! - A send that may have run is repeated only if the request allows a second run, and only on as
 //!   many workers as its route allows.
-//! - Every send past the first asks the retry budget; the reading of a prompt is free if a
-//!   worker took it up.
+//! - Every send past the first that may reach a worker asks the retry budget; the reading of a prompt
+//!   is free if a worker took it up.
 //! - The caller is told "not run" only while no send may have run.
 //!
 //! A model request may have its prompt read apart first. Reading runs nothing, so that its failure
@@ -21,6 +23,8 @@
 
 /// Sends that a request may lose to refusals before it is refused itself.
 const MAX_REFUSED_SENDS: u32 = 2;
+/// Sends of a request that may fail to reach a worker before it is refused itself.
+const MAX_UNSENT: u32 = 8;
 
 /// The id of an event of a stream.
 pub type EventId = String;
@@ -50,6 +54,8 @@
 /// Why a send brought no whole answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendFailure {
+    /// Nothing of it reached a worker.
+    NotSent,
     /// The worker says, or the connection proves, that the request did not run.
     NotRun,
     /// It may have run: broken, silent, or an answer that is none.
@@ -58,6 +64,17 @@
     ErrorAnswer,
 }
 
+/// Why a prompt was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadingFailure {
+    /// Nothing of the request for it reached a worker.
+    NotSent,
+    /// A worker refused it or left it in its queue, or nothing is known of it.
+    Left,
+    /// A worker took it up and failed.
+    TakenUp,
+}
+
 /// What happened.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RequestEvent {
@@ -70,10 +87,7 @@
     /// The prompt has been read.
     PromptRead(PromptHandle),
     /// The prompt has not been read.
-    PromptNotRead {
-        /// Whether a worker took the reading up and failed, and did not leave it in its queue.
-        taken_up: bool,
-    },
+    PromptNotRead(ReadingFailure),
     /// The whole answer was delivered, or is ready to be.
     Completed,
     /// The send failed before any part of its answer was delivered.
@@ -149,12 +163,14 @@
     phase: Phase,
     sends: u32,
     refused: u32,
+    unsent: u32,
     runs: u32,
     may_have_run: bool,
     error_answer: bool,
     begun: bool,
     last_event: Option<EventId>,
     source: Option<PromptHandle>,
+    source_of_current: Option<PromptHandle>,
     avoid: Vec<WorkerId>,
     current: Option<WorkerId>,
 }
@@ -167,12 +183,14 @@
             phase: Phase::New,
             sends: 0,
             refused: 0,
+            unsent: 0,
             runs: 0,
             may_have_run: false,
             error_answer: false,
             begun: false,
             last_event: None,
             source: None,
+            source_of_current: None,
             avoid: Vec::new(),
             current: None,
         }
@@ -193,14 +211,7 @@
                 self.source = Some(handle);
                 self.select()
             }
-            RequestEvent::PromptNotRead { taken_up } => {
-                self.current = None;
-                if taken_up {
-                    return self.select();
-                }
-                self.phase = Phase::AskingBudget;
-                Action::AskBudget
-            }
+            RequestEvent::PromptNotRead(failure) => self.prompt_not_read(failure),
             RequestEvent::Completed => self.finish(Conclusion::Delivered),
             RequestEvent::Failed(failure) => self.failed(failure),
             RequestEvent::BrokenOff(last_event) => self.broken_off(last_event),
@@ -232,10 +243,33 @@
         if !self.policy.read_apart {
             return self.select();
         }
+        self.select_reader()
+    }
+
+    fn select_reader(&mut self) -> Action {
         self.phase = Phase::SelectingReader;
         Action::Select {
             need: Need::ReadPrompt,
-            avoid: Vec::new(),
+            avoid: self.avoid.clone(),
+        }
+    }
+
+    fn prompt_not_read(&mut self, failure: ReadingFailure) -> Action {
+        let reader = self.current.take();
+        match failure {
+            ReadingFailure::NotSent => {
+                self.avoid.extend(reader);
+                self.unsent += 1;
+                match self.unsent > MAX_UNSENT {
+                    true => self.select(),
+                    false => self.select_reader(),
+                }
+            }
+            ReadingFailure::Left => {
+                self.phase = Phase::AskingBudget;
+                Action::AskBudget
+            }
+            ReadingFailure::TakenUp => self.select(),
         }
     }
 
@@ -271,9 +305,10 @@
         self.sends += 1;
         self.runs += 1;
         self.current = Some(worker.clone());
+        self.source_of_current = self.source.take();
         Action::Run {
             worker,
-            source: self.source.take(),
+            source: self.source_of_current.clone(),
             resume_after: self.last_event.clone(),
         }
     }
@@ -281,6 +316,7 @@
     fn failed(&mut self, failure: SendFailure) -> Action {
         self.avoid.extend(self.current.take());
         match failure {
+            SendFailure::NotSent => return self.not_sent(),
             SendFailure::NotRun => {
                 self.runs = self.runs.saturating_sub(1);
                 self.refused += 1;
@@ -297,6 +333,18 @@
         self.try_again()
     }
 
+    /// Nothing was received: the next worker gets the same, with the KV cache that still waits.
+    fn not_sent(&mut self) -> Action {
+        self.runs = self.runs.saturating_sub(1);
+        self.sends = self.sends.saturating_sub(1);
+        self.source = self.source_of_current.take();
+        self.unsent += 1;
+        match self.unsent > MAX_UNSENT {
+            true => self.finish(self.give_up()),
+            false => self.select(),
+        }
+    }
+
     fn broken_off(&mut self, last_event: Option<EventId>) -> Action {
         self.avoid.extend(self.current.take());
         self.may_have_run = true;
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -198,6 +198,7 @@
             },
         }],
         parts: Vec::new(),
+        absences: Vec::new(),
     };
     directory.hear(NOW, &report(2, 40_000));
     assert_eq!(
@@ -328,3 +329,60 @@
         }
     }
 }
+
+/// Found by the users' bench (engines of the grown registry crash and come back as others): each
+/// gateway sent to the former ones until the store had forgotten them.
+#[test]
+fn a_worker_found_absent_is_passed_over_by_all_until_it_is_announced_anew() {
+    let asker = Asker::new();
+    let mut finder = directory(vec![worker("near", "z", None), worker("far", "y", None)]);
+    let mut told = directory(vec![worker("near", "z", None), worker("far", "y", None)]);
+    let ticket = finder.send_began(NOW, &WorkerId::from("near"), &[], false);
+    finder.send_ended(NOW, &ticket, &[], SendResult::Absent);
+    let mut report = finder.report_due(NOW).expect("a report");
+    report.sender = GatewayKey(2);
+    told.hear(NOW, &report);
+    for directory in [&mut finder, &mut told] {
+        let chosen = asker.choose(directory, &[], &Need::Run);
+        assert_eq!(chosen, Some("far".into()));
+        let mut changed = worker("near", "z", None);
+        changed.slots += 1;
+        directory.announce(vec![changed, worker("far", "y", None)]);
+        let chosen = asker.choose(directory, &[], &Need::Run);
+        assert_eq!(chosen, Some("near".into()));
+    }
+}
+
+#[test]
+fn a_worker_that_is_absent_is_still_tried_if_there_is_no_other() {
+    let asker = Asker::new();
+    let mut directory = directory(vec![worker("only", "z", None)]);
+    let ticket = directory.send_began(NOW, &WorkerId::from("only"), &[], false);
+    directory.send_ended(NOW, &ticket, &[], SendResult::Absent);
+    let chosen = asker.choose(&directory, &[], &Need::Run);
+    assert_eq!(chosen, Some("only".into()));
+}
+
+/// A decoding engine whose places are all taken is worse than one with a free place.
+#[test]
+fn a_full_engine_is_waited_for() {
+    let asker = Asker::new();
+    let role = Some(Role::Decode);
+    let mut directory = directory(vec![worker("near", "z", role), worker("far", "y", role)]);
+    let prompt = prompt("shared", 100);
+    let near = WorkerId::from("near");
+    let mut ticket = directory.send_began(NOW, &near, &prompt, true);
+    directory.prompt_was_read(NOW, &mut ticket, &prompt, Duration::from_millis(50));
+    let later = NOW + Duration::from_millis(800);
+    let latency = Duration::from_millis(50);
+    directory.send_ended(later, &ticket, &prompt, SendResult::Answered { latency });
+    let reader = WorkerId::from("p");
+    let need = Need::Continue { reader };
+    let before = asker.choose(&directory, &prompt, &need);
+    assert_eq!(before, Some("near".into()));
+    for _ in 0..8 {
+        directory.send_began(NOW, &near, &[], false);
+    }
+    let after = asker.choose(&directory, &prompt, &need);
+    assert_eq!(after, Some("far".into()));
+}
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -5,6 +5,7 @@
 //! but one whole answer is not used again.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
@@ -60,14 +61,28 @@
 /// Why a request brought no answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum SendError {
-    /// No byte of it was sent.
+    /// No byte of it was sent, as there is no connection.
     #[error("not sent: {0}")]
-    NotSent(String),
+    NotSent(Unconnected),
     /// It may have arrived.
     #[error("no answer: {0}")]
     NoAnswer(String),
 }
 
+/// Why there is no connection to a worker.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Unconnected {
+    /// Nothing listens at its address.
+    #[error("nothing listens there")]
+    NothingListens,
+    /// This gateway has as many as it may.
+    #[error("too many connections")]
+    TooMany,
+    /// It did not come up, or not in time, or was closed at once.
+    #[error("{0}")]
+    Failed(String),
+}
+
 /// An answer whose body is still to be read.
 #[derive(Debug)]
 pub struct WorkerAnswer {
@@ -149,7 +164,7 @@
         match self.send_on(destination, connection, request).await {
             Ok(answer) => Ok(answer),
             Err(Attempt::Failed(error)) => Err(error),
-            Err(Attempt::Unused(_)) => Err(SendError::NotSent("closed at once".into())),
+            Err(Attempt::Unused(_)) => Err(not_sent("closed at once")),
         }
     }
 
@@ -177,15 +192,17 @@
 
     async fn connect(&self, destination: &Destination) -> Result<Connection, SendError> {
         let open = self.count_open(destination)?;
-        let not_sent = |reason: String| SendError::NotSent(reason);
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(destination.address))
             .await
-            .map_err(|_| not_sent("no connection in time".into()))?
-            .map_err(|error| not_sent(error.to_string()))?;
+            .map_err(|_| not_sent("no connection in time"))?
+            .map_err(|error| match error.kind() {
+                ErrorKind::ConnectionRefused => SendError::NotSent(Unconnected::NothingListens),
+                _ => not_sent(error),
+            })?;
         let _ = stream.set_nodelay(true);
         let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-        let (sender, driver) = handshake.map_err(|error| not_sent(error.to_string()))?;
+        let (sender, driver) = handshake.map_err(not_sent)?;
         actix_rt::spawn(async move {
             if let Err(error) = driver.await {
                 log::debug!("connection to a worker: {error}");
@@ -202,7 +219,7 @@
         let mut pools = self.pools.lock();
         let pool = pools.entry(destination.worker.clone()).or_default();
         if pool.open.load(Ordering::Relaxed) >= destination.max_connections {
-            return Err(SendError::NotSent("too many connections".into()));
+            return Err(SendError::NotSent(Unconnected::TooMany));
         }
         pool.open.fetch_add(1, Ordering::Relaxed);
         Ok(OpenCount(Arc::clone(&pool.open)))
@@ -259,6 +276,10 @@
     }
 }
 
+fn not_sent(reason: impl std::fmt::Display) -> SendError {
+    SendError::NotSent(Unconnected::Failed(reason.to_string()))
+}
+
 enum Attempt {
     Unused(Box<hyper::Request<Full<Bytes>>>),
     Failed(SendError),
@@ -333,7 +354,7 @@
     }
     builder
         .body(Full::new(request.body.clone()))
-        .map_err(|error| SendError::NotSent(error.to_string()))
+        .map_err(not_sent)
 }
 
 fn header_list(headers: &hyper::HeaderMap) -> HeaderList {
--- a/crates/gateway/src/exchange/prompt.rs
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -2,32 +2,42 @@
 
 use std::time::Duration;
 
-use tansyhall_forwarding::{PromptHandle, RequestEvent, SendResult, Worker, WorkerId};
+use tansyhall_forwarding::{
+    PromptHandle, ReadingFailure, RequestEvent, SendResult, Worker, WorkerId,
+};
 use tokio::time::{timeout, timeout_at};
 
 use super::Exchange;
-use crate::connections::{SendError, WorkerRequest};
+use crate::connections::{SendError, Unconnected, WorkerRequest};
 use crate::protocol::{AnswerKind, Work};
-use crate::send_guard::SendGuard;
+use crate::send_guard::{result_of, SendGuard};
 
 /// The longest answer to the reading of a prompt.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
 /// Time for a handle to be freed.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Why a prompt was not read.
-struct ReadingFailure {
+/// Why a prompt was not read, and what that says of the worker.
+struct FailedReading {
     result: SendResult,
-    taken_up: bool,
+    failure: ReadingFailure,
     detail: String,
 }
 
-impl ReadingFailure {
+impl FailedReading {
+    fn not_sent(reason: &Unconnected) -> Self {
+        Self {
+            result: result_of(reason),
+            failure: ReadingFailure::NotSent,
+            detail: reason.to_string(),
+        }
+    }
+
     /// The worker did not take it up, as far as is known.
     fn left(result: SendResult, detail: impl Into<String>) -> Self {
         Self {
             result,
-            taken_up: false,
+            failure: ReadingFailure::Left,
             detail: detail.into(),
         }
     }
@@ -36,7 +46,7 @@
     fn taken_up(detail: impl Into<String>) -> Self {
         Self {
             result: SendResult::Failed,
-            taken_up: true,
+            failure: ReadingFailure::TakenUp,
             detail: detail.into(),
         }
     }
@@ -46,13 +56,13 @@
     /// Has the prompt read by a worker.
     pub(super) async fn read_prompt(&mut self, id: &WorkerId) -> RequestEvent {
         let Some(worker) = self.worker(id) else {
-            return RequestEvent::PromptNotRead { taken_up: false };
+            return RequestEvent::PromptNotRead(ReadingFailure::NotSent);
         };
         let mut guard = self.begin_send(&worker, "read_prompt", true);
         let reading = self.try_read_prompt(&worker, &guard);
         let limit = self.silence_limit(&guard).min(self.deadline());
         let Ok(read) = timeout_at(limit, reading).await else {
-            return RequestEvent::PromptNotRead { taken_up: false };
+            return RequestEvent::PromptNotRead(ReadingFailure::Left);
         };
         match read {
             Ok(handle) => {
@@ -60,11 +70,9 @@
                 self.unused_handle = Some(handle.clone());
                 RequestEvent::PromptRead(handle)
             }
-            Err(failure) => {
-                guard.ended(failure.result, failure.detail);
-                RequestEvent::PromptNotRead {
-                    taken_up: failure.taken_up,
-                }
+            Err(failed) => {
+                guard.ended(failed.result, failed.detail);
+                RequestEvent::PromptNotRead(failed.failure)
             }
         }
     }
@@ -73,32 +81,32 @@
         &self,
         worker: &Worker,
         guard: &SendGuard,
-    ) -> Result<PromptHandle, ReadingFailure> {
+    ) -> Result<PromptHandle, FailedReading> {
         let destination = self.shared.destination(worker);
         let request = self.worker_request(worker, Work::ReadPrompt, guard);
         let sent = self.shared.connections.send(&destination, &request).await;
-        let mut answer = sent.map_err(|error| {
-            let result = match error {
-                SendError::NotSent(_) => SendResult::Unreachable,
-                SendError::NoAnswer(_) => SendResult::Failed,
-            };
-            ReadingFailure::left(result, error.to_string())
+        let mut answer = sent.map_err(|error| match &error {
+            SendError::NotSent(reason) => FailedReading::not_sent(reason),
+            SendError::NoAnswer(_) => FailedReading::left(SendResult::Failed, error.to_string()),
         })?;
         let protocol = &self.shared.protocol;
         let kind = protocol.answer_kind(answer.status, &answer.headers, &self.request.terms);
         let detail = format!("status {}", answer.status);
         match kind {
-            AnswerKind::NotRun => return Err(ReadingFailure::left(SendResult::Refused, detail)),
-            AnswerKind::Failure => return Err(ReadingFailure::taken_up(detail)),
+            AnswerKind::Misdirected => {
+                return Err(FailedReading::left(SendResult::Absent, detail));
+            }
+            AnswerKind::NotRun => return Err(FailedReading::left(SendResult::Refused, detail)),
+            AnswerKind::Failure => return Err(FailedReading::taken_up(detail)),
             _ if answer.status != 200 => {
-                return Err(ReadingFailure::left(SendResult::Failed, detail))
+                return Err(FailedReading::left(SendResult::Failed, detail))
             }
             _ => {}
         }
         let body = answer.body.read_whole(MAX_ANSWER_BYTES).await;
-        let body = body.ok_or_else(|| ReadingFailure::taken_up("the answer broke off"))?;
+        let body = body.ok_or_else(|| FailedReading::taken_up("the answer broke off"))?;
         let handle = protocol.prompt_handle(&body);
-        let handle = handle.map_err(|error| ReadingFailure::taken_up(format!("{error:#}")))?;
+        let handle = handle.map_err(|error| FailedReading::taken_up(format!("{error:#}")))?;
         Ok(PromptHandle {
             worker: worker.id.clone(),
             address: worker.address.to_string(),
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -8,7 +8,7 @@
 use super::{failed, Exchange};
 use crate::connections::{SendError, WorkerAnswer};
 use crate::protocol::{AnswerKind, Work};
-use crate::send_guard::SendGuard;
+use crate::send_guard::{result_of, SendGuard};
 
 impl Exchange {
     /// Sends the request to a worker and delivers what it can of the answer. A `patient` send
@@ -21,7 +21,7 @@
         patient: bool,
     ) -> RequestEvent {
         let Some(worker) = self.worker(id) else {
-            return failed(SendFailure::NotRun);
+            return failed(SendFailure::NotSent);
         };
         let reads = source.is_none();
         let mut guard = self.begin_send(&worker, "run", reads);
@@ -50,8 +50,8 @@
             None => RequestEvent::DeadlinePassed,
             Some(Ok(answer)) => self.judge(answer, guard).await,
             Some(Err(SendError::NotSent(reason))) => {
-                guard.ended(SendResult::Unreachable, reason);
-                failed(SendFailure::NotRun)
+                guard.ended(result_of(&reason), reason.to_string());
+                failed(SendFailure::NotSent)
             }
             Some(Err(SendError::NoAnswer(reason))) => {
                 guard.ended(SendResult::Failed, reason);
@@ -76,6 +76,10 @@
                 guard.ended(SendResult::Refused, detail);
                 failed(SendFailure::NotRun)
             }
+            AnswerKind::Misdirected => {
+                guard.ended(SendResult::Absent, detail);
+                failed(SendFailure::NotRun)
+            }
             AnswerKind::Failure => {
                 guard.ended(SendResult::Failed, detail);
                 self.keep_error(answer).await
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -9,7 +9,9 @@
 
 use anyhow::{Context, Result};
 use prost::Message;
-use tansyhall_forwarding::{GatewayKey, Load, LoadEntry, LoadReport, PartKey, PartRead, WorkerKey};
+use tansyhall_forwarding::{
+    Absence, GatewayKey, Load, LoadEntry, LoadReport, PartKey, PartRead, WorkerKey,
+};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -38,6 +40,9 @@
     /// Parts read.
     #[prost(message, repeated, tag = "4")]
     pub parts: Vec<PartMessage>,
+    /// Keys of workers that were found absent.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub absences: Vec<u64>,
 }
 
 /// A load on the wire.
@@ -129,6 +134,7 @@
         sequence: report.sequence,
         loads: loads.collect(),
         parts: report.parts.iter().map(encode_part).collect(),
+        absences: report.absences.iter().map(|one| one.worker.0).collect(),
     }
 }
 
@@ -160,10 +166,14 @@
             reading_tokens: entry.reading_tokens,
         },
     });
+    let absences = message.absences.into_iter().map(|key| Absence {
+        worker: WorkerKey(key),
+    });
     LoadReport {
         sender: GatewayKey(message.sender),
         sequence: message.sequence,
         loads: loads.collect(),
         parts: message.parts.into_iter().map(decode_part).collect(),
+        absences: absences.collect(),
     }
 }
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -69,6 +69,9 @@
     Failure,
     /// The worker did not run the request and never will.
     NotRun,
+    /// The same, as the worker that answers is not the one that was meant, or not in the role that
+    /// was meant.
+    Misdirected,
     /// The answer to another request, or none that can be passed on: nothing is known.
     Foreign,
 }
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -6,9 +6,19 @@
 use tansyhall_core::{ServiceName, Timestamp};
 use tansyhall_forwarding::{PromptPart, SendResult, SendTicket, WorkerId};
 
+use crate::connections::Unconnected;
 use crate::events::{Event, Weight};
 use crate::state::{whole_millis, Shared};
 
+/// What a send that was not sent says of its worker.
+pub fn result_of(reason: &Unconnected) -> SendResult {
+    match reason {
+        Unconnected::NothingListens => SendResult::Absent,
+        Unconnected::TooMany => SendResult::Refused,
+        Unconnected::Failed(_) => SendResult::Unreachable,
+    }
+}
+
 /// What is sent where.
 pub struct Sent {
     /// The caller's id of the request.
@@ -117,6 +127,7 @@
         SendResult::Failed => "failed",
         SendResult::Refused => "refused",
         SendResult::Unreachable => "unreachable",
+        SendResult::Absent => "absent",
         SendResult::Abandoned { silent: true } => "abandoned_silent",
         SendResult::Abandoned { silent: false } => "abandoned",
     }
