--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -65,6 +65,7 @@
 
 /// A demand with what is the same for every worker that is compared for it.
 struct Comparison<'a> {
+    now: Timestamp,
     demand: Demand<'a>,
     rate: ReadingRate,
     hold: f64,
@@ -100,7 +101,7 @@
 impl Directory {
     /// Whether the prompt is better read apart than by the worker that decodes.
     pub fn reads_apart(&self, now: Timestamp, demand: Demand<'_>) -> bool {
-        let comparison = self.comparison(demand);
+        let comparison = self.comparison(now, demand);
         let planned = self.plan(now, &comparison);
         planned.is_some_and(|planned| planned.read_apart)
     }
@@ -113,7 +114,7 @@
         if demand.prompt.is_empty() {
             return Admission::Taken;
         }
-        let comparison = self.comparison(demand);
+        let comparison = self.comparison(now, demand);
         let Some(planned) = self.plan(now, &comparison) else {
             return Admission::Taken;
         };
@@ -144,7 +145,7 @@
         need: &Need,
         avoid: &[WorkerId],
     ) -> Option<&Worker> {
-        let comparison = self.comparison(demand);
+        let comparison = self.comparison(now, demand);
         let affinity = affinity_part(demand.prompt);
         let rank = |tracked: &Tracked| {
             let key = affinity.map_or(&[][..], |part| part.id.as_bytes());
@@ -170,23 +171,30 @@
     }
 
     /// What reading a prompt at a worker takes.
-    pub(super) fn reading_of(&self, tracked: &Tracked, prompt: &[PromptPart]) -> Reading {
-        let comparison = self.comparison(Demand {
+    pub(super) fn reading_of(
+        &self,
+        now: Timestamp,
+        tracked: &Tracked,
+        prompt: &[PromptPart],
+    ) -> Reading {
+        let demand = Demand {
             service: &tracked.worker.service,
             prompt,
             zone: &tracked.worker.zone,
             draw: 0,
-        });
+        };
+        let comparison = self.comparison(now, demand);
         self.reading(tracked, &comparison)
     }
 
-    fn comparison<'a>(&'a self, demand: Demand<'a>) -> Comparison<'a> {
+    fn comparison<'a>(&'a self, now: Timestamp, demand: Demand<'a>) -> Comparison<'a> {
         let tokens = prompt_tokens(demand.prompt);
         let holders = match tokens < MIN_FETCHED_TOKENS {
             true => Vec::new(),
             false => self.holders(demand),
         };
         Comparison {
+            now,
             demand,
             rate: self.rates.get(demand.service).copied().unwrap_or_default(),
             hold: self
@@ -299,7 +307,7 @@
         let demand = &comparison.demand;
         match need {
             Need::Run if demand.prompt.is_empty() => {
-                tracked.weigh(tracked.plain_seconds(), demand.zone)
+                tracked.weigh(comparison.now, tracked.plain_seconds(), demand.zone)
             }
             Need::Run | Need::ReadPrompt => {
                 let reading = self.reading(tracked, comparison);
@@ -315,7 +323,7 @@
                     + tracked.place_seconds(comparison.hold)
                     + detour
                     + reading.fetch_seconds;
-                tracked.weigh(seconds, demand.zone)
+                tracked.weigh(comparison.now, seconds, demand.zone)
             }
             Need::Continue { reader } => {
                 let reader = self.workers.get(reader).map(|reader| &reader.worker.zone);
@@ -326,7 +334,7 @@
                     + tracked.place_seconds(comparison.hold)
                     + displaced
                     + transfer;
-                tracked.weigh(seconds, reader.unwrap_or(demand.zone))
+                tracked.weigh(comparison.now, seconds, reader.unwrap_or(demand.zone))
             }
         }
     }
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -205,7 +205,7 @@
         prompt: &[PromptPart],
         reads: bool,
     ) -> SendTicket {
-        let mut ticket = self.ticket(id, prompt, reads);
+        let mut ticket = self.ticket(now, id, prompt, reads);
         let service = self.workers.get(id).map(|tracked| &tracked.worker.service);
         let capacity = self.capacity_of(service);
         let Some(tracked) = self.workers.get_mut(id) else {
@@ -228,7 +228,13 @@
         ticket
     }
 
-    fn ticket(&self, id: &WorkerId, prompt: &[PromptPart], reads: bool) -> SendTicket {
+    fn ticket(
+        &self,
+        now: Timestamp,
+        id: &WorkerId,
+        prompt: &[PromptPart],
+        reads: bool,
+    ) -> SendTicket {
         let mut ticket = SendTicket {
             worker: id.clone(),
             counted: false,
@@ -243,7 +249,7 @@
             return ticket;
         };
         if reads && !prompt.is_empty() {
-            let reading = self.reading_of(tracked, prompt);
+            let reading = self.reading_of(now, tracked, prompt);
             ticket.reading_tokens = reading.missing_tokens;
             ticket.fetch_from = reading.source;
         }
--- a/crates/forwarding/src/directory/tracked.rs
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -16,6 +16,10 @@
 const LATENCY_WEIGHT: f64 = 0.1;
 /// Weight of the newest outcome in the smoothed share of successes.
 const SUCCESS_WEIGHT: f64 = 0.1;
+/// Time in which half of what lowered the share of successes is forgotten, so that a worker which
+/// has recovered is used again. A shorter time was tried: gateways then went back to dead engines
+/// before the store had forgotten those.
+const SUCCESS_HALF_LIFE: Duration = Duration::from_secs(30);
 /// The lowest share of successes that is reckoned with, so that a failing worker still gets a
 /// probe now and then.
 const SUCCESS_FLOOR: f64 = 0.05;
@@ -81,6 +85,7 @@
     others_total: Load,
     latency: f64,
     success: f64,
+    success_at: Timestamp,
     pause_until: Timestamp,
     unreachable_pause: Duration,
     absent_until: Timestamp,
@@ -106,6 +111,7 @@
             others_total: Load::default(),
             latency: INITIAL_LATENCY,
             success: 1.0,
+            success_at: Timestamp::default(),
             pause_until: Timestamp::default(),
             unreachable_pause: UNREACHABLE_PAUSE,
             absent_until: Timestamp::default(),
@@ -212,28 +218,40 @@
     }
 
     /// Seconds as they count for a gateway in `zone`, given how often answers come back whole.
-    pub(super) fn weigh(&self, seconds: f64, zone: &ZoneName) -> f64 {
+    pub(super) fn weigh(&self, now: Timestamp, seconds: f64, zone: &ZoneName) -> f64 {
         let way = match self.worker.zone == *zone {
             true => 0.0,
             false => OTHER_ZONE_COST,
         };
-        (seconds + way) / self.success.max(SUCCESS_FLOOR).powi(3)
+        (seconds + way) / self.success(now).max(SUCCESS_FLOOR).powi(3)
+    }
+
+    /// The share of sends that come back whole.
+    fn success(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.success_at).as_secs_f64();
+        let left = 0.5_f64.powf(age / SUCCESS_HALF_LIFE.as_secs_f64());
+        1.0 - (1.0 - self.success) * left
+    }
+
+    fn learn_success(&mut self, now: Timestamp, outcome: f64) {
+        self.success = smooth(self.success(now), outcome, SUCCESS_WEIGHT);
+        self.success_at = now;
     }
 
     /// Learns from a send that ended.
     pub(super) fn learn_result(&mut self, now: Timestamp, result: SendResult) {
         match result {
             SendResult::Answered { latency } => {
-                self.success = smooth(self.success, 1.0, SUCCESS_WEIGHT);
+                self.learn_success(now, 1.0);
                 self.latency = smooth(self.latency, latency.as_secs_f64(), LATENCY_WEIGHT);
                 self.unreachable_pause = UNREACHABLE_PAUSE;
             }
             SendResult::Failed | SendResult::Abandoned { silent: true } => {
-                self.success = smooth(self.success, 0.0, SUCCESS_WEIGHT);
+                self.learn_success(now, 0.0);
             }
             SendResult::Refused => self.pause_until = now + REFUSAL_PAUSE,
             SendResult::Unreachable => {
-                self.success = smooth(self.success, 0.0, SUCCESS_WEIGHT);
+                self.learn_success(now, 0.0);
                 self.pause_until = now + self.unreachable_pause;
                 self.unreachable_pause = (self.unreachable_pause * 2).min(MAX_UNREACHABLE_PAUSE);
             }
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -386,3 +386,21 @@
     let after = asker.choose(&directory, &prompt, &need);
     assert_eq!(after, Some("far".into()));
 }
+
+/// Found by reading: a worker that had failed for some seconds was never chosen again, as only its
+/// own successes raised its share of them.
+#[test]
+fn a_worker_that_failed_is_used_again_after_some_minutes() {
+    let asker = Asker::new();
+    let mut directory = directory(vec![worker("near", "z", None), worker("far", "y", None)]);
+    for _ in 0..40 {
+        let ticket = directory.send_began(NOW, &WorkerId::from("near"), &[], false);
+        directory.send_ended(NOW, &ticket, &[], SendResult::Failed);
+    }
+    let choose = |at: Timestamp| {
+        let chosen = directory.select(at, asker.demand(&[]), &Need::Run, &[]);
+        chosen.map(|worker| worker.id.to_string())
+    };
+    assert_eq!(choose(NOW), Some("far".into()));
+    assert_eq!(choose(NOW + Duration::from_secs(300)), Some("near".into()));
+}
