--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -134,6 +134,11 @@
         site
     }
 
+    /// Starts one more gateway.
+    pub fn add_gateway(&mut self) {
+        self.start_gateway(self.gateways.len());
+    }
+
     fn start_gateway(&mut self, number: usize) {
         let door = self.store.open_door().expect("a free port");
         let addresses = GatewayAddresses::free();
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -24,6 +24,7 @@
 
 mod choice;
 mod lanes;
+mod prediction;
 mod sharing;
 mod tracked;
 
@@ -285,7 +286,9 @@
             rate.or_default().record(ticket.reading_tokens, latency);
         }
         if ticket.reads && !prompt.is_empty() && ticket.expected_seconds > 0.0 {
-            tracked.learn_slowness(ticket.expected_seconds, latency);
+            let ratio = latency.as_secs_f64() / ticket.expected_seconds;
+            tracked.learn_slowness(ratio, 1);
+            self.reporter.record_pace(tracked.key, ratio);
         }
         if !ticket.reads && !prompt.is_empty() {
             let service = tracked.worker.service.clone();
--- a/crates/gateway/src/cache_recovery.rs
+++ b/crates/gateway/src/cache_recovery.rs
@@ -1,15 +1,19 @@
-//! What engines' caches hold is known from what was sent there. A gateway that starts asks another
-//! gateway for what it knows. If nobody knows anything, as after the loss of all gateways, engines
-//! are asked for lists: each by the gateway that the hash of its identity ranks first, which tells
-//! the others.
+//! What engines' caches hold is known from what was sent there. A gateway that starts asks others for
+//! what they know. If none of them has recovered its knowledge, as after the loss of all gateways,
+//! engines are asked for lists: each by the gateway that the hash of its identity ranks first, which
+//! tells the others.
+//!
+//! A gateway that has served for a moment knows a little; that is not taken for recovered knowledge.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
 use actix_web::{web, HttpResponse};
 use awc::Client;
 use prost::Message;
+use rand::seq::SliceRandom;
 use tansyhall_core::hash::rendezvous_rank;
 use tansyhall_forwarding::{PartRead, Worker};
 use tokio::time::{sleep, timeout};
@@ -24,9 +28,13 @@
 /// Looks before a gateway that sees no other goes on alone.
 const PATIENCE: u32 = 8;
 /// Gateways that are asked.
-const ASKED_GATEWAYS: usize = 3;
-/// Time for one call.
-const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+const ASKED_GATEWAYS: usize = 5;
+/// Time for one question to a gateway.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for the list of an engine.
+const LIST_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time in which the lists that other gateways ask for have arrived.
+const OTHERS_LISTS: Duration = Duration::from_secs(2);
 /// The longest answer.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
@@ -36,6 +44,17 @@
     /// Parts and where they lie.
     #[prost(message, repeated, tag = "1")]
     pub parts: Vec<PartMessage>,
+    /// Whether the sender has recovered what caches held before its start.
+    #[prost(bool, tag = "2")]
+    pub recovered: bool,
+}
+
+impl CachesMessage {
+    /// Whether a gateway that gets this need not ask engines. What the sender has learnt from its
+    /// own requests since its start does not suffice.
+    pub fn suffices(&self) -> bool {
+        self.recovered
+    }
 }
 
 /// Answers a gateway that asks what caches hold.
@@ -43,6 +62,7 @@
     let parts = shared.directory.lock().known_parts();
     let message = CachesMessage {
         parts: parts.iter().map(encode_part).collect(),
+        recovered: shared.caches_recovered.load(Ordering::Relaxed),
     };
     HttpResponse::Ok().body(message.encode_to_vec())
 }
@@ -50,17 +70,37 @@
 /// Learns what caches hold, once.
 pub async fn run(shared: Arc<Shared>) {
     wait_for_the_fleet(&shared).await;
-    let client = Client::builder().timeout(CALL_TIMEOUT).finish();
-    for gateway in other_gateways(&shared).into_iter().take(ASKED_GATEWAYS) {
-        let parts = ask_gateway(&client, gateway).await.unwrap_or_default();
-        if !parts.is_empty() {
-            let now = shared.now();
-            shared.directory.lock().learn_parts(now, &parts);
-            return;
+    if !learn_from_gateways(&shared).await {
+        list_own_engines(&shared).await;
+        sleep(OTHERS_LISTS).await;
+    }
+    shared.caches_recovered.store(true, Ordering::Relaxed);
+    shared.metrics.caches_recovered.set(1);
+}
+
+/// Asks some gateways; returns whether one that has recovered its knowledge has answered.
+async fn learn_from_gateways(shared: &Shared) -> bool {
+    let client = Client::builder().timeout(QUESTION_TIMEOUT).finish();
+    let mut gateways = other_gateways(shared);
+    gateways.shuffle(&mut rand::rng());
+    for gateway in gateways.into_iter().take(ASKED_GATEWAYS) {
+        let Some(caches) = ask_gateway(&client, gateway).await else {
+            continue;
+        };
+        let suffices = caches.suffices();
+        let parts: Vec<PartRead> = caches.parts.into_iter().map(decode_part).collect();
+        let now = shared.now();
+        shared.directory.lock().learn_parts(now, &parts);
+        if suffices {
+            return true;
         }
     }
-    for worker in own_engines(&shared) {
-        let parts = list_engine(&shared, &worker).await.unwrap_or_default();
+    false
+}
+
+async fn list_own_engines(shared: &Shared) {
+    for worker in own_engines(shared) {
+        let parts = list_engine(shared, &worker).await.unwrap_or_default();
         let now = shared.now();
         shared.directory.lock().list_parts(now, &worker.id, &parts);
     }
@@ -99,12 +139,11 @@
     engines.filter(is_own).collect()
 }
 
-async fn ask_gateway(client: &Client, gateway: SocketAddr) -> Option<Vec<PartRead>> {
+async fn ask_gateway(client: &Client, gateway: SocketAddr) -> Option<CachesMessage> {
     let call = client.get(format!("http://{gateway}/caches"));
     let mut response = call.send().await.ok()?;
     let body = response.body().limit(MAX_ANSWER_BYTES).await.ok()?;
-    let message = CachesMessage::decode(body).ok()?;
-    Some(message.parts.into_iter().map(decode_part).collect())
+    CachesMessage::decode(body).ok()
 }
 
 async fn list_engine(
@@ -124,6 +163,6 @@
         let mut answer = sent.ok().filter(|answer| answer.status == 200)?;
         answer.body.read_whole(MAX_ANSWER_BYTES).await
     };
-    let body = timeout(CALL_TIMEOUT, answered).await.ok().flatten()?;
+    let body = timeout(LIST_TIMEOUT, answered).await.ok().flatten()?;
     shared.protocol.cache_list(&body).ok()
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     pub store_age_ms: IntGauge,
     /// Whether this gateway asks the store itself for changes, and not a relay.
     pub follows_store: IntGauge,
+    /// Whether what caches held before the start has been recovered.
+    pub caches_recovered: IntGauge,
     /// Retries that this gateway could still spend, by service.
     pub retries_left: IntGaugeVec,
     /// Requests under way.
@@ -82,6 +84,10 @@
                 "gateway_follows_store",
                 "Whether this gateway asks the store itself for changes",
             )?,
+            caches_recovered: IntGauge::new(
+                "gateway_caches_recovered",
+                "Whether what caches held before the start is known",
+            )?,
             retries_left: IntGaugeVec::new(
                 Opts::new("gateway_retries_left", "Retries that could still be spent"),
                 &["service"],
@@ -121,6 +127,8 @@
             .register(Box::new(self.store_age_ms.clone()))?;
         self.registry
             .register(Box::new(self.follows_store.clone()))?;
+        self.registry
+            .register(Box::new(self.caches_recovered.clone()))?;
         self.registry
             .register(Box::new(self.retries_left.clone()))?;
         self.registry.register(Box::new(self.in_flight.clone()))
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -109,6 +109,7 @@
         decoded_workers: Mutex::default(),
         in_force: RwLock::new(None),
         directory: Mutex::new(Directory::new(gateway)),
+        caches_recovered: AtomicBool::new(false),
         retries: Mutex::new(retries),
         store_contact: StoreContact::default(),
         connections: Arc::new(Connections::new(clock)),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,7 +2,7 @@
 //! microseconds and never across a wait.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -48,6 +48,8 @@
     pub in_force: RwLock<Option<Arc<InForce>>>,
     /// Workers.
     pub directory: Mutex<Directory>,
+    /// Whether what caches held before this gateway's start has been recovered.
+    pub caches_recovered: AtomicBool,
     /// Retries.
     pub retries: Mutex<RetryShares>,
     /// When the store last answered, itself or through a relay.
