--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -126,10 +126,7 @@
         if demand.prompt.is_empty() || comparison.prompt_tokens >= MIN_FETCHED_TOKENS {
             return Some(&best.worker);
         }
-        let most = least * (1.0 + NEARLY_EQUAL_PART) + NEARLY_EQUAL_SECONDS;
-        let near = candidates.iter().filter(|(seconds, _)| *seconds <= most);
-        let drawn = near.max_by_key(|(_, tracked)| tracked.key.0 ^ demand.draw);
-        drawn.map(|(_, tracked)| &tracked.worker)
+        draw_nearly_equal(&candidates, least, demand.draw).map(|tracked| &tracked.worker)
     }
 
     /// Where a prompt would best be read, and whether apart.
@@ -203,6 +200,18 @@
     }
 }
 
+/// One of the workers that take hardly longer than `least` seconds.
+fn draw_nearly_equal<'a>(
+    candidates: &[(f64, &'a Tracked)],
+    least: f64,
+    draw: u64,
+) -> Option<&'a Tracked> {
+    let most = least * (1.0 + NEARLY_EQUAL_PART) + NEARLY_EQUAL_SECONDS;
+    let near = candidates.iter().filter(|(seconds, _)| *seconds <= most);
+    let drawn = near.max_by_key(|(_, tracked)| tracked.key.0 ^ draw);
+    drawn.map(|(_, tracked)| *tracked)
+}
+
 fn serves(role: Option<Role>, need: &Need) -> bool {
     match need {
         Need::ReadPrompt => role == Some(Role::Prefill),
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -286,9 +286,7 @@
             rate.or_default().record(ticket.reading_tokens, latency);
         }
         if ticket.reads && !prompt.is_empty() && ticket.expected_seconds > 0.0 {
-            let ratio = latency.as_secs_f64() / ticket.expected_seconds;
-            tracked.learn_slowness(ratio, 1);
-            self.reporter.record_pace(tracked.key, ratio);
+            tracked.learn_slowness(ticket.expected_seconds, latency);
         }
         if !ticket.reads && !prompt.is_empty() {
             let service = tracked.worker.service.clone();
--- a/crates/forwarding/src/directory/sharing.rs
+++ b/crates/forwarding/src/directory/sharing.rs
@@ -41,11 +41,6 @@
             }
         }
         self.learn_parts(now, &report.parts);
-        for pace in &report.paces {
-            if let Some(tracked) = self.tracked_by_key(pace.worker) {
-                tracked.learn_slowness(pace.ratio, pace.readings);
-            }
-        }
         for absence in &report.absences {
             if let Some(tracked) = self.tracked_by_key(absence.worker) {
                 tracked.found_absent(now);
--- a/crates/forwarding/src/directory/tracked.rs
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -35,8 +35,6 @@
 pub(super) const FIRST_TOKEN_COST: f64 = 0.015;
 /// Seconds that each second of reading beside decoding streams counts for, for each of them.
 const DECODING_HARM: f64 = 0.75;
-/// Readings of one report beyond which more of them weigh no more.
-const MAX_READINGS: u32 = 20;
 /// How far a worker's slowness may be from the expected.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 30.0);
 /// How long a worker that refused a request is passed over.
@@ -262,12 +260,11 @@
         }
     }
 
-    /// Learns from `readings` that took `ratio` times as long as expected on the mean, whichever
-    /// gateway has sent them.
-    pub(super) fn learn_slowness(&mut self, ratio: f64, readings: u32) {
+    /// Learns how much slower than expected a prompt was read.
+    pub(super) fn learn_slowness(&mut self, expected_seconds: f64, latency: Duration) {
+        let observed = latency.as_secs_f64() / expected_seconds;
         let (least, most) = SLOWNESS_BOUNDS;
-        let weight = 1.0 - (1.0 - LATENCY_WEIGHT).powi(readings.min(MAX_READINGS) as i32);
-        let slowness = smooth(self.slowness, ratio, weight);
+        let slowness = smooth(self.slowness, observed, LATENCY_WEIGHT);
         self.slowness = slowness.clamp(least, most);
     }
 }
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -97,24 +97,6 @@
     pub ready: bool,
 }
 
-/// How much slower than expected a worker has read prompts since the last report.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct PaceEntry {
-    /// The worker.
-    pub worker: WorkerKey,
-    /// The mean of observed over expected times.
-    pub ratio: f64,
-    /// Of how many readings.
-    pub readings: u32,
-}
-
-/// What was observed at a worker since the last report.
-#[derive(Debug, Clone, Copy, Default)]
-struct ObservedPace {
-    ratios: f64,
-    readings: u32,
-}
-
 /// A worker that is announced and proved not to be there: nothing listens at its address, or another
 /// answers in its place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -124,7 +106,7 @@
 }
 
 /// What a gateway tells the others.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LoadReport {
     /// Who.
     pub sender: GatewayKey,
@@ -136,8 +118,6 @@
     pub parts: Vec<PartRead>,
     /// Workers found absent since the last report.
     pub absences: Vec<Absence>,
-    /// Paces observed since the last report.
-    pub paces: Vec<PaceEntry>,
 }
 
 /// Gathers what is to be told.
@@ -150,7 +130,6 @@
     small: BTreeSet<WorkerKey>,
     parts: Vec<PartRead>,
     absences: Vec<Absence>,
-    paces: BTreeMap<WorkerKey, ObservedPace>,
     small_reported: Timestamp,
     repeated: Timestamp,
 }
@@ -166,7 +145,6 @@
             small: BTreeSet::new(),
             parts: Vec::new(),
             absences: Vec::new(),
-            paces: BTreeMap::new(),
             small_reported: Timestamp::default(),
             repeated: Timestamp::default(),
         }
@@ -192,13 +170,6 @@
         self.absences.push(Absence { worker });
     }
 
-    /// A worker took `ratio` times as long as expected to read a prompt.
-    pub fn record_pace(&mut self, worker: WorkerKey, ratio: f64) {
-        let observed = self.paces.entry(worker).or_default();
-        observed.ratios += ratio;
-        observed.readings += 1;
-    }
-
     /// The report that is due now, if any.
     pub fn flush(&mut self, now: Timestamp) -> Option<LoadReport> {
         let mut due = std::mem::take(&mut self.urgent);
@@ -229,18 +200,6 @@
                 .drain(..self.parts.len().min(MAX_REPORTED_PARTS))
                 .collect(),
             absences: std::mem::take(&mut self.absences),
-            paces: self.take_paces(),
         })
     }
-
-    /// Paces make no report due; they go with the next one.
-    fn take_paces(&mut self) -> Vec<PaceEntry> {
-        let observed = std::mem::take(&mut self.paces);
-        let entries = observed.into_iter().map(|(worker, pace)| PaceEntry {
-            worker,
-            ratio: pace.ratios / f64::from(pace.readings.max(1)),
-            readings: pace.readings,
-        });
-        entries.collect()
-    }
 }
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -10,7 +10,7 @@
 use anyhow::{Context, Result};
 use prost::Message;
 use tansyhall_forwarding::{
-    Absence, GatewayKey, Load, LoadEntry, LoadReport, PaceEntry, PartKey, PartRead, WorkerKey,
+    Absence, GatewayKey, Load, LoadEntry, LoadReport, PartKey, PartRead, WorkerKey,
 };
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -22,8 +22,6 @@
 const GATEWAYS_AT_FULL_PACE: u64 = 12;
 /// Pause between reports.
 const PACE: Duration = Duration::from_millis(20);
-/// Thousandths in a whole.
-const THOUSAND: f64 = 1_000.0;
 /// The longest datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -45,23 +43,6 @@
     /// Keys of workers that were found absent.
     #[prost(fixed64, repeated, tag = "5")]
     pub absences: Vec<u64>,
-    /// Paces that were observed.
-    #[prost(message, repeated, tag = "6")]
-    pub paces: Vec<PaceMessage>,
-}
-
-/// An observed pace on the wire.
-#[derive(Clone, PartialEq, Message)]
-pub struct PaceMessage {
-    /// The worker's key.
-    #[prost(fixed64, tag = "1")]
-    pub worker: u64,
-    /// The mean of observed over expected times, in thousandths.
-    #[prost(uint32, tag = "2")]
-    pub ratio_thousandths: u32,
-    /// Of how many readings.
-    #[prost(uint32, tag = "3")]
-    pub readings: u32,
 }
 
 /// A load on the wire.
@@ -154,23 +135,6 @@
         loads: loads.collect(),
         parts: report.parts.iter().map(encode_part).collect(),
         absences: report.absences.iter().map(|one| one.worker.0).collect(),
-        paces: report.paces.iter().map(encode_pace).collect(),
-    }
-}
-
-fn encode_pace(pace: &PaceEntry) -> PaceMessage {
-    PaceMessage {
-        worker: pace.worker.0,
-        ratio_thousandths: (pace.ratio * THOUSAND).round() as u32,
-        readings: pace.readings,
-    }
-}
-
-fn decode_pace(message: &PaceMessage) -> PaceEntry {
-    PaceEntry {
-        worker: WorkerKey(message.worker),
-        ratio: f64::from(message.ratio_thousandths) / THOUSAND,
-        readings: message.readings,
     }
 }
 
@@ -211,6 +175,5 @@
         loads: loads.collect(),
         parts: message.parts.into_iter().map(decode_part).collect(),
         absences: absences.collect(),
-        paces: message.paces.iter().map(decode_pace).collect(),
     }
 }
