Costs of an engine's work are learnt; lanes of reading engines removed; the queue is as short as the objective needs

Cause: on the airport expected times were twice (reading, median 1.89 times what was observed) and four times (hand-over, 4.56) too long, since constants in seconds of the first two sites met an engine that reads five times faster; prompts were taken up to a queue of the whole objective, so that at the readers' limit nearly all were late. Ruled out: dearer fetches (trial: 10 ms less changes nothing by itself).

--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -6,24 +6,25 @@
 use tansyhall_core::hash::rendezvous_weight;
 use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
 
-use super::prediction::{Comparison, MIN_FETCHED_TOKENS};
-use super::tracked::{Tracked, FIRST_TOKEN_COST};
+use super::costs::{ContinuingWork, EngineWork, ReadingWork};
+use super::prediction::Comparison;
+use super::tracked::Tracked;
 use super::{Directory, MAX_EXPECTED_SECONDS};
 use crate::selection::{affinity_part, Need, PromptPart};
 use crate::worker::{Worker, WorkerId};
 
-/// Seconds that moving a KV cache costs, its price included.
-const MOVE_COST: f64 = 0.020;
-/// How many times longer than its transfer a move takes: most cross zones.
-const MOVE_WAIT: f64 = 1.0;
-/// Shorter prompts are not read apart.
-const MIN_APART_TOKENS: u64 = 200;
+/// How many times over going on elsewhere counts when it is weighed against reading a prompt where
+/// it runs: a move takes of the links and of two engines' time.
+const MOVE_WEIGHT: f64 = 2.0;
 /// Engines count as nearly equal if they differ by less than this many seconds,
 const NEARLY_EQUAL_SECONDS: f64 = 0.004;
 /// or by this part of the time of the best.
 const NEARLY_EQUAL_PART: f64 = 0.1;
-/// The part of its latency objective for which any prompt may wait.
-const PATIENT_PART: f64 = 0.6;
+/// The part of its latency objective within which a prompt's answer is to begin as far as gateways
+/// can tell; the rest is for the way to the caller and for what was not expected.
+const ON_TIME_PART: f64 = 0.8;
+/// The least part of its latency objective for which any prompt may wait.
+const PATIENT_PART: f64 = 0.25;
 
 /// What a worker is chosen for.
 #[derive(Debug, Clone, Copy)]
@@ -42,7 +43,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
     /// It is.
-    Taken,
+    Taken {
+        /// Whether it is better read apart than by the worker that decodes.
+        read_apart: bool,
+    },
     /// Its wait would be too long.
     Refused {
         /// How long it would have waited.
@@ -53,44 +57,46 @@
 }
 
 /// Where a prompt is best read.
-struct Planned<'a> {
-    worker: &'a Tracked,
+#[derive(Debug, Clone, Copy)]
+struct Plan {
     read_apart: bool,
-    /// Seconds that the stream waits for a place where it is decoded.
-    place_seconds: f64,
+    /// Seconds until the answer begins.
+    seconds: f64,
+    /// Seconds of these that it would take if nothing else were under way.
+    own_seconds: f64,
 }
 
-impl Directory {
-    /// Whether the prompt is better read apart than by the worker that decodes.
-    pub fn reads_apart(&self, now: Timestamp, demand: Demand<'_>) -> bool {
-        let comparison = self.comparison(now, demand);
-        let planned = self.plan(now, &comparison);
-        planned.is_some_and(|planned| planned.read_apart)
+impl Plan {
+    /// Seconds that it waits for others.
+    fn waiting_seconds(&self) -> f64 {
+        (self.seconds - self.own_seconds).max(0.0)
     }
+}
 
-    /// Whether a prompt is taken now. It is not if it would wait long enough to be late and for more
-    /// than a part of its latency objective: what is refused can come back when the queue is
-    /// shorter, and what is taken is in time. Only the wait counts against a prompt, not its own
-    /// length, so that long ones are not starved.
-    pub fn admit(&self, now: Timestamp, demand: Demand<'_>, objective: Duration) -> Admission {
+impl Directory {
+    /// Whether a prompt is taken now, and whether it is read apart. It is not taken if it would wait
+    /// long enough to be late, and longer than a usual one may wait to be in time: what is refused
+    /// can come back when the queue is shorter, and what is taken is in time. Only the wait counts
+    /// against a prompt, not its own length, so that long ones are not starved.
+    pub fn admit(&mut self, now: Timestamp, demand: Demand<'_>, objective: Duration) -> Admission {
+        let taken = Admission::Taken { read_apart: false };
         if demand.prompt.is_empty() {
-            return Admission::Taken;
+            return taken;
         }
         let comparison = self.comparison(now, demand);
-        let Some(planned) = self.plan(now, &comparison) else {
-            return Admission::Taken;
+        let Some(plan) = self.plan(now, &comparison) else {
+            return taken;
         };
+        let usual = self.usual_own.entry(demand.service.clone()).or_default();
+        usual.record(plan.own_seconds);
         let objective = objective.as_secs_f64();
-        let patience = objective * PATIENT_PART;
-        let worker = planned.worker;
-        let waiting = worker.tokens_seconds(worker.load().reading_tokens, comparison.rate)
-            + planned.place_seconds;
-        let reading = self.reading(worker, &comparison);
-        let own = worker.tokens_seconds(reading.missing_tokens, comparison.rate)
-            + reading.fetch_seconds
-            + FIRST_TOKEN_COST;
-        if waiting <= patience || waiting + own <= objective {
-            return Admission::Taken;
+        let in_time = objective * ON_TIME_PART;
+        let patience = (in_time - usual.seconds()).max(objective * PATIENT_PART);
+        let waiting = plan.waiting_seconds();
+        if plan.seconds <= in_time || waiting <= patience {
+            return Admission::Taken {
+                read_apart: plan.read_apart,
+            };
         }
         let bounded = |seconds: f64| Duration::from_secs_f64(seconds.min(MAX_EXPECTED_SECONDS));
         Admission::Refused {
@@ -123,55 +129,97 @@
             by_time.then_with(|| rank(right.1).cmp(&rank(left.1)))
         });
         let (least, best) = best.copied()?;
-        if demand.prompt.is_empty() || comparison.prompt_tokens >= MIN_FETCHED_TOKENS {
+        if demand.prompt.is_empty() || !comparison.costs.is_short(comparison.prompt_tokens) {
             return Some(&best.worker);
         }
         draw_nearly_equal(&candidates, least, demand.draw).map(|tracked| &tracked.worker)
     }
 
     /// Where a prompt would best be read, and whether apart.
-    fn plan<'a>(&'a self, now: Timestamp, comparison: &Comparison<'a>) -> Option<Planned<'a>> {
-        let best = |need: &Need| {
-            let candidates = self.candidates(now, comparison.demand.service, need, &[]);
-            candidates
-                .into_iter()
-                .map(|worker| (self.expected_seconds(worker, need, comparison), worker))
-                .min_by(|(left, _), (right, _)| left.total_cmp(right))
-        };
-        let transfer = self.transfer_seconds(comparison.demand.service, comparison.prompt_tokens);
-        let waits = self.move_waits.get(comparison.demand.service);
-        let move_seconds = MOVE_COST + transfer * MOVE_WAIT + waits.copied().unwrap_or_default();
-        let (whole_seconds, worker) = best(&Need::Run)?;
-        let place_seconds = self.least_place_seconds(now, comparison);
-        let apart = match comparison.prompt_tokens < MIN_APART_TOKENS {
-            true => None,
-            false => best(&Need::ReadPrompt),
+    fn plan(&self, now: Timestamp, comparison: &Comparison<'_>) -> Option<Plan> {
+        let (whole_cost, whole_worker) = self.best(now, comparison, &Need::Run)?;
+        let whole = self.plan_whole(whole_worker, comparison);
+        let Some((apart_cost, reader)) = self.best(now, comparison, &Need::ReadPrompt) else {
+            return Some(whole);
         };
-        match apart {
-            Some((seconds, reader)) if seconds + move_seconds + place_seconds < whole_seconds => {
-                Some(Planned {
-                    worker: reader,
-                    read_apart: true,
-                    place_seconds,
-                })
-            }
-            _ => Some(Planned {
-                worker,
-                read_apart: false,
-                place_seconds: worker.place_seconds(comparison.hold),
-            }),
+        let going_on = self.least_going_on(now, comparison, reader);
+        match apart_cost + going_on * MOVE_WEIGHT < whole_cost {
+            true => Some(self.plan_apart(reader, going_on, comparison)),
+            false => Some(whole),
         }
     }
 
-    /// Seconds that a stream waits for a place at the engine where it waits least.
-    fn least_place_seconds(&self, now: Timestamp, comparison: &Comparison<'_>) -> f64 {
-        let engines = self.candidates(now, comparison.demand.service, &Need::Run, &[]);
-        let seconds = engines
+    /// The worker that is best for a need, and what it counts for in seconds.
+    fn best<'a>(
+        &'a self,
+        now: Timestamp,
+        comparison: &Comparison<'_>,
+        need: &Need,
+    ) -> Option<(f64, &'a Tracked)> {
+        let candidates = self.candidates(now, comparison.demand.service, need, &[]);
+        candidates
             .into_iter()
-            .map(|engine| engine.place_seconds(comparison.hold));
+            .map(|worker| (self.expected_seconds(worker, need, comparison), worker))
+            .min_by(|(left, _), (right, _)| left.total_cmp(right))
+    }
+
+    fn plan_whole(&self, worker: &Tracked, comparison: &Comparison<'_>) -> Plan {
+        let (seconds, own_seconds) = self.reading_seconds(worker, comparison);
+        Plan {
+            read_apart: false,
+            seconds: seconds + worker.place_seconds(comparison.hold),
+            own_seconds,
+        }
+    }
+
+    fn plan_apart(&self, reader: &Tracked, going_on: f64, comparison: &Comparison<'_>) -> Plan {
+        let (seconds, own_seconds) = self.reading_seconds(reader, comparison);
+        let work = self.moving(0, comparison);
+        Plan {
+            read_apart: true,
+            seconds: seconds + going_on,
+            own_seconds: own_seconds + comparison.costs.seconds(&work),
+        }
+    }
+
+    /// Seconds until an engine has read the prompt, and how many it would take if idle.
+    fn reading_seconds(&self, worker: &Tracked, comparison: &Comparison<'_>) -> (f64, f64) {
+        let reading = self.reading(worker, comparison);
+        let work = self.reading_work(worker, &reading, comparison);
+        let idle = ReadingWork {
+            requests: 0,
+            waiting_tokens: 0,
+            ..work
+        };
+        let seconds = |work: ReadingWork| {
+            let work = EngineWork::reading(worker.worker.role, work);
+            comparison.costs.seconds(&work) * worker.slowness + reading.transfer_seconds
+        };
+        (seconds(work), seconds(idle))
+    }
+
+    /// Seconds that a stream takes to go on where that is soonest: the wait for a place and the move.
+    fn least_going_on(&self, now: Timestamp, comparison: &Comparison<'_>, reader: &Tracked) -> f64 {
+        let need = Need::Continue {
+            reader: reader.worker.id.clone(),
+        };
+        let engines = self.candidates(now, comparison.demand.service, &need, &[]);
+        let seconds = engines.into_iter().map(|engine| {
+            let work = self.moving(engine.load().sends, comparison);
+            comparison.costs.seconds(&work) + engine.place_seconds(comparison.hold)
+        });
         seconds.reduce(f64::min).unwrap_or_default()
     }
 
+    fn moving(&self, requests: u32, comparison: &Comparison<'_>) -> EngineWork {
+        let tokens = comparison.prompt_tokens;
+        EngineWork::Continue(ContinuingWork {
+            requests,
+            move_seconds: self.transfer_seconds(comparison.demand.service, tokens),
+            other_zone: false,
+        })
+    }
+
     fn candidates(
         &self,
         now: Timestamp,
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -6,15 +6,16 @@
 //! - For requests without a prompt: the smoothed latency of a worker's answers, stretched by the
 //!   work under way there.
 //! - For prompts: the time to read what is waiting there and what of this prompt neither its cache
-//!   nor another worker's holds, to fetch what another holds, plus a little for each request under
-//!   way, stretched by how much slower than expected the worker has been.
+//!   nor another worker's holds, to fetch what another holds, and for each request under way, by
+//!   models that are learnt for the service (`costs`), stretched by how much slower than others of
+//!   its service the worker has been.
 //!
 //! A request that finds every place of a decoding engine taken waits until one is free; how long a
 //! stream holds its place is learnt.
 //!
 //! A prompt that is read beside decoding streams slows them all, which counts as time too, and so
 //! does what a copy pushes out of a cache. All is divided by the cube of the share of sends that
-//! came back whole, and a worker in another zone costs the way there. Equal workers are told apart
+//! came back whole, and the way to another zone counts. Equal workers are told apart
 //! by rendezvous hashing of the prompt's largest shared part, so that gateways which know nothing
 //! yet agree. Short prompts gain nothing from a cache: they are drawn among nearly equal engines,
 //! so that many gateways, each with reports that are a little old, do not all choose the same.
@@ -23,10 +24,11 @@
 //! cache included, against the best worker that reads it while decoding.
 
 mod choice;
-mod lanes;
+mod costs;
 mod prediction;
 mod sharing;
 mod tracked;
+mod usual;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -37,23 +39,19 @@
 use crate::cache_view::PartKey;
 use crate::configuration::EngineCapacity;
 use crate::load_exchange::{GatewayKey, LoadReporter, WorkerKey};
-use crate::reading_rate::ReadingRate;
-use crate::selection::{prompt_tokens, PromptPart};
+use crate::selection::{Need, PromptPart};
 use crate::worker::{Worker, WorkerId, WorkerState};
 
 pub use choice::{Admission, Demand};
 pub use tracked::SendResult;
 
-use lanes::ReadingMix;
+use costs::{EngineCosts, EngineWork};
 use sharing::report_prompt;
 use tracked::Tracked;
+use usual::UsualSeconds;
 
 /// Tokens that a cache is taken to hold if the configuration does not say.
 const DEFAULT_CACHE_TOKENS: u64 = 200_000;
-/// Weight of the newest wait for a move in the smoothed one.
-const MOVE_WAIT_WEIGHT: f64 = 0.05;
-/// The longest wait for a move in seconds that is learnt from.
-const MAX_MOVE_WAIT: f64 = 2.0;
 /// Weight of the newest time in the smoothed time for which a stream holds its place.
 const HOLD_WEIGHT: f64 = 0.05;
 /// The longest hold in seconds that is learnt from.
@@ -67,10 +65,9 @@
     workers: BTreeMap<WorkerId, Tracked>,
     by_key: HashMap<WorkerKey, WorkerId>,
     engines: HashMap<ServiceName, EngineCapacity>,
-    rates: HashMap<ServiceName, ReadingRate>,
-    move_waits: HashMap<ServiceName, f64>,
+    costs: HashMap<ServiceName, EngineCosts>,
     hold_seconds: HashMap<ServiceName, f64>,
-    mixes: HashMap<ServiceName, ReadingMix>,
+    usual_own: HashMap<ServiceName, UsualSeconds>,
     reporter: LoadReporter,
     heard: HashMap<GatewayKey, u64>,
     stale_dropped: Timestamp,
@@ -81,10 +78,14 @@
 pub struct SendTicket {
     worker: WorkerId,
     counted: bool,
-    reads: bool,
     reading_tokens: u64,
+    /// What an engine was asked for; none for workers that read no prompts.
+    work: Option<EngineWork>,
+    /// Seconds that a worker like others of its service was expected to take.
+    usual_seconds: f64,
+    /// Seconds of these for parts that are fetched from another worker.
+    fetch_seconds: f64,
     expected_seconds: f64,
-    alone: bool,
     fetch_from: Option<SocketAddr>,
     read_at: Option<Timestamp>,
 }
@@ -122,10 +123,9 @@
             workers: BTreeMap::new(),
             by_key: HashMap::new(),
             engines: HashMap::new(),
-            rates: HashMap::new(),
-            move_waits: HashMap::new(),
+            costs: HashMap::new(),
             hold_seconds: HashMap::new(),
-            mixes: HashMap::new(),
+            usual_own: HashMap::new(),
             reporter: LoadReporter::new(gateway),
             heard: HashMap::new(),
             stale_dropped: Timestamp::default(),
@@ -198,26 +198,22 @@
             .map(|tracked| &tracked.worker)
     }
 
-    /// A send to a worker begins, which `reads` its prompt there or fetches its KV cache.
+    /// A send to a worker begins, for what the demand needs of it.
     pub fn send_began(
         &mut self,
         now: Timestamp,
         id: &WorkerId,
-        prompt: &[PromptPart],
-        reads: bool,
+        demand: Demand<'_>,
+        need: &Need,
     ) -> SendTicket {
-        let mut ticket = self.ticket(now, id, prompt, reads);
+        let mut ticket = self.ticket(now, id, demand, need);
+        let prompt = demand.prompt;
         let service = self.workers.get(id).map(|tracked| &tracked.worker.service);
         let capacity = self.capacity_of(service);
         let Some(tracked) = self.workers.get_mut(id) else {
             return ticket;
         };
         ticket.counted = true;
-        if reads && !prompt.is_empty() {
-            let mix = self.mixes.entry(tracked.worker.service.clone());
-            let mix = mix.or_default();
-            mix.record(now, prompt_tokens(prompt), ticket.reading_tokens);
-        }
         tracked.own.sends += 1;
         tracked.own.reading_tokens += ticket.reading_tokens;
         for part in prompt {
@@ -229,42 +225,37 @@
         ticket
     }
 
-    fn ticket(
-        &self,
-        now: Timestamp,
-        id: &WorkerId,
-        prompt: &[PromptPart],
-        reads: bool,
-    ) -> SendTicket {
+    fn ticket(&self, now: Timestamp, id: &WorkerId, demand: Demand<'_>, need: &Need) -> SendTicket {
         let mut ticket = SendTicket {
             worker: id.clone(),
             counted: false,
-            reads,
             reading_tokens: 0,
+            work: None,
+            usual_seconds: 0.0,
+            fetch_seconds: 0.0,
             expected_seconds: 0.0,
-            alone: false,
             fetch_from: None,
             read_at: None,
         };
         let Some(tracked) = self.workers.get(id) else {
             return ticket;
         };
-        if reads && !prompt.is_empty() {
-            let reading = self.reading_of(now, tracked, prompt);
+        if demand.prompt.is_empty() {
+            ticket.usual_seconds = tracked.plain_seconds();
+            ticket.expected_seconds = ticket.usual_seconds;
+            return ticket;
+        }
+        let comparison = self.comparison(now, demand);
+        let work = self.engine_work(tracked, need, &comparison);
+        if need.reads() {
+            let reading = self.reading(tracked, &comparison);
             ticket.reading_tokens = reading.missing_tokens;
             ticket.fetch_from = reading.source;
+            ticket.fetch_seconds = reading.transfer_seconds;
         }
-        let rate = self.rates.get(&tracked.worker.service).copied();
-        let rate = rate.unwrap_or_default();
-        ticket.expected_seconds = match prompt.is_empty() {
-            true => tracked.plain_seconds(),
-            false => tracked.reading_seconds(ticket.reading_tokens, rate) / tracked.slowness,
-        };
-        if !reads && !prompt.is_empty() {
-            let tokens = prompt_tokens(prompt);
-            ticket.expected_seconds += self.transfer_seconds(&tracked.worker.service, tokens);
-        }
-        ticket.alone = tracked.load().reading_tokens == 0;
+        ticket.usual_seconds = comparison.costs.seconds(&work);
+        ticket.expected_seconds = ticket.usual_seconds * tracked.slowness + ticket.fetch_seconds;
+        ticket.work = Some(work);
         ticket
     }
 
@@ -281,18 +272,11 @@
         let Some(tracked) = self.workers.get_mut(&ticket.worker) else {
             return;
         };
-        if ticket.alone && tracked.worker.role == Some(Role::Prefill) {
-            let rate = self.rates.entry(tracked.worker.service.clone());
-            rate.or_default().record(ticket.reading_tokens, latency);
-        }
-        if ticket.reads && !prompt.is_empty() && ticket.expected_seconds > 0.0 {
-            tracked.learn_slowness(ticket.expected_seconds, latency);
-        }
-        if !ticket.reads && !prompt.is_empty() {
-            let service = tracked.worker.service.clone();
-            let waited = latency.as_secs_f64() - ticket.expected_seconds;
-            let wait = self.move_waits.entry(service).or_default();
-            *wait += (waited.clamp(0.0, MAX_MOVE_WAIT) - *wait) * MOVE_WAIT_WEIGHT;
+        if let Some(work) = &ticket.work {
+            let seconds = (latency.as_secs_f64() - ticket.fetch_seconds).max(0.0);
+            let costs = self.costs.entry(tracked.worker.service.clone());
+            costs.or_default().learn(work, seconds);
+            tracked.learn_slowness(ticket.usual_seconds, seconds);
         }
         ticket.read_at = Some(now);
         let read = std::mem::take(&mut ticket.reading_tokens);
--- a/crates/forwarding/src/directory/prediction.rs
+++ b/crates/forwarding/src/directory/prediction.rs
@@ -2,33 +2,30 @@
 
 use std::net::SocketAddr;
 
-use tansyhall_core::{Role, ServiceName, Timestamp};
+use tansyhall_core::{ServiceName, Timestamp};
 
 use super::choice::Demand;
-use super::lanes::ShortLane;
+use super::costs::{ContinuingWork, EngineCosts, EngineWork, ReadingWork};
 use super::tracked::Tracked;
 use super::Directory;
-use crate::reading_rate::ReadingRate;
-use crate::selection::{prompt_tokens, Need, PromptPart};
+use crate::selection::{prompt_tokens, Need};
 
-/// Seconds that fetching a part of a KV cache costs beside its transfer, its price included.
-const FETCH_COST: f64 = 0.010;
 /// A copy pushes as many tokens out of a full cache: the part of the time to read them again that
 /// this counts for.
 const DISPLACEMENT: f64 = 0.3;
 /// How many times longer a transfer between zones takes.
 const OTHER_ZONE_FETCH: f64 = 2.0;
-/// Shorter parts are read again rather than fetched.
-pub(super) const MIN_FETCHED_TOKENS: u64 = 1_000;
+/// How many times over a transfer counts when it is weighed against reading: moves wait for each
+/// other, and what they take of a link others lack.
+const TRANSFER_WEIGHT: f64 = 2.0;
 
 /// A demand with what is the same for every worker that is compared for it.
 pub(super) struct Comparison<'a> {
     pub(super) now: Timestamp,
     pub(super) demand: Demand<'a>,
-    pub(super) rate: ReadingRate,
+    pub(super) costs: EngineCosts,
     pub(super) hold: f64,
     pub(super) holders: Vec<Holder<'a>>,
-    pub(super) short_lane: ShortLane,
     pub(super) prompt_tokens: u64,
 }
 
@@ -42,63 +39,37 @@
 pub(super) struct Reading {
     /// Tokens that neither the worker nor another holds.
     pub(super) missing_tokens: u64,
-    /// Seconds to fetch what another holds, with what the copy displaces.
+    /// Seconds to fetch what another holds over an idle link.
+    pub(super) transfer_seconds: f64,
+    /// Seconds that the fetch counts for, with what the copy displaces.
     pub(super) fetch_seconds: f64,
     /// The worker to fetch from.
     pub(super) source: Option<SocketAddr>,
 }
 
 impl Directory {
-    /// What reading a prompt at a worker takes.
-    pub(super) fn reading_of(
-        &self,
-        now: Timestamp,
-        tracked: &Tracked,
-        prompt: &[PromptPart],
-    ) -> Reading {
-        let demand = Demand {
-            service: &tracked.worker.service,
-            prompt,
-            zone: &tracked.worker.zone,
-            draw: 0,
-        };
-        let comparison = self.comparison(now, demand);
-        self.reading(tracked, &comparison)
-    }
-
     /// What is the same for every worker that is compared for a demand.
     pub(super) fn comparison<'a>(&'a self, now: Timestamp, demand: Demand<'a>) -> Comparison<'a> {
         let tokens = prompt_tokens(demand.prompt);
-        let holders = match tokens < MIN_FETCHED_TOKENS {
+        let costs = self.costs.get(demand.service).cloned().unwrap_or_default();
+        let holders = match costs.is_short(tokens) {
             true => Vec::new(),
             false => self.holders(demand),
         };
         Comparison {
             now,
             demand,
-            rate: self.rates.get(demand.service).copied().unwrap_or_default(),
+            costs,
             hold: self
                 .hold_seconds
                 .get(demand.service)
                 .copied()
                 .unwrap_or_default(),
             holders,
-            short_lane: self.short_lane(demand),
             prompt_tokens: tokens,
         }
     }
 
-    fn short_lane(&self, demand: Demand<'_>) -> ShortLane {
-        let Some(mix) = self.mixes.get(demand.service) else {
-            return ShortLane::default();
-        };
-        let readers = self.workers.values().filter(|tracked| {
-            let reads = tracked.worker.role == Some(Role::Prefill);
-            reads && tracked.takes_new_requests() && tracked.worker.service == *demand.service
-        });
-        ShortLane::of(*mix, readers.map(|tracked| tracked.key))
-    }
-
     fn holders<'a>(&'a self, demand: Demand<'a>) -> Vec<Holder<'a>> {
         let members = self
             .workers
@@ -109,7 +80,7 @@
                 tracked,
                 tokens: tracked.cache.ready_tokens(demand.prompt),
             })
-            .filter(|holder| holder.tokens >= MIN_FETCHED_TOKENS)
+            .filter(|holder| holder.tokens > 0)
             .collect()
     }
 
@@ -123,38 +94,73 @@
         let demand = &comparison.demand;
         match need {
             Need::Run if demand.prompt.is_empty() => {
-                tracked.weigh(comparison.now, tracked.plain_seconds(), demand.zone)
+                tracked.weigh(comparison.now, tracked.plain_seconds_from(demand.zone))
             }
             Need::Run | Need::ReadPrompt => {
                 let reading = self.reading(tracked, comparison);
-                let missing = reading.missing_tokens;
-                let detour = match tracked.worker.role {
-                    Some(Role::Prefill) => comparison
-                        .short_lane
-                        .detour_seconds(tracked.key, comparison.prompt_tokens),
-                    _ => 0.0,
-                };
-                let seconds = tracked.reading_seconds(missing, comparison.rate)
-                    + tracked.harm_seconds(missing, comparison.rate)
+                let work = self.reading_work(tracked, &reading, comparison);
+                let work = EngineWork::reading(tracked.worker.role, work);
+                let seconds = comparison.costs.seconds(&work) * tracked.slowness
+                    + tracked.harm_seconds(reading.missing_tokens, &comparison.costs)
                     + tracked.place_seconds(comparison.hold)
-                    + detour
                     + reading.fetch_seconds;
-                tracked.weigh(comparison.now, seconds, demand.zone)
+                tracked.weigh(comparison.now, seconds)
             }
-            Need::Continue { reader } => {
-                let reader = self.workers.get(reader).map(|reader| &reader.worker.zone);
+            Need::Continue { .. } => {
                 let copied = comparison.prompt_tokens - tracked.cache.kept_tokens(demand.prompt);
-                let displaced = comparison.rate.apart(copied) * DISPLACEMENT;
-                let transfer = self.transfer_seconds(demand.service, copied);
-                let seconds = tracked.reading_seconds(0, comparison.rate)
+                let displaced = comparison.costs.tokens_apart(copied) * DISPLACEMENT;
+                let work = self.engine_work(tracked, need, comparison);
+                let seconds = comparison.costs.seconds(&work) * tracked.slowness
                     + tracked.place_seconds(comparison.hold)
-                    + displaced
-                    + transfer;
-                tracked.weigh(comparison.now, seconds, reader.unwrap_or(demand.zone))
+                    + displaced;
+                tracked.weigh(comparison.now, seconds)
             }
         }
     }
 
+    /// What a demand asks of an engine.
+    pub(super) fn engine_work(
+        &self,
+        tracked: &Tracked,
+        need: &Need,
+        comparison: &Comparison<'_>,
+    ) -> EngineWork {
+        let load = tracked.load();
+        let demand = &comparison.demand;
+        if let Need::Continue { reader } = need {
+            let reader = self.workers.get(reader).map(|reader| &reader.worker.zone);
+            let other_zone = reader.is_some_and(|zone| *zone != tracked.worker.zone);
+            let copied = comparison.prompt_tokens - tracked.cache.kept_tokens(demand.prompt);
+            let way = if other_zone { OTHER_ZONE_FETCH } else { 1.0 };
+            return EngineWork::Continue(ContinuingWork {
+                requests: load.sends,
+                move_seconds: self.transfer_seconds(demand.service, copied) * way,
+                other_zone,
+            });
+        }
+        let reading = self.reading(tracked, comparison);
+        let work = self.reading_work(tracked, &reading, comparison);
+        EngineWork::reading(tracked.worker.role, work)
+    }
+
+    /// What reading the demand's prompt asks of an engine.
+    pub(super) fn reading_work(
+        &self,
+        tracked: &Tracked,
+        reading: &Reading,
+        comparison: &Comparison<'_>,
+    ) -> ReadingWork {
+        let load = tracked.load();
+        ReadingWork {
+            requests: load.sends,
+            waiting_tokens: load.reading_tokens,
+            missing_tokens: reading.missing_tokens,
+            fetches: reading.source.is_some(),
+            prompt_tokens: comparison.prompt_tokens,
+            other_zone: tracked.worker.zone != *comparison.demand.zone,
+        }
+    }
+
     /// What reading the demand's prompt at a worker takes.
     pub(super) fn reading(&self, tracked: &Tracked, comparison: &Comparison<'_>) -> Reading {
         let kept = tracked.cache.kept_tokens(comparison.demand.prompt);
@@ -164,25 +170,32 @@
             .holders
             .iter()
             .filter(|holder| holder.tracked.key != tracked.key)
-            .filter(|holder| holder.tokens >= kept + MIN_FETCHED_TOKENS)
+            .filter(|holder| holder.tokens > kept)
             .max_by_key(|holder| (holder.tokens, same_zone(holder)));
+        let whole = Reading {
+            missing_tokens: lacking,
+            transfer_seconds: 0.0,
+            fetch_seconds: 0.0,
+            source: None,
+        };
         let Some(holder) = source else {
-            return Reading {
-                missing_tokens: lacking,
-                fetch_seconds: 0.0,
-                source: None,
-            };
+            return whole;
         };
         let fetched = holder.tokens - kept;
-        let displaced = comparison.rate.apart(fetched) * DISPLACEMENT;
-        let transfer = self.transfer_seconds(comparison.demand.service, fetched);
         let way = match same_zone(&holder) {
             true => 1.0,
             false => OTHER_ZONE_FETCH,
         };
+        let transfer = self.transfer_seconds(comparison.demand.service, fetched) * way;
+        let read = comparison.costs.tokens_apart(fetched);
+        let fetch = transfer * TRANSFER_WEIGHT + read * DISPLACEMENT;
+        if read <= fetch + comparison.costs.any_fetch() {
+            return whole;
+        }
         Reading {
             missing_tokens: lacking - fetched,
-            fetch_seconds: FETCH_COST + transfer * way + displaced,
+            transfer_seconds: transfer,
+            fetch_seconds: fetch,
             source: Some(holder.tracked.worker.address),
         }
     }
--- a/crates/forwarding/src/directory/tracked.rs
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -5,9 +5,9 @@
 
 use tansyhall_core::{Role, Timestamp, ZoneName};
 
+use super::costs::EngineCosts;
 use crate::cache_view::CacheView;
 use crate::load_exchange::{GatewayKey, Load, WorkerKey, STALE_AFTER};
-use crate::reading_rate::ReadingRate;
 use crate::worker::{Worker, WorkerState};
 
 /// Latency assumed of a worker that has not answered yet.
@@ -23,16 +23,9 @@
 /// The lowest share of successes that is reckoned with, so that a failing worker still gets a
 /// probe now and then.
 const SUCCESS_FLOOR: f64 = 0.05;
-/// Seconds that a send to another zone costs.
-const OTHER_ZONE_COST: f64 = 0.004;
-/// Seconds that each request under way at an engine adds for one more.
-const SHARED_STEP_COST: f64 = 0.0004;
-/// Seconds that each prompt is taken to cost an engine which only reads, beside its tokens. Not
-/// measured at an engine: worked out from how long short prompts waited at engines that read some
-/// 60 of them a second, as if one were read after the other.
-const READING_COST: f64 = 0.006;
-/// Seconds by which an answer of an engine takes longer than its reading.
-pub(super) const FIRST_TOKEN_COST: f64 = 0.015;
+/// The part by which a worker in another zone counts as slower than one of the own zone, beside what
+/// its answers show.
+const OTHER_ZONE_PART: f64 = 0.15;
 /// Seconds that each second of reading beside decoding streams counts for, for each of them.
 const DECODING_HARM: f64 = 0.75;
 /// How far a worker's slowness may be from the expected.
@@ -176,16 +169,13 @@
         self.latency * (1.0 + busy)
     }
 
-    /// Seconds until `missing` tokens of a prompt are read and the first token made.
-    pub(super) fn reading_seconds(&self, missing: u64, rate: ReadingRate) -> f64 {
-        let load = self.load();
-        let reading = self.tokens_seconds(load.reading_tokens + missing, rate);
-        let each = match self.worker.role {
-            Some(Role::Prefill) => READING_COST,
-            _ => SHARED_STEP_COST,
+    /// The same for a gateway in `zone`.
+    pub(super) fn plain_seconds_from(&self, zone: &ZoneName) -> f64 {
+        let way = match self.worker.zone == *zone {
+            true => 0.0,
+            false => OTHER_ZONE_PART,
         };
-        let sharing = each * f64::from(load.sends) * self.slowness;
-        reading + sharing + FIRST_TOKEN_COST * self.slowness
+        self.plain_seconds() * (1.0 + way)
     }
 
     /// Seconds that one more request waits for a place, if all are taken: those that have one hold it
@@ -199,31 +189,18 @@
         f64::from(ahead) / f64::from(slots) * hold * self.slowness
     }
 
-    /// Seconds to read tokens here.
-    pub(super) fn tokens_seconds(&self, tokens: u64, rate: ReadingRate) -> f64 {
-        let seconds = match self.worker.role {
-            Some(Role::Decode) => rate.while_decoding(tokens),
-            _ => rate.apart(tokens),
-        };
-        seconds * self.slowness
-    }
-
     /// Seconds that reading `missing` tokens costs the streams that decode here meanwhile.
-    pub(super) fn harm_seconds(&self, missing: u64, rate: ReadingRate) -> f64 {
+    pub(super) fn harm_seconds(&self, missing: u64, costs: &EngineCosts) -> f64 {
         let streams = 1.0 + f64::from(self.load().sends);
         match self.worker.role {
             Some(Role::Prefill) => 0.0,
-            _ => rate.while_decoding(missing) * streams * DECODING_HARM,
+            _ => costs.tokens_while_decoding(missing) * streams * DECODING_HARM,
         }
     }
 
-    /// Seconds as they count for a gateway in `zone`, given how often answers come back whole.
-    pub(super) fn weigh(&self, now: Timestamp, seconds: f64, zone: &ZoneName) -> f64 {
-        let way = match self.worker.zone == *zone {
-            true => 0.0,
-            false => OTHER_ZONE_COST,
-        };
-        (seconds + way) / self.success(now).max(SUCCESS_FLOOR).powi(3)
+    /// Seconds as they count, given how often answers come back whole.
+    pub(super) fn weigh(&self, now: Timestamp, seconds: f64) -> f64 {
+        seconds / self.success(now).max(SUCCESS_FLOOR).powi(3)
     }
 
     /// The share of sends that come back whole.
@@ -260,11 +237,13 @@
         }
     }
 
-    /// Learns how much slower than expected a prompt was read.
-    pub(super) fn learn_slowness(&mut self, expected_seconds: f64, latency: Duration) {
-        let observed = latency.as_secs_f64() / expected_seconds;
+    /// Learns how much slower than others of its service the worker is.
+    pub(super) fn learn_slowness(&mut self, usual_seconds: f64, seconds: f64) {
+        if usual_seconds <= 0.0 {
+            return;
+        }
         let (least, most) = SLOWNESS_BOUNDS;
-        let slowness = smooth(self.slowness, observed, LATENCY_WEIGHT);
+        let slowness = smooth(self.slowness, seconds / usual_seconds, LATENCY_WEIGHT);
         self.slowness = slowness.clamp(least, most);
     }
 }
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -7,11 +7,11 @@
 
 pub mod cache_view;
 pub mod configuration;
+pub mod cost_model;
 pub mod directory;
 pub mod event_stream;
 pub mod load_exchange;
 pub mod mirror;
-pub mod reading_rate;
 pub mod relay_plan;
 pub mod request;
 pub mod retry_share;
--- a/crates/forwarding/src/selection.rs
+++ b/crates/forwarding/src/selection.rs
@@ -25,6 +25,13 @@
     },
 }
 
+impl Need {
+    /// Whether the worker reads the prompt, and doesn't fetch its KV cache.
+    pub const fn reads(&self) -> bool {
+        !matches!(self, Need::Continue { .. })
+    }
+}
+
 /// The part by which gateways that know nothing of any cache agree on a worker: the largest of
 /// those before the last, which is the request's own; the last if it is alone.
 pub fn affinity_part(parts: &[PromptPart]) -> Option<&PromptPart> {
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -8,7 +8,7 @@
 use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
     Admission, Demand, Directory, EngineCapacity, GatewayKey, Load, LoadEntry, LoadReport, Need,
-    PromptPart, SendResult, Worker, WorkerId, WorkerKey, WorkerState,
+    PromptPart, SendResult, SendTicket, Worker, WorkerId, WorkerKey, WorkerState,
 };
 
 const NOW: Timestamp = Timestamp::from_millis(10_000);
@@ -75,9 +75,22 @@
     }
 }
 
+/// Whether a prompt is read apart.
+fn reads_apart(directory: &mut Directory, prompt: &[PromptPart]) -> bool {
+    let asker = Asker::new();
+    let admission = directory.admit(NOW, asker.demand(prompt), OBJECTIVE);
+    matches!(admission, Admission::Taken { read_apart: true })
+}
+
+/// A send to a worker begins.
+fn begin(directory: &mut Directory, id: &str, prompt: &[PromptPart], need: &Need) -> SendTicket {
+    let demand = Asker::new();
+    directory.send_began(NOW, &WorkerId::from(id), demand.demand(prompt), need)
+}
+
 /// Has a worker read a prompt from its begin to its end.
 fn read(directory: &mut Directory, id: &str, prompt: &[PromptPart]) {
-    let mut ticket = directory.send_began(NOW, &WorkerId::from(id), prompt, true);
+    let mut ticket = begin(directory, id, prompt, &Need::ReadPrompt);
     let latency = Duration::from_millis(100);
     directory.prompt_was_read(NOW, &mut ticket, prompt, latency);
     directory.send_ended(NOW, &ticket, prompt, SendResult::Answered { latency });
@@ -106,7 +119,7 @@
         Some("near".into())
     );
     for _ in 0..6 {
-        let ticket = directory.send_began(NOW, &WorkerId::from("near"), &[], false);
+        let ticket = begin(&mut directory, "near", &[], &Need::Run);
         directory.send_ended(NOW, &ticket, &[], SendResult::Failed);
     }
     assert_eq!(
@@ -119,7 +132,7 @@
 fn a_worker_that_refuses_rests_unless_there_is_no_other() {
     let asker = Asker::new();
     let mut directory = directory(vec![worker("near", "z", None), worker("far", "y", None)]);
-    let ticket = directory.send_began(NOW, &WorkerId::from("near"), &[], false);
+    let ticket = begin(&mut directory, "near", &[], &Need::Run);
     directory.send_ended(NOW, &ticket, &[], SendResult::Refused);
     assert_eq!(
         asker.choose(&directory, &[], &Need::Run),
@@ -140,7 +153,7 @@
         worker("decoder", "z", Some(Role::Decode)),
     ]);
     let long = prompt("doc", 15_000);
-    assert!(directory.reads_apart(NOW, asker.demand(&long)));
+    assert!(reads_apart(&mut directory, &long));
     assert_eq!(
         asker.choose(&directory, &long, &Need::ReadPrompt),
         Some("reader".into())
@@ -150,7 +163,7 @@
         Some("decoder".into())
     );
     read(&mut directory, "decoder", &long);
-    assert!(!directory.reads_apart(NOW, asker.demand(&long)));
+    assert!(!reads_apart(&mut directory, &long));
 }
 
 #[test]
@@ -169,12 +182,12 @@
     // A holder that is busy is fetched from.
     read(&mut directory, "a", &long);
     let busy = prompt("other", 60_000);
-    directory.send_began(NOW, &WorkerId::from("a"), &busy, true);
+    begin(&mut directory, "a", &busy, &Need::ReadPrompt);
     let chosen = asker
         .choose(&directory, &long, &Need::ReadPrompt)
         .expect("a reader");
     assert_ne!(chosen, "a");
-    let ticket = directory.send_began(NOW, &WorkerId::from(chosen.as_str()), &long, true);
+    let ticket = begin(&mut directory, &chosen, &long, &Need::ReadPrompt);
     assert!(ticket.fetch_from().is_some());
     assert!(ticket.reading_tokens() < 15_000);
 }
@@ -227,21 +240,19 @@
     ]);
     let huge = prompt("huge", 90_000);
     let taken = directory.admit(NOW, asker.demand(&huge), OBJECTIVE);
-    assert_eq!(taken, Admission::Taken);
-    directory.send_began(NOW, &WorkerId::from("reader"), &huge, true);
-    directory.send_began(
-        NOW,
-        &WorkerId::from("decoder"),
+    assert!(matches!(taken, Admission::Taken { .. }));
+    begin(&mut directory, "reader", &huge, &Need::ReadPrompt);
+    begin(
+        &mut directory,
+        "decoder",
         &prompt("second", 90_000),
-        true,
+        &Need::Run,
     );
     let next = prompt("doc", 15_000);
     let refused = directory.admit(NOW, asker.demand(&next), OBJECTIVE);
     assert!(matches!(refused, Admission::Refused { retry_after, .. } if !retry_after.is_zero()));
-    assert_eq!(
-        directory.admit(NOW, asker.demand(&[]), OBJECTIVE),
-        Admission::Taken
-    );
+    let without_prompt = directory.admit(NOW, asker.demand(&[]), OBJECTIVE);
+    assert!(matches!(without_prompt, Admission::Taken { .. }));
 }
 
 #[test]
@@ -294,6 +305,7 @@
     fn loads_return_to_nothing(steps in prop::collection::vec(step(), 0..80)) {
         let all: Vec<Worker> =
             (0..4).map(|n| worker(&format!("w{n}"), "z", Some(Role::Prefill))).collect();
+        let asker = Asker::new();
         let mut directory = directory(all.clone());
         let mut open = Vec::new();
         for step in steps {
@@ -301,7 +313,9 @@
                 Step::Begin(number, tokens) => {
                     let prompt = prompt(&format!("p{tokens}"), tokens);
                     let id = WorkerId::from(format!("w{number}").as_str());
-                    open.push((directory.send_began(NOW, &id, &prompt, true), prompt));
+                    let demand = asker.demand(&prompt);
+                    let ticket = directory.send_began(NOW, &id, demand, &Need::ReadPrompt);
+                    open.push((ticket, prompt));
                 }
                 Step::Read(index) if !open.is_empty() => {
                     let index = index % open.len();
@@ -337,7 +351,7 @@
     let asker = Asker::new();
     let mut finder = directory(vec![worker("near", "z", None), worker("far", "y", None)]);
     let mut told = directory(vec![worker("near", "z", None), worker("far", "y", None)]);
-    let ticket = finder.send_began(NOW, &WorkerId::from("near"), &[], false);
+    let ticket = begin(&mut finder, "near", &[], &Need::Run);
     finder.send_ended(NOW, &ticket, &[], SendResult::Absent);
     let mut report = finder.report_due(NOW).expect("a report");
     report.sender = GatewayKey(2);
@@ -357,7 +371,7 @@
 fn a_worker_that_is_absent_is_still_tried_if_there_is_no_other() {
     let asker = Asker::new();
     let mut directory = directory(vec![worker("only", "z", None)]);
-    let ticket = directory.send_began(NOW, &WorkerId::from("only"), &[], false);
+    let ticket = begin(&mut directory, "only", &[], &Need::Run);
     directory.send_ended(NOW, &ticket, &[], SendResult::Absent);
     let chosen = asker.choose(&directory, &[], &Need::Run);
     assert_eq!(chosen, Some("only".into()));
@@ -370,8 +384,7 @@
     let role = Some(Role::Decode);
     let mut directory = directory(vec![worker("near", "z", role), worker("far", "y", role)]);
     let prompt = prompt("shared", 100);
-    let near = WorkerId::from("near");
-    let mut ticket = directory.send_began(NOW, &near, &prompt, true);
+    let mut ticket = begin(&mut directory, "near", &prompt, &Need::Run);
     directory.prompt_was_read(NOW, &mut ticket, &prompt, Duration::from_millis(50));
     let later = NOW + Duration::from_millis(800);
     let latency = Duration::from_millis(50);
@@ -381,7 +394,7 @@
     let before = asker.choose(&directory, &prompt, &need);
     assert_eq!(before, Some("near".into()));
     for _ in 0..8 {
-        directory.send_began(NOW, &near, &[], false);
+        begin(&mut directory, "near", &[], &Need::Run);
     }
     let after = asker.choose(&directory, &prompt, &need);
     assert_eq!(after, Some("far".into()));
@@ -394,7 +407,7 @@
     let asker = Asker::new();
     let mut directory = directory(vec![worker("near", "z", None), worker("far", "y", None)]);
     for _ in 0..40 {
-        let ticket = directory.send_began(NOW, &WorkerId::from("near"), &[], false);
+        let ticket = begin(&mut directory, "near", &[], &Need::Run);
         directory.send_ended(NOW, &ticket, &[], SendResult::Failed);
     }
     let choose = |at: Timestamp| {
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -114,17 +114,19 @@
         let now = self.shared.now();
         let service = &self.request.routed.service;
         self.shared.retries.lock().record_request(now, service);
-        if let Admission::Refused {
-            waiting,
-            retry_after,
-        } = self.admit(now)
-        {
-            self.retry_after = retry_after.clamp(RETRY_AFTER, MAX_RETRY_AFTER);
-            self.waiting = waiting;
-            self.cause = "overload";
-            return (Conclusion::Refused, 0);
-        }
-        let mut machine = RequestMachine::new(self.policy());
+        let read_apart = match self.admit(now) {
+            Admission::Taken { read_apart } => read_apart,
+            Admission::Refused {
+                waiting,
+                retry_after,
+            } => {
+                self.retry_after = retry_after.clamp(RETRY_AFTER, MAX_RETRY_AFTER);
+                self.waiting = waiting;
+                self.cause = "overload";
+                return (Conclusion::Refused, 0);
+            }
+        };
+        let mut machine = RequestMachine::new(self.policy(read_apart));
         let mut event = RequestEvent::Arrived;
         loop {
             event = match machine.step(event) {
@@ -167,18 +169,15 @@
     fn admit(&self, now: Timestamp) -> Admission {
         let zone = self.shared.zone();
         let objective = self.route().latency_objective;
-        let directory = self.shared.directory.lock();
+        let mut directory = self.shared.directory.lock();
         directory.admit(now, self.demand(&zone), objective)
     }
 
-    fn policy(&self) -> AttemptPolicy {
-        let now = self.shared.now();
-        let zone = self.shared.zone();
-        let directory = self.shared.directory.lock();
+    fn policy(&self, read_apart: bool) -> AttemptPolicy {
         AttemptPolicy {
             repeatability: self.route().repeatability,
             max_attempts: self.route().max_attempts,
-            read_apart: directory.reads_apart(now, self.demand(&zone)),
+            read_apart,
         }
     }
 
@@ -215,14 +214,14 @@
         self.shared.directory.lock().get(id).cloned()
     }
 
-    fn begin_send(&self, worker: &Worker, work: &'static str, reads: bool) -> SendGuard {
+    fn begin_send(&self, worker: &Worker, work: &'static str, need: Need) -> SendGuard {
         let sent = Sent {
             request_id: self.request_id().to_owned(),
             worker: worker.id.clone(),
             service: worker.service.clone(),
             work,
             prompt: self.request.terms.prompt.clone(),
-            reads,
+            need,
         };
         SendGuard::begin(&self.shared, sent)
     }
--- a/crates/gateway/src/exchange/prompt.rs
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tansyhall_forwarding::{
-    PromptHandle, ReadingFailure, RequestEvent, SendResult, Worker, WorkerId,
+    Need, PromptHandle, ReadingFailure, RequestEvent, SendResult, Worker, WorkerId,
 };
 use tokio::time::{timeout, timeout_at};
 
@@ -58,7 +58,7 @@
         let Some(worker) = self.worker(id) else {
             return RequestEvent::PromptNotRead(ReadingFailure::NotSent);
         };
-        let mut guard = self.begin_send(&worker, "read_prompt", true);
+        let mut guard = self.begin_send(&worker, "read_prompt", Need::ReadPrompt);
         let reading = self.try_read_prompt(&worker, &guard);
         let limit = self.silence_limit(&guard).min(self.deadline());
         let Ok(read) = timeout_at(limit, reading).await else {
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -1,7 +1,7 @@
 //! Sending a request to a worker and judging the head of its answer.
 
 use tansyhall_forwarding::{
-    EventId, PromptHandle, RequestEvent, SendFailure, SendResult, WorkerId,
+    EventId, Need, PromptHandle, RequestEvent, SendFailure, SendResult, WorkerId,
 };
 use tokio::time::timeout_at;
 
@@ -23,8 +23,13 @@
         let Some(worker) = self.worker(id) else {
             return failed(SendFailure::NotSent);
         };
-        let reads = source.is_none();
-        let mut guard = self.begin_send(&worker, "run", reads);
+        let need = match &source {
+            Some(source) => Need::Continue {
+                reader: source.worker.clone(),
+            },
+            None => Need::Run,
+        };
+        let mut guard = self.begin_send(&worker, "run", need);
         let work = Work::Run {
             source,
             resume_after,
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tansyhall_core::{ServiceName, Timestamp};
-use tansyhall_forwarding::{PromptPart, SendResult, SendTicket, WorkerId};
+use tansyhall_forwarding::{Demand, Need, PromptPart, SendResult, SendTicket, WorkerId};
 
 use crate::connections::Unconnected;
 use crate::events::{Event, Weight};
@@ -31,8 +31,8 @@
     pub work: &'static str,
     /// The prompt, for model engines.
     pub prompt: Vec<PromptPart>,
-    /// Whether the worker reads the prompt, and doesn't fetch its KV cache.
-    pub reads: bool,
+    /// What is needed of the worker.
+    pub need: Need,
 }
 
 /// One send under way.
@@ -51,8 +51,15 @@
     /// Counts a send as begun.
     pub fn begin(shared: &Arc<Shared>, sent: Sent) -> Self {
         let now = shared.now();
+        let zone = shared.zone();
+        let demand = Demand {
+            service: &sent.service,
+            prompt: &sent.prompt,
+            zone: &zone,
+            draw: 0,
+        };
         let mut directory = shared.directory.lock();
-        let ticket = directory.send_began(now, &sent.worker, &sent.prompt, sent.reads);
+        let ticket = directory.send_began(now, &sent.worker, demand, &sent.need);
         drop(directory);
         Self {
             shared: Arc::clone(shared),
