Roles by the need of both sides; places waited for as long as streams hold them; short readings first; a lease of its own for the authority

Decoders whose places were all taken were chosen since the learnt hold time was a mean over many short runs. Short prompts of a lower rank waited behind long ones of a higher rank without end at readers (given up after 500 ms). Change: gateways report how much reading their callers ask for; balance_roles weighs decoders for the streams against it (module doc); hold time weighed by itself; rank 0 for readings that cost hardly more than any prompt; authority lease of 3 s, kept only by who holds or claims.

--- a/crates/authority/src/claim.rs
+++ b/crates/authority/src/claim.rs
@@ -78,6 +78,16 @@
         }
     }
 
+    /// Whether the node needs a lease: to keep the pool, or to claim it now that it is free and the
+    /// delay is over.
+    pub fn needs_lease(&self, now: Timestamp) -> bool {
+        match self.state {
+            State::Held(_) => true,
+            State::FreeSince(since) => now.since(since) >= self.delay,
+            State::HeldByOther => false,
+        }
+    }
+
     /// The next action after an event.
     pub fn step(&mut self, now: Timestamp, event: ClaimEvent) -> ClaimAction {
         match event {
--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -64,6 +64,8 @@
     seconds: f64,
     /// Seconds of these that it would take if nothing else were under way.
     own_seconds: f64,
+    /// Seconds that it keeps an engine busy which only reads.
+    reader_seconds: f64,
 }
 
 impl Plan {
@@ -87,6 +89,8 @@
         let Some(plan) = self.plan(now, &comparison) else {
             return taken;
         };
+        self.demands
+            .record(now, demand.service, plan.reader_seconds);
         let usual = self.usual_own.entry(demand.service.clone()).or_default();
         usual.record(plan.own_seconds);
         let objective = objective.as_secs_f64();
@@ -169,6 +173,7 @@
             read_apart: false,
             seconds: seconds + worker.place_seconds(comparison.hold),
             own_seconds,
+            reader_seconds: self.busy_seconds(worker, comparison),
         }
     }
 
@@ -179,9 +184,17 @@
             read_apart: true,
             seconds: seconds + going_on,
             own_seconds: own_seconds + comparison.costs.seconds(&work),
+            reader_seconds: self.busy_seconds(reader, comparison),
         }
     }
 
+    /// Seconds that reading the prompt keeps an engine busy which only reads and caches the same.
+    fn busy_seconds(&self, worker: &Tracked, comparison: &Comparison<'_>) -> f64 {
+        let reading = self.reading(worker, comparison);
+        let work = self.reading_work(worker, &reading, comparison);
+        comparison.costs.busy_seconds(&work)
+    }
+
     /// Seconds until an engine has read the prompt, and how many it would take if idle.
     fn reading_seconds(&self, worker: &Tracked, comparison: &Comparison<'_>) -> (f64, f64) {
         let reading = self.reading(worker, comparison);
--- a/crates/forwarding/src/directory/costs.rs
+++ b/crates/forwarding/src/directory/costs.rs
@@ -199,6 +199,19 @@
         self.read_and_run.weight(TOKENS) * tokens as f64 / TOKENS_UNIT
     }
 
+    /// Seconds that a reading keeps an engine busy which only reads: what it takes alone, without
+    /// the part that every answer waits for.
+    pub(super) fn busy_seconds(&self, work: &ReadingWork) -> f64 {
+        let alone = ReadingWork {
+            requests: 1,
+            waiting_tokens: 0,
+            other_zone: false,
+            ..*work
+        };
+        let seconds = self.read_apart.seconds(&alone.features());
+        seconds - self.read_apart.weight(FIXED)
+    }
+
     /// Seconds that any fetch costs an engine which only reads, beside its transfer.
     pub(super) fn any_fetch(&self) -> f64 {
         self.read_apart.weight(FETCHES)
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -25,6 +25,7 @@
 
 mod choice;
 mod costs;
+mod demand;
 mod prediction;
 mod sharing;
 mod tracked;
@@ -46,14 +47,13 @@
 pub use tracked::SendResult;
 
 use costs::{EngineCosts, EngineWork};
+use demand::Demands;
 use sharing::report_prompt;
 use tracked::Tracked;
 use usual::UsualSeconds;
 
 /// Tokens that a cache is taken to hold if the configuration does not say.
 const DEFAULT_CACHE_TOKENS: u64 = 200_000;
-/// Weight of the newest time in the smoothed time for which a stream holds its place.
-const HOLD_WEIGHT: f64 = 0.05;
 /// The longest hold in seconds that is learnt from.
 const MAX_HOLD: f64 = 10.0;
 /// A bound on times that are expected.
@@ -66,8 +66,9 @@
     by_key: HashMap<WorkerKey, WorkerId>,
     engines: HashMap<ServiceName, EngineCapacity>,
     costs: HashMap<ServiceName, EngineCosts>,
-    hold_seconds: HashMap<ServiceName, f64>,
+    hold_seconds: HashMap<ServiceName, UsualSeconds>,
     usual_own: HashMap<ServiceName, UsualSeconds>,
+    demands: Demands,
     reporter: LoadReporter,
     heard: HashMap<GatewayKey, u64>,
     stale_dropped: Timestamp,
@@ -79,6 +80,8 @@
     worker: WorkerId,
     counted: bool,
     reading_tokens: u64,
+    /// Whether reading it costs an engine hardly more than any prompt does.
+    short: bool,
     /// What an engine was asked for; none for workers that read no prompts.
     work: Option<EngineWork>,
     /// Seconds that a worker like others of its service was expected to take.
@@ -101,6 +104,11 @@
         self.reading_tokens
     }
 
+    /// Whether reading what is still to be read costs an engine hardly more than any prompt does.
+    pub fn is_short_reading(&self) -> bool {
+        self.short
+    }
+
     /// The time after which the answer was expected when the send began.
     pub fn expected(&self) -> Duration {
         Duration::from_secs_f64(self.expected_seconds.clamp(0.0, MAX_EXPECTED_SECONDS))
@@ -126,6 +134,7 @@
             costs: HashMap::new(),
             hold_seconds: HashMap::new(),
             usual_own: HashMap::new(),
+            demands: Demands::default(),
             reporter: LoadReporter::new(gateway),
             heard: HashMap::new(),
             stale_dropped: Timestamp::default(),
@@ -176,6 +185,11 @@
         loads.collect()
     }
 
+    /// Engines that all callers would keep busy with reading, what is refused included.
+    pub fn reading_demand(&self, now: Timestamp, service: &ServiceName) -> f64 {
+        self.demands.engines(now, service)
+    }
+
     /// Workers that take new requests.
     pub fn ready_workers(&self) -> usize {
         self.workers
@@ -230,6 +244,7 @@
             worker: id.clone(),
             counted: false,
             reading_tokens: 0,
+            short: false,
             work: None,
             usual_seconds: 0.0,
             fetch_seconds: 0.0,
@@ -250,6 +265,7 @@
         if need.reads() {
             let reading = self.reading(tracked, &comparison);
             ticket.reading_tokens = reading.missing_tokens;
+            ticket.short = comparison.costs.is_short(reading.missing_tokens);
             ticket.fetch_from = reading.source;
             ticket.fetch_seconds = reading.transfer_seconds;
         }
@@ -316,8 +332,7 @@
         {
             let service = tracked.worker.service.clone();
             let held = now.since(read_at).as_secs_f64().min(MAX_HOLD);
-            let hold = self.hold_seconds.entry(service).or_insert(held);
-            *hold += (held - *hold) * HOLD_WEIGHT;
+            self.hold_seconds.entry(service).or_default().record(held);
         }
         if !tracked.announced && tracked.own.sends == 0 {
             self.forget_idle_strangers();
--- a/crates/forwarding/src/directory/prediction.rs
+++ b/crates/forwarding/src/directory/prediction.rs
@@ -7,6 +7,7 @@
 use super::choice::Demand;
 use super::costs::{ContinuingWork, EngineCosts, EngineWork, ReadingWork};
 use super::tracked::Tracked;
+use super::usual::UsualSeconds;
 use super::Directory;
 use crate::selection::{prompt_tokens, Need};
 
@@ -63,8 +64,7 @@
             hold: self
                 .hold_seconds
                 .get(demand.service)
-                .copied()
-                .unwrap_or_default(),
+                .map_or(0.0, UsualSeconds::seconds),
             holders,
             prompt_tokens: tokens,
         }
--- a/crates/forwarding/src/directory/sharing.rs
+++ b/crates/forwarding/src/directory/sharing.rs
@@ -24,8 +24,10 @@
             for tracked in self.workers.values_mut() {
                 tracked.drop_stale(now);
             }
+            self.demands.drop_stale(now);
         }
-        self.reporter.flush(now)
+        let demands = &self.demands;
+        self.reporter.flush(now, || demands.own(now))
     }
 
     /// Takes in another gateway's report.
@@ -41,6 +43,9 @@
             }
         }
         self.learn_parts(now, &report.parts);
+        for demand in &report.demands {
+            self.demands.hear(now, report.sender, *demand);
+        }
         for absence in &report.absences {
             if let Some(tracked) = self.tracked_by_key(absence.worker) {
                 tracked.found_absent(now);
--- a/crates/forwarding/src/directory/usual.rs
+++ b/crates/forwarding/src/directory/usual.rs
@@ -1,7 +1,8 @@
-//! How long a usual prompt of a service takes by itself. The mean weighs prompts by their time: most
-//! of an engine's time goes to the long ones, and they are what a queue consists of.
+//! How long something usually takes: a prompt by itself, a stream in its place. The mean weighs each by
+//! its time: most of an engine's time goes to the long ones, and they are what one who comes finds
+//! there.
 
-/// The part of what was recorded that one more prompt leaves in force.
+/// The part of what was recorded that one more leaves in force.
 const FORGETTING: f64 = 0.99;
 
 /// A mean of seconds, weighed by the seconds.
@@ -12,7 +13,7 @@
 }
 
 impl UsualSeconds {
-    /// A prompt takes so long by itself.
+    /// One took so long.
     pub(super) fn record(&mut self, seconds: f64) {
         self.sum = self.sum * FORGETTING + seconds;
         self.sum_of_squares = self.sum_of_squares * FORGETTING + seconds * seconds;
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -28,7 +28,8 @@
 pub use directory::{Admission, Demand, Directory, EngineLoad, SendResult, SendTicket};
 pub use event_stream::{CompleteEvents, EventFramer};
 pub use load_exchange::{
-    Absence, GatewayKey, Load, LoadEntry, LoadReport, LoadReporter, PartRead, WorkerKey,
+    Absence, GatewayKey, Load, LoadEntry, LoadReport, LoadReporter, PartRead, ReadingDemand,
+    ServiceKey, WorkerKey,
 };
 pub use mirror::{Item, Mirror, MirrorChange, Snapshot, Update};
 pub use relay_plan::{RelayPlan, Upstream};
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use tansyhall_core::Timestamp;
+use tansyhall_core::{ServiceName, Timestamp};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cache_view::PartKey;
@@ -48,6 +48,26 @@
     }
 }
 
+/// Names a service in messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ServiceKey(pub u64);
+
+impl ServiceKey {
+    /// The key of a service.
+    pub fn of(service: &ServiceName) -> Self {
+        Self(xxh3_64(service.as_str().as_bytes()))
+    }
+}
+
+/// How much reading the callers of one gateway ask of a service, what was refused included.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ReadingDemand {
+    /// The service.
+    pub service: ServiceKey,
+    /// Engines that do nothing but read which it would keep busy.
+    pub engines: f64,
+}
+
 /// What one gateway has under way at one worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Load {
@@ -106,7 +126,7 @@
 }
 
 /// What a gateway tells the others.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct LoadReport {
     /// Who.
     pub sender: GatewayKey,
@@ -118,6 +138,8 @@
     pub parts: Vec<PartRead>,
     /// Workers found absent since the last report.
     pub absences: Vec<Absence>,
+    /// What is asked of services, when it is due.
+    pub demands: Vec<ReadingDemand>,
 }
 
 /// Gathers what is to be told.
@@ -170,8 +192,13 @@
         self.absences.push(Absence { worker });
     }
 
-    /// The report that is due now, if any.
-    pub fn flush(&mut self, now: Timestamp) -> Option<LoadReport> {
+    /// The report that is due now, if any; `demands` are told at the pace of repetitions.
+    pub fn flush(
+        &mut self,
+        now: Timestamp,
+        demands: impl Fn() -> Vec<ReadingDemand>,
+    ) -> Option<LoadReport> {
+        let mut told = Vec::new();
         let mut due = std::mem::take(&mut self.urgent);
         if now.since(self.small_reported) >= SMALL_CHANGE_PACE {
             self.small_reported = now;
@@ -180,8 +207,10 @@
         if now.since(self.repeated) >= REPEAT_PACE {
             self.repeated = now;
             due.extend(self.loads.keys().copied());
+            told = demands();
         }
-        if due.is_empty() && self.parts.is_empty() && self.absences.is_empty() {
+        let nothing_happened = self.parts.is_empty() && self.absences.is_empty();
+        if due.is_empty() && nothing_happened && told.is_empty() {
             return None;
         }
         let loads = due.iter().map(|worker| LoadEntry {
@@ -200,6 +229,7 @@
                 .drain(..self.parts.len().min(MAX_REPORTED_PARTS))
                 .collect(),
             absences: std::mem::take(&mut self.absences),
+            demands: told,
         })
     }
 }
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -29,6 +29,8 @@
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 /// The longest time after which a refused caller should come back.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// The rank of what goes before all else.
+const MOST_URGENT: u8 = 0;
 /// A silent worker is given up after this many times the latency objective, where another may try,
 const SILENCE_FACTOR: u32 = 2;
 /// but not before this many times the time that was expected.
@@ -245,7 +247,7 @@
         let terms = SendTerms {
             worker: worker.id.clone(),
             time_left: self.time_left(),
-            rank: self.route().rank,
+            rank: self.rank_of(&work, guard),
             work,
             fetch_from: guard.ticket().fetch_from(),
         };
@@ -258,6 +260,16 @@
         }
     }
 
+    /// The rank that a worker is told. Readings that cost hardly anything go before all others: they
+    /// keep nobody waiting, and behind long ones of a higher rank they would wait without end.
+    fn rank_of(&self, work: &Work, guard: &SendGuard) -> u8 {
+        let first = *work == Work::ReadPrompt && guard.ticket().is_short_reading();
+        if first {
+            return MOST_URGENT;
+        }
+        self.route().rank
+    }
+
     async fn conclude(&mut self, conclusion: Conclusion, sends: u32) {
         let (outcome, own) = match conclusion {
             Conclusion::Delivered => ("delivered", None),
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -1,6 +1,9 @@
-//! This gateway's one lease in the store: its presence and its authority hang on it.
+//! This gateway's leases in the store. Its presence hangs on one that it always keeps; its authority
+//! over roles on another, which lives shorter, so that a dead holder is soon replaced, and is kept
+//! only while the authority is held or sought.
 
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,50 +15,74 @@
 use crate::state::Shared;
 use crate::store_call::in_time;
 
-/// Times of the lease.
-const TIMING: LeaseTiming = LeaseTiming {
+/// Times of the lease that presence hangs on.
+pub const PRESENCE: LeaseTiming = LeaseTiming {
     time_to_live: Duration::from_secs(6),
     renewal: Duration::from_secs(2),
     margin: Duration::from_millis(500),
 };
+/// Times of the lease that the authority over roles hangs on.
+pub const AUTHORITY: LeaseTiming = LeaseTiming {
+    time_to_live: Duration::from_secs(3),
+    renewal: Duration::from_secs(1),
+    margin: Duration::from_millis(500),
+};
 /// Pause between two looks at the clock.
 const PACE: Duration = Duration::from_millis(200);
 
-/// The lease, shared by the tasks that hang on it.
+/// A lease, shared by the tasks that hang on it.
 #[derive(Debug, Clone)]
-pub struct NodeLease(Arc<Mutex<LeaseKeeper>>);
-
-impl Default for NodeLease {
-    fn default() -> Self {
-        Self(Arc::new(Mutex::new(LeaseKeeper::new(TIMING))))
-    }
+pub struct NodeLease {
+    keeper: Arc<Mutex<LeaseKeeper>>,
+    wanted: Arc<AtomicBool>,
 }
 
 impl NodeLease {
+    /// A lease that is not held yet and, unless `wanted`, not asked for.
+    pub fn new(timing: LeaseTiming, wanted: bool) -> Self {
+        Self {
+            keeper: Arc::new(Mutex::new(LeaseKeeper::new(timing))),
+            wanted: Arc::new(AtomicBool::new(wanted)),
+        }
+    }
+
+    /// Whether the lease is kept from now on; one that is not wanted any more runs out.
+    pub fn set_wanted(&self, wanted: bool) {
+        self.wanted.store(wanted, Ordering::Relaxed);
+    }
+
     /// The lease, if one is held.
     pub fn held(&self) -> Option<Lease> {
-        self.0.lock().lease()
+        self.keeper.lock().lease()
     }
 
     /// Whether it may still be relied on.
     pub fn clock(&self) -> LeaseClock {
-        self.0.lock().clock()
+        self.keeper.lock().clock()
     }
 
     /// Keeps the lease until the gateway stops, then gives it up.
     pub async fn keep(self, shared: Arc<Shared>, store: Rc<dyn KeyValueStore>) {
         while !shared.is_stopping() {
-            let action = self.0.lock().step(shared.now(), LeaseEvent::Tick);
-            if let Some(event) = perform(&*store, action).await {
-                self.0.lock().step(shared.now(), event);
+            if self.wanted.load(Ordering::Relaxed) {
+                self.look(&shared, &*store).await;
             }
             sleep(PACE).await;
         }
-        let action = self.0.lock().step(shared.now(), LeaseEvent::Stop);
+        let action = self.keeper.lock().step(shared.now(), LeaseEvent::Stop);
         perform(&*store, action).await;
     }
 }
 
+impl NodeLease {
+    async fn look(&self, shared: &Shared, store: &dyn KeyValueStore) {
+        let action = self.keeper.lock().step(shared.now(), LeaseEvent::Tick);
+        if let Some(event) = perform(store, action).await {
+            self.keeper.lock().step(shared.now(), event);
+        }
+    }
+}
+
 async fn perform(store: &dyn KeyValueStore, action: LeaseAction) -> Option<LeaseEvent> {
     match action {
         LeaseAction::Wait => None,
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -10,7 +10,8 @@
 use anyhow::{Context, Result};
 use prost::Message;
 use tansyhall_forwarding::{
-    Absence, GatewayKey, Load, LoadEntry, LoadReport, PartKey, PartRead, WorkerKey,
+    Absence, GatewayKey, Load, LoadEntry, LoadReport, PartKey, PartRead, ReadingDemand, ServiceKey,
+    WorkerKey,
 };
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -43,6 +44,20 @@
     /// Keys of workers that were found absent.
     #[prost(fixed64, repeated, tag = "5")]
     pub absences: Vec<u64>,
+    /// Reading that is asked of services.
+    #[prost(message, repeated, tag = "6")]
+    pub demands: Vec<DemandMessage>,
+}
+
+/// Reading that is asked of a service, on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct DemandMessage {
+    /// The service's key.
+    #[prost(fixed64, tag = "1")]
+    pub service: u64,
+    /// Engines that it would keep busy.
+    #[prost(float, tag = "2")]
+    pub engines: f32,
 }
 
 /// A load on the wire.
@@ -135,6 +150,24 @@
         loads: loads.collect(),
         parts: report.parts.iter().map(encode_part).collect(),
         absences: report.absences.iter().map(|one| one.worker.0).collect(),
+        demands: report.demands.iter().map(encode_demand).collect(),
+    }
+}
+
+fn encode_demand(demand: &ReadingDemand) -> DemandMessage {
+    DemandMessage {
+        service: demand.service.0,
+        engines: demand.engines as f32,
+    }
+}
+
+/// A demand from the wire; what is no possible figure counts as nothing.
+fn decode_demand(message: &DemandMessage) -> ReadingDemand {
+    let engines = f64::from(message.engines);
+    let possible = engines.is_finite() && engines >= 0.0;
+    ReadingDemand {
+        service: ServiceKey(message.service),
+        engines: if possible { engines } else { 0.0 },
     }
 }
 
@@ -175,5 +208,6 @@
         loads: loads.collect(),
         parts: message.parts.into_iter().map(decode_part).collect(),
         absences: absences.collect(),
+        demands: message.demands.iter().map(decode_demand).collect(),
     }
 }
--- a/crates/gateway/src/role_authority.rs
+++ b/crates/gateway/src/role_authority.rs
@@ -95,6 +95,7 @@
             ClaimAction::Lost => self.record("lost", Epoch(0)),
             ClaimAction::Wait => {}
         }
+        self.lease.set_wanted(self.claim.needs_lease(now));
         let Some(epoch) = self.claim.held() else {
             return;
         };
@@ -149,7 +150,8 @@
                 .iter()
                 .map(|engine| self.balanced(engine, &desired))
                 .collect();
-            for change in balance_roles(&balanced) {
+            let reading = self.shared.directory.lock().reading_demand(now, &service);
+            for change in balance_roles(&balanced, reading) {
                 desired.set(&members[change.engine].worker.id, change.role);
                 changes += 1;
             }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,7 +21,7 @@
 use crate::connections::Connections;
 use crate::events::{Event, EventLog, Weight};
 use crate::follower::{self, StoreContact};
-use crate::lease::NodeLease;
+use crate::lease::{self, NodeLease};
 use crate::metrics::Metrics;
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
@@ -73,8 +73,7 @@
     actix_rt::spawn(exchange.await?);
     actix_rt::spawn(cache_recovery::run(Arc::clone(&shared)));
     actix_rt::spawn(prune(Arc::clone(&shared)));
-    let lease = NodeLease::default();
-    spawn_under_lease(&shared, &adapter.store, &lease);
+    spawn_under_leases(&shared, &adapter.store);
     let event = Event::Started {
         node: &settings.node.name,
         zone: settings.node.zone.as_str(),
@@ -85,14 +84,18 @@
     Ok(())
 }
 
-/// Starts what hangs on the lease; each task ends when the gateway stops.
-fn spawn_under_lease(shared: &Arc<Shared>, store: &Rc<dyn KeyValueStore>, lease: &NodeLease) {
-    let kept = lease.clone().keep(Arc::clone(shared), Rc::clone(store));
-    actix_rt::spawn(kept);
-    let announced = presence::announce(Arc::clone(shared), Rc::clone(store), lease.clone());
+/// Starts what hangs on a lease; each task ends when the gateway stops.
+fn spawn_under_leases(shared: &Arc<Shared>, store: &Rc<dyn KeyValueStore>) {
+    let presence = NodeLease::new(lease::PRESENCE, true);
+    let authority = NodeLease::new(lease::AUTHORITY, false);
+    for lease in [&presence, &authority] {
+        let kept = lease.clone().keep(Arc::clone(shared), Rc::clone(store));
+        actix_rt::spawn(kept);
+    }
+    let announced = presence::announce(Arc::clone(shared), Rc::clone(store), presence);
     actix_rt::spawn(announced);
-    let authority = role_authority::run(Arc::clone(shared), Rc::clone(store), lease.clone());
-    actix_rt::spawn(authority);
+    let holder = role_authority::run(Arc::clone(shared), Rc::clone(store), authority);
+    actix_rt::spawn(holder);
 }
 
 fn share(settings: GatewaySettings, adapter: &Adapter, log: Arc<EventLog>) -> Result<Arc<Shared>> {
--- a/crates/planner/src/role_balance.rs
+++ b/crates/planner/src/role_balance.rs
@@ -1,24 +1,30 @@
 //! How many engines of a service decode and how many only read prompts.
 //!
-//! Reading is what takes an engine's time: a stream that decodes costs a fraction of a slot, while
-//! a prompt that is read beside streams slows all of them. So engines decode only as far as the
-//! streams need it, and all others read:
+//! What is needed is counted in engines on both sides: `streams` is how many decoders' slots the
+//! requests under way would fill, `reading` how many readers the prompts that callers send would
+//! keep busy, those that are refused included. A stream holds its slot for seconds, so that decoders
+//! fill up slowly; a prompt that finds no reader is late at once. So decoders get what the streams
+//! need and all other engines read:
 //!
-//! 1. decoders needed = streams under way / (slots x [`STREAMS_PART`]), rounded up;
-//! 2. at least one for each zone that has engines, and [`MIN_DECODERS_PART`] of all, so that the
+//! 1. decoders for the streams: `streams` / [`FULL_PART`], rounded up;
+//! 2. if that leaves readers with more than [`FULL_PART`] of their time taken, no more than make both
+//!    sides equally short: engines x `streams` / (`streams` + `reading`);
+//! 3. at least one for each zone that has engines, and [`MIN_DECODERS_PART`] of all, so that the
 //!    loss of an engine or a zone leaves decoders;
-//! 3. at least one reader, if there are two engines or more.
+//! 4. at least one reader, if there are two engines or more.
 //!
-//! A difference of one engine changes nothing unless a side is empty or the streams need it, since
-//! an engine that changes is away for a while. Engines are taken from the zone where their role is
-//! most frequent, the least busy first, and at most [`MAX_CHANGES`] at once.
+//! An engine that changes is away for a while, so that a difference of one engine changes nothing
+//! unless the side that would get it is empty or has more than [`FULL_PART`] of it taken. Engines are
+//! taken from the zone where their role is most frequent, the least busy first, and at most
+//! [`MAX_CHANGES`] at once.
 
 use std::collections::BTreeMap;
 
 use tansyhall_core::{Role, ZoneName};
 
-/// The part of a decoder's slots that streams may fill before another decoder is needed.
-const STREAMS_PART: f64 = 0.5;
+/// The part of its slots, or of its time, with which an engine counts as full: above it waits grow
+/// quickly.
+const FULL_PART: f64 = 0.75;
 /// The least part of all engines that decode.
 const MIN_DECODERS_PART: f64 = 0.28;
 /// A smaller difference from what is needed changes nothing.
@@ -50,22 +56,67 @@
     pub role: Role,
 }
 
-/// The changes to make now. Engines that do both are left alone.
-pub fn balance_roles(engines: &[BalancedEngine]) -> Vec<RoleChange> {
+/// What is asked of the engines, counted in engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct Need {
+    streams: f64,
+    reading: f64,
+}
+
+impl Need {
+    fn of(engines: &[BalancedEngine], split: &[usize], reading: f64) -> Self {
+        let decoding = split
+            .iter()
+            .map(|index| &engines[*index])
+            .filter(|engine| engine.role == Role::Decode);
+        let streams: u32 = decoding.map(|engine| engine.streams).sum();
+        let slots = split.iter().map(|index| engines[*index].slots).max();
+        let slots = f64::from(slots.unwrap_or(1).max(1));
+        Self {
+            streams: f64::from(streams) / slots,
+            reading,
+        }
+    }
+
+    /// Decoders of so many engines, before the least numbers of each role.
+    fn decoders(&self, engines: f64) -> usize {
+        let for_streams = (self.streams / FULL_PART).ceil();
+        let readers = engines - for_streams;
+        if self.reading <= readers * FULL_PART {
+            return for_streams as usize;
+        }
+        let equally_short = engines * self.streams / (self.streams + self.reading);
+        for_streams.min(equally_short.round()) as usize
+    }
+
+    /// Whether engines of that role, so many, are full.
+    fn fills(&self, role: Role, engines: usize) -> bool {
+        let taken = match role {
+            Role::Decode => self.streams,
+            _ => self.reading,
+        };
+        taken > engines as f64 * FULL_PART
+    }
+}
+
+/// The changes to make now, if callers ask for so much reading, counted in engines. Engines that do
+/// both are left alone.
+pub fn balance_roles(engines: &[BalancedEngine], reading: f64) -> Vec<RoleChange> {
     let split: Vec<usize> = (0..engines.len())
         .filter(|index| engines[*index].role != Role::Mixed)
         .collect();
     let changing = split.iter().filter(|index| engines[**index].changing);
     let allowed = MAX_CHANGES.saturating_sub(changing.count());
     let decoders = count(engines, &split, Role::Decode);
-    let needed = decoders_needed(engines, &split);
-    let (role, difference) = match decoders > needed {
-        true => (Role::Prefill, decoders - needed),
-        false => (Role::Decode, needed - decoders),
-    };
     let readers = split.len() - decoders;
-    let one_side_is_empty = decoders == 0 || readers == 0;
-    if difference <= TOLERATED_DIFFERENCE && !one_side_is_empty {
+    let need = Need::of(engines, &split, reading);
+    let needed = decoders_needed(engines, &split, need);
+    let (role, difference, there) = match decoders > needed {
+        true => (Role::Prefill, decoders - needed, readers),
+        false => (Role::Decode, needed - decoders, decoders),
+    };
+    let pressing = decoders == 0 || readers == 0 || need.fills(role, there);
+    if difference <= TOLERATED_DIFFERENCE && !pressing {
         return Vec::new();
     }
     let mut changes = Vec::new();
@@ -80,19 +131,12 @@
     changes
 }
 
-fn decoders_needed(engines: &[BalancedEngine], split: &[usize]) -> usize {
-    let decoding = split
-        .iter()
-        .map(|index| &engines[*index])
-        .filter(|engine| engine.role == Role::Decode);
-    let streams: u32 = decoding.map(|engine| engine.streams).sum();
-    let slots = split.iter().map(|index| engines[*index].slots).max();
-    let streams_each = f64::from(slots.unwrap_or(1).max(1)) * STREAMS_PART;
-    let for_streams = (f64::from(streams) / streams_each).ceil() as usize;
+fn decoders_needed(engines: &[BalancedEngine], split: &[usize], need: Need) -> usize {
     let zones = zones_of(engines, split).len();
     let part = (split.len() as f64 * MIN_DECODERS_PART).ceil() as usize;
     let most = split.len().saturating_sub(1).max(1);
-    for_streams.max(zones).max(part).min(most)
+    let decoders = need.decoders(split.len() as f64);
+    decoders.max(zones).max(part).min(most)
 }
 
 fn zones_of<'a>(engines: &'a [BalancedEngine], split: &[usize]) -> BTreeMap<&'a ZoneName, usize> {
