Prompts that no reader has time for are read beside streams as far as their pauses allow

Change: a prompt that would be refused is taken if an engine that decodes could begin its answer in time and would hold its streams up for no more than a quarter of the pause that the route allows.

--- a/crates/forwarding/src/configuration.rs
+++ b/crates/forwarding/src/configuration.rs
@@ -63,6 +63,8 @@
     pub timeout: Duration,
     /// The time within which an answer (a stream's first event) is worth its full credit.
     pub latency_objective: Duration,
+    /// The longest pause between two events of a stream with which its answer is in time.
+    pub pause_objective: Option<Duration>,
     /// The most workers that may run one request.
     pub max_attempts: u32,
     /// Rank; 0 is the most urgent.
--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -26,6 +26,21 @@
 /// The least part of its latency objective for which any prompt may wait.
 const PATIENT_PART: f64 = 0.25;
 
+/// The part of the pause that streams may make for which readings may hold them up at an engine that
+/// decodes.
+const PAUSE_PART: f64 = 0.25;
+/// The part of its places up to which such an engine takes prompts that no reader has time for.
+const SPARE_PLACES_PART: f64 = 0.8;
+
+/// In what time an answer is worth its full credit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Objectives {
+    /// Until it begins.
+    pub latency: Duration,
+    /// The longest pause of its stream; none if it is no stream, or has no bound.
+    pub pause: Option<Duration>,
+}
+
 /// What a worker is chosen for.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand<'a> {
@@ -80,7 +95,12 @@
     /// long enough to be late, and longer than a usual one may wait to be in time: what is refused
     /// can come back when the queue is shorter, and what is taken is in time. Only the wait counts
     /// against a prompt, not its own length, so that long ones are not starved.
-    pub fn admit(&mut self, now: Timestamp, demand: Demand<'_>, objective: Duration) -> Admission {
+    pub fn admit(
+        &mut self,
+        now: Timestamp,
+        demand: Demand<'_>,
+        objectives: Objectives,
+    ) -> Admission {
         let taken = Admission::Taken { read_apart: false };
         if demand.prompt.is_empty() {
             return taken;
@@ -93,7 +113,7 @@
             .record(now, demand.service, plan.reader_seconds);
         let usual = self.usual_own.entry(demand.service.clone()).or_default();
         usual.record(plan.own_seconds);
-        let objective = objective.as_secs_f64();
+        let objective = objectives.latency.as_secs_f64();
         let in_time = objective * ON_TIME_PART;
         let patience = (in_time - usual.seconds()).max(objective * PATIENT_PART);
         let waiting = plan.waiting_seconds();
@@ -102,6 +122,9 @@
                 read_apart: plan.read_apart,
             };
         }
+        if self.fits_beside_streams(now, demand, objectives) {
+            return taken;
+        }
         let bounded = |seconds: f64| Duration::from_secs_f64(seconds.min(MAX_EXPECTED_SECONDS));
         Admission::Refused {
             waiting: bounded(waiting),
@@ -139,6 +162,33 @@
         draw_nearly_equal(&candidates, least, demand.draw).map(|tracked| &tracked.worker)
     }
 
+    /// Whether an engine that decodes has time for a prompt that no reader has time for: it would be
+    /// in time there, and hold up the engine's streams for a part of the pause that they may make.
+    fn fits_beside_streams(
+        &self,
+        now: Timestamp,
+        demand: Demand<'_>,
+        objectives: Objectives,
+    ) -> bool {
+        let Some(pause) = objectives.pause else {
+            return false;
+        };
+        let comparison = self.comparison(now, demand);
+        let Some((_, worker)) = self.best(now, &comparison, &Need::Run) else {
+            return false;
+        };
+        let load = worker.load();
+        let missing = self.reading(worker, &comparison).missing_tokens;
+        let tokens = load.reading_tokens + missing;
+        let held_up = comparison.costs.tokens_while_decoding(tokens) * worker.slowness;
+        let places = f64::from(worker.worker.slots) * SPARE_PLACES_PART;
+        let plan = self.plan_whole(worker, &comparison);
+        let in_time = objectives.latency.as_secs_f64() * ON_TIME_PART;
+        f64::from(load.sends) < places
+            && held_up <= pause.as_secs_f64() * PAUSE_PART
+            && plan.seconds <= in_time
+    }
+
     /// Where a prompt would best be read, and whether apart.
     fn plan(&self, now: Timestamp, comparison: &Comparison<'_>) -> Option<Plan> {
         let (whole_cost, whole_worker) = self.best(now, comparison, &Need::Run)?;
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -43,7 +43,7 @@
 use crate::selection::{Need, PromptPart};
 use crate::worker::{Worker, WorkerId, WorkerState};
 
-pub use choice::{Admission, Demand};
+pub use choice::{Admission, Demand, Objectives};
 pub use tracked::SendResult;
 
 use costs::{EngineCosts, EngineWork};
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -25,7 +25,7 @@
     Configuration, ConfigurationError, EngineCapacity, Limits, Repeatability, Route, Service,
     Target,
 };
-pub use directory::{Admission, Demand, Directory, EngineLoad, SendResult, SendTicket};
+pub use directory::{Admission, Demand, Directory, EngineLoad, Objectives, SendResult, SendTicket};
 pub use event_stream::{CompleteEvents, EventFramer};
 pub use load_exchange::{
     Absence, GatewayKey, Load, LoadEntry, LoadReport, LoadReporter, PartRead, ReadingDemand,
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -8,11 +8,14 @@
 use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
     Admission, Demand, Directory, EngineCapacity, GatewayKey, Load, LoadEntry, LoadReport, Need,
-    PromptPart, SendResult, SendTicket, Worker, WorkerId, WorkerKey, WorkerState,
+    Objectives, PromptPart, SendResult, SendTicket, Worker, WorkerId, WorkerKey, WorkerState,
 };
 
 const NOW: Timestamp = Timestamp::from_millis(10_000);
-const OBJECTIVE: Duration = Duration::from_millis(500);
+const OBJECTIVES: Objectives = Objectives {
+    latency: Duration::from_millis(500),
+    pause: Some(Duration::from_millis(150)),
+};
 
 fn worker(id: &str, zone: &str, role: Option<Role>) -> Worker {
     Worker {
@@ -78,7 +81,7 @@
 /// Whether a prompt is read apart.
 fn reads_apart(directory: &mut Directory, prompt: &[PromptPart]) -> bool {
     let asker = Asker::new();
-    let admission = directory.admit(NOW, asker.demand(prompt), OBJECTIVE);
+    let admission = directory.admit(NOW, asker.demand(prompt), OBJECTIVES);
     matches!(admission, Admission::Taken { read_apart: true })
 }
 
@@ -240,7 +243,7 @@
         worker("decoder", "z", Some(Role::Decode)),
     ]);
     let huge = prompt("huge", 90_000);
-    let taken = directory.admit(NOW, asker.demand(&huge), OBJECTIVE);
+    let taken = directory.admit(NOW, asker.demand(&huge), OBJECTIVES);
     assert!(matches!(taken, Admission::Taken { .. }));
     begin(&mut directory, "reader", &huge, &Need::ReadPrompt);
     begin(
@@ -250,12 +253,46 @@
         &Need::Run,
     );
     let next = prompt("doc", 15_000);
-    let refused = directory.admit(NOW, asker.demand(&next), OBJECTIVE);
+    let refused = directory.admit(NOW, asker.demand(&next), OBJECTIVES);
     assert!(matches!(refused, Admission::Refused { retry_after, .. } if !retry_after.is_zero()));
-    let without_prompt = directory.admit(NOW, asker.demand(&[]), OBJECTIVE);
+    let without_prompt = directory.admit(NOW, asker.demand(&[]), OBJECTIVES);
     assert!(matches!(without_prompt, Admission::Taken { .. }));
 }
 
+/// Found on the airport: prompts were refused while engines that decode had most of their places free.
+#[test]
+fn a_prompt_that_no_reader_has_time_for_is_read_beside_streams_that_can_bear_it() {
+    let asker = Asker::new();
+    let mut directory = directory(vec![
+        worker("reader", "z", Some(Role::Prefill)),
+        worker("decoder", "z", Some(Role::Decode)),
+    ]);
+    let busy = prompt("busy", 4_000);
+    begin(&mut directory, "reader", &busy, &Need::ReadPrompt);
+    for _ in 0..6 {
+        begin(&mut directory, "decoder", &[], &Need::Run);
+    }
+    let hasty = Objectives {
+        latency: Duration::from_millis(200),
+        ..OBJECTIVES
+    };
+    let part = [PromptPart {
+        id: "short".into(),
+        tokens: 700,
+    }];
+    let taken = directory.admit(NOW, asker.demand(&part), hasty);
+    assert_eq!(taken, Admission::Taken { read_apart: false });
+    let streams_without_bound = Objectives {
+        pause: None,
+        ..hasty
+    };
+    let refused = directory.admit(NOW, asker.demand(&part), streams_without_bound);
+    assert!(matches!(refused, Admission::Refused { .. }));
+    let long = prompt("doc", 15_000);
+    let refused = directory.admit(NOW, asker.demand(&long), hasty);
+    assert!(matches!(refused, Admission::Refused { .. }));
+}
+
 #[test]
 fn an_engine_whose_role_is_to_change_gets_no_new_work() {
     let asker = Asker::new();
--- a/crates/forwarding/tests/routes.rs
+++ b/crates/forwarding/tests/routes.rs
@@ -16,6 +16,7 @@
         repeatability: Repeatability::Repeatable,
         timeout: Duration::from_secs(1),
         latency_objective: Duration::from_millis(100),
+        pause_objective: None,
         max_attempts: 1,
         rank: 0,
         targets: targets
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -12,8 +12,8 @@
 use bytes::Bytes;
 use tansyhall_core::{Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    Action, Admission, AttemptPolicy, Conclusion, Demand, Need, PromptHandle, RequestEvent,
-    RequestMachine, Route, SendFailure, Worker, WorkerId,
+    Action, Admission, AttemptPolicy, Conclusion, Demand, Need, Objectives, PromptHandle,
+    RequestEvent, RequestMachine, Route, SendFailure, Worker, WorkerId,
 };
 use tokio::time::Instant;
 
@@ -170,9 +170,12 @@
 
     fn admit(&self, now: Timestamp) -> Admission {
         let zone = self.shared.zone();
-        let objective = self.route().latency_objective;
+        let objectives = Objectives {
+            latency: self.route().latency_objective,
+            pause: self.route().pause_objective,
+        };
         let mut directory = self.shared.directory.lock();
-        directory.admit(now, self.demand(&zone), objective)
+        directory.admit(now, self.demand(&zone), objectives)
     }
 
     fn policy(&self, read_apart: bool) -> AttemptPolicy {
