The more is asked, the later refused callers come back

Change: directory/coming_back: by what is asked of readers over what they can do, up to the last moment at which an answer is still worth its full credit, spread a little.

--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -6,6 +6,7 @@
 use tansyhall_core::hash::rendezvous_weight;
 use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
 
+use super::coming_back::Refusal;
 use super::costs::{ContinuingWork, EngineWork, ReadingWork};
 use super::prediction::Comparison;
 use super::tracked::Tracked;
@@ -32,13 +33,15 @@
 /// The part of its places up to which such an engine takes prompts that no reader has time for.
 const SPARE_PLACES_PART: f64 = 0.8;
 
-/// In what time an answer is worth its full credit.
+/// In what time an answer is worth its full credit, or anything.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Objectives {
     /// Until it begins.
     pub latency: Duration,
     /// The longest pause of its stream; none if it is no stream, or has no bound.
     pub pause: Option<Duration>,
+    /// Until the caller gives up.
+    pub time_left: Duration,
 }
 
 /// What a worker is chosen for.
@@ -125,10 +128,17 @@
         if self.fits_beside_streams(now, demand, objectives) {
             return taken;
         }
+        let refusal = Refusal {
+            queue_seconds: (waiting - patience).max(0.0),
+            utilization: self.reader_utilization(now, demand.service),
+            seconds_left: objectives.time_left.as_secs_f64(),
+            objective,
+            draw: demand.draw,
+        };
         let bounded = |seconds: f64| Duration::from_secs_f64(seconds.min(MAX_EXPECTED_SECONDS));
         Admission::Refused {
             waiting: bounded(waiting),
-            retry_after: bounded(waiting - patience),
+            retry_after: bounded(refusal.come_back_after()),
         }
     }
 
@@ -162,6 +172,12 @@
         draw_nearly_equal(&candidates, least, demand.draw).map(|tracked| &tracked.worker)
     }
 
+    /// What is asked of the engines that only read over what they can do.
+    fn reader_utilization(&self, now: Timestamp, service: &ServiceName) -> f64 {
+        let readers = self.candidates(now, service, &Need::ReadPrompt, &[]).len();
+        self.reading_demand(now, service) / readers.max(1) as f64
+    }
+
     /// Whether an engine that decodes has time for a prompt that no reader has time for: it would be
     /// in time there, and hold up the engine's streams for a part of the pause that they may make.
     fn fits_beside_streams(
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -24,6 +24,7 @@
 //! cache included, against the best worker that reads it while decoding.
 
 mod choice;
+mod coming_back;
 mod costs;
 mod demand;
 mod prediction;
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -15,6 +15,7 @@
 const OBJECTIVES: Objectives = Objectives {
     latency: Duration::from_millis(500),
     pause: Some(Duration::from_millis(150)),
+    time_left: Duration::from_millis(3_000),
 };
 
 fn worker(id: &str, zone: &str, role: Option<Role>) -> Worker {
@@ -293,6 +294,35 @@
     assert!(matches!(refused, Admission::Refused { .. }));
 }
 
+/// Found on the airport: callers came back when told and were refused again.
+#[test]
+fn the_more_is_asked_the_later_refused_callers_come_back() {
+    let asker = Asker::new();
+    let mut directory = directory(vec![
+        worker("reader", "z", Some(Role::Prefill)),
+        worker("decoder", "z", Some(Role::Decode)),
+    ]);
+    let huge = prompt("huge", 30_000);
+    begin(&mut directory, "reader", &huge, &Need::ReadPrompt);
+    begin(&mut directory, "decoder", &huge, &Need::Run);
+    let next = prompt("doc", 15_000);
+    let mut told = Vec::new();
+    for number in 0..12 {
+        let demand = Demand {
+            draw: u64::MAX / 2,
+            ..asker.demand(&next)
+        };
+        let now = NOW + Duration::from_millis(10 * number);
+        match directory.admit(now, demand, OBJECTIVES) {
+            Admission::Refused { retry_after, .. } => told.push(retry_after),
+            Admission::Taken { .. } => panic!("the queue is too long"),
+        }
+    }
+    let latest = OBJECTIVES.time_left - OBJECTIVES.latency;
+    assert!(told[0] < told[11], "{told:?}");
+    assert!(told.iter().all(|after| *after <= latest), "{told:?}");
+}
+
 #[test]
 fn an_engine_whose_role_is_to_change_gets_no_new_work() {
     let asker = Asker::new();
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -173,6 +173,7 @@
         let objectives = Objectives {
             latency: self.route().latency_objective,
             pause: self.route().pause_objective,
+            time_left: self.time_left(),
         };
         let mut directory = self.shared.directory.lock();
         directory.admit(now, self.demand(&zone), objectives)
