Decoders for the streams that will come; orders sooner after their announcement

Change: gateways report the places that streams of each route will hold (arrivals times the learnt hold time), engines count as full at 0.9, orders follow 0.6 s after the desired roles were written (1.3 s before).

--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -5,6 +5,7 @@
 
 use tansyhall_core::hash::rendezvous_weight;
 use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::coming_back::Refusal;
 use super::costs::{ContinuingWork, EngineWork, ReadingWork};
@@ -51,12 +52,25 @@
     pub service: &'a ServiceName,
     /// The prompt, for model engines.
     pub prompt: &'a [PromptPart],
+    /// The name of the route.
+    pub route: &'a str,
     /// The zone of the gateway.
     pub zone: &'a ZoneName,
     /// A random number, by which one of nearly equal engines is drawn.
     pub draw: u64,
 }
 
+/// Names a route in tables.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(super) struct RouteKey(u64);
+
+impl RouteKey {
+    /// The key of a route.
+    pub(super) fn of(route: &str) -> Self {
+        Self(xxh3_64(route.as_bytes()))
+    }
+}
+
 /// Whether a prompt is taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -112,8 +126,10 @@
         let Some(plan) = self.plan(now, &comparison) else {
             return taken;
         };
+        let hold = self.route_holds.get(&RouteKey::of(demand.route));
+        let place_seconds = hold.copied().unwrap_or_default();
         self.demands
-            .record(now, demand.service, plan.reader_seconds);
+            .record(now, demand.service, plan.reader_seconds, place_seconds);
         let usual = self.usual_own.entry(demand.service.clone()).or_default();
         usual.record(plan.own_seconds);
         let objective = objectives.latency.as_secs_f64();
@@ -175,7 +191,7 @@
     /// What is asked of the engines that only read over what they can do.
     fn reader_utilization(&self, now: Timestamp, service: &ServiceName) -> f64 {
         let readers = self.candidates(now, service, &Need::ReadPrompt, &[]).len();
-        self.reading_demand(now, service) / readers.max(1) as f64
+        self.engine_demand(now, service).readers / readers.max(1) as f64
     }
 
     /// Whether an engine that decodes has time for a prompt that no reader has time for: it would be
--- a/crates/forwarding/src/directory/demand.rs
+++ b/crates/forwarding/src/directory/demand.rs
@@ -1,19 +1,23 @@
-//! How much reading is asked of each service, what is refused included: by the callers of this
-//! gateway as a rate that forgets, by those of others as they report it.
+//! What is asked of each service's engines, what is refused included: by the callers of this gateway
+//! as rates that forget, by those of others as they report it.
+//!
+//! Reading is counted in seconds that an engine which only reads would be busy. Streams are counted in
+//! seconds for which a stream of the same route usually holds its place: summed up over a second,
+//! that is the number of places which streams will hold once those that came lately have filled them.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use tansyhall_core::{ServiceName, Timestamp};
 
-use crate::load_exchange::{GatewayKey, ReadingDemand, ServiceKey, STALE_AFTER};
+use crate::load_exchange::{EngineDemand, GatewayKey, ServiceKey, STALE_AFTER};
 
 /// Time in which what was asked for counts half.
 const HALF_LIFE: Duration = Duration::from_secs(2);
-/// Less is not reported, in engines.
+/// Less is not reported, in engines and in places.
 const MIN_REPORTED: f64 = 0.001;
 
-/// Seconds of reading asked for in a second, decaying.
+/// Seconds of an engine's time asked for in a second, decaying.
 #[derive(Debug, Clone, Copy, Default)]
 struct Rate {
     sum: f64,
@@ -37,42 +41,63 @@
     }
 }
 
+/// What is asked of one service.
+#[derive(Debug, Clone, Copy, Default)]
+struct Asked {
+    reading: Rate,
+    places: Rate,
+}
+
+impl Asked {
+    fn demand(&self, now: Timestamp, service: ServiceKey) -> EngineDemand {
+        EngineDemand {
+            service,
+            readers: self.reading.a_second(now),
+            places: self.places.a_second(now),
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Heard {
-    engines: f64,
+    demand: EngineDemand,
     at: Timestamp,
 }
 
 /// What is asked of all services.
 #[derive(Debug, Default)]
 pub(super) struct Demands {
-    own: HashMap<ServiceName, Rate>,
+    own: HashMap<ServiceName, Asked>,
     others: HashMap<(GatewayKey, ServiceKey), Heard>,
 }
 
 impl Demands {
-    /// A caller of this gateway asks for so many seconds of an engine's reading.
-    pub(super) fn record(&mut self, now: Timestamp, service: &ServiceName, seconds: f64) {
-        let rate = self.own.entry(service.clone()).or_default();
-        rate.record(now, seconds);
+    /// A caller of this gateway asks for so many seconds of reading, and of a place for its stream.
+    pub(super) fn record(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        reading_seconds: f64,
+        place_seconds: f64,
+    ) {
+        let asked = self.own.entry(service.clone()).or_default();
+        asked.reading.record(now, reading_seconds);
+        asked.places.record(now, place_seconds);
     }
 
     /// What the callers of this gateway ask for.
-    pub(super) fn own(&self, now: Timestamp) -> Vec<ReadingDemand> {
-        let own = self.own.iter().map(|(service, rate)| ReadingDemand {
-            service: ServiceKey::of(service),
-            engines: rate.a_second(now),
-        });
-        own.filter(|demand| demand.engines >= MIN_REPORTED)
+    pub(super) fn own(&self, now: Timestamp) -> Vec<EngineDemand> {
+        let own = self
+            .own
+            .iter()
+            .map(|(service, asked)| asked.demand(now, ServiceKey::of(service)));
+        own.filter(|demand| demand.readers.max(demand.places) >= MIN_REPORTED)
             .collect()
     }
 
     /// Another gateway says what its callers ask for.
-    pub(super) fn hear(&mut self, now: Timestamp, sender: GatewayKey, demand: ReadingDemand) {
-        let heard = Heard {
-            engines: demand.engines,
-            at: now,
-        };
+    pub(super) fn hear(&mut self, now: Timestamp, sender: GatewayKey, demand: EngineDemand) {
+        let heard = Heard { demand, at: now };
         self.others.insert((sender, demand.service), heard);
     }
 
@@ -82,11 +107,15 @@
             .retain(|_, heard| now.since(heard.at) < STALE_AFTER);
     }
 
-    /// Engines that all callers together would keep busy with reading.
-    pub(super) fn engines(&self, now: Timestamp, service: &ServiceName) -> f64 {
+    /// What all callers together ask of a service.
+    pub(super) fn all(&self, now: Timestamp, service: &ServiceName) -> EngineDemand {
         let key = ServiceKey::of(service);
-        let own = self.own.get(service).map_or(0.0, |rate| rate.a_second(now));
+        let own = self.own.get(service).copied().unwrap_or_default();
         let of_service = self.others.iter().filter(|((_, heard), _)| *heard == key);
-        own + of_service.map(|(_, heard)| heard.engines).sum::<f64>()
+        of_service.fold(own.demand(now, key), |sum, (_, heard)| EngineDemand {
+            service: key,
+            readers: sum.readers + heard.demand.readers,
+            places: sum.places + heard.demand.places,
+        })
     }
 }
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -40,13 +40,14 @@
 
 use crate::cache_view::PartKey;
 use crate::configuration::EngineCapacity;
-use crate::load_exchange::{GatewayKey, LoadReporter, WorkerKey};
+use crate::load_exchange::{EngineDemand, GatewayKey, LoadReporter, WorkerKey};
 use crate::selection::{Need, PromptPart};
 use crate::worker::{Worker, WorkerId, WorkerState};
 
 pub use choice::{Admission, Demand, Objectives};
 pub use tracked::SendResult;
 
+use choice::RouteKey;
 use costs::{EngineCosts, EngineWork};
 use demand::Demands;
 use sharing::report_prompt;
@@ -55,6 +56,8 @@
 
 /// Tokens that a cache is taken to hold if the configuration does not say.
 const DEFAULT_CACHE_TOKENS: u64 = 200_000;
+/// Weight of the newest time for which a stream held its place in the mean of its route.
+const ROUTE_HOLD_WEIGHT: f64 = 0.05;
 /// The longest hold in seconds that is learnt from.
 const MAX_HOLD: f64 = 10.0;
 /// A bound on times that are expected.
@@ -68,6 +71,7 @@
     engines: HashMap<ServiceName, EngineCapacity>,
     costs: HashMap<ServiceName, EngineCosts>,
     hold_seconds: HashMap<ServiceName, UsualSeconds>,
+    route_holds: HashMap<RouteKey, f64>,
     usual_own: HashMap<ServiceName, UsualSeconds>,
     demands: Demands,
     reporter: LoadReporter,
@@ -80,6 +84,7 @@
 pub struct SendTicket {
     worker: WorkerId,
     counted: bool,
+    route: RouteKey,
     reading_tokens: u64,
     /// Whether reading it costs an engine hardly more than any prompt does.
     short: bool,
@@ -134,6 +139,7 @@
             engines: HashMap::new(),
             costs: HashMap::new(),
             hold_seconds: HashMap::new(),
+            route_holds: HashMap::new(),
             usual_own: HashMap::new(),
             demands: Demands::default(),
             reporter: LoadReporter::new(gateway),
@@ -186,9 +192,9 @@
         loads.collect()
     }
 
-    /// Engines that all callers would keep busy with reading, what is refused included.
-    pub fn reading_demand(&self, now: Timestamp, service: &ServiceName) -> f64 {
-        self.demands.engines(now, service)
+    /// What all callers ask of a service's engines, what is refused included.
+    pub fn engine_demand(&self, now: Timestamp, service: &ServiceName) -> EngineDemand {
+        self.demands.all(now, service)
     }
 
     /// Workers that take new requests.
@@ -244,6 +250,7 @@
         let mut ticket = SendTicket {
             worker: id.clone(),
             counted: false,
+            route: RouteKey::of(demand.route),
             reading_tokens: 0,
             short: false,
             work: None,
@@ -334,6 +341,8 @@
             let service = tracked.worker.service.clone();
             let held = now.since(read_at).as_secs_f64().min(MAX_HOLD);
             self.hold_seconds.entry(service).or_default().record(held);
+            let hold = self.route_holds.entry(ticket.route).or_insert(held);
+            *hold += (held - *hold) * ROUTE_HOLD_WEIGHT;
         }
         if !tracked.announced && tracked.own.sends == 0 {
             self.forget_idle_strangers();
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -28,7 +28,7 @@
 pub use directory::{Admission, Demand, Directory, EngineLoad, Objectives, SendResult, SendTicket};
 pub use event_stream::{CompleteEvents, EventFramer};
 pub use load_exchange::{
-    Absence, GatewayKey, Load, LoadEntry, LoadReport, LoadReporter, PartRead, ReadingDemand,
+    Absence, EngineDemand, GatewayKey, Load, LoadEntry, LoadReport, LoadReporter, PartRead,
     ServiceKey, WorkerKey,
 };
 pub use mirror::{Item, Mirror, MirrorChange, Snapshot, Update};
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -59,13 +59,15 @@
     }
 }
 
-/// How much reading the callers of one gateway ask of a service, what was refused included.
+/// What the callers of one gateway ask of a service's engines, what was refused included.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ReadingDemand {
+pub struct EngineDemand {
     /// The service.
     pub service: ServiceKey,
     /// Engines that do nothing but read which it would keep busy.
-    pub engines: f64,
+    pub readers: f64,
+    /// Places of engines that decode which its streams would hold.
+    pub places: f64,
 }
 
 /// What one gateway has under way at one worker.
@@ -139,7 +141,7 @@
     /// Workers found absent since the last report.
     pub absences: Vec<Absence>,
     /// What is asked of services, when it is due.
-    pub demands: Vec<ReadingDemand>,
+    pub demands: Vec<EngineDemand>,
 }
 
 /// Gathers what is to be told.
@@ -196,7 +198,7 @@
     pub fn flush(
         &mut self,
         now: Timestamp,
-        demands: impl Fn() -> Vec<ReadingDemand>,
+        demands: impl Fn() -> Vec<EngineDemand>,
     ) -> Option<LoadReport> {
         let mut told = Vec::new();
         let mut due = std::mem::take(&mut self.urgent);
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -68,6 +68,7 @@
         Demand {
             service: &self.service,
             prompt,
+            route: "route",
             zone: &self.zone,
             draw: 1,
         }
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -191,6 +191,7 @@
         Demand {
             service: &self.request.routed.service,
             prompt: &self.request.terms.prompt,
+            route: &self.route().name,
             zone,
             draw: self.draw,
         }
@@ -223,6 +224,7 @@
     fn begin_send(&self, worker: &Worker, work: &'static str, need: Need) -> SendGuard {
         let sent = Sent {
             request_id: self.request_id().to_owned(),
+            route: self.route().name.clone(),
             worker: worker.id.clone(),
             service: worker.service.clone(),
             work,
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -10,7 +10,7 @@
 use anyhow::{Context, Result};
 use prost::Message;
 use tansyhall_forwarding::{
-    Absence, GatewayKey, Load, LoadEntry, LoadReport, PartKey, PartRead, ReadingDemand, ServiceKey,
+    Absence, EngineDemand, GatewayKey, Load, LoadEntry, LoadReport, PartKey, PartRead, ServiceKey,
     WorkerKey,
 };
 use tokio::net::UdpSocket;
@@ -44,20 +44,23 @@
     /// Keys of workers that were found absent.
     #[prost(fixed64, repeated, tag = "5")]
     pub absences: Vec<u64>,
-    /// Reading that is asked of services.
+    /// What is asked of services.
     #[prost(message, repeated, tag = "6")]
     pub demands: Vec<DemandMessage>,
 }
 
-/// Reading that is asked of a service, on the wire.
+/// What is asked of a service, on the wire.
 #[derive(Clone, PartialEq, Message)]
 pub struct DemandMessage {
     /// The service's key.
     #[prost(fixed64, tag = "1")]
     pub service: u64,
-    /// Engines that it would keep busy.
+    /// Engines that it would keep busy with reading.
     #[prost(float, tag = "2")]
-    pub engines: f32,
+    pub readers: f32,
+    /// Places that its streams would hold.
+    #[prost(float, tag = "3")]
+    pub places: f32,
 }
 
 /// A load on the wire.
@@ -154,20 +157,28 @@
     }
 }
 
-fn encode_demand(demand: &ReadingDemand) -> DemandMessage {
+fn encode_demand(demand: &EngineDemand) -> DemandMessage {
     DemandMessage {
         service: demand.service.0,
-        engines: demand.engines as f32,
+        readers: demand.readers as f32,
+        places: demand.places as f32,
     }
 }
 
-/// A demand from the wire; what is no possible figure counts as nothing.
-fn decode_demand(message: &DemandMessage) -> ReadingDemand {
-    let engines = f64::from(message.engines);
-    let possible = engines.is_finite() && engines >= 0.0;
-    ReadingDemand {
+/// What is no possible figure counts as nothing.
+fn possible(figure: f32) -> f64 {
+    match figure.is_finite() && figure >= 0.0 {
+        true => f64::from(figure),
+        false => 0.0,
+    }
+}
+
+/// A demand from the wire.
+fn decode_demand(message: &DemandMessage) -> EngineDemand {
+    EngineDemand {
         service: ServiceKey(message.service),
-        engines: if possible { engines } else { 0.0 },
+        readers: possible(message.readers),
+        places: possible(message.places),
     }
 }
 
--- a/crates/gateway/src/role_authority.rs
+++ b/crates/gateway/src/role_authority.rs
@@ -18,7 +18,7 @@
 };
 use tansyhall_core::{NodeId, PoolName, Role, Timestamp};
 use tansyhall_forwarding::{EngineLoad, Worker, WorkerId};
-use tansyhall_planner::{balance_roles, BalancedEngine};
+use tansyhall_planner::{balance_roles, BalancedEngine, ExpectedDemand};
 use tansyhall_store::{Compare, KeyValueStore, LeaseId, Operation, Revision, Transaction};
 use tokio::time::{sleep, timeout};
 
@@ -39,7 +39,7 @@
 /// Longest wait before a free claim is taken.
 const CLAIM_SPREAD: Duration = Duration::from_millis(1_500);
 /// Time in which every gateway hears of a desired role.
-const NOTICE: Duration = Duration::from_millis(1_300);
+const NOTICE: Duration = Duration::from_millis(600);
 /// Time between two changes of the desired roles.
 const SETTLING: Duration = Duration::from_millis(1_500);
 /// Time after which an order that changed nothing is sent again.
@@ -150,8 +150,12 @@
                 .iter()
                 .map(|engine| self.balanced(engine, &desired))
                 .collect();
-            let reading = self.shared.directory.lock().reading_demand(now, &service);
-            for change in balance_roles(&balanced, reading) {
+            let demand = self.shared.directory.lock().engine_demand(now, &service);
+            let expected = ExpectedDemand {
+                readers: demand.readers,
+                places: demand.places,
+            };
+            for change in balance_roles(&balanced, expected) {
                 desired.set(&members[change.engine].worker.id, change.role);
                 changes += 1;
             }
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -23,6 +23,8 @@
 pub struct Sent {
     /// The caller's id of the request.
     pub request_id: String,
+    /// The name of its route.
+    pub route: String,
     /// The worker.
     pub worker: WorkerId,
     /// Its service.
@@ -55,6 +57,7 @@
         let demand = Demand {
             service: &sent.service,
             prompt: &sent.prompt,
+            route: &sent.route,
             zone: &zone,
             draw: 0,
         };
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -8,5 +8,5 @@
 pub mod rollout;
 
 pub use bounds::{plan_bounds, EngineView, PlannedChange, RoleLimit};
-pub use role_balance::{balance_roles, BalancedEngine, RoleChange};
+pub use role_balance::{balance_roles, BalancedEngine, ExpectedDemand, RoleChange};
 pub use rollout::{plan_loads, DesiredLoads, Load, LoadedEngine, PlannedLoad, RolloutGuard};
--- a/crates/planner/src/role_balance.rs
+++ b/crates/planner/src/role_balance.rs
@@ -1,8 +1,8 @@
 //! How many engines of a service decode and how many only read prompts.
 //!
 //! What is needed is counted in engines on both sides: `streams` is how many decoders' slots the
-//! requests under way would fill, `reading` how many readers the prompts that callers send would
-//! keep busy, those that are refused included. A stream holds its slot for seconds, so that decoders
+//! requests under way fill, or those that came lately will fill, whichever is more; `reading` how many
+//! readers the prompts that callers send would keep busy, those that are refused included. A stream holds its slot for seconds, so that decoders
 //! fill up slowly; a prompt that finds no reader is late at once. So decoders get what the streams
 //! need and all other engines read:
 //!
@@ -24,7 +24,7 @@
 
 /// The part of its slots, or of its time, with which an engine counts as full: above it waits grow
 /// quickly.
-const FULL_PART: f64 = 0.75;
+const FULL_PART: f64 = 0.9;
 /// The least part of all engines that decode.
 const MIN_DECODERS_PART: f64 = 0.28;
 /// A smaller difference from what is needed changes nothing.
@@ -56,6 +56,15 @@
     pub role: Role,
 }
 
+/// What callers ask for, what is refused included.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct ExpectedDemand {
+    /// Engines that do nothing but read which it would keep busy.
+    pub readers: f64,
+    /// Places that its streams will hold.
+    pub places: f64,
+}
+
 /// What is asked of the engines, counted in engines.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Need {
@@ -64,7 +73,7 @@
 }
 
 impl Need {
-    fn of(engines: &[BalancedEngine], split: &[usize], reading: f64) -> Self {
+    fn of(engines: &[BalancedEngine], split: &[usize], expected: ExpectedDemand) -> Self {
         let decoding = split
             .iter()
             .map(|index| &engines[*index])
@@ -73,8 +82,8 @@
         let slots = split.iter().map(|index| engines[*index].slots).max();
         let slots = f64::from(slots.unwrap_or(1).max(1));
         Self {
-            streams: f64::from(streams) / slots,
-            reading,
+            streams: f64::from(streams).max(expected.places) / slots,
+            reading: expected.readers,
         }
     }
 
@@ -99,9 +108,8 @@
     }
 }
 
-/// The changes to make now, if callers ask for so much reading, counted in engines. Engines that do
-/// both are left alone.
-pub fn balance_roles(engines: &[BalancedEngine], reading: f64) -> Vec<RoleChange> {
+/// The changes to make now, if callers ask for so much. Engines that do both are left alone.
+pub fn balance_roles(engines: &[BalancedEngine], expected: ExpectedDemand) -> Vec<RoleChange> {
     let split: Vec<usize> = (0..engines.len())
         .filter(|index| engines[*index].role != Role::Mixed)
         .collect();
@@ -109,7 +117,7 @@
     let allowed = MAX_CHANGES.saturating_sub(changing.count());
     let decoders = count(engines, &split, Role::Decode);
     let readers = split.len() - decoders;
-    let need = Need::of(engines, &split, reading);
+    let need = Need::of(engines, &split, expected);
     let needed = decoders_needed(engines, &split, need);
     let (role, difference, there) = match decoders > needed {
         true => (Role::Prefill, decoders - needed, readers),
--- a/crates/planner/tests/role_balance.rs
+++ b/crates/planner/tests/role_balance.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use tansyhall_core::{Role, ZoneName};
-use tansyhall_planner::{balance_roles, BalancedEngine};
+use tansyhall_planner::{balance_roles, BalancedEngine, ExpectedDemand};
 
 fn engine(zone: &str, role: Role, streams: u32) -> BalancedEngine {
     BalancedEngine {
@@ -20,8 +20,16 @@
 }
 
 /// Makes the changes that are due if so many engines' reading is asked for.
-fn apply_with(engines: &mut [BalancedEngine], reading: f64) -> usize {
-    let changes = balance_roles(engines, reading);
+fn apply_with(engines: &mut [BalancedEngine], readers: f64) -> usize {
+    let expected = ExpectedDemand {
+        readers,
+        places: 0.0,
+    };
+    apply_expecting(engines, expected)
+}
+
+fn apply_expecting(engines: &mut [BalancedEngine], expected: ExpectedDemand) -> usize {
+    let changes = balance_roles(engines, expected);
     for change in &changes {
         engines[change.engine].role = change.role;
     }
@@ -80,6 +88,23 @@
     assert_eq!(apply_with(&mut engines, 2.0), 0);
 }
 
+/// Found on the airport: decoders were ordered when streams filled them, and came seconds too late.
+#[test]
+fn streams_that_will_fill_decoders_count_before_they_do() {
+    let mut engines: Vec<BalancedEngine> = (0..12)
+        .map(|number| match number < 4 {
+            true => engine("z", Role::Decode, 10),
+            false => engine("z", Role::Prefill, 0),
+        })
+        .collect();
+    let expected = ExpectedDemand {
+        readers: 2.0,
+        places: 150.0,
+    };
+    assert!(apply_expecting(&mut engines, expected) > 0);
+    assert_eq!(decoders(&engines), 7);
+}
+
 #[test]
 fn readers_that_are_short_get_what_streams_can_spare() {
     let mut engines: Vec<BalancedEngine> = (0..12)
