The last places of an engine are left to more urgent routes

Change: requests of a route that is not the service's most urgent count a tenth of the places as taken.

--- a/crates/forwarding/src/configuration.rs
+++ b/crates/forwarding/src/configuration.rs
@@ -1,6 +1,6 @@
 //! The configuration that a gateway applies as a whole: routes, services and limits on callers.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use tansyhall_core::ServiceName;
@@ -163,6 +163,18 @@
         Ok(())
     }
 
+    /// The rank of the most urgent route to each service.
+    pub fn most_urgent_ranks(&self) -> HashMap<ServiceName, u8> {
+        let mut ranks = HashMap::new();
+        for route in &self.routes {
+            for target in &route.targets {
+                let rank = ranks.entry(target.service.clone()).or_insert(route.rank);
+                *rank = route.rank.min(*rank);
+            }
+        }
+        ranks
+    }
+
     /// The service of that name.
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.services.iter().find(|service| service.name == *name)
--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -54,6 +54,8 @@
     pub prompt: &'a [PromptPart],
     /// The name of the route.
     pub route: &'a str,
+    /// Whether the service has more urgent routes than this one.
+    pub yields: bool,
     /// The zone of the gateway.
     pub zone: &'a ZoneName,
     /// A random number, by which one of nearly equal engines is drawn.
@@ -253,7 +255,7 @@
         let (seconds, own_seconds) = self.reading_seconds(worker, comparison);
         Plan {
             read_apart: false,
-            seconds: seconds + worker.place_seconds(comparison.hold),
+            seconds: seconds + worker.place_seconds(comparison.hold, comparison.demand.yields),
             own_seconds,
             reader_seconds: self.busy_seconds(worker, comparison),
         }
@@ -301,7 +303,8 @@
         let engines = self.candidates(now, comparison.demand.service, &need, &[]);
         let seconds = engines.into_iter().map(|engine| {
             let work = self.moving(engine.load().sends, comparison);
-            comparison.costs.seconds(&work) + engine.place_seconds(comparison.hold)
+            comparison.costs.seconds(&work)
+                + engine.place_seconds(comparison.hold, comparison.demand.yields)
         });
         seconds.reduce(f64::min).unwrap_or_default()
     }
--- a/crates/forwarding/src/directory/prediction.rs
+++ b/crates/forwarding/src/directory/prediction.rs
@@ -102,7 +102,7 @@
                 let work = EngineWork::reading(tracked.worker.role, work);
                 let seconds = comparison.costs.seconds(&work) * tracked.slowness
                     + tracked.harm_seconds(reading.missing_tokens, &comparison.costs)
-                    + tracked.place_seconds(comparison.hold)
+                    + tracked.place_seconds(comparison.hold, comparison.demand.yields)
                     + reading.fetch_seconds;
                 tracked.weigh(comparison.now, seconds)
             }
@@ -111,7 +111,7 @@
                 let displaced = comparison.costs.tokens_apart(copied) * DISPLACEMENT;
                 let work = self.engine_work(tracked, need, comparison);
                 let seconds = comparison.costs.seconds(&work) * tracked.slowness
-                    + tracked.place_seconds(comparison.hold)
+                    + tracked.place_seconds(comparison.hold, comparison.demand.yields)
                     + displaced;
                 tracked.weigh(comparison.now, seconds)
             }
--- a/crates/forwarding/src/directory/tracked.rs
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -28,6 +28,8 @@
 const OTHER_ZONE_PART: f64 = 0.15;
 /// Seconds that each second of reading beside decoding streams counts for, for each of them.
 const DECODING_HARM: f64 = 0.75;
+/// The part of an engine's places that is left to requests of a more urgent rank.
+const YIELDED_PLACES_PART: f64 = 0.1;
 /// How far a worker's slowness may be from the expected.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 30.0);
 /// How long a worker that refused a request is passed over.
@@ -179,14 +181,18 @@
     }
 
     /// Seconds that one more request waits for a place, if all are taken: those that have one hold it
-    /// for `hold` seconds each. An engine that only reads takes prompts one after the other anyway.
-    pub(super) fn place_seconds(&self, hold: f64) -> f64 {
+    /// for `hold` seconds each. One that yields leaves a few places to more urgent requests. An engine that only reads takes prompts one after the other anyway.
+    pub(super) fn place_seconds(&self, hold: f64, yields: bool) -> f64 {
         if self.worker.role == Some(Role::Prefill) {
             return 0.0;
         }
-        let slots = self.worker.slots.max(1);
-        let ahead = (self.load().sends + 1).saturating_sub(slots);
-        f64::from(ahead) / f64::from(slots) * hold * self.slowness
+        let slots = f64::from(self.worker.slots.max(1));
+        let left_free = match yields {
+            true => slots * YIELDED_PLACES_PART,
+            false => 0.0,
+        };
+        let ahead = (f64::from(self.load().sends + 1) + left_free - slots).max(0.0);
+        ahead / slots * hold * self.slowness
     }
 
     /// Seconds that reading `missing` tokens costs the streams that decode here meanwhile.
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -69,6 +69,7 @@
             service: &self.service,
             prompt,
             route: "route",
+            yields: false,
             zone: &self.zone,
             draw: 1,
         }
@@ -469,6 +470,37 @@
     assert_eq!(after, Some("far".into()));
 }
 
+/// Found on the airport: streams of a lower rank held all places, and prompts of the first rank were
+/// refused.
+#[test]
+fn the_last_places_are_left_to_more_urgent_requests() {
+    let asker = Asker::new();
+    let mut engine = worker("only", "z", Some(Role::Decode));
+    engine.slots = 20;
+    let mut directory = directory(vec![engine]);
+    let part = [PromptPart {
+        id: "short".into(),
+        tokens: 100,
+    }];
+    let mut ticket = begin(&mut directory, "only", &part, &Need::Run);
+    let latency = Duration::from_millis(50);
+    directory.prompt_was_read(NOW, &mut ticket, &part, latency);
+    let later = NOW + Duration::from_secs(9);
+    directory.send_ended(later, &ticket, &part, SendResult::Answered { latency });
+    for _ in 0..19 {
+        begin(&mut directory, "only", &[], &Need::Run);
+    }
+    let urgent = asker.demand(&part);
+    let yielding = Demand {
+        yields: true,
+        ..urgent
+    };
+    let taken = directory.admit(NOW, urgent, OBJECTIVES);
+    assert!(matches!(taken, Admission::Taken { .. }));
+    let refused = directory.admit(NOW, yielding, OBJECTIVES);
+    assert!(matches!(refused, Admission::Refused { .. }));
+}
+
 /// Found by reading: a worker that had failed for some seconds was never chosen again, as only its
 /// own successes raised its share of them.
 #[test]
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -192,6 +192,7 @@
             service: &self.request.routed.service,
             prompt: &self.request.terms.prompt,
             route: &self.route().name,
+            yields: self.request.routed.yields,
             zone,
             draw: self.draw,
         }
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -58,6 +58,7 @@
             service: &sent.service,
             prompt: &sent.prompt,
             route: &sent.route,
+            yields: false,
             zone: &zone,
             draw: 0,
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -75,6 +75,7 @@
     /// The store's revision of it.
     pub revision: u64,
     routes: Mutex<RouteTable>,
+    most_urgent_ranks: HashMap<ServiceName, u8>,
 }
 
 /// Where a request goes.
@@ -83,6 +84,8 @@
     pub route: Arc<Route>,
     /// The service whose turn it is.
     pub service: ServiceName,
+    /// Whether the service has more urgent routes.
+    pub yields: bool,
     /// The version of the configuration.
     pub version: u64,
 }
@@ -91,17 +94,21 @@
     /// Indexes a configuration.
     pub fn new(configuration: Configuration, revision: u64) -> Self {
         let routes = Mutex::new(RouteTable::new(&configuration));
+        let most_urgent_ranks = configuration.most_urgent_ranks();
         Self {
             configuration,
             revision,
             routes,
+            most_urgent_ranks,
         }
     }
 
     /// The route of a request.
     pub fn route(&self, host: &str, path: &str) -> Option<Routed> {
         let (route, service) = self.routes.lock().take(host, path)?;
+        let most_urgent = self.most_urgent_ranks.get(&service);
         Some(Routed {
+            yields: most_urgent.is_some_and(|rank| *rank < route.rank),
             route,
             service,
             version: self.configuration.version,
