--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod compare;
 pub mod emulator;
 pub mod load;
+pub mod paired;
 pub mod strategy;
 pub mod workload;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -20,6 +20,7 @@
   tansyhall-lab scale --nodes N ...           hollow nodes over sockets and what they cost
   tansyhall-lab soak --seconds N ...          random faults in virtual time against an oracle
   tansyhall-lab agree [--load NAME] ...       one trace in real time and through the emulator
+  tansyhall-lab paired --before TEXT ...      two versions on the same days, from the bench's journal
 
 `tansyhall-lab COMMAND --help` shows a command's options.
 
@@ -47,6 +48,7 @@
         Some("compare") => tansyhall_lab::compare::command(arguments),
         Some("scale") => scale::run(arguments),
         Some("soak") => soak::run(arguments),
+        Some("paired") => tansyhall_lab::paired::command(arguments),
         Some("agree") => tansyhall_lab::agree::command(arguments),
         Some(other) => bail!("unknown command {other}; see tansyhall-lab --help"),
         None => {
