--- /dev/null
+++ b/crates/forwarding/src/decisions.rs
@@ -0,0 +1,62 @@
+//! Switches of single mechanisms that decide, for operators who suspect one and for measuring what each
+//! is worth. All are on unless settings say otherwise; a request is served with any of them off.
+
+use serde::Deserialize;
+
+/// Which mechanisms decide.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct Decisions {
+    /// Prompts are read apart from the engines that decode them.
+    pub reading_apart: bool,
+    /// Parts of prompts are fetched from engines that hold them.
+    pub fetches: bool,
+    /// What caches are believed to hold counts.
+    pub caches: bool,
+    /// What engines' work costs is learnt; otherwise it stays as assumed at the start.
+    pub learnt_costs: bool,
+    /// Single engines that are slower than others of their service are noticed.
+    pub slowness: bool,
+    /// Load that other gateways report counts.
+    pub reported_load: bool,
+    /// Harm that readings do to streams beside them counts.
+    pub harm: bool,
+    /// What a copy pushes out of a cache counts.
+    pub displacement: bool,
+    /// Prompts that would wait too long are refused at once.
+    pub refusal: bool,
+    /// Prompts that no reader has time for may be read beside streams.
+    pub beside_streams: bool,
+    /// Refused callers are told a later time the more is asked.
+    pub later_return: bool,
+    /// The last places of an engine are left to more urgent routes.
+    pub yielded_places: bool,
+    /// Readings that cost hardly anything go before all others.
+    pub short_first: bool,
+    /// Workers that proved not to be there are passed over.
+    pub absence: bool,
+    /// Engines are ordered to change their roles.
+    pub role_orders: bool,
+}
+
+impl Default for Decisions {
+    fn default() -> Self {
+        Self {
+            reading_apart: true,
+            fetches: true,
+            caches: true,
+            learnt_costs: true,
+            slowness: true,
+            reported_load: true,
+            harm: true,
+            displacement: true,
+            refusal: true,
+            beside_streams: true,
+            later_return: true,
+            yielded_places: true,
+            short_first: true,
+            absence: true,
+            role_orders: true,
+        }
+    }
+}
--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -138,17 +138,20 @@
         let in_time = objective * ON_TIME_PART;
         let patience = (in_time - usual.seconds()).max(objective * PATIENT_PART);
         let waiting = plan.waiting_seconds();
-        if plan.seconds <= in_time || waiting <= patience {
+        if plan.seconds <= in_time || waiting <= patience || !self.decisions.refusal {
             return Admission::Taken {
                 read_apart: plan.read_apart,
             };
         }
-        if self.fits_beside_streams(now, demand, objectives) {
+        if self.decisions.beside_streams && self.fits_beside_streams(now, demand, objectives) {
             return taken;
         }
         let refusal = Refusal {
             queue_seconds: (waiting - patience).max(0.0),
-            utilization: self.reader_utilization(now, demand.service),
+            utilization: match self.decisions.later_return {
+                true => self.reader_utilization(now, demand.service),
+                false => 0.0,
+            },
             seconds_left: objectives.time_left.as_secs_f64(),
             objective,
             draw: demand.draw,
@@ -227,7 +230,8 @@
     fn plan(&self, now: Timestamp, comparison: &Comparison<'_>) -> Option<Plan> {
         let (whole_cost, whole_worker) = self.best(now, comparison, &Need::Run)?;
         let whole = self.plan_whole(whole_worker, comparison);
-        let Some((apart_cost, reader)) = self.best(now, comparison, &Need::ReadPrompt) else {
+        let apart = self.best(now, comparison, &Need::ReadPrompt);
+        let Some((apart_cost, reader)) = apart.filter(|_| self.decisions.reading_apart) else {
             return Some(whole);
         };
         let going_on = self.least_going_on(now, comparison, reader);
@@ -255,7 +259,7 @@
         let (seconds, own_seconds) = self.reading_seconds(worker, comparison);
         Plan {
             read_apart: false,
-            seconds: seconds + worker.place_seconds(comparison.hold, comparison.demand.yields),
+            seconds: seconds + worker.place_seconds(comparison.hold, comparison.yields),
             own_seconds,
             reader_seconds: self.busy_seconds(worker, comparison),
         }
@@ -304,7 +308,7 @@
         let seconds = engines.into_iter().map(|engine| {
             let work = self.moving(engine.load().sends, comparison);
             comparison.costs.seconds(&work)
-                + engine.place_seconds(comparison.hold, comparison.demand.yields)
+                + engine.place_seconds(comparison.hold, comparison.yields)
         });
         seconds.reduce(f64::min).unwrap_or_default()
     }
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -40,6 +40,7 @@
 
 use crate::cache_view::PartKey;
 use crate::configuration::EngineCapacity;
+use crate::decisions::Decisions;
 use crate::load_exchange::{EngineDemand, GatewayKey, LoadReporter, WorkerKey};
 use crate::selection::{Need, PromptPart};
 use crate::worker::{Worker, WorkerId, WorkerState};
@@ -74,6 +75,7 @@
     route_holds: HashMap<RouteKey, f64>,
     usual_own: HashMap<ServiceName, UsualSeconds>,
     demands: Demands,
+    decisions: Decisions,
     reporter: LoadReporter,
     heard: HashMap<GatewayKey, u64>,
     stale_dropped: Timestamp,
@@ -142,6 +144,7 @@
             route_holds: HashMap::new(),
             usual_own: HashMap::new(),
             demands: Demands::default(),
+            decisions: Decisions::default(),
             reporter: LoadReporter::new(gateway),
             heard: HashMap::new(),
             stale_dropped: Timestamp::default(),
@@ -167,6 +170,11 @@
         self.forget_idle_strangers();
     }
 
+    /// Sets which mechanisms decide from now on.
+    pub fn set_decisions(&mut self, decisions: Decisions) {
+        self.decisions = decisions;
+    }
+
     /// Takes in what the engines of each service can hold.
     pub fn set_engines(&mut self, engines: HashMap<ServiceName, EngineCapacity>) {
         self.engines = engines;
@@ -237,9 +245,11 @@
         ticket.counted = true;
         tracked.own.sends += 1;
         tracked.own.reading_tokens += ticket.reading_tokens;
-        for part in prompt {
-            let key = PartKey::of(part);
-            tracked.cache.began(now, key, part.tokens, capacity);
+        if self.decisions.caches {
+            for part in prompt {
+                let key = PartKey::of(part);
+                tracked.cache.began(now, key, part.tokens, capacity);
+            }
         }
         report_prompt(&mut self.reporter, tracked.key, prompt, false);
         report_load(&mut self.reporter, tracked);
@@ -273,7 +283,8 @@
         if need.reads() {
             let reading = self.reading(tracked, &comparison);
             ticket.reading_tokens = reading.missing_tokens;
-            ticket.short = comparison.costs.is_short(reading.missing_tokens);
+            ticket.short =
+                self.decisions.short_first && comparison.costs.is_short(reading.missing_tokens);
             ticket.fetch_from = reading.source;
             ticket.fetch_seconds = reading.transfer_seconds;
         }
@@ -299,15 +310,21 @@
         if let Some(work) = &ticket.work {
             let seconds = (latency.as_secs_f64() - ticket.fetch_seconds).max(0.0);
             let costs = self.costs.entry(tracked.worker.service.clone());
-            costs.or_default().learn(work, seconds);
-            tracked.learn_slowness(ticket.usual_seconds, seconds);
+            if self.decisions.learnt_costs {
+                costs.or_default().learn(work, seconds);
+            }
+            if self.decisions.slowness {
+                tracked.learn_slowness(ticket.usual_seconds, seconds);
+            }
         }
         ticket.read_at = Some(now);
         let read = std::mem::take(&mut ticket.reading_tokens);
         tracked.own.reading_tokens = tracked.own.reading_tokens.saturating_sub(read);
-        for part in prompt {
-            let key = PartKey::of(part);
-            tracked.cache.used(now, key, part.tokens, capacity);
+        if self.decisions.caches {
+            for part in prompt {
+                let key = PartKey::of(part);
+                tracked.cache.used(now, key, part.tokens, capacity);
+            }
         }
         report_prompt(&mut self.reporter, tracked.key, prompt, true);
         report_load(&mut self.reporter, tracked);
@@ -333,6 +350,10 @@
         if result == SendResult::Absent && !tracked.is_absent(now) {
             self.reporter.record_absence(tracked.key);
         }
+        let result = match (result, self.decisions.absence) {
+            (SendResult::Absent, false) => SendResult::Unreachable,
+            (result, _) => result,
+        };
         tracked.learn_result(now, result);
         let answered = matches!(result, SendResult::Answered { .. });
         if let (true, Some(read_at), Some(Role::Decode)) =
--- a/crates/forwarding/src/directory/prediction.rs
+++ b/crates/forwarding/src/directory/prediction.rs
@@ -28,6 +28,8 @@
     pub(super) hold: f64,
     pub(super) holders: Vec<Holder<'a>>,
     pub(super) prompt_tokens: u64,
+    /// Whether the demand leaves a few places to more urgent ones.
+    pub(super) yields: bool,
 }
 
 /// A worker that holds the start of a prompt.
@@ -53,7 +55,7 @@
     pub(super) fn comparison<'a>(&'a self, now: Timestamp, demand: Demand<'a>) -> Comparison<'a> {
         let tokens = prompt_tokens(demand.prompt);
         let costs = self.costs.get(demand.service).cloned().unwrap_or_default();
-        let holders = match costs.is_short(tokens) {
+        let holders = match costs.is_short(tokens) || !self.decisions.fetches {
             true => Vec::new(),
             false => self.holders(demand),
         };
@@ -67,6 +69,7 @@
                 .map_or(0.0, UsualSeconds::seconds),
             holders,
             prompt_tokens: tokens,
+            yields: demand.yields && self.decisions.yielded_places,
         }
     }
 
@@ -101,23 +104,44 @@
                 let work = self.reading_work(tracked, &reading, comparison);
                 let work = EngineWork::reading(tracked.worker.role, work);
                 let seconds = comparison.costs.seconds(&work) * tracked.slowness
-                    + tracked.harm_seconds(reading.missing_tokens, &comparison.costs)
-                    + tracked.place_seconds(comparison.hold, comparison.demand.yields)
+                    + self.harm_seconds(tracked, &reading, comparison)
+                    + tracked.place_seconds(comparison.hold, comparison.yields)
                     + reading.fetch_seconds;
                 tracked.weigh(comparison.now, seconds)
             }
             Need::Continue { .. } => {
                 let copied = comparison.prompt_tokens - tracked.cache.kept_tokens(demand.prompt);
-                let displaced = comparison.costs.tokens_apart(copied) * DISPLACEMENT;
+                let displaced = self.displaced_seconds(copied, comparison);
                 let work = self.engine_work(tracked, need, comparison);
                 let seconds = comparison.costs.seconds(&work) * tracked.slowness
-                    + tracked.place_seconds(comparison.hold, comparison.demand.yields)
+                    + tracked.place_seconds(comparison.hold, comparison.yields)
                     + displaced;
                 tracked.weigh(comparison.now, seconds)
             }
         }
     }
 
+    /// Seconds that a reading costs the streams beside it.
+    fn harm_seconds(
+        &self,
+        tracked: &Tracked,
+        reading: &Reading,
+        comparison: &Comparison<'_>,
+    ) -> f64 {
+        match self.decisions.harm {
+            true => tracked.harm_seconds(reading.missing_tokens, &comparison.costs),
+            false => 0.0,
+        }
+    }
+
+    /// Seconds that a copy of so many tokens counts for, as it pushes others out.
+    fn displaced_seconds(&self, tokens: u64, comparison: &Comparison<'_>) -> f64 {
+        match self.decisions.displacement {
+            true => comparison.costs.tokens_apart(tokens) * DISPLACEMENT,
+            false => 0.0,
+        }
+    }
+
     /// What a demand asks of an engine.
     pub(super) fn engine_work(
         &self,
@@ -188,7 +212,8 @@
         };
         let transfer = self.transfer_seconds(comparison.demand.service, fetched) * way;
         let read = comparison.costs.tokens_apart(fetched);
-        let fetch = transfer * TRANSFER_WEIGHT + read * DISPLACEMENT;
+        let displaced = self.displaced_seconds(fetched, comparison);
+        let fetch = transfer * TRANSFER_WEIGHT + displaced;
         if read <= fetch + comparison.costs.any_fetch() {
             return whole;
         }
--- a/crates/forwarding/src/directory/sharing.rs
+++ b/crates/forwarding/src/directory/sharing.rs
@@ -7,6 +7,7 @@
 use super::tracked::Tracked;
 use super::Directory;
 use crate::cache_view::PartKey;
+use crate::decisions::Decisions;
 use crate::load_exchange::{LoadReport, LoadReporter, PartRead, WorkerKey};
 use crate::selection::{prompt_tokens, PromptPart};
 use crate::worker::WorkerId;
@@ -37,7 +38,12 @@
             return;
         }
         *last = report.sequence;
-        for entry in &report.loads {
+        let Decisions {
+            reported_load,
+            absence: absences_count,
+            ..
+        } = self.decisions;
+        for entry in report.loads.iter().filter(|_| reported_load) {
             if let Some(tracked) = self.tracked_by_key(entry.worker) {
                 tracked.hear(now, report.sender, entry.load);
             }
@@ -46,7 +52,7 @@
         for demand in &report.demands {
             self.demands.hear(now, report.sender, *demand);
         }
-        for absence in &report.absences {
+        for absence in report.absences.iter().filter(|_| absences_count) {
             if let Some(tracked) = self.tracked_by_key(absence.worker) {
                 tracked.found_absent(now);
             }
@@ -69,7 +75,8 @@
 
     /// Takes in what another gateway believes of caches.
     pub fn learn_parts(&mut self, now: Timestamp, parts: &[PartRead]) {
-        for read in parts {
+        let caches_count = self.decisions.caches;
+        for read in parts.iter().filter(|_| caches_count) {
             let capacity = self.capacity_by_key(read.worker);
             let Some(tracked) = self.tracked_by_key(read.worker) else {
                 continue;
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cache_view;
 pub mod configuration;
 pub mod cost_model;
+pub mod decisions;
 pub mod directory;
 pub mod event_stream;
 pub mod load_exchange;
@@ -25,6 +26,7 @@
     Configuration, ConfigurationError, EngineCapacity, Limits, Repeatability, Route, Service,
     Target,
 };
+pub use decisions::Decisions;
 pub use directory::{Admission, Demand, Directory, EngineLoad, Objectives, SendResult, SendTicket};
 pub use event_stream::{CompleteEvents, EventFramer};
 pub use load_exchange::{
--- a/crates/gateway/src/role_authority.rs
+++ b/crates/gateway/src/role_authority.rs
@@ -101,7 +101,8 @@
         };
         let pause = self.shared.settings.read().takeover_pause();
         let settled = now.since(self.acquired) >= pause;
-        if settled && self.lease.clock().is_valid(now) {
+        let may_order = self.shared.settings.read().decisions.role_orders;
+        if settled && may_order && self.lease.clock().is_valid(now) {
             self.change_desired_roles(epoch).await;
             self.order_engines(epoch).await;
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -101,6 +101,8 @@
 fn share(settings: GatewaySettings, adapter: &Adapter, log: Arc<EventLog>) -> Result<Arc<Shared>> {
     let clock = MonotonicClock::start();
     let gateway = GatewayKey::of(&settings.node.name, rand::random());
+    let mut directory = Directory::new(gateway);
+    directory.set_decisions(settings.decisions);
     let retries = RetryShares::new(settings.retry_share(), ASSUMED_GATEWAYS);
     Ok(Arc::new(Shared {
         settings: RwLock::new(Arc::new(settings)),
@@ -112,7 +114,7 @@
         deflated_values: Mutex::default(),
         decoded_workers: Mutex::default(),
         in_force: RwLock::new(None),
-        directory: Mutex::new(Directory::new(gateway)),
+        directory: Mutex::new(directory),
         caches_recovered: AtomicBool::new(false),
         retries: Mutex::new(retries),
         store_contact: StoreContact::default(),
@@ -227,6 +229,7 @@
             let routine = settings.log.routine_per_second;
             shared.log.set_routine_per_second(routine);
             shared.retries.lock().set_settings(settings.retry_share());
+            shared.directory.lock().set_decisions(settings.decisions);
             *shared.settings.write() = Arc::new(settings);
             "applied".to_owned()
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,7 +6,7 @@
 
 use serde::Deserialize;
 use tansyhall_core::ZoneName;
-use tansyhall_forwarding::RetryShareSettings;
+use tansyhall_forwarding::{Decisions, RetryShareSettings};
 
 /// The whole file.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -26,6 +26,9 @@
     /// Lines about decisions.
     #[serde(default)]
     pub log: LogSection,
+    /// Switches of single mechanisms that decide; all are on unless one is set to `false`.
+    #[serde(default)]
+    pub decisions: Decisions,
 }
 
 /// Who this gateway is.
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -1,5 +1,6 @@
 //! Settings: what is accepted, and errors that name the key, the value and what is allowed.
 
+use tansyhall_forwarding::Decisions;
 use tansyhall_gateway::GatewaySettings;
 
 const SETTINGS: &str = r#"
@@ -93,3 +94,18 @@
     let error = error_of("[stop]\ngrace_seconds = 8\n", "");
     assert!(error.contains("stop"), "{error}");
 }
+
+#[test]
+fn mechanisms_that_decide_are_on_unless_one_is_switched_off() {
+    let parsed = |text: &str| GatewaySettings::parse("gateway.toml", text).expect("no fault");
+    assert_eq!(parsed(SETTINGS).decisions, Decisions::default());
+    let one_off = format!("{SETTINGS}\n[decisions]\nfetches = false\n");
+    let expected = Decisions {
+        fetches: false,
+        ..Decisions::default()
+    };
+    assert_eq!(parsed(&one_off).decisions, expected);
+    let wrong = format!("{SETTINGS}\n[decisions]\nfetches = 3\n");
+    let error = GatewaySettings::parse("gateway.toml", &wrong).expect_err("no switch");
+    assert!(error.to_string().contains("fetches"), "{error}");
+}
