--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -23,6 +23,7 @@
 //! Whether a prompt is read apart follows from the same times: the best reader, the move of the KV
 //! cache included, against the best worker that reads it while decoding.
 
+mod admission;
 mod choice;
 mod coming_back;
 mod costs;
@@ -45,7 +46,8 @@
 use crate::selection::{Need, PromptPart};
 use crate::worker::{Worker, WorkerId, WorkerState};
 
-pub use choice::{Admission, Demand, Objectives};
+pub use admission::{Admission, Objectives};
+pub use choice::Demand;
 pub use tracked::SendResult;
 
 use choice::RouteKey;
