--- a/crates/forwarding/src/decisions.rs
+++ b/crates/forwarding/src/decisions.rs
@@ -17,6 +17,8 @@
     pub learnt_costs: bool,
     /// Single engines that are slower than others of their service are noticed.
     pub slowness: bool,
+    /// In a large fleet, schedulers place the requests of all gateways.
+    pub schedulers: bool,
     /// Load that other gateways report counts.
     pub reported_load: bool,
     /// Harm that readings do to streams beside them counts.
@@ -47,6 +49,7 @@
             caches: true,
             learnt_costs: true,
             slowness: true,
+            schedulers: true,
             reported_load: true,
             harm: true,
             displacement: true,
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -13,10 +13,12 @@
 pub mod event_stream;
 pub mod load_exchange;
 pub mod mirror;
+pub mod placement;
 pub mod relay_plan;
 pub mod request;
 pub mod retry_share;
 pub mod route_table;
+pub mod scheduler_plan;
 pub mod selection;
 pub mod stop_plan;
 pub mod worker;
@@ -34,6 +36,10 @@
     ServiceKey, WorkerKey,
 };
 pub use mirror::{Item, Mirror, MirrorChange, Snapshot, Update};
+pub use placement::{
+    Placement, PlacementAnswer, PlacementBook, PlacementId, PlacementLedger, PlacementMessage,
+    PlacementNeed, PlacementNotice, PlacementRequest,
+};
 pub use relay_plan::{RelayPlan, Upstream};
 pub use request::{
     Action, AttemptPolicy, Conclusion, EventId, PromptHandle, ReadingFailure, RequestEvent,
@@ -41,6 +47,7 @@
 };
 pub use retry_share::{RetryShare, RetryShareSettings, RetryShares};
 pub use route_table::RouteTable;
+pub use scheduler_plan::{SchedulerCandidate, SchedulerPlan};
 pub use selection::{affinity_part, prompt_tokens, Need, PromptPart};
 pub use stop_plan::StopPlan;
 pub use worker::{Worker, WorkerId, WorkerState};
--- /dev/null
+++ b/crates/gateway/src/datagrams.rs
@@ -0,0 +1,102 @@
+//! The socket for datagrams between gateways: reports of load, and questions to schedulers with their
+//! answers. A lost datagram is made good by later ones.
+
+use std::net::SocketAddr;
+use std::sync::OnceLock;
+
+use anyhow::{Context, Result};
+use prost::Message;
+use tokio::net::UdpSocket;
+
+use crate::load_exchange::ReportMessage;
+use crate::placement::{AnswerMessage, QuestionMessage};
+
+/// The longest datagram.
+pub const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+
+/// What gateways send each other as datagrams: one of these.
+#[derive(Clone, PartialEq, Message)]
+pub struct Datagram {
+    /// Load of a gateway.
+    #[prost(message, optional, tag = "1")]
+    pub report: Option<ReportMessage>,
+    /// A message to a scheduler.
+    #[prost(message, optional, tag = "2")]
+    pub question: Option<QuestionMessage>,
+    /// A scheduler's answer.
+    #[prost(message, optional, tag = "3")]
+    pub answer: Option<AnswerMessage>,
+}
+
+impl Datagram {
+    /// A report of load.
+    pub fn report(report: ReportMessage) -> Self {
+        Self {
+            report: Some(report),
+            ..Self::default()
+        }
+    }
+
+    /// A message to a scheduler.
+    pub fn question(question: QuestionMessage) -> Self {
+        Self {
+            question: Some(question),
+            ..Self::default()
+        }
+    }
+
+    /// A scheduler's answer.
+    pub fn answer(answer: AnswerMessage) -> Self {
+        Self {
+            answer: Some(answer),
+            ..Self::default()
+        }
+    }
+}
+
+/// The socket, once it is bound.
+#[derive(Debug, Default)]
+pub struct Datagrams {
+    socket: OnceLock<UdpSocket>,
+}
+
+impl Datagrams {
+    /// Binds the socket.
+    pub async fn bind(&self, address: SocketAddr) -> Result<()> {
+        let socket = UdpSocket::bind(address)
+            .await
+            .with_context(|| format!("listen.load = {address}"))?;
+        self.socket
+            .set(socket)
+            .ok()
+            .context("the socket for datagrams is bound already")
+    }
+
+    /// Sends a datagram; one that can't be sent now is lost like one that is dropped on its way.
+    pub fn send(&self, address: SocketAddr, datagram: &Datagram) {
+        self.send_encoded(address, &datagram.encode_to_vec());
+    }
+
+    /// Sends a datagram that goes to many.
+    pub fn send_encoded(&self, address: SocketAddr, bytes: &[u8]) {
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        if let Err(error) = socket.try_send_to(bytes, address) {
+            log::debug!("a datagram to {address} is lost: {error}");
+        }
+    }
+
+    /// The next datagram, and who has sent it; none if it can't be read.
+    pub async fn receive(&self, buffer: &mut [u8]) -> Option<(Datagram, SocketAddr)> {
+        let socket = self.socket.get()?;
+        let (length, sender) = socket.recv_from(buffer).await.ok()?;
+        match Datagram::decode(&buffer[..length]) {
+            Ok(datagram) => Some((datagram, sender)),
+            Err(error) => {
+                log::debug!("a datagram of {sender} that is none of ours: {error}");
+                None
+            }
+        }
+    }
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -65,13 +65,14 @@
         /// The store's revision.
         revision: u64,
     },
-    /// The store, or a peer in its place, cannot be reached any more or again.
+    /// The store, or a peer in its place, cannot be reached any more or again; or a scheduler has not
+    /// answered in time.
     Dependency {
-        /// `store` or `peers`.
+        /// `store`, `peers` or `scheduler`.
         name: &'a str,
-        /// `lost` or `regained`.
+        /// `lost` or `regained`; `silent` for a scheduler.
         state: &'a str,
-        /// The last error.
+        /// The last error, or the scheduler's name.
         reason: &'a str,
     },
     /// This gateway gets the store's changes from elsewhere now.
@@ -87,6 +88,8 @@
         request: &'a str,
         /// The worker.
         worker: &'a str,
+        /// The gateway that has chosen it, or empty for the one that sends.
+        scheduler: &'a str,
         /// `run` or `read_prompt`.
         work: &'a str,
         /// How it ended.
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -12,8 +12,9 @@
 use bytes::Bytes;
 use tansyhall_core::{Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    Action, Admission, AttemptPolicy, Conclusion, Demand, Need, Objectives, PromptHandle,
-    RequestEvent, RequestMachine, Route, SendFailure, Worker, WorkerId,
+    Action, Admission, AttemptPolicy, Conclusion, Demand, Need, Objectives, PlacementNeed,
+    PlacementRequest, PromptHandle, RequestEvent, RequestMachine, Route, SendFailure, Worker,
+    WorkerId,
 };
 use tokio::time::Instant;
 
@@ -21,6 +22,7 @@
 use crate::connections::WorkerRequest;
 use crate::events::{Event, Weight};
 use crate::headers::HeaderList;
+use crate::placement::{self, Answered, OpenPlacement};
 use crate::protocol::{CallerTerms, SendTerms, Work};
 use crate::send_guard::{SendGuard, Sent};
 use crate::state::{whole_millis, InFlight, Routed, Shared};
@@ -63,6 +65,8 @@
     sink: AnswerSink,
     error_answer: Option<(AnswerHead, Bytes)>,
     unused_handle: Option<PromptHandle>,
+    /// Where a scheduler has placed the next send.
+    placed: Option<OpenPlacement>,
     retry_after: Duration,
     waiting: Duration,
     cause: &'static str,
@@ -82,6 +86,7 @@
             sink,
             error_answer: None,
             unused_handle: None,
+            placed: None,
             retry_after: RETRY_AFTER,
             waiting: Duration::ZERO,
             cause: "",
@@ -116,7 +121,7 @@
         let now = self.shared.now();
         let service = &self.request.routed.service;
         self.shared.retries.lock().record_request(now, service);
-        let read_apart = match self.admit(now) {
+        let read_apart = match self.admit(now).await {
             Admission::Taken { read_apart } => read_apart,
             Admission::Refused {
                 waiting,
@@ -133,7 +138,7 @@
         loop {
             event = match machine.step(event) {
                 Action::Select { need, avoid } => {
-                    let selected = self.select(&need, &avoid);
+                    let selected = self.select(need.clone(), avoid).await;
                     if selected.is_none() && need != Need::ReadPrompt {
                         self.cause = "no_worker";
                     }
@@ -168,13 +173,28 @@
         self.request.terms.request_id.as_deref().unwrap_or_default()
     }
 
-    fn admit(&self, now: Timestamp) -> Admission {
+    /// Whether the request is taken: a scheduler says so, and where it goes first, or this gateway
+    /// decides by itself.
+    async fn admit(&mut self, now: Timestamp) -> Admission {
+        match self.ask_scheduler(PlacementNeed::Admission).await {
+            Some(Answered::Placed(placed)) => {
+                let read_apart = placed.placement().read_apart;
+                self.placed = Some(placed);
+                return Admission::Taken { read_apart };
+            }
+            Some(Answered::Refused {
+                waiting,
+                retry_after,
+            }) => {
+                return Admission::Refused {
+                    waiting,
+                    retry_after,
+                }
+            }
+            None => {}
+        }
         let zone = self.shared.zone();
-        let objectives = Objectives {
-            latency: self.route().latency_objective,
-            pause: self.route().pause_objective,
-            time_left: self.time_left(),
-        };
+        let objectives = self.objectives();
         let mut directory = self.shared.directory.lock();
         directory.admit(now, self.demand(&zone), objectives)
     }
@@ -198,7 +218,56 @@
         }
     }
 
-    fn select(&self, need: &Need, avoid: &[WorkerId]) -> Option<WorkerId> {
+    fn objectives(&self) -> Objectives {
+        Objectives {
+            latency: self.route().latency_objective,
+            pause: self.route().pause_objective,
+            time_left: self.time_left(),
+        }
+    }
+
+    async fn ask_scheduler(&self, need: PlacementNeed) -> Option<Answered> {
+        let request = |id| PlacementRequest {
+            id,
+            service: self.request.routed.service.clone(),
+            route: self.route().name.clone(),
+            prompt: self.request.terms.prompt.clone(),
+            yields: self.request.routed.yields,
+            objectives: self.objectives(),
+            draw: self.draw,
+            need: need.clone(),
+        };
+        placement::ask(&self.shared, request).await
+    }
+
+    /// The worker for the next send. The first one has been chosen with the admission, if a scheduler
+    /// has said that.
+    async fn select(&mut self, need: Need, avoid: Vec<WorkerId>) -> Option<WorkerId> {
+        let fits = |placed: &OpenPlacement| {
+            let placement = placed.placement();
+            let reads = need == Need::ReadPrompt;
+            avoid.is_empty() && need.reads() && placement.read_apart == reads
+        };
+        if let Some(placed) = self.placed.take().filter(fits) {
+            return Some(self.go_to(placed));
+        }
+        let asked = PlacementNeed::Worker {
+            need: need.clone(),
+            avoid: avoid.clone(),
+        };
+        match self.ask_scheduler(asked).await {
+            Some(Answered::Placed(placed)) => Some(self.go_to(placed)),
+            _ => self.select_by_itself(&need, &avoid),
+        }
+    }
+
+    fn go_to(&mut self, placed: OpenPlacement) -> WorkerId {
+        let worker = placed.placement().worker.clone();
+        self.placed = Some(placed);
+        worker
+    }
+
+    fn select_by_itself(&self, need: &Need, avoid: &[WorkerId]) -> Option<WorkerId> {
         let now = self.shared.now();
         let zone = self.shared.zone();
         let directory = self.shared.directory.lock();
@@ -222,7 +291,9 @@
         self.shared.directory.lock().get(id).cloned()
     }
 
-    fn begin_send(&self, worker: &Worker, work: &'static str, need: Need) -> SendGuard {
+    fn begin_send(&mut self, worker: &Worker, work: &'static str, need: Need) -> SendGuard {
+        let chosen = |placed: &OpenPlacement| placed.placement().worker == worker.id;
+        let placement = self.placed.take().filter(chosen);
         let sent = Sent {
             request_id: self.request_id().to_owned(),
             route: self.route().name.clone(),
@@ -232,7 +303,7 @@
             prompt: self.request.terms.prompt.clone(),
             need,
         };
-        SendGuard::begin(&self.shared, sent)
+        SendGuard::begin(&self.shared, sent, placement)
     }
 
     fn time_left(&self) -> Duration {
@@ -246,7 +317,7 @@
     /// The moment at which a worker that has said nothing is given up.
     fn silence_limit(&self, guard: &SendGuard) -> Instant {
         let usual = self.route().latency_objective * SILENCE_FACTOR;
-        let expected = guard.ticket().expected() * EXPECTED_FACTOR;
+        let expected = guard.expected() * EXPECTED_FACTOR;
         Instant::now() + usual.max(expected)
     }
 
@@ -256,7 +327,7 @@
             time_left: self.time_left(),
             rank: self.rank_of(&work, guard),
             work,
-            fetch_from: guard.ticket().fetch_from(),
+            fetch_from: guard.fetch_from(),
         };
         let protocol = &self.shared.protocol;
         WorkerRequest {
@@ -270,7 +341,7 @@
     /// The rank that a worker is told. Readings that cost hardly anything go before all others: they
     /// keep nobody waiting, and behind long ones of a higher rank they would wait without end.
     fn rank_of(&self, work: &Work, guard: &SendGuard) -> u8 {
-        let first = *work == Work::ReadPrompt && guard.ticket().is_short_reading();
+        let first = *work == Work::ReadPrompt && guard.is_short_reading();
         if first {
             return MOST_URGENT;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,7 @@
 //! Callers' requests come in through [`ingress`], each lives in a [`exchange`], and leaves through
 //! [`connections`] to a worker. [`follower`] keeps a copy of the store, [`store_copy`] makes it the
 //! configuration in force, [`peers`] tells other gateways what is new in it, [`presence`] announces
-//! this gateway.
+//! this gateway. In a large fleet, [`placement`] asks a scheduler where requests go.
 
 #![forbid(unsafe_code)]
 
@@ -11,10 +11,12 @@
 pub mod cache_recovery;
 pub mod connections;
 pub mod copy_message;
+pub mod datagrams;
 pub mod deflated_values;
 pub mod desired_roles;
 pub mod events;
 pub mod exchange;
+pub mod fleet;
 pub mod follower;
 pub mod headers;
 pub mod ingress;
@@ -22,6 +24,7 @@
 pub mod load_exchange;
 pub mod metrics;
 pub mod peers;
+pub mod placement;
 pub mod presence;
 pub mod protocol;
 pub mod readiness;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -1,30 +1,27 @@
-//! Sends reports of this gateway's load to the others and takes theirs in, as datagrams. A lost
-//! one is made good by the next.
+//! Sends reports of the load that this gateway places to the others that place some, and takes
+//! datagrams in. A lost report is made good by the next.
 
-use std::future::Future;
-use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::{Context, Result};
 use prost::Message;
+use tansyhall_forwarding::scheduler_plan::FULL_EXCHANGE;
 use tansyhall_forwarding::{
     Absence, EngineDemand, GatewayKey, Load, LoadEntry, LoadReport, PartKey, PartRead, ServiceKey,
     WorkerKey,
 };
-use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use crate::presence;
+use crate::datagrams::{Datagram, MAX_DATAGRAM_BYTES};
+use crate::fleet::Fleet;
+use crate::placement;
+use crate::role_authority;
 use crate::state::Shared;
 
-/// Gateways up to which reports are sent at the full pace.
-const GATEWAYS_AT_FULL_PACE: u64 = 12;
 /// Pause between reports.
 const PACE: Duration = Duration::from_millis(20);
-/// The longest datagram.
-const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+/// Pause between two looks for placements whose time is over.
+const EXPIRY_PACE: Duration = Duration::from_millis(200);
 
 /// A report on the wire.
 #[derive(Clone, PartialEq, Message)]
@@ -94,49 +91,76 @@
     pub ready: bool,
 }
 
-/// Binds the socket; the returned task sends and receives for ever.
-pub async fn run(shared: Arc<Shared>, address: SocketAddr) -> Result<impl Future<Output = ()>> {
-    let socket = UdpSocket::bind(address)
-        .await
-        .with_context(|| format!("listen.load = {address}"))?;
-    Ok(async move {
-        tokio::join!(send(&shared, &socket), receive(&shared, &socket));
-    })
+/// Sends and receives for ever.
+pub async fn run(shared: Arc<Shared>) {
+    tokio::join!(send(&shared), receive(&shared));
 }
 
-async fn send(shared: &Shared, socket: &UdpSocket) {
+async fn send(shared: &Shared) {
+    let mut expired = shared.now();
     loop {
-        sleep(pace(shared)).await;
-        let due = shared.directory.lock().report_due(shared.now());
-        let Some(report) = due else { continue };
-        let datagram = encode(&report).encode_to_vec();
-        let own = shared.settings.read().listen.load;
-        let members = presence::members(&shared.mirror.lock());
-        for member in members.iter().filter(|member| member.load != own) {
-            let _ = socket.try_send_to(&datagram, member.load);
+        let fleet = shared.fleet.read().clone();
+        sleep(pace(&fleet)).await;
+        let now = shared.now();
+        if now.since(expired) >= EXPIRY_PACE {
+            expired = now;
+            placement::expire(shared);
         }
+        let due = shared.directory.lock().report_due(now);
+        if let Some(report) = due.filter(|_| places_requests(shared, &fleet)) {
+            tell(shared, &fleet, &report);
+        }
+    }
+}
+
+/// Whether what this gateway has under way is known to no scheduler.
+fn places_requests(shared: &Shared, fleet: &Fleet) -> bool {
+    let settings = shared.settings.read();
+    let for_itself = !settings.decisions.schedulers || fleet.plan.is_scheduler(&settings.node.name);
+    for_itself || shared.ledger.lock().is_asked()
+}
+
+/// Sends a report to those who place requests, and to the holder of the authority over roles.
+fn tell(shared: &Shared, fleet: &Fleet, report: &LoadReport) {
+    let settings = shared.settings.read().clone();
+    let datagram = Datagram::report(encode(report)).encode_to_vec();
+    let own = settings.node.name.as_str();
+    let holder = role_authority::holder(&shared.mirror.lock());
+    let holder = holder.filter(|name| !fleet.plan.is_listener(name));
+    let listeners: Vec<&str> = match settings.decisions.schedulers {
+        true => fleet.plan.listeners().chain(holder.as_deref()).collect(),
+        false => fleet.names().collect(),
+    };
+    let others = listeners.into_iter().filter(|name| *name != own);
+    for address in others.filter_map(|name| fleet.load_address(name)) {
+        shared.datagrams.send_encoded(address, &datagram);
     }
 }
 
-/// The pause between reports: it grows with the fleet, so that what a gateway sends does not.
-fn pace(shared: &Shared) -> Duration {
-    let gateways = shared.gateways.load(Ordering::Relaxed);
-    let stretch = gateways.div_ceil(GATEWAYS_AT_FULL_PACE).max(1);
+/// The pause between reports: it grows with those that report, so that what each gets does not.
+fn pace(fleet: &Fleet) -> Duration {
+    let stretch = fleet.plan.schedulers().div_ceil(FULL_EXCHANGE).max(1);
     PACE * u32::try_from(stretch).unwrap_or(u32::MAX)
 }
 
-async fn receive(shared: &Shared, socket: &UdpSocket) {
+async fn receive(shared: &Shared) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+        let Some((datagram, sender)) = shared.datagrams.receive(&mut buffer).await else {
             continue;
         };
-        match ReportMessage::decode(&buffer[..length]) {
-            Ok(message) => {
-                let now = shared.now();
-                shared.directory.lock().hear(now, &decode(message));
+        if let Some(report) = datagram.report {
+            let now = shared.now();
+            shared.directory.lock().hear(now, &decode(report));
+        }
+        if let Some(question) = datagram.question {
+            placement::answer(shared, sender, question);
+        }
+        if let Some(answer) = datagram.answer {
+            match answer.decode_answer() {
+                Ok((id, answer)) => shared.placements.take_answer(id, answer),
+                Err(error) => log::warn!("an answer of {sender} is passed over: {error:#}"),
             }
-            Err(error) => log::debug!("a datagram that is no report: {error}"),
         }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,8 @@
     pub latency: HistogramVec,
     /// Sends to workers by service and outcome.
     pub sends: IntCounterVec,
+    /// Questions to schedulers by outcome.
+    pub placements: IntCounterVec,
     /// The version of the configuration in force.
     pub configuration_version: IntGauge,
     /// Workers that take requests.
@@ -58,6 +60,13 @@
                 Opts::new("gateway_sends_total", "Sends to workers by outcome"),
                 &["service", "outcome"],
             )?,
+            placements: IntCounterVec::new(
+                Opts::new(
+                    "gateway_placements_total",
+                    "Questions to schedulers by outcome",
+                ),
+                &["outcome"],
+            )?,
             configuration_version: IntGauge::new(
                 "gateway_configuration_version",
                 "Version of the configuration in force",
@@ -99,6 +108,11 @@
         Ok(metrics)
     }
 
+    /// Counts a question to a scheduler by how it ended.
+    pub fn count_placement(&self, outcome: &str) {
+        self.placements.with_label_values(&[outcome]).inc();
+    }
+
     /// All metrics as text.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
@@ -113,6 +127,7 @@
         self.registry.register(Box::new(self.requests.clone()))?;
         self.registry.register(Box::new(self.latency.clone()))?;
         self.registry.register(Box::new(self.sends.clone()))?;
+        self.registry.register(Box::new(self.placements.clone()))?;
         self.registry
             .register(Box::new(self.configuration_version.clone()))?;
         self.registry
--- /dev/null
+++ b/crates/gateway/src/placement/server.rs
@@ -0,0 +1,49 @@
+//! Places requests for gateways that ask this one.
+
+use std::net::SocketAddr;
+
+use tansyhall_forwarding::PlacementMessage;
+
+use super::message::{AnswerMessage, QuestionMessage};
+use crate::datagrams::Datagram;
+use crate::state::Shared;
+
+/// Takes a gateway's message in, and answers if it asks for something.
+pub fn answer(shared: &Shared, sender: SocketAddr, question: QuestionMessage) {
+    let message = match PlacementMessage::try_from(question) {
+        Ok(message) => message,
+        Err(error) => {
+            log::warn!("a question of {sender} is passed over: {error:#}");
+            return;
+        }
+    };
+    let Some((id, answer)) = place(shared, message) else {
+        return;
+    };
+    let answer = AnswerMessage::new(id, &answer);
+    shared.datagrams.send(sender, &Datagram::answer(answer));
+}
+
+fn place(
+    shared: &Shared,
+    message: PlacementMessage,
+) -> Option<(
+    tansyhall_forwarding::PlacementId,
+    tansyhall_forwarding::PlacementAnswer,
+)> {
+    let now = shared.now();
+    let zone = shared.zone();
+    let id = message.request.as_ref().map(|request| request.id);
+    let mut ledger = shared.ledger.lock();
+    let mut directory = shared.directory.lock();
+    let answer = ledger.take(now, &mut directory, &zone, message)?;
+    Some((id?, answer))
+}
+
+/// Closes placements whose time is over.
+pub fn expire(shared: &Shared) {
+    let now = shared.now();
+    let mut ledger = shared.ledger.lock();
+    let mut directory = shared.directory.lock();
+    ledger.expire(now, &mut directory);
+}
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -20,11 +20,13 @@
 const PREFIX: &str = "tansyhall/gateways/";
 /// Pause between two looks at the lease.
 const PACE: Duration = Duration::from_millis(250);
+/// More processor time than any gateway has, in cores.
+const MAX_CORES: f64 = 1e6;
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(700);
 
 /// A gateway that has announced itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Member {
     /// Its name.
     pub name: String,
@@ -34,6 +36,8 @@
     pub load: SocketAddr,
     /// Its zone, unless an older version announced it.
     pub zone: Option<ZoneName>,
+    /// Its processor time in cores; an older version does not tell it.
+    pub capacity: f64,
 }
 
 /// The gateways in a copy of the store.
@@ -49,11 +53,17 @@
                 copy: copy.parse().ok()?,
                 load: load.parse().ok()?,
                 zone: words.next().map(ZoneName::new),
+                capacity: words.next().and_then(capacity).unwrap_or_default(),
             })
         })
         .collect()
 }
 
+fn capacity(word: &str) -> Option<f64> {
+    let cores = word.parse().ok()?;
+    (0.0..=MAX_CORES).contains(&cores).then_some(cores)
+}
+
 /// Announces this gateway under each lease that it comes to hold.
 pub async fn announce(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>, lease: NodeLease) {
     let mut announced: Option<Lease> = None;
@@ -77,7 +87,8 @@
     let settings = shared.settings.read().clone();
     let listen = &settings.listen;
     let zone = &settings.node.zone;
-    let announcement = format!("{} {} {zone}", listen.peers, listen.load);
+    let capacity = settings.node.capacity();
+    let announcement = format!("{} {} {zone} {capacity}", listen.peers, listen.load);
     let put = Operation::Put {
         key: format!("{PREFIX}{}", settings.node.name),
         value: announcement.into_bytes(),
--- a/crates/gateway/src/role_authority.rs
+++ b/crates/gateway/src/role_authority.rs
@@ -17,7 +17,7 @@
     claim::claim_delay, ClaimAction, ClaimEvent, ClaimRecord, Epoch, Lease, PoolClaim,
 };
 use tansyhall_core::{NodeId, PoolName, Role, Timestamp};
-use tansyhall_forwarding::{EngineLoad, Worker, WorkerId};
+use tansyhall_forwarding::{EngineLoad, Mirror, Worker, WorkerId};
 use tansyhall_planner::{balance_roles, BalancedEngine, ExpectedDemand};
 use tansyhall_store::{Compare, KeyValueStore, LeaseId, Operation, Revision, Transaction};
 use tokio::time::{sleep, timeout};
@@ -71,6 +71,38 @@
     }
 }
 
+/// The value of the claim's key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct RoleClaim {
+    /// The holder's lease.
+    lease: Lease,
+    /// The holder's name; an older version does not tell it.
+    holder: Option<String>,
+}
+
+impl RoleClaim {
+    fn encode(&self) -> Vec<u8> {
+        let Lease(lease) = self.lease;
+        let holder = self.holder.as_deref().unwrap_or_default();
+        format!("{lease} {holder}").into_bytes()
+    }
+
+    fn decode(value: &[u8]) -> Option<Self> {
+        let mut words = std::str::from_utf8(value).ok()?.split(' ');
+        let lease = words.next()?.parse().ok()?;
+        let holder = words.next().filter(|name| !name.is_empty());
+        Some(Self {
+            lease: Lease(lease),
+            holder: holder.map(str::to_owned),
+        })
+    }
+}
+
+/// The name of the gateway that holds the authority, as the copy of the store says.
+pub fn holder(mirror: &Mirror) -> Option<String> {
+    RoleClaim::decode(&mirror.get(CLAIM_KEY)?.value)?.holder
+}
+
 struct RoleAuthority {
     shared: Arc<Shared>,
     store: Rc<dyn KeyValueStore>,
@@ -83,8 +115,19 @@
 }
 
 impl RoleAuthority {
+    /// Whether this gateway hears of all load, so that it can decide roles.
+    fn hears_all_load(&self) -> bool {
+        let settings = self.shared.settings.read();
+        let fleet = self.shared.fleet.read();
+        !settings.decisions.schedulers || fleet.plan.is_listener(&settings.node.name)
+    }
+
     async fn look(&mut self) {
         let now = self.shared.now();
+        if self.claim.held().is_none() && !self.hears_all_load() {
+            self.lease.set_wanted(false);
+            return;
+        }
         let event = self.observe();
         match self.claim.step(now, event) {
             ClaimAction::Create(lease) => self.create_claim(lease).await,
@@ -112,9 +155,9 @@
         let lease = self.lease.held();
         let mirror = self.shared.mirror.lock();
         let record = mirror.get(CLAIM_KEY).and_then(|item| {
-            let text = std::str::from_utf8(&item.value).ok()?;
+            let claim = RoleClaim::decode(&item.value)?;
             Some(ClaimRecord {
-                lease: Lease(text.parse().ok()?),
+                lease: claim.lease,
                 epoch: Epoch(item.created),
             })
         });
@@ -122,11 +165,15 @@
     }
 
     async fn create_claim(&self, Lease(lease): Lease) {
+        let claim = RoleClaim {
+            lease: Lease(lease),
+            holder: Some(self.shared.settings.read().node.name.clone()),
+        };
         let transaction = Transaction {
             compare: vec![Compare::Absent(CLAIM_KEY.into())],
             operations: vec![Operation::Put {
                 key: CLAIM_KEY.into(),
-                value: lease.to_string().into_bytes(),
+                value: claim.encode(),
                 lease: Some(LeaseId(lease)),
             }],
         };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,17 +12,19 @@
 use anyhow::{Context, Result};
 use parking_lot::{Mutex, RwLock};
 use tansyhall_core::time::MonotonicClock;
-use tansyhall_forwarding::{Directory, GatewayKey, Mirror, RetryShares};
+use tansyhall_forwarding::{Directory, GatewayKey, Mirror, PlacementLedger, RetryShares};
 use tansyhall_store::KeyValueStore;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::connections::Connections;
+use crate::datagrams::Datagrams;
 use crate::events::{Event, EventLog, Weight};
 use crate::follower::{self, StoreContact};
 use crate::lease::{self, NodeLease};
 use crate::metrics::Metrics;
+use crate::placement::{self, PlacementClient};
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
@@ -69,8 +71,9 @@
         Rc::clone(&adapter.store),
     ));
     actix_rt::spawn(peers::follow(Arc::clone(&shared)));
-    let exchange = load_exchange::run(Arc::clone(&shared), settings.listen.load);
-    actix_rt::spawn(exchange.await?);
+    shared.datagrams.bind(settings.listen.load).await?;
+    actix_rt::spawn(load_exchange::run(Arc::clone(&shared)));
+    actix_rt::spawn(placement::tell_notices(Arc::clone(&shared)));
     actix_rt::spawn(cache_recovery::run(Arc::clone(&shared)));
     actix_rt::spawn(prune(Arc::clone(&shared)));
     spawn_under_leases(&shared, &adapter.store);
@@ -115,6 +118,10 @@
         decoded_workers: Mutex::default(),
         in_force: RwLock::new(None),
         directory: Mutex::new(directory),
+        ledger: Mutex::new(PlacementLedger::default()),
+        placements: PlacementClient::new(gateway),
+        fleet: RwLock::default(),
+        datagrams: Datagrams::default(),
         caches_recovered: AtomicBool::new(false),
         retries: Mutex::new(retries),
         store_contact: StoreContact::default(),
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -1,13 +1,15 @@
 //! Accounts for one send to a worker, also when its task is dropped in the middle.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tansyhall_core::{ServiceName, Timestamp};
-use tansyhall_forwarding::{Demand, Need, PromptPart, SendResult, SendTicket, WorkerId};
+use tansyhall_forwarding::{Demand, Need, Placement, PromptPart, SendResult, SendTicket, WorkerId};
 
 use crate::connections::Unconnected;
 use crate::events::{Event, Weight};
+use crate::placement::OpenPlacement;
 use crate::state::{whole_millis, Shared};
 
 /// What a send that was not sent says of its worker.
@@ -42,6 +44,8 @@
     shared: Arc<Shared>,
     sent: Sent,
     ticket: SendTicket,
+    /// What a scheduler said of the send, if it has chosen the worker.
+    placement: Option<OpenPlacement>,
     planned_tokens: u64,
     began: Timestamp,
     result: SendResult,
@@ -50,8 +54,8 @@
 }
 
 impl SendGuard {
-    /// Counts a send as begun.
-    pub fn begin(shared: &Arc<Shared>, sent: Sent) -> Self {
+    /// Counts a send as begun; `placement` is the scheduler's, if it has chosen the worker.
+    pub fn begin(shared: &Arc<Shared>, sent: Sent, placement: Option<OpenPlacement>) -> Self {
         let now = shared.now();
         let zone = shared.zone();
         let demand = Demand {
@@ -65,11 +69,14 @@
         let mut directory = shared.directory.lock();
         let ticket = directory.send_began(now, &sent.worker, demand, &sent.need);
         drop(directory);
+        let placed = placement.as_ref().map(OpenPlacement::placement);
+        let planned_tokens = placed.map(|placed| placed.reading_tokens);
         Self {
             shared: Arc::clone(shared),
-            planned_tokens: ticket.reading_tokens(),
+            planned_tokens: planned_tokens.unwrap_or(ticket.reading_tokens()),
             sent,
             ticket,
+            placement,
             began: now,
             result: SendResult::Abandoned { silent: true },
             detail: String::new(),
@@ -77,9 +84,32 @@
         }
     }
 
-    /// The send as the directory knows it.
-    pub fn ticket(&self) -> &SendTicket {
-        &self.ticket
+    /// The worker from which the chosen one should fetch what it lacks of the prompt.
+    pub fn fetch_from(&self) -> Option<SocketAddr> {
+        match self.placed() {
+            Some(placed) => placed.fetch_from,
+            None => self.ticket.fetch_from(),
+        }
+    }
+
+    /// Whether reading what is still to be read costs an engine hardly more than any prompt does.
+    pub fn is_short_reading(&self) -> bool {
+        match self.placed() {
+            Some(placed) => placed.short_reading,
+            None => self.ticket.is_short_reading(),
+        }
+    }
+
+    /// The time after which the answer was expected when the send began.
+    pub fn expected(&self) -> Duration {
+        match self.placed() {
+            Some(placed) => placed.expected,
+            None => self.ticket.expected(),
+        }
+    }
+
+    fn placed(&self) -> Option<&Placement> {
+        self.placement.as_ref().map(OpenPlacement::placement)
     }
 
     /// The answer begins: the prompt has been read.
@@ -89,6 +119,9 @@
         let mut directory = self.shared.directory.lock();
         directory.prompt_was_read(now, &mut self.ticket, &self.sent.prompt, latency);
         drop(directory);
+        if let Some(placement) = &self.placement {
+            placement.prompt_was_read(latency);
+        }
         self.head = Some(latency);
         self.result = SendResult::Answered { latency };
     }
@@ -106,6 +139,9 @@
         let mut directory = self.shared.directory.lock();
         directory.send_ended(now, &self.ticket, &self.sent.prompt, self.result);
         drop(directory);
+        if let Some(placement) = &mut self.placement {
+            placement.end(self.result);
+        }
         let outcome = outcome_name(self.result);
         self.shared
             .metrics
@@ -119,12 +155,13 @@
         let event = Event::Send {
             request: &self.sent.request_id,
             worker: self.sent.worker.as_str(),
+            scheduler: self.placement.as_ref().map_or("", OpenPlacement::scheduler),
             work: self.sent.work,
             outcome,
             detail: &self.detail,
             reading_tokens: self.planned_tokens,
-            fetched: self.ticket.fetch_from().is_some(),
-            expected_ms: whole_millis(self.ticket.expected()),
+            fetched: self.fetch_from().is_some(),
+            expected_ms: whole_millis(self.expected()),
             head_ms: self.head.map_or(0, whole_millis),
             took_ms: whole_millis(now.since(self.began)),
         };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,20 @@
     pub zone: ZoneName,
     /// Threads that serve callers, 1 to 64.
     pub threads: usize,
+    /// The part of each thread's core that the gateway may use, above 0 and at most 1.
+    #[serde(default = "whole_core")]
+    pub core_share: f64,
+}
+
+fn whole_core() -> f64 {
+    1.0
+}
+
+impl NodeSection {
+    /// Processor time in cores.
+    pub fn capacity(&self) -> f64 {
+        self.threads as f64 * self.core_share
+    }
 }
 
 /// Where a gateway listens.
@@ -172,6 +186,14 @@
             "must be 1 to 64",
             threads_fit,
         )?;
+        let share = self.node.core_share;
+        let share_fits = share > 0.0 && share <= 1.0;
+        range(
+            "node.core_share",
+            share.to_string(),
+            "must be above 0, at most 1",
+            share_fits,
+        )?;
         let ratio = self.retries.ratio;
         let ratio_fits = (0.0..=1.0).contains(&ratio);
         range(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,15 +10,19 @@
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::{ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    Configuration, Directory, Limits, Mirror, RetryShares, Route, RouteTable, StopPlan, Worker,
+    Configuration, Directory, Limits, Mirror, PlacementLedger, RetryShares, Route, RouteTable,
+    StopPlan, Worker,
 };
 use tokio::sync::watch;
 
 use crate::connections::{Connections, Destination};
+use crate::datagrams::Datagrams;
 use crate::deflated_values::DeflatedValues;
 use crate::events::EventLog;
+use crate::fleet::Fleet;
 use crate::follower::StoreContact;
 use crate::metrics::Metrics;
+use crate::placement::PlacementClient;
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
 use crate::store_copy::DecodedWorker;
@@ -51,6 +55,14 @@
     pub in_force: RwLock<Option<Arc<InForce>>>,
     /// Workers.
     pub directory: Mutex<Directory>,
+    /// Placements for other gateways; locked before the directory where both are.
+    pub ledger: Mutex<PlacementLedger>,
+    /// Placements that other gateways make for this one.
+    pub placements: PlacementClient,
+    /// The gateways that are announced.
+    pub fleet: RwLock<Arc<Fleet>>,
+    /// The socket for datagrams between gateways.
+    pub datagrams: Datagrams,
     /// Whether what caches held before this gateway's start has been recovered.
     pub caches_recovered: AtomicBool,
     /// Retries.
--- a/crates/gateway/src/store_copy.rs
+++ b/crates/gateway/src/store_copy.rs
@@ -10,6 +10,7 @@
 
 use crate::desired_roles::DesiredRoles;
 use crate::events::{Event, Weight};
+use crate::fleet::Fleet;
 use crate::presence;
 use crate::state::{InForce, Shared};
 
@@ -24,7 +25,7 @@
 pub fn refresh(shared: &Arc<Shared>) {
     refresh_configuration(shared);
     refresh_workers(shared);
-    let members = presence::members(&shared.mirror.lock()).len() as u64;
+    let members = refresh_fleet(shared);
     shared.gateways.store(members.max(1), Ordering::Relaxed);
     let revision = shared.mirror.lock().revision();
     shared.mirror_revision.send_replace(revision);
@@ -32,6 +33,16 @@
     shared.metrics.gateways.set(members as i64);
 }
 
+/// Takes in which gateways there are, and returns how many.
+fn refresh_fleet(shared: &Shared) -> u64 {
+    let members = presence::members(&shared.mirror.lock());
+    let count = members.len() as u64;
+    if !shared.fleet.read().is_of(&members) {
+        *shared.fleet.write() = Arc::new(Fleet::new(members));
+    }
+    count
+}
+
 fn refresh_configuration(shared: &Arc<Shared>) {
     let key = shared.catalogue.configuration_key();
     let Some(item) = shared.mirror.lock().get(key).cloned() else {
