Fewer calls to the store at a start; a part of the workers compared for each request; roles by shares

Cause: gateways that start together know hardly any other, took themselves for relays and asked the store each time that one more was announced (about 6.6 calls each, of 4 that are needed); each renewed its presence every 2 s; two relays a zone. Cause: between two reports all schedulers found the same engine the best; in a model of 1,000 gateways before 600 engines the busiest got 3.6 to 5 times the mean. Ruled out: holding back by one request where another scheduler comes first (3.6; with sampling 1.6, and 1.5 without it). Change: a gateway waits a second after its first read; presence lease 12 s, renewed each 4 s; one relay for 64 gateways of a zone; a random part of the workers is compared, so that all others' requests look at one about once between two reports; at most 5% of engines (3 at least) change roles at once, where it was 3, and 2% (1 at least) is tolerated.

--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::prediction::Comparison;
+use super::sampling::is_drawn;
 use super::tracked::Tracked;
 use super::Directory;
 use crate::selection::{affinity_part, Need, PromptPart};
@@ -59,7 +60,7 @@
             rendezvous_weight(key, tracked.worker.id.as_str().as_bytes())
         };
         let candidates: Vec<(f64, &Tracked)> = self
-            .candidates(now, demand.service, need, avoid)
+            .compared(now, demand, need, avoid)
             .into_iter()
             .map(|tracked| (self.expected_seconds(tracked, need, &comparison), tracked))
             .collect();
@@ -81,13 +82,36 @@
         comparison: &Comparison<'_>,
         need: &Need,
     ) -> Option<(f64, &'a Tracked)> {
-        let candidates = self.candidates(now, comparison.demand.service, need, &[]);
+        let candidates = self.compared(now, comparison.demand, need, &[]);
         candidates
             .into_iter()
             .map(|worker| (self.expected_seconds(worker, need, comparison), worker))
             .min_by(|(left, _), (right, _)| left.total_cmp(right))
     }
 
+    /// The workers that are compared for a demand: all that may be chosen, or a part (see `sampling`).
+    pub(super) fn compared(
+        &self,
+        now: Timestamp,
+        demand: Demand<'_>,
+        need: &Need,
+        avoid: &[WorkerId],
+    ) -> Vec<&Tracked> {
+        let candidates = self.candidates(now, demand.service, need, avoid);
+        let part = self.sampling.part(now, candidates.len());
+        if part >= 1.0 {
+            return candidates;
+        }
+        let is_compared = |tracked: &&Tracked| {
+            is_drawn(tracked.key, demand.draw, part) || tracked.cache.kept_tokens(demand.prompt) > 0
+        };
+        let compared: Vec<&Tracked> = candidates.iter().copied().filter(is_compared).collect();
+        match compared.is_empty() {
+            true => candidates,
+            false => compared,
+        }
+    }
+
     pub(super) fn candidates(
         &self,
         now: Timestamp,
--- a/crates/forwarding/src/directory/demand.rs
+++ b/crates/forwarding/src/directory/demand.rs
@@ -6,41 +6,16 @@
 //! that is the number of places which streams will hold once those that came lately have filled them.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
 use tansyhall_core::{ServiceName, Timestamp};
 
+use super::rate::Rate;
+
 use crate::load_exchange::{EngineDemand, GatewayKey, ServiceKey, STALE_AFTER};
 
-/// Time in which what was asked for counts half.
-const HALF_LIFE: Duration = Duration::from_secs(2);
 /// Less is not reported, in engines and in places.
 const MIN_REPORTED: f64 = 0.001;
 
-/// Seconds of an engine's time asked for in a second, decaying.
-#[derive(Debug, Clone, Copy, Default)]
-struct Rate {
-    sum: f64,
-    at: Timestamp,
-}
-
-impl Rate {
-    fn decayed(&self, now: Timestamp) -> f64 {
-        let age = now.since(self.at).as_secs_f64();
-        self.sum * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
-    }
-
-    fn record(&mut self, now: Timestamp, seconds: f64) {
-        self.sum = self.decayed(now) + seconds;
-        self.at = now;
-    }
-
-    /// A constant rate adds up to itself times the mean age at which it is forgotten.
-    fn a_second(&self, now: Timestamp) -> f64 {
-        self.decayed(now) * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
-    }
-}
-
 /// What is asked of one service.
 #[derive(Debug, Clone, Copy, Default)]
 struct Asked {
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -20,6 +20,9 @@
 //! yet agree. Short prompts gain nothing from a cache: they are drawn among nearly equal engines,
 //! so that many gateways, each with reports that are a little old, do not all choose the same.
 //!
+//! Where many gateways place requests at the same time, each request compares a part of the workers only
+//! (`sampling`).
+//!
 //! Whether a prompt is read apart follows from the same times: the best reader, the move of the KV
 //! cache included, against the best worker that reads it while decoding.
 
@@ -29,6 +32,8 @@
 mod costs;
 mod demand;
 mod prediction;
+mod rate;
+mod sampling;
 mod sharing;
 mod tracked;
 mod usual;
@@ -53,6 +58,7 @@
 use choice::RouteKey;
 use costs::{EngineCosts, EngineWork};
 use demand::Demands;
+use sampling::Sampling;
 use sharing::report_prompt;
 use tracked::Tracked;
 use usual::UsualSeconds;
@@ -77,6 +83,7 @@
     route_holds: HashMap<RouteKey, f64>,
     usual_own: HashMap<ServiceName, UsualSeconds>,
     demands: Demands,
+    sampling: Sampling,
     decisions: Decisions,
     reporter: LoadReporter,
     heard: HashMap<GatewayKey, u64>,
@@ -146,6 +153,7 @@
             route_holds: HashMap::new(),
             usual_own: HashMap::new(),
             demands: Demands::default(),
+            sampling: Sampling::default(),
             decisions: Decisions::default(),
             reporter: LoadReporter::new(gateway),
             heard: HashMap::new(),
@@ -189,6 +197,11 @@
         }
     }
 
+    /// Takes in how many other gateways place requests, and the pause between their reports.
+    pub fn set_exchange(&mut self, others: usize, report_pause: Duration) {
+        self.sampling.set_exchange(others, report_pause);
+    }
+
     /// The engines that have a role and are not leaving, with what is under way there.
     pub fn engine_loads(&self) -> Vec<EngineLoad> {
         let engines = self.workers.values().filter(|tracked| {
@@ -237,6 +250,7 @@
         demand: Demand<'_>,
         need: &Need,
     ) -> SendTicket {
+        self.sampling.record_send(now);
         let mut ticket = self.ticket(now, id, demand, need);
         let prompt = demand.prompt;
         let service = self.workers.get(id).map(|tracked| &tracked.worker.service);
--- a/crates/forwarding/src/relay_plan.rs
+++ b/crates/forwarding/src/relay_plan.rs
@@ -22,8 +22,9 @@
 use tansyhall_core::hash::rendezvous_weight;
 use tansyhall_core::{Timestamp, ZoneName};
 
-/// Gateways of a zone for which one relay suffices.
-pub const GATEWAYS_PER_RELAY: usize = 32;
+/// Gateways of a zone for which one relay suffices: each asks a few times a second, and changes are rare. A
+/// long configuration is deflated once for all of them.
+pub const GATEWAYS_PER_RELAY: usize = 64;
 /// Age of its knowledge at which the first successor of a relay asks the store itself.
 pub const PATIENCE: Duration = Duration::from_millis(1_200);
 /// What each further rank waits longer,
--- a/crates/forwarding/src/scheduler_plan.rs
+++ b/crates/forwarding/src/scheduler_plan.rs
@@ -67,6 +67,10 @@
         }
     }
 
+    fn scheduling(&self) -> &[String] {
+        &self.names[..self.schedulers]
+    }
+
     fn listeners(&self) -> &[String] {
         let count = (self.schedulers + SPARES).min(self.names.len());
         &self.names[..count]
@@ -102,10 +106,7 @@
 
     /// Whether a gateway is a scheduler.
     pub fn is_scheduler(&self, name: &str) -> bool {
-        let mut schedulers = self
-            .zones
-            .values()
-            .flat_map(|zone| &zone.names[..zone.schedulers]);
+        let mut schedulers = self.zones.values().flat_map(ZoneRanking::scheduling);
         schedulers.any(|scheduler| scheduler == name)
     }
 
--- /dev/null
+++ b/crates/forwarding/tests/scheduler_plan.rs
@@ -0,0 +1,98 @@
+//! Which gateways place requests, and for which others.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tansyhall_core::ZoneName;
+use tansyhall_forwarding::scheduler_plan::{FULL_EXCHANGE, GATEWAYS_PER_SCHEDULER};
+use tansyhall_forwarding::{SchedulerCandidate, SchedulerPlan};
+
+/// Seed of the property tests.
+const SEED: u64 = 20_261_203;
+
+fn zone(number: usize) -> ZoneName {
+    ZoneName::new(format!("z-{number}"))
+}
+
+/// So many gateways, spread evenly over the zones; each tenth has four times the processor time.
+fn fleet(gateways: usize, zones: usize) -> Vec<SchedulerCandidate> {
+    let candidate = |number: usize| SchedulerCandidate {
+        name: format!("g-{number}"),
+        zone: zone(number % zones),
+        capacity: if number % 10 == 0 { 0.5 } else { 0.125 },
+    };
+    (0..gateways).map(candidate).collect()
+}
+
+fn scheduler<'a>(plan: &'a SchedulerPlan, asker: &SchedulerCandidate) -> Option<&'a str> {
+    plan.scheduler_of(&asker.name, &asker.zone, |_| true)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_gateway_asks_a_scheduler_of_its_zone(gateways in 1_usize..1_200, zones in 1_usize..8) {
+        let fleet = fleet(gateways, zones);
+        let plan = SchedulerPlan::new(fleet.clone());
+        let zone_of: BTreeMap<&str, &ZoneName> =
+            fleet.iter().map(|one| (one.name.as_str(), &one.zone)).collect();
+        let mut asked: BTreeMap<&str, usize> = BTreeMap::new();
+        for gateway in &fleet {
+            let name = scheduler(&plan, gateway).expect("a scheduler");
+            prop_assert_eq!(zone_of[name], &gateway.zone);
+            prop_assert!(plan.is_scheduler(name));
+            prop_assert!(plan.is_listener(name));
+            *asked.entry(name).or_default() += 1;
+        }
+        if gateways <= FULL_EXCHANGE {
+            prop_assert_eq!(plan.schedulers(), gateways);
+        }
+        let most = FULL_EXCHANGE.max(zones) + gateways / GATEWAYS_PER_SCHEDULER + zones;
+        prop_assert!(plan.schedulers() <= most);
+    }
+
+    #[test]
+    fn one_that_is_passed_over_is_replaced_and_the_others_stay(gateways in 13_usize..600) {
+        let fleet = fleet(gateways, 4);
+        let plan = SchedulerPlan::new(fleet.clone());
+        let lost = scheduler(&plan, &fleet[gateways - 1]).expect("a scheduler").to_owned();
+        for gateway in fleet.iter().filter(|one| one.name != lost) {
+            let before = scheduler(&plan, gateway);
+            let after = plan.scheduler_of(&gateway.name, &gateway.zone, |name| name != lost);
+            match before == Some(lost.as_str()) {
+                true => prop_assert!(after.is_some_and(|name| plan.is_listener(name))),
+                false if before == Some(gateway.name.as_str()) => prop_assert_eq!(after, before),
+                false => prop_assert!(after.is_some()),
+            }
+        }
+    }
+}
+
+#[test]
+fn those_with_the_most_processor_time_come_first() {
+    let fleet = fleet(300, 6);
+    let plan = SchedulerPlan::new(fleet.clone());
+    let weak: BTreeSet<&str> = fleet
+        .iter()
+        .filter(|one| one.capacity < 0.5)
+        .map(|one| one.name.as_str())
+        .collect();
+    assert_eq!(plan.schedulers(), FULL_EXCHANGE);
+    assert!(plan.listeners().all(|name| !weak.contains(name)));
+}
+
+#[test]
+fn a_zone_without_a_usable_gateway_has_no_scheduler() {
+    let fleet = fleet(60, 4);
+    let plan = SchedulerPlan::new(fleet.clone());
+    let nobody = plan.scheduler_of("g-new", &zone(1), |_| false);
+    assert_eq!(nobody, None);
+    assert_eq!(plan.scheduler_of("g-new", &zone(9), |_| true), None);
+}
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -34,6 +34,10 @@
     base: Duration::from_millis(120),
     most: Duration::from_millis(300),
 };
+/// Time after the first read in which gateways that start together announce themselves. One that went on
+/// at once would take itself for a relay, as it knows hardly any other, and ask the store each time that
+/// one more is announced.
+const START_SETTLING: Duration = Duration::from_millis(1_000);
 /// How often a page after the first is asked for again.
 const PAGE_ATTEMPTS: u32 = 40;
 /// The shortest pause after a failed call.
@@ -71,6 +75,7 @@
         watch: None,
         upstream: Upstream::Nobody,
         reads_whole: true,
+        settled: false,
         store_lost: false,
         failures: 0,
     };
@@ -88,6 +93,8 @@
     upstream: Upstream,
     /// Whether the next answer of the store must be everything it holds.
     reads_whole: bool,
+    /// Whether the gateways that started together with this one have had time to announce themselves.
+    settled: bool,
     store_lost: bool,
     failures: u32,
 }
@@ -170,8 +177,7 @@
                 read_all(&self.shared, &*self.store).await?;
                 self.reached();
                 self.reads_whole = false;
-                let known = self.shared.mirror.lock().revision();
-                self.watch = Some(self.watch_after(known).await?);
+                self.settle().await;
                 return Ok(());
             }
         };
@@ -191,6 +197,12 @@
         Ok(())
     }
 
+    async fn settle(&mut self) {
+        if !std::mem::replace(&mut self.settled, true) && self.shared.in_force().is_some() {
+            sleep(START_SETTLING).await;
+        }
+    }
+
     async fn watch_after(&self, known: u64) -> Result<WatchStream, StoreError> {
         in_time(self.store.watch(EVERYTHING, Revision(known + 1))).await
     }
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -15,10 +15,11 @@
 use crate::state::Shared;
 use crate::store_call::in_time;
 
-/// Times of the lease that presence hangs on.
+/// Times of the lease that presence hangs on. Each gateway renews its own, which with hundreds of them is
+/// a large part of all calls to the store; that a gateway is gone is noticed sooner by whoever asks it.
 pub const PRESENCE: LeaseTiming = LeaseTiming {
-    time_to_live: Duration::from_secs(6),
-    renewal: Duration::from_secs(2),
+    time_to_live: Duration::from_secs(12),
+    renewal: Duration::from_secs(4),
     margin: Duration::from_millis(500),
 };
 /// Times of the lease that the authority over roles hangs on.
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -106,13 +106,26 @@
             expired = now;
             placement::expire(shared);
         }
-        let due = shared.directory.lock().report_due(now);
+        let due = {
+            let mut directory = shared.directory.lock();
+            directory.set_exchange(others(shared, &fleet), pace(&fleet));
+            directory.report_due(now)
+        };
         if let Some(report) = due.filter(|_| places_requests(shared, &fleet)) {
             tell(shared, &fleet, &report);
         }
     }
 }
 
+/// Other gateways that place requests.
+fn others(shared: &Shared, fleet: &Fleet) -> usize {
+    let all = match shared.settings.read().decisions.schedulers {
+        true => fleet.plan.schedulers(),
+        false => fleet.len(),
+    };
+    all.saturating_sub(1)
+}
+
 /// Whether what this gateway has under way is known to no scheduler.
 fn places_requests(shared: &Shared, fleet: &Fleet) -> bool {
     let settings = shared.settings.read();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -28,7 +28,9 @@
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
-use crate::{cache_recovery, ingress, load_exchange, peers, presence, readiness, role_authority};
+use crate::{
+    cache_recovery, ingress, load_exchange, peers, presence, readiness, role_authority, store_copy,
+};
 
 /// Time that callers' connections may rest.
 const CALLER_IDLE: Duration = Duration::from_secs(75);
@@ -76,6 +78,7 @@
     actix_rt::spawn(placement::tell_notices(Arc::clone(&shared)));
     actix_rt::spawn(cache_recovery::run(Arc::clone(&shared)));
     actix_rt::spawn(prune(Arc::clone(&shared)));
+    actix_rt::spawn(store_copy::log_worker_changes(Arc::clone(&shared)));
     spawn_under_leases(&shared, &adapter.store);
     let event = Event::Started {
         node: &settings.node.name,
--- a/crates/gateway/src/store_copy.rs
+++ b/crates/gateway/src/store_copy.rs
@@ -4,9 +4,11 @@
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tansyhall_core::ServiceName;
 use tansyhall_forwarding::{Configuration, EngineCapacity, Item, Mirror, Worker};
+use tokio::time::sleep;
 
 use crate::desired_roles::DesiredRoles;
 use crate::events::{Event, Weight};
@@ -14,6 +16,9 @@
 use crate::presence;
 use crate::state::{InForce, Shared};
 
+/// Changes of the workers in such a time are one line of the log.
+const CHANGES_PACE: Duration = Duration::from_millis(1_000);
+
 /// A worker's item, decoded once for each of its revisions.
 #[derive(Debug)]
 pub struct DecodedWorker {
@@ -24,8 +29,8 @@
 /// Takes in what the copy of the store holds now.
 pub fn refresh(shared: &Arc<Shared>) {
     refresh_configuration(shared);
-    refresh_workers(shared);
     let members = refresh_fleet(shared);
+    refresh_workers(shared);
     shared.gateways.store(members.max(1), Ordering::Relaxed);
     let revision = shared.mirror.lock().revision();
     shared.mirror_revision.send_replace(revision);
@@ -91,14 +96,25 @@
     let workers = decode_workers(shared, &mirror);
     drop(mirror);
     let mut directory = shared.directory.lock();
-    let before = directory.ready_workers();
     directory.announce(workers);
     directory.set_desired_roles(|id| desired.get(id));
     let ready = directory.ready_workers();
     drop(directory);
     shared.metrics.ready_workers.set(ready as i64);
     shared.metrics.mirror_revision.set(revision as i64);
-    if before != ready {
+}
+
+/// Logs changes of the workers that take requests, all those of [`CHANGES_PACE`] in one line.
+pub async fn log_worker_changes(shared: Arc<Shared>) {
+    let mut logged = 0;
+    loop {
+        sleep(CHANGES_PACE).await;
+        let ready = shared.directory.lock().ready_workers();
+        if ready == logged {
+            continue;
+        }
+        logged = ready;
+        let revision = shared.mirror.lock().revision();
         let event = Event::WorkersChanged { ready, revision };
         shared.log.record(Weight::Important, &event);
     }
--- a/crates/planner/src/role_balance.rs
+++ b/crates/planner/src/role_balance.rs
@@ -13,10 +13,10 @@
 //!    loss of an engine or a zone leaves decoders;
 //! 4. at least one reader, if there are two engines or more.
 //!
-//! An engine that changes is away for a while, so that a difference of one engine changes nothing
+//! An engine that changes is away for a while, so that a difference of [`TOLERATED_PART`] changes nothing
 //! unless the side that would get it is empty or has more than [`FULL_PART`] of it taken. Engines are
 //! taken from the zone where their role is most frequent, the least busy first, and at most
-//! [`MAX_CHANGES`] at once.
+//! [`CHANGING_PART`] at once.
 
 use std::collections::BTreeMap;
 
@@ -27,10 +27,15 @@
 const FULL_PART: f64 = 0.9;
 /// The least part of all engines that decode.
 const MIN_DECODERS_PART: f64 = 0.28;
-/// A smaller difference from what is needed changes nothing.
-const TOLERATED_DIFFERENCE: usize = 1;
-/// Engines that change at once.
-const MAX_CHANGES: usize = 3;
+/// The part of all engines up to which a difference from what is needed changes nothing: about what the
+/// counted streams vary by from one second to the next,
+const TOLERATED_PART: f64 = 0.02;
+/// but one engine at least.
+const LEAST_TOLERATED: usize = 1;
+/// The part of all engines that change at once: what they would have served meanwhile is lost,
+const CHANGING_PART: f64 = 0.05;
+/// but so many engines at least.
+const LEAST_CHANGING: usize = 3;
 
 /// An engine as the planner sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -114,7 +119,7 @@
         .filter(|index| engines[*index].role != Role::Mixed)
         .collect();
     let changing = split.iter().filter(|index| engines[**index].changing);
-    let allowed = MAX_CHANGES.saturating_sub(changing.count());
+    let allowed = most_changing(split.len()).saturating_sub(changing.count());
     let decoders = count(engines, &split, Role::Decode);
     let readers = split.len() - decoders;
     let need = Need::of(engines, &split, expected);
@@ -124,7 +129,7 @@
         false => (Role::Decode, needed - decoders, decoders),
     };
     let pressing = decoders == 0 || readers == 0 || need.fills(role, there);
-    if difference <= TOLERATED_DIFFERENCE && !pressing {
+    if difference <= tolerated(split.len()) && !pressing {
         return Vec::new();
     }
     let mut changes = Vec::new();
@@ -139,6 +144,18 @@
     changes
 }
 
+/// Engines that may change at once, of so many.
+fn most_changing(engines: usize) -> usize {
+    let part = (engines as f64 * CHANGING_PART).ceil() as usize;
+    part.max(LEAST_CHANGING)
+}
+
+/// The difference that changes nothing, of so many engines.
+fn tolerated(engines: usize) -> usize {
+    let part = (engines as f64 * TOLERATED_PART) as usize;
+    part.max(LEAST_TOLERATED)
+}
+
 fn decoders_needed(engines: &[BalancedEngine], split: &[usize], need: Need) -> usize {
     let zones = zones_of(engines, split).len();
     let part = (split.len() as f64 * MIN_DECODERS_PART).ceil() as usize;
