Workers whose entries ran out while the store was away count until they are due back; tests of schedulers

Change: a worker that was ready counts for two seconds after the store's return; one that was leaving does not.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -6,4 +6,5 @@
 mod relays;
 mod requests;
 mod roles;
+mod schedulers;
 mod support;
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod decisions;
 pub mod directory;
 pub mod event_stream;
+pub mod lapsed_workers;
 pub mod load_exchange;
 pub mod mirror;
 pub mod placement;
@@ -31,6 +32,7 @@
 pub use decisions::Decisions;
 pub use directory::{Admission, Demand, Directory, EngineLoad, Objectives, SendResult, SendTicket};
 pub use event_stream::{CompleteEvents, EventFramer};
+pub use lapsed_workers::LapsedWorkers;
 pub use load_exchange::{
     Absence, EngineDemand, GatewayKey, Load, LoadEntry, LoadReport, LoadReporter, PartRead,
     ServiceKey, WorkerKey,
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -43,21 +43,38 @@
 /// The shortest pause after a failed call.
 const MIN_PAUSE: Duration = Duration::from_millis(30);
 
+/// Age of knowledge from which the store counts as having been away: a little more than a relay that follows
+/// it lets pass between two of its answers.
+const AWAY: Duration = Duration::from_millis(1_500);
+
 /// When the store gave the answer that this gateway's knowledge rests on, in microseconds.
 #[derive(Debug, Default)]
-pub struct StoreContact(AtomicU64);
+pub struct StoreContact {
+    answered: AtomicU64,
+    /// When it answered again after it had been away; 0 if it never was.
+    returned: AtomicU64,
+}
 
 impl StoreContact {
     /// The store gave an answer `age` ago, to this gateway or to one that told it.
     pub fn mark(&self, now: Timestamp, age: Duration) {
         let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-        self.0
-            .fetch_max(now.0.saturating_sub(age), Ordering::Relaxed);
+        let answered = now.0.saturating_sub(age);
+        let before = self.answered.fetch_max(answered, Ordering::Relaxed);
+        if Timestamp(answered).since(Timestamp(before)) > AWAY {
+            self.returned.store(answered, Ordering::Relaxed);
+        }
+    }
+
+    /// When the store last answered again after it had been away, if it ever was.
+    pub fn returned(&self) -> Option<Timestamp> {
+        let returned = self.returned.load(Ordering::Relaxed);
+        (returned > 0).then_some(Timestamp(returned))
     }
 
     /// Time since that answer, or since the clock's start.
     pub fn age(&self, now: Timestamp) -> Duration {
-        now.since(Timestamp(self.0.load(Ordering::Relaxed)))
+        now.since(Timestamp(self.answered.load(Ordering::Relaxed)))
     }
 }
 
@@ -269,6 +286,7 @@
         items: entries.into_iter().map(item).collect(),
         revision,
     };
+    shared.store_contact.mark(shared.now(), Duration::ZERO);
     if shared.mirror.lock().replace(snapshot) {
         refresh(shared);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -76,11 +76,11 @@
     anyhow::ensure!(response.status() == 200, "status {}", response.status());
     let body = response.body().limit(MAX_UPDATE_BYTES).await?;
     let Received { update, age } = UpdateMessage::decode(body)?.into_received()?;
+    shared.store_contact.mark(shared.now(), age);
     let changed = update.is_some_and(|update| shared.mirror.lock().take_in(update));
     if changed {
         refresh(shared);
     }
-    shared.store_contact.mark(shared.now(), age);
     Ok(age)
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -78,6 +78,7 @@
     actix_rt::spawn(placement::tell_notices(Arc::clone(&shared)));
     actix_rt::spawn(cache_recovery::run(Arc::clone(&shared)));
     actix_rt::spawn(prune(Arc::clone(&shared)));
+    actix_rt::spawn(store_copy::end_lapses(Arc::clone(&shared)));
     actix_rt::spawn(store_copy::log_worker_changes(Arc::clone(&shared)));
     spawn_under_leases(&shared, &adapter.store);
     let event = Event::Started {
@@ -119,6 +120,7 @@
         mirror_revision: watch::Sender::default(),
         deflated_values: Mutex::default(),
         decoded_workers: Mutex::default(),
+        lapsed_workers: Mutex::default(),
         in_force: RwLock::new(None),
         directory: Mutex::new(directory),
         ledger: Mutex::new(PlacementLedger::default()),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,8 +10,8 @@
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::{ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    Configuration, Directory, Limits, Mirror, PlacementLedger, RetryShares, Route, RouteTable,
-    StopPlan, Worker,
+    Configuration, Directory, LapsedWorkers, Limits, Mirror, PlacementLedger, RetryShares, Route,
+    RouteTable, StopPlan, Worker,
 };
 use tokio::sync::watch;
 
@@ -51,6 +51,8 @@
     pub deflated_values: Mutex<DeflatedValues>,
     /// Workers as they were decoded last, by their identity.
     pub decoded_workers: Mutex<HashMap<String, DecodedWorker>>,
+    /// Workers that count though their entries ran out while the store was away.
+    pub lapsed_workers: Mutex<LapsedWorkers>,
     /// The configuration in force and its routes.
     pub in_force: RwLock<Option<Arc<InForce>>>,
     /// Workers.
--- a/crates/gateway/src/store_copy.rs
+++ b/crates/gateway/src/store_copy.rs
@@ -19,6 +19,9 @@
 /// Changes of the workers in such a time are one line of the log.
 const CHANGES_PACE: Duration = Duration::from_millis(1_000);
 
+/// Pause between two looks for workers that are overdue.
+const LAPSE_PACE: Duration = Duration::from_millis(200);
+
 /// A worker's item, decoded once for each of its revisions.
 #[derive(Debug)]
 pub struct DecodedWorker {
@@ -93,8 +96,12 @@
     let mirror = shared.mirror.lock();
     let revision = mirror.revision();
     let desired = DesiredRoles::read(&mirror);
-    let workers = decode_workers(shared, &mirror);
+    let listed = decode_workers(shared, &mirror);
     drop(mirror);
+    let returned = shared.store_contact.returned();
+    let mut lapsed = shared.lapsed_workers.lock();
+    let workers = lapsed.counted(shared.now(), returned, listed);
+    drop(lapsed);
     let mut directory = shared.directory.lock();
     directory.announce(workers);
     directory.set_desired_roles(|id| desired.get(id));
@@ -104,6 +111,16 @@
     shared.metrics.mirror_revision.set(revision as i64);
 }
 
+/// Takes workers whose entries ran out while the store was away for gone once they are overdue.
+pub async fn end_lapses(shared: Arc<Shared>) {
+    loop {
+        sleep(LAPSE_PACE).await;
+        if shared.lapsed_workers.lock().keeps_some() {
+            refresh_workers(&shared);
+        }
+    }
+}
+
 /// Logs changes of the workers that take requests, all those of [`CHANGES_PACE`] in one line.
 pub async fn log_worker_changes(shared: Arc<Shared>) {
     let mut logged = 0;
--- /dev/null
+++ b/crates/gateway/tests/placement_messages.rs
@@ -0,0 +1,174 @@
+//! Questions to schedulers and their answers come out of a datagram as they went in.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use prost::Message;
+use tansyhall_core::ServiceName;
+use tansyhall_forwarding::{
+    GatewayKey, Need, Objectives, Placement, PlacementAnswer, PlacementId, PlacementMessage,
+    PlacementNeed, PlacementNotice, PlacementRequest, PromptPart, SendResult, WorkerId,
+};
+use tansyhall_gateway::datagrams::Datagram;
+use tansyhall_gateway::placement::{AnswerMessage, QuestionMessage};
+
+/// Seed of the property tests.
+const SEED: u64 = 20_261_203;
+
+fn worker() -> impl Strategy<Value = WorkerId> {
+    "[a-z0-9-]{1,12}".prop_map(|id| WorkerId::from(id.as_str()))
+}
+
+fn span() -> impl Strategy<Value = Duration> {
+    (0_u64..10_000_000).prop_map(Duration::from_micros)
+}
+
+fn need() -> impl Strategy<Value = PlacementNeed> {
+    let avoid = || prop::collection::vec(worker(), 0..4);
+    let with = |need: Need| {
+        move |avoid| PlacementNeed::Worker {
+            need: need.clone(),
+            avoid,
+        }
+    };
+    prop_oneof![
+        Just(PlacementNeed::Admission),
+        avoid().prop_map(with(Need::Run)),
+        avoid().prop_map(with(Need::ReadPrompt)),
+        (worker(), avoid()).prop_map(|(reader, avoid)| PlacementNeed::Worker {
+            need: Need::Continue { reader },
+            avoid,
+        }),
+    ]
+}
+
+fn result() -> impl Strategy<Value = SendResult> {
+    prop_oneof![
+        span().prop_map(|latency| SendResult::Answered { latency }),
+        Just(SendResult::Failed),
+        Just(SendResult::Refused),
+        Just(SendResult::Unreachable),
+        Just(SendResult::Absent),
+        any::<bool>().prop_map(|silent| SendResult::Abandoned { silent }),
+    ]
+}
+
+fn notice() -> impl Strategy<Value = PlacementNotice> {
+    let id = any::<u64>().prop_map(PlacementId);
+    prop_oneof![
+        (id.clone(), span()).prop_map(|(id, latency)| PlacementNotice::PromptRead { id, latency }),
+        (id, result()).prop_map(|(id, result)| PlacementNotice::Ended { id, result }),
+    ]
+}
+
+fn request() -> impl Strategy<Value = PlacementRequest> {
+    let part = ("[a-f0-9]{8}", any::<u32>()).prop_map(|(id, tokens)| PromptPart {
+        id,
+        tokens: u64::from(tokens),
+    });
+    let objectives =
+        (span(), prop::option::of(span()), span()).prop_map(|(latency, pause, time_left)| {
+            Objectives {
+                latency,
+                pause,
+                time_left,
+            }
+        });
+    let prompt = prop::collection::vec(part, 0..4);
+    (any::<[u64; 2]>(), prompt, objectives, need(), any::<bool>()).prop_map(
+        |([id, draw], prompt, objectives, need, yields)| PlacementRequest {
+            id: PlacementId(id),
+            service: ServiceName::new("service"),
+            route: "route".into(),
+            prompt,
+            yields,
+            objectives,
+            draw,
+            need,
+        },
+    )
+}
+
+fn answer() -> impl Strategy<Value = PlacementAnswer> {
+    let placement = (worker(), any::<[bool; 3]>(), any::<u32>(), span()).prop_map(
+        |(worker, [read_apart, fetches, short_reading], tokens, expected)| Placement {
+            id: PlacementId(7),
+            worker,
+            read_apart,
+            fetch_from: fetches.then(|| "10.0.0.9:8080".parse().expect("an address")),
+            reading_tokens: u64::from(tokens),
+            short_reading,
+            expected,
+        },
+    );
+    prop_oneof![
+        placement.prop_map(PlacementAnswer::Placed),
+        (span(), span()).prop_map(|(waiting, retry_after)| PlacementAnswer::Refused {
+            waiting,
+            retry_after,
+        }),
+        Just(PlacementAnswer::NoWorker),
+    ]
+}
+
+fn sent(datagram: &Datagram) -> Datagram {
+    Datagram::decode(datagram.encode_to_vec().as_slice()).expect("a datagram")
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 128,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn questions_arrive_as_they_were_sent(
+        [sender, sequence] in any::<[u64; 2]>(),
+        open in prop::collection::vec(any::<u64>(), 0..6),
+        notices in prop::collection::vec(notice(), 0..4),
+        request in prop::option::of(request()),
+    ) {
+        let message = PlacementMessage {
+            sender: GatewayKey(sender),
+            sequence,
+            open: open.into_iter().map(PlacementId).collect(),
+            notices,
+            request,
+        };
+        let datagram = Datagram::question(QuestionMessage::from(&message));
+        let question = sent(&datagram).question.expect("a question");
+        let arrived = PlacementMessage::try_from(question).expect("a message");
+        prop_assert_eq!(arrived, message);
+    }
+
+    #[test]
+    fn answers_arrive_as_they_were_sent(answer in answer()) {
+        let id = PlacementId(7);
+        let datagram = Datagram::answer(AnswerMessage::new(id, &answer));
+        let arrived = sent(&datagram).answer.expect("an answer");
+        prop_assert_eq!(arrived.decode_answer().expect("an answer"), (id, answer));
+    }
+}
+
+#[test]
+fn faulty_questions_and_answers_are_refused() {
+    let question = QuestionMessage {
+        notices: vec![Default::default()],
+        ..QuestionMessage::default()
+    };
+    assert!(PlacementMessage::try_from(question.clone()).is_ok());
+    let mut unknown = question;
+    unknown.notices[0].kind = 99;
+    assert!(PlacementMessage::try_from(unknown).is_err());
+    let mut answer = AnswerMessage {
+        placed: Some(Default::default()),
+        ..AnswerMessage::default()
+    };
+    if let Some(placed) = &mut answer.placed {
+        placed.fetch_from = "no address".into();
+    }
+    assert!(answer.decode_answer().is_err());
+}
