Caches are recovered by the gateways that place requests; workers that refuse again rest longer

Change: schedulers and spares recover, engines are shared out among schedulers; the pause after a refusal doubles up to 1.6 s until the worker answers. Test in directory.rs (pause).

--- a/crates/forwarding/src/directory/tracked.rs
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -32,8 +32,11 @@
 const YIELDED_PLACES_PART: f64 = 0.1;
 /// How far a worker's slowness may be from the expected.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 30.0);
-/// How long a worker that refused a request is passed over.
+/// How long a worker that refused a request is passed over at first; twice as long each further time until
+/// it answers,
 const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
+/// up to this long: an engine that is about to change its role refuses all until it has.
+const MAX_REFUSAL_PAUSE: Duration = Duration::from_millis(1_600);
 /// How long a worker that cannot be reached is passed over at first; twice as long each further
 /// time,
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1_000);
@@ -83,6 +86,7 @@
     success_at: Timestamp,
     pause_until: Timestamp,
     unreachable_pause: Duration,
+    refusal_pause: Duration,
     absent_until: Timestamp,
 }
 
@@ -109,6 +113,7 @@
             success_at: Timestamp::default(),
             pause_until: Timestamp::default(),
             unreachable_pause: UNREACHABLE_PAUSE,
+            refusal_pause: REFUSAL_PAUSE,
             absent_until: Timestamp::default(),
         }
     }
@@ -228,11 +233,18 @@
                 self.learn_success(now, 1.0);
                 self.latency = smooth(self.latency, latency.as_secs_f64(), LATENCY_WEIGHT);
                 self.unreachable_pause = UNREACHABLE_PAUSE;
+                self.refusal_pause = REFUSAL_PAUSE;
             }
             SendResult::Failed | SendResult::Abandoned { silent: true } => {
                 self.learn_success(now, 0.0);
             }
-            SendResult::Refused => self.pause_until = now + REFUSAL_PAUSE,
+            SendResult::Refused => {
+                // Refusals that were on their way together count once.
+                if !self.is_paused(now) {
+                    self.pause_until = now + self.refusal_pause;
+                    self.refusal_pause = (self.refusal_pause * 2).min(MAX_REFUSAL_PAUSE);
+                }
+            }
             SendResult::Unreachable => {
                 self.learn_success(now, 0.0);
                 self.pause_until = now + self.unreachable_pause;
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -518,3 +518,28 @@
     assert_eq!(choose(NOW), Some("far".into()));
     assert_eq!(choose(NOW + Duration::from_secs(300)), Some("near".into()));
 }
+
+#[test]
+fn a_worker_that_refuses_again_and_again_is_passed_over_for_longer() {
+    let asker = Asker::new();
+    let mut directory = directory(vec![worker("a", "z", None), worker("b", "far", None)]);
+    let chosen_at = |directory: &Directory, now: Timestamp| {
+        let worker = directory.select(now, asker.demand(&[]), &Need::Run, &[]);
+        worker.map(|worker| worker.id.to_string())
+    };
+    let refuse = |directory: &mut Directory, now: Timestamp| {
+        let id = WorkerId::from("a");
+        let ticket = directory.send_began(now, &id, asker.demand(&[]), &Need::Run);
+        directory.send_ended(now, &ticket, &[], SendResult::Refused);
+    };
+    refuse(&mut directory, NOW);
+    // One that was on its way together with the first does not make the pause longer.
+    refuse(&mut directory, NOW);
+    let later = NOW + Duration::from_millis(120);
+    assert_eq!(chosen_at(&directory, later), Some("a".into()));
+    refuse(&mut directory, later);
+    let soon = later + Duration::from_millis(120);
+    assert_eq!(chosen_at(&directory, soon), Some("b".into()));
+    let long_after = later + Duration::from_millis(220);
+    assert_eq!(chosen_at(&directory, long_after), Some("a".into()));
+}
--- a/crates/gateway/src/cache_recovery.rs
+++ b/crates/gateway/src/cache_recovery.rs
@@ -1,8 +1,10 @@
 //! What engines' caches hold is known from what was sent there. A gateway that starts asks others for
 //! what they know. If none of them has recovered its knowledge, as after the loss of all gateways,
-//! engines are asked for lists: each by the gateway that the hash of its identity ranks first, which
+//! engines are asked for lists: each by the scheduler that the hash of its identity ranks first, which
 //! tells the others.
 //!
+//! Only gateways that place requests, or are the next to do so, need to know; the others ask them.
+//!
 //! A gateway that has served for a moment knows a little; that is not taken for recovered knowledge.
 
 use std::net::SocketAddr;
@@ -20,7 +22,7 @@
 
 use crate::connections::WorkerRequest;
 use crate::load_exchange::{decode_part, encode_part, PartMessage};
-use crate::presence;
+use crate::presence::Member;
 use crate::state::Shared;
 
 /// Pause between two looks for workers and gateways.
@@ -70,6 +72,9 @@
 /// Learns what caches hold, once.
 pub async fn run(shared: Arc<Shared>) {
     wait_for_the_fleet(&shared).await;
+    while !hears_of_caches(&shared) {
+        sleep(PACE).await;
+    }
     if !learn_from_gateways(&shared).await {
         list_own_engines(&shared).await;
         sleep(OTHERS_LISTS).await;
@@ -114,26 +119,40 @@
     }
 }
 
+/// Whether this gateway needs to know what caches hold.
+fn hears_of_caches(shared: &Shared) -> bool {
+    let settings = shared.settings.read();
+    let fleet = shared.fleet.read();
+    !settings.decisions.schedulers || fleet.plan.is_listener(&settings.node.name)
+}
+
+/// The others that need to know it.
 fn other_gateways(shared: &Shared) -> Vec<SocketAddr> {
-    let own = shared.settings.read().listen.peers;
-    let members = presence::members(&shared.mirror.lock());
-    let others = members.into_iter().map(|member| member.copy);
-    others.filter(|address| *address != own).collect()
+    let settings = shared.settings.read().clone();
+    let fleet = shared.fleet.read().clone();
+    let hears =
+        |member: &&Member| !settings.decisions.schedulers || fleet.plan.is_listener(&member.name);
+    let others = fleet.members().filter(hears).map(|member| member.copy);
+    others
+        .filter(|address| *address != settings.listen.peers)
+        .collect()
 }
 
 fn own_engines(shared: &Shared) -> Vec<Worker> {
     let own = shared.settings.read().node.name.clone();
-    let mut names: Vec<String> = {
-        let members = presence::members(&shared.mirror.lock());
-        members.into_iter().map(|member| member.name).collect()
-    };
-    if !names.contains(&own) {
-        names.push(own.clone());
+    let fleet = shared.fleet.read().clone();
+    let mut names: Vec<&str> = fleet
+        .members()
+        .map(|member| member.name.as_str())
+        .filter(|name| fleet.plan.is_scheduler(name))
+        .collect();
+    if !names.contains(&own.as_str()) {
+        names.push(&own);
     }
     let engines = shared.directory.lock().engine_loads();
     let is_own = |worker: &Worker| {
         let ranked = rendezvous_rank(worker.id.as_str().as_bytes(), names.iter());
-        ranked.first().is_some_and(|name| **name == own)
+        ranked.first().is_some_and(|name| **name == own.as_str())
     };
     let engines = engines.into_iter().map(|engine| engine.worker);
     engines.filter(is_own).collect()
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -49,6 +49,11 @@
         members.len() == self.members.len() && members.iter().all(is_known)
     }
 
+    /// All gateways.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
     /// The names of all gateways.
     pub fn names(&self) -> impl Iterator<Item = &str> {
         self.members.keys().map(String::as_str)
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -37,7 +37,7 @@
 /// Time after the first read in which gateways that start together announce themselves. One that went on
 /// at once would take itself for a relay, as it knows hardly any other, and ask the store each time that
 /// one more is announced.
-const START_SETTLING: Duration = Duration::from_millis(1_000);
+const START_SETTLING: Duration = Duration::from_millis(600);
 /// How often a page after the first is asked for again.
 const PAGE_ATTEMPTS: u32 = 40;
 /// The shortest pause after a failed call.
