All workers are compared before a prompt is refused; the hollow fleet is removed

Cause: with a part of the workers compared, a prompt could be refused while a worker that was not drawn had time for it. Change: admission looks at all before it refuses, and the choice then does too.

--- a/crates/forwarding/src/directory/admission.rs
+++ b/crates/forwarding/src/directory/admission.rs
@@ -53,6 +53,8 @@
     Taken {
         /// Whether it is better read apart than by the worker that decodes.
         read_apart: bool,
+        /// Whether it was found in time only among all workers: its worker is to be chosen among all.
+        compares_all: bool,
     },
     /// Its wait would be too long.
     Refused {
@@ -82,6 +84,29 @@
     }
 }
 
+/// How long a prompt may take, and wait, in seconds.
+struct WaitLimits {
+    in_time: f64,
+    patience: f64,
+}
+
+impl WaitLimits {
+    /// The limits for a route, if a prompt usually takes `usual` seconds by itself.
+    fn new(objectives: Objectives, usual: f64) -> Self {
+        let objective = objectives.latency.as_secs_f64();
+        let in_time = objective * ON_TIME_PART;
+        Self {
+            in_time,
+            patience: (in_time - usual).max(objective * PATIENT_PART),
+        }
+    }
+
+    /// Whether a prompt with this plan is taken.
+    fn admit(&self, plan: &Plan) -> bool {
+        plan.seconds <= self.in_time || plan.waiting_seconds() <= self.patience
+    }
+}
+
 impl Directory {
     /// Whether a prompt is taken now, and whether it is read apart. It is not taken if it would wait
     /// long enough to be late, and longer than a usual one may wait to be in time: what is refused
@@ -93,13 +118,16 @@
         demand: Demand<'_>,
         objectives: Objectives,
     ) -> Admission {
-        let taken = Admission::Taken { read_apart: false };
+        let taken = |read_apart, compares_all| Admission::Taken {
+            read_apart,
+            compares_all,
+        };
         if demand.prompt.is_empty() {
-            return taken;
+            return taken(false, false);
         }
         let comparison = self.comparison(now, demand);
         let Some(plan) = self.plan(now, &comparison) else {
-            return taken;
+            return taken(false, false);
         };
         let hold = self.route_holds.get(&RouteKey::of(demand.route));
         let place_seconds = hold.copied().unwrap_or_default();
@@ -107,19 +135,25 @@
             .record(now, demand.service, plan.reader_seconds, place_seconds);
         let usual = self.usual_own.entry(demand.service.clone()).or_default();
         usual.record(plan.own_seconds);
-        let objective = objectives.latency.as_secs_f64();
-        let in_time = objective * ON_TIME_PART;
-        let patience = (in_time - usual.seconds()).max(objective * PATIENT_PART);
-        let waiting = plan.waiting_seconds();
-        if plan.seconds <= in_time || waiting <= patience || !self.decisions.refusal {
-            return Admission::Taken {
-                read_apart: plan.read_apart,
-            };
+        let limits = WaitLimits::new(objectives, usual.seconds());
+        if limits.admit(&plan) || !self.decisions.refusal {
+            return taken(plan.read_apart, false);
+        }
+        // None of the compared workers has time for it: all are asked before it is refused.
+        let demand = Demand {
+            compares_all: true,
+            ..demand
+        };
+        let comparison = self.comparison(now, demand);
+        let plan = self.plan(now, &comparison).unwrap_or(plan);
+        if limits.admit(&plan) {
+            return taken(plan.read_apart, true);
         }
         if self.decisions.beside_streams && self.fits_beside_streams(now, demand, objectives) {
-            return taken;
+            return taken(false, true);
         }
-        let queue_seconds = (waiting - patience).max(0.0);
+        let waiting = plan.waiting_seconds();
+        let queue_seconds = (waiting - limits.patience).max(0.0);
         Admission::Refused {
             waiting: bounded(waiting),
             retry_after: self.come_back_after(now, demand, objectives, queue_seconds),
--- a/crates/forwarding/src/placement/ledger.rs
+++ b/crates/forwarding/src/placement/ledger.rs
@@ -129,19 +129,28 @@
         zone: &ZoneName,
         request: PlacementRequest,
     ) -> PlacementAnswer {
-        let demand = Demand {
+        let mut demand = Demand {
             service: &request.service,
             prompt: &request.prompt,
             route: &request.route,
             yields: request.yields,
             zone,
             draw: request.draw,
+            compares_all: false,
         };
         let (need, avoid): (Need, &[WorkerId]) = match &request.need {
             PlacementNeed::Worker { need, avoid } => (need.clone(), avoid),
             PlacementNeed::Admission => match directory.admit(now, demand, request.objectives) {
-                Admission::Taken { read_apart: true } => (Need::ReadPrompt, &[]),
-                Admission::Taken { read_apart: false } => (Need::Run, &[]),
+                Admission::Taken {
+                    read_apart,
+                    compares_all,
+                } => {
+                    demand.compares_all = compares_all;
+                    match read_apart {
+                        true => (Need::ReadPrompt, &[]),
+                        false => (Need::Run, &[]),
+                    }
+                }
                 Admission::Refused {
                     waiting,
                     retry_after,
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -72,6 +72,7 @@
             yields: false,
             zone: &self.zone,
             draw: 1,
+            compares_all: false,
         }
     }
 
@@ -85,7 +86,13 @@
 fn reads_apart(directory: &mut Directory, prompt: &[PromptPart]) -> bool {
     let asker = Asker::new();
     let admission = directory.admit(NOW, asker.demand(prompt), OBJECTIVES);
-    matches!(admission, Admission::Taken { read_apart: true })
+    matches!(
+        admission,
+        Admission::Taken {
+            read_apart: true,
+            ..
+        }
+    )
 }
 
 /// A send to a worker begins.
@@ -284,7 +291,13 @@
         tokens: 700,
     }];
     let taken = directory.admit(NOW, asker.demand(&part), hasty);
-    assert_eq!(taken, Admission::Taken { read_apart: false });
+    assert_eq!(
+        taken,
+        Admission::Taken {
+            read_apart: false,
+            compares_all: true,
+        }
+    );
     let streams_without_bound = Objectives {
         pause: None,
         ..hasty
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -71,8 +71,10 @@
     waiting: Duration,
     cause: &'static str,
     begun_after: Option<Duration>,
-    /// Draws one of nearly equal engines.
+    /// Draws the compared workers, and one of nearly equal engines.
     draw: u64,
+    /// Whether this gateway compares all workers for it.
+    compares_all: bool,
     _in_flight: InFlight,
 }
 
@@ -92,6 +94,7 @@
             cause: "",
             begun_after: None,
             draw: rand::random(),
+            compares_all: false,
         }
     }
 
@@ -122,7 +125,13 @@
         let service = &self.request.routed.service;
         self.shared.retries.lock().record_request(now, service);
         let read_apart = match self.admit(now).await {
-            Admission::Taken { read_apart } => read_apart,
+            Admission::Taken {
+                read_apart,
+                compares_all,
+            } => {
+                self.compares_all = compares_all;
+                read_apart
+            }
             Admission::Refused {
                 waiting,
                 retry_after,
@@ -180,7 +189,10 @@
             Some(Answered::Placed(placed)) => {
                 let read_apart = placed.placement().read_apart;
                 self.placed = Some(placed);
-                return Admission::Taken { read_apart };
+                return Admission::Taken {
+                    read_apart,
+                    compares_all: false,
+                };
             }
             Some(Answered::Refused {
                 waiting,
@@ -215,6 +227,7 @@
             yields: self.request.routed.yields,
             zone,
             draw: self.draw,
+            compares_all: self.compares_all,
         }
     }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,8 +2,6 @@
 
 #![forbid(unsafe_code)]
 
-mod scale;
-mod scale_report;
 mod soak;
 
 use std::process::ExitCode;
@@ -17,7 +15,6 @@
 USAGE:
   tansyhall-lab compare --workload FILE ...   every strategy on the same traces, side by side
   tansyhall-lab load ...                      what a node adds to a request, against going straight
-  tansyhall-lab scale --nodes N ...           hollow nodes over sockets and what they cost
   tansyhall-lab soak --seconds N ...          random faults in virtual time against an oracle
   tansyhall-lab agree [--load NAME] ...       one trace in real time and through the emulator
   tansyhall-lab paired --before TEXT ...      two versions on the same days, from the bench's journal
@@ -46,7 +43,6 @@
     match command.as_deref() {
         Some("load") => tansyhall_lab::load::command(arguments),
         Some("compare") => tansyhall_lab::compare::command(arguments),
-        Some("scale") => scale::run(arguments),
         Some("soak") => soak::run(arguments),
         Some("paired") => tansyhall_lab::paired::command(arguments),
         Some("agree") => tansyhall_lab::agree::command(arguments),
