Decoders are planned for the short prompts that they read themselves; callers of a starting gateway come back later

Change: reading of short prompts is reported apart and planned for at 0.6 of decoders' time, as its recent peak, since the mix swings faster than an engine changes. Tests in role_balance.rs. Cause: gateways that start together with hundreds know the configuration after about 0.8 s; callers told to come back after 0.4 s were refused twice (3,366 refusals in a second).

--- a/crates/forwarding/src/directory/admission.rs
+++ b/crates/forwarding/src/directory/admission.rs
@@ -15,6 +15,7 @@
 use super::choice::{Demand, RouteKey};
 use super::coming_back::Refusal;
 use super::costs::{ContinuingWork, EngineWork, ReadingWork};
+use super::demand::AskedSeconds;
 use super::prediction::Comparison;
 use super::tracked::Tracked;
 use super::{Directory, MAX_EXPECTED_SECONDS};
@@ -73,8 +74,8 @@
     seconds: f64,
     /// Seconds of these that it would take if nothing else were under way.
     own_seconds: f64,
-    /// Seconds that it keeps an engine busy which only reads.
-    reader_seconds: f64,
+    /// What its reading asks of engines.
+    asked: AskedSeconds,
 }
 
 impl Plan {
@@ -130,9 +131,11 @@
             return taken(false, false);
         };
         let hold = self.route_holds.get(&RouteKey::of(demand.route));
-        let place_seconds = hold.copied().unwrap_or_default();
-        self.demands
-            .record(now, demand.service, plan.reader_seconds, place_seconds);
+        let asked = AskedSeconds {
+            place: hold.copied().unwrap_or_default(),
+            ..plan.asked
+        };
+        self.demands.record(now, demand.service, asked);
         let usual = self.usual_own.entry(demand.service.clone()).or_default();
         usual.record(plan.own_seconds);
         let limits = WaitLimits::new(objectives, usual.seconds());
@@ -236,7 +239,7 @@
             read_apart: false,
             seconds: seconds + worker.place_seconds(comparison.hold, comparison.yields),
             own_seconds,
-            reader_seconds: self.busy_seconds(worker, comparison),
+            asked: self.asked_seconds(worker, comparison),
         }
     }
 
@@ -247,15 +250,25 @@
             read_apart: true,
             seconds: seconds + going_on,
             own_seconds: own_seconds + comparison.costs.seconds(&work),
-            reader_seconds: self.busy_seconds(reader, comparison),
+            asked: self.asked_seconds(reader, comparison),
         }
     }
 
-    /// Seconds that reading the prompt keeps an engine busy which only reads and caches the same.
-    fn busy_seconds(&self, worker: &Tracked, comparison: &Comparison<'_>) -> f64 {
+    /// What reading the prompt asks of engines that cache the same as this one.
+    fn asked_seconds(&self, worker: &Tracked, comparison: &Comparison<'_>) -> AskedSeconds {
+        let costs = &comparison.costs;
         let reading = self.reading(worker, comparison);
+        if costs.is_short(comparison.prompt_tokens) {
+            return AskedSeconds {
+                reading_short: costs.busy_seconds_while_decoding(reading.missing_tokens),
+                ..AskedSeconds::default()
+            };
+        }
         let work = self.reading_work(worker, &reading, comparison);
-        comparison.costs.busy_seconds(&work)
+        AskedSeconds {
+            reading: costs.busy_seconds(&work),
+            ..AskedSeconds::default()
+        }
     }
 
     /// Seconds until an engine has read the prompt, and how many it would take if idle.
--- a/crates/forwarding/src/directory/costs.rs
+++ b/crates/forwarding/src/directory/costs.rs
@@ -212,6 +212,11 @@
         seconds - self.read_apart.weight(FIXED)
     }
 
+    /// Seconds that reading so many tokens keeps an engine busy which decodes.
+    pub(super) fn busy_seconds_while_decoding(&self, tokens: u64) -> f64 {
+        self.read_and_run.weight(REQUESTS) + self.tokens_while_decoding(tokens)
+    }
+
     /// Seconds that any fetch costs an engine which only reads, beside its transfer.
     pub(super) fn any_fetch(&self) -> f64 {
         self.read_apart.weight(FETCHES)
--- a/crates/forwarding/src/directory/demand.rs
+++ b/crates/forwarding/src/directory/demand.rs
@@ -1,7 +1,8 @@
 //! What is asked of each service's engines, what is refused included: by the callers of this gateway
 //! as rates that forget, by those of others as they report it.
 //!
-//! Reading is counted in seconds that an engine which only reads would be busy. Streams are counted in
+//! Reading is counted in seconds that an engine which only reads would be busy; that of short prompts, which
+//! are mostly read where they are decoded, in seconds of an engine that decodes. Streams are counted in
 //! seconds for which a stream of the same route usually holds its place: summed up over a second,
 //! that is the number of places which streams will hold once those that came lately have filled them.
 
@@ -16,10 +17,22 @@
 /// Less is not reported, in engines and in places.
 const MIN_REPORTED: f64 = 0.001;
 
+/// What one prompt asks of engines, in seconds.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct AskedSeconds {
+    /// Of an engine that only reads, for a long prompt.
+    pub(super) reading: f64,
+    /// Of an engine that decodes, for reading a short one.
+    pub(super) reading_short: f64,
+    /// Of a place for its stream.
+    pub(super) place: f64,
+}
+
 /// What is asked of one service.
 #[derive(Debug, Clone, Copy, Default)]
 struct Asked {
     reading: Rate,
+    reading_short: Rate,
     places: Rate,
 }
 
@@ -28,6 +41,7 @@
         EngineDemand {
             service,
             readers: self.reading.a_second(now),
+            decoders: self.reading_short.a_second(now),
             places: self.places.a_second(now),
         }
     }
@@ -47,17 +61,12 @@
 }
 
 impl Demands {
-    /// A caller of this gateway asks for so many seconds of reading, and of a place for its stream.
-    pub(super) fn record(
-        &mut self,
-        now: Timestamp,
-        service: &ServiceName,
-        reading_seconds: f64,
-        place_seconds: f64,
-    ) {
-        let asked = self.own.entry(service.clone()).or_default();
-        asked.reading.record(now, reading_seconds);
-        asked.places.record(now, place_seconds);
+    /// A caller of this gateway asks for this.
+    pub(super) fn record(&mut self, now: Timestamp, service: &ServiceName, asked: AskedSeconds) {
+        let rates = self.own.entry(service.clone()).or_default();
+        rates.reading.record(now, asked.reading);
+        rates.reading_short.record(now, asked.reading_short);
+        rates.places.record(now, asked.place);
     }
 
     /// What the callers of this gateway ask for.
@@ -66,8 +75,11 @@
             .own
             .iter()
             .map(|(service, asked)| asked.demand(now, ServiceKey::of(service)));
-        own.filter(|demand| demand.readers.max(demand.places) >= MIN_REPORTED)
-            .collect()
+        let is_reported = |demand: &EngineDemand| {
+            let most = demand.readers.max(demand.decoders).max(demand.places);
+            most >= MIN_REPORTED
+        };
+        own.filter(is_reported).collect()
     }
 
     /// Another gateway says what its callers ask for.
@@ -90,6 +102,7 @@
         of_service.fold(own.demand(now, key), |sum, (_, heard)| EngineDemand {
             service: key,
             readers: sum.readers + heard.demand.readers,
+            decoders: sum.decoders + heard.demand.decoders,
             places: sum.places + heard.demand.places,
         })
     }
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -64,8 +64,10 @@
 pub struct EngineDemand {
     /// The service.
     pub service: ServiceKey,
-    /// Engines that do nothing but read which it would keep busy.
+    /// Engines that do nothing but read which its long prompts would keep busy.
     pub readers: f64,
+    /// Engines that decode which reading its short prompts would keep busy.
+    pub decoders: f64,
     /// Places of engines that decode which its streams would hold.
     pub places: f64,
 }
--- a/crates/forwarding/tests/scheduler_plan.rs
+++ b/crates/forwarding/tests/scheduler_plan.rs
@@ -20,7 +20,11 @@
     let candidate = |number: usize| SchedulerCandidate {
         name: format!("g-{number}"),
         zone: zone(number % zones),
-        capacity: if (number / zones) % 10 == 0 { 0.5 } else { 0.125 },
+        capacity: if (number / zones) % 10 == 0 {
+            0.5
+        } else {
+            0.125
+        },
     };
     (0..gateways).map(candidate).collect()
 }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -17,8 +17,9 @@
 use crate::headers::HeaderList;
 use crate::state::{InFlight, InForce, Routed, Shared};
 
-/// When a caller should come back to a gateway that cannot serve yet.
-const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// When a caller should come back to a gateway that cannot serve yet. One that starts together with hundreds
+/// of others was seen to know the configuration after 0.8 s; callers that come back sooner are refused again.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
 /// When a caller of a gateway that leaves should come back; another takes it at once.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(10);
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -58,6 +58,9 @@
     /// Places that its streams would hold.
     #[prost(float, tag = "3")]
     pub places: f32,
+    /// Engines that decode which its short prompts would keep busy with reading.
+    #[prost(float, tag = "4")]
+    pub decoders: f32,
 }
 
 /// A load on the wire.
@@ -199,6 +202,7 @@
         service: demand.service.0,
         readers: demand.readers as f32,
         places: demand.places as f32,
+        decoders: demand.decoders as f32,
     }
 }
 
@@ -216,6 +220,7 @@
         service: ServiceKey(message.service),
         readers: possible(message.readers),
         places: possible(message.places),
+        decoders: possible(message.decoders),
     }
 }
 
--- a/crates/gateway/src/role_authority.rs
+++ b/crates/gateway/src/role_authority.rs
@@ -16,9 +16,9 @@
 use tansyhall_authority::{
     claim::claim_delay, ClaimAction, ClaimEvent, ClaimRecord, Epoch, Lease, PoolClaim,
 };
-use tansyhall_core::{NodeId, PoolName, Role, Timestamp};
+use tansyhall_core::{NodeId, PoolName, Role, ServiceName, Timestamp};
 use tansyhall_forwarding::{EngineLoad, Mirror, Worker, WorkerId};
-use tansyhall_planner::{balance_roles, BalancedEngine, ExpectedDemand};
+use tansyhall_planner::{balance_roles, BalancedEngine, ExpectedDemand, RecentPeak};
 use tansyhall_store::{Compare, KeyValueStore, LeaseId, Operation, Revision, Transaction};
 use tokio::time::{sleep, timeout};
 
@@ -64,6 +64,7 @@
         changed: Timestamp::default(),
         ordered: HashMap::new(),
         streams: HashMap::new(),
+        short_reading: HashMap::new(),
     };
     while !authority.shared.is_stopping() {
         sleep(PACE).await;
@@ -112,6 +113,8 @@
     changed: Timestamp,
     ordered: HashMap<WorkerId, Timestamp>,
     streams: HashMap<WorkerId, f64>,
+    /// What reading short prompts asked of the decoders of each service lately.
+    short_reading: HashMap<ServiceName, RecentPeak>,
 }
 
 impl RoleAuthority {
@@ -199,8 +202,10 @@
                 .map(|engine| self.balanced(engine, &desired))
                 .collect();
             let demand = self.shared.directory.lock().engine_demand(now, &service);
+            let peak = self.short_reading.entry(service.clone()).or_default();
             let expected = ExpectedDemand {
                 readers: demand.readers,
+                decoders: peak.observe(now, demand.decoders),
                 places: demand.places,
             };
             for change in balance_roles(&balanced, expected) {
@@ -350,7 +355,7 @@
     }
 }
 
-fn services_of(engines: &[EngineLoad]) -> Vec<tansyhall_core::ServiceName> {
+fn services_of(engines: &[EngineLoad]) -> Vec<ServiceName> {
     let mut services: Vec<_> = engines
         .iter()
         .map(|engine| engine.worker.service.clone())
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -3,10 +3,12 @@
 #![forbid(unsafe_code)]
 
 pub mod bounds;
+pub mod peak;
 pub mod predictive;
 pub mod role_balance;
 pub mod rollout;
 
 pub use bounds::{plan_bounds, EngineView, PlannedChange, RoleLimit};
+pub use peak::RecentPeak;
 pub use role_balance::{balance_roles, BalancedEngine, ExpectedDemand, RoleChange};
 pub use rollout::{plan_loads, DesiredLoads, Load, LoadedEngine, PlannedLoad, RolloutGuard};
--- a/crates/planner/src/role_balance.rs
+++ b/crates/planner/src/role_balance.rs
@@ -6,9 +6,10 @@
 //! fill up slowly; a prompt that finds no reader is late at once. So decoders get what the streams
 //! need and all other engines read:
 //!
-//! 1. decoders for the streams: `streams` / [`FULL_PART`], rounded up;
+//! 1. decoders for the streams: `streams` / [`FULL_PART`], and for the short prompts that they read
+//!    themselves: those / [`SHORT_READING_PART`], rounded up;
 //! 2. if that leaves readers with more than [`FULL_PART`] of their time taken, no more than make both
-//!    sides equally short: engines x `streams` / (`streams` + `reading`);
+//!    sides equally short: engines x decoding / (decoding + `reading`), decoding being `streams` and short prompts;
 //! 3. at least one for each zone that has engines, and [`MIN_DECODERS_PART`] of all, so that the
 //!    loss of an engine or a zone leaves decoders;
 //! 4. at least one reader, if there are two engines or more.
@@ -25,6 +26,9 @@
 /// The part of its slots, or of its time, with which an engine counts as full: above it waits grow
 /// quickly.
 const FULL_PART: f64 = 0.9;
+/// The part of their time up to which decoders are kept busy with reading short prompts: at 0.6 these wait
+/// for each other three quarters of the time that one takes (M/D/1), and they come in bursts.
+const SHORT_READING_PART: f64 = 0.6;
 /// The least part of all engines that decode.
 const MIN_DECODERS_PART: f64 = 0.28;
 /// The part of all engines up to which a difference from what is needed changes nothing: about what the
@@ -66,6 +70,8 @@
 pub struct ExpectedDemand {
     /// Engines that do nothing but read which it would keep busy.
     pub readers: f64,
+    /// Engines that decode which reading its short prompts would keep busy.
+    pub decoders: f64,
     /// Places that its streams will hold.
     pub places: f64,
 }
@@ -74,6 +80,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Need {
     streams: f64,
+    short_reading: f64,
     reading: f64,
 }
 
@@ -88,25 +95,28 @@
         let slots = f64::from(slots.unwrap_or(1).max(1));
         Self {
             streams: f64::from(streams).max(expected.places) / slots,
+            short_reading: expected.decoders,
             reading: expected.readers,
         }
     }
 
     /// Decoders of so many engines, before the least numbers of each role.
     fn decoders(&self, engines: f64) -> usize {
-        let for_streams = (self.streams / FULL_PART).ceil();
+        let for_short = self.short_reading / SHORT_READING_PART;
+        let for_streams = (self.streams / FULL_PART + for_short).ceil();
         let readers = engines - for_streams;
         if self.reading <= readers * FULL_PART {
             return for_streams as usize;
         }
-        let equally_short = engines * self.streams / (self.streams + self.reading);
+        let decoding = self.streams + self.short_reading;
+        let equally_short = engines * decoding / (decoding + self.reading);
         for_streams.min(equally_short.round()) as usize
     }
 
     /// Whether engines of that role, so many, are full.
     fn fills(&self, role: Role, engines: usize) -> bool {
         let taken = match role {
-            Role::Decode => self.streams,
+            Role::Decode => self.streams + self.short_reading,
             _ => self.reading,
         };
         taken > engines as f64 * FULL_PART
--- a/crates/planner/tests/role_balance.rs
+++ b/crates/planner/tests/role_balance.rs
@@ -2,8 +2,8 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use tansyhall_core::{Role, ZoneName};
-use tansyhall_planner::{balance_roles, BalancedEngine, ExpectedDemand};
+use tansyhall_core::{Role, Timestamp, ZoneName};
+use tansyhall_planner::{balance_roles, BalancedEngine, ExpectedDemand, RecentPeak};
 
 fn engine(zone: &str, role: Role, streams: u32) -> BalancedEngine {
     BalancedEngine {
@@ -23,7 +23,7 @@
 fn apply_with(engines: &mut [BalancedEngine], readers: f64) -> usize {
     let expected = ExpectedDemand {
         readers,
-        places: 0.0,
+        ..ExpectedDemand::default()
     };
     apply_expecting(engines, expected)
 }
@@ -100,6 +100,7 @@
     let expected = ExpectedDemand {
         readers: 2.0,
         places: 150.0,
+        ..ExpectedDemand::default()
     };
     assert!(apply_expecting(&mut engines, expected) > 0);
     assert_eq!(decoders(&engines), 6);
@@ -194,3 +195,56 @@
         prop_assert!(decoders > 0 && decoders < engines.len());
     }
 }
+
+/// Engines of one zone, so many of which decode.
+fn zone_of(engines: usize, decoders: usize) -> Vec<BalancedEngine> {
+    let role = |number| match number < decoders {
+        true => Role::Decode,
+        false => Role::Prefill,
+    };
+    (0..engines)
+        .map(|number| engine("z", role(number), 0))
+        .collect()
+}
+
+#[test]
+fn decoders_that_read_short_prompts_themselves_have_time_for_it() {
+    let mut engines = zone_of(160, 45);
+    let expected = ExpectedDemand {
+        readers: 10.0,
+        decoders: 36.0,
+        ..ExpectedDemand::default()
+    };
+    while apply_expecting(&mut engines, expected) > 0 {}
+    assert!(
+        (57..=63).contains(&decoders(&engines)),
+        "{}",
+        decoders(&engines)
+    );
+    let mut without = zone_of(160, 45);
+    let streams_only = ExpectedDemand {
+        decoders: 0.0,
+        ..expected
+    };
+    assert_eq!(apply_expecting(&mut without, streams_only), 0);
+}
+
+#[test]
+fn more_engines_change_at_once_in_a_larger_fleet() {
+    let busy_readers = ExpectedDemand {
+        readers: 1_000.0,
+        ..ExpectedDemand::default()
+    };
+    assert_eq!(apply_expecting(&mut zone_of(12, 12), busy_readers), 3);
+    assert_eq!(apply_expecting(&mut zone_of(160, 160), busy_readers), 8);
+    assert_eq!(apply_expecting(&mut zone_of(600, 600), busy_readers), 30);
+}
+
+#[test]
+fn a_recent_peak_is_forgotten_slowly() {
+    let at = |seconds: u64| Timestamp::from_millis(seconds * 1_000);
+    let mut peak = RecentPeak::default();
+    assert_eq!(peak.observe(at(100), 8.0), 8.0);
+    assert!((peak.observe(at(110), 1.0) - 4.0).abs() < 1e-9);
+    assert_eq!(peak.observe(at(111), 6.0), 6.0);
+}
