--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -35,11 +35,11 @@
 mod rate;
 mod sampling;
 mod sharing;
+mod ticket;
 mod tracked;
 mod usual;
 
 use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use tansyhall_core::{Role, ServiceName, Timestamp};
@@ -53,10 +53,11 @@
 
 pub use admission::{Admission, Objectives};
 pub use choice::Demand;
+pub use ticket::SendTicket;
 pub use tracked::SendResult;
 
 use choice::RouteKey;
-use costs::{EngineCosts, EngineWork};
+use costs::EngineCosts;
 use demand::Demands;
 use sampling::Sampling;
 use sharing::report_prompt;
@@ -90,48 +91,6 @@
     stale_dropped: Timestamp,
 }
 
-/// A send under way.
-#[derive(Debug, Clone, PartialEq)]
-pub struct SendTicket {
-    worker: WorkerId,
-    counted: bool,
-    route: RouteKey,
-    reading_tokens: u64,
-    /// Whether reading it costs an engine hardly more than any prompt does.
-    short: bool,
-    /// What an engine was asked for; none for workers that read no prompts.
-    work: Option<EngineWork>,
-    /// Seconds that a worker like others of its service was expected to take.
-    usual_seconds: f64,
-    /// Seconds of these for parts that are fetched from another worker.
-    fetch_seconds: f64,
-    expected_seconds: f64,
-    fetch_from: Option<SocketAddr>,
-    read_at: Option<Timestamp>,
-}
-
-impl SendTicket {
-    /// The worker from which the chosen one should fetch what it lacks of the prompt.
-    pub fn fetch_from(&self) -> Option<SocketAddr> {
-        self.fetch_from
-    }
-
-    /// Prompt tokens that are still to be read.
-    pub fn reading_tokens(&self) -> u64 {
-        self.reading_tokens
-    }
-
-    /// Whether reading what is still to be read costs an engine hardly more than any prompt does.
-    pub fn is_short_reading(&self) -> bool {
-        self.short
-    }
-
-    /// The time after which the answer was expected when the send began.
-    pub fn expected(&self) -> Duration {
-        Duration::from_secs_f64(self.expected_seconds.clamp(0.0, MAX_EXPECTED_SECONDS))
-    }
-}
-
 /// An engine with what is under way there.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineLoad {
@@ -272,44 +231,6 @@
         ticket
     }
 
-    fn ticket(&self, now: Timestamp, id: &WorkerId, demand: Demand<'_>, need: &Need) -> SendTicket {
-        let mut ticket = SendTicket {
-            worker: id.clone(),
-            counted: false,
-            route: RouteKey::of(demand.route),
-            reading_tokens: 0,
-            short: false,
-            work: None,
-            usual_seconds: 0.0,
-            fetch_seconds: 0.0,
-            expected_seconds: 0.0,
-            fetch_from: None,
-            read_at: None,
-        };
-        let Some(tracked) = self.workers.get(id) else {
-            return ticket;
-        };
-        if demand.prompt.is_empty() {
-            ticket.usual_seconds = tracked.plain_seconds();
-            ticket.expected_seconds = ticket.usual_seconds;
-            return ticket;
-        }
-        let comparison = self.comparison(now, demand);
-        let work = self.engine_work(tracked, need, &comparison);
-        if need.reads() {
-            let reading = self.reading(tracked, &comparison);
-            ticket.reading_tokens = reading.missing_tokens;
-            ticket.short =
-                self.decisions.short_first && comparison.costs.is_short(reading.missing_tokens);
-            ticket.fetch_from = reading.source;
-            ticket.fetch_seconds = reading.transfer_seconds;
-        }
-        ticket.usual_seconds = comparison.costs.seconds(&work);
-        ticket.expected_seconds = ticket.usual_seconds * tracked.slowness + ticket.fetch_seconds;
-        ticket.work = Some(work);
-        ticket
-    }
-
     /// The worker has read the prompt of a send: its answer begins after `latency`.
     pub fn prompt_was_read(
         &mut self,
--- a/crates/gateway/src/cache_recovery.rs
+++ b/crates/gateway/src/cache_recovery.rs
@@ -21,7 +21,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::connections::WorkerRequest;
-use crate::load_exchange::{decode_part, encode_part, PartMessage};
+use crate::load_messages::{decode_part, encode_part, PartMessage};
 use crate::presence::Member;
 use crate::state::Shared;
 
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -8,7 +8,7 @@
 use prost::Message;
 use tokio::net::UdpSocket;
 
-use crate::load_exchange::ReportMessage;
+use crate::load_messages::ReportMessage;
 use crate::placement::{AnswerMessage, QuestionMessage};
 
 /// The longest datagram.
--- /dev/null
+++ b/crates/gateway/src/load_messages.rs
@@ -0,0 +1,164 @@
+//! Reports of load as they are sent.
+
+use prost::Message;
+use tansyhall_forwarding::{
+    Absence, EngineDemand, GatewayKey, Load, LoadEntry, LoadReport, PartKey, PartRead, ServiceKey,
+    WorkerKey,
+};
+
+/// A report on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct ReportMessage {
+    /// The sender's key.
+    #[prost(fixed64, tag = "1")]
+    pub sender: u64,
+    /// Grows with each report.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// Loads.
+    #[prost(message, repeated, tag = "3")]
+    pub loads: Vec<LoadMessage>,
+    /// Parts read.
+    #[prost(message, repeated, tag = "4")]
+    pub parts: Vec<PartMessage>,
+    /// Keys of workers that were found absent.
+    #[prost(fixed64, repeated, tag = "5")]
+    pub absences: Vec<u64>,
+    /// What is asked of services.
+    #[prost(message, repeated, tag = "6")]
+    pub demands: Vec<DemandMessage>,
+}
+
+/// What is asked of a service, on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct DemandMessage {
+    /// The service's key.
+    #[prost(fixed64, tag = "1")]
+    pub service: u64,
+    /// Engines that it would keep busy with reading.
+    #[prost(float, tag = "2")]
+    pub readers: f32,
+    /// Places that its streams would hold.
+    #[prost(float, tag = "3")]
+    pub places: f32,
+    /// Engines that decode which its short prompts would keep busy with reading.
+    #[prost(float, tag = "4")]
+    pub decoders: f32,
+}
+
+/// A load on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct LoadMessage {
+    /// The worker's key.
+    #[prost(fixed64, tag = "1")]
+    pub worker: u64,
+    /// Sends under way.
+    #[prost(uint32, tag = "2")]
+    pub sends: u32,
+    /// Prompt tokens still to be read.
+    #[prost(uint64, tag = "3")]
+    pub reading_tokens: u64,
+}
+
+/// A part read on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct PartMessage {
+    /// The worker's key.
+    #[prost(fixed64, tag = "1")]
+    pub worker: u64,
+    /// The part's key.
+    #[prost(fixed64, tag = "2")]
+    pub part: u64,
+    /// Its length.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+    /// Whether the reading has ended.
+    #[prost(bool, tag = "4")]
+    pub ready: bool,
+}
+
+/// A report for the wire.
+pub fn encode(report: &LoadReport) -> ReportMessage {
+    let loads = report.loads.iter().map(|entry| LoadMessage {
+        worker: entry.worker.0,
+        sends: entry.load.sends,
+        reading_tokens: entry.load.reading_tokens,
+    });
+    ReportMessage {
+        sender: report.sender.0,
+        sequence: report.sequence,
+        loads: loads.collect(),
+        parts: report.parts.iter().map(encode_part).collect(),
+        absences: report.absences.iter().map(|one| one.worker.0).collect(),
+        demands: report.demands.iter().map(encode_demand).collect(),
+    }
+}
+
+fn encode_demand(demand: &EngineDemand) -> DemandMessage {
+    DemandMessage {
+        service: demand.service.0,
+        readers: demand.readers as f32,
+        places: demand.places as f32,
+        decoders: demand.decoders as f32,
+    }
+}
+
+/// What is no possible figure counts as nothing.
+fn possible(figure: f32) -> f64 {
+    match figure.is_finite() && figure >= 0.0 {
+        true => f64::from(figure),
+        false => 0.0,
+    }
+}
+
+/// A demand from the wire.
+fn decode_demand(message: &DemandMessage) -> EngineDemand {
+    EngineDemand {
+        service: ServiceKey(message.service),
+        readers: possible(message.readers),
+        places: possible(message.places),
+        decoders: possible(message.decoders),
+    }
+}
+
+/// A part for the wire.
+pub fn encode_part(read: &PartRead) -> PartMessage {
+    PartMessage {
+        worker: read.worker.0,
+        part: read.part.0,
+        tokens: read.tokens,
+        ready: read.ready,
+    }
+}
+
+/// A part from the wire.
+pub fn decode_part(message: PartMessage) -> PartRead {
+    PartRead {
+        worker: WorkerKey(message.worker),
+        part: PartKey(message.part),
+        tokens: message.tokens,
+        ready: message.ready,
+    }
+}
+
+/// A report from the wire.
+pub fn decode(message: ReportMessage) -> LoadReport {
+    let loads = message.loads.into_iter().map(|entry| LoadEntry {
+        worker: WorkerKey(entry.worker),
+        load: Load {
+            sends: entry.sends,
+            reading_tokens: entry.reading_tokens,
+        },
+    });
+    let absences = message.absences.into_iter().map(|key| Absence {
+        worker: WorkerKey(key),
+    });
+    LoadReport {
+        sender: GatewayKey(message.sender),
+        sequence: message.sequence,
+        loads: loads.collect(),
+        parts: message.parts.into_iter().map(decode_part).collect(),
+        absences: absences.collect(),
+        demands: message.demands.iter().map(decode_demand).collect(),
+    }
+}
--- a/crates/gateway/src/role_authority.rs
+++ b/crates/gateway/src/role_authority.rs
@@ -17,7 +17,7 @@
     claim::claim_delay, ClaimAction, ClaimEvent, ClaimRecord, Epoch, Lease, PoolClaim,
 };
 use tansyhall_core::{NodeId, PoolName, Role, ServiceName, Timestamp};
-use tansyhall_forwarding::{EngineLoad, Mirror, Worker, WorkerId};
+use tansyhall_forwarding::{EngineLoad, Worker, WorkerId};
 use tansyhall_planner::{balance_roles, BalancedEngine, ExpectedDemand, RecentPeak};
 use tansyhall_store::{Compare, KeyValueStore, LeaseId, Operation, Revision, Transaction};
 use tokio::time::{sleep, timeout};
@@ -27,11 +27,10 @@
 use crate::events::{Event, Weight};
 use crate::lease::NodeLease;
 use crate::protocol::{EngineReport, RoleOrder, WorkerCall};
+use crate::role_claim::{self, RoleClaim};
 use crate::state::Shared;
 use crate::store_call::in_time;
 
-/// The key of the claim.
-const CLAIM_KEY: &str = "tansyhall/authority/roles";
 /// What is claimed, for the spreading of claims.
 const CLAIM_NAME: &str = "roles";
 /// Pause between two looks.
@@ -72,38 +71,6 @@
     }
 }
 
-/// The value of the claim's key.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct RoleClaim {
-    /// The holder's lease.
-    lease: Lease,
-    /// The holder's name; an older version does not tell it.
-    holder: Option<String>,
-}
-
-impl RoleClaim {
-    fn encode(&self) -> Vec<u8> {
-        let Lease(lease) = self.lease;
-        let holder = self.holder.as_deref().unwrap_or_default();
-        format!("{lease} {holder}").into_bytes()
-    }
-
-    fn decode(value: &[u8]) -> Option<Self> {
-        let mut words = std::str::from_utf8(value).ok()?.split(' ');
-        let lease = words.next()?.parse().ok()?;
-        let holder = words.next().filter(|name| !name.is_empty());
-        Some(Self {
-            lease: Lease(lease),
-            holder: holder.map(str::to_owned),
-        })
-    }
-}
-
-/// The name of the gateway that holds the authority, as the copy of the store says.
-pub fn holder(mirror: &Mirror) -> Option<String> {
-    RoleClaim::decode(&mirror.get(CLAIM_KEY)?.value)?.holder
-}
-
 struct RoleAuthority {
     shared: Arc<Shared>,
     store: Rc<dyn KeyValueStore>,
@@ -157,7 +124,7 @@
     fn observe(&self) -> ClaimEvent {
         let lease = self.lease.held();
         let mirror = self.shared.mirror.lock();
-        let record = mirror.get(CLAIM_KEY).and_then(|item| {
+        let record = mirror.get(role_claim::KEY).and_then(|item| {
             let claim = RoleClaim::decode(&item.value)?;
             Some(ClaimRecord {
                 lease: claim.lease,
@@ -173,9 +140,9 @@
             holder: Some(self.shared.settings.read().node.name.clone()),
         };
         let transaction = Transaction {
-            compare: vec![Compare::Absent(CLAIM_KEY.into())],
+            compare: vec![Compare::Absent(role_claim::KEY.into())],
             operations: vec![Operation::Put {
-                key: CLAIM_KEY.into(),
+                key: role_claim::KEY.into(),
                 value: claim.encode(),
                 lease: Some(LeaseId(lease)),
             }],
@@ -256,7 +223,7 @@
         };
         let transaction = Transaction {
             compare: vec![
-                Compare::ModifiedAt(CLAIM_KEY.into(), Revision(epoch)),
+                Compare::ModifiedAt(role_claim::KEY.into(), Revision(epoch)),
                 unchanged,
             ],
             operations: vec![Operation::Put {
--- a/crates/gateway/tests/caches.rs
+++ b/crates/gateway/tests/caches.rs
@@ -2,7 +2,7 @@
 
 use prost::Message;
 use tansyhall_gateway::cache_recovery::CachesMessage;
-use tansyhall_gateway::load_exchange::PartMessage;
+use tansyhall_gateway::load_messages::PartMessage;
 
 fn message(recovered: bool) -> CachesMessage {
     let part = PartMessage {
