--- a/crates/forwarding/src/directory/admission.rs
+++ b/crates/forwarding/src/directory/admission.rs
@@ -27,6 +27,8 @@
 /// The part of its latency objective within which a prompt's answer is to begin as far as gateways
 /// can tell; the rest is for the way to the caller and for what was not expected.
 const ON_TIME_PART: f64 = 0.8;
+/// Bits by which a random number is turned to draw once more: half of them, so that little is alike.
+const SECOND_DRAW_BITS: u32 = 32;
 /// The least part of its latency objective for which any prompt may wait.
 const PATIENT_PART: f64 = 0.25;
 
@@ -54,8 +56,8 @@
     Taken {
         /// Whether it is better read apart than by the worker that decodes.
         read_apart: bool,
-        /// Whether it was found in time only among all workers: its worker is to be chosen among all.
-        compares_all: bool,
+        /// The random number of the demand with which it is in time: its worker is to be drawn by it.
+        draw: u64,
     },
     /// Its wait would be too long.
     Refused {
@@ -119,16 +121,13 @@
         demand: Demand<'_>,
         objectives: Objectives,
     ) -> Admission {
-        let taken = |read_apart, compares_all| Admission::Taken {
-            read_apart,
-            compares_all,
-        };
+        let taken = |read_apart, draw| Admission::Taken { read_apart, draw };
         if demand.prompt.is_empty() {
-            return taken(false, false);
+            return taken(false, demand.draw);
         }
         let comparison = self.comparison(now, demand);
         let Some(plan) = self.plan(now, &comparison) else {
-            return taken(false, false);
+            return taken(false, demand.draw);
         };
         let hold = self.route_holds.get(&RouteKey::of(demand.route));
         let asked = AskedSeconds {
@@ -140,20 +139,21 @@
         usual.record(plan.own_seconds);
         let limits = WaitLimits::new(objectives, usual.seconds());
         if limits.admit(&plan) || !self.decisions.refusal {
-            return taken(plan.read_apart, false);
+            return taken(plan.read_apart, demand.draw);
         }
-        // None of the compared workers has time for it: all are asked before it is refused.
+        // None of the compared workers has time for it: as many others are compared before it is refused.
+        // Not all, since others would find the same one with time left, and fill it together.
         let demand = Demand {
-            compares_all: true,
+            draw: demand.draw.rotate_left(SECOND_DRAW_BITS),
             ..demand
         };
         let comparison = self.comparison(now, demand);
         let plan = self.plan(now, &comparison).unwrap_or(plan);
         if limits.admit(&plan) {
-            return taken(plan.read_apart, true);
+            return taken(plan.read_apart, demand.draw);
         }
         if self.decisions.beside_streams && self.fits_beside_streams(now, demand, objectives) {
-            return taken(false, true);
+            return taken(false, demand.draw);
         }
         let waiting = plan.waiting_seconds();
         let queue_seconds = (waiting - limits.patience).max(0.0);
--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -31,8 +31,6 @@
     pub zone: &'a ZoneName,
     /// A random number, by which the compared workers, and one of nearly equal engines, are drawn.
     pub draw: u64,
-    /// Whether all workers are compared, and not a part of them (see `sampling`).
-    pub compares_all: bool,
 }
 
 /// Names a route in tables.
@@ -101,7 +99,7 @@
     ) -> Vec<&Tracked> {
         let candidates = self.candidates(now, demand.service, need, avoid);
         let part = self.sampling.part(now, candidates.len());
-        if demand.compares_all || part >= 1.0 {
+        if part >= 1.0 {
             return candidates;
         }
         let is_compared = |tracked: &&Tracked| {
--- a/crates/forwarding/src/placement/ledger.rs
+++ b/crates/forwarding/src/placement/ledger.rs
@@ -136,16 +136,12 @@
             yields: request.yields,
             zone,
             draw: request.draw,
-            compares_all: false,
         };
         let (need, avoid): (Need, &[WorkerId]) = match &request.need {
             PlacementNeed::Worker { need, avoid } => (need.clone(), avoid),
             PlacementNeed::Admission => match directory.admit(now, demand, request.objectives) {
-                Admission::Taken {
-                    read_apart,
-                    compares_all,
-                } => {
-                    demand.compares_all = compares_all;
+                Admission::Taken { read_apart, draw } => {
+                    demand.draw = draw;
                     match read_apart {
                         true => (Need::ReadPrompt, &[]),
                         false => (Need::Run, &[]),
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -73,8 +73,6 @@
     begun_after: Option<Duration>,
     /// Draws the compared workers, and one of nearly equal engines.
     draw: u64,
-    /// Whether this gateway compares all workers for it.
-    compares_all: bool,
     _in_flight: InFlight,
 }
 
@@ -94,7 +92,6 @@
             cause: "",
             begun_after: None,
             draw: rand::random(),
-            compares_all: false,
         }
     }
 
@@ -125,11 +122,8 @@
         let service = &self.request.routed.service;
         self.shared.retries.lock().record_request(now, service);
         let read_apart = match self.admit(now).await {
-            Admission::Taken {
-                read_apart,
-                compares_all,
-            } => {
-                self.compares_all = compares_all;
+            Admission::Taken { read_apart, draw } => {
+                self.draw = draw;
                 read_apart
             }
             Admission::Refused {
--- a/crates/gateway/src/exchange/placing.rs
+++ b/crates/gateway/src/exchange/placing.rs
@@ -16,10 +16,8 @@
             Some(Answered::Placed(placed)) => {
                 let read_apart = placed.placement().read_apart;
                 self.placed = Some(placed);
-                return Admission::Taken {
-                    read_apart,
-                    compares_all: false,
-                };
+                let draw = self.draw;
+                return Admission::Taken { read_apart, draw };
             }
             Some(Answered::Refused {
                 waiting,
@@ -46,7 +44,6 @@
             yields: self.request.routed.yields,
             zone,
             draw: self.draw,
-            compares_all: self.compares_all,
         }
     }
 
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -65,7 +65,6 @@
             yields: false,
             zone: &zone,
             draw: 0,
-            compares_all: true,
         };
         let mut directory = shared.directory.lock();
         let ticket = directory.send_began(now, &sent.worker, demand, &sent.need);
