--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -38,7 +38,7 @@
         }
         let due = {
             let mut directory = shared.directory.lock();
-            directory.set_exchange(others(shared, &fleet), pace(&fleet));
+            directory.set_exchange(other_schedulers(shared, &fleet), pace(&fleet));
             directory.report_due(now)
         };
         if let Some(report) = due.filter(|_| places_requests(shared, &fleet)) {
@@ -47,13 +47,15 @@
     }
 }
 
-/// Other gateways that place requests.
-fn others(shared: &Shared, fleet: &Fleet) -> usize {
-    let all = match shared.settings.read().decisions.schedulers {
-        true => fleet.plan.schedulers(),
-        false => fleet.len(),
-    };
-    all.saturating_sub(1)
+/// Other schedulers. In a small fleet, where each gateway places its own requests, none counts: there are
+/// few engines, and to compare a part of them was worth 0.02 less on a fleet of eight gateways.
+fn other_schedulers(shared: &Shared, fleet: &Fleet) -> usize {
+    let schedulers = fleet.plan.schedulers();
+    let some_ask = schedulers < fleet.len() && shared.settings.read().decisions.schedulers;
+    match some_ask {
+        true => schedulers.saturating_sub(1),
+        false => 0,
+    }
 }
 
 /// Whether what this gateway has under way is known to no scheduler.
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use crate::lease::NodeLease;
+use crate::settings::GatewaySettings;
 use crate::state::Shared;
 use crate::store_call::in_time;
 
@@ -59,6 +60,17 @@
         .collect()
 }
 
+/// This gateway as it announces itself.
+pub fn own_member(settings: &GatewaySettings) -> Member {
+    Member {
+        name: settings.node.name.clone(),
+        copy: settings.listen.peers,
+        load: settings.listen.load,
+        zone: Some(settings.node.zone.clone()),
+        capacity: settings.node.capacity(),
+    }
+}
+
 fn capacity(word: &str) -> Option<f64> {
     let cores = word.parse().ok()?;
     (0.0..=MAX_CORES).contains(&cores).then_some(cores)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,6 +21,7 @@
 use crate::connections::Connections;
 use crate::datagrams::Datagrams;
 use crate::events::{Event, EventLog, Weight};
+use crate::fleet::Fleet;
 use crate::follower::{self, StoreContact};
 use crate::lease::{self, NodeLease};
 use crate::metrics::Metrics;
@@ -110,6 +111,7 @@
     let gateway = GatewayKey::of(&settings.node.name, rand::random());
     let mut directory = Directory::new(gateway);
     directory.set_decisions(settings.decisions);
+    let fleet = Fleet::new(vec![presence::own_member(&settings)]);
     let retries = RetryShares::new(settings.retry_share(), ASSUMED_GATEWAYS);
     Ok(Arc::new(Shared {
         settings: RwLock::new(Arc::new(settings)),
@@ -125,7 +127,7 @@
         directory: Mutex::new(directory),
         ledger: Mutex::new(PlacementLedger::default()),
         placements: PlacementClient::new(gateway),
-        fleet: RwLock::default(),
+        fleet: RwLock::new(Arc::new(fleet)),
         datagrams: Datagrams::default(),
         caches_recovered: AtomicBool::new(false),
         retries: Mutex::new(retries),
--- a/crates/gateway/src/store_copy.rs
+++ b/crates/gateway/src/store_copy.rs
@@ -43,8 +43,13 @@
 
 /// Takes in which gateways there are, and returns how many.
 fn refresh_fleet(shared: &Shared) -> u64 {
-    let members = presence::members(&shared.mirror.lock());
+    let mut members = presence::members(&shared.mirror.lock());
     let count = members.len() as u64;
+    // One that has just started places and reports requests before its announcement is in the store.
+    let own = presence::own_member(&shared.settings.read());
+    if members.iter().all(|member| member.name != own.name) {
+        members.push(own);
+    }
     if !shared.fleet.read().is_of(&members) {
         *shared.fleet.write() = Arc::new(Fleet::new(members));
     }
