--- a/crates/forwarding/src/directory/admission.rs
+++ b/crates/forwarding/src/directory/admission.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use tansyhall_core::{ServiceName, Timestamp};
+use tansyhall_core::{Role, ServiceName, Timestamp};
 
 use super::choice::{Demand, RouteKey};
 use super::coming_back::Refusal;
@@ -254,11 +254,13 @@
         }
     }
 
-    /// What reading the prompt asks of engines that cache the same as this one.
+    /// What reading the prompt asks of engines that cache the same as this one. A short one counts at
+    /// decoders if that is where it is best read; all others count at engines that only read.
     fn asked_seconds(&self, worker: &Tracked, comparison: &Comparison<'_>) -> AskedSeconds {
         let costs = &comparison.costs;
         let reading = self.reading(worker, comparison);
-        if costs.is_short(comparison.prompt_tokens) {
+        let is_read_there = worker.worker.role != Some(Role::Prefill);
+        if is_read_there && costs.is_short(comparison.prompt_tokens) {
             return AskedSeconds {
                 reading_short: costs.busy_seconds_while_decoding(reading.missing_tokens),
                 ..AskedSeconds::default()
