--- /dev/null
+++ b/crates/gateway/src/placement/codec.rs
@@ -0,0 +1,245 @@
+//! Makes messages of questions and answers, and questions and answers of messages.
+
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use tansyhall_core::ServiceName;
+use tansyhall_forwarding::{
+    GatewayKey, Need, Objectives, Placement, PlacementAnswer, PlacementId, PlacementMessage,
+    PlacementNeed, PlacementNotice, PlacementRequest, PromptPart, SendResult, WorkerId,
+};
+
+use super::message::{
+    AnswerMessage, NeedKind, NoticeKind, NoticeMessage, PlacedMessage, PromptPartMessage,
+    QuestionMessage, RefusedMessage, RequestMessage,
+};
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
+impl From<&PlacementMessage> for QuestionMessage {
+    fn from(message: &PlacementMessage) -> Self {
+        Self {
+            sender: message.sender.0,
+            sequence: message.sequence,
+            open: message.open.iter().map(|id| id.0).collect(),
+            notices: message.notices.iter().map(NoticeMessage::from).collect(),
+            request: message.request.as_ref().map(RequestMessage::from),
+        }
+    }
+}
+
+impl TryFrom<QuestionMessage> for PlacementMessage {
+    type Error = anyhow::Error;
+
+    fn try_from(message: QuestionMessage) -> Result<Self> {
+        let notices = message.notices.iter().map(PlacementNotice::try_from);
+        Ok(Self {
+            sender: GatewayKey(message.sender),
+            sequence: message.sequence,
+            open: message.open.into_iter().map(PlacementId).collect(),
+            notices: notices.collect::<Result<_>>()?,
+            request: message
+                .request
+                .map(PlacementRequest::try_from)
+                .transpose()?,
+        })
+    }
+}
+
+impl NoticeKind {
+    /// The kind that says how a send ended.
+    fn of(result: SendResult) -> Self {
+        match result {
+            SendResult::Answered { .. } => NoticeKind::Answered,
+            SendResult::Failed => NoticeKind::Failed,
+            SendResult::Refused => NoticeKind::Refused,
+            SendResult::Unreachable => NoticeKind::Unreachable,
+            SendResult::Absent => NoticeKind::Absent,
+            SendResult::Abandoned { silent: true } => NoticeKind::AbandonedSilent,
+            SendResult::Abandoned { silent: false } => NoticeKind::Abandoned,
+        }
+    }
+}
+
+impl From<&PlacementNotice> for NoticeMessage {
+    fn from(notice: &PlacementNotice) -> Self {
+        let (id, kind, latency) = match *notice {
+            PlacementNotice::PromptRead { id, latency } => (id, NoticeKind::PromptRead, latency),
+            PlacementNotice::Ended { id, result } => {
+                let latency = match result {
+                    SendResult::Answered { latency } => latency,
+                    _ => Duration::ZERO,
+                };
+                (id, NoticeKind::of(result), latency)
+            }
+        };
+        Self {
+            id: id.0,
+            kind: kind as i32,
+            latency_micros: micros(latency),
+        }
+    }
+}
+
+impl TryFrom<&NoticeMessage> for PlacementNotice {
+    type Error = anyhow::Error;
+
+    fn try_from(message: &NoticeMessage) -> Result<Self> {
+        let id = PlacementId(message.id);
+        let latency = Duration::from_micros(message.latency_micros);
+        let kind = NoticeKind::try_from(message.kind).context("notice of an unknown kind")?;
+        let result = match kind {
+            NoticeKind::PromptRead => return Ok(PlacementNotice::PromptRead { id, latency }),
+            NoticeKind::Answered => SendResult::Answered { latency },
+            NoticeKind::Failed => SendResult::Failed,
+            NoticeKind::Refused => SendResult::Refused,
+            NoticeKind::Unreachable => SendResult::Unreachable,
+            NoticeKind::Absent => SendResult::Absent,
+            NoticeKind::AbandonedSilent => SendResult::Abandoned { silent: true },
+            NoticeKind::Abandoned => SendResult::Abandoned { silent: false },
+        };
+        Ok(PlacementNotice::Ended { id, result })
+    }
+}
+
+impl From<&PlacementRequest> for RequestMessage {
+    fn from(request: &PlacementRequest) -> Self {
+        let (need, reader, avoid): (_, &str, &[WorkerId]) = match &request.need {
+            PlacementNeed::Admission => (NeedKind::Admission, "", &[]),
+            PlacementNeed::Worker { need, avoid } => match need {
+                Need::Run => (NeedKind::Run, "", avoid),
+                Need::ReadPrompt => (NeedKind::ReadPrompt, "", avoid),
+                Need::Continue { reader } => (NeedKind::Continue, reader.as_str(), avoid),
+            },
+        };
+        let part = |part: &PromptPart| PromptPartMessage {
+            id: part.id.clone(),
+            tokens: part.tokens,
+        };
+        Self {
+            id: request.id.0,
+            service: request.service.as_str().to_owned(),
+            route: request.route.clone(),
+            prompt: request.prompt.iter().map(part).collect(),
+            yields: request.yields,
+            objective_micros: micros(request.objectives.latency),
+            pause_micros: request.objectives.pause.map(micros),
+            left_micros: micros(request.objectives.time_left),
+            draw: request.draw,
+            need: need as i32,
+            reader: reader.to_owned(),
+            avoid: avoid.iter().map(|id| id.as_str().to_owned()).collect(),
+        }
+    }
+}
+
+impl TryFrom<RequestMessage> for PlacementRequest {
+    type Error = anyhow::Error;
+
+    fn try_from(message: RequestMessage) -> Result<Self> {
+        let kind = NeedKind::try_from(message.need).context("request for an unknown need")?;
+        let avoid = message.avoid.iter();
+        let avoid = avoid.map(|id| WorkerId::from(id.as_str())).collect();
+        let worker = |need, avoid| PlacementNeed::Worker { need, avoid };
+        let need = match kind {
+            NeedKind::Admission => PlacementNeed::Admission,
+            NeedKind::Run => worker(Need::Run, avoid),
+            NeedKind::ReadPrompt => worker(Need::ReadPrompt, avoid),
+            NeedKind::Continue => {
+                let reader = WorkerId::from(message.reader.as_str());
+                worker(Need::Continue { reader }, avoid)
+            }
+        };
+        let part = |part: PromptPartMessage| PromptPart {
+            id: part.id,
+            tokens: part.tokens,
+        };
+        Ok(Self {
+            id: PlacementId(message.id),
+            service: ServiceName::new(message.service),
+            route: message.route,
+            prompt: message.prompt.into_iter().map(part).collect(),
+            yields: message.yields,
+            objectives: Objectives {
+                latency: Duration::from_micros(message.objective_micros),
+                pause: message.pause_micros.map(Duration::from_micros),
+                time_left: Duration::from_micros(message.left_micros),
+            },
+            draw: message.draw,
+            need,
+        })
+    }
+}
+
+impl AnswerMessage {
+    /// An answer as it is sent.
+    pub fn new(id: PlacementId, answer: &PlacementAnswer) -> Self {
+        let (placed, refused) = match answer {
+            PlacementAnswer::NoWorker => (None, None),
+            PlacementAnswer::Placed(placement) => (Some(PlacedMessage::from(placement)), None),
+            PlacementAnswer::Refused {
+                waiting,
+                retry_after,
+            } => {
+                let refused = RefusedMessage {
+                    waiting_micros: micros(*waiting),
+                    retry_after_micros: micros(*retry_after),
+                };
+                (None, Some(refused))
+            }
+        };
+        Self {
+            id: id.0,
+            placed,
+            refused,
+        }
+    }
+
+    /// The answer, with the placement that it is for.
+    pub fn decode_answer(self) -> Result<(PlacementId, PlacementAnswer)> {
+        let id = PlacementId(self.id);
+        let answer = match (self.placed, self.refused) {
+            (Some(placed), _) => PlacementAnswer::Placed(placed.decode_placement(id)?),
+            (None, Some(refused)) => PlacementAnswer::Refused {
+                waiting: Duration::from_micros(refused.waiting_micros),
+                retry_after: Duration::from_micros(refused.retry_after_micros),
+            },
+            (None, None) => PlacementAnswer::NoWorker,
+        };
+        Ok((id, answer))
+    }
+}
+
+impl From<&Placement> for PlacedMessage {
+    fn from(placement: &Placement) -> Self {
+        let fetch_from = placement.fetch_from.map(|address| address.to_string());
+        Self {
+            worker: placement.worker.as_str().to_owned(),
+            read_apart: placement.read_apart,
+            fetch_from: fetch_from.unwrap_or_default(),
+            reading_tokens: placement.reading_tokens,
+            short_reading: placement.short_reading,
+            expected_micros: micros(placement.expected),
+        }
+    }
+}
+
+impl PlacedMessage {
+    fn decode_placement(self, id: PlacementId) -> Result<Placement> {
+        let fetch_from = match self.fetch_from.is_empty() {
+            true => None,
+            false => Some(self.fetch_from.parse().context("address to fetch from")?),
+        };
+        Ok(Placement {
+            id,
+            worker: WorkerId::from(self.worker.as_str()),
+            read_apart: self.read_apart,
+            fetch_from,
+            reading_tokens: self.reading_tokens,
+            short_reading: self.short_reading,
+            expected: Duration::from_micros(self.expected_micros),
+        })
+    }
+}
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -2,6 +2,7 @@
 //! gateways that ask this one.
 
 mod client;
+mod codec;
 mod message;
 mod server;
 
--- a/crates/gateway/src/placement/server.rs
+++ b/crates/gateway/src/placement/server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use tansyhall_forwarding::PlacementMessage;
+use tansyhall_forwarding::{PlacementAnswer, PlacementId, PlacementMessage};
 
 use super::message::{AnswerMessage, QuestionMessage};
 use crate::datagrams::Datagram;
@@ -24,13 +24,7 @@
     shared.datagrams.send(sender, &Datagram::answer(answer));
 }
 
-fn place(
-    shared: &Shared,
-    message: PlacementMessage,
-) -> Option<(
-    tansyhall_forwarding::PlacementId,
-    tansyhall_forwarding::PlacementAnswer,
-)> {
+fn place(shared: &Shared, message: PlacementMessage) -> Option<(PlacementId, PlacementAnswer)> {
     let now = shared.now();
     let zone = shared.zone();
     let id = message.request.as_ref().map(|request| request.id);
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -55,6 +55,11 @@
             "threads = 0",
             "node.threads = 0: must be 1 to 64",
         ),
+        (
+            "threads = 1",
+            "threads = 1\ncore_share = 0",
+            "node.core_share = 0: must be above 0, at most 1",
+        ),
         (
             "ratio = 0.2",
             "ratio = 1.5",
@@ -109,3 +114,12 @@
     let error = GatewaySettings::parse("gateway.toml", &wrong).expect_err("no switch");
     assert!(error.to_string().contains("fetches"), "{error}");
 }
+
+#[test]
+fn processor_time_is_the_share_of_all_threads() {
+    let text = SETTINGS.replace("threads = 1", "threads = 4\ncore_share = 0.25");
+    let settings = GatewaySettings::parse("gateway.toml", &text).expect("no fault");
+    assert_eq!(settings.node.capacity(), 1.0);
+    let whole = GatewaySettings::parse("gateway.toml", SETTINGS).expect("no fault");
+    assert_eq!(whole.node.capacity(), 1.0);
+}
