--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -122,6 +122,7 @@
         mirror_revision: watch::Sender::default(),
         deflated_values: Mutex::default(),
         decoded_workers: Mutex::default(),
+        logged_workers: Mutex::default(),
         lapsed_workers: Mutex::default(),
         in_force: RwLock::new(None),
         directory: Mutex::new(directory),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -25,7 +25,7 @@
 use crate::placement::PlacementClient;
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
-use crate::store_copy::DecodedWorker;
+use crate::store_copy::{DecodedWorker, LoggedWorkers};
 
 /// The part of a worker's connections that gateways use together; the rest is for health checks
 /// and gateways that are not known yet.
@@ -51,6 +51,8 @@
     pub deflated_values: Mutex<DeflatedValues>,
     /// Workers as they were decoded last, by their identity.
     pub decoded_workers: Mutex<HashMap<String, DecodedWorker>>,
+    /// Workers that take requests, as logged last.
+    pub logged_workers: Mutex<LoggedWorkers>,
     /// Workers that count though their entries ran out while the store was away.
     pub lapsed_workers: Mutex<LapsedWorkers>,
     /// The configuration in force and its routes.
--- a/crates/gateway/src/store_copy.rs
+++ b/crates/gateway/src/store_copy.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tansyhall_core::ServiceName;
+use tansyhall_core::{ServiceName, Timestamp};
 use tansyhall_forwarding::{Configuration, EngineCapacity, Item, Mirror, Worker};
 use tokio::time::sleep;
 
@@ -16,7 +16,7 @@
 use crate::presence;
 use crate::state::{InForce, Shared};
 
-/// Changes of the workers in such a time are one line of the log.
+/// The least time between two lines about changes of the workers.
 const CHANGES_PACE: Duration = Duration::from_millis(1_000);
 
 /// Pause between two looks for workers that are overdue.
@@ -114,6 +114,7 @@
     drop(directory);
     shared.metrics.ready_workers.set(ready as i64);
     shared.metrics.mirror_revision.set(revision as i64);
+    log_if_changed(shared);
 }
 
 /// Takes workers whose entries ran out while the store was away for gone once they are overdue.
@@ -126,19 +127,40 @@
     }
 }
 
-/// Logs changes of the workers that take requests, all those of [`CHANGES_PACE`] in one line.
+/// Logs changes of the workers that take requests which came too soon after a line about others.
 pub async fn log_worker_changes(shared: Arc<Shared>) {
-    let mut logged = 0;
     loop {
         sleep(CHANGES_PACE).await;
-        let ready = shared.directory.lock().ready_workers();
-        if ready == logged {
-            continue;
+        log_if_changed(&shared);
+    }
+}
+
+fn log_if_changed(shared: &Shared) {
+    let ready = shared.directory.lock().ready_workers();
+    if !shared.logged_workers.lock().is_due(shared.now(), ready) {
+        return;
+    }
+    let revision = shared.mirror.lock().revision();
+    let event = Event::WorkersChanged { ready, revision };
+    shared.log.record(Weight::Important, &event);
+}
+
+/// The number of workers that take requests as it was logged last.
+#[derive(Debug, Default)]
+pub struct LoggedWorkers {
+    ready: usize,
+    next: Timestamp,
+}
+
+impl LoggedWorkers {
+    /// Whether a line is due: the number is another, and the last line is long enough ago.
+    pub fn is_due(&mut self, now: Timestamp, ready: usize) -> bool {
+        let is_due = ready != self.ready && now >= self.next;
+        if is_due {
+            self.ready = ready;
+            self.next = now + CHANGES_PACE;
         }
-        logged = ready;
-        let revision = shared.mirror.lock().revision();
-        let event = Event::WorkersChanged { ready, revision };
-        shared.log.record(Weight::Important, &event);
+        is_due
     }
 }
 
