Read once more: one question for who hears reports; the test of lost schedulers kills the one that is asked

The process test killed six schedulers of which none was the asking gateway's, so that it could not fail on a loss; it now asserts that questions went unanswered, and kills others. hears_all_load and hears_of_caches were one function twice. No change of behaviour.

--- a/crates/cli/tests/gateway_platform/schedulers.rs
+++ b/crates/cli/tests/gateway_platform/schedulers.rs
@@ -11,6 +11,7 @@
 const GATEWAYS: usize = 14;
 const KILLED: usize = 6;
 const REQUESTS: usize = 24;
+const SILENT: &str = "gateway_placements_total{outcome=\"silent\"}";
 const PLACED: &str = "gateway_placements_total{outcome=\"placed\"}";
 
 async fn is_asked(site: &Site, index: usize) -> bool {
@@ -37,13 +38,15 @@
     site.until_gateways_know_each_other().await;
     let asking = asking_gateway(&site).await;
     let asking = site.gateways.remove(asking);
-    site.gateways.truncate(GATEWAYS - 1 - KILLED);
+    drop(site.gateways.drain(..KILLED));
     for number in 0..REQUESTS {
         let id = format!("later-{number}");
         let answer = ask(&asking, &id, REPEATABLE, b"x").await;
         assert_eq!(answer.status, 200);
         assert_eq!(site.runs_of(&id), 1);
     }
+    let silent = asking.metric(SILENT).await;
+    assert!(silent > Some(0.0), "its scheduler was not among the killed");
     eventually("a scheduler that lives places requests", || async {
         let before = asking.metric(PLACED).await?;
         let answer = ask(&asking, &format!("last-{before}"), REPEATABLE, b"x").await;
--- a/crates/gateway/src/cache_recovery.rs
+++ b/crates/gateway/src/cache_recovery.rs
@@ -72,7 +72,7 @@
 /// Learns what caches hold, once.
 pub async fn run(shared: Arc<Shared>) {
     wait_for_the_fleet(&shared).await;
-    while !hears_of_caches(&shared) {
+    while !shared.hears_reports() {
         sleep(PACE).await;
     }
     if !learn_from_gateways(&shared).await {
@@ -119,14 +119,7 @@
     }
 }
 
-/// Whether this gateway needs to know what caches hold.
-fn hears_of_caches(shared: &Shared) -> bool {
-    let settings = shared.settings.read();
-    let fleet = shared.fleet.read();
-    !settings.decisions.schedulers || fleet.plan.is_listener(&settings.node.name)
-}
-
-/// The others that need to know it.
+/// The other gateways that need to know what caches hold.
 fn other_gateways(shared: &Shared) -> Vec<SocketAddr> {
     let settings = shared.settings.read().clone();
     let fleet = shared.fleet.read().clone();
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -189,15 +189,15 @@
     None
 }
 
-/// Forgets a question whose asker was dropped while it waited.
-struct Question<'a> {
+/// A question that waits for its answer; it is forgotten if its asker is dropped meanwhile.
+struct WaitingQuestion<'a> {
     shared: &'a Shared,
     scheduler: &'a str,
     id: PlacementId,
     over: bool,
 }
 
-impl Drop for Question<'_> {
+impl Drop for WaitingQuestion<'_> {
     fn drop(&mut self) {
         if !self.over {
             let client = &self.shared.placements;
@@ -214,7 +214,7 @@
 ) -> Option<PlacementAnswer> {
     let client = &shared.placements;
     let id = request.id;
-    let mut question = Question {
+    let mut question = WaitingQuestion {
         shared,
         scheduler: &asked.name,
         id,
--- a/crates/gateway/src/role_authority.rs
+++ b/crates/gateway/src/role_authority.rs
@@ -85,16 +85,9 @@
 }
 
 impl RoleAuthority {
-    /// Whether this gateway hears of all load, so that it can decide roles.
-    fn hears_all_load(&self) -> bool {
-        let settings = self.shared.settings.read();
-        let fleet = self.shared.fleet.read();
-        !settings.decisions.schedulers || fleet.plan.is_listener(&settings.node.name)
-    }
-
     async fn look(&mut self) {
         let now = self.shared.now();
-        if self.claim.held().is_none() && !self.hears_all_load() {
+        if self.claim.held().is_none() && !self.shared.hears_reports() {
             self.lease.set_wanted(false);
             return;
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -161,6 +161,14 @@
         self.in_force.read().is_some() && self.directory.lock().ready_workers() > 0
     }
 
+    /// Whether this gateway hears of the load that all others place, and of what caches hold: it places
+    /// requests, or is the next to do so.
+    pub fn hears_reports(&self) -> bool {
+        let settings = self.settings.read();
+        let fleet = self.fleet.read();
+        !settings.decisions.schedulers || fleet.plan.is_listener(&settings.node.name)
+    }
+
     /// Milliseconds since the store last answered.
     pub fn store_age_ms(&self) -> u64 {
         whole_millis(self.store_contact.age(self.now()))
