Keys and tenants: who may call, whose worker is told the tenant's name, whose rank goes first

Change: forwarding::tenants (keys hashed by a random key of each process and compared in constant time, never shown), tenants and public routes in the configuration, 401 for an unknown key before a split takes its turn, the tenant's rank in place of the route's in placing and at workers; the adapter withholds the key and a forged tenant's name from workers. The stand-in's operator gives tenants.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -8,3 +8,4 @@
 mod roles;
 mod schedulers;
 mod support;
+mod tenants;
--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -8,8 +8,8 @@
 use hyper_util::rt::TokioIo;
 use serde_json::{json, Value};
 use tansyhall_platform_standin::{
-    render, Behaviour, Operator, RoutePlan, Store, StoreDoor, Worker, WorkerPlan, DEADLINE,
-    PROMPT_PARTS, REQUEST_ID, SEAL,
+    render, Behaviour, Operator, RoutePlan, Store, StoreDoor, TenantPlan, Worker, WorkerPlan,
+    API_KEY, DEADLINE, PROMPT_PARTS, REQUEST_ID, SEAL, TENANT,
 };
 use tansyhall_testing::{eventually, gateway, get_metric, GatewayAddresses, GatewayProcess};
 use tokio::net::TcpStream;
@@ -202,6 +202,20 @@
         version
     }
 
+    /// Puts the next configuration in force, with these tenants, and waits until all gateways have it.
+    pub async fn configure_tenants(&self, tenants: &[TenantPlan]) {
+        let version = self.version.get() + 3;
+        self.version.set(version);
+        self.operator.configure_for(version, &routes(), tenants);
+        for gateway in &self.gateways {
+            eventually("the gateway has the configuration", || async {
+                let known = gateway.metric("gateway_configuration_version").await?;
+                (known == version as f64).then_some(())
+            })
+            .await;
+        }
+    }
+
     /// How often workers ran a request.
     pub fn runs_of(&self, id: &str) -> usize {
         let runs = self.workers.iter().flat_map(|worker| worker.worker.runs());
@@ -285,6 +299,12 @@
     ask_with(gateway, id, path, body, &[]).await
 }
 
+/// Asks a gateway with a key, and with a forged name of a tenant.
+pub async fn ask_with_key(gateway: &SiteGateway, id: &str, key: &str) -> CallerAnswer {
+    let headers = [(API_KEY, key.to_owned()), (TENANT, "forged".to_owned())];
+    ask_with(gateway, id, REPEATABLE, b"x", &headers).await
+}
+
 /// Asks a gateway for the answer of a model to a prompt of this length.
 pub async fn ask_model(gateway: &SiteGateway, id: &str, tokens: u64) -> CallerAnswer {
     let prompt = format!("a1:{tokens},b2:100");
--- a/crates/forwarding/src/configuration.rs
+++ b/crates/forwarding/src/configuration.rs
@@ -5,6 +5,8 @@
 
 use tansyhall_core::ServiceName;
 
+use crate::tenants::{self, Tenant, TenantError};
+
 /// One version of the configuration.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Configuration {
@@ -14,6 +16,8 @@
     pub routes: Vec<Route>,
     /// Services that routes refer to.
     pub services: Vec<Service>,
+    /// Who may call routes that are not public; none if every caller may.
+    pub tenants: Option<Vec<Tenant>>,
     /// Bounds on what callers may send.
     pub limits: Limits,
 }
@@ -69,6 +73,8 @@
     pub max_attempts: u32,
     /// Rank; 0 is the most urgent.
     pub rank: u8,
+    /// Whether callers need no key though there are tenants.
+    pub public: bool,
     /// Where requests go, by weight.
     pub targets: Vec<Target>,
 }
@@ -147,6 +153,9 @@
     /// A route may never be tried.
     #[error("route {0}: at least one attempt is needed")]
     NoAttempt(String),
+    /// Tenants or their keys are not unique.
+    #[error(transparent)]
+    Tenants(#[from] TenantError),
 }
 
 impl Configuration {
@@ -160,21 +169,33 @@
             }
             route.validate(&services)?;
         }
+        tenants::validate(self.tenants.as_deref().unwrap_or_default())?;
         Ok(())
     }
 
-    /// The rank of the most urgent route to each service.
+    /// The rank of the most urgent requests to each service.
     pub fn most_urgent_ranks(&self) -> HashMap<ServiceName, u8> {
         let mut ranks = HashMap::new();
         for route in &self.routes {
+            let most_urgent = self.most_urgent_rank(route);
             for target in &route.targets {
-                let rank = ranks.entry(target.service.clone()).or_insert(route.rank);
-                *rank = route.rank.min(*rank);
+                let rank = ranks.entry(target.service.clone()).or_insert(most_urgent);
+                *rank = most_urgent.min(*rank);
             }
         }
         ranks
     }
 
+    /// The rank of the most urgent requests of a route: a tenant's goes before the route's.
+    fn most_urgent_rank(&self, route: &Route) -> u8 {
+        let tenants = self.tenants.as_deref().filter(|_| !route.public);
+        let ranks = tenants
+            .unwrap_or_default()
+            .iter()
+            .map(|tenant| tenant.rank.unwrap_or(route.rank));
+        ranks.min().unwrap_or(route.rank)
+    }
+
     /// The service of that name.
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.services.iter().find(|service| service.name == *name)
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod scheduler_plan;
 pub mod selection;
 pub mod stop_plan;
+pub mod tenants;
 pub mod worker;
 
 pub use cache_view::{CacheView, PartKey};
@@ -52,4 +53,5 @@
 pub use scheduler_plan::{SchedulerCandidate, SchedulerPlan};
 pub use selection::{affinity_part, prompt_tokens, Need, PromptPart};
 pub use stop_plan::StopPlan;
+pub use tenants::{ApiKey, KnownTenant, Tenant, TenantError, TenantTable};
 pub use worker::{Worker, WorkerId, WorkerState};
--- a/crates/forwarding/src/route_table.rs
+++ b/crates/forwarding/src/route_table.rs
@@ -41,18 +41,27 @@
         Self { by_host }
     }
 
-    /// The route for a host (a port is ignored) and a path, and the service whose turn it is.
+    /// The route for a host (a port is ignored) and a path.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let entries = self.by_host.get(&host_name(host))?;
+        let entry = entries.iter().find(|entry| entry.serves(path))?;
+        Some(&entry.route)
+    }
+
+    /// The same route, and the service whose turn it is.
     pub fn take(&mut self, host: &str, path: &str) -> Option<(Arc<Route>, ServiceName)> {
         let entries = self.by_host.get_mut(&host_name(host))?;
-        let entry = entries
-            .iter_mut()
-            .find(|entry| path.starts_with(&entry.route.path_prefix))?;
+        let entry = entries.iter_mut().find(|entry| entry.serves(path))?;
         let service = entry.next_target().service.clone();
         Some((Arc::clone(&entry.route), service))
     }
 }
 
 impl Entry {
+    fn serves(&self, path: &str) -> bool {
+        path.starts_with(&self.route.path_prefix)
+    }
+
     fn next_target(&mut self) -> &Target {
         let targets = &self.route.targets;
         let total: i64 = targets.iter().map(|target| i64::from(target.weight)).sum();
--- a/crates/forwarding/tests/routes.rs
+++ b/crates/forwarding/tests/routes.rs
@@ -19,6 +19,7 @@
         pause_objective: None,
         max_attempts: 1,
         rank: 0,
+        public: false,
         targets: targets
             .iter()
             .map(|(service, weight)| Target {
@@ -39,6 +40,7 @@
         version: 1,
         routes,
         services: services.to_vec(),
+        tenants: None,
         limits: Limits {
             header_bytes: 1,
             body_bytes: 1,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -48,6 +48,8 @@
         revision: u64,
         /// Its routes.
         routes: usize,
+        /// Its tenants.
+        tenants: usize,
     },
     /// An item of the store cannot be used; what was in force stays so.
     ItemRefused {
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -235,6 +235,7 @@
             worker: worker.id.clone(),
             time_left: self.time_left(),
             rank: self.rank_of(&work, guard),
+            tenant: self.request.routed.tenant.clone(),
             work,
             fetch_from: guard.fetch_from(),
         };
@@ -254,7 +255,7 @@
         if first {
             return MOST_URGENT;
         }
-        self.route().rank
+        self.request.routed.rank
     }
 
     async fn conclude(&mut self, conclusion: Conclusion, sends: u32) {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -15,7 +15,8 @@
 use crate::events::{Event, Weight};
 use crate::exchange::{CallerRequest, Exchange};
 use crate::headers::HeaderList;
-use crate::state::{InFlight, InForce, Routed, Shared};
+use crate::protocol::CallerTerms;
+use crate::state::{InFlight, InForce, NotRouted, Routed, Shared};
 
 /// When a caller should come back to a gateway that cannot serve yet. One that starts together with hundreds
 /// of others was seen to know the configuration after 0.8 s; callers that come back sooner are refused again.
@@ -29,6 +30,7 @@
     NotReady,
     Leaving,
     NoRoute,
+    UnknownKey,
     BadRequest(String),
     BodyTooLong,
     BodyBroken,
@@ -64,13 +66,13 @@
         return Err(Refusal::Leaving);
     }
     let in_force = shared.in_force().ok_or(Refusal::NotReady)?;
-    let routed = route(request, &in_force).ok_or(Refusal::NoRoute)?;
     let mut headers = caller_headers(request);
     headers.remove_connection_headers();
     let terms = shared
         .protocol
         .caller_terms(&headers)
         .map_err(|bad| Refusal::BadRequest(bad.to_string()))?;
+    let routed = route(request, &terms, &in_force)?;
     let limits = in_force.limits();
     let held = terms.patience.unwrap_or(routed.route.timeout);
     let time = held.min(routed.route.timeout);
@@ -89,10 +91,19 @@
     })
 }
 
-fn route(request: &HttpRequest, in_force: &InForce) -> Option<Routed> {
+fn route(
+    request: &HttpRequest,
+    terms: &CallerTerms,
+    in_force: &InForce,
+) -> Result<Routed, Refusal> {
     let named = request.headers().get("host").and_then(|h| h.to_str().ok());
-    let host = named.or_else(|| request.uri().host())?;
-    in_force.route(host, request.uri().path())
+    let host = named.or_else(|| request.uri().host());
+    let host = host.ok_or(Refusal::NoRoute)?;
+    let routed = in_force.route(host, request.uri().path(), terms.key.as_ref());
+    routed.map_err(|reason| match reason {
+        NotRouted::NoRoute => Refusal::NoRoute,
+        NotRouted::UnknownKey => Refusal::UnknownKey,
+    })
 }
 
 fn target(request: &HttpRequest) -> String {
@@ -191,6 +202,7 @@
             Refusal::NotReady => "no_configuration",
             Refusal::Leaving => "leaving",
             Refusal::NoRoute => "no_route",
+            Refusal::UnknownKey => "unknown_key",
             Refusal::BadRequest(_) => "bad_request",
             Refusal::BodyTooLong => "body_too_long",
             Refusal::BodyBroken => "body_broken",
@@ -204,6 +216,7 @@
         Refusal::NotReady => not_run(NOT_READY_RETRY_AFTER, "no configuration is known yet"),
         Refusal::Leaving => not_run(LEAVING_RETRY_AFTER, "this gateway is leaving"),
         Refusal::NoRoute => HttpResponse::NotFound().body("no route for this host and path\n"),
+        Refusal::UnknownKey => HttpResponse::Unauthorized().body("a key that is known is needed\n"),
         Refusal::BadRequest(reason) => HttpResponse::BadRequest().body(format!("{reason}\n")),
         Refusal::BodyTooLong => HttpResponse::PayloadTooLarge().body("the body is too long\n"),
         Refusal::BodyBroken => HttpResponse::BadRequest().body("the body broke off\n"),
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tansyhall_core::Role;
-use tansyhall_forwarding::{Configuration, PromptHandle, PromptPart, Worker, WorkerId};
+use tansyhall_core::{Role, TenantName};
+use tansyhall_forwarding::{ApiKey, Configuration, PromptHandle, PromptPart, Worker, WorkerId};
 
 use crate::headers::HeaderList;
 
@@ -19,6 +19,8 @@
     pub patience: Option<Duration>,
     /// The prompt, for requests to model engines.
     pub prompt: Vec<PromptPart>,
+    /// The key by which the caller is known; it goes no further than the gateway.
+    pub key: Option<ApiKey>,
 }
 
 /// Why a request cannot be understood.
@@ -38,8 +40,10 @@
     pub worker: WorkerId,
     /// The time left.
     pub time_left: Duration,
-    /// The rank of the request's route; 0 is the most urgent.
+    /// The rank of the request; 0 is the most urgent.
     pub rank: u8,
+    /// The tenant that the caller's key belongs to.
+    pub tenant: Option<TenantName>,
     /// What is asked.
     pub work: Work,
     /// A worker from which this one should fetch what it lacks of the prompt's KV cache.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,10 +8,10 @@
 
 use parking_lot::{Mutex, RwLock};
 use tansyhall_core::time::MonotonicClock;
-use tansyhall_core::{ServiceName, Timestamp, ZoneName};
+use tansyhall_core::{ServiceName, TenantName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    Configuration, Directory, LapsedWorkers, Limits, Mirror, PlacementLedger, RetryShares, Route,
-    RouteTable, StopPlan, Worker,
+    ApiKey, Configuration, Directory, KnownTenant, LapsedWorkers, Limits, Mirror, PlacementLedger,
+    RetryShares, Route, RouteTable, StopPlan, TenantTable, Worker,
 };
 use tokio::sync::watch;
 
@@ -94,16 +94,31 @@
     /// The store's revision of it.
     pub revision: u64,
     routes: Mutex<RouteTable>,
+    /// None if every caller may call every route.
+    tenants: Option<TenantTable>,
     most_urgent_ranks: HashMap<ServiceName, u8>,
 }
 
+/// Why a request goes nowhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotRouted {
+    /// No route has its host and path.
+    NoRoute,
+    /// Its route is not public, and no tenant has its key.
+    UnknownKey,
+}
+
 /// Where a request goes.
 pub struct Routed {
     /// Its route.
     pub route: Arc<Route>,
     /// The service whose turn it is.
     pub service: ServiceName,
-    /// Whether the service has more urgent routes.
+    /// The tenant that the caller's key belongs to, if it has one.
+    pub tenant: Option<TenantName>,
+    /// Its rank; 0 is the most urgent.
+    pub rank: u8,
+    /// Whether the service has more urgent requests.
     pub yields: bool,
     /// The version of the configuration.
     pub version: u64,
@@ -113,27 +128,45 @@
     /// Indexes a configuration.
     pub fn new(configuration: Configuration, revision: u64) -> Self {
         let routes = Mutex::new(RouteTable::new(&configuration));
+        let tenants = configuration.tenants.as_deref().map(TenantTable::new);
         let most_urgent_ranks = configuration.most_urgent_ranks();
         Self {
             configuration,
             revision,
             routes,
+            tenants,
             most_urgent_ranks,
         }
     }
 
-    /// The route of a request.
-    pub fn route(&self, host: &str, path: &str) -> Option<Routed> {
-        let (route, service) = self.routes.lock().take(host, path)?;
+    /// Where a request of the caller with this key goes.
+    pub fn route(&self, host: &str, path: &str, key: Option<&ApiKey>) -> Result<Routed, NotRouted> {
+        let mut routes = self.routes.lock();
+        let found = routes.find(host, path).ok_or(NotRouted::NoRoute)?;
+        let tenant = self.tenant_of(key);
+        if self.tenants.is_some() && tenant.is_none() && !found.public {
+            return Err(NotRouted::UnknownKey);
+        }
+        let taken = routes.take(host, path);
+        drop(routes);
+        let (route, service) = taken.ok_or(NotRouted::NoRoute)?;
+        let own_rank = tenant.as_ref().and_then(|tenant| tenant.rank);
+        let rank = own_rank.filter(|_| !route.public).unwrap_or(route.rank);
         let most_urgent = self.most_urgent_ranks.get(&service);
-        Some(Routed {
-            yields: most_urgent.is_some_and(|rank| *rank < route.rank),
+        Ok(Routed {
+            yields: most_urgent.is_some_and(|most_urgent| *most_urgent < rank),
+            rank,
+            tenant: tenant.map(|tenant| tenant.name.clone()),
             route,
             service,
             version: self.configuration.version,
         })
     }
 
+    fn tenant_of(&self, key: Option<&ApiKey>) -> Option<Arc<KnownTenant>> {
+        self.tenants.as_ref()?.holder(key?)
+    }
+
     /// Bounds on what callers may send.
     pub fn limits(&self) -> Limits {
         self.configuration.limits
--- a/crates/gateway/src/store_copy.rs
+++ b/crates/gateway/src/store_copy.rs
@@ -76,6 +76,7 @@
                 version: configuration.version,
                 revision: item.revision,
                 routes: configuration.routes.len(),
+                tenants: configuration.tenants.as_ref().map_or(0, Vec::len),
             };
             shared.log.record(Weight::Important, &event);
             let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
