Usage by tenant: counted by gateways, collected by zone, kept in the store, decided once and reported

Change: crates/usage (counts that only grow, merged by the larger; the fleet's clock; when a window is decided), gateway::usage, the claim on the authority apart from orders of roles and shared by all duties, duties of the platform in the adapter, settings, stand-in. Copies of the store leave the collected rows out.

--- a/crates/cli/src/commands/gateway.rs
+++ b/crates/cli/src/commands/gateway.rs
@@ -25,7 +25,10 @@
         .log_to_stderr()
         .start()?;
     actix_rt::System::new().block_on(async move {
-        let adapter = tansyhall_platform::adapter(settings.store.address);
+        let adapter = {
+            let duties = settings.duties.as_ref().map(|duties| duties.address);
+            tansyhall_platform::adapter(settings.store.address, duties)
+        };
         tansyhall_gateway::run(&file, settings, adapter).await?;
         Ok(ExitCode::SUCCESS)
     })
--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -9,3 +9,4 @@
 mod schedulers;
 mod support;
 mod tenants;
+mod usage;
--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -7,11 +7,13 @@
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
 use serde_json::{json, Value};
+use tansyhall_gateway::usage::{RowsMessage, ROWS_PREFIX};
 use tansyhall_platform_standin::{
-    render, Behaviour, Operator, RoutePlan, Store, StoreDoor, TenantPlan, Worker, WorkerPlan,
-    API_KEY, DEADLINE, PROMPT_PARTS, REQUEST_ID, SEAL, TENANT,
+    render, Behaviour, Operations, Operator, RoutePlan, Store, StoreDoor, TenantPlan, Worker,
+    WorkerPlan, API_KEY, DEADLINE, PROMPT_PARTS, REQUEST_ID, SEAL, TENANT,
 };
 use tansyhall_testing::{eventually, gateway, get_metric, GatewayAddresses, GatewayProcess};
+use tansyhall_usage::Collection;
 use tokio::net::TcpStream;
 
 /// The template that is deployed.
@@ -87,6 +89,8 @@
     pub gateways: Vec<SiteGateway>,
     /// The store's door of each gateway.
     pub doors: Vec<StoreDoor>,
+    /// The platform's operations.
+    pub operations: Operations,
     store: Store,
     operator: Operator,
     version: Cell<u64>,
@@ -114,6 +118,7 @@
             workers,
             gateways: Vec::new(),
             doors: Vec::new(),
+            operations: Operations::start().expect("a free port"),
             store,
             operator,
             version: Cell::new(1),
@@ -143,7 +148,8 @@
         let door = self.store.open_door().expect("a free port");
         let addresses = GatewayAddresses::free();
         let name = format!("gateway-{number}");
-        let settings = render(TEMPLATE, &fields(&name, &addresses, &door)).expect("a template");
+        let settings =
+            render(TEMPLATE, &self.fields(&name, &addresses, &door)).expect("a template");
         let settings = settings.replace(
             "metrics = \"127.0.0.1:9464\"",
             &format!("metrics = \"{}\"", addresses.metrics),
@@ -153,6 +159,16 @@
         self.doors.push(door);
     }
 
+    /// Kills every gateway at once, and starts as many anew.
+    pub fn restart_all_gateways(&mut self) {
+        let count = self.gateways.len();
+        self.gateways.clear();
+        self.doors.clear();
+        for number in 0..count {
+            self.start_gateway(number);
+        }
+    }
+
     /// Adds a worker in another zone, which is chosen after equal ones here, and waits until the first gateway knows it.
     pub async fn add_worker(
         &self,
@@ -216,6 +232,22 @@
         }
     }
 
+    /// Waits until the store has the counts of this many requests.
+    pub async fn until_collected(&self, requests: u64) {
+        eventually("the counts are in the store", || async {
+            let mut collection = Collection::default();
+            for rows in self.store.values_below(ROWS_PREFIX) {
+                RowsMessage::decode_into(&rows, &mut collection).expect("rows");
+            }
+            let counted = collection
+                .sources()
+                .flat_map(|one| one.windows.into_values());
+            let counted: u64 = counted.map(|counts| counts.total()).sum();
+            (counted == requests).then_some(())
+        })
+        .await;
+    }
+
     /// How often workers ran a request.
     pub fn runs_of(&self, id: &str) -> usize {
         let runs = self.workers.iter().flat_map(|worker| worker.worker.runs());
@@ -255,28 +287,33 @@
     ]
 }
 
-fn fields(name: &str, addresses: &GatewayAddresses, door: &StoreDoor) -> serde_json::Value {
-    json!({
-        "node": name,
-        "zone": ZONE,
-        "ip": "127.0.0.1",
-        "limits": { "cores": 1 },
-        "listen": {
-            "front": addresses.callers.to_string(),
-            "ready": addresses.ready.to_string(),
-            "control": addresses.peers.to_string(),
-        },
-        "port_range": [addresses.metrics.port(), addresses.load.port()],
-        "seeds": [],
-        "provider": { "address": door.address.to_string() },
-        "bounds": {
-            "retry_budget_ratio": 0.2,
-            "budget_extra": 54,
-            "budget_window_s": 10,
-            "grace_s": 8,
-            "lease_ms": 300,
-        },
-    })
+impl Site {
+    fn fields(&self, name: &str, addresses: &GatewayAddresses, door: &StoreDoor) -> Value {
+        json!({
+            "node": name,
+            "zone": ZONE,
+            "ip": "127.0.0.1",
+            "limits": { "cores": 1 },
+            "listen": {
+                "front": addresses.callers.to_string(),
+                "ready": addresses.ready.to_string(),
+                "control": addresses.peers.to_string(),
+            },
+            "port_range": [addresses.metrics.port(), addresses.load.port()],
+            "seeds": [],
+            "provider": { "address": door.address.to_string() },
+            "cloud": { "address": self.operations.address.to_string() },
+            "bounds": {
+                "retry_budget_ratio": 0.2,
+                "budget_extra": 54,
+                "budget_window_s": 10,
+                "grace_s": 8,
+                "lease_ms": 300,
+                "report_window_s": 1,
+                "usage_late_s": 8,
+            },
+        })
+    }
 }
 
 /// What a caller got.
--- a/crates/forwarding/src/mirror.rs
+++ b/crates/forwarding/src/mirror.rs
@@ -56,6 +56,13 @@
         }
     }
 
+    fn key(&self) -> &str {
+        match self {
+            MirrorChange::Written(item) => &item.key,
+            MirrorChange::Removed { key, .. } => key,
+        }
+    }
+
     fn bytes(&self) -> usize {
         match self {
             MirrorChange::Written(item) => item.key.len() + item.value.len(),
@@ -118,12 +125,26 @@
 /// The copy.
 #[derive(Debug, Default)]
 pub struct Mirror {
+    /// Keys that begin so are left out, though their changes move the revision on.
+    left_out: Option<&'static str>,
     items: BTreeMap<String, Item>,
     revision: u64,
     history: History,
 }
 
 impl Mirror {
+    /// A copy that leaves out keys which begin so: those that change often and that few read.
+    pub fn without(left_out: &'static str) -> Self {
+        Self {
+            left_out: Some(left_out),
+            ..Self::default()
+        }
+    }
+
+    fn keeps(&self, key: &str) -> bool {
+        self.left_out.is_none_or(|prefix| !key.starts_with(prefix))
+    }
+
     /// The revision up to which the copy knows every change; 0 before the first read.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -136,11 +157,9 @@
         }
         self.revision = snapshot.revision;
         self.history.restart(snapshot.revision);
-        self.items = snapshot
-            .items
-            .into_iter()
-            .map(|item| (item.key.clone(), item))
-            .collect();
+        let items = snapshot.items.into_iter();
+        let kept = items.filter(|item| self.keeps(&item.key));
+        self.items = kept.map(|item| (item.key.clone(), item)).collect();
         true
     }
 
@@ -150,7 +169,7 @@
         let known = self.revision;
         let mut changed = false;
         for change in changes {
-            if change.revision() <= known {
+            if change.revision() <= known || !self.keeps(change.key()) {
                 continue;
             }
             changed = true;
--- a/crates/forwarding/src/scheduler_plan.rs
+++ b/crates/forwarding/src/scheduler_plan.rs
@@ -121,6 +121,18 @@
         listeners.map(String::as_str)
     }
 
+    /// The first gateway of the ranking of `zone` that is usable; `own` always is.
+    pub fn first_of(
+        &self,
+        own: &str,
+        zone: &ZoneName,
+        is_usable: impl Fn(&str) -> bool,
+    ) -> Option<&str> {
+        let names = &self.zones.get(zone)?.names;
+        let usable = |name: &&str| *name == own || is_usable(name);
+        names.iter().map(String::as_str).find(usable)
+    }
+
     /// The scheduler that places the requests of the gateway `own` in `zone`, if one is usable. It may
     /// be that gateway itself.
     pub fn scheduler_of(
--- /dev/null
+++ b/crates/gateway/src/authority.rs
@@ -0,0 +1,155 @@
+//! The authority over the site: one gateway at a time holds it, orders engines into their roles, reports
+//! usage and orders workers.
+//!
+//! One claim for all duties, not one for each: they need the same lease calls once instead of three
+//! times, and one gateway that knows the whole load decides roles and workers together. The claim is a
+//! key that is created under this gateway's lease; its fence is the revision of its creation, which only
+//! grows. A new holder waits until what the one before it may have under way is over, and the lease is
+//! asked before each call, so that two holders never act in turns.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tansyhall_authority::{
+    claim::claim_delay, ClaimAction, ClaimEvent, ClaimRecord, Epoch, Lease, PoolClaim,
+};
+use tansyhall_core::{NodeId, PoolName, Timestamp};
+use tansyhall_store::{Compare, KeyValueStore, LeaseId, Operation, Transaction};
+use tokio::time::sleep;
+
+use crate::authority_claim::{self, AuthorityClaim};
+use crate::events::{Event, Weight};
+use crate::lease::NodeLease;
+use crate::state::Shared;
+use crate::store_call::in_time;
+
+/// What is claimed, for the spreading of claims.
+const CLAIM_NAME: &str = "roles";
+/// Pause between two looks.
+const PACE: Duration = Duration::from_millis(300);
+/// Longest wait before a free claim is taken.
+const CLAIM_SPREAD: Duration = Duration::from_millis(1_500);
+
+/// The claim that this gateway holds.
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    epoch: Epoch,
+    since: Timestamp,
+}
+
+/// Whether this gateway may act for the site; shared by the tasks that do.
+#[derive(Debug, Clone)]
+pub struct Authority {
+    lease: NodeLease,
+    held: Arc<Mutex<Option<Held>>>,
+}
+
+impl Authority {
+    /// The authority that hangs on a lease; nobody holds it yet.
+    pub fn new(lease: NodeLease) -> Self {
+        Self {
+            lease,
+            held: Arc::default(),
+        }
+    }
+
+    /// The fence of this gateway's claim if it may act now. To be asked right before each call.
+    pub fn fence(&self, shared: &Shared) -> Option<Epoch> {
+        let now = shared.now();
+        let Held { epoch, since } = (*self.held.lock())?;
+        let settled = now.since(since) >= shared.settings.read().takeover_pause();
+        (settled && self.lease.clock().is_valid(now)).then_some(epoch)
+    }
+
+    /// Holds or seeks the authority until the gateway stops.
+    pub async fn seek(self, shared: Arc<Shared>, store: Rc<dyn KeyValueStore>) {
+        let node = NodeId::new(shared.settings.read().node.name.clone());
+        let delay = claim_delay(&PoolName::new(CLAIM_NAME), &node, CLAIM_SPREAD);
+        let mut seeker = Seeker {
+            shared,
+            store,
+            authority: self,
+            claim: PoolClaim::new(delay),
+        };
+        while !seeker.shared.is_stopping() {
+            sleep(PACE).await;
+            seeker.look().await;
+        }
+        *seeker.authority.held.lock() = None;
+    }
+}
+
+struct Seeker {
+    shared: Arc<Shared>,
+    store: Rc<dyn KeyValueStore>,
+    authority: Authority,
+    claim: PoolClaim,
+}
+
+impl Seeker {
+    async fn look(&mut self) {
+        let now = self.shared.now();
+        let lease = &self.authority.lease;
+        if self.claim.held().is_none() && !self.shared.hears_reports() {
+            lease.set_wanted(false);
+            return;
+        }
+        let event = self.observe();
+        let action = self.claim.step(now, event);
+        lease.set_wanted(self.claim.needs_lease(now));
+        match action {
+            ClaimAction::Create(lease) => self.create_claim(lease).await,
+            ClaimAction::Acquired(epoch) => self.set_held(Some(Held { epoch, since: now })),
+            ClaimAction::Lost => self.set_held(None),
+            ClaimAction::Wait => {}
+        }
+    }
+
+    fn observe(&self) -> ClaimEvent {
+        let lease = self.authority.lease.held();
+        let mirror = self.shared.mirror.lock();
+        let record = mirror.get(authority_claim::KEY).and_then(|item| {
+            let claim = AuthorityClaim::decode(&item.value)?;
+            Some(ClaimRecord {
+                lease: claim.lease,
+                epoch: Epoch(item.created),
+            })
+        });
+        ClaimEvent::Observed { record, lease }
+    }
+
+    async fn create_claim(&self, Lease(lease): Lease) {
+        let claim = AuthorityClaim {
+            lease: Lease(lease),
+            holder: Some(self.shared.settings.read().node.name.clone()),
+        };
+        let transaction = Transaction {
+            compare: vec![Compare::Absent(authority_claim::KEY.into())],
+            operations: vec![Operation::Put {
+                key: authority_claim::KEY.into(),
+                value: claim.encode(),
+                lease: Some(LeaseId(lease)),
+            }],
+        };
+        // Whatever the answer: the claim is read back from the copy of the store.
+        if let Err(error) = in_time(self.store.transact(&transaction)).await {
+            log::debug!("the claim may not have been created: {error}");
+        }
+    }
+
+    fn set_held(&self, held: Option<Held>) {
+        *self.authority.held.lock() = held;
+        self.shared
+            .metrics
+            .holds_authority
+            .set(i64::from(held.is_some()));
+        let (state, epoch) = match held {
+            Some(Held { epoch, .. }) => ("acquired", epoch.0),
+            None => ("lost", 0),
+        };
+        let event = Event::Authority { state, epoch };
+        self.shared.log.record(Weight::Important, &event);
+    }
+}
--- a/crates/gateway/src/role_claim.rs
+++ b/crates/gateway/src/authority_claim.rs
@@ -1,4 +1,4 @@
-//! The claim on the authority over engines' roles, as it stands in the store.
+//! The claim on the authority over the site, as it stands in the store.
 
 use tansyhall_authority::Lease;
 use tansyhall_forwarding::Mirror;
@@ -8,14 +8,14 @@
 
 /// The value of the claim's key.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RoleClaim {
+pub struct AuthorityClaim {
     /// The holder's lease.
     pub lease: Lease,
     /// The holder's name; an older version does not tell it.
     pub holder: Option<String>,
 }
 
-impl RoleClaim {
+impl AuthorityClaim {
     /// The value as it is stored.
     pub fn encode(&self) -> Vec<u8> {
         let Lease(lease) = self.lease;
@@ -37,5 +37,5 @@
 
 /// The name of the gateway that holds the authority, as the copy of the store says.
 pub fn holder(mirror: &Mirror) -> Option<String> {
-    RoleClaim::decode(&mirror.get(KEY)?.value)?.holder
+    AuthorityClaim::decode(&mirror.get(KEY)?.value)?.holder
 }
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -1,5 +1,5 @@
 //! The socket for datagrams between gateways: reports of load, and questions to schedulers with their
-//! answers. A lost datagram is made good by later ones.
+//! answers, counts of usage. A lost datagram is made good by later ones.
 
 use std::net::SocketAddr;
 use std::sync::OnceLock;
@@ -10,6 +10,7 @@
 
 use crate::load_messages::ReportMessage;
 use crate::placement::{AnswerMessage, QuestionMessage};
+use crate::usage::{AcknowledgementMessage, UsageMessage};
 
 /// The longest datagram.
 pub const MAX_DATAGRAM_BYTES: usize = 16 << 10;
@@ -26,6 +27,12 @@
     /// A scheduler's answer.
     #[prost(message, optional, tag = "3")]
     pub answer: Option<AnswerMessage>,
+    /// What a gateway has counted.
+    #[prost(message, optional, tag = "4")]
+    pub usage: Option<UsageMessage>,
+    /// A collector's acknowledgement.
+    #[prost(message, optional, tag = "5")]
+    pub usage_acknowledged: Option<AcknowledgementMessage>,
 }
 
 impl Datagram {
@@ -45,6 +52,22 @@
         }
     }
 
+    /// What a gateway has counted.
+    pub fn usage(usage: UsageMessage) -> Self {
+        Self {
+            usage: Some(usage),
+            ..Self::default()
+        }
+    }
+
+    /// A collector's acknowledgement.
+    pub fn usage_acknowledged(message: AcknowledgementMessage) -> Self {
+        Self {
+            usage_acknowledged: Some(message),
+            ..Self::default()
+        }
+    }
+
     /// A scheduler's answer.
     pub fn answer(answer: AnswerMessage) -> Self {
         Self {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -158,6 +158,26 @@
         /// The fence of the claim; 0 when it is lost.
         epoch: u64,
     },
+    /// The usage of a window was summed up to be reported.
+    UsageDecided {
+        /// The window.
+        window: u64,
+        /// Requests of all tenants.
+        requests: u64,
+        /// Whether every gateway had counted past the window's end.
+        complete: bool,
+        /// `decided`, `decided before`, or why it is not known.
+        outcome: &'a str,
+    },
+    /// The usage of a window was reported.
+    UsageReported {
+        /// The window.
+        window: u64,
+        /// `done`, `refused`, `not_done` or `unknown`.
+        outcome: &'a str,
+        /// What the platform said.
+        detail: &'a str,
+    },
     /// An engine was ordered to change its role.
     Order {
         /// The engine.
--- a/crates/gateway/src/exchange/deliver.rs
+++ b/crates/gateway/src/exchange/deliver.rs
@@ -70,7 +70,10 @@
             return self.deliver_events(answer).await;
         }
         match self.next_bytes(&mut answer, self.deadline()).await {
-            NextBytes::Bytes(first) => self.deliver_parts(answer, first).await,
+            NextBytes::Bytes(first) => {
+                self.count_usage(self.shared.now());
+                self.deliver_parts(answer, first).await
+            }
             NextBytes::End => self.deliver_parts(answer, Bytes::new()).await,
             NextBytes::Broken => failed(SendFailure::MayHaveRun),
             NextBytes::DeadlinePassed => RequestEvent::DeadlinePassed,
@@ -106,7 +109,10 @@
             let silence = Instant::now() + STREAM_SILENCE;
             let limit = silence.min(self.deadline());
             let bytes = match self.next_bytes(&mut answer, limit).await {
-                NextBytes::Bytes(bytes) => bytes,
+                NextBytes::Bytes(bytes) => {
+                    self.count_usage(self.shared.now());
+                    bytes
+                }
                 NextBytes::End if framer.pending_bytes() == 0 && self.sink.has_begun() => {
                     self.sink.end().await;
                     return RequestEvent::Completed;
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -71,6 +71,8 @@
     waiting: Duration,
     cause: &'static str,
     begun_after: Option<Duration>,
+    /// Whether it counts in its tenant's usage already.
+    counted: bool,
     /// Draws the compared workers, and one of nearly equal engines.
     draw: u64,
     _in_flight: InFlight,
@@ -91,6 +93,7 @@
             waiting: Duration::ZERO,
             cause: "",
             begun_after: None,
+            counted: false,
             draw: rand::random(),
         }
     }
@@ -168,6 +171,15 @@
         }
     }
 
+    /// Counts the request in its tenant's usage, once, as having begun to run at `began`.
+    fn count_usage(&mut self, began: Timestamp) {
+        let tenant = self.request.routed.tenant.as_ref();
+        if let (Some(usage), Some(tenant), false) = (&self.shared.usage, tenant, self.counted) {
+            usage.count(began, tenant);
+            self.counted = true;
+        }
+    }
+
     fn route(&self) -> &Route {
         &self.request.routed.route
     }
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -51,6 +51,11 @@
         if sent.is_none() {
             sent = timeout_at(deadline, &mut sending).await.ok();
         }
+        let streams = self.route().repeatability.is_stream();
+        let may_have_run = !matches!(&sent, Some(Ok(_) | Err(SendError::NotSent(_))));
+        if may_have_run && !streams {
+            self.count_usage(guard.began());
+        }
         match sent {
             None => RequestEvent::DeadlinePassed,
             Some(Ok(answer)) => self.judge(answer, guard).await,
@@ -86,6 +91,9 @@
                 failed(SendFailure::NotRun)
             }
             AnswerKind::Failure => {
+                if !self.route().repeatability.is_stream() {
+                    self.count_usage(guard.began());
+                }
                 guard.ended(SendResult::Failed, detail);
                 self.keep_error(answer).await
             }
@@ -94,7 +102,10 @@
                 guard.answered();
                 let event = match self.route().repeatability.is_stream() {
                     true => self.deliver_stream(answer).await,
-                    false => self.deliver_whole(answer).await,
+                    false => {
+                        self.count_usage(guard.began());
+                        self.deliver_whole(answer).await
+                    }
                 };
                 if !matches!(
                     event,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,12 +8,15 @@
 #![forbid(unsafe_code)]
 
 pub mod answer;
+pub mod authority;
+pub mod authority_claim;
 pub mod cache_recovery;
 pub mod connections;
 pub mod copy_message;
 pub mod datagrams;
 pub mod deflated_values;
 pub mod desired_roles;
+pub mod duties;
 pub mod events;
 pub mod exchange;
 pub mod fleet;
@@ -29,14 +32,14 @@
 pub mod presence;
 pub mod protocol;
 pub mod readiness;
-pub mod role_authority;
-pub mod role_claim;
+pub mod role_orders;
 pub mod run;
 pub mod send_guard;
 pub mod settings;
 pub mod state;
 pub mod store_call;
 pub mod store_copy;
+pub mod usage;
 
 pub use run::{run, Adapter};
 pub use settings::{GatewaySettings, SettingsError};
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -9,12 +9,13 @@
 use tansyhall_forwarding::LoadReport;
 use tokio::time::sleep;
 
+use crate::authority_claim;
 use crate::datagrams::{Datagram, MAX_DATAGRAM_BYTES};
 use crate::fleet::Fleet;
 use crate::load_messages::{decode, encode};
 use crate::placement;
-use crate::role_claim;
 use crate::state::Shared;
+use crate::usage;
 
 /// Pause between reports.
 const PACE: Duration = Duration::from_millis(20);
@@ -65,12 +66,12 @@
     for_itself || shared.ledger.lock().is_asked()
 }
 
-/// Sends a report to those who place requests, and to the holder of the authority over roles.
+/// Sends a report to those who place requests, and to the holder of the authority.
 fn tell(shared: &Shared, fleet: &Fleet, report: &LoadReport) {
     let settings = shared.settings.read().clone();
     let datagram = Datagram::report(encode(report)).encode_to_vec();
     let own = settings.node.name.as_str();
-    let holder = role_claim::holder(&shared.mirror.lock());
+    let holder = authority_claim::holder(&shared.mirror.lock());
     let holder = holder.filter(|name| !fleet.plan.is_listener(name));
     let listeners: Vec<&str> = match settings.decisions.schedulers {
         true => fleet.plan.listeners().chain(holder.as_deref()).collect(),
@@ -101,6 +102,12 @@
         if let Some(question) = datagram.question {
             placement::answer(shared, sender, question);
         }
+        if let Some(message) = datagram.usage {
+            usage::take_in(shared, sender, message);
+        }
+        if let Some(message) = datagram.usage_acknowledged {
+            usage::acknowledge(shared, &message);
+        }
         if let Some(answer) = datagram.answer {
             match answer.decode_answer() {
                 Ok((id, answer)) => shared.placements.take_answer(id, answer),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub workers: IntGaugeVec,
     /// Whether this gateway holds the authority over roles.
     pub holds_authority: IntGauge,
+    /// Reports of usage by outcome.
+    pub usage_reports: IntCounterVec,
     /// Milliseconds since the store last answered.
     pub store_age_ms: IntGauge,
     /// Whether this gateway asks the store itself for changes, and not a relay.
@@ -85,6 +87,10 @@
                 "gateway_holds_authority",
                 "Whether this gateway holds the authority over roles",
             )?,
+            usage_reports: IntCounterVec::new(
+                Opts::new("gateway_usage_reports_total", "Reports of usage by outcome"),
+                &["outcome"],
+            )?,
             store_age_ms: IntGauge::new(
                 "gateway_store_age_ms",
                 "Milliseconds since the store last answered",
@@ -138,6 +144,8 @@
         self.registry.register(Box::new(self.workers.clone()))?;
         self.registry
             .register(Box::new(self.holds_authority.clone()))?;
+        self.registry
+            .register(Box::new(self.usage_reports.clone()))?;
         self.registry
             .register(Box::new(self.store_age_ms.clone()))?;
         self.registry
--- a/crates/gateway/src/role_authority.rs
+++ b/crates/gateway/src/role_orders.rs
@@ -1,11 +1,9 @@
-//! The authority over engines' roles: one gateway at a time holds it and orders engines.
+//! Orders of the holder of the authority to engines, to change their roles.
 //!
-//! The claim is a key that is created under this gateway's lease; its fence is the revision of its
-//! creation, which only grows. The holder writes the roles that engines should have (under the
-//! condition that its claim still stands), waits until every gateway has heard of it, and orders
-//! each engine with its fence and the number of orders that the engine has taken. An order that is
-//! carried out late finds another number and has no effect. The lease is asked before each order,
-//! and a new holder waits until the orders of the one before it are over.
+//! The holder writes the roles that engines should have (under the condition that its claim still
+//! stands), waits until every gateway has heard of it, and orders each engine with its fence and the
+//! number of orders that the engine has taken. An order that is carried out late finds another number and
+//! has no effect.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -13,30 +11,24 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tansyhall_authority::{
-    claim::claim_delay, ClaimAction, ClaimEvent, ClaimRecord, Epoch, Lease, PoolClaim,
-};
-use tansyhall_core::{NodeId, PoolName, Role, ServiceName, Timestamp};
+use tansyhall_authority::Epoch;
+use tansyhall_core::{Role, ServiceName, Timestamp};
 use tansyhall_forwarding::{EngineLoad, Worker, WorkerId};
 use tansyhall_planner::{balance_roles, BalancedEngine, ExpectedDemand, RecentPeak};
-use tansyhall_store::{Compare, KeyValueStore, LeaseId, Operation, Revision, Transaction};
+use tansyhall_store::{Compare, KeyValueStore, Operation, Revision, Transaction};
 use tokio::time::{sleep, timeout};
 
+use crate::authority::Authority;
+use crate::authority_claim;
 use crate::connections::WorkerRequest;
 use crate::desired_roles::{self, DesiredRoles};
 use crate::events::{Event, Weight};
-use crate::lease::NodeLease;
 use crate::protocol::{EngineReport, RoleOrder, WorkerCall};
-use crate::role_claim::{self, RoleClaim};
 use crate::state::Shared;
 use crate::store_call::in_time;
 
-/// What is claimed, for the spreading of claims.
-const CLAIM_NAME: &str = "roles";
 /// Pause between two looks.
 const PACE: Duration = Duration::from_millis(300);
-/// Longest wait before a free claim is taken.
-const CLAIM_SPREAD: Duration = Duration::from_millis(1_500);
 /// Time in which every gateway hears of a desired role.
 const NOTICE: Duration = Duration::from_millis(600);
 /// Time between two changes of the desired roles.
@@ -50,33 +42,27 @@
 /// The longest answer of an engine.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
 
-/// Holds or seeks the authority until the gateway stops.
-pub async fn run(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>, lease: NodeLease) {
-    let node = NodeId::new(shared.settings.read().node.name.clone());
-    let delay = claim_delay(&PoolName::new(CLAIM_NAME), &node, CLAIM_SPREAD);
-    let mut authority = RoleAuthority {
+/// Orders engines while this gateway holds the authority, until it stops.
+pub async fn run(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>, authority: Authority) {
+    let mut orders = RoleOrders {
         shared,
         store,
-        lease,
-        claim: PoolClaim::new(delay),
-        acquired: Timestamp::default(),
+        authority,
         changed: Timestamp::default(),
         ordered: HashMap::new(),
         streams: HashMap::new(),
         short_reading: HashMap::new(),
     };
-    while !authority.shared.is_stopping() {
+    while !orders.shared.is_stopping() {
         sleep(PACE).await;
-        authority.look().await;
+        orders.look().await;
     }
 }
 
-struct RoleAuthority {
+struct RoleOrders {
     shared: Arc<Shared>,
     store: Rc<dyn KeyValueStore>,
-    lease: NodeLease,
-    claim: PoolClaim,
-    acquired: Timestamp,
+    authority: Authority,
     changed: Timestamp,
     ordered: HashMap<WorkerId, Timestamp>,
     streams: HashMap<WorkerId, f64>,
@@ -84,66 +70,17 @@
     short_reading: HashMap<ServiceName, RecentPeak>,
 }
 
-impl RoleAuthority {
+impl RoleOrders {
     async fn look(&mut self) {
-        let now = self.shared.now();
-        if self.claim.held().is_none() && !self.shared.hears_reports() {
-            self.lease.set_wanted(false);
+        if !self.shared.settings.read().decisions.role_orders {
             return;
         }
-        let event = self.observe();
-        match self.claim.step(now, event) {
-            ClaimAction::Create(lease) => self.create_claim(lease).await,
-            ClaimAction::Acquired(epoch) => {
-                self.acquired = now;
-                self.record("acquired", epoch);
-            }
-            ClaimAction::Lost => self.record("lost", Epoch(0)),
-            ClaimAction::Wait => {}
-        }
-        self.lease.set_wanted(self.claim.needs_lease(now));
-        let Some(epoch) = self.claim.held() else {
-            return;
-        };
-        let pause = self.shared.settings.read().takeover_pause();
-        let settled = now.since(self.acquired) >= pause;
-        let may_order = self.shared.settings.read().decisions.role_orders;
-        if settled && may_order && self.lease.clock().is_valid(now) {
+        if let Some(epoch) = self.authority.fence(&self.shared) {
             self.change_desired_roles(epoch).await;
             self.order_engines(epoch).await;
         }
     }
 
-    fn observe(&self) -> ClaimEvent {
-        let lease = self.lease.held();
-        let mirror = self.shared.mirror.lock();
-        let record = mirror.get(role_claim::KEY).and_then(|item| {
-            let claim = RoleClaim::decode(&item.value)?;
-            Some(ClaimRecord {
-                lease: claim.lease,
-                epoch: Epoch(item.created),
-            })
-        });
-        ClaimEvent::Observed { record, lease }
-    }
-
-    async fn create_claim(&self, Lease(lease): Lease) {
-        let claim = RoleClaim {
-            lease: Lease(lease),
-            holder: Some(self.shared.settings.read().node.name.clone()),
-        };
-        let transaction = Transaction {
-            compare: vec![Compare::Absent(role_claim::KEY.into())],
-            operations: vec![Operation::Put {
-                key: role_claim::KEY.into(),
-                value: claim.encode(),
-                lease: Some(LeaseId(lease)),
-            }],
-        };
-        // Whatever the answer: the claim is read back from the copy of the store.
-        let _ = in_time(self.store.transact(&transaction)).await;
-    }
-
     async fn change_desired_roles(&mut self, epoch: Epoch) {
         let now = self.shared.now();
         let engines = self.engines();
@@ -216,7 +153,7 @@
         };
         let transaction = Transaction {
             compare: vec![
-                Compare::ModifiedAt(role_claim::KEY.into(), Revision(epoch)),
+                Compare::ModifiedAt(authority_claim::KEY.into(), Revision(epoch)),
                 unchanged,
             ],
             operations: vec![Operation::Put {
@@ -264,7 +201,7 @@
         else {
             return;
         };
-        if busy || present == Some(role) || !self.lease.clock().is_valid(self.shared.now()) {
+        if busy || present == Some(role) || self.authority.fence(&self.shared).is_none() {
             return;
         }
         let order = RoleOrder {
@@ -306,13 +243,6 @@
         };
         timeout(CALL_TIMEOUT, answered).await.ok().flatten()
     }
-
-    fn record(&self, state: &str, Epoch(epoch): Epoch) {
-        let holds = self.claim.held().is_some();
-        self.shared.metrics.holds_authority.set(i64::from(holds));
-        let event = Event::Authority { state, epoch };
-        self.shared.log.record(Weight::Important, &event);
-    }
 }
 
 fn services_of(engines: &[EngineLoad]) -> Vec<ServiceName> {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,12 +14,15 @@
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_forwarding::{Directory, GatewayKey, Mirror, PlacementLedger, RetryShares};
 use tansyhall_store::KeyValueStore;
+use tansyhall_usage::Source;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::authority::Authority;
 use crate::connections::Connections;
 use crate::datagrams::Datagrams;
+use crate::duties::DutyService;
 use crate::events::{Event, EventLog, Weight};
 use crate::fleet::Fleet;
 use crate::follower::{self, StoreContact};
@@ -29,8 +32,10 @@
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
+use crate::usage::Usage;
 use crate::{
-    cache_recovery, ingress, load_exchange, peers, presence, readiness, role_authority, store_copy,
+    cache_recovery, ingress, load_exchange, peers, presence, readiness, role_orders, store_copy,
+    usage,
 };
 
 /// Time that callers' connections may rest.
@@ -54,6 +59,8 @@
     pub catalogue: Arc<dyn Catalogue>,
     /// The store.
     pub store: Rc<dyn KeyValueStore>,
+    /// The platform's operations, if it has any.
+    pub duties: Option<Rc<dyn DutyService>>,
 }
 
 /// Runs a gateway until SIGTERM or SIGINT; SIGHUP reads the settings again.
@@ -81,7 +88,9 @@
     actix_rt::spawn(prune(Arc::clone(&shared)));
     actix_rt::spawn(store_copy::end_lapses(Arc::clone(&shared)));
     actix_rt::spawn(store_copy::log_worker_changes(Arc::clone(&shared)));
-    spawn_under_leases(&shared, &adapter.store);
+    actix_rt::spawn(usage::tell(Arc::clone(&shared)));
+    actix_rt::spawn(usage::keep(Arc::clone(&shared), Rc::clone(&adapter.store)));
+    spawn_under_leases(&shared, &adapter);
     let event = Event::Started {
         node: &settings.node.name,
         zone: settings.node.zone.as_str(),
@@ -93,7 +102,8 @@
 }
 
 /// Starts what hangs on a lease; each task ends when the gateway stops.
-fn spawn_under_leases(shared: &Arc<Shared>, store: &Rc<dyn KeyValueStore>) {
+fn spawn_under_leases(shared: &Arc<Shared>, adapter: &Adapter) {
+    let store = &adapter.store;
     let presence = NodeLease::new(lease::PRESENCE, true);
     let authority = NodeLease::new(lease::AUTHORITY, false);
     for lease in [&presence, &authority] {
@@ -102,8 +112,15 @@
     }
     let announced = presence::announce(Arc::clone(shared), Rc::clone(store), presence);
     actix_rt::spawn(announced);
-    let holder = role_authority::run(Arc::clone(shared), Rc::clone(store), authority);
-    actix_rt::spawn(holder);
+    let authority = Authority::new(authority);
+    let seeking = authority.clone().seek(Arc::clone(shared), Rc::clone(store));
+    actix_rt::spawn(seeking);
+    let (kept, orders) = (Arc::clone(shared), Rc::clone(store));
+    actix_rt::spawn(role_orders::run(kept, orders, authority.clone()));
+    if let Some(duties) = &adapter.duties {
+        let (kept, reports) = (Arc::clone(shared), Rc::clone(store));
+        actix_rt::spawn(usage::report(kept, reports, Rc::clone(duties), authority));
+    }
 }
 
 fn share(settings: GatewaySettings, adapter: &Adapter, log: Arc<EventLog>) -> Result<Arc<Shared>> {
@@ -112,13 +129,20 @@
     let mut directory = Directory::new(gateway);
     directory.set_decisions(settings.decisions);
     let fleet = Fleet::new(vec![presence::own_member(&settings)]);
+    let usage = settings.usage_timing().map(|timing| {
+        let source = Source {
+            gateway: settings.node.name.clone(),
+            incarnation: gateway.0,
+        };
+        Usage::new(source, timing)
+    });
     let retries = RetryShares::new(settings.retry_share(), ASSUMED_GATEWAYS);
     Ok(Arc::new(Shared {
         settings: RwLock::new(Arc::new(settings)),
         clock,
         protocol: Arc::clone(&adapter.protocol),
         catalogue: Arc::clone(&adapter.catalogue),
-        mirror: Mutex::new(Mirror::default()),
+        mirror: Mutex::new(Mirror::without(usage::ROWS_PREFIX)),
         mirror_revision: watch::Sender::default(),
         deflated_values: Mutex::default(),
         decoded_workers: Mutex::default(),
@@ -134,6 +158,7 @@
         retries: Mutex::new(retries),
         store_contact: StoreContact::default(),
         connections: Arc::new(Connections::new(clock)),
+        usage,
         log,
         metrics: Metrics::new()?,
         gateways: AtomicU64::new(u64::from(ASSUMED_GATEWAYS)),
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -108,6 +108,11 @@
         }
     }
 
+    /// When the send began.
+    pub fn began(&self) -> Timestamp {
+        self.began
+    }
+
     fn placed(&self) -> Option<&Placement> {
         self.placement.as_ref().map(OpenPlacement::placement)
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use tansyhall_core::ZoneName;
 use tansyhall_forwarding::{Decisions, RetryShareSettings};
+use tansyhall_usage::WindowTiming;
 
 /// The whole file.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -23,6 +24,10 @@
     pub stop: StopSection,
     /// Orders to engines.
     pub orders: OrdersSection,
+    /// Usage by tenant; none if it is not reported.
+    pub usage: Option<UsageSection>,
+    /// The platform's operations; none if it has none.
+    pub duties: Option<DutiesSection>,
     /// Lines about decisions.
     #[serde(default)]
     pub log: LogSection,
@@ -106,6 +111,22 @@
     pub takeover_pause_seconds: f64,
 }
 
+/// Usage by tenant.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct UsageSection {
+    /// The length of a window in seconds, 0.1 to 86400.
+    pub window_seconds: f64,
+    /// Seconds after a window's end at which its usage must have been reported, 0.1 to 86400.
+    pub due_after_seconds: f64,
+}
+
+/// The platform's operations.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct DutiesSection {
+    /// Where it takes the calls of the gateway that acts for the site.
+    pub address: SocketAddr,
+}
+
 /// Lines about decisions.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(default)]
@@ -234,6 +255,16 @@
             "must be 0 to 600",
             pause_fits,
         )?;
+        if let Some(usage) = &self.usage {
+            let bounds = [
+                ("usage.window_seconds", usage.window_seconds),
+                ("usage.due_after_seconds", usage.due_after_seconds),
+            ];
+            for (key, seconds) in bounds {
+                let fits = (0.1..=86_400.0).contains(&seconds);
+                range(key, seconds.to_string(), "must be 0.1 to 86400", fits)?;
+            }
+        }
         let lines = self.log.queue_lines;
         let lines_fit = (16..=1_000_000).contains(&lines);
         range(
@@ -253,6 +284,14 @@
         }
     }
 
+    /// Windows of usage, if it is reported.
+    pub fn usage_timing(&self) -> Option<WindowTiming> {
+        self.usage.as_ref().map(|usage| WindowTiming {
+            length: Duration::from_secs_f64(usage.window_seconds),
+            due_after: Duration::from_secs_f64(usage.due_after_seconds),
+        })
+    }
+
     /// Time that a new holder of the authority waits before its first order.
     pub fn takeover_pause(&self) -> Duration {
         Duration::from_secs_f64(self.orders.takeover_pause_seconds)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
 use crate::store_copy::{DecodedWorker, LoggedWorkers};
+use crate::usage::Usage;
 
 /// The part of a worker's connections that gateways use together; the rest is for health checks
 /// and gateways that are not known yet.
@@ -75,6 +76,8 @@
     pub store_contact: StoreContact,
     /// Connections to workers.
     pub connections: Arc<Connections>,
+    /// Usage by tenant, if it is reported.
+    pub usage: Option<Usage>,
     /// Log.
     pub log: Arc<EventLog>,
     /// Counters.
--- /dev/null
+++ b/crates/gateway/src/usage/collector.rs
@@ -0,0 +1,79 @@
+//! Writes what this gateway has collected to the store.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tansyhall_store::{KeyValueStore, Operation, Transaction};
+use tansyhall_usage::WindowNumber;
+use tokio::time::sleep;
+
+use super::message::RowsMessage;
+use super::state::Usage;
+use super::ROWS_PREFIX;
+use crate::state::Shared;
+use crate::store_call::in_time;
+
+/// Pause between two writes: what all gateways lose that die at once is half of it on the mean, 4% of a
+/// window of five seconds, for two and a half calls a second from each zone.
+const PACE: Duration = Duration::from_millis(400);
+
+/// Writes for ever.
+pub async fn keep(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>) {
+    let Some(usage) = shared.usage.as_ref() else {
+        return;
+    };
+    let key = key_of(usage);
+    let mut written = Vec::new();
+    loop {
+        sleep(PACE).await;
+        if let Some(rows) = rows_to_write(&shared, usage) {
+            if rows != written && write(&*store, &key, &rows).await {
+                written = rows;
+            }
+        }
+    }
+}
+
+fn key_of(usage: &Usage) -> String {
+    let source = &usage.source;
+    format!(
+        "{ROWS_PREFIX}{}-{:016x}",
+        source.gateway, source.incarnation
+    )
+}
+
+fn rows_to_write(shared: &Shared, usage: &Usage) -> Option<Vec<u8>> {
+    let oldest = usage.timing.oldest_open(usage.time(shared.now())?);
+    let mut collection = usage.collection.lock();
+    let before = WindowNumber(oldest.0.saturating_sub(1));
+    collection.forget_before(oldest, usage.timing.end_of(before));
+    if collection.is_empty() {
+        return None;
+    }
+    match RowsMessage::encode_collection(&collection) {
+        Ok(rows) => Some(rows),
+        Err(error) => {
+            log::warn!("collected usage is not written: {error:#}");
+            None
+        }
+    }
+}
+
+async fn write(store: &dyn KeyValueStore, key: &str, rows: &[u8]) -> bool {
+    let transaction = Transaction {
+        compare: Vec::new(),
+        operations: vec![Operation::Put {
+            key: key.to_owned(),
+            value: rows.to_vec(),
+            lease: None,
+        }],
+    };
+    match in_time(store.transact(&transaction)).await {
+        Ok(_) => true,
+        Err(error) => {
+            log::debug!("collected usage may not be written: {error}");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/usage/tests/counting.rs
@@ -0,0 +1,212 @@
+//! Counts survive repeats, losses and orders of messages, and each window is decided once.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tansyhall_core::{TenantName, Timestamp};
+use tansyhall_usage::{
+    next_step, ClockReading, Collection, FleetClock, KnownReports, ReportStep, Source, SourceUsage,
+    TenantCounts, UnixMillis, UsageMeter, UsageSender, WindowNumber, WindowTiming,
+};
+
+const TIMING: WindowTiming = WindowTiming {
+    length: Duration::from_secs(5),
+    due_after: Duration::from_secs(10),
+};
+/// A moment at which a window begins.
+const START: u64 = 1_767_225_600_000;
+
+fn source(gateway: &str, incarnation: u64) -> Source {
+    Source {
+        gateway: gateway.into(),
+        incarnation,
+    }
+}
+
+fn at(seconds: f64) -> UnixMillis {
+    UnixMillis(START + (seconds * 1e3) as u64)
+}
+
+fn first_window() -> WindowNumber {
+    TIMING.window_of(at(0.0))
+}
+
+fn counts(of: &[(&str, u64)]) -> TenantCounts {
+    let mut counts = TenantCounts::default();
+    for (tenant, requests) in of {
+        counts.add(&TenantName::new(*tenant), *requests);
+    }
+    counts
+}
+
+fn usage(source: Source, until: UnixMillis, of: &[(&str, u64)]) -> SourceUsage {
+    SourceUsage {
+        source,
+        counted_until: until,
+        windows: BTreeMap::from([(first_window(), counts(of))]),
+    }
+}
+
+#[test]
+fn windows_are_counted_from_1970() {
+    assert_eq!(first_window(), WindowNumber(START / 5_000));
+    assert_eq!(TIMING.end_of(first_window()), at(5.0));
+    assert_eq!(TIMING.due(first_window()), at(15.0));
+    assert_eq!(TIMING.oldest_open(at(15.0)), first_window());
+    assert_eq!(TIMING.oldest_open(at(15.1)), first_window().next());
+}
+
+#[test]
+fn a_restarted_gateway_adds_to_what_it_counted_before() {
+    let mut collection = Collection::default();
+    collection.take_in(usage(source("g", 1), at(1.0), &[("a", 3), ("b", 1)]));
+    collection.take_in(usage(source("g", 2), at(2.0), &[("a", 2)]));
+    collection.take_in(usage(source("g", 1), at(0.5), &[("a", 2)]));
+    let total = collection.total(first_window());
+    assert_eq!(total, counts(&[("a", 5), ("b", 1)]));
+    assert!(collection.covers(["g"].into_iter(), at(2.0)));
+    assert!(!collection.covers(["g"].into_iter(), at(2.1)));
+    assert!(!collection.covers(["g", "h"].into_iter(), at(1.0)));
+}
+
+#[test]
+fn what_is_over_is_forgotten() {
+    let mut collection = Collection::default();
+    collection.take_in(usage(source("g", 1), at(1.0), &[("a", 3)]));
+    let second = first_window().next();
+    collection.forget_before(second, at(5.0));
+    assert!(collection.is_empty());
+}
+
+#[test]
+fn only_what_has_changed_is_sent_again() {
+    let mut meter = UsageMeter::new(source("g", 1), TIMING);
+    let mut sender = UsageSender::default();
+    meter.count(&TenantName::new("a"), at(0.1));
+    meter.count(&TenantName::new("b"), at(0.2));
+    let (first, message) = sender.next(meter.usage(at(0.3)));
+    assert_eq!(message.windows[&first_window()].total(), 2);
+    let (second, message) = sender.next(meter.usage(at(0.4)));
+    assert_eq!(message.windows[&first_window()].total(), 2);
+    sender.acknowledge(first);
+    sender.acknowledge(second);
+    meter.count(&TenantName::new("a"), at(0.5));
+    let (_, message) = sender.next(meter.usage(at(0.6)));
+    assert_eq!(message.windows[&first_window()], counts(&[("a", 2)]));
+    sender.restart();
+    let (_, message) = sender.next(meter.usage(at(0.7)));
+    assert_eq!(message.windows[&first_window()].total(), 3);
+}
+
+#[test]
+fn a_window_is_decided_once_everybody_has_counted_past_it() {
+    let window = first_window();
+    let closed = KnownReports {
+        closed_through: Some(WindowNumber(window.0 - 1)),
+        ..KnownReports::default()
+    };
+    let step = |seconds, known: &KnownReports| next_step(&TIMING, at(seconds), known);
+    assert_eq!(step(4.9, &closed), ReportStep::Wait);
+    assert_eq!(step(5.9, &closed), ReportStep::Wait);
+    let decide = |anyway| ReportStep::Decide {
+        window,
+        counted_until: at(6.0),
+        anyway,
+    };
+    assert_eq!(step(6.0, &closed), decide(false));
+    assert_eq!(step(8.0, &closed), decide(true));
+    let mut decided = closed.clone();
+    decided.decided.insert(window);
+    assert_eq!(step(8.0, &decided), ReportStep::Send(window));
+    assert_eq!(step(15.0, &decided), ReportStep::Send(window));
+    assert!(!matches!(step(15.1, &decided), ReportStep::Send(_)));
+    decided.acknowledged.insert(window);
+    assert_eq!(step(9.0, &decided), ReportStep::Wait);
+    assert!(
+        matches!(step(11.0, &decided), ReportStep::Decide { window: next, .. } if next == window.next())
+    );
+}
+
+fn reading(steady_seconds: f64, day_seconds: f64) -> ClockReading {
+    ClockReading {
+        steady: Timestamp((steady_seconds * 1e6) as u64),
+        day: at(day_seconds),
+    }
+}
+
+fn off_by_millis(clock: &mut FleetClock, steady_seconds: f64, day_seconds: f64) -> i64 {
+    let now = Timestamp((steady_seconds * 1e6) as u64);
+    let time = clock.time(now).expect("a time");
+    time.0 as i64 - at(day_seconds).0 as i64
+}
+
+#[test]
+fn a_clock_that_jumps_and_jumps_back_is_hardly_followed() {
+    let mut clock = FleetClock::default();
+    clock.read_own(reading(1.0, 101.0));
+    for second in 2..12 {
+        let jumped = f64::from(second) + 100.0 + 7.0;
+        clock.read_own(reading(f64::from(second), jumped));
+    }
+    assert!(off_by_millis(&mut clock, 12.0, 112.0).abs() <= 25);
+}
+
+#[test]
+fn a_clock_that_is_wrong_from_the_start_is_outvoted() {
+    let mut clock = FleetClock::default();
+    clock.read_own(reading(1.0, 108.0));
+    clock.hear(source("g", 1), reading(1.0, 101.0));
+    clock.hear(source("h", 1), reading(1.0, 101.002));
+    assert!(off_by_millis(&mut clock, 2.0, 102.0).abs() <= 2);
+    clock.be_told(reading(2.0, 102.001));
+    assert_eq!(off_by_millis(&mut clock, 3.0, 103.0), 1);
+}
+
+/// Seed of the property tests.
+const SEED: u64 = 20_261_202;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Messages are lost, repeated and reordered, acknowledgements are lost, collectors change; what is
+    /// counted is what began once the last message has arrived.
+    #[test]
+    fn collections_agree_with_the_meter(steps in prop::collection::vec(0_u8..8, 1..80)) {
+        let mut meter = UsageMeter::new(source("g", 7), TIMING);
+        let mut sender = UsageSender::default();
+        let mut collection = Collection::default();
+        let mut under_way: Vec<(u64, SourceUsage)> = Vec::new();
+        let mut begun = 0;
+        for step in steps {
+            match step {
+                0..=2 => {
+                    begun += 1;
+                    meter.count(&TenantName::new(["a", "b", "c"][usize::from(step)]), at(1.0));
+                }
+                3 => under_way.push(sender.next(meter.usage(at(2.0)))),
+                4 => {
+                    if let Some((sequence, message)) = under_way.pop() {
+                        collection.take_in(message);
+                        sender.acknowledge(sequence);
+                    }
+                }
+                5 => {
+                    if let Some((_, message)) = under_way.first().cloned() {
+                        collection.take_in(message);
+                    }
+                }
+                6 => { under_way.pop(); }
+                _ => sender.restart(),
+            }
+        }
+        let (_, last) = sender.next(meter.usage(at(2.0)));
+        collection.take_in(last);
+        prop_assert_eq!(collection.total(first_window()).total(), begun);
+    }
+}
