Workers ordered: cheap ones in place of reserved ones, spread over the zones

Change: planner::worker_balance (pure), gateway::worker_orders, kinds of workers and scaling in the configuration, a first holder of the authority that does not wait for calls of nobody, stand-in and tests by processes.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -10,3 +10,4 @@
 mod support;
 mod tenants;
 mod usage;
+mod worker_orders;
--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -9,8 +9,8 @@
 use serde_json::{json, Value};
 use tansyhall_gateway::usage::{RowsMessage, ROWS_PREFIX};
 use tansyhall_platform_standin::{
-    render, Behaviour, Operations, Operator, RoutePlan, Store, StoreDoor, TenantPlan, Worker,
-    WorkerPlan, API_KEY, DEADLINE, PROMPT_PARTS, REQUEST_ID, SEAL, TENANT,
+    render, Behaviour, Operations, Operator, RoutePlan, ScalingPlan, Store, StoreDoor, TenantPlan,
+    Worker, WorkerPlan, API_KEY, DEADLINE, PROMPT_PARTS, REQUEST_ID, SEAL, TENANT,
 };
 use tansyhall_testing::{eventually, gateway, get_metric, GatewayAddresses, GatewayProcess};
 use tansyhall_usage::Collection;
@@ -232,6 +232,25 @@
         }
     }
 
+    /// Puts the next configuration in force, with which workers of a service may be ordered.
+    pub fn configure_scaling(&self, scaling: &ScalingPlan) {
+        let version = self.version.get() + 3;
+        self.version.set(version);
+        self.operator.configure_scaling(version, &routes(), scaling);
+    }
+
+    /// Starts a worker that may be withdrawn, as it was ordered.
+    pub fn start_spot_worker(&self, service: &'static str, zone: &'static str) -> Worker {
+        let plan = WorkerPlan {
+            service,
+            zone,
+            stage: Some("decode"),
+            spot: true,
+        };
+        let behaviour = Behaviour::Serve { events: 0 };
+        Worker::start(&self.store, plan, behaviour).expect("a free port")
+    }
+
     /// Waits until the store has the counts of this many requests.
     pub async fn until_collected(&self, requests: u64) {
         eventually("the counts are in the store", || async {
@@ -264,6 +283,7 @@
         service,
         zone,
         stage: *stage,
+        spot: false,
     };
     let worker = Worker::start(store, plan, *behaviour).expect("a free port");
     SiteWorker { worker }
--- /dev/null
+++ b/crates/cli/tests/gateway_platform/worker_orders.rs
@@ -0,0 +1,75 @@
+//! Workers ordered by kind and zone, by separate processes: cheap ones take the place of reserved ones,
+//! which leave only when the others serve.
+
+use tansyhall_platform_standin::{Behaviour, OperationsFault, ScaleCall, ScalingPlan};
+use tansyhall_testing::eventually;
+
+use crate::support::{Site, WorkerSpec};
+
+const RESERVED: WorkerSpec = ("llm", Some("decode"), Behaviour::Serve { events: 0 });
+const WORKERS: usize = 10;
+const ZONE: &str = "kalimati";
+
+fn scaling() -> ScalingPlan {
+    ScalingPlan {
+        service: "llm",
+        limits: (1, 40),
+        zone_prices: vec![(ZONE, 1.0)],
+    }
+}
+
+fn desired(site: &Site, spot: bool) -> Vec<u32> {
+    let calls = site.operations.scale();
+    let of_kind = calls.iter().filter(|call| call.spot == spot);
+    of_kind.map(|call| call.desired).collect()
+}
+
+#[actix_rt::test]
+async fn reserved_workers_leave_when_the_cheap_ones_serve() {
+    let site = Site::start(&[RESERVED; WORKERS], 2).await;
+    site.configure_scaling(&scaling());
+    eventually("cheap workers are ordered", || async {
+        (desired(&site, true).last() == Some(&9)).then_some(())
+    })
+    .await;
+    assert!(desired(&site, false).is_empty(), "none has left yet");
+    let started: Vec<_> = (0..9)
+        .map(|_| site.start_spot_worker("llm", ZONE))
+        .collect();
+    eventually("all reserved workers but one leave", || async {
+        (desired(&site, false).last() == Some(&1)).then_some(())
+    })
+    .await;
+    assert_eq!(started.len(), 9);
+    let calls = site.operations.scale();
+    let is_right = |call: &ScaleCall| call.service == "llm" && call.zone == ZONE;
+    assert!(calls.iter().all(is_right), "{calls:?}");
+}
+
+#[actix_rt::test]
+async fn nobody_leaves_where_no_cheap_worker_is_to_be_had() {
+    let site = Site::start(&[RESERVED; WORKERS], 1).await;
+    site.operations.set_fault(OperationsFault::NoSpot);
+    site.configure_scaling(&scaling());
+    eventually("cheap workers are asked for and refused", || async {
+        let refused = site.gateways[0]
+            .metric("gateway_worker_orders_total{kind=\"spot\",outcome=\"refused\"}")
+            .await?;
+        (refused >= 2.0).then_some(())
+    })
+    .await;
+    assert!(desired(&site, false).is_empty());
+}
+
+#[actix_rt::test]
+async fn a_fixed_number_of_workers_is_left_alone() {
+    let site = Site::start(&[RESERVED; WORKERS], 1).await;
+    eventually("the holder has ordered a role", || async {
+        let mut workers = site.workers.iter();
+        workers
+            .any(|worker| !worker.worker.orders().is_empty())
+            .then_some(())
+    })
+    .await;
+    assert!(site.operations.scale().is_empty());
+}
--- a/crates/forwarding/src/configuration.rs
+++ b/crates/forwarding/src/configuration.rs
@@ -1,9 +1,9 @@
 //! The configuration that a gateway applies as a whole: routes, services and limits on callers.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
-use tansyhall_core::ServiceName;
+use tansyhall_core::{ServiceName, ZoneName};
 
 use crate::tenants::{self, Tenant, TenantError};
 
@@ -97,6 +97,23 @@
     pub max_connections: u32,
     /// What its engines can hold, if its workers are model engines.
     pub engine: Option<EngineCapacity>,
+    /// What may be ordered of its workers; none if their number is fixed.
+    pub scaling: Option<WorkerScaling>,
+}
+
+/// What may be ordered of a service's workers, and what they cost.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WorkerScaling {
+    /// The least workers in a zone.
+    pub least: u32,
+    /// The most workers in a zone.
+    pub most: u32,
+    /// Time from an order until a worker serves.
+    pub start: Duration,
+    /// The price of a spot worker as a part of a reserved one's; none if there are none.
+    pub spot_price: Option<f64>,
+    /// The price of a reserved worker for a second in each zone.
+    pub zone_prices: BTreeMap<ZoneName, f64>,
 }
 
 /// What a model engine can hold.
--- a/crates/forwarding/src/decisions.rs
+++ b/crates/forwarding/src/decisions.rs
@@ -39,6 +39,8 @@
     pub absence: bool,
     /// Engines are ordered to change their roles.
     pub role_orders: bool,
+    /// Workers are ordered where the platform lets their number be chosen.
+    pub worker_orders: bool,
 }
 
 impl Default for Decisions {
@@ -60,6 +62,7 @@
             short_first: true,
             absence: true,
             role_orders: true,
+            worker_orders: true,
         }
     }
 }
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -187,6 +187,12 @@
             .count()
     }
 
+    /// The workers that are announced.
+    pub fn announced_workers(&self) -> impl Iterator<Item = &Worker> {
+        let announced = self.workers.values().filter(|tracked| tracked.announced);
+        announced.map(|tracked| &tracked.worker)
+    }
+
     /// The service and the state of each worker that is announced.
     pub fn worker_states(&self) -> impl Iterator<Item = (&ServiceName, WorkerState)> {
         let announced = self.workers.values().filter(|tracked| tracked.announced);
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -28,7 +28,7 @@
 pub use cache_view::{CacheView, PartKey};
 pub use configuration::{
     Configuration, ConfigurationError, EngineCapacity, Limits, Repeatability, Route, Service,
-    Target,
+    Target, WorkerScaling,
 };
 pub use decisions::Decisions;
 pub use directory::{Admission, Demand, Directory, EngineLoad, Objectives, SendResult, SendTicket};
@@ -54,4 +54,4 @@
 pub use selection::{affinity_part, prompt_tokens, Need, PromptPart};
 pub use stop_plan::StopPlan;
 pub use tenants::{ApiKey, KnownTenant, Tenant, TenantError, TenantTable};
-pub use worker::{Worker, WorkerId, WorkerState};
+pub use worker::{Worker, WorkerId, WorkerKind, WorkerState};
--- a/crates/forwarding/src/worker.rs
+++ b/crates/forwarding/src/worker.rs
@@ -37,6 +37,26 @@
     Draining,
 }
 
+/// What a worker costs, and whether it may be withdrawn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+pub enum WorkerKind {
+    /// It stays for as long as it is wanted.
+    #[default]
+    Reserved,
+    /// It costs less, and all of its kind may be withdrawn from a zone at once.
+    Spot,
+}
+
+impl WorkerKind {
+    /// Its name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            WorkerKind::Reserved => "reserved",
+            WorkerKind::Spot => "spot",
+        }
+    }
+}
+
 /// One incarnation of a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Worker {
@@ -54,4 +74,6 @@
     pub state: WorkerState,
     /// The role of a model engine; none for other workers.
     pub role: Option<Role>,
+    /// What it costs.
+    pub kind: WorkerKind,
 }
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -8,7 +8,8 @@
 use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
     Admission, Demand, Directory, EngineCapacity, GatewayKey, Load, LoadEntry, LoadReport, Need,
-    Objectives, PromptPart, SendResult, SendTicket, Worker, WorkerId, WorkerKey, WorkerState,
+    Objectives, PromptPart, SendResult, SendTicket, Worker, WorkerId, WorkerKey, WorkerKind,
+    WorkerState,
 };
 
 const NOW: Timestamp = Timestamp::from_millis(10_000);
@@ -27,6 +28,7 @@
         slots: 8,
         state: WorkerState::Ready,
         role,
+        kind: WorkerKind::Reserved,
     }
 }
 
--- a/crates/forwarding/tests/lapsed_workers.rs
+++ b/crates/forwarding/tests/lapsed_workers.rs
@@ -4,7 +4,7 @@
 
 use tansyhall_core::{ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::lapsed_workers::RETURN_TIME;
-use tansyhall_forwarding::{LapsedWorkers, Worker, WorkerId, WorkerState};
+use tansyhall_forwarding::{LapsedWorkers, Worker, WorkerId, WorkerKind, WorkerState};
 
 const RETURNED: Timestamp = Timestamp::from_millis(60_000);
 
@@ -17,6 +17,7 @@
         slots: 8,
         state,
         role: None,
+        kind: WorkerKind::Reserved,
     }
 }
 
--- a/crates/forwarding/tests/placements.rs
+++ b/crates/forwarding/tests/placements.rs
@@ -9,7 +9,7 @@
     Demand, Directory, EngineCapacity, GatewayKey, Need, Objectives, PlacementAnswer,
     PlacementBook, PlacementId, PlacementLedger, PlacementMessage, PlacementNeed, PlacementNotice,
     PlacementRequest, PromptPart, SchedulerCandidate, SchedulerPlan, SendResult, Worker, WorkerId,
-    WorkerState,
+    WorkerKind, WorkerState,
 };
 
 const NOW: Timestamp = Timestamp::from_millis(10_000);
@@ -34,6 +34,7 @@
         slots: 16,
         state: WorkerState::Ready,
         role: Some(Role::Decode),
+        kind: WorkerKind::Reserved,
     }
 }
 
--- a/crates/forwarding/tests/routes.rs
+++ b/crates/forwarding/tests/routes.rs
@@ -35,6 +35,7 @@
         name: ServiceName::new(name),
         max_connections: 10,
         engine: None,
+        scaling: None,
     });
     Configuration {
         version: 1,
--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -4,7 +4,8 @@
 //! One claim for all duties, not one for each: they need the same lease calls once instead of three
 //! times, and one gateway that knows the whole load decides roles and workers together. The claim is a
 //! key that is created under this gateway's lease; its fence is the revision of its creation, which only
-//! grows. A new holder waits until what the one before it may have under way is over, and the lease is
+//! grows. A new holder waits until what the one before it may have under way is over (the first
+//! one of all has nobody to wait for), and the lease is
 //! asked before each call, so that two holders never act in turns.
 
 use std::rc::Rc;
@@ -37,6 +38,8 @@
 struct Held {
     epoch: Epoch,
     since: Timestamp,
+    /// Whether nobody held the authority before, so that nothing can be under way.
+    is_first: bool,
 }
 
 /// Whether this gateway may act for the site; shared by the tasks that do.
@@ -58,9 +61,10 @@
     /// The fence of this gateway's claim if it may act now. To be asked right before each call.
     pub fn fence(&self, shared: &Shared) -> Option<Epoch> {
         let now = shared.now();
-        let Held { epoch, since } = (*self.held.lock())?;
-        let settled = now.since(since) >= shared.settings.read().takeover_pause();
-        (settled && self.lease.clock().is_valid(now)).then_some(epoch)
+        let held = (*self.held.lock())?;
+        let pause = shared.settings.read().takeover_pause();
+        let settled = held.is_first || now.since(held.since) >= pause;
+        (settled && self.lease.clock().is_valid(now)).then_some(held.epoch)
     }
 
     /// Holds or seeks the authority until the gateway stops.
@@ -101,7 +105,11 @@
         lease.set_wanted(self.claim.needs_lease(now));
         match action {
             ClaimAction::Create(lease) => self.create_claim(lease).await,
-            ClaimAction::Acquired(epoch) => self.set_held(Some(Held { epoch, since: now })),
+            ClaimAction::Acquired(epoch) => self.set_held(Some(Held {
+                epoch,
+                since: now,
+                is_first: self.is_first(epoch),
+            })),
             ClaimAction::Lost => self.set_held(None),
             ClaimAction::Wait => {}
         }
@@ -120,18 +128,38 @@
         ClaimEvent::Observed { record, lease }
     }
 
+    fn is_first(&self, Epoch(epoch): Epoch) -> bool {
+        let mirror = self.shared.mirror.lock();
+        let first = mirror.get(authority_claim::FIRST_KEY);
+        first.is_some_and(|item| item.created == epoch)
+    }
+
     async fn create_claim(&self, Lease(lease): Lease) {
         let claim = AuthorityClaim {
             lease: Lease(lease),
             holder: Some(self.shared.settings.read().node.name.clone()),
         };
+        let mut operations = vec![Operation::Put {
+            key: authority_claim::KEY.into(),
+            value: claim.encode(),
+            lease: Some(LeaseId(lease)),
+        }];
+        if self
+            .shared
+            .mirror
+            .lock()
+            .get(authority_claim::FIRST_KEY)
+            .is_none()
+        {
+            operations.push(Operation::Put {
+                key: authority_claim::FIRST_KEY.into(),
+                value: claim.encode(),
+                lease: None,
+            });
+        }
         let transaction = Transaction {
             compare: vec![Compare::Absent(authority_claim::KEY.into())],
-            operations: vec![Operation::Put {
-                key: authority_claim::KEY.into(),
-                value: claim.encode(),
-                lease: Some(LeaseId(lease)),
-            }],
+            operations,
         };
         // Whatever the answer: the claim is read back from the copy of the store.
         if let Err(error) = in_time(self.store.transact(&transaction)).await {
--- a/crates/gateway/src/authority_claim.rs
+++ b/crates/gateway/src/authority_claim.rs
@@ -6,6 +6,9 @@
 /// The key of the claim.
 pub const KEY: &str = "tansyhall/authority/roles";
 
+/// A key that is written with the first claim and stays: a claim that is as old is the first one.
+pub const FIRST_KEY: &str = "tansyhall/authority/first";
+
 /// The value of the claim's key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AuthorityClaim {
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -5,6 +5,7 @@
 
 use async_trait::async_trait;
 use tansyhall_core::{ServiceName, ZoneName};
+use tansyhall_forwarding::WorkerKind;
 use tansyhall_usage::{TenantCounts, WindowNumber};
 
 /// Time for one call; the lease that it is made under outlasts it.
@@ -28,15 +29,6 @@
     pub counts: TenantCounts,
 }
 
-/// What a worker costs, and whether it may be withdrawn.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum WorkerKind {
-    /// It stays for as long as it is wanted.
-    Reserved,
-    /// It costs less, and all of its kind may be withdrawn from a zone at once.
-    Spot,
-}
-
 /// How many workers of one kind a service shall have in a zone.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerOrder {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -178,6 +178,23 @@
         /// What the platform said.
         detail: &'a str,
     },
+    /// The number of a zone's workers was ordered.
+    WorkersOrdered {
+        /// Their service.
+        service: &'a str,
+        /// The zone.
+        zone: &'a str,
+        /// `reserved` or `spot`.
+        kind: &'a str,
+        /// How many.
+        desired: u32,
+        /// Workers of all zones that the demand needs.
+        needed: u32,
+        /// `done`, `refused`, `not_done` or `unknown`.
+        outcome: &'a str,
+        /// What the platform said.
+        detail: &'a str,
+    },
     /// An engine was ordered to change its role.
     Order {
         /// The engine.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod store_call;
 pub mod store_copy;
 pub mod usage;
+pub mod worker_orders;
 
 pub use run::{run, Adapter};
 pub use settings::{GatewaySettings, SettingsError};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub workers: IntGaugeVec,
     /// Whether this gateway holds the authority over roles.
     pub holds_authority: IntGauge,
+    /// Orders of workers by kind and outcome.
+    pub worker_orders: IntCounterVec,
     /// Reports of usage by outcome.
     pub usage_reports: IntCounterVec,
     /// Milliseconds since the store last answered.
@@ -87,6 +89,13 @@
                 "gateway_holds_authority",
                 "Whether this gateway holds the authority over roles",
             )?,
+            worker_orders: IntCounterVec::new(
+                Opts::new(
+                    "gateway_worker_orders_total",
+                    "Orders of workers by kind and outcome",
+                ),
+                &["kind", "outcome"],
+            )?,
             usage_reports: IntCounterVec::new(
                 Opts::new("gateway_usage_reports_total", "Reports of usage by outcome"),
                 &["outcome"],
@@ -144,6 +153,8 @@
         self.registry.register(Box::new(self.workers.clone()))?;
         self.registry
             .register(Box::new(self.holds_authority.clone()))?;
+        self.registry
+            .register(Box::new(self.worker_orders.clone()))?;
         self.registry
             .register(Box::new(self.usage_reports.clone()))?;
         self.registry
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -35,7 +35,7 @@
 use crate::usage::Usage;
 use crate::{
     cache_recovery, ingress, load_exchange, peers, presence, readiness, role_orders, store_copy,
-    usage,
+    usage, worker_orders,
 };
 
 /// Time that callers' connections may rest.
@@ -119,7 +119,11 @@
     actix_rt::spawn(role_orders::run(kept, orders, authority.clone()));
     if let Some(duties) = &adapter.duties {
         let (kept, reports) = (Arc::clone(shared), Rc::clone(store));
-        actix_rt::spawn(usage::report(kept, reports, Rc::clone(duties), authority));
+        let reporting = usage::report(kept, reports, Rc::clone(duties), authority.clone());
+        actix_rt::spawn(reporting);
+        let (kept, orders) = (Arc::clone(shared), Rc::clone(store));
+        let ordering = worker_orders::run(kept, orders, Rc::clone(duties), authority);
+        actix_rt::spawn(ordering);
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/worker_orders.rs
@@ -0,0 +1,386 @@
+//! Orders of the holder of the authority for workers: how many of which kind each zone shall have.
+//!
+//! [`balance_workers`] says what is wanted; an order is sent where that is not what serves, and repeated
+//! after the time in which ordered workers start. Orders name the whole number, so that one which is
+//! carried out twice or by the next holder changes nothing. How many are wanted in all stands in the store,
+//! so that a new holder does not take a zone that was just withdrawn for the fleet's size.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tansyhall_authority::Epoch;
+use tansyhall_core::{ServiceName, Timestamp, ZoneName};
+use tansyhall_forwarding::{Service, Worker, WorkerKind, WorkerScaling, WorkerState};
+use tansyhall_planner::{
+    balance_workers, RecentPeak, WorkerLimits, WorkersWanted, ZoneGoal, ZoneWorkers,
+};
+use tansyhall_store::{Compare, KeyValueStore, Operation, Revision, Transaction};
+use tokio::time::{sleep, timeout};
+
+use crate::authority::Authority;
+use crate::authority_claim;
+use crate::duties::{DutyHolder, DutyOutcome, DutyService, WorkerOrder, CALL_TIMEOUT};
+use crate::events::{Event, Weight};
+use crate::state::Shared;
+use crate::store_call::in_time;
+
+/// The key of the numbers of workers that are wanted.
+const KEY: &str = "tansyhall/workers";
+/// Pause between two looks.
+const PACE: Duration = Duration::from_millis(500);
+/// Time beyond a worker's start after which an order that changed nothing is sent again: a few writes of
+/// the worker's entry.
+const NOTICE: Duration = Duration::from_secs(4);
+/// Time after which spot workers are asked for again where there were none,
+const FIRST_ABSENCE: Duration = Duration::from_secs(2);
+/// and the longest such time; each refusal doubles it.
+const LONGEST_ABSENCE: Duration = Duration::from_secs(16);
+
+/// The part of their time that needed engines are busy at the recent peak of what is asked: reading comes
+/// in bursts, and at 0.6 a prompt waits three quarters of its own time on the mean (M/D/1).
+const BUSY_PART: f64 = 0.6;
+
+/// Which workers an order is about.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Subject {
+    service: ServiceName,
+    zone: ZoneName,
+    kind: WorkerKind,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Ordered {
+    desired: u32,
+    at: Timestamp,
+}
+
+/// Spot workers that a zone did not have.
+#[derive(Debug, Clone, Copy)]
+struct Absence {
+    until: Timestamp,
+    length: Duration,
+}
+
+/// Workers that are wanted of each service, as they stand in the store.
+type Wanted = BTreeMap<ServiceName, u32>;
+
+/// Orders workers while this gateway holds the authority, until it stops.
+pub async fn run(
+    shared: Arc<Shared>,
+    store: Rc<dyn KeyValueStore>,
+    duties: Rc<dyn DutyService>,
+    authority: Authority,
+) {
+    let mut orders = WorkerOrders {
+        shared,
+        store,
+        duties,
+        authority,
+        ordered: HashMap::new(),
+        absences: HashMap::new(),
+        asked: HashMap::new(),
+        refused: None,
+    };
+    while !orders.shared.is_stopping() {
+        sleep(PACE).await;
+        orders.look().await;
+    }
+}
+
+struct WorkerOrders {
+    shared: Arc<Shared>,
+    store: Rc<dyn KeyValueStore>,
+    duties: Rc<dyn DutyService>,
+    authority: Authority,
+    ordered: HashMap<Subject, Ordered>,
+    absences: HashMap<Subject, Absence>,
+    /// Engines of each service that what is asked kept busy lately.
+    asked: HashMap<ServiceName, RecentPeak>,
+    /// The fence with which an order was refused: another gateway has a higher one.
+    refused: Option<Epoch>,
+}
+
+impl WorkerOrders {
+    async fn look(&mut self) {
+        if !self.shared.settings.read().decisions.worker_orders {
+            return;
+        }
+        let Some(in_force) = self.shared.in_force() else {
+            return;
+        };
+        for service in &in_force.configuration.services {
+            let Some(scaling) = &service.scaling else {
+                continue;
+            };
+            let Some(epoch) = self.fence() else {
+                return;
+            };
+            if let Some(wanted) = self.wanted(epoch, service).await {
+                let needed = self.needed(service, wanted);
+                let workers = WorkersWanted { wanted, needed };
+                self.order_service(epoch, service, scaling, workers).await;
+            }
+        }
+    }
+
+    fn fence(&self) -> Option<Epoch> {
+        let fence = self.authority.fence(&self.shared);
+        fence.filter(|fence| self.refused != Some(*fence))
+    }
+
+    /// How many workers a service shall have: as many as it had when it was first seen.
+    async fn wanted(&self, epoch: Epoch, service: &Service) -> Option<u32> {
+        let (mut wanted, revision) = self.read_wanted();
+        let workers = self.workers(&service.name);
+        let present = u32::try_from(workers.len()).ok()?;
+        // Workers that start with the site are announced one after the other.
+        let none_was_ordered = workers
+            .iter()
+            .all(|worker| worker.kind == WorkerKind::Reserved);
+        let known = wanted.get(&service.name).copied();
+        match known {
+            Some(known) if known >= present || !none_was_ordered => Some(known),
+            _ => {
+                wanted.insert(service.name.clone(), present);
+                self.write_wanted(epoch, &wanted, revision).await;
+                None
+            }
+        }
+    }
+
+    /// How many of them the demand keeps busy, as far as that is known: of engines, by what is asked of
+    /// them; of other workers, all.
+    fn needed(&mut self, service: &Service, wanted: u32) -> u32 {
+        let Some(engine) = &service.engine else {
+            return wanted;
+        };
+        let now = self.shared.now();
+        let demand = self
+            .shared
+            .directory
+            .lock()
+            .engine_demand(now, &service.name);
+        let streams = demand.places / f64::from(engine.slots.max(1));
+        let peak = self.asked.entry(service.name.clone()).or_default();
+        let busy = peak.observe(now, demand.readers + demand.decoders + streams);
+        (busy / BUSY_PART).ceil() as u32
+    }
+
+    fn read_wanted(&self) -> (Wanted, Option<u64>) {
+        let mirror = self.shared.mirror.lock();
+        let Some(item) = mirror.get(KEY) else {
+            return (Wanted::new(), None);
+        };
+        let wanted = serde_json::from_slice(&item.value).unwrap_or_else(|error| {
+            log::warn!("{KEY} is passed over: {error}");
+            Wanted::new()
+        });
+        (wanted, Some(item.revision))
+    }
+
+    async fn write_wanted(&self, Epoch(epoch): Epoch, wanted: &Wanted, known: Option<u64>) {
+        let unchanged = match known {
+            Some(revision) => Compare::ModifiedAt(KEY.into(), Revision(revision)),
+            None => Compare::Absent(KEY.into()),
+        };
+        let transaction = Transaction {
+            compare: vec![
+                Compare::ModifiedAt(authority_claim::KEY.into(), Revision(epoch)),
+                unchanged,
+            ],
+            operations: vec![Operation::Put {
+                key: KEY.into(),
+                value: serde_json::to_vec(wanted).unwrap_or_default(),
+                lease: None,
+            }],
+        };
+        // Whatever the answer: the numbers are read back from the copy of the store.
+        if let Err(error) = in_time(self.store.transact(&transaction)).await {
+            log::debug!("the numbers of workers may not be written: {error}");
+        }
+    }
+
+    /// The service's workers that take requests.
+    fn workers(&self, service: &ServiceName) -> Vec<Worker> {
+        let directory = self.shared.directory.lock();
+        let announced = directory.announced_workers();
+        let ready = announced
+            .filter(|worker| worker.service == *service && worker.state == WorkerState::Ready);
+        ready.cloned().collect()
+    }
+
+    async fn order_service(
+        &mut self,
+        epoch: Epoch,
+        service: &Service,
+        scaling: &WorkerScaling,
+        wanted: WorkersWanted,
+    ) {
+        let workers = self.workers(&service.name);
+        let zones = self.zones(&service.name, scaling, &workers);
+        let limits = WorkerLimits {
+            least: scaling.least,
+            most: scaling.most,
+            spot_price: scaling.spot_price,
+        };
+        let goals = balance_workers(&zones, &limits, wanted);
+        for (goal, zone) in goals.iter().zip(&zones) {
+            for order in orders_of(&service.name, goal) {
+                let serving = match order.kind {
+                    WorkerKind::Reserved => zone.reserved,
+                    WorkerKind::Spot => zone.spot,
+                };
+                if order.desired != serving && self.is_due(&order, scaling.start) {
+                    self.order(epoch, order, wanted.needed).await;
+                }
+            }
+            if !zone.has_spot {
+                self.probe(epoch, &service.name, zone, wanted).await;
+            }
+        }
+    }
+
+    /// Asks a zone that had no spot workers for one, after a while.
+    async fn probe(
+        &mut self,
+        epoch: Epoch,
+        service: &ServiceName,
+        zone: &ZoneWorkers,
+        wanted: WorkersWanted,
+    ) {
+        let order = WorkerOrder {
+            service: service.clone(),
+            zone: zone.zone.clone(),
+            kind: WorkerKind::Spot,
+            desired: zone.spot + 1,
+        };
+        let absence = self.absences.get(&subject_of(&order));
+        let now = self.shared.now();
+        if absence.is_some_and(|absence| now >= absence.until) {
+            self.order(epoch, order, wanted.needed).await;
+        }
+    }
+
+    fn zones(
+        &self,
+        service: &ServiceName,
+        scaling: &WorkerScaling,
+        workers: &[Worker],
+    ) -> Vec<ZoneWorkers> {
+        let zone = |(zone, price): (&ZoneName, f64)| {
+            let of_kind = |kind| {
+                let here = workers.iter().filter(|worker| worker.zone == *zone);
+                here.filter(|worker| worker.kind == kind).count() as u32
+            };
+            let subject = Subject {
+                service: service.clone(),
+                zone: zone.clone(),
+                kind: WorkerKind::Spot,
+            };
+            ZoneWorkers {
+                zone: zone.clone(),
+                price,
+                reserved: of_kind(WorkerKind::Reserved),
+                spot: of_kind(WorkerKind::Spot),
+                has_spot: !self.absences.contains_key(&subject),
+            }
+        };
+        prices_of(scaling, workers).into_iter().map(zone).collect()
+    }
+
+    fn is_due(&self, order: &WorkerOrder, start: Duration) -> bool {
+        let ordered = self.ordered.get(&subject_of(order));
+        ordered.is_none_or(|ordered| {
+            let waited = self.shared.now().since(ordered.at);
+            ordered.desired != order.desired || waited >= start + NOTICE
+        })
+    }
+
+    async fn order(&mut self, epoch: Epoch, order: WorkerOrder, needed: u32) {
+        if self.fence() != Some(epoch) {
+            return;
+        }
+        let holder = DutyHolder {
+            name: self.shared.settings.read().node.name.clone(),
+            fence: epoch.0,
+        };
+        let call = self.duties.order_workers(&holder, &order);
+        let outcome = timeout(CALL_TIMEOUT, call).await;
+        let outcome = outcome.unwrap_or_else(|_| DutyOutcome::Unknown("no answer in time".into()));
+        let now = self.shared.now();
+        let subject = subject_of(&order);
+        match (&outcome, order.kind) {
+            (DutyOutcome::Done, _) => {
+                self.absences.remove(&subject);
+                let desired = order.desired;
+                self.ordered.insert(subject, Ordered { desired, at: now });
+            }
+            (DutyOutcome::Refused(_), WorkerKind::Spot) => self.note_absence(now, subject),
+            (DutyOutcome::Refused(_), WorkerKind::Reserved) => self.refused = Some(epoch),
+            (DutyOutcome::NotDone(_) | DutyOutcome::Unknown(_), _) => {}
+        }
+        self.record(&order, needed, &outcome);
+    }
+
+    fn note_absence(&mut self, now: Timestamp, subject: Subject) {
+        let known = self.absences.get(&subject);
+        let length = known.map_or(FIRST_ABSENCE, |known| {
+            (known.length * 2).min(LONGEST_ABSENCE)
+        });
+        let until = now + length;
+        self.absences.insert(subject, Absence { until, length });
+    }
+
+    fn record(&self, order: &WorkerOrder, needed: u32, outcome: &DutyOutcome) {
+        let (outcome, detail) = outcome.parts();
+        let kind = order.kind.name();
+        self.shared
+            .metrics
+            .worker_orders
+            .with_label_values(&[kind, outcome])
+            .inc();
+        let event = Event::WorkersOrdered {
+            service: order.service.as_str(),
+            zone: order.zone.as_str(),
+            kind,
+            desired: order.desired,
+            needed,
+            outcome,
+            detail,
+        };
+        self.shared.log.record(Weight::Important, &event);
+    }
+}
+
+/// The price in each zone; where the operator gives none, the zones that have workers cost the same.
+fn prices_of<'a>(scaling: &'a WorkerScaling, workers: &'a [Worker]) -> BTreeMap<&'a ZoneName, f64> {
+    if scaling.zone_prices.is_empty() {
+        return workers.iter().map(|worker| (&worker.zone, 1.0)).collect();
+    }
+    let given = scaling.zone_prices.iter();
+    given.map(|(zone, price)| (zone, *price)).collect()
+}
+
+/// The orders that bring a zone to its goal: what is added first.
+fn orders_of(service: &ServiceName, goal: &ZoneGoal) -> [WorkerOrder; 2] {
+    let order = |kind, desired| WorkerOrder {
+        service: service.clone(),
+        zone: goal.zone.clone(),
+        kind,
+        desired,
+    };
+    [
+        order(WorkerKind::Spot, goal.spot),
+        order(WorkerKind::Reserved, goal.reserved),
+    ]
+}
+
+fn subject_of(order: &WorkerOrder) -> Subject {
+    Subject {
+        service: order.service.clone(),
+        zone: order.zone.clone(),
+        kind: order.kind,
+    }
+}
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod predictive;
 pub mod role_balance;
 pub mod rollout;
+pub mod worker_balance;
 
 pub use bounds::{plan_bounds, EngineView, PlannedChange, RoleLimit};
 pub use peak::RecentPeak;
 pub use role_balance::{balance_roles, BalancedEngine, ExpectedDemand, RoleChange};
 pub use rollout::{plan_loads, DesiredLoads, Load, LoadedEngine, PlannedLoad, RolloutGuard};
+pub use worker_balance::{balance_workers, WorkerLimits, WorkersWanted, ZoneGoal, ZoneWorkers};
