Spot workers so many that a zone may be withdrawn, reserved ones for what the demand needs; pages of tenants, usage and workers

A factor is no reason: kept is one more zone's worth of them, so that as many as were planned are left when a zone is withdrawn, four thirds here.

--- a/crates/gateway/src/worker_orders.rs
+++ b/crates/gateway/src/worker_orders.rs
@@ -2,8 +2,8 @@
 //!
 //! [`balance_workers`] says what is wanted; an order is sent where that is not what serves, and repeated
 //! after the time in which ordered workers start. Orders name the whole number, so that one which is
-//! carried out twice or by the next holder changes nothing. How many are wanted in all stands in the store,
-//! so that a new holder does not take a zone that was just withdrawn for the fleet's size.
+//! carried out twice or by the next holder changes nothing. How many the operator planned stands in the
+//! store, so that a new holder does not take a zone that was just withdrawn for the fleet's size.
 
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -14,7 +14,8 @@
 use tansyhall_core::{ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::{Service, Worker, WorkerKind, WorkerScaling, WorkerState};
 use tansyhall_planner::{
-    balance_workers, RecentPeak, WorkerLimits, WorkersWanted, ZoneGoal, ZoneWorkers,
+    balance_workers, redundant_workers, RecentPeak, WorkerLimits, WorkersWanted, ZoneGoal,
+    ZoneWorkers,
 };
 use tansyhall_store::{Compare, KeyValueStore, Operation, Revision, Transaction};
 use tokio::time::{sleep, timeout};
@@ -26,7 +27,7 @@
 use crate::state::Shared;
 use crate::store_call::in_time;
 
-/// The key of the numbers of workers that are wanted.
+/// The key of the numbers of workers that were planned.
 const KEY: &str = "tansyhall/workers";
 /// Pause between two looks.
 const PACE: Duration = Duration::from_millis(500);
@@ -38,9 +39,12 @@
 /// and the longest such time; each refusal doubles it.
 const LONGEST_ABSENCE: Duration = Duration::from_secs(16);
 
-/// The part of their time that needed engines are busy at the recent peak of what is asked: reading comes
-/// in bursts, and at 0.6 a prompt waits three quarters of its own time on the mean (M/D/1).
-const BUSY_PART: f64 = 0.6;
+/// The part of their time that engines are busy if there are just as many as the recent peak of what is
+/// asked needs: at 0.8 a prompt waits twice its own time on the mean (M/D/1), late but served, until spot
+/// workers are to be had again.
+const BUSY_PART: f64 = 0.8;
+/// The part of the planned workers that is needed at any price before anything is known of the demand.
+const NEEDED_PART: f64 = 1.0 / 3.0;
 
 /// Which workers an order is about.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -63,8 +67,8 @@
     length: Duration,
 }
 
-/// Workers that are wanted of each service, as they stand in the store.
-type Wanted = BTreeMap<ServiceName, u32>;
+/// Workers that were planned for each service, as they stand in the store.
+type Planned = BTreeMap<ServiceName, u32>;
 
 /// Orders workers while this gateway holds the authority, until it stops.
 pub async fn run(
@@ -117,10 +121,8 @@
             let Some(epoch) = self.fence() else {
                 return;
             };
-            if let Some(wanted) = self.wanted(epoch, service).await {
-                let needed = self.needed(service, wanted);
-                let workers = WorkersWanted { wanted, needed };
-                self.order_service(epoch, service, scaling, workers).await;
+            if let Some(planned) = self.planned(epoch, service).await {
+                self.order_service(epoch, service, scaling, planned).await;
             }
         }
     }
@@ -130,21 +132,21 @@
         fence.filter(|fence| self.refused != Some(*fence))
     }
 
-    /// How many workers a service shall have: as many as it had when it was first seen.
-    async fn wanted(&self, epoch: Epoch, service: &Service) -> Option<u32> {
-        let (mut wanted, revision) = self.read_wanted();
+    /// How many reserved workers the operator planned for a service: those it had when it was first seen.
+    async fn planned(&self, epoch: Epoch, service: &Service) -> Option<u32> {
+        let (mut planned, revision) = self.read_planned();
         let workers = self.workers(&service.name);
         let present = u32::try_from(workers.len()).ok()?;
         // Workers that start with the site are announced one after the other.
         let none_was_ordered = workers
             .iter()
             .all(|worker| worker.kind == WorkerKind::Reserved);
-        let known = wanted.get(&service.name).copied();
+        let known = planned.get(&service.name).copied();
         match known {
             Some(known) if known >= present || !none_was_ordered => Some(known),
             _ => {
-                wanted.insert(service.name.clone(), present);
-                self.write_wanted(epoch, &wanted, revision).await;
+                planned.insert(service.name.clone(), present);
+                self.write_planned(epoch, &planned, revision).await;
                 None
             }
         }
@@ -152,9 +154,9 @@
 
     /// How many of them the demand keeps busy, as far as that is known: of engines, by what is asked of
     /// them; of other workers, all.
-    fn needed(&mut self, service: &Service, wanted: u32) -> u32 {
+    fn needed(&mut self, service: &Service, planned: u32) -> u32 {
         let Some(engine) = &service.engine else {
-            return wanted;
+            return planned;
         };
         let now = self.shared.now();
         let demand = self
@@ -165,22 +167,23 @@
         let streams = demand.places / f64::from(engine.slots.max(1));
         let peak = self.asked.entry(service.name.clone()).or_default();
         let busy = peak.observe(now, demand.readers + demand.decoders + streams);
-        (busy / BUSY_PART).ceil() as u32
+        let least = f64::from(planned) * NEEDED_PART;
+        (busy / BUSY_PART).max(least).ceil() as u32
     }
 
-    fn read_wanted(&self) -> (Wanted, Option<u64>) {
+    fn read_planned(&self) -> (Planned, Option<u64>) {
         let mirror = self.shared.mirror.lock();
         let Some(item) = mirror.get(KEY) else {
-            return (Wanted::new(), None);
+            return (Planned::new(), None);
         };
-        let wanted = serde_json::from_slice(&item.value).unwrap_or_else(|error| {
+        let planned = serde_json::from_slice(&item.value).unwrap_or_else(|error| {
             log::warn!("{KEY} is passed over: {error}");
-            Wanted::new()
+            Planned::new()
         });
-        (wanted, Some(item.revision))
+        (planned, Some(item.revision))
     }
 
-    async fn write_wanted(&self, Epoch(epoch): Epoch, wanted: &Wanted, known: Option<u64>) {
+    async fn write_planned(&self, Epoch(epoch): Epoch, planned: &Planned, known: Option<u64>) {
         let unchanged = match known {
             Some(revision) => Compare::ModifiedAt(KEY.into(), Revision(revision)),
             None => Compare::Absent(KEY.into()),
@@ -192,7 +195,7 @@
             ],
             operations: vec![Operation::Put {
                 key: KEY.into(),
-                value: serde_json::to_vec(wanted).unwrap_or_default(),
+                value: serde_json::to_vec(planned).unwrap_or_default(),
                 lease: None,
             }],
         };
@@ -216,7 +219,7 @@
         epoch: Epoch,
         service: &Service,
         scaling: &WorkerScaling,
-        wanted: WorkersWanted,
+        planned: u32,
     ) {
         let workers = self.workers(&service.name);
         let zones = self.zones(&service.name, scaling, &workers);
@@ -225,6 +228,10 @@
             most: scaling.most,
             spot_price: scaling.spot_price,
         };
+        let wanted = WorkersWanted {
+            wanted: redundant_workers(planned, zones.len(), &limits),
+            needed: self.needed(service, planned),
+        };
         let goals = balance_workers(&zones, &limits, wanted);
         for (goal, zone) in goals.iter().zip(&zones) {
             for order in orders_of(&service.name, goal) {
--- a/crates/planner/src/worker_balance.rs
+++ b/crates/planner/src/worker_balance.rs
@@ -2,31 +2,41 @@
 //!
 //! A worker is paid for by the second. Reserved workers stay for as long as they are wanted; spot workers
 //! cost a part of that, and all of a zone may be withdrawn at once with little notice. So most workers are
-//! spot workers, spread evenly, so that a withdrawal takes one zone's part of them:
+//! spot workers, as many more as a withdrawal takes, spread evenly over the zones:
 //!
 //! 1. each zone gets an equal part of the wanted workers, those left over go to the cheapest zones;
-//! 2. [`RESERVED_PART`] of a zone's part is reserved, for what must go on while a withdrawal is made good;
-//!    all others are spot workers where they can be had and cost less;
+//! 2. the least that a zone must have are reserved, all others are spot workers where they can be had and
+//!    cost less;
 //! 3. what a zone that has none to give lacks is ordered in the others, as spot workers up to the most that
-//!    a zone may have; if what then serves is less than the demand needs, as reserved ones where these
-//!    cost least;
-//! 4. workers that are not wanted any more are given up only for others that serve already.
+//!    a zone may have;
+//! 4. reserved workers are added, where they cost least, if the spot workers of one zone could not be lost
+//!    without having fewer workers than the demand needs;
+//! 5. workers that are not wanted any more are given up only for others that serve already.
 
 use tansyhall_core::ZoneName;
 
-/// The part of a zone's workers that is reserved where spot workers are cheaper. They are what is left of a
-/// zone between a withdrawal and the start of workers elsewhere.
-const RESERVED_PART: f64 = 0.1;
-
 /// How many workers of all zones there should be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WorkersWanted {
     /// At the price of spot workers.
     pub wanted: u32,
-    /// At any price: as many as the demand keeps busy, at most as many as are wanted.
+    /// At any price, also when a zone's spot workers are withdrawn.
     pub needed: u32,
 }
 
+/// How many workers to want where the operator planned for `planned` reserved ones: so many that as many are
+/// left when one zone's are withdrawn, as far as they cost no more than the planned ones.
+pub fn redundant_workers(planned: u32, zones: usize, limits: &WorkerLimits) -> u32 {
+    let Some(price) = limits.spot_price.filter(|price| *price < 1.0) else {
+        return planned;
+    };
+    let zones = zones.max(1) as f64;
+    let lost_one = (zones - 1.0).max(1.0);
+    let redundant = f64::from(planned) * zones / lost_one;
+    let affordable = f64::from(planned) / price.max(f64::MIN_POSITIVE);
+    redundant.min(affordable).ceil() as u32
+}
+
 /// What may be ordered of a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WorkerLimits {
@@ -82,8 +92,9 @@
         let missing = parts.iter().sum::<u32>().saturating_sub(total(&goals));
         add_spot(&mut goals, zones, limits, missing);
     }
-    let needed = workers.needed.min(workers.wanted);
-    let missing = needed.saturating_sub(total(&goals));
+    let lost = goals.iter().map(|goal| goal.spot).max().unwrap_or_default();
+    let left = total(&goals) - lost;
+    let missing = workers.needed.saturating_sub(left);
     add_reserved(&mut goals, &by_price, limits, missing);
     for (goal, (zone, part)) in goals.iter_mut().zip(zones.iter().zip(&parts)) {
         keep_reserved_until_replaced(goal, zone, *part, limits);
@@ -114,9 +125,7 @@
 
 fn zone_goal(zone: &ZoneWorkers, part: u32, limits: &WorkerLimits, spot: bool) -> ZoneGoal {
     let reserved = match spot {
-        true => {
-            ((f64::from(part) * RESERVED_PART).ceil() as u32).clamp(limits.least.min(part), part)
-        }
+        true => limits.least.min(part),
         false => part,
     };
     let spot = match zone.has_spot {
