--- a/crates/gateway/src/role_orders.rs
+++ b/crates/gateway/src/role_orders.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use tansyhall_authority::Epoch;
 use tansyhall_core::{Role, ServiceName, Timestamp};
-use tansyhall_forwarding::{EngineDemand, EngineLoad, Worker, WorkerId};
+use tansyhall_forwarding::{EngineLoad, Worker, WorkerId};
 use tansyhall_planner::{balance_roles, BalancedEngine, ExpectedDemand, RecentPeak};
 use tansyhall_store::{Compare, KeyValueStore, Operation, Revision, Transaction};
 use tokio::time::{sleep, timeout};
@@ -51,7 +51,7 @@
         changed: Timestamp::default(),
         ordered: HashMap::new(),
         streams: HashMap::new(),
-        peaks: HashMap::new(),
+        short_reading: HashMap::new(),
     };
     while !orders.shared.is_stopping() {
         sleep(PACE).await;
@@ -59,25 +59,6 @@
     }
 }
 
-/// The recent peaks of what is asked of a service's engines. A mix that swings within seconds is back
-/// before engines have followed it, so that both sides are kept ready for what they were asked lately.
-#[derive(Debug, Default)]
-struct DemandPeaks {
-    readers: RecentPeak,
-    decoders: RecentPeak,
-    places: RecentPeak,
-}
-
-impl DemandPeaks {
-    fn observe(&mut self, now: Timestamp, demand: EngineDemand) -> ExpectedDemand {
-        ExpectedDemand {
-            readers: self.readers.observe(now, demand.readers),
-            decoders: self.decoders.observe(now, demand.decoders),
-            places: self.places.observe(now, demand.places),
-        }
-    }
-}
-
 struct RoleOrders {
     shared: Arc<Shared>,
     store: Rc<dyn KeyValueStore>,
@@ -85,8 +66,8 @@
     changed: Timestamp,
     ordered: HashMap<WorkerId, Timestamp>,
     streams: HashMap<WorkerId, f64>,
-    /// What was asked of the engines of each service lately.
-    peaks: HashMap<ServiceName, DemandPeaks>,
+    /// What reading short prompts asked of the decoders of each service lately.
+    short_reading: HashMap<ServiceName, RecentPeak>,
 }
 
 impl RoleOrders {
@@ -118,8 +99,12 @@
                 .map(|engine| self.balanced(engine, &desired))
                 .collect();
             let demand = self.shared.directory.lock().engine_demand(now, &service);
-            let peaks = self.peaks.entry(service.clone()).or_default();
-            let expected = peaks.observe(now, demand);
+            let peak = self.short_reading.entry(service.clone()).or_default();
+            let expected = ExpectedDemand {
+                readers: demand.readers,
+                decoders: peak.observe(now, demand.decoders),
+                places: demand.places,
+            };
             for change in balance_roles(&balanced, expected) {
                 desired.set(&members[change.engine].worker.id, change.role);
                 changes += 1;
--- a/crates/gateway/src/worker_orders.rs
+++ b/crates/gateway/src/worker_orders.rs
@@ -14,7 +14,7 @@
 use tansyhall_core::{ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::{Service, Worker, WorkerKind, WorkerScaling, WorkerState};
 use tansyhall_planner::{
-    balance_workers, redundant_workers, RecentPeak, WorkerLimits, WorkersWanted, ZoneGoal,
+    affordable_workers, balance_workers, RecentPeak, WorkerLimits, WorkersWanted, ZoneGoal,
     ZoneWorkers,
 };
 use tansyhall_store::{Compare, KeyValueStore, Operation, Revision, Transaction};
@@ -229,7 +229,7 @@
             spot_price: scaling.spot_price,
         };
         let wanted = WorkersWanted {
-            wanted: redundant_workers(planned, zones.len(), &limits),
+            wanted: affordable_workers(planned, zones.len(), &limits),
             needed: self.needed(service, planned),
         };
         let goals = balance_workers(&zones, &limits, wanted);
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -14,5 +14,5 @@
 pub use role_balance::{balance_roles, BalancedEngine, ExpectedDemand, RoleChange};
 pub use rollout::{plan_loads, DesiredLoads, Load, LoadedEngine, PlannedLoad, RolloutGuard};
 pub use worker_balance::{
-    balance_workers, redundant_workers, WorkerLimits, WorkersWanted, ZoneGoal, ZoneWorkers,
+    affordable_workers, balance_workers, WorkerLimits, WorkersWanted, ZoneGoal, ZoneWorkers,
 };
--- a/crates/planner/src/worker_balance.rs
+++ b/crates/planner/src/worker_balance.rs
@@ -24,17 +24,23 @@
     pub needed: u32,
 }
 
-/// How many workers to want where the operator planned for `planned` reserved ones: so many that as many are
-/// left when one zone's are withdrawn, as far as they cost no more than the planned ones.
-pub fn redundant_workers(planned: u32, zones: usize, limits: &WorkerLimits) -> u32 {
+/// The part of what the planned reserved workers cost that is spent on spot workers: more of them serve
+/// bursts that the planned ones would not.
+const SPENT_PART: f64 = 0.44;
+
+/// How many workers to want where the operator planned for `planned` reserved ones: what [`SPENT_PART`] of
+/// their price buys, and at least so many that as many as were planned are left when one zone's are
+/// withdrawn; never more than cost what was planned.
+pub fn affordable_workers(planned: u32, zones: usize, limits: &WorkerLimits) -> u32 {
     let Some(price) = limits.spot_price.filter(|price| *price < 1.0) else {
         return planned;
     };
+    let planned = f64::from(planned);
+    let price = price.max(f64::MIN_POSITIVE);
     let zones = zones.max(1) as f64;
-    let lost_one = (zones - 1.0).max(1.0);
-    let redundant = f64::from(planned) * zones / lost_one;
-    let affordable = f64::from(planned) / price.max(f64::MIN_POSITIVE);
-    redundant.min(affordable).ceil() as u32
+    let redundant = planned * zones / (zones - 1.0).max(1.0);
+    let bought = planned * SPENT_PART / price;
+    redundant.max(bought).min(planned / price).ceil() as u32
 }
 
 /// What may be ordered of a service.
