Reserved workers are given up for as many spot workers as were planned, not as are wanted

Cause: with twice as many workers wanted, a zone's part (36) was its most; 18 reserved and 18 spot workers left no room for more, and the 18 reserved ones waited for 36 to replace them, for ever.

Change: no fewer workers serve than were planned while kinds are exchanged; a test of the two steps.

--- a/crates/gateway/src/worker_orders.rs
+++ b/crates/gateway/src/worker_orders.rs
@@ -229,6 +229,7 @@
             spot_price: scaling.spot_price,
         };
         let wanted = WorkersWanted {
+            planned,
             wanted: affordable_workers(planned, zones.len(), &limits),
             needed: self.needed(service, planned),
         };
--- a/crates/planner/src/worker_balance.rs
+++ b/crates/planner/src/worker_balance.rs
@@ -18,6 +18,8 @@
 /// How many workers of all zones there should be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WorkersWanted {
+    /// Reserved workers that the operator planned: no fewer serve while spot workers take their place.
+    pub planned: u32,
     /// At the price of spot workers.
     pub wanted: u32,
     /// At any price, also when a zone's spot workers are withdrawn.
@@ -102,8 +104,9 @@
     let left = total(&goals) - lost;
     let missing = workers.needed.saturating_sub(left);
     add_reserved(&mut goals, &by_price, limits, missing);
-    for (goal, (zone, part)) in goals.iter_mut().zip(zones.iter().zip(&parts)) {
-        keep_reserved_until_replaced(goal, zone, *part, limits);
+    let planned = equal_parts(zones.len(), &by_price, limits, workers.planned);
+    for (goal, (zone, planned)) in goals.iter_mut().zip(zones.iter().zip(&planned)) {
+        keep_reserved_until_replaced(goal, zone, *planned, limits);
     }
     keep_spot_until_replaced(&mut goals, zones, limits, workers.wanted);
     goals
@@ -178,11 +181,11 @@
 fn keep_reserved_until_replaced(
     goal: &mut ZoneGoal,
     zone: &ZoneWorkers,
-    part: u32,
+    planned: u32,
     limits: &WorkerLimits,
 ) {
     let serving = zone.spot.min(goal.spot);
-    let kept = part.saturating_sub(serving).min(zone.reserved);
+    let kept = planned.saturating_sub(serving).min(zone.reserved);
     goal.reserved = goal.reserved.max(kept);
     goal.spot = goal.spot.min(limits.most.saturating_sub(goal.reserved));
 }
--- a/crates/planner/tests/worker_balance.rs
+++ b/crates/planner/tests/worker_balance.rs
@@ -26,7 +26,11 @@
 }
 
 fn wanted(wanted: u32, needed: u32) -> WorkersWanted {
-    WorkersWanted { wanted, needed }
+    WorkersWanted {
+        planned: wanted,
+        wanted,
+        needed,
+    }
 }
 
 fn counts(goals: &[ZoneGoal]) -> Vec<(u32, u32)> {
@@ -46,6 +50,19 @@
     assert_eq!(counts(&goals), [(1, 17); 4]);
 }
 
+#[test]
+fn more_spot_workers_than_there_is_room_for_come_in_two_steps() {
+    let twice = WorkersWanted {
+        planned: 72,
+        wanted: 144,
+        needed: 0,
+    };
+    let goals = balance_workers(&zones(18, 0), &LIMITS, twice);
+    assert_eq!(counts(&goals), [(18, 18); 4]);
+    let goals = balance_workers(&zones(18, 18), &LIMITS, twice);
+    assert_eq!(counts(&goals), [(1, 35); 4]);
+}
+
 #[test]
 fn no_spot_worker_is_ordered_where_there_are_none_or_they_cost_as_much() {
     for spot_price in [None, Some(1.0), Some(1.3)] {
@@ -152,7 +169,7 @@
         needed in 0..200_u32,
     ) {
         let limits = WorkerLimits { least, most: least + room, spot_price };
-        let goals = balance_workers(&zones, &limits, WorkersWanted { wanted, needed });
+        let goals = balance_workers(&zones, &limits, WorkersWanted { planned: wanted, wanted, needed });
         prop_assert_eq!(goals.len(), zones.len());
         for (goal, zone) in goals.iter().zip(&zones) {
             let both = goal.reserved + goal.spot;
