--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -47,6 +47,26 @@
     assert!(GatewaySettings::parse("gateway.toml", &unknown).is_ok());
 }
 
+#[test]
+fn usage_and_the_platforms_operations_may_be_left_out() {
+    let without = GatewaySettings::parse("gateway.toml", SETTINGS).expect("no fault");
+    assert!(without.usage_timing().is_none() && without.duties.is_none());
+    let with = format!(
+        "{SETTINGS}\n[usage]\nwindow_seconds = 5\ndue_after_seconds = 10\n[duties]\naddress = \"127.0.0.1:1007\"\n"
+    );
+    let with = GatewaySettings::parse("gateway.toml", &with).expect("no fault");
+    let timing = with.usage_timing().expect("windows");
+    assert_eq!(timing.length.as_secs(), 5);
+    assert_eq!(timing.due_after.as_secs(), 10);
+    let faulty = format!("{SETTINGS}\n[usage]\nwindow_seconds = 0\ndue_after_seconds = 10\n");
+    let error = GatewaySettings::parse("gateway.toml", &faulty).expect_err("a fault");
+    let error = error.to_string();
+    assert!(
+        error.contains("usage.window_seconds = 0: must be 0.1 to 86400"),
+        "{error}"
+    );
+}
+
 #[test]
 fn errors_name_key_value_and_what_is_allowed() {
     let cases = [
--- /dev/null
+++ b/crates/gateway/tests/usage_messages.rs
@@ -0,0 +1,73 @@
+//! Usage on the wire and in the store: what was written is read back, and nothing else breaks the reader.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use prost::Message;
+use tansyhall_core::TenantName;
+use tansyhall_gateway::usage::{RowsMessage, UsageMessage};
+use tansyhall_usage::{Collection, Source, SourceUsage, TenantCounts, UnixMillis, WindowNumber};
+
+/// Seed of the property tests.
+const SEED: u64 = 20_261_202;
+
+fn counts() -> impl Strategy<Value = TenantCounts> {
+    prop::collection::vec(("[a-c]{1,2}", 1..9_u64), 0..6).prop_map(|entries| {
+        let mut counts = TenantCounts::default();
+        for (tenant, requests) in entries {
+            counts.add(&TenantName::new(tenant), requests);
+        }
+        counts
+    })
+}
+
+fn usage() -> impl Strategy<Value = SourceUsage> {
+    let windows = prop::collection::btree_map(0..5_u64, counts(), 0..4);
+    ("[g-i]", any::<u64>(), any::<u64>(), windows).prop_map(
+        |(gateway, incarnation, until, windows)| SourceUsage {
+            source: Source {
+                gateway,
+                incarnation,
+            },
+            counted_until: UnixMillis(until),
+            windows: windows
+                .into_iter()
+                .map(|(window, counts)| (WindowNumber(window), counts))
+                .collect::<BTreeMap<_, _>>(),
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_message_says_what_was_counted(usage in usage()) {
+        let bytes = UsageMessage::new(&usage).encode_to_vec();
+        let read = UsageMessage::decode(bytes.as_slice()).expect("a message");
+        prop_assert_eq!(read.into_usage(), usage);
+    }
+
+    #[test]
+    fn rows_in_the_store_say_what_was_collected(usages in prop::collection::vec(usage(), 0..6)) {
+        let mut written = Collection::default();
+        usages.into_iter().for_each(|usage| written.take_in(usage));
+        let rows = RowsMessage::encode_collection(&written).expect("rows");
+        let mut read = Collection::default();
+        RowsMessage::decode_into(&rows, &mut read).expect("rows");
+        prop_assert!(written.sources().eq(read.sources()));
+    }
+
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut collection = Collection::default();
+        if RowsMessage::decode_into(&bytes, &mut collection).is_err() {
+            prop_assert!(collection.is_empty());
+        }
+    }
+}
