--- a/crates/authority/tests/order_machine.rs
+++ b/crates/authority/tests/order_machine.rs
@@ -4,12 +4,12 @@
 use std::collections::VecDeque;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
 use tansyhall_authority::{EngineOrders, Epoch, Goal, LeaseClock, OrderEvent, OrderStep};
 use tansyhall_core::{Duration, Incarnation, Role, Timestamp};
 use tansyhall_engine::protocol::{EngineState, Order, OrderAction};
 use tansyhall_engine_model::{Control, ControlTiming};
+use tansyhall_fixed_cases::fixed_number_of_cases;
 
 const HOLDERS: usize = 2;
 const LINK_CAPACITY: usize = 6;
@@ -233,12 +233,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(Config {
-        cases: 2_000,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    })]
+    #![proptest_config(fixed_number_of_cases(SEED, 2_000))]
 
     #[test]
     fn no_history_breaks_a_rule(sequential 1..120 => Pool);
--- a/crates/config/tests/decoders.rs
+++ b/crates/config/tests/decoders.rs
@@ -4,6 +4,7 @@
 use proptest::prelude::*;
 use proptest::sample::select;
 use tansyhall_config::{NodeSettings, Resource, ResourceFile, ResourceKey, ResourceKind};
+use tansyhall_fixed_cases::fixed_cases;
 
 /// Pieces of files, so that random text gets past the first line.
 const FRAGMENTS: &[&str] = &[
@@ -64,11 +65,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: proptest::test_runner::RngSeed::Fixed(31),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(31))]
 
     #[test]
     fn arbitrary_text_never_crashes_a_decoder(
--- a/crates/dissemination/tests/history.rs
+++ b/crates/dissemination/tests/history.rs
@@ -5,25 +5,17 @@
 use bytes::Bytes;
 use proptest::collection::{btree_map, vec};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_dissemination::{ApplyError, Document, History, PullBody};
+use tansyhall_fixed_cases::fixed_cases;
 
 const CAPACITY: usize = 4;
 
-fn fixed_cases() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 fn resources() -> impl Strategy<Value = BTreeMap<String, Bytes>> {
     btree_map("[a-d]", vec(any::<u8>(), 0..3).prop_map(Bytes::from), 0..4)
 }
 
 proptest! {
-    #![proptest_config(fixed_cases())]
+    #![proptest_config(fixed_cases(1))]
 
     #[test]
     fn a_peer_at_any_revision_ends_with_the_newest(contents in vec(resources(), 1..12)) {
--- a/crates/dissemination/tests/spread.rs
+++ b/crates/dissemination/tests/spread.rs
@@ -6,9 +6,9 @@
 
 use proptest::collection::vec;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_core::{Duration, Timestamp};
 use tansyhall_dissemination::{Action, Mark, Peer, PullOutcome, Spread, SpreadSettings, View};
+use tansyhall_fixed_cases::fixed_cases;
 
 const TICK: Duration = Duration::from_millis(100);
 /// Ticks between the probes of a node; each tells the other side what is in force.
@@ -285,11 +285,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(1))]
 
     /// Whatever stops, restarts and changes, no node goes back, and once all is well every node
     /// has the newest.
--- a/crates/forwarding/tests/budget_and_mirror.rs
+++ b/crates/forwarding/tests/budget_and_mirror.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_core::{ServiceName, Timestamp};
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_forwarding::{
     Item, Mirror, MirrorChange, RetryShare, RetryShareSettings, RetryShares, Snapshot,
 };
@@ -19,11 +19,7 @@
 const SEED: u64 = 20_261_202;
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(SEED))]
 
     /// Gateways that know each other's number and ask for retries as often as they like stay
     /// within the fleet's budget in every window.
--- a/crates/forwarding/tests/cost_model.rs
+++ b/crates/forwarding/tests/cost_model.rs
@@ -1,7 +1,7 @@
 //! Costs are learnt within a few observations, and wild ones do little harm.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_forwarding::cost_model::{CostModel, Prior};
 
 /// Seed of the property tests.
@@ -71,11 +71,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(SEED))]
 
     /// Whatever is observed, an expectation stays finite and is never negative.
     #[test]
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_forwarding::{
     Admission, Demand, Directory, EngineCapacity, GatewayKey, Load, LoadEntry, LoadReport, Need,
     Objectives, PromptPart, SendResult, SendTicket, Worker, WorkerId, WorkerKey, WorkerKind,
@@ -377,11 +377,7 @@
 const SEED: u64 = 20_261_202;
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(SEED))]
 
     /// However sends begin and end and workers come and go, nothing stays counted once all sends
     /// have ended.
--- a/crates/forwarding/tests/mirror_updates.rs
+++ b/crates/forwarding/tests/mirror_updates.rs
@@ -1,7 +1,7 @@
 //! A peer that takes updates in holds the same copy as the one that gives them.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_forwarding::{Item, Mirror, MirrorChange, Snapshot, Update};
 
 /// Seed of the property test.
@@ -34,11 +34,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(SEED))]
 
     #[test]
     fn a_peer_that_asks_now_and_then_has_the_same_copy(
--- a/crates/forwarding/tests/relay_plan.rs
+++ b/crates/forwarding/tests/relay_plan.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_core::{Timestamp, ZoneName};
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_forwarding::relay_plan::{GATEWAYS_PER_RELAY, PATIENCE};
 use tansyhall_forwarding::{RelayPlan, Upstream};
 
@@ -47,11 +47,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(SEED))]
 
     /// Gateways that know the same members agree: as many follow the store as the zone needs, and
     /// every other asks one of those.
--- a/crates/forwarding/tests/request_machine.rs
+++ b/crates/forwarding/tests/request_machine.rs
@@ -1,7 +1,7 @@
 //! One request's life: what each failure leads to, and what its caller is told.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_forwarding::{
     Action, AttemptPolicy, Conclusion, Need, PromptHandle, ReadingFailure, Repeatability,
     RequestEvent, RequestMachine, SendFailure, WorkerId,
@@ -288,11 +288,7 @@
 const SEED: u64 = 20_261_202;
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(SEED))]
 
     /// Whatever happens to the sends: the request ends; no more workers may have run it than its
     /// route allows; one that runs at most once is not sent again after it may have run; and "not
--- a/crates/forwarding/tests/scheduler_plan.rs
+++ b/crates/forwarding/tests/scheduler_plan.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_core::ZoneName;
+use tansyhall_fixed_cases::fixed_number_of_cases;
 use tansyhall_forwarding::scheduler_plan::{FULL_EXCHANGE, GATEWAYS_PER_SCHEDULER};
 use tansyhall_forwarding::{SchedulerCandidate, SchedulerPlan};
 
@@ -34,12 +34,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 64,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_number_of_cases(SEED, 64))]
 
     #[test]
     fn every_gateway_asks_a_scheduler_of_its_zone(gateways in 1_usize..1_200, zones in 1_usize..8) {
--- a/crates/forwarding/tests/streams.rs
+++ b/crates/forwarding/tests/streams.rs
@@ -1,7 +1,7 @@
 //! Streams of events are cut at the boundaries of events, however their bytes arrive.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_forwarding::EventFramer;
 
 #[test]
@@ -21,11 +21,7 @@
 const SEED: u64 = 20_261_202;
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(SEED))]
 
     /// However a stream is cut into parts, its events come out whole, once and in order.
     #[test]
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use prost::Message;
 use tansyhall_core::ServiceName;
+use tansyhall_fixed_cases::fixed_number_of_cases;
 use tansyhall_forwarding::{
     GatewayKey, Need, Objectives, Placement, PlacementAnswer, PlacementId, PlacementMessage,
     PlacementNeed, PlacementNotice, PlacementRequest, PromptPart, SendResult, WorkerId,
@@ -117,12 +117,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 128,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_number_of_cases(SEED, 128))]
 
     #[test]
     fn questions_arrive_as_they_were_sent(
--- a/crates/gateway/tests/usage_messages.rs
+++ b/crates/gateway/tests/usage_messages.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use prost::Message;
 use tansyhall_core::TenantName;
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_gateway::usage::{RowsMessage, UsageMessage};
 use tansyhall_usage::{Collection, Source, SourceUsage, TenantCounts, UnixMillis, WindowNumber};
 
@@ -40,11 +40,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(SEED))]
 
     #[test]
     fn a_message_says_what_was_counted(usage in usage()) {
--- a/crates/journal/tests/journal_machine.rs
+++ b/crates/journal/tests/journal_machine.rs
@@ -3,9 +3,9 @@
 //! were permitted to run.
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
 use tansyhall_core::{Duration, Incarnation, RequestId, Timestamp};
+use tansyhall_fixed_cases::fixed_number_of_cases;
 use tansyhall_journal::{
     Attempt, AttemptId, ChangeStep, Decision, KeyOrigin, Member, RecordKey, Replica, ReplicaLimits,
     View, ViewChange, ViewNumber,
@@ -275,12 +275,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(Config {
-        cases: 2_000,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    })]
+    #![proptest_config(fixed_number_of_cases(SEED, 2_000))]
 
     #[test]
     fn one_try_at_most_runs_and_not_run_is_true(sequential 1..100 => Zone);
--- a/crates/node/tests/at_most_once_messages.rs
+++ b/crates/node/tests/at_most_once_messages.rs
@@ -3,9 +3,9 @@
 
 use proptest::collection::vec;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_config::NodeSettings;
 use tansyhall_core::{RequestId, Timestamp};
+use tansyhall_fixed_cases::fixed_number_of_cases;
 use tansyhall_journal::{
     Attempt, AttemptId, ChangeStep, Decision, KeyOrigin, Member, RecordKey, Records, View,
     ViewChange, ViewNumber, VIEW_SIZE,
@@ -208,17 +208,8 @@
     }
 }
 
-fn fixed_cases() -> ProptestConfig {
-    ProptestConfig {
-        cases: 2_000,
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(fixed_cases())]
+    #![proptest_config(fixed_number_of_cases(1, 2_000))]
 
     #[test]
     fn one_key_runs_at_most_once(steps in vec(step(), 0..60)) {
--- a/crates/node/tests/configuration_store.rs
+++ b/crates/node/tests/configuration_store.rs
@@ -10,6 +10,7 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 use tansyhall_config::{Policy, Resource, ResourceKey, ResourceKind};
+use tansyhall_fixed_cases::fixed_number_of_cases;
 use tansyhall_node::configuration::{
     Author, Change, ChangeError, ConfigurationStore, Precondition,
 };
@@ -264,12 +265,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 512,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(23),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_number_of_cases(23, 512))]
 
     #[test]
     fn operators_are_told_the_truth_and_nothing_unseen_is_overwritten(
--- a/crates/planner/tests/role_balance.rs
+++ b/crates/planner/tests/role_balance.rs
@@ -1,8 +1,8 @@
 //! How many engines decode: as the streams need, never none, and never back and forth.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_core::{Role, Timestamp, ZoneName};
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_planner::{balance_roles, BalancedEngine, ExpectedDemand, RecentPeak};
 
 fn engine(zone: &str, role: Role, streams: u32) -> BalancedEngine {
@@ -170,11 +170,7 @@
 const SEED: u64 = 20_261_202;
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(SEED))]
 
     /// With constant streams the changes come to an end, and both roles are there.
     #[test]
--- a/crates/planner/tests/worker_balance.rs
+++ b/crates/planner/tests/worker_balance.rs
@@ -1,8 +1,8 @@
 //! Workers by zone and price: as many as are wanted, mostly cheap ones, and never all in one zone.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_core::ZoneName;
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_planner::{
     affordable_workers, balance_workers, WorkerLimits, WorkersWanted, ZoneGoal, ZoneWorkers,
 };
@@ -153,11 +153,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(SEED))]
 
     #[test]
     fn goals_keep_the_limits_and_the_wanted_number(
--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::*;
 use proptest::sample::select;
 use tansyhall_core::Role;
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_policy::ast::{
     BoundSubject, ClassAst, ClassSetting, Comparison, Condition, FallbackAst, Name, NumberFact,
     NumberOperator, PolicyAst, PoolAst, PoolSetting, PriorityName, ShareAst, TenantAst,
@@ -232,11 +233,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(11))]
 
     #[test]
     fn arbitrary_text_never_crashes_the_compiler(source in any::<String>()) {
--- a/crates/proto/tests/codec.rs
+++ b/crates/proto/tests/codec.rs
@@ -6,9 +6,9 @@
 use proptest::collection::{btree_map, vec};
 use proptest::option;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_core::{Duration, Incarnation};
 use tansyhall_dissemination::{Delta, Document, PullBody, ResourceChange};
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_membership::{
     BackendMark, Body, ConfigurationMark, Contact, LoadSummary, MemberAddresses, MemberRecord,
     MemberState, Message, Sender, ZoneDigest,
@@ -146,17 +146,8 @@
     prop_oneof![current, delta, snapshot]
 }
 
-/// The same cases on every run.
-fn fixed_cases() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(fixed_cases())]
+    #![proptest_config(fixed_cases(1))]
 
     #[test]
     fn a_datagram_survives_encoding(message in message()) {
--- a/crates/proto/tests/requests.rs
+++ b/crates/proto/tests/requests.rs
@@ -5,8 +5,8 @@
 use proptest::collection::vec;
 use proptest::option;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_core::{Incarnation, RequestId};
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_journal::{
     AttemptId, Member, RecordKey, Records, SealReply, View, ViewNumber, VoteReply,
 };
@@ -103,16 +103,8 @@
     ]
 }
 
-fn fixed_cases() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(fixed_cases())]
+    #![proptest_config(fixed_cases(1))]
 
     #[test]
     fn a_request_survives_encoding(request in request()) {
--- a/crates/routing/tests/prefix.rs
+++ b/crates/routing/tests/prefix.rs
@@ -2,8 +2,8 @@
 
 use proptest::collection::vec;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_core::Incarnation;
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_routing::prefix::{BlockChange, BlockEvent, PrefixIndex};
 
 const MAX_BLOCKS: usize = 6;
@@ -73,11 +73,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        failure_persistence: None,
-        rng_seed: RngSeed::Fixed(5),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(5))]
 
     #[test]
     fn the_index_believes_what_a_plain_list_does(steps in vec(step(), 0..60)) {
--- a/crates/shares/tests/safety.rs
+++ b/crates/shares/tests/safety.rs
@@ -9,6 +9,7 @@
 use proptest::prelude::*;
 use proptest::sample::Index;
 use support::Fleet;
+use tansyhall_fixed_cases::fixed_number_of_cases;
 use tansyhall_shares::{Event, LimitKey};
 
 const NODES: usize = 4;
@@ -84,12 +85,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 512,
-        rng_seed: prop::test_runner::RngSeed::Fixed(20),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_number_of_cases(20, 512))]
 
     #[test]
     fn usable_shares_never_pass_the_limit(
--- a/crates/store/tests/limits.rs
+++ b/crates/store/tests/limits.rs
@@ -2,16 +2,12 @@
 
 use proptest::collection::vec;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_core::{Duration, Timestamp};
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_store::{Admission, NextStep, Repeatability, RetryPolicy, StoreError, TokenBucket};
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(1),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(1))]
 
     /// Over any stretch from the start, no more calls pass than the burst and the rate allow, and
     /// a call that waits as long as it was told to is let through.
--- a/crates/usage/tests/counting.rs
+++ b/crates/usage/tests/counting.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use tansyhall_core::{TenantName, Timestamp};
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_usage::{
     next_step, ClockReading, Collection, FleetClock, KnownReports, ReportStep, Source, SourceUsage,
     TenantCounts, UnixMillis, UsageMeter, UsageSender, WindowNumber, WindowTiming,
@@ -168,11 +168,7 @@
 const SEED: u64 = 20_261_202;
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(fixed_cases(SEED))]
 
     /// Messages are lost, repeated and reordered, acknowledgements are lost, collectors change; what is
     /// counted is what began once the last message has arrived.
