Spot workers are ordered when reserved ones have made room; what is needed falls in steps

Then what is needed varied from half second to half second and was followed by an order each time.

Ruled out: the least reserved workers (the withdrawn zone's part was covered elsewhere).

Change: room counts reserved workers that have not left; an order that changed nothing is repeated 2 s after workers start (4 before); fewer count as needed only below three quarters of what was; a zone is asked for all that it should have, never for one to begin with.

--- a/crates/gateway/src/worker_orders.rs
+++ b/crates/gateway/src/worker_orders.rs
@@ -31,9 +31,9 @@
 const KEY: &str = "tansyhall/workers";
 /// Pause between two looks.
 const PACE: Duration = Duration::from_millis(500);
-/// Time beyond a worker's start after which an order that changed nothing is sent again: a few writes of
-/// the worker's entry.
-const NOTICE: Duration = Duration::from_secs(4);
+/// Time beyond a worker's start after which an order that changed nothing is sent again: two writes of the
+/// worker's entry.
+const NOTICE: Duration = Duration::from_secs(2);
 /// Time after which spot workers are asked for again where there were none,
 const FIRST_ABSENCE: Duration = Duration::from_secs(2);
 /// and the longest such time; each refusal doubles it.
@@ -46,6 +46,10 @@
 /// The part of the planned workers that is needed at any price before anything is known of the demand.
 const NEEDED_PART: f64 = 1.0 / 3.0;
 
+/// The part of the workers that were needed lately below which fewer count as needed: what is asked varies by
+/// less from one second to the next, and each order for one worker fewer would be followed by one for one more.
+const FALLING_PART: f64 = 0.75;
+
 /// Which workers an order is about.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Subject {
@@ -93,6 +97,24 @@
     }
 }
 
+/// What is asked of the engines of a service.
+#[derive(Debug, Default)]
+struct Asked {
+    peak: RecentPeak,
+    needed: f64,
+}
+
+impl Asked {
+    /// How many engines are needed, at least so many, if so many are busy now.
+    fn needed(&mut self, now: Timestamp, busy: f64, least: f64) -> u32 {
+        let needed = (self.peak.observe(now, busy) / BUSY_PART).max(least);
+        if needed > self.needed || needed < self.needed * FALLING_PART {
+            self.needed = needed;
+        }
+        self.needed.ceil() as u32
+    }
+}
+
 struct WorkerOrders {
     shared: Arc<Shared>,
     store: Rc<dyn KeyValueStore>,
@@ -100,8 +122,8 @@
     authority: Authority,
     ordered: HashMap<Subject, Ordered>,
     absences: HashMap<Subject, Absence>,
-    /// Engines of each service that what is asked kept busy lately.
-    asked: HashMap<ServiceName, RecentPeak>,
+    /// Engines of each service that what is asked kept busy lately, and how many count as needed.
+    asked: HashMap<ServiceName, Asked>,
     /// The fence with which an order was refused: another gateway has a higher one.
     refused: Option<Epoch>,
 }
@@ -165,10 +187,10 @@
             .lock()
             .engine_demand(now, &service.name);
         let streams = demand.places / f64::from(engine.slots.max(1));
-        let peak = self.asked.entry(service.name.clone()).or_default();
-        let busy = peak.observe(now, demand.readers + demand.decoders + streams);
         let least = f64::from(planned) * NEEDED_PART;
-        (busy / BUSY_PART).max(least).ceil() as u32
+        let asked = self.asked.entry(service.name.clone()).or_default();
+        let busy = demand.readers + demand.decoders + streams;
+        asked.needed(now, busy, least)
     }
 
     fn read_planned(&self) -> (Planned, Option<u64>) {
@@ -244,30 +266,34 @@
                     self.order(epoch, order, wanted.needed).await;
                 }
             }
-            if !zone.has_spot {
-                self.probe(epoch, &service.name, zone, wanted).await;
-            }
         }
+        self.ask_again(epoch, &service.name, &zones, &limits, wanted)
+            .await;
     }
 
-    /// Asks a zone that had no spot workers for one, after a while.
-    async fn probe(
+    /// Asks zones that had no spot workers for all that they should have, after a while. It is never asked
+    /// for fewer to begin with: such an order, if it were carried out late, would undo the one that follows.
+    async fn ask_again(
         &mut self,
         epoch: Epoch,
         service: &ServiceName,
-        zone: &ZoneWorkers,
+        zones: &[ZoneWorkers],
+        limits: &WorkerLimits,
         wanted: WorkersWanted,
     ) {
-        let order = WorkerOrder {
-            service: service.clone(),
-            zone: zone.zone.clone(),
-            kind: WorkerKind::Spot,
-            desired: zone.spot + 1,
-        };
-        let absence = self.absences.get(&subject_of(&order));
         let now = self.shared.now();
-        if absence.is_some_and(|absence| now >= absence.until) {
-            self.order(epoch, order, wanted.needed).await;
+        let mut all_have_spot = zones.to_vec();
+        for zone in &mut all_have_spot {
+            zone.has_spot = true;
+        }
+        let goals = balance_workers(&all_have_spot, limits, wanted);
+        for (goal, zone) in goals.iter().zip(zones) {
+            let [order, _] = orders_of(service, goal);
+            let absence = self.absences.get(&subject_of(&order));
+            let is_over = absence.is_some_and(|absence| now >= absence.until);
+            if is_over && order.desired > zone.spot {
+                self.order(epoch, order, wanted.needed).await;
+            }
         }
     }
 
--- a/crates/planner/src/worker_balance.rs
+++ b/crates/planner/src/worker_balance.rs
@@ -187,7 +187,9 @@
     let serving = zone.spot.min(goal.spot);
     let kept = planned.saturating_sub(serving).min(zone.reserved);
     goal.reserved = goal.reserved.max(kept);
-    goal.spot = goal.spot.min(limits.most.saturating_sub(goal.reserved));
+    // Reserved workers that have not left yet take room of the zone's most.
+    let taken = goal.reserved.max(zone.reserved);
+    goal.spot = goal.spot.min(limits.most.saturating_sub(taken));
 }
 
 /// Gives up spot workers only as far as more serve in all than are wanted.
