--- a/crates/gateway/src/usage/reporter.rs
+++ b/crates/gateway/src/usage/reporter.rs
@@ -284,12 +284,13 @@
         rows
     }
 
-    /// Keys that have nothing from `oldest` on; a collector that lives writes its own again.
+    /// Keys that have nothing from `oldest` on, so that those of gateways that are gone do not stay; a
+    /// collector that lives writes its own again.
     fn over_before(&self, oldest: WindowNumber) -> impl Iterator<Item = String> + '_ {
         let over = self
             .last_windows
             .iter()
-            .filter(move |(_, last)| last.is_some_and(|last| last < oldest));
+            .filter(move |(_, last)| last.is_none_or(|last| last < oldest));
         over.map(|(key, _)| key.clone())
     }
 }
