Calls under the authority's fence in one place; names of the usage tasks

The reporter of usage and the orders of workers each kept the refused fence, the holder's name and the time for a call. gateway::duty_calls has them once. No change of behaviour.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod deflated_values;
 pub mod desired_roles;
 pub mod duties;
+pub mod duty_calls;
 pub mod events;
 pub mod exchange;
 pub mod fleet;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,6 +23,7 @@
 use crate::connections::Connections;
 use crate::datagrams::Datagrams;
 use crate::duties::DutyService;
+use crate::duty_calls::DutyCalls;
 use crate::events::{Event, EventLog, Weight};
 use crate::fleet::Fleet;
 use crate::follower::{self, StoreContact};
@@ -88,8 +89,11 @@
     actix_rt::spawn(prune(Arc::clone(&shared)));
     actix_rt::spawn(store_copy::end_lapses(Arc::clone(&shared)));
     actix_rt::spawn(store_copy::log_worker_changes(Arc::clone(&shared)));
-    actix_rt::spawn(usage::tell(Arc::clone(&shared)));
-    actix_rt::spawn(usage::keep(Arc::clone(&shared), Rc::clone(&adapter.store)));
+    actix_rt::spawn(usage::tell_collector(Arc::clone(&shared)));
+    actix_rt::spawn(usage::write_collected(
+        Arc::clone(&shared),
+        Rc::clone(&adapter.store),
+    ));
     spawn_under_leases(&shared, &adapter);
     let event = Event::Started {
         node: &settings.node.name,
@@ -115,16 +119,22 @@
     let authority = Authority::new(authority);
     let seeking = authority.clone().seek(Arc::clone(shared), Rc::clone(store));
     actix_rt::spawn(seeking);
-    let (kept, orders) = (Arc::clone(shared), Rc::clone(store));
-    actix_rt::spawn(role_orders::run(kept, orders, authority.clone()));
-    if let Some(duties) = &adapter.duties {
-        let (kept, reports) = (Arc::clone(shared), Rc::clone(store));
-        let reporting = usage::report(kept, reports, Rc::clone(duties), authority.clone());
-        actix_rt::spawn(reporting);
-        let (kept, orders) = (Arc::clone(shared), Rc::clone(store));
-        let ordering = worker_orders::run(kept, orders, Rc::clone(duties), authority);
-        actix_rt::spawn(ordering);
-    }
+    spawn_duties(shared, adapter, &authority);
+}
+
+/// Starts what the holder of the authority does for the site.
+fn spawn_duties(shared: &Arc<Shared>, adapter: &Adapter, authority: &Authority) {
+    let store = || Rc::clone(&adapter.store);
+    let roles = role_orders::run(Arc::clone(shared), store(), authority.clone());
+    actix_rt::spawn(roles);
+    let Some(service) = &adapter.duties else {
+        return;
+    };
+    let calls = || DutyCalls::new(shared, Rc::clone(service), authority.clone());
+    let reports = usage::report(Arc::clone(shared), store(), calls());
+    actix_rt::spawn(reports);
+    let workers = worker_orders::run(Arc::clone(shared), store(), calls());
+    actix_rt::spawn(workers);
 }
 
 fn share(settings: GatewaySettings, adapter: &Adapter, log: Arc<EventLog>) -> Result<Arc<Shared>> {
--- a/crates/gateway/src/usage/collector.rs
+++ b/crates/gateway/src/usage/collector.rs
@@ -20,7 +20,7 @@
 const PACE: Duration = Duration::from_millis(400);
 
 /// Writes for ever.
-pub async fn keep(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>) {
+pub async fn write_collected(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>) {
     let Some(usage) = shared.usage.as_ref() else {
         return;
     };
--- a/crates/gateway/src/usage/exchange.rs
+++ b/crates/gateway/src/usage/exchange.rs
@@ -69,7 +69,7 @@
 }
 
 /// Tells for ever.
-pub async fn tell(shared: Arc<Shared>) {
+pub async fn tell_collector(shared: Arc<Shared>) {
     let Some(usage) = shared.usage.as_ref() else {
         return;
     };
--- a/crates/gateway/src/usage/mod.rs
+++ b/crates/gateway/src/usage/mod.rs
@@ -7,8 +7,8 @@
 mod reporter;
 mod state;
 
-pub use collector::keep;
-pub use exchange::{acknowledge, take_in, tell};
+pub use collector::write_collected;
+pub use exchange::{acknowledge, take_in, tell_collector};
 pub use message::{AcknowledgementMessage, RowsMessage, UsageMessage};
 pub use reporter::report;
 pub use state::Usage;
--- a/crates/gateway/src/usage/reporter.rs
+++ b/crates/gateway/src/usage/reporter.rs
@@ -17,14 +17,14 @@
 use tansyhall_usage::{
     next_step, Collection, KnownReports, ReportStep, TenantCounts, UnixMillis, WindowNumber,
 };
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::message::RowsMessage;
 use super::state::Usage;
 use super::{CLOSED_KEY, REPORTS_PREFIX, ROWS_PREFIX};
-use crate::authority::Authority;
 use crate::authority_claim;
-use crate::duties::{DutyHolder, DutyOutcome, DutyService, UsageReport, CALL_TIMEOUT};
+use crate::duties::{DutyOutcome, UsageReport};
+use crate::duty_calls::DutyCalls;
 use crate::events::{Event, Weight};
 use crate::state::Shared;
 use crate::store_call::in_time;
@@ -33,23 +33,16 @@
 const PACE: Duration = Duration::from_millis(400);
 
 /// Reports until the gateway stops.
-pub async fn report(
-    shared: Arc<Shared>,
-    store: Rc<dyn KeyValueStore>,
-    duties: Rc<dyn DutyService>,
-    authority: Authority,
-) {
+pub async fn report(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>, calls: DutyCalls) {
     if shared.usage.is_none() {
         return;
     }
     let mut reporter = Reporter {
         shared,
         store,
-        duties,
-        authority,
+        calls,
         known: KnownReports::default(),
         decided: BTreeMap::new(),
-        refused: None,
     };
     while !reporter.shared.is_stopping() {
         sleep(PACE).await;
@@ -60,13 +53,10 @@
 struct Reporter {
     shared: Arc<Shared>,
     store: Rc<dyn KeyValueStore>,
-    duties: Rc<dyn DutyService>,
-    authority: Authority,
+    calls: DutyCalls,
     known: KnownReports,
     /// What was decided of the windows that the store still has.
     decided: BTreeMap<WindowNumber, TenantCounts>,
-    /// The fence with which a report was refused: another gateway has a higher one.
-    refused: Option<Epoch>,
 }
 
 impl Reporter {
@@ -75,9 +65,7 @@
         let Some(usage) = shared.usage.as_ref() else {
             return;
         };
-        let fence = self.authority.fence(&shared);
-        let fence = fence.filter(|fence| self.refused != Some(*fence));
-        let (Some(epoch), Some(time)) = (fence, usage.time(shared.now())) else {
+        let (Some(epoch), Some(time)) = (self.calls.fence(), usage.time(shared.now())) else {
             return;
         };
         self.learn();
@@ -198,23 +186,15 @@
         let Some(counts) = self.decided.get(&window).cloned() else {
             return;
         };
-        // The lease may have lapsed while the decision was written.
-        if self.authority.fence(&self.shared) != Some(epoch) {
+        let report = UsageReport { window, counts };
+        let Some(outcome) = self.calls.report_usage(epoch, &report).await else {
             return;
-        }
-        let holder = DutyHolder {
-            name: self.shared.settings.read().node.name.clone(),
-            fence: epoch.0,
         };
-        let report = UsageReport { window, counts };
-        let call = self.duties.report_usage(&holder, &report);
-        let outcome = timeout(CALL_TIMEOUT, call).await;
-        let outcome = outcome.unwrap_or_else(|_| DutyOutcome::Unknown("no answer in time".into()));
         match &outcome {
             DutyOutcome::Done => {
                 self.known.acknowledged.insert(window);
             }
-            DutyOutcome::Refused(_) => self.refused = Some(epoch),
+            DutyOutcome::Refused(_) => self.calls.stop_using(epoch),
             DutyOutcome::NotDone(_) | DutyOutcome::Unknown(_) => {}
         }
         self.record_report(window, &outcome);
--- a/crates/gateway/src/worker_orders.rs
+++ b/crates/gateway/src/worker_orders.rs
@@ -18,11 +18,11 @@
     ZoneWorkers,
 };
 use tansyhall_store::{Compare, KeyValueStore, Operation, Revision, Transaction};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use crate::authority::Authority;
 use crate::authority_claim;
-use crate::duties::{DutyHolder, DutyOutcome, DutyService, WorkerOrder, CALL_TIMEOUT};
+use crate::duties::{DutyOutcome, WorkerOrder};
+use crate::duty_calls::DutyCalls;
 use crate::events::{Event, Weight};
 use crate::state::Shared;
 use crate::store_call::in_time;
@@ -75,21 +75,14 @@
 type Planned = BTreeMap<ServiceName, u32>;
 
 /// Orders workers while this gateway holds the authority, until it stops.
-pub async fn run(
-    shared: Arc<Shared>,
-    store: Rc<dyn KeyValueStore>,
-    duties: Rc<dyn DutyService>,
-    authority: Authority,
-) {
+pub async fn run(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>, calls: DutyCalls) {
     let mut orders = WorkerOrders {
         shared,
         store,
-        duties,
-        authority,
+        calls,
         ordered: HashMap::new(),
         absences: HashMap::new(),
         asked: HashMap::new(),
-        refused: None,
     };
     while !orders.shared.is_stopping() {
         sleep(PACE).await;
@@ -118,14 +111,11 @@
 struct WorkerOrders {
     shared: Arc<Shared>,
     store: Rc<dyn KeyValueStore>,
-    duties: Rc<dyn DutyService>,
-    authority: Authority,
+    calls: DutyCalls,
     ordered: HashMap<Subject, Ordered>,
     absences: HashMap<Subject, Absence>,
     /// Engines of each service that what is asked kept busy lately, and how many count as needed.
     asked: HashMap<ServiceName, Asked>,
-    /// The fence with which an order was refused: another gateway has a higher one.
-    refused: Option<Epoch>,
 }
 
 impl WorkerOrders {
@@ -140,7 +130,7 @@
             let Some(scaling) = &service.scaling else {
                 continue;
             };
-            let Some(epoch) = self.fence() else {
+            let Some(epoch) = self.calls.fence() else {
                 return;
             };
             if let Some(planned) = self.planned(epoch, service).await {
@@ -149,11 +139,6 @@
         }
     }
 
-    fn fence(&self) -> Option<Epoch> {
-        let fence = self.authority.fence(&self.shared);
-        fence.filter(|fence| self.refused != Some(*fence))
-    }
-
     /// How many reserved workers the operator planned for a service: those it had when it was first seen.
     async fn planned(&self, epoch: Epoch, service: &Service) -> Option<u32> {
         let (mut planned, revision) = self.read_planned();
@@ -333,16 +318,9 @@
     }
 
     async fn order(&mut self, epoch: Epoch, order: WorkerOrder, needed: u32) {
-        if self.fence() != Some(epoch) {
+        let Some(outcome) = self.calls.order_workers(epoch, &order).await else {
             return;
-        }
-        let holder = DutyHolder {
-            name: self.shared.settings.read().node.name.clone(),
-            fence: epoch.0,
         };
-        let call = self.duties.order_workers(&holder, &order);
-        let outcome = timeout(CALL_TIMEOUT, call).await;
-        let outcome = outcome.unwrap_or_else(|_| DutyOutcome::Unknown("no answer in time".into()));
         let now = self.shared.now();
         let subject = subject_of(&order);
         match (&outcome, order.kind) {
@@ -352,7 +330,7 @@
                 self.ordered.insert(subject, Ordered { desired, at: now });
             }
             (DutyOutcome::Refused(_), WorkerKind::Spot) => self.note_absence(now, subject),
-            (DutyOutcome::Refused(_), WorkerKind::Reserved) => self.refused = Some(epoch),
+            (DutyOutcome::Refused(_), WorkerKind::Reserved) => self.calls.stop_using(epoch),
             (DutyOutcome::NotDone(_) | DutyOutcome::Unknown(_), _) => {}
         }
         self.record(&order, needed, &outcome);
