--- a/crates/cli/tests/gateway_platform/roles.rs
+++ b/crates/cli/tests/gateway_platform/roles.rs
@@ -73,3 +73,13 @@
     })
     .await;
 }
+
+#[actix_rt::test]
+async fn the_first_holder_of_all_waits_for_nobody() {
+    const LONGEST_PAUSE_MS: u64 = 600_000;
+    let site = Site::start_with_pause(&[DECODER; ENGINES], 2, LONGEST_PAUSE_MS).await;
+    eventually("the first engines are ordered", || async {
+        (!orders(&site).is_empty()).then_some(())
+    })
+    .await;
+}
--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -20,6 +20,8 @@
 const TEMPLATE: &str = include_str!("../../../../deploy/node.toml");
 /// Keys of others in the store, so that it is read in several pages.
 const FOREIGN_KEYS: usize = 130;
+/// Milliseconds that a new holder of the authority waits.
+const TAKEOVER_PAUSE_MS: u64 = 300;
 const HOST: &str = "site.example";
 const ZONE: &str = "kalimati";
 const OTHER_ZONE: &str = "balkhu";
@@ -94,6 +96,7 @@
     store: Store,
     operator: Operator,
     version: Cell<u64>,
+    takeover_pause_ms: u64,
     _directory: tempfile::TempDir,
 }
 
@@ -103,6 +106,15 @@
 impl Site {
     /// Starts a site and waits until every gateway is ready and knows every worker.
     pub async fn start(workers: &[WorkerSpec], gateways: usize) -> Self {
+        Self::start_with_pause(workers, gateways, TAKEOVER_PAUSE_MS).await
+    }
+
+    /// The same, with so many milliseconds that a new holder of the authority waits.
+    pub async fn start_with_pause(
+        workers: &[WorkerSpec],
+        gateways: usize,
+        takeover_pause_ms: u64,
+    ) -> Self {
         let store = Store::default();
         for number in 0..FOREIGN_KEYS {
             store.put(&format!("other/{number:04}"), &json!(number));
@@ -122,6 +134,7 @@
             store,
             operator,
             version: Cell::new(1),
+            takeover_pause_ms,
             _directory: directory,
         };
         for number in 0..gateways {
@@ -328,7 +341,7 @@
                 "budget_extra": 54,
                 "budget_window_s": 10,
                 "grace_s": 8,
-                "lease_ms": 300,
+                "lease_ms": self.takeover_pause_ms,
                 "report_window_s": 1,
                 "usage_late_s": 8,
             },
