--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -424,8 +424,8 @@
     }
 }
 
-/// Found by the users' bench (engines of the grown registry crash and come back as others): each
-/// gateway sent to the former ones until the store had forgotten them.
+/// The fault: engines crash and come back as others, and each gateway sent to the former ones until the
+/// store had forgotten them.
 #[test]
 fn a_worker_found_absent_is_passed_over_by_all_until_it_is_announced_anew() {
     let asker = Asker::new();
--- a/crates/forwarding/tests/request_machine.rs
+++ b/crates/forwarding/tests/request_machine.rs
@@ -145,8 +145,8 @@
     assert_eq!(machine.step(RequestEvent::BudgetAnswered(true)), read_there);
 }
 
-/// Found by the users' bench (engines of the grown registry crash in a burst): connections to dead
-/// workers spent the budget, although no worker had received anything.
+/// The fault: connections to workers that had crashed spent the budget, although no worker had received
+/// anything.
 #[test]
 fn a_send_that_reached_no_worker_costs_no_retry() {
     let mut machine = running(Repeatability::AtMostOnce, 1);
@@ -207,8 +207,8 @@
     assert_eq!(machine.step(unsent), other);
 }
 
-/// Found by the users' bench (a burst of long prompts, rule BUDGET): a reading that is given up may
-/// wait in its worker's queue and counts as a rejected arrival there.
+/// The fault: a reading that is given up may wait in its worker's queue and counts as a rejected arrival
+/// there, beyond what retries may add.
 #[test]
 fn going_on_without_a_reading_that_failed_asks_the_budget() {
     let mut machine = machine(FINAL_STREAM, 1, true);
--- a/crates/forwarding/tests/stop_plan.rs
+++ b/crates/forwarding/tests/stop_plan.rs
@@ -6,8 +6,7 @@
 
 const PLAN_GRACE: Duration = Duration::from_secs(8);
 
-/// Found by the users' bench (every machine removed in turn, rule LOST): a request that was taken
-/// in seconds after SIGTERM was cut when its process was killed.
+/// The fault: a request that was taken in seconds after SIGTERM was cut when its process was killed.
 #[test]
 fn a_request_long_after_the_signal_is_refused() {
     let plan = StopPlan::new(PLAN_GRACE);
