--- a/crates/gateway/tests/caches.rs
+++ b/crates/gateway/tests/caches.rs
@@ -18,8 +18,8 @@
     CachesMessage::decode(message.encode_to_vec().as_slice()).expect("a message")
 }
 
-/// The fault: after the loss of all gateways, those that came back a moment later took the few prompts that the first ones had read for all there was to know,
-/// and engines were not asked.
+/// The fault: after the loss of all gateways, those that came back a moment later took the few prompts
+/// that the first ones had read for all there was to know, and engines were not asked.
 #[test]
 fn a_gateway_that_knows_a_little_does_not_suffice() {
     assert!(!message(false).suffices());
