Exchanges of workers are bounded by what relays can pass on; all collectors together write as often as one

Up to 6,000 workers came and 3,000 went within seconds, each change told by a relay to up to 64 subscribers over 10 Mbit/s.

Ruled out by size: rows of usage, some 27 kB from each of four collectors 2.5 times a second; they are written less often in larger fleets now all the same.

--- a/crates/forwarding/src/scheduler_plan.rs
+++ b/crates/forwarding/src/scheduler_plan.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// How many zones have gateways.
+    pub fn zones(&self) -> usize {
+        self.zones.len()
+    }
+
     /// How many schedulers the fleet has.
     pub fn schedulers(&self) -> usize {
         self.zones.values().map(|zone| zone.schedulers).sum()
@@ -125,12 +130,18 @@
         listeners.map(String::as_str)
     }
 
+    /// How many gateways collect what the others have to tell.
+    pub fn collectors(&self) -> usize {
+        let gateways: usize = self.zones.values().map(|zone| zone.names.len()).sum();
+        let collectors = gateways.div_ceil(GATEWAYS_PER_COLLECTOR);
+        collectors.min(self.zones.len())
+    }
+
     /// The gateway that collects what `own` has to tell, of those that are usable (`own` always is): the
     /// first of a zone's ranking, so that it has processor time; one for each [`GATEWAYS_PER_COLLECTOR`] of
     /// the fleet, spread by rendezvous hashing, the zones ranked by it too.
     pub fn collector_of(&self, own: &str, is_usable: impl Fn(&str) -> bool) -> Option<&str> {
-        let gateways: usize = self.zones.values().map(|zone| zone.names.len()).sum();
-        let collectors = gateways.div_ceil(GATEWAYS_PER_COLLECTOR);
+        let collectors = self.collectors();
         let usable = |name: &&str| *name == own || is_usable(name);
         let firsts = self.zones.values().filter_map(|zone| {
             let mut names = zone.names.iter().map(String::as_str);
--- a/crates/gateway/src/usage/collector.rs
+++ b/crates/gateway/src/usage/collector.rs
@@ -16,7 +16,8 @@
 
 /// Pause between two writes: what all gateways lose that die at once is half of it on the mean, 4% of a
 /// window of five seconds. Shorter ones wake all who watch the store more often: four collectors
-/// with ten writes a second together cost 1,360 more calls on a day of a minute, one costs 140.
+/// with ten writes a second together cost 1,360 more calls on a day of a minute, one costs 140. So all
+/// collectors of a fleet together write as often as one.
 const PACE: Duration = Duration::from_millis(400);
 
 /// Writes for ever.
@@ -27,7 +28,8 @@
     let key = key_of(usage);
     let mut written = Vec::new();
     loop {
-        sleep(PACE).await;
+        let collectors = shared.fleet.read().plan.collectors().max(1);
+        sleep(PACE * u32::try_from(collectors).unwrap_or(u32::MAX)).await;
         if let Some(rows) = rows_to_write(&shared, usage) {
             if rows != written && write(&*store, &key, &rows).await {
                 written = rows;
--- a/crates/gateway/src/worker_orders.rs
+++ b/crates/gateway/src/worker_orders.rs
@@ -7,15 +7,17 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tansyhall_authority::Epoch;
 use tansyhall_core::{ServiceName, Timestamp, ZoneName};
+use tansyhall_forwarding::relay_plan::GATEWAYS_PER_RELAY;
 use tansyhall_forwarding::{Service, Worker, WorkerKind, WorkerScaling, WorkerState};
 use tansyhall_planner::{
-    affordable_workers, balance_workers, RecentPeak, WorkerLimits, WorkersWanted, ZoneGoal,
-    ZoneWorkers,
+    affordable_workers, balance_workers, ChangeAllowance, RecentPeak, WorkerLimits, WorkersWanted,
+    ZoneGoal, ZoneWorkers,
 };
 use tansyhall_store::{Compare, KeyValueStore, Operation, Revision, Transaction};
 use tokio::time::sleep;
@@ -76,6 +78,7 @@
 
 /// Orders workers while this gateway holds the authority, until it stops.
 pub async fn run(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>, calls: DutyCalls) {
+    let allowance = ChangeAllowance::new(shared.now());
     let mut orders = WorkerOrders {
         shared,
         store,
@@ -83,6 +86,7 @@
         ordered: HashMap::new(),
         absences: HashMap::new(),
         asked: HashMap::new(),
+        allowance,
     };
     while !orders.shared.is_stopping() {
         sleep(PACE).await;
@@ -116,6 +120,8 @@
     absences: HashMap<Subject, Absence>,
     /// Engines of each service that what is asked kept busy lately, and how many count as needed.
     asked: HashMap<ServiceName, Asked>,
+    /// Workers that may still come or go.
+    allowance: ChangeAllowance,
 }
 
 impl WorkerOrders {
@@ -247,7 +253,10 @@
                     WorkerKind::Reserved => zone.reserved,
                     WorkerKind::Spot => zone.spot,
                 };
-                if order.desired != serving && self.is_due(&order, scaling.start) {
+                if order.desired == serving || !self.is_due(&order, scaling.start) {
+                    continue;
+                }
+                if let Some(order) = self.within_allowance(order, serving) {
                     self.order(epoch, order, wanted.needed).await;
                 }
             }
@@ -256,6 +265,27 @@
             .await;
     }
 
+    /// As much of an order as relays can pass on now, if any of it. Workers that are ordered and have not come
+    /// yet were taken of the allowance before.
+    fn within_allowance(&mut self, order: WorkerOrder, serving: u32) -> Option<WorkerOrder> {
+        let gateways = self.shared.gateways.load(Ordering::Relaxed);
+        let zones = self.shared.fleet.read().plan.zones().max(1);
+        let subscribers = subscribers_of_a_relay(gateways, zones);
+        let allowed = self.allowance.workers(self.shared.now(), subscribers);
+        let ordered = self.ordered.get(&subject_of(&order));
+        let expected = ordered.map_or(serving, |ordered| ordered.desired.max(serving));
+        let desired = match order.desired > serving {
+            true => order.desired.min(expected.saturating_add(allowed)),
+            false => order.desired.max(serving.saturating_sub(allowed)),
+        };
+        let changes = match desired > serving {
+            true => desired.saturating_sub(expected),
+            false => serving - desired,
+        };
+        self.allowance.take(changes, subscribers);
+        (desired != serving).then_some(WorkerOrder { desired, ..order })
+    }
+
     /// Asks zones that had no spot workers for all that they should have, after a while. It is never asked
     /// for fewer to begin with: such an order, if it were carried out late, would undo the one that follows.
     async fn ask_again(
@@ -389,6 +419,13 @@
     ]
 }
 
+fn subscribers_of_a_relay(gateways: u64, zones: usize) -> usize {
+    let in_zone = usize::try_from(gateways)
+        .unwrap_or(usize::MAX)
+        .div_ceil(zones);
+    in_zone.min(GATEWAYS_PER_RELAY)
+}
+
 fn subject_of(order: &WorkerOrder) -> Subject {
     Subject {
         service: order.service.clone(),
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod bounds;
+pub mod change_allowance;
 pub mod peak;
 pub mod predictive;
 pub mod role_balance;
@@ -10,6 +11,7 @@
 pub mod worker_balance;
 
 pub use bounds::{plan_bounds, EngineView, PlannedChange, RoleLimit};
+pub use change_allowance::ChangeAllowance;
 pub use peak::RecentPeak;
 pub use role_balance::{balance_roles, BalancedEngine, ExpectedDemand, RoleChange};
 pub use rollout::{plan_loads, DesiredLoads, Load, LoadedEngine, PlannedLoad, RolloutGuard};
