Sight: an answer that does not bear its request's id is logged and counted

Cause looked for: which answers reach a request that they do not belong to. Logs said this of runs only, and not whose the answer was. Each answer of a worker is now compared with the request before it on its connection, for callers' requests, readings of prompts and the gateway's own calls alike; nothing is decided by it yet. One place says what is asked of a worker, where four built the same request.

--- a/crates/gateway/src/cache_recovery.rs
+++ b/crates/gateway/src/cache_recovery.rs
@@ -20,10 +20,10 @@
 use tansyhall_forwarding::{PartRead, Worker};
 use tokio::time::{sleep, timeout};
 
-use crate::connections::WorkerRequest;
 use crate::load_messages::{decode_part, encode_part, PartMessage};
 use crate::presence::Member;
 use crate::state::Shared;
+use crate::worker_request::{Asked, WorkerRequest};
 
 /// Pause between two looks for workers and gateways.
 const PACE: Duration = Duration::from_millis(100);
@@ -163,12 +163,7 @@
     worker: &Worker,
 ) -> Option<Vec<tansyhall_forwarding::PromptPart>> {
     let call = shared.protocol.cache_list_call();
-    let request = WorkerRequest {
-        method: call.method.to_owned(),
-        target: call.path,
-        headers: call.headers,
-        body: call.body,
-    };
+    let request = WorkerRequest::of_call(Asked::ListCache, call);
     let destination = shared.destination(worker);
     let answered = async {
         let sent = shared.connections.send(&destination, &request).await;
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -23,7 +23,9 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::correlation::ForeignAnswers;
 use crate::headers::HeaderList;
+use crate::worker_request::WorkerRequest;
 
 /// Time for a new connection to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -45,19 +47,6 @@
     pub max_connections: u32,
 }
 
-/// A request for a worker.
-#[derive(Debug, Clone)]
-pub struct WorkerRequest {
-    /// The method.
-    pub method: String,
-    /// Path and query as the caller sent them.
-    pub target: String,
-    /// Headers without those of one connection.
-    pub headers: HeaderList,
-    /// The body.
-    pub body: Bytes,
-}
-
 /// Why a request brought no answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum SendError {
@@ -90,6 +79,8 @@
     pub status: u16,
     /// All headers.
     pub headers: HeaderList,
+    /// Answers that its connection had brought before.
+    pub answers_before: u32,
     /// The body.
     pub body: AnswerBody,
 }
@@ -112,6 +103,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     usable_until: Timestamp,
+    answers: u32,
     _open: OpenCount,
 }
 
@@ -134,14 +126,16 @@
 #[derive(Debug)]
 pub struct Connections {
     clock: MonotonicClock,
+    foreign_answers: ForeignAnswers,
     pools: Mutex<HashMap<WorkerId, Pool>>,
 }
 
 impl Connections {
     /// No connection yet.
-    pub fn new(clock: MonotonicClock) -> Self {
+    pub fn new(clock: MonotonicClock, foreign_answers: ForeignAnswers) -> Self {
         Self {
             clock,
+            foreign_answers,
             pools: Mutex::default(),
         }
     }
@@ -152,22 +146,34 @@
         destination: &Destination,
         request: &WorkerRequest,
     ) -> Result<WorkerAnswer, SendError> {
-        let mut request = build(destination, request)?;
+        let mut built = build(destination, request)?;
         while let Some(connection) = self.take_idle(&destination.worker) {
-            match self.send_on(destination, connection, request).await {
-                Ok(answer) => return Ok(answer),
+            match self.send_on(destination, connection, built).await {
+                Ok(answer) => return Ok(self.checked(destination, request, answer)),
                 Err(Attempt::Failed(error)) => return Err(error),
-                Err(Attempt::Unused(unused)) => request = *unused,
+                Err(Attempt::Unused(unused)) => built = *unused,
             }
         }
         let connection = self.connect(destination).await?;
-        match self.send_on(destination, connection, request).await {
-            Ok(answer) => Ok(answer),
+        match self.send_on(destination, connection, built).await {
+            Ok(answer) => Ok(self.checked(destination, request, answer)),
             Err(Attempt::Failed(error)) => Err(error),
             Err(Attempt::Unused(_)) => Err(not_sent("closed at once")),
         }
     }
 
+    /// The same answer; one that does not bear the request's id is recorded.
+    fn checked(
+        &self,
+        destination: &Destination,
+        request: &WorkerRequest,
+        answer: WorkerAnswer,
+    ) -> WorkerAnswer {
+        self.foreign_answers
+            .check(&destination.worker, request, &answer);
+        answer
+    }
+
     /// Closes connections that have rested too long, and those to workers that are gone.
     pub fn prune(&self, is_known: impl Fn(&WorkerId) -> bool) {
         let now = self.clock.now();
@@ -211,6 +217,7 @@
         Ok(Connection {
             sender,
             usable_until: self.clock.now() + DEFAULT_IDLE,
+            answers: 0,
             _open: open,
         })
     }
@@ -242,6 +249,8 @@
         };
         let (head, incoming) = response.into_parts();
         let headers = header_list(&head.headers);
+        let answers_before = connection.answers;
+        connection.answers += 1;
         let returning = self.keep_until(&headers).map(|usable_until| {
             connection.usable_until = usable_until;
             Returning {
@@ -253,6 +262,7 @@
         Ok(WorkerAnswer {
             status: head.status.as_u16(),
             headers,
+            answers_before,
             body: AnswerBody {
                 incoming,
                 returning,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -109,6 +109,21 @@
         /// Milliseconds it took.
         took_ms: u64,
     },
+    /// An answer came that does not bear the id of the request before it on its connection.
+    ForeignAnswer {
+        /// The id of the request that waited for an answer; empty if it bore none.
+        request: &'a str,
+        /// The id that the answer bears; empty if it bears none.
+        answered: &'a str,
+        /// The worker.
+        worker: &'a str,
+        /// What was asked: `run`, `read_prompt`, `report`, `list_cache`, `order` or `release`.
+        work: &'a str,
+        /// The status of the answer.
+        status: u16,
+        /// Answers that the connection had brought before.
+        answers_before: u32,
+    },
     /// A request was refused before anything was tried.
     Refused {
         /// The caller's id of the request.
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -19,13 +19,13 @@
 use tokio::time::Instant;
 
 use crate::answer::{Answer, AnswerHead, AnswerSink, OwnAnswer};
-use crate::connections::WorkerRequest;
 use crate::events::{Event, Weight};
 use crate::headers::HeaderList;
 use crate::placement::OpenPlacement;
 use crate::protocol::{CallerTerms, SendTerms, Work};
 use crate::send_guard::{SendGuard, Sent};
 use crate::state::{whole_millis, InFlight, Routed, Shared};
+use crate::worker_request::{Asked, WorkerRequest};
 
 /// When a refused caller should come back, if nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
@@ -212,7 +212,7 @@
         self.shared.directory.lock().get(id).cloned()
     }
 
-    fn begin_send(&mut self, worker: &Worker, work: &'static str, need: Need) -> SendGuard {
+    fn begin_send(&mut self, worker: &Worker, asked: Asked, need: Need) -> SendGuard {
         let chosen = |placed: &OpenPlacement| placed.placement().worker == worker.id;
         let placement = self.placed.take().filter(chosen);
         let sent = Sent {
@@ -220,7 +220,7 @@
             route: self.route().name.clone(),
             worker: worker.id.clone(),
             service: worker.service.clone(),
-            work,
+            asked,
             prompt: self.request.terms.prompt.clone(),
             need,
         };
@@ -253,6 +253,7 @@
         };
         let protocol = &self.shared.protocol;
         WorkerRequest {
+            asked: guard.asked(),
             method: self.request.method.clone(),
             target: self.request.target.clone(),
             headers: protocol.worker_headers(&self.request.headers, &terms),
--- a/crates/gateway/src/exchange/prompt.rs
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -8,9 +8,10 @@
 use tokio::time::{timeout, timeout_at};
 
 use super::Exchange;
-use crate::connections::{SendError, Unconnected, WorkerRequest};
+use crate::connections::{SendError, Unconnected};
 use crate::protocol::{AnswerKind, Work};
 use crate::send_guard::{result_of, SendGuard};
+use crate::worker_request::{Asked, WorkerRequest};
 
 /// The longest answer to the reading of a prompt.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
@@ -58,7 +59,7 @@
         let Some(worker) = self.worker(id) else {
             return RequestEvent::PromptNotRead(ReadingFailure::NotSent);
         };
-        let mut guard = self.begin_send(&worker, "read_prompt", Need::ReadPrompt);
+        let mut guard = self.begin_send(&worker, Asked::ReadPrompt, Need::ReadPrompt);
         let reading = self.try_read_prompt(&worker, &guard);
         let limit = self.silence_limit(&guard).min(self.deadline());
         let Ok(read) = timeout_at(limit, reading).await else {
@@ -123,12 +124,7 @@
             return;
         };
         let call = self.shared.protocol.release_handle(&handle.handle);
-        let request = WorkerRequest {
-            method: call.method.to_owned(),
-            target: call.path,
-            headers: call.headers,
-            body: call.body,
-        };
+        let request = WorkerRequest::of_call(Asked::Release, call);
         let destination = self.shared.destination(&worker);
         let connections = std::sync::Arc::clone(&self.shared.connections);
         actix_rt::spawn(async move {
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -9,6 +9,7 @@
 use crate::connections::{SendError, WorkerAnswer};
 use crate::protocol::{AnswerKind, Work};
 use crate::send_guard::{result_of, SendGuard};
+use crate::worker_request::Asked;
 
 impl Exchange {
     /// Sends the request to a worker and delivers what it can of the answer. A `patient` send
@@ -29,7 +30,7 @@
             },
             None => Need::Run,
         };
-        let mut guard = self.begin_send(&worker, "run", need);
+        let mut guard = self.begin_send(&worker, Asked::Run, need);
         let work = Work::Run {
             source,
             resume_after,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod cache_recovery;
 pub mod connections;
 pub mod copy_message;
+pub mod correlation;
 pub mod datagrams;
 pub mod deflated_values;
 pub mod desired_roles;
@@ -42,6 +43,7 @@
 pub mod store_copy;
 pub mod usage;
 pub mod worker_orders;
+pub mod worker_request;
 
 pub use run::{run, Adapter};
 pub use settings::{GatewaySettings, SettingsError};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,8 @@
     pub latency: HistogramVec,
     /// Sends to workers by service and outcome.
     pub sends: IntCounterVec,
+    /// Answers that do not bear the id of the request before them, by what was asked.
+    pub foreign_answers: IntCounterVec,
     /// Questions to schedulers by outcome.
     pub placements: IntCounterVec,
     /// The version of the configuration in force.
@@ -64,6 +66,13 @@
                 Opts::new("gateway_sends_total", "Sends to workers by outcome"),
                 &["service", "outcome"],
             )?,
+            foreign_answers: IntCounterVec::new(
+                Opts::new(
+                    "gateway_foreign_answers_total",
+                    "Answers that do not bear the id of the request before them",
+                ),
+                &["work"],
+            )?,
             placements: IntCounterVec::new(
                 Opts::new(
                     "gateway_placements_total",
@@ -142,6 +151,8 @@
         self.registry.register(Box::new(self.requests.clone()))?;
         self.registry.register(Box::new(self.latency.clone()))?;
         self.registry.register(Box::new(self.sends.clone()))?;
+        self.registry
+            .register(Box::new(self.foreign_answers.clone()))?;
         self.registry.register(Box::new(self.placements.clone()))?;
         self.registry
             .register(Box::new(self.configuration_version.clone()))?;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -125,6 +125,8 @@
     fn caller_terms(&self, headers: &HeaderList) -> Result<CallerTerms, BadRequest>;
     /// The headers for a worker, from the caller's.
     fn worker_headers(&self, caller: &HeaderList, terms: &SendTerms) -> HeaderList;
+    /// The id that ties an answer to its request: both bear it.
+    fn correlation_id<'a>(&self, headers: &'a HeaderList) -> Option<&'a str>;
     /// What the head of a worker's answer says.
     fn answer_kind(&self, status: u16, headers: &HeaderList, terms: &CallerTerms) -> AnswerKind;
     /// The handle in the answer to [`Work::ReadPrompt`].
--- a/crates/gateway/src/role_orders.rs
+++ b/crates/gateway/src/role_orders.rs
@@ -20,12 +20,12 @@
 
 use crate::authority::Authority;
 use crate::authority_claim;
-use crate::connections::WorkerRequest;
 use crate::desired_roles::{self, DesiredRoles};
 use crate::events::{Event, Weight};
 use crate::protocol::{EngineReport, RoleOrder, WorkerCall};
 use crate::state::Shared;
 use crate::store_call::in_time;
+use crate::worker_request::{Asked, WorkerRequest};
 
 /// Pause between two looks.
 const PACE: Duration = Duration::from_millis(300);
@@ -191,7 +191,9 @@
 
     async fn order(&self, Epoch(fence): Epoch, worker: &Worker, role: Role) {
         let protocol = &self.shared.protocol;
-        let report = self.call(worker, protocol.report_call()).await;
+        let report = self
+            .call(worker, Asked::Report, protocol.report_call())
+            .await;
         let report = report.and_then(|body| protocol.engine_report(&body).ok());
         let Some(EngineReport {
             orders_taken,
@@ -211,7 +213,9 @@
             fence,
             orders_taken,
         };
-        let answered = self.call(worker, protocol.role_order(&order)).await;
+        let answered = self
+            .call(worker, Asked::Order, protocol.role_order(&order))
+            .await;
         let event = Event::Order {
             worker: worker.id.as_str(),
             role: role.name(),
@@ -227,13 +231,8 @@
     }
 
     /// The body of a successful answer.
-    async fn call(&self, worker: &Worker, call: WorkerCall) -> Option<Bytes> {
-        let request = WorkerRequest {
-            method: call.method.to_owned(),
-            target: call.path,
-            headers: call.headers,
-            body: call.body,
-        };
+    async fn call(&self, worker: &Worker, asked: Asked, call: WorkerCall) -> Option<Bytes> {
+        let request = WorkerRequest::of_call(asked, call);
         let destination = self.shared.destination(worker);
         let answered = async {
             let sent = self.shared.connections.send(&destination, &request).await;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,6 +21,7 @@
 
 use crate::authority::Authority;
 use crate::connections::Connections;
+use crate::correlation::ForeignAnswers;
 use crate::datagrams::Datagrams;
 use crate::duties::DutyService;
 use crate::duty_calls::DutyCalls;
@@ -151,6 +152,12 @@
         Usage::new(source, timing)
     });
     let retries = RetryShares::new(settings.retry_share(), ASSUMED_GATEWAYS);
+    let metrics = Metrics::new()?;
+    let foreign_answers = ForeignAnswers::new(
+        Arc::clone(&adapter.protocol),
+        Arc::clone(&log),
+        metrics.foreign_answers.clone(),
+    );
     Ok(Arc::new(Shared {
         settings: RwLock::new(Arc::new(settings)),
         clock,
@@ -171,10 +178,10 @@
         caches_recovered: AtomicBool::new(false),
         retries: Mutex::new(retries),
         store_contact: StoreContact::default(),
-        connections: Arc::new(Connections::new(clock)),
+        connections: Arc::new(Connections::new(clock, foreign_answers)),
         usage,
         log,
-        metrics: Metrics::new()?,
+        metrics,
         gateways: AtomicU64::new(u64::from(ASSUMED_GATEWAYS)),
         stopping_since: OnceLock::new(),
         in_flight: AtomicU64::new(0),
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -11,6 +11,7 @@
 use crate::events::{Event, Weight};
 use crate::placement::OpenPlacement;
 use crate::state::{whole_millis, Shared};
+use crate::worker_request::Asked;
 
 /// What a send that was not sent says of its worker.
 pub fn result_of(reason: &Unconnected) -> SendResult {
@@ -31,8 +32,8 @@
     pub worker: WorkerId,
     /// Its service.
     pub service: ServiceName,
-    /// `run` or `read_prompt`.
-    pub work: &'static str,
+    /// What is asked: running the request, or reading its prompt.
+    pub asked: Asked,
     /// The prompt, for model engines.
     pub prompt: Vec<PromptPart>,
     /// What is needed of the worker.
@@ -108,6 +109,11 @@
         }
     }
 
+    /// What is asked of the worker.
+    pub fn asked(&self) -> Asked {
+        self.sent.asked
+    }
+
     /// When the send began.
     pub fn began(&self) -> Timestamp {
         self.began
@@ -161,7 +167,7 @@
             request: &self.sent.request_id,
             worker: self.sent.worker.as_str(),
             scheduler: self.placement.as_ref().map_or("", OpenPlacement::scheduler),
-            work: self.sent.work,
+            work: self.sent.asked.name(),
             outcome,
             detail: &self.detail,
             reading_tokens: self.planned_tokens,
