Workers that stutter: two failing tests, known red

A worker sends each answer again, late, in the place of the next one on its connection. Both tests fail on the code as it is: - m-1 from 127.0.0.1:35777/cache-of-m-0: a request goes on from another's KV cache; - a second request under one id gets the answer to the first.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -7,6 +7,7 @@
 mod requests;
 mod roles;
 mod schedulers;
+mod stuttering;
 mod support;
 mod tenants;
 mod usage;
--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -33,6 +33,8 @@
 pub const RESUMABLE: &str = "/resume/x";
 /// A stream that may not.
 pub const FINAL_STREAM: &str = "/stream/x";
+/// A prompt that is long enough to be read apart.
+const LONG_PROMPT_TOKENS: u64 = 8_000;
 const MODEL: &str = "/model/x";
 
 /// A worker with its signature.
@@ -195,6 +197,26 @@
         worker
     }
 
+    /// Starts a worker that sends each answer again, late, and waits until the first gateway knows it.
+    pub async fn add_stuttering_worker(
+        &self,
+        service: &'static str,
+        stage: Option<&'static str>,
+        behaviour: Behaviour,
+    ) -> SiteWorker {
+        let plan = WorkerPlan {
+            service,
+            zone: ZONE,
+            stage,
+            spot: false,
+            stutters: true,
+        };
+        let worker = Worker::start(&self.store, plan, behaviour).expect("a free port");
+        self.until_ready_workers(0, self.workers.len() as f64 + 1.0)
+            .await;
+        SiteWorker { worker }
+    }
+
     /// Waits until a gateway knows this many workers that take requests.
     pub async fn until_ready_workers(&self, index: usize, count: f64) {
         eventually("the gateway knows the workers", || async {
@@ -259,6 +281,7 @@
             zone,
             stage: Some("decode"),
             spot: true,
+            stutters: false,
         };
         let behaviour = Behaviour::Serve { events: 0 };
         Worker::start(&self.store, plan, behaviour).expect("a free port")
@@ -297,6 +320,7 @@
         zone,
         stage: *stage,
         spot: false,
+        stutters: false,
     };
     let worker = Worker::start(store, plan, *behaviour).expect("a free port");
     SiteWorker { worker }
@@ -377,7 +401,15 @@
 
 /// Asks a gateway for the answer of a model to a prompt of this length.
 pub async fn ask_model(gateway: &SiteGateway, id: &str, tokens: u64) -> CallerAnswer {
-    let prompt = format!("a1:{tokens},b2:100");
+    ask_with_prompt(gateway, id, format!("a1:{tokens},b2:100")).await
+}
+
+/// Asks a gateway for the answer of a model to a long prompt that no other request shares.
+pub async fn ask_own_prompt(gateway: &SiteGateway, id: &str, number: usize) -> CallerAnswer {
+    ask_with_prompt(gateway, id, format!("{number:x}:{LONG_PROMPT_TOKENS}")).await
+}
+
+async fn ask_with_prompt(gateway: &SiteGateway, id: &str, prompt: String) -> CallerAnswer {
     ask_with(gateway, id, MODEL, b"prompt", &[(PROMPT_PARTS, prompt)]).await
 }
 
