Answers are taken by identity, not by their place on a connection

Cause: an answer was taken for a request's because it came next on the connection. Runs compared ids, readings of prompts did not (any 200 was taken for the reading's), the gateway's own calls could not, and two sends under one id were alike. So a late second answer gave a request another request's KV cache, or the answer to an earlier request under its id.

Ruled out: 'not run' believed before the id is compared. The connection of a refused request is not kept, so that no later request reads its second answer; the order is mended all the same, as refusals are now compared too.

--- a/crates/cli/tests/gateway_platform/stuttering.rs
+++ b/crates/cli/tests/gateway_platform/stuttering.rs
@@ -23,6 +23,8 @@
         ask_own_prompt(&site.gateways[0], &format!("m-{number}"), number).await;
     }
     assert!(reader.worker.prompts_read() > 1, "no prompt was read apart");
+    let noticed = "gateway_foreign_answers_total{work=\"read_prompt\"}";
+    assert!(site.gateways[0].metric(noticed).await > Some(0.0));
     for run in site.workers[0].worker.runs() {
         let Some(source) = &run.cache_source else {
             continue;
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -2,7 +2,8 @@
 //! this gateway's part of what a worker accepts.
 //!
 //! Errors say whether the request may have reached the worker. A connection that brought anything
-//! but one whole answer is not used again.
+//! but one whole answer is not used again. Every answer that leaves this module is tied to its
+//! request as [`crate::correlation`] says.
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -23,7 +24,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::correlation::ForeignAnswers;
+use crate::correlation::{AnswerHead, CarriedIds, Correlation};
 use crate::headers::HeaderList;
 use crate::worker_request::WorkerRequest;
 
@@ -72,15 +73,13 @@
     Failed(String),
 }
 
-/// An answer whose body is still to be read.
+/// The answer to a request, whose body is still to be read.
 #[derive(Debug)]
 pub struct WorkerAnswer {
     /// The status.
     pub status: u16,
     /// All headers.
     pub headers: HeaderList,
-    /// Answers that its connection had brought before.
-    pub answers_before: u32,
     /// The body.
     pub body: AnswerBody,
 }
@@ -103,10 +102,16 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     usable_until: Timestamp,
-    answers: u32,
+    carried: CarriedIds,
     _open: OpenCount,
 }
 
+impl Connection {
+    fn is_usable(&self, now: Timestamp) -> bool {
+        self.usable_until > now && !self.sender.is_closed()
+    }
+}
+
 #[derive(Debug)]
 struct OpenCount(Arc<AtomicU32>);
 
@@ -126,16 +131,16 @@
 #[derive(Debug)]
 pub struct Connections {
     clock: MonotonicClock,
-    foreign_answers: ForeignAnswers,
+    correlation: Correlation,
     pools: Mutex<HashMap<WorkerId, Pool>>,
 }
 
 impl Connections {
     /// No connection yet.
-    pub fn new(clock: MonotonicClock, foreign_answers: ForeignAnswers) -> Self {
+    pub fn new(clock: MonotonicClock, correlation: Correlation) -> Self {
         Self {
             clock,
-            foreign_answers,
+            correlation,
             pools: Mutex::default(),
         }
     }
@@ -147,53 +152,41 @@
         request: &WorkerRequest,
     ) -> Result<WorkerAnswer, SendError> {
         let mut built = build(destination, request)?;
-        while let Some(connection) = self.take_idle(&destination.worker) {
-            match self.send_on(destination, connection, built).await {
-                Ok(answer) => return Ok(self.checked(destination, request, answer)),
+        let id = self.correlation.id_of(request);
+        while let Some(connection) = id.and_then(|id| self.take_idle(&destination.worker, id)) {
+            match self.send_on(destination, connection, request, built).await {
+                Ok(answer) => return Ok(answer),
                 Err(Attempt::Failed(error)) => return Err(error),
                 Err(Attempt::Unused(unused)) => built = *unused,
             }
         }
         let connection = self.connect(destination).await?;
-        match self.send_on(destination, connection, built).await {
-            Ok(answer) => Ok(self.checked(destination, request, answer)),
+        match self.send_on(destination, connection, request, built).await {
+            Ok(answer) => Ok(answer),
             Err(Attempt::Failed(error)) => Err(error),
             Err(Attempt::Unused(_)) => Err(not_sent("closed at once")),
         }
     }
 
-    /// The same answer; one that does not bear the request's id is recorded.
-    fn checked(
-        &self,
-        destination: &Destination,
-        request: &WorkerRequest,
-        answer: WorkerAnswer,
-    ) -> WorkerAnswer {
-        self.foreign_answers
-            .check(&destination.worker, request, &answer);
-        answer
-    }
-
     /// Closes connections that have rested too long, and those to workers that are gone.
     pub fn prune(&self, is_known: impl Fn(&WorkerId) -> bool) {
         let now = self.clock.now();
         self.pools.lock().retain(|worker, pool| {
-            pool.idle
-                .retain(|connection| connection.usable_until > now && connection.sender.is_ready());
+            pool.idle.retain(|connection| connection.is_usable(now));
             is_known(worker) || pool.open.load(Ordering::Relaxed) > 0
         });
     }
 
-    fn take_idle(&self, worker: &WorkerId) -> Option<Connection> {
+    /// The connection that rested last and has not carried this id: a late second answer to an earlier
+    /// request under the same id could not be told from the answer to this one.
+    fn take_idle(&self, worker: &WorkerId, id: &str) -> Option<Connection> {
         let now = self.clock.now();
         let mut pools = self.pools.lock();
         let idle = &mut pools.get_mut(worker)?.idle;
-        while let Some(connection) = idle.pop() {
-            if connection.usable_until > now && connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        idle.retain(|connection| connection.is_usable(now));
+        let fits = |one: &Connection| one.sender.is_ready() && one.carried.allows(id);
+        let position = idle.iter().rposition(fits)?;
+        Some(idle.remove(position))
     }
 
     async fn connect(&self, destination: &Destination) -> Result<Connection, SendError> {
@@ -217,7 +210,7 @@
         Ok(Connection {
             sender,
             usable_until: self.clock.now() + DEFAULT_IDLE,
-            answers: 0,
+            carried: CarriedIds::default(),
             _open: open,
         })
     }
@@ -236,9 +229,10 @@
         self: &Arc<Self>,
         destination: &Destination,
         mut connection: Connection,
-        request: hyper::Request<Full<Bytes>>,
+        request: &WorkerRequest,
+        built: hyper::Request<Full<Bytes>>,
     ) -> Result<WorkerAnswer, Attempt> {
-        let response = match connection.sender.try_send_request(request).await {
+        let response = match connection.sender.try_send_request(built).await {
             Ok(response) => response,
             Err(mut error) => {
                 return Err(match error.take_message() {
@@ -249,9 +243,19 @@
         };
         let (head, incoming) = response.into_parts();
         let headers = header_list(&head.headers);
-        let answers_before = connection.answers;
-        connection.answers += 1;
-        let returning = self.keep_until(&headers).map(|usable_until| {
+        let answer = AnswerHead {
+            status: head.status.as_u16(),
+            headers: &headers,
+            answers_before: connection.carried.count(),
+        };
+        let checked = self.correlation.check(&destination.worker, request, answer);
+        checked.map_err(|foreign| Attempt::Failed(SendError::NoAnswer(foreign.to_string())))?;
+        let id = self.correlation.id_of(request);
+        let kept = id.and_then(|id| {
+            connection.carried.note(id);
+            self.keep_until(&headers)
+        });
+        let returning = kept.map(|usable_until| {
             connection.usable_until = usable_until;
             Returning {
                 connections: Arc::clone(self),
@@ -262,7 +266,6 @@
         Ok(WorkerAnswer {
             status: head.status.as_u16(),
             headers,
-            answers_before,
             body: AnswerBody {
                 incoming,
                 returning,
--- a/crates/gateway/src/correlation.rs
+++ b/crates/gateway/src/correlation.rs
@@ -1,48 +1,88 @@
-//! Whether an answer belongs to the request before it on its connection: both bear the same id.
+//! What ties an answer to its request: both bear the same id, and a connection carries an id once.
+//! A request without an id has a connection to itself.
+//!
+//! The place of an answer on a connection that others use proves nothing: a worker may send an answer a
+//! second time, late, so that it arrives in the place of the next one that is due. Nor does an id alone,
+//! as callers may use one twice and a request may be sent to a worker twice.
 
 use std::fmt;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use prometheus::IntCounterVec;
 use tansyhall_forwarding::WorkerId;
 
-use crate::connections::WorkerAnswer;
 use crate::events::{Event, EventLog, Weight};
+use crate::headers::HeaderList;
 use crate::protocol::Protocol;
 use crate::worker_request::WorkerRequest;
 
-/// Records answers that belong to another request.
-pub struct ForeignAnswers {
+/// Ids that a connection may carry before it is closed: at 8 bytes each it then holds 4 KiB of them,
+/// and one request in 512 pays for a new connection.
+const MOST_IDS: usize = 512;
+
+/// The answer belongs to another request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the answer to another request")]
+pub struct Foreign;
+
+/// Compares answers with the requests before them, and records those of other requests.
+pub struct Correlation {
     protocol: Arc<dyn Protocol>,
     log: Arc<EventLog>,
-    counter: IntCounterVec,
+    foreign_answers: IntCounterVec,
 }
 
-impl fmt::Debug for ForeignAnswers {
+impl fmt::Debug for Correlation {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("ForeignAnswers").finish()
+        formatter.debug_struct("Correlation").finish()
     }
 }
 
-impl ForeignAnswers {
-    /// Reads ids as this protocol says; writes lines and counts.
-    pub fn new(protocol: Arc<dyn Protocol>, log: Arc<EventLog>, counter: IntCounterVec) -> Self {
+/// The head of an answer, as far as it is compared.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerHead<'a> {
+    /// The status.
+    pub status: u16,
+    /// All headers.
+    pub headers: &'a HeaderList,
+    /// Answers that its connection had brought before.
+    pub answers_before: usize,
+}
+
+impl Correlation {
+    /// Reads ids as this protocol says; writes lines and counts by what was asked.
+    pub fn new(
+        protocol: Arc<dyn Protocol>,
+        log: Arc<EventLog>,
+        foreign_answers: IntCounterVec,
+    ) -> Self {
         Self {
             protocol,
             log,
-            counter,
+            foreign_answers,
         }
     }
 
-    /// Records the answer if it does not bear the request's id.
-    pub fn check(&self, worker: &WorkerId, request: &WorkerRequest, answer: &WorkerAnswer) {
-        let asked = self.protocol.correlation_id(&request.headers);
-        let answered = self.protocol.correlation_id(&answer.headers);
+    /// The id that a request bears; none if its caller gave it none.
+    pub fn id_of<'a>(&self, request: &'a WorkerRequest) -> Option<&'a str> {
+        self.protocol.correlation_id(&request.headers)
+    }
+
+    /// Whether the answer bears the request's id.
+    pub fn check(
+        &self,
+        worker: &WorkerId,
+        request: &WorkerRequest,
+        answer: AnswerHead<'_>,
+    ) -> Result<(), Foreign> {
+        let asked = self.id_of(request);
+        let answered = self.protocol.correlation_id(answer.headers);
         if asked == answered {
-            return;
+            return Ok(());
         }
         let work = request.asked.name();
-        self.counter.with_label_values(&[work]).inc();
+        self.foreign_answers.with_label_values(&[work]).inc();
         let event = Event::ForeignAnswer {
             request: asked.unwrap_or_default(),
             answered: answered.unwrap_or_default(),
@@ -52,5 +92,34 @@
             answers_before: answer.answers_before,
         };
         self.log.record(Weight::Important, &event);
+        Err(Foreign)
+    }
+}
+
+/// The ids that a connection has carried, as hashes: two that are alike by chance only cost a new
+/// connection.
+#[derive(Debug, Default)]
+pub struct CarriedIds(Vec<u64>);
+
+impl CarriedIds {
+    /// Whether this id may go over the connection.
+    pub fn allows(&self, id: &str) -> bool {
+        self.0.len() < MOST_IDS && !self.0.contains(&hash_of(id))
+    }
+
+    /// Notes an id that goes over the connection.
+    pub fn note(&mut self, id: &str) {
+        self.0.push(hash_of(id));
     }
+
+    /// How many requests with an id the connection has carried.
+    pub fn count(&self) -> usize {
+        self.0.len()
+    }
+}
+
+fn hash_of(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -122,7 +122,7 @@
         /// The status of the answer.
         status: u16,
         /// Answers that the connection had brought before.
-        answers_before: u32,
+        answers_before: usize,
     },
     /// A request was refused before anything was tried.
     Refused {
--- a/crates/gateway/src/exchange/prompt.rs
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -91,7 +91,7 @@
             SendError::NoAnswer(_) => FailedReading::left(SendResult::Failed, error.to_string()),
         })?;
         let protocol = &self.shared.protocol;
-        let kind = protocol.answer_kind(answer.status, &answer.headers, &self.request.terms);
+        let kind = protocol.answer_kind(answer.status, &answer.headers);
         let detail = format!("status {}", answer.status);
         match kind {
             AnswerKind::Misdirected => {
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -73,14 +73,11 @@
 
     async fn judge(&mut self, answer: WorkerAnswer, mut guard: SendGuard) -> RequestEvent {
         let protocol = &self.shared.protocol;
-        let kind = protocol.answer_kind(answer.status, &answer.headers, &self.request.terms);
+        let kind = protocol.answer_kind(answer.status, &answer.headers);
         let detail = format!("status {}", answer.status);
         match kind {
-            AnswerKind::Foreign => {
-                guard.ended(
-                    SendResult::Failed,
-                    format!("{detail}, not a worker's answer to this"),
-                );
+            AnswerKind::Unusable => {
+                guard.ended(SendResult::Failed, format!("{detail}, not signed"));
                 failed(SendFailure::MayHaveRun)
             }
             AnswerKind::NotRun => {
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -76,8 +76,8 @@
     /// The same, as the worker that answers is not the one that was meant, or not in the role that
     /// was meant.
     Misdirected,
-    /// The answer to another request, or none that can be passed on: nothing is known.
-    Foreign,
+    /// None that can be passed on: nothing is known.
+    Unusable,
 }
 
 /// A call to a worker beside requests.
@@ -125,10 +125,11 @@
     fn caller_terms(&self, headers: &HeaderList) -> Result<CallerTerms, BadRequest>;
     /// The headers for a worker, from the caller's.
     fn worker_headers(&self, caller: &HeaderList, terms: &SendTerms) -> HeaderList;
-    /// The id that ties an answer to its request: both bear it.
+    /// The id that ties an answer to its request: both bear it. Requests of callers that gave none
+    /// and the gateway's own calls have none, and neither have the answers to them.
     fn correlation_id<'a>(&self, headers: &'a HeaderList) -> Option<&'a str>;
-    /// What the head of a worker's answer says.
-    fn answer_kind(&self, status: u16, headers: &HeaderList, terms: &CallerTerms) -> AnswerKind;
+    /// What the head of a worker's answer to a request with the same id says.
+    fn answer_kind(&self, status: u16, headers: &HeaderList) -> AnswerKind;
     /// The handle in the answer to [`Work::ReadPrompt`].
     fn prompt_handle(&self, body: &[u8]) -> anyhow::Result<String>;
     /// The call that frees a handle which will not be used.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,7 +21,7 @@
 
 use crate::authority::Authority;
 use crate::connections::Connections;
-use crate::correlation::ForeignAnswers;
+use crate::correlation::Correlation;
 use crate::datagrams::Datagrams;
 use crate::duties::DutyService;
 use crate::duty_calls::DutyCalls;
@@ -153,7 +153,7 @@
     });
     let retries = RetryShares::new(settings.retry_share(), ASSUMED_GATEWAYS);
     let metrics = Metrics::new()?;
-    let foreign_answers = ForeignAnswers::new(
+    let correlation = Correlation::new(
         Arc::clone(&adapter.protocol),
         Arc::clone(&log),
         metrics.foreign_answers.clone(),
@@ -178,7 +178,7 @@
         caches_recovered: AtomicBool::new(false),
         retries: Mutex::new(retries),
         store_contact: StoreContact::default(),
-        connections: Arc::new(Connections::new(clock, foreign_answers)),
+        connections: Arc::new(Connections::new(clock, correlation)),
         usage,
         log,
         metrics,
