No connection to a worker that answers twice is kept for 30 s; a pool of its own module

Cause: with answers taken by identity, a late second answer costs the next request on its connection its own answer, though its worker ran it; one that may not be repeated is lost. Ruled out: reading on after a foreign answer for the request's own; the client library gives up a connection with more than the one answer that is due. Change: after a foreign answer no connection to that worker is kept for 30 s. Connections of a worker, their count and rest, stand in connection_pool.rs; a connection that is not ready for a moment is passed over and not closed.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -8,14 +8,12 @@
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tansyhall_core::time::MonotonicClock;
@@ -24,7 +22,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::correlation::{AnswerHead, CarriedIds, Correlation};
+use crate::connection_pool::{Connection, OpenCount, Pool};
+use crate::correlation::{AnswerHead, Correlation};
 use crate::headers::HeaderList;
 use crate::worker_request::WorkerRequest;
 
@@ -98,35 +97,6 @@
     connection: Connection,
 }
 
-#[derive(Debug)]
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    usable_until: Timestamp,
-    carried: CarriedIds,
-    _open: OpenCount,
-}
-
-impl Connection {
-    fn is_usable(&self, now: Timestamp) -> bool {
-        self.usable_until > now && !self.sender.is_closed()
-    }
-}
-
-#[derive(Debug)]
-struct OpenCount(Arc<AtomicU32>);
-
-impl Drop for OpenCount {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-#[derive(Debug, Default)]
-struct Pool {
-    idle: Vec<Connection>,
-    open: Arc<AtomicU32>,
-}
-
 /// Connections to all workers.
 #[derive(Debug)]
 pub struct Connections {
@@ -153,7 +123,7 @@
     ) -> Result<WorkerAnswer, SendError> {
         let mut built = build(destination, request)?;
         let id = self.correlation.id_of(request);
-        while let Some(connection) = id.and_then(|id| self.take_idle(&destination.worker, id)) {
+        while let Some(connection) = id.and_then(|id| self.take(&destination.worker, id)) {
             match self.send_on(destination, connection, request, built).await {
                 Ok(answer) => return Ok(answer),
                 Err(Attempt::Failed(error)) => return Err(error),
@@ -172,21 +142,14 @@
     pub fn prune(&self, is_known: impl Fn(&WorkerId) -> bool) {
         let now = self.clock.now();
         self.pools.lock().retain(|worker, pool| {
-            pool.idle.retain(|connection| connection.is_usable(now));
-            is_known(worker) || pool.open.load(Ordering::Relaxed) > 0
+            pool.prune(now);
+            is_known(worker) || pool.has_open()
         });
     }
 
-    /// The connection that rested last and has not carried this id: a late second answer to an earlier
-    /// request under the same id could not be told from the answer to this one.
-    fn take_idle(&self, worker: &WorkerId, id: &str) -> Option<Connection> {
+    fn take(&self, worker: &WorkerId, id: &str) -> Option<Connection> {
         let now = self.clock.now();
-        let mut pools = self.pools.lock();
-        let idle = &mut pools.get_mut(worker)?.idle;
-        idle.retain(|connection| connection.is_usable(now));
-        let fits = |one: &Connection| one.sender.is_ready() && one.carried.allows(id);
-        let position = idle.iter().rposition(fits)?;
-        Some(idle.remove(position))
+        self.pools.lock().get_mut(worker)?.take(now, id)
     }
 
     async fn connect(&self, destination: &Destination) -> Result<Connection, SendError> {
@@ -207,22 +170,14 @@
                 log::debug!("connection to a worker: {error}");
             }
         });
-        Ok(Connection {
-            sender,
-            usable_until: self.clock.now() + DEFAULT_IDLE,
-            carried: CarriedIds::default(),
-            _open: open,
-        })
+        Ok(Connection::new(sender, open))
     }
 
     fn count_open(&self, destination: &Destination) -> Result<OpenCount, SendError> {
         let mut pools = self.pools.lock();
         let pool = pools.entry(destination.worker.clone()).or_default();
-        if pool.open.load(Ordering::Relaxed) >= destination.max_connections {
-            return Err(SendError::NotSent(Unconnected::TooMany));
-        }
-        pool.open.fetch_add(1, Ordering::Relaxed);
-        Ok(OpenCount(Arc::clone(&pool.open)))
+        let counted = pool.count_open(destination.max_connections);
+        counted.ok_or(SendError::NotSent(Unconnected::TooMany))
     }
 
     async fn send_on(
@@ -249,7 +204,12 @@
             answers_before: connection.carried.count(),
         };
         let checked = self.correlation.check(&destination.worker, request, answer);
-        checked.map_err(|foreign| Attempt::Failed(SendError::NoAnswer(foreign.to_string())))?;
+        if let Err(foreign) = checked {
+            let mut pools = self.pools.lock();
+            let pool = pools.entry(destination.worker.clone()).or_default();
+            pool.close_for_a_while(self.clock.now());
+            return Err(Attempt::Failed(SendError::NoAnswer(foreign.to_string())));
+        }
         let id = self.correlation.id_of(request);
         let kept = id.and_then(|id| {
             connection.carried.note(id);
@@ -335,12 +295,10 @@
         let Some(returning) = self.returning.take() else {
             return;
         };
-        if returning.connection.sender.is_closed() {
-            return;
-        }
+        let now = returning.connections.clock.now();
         let mut pools = returning.connections.pools.lock();
         let pool = pools.entry(returning.worker).or_default();
-        pool.idle.push(returning.connection);
+        pool.put(now, returning.connection);
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod authority;
 pub mod authority_claim;
 pub mod cache_recovery;
+pub mod connection_pool;
 pub mod connections;
 pub mod copy_message;
 pub mod correlation;
