--- a/crates/cli/tests/gateway_platform/stuttering.rs
+++ b/crates/cli/tests/gateway_platform/stuttering.rs
@@ -45,3 +45,31 @@
     }
     assert!(worker.worker.runs().len() > 1, "the worker was hardly used");
 }
+
+#[actix_rt::test]
+async fn two_requests_under_one_id_are_both_served() {
+    let site = Site::start(&[("llm", Some("decode"), ECHO)], 1).await;
+    let _worker = site.add_stuttering_worker("app", None, ECHO).await;
+    let mut statuses = Vec::new();
+    for number in 0..REQUESTS {
+        let body = format!("body {number}");
+        let answer = ask(&site.gateways[0], "same", REPEATABLE, body.as_bytes()).await;
+        statuses.push(answer.status);
+    }
+    assert_eq!(statuses, [200; REQUESTS]);
+}
+
+#[actix_rt::test]
+async fn some_request_goes_on_from_its_own_cache_and_all_are_answered() {
+    let site = Site::start(&[("llm", Some("decode"), ECHO)], 1).await;
+    site.add_stuttering_worker("llm", Some("prefill"), ECHO)
+        .await;
+    for number in 0..REQUESTS {
+        ask_own_prompt(&site.gateways[0], &format!("m-{number}"), number).await;
+    }
+    let runs = site.workers[0].worker.runs();
+    let with_source = runs.iter().filter(|run| run.cache_source.is_some()).count();
+    assert_eq!(runs.len(), REQUESTS);
+    assert!(with_source > 0, "no run had a source");
+    println!("runs {} with source {with_source}", runs.len());
+}
