--- a/crates/cli/tests/gateway_platform/stuttering.rs
+++ b/crates/cli/tests/gateway_platform/stuttering.rs
@@ -95,3 +95,40 @@
     println!("{end:?}\n{text}");
     assert!(end.is_err() || text.to_lowercase().contains("chunked"), "{text}");
 }
+
+/// Callers that send several requests at once, on several connections, get their answers in order.
+#[actix_rt::test]
+async fn callers_that_pipeline_get_their_own_answers_in_order() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let site = Site::start(&[("app", None, ECHO), ("app", None, ECHO)], 1).await;
+    let address = site.gateways[0].addresses.callers;
+    let mut callers = Vec::new();
+    for caller in 0..8 {
+        callers.push(actix_rt::spawn(async move {
+            let mut stream = tokio::net::TcpStream::connect(address).await.expect("a gateway");
+            let host = crate::support::HOST;
+            let mut requests = String::new();
+            for number in 0..6 {
+                let close = if number == 5 { "Connection: close\r\n" } else { "" };
+                let body = format!("body-{caller}-{number};");
+                requests.push_str(&format!(
+                    "POST {REPEATABLE} HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: p-{caller}-{number}\r\nX-Deadline-Ms: 5000\r\n{close}Content-Length: {}\r\n\r\n{body}",
+                    body.len()
+                ));
+            }
+            stream.write_all(requests.as_bytes()).await.expect("a caller");
+            let mut answers = Vec::new();
+            stream.read_to_end(&mut answers).await.expect("answers");
+            let answers = String::from_utf8_lossy(&answers).into_owned();
+            let found: Vec<usize> = (0..6)
+                .filter_map(|number| answers.find(&format!("body-{caller}-{number};")))
+                .collect();
+            let ids = answers.matches("x-request-id: p-").count();
+            assert_eq!(ids, 6, "{answers}");
+            assert!(found.len() == 6 && found.is_sorted(), "{found:?} {answers}");
+        }));
+    }
+    for caller in callers {
+        caller.await.expect("a caller");
+    }
+}
