--- a/crates/cli/tests/gateway_platform/stuttering.rs
+++ b/crates/cli/tests/gateway_platform/stuttering.rs
@@ -71,7 +71,6 @@
     let with_source = runs.iter().filter(|run| run.cache_source.is_some()).count();
     assert_eq!(runs.len(), REQUESTS);
     assert!(with_source > 0, "no run had a source");
-    println!("runs {} with source {with_source}", runs.len());
 }
 
 /// What a caller of HTTP/1.0 reads of a stream that its worker breaks off; an end of the connection in good
@@ -82,18 +81,25 @@
     let broken = Behaviour::BreakOff { events: 2 };
     let site = Site::start(&[("app", None, broken)], 1).await;
     let address = site.gateways[0].addresses.callers;
-    let mut caller = tokio::net::TcpStream::connect(address).await.expect("a gateway");
+    let mut caller = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("a gateway");
     let path = crate::support::FINAL_STREAM;
     let host = crate::support::HOST;
     let request = format!(
         "POST {path} HTTP/1.0\r\nHost: {host}\r\nX-Request-Id: old\r\nX-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n"
     );
-    caller.write_all(request.as_bytes()).await.expect("a caller");
+    caller
+        .write_all(request.as_bytes())
+        .await
+        .expect("a caller");
     let mut answer = Vec::new();
     let end = caller.read_to_end(&mut answer).await;
     let text = String::from_utf8_lossy(&answer).into_owned();
-    println!("{end:?}\n{text}");
-    assert!(end.is_err() || text.to_lowercase().contains("chunked"), "{text}");
+    assert!(
+        end.is_err() || text.to_lowercase().contains("chunked"),
+        "{text}"
+    );
 }
 
 /// Callers that send several requests at once, on several connections, get their answers in order.
--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -22,6 +22,7 @@
 const FOREIGN_KEYS: usize = 130;
 /// Milliseconds that a new holder of the authority waits.
 const TAKEOVER_PAUSE_MS: u64 = 300;
+/// The host of all routes.
 pub const HOST: &str = "site.example";
 const ZONE: &str = "kalimati";
 const OTHER_ZONE: &str = "balkhu";
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -65,8 +65,12 @@
 }
 
 impl Pool {
-    /// Counts one more connection as open, if there may be so many.
-    pub fn count_open(&self, most: u32) -> Option<OpenCount> {
+    /// Counts one more connection as open, if there may be so many. One that rests gives way: it may be
+    /// that none of those may carry the request that needs another.
+    pub fn count_open(&mut self, most: u32) -> Option<OpenCount> {
+        if self.open.load(Ordering::Relaxed) >= most && !self.idle.is_empty() {
+            self.idle.remove(0);
+        }
         if self.open.load(Ordering::Relaxed) >= most {
             return None;
         }
@@ -90,7 +94,8 @@
 
     /// Keeps a connection whose last answer is whole.
     pub fn put(&mut self, now: Timestamp, connection: Connection) {
-        if now >= self.closes_until && !connection.sender.is_closed() {
+        let is_of_use = connection.is_usable(now) && !connection.carried.is_full();
+        if is_of_use && now >= self.closes_until {
             self.idle.push(connection);
         }
     }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -14,6 +14,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::ext::ReasonPhrase;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tansyhall_core::time::MonotonicClock;
@@ -23,7 +24,7 @@
 use tokio::time::timeout;
 
 use crate::connection_pool::{Connection, OpenCount, Pool};
-use crate::correlation::{AnswerHead, Correlation};
+use crate::correlation::{AnswerHead, Correlation, Foreign, SecondAnswerSearch};
 use crate::headers::HeaderList;
 use crate::worker_request::WorkerRequest;
 
@@ -88,13 +89,17 @@
 pub struct AnswerBody {
     incoming: Incoming,
     returning: Option<Returning>,
+    /// For an answer without a length.
+    search: Option<SecondAnswerSearch>,
 }
 
+/// A connection on its way back; it counts as open until its answer is read, also where it is not kept.
 #[derive(Debug)]
 struct Returning {
     connections: Arc<Connections>,
     worker: WorkerId,
     connection: Connection,
+    is_kept: bool,
 }
 
 /// Connections to all workers.
@@ -198,41 +203,50 @@
         };
         let (head, incoming) = response.into_parts();
         let headers = header_list(&head.headers);
+        let reason = head.extensions.get::<ReasonPhrase>();
         let answer = AnswerHead {
             status: head.status.as_u16(),
+            reason: reason.map_or(&[], |reason| reason.as_bytes()),
             headers: &headers,
             answers_before: connection.carried.count(),
         };
         let checked = self.correlation.check(&destination.worker, request, answer);
         if let Err(foreign) = checked {
-            let mut pools = self.pools.lock();
-            let pool = pools.entry(destination.worker.clone()).or_default();
-            pool.close_for_a_while(self.clock.now());
+            self.answer_was_foreign(&destination.worker, foreign);
             return Err(Attempt::Failed(SendError::NoAnswer(foreign.to_string())));
         }
         let id = self.correlation.id_of(request);
-        let kept = id.and_then(|id| {
+        let usable_until = id.and_then(|id| {
             connection.carried.note(id);
             self.keep_until(&headers)
         });
-        let returning = kept.map(|usable_until| {
-            connection.usable_until = usable_until;
-            Returning {
-                connections: Arc::clone(self),
-                worker: destination.worker.clone(),
-                connection,
-            }
-        });
+        connection.usable_until = usable_until.unwrap_or_default();
+        let returning = Returning {
+            connections: Arc::clone(self),
+            worker: destination.worker.clone(),
+            connection,
+            is_kept: usable_until.is_some(),
+        };
+        let search = id.filter(|_| has_no_length(&headers));
         Ok(WorkerAnswer {
             status: head.status.as_u16(),
-            headers,
             body: AnswerBody {
                 incoming,
-                returning,
+                returning: Some(returning),
+                search: search.map(SecondAnswerSearch::new),
             },
+            headers,
         })
     }
 
+    fn answer_was_foreign(&self, worker: &WorkerId, foreign: Foreign) {
+        if foreign == Foreign::Late {
+            let mut pools = self.pools.lock();
+            let pool = pools.entry(worker.clone()).or_default();
+            pool.close_for_a_while(self.clock.now());
+        }
+    }
+
     /// How long a connection may rest after an answer with these headers.
     fn keep_until(&self, headers: &HeaderList) -> Option<Timestamp> {
         let closes = headers
@@ -268,7 +282,7 @@
                     return Ok(None);
                 }
                 Some(Ok(frame)) => match frame.into_data() {
-                    Ok(bytes) if !bytes.is_empty() => return Ok(Some(bytes)),
+                    Ok(bytes) if !bytes.is_empty() => return self.checked(bytes).map(Some),
                     _ => continue,
                 },
                 Some(Err(error)) => {
@@ -291,8 +305,18 @@
         Some(whole.freeze())
     }
 
+    /// The same bytes, unless a second answer has begun in them.
+    fn checked(&mut self, bytes: Bytes) -> Result<Bytes, SendError> {
+        let search = self.search.as_mut();
+        if search.is_some_and(|search| search.finds_in(&bytes)) {
+            self.returning = None;
+            return Err(SendError::NoAnswer("a second answer in the body".into()));
+        }
+        Ok(bytes)
+    }
+
     fn give_back(&mut self) {
-        let Some(returning) = self.returning.take() else {
+        let Some(returning) = self.returning.take().filter(|one| one.is_kept) else {
             return;
         };
         let now = returning.connections.clock.now();
@@ -302,6 +326,11 @@
     }
 }
 
+/// Whether only the end of the connection ends the body.
+fn has_no_length(headers: &HeaderList) -> bool {
+    headers.get("content-length").is_none() && headers.get("transfer-encoding").is_none()
+}
+
 fn keep_alive_timeout(value: &str) -> Option<Duration> {
     let seconds = value
         .split(',')
--- a/crates/gateway/src/correlation.rs
+++ b/crates/gateway/src/correlation.rs
@@ -21,10 +21,23 @@
 /// and one request in 512 pays for a new connection.
 const MOST_IDS: usize = 512;
 
-/// The answer belongs to another request.
+/// How a status line begins.
+const VERSION: &[u8] = b"HTTP/1.1 ";
+/// A status line up to the end of its status, in bytes.
+const STATUS_LINE_BYTES: usize = VERSION.len() + 3;
+/// The longest head of a second answer in a body without a length, in bytes.
+const SEARCHED_BYTES: usize = 2 << 10;
+
+/// Why an answer is not the request's.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("the answer to another request")]
-pub struct Foreign;
+pub enum Foreign {
+    /// It bears the id of another one, and others went over its connection before: it came late.
+    #[error("the answer to another request")]
+    Late,
+    /// It bears another id, or none, or parts of two answers.
+    #[error("no answer to this request")]
+    Unrelated,
+}
 
 /// Compares answers with the requests before them, and records those of other requests.
 pub struct Correlation {
@@ -44,6 +57,8 @@
 pub struct AnswerHead<'a> {
     /// The status.
     pub status: u16,
+    /// The reason after the status, if it is not the usual one.
+    pub reason: &'a [u8],
     /// All headers.
     pub headers: &'a HeaderList,
     /// Answers that its connection had brought before.
@@ -78,7 +93,7 @@
     ) -> Result<(), Foreign> {
         let asked = self.id_of(request);
         let answered = self.protocol.correlation_id(answer.headers);
-        if asked == answered {
+        if asked == answered && !answer.holds_another() {
             return Ok(());
         }
         let work = request.asked.name();
@@ -92,7 +107,59 @@
             answers_before: answer.answers_before,
         };
         self.log.record(Weight::Important, &event);
-        Err(Foreign)
+        match answered.is_some() && answer.answers_before > 0 {
+            true => Err(Foreign::Late),
+            false => Err(Foreign::Unrelated),
+        }
+    }
+}
+
+impl AnswerHead<'_> {
+    /// Whether the head is a torn one with the next answer behind it.
+    fn holds_another(&self) -> bool {
+        let mut values = self.headers.iter().map(|header| header.value.as_slice());
+        status_line_in(self.reason).is_some() || values.any(|value| status_line_in(value).is_some())
+    }
+}
+
+/// Where a status line begins in these bytes.
+fn status_line_in(bytes: &[u8]) -> Option<usize> {
+    let is_status_line = |window: &[u8]| {
+        let (version, status) = window.split_at(VERSION.len());
+        version == VERSION && status.iter().all(u8::is_ascii_digit)
+    };
+    bytes.windows(STATUS_LINE_BYTES).position(is_status_line)
+}
+
+/// Looks for a second answer in a body without a length: what is sent after such an answer cannot be
+/// told from its body by its place.
+#[derive(Debug)]
+pub struct SecondAnswerSearch {
+    /// The end of a header line with the request's id.
+    id_line: String,
+    /// The end of what has been looked at, as a head may come in pieces.
+    tail: Vec<u8>,
+}
+
+impl SecondAnswerSearch {
+    /// Looks for another answer under this id.
+    pub fn new(id: &str) -> Self {
+        Self {
+            id_line: format!(": {id}\r\n"),
+            tail: Vec::new(),
+        }
+    }
+
+    /// Whether a second answer has begun in these bytes or shortly before.
+    pub fn finds_in(&mut self, bytes: &[u8]) -> bool {
+        self.tail.extend_from_slice(bytes);
+        let found = status_line_in(&self.tail).is_some_and(|begin| {
+            let mut windows = self.tail[begin..].windows(self.id_line.len());
+            windows.any(|window| window == self.id_line.as_bytes())
+        });
+        let passed = self.tail.len().saturating_sub(SEARCHED_BYTES);
+        self.tail.drain(..passed);
+        found
     }
 }
 
@@ -104,7 +171,12 @@
 impl CarriedIds {
     /// Whether this id may go over the connection.
     pub fn allows(&self, id: &str) -> bool {
-        self.0.len() < MOST_IDS && !self.0.contains(&hash_of(id))
+        !self.is_full() && !self.0.contains(&hash_of(id))
+    }
+
+    /// Whether the connection has carried all that it may.
+    pub fn is_full(&self) -> bool {
+        self.0.len() >= MOST_IDS
     }
 
     /// Notes an id that goes over the connection.
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -37,6 +37,15 @@
         });
     }
 
+    /// The value of that name, if it has only one, which is text and not empty.
+    pub fn get_only(&self, name: &str) -> Option<&str> {
+        let value = self.get(name).filter(|value| !value.is_empty())?;
+        let is_another = |header: &Header| {
+            header.name.eq_ignore_ascii_case(name) && header.value.trim_ascii() != value.as_bytes()
+        };
+        (!self.0.iter().any(is_another)).then_some(value)
+    }
+
     /// The first value of that name, if it is text.
     pub fn get(&self, name: &str) -> Option<&str> {
         let header = self.0.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
