Placements: each life of a gateway has identities of its own

Cause: a scheduler's answer names only the placement, and every life of a gateway counted its placements from 1. A gateway that starts again at its address would take an answer to its earlier life, which was still under way, for the answer to its own question of that number: a worker that was chosen for another request, or a refusal, and a placement that no scheduler counts.

Ruled out by reading: an answer of another scheduler (an identity is asked of one only), a late answer after the patience is over (its waiting place is gone), one of a scheduler's later life (it has not seen the question), notices and reports (they bear the sender's key, which holds its life).

Change: identities begin at 48 bits of the gateway's key, which holds a random number of its life. The wire stays as it is, so that versions mix; an identity takes up to seven bytes instead of one to three.

--- a/crates/forwarding/src/placement/book.rs
+++ b/crates/forwarding/src/placement/book.rs
@@ -22,6 +22,10 @@
 /// Deviations beyond the smoothed time that an answer may take (RFC 6298).
 const DEVIATIONS: f64 = 4.0;
 
+/// Bits of a gateway's key that its first identity of a placement is made of: those of ten thousand
+/// questions in two lives meet by a chance of one in 28 billion, and take seven bytes in a message.
+const FIRST_ID_BITS: u32 = 48;
+
 /// How fast a scheduler answers.
 #[derive(Debug, Clone, Copy)]
 struct AnswerTime {
@@ -48,12 +52,13 @@
 }
 
 impl PlacementBook {
-    /// Nothing asked yet.
+    /// Nothing asked yet. Each life of a gateway has identities of its own, as an answer names only
+    /// the placement and may come after a restart.
     pub fn new(sender: GatewayKey) -> Self {
         Self {
             sender,
             sequence: 0,
-            last_id: 0,
+            last_id: sender.0 >> (u64::BITS - FIRST_ID_BITS),
             schedulers: HashMap::new(),
         }
     }
--- a/crates/forwarding/src/placement/mod.rs
+++ b/crates/forwarding/src/placement/mod.rs
@@ -25,7 +25,7 @@
 pub use book::PlacementBook;
 pub use ledger::PlacementLedger;
 
-/// Names a placement among those of the gateway that asked for it.
+/// Names a placement among those of the gateway that asked for it, in all its lives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct PlacementId(pub u64);
 
--- a/crates/forwarding/tests/placements.rs
+++ b/crates/forwarding/tests/placements.rs
@@ -1,7 +1,7 @@
 //! Requests that a scheduler places for other gateways: what its directory counts, what lost messages and
 //! lost gateways leave behind, and how evenly engines are loaded in a large fleet.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
@@ -199,6 +199,21 @@
     assert_eq!(sends(&pair.directory), 0);
 }
 
+/// Questions that one life of a gateway may have open, or answers to which may still be under way.
+const RECENT_QUESTIONS: usize = 10_000;
+
+#[test]
+fn an_answer_to_an_earlier_life_of_a_gateway_answers_no_question_of_the_next() {
+    let ids_of = |life: u64| {
+        let mut book = PlacementBook::new(GatewayKey::of("g-1", life));
+        std::iter::repeat_with(move || book.next_id()).take(RECENT_QUESTIONS)
+    };
+    let earlier: BTreeSet<PlacementId> = ids_of(0x5eed_0001_77aa_90c3).collect();
+    assert_eq!(earlier.len(), RECENT_QUESTIONS);
+    let both = ids_of(0xd00d_1234_0bad_cafe).filter(|id| earlier.contains(id));
+    assert_eq!(both.count(), 0);
+}
+
 #[test]
 fn a_worker_that_was_tried_is_not_chosen_again() {
     let mut pair = Pair::new();
