Usage: an acknowledgement counts for the life of the collector that gave it

Cause: an acknowledgement named the sender's life and the message, not the collector. One of the collector before, come late, counted as a sign of life of the present one. One of a collector's earlier life stood for the next life under its name: if it starts within the time of silence, it was told only what is new, and what the earlier life had not written yet was missing from the report.

Change: an acknowledgement bears the collector's incarnation. Another than before is told everything again; what answers a message to the collector before is passed over. An older version sends none, which counts as one life, as before.

All tests of the crates usage, forwarding and gateway pass.

--- a/crates/gateway/src/usage/exchange.rs
+++ b/crates/gateway/src/usage/exchange.rs
@@ -130,12 +130,14 @@
         sequence,
         incarnation,
         time: time.unwrap_or_default().0,
+        collector: usage.source.incarnation,
     };
     let datagram = Datagram::usage_acknowledged(acknowledgement);
     shared.datagrams.send(sender, &datagram);
 }
 
-/// The collector has taken a message in.
+/// The collector has taken a message in. What the collector before says late is passed over: it must
+/// not stand for the present one's.
 pub fn acknowledge(shared: &Shared, message: &AcknowledgementMessage) {
     let Some(usage) = shared.usage.as_ref() else {
         return;
@@ -145,7 +147,12 @@
     }
     let now = shared.now();
     let mut telling = usage.telling.lock();
-    telling.sender.acknowledge(message.sequence);
+    let is_of_present = telling
+        .sender
+        .acknowledge(message.sequence, message.collector);
+    if !is_of_present {
+        return;
+    }
     telling.choice.hear(now);
     drop(telling);
     let reading = ClockReading {
--- a/crates/gateway/src/usage/message.rs
+++ b/crates/gateway/src/usage/message.rs
@@ -71,6 +71,9 @@
     /// The time that the fleet agrees on, in milliseconds since 1970.
     #[prost(uint64, tag = "3")]
     pub time: u64,
+    /// The incarnation of the collector.
+    #[prost(fixed64, tag = "4")]
+    pub collector: u64,
 }
 
 /// What a collector has.
--- a/crates/usage/src/sender.rs
+++ b/crates/usage/src/sender.rs
@@ -16,6 +16,10 @@
 #[derive(Debug, Default)]
 pub struct UsageSender {
     sequence: u64,
+    /// The number of the last message to the collector before the present one.
+    told_before: u64,
+    /// The life of the collector that has acknowledged.
+    collector: Option<u64>,
     sent: Windows,
     acknowledged: Windows,
 }
@@ -41,15 +45,29 @@
         (self.sequence, message)
     }
 
-    /// The collector has taken a message in. Only the latest says what it has by now.
-    pub fn acknowledge(&mut self, sequence: u64) {
-        if sequence == self.sequence {
+    /// A life of a collector has taken a message in; false if that was the collector before. Only the
+    /// latest message says what it has by now, and nothing says that another life has it, too.
+    pub fn acknowledge(&mut self, sequence: u64, collector: u64) -> bool {
+        if sequence <= self.told_before {
+            return false;
+        }
+        let known = self.collector.replace(collector);
+        if known.is_some_and(|known| known != collector) {
+            self.forget_acknowledged();
+        } else if sequence == self.sequence {
             self.acknowledged = std::mem::take(&mut self.sent);
         }
+        true
     }
 
     /// Another collector, which has nothing yet, is told from now on.
     pub fn restart(&mut self) {
+        self.told_before = self.sequence;
+        self.collector = None;
+        self.forget_acknowledged();
+    }
+
+    fn forget_acknowledged(&mut self) {
         self.sent.clear();
         self.acknowledged.clear();
     }
--- a/crates/usage/tests/counting.rs
+++ b/crates/usage/tests/counting.rs
@@ -80,6 +80,47 @@
     assert!(collection.is_empty());
 }
 
+/// One life of a collector, and the next life under the same name.
+const COLLECTOR: u64 = 0xc011;
+const RESTARTED_COLLECTOR: u64 = 0xc012;
+
+/// A sender whose collector has taken in a first message of one request.
+fn acknowledged_sender(meter: &mut UsageMeter) -> UsageSender {
+    let mut sender = UsageSender::default();
+    meter.count(&TenantName::new("a"), at(0.1));
+    let (sequence, _) = sender.next(meter.usage(at(0.2)));
+    assert!(sender.acknowledge(sequence, COLLECTOR));
+    sender
+}
+
+#[test]
+fn a_restarted_collector_is_told_everything_again() {
+    let mut meter = UsageMeter::new(source("g", 1), TIMING);
+    let mut sender = acknowledged_sender(&mut meter);
+    meter.count(&TenantName::new("b"), at(0.3));
+    let (sequence, message) = sender.next(meter.usage(at(0.4)));
+    assert_eq!(message.windows[&first_window()], counts(&[("b", 1)]));
+    assert!(sender.acknowledge(sequence, RESTARTED_COLLECTOR));
+    let (sequence, message) = sender.next(meter.usage(at(0.5)));
+    assert_eq!(message.windows[&first_window()].total(), 2);
+    assert!(sender.acknowledge(sequence, RESTARTED_COLLECTOR));
+    let (_, message) = sender.next(meter.usage(at(0.6)));
+    assert!(message.windows.is_empty());
+}
+
+#[test]
+fn an_acknowledgement_of_the_collector_before_says_nothing_of_the_present_one() {
+    let mut meter = UsageMeter::new(source("g", 1), TIMING);
+    let mut sender = acknowledged_sender(&mut meter);
+    let (sequence, _) = sender.next(meter.usage(at(0.3)));
+    sender.restart();
+    let (first, _) = sender.next(meter.usage(at(0.4)));
+    assert!(!sender.acknowledge(sequence, COLLECTOR));
+    let (_, message) = sender.next(meter.usage(at(0.5)));
+    assert_eq!(message.windows[&first_window()].total(), 1);
+    assert!(sender.acknowledge(first, RESTARTED_COLLECTOR));
+}
+
 #[test]
 fn only_what_has_changed_is_sent_again() {
     let mut meter = UsageMeter::new(source("g", 1), TIMING);
@@ -90,8 +131,8 @@
     assert_eq!(message.windows[&first_window()].total(), 2);
     let (second, message) = sender.next(meter.usage(at(0.4)));
     assert_eq!(message.windows[&first_window()].total(), 2);
-    sender.acknowledge(first);
-    sender.acknowledge(second);
+    sender.acknowledge(first, COLLECTOR);
+    sender.acknowledge(second, COLLECTOR);
     meter.count(&TenantName::new("a"), at(0.5));
     let (_, message) = sender.next(meter.usage(at(0.6)));
     assert_eq!(message.windows[&first_window()], counts(&[("a", 2)]));
@@ -189,7 +230,7 @@
                 4 => {
                     if let Some((sequence, message)) = under_way.pop() {
                         collection.take_in(message);
-                        sender.acknowledge(sequence);
+                        sender.acknowledge(sequence, COLLECTOR);
                     }
                 }
                 5 => {
