Questions between gateways: an answer names its question

Cause: a gateway keeps connections to those it asks what is new in the store, and took whatever came first after its question. A late answer to an earlier question would be believed in its age: old knowledge counts as fresh, and the gateway neither asks the store nor another. Ruled out: a gap in the copy (the revision that is asked from only grows, so that an earlier answer tells more, not less), two answers of one question by a gateway itself (its server answers each once); so this takes something between the two that repeats, and is mended as of the same class.

Change: each question has a random number that its answer repeats (field 3, never used before). On another number the answer is refused and the client is replaced with all its connections: awc was seen to go on with a connection that stays one answer behind for ever. A version that names no number is understood as before. A connection for each call, as for the store, was not chosen: subscribers of a relay ask again at each change. The server that answers twice is a crate of its own, for several crates' tests.

--- a/crates/gateway/src/copy_message.rs
+++ b/crates/gateway/src/copy_message.rs
@@ -16,6 +16,9 @@
     /// Items that were written, or all items.
     #[prost(message, repeated, tag = "2")]
     pub items: Vec<ItemMessage>,
+    /// The number of the question that this answers; an older version does not tell it.
+    #[prost(fixed64, tag = "3")]
+    pub question: u64,
     /// Whether the items are the whole copy, and not changes of it.
     #[prost(bool, tag = "4")]
     pub whole: bool,
@@ -86,12 +89,18 @@
         Self {
             revision,
             items,
+            question: 0,
             whole,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             complete: true,
         }
     }
 
+    /// Whether this may be the answer to a question: one that bears another's number is not.
+    pub fn answers(&self, question: u64) -> bool {
+        self.question == question || self.question == 0
+    }
+
     /// What the message says, if it is complete.
     pub fn into_received(self) -> Result<Received, Incomplete> {
         if !self.complete {
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -146,7 +146,7 @@
 
     async fn ask_relay(&mut self, name: &str, address: SocketAddr) {
         self.watch = None;
-        let answered = peers::ask(&self.client, address, RELAY_WAIT, &self.shared).await;
+        let answered = peers::ask(&mut self.client, address, RELAY_WAIT, &self.shared).await;
         let now = self.shared.now();
         match answered {
             Ok(age) => {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,7 @@
 //! store or a relay asks any gateway it knows. Only newer knowledge is taken.
 
 use std::net::SocketAddr;
+use std::num::NonZeroU64;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,6 +38,9 @@
 pub struct Question {
     after: u64,
     wait_ms: u64,
+    /// Names the question; its answer repeats it. An older version does not tell it.
+    #[serde(default)]
+    number: u64,
 }
 
 /// Answers a gateway that asks what is new.
@@ -50,7 +54,8 @@
     let _ = timeout(wait, newer).await;
     let update = shared.mirror.lock().update_after(question.after);
     let age = shared.store_contact.age(shared.now());
-    let message = UpdateMessage::new(update, age, &mut shared.deflated_values.lock());
+    let mut message = UpdateMessage::new(update, age, &mut shared.deflated_values.lock());
+    message.question = question.number;
     HttpResponse::Ok().body(message.encode_to_vec())
 }
 
@@ -63,19 +68,13 @@
 
 /// Asks a gateway what is new, takes it in, and returns how old the gateway's knowledge is.
 pub async fn ask(
-    client: &Client,
+    client: &mut Client,
     peer: SocketAddr,
     wait: Duration,
     shared: &Arc<Shared>,
 ) -> anyhow::Result<Duration> {
     let after = shared.mirror.lock().revision();
-    let wait_ms = wait.as_millis();
-    let url = format!("http://{peer}/changes?after={after}&wait_ms={wait_ms}");
-    let call = client.get(url).send().await;
-    let mut response = call.map_err(|error| anyhow::anyhow!("{error}"))?;
-    anyhow::ensure!(response.status() == 200, "status {}", response.status());
-    let body = response.body().limit(MAX_UPDATE_BYTES).await?;
-    let Received { update, age } = UpdateMessage::decode(body)?.into_received()?;
+    let Received { update, age } = fetch(client, peer, after, wait).await?;
     shared.store_contact.mark(shared.now(), age);
     let changed = update.is_some_and(|update| shared.mirror.lock().take_in(update));
     if changed {
@@ -84,9 +83,33 @@
     Ok(age)
 }
 
+/// Asks a gateway what is newer than a revision. Its answer must name this very question: what comes
+/// first on a kept connection may be a late answer to an earlier one, whose age would be believed. The
+/// connections of a client that brought such an answer are not used again.
+pub async fn fetch(
+    client: &mut Client,
+    peer: SocketAddr,
+    after: u64,
+    wait: Duration,
+) -> anyhow::Result<Received> {
+    let wait_ms = wait.as_millis();
+    let number = rand::random::<NonZeroU64>().get();
+    let url = format!("http://{peer}/changes?after={after}&wait_ms={wait_ms}&number={number}");
+    let call = client.get(url).send().await;
+    let mut response = call.map_err(|error| anyhow::anyhow!("{error}"))?;
+    anyhow::ensure!(response.status() == 200, "status {}", response.status());
+    let body = response.body().limit(MAX_UPDATE_BYTES).await?;
+    let message = UpdateMessage::decode(body)?;
+    if !message.answers(number) {
+        *client = self::client();
+        anyhow::bail!("an answer to another question");
+    }
+    Ok(message.into_received()?)
+}
+
 /// Asks any gateway while neither the store nor a relay tells anything.
 pub async fn follow(shared: Arc<Shared>) {
-    let client = client();
+    let mut client = client();
     let mut relying = false;
     loop {
         sleep(PACE).await;
@@ -99,7 +122,7 @@
             continue;
         }
         let Some(peer) = pick(&shared) else { continue };
-        if let Err(error) = ask(&client, peer, Duration::ZERO, &shared).await {
+        if let Err(error) = ask(&mut client, peer, Duration::ZERO, &shared).await {
             log::debug!("peer {peer}: {error:#}");
         }
     }
--- a/platform/tests/support/mod.rs
+++ b/crates/twice-answering/src/lib.rs
@@ -1,4 +1,7 @@
-//! A server that answers its calls twice, for clients that must not take an answer for another's.
+//! A server that answers its calls twice, or late, for clients that must not take an answer for
+//! another's.
+
+#![forbid(unsafe_code)]
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -25,8 +28,13 @@
     },
 }
 
+impl Second {
+    /// Whenever a second answer may come.
+    pub const ALL: [Self; 3] = [Self::AtOnce, Self::WhileIdle, Self::BeforeTheNext];
+}
+
 /// A status and a body.
-pub type Answer = (u16, String);
+pub type Answer = (u16, Vec<u8>);
 
 /// The server; each question takes the next of its answers, on whatever connection it comes.
 pub struct TwiceAnswering {
@@ -38,15 +46,26 @@
 impl TwiceAnswering {
     /// Serves these answers in turn.
     pub fn start(second: Second, answers: Vec<Answer>) -> Self {
+        let answers = Mutex::new(answers);
+        Self::answering(second, move |_| {
+            answers.lock().expect("not poisoned").remove(0)
+        })
+    }
+
+    /// Answers each question, given by method and target.
+    pub fn answering(
+        second: Second,
+        answer: impl Fn(&str) -> Answer + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let asked: Arc<Mutex<Vec<String>>> = Arc::default();
         let record = Arc::clone(&asked);
-        let answers = Arc::new(Mutex::new(answers));
+        let answer = Arc::new(answer);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (record, answers) = (Arc::clone(&record), Arc::clone(&answers));
-                thread::spawn(move || serve(stream, second, &record, &answers));
+                let (record, answer) = (Arc::clone(&record), Arc::clone(&answer));
+                thread::spawn(move || serve(stream, second, &record, &*answer));
             }
         });
         Self { address, asked }
@@ -62,24 +81,18 @@
     mut stream: TcpStream,
     second: Second,
     record: &Mutex<Vec<String>>,
-    answers: &Mutex<Vec<Answer>>,
+    answer: &dyn Fn(&str) -> Answer,
 ) {
     let _ = stream.set_nodelay(true);
     let mut owed: Option<Vec<u8>> = None;
     while let Some(question) = read_question(&mut stream) {
+        let answer = encode(answer(&question));
         record.lock().expect("not poisoned").push(question);
-        let mut left = answers.lock().expect("not poisoned");
-        let (status, body) = left.remove(0);
-        drop(left);
-        let answer = format!(
-            "HTTP/1.1 {status} x\r\ncontent-length: {}\r\n\r\n{body}",
-            body.len()
-        );
         let mut bytes = owed.take().unwrap_or_default();
-        bytes.extend_from_slice(answer.as_bytes());
+        bytes.extend_from_slice(&answer);
         match second {
-            Second::AtOnce => bytes.extend_from_slice(answer.as_bytes()),
-            Second::BeforeTheNext => owed = Some(answer.clone().into_bytes()),
+            Second::AtOnce => bytes.extend_from_slice(&answer),
+            Second::BeforeTheNext => owed = Some(answer.clone()),
             Second::Never { after } => thread::sleep(after),
             Second::WhileIdle => {}
         }
@@ -88,11 +101,18 @@
         }
         if second == Second::WhileIdle {
             thread::sleep(ARRIVAL / 2);
-            let _ = stream.write_all(answer.as_bytes());
+            let _ = stream.write_all(&answer);
         }
     }
 }
 
+fn encode((status, body): Answer) -> Vec<u8> {
+    let length = body.len();
+    let mut bytes = format!("HTTP/1.1 {status} x\r\ncontent-length: {length}\r\n\r\n").into_bytes();
+    bytes.extend_from_slice(&body);
+    bytes
+}
+
 /// Reads a whole question; none at the connection's end.
 fn read_question(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
