The key-value service: a connection serves one call, and one that closes unanswered may be applied

Cause, one: answers of the service bear nothing of their calls, and connections were kept. A second answer that came with the next call was taken for its answer: a refused transaction counted as applied.

Cause, two, found on the way: the HTTP client library calls it a connect error, too, when a connection closes after the call had been sent. Every connect error counted as "not applied", so that a transaction whose answer was lost with its connection could be sent again although it was applied. Idle connections that the service closed gave the same.

Change: each call, watches and the list of machines included, has a connection of its own. A connection that closed unanswered leaves its call unknown; one that never came up still counts as not applied.

--- a/crates/store/src/etcd.rs
+++ b/crates/store/src/etcd.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
 use futures_util::StreamExt;
@@ -23,7 +23,8 @@
 /// Longest line of a watch, in bytes.
 const MAX_WATCH_LINE_BYTES: usize = 64 << 20;
 
-/// A client of one gateway address.
+/// A client of one gateway address. Answers bear nothing of their calls, so that each call has a
+/// connection of its own.
 #[derive(Clone)]
 pub struct EtcdStore {
     http: awc::Client,
@@ -65,7 +66,7 @@
     async fn call<R: DeserializeOwned>(&self, path: &str, body: &Value) -> Result<R, StoreError> {
         self.admit().await?;
         let url = format!("http://{}{path}", self.address);
-        let request = self.http.post(url).timeout(self.timeout);
+        let request = self.http.post(url).force_close().timeout(self.timeout);
         let mut response = request.send_json(body).await.map_err(send_error)?;
         let status = response.status();
         response = response.timeout(self.timeout);
@@ -78,8 +79,13 @@
     }
 }
 
+/// The HTTP client library calls it a connect error, too, when a connection closed after the call had
+/// been sent.
 fn send_error(error: SendRequestError) -> StoreError {
     match error {
+        SendRequestError::Connect(cause @ ConnectError::Disconnected) => {
+            StoreError::Unknown(cause.to_string())
+        }
         SendRequestError::Connect(cause) => StoreError::NotApplied(cause.to_string()),
         other => StoreError::Unknown(other.to_string()),
     }
@@ -320,6 +326,7 @@
         let response = self
             .http
             .post(url)
+            .force_close()
             .send_json(&create)
             .await
             .map_err(send_error)?;
--- a/crates/store/src/machines.rs
+++ b/crates/store/src/machines.rs
@@ -62,7 +62,7 @@
     /// Reads the list.
     pub async fn fetch(&self) -> Result<Vec<Machine>, StoreError> {
         let url = format!("http://{}{MACHINES_PATH}", self.address);
-        let request = self.http.get(url).timeout(self.timeout);
+        let request = self.http.get(url).force_close().timeout(self.timeout);
         let mut response = request
             .send()
             .await
--- /dev/null
+++ b/crates/store/tests/second_answers.rs
@@ -0,0 +1,78 @@
+//! A late, second or missing answer of the key-value service is never taken for something else.
+
+use std::io::Read;
+use std::net::TcpListener;
+use std::thread;
+use std::time::Duration;
+
+use tansyhall_store::{Compare, EtcdStore, KeyValueStore, Operation, StoreError, Transaction};
+use tansyhall_twice_answering::{Answer, Second, TwiceAnswering, ARRIVAL};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+fn ok(body: &str) -> Answer {
+    (200, body.into())
+}
+
+fn transaction(key: &str) -> Transaction {
+    Transaction {
+        compare: vec![Compare::Absent(key.to_owned())],
+        operations: vec![Operation::Delete {
+            key: key.to_owned(),
+        }],
+    }
+}
+
+#[actix_rt::test]
+async fn a_refused_transaction_does_not_take_the_second_answer_of_an_applied_one() {
+    for second in Second::ALL {
+        let answers = vec![
+            ok(r#"{"header":{"revision":"5"},"succeeded":true}"#),
+            ok(r#"{"header":{"revision":"5"}}"#),
+        ];
+        let server = TwiceAnswering::start(second, answers);
+        let store = EtcdStore::new(server.address, TIMEOUT);
+        let first = store.transact(&transaction("a")).await.expect("applied");
+        assert!(first.succeeded, "{second:?}");
+        actix_rt::time::sleep(ARRIVAL).await;
+        let refused = store.transact(&transaction("b")).await.expect("refused");
+        assert!(!refused.succeeded, "{second:?}");
+        assert_eq!(server.asked().len(), 2, "{second:?}");
+    }
+}
+
+/// A server that reads a call and closes its connection.
+fn silent_server() -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let _ = stream.read(&mut [0; 4096]);
+            thread::sleep(ARRIVAL);
+        }
+    });
+    address
+}
+
+#[actix_rt::test]
+async fn a_call_whose_connection_closed_unanswered_may_be_applied() {
+    let store = EtcdStore::new(silent_server(), TIMEOUT);
+    let answered = store.transact(&transaction("a")).await;
+    assert!(
+        matches!(answered, Err(StoreError::Unknown(_))),
+        "{answered:?}"
+    );
+}
+
+#[actix_rt::test]
+async fn a_call_that_found_nobody_is_not_applied() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let store = EtcdStore::new(address, TIMEOUT);
+    let answered = store.transact(&transaction("a")).await;
+    assert!(
+        matches!(answered, Err(StoreError::NotApplied(_))),
+        "{answered:?}"
+    );
+}
