Engines: a connection serves one call

Cause: chunks of an answer bear their request's id, but refusals, replies to orders, handles of KV caches, acknowledgements of imports and reports bear nothing, and connections were kept. A second answer that came with the next call was taken for its answer: a refused order counted as accepted, another request's KV cache was taken for this one's (its answer would have been made from another's prompt), a completion that ran counted as refused and would have been sent again.

Ruled out: chunks (their id and place are checked), answers to calls that were given up (the connection closes with the call).

Change: each call has a connection of its own.

--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -1,5 +1,8 @@
 //! The engine client. Its errors say whether the work may have run: a refused or never-connected
 //! request did not; anything after the first byte was sent may have.
+//!
+//! Refusals, orders' replies, handles and reports bear nothing of their questions. Each call has a
+//! connection of its own, so that an answer that comes late or twice is read by nobody.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -123,7 +126,7 @@
         request: &EngineRequest,
     ) -> Result<EngineStream, EngineError> {
         let url = format!("http://{address}{}", request.prompt.path());
-        let mut response = self.work.post(url).send_json(request).await?;
+        let mut response = self.work.post(url).force_close().send_json(request).await?;
         let status = response.status();
         if status == StatusCode::OK {
             let body = Box::pin(response.map(|item| item.map_err(|error| error.to_string())));
@@ -142,6 +145,7 @@
         let url = format!("http://{address}{REQUESTS_PATH}/{request_id}");
         self.control
             .delete(url)
+            .force_close()
             .timeout(CONTROL_TIMEOUT)
             .send()
             .await?;
@@ -225,6 +229,7 @@
         let request = self
             .control
             .post(format!("http://{address}{path}"))
+            .force_close()
             .timeout(CONTROL_TIMEOUT);
         let mut response = request.send_json(body).await?;
         let body = response.body().limit(MAX_CONTROL_BODY_BYTES).await;
@@ -239,6 +244,7 @@
         let request = self
             .control
             .get(format!("http://{address}{path}"))
+            .force_close()
             .timeout(CONTROL_TIMEOUT);
         let mut response = request.send().await?;
         let body = response.body().limit(MAX_CONTROL_BODY_BYTES).await;
--- /dev/null
+++ b/crates/engine/tests/second_answers.rs
@@ -0,0 +1,159 @@
+//! A late or second answer of an engine is never taken for the answer to another call.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use tansyhall_core::{Incarnation, ModelName};
+use tansyhall_engine::protocol::{
+    EngineRequest, FenceToken, KvExport, KvHandle, KvImport, KvImported, LoadReport, Order,
+    OrderAction, OrderReply, Priority, Prompt, Refusal,
+};
+use tansyhall_engine::{EngineClient, EngineError};
+use tansyhall_twice_answering::{Answer, Second, TwiceAnswering, ARRIVAL};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+fn answer(status: u16, body: &impl serde::Serialize) -> Answer {
+    (status, serde_json::to_vec(body).expect("encodes"))
+}
+
+fn client() -> EngineClient {
+    EngineClient::new(CONNECT_TIMEOUT)
+}
+
+fn order(order_id: &str) -> Order {
+    Order {
+        order_id: order_id.to_owned(),
+        fence_token: FenceToken(3),
+        incarnation: Incarnation(1),
+        action: OrderAction::Drain,
+    }
+}
+
+#[actix_rt::test]
+async fn a_refused_order_does_not_take_the_second_answer_of_an_accepted_one() {
+    let stale = OrderReply::StaleToken {
+        highest: FenceToken(4),
+    };
+    for second in Second::ALL {
+        let answers = vec![answer(200, &OrderReply::Accepted), answer(409, &stale)];
+        let engine = TwiceAnswering::start(second, answers);
+        let client = client();
+        let first = client.order(engine.address, &order("o-1")).await;
+        assert_eq!(first.expect("a reply"), OrderReply::Accepted, "{second:?}");
+        sleep(ARRIVAL).await;
+        let next = client.order(engine.address, &order("o-2")).await;
+        assert_eq!(next.expect("a reply"), stale, "{second:?}");
+    }
+}
+
+fn handle(name: &str) -> KvHandle {
+    KvHandle {
+        handle: name.to_owned(),
+        incarnation: Incarnation(1),
+        tokens: 16,
+    }
+}
+
+#[actix_rt::test]
+async fn the_handle_of_one_requests_cache_is_not_taken_for_anothers() {
+    for second in Second::ALL {
+        let answers = vec![answer(200, &handle("h-1")), answer(200, &handle("h-2"))];
+        let engine = TwiceAnswering::start(second, answers);
+        let client = client();
+        for (request, expected) in [("r-1", "h-1"), ("r-2", "h-2")] {
+            let export = KvExport {
+                request_id: request.to_owned(),
+            };
+            let exported = client.export_kv(engine.address, &export).await;
+            assert_eq!(exported.expect("a handle").handle, expected, "{second:?}");
+            sleep(ARRIVAL).await;
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn an_import_is_not_acknowledged_by_the_one_before() {
+    let source: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+    let import = |name: &str| KvImport {
+        source,
+        handle: handle(name),
+    };
+    for second in Second::ALL {
+        let answers = vec![
+            answer(200, &KvImported { tokens: 16 }),
+            answer(503, &refusal("no room")),
+        ];
+        let engine = TwiceAnswering::start(second, answers);
+        let client = client();
+        let first = client.import_kv(engine.address, &import("h-1")).await;
+        assert_eq!(first.expect("imported").tokens, 16, "{second:?}");
+        sleep(ARRIVAL).await;
+        let next = client.import_kv(engine.address, &import("h-2")).await;
+        assert!(
+            matches!(next, Err(EngineError::Unavailable(_))),
+            "{second:?}"
+        );
+    }
+}
+
+fn refusal(reason: &str) -> Refusal {
+    Refusal {
+        refused: true,
+        reason: reason.to_owned(),
+    }
+}
+
+fn request(id: &str) -> EngineRequest {
+    EngineRequest {
+        request_id: id.to_owned(),
+        model: ModelName::new("m"),
+        adapter: None,
+        prompt: Prompt::Text {
+            prompt: "hello".to_owned(),
+        },
+        max_tokens: 4,
+        stream: true,
+        priority: Priority::Standard,
+        resume_after: 0,
+    }
+}
+
+#[actix_rt::test]
+async fn an_accepted_completion_does_not_take_the_second_refusal_of_another() {
+    for second in Second::ALL {
+        let answers = vec![
+            answer(503, &refusal("draining")),
+            (200, b"data: x\n\n".to_vec()),
+        ];
+        let engine = TwiceAnswering::start(second, answers);
+        let client = client();
+        let first = client.complete(engine.address, &request("r-1")).await;
+        assert!(
+            matches!(first, Err(EngineError::Unavailable(_))),
+            "{second:?}"
+        );
+        sleep(ARRIVAL).await;
+        let next = client.complete(engine.address, &request("r-2")).await;
+        assert!(next.is_ok(), "{second:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn an_older_report_is_not_taken_for_a_new_one() {
+    let report = |running| LoadReport {
+        running,
+        ..LoadReport::default()
+    };
+    for second in Second::ALL {
+        let answers = vec![answer(200, &report(1)), answer(200, &report(2))];
+        let engine = TwiceAnswering::start(second, answers);
+        let client = client();
+        for running in [1, 2] {
+            let read = client.load(engine.address).await.expect("a report");
+            assert_eq!(read.running, running, "{second:?}");
+            sleep(ARRIVAL).await;
+        }
+    }
+}
