Application workers: a connection serves one request

Cause: nothing in an application worker's answer names its request, and connections to workers were kept and shared by callers. A worker's second answer that came with the next request went to that request's caller, whole and with the verdict that it was completed.

Ruled out by the same test: a second answer together with the first or on an idle connection.

Change: each request has a connection of its own. The time for which idle connections were kept has no use any more.

--- a/crates/engine/src/transport.rs
+++ b/crates/engine/src/transport.rs
@@ -17,10 +17,6 @@
 use awc::http::Uri;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// How long an idle connection is kept: less than back ends commonly keep it, so that a request is
-/// seldom sent into a connection that is being closed.
-const IDLE_KEEP_ALIVE: Duration = Duration::from_secs(3);
-
 /// Whether a failed request was certainly not sent. The HTTP client library uses its connect error
 /// `Disconnected` for connections that closed after the request had been sent, too.
 pub fn never_sent(error: &SendRequestError) -> bool {
@@ -50,7 +46,6 @@
     awc::Connector::new()
         .connector(connect)
         .timeout(connect_timeout)
-        .conn_keep_alive(IDLE_KEEP_ALIVE)
         .limit(max_connections)
 }
 
--- a/crates/node/src/callers/application.rs
+++ b/crates/node/src/callers/application.rs
@@ -1,4 +1,7 @@
 //! Plain HTTP to application workers. Bodies are streamed both ways, and are never held whole.
+//!
+//! Nothing in a worker's answer names its request, so that each request has a connection of its own:
+//! what a worker says late or twice reaches no other caller.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -175,6 +178,7 @@
         let mut request = self
             .client
             .request(http.method().clone(), url)
+            .force_close()
             .no_decompress();
         for (name, value) in http.headers() {
             if !HOP_BY_HOP.contains(name) {
--- a/crates/node/tests/applications.rs
+++ b/crates/node/tests/applications.rs
@@ -12,6 +12,7 @@
 use support::{client, dead_address, header, json_of, listener, start_node};
 use tansyhall_standin::app::{self, AppOptions};
 use tansyhall_testing::get_json;
+use tansyhall_twice_answering::{Second, TwiceAnswering, ARRIVAL};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -208,3 +209,21 @@
     let nowhere = get_json(address, "/elsewhere").await.expect("an error");
     assert_eq!(nowhere["error"]["verdict"], "not-run");
 }
+
+#[actix_rt::test]
+async fn no_caller_gets_the_second_answer_of_another() {
+    for second in Second::ALL {
+        let answers = vec![(200, b"rice".to_vec()), (200, b"lentils".to_vec())];
+        let worker = TwiceAnswering::start(second, answers);
+        let (_node, address) = start_node(&[], &[worker.address], "");
+        // One connection to the node, so that both requests reach the same of its threads.
+        let client = client();
+        for expected in ["rice", "lentils"] {
+            let request = client.post(format!("http://{address}/stock/rice"));
+            let mut response = request.send().await.expect("an answer");
+            let body = response.body().await.expect("a whole answer");
+            assert_eq!(body, expected.as_bytes(), "{second:?}");
+            actix_rt::time::sleep(ARRIVAL).await;
+        }
+    }
+}
