Callers without chunks: an answer comes whole or not at all

Cause: a streamed answer went out in chunks whatever the caller's version of HTTP. A caller of HTTP/1.0 knows no chunks: it would take their frames for the answer's bytes, and the connection's end for the answer's, also where it broke off.

Ruled out, by tests that passed before: a streamed answer that breaks off has no last chunk for a caller of HTTP/1.1; what is left of a refused request's body is not taken for another request, with a length (the connection closes) and in chunks (they are read away).

Change: a caller of HTTP/1.0 gets a streamed answer at its end with its length, or 502 if it broke off.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use actix_web::body::BodyStream;
-use actix_web::http::StatusCode;
+use actix_web::http::{StatusCode, Version};
 use actix_web::web::{self, Payload};
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use futures_util::{Stream, StreamExt};
 use tokio::time::timeout;
 
-use crate::answer::{self, Answer, AnswerHead, AnswerSource, OwnAnswer};
+use crate::answer::{self, Answer, AnswerHead, AnswerSource, BrokenOff, OwnAnswer};
 use crate::events::{Event, Weight};
 use crate::exchange::{CallerRequest, Exchange};
 use crate::headers::HeaderList;
@@ -25,6 +25,9 @@
 /// When a caller of a gateway that leaves should come back; another takes it at once.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(10);
 
+/// The longest streamed answer that is gathered for a caller that knows no chunks.
+const MAX_GATHERED_BYTES: usize = 16 << 20;
+
 /// Why a request is refused before it has an exchange.
 enum Refusal {
     NotReady,
@@ -46,7 +49,7 @@
     let shared: &Arc<Shared> = &shared;
     let in_flight = InFlight::begin(shared);
     let response = match take_in(&request, payload, shared).await {
-        Ok(caller_request) => forward(shared, caller_request).await,
+        Ok(caller_request) => forward(shared, caller_request, request.version()).await,
         Err(refusal) => {
             record_refusal(&request, &refusal, shared);
             refuse(&refusal)
@@ -134,12 +137,12 @@
     Ok(body.freeze())
 }
 
-async fn forward(shared: &Arc<Shared>, request: CallerRequest) -> HttpResponse {
+async fn forward(shared: &Arc<Shared>, request: CallerRequest, version: Version) -> HttpResponse {
     let (sink, source) = answer::channel();
     let arrived = request.arrived;
     let route = request.routed.route.name.clone();
     actix_rt::spawn(Exchange::new(shared, request, sink).run());
-    let response = answer_caller(source).await;
+    let response = answer_caller(version, source).await;
     let latency = shared.now().since(arrived).as_secs_f64();
     shared
         .metrics
@@ -149,15 +152,39 @@
     response
 }
 
-async fn answer_caller(mut source: AnswerSource) -> HttpResponse {
+/// The answer as a caller of that version of HTTP gets it.
+pub async fn answer_caller(version: Version, mut source: AnswerSource) -> HttpResponse {
     match source.head().await {
         Some(Answer::Whole(head, body)) => builder(&head).body(body),
+        Some(Answer::Streamed(head)) if version < Version::HTTP_11 => gathered(&head, source).await,
         Some(Answer::Streamed(head)) => builder(&head).body(BodyStream::new(source.into_parts())),
         Some(Answer::Own(own)) => own_answer(own),
         None => own_answer(OwnAnswer::Lost),
     }
 }
 
+/// A streamed answer for a caller that knows no chunks: for it, an answer that breaks off would end
+/// like a whole one. It gets the answer whole and with its length, or none of it.
+async fn gathered(head: &AnswerHead, source: AnswerSource) -> HttpResponse {
+    let parts = std::pin::pin!(source.into_parts());
+    match gather(parts).await {
+        Some(body) => builder(head).body(body),
+        None => own_answer(OwnAnswer::Lost),
+    }
+}
+
+async fn gather(mut parts: impl Stream<Item = Result<Bytes, BrokenOff>> + Unpin) -> Option<Bytes> {
+    let mut whole = BytesMut::new();
+    while let Some(part) = parts.next().await {
+        let part = part.ok()?;
+        if whole.len() + part.len() > MAX_GATHERED_BYTES {
+            return None;
+        }
+        whole.extend_from_slice(&part);
+    }
+    Some(whole.freeze())
+}
+
 fn builder(head: &AnswerHead) -> HttpResponseBuilder {
     let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponse::build(status);
--- a/crates/gateway/tests/questions_to_gateways.rs
+++ b/crates/gateway/tests/questions_to_gateways.rs
@@ -16,8 +16,9 @@
 /// The value of a parameter of a question's target.
 fn parameter(question: &str, name: &str) -> u64 {
     let parameters = question.split(['?', '&']);
-    let value = parameters.filter_map(|one| one.strip_prefix(name)?.strip_prefix('='));
-    value.last().and_then(|text| text.parse().ok()).unwrap_or(0)
+    let mut values = parameters.filter_map(|one| one.strip_prefix(name)?.strip_prefix('='));
+    let value = values.next().and_then(|text| text.parse().ok());
+    value.unwrap_or(0)
 }
 
 /// The answer of a gateway that is one revision ahead of whoever asks.
