Members: an answer to a probe counts for whom was asked, in this life

Cause: an answer to a probe was matched by its number only, and numbers began at 1 in each life. A member that died and whose address went to a node of another name was never found dead: that node answered its probes. A late answer to an earlier life counted for a probe of the next.

Ruled out by reading: grants of shares (they bear both incarnations and the ask's time), votes (a replica votes in a view only if it was installed there in its incarnation), requests between nodes over TCP (a connection serves one).

Change: an answer that does not come from the probe's target in its name, and comes from an address at which another member is believed to be, counts neither for the probe nor for one on another's behalf. Numbers begin at the incarnation's microseconds. The wire stays as it is.

--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -139,7 +139,7 @@
             digests: ZoneDigests::default(),
             backends: BackendMarks::default(),
             backend_broadcasts: BroadcastQueue::default(),
-            prober: Prober::default(),
+            prober: Prober::new(own.incarnation),
             rng: ChaCha8Rng::seed_from_u64(seed),
             timers: Timers::default(),
             actions: Vec::new(),
--- a/crates/membership/src/probe.rs
+++ b/crates/membership/src/probe.rs
@@ -5,7 +5,7 @@
 
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
-use tansyhall_core::{NodeId, Timestamp};
+use tansyhall_core::{Incarnation, NodeId, Timestamp};
 
 /// A probe without an answer so far.
 #[derive(Debug, Clone)]
@@ -39,6 +39,15 @@
 }
 
 impl Prober {
+    /// No probe yet. Numbers begin elsewhere in each life, so that a late answer to one is none to the
+    /// next: incarnations are microseconds.
+    pub(crate) fn new(incarnation: Incarnation) -> Self {
+        Self {
+            next_sequence: incarnation.0 as u32,
+            ..Self::default()
+        }
+    }
+
     /// A sequence not used lately.
     pub(crate) fn sequence(&mut self) -> u32 {
         self.next_sequence = self.next_sequence.wrapping_add(1);
@@ -92,6 +101,12 @@
         Some((relayed.requester, relayed.sequence))
     }
 
+    /// Whether the current probe is about `name` and has this sequence.
+    pub(crate) fn is_answered_by(&self, name: &NodeId, sequence: u32) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|probe| probe.sequence == sequence && probe.target == *name)
+    }
+
     /// Ends the current probe if `sequence` answers it.
     pub(crate) fn answer(&mut self, sequence: u32) {
         if self
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -102,7 +102,7 @@
             Body::Ping { sequence } => {
                 self.send_to(now, from, Some(sender), Body::Ack { sequence })
             }
-            Body::Ack { sequence } => self.take_ack(now, sequence),
+            Body::Ack { sequence } => self.take_ack(now, from, sender, sequence),
             Body::PingRequest { sequence, target } => self.probe_for(now, from, sequence, target),
             Body::Join if is_neighbour => self.send_table(now, from),
             Body::Sync { table_hash } if is_neighbour => {
@@ -116,7 +116,19 @@
         }
     }
 
-    fn take_ack(&mut self, now: Timestamp, sequence: u32) {
+    /// Whether a member of another name than the sender's is believed to be at an address.
+    fn is_address_of_another(&self, address: SocketAddr, sender: &NodeId) -> bool {
+        let mut reachable = self.table.reachable();
+        reachable.any(|it| it.addresses.peers == address && it.name != *sender)
+    }
+
+    /// Takes an answer to a probe. One that comes from the address of a member, and not in its name, is
+    /// none: whoever answers there may have got a dead member's address.
+    fn take_ack(&mut self, now: Timestamp, from: SocketAddr, sender: &NodeId, sequence: u32) {
+        if !self.prober.is_answered_by(sender, sequence) && self.is_address_of_another(from, sender)
+        {
+            return;
+        }
         self.prober.answer(sequence);
         if let Some((requester, sequence)) = self.prober.relayed(sequence) {
             self.send_to(now, requester, None, Body::Ack { sequence });
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -113,6 +113,18 @@
         self.hosts[index] = self.start(index, zone, incarnation, contact);
     }
 
+    /// Replaces a host's process by one of another name at the same address.
+    pub fn take_over(&mut self, index: usize, name: &str, zone: &str, incarnation: u64) {
+        let own = MemberRecord {
+            name: name.into(),
+            ..record(index, zone, incarnation)
+        };
+        let host = self.start(index, zone, incarnation, 0);
+        let mut membership = Membership::new(MembershipSettings::default(), own, incarnation);
+        membership.add_contact(address(0));
+        self.hosts[index] = Host { membership, ..host };
+    }
+
     pub fn run(&mut self, duration: Duration) {
         let end = self.now + duration;
         while self.now < end {
--- a/crates/membership/tests/zone.rs
+++ b/crates/membership/tests/zone.rs
@@ -3,9 +3,11 @@
 
 mod support;
 
+use std::collections::BTreeSet;
+
 use support::{record, Network};
 use tansyhall_core::{Duration, NodeId};
-use tansyhall_membership::{KnownBackend, KnownMachine, MemberState};
+use tansyhall_membership::{Action, Body, KnownBackend, KnownMachine, MemberState};
 
 const ZONE: &str = "kalimati";
 const SIZE: usize = 120;
@@ -72,6 +74,54 @@
     network.run_until(LIMIT, |network| network.has_converged(SIZE));
 }
 
+#[test]
+fn a_dead_member_is_not_kept_alive_by_whoever_got_its_address() {
+    let mut network = converged(SIZE, 12);
+    network.take_over(5, "node-new", ZONE, 2_000_000);
+    let is_known = |network: &Network, name: &str, states: &[MemberState]| {
+        let mut others = network.hosts.iter().filter(|host| {
+            let mut members = host.membership.members();
+            let record = members.find(|record| record.name.as_str() == name);
+            !record.is_some_and(|record| states.contains(&record.state))
+        });
+        others.next().is_none()
+    };
+    network.run_until(LIMIT, |network| {
+        is_known(network, "node-new", &[MemberState::Alive])
+    });
+    network.run_until(LIMIT, |network| {
+        !network.hosts.iter().any(|host| {
+            let mut members = host.membership.members();
+            members.any(|it| it.name.as_str() == "node-005" && it.is_reachable())
+        })
+    });
+    assert!(is_known(&network, "node-new", &[MemberState::Alive]));
+}
+
+#[test]
+fn probes_of_one_life_are_not_numbered_like_those_of_the_next() {
+    let numbers = |incarnation| {
+        let mut network = converged(2, 13);
+        network.restart(1, ZONE, incarnation, 0);
+        let mut numbers = BTreeSet::new();
+        while numbers.len() < 20 {
+            network.run(Duration::from_millis(50));
+            let actions = network.hosts[1].membership.tick(network.now);
+            numbers.extend(actions.iter().filter_map(|action| match action {
+                Action::Send { message, .. } => match message.body {
+                    Body::Ping { sequence } => Some(sequence),
+                    _ => None,
+                },
+                _ => None,
+            }));
+            network.carry_out(1, actions);
+        }
+        numbers
+    };
+    let (earlier, later) = (numbers(2_000_000), numbers(9_000_000));
+    assert!(earlier.is_disjoint(&later), "{earlier:?} {later:?}");
+}
+
 #[test]
 fn a_paused_member_rejoins_without_harm() {
     let mut network = converged(SIZE, 5);
