A claim ends with its own lease; a decision that is late finds its window closed

Cause, found by a model of the duties: - Whether the holder of the authority may call was asked of the lease's clock, not of the lease that the claim hangs on. A gateway that hears that its lease is gone gets the next one after 200 ms, and looks at its claim every 300 ms: for up to 100 ms it called under the old fence, on the next lease's clock, though another gateway may hold the authority by then. - A decision without an answer that the store carries out seconds later asked only that its window has none. Decisions of closed windows are deleted, so that it came back with other counts, opened the window again, and the next holder told it a second time. - An order of a role asked after its report whether some claim is held, not its own.

Ruled out: keeping decisions longer (how late a write may be has no bound); a remembered revision of the holder's own last decision (a store that numbers it otherwise would block the reports).

Change: the claim remembers its lease, and the keeper says whether that one is held and valid. Each decision also compares the key that every decision writes.

--- a/crates/authority/src/lease.rs
+++ b/crates/authority/src/lease.rs
@@ -127,6 +127,12 @@
         self.clock
     }
 
+    /// Whether what hangs on a lease may be acted on at `now`: it is the lease that is held, and valid.
+    /// The clock alone may count for a later lease, which was granted after this one had lapsed.
+    pub fn is_valid(&self, lease: Lease, now: Timestamp) -> bool {
+        self.lease == Some(lease) && self.clock.is_valid(now)
+    }
+
     /// The next action after an event.
     pub fn step(&mut self, now: Timestamp, event: LeaseEvent) -> LeaseAction {
         match event {
--- a/crates/authority/tests/counterexamples.rs
+++ b/crates/authority/tests/counterexamples.rs
@@ -308,6 +308,23 @@
     assert!(!keeper.clock().is_valid(at(5_000)));
 }
 
+/// NO_LEASE_OF_CLAIM of `spec/duties.pml`: what hangs on a lapsed lease does not stand again with the next.
+#[test]
+fn the_next_lease_does_not_count_for_a_lapsed_one() {
+    let mut keeper = LeaseKeeper::new(TIMING);
+    granted(&mut keeper, at(0), Lease(7));
+    assert!(keeper.is_valid(Lease(7), at(4_999)));
+    assert!(!keeper.is_valid(Lease(7), at(5_000)));
+    assert_eq!(
+        keeper.step(at(8_000), LeaseEvent::Tick),
+        LeaseAction::Renew(Lease(7))
+    );
+    keeper.step(at(8_010), LeaseEvent::Lapsed);
+    granted(&mut keeper, at(8_200), Lease(8));
+    assert!(keeper.is_valid(Lease(8), at(8_300)));
+    assert!(!keeper.is_valid(Lease(7), at(8_300)));
+}
+
 #[test]
 fn a_lost_grant_is_asked_for_again_and_a_lost_renewal_keeps_the_lease() {
     let mut keeper = LeaseKeeper::new(TIMING);
--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -37,6 +37,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Held {
     epoch: Epoch,
+    /// The lease that it hangs on; a later one does not count for it.
+    lease: Lease,
     since: Timestamp,
     /// Whether nobody held the authority before, so that nothing can be under way.
     is_first: bool,
@@ -64,7 +66,7 @@
         let held = (*self.held.lock())?;
         let pause = shared.settings.read().takeover_pause();
         let settled = held.is_first || now.since(held.since) >= pause;
-        (settled && self.lease.clock().is_valid(now)).then_some(held.epoch)
+        (settled && self.lease.is_valid(held.lease, now)).then_some(held.epoch)
     }
 
     /// Holds or seeks the authority until the gateway stops.
@@ -100,13 +102,15 @@
             lease.set_wanted(false);
             return;
         }
-        let event = self.observe();
+        let (record, own) = self.observe();
+        let event = ClaimEvent::Observed { record, lease: own };
         let action = self.claim.step(now, event);
         lease.set_wanted(self.claim.needs_lease(now));
         match action {
             ClaimAction::Create(lease) => self.create_claim(lease).await,
-            ClaimAction::Acquired(epoch) => self.set_held(Some(Held {
+            ClaimAction::Acquired(epoch) => self.set_held(own.map(|lease| Held {
                 epoch,
+                lease,
                 since: now,
                 is_first: self.is_first(epoch),
             })),
@@ -115,7 +119,8 @@
         }
     }
 
-    fn observe(&self) -> ClaimEvent {
+    /// The claim as it stands, and the lease that this gateway holds.
+    fn observe(&self) -> (Option<ClaimRecord>, Option<Lease>) {
         let lease = self.authority.lease.held();
         let mirror = self.shared.mirror.lock();
         let record = mirror.get(authority_claim::KEY).and_then(|item| {
@@ -125,7 +130,7 @@
                 epoch: Epoch(item.created),
             })
         });
-        ClaimEvent::Observed { record, lease }
+        (record, lease)
     }
 
     fn is_first(&self, Epoch(epoch): Epoch) -> bool {
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tansyhall_authority::{Lease, LeaseAction, LeaseClock, LeaseEvent, LeaseKeeper, LeaseTiming};
+use tansyhall_authority::{Lease, LeaseAction, LeaseEvent, LeaseKeeper, LeaseTiming};
+use tansyhall_core::Timestamp;
 use tansyhall_store::{KeyValueStore, LeaseId, StoreError};
 use tokio::time::sleep;
 
@@ -57,9 +58,9 @@
         self.keeper.lock().lease()
     }
 
-    /// Whether it may still be relied on.
-    pub fn clock(&self) -> LeaseClock {
-        self.keeper.lock().clock()
+    /// Whether what hangs on this lease may be acted on: it is still the one that is held, and valid.
+    pub fn is_valid(&self, lease: Lease, now: Timestamp) -> bool {
+        self.keeper.lock().is_valid(lease, now)
     }
 
     /// Keeps the lease until the gateway stops, then gives it up.
--- a/crates/gateway/src/role_orders.rs
+++ b/crates/gateway/src/role_orders.rs
@@ -203,7 +203,8 @@
         else {
             return;
         };
-        if busy || present == Some(role) || self.authority.fence(&self.shared).is_none() {
+        if busy || present == Some(role) || self.authority.fence(&self.shared) != Some(Epoch(fence))
+        {
             return;
         }
         let order = RoleOrder {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -138,7 +138,12 @@
     actix_rt::spawn(workers);
 }
 
-fn share(settings: GatewaySettings, adapter: &Adapter, log: Arc<EventLog>) -> Result<Arc<Shared>> {
+/// What the tasks of a gateway share, before the store was read.
+pub fn share(
+    settings: GatewaySettings,
+    adapter: &Adapter,
+    log: Arc<EventLog>,
+) -> Result<Arc<Shared>> {
     let clock = MonotonicClock::start();
     let gateway = GatewayKey::of(&settings.node.name, rand::random());
     let mut directory = Directory::new(gateway);
--- a/crates/gateway/src/usage/reporter.rs
+++ b/crates/gateway/src/usage/reporter.rs
@@ -1,8 +1,10 @@
 //! Decides what is reported of each window, and reports it, while this gateway holds the authority.
 //!
-//! What is reported is written to the store first, under the condition that the claim still stands and
-//! that nothing was decided for the window. Whoever sends the report, then or again, sends what stands
-//! there, so that no window is told twice with different counts.
+//! What is reported is written to the store first, under the condition that the claim still stands, that
+//! nothing was decided for the window, and that nothing was decided since: decisions that are over are
+//! deleted, and one that the store carries out late must not find its window undecided again. Whoever
+//! sends the report, then or again, sends what stands there, so that no window is told twice with
+//! different counts.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -43,6 +45,7 @@
         calls,
         known: KnownReports::default(),
         decided: BTreeMap::new(),
+        closed_at: None,
     };
     while !reporter.shared.is_stopping() {
         sleep(PACE).await;
@@ -57,6 +60,8 @@
     known: KnownReports,
     /// What was decided of the windows that the store still has.
     decided: BTreeMap<WindowNumber, TenantCounts>,
+    /// When the last closed window was last written, which each decision does, by the copy of the store.
+    closed_at: Option<Revision>,
 }
 
 impl Reporter {
@@ -93,7 +98,9 @@
     /// Takes in what the copy of the store says of earlier reports.
     fn learn(&mut self) {
         let mirror = self.shared.mirror.lock();
-        let closed = mirror.get(CLOSED_KEY).and_then(|item| number(&item.value));
+        let item = mirror.get(CLOSED_KEY);
+        let closed = item.and_then(|item| number(&item.value));
+        self.closed_at = item.map(|item| Revision(item.revision));
         self.known.closed_through = self.known.closed_through.max(closed);
         for (window, counts) in decided_in(&mirror) {
             self.decided.entry(window).or_insert(counts);
@@ -146,10 +153,15 @@
         }
         let oldest = usage.timing.oldest_open(time);
         operations.extend(rows.over_before(oldest).map(delete));
+        let none_since = match self.closed_at {
+            Some(revision) => Compare::ModifiedAt(CLOSED_KEY.into(), revision),
+            None => Compare::Absent(CLOSED_KEY.into()),
+        };
         let transaction = Transaction {
             compare: vec![
                 Compare::ModifiedAt(authority_claim::KEY.into(), Revision(epoch.0)),
                 Compare::Absent(report_key(window)),
+                none_since,
             ],
             operations: bounded(operations),
         };
