Silent connections to workers and silent callers end no later than they must

Cause, three faults: - Each kept connection that had gone silent cost a request of its own. A repeatable request that met one at each of its two workers was lost. - A repeatable answer that went silent after its head was waited for until the deadline, though another worker could have answered. - A part of a stream waited without limit for a caller that took nothing more; its worker was held for ever.

Ruled out: to try no kept connection at all after a failure (new connections have a price); to give up all kept connections at each silence (those that have brought something meanwhile are good, and under overload there are many silences).

Change: a send that is silent for the time after which another worker may try closes the kept connections that have brought nothing for as long; the same in the middle of an answer. Held answers that are silent go elsewhere where the request may. Parts wait for the caller until the deadline.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -103,6 +103,8 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     usable_until: Timestamp,
+    /// When it came up or brought the head of its last answer.
+    heard: Timestamp,
     answers: u32,
     _open: OpenCount,
 }
@@ -184,6 +186,16 @@
         });
     }
 
+    /// Closes kept connections, to whatever worker, that have brought nothing for so long. Connections go
+    /// silent together: if one has, each of the others would cost a request of its own.
+    pub fn give_up_unheard_for(&self, silence: Duration) {
+        let now = self.clock.now();
+        for pool in self.pools.lock().values_mut() {
+            pool.idle
+                .retain(|connection| now.since(connection.heard) < silence);
+        }
+    }
+
     fn take_idle(&self, worker: &WorkerId) -> Option<Connection> {
         let now = self.clock.now();
         let mut pools = self.pools.lock();
@@ -217,6 +229,7 @@
         Ok(Connection {
             sender,
             usable_until: self.clock.now() + DEFAULT_IDLE,
+            heard: self.clock.now(),
             answers: 0,
             _open: open,
         })
@@ -250,6 +263,7 @@
         let (head, incoming) = response.into_parts();
         let headers = header_list(&head.headers);
         let answers_before = connection.answers;
+        connection.heard = self.clock.now();
         connection.answers += 1;
         let returning = self.keep_until(&headers).map(|usable_until| {
             connection.usable_until = usable_until;
--- a/crates/gateway/src/exchange/deliver.rs
+++ b/crates/gateway/src/exchange/deliver.rs
@@ -26,10 +26,14 @@
 
 impl Exchange {
     /// Keeps a worker's own failure for the caller.
-    pub(super) async fn keep_error(&mut self, mut answer: WorkerAnswer) -> RequestEvent {
+    pub(super) async fn keep_error(
+        &mut self,
+        mut answer: WorkerAnswer,
+        silence: Option<Duration>,
+    ) -> RequestEvent {
         let mut body = BytesMut::new();
         loop {
-            match self.next_bytes(&mut answer, self.deadline()).await {
+            match self.next_held(&mut answer, silence).await {
                 NextBytes::Bytes(bytes) if body.len() + bytes.len() <= MAX_HELD_BYTES => {
                     body.extend_from_slice(&bytes);
                 }
@@ -43,11 +47,16 @@
     }
 
     /// Delivers an answer that is no stream: at once when it is whole, or part by part when it is
-    /// too long to be held.
-    pub(super) async fn deliver_whole(&mut self, mut answer: WorkerAnswer) -> RequestEvent {
+    /// too long to be held. One that says nothing for the time of `silence` may come from another
+    /// worker.
+    pub(super) async fn deliver_whole(
+        &mut self,
+        mut answer: WorkerAnswer,
+        silence: Option<Duration>,
+    ) -> RequestEvent {
         let mut held = BytesMut::new();
         loop {
-            match self.next_bytes(&mut answer, self.deadline()).await {
+            match self.next_held(&mut answer, silence).await {
                 NextBytes::Bytes(bytes) => held.extend_from_slice(&bytes),
                 NextBytes::End => {
                     let head = head_of(answer.status, answer.headers);
@@ -85,7 +94,7 @@
         self.begin_answer(Answer::Streamed(head));
         let mut part = first;
         loop {
-            if !part.is_empty() && !self.sink.part(part).await {
+            if !part.is_empty() && !self.pass_on(part).await {
                 return RequestEvent::BrokenOff(None);
             }
             part = match self.next_bytes(&mut answer, self.deadline()).await {
@@ -106,9 +115,7 @@
         let mut framer = EventFramer::default();
         let mut last_event: Option<EventId> = None;
         loop {
-            let silence = Instant::now() + STREAM_SILENCE;
-            let limit = silence.min(self.deadline());
-            let bytes = match self.next_bytes(&mut answer, limit).await {
+            let bytes = match self.next_within(&mut answer, STREAM_SILENCE).await {
                 NextBytes::Bytes(bytes) => {
                     self.count_usage(self.shared.now());
                     bytes
@@ -117,9 +124,7 @@
                     self.sink.end().await;
                     return RequestEvent::Completed;
                 }
-                NextBytes::DeadlinePassed if self.time_left().is_zero() => {
-                    return RequestEvent::DeadlinePassed;
-                }
+                NextBytes::DeadlinePassed => return RequestEvent::DeadlinePassed,
                 _ if self.sink.has_begun() => return RequestEvent::BrokenOff(last_event),
                 _ => return failed(SendFailure::MayHaveRun),
             };
@@ -134,9 +139,42 @@
                 self.begin_answer(Answer::Streamed(head));
             }
             last_event = events.last_id.or(last_event);
-            if !self.sink.part(Bytes::from(events.bytes)).await {
-                return RequestEvent::BrokenOff(last_event);
+            if !self.pass_on(Bytes::from(events.bytes)).await {
+                return match self.time_left().is_zero() {
+                    true => RequestEvent::DeadlinePassed,
+                    false => RequestEvent::BrokenOff(last_event),
+                };
+            }
+        }
+    }
+
+    /// Passes a part on to the caller. One that has gone silent takes nothing more, and would hold its
+    /// worker for ever: at the deadline, its request is over.
+    async fn pass_on(&self, part: Bytes) -> bool {
+        let taken = timeout_at(self.deadline(), self.sink.part(part)).await;
+        taken.unwrap_or(false)
+    }
+
+    /// The next bytes of an answer that is held; one that is silent for too long is broken if the request
+    /// may go elsewhere.
+    async fn next_held(&self, answer: &mut WorkerAnswer, silence: Option<Duration>) -> NextBytes {
+        let may_retry = self.retries_left(self.shared.now()) > 0;
+        match silence.filter(|_| may_retry) {
+            Some(silence) => self.next_within(answer, silence).await,
+            None => self.next_bytes(answer, self.deadline()).await,
+        }
+    }
+
+    /// The next bytes, if they come within this time: a connection that goes silent in the middle of an answer
+    /// says nothing of it.
+    async fn next_within(&self, answer: &mut WorkerAnswer, silence: Duration) -> NextBytes {
+        let limit = (Instant::now() + silence).min(self.deadline());
+        match self.next_bytes(answer, limit).await {
+            NextBytes::DeadlinePassed if !self.time_left().is_zero() => {
+                self.shared.connections.give_up_unheard_for(silence);
+                NextBytes::Broken
             }
+            next => next,
         }
     }
 
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -237,9 +237,14 @@
 
     /// The moment at which a worker that has said nothing is given up.
     fn silence_limit(&self, guard: &SendGuard) -> Instant {
+        Instant::now() + self.longest_silence(guard)
+    }
+
+    /// How long a worker that says nothing is waited for where another may try.
+    fn longest_silence(&self, guard: &SendGuard) -> Duration {
         let usual = self.route().latency_objective * SILENCE_FACTOR;
         let expected = guard.expected() * EXPECTED_FACTOR;
-        Instant::now() + usual.max(expected)
+        usual.max(expected)
     }
 
     fn worker_request(&self, worker: &Worker, work: Work, guard: &SendGuard) -> WorkerRequest {
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -1,9 +1,11 @@
 //! Sending a request to a worker and judging the head of its answer.
 
+use std::time::Duration;
+
 use tansyhall_forwarding::{
     EventId, Need, PromptHandle, RequestEvent, SendFailure, SendResult, WorkerId,
 };
-use tokio::time::timeout_at;
+use tokio::time::{timeout_at, Instant};
 
 use super::{failed, Exchange};
 use crate::connections::{SendError, WorkerAnswer};
@@ -40,11 +42,16 @@
         let connections = self.shared.connections.clone();
         let mut sending = std::pin::pin!(connections.send(&destination, &request));
         let deadline = self.deadline();
-        let silence = self.silence_limit(&guard);
+        let silence = self.longest_silence(&guard);
+        let silent_at = Instant::now() + silence;
         let mut sent = None;
-        if !patient && silence < deadline {
-            sent = timeout_at(silence, &mut sending).await.ok();
-            if sent.is_none() && self.retries_left(self.shared.now()) > 0 {
+        if silent_at < deadline {
+            sent = timeout_at(silent_at, &mut sending).await.ok();
+            if sent.is_none() {
+                self.shared.connections.give_up_unheard_for(silence);
+            }
+            let leaves = !patient && self.retries_left(self.shared.now()) > 0;
+            if sent.is_none() && leaves {
                 guard.ended(SendResult::Abandoned { silent: true }, "silent too long");
                 return failed(SendFailure::MayHaveRun);
             }
@@ -59,7 +66,10 @@
         }
         match sent {
             None => RequestEvent::DeadlinePassed,
-            Some(Ok(answer)) => self.judge(answer, guard).await,
+            Some(Ok(answer)) => {
+                let silence = (!patient).then_some(silence);
+                self.judge(answer, guard, silence).await
+            }
             Some(Err(SendError::NotSent(reason))) => {
                 guard.ended(result_of(&reason), reason.to_string());
                 failed(SendFailure::NotSent)
@@ -71,7 +81,12 @@
         }
     }
 
-    async fn judge(&mut self, answer: WorkerAnswer, mut guard: SendGuard) -> RequestEvent {
+    async fn judge(
+        &mut self,
+        answer: WorkerAnswer,
+        mut guard: SendGuard,
+        silence: Option<Duration>,
+    ) -> RequestEvent {
         let protocol = &self.shared.protocol;
         let kind = protocol.answer_kind(answer.status, &answer.headers, &self.request.terms);
         let detail = format!("status {}", answer.status);
@@ -96,7 +111,7 @@
                     self.count_usage(guard.began());
                 }
                 guard.ended(SendResult::Failed, detail);
-                self.keep_error(answer).await
+                self.keep_error(answer, silence).await
             }
             AnswerKind::Success => {
                 self.unused_handle = None;
@@ -105,7 +120,7 @@
                     true => self.deliver_stream(answer).await,
                     false => {
                         self.count_usage(guard.began());
-                        self.deliver_whole(answer).await
+                        self.deliver_whole(answer, silence).await
                     }
                 };
                 if !matches!(
