Callers' connections that take nothing for ten seconds are ended

Cause: while bytes wait to be taken by a caller, the server looks at nothing else of its connection. A caller that went silent in the middle of an answer kept its socket and the rest of the answer for good.

Ruled out: the server's keep-alive and its time for a request's head, which only count between requests; a limit for a whole answer, which would cut slow callers that read.

Change: TCP's user time-out on accepted connections. It also ends connections whose peer acknowledges, and takes nothing.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,5 +1,6 @@
 //! Wires a gateway and runs it until it is told to stop.
 
+use std::any::Any;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -11,10 +12,12 @@
 use actix_web::{web, App, HttpServer};
 use anyhow::{Context, Result};
 use parking_lot::{Mutex, RwLock};
+use socket2::SockRef;
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_forwarding::{Directory, GatewayKey, Mirror, PlacementLedger, RetryShares};
 use tansyhall_store::KeyValueStore;
 use tansyhall_usage::Source;
+use tokio::net::TcpStream;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -44,6 +47,10 @@
 const CALLER_IDLE: Duration = Duration::from_secs(75);
 /// Time for a request's head.
 const CALLER_HEAD: Duration = Duration::from_secs(10);
+/// Time after which a caller that takes nothing of what it is sent has left without a word. Only this ends
+/// its connection: while bytes wait to be taken, the server looks at nothing else. Callers wait 5 s at most
+/// as a rule, and one that reads slowly takes something now and then.
+const CALLER_TAKES_NOTHING: Duration = Duration::from_secs(10);
 /// New connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 /// Pause between two looks at what is under way.
@@ -200,6 +207,7 @@
     .keep_alive(CALLER_IDLE)
     .client_request_timeout(CALLER_HEAD)
     .h1_allow_half_closed(false)
+    .on_connect(|connection, _| end_if_nothing_is_taken(connection))
     .disable_signals()
     .bind(settings.listen.callers)
     .with_context(|| format!("listen.callers = {}", settings.listen.callers))?;
@@ -207,6 +215,16 @@
     Ok(())
 }
 
+fn end_if_nothing_is_taken(connection: &dyn Any) {
+    let Some(stream) = connection.downcast_ref::<TcpStream>() else {
+        return;
+    };
+    let limited = SockRef::from(stream).set_tcp_user_timeout(Some(CALLER_TAKES_NOTHING));
+    if let Err(error) = limited {
+        log::warn!("a silent caller will hold its connection: {error}");
+    }
+}
+
 fn serve_peers(shared: &Arc<Shared>, address: SocketAddr) -> Result<()> {
     let data = web::Data::new(Arc::clone(shared));
     let server = HttpServer::new(move || {
