Process tests of silent connections on each edge

A link can make the connections that are open silent for good, both ways and without a reset, while new ones pass.

--- a/crates/cli/tests/configuration_spread.rs
+++ b/crates/cli/tests/configuration_spread.rs
@@ -120,7 +120,7 @@
 #[actix_rt::test]
 async fn a_zone_cut_off_from_the_store_follows_another_zone() {
     let platform = standin(&["platform"]);
-    let link = Link::open(platform.address).await;
+    let link = Link::open(platform.address);
     let near = NodePlan {
         zone: "kalimati",
         platform: platform.address,
--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -7,6 +7,7 @@
 mod requests;
 mod roles;
 mod schedulers;
+mod silent_connections;
 mod stuttering;
 mod support;
 mod tenants;
--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -1,18 +1,20 @@
 //! A site of gateways, workers and a store.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::ops::Deref;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
 use serde_json::{json, Value};
+use tansyhall_gateway::authority_claim;
 use tansyhall_gateway::usage::{RowsMessage, ROWS_PREFIX};
 use tansyhall_platform_standin::{
     render, Behaviour, Operations, Operator, RoutePlan, ScalingPlan, Store, StoreDoor, TenantPlan,
     Worker, WorkerPlan, API_KEY, DEADLINE, PROMPT_PARTS, REQUEST_ID, SEAL, TENANT,
 };
-use tansyhall_testing::{eventually, gateway, get_metric, GatewayAddresses, GatewayProcess};
+use tansyhall_testing::{eventually, gateway, get_metric, GatewayAddresses, GatewayProcess, Link};
 use tansyhall_usage::Collection;
 use tokio::net::TcpStream;
 
@@ -22,11 +24,14 @@
 const FOREIGN_KEYS: usize = 130;
 /// Milliseconds that a new holder of the authority waits.
 const TAKEOVER_PAUSE_MS: u64 = 300;
-const HOST: &str = "site.example";
+/// The host of every route.
+pub const HOST: &str = "site.example";
 const ZONE: &str = "kalimati";
 const OTHER_ZONE: &str = "balkhu";
 /// Paths of routes.
 pub const REPEATABLE: &str = "/repeat/x";
+/// A repeatable request whose answer is expected soon.
+pub const SWIFT: &str = "/swift/x";
 /// A request that runs at most once.
 pub const AT_MOST_ONCE: &str = "/once/x";
 /// A stream that may be resumed.
@@ -36,6 +41,12 @@
 /// A prompt that is long enough to be read apart.
 const LONG_PROMPT_TOKENS: u64 = 8_000;
 const MODEL: &str = "/model/x";
+/// Milliseconds in which most requests should be answered.
+const OBJECTIVE_MS: u64 = 5_000;
+/// The same for swift ones.
+const SWIFT_OBJECTIVE_MS: u64 = 300;
+/// Where gateways announce themselves.
+const GATEWAYS_PREFIX: &str = "tansyhall/gateways/";
 
 /// A worker with its signature.
 pub struct SiteWorker {
@@ -99,6 +110,9 @@
     operator: Operator,
     version: Cell<u64>,
     takeover_pause_ms: u64,
+    /// The link of each gateway to the store, if there is one.
+    pub store_links: Vec<Link>,
+    has_store_links: bool,
     _directory: tempfile::TempDir,
 }
 
@@ -116,6 +130,20 @@
         workers: &[WorkerSpec],
         gateways: usize,
         takeover_pause_ms: u64,
+    ) -> Self {
+        Self::start_wired(workers, gateways, takeover_pause_ms, false).await
+    }
+
+    /// Starts a site whose gateways reach the store through a link each.
+    pub async fn start_with_store_links(workers: &[WorkerSpec], gateways: usize) -> Self {
+        Self::start_wired(workers, gateways, TAKEOVER_PAUSE_MS, true).await
+    }
+
+    async fn start_wired(
+        workers: &[WorkerSpec],
+        gateways: usize,
+        takeover_pause_ms: u64,
+        has_store_links: bool,
     ) -> Self {
         let store = Store::default();
         for number in 0..FOREIGN_KEYS {
@@ -137,6 +165,8 @@
             operator,
             version: Cell::new(1),
             takeover_pause_ms,
+            store_links: Vec::new(),
+            has_store_links,
             _directory: directory,
         };
         for number in 0..gateways {
@@ -163,8 +193,9 @@
         let door = self.store.open_door().expect("a free port");
         let addresses = GatewayAddresses::free();
         let name = format!("gateway-{number}");
+        let store = self.way_to_store(&door);
         let settings =
-            render(TEMPLATE, &self.fields(&name, &addresses, &door)).expect("a template");
+            render(TEMPLATE, &self.fields(&name, &addresses, store)).expect("a template");
         let settings = settings.replace(
             "metrics = \"127.0.0.1:9464\"",
             &format!("metrics = \"{}\"", addresses.metrics),
@@ -174,6 +205,77 @@
         self.doors.push(door);
     }
 
+    /// One more door of the store.
+    pub fn open_door(&self) -> StoreDoor {
+        self.store.open_door().expect("a free port")
+    }
+
+    /// Where a gateway reaches its door of the store.
+    fn way_to_store(&mut self, door: &StoreDoor) -> SocketAddr {
+        if !self.has_store_links {
+            return door.address;
+        }
+        let link = Link::open(door.address);
+        let entrance = link.entrance;
+        self.store_links.push(link);
+        entrance
+    }
+
+    /// Puts a link before each worker, and waits until the first gateway knows.
+    pub async fn link_workers(&self) -> Vec<Link> {
+        let link = |worker: &SiteWorker| {
+            let link = Link::open(worker.worker.address);
+            let key = format!("servers/{}", worker.worker.id);
+            let (entry, _) = self.store.get(&key).expect("the worker's entry");
+            let mut entry: Value = serde_json::from_slice(&entry).expect("JSON");
+            entry["address"] = json!(link.entrance.to_string());
+            self.store.put(&key, &entry);
+            link
+        };
+        let links = self.workers.iter().map(link).collect();
+        self.until_in_force(self.configure_next()).await;
+        links
+    }
+
+    /// Puts a link before the address at which each gateway hands out its copy of the store, and
+    /// waits until all know.
+    pub async fn link_gateways(&self) -> Vec<Link> {
+        let link = |gateway: &SiteGateway| {
+            let peers = gateway.addresses.peers.to_string();
+            let link = Link::open(gateway.addresses.peers);
+            let entrance = link.entrance.to_string();
+            for key in self.store.keys(GATEWAYS_PREFIX) {
+                let (entry, _) = self.store.get(&key).expect("the gateway's entry");
+                let entry = String::from_utf8(entry).expect("UTF-8");
+                if entry.starts_with(&peers) {
+                    let linked = entry.replacen(&peers, &entrance, 1);
+                    self.store.put_bytes(&key, linked.into_bytes());
+                }
+            }
+            link
+        };
+        let links = self.gateways.iter().map(link).collect();
+        self.until_in_force(self.configure_next()).await;
+        links
+    }
+
+    /// Waits until a configuration is in force at every gateway.
+    pub async fn until_in_force(&self, version: u64) {
+        for gateway in &self.gateways {
+            eventually("the configuration is in force", || async {
+                let known = gateway.metric("gateway_configuration_version").await?;
+                (known == version as f64).then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// The fence of the claim to the authority, if somebody has it.
+    pub fn authority_fence(&self) -> Option<u64> {
+        let (_, made) = self.store.get(authority_claim::KEY)?;
+        Some(made)
+    }
+
     /// Kills every gateway at once, and starts as many anew.
     pub fn restart_all_gateways(&mut self) {
         let count = self.gateways.len();
@@ -258,13 +360,7 @@
         let version = self.version.get() + 3;
         self.version.set(version);
         self.operator.configure_for(version, &routes(), tenants);
-        for gateway in &self.gateways {
-            eventually("the gateway has the configuration", || async {
-                let known = gateway.metric("gateway_configuration_version").await?;
-                (known == version as f64).then_some(())
-            })
-            .await;
-        }
+        self.until_in_force(version).await;
     }
 
     /// Puts the next configuration in force, with which workers of a service may be ordered.
@@ -334,8 +430,14 @@
         resumable,
         max_attempts,
         service,
+        objective_ms: OBJECTIVE_MS,
+    };
+    let swift = RoutePlan {
+        objective_ms: SWIFT_OBJECTIVE_MS,
+        ..route("swift", "/swift/", "idempotent", false, 2, "app")
     };
     vec![
+        swift,
         route("repeat", "/repeat/", "idempotent", false, 2, "app"),
         route("once", "/once/", "non_idempotent", false, 1, "app"),
         route("resume", "/resume/", "streaming", true, 2, "app"),
@@ -345,7 +447,7 @@
 }
 
 impl Site {
-    fn fields(&self, name: &str, addresses: &GatewayAddresses, door: &StoreDoor) -> Value {
+    fn fields(&self, name: &str, addresses: &GatewayAddresses, store: SocketAddr) -> Value {
         json!({
             "node": name,
             "zone": ZONE,
@@ -358,7 +460,7 @@
             },
             "port_range": [addresses.metrics.port(), addresses.load.port()],
             "seeds": [],
-            "provider": { "address": door.address.to_string() },
+            "provider": { "address": store.to_string() },
             "cloud": { "address": self.operations.address.to_string() },
             "bounds": {
                 "retry_budget_ratio": 0.2,
