Orders of workers that were left unanswered are not followed by others at once

Cause: an order that isn't answered may be carried out seconds later. A newer order of the same holder has the same fence, so the late one undid it.

Ruled out: a higher fence for each order, as the fence is the claim's revision and all duties share it, and where no fence is required nothing compares it; to send the newer order at once and repeat it later, as the workers that the late one takes away meanwhile have to start anew.

Change: for six seconds after an order that wasn't answered, its subject is ordered the same number or none.

Measured: an_order_that_is_carried_out_late_never_contradicts_a_newer_one failed before (17 was carried out after 4) and passes.

--- a/crates/cli/tests/gateway_platform/worker_orders.rs
+++ b/crates/cli/tests/gateway_platform/worker_orders.rs
@@ -13,9 +13,13 @@
 const ZONE: &str = "kalimati";
 
 fn scaling() -> ScalingPlan {
+    scaling_up_to(40)
+}
+
+fn scaling_up_to(most: u32) -> ScalingPlan {
     ScalingPlan {
         service: "llm",
-        limits: (1, 40),
+        limits: (1, most),
         zone_prices: vec![(ZONE, 1.0)],
     }
 }
@@ -76,3 +80,67 @@
     .await;
     assert!(site.operations.scale().is_empty());
 }
+
+/// Milliseconds after which an order that was left unanswered is carried out.
+const LATE_MS: u64 = 3_000;
+/// The most workers of a zone by the later configuration.
+const FEWER: u32 = 14;
+
+/// Orders of one holder and kind that were carried out after a newer one with another number.
+fn contradictions(calls: &[ScaleCall]) -> Vec<(&ScaleCall, &ScaleCall)> {
+    let pairs = calls.iter().enumerate().flat_map(|(index, first)| {
+        let later = calls[index + 1..].iter();
+        later.map(move |second| (first, second))
+    });
+    let contradicts = |(first, second): &(&ScaleCall, &ScaleCall)| {
+        let same = first.holder == second.holder && first.spot == second.spot;
+        same && first.received > second.received && first.desired != second.desired
+    };
+    pairs.filter(contradicts).collect()
+}
+
+#[actix_rt::test]
+async fn an_order_that_is_carried_out_late_never_contradicts_a_newer_one() {
+    let site = Site::start(&[RESERVED; WORKERS], 2).await;
+    site.operations
+        .set_fault(OperationsFault::Late { after_ms: LATE_MS });
+    site.configure_scaling(&scaling());
+    eventually("an order is left unanswered", || async {
+        (site.operations.orders_under_way() > 0).then_some(())
+    })
+    .await;
+    site.operations.set_fault(OperationsFault::None);
+    site.configure_scaling(&scaling_up_to(FEWER));
+    eventually("the newer order is carried out", || async {
+        let last = desired(&site, true).last().copied()?;
+        (site.operations.orders_under_way() == 0 && last < FEWER).then_some(())
+    })
+    .await;
+    let calls = site.operations.scale();
+    assert!(contradictions(&calls).is_empty(), "{calls:#?}");
+    let late = calls.iter().filter(|call| call.desired == SPOT);
+    assert!(late.count() > 0, "no order was carried out late");
+}
+
+#[actix_rt::test]
+async fn an_order_that_is_carried_out_late_is_told_again_until_it_is_answered() {
+    let site = Site::start(&[RESERVED; WORKERS], 2).await;
+    site.operations
+        .set_fault(OperationsFault::Late { after_ms: LATE_MS });
+    site.configure_scaling(&scaling());
+    eventually("an order is left unanswered", || async {
+        (site.operations.orders_under_way() > 0).then_some(())
+    })
+    .await;
+    site.operations.set_fault(OperationsFault::None);
+    eventually("all are carried out", || async {
+        let ordered = desired(&site, true);
+        (site.operations.orders_under_way() == 0 && ordered.len() > 1).then_some(())
+    })
+    .await;
+    let ordered = desired(&site, true);
+    assert!(
+        ordered.iter().all(|desired| *desired == SPOT),
+        "{ordered:?}"
+    );
+}
--- a/crates/gateway/src/worker_orders.rs
+++ b/crates/gateway/src/worker_orders.rs
@@ -2,7 +2,9 @@
 //!
 //! [`balance_workers`] says what is wanted; an order is sent where that is not what serves, and repeated
 //! after the time in which ordered workers start. Orders name the whole number, so that one which is
-//! carried out twice or by the next holder changes nothing. How many the operator planned stands in the
+//! carried out twice or by the next holder changes nothing. One that was left unanswered may be carried out
+//! after a newer one, which it would undo, as both have the same fence: another number is ordered only when
+//! that is over. How many the operator planned stands in the
 //! store, so that a new holder does not take a zone that was just withdrawn for the fleet's size.
 
 use std::collections::{BTreeMap, HashMap};
@@ -36,6 +38,9 @@
 /// Time beyond a worker's start after which an order that changed nothing is sent again: two writes of the
 /// worker's entry.
 const NOTICE: Duration = Duration::from_secs(2);
+/// Time in which an order that was left unanswered is carried out, if it ever is: twice what a new holder of
+/// the authority waits as a rule.
+const LATENESS: Duration = Duration::from_secs(6);
 /// Time after which spot workers are asked for again where there were none,
 const FIRST_ABSENCE: Duration = Duration::from_secs(2);
 /// and the longest such time; each refusal doubles it.
@@ -66,6 +71,13 @@
     at: Timestamp,
 }
 
+/// An order that may still be carried out.
+#[derive(Debug, Clone, Copy)]
+struct Unanswered {
+    desired: u32,
+    until: Timestamp,
+}
+
 /// Spot workers that a zone did not have.
 #[derive(Debug, Clone, Copy)]
 struct Absence {
@@ -84,6 +96,7 @@
         store,
         calls,
         ordered: HashMap::new(),
+        unanswered: HashMap::new(),
         absences: HashMap::new(),
         asked: HashMap::new(),
         allowance,
@@ -117,6 +130,7 @@
     store: Rc<dyn KeyValueStore>,
     calls: DutyCalls,
     ordered: HashMap<Subject, Ordered>,
+    unanswered: HashMap<Subject, Unanswered>,
     absences: HashMap<Subject, Absence>,
     /// Engines of each service that what is asked kept busy lately, and how many count as needed.
     asked: HashMap<ServiceName, Asked>,
@@ -340,6 +354,9 @@
     }
 
     fn is_due(&self, order: &WorkerOrder, start: Duration) -> bool {
+        if self.may_be_undone(order) {
+            return false;
+        }
         let ordered = self.ordered.get(&subject_of(order));
         ordered.is_none_or(|ordered| {
             let waited = self.shared.now().since(ordered.at);
@@ -347,7 +364,18 @@
         })
     }
 
+    /// Whether an earlier order with another number may be carried out after this one.
+    fn may_be_undone(&self, order: &WorkerOrder) -> bool {
+        let earlier = self.unanswered.get(&subject_of(order));
+        earlier.is_some_and(|earlier| {
+            earlier.desired != order.desired && self.shared.now() < earlier.until
+        })
+    }
+
     async fn order(&mut self, epoch: Epoch, order: WorkerOrder, needed: u32) {
+        if self.may_be_undone(&order) {
+            return;
+        }
         let Some(outcome) = self.calls.order_workers(epoch, &order).await else {
             return;
         };
@@ -361,7 +389,13 @@
             }
             (DutyOutcome::Refused(_), WorkerKind::Spot) => self.note_absence(now, subject),
             (DutyOutcome::Refused(_), WorkerKind::Reserved) => self.calls.stop_using(epoch),
-            (DutyOutcome::NotDone(_) | DutyOutcome::Unknown(_), _) => {}
+            (DutyOutcome::Unknown(_), _) => {
+                let desired = order.desired;
+                let until = now + LATENESS;
+                self.unanswered
+                    .insert(subject, Unanswered { desired, until });
+            }
+            (DutyOutcome::NotDone(_), _) => {}
         }
         self.record(&order, needed, &outcome);
     }
