--- a/crates/gateway/src/worker_orders.rs
+++ b/crates/gateway/src/worker_orders.rs
@@ -4,8 +4,8 @@
 //! after the time in which ordered workers start. Orders name the whole number, so that one which is
 //! carried out twice or by the next holder changes nothing. One that was left unanswered may be carried out
 //! after a newer one, which it would undo, as both have the same fence: another number is ordered only when
-//! that is over. How many the operator planned stands in the
-//! store, so that a new holder does not take a zone that was just withdrawn for the fleet's size.
+//! that is over. How many the operator planned stands in the store, so that a new holder does not take a
+//! zone that was just withdrawn for the fleet's size.
 
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
