--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -24,6 +24,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Until when it may rest.
     pub usable_until: Timestamp,
+    /// When it came up or brought the head of its last answer.
+    pub heard: Timestamp,
     /// What it has carried.
     pub carried: CarriedIds,
     _open: OpenCount,
@@ -41,10 +43,11 @@
 
 impl Connection {
     /// A connection that has carried nothing.
-    pub fn new(sender: SendRequest<Full<Bytes>>, open: OpenCount) -> Self {
+    pub fn new(sender: SendRequest<Full<Bytes>>, open: OpenCount, now: Timestamp) -> Self {
         Self {
             sender,
             usable_until: Timestamp::default(),
+            heard: now,
             carried: CarriedIds::default(),
             _open: open,
         }
@@ -106,6 +109,12 @@
         self.idle.clear();
     }
 
+    /// Closes connections that have brought nothing for so long.
+    pub fn give_up_unheard_for(&mut self, silence: Duration, now: Timestamp) {
+        self.idle
+            .retain(|connection| now.since(connection.heard) < silence);
+    }
+
     /// Closes connections that have rested too long.
     pub fn prune(&mut self, now: Timestamp) {
         self.idle.retain(|connection| connection.is_usable(now));
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -152,6 +152,15 @@
         });
     }
 
+    /// Closes kept connections, to whatever worker, that have brought nothing for so long. Connections go
+    /// silent together: if one has, each of the others would cost a request of its own.
+    pub fn give_up_unheard_for(&self, silence: Duration) {
+        let now = self.clock.now();
+        for pool in self.pools.lock().values_mut() {
+            pool.give_up_unheard_for(silence, now);
+        }
+    }
+
     fn take(&self, worker: &WorkerId, id: &str) -> Option<Connection> {
         let now = self.clock.now();
         self.pools.lock().get_mut(worker)?.take(now, id)
@@ -175,7 +184,7 @@
                 log::debug!("connection to a worker: {error}");
             }
         });
-        Ok(Connection::new(sender, open))
+        Ok(Connection::new(sender, open, self.clock.now()))
     }
 
     fn count_open(&self, destination: &Destination) -> Result<OpenCount, SendError> {
@@ -202,6 +211,7 @@
             }
         };
         let (head, incoming) = response.into_parts();
+        connection.heard = self.clock.now();
         let headers = header_list(&head.headers);
         let reason = head.extensions.get::<ReasonPhrase>();
         let answer = AnswerHead {
