Refusals for a tenant's share don't keep shares in force

Cause: what was refused for a share counted as asked for, so that its tenant seemed to be short of work and shares were worked out as if the service were still overloaded after others were refused no more.

Change: shares are worked out from what was taken or refused for overload.

--- a/crates/forwarding/src/directory/admission.rs
+++ b/crates/forwarding/src/directory/admission.rs
@@ -175,12 +175,10 @@
         let usual = self.usual_own.entry(demand.service.clone()).or_default();
         usual.record(plan.own_seconds);
         let usual = usual.seconds();
-        let tenant_part = self.tenant_patience(now, demand, asked);
+        let tenant_part = self.tenant_patience(now, demand);
         let limits = WaitLimits::new(objectives, usual, tenant_part);
         let admission = self.admit_plan(now, demand, objectives, plan, limits);
-        if let Admission::Taken { .. } = admission {
-            self.record_tenant_work(now, demand, asked);
-        }
+        self.record_tenant_work(now, demand, asked, &admission);
         admission
     }
 
--- a/crates/forwarding/src/directory/tenants.rs
+++ b/crates/forwarding/src/directory/tenants.rs
@@ -2,39 +2,30 @@
 
 use tansyhall_core::{ServiceName, Timestamp};
 
+use super::admission::{Admission, RefusalCause};
 use super::choice::Demand;
 use super::demand::AskedSeconds;
 use super::Directory;
-use crate::tenant_shares::{TenantKey, TenantShares};
+use crate::tenant_shares::{TenantKey, TenantShares, WorkOutcome};
 
 impl Directory {
-    /// A request asks for work: the part of the usual wait for which it may wait.
-    pub(super) fn tenant_patience(
-        &mut self,
-        now: Timestamp,
-        demand: Demand<'_>,
-        asked: AskedSeconds,
-    ) -> f64 {
-        let seconds = self.engine_seconds(demand.service, asked);
-        let Some((shares, tenant)) = self.shares_of(demand) else {
-            return 1.0;
-        };
-        // What was asked before is decided on: this request would count as not taken.
-        let part = shares.patience_part(now, tenant);
-        shares.record_asked(now, tenant, seconds);
-        part
+    /// The part of the usual wait for which a request may wait.
+    pub(super) fn tenant_patience(&mut self, now: Timestamp, demand: Demand<'_>) -> f64 {
+        let shares = self.shares_of(demand);
+        shares.map_or(1.0, |(shares, tenant)| shares.patience_part(now, tenant))
     }
 
-    /// What a request asked for is taken.
+    /// Counts what a request asked for, and what became of it.
     pub(super) fn record_tenant_work(
         &mut self,
         now: Timestamp,
         demand: Demand<'_>,
         asked: AskedSeconds,
+        admission: &Admission,
     ) {
         let seconds = self.engine_seconds(demand.service, asked);
         if let Some((shares, tenant)) = self.shares_of(demand) {
-            shares.record_taken(now, tenant, seconds);
+            shares.record(now, tenant, seconds, outcome(admission));
         }
     }
 
@@ -51,3 +42,13 @@
         asked.of_engines(slots)
     }
 }
+
+fn outcome(admission: &Admission) -> WorkOutcome {
+    match admission {
+        Admission::Taken { .. } => WorkOutcome::Taken,
+        Admission::Refused { cause, .. } => match cause {
+            RefusalCause::Overload => WorkOutcome::RefusedForOverload,
+            RefusalCause::TenantShare => WorkOutcome::RefusedForShare,
+        },
+    }
+}
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -57,6 +57,6 @@
 pub use scheduler_plan::{SchedulerCandidate, SchedulerPlan};
 pub use selection::{affinity_part, prompt_tokens, Need, PromptPart};
 pub use stop_plan::StopPlan;
-pub use tenant_shares::{TenantKey, TenantShares};
+pub use tenant_shares::{TenantKey, TenantShares, WorkOutcome};
 pub use tenants::{ApiKey, KnownTenant, Tenant, TenantError, TenantTable};
 pub use worker::{Worker, WorkerId, WorkerKind, WorkerState};
--- a/crates/forwarding/src/tenant_shares.rs
+++ b/crates/forwarding/src/tenant_shares.rs
@@ -11,6 +11,8 @@
 //!   time, and engines have work all the same. Nothing is held back for anybody.
 //!
 //! As long as all that is asked is taken, each share is all that its tenant asks for, and nothing changes.
+//! What was refused for a tenant's share alone does not count as asked for when shares are worked out: shares
+//! hold for as long as requests are refused for overload beside them, and do not keep themselves in force.
 //!
 //! What was asked and taken is kept as rates that forget, by each gateway for the requests on whose
 //! admission it decides. Requests of no tenant are not counted.
@@ -49,10 +51,23 @@
     }
 }
 
+/// What became of work that was asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkOutcome {
+    /// It is taken.
+    Taken,
+    /// It would have waited too long, whoever asked for it.
+    RefusedForOverload,
+    /// It would have been taken, had its tenant not taken more than its share.
+    RefusedForShare,
+}
+
 /// What one tenant has asked for and got, in seconds of engines.
 #[derive(Debug, Clone, Copy, Default)]
 struct TenantWork {
     asked: Rate,
+    /// What was asked less what was refused for the tenant's share.
+    contending: Rate,
     taken: Rate,
 }
 
@@ -83,16 +98,22 @@
 }
 
 impl TenantShares {
-    /// A tenant asks for work.
-    pub fn record_asked(&mut self, now: Timestamp, tenant: TenantKey, seconds: f64) {
-        if let Some(work) = self.work(tenant) {
-            work.asked.record(now, seconds);
+    /// A tenant has asked for work; none is counted for tenants beyond the bound of the table.
+    pub fn record(
+        &mut self,
+        now: Timestamp,
+        tenant: TenantKey,
+        seconds: f64,
+        outcome: WorkOutcome,
+    ) {
+        let Some(work) = self.work(tenant) else {
+            return;
+        };
+        work.asked.record(now, seconds);
+        if outcome != WorkOutcome::RefusedForShare {
+            work.contending.record(now, seconds);
         }
-    }
-
-    /// Work that a tenant asked for is taken.
-    pub fn record_taken(&mut self, now: Timestamp, tenant: TenantKey, seconds: f64) {
-        if let Some(work) = self.work(tenant) {
+        if outcome == WorkOutcome::Taken {
             work.taken.record(now, seconds);
         }
     }
@@ -139,15 +160,17 @@
     fn weigh(&mut self, now: Timestamp) {
         self.tenants
             .retain(|_, work| micros(work.asked, now) >= FORGOTTEN_WORK);
-        let works = self.tenants.values();
-        let asked: Vec<u64> = works.map(|work| micros(work.asked, now)).collect();
-        let works = self.tenants.values();
-        let taken: u64 = works.map(|work| micros(work.taken, now)).sum();
-        let all_asked: u64 = asked.iter().sum();
-        self.weighed = match taken < all_asked {
+        let each = |rate: fn(&TenantWork) -> Rate| {
+            let works = self.tenants.values();
+            works.map(move |work| micros(rate(work), now))
+        };
+        let asked: u64 = each(|work| work.asked).sum();
+        let contending: Vec<u64> = each(|work| work.contending).collect();
+        let taken: u64 = each(|work| work.taken).sum();
+        self.weighed = match taken < contending.iter().sum() {
             true => Weighed {
-                fair_part: fair_part(taken, &asked) as f64,
-                taken_part: taken as f64 / all_asked as f64,
+                fair_part: fair_part(taken, &contending) as f64,
+                taken_part: taken as f64 / asked as f64,
             },
             false => Weighed::default(),
         };
