Fault soak: gateway processes on real sockets, judged from outside them

Cause: the incident of mixed answers shows only on real sockets, and no soak played the programs there. Change: a crate with workers that misbehave, links, callers, a schedule from a seed and judges, and the command tansyhall-lab fault-soak. Without tests and pages as yet.

--- /dev/null
+++ b/crates/fault-soak/src/episode.rs
@@ -0,0 +1,153 @@
+//! One episode: a site, a schedule of faults, callers, and the judges at the end.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use tempfile::TempDir;
+use tokio::time::sleep;
+
+use crate::caller::{call, CallerPlan};
+use crate::evidence::{Evidence, Outcome};
+use crate::faults::FaultCounts;
+use crate::judges::{judge, Violation};
+use crate::schedule::Schedule;
+use crate::site::{Site, WORKERS};
+use crate::worker::Notebook;
+
+/// Pause between two looks at whether an episode is over.
+const POLL: Duration = Duration::from_millis(50);
+/// How often such a look is taken before an episode with too few answers ends all the same.
+const MAX_POLLS: usize = 600;
+
+/// What an episode is.
+#[derive(Debug, Clone, Copy)]
+pub struct EpisodePlan {
+    /// The seed of its schedule, its callers and its workers.
+    pub seed: u64,
+    /// How long faults happen.
+    pub duration: Duration,
+    /// Gateway processes.
+    pub gateways: usize,
+    /// Callers.
+    pub callers: usize,
+    /// It goes on without new actions until callers have had this many whole successes.
+    pub least_successes: usize,
+}
+
+impl EpisodePlan {
+    /// A plan with this seed and duration.
+    pub fn new(seed: u64, duration: Duration) -> Self {
+        Self {
+            seed,
+            duration,
+            gateways: 3,
+            callers: 32,
+            least_successes: 100,
+        }
+    }
+}
+
+/// What came of an episode.
+pub struct Episode {
+    /// What it was.
+    pub plan: EpisodePlan,
+    /// Its schedule.
+    pub schedule: Schedule,
+    /// What was seen.
+    pub evidence: Evidence,
+    /// Faults that happened.
+    pub faults: FaultCounts,
+    /// Rules that were broken.
+    pub violations: Vec<Violation>,
+    /// The directory of the gateways' settings and logs.
+    pub logs: TempDir,
+}
+
+impl Episode {
+    /// Requests whose caller got a whole success.
+    pub fn successes(&self) -> usize {
+        successes(&self.evidence)
+    }
+}
+
+/// Runs an episode and judges it.
+pub async fn run_episode(plan: EpisodePlan) -> Result<Episode> {
+    let logs = tempfile::tempdir()?;
+    let schedule = Schedule::of_seed(plan.seed, WORKERS.len(), plan.duration);
+    let mixes = &schedule.first_mixes;
+    let site = Site::start(plan.gateways, mixes, plan.seed, logs.path()).await?;
+    let site = Rc::new(site);
+    let is_over = Rc::new(Cell::new(false));
+    let callers: Vec<_> = (0..plan.callers)
+        .map(|number| actix_rt::spawn(call(caller(&plan, number, &site, &is_over))))
+        .collect();
+    let actions = perform_all(&site, &schedule).await;
+    until_enough(site.notebook(), plan.least_successes).await;
+    is_over.set(true);
+    for task in callers {
+        task.await?;
+    }
+    for action in actions {
+        action.await??;
+    }
+    site.calm();
+    site.stop().await;
+    let (evidence, faults) = site.notebook().take();
+    let violations = judge(&evidence);
+    Ok(Episode {
+        plan,
+        schedule,
+        evidence,
+        faults,
+        violations,
+        logs,
+    })
+}
+
+fn caller(plan: &EpisodePlan, number: usize, site: &Site, is_over: &Rc<Cell<bool>>) -> CallerPlan {
+    CallerPlan {
+        number,
+        seed: plan.seed.wrapping_add(number as u64),
+        gateways: site.entrances(),
+        is_over: Rc::clone(is_over),
+        notebook: site.notebook().clone(),
+    }
+}
+
+type ActionTask = actix_rt::task::JoinHandle<Result<()>>;
+
+/// Begins every action at its time; they overlap.
+async fn perform_all(site: &Rc<Site>, schedule: &Schedule) -> Vec<ActionTask> {
+    let started = Instant::now();
+    let mut tasks = Vec::new();
+    for scheduled in &schedule.actions {
+        let at = Duration::from_millis(scheduled.at_ms);
+        sleep(at.saturating_sub(started.elapsed())).await;
+        let site = Rc::clone(site);
+        let action = scheduled.action.clone();
+        tasks.push(actix_rt::spawn(
+            async move { site.perform(action).await },
+        ));
+    }
+    tasks
+}
+
+async fn until_enough(notebook: &Notebook, least: usize) {
+    for _ in 0..MAX_POLLS {
+        let mut count = 0;
+        notebook.record(|evidence| count = successes(evidence));
+        if count >= least {
+            return;
+        }
+        sleep(POLL).await;
+    }
+}
+
+fn successes(evidence: &Evidence) -> usize {
+    let whole = evidence.sent.iter().filter(
+        |sent| matches!(&sent.outcome, Outcome::Answer(answer) if answer.is_success() && answer.is_whole),
+    );
+    whole.count()
+}
--- /dev/null
+++ b/crates/fault-soak/src/evidence.rs
@@ -0,0 +1,157 @@
+//! What callers and workers have seen in an episode. The judges read nothing else.
+
+use bytes::Bytes;
+use serde::{Serialize, Serializer};
+
+use crate::identity::{Mark, RequestKey};
+use crate::routes::RouteKind;
+
+/// All that was seen.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Evidence {
+    /// Requests as callers sent them, with what came back.
+    pub sent: Vec<Sent>,
+    /// Runs of requests at workers.
+    pub runs: Vec<Run>,
+    /// Prompts that workers read for other workers.
+    pub readings: Vec<Reading>,
+    /// Other calls that workers took.
+    pub calls: Vec<Call>,
+    /// Bytes on callers' connections on which no request was waiting.
+    pub stray: Vec<StrayBytes>,
+    /// Gateway processes that ended without having been stopped, and how.
+    pub ended: Vec<String>,
+}
+
+/// A request that a caller sent.
+#[derive(Debug, Clone, Serialize)]
+pub struct Sent {
+    /// What makes it this one.
+    pub key: RequestKey,
+    /// Its route.
+    pub route: RouteKind,
+    /// The headers that tell its model, its tokens and its prompt.
+    pub prompt: String,
+    /// The last event that the caller has already.
+    pub after_event: Option<u32>,
+    /// The gateway.
+    pub gateway: usize,
+    /// Milliseconds from the start of the episode.
+    pub at_ms: u64,
+    /// What came back.
+    pub outcome: Outcome,
+}
+
+/// What a caller got.
+#[derive(Debug, Clone, Serialize)]
+pub enum Outcome {
+    /// No head of an answer came.
+    NoAnswer {
+        /// Why not.
+        why: String,
+    },
+    /// Bytes came that are no answer.
+    Garbage {
+        /// The bytes.
+        bytes: String,
+    },
+    /// An answer, perhaps not whole.
+    Answer(CallerAnswer),
+}
+
+/// An answer as a caller got it.
+#[derive(Debug, Clone, Serialize)]
+pub struct CallerAnswer {
+    /// The status.
+    pub status: u16,
+    /// The request's id in its head.
+    pub id: Option<String>,
+    /// The worker's signature.
+    pub seal: Option<String>,
+    /// The body as far as it came.
+    #[serde(serialize_with = "as_text")]
+    pub body: Bytes,
+    /// Whether it ended as a whole body does.
+    pub is_whole: bool,
+}
+
+impl CallerAnswer {
+    /// Whether the status is one of success.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
+
+/// What a run answers.
+#[derive(Debug, Clone, Serialize)]
+pub enum RunBody {
+    /// This body.
+    Plain(#[serde(serialize_with = "as_text")] Bytes),
+    /// A stream whose last event has this number.
+    Stream {
+        /// The number.
+        last: u32,
+    },
+}
+
+/// A run of a request at a worker.
+#[derive(Debug, Clone, Serialize)]
+pub struct Run {
+    /// Its mark.
+    pub mark: Mark,
+    /// The method.
+    pub method: String,
+    /// The signature on its answer.
+    pub seal: String,
+    /// The headers that tell model, tokens and prompt.
+    pub prompt: String,
+    /// The last event that was not to be made again.
+    pub after_event: Option<u32>,
+    /// The KV cache that it goes on from.
+    pub cache_source: Option<String>,
+    /// Milliseconds from the start of the episode.
+    pub at_ms: u64,
+    /// The status of its answer.
+    pub status: u16,
+    /// The body of its answer.
+    pub body: RunBody,
+}
+
+/// A prompt that a worker read for another worker.
+#[derive(Debug, Clone, Serialize)]
+pub struct Reading {
+    /// `IP:PORT/HANDLE`, as the run that goes on from it names it.
+    pub place: String,
+    /// The request.
+    pub key: RequestKey,
+    /// Milliseconds from the start of the episode.
+    pub at_ms: u64,
+}
+
+/// Another call that a worker took.
+#[derive(Debug, Clone, Serialize)]
+pub struct Call {
+    /// The worker.
+    pub worker: String,
+    /// Method and path.
+    pub what: String,
+    /// The id it bore.
+    pub id: Option<String>,
+    /// Milliseconds from the start of the episode.
+    pub at_ms: u64,
+}
+
+/// Bytes that came on a caller's connection on which no request was waiting.
+#[derive(Debug, Clone, Serialize)]
+pub struct StrayBytes {
+    /// The gateway.
+    pub gateway: usize,
+    /// Milliseconds from the start of the episode.
+    pub at_ms: u64,
+    /// The bytes.
+    pub bytes: String,
+}
+
+fn as_text<S: Serializer>(bytes: &Bytes, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_str(&String::from_utf8_lossy(bytes))
+}
--- /dev/null
+++ b/crates/fault-soak/src/gateways.rs
@@ -0,0 +1,201 @@
+//! The gateway processes of an episode. Only these are signalled.
+
+use std::cell::{Cell, RefCell};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use serde_json::json;
+use tansyhall_platform_standin::{render, Store, StoreDoor};
+use tansyhall_testing::{gateway, GatewayAddresses, GatewayProcess};
+use tokio::time::sleep;
+
+use crate::link::Link;
+use crate::site::{LOCAL_ZONE, TAKEOVER_PAUSE_MS};
+
+/// The template that is deployed.
+const TEMPLATE: &str = include_str!("../../../deploy/node.toml");
+/// Seconds that a planned stop may take.
+const GRACE_S: u64 = 4;
+/// Pause between two looks at a process that stops.
+const EXIT_POLL: Duration = Duration::from_millis(50);
+
+/// A place for a gateway process, with its links.
+pub struct GatewaySlot {
+    /// Between callers and the gateway.
+    pub callers: Link,
+    /// Between the gateway and the store.
+    pub store: Link,
+    name: String,
+    directory: PathBuf,
+    operations: String,
+    process: RefCell<Option<GatewayProcess>>,
+    is_busy: Cell<bool>,
+    _door: StoreDoor,
+}
+
+impl GatewaySlot {
+    /// Starts a gateway.
+    pub async fn start(
+        number: usize,
+        store: &Store,
+        operations: String,
+        directory: &Path,
+    ) -> Result<Self> {
+        let door = store.open_door()?;
+        let slot = Self {
+            callers: Link::open(door.address).await?,
+            store: Link::open(door.address).await?,
+            name: format!("gateway-{number}"),
+            directory: directory.to_owned(),
+            operations,
+            process: RefCell::new(None),
+            is_busy: Cell::new(false),
+            _door: door,
+        };
+        slot.start_process().await?;
+        Ok(slot)
+    }
+
+    /// Where its process listens.
+    pub fn addresses(&self) -> Option<GatewayAddresses> {
+        self.process.borrow().as_ref().map(|p| p.addresses)
+    }
+
+    /// Freezes the process for a while. False if something else is done with it already.
+    pub async fn freeze(&self, time: Duration) -> bool {
+        let Some(_busy) = Busy::take(&self.is_busy) else {
+            return false;
+        };
+        self.signal("STOP");
+        sleep(time).await;
+        self.signal("CONT");
+        true
+    }
+
+    /// Kills the process and starts another; how it had ended by itself before, if it had.
+    pub async fn kill(&self) -> Result<Done> {
+        let Some(_busy) = Busy::take(&self.is_busy) else {
+            return Ok(Done::Busy);
+        };
+        let ended = self.ended();
+        let process = self.process.borrow_mut().take();
+        actix_rt::task::spawn_blocking(move || drop(process)).await?;
+        self.start_process().await?;
+        Ok(Done::Done(ended))
+    }
+
+    /// Stops the process as planned and starts another; the same.
+    pub async fn stop_and_start(&self) -> Result<Done> {
+        let Some(_busy) = Busy::take(&self.is_busy) else {
+            return Ok(Done::Busy);
+        };
+        let ended = self.ended();
+        self.signal("TERM");
+        self.until_ended().await;
+        self.process.borrow_mut().take();
+        self.start_process().await?;
+        Ok(Done::Done(ended))
+    }
+
+    /// Stops the process as planned, for good; the same.
+    pub async fn stop(&self) -> Option<String> {
+        let ended = self.ended();
+        self.signal("TERM");
+        self.until_ended().await;
+        self.process.borrow_mut().take();
+        ended
+    }
+
+    /// Whether the process has ended, though nobody stopped it, and how.
+    fn ended(&self) -> Option<String> {
+        let mut process = self.process.borrow_mut();
+        let status = process.as_mut()?.process.child.try_wait().ok()??;
+        Some(format!("{}: {status}", self.name))
+    }
+
+    async fn until_ended(&self) {
+        let polls = (GRACE_S + 1) * 1_000 / EXIT_POLL.as_millis() as u64;
+        for _ in 0..polls {
+            if self.ended().is_some() {
+                return;
+            }
+            sleep(EXIT_POLL).await;
+        }
+    }
+
+    fn signal(&self, name: &str) {
+        if let Some(process) = &*self.process.borrow() {
+            process.process.signal(name);
+        }
+    }
+
+    async fn start_process(&self) -> Result<()> {
+        let addresses = GatewayAddresses::free();
+        let settings = self.settings(&addresses)?;
+        let (directory, name) = (self.directory.clone(), self.name.clone());
+        let started = actix_rt::task::spawn_blocking(move || {
+            let mut process = gateway(&directory, &name, &settings, addresses);
+            let log = directory.join(format!("{name}.log"));
+            process.process.copy_output_to(&log)?;
+            anyhow::Ok(process)
+        });
+        let process = started.await.context("a gateway does not start")??;
+        self.callers.lead_to(addresses.callers);
+        *self.process.borrow_mut() = Some(process);
+        Ok(())
+    }
+
+    fn settings(&self, addresses: &GatewayAddresses) -> Result<String> {
+        let fields = json!({
+            "node": self.name,
+            "zone": LOCAL_ZONE,
+            "ip": "127.0.0.1",
+            "limits": { "cores": 1 },
+            "listen": {
+                "front": addresses.callers.to_string(),
+                "ready": addresses.ready.to_string(),
+                "control": addresses.peers.to_string(),
+            },
+            "port_range": [addresses.metrics.port(), addresses.load.port()],
+            "seeds": [],
+            "provider": { "address": self.store.entrance.to_string() },
+            "cloud": { "address": self.operations },
+            "bounds": {
+                "retry_budget_ratio": 0.2,
+                "budget_extra": 200,
+                "budget_window_s": 10,
+                "grace_s": GRACE_S,
+                "lease_ms": TAKEOVER_PAUSE_MS,
+                "report_window_s": 1,
+                "usage_late_s": 8,
+            },
+        });
+        let settings = render(TEMPLATE, &fields).map_err(|error| anyhow::anyhow!("{error:?}"))?;
+        let metrics = format!("metrics = \"{}\"", addresses.metrics);
+        Ok(settings.replace("metrics = \"127.0.0.1:9464\"", &metrics))
+    }
+}
+
+/// What came of an action on a process.
+pub enum Done {
+    /// Nothing, as another action was under way.
+    Busy,
+    /// It was done; how the process had ended by itself before, if it had.
+    Done(Option<String>),
+}
+
+/// While this lives, nothing else is done with a process.
+struct Busy<'a>(&'a Cell<bool>);
+
+impl<'a> Busy<'a> {
+    fn take(is_busy: &'a Cell<bool>) -> Option<Self> {
+        (!is_busy.replace(true)).then_some(Self(is_busy))
+    }
+}
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
--- /dev/null
+++ b/crates/fault-soak/src/http.rs
@@ -0,0 +1,235 @@
+//! Reading HTTP/1.1 messages from a stream of bytes, strictly: what is no message is said to be none.
+
+use bytes::{Buf, BytesMut};
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+/// The longest head that is read.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// The end of a head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+/// The end of a line.
+const LINE_END: &[u8] = b"\r\n";
+
+/// Why a message was not read to its end.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum ReadError {
+    /// The other side closed the connection before the first byte of a message.
+    #[error("closed")]
+    Closed,
+    /// The connection ended, or broke, inside a message.
+    #[error("cut")]
+    Cut,
+    /// The bytes are no message.
+    #[error("no message: {0}")]
+    Garbage(String),
+}
+
+/// How the length of a body is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// By a number of bytes.
+    Length(usize),
+    /// By chunks.
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
+/// The first line and the headers of a message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Head {
+    /// The first line.
+    pub first_line: String,
+    headers: Vec<(String, String)>,
+}
+
+impl Head {
+    /// Parses a head without its last empty line.
+    pub fn parse(bytes: &[u8]) -> Result<Self, ReadError> {
+        let text = std::str::from_utf8(bytes).map_err(|_| garbage(bytes))?;
+        let mut lines = text.split("\r\n");
+        let first_line = lines.next().unwrap_or_default().to_owned();
+        if !first_line.contains("HTTP/1.1") {
+            return Err(garbage(bytes));
+        }
+        let header = |line: &str| {
+            let (name, value) = line.split_once(':')?;
+            Some((name.to_owned(), value.trim().to_owned()))
+        };
+        let headers: Option<Vec<_>> = lines.map(header).collect();
+        Ok(Self {
+            first_line,
+            headers: headers.ok_or_else(|| garbage(bytes))?,
+        })
+    }
+
+    /// The first value of a header.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let found = self
+            .headers
+            .iter()
+            .find(|(given, _)| given.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// A word of the first line.
+    pub fn word(&self, index: usize) -> &str {
+        self.first_line.split(' ').nth(index).unwrap_or_default()
+    }
+
+    /// The status of an answer.
+    pub fn status(&self) -> Result<u16, ReadError> {
+        let is_answer = self.first_line.starts_with("HTTP/1.1 ");
+        let status = self.word(1).parse().ok().filter(|_| is_answer);
+        status.ok_or_else(|| garbage(self.first_line.as_bytes()))
+    }
+
+    /// Whether the connection ends after this message.
+    pub fn closes(&self) -> bool {
+        self.get("Connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+
+    /// How the body's length is told; `otherwise` where nothing tells it.
+    pub fn framing(&self, otherwise: Framing) -> Result<Framing, ReadError> {
+        if self
+            .get("Transfer-Encoding")
+            .is_some_and(|value| value.eq_ignore_ascii_case("chunked"))
+        {
+            return Ok(Framing::Chunked);
+        }
+        match self.get("Content-Length") {
+            None => Ok(otherwise),
+            Some(text) => match text.parse() {
+                Ok(length) => Ok(Framing::Length(length)),
+                Err(_) => Err(garbage(text.as_bytes())),
+            },
+        }
+    }
+}
+
+fn garbage(bytes: &[u8]) -> ReadError {
+    ReadError::Garbage(String::from_utf8_lossy(bytes).chars().take(200).collect())
+}
+
+/// Reads messages one after another. Dropping a call in progress loses no bytes of a head.
+#[derive(Debug)]
+pub struct Reader<R> {
+    source: R,
+    buffer: BytesMut,
+}
+
+impl<R: AsyncRead + Unpin> Reader<R> {
+    /// Reads from this source.
+    pub fn new(source: R) -> Self {
+        Self {
+            source,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// The source.
+    pub fn source(&mut self) -> &mut R {
+        &mut self.source
+    }
+
+    /// Bytes that have come and belong to no message read so far.
+    pub fn surplus(&self) -> &[u8] {
+        &self.buffer
+    }
+
+    /// Reads the next head.
+    pub async fn head(&mut self) -> Result<Head, ReadError> {
+        loop {
+            if let Some(end) = find(&self.buffer, HEAD_END) {
+                let head = Head::parse(&self.buffer[..end]);
+                self.buffer.advance(end + HEAD_END.len());
+                return head;
+            }
+            if self.buffer.len() > MAX_HEAD_BYTES {
+                return Err(garbage(&self.buffer));
+            }
+            if let Err(error) = self.fill().await {
+                let began = !self.buffer.is_empty();
+                return Err(if began { ReadError::Cut } else { error });
+            }
+        }
+    }
+
+    /// Reads a body to its end and appends it as it comes.
+    pub async fn body(&mut self, framing: Framing, body: &mut Vec<u8>) -> Result<(), ReadError> {
+        match framing {
+            Framing::Length(length) => self.take(length, body).await,
+            Framing::Chunked => self.chunks(body).await,
+            Framing::UntilClose => self.until_close(body).await,
+        }
+    }
+
+    async fn chunks(&mut self, body: &mut Vec<u8>) -> Result<(), ReadError> {
+        loop {
+            let line = self.line().await?;
+            let size = usize::from_str_radix(&line, 16).map_err(|_| garbage(line.as_bytes()))?;
+            if size == 0 {
+                return self.expect_line_end().await;
+            }
+            self.take(size, body).await?;
+            self.expect_line_end().await?;
+        }
+    }
+
+    async fn expect_line_end(&mut self) -> Result<(), ReadError> {
+        match self.line().await?.as_str() {
+            "" => Ok(()),
+            other => Err(garbage(other.as_bytes())),
+        }
+    }
+
+    async fn line(&mut self) -> Result<String, ReadError> {
+        loop {
+            if let Some(end) = find(&self.buffer, LINE_END) {
+                let line = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
+                self.buffer.advance(end + LINE_END.len());
+                return Ok(line);
+            }
+            self.fill().await.map_err(|_| ReadError::Cut)?;
+        }
+    }
+
+    async fn take(&mut self, mut length: usize, body: &mut Vec<u8>) -> Result<(), ReadError> {
+        loop {
+            let count = length.min(self.buffer.len());
+            body.extend_from_slice(&self.buffer[..count]);
+            self.buffer.advance(count);
+            length -= count;
+            if length == 0 {
+                return Ok(());
+            }
+            self.fill().await.map_err(|_| ReadError::Cut)?;
+        }
+    }
+
+    async fn until_close(&mut self, body: &mut Vec<u8>) -> Result<(), ReadError> {
+        loop {
+            body.extend_from_slice(&self.buffer);
+            self.buffer.clear();
+            match self.fill().await {
+                Ok(()) => {}
+                Err(ReadError::Closed) => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Reads more bytes. `Closed` means the end in good order, `Cut` a break.
+    async fn fill(&mut self) -> Result<(), ReadError> {
+        match self.source.read_buf(&mut self.buffer).await {
+            Ok(0) => Err(ReadError::Closed),
+            Ok(_) => Ok(()),
+            Err(_) => Err(ReadError::Cut),
+        }
+    }
+}
+
+fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
+    bytes.windows(what.len()).position(|window| window == what)
+}
--- /dev/null
+++ b/crates/fault-soak/src/judges/mod.rs
@@ -0,0 +1,69 @@
+//! Judges: each reads what was seen in an episode and names what breaks its rule.
+
+mod ended;
+mod mixed;
+mod order;
+mod refused;
+mod stream_events;
+mod twice;
+mod unasked;
+
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::evidence::{Evidence, Run, Sent};
+
+pub use ended::ended;
+pub use mixed::mixed;
+pub use order::order;
+pub use refused::refused;
+pub use twice::twice;
+pub use unasked::unasked;
+
+/// A rule that can be broken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+pub enum Rule {
+    /// A caller gets the whole answer to its own request, and only that.
+    Mixed,
+    /// A request that may not be repeated runs at most once.
+    Twice,
+    /// What was refused has not run and never will.
+    Refused,
+    /// Workers run only what callers sent, unchanged.
+    Unasked,
+    /// Events of a stream come once each and in order, to the last.
+    Order,
+    /// No gateway process ends by itself.
+    Ended,
+}
+
+/// A broken rule.
+#[derive(Debug, Clone, Serialize)]
+pub struct Violation {
+    /// The rule.
+    pub rule: Rule,
+    /// What happened.
+    pub what: String,
+    /// The records that show it.
+    pub evidence: Value,
+}
+
+impl Violation {
+    fn new(rule: Rule, what: impl Into<String>, evidence: impl Serialize) -> Self {
+        Self {
+            rule,
+            what: what.into(),
+            evidence: serde_json::to_value(evidence).unwrap_or_default(),
+        }
+    }
+
+    fn of_answer(rule: Rule, what: impl Into<String>, sent: &Sent, run: Option<&Run>) -> Self {
+        Self::new(rule, what, (sent, run))
+    }
+}
+
+/// What all judges find.
+pub fn judge(evidence: &Evidence) -> Vec<Violation> {
+    let judges = [mixed, twice, refused, unasked, order, ended];
+    judges.iter().flat_map(|judge| judge(evidence)).collect()
+}
--- /dev/null
+++ b/crates/fault-soak/src/schedule.rs
@@ -0,0 +1,161 @@
+//! The schedule of faults that a seed gives.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+use crate::faults::Mix;
+use crate::link::LinkFault;
+
+/// Mean time between two actions.
+const MEAN_PAUSE_MS: u64 = 250;
+/// The longest time that a link is harmed or a process is frozen.
+const MAX_HARM_MS: u64 = 1_500;
+/// The most configurations in one storm.
+const MAX_STORM: u64 = 6;
+/// Workers that stutter from the start, of ten.
+const STUTTERING_OF_TEN: u32 = 8;
+
+/// What is harmed by a link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum Edge {
+    /// Between callers and a gateway.
+    Callers,
+    /// Between gateways and a worker.
+    Worker,
+    /// Between a gateway and the store.
+    Store,
+}
+
+/// One action. Indexes are taken modulo what is there.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub enum Action {
+    /// A worker has these faults from now on.
+    Mix {
+        /// The worker.
+        worker: usize,
+        /// The faults.
+        mix: Mix,
+    },
+    /// A link is harmed for a while.
+    Harm {
+        /// Which kind of link.
+        edge: Edge,
+        /// Which of them.
+        index: usize,
+        /// How.
+        fault: LinkFault,
+        /// How long.
+        for_ms: u64,
+    },
+    /// A gateway process is frozen for a while.
+    Freeze {
+        /// The gateway.
+        gateway: usize,
+        /// How long.
+        for_ms: u64,
+    },
+    /// A gateway process is killed and started anew.
+    Kill {
+        /// The gateway.
+        gateway: usize,
+    },
+    /// A gateway process is stopped as planned and started anew.
+    Stop {
+        /// The gateway.
+        gateway: usize,
+    },
+    /// This many configurations one after another.
+    Configure {
+        /// How many.
+        count: u64,
+    },
+    /// A worker says that it leaves, and leaves; another comes.
+    Replace {
+        /// The worker.
+        worker: usize,
+    },
+}
+
+/// An action at its time.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct ScheduledAction {
+    /// Milliseconds from the start.
+    pub at_ms: u64,
+    /// The action.
+    pub action: Action,
+}
+
+/// All actions of an episode, in order.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Schedule {
+    /// The faults that workers begin with.
+    pub first_mixes: Vec<Mix>,
+    /// The actions.
+    pub actions: Vec<ScheduledAction>,
+}
+
+impl Schedule {
+    /// The schedule of a seed, for so many workers and so long.
+    pub fn of_seed(seed: u64, workers: usize, duration: Duration) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let first_mixes = (0..workers).map(|_| draw_mix(&mut random)).collect();
+        let mut actions = Vec::new();
+        let mut at_ms = random.random_range(0..MEAN_PAUSE_MS);
+        while u128::from(at_ms) < duration.as_millis() {
+            let action = draw_action(&mut random);
+            actions.push(ScheduledAction { at_ms, action });
+            at_ms += random.random_range(1..=2 * MEAN_PAUSE_MS);
+        }
+        Self {
+            first_mixes,
+            actions,
+        }
+    }
+}
+
+fn draw_mix(random: &mut ChaCha8Rng) -> Mix {
+    let mix = Mix::draw(random);
+    if random.random_ratio(STUTTERING_OF_TEN, 10) {
+        mix.with_stutter(random)
+    } else {
+        mix
+    }
+}
+
+fn draw_action(random: &mut ChaCha8Rng) -> Action {
+    let index = random.random_range(0..1_000);
+    let for_ms = random.random_range(20..MAX_HARM_MS);
+    match random.random_range(0..20) {
+        0..8 => Action::Mix {
+            worker: index,
+            mix: draw_mix(random),
+        },
+        8..13 => Action::Harm {
+            edge: draw_edge(random),
+            index,
+            fault: LinkFault::draw(random),
+            for_ms,
+        },
+        13..15 => Action::Freeze {
+            gateway: index,
+            for_ms,
+        },
+        15 => Action::Kill { gateway: index },
+        16 => Action::Stop { gateway: index },
+        17 => Action::Configure {
+            count: random.random_range(1..=MAX_STORM),
+        },
+        _ => Action::Replace { worker: index },
+    }
+}
+
+fn draw_edge(random: &mut ChaCha8Rng) -> Edge {
+    match random.random_range(0..4) {
+        0 => Edge::Callers,
+        1 => Edge::Store,
+        _ => Edge::Worker,
+    }
+}
--- /dev/null
+++ b/crates/fault-soak/src/site.rs
@@ -0,0 +1,243 @@
+//! The site of an episode: store, operator, gateways and workers, and the actions on them.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Result;
+use tansyhall_platform_standin::{Operations, Operator, Store};
+use tansyhall_testing::{eventually, get_metric};
+use tokio::time::sleep;
+
+use crate::caller::HOST;
+use crate::faults::Mix;
+use crate::gateways::{Done, GatewaySlot};
+use crate::link::{Link, LinkFault};
+use crate::routes::{routes, APPLICATION, ENGINES};
+use crate::schedule::{Action, Edge};
+use crate::worker::{Notebook, Worker, WorkerPlan};
+
+/// The zone of the gateways.
+pub const LOCAL_ZONE: &str = "kalimati";
+const OTHER_ZONE: &str = "balkhu";
+/// Milliseconds that a new holder of the authority waits.
+pub const TAKEOVER_PAUSE_MS: u64 = 300;
+/// How long a worker that leaves is still in the store.
+const DRAIN: Duration = Duration::from_millis(800);
+/// How long it serves after that.
+const LINGER: Duration = Duration::from_millis(1_500);
+
+const fn worker(
+    service: &'static str,
+    zone: &'static str,
+    stage: Option<&'static str>,
+) -> WorkerPlan {
+    WorkerPlan {
+        service,
+        zone,
+        stage,
+    }
+}
+
+/// The workers that a site begins with.
+pub const WORKERS: [WorkerPlan; 9] = [
+    worker(APPLICATION, LOCAL_ZONE, None),
+    worker(APPLICATION, LOCAL_ZONE, None),
+    worker(APPLICATION, LOCAL_ZONE, None),
+    worker(APPLICATION, OTHER_ZONE, None),
+    worker(ENGINES, LOCAL_ZONE, Some("prefill")),
+    worker(ENGINES, LOCAL_ZONE, Some("prefill")),
+    worker(ENGINES, LOCAL_ZONE, Some("decode")),
+    worker(ENGINES, LOCAL_ZONE, Some("decode")),
+    worker(ENGINES, OTHER_ZONE, Some("decode")),
+];
+
+/// A site.
+pub struct Site {
+    notebook: Notebook,
+    store: Store,
+    operator: Operator,
+    gateways: Vec<GatewaySlot>,
+    workers: RefCell<Vec<Rc<Worker>>>,
+    version: Cell<u64>,
+    seed: u64,
+}
+
+impl Site {
+    /// Starts a site and waits until every gateway is ready and knows every worker.
+    pub async fn start(
+        gateways: usize,
+        mixes: &[Mix],
+        seed: u64,
+        directory: &Path,
+    ) -> Result<Self> {
+        let store = Store::default();
+        let operations = Operations::start()?;
+        let mut site = Self {
+            notebook: Notebook::new(),
+            operator: Operator::new(&store, HOST),
+            store,
+            gateways: Vec::new(),
+            workers: RefCell::default(),
+            version: Cell::new(0),
+            seed,
+        };
+        site.configure();
+        for (plan, mix) in WORKERS.iter().zip(mixes) {
+            site.add_worker(*plan, mix.clone()).await?;
+        }
+        for number in 0..gateways {
+            let operations = operations.address.to_string();
+            let slot = GatewaySlot::start(number, &site.store, operations, directory).await?;
+            site.gateways.push(slot);
+        }
+        for slot in &site.gateways {
+            until_workers_known(slot).await;
+        }
+        Ok(site)
+    }
+
+    /// Where callers and workers record what they see.
+    pub fn notebook(&self) -> &Notebook {
+        &self.notebook
+    }
+
+    /// Where callers reach each gateway.
+    pub fn entrances(&self) -> Vec<SocketAddr> {
+        let entrances = self.gateways.iter().map(|slot| slot.callers.entrance);
+        entrances.collect()
+    }
+
+    /// Performs an action to its end.
+    pub async fn perform(&self, action: Action) -> Result<()> {
+        match action {
+            Action::Mix { worker, mix } => self.worker(worker).set_mix(mix),
+            Action::Harm {
+                edge,
+                index,
+                fault,
+                for_ms,
+            } => {
+                let time = Duration::from_millis(for_ms);
+                self.harm(edge, index, fault, time).await;
+            }
+            Action::Freeze { gateway, for_ms } => {
+                let time = Duration::from_millis(for_ms);
+                if self.gateway(gateway).freeze(time).await {
+                    self.notebook.count_fault("process freeze");
+                }
+            }
+            Action::Kill { gateway } => {
+                let done = self.gateway(gateway).kill().await?;
+                self.note_done(done, "process kill");
+            }
+            Action::Stop { gateway } => {
+                let done = self.gateway(gateway).stop_and_start().await?;
+                self.note_done(done, "process stop");
+            }
+            Action::Configure { count } => {
+                for _ in 0..count {
+                    self.configure();
+                    self.notebook.count_fault("configuration");
+                    sleep(Duration::from_millis(20)).await;
+                }
+            }
+            Action::Replace { worker } => self.replace(worker).await?,
+        }
+        Ok(())
+    }
+
+    /// Ends all faults of workers.
+    pub fn calm(&self) {
+        for worker in self.workers.borrow().iter() {
+            worker.set_mix(Mix::default());
+        }
+    }
+
+    /// Stops all gateways as planned.
+    pub async fn stop(&self) {
+        let stops = self.gateways.iter().map(GatewaySlot::stop);
+        for ended in futures_util::future::join_all(stops).await {
+            self.note_ended(ended);
+        }
+    }
+
+    fn note_done(&self, done: Done, name: &str) {
+        if let Done::Done(ended) = done {
+            self.notebook.count_fault(name);
+            self.note_ended(ended);
+        }
+    }
+
+    fn note_ended(&self, ended: Option<String>) {
+        self.notebook
+            .record(|evidence| evidence.ended.extend(ended));
+    }
+
+    fn gateway(&self, index: usize) -> &GatewaySlot {
+        &self.gateways[index % self.gateways.len()]
+    }
+
+    fn worker(&self, index: usize) -> Rc<Worker> {
+        let workers = self.workers.borrow();
+        Rc::clone(&workers[index % workers.len()])
+    }
+
+    fn configure(&self) {
+        let version = self.version.get() + 1 + self.version.get() % 3;
+        self.version.set(version);
+        self.operator.configure(version, &routes(version));
+    }
+
+    async fn add_worker(&self, plan: WorkerPlan, mix: Mix) -> Result<()> {
+        let seed = self.seed ^ self.workers.borrow().len() as u64;
+        let worker = Worker::start(&self.store, &self.notebook, plan, seed).await?;
+        worker.set_mix(mix);
+        self.workers.borrow_mut().push(Rc::new(worker));
+        Ok(())
+    }
+
+    async fn harm(&self, edge: Edge, index: usize, fault: LinkFault, time: Duration) {
+        self.notebook
+            .count_fault(format!("link {edge:?} {}", fault.name()));
+        let worker;
+        let link: &Link = match edge {
+            Edge::Callers => &self.gateway(index).callers,
+            Edge::Store => &self.gateway(index).store,
+            Edge::Worker => {
+                worker = self.worker(index);
+                &worker.link
+            }
+        };
+        link.set_fault(fault);
+        sleep(time).await;
+        link.set_fault(LinkFault::None);
+    }
+
+    /// A worker leaves as planned, and another of its kind comes with no faults.
+    async fn replace(&self, index: usize) -> Result<()> {
+        let leaving = {
+            let mut workers = self.workers.borrow_mut();
+            let index = index % workers.len();
+            workers.remove(index)
+        };
+        self.notebook.count_fault("worker replaced");
+        self.add_worker(leaving.plan, Mix::default()).await?;
+        leaving.drain();
+        sleep(DRAIN).await;
+        leaving.withdraw();
+        sleep(LINGER).await;
+        Ok(())
+    }
+}
+
+async fn until_workers_known(slot: &GatewaySlot) {
+    eventually("the gateway knows the workers", || async {
+        let metrics = slot.addresses()?.metrics;
+        let known = get_metric(metrics, "gateway_ready_workers").await?;
+        (known == WORKERS.len() as f64).then_some(())
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/fault-soak/src/worker/state.rs
@@ -0,0 +1,237 @@
+//! What a worker knows, and where it records what it does.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use parking_lot::Mutex;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use tansyhall_platform_standin::Store;
+
+use super::{entry, WorkerPlan};
+use crate::evidence::{Call, Evidence, Reading, Run};
+use crate::faults::{Aspect, Fault, FaultCounts, Mix};
+use crate::identity::RequestKey;
+
+/// Where callers and workers of an episode record what they see; clones share it.
+#[derive(Debug, Clone)]
+pub struct Notebook {
+    started: Instant,
+    pages: Arc<Mutex<Pages>>,
+}
+
+#[derive(Debug, Default)]
+struct Pages {
+    evidence: Evidence,
+    faults: FaultCounts,
+    next_run: u64,
+    next_handle: u64,
+    /// KV caches that wait to be taken, by `IP:PORT/HANDLE`.
+    caches: HashMap<String, ()>,
+}
+
+impl Notebook {
+    /// An empty one.
+    pub fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            pages: Arc::default(),
+        }
+    }
+
+    /// Milliseconds from the start.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Changes the evidence.
+    pub fn record(&self, change: impl FnOnce(&mut Evidence)) {
+        change(&mut self.pages.lock().evidence);
+    }
+
+    /// Counts a fault that happened.
+    pub fn count_fault(&self, name: impl Into<String>) {
+        *self.pages.lock().faults.entry(name.into()).or_default() += 1;
+    }
+
+    /// What was recorded so far; the notebook is empty afterwards.
+    pub fn take(&self) -> (Evidence, FaultCounts) {
+        let mut pages = self.pages.lock();
+        let evidence = std::mem::take(&mut pages.evidence);
+        (evidence, std::mem::take(&mut pages.faults))
+    }
+
+    /// The number of a new run.
+    pub(super) fn next_run(&self) -> u64 {
+        let mut pages = self.pages.lock();
+        pages.next_run += 1;
+        pages.next_run
+    }
+
+    /// Keeps a KV cache at an address and returns its handle.
+    pub(super) fn keep_cache(&self, address: SocketAddr, key: RequestKey) -> String {
+        let at_ms = self.now_ms();
+        let mut pages = self.pages.lock();
+        pages.next_handle += 1;
+        let handle = format!("c{:x}", pages.next_handle);
+        let place = format!("{address}/{handle}");
+        pages.caches.insert(place.clone(), ());
+        pages.evidence.readings.push(Reading { place, key, at_ms });
+        handle
+    }
+
+    /// Takes a KV cache; false if it is gone.
+    pub(super) fn take_cache(&self, place: &str) -> bool {
+        self.pages.lock().caches.remove(place).is_some()
+    }
+}
+
+impl Default for Notebook {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// The body of an order.
+#[derive(Debug, Deserialize)]
+pub(super) struct Order {
+    fence: u64,
+    stage: String,
+    expected_count: u64,
+}
+
+#[derive(Debug)]
+struct Changing {
+    mix: Mix,
+    random: ChaCha8Rng,
+    stage: Option<String>,
+    state: &'static str,
+    is_listed: bool,
+    orders: u64,
+    highest_fence: u64,
+}
+
+/// What a worker knows.
+#[derive(Debug)]
+pub(super) struct WorkerState {
+    pub(super) id: String,
+    pub(super) address: SocketAddr,
+    pub(super) notebook: Notebook,
+    plan: WorkerPlan,
+    store: Store,
+    changing: Mutex<Changing>,
+}
+
+impl WorkerState {
+    pub(super) fn new(
+        id: String,
+        address: SocketAddr,
+        plan: WorkerPlan,
+        store: Store,
+        notebook: Notebook,
+        seed: u64,
+    ) -> Self {
+        let changing = Changing {
+            mix: Mix::default(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            stage: plan.stage.map(str::to_owned),
+            state: "ready",
+            is_listed: true,
+            orders: 0,
+            highest_fence: 0,
+        };
+        Self {
+            id,
+            address,
+            notebook,
+            plan,
+            store,
+            changing: Mutex::new(changing),
+        }
+    }
+
+    pub(super) fn set_mix(&self, mix: Mix) {
+        self.changing.lock().mix = mix;
+    }
+
+    /// Draws something from the worker's own random numbers.
+    pub(super) fn draw<T>(&self, draw: impl FnOnce(&mut ChaCha8Rng) -> T) -> T {
+        draw(&mut self.changing.lock().random)
+    }
+
+    /// Draws whether an answer has a fault in this aspect.
+    pub(super) fn draw_fault(&self, aspect: Aspect) -> Option<Fault> {
+        let mut changing = self.changing.lock();
+        let Changing { mix, random, .. } = &mut *changing;
+        mix.pick(aspect, random)
+    }
+
+    pub(super) fn stage(&self) -> Option<String> {
+        self.changing.lock().stage.clone()
+    }
+
+    pub(super) fn orders(&self) -> u64 {
+        self.changing.lock().orders
+    }
+
+    /// Takes an order and returns the status of its answer.
+    pub(super) fn take_order(&self, order: Order) -> u16 {
+        {
+            let mut changing = self.changing.lock();
+            if order.fence < changing.highest_fence {
+                return 412;
+            }
+            changing.highest_fence = order.fence;
+            if order.expected_count != changing.orders {
+                return 409;
+            }
+            if changing.stage.as_ref() == Some(&order.stage) {
+                return 200;
+            }
+            changing.orders += 1;
+            changing.stage = Some(order.stage);
+        }
+        self.write_entry();
+        202
+    }
+
+    pub(super) fn announce(&self, state: &'static str) {
+        self.changing.lock().state = state;
+        self.write_entry();
+    }
+
+    fn write_entry(&self) {
+        let changing = self.changing.lock();
+        if changing.is_listed {
+            let stage = changing.stage.as_deref();
+            let entry = entry(&self.plan, self.address, changing.state, stage);
+            self.store.put(&self.key(), &entry);
+        }
+    }
+
+    pub(super) fn withdraw(&self) {
+        self.changing.lock().is_listed = false;
+        self.store.remove(&self.key());
+    }
+
+    fn key(&self) -> String {
+        format!("servers/{}", self.id)
+    }
+
+    pub(super) fn record_run(&self, run: Run) {
+        self.notebook.record(|evidence| evidence.runs.push(run));
+    }
+
+    pub(super) fn record_call(&self, what: String, id: Option<&str>) {
+        let call = Call {
+            worker: self.id.clone(),
+            what,
+            id: id.map(str::to_owned),
+            at_ms: self.notebook.now_ms(),
+        };
+        self.notebook.record(|evidence| evidence.calls.push(call));
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 #![forbid(unsafe_code)]
 
+mod fault_soak;
 mod soak;
 
 use std::process::ExitCode;
@@ -16,6 +17,7 @@
   tansyhall-lab compare --workload FILE ...   every strategy on the same traces, side by side
   tansyhall-lab load ...                      what a node adds to a request, against going straight
   tansyhall-lab soak --seconds N ...          random faults in virtual time against an oracle
+  tansyhall-lab fault-soak --minutes N ...    gateway processes under random faults, judged from outside
   tansyhall-lab agree [--load NAME] ...       one trace in real time and through the emulator
   tansyhall-lab paired --before TEXT ...      two versions on the same days, from the bench's journal
 
@@ -44,6 +46,7 @@
         Some("load") => tansyhall_lab::load::command(arguments),
         Some("compare") => tansyhall_lab::compare::command(arguments),
         Some("soak") => soak::run(arguments),
+        Some("fault-soak") => fault_soak::run(arguments),
         Some("paired") => tansyhall_lab::paired::command(arguments),
         Some("agree") => tansyhall_lab::agree::command(arguments),
         Some(other) => bail!("unknown command {other}; see tansyhall-lab --help"),
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -12,9 +12,10 @@
 pub use gateway::{gateway, GatewayAddresses, GatewayProcess};
 pub use link::Link;
 
-use std::io::{BufRead, BufReader, Read};
+use std::fs::OpenOptions;
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -71,6 +72,16 @@
         text
     }
 
+    /// Appends what it prints after its first line to a file, until it ends.
+    pub fn copy_output_to(&mut self, file: &Path) -> std::io::Result<()> {
+        let mut file = OpenOptions::new().create(true).append(true).open(file)?;
+        file.write_all(self.first_line.as_bytes())?;
+        if let Some(mut output) = self.unread.take() {
+            std::thread::spawn(move || std::io::copy(&mut output, &mut file));
+        }
+        Ok(())
+    }
+
     /// Closes the reading end of its standard output.
     pub fn close_output(&mut self) {
         self.unread = None;
