--- a/crates/fault-soak/src/caller/mod.rs
+++ b/crates/fault-soak/src/caller/mod.rs
@@ -99,8 +99,11 @@
         };
         let notebook = self.plan.notebook.clone();
         let at_ms = notebook.now_ms();
-        self.client
-            .record_stray(gateway, |stray| notebook.record(|e| e.stray.push(stray)), at_ms);
+        self.client.record_stray(
+            gateway,
+            |stray| notebook.record(|e| e.stray.push(stray)),
+            at_ms,
+        );
         let address = self.plan.gateways[gateway];
         let outcome = self.client.ask(gateway, address, request, patience).await;
         let sent = Sent {
--- a/crates/fault-soak/src/caller/requests.rs
+++ b/crates/fault-soak/src/caller/requests.rs
@@ -139,5 +139,5 @@
     let text = String::from_utf8_lossy(body);
     let (whole, _) = text.rsplit_once("\n\n")?;
     let ids = whole.lines().filter_map(|line| line.strip_prefix("id: "));
-    ids.filter_map(|id| id.parse().ok()).last()
+    ids.filter_map(|id| id.parse().ok()).next_back()
 }
--- a/crates/fault-soak/src/episode.rs
+++ b/crates/fault-soak/src/episode.rs
@@ -127,9 +127,7 @@
         sleep(at.saturating_sub(started.elapsed())).await;
         let site = Rc::clone(site);
         let action = scheduled.action.clone();
-        tasks.push(actix_rt::spawn(
-            async move { site.perform(action).await },
-        ));
+        tasks.push(actix_rt::spawn(async move { site.perform(action).await }));
     }
     tasks
 }
--- a/crates/fault-soak/src/judges/order.rs
+++ b/crates/fault-soak/src/judges/order.rs
@@ -36,7 +36,11 @@
     if !numbers.eq((after + 1..).take(read.events.len())) {
         return Some("events are missing, double or out of turn");
     }
-    if read.events.iter().any(|event| event.piece.0 != event.number) {
+    if read
+        .events
+        .iter()
+        .any(|event| event.piece.0 != event.number)
+    {
         return Some("an event with the text of another");
     }
     if has_wrong_joint(sent, &read.events, runs) {
--- a/crates/fault-soak/src/judges/unasked.rs
+++ b/crates/fault-soak/src/judges/unasked.rs
@@ -11,11 +11,8 @@
 
 /// Finds what workers ran or read and no caller sent.
 pub fn unasked(evidence: &Evidence) -> Vec<Violation> {
-    let sent: HashMap<&RequestKey, &Sent> = evidence
-        .sent
-        .iter()
-        .map(|sent| (&sent.key, sent))
-        .collect();
+    let sent: HashMap<&RequestKey, &Sent> =
+        evidence.sent.iter().map(|sent| (&sent.key, sent)).collect();
     let mut violations = Vec::new();
     for run in &evidence.runs {
         let what = match sent.get(&run.mark.key) {
--- a/crates/fault-soak/src/link.rs
+++ b/crates/fault-soak/src/link.rs
@@ -147,7 +147,11 @@
         let (far_read, far_write) = far.split();
         let there = pass(near_read, far_write, fault.clone());
         let back = pass(far_read, near_write, fault.clone());
-        let both = async { futures_util::future::try_join(there, back).await.map(|_| ()) };
+        let both = async {
+            futures_util::future::try_join(there, back)
+                .await
+                .map(|_| ())
+        };
         tokio::select! {
             ended = both => ended,
             _ = fault.wait_for(|fault| *fault == LinkFault::Reset) => Err(Broken),
--- a/crates/fault-soak/src/worker/answers.rs
+++ b/crates/fault-soak/src/worker/answers.rs
@@ -94,7 +94,10 @@
         }
         let key = request.key(id);
         let reads = request.head.get(STAGE) == Some(PREFILL);
-        if self.stage().is_some_and(|stage| (stage == PREFILL) != reads) {
+        if self
+            .stage()
+            .is_some_and(|stage| (stage == PREFILL) != reads)
+        {
             return not_run(421);
         }
         let work_ms = self.draw(|random| random.random_range(0..MAX_WORK_MS));
@@ -115,7 +118,9 @@
         }
         match (method, target) {
             ("GET", "/report") => self.report(),
-            ("GET", "/kv-list") => json_reply(200, json!({ "epoch": 1, "next_token": 0, "held": [] })),
+            ("GET", "/kv-list") => {
+                json_reply(200, json!({ "epoch": 1, "next_token": 0, "held": [] }))
+            }
             ("GET", "/healthz") => Reply::new(200, "well").with("X-Instance-Id", &self.id),
             ("POST", "/order") => match serde_json::from_slice(&request.body) {
                 Ok(order) => Reply::new(self.take_order(order), ""),
@@ -123,7 +128,8 @@
             },
             ("DELETE", target) if target.starts_with("/kv-handle/") => {
                 let handle = target.trim_start_matches("/kv-handle/");
-                self.notebook.take_cache(&format!("{}/{handle}", self.address));
+                self.notebook
+                    .take_cache(&format!("{}/{handle}", self.address));
                 Reply::new(200, "")
             }
             _ => Reply::new(404, ""),
--- a/crates/fault-soak/src/worker/connection.rs
+++ b/crates/fault-soak/src/worker/connection.rs
@@ -209,11 +209,15 @@
             .count_fault(format!("worker {fault:?}"));
         let due = match fault {
             Fault::ExtraBytes => {
-                let index = self.worker.draw(|random| random.random_range(0..EXTRA.len()));
+                let index = self
+                    .worker
+                    .draw(|random| random.random_range(0..EXTRA.len()));
                 return self.write(EXTRA[index]).await;
             }
             Fault::StutterLater => {
-                let late_ms = self.worker.draw(|random| random.random_range(0..MAX_LATE_MS));
+                let late_ms = self
+                    .worker
+                    .draw(|random| random.random_range(0..MAX_LATE_MS));
                 Due::At(Instant::now() + Duration::from_millis(late_ms))
             }
             _ => Due::InPlace(
--- a/crates/fault-soak/src/worker/mod.rs
+++ b/crates/fault-soak/src/worker/mod.rs
@@ -103,7 +103,12 @@
 }
 
 /// A worker's entry in the store.
-fn entry(plan: &WorkerPlan, address: SocketAddr, state: &str, stage: Option<&str>) -> serde_json::Value {
+fn entry(
+    plan: &WorkerPlan,
+    address: SocketAddr,
+    state: &str,
+    stage: Option<&str>,
+) -> serde_json::Value {
     let mut entry = json!({
         "service": plan.service,
         "address": address.to_string(),
--- /dev/null
+++ b/crates/fault-soak/tests/judges.rs
@@ -0,0 +1,260 @@
+//! Each judge passes what is in order and is able to fail.
+
+mod records;
+
+use bytes::Bytes;
+use records::{
+    answer, event, evidence, key, plain_run, reading, sent, stream_answer, stream_run, with_outcome,
+};
+use tansyhall_fault_soak::judges::{ended, mixed, order, refused, twice, unasked};
+use tansyhall_fault_soak::{judge, Evidence, Outcome, RouteKind, Rule, StrayBytes};
+
+fn rules(evidence: &Evidence) -> Vec<Rule> {
+    judge(evidence).iter().map(|found| found.rule).collect()
+}
+
+/// A plain request and its run, in order.
+fn plain() -> Evidence {
+    let run = plain_run(1, key("a"));
+    let sent = with_outcome(sent(RouteKind::Once, key("a")), answer(&run));
+    evidence(vec![sent], vec![run])
+}
+
+/// A stream of three events and its run, in order.
+fn stream(route: RouteKind, events: &[(u32, u64)], is_whole: bool) -> Evidence {
+    let first = stream_run(1, key("s"), None);
+    let second = stream_run(2, key("s"), Some(2));
+    let events: Vec<String> = events
+        .iter()
+        .map(|(number, run)| event(*number, *run, key("s")))
+        .collect();
+    let outcome = stream_answer(&first, &events.concat(), is_whole);
+    let sent = with_outcome(sent(route, key("s")), outcome);
+    evidence(vec![sent], vec![first, second])
+}
+
+fn change_answer(
+    evidence: &mut Evidence,
+    change: impl FnOnce(&mut tansyhall_fault_soak::CallerAnswer),
+) {
+    match &mut evidence.sent[0].outcome {
+        Outcome::Answer(answer) => change(answer),
+        other => panic!("no answer: {other:?}"),
+    }
+}
+
+#[test]
+fn what_is_in_order_breaks_no_rule() {
+    assert!(rules(&plain()).is_empty());
+    let whole = [(1, 1), (2, 1), (3, 1)];
+    assert!(rules(&stream(RouteKind::ResumableStream, &whole, true)).is_empty());
+    let resumed = [(1, 1), (2, 1), (3, 2)];
+    assert!(rules(&stream(RouteKind::ResumableStream, &resumed, true)).is_empty());
+    let broken = [(1, 1)];
+    let mut evidence = stream(RouteKind::FinalStream, &broken, false);
+    evidence.runs.truncate(1);
+    assert!(rules(&evidence).is_empty());
+}
+
+#[test]
+fn a_broken_answer_that_is_a_part_of_the_worker_s_is_in_order() {
+    let mut evidence = plain();
+    change_answer(&mut evidence, |answer| {
+        answer.body.truncate(4);
+        answer.is_whole = false;
+    });
+    assert!(rules(&evidence).is_empty());
+}
+
+#[test]
+fn mixed_sees_the_answer_to_another_request() {
+    let run = plain_run(1, key("another"));
+    let own = with_outcome(sent(RouteKind::Once, key("a")), answer(&run));
+    let other = sent(RouteKind::Once, key("another"));
+    let evidence = evidence(vec![own, other], vec![run]);
+    assert_eq!(mixed(&evidence).len(), 1);
+}
+
+#[test]
+fn mixed_sees_the_answer_to_another_body_under_the_same_id() {
+    let mut other = key("a");
+    other.body += 1;
+    let run = plain_run(1, other.clone());
+    let own = with_outcome(sent(RouteKind::Once, key("a")), answer(&run));
+    let evidence = evidence(vec![own, sent(RouteKind::Once, other)], vec![run]);
+    assert_eq!(mixed(&evidence).len(), 1);
+}
+
+#[test]
+fn mixed_sees_wrong_heads() {
+    let changes: [fn(&mut tansyhall_fault_soak::CallerAnswer); 4] = [
+        |answer| answer.seal = None,
+        |answer| answer.seal = Some("nobody's".into()),
+        |answer| answer.status = 500,
+        |answer| answer.id = Some("another".into()),
+    ];
+    for change in changes {
+        let mut evidence = plain();
+        change_answer(&mut evidence, change);
+        assert_eq!(mixed(&evidence).len(), 1);
+    }
+}
+
+#[test]
+fn mixed_sees_wrong_bodies() {
+    let mut evidence = plain();
+    change_answer(&mut evidence, |answer| answer.body.truncate(4));
+    assert_eq!(mixed(&evidence).len(), 1, "a part that looks whole");
+    let mut evidence = plain();
+    change_answer(&mut evidence, |answer| {
+        answer.body = [&answer.body[..], b"more"].concat().into();
+    });
+    assert_eq!(mixed(&evidence).len(), 1, "more than the body");
+}
+
+#[test]
+fn mixed_sees_the_text_of_another_request_in_a_failure() {
+    let run = plain_run(1, key("another"));
+    let mut own = with_outcome(sent(RouteKind::Once, key("a")), answer(&run));
+    if let Outcome::Answer(answer) = &mut own.outcome {
+        answer.seal = None;
+        answer.status = 502;
+    }
+    let evidence = evidence(vec![own], vec![run]);
+    assert_eq!(mixed(&evidence).len(), 1);
+}
+
+#[test]
+fn mixed_sees_bytes_that_are_no_answer() {
+    let mut evidence = plain();
+    evidence.sent[0].outcome = Outcome::Garbage {
+        bytes: "no answer".into(),
+    };
+    assert_eq!(mixed(&evidence).len(), 1);
+}
+
+#[test]
+fn mixed_sees_success_and_garbage_on_an_idle_connection() {
+    let cases = [("HTTP/1.1 200 OK", 1), ("garbage", 1), ("HTTP/1.1 408 ", 0)];
+    for (bytes, expected) in cases {
+        let mut evidence = plain();
+        evidence.stray.push(StrayBytes {
+            gateway: 0,
+            at_ms: 0,
+            bytes: bytes.into(),
+        });
+        assert_eq!(mixed(&evidence).len(), expected, "{bytes}");
+    }
+}
+
+#[test]
+fn mixed_sees_a_run_from_the_cache_of_another_request() {
+    for (read, expected) in [("a", 0), ("another", 1)] {
+        let mut evidence = plain();
+        evidence.runs[0].cache_source = Some("1.1.1.1:1/c1".into());
+        evidence.readings = vec![reading("1.1.1.1:1/c1", key(read))];
+        assert_eq!(mixed(&evidence).len(), expected);
+    }
+    let mut evidence = plain();
+    evidence.runs[0].cache_source = Some("1.1.1.1:1/c1".into());
+    assert_eq!(mixed(&evidence).len(), 1, "a cache that nobody read");
+}
+
+#[test]
+fn mixed_sees_foreign_parts_of_a_stream() {
+    let mut evidence = stream(RouteKind::ResumableStream, &[(1, 1)], false);
+    let other = event(2, 1, key("another"));
+    change_answer(&mut evidence, |answer| {
+        answer.body = [&answer.body[..], other.as_bytes()].concat().into();
+    });
+    assert_eq!(mixed(&evidence).len(), 1);
+    let mut evidence = stream(RouteKind::ResumableStream, &[(1, 1)], false);
+    change_answer(&mut evidence, |answer| {
+        answer.body = [&answer.body[..], b"data: stray\n\n"].concat().into();
+    });
+    assert_eq!(mixed(&evidence).len(), 1);
+}
+
+#[test]
+fn twice_sees_a_second_run_of_what_may_not_be_repeated() {
+    let mut evidence = plain();
+    evidence.runs.push(plain_run(2, key("a")));
+    assert_eq!(twice(&evidence).len(), 1);
+    evidence.sent[0].route = RouteKind::Repeatable;
+    assert!(twice(&evidence).is_empty());
+}
+
+#[test]
+fn refused_sees_a_run_of_what_was_refused() {
+    for (status, expected) in [(503, 1), (429, 1), (408, 1), (421, 1), (502, 0), (504, 0)] {
+        let mut evidence = plain();
+        change_answer(&mut evidence, |answer| {
+            answer.status = status;
+            answer.seal = None;
+            answer.body = Bytes::new();
+        });
+        assert_eq!(refused(&evidence).len(), expected, "{status}");
+        evidence.sent[0].route = RouteKind::Repeatable;
+        assert!(refused(&evidence).is_empty());
+    }
+}
+
+#[test]
+fn unasked_sees_what_no_caller_sent() {
+    let changes: [fn(&mut tansyhall_fault_soak::Run); 5] = [
+        |run| run.mark.key.id.push('x'),
+        |run| run.mark.key.target.push('x'),
+        |run| run.mark.key.body += 1,
+        |run| run.method = "GET".into(),
+        |run| run.prompt = "m 1,1 a:2".into(),
+    ];
+    for change in changes {
+        let mut evidence = plain();
+        change(&mut evidence.runs[0]);
+        assert_eq!(unasked(&evidence).len(), 1);
+    }
+    let mut evidence = plain();
+    evidence.readings.push(reading("1.1.1.1:1/c1", key("b")));
+    assert_eq!(unasked(&evidence).len(), 1);
+}
+
+#[test]
+fn order_sees_missing_double_and_joined_events() {
+    let cases: [(RouteKind, &[(u32, u64)], bool); 7] = [
+        (RouteKind::ResumableStream, &[(1, 1), (3, 1)], false),
+        (RouteKind::ResumableStream, &[(1, 1), (1, 1)], false),
+        (RouteKind::ResumableStream, &[(2, 1), (3, 1)], false),
+        (RouteKind::ResumableStream, &[(1, 1), (2, 1)], true),
+        (RouteKind::ResumableStream, &[], true),
+        (RouteKind::ResumableStream, &[(1, 1), (2, 2)], false),
+        (RouteKind::FinalStream, &[(1, 1), (2, 1), (3, 2)], true),
+    ];
+    for (route, events, is_whole) in cases {
+        let evidence = stream(route, events, is_whole);
+        assert_eq!(order(&evidence).len(), 1, "{route:?} {events:?}");
+    }
+}
+
+#[test]
+fn order_sees_a_torn_event_in_what_looks_whole() {
+    let mut evidence = stream(RouteKind::ResumableStream, &[(1, 1), (2, 1), (3, 1)], true);
+    change_answer(&mut evidence, |answer| {
+        answer.body = [&answer.body[..], b"id: 4\nda"].concat().into();
+    });
+    assert_eq!(order(&evidence).len(), 1);
+}
+
+#[test]
+fn order_counts_from_the_event_that_the_caller_has() {
+    let mut evidence = stream(RouteKind::ResumableStream, &[(3, 2)], true);
+    assert_eq!(order(&evidence).len(), 1);
+    evidence.sent[0].after_event = Some(2);
+    assert!(order(&evidence).is_empty());
+}
+
+#[test]
+fn ended_sees_a_process_that_ended_by_itself() {
+    let mut evidence = plain();
+    evidence.ended.push("gateway-0: signal 6".into());
+    assert_eq!(ended(&evidence).len(), 1);
+}
--- /dev/null
+++ b/crates/fault-soak/tests/records/mod.rs
@@ -0,0 +1,112 @@
+//! Records as an episode leaves them.
+
+use bytes::Bytes;
+use tansyhall_fault_soak::{
+    CallerAnswer, Evidence, Mark, Outcome, Reading, RequestKey, RouteKind, Run, RunBody, Sent,
+};
+
+const PROMPT: &str = "- - -";
+const WORKER: &str = "i-1";
+/// The last event of streams.
+const LAST_EVENT: u32 = 3;
+
+pub fn key(id: &str) -> RequestKey {
+    RequestKey {
+        id: id.into(),
+        target: "/x".into(),
+        body: 7,
+    }
+}
+
+pub fn evidence(sent: Vec<Sent>, runs: Vec<Run>) -> Evidence {
+    Evidence {
+        sent,
+        runs,
+        ..Evidence::default()
+    }
+}
+
+pub fn sent(route: RouteKind, key: RequestKey) -> Sent {
+    Sent {
+        key,
+        route,
+        prompt: PROMPT.into(),
+        after_event: None,
+        gateway: 0,
+        at_ms: 0,
+        outcome: Outcome::NoAnswer { why: "cut".into() },
+    }
+}
+
+pub fn with_outcome(mut sent: Sent, outcome: Outcome) -> Sent {
+    sent.outcome = outcome;
+    sent
+}
+
+fn mark(number: u64, key: RequestKey) -> Mark {
+    Mark {
+        run: number,
+        worker: WORKER.into(),
+        key,
+    }
+}
+
+pub fn plain_run(number: u64, key: RequestKey) -> Run {
+    let mark = mark(number, key);
+    let body = RunBody::Plain(Bytes::from(mark.text() + "\nend\n"));
+    run(mark, body, None)
+}
+
+pub fn stream_run(number: u64, key: RequestKey, after_event: Option<u32>) -> Run {
+    let body = RunBody::Stream { last: LAST_EVENT };
+    run(mark(number, key), body, after_event)
+}
+
+fn run(mark: Mark, body: RunBody, after_event: Option<u32>) -> Run {
+    Run {
+        method: "POST".into(),
+        seal: format!("seal.{}", mark.run),
+        prompt: PROMPT.into(),
+        after_event,
+        cache_source: None,
+        at_ms: 0,
+        status: 200,
+        mark,
+        body,
+    }
+}
+
+/// The whole answer of a plain run.
+pub fn answer(run: &Run) -> Outcome {
+    let RunBody::Plain(body) = &run.body else {
+        panic!("a plain run is needed");
+    };
+    whole(run, body.clone(), true)
+}
+
+pub fn stream_answer(run: &Run, events: &str, is_whole: bool) -> Outcome {
+    whole(run, Bytes::from(events.to_owned()), is_whole)
+}
+
+fn whole(run: &Run, body: Bytes, is_whole: bool) -> Outcome {
+    Outcome::Answer(CallerAnswer {
+        status: run.status,
+        id: Some(run.mark.key.id.clone()),
+        seal: Some(run.seal.clone()),
+        body,
+        is_whole,
+    })
+}
+
+pub fn event(number: u32, run: u64, key: RequestKey) -> String {
+    let mark = mark(run, key).text();
+    format!("id: {number}\ndata: {number}/{LAST_EVENT} {mark}\n\n")
+}
+
+pub fn reading(place: &str, key: RequestKey) -> Reading {
+    Reading {
+        place: place.into(),
+        key,
+        at_ms: 0,
+    }
+}
