--- a/crates/fault-soak/src/evidence.rs
+++ b/crates/fault-soak/src/evidence.rs
@@ -19,6 +19,8 @@
     pub calls: Vec<Call>,
     /// Bytes on callers' connections on which no request was waiting.
     pub stray: Vec<StrayBytes>,
+    /// What workers got that is no request.
+    pub garbled: Vec<Garbled>,
     /// Gateway processes that ended without having been stopped, and how.
     pub ended: Vec<String>,
 }
@@ -141,6 +143,17 @@
     pub at_ms: u64,
 }
 
+/// Bytes that came to a worker and are no request.
+#[derive(Debug, Clone, Serialize)]
+pub struct Garbled {
+    /// The worker.
+    pub worker: String,
+    /// The first of the bytes.
+    pub bytes: String,
+    /// Milliseconds from the start of the episode.
+    pub at_ms: u64,
+}
+
 /// Bytes that came on a caller's connection on which no request was waiting.
 #[derive(Debug, Clone, Serialize)]
 pub struct StrayBytes {
--- a/crates/fault-soak/src/judges/unasked.rs
+++ b/crates/fault-soak/src/judges/unasked.rs
@@ -29,5 +29,9 @@
             violations.push(Violation::new(Rule::Unasked, what, reading));
         }
     }
+    for garbled in &evidence.garbled {
+        let what = "bytes at a worker that are no request";
+        violations.push(Violation::new(Rule::Unasked, what, garbled));
+    }
     violations
 }
--- a/crates/fault-soak/src/worker/connection.rs
+++ b/crates/fault-soak/src/worker/connection.rs
@@ -80,8 +80,13 @@
 impl Connection {
     async fn run(&mut self) -> End {
         loop {
-            let Ok(request) = self.next_request().await else {
-                return End::Close;
+            let request = match self.next_request().await {
+                Ok(request) => request,
+                Err(ReadError::Garbage(bytes)) => {
+                    self.worker.record_garbled(bytes);
+                    return End::Close;
+                }
+                Err(_) => return End::Close,
             };
             let reply = self.worker.answer(&request).await;
             if self.send_late().await.is_err() {
--- a/crates/fault-soak/src/worker/state.rs
+++ b/crates/fault-soak/src/worker/state.rs
@@ -12,7 +12,7 @@
 use tansyhall_platform_standin::Store;
 
 use super::{entry, WorkerPlan};
-use crate::evidence::{Call, Evidence, Reading, Run};
+use crate::evidence::{Call, Evidence, Garbled, Reading, Run};
 use crate::faults::{Aspect, Fault, FaultCounts, Mix};
 use crate::identity::RequestKey;
 
@@ -225,6 +225,16 @@
         self.notebook.record(|evidence| evidence.runs.push(run));
     }
 
+    pub(super) fn record_garbled(&self, bytes: String) {
+        let garbled = Garbled {
+            worker: self.id.clone(),
+            bytes,
+            at_ms: self.notebook.now_ms(),
+        };
+        self.notebook
+            .record(|evidence| evidence.garbled.push(garbled));
+    }
+
     pub(super) fn record_call(&self, what: String, id: Option<&str>) {
         let call = Call {
             worker: self.id.clone(),
--- a/crates/fault-soak/tests/judges.rs
+++ b/crates/fault-soak/tests/judges.rs
@@ -7,7 +7,7 @@
     answer, event, evidence, key, plain_run, reading, sent, stream_answer, stream_run, with_outcome,
 };
 use tansyhall_fault_soak::judges::{ended, mixed, order, refused, twice, unasked};
-use tansyhall_fault_soak::{judge, Evidence, Outcome, RouteKind, Rule, StrayBytes};
+use tansyhall_fault_soak::{judge, Evidence, Garbled, Outcome, RouteKind, Rule, StrayBytes};
 
 fn rules(evidence: &Evidence) -> Vec<Rule> {
     judge(evidence).iter().map(|found| found.rule).collect()
@@ -216,11 +216,21 @@
     let mut evidence = plain();
     evidence.readings.push(reading("1.1.1.1:1/c1", key("b")));
     assert_eq!(unasked(&evidence).len(), 1);
+    let mut evidence = plain();
+    evidence.garbled.push(Garbled {
+        worker: "i-1".into(),
+        bytes: "rest of a body".into(),
+        at_ms: 0,
+    });
+    assert_eq!(unasked(&evidence).len(), 1);
 }
 
+/// A route, events with their runs, and whether the answer looks whole.
+type StreamCase = (RouteKind, &'static [(u32, u64)], bool);
+
 #[test]
 fn order_sees_missing_double_and_joined_events() {
-    let cases: [(RouteKind, &[(u32, u64)], bool); 7] = [
+    let cases: [StreamCase; 7] = [
         (RouteKind::ResumableStream, &[(1, 1), (3, 1)], false),
         (RouteKind::ResumableStream, &[(1, 1), (1, 1)], false),
         (RouteKind::ResumableStream, &[(2, 1), (3, 1)], false),
