Fault soak: a judge of the fleet's retry budget

Change: workers record each arrival, BUDGET compares arrivals past the first of each try with what the fleet may have in any window, and runs with what a route allows. The gateways get the budget that is judged.

--- a/crates/fault-soak/src/evidence.rs
+++ b/crates/fault-soak/src/evidence.rs
@@ -13,6 +13,8 @@
     pub sent: Vec<Sent>,
     /// Runs of requests at workers.
     pub runs: Vec<Run>,
+    /// Requests as they arrived at workers, to be run or read, also those that were refused.
+    pub arrivals: Vec<Arrival>,
     /// Prompts that workers read for other workers.
     pub readings: Vec<Reading>,
     /// Other calls that workers took.
@@ -130,6 +132,21 @@
     pub at_ms: u64,
 }
 
+/// A request that arrived at a worker.
+#[derive(Debug, Clone, Serialize)]
+pub struct Arrival {
+    /// The request.
+    pub key: RequestKey,
+    /// The worker.
+    pub worker: String,
+    /// Whether only its prompt was to be read.
+    pub is_reading: bool,
+    /// Whether the worker took it up.
+    pub is_taken_up: bool,
+    /// Milliseconds from the start of the episode.
+    pub at_ms: u64,
+}
+
 /// Another call that a worker took.
 #[derive(Debug, Clone, Serialize)]
 pub struct Call {
--- a/crates/fault-soak/src/gateways.rs
+++ b/crates/fault-soak/src/gateways.rs
@@ -10,6 +10,7 @@
 use tansyhall_testing::{gateway, GatewayAddresses, GatewayProcess};
 use tokio::time::sleep;
 
+use crate::judges::{EXTRA, RATIO, WINDOW_S};
 use crate::link::Link;
 use crate::site::{LOCAL_ZONE, TAKEOVER_PAUSE_MS};
 
@@ -162,9 +163,9 @@
             "provider": { "address": self.store.entrance.to_string() },
             "cloud": { "address": self.operations },
             "bounds": {
-                "retry_budget_ratio": 0.2,
-                "budget_extra": 200,
-                "budget_window_s": 10,
+                "retry_budget_ratio": RATIO,
+                "budget_extra": EXTRA,
+                "budget_window_s": WINDOW_S,
                 "grace_s": GRACE_S,
                 "lease_ms": TAKEOVER_PAUSE_MS,
                 "report_window_s": 1,
--- a/crates/fault-soak/src/judges/mod.rs
+++ b/crates/fault-soak/src/judges/mod.rs
@@ -1,5 +1,6 @@
 //! Judges: each reads what was seen in an episode and names what breaks its rule.
 
+mod budget;
 mod ended;
 mod mixed;
 mod order;
@@ -13,6 +14,7 @@
 
 use crate::evidence::{Evidence, Run, Sent};
 
+pub use budget::{budget, EXTRA, RATIO, WINDOW_S};
 pub use ended::ended;
 pub use mixed::mixed;
 pub use order::order;
@@ -33,6 +35,8 @@
     Unasked,
     /// Events of a stream come once each and in order, to the last.
     Order,
+    /// Repeats stay within the fleet's budget.
+    Budget,
     /// No gateway process ends by itself.
     Ended,
 }
@@ -64,6 +68,6 @@
 
 /// What all judges find.
 pub fn judge(evidence: &Evidence) -> Vec<Violation> {
-    let judges = [mixed, twice, refused, unasked, order, ended];
+    let judges = [mixed, twice, refused, unasked, order, budget, ended];
     judges.iter().flat_map(|judge| judge(evidence)).collect()
 }
--- a/crates/fault-soak/src/lib.rs
+++ b/crates/fault-soak/src/lib.rs
@@ -24,7 +24,8 @@
 
 pub use episode::{run_episode, Episode, EpisodePlan};
 pub use evidence::{
-    Call, CallerAnswer, Evidence, Garbled, Outcome, Reading, Run, RunBody, Sent, StrayBytes,
+    Arrival, Call, CallerAnswer, Evidence, Garbled, Outcome, Reading, Run, RunBody, Sent,
+    StrayBytes,
 };
 pub use faults::{Fault, FaultCounts, Mix};
 pub use http::{Framing, Head, ReadError, Reader};
--- a/crates/fault-soak/src/routes.rs
+++ b/crates/fault-soak/src/routes.rs
@@ -82,6 +82,15 @@
         )
     }
 
+    /// The most workers that one try may run on.
+    pub fn max_attempts(self) -> u32 {
+        if self.may_run_again() {
+            3
+        } else {
+            1
+        }
+    }
+
     fn plan(self) -> RoutePlan {
         let kind = match self {
             Self::Repeatable => "idempotent",
@@ -94,7 +103,7 @@
             prefix,
             kind,
             resumable: self.is_resumable(),
-            max_attempts: if self.may_run_again() { 3 } else { 1 },
+            max_attempts: self.max_attempts(),
             service: if self.is_engine() {
                 ENGINES
             } else {
--- a/crates/fault-soak/src/worker/answers.rs
+++ b/crates/fault-soak/src/worker/answers.rs
@@ -47,6 +47,11 @@
         self.head.word(1)
     }
 
+    /// Whether only its prompt is to be read.
+    fn is_reading(&self) -> bool {
+        self.head.get(STAGE) == Some(PREFILL)
+    }
+
     fn key(&self, id: &str) -> RequestKey {
         RequestKey {
             id: id.to_owned(),
@@ -78,34 +83,51 @@
         if let Some(fault) = verdict {
             self.notebook.count_fault(format!("worker {fault:?}"));
         }
+        let is_call = RouteKind::of_target(request.target()).is_none();
+        let refusal = self.refusal(request, id, verdict);
+        if let (false, Some(id)) = (is_call, id) {
+            let key = request.key(id);
+            self.record_arrival(key, request.is_reading(), refusal.is_none());
+        }
+        let key = match (refusal, id) {
+            (Some(refusal), _) => return refusal,
+            (None, _) if is_call => return self.answer_call(request, id, verdict),
+            (None, None) => return not_run(400),
+            (None, Some(id)) => request.key(id),
+        };
+        let work_ms = self.draw(|random| random.random_range(0..MAX_WORK_MS));
+        if request.is_reading() {
+            sleep(Duration::from_millis(work_ms)).await;
+            return self.read_prompt(key, verdict);
+        }
+        self.run(request, key, verdict, work_ms).await
+    }
+
+    /// The answer to a request or a call that is refused before anything is done.
+    fn refusal(
+        &self,
+        request: &Request,
+        id: Option<&str>,
+        verdict: Option<Fault>,
+    ) -> Option<Reply> {
         let meant = request.head.get(INSTANCE);
         if meant.is_some_and(|meant| meant != self.id) || verdict == Some(Fault::Misdirect) {
-            return not_run(421);
+            return Some(not_run(421));
         }
         if RouteKind::of_target(request.target()).is_none() {
-            return self.answer_call(request, id, verdict);
+            return None;
         }
-        let Some(id) = id else {
-            return not_run(400);
-        };
         if verdict == Some(Fault::Refuse) {
             let status = self.draw(|random| [503, 429][random.random_range(0..2)]);
-            return not_run(status).with("Retry-After", "0.05");
+            return Some(not_run(status).with("Retry-After", "0.05"));
         }
-        let key = request.key(id);
-        let reads = request.head.get(STAGE) == Some(PREFILL);
-        if self
+        let is_wrong_stage = self
             .stage()
-            .is_some_and(|stage| (stage == PREFILL) != reads)
-        {
-            return not_run(421);
+            .is_some_and(|stage| (stage == PREFILL) != request.is_reading());
+        if is_wrong_stage {
+            return Some(not_run(421));
         }
-        let work_ms = self.draw(|random| random.random_range(0..MAX_WORK_MS));
-        if reads {
-            sleep(Duration::from_millis(work_ms)).await;
-            return self.read_prompt(key, verdict);
-        }
-        self.run(request, key, verdict, work_ms).await
+        id.is_none().then(|| not_run(400))
     }
 
     fn answer_call(&self, request: &Request, id: Option<&str>, verdict: Option<Fault>) -> Reply {
--- a/crates/fault-soak/src/worker/state.rs
+++ b/crates/fault-soak/src/worker/state.rs
@@ -12,7 +12,7 @@
 use tansyhall_platform_standin::Store;
 
 use super::{entry, WorkerPlan};
-use crate::evidence::{Call, Evidence, Garbled, Reading, Run};
+use crate::evidence::{Arrival, Call, Evidence, Garbled, Reading, Run};
 use crate::faults::{Aspect, Fault, FaultCounts, Mix};
 use crate::identity::RequestKey;
 
@@ -221,6 +221,18 @@
         format!("servers/{}", self.id)
     }
 
+    pub(super) fn record_arrival(&self, key: RequestKey, is_reading: bool, is_taken_up: bool) {
+        let arrival = Arrival {
+            key,
+            worker: self.id.clone(),
+            is_reading,
+            is_taken_up,
+            at_ms: self.notebook.now_ms(),
+        };
+        self.notebook
+            .record(|evidence| evidence.arrivals.push(arrival));
+    }
+
     pub(super) fn record_run(&self, run: Run) {
         self.notebook.record(|evidence| evidence.runs.push(run));
     }
--- a/crates/fault-soak/tests/judges.rs
+++ b/crates/fault-soak/tests/judges.rs
@@ -4,9 +4,10 @@
 
 use bytes::Bytes;
 use records::{
-    answer, event, evidence, key, plain_run, reading, sent, stream_answer, stream_run, with_outcome,
+    answer, arrival, event, evidence, key, plain_run, reading, sent, stream_answer, stream_run,
+    with_outcome,
 };
-use tansyhall_fault_soak::judges::{ended, mixed, order, refused, twice, unasked};
+use tansyhall_fault_soak::judges::{budget, ended, mixed, order, refused, twice, unasked};
 use tansyhall_fault_soak::{judge, Evidence, Garbled, Outcome, RouteKind, Rule, StrayBytes};
 
 fn rules(evidence: &Evidence) -> Vec<Rule> {
@@ -268,3 +269,54 @@
     evidence.ended.push("gateway-0: signal 6".into());
     assert_eq!(ended(&evidence).len(), 1);
 }
+
+/// A request that is tried once and arrives so often, with a first reading that is taken up or not.
+fn repeats(arrivals: usize, is_taken_up: bool) -> Evidence {
+    let mut asked = sent(RouteKind::EngineResumable, key("a"));
+    asked.key.target = "/talk/a".into();
+    let key = asked.key.clone();
+    let mut evidence = evidence(vec![asked], Vec::new());
+    let mut first = arrival(key.clone());
+    first.is_reading = true;
+    first.is_taken_up = is_taken_up;
+    evidence.arrivals.push(first);
+    for _ in 0..arrivals {
+        evidence.arrivals.push(arrival(key.clone()));
+    }
+    evidence
+}
+
+#[test]
+fn budget_sees_more_repeats_than_the_fleet_has() {
+    // One request allows 54.2 arrivals past its first.
+    assert!(budget(&repeats(55, true)).is_empty());
+    assert_eq!(budget(&repeats(56, true)).len(), 1);
+    assert!(budget(&repeats(54, false)).is_empty());
+    assert_eq!(budget(&repeats(55, false)).len(), 1);
+}
+
+#[test]
+fn budget_counts_each_window_by_itself() {
+    let mut evidence = repeats(60, true);
+    for arrival in evidence.arrivals.iter_mut().skip(30) {
+        arrival.at_ms = 30_000;
+    }
+    assert!(budget(&evidence).is_empty());
+}
+
+#[test]
+fn budget_sees_requests_on_too_many_workers() {
+    for (requests, expected) in [(3, 0), (4, 1)] {
+        let mut evidence = Evidence::default();
+        for number in 0..requests {
+            let key = key(&format!("a{number}"));
+            evidence.sent.push(sent(RouteKind::Once, key.clone()));
+            for worker in ["i-1", "i-2"] {
+                let mut run = plain_run(number, key.clone());
+                run.mark.worker = worker.into();
+                evidence.runs.push(run);
+            }
+        }
+        assert_eq!(budget(&evidence).len(), expected);
+    }
+}
--- a/crates/fault-soak/tests/records/mod.rs
+++ b/crates/fault-soak/tests/records/mod.rs
@@ -2,7 +2,8 @@
 
 use bytes::Bytes;
 use tansyhall_fault_soak::{
-    CallerAnswer, Evidence, Mark, Outcome, Reading, RequestKey, RouteKind, Run, RunBody, Sent,
+    Arrival, CallerAnswer, Evidence, Mark, Outcome, Reading, RequestKey, RouteKind, Run, RunBody,
+    Sent,
 };
 
 const PROMPT: &str = "- - -";
@@ -110,3 +111,13 @@
         at_ms: 0,
     }
 }
+
+pub fn arrival(key: RequestKey) -> Arrival {
+    Arrival {
+        key,
+        worker: WORKER.into(),
+        is_reading: false,
+        is_taken_up: true,
+        at_ms: 0,
+    }
+}
