--- a/crates/fault-soak/src/worker/answers.rs
+++ b/crates/fault-soak/src/worker/answers.rs
@@ -114,9 +114,7 @@
         if meant.is_some_and(|meant| meant != self.id) || verdict == Some(Fault::Misdirect) {
             return Some(not_run(421));
         }
-        if RouteKind::of_target(request.target()).is_none() {
-            return None;
-        }
+        RouteKind::of_target(request.target())?;
         if verdict == Some(Fault::Refuse) {
             let status = self.draw(|random| [503, 429][random.random_range(0..2)]);
             return Some(not_run(status).with("Retry-After", "0.05"));
