--- a/crates/fault-soak/src/caller/mod.rs
+++ b/crates/fault-soak/src/caller/mod.rs
@@ -24,9 +24,11 @@
 /// How many requests of a hundred are given up by their caller before the answer.
 const LEAVING_OF_HUNDRED: u32 = 5;
 /// How many of a hundred have the id of the one before, with another body.
-const REUSING_OF_HUNDRED: u32 = 8;
+const REUSING_OF_HUNDRED: u32 = 20;
 /// How many of a hundred that may be tried again are.
 const RETRYING_OF_HUNDRED: u32 = 60;
+/// How many of a hundred go to the gateway that the one before went to.
+const STAYING_OF_HUNDRED: u32 = 70;
 /// The most tries of one request.
 const MAX_TRIES: u32 = 3;
 
@@ -51,6 +53,7 @@
         client: Client::new(plan.gateways.len()),
         sent: 0,
         last_id: None,
+        gateway: 0,
         plan,
     };
     while !caller.plan.is_over.get() {
@@ -66,6 +69,7 @@
     client: Client,
     sent: u64,
     last_id: Option<String>,
+    gateway: usize,
 }
 
 impl Caller {
@@ -91,7 +95,10 @@
     }
 
     async fn send(&mut self, request: &CallerRequest) -> Outcome {
-        let gateway = self.random.random_range(0..self.plan.gateways.len());
+        if !self.random.random_ratio(STAYING_OF_HUNDRED, 100) {
+            self.gateway = self.random.random_range(0..self.plan.gateways.len());
+        }
+        let gateway = self.gateway;
         let leaves = self.random.random_ratio(LEAVING_OF_HUNDRED, 100);
         let patience = match leaves {
             true => Duration::from_millis(self.random.random_range(0..40)),
