Fault soak: a budget tight enough that its judge can fail in a soak

Cause: with a budget of 54 and a fifth of the requests, gateways that never refuse a repeat (a trial) stayed within it. Change: 30 and a twentieth.

--- a/crates/fault-soak/src/judges/budget.rs
+++ b/crates/fault-soak/src/judges/budget.rs
@@ -8,9 +8,9 @@
 use crate::routes::RouteKind;
 
 /// Arrivals past the first of each request, for each request of the same window.
-pub const RATIO: f64 = 0.2;
+pub const RATIO: f64 = 0.05;
 /// The same, beyond the ratio.
-pub const EXTRA: u32 = 54;
+pub const EXTRA: u32 = 30;
 /// The window in seconds.
 pub const WINDOW_S: u64 = 10;
 /// Requests that may run on too many workers before it counts.
--- a/crates/fault-soak/tests/judges.rs
+++ b/crates/fault-soak/tests/judges.rs
@@ -7,7 +7,9 @@
     answer, arrival, event, evidence, key, plain_run, reading, sent, stream_answer, stream_run,
     with_outcome,
 };
-use tansyhall_fault_soak::judges::{budget, ended, mixed, order, refused, twice, unasked};
+use tansyhall_fault_soak::judges::{
+    budget, ended, mixed, order, refused, twice, unasked, EXTRA, WINDOW_S,
+};
 use tansyhall_fault_soak::{judge, Evidence, Garbled, Outcome, RouteKind, Rule, StrayBytes};
 
 fn rules(evidence: &Evidence) -> Vec<Rule> {
@@ -288,18 +290,21 @@
 
 #[test]
 fn budget_sees_more_repeats_than_the_fleet_has() {
-    // One request allows 54.2 arrivals past its first.
-    assert!(budget(&repeats(55, true)).is_empty());
-    assert_eq!(budget(&repeats(56, true)).len(), 1);
-    assert!(budget(&repeats(54, false)).is_empty());
-    assert_eq!(budget(&repeats(55, false)).len(), 1);
+    // One request allows hardly more than the fixed number of arrivals past its first.
+    let most = EXTRA as usize;
+    assert!(budget(&repeats(most + 1, true)).is_empty());
+    assert_eq!(budget(&repeats(most + 2, true)).len(), 1);
+    assert!(budget(&repeats(most, false)).is_empty());
+    assert_eq!(budget(&repeats(most + 1, false)).len(), 1);
 }
 
 #[test]
 fn budget_counts_each_window_by_itself() {
-    let mut evidence = repeats(60, true);
-    for arrival in evidence.arrivals.iter_mut().skip(30) {
-        arrival.at_ms = 30_000;
+    let most = EXTRA as usize;
+    let mut evidence = repeats(2 * most, true);
+    assert_eq!(budget(&evidence).len(), 1);
+    for arrival in evidence.arrivals.iter_mut().skip(most + 2) {
+        arrival.at_ms = 3 * 1_000 * WINDOW_S;
     }
     assert!(budget(&evidence).is_empty());
 }
