--- a/crates/fault-soak/src/faults.rs
+++ b/crates/fault-soak/src/faults.rs
@@ -17,6 +17,8 @@
     StutterLater,
     /// The whole answer is sent again in the place of a next one that is due.
     StutterInPlace,
+    /// The beginning of the answer is sent again in the place of a next one that is due.
+    StutterTorn,
     /// Bytes follow a whole answer.
     ExtraBytes,
     /// The answer ends early, and its connection ends in good order.
@@ -33,6 +35,8 @@
     Hang,
     /// The whole answer has no length; it ends with its connection.
     NoLength,
+    /// The whole answer has no length, and is sent again before its connection ends.
+    NoLengthTwice,
     /// An answer without a length is reset in the middle.
     NoLengthReset,
     /// The worker says that it is full.
@@ -58,9 +62,10 @@
 
 impl Fault {
     /// All of them.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 17] = [
         Self::StutterLater,
         Self::StutterInPlace,
+        Self::StutterTorn,
         Self::ExtraBytes,
         Self::CutShort,
         Self::Split,
@@ -69,6 +74,7 @@
         Self::Close,
         Self::Hang,
         Self::NoLength,
+        Self::NoLengthTwice,
         Self::NoLengthReset,
         Self::Refuse,
         Self::Fail,
@@ -79,7 +85,8 @@
     /// The part of an answer that it touches.
     pub fn aspect(self) -> Aspect {
         match self {
-            Self::StutterLater | Self::StutterInPlace | Self::ExtraBytes => Aspect::Echo,
+            Self::StutterLater | Self::StutterInPlace => Aspect::Echo,
+            Self::StutterTorn | Self::ExtraBytes => Aspect::Echo,
             Self::Refuse | Self::Fail | Self::Misdirect | Self::HandleGone => Aspect::Verdict,
             _ => Aspect::Delivery,
         }
@@ -91,6 +98,7 @@
             Self::Hang => 0.02,
             Self::Drip | Self::Close => 0.1,
             Self::StutterLater | Self::StutterInPlace | Self::Split => 0.9,
+            Self::StutterTorn => 0.5,
             _ => 0.25,
         }
     }
@@ -117,7 +125,11 @@
 
     /// The same with a stutter.
     pub fn with_stutter(mut self, random: &mut ChaCha8Rng) -> Self {
-        let stutters = [Fault::StutterLater, Fault::StutterInPlace];
+        let stutters = [
+            Fault::StutterLater,
+            Fault::StutterInPlace,
+            Fault::StutterTorn,
+        ];
         let stutter = *stutters.choose(random).unwrap_or(&Fault::StutterInPlace);
         self.0.insert(0, (stutter, random.random_range(0.2..0.9)));
         self
--- a/crates/fault-soak/src/worker/connection.rs
+++ b/crates/fault-soak/src/worker/connection.rs
@@ -29,6 +29,8 @@
 const DRIP_PIECES: usize = 12;
 /// The most bytes of a piece of a split answer.
 const MAX_PIECE_BYTES: usize = 40;
+/// The most bytes of an answer whose beginning is sent again; it ends in the head as a rule.
+const MAX_TORN_BYTES: usize = 160;
 /// What a reset waits for, so that the bytes before it arrive.
 const BEFORE_RESET: Duration = Duration::from_millis(5);
 /// Bytes that follow a whole answer.
@@ -176,7 +178,9 @@
         fault: Option<Fault>,
     ) -> std::io::Result<Option<End>> {
         let ending = match fault {
-            Some(Fault::NoLength | Fault::NoLengthReset) => Ending::Connection,
+            Some(Fault::NoLength | Fault::NoLengthTwice | Fault::NoLengthReset) => {
+                Ending::Connection
+            }
             _ => Ending::Told,
         };
         let steps = reply.steps(ending);
@@ -198,8 +202,14 @@
                 sleep(BEFORE_RESET).await;
                 return Ok(Some(End::Reset));
             }
-            Some(Fault::NoLength) => {
+            Some(Fault::NoLength | Fault::NoLengthTwice) => {
                 self.write_paced(&steps, reply.pause).await?;
+                if fault == Some(Fault::NoLengthTwice) {
+                    let ending = self.worker.draw(|random| {
+                        [Ending::Told, Ending::Connection][random.random_range(0..2)]
+                    });
+                    self.write(&reply.steps(ending).concat()).await?;
+                }
                 return Ok(Some(End::Close));
             }
             _ => self.write_paced(&steps, reply.pause).await?,
@@ -230,7 +240,11 @@
                     .draw(|random| random.random_range(0..=MAX_ANSWERS_BETWEEN)),
             ),
         };
-        let bytes = Bytes::from(reply.steps(Ending::Told).concat());
+        let mut bytes = Bytes::from(reply.steps(Ending::Told).concat());
+        if fault == Fault::StutterTorn {
+            let most = MAX_TORN_BYTES.min(bytes.len());
+            bytes.truncate(self.worker.draw(|random| random.random_range(1..most)));
+        }
         self.late.push_back(LateAnswer { bytes, due });
         Ok(())
     }
