--- a/crates/lab/src/fault_soak.rs
+++ b/crates/lab/src/fault_soak.rs
@@ -4,7 +4,9 @@
 use std::process::ExitCode;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use actix_rt::signal::unix::{signal, SignalKind};
 use anyhow::{bail, Result};
+use futures_util::future::{select, Either};
 use pico_args::Arguments;
 use tansyhall_fault_soak::{
     keep, regressions, run_episode, Episode, EpisodePlan, FaultCounts, KEEP_DIRECTORY,
@@ -53,7 +55,7 @@
     let mut code = ExitCode::SUCCESS;
     for mut plan in plans {
         plan.with_unsolved = with_unsolved;
-        let episode = actix_rt::System::new().block_on(run_episode(plan))?;
+        let episode = actix_rt::System::new().block_on(run_or_stop(plan))?;
         print_episode(&episode, json);
         if !episode.violations.is_empty() {
             code = ExitCode::FAILURE;
@@ -63,6 +65,17 @@
     Ok(code)
 }
 
+/// Runs an episode, or gives it up on a signal; its processes end with it.
+async fn run_or_stop(plan: EpisodePlan) -> Result<Episode> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let signals = select(Box::pin(interrupt.recv()), Box::pin(terminate.recv()));
+    match select(Box::pin(run_episode(plan)), signals).await {
+        Either::Left((episode, _)) => episode,
+        Either::Right(_) => bail!("stopped by a signal"),
+    }
+}
+
 fn plans(arguments: &mut Arguments) -> Result<Vec<EpisodePlan>> {
     if arguments.contains("--regressions") {
         let known = regressions()?.into_iter();
