--- a/crates/lab/src/fault_soak.rs
+++ b/crates/lab/src/fault_soak.rs
@@ -67,15 +67,23 @@
 
 /// Runs an episode, or gives it up on a signal; its processes end with it.
 async fn run_or_stop(plan: EpisodePlan) -> Result<Episode> {
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let signals = select(Box::pin(interrupt.recv()), Box::pin(terminate.recv()));
-    match select(Box::pin(run_episode(plan)), signals).await {
+    let stopped = Box::pin(until_signal());
+    match select(Box::pin(run_episode(plan)), stopped).await {
         Either::Left((episode, _)) => episode,
-        Either::Right(_) => bail!("stopped by a signal"),
+        Either::Right((told, _)) => {
+            told?;
+            bail!("stopped by a signal")
+        }
     }
 }
 
+async fn until_signal() -> Result<()> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    select(Box::pin(interrupt.recv()), Box::pin(terminate.recv())).await;
+    Ok(())
+}
+
 fn plans(arguments: &mut Arguments) -> Result<Vec<EpisodePlan>> {
     if arguments.contains("--regressions") {
         let known = regressions()?.into_iter();
