A second answer is looked for in every body that has an id

Cause, found by the fault soak: a worker that cuts an answer whose length it has told, and sends it again on the same connection, has the second head read as the rest of the first body; the caller gets it as whole. Ruled out: a library setting; the length is kept to the letter. Change: the search for a second answer is a module of its own and looks at all bodies, also for one that ends inside a head. What passes is a head of which less than a status line lies in the body: nothing of it can be known.

--- a/crates/fault-soak/src/routes.rs
+++ b/crates/fault-soak/src/routes.rs
@@ -3,6 +3,9 @@
 use serde::Serialize;
 use tansyhall_platform_standin::RoutePlan;
 
+/// The latency objective of all routes, in milliseconds.
+const OBJECTIVE_MS: u64 = 5_000;
+
 /// What may be done with a request on a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
 pub enum RouteKind {
@@ -104,6 +107,7 @@
             kind,
             resumable: self.is_resumable(),
             max_attempts: self.max_attempts(),
+            objective_ms: OBJECTIVE_MS,
             service: if self.is_engine() {
                 ENGINES
             } else {
@@ -123,6 +127,7 @@
             kind: "idempotent",
             resumable: false,
             max_attempts: 2,
+            objective_ms: OBJECTIVE_MS,
             service: APPLICATION,
         });
     }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -24,8 +24,9 @@
 use tokio::time::timeout;
 
 use crate::connection_pool::{Connection, OpenCount, Pool};
-use crate::correlation::{AnswerHead, Correlation, Foreign, SecondAnswerSearch};
+use crate::correlation::{AnswerHead, Correlation, Foreign};
 use crate::headers::HeaderList;
+use crate::second_answer::SecondAnswerSearch;
 use crate::worker_request::WorkerRequest;
 
 /// Time for a new connection to come up.
@@ -89,7 +90,7 @@
 pub struct AnswerBody {
     incoming: Incoming,
     returning: Option<Returning>,
-    /// For an answer without a length.
+    /// None for a request without an id.
     search: Option<SecondAnswerSearch>,
 }
 
@@ -237,13 +238,13 @@
             connection,
             is_kept: usable_until.is_some(),
         };
-        let search = id.filter(|_| has_no_length(&headers));
+        let search = id.map(|id| SecondAnswerSearch::new(id, &headers));
         Ok(WorkerAnswer {
             status: head.status.as_u16(),
             body: AnswerBody {
                 incoming,
                 returning: Some(returning),
-                search: search.map(SecondAnswerSearch::new),
+                search,
             },
             headers,
         })
@@ -273,6 +274,10 @@
     }
 }
 
+fn second_answer() -> SendError {
+    SendError::NoAnswer("a second answer in the body".into())
+}
+
 fn not_sent(reason: impl std::fmt::Display) -> SendError {
     SendError::NotSent(Unconnected::Failed(reason.to_string()))
 }
@@ -287,10 +292,7 @@
     pub async fn next(&mut self) -> Result<Option<Bytes>, SendError> {
         loop {
             match self.incoming.frame().await {
-                None => {
-                    self.give_back();
-                    return Ok(None);
-                }
+                None => return self.end(),
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(bytes) if !bytes.is_empty() => return self.checked(bytes).map(Some),
                     _ => continue,
@@ -315,12 +317,26 @@
         Some(whole.freeze())
     }
 
+    /// The end of the body, unless it ends inside a second answer's head.
+    fn end(&mut self) -> Result<Option<Bytes>, SendError> {
+        if self
+            .search
+            .take()
+            .is_some_and(|search| search.ends_in_head())
+        {
+            self.returning = None;
+            return Err(second_answer());
+        }
+        self.give_back();
+        Ok(None)
+    }
+
     /// The same bytes, unless a second answer has begun in them.
     fn checked(&mut self, bytes: Bytes) -> Result<Bytes, SendError> {
         let search = self.search.as_mut();
         if search.is_some_and(|search| search.finds_in(&bytes)) {
             self.returning = None;
-            return Err(SendError::NoAnswer("a second answer in the body".into()));
+            return Err(second_answer());
         }
         Ok(bytes)
     }
@@ -336,11 +352,6 @@
     }
 }
 
-/// Whether only the end of the connection ends the body.
-fn has_no_length(headers: &HeaderList) -> bool {
-    headers.get("content-length").is_none() && headers.get("transfer-encoding").is_none()
-}
-
 fn keep_alive_timeout(value: &str) -> Option<Duration> {
     let seconds = value
         .split(',')
--- a/crates/gateway/src/correlation.rs
+++ b/crates/gateway/src/correlation.rs
@@ -15,19 +15,13 @@
 use crate::events::{Event, EventLog, Weight};
 use crate::headers::HeaderList;
 use crate::protocol::Protocol;
+use crate::second_answer::holds_status_line;
 use crate::worker_request::WorkerRequest;
 
 /// Ids that a connection may carry before it is closed: at 8 bytes each it then holds 4 KiB of them,
 /// and one request in 512 pays for a new connection.
 const MOST_IDS: usize = 512;
 
-/// How a status line begins.
-const VERSION: &[u8] = b"HTTP/1.1 ";
-/// A status line up to the end of its status, in bytes.
-const STATUS_LINE_BYTES: usize = VERSION.len() + 3;
-/// The longest head of a second answer in a body without a length, in bytes.
-const SEARCHED_BYTES: usize = 2 << 10;
-
 /// Why an answer is not the request's.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum Foreign {
@@ -118,48 +112,7 @@
     /// Whether the head is a torn one with the next answer behind it.
     fn holds_another(&self) -> bool {
         let mut values = self.headers.iter().map(|header| header.value.as_slice());
-        status_line_in(self.reason).is_some() || values.any(|value| status_line_in(value).is_some())
-    }
-}
-
-/// Where a status line begins in these bytes.
-fn status_line_in(bytes: &[u8]) -> Option<usize> {
-    let is_status_line = |window: &[u8]| {
-        let (version, status) = window.split_at(VERSION.len());
-        version == VERSION && status.iter().all(u8::is_ascii_digit)
-    };
-    bytes.windows(STATUS_LINE_BYTES).position(is_status_line)
-}
-
-/// Looks for a second answer in a body without a length: what is sent after such an answer cannot be
-/// told from its body by its place.
-#[derive(Debug)]
-pub struct SecondAnswerSearch {
-    /// The end of a header line with the request's id.
-    id_line: String,
-    /// The end of what has been looked at, as a head may come in pieces.
-    tail: Vec<u8>,
-}
-
-impl SecondAnswerSearch {
-    /// Looks for another answer under this id.
-    pub fn new(id: &str) -> Self {
-        Self {
-            id_line: format!(": {id}\r\n"),
-            tail: Vec::new(),
-        }
-    }
-
-    /// Whether a second answer has begun in these bytes or shortly before.
-    pub fn finds_in(&mut self, bytes: &[u8]) -> bool {
-        self.tail.extend_from_slice(bytes);
-        let found = status_line_in(&self.tail).is_some_and(|begin| {
-            let mut windows = self.tail[begin..].windows(self.id_line.len());
-            windows.any(|window| window == self.id_line.as_bytes())
-        });
-        let passed = self.tail.len().saturating_sub(SEARCHED_BYTES);
-        self.tail.drain(..passed);
-        found
+        holds_status_line(self.reason) || values.any(holds_status_line)
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod readiness;
 pub mod role_orders;
 pub mod run;
+pub mod second_answer;
 pub mod send_guard;
 pub mod settings;
 pub mod state;
