--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -24,7 +24,7 @@
 use tokio::time::timeout;
 
 use crate::connection_pool::{Connection, OpenCount, Pool};
-use crate::correlation::{AnswerHead, Correlation, Foreign};
+use crate::correlation::{ComparedHead, Correlation, Foreign};
 use crate::headers::HeaderList;
 use crate::second_answer::SecondAnswerSearch;
 use crate::worker_request::WorkerRequest;
@@ -211,21 +211,31 @@
                 })
             }
         };
-        let (head, incoming) = response.into_parts();
         connection.heard = self.clock.now();
+        let answered = self.answer_of(destination, connection, request, response);
+        answered.map_err(Attempt::Failed)
+    }
+
+    /// The answer that came on a connection, if it is the request's.
+    fn answer_of(
+        self: &Arc<Self>,
+        destination: &Destination,
+        mut connection: Connection,
+        request: &WorkerRequest,
+        response: hyper::Response<Incoming>,
+    ) -> Result<WorkerAnswer, SendError> {
+        let (head, incoming) = response.into_parts();
         let headers = header_list(&head.headers);
         let reason = head.extensions.get::<ReasonPhrase>();
-        let answer = AnswerHead {
+        let compared = ComparedHead {
             status: head.status.as_u16(),
             reason: reason.map_or(&[], |reason| reason.as_bytes()),
             headers: &headers,
             answers_before: connection.carried.count(),
         };
-        let checked = self.correlation.check(&destination.worker, request, answer);
-        if let Err(foreign) = checked {
-            self.answer_was_foreign(&destination.worker, foreign);
-            return Err(Attempt::Failed(SendError::NoAnswer(foreign.to_string())));
-        }
+        let worker = &destination.worker;
+        let checked = self.correlation.check(worker, request, compared);
+        checked.map_err(|foreign| self.foreign_answer(worker, foreign))?;
         let id = self.correlation.id_of(request);
         let usable_until = id.and_then(|id| {
             connection.carried.note(id);
@@ -234,28 +244,30 @@
         connection.usable_until = usable_until.unwrap_or_default();
         let returning = Returning {
             connections: Arc::clone(self),
-            worker: destination.worker.clone(),
+            worker: worker.clone(),
             connection,
             is_kept: usable_until.is_some(),
         };
         let search = id.map(|id| SecondAnswerSearch::new(id, &headers));
         Ok(WorkerAnswer {
             status: head.status.as_u16(),
+            headers,
             body: AnswerBody {
                 incoming,
                 returning: Some(returning),
                 search,
             },
-            headers,
         })
     }
 
-    fn answer_was_foreign(&self, worker: &WorkerId, foreign: Foreign) {
+    /// What an answer that is not the request's means for it, and for the worker's connections.
+    fn foreign_answer(&self, worker: &WorkerId, foreign: Foreign) -> SendError {
         if foreign == Foreign::Late {
             let mut pools = self.pools.lock();
             let pool = pools.entry(worker.clone()).or_default();
             pool.close_for_a_while(self.clock.now());
         }
+        SendError::NoAnswer(foreign.to_string())
     }
 
     /// How long a connection may rest after an answer with these headers.
--- a/crates/gateway/src/correlation.rs
+++ b/crates/gateway/src/correlation.rs
@@ -48,7 +48,7 @@
 
 /// The head of an answer, as far as it is compared.
 #[derive(Debug, Clone, Copy)]
-pub struct AnswerHead<'a> {
+pub struct ComparedHead<'a> {
     /// The status.
     pub status: u16,
     /// The reason after the status, if it is not the usual one.
@@ -83,7 +83,7 @@
         &self,
         worker: &WorkerId,
         request: &WorkerRequest,
-        answer: AnswerHead<'_>,
+        answer: ComparedHead<'_>,
     ) -> Result<(), Foreign> {
         let asked = self.id_of(request);
         let answered = self.protocol.correlation_id(answer.headers);
@@ -108,7 +108,7 @@
     }
 }
 
-impl AnswerHead<'_> {
+impl ComparedHead<'_> {
     /// Whether the head is a torn one with the next answer behind it.
     fn holds_another(&self) -> bool {
         let mut values = self.headers.iter().map(|header| header.value.as_slice());
