--- a/crates/fault-soak/src/worker/answers.rs
+++ b/crates/fault-soak/src/worker/answers.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use rand::RngExt;
 use serde_json::json;
-use tansyhall_platform_standin::{CACHE_SOURCE, LAST_EVENT, PROMPT_PARTS, REQUEST_ID, SEAL};
+use tansyhall_platform_standin::{
+    CACHE_SOURCE, INSTANCE, LAST_EVENT, NOT_EXECUTED, PROMPT_PARTS, REQUEST_ID, SEAL, STAGE,
+};
 use tokio::time::sleep;
 
 use super::reply::Reply;
@@ -16,9 +18,6 @@
 use crate::identity::{body_hash, Mark, RequestKey};
 use crate::routes::RouteKind;
 
-const INSTANCE: &str = "X-Target-Instance";
-const NOT_EXECUTED: &str = "X-Not-Executed";
-const STAGE: &str = "X-Stage";
 const PREFILL: &str = "prefill";
 const MODEL: &str = "X-Model";
 const TOKENS: &str = "X-Token-Counts";
--- a/crates/gateway/src/worker_orders.rs
+++ b/crates/gateway/src/worker_orders/mod.rs
@@ -7,6 +7,9 @@
 //! that is over. How many the operator planned stands in the store, so that a new holder does not take a
 //! zone that was just withdrawn for the fleet's size.
 
+mod asked;
+mod history;
+
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -14,16 +17,18 @@
 use std::time::Duration;
 
 use tansyhall_authority::Epoch;
-use tansyhall_core::{ServiceName, Timestamp, ZoneName};
+use tansyhall_core::{ServiceName, ZoneName};
 use tansyhall_forwarding::relay_plan::GATEWAYS_PER_RELAY;
 use tansyhall_forwarding::{Service, Worker, WorkerKind, WorkerScaling, WorkerState};
 use tansyhall_planner::{
-    affordable_workers, balance_workers, ChangeAllowance, RecentPeak, WorkerLimits, WorkersWanted,
-    ZoneGoal, ZoneWorkers,
+    affordable_workers, balance_workers, ChangeAllowance, WorkerLimits, WorkersWanted, ZoneGoal,
+    ZoneWorkers,
 };
 use tansyhall_store::{Compare, KeyValueStore, Operation, Revision, Transaction};
 use tokio::time::sleep;
 
+use self::asked::Asked;
+use self::history::OrderHistory;
 use crate::authority_claim;
 use crate::duties::{DutyOutcome, WorkerOrder};
 use crate::duty_calls::DutyCalls;
@@ -35,56 +40,9 @@
 const KEY: &str = "tansyhall/workers";
 /// Pause between two looks.
 const PACE: Duration = Duration::from_millis(500);
-/// Time beyond a worker's start after which an order that changed nothing is sent again: two writes of the
-/// worker's entry.
-const NOTICE: Duration = Duration::from_secs(2);
-/// Time in which an order that was left unanswered is carried out, if it ever is: twice what a new holder of
-/// the authority waits as a rule.
-const LATENESS: Duration = Duration::from_secs(6);
-/// Time after which spot workers are asked for again where there were none,
-const FIRST_ABSENCE: Duration = Duration::from_secs(2);
-/// and the longest such time; each refusal doubles it.
-const LONGEST_ABSENCE: Duration = Duration::from_secs(16);
-
-/// The part of their time that engines are busy if there are just as many as the recent peak of what is
-/// asked needs: at 0.8 a prompt waits twice its own time on the mean (M/D/1), late but served, until spot
-/// workers are to be had again.
-const BUSY_PART: f64 = 0.8;
 /// The part of the planned workers that is needed at any price before anything is known of the demand.
 const NEEDED_PART: f64 = 1.0 / 3.0;
 
-/// The part of the workers that were needed lately below which fewer count as needed: what is asked varies by
-/// less from one second to the next, and each order for one worker fewer would be followed by one for one more.
-const FALLING_PART: f64 = 0.75;
-
-/// Which workers an order is about.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Subject {
-    service: ServiceName,
-    zone: ZoneName,
-    kind: WorkerKind,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Ordered {
-    desired: u32,
-    at: Timestamp,
-}
-
-/// An order that may still be carried out.
-#[derive(Debug, Clone, Copy)]
-struct Unanswered {
-    desired: u32,
-    until: Timestamp,
-}
-
-/// Spot workers that a zone did not have.
-#[derive(Debug, Clone, Copy)]
-struct Absence {
-    until: Timestamp,
-    length: Duration,
-}
-
 /// Workers that were planned for each service, as they stand in the store.
 type Planned = BTreeMap<ServiceName, u32>;
 
@@ -95,9 +53,7 @@
         shared,
         store,
         calls,
-        ordered: HashMap::new(),
-        unanswered: HashMap::new(),
-        absences: HashMap::new(),
+        history: OrderHistory::default(),
         asked: HashMap::new(),
         allowance,
     };
@@ -107,31 +63,12 @@
     }
 }
 
-/// What is asked of the engines of a service.
-#[derive(Debug, Default)]
-struct Asked {
-    peak: RecentPeak,
-    needed: f64,
-}
-
-impl Asked {
-    /// How many engines are needed, at least so many, if so many are busy now.
-    fn needed(&mut self, now: Timestamp, busy: f64, least: f64) -> u32 {
-        let needed = (self.peak.observe(now, busy) / BUSY_PART).max(least);
-        if needed > self.needed || needed < self.needed * FALLING_PART {
-            self.needed = needed;
-        }
-        self.needed.ceil() as u32
-    }
-}
-
 struct WorkerOrders {
     shared: Arc<Shared>,
     store: Rc<dyn KeyValueStore>,
     calls: DutyCalls,
-    ordered: HashMap<Subject, Ordered>,
-    unanswered: HashMap<Subject, Unanswered>,
-    absences: HashMap<Subject, Absence>,
+    /// What was ordered before, and what came of it.
+    history: OrderHistory,
     /// Engines of each service that what is asked kept busy lately, and how many count as needed.
     asked: HashMap<ServiceName, Asked>,
     /// Workers that may still come or go.
@@ -267,7 +204,8 @@
                     WorkerKind::Reserved => zone.reserved,
                     WorkerKind::Spot => zone.spot,
                 };
-                if order.desired == serving || !self.is_due(&order, scaling.start) {
+                let now = self.shared.now();
+                if order.desired == serving || !self.history.is_due(now, &order, scaling.start) {
                     continue;
                 }
                 if let Some(order) = self.within_allowance(order, serving) {
@@ -286,8 +224,8 @@
         let zones = self.shared.fleet.read().plan.zones().max(1);
         let subscribers = subscribers_of_a_relay(gateways, zones);
         let allowed = self.allowance.workers(self.shared.now(), subscribers);
-        let ordered = self.ordered.get(&subject_of(&order));
-        let expected = ordered.map_or(serving, |ordered| ordered.desired.max(serving));
+        let ordered = self.history.ordered(&order);
+        let expected = ordered.map_or(serving, |ordered| ordered.max(serving));
         let desired = match order.desired > serving {
             true => order.desired.min(expected.saturating_add(allowed)),
             false => order.desired.max(serving.saturating_sub(allowed)),
@@ -318,9 +256,7 @@
         let goals = balance_workers(&all_have_spot, limits, wanted);
         for (goal, zone) in goals.iter().zip(zones) {
             let [order, _] = orders_of(service, goal);
-            let absence = self.absences.get(&subject_of(&order));
-            let is_over = absence.is_some_and(|absence| now >= absence.until);
-            if is_over && order.desired > zone.spot {
+            if self.history.may_ask_again(now, &order) && order.desired > zone.spot {
                 self.order(epoch, order, wanted.needed).await;
             }
         }
@@ -337,78 +273,32 @@
                 let here = workers.iter().filter(|worker| worker.zone == *zone);
                 here.filter(|worker| worker.kind == kind).count() as u32
             };
-            let subject = Subject {
-                service: service.clone(),
-                zone: zone.clone(),
-                kind: WorkerKind::Spot,
-            };
             ZoneWorkers {
                 zone: zone.clone(),
                 price,
                 reserved: of_kind(WorkerKind::Reserved),
                 spot: of_kind(WorkerKind::Spot),
-                has_spot: !self.absences.contains_key(&subject),
+                has_spot: self.history.has_spot(service, zone),
             }
         };
         prices_of(scaling, workers).into_iter().map(zone).collect()
     }
 
-    fn is_due(&self, order: &WorkerOrder, start: Duration) -> bool {
-        if self.may_be_undone(order) {
-            return false;
-        }
-        let ordered = self.ordered.get(&subject_of(order));
-        ordered.is_none_or(|ordered| {
-            let waited = self.shared.now().since(ordered.at);
-            ordered.desired != order.desired || waited >= start + NOTICE
-        })
-    }
-
-    /// Whether an earlier order with another number may be carried out after this one.
-    fn may_be_undone(&self, order: &WorkerOrder) -> bool {
-        let earlier = self.unanswered.get(&subject_of(order));
-        earlier.is_some_and(|earlier| {
-            earlier.desired != order.desired && self.shared.now() < earlier.until
-        })
-    }
-
     async fn order(&mut self, epoch: Epoch, order: WorkerOrder, needed: u32) {
-        if self.may_be_undone(&order) {
+        if self.history.may_be_undone(self.shared.now(), &order) {
             return;
         }
         let Some(outcome) = self.calls.order_workers(epoch, &order).await else {
             return;
         };
-        let now = self.shared.now();
-        let subject = subject_of(&order);
-        match (&outcome, order.kind) {
-            (DutyOutcome::Done, _) => {
-                self.absences.remove(&subject);
-                let desired = order.desired;
-                self.ordered.insert(subject, Ordered { desired, at: now });
-            }
-            (DutyOutcome::Refused(_), WorkerKind::Spot) => self.note_absence(now, subject),
-            (DutyOutcome::Refused(_), WorkerKind::Reserved) => self.calls.stop_using(epoch),
-            (DutyOutcome::Unknown(_), _) => {
-                let desired = order.desired;
-                let until = now + LATENESS;
-                self.unanswered
-                    .insert(subject, Unanswered { desired, until });
-            }
-            (DutyOutcome::NotDone(_), _) => {}
+        let is_refused = matches!(outcome, DutyOutcome::Refused(_));
+        if is_refused && order.kind == WorkerKind::Reserved {
+            self.calls.stop_using(epoch);
         }
+        self.history.note(self.shared.now(), &order, &outcome);
         self.record(&order, needed, &outcome);
     }
 
-    fn note_absence(&mut self, now: Timestamp, subject: Subject) {
-        let known = self.absences.get(&subject);
-        let length = known.map_or(FIRST_ABSENCE, |known| {
-            (known.length * 2).min(LONGEST_ABSENCE)
-        });
-        let until = now + length;
-        self.absences.insert(subject, Absence { until, length });
-    }
-
     fn record(&self, order: &WorkerOrder, needed: u32, outcome: &DutyOutcome) {
         let (outcome, detail) = outcome.parts();
         let kind = order.kind.name();
@@ -459,11 +349,3 @@
         .div_ceil(zones);
     in_zone.min(GATEWAYS_PER_RELAY)
 }
-
-fn subject_of(order: &WorkerOrder) -> Subject {
-    Subject {
-        service: order.service.clone(),
-        zone: order.zone.clone(),
-        kind: order.kind,
-    }
-}
