Sight: fingerprints of requests, and which were under way when a worker ended

The tries of one request could not be told from others in the logs, nor a worker's end from a lost connection. Lines of sends and requests now bear a fingerprint of what the request asks for. A connection that breaks under a request is looked into: if nothing listens at the worker's address although the store announces it as ready, a line worker_ended names the requests that this gateway may have had running there. No decision depends on it yet.

--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod load_exchange;
 pub mod mirror;
 pub mod placement;
+pub mod quarantine;
 mod rate;
 pub mod relay_plan;
 pub mod request;
@@ -47,6 +48,7 @@
     Placement, PlacementAnswer, PlacementBook, PlacementId, PlacementLedger, PlacementMessage,
     PlacementNeed, PlacementNotice, PlacementRequest,
 };
+pub use quarantine::{Fingerprint, RequestContent, SendLedger, SendNumber};
 pub use relay_plan::{RelayPlan, Upstream};
 pub use request::{
     Action, AttemptPolicy, Conclusion, EventId, PromptHandle, ReadingFailure, RequestEvent,
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -23,6 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::connection_losses::{ConnectionLosses, Loss};
 use crate::connection_pool::{Connection, OpenCount, Pool};
 use crate::correlation::{ComparedHead, Correlation, Foreign};
 use crate::headers::HeaderList;
@@ -98,7 +99,7 @@
 #[derive(Debug)]
 struct Returning {
     connections: Arc<Connections>,
-    worker: WorkerId,
+    destination: Destination,
     connection: Connection,
     is_kept: bool,
 }
@@ -109,6 +110,8 @@
     clock: MonotonicClock,
     correlation: Correlation,
     pools: Mutex<HashMap<WorkerId, Pool>>,
+    /// Connections that were lost under a request, and addresses where nothing listens.
+    pub losses: ConnectionLosses,
 }
 
 impl Connections {
@@ -118,6 +121,7 @@
             clock,
             correlation,
             pools: Mutex::default(),
+            losses: ConnectionLosses::default(),
         }
     }
 
@@ -172,10 +176,7 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(destination.address))
             .await
             .map_err(|_| not_sent("no connection in time"))?
-            .map_err(|error| match error.kind() {
-                ErrorKind::ConnectionRefused => SendError::NotSent(Unconnected::NothingListens),
-                _ => not_sent(error),
-            })?;
+            .map_err(|error| self.unconnected(destination, &error))?;
         let _ = stream.set_nodelay(true);
         let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
@@ -188,6 +189,14 @@
         Ok(Connection::new(sender, open, self.clock.now()))
     }
 
+    fn unconnected(&self, destination: &Destination, error: &std::io::Error) -> SendError {
+        if error.kind() != ErrorKind::ConnectionRefused {
+            return not_sent(error);
+        }
+        self.losses.tell(Loss::NothingListens, destination);
+        SendError::NotSent(Unconnected::NothingListens)
+    }
+
     fn count_open(&self, destination: &Destination) -> Result<OpenCount, SendError> {
         let mut pools = self.pools.lock();
         let pool = pools.entry(destination.worker.clone()).or_default();
@@ -207,7 +216,10 @@
             Err(mut error) => {
                 return Err(match error.take_message() {
                     Some(unused) => Attempt::Unused(Box::new(unused)),
-                    None => Attempt::Failed(SendError::NoAnswer(error.into_error().to_string())),
+                    None => {
+                        self.losses.tell(Loss::Broken, destination);
+                        Attempt::Failed(SendError::NoAnswer(error.into_error().to_string()))
+                    }
                 })
             }
         };
@@ -244,7 +256,7 @@
         connection.usable_until = usable_until.unwrap_or_default();
         let returning = Returning {
             connections: Arc::clone(self),
-            worker: worker.clone(),
+            destination: destination.clone(),
             connection,
             is_kept: usable_until.is_some(),
         };
@@ -310,7 +322,7 @@
                     _ => continue,
                 },
                 Some(Err(error)) => {
-                    self.returning = None;
+                    self.tell_broken();
                     return Err(SendError::NoAnswer(error.to_string()));
                 }
             }
@@ -353,13 +365,20 @@
         Ok(bytes)
     }
 
+    fn tell_broken(&mut self) {
+        if let Some(returning) = self.returning.take() {
+            let losses = &returning.connections.losses;
+            losses.tell(Loss::Broken, &returning.destination);
+        }
+    }
+
     fn give_back(&mut self) {
         let Some(returning) = self.returning.take().filter(|one| one.is_kept) else {
             return;
         };
         let now = returning.connections.clock.now();
         let mut pools = returning.connections.pools.lock();
-        let pool = pools.entry(returning.worker).or_default();
+        let pool = pools.entry(returning.destination.worker).or_default();
         pool.put(now, returning.connection);
     }
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -84,10 +84,21 @@
         /// Milliseconds since the store last answered, itself or through a relay.
         store_age_ms: u64,
     },
+    /// A worker has ended under requests that this gateway had sent it.
+    WorkerEnded {
+        /// The worker.
+        worker: &'a str,
+        /// How many requests, tries of one counted once.
+        requests: usize,
+        /// The fingerprints of the first of them.
+        fingerprints: &'a [String],
+    },
     /// A send to a worker ended.
     Send {
         /// The caller's id of the request.
         request: &'a str,
+        /// What the request asks for, equal for all its tries.
+        fingerprint: &'a str,
         /// The worker.
         worker: &'a str,
         /// The gateway that has chosen it, or empty for the one that sends.
@@ -139,6 +150,8 @@
     Request {
         /// The caller's id of it.
         request: &'a str,
+        /// What it asks for, equal for all its tries.
+        fingerprint: &'a str,
         /// Its route.
         route: &'a str,
         /// The version of the configuration that chose the route.
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -13,8 +13,8 @@
 use bytes::Bytes;
 use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{
-    Action, Admission, AttemptPolicy, Conclusion, Need, PromptHandle, RefusalCause, RequestEvent,
-    RequestMachine, Route, SendFailure, Worker, WorkerId,
+    Action, Admission, AttemptPolicy, Conclusion, Fingerprint, Need, PromptHandle, RefusalCause,
+    RequestEvent, RequestMachine, Route, SendFailure, Worker, WorkerId,
 };
 use tokio::time::Instant;
 
@@ -48,6 +48,8 @@
     pub headers: HeaderList,
     /// The whole body.
     pub body: Bytes,
+    /// What it asks for, equal for all its tries.
+    pub fingerprint: Fingerprint,
     /// What the caller says of it.
     pub terms: CallerTerms,
     /// Where it goes.
@@ -218,6 +220,7 @@
         let placement = self.placed.take().filter(chosen);
         let sent = Sent {
             request_id: self.request_id().to_owned(),
+            fingerprint: self.request.fingerprint,
             route: self.route().name.clone(),
             worker: worker.id.clone(),
             service: worker.service.clone(),
@@ -321,6 +324,7 @@
         let now = self.shared.now();
         let event = Event::Request {
             request: self.request_id(),
+            fingerprint: &self.request.fingerprint.to_string(),
             route,
             configuration: self.request.routed.version,
             outcome,
--- a/crates/gateway/src/exchange/prompt.rs
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -68,6 +68,7 @@
         match read {
             Ok(handle) => {
                 guard.answered();
+                guard.answered_whole();
                 self.unused_handle = Some(handle.clone());
                 RequestEvent::PromptRead(handle)
             }
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -108,7 +108,11 @@
                     self.count_usage(guard.began());
                 }
                 guard.ended(SendResult::Failed, detail);
-                self.keep_error(answer, silence).await
+                let event = self.keep_error(answer, silence).await;
+                if event == failed(SendFailure::ErrorAnswer) {
+                    guard.answered_whole();
+                }
+                event
             }
             AnswerKind::Success => {
                 self.unused_handle = None;
@@ -120,11 +124,10 @@
                         self.deliver_whole(answer, silence).await
                     }
                 };
-                if !matches!(
-                    event,
-                    RequestEvent::Completed | RequestEvent::DeadlinePassed
-                ) {
-                    guard.ended(SendResult::Failed, "the answer broke off");
+                match event {
+                    RequestEvent::Completed => guard.answered_whole(),
+                    RequestEvent::DeadlinePassed => {}
+                    _ => guard.ended(SendResult::Failed, "the answer broke off"),
                 }
                 event
             }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -9,6 +9,7 @@
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
+use tansyhall_forwarding::{Fingerprint, RequestContent};
 use tokio::time::timeout;
 
 use crate::answer::{self, Answer, AnswerHead, AnswerSource, BrokenOff, OwnAnswer};
@@ -82,11 +83,21 @@
     let body = timeout(time, read_body(payload, limits.body_bytes))
         .await
         .map_err(|_| Refusal::BodyLate)??;
+    let target = target(request);
+    let fingerprint = Fingerprint::of(&RequestContent {
+        method: request.method().as_str(),
+        host: host(request).unwrap_or_default(),
+        target: &target,
+        tenant: routed.tenant.as_ref(),
+        body: &body,
+        prompt: &terms.prompt,
+    });
     Ok(CallerRequest {
         method: request.method().as_str().to_owned(),
-        target: target(request),
+        target,
         headers,
         body,
+        fingerprint,
         terms,
         routed,
         arrived,
@@ -99,9 +110,7 @@
     terms: &CallerTerms,
     in_force: &InForce,
 ) -> Result<Routed, Refusal> {
-    let named = request.headers().get("host").and_then(|h| h.to_str().ok());
-    let host = named.or_else(|| request.uri().host());
-    let host = host.ok_or(Refusal::NoRoute)?;
+    let host = host(request).ok_or(Refusal::NoRoute)?;
     let routed = in_force.route(host, request.uri().path(), terms.key.as_ref());
     routed.map_err(|reason| match reason {
         NotRouted::NoRoute => Refusal::NoRoute,
@@ -109,6 +118,11 @@
     })
 }
 
+fn host(request: &HttpRequest) -> Option<&str> {
+    let named = request.headers().get("host").and_then(|h| h.to_str().ok());
+    named.or_else(|| request.uri().host())
+}
+
 fn target(request: &HttpRequest) -> String {
     let uri = request.uri();
     uri.path_and_query().map_or_else(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod authority;
 pub mod authority_claim;
 pub mod cache_recovery;
+pub mod connection_losses;
 pub mod connection_pool;
 pub mod connections;
 pub mod copy_message;
@@ -44,6 +45,7 @@
 pub mod store_call;
 pub mod store_copy;
 pub mod usage;
+pub mod worker_ends;
 pub mod worker_orders;
 pub mod worker_request;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Counters and histograms of a gateway, served as text on its metrics address.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// All metrics.
@@ -16,6 +16,8 @@
     pub sends: IntCounterVec,
     /// Answers that do not bear the id of the request before them, by what was asked.
     pub foreign_answers: IntCounterVec,
+    /// Workers that ended under requests which this gateway had sent them.
+    pub worker_ends: IntCounter,
     /// Questions to schedulers by outcome.
     pub placements: IntCounterVec,
     /// The version of the configuration in force.
@@ -73,6 +75,10 @@
                 ),
                 &["work"],
             )?,
+            worker_ends: IntCounter::new(
+                "gateway_worker_ends_total",
+                "Workers that ended under requests",
+            )?,
             placements: IntCounterVec::new(
                 Opts::new(
                     "gateway_placements_total",
@@ -153,6 +159,7 @@
         self.registry.register(Box::new(self.sends.clone()))?;
         self.registry
             .register(Box::new(self.foreign_answers.clone()))?;
+        self.registry.register(Box::new(self.worker_ends.clone()))?;
         self.registry.register(Box::new(self.placements.clone()))?;
         self.registry
             .register(Box::new(self.configuration_version.clone()))?;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -40,7 +40,7 @@
 use crate::usage::Usage;
 use crate::{
     cache_recovery, ingress, load_exchange, peers, presence, readiness, role_orders, store_copy,
-    usage, worker_orders,
+    usage, worker_ends, worker_orders,
 };
 
 /// Time that callers' connections may rest.
@@ -94,6 +94,7 @@
     actix_rt::spawn(load_exchange::run(Arc::clone(&shared)));
     actix_rt::spawn(placement::tell_notices(Arc::clone(&shared)));
     actix_rt::spawn(cache_recovery::run(Arc::clone(&shared)));
+    actix_rt::spawn(worker_ends::watch(Arc::clone(&shared)));
     actix_rt::spawn(prune(Arc::clone(&shared)));
     actix_rt::spawn(store_copy::end_lapses(Arc::clone(&shared)));
     actix_rt::spawn(store_copy::log_worker_changes(Arc::clone(&shared)));
@@ -190,6 +191,7 @@
         caches_recovered: AtomicBool::new(false),
         retries: Mutex::new(retries),
         store_contact: StoreContact::default(),
+        sends: Mutex::default(),
         connections: Arc::new(Connections::new(clock, correlation)),
         usage,
         log,
@@ -284,6 +286,7 @@
         shared
             .connections
             .prune(|worker| shared.directory.lock().get(worker).is_some());
+        shared.sends.lock().expire(shared.now());
     }
 }
 
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use tansyhall_core::{ServiceName, Timestamp};
-use tansyhall_forwarding::{Demand, Need, Placement, PromptPart, SendResult, SendTicket, WorkerId};
+use tansyhall_forwarding::{
+    Demand, Fingerprint, Need, Placement, PromptPart, SendNumber, SendResult, SendTicket, WorkerId,
+};
 
 use crate::connections::Unconnected;
 use crate::events::{Event, Weight};
@@ -26,6 +28,8 @@
 pub struct Sent {
     /// The caller's id of the request.
     pub request_id: String,
+    /// What the request asks for.
+    pub fingerprint: Fingerprint,
     /// The name of its route.
     pub route: String,
     /// The worker.
@@ -49,7 +53,10 @@
     placement: Option<OpenPlacement>,
     planned_tokens: u64,
     began: Timestamp,
+    number: SendNumber,
     result: SendResult,
+    /// Whether the worker has answered whole, so that it runs the request no more.
+    is_whole: bool,
     detail: String,
     head: Option<Duration>,
 }
@@ -71,6 +78,7 @@
         let mut directory = shared.directory.lock();
         let ticket = directory.send_began(now, &sent.worker, demand, &sent.need);
         drop(directory);
+        let number = shared.sends.lock().begin(&sent.worker, sent.fingerprint);
         let placed = placement.as_ref().map(OpenPlacement::placement);
         let planned_tokens = placed.map(|placed| placed.reading_tokens);
         Self {
@@ -80,6 +88,8 @@
             ticket,
             placement,
             began: now,
+            number,
+            is_whole: false,
             result: SendResult::Abandoned { silent: true },
             detail: String::new(),
             head: None,
@@ -120,6 +130,23 @@
         self.began
     }
 
+    /// Whether the worker may still run the request.
+    fn may_run(&self) -> bool {
+        let is_unsent = matches!(
+            self.result,
+            SendResult::Refused | SendResult::Unreachable | SendResult::Absent
+        );
+        !self.is_whole && !is_unsent
+    }
+
+    fn leave_ledger(&self, now: Timestamp) {
+        let mut sends = self.shared.sends.lock();
+        match self.may_run() {
+            true => sends.give_up(now, &self.sent.worker, self.number),
+            false => sends.settle(&self.sent.worker, self.number),
+        }
+    }
+
     fn placed(&self) -> Option<&Placement> {
         self.placement.as_ref().map(OpenPlacement::placement)
     }
@@ -138,6 +165,11 @@
         self.result = SendResult::Answered { latency };
     }
 
+    /// The worker has answered whole, be it with a failure.
+    pub fn answered_whole(&mut self) {
+        self.is_whole = true;
+    }
+
     /// Sets how the send ended, and what the worker or the connection said.
     pub fn ended(&mut self, result: SendResult, detail: impl Into<String>) {
         self.result = result;
@@ -151,6 +183,7 @@
         let mut directory = self.shared.directory.lock();
         directory.send_ended(now, &self.ticket, &self.sent.prompt, self.result);
         drop(directory);
+        self.leave_ledger(now);
         if let Some(placement) = &mut self.placement {
             placement.end(self.result);
         }
@@ -166,6 +199,7 @@
         };
         let event = Event::Send {
             request: &self.sent.request_id,
+            fingerprint: &self.sent.fingerprint.to_string(),
             worker: self.sent.worker.as_str(),
             scheduler: self.placement.as_ref().map_or("", OpenPlacement::scheduler),
             work: self.sent.asked.name(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,7 +11,7 @@
 use tansyhall_core::{ServiceName, TenantName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
     ApiKey, Configuration, Directory, KnownTenant, LapsedWorkers, Limits, Mirror, PlacementLedger,
-    RetryShares, Route, RouteTable, StopPlan, TenantTable, Worker,
+    RetryShares, Route, RouteTable, SendLedger, StopPlan, TenantTable, Worker,
 };
 use tokio::sync::watch;
 
@@ -74,6 +74,8 @@
     pub retries: Mutex<RetryShares>,
     /// When the store last answered, itself or through a relay.
     pub store_contact: StoreContact,
+    /// Sends whose requests workers may be running.
+    pub sends: Mutex<SendLedger>,
     /// Connections to workers.
     pub connections: Arc<Connections>,
     /// Usage by tenant, if it is reported.
