--- /dev/null
+++ b/crates/cli/tests/gateway_platform/deadly_requests.rs
@@ -0,0 +1,125 @@
+//! Requests that end each worker that begins to run them.
+//!
+//! Seen: engines ended one after another, were back after some seconds and ended again within a second; most
+//! other requests found no engine meanwhile. How it came about: a request ended each engine that began to
+//! run it; the gateway sent it on to the next one, and its caller tried again, at any gateway. Cause: what a
+//! gateway knows of a request died with the try: attempts were counted by try, and a try has an id of its
+//! own, so that nothing tied three ended engines to one request. Proof: each test fails on gateways that
+//! don't tell each other under which requests workers have ended.
+
+use std::future::Future;
+use std::time::Duration;
+
+use tansyhall_platform_standin::{Behaviour, MortalWorker};
+use tokio::time::sleep;
+
+use crate::support::{
+    ask, ask_model_with_body, CallerAnswer, Site, SiteGateway, AT_MOST_ONCE, REPEATABLE,
+};
+
+const ECHO: Behaviour = Behaviour::Serve { events: 0 };
+const DEADLY: &[u8] = b"deadly";
+/// Workers that must end before a request counts as deadly.
+const ENOUGH_ENDS: u64 = 3;
+/// The time in which gateways that reach each other or the store have learnt of the third end.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Sends after that which are allowed.
+const ALLOWED_SENDS: u64 = 3;
+/// Tries in all.
+const TRIES: usize = 15;
+/// Pause between two tries, so that some workers are back for the next.
+const PAUSE: Duration = Duration::from_millis(200);
+const GATEWAYS: usize = 3;
+const WORKERS: usize = 6;
+
+fn sends(workers: &[MortalWorker]) -> u64 {
+    workers.iter().map(MortalWorker::sends).sum()
+}
+
+fn ends(workers: &[MortalWorker]) -> u64 {
+    workers.iter().map(MortalWorker::ends).sum()
+}
+
+/// Sends the deadly request at all gateways in turn until enough workers have ended, and waits until
+/// gateways must know.
+async fn end_enough_workers<F>(site: &Site, workers: &[MortalWorker], ask: impl Fn(usize) -> F)
+where
+    F: Future<Output = CallerAnswer>,
+{
+    let before = ends(workers);
+    for number in 0..TRIES {
+        if ends(workers) - before >= ENOUGH_ENDS {
+            break;
+        }
+        ask(number % site.gateways.len()).await;
+    }
+    let ended = ends(workers) - before;
+    assert!(ended >= ENOUGH_ENDS, "{ended} ended");
+    sleep(CONTACT).await;
+}
+
+/// Sends the deadly request again, to each gateway a few times: workers get it no more, and its caller is
+/// told once and for all.
+async fn is_sent_no_more<F>(site: &Site, workers: &[MortalWorker], ask: impl Fn(usize) -> F)
+where
+    F: Future<Output = CallerAnswer>,
+{
+    let before = sends(workers);
+    let mut last = Vec::new();
+    for number in 0..TRIES {
+        sleep(PAUSE).await;
+        let answer = ask(number % site.gateways.len()).await;
+        last.push((answer.status, answer.retry_after));
+    }
+    let after = sends(workers) - before;
+    assert!(after <= ALLOWED_SENDS, "{after} sends after {before}");
+    let last = &last[TRIES - site.gateways.len()..];
+    let is_final = |(status, retry_after): &(u16, Option<f64>)| {
+        *status >= 500 && *status != 503 && retry_after.is_none()
+    };
+    assert!(last.iter().all(is_final), "{last:?}");
+}
+
+async fn ask_deadly(gateway: &SiteGateway, path: &str) -> CallerAnswer {
+    let id = format!("d-{:x}", rand_id());
+    ask(gateway, &id, path, DEADLY).await
+}
+
+/// Each try of a caller has an id of its own.
+fn rand_id() -> u64 {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    LAST.fetch_add(1, Ordering::Relaxed)
+}
+
+#[actix_rt::test]
+async fn a_request_that_ends_workers_is_sent_no_more() {
+    let site = Site::start(&[("llm", Some("decode"), ECHO)], GATEWAYS).await;
+    let workers = site
+        .add_mortal_workers(WORKERS, ("app", None, ECHO), DEADLY)
+        .await;
+    site.until_gateways_know_each_other().await;
+    for path in [REPEATABLE, AT_MOST_ONCE] {
+        let ask = |index: usize| ask_deadly(&site.gateways[index], path);
+        end_enough_workers(&site, &workers, ask).await;
+        is_sent_no_more(&site, &workers, ask).await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_request_that_ends_engines_is_neither_read_nor_run_any_more() {
+    let reader = ("llm", Some("prefill"), ECHO);
+    let site = Site::start(&[reader, ("app", None, ECHO)], GATEWAYS).await;
+    let decoder = ("llm", Some("decode"), ECHO);
+    let workers = site.add_mortal_workers(WORKERS, decoder, DEADLY).await;
+    site.until_gateways_know_each_other().await;
+    let ask = |index: usize| {
+        let gateway = &site.gateways[index];
+        async move { ask_model_with_body(gateway, &format!("d-{:x}", rand_id()), DEADLY).await }
+    };
+    end_enough_workers(&site, &workers, ask).await;
+    let read = site.workers[0].worker.prompts_read();
+    is_sent_no_more(&site, &workers, ask).await;
+    let read_again = site.workers[0].worker.prompts_read() - read;
+    assert!(read_again <= ALLOWED_SENDS, "read {read_again} times more");
+}
--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -2,6 +2,7 @@
 //! stand-ins of the users' platform.
 
 mod caches;
+mod deadly_requests;
 mod logs;
 mod relays;
 mod requests;
--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -11,8 +11,9 @@
 use tansyhall_gateway::authority_claim;
 use tansyhall_gateway::usage::{RowsMessage, ROWS_PREFIX};
 use tansyhall_platform_standin::{
-    render, Behaviour, Operations, Operator, RoutePlan, ScalingPlan, Store, StoreDoor, TenantPlan,
-    Worker, WorkerPlan, API_KEY, DEADLINE, PROMPT_PARTS, REQUEST_ID, SEAL, TENANT,
+    render, Behaviour, MortalWorker, Operations, Operator, RoutePlan, ScalingPlan, Store,
+    StoreDoor, TenantPlan, Worker, WorkerPlan, API_KEY, DEADLINE, PROMPT_PARTS, REQUEST_ID, SEAL,
+    TENANT,
 };
 use tansyhall_testing::{eventually, gateway, get_metric, GatewayAddresses, GatewayProcess, Link};
 use tansyhall_usage::Collection;
@@ -299,6 +300,33 @@
         worker
     }
 
+    /// Starts workers of a service that end under requests whose body holds `deadly`, and waits until all
+    /// gateways know them.
+    pub async fn add_mortal_workers(
+        &self,
+        count: usize,
+        (service, stage, behaviour): WorkerSpec,
+        deadly: &'static [u8],
+    ) -> Vec<MortalWorker> {
+        let plan = WorkerPlan {
+            service,
+            zone: ZONE,
+            stage,
+            spot: false,
+            stutters: false,
+        };
+        let mut workers = Vec::new();
+        for _ in 0..count {
+            let started = MortalWorker::start(&self.store, plan.clone(), behaviour, deadly);
+            workers.push(started.await.expect("a free port"));
+        }
+        for index in 0..self.gateways.len() {
+            let all = self.workers.len() + count;
+            self.until_ready_workers(index, all as f64).await;
+        }
+        workers
+    }
+
     /// Starts a worker that sends each answer again, late, and waits until the first gateway knows it.
     pub async fn add_stuttering_worker(
         &self,
@@ -501,6 +529,12 @@
     ask_with(gateway, id, REPEATABLE, b"x", &headers).await
 }
 
+/// Asks a gateway for the answer of a model to a long prompt with this body.
+pub async fn ask_model_with_body(gateway: &SiteGateway, id: &str, body: &[u8]) -> CallerAnswer {
+    let prompt = format!("c3:{LONG_PROMPT_TOKENS},d4:100");
+    ask_with(gateway, id, MODEL, body, &[(PROMPT_PARTS, prompt)]).await
+}
+
 /// Asks a gateway for the answer of a model to a prompt of this length.
 pub async fn ask_model(gateway: &SiteGateway, id: &str, tokens: u64) -> CallerAnswer {
     ask_with_prompt(gateway, id, format!("a1:{tokens},b2:100")).await
