A request under which three workers have ended is sent to no worker any more

Cause: attempts were counted by try, and each try of a caller has an id of its own, so that nothing tied workers that ended to the request that ended them. Ruled out: load as the cause of the ends (an idle site shows the same), and the second attempt of a try as more than a factor of two (a route that runs at most once shows it too).

Gateways now count by fingerprint, together: a worker has ended if nothing listens at its address although the store announces it; what it may have been running is told to others in datagrams, joined as sets; three ends bar the request everywhere, and the store keeps the bar for gateways that start. A whole answer clears a request that was only beside it.

--- a/crates/cli/src/commands/explain/request.rs
+++ b/crates/cli/src/commands/explain/request.rs
@@ -109,6 +109,10 @@
 /// Why a request was not sent, or not once more.
 fn reason(end: &Value) -> String {
     match text(end, "cause") {
+        "" if text(end, "outcome") == "barred" => format!(
+            " as workers end under it (fingerprint {})",
+            text(end, "fingerprint")
+        ),
         "" => String::new(),
         "overload" => format!(
             " for overload (its prompt would have waited {} ms)",
--- a/crates/cli/tests/gateway_platform/deadly_requests.rs
+++ b/crates/cli/tests/gateway_platform/deadly_requests.rs
@@ -10,7 +10,8 @@
 use std::future::Future;
 use std::time::Duration;
 
-use tansyhall_platform_standin::{Behaviour, MortalWorker};
+use futures_util::future::join_all;
+use tansyhall_platform_standin::{Behaviour, MortalWorker, StoreFault};
 use tokio::time::sleep;
 
 use crate::support::{
@@ -30,6 +31,8 @@
 /// Pause between two tries, so that some workers are back for the next.
 const PAUSE: Duration = Duration::from_millis(200);
 const GATEWAYS: usize = 3;
+/// A request without a body that many callers send.
+const POPULAR: &str = "/repeat/popular";
 const WORKERS: usize = 6;
 
 fn sends(workers: &[MortalWorker]) -> u64 {
@@ -123,3 +126,76 @@
     let read_again = site.workers[0].worker.prompts_read() - read;
     assert!(read_again <= ALLOWED_SENDS, "read {read_again} times more");
 }
+
+async fn site_with_mortal_workers() -> (Site, Vec<MortalWorker>) {
+    let site = Site::start(&[("llm", Some("decode"), ECHO)], GATEWAYS).await;
+    let workers = site
+        .add_mortal_workers(WORKERS, ("app", None, ECHO), DEADLY)
+        .await;
+    site.until_gateways_know_each_other().await;
+    (site, workers)
+}
+
+async fn until_all_workers_are_back(site: &Site) {
+    let all = (site.workers.len() + WORKERS) as f64;
+    for index in 0..site.gateways.len() {
+        site.until_ready_workers(index, all).await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_gateway_that_starts_later_knows_it_from_the_store() {
+    let (mut site, workers) = site_with_mortal_workers().await;
+    let ask = |index: usize| ask_deadly(&site.gateways[index], REPEATABLE);
+    end_enough_workers(&site, &workers, ask).await;
+    site.add_gateway();
+    until_all_workers_are_back(&site).await;
+    let before = sends(&workers);
+    let answer = ask_deadly(&site.gateways[GATEWAYS], REPEATABLE).await;
+    assert_eq!((sends(&workers), answer.status), (before, 500));
+}
+
+#[actix_rt::test]
+async fn it_is_known_after_the_loss_of_all_gateways() {
+    let (mut site, workers) = site_with_mortal_workers().await;
+    let ask = |index: usize| ask_deadly(&site.gateways[index], REPEATABLE);
+    end_enough_workers(&site, &workers, ask).await;
+    site.restart_all_gateways();
+    until_all_workers_are_back(&site).await;
+    let before = sends(&workers);
+    for gateway in &site.gateways {
+        assert_eq!(ask_deadly(gateway, REPEATABLE).await.status, 500);
+    }
+    assert_eq!(sends(&workers), before);
+}
+
+#[actix_rt::test]
+async fn gateways_tell_each_other_while_the_store_is_away() {
+    let (site, workers) = site_with_mortal_workers().await;
+    for door in &site.doors {
+        door.set_fault(StoreFault::Refuse);
+    }
+    let ask = |index: usize| ask_deadly(&site.gateways[index], REPEATABLE);
+    end_enough_workers(&site, &workers, ask).await;
+    is_sent_no_more(&site, &workers, ask).await;
+}
+
+#[actix_rt::test]
+async fn requests_that_many_callers_send_alike_are_not_barred_for_being_beside_it() {
+    let (site, workers) = site_with_mortal_workers().await;
+    let ask_popular = |index: usize| {
+        let gateway = &site.gateways[index % GATEWAYS];
+        async move { ask(gateway, &format!("p-{:x}", rand_id()), POPULAR, b"").await }
+    };
+    let ask = |index: usize| {
+        let popular = join_all((0..4 * WORKERS).map(ask_popular));
+        let deadly = ask_deadly(&site.gateways[index], REPEATABLE);
+        async move { futures_util::join!(deadly, popular).0 }
+    };
+    end_enough_workers(&site, &workers, ask).await;
+    until_all_workers_are_back(&site).await;
+    is_sent_no_more(&site, &workers, ask).await;
+    for index in 0..TRIES {
+        assert_eq!(ask_popular(index).await.status, 200);
+    }
+}
--- a/crates/forwarding/src/decisions.rs
+++ b/crates/forwarding/src/decisions.rs
@@ -39,6 +39,8 @@
     pub short_first: bool,
     /// Workers that proved not to be there are passed over.
     pub absence: bool,
+    /// Requests under which workers end are sent to no worker any more.
+    pub quarantine: bool,
     /// Engines are ordered to change their roles.
     pub role_orders: bool,
     /// Workers are ordered where the platform lets their number be chosen.
@@ -64,6 +66,7 @@
             yielded_places: true,
             short_first: true,
             absence: true,
+            quarantine: true,
             role_orders: true,
             worker_orders: true,
         }
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -48,7 +48,10 @@
     Placement, PlacementAnswer, PlacementBook, PlacementId, PlacementLedger, PlacementMessage,
     PlacementNeed, PlacementNotice, PlacementRequest,
 };
-pub use quarantine::{Fingerprint, RequestContent, SendLedger, SendNumber};
+pub use quarantine::{
+    Audience, Fingerprint, Heard, Outgoing, Quarantine, QuarantineNews, RequestContent, SendLedger,
+    SendNumber, Sighting, Unlisted,
+};
 pub use relay_plan::{RelayPlan, Upstream};
 pub use request::{
     Action, AttemptPolicy, Conclusion, EventId, PromptHandle, ReadingFailure, RequestEvent,
--- a/crates/forwarding/src/request.rs
+++ b/crates/forwarding/src/request.rs
@@ -11,6 +11,7 @@
 //! - Every send past the first that may reach a worker asks the retry budget; the reading of a prompt
 //!   is free if a worker took it up.
 //! - The caller is told "not run" only while no send may have run.
+//! - A request under which workers end is sent to no other one.
 //!
 //! A model request may have its prompt read apart first. Reading runs nothing, so that its failure
 //! leaves the request as it was; the worker that runs it then reads the prompt itself. A reading
@@ -96,6 +97,8 @@
     BrokenOff(Option<EventId>),
     /// The time is over.
     DeadlinePassed,
+    /// Workers end under the request, so that none may get it any more.
+    Barred,
 }
 
 /// What to do next.
@@ -141,6 +144,8 @@
     Lost,
     /// The time is over and the request may have run.
     TimedOut,
+    /// Workers end under the request: it may have run, and will not be sent again.
+    Barred,
     /// The answer has begun and cannot be completed: break the connection.
     Broken,
 }
@@ -216,6 +221,7 @@
             RequestEvent::Failed(failure) => self.failed(failure),
             RequestEvent::BrokenOff(last_event) => self.broken_off(last_event),
             RequestEvent::DeadlinePassed => self.deadline_passed(),
+            RequestEvent::Barred => self.barred(),
         }
     }
 
@@ -380,6 +386,14 @@
         self.finish(conclusion)
     }
 
+    fn barred(&mut self) -> Action {
+        let conclusion = match self.begun {
+            true => Conclusion::Broken,
+            false => Conclusion::Barred,
+        };
+        self.finish(conclusion)
+    }
+
     fn give_up(&self) -> Conclusion {
         if self.begun {
             return Conclusion::Broken;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -58,6 +58,8 @@
     Lost,
     /// The time is over; the request may have run.
     TimedOut,
+    /// Workers end under the request: it will not be sent again, and another try is of no use.
+    Barred,
 }
 
 /// The writing end of an answer.
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -10,6 +10,7 @@
 
 use crate::load_messages::ReportMessage;
 use crate::placement::{AnswerMessage, QuestionMessage};
+use crate::quarantine::NewsMessage;
 use crate::usage::{AcknowledgementMessage, UsageMessage};
 
 /// The longest datagram.
@@ -33,6 +34,9 @@
     /// A collector's acknowledgement.
     #[prost(message, optional, tag = "5")]
     pub usage_acknowledged: Option<AcknowledgementMessage>,
+    /// Requests under which workers end.
+    #[prost(message, optional, tag = "6")]
+    pub quarantine: Option<NewsMessage>,
 }
 
 impl Datagram {
@@ -52,6 +56,14 @@
         }
     }
 
+    /// Requests under which workers end.
+    pub fn quarantine(news: NewsMessage) -> Self {
+        Self {
+            quarantine: Some(news),
+            ..Self::default()
+        }
+    }
+
     /// What a gateway has counted.
     pub fn usage(usage: UsageMessage) -> Self {
         Self {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -93,6 +93,13 @@
         /// The fingerprints of the first of them.
         fingerprints: &'a [String],
     },
+    /// A request is barred: no worker gets it any more, as workers end under it.
+    Barred {
+        /// The request's fingerprint.
+        fingerprint: &'a str,
+        /// From where this gateway knows: `worker` (one ended under a send of its own), `gateway` or `store`.
+        source: &'a str,
+    },
     /// A send to a worker ended.
     Send {
         /// The caller's id of the request.
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -126,6 +126,9 @@
         let now = self.shared.now();
         let service = &self.request.routed.service;
         self.shared.retries.lock().record_request(now, service);
+        if self.is_barred() {
+            return (Conclusion::Barred, 0);
+        }
         let read_apart = match self.admit(now).await {
             Admission::Taken { read_apart, draw } => {
                 self.draw = draw;
@@ -160,6 +163,9 @@
                     }
                     RequestEvent::BudgetAnswered(allowed)
                 }
+                Action::ReadPrompt { .. } | Action::Run { .. } if self.is_barred() => {
+                    RequestEvent::Barred
+                }
                 Action::ReadPrompt { worker } => self.read_prompt(&worker).await,
                 Action::Run {
                     worker,
@@ -199,6 +205,16 @@
         }
     }
 
+    /// Whether workers end under the request, as far as this gateway has heard by now.
+    fn is_barred(&self) -> bool {
+        let bars = self.shared.settings.read().decisions.quarantine;
+        bars && self
+            .shared
+            .quarantine
+            .lock()
+            .is_barred(self.request.fingerprint)
+    }
+
     fn ask_budget(&self) -> bool {
         let now = self.shared.now();
         let service = &self.request.routed.service;
@@ -290,6 +306,7 @@
             }
             Conclusion::Lost => ("lost", Some(OwnAnswer::Lost)),
             Conclusion::TimedOut => ("timed_out", Some(OwnAnswer::TimedOut)),
+            Conclusion::Barred => ("barred", Some(OwnAnswer::Barred)),
             Conclusion::Broken => ("broken", None),
         };
         let weight = match conclusion {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -215,6 +215,9 @@
         OwnAnswer::TimedOut => {
             HttpResponse::GatewayTimeout().body("no answer in time; it may have run\n")
         }
+        // Not a status of 502 or 504, which callers try again, nor one that promises that it did not run.
+        OwnAnswer::Barred => HttpResponse::InternalServerError()
+            .body("workers end under this request; it will not be sent again\n"),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod placement;
 pub mod presence;
 pub mod protocol;
+pub mod quarantine;
 pub mod readiness;
 pub mod role_orders;
 pub mod run;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -14,6 +14,7 @@
 use crate::fleet::Fleet;
 use crate::load_messages::{decode, encode};
 use crate::placement;
+use crate::quarantine;
 use crate::state::Shared;
 use crate::usage;
 
@@ -37,6 +38,7 @@
             expired = now;
             placement::expire(shared);
         }
+        quarantine::tell_due(shared);
         let due = {
             let mut directory = shared.directory.lock();
             directory.set_exchange(other_schedulers(shared, &fleet), pace(&fleet));
@@ -102,6 +104,9 @@
         if let Some(question) = datagram.question {
             placement::answer(shared, sender, question);
         }
+        if let Some(message) = datagram.quarantine {
+            quarantine::take_in(shared, sender, message);
+        }
         if let Some(message) = datagram.usage {
             usage::take_in(shared, sender, message);
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,8 @@
     pub foreign_answers: IntCounterVec,
     /// Workers that ended under requests which this gateway had sent them.
     pub worker_ends: IntCounter,
+    /// Requests that workers may get no more, as workers end under them.
+    pub barred_requests: IntGauge,
     /// Questions to schedulers by outcome.
     pub placements: IntCounterVec,
     /// The version of the configuration in force.
@@ -79,6 +81,10 @@
                 "gateway_worker_ends_total",
                 "Workers that ended under requests",
             )?,
+            barred_requests: IntGauge::new(
+                "gateway_barred_requests",
+                "Requests that workers may get no more",
+            )?,
             placements: IntCounterVec::new(
                 Opts::new(
                     "gateway_placements_total",
@@ -160,6 +166,8 @@
         self.registry
             .register(Box::new(self.foreign_answers.clone()))?;
         self.registry.register(Box::new(self.worker_ends.clone()))?;
+        self.registry
+            .register(Box::new(self.barred_requests.clone()))?;
         self.registry.register(Box::new(self.placements.clone()))?;
         self.registry
             .register(Box::new(self.configuration_version.clone()))?;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -39,8 +39,8 @@
 use crate::state::Shared;
 use crate::usage::Usage;
 use crate::{
-    cache_recovery, ingress, load_exchange, peers, presence, readiness, role_orders, store_copy,
-    usage, worker_ends, worker_orders,
+    cache_recovery, ingress, load_exchange, peers, presence, quarantine, readiness, role_orders,
+    store_copy, usage, worker_ends, worker_orders,
 };
 
 /// Time that callers' connections may rest.
@@ -95,6 +95,10 @@
     actix_rt::spawn(placement::tell_notices(Arc::clone(&shared)));
     actix_rt::spawn(cache_recovery::run(Arc::clone(&shared)));
     actix_rt::spawn(worker_ends::watch(Arc::clone(&shared)));
+    actix_rt::spawn(quarantine::keep_listed(
+        Arc::clone(&shared),
+        Rc::clone(&adapter.store),
+    ));
     actix_rt::spawn(prune(Arc::clone(&shared)));
     actix_rt::spawn(store_copy::end_lapses(Arc::clone(&shared)));
     actix_rt::spawn(store_copy::log_worker_changes(Arc::clone(&shared)));
@@ -192,6 +196,7 @@
         retries: Mutex::new(retries),
         store_contact: StoreContact::default(),
         sends: Mutex::default(),
+        quarantine: Mutex::default(),
         connections: Arc::new(Connections::new(clock, correlation)),
         usage,
         log,
@@ -286,7 +291,9 @@
         shared
             .connections
             .prune(|worker| shared.directory.lock().get(worker).is_some());
-        shared.sends.lock().expire(shared.now());
+        let now = shared.now();
+        shared.sends.lock().expire(now);
+        shared.quarantine.lock().expire(now);
     }
 }
 
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -168,6 +168,11 @@
     /// The worker has answered whole, be it with a failure.
     pub fn answered_whole(&mut self) {
         self.is_whole = true;
+        if self.sent.asked == Asked::Run {
+            let now = self.shared.now();
+            let mut quarantine = self.shared.quarantine.lock();
+            quarantine.answered(now, self.sent.fingerprint);
+        }
     }
 
     /// Sets how the send ended, and what the worker or the connection said.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,7 +11,7 @@
 use tansyhall_core::{ServiceName, TenantName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
     ApiKey, Configuration, Directory, KnownTenant, LapsedWorkers, Limits, Mirror, PlacementLedger,
-    RetryShares, Route, RouteTable, SendLedger, StopPlan, TenantTable, Worker,
+    Quarantine, RetryShares, Route, RouteTable, SendLedger, StopPlan, TenantTable, Worker,
 };
 use tokio::sync::watch;
 
@@ -76,6 +76,8 @@
     pub store_contact: StoreContact,
     /// Sends whose requests workers may be running.
     pub sends: Mutex<SendLedger>,
+    /// Requests under which workers end.
+    pub quarantine: Mutex<Quarantine>,
     /// Connections to workers.
     pub connections: Arc<Connections>,
     /// Usage by tenant, if it is reported.
--- a/crates/gateway/src/store_copy.rs
+++ b/crates/gateway/src/store_copy.rs
@@ -14,6 +14,7 @@
 use crate::events::{Event, Weight};
 use crate::fleet::Fleet;
 use crate::presence;
+use crate::quarantine;
 use crate::state::{InForce, Shared};
 
 /// The least time between two lines about changes of the workers.
@@ -34,6 +35,7 @@
     refresh_configuration(shared);
     let members = refresh_fleet(shared);
     refresh_workers(shared);
+    quarantine::read_listed(shared);
     shared.gateways.store(members.max(1), Ordering::Relaxed);
     let revision = shared.mirror.lock().revision();
     shared.mirror_revision.send_replace(revision);
--- a/crates/gateway/src/worker_ends.rs
+++ b/crates/gateway/src/worker_ends.rs
@@ -17,6 +17,7 @@
 use crate::connection_losses::Loss;
 use crate::connections::Destination;
 use crate::events::{Event, Weight};
+use crate::quarantine;
 use crate::state::Shared;
 
 /// Time for a worker that lives to accept a connection, or for the machine of one that does not to refuse it.
@@ -63,6 +64,7 @@
     }
     shared.metrics.worker_ends.inc();
     record(shared, worker, requests.iter());
+    quarantine::worker_ended(shared, worker, requests);
 }
 
 fn record<'a>(
