Clock: a machine's suspension counts

Leases, claims, ages of knowledge, retry windows and deadlines go by core::time::MonotonicClock, which was the standard library's: it stands still while a machine is suspended, so that a holder would have believed in a lease that had run out. It reads the kernel's boot-time clock now. Not proved by a run: no machine here can be suspended; a stopped process does not show it, since the steady clock goes on.

--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -5,6 +5,8 @@
 
 use std::ops::{Add, Sub};
 
+use rustix::time::{clock_gettime, ClockId};
+
 /// A point on one process's monotonic clock, in microseconds since an arbitrary start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
 pub struct Timestamp(pub u64);
@@ -45,21 +47,34 @@
 }
 
 /// The process's monotonic clock, for wiring code only.
+///
+/// It counts the time for which the machine was suspended, as the clocks of others do. The standard library's
+/// clock doesn't: by it, a holder whose lease ran out while its machine was suspended would go on to act.
 #[derive(Debug, Clone, Copy)]
 pub struct MonotonicClock {
-    start: std::time::Instant,
+    start: Duration,
 }
 
 impl MonotonicClock {
+    /// The kernel's clock that it reads.
+    pub const SOURCE: ClockId = ClockId::Boottime;
+
     /// Starts a clock at timestamp zero.
     pub fn start() -> Self {
         Self {
-            start: std::time::Instant::now(),
+            start: Self::since_boot(),
         }
     }
 
     /// The current timestamp.
     pub fn now(&self) -> Timestamp {
-        Timestamp::default() + self.start.elapsed()
+        Timestamp::default() + Self::since_boot().saturating_sub(self.start)
+    }
+
+    fn since_boot() -> Duration {
+        let time = clock_gettime(Self::SOURCE);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
+        Duration::new(seconds, nanoseconds)
     }
 }
