Fault soak: requests that end workers, and workers that were back before anyone looked

Two requests of each episode end every worker that begins to run them, with nothing, some or most of the answer sent; their callers repeat them at any gateway until the end. Workers are gone with their address for 1 to 2.5 s. A judge counts arrivals later than three seconds after the third end, from gateways that were not in trouble meanwhile; three are allowed.

A gateway that is frozen while a worker ends finds the next incarnation at its address: a worker whose entry goes while another is announced at its address counts as ended too.

--- a/crates/fault-soak/src/caller/mod.rs
+++ b/crates/fault-soak/src/caller/mod.rs
@@ -31,6 +31,10 @@
 const STAYING_OF_HUNDRED: u32 = 70;
 /// The most tries of one request.
 const MAX_TRIES: u32 = 3;
+/// When a deadly request is sent for the first time, in milliseconds at the most.
+const MAX_DEADLY_START_MS: u64 = 3_000;
+/// Pause between two tries of a deadly request, in milliseconds.
+const DEADLY_PAUSE_MS: std::ops::Range<u64> = 30..400;
 
 /// What a caller needs.
 pub struct CallerPlan {
@@ -48,14 +52,7 @@
 
 /// Sends requests until the time is over.
 pub async fn call(plan: CallerPlan) {
-    let mut caller = Caller {
-        random: ChaCha8Rng::seed_from_u64(plan.seed),
-        client: Client::new(plan.gateways.len()),
-        sent: 0,
-        last_id: None,
-        gateway: 0,
-        plan,
-    };
+    let mut caller = Caller::new(plan);
     while !caller.plan.is_over.get() {
         caller.next().await;
         let pause_ms = caller.random.random_range(0..MAX_PAUSE_MS);
@@ -63,6 +60,23 @@
     }
 }
 
+/// Sends a request that ends workers, again and again at any gateway, until the time is over.
+pub async fn repeat_deadly(plan: CallerPlan) {
+    let mut caller = Caller::new(plan);
+    let first_ms = caller.random.random_range(0..MAX_DEADLY_START_MS);
+    sleep(Duration::from_millis(first_ms)).await;
+    let (seed, number) = (caller.plan.seed, caller.plan.number);
+    let name = format!("deadly-{seed:x}-{number}");
+    let request = CallerRequest::draw_deadly(&name, &mut caller.random);
+    while !caller.plan.is_over.get() {
+        caller.sent += 1;
+        let id = format!("{name}-{}", caller.sent);
+        caller.send(&request.with_id(id)).await;
+        let pause_ms = caller.random.random_range(DEADLY_PAUSE_MS);
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
 struct Caller {
     plan: CallerPlan,
     random: ChaCha8Rng,
@@ -73,6 +87,17 @@
 }
 
 impl Caller {
+    fn new(plan: CallerPlan) -> Self {
+        Self {
+            random: ChaCha8Rng::seed_from_u64(plan.seed),
+            client: Client::new(plan.gateways.len()),
+            sent: 0,
+            last_id: None,
+            gateway: 0,
+            plan,
+        }
+    }
+
     /// Sends a new request, and tries again where that is allowed.
     async fn next(&mut self) {
         self.sent += 1;
--- a/crates/fault-soak/src/caller/requests.rs
+++ b/crates/fault-soak/src/caller/requests.rs
@@ -8,7 +8,7 @@
 use tansyhall_platform_standin::{DEADLINE, LAST_EVENT, PROMPT_PARTS, REQUEST_ID};
 
 use crate::evidence::Outcome;
-use crate::identity::{body_hash, RequestKey};
+use crate::identity::{body_hash, RequestKey, DEADLY};
 use crate::routes::RouteKind;
 
 /// The host of all routes.
@@ -78,6 +78,21 @@
         }
     }
 
+    /// Draws a request that ends each worker which begins to run it; its tries differ by their ids only.
+    pub fn draw_deadly(name: &str, random: &mut ChaCha8Rng) -> Self {
+        let mut request = Self::draw(String::new(), name, random);
+        request.body = [DEADLY, name.as_bytes()].join(&b' ');
+        request.key.body = body_hash(&request.body);
+        request
+    }
+
+    /// The same as another try of its caller.
+    pub fn with_id(&self, id: String) -> Self {
+        let mut next = self.clone();
+        next.key.id = id;
+        next
+    }
+
     /// Model, tokens and prompt as a worker records them.
     pub fn prompt_text(&self) -> String {
         match &self.prompt {
--- a/crates/fault-soak/src/episode.rs
+++ b/crates/fault-soak/src/episode.rs
@@ -8,7 +8,7 @@
 use tempfile::TempDir;
 use tokio::time::sleep;
 
-use crate::caller::{call, CallerPlan};
+use crate::caller::{call, repeat_deadly, CallerPlan};
 use crate::evidence::{Evidence, Outcome};
 use crate::faults::{Fault, FaultCounts};
 use crate::judges::{judge, Violation};
@@ -32,6 +32,8 @@
     pub gateways: usize,
     /// Callers.
     pub callers: usize,
+    /// Requests that end each worker which begins to run them, each with a caller that repeats it.
+    pub deadly_requests: usize,
     /// It goes on without new actions until callers have had this many whole successes.
     pub least_successes: usize,
     /// Whether what gateways are known not to withstand is played too: unsolved faults, and callers that
@@ -47,6 +49,7 @@
             duration,
             gateways: 3,
             callers: 32,
+            deadly_requests: 2,
             least_successes: 100,
             with_unsolved: false,
         }
@@ -88,9 +91,14 @@
     }
     let site = Rc::new(site);
     let is_over = Rc::new(Cell::new(false));
-    let callers: Vec<_> = (0..plan.callers)
-        .map(|number| actix_rt::spawn(call(caller(&plan, number, &site, &is_over))))
-        .collect();
+    let callers = (0..plan.callers)
+        .map(|number| actix_rt::spawn(call(caller(&plan, number, &site, &is_over))));
+    let mut callers: Vec<_> = callers.collect();
+    let numbers = plan.callers..plan.callers + plan.deadly_requests;
+    callers.extend(
+        numbers
+            .map(|number| actix_rt::spawn(repeat_deadly(caller(&plan, number, &site, &is_over)))),
+    );
     let actions = perform_all(&site, &schedule).await;
     until_enough(site.notebook(), plan.least_successes).await;
     is_over.set(true);
--- a/crates/fault-soak/src/evidence.rs
+++ b/crates/fault-soak/src/evidence.rs
@@ -23,6 +23,10 @@
     pub stray: Vec<StrayBytes>,
     /// What workers got that is no request.
     pub garbled: Vec<Garbled>,
+    /// Workers that ended under requests.
+    pub worker_ends: Vec<WorkerEnd>,
+    /// Times in which gateways were in trouble.
+    pub troubles: Vec<Trouble>,
     /// Gateway processes that ended without having been stopped, and how.
     pub ended: Vec<String>,
 }
@@ -147,6 +151,28 @@
     pub at_ms: u64,
 }
 
+/// A worker that ended under a request.
+#[derive(Debug, Clone, Serialize)]
+pub struct WorkerEnd {
+    /// The request.
+    pub key: RequestKey,
+    /// The worker.
+    pub worker: String,
+    /// Milliseconds from the start of the episode.
+    pub at_ms: u64,
+}
+
+/// A time in which a gateway was stopped, frozen or killed, or its link to the store was harmed.
+#[derive(Debug, Clone, Serialize)]
+pub struct Trouble {
+    /// The gateway.
+    pub gateway: usize,
+    /// Milliseconds from the start of the episode.
+    pub from_ms: u64,
+    /// The same.
+    pub to_ms: u64,
+}
+
 /// Another call that a worker took.
 #[derive(Debug, Clone, Serialize)]
 pub struct Call {
--- a/crates/fault-soak/src/identity.rs
+++ b/crates/fault-soak/src/identity.rs
@@ -14,6 +14,9 @@
     pub body: u64,
 }
 
+/// What the body of a request begins with that ends each worker which begins to run it.
+pub const DEADLY: &[u8] = b"deadly";
+
 /// The hash of a body.
 pub fn body_hash(body: &[u8]) -> u64 {
     xxh3_64(body)
--- a/crates/fault-soak/src/judges/mod.rs
+++ b/crates/fault-soak/src/judges/mod.rs
@@ -1,5 +1,6 @@
 //! Judges: each reads what was seen in an episode and names what breaks its rule.
 
+mod barred;
 mod budget;
 mod ended;
 mod mixed;
@@ -14,6 +15,7 @@
 
 use crate::evidence::{Evidence, Run, Sent};
 
+pub use barred::barred;
 pub use budget::{budget, EXTRA, RATIO, WINDOW_S};
 pub use ended::ended;
 pub use mixed::mixed;
@@ -37,6 +39,8 @@
     Order,
     /// Repeats stay within the fleet's budget.
     Budget,
+    /// A request under which workers end is sent to none any more.
+    Barred,
     /// No gateway process ends by itself.
     Ended,
 }
@@ -68,6 +72,6 @@
 
 /// What all judges find.
 pub fn judge(evidence: &Evidence) -> Vec<Violation> {
-    let judges = [mixed, twice, refused, unasked, order, budget, ended];
+    let judges = [mixed, twice, refused, unasked, order, budget, barred, ended];
     judges.iter().flat_map(|judge| judge(evidence)).collect()
 }
--- a/crates/fault-soak/src/lib.rs
+++ b/crates/fault-soak/src/lib.rs
@@ -25,11 +25,11 @@
 pub use episode::{run_episode, Episode, EpisodePlan};
 pub use evidence::{
     Arrival, Call, CallerAnswer, Evidence, Garbled, Outcome, Reading, Run, RunBody, Sent,
-    StrayBytes,
+    StrayBytes, Trouble, WorkerEnd,
 };
 pub use faults::{Fault, FaultCounts, Mix};
 pub use http::{Framing, Head, ReadError, Reader};
-pub use identity::{body_hash, Mark, RequestKey};
+pub use identity::{body_hash, Mark, RequestKey, DEADLY};
 pub use judges::{judge, Rule, Violation};
 pub use keep::{keep, KEEP_DIRECTORY};
 pub use link::{Link, LinkFault};
--- a/crates/fault-soak/src/link.rs
+++ b/crates/fault-soak/src/link.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -21,6 +21,8 @@
 const STEP_BYTES: usize = 16 << 10;
 /// The most bytes of a split piece.
 const MAX_PIECE_BYTES: usize = 48;
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 128;
 /// Bytes of a step of a slow link.
 const SLOW_STEP_BYTES: usize = 64;
 /// Pause between two steps of a slow link.
@@ -80,6 +82,7 @@
     pub entrance: SocketAddr,
     exit: Arc<Mutex<SocketAddr>>,
     fault: watch::Sender<LinkFault>,
+    is_open: watch::Sender<bool>,
     task: actix_rt::task::JoinHandle<()>,
 }
 
@@ -90,11 +93,18 @@
         let entrance = listener.local_addr()?;
         let exit = Arc::new(Mutex::new(exit));
         let (fault, seen) = watch::channel(LinkFault::None);
-        let task = actix_rt::spawn(pass_connections(listener, Arc::clone(&exit), seen));
+        let (is_open, open_seen) = watch::channel(true);
+        let state = LinkState {
+            exit: Arc::clone(&exit),
+            fault: seen,
+            is_open: open_seen,
+        };
+        let task = actix_rt::spawn(pass_connections(listener, state));
         Ok(Self {
             entrance,
             exit,
             fault,
+            is_open,
             task,
         })
     }
@@ -104,6 +114,16 @@
         *self.exit.lock() = exit;
     }
 
+    /// Resets all connections, and refuses new ones until it is opened again.
+    pub fn close(&self) {
+        self.is_open.send_replace(false);
+    }
+
+    /// Takes connections again, at the same entrance.
+    pub fn open_again(&self) {
+        self.is_open.send_replace(true);
+    }
+
     /// Changes what it does to bytes.
     pub fn set_fault(&self, fault: LinkFault) {
         self.fault.send_replace(fault);
@@ -121,22 +141,56 @@
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-async fn pass_connections(
-    listener: TcpListener,
+/// What the tasks of a link look at.
+#[derive(Clone)]
+struct LinkState {
     exit: Arc<Mutex<SocketAddr>>,
     fault: watch::Receiver<LinkFault>,
-) {
-    while let Ok((near, _)) = listener.accept().await {
-        let exit = *exit.lock();
-        actix_rt::spawn(pass_connection(near, exit, fault.clone()));
+    is_open: watch::Receiver<bool>,
+}
+
+/// Passes connections on, and leaves the entrance while the link is closed.
+async fn pass_connections(mut listener: TcpListener, mut state: LinkState) {
+    let Ok(entrance) = listener.local_addr() else {
+        return;
+    };
+    loop {
+        accept_while_open(listener, state.clone()).await;
+        if state.is_open.wait_for(|is_open| *is_open).await.is_err() {
+            return;
+        }
+        let Ok(next) = listen(entrance) else { return };
+        listener = next;
     }
 }
 
-async fn pass_connection(
-    mut near: TcpStream,
-    exit: SocketAddr,
-    mut fault: watch::Receiver<LinkFault>,
-) {
+fn listen(entrance: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(entrance)?;
+    socket.listen(BACKLOG)
+}
+
+async fn accept_while_open(listener: TcpListener, mut state: LinkState) {
+    let passed = state.clone();
+    let accepting = async {
+        while let Ok((near, _)) = listener.accept().await {
+            actix_rt::spawn(pass_connection(near, passed.clone()));
+        }
+    };
+    tokio::select! {
+        () = accepting => {}
+        _ = state.is_open.wait_for(|is_open| !is_open) => {}
+    }
+}
+
+async fn pass_connection(mut near: TcpStream, state: LinkState) {
+    let LinkState {
+        exit,
+        mut fault,
+        mut is_open,
+    } = state;
+    let exit = *exit.lock();
     let _ = near.set_nodelay(true);
     let Ok(mut far) = TcpStream::connect(exit).await else {
         return reset_on_close(&near);
@@ -155,6 +209,7 @@
         tokio::select! {
             ended = both => ended,
             _ = fault.wait_for(|fault| *fault == LinkFault::Reset) => Err(Broken),
+            _ = is_open.wait_for(|is_open| !is_open) => Err(Broken),
         }
     };
     if ended.is_err() {
--- a/crates/fault-soak/src/site.rs
+++ b/crates/fault-soak/src/site.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use crate::caller::HOST;
+use crate::evidence::Trouble;
 use crate::faults::Mix;
 use crate::gateways::{Done, GatewaySlot};
 use crate::link::{Link, LinkFault};
@@ -120,6 +121,39 @@
 
     /// Performs an action to its end.
     pub async fn perform(&self, action: Action) -> Result<()> {
+        let from_ms = self.notebook.now_ms();
+        let gateway = self.gateway_in_trouble(&action);
+        let performed = self.perform_untold(action).await;
+        if let Some(gateway) = gateway {
+            let to_ms = self.notebook.now_ms();
+            let trouble = Trouble {
+                gateway,
+                from_ms,
+                to_ms,
+            };
+            self.notebook
+                .record(|evidence| evidence.troubles.push(trouble));
+        }
+        performed
+    }
+
+    /// The gateway that an action brings into trouble.
+    fn gateway_in_trouble(&self, action: &Action) -> Option<usize> {
+        let gateway = match action {
+            Action::Freeze { gateway, .. }
+            | Action::Kill { gateway }
+            | Action::Stop { gateway }
+            | Action::Harm {
+                edge: Edge::Store,
+                index: gateway,
+                ..
+            } => *gateway,
+            _ => return None,
+        };
+        Some(gateway % self.gateways.len())
+    }
+
+    async fn perform_untold(&self, action: Action) -> Result<()> {
         match action {
             Action::Mix { worker, mix } => self.worker(worker).set_mix(mix),
             Action::Harm {
--- a/crates/fault-soak/src/worker/answers.rs
+++ b/crates/fault-soak/src/worker/answers.rs
@@ -15,7 +15,7 @@
 use crate::evidence::{Run, RunBody};
 use crate::faults::{Aspect, Fault};
 use crate::http::Head;
-use crate::identity::{body_hash, Mark, RequestKey};
+use crate::identity::{body_hash, Mark, RequestKey, DEADLY};
 use crate::routes::RouteKind;
 
 const PREFILL: &str = "prefill";
@@ -202,7 +202,11 @@
                 Reply::stream(run.status, events, Duration::from_millis(pause_ms))
             }
         };
-        reply.with(SEAL, &run.seal)
+        let reply = reply.with(SEAL, &run.seal);
+        match request.body.starts_with(DEADLY) {
+            true => reply.ending_worker(run.mark.key),
+            false => reply,
+        }
     }
 
     fn begin_run(&self, request: &Request, key: RequestKey, fails: bool) -> Run {
--- a/crates/fault-soak/src/worker/connection.rs
+++ b/crates/fault-soak/src/worker/connection.rs
@@ -15,6 +15,7 @@
 use super::state::WorkerState;
 use crate::faults::{Aspect, Fault};
 use crate::http::{Framing, ReadError, Reader};
+use crate::identity::RequestKey;
 use crate::link::reset_on_close;
 
 /// The longest time after which an answer is sent again, in milliseconds.
@@ -91,6 +92,9 @@
                 Err(_) => return End::Close,
             };
             let reply = self.worker.answer(&request).await;
+            if let Some(key) = &reply.deadly {
+                return self.end_worker(&reply, key).await;
+            }
             if self.send_late().await.is_err() {
                 return End::Close;
             }
@@ -100,6 +104,15 @@
         }
     }
 
+    /// Sends some of the answer, perhaps nothing, and ends the worker.
+    async fn end_worker(&mut self, reply: &Reply, key: &RequestKey) -> End {
+        let bytes = reply.steps(Ending::Told).concat();
+        // The worker ends whether or not the connection still takes anything.
+        let _ = self.write_part(&bytes).await;
+        self.worker.end(key.clone());
+        End::Reset
+    }
+
     /// Waits for a request, and sends late answers meanwhile as they become due.
     async fn next_request(&mut self) -> Result<Request, ReadError> {
         let head = loop {
--- a/crates/fault-soak/src/worker/mod.rs
+++ b/crates/fault-soak/src/worker/mod.rs
@@ -5,13 +5,18 @@
 mod reply;
 mod state;
 
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
+use rand::RngExt;
 use serde_json::json;
 use tansyhall_platform_standin::Store;
 use tokio::net::TcpListener;
+use tokio::time::sleep;
 
 use crate::faults::Mix;
 use crate::link::Link;
@@ -33,15 +38,21 @@
     pub stage: Option<&'static str>,
 }
 
+/// How long a worker that has ended stays in the store: it says nothing, so that its entry runs out.
+const ENTRY_LINGERS: Duration = Duration::from_millis(900);
+/// How long it is gone at the least and at the most, in milliseconds.
+const GONE_MS: std::ops::Range<u64> = 1_000..2_500;
+
 /// A worker behind a link. It takes no connections after this is dropped.
 #[derive(Debug)]
 pub struct Worker {
     /// Its link.
-    pub link: Link,
+    pub link: Rc<Link>,
     /// What it is.
     pub plan: WorkerPlan,
-    state: Arc<WorkerState>,
-    task: actix_rt::task::JoinHandle<()>,
+    incarnation: Rc<RefCell<Arc<WorkerState>>>,
+    is_leaving: Rc<Cell<bool>>,
+    life: actix_rt::task::JoinHandle<()>,
 }
 
 impl Worker {
@@ -52,47 +63,110 @@
         plan: WorkerPlan,
         seed: u64,
     ) -> std::io::Result<Self> {
-        let number = INCARNATIONS.fetch_add(1, Ordering::Relaxed);
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let link = Link::open(listener.local_addr()?).await?;
+        let link = Rc::new(Link::open(listener.local_addr()?).await?);
         let state = WorkerState::new(
-            format!("i-{number:08x}"),
+            next_id(),
             link.entrance,
             plan,
             store.clone(),
             notebook.clone(),
             seed,
         );
-        let state = Arc::new(state);
-        let task = actix_rt::spawn(accept(listener, Arc::clone(&state)));
         state.announce("ready");
+        let incarnation = Rc::new(RefCell::new(Arc::new(state)));
+        let is_leaving = Rc::new(Cell::new(false));
+        let life = Life {
+            link: Rc::clone(&link),
+            incarnation: Rc::clone(&incarnation),
+            is_leaving: Rc::clone(&is_leaving),
+        };
         Ok(Self {
             link,
             plan,
-            state,
-            task,
+            incarnation,
+            is_leaving,
+            life: actix_rt::spawn(life.run(listener)),
         })
     }
 
     /// Changes what goes wrong.
     pub fn set_mix(&self, mix: Mix) {
-        self.state.set_mix(mix);
+        self.incarnation.borrow().set_mix(mix);
     }
 
     /// Says that it is about to leave.
     pub fn drain(&self) {
-        self.state.announce("draining");
+        self.is_leaving.set(true);
+        self.incarnation.borrow().announce("draining");
     }
 
     /// Takes its entry out of the store.
     pub fn withdraw(&self) {
-        self.state.withdraw();
+        self.incarnation.borrow().withdraw();
     }
 }
 
 impl Drop for Worker {
     fn drop(&mut self) {
-        self.task.abort();
+        self.life.abort();
+    }
+}
+
+fn next_id() -> String {
+    let number = INCARNATIONS.fetch_add(1, Ordering::Relaxed);
+    format!("i-{number:08x}")
+}
+
+/// A worker's incarnations, one after another.
+struct Life {
+    link: Rc<Link>,
+    incarnation: Rc<RefCell<Arc<WorkerState>>>,
+    is_leaving: Rc<Cell<bool>>,
+}
+
+impl Life {
+    async fn run(self, mut listener: TcpListener) {
+        loop {
+            let state = Arc::clone(&self.incarnation.borrow());
+            let accepting = AbortOnDrop(actix_rt::spawn(accept(listener, Arc::clone(&state))));
+            state.until_ended().await;
+            self.link.close();
+            drop(accepting);
+            let gone_ms = state.draw(|random| random.random_range(GONE_MS));
+            sleep(ENTRY_LINGERS).await;
+            let was_listed = state.is_listed();
+            state.withdraw();
+            sleep(Duration::from_millis(gone_ms).saturating_sub(ENTRY_LINGERS)).await;
+            if self.is_leaving.get() || !was_listed {
+                return;
+            }
+            let Ok(next) = TcpListener::bind("127.0.0.1:0").await else {
+                return;
+            };
+            listener = next;
+            if self.come_back(&state, &listener).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn come_back(&self, last: &WorkerState, listener: &TcpListener) -> std::io::Result<()> {
+        self.link.lead_to(listener.local_addr()?);
+        let seed = last.draw(|random| random.random());
+        let next = Arc::new(last.successor(next_id(), seed));
+        *self.incarnation.borrow_mut() = Arc::clone(&next);
+        self.link.open_again();
+        next.announce("ready");
+        Ok(())
+    }
+}
+
+struct AbortOnDrop(actix_rt::task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
     }
 }
 
--- a/crates/fault-soak/src/worker/reply.rs
+++ b/crates/fault-soak/src/worker/reply.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 
+use crate::identity::RequestKey;
+
 /// An answer.
 #[derive(Debug, Clone)]
 pub(super) struct Reply {
@@ -14,6 +16,8 @@
     /// The pause between two parts.
     pub(super) pause: Duration,
     is_stream: bool,
+    /// The request that ends the worker, if it does.
+    pub(super) deadly: Option<RequestKey>,
 }
 
 /// How the end of a body is told.
@@ -34,6 +38,7 @@
             parts: vec![body.into()],
             pause: Duration::ZERO,
             is_stream: false,
+            deadly: None,
         }
     }
 
@@ -45,6 +50,7 @@
             parts: events,
             pause,
             is_stream: true,
+            deadly: None,
         }
     }
 
@@ -54,6 +60,12 @@
         self
     }
 
+    /// The same for a request that ends the worker before its answer is whole.
+    pub(super) fn ending_worker(mut self, deadly: RequestKey) -> Self {
+        self.deadly = Some(deadly);
+        self
+    }
+
     /// The bytes on the connection, in the steps in which they are written. The first is the head.
     pub(super) fn steps(&self, ending: Ending) -> Vec<Bytes> {
         let chunked = self.is_stream && ending == Ending::Told;
--- a/crates/fault-soak/src/worker/state.rs
+++ b/crates/fault-soak/src/worker/state.rs
@@ -10,9 +10,10 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use tansyhall_platform_standin::Store;
+use tokio::sync::watch;
 
 use super::{entry, WorkerPlan};
-use crate::evidence::{Arrival, Call, Evidence, Garbled, Reading, Run};
+use crate::evidence::{Arrival, Call, Evidence, Garbled, Reading, Run, WorkerEnd};
 use crate::faults::{Aspect, Fault, FaultCounts, Mix};
 use crate::identity::RequestKey;
 
@@ -122,6 +123,7 @@
     pub(super) notebook: Notebook,
     plan: WorkerPlan,
     store: Store,
+    ended: watch::Sender<bool>,
     changing: Mutex<Changing>,
 }
 
@@ -149,10 +151,44 @@
             notebook,
             plan,
             store,
+            ended: watch::Sender::new(false),
             changing: Mutex::new(changing),
         }
     }
 
+    /// The next incarnation of the same worker, with the same faults.
+    pub(super) fn successor(&self, id: String, seed: u64) -> Self {
+        let (store, notebook) = (self.store.clone(), self.notebook.clone());
+        let next = Self::new(id, self.address, self.plan, store, notebook, seed);
+        next.set_mix(self.changing.lock().mix.clone());
+        next
+    }
+
+    /// Ends it under a request.
+    pub(super) fn end(&self, key: RequestKey) {
+        let end = WorkerEnd {
+            key,
+            worker: self.id.clone(),
+            at_ms: self.notebook.now_ms(),
+        };
+        self.notebook.count_fault("worker ended by a request");
+        self.notebook
+            .record(|evidence| evidence.worker_ends.push(end));
+        self.ended.send_replace(true);
+    }
+
+    /// Waits until it has ended.
+    pub(super) async fn until_ended(&self) {
+        let mut ended = self.ended.subscribe();
+        // The sender lives as long as this borrow.
+        let _ = ended.wait_for(|ended| *ended).await;
+    }
+
+    /// Whether it is in the store, or was until it ended.
+    pub(super) fn is_listed(&self) -> bool {
+        self.changing.lock().is_listed
+    }
+
     pub(super) fn set_mix(&self, mix: Mix) {
         self.changing.lock().mix = mix;
     }
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -40,6 +40,7 @@
 mod usual;
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tansyhall_core::{Role, ServiceName, Timestamp};
@@ -210,6 +211,12 @@
             .map(|tracked| &tracked.worker)
     }
 
+    /// Whether a worker is announced at this address.
+    pub fn is_announced_at(&self, address: SocketAddr) -> bool {
+        let mut workers = self.workers.values();
+        workers.any(|tracked| tracked.announced && tracked.worker.address == address)
+    }
+
     /// A send to a worker begins, for what the demand needs of it.
     pub fn send_began(
         &mut self,
--- a/crates/forwarding/src/quarantine/send_ledger.rs
+++ b/crates/forwarding/src/quarantine/send_ledger.rs
@@ -8,10 +8,10 @@
 use super::Fingerprint;
 use crate::worker::WorkerId;
 
-/// How long a send whose answer did not come whole may still be the cause of its worker's end. Losing a
-/// connection and finding out that nothing listens any more takes milliseconds, some hundred on a gateway
-/// short of processor time; a worker that has lost its connection stops running the request.
-const LINGER: Duration = Duration::from_secs(3);
+/// How long a send whose answer did not come whole may still be the cause of its worker's end: longer than
+/// gateways look after a worker that has lost a connection. Finding out that nothing listens takes
+/// milliseconds; that a worker was replaced, until its entry has run out.
+const LINGER: Duration = Duration::from_secs(6);
 
 /// Names a send in the ledger.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/gateway/src/worker_ends.rs
+++ b/crates/gateway/src/worker_ends.rs
@@ -1,18 +1,26 @@
 //! Finds out which workers have ended under requests, and tells which requests these were.
 //!
-//! A connection that is lost proves nothing: links break, and a faulty worker closes connections and lives. A
-//! worker has ended if nothing listens at its address although the store announces it as ready: one that
-//! leaves as planned says so first, or its entry goes first, and one that was cut off does not refuse.
+//! A connection that is lost proves nothing: links break, and a faulty worker closes connections and lives.
+//! So the worker is looked after for a while. It has ended if the store announces it as ready and
+//!
+//! - nothing listens at its address, or
+//! - its entry goes and another worker is announced at its address: it was back before this gateway, frozen
+//!   perhaps, could look.
+//!
+//! One that leaves as planned says so first, or its entry goes before its connections; one that was cut off
+//! does not refuse.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use tansyhall_forwarding::{Fingerprint, WorkerId, WorkerState};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
 
 use crate::connection_losses::Loss;
 use crate::connections::Destination;
@@ -22,44 +30,103 @@
 
 /// Time for a worker that lives to accept a connection, or for the machine of one that does not to refuse it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a worker is looked after: an entry runs out after three silent beats, some 4 s.
+const WATCH: Duration = Duration::from_secs(5);
+/// Pause between two looks at what the store announces.
+const PACE: Duration = Duration::from_millis(250);
+/// The least time between two connections to a worker that loses connections again and again.
+const CONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// Requests that a log line names.
 const MAX_NAMED: usize = 16;
 
+/// Workers that are looked after, and how to tell that another of their connections was lost.
+type Watched = Arc<Mutex<HashMap<WorkerId, Arc<Notify>>>>;
+
 /// Looks into losses for ever.
 pub async fn watch(shared: Arc<Shared>) {
-    let looked_into: Arc<Mutex<HashSet<WorkerId>>> = Arc::default();
+    let watched = Watched::default();
     while let Some((loss, destination)) = shared.connections.losses.next().await {
-        if loss == Loss::NothingListens {
-            note_end(&shared, &destination.worker);
+        if !is_ready(&shared, &destination.worker) {
             continue;
         }
-        if !looked_into.lock().insert(destination.worker.clone()) {
-            continue;
+        match loss {
+            Loss::NothingListens => note_end(&shared, &destination.worker),
+            Loss::Broken => look_after(&shared, &watched, destination),
+        }
+    }
+}
+
+fn is_ready(shared: &Shared, id: &WorkerId) -> bool {
+    let directory = shared.directory.lock();
+    let worker = directory.get(id);
+    worker.is_some_and(|worker| worker.state == WorkerState::Ready)
+}
+
+fn look_after(shared: &Arc<Shared>, watched: &Watched, destination: Destination) {
+    let mut by_worker = watched.lock();
+    if let Some(lost_again) = by_worker.get(&destination.worker) {
+        lost_again.notify_one();
+        return;
+    }
+    let lost_again = Arc::new(Notify::new());
+    by_worker.insert(destination.worker.clone(), Arc::clone(&lost_again));
+    drop(by_worker);
+    let shared = Arc::clone(shared);
+    let watched = Arc::clone(watched);
+    actix_rt::spawn(async move {
+        if ends(&shared, &destination, &lost_again).await {
+            note_end(&shared, &destination.worker);
+        }
+        watched.lock().remove(&destination.worker);
+    });
+}
+
+/// Whether a worker that has lost a connection turns out to have ended.
+async fn ends(shared: &Shared, destination: &Destination, lost_again: &Notify) -> bool {
+    let began = shared.now();
+    let mut looks = true;
+    while shared.now().since(began) < WATCH {
+        if looks && nothing_listens(destination.address).await {
+            return true;
+        }
+        match announced(shared, destination) {
+            Announced::Replaced => return true,
+            Announced::Leaving => return false,
+            Announced::Ready | Announced::Gone => {}
         }
-        let shared = Arc::clone(&shared);
-        let looked_into = Arc::clone(&looked_into);
-        actix_rt::spawn(async move {
-            if nothing_listens(&destination).await {
-                note_end(&shared, &destination.worker);
-            }
-            looked_into.lock().remove(&destination.worker);
-        });
+        sleep(CONNECT_PAUSE).await;
+        looks = timeout(PACE, lost_again.notified()).await.is_ok();
     }
+    false
 }
 
-async fn nothing_listens(destination: &Destination) -> bool {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(destination.address)).await;
+async fn nothing_listens(address: SocketAddr) -> bool {
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
+/// What the store says of a worker.
+enum Announced {
+    Ready,
+    Leaving,
+    Gone,
+    /// It is gone, and another one is at its address.
+    Replaced,
+}
+
+fn announced(shared: &Shared, destination: &Destination) -> Announced {
+    let directory = shared.directory.lock();
+    match directory.get(&destination.worker) {
+        Some(worker) if worker.state == WorkerState::Draining => Announced::Leaving,
+        Some(_) => Announced::Ready,
+        None if directory.is_announced_at(destination.address) => Announced::Replaced,
+        None => Announced::Gone,
+    }
+}
+
 fn note_end(shared: &Shared, worker: &WorkerId) {
-    let is_ready = |id: &WorkerId| {
-        let directory = shared.directory.lock();
-        let worker = directory.get(id);
-        worker.is_some_and(|worker| worker.state == WorkerState::Ready)
-    };
     let requests = shared.sends.lock().take_ended(shared.now(), worker);
-    if requests.is_empty() || !is_ready(worker) {
+    if requests.is_empty() {
         return;
     }
     shared.metrics.worker_ends.inc();
