--- a/crates/forwarding/src/quarantine/mod.rs
+++ b/crates/forwarding/src/quarantine/mod.rs
@@ -177,7 +177,8 @@
             return;
         }
         let suspect = self.suspect(now, fingerprint);
-        if suspect.is_barred() && suspect.knows_more_than(&sighting.workers) {
+        let sender_bars = sighting.workers.len() >= ENDS_TO_BAR;
+        if suspect.counted() >= ENDS_TO_BAR && !sender_bars {
             heard.reply.sightings.push(suspect.sighting(fingerprint));
         }
         if !is_barred_now {
--- a/crates/forwarding/src/quarantine/suspect.rs
+++ b/crates/forwarding/src/quarantine/suspect.rs
@@ -59,14 +59,20 @@
         if self.ends.iter().any(|end| end.worker == worker) {
             return;
         }
-        if self.ends.len() >= MAX_ENDS {
-            self.ends.remove(0);
+        self.last_end = now;
+        if self.ends.len() >= MAX_ENDS && !self.forget_forgiven() {
+            return;
         }
         self.ends.push(End {
             worker,
             forgiven: false,
         });
-        self.last_end = now;
+    }
+
+    /// Makes room by the oldest end that does not count. Whether there was one.
+    fn forget_forgiven(&mut self) -> bool {
+        let oldest = self.ends.iter().position(|end| end.forgiven);
+        oldest.map(|index| self.ends.remove(index)).is_some()
     }
 
     /// Forgives all ends. Whether any counted.
@@ -93,14 +99,6 @@
         self.last_end
     }
 
-    /// Whether more workers count against it than these.
-    pub(super) fn knows_more_than(&self, workers: &[WorkerKey]) -> bool {
-        let counting = self.ends.iter().filter(|end| !end.forgiven);
-        counting
-            .into_iter()
-            .any(|end| !workers.contains(&end.worker))
-    }
-
     /// The workers that count against it.
     pub(super) fn sighting(&self, fingerprint: Fingerprint) -> Sighting {
         let counting = self.ends.iter().filter(|end| !end.forgiven);
--- a/crates/forwarding/tests/quarantine_together.rs
+++ b/crates/forwarding/tests/quarantine_together.rs
@@ -294,3 +294,21 @@
         prop_assert_eq!(fleet.barring(DEADLY), 0);
     }
 }
+
+#[test]
+fn gateways_that_know_many_ends_of_different_workers_do_not_answer_each_other_for_ever() {
+    let mut fleet = Fleet::new(2, 2);
+    for worker in 0..20 {
+        fleet.end(0, worker, &[DEADLY]);
+        fleet.end(1, 100 + worker, &[DEADLY]);
+    }
+    let mut news = fleet.gateways[0].due(fleet.now).remove(0).news;
+    for answers in 0..3 {
+        let heard = fleet.gateways[1 - answers % 2].hear(fleet.now, &news, true);
+        if heard.reply.is_empty() {
+            return;
+        }
+        news = heard.reply;
+    }
+    panic!("they go on");
+}
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -24,6 +24,4 @@
         };
         shared.log.record(Weight::Important, &event);
     }
-    let count = shared.quarantine.lock().barred();
-    shared.metrics.barred_requests.set(count as i64);
 }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -33,6 +33,8 @@
     metrics.store_age_ms.set(gauge(shared.store_age_ms()));
     let in_flight = shared.in_flight.load(Ordering::Relaxed);
     metrics.in_flight.set(gauge(in_flight));
+    let barred = shared.quarantine.lock().barred();
+    metrics.barred_requests.set(gauge(barred as u64));
     metrics.workers.reset();
     for (service, state) in shared.directory.lock().worker_states() {
         let state = match state {
