--- a/crates/cli/tests/gateway_platform/deadly_requests.rs
+++ b/crates/cli/tests/gateway_platform/deadly_requests.rs
@@ -31,6 +31,8 @@
 /// Pause between two tries, so that some workers are back for the next.
 const PAUSE: Duration = Duration::from_millis(200);
 const GATEWAYS: usize = 3;
+/// More gateways than tell each other everything.
+const GATEWAYS_WITH_SCHEDULERS: usize = 14;
 /// A request without a body that many callers send.
 const POPULAR: &str = "/repeat/popular";
 const WORKERS: usize = 6;
@@ -199,3 +201,20 @@
         assert_eq!(ask_popular(index).await.status, 200);
     }
 }
+
+#[actix_rt::test]
+async fn in_a_fleet_whose_schedulers_put_it_together_every_gateway_knows() {
+    let site = Site::start(&[("llm", Some("decode"), ECHO)], GATEWAYS_WITH_SCHEDULERS).await;
+    let workers = site
+        .add_mortal_workers(WORKERS, ("app", None, ECHO), DEADLY)
+        .await;
+    site.until_gateways_know_each_other().await;
+    let ask = |index: usize| ask_deadly(&site.gateways[index], AT_MOST_ONCE);
+    end_enough_workers(&site, &workers, ask).await;
+    until_all_workers_are_back(&site).await;
+    let before = sends(&workers);
+    for gateway in &site.gateways {
+        assert_eq!(ask_deadly(gateway, AT_MOST_ONCE).await.status, 500);
+    }
+    assert_eq!(sends(&workers), before);
+}
--- a/crates/fault-soak/src/episode.rs
+++ b/crates/fault-soak/src/episode.rs
@@ -36,8 +36,7 @@
     pub deadly_requests: usize,
     /// It goes on without new actions until callers have had this many whole successes.
     pub least_successes: usize,
-    /// Whether what gateways are known not to withstand is played too: unsolved faults, and callers that
-    /// come before the gateways know each other.
+    /// Whether faults are played too that gateways are known not to withstand.
     pub with_unsolved: bool,
 }
 
@@ -86,9 +85,6 @@
     let schedule = Schedule::of_seed(plan.seed, WORKERS.len(), plan.duration, &faults);
     let mixes = &schedule.first_mixes;
     let site = Site::start(plan.gateways, mixes, plan.seed, logs.path()).await?;
-    if !plan.with_unsolved {
-        site.until_gateways_know_each_other().await;
-    }
     let site = Rc::new(site);
     let is_over = Rc::new(Cell::new(false));
     let callers = (0..plan.callers)
--- a/crates/lab/src/fault_soak.rs
+++ b/crates/lab/src/fault_soak.rs
@@ -27,7 +27,7 @@
   --seeds N       how many seeds, each with an equal part of the time (default: one for 30 s)
   --regressions   the seeds that failed once, each for its time
   --unsolved      also what gateways are known not to withstand: a cut answer whose connection stays
-                  open and brings the whole answer after it, callers before gateways know each other
+                  open and brings the whole answer after it
   --keep DIR      where failed episodes are kept (default: target/fault-soak)
   --json          one JSON object for each episode
 ";
