--- a/crates/fault-soak/src/episode.rs
+++ b/crates/fault-soak/src/episode.rs
@@ -22,7 +22,7 @@
 const MAX_POLLS: usize = 600;
 
 /// What an episode is.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct EpisodePlan {
     /// The seed of its schedule, its callers and its workers.
     pub seed: u64,
@@ -38,6 +38,9 @@
     pub least_successes: usize,
     /// Whether faults are played too that gateways are known not to withstand.
     pub with_unsolved: bool,
+    /// Mechanisms of the gateways that are switched off, by their names in the settings: what a judge is
+    /// about must be found without them.
+    pub switched_off: Vec<String>,
 }
 
 impl EpisodePlan {
@@ -51,6 +54,7 @@
             deadly_requests: 2,
             least_successes: 100,
             with_unsolved: false,
+            switched_off: Vec::new(),
         }
     }
 }
@@ -84,7 +88,7 @@
     let faults = Fault::played(plan.with_unsolved);
     let schedule = Schedule::of_seed(plan.seed, WORKERS.len(), plan.duration, &faults);
     let mixes = &schedule.first_mixes;
-    let site = Site::start(plan.gateways, mixes, plan.seed, logs.path()).await?;
+    let site = Site::start(&plan, mixes, logs.path()).await?;
     let site = Rc::new(site);
     let is_over = Rc::new(Cell::new(false));
     let callers = (0..plan.callers)
--- a/crates/fault-soak/src/gateways.rs
+++ b/crates/fault-soak/src/gateways.rs
@@ -1,7 +1,7 @@
 //! The gateway processes of an episode. Only these are signalled.
 
 use std::cell::{Cell, RefCell};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -21,15 +21,31 @@
 /// Pause between two looks at a process that stops.
 const EXIT_POLL: Duration = Duration::from_millis(50);
 
+/// What a gateway process is started with.
+pub struct GatewayPlace {
+    /// Its number.
+    pub number: usize,
+    /// Where its settings and logs lie.
+    pub directory: PathBuf,
+    /// Where it reaches the platform's operations.
+    pub operations: String,
+    /// Mechanisms that are switched off.
+    pub switched_off: Vec<String>,
+}
+
+impl GatewayPlace {
+    fn name(&self) -> String {
+        format!("gateway-{}", self.number)
+    }
+}
+
 /// A place for a gateway process, with its links.
 pub struct GatewaySlot {
     /// Between callers and the gateway.
     pub callers: Link,
     /// Between the gateway and the store.
     pub store: Link,
-    name: String,
-    directory: PathBuf,
-    operations: String,
+    place: GatewayPlace,
     process: RefCell<Option<GatewayProcess>>,
     is_busy: Cell<bool>,
     _door: StoreDoor,
@@ -37,19 +53,12 @@
 
 impl GatewaySlot {
     /// Starts a gateway.
-    pub async fn start(
-        number: usize,
-        store: &Store,
-        operations: String,
-        directory: &Path,
-    ) -> Result<Self> {
+    pub async fn start(place: GatewayPlace, store: &Store) -> Result<Self> {
         let door = store.open_door()?;
         let slot = Self {
             callers: Link::open(door.address).await?,
             store: Link::open(door.address).await?,
-            name: format!("gateway-{number}"),
-            directory: directory.to_owned(),
-            operations,
+            place,
             process: RefCell::new(None),
             is_busy: Cell::new(false),
             _door: door,
@@ -112,7 +121,7 @@
     fn ended(&self) -> Option<String> {
         let mut process = self.process.borrow_mut();
         let status = process.as_mut()?.process.child.try_wait().ok()??;
-        Some(format!("{}: {status}", self.name))
+        Some(format!("{}: {status}", self.place.name()))
     }
 
     async fn until_ended(&self) {
@@ -134,7 +143,7 @@
     async fn start_process(&self) -> Result<()> {
         let addresses = GatewayAddresses::free();
         let settings = self.settings(&addresses)?;
-        let (directory, name) = (self.directory.clone(), self.name.clone());
+        let (directory, name) = (self.place.directory.clone(), self.place.name());
         let started = actix_rt::task::spawn_blocking(move || {
             let mut process = gateway(&directory, &name, &settings, addresses);
             let log = directory.join(format!("{name}.log"));
@@ -149,7 +158,7 @@
 
     fn settings(&self, addresses: &GatewayAddresses) -> Result<String> {
         let fields = json!({
-            "node": self.name,
+            "node": self.place.name(),
             "zone": LOCAL_ZONE,
             "ip": "127.0.0.1",
             "limits": { "cores": 1 },
@@ -161,7 +170,7 @@
             "port_range": [addresses.metrics.port(), addresses.load.port()],
             "seeds": [],
             "provider": { "address": self.store.entrance.to_string() },
-            "cloud": { "address": self.operations },
+            "cloud": { "address": self.place.operations },
             "bounds": {
                 "retry_budget_ratio": RATIO,
                 "budget_extra": EXTRA,
@@ -174,7 +183,17 @@
         });
         let settings = render(TEMPLATE, &fields).map_err(|error| anyhow::anyhow!("{error:?}"))?;
         let metrics = format!("metrics = \"{}\"", addresses.metrics);
-        Ok(settings.replace("metrics = \"127.0.0.1:9464\"", &metrics))
+        let settings = settings.replace("metrics = \"127.0.0.1:9464\"", &metrics);
+        Ok(settings + &self.decisions())
+    }
+}
+
+impl GatewaySlot {
+    /// The section of the settings that switches mechanisms off.
+    fn decisions(&self) -> String {
+        let off = self.place.switched_off.iter();
+        let lines = off.map(|name| format!("{name} = false\n"));
+        format!("\n[decisions]\n{}", lines.collect::<String>())
     }
 }
 
--- a/crates/fault-soak/src/site.rs
+++ b/crates/fault-soak/src/site.rs
@@ -12,9 +12,10 @@
 use tokio::time::sleep;
 
 use crate::caller::HOST;
+use crate::episode::EpisodePlan;
 use crate::evidence::Trouble;
 use crate::faults::Mix;
-use crate::gateways::{Done, GatewaySlot};
+use crate::gateways::{Done, GatewayPlace, GatewaySlot};
 use crate::link::{Link, LinkFault};
 use crate::routes::{routes, APPLICATION, ENGINES};
 use crate::schedule::{Action, Edge};
@@ -68,12 +69,7 @@
 
 impl Site {
     /// Starts a site and waits until every gateway is ready and knows every worker.
-    pub async fn start(
-        gateways: usize,
-        mixes: &[Mix],
-        seed: u64,
-        directory: &Path,
-    ) -> Result<Self> {
+    pub async fn start(plan: &EpisodePlan, mixes: &[Mix], directory: &Path) -> Result<Self> {
         let store = Store::default();
         let operations = Operations::start()?;
         let mut site = Self {
@@ -83,15 +79,20 @@
             gateways: Vec::new(),
             workers: RefCell::default(),
             version: Cell::new(0),
-            seed,
+            seed: plan.seed,
         };
         site.configure();
         for (plan, mix) in WORKERS.iter().zip(mixes) {
             site.add_worker(*plan, mix.clone()).await?;
         }
-        for number in 0..gateways {
-            let operations = operations.address.to_string();
-            let slot = GatewaySlot::start(number, &site.store, operations, directory).await?;
+        for number in 0..plan.gateways {
+            let place = GatewayPlace {
+                number,
+                directory: directory.to_owned(),
+                operations: operations.address.to_string(),
+                switched_off: plan.switched_off.clone(),
+            };
+            let slot = GatewaySlot::start(place, &site.store).await?;
             site.gateways.push(slot);
         }
         for slot in &site.gateways {
--- a/crates/lab/src/fault_soak.rs
+++ b/crates/lab/src/fault_soak.rs
@@ -17,6 +17,7 @@
 
 USAGE:
   tansyhall-lab fault-soak --minutes N | --seconds N [--seed S] [--seeds N] [--unsolved]
+                           [--gateways N] [--deadly N] [--off NAME]...
                            [--keep DIR] [--json]
   tansyhall-lab fault-soak --regressions [--keep DIR] [--json]
 
@@ -28,6 +29,9 @@
   --regressions   the seeds that failed once, each for its time
   --unsolved      also what gateways are known not to withstand: a cut answer whose connection stays
                   open and brings the whole answer after it
+  --gateways N    gateway processes (default: 3)
+  --deadly N      requests that end each worker which begins to run them (default: 2)
+  --off NAME      a mechanism of the gateways that is switched off, as under [decisions] of their settings
   --keep DIR      where failed episodes are kept (default: target/fault-soak)
   --json          one JSON object for each episode
 ";
@@ -45,6 +49,9 @@
     }
     let with_unsolved = arguments.contains("--unsolved");
     let plans = plans(&mut arguments)?;
+    let gateways: Option<usize> = arguments.opt_value_from_str("--gateways")?;
+    let deadly: Option<usize> = arguments.opt_value_from_str("--deadly")?;
+    let switched_off: Vec<String> = arguments.values_from_str("--off")?;
     let directory: Option<PathBuf> = arguments.opt_value_from_str("--keep")?;
     let json = arguments.contains("--json");
     let rest = arguments.finish();
@@ -55,6 +62,9 @@
     let mut code = ExitCode::SUCCESS;
     for mut plan in plans {
         plan.with_unsolved = with_unsolved;
+        plan.gateways = gateways.unwrap_or(plan.gateways);
+        plan.deadly_requests = deadly.unwrap_or(plan.deadly_requests);
+        plan.switched_off.clone_from(&switched_off);
         let episode = actix_rt::System::new().block_on(run_or_stop(plan))?;
         print_episode(&episode, json);
         if !episode.violations.is_empty() {
