--- a/crates/cli/tests/gateway_platform/deadly_requests.rs
+++ b/crates/cli/tests/gateway_platform/deadly_requests.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use tansyhall_platform_standin::{Behaviour, MortalWorker, StoreFault};
+use tansyhall_platform_standin::{Behaviour, Deadly, LastWords, MortalWorker, StoreFault};
 use tokio::time::sleep;
 
 use crate::support::{
@@ -20,6 +20,10 @@
 
 const ECHO: Behaviour = Behaviour::Serve { events: 0 };
 const DEADLY: &[u8] = b"deadly";
+const SILENT: Deadly = Deadly {
+    text: DEADLY,
+    last_words: LastWords::None,
+};
 /// Workers that must end before a request counts as deadly.
 const ENOUGH_ENDS: u64 = 3;
 /// The time in which gateways that reach each other or the store have learnt of the third end.
@@ -101,7 +105,7 @@
 async fn a_request_that_ends_workers_is_sent_no_more() {
     let site = Site::start(&[("llm", Some("decode"), ECHO)], GATEWAYS).await;
     let workers = site
-        .add_mortal_workers(WORKERS, ("app", None, ECHO), DEADLY)
+        .add_mortal_workers(WORKERS, ("app", None, ECHO), SILENT)
         .await;
     site.until_gateways_know_each_other().await;
     for path in [REPEATABLE, AT_MOST_ONCE] {
@@ -116,7 +120,7 @@
     let reader = ("llm", Some("prefill"), ECHO);
     let site = Site::start(&[reader, ("app", None, ECHO)], GATEWAYS).await;
     let decoder = ("llm", Some("decode"), ECHO);
-    let workers = site.add_mortal_workers(WORKERS, decoder, DEADLY).await;
+    let workers = site.add_mortal_workers(WORKERS, decoder, SILENT).await;
     site.until_gateways_know_each_other().await;
     let ask = |index: usize| {
         let gateway = &site.gateways[index];
@@ -132,7 +136,7 @@
 async fn site_with_mortal_workers() -> (Site, Vec<MortalWorker>) {
     let site = Site::start(&[("llm", Some("decode"), ECHO)], GATEWAYS).await;
     let workers = site
-        .add_mortal_workers(WORKERS, ("app", None, ECHO), DEADLY)
+        .add_mortal_workers(WORKERS, ("app", None, ECHO), SILENT)
         .await;
     site.until_gateways_know_each_other().await;
     (site, workers)
@@ -206,7 +210,7 @@
 async fn in_a_fleet_whose_schedulers_put_it_together_every_gateway_knows() {
     let site = Site::start(&[("llm", Some("decode"), ECHO)], GATEWAYS_WITH_SCHEDULERS).await;
     let workers = site
-        .add_mortal_workers(WORKERS, ("app", None, ECHO), DEADLY)
+        .add_mortal_workers(WORKERS, ("app", None, ECHO), SILENT)
         .await;
     site.until_gateways_know_each_other().await;
     let ask = |index: usize| ask_deadly(&site.gateways[index], AT_MOST_ONCE);
@@ -218,3 +222,21 @@
     }
     assert_eq!(sends(&workers), before);
 }
+
+/// An answer that has no length ends with its connection, be it whole or not: that it came to an end does
+/// not clear its request.
+#[actix_rt::test]
+async fn an_answer_without_a_length_clears_nobody() {
+    let site = Site::start(&[("llm", Some("decode"), ECHO)], GATEWAYS).await;
+    let deadly = Deadly {
+        last_words: LastWords::WithoutLength,
+        ..SILENT
+    };
+    let workers = site
+        .add_mortal_workers(WORKERS, ("app", None, ECHO), deadly)
+        .await;
+    site.until_gateways_know_each_other().await;
+    let ask = |index: usize| ask_deadly(&site.gateways[index], AT_MOST_ONCE);
+    end_enough_workers(&site, &workers, ask).await;
+    is_sent_no_more(&site, &workers, ask).await;
+}
--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -11,7 +11,7 @@
 use tansyhall_gateway::authority_claim;
 use tansyhall_gateway::usage::{RowsMessage, ROWS_PREFIX};
 use tansyhall_platform_standin::{
-    render, Behaviour, MortalWorker, Operations, Operator, RoutePlan, ScalingPlan, Store,
+    render, Behaviour, Deadly, MortalWorker, Operations, Operator, RoutePlan, ScalingPlan, Store,
     StoreDoor, TenantPlan, Worker, WorkerPlan, API_KEY, DEADLINE, PROMPT_PARTS, REQUEST_ID, SEAL,
     TENANT,
 };
@@ -300,13 +300,12 @@
         worker
     }
 
-    /// Starts workers of a service that end under requests whose body holds `deadly`, and waits until all
-    /// gateways know them.
+    /// Starts workers of a service that end under such requests, and waits until all gateways know them.
     pub async fn add_mortal_workers(
         &self,
         count: usize,
         (service, stage, behaviour): WorkerSpec,
-        deadly: &'static [u8],
+        deadly: Deadly,
     ) -> Vec<MortalWorker> {
         let plan = WorkerPlan {
             service,
