An answer without a length clears no request, and its worker is looked after

Cause: the end of an answer without a length is that of its connection, and a worker that ends closes it in good order. It counted as an answer, which forgave the ends before it, and as no lost connection. Now only an answer whose end is told by a length or chunks clears its request; any other has its worker looked at, by one connection.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -13,7 +13,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::ext::ReasonPhrase;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -82,6 +82,9 @@
     pub status: u16,
     /// All headers.
     pub headers: HeaderList,
+    /// Whether its end is told, and not that of its connection: otherwise an answer that a worker's end cut
+    /// off looks whole.
+    pub tells_its_end: bool,
     /// The body.
     pub body: AnswerBody,
 }
@@ -91,6 +94,8 @@
 pub struct AnswerBody {
     incoming: Incoming,
     returning: Option<Returning>,
+    /// As in [`WorkerAnswer`].
+    tells_its_end: bool,
     /// None for a request without an id.
     search: Option<SecondAnswerSearch>,
 }
@@ -261,12 +266,15 @@
             is_kept: usable_until.is_some(),
         };
         let search = id.map(|id| SecondAnswerSearch::new(id, &headers));
+        let tells_its_end = tells_its_end(&headers, &incoming);
         Ok(WorkerAnswer {
             status: head.status.as_u16(),
             headers,
+            tells_its_end,
             body: AnswerBody {
                 incoming,
                 returning: Some(returning),
+                tells_its_end,
                 search,
             },
         })
@@ -351,7 +359,10 @@
             self.returning = None;
             return Err(second_answer());
         }
-        self.give_back();
+        match self.tells_its_end {
+            true => self.give_back(),
+            false => self.tell_broken(),
+        }
         Ok(None)
     }
 
@@ -383,6 +394,12 @@
     }
 }
 
+fn tells_its_end(headers: &HeaderList, body: &Incoming) -> bool {
+    let framing = ["content-length", "transfer-encoding"];
+    let has_framing = framing.iter().any(|name| headers.get(name).is_some());
+    has_framing || body.is_end_stream()
+}
+
 fn keep_alive_timeout(value: &str) -> Option<Duration> {
     let seconds = value
         .split(',')
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -90,6 +90,8 @@
         let protocol = &self.shared.protocol;
         let kind = protocol.answer_kind(answer.status, &answer.headers);
         let detail = format!("status {}", answer.status);
+        // What ends with its connection may have been cut off by the worker's end.
+        let tells_its_end = answer.tells_its_end;
         match kind {
             AnswerKind::Unusable => {
                 guard.ended(SendResult::Failed, format!("{detail}, not signed"));
@@ -109,7 +111,7 @@
                 }
                 guard.ended(SendResult::Failed, detail);
                 let event = self.keep_error(answer, silence).await;
-                if event == failed(SendFailure::ErrorAnswer) {
+                if event == failed(SendFailure::ErrorAnswer) && tells_its_end {
                     guard.answered_whole();
                 }
                 event
@@ -125,8 +127,8 @@
                     }
                 };
                 match event {
-                    RequestEvent::Completed => guard.answered_whole(),
-                    RequestEvent::DeadlinePassed => {}
+                    RequestEvent::Completed if tells_its_end => guard.answered_whole(),
+                    RequestEvent::Completed | RequestEvent::DeadlinePassed => {}
                     _ => guard.ended(SendResult::Failed, "the answer broke off"),
                 }
                 event
