--- a/crates/fault-soak/src/gateways.rs
+++ b/crates/fault-soak/src/gateways.rs
@@ -101,8 +101,10 @@
             return Ok(Done::Busy);
         };
         let ended = self.ended();
-        self.signal("TERM");
-        self.until_ended().await;
+        if ended.is_none() {
+            self.signal("TERM");
+            self.until_ended().await;
+        }
         self.process.borrow_mut().take();
         self.start_process().await?;
         Ok(Done::Done(ended))
@@ -111,8 +113,10 @@
     /// Stops the process as planned, for good; the same.
     pub async fn stop(&self) -> Option<String> {
         let ended = self.ended();
-        self.signal("TERM");
-        self.until_ended().await;
+        if ended.is_none() {
+            self.signal("TERM");
+            self.until_ended().await;
+        }
         self.process.borrow_mut().take();
         ended
     }
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -170,8 +170,9 @@
 const FIRST_PEER_PORT: u32 = 16_000;
 /// Ports handed out by [`free_peer_address`].
 const PEER_PORTS: u32 = 16_000;
-/// Distance between the first ports of two test processes with neighbouring numbers.
-const PORTS_PER_PROCESS: u32 = 37;
+/// Distance between the first ports of two test processes with neighbouring numbers: more than a minute of
+/// the fault soak hands out. Between the look at a port and its use, another process may take it.
+const PORTS_PER_PROCESS: u32 = 1_009;
 /// Ports handed out so far by this process.
 static PEER_PORTS_USED: AtomicU32 = AtomicU32::new(0);
 
