--- a/crates/cli/tests/gateway_platform/deadly_requests.rs
+++ b/crates/cli/tests/gateway_platform/deadly_requests.rs
@@ -12,10 +12,11 @@
 
 use futures_util::future::join_all;
 use tansyhall_platform_standin::{Behaviour, Deadly, LastWords, MortalWorker, StoreFault};
+use tansyhall_testing::eventually;
 use tokio::time::sleep;
 
 use crate::support::{
-    ask, ask_model_with_body, CallerAnswer, Site, SiteGateway, AT_MOST_ONCE, REPEATABLE,
+    ask, ask_model_with_body, CallerAnswer, Site, SiteGateway, AT_MOST_ONCE, REPEATABLE, SWIFT,
 };
 
 const ECHO: Behaviour = Behaviour::Serve { events: 0 };
@@ -23,6 +24,7 @@
 const SILENT: Deadly = Deadly {
     text: DEADLY,
     last_words: LastWords::None,
+    after: Duration::from_millis(10),
 };
 /// Workers that must end before a request counts as deadly.
 const ENOUGH_ENDS: u64 = 3;
@@ -30,6 +32,8 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// Sends after that which are allowed.
 const ALLOWED_SENDS: u64 = 3;
+/// Longer than a silent worker is waited for on a route of swift requests while another may try.
+const LATER_THAN_PATIENCE: Duration = Duration::from_millis(1_200);
 /// Tries in all.
 const TRIES: usize = 15;
 /// Pause between two tries, so that some workers are back for the next.
@@ -240,3 +244,24 @@
     end_enough_workers(&site, &workers, ask).await;
     is_sent_no_more(&site, &workers, ask).await;
 }
+
+/// The first send is given up as its worker says nothing; the worker ends after that. The second is waited
+/// for, and broken.
+#[actix_rt::test]
+async fn a_worker_that_ends_after_its_request_was_given_up_counts_too() {
+    let site = Site::start(&[("llm", Some("decode"), ECHO)], 1).await;
+    let deadly = Deadly {
+        after: LATER_THAN_PATIENCE,
+        ..SILENT
+    };
+    let workers = site
+        .add_mortal_workers(WORKERS, ("app", None, ECHO), deadly)
+        .await;
+    let gateway = &site.gateways[0];
+    ask_deadly(gateway, SWIFT).await;
+    eventually("both ends are seen", || async {
+        let seen = gateway.metric("gateway_worker_ends_total").await?;
+        (ends(&workers) == 2 && seen == 2.0).then_some(())
+    })
+    .await;
+}
--- a/crates/fault-soak/src/gateways.rs
+++ b/crates/fault-soak/src/gateways.rs
@@ -18,6 +18,8 @@
 const TEMPLATE: &str = include_str!("../../../deploy/node.toml");
 /// Seconds that a planned stop may take.
 const GRACE_S: u64 = 4;
+/// Starts of a gateway whose ports other processes take.
+const MAX_STARTS: usize = 5;
 /// Pause between two looks at a process that stops.
 const EXIT_POLL: Duration = Duration::from_millis(50);
 
@@ -145,6 +147,20 @@
     }
 
     async fn start_process(&self) -> Result<()> {
+        for _ in 0..MAX_STARTS {
+            let process = self.try_start().await?;
+            let addresses = process.addresses;
+            if process.process.first_line.is_empty() && addresses.is_any_taken() {
+                continue;
+            }
+            self.callers.lead_to(addresses.callers);
+            *self.process.borrow_mut() = Some(process);
+            return Ok(());
+        }
+        anyhow::bail!("no free ports for {}", self.place.name())
+    }
+
+    async fn try_start(&self) -> Result<GatewayProcess> {
         let addresses = GatewayAddresses::free();
         let settings = self.settings(&addresses)?;
         let (directory, name) = (self.place.directory.clone(), self.place.name());
@@ -154,10 +170,7 @@
             process.process.copy_output_to(&log)?;
             anyhow::Ok(process)
         });
-        let process = started.await.context("a gateway does not start")??;
-        self.callers.lead_to(addresses.callers);
-        *self.process.borrow_mut() = Some(process);
-        Ok(())
+        started.await.context("a gateway does not start")?
     }
 
     fn settings(&self, addresses: &GatewayAddresses) -> Result<String> {
--- a/crates/gateway/src/connection_losses.rs
+++ b/crates/gateway/src/connection_losses.rs
@@ -1,5 +1,5 @@
-//! Connections to workers that were lost under a request, and addresses where nothing listens: what tells
-//! that a worker may have ended.
+//! Connections to workers that were lost or given up under a request, and addresses where nothing listens:
+//! what tells that a worker may have ended, or may be about to.
 
 use tansyhall_forwarding::WorkerId;
 use tokio::sync::{mpsc, Mutex};
@@ -15,6 +15,8 @@
 pub enum Loss {
     /// A connection, before the whole answer to the request on it.
     Broken,
+    /// The patience of a request: its worker has said nothing for so long that it was given up.
+    Silent,
     /// The worker's address: a new connection to it was refused.
     NothingListens,
 }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -11,9 +11,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::ext::ReasonPhrase;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -23,6 +23,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::answer_body::{AnswerBody, Returning};
 use crate::connection_losses::{ConnectionLosses, Loss};
 use crate::connection_pool::{Connection, OpenCount, Pool};
 use crate::correlation::{ComparedHead, Correlation, Foreign};
@@ -82,33 +83,10 @@
     pub status: u16,
     /// All headers.
     pub headers: HeaderList,
-    /// Whether its end is told, and not that of its connection: otherwise an answer that a worker's end cut
-    /// off looks whole.
-    pub tells_its_end: bool,
     /// The body.
     pub body: AnswerBody,
 }
 
-/// The body of an answer.
-#[derive(Debug)]
-pub struct AnswerBody {
-    incoming: Incoming,
-    returning: Option<Returning>,
-    /// As in [`WorkerAnswer`].
-    tells_its_end: bool,
-    /// None for a request without an id.
-    search: Option<SecondAnswerSearch>,
-}
-
-/// A connection on its way back; it counts as open until its answer is read, also where it is not kept.
-#[derive(Debug)]
-struct Returning {
-    connections: Arc<Connections>,
-    destination: Destination,
-    connection: Connection,
-    is_kept: bool,
-}
-
 /// Connections to all workers.
 #[derive(Debug)]
 pub struct Connections {
@@ -176,6 +154,13 @@
         self.pools.lock().get_mut(worker)?.take(now, id)
     }
 
+    /// Keeps a connection that has brought a whole answer for the next request.
+    pub fn put(&self, worker: WorkerId, connection: Connection) {
+        let now = self.clock.now();
+        let mut pools = self.pools.lock();
+        pools.entry(worker).or_default().put(now, connection);
+    }
+
     async fn connect(&self, destination: &Destination) -> Result<Connection, SendError> {
         let open = self.count_open(destination)?;
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(destination.address))
@@ -266,17 +251,11 @@
             is_kept: usable_until.is_some(),
         };
         let search = id.map(|id| SecondAnswerSearch::new(id, &headers));
-        let tells_its_end = tells_its_end(&headers, &incoming);
+        let body = AnswerBody::new(incoming, &headers, returning, search);
         Ok(WorkerAnswer {
             status: head.status.as_u16(),
             headers,
-            tells_its_end,
-            body: AnswerBody {
-                incoming,
-                returning: Some(returning),
-                tells_its_end,
-                search,
-            },
+            body,
         })
     }
 
@@ -306,10 +285,6 @@
     }
 }
 
-fn second_answer() -> SendError {
-    SendError::NoAnswer("a second answer in the body".into())
-}
-
 fn not_sent(reason: impl std::fmt::Display) -> SendError {
     SendError::NotSent(Unconnected::Failed(reason.to_string()))
 }
@@ -319,87 +294,6 @@
     Failed(SendError),
 }
 
-impl AnswerBody {
-    /// The next bytes; none after the last. An error means that the body is not whole.
-    pub async fn next(&mut self) -> Result<Option<Bytes>, SendError> {
-        loop {
-            match self.incoming.frame().await {
-                None => return self.end(),
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(bytes) if !bytes.is_empty() => return self.checked(bytes).map(Some),
-                    _ => continue,
-                },
-                Some(Err(error)) => {
-                    self.tell_broken();
-                    return Err(SendError::NoAnswer(error.to_string()));
-                }
-            }
-        }
-    }
-
-    /// The whole body, if it is whole and not longer than `most`.
-    pub async fn read_whole(&mut self, most: usize) -> Option<Bytes> {
-        let mut whole = BytesMut::new();
-        while let Some(bytes) = self.next().await.ok()? {
-            if whole.len() + bytes.len() > most {
-                return None;
-            }
-            whole.extend_from_slice(&bytes);
-        }
-        Some(whole.freeze())
-    }
-
-    /// The end of the body, unless it ends inside a second answer's head.
-    fn end(&mut self) -> Result<Option<Bytes>, SendError> {
-        if self
-            .search
-            .take()
-            .is_some_and(|search| search.ends_in_head())
-        {
-            self.returning = None;
-            return Err(second_answer());
-        }
-        match self.tells_its_end {
-            true => self.give_back(),
-            false => self.tell_broken(),
-        }
-        Ok(None)
-    }
-
-    /// The same bytes, unless a second answer has begun in them.
-    fn checked(&mut self, bytes: Bytes) -> Result<Bytes, SendError> {
-        let search = self.search.as_mut();
-        if search.is_some_and(|search| search.finds_in(&bytes)) {
-            self.returning = None;
-            return Err(second_answer());
-        }
-        Ok(bytes)
-    }
-
-    fn tell_broken(&mut self) {
-        if let Some(returning) = self.returning.take() {
-            let losses = &returning.connections.losses;
-            losses.tell(Loss::Broken, &returning.destination);
-        }
-    }
-
-    fn give_back(&mut self) {
-        let Some(returning) = self.returning.take().filter(|one| one.is_kept) else {
-            return;
-        };
-        let now = returning.connections.clock.now();
-        let mut pools = returning.connections.pools.lock();
-        let pool = pools.entry(returning.destination.worker).or_default();
-        pool.put(now, returning.connection);
-    }
-}
-
-fn tells_its_end(headers: &HeaderList, body: &Incoming) -> bool {
-    let framing = ["content-length", "transfer-encoding"];
-    let has_framing = framing.iter().any(|name| headers.get(name).is_some());
-    has_framing || body.is_end_stream()
-}
-
 fn keep_alive_timeout(value: &str) -> Option<Duration> {
     let seconds = value
         .split(',')
--- a/crates/gateway/src/exchange/deliver.rs
+++ b/crates/gateway/src/exchange/deliver.rs
@@ -172,6 +172,7 @@
         match self.next_bytes(answer, limit).await {
             NextBytes::DeadlinePassed if !self.time_left().is_zero() => {
                 self.shared.connections.give_up_unheard_for(silence);
+                answer.body.give_up();
                 NextBytes::Broken
             }
             next => next,
--- a/crates/gateway/src/exchange/prompt.rs
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -8,6 +8,7 @@
 use tokio::time::{timeout, timeout_at};
 
 use super::Exchange;
+use crate::connection_losses::Loss;
 use crate::connections::{SendError, Unconnected};
 use crate::protocol::{AnswerKind, Work};
 use crate::send_guard::{result_of, SendGuard};
@@ -63,6 +64,9 @@
         let reading = self.try_read_prompt(&worker, &guard);
         let limit = self.silence_limit(&guard).min(self.deadline());
         let Ok(read) = timeout_at(limit, reading).await else {
+            let destination = self.shared.destination(&worker);
+            let losses = &self.shared.connections.losses;
+            losses.tell(Loss::Silent, &destination);
             return RequestEvent::PromptNotRead(ReadingFailure::Left);
         };
         match read {
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -8,6 +8,7 @@
 use tokio::time::{timeout_at, Instant};
 
 use super::{failed, Exchange};
+use crate::connection_losses::Loss;
 use crate::connections::{SendError, WorkerAnswer};
 use crate::protocol::{AnswerKind, Work};
 use crate::send_guard::{result_of, SendGuard};
@@ -52,6 +53,10 @@
             }
             let leaves = !patient && self.retries_left(self.shared.now()) > 0;
             if sent.is_none() && leaves {
+                self.shared
+                    .connections
+                    .losses
+                    .tell(Loss::Silent, &destination);
                 guard.ended(SendResult::Abandoned { silent: true }, "silent too long");
                 return failed(SendFailure::MayHaveRun);
             }
@@ -91,7 +96,7 @@
         let kind = protocol.answer_kind(answer.status, &answer.headers);
         let detail = format!("status {}", answer.status);
         // What ends with its connection may have been cut off by the worker's end.
-        let tells_its_end = answer.tells_its_end;
+        let tells_its_end = answer.body.tells_its_end();
         match kind {
             AnswerKind::Unusable => {
                 guard.ended(SendResult::Failed, format!("{detail}, not signed"));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 pub mod answer;
+pub mod answer_body;
 pub mod authority;
 pub mod authority_claim;
 pub mod cache_recovery;
--- a/crates/gateway/src/worker_ends.rs
+++ b/crates/gateway/src/worker_ends.rs
@@ -51,7 +51,7 @@
         }
         match loss {
             Loss::NothingListens => note_end(&shared, &destination.worker),
-            Loss::Broken => look_after(&shared, &watched, destination),
+            Loss::Broken | Loss::Silent => look_after(&shared, &watched, loss, destination),
         }
     }
 }
@@ -62,10 +62,12 @@
     worker.is_some_and(|worker| worker.state == WorkerState::Ready)
 }
 
-fn look_after(shared: &Arc<Shared>, watched: &Watched, destination: Destination) {
+fn look_after(shared: &Arc<Shared>, watched: &Watched, loss: Loss, destination: Destination) {
     let mut by_worker = watched.lock();
     if let Some(lost_again) = by_worker.get(&destination.worker) {
-        lost_again.notify_one();
+        if loss == Loss::Broken {
+            lost_again.notify_one();
+        }
         return;
     }
     let lost_again = Arc::new(Notify::new());
@@ -74,17 +76,18 @@
     let shared = Arc::clone(shared);
     let watched = Arc::clone(watched);
     actix_rt::spawn(async move {
-        if ends(&shared, &destination, &lost_again).await {
+        if ends(&shared, loss, &destination, &lost_again).await {
             note_end(&shared, &destination.worker);
         }
         watched.lock().remove(&destination.worker);
     });
 }
 
-/// Whether a worker that has lost a connection turns out to have ended.
-async fn ends(shared: &Shared, destination: &Destination, lost_again: &Notify) -> bool {
+/// Whether a worker turns out to have ended. One that is only silent is busy as a rule, and is not kept from
+/// its work by a connection: what the store says of it is enough.
+async fn ends(shared: &Shared, loss: Loss, destination: &Destination, lost_again: &Notify) -> bool {
     let began = shared.now();
-    let mut looks = true;
+    let mut looks = loss == Loss::Broken;
     while shared.now().since(began) < WATCH {
         if looks && nothing_listens(destination.address).await {
             return true;
--- a/crates/testing/src/gateway.rs
+++ b/crates/testing/src/gateway.rs
@@ -33,6 +33,15 @@
     }
 }
 
+impl GatewayAddresses {
+    /// Whether another process listens at one of them: it took the port between the look at it and its use.
+    pub fn is_any_taken(&self) -> bool {
+        let all = [self.callers, self.ready, self.peers, self.metrics];
+        let mut all = all.into_iter();
+        all.any(|address| std::net::TcpListener::bind(address).is_err())
+    }
+}
+
 /// A gateway process.
 pub struct GatewayProcess {
     /// The process.
