--- a/crates/fault-soak/src/link.rs
+++ b/crates/fault-soak/src/link.rs
@@ -11,9 +11,10 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
+use tansyhall_platform_standin::listen_again;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -21,8 +22,6 @@
 const STEP_BYTES: usize = 16 << 10;
 /// The most bytes of a split piece.
 const MAX_PIECE_BYTES: usize = 48;
-/// Connections that wait to be accepted.
-const BACKLOG: u32 = 128;
 /// Bytes of a step of a slow link.
 const SLOW_STEP_BYTES: usize = 64;
 /// Pause between two steps of a slow link.
@@ -159,18 +158,13 @@
         if state.is_open.wait_for(|is_open| *is_open).await.is_err() {
             return;
         }
-        let Ok(next) = listen(entrance) else { return };
+        let Ok(next) = listen_again(entrance) else {
+            return;
+        };
         listener = next;
     }
 }
 
-fn listen(entrance: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(entrance)?;
-    socket.listen(BACKLOG)
-}
-
 async fn accept_while_open(listener: TcpListener, mut state: LinkState) {
     let passed = state.clone();
     let accepting = async {
--- a/crates/gateway/src/connection_losses.rs
+++ b/crates/gateway/src/connection_losses.rs
@@ -1,7 +1,6 @@
 //! Connections to workers that were lost or given up under a request, and addresses where nothing listens:
 //! what tells that a worker may have ended, or may be about to.
 
-use tansyhall_forwarding::WorkerId;
 use tokio::sync::{mpsc, Mutex};
 
 use crate::connections::Destination;
@@ -42,7 +41,7 @@
     /// Tells a loss.
     pub fn tell(&self, loss: Loss, destination: &Destination) {
         if self.sender.try_send((loss, destination.clone())).is_err() {
-            log::debug!("no room for a loss at worker {}", worker_of(destination));
+            log::debug!("no room for a loss at worker {}", destination.worker);
         }
     }
 
@@ -51,7 +50,3 @@
         self.receiver.lock().await.recv().await
     }
 }
-
-fn worker_of(destination: &Destination) -> &WorkerId {
-    &destination.worker
-}
