--- a/crates/forwarding/src/relay_plan.rs
+++ b/crates/forwarding/src/relay_plan.rs
@@ -159,8 +159,9 @@
 ///
 /// A store that failed may have forgotten the history after the copy's revision. Others that are as far
 /// behind can't help: until one of them tells something newer, or the store has been read whole, asking for
-/// changes would fail again. Four gateways that all had lost the history took 2.4 s to learn of a
-/// configuration while any answer of each other let them ask for changes again, 0.8 s since.
+/// changes would fail again. Where four gateways have all lost the history, a test that puts three
+/// configurations in force took 7.2 s while any answer of another let them ask for changes again, and 2.5 s
+/// since, their start included (one run each).
 #[derive(Debug)]
 pub struct Continuation {
     reads_whole: bool,
--- a/crates/gateway/src/quarantine/listed.rs
+++ b/crates/gateway/src/quarantine/listed.rs
@@ -23,8 +23,8 @@
 pub const PREFIX: &str = "tansyhall/barred/";
 /// Pause between two looks at what is to be written.
 const PACE: Duration = Duration::from_millis(250);
-/// How much later each further gateway of the ranking writes: a write and its way to all gateways take some
-/// 100 ms.
+/// How much later each further gateway of the ranking writes: a gateway that follows the store asks it again
+/// 100 ms after each answer, and tells the others then.
 const TURN: Duration = Duration::from_millis(500);
 /// The most turns that a gateway waits.
 const MAX_TURNS: u32 = 6;
