Stand-ins: one place for a gateway's fields, ports that nothing takes; repeats by name

The settings' fields stood in the soak and in the process tests; the start of two tests of orders stood twice; a boolean of the outbox needed explaining.

Workers that come back at their address had a port that the system also gives to outgoing connections: a connection that has it keeps the worker from coming back (shown with two sockets: Address already in use), and the failure was passed over in silence. The ports now lie below those, and a worker that cannot come back says so.

--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -11,11 +11,13 @@
 use tansyhall_gateway::authority_claim;
 use tansyhall_gateway::usage::{RowsMessage, ROWS_PREFIX};
 use tansyhall_platform_standin::{
-    render, Behaviour, Deadly, MortalWorker, Operations, Operator, RoutePlan, ScalingPlan, Store,
-    StoreDoor, TenantPlan, Worker, WorkerPlan, API_KEY, DEADLINE, PROMPT_PARTS, REQUEST_ID, SEAL,
-    TENANT,
+    Behaviour, Deadly, GatewayFields, MortalWorker, Operations, Operator, RoutePlan, ScalingPlan,
+    Store, StoreDoor, TenantPlan, Worker, WorkerPlan, API_KEY, DEADLINE, PROMPT_PARTS, REQUEST_ID,
+    SEAL, TENANT,
+};
+use tansyhall_testing::{
+    eventually, free_peer_address, gateway, get_metric, GatewayAddresses, GatewayProcess, Link,
 };
-use tansyhall_testing::{eventually, gateway, get_metric, GatewayAddresses, GatewayProcess, Link};
 use tansyhall_usage::Collection;
 use tokio::net::TcpStream;
 
@@ -195,12 +197,7 @@
         let addresses = GatewayAddresses::free();
         let name = format!("gateway-{number}");
         let store = self.way_to_store(&door);
-        let settings =
-            render(TEMPLATE, &self.fields(&name, &addresses, store)).expect("a template");
-        let settings = settings.replace(
-            "metrics = \"127.0.0.1:9464\"",
-            &format!("metrics = \"{}\"", addresses.metrics),
-        );
+        let settings = self.settings(&name, &addresses, store);
         let process = gateway(self._directory.path(), &name, &settings, addresses);
         self.gateways.push(SiteGateway(process));
         self.doors.push(door);
@@ -316,8 +313,10 @@
         };
         let mut workers = Vec::new();
         for _ in 0..count {
-            let started = MortalWorker::start(&self.store, plan.clone(), behaviour, deadly);
-            workers.push(started.await.expect("a free port"));
+            let address = free_peer_address();
+            let plan = plan.clone();
+            let started = MortalWorker::start(&self.store, address, plan, behaviour, deadly);
+            workers.push(started.expect("a free port"));
         }
         for index in 0..self.gateways.len() {
             let all = self.workers.len() + count;
@@ -474,31 +473,24 @@
 }
 
 impl Site {
-    fn fields(&self, name: &str, addresses: &GatewayAddresses, store: SocketAddr) -> Value {
-        json!({
-            "node": name,
-            "zone": ZONE,
-            "ip": "127.0.0.1",
-            "limits": { "cores": 1 },
-            "listen": {
-                "front": addresses.callers.to_string(),
-                "ready": addresses.ready.to_string(),
-                "control": addresses.peers.to_string(),
-            },
-            "port_range": [addresses.metrics.port(), addresses.load.port()],
-            "seeds": [],
-            "provider": { "address": store.to_string() },
-            "cloud": { "address": self.operations.address.to_string() },
-            "bounds": {
-                "retry_budget_ratio": 0.2,
-                "budget_extra": 54,
-                "budget_window_s": 10,
-                "grace_s": 8,
-                "lease_ms": self.takeover_pause_ms,
-                "report_window_s": 1,
-                "usage_late_s": 8,
-            },
-        })
+    fn settings(&self, name: &str, addresses: &GatewayAddresses, store: SocketAddr) -> String {
+        let fields = GatewayFields {
+            node: name.to_owned(),
+            zone: ZONE,
+            callers: addresses.callers,
+            ready: addresses.ready,
+            peers: addresses.peers,
+            load: addresses.load,
+            metrics: addresses.metrics,
+            store,
+            operations: self.operations.address,
+            retry_ratio: 0.2,
+            retry_extra: 54,
+            retry_window_s: 10,
+            grace_s: 8,
+            takeover_pause_ms: self.takeover_pause_ms,
+        };
+        fields.render(TEMPLATE).expect("a template")
     }
 }
 
--- a/crates/cli/tests/gateway_platform/worker_orders.rs
+++ b/crates/cli/tests/gateway_platform/worker_orders.rs
@@ -99,8 +99,8 @@
     pairs.filter(contradicts).collect()
 }
 
-#[actix_rt::test]
-async fn an_order_that_is_carried_out_late_never_contradicts_a_newer_one() {
+/// A site one of whose orders will be carried out late; later ones are answered at once.
+async fn site_with_an_unanswered_order() -> Site {
     let site = Site::start(&[RESERVED; WORKERS], 2).await;
     site.operations
         .set_fault(OperationsFault::Late { after_ms: LATE_MS });
@@ -110,6 +110,12 @@
     })
     .await;
     site.operations.set_fault(OperationsFault::None);
+    site
+}
+
+#[actix_rt::test]
+async fn an_order_that_is_carried_out_late_never_contradicts_a_newer_one() {
+    let site = site_with_an_unanswered_order().await;
     site.configure_scaling(&scaling_up_to(FEWER));
     eventually("the newer order is carried out", || async {
         let last = desired(&site, true).last().copied()?;
@@ -124,15 +130,7 @@
 
 #[actix_rt::test]
 async fn an_order_that_is_carried_out_late_is_told_again_until_it_is_answered() {
-    let site = Site::start(&[RESERVED; WORKERS], 2).await;
-    site.operations
-        .set_fault(OperationsFault::Late { after_ms: LATE_MS });
-    site.configure_scaling(&scaling());
-    eventually("an order is left unanswered", || async {
-        (site.operations.orders_under_way() > 0).then_some(())
-    })
-    .await;
-    site.operations.set_fault(OperationsFault::None);
+    let site = site_with_an_unanswered_order().await;
     eventually("all are carried out", || async {
         let ordered = desired(&site, true);
         (site.operations.orders_under_way() == 0 && ordered.len() > 1).then_some(())
--- a/crates/fault-soak/src/gateways.rs
+++ b/crates/fault-soak/src/gateways.rs
@@ -1,12 +1,12 @@
 //! The gateway processes of an episode. Only these are signalled.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use serde_json::json;
-use tansyhall_platform_standin::{render, Store, StoreDoor};
+use tansyhall_platform_standin::{GatewayFields, Store, StoreDoor};
 use tansyhall_testing::{gateway, GatewayAddresses, GatewayProcess};
 use tokio::time::sleep;
 
@@ -30,7 +30,7 @@
     /// Where its settings and logs lie.
     pub directory: PathBuf,
     /// Where it reaches the platform's operations.
-    pub operations: String,
+    pub operations: SocketAddr,
     /// Mechanisms that are switched off.
     pub switched_off: Vec<String>,
 }
@@ -174,33 +174,24 @@
     }
 
     fn settings(&self, addresses: &GatewayAddresses) -> Result<String> {
-        let fields = json!({
-            "node": self.place.name(),
-            "zone": LOCAL_ZONE,
-            "ip": "127.0.0.1",
-            "limits": { "cores": 1 },
-            "listen": {
-                "front": addresses.callers.to_string(),
-                "ready": addresses.ready.to_string(),
-                "control": addresses.peers.to_string(),
-            },
-            "port_range": [addresses.metrics.port(), addresses.load.port()],
-            "seeds": [],
-            "provider": { "address": self.store.entrance.to_string() },
-            "cloud": { "address": self.place.operations },
-            "bounds": {
-                "retry_budget_ratio": RATIO,
-                "budget_extra": EXTRA,
-                "budget_window_s": WINDOW_S,
-                "grace_s": GRACE_S,
-                "lease_ms": TAKEOVER_PAUSE_MS,
-                "report_window_s": 1,
-                "usage_late_s": 8,
-            },
-        });
-        let settings = render(TEMPLATE, &fields).map_err(|error| anyhow::anyhow!("{error:?}"))?;
-        let metrics = format!("metrics = \"{}\"", addresses.metrics);
-        let settings = settings.replace("metrics = \"127.0.0.1:9464\"", &metrics);
+        let fields = GatewayFields {
+            node: self.place.name(),
+            zone: LOCAL_ZONE,
+            callers: addresses.callers,
+            ready: addresses.ready,
+            peers: addresses.peers,
+            load: addresses.load,
+            metrics: addresses.metrics,
+            store: self.store.entrance,
+            operations: self.place.operations,
+            retry_ratio: RATIO,
+            retry_extra: EXTRA,
+            retry_window_s: WINDOW_S,
+            grace_s: GRACE_S,
+            takeover_pause_ms: TAKEOVER_PAUSE_MS,
+        };
+        let settings = fields.render(TEMPLATE);
+        let settings = settings.map_err(|error| anyhow::anyhow!("{error:?}"))?;
         Ok(settings + &self.decisions())
     }
 }
--- a/crates/fault-soak/src/link.rs
+++ b/crates/fault-soak/src/link.rs
@@ -88,7 +88,16 @@
 impl Link {
     /// Opens a link to `exit` on a free port.
     pub async fn open(exit: SocketAddr) -> std::io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::of(TcpListener::bind("127.0.0.1:0").await?, exit)
+    }
+
+    /// Opens a link that may be closed and opened again at this entrance; a port that the system gives to
+    /// outgoing connections may be taken meanwhile.
+    pub fn open_at(entrance: SocketAddr, exit: SocketAddr) -> std::io::Result<Self> {
+        Self::of(listen_again(entrance)?, exit)
+    }
+
+    fn of(listener: TcpListener, exit: SocketAddr) -> std::io::Result<Self> {
         let entrance = listener.local_addr()?;
         let exit = Arc::new(Mutex::new(exit));
         let (fault, seen) = watch::channel(LinkFault::None);
@@ -158,10 +167,7 @@
         if state.is_open.wait_for(|is_open| *is_open).await.is_err() {
             return;
         }
-        let Ok(next) = listen_again(entrance) else {
-            return;
-        };
-        listener = next;
+        listener = listen_again(entrance).expect("the link's port is free");
     }
 }
 
--- a/crates/fault-soak/src/site.rs
+++ b/crates/fault-soak/src/site.rs
@@ -89,7 +89,7 @@
             let place = GatewayPlace {
                 number,
                 directory: directory.to_owned(),
-                operations: operations.address.to_string(),
+                operations: operations.address,
                 switched_off: plan.switched_off.clone(),
             };
             let slot = GatewaySlot::start(place, &site.store).await?;
--- a/crates/fault-soak/src/worker/mod.rs
+++ b/crates/fault-soak/src/worker/mod.rs
@@ -15,6 +15,7 @@
 use rand::RngExt;
 use serde_json::json;
 use tansyhall_platform_standin::Store;
+use tansyhall_testing::free_peer_address;
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
@@ -64,7 +65,8 @@
         seed: u64,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let link = Rc::new(Link::open(listener.local_addr()?).await?);
+        let link = Link::open_at(free_peer_address(), listener.local_addr()?)?;
+        let link = Rc::new(link);
         let state = WorkerState::new(
             next_id(),
             link.entrance,
--- a/crates/forwarding/src/quarantine/mod.rs
+++ b/crates/forwarding/src/quarantine/mod.rs
@@ -36,7 +36,7 @@
 pub use send_ledger::{SendLedger, SendNumber};
 
 use answers::RecentAnswers;
-use outbox::{Outbox, Topic};
+use outbox::{Outbox, Topic, FEW_REPEATS, MANY_REPEATS};
 use suspect::Suspect;
 
 /// Ends of workers that bar a request. With two, a request whose first and second try met two crashes of
@@ -130,9 +130,12 @@
                 true => Audience::All,
                 false => Audience::Listeners,
             };
-            let is_repeated = suspect.counted() > 1;
+            let repeats = match suspect.counted() {
+                0 | 1 => FEW_REPEATS,
+                _ => MANY_REPEATS,
+            };
             self.outbox
-                .put(now, fingerprint, Topic::Sighting, audience, is_repeated);
+                .put(now, fingerprint, Topic::Sighting, audience, repeats);
             if is_barred_now {
                 barred.push(fingerprint);
             }
@@ -186,8 +189,13 @@
         }
         heard.barred.push(fingerprint);
         if relays {
-            self.outbox
-                .put(now, fingerprint, Topic::Sighting, Audience::All, false);
+            self.outbox.put(
+                now,
+                fingerprint,
+                Topic::Sighting,
+                Audience::All,
+                FEW_REPEATS,
+            );
         }
     }
 
@@ -253,7 +261,7 @@
         };
         if suspect.forgive() {
             self.outbox
-                .put(now, fingerprint, Topic::Absolution, audience, true);
+                .put(now, fingerprint, Topic::Absolution, audience, MANY_REPEATS);
         }
     }
 
--- a/crates/forwarding/src/quarantine/outbox.rs
+++ b/crates/forwarding/src/quarantine/outbox.rs
@@ -17,8 +17,10 @@
     Duration::from_millis(300),
     Duration::from_millis(1_000),
 ];
-/// Of what matters less, the message is sent once more.
-const PAUSES_OF_FIRST_ENDS: usize = 1;
+/// How often a message that matters is sent again.
+pub(super) const MANY_REPEATS: usize = PAUSES.len();
+/// The same for a first end, which bars nothing yet, and for a bar that others tell too.
+pub(super) const FEW_REPEATS: usize = 1;
 /// Requests in one message, so that it fits a packet.
 const MAX_REQUESTS: usize = 14;
 
@@ -72,19 +74,15 @@
         fingerprint: Fingerprint,
         topic: Topic,
         audience: Audience,
-        is_repeated: bool,
+        repeats: usize,
     ) {
-        let count = match is_repeated {
-            true => PAUSES.len(),
-            false => PAUSES_OF_FIRST_ENDS,
-        };
         let before = self.waiting.get(&fingerprint);
         let wider = before.map_or(audience, |before| before.audience.max(audience));
         let waiting = Waiting {
             topic,
             audience: wider,
             due: now,
-            pauses: &PAUSES[..count],
+            pauses: &PAUSES[..repeats],
         };
         self.waiting.insert(fingerprint, waiting);
     }
