--- a/crates/cli/tests/gateway_platform/deadly_requests.rs
+++ b/crates/cli/tests/gateway_platform/deadly_requests.rs
@@ -27,15 +27,15 @@
     pause_ms: 100,
 };
 const DEADLY: &[u8] = b"deadly";
-const SILENT: Deadly = Deadly {
+pub const SILENT: Deadly = Deadly {
     text: DEADLY,
     last_words: LastWords::None,
     after: Duration::from_millis(10),
 };
 /// Workers that must end before a request counts as deadly.
-const ENOUGH_ENDS: u64 = 3;
+pub const ENOUGH_ENDS: u64 = 3;
 /// The time in which gateways that reach each other or the store have learnt of the third end.
-const CONTACT: Duration = Duration::from_secs(3);
+pub const CONTACT: Duration = Duration::from_secs(3);
 /// Sends after that which are allowed.
 const ALLOWED_SENDS: u64 = 3;
 /// Longer than a silent worker is waited for on a route of swift requests while another may try.
@@ -55,7 +55,7 @@
     workers.iter().map(MortalWorker::sends).sum()
 }
 
-fn ends(workers: &[MortalWorker]) -> u64 {
+pub fn ends(workers: &[MortalWorker]) -> u64 {
     workers.iter().map(MortalWorker::ends).sum()
 }
 
@@ -79,7 +79,7 @@
 
 /// Sends the deadly request again, to each gateway a few times: workers get it no more, and its caller is
 /// told once and for all.
-async fn is_sent_no_more<F>(site: &Site, workers: &[MortalWorker], ask: impl Fn(usize) -> F)
+pub async fn is_sent_no_more<F>(site: &Site, workers: &[MortalWorker], ask: impl Fn(usize) -> F)
 where
     F: Future<Output = CallerAnswer>,
 {
@@ -99,7 +99,7 @@
     assert!(last.iter().all(is_final), "{last:?}");
 }
 
-async fn ask_deadly(gateway: &SiteGateway, path: &str) -> CallerAnswer {
+pub async fn ask_deadly(gateway: &SiteGateway, path: &str) -> CallerAnswer {
     let id = format!("d-{:x}", rand_id());
     ask(gateway, &id, path, DEADLY).await
 }
--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -13,4 +13,5 @@
 mod support;
 mod tenants;
 mod usage;
+mod worker_lives;
 mod worker_orders;
--- a/crates/cli/tests/gateway_platform/support.rs
+++ b/crates/cli/tests/gateway_platform/support.rs
@@ -12,8 +12,8 @@
 use tansyhall_gateway::usage::{RowsMessage, ROWS_PREFIX};
 use tansyhall_platform_standin::{
     Behaviour, Deadly, GatewayFields, MortalWorker, Operations, Operator, RoutePlan, ScalingPlan,
-    Store, StoreDoor, TenantPlan, Worker, WorkerPlan, API_KEY, DEADLINE, PROMPT_PARTS, REQUEST_ID,
-    SEAL, TENANT,
+    Store, StoreDoor, TenantPlan, Worker, WorkerLife, WorkerPlan, API_KEY, DEADLINE, PROMPT_PARTS,
+    REQUEST_ID, SEAL, TENANT,
 };
 use tansyhall_testing::{
     eventually, free_peer_address, gateway, get_metric, GatewayAddresses, GatewayProcess, Link,
@@ -23,6 +23,8 @@
 
 /// The template that is deployed.
 const TEMPLATE: &str = include_str!("../../../../deploy/node.toml");
+/// When workers that tell it were started first, in milliseconds since 1970.
+const FIRST_BIRTH: u64 = 1_700_000_000_000;
 /// Keys of others in the store, so that it is read in several pages.
 const FOREIGN_KEYS: usize = 130;
 /// Milliseconds that a new holder of the authority waits.
@@ -109,7 +111,7 @@
     pub doors: Vec<StoreDoor>,
     /// The platform's operations.
     pub operations: Operations,
-    store: Store,
+    pub store: Store,
     operator: Operator,
     version: Cell<u64>,
     takeover_pause_ms: u64,
@@ -297,14 +299,44 @@
         worker
     }
 
-    /// Starts workers of a service that end under such requests, and waits until all gateways know them.
+    /// Starts workers of a service that end under such requests, and waits until all gateways know them. They have
+    /// another name in each life.
     pub async fn add_mortal_workers(
         &self,
         count: usize,
+        spec: WorkerSpec,
+        deadly: Deadly,
+    ) -> Vec<MortalWorker> {
+        let lives = vec![None; count];
+        self.start_mortal_workers(lives, spec, deadly).await
+    }
+
+    /// The same for workers that keep their names.
+    pub async fn add_reborn_workers(
+        &self,
+        names: &[&str],
+        spec: WorkerSpec,
+        deadly: Deadly,
+    ) -> Vec<MortalWorker> {
+        let life = |name: &&str| {
+            Some(WorkerLife {
+                name: (*name).to_owned(),
+                born: FIRST_BIRTH,
+            })
+        };
+        let lives = names.iter().map(life).collect();
+        self.start_mortal_workers(lives, spec, deadly).await
+    }
+
+    async fn start_mortal_workers(
+        &self,
+        lives: Vec<Option<WorkerLife>>,
         (service, stage, behaviour): WorkerSpec,
         deadly: Deadly,
     ) -> Vec<MortalWorker> {
+        let count = lives.len();
         let plan = WorkerPlan {
+            life: None,
             service,
             zone: ZONE,
             stage,
@@ -312,9 +344,12 @@
             stutters: false,
         };
         let mut workers = Vec::new();
-        for _ in 0..count {
+        for life in lives {
             let address = free_peer_address();
-            let plan = plan.clone();
+            let plan = WorkerPlan {
+                life,
+                ..plan.clone()
+            };
             let started = MortalWorker::start(&self.store, address, plan, behaviour, deadly);
             workers.push(started.expect("a free port"));
         }
@@ -333,6 +368,7 @@
         behaviour: Behaviour,
     ) -> SiteWorker {
         let plan = WorkerPlan {
+            life: None,
             service,
             zone: ZONE,
             stage,
@@ -399,6 +435,7 @@
     /// Starts a worker that may be withdrawn, as it was ordered.
     pub fn start_spot_worker(&self, service: &'static str, zone: &'static str) -> Worker {
         let plan = WorkerPlan {
+            life: None,
             service,
             zone,
             stage: Some("decode"),
@@ -438,6 +475,7 @@
     (service, stage, behaviour): &WorkerSpec,
 ) -> SiteWorker {
     let plan = WorkerPlan {
+        life: None,
         service,
         zone,
         stage: *stage,
--- a/crates/forwarding/src/cache_view.rs
+++ b/crates/forwarding/src/cache_view.rs
@@ -30,6 +30,15 @@
     ready: bool,
 }
 
+/// What a belief about a cache has changed.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct CacheChange {
+    /// A part that is kept now.
+    pub kept: Option<PartKey>,
+    /// Parts that are not kept any more.
+    pub dropped: Vec<PartKey>,
+}
+
 /// A worker's cache as it is believed to be.
 #[derive(Debug, Default)]
 pub struct CacheView {
@@ -64,18 +73,42 @@
         ready.map(|(key, held)| (*key, held.tokens))
     }
 
+    /// All parts that are kept.
+    pub fn parts(&self) -> impl Iterator<Item = PartKey> + '_ {
+        self.parts.keys().copied()
+    }
+
     /// A part is being read.
-    pub fn began(&mut self, now: Timestamp, key: PartKey, tokens: u64, capacity: u64) {
+    pub fn began(
+        &mut self,
+        now: Timestamp,
+        key: PartKey,
+        tokens: u64,
+        capacity: u64,
+    ) -> CacheChange {
         let ready = self.parts.get(&key).is_some_and(|held| held.ready);
-        self.put(now, key, tokens, capacity, ready);
+        self.put(now, key, tokens, capacity, ready)
     }
 
     /// A part has been read or used; `capacity` tokens fit.
-    pub fn used(&mut self, now: Timestamp, key: PartKey, tokens: u64, capacity: u64) {
-        self.put(now, key, tokens, capacity, true);
+    pub fn used(
+        &mut self,
+        now: Timestamp,
+        key: PartKey,
+        tokens: u64,
+        capacity: u64,
+    ) -> CacheChange {
+        self.put(now, key, tokens, capacity, true)
     }
 
-    fn put(&mut self, now: Timestamp, key: PartKey, tokens: u64, capacity: u64, ready: bool) {
+    fn put(
+        &mut self,
+        now: Timestamp,
+        key: PartKey,
+        tokens: u64,
+        capacity: u64,
+        ready: bool,
+    ) -> CacheChange {
         let held = Held {
             tokens,
             used: now,
@@ -84,32 +117,38 @@
         let before = self.parts.insert(key, held).map_or(0, |held| held.tokens);
         self.tokens = self.tokens - before + tokens;
         let usable = (capacity as f64 * USABLE_PART) as u64;
+        let mut change = CacheChange {
+            kept: Some(key),
+            dropped: Vec::new(),
+        };
         while self.tokens > usable && self.parts.len() > 1 {
-            self.drop_oldest();
+            change.dropped.extend(self.drop_oldest());
         }
+        change
     }
 
     /// Forgets parts whose reading did not come to its end.
-    pub fn forget_unread(&mut self, prompt: &[PromptPart]) {
+    pub fn forget_unread(&mut self, prompt: &[PromptPart]) -> CacheChange {
+        let mut change = CacheChange::default();
         for part in prompt {
             let key = PartKey::of(part);
             if self.parts.get(&key).is_some_and(|held| !held.ready) {
                 let held = self.parts.remove(&key);
                 self.tokens -= held.map_or(0, |held| held.tokens);
+                change.dropped.push(key);
             }
         }
+        change
     }
 
-    fn drop_oldest(&mut self) {
+    fn drop_oldest(&mut self) -> Option<PartKey> {
         let oldest = self
             .parts
             .iter()
             .min_by_key(|(key, held)| (held.used, **key));
-        let Some(key) = oldest.map(|(key, _)| *key) else {
-            return;
-        };
-        if let Some(held) = self.parts.remove(&key) {
-            self.tokens -= held.tokens;
-        }
+        let key = oldest.map(|(key, _)| *key)?;
+        let held = self.parts.remove(&key)?;
+        self.tokens -= held.tokens;
+        Some(key)
     }
 }
--- a/crates/forwarding/src/directory/admission.rs
+++ b/crates/forwarding/src/directory/admission.rs
@@ -241,7 +241,7 @@
 
     /// What is asked of the engines that only read over what they can do.
     fn reader_utilization(&self, now: Timestamp, service: &ServiceName) -> f64 {
-        let readers = self.candidates(now, service, &Need::ReadPrompt, &[]).len();
+        let readers = self.usable_workers(now, service, &Need::ReadPrompt);
         self.engine_demand(now, service).readers / readers.max(1) as f64
     }
 
--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -1,13 +1,17 @@
 //! Choosing a worker. See the module doc of the directory for how workers are compared.
 
+use std::collections::BTreeMap;
+
 use tansyhall_core::hash::rendezvous_weight;
-use tansyhall_core::{Role, ServiceName, Timestamp, ZoneName};
+use tansyhall_core::{ServiceName, Timestamp, ZoneName};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::eligible::Group;
 use super::prediction::Comparison;
-use super::sampling::is_drawn;
+use super::sampling::drawn_positions;
 use super::tracked::Tracked;
 use super::Directory;
+use crate::load_exchange::WorkerKey;
 use crate::selection::{affinity_part, Need, PromptPart};
 use crate::tenant_shares::TenantKey;
 use crate::worker::{Worker, WorkerId};
@@ -16,6 +20,9 @@
 const NEARLY_EQUAL_SECONDS: f64 = 0.004;
 /// or by this part of the time of the best.
 const NEARLY_EQUAL_PART: f64 = 0.1;
+/// Workers of a group that are looked at to count those that are usable: the part of so many that pauses is
+/// within 0.06 of that of all (two standard deviations of a share of a half).
+const COUNTED_WORKERS: usize = 256;
 
 /// What a worker is chosen for.
 #[derive(Debug, Clone, Copy)]
@@ -100,21 +107,77 @@
         need: &Need,
         avoid: &[WorkerId],
     ) -> Vec<&Tracked> {
-        let candidates = self.candidates(now, demand.service, need, avoid);
-        let part = self.sampling.part(now, candidates.len());
-        if part >= 1.0 {
-            return candidates;
+        let serving = self.eligible.serving(demand.service, need);
+        let count = self.sampling.count(now, serving.len());
+        if count >= serving.len() {
+            return self.candidates(now, demand.service, need, avoid);
         }
-        let is_compared = |tracked: &&Tracked| {
-            is_drawn(tracked.key, demand.draw, part) || tracked.cache.kept_tokens(demand.prompt) > 0
-        };
-        let compared: Vec<&Tracked> = candidates.iter().copied().filter(is_compared).collect();
+        let keeps_some = |tracked: &&Tracked| tracked.cache.kept_tokens(demand.prompt) > 0;
+        let holders = self.part_holders.of_prompt(demand.prompt, demand.draw);
+        let holders = holders
+            .iter()
+            .filter_map(|key| self.workers.get(key))
+            .filter(|tracked| self.is_eligible(tracked, demand.service, need))
+            .filter(keeps_some);
+        let drawn = drawn_positions(demand.draw, count, serving.len());
+        let drawn = drawn.filter_map(|position| self.workers.get(&serving[position]));
+        let is_free =
+            |tracked: &&Tracked| tracked.is_rested(now) && !avoid.contains(&tracked.worker.id);
+        let compared: BTreeMap<WorkerKey, &Tracked> = drawn
+            .chain(holders)
+            .inspect(|_| self.look())
+            .filter(is_free)
+            .map(|tracked| (tracked.key, tracked))
+            .collect();
         match compared.is_empty() {
-            true => candidates,
-            false => compared,
+            true => self.candidates(now, demand.service, need, avoid),
+            false => compared.into_values().collect(),
+        }
+    }
+
+    /// Counts a worker that is looked at.
+    pub(super) fn look(&self) {
+        self.looks.set(self.looks.get() + 1);
+    }
+
+    /// How many workers were looked at for decisions on requests so far: what these cost.
+    pub fn workers_looked_at(&self) -> u64 {
+        self.looks.get()
+    }
+
+    /// Whether a worker takes new requests for a need of a service.
+    fn is_eligible(&self, tracked: &Tracked, service: &ServiceName, need: &Need) -> bool {
+        let worker = &tracked.worker;
+        tracked.takes_new_requests()
+            && worker.service == *service
+            && Group::of_role(worker.role) == Group::serving(need)
+    }
+
+    /// How many workers of a service can take a request for a need now. Of many, a part is looked at.
+    pub(super) fn usable_workers(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        need: &Need,
+    ) -> usize {
+        let serving = self.eligible.serving(service, need);
+        let looked_at = serving
+            .iter()
+            .step_by(serving.len().div_ceil(COUNTED_WORKERS).max(1));
+        let tracked = looked_at.filter_map(|key| self.workers.get(key));
+        let (mut rested, mut all) = (0, 0);
+        for tracked in tracked {
+            self.look();
+            all += 1;
+            rested += usize::from(tracked.is_rested(now));
+        }
+        match rested {
+            0 => serving.len(),
+            _ => serving.len() * rested / all,
         }
     }
 
+    /// All workers that may be chosen: those that pause only if no other is left.
     pub(super) fn candidates(
         &self,
         now: Timestamp,
@@ -122,14 +185,13 @@
         need: &Need,
         avoid: &[WorkerId],
     ) -> Vec<&Tracked> {
-        let fits = |tracked: &&Tracked| {
-            tracked.takes_new_requests()
-                && tracked.worker.service == *service
-                && serves(tracked.worker.role, need)
-                && !avoid.contains(&tracked.worker.id)
-        };
-        let fitting: Vec<&Tracked> = self.workers.values().filter(fits).collect();
-        let is_rested = |tracked: &&Tracked| !tracked.is_paused(now) && !tracked.is_absent(now);
+        let serving = self.eligible.serving(service, need).iter();
+        let fitting: Vec<&Tracked> = serving
+            .inspect(|_| self.look())
+            .filter_map(|key| self.workers.get(key))
+            .filter(|tracked| !avoid.contains(&tracked.worker.id))
+            .collect();
+        let is_rested = |tracked: &&Tracked| tracked.is_rested(now);
         let rested: Vec<&Tracked> = fitting.iter().copied().filter(is_rested).collect();
         if !rested.is_empty() {
             return rested;
@@ -154,10 +216,3 @@
     let drawn = near.max_by_key(|(_, tracked)| tracked.key.0 ^ draw);
     drawn.map(|(_, tracked)| *tracked)
 }
-
-fn serves(role: Option<Role>, need: &Need) -> bool {
-    match need {
-        Need::ReadPrompt => role == Some(Role::Prefill),
-        Need::Run | Need::Continue { .. } => role != Some(Role::Prefill),
-    }
-}
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -31,6 +31,9 @@
 mod coming_back;
 mod costs;
 mod demand;
+mod eligible;
+mod membership;
+mod part_holders;
 mod prediction;
 mod sampling;
 mod sharing;
@@ -39,7 +42,8 @@
 mod tracked;
 mod usual;
 
-use std::collections::{BTreeMap, HashMap};
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -61,6 +65,8 @@
 use choice::RouteKey;
 use costs::EngineCosts;
 use demand::Demands;
+use eligible::EligibleWorkers;
+use part_holders::PartHolders;
 use sampling::Sampling;
 use sharing::report_prompt;
 use tracked::Tracked;
@@ -78,8 +84,14 @@
 /// The workers.
 #[derive(Debug)]
 pub struct Directory {
-    workers: BTreeMap<WorkerId, Tracked>,
-    by_key: HashMap<WorkerKey, WorkerId>,
+    workers: BTreeMap<WorkerKey, Tracked>,
+    eligible: EligibleWorkers,
+    part_holders: PartHolders,
+    /// Workers where others have work under way.
+    busy_for_others: BTreeSet<WorkerKey>,
+    /// How many workers are announced at each address.
+    announced_at: HashMap<SocketAddr, usize>,
+    desired_roles: HashMap<String, Role>,
     engines: HashMap<ServiceName, EngineCapacity>,
     costs: HashMap<ServiceName, EngineCosts>,
     hold_seconds: HashMap<ServiceName, UsualSeconds>,
@@ -92,6 +104,8 @@
     reporter: LoadReporter,
     heard: HashMap<GatewayKey, u64>,
     stale_dropped: Timestamp,
+    /// Workers that were looked at for decisions so far.
+    looks: Cell<u64>,
 }
 
 /// An engine with what is under way there.
@@ -108,7 +122,11 @@
     pub fn new(gateway: GatewayKey) -> Self {
         Self {
             workers: BTreeMap::new(),
-            by_key: HashMap::new(),
+            eligible: EligibleWorkers::default(),
+            part_holders: PartHolders::default(),
+            busy_for_others: BTreeSet::new(),
+            announced_at: HashMap::new(),
+            desired_roles: HashMap::new(),
             engines: HashMap::new(),
             costs: HashMap::new(),
             hold_seconds: HashMap::new(),
@@ -121,28 +139,10 @@
             reporter: LoadReporter::new(gateway),
             heard: HashMap::new(),
             stale_dropped: Timestamp::default(),
+            looks: Cell::new(0),
         }
     }
 
-    /// Takes in the workers that are announced now. What is under way at others stays counted
-    /// until it ends.
-    pub fn announce(&mut self, workers: Vec<Worker>) {
-        for tracked in self.workers.values_mut() {
-            tracked.announced = false;
-        }
-        for worker in workers {
-            match self.workers.get_mut(&worker.id) {
-                Some(tracked) => tracked.announce(worker),
-                None => {
-                    let tracked = Tracked::new(worker);
-                    self.by_key.insert(tracked.key, tracked.worker.id.clone());
-                    self.workers.insert(tracked.worker.id.clone(), tracked);
-                }
-            }
-        }
-        self.forget_idle_strangers();
-    }
-
     /// Sets which mechanisms decide from now on.
     pub fn set_decisions(&mut self, decisions: Decisions) {
         self.decisions = decisions;
@@ -153,13 +153,6 @@
         self.engines = engines;
     }
 
-    /// Takes in the roles that engines should have: one that has another gets no new request.
-    pub fn set_desired_roles(&mut self, role_of: impl Fn(&WorkerId) -> Option<Role>) {
-        for (id, tracked) in &mut self.workers {
-            tracked.desired_role = role_of(id);
-        }
-    }
-
     /// Takes in how many other gateways place requests, and the pause between their reports.
     pub fn set_exchange(&mut self, others: usize, report_pause: Duration) {
         self.sampling.set_exchange(others, report_pause);
@@ -185,10 +178,7 @@
 
     /// Workers that take new requests.
     pub fn ready_workers(&self) -> usize {
-        self.workers
-            .values()
-            .filter(|tracked| tracked.takes_new_requests())
-            .count()
+        self.eligible.len()
     }
 
     /// The workers that are announced.
@@ -205,16 +195,14 @@
 
     /// The worker of that identity, if it is announced.
     pub fn get(&self, id: &WorkerId) -> Option<&Worker> {
-        self.workers
-            .get(id)
+        self.tracked(id)
             .filter(|tracked| tracked.announced)
             .map(|tracked| &tracked.worker)
     }
 
     /// Whether a worker is announced at this address.
     pub fn is_announced_at(&self, address: SocketAddr) -> bool {
-        let mut workers = self.workers.values();
-        workers.any(|tracked| tracked.announced && tracked.worker.address == address)
+        self.announced_at.contains_key(&address)
     }
 
     /// A send to a worker begins, for what the demand needs of it.
@@ -228,9 +216,10 @@
         self.sampling.record_send(now);
         let mut ticket = self.ticket(now, id, demand, need);
         let prompt = demand.prompt;
-        let service = self.workers.get(id).map(|tracked| &tracked.worker.service);
-        let capacity = self.capacity_of(service);
-        let Some(tracked) = self.workers.get_mut(id) else {
+        let key = WorkerKey::of(id);
+        let service = self.workers.get(&key);
+        let capacity = self.capacity_of(service.map(|tracked| &tracked.worker.service));
+        let Some(tracked) = self.workers.get_mut(&key) else {
             return ticket;
         };
         ticket.counted = true;
@@ -239,7 +228,8 @@
         if self.decisions.caches {
             for part in prompt {
                 let key = PartKey::of(part);
-                tracked.cache.began(now, key, part.tokens, capacity);
+                let change = tracked.cache.began(now, key, part.tokens, capacity);
+                self.part_holders.apply(tracked.key, &change);
             }
         }
         report_prompt(&mut self.reporter, tracked.key, prompt, false);
@@ -255,9 +245,10 @@
         prompt: &[PromptPart],
         latency: Duration,
     ) {
-        let service = self.workers.get(&ticket.worker);
+        let key = WorkerKey::of(&ticket.worker);
+        let service = self.workers.get(&key);
         let capacity = self.capacity_of(service.map(|tracked| &tracked.worker.service));
-        let Some(tracked) = self.workers.get_mut(&ticket.worker) else {
+        let Some(tracked) = self.workers.get_mut(&key) else {
             return;
         };
         if let Some(work) = &ticket.work {
@@ -276,7 +267,8 @@
         if self.decisions.caches {
             for part in prompt {
                 let key = PartKey::of(part);
-                tracked.cache.used(now, key, part.tokens, capacity);
+                let change = tracked.cache.used(now, key, part.tokens, capacity);
+                self.part_holders.apply(tracked.key, &change);
             }
         }
         report_prompt(&mut self.reporter, tracked.key, prompt, true);
@@ -291,11 +283,13 @@
         prompt: &[PromptPart],
         result: SendResult,
     ) {
-        let tracked = self.workers.get_mut(&ticket.worker);
+        let key = WorkerKey::of(&ticket.worker);
+        let tracked = self.workers.get_mut(&key);
         let Some(tracked) = tracked.filter(|_| ticket.counted) else {
             return;
         };
-        tracked.cache.forget_unread(prompt);
+        let change = tracked.cache.forget_unread(prompt);
+        self.part_holders.apply(key, &change);
         tracked.own.sends = tracked.own.sends.saturating_sub(1);
         let unread = ticket.reading_tokens;
         tracked.own.reading_tokens = tracked.own.reading_tokens.saturating_sub(unread);
@@ -319,7 +313,7 @@
             *hold += (held - *hold) * ROUTE_HOLD_WEIGHT;
         }
         if !tracked.announced && tracked.own.sends == 0 {
-            self.forget_idle_strangers();
+            self.forget(key);
         }
     }
 
@@ -328,13 +322,6 @@
             .and_then(|service| self.engines.get(service))
             .map_or(DEFAULT_CACHE_TOKENS, |engine| engine.cache_tokens)
     }
-
-    fn forget_idle_strangers(&mut self) {
-        self.workers
-            .retain(|_, tracked| tracked.announced || tracked.own.sends > 0);
-        let workers = &self.workers;
-        self.by_key.retain(|_, id| workers.contains_key(id));
-    }
 }
 
 /// Tells other gateways of the load at a model engine.
--- a/crates/forwarding/src/directory/prediction.rs
+++ b/crates/forwarding/src/directory/prediction.rs
@@ -74,9 +74,11 @@
     }
 
     fn holders<'a>(&'a self, demand: Demand<'a>) -> Vec<Holder<'a>> {
-        let members = self
-            .workers
-            .values()
+        let holders = self.part_holders.of_prompt(demand.prompt, demand.draw);
+        let members = holders
+            .into_iter()
+            .inspect(|_| self.look())
+            .filter_map(|key| self.workers.get(&key))
             .filter(|tracked| tracked.announced && tracked.worker.service == *demand.service);
         members
             .map(|tracked| Holder {
@@ -152,7 +154,7 @@
         let load = tracked.load();
         let demand = &comparison.demand;
         if let Need::Continue { reader } = need {
-            let reader = self.workers.get(reader).map(|reader| &reader.worker.zone);
+            let reader = self.tracked(reader).map(|reader| &reader.worker.zone);
             let other_zone = reader.is_some_and(|zone| *zone != tracked.worker.zone);
             let copied = comparison.prompt_tokens - tracked.cache.kept_tokens(demand.prompt);
             let way = if other_zone { OTHER_ZONE_FETCH } else { 1.0 };
--- a/crates/forwarding/src/directory/sampling.rs
+++ b/crates/forwarding/src/directory/sampling.rs
@@ -10,7 +10,6 @@
 
 use tansyhall_core::Timestamp;
 
-use crate::load_exchange::WorkerKey;
 use crate::rate::Rate;
 
 /// How often other gateways' requests look at one worker between two of their reports. With two and more,
@@ -19,6 +18,9 @@
 /// The least number of workers that are compared. The best of four is much better than one at random, and
 /// more add little (the power of several choices).
 const LEAST_COMPARED: f64 = 4.0;
+/// The most workers that are compared, however few requests come: the best of so many drawn at random is among
+/// the best hundredth of all with a chance of 92%, and a request costs the same before 10,000 engines as before 300.
+const MOST_COMPARED: usize = 256;
 /// Odd, with ones and zeros in no pattern: spreads keys by multiplication (Fibonacci hashing).
 const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
 
@@ -42,22 +44,28 @@
         self.own_sends.record(now, 1.0);
     }
 
-    /// The part of `candidates` workers that a request compares. Other gateways are taken to place as much
-    /// as this one.
-    pub(super) fn part(&self, now: Timestamp, candidates: usize) -> f64 {
+    /// How many of `candidates` workers a request compares, those that hold a part of its prompt aside. Other
+    /// gateways are taken to place as much as this one.
+    pub(super) fn count(&self, now: Timestamp, candidates: usize) -> usize {
         let others_sends = self.own_sends.a_second(now) * self.others as f64;
         let unreported = others_sends * self.report_pause.as_secs_f64();
-        let least = LEAST_COMPARED / candidates.max(1) as f64;
-        match unreported > LOOKS_BETWEEN_REPORTS {
-            true => (LOOKS_BETWEEN_REPORTS / unreported).max(least),
-            false => 1.0,
-        }
+        let count = match unreported > LOOKS_BETWEEN_REPORTS {
+            true => candidates as f64 * LOOKS_BETWEEN_REPORTS / unreported,
+            false => candidates as f64,
+        };
+        (count.max(LEAST_COMPARED).ceil() as usize).min(MOST_COMPARED)
     }
 }
 
-/// Whether a worker is among the drawn part for a request with this random number.
-pub(super) fn is_drawn(worker: WorkerKey, draw: u64, part: f64) -> bool {
-    let mixed = (worker.0 ^ draw).wrapping_mul(SPREAD);
-    let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(SPREAD);
-    (mixed as f64) < part * u64::MAX as f64
+/// Positions among `candidates` that are drawn by a request's random number: `count`, some of them twice.
+pub(super) fn drawn_positions(
+    draw: u64,
+    count: usize,
+    candidates: usize,
+) -> impl Iterator<Item = usize> {
+    (0..count as u64).map(move |number| {
+        let mixed = (draw ^ number.wrapping_mul(SPREAD)).wrapping_mul(SPREAD);
+        let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(SPREAD);
+        ((u128::from(mixed) * candidates as u128) >> u64::BITS) as usize
+    })
 }
--- a/crates/forwarding/src/directory/sharing.rs
+++ b/crates/forwarding/src/directory/sharing.rs
@@ -4,7 +4,6 @@
 
 use tansyhall_core::Timestamp;
 
-use super::tracked::Tracked;
 use super::Directory;
 use crate::cache_view::PartKey;
 use crate::decisions::Decisions;
@@ -22,9 +21,7 @@
     pub fn report_due(&mut self, now: Timestamp) -> Option<LoadReport> {
         if now.since(self.stale_dropped) >= STALE_PACE {
             self.stale_dropped = now;
-            for tracked in self.workers.values_mut() {
-                tracked.drop_stale(now);
-            }
+            self.drop_stale_loads(now);
             self.demands.drop_stale(now);
         }
         let demands = &self.demands;
@@ -44,8 +41,9 @@
             ..
         } = self.decisions;
         for entry in report.loads.iter().filter(|_| reported_load) {
-            if let Some(tracked) = self.tracked_by_key(entry.worker) {
+            if let Some(tracked) = self.workers.get_mut(&entry.worker) {
                 tracked.hear(now, report.sender, entry.load);
+                self.busy_for_others.insert(entry.worker);
             }
         }
         self.learn_parts(now, &report.parts);
@@ -53,12 +51,22 @@
             self.demands.hear(now, report.sender, *demand);
         }
         for absence in report.absences.iter().filter(|_| absences_count) {
-            if let Some(tracked) = self.tracked_by_key(absence.worker) {
+            if let Some(tracked) = self.workers.get_mut(&absence.worker) {
                 tracked.found_absent(now);
             }
         }
     }
 
+    /// Drops loads that others have not repeated. Only workers where they had something under way are looked at.
+    fn drop_stale_loads(&mut self, now: Timestamp) {
+        let workers = &mut self.workers;
+        self.busy_for_others.retain(|key| {
+            workers
+                .get_mut(key)
+                .is_some_and(|tracked| tracked.drop_stale(now))
+        });
+    }
+
     /// The parts of prompts that are believed to lie in caches.
     pub fn known_parts(&self) -> Vec<PartRead> {
         let parts = self.workers.values().flat_map(|tracked| {
@@ -78,21 +86,23 @@
         let caches_count = self.decisions.caches;
         for read in parts.iter().filter(|_| caches_count) {
             let capacity = self.capacity_by_key(read.worker);
-            let Some(tracked) = self.tracked_by_key(read.worker) else {
+            let Some(tracked) = self.workers.get_mut(&read.worker) else {
                 continue;
             };
-            match read.ready {
+            let change = match read.ready {
                 true => tracked.cache.used(now, read.part, read.tokens, capacity),
                 false => tracked.cache.began(now, read.part, read.tokens, capacity),
-            }
+            };
+            self.part_holders.apply(read.worker, &change);
         }
     }
 
     /// Takes in what an engine says that its cache holds, and tells the other gateways.
     pub fn list_parts(&mut self, now: Timestamp, id: &WorkerId, parts: &[PromptPart]) {
-        let Some(key) = self.workers.get(id).map(|tracked| tracked.key) else {
+        let key = WorkerKey::of(id);
+        if !self.workers.contains_key(&key) {
             return;
-        };
+        }
         let listed = parts.iter().map(|part| PartRead {
             worker: key,
             part: PartKey::of(part),
@@ -107,14 +117,8 @@
         long.for_each(|read| self.reporter.record_part(read));
     }
 
-    fn tracked_by_key(&mut self, key: WorkerKey) -> Option<&mut Tracked> {
-        let id = self.by_key.get(&key)?;
-        self.workers.get_mut(id)
-    }
-
     fn capacity_by_key(&self, key: WorkerKey) -> u64 {
-        let id = self.by_key.get(&key);
-        let tracked = id.and_then(|id| self.workers.get(id));
+        let tracked = self.workers.get(&key);
         self.capacity_of(tracked.map(|tracked| &tracked.worker.service))
     }
 }
--- a/crates/forwarding/src/directory/ticket.rs
+++ b/crates/forwarding/src/directory/ticket.rs
@@ -75,7 +75,7 @@
             fetch_from: None,
             read_at: None,
         };
-        let Some(tracked) = self.workers.get(id) else {
+        let Some(tracked) = self.tracked(id) else {
             return ticket;
         };
         if demand.prompt.is_empty() {
--- a/crates/forwarding/src/directory/tracked.rs
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -141,6 +141,11 @@
         self.announced && self.worker.state == WorkerState::Ready && role_stays
     }
 
+    /// Whether nothing speaks against a request now.
+    pub(super) fn is_rested(&self, now: Timestamp) -> bool {
+        !self.is_paused(now) && !self.is_absent(now)
+    }
+
     pub(super) fn is_paused(&self, now: Timestamp) -> bool {
         self.pause_until > now
     }
@@ -158,8 +163,8 @@
         self.others_total = rest.plus(load);
     }
 
-    /// Drops what was not repeated in time.
-    pub(super) fn drop_stale(&mut self, now: Timestamp) {
+    /// Drops what was not repeated in time; returns whether something is left.
+    pub(super) fn drop_stale(&mut self, now: Timestamp) -> bool {
         let total = &mut self.others_total;
         self.others.retain(|_, heard| {
             let fresh = now.since(heard.heard) < STALE_AFTER;
@@ -168,6 +173,7 @@
             }
             fresh
         });
+        !self.others.is_empty()
     }
 
     /// Seconds until an answer of a worker that reads no prompts.
--- a/crates/forwarding/src/lapsed_workers.rs
+++ b/crates/forwarding/src/lapsed_workers.rs
@@ -15,42 +15,51 @@
 /// promises it.
 pub const RETURN_TIME: Duration = Duration::from_secs(2);
 
-/// The workers that were listed last, and those that are kept beyond their entries.
+/// Workers that count though they have no entry, by their names: a worker that comes back may be another life of
+/// the same one.
 #[derive(Debug, Default)]
 pub struct LapsedWorkers {
-    known: BTreeMap<WorkerId, Worker>,
-    keeps: bool,
+    expected_back: BTreeMap<String, WorkerId>,
 }
 
 impl LapsedWorkers {
-    /// The workers that count now: those whose entries stand in the store, and those that are expected
-    /// back. `returned` is when the store last answered again after it had been away.
-    pub fn counted(
+    /// A worker's entry is gone. Returns whether the worker still counts. `returned` is when the store last
+    /// answered again after it had been away.
+    pub fn entry_gone(
         &mut self,
         now: Timestamp,
         returned: Option<Timestamp>,
-        listed: Vec<Worker>,
-    ) -> Vec<Worker> {
-        let mut counted: BTreeMap<WorkerId, Worker> = listed
-            .into_iter()
-            .map(|worker| (worker.id.clone(), worker))
-            .collect();
-        let listed = counted.len();
-        if returned.is_some_and(|returned| now.since(returned) < RETURN_TIME) {
-            let ready = |worker: &Worker| worker.state == WorkerState::Ready;
-            for (id, worker) in std::mem::take(&mut self.known) {
-                if ready(&worker) {
-                    counted.entry(id).or_insert(worker);
-                }
-            }
+        worker: &Worker,
+    ) -> bool {
+        let counts = worker.state == WorkerState::Ready && has_just_returned(now, returned);
+        if counts {
+            let name = worker.id.as_str().to_owned();
+            self.expected_back.insert(name, worker.id.clone());
+        }
+        counts
+    }
+
+    /// A worker of that name has an entry again. Returns the life that counted without one.
+    pub fn entry_back(&mut self, name: &str) -> Option<WorkerId> {
+        self.expected_back.remove(name)
+    }
+
+    /// The workers that are overdue: they are gone, and forgotten here.
+    pub fn take_overdue(&mut self, now: Timestamp, returned: Option<Timestamp>) -> Vec<WorkerId> {
+        match has_just_returned(now, returned) {
+            true => Vec::new(),
+            false => std::mem::take(&mut self.expected_back)
+                .into_values()
+                .collect(),
         }
-        self.keeps = counted.len() > listed;
-        self.known = counted;
-        self.known.values().cloned().collect()
     }
 
     /// Whether some worker counts though it has no entry, so that time alone changes what counts.
     pub fn keeps_some(&self) -> bool {
-        self.keeps
+        !self.expected_back.is_empty()
     }
 }
+
+fn has_just_returned(now: Timestamp, returned: Option<Timestamp>) -> bool {
+    returned.is_some_and(|returned| now.since(returned) < RETURN_TIME)
+}
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -43,7 +43,7 @@
     Absence, EngineDemand, GatewayKey, Load, LoadEntry, LoadReport, LoadReporter, PartRead,
     ServiceKey, WorkerKey,
 };
-pub use mirror::{Item, Mirror, MirrorChange, Snapshot, Update};
+pub use mirror::{Item, Mirror, MirrorChange, Snapshot, Touched, Update};
 pub use placement::{
     Placement, PlacementAnswer, PlacementBook, PlacementId, PlacementLedger, PlacementMessage,
     PlacementNeed, PlacementNotice, PlacementRequest,
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -26,14 +26,14 @@
 /// Age at which a figure is dropped.
 pub const STALE_AFTER: Duration = Duration::from_millis(1_600);
 
-/// Names a worker in messages.
+/// Names one life of a worker in messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct WorkerKey(pub u64);
 
 impl WorkerKey {
-    /// The key of a worker.
+    /// The key of one life of a worker.
     pub fn of(worker: &WorkerId) -> Self {
-        Self(xxh3_64(worker.as_str().as_bytes()))
+        Self(xxh3_64(worker.life().as_bytes()))
     }
 }
 
--- a/crates/forwarding/src/mirror.rs
+++ b/crates/forwarding/src/mirror.rs
@@ -6,10 +6,11 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-/// Changes that are remembered,
-const HISTORY_CHANGES: usize = 256;
-/// and the most that their keys and values may take together.
-const HISTORY_BYTES: usize = 1 << 20;
+/// Changes that are remembered: as many as the copy has items, since a peer that lacks more is better handed the
+/// whole copy; at least so many,
+const LEAST_HISTORY_CHANGES: usize = 256;
+/// and the most that their keys and values may take together: as much as those of the copy, and at least this.
+const LEAST_HISTORY_BYTES: usize = 1 << 20;
 
 /// One item of the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +25,12 @@
     pub created: u64,
 }
 
+impl Item {
+    fn bytes(&self) -> usize {
+        self.key.len() + self.value.len()
+    }
+}
+
 /// The whole copy at one revision.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Snapshot {
@@ -65,7 +72,7 @@
 
     fn bytes(&self) -> usize {
         match self {
-            MirrorChange::Written(item) => item.key.len() + item.value.len(),
+            MirrorChange::Written(item) => item.bytes(),
             MirrorChange::Removed { key, .. } => key.len(),
         }
     }
@@ -85,6 +92,42 @@
     Whole(Snapshot),
 }
 
+/// What of a copy a change has touched.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Touched {
+    /// Nothing.
+    Nothing,
+    /// The items of these keys, some of them more than once.
+    Keys(Vec<String>),
+    /// Everything, as the copy was replaced.
+    Everything,
+}
+
+impl Touched {
+    /// Whether anything is touched.
+    pub fn is_any(&self) -> bool {
+        *self != Touched::Nothing
+    }
+
+    /// Whether the item of a key is touched.
+    pub fn covers(&self, key: &str) -> bool {
+        match self {
+            Touched::Nothing => false,
+            Touched::Keys(keys) => keys.iter().any(|touched| touched == key),
+            Touched::Everything => true,
+        }
+    }
+
+    /// Whether an item below a prefix is touched.
+    pub fn covers_below(&self, prefix: &str) -> bool {
+        match self {
+            Touched::Nothing => false,
+            Touched::Keys(keys) => keys.iter().any(|touched| touched.starts_with(prefix)),
+            Touched::Everything => true,
+        }
+    }
+}
+
 /// The latest changes, all of those after `floor`.
 #[derive(Debug, Default)]
 struct History {
@@ -100,10 +143,13 @@
         self.floor = floor;
     }
 
-    fn push(&mut self, change: MirrorChange) {
+    /// Remembers a change, and as many before it as are shorter than the copy itself.
+    fn push(&mut self, change: MirrorChange, items: usize, copy_bytes: usize) {
         self.bytes += change.bytes();
         self.changes.push_back(change);
-        while self.changes.len() > HISTORY_CHANGES || self.bytes > HISTORY_BYTES {
+        let most_changes = items.max(LEAST_HISTORY_CHANGES);
+        let most_bytes = copy_bytes.max(LEAST_HISTORY_BYTES);
+        while self.changes.len() > most_changes || self.bytes > most_bytes {
             let Some(dropped) = self.changes.pop_front() else {
                 break;
             };
@@ -128,6 +174,8 @@
     /// Keys that begin so are left out, though their changes move the revision on.
     left_out: Option<&'static str>,
     items: BTreeMap<String, Item>,
+    /// What keys and values of the items take.
+    bytes: usize,
     revision: u64,
     history: History,
 }
@@ -150,45 +198,54 @@
         self.revision
     }
 
-    /// Replaces the copy by a newer one; returns whether it was newer.
-    pub fn replace(&mut self, snapshot: Snapshot) -> bool {
+    /// Replaces the copy by a newer one; an older one touches nothing.
+    pub fn replace(&mut self, snapshot: Snapshot) -> Touched {
         if snapshot.revision <= self.revision {
-            return false;
+            return Touched::Nothing;
         }
         self.revision = snapshot.revision;
         self.history.restart(snapshot.revision);
         let items = snapshot.items.into_iter();
         let kept = items.filter(|item| self.keeps(&item.key));
         self.items = kept.map(|item| (item.key.clone(), item)).collect();
-        true
+        self.bytes = self.items.values().map(Item::bytes).sum();
+        Touched::Everything
     }
 
     /// Applies what a watch reported up to `revision`; changes that are known already are passed
-    /// over. Returns whether anything changed.
-    pub fn apply(&mut self, changes: Vec<MirrorChange>, revision: u64) -> bool {
+    /// over. Returns what was touched.
+    pub fn apply(&mut self, changes: Vec<MirrorChange>, revision: u64) -> Touched {
         let known = self.revision;
-        let mut changed = false;
+        let mut touched = Vec::new();
         for change in changes {
             if change.revision() <= known || !self.keeps(change.key()) {
                 continue;
             }
-            changed = true;
-            self.history.push(change.clone());
-            match change {
-                MirrorChange::Written(item) => {
-                    self.items.insert(item.key.clone(), item);
-                }
-                MirrorChange::Removed { key, .. } => {
-                    self.items.remove(&key);
-                }
-            }
+            touched.push(change.key().to_owned());
+            self.history
+                .push(change.clone(), self.items.len(), self.bytes);
+            self.apply_one(change);
         }
         self.revision = self.revision.max(revision);
-        changed
+        match touched.is_empty() {
+            true => Touched::Nothing,
+            false => Touched::Keys(touched),
+        }
+    }
+
+    fn apply_one(&mut self, change: MirrorChange) {
+        let replaced = match change {
+            MirrorChange::Written(item) => {
+                self.bytes += item.bytes();
+                self.items.insert(item.key.clone(), item)
+            }
+            MirrorChange::Removed { key, .. } => self.items.remove(&key),
+        };
+        self.bytes -= replaced.map_or(0, |item| item.bytes());
     }
 
-    /// Takes in what a peer handed over; returns whether anything changed.
-    pub fn take_in(&mut self, update: Update) -> bool {
+    /// Takes in what a peer handed over; returns what was touched.
+    pub fn take_in(&mut self, update: Update) -> Touched {
         match update {
             Update::Changes { changes, revision } => self.apply(changes, revision),
             Update::Whole(snapshot) => self.replace(snapshot),
--- a/crates/forwarding/src/worker.rs
+++ b/crates/forwarding/src/worker.rs
@@ -5,26 +5,72 @@
 
 use tansyhall_core::{Role, ServiceName, ZoneName};
 
-/// Names one incarnation of a worker; a restarted worker has another.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct WorkerId(pub Arc<str>);
+/// Stands between a worker's name and its birth. No name holds it: names travel in headers, which may not.
+const BIRTH_SEPARATOR: char = '\u{1f}';
+
+/// Names one life of a worker. A worker that starts again may keep its name; it then holds and knows nothing of
+/// before, so that nothing that is known of one life counts for another.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct WorkerId {
+    /// The name, and the birth if the worker tells it.
+    life: Arc<str>,
+}
 
 impl WorkerId {
-    /// The identity as text.
+    /// The life of the worker `name` that began at `born`, in milliseconds since 1970. Without a birth, the name
+    /// itself stands for one life.
+    pub fn of_life(name: &str, born: Option<u64>) -> Self {
+        match born {
+            None => Self::from(name),
+            Some(born) => Self::from(format!("{name}{BIRTH_SEPARATOR}{born}").as_str()),
+        }
+    }
+
+    /// The name, as the worker knows itself: for what is sent to it and for logs.
     pub fn as_str(&self) -> &str {
-        &self.0
+        self.parts().0
+    }
+
+    /// Name and birth as one text, for messages between gateways; [`WorkerId::from`] reads it.
+    pub fn life(&self) -> &str {
+        &self.life
+    }
+
+    /// Whether this is an earlier life of the worker whose other life that is.
+    pub fn is_before(&self, other: &Self) -> bool {
+        let (name, born) = self.parts();
+        let (other_name, other_born) = other.parts();
+        name == other_name && born < other_born
+    }
+
+    fn parts(&self) -> (&str, Option<u64>) {
+        match self.life.split_once(BIRTH_SEPARATOR) {
+            None => (&self.life, None),
+            Some((name, born)) => (name, born.parse().ok()),
+        }
     }
 }
 
 impl From<&str> for WorkerId {
-    fn from(text: &str) -> Self {
-        Self(Arc::from(text))
+    fn from(life: &str) -> Self {
+        Self {
+            life: Arc::from(life),
+        }
+    }
+}
+
+impl std::fmt::Debug for WorkerId {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "WorkerId({self})")
     }
 }
 
 impl std::fmt::Display for WorkerId {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str(&self.0)
+        match self.parts() {
+            (name, None) => formatter.write_str(name),
+            (name, Some(born)) => write!(formatter, "{name} born {born}"),
+        }
     }
 }
 
@@ -57,7 +103,7 @@
     }
 }
 
-/// One incarnation of a worker.
+/// One life of a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Worker {
     /// Its identity.
--- a/crates/forwarding/tests/budget_and_mirror.rs
+++ b/crates/forwarding/tests/budget_and_mirror.rs
@@ -6,7 +6,7 @@
 use tansyhall_core::{ServiceName, Timestamp};
 use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_forwarding::{
-    Item, Mirror, MirrorChange, RetryShare, RetryShareSettings, RetryShares, Snapshot,
+    Item, Mirror, MirrorChange, RetryShare, RetryShareSettings, RetryShares, Snapshot, Touched,
 };
 
 const FLEET: RetryShareSettings = RetryShareSettings {
@@ -70,13 +70,14 @@
         items: vec![item("a", 5)],
         revision: 6,
     };
-    assert!(mirror.replace(newer));
+    assert_eq!(mirror.replace(newer), Touched::Everything);
     let older = Snapshot {
         items: vec![item("a", 4)],
         revision: 5,
     };
-    assert!(!mirror.replace(older));
-    assert!(!mirror.apply(vec![MirrorChange::Written(item("a", 3))], 6));
+    assert!(!mirror.replace(older).is_any());
+    let late = mirror.apply(vec![MirrorChange::Written(item("a", 3))], 6);
+    assert!(!late.is_any());
     assert_eq!(mirror.get("a").map(|item| item.revision), Some(5));
 }
 
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -345,7 +345,7 @@
     let asker = Asker::new();
     let engines = ["a", "b"].map(|id| worker(id, "z", Some(Role::Decode)));
     let mut directory = directory(engines.to_vec());
-    directory.set_desired_roles(|id| (id.as_str() == "a").then_some(Role::Prefill));
+    directory.set_desired_roles(HashMap::from([("a".to_owned(), Role::Prefill)]));
     assert_eq!(asker.choose(&directory, &[], &Need::Run), Some("b".into()));
     let mut changed = engines.to_vec();
     changed[0].role = Some(Role::Prefill);
--- a/crates/gateway/src/desired_roles.rs
+++ b/crates/gateway/src/desired_roles.rs
@@ -3,7 +3,7 @@
 //! the role, so that the order finds it empty. The holder reads them too, so that a new holder goes
 //! on where the old one stopped.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
 use tansyhall_core::Role;
@@ -32,6 +32,11 @@
         self.roles.get(id.as_str()).copied()
     }
 
+    /// All roles, by the names of engines.
+    pub fn into_roles(self) -> HashMap<String, Role> {
+        self.roles.into_iter().collect()
+    }
+
     /// Sets the role that an engine should have.
     pub fn set(&mut self, id: &WorkerId, role: Role) {
         self.roles.insert(id.as_str().to_owned(), role);
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -20,7 +20,7 @@
 
 use crate::events::{Event, Weight};
 use crate::peers::{self, RELAY_WAIT};
-use crate::presence::{self, Member};
+use crate::presence::Member;
 use crate::state::Shared;
 use crate::store_call::in_time;
 use crate::store_copy::refresh;
@@ -138,9 +138,12 @@
 
     fn zone_members(&self) -> Vec<Member> {
         let zone = self.shared.zone();
-        let mut members = presence::members(&self.shared.mirror.lock());
-        members.retain(|member| member.zone.as_ref() == Some(&zone));
+        let fleet = self.shared.fleet.read().clone();
+        let members = fleet.members();
         members
+            .filter(|member| member.zone.as_ref() == Some(&zone))
+            .cloned()
+            .collect()
     }
 
     async fn ask_relay(&mut self, name: &str, address: SocketAddr) {
@@ -209,10 +212,10 @@
         let changes: Vec<MirrorChange> = events.into_iter().map(change).collect();
         let revision = changes.iter().map(MirrorChange::revision).max();
         let mut mirror = self.shared.mirror.lock();
-        let changed = mirror.apply(changes, revision.unwrap_or_default());
+        let touched = mirror.apply(changes, revision.unwrap_or_default());
         drop(mirror);
-        if changed {
-            refresh(&self.shared);
+        if touched.is_any() {
+            refresh(&self.shared, &touched);
         }
         Ok(())
     }
@@ -290,8 +293,9 @@
         revision,
     };
     shared.store_contact.mark(shared.now(), Duration::ZERO);
-    if shared.mirror.lock().replace(snapshot) {
-        refresh(shared);
+    let touched = shared.mirror.lock().replace(snapshot);
+    if touched.is_any() {
+        refresh(shared, &touched);
     }
     Ok(())
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -76,9 +76,11 @@
     let after = shared.mirror.lock().revision();
     let Received { update, age } = fetch(client, peer, after, wait).await?;
     shared.store_contact.mark(shared.now(), age);
-    let changed = update.is_some_and(|update| shared.mirror.lock().take_in(update));
-    if changed {
-        refresh(shared);
+    if let Some(update) = update {
+        let touched = shared.mirror.lock().take_in(update);
+        if touched.is_any() {
+            refresh(shared, &touched);
+        }
     }
     Ok(age)
 }
--- a/crates/gateway/src/placement/codec.rs
+++ b/crates/gateway/src/placement/codec.rs
@@ -131,7 +131,7 @@
             draw: request.draw,
             need: need as i32,
             reader: reader.to_owned(),
-            avoid: avoid.iter().map(|id| id.as_str().to_owned()).collect(),
+            avoid: avoid.iter().map(|id| id.life().to_owned()).collect(),
             tenant: request.tenant.map(|tenant| tenant.0),
         }
     }
@@ -225,7 +225,7 @@
     fn from(placement: &Placement) -> Self {
         let fetch_from = placement.fetch_from.map(|address| address.to_string());
         Self {
-            worker: placement.worker.as_str().to_owned(),
+            worker: placement.worker.life().to_owned(),
             read_apart: placement.read_apart,
             fetch_from: fetch_from.unwrap_or_default(),
             reading_tokens: placement.reading_tokens,
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -18,7 +18,7 @@
 use crate::store_call::in_time;
 
 /// Where gateways announce themselves.
-const PREFIX: &str = "tansyhall/gateways/";
+pub const PREFIX: &str = "tansyhall/gateways/";
 /// Pause between two looks at the lease.
 const PACE: Duration = Duration::from_millis(250);
 /// More processor time than any gateway has, in cores.
--- a/crates/gateway/src/role_orders.rs
+++ b/crates/gateway/src/role_orders.rs
@@ -5,12 +5,13 @@
 //! number of orders that the engine has taken. An order that is carried out late finds another number and
 //! has no effect.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
 use tansyhall_authority::Epoch;
 use tansyhall_core::{Role, ServiceName, Timestamp};
 use tansyhall_forwarding::{EngineLoad, Worker, WorkerId};
@@ -37,6 +38,9 @@
 const ORDER_PATIENCE: Duration = Duration::from_secs(4);
 /// Time for one call to an engine.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Engines that are ordered at the same time, so that some that do not answer hold up few others, and thousands are
+/// not called in one burst.
+const ORDERS_AT_ONCE: usize = 16;
 /// Weight of the newest count in an engine's smoothed streams.
 const STREAMS_WEIGHT: f64 = 0.15;
 /// The longest answer of an engine.
@@ -111,7 +115,8 @@
             }
         }
         if changes > 0 {
-            desired.retain(|id| engines.iter().any(|e| e.worker.id.as_str() == id));
+            let changing = changing_engines(&engines, &desired);
+            desired.retain(|name| changing.contains(name));
             self.changed = now;
             self.write_desired_roles(epoch, &desired).await;
         }
@@ -123,8 +128,9 @@
             let streams = self.streams.entry(engine.worker.id.clone()).or_default();
             *streams += (f64::from(engine.sends) - *streams) * STREAMS_WEIGHT;
         }
-        self.streams
-            .retain(|id, _| engines.iter().any(|engine| engine.worker.id == *id));
+        let present: HashSet<&WorkerId> = engines.iter().map(|engine| &engine.worker.id).collect();
+        self.streams.retain(|id, _| present.contains(id));
+        self.ordered.retain(|id, _| present.contains(id));
         engines
     }
 
@@ -171,22 +177,26 @@
             return;
         }
         let desired = DesiredRoles::read(&self.shared.mirror.lock());
-        let due: Vec<(Worker, Role)> = {
-            let directory = self.shared.directory.lock();
-            let due = desired.iter().filter_map(|(id, role)| {
-                let worker = directory.get(&WorkerId::from(id))?;
-                (worker.role != Some(role)).then(|| (worker.clone(), role))
-            });
-            due.collect()
-        };
-        for (worker, role) in due {
+        let loads = self.shared.directory.lock().engine_loads();
+        let engines = loads.into_iter().map(|load| load.worker);
+        let changing = engines.filter_map(|worker| {
+            let role = desired.get(&worker.id)?;
+            (worker.role != Some(role)).then_some((worker, role))
+        });
+        let is_due = |worker: &Worker| {
             let ordered = self.ordered.get(&worker.id);
-            if ordered.is_some_and(|at| now.since(*at) < ORDER_PATIENCE) {
-                continue;
-            }
-            self.ordered.insert(worker.id.clone(), now);
-            self.order(epoch, &worker, role).await;
-        }
+            ordered.is_none_or(|at| now.since(*at) >= ORDER_PATIENCE)
+        };
+        let due: Vec<(Worker, Role)> = changing.filter(|(worker, _)| is_due(worker)).collect();
+        let ordered = due.iter().map(|(worker, _)| (worker.id.clone(), now));
+        self.ordered.extend(ordered);
+        let orders = due
+            .iter()
+            .map(|(worker, role)| self.order(epoch, worker, *role));
+        futures_util::stream::iter(orders)
+            .buffer_unordered(ORDERS_AT_ONCE)
+            .collect::<()>()
+            .await;
     }
 
     async fn order(&self, Epoch(fence): Epoch, worker: &Worker, role: Role) {
@@ -245,6 +255,18 @@
     }
 }
 
+/// The names of engines that do not have the role yet that they should have. Entries of others are dropped from the
+/// document, so that it grows with the changes under way and not with the fleet.
+fn changing_engines(engines: &[EngineLoad], desired: &DesiredRoles) -> HashSet<String> {
+    let changing = engines.iter().filter(|engine| {
+        let role = desired.get(&engine.worker.id);
+        role.is_some() && role != engine.worker.role
+    });
+    changing
+        .map(|engine| engine.worker.id.as_str().to_owned())
+        .collect()
+}
+
 fn services_of(engines: &[EngineLoad]) -> Vec<ServiceName> {
     let mut services: Vec<_> = engines
         .iter()
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -40,7 +40,7 @@
 use crate::usage::Usage;
 use crate::{
     cache_recovery, ingress, load_exchange, peers, presence, quarantine, readiness, role_orders,
-    store_copy, usage, worker_ends, worker_orders,
+    usage, worker_ends, worker_entries, worker_orders,
 };
 
 /// Time that callers' connections may rest.
@@ -100,8 +100,8 @@
         Rc::clone(&adapter.store),
     ));
     actix_rt::spawn(prune(Arc::clone(&shared)));
-    actix_rt::spawn(store_copy::end_lapses(Arc::clone(&shared)));
-    actix_rt::spawn(store_copy::log_worker_changes(Arc::clone(&shared)));
+    actix_rt::spawn(worker_entries::end_lapses(Arc::clone(&shared)));
+    actix_rt::spawn(worker_entries::log_worker_changes(Arc::clone(&shared)));
     actix_rt::spawn(usage::tell_collector(Arc::clone(&shared)));
     actix_rt::spawn(usage::write_collected(
         Arc::clone(&shared),
@@ -183,7 +183,7 @@
         mirror: Mutex::new(Mirror::without(usage::ROWS_PREFIX)),
         mirror_revision: watch::Sender::default(),
         deflated_values: Mutex::default(),
-        decoded_workers: Mutex::default(),
+        worker_entries: Mutex::default(),
         logged_workers: Mutex::default(),
         lapsed_workers: Mutex::default(),
         in_force: RwLock::new(None),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,7 +1,7 @@
 //! What the tasks of a gateway share. Each part stands under its own lock, held for a few
 //! microseconds and never across a wait.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -25,8 +25,8 @@
 use crate::placement::PlacementClient;
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
-use crate::store_copy::{DecodedWorker, LoggedWorkers};
 use crate::usage::Usage;
+use crate::worker_entries::{LoggedWorkers, WorkerEntries};
 
 /// The part of a worker's connections that gateways use together; the rest is for health checks
 /// and gateways that are not known yet.
@@ -50,8 +50,8 @@
     pub mirror_revision: watch::Sender<u64>,
     /// Long values of the copy, deflated for other gateways.
     pub deflated_values: Mutex<DeflatedValues>,
-    /// Workers as they were decoded last, by their identity.
-    pub decoded_workers: Mutex<HashMap<String, DecodedWorker>>,
+    /// Workers' entries as they were decoded last; locked before the directory where both are.
+    pub worker_entries: Mutex<WorkerEntries>,
     /// Workers that take requests, as logged last.
     pub logged_workers: Mutex<LoggedWorkers>,
     /// Workers that count though their entries ran out while the store was away.
@@ -170,6 +170,15 @@
         })
     }
 
+    /// Whether another configuration names the same services.
+    pub fn names_same_services(&self, other: &Self) -> bool {
+        let names = |in_force: &Self| -> BTreeSet<ServiceName> {
+            let services = in_force.configuration.services.iter();
+            services.map(|service| service.name.clone()).collect()
+        };
+        names(self) == names(other)
+    }
+
     fn tenant_of(&self, key: Option<&ApiKey>) -> Option<Arc<KnownTenant>> {
         self.tenants.as_ref()?.holder(key?)
     }
--- a/crates/gateway/src/worker_ends.rs
+++ b/crates/gateway/src/worker_ends.rs
@@ -4,8 +4,8 @@
 //! So the worker is looked after for a while. It has ended if the store announces it as ready and
 //!
 //! - nothing listens at its address, or
-//! - its entry goes and another worker is announced at its address: it was back before this gateway, frozen
-//!   perhaps, could look.
+//! - its entry goes, or says that it has started again, and another life of it or another worker is announced at
+//!   its address: it was back before this gateway, frozen perhaps, could look.
 //!
 //! One that leaves as planned says so first, or its entry goes before its connections; one that was cut off
 //! does not refuse.
@@ -46,22 +46,18 @@
 pub async fn watch(shared: Arc<Shared>) {
     let watched = Watched::default();
     while let Some((loss, destination)) = shared.connections.losses.next().await {
-        if !is_ready(&shared, &destination.worker) {
-            continue;
-        }
-        match loss {
-            Loss::NothingListens => note_end(&shared, &destination.worker),
-            Loss::Broken | Loss::Silent => look_after(&shared, &watched, loss, destination),
+        match (announced(&shared, &destination), loss) {
+            (Announced::Leaving | Announced::Gone | Announced::Replaced, _) => {}
+            (Announced::Reborn, _) | (Announced::Ready, Loss::NothingListens) => {
+                note_end(&shared, &destination.worker);
+            }
+            (Announced::Ready, Loss::Broken | Loss::Silent) => {
+                look_after(&shared, &watched, loss, destination);
+            }
         }
     }
 }
 
-fn is_ready(shared: &Shared, id: &WorkerId) -> bool {
-    let directory = shared.directory.lock();
-    let worker = directory.get(id);
-    worker.is_some_and(|worker| worker.state == WorkerState::Ready)
-}
-
 fn look_after(shared: &Arc<Shared>, watched: &Watched, loss: Loss, destination: Destination) {
     let mut by_worker = watched.lock();
     if let Some(lost_again) = by_worker.get(&destination.worker) {
@@ -93,7 +89,7 @@
             return true;
         }
         match announced(shared, destination) {
-            Announced::Replaced => return true,
+            Announced::Replaced | Announced::Reborn => return true,
             Announced::Leaving => return false,
             Announced::Ready | Announced::Gone => {}
         }
@@ -115,12 +111,20 @@
     Gone,
     /// It is gone, and another one is at its address.
     Replaced,
+    /// It was ready, and has started again under its name.
+    Reborn,
 }
 
 fn announced(shared: &Shared, destination: &Destination) -> Announced {
+    if shared.worker_entries.lock().was_reborn(&destination.worker) {
+        return Announced::Reborn;
+    }
     let directory = shared.directory.lock();
+    let last = directory.last_announced(&destination.worker);
+    if last.is_some_and(|worker| worker.state == WorkerState::Draining) {
+        return Announced::Leaving;
+    }
     match directory.get(&destination.worker) {
-        Some(worker) if worker.state == WorkerState::Draining => Announced::Leaving,
         Some(_) => Announced::Ready,
         None if directory.is_announced_at(destination.address) => Announced::Replaced,
         None => Announced::Gone,
--- a/crates/gateway/tests/worker_lines.rs
+++ b/crates/gateway/tests/worker_lines.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tansyhall_core::Timestamp;
-use tansyhall_gateway::store_copy::LoggedWorkers;
+use tansyhall_gateway::worker_entries::LoggedWorkers;
 
 #[test]
 fn the_first_change_is_logged_at_once_and_the_next_ones_once_a_second() {
--- a/crates/planner/src/role_balance.rs
+++ b/crates/planner/src/role_balance.rs
@@ -19,6 +19,7 @@
 //! taken from the zone where their role is most frequent, the least busy first, and at most
 //! [`CHANGING_PART`] at once.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use tansyhall_core::{Role, ZoneName};
@@ -142,16 +143,10 @@
     if difference <= tolerated(split.len()) && !pressing {
         return Vec::new();
     }
-    let mut changes = Vec::new();
-    let mut roles: Vec<Role> = engines.iter().map(|engine| engine.role).collect();
-    for _ in 0..difference.min(allowed) {
-        let Some(engine) = next_to_change(engines, &split, &roles, role) else {
-            break;
-        };
-        roles[engine] = role;
-        changes.push(RoleChange { engine, role });
-    }
-    changes
+    let mut zones = ZoneQueue::of_others(engines, &split, role);
+    let change = |engine| RoleChange { engine, role };
+    let next = std::iter::from_fn(|| ZoneQueue::next(&mut zones).map(change));
+    next.take(difference.min(allowed)).collect()
 }
 
 /// Engines that may change at once, of so many.
@@ -187,27 +182,40 @@
     split.iter().filter(has_role).count()
 }
 
-/// The engine to change next: of those that have another role and stand still, one of the zone
-/// with the most of them, the least busy first.
-fn next_to_change(
-    engines: &[BalancedEngine],
-    split: &[usize],
-    roles: &[Role],
-    role: Role,
-) -> Option<usize> {
-    let others = |index: &&usize| roles[**index] != role;
-    let mut in_zone: BTreeMap<&ZoneName, usize> = BTreeMap::new();
-    for index in split.iter().filter(others) {
-        *in_zone.entry(&engines[*index].zone).or_default() += 1;
-    }
-    split
-        .iter()
-        .filter(others)
-        .filter(|index| !engines[**index].changing)
-        .copied()
-        .min_by_key(|index| {
+/// The engines of a zone that have another role than the one that is wanted.
+struct ZoneQueue {
+    /// How many they are.
+    others: usize,
+    /// Those that stand still, the least busy last.
+    still: Vec<(u32, usize)>,
+}
+
+impl ZoneQueue {
+    fn of_others(engines: &[BalancedEngine], split: &[usize], role: Role) -> Vec<Self> {
+        let mut zones: BTreeMap<&ZoneName, Self> = BTreeMap::new();
+        for index in split.iter().filter(|index| engines[**index].role != role) {
             let engine = &engines[*index];
-            let frequent = in_zone.get(&engine.zone).copied().unwrap_or_default();
-            (std::cmp::Reverse(frequent), engine.streams, *index)
-        })
+            let zone = zones.entry(&engine.zone).or_insert(Self {
+                others: 0,
+                still: Vec::new(),
+            });
+            zone.others += 1;
+            if !engine.changing {
+                zone.still.push((engine.streams, *index));
+            }
+        }
+        let mut zones: Vec<Self> = zones.into_values().collect();
+        for zone in &mut zones {
+            zone.still.sort_unstable_by(|left, right| right.cmp(left));
+        }
+        zones
+    }
+
+    /// Takes the engine to change next: the least busy one of the zone with the most others.
+    fn next(zones: &mut [Self]) -> Option<usize> {
+        let left = zones.iter_mut().filter(|zone| !zone.still.is_empty());
+        let zone = left.min_by_key(|zone| (Reverse(zone.others), zone.still.last().copied()))?;
+        zone.others -= 1;
+        zone.still.pop().map(|(_, engine)| engine)
+    }
 }
