Roles: a large fleet under light load orders no engines

Change: a side with 16 engines or more of which a quarter or less is taken gets no more. Smaller sides as before: a handful of long prompts that come together fills them (the process test of two holders needs that too). Measured: no change before 100 and 10,000 engines at a tenth of the readers' time, some at a half (role_balance).

--- a/crates/planner/src/role_balance.rs
+++ b/crates/planner/src/role_balance.rs
@@ -15,7 +15,9 @@
 //! 4. at least one reader, if there are two engines or more.
 //!
 //! An engine that changes is away for a while, so that a difference of [`TOLERATED_PART`] changes nothing
-//! unless the side that would get it is empty or has more than [`FULL_PART`] of it taken. Engines are
+//! unless the side that would get it is empty or has more than [`FULL_PART`] of it taken. Neither does any difference
+//! while that side has [`RESERVED`] engines and [`LIGHT_PART`] of them taken or less: more engines would serve nobody sooner, and a large
+//! fleet under light load would order thousands. Engines are
 //! taken from the zone where their role is most frequent, the least busy first, and at most
 //! [`CHANGING_PART`] at once.
 
@@ -30,6 +32,13 @@
 /// The part of their time up to which decoders are kept busy with reading short prompts: at 0.6 these wait
 /// for each other three quarters of the time that one takes (M/D/1), and they come in bursts.
 const SHORT_READING_PART: f64 = 0.6;
+/// The part of its slots, or of its time, up to which a side gets no more engines: a burst of four times what is
+/// asked now still fits. Before 9,560 engines of which 2% were busy, 483 were ordered in 25 s, and more would have
+/// followed, for nothing.
+const LIGHT_PART: f64 = 0.25;
+/// Engines of a side that are not few: fewer are filled by a handful of long prompts that come together, however
+/// little is asked on the mean.
+const RESERVED: usize = 16;
 /// The least part of all engines that decode.
 const MIN_DECODERS_PART: f64 = 0.28;
 /// The part of all engines up to which a difference from what is needed changes nothing: about what the
@@ -116,11 +125,20 @@
 
     /// Whether engines of that role, so many, are full.
     fn fills(&self, role: Role, engines: usize) -> bool {
-        let taken = match role {
+        self.taken(role) > engines as f64 * FULL_PART
+    }
+
+    /// Whether engines of that role, so many, have hardly anything to do.
+    fn is_light(&self, role: Role, engines: usize) -> bool {
+        engines >= RESERVED && self.taken(role) <= engines as f64 * LIGHT_PART
+    }
+
+    /// Engines of that role that are kept busy.
+    fn taken(&self, role: Role) -> f64 {
+        match role {
             Role::Decode => self.streams + self.short_reading,
             _ => self.reading,
-        };
-        taken > engines as f64 * FULL_PART
+        }
     }
 }
 
@@ -140,7 +158,8 @@
         false => (Role::Decode, needed - decoders, decoders),
     };
     let pressing = decoders == 0 || readers == 0 || need.fills(role, there);
-    if difference <= tolerated(split.len()) && !pressing {
+    let is_small = difference <= tolerated(split.len()) || need.is_light(role, there);
+    if is_small && !pressing {
         return Vec::new();
     }
     let mut zones = ZoneQueue::of_others(engines, &split, role);
--- a/crates/planner/tests/role_balance.rs
+++ b/crates/planner/tests/role_balance.rs
@@ -58,6 +58,25 @@
     }
 }
 
+#[test]
+fn many_lightly_used_engines_are_left_as_they_are() {
+    for size in [100, 10_000] {
+        let mut engines: Vec<BalancedEngine> = (0..size)
+            .map(|number| {
+                let role = match number % 5 {
+                    0 | 1 => Role::Prefill,
+                    _ => Role::Decode,
+                };
+                engine(&format!("z{}", number % 6), role, 1)
+            })
+            .collect();
+        let readers = size as f64 * 0.4;
+        assert_eq!(apply_with(&mut engines, readers * 0.1), 0, "of {size}");
+        let changes = apply_with(&mut engines, readers * 0.5);
+        assert!(changes > 0, "half of {readers} readers are busy");
+    }
+}
+
 #[test]
 fn many_streams_need_more_decoders() {
     let mut engines: Vec<BalancedEngine> = (0..12)
