The first copy of a large store comes from relays, deflated once for all; the strongest gateways relay

Cause: a gateway that started read the whole store page by page, 50 calls and 3 to 4 MB; 986 of them filled the store's link of 1,000 Mbit/s for half a minute. Change: one page tells that the store is large; relays read the rest, others ask them. Answers are read while they keep coming. Relays are ranked by processor time.

--- a/crates/cli/tests/gateway_platform/relays.rs
+++ b/crates/cli/tests/gateway_platform/relays.rs
@@ -99,3 +99,33 @@
         site.until_in_force(site.configure_next()).await;
     }
 }
+
+/// Entries that make the store as large as this many times one page.
+const LARGE_STORE: usize = 1_000;
+/// Pages that a gateway reads of the store as it starts before others that have a copy: the first, which tells that
+/// there are more, and the list of gateways.
+const PAGES_BEFORE_OTHERS: u64 = 2;
+
+#[actix_rt::test]
+async fn a_gateway_that_starts_gets_a_large_store_from_a_relay() {
+    let mut site = site().await;
+    for number in 0..LARGE_STORE {
+        let entry = format!("foreign/{number}");
+        site.store.put_bytes(&entry, vec![b'x'; 100]);
+    }
+    site.add_gateway();
+    until_in_force(&site, site.configure_next()).await;
+    let pages = site.doors[GATEWAYS].pages();
+    assert!(pages <= PAGES_BEFORE_OTHERS, "{pages} pages were read");
+}
+
+#[actix_rt::test]
+async fn gateways_that_are_all_lost_read_a_large_store_themselves_if_they_are_few() {
+    let mut site = site().await;
+    for number in 0..LARGE_STORE {
+        let entry = format!("foreign/{number}");
+        site.store.put_bytes(&entry, vec![b'x'; 100]);
+    }
+    site.restart_all_gateways();
+    until_in_force(&site, site.configure_next()).await;
+}
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -52,7 +52,7 @@
     Audience, Fingerprint, Heard, Outgoing, Quarantine, QuarantineNews, RequestContent, SendLedger,
     SendNumber, Sighting, Unlisted,
 };
-pub use relay_plan::{Continuation, RelayPlan, Upstream};
+pub use relay_plan::{Continuation, RelayCandidate, RelayPlan, Upstream};
 pub use request::{
     Action, AttemptPolicy, Conclusion, EventId, PromptHandle, ReadingFailure, RequestEvent,
     RequestMachine, SendFailure,
--- a/crates/forwarding/src/mirror.rs
+++ b/crates/forwarding/src/mirror.rs
@@ -26,7 +26,8 @@
 }
 
 impl Item {
-    fn bytes(&self) -> usize {
+    /// What key and value take.
+    pub fn bytes(&self) -> usize {
         self.key.len() + self.value.len()
     }
 }
@@ -70,7 +71,8 @@
         }
     }
 
-    fn bytes(&self) -> usize {
+    /// What its key and value take.
+    pub fn bytes(&self) -> usize {
         match self {
             MirrorChange::Written(item) => item.bytes(),
             MirrorChange::Removed { key, .. } => key.len(),
@@ -252,6 +254,11 @@
         }
     }
 
+    /// Whether a peer whose copy has this revision can be told just the changes since.
+    pub fn remembers_after(&self, revision: u64) -> bool {
+        revision >= self.history.floor
+    }
+
     /// What a peer whose copy has this revision lacks; nothing if it is as new as this one.
     pub fn update_after(&self, revision: u64) -> Option<Update> {
         if revision >= self.revision {
--- a/crates/forwarding/src/relay_plan.rs
+++ b/crates/forwarding/src/relay_plan.rs
@@ -1,8 +1,10 @@
 //! Where a gateway gets the store's changes from: the store itself, or another gateway of its zone
 //! that relays them. Calls to the store then grow with zones and not with gateways.
 //!
-//! Gateways of a zone rank each other by rendezvous hashing of their names under the zone's name,
-//! so that they agree on the relays without talking. Each passes over those that failed it lately.
+//! Gateways of a zone rank each other by their processor time, and equal ones by rendezvous hashing of their names
+//! under the zone's name, so that they agree on the relays without talking. A relay tells all its subscribers what
+//! is new over one link: the weakest machines, a quarter of the processor time and a tenth of the link of the
+//! strongest, would be seconds late. Each passes over those that failed it lately.
 //!
 //! 1. The first gateways of the ranking, one for each [`GATEWAYS_PER_RELAY`], are relays and follow
 //!    the store. Every other asks one of them, chosen by hashing too.
@@ -51,10 +53,20 @@
     Nobody,
 }
 
+/// A gateway as far as the plan needs to know it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RelayCandidate<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its processor time, in cores; 0 if it does not tell it.
+    pub capacity: f64,
+}
+
 /// The plan of one gateway.
 #[derive(Debug)]
 pub struct RelayPlan {
     own: String,
+    own_capacity: f64,
     zone: ZoneName,
     passed_over: HashMap<String, Timestamp>,
     store_failed: Option<Timestamp>,
@@ -69,18 +81,24 @@
 
 impl RelayPlan {
     /// The plan of the gateway `own` in `zone`.
-    pub fn new(own: &str, zone: &ZoneName) -> Self {
+    pub fn new(own: RelayCandidate<'_>, zone: &ZoneName) -> Self {
         Self {
-            own: own.to_owned(),
+            own: own.name.to_owned(),
+            own_capacity: own.capacity,
             zone: zone.clone(),
             passed_over: HashMap::new(),
             store_failed: None,
         }
     }
 
-    /// Whom to ask now. `members` are the names of the zone's gateways, and `age` is the time since
+    /// Whom to ask now. `members` are the zone's gateways, and `age` is the time since
     /// the store gave the answer that this gateway's knowledge rests on.
-    pub fn upstream(&mut self, now: Timestamp, members: &[&str], age: Duration) -> Upstream {
+    pub fn upstream(
+        &mut self,
+        now: Timestamp,
+        members: &[RelayCandidate<'_>],
+        age: Duration,
+    ) -> Upstream {
         self.passed_over.retain(|_, until| *until > now);
         let ranking = self.rank(members);
         let is_relay = ranking.own_rank < ranking.relays;
@@ -126,12 +144,24 @@
         self.passed_over.insert(relay.to_owned(), until);
     }
 
-    fn rank<'a>(&'a self, members: &[&'a str]) -> Ranking<'a> {
-        let usable = |member: &&str| *member != self.own && !self.passed_over.contains_key(*member);
-        let mut ranked: Vec<&str> = members.iter().copied().filter(usable).collect();
-        ranked.push(&self.own);
+    fn rank<'a>(&'a self, members: &[RelayCandidate<'a>]) -> Ranking<'a> {
+        let usable = |member: &RelayCandidate<'_>| {
+            member.name != self.own && !self.passed_over.contains_key(member.name)
+        };
+        let mut candidates: Vec<RelayCandidate<'a>> =
+            members.iter().copied().filter(usable).collect();
+        candidates.push(RelayCandidate {
+            name: &self.own,
+            capacity: self.own_capacity,
+        });
         let weight = |name: &str| rendezvous_weight(self.zone.as_str().as_bytes(), name.as_bytes());
-        ranked.sort_by_key(|name| (std::cmp::Reverse(weight(name)), *name));
+        candidates.sort_by(|left, right| {
+            let by_capacity = right.capacity.total_cmp(&left.capacity);
+            by_capacity
+                .then_with(|| weight(right.name).cmp(&weight(left.name)))
+                .then_with(|| left.name.cmp(right.name))
+        });
+        let ranked: Vec<&str> = candidates.iter().map(|one| one.name).collect();
         let own_rank = ranked.iter().position(|name| *name == self.own);
         Ranking {
             own_rank: own_rank.unwrap_or_default(),
--- a/crates/forwarding/tests/relay_plan.rs
+++ b/crates/forwarding/tests/relay_plan.rs
@@ -7,7 +7,7 @@
 use tansyhall_core::{Timestamp, ZoneName};
 use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_forwarding::relay_plan::{GATEWAYS_PER_RELAY, PATIENCE};
-use tansyhall_forwarding::{Continuation, RelayPlan, Upstream};
+use tansyhall_forwarding::{Continuation, RelayCandidate, RelayPlan, Upstream};
 
 /// Seed of the property tests.
 const SEED: u64 = 20_261_203;
@@ -19,15 +19,22 @@
     (0..count).map(|number| format!("g-{number}")).collect()
 }
 
-fn borrowed(names: &[String]) -> Vec<&str> {
-    names.iter().map(String::as_str).collect()
+fn candidate(name: &str) -> RelayCandidate<'_> {
+    RelayCandidate {
+        name,
+        capacity: 0.25,
+    }
+}
+
+fn borrowed(names: &[String]) -> Vec<RelayCandidate<'_>> {
+    names.iter().map(|name| candidate(name)).collect()
 }
 
 fn plans(names: &[String]) -> Vec<RelayPlan> {
     let zone = ZoneName::new("z");
     names
         .iter()
-        .map(|name| RelayPlan::new(name, &zone))
+        .map(|name| RelayPlan::new(candidate(name), &zone))
         .collect()
 }
 
@@ -36,7 +43,10 @@
 }
 
 /// The relay that the others ask, and the index of one that asks it.
-fn relay_and_subscriber(plans: &mut [RelayPlan], members: &[&str]) -> (String, usize) {
+fn relay_and_subscriber(
+    plans: &mut [RelayPlan],
+    members: &[RelayCandidate<'_>],
+) -> (String, usize) {
     let asked = plans.iter_mut().enumerate().find_map(|(index, plan)| {
         match plan.upstream(at(0), members, FRESH) {
             Upstream::Relay(relay) => Some((relay, index)),
@@ -92,7 +102,7 @@
 
 #[test]
 fn a_gateway_that_knows_nobody_asks_the_store() {
-    let mut plan = RelayPlan::new("a", &ZoneName::new("z"));
+    let mut plan = RelayPlan::new(candidate("a"), &ZoneName::new("z"));
     assert_eq!(plan.upstream(at(0), &[], FRESH), Upstream::Store);
 }
 
@@ -176,3 +186,24 @@
     continuation.relay_answered(7, 9);
     assert!(!continuation.reads_whole());
 }
+
+#[test]
+fn the_strongest_gateways_relay() {
+    let names = names(100);
+    let zone = ZoneName::new("z");
+    let capacity = |number: usize| if number % 10 == 3 { 0.5 } else { 0.12 };
+    let members: Vec<RelayCandidate<'_>> = names
+        .iter()
+        .enumerate()
+        .map(|(number, name)| RelayCandidate {
+            name,
+            capacity: capacity(number),
+        })
+        .collect();
+    for (number, own) in members.iter().enumerate() {
+        let asked = RelayPlan::new(*own, &zone).upstream(at(0), &members, FRESH);
+        if asked == Upstream::Store {
+            assert_eq!(capacity(number), 0.5, "{}", own.name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/copy_answers.rs
@@ -0,0 +1,115 @@
+//! Answers to gateways that ask for what is new in the store, deflated once for all that lack the same.
+//!
+//! A relay tells dozens of subscribers the same over one link. Entries of workers are alike: 10,000 of them are some
+//! 3 MB as they lie in the store and a tenth of that deflated. The whole copy is deflated anew only when the changes
+//! since are not remembered any more: whoever gets an older one asks for those next.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use tansyhall_forwarding::{Mirror, Update};
+
+use crate::copy_message::deflate_items;
+
+/// Shorter updates are sent as they are, in bytes.
+const MIN_DEFLATED_BYTES: usize = 1 << 10;
+/// Deflated changes that are kept: subscribers that ask at the same pace lack one of few ranges.
+const KEPT_CHANGES: usize = 8;
+
+/// Items that were deflated, and what they lead to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DeflatedUpdate {
+    /// The revision that its receiver then has.
+    pub revision: u64,
+    /// Whether it is the whole copy, and not changes of it.
+    pub whole: bool,
+    /// The deflated items.
+    pub items: Bytes,
+}
+
+/// What is to be told.
+#[derive(Debug)]
+pub enum CopyAnswer {
+    /// Nothing is new.
+    Nothing,
+    /// Little is.
+    Plain(Update),
+    /// This, deflated.
+    Deflated(DeflatedUpdate),
+}
+
+/// Updates that were deflated lately.
+#[derive(Debug, Default)]
+pub struct CopyAnswers {
+    whole: Option<DeflatedUpdate>,
+    /// With the revisions after which they are changes.
+    changes: VecDeque<(u64, DeflatedUpdate)>,
+}
+
+impl CopyAnswers {
+    /// What a gateway whose copy has this revision is to be told.
+    pub fn after(&mut self, mirror: &Mirror, revision: u64) -> CopyAnswer {
+        if revision >= mirror.revision() {
+            return CopyAnswer::Nothing;
+        }
+        if let Some(known) = self.known(mirror, revision) {
+            return CopyAnswer::Deflated(known);
+        }
+        let Some(update) = mirror.update_after(revision) else {
+            return CopyAnswer::Nothing;
+        };
+        if size(&update) < MIN_DEFLATED_BYTES {
+            return CopyAnswer::Plain(update);
+        }
+        let Some(deflated) = deflate(update.clone()) else {
+            return CopyAnswer::Plain(update);
+        };
+        self.keep(revision, deflated.clone());
+        CopyAnswer::Deflated(deflated)
+    }
+
+    fn known(&self, mirror: &Mirror, revision: u64) -> Option<DeflatedUpdate> {
+        if !mirror.remembers_after(revision) {
+            let whole = self.whole.as_ref()?;
+            return mirror
+                .remembers_after(whole.revision)
+                .then(|| whole.clone());
+        }
+        let leads_to_now = |(after, update): &&(u64, DeflatedUpdate)| {
+            *after == revision && update.revision == mirror.revision()
+        };
+        let known = self.changes.iter().find(leads_to_now);
+        known.map(|(_, update)| update.clone())
+    }
+
+    fn keep(&mut self, after: u64, update: DeflatedUpdate) {
+        if update.whole {
+            self.whole = Some(update);
+            return;
+        }
+        self.changes.push_back((after, update));
+        if self.changes.len() > KEPT_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+}
+
+fn size(update: &Update) -> usize {
+    match update {
+        Update::Changes { changes, .. } => changes.iter().map(|change| change.bytes()).sum(),
+        Update::Whole(snapshot) => snapshot.items.iter().map(|item| item.bytes()).sum(),
+    }
+}
+
+fn deflate(update: Update) -> Option<DeflatedUpdate> {
+    let (revision, whole) = match &update {
+        Update::Changes { revision, .. } => (*revision, false),
+        Update::Whole(snapshot) => (snapshot.revision, true),
+    };
+    let items = deflate_items(update)?;
+    Some(DeflatedUpdate {
+        revision,
+        whole,
+        items: Bytes::from(items),
+    })
+}
--- a/crates/gateway/src/copy_message.rs
+++ b/crates/gateway/src/copy_message.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use prost::Message;
 use tansyhall_forwarding::{Item, MirrorChange, Snapshot, Update};
 
-use crate::deflated_values::{inflate, DeflatedValues};
+use crate::copy_answers::DeflatedUpdate;
+use crate::deflated_values::{deflate, inflate, DeflatedValues};
 
 /// What a gateway tells another of the store.
 #[derive(Clone, PartialEq, Message)]
@@ -28,6 +30,30 @@
     /// True in every whole message. It stands last, as a message that was cut short still decodes.
     #[prost(bool, tag = "6")]
     pub complete: bool,
+    /// The items, deflated, in place of `items`: for gateways that asked for that.
+    #[prost(bytes = "bytes", tag = "7")]
+    pub deflated_items: Bytes,
+    /// The same as `complete`, behind deflated items.
+    #[prost(bool, tag = "8")]
+    pub deflated_complete: bool,
+}
+
+/// Items that are deflated together.
+#[derive(Clone, PartialEq, Message)]
+struct ItemsMessage {
+    #[prost(message, repeated, tag = "1")]
+    items: Vec<ItemMessage>,
+}
+
+/// The items of an update, deflated together.
+pub fn deflate_items(update: Update) -> Option<Vec<u8>> {
+    let items = match update {
+        Update::Changes { changes, .. } => {
+            changes.into_iter().map(ItemMessage::plain_change).collect()
+        }
+        Update::Whole(snapshot) => snapshot.items.into_iter().map(ItemMessage::plain).collect(),
+    };
+    deflate(&ItemsMessage { items }.encode_to_vec())
 }
 
 /// One item on the wire.
@@ -93,6 +119,20 @@
             whole,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             complete: true,
+            deflated_items: Bytes::new(),
+            deflated_complete: false,
+        }
+    }
+
+    /// The message of an update that was deflated, from a sender whose knowledge is this old.
+    pub fn deflated(update: DeflatedUpdate, age: Duration) -> Self {
+        Self {
+            revision: update.revision,
+            whole: update.whole,
+            deflated_items: update.items,
+            complete: false,
+            deflated_complete: true,
+            ..Self::new(None, age, &mut DeflatedValues::default())
         }
     }
 
@@ -103,17 +143,21 @@
 
     /// What the message says, if it is complete.
     pub fn into_received(self) -> Result<Received, Incomplete> {
-        if !self.complete {
+        if !self.complete && !self.deflated_complete {
             return Err(Incomplete);
         }
+        let items = match self.deflated_items.is_empty() {
+            true => self.items,
+            false => inflate_items(&self.deflated_items)?,
+        };
         let update = match (self.revision, self.whole) {
             (0, _) => None,
             (revision, true) => Some(Update::Whole(Snapshot {
-                items: items_of(self.items)?,
+                items: items_of(items)?,
                 revision,
             })),
             (revision, false) => Some(Update::Changes {
-                changes: changes_of(self.items)?,
+                changes: changes_of(items)?,
                 revision,
             }),
         };
@@ -124,30 +168,59 @@
     }
 }
 
+fn inflate_items(bytes: &[u8]) -> Result<Vec<ItemMessage>, Incomplete> {
+    let bytes = inflate(bytes).ok_or(Incomplete)?;
+    let message = ItemsMessage::decode(bytes.as_slice()).map_err(|_| Incomplete)?;
+    Ok(message.items)
+}
+
 impl ItemMessage {
-    fn of_item(item: Item, deflated: &mut DeflatedValues) -> Self {
-        let shorter = deflated.deflate(&item.key, item.revision, &item.value);
+    fn plain(item: Item) -> Self {
         Self {
             key: item.key,
-            deflated: shorter.is_some(),
-            value: shorter.unwrap_or(item.value),
+            value: item.value,
             revision: item.revision,
             created: item.created,
             gone: false,
+            deflated: false,
+        }
+    }
+
+    fn of_item(item: Item, deflated: &mut DeflatedValues) -> Self {
+        match deflated.deflate(&item.key, item.revision, &item.value) {
+            None => Self::plain(item),
+            Some(shorter) => Self {
+                deflated: true,
+                ..Self::plain(Item {
+                    value: shorter,
+                    ..item
+                })
+            },
+        }
+    }
+
+    fn gone(key: String, revision: u64) -> Self {
+        Self {
+            key,
+            value: Vec::new(),
+            revision,
+            created: 0,
+            gone: true,
+            deflated: false,
+        }
+    }
+
+    fn plain_change(change: MirrorChange) -> Self {
+        match change {
+            MirrorChange::Written(item) => Self::plain(item),
+            MirrorChange::Removed { key, revision } => Self::gone(key, revision),
         }
     }
 
     fn of_change(change: MirrorChange, deflated: &mut DeflatedValues) -> Self {
         match change {
             MirrorChange::Written(item) => Self::of_item(item, deflated),
-            MirrorChange::Removed { key, revision } => Self {
-                key,
-                value: Vec::new(),
-                revision,
-                created: 0,
-                gone: true,
-                deflated: false,
-            },
+            MirrorChange::Removed { key, revision } => Self::gone(key, revision),
         }
     }
 
--- a/crates/gateway/src/deflated_values.rs
+++ b/crates/gateway/src/deflated_values.rs
@@ -47,7 +47,8 @@
     }
 }
 
-fn deflate(value: &[u8]) -> Option<Vec<u8>> {
+/// A value, deflated.
+pub fn deflate(value: &[u8]) -> Option<Vec<u8>> {
     let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
     encoder.write_all(value).ok()?;
     encoder.finish().ok()
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -12,7 +12,9 @@
 use futures_util::StreamExt;
 use tansyhall_admission::Backoff;
 use tansyhall_core::Timestamp;
-use tansyhall_forwarding::{Continuation, Item, MirrorChange, RelayPlan, Snapshot, Upstream};
+use tansyhall_forwarding::{
+    Continuation, Item, MirrorChange, RelayCandidate, RelayPlan, Snapshot, Upstream,
+};
 use tansyhall_store::{
     KeyValue, KeyValueStore, RangePage, Revision, StoreError, WatchEvent, WatchStream,
 };
@@ -20,11 +22,13 @@
 
 use crate::events::{Event, Weight};
 use crate::peers::{self, RELAY_WAIT};
-use crate::presence::Member;
+use crate::presence::{self, Member};
 use crate::state::Shared;
 use crate::store_call::in_time;
 use crate::store_copy::refresh;
 
+mod first_copy;
+
 /// Every key.
 const EVERYTHING: &str = "";
 /// Pause between two calls for changes.
@@ -82,7 +86,8 @@
 pub async fn follow(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>) {
     let plan = {
         let settings = shared.settings.read();
-        RelayPlan::new(&settings.node.name, &settings.node.zone)
+        let own = presence::own_member(&settings);
+        RelayPlan::new(candidate(&own), &settings.node.zone)
     };
     let mut follower = Follower {
         shared,
@@ -101,6 +106,13 @@
     }
 }
 
+fn candidate(member: &Member) -> RelayCandidate<'_> {
+    RelayCandidate {
+        name: &member.name,
+        capacity: member.capacity,
+    }
+}
+
 struct Follower {
     shared: Arc<Shared>,
     store: Rc<dyn KeyValueStore>,
@@ -118,11 +130,14 @@
 impl Follower {
     /// Asks whom the plan names, once.
     async fn ask(&mut self) {
+        if self.shared.mirror.lock().revision() == 0 {
+            return self.seek_first_copy().await;
+        }
         let relays = self.zone_members();
-        let names: Vec<&str> = relays.iter().map(|member| member.name.as_str()).collect();
+        let candidates: Vec<RelayCandidate<'_>> = relays.iter().map(candidate).collect();
         let now = self.shared.now();
         let age = self.shared.store_contact.age(now);
-        let upstream = self.plan.upstream(now, &names, age);
+        let upstream = self.plan.upstream(now, &candidates, age);
         self.record_upstream(&upstream);
         match upstream {
             Upstream::Store => self.ask_store().await,
@@ -171,17 +186,19 @@
                 self.plan.store_answered();
                 sleep(PACE).await;
             }
-            Err(error) => {
-                self.watch = None;
-                self.continuation.store_failed();
-                self.plan.store_failed(self.shared.now());
-                self.record_lost(&error);
-                self.failures = self.failures.saturating_add(1);
-                self.pause().await;
-            }
+            Err(error) => self.store_failed(&error).await,
         }
     }
 
+    async fn store_failed(&mut self, error: &StoreError) {
+        self.watch = None;
+        self.continuation.store_failed();
+        self.plan.store_failed(self.shared.now());
+        self.record_lost(error);
+        self.failures = self.failures.saturating_add(1);
+        self.pause().await;
+    }
+
     async fn pause(&self) {
         let pause = BACKOFF.wait(self.failures, rand::random());
         sleep(pause.max(MIN_PAUSE)).await;
@@ -196,13 +213,7 @@
             None if known > 0 && !self.continuation.reads_whole() => {
                 self.watch_after(known).await?
             }
-            None => {
-                read_all(&self.shared, &*self.store).await?;
-                self.reached();
-                self.continuation.was_read_whole();
-                self.settle().await;
-                return Ok(());
-            }
+            None => return self.read_whole(None).await,
         };
         let Some(events) = in_time(async { watch.next().await.transpose() }).await? else {
             return Err(StoreError::NotApplied("the watch ended".into()));
@@ -279,8 +290,15 @@
 
 /// Reads everything page by page. A page that is refused is asked for again, so that many gateways
 /// that start together get through a store that serves some of them at a time.
-async fn read_all(shared: &Arc<Shared>, store: &dyn KeyValueStore) -> Result<(), StoreError> {
-    let mut page = read_page(store, None).await?;
+async fn read_all(
+    shared: &Arc<Shared>,
+    store: &dyn KeyValueStore,
+    first: Option<RangePage>,
+) -> Result<(), StoreError> {
+    let mut page = match first {
+        Some(page) => page,
+        None => read_page(store, None).await?,
+    };
     let revision = page.revision.0;
     let mut entries = page.entries;
     while let (true, Some(last)) = (page.more, entries.last()) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod connection_losses;
 pub mod connection_pool;
 pub mod connections;
+pub mod copy_answers;
 pub mod copy_message;
 pub mod correlation;
 pub mod datagrams;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,24 +8,40 @@
 use std::time::Duration;
 
 use actix_web::{web, HttpResponse};
-use awc::Client;
+use awc::error::PayloadError;
+use awc::{Client, ClientResponse};
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
 use prost::Message;
 use rand::seq::IndexedRandom;
+use rand::RngExt;
 use serde::Deserialize;
+use tansyhall_core::Timestamp;
 use tokio::time::{sleep, timeout};
 
+use crate::copy_answers::CopyAnswer;
 use crate::copy_message::{Received, UpdateMessage};
 use crate::events::{Event, Weight};
-use crate::presence;
+use crate::presence::Member;
 use crate::state::Shared;
 use crate::store_copy::refresh;
 
 /// Age of this gateway's knowledge at which any gateway is asked.
 const STALE_AFTER: Duration = Duration::from_millis(1_500);
+/// Time after the start in which the follower gets the first copy, so that nobody else is asked for one.
+const FIRST_COPY: Timestamp = Timestamp::from_millis(6_000);
+/// One of so many questions goes to any zone.
+const OTHER_ZONES_RATIO: u32 = 4;
 /// Pause between two questions.
 const PACE: Duration = Duration::from_millis(250);
 /// Time for one question beside its wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time to deflate a whole copy, in the place of [`CALL_TIMEOUT`]: 20,000 entries take some 0.1 s of a whole core.
+const WHOLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The longest pause within an answer's body,
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// and the longest time for all of it.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a relay may hold a question while nothing changes.
 pub const RELAY_WAIT: Duration = Duration::from_millis(300);
 /// The longest wait that is granted.
@@ -41,6 +57,9 @@
     /// Names the question; its answer repeats it. An older version does not tell it.
     #[serde(default)]
     number: u64,
+    /// Whether items may be deflated together; an older version does not understand that.
+    #[serde(default)]
+    deflated: bool,
 }
 
 /// Answers a gateway that asks what is new.
@@ -52,13 +71,27 @@
     let mut revision = shared.mirror_revision.subscribe();
     let newer = revision.wait_for(|revision| *revision > question.after);
     let _ = timeout(wait, newer).await;
-    let update = shared.mirror.lock().update_after(question.after);
-    let age = shared.store_contact.age(shared.now());
-    let mut message = UpdateMessage::new(update, age, &mut shared.deflated_values.lock());
+    let mut message = update_for(&shared, &question);
     message.question = question.number;
     HttpResponse::Ok().body(message.encode_to_vec())
 }
 
+fn update_for(shared: &Shared, question: &Question) -> UpdateMessage {
+    let age = shared.store_contact.age(shared.now());
+    let plain = |update| UpdateMessage::new(update, age, &mut shared.deflated_values.lock());
+    if !question.deflated {
+        return plain(shared.mirror.lock().update_after(question.after));
+    }
+    let mut answers = shared.copy_answers.lock();
+    let answer = answers.after(&shared.mirror.lock(), question.after);
+    drop(answers);
+    match answer {
+        CopyAnswer::Nothing => plain(None),
+        CopyAnswer::Plain(update) => plain(Some(update)),
+        CopyAnswer::Deflated(update) => UpdateMessage::deflated(update, age),
+    }
+}
+
 /// A client for questions to gateways.
 pub fn client() -> Client {
     Client::builder()
@@ -96,11 +129,13 @@
 ) -> anyhow::Result<Received> {
     let wait_ms = wait.as_millis();
     let number = rand::random::<NonZeroU64>().get();
-    let url = format!("http://{peer}/changes?after={after}&wait_ms={wait_ms}&number={number}");
-    let call = client.get(url).send().await;
-    let mut response = call.map_err(|error| anyhow::anyhow!("{error}"))?;
+    let url = format!(
+        "http://{peer}/changes?after={after}&wait_ms={wait_ms}&number={number}&deflated=true"
+    );
+    let call = client.get(url).timeout(head_timeout(after)).send().await;
+    let response = call.map_err(|error| anyhow::anyhow!("{error}"))?;
     anyhow::ensure!(response.status() == 200, "status {}", response.status());
-    let body = response.body().limit(MAX_UPDATE_BYTES).await?;
+    let body = read_body(response.timeout(BODY_TIMEOUT)).await?;
     let message = UpdateMessage::decode(body)?;
     if !message.answers(number) {
         *client = self::client();
@@ -109,6 +144,29 @@
     Ok(message.into_received()?)
 }
 
+/// Time for the head of an answer. Whoever has nothing yet asks for the whole copy, which the other may have to
+/// deflate first.
+fn head_timeout(after: u64) -> Duration {
+    match after {
+        0 => RELAY_WAIT + WHOLE_TIMEOUT,
+        _ => RELAY_WAIT + CALL_TIMEOUT,
+    }
+}
+
+/// Reads an update for as long as it keeps coming: how long a whole copy takes depends on a link that many
+/// share.
+async fn read_body<S>(mut response: ClientResponse<S>) -> anyhow::Result<Bytes>
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    let mut body = BytesMut::new();
+    while let Some(chunk) = timeout(SILENCE_TIMEOUT, response.next()).await? {
+        body.extend_from_slice(&chunk?);
+        anyhow::ensure!(body.len() <= MAX_UPDATE_BYTES, "an update that is too long");
+    }
+    Ok(body.freeze())
+}
+
 /// Asks any gateway while neither the store nor a relay tells anything.
 pub async fn follow(shared: Arc<Shared>) {
     let mut client = client();
@@ -120,7 +178,8 @@
             relying = stale;
             record(&shared, relying);
         }
-        if !stale {
+        let follower_starts = shared.mirror.lock().revision() == 0 && shared.now() < FIRST_COPY;
+        if !stale || follower_starts {
             continue;
         }
         let Some(peer) = pick(&shared) else { continue };
@@ -141,9 +200,17 @@
 
 fn pick(shared: &Shared) -> Option<SocketAddr> {
     let settings = shared.settings.read().clone();
-    let members = presence::members(&shared.mirror.lock());
-    let mut peers: Vec<SocketAddr> = members.into_iter().map(|member| member.copy).collect();
+    let fleet = shared.fleet.read().clone();
+    let is_other = |peer: &SocketAddr| *peer != settings.listen.peers;
+    let of_zone = |member: &&Member| member.zone.as_ref() == Some(&settings.node.zone);
+    let zone = fleet.members().filter(of_zone).map(|member| member.copy);
+    let zone: Vec<SocketAddr> = zone.filter(is_other).collect();
+    // Ways between zones are longer and dearer; one question in a few goes there, as the whole zone may be cut off.
+    if !zone.is_empty() && !rand::rng().random_ratio(1, OTHER_ZONES_RATIO) {
+        return zone.choose(&mut rand::rng()).copied();
+    }
+    let mut peers: Vec<SocketAddr> = fleet.members().map(|member| member.copy).collect();
     peers.extend(&settings.store.seeds);
-    peers.retain(|peer| *peer != settings.listen.peers);
+    peers.retain(is_other);
     peers.choose(&mut rand::rng()).copied()
 }
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -45,21 +45,24 @@
 pub fn members(mirror: &Mirror) -> Vec<Member> {
     mirror
         .below(PREFIX)
-        .filter_map(|item| {
-            let mut words = std::str::from_utf8(&item.value).ok()?.split(' ');
-            let copy = words.next()?;
-            let load = words.next()?;
-            Some(Member {
-                name: item.key[PREFIX.len()..].to_owned(),
-                copy: copy.parse().ok()?,
-                load: load.parse().ok()?,
-                zone: words.next().map(ZoneName::new),
-                capacity: words.next().and_then(capacity).unwrap_or_default(),
-            })
-        })
+        .filter_map(|item| member(&item.key, &item.value))
         .collect()
 }
 
+/// The gateway that an item announces; none if it can't be read.
+pub fn member(key: &str, value: &[u8]) -> Option<Member> {
+    let mut words = std::str::from_utf8(value).ok()?.split(' ');
+    let copy = words.next()?;
+    let load = words.next()?;
+    Some(Member {
+        name: key.strip_prefix(PREFIX)?.to_owned(),
+        copy: copy.parse().ok()?,
+        load: load.parse().ok()?,
+        zone: words.next().map(ZoneName::new),
+        capacity: words.next().and_then(capacity).unwrap_or_default(),
+    })
+}
+
 /// This gateway as it announces itself.
 pub fn own_member(settings: &GatewaySettings) -> Member {
     Member {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -183,6 +183,7 @@
         mirror: Mutex::new(Mirror::without(usage::ROWS_PREFIX)),
         mirror_revision: watch::Sender::default(),
         deflated_values: Mutex::default(),
+        copy_answers: Mutex::default(),
         worker_entries: Mutex::default(),
         logged_workers: Mutex::default(),
         lapsed_workers: Mutex::default(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 
 use crate::connections::{Connections, Destination};
+use crate::copy_answers::CopyAnswers;
 use crate::datagrams::Datagrams;
 use crate::deflated_values::DeflatedValues;
 use crate::events::EventLog;
@@ -50,6 +51,8 @@
     pub mirror_revision: watch::Sender<u64>,
     /// Long values of the copy, deflated for other gateways.
     pub deflated_values: Mutex<DeflatedValues>,
+    /// Answers to gateways that ask for what is new; locked before the copy.
+    pub copy_answers: Mutex<CopyAnswers>,
     /// Workers' entries as they were decoded last; locked before the directory where both are.
     pub worker_entries: Mutex<WorkerEntries>,
     /// Workers that take requests, as logged last.
