--- a/crates/gateway/tests/copy_growth.rs
+++ b/crates/gateway/tests/copy_growth.rs
@@ -20,7 +20,7 @@
     let (high, low) = (number >> 8, number & 0xff);
     let name = format!(
         "i-{:010x}",
-        (number as u64 + 1).wrapping_mul(0x9E37_79B9_7F)
+        (number as u64 + 1).wrapping_mul(0x009E_3779_B97F)
     );
     let value = format!(
         r#"{{"service":"huvo11a","address":"10.{}.{high}.{low}:8045","zone":"zone-{}","version":"v1","slots":12,"state":"ready","cold_left_ms":0,"stage":"decode","models":[{{"name":"m","version":1,"adapters":[]}}],"seq":4,"born":17649{number:08}}}"#,
