A store that is silent is asked by few; one follower a zone; a copy that is read whole tells the difference

A relay that had read the store whole again could tell its subscribers nothing but the whole copy. Three relays of each zone asked the store ten times a second. Change: the first relay of a zone follows the store and tells the others; each successor beyond the fifth waits 0.4 s longer than the one before; a copy that is replaced remembers the difference as changes.

--- a/crates/forwarding/src/mirror.rs
+++ b/crates/forwarding/src/mirror.rs
@@ -4,7 +4,7 @@
 //!
 //! The copy remembers its latest changes, so that a peer that has nearly all of it gets just those.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
 /// Changes that are remembered: as many as the copy has items, since a peer that lacks more is better handed the
 /// whole copy; at least so many,
@@ -156,7 +156,7 @@
                 break;
             };
             self.bytes -= dropped.bytes();
-            self.floor = dropped.revision();
+            self.floor = self.floor.max(dropped.revision());
         }
     }
 
@@ -200,11 +200,17 @@
         self.revision
     }
 
-    /// Replaces the copy by a newer one; an older one touches nothing.
+    /// Replaces the copy by a newer one; an older one touches nothing. The difference is remembered as changes:
+    /// where the store has forgotten its history, peers that follow this copy need no other whole one.
     pub fn replace(&mut self, snapshot: Snapshot) -> Touched {
         if snapshot.revision <= self.revision {
             return Touched::Nothing;
         }
+        if self.revision > 0 {
+            let revision = snapshot.revision;
+            let changes = self.difference(snapshot);
+            return self.apply_all(changes, revision);
+        }
         self.revision = snapshot.revision;
         self.history.restart(snapshot.revision);
         let items = snapshot.items.into_iter();
@@ -218,9 +224,15 @@
     /// over. Returns what was touched.
     pub fn apply(&mut self, changes: Vec<MirrorChange>, revision: u64) -> Touched {
         let known = self.revision;
+        let is_new = |change: &MirrorChange| change.revision() > known;
+        let changes = changes.into_iter().filter(is_new).collect();
+        self.apply_all(changes, revision)
+    }
+
+    fn apply_all(&mut self, changes: Vec<MirrorChange>, revision: u64) -> Touched {
         let mut touched = Vec::new();
         for change in changes {
-            if change.revision() <= known || !self.keeps(change.key()) {
+            if !self.keeps(change.key()) {
                 continue;
             }
             touched.push(change.key().to_owned());
@@ -235,6 +247,26 @@
         }
     }
 
+    /// The changes that lead to a newer copy, in the order of their revisions. When an item went is not known.
+    fn difference(&self, newer: Snapshot) -> Vec<MirrorChange> {
+        let revision = newer.revision;
+        let kept: HashSet<&str> = newer.items.iter().map(|item| item.key.as_str()).collect();
+        let gone = self.items.keys().filter(|key| !kept.contains(key.as_str()));
+        let gone = gone.map(|key| MirrorChange::Removed {
+            key: key.clone(),
+            revision,
+        });
+        let mut changes: Vec<MirrorChange> = gone.collect();
+        let known = |item: &Item| self.items.get(&item.key).map(|known| known.revision);
+        let written = newer
+            .items
+            .into_iter()
+            .filter(|item| known(item) != Some(item.revision));
+        changes.extend(written.map(MirrorChange::Written));
+        changes.sort_by_key(MirrorChange::revision);
+        changes
+    }
+
     fn apply_one(&mut self, change: MirrorChange) {
         let replaced = match change {
             MirrorChange::Written(item) => {
--- a/crates/forwarding/src/relay_plan.rs
+++ b/crates/forwarding/src/relay_plan.rs
@@ -6,8 +6,9 @@
 //! is new over one link: the weakest machines, a quarter of the processor time and a tenth of the link of the
 //! strongest, would be seconds late. Each passes over those that failed it lately.
 //!
-//! 1. The first gateways of the ranking, one for each [`GATEWAYS_PER_RELAY`], are relays and follow
-//!    the store. Every other asks one of them, chosen by hashing too.
+//! 1. The first gateways of the ranking, one for each [`GATEWAYS_PER_RELAY`], are relays. The first of all follows
+//!    the store and the other relays ask it, so that the store is called by zones and not by gateways. Every
+//!    other gateway asks one of the relays, chosen by hashing too.
 //! 2. What a relay tells comes with its age: the time since the store answered it. A gateway whose
 //!    knowledge becomes older than its patience asks the store itself. Patience grows with the
 //!    rank, so that the successor of a relay that is cut off goes first and serves the others.
@@ -29,10 +30,13 @@
 pub const GATEWAYS_PER_RELAY: usize = 64;
 /// Age of its knowledge at which the first successor of a relay asks the store itself.
 pub const PATIENCE: Duration = Duration::from_millis(1_200);
-/// What each further rank waits longer,
+/// What each further rank waits longer: the first few little, as any of them may be cut off as well,
 const PATIENCE_STEP: Duration = Duration::from_millis(60);
-/// up to this many ranks.
-const PATIENCE_STEPS: usize = 5;
+/// so many of them,
+const FIRST_SUCCESSORS: usize = 5;
+/// and the others more, one after the other, however many they are: where all had gone at once, a store that said
+/// nothing for a second was read whole by 986 gateways, and answered none of them in time.
+const LATER_PATIENCE_STEP: Duration = Duration::from_millis(400);
 /// How long a gateway that did not answer is passed over.
 const SILENCE_MEMORY: Duration = Duration::from_secs(3);
 /// How long a gateway that told old news is passed over.
@@ -101,9 +105,9 @@
     ) -> Upstream {
         self.passed_over.retain(|_, until| *until > now);
         let ranking = self.rank(members);
-        let is_relay = ranking.own_rank < ranking.relays;
-        let asks_store = is_relay || age > patience(&ranking);
-        let rest = match is_relay {
+        let follows_store = ranking.own_rank == 0;
+        let asks_store = follows_store || age > patience(&ranking);
+        let rest = match follows_store {
             true => RELAY_REST,
             false => SUBSCRIBER_REST,
         };
@@ -170,11 +174,14 @@
         }
     }
 
-    /// The relay to ask: one of the first of the ranking other than this gateway, by hashing.
+    /// The relay to ask: the first one for the other relays; for all others, one of the first of the ranking, by
+    /// hashing.
     fn relay<'a>(&self, ranking: &Ranking<'a>) -> Option<&'a str> {
         let others = ranking.ranked.iter().filter(|name| **name != self.own);
+        let is_relay = ranking.own_rank < ranking.relays;
+        let asked = if is_relay { 1 } else { ranking.relays };
         others
-            .take(ranking.relays)
+            .take(asked)
             .max_by_key(|name| rendezvous_weight(self.own.as_bytes(), name.as_bytes()))
             .copied()
     }
@@ -182,7 +189,9 @@
 
 fn patience(ranking: &Ranking<'_>) -> Duration {
     let successors_before = ranking.own_rank.saturating_sub(ranking.relays);
-    PATIENCE + PATIENCE_STEP * successors_before.min(PATIENCE_STEPS) as u32
+    let first = successors_before.min(FIRST_SUCCESSORS);
+    let later = successors_before - first;
+    PATIENCE + PATIENCE_STEP * first as u32 + LATER_PATIENCE_STEP * later as u32
 }
 
 /// How the store is to be asked next: for what is newer than the copy, or for everything it holds.
--- a/crates/forwarding/tests/mirror_updates.rs
+++ b/crates/forwarding/tests/mirror_updates.rs
@@ -102,3 +102,42 @@
         Some(Update::Changes { .. })
     ));
 }
+
+/// A copy that was read whole again, as the store had forgotten its history, tells its followers the difference.
+#[test]
+fn a_copy_that_was_replaced_tells_its_followers_the_difference() {
+    const ITEMS: usize = 1_000;
+    let item = |number: usize, revision: u64| Item {
+        key: format!("key-{number}"),
+        value: vec![7; 20],
+        revision,
+        created: 1,
+    };
+    let before = Snapshot {
+        items: (0..ITEMS).map(|number| item(number, 1)).collect(),
+        revision: 10,
+    };
+    let mut source = Mirror::default();
+    source.replace(before.clone());
+    let mut peer = Mirror::default();
+    peer.replace(before);
+    let mut items: Vec<Item> = (1..ITEMS).map(|number| item(number, 1)).collect();
+    items[5] = item(6, 15);
+    items.push(item(ITEMS, 12));
+    let after = Snapshot {
+        items,
+        revision: 20,
+    };
+    let touched = source.replace(after.clone());
+    assert!(touched.covers("key-0") && touched.covers("key-6") && !touched.covers("key-1"));
+    let update = source.update_after(peer.revision()).expect("something new");
+    let Update::Changes { changes, .. } = &update else {
+        panic!("the whole copy");
+    };
+    assert_eq!(changes.len(), 3);
+    peer.take_in(update);
+    assert_eq!(peer.snapshot(), source.snapshot());
+    let mut fresh = Mirror::default();
+    fresh.replace(after);
+    assert_eq!(fresh.snapshot(), source.snapshot());
+}
