--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -36,7 +36,7 @@
 /// What a worker is told beyond what the caller sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SendTerms {
-    /// The incarnation that the request is meant for.
+    /// The worker that the request is meant for.
     pub worker: WorkerId,
     /// The time left.
     pub time_left: Duration,
@@ -96,7 +96,7 @@
 /// An order to an engine to change its role.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RoleOrder {
-    /// The incarnation that is meant.
+    /// The worker that is meant.
     pub worker: WorkerId,
     /// The role it shall have.
     pub role: Role,
