The first copy: the list of gateways first, pages each in their time, relays are given time

After 5 s all that waited for relays would have read the store whole. Change: the list of gateways, 0.2 MB in five calls, tells whether they are many; then nothing else is read but by the first relay of a zone, and after 3 s by its successors one after the other.

--- a/crates/gateway/src/follower/first_copy.rs
+++ b/crates/gateway/src/follower/first_copy.rs
@@ -1,11 +1,13 @@
 //! The first copy of the store, for a gateway that has just started.
 //!
-//! A store that fits into one page is read at once. A larger one is read by the relays of each zone only, and handed
-//! on by them: 986 gateways that each read 4 MB after the loss of all would fill the store's link of 1,000 Mbit/s for
-//! half a minute, with 50 calls each.
+//! A few gateways read the store themselves, at once if it fits into one page. Of many only the first relay of each
+//! zone does, and the others hand it on: 986 gateways that each read 4 MB after the loss of all would fill the store's
+//! link of 1,000 Mbit/s for half a minute, with 50 calls each. They read the list of gateways only, 0.2 MB: even one
+//! page of the rest would keep that link busy for longer than a call may take.
 
 use std::time::Duration;
 
+use tansyhall_core::Timestamp;
 use tansyhall_forwarding::relay_plan::GATEWAYS_PER_RELAY;
 use tansyhall_forwarding::{RelayCandidate, Upstream};
 use tansyhall_store::{RangePage, StoreError};
@@ -16,8 +18,9 @@
 use crate::presence::{self, Member};
 use crate::store_call::in_time;
 
-/// Time after which the store is read whole although relays answer: they have got no copy either.
-const PATIENCE: Duration = Duration::from_secs(5);
+/// Time that relays have to get the copy and to hand it on: 4 MB in 52 pages, while all others read the list of
+/// gateways. After that their successors read the store as well, one after the other.
+const RELAYS_TIME: Duration = Duration::from_secs(3);
 
 impl Follower {
     /// Comes by a copy, or fails and pauses.
@@ -32,11 +35,13 @@
     }
 
     async fn first_copy(&mut self) -> Result<(), StoreError> {
-        let page = read_page(&*self.store, None).await?;
-        if !page.more {
-            return self.read_whole(Some(page)).await;
-        }
         let mut listed = self.list_gateways().await?;
+        if listed.len() <= GATEWAYS_PER_RELAY {
+            let page = read_page(&*self.store, None).await?;
+            if !page.more {
+                return self.read_whole(Some(page)).await;
+            }
+        }
         if !self.is_announced(&listed) {
             if self.relay_tells(&listed).await {
                 return Ok(());
@@ -47,9 +52,9 @@
             sleep(START_SETTLING).await;
             listed = self.list_gateways().await?;
         }
-        if listed.len() > GATEWAYS_PER_RELAY && !self.is_relay(&listed) {
+        if listed.len() > GATEWAYS_PER_RELAY {
             let began = self.shared.now();
-            while self.shared.now().since(began) < PATIENCE {
+            while !self.asks_store(&listed, began) {
                 if self.relay_tells(&listed).await {
                     return Ok(());
                 }
@@ -98,18 +103,31 @@
         listed.iter().filter(of_zone).cloned().collect()
     }
 
-    fn is_relay(&mut self, listed: &[Member]) -> bool {
+    /// Whether this gateway reads the store itself: it is the first relay of its zone, or the relays have had time and
+    /// its rank among their successors is due.
+    fn asks_store(&mut self, listed: &[Member], began: Timestamp) -> bool {
         let members = self.of_zone(listed);
         let candidates: Vec<RelayCandidate<'_>> = members.iter().map(candidate).collect();
         let now = self.shared.now();
-        self.plan.upstream(now, &candidates, Duration::ZERO) == Upstream::Store
+        let overdue = now.since(began).saturating_sub(RELAYS_TIME);
+        self.plan.upstream(now, &candidates, overdue) == Upstream::Store
     }
 
+    /// The gateways that the store lists, page by page: of 986 that start together each gets a page in 0.3 s, and all
+    /// of them in more than one call may take.
     async fn list_gateways(&self) -> Result<Vec<Member>, StoreError> {
-        let listed = in_time(self.store.range(presence::PREFIX)).await?;
-        let entries = listed.entries.iter();
-        let members = entries.filter_map(|entry| presence::member(&entry.key, &entry.value));
-        Ok(members.collect())
+        let mut listed = Vec::new();
+        let mut after: Option<String> = None;
+        loop {
+            let page = self.store.range_page(presence::PREFIX, after.as_deref());
+            let page = in_time(page).await?;
+            let entries = page.entries.iter();
+            listed.extend(entries.filter_map(|entry| presence::member(&entry.key, &entry.value)));
+            match page.entries.last() {
+                Some(last) if page.more => after = Some(last.key.clone()),
+                _ => return Ok(listed),
+            }
+        }
     }
 
     /// Reads everything from the store, after the first page if that was read already.
--- a/crates/gateway/src/worker_entries.rs
+++ b/crates/gateway/src/worker_entries.rs
@@ -90,24 +90,16 @@
     let before = known.entries.remove(name);
     let Some(item) = item else {
         drop(known);
-        if let Some(worker) = before
-            .filter(|entry| entry.announced)
-            .and_then(|entry| entry.worker)
-        {
+        let announced = before.filter(|entry| entry.announced);
+        if let Some(worker) = announced.and_then(|entry| entry.worker) {
             entry_gone(shared, &worker);
         }
         return;
     };
-    if let Some(unchanged) = before {
-        if unchanged.revision == item.revision {
-            known.entries.insert(name.to_owned(), unchanged);
-            return;
-        }
-        let entry = changed_entry(shared, name, &item, Some(unchanged));
-        known.entries.insert(name.to_owned(), entry);
-        return;
-    }
-    let entry = changed_entry(shared, name, &item, None);
+    let entry = match before {
+        Some(unchanged) if unchanged.revision == item.revision => unchanged,
+        before => changed_entry(shared, name, &item, before),
+    };
     known.entries.insert(name.to_owned(), entry);
 }
 
