Rate limits that workers name are read and logged

Now a line `worker_rate_limit` tells each limit that is named anew or changed, and the counter `gateway_worker_notices_total` has the label `rate_limit`. No decision changes.

--- a/crates/forwarding/src/directory/notices.rs
+++ b/crates/forwarding/src/directory/notices.rs
@@ -16,6 +16,7 @@
 
 use super::Directory;
 use crate::load_exchange::WorkerKey;
+use crate::rate_limit::RateLimit;
 use crate::selection::Need;
 use crate::worker::{WorkerId, WorkerState};
 use crate::worker_notice::WorkerNotice;
@@ -54,6 +55,8 @@
     pub leaves: bool,
     /// It rests for so long, from now on or for longer than was known.
     pub rest: Option<Duration>,
+    /// It names this limit, another than was known.
+    pub rate_limit: Option<RateLimit>,
 }
 
 /// A rest that a worker has asked for.
@@ -72,6 +75,7 @@
     /// Those of them that are announced.
     leaving_announced: BTreeSet<WorkerKey>,
     rests: HashMap<WorkerKey, Rest>,
+    rate_limits: HashMap<WorkerKey, RateLimit>,
 }
 
 impl Notices {
@@ -103,7 +107,18 @@
         let is_longer = |rest: &Duration| self.lengthen_rest(key, now + *rest);
         let rest = notice.rest.filter(is_longer);
         let leaves = notice.leaves && self.leaving.insert(key, now).is_none();
-        NoticeNews { leaves, rest }
+        let rate_limit = notice.rate_limit;
+        let rate_limit = rate_limit.filter(|limit| self.note_rate_limit(key, *limit));
+        NoticeNews {
+            leaves,
+            rest,
+            rate_limit,
+        }
+    }
+
+    /// A worker names a limit; returns whether it is another than was known.
+    fn note_rate_limit(&mut self, key: WorkerKey, limit: RateLimit) -> bool {
+        self.rate_limits.insert(key, limit) != Some(limit)
     }
 
     /// A worker rests until then at least; returns whether that is news. Answers on different connections pass each
@@ -181,6 +196,7 @@
         WorkerNotice {
             leaves: self.notices.leaves(key),
             rest: until.map(|until| until.since(now)),
+            rate_limit: None,
         }
     }
 
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod placement;
 pub mod quarantine;
 mod rate;
+pub mod rate_limit;
 pub mod relay_plan;
 pub mod request;
 pub mod retry_share;
@@ -54,6 +55,7 @@
     Audience, Fingerprint, Heard, Outgoing, Quarantine, QuarantineNews, RequestContent, SendLedger,
     SendNumber, Sighting, Unlisted,
 };
+pub use rate_limit::RateLimit;
 pub use relay_plan::{Continuation, RelayCandidate, RelayPlan, Upstream};
 pub use request::{
     Action, AttemptPolicy, Conclusion, EventId, PromptHandle, ReadingFailure, RequestEvent,
--- a/crates/forwarding/src/worker_notice.rs
+++ b/crates/forwarding/src/worker_notice.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::rate_limit::RateLimit;
+
 /// The longest rest that is granted. A worker that asks for more is asked again after it: what it said may have been
 /// a slip, and without an end it would be lost for the rest of its life.
 pub const MAX_REST: Duration = Duration::from_secs(3_600);
@@ -13,6 +15,8 @@
     pub leaves: bool,
     /// It wants nothing more from the gateway that got the answer for so long.
     pub rest: Option<Duration>,
+    /// The requests a second that it takes from all gateways together.
+    pub rate_limit: Option<RateLimit>,
 }
 
 impl WorkerNotice {
--- a/crates/forwarding/tests/worker_notices.rs
+++ b/crates/forwarding/tests/worker_notices.rs
@@ -44,14 +44,14 @@
 fn leaves() -> WorkerNotice {
     WorkerNotice {
         leaves: true,
-        rest: None,
+        ..WorkerNotice::default()
     }
 }
 
 fn rests(rest: Duration) -> WorkerNotice {
     WorkerNotice {
-        leaves: false,
         rest: Some(rest),
+        ..WorkerNotice::default()
     }
 }
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -105,6 +105,15 @@
         /// For how many milliseconds.
         rest_ms: u64,
     },
+    /// A worker names a rate limit, or another one than before.
+    WorkerRateLimit {
+        /// The worker.
+        worker: &'a str,
+        /// Who says so, as in `worker_leaving`.
+        source: &'a str,
+        /// Requests a second that it takes from all gateways together.
+        requests_per_second: f64,
+    },
     /// A worker has ended under requests that this gateway had sent it.
     WorkerEnded {
         /// The worker.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,7 +16,7 @@
     pub sends: IntCounterVec,
     /// Answers that do not bear the id of the request before them, by what was asked.
     pub foreign_answers: IntCounterVec,
-    /// What workers said of themselves in answers: `leaving` or `rest`.
+    /// What workers said of themselves in answers: `leaving`, `rest` or `rate_limit`.
     pub worker_notices: IntCounterVec,
     /// Workers that ended under requests which this gateway had sent them.
     pub worker_ends: IntCounter,
--- a/crates/gateway/src/placement/codec.rs
+++ b/crates/gateway/src/placement/codec.rs
@@ -108,6 +108,7 @@
         let said = WorkerNotice {
             leaves: message.worker_leaves,
             rest: (!rest.is_zero()).then_some(rest),
+            rate_limit: None,
         };
         Ok(PlacementNotice::Ended { id, result, said })
     }
--- a/crates/gateway/src/role_orders.rs
+++ b/crates/gateway/src/role_orders.rs
@@ -216,7 +216,10 @@
             return;
         };
         if leaves {
-            let notice = WorkerNotice { leaves, rest: None };
+            let notice = WorkerNotice {
+                leaves,
+                ..WorkerNotice::default()
+            };
             let notices = &self.shared.connections.notices;
             notices.take(&worker.id, notice, NoticeSource::Answer(Asked::Report));
             return;
--- a/crates/gateway/src/worker_notices.rs
+++ b/crates/gateway/src/worker_notices.rs
@@ -97,6 +97,15 @@
             };
             self.log.record(Weight::Important, &event);
         }
+        if let Some(limit) = news.rate_limit {
+            self.heard.with_label_values(&["rate_limit"]).inc();
+            let event = Event::WorkerRateLimit {
+                worker: worker.as_str(),
+                source: source.name(),
+                requests_per_second: limit.requests_per_second(),
+            };
+            self.log.record(Weight::Routine, &event);
+        }
     }
 
     /// Whether something may be sent to a worker, as far as it has said. One that leaves still frees what it keeps
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -48,7 +48,11 @@
 
 fn said() -> impl Strategy<Value = WorkerNotice> {
     let rest = prop::option::of((1_u64..10_000_000).prop_map(Duration::from_micros));
-    (any::<bool>(), rest).prop_map(|(leaves, rest)| WorkerNotice { leaves, rest })
+    (any::<bool>(), rest).prop_map(|(leaves, rest)| WorkerNotice {
+        leaves,
+        rest,
+        ..WorkerNotice::default()
+    })
 }
 
 fn notice() -> impl Strategy<Value = PlacementNotice> {
