--- a/crates/admission/src/token_bucket.rs
+++ b/crates/admission/src/token_bucket.rs
@@ -36,7 +36,7 @@
     },
 }
 
-/// The bucket. It holds one second's worth of its rate, but at least one unit, and starts full.
+/// The bucket. It holds one second's worth of its rate, but at least one unit, and starts full unless it is made empty.
 #[derive(Debug, Clone, Default)]
 pub struct TokenBucket {
     /// Parts held; negative for a debt; absent before the first event.
@@ -45,6 +45,22 @@
 }
 
 impl TokenBucket {
+    /// A bucket that holds nothing yet.
+    pub fn empty(now: Timestamp) -> Self {
+        Self {
+            level: Some(0),
+            filled_at: now,
+        }
+    }
+
+    /// Time until so many units would be admitted at a rate in thousandths of a unit a second; zero if they would be now.
+    pub fn wait(&self, now: Timestamp, rate: u64, units: u64) -> Duration {
+        match self.clone().step(now, rate, BucketEvent::Take(units)) {
+            BucketDecision::Admitted => Duration::ZERO,
+            BucketDecision::Refused { retry_after } => retry_after,
+        }
+    }
+
     /// Takes one event at a rate in thousandths of a unit a second.
     pub fn step(&mut self, now: Timestamp, rate: u64, event: BucketEvent) -> BucketDecision {
         let level = self.fill(now, rate);
--- a/crates/cli/tests/gateway_platform/rate_limits.rs
+++ b/crates/cli/tests/gateway_platform/rate_limits.rs
@@ -48,18 +48,22 @@
     heard.is_some_and(|heard| heard > 0.0)
 }
 
-/// Asks each gateway, several requests at once, until it has passed on an answer that names a limit.
+/// Asks gateways in turn, several requests at once, until one has passed on an answer that names a limit. The others
+/// may hear of it from that one.
 async fn until_told(site: &Site, ask: impl AsyncFn(&SiteGateway, usize) -> CallerAnswer) {
     let number = Cell::new(0);
-    for gateway in &site.gateways {
-        eventually("the gateway is told of the limit", || async {
-            let first = number.get();
-            number.set(first + CALLERS);
-            join_all((0..CALLERS).map(|one| ask(gateway, first + one))).await;
+    let mut gateways = site.gateways.iter().cycle();
+    let ask = &ask;
+    eventually("a gateway is told of the limit", || {
+        let gateway = gateways.next().expect("a gateway");
+        let first = number.replace(number.get() + CALLERS);
+        let asked = (0..CALLERS).map(move |one| ask(gateway, first + one));
+        async move {
+            join_all(asked).await;
             is_told(gateway).await.then_some(())
-        })
-        .await;
-    }
+        }
+    })
+    .await;
 }
 
 /// Callers at each gateway ask again and again for [`LOAD`]; returns what they got.
@@ -124,11 +128,8 @@
 // Guards against limits that hold for runs but not for prompts read apart, or the other way round.
 #[actix_rt::test]
 async fn gateways_together_keep_to_the_rate_limits_of_engines_that_read_and_decode() {
-    for (specs, alike) in [
-        ([READER, READER, DECODER], 0..2),
-        ([READER, DECODER, DECODER], 1..3),
-    ] {
-        let site = Site::start(&specs, GATEWAYS).await;
+    for alike in [0..2, 2..4] {
+        let site = Site::start(&[READER, READER, DECODER, DECODER], GATEWAYS).await;
         site.until_gateways_know_each_other().await;
         is_kept_to_before(&site, &site.workers[alike], ask_for_prompt).await;
     }
--- a/crates/forwarding/src/decisions.rs
+++ b/crates/forwarding/src/decisions.rs
@@ -41,7 +41,8 @@
     pub absence: bool,
     /// Requests under which workers end are sent to no worker any more.
     pub quarantine: bool,
-    /// What workers say of themselves in answers, that they leave or want rest, is kept to.
+    /// What workers say of themselves in answers, that they leave, want rest or take so many requests a second, is
+    /// kept to.
     pub worker_notices: bool,
     /// Engines are ordered to change their roles.
     pub role_orders: bool,
--- a/crates/forwarding/src/directory/admission.rs
+++ b/crates/forwarding/src/directory/admission.rs
@@ -79,6 +79,8 @@
     Overload,
     /// It would be in time, but its tenant has taken more than its share.
     TenantShare,
+    /// All workers that could run it are at the rate limits that they name.
+    RateLimit,
 }
 
 /// Where a prompt is best read.
@@ -159,6 +161,13 @@
         objectives: Objectives,
     ) -> Admission {
         let taken = |read_apart, draw| Admission::Taken { read_apart, draw };
+        if let Some(retry_after) = self.rate_limited_for(now, demand.service, &Need::Run) {
+            return Admission::Refused {
+                cause: RefusalCause::RateLimit,
+                waiting: retry_after,
+                retry_after,
+            };
+        }
         if demand.prompt.is_empty() {
             return taken(false, demand.draw);
         }
--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -174,10 +174,11 @@
         }
     }
 
-    /// Whether a worker is none of those to avoid and has not asked for rest.
+    /// Whether a worker is none of those to avoid, has not asked for rest and is below its rate limit.
     fn may_be_sent(&self, now: Timestamp, tracked: &Tracked, avoid: &[WorkerId]) -> bool {
         let rests = self.notices.rests_until(now, tracked.key).is_some();
-        !rests && !avoid.contains(&tracked.worker.id)
+        let has_token = self.rate_limits.wait(now, tracked.key).is_zero();
+        !rests && has_token && !avoid.contains(&tracked.worker.id)
     }
 
     /// Whether nothing speaks against a request to a worker now.
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -21,7 +21,7 @@
 //! so that many gateways, each with reports that are a little old, do not all choose the same.
 //!
 //! A worker that has said in an answer that it leaves, or wants rest, is not chosen, however well it compares
-//! (`notices`).
+//! (`notices`); one that names a rate limit is chosen no more often than this gateway's part of it allows (`rate_limits`).
 //!
 //! Where many gateways place requests at the same time, each request compares a part of the workers only
 //! (`sampling`).
@@ -39,6 +39,7 @@
 mod notices;
 mod part_holders;
 mod prediction;
+mod rate_limits;
 mod sampling;
 mod sharing;
 mod tenants;
@@ -64,6 +65,7 @@
 pub use admission::{Admission, Objectives, RefusalCause};
 pub use choice::Demand;
 pub use notices::{NoticeNews, Unavailable};
+pub use rate_limits::{FirstAvailable, RateToken};
 pub use ticket::SendTicket;
 pub use tracked::SendResult;
 
@@ -73,6 +75,7 @@
 use eligible::EligibleWorkers;
 use notices::Notices;
 use part_holders::PartHolders;
+use rate_limits::RateLimits;
 use sampling::Sampling;
 use sharing::report_prompt;
 use tracked::{smooth, Tracked};
@@ -97,6 +100,7 @@
     workers: BTreeMap<WorkerKey, Tracked>,
     eligible: EligibleWorkers,
     notices: Notices,
+    rate_limits: RateLimits,
     part_holders: PartHolders,
     /// Workers where others have work under way.
     busy_for_others: BTreeSet<WorkerKey>,
@@ -137,6 +141,7 @@
             workers: BTreeMap::new(),
             eligible: EligibleWorkers::default(),
             notices: Notices::default(),
+            rate_limits: RateLimits::default(),
             part_holders: PartHolders::default(),
             busy_for_others: BTreeSet::new(),
             announced_at: HashMap::new(),
--- a/crates/forwarding/src/directory/notices.rs
+++ b/crates/forwarding/src/directory/notices.rs
@@ -12,12 +12,11 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use tansyhall_core::{ServiceName, Timestamp};
+use tansyhall_core::Timestamp;
 
 use super::Directory;
 use crate::load_exchange::WorkerKey;
 use crate::rate_limit::RateLimit;
-use crate::selection::Need;
 use crate::worker::{WorkerId, WorkerState};
 use crate::worker_notice::WorkerNotice;
 
@@ -46,6 +45,9 @@
     /// It wants rest.
     #[error("it rests")]
     Resting,
+    /// This gateway has used its part of the worker's rate limit.
+    #[error("its rate limit is reached")]
+    RateLimited,
 }
 
 /// What a notice changed.
@@ -75,7 +77,6 @@
     /// Those of them that are announced.
     leaving_announced: BTreeSet<WorkerKey>,
     rests: HashMap<WorkerKey, Rest>,
-    rate_limits: HashMap<WorkerKey, RateLimit>,
 }
 
 impl Notices {
@@ -107,20 +108,13 @@
         let is_longer = |rest: &Duration| self.lengthen_rest(key, now + *rest);
         let rest = notice.rest.filter(is_longer);
         let leaves = notice.leaves && self.leaving.insert(key, now).is_none();
-        let rate_limit = notice.rate_limit;
-        let rate_limit = rate_limit.filter(|limit| self.note_rate_limit(key, *limit));
         NoticeNews {
             leaves,
             rest,
-            rate_limit,
+            rate_limit: None,
         }
     }
 
-    /// A worker names a limit; returns whether it is another than was known.
-    fn note_rate_limit(&mut self, key: WorkerKey, limit: RateLimit) -> bool {
-        self.rate_limits.insert(key, limit) != Some(limit)
-    }
-
     /// A worker rests until then at least; returns whether that is news. Answers on different connections pass each
     /// other, so that a shorter rest may be the older word.
     fn lengthen_rest(&mut self, key: WorkerKey, until: Timestamp) -> bool {
@@ -178,7 +172,9 @@
             return NoticeNews::default();
         }
         let key = WorkerKey::of(id);
-        let news = self.notices.note(now, key, notice);
+        let mut news = self.notices.note(now, key, notice);
+        let limit = notice.rate_limit;
+        news.rate_limit = limit.filter(|limit| self.rate_limits.named(now, key, *limit));
         if news.leaves {
             if let Some(tracked) = self.workers.get_mut(&key) {
                 tracked.worker.state = WorkerState::Draining;
@@ -196,7 +192,7 @@
         WorkerNotice {
             leaves: self.notices.leaves(key),
             rest: until.map(|until| until.since(now)),
-            rate_limit: None,
+            rate_limit: self.rate_limit_of(id),
         }
     }
 
@@ -227,31 +223,14 @@
         ids.take(MOST_NAMED).collect()
     }
 
-    /// The time until the first worker of those that serve a need is back from its rest, if all of them rest.
-    pub fn all_rest_for(
-        &self,
-        now: Timestamp,
-        service: &ServiceName,
-        need: &Need,
-    ) -> Option<Duration> {
-        let serving = self.eligible.serving(service, need);
-        if self.notices.rests.len() < serving.len() {
-            return None;
-        }
-        let ends = serving
-            .iter()
-            .map(|key| self.notices.rests_until(now, *key));
-        let ends: Option<Vec<Timestamp>> = ends.collect();
-        ends?.into_iter().min().map(|first| first.since(now))
-    }
-
     /// How many words of workers are kept.
     pub fn kept_notices(&self) -> usize {
-        self.notices.leaving.len() + self.notices.rests.len()
+        self.notices.leaving.len() + self.notices.rests.len() + self.kept_rate_limits()
     }
 
     /// Forgets words that have lost their use.
     pub fn expire_notices(&mut self, now: Timestamp) {
         self.notices.expire(now);
+        self.expire_rate_limits(now);
     }
 }
--- /dev/null
+++ b/crates/forwarding/src/directory/rate_limits.rs
@@ -0,0 +1,319 @@
+//! Rate limits that workers name ([`RateLimit`]), and this gateway's tokens for each.
+//!
+//! - A limit holds for as long as the worker names it. An answer without one ends it if its request was sent after the
+//!   worker was last known to name it: answers on different connections pass each other.
+//! - Of a limit, this gateway uses its part ([`LimitSharers`]), one token for each request that it sends or places. A
+//!   worker without a token is not chosen.
+//! - Gateways that place requests tell each other what they were told ([`LimitStatement`]), as one that has no part of
+//!   a limit sends nothing there and would never be told that it has ended. The newest statement counts.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use tansyhall_admission::{BucketDecision, BucketEvent, TokenBucket};
+use tansyhall_core::{ServiceName, Timestamp};
+
+use super::notices::Unavailable;
+use super::Directory;
+use crate::load_exchange::{LimitStatement, WorkerKey};
+use crate::rate_limit::{LimitSharers, RateLimit};
+use crate::selection::Need;
+use crate::worker::WorkerId;
+
+/// How long a limit is kept after the worker was last known to name it: several repetitions by those that are told.
+const LIMIT_MEMORY: Duration = Duration::from_secs(60);
+/// How long it is kept that a limit has ended: longer than older statements are on their way.
+const END_MEMORY: Duration = Duration::from_secs(10);
+/// Pace at which statements are repeated, for gateways that missed one.
+const REPEAT_PACE: Duration = Duration::from_secs(5);
+/// Statements in one report: some 1.2 KB of a datagram.
+const MAX_STATEMENTS: usize = 64;
+/// A limit that differs by less than this part of the one told last is not told again before it is repeated.
+const SAME_LIMIT_DIVISOR: u64 = 10;
+
+/// What became of asking for a token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RateToken {
+    /// The worker names no limit.
+    Unlimited,
+    /// A token of the worker's limit is taken.
+    Taken,
+    /// This gateway has none left.
+    Missing,
+}
+
+/// When the first worker takes a request, and what keeps it from that until then.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FirstAvailable {
+    /// Time until then.
+    pub after: Duration,
+    /// What keeps it.
+    pub until_then: Unavailable,
+}
+
+/// What is known of one worker's limit.
+#[derive(Debug)]
+struct Known {
+    /// The limit; none since it has ended.
+    limit: Option<RateLimit>,
+    /// When the worker was last known to state this.
+    stated_at: Timestamp,
+    /// Whether this gateway has it from an answer, not from another gateway's report.
+    is_first_hand: bool,
+    /// The limit that was told other gateways last.
+    told: Option<RateLimit>,
+    part: RateLimit,
+    bucket: TokenBucket,
+}
+
+impl Known {
+    fn is_of_use(&self, now: Timestamp) -> bool {
+        let memory = match self.limit {
+            Some(_) => LIMIT_MEMORY,
+            None => END_MEMORY,
+        };
+        now.since(self.stated_at) < memory
+    }
+
+    /// Time until this gateway has a token; zero if it has one, or needs none.
+    fn wait(&self, now: Timestamp) -> Duration {
+        match self.limit {
+            Some(_) => {
+                let rate = self.part.millirequests_per_second();
+                self.bucket.wait(now, rate, 1)
+            }
+            None => Duration::ZERO,
+        }
+    }
+}
+
+/// The limits of all workers, by their lives.
+#[derive(Debug, Default)]
+pub(super) struct RateLimits {
+    sharers: LimitSharers,
+    known: HashMap<WorkerKey, Known>,
+    /// Those that are to be told to other gateways.
+    untold: BTreeSet<WorkerKey>,
+    repeated: Timestamp,
+}
+
+impl RateLimits {
+    fn set_sharers(&mut self, sharers: LimitSharers) {
+        self.sharers = sharers;
+        for (key, known) in &mut self.known {
+            if let Some(limit) = known.limit {
+                known.part = self.sharers.part_of(limit, *key);
+            }
+        }
+    }
+
+    /// A worker names a limit in an answer; returns whether it is news.
+    pub(super) fn named(&mut self, now: Timestamp, key: WorkerKey, limit: RateLimit) -> bool {
+        self.state(now, key, Some(limit), now);
+        let Some(known) = self.known.get_mut(&key) else {
+            return false;
+        };
+        known.is_first_hand = true;
+        let is_news = !is_alike(known.told, limit);
+        if is_news {
+            known.told = Some(limit);
+            self.untold.insert(key);
+        }
+        is_news
+    }
+
+    /// A worker named no limit in the answer to a request that was sent at `sent`; returns whether that ends one.
+    fn not_named(&mut self, now: Timestamp, key: WorkerKey, sent: Timestamp) -> bool {
+        let ends = |known: &&mut Known| known.limit.is_some() && sent > known.stated_at;
+        let Some(known) = self.known.get_mut(&key).filter(ends) else {
+            return false;
+        };
+        known.is_first_hand = true;
+        known.told = None;
+        self.state(now, key, None, sent);
+        self.untold.insert(key);
+        true
+    }
+
+    /// Another gateway tells what a worker has stated.
+    pub(super) fn hear(&mut self, now: Timestamp, statement: &LimitStatement) {
+        let stated_at = now - statement.age;
+        let known = self.known.get(&statement.worker);
+        let is_newer = known.is_none_or(|known| stated_at > known.stated_at);
+        if is_newer {
+            self.state(now, statement.worker, statement.limit, stated_at);
+        }
+    }
+
+    fn state(
+        &mut self,
+        now: Timestamp,
+        key: WorkerKey,
+        limit: Option<RateLimit>,
+        stated_at: Timestamp,
+    ) {
+        let part = limit.map(|limit| self.sharers.part_of(limit, key));
+        let known = self.known.entry(key).or_insert_with(|| Known {
+            limit: None,
+            stated_at,
+            is_first_hand: false,
+            told: None,
+            part: RateLimit::default(),
+            bucket: TokenBucket::empty(now),
+        });
+        if known.limit.is_none() {
+            known.bucket = TokenBucket::empty(now);
+        }
+        known.limit = limit;
+        known.part = part.unwrap_or_default();
+        known.stated_at = stated_at;
+    }
+
+    fn limit(&self, key: WorkerKey) -> Option<RateLimit> {
+        self.known.get(&key)?.limit
+    }
+
+    /// Time until this gateway may send to a worker, as far as its limit goes.
+    pub(super) fn wait(&self, now: Timestamp, key: WorkerKey) -> Duration {
+        let known = self.known.get(&key);
+        known.map_or(Duration::ZERO, |known| known.wait(now))
+    }
+
+    fn take(&mut self, now: Timestamp, key: WorkerKey) -> RateToken {
+        let known = self.known.get_mut(&key);
+        let Some(known) = known.filter(|known| known.limit.is_some()) else {
+            return RateToken::Unlimited;
+        };
+        let rate = known.part.millirequests_per_second();
+        match known.bucket.step(now, rate, BucketEvent::Take(1)) {
+            BucketDecision::Admitted => RateToken::Taken,
+            BucketDecision::Refused { .. } => RateToken::Missing,
+        }
+    }
+
+    fn give_back(&mut self, now: Timestamp, key: WorkerKey) {
+        if let Some(known) = self.known.get_mut(&key) {
+            let rate = known.part.millirequests_per_second();
+            known.bucket.step(now, rate, BucketEvent::GiveBack(1));
+        }
+    }
+
+    /// What other gateways are to be told now.
+    pub(super) fn due(&mut self, now: Timestamp) -> Vec<LimitStatement> {
+        if now.since(self.repeated) >= REPEAT_PACE {
+            self.repeated = now;
+            let own = self.known.iter().filter(|(_, known)| known.is_first_hand);
+            self.untold.extend(own.map(|(key, _)| *key));
+        }
+        let due: Vec<WorkerKey> = self.untold.iter().take(MAX_STATEMENTS).copied().collect();
+        let statements = due.iter().filter_map(|key| {
+            let known = self.known.get(key)?;
+            Some(LimitStatement {
+                worker: *key,
+                limit: known.limit,
+                age: now.since(known.stated_at),
+            })
+        });
+        let statements = statements.collect();
+        for key in due {
+            self.untold.remove(&key);
+        }
+        statements
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        self.known.retain(|_, known| known.is_of_use(now));
+    }
+
+    fn len(&self) -> usize {
+        self.known.len()
+    }
+}
+
+/// Whether a limit hardly differs from the one that was told.
+fn is_alike(told: Option<RateLimit>, limit: RateLimit) -> bool {
+    told.is_some_and(|told| {
+        let (told, limit) = (
+            told.millirequests_per_second(),
+            limit.millirequests_per_second(),
+        );
+        told.abs_diff(limit) <= told / SAME_LIMIT_DIVISOR
+    })
+}
+
+impl Directory {
+    /// Takes in the gateways among which limits are divided.
+    pub fn set_limit_sharers(&mut self, sharers: LimitSharers) {
+        self.rate_limits.set_sharers(sharers);
+    }
+
+    /// A worker named no limit in its answer to a request that was sent at `sent`; returns whether that ends one.
+    pub fn rate_limit_not_named(&mut self, now: Timestamp, id: &WorkerId, sent: Timestamp) -> bool {
+        self.rate_limits.not_named(now, WorkerKey::of(id), sent)
+    }
+
+    /// The limit that a worker names.
+    pub fn rate_limit_of(&self, id: &WorkerId) -> Option<RateLimit> {
+        self.rate_limits.limit(WorkerKey::of(id))
+    }
+
+    /// Asks for a token for one request to a worker.
+    pub fn take_rate_token(&mut self, now: Timestamp, id: &WorkerId) -> RateToken {
+        self.rate_limits.take(now, WorkerKey::of(id))
+    }
+
+    /// A token was taken for a request that was not sent.
+    pub fn give_back_rate_token(&mut self, now: Timestamp, id: &WorkerId) {
+        self.rate_limits.give_back(now, WorkerKey::of(id));
+    }
+
+    /// When the first of the workers that serve a need takes a request, if none does now for what it has said of itself.
+    pub fn first_available(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        need: &Need,
+    ) -> Option<FirstAvailable> {
+        let serving = self.eligible.serving(service, need);
+        if self.kept_notices() < serving.len() {
+            return None;
+        }
+        let waits = serving.iter().map(|key| self.wait_for(now, *key));
+        let waits: Option<Vec<FirstAvailable>> = waits.collect();
+        waits?.into_iter().min_by_key(|wait| wait.after)
+    }
+
+    /// Time until the first of the workers that serve a need takes a request, if all are at their rate limits.
+    pub fn rate_limited_for(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        need: &Need,
+    ) -> Option<Duration> {
+        let first = self.first_available(now, service, need)?;
+        (first.until_then == Unavailable::RateLimited).then_some(first.after)
+    }
+
+    /// How long a worker takes no request for what it has said of itself; none if it takes one now.
+    fn wait_for(&self, now: Timestamp, key: WorkerKey) -> Option<FirstAvailable> {
+        let rested = self.notices.rests_until(now, key);
+        let rest = rested.map_or(Duration::ZERO, |until| until.since(now));
+        let token = self.rate_limits.wait(now, key);
+        let until_then = match token > rest {
+            true => Unavailable::RateLimited,
+            false => Unavailable::Resting,
+        };
+        let after = rest.max(token);
+        (!after.is_zero()).then_some(FirstAvailable { after, until_then })
+    }
+
+    /// How many limits of workers are kept, those that have just ended included.
+    pub fn kept_rate_limits(&self) -> usize {
+        self.rate_limits.len()
+    }
+
+    /// Forgets limits that nobody was told of for long.
+    pub(super) fn expire_rate_limits(&mut self, now: Timestamp) {
+        self.rate_limits.expire(now);
+    }
+}
--- a/crates/forwarding/src/directory/sharing.rs
+++ b/crates/forwarding/src/directory/sharing.rs
@@ -25,7 +25,8 @@
             self.demands.drop_stale(now);
         }
         let demands = &self.demands;
-        self.reporter.flush(now, || demands.own(now))
+        let rate_limits = self.rate_limits.due(now);
+        self.reporter.flush(now, rate_limits, || demands.own(now))
     }
 
     /// Takes in another gateway's report.
@@ -38,6 +39,7 @@
         let Decisions {
             reported_load,
             absence: absences_count,
+            worker_notices,
             ..
         } = self.decisions;
         for entry in report.loads.iter().filter(|_| reported_load) {
@@ -50,6 +52,9 @@
         for demand in &report.demands {
             self.demands.hear(now, report.sender, *demand);
         }
+        for statement in report.rate_limits.iter().filter(|_| worker_notices) {
+            self.rate_limits.hear(now, statement);
+        }
         for absence in report.absences.iter().filter(|_| absences_count) {
             if let Some(tracked) = self.workers.get_mut(&absence.worker) {
                 tracked.found_absent(now);
--- a/crates/forwarding/src/directory/tenants.rs
+++ b/crates/forwarding/src/directory/tenants.rs
@@ -47,7 +47,7 @@
     match admission {
         Admission::Taken { .. } => WorkOutcome::Taken,
         Admission::Refused { cause, .. } => match cause {
-            RefusalCause::Overload => WorkOutcome::RefusedForOverload,
+            RefusalCause::Overload | RefusalCause::RateLimit => WorkOutcome::RefusedForOverload,
             RefusalCause::TenantShare => WorkOutcome::RefusedForShare,
         },
     }
--- a/crates/forwarding/src/directory/tracked.rs
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -56,6 +56,8 @@
     Failed,
     /// The worker says that it has no room.
     Refused,
+    /// This gateway did not send it: the worker's rate limit is reached, which says nothing against the worker.
+    Withheld,
     /// The worker cannot be reached.
     Unreachable,
     /// The worker proved not to be there: nothing listens at its address, or another answers.
@@ -260,7 +262,7 @@
                 self.unreachable_pause = (self.unreachable_pause * 2).min(MAX_UNREACHABLE_PAUSE);
             }
             SendResult::Absent => self.found_absent(now),
-            SendResult::Abandoned { silent: false } => {}
+            SendResult::Withheld | SendResult::Abandoned { silent: false } => {}
         }
     }
 
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -37,14 +37,14 @@
 };
 pub use decisions::Decisions;
 pub use directory::{
-    Admission, Demand, Directory, EngineLoad, NoticeNews, Objectives, RefusalCause, SendResult,
-    SendTicket, Unavailable,
+    Admission, Demand, Directory, EngineLoad, FirstAvailable, NoticeNews, Objectives, RateToken,
+    RefusalCause, SendResult, SendTicket, Unavailable,
 };
 pub use event_stream::{CompleteEvents, EventFramer};
 pub use lapsed_workers::LapsedWorkers;
 pub use load_exchange::{
-    Absence, EngineDemand, GatewayKey, Load, LoadEntry, LoadReport, LoadReporter, PartRead,
-    ServiceKey, WorkerKey,
+    Absence, EngineDemand, GatewayKey, LimitStatement, Load, LoadEntry, LoadReport, LoadReporter,
+    PartRead, ServiceKey, WorkerKey,
 };
 pub use mirror::{Item, Mirror, MirrorChange, Snapshot, Touched, Update};
 pub use placement::{
@@ -55,7 +55,7 @@
     Audience, Fingerprint, Heard, Outgoing, Quarantine, QuarantineNews, RequestContent, SendLedger,
     SendNumber, Sighting, Unlisted,
 };
-pub use rate_limit::RateLimit;
+pub use rate_limit::{LimitSharers, RateLimit};
 pub use relay_plan::{Continuation, RelayCandidate, RelayPlan, Upstream};
 pub use request::{
     Action, AttemptPolicy, Conclusion, EventId, PromptHandle, ReadingFailure, RequestEvent,
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cache_view::PartKey;
+use crate::rate_limit::RateLimit;
 use crate::worker::WorkerId;
 
 /// A change of this many tokens is reported at once.
@@ -129,6 +130,17 @@
     pub worker: WorkerKey,
 }
 
+/// What a worker has stated of its rate limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LimitStatement {
+    /// The worker.
+    pub worker: WorkerKey,
+    /// The limit; none if it has ended.
+    pub limit: Option<RateLimit>,
+    /// How long ago the worker stated it.
+    pub age: Duration,
+}
+
 /// What a gateway tells the others.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LoadReport {
@@ -144,6 +156,8 @@
     pub absences: Vec<Absence>,
     /// What is asked of services, when it is due.
     pub demands: Vec<EngineDemand>,
+    /// Rate limits of workers that are new, have ended or are repeated.
+    pub rate_limits: Vec<LimitStatement>,
 }
 
 /// Gathers what is to be told.
@@ -196,10 +210,11 @@
         self.absences.push(Absence { worker });
     }
 
-    /// The report that is due now, if any; `demands` are told at the pace of repetitions.
+    /// The report that is due now, if any, with these limits; `demands` are told at the pace of repetitions.
     pub fn flush(
         &mut self,
         now: Timestamp,
+        rate_limits: Vec<LimitStatement>,
         demands: impl Fn() -> Vec<EngineDemand>,
     ) -> Option<LoadReport> {
         let mut told = Vec::new();
@@ -213,7 +228,8 @@
             due.extend(self.loads.keys().copied());
             told = demands();
         }
-        let nothing_happened = self.parts.is_empty() && self.absences.is_empty();
+        let nothing_happened =
+            self.parts.is_empty() && self.absences.is_empty() && rate_limits.is_empty();
         if due.is_empty() && nothing_happened && told.is_empty() {
             return None;
         }
@@ -234,6 +250,7 @@
                 .collect(),
             absences: std::mem::take(&mut self.absences),
             demands: told,
+            rate_limits,
         })
     }
 }
--- a/crates/forwarding/src/placement/ledger.rs
+++ b/crates/forwarding/src/placement/ledger.rs
@@ -4,13 +4,15 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use tansyhall_core::{Timestamp, ZoneName};
+use tansyhall_core::{ServiceName, Timestamp, ZoneName};
 
 use super::{
     Placement, PlacementAnswer, PlacementId, PlacementMessage, PlacementNeed, PlacementNotice,
     PlacementRequest,
 };
-use crate::directory::{Admission, Demand, Directory, SendResult, SendTicket};
+use crate::directory::{
+    Admission, Demand, Directory, RateToken, RefusalCause, SendResult, SendTicket,
+};
 use crate::load_exchange::GatewayKey;
 use crate::selection::{Need, PromptPart};
 use crate::worker::WorkerId;
@@ -28,6 +30,7 @@
 struct OpenPlacement {
     ticket: SendTicket,
     prompt: Vec<PromptPart>,
+    began: Timestamp,
     over: Timestamp,
 }
 
@@ -68,10 +71,10 @@
         Some(account.place(now, directory, zone, request))
     }
 
-    /// The worker of a placement that a gateway holds open.
-    pub fn worker_of(&self, sender: GatewayKey, id: PlacementId) -> Option<&WorkerId> {
+    /// The worker of a placement that a gateway holds open, and when it was made.
+    pub fn made(&self, sender: GatewayKey, id: PlacementId) -> Option<(&WorkerId, Timestamp)> {
         let open = self.accounts.get(&sender)?.open.get(&id)?;
-        Some(open.ticket.worker())
+        Some((open.ticket.worker(), open.began))
     }
 
     /// Whether some gateway has asked lately.
@@ -170,8 +173,9 @@
         };
         let worker = directory.select(now, demand, &need);
         let Some(worker) = worker.map(|worker| worker.id.clone()) else {
-            return PlacementAnswer::NoWorker;
+            return no_worker(now, directory, &request.service, &need);
         };
+        let has_rate_token = directory.take_rate_token(now, &worker) == RateToken::Taken;
         let ticket = directory.send_began(now, &worker, demand, &need);
         let placement = Placement {
             id: request.id,
@@ -181,9 +185,11 @@
             reading_tokens: ticket.reading_tokens(),
             short_reading: ticket.is_short_reading(),
             expected: ticket.expected(),
+            has_rate_token,
         };
         let open = OpenPlacement {
             ticket,
+            began: now,
             over: now + request.objectives.time_left,
             prompt: request.prompt,
         };
@@ -191,3 +197,20 @@
         PlacementAnswer::Placed(placement)
     }
 }
+
+/// The answer if no worker takes a request.
+fn no_worker(
+    now: Timestamp,
+    directory: &Directory,
+    service: &ServiceName,
+    need: &Need,
+) -> PlacementAnswer {
+    match directory.rate_limited_for(now, service, need) {
+        Some(retry_after) => PlacementAnswer::Refused {
+            cause: RefusalCause::RateLimit,
+            waiting: retry_after,
+            retry_after,
+        },
+        None => PlacementAnswer::NoWorker,
+    }
+}
--- a/crates/forwarding/src/placement/mod.rs
+++ b/crates/forwarding/src/placement/mod.rs
@@ -85,6 +85,8 @@
     pub short_reading: bool,
     /// The time after which its answer is expected to begin.
     pub expected: Duration,
+    /// Whether the scheduler has taken it off the worker's rate limit.
+    pub has_rate_token: bool,
 }
 
 /// A scheduler's answer.
@@ -123,6 +125,8 @@
         result: SendResult,
         /// What the worker has told the gateway of itself, as far as it holds.
         said: WorkerNotice,
+        /// Whether the worker named no rate limit in its answer, though the scheduler had reckoned with one.
+        names_no_limit: bool,
     },
 }
 
--- a/crates/forwarding/src/rate_limit.rs
+++ b/crates/forwarding/src/rate_limit.rs
@@ -1,12 +1,28 @@
-//! Rate limits that workers name for all gateways together.
+//! Rate limits that workers name for all gateways together, and the part of each that one gateway may use.
+//!
+//! A limit is divided without messages. At most as many gateways as requests fit into one second, and
+//! [`EXTRA_HOLDERS`] more, hold a part of a worker's limit, each an equal one; rendezvous hashing names them, so that
+//! gateways that know the same fleet agree. Each part has a token bucket of at least one request. In a time t, a worker
+//! with a limit of R requests a second thus gets at most R t + R + [`EXTRA_HOLDERS`], whatever the size of the fleet.
 
+use tansyhall_core::hash::rendezvous_weight;
+
+use crate::load_exchange::WorkerKey;
+
+/// Gateways that hold a part of a limit beyond the whole requests a second that it allows, so that low limits do not
+/// leave a worker to a single gateway.
+const EXTRA_HOLDERS: u64 = 2;
+/// The lowest rate at which a worker is tried: one that names no requests at all is asked this often whether that holds.
+const LEAST_RATE: RateLimit = RateLimit::from_millirequests_per_second(33);
+/// Thousandths of a request in a request, for whole numbers.
+const MILLI_WHOLE: u64 = 1_000;
 /// Thousandths of a request in a request.
 const MILLI: f64 = 1_000.0;
 /// The highest limit that is told apart, in requests a second: far beyond what a worker can answer.
 const MAX_REQUESTS_PER_SECOND: f64 = 1e9;
 
 /// Requests a second that a worker takes from all gateways together.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct RateLimit {
     millirequests_per_second: u64,
 }
@@ -36,3 +52,49 @@
         self.millirequests_per_second as f64 / MILLI
     }
 }
+
+/// The gateways that send to workers of their own choice, among which limits are divided.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct LimitSharers {
+    own: String,
+    others: Vec<String>,
+    is_sharing: bool,
+}
+
+impl LimitSharers {
+    /// The gateway `own` among all that share; it has no part of any limit if it is none of them.
+    pub fn new<'a>(own: &str, sharing: impl IntoIterator<Item = &'a str>) -> Self {
+        let (own_names, others): (Vec<&str>, Vec<&str>) =
+            sharing.into_iter().partition(|name| *name == own);
+        Self {
+            own: own.to_owned(),
+            others: others.into_iter().map(str::to_owned).collect(),
+            is_sharing: !own_names.is_empty(),
+        }
+    }
+
+    /// The part of a worker's limit that this gateway may use.
+    pub fn part_of(&self, limit: RateLimit, worker: WorkerKey) -> RateLimit {
+        let limit = limit.max(LEAST_RATE);
+        let whole_requests = limit.millirequests_per_second / MILLI_WHOLE;
+        let sharing = self.others.len() as u64 + u64::from(self.is_sharing);
+        let holders = (whole_requests + EXTRA_HOLDERS).min(sharing);
+        let is_holder = self.is_sharing && self.before_own(worker) < holders;
+        let millirequests_per_second = match is_holder {
+            true => limit.millirequests_per_second / holders,
+            false => 0,
+        };
+        RateLimit {
+            millirequests_per_second,
+        }
+    }
+
+    /// How many gateways come before this one for a worker.
+    fn before_own(&self, worker: WorkerKey) -> u64 {
+        let key = worker.0.to_le_bytes();
+        let weight = |name: &str| rendezvous_weight(&key, name.as_bytes());
+        let own = weight(&self.own);
+        let before = self.others.iter().filter(|name| weight(name) > own);
+        before.count() as u64
+    }
+}
--- a/crates/forwarding/src/scheduler_plan.rs
+++ b/crates/forwarding/src/scheduler_plan.rs
@@ -114,10 +114,15 @@
         self.zones.values().map(|zone| zone.schedulers).sum()
     }
 
+    /// The schedulers.
+    pub fn scheduling(&self) -> impl Iterator<Item = &str> {
+        let schedulers = self.zones.values().flat_map(ZoneRanking::scheduling);
+        schedulers.map(String::as_str)
+    }
+
     /// Whether a gateway is a scheduler.
     pub fn is_scheduler(&self, name: &str) -> bool {
-        let mut schedulers = self.zones.values().flat_map(ZoneRanking::scheduling);
-        schedulers.any(|scheduler| scheduler == name)
+        self.scheduling().any(|scheduler| scheduler == name)
     }
 
     /// Whether a gateway hears the schedulers' reports.
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -232,6 +232,7 @@
         parts: Vec::new(),
         absences: Vec::new(),
         demands: Vec::new(),
+        rate_limits: Vec::new(),
     };
     directory.hear(NOW, &report(2, 40_000));
     assert_eq!(
--- a/crates/forwarding/tests/tenant_placements.rs
+++ b/crates/forwarding/tests/tenant_placements.rs
@@ -87,6 +87,7 @@
             id,
             result,
             said: WorkerNotice::default(),
+            names_no_limit: false,
         };
         book.tell(SCHEDULER, ended);
         let zone = ZoneName::new("z");
--- a/crates/forwarding/tests/worker_notices.rs
+++ b/crates/forwarding/tests/worker_notices.rs
@@ -4,9 +4,10 @@
 
 use tansyhall_core::{ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    Demand, Directory, GatewayKey, Need, Objectives, PlacementAnswer, PlacementBook, PlacementId,
-    PlacementLedger, PlacementNeed, PlacementNotice, PlacementRequest, SendResult, SendTicket,
-    Unavailable, Worker, WorkerId, WorkerKind, WorkerNotice, WorkerState, MAX_REST,
+    Demand, Directory, FirstAvailable, GatewayKey, Need, Objectives, PlacementAnswer,
+    PlacementBook, PlacementId, PlacementLedger, PlacementNeed, PlacementNotice, PlacementRequest,
+    SendResult, SendTicket, Unavailable, Worker, WorkerId, WorkerKind, WorkerNotice, WorkerState,
+    MAX_REST,
 };
 
 const NOW: Timestamp = Timestamp::from_millis(10_000);
@@ -218,11 +219,15 @@
     let mut directory = directory(&["a", "b"]);
     let service = ServiceName::new("s");
     directory.take_notice(NOW, &named("a"), rests(REST * 2));
-    assert_eq!(directory.all_rest_for(NOW, &service, &Need::Run), None);
+    assert_eq!(directory.first_available(NOW, &service, &Need::Run), None);
     directory.take_notice(NOW, &named("b"), rests(REST));
-    let first = directory.all_rest_for(NOW, &service, &Need::Run);
-    assert_eq!(first, Some(REST));
-    let later = directory.all_rest_for(NOW + REST, &service, &Need::Run);
+    let first = directory.first_available(NOW, &service, &Need::Run);
+    let rest = FirstAvailable {
+        after: REST,
+        until_then: Unavailable::Resting,
+    };
+    assert_eq!(first, Some(rest));
+    let later = directory.first_available(NOW + REST, &service, &Need::Run);
     assert_eq!(later, None);
 }
 
@@ -359,20 +364,21 @@
         panic!("not placed: {answer:?}");
     };
     let id = placement.id;
-    let worker = fleet.ledger.worker_of(GatewayKey(2), id);
-    assert_eq!(worker, Some(&named("a")));
-    assert_eq!(fleet.ledger.worker_of(GatewayKey(3), id), None);
+    let made = fleet.ledger.made(GatewayKey(2), id);
+    assert_eq!(made, Some((&named("a"), NOW)));
+    assert_eq!(fleet.ledger.made(GatewayKey(3), id), None);
     let ended = PlacementNotice::Ended {
         id,
         result: SendResult::Refused,
         said: rests(REST),
+        names_no_limit: false,
     };
     fleet.books[0].tell(SCHEDULER, ended);
     for (_, message) in fleet.books[0].flush() {
         let zone = ZoneName::new("z");
         fleet.ledger.take(NOW, &mut fleet.directory, &zone, message);
     }
-    assert_eq!(fleet.ledger.worker_of(GatewayKey(2), id), None);
+    assert_eq!(fleet.ledger.made(GatewayKey(2), id), None);
 }
 
 #[test]
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -19,7 +19,7 @@
 use parking_lot::Mutex;
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::Timestamp;
-use tansyhall_forwarding::{Unavailable, WorkerId};
+use tansyhall_forwarding::{RateToken, Unavailable, WorkerId};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -123,7 +123,22 @@
         request: &WorkerRequest,
     ) -> Result<WorkerAnswer, SendError> {
         self.notices.permit(&destination.worker, request.asked)?;
-        let mut built = build(destination, request)?;
+        let built = build(destination, request)?;
+        let token = self.notices.take_rate_token(&destination.worker, request)?;
+        let sent = self.send_built(destination, request, built).await;
+        if let (RateToken::Taken, Err(SendError::NotSent(_))) = (token, &sent) {
+            self.notices.give_back_rate_token(&destination.worker);
+        }
+        sent
+    }
+
+    /// Sends it on a kept connection, or on a new one.
+    async fn send_built(
+        self: &Arc<Self>,
+        destination: &Destination,
+        request: &WorkerRequest,
+        mut built: hyper::Request<Full<Bytes>>,
+    ) -> Result<WorkerAnswer, SendError> {
         let id = self.correlation.id_of(request);
         while let Some(connection) = id.and_then(|id| self.take(&destination.worker, id)) {
             match self.send_on(destination, connection, request, built).await {
@@ -212,6 +227,7 @@
         request: &WorkerRequest,
         built: hyper::Request<Full<Bytes>>,
     ) -> Result<WorkerAnswer, Attempt> {
+        let sent = self.clock.now();
         let response = match connection.sender.try_send_request(built).await {
             Ok(response) => response,
             Err(mut error) => {
@@ -225,16 +241,17 @@
             }
         };
         connection.heard = self.clock.now();
-        let answered = self.answer_of(destination, connection, request, response);
+        let answered = self.answer_of(destination, connection, request, sent, response);
         answered.map_err(Attempt::Failed)
     }
 
-    /// The answer that came on a connection, if it is the request's.
+    /// The answer that came on a connection, if it is the one to the request that was sent at `sent`.
     fn answer_of(
         self: &Arc<Self>,
         destination: &Destination,
         mut connection: Connection,
         request: &WorkerRequest,
+        sent: Timestamp,
         response: hyper::Response<Incoming>,
     ) -> Result<WorkerAnswer, SendError> {
         let (head, incoming) = response.into_parts();
@@ -250,7 +267,8 @@
         let checked = self.correlation.check(worker, request, compared);
         checked.map_err(|foreign| self.foreign_answer(worker, foreign))?;
         let status = head.status.as_u16();
-        self.notices.hear(worker, request.asked, status, &headers);
+        self.notices
+            .hear(worker, request.asked, sent, status, &headers);
         let id = self.correlation.id_of(request);
         let usable_until = id.and_then(|id| {
             connection.carried.note(id);
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -114,6 +114,13 @@
         /// Requests a second that it takes from all gateways together.
         requests_per_second: f64,
     },
+    /// A worker that named a rate limit names none any more.
+    WorkerRateLimitEnded {
+        /// The worker.
+        worker: &'a str,
+        /// Who says so, as in `worker_leaving`.
+        source: &'a str,
+    },
     /// A worker has ended under requests that this gateway had sent it.
     WorkerEnded {
         /// The worker.
@@ -195,8 +202,8 @@
         configuration: u64,
         /// How it ended.
         outcome: &'a str,
-        /// Why it was not sent, or not once more: `overload`, `tenant_share`, `no_worker`, `workers_rest`,
-        /// `retry_budget`, or empty.
+        /// Why it was not sent, or not once more: `overload`, `tenant_share`, `rate_limit`, `no_worker`,
+        /// `workers_rest`, `retry_budget`, or empty.
         cause: &'a str,
         /// Milliseconds that its prompt would have waited, if that is why.
         waiting_ms: u64,
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -279,6 +279,7 @@
         let protocol = &self.shared.protocol;
         WorkerRequest {
             asked: guard.asked(),
+            has_rate_token: guard.has_rate_token(),
             method: self.request.method.clone(),
             target: self.request.target.clone(),
             headers: protocol.worker_headers(&self.request.headers, &terms),
@@ -365,6 +366,7 @@
     match cause {
         RefusalCause::Overload => "overload",
         RefusalCause::TenantShare => "tenant_share",
+        RefusalCause::RateLimit => "rate_limit",
     }
 }
 
--- a/crates/gateway/src/exchange/placing.rs
+++ b/crates/gateway/src/exchange/placing.rs
@@ -2,13 +2,14 @@
 
 use tansyhall_core::{Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    Admission, Demand, Need, Objectives, PlacementNeed, PlacementRequest, TenantKey, WorkerId,
+    Admission, Demand, Need, Objectives, PlacementNeed, PlacementRequest, RefusalCause, TenantKey,
+    Unavailable, WorkerId,
 };
 
 use super::Exchange;
 use crate::placement::{self, Answered, OpenPlacement};
 
-/// The part of the time until a worker is back from its rest by which callers come later at the most.
+/// The part of the time until a worker takes requests again by which callers come later at the most.
 const RETURN_SPREAD: f64 = 0.25;
 
 impl Exchange {
@@ -100,6 +101,10 @@
         let asked = PlacementNeed::Worker { need: need.clone() };
         match self.ask_scheduler(asked, &avoid).await {
             Some(Answered::Placed(placed)) if placed.is_available() => Some(self.go_to(placed)),
+            Some(Answered::Refused {
+                cause: RefusalCause::RateLimit,
+                ..
+            }) => None,
             _ => self.select_by_itself(&need, &avoid),
         }
     }
@@ -118,21 +123,22 @@
         Some(worker.id.clone())
     }
 
-    /// No worker is left for a need. If that is since all rest, the caller learns when the first is back; a little
-    /// later for some, so that they do not come all at once.
+    /// No worker is left for a need. If that is for what all have said of themselves, the caller learns when the first
+    /// is back; a little later for some, so that they do not come all at once.
     pub(super) fn note_no_worker(&mut self, need: &Need) {
         let now = self.shared.now();
         let service = &self.request.routed.service;
-        let first_back = self
-            .shared
-            .directory
-            .lock()
-            .all_rest_for(now, service, need);
-        self.cause = "no_worker";
-        if let Some(first_back) = first_back {
-            self.cause = "workers_rest";
+        let directory = self.shared.directory.lock();
+        let first = directory.first_available(now, service, need);
+        drop(directory);
+        self.cause = match first.map(|first| first.until_then) {
+            None => "no_worker",
+            Some(Unavailable::RateLimited) => "rate_limit",
+            Some(Unavailable::Resting | Unavailable::Leaving) => "workers_rest",
+        };
+        if let Some(first) = first {
             let later = rand::random_range(0.0..RETURN_SPREAD);
-            self.retry_after = first_back.mul_f64(1.0 + later);
+            self.retry_after = first.after.mul_f64(1.0 + later);
         }
     }
 }
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -6,7 +6,7 @@
 
 use prost::Message;
 use tansyhall_forwarding::scheduler_plan::FULL_EXCHANGE;
-use tansyhall_forwarding::LoadReport;
+use tansyhall_forwarding::{LimitSharers, LoadReport};
 use tokio::time::sleep;
 
 use crate::authority_claim;
@@ -30,9 +30,11 @@
 
 async fn send(shared: &Shared) {
     let mut expired = shared.now();
+    let mut divided = None;
     loop {
         let fleet = shared.fleet.read().clone();
         sleep(pace(&fleet)).await;
+        divide_limits(shared, &fleet, &mut divided);
         let now = shared.now();
         if now.since(expired) >= EXPIRY_PACE {
             expired = now;
@@ -50,6 +52,35 @@
     }
 }
 
+/// Divides the rate limits of workers anew if the gateways that place requests are not those of `divided` any more.
+fn divide_limits(shared: &Shared, fleet: &Arc<Fleet>, divided: &mut Option<Division>) {
+    let settings = shared.settings.read();
+    let schedulers = settings.decisions.schedulers;
+    let is_same = |division: &Division| {
+        Arc::ptr_eq(&division.fleet, fleet) && division.schedulers == schedulers
+    };
+    if divided.as_ref().is_some_and(is_same) {
+        return;
+    }
+    let own = settings.node.name.as_str();
+    let sharers = match schedulers {
+        true => LimitSharers::new(own, fleet.plan.scheduling()),
+        false => LimitSharers::new(own, fleet.names()),
+    };
+    shared.directory.lock().set_limit_sharers(sharers);
+    *divided = Some(Division {
+        fleet: Arc::clone(fleet),
+        schedulers,
+    });
+}
+
+/// Among whom rate limits are divided.
+struct Division {
+    fleet: Arc<Fleet>,
+    /// Whether schedulers place the requests of all.
+    schedulers: bool,
+}
+
 /// Other schedulers. In a small fleet, where each gateway places its own requests, none counts: there are
 /// few engines, and to compare a part of them was worth 0.02 less on a fleet of eight gateways.
 fn other_schedulers(shared: &Shared, fleet: &Fleet) -> usize {
--- a/crates/gateway/src/load_messages.rs
+++ b/crates/gateway/src/load_messages.rs
@@ -1,9 +1,11 @@
 //! Reports of load as they are sent.
 
+use std::time::Duration;
+
 use prost::Message;
 use tansyhall_forwarding::{
-    Absence, EngineDemand, GatewayKey, Load, LoadEntry, LoadReport, PartKey, PartRead, ServiceKey,
-    WorkerKey,
+    Absence, EngineDemand, GatewayKey, LimitStatement, Load, LoadEntry, LoadReport, PartKey,
+    PartRead, RateLimit, ServiceKey, WorkerKey,
 };
 
 /// A report on the wire.
@@ -27,6 +29,23 @@
     /// What is asked of services.
     #[prost(message, repeated, tag = "6")]
     pub demands: Vec<DemandMessage>,
+    /// What workers have stated of their rate limits; gateways of earlier versions don't tell it.
+    #[prost(message, repeated, tag = "7")]
+    pub rate_limits: Vec<LimitMessage>,
+}
+
+/// What a worker has stated of its rate limit, on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct LimitMessage {
+    /// The worker's key.
+    #[prost(fixed64, tag = "1")]
+    pub worker: u64,
+    /// The limit in thousandths of a request a second; none if it has ended.
+    #[prost(uint64, optional, tag = "2")]
+    pub limit_milli: Option<u64>,
+    /// How many milliseconds ago the worker stated it.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 
 /// What is asked of a service, on the wire.
@@ -91,6 +110,7 @@
         parts: report.parts.iter().map(encode_part).collect(),
         absences: report.absences.iter().map(|one| one.worker.0).collect(),
         demands: report.demands.iter().map(encode_demand).collect(),
+        rate_limits: report.rate_limits.iter().map(encode_limit).collect(),
     }
 }
 
@@ -103,6 +123,23 @@
     }
 }
 
+fn encode_limit(statement: &LimitStatement) -> LimitMessage {
+    LimitMessage {
+        worker: statement.worker.0,
+        limit_milli: statement.limit.map(RateLimit::millirequests_per_second),
+        age_ms: u64::try_from(statement.age.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+fn decode_limit(message: &LimitMessage) -> LimitStatement {
+    let limit = message.limit_milli;
+    LimitStatement {
+        worker: WorkerKey(message.worker),
+        limit: limit.map(RateLimit::from_millirequests_per_second),
+        age: Duration::from_millis(message.age_ms),
+    }
+}
+
 /// What is no possible figure counts as nothing.
 fn possible(figure: f32) -> f64 {
     match figure.is_finite() && figure >= 0.0 {
@@ -160,5 +197,6 @@
         parts: message.parts.into_iter().map(decode_part).collect(),
         absences: absences.collect(),
         demands: message.demands.iter().map(decode_demand).collect(),
+        rate_limits: message.rate_limits.iter().map(decode_limit).collect(),
     }
 }
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -78,16 +78,25 @@
         let now = self.shared.now();
         let worker = &self.placement.worker;
         let said = self.shared.directory.lock().notice_of(now, worker);
-        let id = self.placement.id;
-        self.tell(PlacementNotice::Ended { id, result, said });
+        let is_answered = matches!(result, SendResult::Answered { .. });
+        let is_limited = said.rate_limit.is_some();
+        self.tell(PlacementNotice::Ended {
+            id: self.placement.id,
+            result,
+            said,
+            names_no_limit: self.placement.has_rate_token && is_answered && !is_limited,
+        });
     }
 
-    /// Whether the worker has said nothing that keeps this gateway from sending to it.
+    /// Whether the worker has said nothing that keeps this gateway from sending to it. A rate limit does if the
+    /// scheduler has not reckoned with it.
     pub fn is_available(&self) -> bool {
         let now = self.shared.now();
+        let worker = &self.placement.worker;
         let directory = self.shared.directory.lock();
-        let unavailable = directory.unavailable(now, &self.placement.worker);
-        unavailable.is_none()
+        let is_uncounted =
+            directory.rate_limit_of(worker).is_some() && !self.placement.has_rate_token;
+        directory.unavailable(now, worker).is_none() && !is_uncounted
     }
 
     fn tell(&self, notice: PlacementNotice) {
--- a/crates/gateway/src/placement/codec.rs
+++ b/crates/gateway/src/placement/codec.rs
@@ -6,8 +6,8 @@
 use tansyhall_core::ServiceName;
 use tansyhall_forwarding::{
     GatewayKey, Need, Objectives, Placement, PlacementAnswer, PlacementId, PlacementMessage,
-    PlacementNeed, PlacementNotice, PlacementRequest, PromptPart, RefusalCause, SendResult,
-    TenantKey, WorkerId, WorkerNotice, MAX_REST,
+    PlacementNeed, PlacementNotice, PlacementRequest, PromptPart, RateLimit, RefusalCause,
+    SendResult, TenantKey, WorkerId, WorkerNotice, MAX_REST,
 };
 
 use super::message::{
@@ -59,7 +59,7 @@
             SendResult::Unreachable => NoticeKind::Unreachable,
             SendResult::Absent => NoticeKind::Absent,
             SendResult::Abandoned { silent: true } => NoticeKind::AbandonedSilent,
-            SendResult::Abandoned { silent: false } => NoticeKind::Abandoned,
+            SendResult::Withheld | SendResult::Abandoned { silent: false } => NoticeKind::Abandoned,
         }
     }
 }
@@ -73,7 +73,12 @@
                 latency_micros: micros(latency),
                 ..Self::default()
             },
-            PlacementNotice::Ended { id, result, said } => Self {
+            PlacementNotice::Ended {
+                id,
+                result,
+                said,
+                names_no_limit,
+            } => Self {
                 id: id.0,
                 kind: NoticeKind::of(result) as i32,
                 latency_micros: match result {
@@ -82,6 +87,8 @@
                 },
                 worker_leaves: said.leaves,
                 rest_micros: said.rest.map_or(0, micros),
+                rate_limit_milli: said.rate_limit.map(RateLimit::millirequests_per_second),
+                names_no_limit,
             },
         }
     }
@@ -108,9 +115,16 @@
         let said = WorkerNotice {
             leaves: message.worker_leaves,
             rest: (!rest.is_zero()).then_some(rest),
-            rate_limit: None,
+            rate_limit: message
+                .rate_limit_milli
+                .map(RateLimit::from_millirequests_per_second),
         };
-        Ok(PlacementNotice::Ended { id, result, said })
+        Ok(PlacementNotice::Ended {
+            id,
+            result,
+            said,
+            names_no_limit: message.names_no_limit,
+        })
     }
 }
 
@@ -200,6 +214,7 @@
             } => {
                 let refused = RefusedMessage {
                     tenant_share: *cause == RefusalCause::TenantShare,
+                    rate_limit: *cause == RefusalCause::RateLimit,
                     waiting_micros: micros(*waiting),
                     retry_after_micros: micros(*retry_after),
                 };
@@ -219,9 +234,10 @@
         let answer = match (self.placed, self.refused) {
             (Some(placed), _) => PlacementAnswer::Placed(placed.decode_placement(id)?),
             (None, Some(refused)) => PlacementAnswer::Refused {
-                cause: match refused.tenant_share {
-                    true => RefusalCause::TenantShare,
-                    false => RefusalCause::Overload,
+                cause: match (refused.rate_limit, refused.tenant_share) {
+                    (true, _) => RefusalCause::RateLimit,
+                    (false, true) => RefusalCause::TenantShare,
+                    (false, false) => RefusalCause::Overload,
                 },
                 waiting: Duration::from_micros(refused.waiting_micros),
                 retry_after: Duration::from_micros(refused.retry_after_micros),
@@ -242,6 +258,7 @@
             reading_tokens: placement.reading_tokens,
             short_reading: placement.short_reading,
             expected_micros: micros(placement.expected),
+            has_rate_token: placement.has_rate_token,
         }
     }
 }
@@ -260,6 +277,7 @@
             reading_tokens: self.reading_tokens,
             short_reading: self.short_reading,
             expected: Duration::from_micros(self.expected_micros),
+            has_rate_token: self.has_rate_token,
         })
     }
 }
--- a/crates/gateway/src/placement/message.rs
+++ b/crates/gateway/src/placement/message.rs
@@ -41,6 +41,13 @@
     /// Microseconds for which the worker wants nothing more; gateways of earlier versions don't tell it.
     #[prost(uint64, tag = "5")]
     pub rest_micros: u64,
+    /// Thousandths of a request a second that the worker takes from all gateways together, if it names a limit;
+    /// gateways of earlier versions don't tell it.
+    #[prost(uint64, optional, tag = "6")]
+    pub rate_limit_milli: Option<u64>,
+    /// Whether the worker named no limit though the scheduler had reckoned with one.
+    #[prost(bool, tag = "7")]
+    pub names_no_limit: bool,
 }
 
 /// What may happen to a placement.
@@ -169,6 +176,9 @@
     /// Microseconds until the answer is expected.
     #[prost(uint64, tag = "6")]
     pub expected_micros: u64,
+    /// Whether it is taken off the worker's rate limit; schedulers of earlier versions don't know of limits.
+    #[prost(bool, tag = "7")]
+    pub has_rate_token: bool,
 }
 
 /// Why a request was refused.
@@ -183,4 +193,7 @@
     /// Whether its tenant's share is the cause.
     #[prost(bool, tag = "3")]
     pub tenant_share: bool,
+    /// Whether the rate limits of all workers are the cause; gateways of earlier versions take it for overload.
+    #[prost(bool, tag = "4")]
+    pub rate_limit: bool,
 }
--- a/crates/gateway/src/placement/server.rs
+++ b/crates/gateway/src/placement/server.rs
@@ -41,16 +41,29 @@
 /// Takes in what workers have told the gateway of themselves.
 fn hear_of_workers(shared: &Shared, message: &PlacementMessage) {
     for notice in &message.notices {
-        let PlacementNotice::Ended { id, said, .. } = notice else {
+        let PlacementNotice::Ended {
+            id,
+            said,
+            names_no_limit,
+            ..
+        } = notice
+        else {
             continue;
         };
-        if *said == WorkerNotice::default() {
+        if *said == WorkerNotice::default() && !names_no_limit {
             continue;
         }
-        let worker = shared.ledger.lock().worker_of(message.sender, *id).cloned();
-        if let Some(worker) = worker {
-            let notices = &shared.connections.notices;
-            notices.take(&worker, *said, NoticeSource::Gateway);
+        let ledger = shared.ledger.lock();
+        let made = ledger.made(message.sender, *id);
+        let made = made.map(|(worker, placed)| (worker.clone(), placed));
+        drop(ledger);
+        let Some((worker, placed)) = made else {
+            continue;
+        };
+        let notices = &shared.connections.notices;
+        notices.take(&worker, *said, NoticeSource::Gateway);
+        if *names_no_limit {
+            notices.rate_limit_not_named(&worker, placed, NoticeSource::Gateway);
         }
     }
 }
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -6,7 +6,8 @@
 
 use tansyhall_core::{ServiceName, Timestamp};
 use tansyhall_forwarding::{
-    Demand, Fingerprint, Need, Placement, PromptPart, SendNumber, SendResult, SendTicket, WorkerId,
+    Demand, Fingerprint, Need, Placement, PromptPart, SendNumber, SendResult, SendTicket,
+    Unavailable, WorkerId,
 };
 
 use crate::connections::Unconnected;
@@ -19,6 +20,7 @@
 pub fn result_of(reason: &Unconnected) -> SendResult {
     match reason {
         Unconnected::NothingListens => SendResult::Absent,
+        Unconnected::Unwanted(Unavailable::RateLimited) => SendResult::Withheld,
         Unconnected::TooMany | Unconnected::Unwanted(_) => SendResult::Refused,
         Unconnected::Failed(_) => SendResult::Unreachable,
     }
@@ -113,6 +115,11 @@
         }
     }
 
+    /// Whether the scheduler that placed it has taken it off the worker's rate limit.
+    pub fn has_rate_token(&self) -> bool {
+        self.placed().is_some_and(|placed| placed.has_rate_token)
+    }
+
     /// The time after which the answer was expected when the send began.
     pub fn expected(&self) -> Duration {
         match self.placed() {
@@ -135,7 +142,10 @@
     fn may_run(&self) -> bool {
         let is_unsent = matches!(
             self.result,
-            SendResult::Refused | SendResult::Unreachable | SendResult::Absent
+            SendResult::Refused
+                | SendResult::Withheld
+                | SendResult::Unreachable
+                | SendResult::Absent
         );
         !self.is_whole && !is_unsent
     }
@@ -226,6 +236,7 @@
         SendResult::Answered { .. } => "answered",
         SendResult::Failed => "failed",
         SendResult::Refused => "refused",
+        SendResult::Withheld => "withheld",
         SendResult::Unreachable => "unreachable",
         SendResult::Absent => "absent",
         SendResult::Abandoned { silent: true } => "abandoned_silent",
--- a/crates/gateway/src/worker_notices.rs
+++ b/crates/gateway/src/worker_notices.rs
@@ -1,20 +1,25 @@
-//! What workers say of themselves along with their answers: that they leave, or want rest. The directory of workers
-//! keeps it; here it is read off answers, and holds for all that is about to be sent.
+//! What workers say of themselves along with their answers: that they leave, want rest, or take so many requests a
+//! second. The directory of workers keeps it; here it is read off answers, and holds for all that is about to be sent.
 
 use std::fmt;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
 use prometheus::IntCounterVec;
 use tansyhall_core::time::MonotonicClock;
-use tansyhall_forwarding::{Directory, Unavailable, WorkerId, WorkerNotice};
+use tansyhall_core::Timestamp;
+use tansyhall_forwarding::{Directory, RateToken, Unavailable, WorkerId, WorkerNotice};
 
 use crate::connections::{SendError, Unconnected};
 use crate::events::{Event, EventLog, Weight};
 use crate::headers::HeaderList;
 use crate::protocol::Protocol;
 use crate::state::whole_millis;
-use crate::worker_request::Asked;
+use crate::worker_request::{Asked, WorkerRequest};
+
+/// Statuses of answers that tell a success.
+const SUCCESSES: RangeInclusive<u16> = 200..=299;
 
 /// Where a notice comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,11 +73,39 @@
         }
     }
 
-    /// A worker has answered what was asked of it.
-    pub fn hear(&self, worker: &WorkerId, asked: Asked, status: u16, headers: &HeaderList) {
+    /// A worker has answered what was sent at `sent`.
+    pub fn hear(
+        &self,
+        worker: &WorkerId,
+        asked: Asked,
+        sent: Timestamp,
+        status: u16,
+        headers: &HeaderList,
+    ) {
+        let source = NoticeSource::Answer(asked);
         let notice = self.protocol.worker_notice(status, headers);
         if notice != WorkerNotice::default() {
-            self.take(worker, notice, NoticeSource::Answer(asked));
+            self.take(worker, notice, source);
+        }
+        // A worker that turns work away, or answers something else, may not name its limit there.
+        let is_success = SUCCESSES.contains(&status);
+        if asked.is_work() && is_success && notice.rate_limit.is_none() {
+            self.rate_limit_not_named(worker, sent, source);
+        }
+    }
+
+    /// A worker named no rate limit in its answer to what was sent, or placed, at `sent`.
+    pub fn rate_limit_not_named(&self, worker: &WorkerId, sent: Timestamp, source: NoticeSource) {
+        let now = self.clock.now();
+        let mut directory = self.directory.lock();
+        let ended = directory.rate_limit_not_named(now, worker, sent);
+        drop(directory);
+        if ended {
+            let event = Event::WorkerRateLimitEnded {
+                worker: worker.as_str(),
+                source: source.name(),
+            };
+            self.log.record(Weight::Routine, &event);
         }
     }
 
@@ -108,6 +141,31 @@
         }
     }
 
+    /// Takes a token of the worker's rate limit for a request that is about to be sent, unless it has one.
+    pub fn take_rate_token(
+        &self,
+        worker: &WorkerId,
+        request: &WorkerRequest,
+    ) -> Result<RateToken, SendError> {
+        if request.has_rate_token || !request.asked.is_work() {
+            return Ok(RateToken::Unlimited);
+        }
+        let now = self.clock.now();
+        match self.directory.lock().take_rate_token(now, worker) {
+            RateToken::Missing => {
+                let reached = Unconnected::Unwanted(Unavailable::RateLimited);
+                Err(SendError::NotSent(reached))
+            }
+            token => Ok(token),
+        }
+    }
+
+    /// A request for which a token was taken was not sent.
+    pub fn give_back_rate_token(&self, worker: &WorkerId) {
+        let now = self.clock.now();
+        self.directory.lock().give_back_rate_token(now, worker);
+    }
+
     /// Whether something may be sent to a worker, as far as it has said. One that leaves still frees what it keeps
     /// for requests that went on elsewhere.
     pub fn permit(&self, worker: &WorkerId, asked: Asked) -> Result<(), SendError> {
--- a/crates/gateway/src/worker_request.rs
+++ b/crates/gateway/src/worker_request.rs
@@ -23,6 +23,11 @@
 }
 
 impl Asked {
+    /// Whether it is a caller's work, which counts against the worker's rate limit.
+    pub fn is_work(self) -> bool {
+        matches!(self, Asked::Run | Asked::ReadPrompt)
+    }
+
     /// Its name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -41,6 +46,8 @@
 pub struct WorkerRequest {
     /// What is asked.
     pub asked: Asked,
+    /// Whether a scheduler has taken it off the worker's rate limit already.
+    pub has_rate_token: bool,
     /// The method.
     pub method: String,
     /// Path and query as the caller sent them.
@@ -56,6 +63,7 @@
     pub fn of_call(asked: Asked, call: WorkerCall) -> Self {
         Self {
             asked,
+            has_rate_token: false,
             method: call.method.to_owned(),
             target: call.path,
             headers: call.headers,
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -7,11 +7,12 @@
 use tansyhall_core::ServiceName;
 use tansyhall_fixed_cases::fixed_number_of_cases;
 use tansyhall_forwarding::{
-    GatewayKey, Need, Objectives, Placement, PlacementAnswer, PlacementId, PlacementMessage,
-    PlacementNeed, PlacementNotice, PlacementRequest, PromptPart, RefusalCause, SendResult,
-    TenantKey, WorkerId, WorkerNotice,
+    GatewayKey, LimitStatement, LoadReport, Need, Objectives, Placement, PlacementAnswer,
+    PlacementId, PlacementMessage, PlacementNeed, PlacementNotice, PlacementRequest, PromptPart,
+    RateLimit, RefusalCause, SendResult, TenantKey, WorkerId, WorkerKey, WorkerNotice,
 };
 use tansyhall_gateway::datagrams::Datagram;
+use tansyhall_gateway::load_messages::{decode, encode};
 use tansyhall_gateway::placement::{AnswerMessage, QuestionMessage};
 
 /// Seed of the property tests.
@@ -48,10 +49,13 @@
 
 fn said() -> impl Strategy<Value = WorkerNotice> {
     let rest = prop::option::of((1_u64..10_000_000).prop_map(Duration::from_micros));
-    (any::<bool>(), rest).prop_map(|(leaves, rest)| WorkerNotice {
-        leaves,
-        rest,
-        ..WorkerNotice::default()
+    let limit = any::<u64>().prop_map(RateLimit::from_millirequests_per_second);
+    (any::<bool>(), rest, prop::option::of(limit)).prop_map(|(leaves, rest, rate_limit)| {
+        WorkerNotice {
+            leaves,
+            rest,
+            rate_limit,
+        }
     })
 }
 
@@ -59,10 +63,13 @@
     let id = any::<u64>().prop_map(PlacementId);
     prop_oneof![
         (id.clone(), span()).prop_map(|(id, latency)| PlacementNotice::PromptRead { id, latency }),
-        (id, result(), said()).prop_map(|(id, result, said)| PlacementNotice::Ended {
-            id,
-            result,
-            said
+        (id, result(), said(), any::<bool>()).prop_map(|(id, result, said, names_no_limit)| {
+            PlacementNotice::Ended {
+                id,
+                result,
+                said,
+                names_no_limit,
+            }
         }),
     ]
 }
@@ -108,20 +115,24 @@
 }
 
 fn answer() -> impl Strategy<Value = PlacementAnswer> {
-    let placement = (worker(), any::<[bool; 3]>(), any::<u32>(), span()).prop_map(
-        |(worker, [read_apart, fetches, short_reading], tokens, expected)| Placement {
-            id: PlacementId(7),
-            worker,
-            read_apart,
-            fetch_from: fetches.then(|| "10.0.0.9:8080".parse().expect("an address")),
-            reading_tokens: u64::from(tokens),
-            short_reading,
-            expected,
+    let placement = (worker(), any::<[bool; 4]>(), any::<u32>(), span()).prop_map(
+        |(worker, [read_apart, fetches, short_reading, has_rate_token], tokens, expected)| {
+            Placement {
+                id: PlacementId(7),
+                worker,
+                read_apart,
+                fetch_from: fetches.then(|| "10.0.0.9:8080".parse().expect("an address")),
+                reading_tokens: u64::from(tokens),
+                short_reading,
+                expected,
+                has_rate_token,
+            }
         },
     );
     let cause = prop_oneof![
         Just(RefusalCause::Overload),
-        Just(RefusalCause::TenantShare)
+        Just(RefusalCause::TenantShare),
+        Just(RefusalCause::RateLimit),
     ];
     prop_oneof![
         placement.prop_map(PlacementAnswer::Placed),
@@ -191,3 +202,24 @@
     }
     assert!(answer.decode_answer().is_err());
 }
+
+#[test]
+fn reports_of_rate_limits_arrive_as_they_were_sent() {
+    let statement = |limit: Option<u64>| LimitStatement {
+        worker: WorkerKey(7),
+        limit: limit.map(RateLimit::from_millirequests_per_second),
+        age: Duration::from_millis(1_500),
+    };
+    let report = LoadReport {
+        sender: GatewayKey(1),
+        sequence: 2,
+        loads: Vec::new(),
+        parts: Vec::new(),
+        absences: Vec::new(),
+        demands: Vec::new(),
+        rate_limits: vec![statement(Some(6_300)), statement(Some(0)), statement(None)],
+    };
+    let datagram = sent(&Datagram::report(encode(&report)));
+    let arrived = decode(datagram.report.expect("a report"));
+    assert_eq!(arrived, report);
+}
--- a/crates/gateway/tests/production_messages.rs
+++ b/crates/gateway/tests/production_messages.rs
@@ -1,13 +1,15 @@
 //! Messages between gateways as the build in production writes them: this build reads them and, where it has nothing
 //! more to say, writes the same bytes, so that the other reads these. `production/` holds one file for each message.
 
+use std::time::Duration;
+
 use proptest::prelude::*;
 use prost::Message;
 use tansyhall_core::Role;
 use tansyhall_fixed_cases::fixed_number_of_cases;
 use tansyhall_forwarding::{
-    Mirror, Need, PlacementMessage, PlacementNeed, PlacementNotice, SendResult, WorkerId,
-    WorkerNotice,
+    Mirror, Need, PlacementAnswer, PlacementMessage, PlacementNeed, PlacementNotice, SendResult,
+    WorkerId, WorkerNotice,
 };
 use tansyhall_gateway::authority_claim::AuthorityClaim;
 use tansyhall_gateway::cache_recovery::CachesMessage;
@@ -98,6 +100,7 @@
             places: 2.5,
             decoders: 3.5,
         }],
+        rate_limits: Vec::new(),
     };
     assert_eq!(report, expected);
 }
@@ -115,15 +118,30 @@
 }
 
 #[test]
-fn the_end_of_a_placement_says_nothing_of_its_worker() {
+fn the_end_of_a_placement_says_what_it_said_of_its_worker() {
     let question = datagram("notices").question.expect("a question");
     let message = PlacementMessage::try_from(question).expect("a message");
     let ends = message.notices.iter().filter_map(|notice| match notice {
-        PlacementNotice::Ended { result, said, .. } => Some((*result, *said)),
+        PlacementNotice::Ended {
+            result,
+            said,
+            names_no_limit,
+            ..
+        } => Some((*result, *said, *names_no_limit)),
         PlacementNotice::PromptRead { .. } => None,
     });
-    let ends: Vec<(SendResult, WorkerNotice)> = ends.collect();
-    assert_eq!(ends, [(SendResult::Refused, WorkerNotice::default())]);
+    let ends: Vec<(SendResult, WorkerNotice, bool)> = ends.collect();
+    let leaves = WorkerNotice {
+        leaves: true,
+        ..WorkerNotice::default()
+    };
+    let rests = WorkerNotice {
+        rest: Some(Duration::from_secs(3)),
+        ..WorkerNotice::default()
+    };
+    let said = [WorkerNotice::default(), leaves, rests];
+    let expected = said.map(|said| (SendResult::Refused, said, false));
+    assert_eq!(ends, expected);
 }
 
 /// The end of a placement as the build in production knows it.
@@ -135,18 +153,55 @@
     kind: i32,
     #[prost(uint64, tag = "3")]
     latency_micros: u64,
+    #[prost(bool, tag = "4")]
+    worker_leaves: bool,
+    #[prost(uint64, tag = "5")]
+    rest_micros: u64,
 }
 
-#[test]
-fn the_build_in_production_passes_over_what_a_worker_said() {
-    let mut question = datagram("notices").question.expect("a question");
-    let before = question.notices[1].encode_to_vec();
-    question.notices[1].worker_leaves = true;
-    question.notices[1].rest_micros = 3_000_000;
-    let more = question.notices[1].encode_to_vec();
-    let read = |bytes: &[u8]| ProductionNotice::decode(bytes).expect("a notice");
+/// A refusal as the build in production knows it.
+#[derive(Clone, PartialEq, Message)]
+struct ProductionRefusal {
+    #[prost(uint64, tag = "1")]
+    waiting_micros: u64,
+    #[prost(uint64, tag = "2")]
+    retry_after_micros: u64,
+    #[prost(bool, tag = "3")]
+    tenant_share: bool,
+}
+
+/// Whether the build in production reads the same in both.
+fn reads_the_same<M: Message + Default + PartialEq>(before: &[u8], more: &[u8]) -> bool {
     assert_ne!(before, more);
-    assert_eq!(read(&before), read(&more));
+    let read = |bytes: &[u8]| M::decode(bytes).expect("a message");
+    read(before) == read(more)
+}
+
+#[test]
+fn the_build_in_production_passes_over_rate_limits() {
+    let mut notice = datagram("notices").question.expect("a question").notices[2].clone();
+    let before = notice.encode_to_vec();
+    notice.rate_limit_milli = Some(6_300);
+    notice.names_no_limit = true;
+    let more = notice.encode_to_vec();
+    assert!(reads_the_same::<ProductionNotice>(&before, &more));
+
+    let answer = datagram("refused").answer.expect("an answer");
+    let mut refused = answer.refused.expect("a refusal");
+    let before = refused.encode_to_vec();
+    refused.rate_limit = true;
+    let more = refused.encode_to_vec();
+    assert!(reads_the_same::<ProductionRefusal>(&before, &more));
+}
+
+#[test]
+fn a_scheduler_of_the_build_in_production_reckons_with_no_rate_limit() {
+    let answer = datagram("placed").answer.expect("an answer");
+    let (_, answer) = answer.decode_answer().expect("a placement");
+    let PlacementAnswer::Placed(placement) = answer else {
+        panic!("not placed: {answer:?}");
+    };
+    assert!(!placement.has_rate_token);
 }
 
 #[test]
