Gateways that ask schedulers learn that a worker's rate limit has ended

Cause: a gateway that a scheduler places for kept its own copy of the limit after the scheduler had learnt of its end. It rejected the scheduler's placements as made without a token, and told the limit as if it had just been named, so that the scheduler took it back into force. Found by reading the diff, shown by the new test before the repair.

Change: gateways tell each other what a worker stated together with its age (`StatedLimit`), with placements and with their ends too; the newest statement counts everywhere. The end of a limit is kept as long as any gateway may go by the limit. One type and one way for reports, placements and notices.

Why it holds: a statement is never told younger than it is, so that none replaces a newer one.

--- a/crates/cli/tests/gateway_platform/rate_limits.rs
+++ b/crates/cli/tests/gateway_platform/rate_limits.rs
@@ -19,6 +19,8 @@
 const GATEWAYS: usize = 3;
 /// Requests a second that a worker in need takes.
 const LIMIT: f64 = 3.0;
+/// A limit under which each gateway is soon told.
+const HIGH_LIMIT: f64 = 40.0;
 /// The span in which requests are counted, and how many may reach a worker in it.
 const SPAN: Duration = Duration::from_secs(4);
 const ALLOWED: usize = (LIMIT * 4.0 * 1.5) as usize + 5;
@@ -162,27 +164,49 @@
     }
 }
 
-// Guards against limits that outlive the worker's need.
-#[actix_rt::test]
-async fn a_worker_that_names_its_limit_no_more_is_used_as_before() {
-    let site = Site::start(&[APP], GATEWAYS).await;
+/// The only worker names a limit to each gateway, and then none any more: soon all gateways use it as before.
+async fn is_used_as_before_once_it_names_no_limit(gateways: usize) {
+    let site = Site::start(&[APP], gateways).await;
     site.until_gateways_know_each_other().await;
     let worker = &site.workers[0].worker;
-    worker.name_rate_limit(Some(LIMIT));
-    until_told(&site, ask_for_app).await;
-    worker.name_rate_limit(None);
+    worker.name_rate_limit(Some(HIGH_LIMIT));
     for gateway in &site.gateways {
-        let number = Cell::new(50_000);
-        eventually("all at once are served again", || async {
-            let first = number.get();
-            number.set(first + CALLERS);
-            let asked = (0..CALLERS).map(|one| ask_for_app(gateway, first + one));
-            let answers = join_all(asked).await;
-            let all = answers.iter().all(|answer| answer.status == 200);
-            all.then_some(())
+        let number = Cell::new(0);
+        eventually("the gateway passes on an answer with the limit", || async {
+            let before = worker.arrivals();
+            number.set(number.get() + 1);
+            ask_for_app(gateway, number.get()).await;
+            (worker.arrivals() > before).then_some(())
         })
         .await;
     }
+    worker.name_rate_limit(None);
+    let first = &site.gateways[0];
+    let number = Cell::new(50_000);
+    eventually("all at once are served again", || async {
+        let from = number.replace(number.get() + CALLERS);
+        let asked = (0..CALLERS).map(|one| ask_for_app(first, from + one));
+        let answers = join_all(asked).await;
+        let all = answers.iter().all(|answer| answer.status == 200);
+        all.then_some(())
+    })
+    .await;
+    sleep(KEPT_WITHIN).await;
+    let answers = under_load(&site, ask_for_app).await;
+    let refused = answers.iter().filter(|answer| answer.status != 200).count();
+    assert_eq!(refused, 0, "of {} after the limit has ended", answers.len());
+}
+
+// Guards against limits that outlive the worker's need.
+#[actix_rt::test]
+async fn a_worker_that_names_its_limit_no_more_is_used_as_before() {
+    is_used_as_before_once_it_names_no_limit(GATEWAYS).await;
+}
+
+// Guards against gateways that go on by a limit whose end only their scheduler was told, and tell it as if it were new.
+#[actix_rt::test]
+async fn gateways_with_schedulers_use_a_worker_as_before_once_it_names_its_limit_no_more() {
+    is_used_as_before_once_it_names_no_limit(GATEWAYS_WITH_SCHEDULERS).await;
 }
 
 // Guards against schedulers that place requests of a gateway that was told, as if they need not know the limit.
--- a/crates/forwarding/src/directory/notices.rs
+++ b/crates/forwarding/src/directory/notices.rs
@@ -185,14 +185,15 @@
         news
     }
 
-    /// What a worker has said of itself, as far as it holds now.
+    /// What a worker has said of itself, as far as it holds now; its rate limit is told by
+    /// [`Self::stated_rate_limit`].
     pub fn notice_of(&self, now: Timestamp, id: &WorkerId) -> WorkerNotice {
         let key = WorkerKey::of(id);
         let until = self.notices.rests_until(now, key);
         WorkerNotice {
             leaves: self.notices.leaves(key),
             rest: until.map(|until| until.since(now)),
-            rate_limit: self.rate_limit_of(id),
+            rate_limit: None,
         }
     }
 
--- a/crates/forwarding/src/directory/rate_limits.rs
+++ b/crates/forwarding/src/directory/rate_limits.rs
@@ -4,8 +4,9 @@
 //!   worker was last known to name it: answers on different connections pass each other.
 //! - Of a limit, this gateway uses its part ([`LimitSharers`]), one token for each request that it sends or places. A
 //!   worker without a token is not chosen.
-//! - Gateways that place requests tell each other what they were told ([`LimitStatement`]), as one that has no part of
-//!   a limit sends nothing there and would never be told that it has ended. The newest statement counts.
+//! - Gateways tell each other what workers have stated, and how long ago ([`StatedLimit`]): those that place requests
+//!   with their reports, others with their placements. One that has no part of a limit sends nothing there and would
+//!   never be told that it has ended. The newest statement counts.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -16,14 +17,13 @@
 use super::notices::Unavailable;
 use super::Directory;
 use crate::load_exchange::{LimitStatement, WorkerKey};
-use crate::rate_limit::{LimitSharers, RateLimit};
+use crate::rate_limit::{LimitSharers, RateLimit, StatedLimit};
 use crate::selection::Need;
 use crate::worker::WorkerId;
 
-/// How long a limit is kept after the worker was last known to name it: several repetitions by those that are told.
-const LIMIT_MEMORY: Duration = Duration::from_secs(60);
-/// How long it is kept that a limit has ended: longer than older statements are on their way.
-const END_MEMORY: Duration = Duration::from_secs(10);
+/// How long it is kept what a worker stated of its limit: several repetitions by those that are told. The end of a limit
+/// is kept as long as any gateway may go by the limit.
+const MEMORY: Duration = Duration::from_secs(60);
 /// Pace at which statements are repeated, for gateways that missed one.
 const REPEAT_PACE: Duration = Duration::from_secs(5);
 /// Statements in one report: some 1.2 KB of a datagram.
@@ -67,12 +67,11 @@
 }
 
 impl Known {
-    fn is_of_use(&self, now: Timestamp) -> bool {
-        let memory = match self.limit {
-            Some(_) => LIMIT_MEMORY,
-            None => END_MEMORY,
-        };
-        now.since(self.stated_at) < memory
+    fn stated(&self, now: Timestamp) -> StatedLimit {
+        StatedLimit {
+            limit: self.limit,
+            age: now.since(self.stated_at),
+        }
     }
 
     /// Time until this gateway has a token; zero if it has one, or needs none.
@@ -136,12 +135,16 @@
     }
 
     /// Another gateway tells what a worker has stated.
-    pub(super) fn hear(&mut self, now: Timestamp, statement: &LimitStatement) {
-        let stated_at = now - statement.age;
-        let known = self.known.get(&statement.worker);
-        let is_newer = known.is_none_or(|known| stated_at > known.stated_at);
-        if is_newer {
-            self.state(now, statement.worker, statement.limit, stated_at);
+    pub(super) fn hear(&mut self, now: Timestamp, key: WorkerKey, stated: StatedLimit) {
+        let stated_at = now - stated.age;
+        let known = self.known.get(&key);
+        if known.is_some_and(|known| stated_at <= known.stated_at) {
+            return;
+        }
+        self.state(now, key, stated.limit, stated_at);
+        if let Some(known) = self.known.get_mut(&key) {
+            known.is_first_hand = false;
+            known.told = stated.limit;
         }
     }
 
@@ -173,6 +176,11 @@
         self.known.get(&key)?.limit
     }
 
+    fn stated(&self, now: Timestamp, key: WorkerKey) -> Option<StatedLimit> {
+        let known = self.known.get(&key)?;
+        Some(known.stated(now))
+    }
+
     /// Time until this gateway may send to a worker, as far as its limit goes.
     pub(super) fn wait(&self, now: Timestamp, key: WorkerKey) -> Duration {
         let known = self.known.get(&key);
@@ -210,8 +218,7 @@
             let known = self.known.get(key)?;
             Some(LimitStatement {
                 worker: *key,
-                limit: known.limit,
-                age: now.since(known.stated_at),
+                stated: known.stated(now),
             })
         });
         let statements = statements.collect();
@@ -222,7 +229,8 @@
     }
 
     fn expire(&mut self, now: Timestamp) {
-        self.known.retain(|_, known| known.is_of_use(now));
+        self.known
+            .retain(|_, known| now.since(known.stated_at) < MEMORY);
     }
 
     fn len(&self) -> usize {
@@ -252,6 +260,18 @@
         self.rate_limits.not_named(now, WorkerKey::of(id), sent)
     }
 
+    /// Another gateway tells what a worker has stated of its limit.
+    pub fn hear_rate_limit(&mut self, now: Timestamp, id: &WorkerId, stated: StatedLimit) {
+        if self.decisions.worker_notices {
+            self.rate_limits.hear(now, WorkerKey::of(id), stated);
+        }
+    }
+
+    /// What a worker has stated of its limit, if that is known.
+    pub fn stated_rate_limit(&self, now: Timestamp, id: &WorkerId) -> Option<StatedLimit> {
+        self.rate_limits.stated(now, WorkerKey::of(id))
+    }
+
     /// The limit that a worker names.
     pub fn rate_limit_of(&self, id: &WorkerId) -> Option<RateLimit> {
         self.rate_limits.limit(WorkerKey::of(id))
--- a/crates/forwarding/src/directory/sharing.rs
+++ b/crates/forwarding/src/directory/sharing.rs
@@ -7,7 +7,7 @@
 use super::Directory;
 use crate::cache_view::PartKey;
 use crate::decisions::Decisions;
-use crate::load_exchange::{LoadReport, LoadReporter, PartRead, WorkerKey};
+use crate::load_exchange::{LimitStatement, LoadReport, LoadReporter, PartRead, WorkerKey};
 use crate::selection::{prompt_tokens, PromptPart};
 use crate::worker::WorkerId;
 
@@ -53,7 +53,8 @@
             self.demands.hear(now, report.sender, *demand);
         }
         for statement in report.rate_limits.iter().filter(|_| worker_notices) {
-            self.rate_limits.hear(now, statement);
+            let LimitStatement { worker, stated } = *statement;
+            self.rate_limits.hear(now, worker, stated);
         }
         for absence in report.absences.iter().filter(|_| absences_count) {
             if let Some(tracked) = self.workers.get_mut(&absence.worker) {
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -55,7 +55,7 @@
     Audience, Fingerprint, Heard, Outgoing, Quarantine, QuarantineNews, RequestContent, SendLedger,
     SendNumber, Sighting, Unlisted,
 };
-pub use rate_limit::{LimitSharers, RateLimit};
+pub use rate_limit::{LimitSharers, RateLimit, StatedLimit};
 pub use relay_plan::{Continuation, RelayCandidate, RelayPlan, Upstream};
 pub use request::{
     Action, AttemptPolicy, Conclusion, EventId, PromptHandle, ReadingFailure, RequestEvent,
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cache_view::PartKey;
-use crate::rate_limit::RateLimit;
+use crate::rate_limit::StatedLimit;
 use crate::worker::WorkerId;
 
 /// A change of this many tokens is reported at once.
@@ -135,10 +135,8 @@
 pub struct LimitStatement {
     /// The worker.
     pub worker: WorkerKey,
-    /// The limit; none if it has ended.
-    pub limit: Option<RateLimit>,
-    /// How long ago the worker stated it.
-    pub age: Duration,
+    /// What it has stated.
+    pub stated: StatedLimit,
 }
 
 /// What a gateway tells the others.
--- a/crates/forwarding/src/placement/ledger.rs
+++ b/crates/forwarding/src/placement/ledger.rs
@@ -30,7 +30,6 @@
 struct OpenPlacement {
     ticket: SendTicket,
     prompt: Vec<PromptPart>,
-    began: Timestamp,
     over: Timestamp,
 }
 
@@ -71,10 +70,10 @@
         Some(account.place(now, directory, zone, request))
     }
 
-    /// The worker of a placement that a gateway holds open, and when it was made.
-    pub fn made(&self, sender: GatewayKey, id: PlacementId) -> Option<(&WorkerId, Timestamp)> {
+    /// The worker of a placement that a gateway holds open.
+    pub fn worker_of(&self, sender: GatewayKey, id: PlacementId) -> Option<&WorkerId> {
         let open = self.accounts.get(&sender)?.open.get(&id)?;
-        Some((open.ticket.worker(), open.began))
+        Some(open.ticket.worker())
     }
 
     /// Whether some gateway has asked lately.
@@ -179,17 +178,17 @@
         let ticket = directory.send_began(now, &worker, demand, &need);
         let placement = Placement {
             id: request.id,
-            worker,
+            worker: worker.clone(),
             read_apart: need == Need::ReadPrompt,
             fetch_from: ticket.fetch_from(),
             reading_tokens: ticket.reading_tokens(),
             short_reading: ticket.is_short_reading(),
             expected: ticket.expected(),
             has_rate_token,
+            rate_limit: directory.stated_rate_limit(now, &worker),
         };
         let open = OpenPlacement {
             ticket,
-            began: now,
             over: now + request.objectives.time_left,
             prompt: request.prompt,
         };
--- a/crates/forwarding/src/placement/mod.rs
+++ b/crates/forwarding/src/placement/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::directory::{Objectives, RefusalCause, SendResult};
 use crate::load_exchange::GatewayKey;
+use crate::rate_limit::StatedLimit;
 use crate::selection::{Need, PromptPart};
 use crate::tenant_shares::TenantKey;
 use crate::worker::WorkerId;
@@ -87,6 +88,8 @@
     pub expected: Duration,
     /// Whether the scheduler has taken it off the worker's rate limit.
     pub has_rate_token: bool,
+    /// What the worker has stated of its rate limit, if the scheduler knows something of it.
+    pub rate_limit: Option<StatedLimit>,
 }
 
 /// A scheduler's answer.
@@ -125,8 +128,8 @@
         result: SendResult,
         /// What the worker has told the gateway of itself, as far as it holds.
         said: WorkerNotice,
-        /// Whether the worker named no rate limit in its answer, though the scheduler had reckoned with one.
-        names_no_limit: bool,
+        /// What the worker has stated of its rate limit, if something is known of it.
+        rate_limit: Option<StatedLimit>,
     },
 }
 
--- a/crates/forwarding/src/rate_limit.rs
+++ b/crates/forwarding/src/rate_limit.rs
@@ -5,6 +5,8 @@
 //! gateways that know the same fleet agree. Each part has a token bucket of at least one request. In a time t, a worker
 //! with a limit of R requests a second thus gets at most R t + R + [`EXTRA_HOLDERS`], whatever the size of the fleet.
 
+use std::time::Duration;
+
 use tansyhall_core::hash::rendezvous_weight;
 
 use crate::load_exchange::WorkerKey;
@@ -53,6 +55,15 @@
     }
 }
 
+/// What a worker has stated of its rate limit, as one gateway tells another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StatedLimit {
+    /// The limit; none if it has ended.
+    pub limit: Option<RateLimit>,
+    /// How long ago the worker stated it.
+    pub age: Duration,
+}
+
 /// The gateways that send to workers of their own choice, among which limits are divided.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct LimitSharers {
--- a/crates/forwarding/tests/placements.rs
+++ b/crates/forwarding/tests/placements.rs
@@ -89,7 +89,7 @@
         id,
         result,
         said: WorkerNotice::default(),
-        names_no_limit: false,
+        rate_limit: None,
     }
 }
 
--- a/crates/forwarding/tests/rate_limits.rs
+++ b/crates/forwarding/tests/rate_limits.rs
@@ -7,8 +7,8 @@
 use tansyhall_forwarding::{
     Admission, Demand, Directory, FirstAvailable, GatewayKey, LimitSharers, LimitStatement,
     LoadReport, Need, Objectives, PlacementAnswer, PlacementBook, PlacementLedger, PlacementNeed,
-    PlacementRequest, RateLimit, RateToken, RefusalCause, Unavailable, Worker, WorkerId, WorkerKey,
-    WorkerKind, WorkerNotice, WorkerState,
+    PlacementRequest, RateLimit, RateToken, RefusalCause, StatedLimit, Unavailable, Worker,
+    WorkerId, WorkerKey, WorkerKind, WorkerNotice, WorkerState,
 };
 
 const START: Timestamp = Timestamp::from_millis(100_000);
@@ -293,8 +293,7 @@
     let a = WorkerId::from("a");
     let told = |limit, age| LimitStatement {
         worker: WorkerKey::of(&a),
-        limit,
-        age,
+        stated: StatedLimit { limit, age },
     };
     let now = START + LONG;
     directory.hear(now, &report(2, 1, told(Some(limit(2.0)), STEP)));
--- a/crates/forwarding/tests/tenant_placements.rs
+++ b/crates/forwarding/tests/tenant_placements.rs
@@ -87,7 +87,7 @@
             id,
             result,
             said: WorkerNotice::default(),
-            names_no_limit: false,
+            rate_limit: None,
         };
         book.tell(SCHEDULER, ended);
         let zone = ZoneName::new("z");
--- a/crates/forwarding/tests/worker_notices.rs
+++ b/crates/forwarding/tests/worker_notices.rs
@@ -364,21 +364,21 @@
         panic!("not placed: {answer:?}");
     };
     let id = placement.id;
-    let made = fleet.ledger.made(GatewayKey(2), id);
-    assert_eq!(made, Some((&named("a"), NOW)));
-    assert_eq!(fleet.ledger.made(GatewayKey(3), id), None);
+    let worker = fleet.ledger.worker_of(GatewayKey(2), id);
+    assert_eq!(worker, Some(&named("a")));
+    assert_eq!(fleet.ledger.worker_of(GatewayKey(3), id), None);
     let ended = PlacementNotice::Ended {
         id,
         result: SendResult::Refused,
         said: rests(REST),
-        names_no_limit: false,
+        rate_limit: None,
     };
     fleet.books[0].tell(SCHEDULER, ended);
     for (_, message) in fleet.books[0].flush() {
         let zone = ZoneName::new("z");
         fleet.ledger.take(NOW, &mut fleet.directory, &zone, message);
     }
-    assert_eq!(fleet.ledger.made(GatewayKey(2), id), None);
+    assert_eq!(fleet.ledger.worker_of(GatewayKey(2), id), None);
 }
 
 #[test]
--- a/crates/gateway/src/load_messages.rs
+++ b/crates/gateway/src/load_messages.rs
@@ -5,7 +5,7 @@
 use prost::Message;
 use tansyhall_forwarding::{
     Absence, EngineDemand, GatewayKey, LimitStatement, Load, LoadEntry, LoadReport, PartKey,
-    PartRead, RateLimit, ServiceKey, WorkerKey,
+    PartRead, RateLimit, ServiceKey, StatedLimit, WorkerKey,
 };
 
 /// A report on the wire.
@@ -34,20 +34,47 @@
     pub rate_limits: Vec<LimitMessage>,
 }
 
-/// What a worker has stated of its rate limit, on the wire.
+/// The rate limit of one worker, on the wire.
 #[derive(Clone, PartialEq, Message)]
 pub struct LimitMessage {
     /// The worker's key.
     #[prost(fixed64, tag = "1")]
     pub worker: u64,
+    /// What it has stated; a message without it is passed over.
+    #[prost(message, optional, tag = "2")]
+    pub stated: Option<StatedLimitMessage>,
+}
+
+/// What a worker has stated of its rate limit, on the wire.
+#[derive(Clone, PartialEq, Message)]
+pub struct StatedLimitMessage {
     /// The limit in thousandths of a request a second; none if it has ended.
-    #[prost(uint64, optional, tag = "2")]
+    #[prost(uint64, optional, tag = "1")]
     pub limit_milli: Option<u64>,
     /// How many milliseconds ago the worker stated it.
-    #[prost(uint64, tag = "3")]
+    #[prost(uint64, tag = "2")]
     pub age_ms: u64,
 }
 
+impl From<StatedLimit> for StatedLimitMessage {
+    fn from(stated: StatedLimit) -> Self {
+        Self {
+            limit_milli: stated.limit.map(RateLimit::millirequests_per_second),
+            age_ms: u64::try_from(stated.age.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+impl From<&StatedLimitMessage> for StatedLimit {
+    fn from(message: &StatedLimitMessage) -> Self {
+        let limit = message.limit_milli;
+        Self {
+            limit: limit.map(RateLimit::from_millirequests_per_second),
+            age: Duration::from_millis(message.age_ms),
+        }
+    }
+}
+
 /// What is asked of a service, on the wire.
 #[derive(Clone, PartialEq, Message)]
 pub struct DemandMessage {
@@ -126,18 +153,15 @@
 fn encode_limit(statement: &LimitStatement) -> LimitMessage {
     LimitMessage {
         worker: statement.worker.0,
-        limit_milli: statement.limit.map(RateLimit::millirequests_per_second),
-        age_ms: u64::try_from(statement.age.as_millis()).unwrap_or(u64::MAX),
+        stated: Some(statement.stated.into()),
     }
 }
 
-fn decode_limit(message: &LimitMessage) -> LimitStatement {
-    let limit = message.limit_milli;
-    LimitStatement {
+fn decode_limit(message: &LimitMessage) -> Option<LimitStatement> {
+    Some(LimitStatement {
         worker: WorkerKey(message.worker),
-        limit: limit.map(RateLimit::from_millirequests_per_second),
-        age: Duration::from_millis(message.age_ms),
-    }
+        stated: message.stated.as_ref()?.into(),
+    })
 }
 
 /// What is no possible figure counts as nothing.
@@ -197,6 +221,10 @@
         parts: message.parts.into_iter().map(decode_part).collect(),
         absences: absences.collect(),
         demands: message.demands.iter().map(decode_demand).collect(),
-        rate_limits: message.rate_limits.iter().map(decode_limit).collect(),
+        rate_limits: message
+            .rate_limits
+            .iter()
+            .filter_map(decode_limit)
+            .collect(),
     }
 }
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{
     GatewayKey, Placement, PlacementAnswer, PlacementBook, PlacementId, PlacementMessage,
-    PlacementNotice, PlacementRequest, RefusalCause, SendResult,
+    PlacementNotice, PlacementRequest, RefusalCause, SendResult, StatedLimit,
 };
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep, timeout};
@@ -51,10 +52,27 @@
     shared: Arc<Shared>,
     scheduler: String,
     placement: Placement,
+    placed: Timestamp,
     ended: bool,
 }
 
 impl OpenPlacement {
+    /// A placement that has just been made; takes in what its scheduler knows of the worker's rate limit.
+    fn new(shared: &Arc<Shared>, scheduler: String, placement: Placement) -> Self {
+        let now = shared.now();
+        if let Some(stated) = placement.rate_limit {
+            let mut directory = shared.directory.lock();
+            directory.hear_rate_limit(now, &placement.worker, stated);
+        }
+        Self {
+            shared: Arc::clone(shared),
+            scheduler,
+            placement,
+            placed: now,
+            ended: false,
+        }
+    }
+
     /// What the scheduler has said.
     pub fn placement(&self) -> &Placement {
         &self.placement
@@ -77,14 +95,22 @@
         self.ended = true;
         let now = self.shared.now();
         let worker = &self.placement.worker;
-        let said = self.shared.directory.lock().notice_of(now, worker);
+        let directory = self.shared.directory.lock();
+        let said = directory.notice_of(now, worker);
+        let known = directory.stated_rate_limit(now, worker);
+        drop(directory);
         let is_answered = matches!(result, SendResult::Answered { .. });
-        let is_limited = said.rate_limit.is_some();
+        let not_named = StatedLimit {
+            limit: None,
+            age: now.since(self.placed),
+        };
+        let is_limited = self.placement.has_rate_token;
+        let rate_limit = known.or((is_limited && is_answered).then_some(not_named));
         self.tell(PlacementNotice::Ended {
             id: self.placement.id,
             result,
             said,
-            names_no_limit: self.placement.has_rate_token && is_answered && !is_limited,
+            rate_limit,
         });
     }
 
@@ -182,12 +208,8 @@
         match answer {
             PlacementAnswer::Placed(placement) => {
                 shared.metrics.count_placement("placed");
-                return Some(Answered::Placed(OpenPlacement {
-                    shared: Arc::clone(shared),
-                    scheduler: asked.name,
-                    placement,
-                    ended: false,
-                }));
+                let placed = OpenPlacement::new(shared, asked.name, placement);
+                return Some(Answered::Placed(placed));
             }
             PlacementAnswer::Refused {
                 cause,
--- a/crates/gateway/src/placement/codec.rs
+++ b/crates/gateway/src/placement/codec.rs
@@ -6,10 +6,12 @@
 use tansyhall_core::ServiceName;
 use tansyhall_forwarding::{
     GatewayKey, Need, Objectives, Placement, PlacementAnswer, PlacementId, PlacementMessage,
-    PlacementNeed, PlacementNotice, PlacementRequest, PromptPart, RateLimit, RefusalCause,
-    SendResult, TenantKey, WorkerId, WorkerNotice, MAX_REST,
+    PlacementNeed, PlacementNotice, PlacementRequest, PromptPart, RefusalCause, SendResult,
+    StatedLimit, TenantKey, WorkerId, WorkerNotice, MAX_REST,
 };
 
+use crate::load_messages::StatedLimitMessage;
+
 use super::message::{
     AnswerMessage, NeedKind, NoticeKind, NoticeMessage, PlacedMessage, PromptPartMessage,
     QuestionMessage, RefusedMessage, RequestMessage,
@@ -77,7 +79,7 @@
                 id,
                 result,
                 said,
-                names_no_limit,
+                rate_limit,
             } => Self {
                 id: id.0,
                 kind: NoticeKind::of(result) as i32,
@@ -87,8 +89,7 @@
                 },
                 worker_leaves: said.leaves,
                 rest_micros: said.rest.map_or(0, micros),
-                rate_limit_milli: said.rate_limit.map(RateLimit::millirequests_per_second),
-                names_no_limit,
+                rate_limit: rate_limit.map(StatedLimitMessage::from),
             },
         }
     }
@@ -115,15 +116,13 @@
         let said = WorkerNotice {
             leaves: message.worker_leaves,
             rest: (!rest.is_zero()).then_some(rest),
-            rate_limit: message
-                .rate_limit_milli
-                .map(RateLimit::from_millirequests_per_second),
+            rate_limit: None,
         };
         Ok(PlacementNotice::Ended {
             id,
             result,
             said,
-            names_no_limit: message.names_no_limit,
+            rate_limit: message.rate_limit.as_ref().map(StatedLimit::from),
         })
     }
 }
@@ -259,6 +258,7 @@
             short_reading: placement.short_reading,
             expected_micros: micros(placement.expected),
             has_rate_token: placement.has_rate_token,
+            rate_limit: placement.rate_limit.map(StatedLimitMessage::from),
         }
     }
 }
@@ -278,6 +278,7 @@
             short_reading: self.short_reading,
             expected: Duration::from_micros(self.expected_micros),
             has_rate_token: self.has_rate_token,
+            rate_limit: self.rate_limit.as_ref().map(StatedLimit::from),
         })
     }
 }
--- a/crates/gateway/src/placement/message.rs
+++ b/crates/gateway/src/placement/message.rs
@@ -3,6 +3,8 @@
 
 use prost::Message;
 
+use crate::load_messages::StatedLimitMessage;
+
 /// What a gateway sends to a scheduler.
 #[derive(Clone, PartialEq, Message)]
 pub struct QuestionMessage {
@@ -41,13 +43,9 @@
     /// Microseconds for which the worker wants nothing more; gateways of earlier versions don't tell it.
     #[prost(uint64, tag = "5")]
     pub rest_micros: u64,
-    /// Thousandths of a request a second that the worker takes from all gateways together, if it names a limit;
-    /// gateways of earlier versions don't tell it.
-    #[prost(uint64, optional, tag = "6")]
-    pub rate_limit_milli: Option<u64>,
-    /// Whether the worker named no limit though the scheduler had reckoned with one.
-    #[prost(bool, tag = "7")]
-    pub names_no_limit: bool,
+    /// What the worker has stated of its rate limit; gateways of earlier versions don't tell it.
+    #[prost(message, optional, tag = "6")]
+    pub rate_limit: Option<StatedLimitMessage>,
 }
 
 /// What may happen to a placement.
@@ -179,6 +177,9 @@
     /// Whether it is taken off the worker's rate limit; schedulers of earlier versions don't know of limits.
     #[prost(bool, tag = "7")]
     pub has_rate_token: bool,
+    /// What the worker has stated of its rate limit.
+    #[prost(message, optional, tag = "8")]
+    pub rate_limit: Option<StatedLimitMessage>,
 }
 
 /// Why a request was refused.
--- a/crates/gateway/src/placement/server.rs
+++ b/crates/gateway/src/placement/server.rs
@@ -44,27 +44,26 @@
         let PlacementNotice::Ended {
             id,
             said,
-            names_no_limit,
+            rate_limit,
             ..
         } = notice
         else {
             continue;
         };
-        if *said == WorkerNotice::default() && !names_no_limit {
+        if *said == WorkerNotice::default() && rate_limit.is_none() {
             continue;
         }
-        let ledger = shared.ledger.lock();
-        let made = ledger.made(message.sender, *id);
-        let made = made.map(|(worker, placed)| (worker.clone(), placed));
-        drop(ledger);
-        let Some((worker, placed)) = made else {
+        let worker = shared.ledger.lock().worker_of(message.sender, *id).cloned();
+        let Some(worker) = worker else {
             continue;
         };
+        if let Some(stated) = rate_limit {
+            let now = shared.now();
+            let mut directory = shared.directory.lock();
+            directory.hear_rate_limit(now, &worker, *stated);
+        }
         let notices = &shared.connections.notices;
         notices.take(&worker, *said, NoticeSource::Gateway);
-        if *names_no_limit {
-            notices.rate_limit_not_named(&worker, placed, NoticeSource::Gateway);
-        }
     }
 }
 
--- a/crates/gateway/src/worker_notices.rs
+++ b/crates/gateway/src/worker_notices.rs
@@ -94,8 +94,8 @@
         }
     }
 
-    /// A worker named no rate limit in its answer to what was sent, or placed, at `sent`.
-    pub fn rate_limit_not_named(&self, worker: &WorkerId, sent: Timestamp, source: NoticeSource) {
+    /// A worker named no rate limit in its answer to what was sent at `sent`.
+    fn rate_limit_not_named(&self, worker: &WorkerId, sent: Timestamp, source: NoticeSource) {
         let now = self.clock.now();
         let mut directory = self.directory.lock();
         let ended = directory.rate_limit_not_named(now, worker, sent);
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -9,7 +9,7 @@
 use tansyhall_forwarding::{
     GatewayKey, LimitStatement, LoadReport, Need, Objectives, Placement, PlacementAnswer,
     PlacementId, PlacementMessage, PlacementNeed, PlacementNotice, PlacementRequest, PromptPart,
-    RateLimit, RefusalCause, SendResult, TenantKey, WorkerId, WorkerKey, WorkerNotice,
+    RateLimit, RefusalCause, SendResult, StatedLimit, TenantKey, WorkerId, WorkerKey, WorkerNotice,
 };
 use tansyhall_gateway::datagrams::Datagram;
 use tansyhall_gateway::load_messages::{decode, encode};
@@ -49,26 +49,30 @@
 
 fn said() -> impl Strategy<Value = WorkerNotice> {
     let rest = prop::option::of((1_u64..10_000_000).prop_map(Duration::from_micros));
-    let limit = any::<u64>().prop_map(RateLimit::from_millirequests_per_second);
-    (any::<bool>(), rest, prop::option::of(limit)).prop_map(|(leaves, rest, rate_limit)| {
-        WorkerNotice {
-            leaves,
-            rest,
-            rate_limit,
-        }
+    (any::<bool>(), rest).prop_map(|(leaves, rest)| WorkerNotice {
+        leaves,
+        rest,
+        ..WorkerNotice::default()
     })
 }
 
+fn stated() -> impl Strategy<Value = Option<StatedLimit>> {
+    let limit = any::<u64>().prop_map(RateLimit::from_millirequests_per_second);
+    let age = any::<u32>().prop_map(|age| Duration::from_millis(u64::from(age)));
+    let stated = (prop::option::of(limit), age);
+    prop::option::of(stated.prop_map(|(limit, age)| StatedLimit { limit, age }))
+}
+
 fn notice() -> impl Strategy<Value = PlacementNotice> {
     let id = any::<u64>().prop_map(PlacementId);
     prop_oneof![
         (id.clone(), span()).prop_map(|(id, latency)| PlacementNotice::PromptRead { id, latency }),
-        (id, result(), said(), any::<bool>()).prop_map(|(id, result, said, names_no_limit)| {
+        (id, result(), said(), stated()).prop_map(|(id, result, said, rate_limit)| {
             PlacementNotice::Ended {
                 id,
                 result,
                 said,
-                names_no_limit,
+                rate_limit,
             }
         }),
     ]
@@ -115,8 +119,14 @@
 }
 
 fn answer() -> impl Strategy<Value = PlacementAnswer> {
-    let placement = (worker(), any::<[bool; 4]>(), any::<u32>(), span()).prop_map(
-        |(worker, [read_apart, fetches, short_reading, has_rate_token], tokens, expected)| {
+    let placement = (worker(), any::<[bool; 4]>(), any::<u32>(), span(), stated()).prop_map(
+        |(
+            worker,
+            [read_apart, fetches, short_reading, has_rate_token],
+            tokens,
+            expected,
+            rate_limit,
+        )| {
             Placement {
                 id: PlacementId(7),
                 worker,
@@ -126,6 +136,7 @@
                 short_reading,
                 expected,
                 has_rate_token,
+                rate_limit,
             }
         },
     );
@@ -207,8 +218,10 @@
 fn reports_of_rate_limits_arrive_as_they_were_sent() {
     let statement = |limit: Option<u64>| LimitStatement {
         worker: WorkerKey(7),
-        limit: limit.map(RateLimit::from_millirequests_per_second),
-        age: Duration::from_millis(1_500),
+        stated: StatedLimit {
+            limit: limit.map(RateLimit::from_millirequests_per_second),
+            age: Duration::from_millis(1_500),
+        },
     };
     let report = LoadReport {
         sender: GatewayKey(1),
--- a/crates/gateway/tests/production_messages.rs
+++ b/crates/gateway/tests/production_messages.rs
@@ -9,14 +9,16 @@
 use tansyhall_fixed_cases::fixed_number_of_cases;
 use tansyhall_forwarding::{
     Mirror, Need, PlacementAnswer, PlacementMessage, PlacementNeed, PlacementNotice, SendResult,
-    WorkerId, WorkerNotice,
+    StatedLimit, WorkerId, WorkerNotice,
 };
 use tansyhall_gateway::authority_claim::AuthorityClaim;
 use tansyhall_gateway::cache_recovery::CachesMessage;
 use tansyhall_gateway::copy_message::{ItemMessage, UpdateMessage};
 use tansyhall_gateway::datagrams::Datagram;
 use tansyhall_gateway::desired_roles::{self, DesiredRoles};
-use tansyhall_gateway::load_messages::{DemandMessage, LoadMessage, PartMessage, ReportMessage};
+use tansyhall_gateway::load_messages::{
+    DemandMessage, LoadMessage, PartMessage, ReportMessage, StatedLimitMessage,
+};
 use tansyhall_gateway::placement::QuestionMessage;
 use tansyhall_gateway::presence;
 
@@ -125,12 +127,12 @@
         PlacementNotice::Ended {
             result,
             said,
-            names_no_limit,
+            rate_limit,
             ..
-        } => Some((*result, *said, *names_no_limit)),
+        } => Some((*result, *said, *rate_limit)),
         PlacementNotice::PromptRead { .. } => None,
     });
-    let ends: Vec<(SendResult, WorkerNotice, bool)> = ends.collect();
+    let ends: Vec<(SendResult, WorkerNotice, Option<StatedLimit>)> = ends.collect();
     let leaves = WorkerNotice {
         leaves: true,
         ..WorkerNotice::default()
@@ -140,7 +142,7 @@
         ..WorkerNotice::default()
     };
     let said = [WorkerNotice::default(), leaves, rests];
-    let expected = said.map(|said| (SendResult::Refused, said, false));
+    let expected = said.map(|said| (SendResult::Refused, said, None));
     assert_eq!(ends, expected);
 }
 
@@ -181,8 +183,10 @@
 fn the_build_in_production_passes_over_rate_limits() {
     let mut notice = datagram("notices").question.expect("a question").notices[2].clone();
     let before = notice.encode_to_vec();
-    notice.rate_limit_milli = Some(6_300);
-    notice.names_no_limit = true;
+    notice.rate_limit = Some(StatedLimitMessage {
+        limit_milli: Some(6_300),
+        age_ms: 20,
+    });
     let more = notice.encode_to_vec();
     assert!(reads_the_same::<ProductionNotice>(&before, &more));
 
