Rate limits: what a scheduler told of a limit stands in the directory already; a sample worker for tests

Reading of the diff: the end of a placement made up an 'ended' statement in case nothing was known of the limit, but a placement that took a token always brings the scheduler's statement, so that the directory knows. One way remains. No behaviour changes; the six process tests of limits and all tests of forwarding and gateway pass.

--- a/crates/forwarding/src/directory/rate_limits.rs
+++ b/crates/forwarding/src/directory/rate_limits.rs
@@ -108,7 +108,7 @@
 
     /// A worker names a limit in an answer; returns whether it is news.
     pub(super) fn named(&mut self, now: Timestamp, key: WorkerKey, limit: RateLimit) -> bool {
-        self.state(now, key, Some(limit), now);
+        self.record(now, key, Some(limit), now);
         let Some(known) = self.known.get_mut(&key) else {
             return false;
         };
@@ -129,7 +129,7 @@
         };
         known.is_first_hand = true;
         known.told = None;
-        self.state(now, key, None, sent);
+        self.record(now, key, None, sent);
         self.untold.insert(key);
         true
     }
@@ -141,14 +141,15 @@
         if known.is_some_and(|known| stated_at <= known.stated_at) {
             return;
         }
-        self.state(now, key, stated.limit, stated_at);
+        self.record(now, key, stated.limit, stated_at);
         if let Some(known) = self.known.get_mut(&key) {
             known.is_first_hand = false;
             known.told = stated.limit;
         }
     }
 
-    fn state(
+    /// Keeps what a worker has stated; a limit after none begins without tokens.
+    fn record(
         &mut self,
         now: Timestamp,
         key: WorkerKey,
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -1,5 +1,7 @@
 //! Which worker is chosen: by what is under way, what caches hold, and how workers answered.
 
+mod sample;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -8,10 +10,11 @@
 use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_forwarding::{
     Admission, Demand, Directory, EngineCapacity, GatewayKey, Load, LoadEntry, LoadReport, Need,
-    Objectives, PromptPart, SendResult, SendTicket, Worker, WorkerId, WorkerKey, WorkerKind,
-    WorkerState,
+    Objectives, PromptPart, SendResult, SendTicket, Worker, WorkerId, WorkerKey, WorkerState,
 };
 
+use sample::ready_worker;
+
 const NOW: Timestamp = Timestamp::from_millis(10_000);
 const OBJECTIVES: Objectives = Objectives {
     latency: Duration::from_millis(500),
@@ -21,14 +24,9 @@
 
 fn worker(id: &str, zone: &str, role: Option<Role>) -> Worker {
     Worker {
-        id: WorkerId::from(id),
-        service: ServiceName::new("s"),
-        address: "10.0.0.1:80".parse().expect("an address"),
         zone: ZoneName::new(zone),
-        slots: 8,
-        state: WorkerState::Ready,
         role,
-        kind: WorkerKind::Reserved,
+        ..ready_worker(id)
     }
 }
 
--- a/crates/forwarding/tests/lapsed_workers.rs
+++ b/crates/forwarding/tests/lapsed_workers.rs
@@ -1,23 +1,21 @@
 //! Which workers count after the store was away.
 
+mod sample;
+
 use std::time::Duration;
 
-use tansyhall_core::{ServiceName, Timestamp, ZoneName};
+use tansyhall_core::Timestamp;
 use tansyhall_forwarding::lapsed_workers::RETURN_TIME;
-use tansyhall_forwarding::{LapsedWorkers, Worker, WorkerId, WorkerKind, WorkerState};
+use tansyhall_forwarding::{LapsedWorkers, Worker, WorkerId, WorkerState};
+
+use sample::ready_worker;
 
 const RETURNED: Timestamp = Timestamp::from_millis(60_000);
 
 fn worker(id: &str, state: WorkerState) -> Worker {
     Worker {
-        id: WorkerId::from(id),
-        service: ServiceName::new("s"),
-        address: "10.0.0.1:80".parse().expect("an address"),
-        zone: ZoneName::new("z"),
-        slots: 8,
         state,
-        role: None,
-        kind: WorkerKind::Reserved,
+        ..ready_worker(id)
     }
 }
 
--- a/crates/forwarding/tests/rate_limits.rs
+++ b/crates/forwarding/tests/rate_limits.rs
@@ -1,16 +1,20 @@
 //! Rate limits of workers: all gateways together stay below them, they end when they are named no more, and keeping to
 //! them costs the same in fleets of any size.
 
+mod sample;
+
 use std::time::Duration;
 
 use tansyhall_core::{ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
     Admission, Demand, Directory, FirstAvailable, GatewayKey, LimitSharers, LimitStatement,
     LoadReport, Need, Objectives, PlacementAnswer, PlacementBook, PlacementLedger, PlacementNeed,
-    PlacementRequest, RateLimit, RateToken, RefusalCause, StatedLimit, Unavailable, Worker,
-    WorkerId, WorkerKey, WorkerKind, WorkerNotice, WorkerState,
+    PlacementRequest, RateLimit, RateToken, RefusalCause, StatedLimit, Unavailable, WorkerId,
+    WorkerKey, WorkerNotice,
 };
 
+use sample::ready_worker;
+
 const START: Timestamp = Timestamp::from_millis(100_000);
 const STEP: Duration = Duration::from_millis(20);
 const SPAN: Duration = Duration::from_secs(4);
@@ -37,22 +41,9 @@
     }
 }
 
-fn worker(id: &str) -> Worker {
-    Worker {
-        id: WorkerId::from(id),
-        service: ServiceName::new("s"),
-        address: "10.0.0.1:80".parse().expect("an address"),
-        zone: ZoneName::new("z"),
-        slots: 8,
-        state: WorkerState::Ready,
-        role: None,
-        kind: WorkerKind::Reserved,
-    }
-}
-
 fn directory_of(gateway: u64, workers: &[&str]) -> Directory {
     let mut directory = Directory::new(GatewayKey(gateway));
-    directory.announce(workers.iter().map(|id| worker(id)).collect());
+    directory.announce(workers.iter().map(|id| ready_worker(id)).collect());
     directory
 }
 
--- /dev/null
+++ b/crates/forwarding/tests/sample/mod.rs
@@ -0,0 +1,18 @@
+//! A worker as tests need one.
+
+use tansyhall_core::{ServiceName, ZoneName};
+use tansyhall_forwarding::{Worker, WorkerId, WorkerKind, WorkerState};
+
+/// A worker of service `s` in zone `z` that takes requests of any kind.
+pub fn ready_worker(id: &str) -> Worker {
+    Worker {
+        id: WorkerId::from(id),
+        service: ServiceName::new("s"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: ZoneName::new("z"),
+        slots: 8,
+        state: WorkerState::Ready,
+        role: None,
+        kind: WorkerKind::Reserved,
+    }
+}
--- a/crates/forwarding/tests/worker_notices.rs
+++ b/crates/forwarding/tests/worker_notices.rs
@@ -1,15 +1,18 @@
 //! What workers say of themselves in answers, in the directory: who is chosen, for how long it holds, what it costs.
 
+mod sample;
+
 use std::time::Duration;
 
 use tansyhall_core::{ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
     Demand, Directory, FirstAvailable, GatewayKey, Need, Objectives, PlacementAnswer,
     PlacementBook, PlacementId, PlacementLedger, PlacementNeed, PlacementNotice, PlacementRequest,
-    SendResult, SendTicket, Unavailable, Worker, WorkerId, WorkerKind, WorkerNotice, WorkerState,
-    MAX_REST,
+    SendResult, SendTicket, Unavailable, Worker, WorkerId, WorkerNotice, MAX_REST,
 };
 
+use sample::ready_worker;
+
 const NOW: Timestamp = Timestamp::from_millis(10_000);
 const REST: Duration = Duration::from_secs(3);
 const LATENCY: Duration = Duration::from_millis(20);
@@ -22,13 +25,7 @@
 fn worker(id: WorkerId) -> Worker {
     Worker {
         id,
-        service: ServiceName::new("s"),
-        address: "10.0.0.1:80".parse().expect("an address"),
-        zone: ZoneName::new("z"),
-        slots: 8,
-        state: WorkerState::Ready,
-        role: None,
-        kind: WorkerKind::Reserved,
+        ..ready_worker("")
     }
 }
 
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -6,10 +6,9 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{
     GatewayKey, Placement, PlacementAnswer, PlacementBook, PlacementId, PlacementMessage,
-    PlacementNotice, PlacementRequest, RefusalCause, SendResult, StatedLimit,
+    PlacementNotice, PlacementRequest, RefusalCause, SendResult,
 };
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep, timeout};
@@ -52,7 +51,6 @@
     shared: Arc<Shared>,
     scheduler: String,
     placement: Placement,
-    placed: Timestamp,
     ended: bool,
 }
 
@@ -68,7 +66,6 @@
             shared: Arc::clone(shared),
             scheduler,
             placement,
-            placed: now,
             ended: false,
         }
     }
@@ -97,15 +94,8 @@
         let worker = &self.placement.worker;
         let directory = self.shared.directory.lock();
         let said = directory.notice_of(now, worker);
-        let known = directory.stated_rate_limit(now, worker);
+        let rate_limit = directory.stated_rate_limit(now, worker);
         drop(directory);
-        let is_answered = matches!(result, SendResult::Answered { .. });
-        let not_named = StatedLimit {
-            limit: None,
-            age: now.since(self.placed),
-        };
-        let is_limited = self.placement.has_rate_token;
-        let rate_limit = known.or((is_limited && is_answered).then_some(not_named));
         self.tell(PlacementNotice::Ended {
             id: self.placement.id,
             result,
