Process tests wait for workers that the store announces, not for those that take requests

Cause: the condition counted workers that take requests. Where decoders are more than callers need, the holder of the authority orders some to read within a second and a half of its start; an engine that shall have another role takes no requests, and stand-ins keep their entry. So the count is right for a moment only, which a busy machine misses. Shown by a run: with 4 s before the wait the test fails; with the new condition and the same 4 s the nine tests of the module pass. The condition is the same number of workers, as the store announces them.

--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -14,7 +14,8 @@
     Store, StoreDoor, TenantPlan, Worker, WorkerLife, WorkerPlan,
 };
 use tansyhall_testing::{
-    eventually, free_peer_address, gateway, get_metric, GatewayAddresses, GatewayProcess, Link,
+    eventually, free_peer_address, gateway, get_metric, get_metric_sum, GatewayAddresses,
+    GatewayProcess, Link,
 };
 use tansyhall_usage::Collection;
 
@@ -175,7 +176,7 @@
         }
         for index in 0..gateways {
             let all = site.workers.len() as f64;
-            site.until_ready_workers(index, all).await;
+            site.until_announced_workers(index, all).await;
             let gateway = &site.gateways[index];
             eventually("the gateway is ready", || async {
                 gateway.is_ready().await.then_some(())
@@ -290,7 +291,7 @@
         behaviour: Behaviour,
     ) -> SiteWorker {
         let worker = start_worker(&self.store, OTHER_ZONE, &(service, stage, behaviour));
-        self.until_ready_workers(0, self.workers.len() as f64 + 1.0)
+        self.until_announced_workers(0, self.workers.len() as f64 + 1.0)
             .await;
         worker
     }
@@ -351,7 +352,7 @@
         }
         for index in 0..self.gateways.len() {
             let all = self.workers.len() + count;
-            self.until_ready_workers(index, all as f64).await;
+            self.until_announced_workers(index, all as f64).await;
         }
         workers
     }
@@ -372,11 +373,21 @@
             stutters: true,
         };
         let worker = Worker::start(&self.store, plan, behaviour).expect("a free port");
-        self.until_ready_workers(0, self.workers.len() as f64 + 1.0)
+        self.until_announced_workers(0, self.workers.len() as f64 + 1.0)
             .await;
         SiteWorker { worker }
     }
 
+    /// Waits until a gateway knows this many workers from the store, those that are changing their role included.
+    pub async fn until_announced_workers(&self, index: usize, count: f64) {
+        let metrics = self.gateways[index].addresses.metrics;
+        eventually("the gateway knows the workers", || async {
+            let known = get_metric_sum(metrics, "gateway_workers").await?;
+            (known == count).then_some(())
+        })
+        .await;
+    }
+
     /// Waits until a gateway knows this many workers that take requests.
     pub async fn until_ready_workers(&self, index: usize, count: f64) {
         eventually("the gateway knows the workers", || async {
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -214,6 +214,20 @@
     text.lines().find_map(value)?.trim().parse().ok()
 }
 
+/// The sum of a metric over all its labels; none if the process has no such metric yet.
+pub async fn get_metric_sum(metrics: SocketAddr, name: &str) -> Option<f64> {
+    let request = awc::Client::default().get(format!("http://{metrics}/metrics"));
+    let mut response = request.send().await.ok()?;
+    let text = response.body().limit(64 << 20).await.ok()?;
+    let text = String::from_utf8_lossy(&text).into_owned();
+    let value = |line: &str| {
+        let labelled = line.strip_prefix(name)?.strip_prefix('{')?;
+        let (_, value) = labelled.rsplit_once(' ')?;
+        value.parse::<f64>().ok()
+    };
+    text.lines().filter_map(value).reduce(|sum, one| sum + one)
+}
+
 /// Starts a node with these settings.
 pub fn node(directory: &std::path::Path, name: &str, settings: &str) -> NodeProcess {
     let file = directory.join(format!("{name}.toml"));
