--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -204,22 +204,24 @@
     format!("seeds = {seeds:?}\n{settings}\n[peer_limits]\nprobe_period = '200ms'\n")
 }
 
-/// Reads one metric of a node by its name with labels, as it stands in the text form.
-pub async fn get_metric(admin: SocketAddr, name: &str) -> Option<f64> {
-    let request = awc::Client::default().get(format!("http://{admin}/metrics"));
+/// All metrics of a process as text; none if it does not answer.
+async fn metrics_text(metrics: SocketAddr) -> Option<String> {
+    let request = awc::Client::default().get(format!("http://{metrics}/metrics"));
     let mut response = request.send().await.ok()?;
     let text = response.body().limit(64 << 20).await.ok()?;
-    let text = String::from_utf8_lossy(&text).into_owned();
+    Some(String::from_utf8_lossy(&text).into_owned())
+}
+
+/// Reads one metric of a node by its name with labels, as it stands in the text form.
+pub async fn get_metric(admin: SocketAddr, name: &str) -> Option<f64> {
+    let text = metrics_text(admin).await?;
     let value = |line| str::strip_prefix(line, name)?.strip_prefix(' ');
     text.lines().find_map(value)?.trim().parse().ok()
 }
 
 /// The sum of a metric over all its labels; none if the process has no such metric yet.
 pub async fn get_metric_sum(metrics: SocketAddr, name: &str) -> Option<f64> {
-    let request = awc::Client::default().get(format!("http://{metrics}/metrics"));
-    let mut response = request.send().await.ok()?;
-    let text = response.body().limit(64 << 20).await.ok()?;
-    let text = String::from_utf8_lossy(&text).into_owned();
+    let text = metrics_text(metrics).await?;
     let value = |line: &str| {
         let labelled = line.strip_prefix(name)?.strip_prefix('{')?;
         let (_, value) = labelled.rsplit_once(' ')?;
