--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -332,14 +332,7 @@
         deadly: Deadly,
     ) -> Vec<MortalWorker> {
         let count = lives.len();
-        let plan = WorkerPlan {
-            life: None,
-            service,
-            zone: ZONE,
-            stage,
-            spot: false,
-            stutters: false,
-        };
+        let plan = worker_plan(service, ZONE, stage);
         let mut workers = Vec::new();
         for life in lives {
             let address = free_peer_address();
@@ -365,12 +358,8 @@
         behaviour: Behaviour,
     ) -> SiteWorker {
         let plan = WorkerPlan {
-            life: None,
-            service,
-            zone: ZONE,
-            stage,
-            spot: false,
             stutters: true,
+            ..worker_plan(service, ZONE, stage)
         };
         let worker = Worker::start(&self.store, plan, behaviour).expect("a free port");
         self.until_announced_workers(0, self.workers.len() as f64 + 1.0)
@@ -442,12 +431,8 @@
     /// Starts a worker that may be withdrawn, as it was ordered.
     pub fn start_spot_worker(&self, service: &'static str, zone: &'static str) -> Worker {
         let plan = WorkerPlan {
-            life: None,
-            service,
-            zone,
-            stage: Some("decode"),
             spot: true,
-            stutters: false,
+            ..worker_plan(service, zone, Some("decode"))
         };
         let behaviour = Behaviour::Serve { events: 0 };
         Worker::start(&self.store, plan, behaviour).expect("a free port")
@@ -476,19 +461,28 @@
     }
 }
 
-fn start_worker(
-    store: &Store,
+/// A worker that has another name in each life, is not to be withdrawn and answers once.
+fn worker_plan(
+    service: &'static str,
     zone: &'static str,
-    (service, stage, behaviour): &WorkerSpec,
-) -> SiteWorker {
-    let plan = WorkerPlan {
+    stage: Option<&'static str>,
+) -> WorkerPlan {
+    WorkerPlan {
         life: None,
         service,
         zone,
-        stage: *stage,
+        stage,
         spot: false,
         stutters: false,
-    };
+    }
+}
+
+fn start_worker(
+    store: &Store,
+    zone: &'static str,
+    (service, stage, behaviour): &WorkerSpec,
+) -> SiteWorker {
+    let plan = worker_plan(service, zone, *stage);
     let worker = Worker::start(store, plan, *behaviour).expect("a free port");
     SiteWorker { worker }
 }
