Reading of the change: shares of limits, availability in a module of its own, notices by their name

When workers take requests again concerns rests and limits, so it stands in `directory::availability` and no more in the module of limits. What a gateway may use of a limit is its share, as in the field; comments of workers' notices call them that. A figure leaves a comment. Behaviour and assertions stay.

--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -187,7 +187,7 @@
     }
 
     /// All workers that may be chosen: those that pause, or are tried after a rest, only if no other is left, and none
-    /// that rests. A pause is this gateway's own caution; a rest is the worker's word.
+    /// that rests. A pause is this gateway's own caution; a rest is the worker's own notice.
     pub(super) fn candidates(
         &self,
         now: Timestamp,
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -21,7 +21,7 @@
 //! so that many gateways, each with reports that are a little old, do not all choose the same.
 //!
 //! A worker that has said in an answer that it leaves, or wants rest, is not chosen, however well it compares
-//! (`notices`); one that names a rate limit is chosen no more often than this gateway's part of it allows (`rate_limits`).
+//! (`notices`); one that names a rate limit is chosen no more often than this gateway's share of it allows (`rate_limits`).
 //!
 //! Where many gateways place requests at the same time, each request compares a part of the workers only
 //! (`sampling`).
@@ -30,6 +30,7 @@
 //! cache included, against the best worker that reads it while decoding.
 
 mod admission;
+mod availability;
 mod choice;
 mod coming_back;
 mod costs;
@@ -63,9 +64,10 @@
 use crate::worker::{Worker, WorkerId, WorkerState};
 
 pub use admission::{Admission, Objectives, RefusalCause};
+pub use availability::FirstAvailable;
 pub use choice::Demand;
 pub use notices::{NoticeNews, Unavailable};
-pub use rate_limits::{FirstAvailable, RateToken};
+pub use rate_limits::RateToken;
 pub use ticket::SendTicket;
 pub use tracked::SendResult;
 
@@ -353,8 +355,7 @@
     }
 
     /// Seconds in which the workers of a service usually answer a request without a prompt. A worker that has not
-    /// answered yet is taken to be so fast: beside workers that answer within 2 ms, one that was taken to need 30 ms
-    /// got none of 360 requests, six at a time.
+    /// answered yet is taken to be so fast, so that it is tried beside fast ones.
     fn plain_latency(&self, service: &ServiceName) -> f64 {
         let known = self.plain_latencies.get(service);
         known.copied().unwrap_or(FIRST_PLAIN_LATENCY)
--- a/crates/forwarding/src/directory/notices.rs
+++ b/crates/forwarding/src/directory/notices.rs
@@ -29,11 +29,11 @@
 /// How long a rest that is over is kept while nothing is sent to its worker, so that the first who come try it.
 const REST_MEMORY: Duration = Duration::from_secs(30);
 /// Rests that end so close to each other are one: requests that were on their way together are turned away together,
-/// and gateways tell a scheduler of the same word again and again.
+/// and gateways tell a scheduler of the same notice again and again.
 const SAME_REST: Duration = Duration::from_millis(250);
 /// Workers that a gateway names when it asks for another one: some 2 KB of a datagram, with names of 30 bytes.
 const MOST_NAMED: usize = 64;
-/// Words that are looked at to find them, so that a question costs the same however many workers leave or rest.
+/// Notices that are looked at to find them, so that a question costs the same however many workers leave or rest.
 const MOST_LOOKED_AT: usize = 256;
 
 /// Why nothing may be sent to a worker.
@@ -45,7 +45,7 @@
     /// It wants rest.
     #[error("it rests")]
     Resting,
-    /// This gateway has used its part of the worker's rate limit.
+    /// This gateway has used its share of the worker's rate limit.
     #[error("its rate limit is reached")]
     RateLimited,
 }
@@ -69,7 +69,7 @@
     trials: u32,
 }
 
-/// The words of workers, by their lives.
+/// The notices of workers, by their lives.
 #[derive(Debug, Default)]
 pub(super) struct Notices {
     /// When each worker that leaves was last announced, or said so.
@@ -111,12 +111,12 @@
         NoticeNews {
             leaves,
             rest,
-            rate_limit: None,
+            ..NoticeNews::default()
         }
     }
 
     /// A worker rests until then at least; returns whether that is news. Answers on different connections pass each
-    /// other, so that a shorter rest may be the older word.
+    /// other, so that a shorter rest may be the older notice.
     fn lengthen_rest(&mut self, key: WorkerKey, until: Timestamp) -> bool {
         let Some(rest) = self.rests.get_mut(&key) else {
             self.rests.insert(key, Rest { until, trials: 0 });
@@ -224,12 +224,12 @@
         ids.take(MOST_NAMED).collect()
     }
 
-    /// How many words of workers are kept.
+    /// How many notices of workers are kept.
     pub fn kept_notices(&self) -> usize {
         self.notices.leaving.len() + self.notices.rests.len() + self.kept_rate_limits()
     }
 
-    /// Forgets words that have lost their use.
+    /// Forgets notices that have lost their use.
     pub fn expire_notices(&mut self, now: Timestamp) {
         self.notices.expire(now);
         self.expire_rate_limits(now);
--- a/crates/forwarding/src/directory/rate_limits.rs
+++ b/crates/forwarding/src/directory/rate_limits.rs
@@ -2,23 +2,21 @@
 //!
 //! - A limit holds for as long as the worker names it. An answer without one ends it if its request was sent after the
 //!   worker was last known to name it: answers on different connections pass each other.
-//! - Of a limit, this gateway uses its part ([`LimitSharers`]), one token for each request that it sends or places. A
+//! - Of a limit, this gateway uses its share ([`LimitSharers`]), one token for each request that it sends or places. A
 //!   worker without a token is not chosen.
 //! - Gateways tell each other what workers have stated, and how long ago ([`StatedLimit`]): those that place requests
-//!   with their reports, others with their placements. One that has no part of a limit sends nothing there and would
+//!   with their reports, others with their placements. One that has no share of a limit sends nothing there and would
 //!   never be told that it has ended. The newest statement counts.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use tansyhall_admission::{BucketDecision, BucketEvent, TokenBucket};
-use tansyhall_core::{ServiceName, Timestamp};
+use tansyhall_core::Timestamp;
 
-use super::notices::Unavailable;
 use super::Directory;
 use crate::load_exchange::{LimitStatement, WorkerKey};
 use crate::rate_limit::{LimitSharers, RateLimit, StatedLimit};
-use crate::selection::Need;
 use crate::worker::WorkerId;
 
 /// How long it is kept what a worker stated of its limit: several repetitions by those that are told. The end of a limit
@@ -42,15 +40,6 @@
     Missing,
 }
 
-/// When the first worker takes a request, and what keeps it from that until then.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct FirstAvailable {
-    /// Time until then.
-    pub after: Duration,
-    /// What keeps it.
-    pub until_then: Unavailable,
-}
-
 /// What is known of one worker's limit.
 #[derive(Debug)]
 struct Known {
@@ -62,7 +51,8 @@
     is_first_hand: bool,
     /// The limit that was told other gateways last.
     told: Option<RateLimit>,
-    part: RateLimit,
+    /// What this gateway may use of the limit.
+    share: RateLimit,
     bucket: TokenBucket,
 }
 
@@ -78,7 +68,7 @@
     fn wait(&self, now: Timestamp) -> Duration {
         match self.limit {
             Some(_) => {
-                let rate = self.part.millirequests_per_second();
+                let rate = self.share.millirequests_per_second();
                 self.bucket.wait(now, rate, 1)
             }
             None => Duration::ZERO,
@@ -101,7 +91,7 @@
         self.sharers = sharers;
         for (key, known) in &mut self.known {
             if let Some(limit) = known.limit {
-                known.part = self.sharers.part_of(limit, *key);
+                known.share = self.sharers.share_of(limit, *key);
             }
         }
     }
@@ -156,20 +146,20 @@
         limit: Option<RateLimit>,
         stated_at: Timestamp,
     ) {
-        let part = limit.map(|limit| self.sharers.part_of(limit, key));
+        let share = limit.map(|limit| self.sharers.share_of(limit, key));
         let known = self.known.entry(key).or_insert_with(|| Known {
             limit: None,
             stated_at,
             is_first_hand: false,
             told: None,
-            part: RateLimit::default(),
+            share: RateLimit::default(),
             bucket: TokenBucket::empty(now),
         });
         if known.limit.is_none() {
             known.bucket = TokenBucket::empty(now);
         }
         known.limit = limit;
-        known.part = part.unwrap_or_default();
+        known.share = share.unwrap_or_default();
         known.stated_at = stated_at;
     }
 
@@ -193,7 +183,7 @@
         let Some(known) = known.filter(|known| known.limit.is_some()) else {
             return RateToken::Unlimited;
         };
-        let rate = known.part.millirequests_per_second();
+        let rate = known.share.millirequests_per_second();
         match known.bucket.step(now, rate, BucketEvent::Take(1)) {
             BucketDecision::Admitted => RateToken::Taken,
             BucketDecision::Refused { .. } => RateToken::Missing,
@@ -202,7 +192,7 @@
 
     fn give_back(&mut self, now: Timestamp, key: WorkerKey) {
         if let Some(known) = self.known.get_mut(&key) {
-            let rate = known.part.millirequests_per_second();
+            let rate = known.share.millirequests_per_second();
             known.bucket.step(now, rate, BucketEvent::GiveBack(1));
         }
     }
@@ -288,46 +278,6 @@
         self.rate_limits.give_back(now, WorkerKey::of(id));
     }
 
-    /// When the first of the workers that serve a need takes a request, if none does now for what it has said of itself.
-    pub fn first_available(
-        &self,
-        now: Timestamp,
-        service: &ServiceName,
-        need: &Need,
-    ) -> Option<FirstAvailable> {
-        let serving = self.eligible.serving(service, need);
-        if self.kept_notices() < serving.len() {
-            return None;
-        }
-        let waits = serving.iter().map(|key| self.wait_for(now, *key));
-        let waits: Option<Vec<FirstAvailable>> = waits.collect();
-        waits?.into_iter().min_by_key(|wait| wait.after)
-    }
-
-    /// Time until the first of the workers that serve a need takes a request, if all are at their rate limits.
-    pub fn rate_limited_for(
-        &self,
-        now: Timestamp,
-        service: &ServiceName,
-        need: &Need,
-    ) -> Option<Duration> {
-        let first = self.first_available(now, service, need)?;
-        (first.until_then == Unavailable::RateLimited).then_some(first.after)
-    }
-
-    /// How long a worker takes no request for what it has said of itself; none if it takes one now.
-    fn wait_for(&self, now: Timestamp, key: WorkerKey) -> Option<FirstAvailable> {
-        let rested = self.notices.rests_until(now, key);
-        let rest = rested.map_or(Duration::ZERO, |until| until.since(now));
-        let token = self.rate_limits.wait(now, key);
-        let until_then = match token > rest {
-            true => Unavailable::RateLimited,
-            false => Unavailable::Resting,
-        };
-        let after = rest.max(token);
-        (!after.is_zero()).then_some(FirstAvailable { after, until_then })
-    }
-
     /// How many limits of workers are kept, those that have just ended included.
     pub fn kept_rate_limits(&self) -> usize {
         self.rate_limits.len()
--- a/crates/forwarding/src/rate_limit.rs
+++ b/crates/forwarding/src/rate_limit.rs
@@ -1,8 +1,8 @@
-//! Rate limits that workers name for all gateways together, and the part of each that one gateway may use.
+//! Rate limits that workers name for all gateways together, and the share of each that one gateway may use.
 //!
 //! A limit is divided without messages. At most as many gateways as requests fit into one second, and
-//! [`EXTRA_HOLDERS`] more, hold a part of a worker's limit, each an equal one; rendezvous hashing names them, so that
-//! gateways that know the same fleet agree. Each part has a token bucket of at least one request. In a time t, a worker
+//! [`EXTRA_HOLDERS`] more, hold a share of a worker's limit, each an equal one; rendezvous hashing names them, so that
+//! gateways that know the same fleet agree. Each share has a token bucket of at least one request. In a time t, a worker
 //! with a limit of R requests a second thus gets at most R t + R + [`EXTRA_HOLDERS`], whatever the size of the fleet.
 
 use std::time::Duration;
@@ -11,7 +11,7 @@
 
 use crate::load_exchange::WorkerKey;
 
-/// Gateways that hold a part of a limit beyond the whole requests a second that it allows, so that low limits do not
+/// Gateways that hold a share of a limit beyond the whole requests a second that it allows, so that low limits do not
 /// leave a worker to a single gateway.
 const EXTRA_HOLDERS: u64 = 2;
 /// The lowest rate at which a worker is tried: one that names no requests at all is asked this often whether that holds.
@@ -73,7 +73,7 @@
 }
 
 impl LimitSharers {
-    /// The gateway `own` among all that share; it has no part of any limit if it is none of them.
+    /// The gateway `own` among all that share; it has no share of any limit if it is none of them.
     pub fn new<'a>(own: &str, sharing: impl IntoIterator<Item = &'a str>) -> Self {
         let (own_names, others): (Vec<&str>, Vec<&str>) =
             sharing.into_iter().partition(|name| *name == own);
@@ -84,8 +84,8 @@
         }
     }
 
-    /// The part of a worker's limit that this gateway may use.
-    pub fn part_of(&self, limit: RateLimit, worker: WorkerKey) -> RateLimit {
+    /// The share of a worker's limit that this gateway may use.
+    pub fn share_of(&self, limit: RateLimit, worker: WorkerKey) -> RateLimit {
         let limit = limit.max(LEAST_RATE);
         let whole_requests = limit.millirequests_per_second / MILLI_WHOLE;
         let sharing = self.others.len() as u64 + u64::from(self.is_sharing);
--- a/crates/gateway/src/worker_entries.rs
+++ b/crates/gateway/src/worker_entries.rs
@@ -39,7 +39,7 @@
 }
 
 impl WorkerEntries {
-    /// Whether a life of a worker has ended without a word: another one has begun under its name.
+    /// Whether a life of a worker has ended without notice: another one has begun under its name.
     pub fn was_reborn(&self, id: &WorkerId) -> bool {
         let entry = self.entries.get(id.as_str());
         entry.is_some_and(|entry| entry.ended_life.as_ref() == Some(id))
@@ -136,7 +136,7 @@
     }
 }
 
-/// The life that has ended without a word as an entry names another, or had ended so before.
+/// The life that has ended without notice as an entry names another, or had ended so before.
 fn ended_life(
     shared: &Shared,
     before: Option<&WorkerEntry>,
@@ -147,8 +147,8 @@
     match worker {
         Some(worker) if worker.id != was.id => {
             let has_said = || shared.directory.lock().has_said_that_it_leaves(&was.id);
-            let without_a_word = was.state == WorkerState::Ready && !has_said();
-            without_a_word.then(|| was.id.clone())
+            let is_without_notice = was.state == WorkerState::Ready && !has_said();
+            is_without_notice.then(|| was.id.clone())
         }
         _ => before.ended_life.clone(),
     }
