Observability: the store's epoch, its revision, and calls for changes that it refuses

The adapter reads the epoch that the store names in its answers; the follower logs store_restored and store_went_back, and counts calls for changes by outcome. No decision reads any of it yet.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -81,6 +81,20 @@
         /// The last error, or the scheduler's name.
         reason: &'a str,
     },
+    /// The store was restored from an earlier copy of itself: an answer names a later epoch.
+    StoreRestored {
+        /// The epoch.
+        epoch: u64,
+        /// The revision up to which this gateway knew the store before.
+        copy_revision: u64,
+    },
+    /// The store was read whole, and its revision is lower than that of this gateway's copy.
+    StoreWentBack {
+        /// The store's revision.
+        store_revision: u64,
+        /// The copy's.
+        copy_revision: u64,
+    },
     /// This gateway gets the store's changes from elsewhere now.
     Upstream {
         /// The relay that is asked, or empty for the store itself.
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -16,7 +16,7 @@
     Continuation, Item, MirrorChange, RelayCandidate, RelayPlan, Snapshot, Upstream,
 };
 use tansyhall_store::{
-    KeyValue, KeyValueStore, RangePage, Revision, StoreError, WatchEvent, WatchStream,
+    KeyValue, KeyValueStore, RangePage, Revision, StoreEpoch, StoreError, WatchEvent, WatchStream,
 };
 use tokio::time::sleep;
 
@@ -99,6 +99,7 @@
         continuation: Continuation::default(),
         settled: false,
         store_lost: false,
+        epoch: None,
         failures: 0,
     };
     loop {
@@ -124,6 +125,8 @@
     /// Whether the gateways that started together with this one have had time to announce themselves.
     settled: bool,
     store_lost: bool,
+    /// The latest epoch of the store that was logged.
+    epoch: Option<StoreEpoch>,
     failures: u32,
 }
 
@@ -215,7 +218,10 @@
             }
             None => return self.read_whole(None).await,
         };
-        let Some(events) = in_time(async { watch.next().await.transpose() }).await? else {
+        let answered = in_time(async { watch.next().await.transpose() }).await;
+        self.count_read(&answered);
+        self.observe_epoch();
+        let Some(events) = answered? else {
             return Err(StoreError::NotApplied("the watch ended".into()));
         };
         self.watch = Some(watch);
@@ -241,6 +247,31 @@
         in_time(self.store.watch(EVERYTHING, Revision(known + 1))).await
     }
 
+    fn count_read<T>(&self, answered: &Result<T, StoreError>) {
+        let outcome = match answered {
+            Ok(_) => "answered",
+            Err(StoreError::Compacted) => "history_gone",
+            Err(_) => "failed",
+        };
+        let reads = &self.shared.metrics.store_reads;
+        reads.with_label_values(&[outcome]).inc();
+    }
+
+    /// Tells that the store was restored, where an answer has named a later epoch than those before.
+    fn observe_epoch(&mut self) {
+        let epoch = self.store.epoch();
+        let before = self.epoch.replace(epoch);
+        let gauge = i64::try_from(epoch.0).unwrap_or(i64::MAX);
+        self.shared.metrics.store_epoch.set(gauge);
+        if before.is_some_and(|before| before < epoch) {
+            let event = Event::StoreRestored {
+                epoch: epoch.0,
+                copy_revision: self.shared.mirror.lock().revision(),
+            };
+            self.shared.log.record(Weight::Important, &event);
+        }
+    }
+
     fn reached(&mut self) {
         let now = self.shared.now();
         self.shared.store_contact.mark(now, Duration::ZERO);
@@ -311,6 +342,7 @@
         revision,
     };
     shared.store_contact.mark(shared.now(), Duration::ZERO);
+    observe_revision(shared, revision);
     let touched = shared.mirror.lock().replace(snapshot);
     if touched.is_any() {
         refresh(shared, &touched);
@@ -318,6 +350,20 @@
     Ok(())
 }
 
+/// Tells the revision of a store that was read whole, and that it is lower than the copy's.
+fn observe_revision(shared: &Shared, store_revision: u64) {
+    let gauge = i64::try_from(store_revision).unwrap_or(i64::MAX);
+    shared.metrics.store_revision.set(gauge);
+    let copy_revision = shared.mirror.lock().revision();
+    if store_revision < copy_revision {
+        let event = Event::StoreWentBack {
+            store_revision,
+            copy_revision,
+        };
+        shared.log.record(Weight::Important, &event);
+    }
+}
+
 async fn read_page(
     store: &dyn KeyValueStore,
     after: Option<&str>,
--- a/crates/gateway/src/follower/first_copy.rs
+++ b/crates/gateway/src/follower/first_copy.rs
@@ -132,7 +132,9 @@
 
     /// Reads everything from the store, after the first page if that was read already.
     pub(super) async fn read_whole(&mut self, first: Option<RangePage>) -> Result<(), StoreError> {
-        read_all(&self.shared, &*self.store, first).await?;
+        let read = read_all(&self.shared, &*self.store, first).await;
+        self.observe_epoch();
+        read?;
         self.reached();
         self.continuation.was_read_whole();
         self.settle().await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,12 @@
     pub ready_workers: IntGauge,
     /// The revision of the copy of the store.
     pub mirror_revision: IntGauge,
+    /// The latest epoch that the store has named to this gateway.
+    pub store_epoch: IntGauge,
+    /// The revision of the store when this gateway last read it whole.
+    pub store_revision: IntGauge,
+    /// Calls for the store's changes, by outcome: `answered`, `history_gone` or `failed`.
+    pub store_reads: IntCounterVec,
     /// Gateways that share the fleet's budgets.
     pub gateways: IntGauge,
     /// Workers by service and state, as the store says.
@@ -110,6 +116,18 @@
                 "gateway_mirror_revision",
                 "Revision of the copy of the store",
             )?,
+            store_epoch: IntGauge::new("gateway_store_epoch", "Latest epoch that the store named")?,
+            store_revision: IntGauge::new(
+                "gateway_store_revision",
+                "Revision of the store when it was last read whole",
+            )?,
+            store_reads: IntCounterVec::new(
+                Opts::new(
+                    "gateway_store_reads_total",
+                    "Calls for changes of the store",
+                ),
+                &["outcome"],
+            )?,
             gateways: IntGauge::new("gateway_gateways", "Gateways that share budgets")?,
             workers: IntGaugeVec::new(
                 Opts::new("gateway_workers", "Workers by service and state"),
@@ -186,6 +204,10 @@
             .register(Box::new(self.ready_workers.clone()))?;
         self.registry
             .register(Box::new(self.mirror_revision.clone()))?;
+        self.registry.register(Box::new(self.store_epoch.clone()))?;
+        self.registry
+            .register(Box::new(self.store_revision.clone()))?;
+        self.registry.register(Box::new(self.store_reads.clone()))?;
         self.registry.register(Box::new(self.gateways.clone()))?;
         self.registry.register(Box::new(self.workers.clone()))?;
         self.registry
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,5 +15,5 @@
 pub use retry::{NextStep, Repeatability, RetryPolicy};
 pub use store::{
     Compare, KeyValue, KeyValueStore, LeaseId, Operation, RangeOutcome, RangePage, Revision,
-    StoreError, Transaction, TransactionOutcome, WatchEvent, WatchStream,
+    StoreEpoch, StoreError, Transaction, TransactionOutcome, WatchEvent, WatchStream,
 };
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -15,6 +15,11 @@
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
+/// Which history of the store: rises by one each time that the store is restored from an earlier copy of itself. What
+/// was written after that copy is gone, leases too, and revisions are given out again: they compare within an epoch only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct StoreEpoch(pub u64);
+
 /// A lease; keys attached to it vanish when it lapses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct LeaseId(pub i64);
@@ -136,6 +141,10 @@
 /// A key-value service with compare-and-swap, leases and watches.
 #[async_trait(?Send)]
 pub trait KeyValueStore {
+    /// The latest epoch that an answer has named; the default for a store that names none.
+    fn epoch(&self) -> StoreEpoch {
+        StoreEpoch::default()
+    }
     /// Reads every key that starts with `prefix`.
     async fn range(&self, prefix: &str) -> Result<RangeOutcome, StoreError>;
     /// Reads the keys that start with `prefix` and follow `after`, as many as one call gives. A
