Restored store, reproduced by gateway processes: three tests that fail on the code as it is

Seen on the code as it is: a configuration, a worker's notice that it leaves and the authority's claim, all written after the restore, are heard by none of three gateways within 60 s.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -8,6 +8,7 @@
 mod rate_limits;
 mod relays;
 mod requests;
+mod restored_store;
 mod roles;
 mod schedulers;
 mod silent_connections;
--- /dev/null
+++ b/crates/cli/tests/gateway_platform/restored_store.rs
@@ -0,0 +1,115 @@
+//! The store comes back from an earlier copy of itself: what was written since is gone, leases too, and revisions are
+//! given out again.
+
+use std::time::Duration;
+
+use serde_json::json;
+use tansyhall_platform_standin::{Backup, Behaviour, Order, StoreFault};
+use tansyhall_testing::eventually;
+use tokio::time::sleep;
+
+use crate::support::{ask, Site, WorkerSpec, REPEATABLE};
+
+const ECHO: Behaviour = Behaviour::Serve { events: 0 };
+const APP: WorkerSpec = ("app", None, ECHO);
+const DECODER: WorkerSpec = ("llm", Some("decode"), ECHO);
+const ENGINES: usize = 10;
+/// One that follows the store, and two that it tells.
+const GATEWAYS: usize = 3;
+/// Changes that the store loses: more than are made in the rest of a test, so that no revision passes the last one.
+const LOST_CHANGES: usize = 2_000;
+/// How long the store is away before it is back.
+const AWAY: Duration = Duration::from_millis(600);
+/// Requests to each gateway.
+const REQUESTS: usize = 20;
+
+fn write_what_is_lost(site: &Site) {
+    for number in 0..LOST_CHANGES {
+        site.store.put("other/lost", &json!(number));
+    }
+}
+
+/// The store is away for a moment and comes back from an earlier copy.
+async fn restore(site: &Site, backup: &Backup) {
+    for door in &site.doors {
+        door.set_fault(StoreFault::Refuse);
+    }
+    sleep(AWAY).await;
+    site.store.restore(backup);
+    for door in &site.doors {
+        door.set_fault(StoreFault::None);
+    }
+}
+
+/// Guards against gateways that take what a restored store says for old, as its revisions were given out before.
+#[actix_rt::test]
+async fn a_configuration_that_is_written_after_a_restore_is_in_force() {
+    let site = Site::start(&[APP], GATEWAYS).await;
+    site.until_gateways_know_each_other().await;
+    let backup = site.store.back_up();
+    write_what_is_lost(&site);
+    site.until_in_force(site.configure_next()).await;
+    restore(&site, &backup).await;
+    site.until_in_force(site.configure_next()).await;
+}
+
+/// Guards against requests to a worker that says after a restore that it leaves.
+#[actix_rt::test]
+async fn a_worker_that_leaves_after_a_restore_gets_no_more_requests() {
+    let site = Site::start(&[APP, APP], GATEWAYS).await;
+    site.until_gateways_know_each_other().await;
+    let backup = site.store.back_up();
+    write_what_is_lost(&site);
+    site.until_in_force(site.configure_next()).await;
+    restore(&site, &backup).await;
+    let leaving = &site.workers[0].worker;
+    leaving.announce("draining");
+    for index in 0..GATEWAYS {
+        site.until_ready_workers(index, 1.0).await;
+    }
+    let before = leaving.runs().len();
+    ask_all(&site).await;
+    assert_eq!(leaving.runs().len(), before);
+}
+
+async fn ask_all(site: &Site) {
+    for (index, gateway) in site.gateways.iter().enumerate() {
+        for number in 0..REQUESTS {
+            let id = format!("request-{index}-{number}");
+            let answer = ask(gateway, &id, REPEATABLE, b"body").await;
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+    }
+}
+
+fn orders(site: &Site) -> Vec<Order> {
+    let orders = site
+        .workers
+        .iter()
+        .flat_map(|worker| worker.worker.orders());
+    orders.collect()
+}
+
+/// Guards against a claim that a restore took away and nobody makes again, and against fences that were used before.
+#[actix_rt::test]
+async fn engines_are_ordered_again_after_a_restore_with_a_higher_fence() {
+    let site = Site::start(&[DECODER; ENGINES], GATEWAYS).await;
+    let before_claim = site.store.back_up();
+    eventually("the first engines are ordered", || async {
+        (!orders(&site).is_empty()).then_some(())
+    })
+    .await;
+    write_what_is_lost(&site);
+    site.until_in_force(site.configure_next()).await;
+    let highest = |orders: Vec<Order>| orders.iter().map(|order| order.fence).max();
+    let before = highest(orders(&site));
+    restore(&site, &before_claim).await;
+    site.until_in_force(site.configure_next()).await;
+    eventually("engines are ordered with a higher fence", || async {
+        for worker in &site.workers {
+            worker.worker.announce("ready");
+        }
+        (highest(orders(&site)) > before).then_some(())
+    })
+    .await;
+}
