--- a/crates/cli/tests/duty_counterexamples.rs
+++ b/crates/cli/tests/duty_counterexamples.rs
@@ -10,7 +10,7 @@
 use actix_rt::task::JoinHandle;
 use async_trait::async_trait;
 use tansyhall_core::TenantName;
-use tansyhall_forwarding::{Item, Snapshot};
+use tansyhall_forwarding::{Item, Position, Snapshot};
 use tansyhall_gateway::authority::Authority;
 use tansyhall_gateway::authority_claim;
 use tansyhall_gateway::duties::{DutyHolder, DutyOutcome, DutyService, UsageReport, WorkerOrder};
@@ -94,9 +94,9 @@
         let mut items = self.items.borrow_mut();
         let holds = |compare: &Compare| match compare {
             Compare::Absent(key) => !items.contains_key(key),
-            Compare::ModifiedAt(key, Revision(at)) => {
-                items.get(key).is_some_and(|(item, _)| item.revision == *at)
-            }
+            Compare::ModifiedAt(key, Revision(at)) => items
+                .get(key)
+                .is_some_and(|(item, _)| item.written.revision == *at),
         };
         if !transaction.compare.iter().all(holds) {
             return Ok(TransactionOutcome {
@@ -115,7 +115,7 @@
                     let item = Item {
                         key: key.clone(),
                         value: value.clone(),
-                        revision,
+                        written: Position::new(0, revision),
                         created,
                     };
                     items.insert(key.clone(), (item, *lease));
@@ -145,7 +145,7 @@
         let items = self.items.borrow();
         Snapshot {
             items: items.values().map(|(item, _)| item.clone()).collect(),
-            revision: self.revision.get(),
+            position: Position::new(0, self.revision.get()),
         }
     }
 
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod load_exchange;
 pub mod mirror;
 pub mod placement;
+pub mod position;
 pub mod quarantine;
 mod rate;
 pub mod rate_limit;
@@ -51,6 +52,7 @@
     Placement, PlacementAnswer, PlacementBook, PlacementId, PlacementLedger, PlacementMessage,
     PlacementNeed, PlacementNotice, PlacementRequest,
 };
+pub use position::Position;
 pub use quarantine::{
     Audience, Fingerprint, Heard, Outgoing, Quarantine, QuarantineNews, RequestContent, SendLedger,
     SendNumber, Sighting, Unlisted,
--- a/crates/forwarding/src/mirror.rs
+++ b/crates/forwarding/src/mirror.rs
@@ -1,11 +1,14 @@
 //! A copy of the store's items that a gateway decides from. It is filled by reads and watches of
 //! the store, or by a peer that has a newer copy while the store cannot be reached, and it never
-//! goes back: an item, once seen at a revision, is not replaced by an older one.
+//! goes back: an item, once seen at a position, is not replaced by an older one. A store that was restored from an
+//! earlier copy of itself is in a later epoch, and thereby newer whatever its revision.
 //!
 //! The copy remembers its latest changes, so that a peer that has nearly all of it gets just those.
 
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
+use crate::position::Position;
+
 /// Changes that are remembered: as many as the copy has items, since a peer that lacks more is better handed the
 /// whole copy; at least so many,
 const LEAST_HISTORY_CHANGES: usize = 256;
@@ -19,26 +22,33 @@
     pub key: String,
     /// Its value.
     pub value: Vec<u8>,
-    /// The revision of its last change.
-    pub revision: u64,
+    /// Its last change, in the epoch in which it was first seen so.
+    pub written: Position,
     /// The revision at which it was created.
     pub created: u64,
 }
 
 impl Item {
+    /// Whether both are the same item in the same state, in whichever epochs they were seen.
+    fn is_same(&self, other: &Self) -> bool {
+        self.written.revision == other.written.revision
+            && self.created == other.created
+            && self.value == other.value
+    }
+
     /// What key and value take.
     pub fn bytes(&self) -> usize {
         self.key.len() + self.value.len()
     }
 }
 
-/// The whole copy at one revision.
+/// The whole copy at one position.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Snapshot {
     /// Items, in the order of their keys.
     pub items: Vec<Item>,
-    /// The revision up to which the copy knows every change.
-    pub revision: u64,
+    /// The position up to which the copy knows every change.
+    pub position: Position,
 }
 
 /// A change that the store reports.
@@ -50,17 +60,17 @@
     Removed {
         /// Its key.
         key: String,
-        /// The revision of its removal.
-        revision: u64,
+        /// Its removal.
+        at: Position,
     },
 }
 
 impl MirrorChange {
-    /// The revision of the change.
-    pub fn revision(&self) -> u64 {
+    /// The position of the change.
+    pub fn position(&self) -> Position {
         match self {
-            MirrorChange::Written(item) => item.revision,
-            MirrorChange::Removed { revision, .. } => *revision,
+            MirrorChange::Written(item) => item.written,
+            MirrorChange::Removed { at, .. } => *at,
         }
     }
 
@@ -83,12 +93,12 @@
 /// What a peer that has an older copy lacks.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Update {
-    /// The changes since its revision, in their order, up to `revision`.
+    /// The changes since its position, in their order, up to `position`.
     Changes {
         /// The changes.
         changes: Vec<MirrorChange>,
-        /// The revision that it then has.
-        revision: u64,
+        /// The position that it then has.
+        position: Position,
     },
     /// Everything, as the changes are not remembered.
     Whole(Snapshot),
@@ -135,14 +145,39 @@
 struct History {
     changes: VecDeque<MirrorChange>,
     bytes: usize,
-    floor: u64,
+    floor: Position,
+    gap: Option<Gap>,
+}
+
+/// The copy was replaced by a newer one that it had not come to by every change between them.
+#[derive(Debug, Clone, Copy)]
+struct Gap {
+    /// The last position of the copy before.
+    before: Position,
+    /// The first one afterwards.
+    after: Position,
+}
+
+impl Gap {
+    /// Whether a copy of this position may hold what neither of the two copies had.
+    fn hides(&self, position: Position) -> bool {
+        self.before < position && position < self.after
+    }
 }
 
 impl History {
-    fn restart(&mut self, floor: u64) {
-        self.changes.clear();
-        self.bytes = 0;
-        self.floor = floor;
+    fn restart(&mut self, floor: Position) {
+        *self = Self {
+            floor,
+            ..Self::default()
+        };
+    }
+
+    /// The changes that follow lead over a gap. Those before an earlier one are forgotten.
+    fn skip(&mut self, gap: Gap) {
+        if let Some(earlier) = self.gap.replace(gap) {
+            self.floor = self.floor.max(earlier.after);
+        }
     }
 
     /// Remembers a change, and as many before it as are shorter than the copy itself.
@@ -156,16 +191,22 @@
                 break;
             };
             self.bytes -= dropped.bytes();
-            self.floor = self.floor.max(dropped.revision());
+            self.floor = self.floor.max(dropped.position());
         }
     }
 
-    /// The changes after a revision, if all of them are remembered.
-    fn after(&self, revision: u64) -> Option<Vec<MirrorChange>> {
-        if revision < self.floor {
+    /// Whether all changes after a position are remembered.
+    fn covers(&self, position: Position) -> bool {
+        let is_hidden = self.gap.is_some_and(|gap| gap.hides(position));
+        position >= self.floor && !is_hidden
+    }
+
+    /// The changes after a position, if all of them are remembered.
+    fn after(&self, position: Position) -> Option<Vec<MirrorChange>> {
+        if !self.covers(position) {
             return None;
         }
-        let later = |change: &&MirrorChange| change.revision() > revision;
+        let later = |change: &&MirrorChange| change.position() > position;
         Some(self.changes.iter().filter(later).cloned().collect())
     }
 }
@@ -178,7 +219,7 @@
     items: BTreeMap<String, Item>,
     /// What keys and values of the items take.
     bytes: usize,
-    revision: u64,
+    position: Position,
     history: History,
 }
 
@@ -195,24 +236,30 @@
         self.left_out.is_none_or(|prefix| !key.starts_with(prefix))
     }
 
-    /// The revision up to which the copy knows every change; 0 before the first read.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// The position up to which the copy knows every change; the start before the first read.
+    pub fn position(&self) -> Position {
+        self.position
     }
 
     /// Replaces the copy by a newer one; an older one touches nothing. The difference is remembered as changes:
-    /// where the store has forgotten its history, peers that follow this copy need no other whole one.
+    /// where the store has forgotten its history, or was restored, peers that follow this copy need no other whole one.
     pub fn replace(&mut self, snapshot: Snapshot) -> Touched {
-        if snapshot.revision <= self.revision {
+        if snapshot.position <= self.position {
             return Touched::Nothing;
         }
-        if self.revision > 0 {
-            let revision = snapshot.revision;
+        if !self.position.is_start() {
+            let position = snapshot.position;
             let changes = self.difference(snapshot);
-            return self.apply_all(changes, revision);
+            if position.epoch > self.position.epoch {
+                self.history.skip(Gap {
+                    before: self.position,
+                    after: position,
+                });
+            }
+            return self.apply_all(changes, position);
         }
-        self.revision = snapshot.revision;
-        self.history.restart(snapshot.revision);
+        self.position = snapshot.position;
+        self.history.restart(snapshot.position);
         let items = snapshot.items.into_iter();
         let kept = items.filter(|item| self.keeps(&item.key));
         self.items = kept.map(|item| (item.key.clone(), item)).collect();
@@ -220,16 +267,16 @@
         Touched::Everything
     }
 
-    /// Applies what a watch reported up to `revision`; changes that are known already are passed
+    /// Applies what a watch reported up to `position`; changes that are known already are passed
     /// over. Returns what was touched.
-    pub fn apply(&mut self, changes: Vec<MirrorChange>, revision: u64) -> Touched {
-        let known = self.revision;
-        let is_new = |change: &MirrorChange| change.revision() > known;
+    pub fn apply(&mut self, changes: Vec<MirrorChange>, position: Position) -> Touched {
+        let known = self.position;
+        let is_new = |change: &MirrorChange| change.position() > known;
         let changes = changes.into_iter().filter(is_new).collect();
-        self.apply_all(changes, revision)
+        self.apply_all(changes, position)
     }
 
-    fn apply_all(&mut self, changes: Vec<MirrorChange>, revision: u64) -> Touched {
+    fn apply_all(&mut self, changes: Vec<MirrorChange>, position: Position) -> Touched {
         let mut touched = Vec::new();
         for change in changes {
             if !self.keeps(change.key()) {
@@ -240,30 +287,31 @@
                 .push(change.clone(), self.items.len(), self.bytes);
             self.apply_one(change);
         }
-        self.revision = self.revision.max(revision);
+        self.position = self.position.max(position);
         match touched.is_empty() {
             true => Touched::Nothing,
             false => Touched::Keys(touched),
         }
     }
 
-    /// The changes that lead to a newer copy, in the order of their revisions. When an item went is not known.
+    /// The changes that lead to a newer copy, in their order. When an item went is not known. An item that the store
+    /// had in the same state before it was restored is no change.
     fn difference(&self, newer: Snapshot) -> Vec<MirrorChange> {
-        let revision = newer.revision;
+        let at = newer.position;
         let kept: HashSet<&str> = newer.items.iter().map(|item| item.key.as_str()).collect();
         let gone = self.items.keys().filter(|key| !kept.contains(key.as_str()));
         let gone = gone.map(|key| MirrorChange::Removed {
             key: key.clone(),
-            revision,
+            at,
         });
         let mut changes: Vec<MirrorChange> = gone.collect();
-        let known = |item: &Item| self.items.get(&item.key).map(|known| known.revision);
-        let written = newer
-            .items
-            .into_iter()
-            .filter(|item| known(item) != Some(item.revision));
+        let is_known = |item: &Item| {
+            let known = self.items.get(&item.key);
+            known.is_some_and(|known| known.is_same(item))
+        };
+        let written = newer.items.into_iter().filter(|item| !is_known(item));
         changes.extend(written.map(MirrorChange::Written));
-        changes.sort_by_key(MirrorChange::revision);
+        changes.sort_by_key(MirrorChange::position);
         changes
     }
 
@@ -281,25 +329,25 @@
     /// Takes in what a peer handed over; returns what was touched.
     pub fn take_in(&mut self, update: Update) -> Touched {
         match update {
-            Update::Changes { changes, revision } => self.apply(changes, revision),
+            Update::Changes { changes, position } => self.apply(changes, position),
             Update::Whole(snapshot) => self.replace(snapshot),
         }
     }
 
-    /// Whether a peer whose copy has this revision can be told just the changes since.
-    pub fn remembers_after(&self, revision: u64) -> bool {
-        revision >= self.history.floor
+    /// Whether a peer whose copy has this position can be told just the changes since.
+    pub fn remembers_after(&self, position: Position) -> bool {
+        self.history.covers(position)
     }
 
-    /// What a peer whose copy has this revision lacks; nothing if it is as new as this one.
-    pub fn update_after(&self, revision: u64) -> Option<Update> {
-        if revision >= self.revision {
+    /// What a peer whose copy has this position lacks; nothing if it is as new as this one.
+    pub fn update_after(&self, position: Position) -> Option<Update> {
+        if position >= self.position {
             return None;
         }
-        let update = match self.history.after(revision) {
+        let update = match self.history.after(position) {
             Some(changes) => Update::Changes {
                 changes,
-                revision: self.revision,
+                position: self.position,
             },
             None => Update::Whole(self.snapshot()),
         };
@@ -323,7 +371,7 @@
     pub fn snapshot(&self) -> Snapshot {
         Snapshot {
             items: self.items.values().cloned().collect(),
-            revision: self.revision,
+            position: self.position,
         }
     }
 }
--- a/crates/forwarding/src/relay_plan.rs
+++ b/crates/forwarding/src/relay_plan.rs
@@ -25,6 +25,8 @@
 use tansyhall_core::hash::rendezvous_weight;
 use tansyhall_core::{Timestamp, ZoneName};
 
+use crate::position::Position;
+
 /// Gateways of a zone for which one relay suffices: each asks a few times a second, and changes are rare. A
 /// long configuration is deflated once for all of them.
 pub const GATEWAYS_PER_RELAY: usize = 64;
@@ -229,8 +231,8 @@
         self.reads_whole = false;
     }
 
-    /// A relay answered: the revisions of the copy before and after.
-    pub fn relay_answered(&mut self, before: u64, after: u64) {
+    /// A relay answered: the positions of the copy before and after.
+    pub fn relay_answered(&mut self, before: Position, after: Position) {
         if after > before {
             self.reads_whole = false;
         }
--- a/crates/forwarding/tests/budget_and_mirror.rs
+++ b/crates/forwarding/tests/budget_and_mirror.rs
@@ -6,8 +6,8 @@
 use tansyhall_core::{ServiceName, Timestamp};
 use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_forwarding::{
-    sharing_gateways, Item, Mirror, MirrorChange, RetryShare, RetryShareSettings, RetryShares,
-    Snapshot, Touched,
+    sharing_gateways, Item, Mirror, MirrorChange, Position, RetryShare, RetryShareSettings,
+    RetryShares, Snapshot, Touched,
 };
 
 const FLEET: RetryShareSettings = RetryShareSettings {
@@ -89,11 +89,16 @@
     assert!(f64::from(spent) > allowed, "{spent} of {allowed}");
 }
 
+/// A position in the first epoch.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 fn item(key: &str, revision: u64) -> Item {
     Item {
         key: key.into(),
         value: revision.to_string().into_bytes(),
-        revision,
+        written: at(revision),
         created: 1,
     }
 }
@@ -103,17 +108,17 @@
     let mut mirror = Mirror::default();
     let newer = Snapshot {
         items: vec![item("a", 5)],
-        revision: 6,
+        position: at(6),
     };
     assert_eq!(mirror.replace(newer), Touched::Everything);
     let older = Snapshot {
         items: vec![item("a", 4)],
-        revision: 5,
+        position: at(5),
     };
     assert!(!mirror.replace(older).is_any());
-    let late = mirror.apply(vec![MirrorChange::Written(item("a", 3))], 6);
+    let late = mirror.apply(vec![MirrorChange::Written(item("a", 3))], at(6));
     assert!(!late.is_any());
-    assert_eq!(mirror.get("a").map(|item| item.revision), Some(5));
+    assert_eq!(mirror.get("a").map(|item| item.written), Some(at(5)));
 }
 
 #[test]
@@ -125,14 +130,14 @@
             MirrorChange::Written(item("p/b", 2)),
             MirrorChange::Removed {
                 key: "p/a".into(),
-                revision: 3,
+                at: at(3),
             },
         ],
-        4,
+        at(4),
     );
     let keys: Vec<&str> = mirror.below("p/").map(|item| item.key.as_str()).collect();
     assert_eq!(keys, ["p/b"]);
-    assert_eq!(mirror.revision(), 4);
+    assert_eq!(mirror.position(), at(4));
 }
 
 #[test]
--- a/crates/forwarding/tests/mirror_updates.rs
+++ b/crates/forwarding/tests/mirror_updates.rs
@@ -2,16 +2,21 @@
 
 use proptest::prelude::*;
 use tansyhall_fixed_cases::fixed_cases;
-use tansyhall_forwarding::{Item, Mirror, MirrorChange, Snapshot, Update};
+use tansyhall_forwarding::{Item, Mirror, MirrorChange, Position, Snapshot, Update};
 
 /// Seed of the property test.
 const SEED: u64 = 20_261_204;
 
+/// A position in the first epoch.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 fn written(key: u8, revision: u64) -> MirrorChange {
     MirrorChange::Written(Item {
         key: format!("key-{key}"),
         value: vec![key; 3],
-        revision,
+        written: at(revision),
         created: 1,
     })
 }
@@ -19,7 +24,7 @@
 fn removed(key: u8, revision: u64) -> MirrorChange {
     MirrorChange::Removed {
         key: format!("key-{key}"),
-        revision,
+        at: at(revision),
     }
 }
 
@@ -28,7 +33,7 @@
     let mut mirror = Mirror::default();
     mirror.replace(Snapshot {
         items: Vec::new(),
-        revision: 1,
+        position: at(1),
     });
     mirror
 }
@@ -49,9 +54,9 @@
                 true => written(key, revision),
                 false => removed(key, revision),
             };
-            source.apply(vec![change], revision);
+            source.apply(vec![change], at(revision));
             if asks == 0 {
-                let update = source.update_after(peer.revision());
+                let update = source.update_after(peer.position());
                 peer.take_in(update.expect("something new"));
                 prop_assert_eq!(peer.snapshot(), source.snapshot());
             }
@@ -61,27 +66,27 @@
 
 #[test]
 fn a_peer_that_is_up_to_date_lacks_nothing() {
-    assert_eq!(read_mirror().update_after(1), None);
+    assert_eq!(read_mirror().update_after(at(1)), None);
 }
 
 #[test]
 fn a_peer_that_has_nearly_all_gets_just_the_changes() {
     let mut source = read_mirror();
-    source.apply(vec![written(1, 2), written(2, 3)], 3);
+    source.apply(vec![written(1, 2), written(2, 3)], at(3));
     let update = Update::Changes {
         changes: vec![written(2, 3)],
-        revision: 3,
+        position: at(3),
     };
-    assert_eq!(source.update_after(2), Some(update));
+    assert_eq!(source.update_after(at(2)), Some(update));
 }
 
 #[test]
 fn a_peer_whose_changes_are_forgotten_gets_everything() {
     let mut source = read_mirror();
     for revision in 2..2_000 {
-        source.apply(vec![written(1, revision)], revision);
+        source.apply(vec![written(1, revision)], at(revision));
     }
-    assert!(matches!(source.update_after(1), Some(Update::Whole(_))));
+    assert!(matches!(source.update_after(at(1)), Some(Update::Whole(_))));
 }
 
 #[test]
@@ -91,14 +96,14 @@
         let item = Item {
             key: "large".into(),
             value: vec![0; 400_000],
-            revision,
+            written: at(revision),
             created: 1,
         };
-        source.apply(vec![MirrorChange::Written(item)], revision);
+        source.apply(vec![MirrorChange::Written(item)], at(revision));
     }
-    assert!(matches!(source.update_after(1), Some(Update::Whole(_))));
+    assert!(matches!(source.update_after(at(1)), Some(Update::Whole(_))));
     assert!(matches!(
-        source.update_after(4),
+        source.update_after(at(4)),
         Some(Update::Changes { .. })
     ));
 }
@@ -110,12 +115,12 @@
     let item = |number: usize, revision: u64| Item {
         key: format!("key-{number}"),
         value: vec![7; 20],
-        revision,
+        written: at(revision),
         created: 1,
     };
     let before = Snapshot {
         items: (0..ITEMS).map(|number| item(number, 1)).collect(),
-        revision: 10,
+        position: at(10),
     };
     let mut source = Mirror::default();
     source.replace(before.clone());
@@ -126,11 +131,11 @@
     items.push(item(ITEMS, 12));
     let after = Snapshot {
         items,
-        revision: 20,
+        position: at(20),
     };
     let touched = source.replace(after.clone());
     assert!(touched.covers("key-0") && touched.covers("key-6") && !touched.covers("key-1"));
-    let update = source.update_after(peer.revision()).expect("something new");
+    let update = source.update_after(peer.position()).expect("something new");
     let Update::Changes { changes, .. } = &update else {
         panic!("the whole copy");
     };
--- a/crates/forwarding/tests/relay_plan.rs
+++ b/crates/forwarding/tests/relay_plan.rs
@@ -7,7 +7,7 @@
 use tansyhall_core::{Timestamp, ZoneName};
 use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_forwarding::relay_plan::{GATEWAYS_PER_RELAY, PATIENCE};
-use tansyhall_forwarding::{Continuation, RelayCandidate, RelayPlan, Upstream};
+use tansyhall_forwarding::{Continuation, Position, RelayCandidate, RelayPlan, Upstream};
 
 /// Seed of the property tests.
 const SEED: u64 = 20_261_203;
@@ -186,7 +186,7 @@
     continuation.was_read_whole();
     assert!(!continuation.reads_whole());
     continuation.store_failed();
-    continuation.relay_answered(7, 7);
+    continuation.relay_answered(Position::new(0, 7), Position::new(0, 7));
     assert!(continuation.reads_whole());
 }
 
@@ -194,7 +194,7 @@
 fn a_relay_that_is_ahead_says_from_where_to_go_on() {
     let mut continuation = Continuation::default();
     continuation.store_failed();
-    continuation.relay_answered(7, 9);
+    continuation.relay_answered(Position::new(0, 7), Position::new(0, 9));
     assert!(!continuation.reads_whole());
 }
 
--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -3,8 +3,8 @@
 //!
 //! One claim for all duties, not one for each: they need the same lease calls once instead of three
 //! times, and one gateway that knows the whole load decides roles and workers together. The claim is a
-//! key that is created under this gateway's lease; its fence is the revision of its creation, which only
-//! grows. A new holder waits until what the one before it may have under way is over (the first
+//! key that is created under this gateway's lease; its fence grows with the revision of its creation and with
+//! the epoch of the store. A new holder waits until what the one before it may have under way is over (the first
 //! one of all has nobody to wait for), and the lease is
 //! asked before each call, so that two holders never act in turns.
 
@@ -17,7 +17,7 @@
     claim::claim_delay, ClaimAction, ClaimEvent, ClaimRecord, Epoch, Lease, PoolClaim,
 };
 use tansyhall_core::{NodeId, PoolName, Timestamp};
-use tansyhall_store::{Compare, KeyValueStore, LeaseId, Operation, Transaction};
+use tansyhall_store::{Compare, KeyValueStore, LeaseId, Operation, StoreEpoch, Transaction};
 use tokio::time::sleep;
 
 use crate::authority_claim::{self, AuthorityClaim};
@@ -121,22 +121,26 @@
 
     /// The claim as it stands, and the lease that this gateway holds.
     fn observe(&self) -> (Option<ClaimRecord>, Option<Lease>) {
-        let lease = self.authority.lease.held();
         let mirror = self.shared.mirror.lock();
+        // What the copy says of an epoch that is over says nothing of a lease of this one.
+        let is_present = mirror.position().epoch == self.store.epoch().0;
+        let lease = self.authority.lease.held().filter(|_| is_present);
         let record = mirror.get(authority_claim::KEY).and_then(|item| {
             let claim = AuthorityClaim::decode(&item.value)?;
             Some(ClaimRecord {
                 lease: claim.lease,
-                epoch: Epoch(item.created),
+                epoch: authority_claim::fence(item),
             })
         });
         (record, lease)
     }
 
-    fn is_first(&self, Epoch(epoch): Epoch) -> bool {
+    /// Whether nobody held the authority before. A restored store may have lost that somebody did.
+    fn is_first(&self, epoch: Epoch) -> bool {
         let mirror = self.shared.mirror.lock();
         let first = mirror.get(authority_claim::FIRST_KEY);
-        first.is_some_and(|item| item.created == epoch)
+        let is_restored = self.store.epoch() != StoreEpoch::default();
+        !is_restored && first.is_some_and(|item| authority_claim::fence(item) == epoch)
     }
 
     async fn create_claim(&self, Lease(lease): Lease) {
--- a/crates/gateway/src/authority_claim.rs
+++ b/crates/gateway/src/authority_claim.rs
@@ -1,7 +1,8 @@
 //! The claim on the authority over the site, as it stands in the store.
 
-use tansyhall_authority::Lease;
-use tansyhall_forwarding::Mirror;
+use tansyhall_authority::{Epoch, Lease};
+use tansyhall_forwarding::{Item, Mirror};
+use tansyhall_store::{Compare, Revision};
 
 /// The key of the claim.
 pub const KEY: &str = "tansyhall/authority/roles";
@@ -9,6 +10,21 @@
 /// A key that is written with the first claim and stays: a claim that is as old is the first one.
 pub const FIRST_KEY: &str = "tansyhall/authority/first";
 
+/// Bits of a fence that hold a revision; the epoch of the store stands above them.
+const REVISION_BITS: u32 = 40;
+
+/// The fence of a claim, which grows from claim to claim: by the revision at which the claim was created, and by the
+/// epoch of the store, as a restored store gives revisions out again.
+pub fn fence(claim: &Item) -> Epoch {
+    Epoch((claim.written.epoch << REVISION_BITS) | claim.created)
+}
+
+/// The condition that the claim of this fence stands.
+pub fn stands(Epoch(fence): Epoch) -> Compare {
+    let revision = fence & ((1 << REVISION_BITS) - 1);
+    Compare::ModifiedAt(KEY.into(), Revision(revision))
+}
+
 /// The value of the claim's key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AuthorityClaim {
--- a/crates/gateway/src/copy_answers.rs
+++ b/crates/gateway/src/copy_answers.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
-use tansyhall_forwarding::{Mirror, Update};
+use tansyhall_forwarding::{Mirror, Position, Update};
 
 use crate::copy_message::deflate_items;
 
@@ -19,8 +19,8 @@
 /// Items that were deflated, and what they lead to.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DeflatedUpdate {
-    /// The revision that its receiver then has.
-    pub revision: u64,
+    /// The position that its receiver then has.
+    pub position: Position,
     /// Whether it is the whole copy, and not changes of it.
     pub whole: bool,
     /// The deflated items.
@@ -42,20 +42,20 @@
 #[derive(Debug, Default)]
 pub struct CopyAnswers {
     whole: Option<DeflatedUpdate>,
-    /// With the revisions after which they are changes.
-    changes: VecDeque<(u64, DeflatedUpdate)>,
+    /// With the positions after which they are changes.
+    changes: VecDeque<(Position, DeflatedUpdate)>,
 }
 
 impl CopyAnswers {
-    /// What a gateway whose copy has this revision is to be told.
-    pub fn after(&mut self, mirror: &Mirror, revision: u64) -> CopyAnswer {
-        if revision >= mirror.revision() {
+    /// What a gateway whose copy has this position is to be told.
+    pub fn after(&mut self, mirror: &Mirror, position: Position) -> CopyAnswer {
+        if position >= mirror.position() {
             return CopyAnswer::Nothing;
         }
-        if let Some(known) = self.known(mirror, revision) {
+        if let Some(known) = self.known(mirror, position) {
             return CopyAnswer::Deflated(known);
         }
-        let Some(update) = mirror.update_after(revision) else {
+        let Some(update) = mirror.update_after(position) else {
             return CopyAnswer::Nothing;
         };
         if size(&update) < MIN_DEFLATED_BYTES {
@@ -64,25 +64,25 @@
         let Some(deflated) = deflate(update.clone()) else {
             return CopyAnswer::Plain(update);
         };
-        self.keep(revision, deflated.clone());
+        self.keep(position, deflated.clone());
         CopyAnswer::Deflated(deflated)
     }
 
-    fn known(&self, mirror: &Mirror, revision: u64) -> Option<DeflatedUpdate> {
-        if !mirror.remembers_after(revision) {
+    fn known(&self, mirror: &Mirror, position: Position) -> Option<DeflatedUpdate> {
+        if !mirror.remembers_after(position) {
             let whole = self.whole.as_ref()?;
             return mirror
-                .remembers_after(whole.revision)
+                .remembers_after(whole.position)
                 .then(|| whole.clone());
         }
-        let leads_to_now = |(after, update): &&(u64, DeflatedUpdate)| {
-            *after == revision && update.revision == mirror.revision()
+        let leads_to_now = |(after, update): &&(Position, DeflatedUpdate)| {
+            *after == position && update.position == mirror.position()
         };
         let known = self.changes.iter().find(leads_to_now);
         known.map(|(_, update)| update.clone())
     }
 
-    fn keep(&mut self, after: u64, update: DeflatedUpdate) {
+    fn keep(&mut self, after: Position, update: DeflatedUpdate) {
         if update.whole {
             self.whole = Some(update);
             return;
@@ -102,13 +102,13 @@
 }
 
 fn deflate(update: Update) -> Option<DeflatedUpdate> {
-    let (revision, whole) = match &update {
-        Update::Changes { revision, .. } => (*revision, false),
-        Update::Whole(snapshot) => (snapshot.revision, true),
+    let (position, whole) = match &update {
+        Update::Changes { position, .. } => (*position, false),
+        Update::Whole(snapshot) => (snapshot.position, true),
     };
     let items = deflate_items(update)?;
     Some(DeflatedUpdate {
-        revision,
+        position,
         whole,
         items: Bytes::from(items),
     })
--- a/crates/gateway/src/copy_message.rs
+++ b/crates/gateway/src/copy_message.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use prost::Message;
-use tansyhall_forwarding::{Item, MirrorChange, Snapshot, Update};
+use tansyhall_forwarding::{Item, MirrorChange, Position, Snapshot, Update};
 
 use crate::copy_answers::DeflatedUpdate;
 use crate::deflated_values::{deflate, inflate, DeflatedValues};
@@ -47,11 +47,15 @@
 
 /// The items of an update, deflated together.
 pub fn deflate_items(update: Update) -> Option<Vec<u8>> {
-    let items = match update {
-        Update::Changes { changes, .. } => {
-            changes.into_iter().map(ItemMessage::plain_change).collect()
-        }
-        Update::Whole(snapshot) => snapshot.items.into_iter().map(ItemMessage::plain).collect(),
+    let items: Vec<ItemMessage> = match update {
+        Update::Changes { changes, position } => changes
+            .into_iter()
+            .map(|change| ItemMessage::plain_change(change, position.epoch))
+            .collect(),
+        Update::Whole(Snapshot { items, position }) => items
+            .into_iter()
+            .map(|item| ItemMessage::plain(item, position.epoch))
+            .collect(),
     };
     deflate(&ItemsMessage { items }.encode_to_vec())
 }
@@ -77,6 +81,9 @@
     /// Whether the value is deflated.
     #[prost(bool, tag = "6")]
     pub deflated: bool,
+    /// The epoch of the last change, if it is not that of the update.
+    #[prost(uint64, optional, tag = "7")]
+    pub epoch: Option<u64>,
 }
 
 /// An update that was cut short or damaged.
@@ -89,6 +96,8 @@
 pub struct Received {
     /// What is new, if anything.
     pub update: Option<Update>,
+    /// The epoch of the sender's copy.
+    pub epoch: u64,
     /// Time since the store last answered the sender.
     pub age: Duration,
 }
@@ -98,18 +107,17 @@
     pub fn new(update: Option<Update>, age: Duration, deflated: &mut DeflatedValues) -> Self {
         let (items, revision, whole) = match update {
             None => (Vec::new(), 0, false),
-            Some(Update::Changes { changes, revision }) => {
+            Some(Update::Changes { changes, position }) => {
                 let items = changes
                     .into_iter()
-                    .map(|change| ItemMessage::of_change(change, deflated));
-                (items.collect(), revision, false)
+                    .map(|change| ItemMessage::of_change(change, position.epoch, deflated));
+                (items.collect(), position.revision, false)
             }
-            Some(Update::Whole(snapshot)) => {
-                let items = snapshot
-                    .items
+            Some(Update::Whole(Snapshot { items, position })) => {
+                let items = items
                     .into_iter()
-                    .map(|item| ItemMessage::of_item(item, deflated));
-                (items.collect(), snapshot.revision, true)
+                    .map(|item| ItemMessage::of_item(item, position.epoch, deflated));
+                (items.collect(), position.revision, true)
             }
         };
         Self {
@@ -127,7 +135,7 @@
     /// The message of an update that was deflated, from a sender whose knowledge is this old.
     pub fn deflated(update: DeflatedUpdate, age: Duration) -> Self {
         Self {
-            revision: update.revision,
+            revision: update.position.revision,
             whole: update.whole,
             deflated_items: update.items,
             complete: false,
@@ -141,8 +149,9 @@
         self.question == question || self.question == 0
     }
 
-    /// What the message says, if it is complete.
-    pub fn into_received(self) -> Result<Received, Incomplete> {
+    /// What the message of a sender whose copy has this epoch says, if it is complete. The epoch is no field of it: an
+    /// update that was cut before that field would pass for one of a version that tells none.
+    pub fn into_received(self, epoch: u64) -> Result<Received, Incomplete> {
         if !self.complete && !self.deflated_complete {
             return Err(Incomplete);
         }
@@ -150,19 +159,21 @@
             true => self.items,
             false => inflate_items(&self.deflated_items)?,
         };
+        let position = Position::new(epoch, self.revision);
         let update = match (self.revision, self.whole) {
             (0, _) => None,
-            (revision, true) => Some(Update::Whole(Snapshot {
-                items: items_of(items)?,
-                revision,
+            (_, true) => Some(Update::Whole(Snapshot {
+                items: items_of(items, epoch)?,
+                position,
             })),
-            (revision, false) => Some(Update::Changes {
-                changes: changes_of(items)?,
-                revision,
+            (_, false) => Some(Update::Changes {
+                changes: changes_of(items, epoch)?,
+                position,
             }),
         };
         Ok(Received {
             update,
+            epoch,
             age: Duration::from_millis(self.age_ms),
         })
     }
@@ -175,56 +186,60 @@
 }
 
 impl ItemMessage {
-    fn plain(item: Item) -> Self {
+    fn plain(item: Item, update_epoch: u64) -> Self {
         Self {
+            epoch: other_epoch(item.written, update_epoch),
+            revision: item.written.revision,
             key: item.key,
             value: item.value,
-            revision: item.revision,
             created: item.created,
             gone: false,
             deflated: false,
         }
     }
 
-    fn of_item(item: Item, deflated: &mut DeflatedValues) -> Self {
-        match deflated.deflate(&item.key, item.revision, &item.value) {
-            None => Self::plain(item),
-            Some(shorter) => Self {
+    fn of_item(item: Item, update_epoch: u64, deflated: &mut DeflatedValues) -> Self {
+        match deflated.deflate(&item.key, item.written, &item.value) {
+            None => Self::plain(item, update_epoch),
+            Some(value) => Self {
                 deflated: true,
-                ..Self::plain(Item {
-                    value: shorter,
-                    ..item
-                })
+                ..Self::plain(Item { value, ..item }, update_epoch)
             },
         }
     }
 
-    fn gone(key: String, revision: u64) -> Self {
+    fn gone(key: String, at: Position, update_epoch: u64) -> Self {
         Self {
             key,
             value: Vec::new(),
-            revision,
+            revision: at.revision,
             created: 0,
             gone: true,
             deflated: false,
+            epoch: other_epoch(at, update_epoch),
         }
     }
 
-    fn plain_change(change: MirrorChange) -> Self {
+    fn plain_change(change: MirrorChange, update_epoch: u64) -> Self {
         match change {
-            MirrorChange::Written(item) => Self::plain(item),
-            MirrorChange::Removed { key, revision } => Self::gone(key, revision),
+            MirrorChange::Written(item) => Self::plain(item, update_epoch),
+            MirrorChange::Removed { key, at } => Self::gone(key, at, update_epoch),
         }
     }
 
-    fn of_change(change: MirrorChange, deflated: &mut DeflatedValues) -> Self {
+    fn of_change(change: MirrorChange, update_epoch: u64, deflated: &mut DeflatedValues) -> Self {
         match change {
-            MirrorChange::Written(item) => Self::of_item(item, deflated),
-            MirrorChange::Removed { key, revision } => Self::gone(key, revision),
+            MirrorChange::Written(item) => Self::of_item(item, update_epoch, deflated),
+            MirrorChange::Removed { key, at } => Self::gone(key, at, update_epoch),
         }
     }
 
-    fn into_item(self) -> Result<Item, Incomplete> {
+    fn position(&self, update_epoch: u64) -> Position {
+        Position::new(self.epoch.unwrap_or(update_epoch), self.revision)
+    }
+
+    fn into_item(self, update_epoch: u64) -> Result<Item, Incomplete> {
+        let written = self.position(update_epoch);
         let value = match self.deflated {
             true => inflate(&self.value).ok_or(Incomplete)?,
             false => self.value,
@@ -232,26 +247,33 @@
         Ok(Item {
             key: self.key,
             value,
-            revision: self.revision,
+            written,
             created: self.created,
         })
     }
 
-    fn into_change(self) -> Result<MirrorChange, Incomplete> {
+    fn into_change(self, update_epoch: u64) -> Result<MirrorChange, Incomplete> {
         if self.gone {
             return Ok(MirrorChange::Removed {
+                at: self.position(update_epoch),
                 key: self.key,
-                revision: self.revision,
             });
         }
-        self.into_item().map(MirrorChange::Written)
+        self.into_item(update_epoch).map(MirrorChange::Written)
     }
 }
 
-fn items_of(messages: Vec<ItemMessage>) -> Result<Vec<Item>, Incomplete> {
-    messages.into_iter().map(ItemMessage::into_item).collect()
+/// The epoch of a position, unless it is that of the update around it.
+fn other_epoch(position: Position, update_epoch: u64) -> Option<u64> {
+    (position.epoch != update_epoch).then_some(position.epoch)
+}
+
+fn items_of(messages: Vec<ItemMessage>, epoch: u64) -> Result<Vec<Item>, Incomplete> {
+    let items = messages.into_iter().map(|item| item.into_item(epoch));
+    items.collect()
 }
 
-fn changes_of(messages: Vec<ItemMessage>) -> Result<Vec<MirrorChange>, Incomplete> {
-    messages.into_iter().map(ItemMessage::into_change).collect()
+fn changes_of(messages: Vec<ItemMessage>, epoch: u64) -> Result<Vec<MirrorChange>, Incomplete> {
+    let changes = messages.into_iter().map(|item| item.into_change(epoch));
+    changes.collect()
 }
--- a/crates/gateway/src/deflated_values.rs
+++ b/crates/gateway/src/deflated_values.rs
@@ -1,6 +1,6 @@
 //! Long values of the store, deflated for their way between gateways. A relay sends the same value to
 //! all its subscribers, over links that a long configuration would fill for seconds: it is deflated
-//! once for each revision.
+//! once each time that it is written.
 
 use std::collections::HashMap;
 use std::io::{Read, Write};
@@ -8,6 +8,7 @@
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use flate2::Compression;
+use tansyhall_forwarding::Position;
 
 /// Shorter values are sent as they are.
 const MIN_BYTES: usize = 4 << 10;
@@ -22,24 +23,24 @@
 
 #[derive(Debug)]
 struct Deflated {
-    revision: u64,
+    written: Position,
     bytes: Vec<u8>,
 }
 
 impl DeflatedValues {
-    /// The value of a key at a revision, deflated; none if it is better sent as it is.
-    pub fn deflate(&mut self, key: &str, revision: u64, value: &[u8]) -> Option<Vec<u8>> {
+    /// The value of a key that was written there, deflated; none if it is better sent as it is.
+    pub fn deflate(&mut self, key: &str, written: Position, value: &[u8]) -> Option<Vec<u8>> {
         if value.len() < MIN_BYTES {
             return None;
         }
         if let Some(known) = self.latest.get(key) {
-            if known.revision == revision {
+            if known.written == written {
                 return Some(known.bytes.clone());
             }
         }
         let bytes = deflate(value)?;
         let latest = Deflated {
-            revision,
+            written,
             bytes: bytes.clone(),
         };
         self.latest.insert(key.to_owned(), latest);
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -55,6 +55,15 @@
         /// Its tenants.
         tenants: usize,
     },
+    /// The store holds a configuration that is no later than the one in force, which stays so.
+    ConfigurationPassedOver {
+        /// Its version.
+        version: u64,
+        /// The store's revision of it.
+        revision: u64,
+        /// The version in force.
+        in_force: u64,
+    },
     /// An item of the store cannot be used; what was in force stays so.
     ItemRefused {
         /// The item's key.
@@ -81,8 +90,8 @@
         /// The last error, or the scheduler's name.
         reason: &'a str,
     },
-    /// The store was restored from an earlier copy of itself: an answer names a later epoch.
-    StoreRestored {
+    /// The store names its epoch for the first time, or a later one: it was restored from an earlier copy of itself.
+    StoreEpoch {
         /// The epoch.
         epoch: u64,
         /// The revision up to which this gateway knew the store before.
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -4,16 +4,14 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
 use awc::Client;
 use futures_util::StreamExt;
 use tansyhall_admission::Backoff;
-use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{
-    Continuation, Item, MirrorChange, RelayCandidate, RelayPlan, Snapshot, Upstream,
+    Continuation, Item, MirrorChange, Position, RelayCandidate, RelayPlan, Snapshot, Upstream,
 };
 use tansyhall_store::{
     KeyValue, KeyValueStore, RangePage, Revision, StoreEpoch, StoreError, WatchEvent, WatchStream,
@@ -47,41 +45,6 @@
 /// The shortest pause after a failed call.
 const MIN_PAUSE: Duration = Duration::from_millis(30);
 
-/// Age of knowledge from which the store counts as having been away: a little more than a relay that follows
-/// it lets pass between two of its answers.
-const AWAY: Duration = Duration::from_millis(1_500);
-
-/// When the store gave the answer that this gateway's knowledge rests on, in microseconds.
-#[derive(Debug, Default)]
-pub struct StoreContact {
-    answered: AtomicU64,
-    /// When it answered again after it had been away; 0 if it never was.
-    returned: AtomicU64,
-}
-
-impl StoreContact {
-    /// The store gave an answer `age` ago, to this gateway or to one that told it.
-    pub fn mark(&self, now: Timestamp, age: Duration) {
-        let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-        let answered = now.0.saturating_sub(age);
-        let before = self.answered.fetch_max(answered, Ordering::Relaxed);
-        if Timestamp(answered).since(Timestamp(before)) > AWAY {
-            self.returned.store(answered, Ordering::Relaxed);
-        }
-    }
-
-    /// When the store last answered again after it had been away, if it ever was.
-    pub fn returned(&self) -> Option<Timestamp> {
-        let returned = self.returned.load(Ordering::Relaxed);
-        (returned > 0).then_some(Timestamp(returned))
-    }
-
-    /// Time since that answer, or since the clock's start.
-    pub fn age(&self, now: Timestamp) -> Duration {
-        now.since(Timestamp(self.answered.load(Ordering::Relaxed)))
-    }
-}
-
 /// Follows the store for ever.
 pub async fn follow(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>) {
     let plan = {
@@ -133,7 +96,7 @@
 impl Follower {
     /// Asks whom the plan names, once.
     async fn ask(&mut self) {
-        if self.shared.mirror.lock().revision() == 0 {
+        if self.shared.mirror.lock().position().is_start() {
             return self.seek_first_copy().await;
         }
         let relays = self.zone_members();
@@ -166,13 +129,13 @@
 
     async fn ask_relay(&mut self, name: &str, address: SocketAddr) {
         self.watch = None;
-        let revision = || self.shared.mirror.lock().revision();
-        let before = revision();
+        let position = || self.shared.mirror.lock().position();
+        let before = position();
         let answered = peers::ask(&mut self.client, address, RELAY_WAIT, &self.shared).await;
         let now = self.shared.now();
         match answered {
             Ok(age) => {
-                self.continuation.relay_answered(before, revision());
+                self.continuation.relay_answered(before, position());
                 self.plan.relay_answered(now, name, age);
             }
             Err(error) => {
@@ -189,13 +152,20 @@
                 self.plan.store_answered();
                 sleep(PACE).await;
             }
+            // It has answered: there is nothing to wait for.
+            Err(StoreError::Restored) => self.start_anew(),
             Err(error) => self.store_failed(&error).await,
         }
     }
 
-    async fn store_failed(&mut self, error: &StoreError) {
+    /// Reads everything next, as no watch leads on from what is known.
+    fn start_anew(&mut self) {
         self.watch = None;
         self.continuation.store_failed();
+    }
+
+    async fn store_failed(&mut self, error: &StoreError) {
+        self.start_anew();
         self.plan.store_failed(self.shared.now());
         self.record_lost(error);
         self.failures = self.failures.saturating_add(1);
@@ -210,12 +180,10 @@
     /// Takes the next changes in, or everything if nothing is being watched. A gateway that has just
     /// been told everything by a relay goes on from there.
     async fn take_changes(&mut self) -> Result<(), StoreError> {
-        let known = self.shared.mirror.lock().revision();
+        let known = self.shared.mirror.lock().position();
         let mut watch = match self.watch.take() {
             Some(watch) => watch,
-            None if known > 0 && !self.continuation.reads_whole() => {
-                self.watch_after(known).await?
-            }
+            None if self.goes_on_from(known) => self.watch_after(known.revision).await?,
             None => return self.read_whole(None).await,
         };
         let answered = in_time(async { watch.next().await.transpose() }).await;
@@ -225,11 +193,12 @@
             return Err(StoreError::NotApplied("the watch ended".into()));
         };
         self.watch = Some(watch);
-        self.reached();
-        let changes: Vec<MirrorChange> = events.into_iter().map(change).collect();
-        let revision = changes.iter().map(MirrorChange::revision).max();
+        self.reached(known.epoch);
+        let changes = events.into_iter().map(|event| change(event, known.epoch));
+        let changes: Vec<MirrorChange> = changes.collect();
+        let position = changes.iter().map(MirrorChange::position).max();
         let mut mirror = self.shared.mirror.lock();
-        let touched = mirror.apply(changes, revision.unwrap_or_default());
+        let touched = mirror.apply(changes, position.unwrap_or_default());
         drop(mirror);
         if touched.is_any() {
             refresh(&self.shared, &touched);
@@ -237,6 +206,12 @@
         Ok(())
     }
 
+    /// Whether a watch leads on from this position of the copy.
+    fn goes_on_from(&self, known: Position) -> bool {
+        let is_present = known.epoch == self.store.epoch().0;
+        is_present && !known.is_start() && !self.continuation.reads_whole()
+    }
+
     async fn settle(&mut self) {
         if !std::mem::replace(&mut self.settled, true) && self.shared.in_force().is_some() {
             sleep(START_SETTLING).await;
@@ -250,31 +225,31 @@
     fn count_read<T>(&self, answered: &Result<T, StoreError>) {
         let outcome = match answered {
             Ok(_) => "answered",
-            Err(StoreError::Compacted) => "history_gone",
+            Err(StoreError::Compacted | StoreError::Restored) => "history_gone",
             Err(_) => "failed",
         };
         let reads = &self.shared.metrics.store_reads;
         reads.with_label_values(&[outcome]).inc();
     }
 
-    /// Tells that the store was restored, where an answer has named a later epoch than those before.
+    /// Tells the store's epoch, where answers have named another one than before.
     fn observe_epoch(&mut self) {
         let epoch = self.store.epoch();
         let before = self.epoch.replace(epoch);
         let gauge = i64::try_from(epoch.0).unwrap_or(i64::MAX);
         self.shared.metrics.store_epoch.set(gauge);
-        if before.is_some_and(|before| before < epoch) {
-            let event = Event::StoreRestored {
+        if before != Some(epoch) {
+            let event = Event::StoreEpoch {
                 epoch: epoch.0,
-                copy_revision: self.shared.mirror.lock().revision(),
+                copy_revision: self.shared.mirror.lock().position().revision,
             };
             self.shared.log.record(Weight::Important, &event);
         }
     }
 
-    fn reached(&mut self) {
+    fn reached(&mut self, epoch: u64) {
         let now = self.shared.now();
-        self.shared.store_contact.mark(now, Duration::ZERO);
+        self.shared.store_contact.mark(now, Duration::ZERO, epoch);
         if std::mem::take(&mut self.store_lost) {
             self.record_dependency("regained", "");
         }
@@ -330,18 +305,23 @@
         Some(page) => page,
         None => read_page(store, None).await?,
     };
-    let revision = page.revision.0;
+    let (epoch, revision) = (page.epoch, page.revision.0);
     let mut entries = page.entries;
     while let (true, Some(last)) = (page.more, entries.last()) {
         let after = last.key.clone();
         page = read_page(store, Some(&after)).await?;
+        if page.epoch != epoch {
+            return Err(StoreError::Restored);
+        }
         entries.append(&mut page.entries);
     }
+    let items = entries.into_iter().map(|entry| item(entry, epoch.0));
     let snapshot = Snapshot {
-        items: entries.into_iter().map(item).collect(),
-        revision,
+        items: items.collect(),
+        position: Position::new(epoch.0, revision),
     };
-    shared.store_contact.mark(shared.now(), Duration::ZERO);
+    let contact = &shared.store_contact;
+    contact.mark(shared.now(), Duration::ZERO, epoch.0);
     observe_revision(shared, revision);
     let touched = shared.mirror.lock().replace(snapshot);
     if touched.is_any() {
@@ -354,7 +334,7 @@
 fn observe_revision(shared: &Shared, store_revision: u64) {
     let gauge = i64::try_from(store_revision).unwrap_or(i64::MAX);
     shared.metrics.store_revision.set(gauge);
-    let copy_revision = shared.mirror.lock().revision();
+    let copy_revision = shared.mirror.lock().position().revision;
     if store_revision < copy_revision {
         let event = Event::StoreWentBack {
             store_revision,
@@ -380,21 +360,21 @@
     }
 }
 
-fn item(entry: KeyValue) -> Item {
+fn item(entry: KeyValue, epoch: u64) -> Item {
     Item {
         key: entry.key,
         value: entry.value,
-        revision: entry.modified.0,
+        written: Position::new(epoch, entry.modified.0),
         created: entry.created.0,
     }
 }
 
-fn change(event: WatchEvent) -> MirrorChange {
+fn change(event: WatchEvent, epoch: u64) -> MirrorChange {
     match event {
-        WatchEvent::Put(entry) => MirrorChange::Written(item(entry)),
+        WatchEvent::Put(entry) => MirrorChange::Written(item(entry, epoch)),
         WatchEvent::Delete { key, revision } => MirrorChange::Removed {
             key,
-            revision: revision.0,
+            at: Position::new(epoch, revision.0),
         },
     }
 }
--- a/crates/gateway/src/follower/first_copy.rs
+++ b/crates/gateway/src/follower/first_copy.rs
@@ -94,7 +94,7 @@
     }
 
     fn has_copy(&self) -> bool {
-        self.shared.mirror.lock().revision() > 0
+        !self.shared.mirror.lock().position().is_start()
     }
 
     fn of_zone(&self, listed: &[Member]) -> Vec<Member> {
@@ -135,7 +135,8 @@
         let read = read_all(&self.shared, &*self.store, first).await;
         self.observe_epoch();
         read?;
-        self.reached();
+        let epoch = self.shared.mirror.lock().position().epoch;
+        self.reached(epoch);
         self.continuation.was_read_whole();
         self.settle().await;
         Ok(())
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -1,6 +1,9 @@
 //! This gateway's leases in the store. Its presence hangs on one that it always keeps; its authority
 //! over roles on another, which lives shorter, so that a dead holder is soon replaced, and is kept
 //! only while the authority is held or sought.
+//!
+//! A lease ends with the epoch of the store in which it was granted: a restored store may not have it any more, or
+//! have given its identifier to another gateway.
 
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -10,7 +13,7 @@
 use parking_lot::Mutex;
 use tansyhall_authority::{Lease, LeaseAction, LeaseEvent, LeaseKeeper, LeaseTiming};
 use tansyhall_core::Timestamp;
-use tansyhall_store::{KeyValueStore, LeaseId, StoreError};
+use tansyhall_store::{KeyValueStore, LeaseId, StoreEpoch, StoreError};
 use tokio::time::sleep;
 
 use crate::state::Shared;
@@ -36,6 +39,8 @@
 #[derive(Debug, Clone)]
 pub struct NodeLease {
     keeper: Arc<Mutex<LeaseKeeper>>,
+    /// The epoch in which the lease was granted that is held.
+    granted_in: Arc<Mutex<StoreEpoch>>,
     wanted: Arc<AtomicBool>,
 }
 
@@ -44,6 +49,7 @@
     pub fn new(timing: LeaseTiming, wanted: bool) -> Self {
         Self {
             keeper: Arc::new(Mutex::new(LeaseKeeper::new(timing))),
+            granted_in: Arc::default(),
             wanted: Arc::new(AtomicBool::new(wanted)),
         }
     }
@@ -71,6 +77,7 @@
             }
             sleep(PACE).await;
         }
+        self.end_with_epoch(&shared, &*store);
         let action = self.keeper.lock().step(shared.now(), LeaseEvent::Stop);
         perform(&*store, action).await;
     }
@@ -78,9 +85,22 @@
 
 impl NodeLease {
     async fn look(&self, shared: &Shared, store: &dyn KeyValueStore) {
+        self.end_with_epoch(shared, store);
         let action = self.keeper.lock().step(shared.now(), LeaseEvent::Tick);
         if let Some(event) = perform(store, action).await {
+            if matches!(event, LeaseEvent::Granted { .. }) {
+                *self.granted_in.lock() = store.epoch();
+            }
             self.keeper.lock().step(shared.now(), event);
+            self.end_with_epoch(shared, store);
+        }
+    }
+
+    /// Ends a lease that was granted in an epoch that is over.
+    fn end_with_epoch(&self, shared: &Shared, store: &dyn KeyValueStore) {
+        if self.held().is_some() && *self.granted_in.lock() != store.epoch() {
+            let lapsed = LeaseEvent::Lapsed;
+            self.keeper.lock().step(shared.now(), lapsed);
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod settings;
 pub mod state;
 pub mod store_call;
+pub mod store_contact;
 pub mod store_copy;
 pub mod usage;
 pub mod worker_ends;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::{web, HttpResponse};
 use awc::error::PayloadError;
 use awc::{Client, ClientResponse};
@@ -17,9 +18,10 @@
 use rand::RngExt;
 use serde::Deserialize;
 use tansyhall_core::Timestamp;
+use tansyhall_forwarding::{Mirror, Position, Touched, Update};
 use tokio::time::{sleep, timeout};
 
-use crate::copy_answers::CopyAnswer;
+use crate::copy_answers::{CopyAnswer, CopyAnswers};
 use crate::copy_message::{Received, UpdateMessage};
 use crate::events::{Event, Weight};
 use crate::presence::Member;
@@ -48,11 +50,17 @@
 const MAX_WAIT: Duration = Duration::from_secs(2);
 /// The longest update that is taken.
 const MAX_UPDATE_BYTES: usize = 16 << 20;
+/// Names the epoch of a copy in the answer that tells what is new in it; an older version does not tell it.
+const EPOCH_HEADER: HeaderName = HeaderName::from_static("tansyhall-store-epoch");
+/// The age of knowledge of an epoch that is over.
+const OBSOLETE: Duration = Duration::MAX;
 
 /// What a gateway that asks has already, and how long it waits for something new.
 #[derive(Debug, Deserialize)]
 pub struct Question {
     after: u64,
+    /// The epoch of that revision; an older version does not tell it, and is taken to be in the same epoch.
+    epoch: Option<u64>,
     wait_ms: u64,
     /// Names the question; its answer repeats it. An older version does not tell it.
     #[serde(default)]
@@ -62,30 +70,46 @@
     deflated: bool,
 }
 
+impl Question {
+    /// Up to where the asking gateway knows the store.
+    fn position(&self, assumed_epoch: u64) -> Position {
+        Position::new(self.epoch.unwrap_or(assumed_epoch), self.after)
+    }
+}
+
 /// Answers a gateway that asks what is new.
 pub async fn hand_over(
     question: web::Query<Question>,
     shared: web::Data<Arc<Shared>>,
 ) -> HttpResponse {
     let wait = Duration::from_millis(question.wait_ms).min(MAX_WAIT);
-    let mut revision = shared.mirror_revision.subscribe();
-    let newer = revision.wait_for(|revision| *revision > question.after);
+    let mut position = shared.mirror_position.subscribe();
+    let newer = position.wait_for(|position| *position > question.position(position.epoch));
     let _ = timeout(wait, newer).await;
-    let mut message = update_for(&shared, &question);
+    let mut answers = shared.copy_answers.lock();
+    let mirror = shared.mirror.lock();
+    let epoch = mirror.position().epoch;
+    let mut message = update_for(&shared, &mut answers, &mirror, &question);
+    drop((answers, mirror));
     message.question = question.number;
-    HttpResponse::Ok().body(message.encode_to_vec())
+    HttpResponse::Ok()
+        .insert_header((EPOCH_HEADER, epoch))
+        .body(message.encode_to_vec())
 }
 
-fn update_for(shared: &Shared, question: &Question) -> UpdateMessage {
+fn update_for(
+    shared: &Shared,
+    answers: &mut CopyAnswers,
+    mirror: &Mirror,
+    question: &Question,
+) -> UpdateMessage {
     let age = shared.store_contact.age(shared.now());
     let plain = |update| UpdateMessage::new(update, age, &mut shared.deflated_values.lock());
+    let after = question.position(mirror.position().epoch);
     if !question.deflated {
-        return plain(shared.mirror.lock().update_after(question.after));
+        return plain(mirror.update_after(after));
     }
-    let mut answers = shared.copy_answers.lock();
-    let answer = answers.after(&shared.mirror.lock(), question.after);
-    drop(answers);
-    match answer {
+    match answers.after(mirror, after) {
         CopyAnswer::Nothing => plain(None),
         CopyAnswer::Plain(update) => plain(Some(update)),
         CopyAnswer::Deflated(update) => UpdateMessage::deflated(update, age),
@@ -99,18 +123,22 @@
         .finish()
 }
 
-/// Asks a gateway what is new, takes it in, and returns how old the gateway's knowledge is.
+/// Asks a gateway what is new, takes it in, and returns how old the gateway's knowledge is. What a gateway tells of an
+/// epoch that is over is obsolete.
 pub async fn ask(
     client: &mut Client,
     peer: SocketAddr,
     wait: Duration,
     shared: &Arc<Shared>,
 ) -> anyhow::Result<Duration> {
-    let after = shared.mirror.lock().revision();
-    let Received { update, age } = fetch(client, peer, after, wait).await?;
-    shared.store_contact.mark(shared.now(), age);
+    let after = shared.mirror.lock().position();
+    let Received { update, epoch, age } = fetch(client, peer, after, wait).await?;
+    let is_present = shared.store_contact.mark(shared.now(), age, epoch);
+    if !is_present {
+        return Ok(OBSOLETE);
+    }
     if let Some(update) = update {
-        let touched = shared.mirror.lock().take_in(update);
+        let touched = take_in(shared, after, update);
         if touched.is_any() {
             refresh(shared, &touched);
         }
@@ -118,38 +146,55 @@
     Ok(age)
 }
 
-/// Asks a gateway what is newer than a revision. Its answer must name this very question: what comes
+/// Takes an update in. What leads on from an earlier epoch leads nowhere if the copy has left that epoch meanwhile.
+fn take_in(shared: &Shared, asked_after: Position, update: Update) -> Touched {
+    let mut mirror = shared.mirror.lock();
+    if mirror.position().epoch != asked_after.epoch && !asked_after.is_start() {
+        return Touched::Nothing;
+    }
+    mirror.take_in(update)
+}
+
+/// Asks a gateway what is newer than a position. Its answer must name this very question: what comes
 /// first on a kept connection may be a late answer to an earlier one, whose age would be believed. The
 /// connections of a client that brought such an answer are not used again.
 pub async fn fetch(
     client: &mut Client,
     peer: SocketAddr,
-    after: u64,
+    after: Position,
     wait: Duration,
 ) -> anyhow::Result<Received> {
     let wait_ms = wait.as_millis();
     let number = rand::random::<NonZeroU64>().get();
+    let Position { epoch, revision } = after;
     let url = format!(
-        "http://{peer}/changes?after={after}&wait_ms={wait_ms}&number={number}&deflated=true"
+        "http://{peer}/changes?after={revision}&epoch={epoch}&wait_ms={wait_ms}&number={number}&deflated=true"
     );
     let call = client.get(url).timeout(head_timeout(after)).send().await;
     let response = call.map_err(|error| anyhow::anyhow!("{error}"))?;
     anyhow::ensure!(response.status() == 200, "status {}", response.status());
+    let told_epoch = response.headers().get(EPOCH_HEADER).map(epoch_of);
     let body = read_body(response.timeout(BODY_TIMEOUT)).await?;
     let message = UpdateMessage::decode(body)?;
     if !message.answers(number) {
         *client = self::client();
         anyhow::bail!("an answer to another question");
     }
-    Ok(message.into_received()?)
+    // An older version tells no epoch: it counts as that of the asking gateway, which knows of none that is over.
+    let epoch = told_epoch.transpose()?.unwrap_or(after.epoch);
+    Ok(message.into_received(epoch)?)
+}
+
+fn epoch_of(value: &HeaderValue) -> anyhow::Result<u64> {
+    Ok(value.to_str()?.parse()?)
 }
 
 /// Time for the head of an answer. Whoever has nothing yet asks for the whole copy, which the other may have to
 /// deflate first.
-fn head_timeout(after: u64) -> Duration {
-    match after {
-        0 => RELAY_WAIT + WHOLE_TIMEOUT,
-        _ => RELAY_WAIT + CALL_TIMEOUT,
+fn head_timeout(after: Position) -> Duration {
+    match after.is_start() {
+        true => RELAY_WAIT + WHOLE_TIMEOUT,
+        false => RELAY_WAIT + CALL_TIMEOUT,
     }
 }
 
@@ -178,7 +223,8 @@
             relying = stale;
             record(&shared, relying);
         }
-        let follower_starts = shared.mirror.lock().revision() == 0 && shared.now() < FIRST_COPY;
+        let follower_starts =
+            shared.mirror.lock().position().is_start() && shared.now() < FIRST_COPY;
         if !stale || follower_starts {
             continue;
         }
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -19,6 +19,9 @@
 
 /// Where gateways announce themselves.
 pub const PREFIX: &str = "tansyhall/gateways/";
+/// Time in which gateways whose announcements were lost have announced themselves again: each hears at its next
+/// renewal that the store was restored, and makes two calls, one of which may have to be repeated.
+pub const REANNOUNCED_WITHIN: Duration = Duration::from_secs(8);
 /// Pause between two looks at the lease.
 const PACE: Duration = Duration::from_millis(250);
 /// More processor time than any gateway has, in cores.
--- a/crates/gateway/src/role_orders.rs
+++ b/crates/gateway/src/role_orders.rs
@@ -149,20 +149,19 @@
         }
     }
 
-    async fn write_desired_roles(&self, Epoch(epoch): Epoch, desired: &DesiredRoles) {
+    async fn write_desired_roles(&self, epoch: Epoch, desired: &DesiredRoles) {
         let known = {
             let mirror = self.shared.mirror.lock();
-            mirror.get(desired_roles::KEY).map(|item| item.revision)
+            mirror
+                .get(desired_roles::KEY)
+                .map(|item| item.written.revision)
         };
         let unchanged = match known {
             Some(revision) => Compare::ModifiedAt(desired_roles::KEY.into(), Revision(revision)),
             None => Compare::Absent(desired_roles::KEY.into()),
         };
         let transaction = Transaction {
-            compare: vec![
-                Compare::ModifiedAt(authority_claim::KEY.into(), Revision(epoch)),
-                unchanged,
-            ],
+            compare: vec![authority_claim::stands(epoch), unchanged],
             operations: vec![Operation::Put {
                 key: desired_roles::KEY.into(),
                 value: desired.encode(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -30,13 +30,14 @@
 use crate::duty_calls::DutyCalls;
 use crate::events::{Event, EventLog, Weight};
 use crate::fleet::Fleet;
-use crate::follower::{self, StoreContact};
+use crate::follower;
 use crate::lease::{self, NodeLease};
 use crate::metrics::Metrics;
 use crate::placement::{self, PlacementClient};
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
+use crate::store_contact::StoreContact;
 use crate::usage::Usage;
 use crate::worker_notices::WorkerNotices;
 use crate::{
@@ -206,7 +207,7 @@
         protocol: Arc::clone(&adapter.protocol),
         catalogue: Arc::clone(&adapter.catalogue),
         mirror: Mutex::new(Mirror::without(usage::ROWS_PREFIX)),
-        mirror_revision: watch::Sender::default(),
+        mirror_position: watch::Sender::default(),
         deflated_values: Mutex::default(),
         copy_answers: Mutex::default(),
         worker_entries: Mutex::default(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,7 +11,8 @@
 use tansyhall_core::{ServiceName, TenantName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
     ApiKey, Configuration, Directory, KnownTenant, LapsedWorkers, Limits, Mirror, PlacementLedger,
-    Quarantine, RetryShares, Route, RouteTable, SendLedger, StopPlan, TenantTable, Worker,
+    Position, Quarantine, RetryShares, Route, RouteTable, SendLedger, StopPlan, TenantTable,
+    Worker,
 };
 use tokio::sync::watch;
 
@@ -21,11 +22,11 @@
 use crate::deflated_values::DeflatedValues;
 use crate::events::EventLog;
 use crate::fleet::Fleet;
-use crate::follower::StoreContact;
 use crate::metrics::Metrics;
 use crate::placement::PlacementClient;
 use crate::protocol::{Catalogue, Protocol};
 use crate::settings::GatewaySettings;
+use crate::store_contact::StoreContact;
 use crate::usage::Usage;
 use crate::worker_entries::{LoggedWorkers, WorkerEntries};
 
@@ -47,8 +48,8 @@
     pub catalogue: Arc<dyn Catalogue>,
     /// The copy of the store.
     pub mirror: Mutex<Mirror>,
-    /// The revision of the copy, for those who wait for a newer one.
-    pub mirror_revision: watch::Sender<u64>,
+    /// The position of the copy, for those who wait for a newer one.
+    pub mirror_position: watch::Sender<Position>,
     /// Long values of the copy, deflated for other gateways.
     pub deflated_values: Mutex<DeflatedValues>,
     /// Answers to gateways that ask for what is new; locked before the copy.
@@ -101,8 +102,8 @@
 pub struct InForce {
     /// The configuration.
     pub configuration: Configuration,
-    /// The store's revision of it.
-    pub revision: u64,
+    /// Where it was written in the store.
+    pub written: Position,
     routes: Mutex<RouteTable>,
     /// None if every caller may call every route.
     tenants: Option<TenantTable>,
@@ -136,13 +137,13 @@
 
 impl InForce {
     /// Indexes a configuration.
-    pub fn new(configuration: Configuration, revision: u64) -> Self {
+    pub fn new(configuration: Configuration, written: Position) -> Self {
         let routes = Mutex::new(RouteTable::new(&configuration));
         let tenants = configuration.tenants.as_deref().map(TenantTable::new);
         let most_urgent_ranks = configuration.most_urgent_ranks();
         Self {
             configuration,
-            revision,
+            written,
             routes,
             tenants,
             most_urgent_ranks,
--- a/crates/gateway/src/store_copy.rs
+++ b/crates/gateway/src/store_copy.rs
@@ -32,9 +32,9 @@
     if touched.covers_below(quarantine::PREFIX) {
         quarantine::read_listed(shared);
     }
-    let revision = shared.mirror.lock().revision();
-    shared.mirror_revision.send_replace(revision);
-    let gauge = i64::try_from(revision).unwrap_or(i64::MAX);
+    let position = shared.mirror.lock().position();
+    shared.mirror_position.send_replace(position);
+    let gauge = i64::try_from(position.revision).unwrap_or(i64::MAX);
     shared.metrics.mirror_revision.set(gauge);
 }
 
@@ -54,7 +54,11 @@
         *shared.fleet.write() = Arc::new(Fleet::new(members));
     }
     let known = shared.gateways.load(Ordering::Relaxed);
-    let sharing = sharing_gateways(announced, known, shared.is_stopping());
+    let may_be_missing = shared.is_stopping() || {
+        let contact = &shared.store_contact;
+        contact.was_restored_within(shared.now(), presence::REANNOUNCED_WITHIN)
+    };
+    let sharing = sharing_gateways(announced, known, may_be_missing);
     shared.gateways.store(sharing, Ordering::Relaxed);
     shared.retries.lock().set_gateways(sharing as u32);
     shared.metrics.gateways.set(announced as i64);
@@ -70,8 +74,7 @@
         return false;
     };
     let before = shared.in_force();
-    let known = before.as_ref().map_or(0, |in_force| in_force.revision);
-    if item.revision <= known {
+    if before.as_ref().map(|in_force| in_force.written) == Some(item.written) {
         return false;
     }
     let configuration = shared.catalogue.configuration(&item.value);
@@ -79,11 +82,24 @@
         configuration.validate()?;
         Ok(configuration)
     });
+    let known_version = before
+        .as_ref()
+        .map(|in_force| in_force.configuration.version);
     match checked {
+        // A store that was restored holds an older one until the operator has written the latest again.
+        Ok(older) if known_version.is_some_and(|known| older.version <= known) => {
+            let event = Event::ConfigurationPassedOver {
+                version: older.version,
+                revision: item.written.revision,
+                in_force: known_version.unwrap_or_default(),
+            };
+            shared.log.record(Weight::Important, &event);
+            false
+        }
         Ok(configuration) => {
             let event = Event::ConfigurationApplied {
                 version: configuration.version,
-                revision: item.revision,
+                revision: item.written.revision,
                 routes: configuration.routes.len(),
                 tenants: configuration.tenants.as_ref().map_or(0, Vec::len),
             };
@@ -92,7 +108,7 @@
             shared.metrics.configuration_version.set(version);
             let engines = engines(&configuration);
             shared.directory.lock().set_engines(engines);
-            let in_force = InForce::new(configuration, item.revision);
+            let in_force = InForce::new(configuration, item.written);
             let services_changed =
                 before.is_none_or(|before| !before.names_same_services(&in_force));
             *shared.in_force.write() = Some(Arc::new(in_force));
@@ -117,7 +133,7 @@
 pub fn record_refused(shared: &Shared, item: &Item, error: &anyhow::Error) {
     let event = Event::ItemRefused {
         key: &item.key,
-        revision: item.revision,
+        revision: item.written.revision,
         reason: &format!("{error:#}"),
     };
     shared.log.record(Weight::Important, &event);
--- a/crates/gateway/src/usage/collector.rs
+++ b/crates/gateway/src/usage/collector.rs
@@ -26,13 +26,15 @@
         return;
     };
     let key = key_of(usage);
-    let mut written = Vec::new();
+    let mut written = None;
     loop {
         let collectors = shared.fleet.read().plan.collectors().max(1);
         sleep(PACE * u32::try_from(collectors).unwrap_or(u32::MAX)).await;
         if let Some(rows) = rows_to_write(&shared, usage) {
-            if rows != written && write(&*store, &key, &rows).await {
-                written = rows;
+            // A restored store may have lost what was written in an earlier epoch.
+            let latest = (store.epoch(), rows);
+            if written.as_ref() != Some(&latest) && write(&*store, &key, &latest.1).await {
+                written = Some(latest);
             }
         }
     }
--- a/crates/gateway/src/usage/reporter.rs
+++ b/crates/gateway/src/usage/reporter.rs
@@ -70,10 +70,11 @@
         let Some(usage) = shared.usage.as_ref() else {
             return;
         };
+        // Also without the authority: a restored store may have lost what was decided when it is held next.
+        self.learn();
         let (Some(epoch), Some(time)) = (self.calls.fence(), usage.time(shared.now())) else {
             return;
         };
-        self.learn();
         match next_step(&usage.timing, time, &self.known) {
             ReportStep::Send(window) => self.send(epoch, window).await,
             ReportStep::Decide {
@@ -100,7 +101,7 @@
         let mirror = self.shared.mirror.lock();
         let item = mirror.get(CLOSED_KEY);
         let closed = item.and_then(|item| number(&item.value));
-        self.closed_at = item.map(|item| Revision(item.revision));
+        self.closed_at = item.map(|item| Revision(item.written.revision));
         self.known.closed_through = self.known.closed_through.max(closed);
         for (window, counts) in decided_in(&mirror) {
             self.decided.entry(window).or_insert(counts);
@@ -159,7 +160,7 @@
         };
         let transaction = Transaction {
             compare: vec![
-                Compare::ModifiedAt(authority_claim::KEY.into(), Revision(epoch.0)),
+                authority_claim::stands(epoch),
                 Compare::Absent(report_key(window)),
                 none_since,
             ],
--- a/crates/gateway/src/worker_entries.rs
+++ b/crates/gateway/src/worker_entries.rs
@@ -2,13 +2,16 @@
 //!
 //! An entry belongs to the worker whose name its key is; each start of the worker is another life ([`WorkerId`]).
 //! Entries that name no worker that could be used are passed over.
+//!
+//! A restored store says again what it said some seconds before: also of workers that have said since that they leave,
+//! or that have left. Those stay known as leaving.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tansyhall_core::Timestamp;
-use tansyhall_forwarding::{Item, Touched, Worker, WorkerId, WorkerState};
+use tansyhall_forwarding::{Item, Position, Touched, Worker, WorkerId, WorkerState};
 use tokio::time::sleep;
 
 use crate::events::{Event, Weight};
@@ -20,16 +23,34 @@
 /// Pause between two looks for workers that are overdue.
 const LAPSE_PACE: Duration = Duration::from_millis(200);
 
+/// How long it is remembered that a worker's entry went: longer than the copies are old from which stores are restored.
+const LEFT_MEMORY: Duration = Duration::from_secs(60);
+/// Time after which a worker that had left counts again if a restored store still has its entry: by then the entry of
+/// one that does not write any more is gone.
+const RESTORED_DOUBT: Duration = Duration::from_secs(8);
+
 /// The workers' entries as they were decoded last, by name.
 #[derive(Debug, Default)]
 pub struct WorkerEntries {
     entries: HashMap<String, WorkerEntry>,
+    /// Workers whose entries went.
+    left: HashMap<WorkerId, Left>,
+    /// Entries of a restored store whose workers had left, by name, and until when that counts.
+    doubted: HashMap<String, Timestamp>,
+}
+
+/// That a worker's entry went.
+#[derive(Debug)]
+struct Left {
+    /// The epoch of the store in which it went.
+    epoch: u64,
+    at: Timestamp,
 }
 
 /// An entry.
 #[derive(Debug)]
 struct WorkerEntry {
-    revision: u64,
+    written: Position,
     /// The worker that it names, if it names one.
     worker: Option<Worker>,
     /// Whether that worker was announced to the directory: its service is one of the configuration's.
@@ -44,6 +65,36 @@
         let entry = self.entries.get(id.as_str());
         entry.is_some_and(|entry| entry.ended_life.as_ref() == Some(id))
     }
+
+    fn remember_left(&mut self, worker: &Worker, epoch: u64, at: Timestamp) {
+        self.left.insert(worker.id.clone(), Left { epoch, at });
+    }
+
+    /// Whether a worker had left before the store was restored to a state in which it had not.
+    fn had_left(&self, worker: &Worker, written: Position) -> bool {
+        let left = self.left.get(&worker.id);
+        left.is_some_and(|left| left.epoch < written.epoch)
+    }
+
+    fn doubt(&mut self, name: &str, now: Timestamp) {
+        let until = now + RESTORED_DOUBT;
+        self.doubted.entry(name.to_owned()).or_insert(until);
+    }
+
+    /// Forgets what has gone long ago, and returns the names of entries that are doubted no more.
+    fn expire(&mut self, now: Timestamp) -> Vec<String> {
+        self.left.retain(|_, left| now.since(left.at) < LEFT_MEMORY);
+        let over = self.doubted.iter().filter(|(_, until)| **until <= now);
+        let over: Vec<String> = over.map(|(name, _)| name.clone()).collect();
+        for name in &over {
+            self.doubted.remove(name);
+            let entry = self.entries.remove(name);
+            if let Some(worker) = entry.and_then(|entry| entry.worker) {
+                self.left.remove(&worker.id);
+            }
+        }
+        over
+    }
 }
 
 /// Takes in the entries that were touched. `services_changed` tells that the configuration names other services.
@@ -85,20 +136,24 @@
 /// Takes in what the copy of the store says under a name now.
 fn refresh_entry(shared: &Shared, name: &str) {
     let key = format!("{}{name}", shared.catalogue.worker_prefix());
-    let item = shared.mirror.lock().get(&key).cloned();
+    let mirror = shared.mirror.lock();
+    let item = mirror.get(&key).cloned();
+    let epoch = mirror.position().epoch;
+    drop(mirror);
     let mut known = shared.worker_entries.lock();
     let before = known.entries.remove(name);
     let Some(item) = item else {
-        drop(known);
         let announced = before.filter(|entry| entry.announced);
         if let Some(worker) = announced.and_then(|entry| entry.worker) {
+            known.remember_left(&worker, epoch, shared.now());
+            drop(known);
             entry_gone(shared, &worker);
         }
         return;
     };
     let entry = match before {
-        Some(unchanged) if unchanged.revision == item.revision => unchanged,
-        before => changed_entry(shared, name, &item, before),
+        Some(unchanged) if unchanged.written == item.written => unchanged,
+        before => changed_entry(shared, &mut known, name, &item, before),
     };
     known.entries.insert(name.to_owned(), entry);
 }
@@ -106,12 +161,23 @@
 /// Takes in an entry that was written.
 fn changed_entry(
     shared: &Shared,
+    known: &mut WorkerEntries,
     name: &str,
     item: &Item,
     before: Option<WorkerEntry>,
 ) -> WorkerEntry {
     let decoded = shared.catalogue.worker(name, &item.value);
     let worker = decoded.map_err(|error| record_refused(shared, item, &error));
+    let worker = worker.map(|worker| {
+        let had_left = known.had_left(&worker, item.written);
+        if had_left {
+            known.doubt(name, shared.now());
+        }
+        match had_left || was_leaving(&worker, item.written, before.as_ref()) {
+            true => leaving(worker),
+            false => worker,
+        }
+    });
     let before_worker = before.as_ref().and_then(|entry| entry.worker.as_ref());
     let worker = match (worker.ok(), before_worker) {
         // What an earlier life wrote came late: the later one is there.
@@ -129,13 +195,29 @@
         .as_ref()
         .is_some_and(|worker| announce(shared, worker));
     WorkerEntry {
-        revision: item.revision,
+        written: item.written,
         worker,
         announced,
         ended_life,
     }
 }
 
+/// Whether a worker that is said to be ready was known to leave before the store was restored.
+fn was_leaving(worker: &Worker, written: Position, before: Option<&WorkerEntry>) -> bool {
+    let Some(before) = before.filter(|before| before.written.epoch < written.epoch) else {
+        return false;
+    };
+    let known = before.worker.as_ref();
+    known.is_some_and(|known| known.id == worker.id && known.state == WorkerState::Draining)
+}
+
+fn leaving(worker: Worker) -> Worker {
+    Worker {
+        state: WorkerState::Draining,
+        ..worker
+    }
+}
+
 /// The life that has ended without notice as an entry names another, or had ended so before.
 fn ended_life(
     shared: &Shared,
@@ -203,6 +285,11 @@
         let overdue = shared.lapsed_workers.lock().take_overdue(now, returned);
         let mut directory = shared.directory.lock();
         overdue.iter().for_each(|worker| directory.withdraw(worker));
+        drop(directory);
+        let credible = shared.worker_entries.lock().expire(now);
+        credible
+            .iter()
+            .for_each(|name| refresh_entry(&shared, name));
     }
 }
 
@@ -219,7 +306,7 @@
     if !shared.logged_workers.lock().is_due(shared.now(), ready) {
         return;
     }
-    let revision = shared.mirror.lock().revision();
+    let revision = shared.mirror.lock().position().revision;
     let event = Event::WorkersChanged { ready, revision };
     shared.log.record(Weight::Important, &event);
 }
--- a/crates/gateway/src/worker_orders/mod.rs
+++ b/crates/gateway/src/worker_orders/mod.rs
@@ -144,19 +144,16 @@
             log::warn!("{KEY} is passed over: {error}");
             Planned::new()
         });
-        (planned, Some(item.revision))
+        (planned, Some(item.written.revision))
     }
 
-    async fn write_planned(&self, Epoch(epoch): Epoch, planned: &Planned, known: Option<u64>) {
+    async fn write_planned(&self, epoch: Epoch, planned: &Planned, known: Option<u64>) {
         let unchanged = match known {
             Some(revision) => Compare::ModifiedAt(KEY.into(), Revision(revision)),
             None => Compare::Absent(KEY.into()),
         };
         let transaction = Transaction {
-            compare: vec![
-                Compare::ModifiedAt(authority_claim::KEY.into(), Revision(epoch)),
-                unchanged,
-            ],
+            compare: vec![authority_claim::stands(epoch), unchanged],
             operations: vec![Operation::Put {
                 key: KEY.into(),
                 value: serde_json::to_vec(planned).unwrap_or_default(),
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -3,17 +3,24 @@
 use std::time::Duration;
 
 use prost::Message;
-use tansyhall_forwarding::{Item, MirrorChange, Snapshot, Update};
+use tansyhall_forwarding::{Item, MirrorChange, Position, Snapshot, Update};
 use tansyhall_gateway::copy_message::{Incomplete, Received, UpdateMessage};
 use tansyhall_gateway::deflated_values::DeflatedValues;
 
 const AGE: Duration = Duration::from_millis(420);
+/// The epoch of the updates.
+const EPOCH: u64 = 3;
+
+fn at(revision: u64) -> Position {
+    Position::new(EPOCH, revision)
+}
 
 fn item(number: usize) -> Item {
     Item {
         key: format!("key-{number}"),
         value: vec![7; number],
-        revision: number as u64 + 1,
+        // Some were seen so before the store was restored.
+        written: Position::new(EPOCH - number as u64 % 2, number as u64 + 1),
         created: 1,
     }
 }
@@ -21,7 +28,7 @@
 fn whole(items: usize) -> Update {
     Update::Whole(Snapshot {
         items: (0..items).map(item).collect(),
-        revision: 99,
+        position: at(99),
     })
 }
 
@@ -31,17 +38,17 @@
             MirrorChange::Written(item(3)),
             MirrorChange::Removed {
                 key: "key-1".into(),
-                revision: 8,
+                at: at(8),
             },
         ],
-        revision: 8,
+        position: at(8),
     }
 }
 
 fn transported(update: Option<Update>) -> Result<Received, Incomplete> {
     let bytes = UpdateMessage::new(update, AGE, &mut DeflatedValues::default()).encode_to_vec();
     let message = UpdateMessage::decode(bytes.as_slice()).expect("a message");
-    message.into_received()
+    message.into_received(EPOCH)
 }
 
 #[test]
@@ -49,6 +56,7 @@
     for update in [None, Some(whole(12)), Some(whole(0)), Some(changes())] {
         let received = Received {
             update: update.clone(),
+            epoch: EPOCH,
             age: AGE,
         };
         assert_eq!(transported(update), Ok(received));
@@ -70,19 +78,19 @@
     let long = Item {
         key: "configuration".into(),
         value: routes.join(",").into_bytes(),
-        revision: 5,
+        written: at(5),
         created: 1,
     };
     let update = Update::Changes {
         changes: vec![MirrorChange::Written(long.clone())],
-        revision: 5,
+        position: at(5),
     };
     let mut deflated = DeflatedValues::default();
     for _ in 0..2 {
         let bytes = UpdateMessage::new(Some(update.clone()), AGE, &mut deflated).encode_to_vec();
         assert!(bytes.len() * 4 < long.value.len(), "{}", bytes.len());
         let message = UpdateMessage::decode(bytes.as_slice()).expect("a message");
-        let received = message.into_received().expect("complete");
+        let received = message.into_received(EPOCH).expect("complete");
         assert_eq!(received.update, Some(update.clone()));
     }
 }
@@ -93,12 +101,12 @@
     long.value = (0..9_000).map(|byte| (byte % 13) as u8).collect();
     let update = Update::Whole(Snapshot {
         items: vec![long],
-        revision: 9,
+        position: at(9),
     });
     let mut message = UpdateMessage::new(Some(update), AGE, &mut DeflatedValues::default());
     assert!(message.items[0].deflated);
     message.items[0].value.truncate(20);
-    assert_eq!(message.into_received(), Err(Incomplete));
+    assert_eq!(message.into_received(EPOCH), Err(Incomplete));
 }
 
 /// A client may take a body that was cut short for a whole one, and a message that is cut between
@@ -109,7 +117,7 @@
         let bytes = UpdateMessage::new(update, AGE, &mut DeflatedValues::default()).encode_to_vec();
         for length in 0..bytes.len() {
             if let Ok(message) = UpdateMessage::decode(&bytes[..length]) {
-                assert_eq!(message.into_received(), Err(Incomplete), "{length}");
+                assert_eq!(message.into_received(EPOCH), Err(Incomplete), "{length}");
             }
         }
     }
--- a/crates/gateway/tests/copy_growth.rs
+++ b/crates/gateway/tests/copy_growth.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use prost::Message;
-use tansyhall_forwarding::{Item, Mirror, MirrorChange, Snapshot, Update};
+use tansyhall_forwarding::{Item, Mirror, MirrorChange, Position, Snapshot, Update};
 use tansyhall_gateway::copy_answers::{CopyAnswer, CopyAnswers, DeflatedUpdate};
 use tansyhall_gateway::copy_message::{Incomplete, UpdateMessage};
 use tansyhall_gateway::deflated_values::DeflatedValues;
@@ -15,6 +15,11 @@
 /// The most that an entry may take on its way, in bytes: a fifth of what it takes in the store.
 const MOST_ENTRY_BYTES: usize = 50;
 
+/// A position in the first epoch.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 /// An entry as workers write it; addresses, zones and names are all that differ.
 fn entry(number: usize, revision: u64) -> Item {
     let (high, low) = (number >> 8, number & 0xff);
@@ -30,7 +35,7 @@
     Item {
         key: format!("servers/{name}"),
         value: value.into_bytes(),
-        revision,
+        written: at(revision),
         created: 1,
     }
 }
@@ -39,15 +44,15 @@
     let mut mirror = Mirror::default();
     mirror.replace(Snapshot {
         items: (0..entries).map(|number| entry(number, 1)).collect(),
-        revision: 1,
+        position: at(1),
     });
     mirror
 }
 
 fn change(mirror: &mut Mirror, number: usize) {
-    let revision = mirror.revision() + 1;
+    let revision = mirror.position().revision + 1;
     let changed = MirrorChange::Written(entry(number, revision));
-    mirror.apply(vec![changed], revision);
+    mirror.apply(vec![changed], at(revision));
 }
 
 fn deflated(answer: CopyAnswer) -> DeflatedUpdate {
@@ -61,7 +66,7 @@
 fn a_whole_copy_takes_a_fifth_of_what_the_store_holds_at_any_size() {
     for entries in [300, 3_000] {
         let mirror = copy(entries);
-        let answer = deflated(CopyAnswers::default().after(&mirror, 0));
+        let answer = deflated(CopyAnswers::default().after(&mirror, at(0)));
         let bytes = UpdateMessage::deflated(answer, AGE).encode_to_vec();
         assert!(
             bytes.len() <= entries * MOST_ENTRY_BYTES,
@@ -69,7 +74,7 @@
             bytes.len()
         );
         let message = UpdateMessage::decode(bytes.as_slice()).expect("a message");
-        let received = message.into_received().expect("complete");
+        let received = message.into_received(0).expect("complete");
         let whole = Update::Whole(mirror.snapshot());
         assert_eq!((received.update, received.age), (Some(whole), AGE));
     }
@@ -82,18 +87,18 @@
     let mut handed_over = BTreeSet::new();
     for subscriber in 0..SUBSCRIBERS {
         change(&mut mirror, subscriber);
-        let whole = deflated(answers.after(&mirror, 0));
-        handed_over.insert(whole.revision);
+        let whole = deflated(answers.after(&mirror, at(0)));
+        handed_over.insert(whole.position);
         let mut own = Mirror::default();
         let message = UpdateMessage::deflated(whole, AGE);
         own.take_in(
             message
-                .into_received()
+                .into_received(0)
                 .expect("complete")
                 .update
                 .expect("one"),
         );
-        let rest = mirror.update_after(own.revision());
+        let rest = mirror.update_after(own.position());
         assert!(
             !matches!(rest, Some(Update::Whole(_))),
             "the rest is handed over whole"
@@ -110,7 +115,7 @@
 fn a_gateway_that_lacks_fewer_changes_than_there_are_items_gets_just_those() {
     let mut mirror = copy(2_000);
     (0..1_900).for_each(|number| change(&mut mirror, number));
-    let update = deflated(CopyAnswers::default().after(&mirror, 1));
+    let update = deflated(CopyAnswers::default().after(&mirror, at(1)));
     assert!(!update.whole);
     assert!(update.items.len() <= 1_900 * MOST_ENTRY_BYTES);
 }
@@ -120,23 +125,23 @@
     let mut mirror = copy(100);
     (0..20).for_each(|number| change(&mut mirror, number));
     let mut answers = CopyAnswers::default();
-    let first = deflated(answers.after(&mirror, 1));
-    let second = deflated(answers.after(&mirror, 1));
+    let first = deflated(answers.after(&mirror, at(1)));
+    let second = deflated(answers.after(&mirror, at(1)));
     assert_eq!(first.items.as_ptr(), second.items.as_ptr());
     change(&mut mirror, 50);
-    let third = deflated(answers.after(&mirror, 1));
-    assert_eq!(third.revision, mirror.revision());
+    let third = deflated(answers.after(&mirror, at(1)));
+    assert_eq!(third.position, mirror.position());
 }
 
 #[test]
 fn deflated_items_that_were_cut_short_are_refused() {
-    let answer = deflated(CopyAnswers::default().after(&copy(20), 0));
+    let answer = deflated(CopyAnswers::default().after(&copy(20), at(0)));
     let bytes = UpdateMessage::deflated(answer, AGE).encode_to_vec();
     for length in 0..bytes.len() {
         if let Ok(message) = UpdateMessage::decode(&bytes[..length]) {
-            assert_eq!(message.into_received(), Err(Incomplete), "{length}");
+            assert_eq!(message.into_received(0), Err(Incomplete), "{length}");
         }
     }
     let nothing = UpdateMessage::new(None, AGE, &mut DeflatedValues::default());
-    assert_eq!(nothing.into_received().expect("complete").update, None);
+    assert_eq!(nothing.into_received(0).expect("complete").update, None);
 }
--- a/crates/gateway/tests/production_messages.rs
+++ b/crates/gateway/tests/production_messages.rs
@@ -8,8 +8,8 @@
 use tansyhall_core::Role;
 use tansyhall_fixed_cases::fixed_number_of_cases;
 use tansyhall_forwarding::{
-    Mirror, Need, PlacementAnswer, PlacementMessage, PlacementNeed, PlacementNotice, SendResult,
-    StatedLimit, WorkerId, WorkerNotice,
+    Item, Mirror, Need, PlacementAnswer, PlacementMessage, PlacementNeed, PlacementNotice,
+    Position, SendResult, Snapshot, StatedLimit, WorkerId, WorkerNotice,
 };
 use tansyhall_gateway::authority_claim::AuthorityClaim;
 use tansyhall_gateway::cache_recovery::CachesMessage;
@@ -218,12 +218,12 @@
     assert_eq!(member.name, "gateway-1");
     assert_eq!(member.capacity, 0.25);
     let mut mirror = Mirror::default();
-    mirror.replace(tansyhall_forwarding::Snapshot {
-        revision: 1,
-        items: vec![tansyhall_forwarding::Item {
+    mirror.replace(Snapshot {
+        position: Position::new(0, 1),
+        items: vec![Item {
             key: desired_roles::KEY.into(),
             value: ROLES.to_vec(),
-            revision: 1,
+            written: Position::new(0, 1),
             created: 1,
         }],
     });
--- a/crates/gateway/tests/questions_to_gateways.rs
+++ b/crates/gateway/tests/questions_to_gateways.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use prost::Message;
-use tansyhall_forwarding::{Snapshot, Update};
+use tansyhall_forwarding::{Position, Snapshot, Update};
 use tansyhall_gateway::copy_message::UpdateMessage;
 use tansyhall_gateway::deflated_values::DeflatedValues;
 use tansyhall_gateway::peers;
@@ -25,7 +25,7 @@
 fn answer(question: &str, number: u64) -> Answer {
     let snapshot = Snapshot {
         items: Vec::new(),
-        revision: parameter(question, "after") + 1,
+        position: Position::new(0, parameter(question, "after") + 1),
     };
     let update = Some(Update::Whole(snapshot));
     let mut message = UpdateMessage::new(update, Duration::ZERO, &mut DeflatedValues::default());
@@ -34,10 +34,11 @@
 }
 
 async fn revision(client: &mut awc::Client, gateway: &TwiceAnswering, after: u64) -> Option<u64> {
+    let after = Position::new(0, after);
     let asked = peers::fetch(client, gateway.address, after, Duration::ZERO).await;
     match asked.ok()?.update? {
-        Update::Whole(snapshot) => Some(snapshot.revision),
-        Update::Changes { revision, .. } => Some(revision),
+        Update::Whole(snapshot) => Some(snapshot.position.revision),
+        Update::Changes { position, .. } => Some(position.revision),
     }
 }
 
--- a/crates/store/src/retry.rs
+++ b/crates/store/src/retry.rs
@@ -57,7 +57,9 @@
         jitter: f64,
     ) -> NextStep {
         let step = match (error, repeatability) {
-            (StoreError::LeaseLapsed | StoreError::Compacted, _) => return NextStep::GiveUp,
+            (StoreError::LeaseLapsed | StoreError::Compacted | StoreError::Restored, _) => {
+                return NextStep::GiveUp
+            }
             (StoreError::Unknown(_), Repeatability::Once) => return NextStep::ReadBack,
             (StoreError::Unknown(_), Repeatability::Repeatable) => NextStep::Retry,
             (StoreError::NotApplied(_), _) => NextStep::Retry,
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -98,6 +98,8 @@
 pub struct RangePage {
     /// The page's keys, in order.
     pub entries: Vec<KeyValue>,
+    /// The epoch of the store at the read of this page.
+    pub epoch: StoreEpoch,
     /// The store's revision at the read of this page.
     pub revision: Revision,
     /// Whether further keys follow.
@@ -133,6 +135,9 @@
     /// The watch's start is no longer kept; read the range again.
     #[error("the watch's start has been compacted")]
     Compacted,
+    /// The store was restored from an earlier copy of itself since the read or watch began; read the range again.
+    #[error("the key-value service was restored from an earlier copy")]
+    Restored,
 }
 
 /// The events of a watch, in revision order.
@@ -156,6 +161,7 @@
             .retain(|entry| after.is_none_or(|after| entry.key.as_str() > after));
         Ok(RangePage {
             entries: range.entries,
+            epoch: self.epoch(),
             revision: range.revision,
             more: false,
         })
@@ -168,6 +174,6 @@
     async fn keep_alive(&self, lease: LeaseId) -> Result<Duration, StoreError>;
     /// Ends a lease and deletes its keys.
     async fn revoke_lease(&self, lease: LeaseId) -> Result<(), StoreError>;
-    /// Watches every key that starts with `prefix`, from `start` on.
+    /// Watches every key that starts with `prefix`, from `start` on, a revision of the present epoch.
     async fn watch(&self, prefix: &str, start: Revision) -> Result<WatchStream, StoreError>;
 }
