A copy that was replaced tells its followers of the gap, not only of the difference

What callers might have seen: a gateway that keeps an item which the store has no more (a worker that is gone, a bar), until the item is written again.

Cause: a copy that reads the store whole remembers the difference as if it were the history. What came and went in between is not in it. A follower that had read the store itself in that time, at a position between the two, was told the changes after its own position and kept what was gone. So with a store that is restored, where the lost changes stand in between.

Evidence: gateways_that_ask_each_other_and_the_store_come_to_hold_what_it_holds fails on in two ways: read at 2, write and remove, read at 4, asked by one that stands at 3; and the same over a third gateway that took the changes in.

Change: the history knows its last gap. Whoever stands within it gets the whole copy. Changes that lead over it say so, in the head of the answer, so that the gateway that takes them in has the gap too. An item that a restore took back is written in the present epoch, as followers have left the earlier one.

--- a/crates/forwarding/src/mirror.rs
+++ b/crates/forwarding/src/mirror.rs
@@ -99,6 +99,8 @@
         changes: Vec<MirrorChange>,
         /// The position that it then has.
         position: Position,
+        /// Whether they lead over a gap: what came and went between two states of the copy is not among them.
+        skips: bool,
     },
     /// Everything, as the changes are not remembered.
     Whole(Snapshot),
@@ -159,6 +161,11 @@
 }
 
 impl Gap {
+    /// Whether what leads on from a position leads over the gap.
+    fn follows(&self, position: Position) -> bool {
+        position < self.after
+    }
+
     /// Whether a copy of this position may hold what neither of the two copies had.
     fn hides(&self, position: Position) -> bool {
         self.before < position && position < self.after
@@ -201,6 +208,11 @@
         position >= self.floor && !is_hidden
     }
 
+    /// Whether the changes after a position lead over a gap.
+    fn skips_after(&self, position: Position) -> bool {
+        self.gap.is_some_and(|gap| gap.follows(position))
+    }
+
     /// The changes after a position, if all of them are remembered.
     fn after(&self, position: Position) -> Option<Vec<MirrorChange>> {
         if !self.covers(position) {
@@ -250,12 +262,10 @@
         if !self.position.is_start() {
             let position = snapshot.position;
             let changes = self.difference(snapshot);
-            if position.epoch > self.position.epoch {
-                self.history.skip(Gap {
-                    before: self.position,
-                    after: position,
-                });
-            }
+            self.history.skip(Gap {
+                before: self.position,
+                after: position,
+            });
             return self.apply_all(changes, position);
         }
         self.position = snapshot.position;
@@ -310,7 +320,11 @@
             known.is_some_and(|known| known.is_same(item))
         };
         let written = newer.items.into_iter().filter(|item| !is_known(item));
-        changes.extend(written.map(MirrorChange::Written));
+        changes.extend(written.map(|item| {
+            // Whoever follows this copy has left the epochs before.
+            let written = Position::new(at.epoch, item.written.revision);
+            MirrorChange::Written(Item { written, ..item })
+        }));
         changes.sort_by_key(MirrorChange::position);
         changes
     }
@@ -329,7 +343,19 @@
     /// Takes in what a peer handed over; returns what was touched.
     pub fn take_in(&mut self, update: Update) -> Touched {
         match update {
-            Update::Changes { changes, position } => self.apply(changes, position),
+            Update::Changes {
+                changes,
+                position,
+                skips,
+            } => {
+                if skips && position > self.position {
+                    self.history.skip(Gap {
+                        before: self.position,
+                        after: position,
+                    });
+                }
+                self.apply(changes, position)
+            }
             Update::Whole(snapshot) => self.replace(snapshot),
         }
     }
@@ -348,6 +374,7 @@
             Some(changes) => Update::Changes {
                 changes,
                 position: self.position,
+                skips: self.history.skips_after(position),
             },
             None => Update::Whole(self.snapshot()),
         };
--- a/crates/forwarding/tests/mirror_updates.rs
+++ b/crates/forwarding/tests/mirror_updates.rs
@@ -76,6 +76,7 @@
     let update = Update::Changes {
         changes: vec![written(2, 3)],
         position: at(3),
+        skips: false,
     };
     assert_eq!(source.update_after(at(2)), Some(update));
 }
--- a/crates/forwarding/tests/restored_mirror.rs
+++ b/crates/forwarding/tests/restored_mirror.rs
@@ -1,7 +1,132 @@
 //! Copies of a store that is restored from earlier copies of itself.
 
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_forwarding::{Item, Mirror, MirrorChange, Position, Snapshot, Update};
 
+/// Seed of the property test.
+const SEED: u64 = 20_261_206;
+/// Gateways that follow the first one.
+const PEERS: usize = 3;
+
+/// A store, with the copy that it may be restored from.
+#[derive(Debug, Clone, Default)]
+struct Store {
+    epoch: u64,
+    revision: u64,
+    items: BTreeMap<u8, (Vec<u8>, u64, u64)>,
+    backup: Option<Box<Store>>,
+}
+
+impl Store {
+    fn write(&mut self, key: u8, value: u8) {
+        self.revision += 1;
+        let created = self.items.get(&key).map_or(self.revision, |item| item.2);
+        let item = (vec![value], self.revision, created);
+        self.items.insert(key, item);
+    }
+
+    fn remove(&mut self, key: u8) {
+        self.revision += 1;
+        self.items.remove(&key);
+    }
+
+    fn back_up(&mut self) {
+        self.backup = None;
+        self.backup = Some(Box::new(self.clone()));
+    }
+
+    fn restore(&mut self) {
+        if let Some(backup) = self.backup.take() {
+            let epoch = self.epoch + 1;
+            *self = Store { epoch, ..*backup };
+        }
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        let item = |(key, (value, revision, created)): (&u8, &(Vec<u8>, u64, u64))| Item {
+            key: format!("key-{key}"),
+            value: value.clone(),
+            written: Position::new(self.epoch, *revision),
+            created: *created,
+        };
+        Snapshot {
+            items: self.items.iter().map(item).collect(),
+            position: Position::new(self.epoch, self.revision),
+        }
+    }
+}
+
+/// What a copy holds, without the epochs in which it was seen.
+fn contents(mirror: &Mirror) -> Vec<(String, Vec<u8>, u64, u64)> {
+    let items = mirror.snapshot().items.into_iter();
+    let contents = items.map(|item| (item.key, item.value, item.written.revision, item.created));
+    contents.collect()
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Write(u8, u8),
+    Remove(u8),
+    BackUp,
+    Restore,
+    /// A gateway reads the store itself.
+    Read(usize),
+    /// A gateway asks another one.
+    Ask(usize, usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let gateway = 0..PEERS;
+    let step = prop_oneof![
+        6 => (0_u8..6, 0_u8..2).prop_map(|(key, value)| Step::Write(key, value)),
+        2 => (0_u8..6).prop_map(Step::Remove),
+        1 => Just(Step::BackUp),
+        1 => Just(Step::Restore),
+        3 => gateway.clone().prop_map(Step::Read),
+        4 => (gateway.clone(), gateway).prop_map(|(asks, asked)| Step::Ask(asks, asked)),
+    ];
+    prop::collection::vec(step, 1..200)
+}
+
+proptest! {
+    #![proptest_config(fixed_cases(SEED))]
+
+    #[test]
+    fn gateways_that_ask_each_other_and_the_store_come_to_hold_what_it_holds(steps in steps()) {
+        let mut store = Store::default();
+        store.write(0, 0);
+        let mut mirrors: Vec<Mirror> = (0..PEERS).map(|_| Mirror::default()).collect();
+        for step in steps {
+            match step {
+                Step::Write(key, value) => store.write(key, value),
+                Step::Remove(key) => store.remove(key),
+                Step::BackUp => store.back_up(),
+                Step::Restore => store.restore(),
+                Step::Read(gateway) => {
+                    mirrors[gateway].replace(store.snapshot());
+                }
+                Step::Ask(asks, asked) => {
+                    let update = mirrors[asked].update_after(mirrors[asks].position());
+                    if let Some(update) = update {
+                        mirrors[asks].take_in(update);
+                        prop_assert_eq!(contents(&mirrors[asks]), contents(&mirrors[asked]));
+                    }
+                }
+            }
+            for mirror in &mirrors {
+                if mirror.position() == store.snapshot().position {
+                    let mut read = Mirror::default();
+                    read.replace(store.snapshot());
+                    prop_assert_eq!(contents(mirror), contents(&read));
+                }
+            }
+        }
+    }
+}
+
 fn item(number: usize, position: Position) -> Item {
     Item {
         key: format!("key-{number:05}"),
--- a/crates/gateway/src/copy_answers.rs
+++ b/crates/gateway/src/copy_answers.rs
@@ -23,6 +23,8 @@
     pub position: Position,
     /// Whether it is the whole copy, and not changes of it.
     pub whole: bool,
+    /// Whether its changes lead over a gap.
+    pub skips: bool,
     /// The deflated items.
     pub items: Bytes,
 }
@@ -38,6 +40,17 @@
     Deflated(DeflatedUpdate),
 }
 
+impl CopyAnswer {
+    /// Whether it tells changes that lead over a gap.
+    pub fn skips(&self) -> bool {
+        match self {
+            CopyAnswer::Nothing => false,
+            CopyAnswer::Plain(update) => matches!(update, Update::Changes { skips: true, .. }),
+            CopyAnswer::Deflated(update) => update.skips,
+        }
+    }
+}
+
 /// Updates that were deflated lately.
 #[derive(Debug, Default)]
 pub struct CopyAnswers {
@@ -102,14 +115,17 @@
 }
 
 fn deflate(update: Update) -> Option<DeflatedUpdate> {
-    let (position, whole) = match &update {
-        Update::Changes { position, .. } => (*position, false),
-        Update::Whole(snapshot) => (snapshot.position, true),
+    let (position, whole, skips) = match &update {
+        Update::Changes {
+            position, skips, ..
+        } => (*position, false, *skips),
+        Update::Whole(snapshot) => (snapshot.position, true, false),
     };
     let items = deflate_items(update)?;
     Some(DeflatedUpdate {
         position,
         whole,
+        skips,
         items: Bytes::from(items),
     })
 }
--- a/crates/gateway/src/copy_message.rs
+++ b/crates/gateway/src/copy_message.rs
@@ -48,7 +48,9 @@
 /// The items of an update, deflated together.
 pub fn deflate_items(update: Update) -> Option<Vec<u8>> {
     let items: Vec<ItemMessage> = match update {
-        Update::Changes { changes, position } => changes
+        Update::Changes {
+            changes, position, ..
+        } => changes
             .into_iter()
             .map(|change| ItemMessage::plain_change(change, position.epoch))
             .collect(),
@@ -91,6 +93,16 @@
 #[error("an update was cut short or damaged")]
 pub struct Incomplete;
 
+/// What is told of an update in the head of its answer. An update that was cut before such a field would pass for one
+/// of an older version, which does not tell it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct UpdateHead {
+    /// The epoch of the sender's copy.
+    pub epoch: u64,
+    /// Whether the changes lead over a gap, see [`Update::Changes`].
+    pub skips: bool,
+}
+
 /// An update as it arrived.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Received {
@@ -107,7 +119,9 @@
     pub fn new(update: Option<Update>, age: Duration, deflated: &mut DeflatedValues) -> Self {
         let (items, revision, whole) = match update {
             None => (Vec::new(), 0, false),
-            Some(Update::Changes { changes, position }) => {
+            Some(Update::Changes {
+                changes, position, ..
+            }) => {
                 let items = changes
                     .into_iter()
                     .map(|change| ItemMessage::of_change(change, position.epoch, deflated));
@@ -149,9 +163,9 @@
         self.question == question || self.question == 0
     }
 
-    /// What the message of a sender whose copy has this epoch says, if it is complete. The epoch is no field of it: an
-    /// update that was cut before that field would pass for one of a version that tells none.
-    pub fn into_received(self, epoch: u64) -> Result<Received, Incomplete> {
+    /// What the message says, if it is complete.
+    pub fn into_received(self, head: UpdateHead) -> Result<Received, Incomplete> {
+        let UpdateHead { epoch, skips } = head;
         if !self.complete && !self.deflated_complete {
             return Err(Incomplete);
         }
@@ -169,6 +183,7 @@
             (_, false) => Some(Update::Changes {
                 changes: changes_of(items, epoch)?,
                 position,
+                skips,
             }),
         };
         Ok(Received {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,7 @@
 use actix_web::http::header::{HeaderName, HeaderValue};
 use actix_web::{web, HttpResponse};
 use awc::error::PayloadError;
+use awc::http::header::HeaderMap;
 use awc::{Client, ClientResponse};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
@@ -18,11 +19,11 @@
 use rand::RngExt;
 use serde::Deserialize;
 use tansyhall_core::Timestamp;
-use tansyhall_forwarding::{Mirror, Position, Touched, Update};
+use tansyhall_forwarding::{Position, Touched, Update};
 use tokio::time::{sleep, timeout};
 
-use crate::copy_answers::{CopyAnswer, CopyAnswers};
-use crate::copy_message::{Received, UpdateMessage};
+use crate::copy_answers::CopyAnswer;
+use crate::copy_message::{Received, UpdateHead, UpdateMessage};
 use crate::events::{Event, Weight};
 use crate::presence::Member;
 use crate::state::Shared;
@@ -52,6 +53,8 @@
 const MAX_UPDATE_BYTES: usize = 16 << 20;
 /// Names the epoch of a copy in the answer that tells what is new in it; an older version does not tell it.
 const EPOCH_HEADER: HeaderName = HeaderName::from_static("tansyhall-store-epoch");
+/// Says in the answer that its changes lead over a gap; an older version does not tell it.
+const SKIPS_HEADER: HeaderName = HeaderName::from_static("tansyhall-store-gap");
 /// The age of knowledge of an epoch that is over.
 const OBSOLETE: Duration = Duration::MAX;
 
@@ -86,34 +89,37 @@
     let mut position = shared.mirror_position.subscribe();
     let newer = position.wait_for(|position| *position > question.position(position.epoch));
     let _ = timeout(wait, newer).await;
-    let mut answers = shared.copy_answers.lock();
-    let mirror = shared.mirror.lock();
-    let epoch = mirror.position().epoch;
-    let mut message = update_for(&shared, &mut answers, &mirror, &question);
-    drop((answers, mirror));
+    let (head, mut message) = update_for(&shared, &question);
     message.question = question.number;
-    HttpResponse::Ok()
-        .insert_header((EPOCH_HEADER, epoch))
-        .body(message.encode_to_vec())
+    let mut answer = HttpResponse::Ok();
+    answer.insert_header((EPOCH_HEADER, head.epoch));
+    if head.skips {
+        answer.insert_header((SKIPS_HEADER, "true"));
+    }
+    answer.body(message.encode_to_vec())
 }
 
-fn update_for(
-    shared: &Shared,
-    answers: &mut CopyAnswers,
-    mirror: &Mirror,
-    question: &Question,
-) -> UpdateMessage {
+fn update_for(shared: &Shared, question: &Question) -> (UpdateHead, UpdateMessage) {
     let age = shared.store_contact.age(shared.now());
     let plain = |update| UpdateMessage::new(update, age, &mut shared.deflated_values.lock());
-    let after = question.position(mirror.position().epoch);
-    if !question.deflated {
-        return plain(mirror.update_after(after));
-    }
-    match answers.after(mirror, after) {
+    let mut answers = shared.copy_answers.lock();
+    let mirror = shared.mirror.lock();
+    let epoch = mirror.position().epoch;
+    let after = question.position(epoch);
+    let answer = match question.deflated {
+        true => answers.after(&mirror, after),
+        false => mirror
+            .update_after(after)
+            .map_or(CopyAnswer::Nothing, CopyAnswer::Plain),
+    };
+    drop((answers, mirror));
+    let skips = answer.skips();
+    let message = match answer {
         CopyAnswer::Nothing => plain(None),
         CopyAnswer::Plain(update) => plain(Some(update)),
         CopyAnswer::Deflated(update) => UpdateMessage::deflated(update, age),
-    }
+    };
+    (UpdateHead { epoch, skips }, message)
 }
 
 /// A client for questions to gateways.
@@ -173,16 +179,24 @@
     let call = client.get(url).timeout(head_timeout(after)).send().await;
     let response = call.map_err(|error| anyhow::anyhow!("{error}"))?;
     anyhow::ensure!(response.status() == 200, "status {}", response.status());
-    let told_epoch = response.headers().get(EPOCH_HEADER).map(epoch_of);
+    let head = head_of(response.headers(), after)?;
     let body = read_body(response.timeout(BODY_TIMEOUT)).await?;
     let message = UpdateMessage::decode(body)?;
     if !message.answers(number) {
         *client = self::client();
         anyhow::bail!("an answer to another question");
     }
-    // An older version tells no epoch: it counts as that of the asking gateway, which knows of none that is over.
-    let epoch = told_epoch.transpose()?.unwrap_or(after.epoch);
-    Ok(message.into_received(epoch)?)
+    Ok(message.into_received(head)?)
+}
+
+/// What the head of an answer tells. An older version tells no epoch: it counts as that of the asking gateway, which
+/// knows of none that is over.
+fn head_of(headers: &HeaderMap, asked_after: Position) -> anyhow::Result<UpdateHead> {
+    let epoch = headers.get(EPOCH_HEADER).map(epoch_of).transpose()?;
+    Ok(UpdateHead {
+        epoch: epoch.unwrap_or(asked_after.epoch),
+        skips: headers.contains_key(SKIPS_HEADER),
+    })
 }
 
 fn epoch_of(value: &HeaderValue) -> anyhow::Result<u64> {
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -4,12 +4,16 @@
 
 use prost::Message;
 use tansyhall_forwarding::{Item, MirrorChange, Position, Snapshot, Update};
-use tansyhall_gateway::copy_message::{Incomplete, Received, UpdateMessage};
+use tansyhall_gateway::copy_message::{Incomplete, Received, UpdateHead, UpdateMessage};
 use tansyhall_gateway::deflated_values::DeflatedValues;
 
 const AGE: Duration = Duration::from_millis(420);
 /// The epoch of the updates.
 const EPOCH: u64 = 3;
+const HEAD: UpdateHead = UpdateHead {
+    epoch: EPOCH,
+    skips: true,
+};
 
 fn at(revision: u64) -> Position {
     Position::new(EPOCH, revision)
@@ -42,13 +46,14 @@
             },
         ],
         position: at(8),
+        skips: true,
     }
 }
 
 fn transported(update: Option<Update>) -> Result<Received, Incomplete> {
     let bytes = UpdateMessage::new(update, AGE, &mut DeflatedValues::default()).encode_to_vec();
     let message = UpdateMessage::decode(bytes.as_slice()).expect("a message");
-    message.into_received(EPOCH)
+    message.into_received(HEAD)
 }
 
 #[test]
@@ -84,13 +89,14 @@
     let update = Update::Changes {
         changes: vec![MirrorChange::Written(long.clone())],
         position: at(5),
+        skips: true,
     };
     let mut deflated = DeflatedValues::default();
     for _ in 0..2 {
         let bytes = UpdateMessage::new(Some(update.clone()), AGE, &mut deflated).encode_to_vec();
         assert!(bytes.len() * 4 < long.value.len(), "{}", bytes.len());
         let message = UpdateMessage::decode(bytes.as_slice()).expect("a message");
-        let received = message.into_received(EPOCH).expect("complete");
+        let received = message.into_received(HEAD).expect("complete");
         assert_eq!(received.update, Some(update.clone()));
     }
 }
@@ -106,7 +112,7 @@
     let mut message = UpdateMessage::new(Some(update), AGE, &mut DeflatedValues::default());
     assert!(message.items[0].deflated);
     message.items[0].value.truncate(20);
-    assert_eq!(message.into_received(EPOCH), Err(Incomplete));
+    assert_eq!(message.into_received(HEAD), Err(Incomplete));
 }
 
 /// A client may take a body that was cut short for a whole one, and a message that is cut between
@@ -117,7 +123,7 @@
         let bytes = UpdateMessage::new(update, AGE, &mut DeflatedValues::default()).encode_to_vec();
         for length in 0..bytes.len() {
             if let Ok(message) = UpdateMessage::decode(&bytes[..length]) {
-                assert_eq!(message.into_received(EPOCH), Err(Incomplete), "{length}");
+                assert_eq!(message.into_received(HEAD), Err(Incomplete), "{length}");
             }
         }
     }
--- a/crates/gateway/tests/copy_growth.rs
+++ b/crates/gateway/tests/copy_growth.rs
@@ -6,7 +6,7 @@
 use prost::Message;
 use tansyhall_forwarding::{Item, Mirror, MirrorChange, Position, Snapshot, Update};
 use tansyhall_gateway::copy_answers::{CopyAnswer, CopyAnswers, DeflatedUpdate};
-use tansyhall_gateway::copy_message::{Incomplete, UpdateMessage};
+use tansyhall_gateway::copy_message::{Incomplete, UpdateHead, UpdateMessage};
 use tansyhall_gateway::deflated_values::DeflatedValues;
 
 const AGE: Duration = Duration::from_millis(420);
@@ -74,7 +74,9 @@
             bytes.len()
         );
         let message = UpdateMessage::decode(bytes.as_slice()).expect("a message");
-        let received = message.into_received(0).expect("complete");
+        let received = message
+            .into_received(UpdateHead::default())
+            .expect("complete");
         let whole = Update::Whole(mirror.snapshot());
         assert_eq!((received.update, received.age), (Some(whole), AGE));
     }
@@ -93,7 +95,7 @@
         let message = UpdateMessage::deflated(whole, AGE);
         own.take_in(
             message
-                .into_received(0)
+                .into_received(UpdateHead::default())
                 .expect("complete")
                 .update
                 .expect("one"),
@@ -139,9 +141,19 @@
     let bytes = UpdateMessage::deflated(answer, AGE).encode_to_vec();
     for length in 0..bytes.len() {
         if let Ok(message) = UpdateMessage::decode(&bytes[..length]) {
-            assert_eq!(message.into_received(0), Err(Incomplete), "{length}");
+            assert_eq!(
+                message.into_received(UpdateHead::default()),
+                Err(Incomplete),
+                "{length}"
+            );
         }
     }
     let nothing = UpdateMessage::new(None, AGE, &mut DeflatedValues::default());
-    assert_eq!(nothing.into_received(0).expect("complete").update, None);
+    assert_eq!(
+        nothing
+            .into_received(UpdateHead::default())
+            .expect("complete")
+            .update,
+        None
+    );
 }
