Leases outlive a restore that has lost nothing of theirs; process tests of what a restored store says again

What callers would see: after each restore nobody orders engines for some seconds, and every gateway announces itself anew, which at 986 gateways is 1,972 calls and as many changes to tell (worked out).

Cause: leases ended with the epoch, as a restored store may have given their identifiers to others. It has not where the key that hangs on the lease is still there as it was written: the key goes with its lease.

Change: a gateway looks for its key in its copy of the restored store before it makes the next call for the lease. Until the copy is of that epoch it makes none. Budgets are shared anew once announcements had time to be back. A copy that comes to a later epoch without a change says so, so that followers do not stay behind.

Result: three more tests by gateway processes pass: the claim and all announcements stay as they were after a restore; a configuration that was lost stays in force; workers that leave or have left get nothing though the copy says that they are ready, until one writes its entry again.

--- a/crates/cli/tests/gateway_platform/restored_store.rs
+++ b/crates/cli/tests/gateway_platform/restored_store.rs
@@ -20,6 +20,8 @@
 const LOST_CHANGES: usize = 2_000;
 /// How long the store is away before it is back.
 const AWAY: Duration = Duration::from_millis(600);
+/// Longer than the authority's lease is kept without a renewal.
+const LEASES_END: Duration = Duration::from_millis(4_500);
 /// Requests to each gateway.
 const REQUESTS: usize = 20;
 
@@ -82,6 +84,96 @@
     }
 }
 
+/// Guards against a configuration that goes back to the one before, which the restored store holds.
+#[actix_rt::test]
+async fn a_configuration_that_a_restore_has_lost_stays_in_force() {
+    let site = Site::start(&[APP], GATEWAYS).await;
+    site.until_gateways_know_each_other().await;
+    let backup = site.store.back_up();
+    let lost = site.configure_next();
+    site.until_in_force(lost).await;
+    restore(&site, &backup).await;
+    until_restored(&site).await;
+    for gateway in &site.gateways {
+        let version = gateway.metric("gateway_configuration_version").await;
+        assert_eq!(version, Some(lost as f64));
+    }
+    site.until_in_force(site.configure_next()).await;
+}
+
+/// Guards against requests to workers that have said that they leave, or have left, and are ready in the restored store.
+#[actix_rt::test]
+async fn workers_that_leave_get_no_more_requests_though_a_restored_store_says_they_are_ready() {
+    let site = Site::start(&[APP, APP, APP], GATEWAYS).await;
+    site.until_gateways_know_each_other().await;
+    let backup = site.store.back_up();
+    let [leaving, gone, _] = &site.workers[..] else {
+        panic!("three workers");
+    };
+    leaving.worker.announce("draining");
+    site.store.remove(&format!("servers/{}", gone.worker.id));
+    for index in 0..GATEWAYS {
+        site.until_ready_workers(index, 1.0).await;
+    }
+    restore(&site, &backup).await;
+    until_restored(&site).await;
+    ask_all(&site).await;
+    assert_eq!(leaving.worker.runs().len() + gone.worker.runs().len(), 0);
+    // One that writes its entry again has not left.
+    gone.worker.announce("ready");
+    for index in 0..GATEWAYS {
+        site.until_ready_workers(index, 2.0).await;
+    }
+}
+
+/// Guards against a pause of orders, and against announcing all gateways anew, where a restore has lost nothing of them.
+#[actix_rt::test]
+async fn a_claim_that_a_restore_has_kept_is_held_on() {
+    let site = Site::start(&[DECODER; ENGINES], GATEWAYS).await;
+    site.until_gateways_know_each_other().await;
+    eventually("the first engines are ordered", || async {
+        (!orders(&site).is_empty()).then_some(())
+    })
+    .await;
+    let claim = site.authority_fence();
+    let announced = |site: &Site| {
+        let keys = site.store.keys("tansyhall/gateways/");
+        let made = keys.iter().filter_map(|key| site.store.get(key));
+        made.map(|(_, made)| made).collect::<Vec<u64>>()
+    };
+    let announced_before = announced(&site);
+    let backup = site.store.back_up();
+    write_what_is_lost(&site);
+    site.until_in_force(site.configure_next()).await;
+    restore(&site, &backup).await;
+    until_restored(&site).await;
+    sleep(LEASES_END).await;
+    assert_eq!(site.authority_fence(), claim);
+    assert_eq!(announced(&site), announced_before);
+    let holders = holders(&site).await;
+    assert_eq!(holders, 1.0);
+}
+
+async fn holders(site: &Site) -> f64 {
+    let mut holders = 0.0;
+    for gateway in &site.gateways {
+        let holds = gateway.metric("gateway_holds_authority").await;
+        holders += holds.unwrap_or_default();
+    }
+    holders
+}
+
+/// Waits until every gateway has a copy of the restored store.
+async fn until_restored(site: &Site) {
+    for gateway in &site.gateways {
+        eventually("the gateway knows that the store was restored", || async {
+            let epoch = gateway.metric("gateway_mirror_epoch").await?;
+            (epoch == 1.0).then_some(())
+        })
+        .await;
+    }
+}
+
 fn orders(site: &Site) -> Vec<Order> {
     let orders = site
         .workers
--- a/crates/forwarding/src/mirror.rs
+++ b/crates/forwarding/src/mirror.rs
@@ -111,7 +111,8 @@
 pub enum Touched {
     /// Nothing.
     Nothing,
-    /// The items of these keys, some of them more than once.
+    /// The items of these keys, some of them more than once; none where the copy has come to another epoch without a
+    /// change.
     Keys(Vec<String>),
     /// Everything, as the copy was replaced.
     Everything,
@@ -297,8 +298,9 @@
                 .push(change.clone(), self.items.len(), self.bytes);
             self.apply_one(change);
         }
+        let is_other_epoch = position.epoch > self.position.epoch;
         self.position = self.position.max(position);
-        match touched.is_empty() {
+        match touched.is_empty() && !is_other_epoch {
             true => Touched::Nothing,
             false => Touched::Keys(touched),
         }
--- a/crates/forwarding/tests/restored_mirror.rs
+++ b/crates/forwarding/tests/restored_mirror.rs
@@ -191,3 +191,20 @@
     follower.take_in(update);
     assert_eq!(follower.get("key-00002"), None);
 }
+
+/// Guards against gateways that stay in an epoch that is over, as nothing was lost with it.
+#[test]
+fn a_restore_that_has_lost_nothing_is_told_too() {
+    let read = |epoch| Snapshot {
+        items: vec![item(1, Position::new(epoch, 10))],
+        position: Position::new(epoch, 10),
+    };
+    let mut relay = Mirror::default();
+    relay.replace(read(0));
+    let mut follower = Mirror::default();
+    follower.replace(read(0));
+    assert!(relay.replace(read(1)).is_any());
+    let update = relay.update_after(follower.position()).expect("something");
+    assert!(follower.take_in(update).is_any());
+    assert_eq!(follower.position(), Position::new(1, 10));
+}
--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -102,6 +102,10 @@
             lease.set_wanted(false);
             return;
         }
+        // What the copy says of an epoch that is over tells nothing of the claim as it stands.
+        if self.shared.mirror.lock().position().epoch != self.store.epoch().0 {
+            return;
+        }
         let (record, own) = self.observe();
         let event = ClaimEvent::Observed { record, lease: own };
         let action = self.claim.step(now, event);
@@ -121,10 +125,8 @@
 
     /// The claim as it stands, and the lease that this gateway holds.
     fn observe(&self) -> (Option<ClaimRecord>, Option<Lease>) {
+        let lease = self.authority.lease.held();
         let mirror = self.shared.mirror.lock();
-        // What the copy says of an epoch that is over says nothing of a lease of this one.
-        let is_present = mirror.position().epoch == self.store.epoch().0;
-        let lease = self.authority.lease.held().filter(|_| is_present);
         let record = mirror.get(authority_claim::KEY).and_then(|item| {
             let claim = AuthorityClaim::decode(&item.value)?;
             Some(ClaimRecord {
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -2,8 +2,8 @@
 //! over roles on another, which lives shorter, so that a dead holder is soon replaced, and is kept
 //! only while the authority is held or sought.
 //!
-//! A lease ends with the epoch of the store in which it was granted: a restored store may not have it any more, or
-//! have given its identifier to another gateway.
+//! A restored store may have lost a lease, and given its identifier to another gateway. A lease outlives the epoch in
+//! which it was granted only if the key that hangs on it is still there as it was written.
 
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -38,18 +38,21 @@
 /// A lease, shared by the tasks that hang on it.
 #[derive(Debug, Clone)]
 pub struct NodeLease {
+    /// The key that hangs on the lease.
+    key: Arc<str>,
     keeper: Arc<Mutex<LeaseKeeper>>,
-    /// The epoch in which the lease was granted that is held.
-    granted_in: Arc<Mutex<StoreEpoch>>,
+    /// The latest epoch of the store in which the lease is known to stand.
+    stands_in: Arc<Mutex<StoreEpoch>>,
     wanted: Arc<AtomicBool>,
 }
 
 impl NodeLease {
-    /// A lease that is not held yet and, unless `wanted`, not asked for.
-    pub fn new(timing: LeaseTiming, wanted: bool) -> Self {
+    /// A lease for that key, which is not held yet and, unless `wanted`, not asked for.
+    pub fn new(key: &str, timing: LeaseTiming, wanted: bool) -> Self {
         Self {
+            key: key.into(),
             keeper: Arc::new(Mutex::new(LeaseKeeper::new(timing))),
-            granted_in: Arc::default(),
+            stands_in: Arc::default(),
             wanted: Arc::new(AtomicBool::new(wanted)),
         }
     }
@@ -77,7 +80,9 @@
             }
             sleep(PACE).await;
         }
-        self.end_with_epoch(&shared, &*store);
+        if self.standing(&shared, store.epoch()) != Standing::Stands {
+            self.lapse(&shared);
+        }
         let action = self.keeper.lock().step(shared.now(), LeaseEvent::Stop);
         perform(&*store, action).await;
     }
@@ -85,24 +90,53 @@
 
 impl NodeLease {
     async fn look(&self, shared: &Shared, store: &dyn KeyValueStore) {
-        self.end_with_epoch(shared, store);
+        match self.standing(shared, store.epoch()) {
+            Standing::Stands => {}
+            Standing::Unknown => return,
+            Standing::Lost => self.lapse(shared),
+        }
         let action = self.keeper.lock().step(shared.now(), LeaseEvent::Tick);
         if let Some(event) = perform(store, action).await {
             if matches!(event, LeaseEvent::Granted { .. }) {
-                *self.granted_in.lock() = store.epoch();
+                *self.stands_in.lock() = store.epoch();
             }
             self.keeper.lock().step(shared.now(), event);
-            self.end_with_epoch(shared, store);
         }
     }
 
-    /// Ends a lease that was granted in an epoch that is over.
-    fn end_with_epoch(&self, shared: &Shared, store: &dyn KeyValueStore) {
-        if self.held().is_some() && *self.granted_in.lock() != store.epoch() {
-            let lapsed = LeaseEvent::Lapsed;
-            self.keeper.lock().step(shared.now(), lapsed);
+    /// Whether the lease that is held stands in this epoch of the store.
+    fn standing(&self, shared: &Shared, epoch: StoreEpoch) -> Standing {
+        let mut stands_in = self.stands_in.lock();
+        if *stands_in == epoch || self.held().is_none() {
+            return Standing::Stands;
+        }
+        let mirror = shared.mirror.lock();
+        if mirror.position().epoch != epoch.0 {
+            return Standing::Unknown;
+        }
+        let key = mirror.get(&self.key);
+        if key.is_none_or(|item| item.written.epoch != stands_in.0) {
+            return Standing::Lost;
         }
+        *stands_in = epoch;
+        Standing::Stands
     }
+
+    fn lapse(&self, shared: &Shared) {
+        let now = shared.now();
+        self.keeper.lock().step(now, LeaseEvent::Lapsed);
+    }
+}
+
+/// What is known of a lease after the store was restored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// The store has it.
+    Stands,
+    /// The copy of the store does not tell yet.
+    Unknown,
+    /// The store has lost it, or what hung on it.
+    Lost,
 }
 
 async fn perform(store: &dyn KeyValueStore, action: LeaseAction) -> Option<LeaseEvent> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     pub ready_workers: IntGauge,
     /// The revision of the copy of the store.
     pub mirror_revision: IntGauge,
+    /// The epoch of the copy of the store.
+    pub mirror_epoch: IntGauge,
     /// The latest epoch that the store has named to this gateway.
     pub store_epoch: IntGauge,
     /// The revision of the store when this gateway last read it whole.
@@ -116,6 +118,7 @@
                 "gateway_mirror_revision",
                 "Revision of the copy of the store",
             )?,
+            mirror_epoch: IntGauge::new("gateway_mirror_epoch", "Epoch of the copy of the store")?,
             store_epoch: IntGauge::new("gateway_store_epoch", "Latest epoch that the store named")?,
             store_revision: IntGauge::new(
                 "gateway_store_revision",
@@ -204,6 +207,8 @@
             .register(Box::new(self.ready_workers.clone()))?;
         self.registry
             .register(Box::new(self.mirror_revision.clone()))?;
+        self.registry
+            .register(Box::new(self.mirror_epoch.clone()))?;
         self.registry.register(Box::new(self.store_epoch.clone()))?;
         self.registry
             .register(Box::new(self.store_revision.clone()))?;
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -44,6 +44,11 @@
     pub capacity: f64,
 }
 
+/// Where the gateway of that name announces itself.
+pub fn key(name: &str) -> String {
+    format!("{PREFIX}{name}")
+}
+
 /// The gateways in a copy of the store.
 pub fn members(mirror: &Mirror) -> Vec<Member> {
     mirror
@@ -108,7 +113,7 @@
     let capacity = settings.node.capacity();
     let announcement = format!("{} {} {zone} {capacity}", listen.peers, listen.load);
     let put = Operation::Put {
-        key: format!("{PREFIX}{}", settings.node.name),
+        key: key(&settings.node.name),
         value: announcement.into_bytes(),
         lease: Some(LeaseId(lease)),
     };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,6 +23,7 @@
 use tokio::time::sleep;
 
 use crate::authority::Authority;
+use crate::authority_claim;
 use crate::connections::Connections;
 use crate::correlation::Correlation;
 use crate::datagrams::Datagrams;
@@ -38,6 +39,7 @@
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
 use crate::store_contact::StoreContact;
+use crate::store_copy;
 use crate::usage::Usage;
 use crate::worker_notices::WorkerNotices;
 use crate::{
@@ -139,8 +141,9 @@
 /// Starts what hangs on a lease; each task ends when the gateway stops.
 fn spawn_under_leases(shared: &Arc<Shared>, adapter: &Adapter) {
     let store = &adapter.store;
-    let presence = NodeLease::new(lease::PRESENCE, true);
-    let authority = NodeLease::new(lease::AUTHORITY, false);
+    let own_key = presence::key(&shared.settings.read().node.name);
+    let presence = NodeLease::new(&own_key, lease::PRESENCE, true);
+    let authority = NodeLease::new(authority_claim::KEY, lease::AUTHORITY, false);
     for lease in [&presence, &authority] {
         let kept = lease.clone().keep(Arc::clone(shared), Rc::clone(store));
         actix_rt::spawn(kept);
@@ -318,6 +321,7 @@
         shared
             .connections
             .prune(|worker| shared.directory.lock().get(worker).is_some());
+        store_copy::share_budgets_anew(&shared);
         let now = shared.now();
         shared.directory.lock().expire_notices(now);
         shared.sends.lock().expire(now);
--- a/crates/gateway/src/store_contact.rs
+++ b/crates/gateway/src/store_contact.rs
@@ -20,7 +20,7 @@
     returned: Option<Timestamp>,
     /// When it was first heard of in a later epoch than before.
     restored: Option<Timestamp>,
-    epoch: u64,
+    epoch: Option<u64>,
 }
 
 impl StoreContact {
@@ -28,17 +28,18 @@
     /// epoch is the present one, as far as is known: what is told of an earlier one is no contact.
     pub fn mark(&self, now: Timestamp, age: Duration, epoch: u64) -> bool {
         let mut contact = self.0.lock();
-        if epoch < contact.epoch {
+        let before = contact.epoch.unwrap_or(epoch);
+        if epoch < before {
             return false;
         }
+        contact.epoch = Some(epoch);
         let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
         let answered = Timestamp(now.0.saturating_sub(age));
-        let is_restored = epoch > contact.epoch;
+        let is_restored = epoch > before;
         if is_restored || answered.since(contact.answered) > AWAY {
             contact.returned = Some(answered);
         }
         if is_restored {
-            contact.epoch = epoch;
             contact.restored = Some(now);
         }
         contact.answered = contact.answered.max(answered);
--- a/crates/gateway/src/store_copy.rs
+++ b/crates/gateway/src/store_copy.rs
@@ -34,6 +34,8 @@
     }
     let position = shared.mirror.lock().position();
     shared.mirror_position.send_replace(position);
+    let gauge = i64::try_from(position.epoch).unwrap_or(i64::MAX);
+    shared.metrics.mirror_epoch.set(gauge);
     let gauge = i64::try_from(position.revision).unwrap_or(i64::MAX);
     shared.metrics.mirror_revision.set(gauge);
 }
@@ -53,12 +55,24 @@
     if !shared.fleet.read().is_of(&members) {
         *shared.fleet.write() = Arc::new(Fleet::new(members));
     }
+    share_budgets(shared, announced);
+}
+
+/// Shares the fleet's budgets anew where more gateways are counted than are announced: those whose announcements a
+/// restored store has lost are back by now, or gone.
+pub fn share_budgets_anew(shared: &Shared) {
+    let announced = shared.fleet.read().len() as u64;
+    let is_read = !shared.mirror.lock().position().is_start();
+    if is_read && shared.gateways.load(Ordering::Relaxed) > announced {
+        share_budgets(shared, announced);
+    }
+}
+
+fn share_budgets(shared: &Shared, announced: u64) {
+    let contact = &shared.store_contact;
+    let was_restored = contact.was_restored_within(shared.now(), presence::REANNOUNCED_WITHIN);
     let known = shared.gateways.load(Ordering::Relaxed);
-    let may_be_missing = shared.is_stopping() || {
-        let contact = &shared.store_contact;
-        contact.was_restored_within(shared.now(), presence::REANNOUNCED_WITHIN)
-    };
-    let sharing = sharing_gateways(announced, known, may_be_missing);
+    let sharing = sharing_gateways(announced, known, shared.is_stopping() || was_restored);
     shared.gateways.store(sharing, Ordering::Relaxed);
     shared.retries.lock().set_gateways(sharing as u32);
     shared.metrics.gateways.set(announced as i64);
