Upgrades: bytes of rate limits as the build in production writes them; tests of epochs between builds and at the store's client

A question without an epoch, and an answer without one, count as of the epoch of whoever is asked or asks.

--- a/crates/cli/tests/gateway_platform/restored_store.rs
+++ b/crates/cli/tests/gateway_platform/restored_store.rs
@@ -3,7 +3,10 @@
 
 use std::time::Duration;
 
+use prost::Message;
 use serde_json::json;
+use tansyhall_forwarding::Update;
+use tansyhall_gateway::copy_message::{UpdateHead, UpdateMessage};
 use tansyhall_platform_standin::{Backup, Behaviour, Order, StoreFault};
 use tansyhall_testing::eventually;
 use tokio::time::sleep;
@@ -154,6 +157,32 @@
     assert_eq!(holders, 1.0);
 }
 
+/// Guards against an upgrade in which gateways of the build before, which name no epoch, are told nothing.
+#[actix_rt::test]
+async fn a_gateway_of_an_older_build_is_told_what_is_new_after_a_restore() {
+    let site = Site::start(&[APP], 1).await;
+    let backup = site.store.back_up();
+    restore(&site, &backup).await;
+    until_restored(&site).await;
+    let version = site.configure_next();
+    site.until_in_force(version).await;
+    let peers = site.gateways[0].addresses.peers;
+    let url = format!("http://{peers}/changes?after=0&wait_ms=0&number=7&deflated=true");
+    let client = awc::Client::default();
+    let mut answer = client.get(url).send().await.expect("an answer");
+    let body = answer.body().await.expect("a body");
+    let message = UpdateMessage::decode(body).expect("a message");
+    assert_eq!(message.question, 7);
+    let received = message.into_received(UpdateHead::default());
+    let Ok(Some(Update::Whole(snapshot))) = received.map(|one| one.update) else {
+        panic!("no copy");
+    };
+    let configuration = snapshot.items.iter().find(|item| item.key == "op/config");
+    let value = &configuration.expect("a configuration").value;
+    let document: serde_json::Value = serde_json::from_slice(value).expect("JSON");
+    assert_eq!(document["version"], version);
+}
+
 async fn holders(site: &Site) -> f64 {
     let mut holders = 0.0;
     for gateway in &site.gateways {
--- a/crates/gateway/tests/production_messages.rs
+++ b/crates/gateway/tests/production_messages.rs
@@ -33,12 +33,16 @@
     };
 }
 
-const DATAGRAMS: [(&str, &[u8]); 8] = [
+const DATAGRAMS: [(&str, &[u8]); 12] = [
     ("report", production!("report.bin")),
     ("question", production!("question.bin")),
     ("notices", production!("notices.bin")),
     ("placed", production!("placed.bin")),
     ("refused", production!("refused.bin")),
+    ("report_limits", production!("report_limits.bin")),
+    ("notices_limits", production!("notices_limits.bin")),
+    ("placed_limits", production!("placed_limits.bin")),
+    ("refused_limits", production!("refused_limits.bin")),
     ("usage", production!("usage.bin")),
     ("usage_acknowledged", production!("usage_acknowledged.bin")),
     ("quarantine", production!("quarantine.bin")),
@@ -232,6 +236,48 @@
     assert_eq!(roles.encode(), ROLES);
 }
 
+#[test]
+fn rate_limits_mean_what_they_meant() {
+    let stated = Some(StatedLimitMessage {
+        limit_milli: Some(6_300),
+        age_ms: 20,
+    });
+    let report = datagram("report_limits").report.expect("a report");
+    assert_eq!(report.rate_limits[0].worker, 21);
+    assert_eq!(report.rate_limits[0].stated, stated);
+    let question = datagram("notices_limits").question.expect("a question");
+    assert_eq!(question.notices[2].rate_limit, stated);
+    let answer = datagram("placed_limits").answer.expect("an answer");
+    let placed = answer.placed.expect("a placement");
+    assert!(placed.has_rate_token);
+    assert_eq!(placed.rate_limit, stated);
+    let answer = datagram("refused_limits").answer.expect("an answer");
+    assert!(answer.refused.expect("a refusal").rate_limit);
+}
+
+/// An item of a copy as the build in production knows it.
+#[derive(Clone, PartialEq, Message)]
+struct ProductionItem {
+    #[prost(string, tag = "1")]
+    key: String,
+    #[prost(bytes = "vec", tag = "2")]
+    value: Vec<u8>,
+    #[prost(uint64, tag = "3")]
+    revision: u64,
+    #[prost(uint64, tag = "4")]
+    created: u64,
+}
+
+#[test]
+fn the_build_in_production_passes_over_the_epoch_of_an_item() {
+    let changes = UpdateMessage::decode(UPDATES[0]).expect("a message");
+    let mut item = changes.items[0].clone();
+    let before = item.encode_to_vec();
+    item.epoch = Some(4);
+    let more = item.encode_to_vec();
+    assert!(reads_the_same::<ProductionItem>(&before, &more));
+}
+
 proptest! {
     #![proptest_config(fixed_number_of_cases(SEED, 512))]
 
--- a/crates/gateway/tests/questions_to_gateways.rs
+++ b/crates/gateway/tests/questions_to_gateways.rs
@@ -72,3 +72,23 @@
     );
     assert_eq!(revision(&mut peers::client(), &gateway, 7).await, Some(8));
 }
+
+#[actix_rt::test]
+async fn an_older_gateway_that_names_no_epoch_counts_as_of_that_of_the_question() {
+    const EPOCH: u64 = 4;
+    let gateway = TwiceAnswering::answering(
+        Second::Never {
+            after: Duration::ZERO,
+        },
+        |question| answer(question, 0),
+    );
+    let after = Position::new(EPOCH, 7);
+    let mut client = peers::client();
+    let asked = peers::fetch(&mut client, gateway.address, after, Duration::ZERO).await;
+    let received = asked.expect("an answer");
+    assert_eq!(received.epoch, EPOCH);
+    let Some(Update::Whole(snapshot)) = received.update else {
+        panic!("no copy");
+    };
+    assert_eq!(snapshot.position, Position::new(EPOCH, 8));
+}
