Fault soak: the store is restored from earlier copies, and a judge of configurations

At the end of each episode the store loses 2,000 changes, and a configuration that is written then must be in force at every gateway in 5 s.

--- a/crates/fault-soak/src/episode.rs
+++ b/crates/fault-soak/src/episode.rs
@@ -48,7 +48,7 @@
 }
 
 /// Rules that the build in production does not know.
-const UNKNOWN_BESIDE: [Rule; 1] = [Rule::RateLimit];
+const UNKNOWN_BESIDE: [Rule; 1] = [Rule::Configuration];
 
 impl EpisodePlan {
     /// A plan with this seed and duration.
@@ -120,6 +120,7 @@
         action.await??;
     }
     site.calm();
+    site.check_configuration().await;
     site.stop().await;
     let (evidence, faults) = site.notebook().take();
     let mut violations = judge(&evidence);
--- a/crates/fault-soak/src/evidence.rs
+++ b/crates/fault-soak/src/evidence.rs
@@ -35,6 +35,19 @@
     pub worker_troubles: Vec<WorkerTrouble>,
     /// Gateway processes that ended without having been stopped, and how.
     pub ended: Vec<String>,
+    /// Gateways at which the last configuration was not in force in time.
+    pub stale_configurations: Vec<StaleConfiguration>,
+}
+
+/// A gateway that has not the last configuration.
+#[derive(Debug, Clone, Serialize)]
+pub struct StaleConfiguration {
+    /// The gateway.
+    pub gateway: usize,
+    /// The version that the operator has written.
+    pub written: u64,
+    /// The version in force, if it tells one.
+    pub in_force: Option<f64>,
 }
 
 /// A request that a caller sent.
--- a/crates/fault-soak/src/gateways.rs
+++ b/crates/fault-soak/src/gateways.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use tansyhall_platform_standin::{GatewayFields, Store, StoreDoor};
+use tansyhall_platform_standin::{GatewayFields, Store, StoreDoor, StoreFault};
 use tansyhall_testing::{gateway, gateway_of, GatewayAddresses, GatewayProcess};
 use tokio::time::sleep;
 
@@ -54,7 +54,7 @@
     process: RefCell<Option<GatewayProcess>>,
     is_busy: Cell<bool>,
     starts: Cell<usize>,
-    _door: StoreDoor,
+    door: StoreDoor,
 }
 
 impl GatewaySlot {
@@ -68,12 +68,17 @@
             process: RefCell::new(None),
             is_busy: Cell::new(false),
             starts: Cell::new(0),
-            _door: door,
+            door,
         };
         slot.start_process().await?;
         Ok(slot)
     }
 
+    /// Switches what goes wrong at its door of the store.
+    pub fn set_store_fault(&self, fault: StoreFault) {
+        self.door.set_fault(fault);
+    }
+
     /// Where its process listens.
     pub fn addresses(&self) -> Option<GatewayAddresses> {
         self.process.borrow().as_ref().map(|p| p.addresses)
--- a/crates/fault-soak/src/judges/mod.rs
+++ b/crates/fault-soak/src/judges/mod.rs
@@ -2,6 +2,7 @@
 
 mod barred;
 mod budget;
+mod configuration;
 mod ended;
 mod leaving;
 mod mixed;
@@ -21,6 +22,7 @@
 
 pub use barred::barred;
 pub use budget::{budget, EXTRA, RATIO, WINDOW_S};
+pub use configuration::configuration;
 pub use ended::ended;
 pub use leaving::leaving;
 pub use mixed::mixed;
@@ -54,6 +56,8 @@
     Rest,
     /// A worker gets no more than the rate limit that it names from all gateways that were told.
     RateLimit,
+    /// A configuration is in force in time, also after the store was restored.
+    Configuration,
     /// No gateway process ends by itself.
     Ended,
 }
@@ -86,7 +90,18 @@
 /// What all judges find.
 pub fn judge(evidence: &Evidence) -> Vec<Violation> {
     let judges = [
-        mixed, twice, refused, unasked, order, budget, barred, leaving, rest, rate_limit, ended,
+        mixed,
+        twice,
+        refused,
+        unasked,
+        order,
+        budget,
+        barred,
+        leaving,
+        rest,
+        rate_limit,
+        configuration,
+        ended,
     ];
     judges.iter().flat_map(|judge| judge(evidence)).collect()
 }
--- a/crates/fault-soak/src/schedule.rs
+++ b/crates/fault-soak/src/schedule.rs
@@ -29,6 +29,16 @@
 const LIMIT_MILLI: std::ops::Range<u64> = 500..8_000;
 /// How long a worker names its limit.
 const LIMITED_MS: std::ops::Range<u64> = 3_000..8_000;
+/// Mean time between the ends of a restore of the store and the beginning of the next.
+const MEAN_RESTORE_PAUSE_MS: u64 = 2_000;
+/// How old the copy is from which the store is restored.
+const COPY_AGE_MS: std::ops::Range<u64> = 300..2_500;
+/// How long the store is away before it is back.
+const AWAY_MS: std::ops::Range<u64> = 100..1_500;
+/// Time after which the operator and workers write again what the store has lost.
+const REWRITTEN_MS: std::ops::Range<u64> = 50..1_000;
+/// Tells their random numbers from those of the other actions.
+const RESTORES_SEED: u64 = 0x0072_6573_746f_7265;
 /// Tells their random numbers from those of the other actions.
 const LIMITS_SEED: u64 = 0x6c69_6d69_7473;
 /// Tells these random numbers from those of the other actions.
@@ -120,6 +130,25 @@
         /// How long.
         for_ms: u64,
     },
+    /// The store is restored.
+    Restore(Restore),
+}
+
+/// How the store is restored from an earlier copy of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Restore {
+    /// How old the copy is, in milliseconds.
+    pub copy_age_ms: u64,
+    /// For how many milliseconds the store is away before.
+    pub away_ms: u64,
+    /// After how many milliseconds the operator and workers write again what was lost.
+    pub rewritten_ms: u64,
+}
+
+impl Restore {
+    fn duration_ms(self) -> u64 {
+        self.copy_age_ms + self.away_ms + self.rewritten_ms
+    }
 }
 
 /// An action at its time.
@@ -156,6 +185,7 @@
         }
         actions.extend(draw_notices(seed, duration));
         actions.extend(draw_limits(seed, duration));
+        actions.extend(draw_restores(seed, duration));
         actions.sort_by_key(|scheduled| scheduled.at_ms);
         Self {
             first_mixes,
@@ -206,6 +236,24 @@
     actions
 }
 
+/// Restores of the store, one after the other, from random numbers of their own for the same reason.
+fn draw_restores(seed: u64, duration: Duration) -> Vec<ScheduledAction> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ RESTORES_SEED);
+    let mut actions = Vec::new();
+    let mut at_ms = random.random_range(0..MEAN_RESTORE_PAUSE_MS);
+    while u128::from(at_ms) < duration.as_millis() {
+        let restore = Restore {
+            copy_age_ms: random.random_range(COPY_AGE_MS),
+            away_ms: random.random_range(AWAY_MS),
+            rewritten_ms: random.random_range(REWRITTEN_MS),
+        };
+        let action = Action::Restore(restore);
+        actions.push(ScheduledAction { at_ms, action });
+        at_ms += restore.duration_ms() + random.random_range(1..=2 * MEAN_RESTORE_PAUSE_MS);
+    }
+    actions
+}
+
 fn draw_mix(faults: &[Fault], random: &mut ChaCha8Rng) -> Mix {
     let mix = Mix::draw(faults, random);
     if random.random_ratio(STUTTERING_OF_TEN, 10) {
--- a/crates/fault-soak/src/site.rs
+++ b/crates/fault-soak/src/site.rs
@@ -7,18 +7,19 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use tansyhall_platform_standin::{Operations, Operator, Store};
+use serde_json::json;
+use tansyhall_platform_standin::{Operations, Operator, Store, StoreFault};
 use tansyhall_testing::{eventually, get_metric};
 use tokio::time::sleep;
 
 use crate::caller::HOST;
 use crate::episode::EpisodePlan;
-use crate::evidence::{Trouble, WorkerTrouble};
+use crate::evidence::{StaleConfiguration, Trouble, WorkerTrouble};
 use crate::faults::Mix;
 use crate::gateways::{Done, GatewayPlace, GatewaySlot};
 use crate::link::{Link, LinkFault};
 use crate::routes::{routes, APPLICATION, ENGINES};
-use crate::schedule::{Action, Edge};
+use crate::schedule::{Action, Edge, Restore};
 use crate::worker::{Notebook, Worker, WorkerPlan};
 
 /// The zone of the gateways.
@@ -31,6 +32,18 @@
 /// How long it serves after that.
 const LINGER: Duration = Duration::from_millis(1_500);
 
+/// How long entries last that nobody writes.
+const ENTRIES_LAST: Duration = Duration::from_millis(1_000);
+/// Where workers announce themselves.
+const WORKERS_PREFIX: &str = "servers/";
+/// Changes that the last restore loses: more than follow.
+const LOST_CHANGES: usize = 2_000;
+/// Time in which gateways hear of them.
+const SETTLING: Duration = Duration::from_millis(800);
+/// Time in which a configuration has to be in force.
+const CONFIGURATION_APPLIED: Duration = Duration::from_secs(5);
+const CONFIGURATION_METRIC: &str = "gateway_configuration_version";
+
 const fn worker(
     service: &'static str,
     zone: &'static str,
@@ -202,6 +215,7 @@
                 sleep(Duration::from_millis(for_ms)).await;
                 worker.set_rest(None);
             }
+            Action::Restore(restore) => self.restore(restore).await,
             Action::Limit {
                 worker,
                 millirequests,
@@ -216,6 +230,73 @@
         Ok(())
     }
 
+    /// The store is away for a while and comes back from a copy. The operator and workers write again what they wrote
+    /// since; entries of workers that write no more run out.
+    async fn restore(&self, restore: Restore) {
+        let backup = self.store.back_up();
+        sleep(Duration::from_millis(restore.copy_age_ms)).await;
+        self.set_store_fault(StoreFault::Refuse);
+        sleep(Duration::from_millis(restore.away_ms)).await;
+        self.store.restore(&backup);
+        self.set_store_fault(StoreFault::None);
+        self.notebook.count_fault("store restored");
+        sleep(Duration::from_millis(restore.rewritten_ms)).await;
+        let version = self.version.get();
+        self.operator.configure(version, &routes(version));
+        for worker in self.workers.borrow().iter() {
+            worker.write_again();
+        }
+        sleep(ENTRIES_LAST).await;
+        self.end_silent_entries();
+    }
+
+    fn set_store_fault(&self, fault: StoreFault) {
+        for slot in &self.gateways {
+            slot.set_store_fault(fault);
+        }
+    }
+
+    /// Takes entries out of the store whose workers are gone.
+    fn end_silent_entries(&self) {
+        let workers = self.workers.borrow();
+        let live: Vec<String> = workers.iter().map(|worker| worker.id()).collect();
+        for key in self.store.keys(WORKERS_PREFIX) {
+            if !live.iter().any(|id| key[WORKERS_PREFIX.len()..] == **id) {
+                self.store.remove(&key);
+            }
+        }
+    }
+
+    /// Restores the store once more, with more changes lost than follow, and notes the gateways at which the
+    /// configuration that is written then is not in force in time.
+    pub async fn check_configuration(&self) {
+        let backup = self.store.back_up();
+        for number in 0..LOST_CHANGES {
+            self.store.put("other/lost", &json!(number));
+        }
+        self.configure();
+        sleep(SETTLING).await;
+        self.store.restore(&backup);
+        self.configure();
+        let version = self.version.get();
+        sleep(CONFIGURATION_APPLIED).await;
+        for (gateway, slot) in self.gateways.iter().enumerate() {
+            let known = match slot.addresses() {
+                Some(addresses) => get_metric(addresses.metrics, CONFIGURATION_METRIC).await,
+                None => None,
+            };
+            if known != Some(version as f64) {
+                let stale = StaleConfiguration {
+                    gateway,
+                    written: version,
+                    in_force: known,
+                };
+                self.notebook
+                    .record(|evidence| evidence.stale_configurations.push(stale));
+            }
+        }
+    }
+
     /// Ends all faults of workers.
     pub fn calm(&self) {
         for worker in self.workers.borrow().iter() {
--- a/crates/fault-soak/src/worker/mod.rs
+++ b/crates/fault-soak/src/worker/mod.rs
@@ -123,6 +123,11 @@
         self.incarnation.borrow().announce("draining");
     }
 
+    /// Writes its entry again, as it stands.
+    pub fn write_again(&self) {
+        self.incarnation.borrow().write_entry();
+    }
+
     /// Takes its entry out of the store.
     pub fn withdraw(&self) {
         self.incarnation.borrow().withdraw();
--- a/crates/fault-soak/src/worker/state.rs
+++ b/crates/fault-soak/src/worker/state.rs
@@ -309,7 +309,7 @@
         self.write_entry();
     }
 
-    fn write_entry(&self) {
+    pub(super) fn write_entry(&self) {
         let changing = self.changing.lock();
         if changing.is_listed {
             let stage = changing.stage.as_deref();
