A relay hands out no older whole copy than its follower has, nor one of an epoch that is over

What callers might have seen: a gateway that knows nothing new for as long as its relay remembers the changes since a copy that it deflated earlier, while the relay's contact keeps it from asking the store.

Cause: the deflated copy is handed out again wherever the changes after it are remembered. Whoever stands within a gap of the relay's history may be ahead of it, and would refuse it each time. Found by reading the change; shown by a_whole_copy_that_does_not_lead_on_is_not_handed_out_again, which failed before (position 1 handed to one that stands at 3).

Change: it must be newer than what the follower has, and of the present epoch.

--- a/crates/gateway/src/copy_answers.rs
+++ b/crates/gateway/src/copy_answers.rs
@@ -84,9 +84,7 @@
     fn known(&self, mirror: &Mirror, position: Position) -> Option<DeflatedUpdate> {
         if !mirror.remembers_after(position) {
             let whole = self.whole.as_ref()?;
-            return mirror
-                .remembers_after(whole.position)
-                .then(|| whole.clone());
+            return leads_on(whole, mirror, position).then(|| whole.clone());
         }
         let leads_to_now = |(after, update): &&(Position, DeflatedUpdate)| {
             *after == position && update.position == mirror.position()
@@ -107,6 +105,14 @@
     }
 }
 
+/// Whether a whole copy that was deflated earlier helps whoever has this position: it is newer, of the present epoch, and
+/// the changes since are remembered.
+fn leads_on(whole: &DeflatedUpdate, mirror: &Mirror, position: Position) -> bool {
+    let is_newer = whole.position > position;
+    let is_present = whole.position.epoch == mirror.position().epoch;
+    is_newer && is_present && mirror.remembers_after(whole.position)
+}
+
 fn size(update: &Update) -> usize {
     match update {
         Update::Changes { changes, .. } => changes.iter().map(|change| change.bytes()).sum(),
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -152,8 +152,11 @@
                 self.plan.store_answered();
                 sleep(PACE).await;
             }
-            // It has answered: there is nothing to wait for.
-            Err(StoreError::Restored) => self.start_anew(),
+            // It has answered: there is little to wait for.
+            Err(StoreError::Restored) => {
+                self.start_anew();
+                sleep(MIN_PAUSE).await;
+            }
             Err(error) => self.store_failed(&error).await,
         }
     }
--- a/crates/gateway/tests/copy_growth.rs
+++ b/crates/gateway/tests/copy_growth.rs
@@ -157,3 +157,23 @@
         None
     );
 }
+
+/// Guards against a follower that is handed the same older copy again and again, as it stands where its relay never was.
+#[test]
+fn a_whole_copy_that_does_not_lead_on_is_not_handed_out_again() {
+    for (restored, stands) in [(at(5), at(3)), (Position::new(1, 1), at(3))] {
+        let mut mirror = copy(1_000);
+        let mut answers = CopyAnswers::default();
+        let first = deflated(answers.after(&mirror, at(0)));
+        assert_eq!(first.position, at(1));
+        mirror.replace(Snapshot {
+            items: (1..1_000).map(|number| entry(number, 1)).collect(),
+            position: restored,
+        });
+        let second = deflated(answers.after(&mirror, stands));
+        assert!(second.whole);
+        assert_eq!(second.position, restored);
+        let fresh = deflated(answers.after(&mirror, at(0)));
+        assert_eq!(fresh.position, restored);
+    }
+}
