--- a/crates/fault-soak/src/lib.rs
+++ b/crates/fault-soak/src/lib.rs
@@ -25,7 +25,7 @@
 pub use episode::{run_episode, Episode, EpisodePlan};
 pub use evidence::{
     Arrival, Call, CallerAnswer, Evidence, Garbled, NamedLimit, Outcome, Reading, Rest, Run,
-    RunBody, Sent, StrayBytes, Trouble, WorkerEnd, WorkerTrouble,
+    RunBody, Sent, StaleConfiguration, StrayBytes, Trouble, WorkerEnd, WorkerTrouble,
 };
 pub use faults::{Fault, FaultCounts, Mix};
 pub use http::{Framing, Head, ReadError, Reader};
--- a/crates/fault-soak/tests/judges.rs
+++ b/crates/fault-soak/tests/judges.rs
@@ -8,12 +8,12 @@
     with_outcome,
 };
 use tansyhall_fault_soak::judges::{
-    barred, budget, ended, leaving, mixed, order, rate_limit, refused, rest, twice, unasked, EXTRA,
-    WINDOW_S,
+    barred, budget, configuration, ended, leaving, mixed, order, rate_limit, refused, rest, twice,
+    unasked, EXTRA, WINDOW_S,
 };
 use tansyhall_fault_soak::{
-    judge, Evidence, Garbled, NamedLimit, Outcome, Rest, RouteKind, Rule, StrayBytes, Trouble,
-    WorkerEnd, WorkerTrouble,
+    judge, Evidence, Garbled, NamedLimit, Outcome, Rest, RouteKind, Rule, StaleConfiguration,
+    StrayBytes, Trouble, WorkerEnd, WorkerTrouble,
 };
 
 fn rules(evidence: &Evidence) -> Vec<Rule> {
@@ -276,6 +276,18 @@
     assert_eq!(ended(&evidence).len(), 1);
 }
 
+#[test]
+fn configuration_sees_a_gateway_that_has_an_older_one() {
+    let mut evidence = plain();
+    evidence.stale_configurations.push(StaleConfiguration {
+        gateway: 1,
+        written: 9,
+        in_force: Some(7.0),
+    });
+    assert_eq!(configuration(&evidence).len(), 1);
+    assert_eq!(rules(&evidence), [Rule::Configuration]);
+}
+
 /// A request that is tried once and arrives so often, with a first reading that is taken up or not.
 fn repeats(arrivals: usize, is_taken_up: bool) -> Evidence {
     let mut asked = sent(RouteKind::EngineResumable, key("a"));
