--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod headers;
 pub mod ingress;
 pub mod lease;
+mod left_workers;
 pub mod load_exchange;
 pub mod load_messages;
 pub mod metrics;
--- a/crates/gateway/src/worker_entries.rs
+++ b/crates/gateway/src/worker_entries.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::events::{Event, Weight};
+use crate::left_workers::LeftWorkers;
 use crate::state::Shared;
 use crate::store_copy::record_refused;
 
@@ -23,28 +24,11 @@
 /// Pause between two looks for workers that are overdue.
 const LAPSE_PACE: Duration = Duration::from_millis(200);
 
-/// How long it is remembered that a worker's entry went: longer than the copies are old from which stores are restored.
-const LEFT_MEMORY: Duration = Duration::from_secs(60);
-/// Time after which a worker that had left counts again if a restored store still has its entry: by then the entry of
-/// one that does not write any more is gone.
-const RESTORED_DOUBT: Duration = Duration::from_secs(8);
-
 /// The workers' entries as they were decoded last, by name.
 #[derive(Debug, Default)]
 pub struct WorkerEntries {
     entries: HashMap<String, WorkerEntry>,
-    /// Workers whose entries went.
-    left: HashMap<WorkerId, Left>,
-    /// Entries of a restored store whose workers had left, by name, and until when that counts.
-    doubted: HashMap<String, Timestamp>,
-}
-
-/// That a worker's entry went.
-#[derive(Debug)]
-struct Left {
-    /// The epoch of the store in which it went.
-    epoch: u64,
-    at: Timestamp,
+    left: LeftWorkers,
 }
 
 /// An entry.
@@ -59,6 +43,14 @@
     ended_life: Option<WorkerId>,
 }
 
+impl WorkerEntry {
+    /// Whether it says that this worker leaves.
+    fn says_leaving(&self, id: &WorkerId) -> bool {
+        let worker = self.worker.as_ref();
+        worker.is_some_and(|worker| worker.id == *id && worker.state == WorkerState::Draining)
+    }
+}
+
 impl WorkerEntries {
     /// Whether a life of a worker has ended without notice: another one has begun under its name.
     pub fn was_reborn(&self, id: &WorkerId) -> bool {
@@ -66,34 +58,16 @@
         entry.is_some_and(|entry| entry.ended_life.as_ref() == Some(id))
     }
 
-    fn remember_left(&mut self, worker: &Worker, epoch: u64, at: Timestamp) {
-        self.left.insert(worker.id.clone(), Left { epoch, at });
-    }
-
-    /// Whether a worker had left before the store was restored to a state in which it had not.
-    fn had_left(&self, worker: &Worker, written: Position) -> bool {
-        let left = self.left.get(&worker.id);
-        left.is_some_and(|left| left.epoch < written.epoch)
-    }
-
-    fn doubt(&mut self, name: &str, now: Timestamp) {
-        let until = now + RESTORED_DOUBT;
-        self.doubted.entry(name.to_owned()).or_insert(until);
-    }
-
-    /// Forgets what has gone long ago, and returns the names of entries that are doubted no more.
+    /// Forgets workers that have left long ago, and returns the names of entries that count again, to be taken in anew.
     fn expire(&mut self, now: Timestamp) -> Vec<String> {
-        self.left.retain(|_, left| now.since(left.at) < LEFT_MEMORY);
-        let over = self.doubted.iter().filter(|(_, until)| **until <= now);
-        let over: Vec<String> = over.map(|(name, _)| name.clone()).collect();
-        for name in &over {
-            self.doubted.remove(name);
+        let credible = self.left.expire(now);
+        for name in &credible {
             let entry = self.entries.remove(name);
             if let Some(worker) = entry.and_then(|entry| entry.worker) {
-                self.left.remove(&worker.id);
+                self.left.forget(&worker.id);
             }
         }
-        over
+        credible
     }
 }
 
@@ -145,7 +119,7 @@
     let Some(item) = item else {
         let announced = before.filter(|entry| entry.announced);
         if let Some(worker) = announced.and_then(|entry| entry.worker) {
-            known.remember_left(&worker, epoch, shared.now());
+            known.left.remember(&worker.id, epoch, shared.now());
             drop(known);
             entry_gone(shared, &worker);
         }
@@ -169,11 +143,8 @@
     let decoded = shared.catalogue.worker(name, &item.value);
     let worker = decoded.map_err(|error| record_refused(shared, item, &error));
     let worker = worker.map(|worker| {
-        let had_left = known.had_left(&worker, item.written);
-        if had_left {
-            known.doubt(name, shared.now());
-        }
-        match had_left || was_leaving(&worker, item.written, before.as_ref()) {
+        let left = &mut known.left;
+        match leaves_still(left, shared.now(), &worker, item.written, before.as_ref()) {
             true => leaving(worker),
             false => worker,
         }
@@ -202,13 +173,24 @@
     }
 }
 
-/// Whether a worker that is said to be ready was known to leave before the store was restored.
-fn was_leaving(worker: &Worker, written: Position, before: Option<&WorkerEntry>) -> bool {
-    let Some(before) = before.filter(|before| before.written.epoch < written.epoch) else {
-        return false;
-    };
-    let known = before.worker.as_ref();
-    known.is_some_and(|known| known.id == worker.id && known.state == WorkerState::Draining)
+/// Whether a worker leaves, or has left, though a restored store says that it is ready. What was written since the
+/// restore is believed.
+fn leaves_still(
+    left: &mut LeftWorkers,
+    now: Timestamp,
+    worker: &Worker,
+    written: Position,
+    before: Option<&WorkerEntry>,
+) -> bool {
+    match before {
+        Some(before) if before.written.epoch == written.epoch => false,
+        Some(before) => before.says_leaving(&worker.id),
+        None if left.had_left(&worker.id, written) => {
+            left.doubt(worker.id.as_str(), now);
+            true
+        }
+        None => false,
+    }
 }
 
 fn leaving(worker: Worker) -> Worker {
