Fault soak: links over which gateways tell each other what is new are harmed too; a test of the duties names its lease's key

duty_counterexamples did not compile since leases know their keys: only the crates of the gateway were checked then.

--- a/crates/cli/tests/duty_counterexamples.rs
+++ b/crates/cli/tests/duty_counterexamples.rs
@@ -320,7 +320,7 @@
             duties: None,
         };
         let shared = share(settings, &adapter, log).expect("a gateway");
-        let kept = NodeLease::new(lease::AUTHORITY, false);
+        let kept = NodeLease::new(authority_claim::KEY, lease::AUTHORITY, false);
         let authority = Authority::new(kept.clone());
         let copies = Rc::new(Cell::new(true));
         let client = || Rc::clone(&adapter.store);
--- a/crates/fault-soak/src/episode.rs
+++ b/crates/fault-soak/src/episode.rs
@@ -101,6 +101,8 @@
         site.until_gateways_know_each_other().await;
     }
     let site = Rc::new(site);
+    let linked = Rc::clone(&site);
+    let links = actix_rt::spawn(async move { linked.link_announcements().await });
     let is_over = Rc::new(Cell::new(false));
     let callers = (0..plan.callers)
         .map(|number| actix_rt::spawn(call(caller(&plan, number, &site, &is_over))));
@@ -122,6 +124,7 @@
     site.calm();
     site.check_configuration().await;
     site.stop().await;
+    links.abort();
     let (evidence, faults) = site.notebook().take();
     let mut violations = judge(&evidence);
     if plan.beside.is_some() {
--- a/crates/fault-soak/src/gateways.rs
+++ b/crates/fault-soak/src/gateways.rs
@@ -50,6 +50,8 @@
     pub callers: Link,
     /// Between the gateway and the store.
     pub store: Link,
+    /// Between the gateway and those that ask it for its copy of the store.
+    pub copies: Link,
     place: GatewayPlace,
     process: RefCell<Option<GatewayProcess>>,
     is_busy: Cell<bool>,
@@ -64,6 +66,7 @@
         let slot = Self {
             callers: Link::open(door.address).await?,
             store: Link::open(door.address).await?,
+            copies: Link::open(door.address).await?,
             place,
             process: RefCell::new(None),
             is_busy: Cell::new(false),
@@ -79,6 +82,11 @@
         self.door.set_fault(fault);
     }
 
+    /// Its name.
+    pub fn name(&self) -> String {
+        self.place.name()
+    }
+
     /// Where its process listens.
     pub fn addresses(&self) -> Option<GatewayAddresses> {
         self.process.borrow().as_ref().map(|p| p.addresses)
@@ -164,6 +172,7 @@
                 continue;
             }
             self.callers.lead_to(addresses.callers);
+            self.copies.lead_to(addresses.peers);
             *self.process.borrow_mut() = Some(process);
             return Ok(());
         }
--- a/crates/fault-soak/src/schedule.rs
+++ b/crates/fault-soak/src/schedule.rs
@@ -31,6 +31,10 @@
 const LIMITED_MS: std::ops::Range<u64> = 3_000..8_000;
 /// Mean time between the ends of a restore of the store and the beginning of the next.
 const MEAN_RESTORE_PAUSE_MS: u64 = 2_000;
+/// Mean time between two harms to links between gateways.
+const MEAN_COPIES_PAUSE_MS: u64 = 1_000;
+/// Tells their random numbers from those of the other actions.
+const COPIES_SEED: u64 = 0x0063_6f70_6965_7300;
 /// How old the copy is from which the store is restored.
 const COPY_AGE_MS: std::ops::Range<u64> = 300..2_500;
 /// How long the store is away before it is back.
@@ -55,6 +59,8 @@
     Worker,
     /// Between a gateway and the store.
     Store,
+    /// Between a gateway and those that ask it for its copy of the store.
+    Copies,
 }
 
 /// One action. Indexes are taken modulo what is there.
@@ -186,6 +192,7 @@
         actions.extend(draw_notices(seed, duration));
         actions.extend(draw_limits(seed, duration));
         actions.extend(draw_restores(seed, duration));
+        actions.extend(draw_harms_between_gateways(seed, duration));
         actions.sort_by_key(|scheduled| scheduled.at_ms);
         Self {
             first_mixes,
@@ -254,6 +261,24 @@
     actions
 }
 
+/// Harms to links between gateways, from random numbers of their own for the same reason.
+fn draw_harms_between_gateways(seed: u64, duration: Duration) -> Vec<ScheduledAction> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ COPIES_SEED);
+    let mut actions = Vec::new();
+    let mut at_ms = random.random_range(0..MEAN_COPIES_PAUSE_MS);
+    while u128::from(at_ms) < duration.as_millis() {
+        let action = Action::Harm {
+            edge: Edge::Copies,
+            index: random.random_range(0..1_000),
+            fault: LinkFault::draw(&mut random),
+            for_ms: random.random_range(20..MAX_HARM_MS),
+        };
+        actions.push(ScheduledAction { at_ms, action });
+        at_ms += random.random_range(1..=2 * MEAN_COPIES_PAUSE_MS);
+    }
+    actions
+}
+
 fn draw_mix(faults: &[Fault], random: &mut ChaCha8Rng) -> Mix {
     let mix = Mix::draw(faults, random);
     if random.random_ratio(STUTTERING_OF_TEN, 10) {
--- a/crates/fault-soak/src/site.rs
+++ b/crates/fault-soak/src/site.rs
@@ -8,6 +8,7 @@
 
 use anyhow::Result;
 use serde_json::json;
+use tansyhall_gateway::presence;
 use tansyhall_platform_standin::{Operations, Operator, Store, StoreFault};
 use tansyhall_testing::{eventually, get_metric};
 use tokio::time::sleep;
@@ -32,6 +33,8 @@
 /// How long it serves after that.
 const LINGER: Duration = Duration::from_millis(1_500);
 
+/// Pause between two looks for announcements of gateways.
+const ANNOUNCEMENTS_PACE: Duration = Duration::from_millis(50);
 /// How long entries last that nobody writes.
 const ENTRIES_LAST: Duration = Duration::from_millis(1_000);
 /// Where workers announce themselves.
@@ -230,6 +233,32 @@
         Ok(())
     }
 
+    /// Lets gateways announce the entrances of their links to those that ask for their copies, for ever.
+    pub async fn link_announcements(&self) {
+        loop {
+            for slot in &self.gateways {
+                self.link_announcement(slot);
+            }
+            sleep(ANNOUNCEMENTS_PACE).await;
+        }
+    }
+
+    fn link_announcement(&self, slot: &GatewaySlot) {
+        let Some(addresses) = slot.addresses() else {
+            return;
+        };
+        let key = presence::key(&slot.name());
+        let announced = self
+            .store
+            .get(&key)
+            .and_then(|(value, _)| String::from_utf8(value).ok());
+        let peers = addresses.peers.to_string();
+        if let Some(own) = announced.filter(|value| value.starts_with(&peers)) {
+            let linked = own.replacen(&peers, &slot.copies.entrance.to_string(), 1);
+            self.store.rewrite(&key, linked.into_bytes());
+        }
+    }
+
     /// The store is away for a while and comes back from a copy. The operator and workers write again what they wrote
     /// since; entries of workers that write no more run out.
     async fn restore(&self, restore: Restore) {
@@ -355,6 +384,7 @@
         let link: &Link = match edge {
             Edge::Callers => &self.gateway(index).callers,
             Edge::Store => &self.gateway(index).store,
+            Edge::Copies => &self.gateway(index).copies,
             Edge::Worker => {
                 worker = self.worker(index);
                 harmed = Some(worker.id());
