--- a/crates/cli/tests/gateway_platform/restored_store.rs
+++ b/crates/cli/tests/gateway_platform/restored_store.rs
@@ -137,7 +137,7 @@
     let site = Site::start(&[DECODER; ENGINES], GATEWAYS).await;
     site.until_gateways_know_each_other().await;
     eventually("the first engines are ordered", || async {
-        (!orders(&site).is_empty()).then_some(())
+        (!site.orders().is_empty()).then_some(())
     })
     .await;
     let claim = site.authority_fence();
@@ -210,34 +210,26 @@
     }
 }
 
-fn orders(site: &Site) -> Vec<Order> {
-    let orders = site
-        .workers
-        .iter()
-        .flat_map(|worker| worker.worker.orders());
-    orders.collect()
-}
-
 /// Guards against a claim that a restore took away and nobody makes again, and against fences that were used before.
 #[actix_rt::test]
 async fn engines_are_ordered_again_after_a_restore_with_a_higher_fence() {
     let site = Site::start(&[DECODER; ENGINES], GATEWAYS).await;
     let before_claim = site.store.back_up();
     eventually("the first engines are ordered", || async {
-        (!orders(&site).is_empty()).then_some(())
+        (!site.orders().is_empty()).then_some(())
     })
     .await;
     write_what_is_lost(&site);
     site.until_in_force(site.configure_next()).await;
     let highest = |orders: Vec<Order>| orders.iter().map(|order| order.fence).max();
-    let before = highest(orders(&site));
+    let before = highest(site.orders());
     restore(&site, &before_claim).await;
     site.until_in_force(site.configure_next()).await;
     eventually("engines are ordered with a higher fence", || async {
         for worker in &site.workers {
             worker.worker.announce("ready");
         }
-        (highest(orders(&site)) > before).then_some(())
+        (highest(site.orders()) > before).then_some(())
     })
     .await;
 }
--- a/crates/cli/tests/gateway_platform/roles.rs
+++ b/crates/cli/tests/gateway_platform/roles.rs
@@ -17,14 +17,6 @@
     }
 }
 
-fn orders(site: &Site) -> Vec<Order> {
-    let orders = site
-        .workers
-        .iter()
-        .flat_map(|worker| worker.worker.orders());
-    orders.collect()
-}
-
 /// The gateway that holds the authority.
 async fn holder(site: &Site) -> Option<usize> {
     for (index, gateway) in site.gateways.iter().enumerate() {
@@ -39,10 +31,10 @@
 async fn one_holder_orders_and_the_next_goes_on_with_a_higher_fence() {
     let mut site = Site::start(&[DECODER; ENGINES], 2).await;
     eventually("the first engines are ordered", || async {
-        (!orders(&site).is_empty()).then_some(())
+        (!site.orders().is_empty()).then_some(())
     })
     .await;
-    let before = orders(&site);
+    let before = site.orders();
     let holders: BTreeSet<&str> = before.iter().map(|order| order.holder.as_str()).collect();
     assert_eq!(holders.len(), 1, "{before:?}");
     let first = holder(&site).await.expect("a holder");
@@ -53,10 +45,10 @@
     eventually("another holder orders with a higher fence", || async {
         announce_stages(&site);
         let higher = |order: &Order| order.fence > first_fence;
-        orders(&site).iter().any(higher).then_some(())
+        site.orders().iter().any(higher).then_some(())
     })
     .await;
-    let fences: BTreeSet<u64> = orders(&site).iter().map(|order| order.fence).collect();
+    let fences: BTreeSet<u64> = site.orders().iter().map(|order| order.fence).collect();
     assert_eq!(fences.len(), 2);
     for worker in &site.workers {
         let taken = worker.worker.orders();
@@ -68,7 +60,7 @@
     eventually("as many engines decode as are needed", || async {
         announce_stages(&site);
         let prefill = |order: &&Order| order.stage == "prefill";
-        let readers = orders(&site).iter().filter(prefill).count();
+        let readers = site.orders().iter().filter(prefill).count();
         (readers >= ENGINES - 4).then_some(())
     })
     .await;
@@ -79,7 +71,7 @@
     const LONGEST_PAUSE_MS: u64 = 600_000;
     let site = Site::start_with_pause(&[DECODER; ENGINES], 2, LONGEST_PAUSE_MS).await;
     eventually("the first engines are ordered", || async {
-        (!orders(&site).is_empty()).then_some(())
+        (!site.orders().is_empty()).then_some(())
     })
     .await;
 }
--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -1,23 +1,20 @@
 //! A site of gateways, workers and a store.
 
 mod asking;
+mod observed;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::ops::Deref;
 
 use serde_json::{json, Value};
-use tansyhall_gateway::authority_claim;
-use tansyhall_gateway::usage::{RowsMessage, ROWS_PREFIX};
 use tansyhall_platform_standin::{
     Behaviour, Deadly, GatewayFields, MortalWorker, Operations, Operator, RoutePlan, ScalingPlan,
     Store, StoreDoor, TenantPlan, Worker, WorkerLife, WorkerPlan,
 };
 use tansyhall_testing::{
-    eventually, free_peer_address, gateway, get_metric, get_metric_sum, GatewayAddresses,
-    GatewayProcess, Link,
+    eventually, free_peer_address, gateway, get_metric, GatewayAddresses, GatewayProcess, Link,
 };
-use tansyhall_usage::Collection;
 
 pub use asking::{ask, ask_model, ask_model_with_body, ask_own_prompt, ask_with_key, CallerAnswer};
 
@@ -256,23 +253,6 @@
         links
     }
 
-    /// Waits until a configuration is in force at every gateway.
-    pub async fn until_in_force(&self, version: u64) {
-        for gateway in &self.gateways {
-            eventually("the configuration is in force", || async {
-                let known = gateway.metric("gateway_configuration_version").await?;
-                (known == version as f64).then_some(())
-            })
-            .await;
-        }
-    }
-
-    /// The fence of the claim to the authority, if somebody has it.
-    pub fn authority_fence(&self) -> Option<u64> {
-        let (_, made) = self.store.get(authority_claim::KEY)?;
-        Some(made)
-    }
-
     /// Kills every gateway at once, and starts as many anew.
     pub fn restart_all_gateways(&mut self) {
         let count = self.gateways.len();
@@ -367,44 +347,6 @@
         SiteWorker { worker }
     }
 
-    /// Waits until a gateway knows this many workers from the store, those that are changing their role included.
-    pub async fn until_announced_workers(&self, index: usize, count: f64) {
-        let metrics = self.gateways[index].addresses.metrics;
-        eventually("the gateway knows the workers", || async {
-            let known = get_metric_sum(metrics, "gateway_workers").await?;
-            (known == count).then_some(())
-        })
-        .await;
-    }
-
-    /// Waits until a gateway knows this many workers that take requests.
-    pub async fn until_ready_workers(&self, index: usize, count: f64) {
-        eventually("the gateway knows the workers", || async {
-            let known = self.gateways[index].metric("gateway_ready_workers").await?;
-            (known == count).then_some(())
-        })
-        .await;
-    }
-
-    /// Waits until every gateway knows how many they are.
-    pub async fn until_gateways_know_each_other(&self) {
-        for gateway in &self.gateways {
-            eventually("gateways know each other", || async {
-                let known = gateway.metric("gateway_gateways").await?;
-                (known == self.gateways.len() as f64).then_some(())
-            })
-            .await;
-        }
-    }
-
-    /// Waits until workers have begun to run a request this often.
-    pub async fn until_runs(&self, id: &str, count: usize) {
-        eventually("the request runs", || async {
-            (self.runs_of(id) == count).then_some(())
-        })
-        .await;
-    }
-
     /// Puts the next configuration in force and returns its version.
     pub fn configure_next(&self) -> u64 {
         let version = self.version.get() + 3;
@@ -437,28 +379,6 @@
         let behaviour = Behaviour::Serve { events: 0 };
         Worker::start(&self.store, plan, behaviour).expect("a free port")
     }
-
-    /// Waits until the store has the counts of this many requests.
-    pub async fn until_collected(&self, requests: u64) {
-        eventually("the counts are in the store", || async {
-            let mut collection = Collection::default();
-            for rows in self.store.values_below(ROWS_PREFIX) {
-                RowsMessage::decode_into(&rows, &mut collection).expect("rows");
-            }
-            let counted = collection
-                .sources()
-                .flat_map(|one| one.windows.into_values());
-            let counted: u64 = counted.map(|counts| counts.total()).sum();
-            (counted == requests).then_some(())
-        })
-        .await;
-    }
-
-    /// How often workers ran a request.
-    pub fn runs_of(&self, id: &str) -> usize {
-        let runs = self.workers.iter().flat_map(|worker| worker.worker.runs());
-        runs.filter(|run| run.request_id == id).count()
-    }
 }
 
 /// A worker that has another name in each life, is not to be withdrawn and answers once.
