--- a/crates/cli/tests/gateway_platform/restored_store.rs
+++ b/crates/cli/tests/gateway_platform/restored_store.rs
@@ -7,7 +7,9 @@
 use serde_json::json;
 use tansyhall_forwarding::Update;
 use tansyhall_gateway::copy_message::{UpdateHead, UpdateMessage};
-use tansyhall_platform_standin::{Backup, Behaviour, Order, StoreFault};
+use tansyhall_gateway::protocol::Catalogue;
+use tansyhall_platform::PlatformCatalogue;
+use tansyhall_platform_standin::{Backup, Behaviour, Order, StoreFault, WORKER_ENTRIES};
 use tansyhall_testing::eventually;
 use tokio::time::sleep;
 
@@ -116,7 +118,8 @@
         panic!("three workers");
     };
     leaving.worker.announce("draining");
-    site.store.remove(&format!("servers/{}", gone.worker.id));
+    site.store
+        .remove(&format!("{WORKER_ENTRIES}{}", gone.worker.id));
     for index in 0..GATEWAYS {
         site.until_ready_workers(index, 1.0).await;
     }
@@ -180,10 +183,11 @@
     let Ok(Some(Update::Whole(snapshot))) = received.map(|one| one.update) else {
         panic!("no copy");
     };
-    let configuration = snapshot.items.iter().find(|item| item.key == "op/config");
-    let value = &configuration.expect("a configuration").value;
-    let document: serde_json::Value = serde_json::from_slice(value).expect("JSON");
-    assert_eq!(document["version"], version);
+    let key = PlatformCatalogue.configuration_key();
+    let item = snapshot.items.iter().find(|item| item.key == key);
+    let value = &item.expect("a configuration").value;
+    let configuration = PlatformCatalogue.configuration(value);
+    assert_eq!(configuration.expect("a configuration").version, version);
 }
 
 async fn holders(site: &Site) -> f64 {
--- a/crates/fault-soak/src/site.rs
+++ b/crates/fault-soak/src/site.rs
@@ -9,7 +9,7 @@
 use anyhow::Result;
 use serde_json::json;
 use tansyhall_gateway::presence;
-use tansyhall_platform_standin::{Operations, Operator, Store, StoreFault};
+use tansyhall_platform_standin::{Operations, Operator, Store, StoreFault, WORKER_ENTRIES};
 use tansyhall_testing::{eventually, get_metric};
 use tokio::time::sleep;
 
@@ -37,8 +37,6 @@
 const ANNOUNCEMENTS_PACE: Duration = Duration::from_millis(50);
 /// How long entries last that nobody writes.
 const ENTRIES_LAST: Duration = Duration::from_millis(1_000);
-/// Where workers announce themselves.
-const WORKERS_PREFIX: &str = "servers/";
 /// Changes that the last restore loses: more than follow.
 const LOST_CHANGES: usize = 2_000;
 /// Time in which gateways hear of them.
@@ -289,8 +287,8 @@
     fn end_silent_entries(&self) {
         let workers = self.workers.borrow();
         let live: Vec<String> = workers.iter().map(|worker| worker.id()).collect();
-        for key in self.store.keys(WORKERS_PREFIX) {
-            if !live.iter().any(|id| key[WORKERS_PREFIX.len()..] == **id) {
+        for key in self.store.keys(WORKER_ENTRIES) {
+            if !live.iter().any(|id| key[WORKER_ENTRIES.len()..] == **id) {
                 self.store.remove(&key);
             }
         }
--- a/crates/fault-soak/src/worker/state.rs
+++ b/crates/fault-soak/src/worker/state.rs
@@ -9,7 +9,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
-use tansyhall_platform_standin::Store;
+use tansyhall_platform_standin::{Store, WORKER_ENTRIES};
 use tokio::sync::watch;
 
 use super::{entry, WorkerPlan};
@@ -324,7 +324,7 @@
     }
 
     fn key(&self) -> String {
-        format!("servers/{}", self.id)
+        format!("{WORKER_ENTRIES}{}", self.id)
     }
 
     pub(super) fn record_arrival(&self, seen: SeenArrival) {
