Nodes take nothing from other fleets: messages between them name the fleet and whom they are meant for

What callers saw: nothing that the one failure of the known red test shows (all answers were right); its worker had run 5 requests where its fleet's callers had sent 1. Provoked (a fleet of three, one of its nodes killed, a node of another fleet with an empty store started at its address): the other fleet's node counted 2 members alive, had revision 1 in force, and answered a caller's request with 200 by a worker of the first fleet.

Cause: messages between nodes named a node and a zone, no fleet, and a dead member is looked for at its address for ten minutes. The vote of a replica counted for the member that was asked, whoever answered at its address, if its view had the same number; young fleets have the same numbers. An address was taken for the identity of who is reached there.

Ruled out by reading: the test's own three requests (each tries a worker once at most, keys run once). A second way was found that the test may be disturbed in: of 245 ports that two runs of the file freed none was called by anybody, but the nodes that a killed run leaves behind, once its platform is gone, call the platform's port: 305 requests in 50 s by 15 nodes. Whoever gets that port records them. Stand-ins of platforms end after the nodes that call them now; a run that is killed still leaves its processes.

Change: setting `fleet`; its digest in each datagram and request, 9 bytes; what comes from another fleet is counted (tansyhall_peer_foreign_total), logged at most every 10 s and passed over. Requests to replicas name the member that they are meant for. Nodes without a name, older builds among them, are taken for any fleet's, so that a fleet is named one node after the other. Bytes of the build in production are read and written as before.

Why it holds: what another fleet says is dropped before the membership, the pulls or the replicas see it, and a vote needs the incarnation that the view names.

--- a/crates/cli/tests/application_cluster/mod.rs
+++ b/crates/cli/tests/application_cluster/mod.rs
@@ -155,10 +155,20 @@
 
 /// Sends a request with an idempotency key to a node.
 pub async fn send(node: SocketAddr, key: String, path: &'static str) -> Told {
+    tell(post(node, path).insert_header(("idempotency-key", key))).await
+}
+
+/// Sends a request without an idempotency key to a node.
+pub async fn send_without_key(node: SocketAddr, path: &'static str) -> Told {
+    tell(post(node, path)).await
+}
+
+fn post(node: SocketAddr, path: &str) -> awc::ClientRequest {
     let client = awc::Client::builder().disable_timeout().finish();
-    let request = client
-        .post(format!("http://{node}{path}"))
-        .insert_header(("idempotency-key", key));
+    client.post(format!("http://{node}{path}"))
+}
+
+async fn tell(request: awc::ClientRequest) -> Told {
     let mut response = request.send_body("slip").await.expect("an answer");
     let header = |name: &str| {
         let value = response.headers().get(name);
--- a/crates/cli/tests/authority_failures.rs
+++ b/crates/cli/tests/authority_failures.rs
@@ -28,10 +28,10 @@
 const LONG_ANSWER_TOKENS: u32 = 3_000;
 
 struct Cluster {
+    nodes: Vec<NodeProcess>,
     directory: tempfile::TempDir,
     platform: Standin,
     engine: Standin,
-    nodes: Vec<NodeProcess>,
 }
 
 impl Cluster {
--- a/crates/cli/tests/operators_admin/support.rs
+++ b/crates/cli/tests/operators_admin/support.rs
@@ -18,8 +18,8 @@
 
 /// The fleet.
 pub struct Fleet {
-    pub platform: Standin,
     pub nodes: [NodeProcess; 2],
+    pub platform: Standin,
     pub directory: tempfile::TempDir,
 }
 
--- /dev/null
+++ b/crates/cli/tests/reused_addresses.rs
@@ -0,0 +1,49 @@
+//! Two fleets on one network: the address of a node that has gone is taken by a node of the other
+//! fleet, while its own fleet still tries to reach it.
+
+mod application_cluster;
+
+use application_cluster::{send_without_key, Cluster, AT_ONCE};
+use tansyhall_testing::{eventually, get_metric, standin, Fleet, NodePlan};
+
+const SIZE: usize = 3;
+const FOREIGN: &str = "tansyhall_peer_foreign_total";
+const RECEIVED: &str = "tansyhall_peer_datagram_bytes_total{direction=\"received\"}";
+
+/// A fleet of one node, at the address of a node of `other`, which is killed.
+async fn fleet_at_address_of(other: &mut Cluster, index: usize) -> Fleet {
+    let platform = standin(&["platform"]);
+    let plan = NodePlan {
+        zone: "kalimati",
+        platform: platform.address,
+    };
+    other.fleet.kill(index);
+    let address = other.fleet.peers(index);
+    Fleet::start_at(platform, vec![plan], vec![address]).await
+}
+
+// Guards against requests of one fleet's callers that run at the workers of another fleet.
+#[actix_rt::test]
+async fn a_node_at_an_address_of_another_fleet_takes_nothing_from_it() {
+    let mut first = Cluster::start(SIZE).await;
+    let second = fleet_at_address_of(&mut first, SIZE - 1).await;
+    eventually("the other fleet has tried to reach the address", || async {
+        let received = get_metric(second.admin(0), RECEIVED).await?;
+        (received > 0.0).then_some(())
+    })
+    .await;
+    eventually("nodes of the other fleet were told apart", || async {
+        let foreign = get_metric(second.admin(0), FOREIGN).await?;
+        (foreign >= 2.0).then_some(())
+    })
+    .await;
+    assert_eq!(second.members(0, "alive").await, Some(1));
+    assert_eq!(second.revision(0).await, Some(0));
+    let told = send_without_key(second.nodes[0].callers, AT_ONCE).await;
+    assert_eq!(told.status, 404, "{told:?}");
+    assert_eq!(first.runs().await, 0);
+    first.fleet.await_members(0, "alive", SIZE - 1).await;
+    let told = send_without_key(first.callers(0), AT_ONCE).await;
+    assert_eq!(told.status, 200, "{told:?}");
+    assert_eq!(first.runs().await, 1);
+}
--- a/crates/cli/tests/whole_path.rs
+++ b/crates/cli/tests/whole_path.rs
@@ -97,11 +97,11 @@
 }
 
 struct Fleet {
+    nodes: [NodeProcess; 2],
     directory: tempfile::TempDir,
     _platform: Standin,
     engines: [Standin; 2],
     worker: Standin,
-    nodes: [NodeProcess; 2],
 }
 
 impl Fleet {
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use tansyhall_core::id::check_name;
-use tansyhall_core::{NodeId, TenantName, ZoneName};
+use tansyhall_core::{FleetId, FleetName, NodeId, TenantName, ZoneName};
 use tansyhall_policy::Diagnostic;
 
 use crate::routing::RoutingSettings;
@@ -47,6 +47,10 @@
     pub name: NodeId,
     /// The zone it stands in.
     pub zone: ZoneName,
+    /// The name of its fleet, which no other fleet on the same network has. Nodes of fleets with
+    /// other names are passed over; without a name, nodes of any fleet are taken in.
+    #[serde(default)]
+    pub fleet: Option<FleetName>,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where operators connect.
@@ -314,6 +318,12 @@
         Ok(settings)
     }
 
+    /// The identifier of the node's fleet.
+    pub fn fleet_id(&self) -> FleetId {
+        let name = self.fleet.as_ref();
+        name.map_or(FleetId::UNNAMED, FleetId::of_name)
+    }
+
     /// Checks every value; reports the first that is not allowed.
     pub fn validate(&self, file: &str) -> Result<(), SettingsError> {
         self.validate_names(file)?;
@@ -332,6 +342,9 @@
         let (name, zone) = (self.name.as_str(), self.zone.as_str());
         require(is_name(name), file, "name", name, NAME_RULE)?;
         require(is_name(zone), file, "zone", zone, NAME_RULE)?;
+        if let Some(fleet) = &self.fleet {
+            require(is_name(fleet.as_str()), file, "fleet", fleet, NAME_RULE)?;
+        }
         let threads = (1..=MAX_THREADS).contains(&self.threads);
         require(threads, file, "threads", self.threads, "1 to 256")
     }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -83,6 +83,10 @@
     };
 }
 
+name_type!(
+    /// A fleet: nodes that share one platform and one configuration.
+    FleetName
+);
 name_type!(
     /// A site: a place with one or more zones.
     SiteName
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod fleet;
 pub mod hash;
 pub mod id;
 pub mod role;
@@ -10,9 +11,10 @@
 pub mod time;
 pub mod verdict;
 
+pub use fleet::FleetId;
 pub use id::{
-    AdapterName, EngineName, Incarnation, ModelName, NodeId, OperatorName, PolicyName, PoolName,
-    RequestId, ServiceName, SiteName, TenantName, VersionName, ZoneName,
+    AdapterName, EngineName, FleetName, Incarnation, ModelName, NodeId, OperatorName, PolicyName,
+    PoolName, RequestId, ServiceName, SiteName, TenantName, VersionName, ZoneName,
 };
 pub use role::Role;
 pub use sharded::Sharded;
--- a/crates/lab/src/load/fleet.rs
+++ b/crates/lab/src/load/fleet.rs
@@ -17,10 +17,10 @@
 
 /// Running processes, stopped when dropped.
 pub struct Fleet {
+    node: NodeProcess,
     _platform: Standin,
     worker: Standin,
     _engines: Vec<Standin>,
-    node: NodeProcess,
     _directory: tempfile::TempDir,
 }
 
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -146,8 +146,9 @@
 }
 
 fn settings(index: usize, platform: SocketAddr) -> Result<NodeSettings> {
+    let process = std::process::id();
     let text = format!(
-        "name = 'node-{index}'\nzone = 'local'\nplatform = '{platform}'\nthreads = 2\n\
+        "fleet = 'dev-{process}'\nname = 'node-{index}'\nzone = 'local'\nplatform = '{platform}'\nthreads = 2\n\
          callers = '127.0.0.1:0'\nadmin = '127.0.0.1:0'\npeers = '127.0.0.1:0'\n"
     );
     let mut settings = NodeSettings::parse("dev", &text)?;
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -40,6 +40,11 @@
         /// Where it sent from.
         from: SocketAddr,
     },
+    /// A message of a node of another fleet came, and was passed over.
+    ForeignSender {
+        /// Where it came from.
+        from: SocketAddr,
+    },
     /// A back end is leaving, or no longer is.
     BackendChanged(BackendMark),
     /// Others say that this node's machine is about to be taken away.
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use tansyhall_core::{Duration, Incarnation, NodeId, ZoneName};
+use tansyhall_core::{Duration, FleetId, Incarnation, NodeId, ZoneName};
 
 use crate::backends::BackendMark;
 use crate::digest::ZoneDigest;
@@ -21,6 +21,8 @@
 /// Who sent a message.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sender {
+    /// Its fleet.
+    pub fleet: FleetId,
     /// Its name.
     pub name: NodeId,
     /// Its zone.
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -16,6 +16,9 @@
 impl Membership {
     /// Takes a message that came from `from`.
     pub fn receive(&mut self, now: Timestamp, from: SocketAddr, message: Message) -> Vec<Action> {
+        if !self.settings.fleet.may_be(message.sender.fleet) {
+            return vec![Action::ForeignSender { from }];
+        }
         if message.sender.name == self.name {
             return Vec::new();
         }
@@ -256,6 +259,7 @@
         let own = self.own();
         let elapsed = now.since(self.configuration_at);
         Sender {
+            fleet: self.settings.fleet,
             name: own.name.clone(),
             zone: own.zone.clone(),
             incarnation: own.incarnation,
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -1,10 +1,12 @@
 //! Times and bounds of the failure detector.
 
-use tansyhall_core::Duration;
+use tansyhall_core::{Duration, FleetId};
 
 /// Times and bounds; the defaults fit zones of up to a few hundred nodes.
 #[derive(Debug, Clone)]
 pub struct MembershipSettings {
+    /// The node's fleet; messages of others are passed over.
+    pub fleet: FleetId,
     /// Time between probes; each probes one member.
     pub probe_period: Duration,
     /// Time after which a probe without an answer is retried through other members.
@@ -52,6 +54,7 @@
 impl Default for MembershipSettings {
     fn default() -> Self {
         Self {
+            fleet: FleetId::UNNAMED,
             probe_period: Duration::from_secs(1),
             probe_timeout: Duration::from_millis(300),
             indirect_probes: 3,
--- a/crates/membership/tests/support/mod.rs
+++ b/crates/membership/tests/support/mod.rs
@@ -180,6 +180,7 @@
                     self.false_deaths += usize::from(runs);
                 }
                 Action::AskedToLeave => self.hosts[index].asked_to_leave = true,
+                Action::ForeignSender { from } => panic!("host {index}: {from} is of its fleet"),
                 Action::StateChanged { .. } | Action::Heard { .. } | Action::BackendChanged(_) => {}
             }
         }
--- a/crates/node/src/at_most_once/members.rs
+++ b/crates/node/src/at_most_once/members.rs
@@ -8,7 +8,9 @@
 use futures_util::future::join_all;
 use tansyhall_core::ZoneName;
 use tansyhall_journal::VIEW_SIZE;
-use tansyhall_proto::{decode_journal_answer, JournalAnswer, JournalRequest, PeerRequest};
+use tansyhall_proto::{
+    decode_journal_answer, JournalAnswer, JournalCall, JournalRequest, PeerRequest,
+};
 
 use super::views::PlacedMember;
 use crate::peers::exchange;
@@ -27,19 +29,15 @@
 }
 
 /// Sends a request to the replica at an address.
-pub(super) async fn ask(
-    node: &Node,
-    address: SocketAddr,
-    request: JournalRequest,
-) -> Result<JournalAnswer> {
-    let timeout = match &request {
+async fn ask(node: &Node, address: SocketAddr, call: JournalCall) -> Result<JournalAnswer> {
+    let timeout = match &call.request {
         JournalRequest::Seal { .. } | JournalRequest::Install { .. } => TABLE_TIMEOUT,
         JournalRequest::Identify | JournalRequest::Vote { .. } | JournalRequest::Release { .. } => {
             node.settings.journal.vote_timeout
         }
     };
-    let request = PeerRequest::Journal(request);
-    let answer = exchange::ask(node, address, &request, timeout).await?;
+    let request = PeerRequest::Journal(call);
+    let answer = exchange::ask(node, address, request, timeout).await?;
     Ok(decode_journal_answer(&answer)?)
 }
 
@@ -49,11 +47,16 @@
     member: &PlacedMember,
     request: JournalRequest,
 ) -> Result<JournalAnswer> {
-    if member.member == *node.journal.member() {
+    let is_own = member.member == *node.journal.member();
+    let call = JournalCall {
+        addressee: Some(member.member.clone()),
+        request,
+    };
+    if is_own {
         let now = node.clock.now();
-        return Ok(node.journal.answer(now, request, node.is_stopping()));
+        return Ok(node.journal.answer(now, call, node.is_stopping()));
     }
-    ask(node, member.peers, request).await
+    ask(node, member.peers, call).await
 }
 
 /// How a member stands.
@@ -132,7 +135,11 @@
 }
 
 async fn identify(node: &Node, zone: ZoneName, peers: SocketAddr) -> Option<Candidate> {
-    let member = match ask(node, peers, JournalRequest::Identify).await.ok()? {
+    let call = JournalCall {
+        addressee: None,
+        request: JournalRequest::Identify,
+    };
+    let member = match ask(node, peers, call).await.ok()? {
         JournalAnswer::Identity {
             member,
             is_stopping: false,
--- a/crates/node/src/at_most_once/replica.rs
+++ b/crates/node/src/at_most_once/replica.rs
@@ -7,7 +7,7 @@
 use tansyhall_config::NodeSettings;
 use tansyhall_core::{Incarnation, Timestamp};
 use tansyhall_journal::{Member, Replica, ReplicaLimits, VoteReply};
-use tansyhall_proto::{JournalAnswer, JournalRequest};
+use tansyhall_proto::{JournalAnswer, JournalCall, JournalRequest};
 
 use super::views::PlacedView;
 
@@ -64,8 +64,16 @@
         replica.len()
     }
 
-    /// Answers a request to the replica.
-    pub fn answer(
+    /// Answers a request to the replica. One that is meant for another member changes nothing here:
+    /// a vote counts for the member that was asked, whoever is reached at its address.
+    pub fn answer(&self, now: Timestamp, call: JournalCall, is_stopping: bool) -> JournalAnswer {
+        match call.addressee {
+            Some(addressee) if addressee != self.member => JournalAnswer::NotAddressed,
+            Some(_) | None => self.answer_addressed(now, call.request, is_stopping),
+        }
+    }
+
+    fn answer_addressed(
         &self,
         now: Timestamp,
         request: JournalRequest,
--- a/crates/node/src/callers/origin.rs
+++ b/crates/node/src/callers/origin.rs
@@ -114,7 +114,7 @@
 async fn ask(node: &Node, peer: SocketAddr, query: StatusQuery) -> StatusAnswer {
     let timeout = node.settings.limits.connect_timeout;
     let request = PeerRequest::Status(query);
-    let answer = exchange::ask(node, peer, &request, timeout).await;
+    let answer = exchange::ask(node, peer, request, timeout).await;
     let answer = answer.ok().and_then(|it| decode_status_answer(&it).ok());
     answer.unwrap_or(StatusAnswer::Unreachable)
 }
--- a/crates/node/src/peers/actor.rs
+++ b/crates/node/src/peers/actor.rs
@@ -18,6 +18,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 
 use super::exchange;
+use super::foreign;
 use super::machines::{self, MachineSchedule};
 use super::pull;
 use super::transport::{self, PeerTransport};
@@ -151,6 +152,7 @@
                     let actions = self.spread.heard(now, &peer, mark);
                     self.carry_out_spread(now, actions, context);
                 }
+                membership::Action::ForeignSender { from } => foreign::note(&self.node, from),
                 membership::Action::BackendChanged(mark) => {
                     log::info!("back end {}: leaving {}", mark.name, mark.is_leaving);
                     self.publish_at = now;
@@ -334,6 +336,7 @@
 fn membership_settings(node: &Node) -> MembershipSettings {
     let probe_period = node.settings.peer_limits.probe_period;
     MembershipSettings {
+        fleet: node.fleet,
         probe_period,
         probe_timeout: probe_period.mul_f64(PROBE_TIMEOUT_FRACTION),
         ..MembershipSettings::default()
--- a/crates/node/src/peers/exchange.rs
+++ b/crates/node/src/peers/exchange.rs
@@ -10,13 +10,13 @@
 use futures_util::{SinkExt, StreamExt};
 use tansyhall_proto::{
     decode_request, encode_journal_answer, encode_pull_answer, encode_request,
-    encode_status_answer, PeerRequest,
+    encode_status_answer, PeerCall, PeerRequest,
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use super::pull;
+use super::{foreign, pull};
 use crate::callers::origin;
 use crate::state::Node;
 
@@ -43,10 +43,14 @@
 pub async fn ask(
     node: &Node,
     peer: SocketAddr,
-    request: &PeerRequest,
+    request: PeerRequest,
     timeout: Duration,
 ) -> Result<BytesMut> {
-    let request = Bytes::from(encode_request(request));
+    let call = PeerCall {
+        fleet: node.fleet,
+        request,
+    };
+    let request = Bytes::from(encode_request(&call));
     let exchange = async {
         let stream = TcpStream::connect(peer).await?;
         stream.set_nodelay(true)?;
@@ -66,13 +70,14 @@
 pub(super) async fn serve(node: Arc<Node>, listener: TcpListener) {
     let permits = Arc::new(Semaphore::new(node.settings.peer_limits.max_connections));
     while let Ok(permit) = Arc::clone(&permits).acquire_owned().await {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, from)) = listener.accept().await else {
             actix_rt::time::sleep(ACCEPT_RETRY).await;
             continue;
         };
         let node = Arc::clone(&node);
         actix_rt::spawn(async move {
-            let served = tokio::time::timeout(CONNECTION_TIMEOUT, serve_one(&node, stream)).await;
+            let served =
+                tokio::time::timeout(CONNECTION_TIMEOUT, serve_one(&node, stream, from)).await;
             if !matches!(served, Ok(Ok(()))) {
                 node.metrics.peers.malformed.inc();
             }
@@ -81,10 +86,17 @@
     }
 }
 
-async fn serve_one(node: &Arc<Node>, stream: TcpStream) -> Result<()> {
+/// Answers one request. A node of another fleet gets no answer: its request was meant for the node
+/// that had this address before.
+async fn serve_one(node: &Arc<Node>, stream: TcpStream, from: SocketAddr) -> Result<()> {
     let mut framed = framed(node, stream);
     let request = framed.next().await.context("no request")??;
-    let answer = answer(node, decode_request(&request)?).await;
+    let call = decode_request(&request)?;
+    if !node.fleet.may_be(call.fleet) {
+        foreign::note(node, from);
+        return Ok(());
+    }
+    let answer = answer(node, call.request).await;
     framed.send(Bytes::from(answer)).await?;
     Ok(())
 }
@@ -95,10 +107,10 @@
             node.metrics.peers.pulls_served.inc();
             encode_pull_answer(&pull::answer(node, held_revision))
         }
-        PeerRequest::Journal(request) => {
+        PeerRequest::Journal(call) => {
             let now = node.clock.now();
             let is_stopping = node.is_stopping();
-            encode_journal_answer(&node.journal.answer(now, request, is_stopping))
+            encode_journal_answer(&node.journal.answer(now, call, is_stopping))
         }
         PeerRequest::Status(query) => encode_status_answer(&origin::answer_peer(node, query).await),
     }
--- a/crates/node/src/peers/metrics.rs
+++ b/crates/node/src/peers/metrics.rs
@@ -18,6 +18,8 @@
     pub pull_bytes: IntCounterVec,
     /// Datagrams that are no message of this protocol.
     pub malformed: IntCounter,
+    /// Messages of nodes of other fleets.
+    pub foreign: IntCounter,
     /// Datagrams that the system did not take for sending.
     pub unsent: IntCounter,
     /// Configuration pulls by this node, by outcome.
@@ -63,6 +65,10 @@
                 "tansyhall_peer_malformed_total",
                 "Messages of peers that do not decode",
             )?,
+            foreign: IntCounter::new(
+                "tansyhall_peer_foreign_total",
+                "Messages of nodes of other fleets, which are passed over",
+            )?,
             unsent: IntCounter::new(
                 "tansyhall_peer_unsent_total",
                 "Datagrams that could not be sent",
@@ -88,6 +94,7 @@
         registry.register(Box::new(metrics.datagram_bytes.clone()))?;
         registry.register(Box::new(metrics.pull_bytes.clone()))?;
         registry.register(Box::new(metrics.malformed.clone()))?;
+        registry.register(Box::new(metrics.foreign.clone()))?;
         registry.register(Box::new(metrics.unsent.clone()))?;
         registry.register(Box::new(metrics.pulls.clone()))?;
         registry.register(Box::new(metrics.pulls_served.clone()))?;
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -4,6 +4,7 @@
 
 mod actor;
 pub mod exchange;
+mod foreign;
 mod handlers;
 mod machines;
 mod metrics;
@@ -12,6 +13,7 @@
 mod view;
 
 pub use actor::PeersActor;
+pub use foreign::ForeignLog;
 pub use handlers::{Leave, StoreRead};
 pub use metrics::PeerMetrics;
 pub use transport::PeerTransport;
--- a/crates/node/src/state.rs
+++ b/crates/node/src/state.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use tansyhall_config::NodeSettings;
 use tansyhall_core::time::MonotonicClock;
-use tansyhall_core::EngineName;
+use tansyhall_core::{EngineName, FleetId};
 use tansyhall_engine::protocol::EngineState;
 
 use crate::at_most_once::Journal;
@@ -18,7 +18,7 @@
 use crate::dispatch::{DispatchState, InFlight};
 use crate::limits::LimitKeeper;
 use crate::metrics::Metrics;
-use crate::peers::PeersView;
+use crate::peers::{ForeignLog, PeersView};
 
 /// What a node knows about one engine.
 #[derive(Debug, Clone, Default)]
@@ -31,6 +31,8 @@
 pub struct Node {
     /// Settings.
     pub settings: NodeSettings,
+    /// The node's fleet.
+    pub fleet: FleetId,
     /// The monotonic clock.
     pub clock: MonotonicClock,
     /// The configuration in force.
@@ -39,6 +41,8 @@
     pub held: Mutex<Held>,
     /// Other nodes as this one sees them.
     pub peers: PeersView,
+    /// Log lines about nodes of other fleets.
+    pub foreign_log: ForeignLog,
     /// This node's part of the at-most-once records.
     pub journal: Journal,
     /// Counters.
@@ -64,11 +68,13 @@
             callers: CallersState::new(&settings.limits),
             dispatch: DispatchState::new(&settings.routing),
             journal: Journal::new(&settings),
+            fleet: settings.fleet_id(),
             settings,
             clock,
             in_force: ArcSwap::from_pointee(InForce::default()),
             held: Mutex::new(Held::default()),
             peers: PeersView::default(),
+            foreign_log: ForeignLog::default(),
             metrics: Metrics::new()?,
             engines: Mutex::new(HashMap::new()),
             stopping: AtomicBool::new(false),
--- a/crates/node/tests/at_most_once_connections.rs
+++ b/crates/node/tests/at_most_once_connections.rs
@@ -4,7 +4,9 @@
 
 use tansyhall_config::NodeSettings;
 use tansyhall_node::peers::exchange;
-use tansyhall_proto::{decode_journal_answer, JournalAnswer, JournalRequest, PeerRequest};
+use tansyhall_proto::{
+    decode_journal_answer, JournalAnswer, JournalCall, JournalRequest, PeerRequest,
+};
 use tokio::net::TcpStream;
 
 /// Longer than a node lets one connection last.
@@ -20,8 +22,11 @@
     // It is accepted first, and asks nothing for as long as the node lets it.
     let idle = TcpStream::connect(running.peers).await;
     let idle = idle.expect("a connection");
-    let request = PeerRequest::Journal(JournalRequest::Identify);
-    let answer = exchange::ask(&running.node, running.peers, &request, PATIENCE).await;
+    let request = PeerRequest::Journal(JournalCall {
+        addressee: None,
+        request: JournalRequest::Identify,
+    });
+    let answer = exchange::ask(&running.node, running.peers, request, PATIENCE).await;
     let answer =
         decode_journal_answer(&answer.expect("an answer")).expect("an answer of a replica");
     let JournalAnswer::Identity { member, .. } = answer else {
--- a/crates/node/tests/at_most_once_messages.rs
+++ b/crates/node/tests/at_most_once_messages.rs
@@ -4,7 +4,7 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 use tansyhall_config::NodeSettings;
-use tansyhall_core::{RequestId, Timestamp};
+use tansyhall_core::{FleetId, RequestId, Timestamp};
 use tansyhall_fixed_cases::fixed_number_of_cases;
 use tansyhall_journal::{
     Attempt, AttemptId, ChangeStep, Decision, KeyOrigin, Member, RecordKey, Records, View,
@@ -13,7 +13,7 @@
 use tansyhall_node::at_most_once::Journal;
 use tansyhall_proto::{
     decode_journal_answer, decode_request, encode_journal_answer, encode_request, JournalAnswer,
-    JournalRequest, PeerRequest,
+    JournalCall, JournalRequest, PeerCall, PeerRequest,
 };
 
 const NODES: usize = 4;
@@ -68,11 +68,24 @@
 
 /// Sends a request as the wire carries it, and returns the answer as the wire carries it.
 fn exchange(journal: &Journal, request: JournalRequest) -> JournalAnswer {
-    let bytes = encode_request(&PeerRequest::Journal(request));
-    let Ok(PeerRequest::Journal(request)) = decode_request(&bytes) else {
+    exchange_with(journal, Some(journal.member().clone()), request)
+}
+
+/// Sends a request that is meant for `addressee` to a replica.
+fn exchange_with(
+    journal: &Journal,
+    addressee: Option<Member>,
+    request: JournalRequest,
+) -> JournalAnswer {
+    let call = JournalCall { addressee, request };
+    let bytes = encode_request(&PeerCall {
+        fleet: FleetId::UNNAMED,
+        request: PeerRequest::Journal(call),
+    });
+    let Ok(PeerRequest::Journal(call)) = decode_request(&bytes).map(|call| call.request) else {
         panic!("a request to a replica");
     };
-    let answer = encode_journal_answer(&journal.answer(NOW, request, false));
+    let answer = encode_journal_answer(&journal.answer(NOW, call, false));
     decode_journal_answer(&answer).expect("an answer")
 }
 
@@ -231,3 +244,32 @@
         assert_eq!(cluster.running, 1);
     }
 }
+
+// Guards against a run whose quorum holds the vote of a replica that took a member's address.
+#[test]
+fn a_replica_at_the_address_of_another_member_has_no_part_in_its_view() {
+    let cluster = Cluster::new();
+    let before = cluster.nodes[0].member().clone();
+    let another = journal(0);
+    let view = View {
+        number: cluster.active.number,
+        members: std::array::from_fn(|_| another.member().clone()),
+    };
+    let install = JournalRequest::Install {
+        view,
+        records: Records::default(),
+    };
+    assert_eq!(exchange(&another, install), JournalAnswer::Installed(true));
+    let vote = JournalRequest::Vote {
+        view: cluster.active.number,
+        key: RecordKey("slip".into()),
+        attempt: AttemptId(RequestId(1)),
+    };
+    let seal = JournalRequest::Seal {
+        next: cluster.active.number.next(),
+    };
+    for request in [vote, seal] {
+        let answer = exchange_with(&another, Some(before.clone()), request);
+        assert_eq!(answer, JournalAnswer::NotAddressed);
+    }
+}
--- a/crates/proto/src/datagram.rs
+++ b/crates/proto/src/datagram.rs
@@ -4,7 +4,7 @@
 
 use prost::Message as _;
 use tansyhall_core::id::check_name;
-use tansyhall_core::{Duration, EngineName, Incarnation, NodeId, ZoneName};
+use tansyhall_core::{Duration, EngineName, FleetId, Incarnation, NodeId, ZoneName};
 use tansyhall_membership::{
     BackendMark, Body, ConfigurationMark, Contact, LoadSummary, MemberAddresses, MemberRecord,
     MemberState, Message, Sender, ZoneDigest,
@@ -29,6 +29,7 @@
         incarnation: sender.incarnation.0,
         configuration_revision: sender.configuration.revision,
         confirmation_age_millis: encode_millis(sender.configuration.confirmation_age),
+        fleet: sender.fleet.0,
         body: Some(encode_body(message.body)),
         updates: message.updates.iter().map(encode_record).collect(),
         digests: message.digests.iter().map(encode_digest).collect(),
@@ -45,6 +46,7 @@
     check_length(datagram.backends.len(), "back ends")?;
     let confirmation_age = Duration::from_millis(datagram.confirmation_age_millis);
     let sender = Sender {
+        fleet: FleetId(datagram.fleet),
         name: decode_node(datagram.sender)?,
         zone: decode_zone(datagram.zone)?,
         incarnation: Incarnation(datagram.incarnation),
--- a/crates/proto/src/journal.rs
+++ b/crates/proto/src/journal.rs
@@ -48,6 +48,15 @@
     },
 }
 
+/// A request to a replica, and whom it is meant for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JournalCall {
+    /// The member; absent if whoever answers will do, or if an older build asks.
+    pub addressee: Option<Member>,
+    /// The request.
+    pub request: JournalRequest,
+}
+
 /// A replica's answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum JournalAnswer {
@@ -71,6 +80,8 @@
     Sealed(SealReply),
     /// Whether the replica votes in the view.
     Installed(bool),
+    /// The request is meant for another member, such as one that was reached at this address before.
+    NotAddressed,
 }
 
 /// Encodes an answer.
@@ -90,6 +101,7 @@
         JournalAnswer::Released => AnswerBody::Released(wire::Released {}),
         JournalAnswer::Sealed(reply) => AnswerBody::Sealed(encode_sealed(reply)),
         JournalAnswer::Installed(votes) => AnswerBody::Installed(wire::Installed { votes: *votes }),
+        JournalAnswer::NotAddressed => AnswerBody::NotAddressed(wire::NotAddressed {}),
     };
     wire::JournalAnswer { body: Some(body) }.encode_to_vec()
 }
@@ -109,11 +121,19 @@
         AnswerBody::Released(_) => JournalAnswer::Released,
         AnswerBody::Sealed(sealed) => JournalAnswer::Sealed(decode_sealed(sealed)),
         AnswerBody::Installed(installed) => JournalAnswer::Installed(installed.votes),
+        AnswerBody::NotAddressed(_) => JournalAnswer::NotAddressed,
     })
 }
 
-pub(crate) fn encode_request(request: &JournalRequest) -> wire::JournalRequest {
-    let body = match request {
+pub(crate) fn encode_call(call: &JournalCall) -> wire::JournalRequest {
+    wire::JournalRequest {
+        addressee: call.addressee.as_ref().map(encode_member),
+        body: Some(encode_request(&call.request)),
+    }
+}
+
+fn encode_request(request: &JournalRequest) -> RequestBody {
+    match request {
         JournalRequest::Identify => RequestBody::Identify(wire::Identify {}),
         JournalRequest::Vote { view, key, attempt } => RequestBody::Vote(wire::Vote {
             view: view.0,
@@ -129,12 +149,19 @@
             view: Some(encode_view(view)),
             keys: encode_keys(records),
         }),
-    };
-    wire::JournalRequest { body: Some(body) }
+    }
+}
+
+pub(crate) fn decode_call(request: wire::JournalRequest) -> Result<JournalCall, DecodeError> {
+    let body = request.body.ok_or(DecodeError::Missing("body"))?;
+    Ok(JournalCall {
+        addressee: request.addressee.map(decode_member).transpose()?,
+        request: decode_request(body)?,
+    })
 }
 
-pub(crate) fn decode_request(request: wire::JournalRequest) -> Result<JournalRequest, DecodeError> {
-    Ok(match request.body.ok_or(DecodeError::Missing("body"))? {
+fn decode_request(body: RequestBody) -> Result<JournalRequest, DecodeError> {
+    Ok(match body {
         RequestBody::Identify(_) => JournalRequest::Identify,
         RequestBody::Vote(vote) => JournalRequest::Vote {
             view: ViewNumber(vote.view),
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -16,7 +16,9 @@
 
 pub use datagram::{decode_datagram, encode_datagram, MAX_DATAGRAM_BYTES};
 pub use error::DecodeError;
-pub use journal::{decode_journal_answer, encode_journal_answer, JournalAnswer, JournalRequest};
+pub use journal::{
+    decode_journal_answer, encode_journal_answer, JournalAnswer, JournalCall, JournalRequest,
+};
 pub use pull::{decode_pull_answer, encode_pull_answer, PullAnswer};
-pub use request::{decode_request, encode_request, PeerRequest};
+pub use request::{decode_request, encode_request, PeerCall, PeerRequest};
 pub use status::{decode_status_answer, encode_status_answer, StatusAnswer, StatusQuery};
--- a/crates/proto/src/request.rs
+++ b/crates/proto/src/request.rs
@@ -1,12 +1,12 @@
 //! What one node asks of another over TCP: one request, one answer.
 
 use prost::Message as _;
-use tansyhall_core::RequestId;
+use tansyhall_core::{FleetId, RequestId};
 
 use crate::error::DecodeError;
 use crate::generated as wire;
 use crate::generated::peer_request::Body;
-use crate::journal::{self, JournalRequest};
+use crate::journal::{self, JournalCall};
 use crate::status::{self, StatusQuery};
 
 /// Bytes of a request's identifier.
@@ -21,32 +21,49 @@
         held_revision: u64,
     },
     /// A request to the replica of the at-most-once records.
-    Journal(JournalRequest),
+    Journal(JournalCall),
     /// How a caller's request stands.
     Status(StatusQuery),
 }
 
+/// A request, and the fleet of the node that asks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerCall {
+    /// The fleet.
+    pub fleet: FleetId,
+    /// The request.
+    pub request: PeerRequest,
+}
+
 /// Encodes a request.
-pub fn encode_request(request: &PeerRequest) -> Vec<u8> {
-    let body = match request {
+pub fn encode_request(call: &PeerCall) -> Vec<u8> {
+    let body = match &call.request {
         PeerRequest::Pull { held_revision } => Body::Pull(wire::PullRequest {
             held_revision: *held_revision,
         }),
-        PeerRequest::Journal(request) => Body::Journal(journal::encode_request(request)),
+        PeerRequest::Journal(call) => Body::Journal(journal::encode_call(call)),
         PeerRequest::Status(query) => Body::Status(status::encode_query(query)),
     };
-    wire::PeerRequest { body: Some(body) }.encode_to_vec()
+    let request = wire::PeerRequest {
+        fleet: call.fleet.0,
+        body: Some(body),
+    };
+    request.encode_to_vec()
 }
 
 /// Decodes a request.
-pub fn decode_request(bytes: &[u8]) -> Result<PeerRequest, DecodeError> {
-    let request = wire::PeerRequest::decode(bytes)?;
-    Ok(match request.body.ok_or(DecodeError::Missing("body"))? {
+pub fn decode_request(bytes: &[u8]) -> Result<PeerCall, DecodeError> {
+    let call = wire::PeerRequest::decode(bytes)?;
+    let request = match call.body.ok_or(DecodeError::Missing("body"))? {
         Body::Pull(pull) => PeerRequest::Pull {
             held_revision: pull.held_revision,
         },
-        Body::Journal(request) => PeerRequest::Journal(journal::decode_request(request)?),
+        Body::Journal(call) => PeerRequest::Journal(journal::decode_call(call)?),
         Body::Status(query) => PeerRequest::Status(status::decode_query(&query)?),
+    };
+    Ok(PeerCall {
+        fleet: FleetId(call.fleet),
+        request,
     })
 }
 
--- /dev/null
+++ b/crates/proto/tests/builds_before.rs
@@ -0,0 +1,68 @@
+//! Messages of a build that names neither its fleet nor the member a request is meant for.
+
+use tansyhall_core::{Duration, FleetId, Incarnation, RequestId};
+use tansyhall_journal::{AttemptId, RecordKey, ViewNumber};
+use tansyhall_membership::{Body, ConfigurationMark, Message, Sender};
+use tansyhall_proto::{
+    decode_datagram, decode_request, encode_datagram, encode_request, JournalCall, JournalRequest,
+    PeerCall, PeerRequest,
+};
+
+/// Bytes that build e4dc558 wrote.
+const VOTE: &str = "121a12180803120261621a1000000000000000000000000000000102";
+const PULL: &str = "0a020807";
+const PING: &str = "0a066e6f64652d3112086b616c696d61746918e807200728ac0252020805";
+
+fn vote() -> PeerCall {
+    let request = JournalRequest::Vote {
+        view: ViewNumber(3),
+        key: RecordKey("ab".into()),
+        attempt: AttemptId(RequestId(258)),
+    };
+    PeerCall {
+        fleet: FleetId::UNNAMED,
+        request: PeerRequest::Journal(JournalCall {
+            addressee: None,
+            request,
+        }),
+    }
+}
+
+fn pull() -> PeerCall {
+    PeerCall {
+        fleet: FleetId::UNNAMED,
+        request: PeerRequest::Pull { held_revision: 7 },
+    }
+}
+
+fn ping() -> Message {
+    Message {
+        sender: Sender {
+            fleet: FleetId::UNNAMED,
+            name: "node-1".into(),
+            zone: "kalimati".into(),
+            incarnation: Incarnation(1_000),
+            configuration: ConfigurationMark {
+                revision: 7,
+                confirmation_age: Duration::from_millis(300),
+            },
+        },
+        body: Body::Ping { sequence: 5 },
+        updates: Vec::new(),
+        digests: Vec::new(),
+        backends: Vec::new(),
+    }
+}
+
+// Guards against an upgrade during which nodes of both builds do not understand each other.
+#[test]
+fn messages_of_the_build_before_are_read_and_written_byte_for_byte() {
+    for (bytes, call) in [(VOTE, vote()), (PULL, pull())] {
+        let bytes = hex::decode(bytes).expect("hexadecimal digits");
+        assert_eq!(encode_request(&call), bytes);
+        assert_eq!(decode_request(&bytes), Ok(call));
+    }
+    let bytes = hex::decode(PING).expect("hexadecimal digits");
+    assert_eq!(encode_datagram(&ping()), bytes);
+    assert_eq!(decode_datagram(&bytes), Ok(ping()));
+}
--- a/crates/proto/tests/codec.rs
+++ b/crates/proto/tests/codec.rs
@@ -6,7 +6,7 @@
 use proptest::collection::{btree_map, vec};
 use proptest::option;
 use proptest::prelude::*;
-use tansyhall_core::{Duration, Incarnation};
+use tansyhall_core::{Duration, FleetId, Incarnation};
 use tansyhall_dissemination::{Delta, Document, PullBody, ResourceChange};
 use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_membership::{
@@ -15,7 +15,7 @@
 };
 use tansyhall_proto::{
     decode_datagram, decode_pull_answer, decode_request, encode_datagram, encode_pull_answer,
-    encode_request, DecodeError, PeerRequest, PullAnswer,
+    encode_request, DecodeError, PeerCall, PeerRequest, PullAnswer,
 };
 
 const NAME: &str = "[a-z][a-z0-9-]{0,20}";
@@ -89,8 +89,8 @@
 
 prop_compose! {
     fn message()(
-        name in NAME, zone in NAME, incarnation in any::<u64>(), revision in any::<u64>(),
-        age in any::<u32>(), body in body(),
+        fleet in any::<u64>(), name in NAME, zone in NAME, incarnation in any::<u64>(),
+        revision in any::<u64>(), age in any::<u32>(), body in body(),
         updates in vec(record(), 0..8), digests in vec(digest(), 0..3),
         backends in vec((NAME, any::<bool>(), any::<u64>()), 0..4),
     ) -> Message {
@@ -101,6 +101,7 @@
         });
         Message {
             sender: Sender {
+                fleet: FleetId(fleet),
                 name: name.as_str().into(),
                 zone: zone.as_str().into(),
                 incarnation: Incarnation(incarnation),
@@ -157,7 +158,8 @@
     #[test]
     fn a_pull_survives_encoding(held in any::<u64>(), age in any::<u32>(), body in pull_body()) {
         let request = PeerRequest::Pull { held_revision: held };
-        prop_assert_eq!(decode_request(&encode_request(&request)), Ok(request));
+        let call = PeerCall { fleet: FleetId::UNNAMED, request };
+        prop_assert_eq!(decode_request(&encode_request(&call)), Ok(call));
         let confirmation_age = Duration::from_millis(age.into());
         let answer = PullAnswer { confirmation_age, body };
         prop_assert_eq!(decode_pull_answer(&encode_pull_answer(&answer)), Ok(answer));
--- a/crates/proto/tests/requests.rs
+++ b/crates/proto/tests/requests.rs
@@ -5,15 +5,15 @@
 use proptest::collection::vec;
 use proptest::option;
 use proptest::prelude::*;
-use tansyhall_core::{Incarnation, RequestId};
+use tansyhall_core::{FleetId, Incarnation, RequestId};
 use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_journal::{
     AttemptId, Member, RecordKey, Records, SealReply, View, ViewNumber, VoteReply,
 };
 use tansyhall_proto::{
     decode_journal_answer, decode_request, decode_status_answer, encode_journal_answer,
-    encode_request, encode_status_answer, DecodeError, JournalAnswer, JournalRequest, PeerRequest,
-    StatusAnswer, StatusQuery,
+    encode_request, encode_status_answer, DecodeError, JournalAnswer, JournalCall, JournalRequest,
+    PeerCall, PeerRequest, StatusAnswer, StatusQuery,
 };
 
 fn attempt() -> impl Strategy<Value = AttemptId> {
@@ -58,17 +58,26 @@
     ]
 }
 
-fn request() -> impl Strategy<Value = PeerRequest> {
-    prop_oneof![
+fn journal_call() -> impl Strategy<Value = JournalCall> {
+    (option::of(member()), journal_request())
+        .prop_map(|(addressee, request)| JournalCall { addressee, request })
+}
+
+fn request() -> impl Strategy<Value = PeerCall> {
+    let request = prop_oneof![
         any::<u64>().prop_map(|held_revision| PeerRequest::Pull { held_revision }),
-        journal_request().prop_map(PeerRequest::Journal),
+        journal_call().prop_map(PeerRequest::Journal),
         (any::<u128>(), any::<bool>()).prop_map(|(id, may_forward)| PeerRequest::Status(
             StatusQuery {
                 request: RequestId(id),
                 may_forward,
             }
         )),
-    ]
+    ];
+    (any::<u64>(), request).prop_map(|(fleet, request)| PeerCall {
+        fleet: FleetId(fleet),
+        request,
+    })
 }
 
 fn vote() -> impl Strategy<Value = VoteReply> {
@@ -92,6 +101,7 @@
         records().prop_map(|records| JournalAnswer::Sealed(SealReply::Sealed(records))),
         Just(JournalAnswer::Sealed(SealReply::NotMember)),
         any::<bool>().prop_map(JournalAnswer::Installed),
+        Just(JournalAnswer::NotAddressed),
     ]
 }
 
--- a/crates/testing/src/fleet.rs
+++ b/crates/testing/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Several nodes as separate processes that know each other.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use tempfile::TempDir;
 
@@ -27,15 +28,21 @@
 
 /// A platform stand-in and nodes. Every node knows the first two as contacts.
 pub struct Fleet {
+    /// Its name, which no other fleet of a test has.
+    name: String,
+    /// The nodes, by index. They end before the platform: its port may be another process's at once,
+    /// which would get their calls.
+    pub nodes: Vec<NodeProcess>,
     /// The platform.
     pub platform: Standin,
-    /// The nodes, by index.
-    pub nodes: Vec<NodeProcess>,
     directory: TempDir,
     peers: Vec<SocketAddr>,
     plans: Vec<NodePlan>,
 }
 
+/// Fleets started so far by this process.
+static FLEETS: AtomicU32 = AtomicU32::new(0);
+
 /// Nodes that each node is told of.
 const SEEDS: usize = 2;
 
@@ -52,11 +59,20 @@
 
     /// Starts nodes and waits until those of each zone know each other.
     pub async fn start_planned(platform: Standin, plans: Vec<NodePlan>) -> Self {
+        let peers = plans.iter().map(|_| free_peer_address()).collect();
+        Self::start_at(platform, plans, peers).await
+    }
+
+    /// Starts nodes that others reach at these addresses, one for each plan, and waits until those
+    /// of each zone know each other.
+    pub async fn start_at(platform: Standin, plans: Vec<NodePlan>, peers: Vec<SocketAddr>) -> Self {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let mut fleet = Self {
+            name: format!("fleet-{}-{number}", std::process::id()),
             platform,
             nodes: Vec::new(),
             directory: tempfile::tempdir().expect("a directory"),
-            peers: plans.iter().map(|_| free_peer_address()).collect(),
+            peers,
             plans,
         };
         for index in 0..fleet.plans.len() {
@@ -76,7 +92,8 @@
         let name = format!("node-{index}");
         let seeds = &self.peers[..SEEDS.min(self.peers.len())];
         let NodePlan { zone, platform } = self.plans[index];
-        let settings = peer_node_settings(&name, zone, platform, self.peers[index], seeds);
+        let peers = self.peers[index];
+        let settings = peer_node_settings(&self.name, &name, zone, platform, peers, seeds);
         node(self.directory.path(), &name, &settings)
     }
 
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -190,8 +190,9 @@
     }
 }
 
-/// Settings of a node that talks with others at `peers` and knows `seeds`, in TOML.
+/// Settings of a node of `fleet` that talks with others at `peers` and knows `seeds`, in TOML.
 pub fn peer_node_settings(
+    fleet: &str,
     name: &str,
     zone: &str,
     platform: SocketAddr,
@@ -201,7 +202,9 @@
     let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
     let settings = node_settings(name, zone, platform);
     let settings = settings.replace("peers = '127.0.0.1:0'", &format!("peers = '{peers}'"));
-    format!("seeds = {seeds:?}\n{settings}\n[peer_limits]\nprobe_period = '200ms'\n")
+    format!(
+        "fleet = '{fleet}'\nseeds = {seeds:?}\n{settings}\n[peer_limits]\nprobe_period = '200ms'\n"
+    )
 }
 
 /// All metrics of a process as text; none if it does not answer.
