Gateways that start together do not each take the whole budget of repeats

Cause: gateways that start together read the store before any of them has announced itself. Each found none announced, counted one, and held half of the fixed number for 0.65 s. An empty list was taken for the whole list.

Ruled out: counting on the assumed number for three seconds (tried earlier: callers of a single gateway with silent connections wait until their deadline).

Change: the announced gateways count once the copy of the store holds the gateway's own announcement, until then the larger of what is announced and what was assumed.

Why it holds: the store orders announcements, so a copy with one's own holds all earlier ones; those of gateways that start together come within the pause after the first read.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -1,6 +1,7 @@
 //! Gateways as separate processes, with the settings that the deployed template renders, against
 //! stand-ins of the users' platform.
 
+mod budget;
 mod caches;
 mod deadly_requests;
 mod leaving_and_resting;
--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -10,7 +10,7 @@
 use serde_json::{json, Value};
 use tansyhall_platform_standin::{
     Behaviour, Deadly, GatewayFields, MortalWorker, Operations, Operator, RoutePlan, ScalingPlan,
-    Store, StoreDoor, TenantPlan, Worker, WorkerLife, WorkerPlan,
+    Store, StoreDoor, StoreFault, TenantPlan, Worker, WorkerLife, WorkerPlan,
 };
 use tansyhall_testing::{
     eventually, free_peer_address, gateway, get_metric, GatewayAddresses, GatewayProcess, Link,
@@ -188,8 +188,18 @@
         self.start_gateway(self.gateways.len());
     }
 
+    /// Starts one more gateway, whose door of the store has this fault from the start.
+    pub fn add_gateway_with(&mut self, fault: StoreFault) {
+        self.start_gateway_with(self.gateways.len(), fault);
+    }
+
     fn start_gateway(&mut self, number: usize) {
+        self.start_gateway_with(number, StoreFault::None);
+    }
+
+    fn start_gateway_with(&mut self, number: usize, fault: StoreFault) {
         let door = self.store.open_door().expect("a free port");
+        door.set_fault(fault);
         let addresses = GatewayAddresses::free();
         let name = format!("gateway-{number}");
         let store = self.way_to_store(&door);
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -49,6 +49,12 @@
     format!("{PREFIX}{name}")
 }
 
+/// Whether the copy of the store holds this gateway's announcement, and so all that were made before it.
+pub fn is_announced(shared: &Shared) -> bool {
+    let key = key(&shared.settings.read().node.name);
+    shared.mirror.lock().get(&key).is_some()
+}
+
 /// The gateways in a copy of the store.
 pub fn members(mirror: &Mirror) -> Vec<Member> {
     mirror
--- a/crates/gateway/src/store_copy.rs
+++ b/crates/gateway/src/store_copy.rs
@@ -72,7 +72,10 @@
     let contact = &shared.store_contact;
     let was_restored = contact.was_restored_within(shared.now(), presence::REANNOUNCED_WITHIN);
     let known = shared.gateways.load(Ordering::Relaxed);
-    let sharing = sharing_gateways(announced, known, shared.is_stopping() || was_restored);
+    // Gateways that start together find none announced; each would take the whole budget.
+    let is_unannounced = !presence::is_announced(shared);
+    let may_be_missing = shared.is_stopping() || was_restored || is_unannounced;
+    let sharing = sharing_gateways(announced, known, may_be_missing);
     shared.gateways.store(sharing, Ordering::Relaxed);
     shared.retries.lock().set_gateways(sharing as u32);
     shared.metrics.gateways.set(announced as i64);
