A restored store does not take the views of the at-most-once records back

What callers saw (the product's own interface): after the store came back from a copy older than the present view, each request with an idempotency key was refused 503 may-have-run at nodes that started later, for ever; a key could run twice.

Cause: a view was known by its number. A restored store names an older view, in which no replica votes any more, and gives numbers out again: two views of one number have quorums that share no member.

Change: a node that uses a newer view than the store names writes it back. Replicas refuse another view of the number in which they vote; votes name the view by a digest; a view that is refused is prepared anew under the next number; seals name the view that is followed, so that numbers may be passed over. Older builds' requests bear no digest and are answered as before.

Why it holds: a view is used by nodes that have read it in the store, so one of them writes it back; should none of them live, its replicas still refuse what has its number. Not covered: a view that only a frozen node used.

--- a/crates/journal/src/change.rs
+++ b/crates/journal/src/change.rs
@@ -31,7 +31,7 @@
 }
 
 impl ViewChange {
-    /// A change between two views that follow each other.
+    /// A change between two views, of which the second has a higher number.
     pub fn new(active: View, next: View) -> Self {
         Self {
             active,
@@ -42,6 +42,11 @@
         }
     }
 
+    /// The view that is changed from.
+    pub fn active(&self) -> &View {
+        &self.active
+    }
+
     /// The view that is changed to.
     pub fn next(&self) -> &View {
         &self.next
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -17,4 +17,4 @@
 pub use change::{ChangeStep, ViewChange};
 pub use record::{AttemptId, RecordKey, RecordState, Records};
 pub use replica::{Replica, ReplicaLimits, SealReply, VoteReply};
-pub use view::{Member, View, ViewNumber, QUORUM, VIEW_SIZE};
+pub use view::{Member, View, ViewDigest, ViewNumber, QUORUM, VIEW_SIZE};
--- a/crates/journal/src/replica.rs
+++ b/crates/journal/src/replica.rs
@@ -6,7 +6,7 @@
 use tansyhall_core::{Duration, Timestamp};
 
 use crate::record::{AttemptId, Record, RecordKey, RecordState, RecordTable, Records};
-use crate::view::{Member, View, ViewNumber};
+use crate::view::{Member, View, ViewDigest, ViewNumber};
 
 /// Bounds of a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,7 +44,7 @@
 pub struct Replica {
     member: Member,
     limits: ReplicaLimits,
-    voting: Option<ViewNumber>,
+    voting: Option<View>,
     sealed_by: Option<ViewNumber>,
     records: RecordTable,
 }
@@ -115,10 +115,15 @@
         }
     }
 
-    /// Seals the replica for the view `next`.
-    pub fn seal(&mut self, now: Timestamp, next: ViewNumber) -> SealReply {
-        let was_member = self.voting.is_some_and(|voting| voting.next() >= next);
-        if !was_member {
+    /// Whether it votes in the view with this digest, be it sealed or not.
+    pub fn is_of(&self, digest: ViewDigest) -> bool {
+        let voting = self.voting.as_ref();
+        voting.is_some_and(|voting| voting.digest() == digest)
+    }
+
+    /// Seals the replica for the view `next`, which is to follow `active`.
+    pub fn seal(&mut self, now: Timestamp, active: ViewNumber, next: ViewNumber) -> SealReply {
+        if self.voting_number() < Some(active) {
             return SealReply::NotMember;
         }
         self.sealed_by = self.sealed_by.max(Some(next));
@@ -127,23 +132,28 @@
     }
 
     /// Makes the replica a voting member of a view, with the records of the one before; returns
-    /// whether it votes in it now. Repeating it changes nothing.
+    /// whether it votes in it now. Repeating it changes nothing. Another view of the same number is refused:
+    /// quorums of the two need not share a member.
     pub fn install(&mut self, now: Timestamp, view: &View, records: &Records) -> bool {
         if !view.has(&self.member) {
             return false;
         }
-        if self.voting < Some(view.number) {
-            self.voting = Some(view.number);
+        if self.voting_number() < Some(view.number) {
+            self.voting = Some(view.clone());
             self.records.clear();
             for key in &records.0 {
                 self.record(now, key.clone(), RecordState::Closed);
             }
         }
-        self.voting == Some(view.number)
+        self.voting.as_ref() == Some(view)
+    }
+
+    fn voting_number(&self) -> Option<ViewNumber> {
+        self.voting.as_ref().map(|voting| voting.number)
     }
 
     fn votes_in(&self, view: ViewNumber) -> bool {
-        self.voting == Some(view) && self.sealed_by <= Some(view)
+        self.voting_number() == Some(view) && self.sealed_by <= Some(view)
     }
 
     fn record(&mut self, now: Timestamp, key: RecordKey, state: RecordState) {
--- a/crates/journal/src/view.rs
+++ b/crates/journal/src/view.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 use tansyhall_core::{Incarnation, NodeId};
+use xxhash_rust::xxh3::Xxh3;
 
 /// Members of a view.
 pub const VIEW_SIZE: usize = 3;
@@ -39,7 +40,22 @@
     pub members: [Member; VIEW_SIZE],
 }
 
+/// Tells views of one number apart: a store that was restored gives numbers out again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ViewDigest(pub u64);
+
 impl View {
+    /// The digest of its number and members.
+    pub fn digest(&self) -> ViewDigest {
+        let mut digest = Xxh3::new();
+        digest.update(&self.number.0.to_le_bytes());
+        for member in &self.members {
+            digest.update(&member.incarnation.0.to_le_bytes());
+            digest.update(member.node.as_ref());
+        }
+        ViewDigest(digest.digest())
+    }
+
     /// Whether this incarnation of this node is a member.
     pub fn has(&self, member: &Member) -> bool {
         self.members.contains(member)
--- a/crates/journal/tests/counterexamples.rs
+++ b/crates/journal/tests/counterexamples.rs
@@ -53,7 +53,7 @@
 }
 
 fn sealed(replica: &mut Replica) -> Records {
-    match replica.seal(now(), TWO) {
+    match replica.seal(now(), ONE, TWO) {
         SealReply::Sealed(records) => records,
         SealReply::NotMember => panic!("a member is sealed"),
     }
@@ -90,7 +90,7 @@
     let (_, first) = zone();
     let mut restarted = start(1, 2);
     assert_eq!(vote(&mut restarted, ONE, SECOND), VoteReply::NotVoting);
-    assert_eq!(restarted.seal(now(), TWO), SealReply::NotMember);
+    assert_eq!(restarted.seal(now(), ONE, TWO), SealReply::NotMember);
     assert!(!restarted.install(now(), &first, &Records::default()));
 }
 
--- a/crates/journal/tests/journal_machine.rs
+++ b/crates/journal/tests/journal_machine.rs
@@ -184,7 +184,7 @@
             }
             _ if matches!(message, Message::QuestionLost) => {}
             ChangeStep::Seal => {
-                let reply = replica.seal(now(), change.next().number);
+                let reply = replica.seal(now(), change.active().number, change.next().number);
                 if answered {
                     change.seal_reply(replica.member(), reply);
                 }
--- a/crates/node/src/at_most_once/keeper.rs
+++ b/crates/node/src/at_most_once/keeper.rs
@@ -65,6 +65,9 @@
 
     async fn round(&mut self) -> Result<(), StoreError> {
         let stored = StoredViews::read(&self.store).await?;
+        if let Some(lost) = self.lost_view(&stored.record) {
+            return self.write_back(&stored, lost).await;
+        }
         self.follow(&stored.record);
         if !self.node.peers.follows_store() || self.node.is_stopping() {
             return Ok(());
@@ -91,6 +94,34 @@
         log::info!("at-most-once records: view {number} of {names}");
     }
 
+    /// The view in use here, if the store's is older: the store was restored from a copy that does not have it.
+    fn lost_view(&self, record: &ViewRecord) -> Option<Arc<PlacedView>> {
+        let stored = record.active.as_ref()?;
+        self.node
+            .journal
+            .view()
+            .filter(|held| held.number > stored.number)
+    }
+
+    /// Makes a view that a restored store has lost the active one again: its replicas hold what tries have recorded.
+    async fn write_back(
+        &self,
+        stored: &StoredViews,
+        lost: Arc<PlacedView>,
+    ) -> Result<(), StoreError> {
+        let record = ViewRecord {
+            active: Some(PlacedView::clone(&lost)),
+            prepared: None,
+        };
+        if stored.replace(&self.store, &record).await? {
+            let number = lost.number.0;
+            log::warn!(
+                "at-most-once records: the store had lost view {number}; it is written back"
+            );
+        }
+        Ok(())
+    }
+
     /// Prepares the first view. Its number follows the store's revision, so that it is above that of any
     /// view whose record an operator has removed.
     async fn begin(&self, stored: &StoredViews) -> Result<(), StoreError> {
@@ -177,6 +208,8 @@
         let Some(members) = choose(&self.node, keep).await else {
             return Ok(());
         };
+        let held = self.node.journal.view().map(|view| view.number.next());
+        let number = held.map_or(number, |least| number.max(least));
         let record = ViewRecord {
             active: active.cloned(),
             prepared: Some(PlacedView { number, members }),
@@ -193,21 +226,30 @@
     ) -> Result<(), StoreError> {
         let mut change = ViewChange::new(active.view(), next.view());
         self.seal(&mut change, active).await;
+        let mut is_refused = false;
         if let ChangeStep::Install(records) = change.step() {
-            self.install(&mut change, next, records).await;
+            is_refused = self.install(&mut change, next, records).await;
         }
         if change.step() == ChangeStep::Activate {
             return self.activate(stored, next).await;
         }
+        if is_refused {
+            let present = self.present(active).await;
+            let number = next.number.next();
+            return self.prepare(stored, Some(active), number, present).await;
+        }
         Ok(())
     }
 
     async fn seal(&self, change: &mut ViewChange, active: &PlacedView) {
-        let next = change.next().number;
+        let request = JournalRequest::Seal {
+            active: change.active().number,
+            next: change.next().number,
+        };
         let seals = active
             .members
             .iter()
-            .map(|member| ask_member(&self.node, member, JournalRequest::Seal { next }));
+            .map(|member| ask_member(&self.node, member, request.clone()));
         let answers = join_all(seals).await;
         for (placed, answer) in active.members.iter().zip(answers) {
             if let Ok(JournalAnswer::Sealed(reply)) = answer {
@@ -216,7 +258,9 @@
         }
     }
 
-    async fn install(&self, change: &mut ViewChange, next: &PlacedView, records: Records) {
+    /// Installs the next view; returns whether a replica refused it, as one does that votes in a later view, or in
+    /// another one of that number.
+    async fn install(&self, change: &mut ViewChange, next: &PlacedView, records: Records) -> bool {
         let installs = next.members.iter().map(|member| {
             let request = JournalRequest::Install {
                 view: next.view(),
@@ -225,11 +269,15 @@
             ask_member(&self.node, member, request)
         });
         let answers = join_all(installs).await;
+        let mut is_refused = false;
         for (placed, answer) in next.members.iter().zip(answers) {
-            if let Ok(JournalAnswer::Installed(true)) = answer {
-                change.installed(&placed.member);
+            match answer {
+                Ok(JournalAnswer::Installed(true)) => change.installed(&placed.member),
+                Ok(JournalAnswer::Installed(false)) => is_refused = true,
+                Ok(_) | Err(_) => {}
             }
         }
+        is_refused
     }
 
     async fn activate(&self, stored: &StoredViews, view: &PlacedView) -> Result<(), StoreError> {
--- a/crates/node/src/at_most_once/replica.rs
+++ b/crates/node/src/at_most_once/replica.rs
@@ -48,9 +48,12 @@
         self.view.load_full()
     }
 
-    /// Uses a view from now on, unless it is older than the one in use; returns whether it is new.
+    /// Uses a view from now on, unless it is older than the one in use; returns whether it is new. Of two views
+    /// of one number, the store's counts.
     pub(super) fn use_view(&self, view: &PlacedView) -> bool {
-        let is_new = self.view().is_none_or(|held| held.number < view.number);
+        let is_new = self
+            .view()
+            .is_none_or(|held| held.number <= view.number && *held != *view);
         if is_new {
             self.view.store(Some(Arc::new(view.clone())));
         }
@@ -85,8 +88,17 @@
                 member: self.member.clone(),
                 is_stopping,
             },
-            JournalRequest::Vote { view, key, attempt } => {
-                let reply = replica.vote(now, view, &key, attempt);
+            JournalRequest::Vote {
+                view,
+                digest,
+                key,
+                attempt,
+            } => {
+                let is_of_view = digest.is_none_or(|digest| replica.is_of(digest));
+                let reply = match is_of_view {
+                    true => replica.vote(now, view, &key, attempt),
+                    false => VoteReply::NotVoting,
+                };
                 let is_taken = reply == VoteReply::Taken;
                 JournalAnswer::Voted {
                     reply,
@@ -97,7 +109,9 @@
                 replica.release(&key, attempt);
                 JournalAnswer::Released
             }
-            JournalRequest::Seal { next } => JournalAnswer::Sealed(replica.seal(now, next)),
+            JournalRequest::Seal { active, next } => {
+                JournalAnswer::Sealed(replica.seal(now, active, next))
+            }
             JournalRequest::Install { view, records } => {
                 JournalAnswer::Installed(replica.install(now, &view, &records))
             }
--- a/crates/node/src/at_most_once/tries.rs
+++ b/crates/node/src/at_most_once/tries.rs
@@ -121,6 +121,7 @@
     async fn vote<'a>(&self, node: &Arc<Node>, voter: &'a PlacedMember) -> Vote<'a> {
         let request = JournalRequest::Vote {
             view: self.view.number,
+            digest: Some(self.view.view().digest()),
             key: self.key.clone(),
             attempt: self.id,
         };
--- a/crates/node/tests/at_most_once_messages.rs
+++ b/crates/node/tests/at_most_once_messages.rs
@@ -149,6 +149,7 @@
         attempt.view_changed(self.active.clone());
         let request = JournalRequest::Vote {
             view: attempt.view(),
+            digest: Some(self.active.digest()),
             key: attempt.key().clone(),
             attempt: attempt.id(),
         };
@@ -209,6 +210,7 @@
                     records: records.clone(),
                 },
                 ChangeStep::Seal | ChangeStep::Activate => JournalRequest::Seal {
+                    active: change.active().number,
                     next: change.next().number,
                 },
             };
@@ -262,10 +264,12 @@
     assert_eq!(exchange(&another, install), JournalAnswer::Installed(true));
     let vote = JournalRequest::Vote {
         view: cluster.active.number,
+        digest: None,
         key: RecordKey("slip".into()),
         attempt: AttemptId(RequestId(1)),
     };
     let seal = JournalRequest::Seal {
+        active: cluster.active.number,
         next: cluster.active.number.next(),
     };
     for request in [vote, seal] {
--- a/crates/proto/src/journal.rs
+++ b/crates/proto/src/journal.rs
@@ -3,7 +3,7 @@
 use prost::Message as _;
 use tansyhall_core::Incarnation;
 use tansyhall_journal::{
-    AttemptId, Member, RecordKey, Records, SealReply, View, ViewNumber, VoteReply,
+    AttemptId, Member, RecordKey, Records, SealReply, View, ViewDigest, ViewNumber, VoteReply,
 };
 
 use crate::datagram::decode_node;
@@ -22,6 +22,8 @@
     Vote {
         /// The view in which the vote counts.
         view: ViewNumber,
+        /// Tells it apart from another view of that number; absent if an older build asks.
+        digest: Option<ViewDigest>,
         /// The key.
         key: RecordKey,
         /// The try.
@@ -34,9 +36,11 @@
         /// The try.
         attempt: AttemptId,
     },
-    /// The replica votes no more in views before this one.
+    /// The replica votes no more in views before `next`.
     Seal {
-        /// The view.
+        /// The view that is active.
+        active: ViewNumber,
+        /// The view that is to follow it.
         next: ViewNumber,
     },
     /// The replica votes in this view from now on.
@@ -135,8 +139,14 @@
 fn encode_request(request: &JournalRequest) -> RequestBody {
     match request {
         JournalRequest::Identify => RequestBody::Identify(wire::Identify {}),
-        JournalRequest::Vote { view, key, attempt } => RequestBody::Vote(wire::Vote {
+        JournalRequest::Vote {
+            view,
+            digest,
+            key,
+            attempt,
+        } => RequestBody::Vote(wire::Vote {
             view: view.0,
+            view_digest: digest.map_or(0, |digest| digest.0),
             key: key.0.clone(),
             attempt: encode_id(attempt.0),
         }),
@@ -144,7 +154,10 @@
             key: key.0.clone(),
             attempt: encode_id(attempt.0),
         }),
-        JournalRequest::Seal { next } => RequestBody::Seal(wire::Seal { next: next.0 }),
+        JournalRequest::Seal { active, next } => RequestBody::Seal(wire::Seal {
+            next: next.0,
+            active: active.0,
+        }),
         JournalRequest::Install { view, records } => RequestBody::Install(wire::Install {
             view: Some(encode_view(view)),
             keys: encode_keys(records),
@@ -165,6 +178,7 @@
         RequestBody::Identify(_) => JournalRequest::Identify,
         RequestBody::Vote(vote) => JournalRequest::Vote {
             view: ViewNumber(vote.view),
+            digest: (vote.view_digest != 0).then_some(ViewDigest(vote.view_digest)),
             key: RecordKey(vote.key),
             attempt: decode_attempt(&vote.attempt)?,
         },
@@ -173,6 +187,10 @@
             attempt: decode_attempt(&release.attempt)?,
         },
         RequestBody::Seal(seal) => JournalRequest::Seal {
+            active: ViewNumber(match seal.active {
+                0 => seal.next.saturating_sub(1),
+                active => active,
+            }),
             next: ViewNumber(seal.next),
         },
         RequestBody::Install(install) => JournalRequest::Install {
--- a/crates/proto/tests/builds_before.rs
+++ b/crates/proto/tests/builds_before.rs
@@ -16,6 +16,7 @@
 fn vote() -> PeerCall {
     let request = JournalRequest::Vote {
         view: ViewNumber(3),
+        digest: None,
         key: RecordKey("ab".into()),
         attempt: AttemptId(RequestId(258)),
     };
--- a/crates/proto/tests/requests.rs
+++ b/crates/proto/tests/requests.rs
@@ -8,7 +8,7 @@
 use tansyhall_core::{FleetId, Incarnation, RequestId};
 use tansyhall_fixed_cases::fixed_cases;
 use tansyhall_journal::{
-    AttemptId, Member, RecordKey, Records, SealReply, View, ViewNumber, VoteReply,
+    AttemptId, Member, RecordKey, Records, SealReply, View, ViewDigest, ViewNumber, VoteReply,
 };
 use tansyhall_proto::{
     decode_journal_answer, decode_request, decode_status_answer, encode_journal_answer,
@@ -45,14 +45,18 @@
 fn journal_request() -> impl Strategy<Value = JournalRequest> {
     prop_oneof![
         Just(JournalRequest::Identify),
-        (any::<u64>(), key(), attempt()).prop_map(|(view, key, attempt)| JournalRequest::Vote {
-            view: ViewNumber(view),
-            key,
-            attempt,
-        }),
+        (any::<u64>(), option::of(1..=u64::MAX), key(), attempt()).prop_map(
+            |(view, digest, key, attempt)| JournalRequest::Vote {
+                view: ViewNumber(view),
+                digest: digest.map(ViewDigest),
+                key,
+                attempt,
+            }
+        ),
         (key(), attempt()).prop_map(|(key, attempt)| JournalRequest::Release { key, attempt }),
-        any::<u64>().prop_map(|next| JournalRequest::Seal {
-            next: ViewNumber(next)
+        (1..=u64::MAX, any::<u64>()).prop_map(|(active, next)| JournalRequest::Seal {
+            active: ViewNumber(active),
+            next: ViewNumber(next),
         }),
         (view(), records()).prop_map(|(view, records)| JournalRequest::Install { view, records }),
     ]
--- a/crates/soak/src/journal.rs
+++ b/crates/soak/src/journal.rs
@@ -205,7 +205,7 @@
             let member = replica.member().clone();
             match &step {
                 ChangeStep::Seal => {
-                    let reply = replica.seal(now, change.next().number);
+                    let reply = replica.seal(now, change.active().number, change.next().number);
                     change.seal_reply(&member, reply);
                 }
                 ChangeStep::Install(records) if replica.install(now, change.next(), records) => {
--- a/crates/standin/src/platform/keyspace.rs
+++ b/crates/standin/src/platform/keyspace.rs
@@ -66,7 +66,7 @@
 }
 
 /// The whole key space.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Keyspace {
     keys: BTreeMap<Vec<u8>, Stored>,
     leases: HashMap<i64, Lease>,
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's stand-in: a key-value service behind the etcd v3 JSON gateway, and the list of
 //! machines.
 
+mod backup;
 mod faults;
 mod gateway;
 mod keyspace;
@@ -21,6 +22,7 @@
 /// State shared by the stand-in's handlers.
 pub struct Platform {
     keyspace: Mutex<Keyspace>,
+    backup: Mutex<Option<Keyspace>>,
     faults: Mutex<Faults>,
     machines: Mutex<machines::Machines>,
     changed: watch::Sender<u64>,
@@ -31,6 +33,7 @@
     fn default() -> Self {
         Self {
             keyspace: Mutex::new(Keyspace::default()),
+            backup: Mutex::new(None),
             faults: Mutex::new(Faults::default()),
             machines: Mutex::new(machines::Machines::default()),
             changed: watch::Sender::new(0),
@@ -75,6 +78,7 @@
             .configure(gateway::routes)
             .configure(machines::routes)
             .configure(faults::routes)
+            .configure(backup::routes)
     });
     Ok(server.workers(1).disable_signals().listen(listener)?.run())
 }
--- a/crates/testing/src/fleet.rs
+++ b/crates/testing/src/fleet.rs
@@ -143,6 +143,22 @@
         assert!(answer.expect("an answer").status().is_success());
     }
 
+    /// Copies what the platform stand-in's store holds.
+    pub async fn back_up_store(&self) {
+        self.command_platform("backup").await;
+    }
+
+    /// Returns the platform stand-in's store to its copy: what was written since is gone.
+    pub async fn restore_store(&self) {
+        self.command_platform("restore").await;
+    }
+
+    async fn command_platform(&self, command: &str) {
+        let url = format!("http://{}/standin/{command}", self.platform.address);
+        let answer = awc::Client::default().post(url).send().await;
+        assert!(answer.expect("an answer").status().is_success());
+    }
+
     /// Replaces the platform stand-in's list of machines; it shows after the stand-in's lag.
     pub async fn list_machines(&self, machines: serde_json::Value) {
         let url = format!("http://{}/standin/machines", self.platform.address);
