A node without a configuration tells callers to come back, not that nobody serves them

What callers saw (the product's own interface): 404 not-run, "no application serves this path" or "no pool loads the model", from a node that had started a moment before. 404 is final: they do not come back.

Cause: the empty configuration that a node starts with was taken for one that serves nothing. Found by the test of a restored store, which asked a node right after its restart.

Change: 503, not-run and Retry-After of 1 s until a configuration is in force.

Why it holds: every request for a completion or an application passes the check before it looks anything up.

--- a/crates/cli/tests/configuration_spread.rs
+++ b/crates/cli/tests/configuration_spread.rs
@@ -25,6 +25,20 @@
     get_metric(fleet.admin(index), name).await.unwrap_or(0.0)
 }
 
+// Guards against callers who are told by a node that has just started that nobody serves what they ask for.
+async fn assert_refused_for_now(fleet: &Fleet) {
+    let completion = json!({ "model": "base", "prompt": "x" });
+    for (path, body) in [("/v1/completions", completion), ("/stock/slip", json!({}))] {
+        let url = format!("http://{}{path}", fleet.nodes[0].callers);
+        let answer = awc::Client::default().post(url).send_json(&body).await;
+        let answer = answer.expect("an answer");
+        let verdict = answer.headers().get("tansyhall-verdict");
+        assert_eq!(answer.status(), 503, "{path}");
+        assert_eq!(verdict.expect("a verdict"), "not-run", "{path}");
+        assert!(answer.headers().contains_key("retry-after"), "{path}");
+    }
+}
+
 /// Applies a site and returns the revision that every node then has in force.
 async fn apply_everywhere(fleet: &Fleet, name: &str) -> u64 {
     let before = fleet.revision(0).await.unwrap_or(0);
@@ -113,6 +127,7 @@
     let url = format!("http://{}/health/ready", fleet.admin(0));
     let ready = awc::Client::default().get(url).send().await;
     assert_eq!(ready.expect("an answer").status(), 503);
+    assert_refused_for_now(&fleet).await;
     fleet.set_faults(json!({})).await;
     fleet.await_revision(0, 1).await;
 }
--- a/crates/node/src/callers/admit.rs
+++ b/crates/node/src/callers/admit.rs
@@ -2,6 +2,7 @@
 //! class, the node's limits, and for a request that is not repeatable, permission to run.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_rt::time::timeout;
 use actix_web::http::StatusCode;
@@ -24,6 +25,23 @@
 use crate::limits::{tenant_of, Admission, Refusal, Variant};
 use crate::state::Node;
 
+/// When to come back to a node that has no configuration yet.
+const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Refuses a request while no configuration is in force: whether it could be served is not known yet.
+pub fn require_configuration(node: &Node) -> Result<(), Failure> {
+    if node.in_force.load().configuration.revision > 0 {
+        return Ok(());
+    }
+    let refused = &node.metrics.refused;
+    refused.with_label_values(&["no-configuration"]).inc();
+    Err(Failure::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "this node has no configuration in force yet",
+        UNCONFIGURED_RETRY_AFTER,
+    ))
+}
+
 /// Reads a completion request's body, within the node's limits on size and time.
 pub async fn read_body(node: &Node, payload: web::Payload) -> Result<Bytes, Failure> {
     let limits = &node.settings.limits;
--- a/crates/node/src/callers/application.rs
+++ b/crates/node/src/callers/application.rs
@@ -21,7 +21,9 @@
 use tansyhall_core::{EngineName, ServiceName, TenantName, Verdict};
 use tansyhall_engine::transport::{connector, never_sent};
 
-use super::admit::{admit, arrive, end_refused, options, refused, tenant, terms, Terms};
+use super::admit::{
+    admit, arrive, end_refused, options, refused, require_configuration, tenant, terms, Terms,
+};
 use super::driver::InProgress;
 use super::failure::{answer_with, Failure};
 use super::replay::ReplayableBody;
@@ -78,6 +80,7 @@
     payload: web::Payload,
     record: &Arc<RequestRecord>,
 ) -> Result<HttpResponse, Failure> {
+    require_configuration(node)?;
     let options = options(node, http)?;
     let service = service_of_path(node, http.path())?;
     let tenant = tenant(node, http, &service)?;
--- a/crates/node/src/callers/completion.rs
+++ b/crates/node/src/callers/completion.rs
@@ -14,7 +14,9 @@
 use tansyhall_engine::EngineClient;
 use tokio::sync::{mpsc, oneshot};
 
-use super::admit::{admit, arrive, completion_terms, decode, end_refused, options, read_body};
+use super::admit::{
+    admit, arrive, completion_terms, decode, end_refused, options, read_body, require_configuration,
+};
 use super::attempt::{Execution, Plan};
 use super::driver::{collect, drive, Delivery, InProgress};
 use super::failure::{answer_with, Failure, REQUEST_ID_HEADER};
@@ -72,6 +74,7 @@
     payload: web::Payload,
     record: &Arc<RequestRecord>,
 ) -> Result<Answer, Failure> {
+    require_configuration(node)?;
     let options = options(node, http)?;
     let body = read_body(node, payload).await?;
     let request = decode(node, &body)?;
