A change after the store was restored comes into force: configurations have a revision that does not go back

What operators saw (the product's own interface): changes were accepted and never in force after the store came back from an older copy, until its revisions had passed those that nodes had heard of.

Cause: a configuration's revision was the store's, which a restored store gives out again; nodes pass over what is not newer.

Change: the head names the least revision that its configuration counts as, above the one that the changing node holds. A change that changes nothing in an older store is made all the same, as nodes have something else in force. Heads of older builds name none; older builds pass over the field.

Ruled out: writing until the store's revisions have caught up (one call for each revision lost).

Why it holds: revisions that are heard come from nodes that hold them; the next one is above that of the node that changes, which has heard of the newest within the gossip's second. Not covered: a change through a node that has not.

--- a/crates/cli/tests/restored_store_of_nodes.rs
+++ b/crates/cli/tests/restored_store_of_nodes.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use application_cluster::{Cluster, AT_ONCE};
+use tansyhall_testing::Fleet;
 
 const SIZE: usize = 5;
+const NODES: usize = 3;
+const CHANGES_LOST: usize = 10;
 const MOST_TRIES: usize = 200;
 const BETWEEN_TRIES: Duration = Duration::from_millis(50);
 
@@ -46,3 +49,32 @@
         assert_eq!(again.status, 409, "{again:?}");
     }
 }
+
+async fn apply_and_wait(fleet: &Fleet, name: &str) -> u64 {
+    let before = fleet.revision(0).await.unwrap_or(0);
+    fleet.apply_site(0, name);
+    fleet.await_revision(0, before + 1).await;
+    fleet.revision(0).await.expect("a revision")
+}
+
+// Guards against changes that are accepted and never in force, as the restored store gives them revisions that nodes have
+// heard of.
+#[actix_rt::test]
+async fn a_change_that_is_made_after_the_store_was_restored_comes_into_force() {
+    let fleet = Fleet::start(NODES).await;
+    apply_and_wait(&fleet, "valley").await;
+    fleet.back_up_store().await;
+    let mut newest = 0;
+    for number in 0..CHANGES_LOST {
+        newest = apply_and_wait(&fleet, &format!("lost-{number}")).await;
+    }
+    fleet.restore_store().await;
+    for name in ["hills", "lakes"] {
+        let revision = apply_and_wait(&fleet, name).await;
+        assert!(revision > newest);
+        newest = revision;
+        for index in 0..NODES {
+            fleet.await_revision(index, revision).await;
+        }
+    }
+}
--- a/crates/node/src/admin/changes.rs
+++ b/crates/node/src/admin/changes.rs
@@ -141,7 +141,8 @@
             effects: effects.collect(),
         }));
     }
-    let outcome = store.change(&author, &changes).await;
+    let held_revision = node.held.lock().revision();
+    let outcome = store.change(&author, &changes, held_revision).await;
     count(node, outcome.as_ref().map(|_| ()));
     let committed = outcome?;
     if committed.changed > 0 {
@@ -191,7 +192,7 @@
         visible.then_some(VersionedResource { revision, resource })
     });
     Ok(HttpResponse::Ok().json(ConfigurationAnswer {
-        revision: configuration.revision,
+        revision: snapshot.store_revision().0,
         items: resources.collect(),
     }))
 }
--- a/crates/node/src/configuration/head.rs
+++ b/crates/node/src/configuration/head.rs
@@ -62,16 +62,23 @@
 /// The value of the head key.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(super) struct Head {
+    /// The least revision that the configuration counts as; a restored store gives out lower ones again.
+    #[serde(default)]
+    pub(super) least_revision: u64,
     recent_changes: Vec<ChangeRecord>,
 }
 
 impl Head {
-    pub(super) fn with(&self, record: &ChangeRecord) -> Self {
+    /// The head with one more change, of a configuration that counts as `least_revision` at least.
+    pub(super) fn with(&self, record: &ChangeRecord, least_revision: u64) -> Self {
         let mut recent_changes = self.recent_changes.clone();
         recent_changes.push(record.clone());
         let excess = recent_changes.len().saturating_sub(RECENT_CHANGES);
         recent_changes.drain(..excess);
-        Self { recent_changes }
+        Self {
+            least_revision,
+            recent_changes,
+        }
     }
 
     pub(super) fn contains(&self, id: &str) -> bool {
--- a/crates/node/src/configuration/store.rs
+++ b/crates/node/src/configuration/store.rs
@@ -6,6 +6,10 @@
 //! changes with account and time: a writer whose answer was lost
 //! reads it back, and when its identifier is missing rewrites the head, after which the lost write
 //! can never take effect.
+//!
+//! The configuration's revision is that of the head, unless the store was restored from an older copy and
+//! gives out revisions again that nodes have heard of: the head then says what it counts as instead, so that a change
+//! is newer than all that the node which makes it has held.
 
 use std::collections::HashMap;
 
@@ -56,7 +60,8 @@
             if entry.key == HEAD_KEY {
                 snapshot.head = serde_json::from_slice(&entry.value).map_err(invalid)?;
                 snapshot.head_revision = Some(entry.modified);
-                snapshot.configuration.revision = entry.modified.0;
+                let least_revision = snapshot.head.least_revision;
+                snapshot.configuration.revision = entry.modified.0.max(least_revision);
                 continue;
             }
             let Some((kind, _)) = parse_resource_key(&entry.key) else {
@@ -74,7 +79,8 @@
         self.head.records()
     }
 
-    fn head_revision_or_zero(&self) -> Revision {
+    /// The store's revision of the last change; zero if there was none.
+    pub fn store_revision(&self) -> Revision {
         self.head_revision.unwrap_or_default()
     }
 }
@@ -104,11 +110,11 @@
         Snapshot::decode(&self.store.range(CONFIGURATION_PREFIX).await?)
     }
 
-    /// Reads the newest revision's number alone; zero if there is no configuration.
-    pub async fn read_revision(&self) -> Result<u64, StoreError> {
+    /// Reads the store's revision of the last change alone; zero if there was none.
+    pub async fn read_revision(&self) -> Result<Revision, StoreError> {
         let range = self.store.range(HEAD_KEY).await?;
         let head = range.entries.iter().find(|entry| entry.key == HEAD_KEY);
-        Ok(head.map_or(0, |entry| entry.modified.0))
+        Ok(head.map_or(Revision::default(), |entry| entry.modified))
     }
 
     /// Checks changes against the configuration without making them; returns what each would do.
@@ -125,11 +131,13 @@
         Ok(effects.collect())
     }
 
-    /// Makes all changes at one revision, or none.
+    /// Makes all changes at one revision, or none. The configuration is newer then than the one with
+    /// `held_revision`, the newest that the node holds.
     pub async fn change(
         &self,
         author: &Author,
         changes: &[Change],
+        held_revision: u64,
     ) -> Result<Committed, ChangeError> {
         let record = ChangeRecord::new(author, changes);
         for _ in 0..MAX_TRIES {
@@ -142,17 +150,20 @@
                 changed: effective.len(),
                 read_back,
             };
-            if effective.is_empty() {
-                return Ok(committed(Some(snapshot.head_revision_or_zero()), false));
+            let is_behind = snapshot.configuration.revision < held_revision;
+            if changes.is_empty() || (effective.is_empty() && !is_behind) {
+                return Ok(committed(Some(snapshot.store_revision()), false));
             }
-            let transaction = commit(&snapshot, &record, &effective)?;
+            let least_revision = snapshot.configuration.revision.max(held_revision) + 1;
+            let head = snapshot.head.with(&record, least_revision);
+            let transaction = commit(&snapshot, &head, &effective)?;
             match self.store.transact(&transaction).await {
                 Ok(outcome) if outcome.succeeded => {
                     return Ok(committed(Some(outcome.revision), false))
                 }
                 Ok(_) => continue,
                 Err(StoreError::Unknown(cause)) => {
-                    let key = &effective[0].key;
+                    let key = &effective.first().copied().unwrap_or(&changes[0]).key;
                     match self.resolve(&record.id, key, &cause).await? {
                         Resolution::Made(revision) => return Ok(committed(revision, true)),
                         Resolution::NeverMade => continue,
@@ -235,14 +246,13 @@
 
 fn commit(
     snapshot: &Snapshot,
-    record: &ChangeRecord,
+    head: &Head,
     changes: &[&Change],
 ) -> Result<Transaction, ChangeError> {
     if changes.len() > MAX_CHANGES {
         return Err(ChangeError::TooMany(changes.len()));
     }
-    let mut operations =
-        vec![put_head(&snapshot.head.with(record)).map_err(ChangeError::NotApplied)?];
+    let mut operations = vec![put_head(head).map_err(ChangeError::NotApplied)?];
     for change in changes {
         let operation = operation_of(change)
             .map_err(|error| ChangeError::NotApplied(StoreError::NotApplied(error.to_string())))?;
--- a/crates/node/src/configuration/watcher.rs
+++ b/crates/node/src/configuration/watcher.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// The newest configuration as the store was read last.
+#[derive(Debug, Clone, Copy)]
+struct Newest {
+    /// What it counts as.
+    revision: u64,
+    /// The store's revision of its last change.
+    stored_at: Revision,
+}
+
 struct Follower {
     node: Arc<Node>,
     store: EtcdStore,
@@ -88,9 +97,9 @@
 
     /// Follows the store until it fails or it is another node's turn.
     async fn follow(&self, failures: &mut u32) -> Result<(), StoreError> {
-        let mut revision = self.read().await?;
+        let mut newest = self.read().await?;
         *failures = 0;
-        let start = Revision(revision + 1);
+        let start = Revision(newest.stored_at.0 + 1);
         let mut watch = self.store.watch(CONFIGURATION_PREFIX, start).await?;
         while self.node.peers.follows_store() {
             let events = actix_rt::time::timeout(ANTI_ENTROPY_PERIOD, watch.next()).await;
@@ -98,29 +107,32 @@
                 Ok(None) => return Ok(()),
                 Ok(Some(Err(error))) => return Err(error),
                 Ok(Some(Ok(events))) if events.is_empty() => {}
-                Ok(Some(Ok(_))) => revision = self.read().await?,
-                Err(_) => revision = self.confirm(revision).await?,
+                Ok(Some(Ok(_))) => newest = self.read().await?,
+                Err(_) => newest = self.confirm(newest).await?,
             }
         }
         Ok(())
     }
 
-    async fn read(&self) -> Result<u64, StoreError> {
-        let configuration = self.configurations.read().await?.configuration;
-        let revision = configuration.revision;
-        self.reads
-            .do_send(StoreRead::Newest(Box::new(configuration)));
-        Ok(revision)
+    async fn read(&self) -> Result<Newest, StoreError> {
+        let snapshot = self.configurations.read().await?;
+        let newest = Newest {
+            revision: snapshot.configuration.revision,
+            stored_at: snapshot.store_revision(),
+        };
+        let configuration = Box::new(snapshot.configuration);
+        self.reads.do_send(StoreRead::Newest(configuration));
+        Ok(newest)
     }
 
     /// Reads only the newest revision's number, and the rest if that has changed.
-    async fn confirm(&self, known: u64) -> Result<u64, StoreError> {
-        if self.configurations.read_revision().await? != known {
+    async fn confirm(&self, known: Newest) -> Result<Newest, StoreError> {
+        if self.configurations.read_revision().await? != known.stored_at {
             return self.read().await;
         }
         let held = self.node.held.lock().revision();
-        if held == known {
-            self.reads.do_send(StoreRead::Unchanged(known));
+        if held == known.revision {
+            self.reads.do_send(StoreRead::Unchanged(held));
         }
         Ok(known)
     }
--- a/crates/node/tests/configuration_store.rs
+++ b/crates/node/tests/configuration_store.rs
@@ -224,7 +224,7 @@
             resource: Some(resource),
             precondition: seen,
         };
-        let told = configurations.change(&author, &[wanted]).await;
+        let told = configurations.change(&author, &[wanted], 0).await;
         let told = told.map(|committed| committed.revision);
         tag = told.as_ref().ok().copied().flatten();
         attempts.push(Attempt { seen, source, told });
