Engines are ordered on after the store was restored: epochs of claims do not go back

What operators saw (the product's own interface): after the store came back from an older copy no engine changed its role, model or version any more, until the store's revisions had passed those of the last claim.

Cause: a claim's epoch is the revision at which it was made, which a restored store gives out again; engines refuse what is below the highest fence that they have heard of.

Change: a claim names the least epoch that it counts as, above that of all engines' states that the claimer has read. Without a restore the revision is higher, so that nothing changes. Older builds' claims name none; they pass over the field.

Why it holds: each node reads the states of all engines of its zone twice a second, and a claim waits for a free key first. Not covered: engines that nobody could read before the claim.

--- a/crates/cli/tests/authority_failures.rs
+++ b/crates/cli/tests/authority_failures.rs
@@ -24,6 +24,8 @@
 /// Rounds without orders that show that the holder had the chance to send one.
 const WITHHELD_ROUNDS: f64 = 3.0;
 const ENGINE: [&str; 5] = ["engine", "--name", "engine-0", "--role-change-ms", "1500"];
+/// Pairs of changes that a restored store has lost.
+const CHANGES_LOST: usize = 15;
 /// Long enough for a stream to outlast a lease.
 const LONG_ANSWER_TOKENS: u32 = 3_000;
 
@@ -125,6 +127,13 @@
         let sent = awc::Client::default().post(url).send_json(&switches).await;
         assert!(sent.expect("an answer").status().is_success());
     }
+
+    /// Gives the platform a command without a body.
+    async fn command_platform(&self, command: &str) {
+        let url = format!("http://{}/standin/{command}", self.platform.address);
+        let sent = awc::Client::default().post(url).send().await;
+        assert!(sent.expect("an answer").status().is_success());
+    }
 }
 
 fn epoch(order: &RecordedOrder) -> Epoch {
@@ -339,3 +348,23 @@
     cluster.apply(other, ONE_PREFILL);
     cluster.changed().await;
 }
+
+// Guards against engines that take orders of nobody, as the restored store gives out epochs that they have heard of.
+#[actix_rt::test]
+async fn engines_are_ordered_on_after_the_store_was_restored() {
+    let mut cluster = Cluster::start(&["node-0"]).await;
+    cluster.command_platform("backup").await;
+    for _ in 0..CHANGES_LOST {
+        cluster.apply(0, "least = 0, most = 1");
+        cluster.apply(0, "least = 0");
+    }
+    drop(cluster.nodes.remove(0));
+    cluster.start_node("node-1");
+    cluster.holder().await;
+    cluster.apply(0, ONE_PREFILL);
+    cluster.changed().await;
+    cluster.command_platform("restore").await;
+    cluster.apply(0, NO_PREFILL);
+    cluster.plays("mixed").await;
+    assert_orderly(&cluster.orders().await);
+}
--- a/crates/node/src/authority/claim_records.rs
+++ b/crates/node/src/authority/claim_records.rs
@@ -25,6 +25,10 @@
     pub(super) node: NodeId,
     /// The lease that the key is attached to.
     pub(super) lease: i64,
+    /// The least epoch that the claim counts as: engines may have heard of revisions that a restored store
+    /// gives out again.
+    #[serde(default)]
+    pub(super) least_epoch: u64,
 }
 
 fn zone_prefix(zone: &ZoneName) -> String {
@@ -127,10 +131,11 @@
     /// A key with a value that does not parse counts as another's.
     fn decode(&self, entry: &KeyValue) -> Option<(PoolName, ClaimRecord)> {
         let pool = entry.key.strip_prefix(&self.prefix)?;
-        let claim = serde_json::from_slice::<ClaimValue>(&entry.value);
+        let claim = serde_json::from_slice::<ClaimValue>(&entry.value).ok();
+        let (lease, least_epoch) = claim.map_or((0, 0), |claim| (claim.lease, claim.least_epoch));
         let record = ClaimRecord {
-            lease: Lease(claim.map_or(0, |claim| claim.lease)),
-            epoch: Epoch(entry.created.0),
+            lease: Lease(lease),
+            epoch: Epoch(entry.created.0.max(least_epoch)),
         };
         Some((pool.into(), record))
     }
--- a/crates/node/src/authority/claims.rs
+++ b/crates/node/src/authority/claims.rs
@@ -114,6 +114,19 @@
     actix_rt::spawn(task);
 }
 
+/// The newest epoch that engines of a pool have heard of, as far as this node has read their states.
+fn newest_epoch(node: &Node, pool: &PoolName) -> Option<Epoch> {
+    let in_force = node.in_force.load();
+    let pool = in_force.configuration.pools.get(pool)?;
+    node.with_engines(|engines| {
+        let states = pool.backends.iter().filter_map(|backend| {
+            let status = engines.get(&backend.name)?;
+            status.state.as_ref()
+        });
+        states.map(|state| Epoch::of(state.fence_token)).max()
+    })
+}
+
 async fn create(
     node: &Node,
     store: &EtcdStore,
@@ -124,6 +137,7 @@
     let claim = ClaimValue {
         node: node.settings.name.clone(),
         lease: lease.0,
+        least_epoch: newest_epoch(node, pool).map_or(0, |epoch| epoch.0 + 1),
     };
     let value = serde_json::to_vec(&claim);
     let value = value.map_err(|error| StoreError::NotApplied(error.to_string()))?;
