Reading of the change: one engine's nonsense does not use up the epochs of its pool; a fleet admits messages

Found by reading: the least epoch of a claim followed any token that an engine told; one that told the highest token made the next claim's tokens wrap, and every engine of the pool would have refused them. FleetId::may_be is FleetId::admits.

--- a/crates/authority/src/fence.rs
+++ b/crates/authority/src/fence.rs
@@ -13,6 +13,10 @@
 /// The last sequence below one epoch; a holder that has used it must claim the pool anew.
 pub const MAX_SEQUENCE: u64 = (1 << SEQUENCE_BITS) - 1;
 
+/// The highest epoch that an engine is believed to have heard of; a token holds twice as much, so that claims can
+/// follow it for ever.
+const MAX_HEARD_EPOCH: u64 = 1 << 43;
+
 /// The epoch of a claim on a pool: the store's revision at which the claim was made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Epoch(pub u64);
@@ -24,6 +28,14 @@
         FenceToken((self.0 << SEQUENCE_BITS) | sequence)
     }
 
+    /// The least epoch of a claim whose orders are obeyed by engines that have heard of these tokens. Tokens that
+    /// no claim can have had are passed over: one engine's mistake must not use up the epochs of all.
+    pub fn after(heard: impl IntoIterator<Item = FenceToken>) -> Self {
+        let epochs = heard.into_iter().map(Self::of);
+        let believed = epochs.filter(|epoch| epoch.0 <= MAX_HEARD_EPOCH);
+        Self(believed.max().map_or(0, |epoch| epoch.0 + 1))
+    }
+
     /// The epoch that a token belongs to.
     pub const fn of(token: FenceToken) -> Self {
         Self(token.0 >> SEQUENCE_BITS)
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,8 +1,9 @@
 //! Which fleet a node belongs to, as messages between nodes say it.
 
-use crate::id::FleetName;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::id::FleetName;
+
 /// A digest of a fleet's name. Addresses are given to other machines in time, so that a message may
 /// reach a node of another fleet than the one it is meant for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -17,9 +18,9 @@
         Self(xxh3_64(name.as_ref()).max(1))
     }
 
-    /// Whether nodes with these identifiers may belong to one fleet. One without a name may belong
-    /// to any, so that a fleet can be named one node after the other.
-    pub fn may_be(self, other: Self) -> bool {
+    /// Whether a node of this fleet takes messages of one with the other identifier. Nodes without a name
+    /// are taken for any fleet's, so that a fleet can be named one node after the other.
+    pub fn admits(self, other: Self) -> bool {
         self == other || self == Self::UNNAMED || other == Self::UNNAMED
     }
 }
--- a/crates/membership/src/receive.rs
+++ b/crates/membership/src/receive.rs
@@ -16,7 +16,7 @@
 impl Membership {
     /// Takes a message that came from `from`.
     pub fn receive(&mut self, now: Timestamp, from: SocketAddr, message: Message) -> Vec<Action> {
-        if !self.settings.fleet.may_be(message.sender.fleet) {
+        if !self.settings.fleet.admits(message.sender.fleet) {
             return vec![Action::ForeignSender { from }];
         }
         if message.sender.name == self.name {
--- a/crates/node/src/authority/claims.rs
+++ b/crates/node/src/authority/claims.rs
@@ -114,16 +114,17 @@
     actix_rt::spawn(task);
 }
 
-/// The newest epoch that engines of a pool have heard of, as far as this node has read their states.
-fn newest_epoch(node: &Node, pool: &PoolName) -> Option<Epoch> {
+/// The least epoch of a claim that the engines of a pool obey, as far as this node has read their states.
+fn least_epoch(node: &Node, pool: &PoolName) -> Epoch {
     let in_force = node.in_force.load();
-    let pool = in_force.configuration.pools.get(pool)?;
+    let pool = in_force.configuration.pools.get(pool);
+    let backends = pool.map_or(&[][..], |pool| &pool.backends);
     node.with_engines(|engines| {
-        let states = pool.backends.iter().filter_map(|backend| {
+        let states = backends.iter().filter_map(|backend| {
             let status = engines.get(&backend.name)?;
             status.state.as_ref()
         });
-        states.map(|state| Epoch::of(state.fence_token)).max()
+        Epoch::after(states.map(|state| state.fence_token))
     })
 }
 
@@ -137,7 +138,7 @@
     let claim = ClaimValue {
         node: node.settings.name.clone(),
         lease: lease.0,
-        least_epoch: newest_epoch(node, pool).map_or(0, |epoch| epoch.0 + 1),
+        least_epoch: least_epoch(node, pool).0,
     };
     let value = serde_json::to_vec(&claim);
     let value = value.map_err(|error| StoreError::NotApplied(error.to_string()))?;
--- a/crates/node/src/configuration/store.rs
+++ b/crates/node/src/configuration/store.rs
@@ -154,7 +154,8 @@
             if changes.is_empty() || (effective.is_empty() && !is_behind) {
                 return Ok(committed(Some(snapshot.store_revision()), false));
             }
-            let least_revision = snapshot.configuration.revision.max(held_revision) + 1;
+            let least_revision = snapshot.configuration.revision.max(held_revision);
+            let least_revision = least_revision.saturating_add(1);
             let head = snapshot.head.with(&record, least_revision);
             let transaction = commit(&snapshot, &head, &effective)?;
             match self.store.transact(&transaction).await {
--- a/crates/node/src/peers/exchange.rs
+++ b/crates/node/src/peers/exchange.rs
@@ -92,7 +92,7 @@
     let mut framed = framed(node, stream);
     let request = framed.next().await.context("no request")??;
     let call = decode_request(&request)?;
-    if !node.fleet.may_be(call.fleet) {
+    if !node.fleet.admits(call.fleet) {
         foreign::note(node, from);
         return Ok(());
     }
