--- a/crates/cli/tests/reused_addresses.rs
+++ b/crates/cli/tests/reused_addresses.rs
@@ -8,7 +8,6 @@
 
 const SIZE: usize = 3;
 const FOREIGN: &str = "tansyhall_peer_foreign_total";
-const RECEIVED: &str = "tansyhall_peer_datagram_bytes_total{direction=\"received\"}";
 
 /// A fleet of one node, at the address of a node of `other`, which is killed.
 async fn fleet_at_address_of(other: &mut Cluster, index: usize) -> Fleet {
@@ -27,15 +26,13 @@
 async fn a_node_at_an_address_of_another_fleet_takes_nothing_from_it() {
     let mut first = Cluster::start(SIZE).await;
     let second = fleet_at_address_of(&mut first, SIZE - 1).await;
-    eventually("the other fleet has tried to reach the address", || async {
-        let received = get_metric(second.admin(0), RECEIVED).await?;
-        (received > 0.0).then_some(())
-    })
-    .await;
-    eventually("nodes of the other fleet were told apart", || async {
-        let foreign = get_metric(second.admin(0), FOREIGN).await?;
-        (foreign >= 2.0).then_some(())
-    })
+    eventually(
+        "messages of the other fleet have come, and were told apart",
+        || async {
+            let foreign = get_metric(second.admin(0), FOREIGN).await?;
+            (foreign >= 2.0).then_some(())
+        },
+    )
     .await;
     assert_eq!(second.members(0, "alive").await, Some(1));
     assert_eq!(second.revision(0).await, Some(0));
--- a/crates/forwarding/src/retry_share.rs
+++ b/crates/forwarding/src/retry_share.rs
@@ -21,7 +21,8 @@
 /// How many gateways share the fleet's budgets, as a gateway that knew of `known` has to believe when `announced` are
 /// announced. One that stops is not announced any more, but serves on what it has, and spends: it keeps to its part.
 /// Several that stop at once would each take the part of the others, and spend the fixed number several times over. So
-/// would all of them where announcements `may_be_missing`, as a restored store has lost some.
+/// would all of them where announcements `may_be_missing`: a restored store has lost some, and those of gateways that start
+/// together are not made yet.
 pub fn sharing_gateways(announced: u64, known: u64, may_be_missing: bool) -> u64 {
     match may_be_missing {
         true => announced.max(known),
