Reading of the change: a refused view is a step of the change, stand-ins are commanded in one place

- That a view which a replica refuses is prepared anew was decided in the actor, by a flag; it is a step of the pure machine now (ChangeStep::PrepareAnew), and the replicas' test tells the machine of refusals as the actor does.
Its check names that step where it named the one that the machine stood at before.
- Commands and fault switches of the platform's stand-in, and applying a site everywhere, stood twice in the tests.
- The test of budgets could have passed with requests that reached no worker: every request must arrive.

--- a/crates/cli/tests/authority_failures.rs
+++ b/crates/cli/tests/authority_failures.rs
@@ -123,16 +123,7 @@
     }
 
     async fn set_faults(&self, switches: Value) {
-        let url = format!("http://{}/standin/faults", self.platform.address);
-        let sent = awc::Client::default().post(url).send_json(&switches).await;
-        assert!(sent.expect("an answer").status().is_success());
-    }
-
-    /// Gives the platform a command without a body.
-    async fn command_platform(&self, command: &str) {
-        let url = format!("http://{}/standin/{command}", self.platform.address);
-        let sent = awc::Client::default().post(url).send().await;
-        assert!(sent.expect("an answer").status().is_success());
+        self.platform.set_faults(switches).await;
     }
 }
 
@@ -353,7 +344,7 @@
 #[actix_rt::test]
 async fn engines_are_ordered_on_after_the_store_was_restored() {
     let mut cluster = Cluster::start(&["node-0"]).await;
-    cluster.command_platform("backup").await;
+    cluster.platform.command("backup").await;
     for _ in 0..CHANGES_LOST {
         cluster.apply(0, "least = 0, most = 1");
         cluster.apply(0, "least = 0");
@@ -363,7 +354,7 @@
     cluster.holder().await;
     cluster.apply(0, ONE_PREFILL);
     cluster.changed().await;
-    cluster.command_platform("restore").await;
+    cluster.platform.command("restore").await;
     cluster.apply(0, NO_PREFILL);
     cluster.plays("mixed").await;
     assert_orderly(&cluster.orders().await);
--- a/crates/cli/tests/configuration_spread.rs
+++ b/crates/cli/tests/configuration_spread.rs
@@ -39,28 +39,16 @@
     }
 }
 
-/// Applies a site and returns the revision that every node then has in force.
-async fn apply_everywhere(fleet: &Fleet, name: &str) -> u64 {
-    let before = fleet.revision(0).await.unwrap_or(0);
-    fleet.apply_site(0, name);
-    fleet.await_revision(0, before + 1).await;
-    let revision = fleet.revision(0).await.expect("a revision");
-    for index in 0..SIZE {
-        fleet.await_revision(index, revision).await;
-    }
-    revision
-}
-
 #[actix_rt::test]
 async fn a_change_reaches_every_node_though_one_reads_the_store() {
     let fleet = Fleet::start(SIZE).await;
-    apply_everywhere(&fleet, "valley").await;
+    fleet.apply_everywhere("valley").await;
     await_one_follower(&fleet).await;
     let mut before = Vec::new();
     for index in 0..SIZE {
         before.push(pulls(&fleet, index).await);
     }
-    apply_everywhere(&fleet, "hills").await;
+    fleet.apply_everywhere("hills").await;
     let mut pulled = 0;
     for (index, before) in before.into_iter().enumerate() {
         pulled += usize::from(pulls(&fleet, index).await > before);
@@ -72,7 +60,7 @@
 #[actix_rt::test]
 async fn the_next_node_follows_the_store_when_the_follower_dies() {
     let mut fleet = Fleet::start(SIZE).await;
-    apply_everywhere(&fleet, "valley").await;
+    fleet.apply_everywhere("valley").await;
     await_one_follower(&fleet).await;
     let name = "tansyhall_configuration_follows_store";
     let mut follower = 0;
@@ -92,8 +80,8 @@
 #[actix_rt::test]
 async fn a_node_restarted_in_an_outage_of_the_store_gets_what_its_peers_have() {
     let mut fleet = Fleet::start(SIZE).await;
-    apply_everywhere(&fleet, "valley").await;
-    let newest = apply_everywhere(&fleet, "hills").await;
+    fleet.apply_everywhere("valley").await;
+    let newest = fleet.apply_everywhere("hills").await;
     fleet.set_faults(json!({ "outage": true })).await;
     fleet.restart(SUBJECT);
     let admin = fleet.admin(SUBJECT);
@@ -107,7 +95,7 @@
     let ready = awc::Client::default().get(format!("http://{admin}/health/ready"));
     assert_eq!(ready.send().await.expect("an answer").status(), 200);
     fleet.set_faults(json!({})).await;
-    let last = apply_everywhere(&fleet, "lakes").await;
+    let last = fleet.apply_everywhere("lakes").await;
     assert!(last > newest);
     assert!(store_calls(&fleet).await > 0);
 }
@@ -145,10 +133,10 @@
         platform: link.entrance,
     };
     let fleet = Fleet::start_planned(platform, vec![near, near, near, far, far]).await;
-    let before = apply_everywhere(&fleet, "valley").await;
+    let before = fleet.apply_everywhere("valley").await;
     link.set_cut(true);
-    let after = apply_everywhere(&fleet, "hills").await;
+    let after = fleet.apply_everywhere("hills").await;
     assert!(after > before);
     link.set_cut(false);
-    apply_everywhere(&fleet, "lakes").await;
+    fleet.apply_everywhere("lakes").await;
 }
--- a/crates/cli/tests/gateway_platform/budget.rs
+++ b/crates/cli/tests/gateway_platform/budget.rs
@@ -51,6 +51,10 @@
     ask_all(&site).await;
     let arrivals: u64 = site.workers.iter().map(|it| it.worker.arrivals()).sum();
     let requests = (GATEWAYS * REQUESTS) as f64;
+    assert!(
+        arrivals as f64 >= requests,
+        "{arrivals} arrivals of {requests} requests"
+    );
     let repeats = arrivals as f64 - requests;
     let allowed = RATIO * requests + EXTRA;
     assert!(repeats <= allowed, "{repeats} repeats, {allowed} allowed");
--- a/crates/cli/tests/restored_store_of_nodes.rs
+++ b/crates/cli/tests/restored_store_of_nodes.rs
@@ -50,31 +50,21 @@
     }
 }
 
-async fn apply_and_wait(fleet: &Fleet, name: &str) -> u64 {
-    let before = fleet.revision(0).await.unwrap_or(0);
-    fleet.apply_site(0, name);
-    fleet.await_revision(0, before + 1).await;
-    fleet.revision(0).await.expect("a revision")
-}
-
 // Guards against changes that are accepted and never in force, as the restored store gives them revisions that nodes have
 // heard of.
 #[actix_rt::test]
 async fn a_change_that_is_made_after_the_store_was_restored_comes_into_force() {
     let fleet = Fleet::start(NODES).await;
-    apply_and_wait(&fleet, "valley").await;
+    fleet.apply_everywhere("valley").await;
     fleet.back_up_store().await;
     let mut newest = 0;
     for number in 0..CHANGES_LOST {
-        newest = apply_and_wait(&fleet, &format!("lost-{number}")).await;
+        newest = fleet.apply_everywhere(&format!("lost-{number}")).await;
     }
     fleet.restore_store().await;
     for name in ["hills", "lakes"] {
-        let revision = apply_and_wait(&fleet, name).await;
+        let revision = fleet.apply_everywhere(name).await;
         assert!(revision > newest);
         newest = revision;
-        for index in 0..NODES {
-            fleet.await_revision(index, revision).await;
-        }
     }
 }
--- a/crates/journal/src/change.rs
+++ b/crates/journal/src/change.rs
@@ -18,6 +18,8 @@
     Install(Records),
     /// Make the next view the active one in the store, by compare-and-swap.
     Activate,
+    /// Prepare another view under a higher number.
+    PrepareAnew,
 }
 
 /// A change under way.
@@ -28,6 +30,7 @@
     sealed: BTreeSet<Member>,
     records: Records,
     installed: BTreeSet<Member>,
+    is_refused: bool,
 }
 
 impl ViewChange {
@@ -39,6 +42,7 @@
             sealed: BTreeSet::new(),
             records: Records::default(),
             installed: BTreeSet::new(),
+            is_refused: false,
         }
     }
 
@@ -57,10 +61,12 @@
     pub fn step(&self) -> ChangeStep {
         if self.sealed.len() < QUORUM {
             ChangeStep::Seal
-        } else if self.installed.len() < QUORUM {
-            ChangeStep::Install(self.records.clone())
-        } else {
+        } else if self.installed.len() >= QUORUM {
             ChangeStep::Activate
+        } else if self.is_refused {
+            ChangeStep::PrepareAnew
+        } else {
+            ChangeStep::Install(self.records.clone())
         }
     }
 
@@ -75,6 +81,12 @@
         }
     }
 
+    /// A member of the next view refuses it: it votes in a later view, or in another one of that number, or has
+    /// restarted.
+    pub fn refused(&mut self) {
+        self.is_refused = true;
+    }
+
     /// A member of the next view votes in it.
     pub fn installed(&mut self, member: &Member) {
         if self.next.has(member) {
--- a/crates/journal/tests/journal_machine.rs
+++ b/crates/journal/tests/journal_machine.rs
@@ -194,6 +194,7 @@
                     change.installed(replica.member());
                 }
             }
+            ChangeStep::PrepareAnew => panic!("nobody has told the change of a refusal"),
         }
     }
 }
--- a/crates/journal/tests/restored_store.rs
+++ b/crates/journal/tests/restored_store.rs
@@ -43,9 +43,11 @@
     }
     if let ChangeStep::Install(records) = change.step() {
         for index in reached {
-            if replicas[*index].install(NOW, to, &records) {
-                let member = replicas[*index].member().clone();
-                change.installed(&member);
+            let member = replicas[*index].member().clone();
+            match replicas[*index].install(NOW, to, &records) {
+                true => change.installed(&member),
+                false if to.has(&member) => change.refused(),
+                false => {}
             }
         }
     }
@@ -78,7 +80,7 @@
     // The store has lost view two, and gives its number to another.
     let again = view(TWO, &replicas, [0, 1, 4]);
     let step = change(&mut replicas, &one, &again, &[1, 2, 4]);
-    assert!(matches!(step, ChangeStep::Install(_)), "{step:?}");
+    assert_eq!(step, ChangeStep::PrepareAnew);
     assert_eq!(grants(&mut replicas, [1, 4], &again, 2), 1);
 }
 
--- a/crates/node/src/at_most_once/keeper.rs
+++ b/crates/node/src/at_most_once/keeper.rs
@@ -226,19 +226,18 @@
     ) -> Result<(), StoreError> {
         let mut change = ViewChange::new(active.view(), next.view());
         self.seal(&mut change, active).await;
-        let mut is_refused = false;
         if let ChangeStep::Install(records) = change.step() {
-            is_refused = self.install(&mut change, next, records).await;
+            self.install(&mut change, next, records).await;
         }
-        if change.step() == ChangeStep::Activate {
-            return self.activate(stored, next).await;
-        }
-        if is_refused {
-            let present = self.present(active).await;
-            let number = next.number.next();
-            return self.prepare(stored, Some(active), number, present).await;
+        match change.step() {
+            ChangeStep::Activate => self.activate(stored, next).await,
+            ChangeStep::PrepareAnew => {
+                let present = self.present(active).await;
+                let number = next.number.next();
+                self.prepare(stored, Some(active), number, present).await
+            }
+            ChangeStep::Seal | ChangeStep::Install(_) => Ok(()),
         }
-        Ok(())
     }
 
     async fn seal(&self, change: &mut ViewChange, active: &PlacedView) {
@@ -258,9 +257,7 @@
         }
     }
 
-    /// Installs the next view; returns whether a replica refused it, as one does that votes in a later view, or in
-    /// another one of that number.
-    async fn install(&self, change: &mut ViewChange, next: &PlacedView, records: Records) -> bool {
+    async fn install(&self, change: &mut ViewChange, next: &PlacedView, records: Records) {
         let installs = next.members.iter().map(|member| {
             let request = JournalRequest::Install {
                 view: next.view(),
@@ -269,15 +266,13 @@
             ask_member(&self.node, member, request)
         });
         let answers = join_all(installs).await;
-        let mut is_refused = false;
         for (placed, answer) in next.members.iter().zip(answers) {
             match answer {
                 Ok(JournalAnswer::Installed(true)) => change.installed(&placed.member),
-                Ok(JournalAnswer::Installed(false)) => is_refused = true,
+                Ok(JournalAnswer::Installed(false)) => change.refused(),
                 Ok(_) | Err(_) => {}
             }
         }
-        is_refused
     }
 
     async fn activate(&self, stored: &StoredViews, view: &PlacedView) -> Result<(), StoreError> {
--- a/crates/node/tests/at_most_once_messages.rs
+++ b/crates/node/tests/at_most_once_messages.rs
@@ -209,10 +209,12 @@
                     view: change.next().clone(),
                     records: records.clone(),
                 },
-                ChangeStep::Seal | ChangeStep::Activate => JournalRequest::Seal {
-                    active: change.active().number,
-                    next: change.next().number,
-                },
+                ChangeStep::Seal | ChangeStep::Activate | ChangeStep::PrepareAnew => {
+                    JournalRequest::Seal {
+                        active: change.active().number,
+                        next: change.next().number,
+                    }
+                }
             };
             match exchange(node, request) {
                 JournalAnswer::Sealed(reply) => change.seal_reply(node.member(), reply),
--- a/crates/testing/src/fleet.rs
+++ b/crates/testing/src/fleet.rs
@@ -136,27 +136,31 @@
         ]);
     }
 
+    /// Applies a site through the first node, and returns the revision that every node then has in force.
+    pub async fn apply_everywhere(&self, name: &str) -> u64 {
+        let before = self.revision(0).await.unwrap_or(0);
+        self.apply_site(0, name);
+        self.await_revision(0, before + 1).await;
+        let revision = self.revision(0).await.expect("a revision");
+        for index in 0..self.nodes.len() {
+            self.await_revision(index, revision).await;
+        }
+        revision
+    }
+
     /// Sets the platform stand-in's fault switches.
     pub async fn set_faults(&self, switches: serde_json::Value) {
-        let url = format!("http://{}/standin/faults", self.platform.address);
-        let answer = awc::Client::default().post(url).send_json(&switches).await;
-        assert!(answer.expect("an answer").status().is_success());
+        self.platform.set_faults(switches).await;
     }
 
     /// Copies what the platform stand-in's store holds.
     pub async fn back_up_store(&self) {
-        self.command_platform("backup").await;
+        self.platform.command("backup").await;
     }
 
     /// Returns the platform stand-in's store to its copy: what was written since is gone.
     pub async fn restore_store(&self) {
-        self.command_platform("restore").await;
-    }
-
-    async fn command_platform(&self, command: &str) {
-        let url = format!("http://{}/standin/{command}", self.platform.address);
-        let answer = awc::Client::default().post(url).send().await;
-        assert!(answer.expect("an answer").status().is_success());
+        self.platform.command("restore").await;
     }
 
     /// Replaces the platform stand-in's list of machines; it shows after the stand-in's lag.
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -125,6 +125,22 @@
     pub address: SocketAddr,
 }
 
+impl Standin {
+    /// Gives a stand-in of the platform a command without a body, such as `backup` or `restore`.
+    pub async fn command(&self, command: &str) {
+        let url = format!("http://{}/standin/{command}", self.address);
+        let answer = awc::Client::default().post(url).send().await;
+        assert!(answer.expect("an answer").status().is_success());
+    }
+
+    /// Sets a stand-in's fault switches.
+    pub async fn set_faults(&self, switches: Value) {
+        let url = format!("http://{}/standin/faults", self.address);
+        let answer = awc::Client::default().post(url).send_json(&switches).await;
+        assert!(answer.expect("an answer").status().is_success());
+    }
+}
+
 /// Starts a stand-in on a free port.
 pub fn standin(arguments: &[&str]) -> Standin {
     standin_at(arguments, SocketAddr::from(([127, 0, 0, 1], 0)))
