Setting for the number of zones whose loss has to be borne

Cause: mechanisms that plan for lost capacity may only take effect where a deployment asks for them; earlier deployments are served as before. No mechanism uses the switches yet.

--- a/crates/forwarding/src/decisions.rs
+++ b/crates/forwarding/src/decisions.rs
@@ -1,5 +1,8 @@
 //! Switches for individual routing mechanisms, so that operators can turn off one that they suspect of a fault, and so
 //! that the benefit of each can be measured. All are on by default. Requests are served with any of them off.
+//!
+//! The last group plans for capacity that is lost all at once. It takes effect only where the settings state that the
+//! deployment has to bear the loss of a zone ([`Decisions::with_tolerated_zones`]).
 
 use serde::Deserialize;
 
@@ -48,6 +51,24 @@
     pub role_orders: bool,
     /// Workers are ordered on platforms that allow a choice of their number.
     pub worker_orders: bool,
+    /// Requests of the most urgent routes are expected to wait only for each other, because engines serve them before
+    /// others, and in a shortage of engines their demand is met first.
+    pub urgent_first: bool,
+    /// Engines that neither role needs are divided between both roles by the recent peaks of their demand.
+    pub balanced_spares: bool,
+    /// Cached prompt parts are copied between engines wherever that is faster than reading them again.
+    pub timely_fetches: bool,
+    /// Rate limits of workers and the fixed part of retry budgets are divided between gateways by their demand.
+    pub demand_shares: bool,
+    /// In overload, the shares of tenants follow from what they have used at all gateways.
+    pub fleet_tenant_shares: bool,
+    /// The number of ordered workers follows from their prices and the risk of a withdrawal.
+    pub withdrawal_risk: bool,
+    /// The learned costs of work are kept in the store for gateways that start.
+    pub stored_costs: bool,
+    /// A request whose failure belongs to the request itself is not sent to a second worker, and new workers get their
+    /// share of the requests gradually.
+    pub useful_retries: bool,
 }
 
 impl Default for Decisions {
@@ -73,6 +94,35 @@
             worker_notices: true,
             role_orders: true,
             worker_orders: true,
+            urgent_first: true,
+            balanced_spares: true,
+            timely_fetches: true,
+            demand_shares: true,
+            fleet_tenant_shares: true,
+            withdrawal_risk: true,
+            stored_costs: true,
+            useful_retries: true,
+        }
+    }
+}
+
+impl Decisions {
+    /// Returns the mechanisms that are enabled in a deployment that has to bear the loss of `zones` zones. If it does
+    /// not have to bear the loss of any, the mechanisms that plan for it are off.
+    pub fn with_tolerated_zones(self, zones: u32) -> Self {
+        if zones > 0 {
+            return self;
+        }
+        Self {
+            urgent_first: false,
+            balanced_spares: false,
+            timely_fetches: false,
+            demand_shares: false,
+            fleet_tenant_shares: false,
+            withdrawal_risk: false,
+            stored_costs: false,
+            useful_retries: false,
+            ..self
         }
     }
 }
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -165,7 +165,7 @@
             demands: Demands::default(),
             tenant_shares: HashMap::new(),
             sampling: Sampling::default(),
-            decisions: Decisions::default(),
+            decisions: Decisions::default().with_tolerated_zones(0),
             reporter: LoadReporter::new(gateway),
             last_sequences: HashMap::new(),
             stale_dropped_at: Timestamp::default(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -9,6 +9,9 @@
 use tansyhall_forwarding::{Decisions, RetryShareSettings};
 use tansyhall_usage::WindowTiming;
 
+/// Maximum number of zones whose loss a deployment may have to bear.
+const MAX_TOLERATED_ZONES: u32 = 64;
+
 /// The settings file.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct GatewaySettings {
@@ -28,6 +31,9 @@
     pub usage: Option<UsageSection>,
     /// The platform's operations API; `None` if the platform has none.
     pub duties: Option<DutiesSection>,
+    /// The losses that the deployment has to bear.
+    #[serde(default)]
+    pub tolerance: ToleranceSection,
     /// The event log.
     #[serde(default)]
     pub log: LogSection,
@@ -127,6 +133,14 @@
     pub address: SocketAddr,
 }
 
+/// The losses that the deployment has to bear.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(default)]
+pub struct ToleranceSection {
+    /// Zones that may be lost at the same time, 0 to 64. With 0, the mechanisms that plan for lost capacity are off.
+    pub zones: u32,
+}
+
 /// The event log.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(default)]
@@ -174,11 +188,13 @@
 impl GatewaySettings {
     /// Parses and validates settings; `file` is the file name for error messages.
     pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let settings: Self = toml::from_str(text).map_err(|error| SettingsError::Syntax {
+        let mut settings: Self = toml::from_str(text).map_err(|error| SettingsError::Syntax {
             file: file.to_owned(),
             reason: error.to_string(),
         })?;
         settings.validate(file)?;
+        let zones = settings.tolerance.zones;
+        settings.decisions = settings.decisions.with_tolerated_zones(zones);
         Ok(settings)
     }
 
@@ -266,6 +282,14 @@
                 check_range(key, seconds.to_string(), "must be 0.1 to 86400", fits)?;
             }
         }
+        let zones = self.tolerance.zones;
+        let zones_fit = zones <= MAX_TOLERATED_ZONES;
+        check_range(
+            "tolerance.zones",
+            zones.to_string(),
+            "must be 0 to 64",
+            zones_fit,
+        )?;
         let lines = self.log.queue_lines;
         let lines_fit = (16..=1_000_000).contains(&lines);
         check_range(
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -101,6 +101,11 @@
             "window_seconds = 0",
             "retries.window_seconds = 0: must be above 0, at most 3600",
         ),
+        (
+            "[stop]",
+            "[tolerance]\nzones = 65\n\n[stop]",
+            "tolerance.zones = 65: must be 0 to 64",
+        ),
         (
             "\"gateway-1\"",
             "\"\"",
@@ -124,8 +129,9 @@
 #[test]
 fn routing_mechanisms_are_enabled_unless_one_is_disabled() {
     let parsed = |text: &str| GatewaySettings::parse("gateway.toml", text).expect("valid settings");
-    assert_eq!(parsed(SETTINGS).decisions, Decisions::default());
-    let one_disabled = format!("{SETTINGS}\n[decisions]\nfetches = false\n");
+    let tolerant = format!("{SETTINGS}\n[tolerance]\nzones = 1\n");
+    assert_eq!(parsed(&tolerant).decisions, Decisions::default());
+    let one_disabled = format!("{tolerant}\n[decisions]\nfetches = false\n");
     let expected = Decisions {
         fetches: false,
         ..Decisions::default()
@@ -136,6 +142,17 @@
     assert!(error.to_string().contains("fetches"), "{error}");
 }
 
+/// Guards against new mechanisms that change how a deployment is served whose settings do not ask for them.
+#[test]
+fn planning_for_lost_capacity_is_off_unless_the_loss_of_a_zone_has_to_be_borne() {
+    let parsed = |text: &str| GatewaySettings::parse("gateway.toml", text).expect("valid settings");
+    let off = Decisions::default().with_tolerated_zones(0);
+    assert_ne!(off, Decisions::default());
+    assert_eq!(parsed(SETTINGS).decisions, off);
+    let requested = format!("{SETTINGS}\n[decisions]\nurgent_first = true\n");
+    assert_eq!(parsed(&requested).decisions, off);
+}
+
 #[test]
 fn capacity_is_the_core_share_of_all_threads() {
     let text = SETTINGS.replace("threads = 1", "threads = 4\ncore_share = 0.25");
