--- a/crates/forwarding/src/decisions.rs
+++ b/crates/forwarding/src/decisions.rs
@@ -62,6 +62,10 @@
     pub demand_shares: bool,
     /// In overload, the shares of tenants follow from what they have used at all gateways.
     pub fleet_tenant_shares: bool,
+    /// The choice of a decode engine considers the pauses that its streams make, as observed by all gateways.
+    pub stream_pauses: bool,
+    /// In a shortage, workers that are about to leave still get requests that they finish in time.
+    pub leaving_workers: bool,
     /// The number of ordered workers follows from their prices and the risk of a withdrawal.
     pub withdrawal_risk: bool,
     /// The learned costs of work are kept in the store for gateways that start.
@@ -99,6 +103,8 @@
             timely_fetches: true,
             demand_shares: true,
             fleet_tenant_shares: true,
+            stream_pauses: true,
+            leaving_workers: true,
             withdrawal_risk: true,
             stored_costs: true,
             useful_retries: true,
@@ -119,6 +125,8 @@
             timely_fetches: false,
             demand_shares: false,
             fleet_tenant_shares: false,
+            stream_pauses: false,
+            leaving_workers: false,
             withdrawal_risk: false,
             stored_costs: false,
             useful_retries: false,
