Divide spare engines between both roles by the recent peaks of their demand

Cause: all engines that the present streams did not need became prefill engines. Change: with balanced_spares, spare engines are divided so that both roles have the same utilisation at their recent peaks (half-life 30 s); the present need of both roles goes first; before any demand nothing changes. Result: planner tests pass, three of them new.

--- a/crates/gateway/src/role_orders.rs
+++ b/crates/gateway/src/role_orders.rs
@@ -15,7 +15,9 @@
 use tansyhall_authority::Epoch;
 use tansyhall_core::{Role, ServiceName, Timestamp};
 use tansyhall_forwarding::{EngineLoad, Worker, WorkerId, WorkerNotice};
-use tansyhall_planner::{balance_roles, BalancedEngine, ExpectedDemand, RecentPeak};
+use tansyhall_planner::{
+    balance_roles, BalancedEngine, ExpectedDemand, RecentPeak, RolePeakTracker,
+};
 use tansyhall_store::{Compare, KeyValueStore, Operation, Revision, Transaction};
 use tokio::time::{sleep, timeout};
 
@@ -56,6 +58,7 @@
         last_orders: HashMap::new(),
         average_streams: HashMap::new(),
         short_prompt_peaks: HashMap::new(),
+        role_peaks: HashMap::new(),
     };
     while !orders.shared.is_stopping() {
         sleep(CHECK_INTERVAL).await;
@@ -74,6 +77,8 @@
     average_streams: HashMap<WorkerId, f64>,
     /// Recent peak of the number of decoding engines of each service that reading short prompts keeps busy.
     short_prompt_peaks: HashMap<ServiceName, RecentPeak>,
+    /// Recent peaks of the demand for both roles of each service's engines.
+    role_peaks: HashMap<ServiceName, RolePeakTracker>,
 }
 
 impl RoleOrders {
@@ -93,6 +98,7 @@
         if now.since(self.last_change) < MIN_CHANGE_INTERVAL {
             return;
         }
+        let balances_spares = self.shared.settings.read().decisions.balanced_spares;
         let mut desired = DesiredRoles::read(&self.shared.mirror.lock());
         let mut changes = 0;
         for service in distinct_services(&engines) {
@@ -111,7 +117,10 @@
                 decode_engines_for_short_prompts: peak.observe(now, demand.decode_engines),
                 decode_slots: demand.decode_slots,
             };
-            for change in balance_roles(&balanced_engines, expected) {
+            let peaks = self.role_peaks.entry(service.clone()).or_default();
+            let peaks = peaks.observe(now, &balanced_engines, expected);
+            let peaks = Some(peaks).filter(|_| balances_spares);
+            for change in balance_roles(&balanced_engines, expected, peaks) {
                 desired.set(&members[change.engine].worker.id, change.role);
                 changes += 1;
             }
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -14,7 +14,9 @@
 pub use bounds::{plan_change_for_limits, EngineView, PlannedChange, RoleLimit};
 pub use change_allowance::ChangeAllowance;
 pub use peak::RecentPeak;
-pub use role_balance::{balance_roles, BalancedEngine, ExpectedDemand, RoleChange};
+pub use role_balance::{
+    balance_roles, BalancedEngine, ExpectedDemand, RoleChange, RolePeakTracker, RolePeaks,
+};
 pub use rollout::{plan_loads, DesiredLoads, Load, LoadedEngine, PlannedLoad, RolloutGuard};
 pub use worker_balance::{
     affordable_workers, balance_workers, WorkerLimits, WorkerTargets, ZoneGoal, ZoneWorkers,
--- a/crates/planner/src/role_balance.rs
+++ b/crates/planner/src/role_balance.rs
@@ -17,6 +17,10 @@
 //!    a zone.
 //! 4. There is at least one prefill engine if there are two engines or more.
 //!
+//! If the recent peaks of both roles are known ([`RolePeaks`]), the decode engines beyond the needed ones are those that
+//! give both roles the same utilisation at their peaks: the mix of requests turns faster than engines change their
+//! roles, so that both roles need room for the next turn. The current need of both roles is still met first.
+//!
 //! An engine is unavailable while it changes its role. A difference of up to [`TOLERATED_SHARE`] of the
 //! engines therefore changes nothing, unless the role that would gain engines has none or its utilisation is
 //! above [`FULL_UTILISATION`]. No difference changes anything while that role has at least
@@ -27,8 +31,11 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tansyhall_core::{Role, Timestamp, ZoneName};
 
-use tansyhall_core::{Role, ZoneName};
+use crate::peak::RecentPeak;
 
 /// Fraction of its slots or of its time above which an engine counts as full, because waiting times grow
 /// quickly beyond it.
@@ -56,6 +63,10 @@
 /// Lower bound of the number of engines that may change at once.
 const MIN_CHANGE_LIMIT: usize = 3;
 
+/// Time in which the peak of a role's demand decays to half: twice as long as a mix of requests commonly lasts, so that
+/// the previous mix still counts when it returns.
+const ROLE_PEAK_HALF_LIFE: Duration = Duration::from_secs(30);
+
 /// The state of one engine that the planner uses.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BalancedEngine {
@@ -91,6 +102,47 @@
     pub decode_slots: f64,
 }
 
+/// The engines that each role needed at the recent peak of its demand. The two peaks need not have been simultaneous.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct RolePeaks {
+    /// Decode engines for the streams and for the short prompts that they prefill.
+    pub decode_engines: f64,
+    /// Prefill engines.
+    pub prefill_engines: f64,
+}
+
+/// The recent peaks of the demand for both roles of a service's engines.
+#[derive(Debug, Clone, Copy)]
+pub struct RolePeakTracker {
+    decode: RecentPeak,
+    prefill: RecentPeak,
+}
+
+impl Default for RolePeakTracker {
+    fn default() -> Self {
+        Self {
+            decode: RecentPeak::with_half_life(ROLE_PEAK_HALF_LIFE),
+            prefill: RecentPeak::with_half_life(ROLE_PEAK_HALF_LIFE),
+        }
+    }
+}
+
+impl RolePeakTracker {
+    /// Records the demand at `now` and returns the recent peaks.
+    pub fn observe(
+        &mut self,
+        now: Timestamp,
+        engines: &[BalancedEngine],
+        expected: ExpectedDemand,
+    ) -> RolePeaks {
+        let need = Need::of(engines, &single_role_engines(engines), expected);
+        RolePeaks {
+            decode_engines: self.decode.observe(now, need.needed_decode_engines()),
+            prefill_engines: self.prefill.observe(now, need.needed_prefill_engines()),
+        }
+    }
+}
+
 /// Demand on the engines, expressed as the number of engines that it keeps busy.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct Need {
@@ -115,10 +167,36 @@
         }
     }
 
-    /// Returns how many of `engines` engines should decode, before the minimum of each role is applied.
-    fn decode_engines(&self, engines: f64) -> usize {
+    fn needed_decode_engines(&self) -> f64 {
         let for_short = self.short_prefill / SHORT_PREFILL_UTILISATION;
-        let decode_engines = (self.streams / FULL_UTILISATION + for_short).ceil();
+        self.streams / FULL_UTILISATION + for_short
+    }
+
+    fn needed_prefill_engines(&self) -> f64 {
+        self.prefill / FULL_UTILISATION
+    }
+
+    /// Returns how many of `engines` engines should decode so that both roles have the same utilisation at their peaks,
+    /// or `None` if that leaves too few engines for the current need of both.
+    fn decode_engines_for_peaks(&self, engines: f64, peaks: RolePeaks) -> Option<usize> {
+        let least = self.needed_decode_engines().ceil();
+        let most = engines - self.needed_prefill_engines().ceil();
+        let decode_peak = peaks.decode_engines.max(self.needed_decode_engines());
+        let both_peaks = decode_peak + peaks.prefill_engines.max(self.needed_prefill_engines());
+        if least > most || both_peaks <= 0.0 {
+            return None;
+        }
+        let same_utilisation = (engines * decode_peak / both_peaks).round();
+        Some(same_utilisation.clamp(least, most) as usize)
+    }
+
+    /// Returns how many of `engines` engines should decode, before the minimum of each role is applied.
+    fn decode_engines(&self, engines: f64, peaks: Option<RolePeaks>) -> usize {
+        let for_peaks = peaks.and_then(|peaks| self.decode_engines_for_peaks(engines, peaks));
+        if let Some(decode_engines) = for_peaks {
+            return decode_engines;
+        }
+        let decode_engines = self.needed_decode_engines().ceil();
         let prefill_engines = engines - decode_engines;
         if self.prefill <= prefill_engines * FULL_UTILISATION {
             return decode_engines as usize;
@@ -148,21 +226,34 @@
     }
 }
 
-/// Returns the role changes to make now for the expected demand. Mixed engines are left unchanged.
-pub fn balance_roles(engines: &[BalancedEngine], expected: ExpectedDemand) -> Vec<RoleChange> {
-    let single_role: Vec<usize> = (0..engines.len())
-        .filter(|index| engines[*index].role != Role::Mixed)
-        .collect();
+/// Returns the indices of the engines that are not mixed.
+fn single_role_engines(engines: &[BalancedEngine]) -> Vec<usize> {
+    let is_single_role = |index: &usize| engines[*index].role != Role::Mixed;
+    (0..engines.len()).filter(is_single_role).collect()
+}
+
+/// Returns the role changes to make now for the expected demand. Mixed engines are left unchanged. With `peaks`, spare
+/// engines are divided between both roles, and nothing changes before there was any demand; otherwise they prefill.
+pub fn balance_roles(
+    engines: &[BalancedEngine],
+    expected: ExpectedDemand,
+    peaks: Option<RolePeaks>,
+) -> Vec<RoleChange> {
+    let single_role = single_role_engines(engines);
     let changing = single_role.iter().filter(|index| engines[**index].changing);
     let allowed = max_changing(single_role.len()).saturating_sub(changing.count());
     let decode_engines = count(engines, &single_role, Role::Decode);
     let prefill_engines = single_role.len() - decode_engines;
     let need = Need::of(engines, &single_role, expected);
-    let needed = needed_decode_engines(engines, &single_role, need);
+    let needed = needed_decode_engines(engines, &single_role, need, peaks);
     let (role, difference, engines_in_role) = match decode_engines > needed {
         true => (Role::Prefill, decode_engines - needed, prefill_engines),
         false => (Role::Decode, needed - decode_engines, decode_engines),
     };
+    let has_both_roles = decode_engines > 0 && prefill_engines > 0;
+    if has_both_roles && peaks == Some(RolePeaks::default()) {
+        return Vec::new();
+    }
     let is_urgent =
         decode_engines == 0 || prefill_engines == 0 || need.fills(role, engines_in_role);
     let is_small = difference <= tolerated_difference(single_role.len())
@@ -188,11 +279,16 @@
     share.max(MIN_TOLERATED_ENGINES)
 }
 
-fn needed_decode_engines(engines: &[BalancedEngine], single_role: &[usize], need: Need) -> usize {
+fn needed_decode_engines(
+    engines: &[BalancedEngine],
+    single_role: &[usize],
+    need: Need,
+    peaks: Option<RolePeaks>,
+) -> usize {
     let zones = zones_of(engines, single_role).len();
     let share = (single_role.len() as f64 * MIN_DECODE_SHARE).ceil() as usize;
     let max = single_role.len().saturating_sub(1).max(1);
-    let decode_engines = need.decode_engines(single_role.len() as f64);
+    let decode_engines = need.decode_engines(single_role.len() as f64, peaks);
     decode_engines.max(zones).max(share).min(max)
 }
 
--- a/crates/planner/tests/role_balance.rs
+++ b/crates/planner/tests/role_balance.rs
@@ -3,7 +3,9 @@
 use proptest::prelude::*;
 use tansyhall_core::{Role, Timestamp, ZoneName};
 use tansyhall_fixed_cases::config_with_seed;
-use tansyhall_planner::{balance_roles, BalancedEngine, ExpectedDemand, RecentPeak};
+use tansyhall_planner::{
+    balance_roles, BalancedEngine, ExpectedDemand, RecentPeak, RolePeakTracker,
+};
 
 fn engine(zone: &str, role: Role, streams: u32) -> BalancedEngine {
     BalancedEngine {
@@ -29,7 +31,7 @@
 }
 
 fn apply_for_demand(engines: &mut [BalancedEngine], expected: ExpectedDemand) -> usize {
-    let changes = balance_roles(engines, expected);
+    let changes = balance_roles(engines, expected, None);
     for change in &changes {
         engines[change.engine].role = change.role;
     }
@@ -288,3 +290,84 @@
     assert!((peak.observe(at(110), 1.0) - 4.0).abs() < 1e-9);
     assert_eq!(peak.observe(at(111), 6.0), 6.0);
 }
+
+/// Engines of a fleet in three zones, a quarter of which prefill.
+fn mixed_fleet(engines: usize) -> Vec<BalancedEngine> {
+    let role = |number: usize| match number % 4 {
+        0 => Role::Prefill,
+        _ => Role::Decode,
+    };
+    (0..engines)
+        .map(|number| engine(&format!("z{}", number % 3), role(number), 0))
+        .collect()
+}
+
+/// Demand that keeps so many engines of each role busy; the streams count as slots of engines with 32 slots.
+fn busy(prefill_engines: f64, decode_engines: f64) -> ExpectedDemand {
+    ExpectedDemand {
+        prefill_engines,
+        decode_slots: decode_engines * 32.0,
+        ..ExpectedDemand::default()
+    }
+}
+
+/// Lets a demand last for `seconds`, with a plan each second whose changes take effect at once, and returns the number
+/// of changes.
+fn last_for(
+    engines: &mut [BalancedEngine],
+    peaks: &mut RolePeakTracker,
+    from: u64,
+    seconds: u64,
+    expected: ExpectedDemand,
+) -> usize {
+    let changes = (from..from + seconds).map(|second| {
+        let now = Timestamp::from_millis(second * 1_000);
+        let peaks = peaks.observe(now, engines, expected);
+        let changes = balance_roles(engines, expected, Some(peaks));
+        for change in &changes {
+            engines[change.engine].role = change.role;
+        }
+        changes.len()
+    });
+    changes.sum()
+}
+
+/// Guards against turning all spare engines into prefill engines while long prompts prevail: when the short questions
+/// returned, the decode engines had no free slot, and most prefill engines were idle.
+#[test]
+fn when_the_mix_turns_back_after_15_s_both_roles_still_have_engines_for_it() {
+    let (long_prompts, short_questions) = (busy(20.0, 8.0), busy(4.0, 30.0));
+    let mut engines = mixed_fleet(56);
+    let mut peaks = RolePeakTracker::default();
+    last_for(&mut engines, &mut peaks, 0, 15, short_questions);
+    last_for(&mut engines, &mut peaks, 15, 15, long_prompts);
+    for cycle in 1..5 {
+        let from = cycle * 30;
+        assert!(count_decode_engines(&engines) >= 27, "cycle {cycle}");
+        let to_decode = last_for(&mut engines, &mut peaks, from, 15, short_questions);
+        let prefill_engines = engines.len() - count_decode_engines(&engines);
+        assert!(prefill_engines >= 18, "cycle {cycle}: {prefill_engines}");
+        let to_prefill = last_for(&mut engines, &mut peaks, from + 15, 15, long_prompts);
+        assert!(to_decode + to_prefill <= 24, "cycle {cycle}");
+    }
+}
+
+/// Guards against holding engines back for an earlier peak while the other role cannot serve its present demand.
+#[test]
+fn the_present_need_goes_before_an_earlier_peak_of_the_other_role() {
+    let mut engines = mixed_fleet(56);
+    let mut peaks = RolePeakTracker::default();
+    last_for(&mut engines, &mut peaks, 0, 10, busy(2.0, 40.0));
+    last_for(&mut engines, &mut peaks, 10, 30, busy(36.0, 8.0));
+    let prefill_engines = engines.len() - count_decode_engines(&engines);
+    assert!(prefill_engines >= 40, "{prefill_engines}");
+}
+
+/// Guards against role changes before any request has arrived, when nothing is known about the demand.
+#[test]
+fn without_any_demand_no_role_changes() {
+    let mut engines = mixed_fleet(56);
+    let mut peaks = RolePeakTracker::default();
+    let changes = last_for(&mut engines, &mut peaks, 0, 10, ExpectedDemand::default());
+    assert_eq!(changes, 0);
+}
