Let urgent requests wait for their own group only

After the loss of engines, long prompts of the most urgent route were refused for a wait that consisted of short requests of another route, although engines preempt these.

The load of a worker, its reports and the demand for engines now state the part of the urgent group (requests whose service has no more urgent routes). Waits, prefill queues and learned costs, hold times and slowness are kept by group, and the delay of less urgent streams is no reason to refuse an urgent prompt. Reports without the new tags count all as urgent.

--- a/crates/forwarding/src/directory/admission.rs
+++ b/crates/forwarding/src/directory/admission.rs
@@ -14,7 +14,7 @@
 
 use std::time::Duration;
 
-use tansyhall_core::{Role, ServiceName, Timestamp};
+use tansyhall_core::{Role, Timestamp};
 
 use super::choice::{Demand, RouteKey};
 use super::costs::{ContinuingWork, EngineWork, PrefillWork};
@@ -24,6 +24,7 @@
 use super::tracked::TrackedWorker;
 use super::{Directory, MAX_EXPECTED_SECONDS};
 use crate::selection::Need;
+use crate::urgency::UrgencyGroup;
 
 /// Weight of the time to continue on another engine when it is compared with reading a prompt on
 /// the decode engine itself: a transfer also uses link bandwidth and time of two engines.
@@ -108,6 +109,14 @@
     }
 }
 
+/// The groups whose streams count when reading a prompt beside them is compared with reading it
+/// apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Spares {
+    AllGroups,
+    OwnGroup,
+}
+
 /// How long a prompt may take and wait, in seconds.
 #[derive(Debug, Clone, Copy)]
 struct WaitLimits {
@@ -187,7 +196,8 @@
             slot: hold.copied().unwrap_or_default(),
             ..plan.required
         };
-        self.demands.record(now, demand.service, required);
+        let group = self.counted_group(demand);
+        self.demands.record(now, demand.service, required, group);
         let typical_seconds = self
             .idle_prompt_seconds
             .entry(demand.service.clone())
@@ -229,6 +239,9 @@
         if self.decisions.beside_streams && self.fits_beside_streams(now, demand, objectives) {
             return taken(false, demand.draw);
         }
+        if let Some(taken) = self.admit_urgent(&comparison, limits) {
+            return taken;
+        }
         let queue_seconds = limits.queue_seconds(&plan);
         Admission::Refused {
             cause: limits.cause(&[first, plan]),
@@ -237,6 +250,19 @@
         }
     }
 
+    /// Admits an urgent prompt that would be in time behind its own group, although the plan that
+    /// spares less urgent streams is late.
+    fn admit_urgent(&self, comparison: &Comparison<'_>, limits: WaitLimits) -> Option<Admission> {
+        if comparison.waits_as != UrgencyGroup::Urgent {
+            return None;
+        }
+        let plan = self.plan_with(comparison.now, comparison, Spares::OwnGroup)?;
+        limits.admits(&plan).then_some(Admission::Admitted {
+            read_apart: plan.read_apart,
+            draw: comparison.demand.draw,
+        })
+    }
+
     /// Returns when a refused caller should retry if the queue is short enough in `queue_seconds`.
     fn retry_after(
         &self,
@@ -246,7 +272,7 @@
         queue_seconds: f64,
     ) -> Duration {
         let utilization = match self.decisions.later_return {
-            true => self.prefill_utilization(now, demand.service),
+            true => self.prefill_utilization(now, demand),
             false => 0.0,
         };
         let refused = RefusedCaller {
@@ -259,10 +285,16 @@
         bounded_duration(refused.retry_after_seconds())
     }
 
-    /// Returns the demand for prefill engines relative to their capacity.
-    fn prefill_utilization(&self, now: Timestamp, service: &ServiceName) -> f64 {
-        let prefill_engines = self.usable_workers(now, service, &Need::ReadPrompt);
-        self.engine_demand(now, service).prefill_engines / prefill_engines.max(1) as f64
+    /// Returns the demand for prefill engines that a caller competes with, relative to their
+    /// capacity.
+    fn prefill_utilization(&self, now: Timestamp, demand: Demand<'_>) -> f64 {
+        let prefill_engines = self.usable_workers(now, demand.service, &Need::ReadPrompt);
+        let all = self.engine_demand(now, demand.service);
+        let competing = match self.waits_as(demand) {
+            UrgencyGroup::Urgent => all.urgent_prefill_engines,
+            UrgencyGroup::LessUrgent => all.prefill_engines,
+        };
+        competing / prefill_engines.max(1) as f64
     }
 
     /// Returns whether a decode engine has time for a prompt for which no prefill engine has time:
@@ -281,10 +313,11 @@
         let Some((_, worker)) = self.best_worker(now, &comparison, &Need::Run) else {
             return false;
         };
-        let load = worker.load();
+        let load = worker.load().ahead_of(comparison.waits_as);
         let missing = self.prefill_estimate(worker, &comparison).missing_tokens;
         let tokens = load.reading_tokens + missing;
-        let stall_seconds = comparison.costs.colocated_prefill_seconds(tokens) * worker.slowness;
+        let slowness = worker.slowness(comparison.waits_as);
+        let stall_seconds = comparison.costs.colocated_prefill_seconds(tokens) * slowness;
         let max_sends = f64::from(worker.worker.slots) * MAX_OCCUPIED_SLOT_FRACTION;
         let plan = self.plan_colocated(worker, &comparison);
         let in_time = objectives.latency.as_secs_f64() * ON_TIME_FRACTION;
@@ -295,7 +328,22 @@
 
     /// Returns where a prompt is best read, and whether apart.
     fn plan(&self, now: Timestamp, comparison: &Comparison<'_>) -> Option<Plan> {
+        self.plan_with(now, comparison, Spares::AllGroups)
+    }
+
+    /// Returns the same if only the streams of these groups are to be spared.
+    fn plan_with(
+        &self,
+        now: Timestamp,
+        comparison: &Comparison<'_>,
+        spares: Spares,
+    ) -> Option<Plan> {
         let (colocated_cost, colocated_worker) = self.best_worker(now, comparison, &Need::Run)?;
+        let delay_of_less_urgent = match spares {
+            Spares::AllGroups => self.delay_of_less_urgent(colocated_worker, comparison),
+            Spares::OwnGroup => 0.0,
+        };
+        let colocated_cost = colocated_cost + delay_of_less_urgent;
         let colocated = self.plan_colocated(colocated_worker, comparison);
         let separate = self.best_worker(now, comparison, &Need::ReadPrompt);
         let Some((prefill_cost, reader)) = separate.filter(|_| self.decisions.reading_apart) else {
@@ -312,7 +360,7 @@
         let (seconds, idle_seconds) = self.prefill_seconds(worker, comparison);
         Plan {
             read_apart: false,
-            seconds: seconds + worker.slot_wait_seconds(comparison.hold_seconds, comparison.yields),
+            seconds: seconds + comparison.slot_wait_seconds(worker),
             idle_seconds,
             required: self.required_seconds(worker, comparison),
         }
@@ -370,7 +418,8 @@
         };
         let seconds = |work: PrefillWork| {
             let work = EngineWork::prefill(worker.worker.role, work);
-            comparison.costs.seconds(&work) * worker.slowness + estimate.transfer_seconds
+            comparison.costs.seconds(&work) * worker.slowness(comparison.waits_as)
+                + estimate.transfer_seconds
         };
         (seconds(work), seconds(idle))
     }
@@ -388,9 +437,9 @@
         };
         let engines = self.compared_workers(now, comparison.demand, &need);
         let seconds = engines.into_iter().map(|engine| {
-            let work = self.continuing_work(engine.load().sends, comparison);
-            comparison.costs.seconds(&work)
-                + engine.slot_wait_seconds(comparison.hold_seconds, comparison.yields)
+            let ahead = engine.load().ahead_of(comparison.waits_as);
+            let work = self.continuing_work(ahead.sends, comparison);
+            comparison.costs.seconds(&work) + comparison.slot_wait_seconds(engine)
         });
         seconds.reduce(f64::min).unwrap_or_default()
     }
--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -14,6 +14,7 @@
 use crate::load_exchange::WorkerKey;
 use crate::selection::{affinity_part, Need, PromptPart};
 use crate::tenant_shares::TenantKey;
+use crate::urgency::UrgencyGroup;
 use crate::worker::{Worker, WorkerId};
 
 /// Engines count as nearly equal if they differ by less than this many seconds
@@ -73,6 +74,7 @@
             .into_iter()
             .map(|tracked| (self.expected_seconds(tracked, need, &comparison), tracked))
             .collect();
+        let candidates = self.least_delaying(candidates, need, &comparison);
         let best = candidates.iter().min_by(|left, right| {
             let by_time = left.0.total_cmp(&right.0);
             by_time.then_with(|| rank(right.1).cmp(&rank(left.1)))
@@ -91,11 +93,19 @@
         comparison: &Comparison<'_>,
         need: &Need,
     ) -> Option<(f64, &'a TrackedWorker)> {
-        let candidates = self.compared_workers(now, comparison.demand, need);
-        candidates
+        let candidates: Vec<(f64, &TrackedWorker)> = self
+            .compared_workers(now, comparison.demand, need)
             .into_iter()
             .map(|worker| (self.expected_seconds(worker, need, comparison), worker))
-            .min_by(|(left, _), (right, _)| left.total_cmp(right))
+            .collect();
+        let candidates = self.least_delaying(candidates, need, comparison);
+        let best = candidates
+            .into_iter()
+            .min_by(|(left, _), (right, _)| left.total_cmp(right));
+        best.map(|(seconds, worker)| match comparison.waits_as {
+            UrgencyGroup::Urgent => (self.expected_seconds(worker, need, comparison), worker),
+            UrgencyGroup::LessUrgent => (seconds, worker),
+        })
     }
 
     /// Returns the workers that are compared for a demand: all that may be chosen, or a sample of
@@ -223,13 +233,18 @@
     }
 }
 
+/// Returns the seconds up to which engines count as nearly equal to one that takes `least_seconds`.
+pub(super) fn nearly_equal_limit(least_seconds: f64) -> f64 {
+    least_seconds * (1.0 + NEARLY_EQUAL_FRACTION) + NEARLY_EQUAL_SECONDS
+}
+
 /// Draws one of the workers that take hardly longer than `least_seconds`.
 fn draw_nearly_equal<'a>(
     candidates: &[(f64, &'a TrackedWorker)],
     least_seconds: f64,
     draw: u64,
 ) -> Option<&'a TrackedWorker> {
-    let max_seconds = least_seconds * (1.0 + NEARLY_EQUAL_FRACTION) + NEARLY_EQUAL_SECONDS;
+    let max_seconds = nearly_equal_limit(least_seconds);
     let nearly_equal = candidates
         .iter()
         .filter(|(seconds, _)| *seconds <= max_seconds);
--- a/crates/forwarding/src/directory/demand.rs
+++ b/crates/forwarding/src/directory/demand.rs
@@ -12,6 +12,7 @@
 
 use crate::load_exchange::{EngineDemand, GatewayKey, ServiceKey, STALE_AFTER};
 use crate::rate::Rate;
+use crate::urgency::UrgencyGroup;
 
 /// Lower demand is not reported, in engines and in slots.
 const MIN_REPORTED_DEMAND: f64 = 0.001;
@@ -40,15 +41,38 @@
     prefill: Rate,
     short_prefill: Rate,
     slots: Rate,
+    urgent_prefill: Rate,
+    urgent_short_prefill: Rate,
+    urgent_slots: Rate,
 }
 
 impl DemandRates {
+    fn record(&mut self, now: Timestamp, required: RequiredSeconds, group: UrgencyGroup) {
+        self.prefill.record(now, required.prefill);
+        self.short_prefill.record(now, required.short_prefill);
+        self.slots.record(now, required.slot);
+        if group == UrgencyGroup::Urgent {
+            self.urgent_prefill.record(now, required.prefill);
+            self.urgent_short_prefill
+                .record(now, required.short_prefill);
+            self.urgent_slots.record(now, required.slot);
+        }
+    }
+
     fn demand(&self, now: Timestamp, service: ServiceKey) -> EngineDemand {
+        let prefill_engines = self.prefill.per_second(now);
+        let decode_engines = self.short_prefill.per_second(now);
+        let decode_slots = self.slots.per_second(now);
+        // Rounding must not make a part greater than the whole, which receivers would reject.
+        let part = |rate: &Rate, whole: f64| rate.per_second(now).min(whole);
         EngineDemand {
             service,
-            prefill_engines: self.prefill.per_second(now),
-            decode_engines: self.short_prefill.per_second(now),
-            decode_slots: self.slots.per_second(now),
+            prefill_engines,
+            decode_engines,
+            decode_slots,
+            urgent_prefill_engines: part(&self.urgent_prefill, prefill_engines),
+            urgent_decode_engines: part(&self.urgent_short_prefill, decode_engines),
+            urgent_decode_slots: part(&self.urgent_slots, decode_slots),
         }
     }
 }
@@ -73,11 +97,10 @@
         now: Timestamp,
         service: &ServiceName,
         required: RequiredSeconds,
+        group: UrgencyGroup,
     ) {
         let rates = self.own.entry(service.clone()).or_default();
-        rates.prefill.record(now, required.prefill);
-        rates.short_prefill.record(now, required.short_prefill);
-        rates.slots.record(now, required.slot);
+        rates.record(now, required, group);
     }
 
     /// Returns the demand of this gateway's callers.
@@ -124,6 +147,11 @@
             prefill_engines: sum.prefill_engines + reported.demand.prefill_engines,
             decode_engines: sum.decode_engines + reported.demand.decode_engines,
             decode_slots: sum.decode_slots + reported.demand.decode_slots,
+            urgent_prefill_engines: sum.urgent_prefill_engines
+                + reported.demand.urgent_prefill_engines,
+            urgent_decode_engines: sum.urgent_decode_engines
+                + reported.demand.urgent_decode_engines,
+            urgent_decode_slots: sum.urgent_decode_slots + reported.demand.urgent_decode_slots,
         })
     }
 }
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -54,6 +54,7 @@
 mod tenants;
 mod ticket;
 mod tracked;
+mod urgency;
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -65,9 +66,10 @@
 use crate::cache_view::PartKey;
 use crate::configuration::EngineCapacity;
 use crate::decisions::Decisions;
-use crate::load_exchange::{EngineDemand, GatewayKey, LoadReporter, WorkerKey};
+use crate::load_exchange::{EngineDemand, GatewayKey, Load, LoadReporter, WorkerKey};
 use crate::selection::{Need, PromptPart};
 use crate::tenant_shares::TenantShares;
+use crate::urgency::UrgencyGroup;
 use crate::worker::{Worker, WorkerId, WorkerState};
 
 pub use admission::{Admission, Objectives, RefusalCause};
@@ -89,6 +91,7 @@
 use sampling::Sampling;
 use sharing::report_prompt;
 use tracked::{smooth, TrackedWorker};
+use urgency::UrgentValues;
 
 /// Cache size in tokens that is assumed if the configuration does not state one.
 const DEFAULT_CACHE_TOKENS: u64 = 200_000;
@@ -119,6 +122,7 @@
     desired_roles: HashMap<String, Role>,
     engines: HashMap<ServiceName, EngineCapacity>,
     costs: HashMap<ServiceName, EngineCosts>,
+    urgent_values: UrgentValues,
     hold_seconds: HashMap<ServiceName, LengthBiasedMean>,
     route_hold_seconds: HashMap<RouteKey, f64>,
     idle_prompt_seconds: HashMap<ServiceName, LengthBiasedMean>,
@@ -158,6 +162,7 @@
             desired_roles: HashMap::new(),
             engines: HashMap::new(),
             costs: HashMap::new(),
+            urgent_values: UrgentValues::default(),
             hold_seconds: HashMap::new(),
             route_hold_seconds: HashMap::new(),
             idle_prompt_seconds: HashMap::new(),
@@ -256,8 +261,8 @@
         };
         ticket.is_counted = true;
         ticket.is_trial = self.notices.begin_send(key);
-        tracked.own_load.sends += 1;
-        tracked.own_load.reading_tokens += ticket.reading_tokens;
+        let load = Load::of_request(ticket.group, ticket.reading_tokens);
+        tracked.own_load = tracked.own_load.plus(load);
         if self.decisions.caches {
             for part in prompt {
                 let key = PartKey::of(part);
@@ -290,17 +295,22 @@
         };
         if let Some(work) = &ticket.work {
             let seconds = (latency.as_secs_f64() - ticket.fetch_seconds).max(0.0);
-            let costs = self.costs.entry(tracked.worker.service.clone());
+            let service = tracked.worker.service.clone();
+            let costs = match ticket.waits_as {
+                UrgencyGroup::Urgent => self.urgent_values.costs.entry(service),
+                UrgencyGroup::LessUrgent => self.costs.entry(service),
+            };
             if self.decisions.learnt_costs {
                 costs.or_default().learn(work, seconds);
             }
             if self.decisions.slowness {
-                tracked.learn_slowness(ticket.baseline_seconds, seconds);
+                tracked.learn_slowness(ticket.waits_as, ticket.baseline_seconds, seconds);
             }
         }
         ticket.read_at = Some(now);
         let read = std::mem::take(&mut ticket.reading_tokens);
-        tracked.own_load.reading_tokens = tracked.own_load.reading_tokens.saturating_sub(read);
+        let read = Load::of_request(ticket.group, read).tokens_only();
+        tracked.own_load = tracked.own_load.minus(read);
         if self.decisions.caches {
             for part in prompt {
                 let key = PartKey::of(part);
@@ -333,9 +343,9 @@
         };
         let change = tracked.cache.remove_unready(prompt);
         self.part_holders.apply(key, &change);
-        tracked.own_load.sends = tracked.own_load.sends.saturating_sub(1);
         let unread = ticket.reading_tokens;
-        tracked.own_load.reading_tokens = tracked.own_load.reading_tokens.saturating_sub(unread);
+        let ended = Load::of_request(ticket.group, unread);
+        tracked.own_load = tracked.own_load.minus(ended);
         report_load(&mut self.reporter, tracked);
         if result == SendResult::Absent && !tracked.is_absent(now) {
             self.reporter.record_absence(tracked.key);
@@ -362,6 +372,9 @@
         {
             let service = tracked.worker.service.clone();
             let held = now.since(read_at).as_secs_f64().min(MAX_HOLD_SECONDS);
+            if ticket.waits_as == UrgencyGroup::Urgent {
+                self.urgent_values.record_hold(&service, held);
+            }
             self.hold_seconds.entry(service).or_default().record(held);
             let hold = self.route_hold_seconds.entry(ticket.route).or_insert(held);
             *hold += (held - *hold) * ROUTE_HOLD_WEIGHT;
--- a/crates/forwarding/src/directory/prediction.rs
+++ b/crates/forwarding/src/directory/prediction.rs
@@ -7,10 +7,10 @@
 
 use super::choice::Demand;
 use super::costs::{ContinuingWork, EngineCosts, EngineWork, PrefillWork};
-use super::length_biased_mean::LengthBiasedMean;
 use super::tracked::TrackedWorker;
 use super::Directory;
 use crate::selection::{prompt_tokens, Need};
+use crate::urgency::UrgencyGroup;
 
 /// Copying tokens into a full cache evicts as many: the fraction of the time to read those again
 /// that is added as a cost.
@@ -22,6 +22,7 @@
 const TRANSFER_WEIGHT: f64 = 2.0;
 
 /// A demand with what is the same for all workers compared for it.
+#[derive(Clone)]
 pub(super) struct Comparison<'a> {
     pub(super) now: Timestamp,
     pub(super) demand: Demand<'a>,
@@ -33,9 +34,19 @@
     pub(super) prompt_tokens: u64,
     /// Whether the demand leaves a few slots to more urgent ones.
     pub(super) yields: bool,
+    /// The group whose waits apply to the demand.
+    pub(super) waits_as: UrgencyGroup,
+}
+
+impl Comparison<'_> {
+    /// Returns the seconds that the demand waits for a slot of a worker.
+    pub(super) fn slot_wait_seconds(&self, tracked: &TrackedWorker) -> f64 {
+        tracked.slot_wait_seconds(self.hold_seconds, self.yields, self.waits_as)
+    }
 }
 
 /// A worker that has the start of a prompt in its cache.
+#[derive(Clone)]
 pub(super) struct Holder<'a> {
     tracked: &'a TrackedWorker,
     tokens: u64,
@@ -57,7 +68,8 @@
     /// Returns what is the same for all workers compared for a demand.
     pub(super) fn comparison<'a>(&'a self, now: Timestamp, demand: Demand<'a>) -> Comparison<'a> {
         let tokens = prompt_tokens(demand.prompt);
-        let costs = self.costs.get(demand.service).cloned().unwrap_or_default();
+        let waits_as = self.waits_as(demand);
+        let costs = self.costs_for(demand.service, waits_as);
         let holders = match costs.is_short(tokens) || !self.decisions.fetches {
             true => Vec::new(),
             false => self.holders(demand),
@@ -66,14 +78,12 @@
             now,
             demand,
             costs,
-            hold_seconds: self
-                .hold_seconds
-                .get(demand.service)
-                .map_or(0.0, LengthBiasedMean::seconds),
+            hold_seconds: self.hold_seconds_for(demand.service, waits_as),
             promptless_latency: self.promptless_latency(demand.service),
             holders,
             prompt_tokens: tokens,
             yields: demand.yields && self.decisions.yielded_places,
+            waits_as,
         }
     }
 
@@ -112,9 +122,10 @@
                 let estimate = self.prefill_estimate(tracked, comparison);
                 let work = self.prefill_work(tracked, &estimate, comparison);
                 let work = EngineWork::prefill(tracked.worker.role, work);
-                let seconds = comparison.costs.seconds(&work) * tracked.slowness
+                let seconds = comparison.costs.seconds(&work)
+                    * tracked.slowness(comparison.waits_as)
                     + self.stream_delay_seconds(tracked, &estimate, comparison)
-                    + tracked.slot_wait_seconds(comparison.hold_seconds, comparison.yields)
+                    + comparison.slot_wait_seconds(tracked)
                     + estimate.fetch_seconds;
                 tracked.penalize_failures(comparison.now, seconds)
             }
@@ -122,8 +133,9 @@
                 let copied = comparison.prompt_tokens - tracked.cache.cached_tokens(demand.prompt);
                 let eviction_seconds = self.eviction_seconds(copied, comparison);
                 let work = self.engine_work(tracked, need, comparison);
-                let seconds = comparison.costs.seconds(&work) * tracked.slowness
-                    + tracked.slot_wait_seconds(comparison.hold_seconds, comparison.yields)
+                let seconds = comparison.costs.seconds(&work)
+                    * tracked.slowness(comparison.waits_as)
+                    + comparison.slot_wait_seconds(tracked)
                     + eviction_seconds;
                 tracked.penalize_failures(comparison.now, seconds)
             }
@@ -131,14 +143,18 @@
     }
 
     /// Returns the seconds of delay that reading a prompt causes to the streams on the same engine.
-    fn stream_delay_seconds(
+    pub(super) fn stream_delay_seconds(
         &self,
         tracked: &TrackedWorker,
         estimate: &PrefillEstimate,
         comparison: &Comparison<'_>,
     ) -> f64 {
         match self.decisions.harm {
-            true => tracked.stream_delay_seconds(estimate.missing_tokens, &comparison.costs),
+            true => tracked.stream_delay_seconds(
+                estimate.missing_tokens,
+                &comparison.costs,
+                comparison.waits_as,
+            ),
             false => 0.0,
         }
     }
@@ -158,7 +174,7 @@
         need: &Need,
         comparison: &Comparison<'_>,
     ) -> EngineWork {
-        let load = tracked.load();
+        let load = tracked.load().ahead_of(comparison.waits_as);
         let demand = &comparison.demand;
         if let Need::Continue { reader } = need {
             let reader = self.tracked(reader).map(|reader| &reader.worker.zone);
@@ -187,7 +203,7 @@
         estimate: &PrefillEstimate,
         comparison: &Comparison<'_>,
     ) -> PrefillWork {
-        let load = tracked.load();
+        let load = tracked.load().ahead_of(comparison.waits_as);
         PrefillWork {
             requests: load.sends,
             waiting_tokens: load.reading_tokens,
--- a/crates/forwarding/src/directory/ticket.rs
+++ b/crates/forwarding/src/directory/ticket.rs
@@ -9,6 +9,7 @@
 use super::costs::EngineWork;
 use super::{Directory, MAX_EXPECTED_SECONDS};
 use crate::selection::Need;
+use crate::urgency::UrgencyGroup;
 use crate::worker::WorkerId;
 
 /// A send in progress.
@@ -19,6 +20,10 @@
     /// Whether it is a trial of a worker whose back-off has ended.
     pub(super) is_trial: bool,
     pub(super) route: RouteKey,
+    /// The group that it is counted in until it ends.
+    pub(super) group: UrgencyGroup,
+    /// The group whose waits it was expected to have.
+    pub(super) waits_as: UrgencyGroup,
     pub(super) reading_tokens: u64,
     /// Whether reading its remaining tokens costs an engine hardly more than any prompt does.
     pub(super) is_short: bool,
@@ -76,6 +81,8 @@
             is_counted: false,
             is_trial: false,
             route: RouteKey::of(demand.route),
+            group: self.counted_group(demand),
+            waits_as: self.waits_as(demand),
             reading_tokens: 0,
             is_short: false,
             work: None,
@@ -105,7 +112,8 @@
             ticket.fetch_seconds = estimate.transfer_seconds;
         }
         ticket.baseline_seconds = comparison.costs.seconds(&work);
-        ticket.expected_seconds = ticket.baseline_seconds * tracked.slowness + ticket.fetch_seconds;
+        let slowness = tracked.slowness(ticket.waits_as);
+        ticket.expected_seconds = ticket.baseline_seconds * slowness + ticket.fetch_seconds;
         ticket.work = Some(work);
         ticket
     }
--- a/crates/forwarding/src/directory/tracked.rs
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -8,6 +8,7 @@
 use super::costs::EngineCosts;
 use crate::cache_view::CacheView;
 use crate::load_exchange::{GatewayKey, Load, WorkerKey, STALE_AFTER};
+use crate::urgency::UrgencyGroup;
 use crate::worker::{Worker, WorkerState};
 
 /// Weight of the newest latency in the smoothed one.
@@ -81,7 +82,9 @@
     pub(super) desired_role: Option<Role>,
     pub(super) own_load: Load,
     pub(super) cache: CacheView,
-    pub(super) slowness: f64,
+    slowness: f64,
+    /// Slowness of requests that wait for the urgent group only.
+    urgent_slowness: f64,
     loads_by_gateway: HashMap<GatewayKey, ReportedLoad>,
     others_total: Load,
     /// Smoothed latency in seconds; `None` before the first answer.
@@ -110,6 +113,7 @@
             own_load: Load::default(),
             cache: CacheView::default(),
             slowness: 1.0,
+            urgent_slowness: 1.0,
             loads_by_gateway: HashMap::new(),
             others_total: Load::default(),
             latency: None,
@@ -202,11 +206,16 @@
         self.promptless_seconds(service_latency) * (1.0 + zone_penalty)
     }
 
-    /// Returns the seconds that one more request waits for a slot, if all are occupied: each
-    /// request that has one holds it for `hold_seconds`. A request that yields leaves a few slots
-    /// to more urgent requests. A prefill engine processes prompts one after the other anyway, so
-    /// nothing waits for its slots.
-    pub(super) fn slot_wait_seconds(&self, hold_seconds: f64, yields: bool) -> f64 {
+    /// Returns the seconds that one more request waits for a slot, if all are occupied by requests
+    /// that it waits for (`waits_as`): each of these holds its slot for `hold_seconds`. A request
+    /// that yields leaves a few slots to more urgent requests. A prefill engine processes prompts
+    /// one after the other anyway, so nothing waits for its slots.
+    pub(super) fn slot_wait_seconds(
+        &self,
+        hold_seconds: f64,
+        yields: bool,
+        waits_as: UrgencyGroup,
+    ) -> f64 {
         if self.worker.role == Some(Role::Prefill) {
             return 0.0;
         }
@@ -215,13 +224,20 @@
             true => slots * RESERVED_SLOT_FRACTION,
             false => 0.0,
         };
-        let waiting = (f64::from(self.load().sends + 1) + reserved - slots).max(0.0);
-        waiting / slots * hold_seconds * self.slowness
+        let ahead = self.load().ahead_of(waits_as).sends;
+        let waiting = (f64::from(ahead + 1) + reserved - slots).max(0.0);
+        waiting / slots * hold_seconds * self.slowness(waits_as)
     }
 
-    /// Returns the seconds of delay for the streams decoding here while `missing_tokens` are read.
-    pub(super) fn stream_delay_seconds(&self, missing_tokens: u64, costs: &EngineCosts) -> f64 {
-        let streams = 1.0 + f64::from(self.load().sends);
+    /// Returns the seconds of delay for the streams decoding here while `missing_tokens` are read,
+    /// as far as they count for a request with the waits of this group.
+    pub(super) fn stream_delay_seconds(
+        &self,
+        missing_tokens: u64,
+        costs: &EngineCosts,
+        waits_as: UrgencyGroup,
+    ) -> f64 {
+        let streams = 1.0 + f64::from(self.load().ahead_of(waits_as).sends);
         match self.worker.role {
             Some(Role::Prefill) => 0.0,
             _ => costs.colocated_prefill_seconds(missing_tokens) * streams * STREAM_DELAY_WEIGHT,
@@ -283,14 +299,33 @@
         }
     }
 
+    /// Returns how much slower the worker is than others of its service, for requests with the
+    /// waits of this group. Preempted requests take longer than expected at a worker that is as
+    /// fast as others, so they do not count for the urgent group.
+    pub(super) fn slowness(&self, waits_as: UrgencyGroup) -> f64 {
+        match waits_as {
+            UrgencyGroup::Urgent => self.urgent_slowness,
+            UrgencyGroup::LessUrgent => self.slowness,
+        }
+    }
+
     /// Learns how much slower the worker is than others of its service.
-    pub(super) fn learn_slowness(&mut self, baseline_seconds: f64, seconds: f64) {
+    pub(super) fn learn_slowness(
+        &mut self,
+        waits_as: UrgencyGroup,
+        baseline_seconds: f64,
+        seconds: f64,
+    ) {
         if baseline_seconds <= 0.0 {
             return;
         }
         let (least, most) = SLOWNESS_BOUNDS;
-        let slowness = smooth(self.slowness, seconds / baseline_seconds, LATENCY_WEIGHT);
-        self.slowness = slowness.clamp(least, most);
+        let known = match waits_as {
+            UrgencyGroup::Urgent => &mut self.urgent_slowness,
+            UrgencyGroup::LessUrgent => &mut self.slowness,
+        };
+        let slowness = smooth(*known, seconds / baseline_seconds, LATENCY_WEIGHT);
+        *known = slowness.clamp(least, most);
     }
 }
 
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod stop_plan;
 pub mod tenant_shares;
 pub mod tenants;
+pub mod urgency;
 pub mod worker;
 pub mod worker_notice;
 
@@ -70,5 +71,6 @@
 pub use stop_plan::StopPlan;
 pub use tenant_shares::{TenantKey, TenantShares, WorkOutcome};
 pub use tenants::{ApiKey, AuthenticatedTenant, Tenant, TenantError, TenantTable};
+pub use urgency::UrgencyGroup;
 pub use worker::{Worker, WorkerId, WorkerKind, WorkerState};
 pub use worker_notice::{WorkerNotice, MAX_BACKOFF};
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -71,6 +71,12 @@
     pub decode_engines: f64,
     /// The number of slots of decoding engines that its streams would occupy.
     pub decode_slots: f64,
+    /// The part of `prefill_engines` that the urgent group needs: requests whose service has no more urgent routes.
+    pub urgent_prefill_engines: f64,
+    /// The part of `decode_engines` that the urgent group needs.
+    pub urgent_decode_engines: f64,
+    /// The part of `decode_slots` that the urgent group needs.
+    pub urgent_decode_slots: f64,
 }
 
 /// The load that one gateway has in flight at one worker.
@@ -80,24 +86,10 @@
     pub sends: u32,
     /// Prompt tokens that the worker has yet to read.
     pub reading_tokens: u64,
-}
-
-impl Load {
-    /// Returns the saturating sum of both loads.
-    pub fn plus(self, other: Self) -> Self {
-        Self {
-            sends: self.sends.saturating_add(other.sends),
-            reading_tokens: self.reading_tokens.saturating_add(other.reading_tokens),
-        }
-    }
-
-    /// Returns the saturating difference of both loads.
-    pub fn minus(self, other: Self) -> Self {
-        Self {
-            sends: self.sends.saturating_sub(other.sends),
-            reading_tokens: self.reading_tokens.saturating_sub(other.reading_tokens),
-        }
-    }
+    /// The requests of `sends` that belong to the urgent group: their service has no more urgent routes.
+    pub urgent_sends: u32,
+    /// The tokens of `reading_tokens` that belong to the urgent group.
+    pub urgent_reading_tokens: u64,
 }
 
 /// The load of the sending gateway at one worker.
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -228,10 +228,7 @@
         sequence,
         loads: vec![LoadEntry {
             worker: WorkerKey::of(&WorkerId::from("a")),
-            load: Load {
-                sends: 1,
-                reading_tokens,
-            },
+            load: Load::all_urgent(1, reading_tokens),
         }],
         parts: Vec::new(),
         absences: Vec::new(),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -227,6 +227,9 @@
         /// Why it was not sent, or not retried: `overload`, `tenant_share`, `rate_limit`, `no_worker`,
         /// `workers_rest`, `retry_budget`, or empty.
         cause: &'a str,
+        /// The group that it belongs to, `urgent` or `less_urgent`: a refused request would have waited for its own group
+        /// or for all requests.
+        urgency: &'a str,
         /// Milliseconds that its prompt would have waited, if this is the cause.
         waiting_ms: u64,
         /// Number of sends to workers.
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -14,7 +14,7 @@
 use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{
     Action, Admission, AttemptPolicy, Conclusion, Fingerprint, Need, PromptHandle, RefusalCause,
-    RequestEvent, RequestMachine, Route, SendFailure, Worker, WorkerId,
+    RequestEvent, RequestMachine, Route, SendFailure, UrgencyGroup, Worker, WorkerId,
 };
 use tokio::time::Instant;
 
@@ -243,6 +243,7 @@
             request_id: self.request_id().to_owned(),
             fingerprint: self.request.fingerprint,
             route: self.route().name.clone(),
+            yields: self.request.routed.yields,
             worker: worker.id.clone(),
             service: worker.service.clone(),
             kind,
@@ -354,6 +355,7 @@
             configuration: self.request.routed.version,
             outcome,
             cause: self.cause,
+            urgency: UrgencyGroup::of(self.request.routed.yields).name(),
             waiting_ms: saturating_millis(self.waiting),
             sends,
             objective_ms: saturating_millis(self.route().latency_objective),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod store_contact;
 pub mod update_cache;
 pub mod update_message;
+mod urgent_part;
 pub mod usage;
 pub mod worker_ends;
 pub mod worker_entries;
--- a/crates/gateway/src/load_messages.rs
+++ b/crates/gateway/src/load_messages.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::urgent_part;
 use prost::Message;
 use tansyhall_forwarding::{
     Absence, EngineDemand, GatewayKey, LimitStatement, Load, LoadEntry, LoadReport, PartKey,
@@ -90,6 +91,15 @@
     /// Number of decoding engines that reading its short prompts would keep busy.
     #[prost(float, tag = "4")]
     pub decoders: f32,
+    /// The part of `readers` that the urgent group needs. Absent if it is the whole, and in reports of earlier builds.
+    #[prost(float, optional, tag = "5")]
+    pub urgent_readers: Option<f32>,
+    /// The part of `places` that the urgent group needs; absent as above.
+    #[prost(float, optional, tag = "6")]
+    pub urgent_places: Option<f32>,
+    /// The part of `decoders` that the urgent group needs; absent as above.
+    #[prost(float, optional, tag = "7")]
+    pub urgent_decoders: Option<f32>,
 }
 
 /// The load of one worker, on the wire.
@@ -104,6 +114,12 @@
     /// Prompt tokens that the worker has yet to read.
     #[prost(uint64, tag = "3")]
     pub reading_tokens: u64,
+    /// The part of `sends` that belongs to the urgent group. Absent if it is the whole, and in reports of earlier builds.
+    #[prost(uint32, optional, tag = "4")]
+    pub urgent_sends: Option<u32>,
+    /// The part of `reading_tokens` that belongs to the urgent group; absent as above.
+    #[prost(uint64, optional, tag = "5")]
+    pub urgent_reading_tokens: Option<u64>,
 }
 
 /// A prompt part that a worker has read or is reading, on the wire.
@@ -125,11 +141,7 @@
 
 /// Encodes a report.
 pub fn encode(report: &LoadReport) -> ReportMessage {
-    let loads = report.loads.iter().map(|entry| LoadMessage {
-        worker: entry.worker.0,
-        sends: entry.load.sends,
-        reading_tokens: entry.load.reading_tokens,
-    });
+    let loads = report.loads.iter().map(encode_load);
     ReportMessage {
         sender: report.sender.0,
         sequence: report.sequence,
@@ -145,12 +157,44 @@
     }
 }
 
+fn encode_load(entry: &LoadEntry) -> LoadMessage {
+    let load = entry.load;
+    LoadMessage {
+        worker: entry.worker.0,
+        sends: load.sends,
+        reading_tokens: load.reading_tokens,
+        urgent_sends: urgent_part::encode(load.urgent_sends, load.sends),
+        urgent_reading_tokens: urgent_part::encode(load.urgent_reading_tokens, load.reading_tokens),
+    }
+}
+
+fn decode_load(message: &LoadMessage) -> LoadEntry {
+    LoadEntry {
+        worker: WorkerKey(message.worker),
+        load: Load {
+            sends: message.sends,
+            reading_tokens: message.reading_tokens,
+            urgent_sends: urgent_part::decode(message.urgent_sends, message.sends),
+            urgent_reading_tokens: urgent_part::decode(
+                message.urgent_reading_tokens,
+                message.reading_tokens,
+            ),
+        },
+    }
+}
+
 fn encode_demand(demand: &EngineDemand) -> DemandMessage {
+    let readers = demand.prefill_engines as f32;
+    let places = demand.decode_slots as f32;
+    let decoders = demand.decode_engines as f32;
     DemandMessage {
         service: demand.service.0,
-        readers: demand.prefill_engines as f32,
-        places: demand.decode_slots as f32,
-        decoders: demand.decode_engines as f32,
+        readers,
+        places,
+        decoders,
+        urgent_readers: urgent_part::encode(demand.urgent_prefill_engines as f32, readers),
+        urgent_places: urgent_part::encode(demand.urgent_decode_slots as f32, places),
+        urgent_decoders: urgent_part::encode(demand.urgent_decode_engines as f32, decoders),
     }
 }
 
@@ -178,11 +222,15 @@
 
 /// Decodes the demand of one service.
 fn decode_demand(message: &DemandMessage) -> EngineDemand {
+    let urgent = |part, whole| non_negative_or_zero(urgent_part::decode(part, whole));
     EngineDemand {
         service: ServiceKey(message.service),
         prefill_engines: non_negative_or_zero(message.readers),
         decode_slots: non_negative_or_zero(message.places),
         decode_engines: non_negative_or_zero(message.decoders),
+        urgent_prefill_engines: urgent(message.urgent_readers, message.readers),
+        urgent_decode_slots: urgent(message.urgent_places, message.places),
+        urgent_decode_engines: urgent(message.urgent_decoders, message.decoders),
     }
 }
 
@@ -208,13 +256,7 @@
 
 /// Decodes a report.
 pub fn decode(message: ReportMessage) -> LoadReport {
-    let loads = message.loads.into_iter().map(|entry| LoadEntry {
-        worker: WorkerKey(entry.worker),
-        load: Load {
-            sends: entry.sends,
-            reading_tokens: entry.reading_tokens,
-        },
-    });
+    let loads = message.loads.iter().map(decode_load);
     let absences = message.absences.into_iter().map(|key| Absence {
         worker: WorkerKey(key),
     });
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -36,6 +36,8 @@
     pub fingerprint: Fingerprint,
     /// The name of its route.
     pub route: String,
+    /// Whether its service has more urgent routes.
+    pub yields: bool,
     /// The worker.
     pub worker: WorkerId,
     /// The service of the worker.
@@ -79,7 +81,7 @@
             prompt: &details.prompt,
             route: &details.route,
             tenant: None,
-            yields: false,
+            yields: details.yields,
             zone: &zone,
             avoid: &[],
             draw: 0,
--- a/crates/gateway/tests/production_messages.rs
+++ b/crates/gateway/tests/production_messages.rs
@@ -94,6 +94,8 @@
             worker: 13,
             sends: 14,
             reading_tokens: 15,
+            urgent_sends: None,
+            urgent_reading_tokens: None,
         }],
         parts: vec![PartMessage {
             worker: 16,
@@ -107,6 +109,9 @@
             readers: 1.5,
             places: 2.5,
             decoders: 3.5,
+            urgent_readers: None,
+            urgent_places: None,
+            urgent_decoders: None,
         }],
         rate_limits: Vec::new(),
     };
