--- a/crates/forwarding/tests/urgency/mod.rs
+++ b/crates/forwarding/tests/urgency/mod.rs
@@ -193,8 +193,10 @@
                 );
             }
         }
-        let is_done = |running: &mut Running| running.prefill_left == 0 && running.decode_left == 0;
-        let ended: Vec<Running> = self.engines[engine].extract_if(.., is_done).collect();
+        let is_done = |running: &Running| running.prefill_left == 0 && running.decode_left == 0;
+        let in_progress = std::mem::take(&mut self.engines[engine]).into_iter();
+        let (ended, left): (Vec<Running>, Vec<Running>) = in_progress.partition(is_done);
+        self.engines[engine] = left;
         for running in ended {
             self.outcomes[running.route].answered += 1;
             let result = SendResult::Answered {
