Give the engines that urgent routes need to these first

Cause: equal utilisation of both roles left too few prefill engines for urgent long prompts on one deployment, and a shortage was shared regardless of rank. Change: peaks count urgent demand at half utilisation; in a shortage urgent routes get their engines first, and others share the rest.

--- a/crates/gateway/src/role_orders.rs
+++ b/crates/gateway/src/role_orders.rs
@@ -14,9 +14,9 @@
 use futures_util::StreamExt;
 use tansyhall_authority::Epoch;
 use tansyhall_core::{Role, ServiceName, Timestamp};
-use tansyhall_forwarding::{EngineLoad, Worker, WorkerId, WorkerNotice};
+use tansyhall_forwarding::{EngineDemand, EngineLoad, Worker, WorkerId, WorkerNotice};
 use tansyhall_planner::{
-    balance_roles, BalancedEngine, ExpectedDemand, RecentPeak, RolePeakTracker,
+    balance_roles, BalancedEngine, ExpectedDemand, RecentPeak, RolePeakTracker, UrgentFractions,
 };
 use tansyhall_store::{Compare, KeyValueStore, Operation, Revision, Transaction};
 use tokio::time::{sleep, timeout};
@@ -116,6 +116,7 @@
                 prefill_engines: demand.prefill_engines,
                 decode_engines_for_short_prompts: peak.observe(now, demand.decode_engines),
                 decode_slots: demand.decode_slots,
+                urgent: urgent_fractions(&demand),
             };
             let peaks = self.role_peaks.entry(service.clone()).or_default();
             let peaks = peaks.observe(now, &balanced_engines, expected);
@@ -290,6 +291,19 @@
 
 /// Returns the names of the engines that do not have their desired role yet. The entries of other engines are dropped
 /// from the document, so that its size depends on the number of pending changes and not on the size of the fleet.
+/// Returns the fractions of a demand that belong to the most urgent routes.
+fn urgent_fractions(demand: &EngineDemand) -> UrgentFractions {
+    let fraction = |part: f64, whole: f64| match whole > 0.0 {
+        true => (part / whole).min(1.0),
+        false => 0.0,
+    };
+    UrgentFractions {
+        prefill: fraction(demand.urgent_prefill_engines, demand.prefill_engines),
+        short_prefill: fraction(demand.urgent_decode_engines, demand.decode_engines),
+        slots: fraction(demand.urgent_decode_slots, demand.decode_slots),
+    }
+}
+
 fn names_of_changing_engines(engines: &[EngineLoad], desired: &DesiredRoles) -> HashSet<String> {
     let changing = engines.iter().filter(|engine| {
         let role = desired.get(&engine.worker.id);
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -16,6 +16,7 @@
 pub use peak::RecentPeak;
 pub use role_balance::{
     balance_roles, BalancedEngine, ExpectedDemand, RoleChange, RolePeakTracker, RolePeaks,
+    UrgentFractions,
 };
 pub use rollout::{plan_loads, DesiredLoads, Load, LoadedEngine, PlannedLoad, RolloutGuard};
 pub use worker_balance::{
--- a/crates/planner/src/role_balance.rs
+++ b/crates/planner/src/role_balance.rs
@@ -17,9 +17,9 @@
 //!    a zone.
 //! 4. There is at least one prefill engine if there are two engines or more.
 //!
-//! If the recent peaks of both roles are known ([`RolePeaks`]), the decode engines beyond the needed ones are those that
-//! give both roles the same utilisation at their peaks: the mix of requests turns faster than engines change their
-//! roles, so that both roles need room for the next turn. The current need of both roles is still met first.
+//! If the recent peaks of both roles are known ([`RolePeaks`]), the engines that neither role needs now are divided in
+//! proportion to the peaks: the mix of requests turns faster than engines change their roles, so that both roles need
+//! room for the next turn. If there are too few engines for the current need, the most urgent routes get theirs first.
 //!
 //! An engine is unavailable while it changes its role. A difference of up to [`TOLERATED_SHARE`] of the
 //! engines therefore changes nothing, unless the role that would gain engines has none or its utilisation is
@@ -63,6 +63,9 @@
 /// Lower bound of the number of engines that may change at once.
 const MIN_CHANGE_LIMIT: usize = 3;
 
+/// Utilisation up to which urgent requests keep engines busy at a peak. A request then waits on average for half of the
+/// time that one request takes (M/D/1), and the choice of engines that have its prompt cached does not make it late.
+const URGENT_PEAK_UTILISATION: f64 = 0.5;
 /// Time in which the peak of a role's demand decays to half: twice as long as a mix of requests commonly lasts, so that
 /// the previous mix still counts when it returns.
 const ROLE_PEAK_HALF_LIFE: Duration = Duration::from_secs(30);
@@ -100,6 +103,19 @@
     pub decode_engines_for_short_prompts: f64,
     /// Number of slots that the streams will hold.
     pub decode_slots: f64,
+    /// The part of this demand that belongs to the most urgent routes.
+    pub urgent: UrgentFractions,
+}
+
+/// The fractions of the demand that belong to the most urgent routes of the service, each from 0 to 1.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct UrgentFractions {
+    /// Of the demand for prefill engines.
+    pub prefill: f64,
+    /// Of the short prompts that decode engines prefill.
+    pub short_prefill: f64,
+    /// Of the slots of streams.
+    pub slots: f64,
 }
 
 /// The engines that each role needed at the recent peak of its demand. The two peaks need not have been simultaneous.
@@ -136,9 +152,10 @@
         expected: ExpectedDemand,
     ) -> RolePeaks {
         let need = Need::of(engines, &single_role_engines(engines), expected);
+        let needed = need.peak_engines();
         RolePeaks {
-            decode_engines: self.decode.observe(now, need.needed_decode_engines()),
-            prefill_engines: self.prefill.observe(now, need.needed_prefill_engines()),
+            decode_engines: self.decode.observe(now, needed.decode_engines),
+            prefill_engines: self.prefill.observe(now, needed.prefill_engines),
         }
     }
 }
@@ -149,6 +166,7 @@
     streams: f64,
     short_prefill: f64,
     prefill: f64,
+    urgent: UrgentFractions,
 }
 
 impl Need {
@@ -164,7 +182,50 @@
             streams: f64::from(streams).max(expected.decode_slots) / slots,
             short_prefill: expected.decode_engines_for_short_prompts,
             prefill: expected.prefill_engines,
+            urgent: expected.urgent,
+        }
+    }
+
+    /// Returns the part of the need that belongs to the most urgent routes.
+    fn urgent_part(&self) -> Self {
+        Self {
+            streams: self.streams * self.urgent.slots,
+            short_prefill: self.short_prefill * self.urgent.short_prefill,
+            prefill: self.prefill * self.urgent.prefill,
+            urgent: self.urgent,
+        }
+    }
+
+    /// Returns the engines that each role needs at a peak of its demand, with the headroom that urgent requests need.
+    fn peak_engines(&self) -> RolePeaks {
+        let urgent = self.urgent_part();
+        let engines = |busy: f64, urgent: f64| {
+            urgent / URGENT_PEAK_UTILISATION + (busy - urgent) / FULL_UTILISATION
+        };
+        RolePeaks {
+            decode_engines: engines(
+                self.busy_engines(Role::Decode),
+                urgent.busy_engines(Role::Decode),
+            ),
+            prefill_engines: engines(self.prefill, urgent.prefill),
+        }
+    }
+
+    /// Returns how many of too few engines should decode: the most urgent routes get the engines that they need, and
+    /// the other routes share the remaining ones in proportion to their need.
+    fn decode_engines_in_shortage(&self, engines: f64) -> usize {
+        let urgent = self.urgent_part();
+        let urgent_decode = urgent.needed_decode_engines();
+        let urgent_prefill = urgent.needed_prefill_engines();
+        let remaining = engines - urgent_decode - urgent_prefill;
+        if remaining <= 0.0 {
+            let fraction = urgent_decode / (urgent_decode + urgent_prefill);
+            return (engines * fraction).round() as usize;
         }
+        let other_decode = self.needed_decode_engines() - urgent_decode;
+        let other_prefill = self.needed_prefill_engines() - urgent_prefill;
+        let fraction = other_decode / (other_decode + other_prefill).max(f64::MIN_POSITIVE);
+        (urgent_decode + remaining * fraction).round() as usize
     }
 
     fn needed_decode_engines(&self) -> f64 {
@@ -176,25 +237,26 @@
         self.prefill / FULL_UTILISATION
     }
 
-    /// Returns how many of `engines` engines should decode so that both roles have the same utilisation at their peaks,
-    /// or `None` if that leaves too few engines for the current need of both.
-    fn decode_engines_for_peaks(&self, engines: f64, peaks: RolePeaks) -> Option<usize> {
+    /// Returns how many of `engines` engines should decode so that the spare ones are divided in proportion to the
+    /// peaks of both roles.
+    fn decode_engines_for_peaks(&self, engines: f64, peaks: RolePeaks) -> usize {
         let least = self.needed_decode_engines().ceil();
         let most = engines - self.needed_prefill_engines().ceil();
-        let decode_peak = peaks.decode_engines.max(self.needed_decode_engines());
-        let both_peaks = decode_peak + peaks.prefill_engines.max(self.needed_prefill_engines());
-        if least > most || both_peaks <= 0.0 {
-            return None;
+        if least > most {
+            return self.decode_engines_in_shortage(engines);
         }
-        let same_utilisation = (engines * decode_peak / both_peaks).round();
-        Some(same_utilisation.clamp(least, most) as usize)
+        // A peak that all engines together could not serve says no more than that all were busy.
+        let decode_peak = peaks.decode_engines.min(engines);
+        let prefill_peak = peaks.prefill_engines.min(engines);
+        let both_peaks = (decode_peak + prefill_peak).max(f64::MIN_POSITIVE);
+        let in_proportion = (engines * decode_peak / both_peaks).round();
+        in_proportion.clamp(least, most) as usize
     }
 
     /// Returns how many of `engines` engines should decode, before the minimum of each role is applied.
     fn decode_engines(&self, engines: f64, peaks: Option<RolePeaks>) -> usize {
-        let for_peaks = peaks.and_then(|peaks| self.decode_engines_for_peaks(engines, peaks));
-        if let Some(decode_engines) = for_peaks {
-            return decode_engines;
+        if let Some(peaks) = peaks {
+            return self.decode_engines_for_peaks(engines, peaks);
         }
         let decode_engines = self.needed_decode_engines().ceil();
         let prefill_engines = engines - decode_engines;
