Measure pauses of streams and prefer decode engines that keep them short

Gateways now measure the longest pause of each stream, log it (`pause_ms`), export it as metrics and report it to the scheduler that placed the request (`NoticeMessage` tag 7). With `stream_pauses`, the directory learns the pauses of each engine from the streams in progress and the prompts read beside them, and prefers decode engines whose streams stay below the limit of their route.

The tests of tansyhall-forwarding and tansyhall-gateway pass. The effect under load has not been measured yet.

--- a/crates/forwarding/src/directory/admission.rs
+++ b/crates/forwarding/src/directory/admission.rs
@@ -212,7 +212,8 @@
     ) -> Admission {
         let taken = |read_apart, draw| Admission::Admitted { read_apart, draw };
         if limits.admits(&first) || !self.decisions.refusal {
-            return taken(first.read_apart, demand.draw);
+            let read_apart = self.read_apart_for_pauses(now, demand, first, &limits);
+            return taken(read_apart, demand.draw);
         }
         // None of the compared workers has time for it: an equal number of other workers is
         // compared before it is refused. Not all workers are compared, since other gateways would
@@ -224,7 +225,8 @@
         let comparison = self.comparison(now, demand);
         let plan = self.plan(now, &comparison).unwrap_or(first);
         if limits.admits(&plan) {
-            return taken(plan.read_apart, demand.draw);
+            let read_apart = self.read_apart_for_pauses(now, demand, plan, &limits);
+            return taken(read_apart, demand.draw);
         }
         if self.decisions.beside_streams && self.fits_beside_streams(now, demand, objectives) {
             return taken(false, demand.draw);
@@ -237,6 +239,48 @@
         }
     }
 
+    /// Returns whether a prompt that is admitted with this plan is read apart. A prompt that would be read beside streams
+    /// which pause for too long meanwhile is read apart instead, if it is admitted with that plan as well and an engine
+    /// that keeps the pauses can decode it.
+    fn read_apart_for_pauses(
+        &self,
+        now: Timestamp,
+        demand: Demand<'_>,
+        plan: Plan,
+        limits: &WaitLimits,
+    ) -> bool {
+        let decisions = &self.decisions;
+        if plan.read_apart || !decisions.stream_pauses || !decisions.reading_apart {
+            return plan.read_apart;
+        }
+        let comparison = self.comparison(now, demand);
+        if !self.compares_pauses(&Need::Run, &comparison) {
+            return false;
+        }
+        let runners = self.compared_workers(now, demand, &Need::Run);
+        let can_run = |worker: &&TrackedWorker| {
+            self.keeps_pauses(worker, &Need::Run, &comparison)
+                && limits.admits(&self.plan_colocated(worker, &comparison))
+        };
+        if runners.iter().any(can_run) {
+            return false;
+        }
+        let Some((_, reader)) = self.best_worker(now, &comparison, &Need::ReadPrompt) else {
+            return false;
+        };
+        let continuation = Need::Continue {
+            reader: reader.worker.id.clone(),
+        };
+        let decoders = self.compared_workers(now, demand, &continuation);
+        let can_decode =
+            |worker: &&TrackedWorker| self.keeps_pauses(worker, &continuation, &comparison);
+        if !decoders.iter().any(can_decode) {
+            return false;
+        }
+        let continuation_seconds = self.min_continuation_seconds(now, &comparison, reader);
+        limits.admits(&self.plan_apart(reader, continuation_seconds, &comparison))
+    }
+
     /// Returns when a refused caller should retry if the queue is short enough in `queue_seconds`.
     fn retry_after(
         &self,
@@ -284,12 +328,15 @@
         let load = worker.load();
         let missing = self.prefill_estimate(worker, &comparison).missing_tokens;
         let tokens = load.reading_tokens + missing;
+        let need = Need::Run;
+        let keeps_pauses = self.compares_pauses(&need, &comparison)
+            && self.keeps_pauses(worker, &need, &comparison);
         let stall_seconds = comparison.costs.colocated_prefill_seconds(tokens) * worker.slowness;
         let max_sends = f64::from(worker.worker.slots) * MAX_OCCUPIED_SLOT_FRACTION;
         let plan = self.plan_colocated(worker, &comparison);
         let in_time = objectives.latency.as_secs_f64() * ON_TIME_FRACTION;
         f64::from(load.sends) < max_sends
-            && stall_seconds <= pause.as_secs_f64() * STREAM_STALL_FRACTION
+            && (keeps_pauses || stall_seconds <= pause.as_secs_f64() * STREAM_STALL_FRACTION)
             && plan.seconds <= in_time
     }
 
--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -1,6 +1,7 @@
 //! Choosing a worker. See the module documentation of the directory for how workers are compared.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use tansyhall_core::hash::rendezvous_weight;
 use tansyhall_core::{ServiceName, Timestamp, ZoneName};
@@ -37,6 +38,8 @@
     pub route: &'a str,
     /// Whether the service has more urgent routes than this one.
     pub yields: bool,
+    /// The longest pause that the stream may make; `None` if it is not limited.
+    pub pause: Option<Duration>,
     /// The tenant that sends the request, if there is one.
     pub tenant: Option<TenantKey>,
     /// The zone of the gateway.
@@ -73,6 +76,7 @@
             .into_iter()
             .map(|tracked| (self.expected_seconds(tracked, need, &comparison), tracked))
             .collect();
+        let candidates = self.with_short_pauses(candidates, need, &comparison);
         let best = candidates.iter().min_by(|left, right| {
             let by_time = left.0.total_cmp(&right.0);
             by_time.then_with(|| rank(right.1).cmp(&rank(left.1)))
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -46,11 +46,13 @@
 mod membership;
 mod notices;
 mod part_holders;
+mod pause_limits;
 mod prediction;
 mod rate_limits;
 mod retry_after;
 mod sampling;
 mod sharing;
+mod stream_pauses;
 mod tenants;
 mod ticket;
 mod tracked;
@@ -75,6 +77,7 @@
 pub use choice::Demand;
 pub use notices::{NoticeChanges, Unavailable};
 pub use rate_limits::RateToken;
+pub use stream_pauses::MAX_STREAM_PAUSE;
 pub use ticket::SendTicket;
 pub use tracked::SendResult;
 
@@ -85,6 +88,7 @@
 use length_biased_mean::LengthBiasedMean;
 use notices::Notices;
 use part_holders::PartHolders;
+use pause_limits::PauseKnowledge;
 use rate_limits::RateLimits;
 use sampling::Sampling;
 use sharing::report_prompt;
@@ -124,6 +128,7 @@
     idle_prompt_seconds: HashMap<ServiceName, LengthBiasedMean>,
     /// Smoothed latency in seconds of requests without a prompt.
     promptless_latencies: HashMap<ServiceName, f64>,
+    pauses: HashMap<ServiceName, PauseKnowledge>,
     demands: Demands,
     tenant_shares: HashMap<ServiceName, TenantShares>,
     sampling: Sampling,
@@ -162,6 +167,7 @@
             route_hold_seconds: HashMap::new(),
             idle_prompt_seconds: HashMap::new(),
             promptless_latencies: HashMap::new(),
+            pauses: HashMap::new(),
             demands: Demands::default(),
             tenant_shares: HashMap::new(),
             sampling: Sampling::default(),
@@ -258,6 +264,10 @@
         ticket.is_trial = self.notices.begin_send(key);
         tracked.own_load.sends += 1;
         tracked.own_load.reading_tokens += ticket.reading_tokens;
+        if self.decisions.stream_pauses {
+            let pauses = self.pauses.entry(tracked.worker.service.clone());
+            tracked.begin_stream(now, &mut ticket, &mut pauses.or_default().limits);
+        }
         if self.decisions.caches {
             for part in prompt {
                 let key = PartKey::of(part);
@@ -301,6 +311,9 @@
         ticket.read_at = Some(now);
         let read = std::mem::take(&mut ticket.reading_tokens);
         tracked.own_load.reading_tokens = tracked.own_load.reading_tokens.saturating_sub(read);
+        if self.decisions.stream_pauses {
+            tracked.record_activity(now);
+        }
         if self.decisions.caches {
             for part in prompt {
                 let key = PartKey::of(part);
@@ -336,6 +349,10 @@
         tracked.own_load.sends = tracked.own_load.sends.saturating_sub(1);
         let unread = ticket.reading_tokens;
         tracked.own_load.reading_tokens = tracked.own_load.reading_tokens.saturating_sub(unread);
+        if self.decisions.stream_pauses {
+            let pauses = self.pauses.entry(tracked.worker.service.clone());
+            tracked.end_stream(now, ticket, result, &mut pauses.or_default().pauses);
+        }
         report_load(&mut self.reporter, tracked);
         if result == SendResult::Absent && !tracked.is_absent(now) {
             self.reporter.record_absence(tracked.key);
--- /dev/null
+++ b/crates/forwarding/src/directory/pause_limits.rs
@@ -0,0 +1,199 @@
+//! Decides which engines keep the pauses of streams below the limits of their routes.
+//!
+//! An engine keeps them if the expected longest pause of the new stream is below its limit, and, if the engine also reads
+//! the prompt, the streams that decode there meanwhile stay below theirs. Engines that keep the pauses are preferred to
+//! others, but only if they have a free slot: a stream that waits for one is late anyway. If no engine does, or nothing
+//! was observed yet, the choice does not depend on pauses. Nothing is refused because of a pause.
+//!
+//! Limits of streams that other gateways have placed are not reported. The fraction of limited streams among those that
+//! this gateway places stands for them.
+
+use std::time::Duration;
+
+use tansyhall_core::{Role, Timestamp};
+
+use super::prediction::Comparison;
+use super::stream_pauses::{EngineActivity, ServicePauses};
+use super::ticket::SendTicket;
+use super::tracked::{smooth, SendResult, TrackedWorker};
+use super::Directory;
+use crate::selection::Need;
+
+/// Fraction of the limit up to which a pause may be expected; the rest is for what varies from stream to stream.
+const EXPECTED_PAUSE_FRACTION: f64 = 0.9;
+/// Weight of the newest stream in the fraction of limited streams.
+const LIMITED_FRACTION_WEIGHT: f64 = 0.02;
+/// Expected number of limited streams of other gateways from which an engine counts as having one.
+const MIN_LIMITED_STREAMS: f64 = 0.5;
+
+/// The limits of the streams that this gateway has placed at the engines of a service.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct StreamLimits {
+    /// The limit of the latest limited stream.
+    latest: Option<Duration>,
+    /// The fraction of streams that have a limit; `None` before the first stream.
+    limited_fraction: Option<f64>,
+}
+
+impl StreamLimits {
+    /// Records that a stream begins.
+    pub(super) fn record(&mut self, limit: Option<Duration>) {
+        let is_limited = f64::from(u8::from(limit.is_some()));
+        let fraction = self.limited_fraction.unwrap_or(is_limited);
+        self.limited_fraction = Some(smooth(fraction, is_limited, LIMITED_FRACTION_WEIGHT));
+        self.latest = limit.or(self.latest);
+    }
+}
+
+/// What is known of the pauses of a service.
+#[derive(Debug, Clone, Default)]
+pub(super) struct PauseKnowledge {
+    pub(super) pauses: ServicePauses,
+    pub(super) limits: StreamLimits,
+}
+
+impl TrackedWorker {
+    /// Records the activity of the engine from now on.
+    pub(super) fn record_activity(&mut self, now: Timestamp) {
+        if self.worker.role != Some(Role::Prefill) {
+            self.pauses.record_load(now, self.load());
+        }
+    }
+
+    /// Records that a send with a prompt begins, after it was added to the load.
+    pub(super) fn begin_stream(
+        &mut self,
+        now: Timestamp,
+        ticket: &mut SendTicket,
+        limits: &mut StreamLimits,
+    ) {
+        if ticket.work.is_none() || self.worker.role == Some(Role::Prefill) {
+            return;
+        }
+        limits.record(ticket.max_pause);
+        ticket.is_limited_stream = ticket.max_pause.is_some();
+        self.limited_streams += u32::from(ticket.is_limited_stream);
+        self.record_activity(now);
+    }
+
+    /// Learns from the pause of a stream that ended, after it was removed from the load. A pause that is longer than the
+    /// send took is impossible, and is ignored.
+    pub(super) fn end_stream(
+        &mut self,
+        now: Timestamp,
+        ticket: &SendTicket,
+        result: SendResult,
+        pauses: &mut ServicePauses,
+    ) {
+        let is_answered = matches!(result, SendResult::Answered { .. });
+        let longest = now.since(ticket.began_at);
+        let pause = ticket.pause.filter(|pause| *pause <= longest);
+        if let (true, Some(_), Some(since), Some(pause)) =
+            (is_answered, ticket.work, ticket.read_at, pause)
+        {
+            pauses.learn(&mut self.pauses, since, pause);
+        }
+        let limited = u32::from(ticket.is_limited_stream);
+        self.limited_streams = self.limited_streams.saturating_sub(limited);
+        self.record_activity(now);
+    }
+}
+
+impl Directory {
+    /// Returns whether pauses are compared for a demand: they are known, and a stream may make one that is too long.
+    pub(super) fn compares_pauses(&self, need: &Need, comparison: &Comparison<'_>) -> bool {
+        let is_long = !comparison.costs.is_short(comparison.prompt_tokens);
+        let reads_long = *need == Need::Run && is_long;
+        let knowledge = self.pauses.get(comparison.demand.service);
+        let is_known = knowledge.is_some_and(|knowledge| knowledge.pauses.is_known());
+        self.decisions.stream_pauses
+            && is_known
+            && !comparison.demand.prompt.is_empty()
+            && *need != Need::ReadPrompt
+            && (comparison.demand.pause.is_some() || reads_long)
+    }
+
+    /// Returns the workers that are expected to keep the pauses of streams below their limits; all workers if there is
+    /// none. One that answers later than the fastest by more than the limit does not count: the answer would begin with
+    /// a pause that is as long.
+    pub(super) fn with_short_pauses<'a>(
+        &self,
+        candidates: Vec<(f64, &'a TrackedWorker)>,
+        need: &Need,
+        comparison: &Comparison<'_>,
+    ) -> Vec<(f64, &'a TrackedWorker)> {
+        if !self.compares_pauses(need, comparison) {
+            return candidates;
+        }
+        let least_seconds = candidates.iter().map(|(seconds, _)| *seconds);
+        let least_seconds = least_seconds.fold(f64::INFINITY, f64::min);
+        let max_seconds = least_seconds + self.limit_seconds(comparison);
+        let preferred = candidates.iter().copied();
+        let preferred = preferred.filter(|(seconds, worker)| {
+            *seconds <= max_seconds && self.keeps_pauses(worker, need, comparison)
+        });
+        let preferred: Vec<(f64, &TrackedWorker)> = preferred.collect();
+        match preferred.is_empty() {
+            true => candidates,
+            false => preferred,
+        }
+    }
+
+    /// Returns the limit of the demand's pauses in seconds, or else that of the other streams of its service.
+    fn limit_seconds(&self, comparison: &Comparison<'_>) -> f64 {
+        let knowledge = self.pauses.get(comparison.demand.service);
+        let latest = knowledge.and_then(|knowledge| knowledge.limits.latest);
+        let limit = comparison.demand.pause.or(latest);
+        limit.map_or(0.0, |limit| limit.as_secs_f64())
+    }
+
+    /// Returns whether a worker has a free slot and is expected to keep the pauses of the new stream, and of those that
+    /// decode there while it reads the prompt, below their limits.
+    pub(super) fn keeps_pauses(
+        &self,
+        worker: &TrackedWorker,
+        need: &Need,
+        comparison: &Comparison<'_>,
+    ) -> bool {
+        let Some(knowledge) = self.pauses.get(comparison.demand.service) else {
+            return false;
+        };
+        let is_below = |activity, limit: Duration| {
+            let expected = knowledge.pauses.expected_seconds(&worker.pauses, activity);
+            let max_seconds = limit.as_secs_f64() * EXPECTED_PAUSE_FRACTION;
+            expected.is_some_and(|seconds| seconds <= max_seconds)
+        };
+        let load = worker.load();
+        let streams = load.sends.saturating_add(1);
+        let reads_prompt = *need == Need::Run;
+        // An engine reads prompts in the order of their arrival: those before this one have been read when its stream
+        // begins to decode.
+        let own = EngineActivity {
+            streams,
+            reading_tokens: match reads_prompt {
+                true => 0,
+                false => load.reading_tokens,
+            },
+        };
+        let missing = match reads_prompt {
+            true => self.prefill_estimate(worker, comparison).missing_tokens,
+            false => 0,
+        };
+        let beside = EngineActivity {
+            streams,
+            reading_tokens: load.reading_tokens.saturating_add(missing),
+        };
+        let limit_there = knowledge.limits.latest.filter(|_| {
+            let others = load.sends.saturating_sub(worker.own_load.sends);
+            let fraction = knowledge.limits.limited_fraction.unwrap_or_default();
+            worker.limited_streams > 0 || f64::from(others) * fraction >= MIN_LIMITED_STREAMS
+        });
+        let has_slot = worker.slot_wait_seconds(comparison.hold_seconds, comparison.yields) <= 0.0;
+        has_slot
+            && comparison
+                .demand
+                .pause
+                .is_none_or(|limit| is_below(own, limit))
+            && (!reads_prompt || limit_there.is_none_or(|limit| is_below(beside, limit)))
+    }
+}
--- a/crates/forwarding/src/directory/sharing.rs
+++ b/crates/forwarding/src/directory/sharing.rs
@@ -38,6 +38,7 @@
         *last = report.sequence;
         let Decisions {
             reported_load,
+            stream_pauses,
             absence: uses_absences,
             worker_notices,
             ..
@@ -45,6 +46,9 @@
         for entry in report.loads.iter().filter(|_| reported_load) {
             if let Some(tracked) = self.workers.get_mut(&entry.worker) {
                 tracked.receive_load(now, report.sender, entry.load);
+                if stream_pauses {
+                    tracked.record_activity(now);
+                }
                 self.loaded_by_others.insert(entry.worker);
             }
         }
--- a/crates/forwarding/src/directory/ticket.rs
+++ b/crates/forwarding/src/directory/ticket.rs
@@ -7,6 +7,7 @@
 
 use super::choice::{Demand, RouteKey};
 use super::costs::EngineWork;
+use super::stream_pauses::MAX_STREAM_PAUSE;
 use super::{Directory, MAX_EXPECTED_SECONDS};
 use crate::selection::Need;
 use crate::worker::WorkerId;
@@ -31,6 +32,13 @@
     pub(super) expected_seconds: f64,
     pub(super) fetch_from: Option<SocketAddr>,
     pub(super) read_at: Option<Timestamp>,
+    pub(super) began_at: Timestamp,
+    /// The longest pause of its stream, if it was measured.
+    pub(super) pause: Option<Duration>,
+    /// The longest pause that its stream may make; `None` if it is not limited.
+    pub(super) max_pause: Option<Duration>,
+    /// Whether its worker counts it among the streams with a limit.
+    pub(super) is_limited_stream: bool,
 }
 
 impl SendTicket {
@@ -56,6 +64,13 @@
         self.is_short
     }
 
+    /// Records the longest pause between two events of the stream. One that is longer than streams can be is ignored.
+    pub fn record_pause(&mut self, pause: Duration) {
+        if pause <= MAX_STREAM_PAUSE {
+            self.pause = Some(pause);
+        }
+    }
+
     /// Returns the latency that was expected when the send began.
     pub fn expected_latency(&self) -> Duration {
         Duration::from_secs_f64(self.expected_seconds.clamp(0.0, MAX_EXPECTED_SECONDS))
@@ -84,6 +99,10 @@
             expected_seconds: 0.0,
             fetch_from: None,
             read_at: None,
+            began_at: now,
+            pause: None,
+            max_pause: demand.pause,
+            is_limited_stream: false,
         };
         let Some(tracked) = self.tracked(id) else {
             return ticket;
--- a/crates/forwarding/src/directory/tracked.rs
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -6,6 +6,7 @@
 use tansyhall_core::{Role, Timestamp, ZoneName};
 
 use super::costs::EngineCosts;
+use super::stream_pauses::EnginePauses;
 use crate::cache_view::CacheView;
 use crate::load_exchange::{GatewayKey, Load, WorkerKey, STALE_AFTER};
 use crate::worker::{Worker, WorkerState};
@@ -82,6 +83,9 @@
     pub(super) own_load: Load,
     pub(super) cache: CacheView,
     pub(super) slowness: f64,
+    pub(super) pauses: EnginePauses,
+    /// Streams with a limit on pauses that this gateway has placed here and that have not ended.
+    pub(super) limited_streams: u32,
     loads_by_gateway: HashMap<GatewayKey, ReportedLoad>,
     others_total: Load,
     /// Smoothed latency in seconds; `None` before the first answer.
@@ -110,6 +114,8 @@
             own_load: Load::default(),
             cache: CacheView::default(),
             slowness: 1.0,
+            pauses: EnginePauses::default(),
+            limited_streams: 0,
             loads_by_gateway: HashMap::new(),
             others_total: Load::default(),
             latency: None,
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -39,7 +39,7 @@
 pub use decisions::Decisions;
 pub use directory::{
     Admission, Demand, Directory, EngineLoad, FirstAvailable, NoticeChanges, Objectives, RateToken,
-    RefusalCause, SendResult, SendTicket, Unavailable,
+    RefusalCause, SendResult, SendTicket, Unavailable, MAX_STREAM_PAUSE,
 };
 pub use event_stream::{CompleteEvents, EventFramer};
 pub use lapsed_workers::LapsedWorkers;
--- a/crates/forwarding/src/placement/granted.rs
+++ b/crates/forwarding/src/placement/granted.rs
@@ -105,7 +105,14 @@
                     directory.record_prompt_read(now, &mut open.ticket, &open.prompt, latency);
                 }
             }
-            PlacementNotice::Ended { id, result, .. } => self.close(now, directory, id, result),
+            PlacementNotice::Ended {
+                id, result, pause, ..
+            } => {
+                if let (Some(open), Some(pause)) = (self.open.get_mut(&id), pause) {
+                    open.ticket.record_pause(pause);
+                }
+                self.close(now, directory, id, result);
+            }
         }
     }
 
@@ -143,6 +150,7 @@
             route: &request.route,
             tenant: request.tenant,
             yields: request.yields,
+            pause: request.objectives.pause,
             zone,
             avoid: &request.avoid,
             draw: request.draw,
--- a/crates/forwarding/src/placement/mod.rs
+++ b/crates/forwarding/src/placement/mod.rs
@@ -131,6 +131,8 @@
         worker_notice: WorkerNotice,
         /// The rate limit that the worker has stated, if known.
         rate_limit: Option<StatedLimit>,
+        /// The longest pause between two events of the stream, if there was any.
+        pause: Option<Duration>,
     },
 }
 
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -72,6 +72,7 @@
             route: "route",
             tenant: None,
             yields: false,
+            pause: None,
             zone: &self.zone,
             avoid: &[],
             draw: 1,
--- a/crates/forwarding/tests/directory_growth.rs
+++ b/crates/forwarding/tests/directory_growth.rs
@@ -89,6 +89,7 @@
             prompt: &prompt,
             route: "r",
             yields: false,
+            pause: None,
             tenant: None,
             zone: &zone,
             avoid: &[],
--- a/crates/forwarding/tests/overload/mod.rs
+++ b/crates/forwarding/tests/overload/mod.rs
@@ -170,6 +170,7 @@
             route: "route",
             tenant: self.keys[tenant],
             yields: false,
+            pause: None,
             zone: &self.zone,
             avoid: &[],
             draw,
--- a/crates/forwarding/tests/placements.rs
+++ b/crates/forwarding/tests/placements.rs
@@ -90,6 +90,7 @@
         result,
         worker_notice: WorkerNotice::default(),
         rate_limit: None,
+        pause: None,
     }
 }
 
@@ -422,6 +423,7 @@
             route: "route",
             tenant: None,
             yields: false,
+            pause: None,
             zone: &zone(number % ZONES),
             avoid: &[],
             draw: request.draw,
--- a/crates/forwarding/tests/rate_limits.rs
+++ b/crates/forwarding/tests/rate_limits.rs
@@ -184,6 +184,7 @@
         prompt: &[],
         route: "route",
         yields: false,
+        pause: None,
         tenant: None,
         zone,
         avoid: &[],
--- a/crates/forwarding/tests/tenant_placements.rs
+++ b/crates/forwarding/tests/tenant_placements.rs
@@ -91,6 +91,7 @@
             result,
             worker_notice: WorkerNotice::default(),
             rate_limit: None,
+            pause: None,
         };
         requested.queue_notice(SCHEDULER, ended);
         let zone = ZoneName::new("z");
--- a/crates/forwarding/tests/worker_notices.rs
+++ b/crates/forwarding/tests/worker_notices.rs
@@ -74,6 +74,7 @@
             prompt: &[],
             route: "route",
             yields: false,
+            pause: None,
             tenant: None,
             zone: &self.zone,
             avoid: &[],
@@ -381,6 +382,7 @@
         result: SendResult::Refused,
         worker_notice: backoff_notice(BACKOFF),
         rate_limit: None,
+        pause: None,
     };
     fleet.books[0].queue_notice(SCHEDULER, ended);
     for (_, message) in fleet.books[0].take_notice_messages() {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -185,6 +185,8 @@
         head_ms: u64,
         /// Duration of the send in milliseconds.
         took_ms: u64,
+        /// The longest pause between two events of its stream in milliseconds; 0 if there was none.
+        pause_ms: u64,
     },
     /// An answer was received that does not match the request sent before it on the same connection.
     ForeignAnswer {
@@ -237,6 +239,9 @@
         begun_ms: u64,
         /// Milliseconds from its arrival until its end.
         took_ms: u64,
+        /// The longest pause between two events of its stream in milliseconds, including the change to another worker;
+        /// 0 if there was none.
+        pause_ms: u64,
         /// Milliseconds that were left until its deadline.
         left_ms: u64,
         /// Number of retries that this gateway still has for the service.
--- a/crates/gateway/src/exchange/deliver.rs
+++ b/crates/gateway/src/exchange/deliver.rs
@@ -10,6 +10,7 @@
 use crate::answer::{Answer, AnswerHead};
 use crate::connections::{SendError, WorkerAnswer};
 use crate::headers::HeaderList;
+use crate::send_guard::SendGuard;
 
 /// Answers up to this length are buffered until they are complete, so that another worker's answer can replace one that
 /// breaks off.
@@ -67,35 +68,53 @@
                 NextBytes::DeadlinePassed => return RequestEvent::DeadlinePassed,
             }
             if buffered.len() > MAX_BUFFERED_BYTES {
-                return self.deliver_parts(answer, buffered.freeze()).await;
+                return self.deliver_parts(answer, buffered.freeze(), None).await;
             }
         }
     }
 
-    /// Delivers a stream as it arrives.
-    pub(super) async fn deliver_stream(&mut self, mut answer: WorkerAnswer) -> RequestEvent {
+    /// Delivers a stream as it arrives, and measures its pauses.
+    pub(super) async fn deliver_stream(
+        &mut self,
+        mut answer: WorkerAnswer,
+        guard: &mut SendGuard,
+    ) -> RequestEvent {
         let resumable = Repeatability::Stream { resumable: true };
         if self.route().repeatability == resumable {
-            return self.deliver_events(answer).await;
+            return self.deliver_events(answer, guard).await;
         }
         match self.next_bytes(&mut answer, self.deadline()).await {
             NextBytes::Bytes(first) => {
                 self.count_usage(self.shared.now());
-                self.deliver_parts(answer, first).await
+                self.deliver_parts(answer, first, Some(guard)).await
             }
-            NextBytes::End => self.deliver_parts(answer, Bytes::new()).await,
+            NextBytes::End => self.deliver_parts(answer, Bytes::new(), Some(guard)).await,
             NextBytes::Broken => failed(SendFailure::MayHaveRun),
             NextBytes::DeadlinePassed => RequestEvent::DeadlinePassed,
         }
     }
 
-    async fn deliver_parts(&mut self, mut answer: WorkerAnswer, first: Bytes) -> RequestEvent {
+    /// Delivers an answer in parts as they arrive. `stream` is the send if the answer is a stream.
+    async fn deliver_parts(
+        &mut self,
+        mut answer: WorkerAnswer,
+        first: Bytes,
+        mut stream: Option<&mut SendGuard>,
+    ) -> RequestEvent {
         let head = answer_head(answer.status, std::mem::take(&mut answer.headers));
         self.begin_answer(Answer::Streamed(head));
         let mut part = first;
         loop {
-            if !part.is_empty() && !self.send_part(part).await {
-                return RequestEvent::Interrupted(None);
+            if !part.is_empty() {
+                if let Some(guard) = stream.as_deref_mut() {
+                    self.record_received(guard);
+                }
+                if !self.send_part(part).await {
+                    return RequestEvent::Interrupted(None);
+                }
+                if let Some(guard) = stream.as_deref_mut() {
+                    self.record_delivered(guard);
+                }
             }
             part = match self.next_bytes(&mut answer, self.deadline()).await {
                 NextBytes::Bytes(bytes) => bytes,
@@ -111,7 +130,11 @@
     }
 
     /// Delivers only complete events, so that another worker can continue after the last one delivered.
-    async fn deliver_events(&mut self, mut answer: WorkerAnswer) -> RequestEvent {
+    async fn deliver_events(
+        &mut self,
+        mut answer: WorkerAnswer,
+        guard: &mut SendGuard,
+    ) -> RequestEvent {
         let mut framer = EventFramer::default();
         let mut last_event: Option<EventId> = None;
         loop {
@@ -134,6 +157,7 @@
             if events.bytes.is_empty() {
                 continue;
             }
+            self.record_received(guard);
             if !self.sink.has_begun() {
                 let head = answer_head(answer.status, std::mem::take(&mut answer.headers));
                 self.begin_answer(Answer::Streamed(head));
@@ -145,9 +169,22 @@
                     false => RequestEvent::Interrupted(last_event),
                 };
             }
+            self.record_delivered(guard);
         }
     }
 
+    fn record_received(&mut self, guard: &mut SendGuard) {
+        let now = self.shared.now();
+        self.pause.record_received(now);
+        guard.pause.record_received(now);
+    }
+
+    fn record_delivered(&mut self, guard: &mut SendGuard) {
+        let now = self.shared.now();
+        self.pause.record_delivered(now);
+        guard.pause.record_delivered(now);
+    }
+
     /// Sends a part to the caller and returns whether it was accepted. A caller that stops reading would otherwise
     /// occupy its worker forever, so the request ends at its deadline.
     async fn send_part(&self, part: Bytes) -> bool {
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -25,6 +25,7 @@
 use crate::protocol::{CallerTerms, SendTerms, Work};
 use crate::send_guard::{SendDetails, SendGuard};
 use crate::state::{saturating_millis, InFlightGuard, RoutedRequest, Shared};
+use crate::stream_pause::StreamPause;
 use crate::worker_request::{RequestKind, WorkerRequest};
 
 /// Time after which a refused caller should retry if there is no better estimate; also the shortest such time
@@ -75,6 +76,8 @@
     waiting: Duration,
     cause: &'static str,
     answer_started_after: Option<Duration>,
+    /// The pauses of the stream, including those between two workers' answers.
+    pause: StreamPause,
     /// Whether the request has been counted in its tenant's usage.
     usage_counted: bool,
     /// Random number that determines which workers are compared, and which of several nearly equal engines is chosen.
@@ -97,6 +100,7 @@
             waiting: Duration::ZERO,
             cause: "",
             answer_started_after: None,
+            pause: StreamPause::default(),
             usage_counted: false,
             draw: rand::random(),
         }
@@ -243,6 +247,7 @@
             request_id: self.request_id().to_owned(),
             fingerprint: self.request.fingerprint,
             route: self.route().name.clone(),
+            max_pause: self.route().pause_objective,
             worker: worker.id.clone(),
             service: worker.service.clone(),
             kind,
@@ -346,6 +351,17 @@
                 self.cause,
             ])
             .inc();
+        let pause = self.pause.longest().unwrap_or_default();
+        if self
+            .route()
+            .pause_objective
+            .is_some_and(|limit| pause > limit)
+        {
+            metrics
+                .long_stream_pauses
+                .with_label_values(&[route.as_str()])
+                .inc();
+        }
         let now = self.shared.now();
         let event = Event::Request {
             request: self.request_id(),
@@ -359,6 +375,7 @@
             objective_ms: saturating_millis(self.route().latency_objective),
             begun_ms: saturating_millis(self.answer_started_after.unwrap_or_default()),
             took_ms: saturating_millis(now.since(self.request.arrived)),
+            pause_ms: saturating_millis(pause),
             left_ms: saturating_millis(self.request.deadline.since(now)),
             retries_left: self.retries_left(now),
             store_age_ms: self.shared.store_age_ms(),
--- a/crates/gateway/src/exchange/placing.rs
+++ b/crates/gateway/src/exchange/placing.rs
@@ -50,6 +50,7 @@
             route: &self.route().name,
             tenant: self.tenant_key(),
             yields: self.request.routed.yields,
+            pause: self.route().pause_objective,
             zone,
             avoid,
             draw: self.draw,
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -134,7 +134,7 @@
                 self.unused_handle = None;
                 guard.record_answer_start();
                 let event = match self.route().repeatability.is_stream() {
-                    true => self.deliver_stream(answer).await,
+                    true => self.deliver_stream(answer, &mut guard).await,
                     false => {
                         self.count_usage(guard.started_at());
                         self.deliver_complete(answer, max_silence).await
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,6 +5,10 @@
     Registry, TextEncoder,
 };
 
+/// Upper bounds in seconds of the buckets of stream pauses: steps of at most a factor of 1.6 around the limits that
+/// routes usually set.
+const STREAM_PAUSE_BUCKETS: [f64; 10] = [0.02, 0.05, 0.08, 0.12, 0.16, 0.2, 0.25, 0.4, 0.6, 1.0];
+
 /// All metrics of a gateway.
 pub struct Metrics {
     registry: Registry,
@@ -14,6 +18,10 @@
     pub latency: HistogramVec,
     /// Sends to workers by service and outcome.
     pub sends: IntCounterVec,
+    /// Seconds of the longest pause between two events of each stream of a worker, by service.
+    pub stream_pause: HistogramVec,
+    /// Streams that paused for longer than their route allows, by route.
+    pub long_stream_pauses: IntCounterVec,
     /// Answers that do not match the request sent before them, by kind of request.
     pub mismatched_answers: IntCounterVec,
     /// New notices of workers, by kind: `leaving`, `rest` (back-off) or `rate_limit`.
@@ -80,6 +88,21 @@
                 Opts::new("gateway_sends_total", "Sends to workers by outcome"),
                 &["service", "outcome"],
             )?,
+            stream_pause: HistogramVec::new(
+                HistogramOpts::new(
+                    "gateway_stream_pause_seconds",
+                    "Longest pause between two events of a stream",
+                )
+                .buckets(STREAM_PAUSE_BUCKETS.to_vec()),
+                &["service"],
+            )?,
+            long_stream_pauses: IntCounterVec::new(
+                Opts::new(
+                    "gateway_long_stream_pauses_total",
+                    "Streams that paused for longer than their route allows",
+                ),
+                &["route"],
+            )?,
             mismatched_answers: IntCounterVec::new(
                 Opts::new(
                     "gateway_foreign_answers_total",
@@ -193,6 +216,10 @@
         self.registry.register(Box::new(self.requests.clone()))?;
         self.registry.register(Box::new(self.latency.clone()))?;
         self.registry.register(Box::new(self.sends.clone()))?;
+        self.registry
+            .register(Box::new(self.stream_pause.clone()))?;
+        self.registry
+            .register(Box::new(self.long_stream_pauses.clone()))?;
         self.registry
             .register(Box::new(self.mismatched_answers.clone()))?;
         self.registry
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -87,9 +87,9 @@
         self.queue_notice(PlacementNotice::PromptRead { id, latency });
     }
 
-    /// Reports to the scheduler how the send ended, and the worker's latest notice about itself. Without that
+    /// Reports to the scheduler how the send ended, the longest pause of its stream, and the worker's latest notice about itself. Without that
     /// notice, the scheduler would continue to place requests of all its gateways on this worker.
-    pub fn report_end(&mut self, result: SendResult) {
+    pub fn report_end(&mut self, result: SendResult, pause: Option<Duration>) {
         self.ended = true;
         let now = self.shared.now();
         let worker = &self.placement.worker;
@@ -102,6 +102,7 @@
             result,
             worker_notice,
             rate_limit,
+            pause,
         });
     }
 
@@ -129,7 +130,7 @@
 impl Drop for OpenPlacement {
     fn drop(&mut self) {
         if !self.ended {
-            self.report_end(SendResult::Abandoned { silent: false });
+            self.report_end(SendResult::Abandoned { silent: false }, None);
         }
     }
 }
--- a/crates/gateway/src/placement/codec.rs
+++ b/crates/gateway/src/placement/codec.rs
@@ -7,7 +7,7 @@
 use tansyhall_forwarding::{
     GatewayKey, Need, Objectives, Placement, PlacementAnswer, PlacementId, PlacementMessage,
     PlacementNeed, PlacementNotice, PlacementRequest, PromptPart, RefusalCause, SendResult,
-    StatedLimit, TenantKey, WorkerId, WorkerNotice, MAX_BACKOFF,
+    StatedLimit, TenantKey, WorkerId, WorkerNotice, MAX_BACKOFF, MAX_STREAM_PAUSE,
 };
 
 use crate::load_messages::StatedLimitMessage;
@@ -80,6 +80,7 @@
                 result,
                 worker_notice,
                 rate_limit,
+                pause,
             } => Self {
                 id: id.0,
                 kind: NoticeKind::of(result) as i32,
@@ -90,6 +91,7 @@
                 worker_leaves: worker_notice.is_leaving,
                 rest_micros: worker_notice.backoff.map_or(0, micros),
                 rate_limit: rate_limit.map(StatedLimitMessage::from),
+                pause_micros: pause.map_or(0, micros),
             },
         }
     }
@@ -124,10 +126,21 @@
             result,
             worker_notice,
             rate_limit: message.rate_limit.as_ref().map(StatedLimit::from),
+            pause: decode_pause(message.pause_micros),
         })
     }
 }
 
+/// Returns the pause of a stream that a gateway reports; `None` for none, or an impossible one.
+fn decode_pause(micros: u64) -> Option<Duration> {
+    let pause = Duration::from_micros(micros);
+    if pause > MAX_STREAM_PAUSE {
+        log::debug!("ignoring an impossible pause of a stream: {micros} us");
+        return None;
+    }
+    (!pause.is_zero()).then_some(pause)
+}
+
 impl From<&PlacementRequest> for RequestMessage {
     fn from(request: &PlacementRequest) -> Self {
         let (need, reader) = match &request.need {
--- a/crates/gateway/src/placement/message.rs
+++ b/crates/gateway/src/placement/message.rs
@@ -46,6 +46,9 @@
     /// The rate limit that the worker has stated, if known. Gateways of earlier versions don't send this.
     #[prost(message, optional, tag = "6")]
     pub rate_limit: Option<StatedLimitMessage>,
+    /// The longest pause of the stream in microseconds; 0 for none. Gateways of earlier versions don't send this.
+    #[prost(uint64, tag = "7")]
+    pub pause_micros: u64,
 }
 
 /// The kinds of notices.
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -14,6 +14,7 @@
 use crate::events::{Event, Priority};
 use crate::placement::OpenPlacement;
 use crate::state::{saturating_millis, Shared};
+use crate::stream_pause::StreamPause;
 use crate::worker_request::RequestKind;
 
 /// Returns the result of a send that failed before anything was sent.
@@ -36,6 +37,8 @@
     pub fingerprint: Fingerprint,
     /// The name of its route.
     pub route: String,
+    /// The longest pause that the route allows its streams.
+    pub max_pause: Option<Duration>,
     /// The worker.
     pub worker: WorkerId,
     /// The service of the worker.
@@ -63,6 +66,8 @@
     is_answer_complete: bool,
     detail: String,
     head_latency: Option<Duration>,
+    /// The pauses of the stream that the worker answers with.
+    pub pause: StreamPause,
 }
 
 impl SendGuard {
@@ -80,6 +85,7 @@
             route: &details.route,
             tenant: None,
             yields: false,
+            pause: details.max_pause,
             zone: &zone,
             avoid: &[],
             draw: 0,
@@ -105,6 +111,7 @@
             result: SendResult::Abandoned { silent: true },
             detail: String::new(),
             head_latency: None,
+            pause: StreamPause::default(),
         }
     }
 
@@ -206,12 +213,21 @@
 impl Drop for SendGuard {
     fn drop(&mut self) {
         let now = self.shared.now();
+        let pause = self.pause.longest();
+        if let Some(pause) = pause {
+            self.ticket.record_pause(pause);
+            self.shared
+                .metrics
+                .stream_pause
+                .with_label_values(&[self.details.service.as_str()])
+                .observe(pause.as_secs_f64());
+        }
         let mut directory = self.shared.directory.lock();
         directory.end_send(now, &self.ticket, &self.details.prompt, self.result);
         drop(directory);
         self.update_send_tracker(now);
         if let Some(placement) = &mut self.placement {
-            placement.report_end(self.result);
+            placement.report_end(self.result, pause);
         }
         let outcome = outcome_name(self.result);
         self.shared
@@ -236,6 +252,7 @@
             expected_ms: saturating_millis(self.expected_latency()),
             head_ms: self.head_latency.map_or(0, saturating_millis),
             took_ms: saturating_millis(now.since(self.started_at)),
+            pause_ms: pause.map_or(0, saturating_millis),
         };
         self.shared.log.record(priority, &event);
     }
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -63,18 +63,23 @@
     prop::option::of(stated_limit.prop_map(|(limit, age)| StatedLimit { limit, age }))
 }
 
+fn pause() -> impl Strategy<Value = Option<Duration>> {
+    prop::option::of((1_u64..600_000_000).prop_map(Duration::from_micros))
+}
+
 fn notice() -> impl Strategy<Value = PlacementNotice> {
     let id = any::<u64>().prop_map(PlacementId);
     prop_oneof![
         (id.clone(), duration())
             .prop_map(|(id, latency)| PlacementNotice::PromptRead { id, latency }),
-        (id, result(), worker_notice(), stated_limit()).prop_map(
-            |(id, result, worker_notice, rate_limit)| {
+        (id, result(), worker_notice(), stated_limit(), pause()).prop_map(
+            |(id, result, worker_notice, rate_limit, pause)| {
                 PlacementNotice::Ended {
                     id,
                     result,
                     worker_notice,
                     rate_limit,
+                    pause,
                 }
             }
         ),
