--- a/crates/forwarding/src/directory/pause_limits.rs
+++ b/crates/forwarding/src/directory/pause_limits.rs
@@ -13,7 +13,7 @@
 use tansyhall_core::{Role, Timestamp};
 
 use super::prediction::Comparison;
-use super::stream_pauses::{EngineActivity, ServicePauses};
+use super::stream_pauses::{EndedStream, EngineActivity, ServicePauses};
 use super::ticket::SendTicket;
 use super::tracked::{smooth, SendResult, TrackedWorker};
 use super::Directory;
@@ -70,6 +70,11 @@
         if ticket.work.is_none() || self.worker.role == Some(Role::Prefill) {
             return;
         }
+        let before = EngineActivity::of(self.load());
+        ticket.placed_beside = EngineActivity {
+            reading_tokens: before.reading_tokens - ticket.reading_tokens as f64,
+            ..before
+        };
         limits.record(ticket.max_pause);
         ticket.is_limited_stream = ticket.max_pause.is_some();
         self.limited_streams += u32::from(ticket.is_limited_stream);
@@ -88,10 +93,14 @@
         let is_answered = matches!(result, SendResult::Answered { .. });
         let longest = now.since(ticket.began_at);
         let pause = ticket.pause.filter(|pause| *pause <= longest);
-        if let (true, Some(_), Some(since), Some(pause)) =
-            (is_answered, ticket.work, ticket.read_at, pause)
-        {
-            pauses.learn(&mut self.pauses, since, pause);
+        let is_stream = is_answered && ticket.work.is_some();
+        if let (true, Some(read_at), Some(pause)) = (is_stream, ticket.read_at, pause) {
+            let ended = EndedStream {
+                placed_beside: ticket.placed_beside,
+                read_at,
+                pause,
+            };
+            pauses.learn(&mut self.pauses, ended);
         }
         let limited = u32::from(ticket.is_limited_stream);
         self.limited_streams = self.limited_streams.saturating_sub(limited);
@@ -164,25 +173,27 @@
             expected.is_some_and(|seconds| seconds <= max_seconds)
         };
         let load = worker.load();
-        let streams = load.sends.saturating_add(1);
+        let now = EngineActivity::of(load);
+        let mut added = EngineActivity {
+            streams: 1.0,
+            reading_tokens: 0.0,
+        };
         let reads_prompt = *need == Need::Run;
+        if reads_prompt {
+            let estimate = self.prefill_estimate(worker, comparison);
+            added.reading_tokens = estimate.missing_tokens as f64;
+        }
+        let beside = now.plus(added);
         // An engine reads prompts in the order of their arrival: those before this one have been read when its stream
         // begins to decode.
-        let own = EngineActivity {
-            streams,
+        let at_start = EngineActivity {
             reading_tokens: match reads_prompt {
-                true => 0,
-                false => load.reading_tokens,
+                true => 0.0,
+                false => now.reading_tokens,
             },
+            ..beside
         };
-        let missing = match reads_prompt {
-            true => self.prefill_estimate(worker, comparison).missing_tokens,
-            false => 0,
-        };
-        let beside = EngineActivity {
-            streams,
-            reading_tokens: load.reading_tokens.saturating_add(missing),
-        };
+        let own = at_start.plus(knowledge.pauses.growth());
         let limit_there = knowledge.limits.latest.filter(|_| {
             let others = load.sends.saturating_sub(worker.own_load.sends);
             let fraction = knowledge.limits.limited_fraction.unwrap_or_default();
--- a/crates/forwarding/src/directory/stream_pauses.rs
+++ b/crates/forwarding/src/directory/stream_pauses.rs
@@ -12,13 +12,14 @@
 //! therefore divides the tokens into bands, each with its own weight.
 //!
 //! A stream is learned from with the greatest load that its engine had while it decoded, since the longest pause occurs
-//! then.
+//! then. When a stream is placed, only the load at that time is known; by how much it usually grows is learned as well.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use tansyhall_core::Timestamp;
 
+use super::tracked::smooth;
 use crate::cost_model::{CostModel, Prior};
 use crate::load_exchange::Load;
 
@@ -48,6 +49,10 @@
 const FACTOR_PRIOR_OBSERVATIONS: f64 = 1.0;
 /// Bounds of the factor of an engine.
 const FACTOR_BOUNDS: (f64, f64) = (0.2, 5.0);
+/// Weight of the newest stream in the usual growth of the activity.
+const GROWTH_WEIGHT: f64 = 0.02;
+/// More tokens hardly lengthen the pause of a stream, and must not dominate the mean.
+const MAX_GROWTH_TOKENS: f64 = 6_000.0;
 /// Number of earlier peaks of the load of an engine that are kept. Streams that began before the oldest are learned from
 /// with a load that may be too low.
 const MAX_PEAKS: usize = 16;
@@ -61,20 +66,36 @@
 }
 
 /// What an engine does while a stream decodes there.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub(super) struct EngineActivity {
     /// Streams in progress, including this one.
-    pub(super) streams: u32,
+    pub(super) streams: f64,
     /// Tokens of other prompts that are read there meanwhile.
-    pub(super) reading_tokens: u64,
+    pub(super) reading_tokens: f64,
 }
 
 impl EngineActivity {
+    /// Returns the activity with this load, which includes the stream.
+    pub(super) fn of(load: Load) -> Self {
+        Self {
+            streams: f64::from(load.sends),
+            reading_tokens: load.reading_tokens as f64,
+        }
+    }
+
+    /// Returns the activity with more streams and more tokens to read.
+    pub(super) fn plus(self, other: Self) -> Self {
+        Self {
+            streams: self.streams + other.streams,
+            reading_tokens: self.reading_tokens + other.reading_tokens,
+        }
+    }
+
     fn features(&self) -> [f64; FEATURES] {
-        let units = self.reading_tokens as f64 / TOKENS_UNIT;
+        let units = self.reading_tokens / TOKENS_UNIT;
         let mut features = [0.0; FEATURES];
         features[0] = 1.0;
-        features[1] = f64::from(self.streams);
+        features[1] = self.streams;
         let mut band_start = 0.0;
         for (feature, band_end) in features[2..].iter_mut().zip(TOKEN_BANDS) {
             *feature = units.clamp(band_start, band_end) - band_start;
@@ -88,6 +109,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct ServicePauses {
     model: CostModel<FEATURES>,
+    /// By how much the activity of an engine usually exceeds that at the time when a stream was placed there.
+    growth: EngineActivity,
     observations: u32,
 }
 
@@ -96,6 +119,7 @@
         let [first, second, third] = TOKENS_PRIORS;
         Self {
             model: CostModel::new([FIXED_PRIOR, STREAM_PRIOR, first, second, third]),
+            growth: EngineActivity::default(),
             observations: 0,
         }
     }
@@ -117,14 +141,41 @@
         is_known.then(|| self.model.seconds(&activity.features()) * engine.factor())
     }
 
-    /// Learns that the longest pause of a stream was `pause`, which decoded at the engine from `since` on.
-    pub(super) fn learn(&mut self, engine: &mut EnginePauses, since: Timestamp, pause: Duration) {
-        let seconds = pause.as_secs_f64();
-        let features = engine.activity_since(since).features();
+    /// Returns by how much the activity of an engine usually grows after a stream was placed there.
+    pub(super) fn growth(&self) -> EngineActivity {
+        self.growth
+    }
+
+    /// Learns from a stream that ended at the engine.
+    pub(super) fn learn(&mut self, engine: &mut EnginePauses, stream: EndedStream) {
+        let seconds = stream.pause.as_secs_f64();
+        let activity = engine.activity_since(stream.read_at);
+        self.learn_growth(stream.placed_beside, activity);
+        let features = activity.features();
         self.model.learn(&features, seconds / engine.factor());
         self.observations = self.observations.saturating_add(1);
         engine.learn_factor(seconds, self.model.seconds(&features));
     }
+
+    fn learn_growth(&mut self, before: EngineActivity, greatest: EngineActivity) {
+        let streams = (greatest.streams - before.streams).max(0.0);
+        let tokens = (greatest.reading_tokens - before.reading_tokens).max(0.0);
+        let tokens = tokens.min(MAX_GROWTH_TOKENS);
+        let growth = &mut self.growth;
+        growth.streams = smooth(growth.streams, streams, GROWTH_WEIGHT);
+        growth.reading_tokens = smooth(growth.reading_tokens, tokens, GROWTH_WEIGHT);
+    }
+}
+
+/// A stream that ended.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EndedStream {
+    /// The activity of its engine when it was placed.
+    pub(super) placed_beside: EngineActivity,
+    /// When its prompt was read.
+    pub(super) read_at: Timestamp,
+    /// Its longest pause.
+    pub(super) pause: Duration,
 }
 
 /// What is known of the pauses at one engine.
@@ -151,10 +202,9 @@
 
     /// Returns the greatest activity of the engine since then.
     fn activity_since(&self, since: Timestamp) -> EngineActivity {
-        let streams = self.streams.max_since(since);
         EngineActivity {
-            streams: u32::try_from(streams).unwrap_or(u32::MAX),
-            reading_tokens: self.reading_tokens.max_since(since),
+            streams: self.streams.max_since(since) as f64,
+            reading_tokens: self.reading_tokens.max_since(since) as f64,
         }
     }
 
--- a/crates/forwarding/src/directory/ticket.rs
+++ b/crates/forwarding/src/directory/ticket.rs
@@ -7,7 +7,7 @@
 
 use super::choice::{Demand, RouteKey};
 use super::costs::EngineWork;
-use super::stream_pauses::MAX_STREAM_PAUSE;
+use super::stream_pauses::{EngineActivity, MAX_STREAM_PAUSE};
 use super::{Directory, MAX_EXPECTED_SECONDS};
 use crate::selection::Need;
 use crate::worker::WorkerId;
@@ -39,6 +39,8 @@
     pub(super) max_pause: Option<Duration>,
     /// Whether its worker counts it among the streams with a limit.
     pub(super) is_limited_stream: bool,
+    /// The activity of its worker when it was placed.
+    pub(super) placed_beside: EngineActivity,
 }
 
 impl SendTicket {
@@ -103,6 +105,7 @@
             pause: None,
             max_pause: demand.pause,
             is_limited_stream: false,
+            placed_beside: EngineActivity::default(),
         };
         let Some(tracked) = self.tracked(id) else {
             return ticket;
