Let leaving workers take requests in a shortage

The workers of a zone that are withdrawn together were given no request from their announcement on, although they serve for 2.7 s or more while the others are overloaded.

A first send that would be refused for overload, or finds no ready worker, may now go to a worker that the store announces as leaving with a remaining time. Retries, prompts read apart and requests that run at most once never go there, nor does anything if the age of the entry is not known. Gateways say which requests may run there with a new tag in placement requests.

--- a/crates/forwarding/src/directory/admission.rs
+++ b/crates/forwarding/src/directory/admission.rs
@@ -31,7 +31,7 @@
 const CONTINUATION_WEIGHT: f64 = 2.0;
 /// Fraction of the latency objective within which a prompt's answer must be expected to begin; the
 /// rest is reserved for the network to the caller and for the unexpected.
-const ON_TIME_FRACTION: f64 = 0.8;
+pub(super) const ON_TIME_FRACTION: f64 = 0.8;
 /// Rotation in bits that turns a request's random number into a second one: half of the bits, so
 /// that the two have little in common.
 const SECOND_DRAW_ROTATION: u32 = 32;
@@ -356,6 +356,16 @@
         }
     }
 
+    /// Returns the seconds until a worker that reads and decodes the prompt itself begins the
+    /// answer.
+    pub(super) fn colocated_seconds(
+        &self,
+        worker: &TrackedWorker,
+        comparison: &Comparison<'_>,
+    ) -> f64 {
+        self.plan_colocated(worker, comparison).seconds
+    }
+
     fn plan_colocated(&self, worker: &TrackedWorker, comparison: &Comparison<'_>) -> Plan {
         let (seconds, idle_seconds) = self.prefill_seconds(worker, comparison);
         Plan {
@@ -454,6 +464,6 @@
     }
 }
 
-fn bounded_duration(seconds: f64) -> Duration {
+pub(super) fn bounded_duration(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds.clamp(0.0, MAX_EXPECTED_SECONDS))
 }
--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -193,14 +193,19 @@
 
     /// Returns whether a worker is not to be avoided, is not backing off and is below its rate
     /// limit.
-    fn is_allowed(&self, now: Timestamp, tracked: &TrackedWorker, avoid: &[WorkerId]) -> bool {
+    pub(super) fn is_allowed(
+        &self,
+        now: Timestamp,
+        tracked: &TrackedWorker,
+        avoid: &[WorkerId],
+    ) -> bool {
         let is_backing_off = self.notices.backoff_until(now, tracked.key).is_some();
         let has_token = self.rate_limits.wait(now, tracked.key).is_zero();
         !is_backing_off && has_token && !avoid.contains(&tracked.worker.id)
     }
 
     /// Returns whether a worker is neither paused nor absent nor at its maximum of trial requests.
-    fn is_preferred(&self, now: Timestamp, tracked: &TrackedWorker) -> bool {
+    pub(super) fn is_preferred(&self, now: Timestamp, tracked: &TrackedWorker) -> bool {
         tracked.is_available(now) && !self.notices.has_max_trials(tracked.key)
     }
 
--- a/crates/forwarding/src/directory/membership.rs
+++ b/crates/forwarding/src/directory/membership.rs
@@ -38,6 +38,9 @@
         if self.notices.is_leaving(key) {
             worker.state = WorkerState::Draining;
         }
+        if worker.state == WorkerState::Ready {
+            self.leaving.remove(key);
+        }
         self.notices.set_announced(key, true);
         self.remove_address(key);
         *self.announced_at.entry(worker.address).or_default() += 1;
@@ -96,6 +99,7 @@
 
     fn withdraw_key(&mut self, key: WorkerKey) {
         self.remove_address(key);
+        self.leaving.remove(key);
         self.notices.set_announced(key, false);
         let Some(tracked) = self.workers.get_mut(&key) else {
             return;
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -42,6 +42,7 @@
 mod costs;
 mod demand;
 mod eligible;
+mod leaving;
 mod length_biased_mean;
 mod membership;
 mod notices;
@@ -75,6 +76,7 @@
 pub use admission::{Admission, Objectives, RefusalCause};
 pub use availability::FirstAvailable;
 pub use choice::Demand;
+pub use leaving::FirstAdmission;
 pub use notices::{NoticeChanges, Unavailable};
 pub use rate_limits::RateToken;
 pub use ticket::SendTicket;
@@ -84,6 +86,7 @@
 use costs::EngineCosts;
 use demand::Demands;
 use eligible::EligibleWorkers;
+use leaving::LeavingWorkers;
 use length_biased_mean::LengthBiasedMean;
 use notices::Notices;
 use part_holders::PartHolders;
@@ -113,6 +116,7 @@
     workers: BTreeMap<WorkerKey, TrackedWorker>,
     eligible: EligibleWorkers,
     notices: Notices,
+    leaving: LeavingWorkers,
     rate_limits: RateLimits,
     part_holders: PartHolders,
     /// Workers at which other gateways have reported load.
@@ -155,6 +159,7 @@
             workers: BTreeMap::new(),
             eligible: EligibleWorkers::default(),
             notices: Notices::default(),
+            leaving: LeavingWorkers::default(),
             rate_limits: RateLimits::default(),
             part_holders: PartHolders::default(),
             loaded_by_others: BTreeSet::new(),
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod cost_model;
 pub mod decisions;
+pub mod departure;
 pub mod directory;
 pub mod event_stream;
 pub mod lapsed_workers;
@@ -38,9 +39,10 @@
     Target, WorkerScaling,
 };
 pub use decisions::Decisions;
+pub use departure::Departure;
 pub use directory::{
-    Admission, Demand, Directory, EngineLoad, FirstAvailable, NoticeChanges, Objectives, RateToken,
-    RefusalCause, SendResult, SendTicket, Unavailable,
+    Admission, Demand, Directory, EngineLoad, FirstAdmission, FirstAvailable, NoticeChanges,
+    Objectives, RateToken, RefusalCause, SendResult, SendTicket, Unavailable,
 };
 pub use event_stream::{CompleteEvents, EventFramer};
 pub use lapsed_workers::LapsedWorkers;
--- a/crates/forwarding/src/placement/granted.rs
+++ b/crates/forwarding/src/placement/granted.rs
@@ -147,31 +147,38 @@
             avoid: &request.avoid,
             draw: request.draw,
         };
+        let mut leaving_worker = None;
         let need = match &request.need {
             PlacementNeed::Worker { need } => need.clone(),
-            PlacementNeed::Admission => match directory.admit(now, demand, request.objectives) {
-                Admission::Admitted { read_apart, draw } => {
-                    demand.draw = draw;
-                    match read_apart {
-                        true => Need::ReadPrompt,
-                        false => Need::Run,
+            PlacementNeed::Admission | PlacementNeed::AdmissionOrLeaving => {
+                let may_use_leaving = request.need == PlacementNeed::AdmissionOrLeaving;
+                let first = directory.admit_first(now, demand, request.objectives, may_use_leaving);
+                leaving_worker = first.leaving_worker;
+                match first.admission {
+                    Admission::Admitted { read_apart, draw } => {
+                        demand.draw = draw;
+                        match read_apart {
+                            true => Need::ReadPrompt,
+                            false => Need::Run,
+                        }
                     }
-                }
-                Admission::Refused {
-                    cause,
-                    waiting,
-                    retry_after,
-                } => {
-                    return PlacementAnswer::Refused {
+                    Admission::Refused {
                         cause,
                         waiting,
                         retry_after,
+                    } => {
+                        return PlacementAnswer::Refused {
+                            cause,
+                            waiting,
+                            retry_after,
+                        }
                     }
                 }
-            },
+            }
         };
-        let worker = directory.select(now, demand, &need);
-        let Some(worker) = worker.map(|worker| worker.id.clone()) else {
+        let select = || directory.select(now, demand, &need);
+        let worker = leaving_worker.or_else(|| select().map(|worker| worker.id.clone()));
+        let Some(worker) = worker else {
             return no_worker_answer(now, directory, &request.service, &need);
         };
         let has_rate_token = directory.take_rate_token(now, &worker) == RateToken::Taken;
--- a/crates/forwarding/src/placement/mod.rs
+++ b/crates/forwarding/src/placement/mod.rs
@@ -37,6 +37,8 @@
 pub enum PlacementNeed {
     /// Admission of the request, and its first worker.
     Admission,
+    /// Admission of the request, and its first worker, which may be one that is leaving if no other has time for it.
+    AdmissionOrLeaving,
     /// Another worker for an admitted request.
     Worker {
         /// The work that the worker has to do.
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -14,7 +14,7 @@
 use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{
     Action, Admission, AttemptPolicy, Conclusion, Fingerprint, Need, PromptHandle, RefusalCause,
-    RequestEvent, RequestMachine, Route, SendFailure, UrgencyGroup, Worker, WorkerId,
+    RequestEvent, RequestMachine, Route, SendFailure, UrgencyGroup, Worker, WorkerId, WorkerState,
 };
 use tokio::time::Instant;
 
@@ -71,6 +71,8 @@
     unused_handle: Option<PromptHandle>,
     /// The placement of the next send, if a scheduler has chosen its worker.
     placed: Option<OpenPlacement>,
+    /// The worker of the first send, if this gateway has chosen one that is leaving.
+    leaving_worker: Option<WorkerId>,
     retry_after: Duration,
     waiting: Duration,
     cause: &'static str,
@@ -93,6 +95,7 @@
             error_answer: None,
             unused_handle: None,
             placed: None,
+            leaving_worker: None,
             retry_after: DEFAULT_RETRY_AFTER,
             waiting: Duration::ZERO,
             cause: "",
@@ -239,6 +242,10 @@
     fn begin_send(&mut self, worker: &Worker, kind: RequestKind, need: Need) -> SendGuard {
         let is_for_worker = |placed: &OpenPlacement| placed.placement().worker == worker.id;
         let placement = self.placed.take().filter(is_for_worker);
+        if worker.state == WorkerState::Draining {
+            let sends = &self.shared.metrics.leaving_worker_sends;
+            sends.with_label_values(&[worker.service.as_str()]).inc();
+        }
         let sent = SendDetails {
             request_id: self.request_id().to_owned(),
             fingerprint: self.request.fingerprint,
--- a/crates/gateway/src/exchange/placing.rs
+++ b/crates/gateway/src/exchange/placing.rs
@@ -2,8 +2,8 @@
 
 use tansyhall_core::{Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    Admission, Demand, Need, Objectives, PlacementNeed, PlacementRequest, RefusalCause, TenantKey,
-    Unavailable, WorkerId,
+    Admission, Demand, Need, Objectives, PlacementNeed, PlacementRequest, RefusalCause,
+    Repeatability, TenantKey, Unavailable, WorkerId,
 };
 
 use super::Exchange;
@@ -16,7 +16,12 @@
     /// Decides whether the request is admitted. A scheduler decides and also places the first send; without an answer
     /// of a scheduler, this gateway decides.
     pub(super) async fn admit(&mut self, now: Timestamp) -> Admission {
-        match self.ask_scheduler(PlacementNeed::Admission, &[]).await {
+        let may_use_leaving = self.may_use_leaving();
+        let need = match may_use_leaving {
+            true => PlacementNeed::AdmissionOrLeaving,
+            false => PlacementNeed::Admission,
+        };
+        match self.ask_scheduler(need, &[]).await {
             Some(SchedulerAnswer::Placed(placed)) => {
                 let read_apart = placed.placement().read_apart;
                 // If this worker is not available, the first send selects another one.
@@ -40,7 +45,18 @@
         let zone = self.shared.zone();
         let objectives = self.objectives();
         let mut directory = self.shared.directory.lock();
-        directory.admit(now, self.demand(&zone, &[]), objectives)
+        let demand = self.demand(&zone, &[]);
+        let first = directory.admit_first(now, demand, objectives, may_use_leaving);
+        drop(directory);
+        self.leaving_worker = first.leaving_worker;
+        first.admission
+    }
+
+    /// Returns whether the first send may go to a worker that is leaving. A request other than a stream that runs at most
+    /// once may not: it could be lost with the worker, and no other worker may repeat it.
+    fn may_use_leaving(&self) -> bool {
+        let is_enabled = self.shared.settings.read().decisions.leaving_workers;
+        is_enabled && self.route().repeatability != Repeatability::AtMostOnce
     }
 
     fn demand<'a>(&'a self, zone: &'a ZoneName, avoid: &'a [WorkerId]) -> Demand<'a> {
@@ -102,6 +118,10 @@
         if let Some(placed) = self.placed.take().filter(fits) {
             return Some(self.use_placement(placed));
         }
+        let leaving = self.leaving_worker.take();
+        if let Some(worker) = leaving.filter(|_| avoid.is_empty() && need == Need::Run) {
+            return Some(worker);
+        }
         let placement_need = PlacementNeed::Worker { need: need.clone() };
         match self.ask_scheduler(placement_need, &avoid).await {
             Some(SchedulerAnswer::Placed(placed)) if placed.is_available() => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,8 @@
     pub latency: HistogramVec,
     /// Sends to workers by service and outcome.
     pub sends: IntCounterVec,
+    /// Sends to workers that are announced as leaving, by service.
+    pub leaving_worker_sends: IntCounterVec,
     /// Answers that do not match the request sent before them, by kind of request.
     pub mismatched_answers: IntCounterVec,
     /// New notices of workers, by kind: `leaving`, `rest` (back-off) or `rate_limit`.
@@ -80,6 +82,13 @@
                 Opts::new("gateway_sends_total", "Sends to workers by outcome"),
                 &["service", "outcome"],
             )?,
+            leaving_worker_sends: IntCounterVec::new(
+                Opts::new(
+                    "gateway_leaving_worker_sends_total",
+                    "Sends to workers that are announced as leaving",
+                ),
+                &["service"],
+            )?,
             mismatched_answers: IntCounterVec::new(
                 Opts::new(
                     "gateway_foreign_answers_total",
@@ -192,6 +201,8 @@
     fn register(&self) -> Result<(), prometheus::Error> {
         self.registry.register(Box::new(self.requests.clone()))?;
         self.registry.register(Box::new(self.latency.clone()))?;
+        self.registry
+            .register(Box::new(self.leaving_worker_sends.clone()))?;
         self.registry.register(Box::new(self.sends.clone()))?;
         self.registry
             .register(Box::new(self.mismatched_answers.clone()))?;
--- a/crates/gateway/src/placement/codec.rs
+++ b/crates/gateway/src/placement/codec.rs
@@ -131,7 +131,9 @@
 impl From<&PlacementRequest> for RequestMessage {
     fn from(request: &PlacementRequest) -> Self {
         let (need, reader) = match &request.need {
-            PlacementNeed::Admission => (NeedKind::Admission, ""),
+            PlacementNeed::Admission | PlacementNeed::AdmissionOrLeaving => {
+                (NeedKind::Admission, "")
+            }
             PlacementNeed::Worker { need } => match need {
                 Need::Run => (NeedKind::Run, ""),
                 Need::ReadPrompt => (NeedKind::ReadPrompt, ""),
@@ -157,6 +159,7 @@
             reader: reader.to_owned(),
             avoid: request.avoid.iter().map(qualified_name_of).collect(),
             tenant: request.tenant.map(|tenant| tenant.0),
+            may_use_leaving: request.need == PlacementNeed::AdmissionOrLeaving,
         }
     }
 }
@@ -170,7 +173,10 @@
         let avoid = avoid.map(|id| WorkerId::from(id.as_str())).collect();
         let worker = |need| PlacementNeed::Worker { need };
         let need = match kind {
-            NeedKind::Admission => PlacementNeed::Admission,
+            NeedKind::Admission => match message.may_use_leaving {
+                true => PlacementNeed::AdmissionOrLeaving,
+                false => PlacementNeed::Admission,
+            },
             NeedKind::Run => worker(Need::Run),
             NeedKind::ReadPrompt => worker(Need::ReadPrompt),
             NeedKind::Continue => {
--- a/crates/gateway/src/placement/message.rs
+++ b/crates/gateway/src/placement/message.rs
@@ -112,6 +112,10 @@
     /// Key of the tenant that the request belongs to, if any. Gateways of earlier versions don't send this.
     #[prost(fixed64, optional, tag = "13")]
     pub tenant: Option<u64>,
+    /// Whether a request for admission may be placed on a worker that is leaving. Gateways of earlier versions neither
+    /// send nor read this.
+    #[prost(bool, tag = "14")]
+    pub may_use_leaving: bool,
 }
 
 /// A part of a prompt.
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -163,4 +163,7 @@
     fn decode_configuration(&self, value: &[u8]) -> anyhow::Result<Configuration>;
     /// Decodes a worker's entry; `id` is its key without the prefix.
     fn decode_worker(&self, id: &str, value: &[u8]) -> anyhow::Result<Worker>;
+    /// Returns how long a worker whose entry says that it is leaving remains, if the entry states it. The time is not
+    /// part of [`Worker`], because it changes with each write of the entry.
+    fn decode_remaining_time(&self, value: &[u8]) -> Option<Duration>;
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -186,6 +186,7 @@
     let gateway = GatewayKey::of(&settings.node.name, rand::random());
     let mut directory = Directory::new(gateway);
     directory.set_decisions(settings.decisions);
+    directory.set_drain_time(settings.drain_time());
     let fleet = Fleet::new(vec![presence::own_member(&settings)]);
     let usage = settings.usage_timing().map(|timing| {
         let source = Source {
@@ -366,7 +367,10 @@
             let routine = settings.log.routine_per_second;
             shared.log.set_routine_per_second(routine);
             shared.retries.lock().set_settings(settings.retry_share());
-            shared.directory.lock().set_decisions(settings.decisions);
+            let mut directory = shared.directory.lock();
+            directory.set_decisions(settings.decisions);
+            directory.set_drain_time(settings.drain_time());
+            drop(directory);
             *shared.settings.write() = Arc::new(settings);
             "applied".to_owned()
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -31,6 +31,9 @@
     pub usage: Option<UsageSection>,
     /// The platform's operations API; `None` if the platform has none.
     pub duties: Option<DutiesSection>,
+    /// Workers.
+    #[serde(default)]
+    pub workers: WorkersSection,
     /// The losses that the deployment has to bear.
     #[serde(default)]
     pub tolerance: ToleranceSection,
@@ -133,6 +136,15 @@
     pub address: SocketAddr,
 }
 
+/// Workers.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Deserialize)]
+#[serde(default)]
+pub struct WorkersSection {
+    /// Seconds after the store has accepted the announcement that a worker is leaving within which new requests must
+    /// have reached it, 0 to 600. With 0, leaving workers get no requests.
+    pub drain_seconds: f64,
+}
+
 /// The losses that the deployment has to bear.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(default)]
@@ -282,6 +294,14 @@
                 check_range(key, seconds.to_string(), "must be 0.1 to 86400", fits)?;
             }
         }
+        let drain = self.workers.drain_seconds;
+        let drain_fits = (0.0..=600.0).contains(&drain);
+        check_range(
+            "workers.drain_seconds",
+            drain.to_string(),
+            "must be 0 to 600",
+            drain_fits,
+        )?;
         let zones = self.tolerance.zones;
         let zones_fit = zones <= MAX_TOLERATED_ZONES;
         check_range(
@@ -322,6 +342,11 @@
         Duration::from_secs_f64(self.orders.takeover_pause_seconds)
     }
 
+    /// Returns the time within which new requests must have reached a worker that is announced as leaving.
+    pub fn drain_time(&self) -> Duration {
+        Duration::from_secs_f64(self.workers.drain_seconds)
+    }
+
     /// Returns the time from SIGTERM to SIGKILL.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop.grace_seconds)
--- a/crates/gateway/src/store_contact.rs
+++ b/crates/gateway/src/store_contact.rs
@@ -16,6 +16,8 @@
 #[derive(Debug, Default)]
 struct Contact {
     last_answer: Timestamp,
+    /// When the store gave the answer before the last one.
+    previous_answer: Timestamp,
     /// When the store answered again after it was unavailable or restored.
     last_return: Option<Timestamp>,
     /// When a later epoch than before was first seen.
@@ -42,6 +44,8 @@
         if is_restored {
             contact.last_restore = Some(now);
         }
+        // A relay may answer with older information than the answer before.
+        contact.previous_answer = contact.last_answer.min(answered);
         contact.last_answer = contact.last_answer.max(answered);
         true
     }
@@ -57,6 +61,12 @@
         restored.is_some_and(|restored| now.since(restored) < time)
     }
 
+    /// Returns how long ago the store may have accepted a change that its last answer contains: the answer before did not
+    /// contain it.
+    pub fn longest_delay(&self, now: Timestamp) -> Duration {
+        now.since(self.0.lock().previous_answer)
+    }
+
     /// Returns the time since the store's last answer, or since the start of the clock if there was none.
     pub fn age(&self, now: Timestamp) -> Duration {
         now.since(self.0.lock().last_answer)
--- a/crates/gateway/src/worker_entries.rs
+++ b/crates/gateway/src/worker_entries.rs
@@ -143,6 +143,7 @@
     previous: Option<WorkerEntry>,
 ) -> WorkerEntry {
     let decoded = shared.store_schema.decode_worker(name, &item.value);
+    let written_by = decoded.as_ref().ok().map(|worker| worker.id.clone());
     let worker = decoded.map_err(|error| record_refused_item(shared, item, &error));
     let worker = worker.map(|worker| {
         let departed = &mut known.departed;
@@ -172,6 +173,11 @@
             shared.directory.lock().withdraw(&gone.id);
         }
     }
+    if worker.as_ref().map(|worker| &worker.id) == written_by.as_ref() {
+        written_by
+            .iter()
+            .for_each(|id| record_departure(shared, id, item));
+    }
     let is_announced = worker
         .as_ref()
         .is_some_and(|worker| announce(shared, worker));
@@ -183,6 +189,17 @@
     }
 }
 
+/// Records the remaining time of a worker whose entry states it.
+fn record_departure(shared: &Shared, id: &WorkerId, item: &Item) {
+    let Some(remaining) = shared.store_schema.decode_remaining_time(&item.value) else {
+        return;
+    };
+    let now = shared.now();
+    let max_delay = shared.store_contact.longest_delay(now);
+    let mut directory = shared.directory.lock();
+    directory.record_departure(now, id, remaining, max_delay);
+}
+
 /// Returns whether a worker is leaving or has departed although a restored store says that it is ready. Entries that were
 /// written since the restore are trusted.
 fn is_still_leaving(
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -30,6 +30,7 @@
     let with = |need| PlacementNeed::Worker { need };
     prop_oneof![
         Just(PlacementNeed::Admission),
+        Just(PlacementNeed::AdmissionOrLeaving),
         Just(with(Need::Run)),
         Just(with(Need::ReadPrompt)),
         worker().prop_map(move |reader| with(Need::Continue { reader })),
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -106,6 +106,16 @@
             "[tolerance]\nzones = 65\n\n[stop]",
             "tolerance.zones = 65: must be 0 to 64",
         ),
+        (
+            "[stop]",
+            "[workers]\ndrain_seconds = -1\n\n[stop]",
+            "workers.drain_seconds = -1: must be 0 to 600",
+        ),
+        (
+            "[stop]",
+            "[workers]\ndrain_seconds = inf\n\n[stop]",
+            "workers.drain_seconds = inf: must be 0 to 600",
+        ),
         (
             "\"gateway-1\"",
             "\"\"",
