--- a/crates/cli/tests/gateway_check.rs
+++ b/crates/cli/tests/gateway_check.rs
@@ -3,13 +3,18 @@
 
 use std::process::Command;
 
-use serde_json::json;
+use serde_json::{json, Value};
 use tansyhall_platform_standin::render;
 
 const TEMPLATE: &str = include_str!("../../../deploy/node.toml");
 
 fn render_settings(ratio: f64) -> String {
-    let fields = json!({
+    render_with_bounds(ratio, json!({}))
+}
+
+/// Renders settings with further bounds.
+fn render_with_bounds(ratio: f64, bounds: Value) -> String {
+    let mut fields = json!({
         "node": "gateway-1",
         "zone": "kalimati",
         "ip": "10.1.0.35",
@@ -24,6 +29,9 @@
             "retry_budget_ratio": ratio, "budget_extra": 54, "budget_window_s": 10, "grace_s": 8,
         },
     });
+    for (name, value) in bounds.as_object().expect("an object") {
+        fields["bounds"][name] = value.clone();
+    }
     render(TEMPLATE, &fields).expect("a template")
 }
 
@@ -53,6 +61,19 @@
     assert_eq!(result.code, Some(0), "{}", result.errors);
 }
 
+/// Guards against bounds in milliseconds that are rendered as an invalid number of seconds.
+#[test]
+fn the_drain_time_is_rendered_in_seconds() {
+    for (drain_ms, expected) in [(json!(3000), "3000e-3"), (json!(2700.5), "2700.5e-3")] {
+        let settings = render_with_bounds(0.2, json!({ "drain_ms": drain_ms }));
+        let line = format!("drain_seconds = {expected}\n");
+        assert!(settings.contains(&line), "{settings}");
+        let result = check(&settings);
+        assert_eq!(result.code, Some(0), "{}", result.errors);
+    }
+    assert!(render_settings(0.2).contains("drain_seconds = 0.0\n"));
+}
+
 #[test]
 fn invalid_settings_are_refused() {
     let result = check(&render_settings(7.5));
--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -19,3 +19,4 @@
 mod usage;
 mod worker_incarnations;
 mod worker_orders;
+mod workers_leaving_in_a_shortage;
