--- a/crates/cli/tests/gateway_platform/schedulers.rs
+++ b/crates/cli/tests/gateway_platform/schedulers.rs
@@ -11,7 +11,8 @@
 const KILLED_GATEWAYS: usize = 6;
 const REQUESTS: usize = 24;
 const SILENT_PLACEMENTS: &str = "gateway_placements_total{outcome=\"silent\"}";
-const PLACED_REQUESTS: &str = "gateway_placements_total{outcome=\"placed\"}";
+/// Requests of a gateway that a scheduler has placed.
+pub const PLACED_REQUESTS: &str = "gateway_placements_total{outcome=\"placed\"}";
 
 /// Returns whether a scheduler has placed requests of this gateway.
 async fn uses_scheduler(site: &Site, index: usize) -> bool {
