--- a/crates/forwarding/tests/urgent_first.rs
+++ b/crates/forwarding/tests/urgent_first.rs
@@ -16,6 +16,8 @@
 const MAX_REFUSED: f64 = 0.06;
 /// Least fraction of the capacity left by the urgent route that must serve the other.
 const MIN_USED_OF_REST: f64 = 0.8;
+/// Engines that only read prompts, of all engines.
+const PREFILL_ENGINES: usize = 4;
 /// Long prompts of the most urgent route. They need a quarter of the engines' prefill time.
 const LONG_PROMPTS: RouteLoad = RouteLoad {
     name: "long",
@@ -139,6 +141,29 @@
     }
 }
 
+/// Guards against urgent prompts on prefill engines that are refused for less urgent streams on the
+/// decode engines which continue them.
+#[test]
+fn urgent_long_prompts_read_apart_are_served_beside_short_requests_as_without_them() {
+    let simulate = |routes: &[RouteLoad], urgent_first, seed| {
+        let decisions = decisions(urgent_first);
+        UrgencySimulation::with_prefill_engines(PREFILL_ENGINES, routes.to_vec(), decisions, seed)
+            .run()[0]
+    };
+    for seed in SEEDS {
+        let alone = simulate(&[LONG_PROMPTS], true, seed);
+        let max_refused = alone.refused_fraction() + MAX_REFUSED;
+        let both = [LONG_PROMPTS, SHORT_REQUESTS];
+        let beside = simulate(&both, true, seed);
+        assert!(
+            beside.refused_fraction() <= max_refused,
+            "seed {seed}: {alone:?}, {beside:?}"
+        );
+        // The counterpart: with the switch off, the bound is violated.
+        assert!(simulate(&both, false, seed).refused_fraction() > max_refused);
+    }
+}
+
 const NOW: Timestamp = Timestamp::from_millis(10_000);
 
 fn engine(id: &str) -> Worker {
