--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -42,6 +42,7 @@
 mod costs;
 mod demand;
 mod eligible;
+mod leaving;
 mod length_biased_mean;
 mod membership;
 mod notices;
@@ -77,6 +78,7 @@
 pub use admission::{Admission, Objectives, RefusalCause};
 pub use availability::FirstAvailable;
 pub use choice::Demand;
+pub use leaving::FirstAdmission;
 pub use notices::{NoticeChanges, Unavailable};
 pub use rate_limits::RateToken;
 pub use stream_pauses::MAX_STREAM_PAUSE;
@@ -87,6 +89,7 @@
 use costs::EngineCosts;
 use demand::Demands;
 use eligible::EligibleWorkers;
+use leaving::LeavingWorkers;
 use length_biased_mean::LengthBiasedMean;
 use notices::Notices;
 use part_holders::PartHolders;
@@ -117,6 +120,7 @@
     workers: BTreeMap<WorkerKey, TrackedWorker>,
     eligible: EligibleWorkers,
     notices: Notices,
+    leaving: LeavingWorkers,
     rate_limits: RateLimits,
     part_holders: PartHolders,
     /// Workers at which other gateways have reported load.
@@ -160,6 +164,7 @@
             workers: BTreeMap::new(),
             eligible: EligibleWorkers::default(),
             notices: Notices::default(),
+            leaving: LeavingWorkers::default(),
             rate_limits: RateLimits::default(),
             part_holders: PartHolders::default(),
             loaded_by_others: BTreeSet::new(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,8 @@
     pub stream_pause: HistogramVec,
     /// Streams that paused for longer than their route allows, by route.
     pub long_stream_pauses: IntCounterVec,
+    /// Sends to workers that are announced as leaving, by service.
+    pub leaving_worker_sends: IntCounterVec,
     /// Answers that do not match the request sent before them, by kind of request.
     pub mismatched_answers: IntCounterVec,
     /// New notices of workers, by kind: `leaving`, `rest` (back-off) or `rate_limit`.
@@ -105,6 +107,13 @@
                 ),
                 &["route"],
             )?,
+            leaving_worker_sends: IntCounterVec::new(
+                Opts::new(
+                    "gateway_leaving_worker_sends_total",
+                    "Sends to workers that are announced as leaving",
+                ),
+                &["service"],
+            )?,
             mismatched_answers: IntCounterVec::new(
                 Opts::new(
                     "gateway_foreign_answers_total",
@@ -224,6 +233,8 @@
     fn register(&self) -> Result<(), prometheus::Error> {
         self.registry.register(Box::new(self.requests.clone()))?;
         self.registry.register(Box::new(self.latency.clone()))?;
+        self.registry
+            .register(Box::new(self.leaving_worker_sends.clone()))?;
         self.registry.register(Box::new(self.sends.clone()))?;
         self.registry
             .register(Box::new(self.stream_pause.clone()))?;
