--- a/crates/forwarding/src/directory/stream_pauses.rs
+++ b/crates/forwarding/src/directory/stream_pauses.rs
@@ -239,10 +239,10 @@
         while self.earlier.back().is_some_and(|(_, peak)| *peak <= ended) {
             self.earlier.pop_back();
         }
-        self.earlier.push_back((now, ended));
-        if self.earlier.len() > MAX_PEAKS {
+        if self.earlier.len() >= MAX_PEAKS {
             self.earlier.pop_front();
         }
+        self.earlier.push_back((now, ended));
     }
 
     /// Returns the greatest value since then.
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -10,6 +10,7 @@
     GatewayKey, LimitStatement, LoadReport, Need, Objectives, Placement, PlacementAnswer,
     PlacementId, PlacementMessage, PlacementNeed, PlacementNotice, PlacementRequest, PromptPart,
     RateLimit, RefusalCause, SendResult, StatedLimit, TenantKey, WorkerId, WorkerKey, WorkerNotice,
+    MAX_STREAM_PAUSE,
 };
 use tansyhall_gateway::datagrams::Datagram;
 use tansyhall_gateway::load_messages::{decode, encode};
@@ -231,6 +232,43 @@
     assert!(answer.decode_answer().is_err());
 }
 
+/// Guards against a peer whose impossible pause is learned, or makes its whole message invalid.
+#[test]
+fn an_impossible_pause_is_ignored_and_the_rest_of_its_message_applies() {
+    let decoded_pause = |pause_micros| {
+        let latency = Duration::from_millis(20);
+        let ended = PlacementNotice::Ended {
+            id: PlacementId(7),
+            result: SendResult::Answered { latency },
+            worker_notice: WorkerNotice::default(),
+            rate_limit: None,
+            pause: None,
+        };
+        let mut message = MessageToScheduler::from(&PlacementMessage {
+            sender: GatewayKey(1),
+            sequence: 2,
+            open: Vec::new(),
+            notices: vec![ended],
+            request: None,
+        });
+        message.notices[0].pause_micros = pause_micros;
+        let message = PlacementMessage::try_from(message).expect("a valid message");
+        match message.notices[0] {
+            PlacementNotice::Ended { result, pause, .. } => {
+                assert_eq!(result, SendResult::Answered { latency });
+                pause
+            }
+            notice => panic!("not the end of a send: {notice:?}"),
+        }
+    };
+    assert_eq!(decoded_pause(0), None);
+    assert_eq!(decoded_pause(180_000), Some(Duration::from_millis(180)));
+    assert_eq!(decoded_pause(u64::MAX), None);
+    let longest = u64::try_from(MAX_STREAM_PAUSE.as_micros()).expect("a number of microseconds");
+    assert_eq!(decoded_pause(longest), Some(MAX_STREAM_PAUSE));
+    assert_eq!(decoded_pause(longest + 1), None);
+}
+
 #[test]
 fn reported_rate_limits_keep_their_content() {
     let statement = |limit: Option<u64>| LimitStatement {
--- a/crates/gateway/tests/production_messages.rs
+++ b/crates/gateway/tests/production_messages.rs
@@ -134,8 +134,10 @@
             result,
             worker_notice,
             rate_limit,
+            pause: None,
             ..
         } => Some((*result, *worker_notice, *rate_limit)),
+        PlacementNotice::Ended { pause, .. } => panic!("a pause that was not sent: {pause:?}"),
         PlacementNotice::PromptRead { .. } => None,
     });
     let ends: Vec<(SendResult, WorkerNotice, Option<StatedLimit>)> = ends.collect();
@@ -208,6 +210,20 @@
     assert!(decode_to_same::<ProductionRefusal>(&before, &extended));
 }
 
+/// Guards against an upgrade in which gateways of the build in production reject the notices of newer ones.
+#[test]
+fn the_build_in_production_ignores_pauses_of_streams() {
+    let mut notice = datagram("notices")
+        .question
+        .expect("placement message")
+        .notices[0]
+        .clone();
+    let before = notice.encode_to_vec();
+    notice.pause_micros = 180_000;
+    let extended = notice.encode_to_vec();
+    assert!(decode_to_same::<ProductionNotice>(&before, &extended));
+}
+
 #[test]
 fn a_placement_of_the_build_in_production_has_no_rate_token() {
     let answer = datagram("placed").answer.expect("placement answer");
