Test the logged pauses of streams from a worker to the log and the metrics

The longest pause must appear in the lines of the send and of the request, for streams that can be resumed and that cannot, and a single event makes none.

--- a/crates/cli/tests/gateway_platform/logs.rs
+++ b/crates/cli/tests/gateway_platform/logs.rs
@@ -4,7 +4,7 @@
 use tansyhall_platform_standin::Behaviour;
 use tansyhall_testing::eventually;
 
-use crate::support::{send_request, Site, AT_MOST_ONCE, NON_RESUMABLE, REPEATABLE};
+use crate::support::{send_request, Site, AT_MOST_ONCE, NON_RESUMABLE, REPEATABLE, RESUMABLE};
 
 const SECRET: &[u8] = b"the body of a ledger";
 
@@ -118,3 +118,38 @@
     let secret = String::from_utf8_lossy(SECRET).into_owned();
     assert!(lines.iter().all(|line| !line.to_string().contains(&secret)));
 }
+
+/// Guards against pauses of streams that are not measured, and against waits for the first event that count as pauses.
+#[actix_rt::test]
+async fn the_longest_pause_of_a_stream_is_logged_and_counted() {
+    const PAUSE_MS: u64 = 120;
+    let paced = |events| Behaviour::Paced {
+        events,
+        pause_ms: PAUSE_MS,
+    };
+    let mut site = Site::start(&[("app", None, paced(3))], 1).await;
+    let worker = site.workers[0].worker.clone();
+    let gateway = &site.gateways[0];
+    send_request(gateway, "paced", NON_RESUMABLE, b"x").await;
+    send_request(gateway, "paced-resumable", RESUMABLE, b"x").await;
+    worker.set_behaviour(paced(1));
+    send_request(gateway, "single", NON_RESUMABLE, b"x").await;
+    let counted = gateway
+        .metric("gateway_stream_pause_seconds_count{service=\"app\"}")
+        .await;
+    assert_eq!(counted, Some(2.0));
+    let lines = site.gateways.remove(0).stop_and_read();
+    for event in ["send", "request"] {
+        let pause_ms = |request: &str| {
+            let mut of_request = lines
+                .iter()
+                .filter(|line| line["event"] == event && line["request"] == request);
+            let line = of_request.next().expect("a line of the request");
+            line["pause_ms"].as_u64().expect("a number of milliseconds")
+        };
+        // The timers of the gateway and the worker may differ by a few milliseconds.
+        assert!(pause_ms("paced") >= PAUSE_MS - 20);
+        assert!(pause_ms("paced-resumable") >= PAUSE_MS - 20);
+        assert_eq!(pause_ms("single"), 0);
+    }
+}
