Forget the pauses of an engine that gets no more streams

An engine that was frozen for a moment would otherwise get no limited stream for good. Requests that wait for a slot no longer count as streams, and a prompt for which no prefill engine has time is compared with the engine that would get it. Tests of the forwarding and gateway crates pass.

--- a/crates/forwarding/src/directory/admission.rs
+++ b/crates/forwarding/src/directory/admission.rs
@@ -322,7 +322,7 @@
             return false;
         };
         let comparison = self.comparison(now, demand);
-        let Some((_, worker)) = self.best_worker(now, &comparison, &Need::Run) else {
+        let Some(worker) = self.best_for_pauses(now, &comparison, &Need::Run) else {
             return false;
         };
         let load = worker.load();
--- a/crates/forwarding/src/directory/pause_limits.rs
+++ b/crates/forwarding/src/directory/pause_limits.rs
@@ -56,7 +56,8 @@
     /// Records the activity of the engine from now on.
     pub(super) fn record_activity(&mut self, now: Timestamp) {
         if self.worker.role != Some(Role::Prefill) {
-            self.pauses.record_load(now, self.load());
+            let load = self.load();
+            self.pauses.record_load(now, load, self.worker.slots);
         }
     }
 
@@ -70,7 +71,7 @@
         if ticket.work.is_none() || self.worker.role == Some(Role::Prefill) {
             return;
         }
-        let before = EngineActivity::of(self.load());
+        let before = EngineActivity::of(self.load(), self.worker.slots);
         ticket.placed_beside = EngineActivity {
             reading_tokens: before.reading_tokens - ticket.reading_tokens as f64,
             ..before
@@ -100,7 +101,7 @@
                 read_at,
                 pause,
             };
-            pauses.learn(&mut self.pauses, ended);
+            pauses.learn(now, &mut self.pauses, ended);
         }
         let limited = u32::from(ticket.is_limited_stream);
         self.limited_streams = self.limited_streams.saturating_sub(limited);
@@ -148,6 +149,26 @@
         }
     }
 
+    /// Returns the best worker for a need among those that are expected to keep the pauses of streams below their
+    /// limits, or among all if there is none.
+    pub(super) fn best_for_pauses<'a>(
+        &'a self,
+        now: Timestamp,
+        comparison: &Comparison<'_>,
+        need: &Need,
+    ) -> Option<&'a TrackedWorker> {
+        let compared = self.compared_workers(now, comparison.demand, need);
+        let candidates = compared
+            .into_iter()
+            .map(|worker| (self.expected_seconds(worker, need, comparison), worker))
+            .collect();
+        let candidates = self.with_short_pauses(candidates, need, comparison);
+        let best = candidates
+            .into_iter()
+            .min_by(|(left, _), (right, _)| left.total_cmp(right));
+        best.map(|(_, worker)| worker)
+    }
+
     /// Returns the limit of the demand's pauses in seconds, or else that of the other streams of its service.
     fn limit_seconds(&self, comparison: &Comparison<'_>) -> f64 {
         let knowledge = self.pauses.get(comparison.demand.service);
@@ -168,12 +189,16 @@
             return false;
         };
         let is_below = |activity, limit: Duration| {
-            let expected = knowledge.pauses.expected_seconds(&worker.pauses, activity);
+            let expected =
+                knowledge
+                    .pauses
+                    .expected_seconds(comparison.now, &worker.pauses, activity);
             let max_seconds = limit.as_secs_f64() * EXPECTED_PAUSE_FRACTION;
             expected.is_some_and(|seconds| seconds <= max_seconds)
         };
         let load = worker.load();
-        let now = EngineActivity::of(load);
+        let slots = worker.worker.slots;
+        let present = EngineActivity::of(load, slots);
         let mut added = EngineActivity {
             streams: 1.0,
             reading_tokens: 0.0,
@@ -183,17 +208,18 @@
             let estimate = self.prefill_estimate(worker, comparison);
             added.reading_tokens = estimate.missing_tokens as f64;
         }
-        let beside = now.plus(added);
+        let beside = present.plus(added);
         // An engine reads prompts in the order of their arrival: those before this one have been read when its stream
         // begins to decode.
         let at_start = EngineActivity {
             reading_tokens: match reads_prompt {
                 true => 0.0,
-                false => now.reading_tokens,
+                false => present.reading_tokens,
             },
             ..beside
         };
-        let own = at_start.plus(knowledge.pauses.growth());
+        let mut own = at_start.plus(knowledge.pauses.growth());
+        own.streams = own.streams.min(f64::from(slots));
         let limit_there = knowledge.limits.latest.filter(|_| {
             let others = load.sends.saturating_sub(worker.own_load.sends);
             let fraction = knowledge.limits.limited_fraction.unwrap_or_default();
--- a/crates/forwarding/src/directory/stream_pauses.rs
+++ b/crates/forwarding/src/directory/stream_pauses.rs
@@ -47,6 +47,9 @@
 const FACTOR_WEIGHT: f64 = 0.1;
 /// Number of observations that the assumption of a factor of 1 counts for.
 const FACTOR_PRIOR_OBSERVATIONS: f64 = 1.0;
+/// Time in which half of an engine's factor is forgotten. An engine that got no more streams because of a passing fault
+/// would otherwise never be observed again.
+const FACTOR_HALF_LIFE: Duration = Duration::from_secs(60);
 /// Bounds of the factor of an engine.
 const FACTOR_BOUNDS: (f64, f64) = (0.2, 5.0);
 /// Weight of the newest stream in the usual growth of the activity.
@@ -75,10 +78,11 @@
 }
 
 impl EngineActivity {
-    /// Returns the activity with this load, which includes the stream.
-    pub(super) fn of(load: Load) -> Self {
+    /// Returns the activity with this load, which includes the stream, at an engine with so many slots. Requests that
+    /// wait for a slot are no streams yet.
+    pub(super) fn of(load: Load, slots: u32) -> Self {
         Self {
-            streams: f64::from(load.sends),
+            streams: f64::from(load.sends.min(slots)),
             reading_tokens: load.reading_tokens as f64,
         }
     }
@@ -134,11 +138,12 @@
     /// Returns the expected longest pause in seconds of a stream at an engine; `None` if too few streams were observed.
     pub(super) fn expected_seconds(
         &self,
+        now: Timestamp,
         engine: &EnginePauses,
         activity: EngineActivity,
     ) -> Option<f64> {
         let is_known = self.is_known();
-        is_known.then(|| self.model.seconds(&activity.features()) * engine.factor())
+        is_known.then(|| self.model.seconds(&activity.features()) * engine.factor(now))
     }
 
     /// Returns by how much the activity of an engine usually grows after a stream was placed there.
@@ -147,14 +152,14 @@
     }
 
     /// Learns from a stream that ended at the engine.
-    pub(super) fn learn(&mut self, engine: &mut EnginePauses, stream: EndedStream) {
+    pub(super) fn learn(&mut self, now: Timestamp, engine: &mut EnginePauses, stream: EndedStream) {
         let seconds = stream.pause.as_secs_f64();
         let activity = engine.activity_since(stream.read_at);
         self.learn_growth(stream.placed_beside, activity);
         let features = activity.features();
-        self.model.learn(&features, seconds / engine.factor());
+        self.model.learn(&features, seconds / engine.factor(now));
         self.observations = self.observations.saturating_add(1);
-        engine.learn_factor(seconds, self.model.seconds(&features));
+        engine.learn_factor(now, seconds, self.model.seconds(&features));
     }
 
     fn learn_growth(&mut self, before: EngineActivity, greatest: EngineActivity) {
@@ -181,8 +186,9 @@
 /// What is known of the pauses at one engine.
 #[derive(Debug, Default)]
 pub(super) struct EnginePauses {
-    /// The natural logarithm of the factor.
+    /// The natural logarithm of the factor when it was learned.
     log_factor: f64,
+    learned_at: Timestamp,
     observations: u32,
     streams: Peaks,
     reading_tokens: Peaks,
@@ -190,13 +196,18 @@
 
 impl EnginePauses {
     /// Returns how much longer pauses are at this engine than at others of its service.
-    fn factor(&self) -> f64 {
-        self.log_factor.exp()
+    fn factor(&self, now: Timestamp) -> f64 {
+        self.log_factor_at(now).exp()
+    }
+
+    fn log_factor_at(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.learned_at).as_secs_f64();
+        self.log_factor * 0.5_f64.powf(age / FACTOR_HALF_LIFE.as_secs_f64())
     }
 
     /// Records the load of the engine from now on.
-    pub(super) fn record_load(&mut self, now: Timestamp, load: Load) {
-        self.streams.record(now, u64::from(load.sends));
+    pub(super) fn record_load(&mut self, now: Timestamp, load: Load, slots: u32) {
+        self.streams.record(now, u64::from(load.sends.min(slots)));
         self.reading_tokens.record(now, load.reading_tokens);
     }
 
@@ -208,7 +219,7 @@
         }
     }
 
-    fn learn_factor(&mut self, seconds: f64, expected_seconds: f64) {
+    fn learn_factor(&mut self, now: Timestamp, seconds: f64, expected_seconds: f64) {
         if seconds <= 0.0 || expected_seconds <= 0.0 {
             return;
         }
@@ -217,7 +228,8 @@
         self.observations = self.observations.saturating_add(1);
         let all = f64::from(self.observations) + FACTOR_PRIOR_OBSERVATIONS;
         let weight = (1.0 / all).max(FACTOR_WEIGHT);
-        self.log_factor += (observed - self.log_factor) * weight;
+        self.log_factor = smooth(self.log_factor_at(now), observed, weight);
+        self.learned_at = now;
     }
 }
 
