--- a/crates/forwarding/tests/stream_pauses.rs
+++ b/crates/forwarding/tests/stream_pauses.rs
@@ -7,8 +7,9 @@
 use decoding::{directory, Count, Simulation, Traffic};
 use tansyhall_core::{ServiceName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    Admission, Decisions, Demand, Directory, Need, Objectives, PromptPart, SendResult, SendTicket,
-    WorkerId,
+    Admission, Decisions, Demand, Directory, GatewayKey, GrantedPlacements, Need, Objectives,
+    PlacementAnswer, PlacementNeed, PlacementNotice, PlacementRequest, PromptPart,
+    RequestedPlacements, SendResult, SendTicket, WorkerId, WorkerNotice,
 };
 
 const MAX_PAUSE: Duration = Duration::from_millis(200);
@@ -383,3 +384,64 @@
     // The same reports with a possible pause do change the choice.
     assert_eq!(decided(&[Duration::from_millis(900)]), "d0");
 }
+
+/// Guards against schedulers that place streams for other gateways and never learn how those paused.
+#[test]
+fn a_scheduler_learns_from_the_pauses_that_its_gateways_report() {
+    const SCHEDULER: &str = "scheduler";
+    let zone = ZoneName::new("z");
+    let mut now = Timestamp::from_millis(10_000);
+    let mut directory = directory(2, decisions(true));
+    let mut granted = GrantedPlacements::default();
+    let mut requested = RequestedPlacements::new(GatewayKey(2));
+    let mut place = |requested: &mut RequestedPlacements, now, avoid: &[&str]| {
+        let id = requested.next_id();
+        let request = PlacementRequest {
+            id,
+            service: ServiceName::new("s"),
+            route: "route".into(),
+            prompt: vec![PromptPart {
+                id: format!("own-{}", id.0),
+                tokens: 2_000,
+            }],
+            tenant: None,
+            yields: false,
+            objectives: Objectives {
+                latency: Duration::from_millis(600),
+                pause: Some(MAX_PAUSE),
+                time_left: Duration::from_secs(5),
+            },
+            draw: id.0,
+            need: PlacementNeed::Worker {
+                need: continuation(),
+            },
+            avoid: avoid.iter().map(|id| WorkerId::from(*id)).collect(),
+        };
+        let message = requested.request_message(SCHEDULER, request);
+        match granted.handle_message(now, &mut directory, &zone, message) {
+            Some(PlacementAnswer::Placed(placement)) => placement,
+            answer => panic!("not placed: {answer:?}"),
+        }
+    };
+    let latency = Duration::from_millis(20);
+    for number in 0..40 {
+        let (avoided, pause_ms) = [("d1", 400), ("d0", 100)][number % 2];
+        let placement = place(&mut requested, now, &[avoided]);
+        let id = placement.id;
+        requested.queue_notice(SCHEDULER, PlacementNotice::PromptRead { id, latency });
+        requested.queue_notice(
+            SCHEDULER,
+            PlacementNotice::Ended {
+                id,
+                result: SendResult::Answered { latency },
+                worker_notice: WorkerNotice::default(),
+                rate_limit: None,
+                pause: Some(Duration::from_millis(pause_ms)),
+            },
+        );
+        now = now + Duration::from_secs(1);
+    }
+    let placed = (0..4).map(|_| place(&mut requested, now, &[]).worker.to_string());
+    let placed: Vec<String> = placed.collect();
+    assert_eq!(placed, ["d1"; 4]);
+}
