Orders of workers: groups whose release is in progress no longer count

Cause: a worker that an order releases still serves for a second; a need that rose meanwhile was met on paper only, and an unanswered release was repeated. Change: supplies of zones state departing workers, which take up room but do not count; only unanswered additions are repeated.

--- a/crates/gateway/src/worker_orders/risk_aware.rs
+++ b/crates/gateway/src/worker_orders/risk_aware.rs
@@ -150,13 +150,22 @@
             };
             let (of_reserved, of_spot) = (group(WorkerKind::Reserved), group(WorkerKind::Spot));
             let ordered = |group| history.recently_ordered(now, group, scaling.startup_time);
-            let reserved = split_by_order(count(WorkerKind::Reserved, true), ordered(&of_reserved));
-            let spot = split_by_order(count(WorkerKind::Spot, true), ordered(&of_spot));
+            let unanswered_reserved = history.unanswered(now, &of_reserved);
+            let unanswered_spot = history.unanswered(now, &of_spot);
+            let reserved = split_by_orders(
+                count(WorkerKind::Reserved, true),
+                ordered(&of_reserved),
+                unanswered_reserved,
+            );
+            let spot = split_by_orders(
+                count(WorkerKind::Spot, true),
+                ordered(&of_spot),
+                unanswered_spot,
+            );
             // If the zone has all workers of the last order, the others leave because of that order.
             let is_complete = history
                 .last_ordered(&of_spot)
                 .is_some_and(|ordered| spot.serving >= ordered);
-            let unanswered_spot = history.unanswered(now, &of_spot);
             ZoneSupply {
                 zone: zone.clone(),
                 price,
@@ -168,8 +177,10 @@
                 },
                 starting_reserved: reserved.starting,
                 starting_spot: spot.starting,
+                departing_reserved: reserved.departing,
+                departing_spot: spot.departing,
                 unanswered_spot: unanswered_spot.unwrap_or(0),
-                offers_reserved: history.unanswered(now, &of_reserved).is_none(),
+                offers_reserved: unanswered_reserved.is_none(),
                 offers_spot: history.has_spot(service, zone) && unanswered_spot.is_none(),
             }
         };
@@ -202,7 +213,8 @@
         }
     }
 
-    /// Returns the orders without an answer that would change the number of serving workers.
+    /// Returns the orders without an answer that add workers. Releases are planned anew when they can no longer be
+    /// carried out.
     fn unanswered_orders(&self, service: &ServiceName, zones: &[ZoneSupply]) -> Vec<WorkerOrder> {
         let now = self.shared.now();
         let unanswered = zones.iter().flat_map(|zone| {
@@ -215,7 +227,7 @@
                 .into_iter()
                 .filter_map(|order| {
                     let desired = self.history.unanswered(now, &order)?;
-                    (desired != order.desired).then_some(WorkerOrder { desired, ..order })
+                    (desired > order.desired).then_some(WorkerOrder { desired, ..order })
                 })
         });
         unanswered.collect()
@@ -252,18 +264,26 @@
     }
 }
 
-/// Workers of one group, as they will be when the last order has been carried out.
+/// The workers of one group, by what the orders in progress do to them.
 struct SplitGroup {
     serving: u32,
     starting: u32,
+    departing: u32,
 }
 
-/// Returns how many of the `ready` workers stay, and how many are starting, after an order that may not be visible yet.
-fn split_by_order(ready: u32, recently_ordered: Option<u32>) -> SplitGroup {
+/// Returns how many of the `ready` workers stay and leave, and how many are starting, after an accepted order that may
+/// not be visible yet and an unanswered one. The unanswered one counts only as far as it releases workers.
+fn split_by_orders(
+    ready: u32,
+    recently_ordered: Option<u32>,
+    unanswered: Option<u32>,
+) -> SplitGroup {
     let ordered = recently_ordered.unwrap_or(ready);
+    let serving = ready.min(ordered).min(unanswered.unwrap_or(ready));
     SplitGroup {
-        serving: ready.min(ordered),
+        serving,
         starting: ordered.saturating_sub(ready),
+        departing: ready - serving,
     }
 }
 
--- a/crates/planner/src/risk_aware_workers.rs
+++ b/crates/planner/src/risk_aware_workers.rs
@@ -39,9 +39,9 @@
     pub zone: ZoneName,
     /// Price of a reserved worker per second.
     pub price: f64,
-    /// Number of reserved workers that accept requests.
+    /// Number of reserved workers that accept requests and that no order in progress releases.
     pub reserved: u32,
-    /// Number of spot workers that accept requests.
+    /// Number of spot workers that accept requests and that no order in progress releases.
     pub spot: u32,
     /// Number of spot workers that are leaving.
     pub leaving_spot: u32,
@@ -49,6 +49,10 @@
     pub starting_reserved: u32,
     /// Number of ordered spot workers that are expected to accept requests soon.
     pub starting_spot: u32,
+    /// Number of reserved workers that still serve, but that an order in progress releases.
+    pub departing_reserved: u32,
+    /// Number of spot workers that still serve, but that an order in progress releases.
+    pub departing_spot: u32,
     /// Number of spot workers in an order that is unanswered and may still be carried out; 0 if there is none.
     pub unanswered_spot: u32,
     /// Whether reserved workers can be ordered: no order for them is unanswered.
@@ -76,9 +80,18 @@
         }
     }
 
-    /// Returns how many workers of the zone's maximum its spot workers take up if an unanswered order is carried out.
+    /// Returns how many workers of the zone's maximum its spot workers take up, until those that are released have left,
+    /// and if an unanswered order is carried out.
     fn claimed_spot(&self) -> u32 {
-        self.expected_spot().max(self.unanswered_spot)
+        let present = self.expected_spot().saturating_add(self.departing_spot);
+        present.max(self.unanswered_spot)
+    }
+
+    /// Returns how many workers of the zone's maximum its reserved workers take up, until those that are released have
+    /// left.
+    fn claimed_reserved(&self) -> u32 {
+        self.expected_reserved()
+            .saturating_add(self.departing_reserved)
     }
 
     /// Returns the reserved workers that serve or are starting.
@@ -139,7 +152,7 @@
     }
     let plan = cheapest_plan(&offering, limits, required);
     let within_room = |(goal, zone): (&ZoneGoal, &ZoneSupply)| {
-        let room = max_of_zone(limits).saturating_sub(zone.expected_reserved());
+        let room = max_of_zone(limits).saturating_sub(zone.claimed_reserved());
         goal.spot.min(room)
     };
     plan.iter().zip(zones).map(within_room).collect()
@@ -179,7 +192,8 @@
     let mut missing = shortage(goals, zones, required);
     for index in order_by_price(zones) {
         let (goal, zone) = (&mut goals[index], &zones[index]);
-        let occupied = goal.spot.max(zone.claimed_spot()) + goal.reserved.max(zone.reserved);
+        let occupied =
+            goal.spot.max(zone.claimed_spot()) + goal.reserved.max(zone.claimed_reserved());
         let added = match zone.offers_reserved {
             true => max_of_zone(limits).saturating_sub(occupied).min(missing),
             false => 0,
@@ -481,7 +495,7 @@
     };
     let held_reserved = held(kept.0, zone.reserved, zone.expected_reserved());
     let held_spot = held(kept.1, zone.spot, zone.expected_spot());
-    let spot_room = max.saturating_sub(zone.expected_reserved().max(held_reserved));
+    let spot_room = max.saturating_sub(zone.claimed_reserved().max(held_reserved));
     let spot = goal.spot.min(spot_room).max(held_spot);
     let reserved_room = max.saturating_sub(zone.claimed_spot().max(spot));
     let reserved = goal.reserved.min(reserved_room).max(held_reserved);
--- a/crates/planner/tests/risk_aware_workers.rs
+++ b/crates/planner/tests/risk_aware_workers.rs
@@ -31,6 +31,8 @@
         leaving_spot: 0,
         starting_reserved: 0,
         starting_spot: 0,
+        departing_reserved: 0,
+        departing_spot: 0,
         unanswered_spot: 0,
         offers_reserved: true,
         offers_spot: true,
@@ -438,6 +440,20 @@
     assert_eq!(fleet.orders, orders);
 }
 
+/// Guards against an order that the platform refuses because the workers of an earlier one have not left yet.
+#[test]
+fn workers_that_are_being_released_take_up_room_but_do_not_count() {
+    let mut zones = zones(1, 17);
+    zones[0].reserved = 1;
+    zones[0].departing_reserved = 20;
+    let need = required(60, 1);
+    let goals = counts(&RiskAwareWorkers::default().update(&zones, &LIMITS, need, true));
+    assert!(goals[0].1 <= 17, "{goals:?}");
+    assert!(goals[0].0 + goals[0].1 <= 30, "{goals:?}");
+    let remaining = remaining_workers(goals.iter().copied(), 1);
+    assert!(remaining > 1 + 17 + 2, "{goals:?}");
+}
+
 /// Guards against a new holder that releases workers before it knows the demand.
 #[test]
 fn no_worker_is_released_while_the_demand_is_not_known() {
