Pass on rate limits that a scheduler learned with placements

A gateway that sends no load reports tells a worker's limit, or its end, only to the scheduler that places its requests. That scheduler did not report it to the other schedulers, which kept the limit until a request of their own showed its end. The new test fails without the change and passes with it.

--- a/crates/forwarding/src/directory/rate_limits.rs
+++ b/crates/forwarding/src/directory/rate_limits.rs
@@ -51,7 +51,7 @@
     limit: Option<RateLimit>,
     /// When the worker was last known to state this.
     stated_at: Timestamp,
-    /// Whether this gateway learned it from an answer, not from another gateway's report.
+    /// Whether this gateway learned it from an answer or with a placement, not from another gateway's load report.
     is_first_hand: bool,
     /// The limit that was last reported to, or by, other gateways.
     last_reported: Option<RateLimit>,
@@ -149,6 +149,28 @@
         }
     }
 
+    /// Records a statement that arrived with a placement, not with a load report. No other gateway reports it: the
+    /// gateways whose requests a scheduler places send no load reports.
+    fn receive_with_placement(&mut self, now: Timestamp, key: WorkerKey, stated: StatedLimit) {
+        let before = self.known.get(&key);
+        let reported = before.and_then(|known| known.last_reported);
+        let is_new = match stated.limit {
+            Some(limit) => !is_similar(reported, limit),
+            None => before.is_some_and(|known| known.limit.is_some()),
+        };
+        let stated_before = before.map(|known| known.stated_at);
+        self.receive(now, key, stated);
+        let Some(known) = self.known.get_mut(&key) else {
+            return;
+        };
+        if stated_before != Some(known.stated_at) {
+            known.is_first_hand = true;
+            if is_new {
+                self.unreported.insert(key);
+            }
+        }
+    }
+
     /// Stores what a worker has stated. A limit that follows no limit starts without tokens.
     fn record(
         &mut self,
@@ -269,10 +291,12 @@
             .record_no_limit(now, WorkerKey::of(id), sent)
     }
 
-    /// Records another gateway's report of what a worker has stated about its limit.
+    /// Records what a worker has stated about its limit to another gateway, which sent it with a placement. It is
+    /// passed on to the other schedulers with the load reports.
     pub fn receive_rate_limit(&mut self, now: Timestamp, id: &WorkerId, stated: StatedLimit) {
         if self.decisions.worker_notices {
-            self.rate_limits.receive(now, WorkerKey::of(id), stated);
+            self.rate_limits
+                .receive_with_placement(now, WorkerKey::of(id), stated);
         }
     }
 
--- a/crates/forwarding/tests/rate_limits.rs
+++ b/crates/forwarding/tests/rate_limits.rs
@@ -326,6 +326,32 @@
     assert_eq!(exchange(&mut sender, later + STEP), (true, None));
 }
 
+// Guards against schedulers that never learn of a limit, or of its end, which a worker has stated to a gateway that sends
+// no load reports: that gateway tells only the scheduler that places its requests.
+#[test]
+fn a_scheduler_reports_limits_that_it_learned_with_placements() {
+    let a = WorkerId::from("a");
+    let mut scheduler = alone(&["a"]);
+    let mut other = directory_of(2, &["a"]);
+    let mut pass_on = |scheduler: &mut Directory, now, stated: StatedLimit| {
+        scheduler.receive_rate_limit(now, &a, stated);
+        if let Some(report) = scheduler.report_due(now) {
+            other.receive_report(now, &report);
+        }
+        other.rate_limit_of(&a)
+    };
+    let stated = |limit| StatedLimit {
+        limit,
+        age: Duration::ZERO,
+    };
+    scheduler.report_due(START);
+    let soon = START + STEP;
+    let known = pass_on(&mut scheduler, soon, stated(Some(limit(2.0))));
+    assert_eq!(known, Some(limit(2.0)));
+    let known = pass_on(&mut scheduler, soon + STEP, stated(None));
+    assert_eq!(known, None);
+}
+
 // Guards against memory use and reports that grow with the number of workers that ever stated a limit.
 #[test]
 fn limits_are_kept_only_as_long_as_they_are_needed_and_reported_a_few_at_a_time() {
