--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -151,7 +151,7 @@
             workers: BTreeMap::new(),
             eligible: EligibleWorkers::default(),
             notices: Notices::default(),
-            rate_limits: RateLimits::default(),
+            rate_limits: RateLimits::new(gateway),
             part_holders: PartHolders::default(),
             loaded_by_others: BTreeSet::new(),
             announced_at: HashMap::new(),
@@ -176,6 +176,8 @@
     /// Sets which mechanisms take part in decisions from now on.
     pub fn set_decisions(&mut self, decisions: Decisions) {
         self.decisions = decisions;
+        self.rate_limits
+            .set_divided_by_demand(decisions.demand_shares);
     }
 
     /// Sets the capacity of the engines of each service.
--- a/crates/forwarding/src/directory/rate_limits.rs
+++ b/crates/forwarding/src/directory/rate_limits.rs
@@ -3,22 +3,25 @@
 //! - A limit is in force for as long as the worker states it. An answer without one ends it if the
 //!   request was sent after the worker was last known to state it: answers on different connections
 //!   may arrive out of order.
-//! - This gateway uses its share of a limit ([`LimitSharers`]), one token for each request that it
-//!   sends or places. A worker for which it has no token is not chosen.
+//! - This gateway uses its share of a limit ([`LimitSharers`], or [`DemandShares`] if limits are divided by demand), one
+//!   token for each request that it sends or places. A worker for which it has no token is not chosen.
 //! - Gateways report to each other what workers have stated, and how long ago ([`StatedLimit`]):
 //!   those that place requests with their reports, the others with their placements. Otherwise a
 //!   gateway without a share of a limit, which sends nothing to that worker, would never learn that
 //!   the limit has ended. The newest statement wins.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use tansyhall_admission::{BucketDecision, BucketEvent, TokenBucket};
-use tansyhall_core::Timestamp;
+use tansyhall_core::{ServiceName, Timestamp};
 
 use super::Directory;
-use crate::load_exchange::{LimitStatement, WorkerKey};
-use crate::rate_limit::{LimitSharers, RateLimit, StatedLimit};
+use crate::demand_shares::bucket::ShareBucket;
+use crate::demand_shares::meter::DemandMeter;
+use crate::demand_shares::{DemandShares, LimitDemand, ShareReport, REPORT_INTERVAL};
+use crate::load_exchange::{GatewayKey, LimitStatement, WorkerKey};
+use crate::rate_limit::{LimitSharers, RateLimit, StatedLimit, MIN_RATE};
 use crate::worker::WorkerId;
 
 /// How long a worker's statement is kept: long enough for gateways that learn of it from others to
@@ -58,6 +61,40 @@
     /// The part of the limit that this gateway may use.
     share: RateLimit,
     bucket: TokenBucket,
+    demanded: DemandedShare,
+}
+
+/// This gateway's share of a limit that is divided by demand.
+#[derive(Debug)]
+struct DemandedShare {
+    bucket: ShareBucket,
+    meter: DemandMeter,
+    has_slot: bool,
+    /// What `has_slot` was computed for: the version of the slots and the limit.
+    slot_known_for: Option<(u64, RateLimit)>,
+}
+
+impl DemandedShare {
+    fn new(now: Timestamp) -> Self {
+        Self {
+            bucket: ShareBucket::empty(now),
+            meter: DemandMeter::default(),
+            has_slot: false,
+            slot_known_for: None,
+        }
+    }
+
+    /// Sets the share that follows from the leases and slots of this gateway.
+    fn refresh(&mut self, now: Timestamp, key: WorkerKey, limit: RateLimit, shares: &DemandShares) {
+        let limit = limit.max(MIN_RATE);
+        let version = Some((shares.slot_version(), limit));
+        if self.slot_known_for != version {
+            self.slot_known_for = version;
+            self.has_slot = shares.has_slot(key, limit);
+        }
+        let (share, until) = shares.share(now, key, limit, self.has_slot);
+        self.bucket.set_share(now, share, until);
+    }
 }
 
 impl KnownLimit {
@@ -69,8 +106,15 @@
     }
 
     /// Returns the time until this gateway has a token; zero if it has one or needs none.
-    fn wait(&self, now: Timestamp) -> Duration {
+    fn wait(&self, now: Timestamp, is_divided_by_demand: bool) -> Duration {
         match self.limit {
+            Some(_) if is_divided_by_demand => {
+                let wait = self.demanded.bucket.wait(now);
+                if !wait.is_zero() {
+                    self.demanded.meter.record_lacked();
+                }
+                wait
+            }
             Some(_) => {
                 let rate = self.share.millirequests_per_second();
                 self.bucket.time_until_admitted(now, rate, 1)
@@ -81,9 +125,12 @@
 }
 
 /// The limits of all workers, by incarnation.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct RateLimits {
     sharers: LimitSharers,
+    shares: DemandShares,
+    is_divided_by_demand: bool,
+    shares_reported_at: Timestamp,
     known: HashMap<WorkerKey, KnownLimit>,
     /// Workers whose limits are due to be reported to other gateways.
     unreported: BTreeSet<WorkerKey>,
@@ -91,7 +138,75 @@
 }
 
 impl RateLimits {
+    pub(super) fn new(gateway: GatewayKey) -> Self {
+        Self {
+            sharers: LimitSharers::default(),
+            shares: DemandShares::new(gateway),
+            is_divided_by_demand: false,
+            shares_reported_at: Timestamp::default(),
+            known: HashMap::new(),
+            unreported: BTreeSet::new(),
+            repeated_at: Timestamp::default(),
+        }
+    }
+
+    /// Sets whether limits are divided by demand; otherwise all shares are equal.
+    pub(super) fn set_divided_by_demand(&mut self, is_divided_by_demand: bool) {
+        self.is_divided_by_demand = is_divided_by_demand;
+    }
+
+    /// Returns the report of demands and leases if it is due. Shares take the leases of this report into account.
+    pub(super) fn take_share_report(&mut self, now: Timestamp) -> Option<ShareReport> {
+        let elapsed = now.since(self.shares_reported_at);
+        if !self.is_divided_by_demand || elapsed < REPORT_INTERVAL {
+            return None;
+        }
+        self.shares_reported_at = now;
+        let mut limits = BTreeMap::new();
+        let mut demands = Vec::new();
+        for (key, known) in &mut self.known {
+            let Some(limit) = known.limit else {
+                continue;
+            };
+            limits.insert(*key, limit.max(MIN_RATE));
+            let demanded = &mut known.demanded;
+            let share = demanded.bucket.share().rate;
+            let demand = demanded.meter.demand(elapsed, share);
+            if demand > 0 {
+                demands.push(LimitDemand {
+                    worker: *key,
+                    demand,
+                });
+            }
+        }
+        let report = self.shares.report(now, &limits, demands);
+        self.refresh_shares(now);
+        report
+    }
+
+    /// Applies another gateway's demands and leases.
+    pub(super) fn receive_shares(
+        &mut self,
+        now: Timestamp,
+        sender: GatewayKey,
+        report: &ShareReport,
+    ) {
+        if self.is_divided_by_demand && self.shares.receive(now, sender, report) {
+            self.refresh_shares(now);
+        }
+    }
+
+    fn refresh_shares(&mut self, now: Timestamp) {
+        for (key, known) in &mut self.known {
+            if let Some(limit) = known.limit {
+                known.demanded.refresh(now, *key, limit, &self.shares);
+            }
+        }
+    }
+
     fn set_sharers(&mut self, sharers: LimitSharers) {
+        let (own, members) = sharers.member_keys();
+        self.shares.set_members(own, members);
         self.sharers = sharers;
         for (key, known) in &mut self.known {
             if let Some(limit) = known.limit {
@@ -187,13 +302,18 @@
             last_reported: None,
             share: RateLimit::default(),
             bucket: TokenBucket::empty(now),
+            demanded: DemandedShare::new(now),
         });
         if known.limit.is_none() {
             known.bucket = TokenBucket::empty(now);
+            known.demanded = DemandedShare::new(now);
         }
         known.limit = limit;
         known.share = share.unwrap_or_default();
         known.stated_at = stated_at;
+        if let (true, Some(limit)) = (self.is_divided_by_demand, limit) {
+            known.demanded.refresh(now, key, limit, &self.shares);
+        }
     }
 
     fn limit(&self, key: WorkerKey) -> Option<RateLimit> {
@@ -208,7 +328,9 @@
     /// Returns the time until the worker's limit allows this gateway to send.
     pub(super) fn wait(&self, now: Timestamp, key: WorkerKey) -> Duration {
         let known = self.known.get(&key);
-        known.map_or(Duration::ZERO, |known| known.wait(now))
+        known.map_or(Duration::ZERO, |known| {
+            known.wait(now, self.is_divided_by_demand)
+        })
     }
 
     fn take_token(&mut self, now: Timestamp, key: WorkerKey) -> RateToken {
@@ -216,6 +338,15 @@
         let Some(known) = known.filter(|known| known.limit.is_some()) else {
             return RateToken::Unlimited;
         };
+        if self.is_divided_by_demand {
+            let DemandedShare { bucket, meter, .. } = &mut known.demanded;
+            if bucket.take(now) {
+                meter.record_taken();
+                return RateToken::Taken;
+            }
+            meter.record_lacked();
+            return RateToken::Missing;
+        }
         let rate = known.share.millirequests_per_second();
         match known.bucket.step(now, rate, BucketEvent::Take(1)) {
             BucketDecision::Admitted => RateToken::Taken,
@@ -225,6 +356,10 @@
 
     fn return_token(&mut self, now: Timestamp, key: WorkerKey) {
         if let Some(known) = self.known.get_mut(&key) {
+            if self.is_divided_by_demand {
+                known.demanded.bucket.put_back(now);
+                return;
+            }
             let rate = known.share.millirequests_per_second();
             known.bucket.step(now, rate, BucketEvent::Refund(1));
         }
@@ -265,6 +400,15 @@
     fn len(&self) -> usize {
         self.known.len()
     }
+
+    /// Returns this gateway's shares in use and the used rates, in requests per second.
+    fn shares_in_use(&self) -> impl Iterator<Item = (WorkerKey, f64, f64)> + '_ {
+        let limited = self.known.iter().filter(|(_, known)| known.limit.is_some());
+        limited.map(|(key, known)| {
+            let share = known.demanded.bucket.share().rate as f64 / 1_000.0;
+            (*key, share, known.demanded.meter.used() as f64 / 1_000.0)
+        })
+    }
 }
 
 /// Returns whether a limit hardly differs from the last reported one.
@@ -320,6 +464,22 @@
         self.rate_limits.return_token(now, WorkerKey::of(id));
     }
 
+    /// Returns, for each service with rate limits that are divided by demand, the shares of this gateway and what it uses
+    /// of them, in requests per second.
+    pub fn rate_shares(&self) -> BTreeMap<ServiceName, (f64, f64)> {
+        let mut totals: BTreeMap<ServiceName, (f64, f64)> = BTreeMap::new();
+        if !self.decisions.demand_shares {
+            return totals;
+        }
+        for (key, share, used) in self.rate_limits.shares_in_use() {
+            if let Some(tracked) = self.workers.get(&key) {
+                let total = totals.entry(tracked.worker.service.clone()).or_default();
+                *total = (total.0 + share, total.1 + used);
+            }
+        }
+        totals
+    }
+
     /// Returns the number of worker limits that are kept, including recently ended ones.
     pub fn rate_limit_count(&self) -> usize {
         self.rate_limits.len()
--- a/crates/forwarding/src/directory/sharing.rs
+++ b/crates/forwarding/src/directory/sharing.rs
@@ -26,7 +26,9 @@
         }
         let demands = &self.demands;
         let rate_limits = self.rate_limits.take_due(now);
-        self.reporter.flush(now, rate_limits, || demands.own(now))
+        let shares = self.rate_limits.take_share_report(now);
+        self.reporter
+            .flush(now, rate_limits, shares, || demands.own(now))
     }
 
     /// Applies another gateway's report.
@@ -56,6 +58,9 @@
             let LimitStatement { worker, stated } = *statement;
             self.rate_limits.receive(now, worker, stated);
         }
+        if let Some(shares) = &report.shares {
+            self.rate_limits.receive_shares(now, report.sender, shares);
+        }
         for absence in report.absences.iter().filter(|_| uses_absences) {
             if let Some(tracked) = self.workers.get_mut(&absence.worker) {
                 tracked.mark_absent(now);
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod cost_model;
 pub mod decisions;
+pub mod demand_shares;
 pub mod directory;
 pub mod event_stream;
 pub mod lapsed_workers;
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cache_view::PartKey;
+use crate::demand_shares::ShareReport;
 use crate::rate_limit::StatedLimit;
 use crate::worker::WorkerId;
 
@@ -156,6 +157,8 @@
     pub demands: Vec<EngineDemand>,
     /// Rate limits of workers that are new, have ended, or are repeated.
     pub rate_limits: Vec<LimitStatement>,
+    /// Demands and leases of the division of rate limits by demand.
+    pub shares: Option<ShareReport>,
 }
 
 /// Collects the changes to report to other gateways.
@@ -208,12 +211,13 @@
         self.absences.push(Absence { worker });
     }
 
-    /// Returns the report that is due now, if any. It contains `rate_limits`; `demands` is called and included only
+    /// Returns the report that is due now, if any. It contains `rate_limits` and `shares`; `demands` is called and included only
     /// when loads are repeated.
     pub fn flush(
         &mut self,
         now: Timestamp,
         rate_limits: Vec<LimitStatement>,
+        shares: Option<ShareReport>,
         demands: impl Fn() -> Vec<EngineDemand>,
     ) -> Option<LoadReport> {
         let mut due_demands = Vec::new();
@@ -229,6 +233,7 @@
         }
         let has_no_events =
             self.parts.is_empty() && self.absences.is_empty() && rate_limits.is_empty();
+        let has_no_events = has_no_events && shares.is_none();
         if due_loads.is_empty() && has_no_events && due_demands.is_empty() {
             return None;
         }
@@ -250,6 +255,7 @@
             absences: std::mem::take(&mut self.absences),
             demands: due_demands,
             rate_limits,
+            shares,
         })
     }
 }
--- a/crates/forwarding/src/rate_limit.rs
+++ b/crates/forwarding/src/rate_limit.rs
@@ -6,10 +6,12 @@
 //! request. In a time t, the worker therefore receives at most R t + R + [`EXTRA_HOLDERS`] requests, whatever the size
 //! of the fleet.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use tansyhall_core::hash::rendezvous_weight;
 
+use crate::demand_shares::MemberKey;
 use crate::load_exchange::WorkerKey;
 
 /// Gateways that hold a share of a limit in addition to one for each whole request per second that it allows, so that a
@@ -17,7 +19,7 @@
 const EXTRA_HOLDERS: u64 = 2;
 /// The lowest limit that is applied. A worker that sets a limit of zero is still sent requests at this rate, to find
 /// out whether the limit still applies.
-const MIN_RATE: RateLimit = RateLimit::from_millirequests_per_second(33);
+pub(crate) const MIN_RATE: RateLimit = RateLimit::from_millirequests_per_second(33);
 /// Millirequests per request, for integer arithmetic.
 const MILLIREQUESTS_PER_REQUEST: u64 = 1_000;
 /// Millirequests per request, for floating-point arithmetic.
@@ -88,6 +90,14 @@
         }
     }
 
+    /// Returns the key of this gateway, and those of all gateways that have a share.
+    pub fn member_keys(&self) -> (MemberKey, BTreeSet<MemberKey>) {
+        let own = MemberKey::of(&self.own_name);
+        let others = self.others.iter().map(|name| MemberKey::of(name));
+        let members = others.chain(self.has_own_share.then_some(own));
+        (own, members.collect())
+    }
+
     /// Returns the share of a worker's limit that this gateway may use.
     pub fn share_of(&self, limit: RateLimit, worker: WorkerKey) -> RateLimit {
         let limit = limit.max(MIN_RATE);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod second_answer;
 pub mod send_guard;
 pub mod settings;
+pub mod share_messages;
 pub mod state;
 pub mod store_call;
 pub mod store_contact;
--- a/crates/gateway/src/load_messages.rs
+++ b/crates/gateway/src/load_messages.rs
@@ -8,6 +8,8 @@
     PartRead, RateLimit, ServiceKey, StatedLimit, WorkerKey,
 };
 
+use crate::share_messages::{self, SharesMessage};
+
 /// A load report on the wire.
 #[derive(Clone, PartialEq, Message)]
 pub struct ReportMessage {
@@ -32,6 +34,9 @@
     /// Rate limits that workers have stated. Gateways of earlier versions do not send them.
     #[prost(message, repeated, tag = "7")]
     pub rate_limits: Vec<LimitMessage>,
+    /// Division of rate limits by demand; at most one entry. Gateways of earlier versions do not send it.
+    #[prost(message, repeated, tag = "8")]
+    pub shares: Vec<SharesMessage>,
 }
 
 /// The rate limit of one worker, on the wire.
@@ -142,6 +147,7 @@
             .collect(),
         demands: report.demands.iter().map(encode_demand).collect(),
         rate_limits: report.rate_limits.iter().map(encode_limit).collect(),
+        shares: report.shares.iter().map(share_messages::encode).collect(),
     }
 }
 
@@ -230,5 +236,6 @@
             .iter()
             .filter_map(decode_limit)
             .collect(),
+        shares: message.shares.first().map(share_messages::decode),
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of a gateway, served as text on its metrics address.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder,
 };
 
@@ -56,6 +56,10 @@
     pub caches_recovered: IntGauge,
     /// Retries that this gateway still has, by service.
     pub retries_left: IntGaugeVec,
+    /// This gateway's shares of rate limits that are divided by demand, in requests per second, by service.
+    pub rate_limit_shares: GaugeVec,
+    /// Fraction of these shares that it uses, by service.
+    pub rate_limit_used: GaugeVec,
     /// Requests in progress.
     pub in_flight: IntGauge,
 }
@@ -167,6 +171,20 @@
                 Opts::new("gateway_retries_left", "Retries that could still be spent"),
                 &["service"],
             )?,
+            rate_limit_shares: GaugeVec::new(
+                Opts::new(
+                    "gateway_rate_limit_shares",
+                    "Requests per second that shares of rate limits divided by demand allow",
+                ),
+                &["service"],
+            )?,
+            rate_limit_used: GaugeVec::new(
+                Opts::new(
+                    "gateway_rate_limit_used",
+                    "Fraction of the shares of rate limits that is used",
+                ),
+                &["service"],
+            )?,
             in_flight: IntGauge::new("gateway_in_flight", "Requests under way")?,
             registry,
         };
@@ -229,6 +247,10 @@
             .register(Box::new(self.caches_recovered.clone()))?;
         self.registry
             .register(Box::new(self.retries_left.clone()))?;
+        self.registry
+            .register(Box::new(self.rate_limit_shares.clone()))?;
+        self.registry
+            .register(Box::new(self.rate_limit_used.clone()))?;
         self.registry.register(Box::new(self.in_flight.clone()))
     }
 }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -44,6 +44,20 @@
         let labels = [service.as_str(), state];
         metrics.workers.with_label_values(&labels).inc();
     }
+    metrics.rate_limit_shares.reset();
+    metrics.rate_limit_used.reset();
+    for (service, (share, used)) in shared.directory.lock().rate_shares() {
+        let labels = [service.as_str()];
+        metrics
+            .rate_limit_shares
+            .with_label_values(&labels)
+            .set(share);
+        let fraction = if share > 0.0 { used / share } else { 0.0 };
+        metrics
+            .rate_limit_used
+            .with_label_values(&labels)
+            .set(fraction);
+    }
     let now = shared.now();
     for (service, remaining) in shared.retries.lock().remaining_by_service(now) {
         let labels = [service.as_str()];
