--- a/crates/forwarding/src/demand_shares/bucket.rs
+++ b/crates/forwarding/src/demand_shares/bucket.rs
@@ -40,9 +40,12 @@
         }
     }
 
-    /// Returns the share that is in use.
-    pub fn share(&self) -> Share {
-        self.share
+    /// Returns the share that is in use at `now`.
+    pub fn share(&self, now: Timestamp) -> Share {
+        match self.until {
+            Some((end, rest)) if end <= now => rest,
+            _ => self.share,
+        }
     }
 
     /// Sets the share from now on, and the share that remains after a time, if this one ends.
--- a/crates/forwarding/src/demand_shares/division.rs
+++ b/crates/forwarding/src/demand_shares/division.rs
@@ -5,6 +5,8 @@
 //! gateways of a worker's rendezvous order hold one slot each and never lose it while they belong to the fleet. The main
 //! part has the other fraction of the rate and the remaining capacity, and is leased in millionths ([`Portion`]).
 
+use std::cmp::Reverse;
+
 use super::MemberKey;
 use crate::rate_limit::RateLimit;
 
@@ -15,6 +17,12 @@
 /// The fraction of a rate that is kept for gateways whose demand is unknown, as a divisor: one tenth. A limit used by a
 /// gateway without a slot still reaches 0.9.
 const RESERVE_DIVISOR: u64 = 10;
+/// How many times as much another gateway must demand to get the lease of one that has the capacity of one request. Leases
+/// that move with each report are used by neither.
+const LEASE_PREFERENCE: u64 = 4;
+/// Capacity of a gateway without a slot, in hundredths of a request. A bucket that holds a single request loses tokens
+/// whenever it is full.
+const LEASED_CAPACITY_PERCENT: u64 = 150;
 /// Requests that a worker may receive beyond its rate, in addition to those of one second.
 const EXTRA_TOKENS: u64 = 2;
 /// Parts that a rate of a thousandth of a request per second adds in a second.
@@ -57,8 +65,7 @@
 /// Returns the capacity of the main part in parts of a token.
 pub fn main_capacity(limit: RateLimit) -> u64 {
     let burst = limit.millirequests_per_second() * PARTS_PER_MILLI;
-    burst + (EXTRA_TOKENS - 1) * PARTS_PER_TOKEN
-        - (Reserve::of(limit).slots - 1) * PARTS_PER_TOKEN
+    burst + (EXTRA_TOKENS - 1) * PARTS_PER_TOKEN - (Reserve::of(limit).slots - 1) * PARTS_PER_TOKEN
 }
 
 /// The demand of one gateway for a worker with a limit.
@@ -68,6 +75,8 @@
     pub member: MemberKey,
     /// Its demand in thousandths of a request per second.
     pub demand: u64,
+    /// Whether it holds a lease already.
+    pub has_lease: bool,
     /// Whether it holds a slot of the reserve. Its capacity is then one request without a part of the main capacity.
     pub has_slot: bool,
 }
@@ -81,17 +90,43 @@
     pub capacity_ppm: u32,
 }
 
+/// What a gateway should get of the main part of a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Target {
+    /// The part.
+    pub portion: Portion,
+    /// The capacity without which it cannot use the part, in millionths.
+    pub least_capacity_ppm: u32,
+}
+
+impl Target {
+    /// Returns the part that may be granted if at most `available` may be; nothing if that could not be used.
+    pub fn within(self, available: Portion) -> Portion {
+        if available.capacity_ppm < self.least_capacity_ppm {
+            return Portion::default();
+        }
+        Portion {
+            rate_ppm: self.portion.rate_ppm.min(available.rate_ppm),
+            capacity_ppm: self.portion.capacity_ppm.min(available.capacity_ppm),
+        }
+    }
+}
+
 /// Divides the main part of a limit: the rate by max-min fairness, and what no gateway demands in proportion to the
 /// demands, so that each can grow. If the capacity does not suffice for one request of each gateway, those with the
-/// least demand get nothing. The sums of both parts are at most [`WHOLE_PPM`].
-pub fn divide(limit: RateLimit, claims: &[Claim]) -> Vec<(MemberKey, Portion)> {
+/// least demand get nothing, with preference for those that have a lease. The sums of both parts are at most [`WHOLE_PPM`].
+pub fn divide(limit: RateLimit, claims: &[Claim]) -> Vec<(MemberKey, Target)> {
     let mut chosen: Vec<Claim> = claims
         .iter()
         .filter(|claim| claim.demand > 0)
         .copied()
         .collect();
-    chosen.sort_by_key(|claim| (std::cmp::Reverse(claim.demand), claim.member));
-    let request = one_request_ppm(limit);
+    let preference = |claim: &Claim| {
+        let factor = if claim.has_lease { LEASE_PREFERENCE } else { 1 };
+        claim.demand.saturating_mul(factor)
+    };
+    chosen.sort_by_key(|claim| (Reverse(preference(claim)), claim.member));
+    let request = leased_capacity_ppm(limit);
     let mut spare = WHOLE_PPM;
     chosen.retain(|claim| {
         let cost = if claim.has_slot { 0 } else { request };
@@ -99,6 +134,7 @@
         spare -= if fits { cost } else { 0 };
         fits
     });
+    chosen.sort_by_key(|claim| (Reverse(claim.demand), claim.member));
     let rates = divide_rate(main_rate(limit), &chosen);
     let portions = chosen.iter().zip(rates).map(|(claim, rate_ppm)| {
         let own = if claim.has_slot { 0 } else { request };
@@ -108,15 +144,20 @@
             rate_ppm,
             capacity_ppm,
         };
-        (claim.member, portion)
+        let target = Target {
+            portion,
+            least_capacity_ppm: own,
+        };
+        (claim.member, target)
     });
     portions.collect()
 }
 
-/// Returns the part of the main capacity that holds one request, rounded up.
-fn one_request_ppm(limit: RateLimit) -> u32 {
+/// Returns the part of the main capacity that a gateway without a slot needs, rounded up.
+fn leased_capacity_ppm(limit: RateLimit) -> u32 {
     let whole = u64::from(WHOLE_PPM);
-    let ppm = (PARTS_PER_TOKEN * whole).div_ceil(main_capacity(limit));
+    let needed = PARTS_PER_TOKEN / 100 * LEASED_CAPACITY_PERCENT;
+    let ppm = (needed * whole).div_ceil(main_capacity(limit));
     ppm.min(whole) as u32
 }
 
@@ -133,6 +174,7 @@
         let extra = u128::from(rest) * u128::from(claim.demand) / total.max(1);
         *rate += extra as u64;
     }
-    let in_ppm = |rate: u64| (u128::from(rate) * u128::from(WHOLE_PPM) / u128::from(whole.max(1))) as u32;
+    let in_ppm =
+        |rate: u64| (u128::from(rate) * u128::from(WHOLE_PPM) / u128::from(whole.max(1))) as u32;
     rates.into_iter().map(in_ppm).collect()
 }
--- a/crates/forwarding/src/demand_shares/leadership.rs
+++ b/crates/forwarding/src/demand_shares/leadership.rs
@@ -87,4 +87,3 @@
         self.led_since.is_some_and(waited)
     }
 }
-
--- a/crates/forwarding/src/demand_shares/meter.rs
+++ b/crates/forwarding/src/demand_shares/meter.rs
@@ -6,12 +6,16 @@
 /// Demand reported by a gateway that lacked tokens, beyond twice its share, in thousandths of a request per second. A
 /// gateway without a share starts with this.
 const FIRST_DEMAND: u64 = 1_000;
-/// Used rates below this, in thousandths of a request per second, are no demand: three requests in a minute.
-const MIN_USED: u64 = 50;
+/// Demands below this, in thousandths of a request per second, are none: three requests in a minute.
+const MIN_DEMAND: u64 = 50;
 /// Demand beyond the used rate of a gateway that lacked no tokens, as a divisor: a quarter, so that a share in use has
 /// room for random arrivals.
 const HEADROOM_DIVISOR: u64 = 4;
 
+/// Number of reports over which used rates and demands decay: the share of a worker that accepts one request per second,
+/// fewer than one in two reports, is kept between two requests.
+const WINDOW_REPORTS: u64 = 8;
+
 /// Counts since the last report.
 #[derive(Debug, Clone, Default)]
 pub struct DemandMeter {
@@ -19,6 +23,7 @@
     /// Whether a token was missing. Set while requests compare workers, which changes nothing else.
     lacked: Cell<bool>,
     used: u64,
+    demand: u64,
 }
 
 impl DemandMeter {
@@ -43,12 +48,17 @@
     pub fn demand(&mut self, elapsed: Duration, share: u64) -> u64 {
         let millis = (elapsed.as_millis() as u64).max(1);
         let newest = std::mem::take(&mut self.taken) * 1_000_000 / millis;
-        self.used = (self.used + newest) / 2;
+        self.used = (self.used * (WINDOW_REPORTS - 1) + newest) / WINDOW_REPORTS;
         let used = self.used.max(newest);
-        match (self.lacked.take(), used) {
-            (true, used) => 2 * used.max(share) + FIRST_DEMAND,
-            (false, ..MIN_USED) => 0,
-            (false, used) => used + used / HEADROOM_DIVISOR,
-        }
+        let newest = match self.lacked.take() {
+            true => 2 * used.max(share) + FIRST_DEMAND,
+            false => used + used / HEADROOM_DIVISOR,
+        };
+        let remembered = self.demand * (WINDOW_REPORTS - 1) / WINDOW_REPORTS;
+        self.demand = match newest.max(remembered) {
+            ..MIN_DEMAND => 0,
+            demand => demand,
+        };
+        self.demand
     }
 }
--- a/crates/forwarding/src/demand_shares/mod.rs
+++ b/crates/forwarding/src/demand_shares/mod.rs
@@ -28,7 +28,7 @@
 use crate::load_exchange::{GatewayKey, WorkerKey, STALE_AFTER};
 use crate::rate_limit::RateLimit;
 use bucket::Share;
-use division::{Claim, Portion, Reserve, PARTS_PER_TOKEN, WHOLE_PPM};
+use division::{Claim, Portion, Reserve, Target, PARTS_PER_TOKEN, WHOLE_PPM};
 use leadership::{Leadership, Vote, MAX_VIEW_DIFFERENCE};
 
 /// How long leases and votes are valid: as long as reported loads, four reports.
@@ -329,7 +329,9 @@
     }
 
     fn fresh_peers(&self, now: Timestamp) -> impl Iterator<Item = (&MemberKey, &Peer)> {
-        self.peers.iter().filter(move |(_, peer)| peer.is_fresh(now))
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| peer.is_fresh(now))
     }
 
     /// Updates the last members that all of them have reported to know.
@@ -357,9 +359,7 @@
             (None, Some((member, _))) => *member,
             (None, None) => self.member,
         };
-        let leadership = self
-            .leadership
-            .get_or_insert_with(|| Leadership::new(now));
+        let leadership = self.leadership.get_or_insert_with(|| Leadership::new(now));
         if !leadership.vote(now, target) {
             return None;
         }
@@ -442,6 +442,11 @@
             let demands = peer.demands.iter();
             demands.map(move |(worker, demand)| (*member, *worker, *demand))
         });
+        let has_lease = |member, worker| {
+            let members = self.granted.get(&worker);
+            let leases = members.and_then(|members| members.get(&member));
+            leases.is_some_and(|leases| usable(leases).rate_ppm > 0)
+        };
         let mut claims: BTreeMap<WorkerKey, Vec<Claim>> = BTreeMap::new();
         for (member, worker, demand) in own.chain(others) {
             let Some(limit) = limits.get(&worker) else {
@@ -451,6 +456,7 @@
             claims.entry(worker).or_default().push(Claim {
                 member,
                 demand,
+                has_lease: has_lease(member, worker),
                 has_slot: is_first(&self.members, member, worker, assigned),
             });
         }
@@ -462,12 +468,13 @@
         &mut self,
         now: Timestamp,
         worker: WorkerKey,
-        targets: &[(MemberKey, Portion)],
+        targets: &[(MemberKey, Target)],
         grants: &mut Vec<Grant>,
     ) {
         let leases = self.granted.entry(worker).or_default();
-        let mut wanted: BTreeMap<MemberKey, Portion> =
-            leases.keys().map(|member| (*member, Portion::default())).collect();
+        let holders = leases.keys();
+        let mut wanted: BTreeMap<MemberKey, Target> =
+            holders.map(|member| (*member, Target::default())).collect();
         wanted.extend(targets.iter().copied());
         let sum = |part: fn(&Portion) -> u32| -> u32 {
             leases.values().map(|leases| part(&usable(leases))).sum()
@@ -485,12 +492,10 @@
             };
             let leases = leases.entry(member).or_default();
             let before = usable(leases);
-            let portion = Portion {
-                rate_ppm: target.rate_ppm.min(before.rate_ppm + free.rate_ppm),
-                capacity_ppm: target
-                    .capacity_ppm
-                    .min(before.capacity_ppm + free.capacity_ppm),
-            };
+            let portion = target.within(Portion {
+                rate_ppm: before.rate_ppm + free.rate_ppm,
+                capacity_ppm: before.capacity_ppm + free.capacity_ppm,
+            });
             if portion == Portion::default() && before == portion {
                 continue;
             }
--- a/crates/forwarding/src/directory/rate_limits.rs
+++ b/crates/forwarding/src/directory/rate_limits.rs
@@ -170,7 +170,7 @@
             };
             limits.insert(*key, limit.max(MIN_RATE));
             let demanded = &mut known.demanded;
-            let share = demanded.bucket.share().rate;
+            let share = demanded.bucket.share(now).rate;
             let demand = demanded.meter.demand(elapsed, share);
             if demand > 0 {
                 demands.push(LimitDemand {
@@ -402,10 +402,10 @@
     }
 
     /// Returns this gateway's shares in use and the used rates, in requests per second.
-    fn shares_in_use(&self) -> impl Iterator<Item = (WorkerKey, f64, f64)> + '_ {
+    fn shares_in_use(&self, now: Timestamp) -> impl Iterator<Item = (WorkerKey, f64, f64)> + '_ {
         let limited = self.known.iter().filter(|(_, known)| known.limit.is_some());
-        limited.map(|(key, known)| {
-            let share = known.demanded.bucket.share().rate as f64 / 1_000.0;
+        limited.map(move |(key, known)| {
+            let share = known.demanded.bucket.share(now).rate as f64 / 1_000.0;
             (*key, share, known.demanded.meter.used() as f64 / 1_000.0)
         })
     }
@@ -466,12 +466,12 @@
 
     /// Returns, for each service with rate limits that are divided by demand, the shares of this gateway and what it uses
     /// of them, in requests per second.
-    pub fn rate_shares(&self) -> BTreeMap<ServiceName, (f64, f64)> {
+    pub fn rate_shares(&self, now: Timestamp) -> BTreeMap<ServiceName, (f64, f64)> {
         let mut totals: BTreeMap<ServiceName, (f64, f64)> = BTreeMap::new();
         if !self.decisions.demand_shares {
             return totals;
         }
-        for (key, share, used) in self.rate_limits.shares_in_use() {
+        for (key, share, used) in self.rate_limits.shares_in_use(now) {
             if let Some(tracked) = self.workers.get(&key) {
                 let total = totals.entry(tracked.worker.service.clone()).or_default();
                 *total = (total.0 + share, total.1 + used);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Metrics of a gateway, served as text on its metrics address.
 
 use prometheus::{
-    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// All metrics of a gateway.
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -46,7 +46,8 @@
     }
     metrics.rate_limit_shares.reset();
     metrics.rate_limit_used.reset();
-    for (service, (share, used)) in shared.directory.lock().rate_shares() {
+    let now = shared.now();
+    for (service, (share, used)) in shared.directory.lock().rate_shares(now) {
         let labels = [service.as_str()];
         metrics
             .rate_limit_shares
@@ -58,7 +59,6 @@
             .with_label_values(&labels)
             .set(fraction);
     }
-    let now = shared.now();
     for (service, remaining) in shared.retries.lock().remaining_by_service(now) {
         let labels = [service.as_str()];
         metrics
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -4,8 +4,11 @@
 
 use proptest::prelude::*;
 use prost::Message;
-use tansyhall_core::ServiceName;
+use tansyhall_core::{ServiceName, Timestamp};
 use tansyhall_fixed_cases::config_with_seed_and_cases;
+use tansyhall_forwarding::demand_shares::division::Portion;
+use tansyhall_forwarding::demand_shares::leadership::Vote;
+use tansyhall_forwarding::demand_shares::{Grant, LimitDemand, MemberKey, ShareReport};
 use tansyhall_forwarding::{
     GatewayKey, LimitStatement, LoadReport, Need, Objectives, Placement, PlacementAnswer,
     PlacementId, PlacementMessage, PlacementNeed, PlacementNotice, PlacementRequest, PromptPart,
@@ -14,6 +17,7 @@
 use tansyhall_gateway::datagrams::Datagram;
 use tansyhall_gateway::load_messages::{decode, encode};
 use tansyhall_gateway::placement::{MessageToScheduler, SchedulerAnswerMessage};
+use tansyhall_gateway::share_messages;
 
 /// Seed of the property tests.
 const SEED: u64 = 20_261_203;
@@ -226,6 +230,44 @@
     assert!(answer.decode_answer().is_err());
 }
 
+// Guards against fields of the division of rate limits that are lost or exchanged on the wire, and against impossible
+// values of another gateway that take effect.
+#[test]
+fn reported_shares_keep_their_content_and_impossible_ones_are_left_out() {
+    let grant = |rate_ppm| Grant {
+        worker: WorkerKey(7),
+        holder: GatewayKey(8),
+        seen: Timestamp(9),
+        portion: Portion {
+            rate_ppm,
+            capacity_ppm: 10,
+        },
+    };
+    let demand = |demand| LimitDemand {
+        worker: WorkerKey(11),
+        demand,
+    };
+    let shares = ShareReport {
+        member: MemberKey(1),
+        sent_at: Timestamp(2),
+        view: 3,
+        member_count: 4,
+        leads: true,
+        vote: Some(Vote {
+            leader: GatewayKey(5),
+            seen: Timestamp(6),
+        }),
+        demands: vec![demand(12)],
+        grants: vec![grant(1_000_000)],
+    };
+    let decoded = |shares: &ShareReport| share_messages::decode(&share_messages::encode(shares));
+    assert_eq!(decoded(&shares), shares);
+    let mut impossible = shares.clone();
+    impossible.demands.push(demand(u64::MAX));
+    impossible.grants.push(grant(1_000_001));
+    assert_eq!(decoded(&impossible), shares);
+}
+
 #[test]
 fn reported_rate_limits_keep_their_content() {
     let statement = |limit: Option<u64>| LimitStatement {
