--- a/crates/cli/tests/gateway_platform/rate_limits.rs
+++ b/crates/cli/tests/gateway_platform/rate_limits.rs
@@ -232,3 +232,61 @@
     site.wait_until_gateways_know_each_other().await;
     assert_limit_is_kept(&site, &site.workers, send_numbered_app_request).await;
 }
+
+/// Requests per second of a worker that callers at one gateway use.
+const SHARED_LIMIT: f64 = 8.0;
+/// Time in which gateways choose a leader and learn the demand.
+const DEMAND_KNOWN_WITHIN: Duration = Duration::from_secs(7);
+
+/// Lets callers of one gateway of several use a worker that states a rate limit, and asserts that they use most of it and
+/// no more.
+async fn assert_limit_is_used_at_one_gateway(gateways: usize, caller: usize) {
+    let mut site = Site::start_with_tolerated_zones(&[APP], gateways, 1).await;
+    site.wait_until_gateways_know_each_other().await;
+    site.gateways.swap(0, caller);
+    let worker = &site.workers[0].worker;
+    worker.announce_rate_limit(Some(SHARED_LIMIT));
+    wait_for_limit(&site, send_numbered_app_request).await;
+    let limit_received = Instant::now();
+    let number = Cell::new(20_000);
+    let gateway = &site.gateways[0];
+    let measured = DEMAND_KNOWN_WITHIN + LOAD_DURATION;
+    let callers = (0..CALLERS).map(async |_| {
+        while limit_received.elapsed() < measured {
+            number.set(number.get() + 1);
+            send_numbered_app_request(gateway, number.get()).await;
+            sleep(CALLER_PAUSE).await;
+        }
+    });
+    join_all(callers).await;
+    let count = max_requests_in_window(worker, limit_received + LIMIT_APPLIED_WITHIN);
+    let allowed = SHARED_LIMIT * COUNTING_WINDOW.as_secs_f64() + SHARED_LIMIT + 2.0;
+    assert!(count as f64 <= allowed, "{count} of {allowed}");
+    let arrivals = worker.work_arrivals();
+    let used = arrivals
+        .iter()
+        .filter(|at| **at >= limit_received + DEMAND_KNOWN_WITHIN);
+    let used = used.count() as f64 / (SHARED_LIMIT * LOAD_DURATION.as_secs_f64());
+    assert!(used >= 0.8, "{used} of the limit is used");
+}
+
+// Guards against a rate limit of which callers at one gateway of six get an equal share only.
+#[actix_rt::test]
+async fn callers_at_one_gateway_of_six_use_most_of_a_rate_limit() {
+    assert_limit_is_used_at_one_gateway(6, 2).await;
+}
+
+// Guards against schedulers that divide a limit by the demand of their own callers only, and not by that of the gateways
+// whose requests they place.
+#[actix_rt::test]
+async fn callers_at_one_gateway_with_a_scheduler_use_most_of_a_rate_limit() {
+    assert_limit_is_used_at_one_gateway(GATEWAYS_WITH_SCHEDULERS, 0).await;
+}
+
+// Guards against gateways that together exceed a rate limit which they divide by demand.
+#[actix_rt::test]
+async fn gateways_that_divide_a_rate_limit_by_demand_stay_within_it_together() {
+    let site = Site::start_with_tolerated_zones(&[APP, APP], GATEWAYS, 1).await;
+    site.wait_until_gateways_know_each_other().await;
+    assert_limit_is_kept(&site, &site.workers, send_numbered_app_request).await;
+}
--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -114,6 +114,7 @@
     operator: Operator,
     version: Cell<u64>,
     takeover_pause_ms: u64,
+    tolerated_zones: u32,
     /// The link of each gateway to the store; empty if gateways connect to the store directly.
     pub store_links: Vec<Link>,
     has_store_links: bool,
@@ -135,12 +136,21 @@
         gateways: usize,
         takeover_pause_ms: u64,
     ) -> Self {
-        Self::start_with_options(workers, gateways, takeover_pause_ms, false).await
+        Self::start_with_options(workers, gateways, takeover_pause_ms, false, 0).await
     }
 
     /// Starts a site whose gateways each connect to the store through a link.
     pub async fn start_with_store_links(workers: &[WorkerSpec], gateways: usize) -> Self {
-        Self::start_with_options(workers, gateways, TAKEOVER_PAUSE_MS, true).await
+        Self::start_with_options(workers, gateways, TAKEOVER_PAUSE_MS, true, 0).await
+    }
+
+    /// Starts a site whose gateways plan for the loss of this many zones.
+    pub async fn start_with_tolerated_zones(
+        workers: &[WorkerSpec],
+        gateways: usize,
+        zones: u32,
+    ) -> Self {
+        Self::start_with_options(workers, gateways, TAKEOVER_PAUSE_MS, false, zones).await
     }
 
     async fn start_with_options(
@@ -148,6 +158,7 @@
         gateways: usize,
         takeover_pause_ms: u64,
         has_store_links: bool,
+        tolerated_zones: u32,
     ) -> Self {
         let store = Store::default();
         for number in 0..UNRELATED_KEYS {
@@ -169,6 +180,7 @@
             operator,
             version: Cell::new(1),
             takeover_pause_ms,
+            tolerated_zones,
             store_links: Vec::new(),
             has_store_links,
             _directory: directory,
@@ -467,6 +479,8 @@
             grace_s: 8,
             takeover_pause_ms: self.takeover_pause_ms,
         };
-        fields.render(TEMPLATE).expect("a template")
+        let settings = fields.render(TEMPLATE).expect("a template");
+        let zones = format!("[tolerance]\nzones = {}", self.tolerated_zones);
+        settings.replace("[tolerance]\nzones = 0", &zones)
     }
 }
