--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -114,10 +114,10 @@
     operator: Operator,
     version: Cell<u64>,
     takeover_pause_ms: u64,
+    tolerated_zones: u32,
     /// The link of each gateway to the store; empty if gateways connect to the store directly.
     pub store_links: Vec<Link>,
     has_store_links: bool,
-    tolerated_zones: u32,
     _directory: tempfile::TempDir,
 }
 
@@ -180,9 +180,9 @@
             operator,
             version: Cell::new(1),
             takeover_pause_ms,
+            tolerated_zones,
             store_links: Vec::new(),
             has_store_links,
-            tolerated_zones,
             _directory: directory,
         };
         for number in 0..gateways {
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -4,8 +4,11 @@
 
 use proptest::prelude::*;
 use prost::Message;
-use tansyhall_core::ServiceName;
+use tansyhall_core::{ServiceName, Timestamp};
 use tansyhall_fixed_cases::config_with_seed_and_cases;
+use tansyhall_forwarding::demand_shares::division::Portion;
+use tansyhall_forwarding::demand_shares::leadership::Vote;
+use tansyhall_forwarding::demand_shares::{Grant, LimitDemand, MemberKey, ShareReport};
 use tansyhall_forwarding::{
     GatewayKey, LimitStatement, LoadReport, Need, Objectives, Placement, PlacementAnswer,
     PlacementId, PlacementMessage, PlacementNeed, PlacementNotice, PlacementRequest, PromptPart,
@@ -15,6 +18,7 @@
 use tansyhall_gateway::datagrams::Datagram;
 use tansyhall_gateway::load_messages::{decode, encode};
 use tansyhall_gateway::placement::{MessageToScheduler, SchedulerAnswerMessage};
+use tansyhall_gateway::share_messages;
 
 /// Seed of the property tests.
 const SEED: u64 = 20_261_203;
@@ -270,6 +274,44 @@
     assert_eq!(decoded_pause(longest + 1), None);
 }
 
+// Guards against fields of the division of rate limits that are lost or exchanged on the wire, and against impossible
+// values of another gateway that take effect.
+#[test]
+fn reported_shares_keep_their_content_and_impossible_ones_are_left_out() {
+    let grant = |rate_ppm| Grant {
+        worker: WorkerKey(7),
+        holder: GatewayKey(8),
+        seen: Timestamp(9),
+        portion: Portion {
+            rate_ppm,
+            capacity_ppm: 10,
+        },
+    };
+    let demand = |demand| LimitDemand {
+        worker: WorkerKey(11),
+        demand,
+    };
+    let shares = ShareReport {
+        member: MemberKey(1),
+        sent_at: Timestamp(2),
+        view: 3,
+        member_count: 4,
+        leads: true,
+        vote: Some(Vote {
+            leader: GatewayKey(5),
+            seen: Timestamp(6),
+        }),
+        demands: vec![demand(12)],
+        grants: vec![grant(1_000_000)],
+    };
+    let decoded = |shares: &ShareReport| share_messages::decode(&share_messages::encode(shares));
+    assert_eq!(decoded(&shares), shares);
+    let mut impossible = shares.clone();
+    impossible.demands.push(demand(u64::MAX));
+    impossible.grants.push(grant(1_000_001));
+    assert_eq!(decoded(&impossible), shares);
+}
+
 #[test]
 fn reported_rate_limits_keep_their_content() {
     let statement = |limit: Option<u64>| LimitStatement {
@@ -287,6 +329,7 @@
         absences: Vec::new(),
         demands: Vec::new(),
         rate_limits: vec![statement(Some(6_300)), statement(Some(0)), statement(None)],
+        shares: None,
     };
     let datagram = decoded(&Datagram::report(encode(&report)));
     let decoded_message = decode(datagram.report.expect("the datagram contains a report"));
--- a/crates/gateway/tests/production_messages.rs
+++ b/crates/gateway/tests/production_messages.rs
@@ -114,6 +114,7 @@
             urgent_decoders: None,
         }],
         rate_limits: Vec::new(),
+        shares: Vec::new(),
     };
     assert_eq!(report, expected);
 }
--- a/crates/gateway/tests/urgency_messages.rs
+++ b/crates/gateway/tests/urgency_messages.rs
@@ -35,6 +35,7 @@
         absences: Vec::new(),
         demands: vec![demand],
         rate_limits: Vec::new(),
+        shares: None,
     }
 }
 
