Tenants' shares over the whole fleet: rates in load reports

Each gateway computed tenants' shares from its own admissions alone, so a tenant whose callers use one gateway was served up to 1.9 times its share beside one that uses many. Gateways now report the rates of their tenants while requests are refused, and shares follow from the sums.

--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -42,6 +42,7 @@
 mod costs;
 mod demand;
 mod eligible;
+mod fleet_tenants;
 mod length_biased_mean;
 mod membership;
 mod notices;
@@ -82,6 +83,7 @@
 use costs::EngineCosts;
 use demand::Demands;
 use eligible::EligibleWorkers;
+use fleet_tenants::FleetTenants;
 use length_biased_mean::LengthBiasedMean;
 use notices::Notices;
 use part_holders::PartHolders;
@@ -126,6 +128,7 @@
     promptless_latencies: HashMap<ServiceName, f64>,
     demands: Demands,
     tenant_shares: HashMap<ServiceName, TenantShares>,
+    fleet_tenants: FleetTenants,
     sampling: Sampling,
     decisions: Decisions,
     reporter: LoadReporter,
@@ -164,6 +167,7 @@
             promptless_latencies: HashMap::new(),
             demands: Demands::default(),
             tenant_shares: HashMap::new(),
+            fleet_tenants: FleetTenants::default(),
             sampling: Sampling::default(),
             decisions: Decisions::default().with_tolerated_zones(0),
             reporter: LoadReporter::new(gateway),
--- a/crates/forwarding/src/directory/sharing.rs
+++ b/crates/forwarding/src/directory/sharing.rs
@@ -23,7 +23,10 @@
             self.stale_dropped_at = now;
             self.drop_stale_loads(now);
             self.demands.drop_stale(now);
+            self.drop_stale_tenants(now);
         }
+        let tenants = self.tenants_due(now);
+        self.reporter.record_tenants(tenants);
         let demands = &self.demands;
         let rate_limits = self.rate_limits.take_due(now);
         self.reporter.flush(now, rate_limits, || demands.own(now))
@@ -52,6 +55,7 @@
         for demand in &report.demands {
             self.demands.receive(now, report.sender, *demand);
         }
+        self.receive_tenants(now, report.sender, &report.tenants);
         for statement in report.rate_limits.iter().filter(|_| worker_notices) {
             let LimitStatement { worker, stated } = *statement;
             self.rate_limits.receive(now, worker, stated);
--- a/crates/forwarding/src/directory/tenants.rs
+++ b/crates/forwarding/src/directory/tenants.rs
@@ -11,6 +11,9 @@
 impl Directory {
     /// Returns the fraction of the usual wait for which a request may wait.
     pub(super) fn tenant_wait_fraction(&mut self, now: Timestamp, demand: Demand<'_>) -> f64 {
+        if let Some(tenant) = demand.tenant.filter(|_| self.uses_fleet_tenants()) {
+            return self.fleet_wait_fraction(now, demand, tenant);
+        }
         let shares = self.shares_of(demand);
         shares.map_or(1.0, |(shares, tenant)| shares.wait_fraction(now, tenant))
     }
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod decisions;
 pub mod directory;
 pub mod event_stream;
+pub mod fleet_tenants;
 pub mod lapsed_workers;
 pub mod load_exchange;
 pub mod mirror;
@@ -42,6 +43,9 @@
     RefusalCause, SendResult, SendTicket, Unavailable,
 };
 pub use event_stream::{CompleteEvents, EventFramer};
+pub use fleet_tenants::{
+    OwnTenants, ReportedTenants, ServiceTenants, TenantRates, TenantRotation, WorkRates,
+};
 pub use lapsed_workers::LapsedWorkers;
 pub use load_exchange::{
     Absence, EngineDemand, GatewayKey, LimitStatement, Load, LoadEntry, LoadReport, LoadReporter,
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::cache_view::PartKey;
+use crate::fleet_tenants::ServiceTenants;
 use crate::rate_limit::StatedLimit;
 use crate::worker::WorkerId;
 
@@ -156,6 +157,8 @@
     pub demands: Vec<EngineDemand>,
     /// Rate limits of workers that are new, have ended, or are repeated.
     pub rate_limits: Vec<LimitStatement>,
+    /// Rates of tenants' work; empty while nothing is refused and in reports between repetitions.
+    pub tenants: Vec<ServiceTenants>,
 }
 
 /// Collects the changes to report to other gateways.
@@ -168,6 +171,7 @@
     small_changes: BTreeSet<WorkerKey>,
     parts: Vec<PartRead>,
     absences: Vec<Absence>,
+    tenants: Vec<ServiceTenants>,
     small_changes_reported_at: Timestamp,
     loads_repeated_at: Timestamp,
 }
@@ -183,6 +187,7 @@
             small_changes: BTreeSet::new(),
             parts: Vec::new(),
             absences: Vec::new(),
+            tenants: Vec::new(),
             small_changes_reported_at: Timestamp::default(),
             loads_repeated_at: Timestamp::default(),
         }
@@ -208,6 +213,11 @@
         self.absences.push(Absence { worker });
     }
 
+    /// Records the rates of tenants that the next report contains. They replace those recorded before.
+    pub fn record_tenants(&mut self, tenants: Vec<ServiceTenants>) {
+        self.tenants = tenants;
+    }
+
     /// Returns the report that is due now, if any. It contains `rate_limits`; `demands` is called and included only
     /// when loads are repeated.
     pub fn flush(
@@ -229,6 +239,7 @@
         }
         let has_no_events =
             self.parts.is_empty() && self.absences.is_empty() && rate_limits.is_empty();
+        let has_no_events = has_no_events && self.tenants.is_empty();
         if due_loads.is_empty() && has_no_events && due_demands.is_empty() {
             return None;
         }
@@ -250,6 +261,7 @@
             absences: std::mem::take(&mut self.absences),
             demands: due_demands,
             rate_limits,
+            tenants: std::mem::take(&mut self.tenants),
         })
     }
 }
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -237,6 +237,7 @@
         absences: Vec::new(),
         demands: Vec::new(),
         rate_limits: Vec::new(),
+        tenants: Vec::new(),
     };
     directory.receive_report(NOW, &report(2, 40_000));
     assert_eq!(
--- a/crates/forwarding/tests/rate_limits.rs
+++ b/crates/forwarding/tests/rate_limits.rs
@@ -275,6 +275,7 @@
         absences: Vec::new(),
         demands: Vec::new(),
         rate_limits: vec![statement],
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod state;
 pub mod store_call;
 pub mod store_contact;
+pub mod tenant_messages;
 pub mod update_cache;
 pub mod update_message;
 pub mod usage;
--- a/crates/gateway/src/load_messages.rs
+++ b/crates/gateway/src/load_messages.rs
@@ -8,6 +8,8 @@
     PartRead, RateLimit, ServiceKey, StatedLimit, WorkerKey,
 };
 
+use crate::tenant_messages::{decode_tenants, encode_tenants, ServiceTenantsMessage};
+
 /// A load report on the wire.
 #[derive(Clone, PartialEq, Message)]
 pub struct ReportMessage {
@@ -32,6 +34,9 @@
     /// Rate limits that workers have stated. Gateways of earlier versions do not send them.
     #[prost(message, repeated, tag = "7")]
     pub rate_limits: Vec<LimitMessage>,
+    /// Rates of tenants' work. Gateways of earlier versions do not send them.
+    #[prost(message, repeated, tag = "9")]
+    pub tenants: Vec<ServiceTenantsMessage>,
 }
 
 /// The rate limit of one worker, on the wire.
@@ -142,6 +147,7 @@
             .collect(),
         demands: report.demands.iter().map(encode_demand).collect(),
         rate_limits: report.rate_limits.iter().map(encode_limit).collect(),
+        tenants: encode_tenants(&report.tenants),
     }
 }
 
@@ -230,5 +236,6 @@
             .iter()
             .filter_map(decode_limit)
             .collect(),
+        tenants: decode_tenants(&message.tenants),
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -56,6 +56,8 @@
     pub caches_recovered: IntGauge,
     /// Retries that this gateway still has, by service.
     pub retries_left: IntGaugeVec,
+    /// Tenants of which other gateways have reported rates.
+    pub tenants_of_others: IntGauge,
     /// Requests in progress.
     pub in_flight: IntGauge,
 }
@@ -167,6 +169,10 @@
                 Opts::new("gateway_retries_left", "Retries that could still be spent"),
                 &["service"],
             )?,
+            tenants_of_others: IntGauge::new(
+                "gateway_tenants_of_others",
+                "Tenants whose work other gateways have reported",
+            )?,
             in_flight: IntGauge::new("gateway_in_flight", "Requests under way")?,
             registry,
         };
@@ -229,6 +235,8 @@
             .register(Box::new(self.caches_recovered.clone()))?;
         self.registry
             .register(Box::new(self.retries_left.clone()))?;
+        self.registry
+            .register(Box::new(self.tenants_of_others.clone()))?;
         self.registry.register(Box::new(self.in_flight.clone()))
     }
 }
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -243,6 +243,7 @@
         absences: Vec::new(),
         demands: Vec::new(),
         rate_limits: vec![statement(Some(6_300)), statement(Some(0)), statement(None)],
+        tenants: Vec::new(),
     };
     let datagram = decoded(&Datagram::report(encode(&report)));
     let decoded_message = decode(datagram.report.expect("the datagram contains a report"));
--- a/crates/gateway/tests/production_messages.rs
+++ b/crates/gateway/tests/production_messages.rs
@@ -109,6 +109,7 @@
             decoders: 3.5,
         }],
         rate_limits: Vec::new(),
+        tenants: Vec::new(),
     };
     assert_eq!(report, expected);
 }
