--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -42,6 +42,7 @@
 mod costs;
 mod demand;
 mod eligible;
+mod fleet_tenants;
 mod leaving;
 mod length_biased_mean;
 mod membership;
@@ -89,6 +90,7 @@
 use costs::EngineCosts;
 use demand::Demands;
 use eligible::EligibleWorkers;
+use fleet_tenants::FleetTenants;
 use leaving::LeavingWorkers;
 use length_biased_mean::LengthBiasedMean;
 use notices::Notices;
@@ -139,6 +141,7 @@
     pauses: HashMap<ServiceName, PauseKnowledge>,
     demands: Demands,
     tenant_shares: HashMap<ServiceName, TenantShares>,
+    fleet_tenants: FleetTenants,
     sampling: Sampling,
     decisions: Decisions,
     reporter: LoadReporter,
@@ -180,6 +183,7 @@
             pauses: HashMap::new(),
             demands: Demands::default(),
             tenant_shares: HashMap::new(),
+            fleet_tenants: FleetTenants::default(),
             sampling: Sampling::default(),
             decisions: Decisions::default().with_tolerated_zones(0),
             reporter: LoadReporter::new(gateway),
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod departure;
 pub mod directory;
 pub mod event_stream;
+pub mod fleet_tenants;
 pub mod lapsed_workers;
 pub mod load_exchange;
 pub mod mirror;
@@ -46,6 +47,9 @@
     Objectives, RateToken, RefusalCause, SendResult, SendTicket, Unavailable, MAX_STREAM_PAUSE,
 };
 pub use event_stream::{CompleteEvents, EventFramer};
+pub use fleet_tenants::{
+    OwnTenants, ReportedTenants, ServiceTenants, TenantRates, TenantRotation, WorkRates,
+};
 pub use lapsed_workers::LapsedWorkers;
 pub use load_exchange::{
     Absence, EngineDemand, GatewayKey, LimitStatement, Load, LoadEntry, LoadReport, LoadReporter,
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -14,6 +14,7 @@
 
 use crate::cache_view::PartKey;
 use crate::demand_shares::ShareReport;
+use crate::fleet_tenants::ServiceTenants;
 use crate::rate_limit::StatedLimit;
 use crate::worker::WorkerId;
 
@@ -151,6 +152,8 @@
     pub rate_limits: Vec<LimitStatement>,
     /// Demands and leases of the division of rate limits by demand.
     pub shares: Option<ShareReport>,
+    /// Rates of tenants' work; empty while nothing is refused and in reports between repetitions.
+    pub tenants: Vec<ServiceTenants>,
 }
 
 /// Collects the changes to report to other gateways.
@@ -163,6 +166,7 @@
     small_changes: BTreeSet<WorkerKey>,
     parts: Vec<PartRead>,
     absences: Vec<Absence>,
+    tenants: Vec<ServiceTenants>,
     small_changes_reported_at: Timestamp,
     loads_repeated_at: Timestamp,
 }
@@ -178,6 +182,7 @@
             small_changes: BTreeSet::new(),
             parts: Vec::new(),
             absences: Vec::new(),
+            tenants: Vec::new(),
             small_changes_reported_at: Timestamp::default(),
             loads_repeated_at: Timestamp::default(),
         }
@@ -203,6 +208,11 @@
         self.absences.push(Absence { worker });
     }
 
+    /// Records the rates of tenants that the next report contains. They replace those recorded before.
+    pub fn record_tenants(&mut self, tenants: Vec<ServiceTenants>) {
+        self.tenants = tenants;
+    }
+
     /// Returns the report that is due now, if any. It contains `rate_limits` and `shares`; `demands` is called and included only
     /// when loads are repeated.
     pub fn flush(
@@ -226,6 +236,7 @@
         let has_no_events =
             self.parts.is_empty() && self.absences.is_empty() && rate_limits.is_empty();
         let has_no_events = has_no_events && shares.is_none();
+        let has_no_events = has_no_events && self.tenants.is_empty();
         if due_loads.is_empty() && has_no_events && due_demands.is_empty() {
             return None;
         }
@@ -248,6 +259,7 @@
             demands: due_demands,
             rate_limits,
             shares,
+            tenants: std::mem::take(&mut self.tenants),
         })
     }
 }
--- a/crates/forwarding/tests/leaving_workers.rs
+++ b/crates/forwarding/tests/leaving_workers.rs
@@ -149,6 +149,8 @@
         absences: Vec::new(),
         demands: Vec::new(),
         rate_limits: Vec::new(),
+        shares: None,
+        tenants: Vec::new(),
     };
     directory.receive_report(timestamp(LEARNED), &report);
     directory
--- a/crates/forwarding/tests/rate_limits.rs
+++ b/crates/forwarding/tests/rate_limits.rs
@@ -277,6 +277,7 @@
         demands: Vec::new(),
         rate_limits: vec![statement],
         shares: None,
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/forwarding/tests/urgency/mod.rs
+++ b/crates/forwarding/tests/urgency/mod.rs
@@ -290,6 +290,7 @@
         route: load.name,
         tenant: None,
         yields: load.yields,
+        pause: None,
         zone,
         avoid: &[],
         draw,
--- a/crates/forwarding/tests/urgent_first.rs
+++ b/crates/forwarding/tests/urgent_first.rs
@@ -191,6 +191,8 @@
         absences: Vec::new(),
         demands: Vec::new(),
         rate_limits: Vec::new(),
+        shares: None,
+        tenants: Vec::new(),
     }
 }
 
--- a/crates/forwarding/tests/withdrawal/mod.rs
+++ b/crates/forwarding/tests/withdrawal/mod.rs
@@ -254,6 +254,7 @@
         route,
         tenant: None,
         yields: false,
+        pause: None,
         zone,
         avoid: &[],
         draw,
--- a/crates/gateway/src/load_messages.rs
+++ b/crates/gateway/src/load_messages.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::share_messages::{self, SharesMessage};
+use crate::tenant_messages::{decode_tenants, encode_tenants, ServiceTenantsMessage};
 
 /// A load report on the wire.
 #[derive(Clone, PartialEq, Message)]
@@ -38,6 +39,9 @@
     /// Division of rate limits by demand; at most one entry. Gateways of earlier versions do not send it.
     #[prost(message, repeated, tag = "8")]
     pub shares: Vec<SharesMessage>,
+    /// Rates of tenants' work. Gateways of earlier versions do not send them.
+    #[prost(message, repeated, tag = "9")]
+    pub tenants: Vec<ServiceTenantsMessage>,
 }
 
 /// The rate limit of one worker, on the wire.
@@ -160,6 +164,7 @@
         demands: report.demands.iter().map(encode_demand).collect(),
         rate_limits: report.rate_limits.iter().map(encode_limit).collect(),
         shares: report.shares.iter().map(share_messages::encode).collect(),
+        tenants: encode_tenants(&report.tenants),
     }
 }
 
@@ -279,5 +284,6 @@
             .filter_map(decode_limit)
             .collect(),
         shares: message.shares.first().map(share_messages::decode),
+        tenants: decode_tenants(&message.tenants),
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -72,6 +72,8 @@
     pub rate_limit_shares: GaugeVec,
     /// Fraction of these shares that it uses, by service.
     pub rate_limit_used: GaugeVec,
+    /// Tenants of which other gateways have reported rates.
+    pub tenants_of_others: IntGauge,
     /// Requests in progress.
     pub in_flight: IntGauge,
 }
@@ -226,6 +228,10 @@
                 ),
                 &["service"],
             )?,
+            tenants_of_others: IntGauge::new(
+                "gateway_tenants_of_others",
+                "Tenants whose work other gateways have reported",
+            )?,
             in_flight: IntGauge::new("gateway_in_flight", "Requests under way")?,
             registry,
         };
@@ -300,6 +306,8 @@
             .register(Box::new(self.rate_limit_shares.clone()))?;
         self.registry
             .register(Box::new(self.rate_limit_used.clone()))?;
+        self.registry
+            .register(Box::new(self.tenants_of_others.clone()))?;
         self.registry.register(Box::new(self.in_flight.clone()))
     }
 }
--- a/crates/gateway/tests/production_messages.rs
+++ b/crates/gateway/tests/production_messages.rs
@@ -115,6 +115,7 @@
         }],
         rate_limits: Vec::new(),
         shares: Vec::new(),
+        tenants: Vec::new(),
     };
     assert_eq!(report, expected);
 }
--- a/crates/gateway/tests/urgency_messages.rs
+++ b/crates/gateway/tests/urgency_messages.rs
@@ -36,6 +36,7 @@
         demands: vec![demand],
         rate_limits: Vec::new(),
         shares: None,
+        tenants: Vec::new(),
     }
 }
 
