--- a/crates/gateway/tests/tenant_messages.rs
+++ b/crates/gateway/tests/tenant_messages.rs
@@ -28,6 +28,7 @@
         absences: Vec::new(),
         demands: Vec::new(),
         rate_limits: Vec::new(),
+        shares: None,
         tenants,
     }
 }
