--- a/crates/forwarding/src/directory/admission.rs
+++ b/crates/forwarding/src/directory/admission.rs
@@ -254,7 +254,8 @@
             return plan.read_apart;
         }
         let comparison = self.comparison(now, demand);
-        if !self.compares_pauses(&Need::Run, &comparison) {
+        let is_short = comparison.costs.is_short(comparison.prompt_tokens);
+        if is_short || !self.compares_pauses(&Need::Run, &comparison) {
             return false;
         }
         let runners = self.compared_workers(now, demand, &Need::Run);
--- a/crates/forwarding/src/directory/pause_limits.rs
+++ b/crates/forwarding/src/directory/pause_limits.rs
@@ -20,7 +20,7 @@
 use crate::selection::Need;
 
 /// Fraction of the limit up to which a pause may be expected; the rest is for what varies from stream to stream.
-const EXPECTED_PAUSE_FRACTION: f64 = 0.9;
+const EXPECTED_PAUSE_FRACTION: f64 = 0.8;
 /// Weight of the newest stream in the fraction of limited streams.
 const LIMITED_FRACTION_WEIGHT: f64 = 0.02;
 /// Expected number of limited streams of other gateways from which an engine counts as having one.
@@ -110,17 +110,19 @@
 }
 
 impl Directory {
-    /// Returns whether pauses are compared for a demand: they are known, and a stream may make one that is too long.
+    /// Returns whether pauses are compared for a demand: they are known, and the demand's stream is limited, or reading its
+    /// prompt may stall others.
     pub(super) fn compares_pauses(&self, need: &Need, comparison: &Comparison<'_>) -> bool {
-        let is_long = !comparison.costs.is_short(comparison.prompt_tokens);
-        let reads_long = *need == Need::Run && is_long;
         let knowledge = self.pauses.get(comparison.demand.service);
         let is_known = knowledge.is_some_and(|knowledge| knowledge.pauses.is_known());
         self.decisions.stream_pauses
             && is_known
             && !comparison.demand.prompt.is_empty()
-            && *need != Need::ReadPrompt
-            && (comparison.demand.pause.is_some() || reads_long)
+            && match need {
+                Need::Run => true,
+                Need::Continue { .. } => comparison.demand.pause.is_some(),
+                Need::ReadPrompt => false,
+            }
     }
 
     /// Returns the workers that are expected to keep the pauses of streams below their limits; all workers if there is
--- a/crates/forwarding/tests/decoding/mod.rs
+++ b/crates/forwarding/tests/decoding/mod.rs
@@ -66,6 +66,10 @@
 #[derive(Default)]
 struct Engine {
     speed: f64,
+    /// Streams whose KV cache is being transferred.
+    transferring: Vec<Stream>,
+    /// Requests that wait for a slot.
+    waiting: VecDeque<Stream>,
     reading: VecDeque<Stream>,
     decoding: Vec<Stream>,
     /// The end of the current step, and the tokens of prompts that it reads.
@@ -74,6 +78,18 @@
 
 impl Engine {
     fn begin_step(&mut self, now: Timestamp) {
+        for index in (0..self.transferring.len()).rev() {
+            if now.since(self.transferring[index].began) >= TRANSFER {
+                let arrived = self.transferring.swap_remove(index);
+                self.waiting.push_back(arrived);
+            }
+        }
+        while self.reading.len() + self.decoding.len() < SLOTS as usize {
+            let Some(admitted) = self.waiting.pop_front() else {
+                break;
+            };
+            self.reading.push_back(admitted);
+        }
         if self.reading.is_empty() && self.decoding.is_empty() {
             return;
         }
@@ -189,7 +205,7 @@
         if is_counted {
             self.counts[kind].by_engine[number] += 1;
         }
-        self.engines[number].reading.push_back(Stream {
+        let stream = Stream {
             kind,
             ticket,
             unread_tokens: match traffic.is_read {
@@ -203,7 +219,12 @@
             latency: Duration::ZERO,
             last_event: None,
             longest_pause: Duration::ZERO,
-        });
+        };
+        let engine = &mut self.engines[number];
+        match traffic.is_read {
+            true => engine.transferring.push(stream),
+            false => engine.waiting.push_back(stream),
+        }
     }
 
     /// Ends the steps of an engine that are due, and begins the next one.
@@ -249,12 +270,7 @@
             let read = left.min(first.unread_tokens);
             first.unread_tokens -= read;
             left -= read;
-            if first.unread_tokens > 0 || engine.decoding.len() >= SLOTS as usize {
-                break;
-            }
-            if self.traffic[first.kind].is_read && at.since(first.began) < TRANSFER {
-                let waiting = engine.reading.pop_front();
-                engine.reading.extend(waiting);
+            if first.unread_tokens > 0 {
                 break;
             }
             if let Some(mut stream) = engine.reading.pop_front() {
