Bound the delay that prompts accept for the sake of pauses

A short question with an objective of 250 ms could be sent to an engine that answers 200 ms later, and services without limited streams compared pauses as well. Limited streams now accept half of their limit as delay, other prompts a tenth, and services without limited streams decide as before.

--- a/crates/forwarding/src/directory/pause_limits.rs
+++ b/crates/forwarding/src/directory/pause_limits.rs
@@ -2,8 +2,9 @@
 //!
 //! An engine keeps them if the expected longest pause of the new stream is below its limit, and, if the engine also reads
 //! the prompt, the streams that decode there meanwhile stay below theirs. Engines that keep the pauses are preferred to
-//! others, but only if they have a free slot: a stream that waits for one is late anyway. If no engine does, or nothing
-//! was observed yet, the choice does not depend on pauses. Nothing is refused because of a pause.
+//! others, but only if they have a free slot and answer hardly later: a stream that begins late gains nothing from short
+//! pauses. If no engine does, or nothing was observed yet, the choice does not depend on pauses. Nothing is refused
+//! because of a pause.
 //!
 //! Limits of streams that other gateways have placed are not reported. The fraction of limited streams among those that
 //! this gateway places stands for them.
@@ -21,6 +22,11 @@
 
 /// Fraction of the limit up to which a pause may be expected; the rest is for what varies from stream to stream.
 const EXPECTED_PAUSE_FRACTION: f64 = 0.8;
+/// Delay for the sake of pauses, as a fraction of their limit, that a limited stream may have before it begins: a longer
+/// one would be as bad as the pause.
+const LIMITED_DELAY_FRACTION: f64 = 0.5;
+/// The same for other prompts, whose own streams gain nothing from it.
+const UNLIMITED_DELAY_FRACTION: f64 = 0.1;
 /// Weight of the newest stream in the fraction of limited streams.
 const LIMITED_FRACTION_WEIGHT: f64 = 0.02;
 /// Expected number of limited streams of other gateways from which an engine counts as having one.
@@ -113,21 +119,25 @@
     /// Returns whether pauses are compared for a demand: they are known, and the demand's stream is limited, or reading its
     /// prompt may stall others.
     pub(super) fn compares_pauses(&self, need: &Need, comparison: &Comparison<'_>) -> bool {
-        let knowledge = self.pauses.get(comparison.demand.service);
-        let is_known = knowledge.is_some_and(|knowledge| knowledge.pauses.is_known());
+        let Some(knowledge) = self.pauses.get(comparison.demand.service) else {
+            return false;
+        };
         self.decisions.stream_pauses
-            && is_known
+            && knowledge.pauses.is_known()
             && !comparison.demand.prompt.is_empty()
             && match need {
-                Need::Run => true,
+                Need::Run => comparison
+                    .demand
+                    .pause
+                    .or(knowledge.limits.latest)
+                    .is_some(),
                 Need::Continue { .. } => comparison.demand.pause.is_some(),
                 Need::ReadPrompt => false,
             }
     }
 
     /// Returns the workers that are expected to keep the pauses of streams below their limits; all workers if there is
-    /// none. One that answers later than the fastest by more than the limit does not count: the answer would begin with
-    /// a pause that is as long.
+    /// none. One that answers much later than the fastest does not count.
     pub(super) fn with_short_pauses<'a>(
         &self,
         candidates: Vec<(f64, &'a TrackedWorker)>,
@@ -139,7 +149,7 @@
         }
         let least_seconds = candidates.iter().map(|(seconds, _)| *seconds);
         let least_seconds = least_seconds.fold(f64::INFINITY, f64::min);
-        let max_seconds = least_seconds + self.limit_seconds(comparison);
+        let max_seconds = least_seconds + self.max_delay_seconds(comparison);
         let preferred = candidates.iter().copied();
         let preferred = preferred.filter(|(seconds, worker)| {
             *seconds <= max_seconds && self.keeps_pauses(worker, need, comparison)
@@ -171,12 +181,16 @@
         best.map(|(_, worker)| worker)
     }
 
-    /// Returns the limit of the demand's pauses in seconds, or else that of the other streams of its service.
-    fn limit_seconds(&self, comparison: &Comparison<'_>) -> f64 {
+    /// Returns by how many seconds a demand may be answered later for the sake of pauses.
+    fn max_delay_seconds(&self, comparison: &Comparison<'_>) -> f64 {
         let knowledge = self.pauses.get(comparison.demand.service);
         let latest = knowledge.and_then(|knowledge| knowledge.limits.latest);
-        let limit = comparison.demand.pause.or(latest);
-        limit.map_or(0.0, |limit| limit.as_secs_f64())
+        let own = comparison.demand.pause;
+        let (limit, fraction) = match own {
+            Some(limit) => (limit, LIMITED_DELAY_FRACTION),
+            None => (latest.unwrap_or_default(), UNLIMITED_DELAY_FRACTION),
+        };
+        limit.as_secs_f64() * fraction
     }
 
     /// Returns whether a worker has a free slot and is expected to keep the pauses of the new stream, and of those that
@@ -228,11 +242,8 @@
             worker.limited_streams > 0 || f64::from(others) * fraction >= MIN_LIMITED_STREAMS
         });
         let has_slot = worker.slot_wait_seconds(comparison.hold_seconds, comparison.yields) <= 0.0;
-        has_slot
-            && comparison
-                .demand
-                .pause
-                .is_none_or(|limit| is_below(own, limit))
+        let keeps_own = |limit| has_slot && is_below(own, limit);
+        comparison.demand.pause.is_none_or(keeps_own)
             && (!reads_prompt || limit_there.is_none_or(|limit| is_below(beside, limit)))
     }
 }
--- a/crates/forwarding/tests/stream_pauses.rs
+++ b/crates/forwarding/tests/stream_pauses.rs
@@ -269,6 +269,41 @@
     }
 }
 
+/// Guards against prompts that are read beside limited streams while other engines have time for them.
+#[test]
+fn prompts_of_all_lengths_stall_few_limited_streams_under_light_load() {
+    let questions = Traffic {
+        requests_per_second: 20.0,
+        prompt_tokens: 380,
+        output_tokens: 60,
+        is_read: false,
+        max_pause: None,
+    };
+    let long_prompts = Traffic {
+        requests_per_second: 2.0,
+        prompt_tokens: 9_000,
+        ..questions
+    };
+    let streams = Traffic {
+        requests_per_second: 8.0,
+        ..LIMITED_STREAMS
+    };
+    let late_fraction_of_all = |stream_pauses| {
+        let (mut streams_ended, mut late) = (0, 0);
+        for seed in SEEDS {
+            let traffic = [streams, questions, long_prompts];
+            let counts = simulate(&traffic, stream_pauses, seed);
+            streams_ended += counts[0].streams;
+            late += counts[0].too_long;
+        }
+        f64::from(late) / f64::from(streams_ended)
+    };
+    let late = late_fraction_of_all(true);
+    let before = late_fraction_of_all(false);
+    assert!(late <= MAX_LATE_FRACTION, "{late}, {before} without");
+    assert!(late < before, "{late}, {before} without");
+}
+
 /// Guards against leaving slow engines idle that would keep the limit.
 #[test]
 fn an_idle_slow_engine_that_keeps_the_limit_gets_streams_while_a_fast_one_reads() {
@@ -445,3 +480,20 @@
     let placed: Vec<String> = placed.collect();
     assert_eq!(placed, ["d1"; 4]);
 }
+
+/// Guards against other choices in services whose streams may pause as long as they like.
+#[test]
+fn in_a_service_without_limited_streams_everything_is_decided_as_without_pauses() {
+    let questions = Traffic {
+        requests_per_second: 60.0,
+        is_read: false,
+        ..UNLIMITED_STREAMS
+    };
+    for seed in SEEDS {
+        let decided = |stream_pauses| {
+            let counts = simulate(&[questions, UNLIMITED_STREAMS], stream_pauses, seed);
+            format!("{counts:?}")
+        };
+        assert_eq!(decided(true), decided(false), "seed {seed}");
+    }
+}
