--- a/crates/forwarding/tests/fleet_overload/mod.rs
+++ b/crates/forwarding/tests/fleet_overload/mod.rs
@@ -223,6 +223,7 @@
             route: "route",
             tenant: Some(self.keys[tenant]),
             yields: false,
+            pause: None,
             zone: &self.zone,
             avoid: &[],
             draw,
--- a/crates/forwarding/tests/urgent_first.rs
+++ b/crates/forwarding/tests/urgent_first.rs
@@ -22,6 +22,7 @@
 const LONG_PROMPTS: RouteLoad = RouteLoad {
     name: "long",
     yields: false,
+    pause: None,
     requests_per_second: 5.0,
     begins_at_millis: 1_000,
     prompt_tokens: 17_000,
@@ -33,6 +34,7 @@
 const SHORT_REQUESTS: RouteLoad = RouteLoad {
     name: "short",
     yields: true,
+    pause: None,
     requests_per_second: 240.0,
     begins_at_millis: 0,
     prompt_tokens: 380,
@@ -213,6 +215,7 @@
         route: "r",
         tenant: None,
         yields,
+        pause: None,
         zone: &zone,
         avoid: &[],
         draw: 7,
@@ -264,6 +267,7 @@
             route: "r",
             tenant: None,
             yields,
+            pause: None,
             zone: &zone,
             avoid: &[],
             draw: 7,
