Room for a burst is ordered in spot workers only

Change: the need and the need with a burst are separate; the plan meets the second as far as spot workers provide it. Reserved workers are exchanged in parts, in turn over the zones, because an uneven exchange could stop halfway.

--- a/crates/gateway/src/worker_orders/risk_aware.rs
+++ b/crates/gateway/src/worker_orders/risk_aware.rs
@@ -9,8 +9,8 @@
 use tansyhall_core::{ServiceName, ZoneName};
 use tansyhall_forwarding::{Service, Worker, WorkerKind, WorkerScaling, WorkerState};
 use tansyhall_planner::{
-    spot_if_offered, BusyEngines, EngineNeed, Requirement, RiskAwareWorkers, WorkerLimits,
-    ZoneGoal, ZoneSupply,
+    spot_if_offered, BusyEngines, EngineEstimate, EngineNeed, Requirement, RiskAwareWorkers,
+    WorkerLimits, ZoneGoal, ZoneSupply,
 };
 
 use super::{orders_for, zone_prices, WorkerOrders, MIN_NEEDED_FRACTION};
@@ -45,12 +45,14 @@
         };
         let name = &service.name;
         let workers = self.announced(name);
-        let Some((needed, is_known)) = self.risk_aware_need(service, scaling, planned, &workers)
+        let Some((estimate, is_known)) = self.risk_aware_need(service, scaling, planned, &workers)
         else {
             return false;
         };
+        let needed = estimate.needed;
         let required = Requirement {
             needed,
+            wanted: estimate.with_burst,
             tolerated_zones,
         };
         let limits = WorkerLimits {
@@ -88,7 +90,7 @@
         scaling: &WorkerScaling,
         planned: u32,
         workers: &[Worker],
-    ) -> Option<(u32, bool)> {
+    ) -> Option<(EngineEstimate, bool)> {
         let state = self
             .risk_aware
             .entry(service.name.clone())
@@ -98,7 +100,11 @@
                 took_over: workers.iter().any(|worker| worker.kind == WorkerKind::Spot),
             });
         let Some(engine) = &service.engine else {
-            return Some((planned, true));
+            let all_planned = EngineEstimate {
+                needed: planned,
+                with_burst: planned,
+            };
+            return Some((all_planned, true));
         };
         let now = self.shared.now();
         let demand = self
@@ -115,7 +121,7 @@
             .need
             .update(now, busy, scaling.startup_time, min_needed)
         {
-            Some(needed) => Some((needed, true)),
+            Some(estimate) => Some((estimate, true)),
             None if state.took_over => Some((state.need.estimate(min_needed), false)),
             None => None,
         }
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use bounds::{plan_change_for_limits, EngineView, PlannedChange, RoleLimit};
 pub use change_allowance::ChangeAllowance;
-pub use engine_need::{engines_for, BusyEngines, EngineNeed};
+pub use engine_need::{engines_for, BusyEngines, EngineEstimate, EngineNeed};
 pub use peak::RecentPeak;
 pub use risk_aware_workers::{
     remaining_workers, spot_if_offered, Requirement, RiskAwareWorkers, ZoneSupply,
--- a/crates/planner/src/risk_aware_workers.rs
+++ b/crates/planner/src/risk_aware_workers.rs
@@ -3,7 +3,9 @@
 //!
 //! Spot workers cost a fraction of reserved ones, but the provider may withdraw all spot workers of a zone within
 //! seconds, and later offers none there for a while. A new worker needs seconds to start. The needed number therefore
-//! has to remain after the loss of all spot workers of the tolerated number of zones. The plan is the cheapest one that
+//! has to remain after the loss of all spot workers of the tolerated number of zones. The room for a further burst has to
+//! remain too, as far as spot workers can provide it: reserved workers for it would cost several times as much, and a
+//! burst and a withdrawal rarely coincide. The plan is the cheapest one that
 //! fulfills this:
 //!
 //! 1. Each zone has its minimum number of workers as reserved ones.
@@ -30,7 +32,13 @@
 const SAVING_SECONDS: f64 = 30.0;
 /// Fraction of the price that a new plan has to save: a smaller difference may be reverted by the next change of the
 /// need, which rises at once.
-const MIN_SAVING: f64 = 0.1;
+const MIN_SAVING: f64 = 0.06;
+
+/// Divisor of the wanted workers that gives how many may be missing for a startup time while workers are exchanged.
+const EXCHANGED_FRACTION: u32 = 16;
+/// Number of equal parts in which the workers of a group are released, in turn with other groups. A withdrawal takes the
+/// spot workers of the zone that has most, so zones have to exchange their reserved workers at the same pace.
+const RELEASE_PARTS: u32 = 4;
 
 /// The current workers of one zone.
 #[derive(Debug, Clone, PartialEq)]
@@ -103,12 +111,47 @@
 /// What the workers have to be sufficient for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Requirement {
-    /// Number of workers that the load needs.
+    /// Number of workers that the load needs, at any price.
     pub needed: u32,
+    /// Number of workers to have at the price of spot workers, for a further burst.
+    pub wanted: u32,
     /// Number of zones whose spot workers may be withdrawn at once.
     pub tolerated_zones: u32,
 }
 
+impl Requirement {
+    /// Returns the requirement with as many needed workers as are wanted and can remain after a withdrawal without
+    /// further reserved workers.
+    fn within_spot(self, zones: &[ZoneSupply], limits: &WorkerLimits) -> Self {
+        let max_spot = max_of_zone(limits) - limits.min_workers;
+        let offered = zones.iter().map(|zone| match zone.has_spot() {
+            true => (limits.min_workers, max_spot),
+            false => (limits.min_workers, zone.spot.min(max_spot)),
+        });
+        let possible = match cheaper_spot(limits) {
+            Some(_) => remaining_workers(offered, self.tolerated_zones),
+            None => self.wanted,
+        };
+        Self {
+            needed: self.needed.max(self.wanted.min(possible)),
+            ..self
+        }
+    }
+}
+
+impl Requirement {
+    /// Returns the requirement that the workers that stay have to fulfill while others are released: a little less than
+    /// what is wanted. A zone full of reserved workers would otherwise have no room for the spot workers that replace
+    /// the last of them.
+    fn while_releasing(self, zones: &[ZoneSupply], limits: &WorkerLimits) -> Self {
+        let wanted = self.within_spot(zones, limits).needed;
+        Self {
+            needed: self.needed.max(wanted - wanted / EXCHANGED_FRACTION),
+            ..self
+        }
+    }
+}
+
 /// Plans the workers of one service and remembers the plan in force.
 #[derive(Debug, Clone, Default)]
 pub struct RiskAwareWorkers {
@@ -125,13 +168,15 @@
         required: Requirement,
         may_release: bool,
     ) -> Vec<ZoneGoal> {
+        let to_keep = required.while_releasing(zones, limits);
+        let required = required.within_spot(zones, limits);
         let best = cheapest_plan(zones, limits, required);
         let previous = self.plan.take().unwrap_or_else(|| present_workers(zones));
         let plan = match stays_in_force(&previous, &best, zones, limits, required) {
             true => previous,
             false => best,
         };
-        let mut goals = next_step(&plan, zones, limits, required, may_release);
+        let mut goals = next_step(&plan, zones, limits, to_keep, may_release);
         add_where_room_is(&mut goals, zones, limits, required);
         self.plan = Some(plan);
         goals
@@ -150,6 +195,7 @@
         zone.offers_spot = true;
         zone.leaving_spot = 0;
     }
+    let required = required.within_spot(&offering, limits);
     let plan = cheapest_plan(&offering, limits, required);
     let within_room = |(goal, zone): (&ZoneGoal, &ZoneSupply)| {
         let room = max_of_zone(limits).saturating_sub(zone.claimed_reserved());
@@ -390,12 +436,21 @@
         .map(|zone| (zone.reserved, zone.spot))
         .collect();
     if may_release {
-        for reduction in reductions(plan, zones, limits) {
-            let released = releasable(&serving, zones, limits, required, reduction);
-            let (reserved, spot) = &mut serving[reduction.zone];
-            match reduction.is_spot {
-                true => *spot -= released,
-                false => *reserved -= released,
+        let mut groups = reductions(plan, zones, limits);
+        let whole_groups = groups.clone();
+        for _ in 0..RELEASE_PARTS {
+            for (group, whole) in groups.iter_mut().zip(&whole_groups) {
+                let part = Reduction {
+                    workers: whole.workers.div_ceil(RELEASE_PARTS).min(group.workers),
+                    ..*group
+                };
+                let released = releasable(&serving, zones, limits, required, part);
+                group.workers -= released;
+                let (reserved, spot) = &mut serving[group.zone];
+                match group.is_spot {
+                    true => *spot -= released,
+                    false => *reserved -= released,
+                }
             }
         }
     }
