--- a/crates/gateway/src/worker_orders/risk_aware.rs
+++ b/crates/gateway/src/worker_orders/risk_aware.rs
@@ -1,7 +1,7 @@
 //! Orders of workers that consider the risk of a withdrawal (switch `withdrawal_risk`).
 //!
-//! The plan is computed by [`RiskAwareWorkers`] from the need that [`EngineNeed`] estimates. Additions are ordered first,
-//! then orders without an answer are repeated, because each may take until its timeout.
+//! The plan is computed by [`RiskAwareWorkers`] from the need that [`EngineNeed`] estimates. Additions are ordered
+//! first, then orders without an answer are repeated, because each may take until its timeout.
 
 use std::collections::HashMap;
 
--- a/crates/planner/src/engine_need.rs
+++ b/crates/planner/src/engine_need.rs
@@ -3,21 +3,21 @@
 //!
 //! The headroom is chosen for prompts that take 0.25 s to 0.5 s to read on an engine that reads one prompt at a time,
 //! with an objective of 0.5 s. A prompt of 0.5 s is late if it waits at all, so nearly every prompt has to find an idle
-//! engine. In a queue with Poisson arrivals (M/M/c), 17 engines are needed if 10 are busy on average, and 35
-//! if 25 are, for at most [`WAITING_FRACTION`] of the prompts to wait. The utilization that this permits grows with the
-//! number of engines: 0.59 at 10 and 0.71 at 25 busy engines. A fixed utilization would be too high for a few engines and too
-//! expensive for many.
+//! engine. In a queue with Poisson arrivals (M/M/c), 17 engines are needed if 10 are busy on average, and 35 if 25 are,
+//! for at most [`WAITING_FRACTION`] of the prompts to wait; the mean wait is then below 0.05 of a reading time. The
+//! utilization that this permits grows with the number of engines: 0.59 at 10 and 0.71 at 25 busy engines. A fixed
+//! utilization would be too high for a few engines and too expensive for many.
 //!
 //! Four properties of the load increase the number of busy engines that the headroom is computed for:
 //!
 //! - The mix of long prompts and short questions changes every 2.8 s, but an engine needs 3 s to change its role. The
 //!   engines of one role therefore do not help the other one: each role is staffed for its own peak.
-//! - The observed demand is a rate with a half-life of 2 s. If the demand alternates every 2.8 s, the rate shows 0.45 of
-//!   the actual swing. [`HIDDEN_RISE`] of an observed rise is added to it.
-//! - Engines ordered for a burst serve only after their startup time. Room is kept for a burst of the observed size: the
-//!   largest ratio of the demand to the lowest demand within the startup time before it.
-//!   This number is stated separately, because a burst and a withdrawal rarely coincide: it is worth the price of spot
-//!   workers, but not that of reserved ones.
+//! - The observed demand is a rate with a half-life of 2 s. If the demand alternates every 2.8 s, the rate shows 0.45
+//!   of the actual swing. [`HIDDEN_RISE`] of an observed rise is added to it.
+//! - Engines ordered for a burst serve only after their startup time. Room is kept for a burst of the observed size:
+//!   the largest ratio of the demand to the lowest demand within the startup time before it. This number is stated
+//!   separately, because a burst and a withdrawal rarely coincide: it is worth the price of spot workers, but not that
+//!   of reserved ones.
 //! - The mix changes back within 15 s. The number falls only when the demand of the last [`HOLD_SECONDS`] needs
 //!   considerably less, and by a limited fraction at a time. It rises at once.
 
@@ -43,7 +43,7 @@
 const BURST_OBSERVATION: Duration = Duration::from_secs(15);
 /// Lower bound of the expected size of a burst, which covers the variation of Poisson arrivals within a second.
 const MIN_BURST: f64 = 1.25;
-/// Upper bound of the expected size of a burst. A larger ratio is a start or an end of the load, not a burst.
+/// Upper bound of the expected size of a burst. A larger ratio means that the load starts anew.
 const MAX_BURST: f64 = 2.5;
 /// Number of engines added to both sides of the ratio that measures a burst, so that single prompts in a light load do
 /// not count as bursts.
--- a/crates/planner/src/risk_aware_workers.rs
+++ b/crates/planner/src/risk_aware_workers.rs
@@ -1,18 +1,18 @@
-//! Decides how many reserved and spot workers each zone should have, given the number of workers that the load needs and
-//! the number of zones whose spot workers may be withdrawn at once.
+//! Decides how many reserved and spot workers each zone should have, given the number of workers that the load needs
+//! and the number of zones whose spot workers may be withdrawn at once.
 //!
 //! Spot workers cost a fraction of reserved ones, but the provider may withdraw all spot workers of a zone within
 //! seconds, and later offers none there for a while. A new worker needs seconds to start. The needed number therefore
-//! has to remain after the loss of all spot workers of the tolerated number of zones. The room for a further burst has to
-//! remain too, as far as spot workers can provide it: reserved workers for it would cost several times as much, and a
-//! burst and a withdrawal rarely coincide. The plan is the cheapest one that
-//! fulfills this:
+//! has to remain after the loss of all spot workers of the tolerated number of zones. The room for a further burst has
+//! to remain too, as far as spot workers can provide it: reserved workers for it would cost several times as much, and
+//! a burst and a withdrawal rarely coincide. The plan is the cheapest one that fulfills this:
 //!
 //! 1. Each zone has its minimum number of workers as reserved ones.
 //! 2. For each upper bound on the spot workers of a zone, as many spot workers are added as are needed in addition to
 //!    those that a withdrawal takes, in the cheapest zones first. Where spot workers do not suffice, present reserved
-//!    workers are kept and further ones are added in the cheapest zones. The bound with the lowest price is used. An even spread loses the fewest workers, and an expensive zone
-//!    gets fewer workers if their price exceeds that of the additional workers that an uneven spread requires.
+//!    workers are kept and further ones are added in the cheapest zones. The bound with the lowest price is used. An
+//!    even spread loses the fewest workers, and an expensive zone gets fewer workers if their price exceeds that of the
+//!    additional workers that an uneven spread requires.
 //! 3. A zone whose spot workers are being withdrawn, that refused spot workers, or whose order for them is unanswered
 //!    counts with its serving spot workers only. The others make up for it at once.
 //! 4. The previous plan stays in force while it still fulfills the need, unless the new one saves more than its orders
@@ -27,8 +27,8 @@
 
 /// Price of an order, in seconds of a reserved worker.
 const ORDER_PRICE: f64 = 3.0;
-/// Seconds in which a new plan has to save the price of its orders: the load of the next seconds is not known for longer
-/// than the time for which peaks of it are remembered.
+/// Seconds in which a new plan has to save the price of its orders: the load of the next seconds is not known for
+/// longer than the time for which peaks of it are remembered.
 const SAVING_SECONDS: f64 = 30.0;
 /// Fraction of the price that a new plan has to save: a smaller difference may be reverted by the next change of the
 /// need, which rises at once.
@@ -36,8 +36,8 @@
 
 /// Divisor of the wanted workers that gives how many may be missing for a startup time while workers are exchanged.
 const EXCHANGED_FRACTION: u32 = 16;
-/// Number of equal parts in which the workers of a group are released, in turn with other groups. A withdrawal takes the
-/// spot workers of the zone that has most, so zones have to exchange their reserved workers at the same pace.
+/// Number of equal parts in which the workers of a group are released, in turn with other groups. A withdrawal takes
+/// the spot workers of the zone that has most, so zones have to exchange their reserved workers at the same pace.
 const RELEASE_PARTS: u32 = 4;
 
 /// The current workers of one zone.
@@ -88,8 +88,8 @@
         }
     }
 
-    /// Returns how many workers of the zone's maximum its spot workers take up, until those that are released have left,
-    /// and if an unanswered order is carried out.
+    /// Returns how many workers of the zone's maximum its spot workers take up, until those that are released have
+    /// left, and if an unanswered order is carried out.
     fn claimed_spot(&self) -> u32 {
         let present = self.expected_spot().saturating_add(self.departing_spot);
         present.max(self.unanswered_spot)
--- a/crates/planner/tests/engine_need.rs
+++ b/crates/planner/tests/engine_need.rs
@@ -1,5 +1,5 @@
-//! The number of engines that the demand needs: it rises at once, falls slowly, and is constant while the mix of requests
-//! alternates.
+//! The number of engines that the demand needs: it rises at once, falls slowly, and is constant while the mix of
+//! requests alternates.
 
 use std::time::Duration;
 
