--- a/crates/forwarding/tests/urgent_first.rs
+++ b/crates/forwarding/tests/urgent_first.rs
@@ -22,7 +22,6 @@
 const LONG_PROMPTS: RouteLoad = RouteLoad {
     name: "long",
     yields: false,
-    pause: None,
     requests_per_second: 5.0,
     begins_at_millis: 1_000,
     prompt_tokens: 17_000,
@@ -34,7 +33,6 @@
 const SHORT_REQUESTS: RouteLoad = RouteLoad {
     name: "short",
     yields: true,
-    pause: None,
     requests_per_second: 240.0,
     begins_at_millis: 0,
     prompt_tokens: 380,
