Choose engines by all load, admit urgent requests behind their own group, combine ranks

Change: the choice and the learned costs of all requests are those of before; only a prompt that would be refused is compared again behind its own group. With urgent_first, engines get the tenant's rank refined by the route's, and a route yields if its service has more urgent routes.

--- a/crates/forwarding/src/directory/admission.rs
+++ b/crates/forwarding/src/directory/admission.rs
@@ -241,7 +241,7 @@
         if self.decisions.beside_streams && self.fits_beside_streams(now, demand, objectives) {
             return taken(false, demand.draw);
         }
-        if let Some(taken) = self.admit_urgent(&comparison, limits) {
+        if let Some(taken) = self.admit_urgent(now, demand, limits) {
             return taken;
         }
         let queue_seconds = limits.queue_seconds(&plan);
@@ -252,13 +252,19 @@
         }
     }
 
-    /// Admits an urgent prompt that would be in time behind its own group, although the plan that
-    /// spares less urgent streams is late.
-    fn admit_urgent(&self, comparison: &Comparison<'_>, limits: WaitLimits) -> Option<Admission> {
-        if comparison.waits_as != UrgencyGroup::Urgent {
+    /// Admits an urgent prompt that would be in time behind its own group, although it would be
+    /// late behind all requests.
+    fn admit_urgent(
+        &self,
+        now: Timestamp,
+        demand: Demand<'_>,
+        limits: WaitLimits,
+    ) -> Option<Admission> {
+        if self.waits_as(demand) != UrgencyGroup::Urgent {
             return None;
         }
-        let plan = self.plan_with(comparison.now, comparison, Spares::OwnGroup)?;
+        let comparison = self.comparison_as(now, demand, UrgencyGroup::Urgent);
+        let plan = self.plan_with(now, &comparison, Spares::OwnGroup)?;
         limits.admits(&plan).then_some(Admission::Admitted {
             read_apart: plan.read_apart,
             draw: comparison.demand.draw,
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -317,15 +317,18 @@
         if let Some(work) = &ticket.work {
             let seconds = (latency.as_secs_f64() - ticket.fetch_seconds).max(0.0);
             let service = tracked.worker.service.clone();
-            let costs = match ticket.waits_as {
-                UrgencyGroup::Urgent => self.urgent_values.costs.entry(service),
-                UrgencyGroup::LessUrgent => self.costs.entry(service),
-            };
             if self.decisions.learnt_costs {
+                let costs = self.costs.entry(service.clone());
                 costs.or_default().learn(work, seconds);
             }
+            let group = UrgencyGroup::LessUrgent;
             if self.decisions.slowness {
-                tracked.learn_slowness(ticket.waits_as, ticket.baseline_seconds, seconds);
+                tracked.learn_slowness(group, ticket.baseline_seconds, seconds);
+            }
+            if let Some(urgent) = &ticket.urgent {
+                let costs = self.urgent_values.costs.entry(service);
+                costs.or_default().learn(&urgent.work, seconds);
+                tracked.learn_slowness(UrgencyGroup::Urgent, urgent.baseline_seconds, seconds);
             }
         }
         ticket.read_at = Some(now);
@@ -400,7 +403,7 @@
         {
             let service = tracked.worker.service.clone();
             let held = now.since(read_at).as_secs_f64().min(MAX_HOLD_SECONDS);
-            if ticket.waits_as == UrgencyGroup::Urgent {
+            if ticket.urgent.is_some() {
                 self.urgent_values.record_hold(&service, held);
             }
             self.hold_seconds.entry(service).or_default().record(held);
--- a/crates/forwarding/src/directory/prediction.rs
+++ b/crates/forwarding/src/directory/prediction.rs
@@ -65,10 +65,20 @@
 }
 
 impl Directory {
-    /// Returns what is the same for all workers compared for a demand.
+    /// Returns what is the same for all workers compared for a demand that waits for all requests
+    /// before it.
     pub(super) fn comparison<'a>(&'a self, now: Timestamp, demand: Demand<'a>) -> Comparison<'a> {
+        self.comparison_as(now, demand, UrgencyGroup::LessUrgent)
+    }
+
+    /// Returns the same for a demand with the waits of a group.
+    pub(super) fn comparison_as<'a>(
+        &'a self,
+        now: Timestamp,
+        demand: Demand<'a>,
+        waits_as: UrgencyGroup,
+    ) -> Comparison<'a> {
         let tokens = prompt_tokens(demand.prompt);
-        let waits_as = self.waits_as(demand);
         let costs = self.costs_for(demand.service, waits_as);
         let holders = match costs.is_short(tokens) || !self.decisions.fetches {
             true => Vec::new(),
--- a/crates/forwarding/src/directory/ticket.rs
+++ b/crates/forwarding/src/directory/ticket.rs
@@ -8,11 +8,21 @@
 use super::choice::{Demand, RouteKey};
 use super::costs::EngineWork;
 use super::stream_pauses::{EngineActivity, MAX_STREAM_PAUSE};
+use super::tracked::TrackedWorker;
 use super::{Directory, MAX_EXPECTED_SECONDS};
 use crate::selection::Need;
 use crate::urgency::UrgencyGroup;
 use crate::worker::WorkerId;
 
+/// What is expected of a send that waits for the urgent group only.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct UrgentExpectation {
+    /// The work that the engine was asked to do.
+    pub(super) work: EngineWork,
+    /// Seconds that an average worker of the service was expected to take.
+    pub(super) baseline_seconds: f64,
+}
+
 /// A send in progress.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SendTicket {
@@ -23,8 +33,8 @@
     pub(super) route: RouteKey,
     /// The group that it is counted in until it ends.
     pub(super) group: UrgencyGroup,
-    /// The group whose waits it was expected to have.
-    pub(super) waits_as: UrgencyGroup,
+    /// What is expected of it if it waits for the urgent group only; `None` if it waits for all.
+    pub(super) urgent: Option<UrgentExpectation>,
     pub(super) reading_tokens: u64,
     /// Whether reading its remaining tokens costs an engine hardly more than any prompt does.
     pub(super) is_short: bool,
@@ -99,7 +109,7 @@
             is_trial: false,
             route: RouteKey::of(demand.route),
             group: self.counted_group(demand),
-            waits_as: self.waits_as(demand),
+            urgent: None,
             reading_tokens: 0,
             is_short: false,
             work: None,
@@ -134,9 +144,30 @@
             ticket.fetch_seconds = estimate.transfer_seconds;
         }
         ticket.baseline_seconds = comparison.costs.seconds(&work);
-        let slowness = tracked.slowness(ticket.waits_as);
+        let slowness = tracked.slowness(UrgencyGroup::LessUrgent);
+        ticket.urgent = self.urgent_expectation(now, tracked, demand, need);
         ticket.expected_seconds = ticket.baseline_seconds * slowness + ticket.fetch_seconds;
         ticket.work = Some(work);
         ticket
     }
+
+    /// Returns what is expected of a send if its request belongs to the urgent group.
+    fn urgent_expectation(
+        &self,
+        now: Timestamp,
+        tracked: &TrackedWorker,
+        demand: Demand<'_>,
+        need: &Need,
+    ) -> Option<UrgentExpectation> {
+        if self.waits_as(demand) != UrgencyGroup::Urgent {
+            return None;
+        }
+        let comparison = self.comparison_as(now, demand, UrgencyGroup::Urgent);
+        let work = self.engine_work(tracked, need, &comparison);
+        let baseline_seconds = comparison.costs.seconds(&work);
+        Some(UrgentExpectation {
+            work,
+            baseline_seconds,
+        })
+    }
 }
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod cache_view;
+pub mod combined_ranks;
 pub mod configuration;
 pub mod cost_model;
 pub mod decisions;
@@ -36,6 +37,7 @@
 pub mod worker_notice;
 
 pub use cache_view::{CacheView, PartKey};
+pub use combined_ranks::{CombinedRanks, Urgency};
 pub use configuration::{
     Configuration, ConfigurationError, EngineCapacity, Limits, Repeatability, Route, Service,
     Target, WorkerScaling,
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -76,7 +76,10 @@
         .protocol
         .parse_caller_terms(&headers)
         .map_err(|bad| Refusal::BadRequest(bad.to_string()))?;
-    let routed = route(request, &terms, &in_force)?;
+    let mut routed = route(request, &terms, &in_force)?;
+    if shared.settings.read().decisions.urgent_first {
+        routed.use_combined_urgency();
+    }
     let limits = in_force.limits();
     let caller_timeout = terms.timeout.unwrap_or(routed.route.timeout);
     let time_limit = caller_timeout.min(routed.route.timeout);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,9 +10,9 @@
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::{ServiceName, TenantName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    ApiKey, AuthenticatedTenant, Configuration, Directory, GrantedPlacements, LapsedWorkers,
-    Limits, Mirror, Position, Quarantine, RetryShares, Route, RouteTable, SendTracker, StopPlan,
-    TenantTable, Worker,
+    ApiKey, AuthenticatedTenant, CombinedRanks, Configuration, Directory, GrantedPlacements,
+    LapsedWorkers, Limits, Mirror, Position, Quarantine, RetryShares, Route, RouteTable,
+    SendTracker, StopPlan, TenantTable, Urgency, Worker,
 };
 use tokio::sync::watch;
 
@@ -109,6 +109,7 @@
     tenants: Option<TenantTable>,
     /// The rank of the most urgent requests for each service.
     most_urgent_ranks: HashMap<ServiceName, u8>,
+    combined_ranks: CombinedRanks,
 }
 
 /// Why a request is not routed.
@@ -130,24 +131,37 @@
     pub tenant: Option<TenantName>,
     /// The priority rank of the request; 0 is the most urgent.
     pub rank: u8,
+    /// The urgency that follows from the ranks of both the tenant and the route.
+    pub combined_urgency: Urgency,
     /// Whether the service may have more urgent requests, for which this one leaves slots free.
     pub yields: bool,
     /// The version of the configuration that was used.
     pub version: u64,
 }
 
+impl RoutedRequest {
+    /// Replaces the urgency by the one that follows from the ranks of both the tenant and the route.
+    pub fn use_combined_urgency(&mut self) {
+        let Urgency { rank, yields } = self.combined_urgency;
+        self.rank = rank;
+        self.yields = yields;
+    }
+}
+
 impl ConfigurationInForce {
     /// Indexes a configuration that was written to the store at `written`.
     pub fn new(configuration: Configuration, written: Position) -> Self {
         let routes = Mutex::new(RouteTable::new(&configuration));
         let tenants = configuration.tenants.as_deref().map(TenantTable::new);
         let most_urgent_ranks = configuration.most_urgent_ranks();
+        let combined_ranks = CombinedRanks::new(&configuration);
         Self {
             configuration,
             written,
             routes,
             tenants,
             most_urgent_ranks,
+            combined_ranks,
         }
     }
 
@@ -173,6 +187,7 @@
         Ok(RoutedRequest {
             yields: most_urgent.is_some_and(|most_urgent| *most_urgent < rank),
             rank,
+            combined_urgency: self.combined_ranks.urgency(&service, tenant_rank, &route),
             tenant: tenant.map(|tenant| tenant.name.clone()),
             route,
             service,
