--- a/crates/forwarding/src/tenant_shares.rs
+++ b/crates/forwarding/src/tenant_shares.rs
@@ -22,7 +22,7 @@
 //! If gateways report these rates to each other (`fleet_tenants`), the shares follow from the work of the whole fleet
 //! ([`TenantShares::fleet_wait_fraction`]). The limits are then tighter, since each tenant has to be served close to
 //! its share: a tenant that demands more than its share waits for a fraction of the usual time even before it has taken
-//! its share (at least [`MIN_FRACTION_AT_SHARE`]), and the fraction falls with the power [`FLEET_GAIN`] of what it has
+//! its share (at least `MIN_FRACTION_AT_SHARE`), and the fraction falls with the power `FLEET_GAIN` of what it has
 //! taken beyond its share.
 
 use std::collections::HashMap;
@@ -50,9 +50,9 @@
 /// the queue in the first second. With 2, engines did 2.5% less work at a demand equal to their capacity.
 const DEMAND_GAIN: f64 = 1.5;
 /// The minimum fraction of the usual wait for a tenant that demands more than its share and has taken no more than that,
-/// if shares follow from the whole fleet. The remainder is left to tenants that demand less: with 0.8, some of them were served 15%
-/// less than they demanded, as the queue was long when their requests arrived. It does not apply to a tenant that is
-/// entitled to more than its share by [`MIN_SERVED_FRACTION`].
+/// if shares follow from the whole fleet. The remainder is left to tenants that demand less: with 0.8, some of them were
+/// served 15% less than they demanded, as the queue was long when their requests arrived. It does not apply to a tenant
+/// that is entitled to more than its share by [`MIN_SERVED_FRACTION`].
 const MIN_FRACTION_AT_SHARE: f64 = 0.5;
 /// Interval between calculations of the shares. It is short compared with the half-life of the rates.
 const SHARE_UPDATE_INTERVAL: Duration = Duration::from_millis(100);
