Take out the orders of workers under the risk of a withdrawal again

Ruled out: fewer spot workers in calm, since those of the remaining zone are what serves after a withdrawal of two. Change: planner and wiring removed with their tests and pages; unused switches removed.

--- a/crates/cli/tests/gateway_platform/worker_orders.rs
+++ b/crates/cli/tests/gateway_platform/worker_orders.rs
@@ -1,7 +1,7 @@
 //! Orders of workers by kind and zone, by gateways as separate processes: spot workers replace reserved workers,
 //! which are released only when the spot workers serve.
 
-use tansyhall_platform_standin::{Behaviour, OperationsFault, ScaleCall, ScalingPlan, Worker};
+use tansyhall_platform_standin::{Behaviour, OperationsFault, ScaleCall, ScalingPlan};
 use tansyhall_testing::eventually;
 
 use crate::support::{Site, WorkerSpec};
@@ -147,110 +147,3 @@
         "{ordered:?}"
     );
 }
-
-const APPLICATION: WorkerSpec = ("app", None, Behaviour::Serve { events: 0 });
-const OTHER_ZONE: &str = "balkhu";
-/// Reserved and spot workers before the withdrawal.
-const RESERVED_WORKERS: usize = 2;
-const WITHDRAWN_WORKERS: usize = 16;
-/// A third of the workers is needed while the demand is unknown.
-const NEEDED_WORKERS: u32 = 6;
-
-fn scaling_of_two_zones() -> ScalingPlan {
-    ScalingPlan {
-        service: "app",
-        limits: (1, 20),
-        zone_prices: vec![(ZONE, 1.0), (OTHER_ZONE, 1.0)],
-    }
-}
-
-/// Returns how many reserved workers of both zones are in force.
-fn reserved_in_force(site: &Site) -> u32 {
-    let calls = site.operations.scale_calls();
-    let in_zone = |zone, at_start: usize| {
-        let mut reserved = calls.iter().rev().filter(|call| !call.spot);
-        let last = reserved.find(|call| call.zone == zone);
-        last.map_or(at_start as u32, |call| call.desired)
-    };
-    in_zone(ZONE, RESERVED_WORKERS) + in_zone(OTHER_ZONE, 0)
-}
-
-/// Starts a site that has to bear the loss of a zone, in which all spot workers are in one zone.
-async fn site_with_spot_workers_in_one_zone() -> (Site, Vec<Worker>) {
-    let site = Site::start_with_tolerated_zones(&[APPLICATION; RESERVED_WORKERS], 1, 1).await;
-    let spot_workers: Vec<_> = (0..WITHDRAWN_WORKERS)
-        .map(|_| site.start_spot_worker("app", OTHER_ZONE))
-        .collect();
-    let workers = (RESERVED_WORKERS + WITHDRAWN_WORKERS) as f64;
-    eventually("all workers are announced", || async {
-        let announced = site.gateways[0]
-            .metric("gateway_workers{service=\"app\",state=\"ready\"}")
-            .await?;
-        (announced >= workers).then_some(())
-    })
-    .await;
-    (site, spot_workers)
-}
-
-/// Guards against orders that count on spot workers which were withdrawn or cannot be had.
-#[actix_rt::test]
-async fn a_withdrawal_is_made_up_for_by_reserved_workers_where_no_spot_worker_is_available() {
-    let (site, spot_workers) = site_with_spot_workers_in_one_zone().await;
-    site.configure_scaling(&scaling_of_two_zones());
-    eventually("spot workers are ordered in both zones", || async {
-        let calls = site.operations.scale_calls();
-        let mut of_zone = calls.iter().filter(|call| call.zone == ZONE);
-        of_zone.any(|call| call.spot).then_some(())
-    })
-    .await;
-    site.operations.set_fault(OperationsFault::NoSpot);
-    for worker in &spot_workers {
-        worker.write_entry("draining");
-    }
-    eventually("reserved workers are ordered for the need", || async {
-        (reserved_in_force(&site) >= NEEDED_WORKERS).then_some(())
-    })
-    .await;
-}
-
-/// Guards against another size of a site at its start, before its demand is known.
-#[actix_rt::test]
-async fn before_the_demand_is_known_a_tolerated_zone_changes_no_order() {
-    let site = Site::start_with_tolerated_zones(&[RESERVED; WORKERS], 1, 1).await;
-    site.configure_scaling(&scaling());
-    eventually("spot workers are ordered", || async {
-        (desired_counts(&site, true).last() == Some(&SPOT_WORKERS)).then_some(())
-    })
-    .await;
-    assert!(desired_counts(&site, false).is_empty());
-}
-
-/// Guards against orders that are lost or contradicted while the operations API does not answer.
-#[actix_rt::test]
-async fn unanswered_orders_for_the_loss_of_a_zone_are_repeated_and_not_contradicted() {
-    let (site, _spot_workers) = site_with_spot_workers_in_one_zone().await;
-    site.operations
-        .set_fault(OperationsFault::Late { after_ms: LATE_MS });
-    site.configure_scaling(&scaling_of_two_zones());
-    eventually("two orders are unanswered", || async {
-        (site.operations.pending_orders() > 1).then_some(())
-    })
-    .await;
-    site.operations.set_fault(OperationsFault::None);
-    eventually("spot workers are ordered in the other zone", || async {
-        let calls = site.operations.scale_calls();
-        let mut of_zone = calls.iter().filter(|call| call.zone == ZONE);
-        let is_ordered = of_zone.any(|call| call.spot);
-        (is_ordered && site.operations.pending_orders() == 0).then_some(())
-    })
-    .await;
-    let calls = site.operations.scale_calls();
-    for zone in [ZONE, OTHER_ZONE] {
-        let of_zone: Vec<ScaleCall> = calls
-            .iter()
-            .filter(|call| call.zone == zone)
-            .cloned()
-            .collect();
-        assert!(contradictions(&of_zone).is_empty(), "{of_zone:#?}");
-    }
-}
--- a/crates/forwarding/src/decisions.rs
+++ b/crates/forwarding/src/decisions.rs
@@ -56,9 +56,7 @@
     pub urgent_first: bool,
     /// Engines that neither role needs are divided between both roles by the recent peaks of their demand.
     pub balanced_spares: bool,
-    /// Cached prompt parts are copied between engines wherever that is faster than reading them again.
-    pub timely_fetches: bool,
-    /// Rate limits of workers and the fixed part of retry budgets are divided between gateways by their demand.
+    /// Rate limits of workers are divided between gateways by their demand.
     pub demand_shares: bool,
     /// In overload, the shares of tenants follow from what they have used at all gateways.
     pub fleet_tenant_shares: bool,
@@ -66,13 +64,6 @@
     pub stream_pauses: bool,
     /// In a shortage, workers that are about to leave still get requests that they finish in time.
     pub leaving_workers: bool,
-    /// The number of ordered workers follows from their prices and the risk of a withdrawal.
-    pub withdrawal_risk: bool,
-    /// The learned costs of work are kept in the store for gateways that start.
-    pub stored_costs: bool,
-    /// A request whose failure belongs to the request itself is not sent to a second worker, and new workers get their
-    /// share of the requests gradually.
-    pub useful_retries: bool,
 }
 
 impl Default for Decisions {
@@ -100,14 +91,10 @@
             worker_orders: true,
             urgent_first: true,
             balanced_spares: true,
-            timely_fetches: true,
             demand_shares: true,
             fleet_tenant_shares: true,
             stream_pauses: true,
             leaving_workers: true,
-            withdrawal_risk: true,
-            stored_costs: true,
-            useful_retries: true,
         }
     }
 }
@@ -122,14 +109,10 @@
         Self {
             urgent_first: false,
             balanced_spares: false,
-            timely_fetches: false,
             demand_shares: false,
             fleet_tenant_shares: false,
             stream_pauses: false,
             leaving_workers: false,
-            withdrawal_risk: false,
-            stored_costs: false,
-            useful_retries: false,
             ..self
         }
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -56,8 +56,6 @@
     pub holds_authority: IntGauge,
     /// Orders of workers from the platform, by kind and outcome.
     pub worker_orders: IntCounterVec,
-    /// Number of workers that the load needs, by service, where orders consider the risk of a withdrawal.
-    pub needed_workers: IntGaugeVec,
     /// Usage reports to the platform, by outcome.
     pub usage_reports: IntCounterVec,
     /// Milliseconds since the store last answered.
@@ -187,13 +185,6 @@
                 ),
                 &["kind", "outcome"],
             )?,
-            needed_workers: IntGaugeVec::new(
-                Opts::new(
-                    "gateway_needed_workers",
-                    "Workers that have to remain after a withdrawal, by service",
-                ),
-                &["service"],
-            )?,
             usage_reports: IntCounterVec::new(
                 Opts::new("gateway_usage_reports_total", "Reports of usage by outcome"),
                 &["outcome"],
@@ -290,8 +281,6 @@
             .register(Box::new(self.holds_authority.clone()))?;
         self.registry
             .register(Box::new(self.worker_orders.clone()))?;
-        self.registry
-            .register(Box::new(self.needed_workers.clone()))?;
         self.registry
             .register(Box::new(self.usage_reports.clone()))?;
         self.registry
--- a/crates/gateway/src/worker_orders/history.rs
+++ b/crates/gateway/src/worker_orders/history.rs
@@ -73,30 +73,6 @@
         !self.spot_backoffs.contains_key(&group)
     }
 
-    /// Returns the number of workers in an order that has not been answered and may still be carried out.
-    pub fn unanswered(&self, now: Timestamp, order: &WorkerOrder) -> Option<u32> {
-        let group = group_of(order);
-        let unanswered = self.unanswered.get(&group)?;
-        let sent_at = unanswered.until - LATE_EXECUTION_WINDOW;
-        let accepted = self.accepted.get(&group);
-        let is_answered = accepted.is_some_and(|accepted| {
-            accepted.desired == unanswered.desired && accepted.at >= sent_at
-        });
-        (now < unanswered.until && !is_answered).then_some(unanswered.desired)
-    }
-
-    /// Returns how many workers the last accepted order asked for if its effect may not be visible yet.
-    pub fn recently_ordered(
-        &self,
-        now: Timestamp,
-        order: &WorkerOrder,
-        startup_time: Duration,
-    ) -> Option<u32> {
-        let accepted = self.accepted.get(&group_of(order))?;
-        let is_recent = now.since(accepted.at) < startup_time + ENTRY_UPDATE_TIME;
-        is_recent.then_some(accepted.desired)
-    }
-
     /// Returns whether spot workers may be ordered again in a zone that had none.
     pub fn may_retry_spot(&self, now: Timestamp, order: &WorkerOrder) -> bool {
         let backoff = self.spot_backoffs.get(&group_of(order));
--- a/crates/gateway/src/worker_orders/mod.rs
+++ b/crates/gateway/src/worker_orders/mod.rs
@@ -6,12 +6,9 @@
 //! carried out after a newer one and undo it, because both have the same fence. Another number is therefore ordered
 //! only when this is no longer possible. The number of workers that the operator planned is kept in the store, so that
 //! a new holder does not take the size of a fleet that has just lost a zone for the planned one.
-//!
-//! With the switch `withdrawal_risk`, [`tansyhall_planner::risk_aware_workers`] computes the goal (see `risk_aware`).
 
 mod history;
 mod needed_engines;
-mod risk_aware;
 
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -32,7 +29,6 @@
 
 use self::history::OrderHistory;
 use self::needed_engines::NeededEngines;
-use self::risk_aware::RiskAwareState;
 use crate::authority_claim;
 use crate::duties::{DutyOutcome, WorkerOrder};
 use crate::duty_calls::DutyCalls;
@@ -60,7 +56,6 @@
         calls,
         history: OrderHistory::default(),
         needed_engines: HashMap::new(),
-        risk_aware: HashMap::new(),
         allowance,
     };
     while !orders.shared.is_stopping() {
@@ -77,8 +72,6 @@
     history: OrderHistory,
     /// Estimate of the needed engines of each service.
     needed_engines: HashMap<ServiceName, NeededEngines>,
-    /// Plans that consider the risk of a withdrawal, by service.
-    risk_aware: HashMap<ServiceName, RiskAwareState>,
     /// Limits how many workers may be added or removed.
     allowance: ChangeAllowance,
 }
@@ -96,8 +89,6 @@
                 continue;
             };
             let Some(epoch) = self.calls.fence() else {
-                // Meanwhile, another holder orders by a demand that this gateway does not observe.
-                self.risk_aware.clear();
                 return;
             };
             if let Some(planned) = self.planned(epoch, service).await {
@@ -194,9 +185,6 @@
         scaling: &WorkerScaling,
         planned: u32,
     ) {
-        if self.order_with_risk(epoch, service, scaling, planned).await {
-            return;
-        }
         let workers = self.workers(&service.name);
         let zones = self.zones(&service.name, scaling, &workers);
         let limits = WorkerLimits {
--- a/crates/planner/src/lib.rs
+++ b/crates/planner/src/lib.rs
@@ -5,21 +5,15 @@
 
 pub mod bounds;
 pub mod change_allowance;
-pub mod engine_need;
 pub mod peak;
 pub mod predictive;
-pub mod risk_aware_workers;
 pub mod role_balance;
 pub mod rollout;
 pub mod worker_balance;
 
 pub use bounds::{plan_change_for_limits, EngineView, PlannedChange, RoleLimit};
 pub use change_allowance::ChangeAllowance;
-pub use engine_need::{engines_for, BusyEngines, EngineEstimate, EngineNeed};
 pub use peak::RecentPeak;
-pub use risk_aware_workers::{
-    remaining_workers, spot_if_offered, Requirement, RiskAwareWorkers, ZoneSupply,
-};
 pub use role_balance::{
     balance_roles, BalancedEngine, ExpectedDemand, RoleChange, RolePeakTracker, RolePeaks,
     UrgentFractions,
