--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -66,7 +66,7 @@
 impl Directory {
     /// Chooses a worker for a gateway in the demand's zone.
     pub fn select(&self, now: Timestamp, demand: Demand<'_>, need: &Need) -> Option<&Worker> {
-        let comparison = self.comparison(now, demand);
+        let comparison = self.comparison_for_choice(now, demand, need);
         let affinity = affinity_part(demand.prompt);
         let rank = |tracked: &TrackedWorker| {
             let key = affinity.map_or(&[][..], |part| part.id.as_bytes());
--- a/crates/forwarding/src/directory/urgency.rs
+++ b/crates/forwarding/src/directory/urgency.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 
-use tansyhall_core::ServiceName;
+use tansyhall_core::{ServiceName, Timestamp};
 
 use super::choice::{nearly_equal_limit, Demand};
 use super::costs::EngineCosts;
@@ -14,6 +14,9 @@
 use crate::selection::Need;
 use crate::urgency::UrgencyGroup;
 
+/// Less urgent requests occupy the engines if they multiply the time of an urgent request by more than this factor.
+const OCCUPIED_FACTOR: f64 = 2.0;
+
 /// What is learned from requests of the urgent group alone. Requests that were preempted would make
 /// the engines appear slower to those that are not.
 #[derive(Debug, Default)]
@@ -43,6 +46,27 @@
         UrgencyGroup::of(demand.yields || !self.decisions.urgent_first)
     }
 
+    /// Returns the comparison with which a worker is chosen. As long as an urgent demand is served about as soon behind
+    /// all requests as behind its own group, the first comparison spreads the load best. If less urgent requests occupy
+    /// the engines, only the second one tells engines apart that serve urgent requests sooner or later.
+    pub(super) fn comparison_for_choice<'a>(
+        &'a self,
+        now: Timestamp,
+        demand: Demand<'a>,
+        need: &Need,
+    ) -> Comparison<'a> {
+        let behind_all = self.comparison(now, demand);
+        if self.waits_as(demand) != UrgencyGroup::Urgent || demand.prompt.is_empty() {
+            return behind_all;
+        }
+        let behind_group = self.comparison_as(now, demand, UrgencyGroup::Urgent);
+        let best = |comparison: &Comparison<'_>| self.best_worker(now, comparison, need);
+        match (best(&behind_all), best(&behind_group)) {
+            (Some((all, _)), Some((group, _))) if all > group * OCCUPIED_FACTOR => behind_group,
+            _ => behind_all,
+        }
+    }
+
     /// Returns the costs of a service's engines that apply to requests with the waits of a group.
     pub(super) fn costs_for(&self, service: &ServiceName, waits_as: UrgencyGroup) -> EngineCosts {
         let costs = match waits_as {
