--- a/crates/planner/tests/role_balance.rs
+++ b/crates/planner/tests/role_balance.rs
@@ -4,7 +4,7 @@
 use tansyhall_core::{Role, Timestamp, ZoneName};
 use tansyhall_fixed_cases::config_with_seed;
 use tansyhall_planner::{
-    balance_roles, BalancedEngine, ExpectedDemand, RecentPeak, RolePeakTracker,
+    balance_roles, BalancedEngine, ExpectedDemand, RecentPeak, RolePeakTracker, UrgentFractions,
 };
 
 fn engine(zone: &str, role: Role, streams: u32) -> BalancedEngine {
@@ -363,6 +363,28 @@
     assert!(prefill_engines >= 40, "{prefill_engines}");
 }
 
+/// Guards against urgent long prompts that are refused after a loss of engines because a burst of less urgent questions
+/// takes nearly all of the remaining ones.
+#[test]
+fn in_a_shortage_urgent_prompts_keep_the_engines_that_they_need() {
+    let burst = ExpectedDemand {
+        urgent: UrgentFractions {
+            prefill: 1.0,
+            ..UrgentFractions::default()
+        },
+        ..busy(6.0, 60.0)
+    };
+    let mut engines = mixed_fleet(28);
+    let mut peaks = RolePeakTracker::default();
+    last_for(&mut engines, &mut peaks, 0, 30, burst);
+    let prefill_engines = engines.len() - count_decode_engines(&engines);
+    assert!((6..=9).contains(&prefill_engines), "{prefill_engines}");
+    let equally_urgent = busy(6.0, 60.0);
+    last_for(&mut engines, &mut peaks, 30, 30, equally_urgent);
+    let prefill_engines = engines.len() - count_decode_engines(&engines);
+    assert!(prefill_engines < 6, "{prefill_engines}");
+}
+
 /// Guards against role changes before any request has arrived, when nothing is known about the demand.
 #[test]
 fn without_any_demand_no_role_changes() {
