Decide whether workers are reached directly or through relays

Cause: a gateway that is cut off from its workers cannot serve its callers, although other gateways reach the workers. A failed direct connection alone does not tell whether the worker or the path is at fault. Change: `worker_paths` decides, from direct and relayed connection attempts, whether a worker is reached directly or through a relay, which peer is asked, when the direct path is probed and when the gateway is partitioned. A request whose gateway reaches no worker ends at once (`NoPath`) and does not go to one worker after the other. The switch `worker_relays` turns relays off.

--- a/crates/forwarding/src/decisions.rs
+++ b/crates/forwarding/src/decisions.rs
@@ -40,6 +40,8 @@
     pub yielded_places: bool,
     /// Prompts that cost very little to read are read before all others.
     pub short_first: bool,
+    /// Workers that this gateway cannot reach itself are reached through other gateways.
+    pub worker_relays: bool,
     /// Workers that were found absent are not selected.
     pub absence: bool,
     /// Requests that crash workers are no longer sent to any worker.
@@ -84,6 +86,7 @@
             later_return: true,
             yielded_places: true,
             short_first: true,
+            worker_relays: true,
             absence: true,
             quarantine: true,
             worker_notices: true,
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod urgency;
 pub mod worker;
 pub mod worker_notice;
+pub mod worker_paths;
 
 pub use cache_view::{CacheView, PartKey};
 pub use combined_ranks::{CombinedRanks, Urgency};
@@ -83,3 +84,7 @@
 pub use urgency::UrgencyGroup;
 pub use worker::{Worker, WorkerId, WorkerKind, WorkerState};
 pub use worker_notice::{WorkerNotice, MAX_BACKOFF};
+pub use worker_paths::{
+    ConnectFailure, DirectOutcome, IdleRule, PathChange, Probe, RelayOutcome, RelayPeer,
+    WorkerPath, WorkerPaths,
+};
--- a/crates/forwarding/src/request/mod.rs
+++ b/crates/forwarding/src/request/mod.rs
@@ -5,7 +5,7 @@
 //! gateway receives:
 //!
 //! - A send that reached no worker is repeated on another worker. It does not count as a retry,
-//!   because no worker received anything.
+//!   because no worker received anything. If the gateway reaches no worker at all, the request ends.
 //! - A send that provably did not run is repeated on another worker, a few times.
 //! - A send that may have run is repeated only if the request allows a second run, and only on as
 //!   many workers as its route allows.
@@ -157,6 +157,7 @@
                     false => self.select_prompt_reader(),
                 }
             }
+            PromptReadFailure::NoPath => self.finish(self.failure_conclusion()),
             PromptReadFailure::NotStarted => {
                 self.phase = Phase::CheckingRetryBudget;
                 Action::CheckRetryBudget
@@ -209,6 +210,10 @@
         self.avoid.extend(self.current_worker.take());
         match failure {
             SendFailure::NotSent => return self.handle_undelivered(),
+            SendFailure::NoPath => {
+                self.sends = self.sends.saturating_sub(1);
+                return self.finish(self.failure_conclusion());
+            }
             SendFailure::NotRun => {
                 self.runs = self.runs.saturating_sub(1);
                 self.refused_sends += 1;
--- a/crates/forwarding/src/request/step.rs
+++ b/crates/forwarding/src/request/step.rs
@@ -34,6 +34,8 @@
 pub enum SendFailure {
     /// No part of the request reached a worker.
     NotSent,
+    /// No part of the request reached a worker, because the gateway reaches none.
+    NoPath,
     /// The worker reports, or the connection proves, that the request did not run.
     NotRun,
     /// The request may have run: the connection broke, the worker sent nothing, or its answer was invalid.
@@ -47,6 +49,8 @@
 pub enum PromptReadFailure {
     /// No part of the request to read it reached a worker.
     NotSent,
+    /// No part of the request to read it reached a worker, because the gateway reaches none.
+    NoPath,
     /// A worker refused the read or left it in its queue, or it is unknown what the worker did.
     NotStarted,
     /// A worker started the read and failed.
--- a/crates/forwarding/tests/request_machine.rs
+++ b/crates/forwarding/tests/request_machine.rs
@@ -178,6 +178,24 @@
     assert!(was_refused);
 }
 
+/// Guards against connection attempts to one worker after the other while the gateway reaches none of them.
+#[test]
+fn a_request_whose_gateway_reaches_no_worker_is_refused_at_once() {
+    let mut machine = running_machine(Repeatability::AtMostOnce, 3);
+    let action = machine.step(RequestEvent::Failed(SendFailure::NoPath));
+    assert_eq!(action, Action::Finish(Conclusion::Refused));
+    assert_eq!(machine.sends(), 0);
+}
+
+#[test]
+fn a_prompt_whose_gateway_reaches_no_worker_is_refused_at_once() {
+    let mut machine = machine(NON_RESUMABLE_STREAM, 1, true);
+    machine.step(RequestEvent::Arrived);
+    machine.step(selected("p"));
+    let no_path = RequestEvent::PromptNotRead(PromptReadFailure::NoPath);
+    assert_eq!(machine.step(no_path), Action::Finish(Conclusion::Refused));
+}
+
 /// Guards against losing the KV cache of a prompt when the worker that should fetch it was not reached: the KV cache is
 /// still available to the next worker.
 #[test]
@@ -251,6 +269,7 @@
 #[derive(Debug, Clone)]
 enum SendOutcome {
     NotSent,
+    NoPath,
     NotRun,
     MayHaveRun,
     ErrorAnswer,
@@ -262,6 +281,7 @@
 fn send_outcome() -> impl Strategy<Value = SendOutcome> {
     prop_oneof![
         Just(SendOutcome::NotSent),
+        Just(SendOutcome::NoPath),
         Just(SendOutcome::NotRun),
         Just(SendOutcome::MayHaveRun),
         Just(SendOutcome::ErrorAnswer),
@@ -283,6 +303,7 @@
 fn event_of(send_outcome: &SendOutcome) -> RequestEvent {
     match send_outcome {
         SendOutcome::NotSent => RequestEvent::Failed(SendFailure::NotSent),
+        SendOutcome::NoPath => RequestEvent::Failed(SendFailure::NoPath),
         SendOutcome::NotRun => RequestEvent::Failed(SendFailure::NotRun),
         SendOutcome::MayHaveRun => RequestEvent::Failed(SendFailure::MayHaveRun),
         SendOutcome::ErrorAnswer => RequestEvent::Failed(SendFailure::ErrorAnswer),
@@ -324,7 +345,10 @@
                     prop_assert!(!(runs_at_most_once && may_have_run > 0));
                     prop_assert!(may_have_run < max_attempts);
                     let send_outcome = send_outcomes.next().unwrap_or(&SendOutcome::Completed);
-                    may_have_run += u32::from(!matches!(send_outcome, SendOutcome::NotSent | SendOutcome::NotRun));
+                    may_have_run += u32::from(!matches!(
+                        send_outcome,
+                        SendOutcome::NotSent | SendOutcome::NoPath | SendOutcome::NotRun
+                    ));
                     event_of(send_outcome)
                 }
                 Action::Finish(conclusion) => {
