Reach workers through other gateways when the direct path fails

Cause: a gateway whose connections to workers hang or are refused fails all requests of its callers, although it reaches the other gateways, which reach the workers. It also tells the others that healthy workers are absent. Change: a direct connection that has not succeeded after 100 ms, or is refused, is raced with connections that other gateways relay. The relay copies bytes; all decisions, the retry budget and the accounts stay at the caller's gateway. Bytes of the worker are framed, so that an answer that the end of the relay cuts is an error. A partitioned gateway uses relays at once, probes the direct path every 500 ms and returns to it at the first success. Orders to engines are never relayed. A refusal counts as the end of a worker only if a relay, preferably of another zone, is refused too. All direct connections but those of `worker_ends` are opened by `worker_connect`.

--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -124,8 +124,14 @@
     /// Reports that the connection is lost, and does not reuse it.
     fn report_loss(&mut self, loss: Loss) {
         if let Some(borrowed) = self.borrowed.take() {
-            let losses = &borrowed.connections.losses;
-            losses.report(loss, &borrowed.destination);
+            if loss == Loss::Silent {
+                let worker = &borrowed.destination.worker;
+                borrowed.connections.want_path_probe(worker);
+            }
+            if loss == Loss::Silent || borrowed.connection.fails_at_worker() {
+                let losses = &borrowed.connections.losses;
+                losses.report(loss, &borrowed.destination);
+            }
         }
     }
 
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -8,8 +8,10 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use tansyhall_core::Timestamp;
+use tansyhall_forwarding::IdleRule;
 
 use crate::correlation::CarriedIds;
+use crate::worker_relay::client::RelayedStatus;
 
 /// How long no connection to a worker is kept for reuse after one of them has carried the answer to another request. A
 /// late answer then cannot arrive in place of the answer to a later request. When all workers send two of five answers
@@ -26,11 +28,31 @@
     pub usable_until: Timestamp,
     /// When it was opened or last received the head of an answer.
     pub last_received_at: Timestamp,
+    /// The relay through which it leads to the worker; `None` if it is direct.
+    pub relay: Option<Relay>,
     /// The ids of the requests that it has carried.
     pub carried_ids: CarriedIds,
     _open: OpenGuard,
 }
 
+/// The relay of a connection.
+#[derive(Debug, Clone)]
+pub struct Relay {
+    /// The name of the relaying gateway.
+    pub name: Arc<str>,
+    /// What it has reported about the connection.
+    pub status: Arc<RelayedStatus>,
+}
+
+/// Which idle connections a request may use.
+#[derive(Debug, Clone, Copy)]
+pub struct Reuse {
+    /// Which idle connections are kept.
+    pub rule: IdleRule,
+    /// Whether the request may use a relayed connection.
+    pub allows_relayed: bool,
+}
+
 /// Counts a connection as open until it is dropped.
 #[derive(Debug)]
 pub struct OpenGuard(Arc<AtomicU32>);
@@ -43,9 +65,15 @@
 
 impl Connection {
     /// Creates a connection that has carried no request.
-    pub fn new(sender: SendRequest<Full<Bytes>>, open: OpenGuard, now: Timestamp) -> Self {
+    pub fn new(
+        sender: SendRequest<Full<Bytes>>,
+        relay: Option<Relay>,
+        open: OpenGuard,
+        now: Timestamp,
+    ) -> Self {
         Self {
             sender,
+            relay,
             usable_until: Timestamp::default(),
             last_received_at: now,
             carried_ids: CarriedIds::default(),
@@ -53,8 +81,26 @@
         }
     }
 
+    /// Returns whether a failure of the connection is one at the worker. The end of a relay says nothing about the worker.
+    pub fn fails_at_worker(&self) -> bool {
+        self.relay
+            .as_ref()
+            .is_none_or(|relay| relay.status.is_ended_by_worker())
+    }
+
     fn is_usable(&self, now: Timestamp) -> bool {
-        self.usable_until > now && !self.sender.is_closed()
+        let is_relay_leaving = self
+            .relay
+            .as_ref()
+            .is_some_and(|relay| relay.status.is_leaving());
+        self.usable_until > now && !self.sender.is_closed() && !is_relay_leaving
+    }
+
+    fn is_kept_by(&self, rule: IdleRule) -> bool {
+        match self.relay {
+            Some(_) => rule.keeps_relayed,
+            None => self.last_received_at >= rule.direct_alive_since,
+        }
     }
 }
 
@@ -88,10 +134,11 @@
 
     /// Takes the most recently used idle connection that has not carried this id: a late second answer to an earlier
     /// request with the same id could not be distinguished from the answer to this one.
-    pub fn take(&mut self, now: Timestamp, id: &str) -> Option<Connection> {
-        self.prune(now);
+    pub fn take(&mut self, now: Timestamp, id: &str, reuse: Reuse) -> Option<Connection> {
+        self.prune(now, reuse.rule);
         let is_suitable = |connection: &Connection| {
-            connection.sender.is_ready() && connection.carried_ids.allows(id)
+            let is_path_allowed = connection.relay.is_none() || reuse.allows_relayed;
+            is_path_allowed && connection.sender.is_ready() && connection.carried_ids.allows(id)
         };
         let position = self.idle.iter().rposition(is_suitable)?;
         Some(self.idle.remove(position))
@@ -117,8 +164,9 @@
             .retain(|connection| now.since(connection.last_received_at) < silence);
     }
 
-    /// Closes idle connections that are closed by the worker or too old for reuse.
-    pub fn prune(&mut self, now: Timestamp) {
-        self.idle.retain(|connection| connection.is_usable(now));
+    /// Closes idle connections that are closed by the worker, too old for reuse, or not kept by `rule`.
+    pub fn prune(&mut self, now: Timestamp, rule: IdleRule) {
+        self.idle
+            .retain(|connection| connection.is_usable(now) && connection.is_kept_by(rule));
     }
 }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -6,7 +6,6 @@
 //! [`crate::correlation`].
 
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,28 +13,26 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
 use hyper::ext::ReasonPhrase;
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::Timestamp;
-use tansyhall_forwarding::{RateToken, Unavailable, WorkerId};
-use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tansyhall_forwarding::{ConnectFailure, IdleRule, RateToken, Unavailable, WorkerId};
+use tokio::io::{AsyncRead, AsyncWrite};
 
 use crate::answer_body::{AnswerBody, BorrowedConnection};
 use crate::connection_losses::{ConnectionLosses, Loss};
-use crate::connection_pool::{Connection, OpenGuard, Pool};
+use crate::connection_pool::{Connection, OpenGuard, Pool, Relay, Reuse};
 use crate::correlation::{ComparedHead, Correlation, Mismatch};
 use crate::headers::HeaderList;
 use crate::second_answer::SecondAnswerSearch;
+use crate::worker_connect;
 use crate::worker_notices::WorkerNotices;
-use crate::worker_request::WorkerRequest;
+use crate::worker_relay::{ConnectError, WorkerRelays, WorkerStream};
+use crate::worker_request::{RequestKind, WorkerRequest};
 
-/// Maximum time to establish a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time after which the system closes a connection whose sent bytes are not acknowledged.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long an idle connection is kept if the worker names no time-out.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(400);
 /// How much earlier than the worker this gateway stops using an idle connection.
@@ -69,6 +66,9 @@
     /// The worker's address refuses connections: no process listens there.
     #[error("connection refused: no process listens at the worker's address")]
     ConnectionRefused,
+    /// This gateway is partitioned from its workers, and no relay is usable.
+    #[error("no path to workers: neither direct nor through a relay")]
+    NoPath,
     /// This gateway has the maximum number of connections open to the worker.
     #[error("maximum number of connections to the worker is open")]
     TooManyConnections,
@@ -92,6 +92,21 @@
     pub body: AnswerBody,
 }
 
+/// The relay of the connection that carries a request.
+#[derive(Debug, Default)]
+pub struct UsedRelay(Mutex<Option<Arc<str>>>);
+
+impl UsedRelay {
+    /// Returns the name of the relaying gateway; `None` for a direct connection.
+    pub fn name(&self) -> Option<Arc<str>> {
+        self.0.lock().clone()
+    }
+
+    fn set(&self, connection: &Connection) {
+        *self.0.lock() = connection.relay.as_ref().map(|relay| relay.name.clone());
+    }
+}
+
 /// Connections to all workers.
 #[derive(Debug)]
 pub struct Connections {
@@ -99,6 +114,8 @@
     correlation: Correlation,
     /// Notices that workers attach to their answers.
     pub notices: WorkerNotices,
+    /// `None` if all connections are direct.
+    relays: Option<Arc<WorkerRelays>>,
     pools: Mutex<HashMap<WorkerId, Pool>>,
     /// Connections that were lost during a request, and addresses that refuse connections.
     pub losses: ConnectionLosses,
@@ -111,24 +128,42 @@
             clock,
             correlation,
             notices,
+            relays: None,
             pools: Mutex::default(),
             losses: ConnectionLosses::default(),
         }
     }
 
+    /// Opens connections through relays to workers that are not reached directly.
+    pub fn with_relays(mut self, relays: Arc<WorkerRelays>) -> Self {
+        self.relays = Some(relays);
+        self
+    }
+
     /// Sends a request and waits for the head of its answer. Everything that is sent to workers passes through this
     /// function, so that their notices apply to all of it, no matter who selected the worker and when.
     pub async fn send(
         self: &Arc<Self>,
         destination: &Destination,
         request: &WorkerRequest,
+    ) -> Result<WorkerAnswer, SendError> {
+        self.send_recording_relay(destination, request, &UsedRelay::default())
+            .await
+    }
+
+    /// Sends a request as [`Connections::send`] does, and records the relay of the connection that carries it.
+    pub async fn send_recording_relay(
+        self: &Arc<Self>,
+        destination: &Destination,
+        request: &WorkerRequest,
+        used_relay: &UsedRelay,
     ) -> Result<WorkerAnswer, SendError> {
         self.notices
             .check_permitted(&destination.worker, request.kind)?;
         let http_request = build(destination, request)?;
         let token = self.notices.take_rate_token(&destination.worker, request)?;
         let sent = self
-            .send_http_request(destination, request, http_request)
+            .send_http_request(destination, request, http_request, used_relay)
             .await;
         if let (RateToken::Taken, Err(SendError::NotSent(_))) = (token, &sent) {
             self.notices.return_rate_token(&destination.worker);
@@ -142,9 +177,13 @@
         destination: &Destination,
         request: &WorkerRequest,
         mut http_request: hyper::Request<Full<Bytes>>,
+        used_relay: &UsedRelay,
     ) -> Result<WorkerAnswer, SendError> {
         let id = self.correlation.id_of(request);
-        while let Some(connection) = id.and_then(|id| self.take_idle(&destination.worker, id)) {
+        while let Some(connection) =
+            id.and_then(|id| self.take_idle(&destination.worker, id, request.kind))
+        {
+            used_relay.set(&connection);
             match self
                 .send_on(destination, connection, request, http_request)
                 .await
@@ -154,7 +193,8 @@
                 Err(AttemptError::Unsent(unsent)) => http_request = *unsent,
             }
         }
-        let connection = self.connect(destination).await?;
+        let connection = self.connect(destination, request.kind).await?;
+        used_relay.set(&connection);
         // A notice of the worker may have arrived while the connection was being established.
         self.notices
             .check_permitted(&destination.worker, request.kind)?;
@@ -174,7 +214,7 @@
     pub fn prune(&self, is_known: impl Fn(&WorkerId) -> bool) {
         let now = self.clock.now();
         self.pools.lock().retain(|worker, pool| {
-            pool.prune(now);
+            pool.prune(now, self.idle_rule(worker));
             is_known(worker) || pool.has_open()
         });
     }
@@ -188,9 +228,27 @@
         }
     }
 
-    fn take_idle(&self, worker: &WorkerId, id: &str) -> Option<Connection> {
+    /// Asks for a probe of the direct path to a worker that was silent.
+    pub fn want_path_probe(&self, worker: &WorkerId) {
+        if let Some(relays) = &self.relays {
+            relays.want_probe(worker);
+        }
+    }
+
+    fn take_idle(&self, worker: &WorkerId, id: &str, kind: RequestKind) -> Option<Connection> {
         let now = self.clock.now();
-        self.pools.lock().get_mut(worker)?.take(now, id)
+        let reuse = Reuse {
+            rule: self.idle_rule(worker),
+            allows_relayed: kind.allows_relay(),
+        };
+        self.pools.lock().get_mut(worker)?.take(now, id, reuse)
+    }
+
+    fn idle_rule(&self, worker: &WorkerId) -> IdleRule {
+        match &self.relays {
+            Some(relays) => relays.idle_rule(worker),
+            None => IdleRule::ALL_DIRECT,
+        }
     }
 
     /// Keeps a connection for the next request after it has carried a complete answer.
@@ -200,30 +258,65 @@
         pools.entry(worker).or_default().put(now, connection);
     }
 
-    async fn connect(&self, destination: &Destination) -> Result<Connection, SendError> {
+    async fn connect(
+        &self,
+        destination: &Destination,
+        kind: RequestKind,
+    ) -> Result<Connection, SendError> {
         let open = self.try_open(destination)?;
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(destination.address))
-            .await
-            .map_err(|_| not_sent("connection was not established in time"))?
-            .map_err(|error| self.connect_error(destination, &error))?;
-        let _ = stream.set_nodelay(true);
-        let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
-        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-        let (sender, driver) = handshake.map_err(not_sent)?;
-        actix_rt::spawn(async move {
-            if let Err(error) = driver.await {
-                log::debug!("connection to a worker failed: {error}");
+        let stream = self.open_stream(destination, kind).await;
+        let stream = stream.map_err(|error| self.connect_error(destination, kind, error))?;
+        let (sender, relay) = match stream {
+            WorkerStream::Direct(stream) => (start_http(stream).await?, None),
+            WorkerStream::Relayed(stream, name) => {
+                let status = stream.status;
+                let sender = start_http(stream.io).await?;
+                (sender, Some(Relay { name, status }))
             }
-        });
-        Ok(Connection::new(sender, open, self.clock.now()))
+        };
+        Ok(Connection::new(sender, relay, open, self.clock.now()))
     }
 
-    fn connect_error(&self, destination: &Destination, error: &std::io::Error) -> SendError {
-        if error.kind() != ErrorKind::ConnectionRefused {
-            return not_sent(error);
+    async fn open_stream(
+        &self,
+        destination: &Destination,
+        kind: RequestKind,
+    ) -> Result<WorkerStream, ConnectError> {
+        let (worker, address) = (&destination.worker, destination.address);
+        match &self.relays {
+            Some(relays) if kind.allows_relay() => relays.connect(worker, address).await,
+            Some(relays) => {
+                let connected = relays.connect_directly(worker, address).await;
+                connected.map(WorkerStream::Direct)
+            }
+            None => {
+                let connected = worker_connect::connect(address).await;
+                let outcome = worker_connect::outcome_of(&connected);
+                connected
+                    .map(WorkerStream::Direct)
+                    .map_err(|error| ConnectError::of_direct(outcome, &error))
+            }
+        }
+    }
+
+    /// Returns the error of a request without a connection. A refusal that no relay could confirm, because the request must
+    /// not use one, is not reported as a loss.
+    fn connect_error(
+        &self,
+        destination: &Destination,
+        kind: RequestKind,
+        error: ConnectError,
+    ) -> SendError {
+        match error.failure {
+            ConnectFailure::WorkerRefused => {
+                if kind.allows_relay() || self.relays.is_none() {
+                    self.losses.report(Loss::ConnectionRefused, destination);
+                }
+                SendError::NotSent(NotSentReason::ConnectionRefused)
+            }
+            ConnectFailure::WorkerUnreachable => not_sent(error.detail),
+            ConnectFailure::NoPath => SendError::NotSent(NotSentReason::NoPath),
         }
-        self.losses.report(Loss::ConnectionRefused, destination);
-        SendError::NotSent(NotSentReason::ConnectionRefused)
     }
 
     fn try_open(&self, destination: &Destination) -> Result<OpenGuard, SendError> {
@@ -247,7 +340,9 @@
                 return Err(match error.take_message() {
                     Some(unsent) => AttemptError::Unsent(Box::new(unsent)),
                     None => {
-                        self.losses.report(Loss::Broken, destination);
+                        if connection.fails_at_worker() {
+                            self.losses.report(Loss::Broken, destination);
+                        }
                         AttemptError::Failed(SendError::NoAnswer(error.into_error().to_string()))
                     }
                 })
@@ -331,6 +426,21 @@
     }
 }
 
+/// Starts the HTTP connection on a stream to a worker.
+async fn start_http<S>(stream: S) -> Result<SendRequest<Full<Bytes>>, SendError>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (sender, driver) = handshake.map_err(not_sent)?;
+    actix_rt::spawn(async move {
+        if let Err(error) = driver.await {
+            log::debug!("connection to a worker failed: {error}");
+        }
+    });
+    Ok(sender)
+}
+
 fn not_sent(reason: impl std::fmt::Display) -> SendError {
     SendError::NotSent(NotSentReason::Failed(reason.to_string()))
 }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -110,6 +110,19 @@
         /// Milliseconds since the store last answered, directly or through a relay.
         store_age_ms: u64,
     },
+    /// This gateway reaches its workers only through other gateways, or reaches them itself again.
+    WorkerPaths {
+        /// `partitioned` or `restored`.
+        state: &'a str,
+        /// The worker whose connection has shown it.
+        worker: &'a str,
+        /// Number of workers that this gateway did not reach; 0 if `restored`.
+        failed_workers: usize,
+        /// Whether all connections to them were refused; otherwise at least one timed out.
+        by_refusal: bool,
+        /// Milliseconds since the first connection failed.
+        since_ms: u64,
+    },
     /// A worker has stated in an answer that it is leaving. It gets no new requests.
     WorkerLeaving {
         /// The worker.
@@ -169,6 +182,8 @@
         worker: &'a str,
         /// The gateway that has selected the worker; empty if the sending gateway did.
         scheduler: &'a str,
+        /// The gateway that relayed the connection to the worker; empty for a direct connection.
+        relay: &'a str,
         /// `run` or `read_prompt`.
         work: &'a str,
         /// The result of the send.
@@ -227,7 +242,7 @@
         /// Its outcome.
         outcome: &'a str,
         /// Why it was not sent, or not retried: `overload`, `tenant_share`, `rate_limit`, `no_worker`,
-        /// `workers_rest`, `retry_budget`, or empty.
+        /// `workers_rest`, `no_path`, `retry_budget`, or empty.
         cause: &'a str,
         /// The group that it belongs to, `urgent` or `less_urgent`: a refused request would have waited for its own group
         /// or for all requests.
--- a/crates/gateway/src/exchange/placing.rs
+++ b/crates/gateway/src/exchange/placing.rs
@@ -1,5 +1,7 @@
 //! Admission of a request and selection of its workers, by a scheduler or by this gateway itself.
 
+use std::time::Duration;
+
 use tansyhall_core::{Timestamp, ZoneName};
 use tansyhall_forwarding::{
     Admission, Demand, Need, Objectives, PlacementNeed, PlacementRequest, RefusalCause,
@@ -12,6 +14,9 @@
 /// Maximum random addition to a caller's retry time, as a fraction of the time until a worker is available again.
 const MAX_RETRY_JITTER: f64 = 0.25;
 
+/// Time after which a caller whose request found no path to workers should retry.
+const NO_PATH_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 impl Exchange {
     /// Decides whether the request is admitted. A scheduler decides and also places the first send; without an answer
     /// of a scheduler, this gateway decides.
@@ -150,6 +155,14 @@
         Some(worker.id.clone())
     }
 
+    /// Records that this gateway reaches no worker. The caller is asked to retry after the direct path has been probed a
+    /// few times; a random part is added, so that not all callers retry at once.
+    pub(super) fn record_no_path(&mut self) {
+        let jitter = rand::random_range(0.0..MAX_RETRY_JITTER);
+        self.cause = "no_path";
+        self.retry_after = NO_PATH_RETRY_AFTER.mul_f64(1.0 + jitter);
+    }
+
     /// Records that no worker is available for `need`. If the reason is that all workers are leaving, backing off or
     /// at their rate limits, the caller is asked to retry when the first one is available again. A random part
     /// is added to that time, so that not all callers retry at once.
--- a/crates/gateway/src/exchange/prompt.rs
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -30,7 +30,10 @@
     fn not_sent(reason: &NotSentReason) -> Self {
         Self {
             result: unsent_result(reason),
-            failure: PromptReadFailure::NotSent,
+            failure: match reason {
+                NotSentReason::NoPath => PromptReadFailure::NoPath,
+                _ => PromptReadFailure::NotSent,
+            },
             detail: reason.to_string(),
         }
     }
@@ -67,6 +70,7 @@
             let destination = self.shared.destination(&worker);
             let losses = &self.shared.connections.losses;
             losses.report(Loss::Silent, &destination);
+            self.shared.connections.want_path_probe(id);
             return RequestEvent::PromptNotRead(PromptReadFailure::NotStarted);
         };
         match result {
@@ -77,6 +81,9 @@
                 RequestEvent::PromptRead(handle)
             }
             Err(failed) => {
+                if failed.failure == PromptReadFailure::NoPath {
+                    self.record_no_path();
+                }
                 guard.set_result(failed.result, failed.detail);
                 RequestEvent::PromptNotRead(failed.failure)
             }
@@ -90,7 +97,10 @@
     ) -> Result<PromptHandle, FailedPromptRead> {
         let destination = self.shared.destination(worker);
         let request = self.worker_request(worker, Work::ReadPrompt, guard);
-        let sent = self.shared.connections.send(&destination, &request).await;
+        let connections = &self.shared.connections;
+        let sent = connections
+            .send_recording_relay(&destination, &request, &guard.used_relay)
+            .await;
         let mut answer = sent.map_err(|error| match &error {
             SendError::NotSent(reason) => FailedPromptRead::not_sent(reason),
             SendError::NoAnswer(_) => {
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -1,5 +1,6 @@
 //! Sending of a request to a worker that runs it, and handling of the answer by its status.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use tansyhall_forwarding::{
@@ -9,7 +10,7 @@
 
 use super::{failed, Exchange};
 use crate::connection_losses::Loss;
-use crate::connections::{SendError, WorkerAnswer};
+use crate::connections::{NotSentReason, SendError, WorkerAnswer};
 use crate::protocol::{AnswerKind, Work};
 use crate::send_guard::{unsent_result, SendGuard};
 use crate::worker_request::RequestKind;
@@ -41,7 +42,9 @@
         let request = self.worker_request(&worker, work, &guard);
         let destination = self.shared.destination(&worker);
         let connections = self.shared.connections.clone();
-        let mut sending = std::pin::pin!(connections.send(&destination, &request));
+        let used_relay = Arc::clone(&guard.used_relay);
+        let sending = connections.send_recording_relay(&destination, &request, &used_relay);
+        let mut sending = std::pin::pin!(sending);
         let deadline = self.deadline();
         let max_silence = self.max_silence(&guard);
         let silence_deadline = Instant::now() + max_silence;
@@ -52,6 +55,7 @@
                 self.shared
                     .connections
                     .close_silent_connections(max_silence);
+                connections.want_path_probe(&worker.id);
             }
             let may_retry_elsewhere =
                 !wait_until_deadline && self.retries_left(self.shared.now()) > 0;
@@ -83,7 +87,13 @@
             }
             Some(Err(SendError::NotSent(reason))) => {
                 guard.set_result(unsent_result(&reason), reason.to_string());
-                failed(SendFailure::NotSent)
+                match reason {
+                    NotSentReason::NoPath => {
+                        self.record_no_path();
+                        failed(SendFailure::NoPath)
+                    }
+                    _ => failed(SendFailure::NotSent),
+                }
             }
             Some(Err(SendError::NoAnswer(reason))) => {
                 guard.set_result(SendResult::Failed, reason);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`ingress`] receives callers' requests, [`exchange`] runs each of them, and [`connections`] sends them to workers.
 //! [`follower`] keeps a mirror of the store up to date, [`mirror_refresh`] derives the configuration in force from it,
 //! [`peers`] sends its changes to other gateways, and [`presence`] announces this gateway. In a large fleet,
-//! [`placement`] asks a scheduler where to send requests.
+//! [`placement`] asks a scheduler where to send requests. Workers that this gateway cannot reach itself are reached
+//! through other gateways, see [`worker_relay`].
 
 #![forbid(unsafe_code)]
 
@@ -54,10 +55,12 @@
 pub mod update_message;
 mod urgent_part;
 pub mod usage;
+pub mod worker_connect;
 pub mod worker_ends;
 pub mod worker_entries;
 pub mod worker_notices;
 pub mod worker_orders;
+pub mod worker_relay;
 pub mod worker_request;
 
 pub use run::{run, Adapter, Build};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -72,6 +72,12 @@
     pub rate_limit_used: GaugeVec,
     /// Tenants of which other gateways have reported rates.
     pub tenants_of_others: IntGauge,
+    /// Connections to workers that other gateways were asked to relay, by outcome.
+    pub relayed_connections: IntCounterVec,
+    /// Connections that this gateway relays for others.
+    pub relaying: IntGauge,
+    /// Whether this gateway is partitioned from its workers.
+    pub partitioned: IntGauge,
     /// Requests in progress.
     pub in_flight: IntGauge,
 }
@@ -223,6 +229,21 @@
                 "gateway_tenants_of_others",
                 "Tenants whose work other gateways have reported",
             )?,
+            relayed_connections: IntCounterVec::new(
+                Opts::new(
+                    "gateway_relayed_connections_total",
+                    "Connections to workers that other gateways were asked to relay, by outcome",
+                ),
+                &["outcome"],
+            )?,
+            relaying: IntGauge::new(
+                "gateway_relaying",
+                "Connections to workers that are relayed for other gateways",
+            )?,
+            partitioned: IntGauge::new(
+                "gateway_partitioned",
+                "Whether this gateway reaches its workers only through other gateways",
+            )?,
             in_flight: IntGauge::new("gateway_in_flight", "Requests under way")?,
             registry,
         };
@@ -297,6 +318,10 @@
             .register(Box::new(self.rate_limit_used.clone()))?;
         self.registry
             .register(Box::new(self.tenants_of_others.clone()))?;
+        self.registry
+            .register(Box::new(self.relayed_connections.clone()))?;
+        self.registry.register(Box::new(self.relaying.clone()))?;
+        self.registry.register(Box::new(self.partitioned.clone()))?;
         self.registry.register(Box::new(self.in_flight.clone()))
     }
 }
--- a/crates/gateway/src/mirror_refresh.rs
+++ b/crates/gateway/src/mirror_refresh.rs
@@ -49,10 +49,12 @@
     let announced = members.len() as u64;
     // A gateway that has just started places and reports requests before its announcement is in the store.
     let own = presence::own_member(&shared.settings.read());
+    let own_name = own.name.clone();
     if members.iter().all(|member| member.name != own.name) {
         members.push(own);
     }
     if !shared.fleet.read().has_members(&members) {
+        shared.worker_relays.set_members(&own_name, &members);
         *shared.fleet.write() = Arc::new(Fleet::new(members));
     }
     share_budgets(shared, announced);
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -33,6 +33,8 @@
     metrics.store_age_ms.set(gauge(shared.store_age_ms()));
     let in_flight = shared.in_flight.load(Ordering::Relaxed);
     metrics.in_flight.set(gauge(in_flight));
+    let relayed = shared.worker_relays.server.relayed();
+    metrics.relaying.set(gauge(relayed as u64));
     let barred = shared.quarantine.lock().barred_count();
     metrics.barred_requests.set(gauge(barred as u64));
     metrics.workers.reset();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -42,9 +42,10 @@
 use crate::store_contact::StoreContact;
 use crate::usage::Usage;
 use crate::worker_notices::WorkerNotices;
+use crate::worker_relay::WorkerRelays;
 use crate::{
     cache_recovery, ingress, load_exchange, peers, presence, quarantine, readiness, role_orders,
-    usage, worker_ends, worker_entries, worker_orders,
+    usage, worker_ends, worker_entries, worker_orders, worker_relay,
 };
 
 /// Time after which idle connections of callers are closed.
@@ -110,6 +111,8 @@
     ));
     actix_rt::spawn(peers::poll_while_stale(Arc::clone(&shared)));
     shared.datagrams.bind(settings.listen.load).await?;
+    worker_relay::server::serve(&shared.worker_relays, settings.listen.load).await;
+    actix_rt::spawn(worker_relay::probes::run(Arc::clone(&shared.worker_relays)));
     actix_rt::spawn(load_exchange::run(Arc::clone(&shared)));
     actix_rt::spawn(placement::send_notices(Arc::clone(&shared)));
     actix_rt::spawn(cache_recovery::run(Arc::clone(&shared)));
@@ -210,6 +213,16 @@
         Arc::clone(&log),
         metrics.worker_notices.clone(),
     );
+    let worker_relays = Arc::new(WorkerRelays::new(
+        clock,
+        settings.node.zone.clone(),
+        Arc::clone(&directory),
+        Arc::clone(&log),
+        &metrics,
+    ));
+    worker_relays.set_enabled(settings.decisions.worker_relays);
+    let connections =
+        Connections::new(clock, correlation, notices).with_relays(Arc::clone(&worker_relays));
     Ok(Arc::new(Shared {
         settings: RwLock::new(Arc::new(settings)),
         clock,
@@ -233,7 +246,8 @@
         store_contact: StoreContact::default(),
         sends: Mutex::default(),
         quarantine: Mutex::default(),
-        connections: Arc::new(Connections::new(clock, correlation, notices)),
+        connections: Arc::new(connections),
+        worker_relays,
         usage,
         log,
         metrics,
@@ -331,6 +345,7 @@
         shared
             .connections
             .prune(|worker| shared.directory.lock().get(worker).is_some());
+        shared.worker_relays.prune();
         mirror_refresh::update_budget_shares(&shared);
         let now = shared.now();
         shared.directory.lock().expire_notices(now);
@@ -371,6 +386,9 @@
             directory.set_decisions(settings.decisions);
             directory.set_drain_time(settings.drain_time());
             drop(directory);
+            shared
+                .worker_relays
+                .set_enabled(settings.decisions.worker_relays);
             *shared.settings.write() = Arc::new(settings);
             "applied".to_owned()
         }
@@ -383,12 +401,14 @@
 /// Waits for requests in progress. New callers are served until the load balancer has noticed that this gateway is
 /// stopping.
 async fn stop(shared: &Shared) {
-    let in_flight = || shared.in_flight.load(Ordering::Relaxed);
+    let relayed = || shared.worker_relays.server.relayed() as u64;
+    let in_flight = || shared.in_flight.load(Ordering::Relaxed) + relayed();
     let since = *shared.stopping_since.get_or_init(|| shared.now());
     let event = Event::Stopping {
         in_flight: in_flight(),
     };
     shared.log.record(Priority::Important, &event);
+    shared.worker_relays.server.leave();
     let plan = shared.stop_plan();
     while !plan.may_exit(shared.now().since(since), in_flight()) {
         sleep(STOP_CHECK_INTERVAL).await;
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -10,7 +10,7 @@
     WorkerId,
 };
 
-use crate::connections::NotSentReason;
+use crate::connections::{NotSentReason, UsedRelay};
 use crate::events::{Event, Priority};
 use crate::placement::OpenPlacement;
 use crate::state::{saturating_millis, Shared};
@@ -25,6 +25,7 @@
         NotSentReason::TooManyConnections | NotSentReason::WorkerUnavailable(_) => {
             SendResult::Refused
         }
+        NotSentReason::NoPath => SendResult::Abandoned { silent: false },
         NotSentReason::Failed(_) => SendResult::Unreachable,
     }
 }
@@ -68,6 +69,8 @@
     is_answer_complete: bool,
     detail: String,
     head_latency: Option<Duration>,
+    /// The relay of the connection that carries the request.
+    pub used_relay: Arc<UsedRelay>,
     /// The pauses of the stream that the worker answers with.
     pub pause: StreamPause,
 }
@@ -113,6 +116,7 @@
             result: SendResult::Abandoned { silent: true },
             detail: String::new(),
             head_latency: None,
+            used_relay: Arc::default(),
             pause: StreamPause::default(),
         }
     }
@@ -241,11 +245,13 @@
             SendResult::Answered { .. } => Priority::Routine,
             _ => Priority::Important,
         };
+        let relay = self.used_relay.name();
         let event = Event::Send {
             request: &self.details.request_id,
             fingerprint: &self.details.fingerprint.to_string(),
             worker: self.details.worker.as_str(),
             scheduler: self.placement.as_ref().map_or("", OpenPlacement::scheduler),
+            relay: relay.as_deref().unwrap_or_default(),
             work: self.details.kind.name(),
             outcome,
             detail: &self.detail,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,6 +29,7 @@
 use crate::update_cache::UpdateCache;
 use crate::usage::Usage;
 use crate::worker_entries::{LoggedWorkers, WorkerEntries};
+use crate::worker_relay::WorkerRelays;
 
 /// The share of a worker's connections that all gateways together may use. The rest is left for health checks
 /// and for gateways that are not known yet.
@@ -84,6 +85,8 @@
     pub quarantine: Mutex<Quarantine>,
     /// Connections to workers.
     pub connections: Arc<Connections>,
+    /// Connections to workers through other gateways.
+    pub worker_relays: Arc<WorkerRelays>,
     /// Usage by tenant; `None` if it is not reported.
     pub usage: Option<Usage>,
     /// The event log.
--- /dev/null
+++ b/crates/gateway/src/worker_relay/race.rs
@@ -0,0 +1,289 @@
+//! Opens a connection to a worker directly or through relays, whichever succeeds first. As in RFC 8305, each attempt has
+//! a head start before the next one begins.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::{BoxFuture, FutureExt};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use tansyhall_forwarding::{ConnectFailure, DirectOutcome, RelayOutcome, WorkerId, WorkerPath};
+use tokio::net::TcpStream;
+use tokio::time::{sleep_until, Instant};
+
+use super::client::{self, RelayedStream};
+use super::{ConnectError, Peers, RelayedCheck, WorkerRelays, WorkerStream};
+use crate::worker_connect::{self, CONNECT_TIMEOUT};
+
+/// Head start of the preferred path.
+const PREFERRED_HEAD_START: Duration = Duration::from_millis(100);
+/// Head start of a relay before the next one is asked.
+const RELAY_HEAD_START: Duration = Duration::from_millis(200);
+/// Maximum number of relays that are asked for one connection.
+const MAX_RELAYED_ATTEMPTS: usize = 3;
+/// Maximum time to establish a connection by any path.
+const RACE_TIMEOUT: Duration = CONNECT_TIMEOUT.saturating_mul(2);
+
+type DirectAttempt = BoxFuture<'static, std::io::Result<TcpStream>>;
+type RelayedAttempt<'a> = BoxFuture<'a, (usize, Result<RelayedStream, RelayOutcome>)>;
+
+impl WorkerRelays {
+    /// Opens a connection to a worker.
+    pub async fn connect(
+        &self,
+        worker: &WorkerId,
+        address: SocketAddr,
+    ) -> Result<WorkerStream, ConnectError> {
+        let path = self.path_to(worker);
+        Race::new(self, worker, address, path).run().await
+    }
+
+    /// Opens a connection to a worker without a relay.
+    pub async fn connect_directly(
+        &self,
+        worker: &WorkerId,
+        address: SocketAddr,
+    ) -> Result<TcpStream, ConnectError> {
+        let connected = self.connector.connect(address).await;
+        let outcome = worker_connect::outcome_of(&connected);
+        self.record_direct(worker, outcome);
+        connected.map_err(|error| ConnectError::of_direct(outcome, &error))
+    }
+
+    /// Asks relays whether the address of a worker refuses connections.
+    pub async fn check_through_relays(
+        &self,
+        worker: &WorkerId,
+        address: SocketAddr,
+    ) -> RelayedCheck {
+        let mut race = Race::new(self, worker, address, WorkerPath::RelayOnly);
+        match race.run().await {
+            Ok(_) => RelayedCheck::Connected,
+            Err(_) if race.outcomes.contains(&RelayOutcome::WorkerRefused) => RelayedCheck::Refused,
+            Err(_) => RelayedCheck::Unknown,
+        }
+    }
+}
+
+struct Race<'a> {
+    relays: &'a WorkerRelays,
+    worker: &'a WorkerId,
+    address: SocketAddr,
+    peers: Arc<Peers>,
+    /// The direct attempt in progress.
+    direct: Option<(Instant, DirectAttempt)>,
+    direct_due: Option<Instant>,
+    direct_outcome: Option<DirectOutcome>,
+    relayed: FuturesUnordered<RelayedAttempt<'a>>,
+    relay_due: Option<Instant>,
+    tried: Vec<usize>,
+    outcomes: Vec<RelayOutcome>,
+    deadline: Instant,
+    detail: String,
+}
+
+impl<'a> Race<'a> {
+    fn new(
+        relays: &'a WorkerRelays,
+        worker: &'a WorkerId,
+        address: SocketAddr,
+        path: WorkerPath,
+    ) -> Self {
+        let now = Instant::now();
+        let later = now + PREFERRED_HEAD_START;
+        let (direct_due, relay_due) = match path {
+            WorkerPath::DirectFirst => (Some(now), later),
+            WorkerPath::RelayFirst => (Some(later), now),
+            WorkerPath::RelayOnly => (None, now),
+        };
+        Self {
+            relays,
+            worker,
+            address,
+            peers: relays.peers(),
+            direct: None,
+            direct_due,
+            direct_outcome: None,
+            relayed: FuturesUnordered::new(),
+            relay_due: Some(relay_due),
+            tried: Vec::new(),
+            outcomes: Vec::new(),
+            deadline: now + RACE_TIMEOUT,
+            detail: String::from("connection was not established in time"),
+        }
+    }
+
+    async fn run(&mut self) -> Result<WorkerStream, ConnectError> {
+        loop {
+            self.start_due_attempts();
+            let is_idle = self.direct.is_none() && self.relayed.is_empty();
+            if is_idle && self.next_start().is_none() {
+                return Err(self.error());
+            }
+            let wake_at = self
+                .next_start()
+                .map_or(self.deadline, |at| at.min(self.deadline));
+            tokio::select! {
+                biased;
+                connected = pending_direct(&mut self.direct) => {
+                    if let Some(stream) = self.finish_direct(connected) {
+                        return Ok(WorkerStream::Direct(stream));
+                    }
+                }
+                Some((peer, opened)) = self.relayed.next() => {
+                    match self.finish_relayed(peer, opened) {
+                        RelayedResult::Opened(stream) => return Ok(stream),
+                        RelayedResult::WorkerRefused => return Err(self.error()),
+                        RelayedResult::Failed => {}
+                    }
+                }
+                () = sleep_until(wake_at) => {
+                    if Instant::now() >= self.deadline {
+                        return Err(self.error());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns when the next attempt begins, if any remains.
+    fn next_start(&self) -> Option<Instant> {
+        let starts = [self.direct_due, self.relay_due];
+        starts.into_iter().flatten().min()
+    }
+
+    fn start_due_attempts(&mut self) {
+        let now = Instant::now();
+        if self.relay_due.is_some_and(|due| due <= now) {
+            self.relay_due = match self.select_relay() {
+                Some(peer) => {
+                    self.start_relayed(peer);
+                    let remains = self.tried.len() < MAX_RELAYED_ATTEMPTS;
+                    remains.then_some(now + RELAY_HEAD_START)
+                }
+                None => None,
+            };
+        }
+        let has_no_relay = self.relay_due.is_none() && self.relayed.is_empty();
+        if self
+            .direct_due
+            .is_some_and(|due| due <= now || has_no_relay)
+        {
+            self.direct_due = None;
+            let connecting = self.relays.connector.connect(self.address);
+            self.direct = Some((now, connecting));
+        }
+    }
+
+    fn select_relay(&self) -> Option<usize> {
+        let now = self.relays.clock.now();
+        let paths = self.relays.paths.lock();
+        paths.select_relay(now, &self.peers.peers, &self.tried, rand::random())
+    }
+
+    fn start_relayed(&mut self, peer: usize) {
+        self.tried.push(peer);
+        let (worker, address) = (self.worker, self.address);
+        let relay = self.peers.addresses[peer];
+        let opening = async move { (peer, client::open(relay, worker, address).await) };
+        self.relayed.push(opening.boxed());
+    }
+
+    fn finish_direct(&mut self, connected: std::io::Result<TcpStream>) -> Option<TcpStream> {
+        self.direct = None;
+        let outcome = worker_connect::outcome_of(&connected);
+        self.direct_outcome = Some(outcome);
+        self.relays.record_direct(self.worker, outcome);
+        match connected {
+            Ok(stream) => Some(stream),
+            Err(error) => {
+                self.detail = error.to_string();
+                self.hasten_relay();
+                None
+            }
+        }
+    }
+
+    /// Asks the next relay at once.
+    fn hasten_relay(&mut self) {
+        self.relay_due = self.relay_due.map(|_| Instant::now());
+    }
+
+    fn finish_relayed(
+        &mut self,
+        index: usize,
+        opened: Result<RelayedStream, RelayOutcome>,
+    ) -> RelayedResult {
+        let peers = Arc::clone(&self.peers);
+        let peer = &peers.peers[index];
+        match opened {
+            Ok(stream) => {
+                self.record_slow_direct();
+                let outcome = RelayOutcome::Connected;
+                self.relays.record_relayed(peer, self.worker, outcome);
+                let name = Arc::from(peer.name.as_str());
+                RelayedResult::Opened(WorkerStream::Relayed(stream, name))
+            }
+            Err(outcome) => {
+                self.relays.record_relayed(peer, self.worker, outcome);
+                self.outcomes.push(outcome);
+                self.hasten_relay();
+                match outcome {
+                    RelayOutcome::WorkerRefused if !self.should_confirm_refusal(index) => {
+                        RelayedResult::WorkerRefused
+                    }
+                    _ => RelayedResult::Failed,
+                }
+            }
+        }
+    }
+
+    /// Records that the direct attempt in progress has not succeeded although it had a head start.
+    fn record_slow_direct(&mut self) {
+        if let Some((started, _)) = self.direct.take() {
+            if started.elapsed() >= PREFERRED_HEAD_START {
+                let outcome = DirectOutcome::Failed;
+                self.relays.record_direct(self.worker, outcome);
+            }
+        }
+    }
+
+    /// Returns whether a relay of another zone is asked before a worker counts as gone.
+    fn should_confirm_refusal(&self, refusing: usize) -> bool {
+        let needs_confirmation = |peer: usize| {
+            let paths = self.relays.paths.lock();
+            paths.needs_confirmation(&self.peers.peers[peer])
+        };
+        let next = self.relay_due.and_then(|_| self.select_relay());
+        needs_confirmation(refusing) && next.is_some_and(|next| !needs_confirmation(next))
+    }
+
+    fn error(&self) -> ConnectError {
+        let now = self.relays.clock.now();
+        let paths = self.relays.paths.lock();
+        let failure = paths.classify_failure(now, self.direct_outcome, &self.outcomes);
+        let detail = match failure {
+            ConnectFailure::NoPath => "no path to workers: neither direct nor through a relay",
+            ConnectFailure::WorkerRefused | ConnectFailure::WorkerUnreachable => &self.detail,
+        };
+        ConnectError {
+            failure,
+            detail: detail.to_owned(),
+        }
+    }
+}
+
+enum RelayedResult {
+    Opened(WorkerStream),
+    WorkerRefused,
+    Failed,
+}
+
+async fn pending_direct(
+    direct: &mut Option<(Instant, DirectAttempt)>,
+) -> std::io::Result<TcpStream> {
+    match direct {
+        Some((_, attempt)) => attempt.await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/gateway/src/worker_request.rs
+++ b/crates/gateway/src/worker_request.rs
@@ -28,6 +28,11 @@
         matches!(self, RequestKind::Run | RequestKind::ReadPrompt)
     }
 
+    /// Returns whether it may be sent through another gateway. An order is attributed to the machine that sends it.
+    pub fn allows_relay(self) -> bool {
+        self != RequestKind::Order
+    }
+
     /// Returns the name used in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
