Gateways can connect to workers from a configured address

On a host with several addresses the system chose the local address of connections to workers, so that a gateway could not be told apart from others on the same host, by firewalls or by tests.

Change: the optional setting [workers] source_address, and worker_connect, the one place that opens connections to workers: for requests and for the check whether a worker has ended. Without the setting nothing changes.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,7 +20,6 @@
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{RateToken, Unavailable, WorkerId};
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::answer_body::{AnswerBody, BorrowedConnection};
@@ -29,6 +28,7 @@
 use crate::correlation::{ComparedHead, Correlation, Mismatch};
 use crate::headers::HeaderList;
 use crate::second_answer::SecondAnswerSearch;
+use crate::worker_connect;
 use crate::worker_notices::WorkerNotices;
 use crate::worker_request::WorkerRequest;
 
@@ -97,6 +97,8 @@
 pub struct Connections {
     clock: MonotonicClock,
     correlation: Correlation,
+    /// The local address of connections to workers; the system chooses it if there is none.
+    pub source_address: Option<IpAddr>,
     /// Notices that workers attach to their answers.
     pub notices: WorkerNotices,
     pools: Mutex<HashMap<WorkerId, Pool>>,
@@ -105,11 +107,17 @@
 }
 
 impl Connections {
-    /// Creates a set without connections.
-    pub fn new(clock: MonotonicClock, correlation: Correlation, notices: WorkerNotices) -> Self {
+    /// Creates a set without connections. Connections are opened from the local address `source_address`.
+    pub fn new(
+        clock: MonotonicClock,
+        correlation: Correlation,
+        notices: WorkerNotices,
+        source_address: Option<IpAddr>,
+    ) -> Self {
         Self {
             clock,
             correlation,
+            source_address,
             notices,
             pools: Mutex::default(),
             losses: ConnectionLosses::default(),
@@ -202,7 +210,8 @@
 
     async fn connect(&self, destination: &Destination) -> Result<Connection, SendError> {
         let open = self.try_open(destination)?;
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(destination.address))
+        let connecting = worker_connect::connect(destination.address, self.source_address);
+        let stream = timeout(CONNECT_TIMEOUT, connecting)
             .await
             .map_err(|_| not_sent("connection was not established in time"))?
             .map_err(|error| self.connect_error(destination, &error))?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod update_message;
 mod urgent_part;
 pub mod usage;
+pub mod worker_connect;
 pub mod worker_ends;
 pub mod worker_entries;
 pub mod worker_notices;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -210,6 +210,8 @@
         Arc::clone(&log),
         metrics.worker_notices.clone(),
     );
+    let source_address = settings.workers.source_address;
+    let connections = Connections::new(clock, correlation, notices, source_address);
     Ok(Arc::new(Shared {
         settings: RwLock::new(Arc::new(settings)),
         clock,
@@ -233,7 +235,7 @@
         store_contact: StoreContact::default(),
         sends: Mutex::default(),
         quarantine: Mutex::default(),
-        connections: Arc::new(Connections::new(clock, correlation, notices)),
+        connections: Arc::new(connections),
         usage,
         log,
         metrics,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a gateway, in TOML. Unknown keys are ignored, so that two versions can share one file. A
 //! value out of range is rejected with an error that names the key and the allowed range.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -143,6 +143,8 @@
     /// Seconds after the store has accepted the announcement that a worker is leaving within which new requests must
     /// have reached it, 0 to 600. With 0, leaving workers get no requests.
     pub drain_seconds: f64,
+    /// The local address from which connections to workers are opened; `None` if the system chooses it.
+    pub source_address: Option<IpAddr>,
 }
 
 /// The losses that the deployment has to bear.
--- a/crates/gateway/src/worker_ends.rs
+++ b/crates/gateway/src/worker_ends.rs
@@ -12,13 +12,12 @@
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use tansyhall_forwarding::{Fingerprint, WorkerId, WorkerState};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
@@ -27,6 +26,7 @@
 use crate::events::{Event, Priority};
 use crate::quarantine;
 use crate::state::Shared;
+use crate::worker_connect;
 
 /// Maximum time for a running worker to accept a connection, or for the machine of an ended one to refuse it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -94,9 +94,10 @@
     lost_again: &Notify,
 ) -> bool {
     let began = shared.now();
+    let source = shared.connections.source_address;
     let mut should_connect = loss == Loss::Broken;
     while shared.now().since(began) < WATCH_WINDOW {
-        if should_connect && refuses_connections(destination.address).await {
+        if should_connect && refuses_connections(destination.address, source).await {
             return true;
         }
         match announced_state(shared, destination) {
@@ -110,8 +111,8 @@
     false
 }
 
-async fn refuses_connections(address: SocketAddr) -> bool {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+async fn refuses_connections(address: SocketAddr, source: Option<IpAddr>) -> bool {
+    let connected = timeout(CONNECT_TIMEOUT, worker_connect::connect(address, source)).await;
     matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -136,6 +136,22 @@
     assert!(error.contains("stop"), "{error}");
 }
 
+#[test]
+fn the_source_address_of_connections_to_workers_is_optional() {
+    let parsed = |text: &str| GatewaySettings::parse("gateway.toml", text);
+    let default = parsed(SETTINGS).expect("valid settings");
+    assert_eq!(default.workers.source_address, None);
+    let text = format!("{SETTINGS}\n[workers]\nsource_address = \"192.0.2.7\"\n");
+    let configured = parsed(&text).expect("valid settings");
+    assert_eq!(
+        configured.workers.source_address,
+        Some("192.0.2.7".parse().expect("an address"))
+    );
+    let with_port = text.replace("192.0.2.7", "192.0.2.7:80");
+    let error = parsed(&with_port).expect_err("an address with a port");
+    assert!(error.to_string().contains("source_address"), "{error}");
+}
+
 #[test]
 fn routing_mechanisms_are_enabled_unless_one_is_disabled() {
     let parsed = |text: &str| GatewaySettings::parse("gateway.toml", text).expect("valid settings");
