Links in tests can be partitioned from single clients

Tests could cut a link for all clients only, so that no test had a gateway which reaches no worker while the others reach all.

Change: links of the process tests and of the fault soak take a partition for a source address: open connections are reset, go silent, or live on; new ones are reset at once or stay silent. On loopback a listener cannot leave an attempt to connect unanswered for one client alone, so that a silent connection is accepted. What was sent on a silent connection passes after healing, as systems retransmit it.

--- a/crates/fault-soak/src/link.rs
+++ b/crates/fault-soak/src/link.rs
@@ -3,7 +3,7 @@
 //! A graceful close is forwarded as a graceful close, and a broken connection as a reset, so that the link itself
 //! never makes a truncated answer look complete.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use tansyhall_platform_standin::listen_on_reused_address;
+use tansyhall_testing::{ClientPartition, Partition, PartitionView, Partitions};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -82,6 +83,7 @@
     target: Arc<Mutex<SocketAddr>>,
     fault: watch::Sender<LinkFault>,
     is_open: watch::Sender<bool>,
+    partitions: Partitions,
     task: actix_rt::task::JoinHandle<()>,
 }
 
@@ -102,10 +104,12 @@
         let target = Arc::new(Mutex::new(target));
         let (fault, fault_receiver) = watch::channel(LinkFault::None);
         let (is_open, open_receiver) = watch::channel(true);
+        let partitions = Partitions::default();
         let state = LinkState {
             target: Arc::clone(&target),
             fault: fault_receiver,
             is_open: open_receiver,
+            partitions: partitions.view(),
         };
         let task = actix_rt::spawn(forward_connections(listener, state));
         Ok(Self {
@@ -113,6 +117,7 @@
             target,
             fault,
             is_open,
+            partitions,
             task,
         })
     }
@@ -136,6 +141,11 @@
     pub fn set_fault(&self, fault: LinkFault) {
         self.fault.send_replace(fault);
     }
+
+    /// Partitions the clients with this source address from the target, or heals their partition with `None`.
+    pub fn set_partition(&self, client: IpAddr, partition: Option<Partition>) {
+        self.partitions.set(client, partition);
+    }
 }
 
 impl Drop for Link {
@@ -155,6 +165,7 @@
     target: Arc<Mutex<SocketAddr>>,
     fault: watch::Receiver<LinkFault>,
     is_open: watch::Receiver<bool>,
+    partitions: PartitionView,
 }
 
 /// Forwards connections, and stops listening while the link is closed.
@@ -175,8 +186,9 @@
 async fn accept_while_open(listener: TcpListener, mut state: LinkState) {
     let shared = state.clone();
     let accepting = async {
-        while let Ok((client, _)) = listener.accept().await {
-            actix_rt::spawn(forward_connection(client, shared.clone()));
+        while let Ok((client, address)) = listener.accept().await {
+            let partition = shared.partitions.of(address.ip());
+            actix_rt::spawn(forward_connection(client, partition, shared.clone()));
         }
     };
     tokio::select! {
@@ -185,12 +197,24 @@
     }
 }
 
-async fn forward_connection(mut client: TcpStream, state: LinkState) {
+async fn forward_connection(
+    mut client: TcpStream,
+    mut partition: ClientPartition,
+    state: LinkState,
+) {
     let LinkState {
         target,
         mut fault,
         mut is_open,
+        ..
     } = state;
+    partition.wait_while_silent().await;
+    if partition
+        .current()
+        .is_some_and(Partition::resets_new_connections)
+    {
+        return reset_on_close(&client);
+    }
     let target = *target.lock();
     let _ = client.set_nodelay(true);
     let Ok(mut server) = TcpStream::connect(target).await else {
@@ -200,8 +224,8 @@
     let ended = {
         let (client_read, client_write) = client.split();
         let (server_read, server_write) = server.split();
-        let forward = forward_bytes(client_read, server_write, fault.clone());
-        let backward = forward_bytes(server_read, client_write, fault.clone());
+        let forward = forward_bytes(client_read, server_write, fault.clone(), partition.clone());
+        let backward = forward_bytes(server_read, client_write, fault.clone(), partition.clone());
         let both = async {
             futures_util::future::try_join(forward, backward)
                 .await
@@ -211,6 +235,7 @@
             ended = both => ended,
             _ = fault.wait_for(|fault| *fault == LinkFault::Reset) => Err(Broken),
             _ = is_open.wait_for(|is_open| !is_open) => Err(Broken),
+            () = partition.wait_for_reset() => Err(Broken),
         }
     };
     if ended.is_err() {
@@ -226,11 +251,13 @@
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
     mut fault: watch::Receiver<LinkFault>,
+    mut partition: ClientPartition,
 ) -> Result<(), Broken> {
     let mut random = ChaCha8Rng::seed_from_u64(rand::rng().next_u64());
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let count = from.read(&mut buffer).await.map_err(|_| Broken)?;
+        partition.wait_while_silent().await;
         let current = fault.wait_for(|fault| *fault != LinkFault::Silence).await;
         let active_fault = current.map(|fault| *fault).unwrap_or(LinkFault::None);
         if count == 0 {
--- a/crates/fault-soak/tests/parts.rs
+++ b/crates/fault-soak/tests/parts.rs
@@ -1,5 +1,6 @@
 //! Unit tests of the fault soak's parts: schedules, HTTP reader, marks and links.
 
+use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -7,8 +8,10 @@
     load_regressions, Fault, Framing, Link, LinkFault, Mark, ReadError, Reader, RequestKey,
     Schedule,
 };
+use tansyhall_testing::Partition;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::timeout;
 
 const DURATION: Duration = Duration::from_secs(20);
 const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
@@ -120,3 +123,41 @@
     let (_, ended) = read_through_link(LinkFault::Reset).await;
     assert!(ended.is_err());
 }
+
+/// Sends a byte through a link to a server that echoes it, from this source address.
+async fn echo_through(link: &Link, source: Ipv4Addr) -> std::io::Result<()> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind((source, 0).into())?;
+    let mut stream = socket.connect(link.listen_address).await?;
+    stream.write_all(b"x").await?;
+    stream.read_exact(&mut [0]).await.map(|_| ())
+}
+
+#[actix_rt::test]
+async fn a_link_partitions_only_the_client_with_this_address() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let target = listener.local_addr().expect("a bound address");
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            actix_rt::spawn(async move {
+                let (mut from, mut to) = stream.split();
+                let _ = tokio::io::copy(&mut from, &mut to).await;
+            });
+        }
+    });
+    let link = Link::open(target).await.expect("open link");
+    let (client, other) = (Ipv4Addr::new(127, 0, 0, 2), Ipv4Addr::new(127, 0, 0, 3));
+    for partition in Partition::ALL {
+        link.set_partition(client.into(), Some(partition));
+        let echoed = timeout(Duration::from_millis(300), echo_through(&link, client)).await;
+        match partition {
+            Partition::Silence => assert!(echoed.is_err(), "{echoed:?}"),
+            _ => assert!(matches!(echoed, Ok(Err(_))), "{echoed:?}"),
+        }
+        let echoed = echo_through(&link, other).await;
+        echoed.expect("an echo for another client");
+        link.set_partition(client.into(), None);
+        let echoed = echo_through(&link, client).await;
+        echoed.expect("an echo after healing");
+    }
+}
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -7,10 +7,12 @@
 mod fleet;
 mod gateway;
 mod link;
+mod partition;
 
 pub use fleet::{Fleet, NodeOptions};
 pub use gateway::{start_gateway, start_gateway_program, GatewayAddresses, GatewayProcess};
 pub use link::Link;
+pub use partition::{ClientPartition, Partition, PartitionView, Partitions};
 
 use std::fs::OpenOptions;
 use std::io::{BufRead, BufReader, Read, Write};
--- a/crates/testing/src/link.rs
+++ b/crates/testing/src/link.rs
@@ -1,7 +1,7 @@
-//! A TCP proxy between two processes with which a test can interrupt connections or make them silently
-//! drop all data.
+//! A TCP proxy between two processes with which a test can interrupt connections, make them silently drop
+//! all data, or partition some clients from the server.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 
@@ -9,6 +9,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::partition::{ClientPartition, Partition, PartitionView, Partitions};
+
 /// Size of the copy buffer, in bytes.
 const BUFFER_BYTES: usize = 16 << 10;
 
@@ -18,6 +20,7 @@
     pub listen_address: SocketAddr,
     is_cut: watch::Sender<bool>,
     blackhole_generation: watch::Sender<u64>,
+    partitions: Partitions,
     counts: Arc<Counts>,
     task: actix_rt::task::JoinHandle<()>,
 }
@@ -38,10 +41,12 @@
         let (is_cut, cut_receiver) = watch::channel(false);
         let (blackhole_generation, generation_receiver) = watch::channel(0);
         let counts = Arc::<Counts>::default();
+        let partitions = Partitions::default();
         let context = ConnectionContext {
             target,
             cut: cut_receiver,
             blackhole_generation: generation_receiver,
+            partitions: partitions.view(),
             counts: Arc::clone(&counts),
         };
         let task = actix_rt::spawn(accept_connections(listener, context));
@@ -49,6 +54,7 @@
             listen_address: entrance,
             is_cut,
             blackhole_generation,
+            partitions,
             counts,
             task,
         }
@@ -68,6 +74,11 @@
             .send_modify(|blackhole_generation| *blackhole_generation += 1);
     }
 
+    /// Partitions the clients with this source address from the server, or heals their partition with `None`.
+    pub fn set_partition(&self, client: IpAddr, partition: Option<Partition>) {
+        self.partitions.set(client, partition);
+    }
+
     /// Returns the number of connections whose client end is open.
     pub fn open_connections(&self) -> usize {
         self.counts.open.load(Ordering::Relaxed)
@@ -96,6 +107,7 @@
     target: SocketAddr,
     cut: watch::Receiver<bool>,
     blackhole_generation: watch::Receiver<u64>,
+    partitions: PartitionView,
     counts: Arc<Counts>,
 }
 
@@ -122,33 +134,54 @@
 }
 
 async fn accept_connections(listener: TcpListener, context: ConnectionContext) {
-    while let Ok((client, _)) = listener.accept().await {
-        actix_rt::spawn(proxy_until_cut(client, context.clone()));
+    while let Ok((client, address)) = listener.accept().await {
+        let partition = context.partitions.of(address.ip());
+        actix_rt::spawn(proxy_until_cut(client, partition, context.clone()));
     }
 }
 
-async fn proxy_until_cut(client: TcpStream, mut context: ConnectionContext) {
+async fn proxy_until_cut(
+    client: TcpStream,
+    partition: ClientPartition,
+    mut context: ConnectionContext,
+) {
     // Waiting fails when the link has been dropped, which means that the test has ended.
     if context.cut.wait_for(|is_cut| !is_cut).await.is_err() {
         return;
     }
     let mut cut = context.cut.clone();
     tokio::select! {
-        () = proxy_connection(client, context) => {}
+        () = proxy_connection(client, partition, context) => {}
         _ = cut.wait_for(|is_cut| *is_cut) => {}
     }
 }
 
-async fn proxy_connection(mut client: TcpStream, context: ConnectionContext) {
+async fn proxy_connection(
+    mut client: TcpStream,
+    mut partition: ClientPartition,
+    context: ConnectionContext,
+) {
     let mut blackhole_generation = context.blackhole_generation.clone();
     let initial_generation = *blackhole_generation.borrow_and_update();
     let open = OpenConnection::register(&context.counts);
+    partition.wait_while_silent().await;
+    let current = partition.current();
+    if current.is_some_and(Partition::resets_new_connections) {
+        let _ = client.set_zero_linger();
+        return;
+    }
     let Ok(mut server) = TcpStream::connect(context.target).await else {
         return;
     };
-    let copying = copy_both_ways(&mut client, &mut server, &context.counts, open);
+    let forwarded = partition.clone();
+    let copying = copy_both_ways(&mut client, &mut server, forwarded, &context.counts, open);
     let open = tokio::select! {
         () = copying => return,
+        () = partition.wait_for_reset() => {
+            let _ = client.set_zero_linger();
+            let _ = server.set_zero_linger();
+            return;
+        }
         changed = blackhole_generation.wait_for(|blackhole_generation| *blackhole_generation > initial_generation) => match changed {
             Ok(_) => OpenConnection::register(&context.counts),
             Err(_) => return,
@@ -164,16 +197,19 @@
 async fn copy_both_ways(
     client: &mut TcpStream,
     server: &mut TcpStream,
+    partition: ClientPartition,
     counts: &Counts,
     open: OpenConnection,
 ) {
     let (client_read, client_write) = client.split();
     let (server_read, server_write) = server.split();
+    let for_requests = partition.clone();
     let requests = async {
-        copy_until_closed(client_read, server_write, None).await;
+        copy_until_closed(client_read, server_write, for_requests, None).await;
         drop(open);
     };
-    let answers = copy_until_closed(server_read, client_write, Some(&counts.answered_bytes));
+    let answered_bytes = Some(&counts.answered_bytes);
+    let answers = copy_until_closed(server_read, client_write, partition, answered_bytes);
     tokio::join!(requests, answers);
 }
 
@@ -181,15 +217,18 @@
 async fn copy_until_closed(
     mut from: impl AsyncRead + Unpin,
     mut to: impl AsyncWrite + Unpin,
+    mut partition: ClientPartition,
     count: Option<&AtomicU64>,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(length @ 1..) = from.read(&mut buffer).await {
+        partition.wait_while_silent().await;
         if to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
         add_bytes(count, length);
     }
+    partition.wait_while_silent().await;
     // Fails if the other end is closed already.
     let _ = to.shutdown().await;
 }
