--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -4,7 +4,7 @@
 mod observations;
 
 use std::cell::Cell;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::ops::Deref;
 
 use serde_json::{json, Value};
@@ -113,21 +113,48 @@
     pub store: Store,
     operator: Operator,
     version: Cell<u64>,
-    takeover_pause_ms: u64,
-    tolerated_zones: u32,
+    options: SiteOptions,
     /// The link of each gateway to the store; empty if gateways connect to the store directly.
     pub store_links: Vec<Link>,
-    has_store_links: bool,
     _directory: tempfile::TempDir,
 }
 
+/// Options of a site.
+struct SiteOptions {
+    /// Time for which a new holder of the authority waits before it sends orders, in milliseconds.
+    takeover_pause_ms: u64,
+    /// Whether gateways each connect to the store through a link.
+    has_store_links: bool,
+    /// The number of zones whose loss the site has to bear.
+    tolerated_zones: u32,
+    /// Whether each gateway connects to workers from its own [`source_address`].
+    has_source_addresses: bool,
+}
+
+impl Default for SiteOptions {
+    fn default() -> Self {
+        Self {
+            takeover_pause_ms: TAKEOVER_PAUSE_MS,
+            has_store_links: false,
+            tolerated_zones: 0,
+            has_source_addresses: false,
+        }
+    }
+}
+
+/// Returns the address from which a gateway connects to workers if gateways have such addresses.
+pub fn source_address(gateway: usize) -> IpAddr {
+    let last = u8::try_from(gateway + 2).expect("fewer than 254 gateways");
+    IpAddr::V4(Ipv4Addr::new(127, 0, 0, last))
+}
+
 /// The service, stage and behaviour of a worker.
 pub type WorkerSpec = (&'static str, Option<&'static str>, Behaviour);
 
 impl Site {
     /// Starts a site and waits until every gateway is ready and knows every worker.
     pub async fn start(workers: &[WorkerSpec], gateways: usize) -> Self {
-        Self::start_with_takeover_pause(workers, gateways, TAKEOVER_PAUSE_MS).await
+        Self::start_with_options(workers, gateways, SiteOptions::default()).await
     }
 
     /// Starts a site like [`Site::start`], with this waiting time of a new holder of the authority, in milliseconds.
@@ -136,12 +163,20 @@
         gateways: usize,
         takeover_pause_ms: u64,
     ) -> Self {
-        Self::start_with_options(workers, gateways, takeover_pause_ms, false, 0).await
+        let options = SiteOptions {
+            takeover_pause_ms,
+            ..SiteOptions::default()
+        };
+        Self::start_with_options(workers, gateways, options).await
     }
 
     /// Starts a site whose gateways each connect to the store through a link.
     pub async fn start_with_store_links(workers: &[WorkerSpec], gateways: usize) -> Self {
-        Self::start_with_options(workers, gateways, TAKEOVER_PAUSE_MS, true, 0).await
+        let options = SiteOptions {
+            has_store_links: true,
+            ..SiteOptions::default()
+        };
+        Self::start_with_options(workers, gateways, options).await
     }
 
     /// Starts a site that has to bear the loss of this number of zones.
@@ -150,15 +185,26 @@
         gateways: usize,
         zones: u32,
     ) -> Self {
-        Self::start_with_options(workers, gateways, TAKEOVER_PAUSE_MS, false, zones).await
+        let options = SiteOptions {
+            tolerated_zones: zones,
+            ..SiteOptions::default()
+        };
+        Self::start_with_options(workers, gateways, options).await
+    }
+
+    /// Starts a site whose gateways each connect to workers from their own [`source_address`].
+    pub async fn start_with_source_addresses(workers: &[WorkerSpec], gateways: usize) -> Self {
+        let options = SiteOptions {
+            has_source_addresses: true,
+            ..SiteOptions::default()
+        };
+        Self::start_with_options(workers, gateways, options).await
     }
 
     async fn start_with_options(
         workers: &[WorkerSpec],
         gateways: usize,
-        takeover_pause_ms: u64,
-        has_store_links: bool,
-        tolerated_zones: u32,
+        options: SiteOptions,
     ) -> Self {
         let store = Store::default();
         for number in 0..UNRELATED_KEYS {
@@ -179,10 +225,8 @@
             store,
             operator,
             version: Cell::new(1),
-            takeover_pause_ms,
-            tolerated_zones,
+            options,
             store_links: Vec::new(),
-            has_store_links,
             _directory: directory,
         };
         for number in 0..gateways {
@@ -218,9 +262,9 @@
         let endpoint = self.store.open_endpoint().expect("a free port");
         endpoint.set_fault(fault);
         let addresses = GatewayAddresses::free();
-        let name = format!("gateway-{number}");
+        let name = gateway_name(number);
         let store = self.store_address(&endpoint);
-        let settings = self.settings(&name, &addresses, store);
+        let settings = self.settings(number, &addresses, store);
         let process = start_gateway(self._directory.path(), &name, &settings, addresses);
         self.gateways.push(SiteGateway(process));
         self.store_endpoints.push(endpoint);
@@ -233,7 +277,7 @@
 
     /// Returns the address at which a gateway reaches this endpoint of the store.
     fn store_address(&mut self, endpoint: &StoreEndpoint) -> SocketAddr {
-        if !self.has_store_links {
+        if !self.options.has_store_links {
             return endpoint.address;
         }
         let link = Link::open(endpoint.address);
@@ -437,6 +481,10 @@
     SiteWorker { worker }
 }
 
+fn gateway_name(number: usize) -> String {
+    format!("gateway-{number}")
+}
+
 fn routes() -> Vec<RoutePlan> {
     let route = |name, prefix, kind, resumable, max_attempts, service| RoutePlan {
         name,
@@ -462,9 +510,9 @@
 }
 
 impl Site {
-    fn settings(&self, name: &str, addresses: &GatewayAddresses, store: SocketAddr) -> String {
+    fn settings(&self, number: usize, addresses: &GatewayAddresses, store: SocketAddr) -> String {
         let fields = GatewayFields {
-            node: name.to_owned(),
+            node: gateway_name(number),
             zone: ZONE,
             callers: addresses.callers,
             ready: addresses.ready,
@@ -477,10 +525,15 @@
             retry_extra: 54,
             retry_window_s: 10,
             grace_s: 8,
-            takeover_pause_ms: self.takeover_pause_ms,
+            takeover_pause_ms: self.options.takeover_pause_ms,
         };
         let settings = fields.render(TEMPLATE).expect("a template");
-        let tolerated = format!("[tolerance]\nzones = {}", self.tolerated_zones);
-        settings.replace("[tolerance]\nzones = 0", &tolerated)
+        let tolerated = format!("[tolerance]\nzones = {}", self.options.tolerated_zones);
+        let settings = settings.replace("[tolerance]\nzones = 0", &tolerated);
+        if !self.options.has_source_addresses {
+            return settings;
+        }
+        let workers = format!("[workers]\nsource_address = \"{}\"", source_address(number));
+        settings.replace("[workers]", &workers)
     }
 }
