Test harness: a port that was found free stays free while processes start

Cause: `free_peer_address` binds a port to find out whether it is free. A process that another test thread starts at this moment inherits the socket and keeps the port bound until it executes its program. That the one failure seen had this cause is not proven. Not examined: that another test process took the port.

Change: the harness starts no process while a port is being tried. A node that ends because its address is taken is started again at the same address until the usual timeout of conditions, so that a port taken by another process does not fail a test either. A node that ends for another reason fails as before, and its message is part of the panic.

--- a/crates/testing/src/gateway.rs
+++ b/crates/testing/src/gateway.rs
@@ -39,7 +39,9 @@
     pub fn is_any_taken(&self) -> bool {
         let all = [self.callers, self.ready, self.peers, self.metrics];
         let mut all = all.into_iter();
-        all.any(|address| std::net::TcpListener::bind(address).is_err())
+        all.any(|address| {
+            crate::ports::without_open_probes(|| std::net::TcpListener::bind(address).is_err())
+        })
     }
 }
 
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -7,17 +7,18 @@
 mod fleet;
 mod gateway;
 mod link;
+mod ports;
 
 pub use fleet::{Fleet, NodeOptions};
 pub use gateway::{start_gateway, start_gateway_program, GatewayAddresses, GatewayProcess};
 pub use link::Link;
+pub use ports::free_peer_address;
 
 use std::fs::OpenOptions;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use serde_json::Value;
@@ -31,6 +32,11 @@
 /// Maximum time to wait for a condition. A wait that reaches it fails the test.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Text that a program prints if another process listens at one of its addresses.
+const ADDRESS_IN_USE: &str = "Address already in use";
+/// Time after which a program is started again at an address that was taken.
+const ADDRESS_RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A process that is killed when the test ends.
 pub struct Process {
     /// The process.
@@ -43,11 +49,39 @@
 
 impl Process {
     fn spawn(program: PathBuf, arguments: &[&str]) -> Self {
-        let mut child = Command::new(&program)
-            .args(arguments)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap_or_else(|error| panic!("cannot run {}: {error}", program.display()));
+        Self::spawn_command(Command::new(program).args(arguments))
+    }
+
+    /// Starts a program, and starts it again while it ends because one of its addresses is taken. Another process may
+    /// bind a port after the port was found free.
+    fn spawn_until_listening(program: PathBuf, arguments: &[&str]) -> Self {
+        let started = Instant::now();
+        loop {
+            let mut command = Command::new(&program);
+            command.args(arguments).stderr(Stdio::piped());
+            let mut process = Self::spawn_command(&mut command);
+            let errors = process.child.stderr.take().expect("stderr is piped");
+            if !process.first_line.is_empty() {
+                std::thread::spawn(move || copy_to_stderr(errors));
+                return process;
+            }
+            let errors = read_and_print(errors);
+            let is_retried =
+                errors.contains(ADDRESS_IN_USE) && started.elapsed() < CONDITION_TIMEOUT;
+            assert!(
+                is_retried,
+                "{} printed no line: {errors}",
+                program.display()
+            );
+            std::thread::sleep(ADDRESS_RETRY_INTERVAL);
+        }
+    }
+
+    fn spawn_command(command: &mut Command) -> Self {
+        command.stdout(Stdio::piped());
+        let spawned = ports::without_open_probes(|| command.spawn());
+        let program = command.get_program().to_string_lossy();
+        let mut child = spawned.unwrap_or_else(|error| panic!("cannot run {program}: {error}"));
         let stdout = child.stdout.take().expect("stdout is piped");
         let mut first_line = String::new();
         let mut output = BufReader::new(stdout);
@@ -91,7 +125,10 @@
     /// Sends a signal by name, such as `TERM` or `STOP`.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let status = Command::new("kill").args(["-s", name, &pid]).status();
+        let mut command = Command::new("kill");
+        command.args(["-s", name, &pid]);
+        let child = ports::without_open_probes(|| command.spawn());
+        let status = child.and_then(|mut child| child.wait());
         assert!(
             status.is_ok_and(|status| status.success()),
             "kill -s {name} {pid}"
@@ -106,6 +143,20 @@
     }
 }
 
+/// Copies the standard error of a process to that of this process until the process closes it.
+fn copy_to_stderr(mut errors: ChildStderr) {
+    let _ = std::io::copy(&mut errors, &mut std::io::stderr());
+}
+
+/// Reads the standard error of a process that ends, and prints it.
+fn read_and_print(mut errors: ChildStderr) -> String {
+    let mut text = Vec::new();
+    let _ = errors.read_to_end(&mut text);
+    let text = String::from_utf8_lossy(&text).into_owned();
+    eprint!("{text}");
+    text
+}
+
 /// Returns the path of a built program in the directory of the running program or, for a test, in its
 /// parent directory. Cargo builds all programs for the tests of the package `tansyhall`.
 fn program_path(name: &str) -> PathBuf {
@@ -182,32 +233,6 @@
     )
 }
 
-/// First port of the range from which [`free_peer_address`] allocates. The range lies below the ephemeral
-/// ports, so that no outgoing connection takes a node's port while the node restarts.
-const FIRST_PEER_PORT: u32 = 16_000;
-/// Number of ports in the range from which [`free_peer_address`] allocates.
-const PEER_PORT_COUNT: u32 = 16_000;
-/// Distance between the first ports of two test processes with consecutive process ids. It is larger than the
-/// number of ports that the fault soak allocates in a minute, because another process may bind a port after
-/// it was found free and before it is used.
-const PROCESS_PORT_STRIDE: u32 = 1_009;
-/// Number of ports that this process has tried.
-static ALLOCATED_PEER_PORTS: AtomicU32 = AtomicU32::new(0);
-
-/// Returns a loopback address whose port is free for both UDP and TCP.
-pub fn free_peer_address() -> SocketAddr {
-    let first = std::process::id().wrapping_mul(PROCESS_PORT_STRIDE);
-    loop {
-        let next = ALLOCATED_PEER_PORTS.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PEER_PORT + first.wrapping_add(next) % PEER_PORT_COUNT;
-        let port = u16::try_from(port).expect("ports are below 32,000");
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// Returns the settings of a node of `fleet` in TOML, with its peer address `peers` and the peer addresses
 /// `seeds` of other nodes.
 pub fn peer_node_settings(
@@ -257,7 +282,8 @@
     let file = directory.join(format!("{name}.toml"));
     std::fs::write(&file, settings).expect("the settings are written");
     let file = file.to_str().expect("a UTF-8 path");
-    let mut process = Process::spawn(program_path("tansyhall"), &["node", "--settings", file]);
+    let arguments = ["node", "--settings", file];
+    let mut process = Process::spawn_until_listening(program_path("tansyhall"), &arguments);
     process.close_output();
     let words: Vec<&str> = process.first_line.split_whitespace().collect();
     let callers = words[1].parse().expect("an address");
@@ -271,11 +297,13 @@
 
 /// Runs `tansyhall` until it exits and returns its standard output. Panics if it fails.
 pub fn run_tansyhall(arguments: &[&str]) -> String {
-    let output = Command::new(program_path("tansyhall"))
-        .args(arguments)
-        .env("TANSYHALL_TOKEN", OPERATOR_TOKEN)
-        .output()
-        .expect("tansyhall runs");
+    let mut command = Command::new(program_path("tansyhall"));
+    command.args(arguments);
+    command.env("TANSYHALL_TOKEN", OPERATOR_TOKEN);
+    command.stdout(Stdio::piped()).stderr(Stdio::piped());
+    let child = ports::without_open_probes(|| command.spawn());
+    let output = child.and_then(std::process::Child::wait_with_output);
+    let output = output.expect("tansyhall runs");
     let errors = String::from_utf8_lossy(&output.stderr);
     assert!(output.status.success(), "tansyhall {arguments:?}: {errors}");
     String::from_utf8(output.stdout).expect("UTF-8 output")
