Test: a fault of the paths to workers is not the end of the workers

What callers saw: while some gateways were partitioned from all workers, with connections reset and new ones refused, their requests ended as barred (500) although no worker had ended.

The tests let requests of the same content run at five workers and close the paths to all of them at once, for one gateway and for three.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -7,6 +7,7 @@
 mod leaving_and_backoff;
 mod logs;
 mod mismatched_answers;
+mod path_faults;
 mod rate_limits;
 mod relays;
 mod requests;
