--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -8,6 +8,7 @@
 mod logs;
 mod mismatched_answers;
 mod partitions;
+mod path_faults;
 mod rate_limits;
 mod relays;
 mod requests;
