Failing tests: a pause of a sound worker ends requests

A worker that sends nothing for 1.3 s and then goes on loses requests that nobody else can run: the gateway gives the attempt up before it knows whether another worker will take it.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -14,6 +14,7 @@
 mod roles;
 mod schedulers;
 mod silent_connections;
+mod silent_workers;
 mod support;
 mod tenants;
 mod usage;
