--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -6,7 +6,7 @@
 //! [`crate::correlation`].
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -28,7 +28,7 @@
 use crate::correlation::{ComparedHead, Correlation, Mismatch};
 use crate::headers::HeaderList;
 use crate::second_answer::SecondAnswerSearch;
-use crate::worker_connect;
+use crate::worker_connect::{self, TcpConnector, WorkerConnector};
 use crate::worker_notices::WorkerNotices;
 use crate::worker_relay::{ConnectError, WorkerRelays, WorkerStream};
 use crate::worker_request::{RequestKind, WorkerRequest};
@@ -112,6 +112,8 @@
 pub struct Connections {
     clock: MonotonicClock,
     correlation: Correlation,
+    /// The local address of connections to workers; the system chooses it if there is none.
+    pub source_address: Option<IpAddr>,
     /// Notices that workers attach to their answers.
     pub notices: WorkerNotices,
     /// `None` if all connections are direct.
@@ -122,11 +124,17 @@
 }
 
 impl Connections {
-    /// Creates a set without connections.
-    pub fn new(clock: MonotonicClock, correlation: Correlation, notices: WorkerNotices) -> Self {
+    /// Creates a set without connections. Connections are opened from the local address `source_address`.
+    pub fn new(
+        clock: MonotonicClock,
+        correlation: Correlation,
+        notices: WorkerNotices,
+        source_address: Option<IpAddr>,
+    ) -> Self {
         Self {
             clock,
             correlation,
+            source_address,
             notices,
             relays: None,
             pools: Mutex::default(),
@@ -290,7 +298,8 @@
                 connected.map(WorkerStream::Direct)
             }
             None => {
-                let connected = worker_connect::connect(address).await;
+                let connector = TcpConnector::from_address(self.source_address);
+                let connected = connector.connect(address).await;
                 let outcome = worker_connect::outcome_of(&connected);
                 connected
                     .map(WorkerStream::Direct)
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -41,6 +41,7 @@
 use crate::state::Shared;
 use crate::store_contact::StoreContact;
 use crate::usage::Usage;
+use crate::worker_connect::TcpConnector;
 use crate::worker_notices::WorkerNotices;
 use crate::worker_relay::WorkerRelays;
 use crate::{
@@ -213,16 +214,19 @@
         Arc::clone(&log),
         metrics.worker_notices.clone(),
     );
-    let worker_relays = Arc::new(WorkerRelays::new(
+    let source_address = settings.workers.source_address;
+    let worker_relays = WorkerRelays::new(
         clock,
         settings.node.zone.clone(),
         Arc::clone(&directory),
         Arc::clone(&log),
         &metrics,
-    ));
+    );
+    let connector = Arc::new(TcpConnector::from_address(source_address));
+    let worker_relays = Arc::new(worker_relays.with_connector(connector));
     worker_relays.set_enabled(settings.decisions.worker_relays);
-    let connections =
-        Connections::new(clock, correlation, notices).with_relays(Arc::clone(&worker_relays));
+    let connections = Connections::new(clock, correlation, notices, source_address)
+        .with_relays(Arc::clone(&worker_relays));
     Ok(Arc::new(Shared {
         settings: RwLock::new(Arc::new(settings)),
         clock,
--- a/crates/gateway/src/worker_relay/mod.rs
+++ b/crates/gateway/src/worker_relay/mod.rs
@@ -120,7 +120,7 @@
             paths: Mutex::new(WorkerPaths::new(zone)),
             peers: RwLock::default(),
             directory,
-            connector: Arc::new(TcpConnector),
+            connector: Arc::new(TcpConnector::default()),
             server: RelayServer::new(MAX_RELAYED_CONNECTIONS),
         }
     }
--- a/crates/gateway/tests/worker_relay.rs
+++ b/crates/gateway/tests/worker_relay.rs
@@ -17,7 +17,7 @@
 use tansyhall_gateway::events::EventLog;
 use tansyhall_gateway::metrics::Metrics;
 use tansyhall_gateway::presence::Member;
-use tansyhall_gateway::worker_connect::{self, WorkerConnector, CONNECT_TIMEOUT};
+use tansyhall_gateway::worker_connect::{TcpConnector, WorkerConnector, CONNECT_TIMEOUT};
 use tansyhall_gateway::worker_relay::client::{self, RelayedStream};
 use tansyhall_gateway::worker_relay::{probes, server, RelayedCheck, WorkerRelays, WorkerStream};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -62,7 +62,7 @@
                     Err(Error::from(ErrorKind::TimedOut))
                 }
                 REFUSING => Err(Error::from(ErrorKind::ConnectionRefused)),
-                _ => worker_connect::connect(address).await,
+                _ => TcpConnector::default().connect(address).await,
             }
         }
         .boxed()
