Recognise paths on which connections are accepted and reset

Cause: a middlebox, or a link of the process tests, may accept a connection to a worker and reset it at once. Counted as a success, it ended every partition. Change: a direct connection proves the path with its first answer, and only for failures before it was opened. One that ends before its first answer counts as a failure (`Reset`). After a failure, new direct connections are used only if they were not reset within 30 ms, and probes wait for 100 ms.

--- a/crates/forwarding/src/worker_paths.rs
+++ b/crates/forwarding/src/worker_paths.rs
@@ -38,10 +38,12 @@
 /// The result of a direct connection attempt to a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DirectOutcome {
-    /// The connection was established.
+    /// The connection was established, and the worker was not cut off from it at once.
     Connected,
     /// The address refused the connection.
     Refused,
+    /// The connection was established and ended before anything was received.
+    Reset,
     /// The connection was not established in time, or another error occurred.
     Failed,
 }
@@ -106,7 +108,7 @@
         since: Timestamp,
         /// Number of workers that direct connections did not reach.
         failed_workers: usize,
-        /// Whether all of these connections were refused.
+        /// Whether all of these connections were refused or reset.
         by_refusal: bool,
     },
     /// A direct connection has succeeded.
@@ -167,12 +169,14 @@
 #[derive(Debug, Clone, Copy)]
 struct Partition {
     since: Timestamp,
+    detected_at: Timestamp,
     by_refusal: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct DirectFailure {
-    at: Timestamp,
+    first_at: Timestamp,
+    last_at: Timestamp,
     is_refusal: bool,
     /// Whether a relay has reached the worker.
     is_reached_by_relay: bool,
@@ -247,6 +251,11 @@
         self.is_partitioned() || self.recent_failures(now).count() >= self.partition_threshold()
     }
 
+    /// Returns whether a direct connection may end at once after it was established, as others have failed.
+    pub fn doubts_direct(&self, now: Timestamp, worker: &WorkerId) -> bool {
+        self.path_to(worker) != WorkerPath::DirectFirst || self.recent_failures(now).count() > 0
+    }
+
     /// Returns which idle connections to a worker may still be used.
     pub fn idle_rule(&self, worker: &WorkerId) -> IdleRule {
         let hanging = self.partition.filter(|partition| !partition.by_refusal);
@@ -264,37 +273,48 @@
         outcome: DirectOutcome,
     ) -> Option<PathChange> {
         let is_refusal = match outcome {
-            DirectOutcome::Connected => return self.record_direct_success(worker),
-            DirectOutcome::Refused => true,
+            DirectOutcome::Connected => return self.record_answered(worker, now),
+            DirectOutcome::Refused | DirectOutcome::Reset => true,
             DirectOutcome::Failed => false,
         };
         self.failures
-            .retain(|_, failure| now.since(failure.at) < FAILURE_MEMORY);
+            .retain(|_, failure| now.since(failure.last_at) < FAILURE_MEMORY);
         if self.failures.len() < MAX_FAILURES || self.failures.contains_key(worker) {
             let failure = self
                 .failures
                 .entry(worker.clone())
                 .or_insert(DirectFailure {
-                    at: now,
+                    first_at: now,
+                    last_at: now,
                     is_refusal,
                     is_reached_by_relay: false,
                 });
+            failure.last_at = now;
             failure.is_refusal &= is_refusal;
         }
         self.detect_partition(now)
     }
 
-    fn record_direct_success(&mut self, worker: &WorkerId) -> Option<PathChange> {
-        self.failures.clear();
-        let partition = self.partition.take();
-        if partition.is_some() {
+    /// Records that the direct path to a worker worked on a connection that was opened at `opened_at`. This says nothing
+    /// about connections that failed later.
+    pub fn record_answered(
+        &mut self,
+        worker: &WorkerId,
+        opened_at: Timestamp,
+    ) -> Option<PathChange> {
+        self.failures
+            .retain(|_, failure| failure.last_at > opened_at);
+        let is_ended = |partition: &mut Partition| partition.detected_at <= opened_at;
+        let ended = self.partition.take_if(is_ended);
+        if ended.is_some() {
             self.zone_cut_until = Timestamp::default();
         }
         // Paths usually heal together. A path that has not healed fails again at its next connection.
-        if partition.is_some() || self.relayed.contains(worker) {
+        let is_healed = self.partition.is_none() && self.relayed.contains(worker);
+        if ended.is_some() || is_healed {
             self.relayed.clear();
         }
-        partition.map(|Partition { since, .. }| PathChange::Restored { since })
+        ended.map(|Partition { since, .. }| PathChange::Restored { since })
     }
 
     /// Records the result of a connection attempt through a peer.
@@ -353,7 +373,7 @@
 
     fn recent_failures(&self, now: Timestamp) -> impl Iterator<Item = &DirectFailure> {
         let failures = self.failures.values();
-        failures.filter(move |failure| now.since(failure.at) < FAILURE_MEMORY)
+        failures.filter(move |failure| now.since(failure.last_at) < FAILURE_MEMORY)
     }
 
     fn detect_partition(&mut self, now: Timestamp) -> Option<PathChange> {
@@ -365,10 +385,17 @@
         if !is_detected || self.partition.is_some() {
             return None;
         }
-        let first = self.recent_failures(now).map(|failure| failure.at).min();
+        let first = self
+            .recent_failures(now)
+            .map(|failure| failure.first_at)
+            .min();
         let since = first.unwrap_or(now);
         let by_refusal = self.recent_failures(now).all(|failure| failure.is_refusal);
-        self.partition = Some(Partition { since, by_refusal });
+        self.partition = Some(Partition {
+            since,
+            detected_at: now,
+            by_refusal,
+        });
         Some(PathChange::Partitioned {
             since,
             failed_workers,
--- a/crates/forwarding/tests/worker_paths.rs
+++ b/crates/forwarding/tests/worker_paths.rs
@@ -127,6 +127,28 @@
     assert_eq!(paths.path_to(&worker(0)), WorkerPath::RelayFirst);
 }
 
+/// Guards against the end of a partition by an answer on a connection that outlived the beginning of the partition.
+#[test]
+fn an_answer_on_an_older_connection_does_not_end_a_partition() {
+    let mut paths = partitioned(DirectOutcome::Reset);
+    assert_eq!(paths.record_answered(&worker(0), at(99)), None);
+    assert!(paths.is_partitioned());
+    let restored = paths.record_answered(&worker(0), at(101));
+    assert_eq!(restored, Some(PathChange::Restored { since: at(100) }));
+}
+
+#[test]
+fn direct_connections_are_doubted_until_one_is_answered_after_a_failure() {
+    let mut paths = paths();
+    assert!(!paths.doubts_direct(at(1), &worker(1)));
+    paths.record_direct(at(10), &worker(0), DirectOutcome::Reset);
+    assert!(paths.doubts_direct(at(11), &worker(1)));
+    paths.record_answered(&worker(1), at(9));
+    assert!(paths.doubts_direct(at(12), &worker(1)));
+    paths.record_answered(&worker(1), at(11));
+    assert!(!paths.doubts_direct(at(12), &worker(1)));
+}
+
 #[test]
 fn one_worker_suffices_where_there_is_only_one() {
     let mut paths = paths();
@@ -223,6 +245,11 @@
             ConnectFailure::WorkerUnreachable,
         ),
         (failed, vec![], ConnectFailure::WorkerUnreachable),
+        (
+            Some(DirectOutcome::Reset),
+            vec![],
+            ConnectFailure::WorkerUnreachable,
+        ),
         (
             failed,
             vec![RelayOutcome::WorkerRefused],
@@ -314,6 +341,7 @@
         1 => Just(DirectOutcome::Connected),
         3 => Just(DirectOutcome::Refused),
         3 => Just(DirectOutcome::Failed),
+        2 => Just(DirectOutcome::Reset),
     ]
 }
 
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -88,6 +88,11 @@
             .is_none_or(|relay| relay.status.is_ended_by_worker())
     }
 
+    /// Returns whether it is direct and has received no answer.
+    pub fn is_new_and_direct(&self) -> bool {
+        self.relay.is_none() && self.carried_ids.count() == 0
+    }
+
     fn is_usable(&self, now: Timestamp) -> bool {
         let is_relay_leaving = self
             .relay
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -19,7 +19,9 @@
 use parking_lot::Mutex;
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::Timestamp;
-use tansyhall_forwarding::{ConnectFailure, IdleRule, RateToken, Unavailable, WorkerId};
+use tansyhall_forwarding::{
+    ConnectFailure, DirectOutcome, IdleRule, RateToken, Unavailable, WorkerId,
+};
 use tokio::io::{AsyncRead, AsyncWrite};
 
 use crate::answer_body::{AnswerBody, BorrowedConnection};
@@ -144,6 +146,7 @@
 
     /// Opens connections through relays to workers that are not reached directly.
     pub fn with_relays(mut self, relays: Arc<WorkerRelays>) -> Self {
+        self.clock = relays.clock();
         self.relays = Some(relays);
         self
     }
@@ -347,8 +350,12 @@
             Ok(response) => response,
             Err(mut error) => {
                 return Err(match error.take_message() {
-                    Some(unsent) => AttemptError::Unsent(Box::new(unsent)),
+                    Some(unsent) => {
+                        self.record_reset(destination, &connection);
+                        AttemptError::Unsent(Box::new(unsent))
+                    }
                     None => {
+                        self.record_reset(destination, &connection);
                         if connection.fails_at_worker() {
                             self.losses.report(Loss::Broken, destination);
                         }
@@ -357,11 +364,26 @@
                 })
             }
         };
+        self.record_answered(destination, &connection);
         connection.last_received_at = self.clock.now();
         let answered = self.matched_answer(destination, connection, request, sent_at, response);
         answered.map_err(AttemptError::Failed)
     }
 
+    /// Records that a direct connection has ended before its first answer.
+    fn record_reset(&self, destination: &Destination, connection: &Connection) {
+        if let (Some(relays), true) = (&self.relays, connection.is_new_and_direct()) {
+            relays.record_direct(&destination.worker, DirectOutcome::Reset);
+        }
+    }
+
+    /// Records that the first answer has arrived on a direct connection.
+    fn record_answered(&self, destination: &Destination, connection: &Connection) {
+        if let (Some(relays), true) = (&self.relays, connection.is_new_and_direct()) {
+            relays.record_answered(&destination.worker, connection.last_received_at);
+        }
+    }
+
     /// Returns the answer that was received on a connection if it matches the request that was sent at `sent_at`.
     fn matched_answer(
         self: &Arc<Self>,
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -118,7 +118,7 @@
         worker: &'a str,
         /// Number of workers that this gateway did not reach; 0 if `restored`.
         failed_workers: usize,
-        /// Whether all connections to them were refused; otherwise at least one timed out.
+        /// Whether all connections to them were refused or reset; otherwise at least one timed out.
         by_refusal: bool,
         /// Milliseconds since the first connection failed.
         since_ms: u64,
--- a/crates/gateway/src/worker_connect.rs
+++ b/crates/gateway/src/worker_connect.rs
@@ -69,6 +69,18 @@
     socket.connect(address).await
 }
 
+/// Waits for a time in which a connection that leads nowhere is reset. Some middleboxes accept connections that they cannot
+/// forward.
+pub async fn check_alive(stream: &TcpStream, time: Duration) -> io::Result<()> {
+    match timeout(time, stream.peek(&mut [0])).await {
+        Err(_) | Ok(Ok(1..)) => Ok(()),
+        Ok(Ok(0) | Err(_)) => Err(io::Error::new(
+            io::ErrorKind::ConnectionReset,
+            "connection was reset when it was established",
+        )),
+    }
+}
+
 /// Sets the options of connections that carry requests to workers, directly or through a relay.
 pub fn set_options(stream: &TcpStream) {
     let _ = stream.set_nodelay(true);
@@ -80,6 +92,7 @@
     match connected {
         Ok(_) => DirectOutcome::Connected,
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => DirectOutcome::Refused,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionReset => DirectOutcome::Reset,
         Err(_) => DirectOutcome::Failed,
     }
 }
--- a/crates/gateway/src/worker_relay/mod.rs
+++ b/crates/gateway/src/worker_relay/mod.rs
@@ -1,23 +1,25 @@
 //! Connections to workers through other gateways, for workers that this gateway cannot reach itself.
 //!
 //! [`tansyhall_forwarding::worker_paths`] decides when to use a relay. [`race`] opens a connection directly or through
-//! relays, [`client`] is the gateway's end of a relayed connection, [`server`] is the relay's, and [`probes`] finds out
-//! when the direct path works again.
+//! relays, [`client`] is the gateway's end of a relayed connection, [`server`] and `tunnel` are the relay's, and [`probes`]
+//! finds out when the direct path works again.
 
 pub mod client;
 pub mod message;
 pub mod probes;
 mod race;
 pub mod server;
+mod tunnel;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
 use prometheus::{IntCounterVec, IntGauge};
 use tansyhall_core::time::MonotonicClock;
-use tansyhall_core::ZoneName;
+use tansyhall_core::{Timestamp, ZoneName};
 use tansyhall_forwarding::{
     ConnectFailure, DirectOutcome, Directory, IdleRule, PathChange, RelayOutcome, RelayPeer,
     WorkerId, WorkerPath, WorkerPaths,
@@ -28,10 +30,15 @@
 use crate::metrics::Metrics;
 use crate::presence::Member;
 use crate::state::saturating_millis;
-use crate::worker_connect::{TcpConnector, WorkerConnector};
+use crate::worker_connect::{check_alive, TcpConnector, WorkerConnector};
 use client::RelayedStream;
 use server::{RelayServer, MAX_RELAYED_CONNECTIONS};
 
+/// Time in which a doubtful connection for a request may be reset before it is used.
+const REQUEST_CHECK_TIME: Duration = Duration::from_millis(30);
+/// Time in which the connection of a probe may be reset before it counts as established.
+const PROBE_CHECK_TIME: Duration = Duration::from_millis(100);
+
 /// A connection to a worker.
 pub enum WorkerStream {
     /// From this gateway to the worker.
@@ -197,6 +204,20 @@
         self.report(worker, change);
     }
 
+    /// Records that something was received on a direct connection that was opened at `opened_at`.
+    pub fn record_answered(&self, worker: &WorkerId, opened_at: Timestamp) {
+        if !self.is_enabled() {
+            return;
+        }
+        let change = self.paths.lock().record_answered(worker, opened_at);
+        self.report(worker, change);
+    }
+
+    /// Returns the clock of the timestamps.
+    pub fn clock(&self) -> MonotonicClock {
+        self.clock
+    }
+
     fn record_relayed(&self, peer: &RelayPeer, worker: &WorkerId, outcome: RelayOutcome) {
         self.attempts.with_label_values(&[outcome.name()]).inc();
         let now = self.clock.now();
@@ -234,6 +255,19 @@
         self.log.record(Priority::Important, &event);
     }
 
+    /// Opens a direct connection for a request. While other connections fail, it is checked whether it is reset at once.
+    async fn open_direct(
+        &self,
+        worker: &WorkerId,
+        address: SocketAddr,
+    ) -> std::io::Result<TcpStream> {
+        let stream = self.connector.connect(address).await?;
+        if self.paths.lock().doubts_direct(self.clock.now(), worker) {
+            check_alive(&stream, REQUEST_CHECK_TIME).await?;
+        }
+        Ok(stream)
+    }
+
     /// Returns the address of an announced worker.
     fn address_of(&self, worker: &WorkerId) -> Option<SocketAddr> {
         let directory = self.directory.lock();
--- a/crates/gateway/src/worker_relay/race.rs
+++ b/crates/gateway/src/worker_relay/race.rs
@@ -12,8 +12,8 @@
 use tokio::time::{sleep_until, Instant};
 
 use super::client::{self, RelayedStream};
-use super::{ConnectError, Peers, RelayedCheck, WorkerRelays, WorkerStream};
-use crate::worker_connect::{self, CONNECT_TIMEOUT};
+use super::{ConnectError, Peers, RelayedCheck, WorkerRelays, WorkerStream, PROBE_CHECK_TIME};
+use crate::worker_connect::{self, check_alive, CONNECT_TIMEOUT};
 
 /// Head start of the preferred path.
 const PREFERRED_HEAD_START: Duration = Duration::from_millis(100);
@@ -24,7 +24,7 @@
 /// Maximum time to establish a connection by any path.
 const RACE_TIMEOUT: Duration = CONNECT_TIMEOUT.saturating_mul(2);
 
-type DirectAttempt = BoxFuture<'static, std::io::Result<TcpStream>>;
+type DirectAttempt<'a> = BoxFuture<'a, std::io::Result<TcpStream>>;
 type RelayedAttempt<'a> = BoxFuture<'a, (usize, Result<RelayedStream, RelayOutcome>)>;
 
 impl WorkerRelays {
@@ -38,18 +38,24 @@
         Race::new(self, worker, address, path).run().await
     }
 
-    /// Opens a connection to a worker without a relay.
+    /// Opens a connection to a worker without a relay, and checks whether it is reset at once.
     pub async fn connect_directly(
         &self,
         worker: &WorkerId,
         address: SocketAddr,
     ) -> Result<TcpStream, ConnectError> {
-        let connected = self.connector.connect(address).await;
+        let connected = self.connect_checked(address).await;
         let outcome = worker_connect::outcome_of(&connected);
         self.record_direct(worker, outcome);
         connected.map_err(|error| ConnectError::of_direct(outcome, &error))
     }
 
+    async fn connect_checked(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let stream = self.connector.connect(address).await?;
+        check_alive(&stream, PROBE_CHECK_TIME).await?;
+        Ok(stream)
+    }
+
     /// Asks relays whether the address of a worker refuses connections.
     pub async fn check_through_relays(
         &self,
@@ -71,7 +77,7 @@
     address: SocketAddr,
     peers: Arc<Peers>,
     /// The direct attempt in progress.
-    direct: Option<(Instant, DirectAttempt)>,
+    direct: Option<(Instant, DirectAttempt<'a>)>,
     direct_due: Option<Instant>,
     direct_outcome: Option<DirectOutcome>,
     relayed: FuturesUnordered<RelayedAttempt<'a>>,
@@ -170,8 +176,8 @@
             .is_some_and(|due| due <= now || has_no_relay)
         {
             self.direct_due = None;
-            let connecting = self.relays.connector.connect(self.address);
-            self.direct = Some((now, connecting));
+            let connecting = self.relays.open_direct(self.worker, self.address);
+            self.direct = Some((now, connecting.boxed()));
         }
     }
 
@@ -189,14 +195,15 @@
         self.relayed.push(opening.boxed());
     }
 
+    /// Records a failure of the direct attempt. Its success is recorded with the first answer on the connection.
     fn finish_direct(&mut self, connected: std::io::Result<TcpStream>) -> Option<TcpStream> {
         self.direct = None;
         let outcome = worker_connect::outcome_of(&connected);
-        self.direct_outcome = Some(outcome);
-        self.relays.record_direct(self.worker, outcome);
         match connected {
             Ok(stream) => Some(stream),
             Err(error) => {
+                self.direct_outcome = Some(outcome);
+                self.relays.record_direct(self.worker, outcome);
                 self.detail = error.to_string();
                 self.hasten_relay();
                 None
@@ -280,7 +287,7 @@
 }
 
 async fn pending_direct(
-    direct: &mut Option<(Instant, DirectAttempt)>,
+    direct: &mut Option<(Instant, DirectAttempt<'_>)>,
 ) -> std::io::Result<TcpStream> {
     match direct {
         Some((_, attempt)) => attempt.await,
--- a/crates/gateway/src/worker_relay/server.rs
+++ b/crates/gateway/src/worker_relay/server.rs
@@ -6,20 +6,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use prost::Message;
 use tansyhall_forwarding::{DirectOutcome, WorkerId};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
-use tokio_util::codec::{Framed, FramedWrite, LengthDelimitedCodec};
+use tokio_util::codec::Framed;
 
-use super::message::{
-    codec, encode, Frame, FrameKind, OpenAnswer, OpenRequest, OpenResult, MAX_FRAME_BYTES,
-};
+use super::message::{codec, encode, OpenAnswer, OpenRequest, OpenResult};
+use super::tunnel::{self, RelayedWorker};
 use super::WorkerRelays;
 use crate::worker_connect::{self, set_options};
 
@@ -30,13 +26,9 @@
 const MAX_CONNECTIONS: usize = MAX_RELAYED_CONNECTIONS + 128;
 /// Maximum time to receive a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
-/// Maximum time for the other gateway to close a connection after the worker has closed it.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause after an error of the listening socket.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-type GatewayFrames = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
-
 /// The connections that this gateway relays.
 #[derive(Debug)]
 pub struct RelayServer {
@@ -70,6 +62,11 @@
     fn is_leaving(&self) -> bool {
         *self.is_leaving.borrow()
     }
+
+    /// Returns a receiver that becomes true when the server leaves.
+    pub(super) fn watch_leaving(&self) -> watch::Receiver<bool> {
+        self.is_leaving.subscribe()
+    }
 }
 
 /// Counts a connection until it is dropped.
@@ -145,8 +142,13 @@
     if framed.send(encode(&answer)).await.is_err() {
         return;
     }
-    if let Ok(worker) = opened {
-        relay(framed, worker, server.is_leaving.subscribe()).await;
+    if let Ok(stream) = opened {
+        let worker = RelayedWorker {
+            relays,
+            id: WorkerId::from(request.worker.as_str()),
+            opened_at: relays.clock.now(),
+        };
+        tunnel::copy(framed, stream, &worker).await;
     }
 }
 
@@ -168,79 +170,14 @@
     let address = announced
         .filter(is_requested)
         .ok_or(OpenResult::UnknownWorker)?;
-    let connected = relays.connector.connect(address).await;
+    let connected = relays.open_direct(&worker, address).await;
     let outcome = worker_connect::outcome_of(&connected);
-    relays.record_direct(&worker, outcome);
+    if connected.is_err() {
+        relays.record_direct(&worker, outcome);
+    }
     connected.map_err(|_| match outcome {
         _ if relays.may_be_partitioned() => OpenResult::RelayPartitioned,
         DirectOutcome::Refused => OpenResult::WorkerRefused,
         _ => OpenResult::WorkerUnreachable,
     })
 }
-
-/// Copies bytes in both directions until one side closes its connection.
-async fn relay(
-    gateway: Framed<TcpStream, LengthDelimitedCodec>,
-    worker: TcpStream,
-    is_leaving: watch::Receiver<bool>,
-) {
-    let parts = gateway.into_parts();
-    let (mut from_gateway, to_gateway) = parts.io.into_split();
-    let mut to_gateway = FramedWrite::new(to_gateway, codec());
-    let (from_worker, to_worker) = worker.into_split();
-    tokio::select! {
-        () = copy_to_worker(parts.read_buf, &mut from_gateway, to_worker) => return,
-        () = copy_to_gateway(from_worker, &mut to_gateway, is_leaving) => {}
-    }
-    // Closing a socket with unread bytes would reset the connection and could discard the last frame.
-    let _ = to_gateway.get_mut().shutdown().await;
-    let mut unread = [0; 1024];
-    let drain =
-        async { while matches!(from_gateway.read(&mut unread).await, Ok(count) if count > 0) {} };
-    let _ = timeout(CLOSE_TIMEOUT, drain).await;
-}
-
-/// Returns when the gateway has closed its connection. Bytes that the worker no longer accepts are discarded, because it
-/// may still be sending its answer.
-async fn copy_to_worker(
-    first: BytesMut,
-    from_gateway: &mut OwnedReadHalf,
-    mut to_worker: OwnedWriteHalf,
-) {
-    let mut is_accepting = to_worker.write_all(&first).await.is_ok();
-    let mut buffer = BytesMut::with_capacity(MAX_FRAME_BYTES);
-    while matches!(from_gateway.read_buf(&mut buffer).await, Ok(count) if count > 0) {
-        if is_accepting {
-            is_accepting = to_worker.write_all(&buffer).await.is_ok();
-        }
-        buffer.clear();
-    }
-}
-
-/// Returns when the worker has closed its connection, or the gateway does not accept any more bytes.
-async fn copy_to_gateway(
-    mut from_worker: OwnedReadHalf,
-    to_gateway: &mut GatewayFrames,
-    mut is_leaving: watch::Receiver<bool>,
-) {
-    let mut buffer = vec![0; MAX_FRAME_BYTES];
-    let mut has_left = false;
-    loop {
-        let frame = tokio::select! {
-            received = from_worker.read(&mut buffer) => match received {
-                Ok(0) => Frame::of_kind(FrameKind::End),
-                Ok(count) => Frame::bytes(Bytes::copy_from_slice(&buffer[..count])),
-                Err(_) => Frame::of_kind(FrameKind::Reset),
-            },
-            _ = is_leaving.wait_for(|is_leaving| *is_leaving), if !has_left => {
-                has_left = true;
-                Frame::of_kind(FrameKind::Leaving)
-            }
-        };
-        let is_last = matches!(frame.kind(), FrameKind::End | FrameKind::Reset);
-        let sent = to_gateway.send(encode(&frame)).await;
-        if is_last || sent.is_err() {
-            return;
-        }
-    }
-}
--- a/crates/gateway/tests/worker_relay.rs
+++ b/crates/gateway/tests/worker_relay.rs
@@ -12,7 +12,8 @@
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::{ServiceName, ZoneName};
 use tansyhall_forwarding::{
-    ConnectFailure, Directory, GatewayKey, RelayOutcome, Worker, WorkerId, WorkerKind, WorkerState,
+    ConnectFailure, DirectOutcome, Directory, GatewayKey, RelayOutcome, Worker, WorkerId,
+    WorkerKind, WorkerState,
 };
 use tansyhall_gateway::events::EventLog;
 use tansyhall_gateway::metrics::Metrics;
@@ -37,6 +38,8 @@
 const OPEN: u8 = 0;
 const HANGING: u8 = 1;
 const REFUSING: u8 = 2;
+/// Connections are accepted and reset at once.
+const RESETTING: u8 = 3;
 
 /// The network between a gateway and all workers.
 #[derive(Default)]
@@ -61,6 +64,7 @@
                     sleep(CONNECT_TIMEOUT).await;
                     Err(Error::from(ErrorKind::TimedOut))
                 }
+                RESETTING => connect_to_resetting().await,
                 REFUSING => Err(Error::from(ErrorKind::ConnectionRefused)),
                 _ => TcpConnector::default().connect(address).await,
             }
@@ -69,6 +73,14 @@
     }
 }
 
+async fn connect_to_resetting() -> std::io::Result<TcpStream> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let stream = TcpStream::connect(listener.local_addr()?).await?;
+    let (accepted, _) = listener.accept().await?;
+    SockRef::from(&accepted).set_linger(Some(Duration::ZERO))?;
+    Ok(stream)
+}
+
 /// A gateway without its callers.
 struct Gateway {
     member: Member,
@@ -281,6 +293,24 @@
     assert!(own.is_connected_directly(&workers[0]).await);
 }
 
+#[actix_rt::test]
+async fn a_probe_that_is_reset_does_not_end_a_partition() {
+    let workers = [echoing_worker("w-1").await, echoing_worker("w-2").await];
+    let own = Gateway::start("g-1", "a", &workers).await;
+    let other = Gateway::start("g-2", "a", &workers).await;
+    introduce(&[&own, &other]);
+    own.network.set(REFUSING);
+    for worker in &workers {
+        own.connect_relayed(worker).await;
+    }
+    own.network.set(RESETTING);
+    let probed = own
+        .relays
+        .connect_directly(&workers[0].id, workers[0].address);
+    assert!(probed.await.is_err());
+    assert!(own.relays.is_partitioned());
+}
+
 #[actix_rt::test]
 async fn a_silent_worker_behind_a_hanging_path_reveals_the_partition() {
     let workers = [echoing_worker("w-1").await, echoing_worker("w-2").await];
@@ -469,15 +499,24 @@
 }
 
 #[actix_rt::test]
-async fn a_whole_zone_that_is_refused_uses_relays_of_another_zone() {
+async fn a_whole_zone_that_is_cut_off_uses_relays_of_another_zone() {
     let workers = [echoing_worker("w-1").await, echoing_worker("w-2").await];
-    for state in [HANGING, REFUSING] {
+    for state in [HANGING, REFUSING, RESETTING] {
         let own = Gateway::start("g-1", "a", &workers).await;
         let same_zone = Gateway::start("g-2", "a", &workers).await;
         let other_zone = Gateway::start("g-3", "b", &workers).await;
         introduce(&[&own, &same_zone, &other_zone]);
-        own.network.set(state);
-        same_zone.network.set(state);
+        for gateway in [&own, &same_zone] {
+            gateway.network.set(state);
+            // Only a connection that fails in use shows that connections are reset.
+            if state == RESETTING {
+                for worker in &workers {
+                    gateway
+                        .relays
+                        .record_direct(&worker.id, DirectOutcome::Reset);
+                }
+            }
+        }
         for worker in &workers {
             let (_, relay) = own.connect_relayed(worker).await;
             assert_eq!(relay, "g-3");
