Give up on a worker that no path reaches as soon as that is known

Cause: a worker whose machine was down occupied a request for 0.8 s instead of 0.4 s, and a refusal waited as long for a relay of another zone that was silent. Change: a connection fails once the direct attempt and a relay's have timed out and the other relays had 50 ms. Another zone has 150 ms to contradict a refusal.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -22,4 +22,5 @@
 mod usage;
 mod worker_incarnations;
 mod worker_orders;
+mod worker_relays;
 mod workers_leaving_in_a_shortage;
--- a/crates/gateway/src/worker_relay/race.rs
+++ b/crates/gateway/src/worker_relay/race.rs
@@ -23,6 +23,10 @@
 const MAX_RELAYED_ATTEMPTS: usize = 3;
 /// Maximum number of all relays that are asked for one connection.
 const MAX_ASKED_RELAYS: usize = 8;
+/// Maximum time for another relay to contradict one that is refused by the worker.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time after which a relay that has not connected to the worker has probably no better path to it than one that failed.
+const RELAY_CONNECT_TIME: Duration = Duration::from_millis(50);
 /// Maximum time to establish a connection by any path.
 const RACE_TIMEOUT: Duration = CONNECT_TIMEOUT.saturating_mul(2);
 
@@ -85,6 +89,7 @@
     relayed: FuturesUnordered<RelayedAttempt<'a>>,
     relay_due: Option<Instant>,
     tried: Vec<usize>,
+    last_relay_at: Instant,
     outcomes: Vec<RelayOutcome>,
     deadline: Instant,
     detail: String,
@@ -115,6 +120,7 @@
             relayed: FuturesUnordered::new(),
             relay_due: Some(relay_due),
             tried: Vec::new(),
+            last_relay_at: now,
             outcomes: Vec::new(),
             deadline: now + RACE_TIMEOUT,
             detail: String::from("connection was not established in time"),
@@ -125,7 +131,8 @@
         loop {
             self.start_due_attempts();
             let is_idle = self.direct.is_none() && self.relayed.is_empty();
-            if is_idle && self.next_start().is_none() {
+            let is_over = is_idle && self.next_start().is_none();
+            if is_over || self.is_unreachable() {
                 return Err(self.error());
             }
             let wake_at = self
@@ -184,6 +191,15 @@
         }
     }
 
+    /// Returns whether neither this gateway nor a relay reached the worker, and the relays that are still trying would have
+    /// reached it by now.
+    fn is_unreachable(&self) -> bool {
+        let has_failed_directly = self.direct_outcome == Some(DirectOutcome::Failed);
+        let has_failed_relayed = self.outcomes.contains(&RelayOutcome::WorkerUnreachable);
+        let had_time = self.last_relay_at.elapsed() >= RELAY_CONNECT_TIME;
+        has_failed_directly && has_failed_relayed && self.tried.len() > 1 && had_time
+    }
+
     fn may_ask_relay(&self) -> bool {
         let refusals = self.outcomes.iter().filter(|outcome| outcome.is_by_relay());
         let attempts = self.tried.len() - refusals.count();
@@ -198,6 +214,7 @@
 
     fn start_relayed(&mut self, peer: usize) {
         self.tried.push(peer);
+        self.last_relay_at = Instant::now();
         let (worker, address) = (self.worker, self.address);
         let relay = self.peers.addresses[peer];
         let opening = async move { (peer, client::open(relay, worker, address).await) };
@@ -244,12 +261,15 @@
                 self.relays.record_relayed(peer, self.worker, outcome);
                 self.outcomes.push(outcome);
                 self.hasten_relay();
-                match outcome {
-                    RelayOutcome::WorkerRefused if !self.should_confirm_refusal(index) => {
-                        RelayedResult::WorkerRefused
-                    }
-                    _ => RelayedResult::Failed,
+                if outcome != RelayOutcome::WorkerRefused {
+                    return RelayedResult::Failed;
+                }
+                if !self.should_confirm_refusal(index) {
+                    return RelayedResult::WorkerRefused;
                 }
+                let confirmed_by = Instant::now() + CONFIRMATION_TIMEOUT;
+                self.deadline = self.deadline.min(confirmed_by);
+                RelayedResult::Failed
             }
         }
     }
