Relays bear gateways that read slowly

Cause: a relay's connection to a gateway was closed after 3 s in which the gateway accepted no bytes (TCP_USER_TIMEOUT also bounds the time of a closed window). A caller that stops reading for so long is allowed 10 s, and a worker's own connection has no such limit, so that relayed answers were cut. Change: 15 s on the relay's connection to the gateway; 3 s stay where requests are sent. Result: `a_gateway_that_reads_slowly_receives_everything` failed before (reset after 4.5 s without reading) and passes now, with the 20 others of `crates/gateway/tests/worker_relay.rs`.

--- a/crates/gateway/src/worker_connect.rs
+++ b/crates/gateway/src/worker_connect.rs
@@ -12,7 +12,7 @@
 /// Maximum time to establish a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after which the system closes a connection whose sent bytes are not acknowledged.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Opens direct connections to workers.
 pub trait WorkerConnector: Send + Sync {
@@ -39,7 +39,7 @@
         async move {
             let connected = timeout(CONNECT_TIMEOUT, connecting).await;
             let stream = connected.map_err(|_| timed_out())??;
-            set_options(&stream);
+            set_options(&stream, UNACKNOWLEDGED_TIMEOUT);
             Ok(stream)
         }
         .boxed()
@@ -81,10 +81,11 @@
     }
 }
 
-/// Sets the options of connections that carry requests to workers, directly or through a relay.
-pub fn set_options(stream: &TcpStream) {
+/// Sets the options of connections that carry requests to workers, directly or through a relay. The system closes the
+/// connection if the other end accepts no bytes for `unacknowledged_timeout`.
+pub fn set_options(stream: &TcpStream, unacknowledged_timeout: Duration) {
     let _ = stream.set_nodelay(true);
-    let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+    let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(unacknowledged_timeout));
 }
 
 /// Returns the result of a connection attempt.
--- a/crates/gateway/src/worker_relay/client.rs
+++ b/crates/gateway/src/worker_relay/client.rs
@@ -19,7 +19,7 @@
 use tokio_util::io::StreamReader;
 
 use super::message::{codec, encode, Frame, FrameKind, OpenAnswer, OpenRequest};
-use crate::worker_connect::{set_options, CONNECT_TIMEOUT};
+use crate::worker_connect::{set_options, CONNECT_TIMEOUT, UNACKNOWLEDGED_TIMEOUT};
 
 /// Additional time for the relay's answer, on top of the time that it has to connect to the worker.
 const ANSWER_MARGIN: Duration = Duration::from_millis(100);
@@ -84,7 +84,7 @@
     request: OpenRequest,
 ) -> Result<RelayedStream, RelayOutcome> {
     let stream = TcpStream::connect(relay).await.map_err(connect_outcome)?;
-    set_options(&stream);
+    set_options(&stream, UNACKNOWLEDGED_TIMEOUT);
     let mut framed = Framed::new(stream, codec());
     let sent = framed.send(encode(&request)).await;
     sent.map_err(|_| RelayOutcome::Unavailable)?;
--- a/crates/gateway/src/worker_relay/server.rs
+++ b/crates/gateway/src/worker_relay/server.rs
@@ -26,6 +26,9 @@
 const MAX_CONNECTIONS: usize = MAX_RELAYED_CONNECTIONS + 128;
 /// Maximum time to receive a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after which the system closes a connection of a gateway that accepts no bytes. A gateway whose caller reads slowly
+/// accepts none for up to 10 s.
+const STALL_TIMEOUT: Duration = Duration::from_secs(15);
 /// Pause after an error of the listening socket.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -118,7 +121,7 @@
     let Some(_counted) = CountGuard::try_begin(&server.connections, MAX_CONNECTIONS) else {
         return;
     };
-    set_options(&stream);
+    set_options(&stream, STALL_TIMEOUT);
     let mut framed = Framed::new(stream, codec());
     let Ok(Some(Ok(message))) = timeout(REQUEST_TIMEOUT, framed.next()).await else {
         return;
--- a/crates/gateway/tests/worker_relay.rs
+++ b/crates/gateway/tests/worker_relay.rs
@@ -34,6 +34,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// More than all buffers of a relayed connection hold.
 const LARGE_BYTES: usize = 4 << 20;
+/// More than the buffers of all sockets between a worker and a gateway hold.
+const SLOWLY_READ_BYTES: usize = 32 << 20;
 
 const OPEN: u8 = 0;
 const HANGING: u8 = 1;
@@ -350,6 +352,22 @@
     assert!(near.status.is_ended_by_worker());
 }
 
+/// Guards against answers that the relay cuts because a slow caller has stopped reading for a while.
+#[actix_rt::test]
+async fn a_gateway_that_reads_slowly_receives_everything() {
+    /// Longer than the time after which a connection that acknowledges nothing is closed.
+    const STALL: Duration = Duration::from_millis(4_500);
+    let (worker, mut connections) = scripted_worker("w-1").await;
+    let relay = Gateway::start("g-2", "a", std::slice::from_ref(&worker)).await;
+    let (mut near, mut far) = open_both(&relay, &worker, &mut connections).await;
+    actix_rt::spawn(async move { far.write_all(&vec![7; SLOWLY_READ_BYTES]).await });
+    sleep(STALL).await;
+    let mut received = Vec::new();
+    let read = near.io.read_to_end(&mut received).await;
+    read.expect("a regular end");
+    assert_eq!(received.len(), SLOWLY_READ_BYTES);
+}
+
 #[actix_rt::test]
 async fn a_reset_by_the_worker_is_an_error_at_the_worker() {
     let (worker, mut connections) = scripted_worker("w-1").await;
