Keep the attempt of a silent worker until another one answers

What callers saw: a request that a sound worker had taken ended without a complete answer when the worker paused. A resumable stream was cut off after the last event before the pause; a stream before its first event, and a repeatable request before or within its answer, ended with status 502.

Cause: after a second of silence within a resumable stream, or after the time that follows from the objective in other repeatable requests, the attempt was given up and its connection closed before anything was known of a replacement. If the route allowed no further attempt, the retry budget was spent, no other worker was available, or the other worker refused, failed or broke off, the request ended although the first worker was about to go on. A change of the configuration is not needed for it.

Change: the state machine gets Stalled, which is distinct from Failed and Interrupted, and ReplacementFailed; where nothing replaces a stalled worker it returns AwaitStalled instead of a conclusion, and only the deadline or the worker's own break ends the request. The exchange keeps the stalled attempt while a replacement is sent, and receives from both. If the stalled worker goes on first, the replacement is dropped; if the replacement begins first (head of a whole answer, first complete event of a stream), the stalled attempt is. Two workers work on one request for 300 ms at most after the second one was sent it, so the stalled attempt also ends then. While the budget or the workers available to the gateway allow no replacement, the attempt only goes on, and no retry is taken from the budget; both are looked at again after each further time of silence.

Unchanged: the times of silence, max_attempts, one retry of the budget for each second send, names of outcomes. A send that is dropped because the stalled worker went on counts as "abandoned", or "withheld" if it was not sent.

The random histories now contain stalls: no request ends while a stalled worker may go on, and the other guarantees hold.

Ruled out: the time of silence itself, which silent connections need; a longer one only makes the loss rarer.

--- a/crates/cli/tests/gateway_platform/silent_workers.rs
+++ b/crates/cli/tests/gateway_platform/silent_workers.rs
@@ -1,7 +1,7 @@
 //! Workers that send nothing for a second or so and then go on: no answer is lost because of the silence, whether
 //! another worker can run the request or not.
 
-use futures_util::future::join;
+use futures_util::future::{join, join_all};
 use tansyhall_platform_standin::{Behaviour, Run};
 use tansyhall_testing::{eventually, Link};
 
@@ -20,6 +20,11 @@
 /// Maximum number of requests that a test sends in order to spend the retry budget.
 const MAX_SPENDING_REQUESTS: usize = 400;
 
+/// Pauses around the time at which a gateway asks another worker.
+const PAUSES_MS: [u64; 5] = [900, 1_000, 1_150, 1_300, 1_700];
+/// Number of concurrent requests for each pause.
+const CONCURRENT_REQUESTS: usize = 6;
+
 /// A stream with a pause after this event.
 const fn pausing_after(event: u32) -> Behaviour {
     Behaviour::Pausing {
@@ -29,6 +34,15 @@
     }
 }
 
+/// A stream that stops after this event.
+const fn stopping_after(event: u32) -> Behaviour {
+    Behaviour::Pausing {
+        events: EVENTS,
+        after: event,
+        pause_ms: ENDLESS_PAUSE_MS,
+    }
+}
+
 fn expected_stream() -> String {
     (1..=EVENTS)
         .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
@@ -78,6 +92,12 @@
         .0
 }
 
+fn assert_both_were_asked(site: &Site) {
+    for worker in &site.workers {
+        assert!(!worker.worker.work_arrivals().is_empty());
+    }
+}
+
 /// Sends failing requests until the retry budget allows no further send.
 async fn spend_retry_budget(site: &Site) {
     set_behaviours(site, [Behaviour::Fail; 2]);
@@ -130,16 +150,15 @@
 // Guards against ending a paused stream because the worker that should resume it refuses, fails or breaks off.
 #[actix_rt::test]
 async fn a_stream_continues_after_a_pause_although_the_other_worker_does_not_resume_it() {
-    let site = Site::start(&[("app", None, ECHO); 2], 1).await;
     for other in [
         Behaviour::NotRun,
         Behaviour::Fail,
         Behaviour::AbortAnswer { events: 0 },
     ] {
-        set_behaviours(&site, [pausing_after(2); 2]);
-        let id = format!("{other:?}");
-        let answer = send_and_change_the_other(&site, &id, RESUMABLE, other).await;
+        let site = Site::start(&[("app", None, pausing_after(2)); 2], 1).await;
+        let answer = send_and_change_the_other(&site, "r", RESUMABLE, other).await;
         assert_stream_is_complete(&answer);
+        assert_both_were_asked(&site);
     }
 }
 
@@ -147,12 +166,7 @@
 #[actix_rt::test]
 async fn a_stream_continues_after_a_pause_of_the_last_worker_that_may_run_it() {
     let site = Site::start(&[("app", None, ECHO); 2], 1).await;
-    let silent = Behaviour::Pausing {
-        events: EVENTS,
-        after: 1,
-        pause_ms: ENDLESS_PAUSE_MS,
-    };
-    set_behaviours(&site, [silent; 2]);
+    set_behaviours(&site, [stopping_after(1); 2]);
     let answer = send_and_change_the_other(&site, "r", RESUMABLE, pausing_after(3)).await;
     assert_stream_is_complete(&answer);
     assert_eq!(site.runs_of("r"), 2);
@@ -180,18 +194,18 @@
 // Guards against answering that a request is lost because the other worker refuses or fails it during a pause.
 #[actix_rt::test]
 async fn an_answer_arrives_after_a_pause_although_the_other_worker_does_not_answer() {
-    let site = Site::start(&[("app", None, ECHO); 2], 1).await;
     let delayed = Behaviour::Delayed { delay_ms: PAUSE_MS };
     for (behaviour, expected) in [
         (delayed, "x".to_owned()),
         (pausing_after(2), expected_stream()),
     ] {
         for other in [Behaviour::NotRun, Behaviour::Fail, Behaviour::MismatchedId] {
-            set_behaviours(&site, [behaviour; 2]);
-            let id = format!("{behaviour:?}-{other:?}");
-            let answer = send_and_change_the_other(&site, &id, SHORT_OBJECTIVE, other).await;
-            assert_eq!(answer.status, 200, "{id}");
-            assert_eq!(String::from_utf8_lossy(&answer.body), expected, "{id}");
+            let site = Site::start(&[("app", None, behaviour); 2], 1).await;
+            let answer = send_and_change_the_other(&site, "r", SHORT_OBJECTIVE, other).await;
+            let case = format!("{behaviour:?}, {other:?}");
+            assert_eq!(answer.status, 200, "{case}");
+            assert_eq!(String::from_utf8_lossy(&answer.body), expected, "{case}");
+            assert_both_were_asked(&site);
         }
     }
 }
@@ -208,23 +222,12 @@
     }
 }
 
-// Guards against a worker that still runs a stream while another one has resumed it.
-#[actix_rt::test]
-async fn a_silent_worker_is_left_as_soon_as_another_one_has_resumed_its_stream() {
+/// Lets a worker stop within a stream, and asserts that its connection is closed while the other one runs the request.
+async fn assert_silent_worker_is_left(other: Behaviour) {
     let site = Site::start(&[("app", None, ECHO); 2], 1).await;
     let links = site.link_workers().await;
-    let silent = Behaviour::Pausing {
-        events: EVENTS,
-        after: 1,
-        pause_ms: ENDLESS_PAUSE_MS,
-    };
-    let resuming = Behaviour::Pausing {
-        events: EVENTS,
-        after: 3,
-        pause_ms: ENDLESS_PAUSE_MS,
-    };
-    set_behaviours(&site, [silent; 2]);
-    let request = send_and_change_the_other(&site, "r", RESUMABLE, resuming);
+    set_behaviours(&site, [stopping_after(1); 2]);
+    let request = send_and_change_the_other(&site, "r", RESUMABLE, other);
     let left = async {
         let runner = wait_for_runner(&site, "r").await;
         site.wait_for_runs("r", 2).await;
@@ -240,3 +243,39 @@
         () = left => {}
     }
 }
+
+// Guards against a worker that still runs a stream while another one has resumed it.
+#[actix_rt::test]
+async fn a_silent_worker_is_left_as_soon_as_another_one_has_resumed_its_stream() {
+    assert_silent_worker_is_left(stopping_after(3)).await;
+}
+
+// Guards against two workers that run a request for long because the second one does not answer either.
+#[actix_rt::test]
+async fn a_silent_worker_is_left_although_the_other_one_does_not_answer() {
+    assert_silent_worker_is_left(Behaviour::Hang).await;
+}
+
+// Guards against answers that lack or repeat a part because both a paused worker and its replacement answer.
+#[actix_rt::test]
+async fn an_answer_is_complete_whichever_of_two_pausing_workers_goes_on_first() {
+    let site = Site::start(&[("app", None, ECHO); 2], 1).await;
+    for pause_ms in PAUSES_MS {
+        let pausing = Behaviour::Pausing {
+            events: EVENTS,
+            after: 2,
+            pause_ms,
+        };
+        set_behaviours(&site, [pausing; 2]);
+        for path in [RESUMABLE, SHORT_OBJECTIVE] {
+            let ids: Vec<String> = (0..CONCURRENT_REQUESTS)
+                .map(|number| format!("{path}-{pause_ms}-{number}"))
+                .collect();
+            let requests = ids.iter();
+            let requests = requests.map(|id| send_request(&site.gateways[0], id, path, b"x"));
+            for answer in join_all(requests).await {
+                assert_stream_is_complete(&answer);
+            }
+        }
+    }
+}
--- a/crates/forwarding/src/request/mod.rs
+++ b/crates/forwarding/src/request/mod.rs
@@ -13,6 +13,8 @@
 //!   Reading a prompt needs none if a worker started to read it.
 //! - The client receives "not run" only if no send may have run.
 //! - A request that crashes workers is not sent to any further worker.
+//! - A worker that is silent in the middle of its work is replaced like one that failed, but its answer stays open until
+//!   the replacement answers. If no worker replaces it, the request waits for it until the deadline.
 //!
 //! The prompt of a model request may be read by a separate worker first (disaggregated prefill).
 //! Reading a prompt does not run the request, so a failed read changes nothing: the worker that runs
@@ -59,6 +61,8 @@
     may_have_run: bool,
     error_answer: bool,
     answer_started: bool,
+    /// Whether the answer of a stalled worker is open while a replacement is sought or has not answered yet.
+    has_stalled_worker: bool,
     last_event: Option<EventId>,
     source: Option<PromptHandle>,
     current_source: Option<PromptHandle>,
@@ -79,6 +83,7 @@
             may_have_run: false,
             error_answer: false,
             answer_started: false,
+            has_stalled_worker: false,
             last_event: None,
             source: None,
             current_source: None,
@@ -97,14 +102,22 @@
             RequestEvent::Arrived => self.handle_arrival(),
             RequestEvent::Selected(worker) => self.handle_selection(worker),
             RequestEvent::RetryAllowed(true) => self.select_worker(),
-            RequestEvent::RetryAllowed(false) => self.finish(self.failure_conclusion()),
+            RequestEvent::RetryAllowed(false) => self.give_up_sending(),
             RequestEvent::PromptRead(handle) => {
                 self.source = Some(handle);
                 self.select_worker()
             }
             RequestEvent::PromptNotRead(failure) => self.handle_prompt_not_read(failure),
             RequestEvent::Completed => self.finish(Conclusion::Delivered),
-            RequestEvent::Failed(failure) => self.handle_failure(failure),
+            RequestEvent::Failed(failure) => {
+                self.has_stalled_worker = false;
+                self.handle_failure(failure)
+            }
+            RequestEvent::Stalled {
+                answer_started,
+                last_event,
+            } => self.handle_stall(answer_started, last_event),
+            RequestEvent::ReplacementFailed(failure) => self.handle_failure(failure),
             RequestEvent::Interrupted(last_event) => self.handle_interruption(last_event),
             RequestEvent::DeadlinePassed => self.handle_deadline(),
             RequestEvent::Barred => self.handle_barred(),
@@ -188,7 +201,7 @@
             }
             (Phase::SelectingPromptReader, None) => self.select_worker(),
             (_, Some(worker)) => self.run_on(worker),
-            (_, None) => self.finish(self.failure_conclusion()),
+            (_, None) => self.give_up_sending(),
         }
     }
 
@@ -213,7 +226,7 @@
                 self.runs = self.runs.saturating_sub(1);
                 self.refused_sends += 1;
                 if self.refused_sends > MAX_REFUSED_SENDS {
-                    return self.finish(self.failure_conclusion());
+                    return self.give_up_sending();
                 }
             }
             SendFailure::MayHaveRun => self.may_have_run = true,
@@ -233,21 +246,44 @@
         self.source = self.current_source.take();
         self.undelivered_sends += 1;
         match self.undelivered_sends > MAX_UNDELIVERED_SENDS {
-            true => self.finish(self.failure_conclusion()),
+            true => self.give_up_sending(),
             false => self.select_worker(),
         }
     }
 
     fn handle_interruption(&mut self, last_event: Option<EventId>) -> Action {
+        self.has_stalled_worker = false;
+        self.record_answer_part(last_event);
+        self.resume_if_allowed()
+    }
+
+    fn handle_stall(&mut self, answer_started: bool, last_event: Option<EventId>) -> Action {
+        self.has_stalled_worker = true;
+        if answer_started {
+            self.record_answer_part(last_event);
+        }
+        match self.answer_started {
+            true => self.resume_if_allowed(),
+            false => {
+                self.avoid.extend(self.current_worker.take());
+                self.may_have_run = true;
+                self.retry_if_allowed()
+            }
+        }
+    }
+
+    fn record_answer_part(&mut self, last_event: Option<EventId>) {
+        self.answer_started = true;
+        self.last_event = last_event.or(self.last_event.take());
+    }
+
+    /// Lets another worker resume the stream after the last event that was delivered, if possible.
+    fn resume_if_allowed(&mut self) -> Action {
         self.avoid.extend(self.current_worker.take());
         self.may_have_run = true;
-        self.answer_started = true;
-        if last_event.is_some() {
-            self.last_event = last_event;
-        }
         let resumable = self.policy.repeatability == Repeatability::Stream { resumable: true };
         if !resumable || self.last_event.is_none() {
-            return self.finish(Conclusion::Broken);
+            return self.give_up_sending();
         }
         self.retry_if_allowed()
     }
@@ -256,12 +292,21 @@
         let second_run_allowed = self.policy.repeatability.allows_second_run();
         let may_send = !self.may_have_run || second_run_allowed;
         if !may_send || self.runs >= self.policy.max_attempts {
-            return self.finish(self.failure_conclusion());
+            return self.give_up_sending();
         }
         self.phase = Phase::CheckingRetryBudget;
         Action::CheckRetryBudget
     }
 
+    /// Ends the request, or waits for the stalled worker if there is one.
+    fn give_up_sending(&mut self) -> Action {
+        if std::mem::take(&mut self.has_stalled_worker) {
+            self.phase = Phase::Running;
+            return Action::AwaitStalled;
+        }
+        self.finish(self.failure_conclusion())
+    }
+
     fn handle_deadline(&mut self) -> Action {
         if matches!(self.phase, Phase::Running) {
             self.may_have_run = true;
--- a/crates/forwarding/src/request/step.rs
+++ b/crates/forwarding/src/request/step.rs
@@ -70,6 +70,17 @@
     Completed,
     /// The send failed before any part of its answer was delivered.
     Failed(SendFailure),
+    /// The worker has been silent for so long that another worker may get the request. Its answer is still open and may
+    /// go on.
+    Stalled {
+        /// Whether a part of the answer has been delivered.
+        answer_started: bool,
+        /// The id of the last event delivered from this worker's answer.
+        last_event: Option<EventId>,
+    },
+    /// The send to the worker that should replace a stalled one failed before any part of its answer was delivered. The
+    /// answer of the stalled worker is still open.
+    ReplacementFailed(SendFailure),
     /// The answer was cut off after a part of it was delivered, up to and including the event with this id.
     Interrupted(Option<EventId>),
     /// The deadline of the request has passed.
@@ -104,6 +115,8 @@
         /// The id of the last event that the caller has received, if a stream is resumed.
         resume_after: Option<EventId>,
     },
+    /// Wait until the stalled worker goes on or breaks off, or the deadline passes: no other worker replaces it.
+    AwaitStalled,
     /// The request is finished.
     Finish(Conclusion),
 }
--- a/crates/forwarding/tests/request_machine.rs
+++ b/crates/forwarding/tests/request_machine.rs
@@ -248,8 +248,125 @@
     assert_eq!(action, Action::Finish(Conclusion::TimedOut));
 }
 
+fn stalled(last_event: Option<&str>) -> RequestEvent {
+    RequestEvent::Stalled {
+        answer_started: last_event.is_some(),
+        last_event: last_event.map(str::to_owned),
+    }
+}
+
+/// Returns a machine whose request runs on worker `b` after worker `a` has stalled.
+fn machine_with_replacement(repeatability: Repeatability, max_attempts: u32) -> RequestMachine {
+    let mut machine = running_machine(repeatability, max_attempts);
+    let event = Some("3").filter(|_| repeatability.is_stream());
+    assert_eq!(machine.step(stalled(event)), Action::CheckRetryBudget);
+    machine.step(RequestEvent::RetryAllowed(true));
+    machine.step(selected("b"));
+    machine
+}
+
+#[test]
+fn a_stalled_stream_is_resumed_by_another_worker_after_the_last_complete_event() {
+    let mut machine = running_machine(RESUMABLE, 2);
+    assert_eq!(machine.step(stalled(Some("3"))), Action::CheckRetryBudget);
+    let select_another = Action::Select {
+        need: Need::Run,
+        avoid: vec![worker("a")],
+    };
+    let action = machine.step(RequestEvent::RetryAllowed(true));
+    assert_eq!(action, select_another);
+    let resume = Action::Run {
+        worker: worker("b"),
+        source: None,
+        resume_after: Some("3".into()),
+    };
+    assert_eq!(machine.step(selected("b")), resume);
+    let action = machine.step(RequestEvent::Completed);
+    assert_eq!(action, Action::Finish(Conclusion::Delivered));
+}
+
+/// Guards against giving up a silent worker that no other worker can replace: it may go on.
+#[test]
+fn a_stalled_worker_is_awaited_if_nothing_can_replace_it() {
+    for repeatability in [Repeatability::Repeatable, RESUMABLE] {
+        let mut last_attempt = running_machine(repeatability, 1);
+        assert_eq!(last_attempt.step(stalled(None)), Action::AwaitStalled);
+        let mut budget_spent = running_machine(repeatability, 2);
+        budget_spent.step(stalled(None));
+        let action = budget_spent.step(RequestEvent::RetryAllowed(false));
+        assert_eq!(action, Action::AwaitStalled);
+        let mut no_worker = running_machine(repeatability, 2);
+        no_worker.step(stalled(None));
+        no_worker.step(RequestEvent::RetryAllowed(true));
+        let action = no_worker.step(RequestEvent::Selected(None));
+        assert_eq!(action, Action::AwaitStalled);
+        let action = no_worker.step(RequestEvent::Completed);
+        assert_eq!(action, Action::Finish(Conclusion::Delivered));
+    }
+}
+
+/// Guards against a second run of a request that may run once, and against joining two runs of a stream.
+#[test]
+fn a_stalled_worker_is_awaited_if_a_second_run_is_forbidden() {
+    for repeatability in [Repeatability::AtMostOnce, NON_RESUMABLE_STREAM] {
+        let mut machine = running_machine(repeatability, 3);
+        assert_eq!(machine.step(stalled(None)), Action::AwaitStalled);
+    }
+    let mut machine = running_machine(RESUMABLE, 3);
+    let without_id = RequestEvent::Stalled {
+        answer_started: true,
+        last_event: None,
+    };
+    assert_eq!(machine.step(without_id), Action::AwaitStalled);
+}
+
+/// Guards against ending a request because the replacement of a silent worker failed while that worker may go on.
+#[test]
+fn a_stalled_worker_is_awaited_if_its_replacement_fails() {
+    for repeatability in [Repeatability::Repeatable, RESUMABLE] {
+        for failure in [SendFailure::MayHaveRun, SendFailure::ErrorAnswer] {
+            let mut machine = machine_with_replacement(repeatability, 2);
+            let action = machine.step(RequestEvent::ReplacementFailed(failure));
+            assert_eq!(action, Action::AwaitStalled);
+        }
+        let mut machine = machine_with_replacement(repeatability, 2);
+        let refused = RequestEvent::ReplacementFailed(SendFailure::NotRun);
+        assert_eq!(machine.step(refused), Action::CheckRetryBudget);
+        let action = machine.step(RequestEvent::RetryAllowed(false));
+        assert_eq!(action, Action::AwaitStalled);
+        let mut machine = machine_with_replacement(repeatability, 2);
+        let not_sent = RequestEvent::ReplacementFailed(SendFailure::NotSent);
+        assert!(matches!(machine.step(not_sent), Action::Select { .. }));
+        let action = machine.step(RequestEvent::Selected(None));
+        assert_eq!(action, Action::AwaitStalled);
+    }
+}
+
+#[test]
+fn a_request_ends_if_the_worker_that_replaced_a_stalled_one_fails_later() {
+    let mut machine = machine_with_replacement(Repeatability::Repeatable, 2);
+    let action = machine.step(RequestEvent::Failed(SendFailure::MayHaveRun));
+    assert_eq!(action, Action::Finish(Conclusion::Lost));
+    let mut machine = machine_with_replacement(RESUMABLE, 2);
+    let action = machine.step(RequestEvent::Interrupted(Some("4".into())));
+    assert_eq!(action, Action::Finish(Conclusion::Broken));
+}
+
+#[test]
+fn an_awaited_worker_ends_the_request_when_it_breaks_off_or_the_deadline_passes() {
+    let mut machine = running_machine(Repeatability::Repeatable, 1);
+    machine.step(stalled(None));
+    let action = machine.step(RequestEvent::Failed(SendFailure::MayHaveRun));
+    assert_eq!(action, Action::Finish(Conclusion::Lost));
+    let mut machine = running_machine(Repeatability::Repeatable, 1);
+    machine.step(stalled(None));
+    let action = machine.step(RequestEvent::DeadlinePassed);
+    assert_eq!(action, Action::Finish(Conclusion::TimedOut));
+}
+
 #[derive(Debug, Clone)]
 enum SendOutcome {
+    Stalled(bool),
     NotSent,
     NotRun,
     MayHaveRun,
@@ -261,6 +378,7 @@
 
 fn send_outcome() -> impl Strategy<Value = SendOutcome> {
     prop_oneof![
+        any::<bool>().prop_map(SendOutcome::Stalled),
         Just(SendOutcome::NotSent),
         Just(SendOutcome::NotRun),
         Just(SendOutcome::MayHaveRun),
@@ -280,12 +398,18 @@
     ]
 }
 
-fn event_of(send_outcome: &SendOutcome) -> RequestEvent {
+/// Returns the event for the outcome of a send. If `replaces_stalled`, a failed send was to replace a stalled one.
+fn event_of(send_outcome: &SendOutcome, replaces_stalled: bool) -> RequestEvent {
+    let failed = match replaces_stalled {
+        true => RequestEvent::ReplacementFailed,
+        false => RequestEvent::Failed,
+    };
     match send_outcome {
-        SendOutcome::NotSent => RequestEvent::Failed(SendFailure::NotSent),
-        SendOutcome::NotRun => RequestEvent::Failed(SendFailure::NotRun),
-        SendOutcome::MayHaveRun => RequestEvent::Failed(SendFailure::MayHaveRun),
-        SendOutcome::ErrorAnswer => RequestEvent::Failed(SendFailure::ErrorAnswer),
+        SendOutcome::Stalled(with_event) => stalled(with_event.then_some("7")),
+        SendOutcome::NotSent => failed(SendFailure::NotSent),
+        SendOutcome::NotRun => failed(SendFailure::NotRun),
+        SendOutcome::MayHaveRun => failed(SendFailure::MayHaveRun),
+        SendOutcome::ErrorAnswer => failed(SendFailure::ErrorAnswer),
         SendOutcome::Interrupted(with_event) => {
             RequestEvent::Interrupted(with_event.then(|| "7".to_owned()))
         }
@@ -301,8 +425,8 @@
     #![proptest_config(config_with_seed(SEED))]
 
     /// For any outcomes of the sends: the request finishes; no more workers may have run it than its route allows; a
-    /// request that runs at most once is not sent again after it may have run; and the caller receives "not run" only
-    /// if no send may have run.
+    /// request that runs at most once is not sent again after it may have run; the caller receives "not run" only if no
+    /// send may have run; and a request does not end while a stalled worker may go on, except at its deadline.
     #[test]
     fn guarantees_hold_for_any_outcomes_of_sends(
         repeatability in repeatability(),
@@ -314,6 +438,8 @@
         let mut send_outcomes = send_outcomes.iter();
         let mut budget = budget.iter();
         let mut may_have_run = 0;
+        let mut has_stalled = false;
+        let mut deadline_passed = false;
         let mut action = machine.step(RequestEvent::Arrived);
         for _ in 0..64 {
             let event = match &action {
@@ -325,9 +451,25 @@
                     prop_assert!(may_have_run < max_attempts);
                     let send_outcome = send_outcomes.next().unwrap_or(&SendOutcome::Completed);
                     may_have_run += u32::from(!matches!(send_outcome, SendOutcome::NotSent | SendOutcome::NotRun));
-                    event_of(send_outcome)
+                    deadline_passed = matches!(send_outcome, SendOutcome::Deadline);
+                    let event = event_of(send_outcome, has_stalled);
+                    has_stalled = matches!(
+                        event,
+                        RequestEvent::Stalled { .. } | RequestEvent::ReplacementFailed(_)
+                    );
+                    event
+                }
+                Action::AwaitStalled => {
+                    prop_assert!(has_stalled);
+                    let send_outcome = send_outcomes.next().unwrap_or(&SendOutcome::Completed);
+                    deadline_passed = matches!(send_outcome, SendOutcome::Deadline);
+                    may_have_run -= u32::from(matches!(send_outcome, SendOutcome::NotSent | SendOutcome::NotRun));
+                    let event = event_of(send_outcome, false);
+                    has_stalled = matches!(event, RequestEvent::Stalled { .. });
+                    event
                 }
                 Action::Finish(conclusion) => {
+                    prop_assert!(!has_stalled || deadline_passed);
                     if *conclusion == Conclusion::Refused {
                         prop_assert_eq!(may_have_run, 0);
                     }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -122,13 +122,23 @@
         self: &Arc<Self>,
         destination: &Destination,
         request: &WorkerRequest,
+    ) -> Result<WorkerAnswer, SendError> {
+        self.send_and_report(destination, request, &|| {}).await
+    }
+
+    /// Sends a request like [`Connections::send`], and calls `on_sent` when it is passed to an open connection.
+    pub async fn send_and_report(
+        self: &Arc<Self>,
+        destination: &Destination,
+        request: &WorkerRequest,
+        on_sent: &(dyn Fn() + Sync),
     ) -> Result<WorkerAnswer, SendError> {
         self.notices
             .check_permitted(&destination.worker, request.kind)?;
         let http_request = build(destination, request)?;
         let token = self.notices.take_rate_token(&destination.worker, request)?;
         let sent = self
-            .send_http_request(destination, request, http_request)
+            .send_http_request(destination, request, http_request, on_sent)
             .await;
         if let (RateToken::Taken, Err(SendError::NotSent(_))) = (token, &sent) {
             self.notices.return_rate_token(&destination.worker);
@@ -142,9 +152,11 @@
         destination: &Destination,
         request: &WorkerRequest,
         mut http_request: hyper::Request<Full<Bytes>>,
+        on_sent: &(dyn Fn() + Sync),
     ) -> Result<WorkerAnswer, SendError> {
         let id = self.correlation.id_of(request);
         while let Some(connection) = id.and_then(|id| self.take_idle(&destination.worker, id)) {
+            on_sent();
             match self
                 .send_on(destination, connection, request, http_request)
                 .await
@@ -158,6 +170,7 @@
         // A notice of the worker may have arrived while the connection was being established.
         self.notices
             .check_permitted(&destination.worker, request.kind)?;
+        on_sent();
         match self
             .send_on(destination, connection, request, http_request)
             .await
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! Handling of one caller's request, from its arrival to the end of its answer. An [`Exchange`] performs the
 //! actions that the [`RequestMachine`] returns and passes their results back to it.
 
+mod attempt;
 mod deliver;
 mod placing;
 mod prompt;
@@ -18,6 +19,7 @@
 };
 use tokio::time::Instant;
 
+use self::attempt::Attempt;
 use crate::answer::{Answer, AnswerHead, AnswerSink, GatewayAnswer};
 use crate::events::{Event, Priority};
 use crate::headers::HeaderList;
@@ -69,6 +71,8 @@
     request: CallerRequest,
     sink: AnswerSink,
     error_answer: Option<(AnswerHead, Bytes)>,
+    /// The attempt of a silent worker, until another worker has answered in its place.
+    stalled: Option<Attempt>,
     unused_handle: Option<PromptHandle>,
     /// The placement of the next send, if a scheduler has chosen its worker.
     placed: Option<OpenPlacement>,
@@ -96,6 +100,7 @@
             request,
             sink,
             error_answer: None,
+            stalled: None,
             unused_handle: None,
             placed: None,
             leaving_worker: None,
@@ -181,11 +186,21 @@
                     source,
                     resume_after,
                 } => {
-                    let wait_until_deadline = !machine.may_retry_on_another_worker();
-                    self.run_on(&worker, source, resume_after, wait_until_deadline)
+                    let is_replaceable = machine.may_retry_on_another_worker();
+                    self.run_on(&worker, source, resume_after, is_replaceable)
                         .await
                 }
-                Action::Finish(conclusion) => return (conclusion, machine.sends()),
+                Action::AwaitStalled => {
+                    let is_replaceable = machine.may_retry_on_another_worker();
+                    self.await_stalled(is_replaceable).await
+                }
+                Action::Finish(conclusion) => {
+                    if conclusion == Conclusion::Delivered {
+                        // The cause says why a stalled worker was not replaced.
+                        self.cause = "";
+                    }
+                    return (conclusion, machine.sends());
+                }
             };
         }
     }
--- a/crates/gateway/src/exchange/placing.rs
+++ b/crates/gateway/src/exchange/placing.rs
@@ -142,7 +142,7 @@
         worker
     }
 
-    fn select_locally(&self, need: &Need, avoid: &[WorkerId]) -> Option<WorkerId> {
+    pub(super) fn select_locally(&self, need: &Need, avoid: &[WorkerId]) -> Option<WorkerId> {
         let now = self.shared.now();
         let zone = self.shared.zone();
         let directory = self.shared.directory.lock();
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -1,152 +1,373 @@
-//! Sending of a request to a worker that runs it, and handling of the answer by its status.
+//! Sending of a request to a worker that runs it, and replacement of a silent worker by another one.
+//!
+//! The attempt of a silent worker stays open until its replacement begins to answer: the worker may go on, and the
+//! replacement may refuse or fail.
 
 use std::time::Duration;
 
 use tansyhall_forwarding::{
-    EventId, Need, PromptHandle, RequestEvent, SendFailure, SendResult, WorkerId,
+    EventFramer, EventId, Need, PromptHandle, RequestEvent, SendFailure, SendResult, WorkerId,
 };
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep_until, Instant};
 
+use super::attempt::{Attempt, Received, ReceivedBody};
 use super::{failed, Exchange};
 use crate::connection_losses::Loss;
 use crate::connections::{SendError, WorkerAnswer};
 use crate::protocol::{AnswerKind, Work};
-use crate::send_guard::{unsent_result, SendGuard};
+use crate::send_guard::unsent_result;
 use crate::worker_request::RequestKind;
 
+/// How long a silent worker may work on a request that has been sent to another one. Refusals and failed connections
+/// are usually known by then.
+const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
+/// Result of waiting for an attempt.
+enum Waited {
+    Received(Received),
+    /// The worker is silent, and another one may get the request.
+    Silent,
+    DeadlinePassed,
+}
+
 impl Exchange {
-    /// Sends the request to a worker and delivers the answer as far as possible. With `wait_until_deadline`, a silent
-    /// worker is waited for until the request's deadline.
+    /// Sends the request to a worker and delivers the answer as far as possible. If the worker is silent for too long
+    /// and the request `is_replaceable`, another worker may get it.
     pub(super) async fn run_on(
         &mut self,
         id: &WorkerId,
         source: Option<PromptHandle>,
         resume_after: Option<EventId>,
-        wait_until_deadline: bool,
+        is_replaceable: bool,
     ) -> RequestEvent {
-        let Some(worker) = self.worker(id) else {
-            return failed(SendFailure::NotSent);
-        };
+        match self.begin_attempt(id, source, resume_after) {
+            Some(attempt) => self.follow(attempt, is_replaceable).await,
+            None => self.failed_send(SendFailure::NotSent),
+        }
+    }
+
+    /// Waits for the stalled worker, which no other worker replaces.
+    pub(super) async fn await_stalled(&mut self, is_replaceable: bool) -> RequestEvent {
+        match self.stalled.take() {
+            Some(mut attempt) => {
+                attempt.is_awaited = true;
+                self.follow(attempt, is_replaceable).await
+            }
+            None => failed(SendFailure::MayHaveRun),
+        }
+    }
+
+    fn begin_attempt(
+        &mut self,
+        id: &WorkerId,
+        source: Option<PromptHandle>,
+        resume_after: Option<EventId>,
+    ) -> Option<Attempt> {
+        let worker = self.worker(id)?;
         let need = match &source {
             Some(source) => Need::Continue {
                 reader: source.worker.clone(),
             },
             None => Need::Run,
         };
-        let mut guard = self.begin_send(&worker, RequestKind::Run, need);
+        let guard = self.begin_send(&worker, RequestKind::Run, need);
         let work = Work::Run {
             source,
             resume_after,
         };
         let request = self.worker_request(&worker, work, &guard);
         let destination = self.shared.destination(&worker);
-        let connections = self.shared.connections.clone();
-        let mut sending = std::pin::pin!(connections.send(&destination, &request));
-        let deadline = self.deadline();
         let max_silence = self.max_silence(&guard);
-        let silence_deadline = Instant::now() + max_silence;
-        let mut sent = None;
-        if silence_deadline < deadline {
-            sent = timeout_at(silence_deadline, &mut sending).await.ok();
-            if sent.is_none() {
-                self.shared
-                    .connections
-                    .close_silent_connections(max_silence);
-            }
-            let may_retry_elsewhere =
-                !wait_until_deadline && self.retries_left(self.shared.now()) > 0;
-            if sent.is_none() && may_retry_elsewhere {
-                self.shared
-                    .connections
-                    .losses
-                    .report(Loss::Silent, &destination);
-                guard.set_result(
-                    SendResult::Abandoned { silent: true },
-                    "worker did not answer in time",
-                );
-                return failed(SendFailure::MayHaveRun);
+        Some(Attempt::new(
+            &self.shared.connections,
+            destination,
+            request,
+            guard,
+            max_silence,
+        ))
+    }
+
+    /// Delivers the answer of an attempt until it ends or the worker stalls. If a stalled worker goes on before this
+    /// attempt has answered in its place, its answer is delivered instead.
+    async fn follow(&mut self, mut attempt: Attempt, is_replaceable: bool) -> RequestEvent {
+        loop {
+            let ended = match self.wait(&mut attempt, is_replaceable).await {
+                Waited::Received(Received::Head(answer)) => {
+                    self.handle_head(&mut attempt, *answer).err()
+                }
+                Waited::Received(Received::Bytes(bytes)) => {
+                    self.handle_bytes(&mut attempt, bytes).await.err()
+                }
+                Waited::Received(Received::End) => Some(self.handle_end(&mut attempt).await),
+                Waited::Received(Received::Failed(error)) => {
+                    Some(self.handle_failed(&mut attempt, error))
+                }
+                Waited::Silent => return self.stall(attempt),
+                Waited::DeadlinePassed => Some(self.handle_deadline(&mut attempt)),
+            };
+            if let Some(event) = ended {
+                self.record_attempt_end(&mut attempt, &event);
+                return event;
             }
         }
-        if sent.is_none() {
-            sent = timeout_at(deadline, &mut sending).await.ok();
+    }
+
+    /// Keeps the attempt of a silent worker open while another worker is selected.
+    fn stall(&mut self, attempt: Attempt) -> RequestEvent {
+        let losses = &self.shared.connections.losses;
+        losses.report(Loss::Silent, &attempt.destination);
+        let (answer_started, last_event) = attempt.delivered();
+        self.replace_stalled();
+        self.stalled = Some(attempt);
+        RequestEvent::Stalled {
+            answer_started,
+            last_event,
         }
-        let is_stream_route = self.route().repeatability.is_stream();
-        let may_have_run = !matches!(&sent, Some(Ok(_) | Err(SendError::NotSent(_))));
-        if may_have_run && !is_stream_route {
-            self.count_usage(guard.started_at());
-        }
-        match sent {
-            None => RequestEvent::DeadlinePassed,
-            Some(Ok(answer)) => {
-                let max_silence = (!wait_until_deadline).then_some(max_silence);
-                self.handle_answer(answer, guard, max_silence).await
+    }
+
+    /// Ends the attempt of the stalled worker, if any, because another worker answers in its place.
+    pub(super) fn replace_stalled(&mut self) {
+        if let Some(stalled) = self.stalled.take() {
+            stalled.end_as_replaced();
+        }
+    }
+
+    /// Waits for what happens next in an attempt, or in that of the stalled worker. If the stalled worker goes on, its
+    /// attempt takes the place of `attempt`, which ends.
+    async fn wait(&mut self, attempt: &mut Attempt, is_replaceable: bool) -> Waited {
+        let deadline = self.deadline();
+        let began = Instant::now();
+        let mut silent_since = began;
+        loop {
+            let silence_limit = attempt.silence_limit(is_replaceable);
+            let silence_end = silence_limit.map_or(deadline, |limit| silent_since + limit);
+            let overlap_end = self.overlap_end(attempt);
+            let wake_at = overlap_end
+                .unwrap_or(deadline)
+                .min(silence_end)
+                .min(deadline);
+            tokio::select! {
+                biased;
+                received = receive_stalled(&mut self.stalled) => {
+                    if self.has_gone_on(&received) && self.continue_stalled(attempt) {
+                        return Waited::Received(received);
+                    }
+                    self.end_stalled(received);
+                }
+                received = attempt.receive() => {
+                    attempt.is_awaited = false;
+                    return Waited::Received(received);
+                }
+                () = sleep_until(wake_at) => {
+                    let now = Instant::now();
+                    if now >= deadline {
+                        return Waited::DeadlinePassed;
+                    }
+                    if attempt.sent_at().is_some_and(|sent_at| now >= sent_at + MAX_OVERLAP) {
+                        self.replace_stalled();
+                    }
+                    if let Some(limit) = silence_limit.filter(|_| now >= silence_end) {
+                        if silent_since == began {
+                            self.shared.connections.close_silent_connections(limit);
+                        }
+                        if is_replaceable && self.has_replacement(attempt) {
+                            return Waited::Silent;
+                        }
+                        silent_since = now;
+                    }
+                }
             }
-            Some(Err(SendError::NotSent(reason))) => {
-                guard.set_result(unsent_result(&reason), reason.to_string());
-                failed(SendFailure::NotSent)
+        }
+    }
+
+    /// Returns when the attempt of the stalled worker, if there is one, ends although `attempt`, which should replace
+    /// it, has not answered. Until the request has been sent, this time moves on.
+    fn overlap_end(&self, attempt: &Attempt) -> Option<Instant> {
+        let sent_at = attempt.sent_at().unwrap_or_else(Instant::now);
+        self.stalled.as_ref().map(|_| sent_at + MAX_OVERLAP)
+    }
+
+    /// Puts the attempt of the stalled worker in the place of the one that should replace it. Returns whether there is
+    /// one.
+    fn continue_stalled(&mut self, attempt: &mut Attempt) -> bool {
+        let Some(stalled) = self.stalled.take() else {
+            return false;
+        };
+        std::mem::replace(attempt, stalled).end_as_unneeded();
+        true
+    }
+
+    /// Returns whether another worker is available to replace this one, and the retry budget allows it.
+    fn has_replacement(&self, attempt: &Attempt) -> bool {
+        let tried = [attempt.destination.worker.clone()];
+        self.retries_left(self.shared.now()) > 0
+            && self.select_locally(&Need::Run, &tried).is_some()
+    }
+
+    /// Returns whether the stalled worker goes on with its answer.
+    fn has_gone_on(&self, received: &Received) -> bool {
+        match received {
+            Received::Head(answer) => {
+                let protocol = &self.shared.protocol;
+                protocol.answer_kind(answer.status, &answer.headers) == AnswerKind::Success
             }
-            Some(Err(SendError::NoAnswer(reason))) => {
-                guard.set_result(SendResult::Failed, reason);
-                failed(SendFailure::MayHaveRun)
+            Received::Bytes(_) | Received::End => true,
+            Received::Failed(_) => false,
+        }
+    }
+
+    /// Ends the attempt of the stalled worker because it has failed.
+    fn end_stalled(&mut self, received: Received) {
+        let Some(mut stalled) = self.stalled.take() else {
+            return;
+        };
+        match received {
+            Received::Head(answer) => {
+                let _ = self.handle_head(&mut stalled, *answer);
+            }
+            Received::Failed(error) if stalled.awaits_head() => {
+                self.handle_failed(&mut stalled, error);
             }
+            _ => stalled
+                .guard
+                .set_result(SendResult::Failed, "answer was cut off"),
         }
     }
 
-    async fn handle_answer(
+    /// Handles the head of an answer. Returns the event if the attempt ends with it.
+    fn handle_head(
         &mut self,
+        attempt: &mut Attempt,
         answer: WorkerAnswer,
-        mut guard: SendGuard,
-        max_silence: Option<Duration>,
-    ) -> RequestEvent {
+    ) -> Result<(), RequestEvent> {
         let protocol = &self.shared.protocol;
         let kind = protocol.answer_kind(answer.status, &answer.headers);
         let detail = format!("status {}", answer.status);
-        // If only the end of the connection marks the end of the body, a crash of the worker may have cut it off.
-        let has_explicit_end = answer.body.has_explicit_end();
+        let is_stream_route = self.route().repeatability.is_stream();
         match kind {
             AnswerKind::Unusable => {
-                guard.set_result(
+                attempt.guard.set_result(
                     SendResult::Failed,
                     format!("{detail}, answer is not signed"),
                 );
-                failed(SendFailure::MayHaveRun)
+                Err(self.failed_send(SendFailure::MayHaveRun))
             }
             AnswerKind::NotRun => {
-                guard.set_result(SendResult::Refused, detail);
-                failed(SendFailure::NotRun)
+                attempt.guard.set_result(SendResult::Refused, detail);
+                Err(self.failed_send(SendFailure::NotRun))
             }
             AnswerKind::Misdirected => {
-                guard.set_result(SendResult::Absent, detail);
-                failed(SendFailure::NotRun)
+                attempt.guard.set_result(SendResult::Absent, detail);
+                Err(self.failed_send(SendFailure::NotRun))
             }
             AnswerKind::Failure => {
-                if !self.route().repeatability.is_stream() {
-                    self.count_usage(guard.started_at());
-                }
-                guard.set_result(SendResult::Failed, detail);
-                let event = self.keep_error_answer(answer, max_silence).await;
-                if event == failed(SendFailure::ErrorAnswer) && has_explicit_end {
-                    guard.record_complete_answer();
+                if !is_stream_route {
+                    self.count_usage(attempt.guard.started_at());
                 }
-                event
+                attempt.guard.set_result(SendResult::Failed, detail);
+                attempt.begin_body(answer, ReceivedBody::Error(Default::default()));
+                Ok(())
             }
             AnswerKind::Success => {
                 self.unused_handle = None;
-                guard.record_answer_start();
-                let event = match self.route().repeatability.is_stream() {
-                    true => self.deliver_stream(answer, &mut guard).await,
-                    false => {
-                        self.count_usage(guard.started_at());
-                        self.deliver_complete(answer, max_silence).await
-                    }
-                };
-                match event {
-                    RequestEvent::Completed if has_explicit_end => guard.record_complete_answer(),
-                    RequestEvent::Completed | RequestEvent::DeadlinePassed => {}
-                    _ => guard.set_result(SendResult::Failed, "answer was cut off"),
+                attempt.guard.record_answer_start();
+                if !is_stream_route {
+                    self.count_usage(attempt.guard.started_at());
+                    self.replace_stalled();
                 }
-                event
+                attempt.begin_body(answer, self.success_body());
+                Ok(())
+            }
+        }
+    }
+
+    /// Returns how the body of a successful answer is handled.
+    fn success_body(&self) -> ReceivedBody {
+        let repeatability = self.route().repeatability;
+        if !repeatability.is_stream() {
+            return ReceivedBody::Whole(Default::default());
+        }
+        match repeatability.allows_second_run() {
+            true => ReceivedBody::Events {
+                framer: EventFramer::default(),
+                has_delivered: false,
+                last_event: None,
+            },
+            false => ReceivedBody::UnstartedStream,
+        }
+    }
+
+    /// Handles the failure of an attempt, or the break of its answer.
+    fn handle_failed(&mut self, attempt: &mut Attempt, error: SendError) -> RequestEvent {
+        if !attempt.awaits_head() {
+            return self.broken_answer(attempt);
+        }
+        match error {
+            SendError::NotSent(reason) => {
+                let result = unsent_result(&reason);
+                attempt.guard.set_result(result, reason.to_string());
+                self.failed_send(SendFailure::NotSent)
+            }
+            SendError::NoAnswer(reason) => {
+                self.count_unanswered_usage(attempt);
+                attempt.guard.set_result(SendResult::Failed, reason);
+                self.failed_send(SendFailure::MayHaveRun)
             }
         }
     }
+
+    fn handle_deadline(&mut self, attempt: &mut Attempt) -> RequestEvent {
+        if attempt.awaits_head() {
+            self.count_unanswered_usage(attempt);
+        }
+        match attempt.open_answer().map(|open| &open.body) {
+            Some(ReceivedBody::Parts { .. }) => RequestEvent::Interrupted(None),
+            _ => RequestEvent::DeadlinePassed,
+        }
+    }
+
+    fn count_unanswered_usage(&mut self, attempt: &Attempt) {
+        if !self.route().repeatability.is_stream() {
+            self.count_usage(attempt.guard.started_at());
+        }
+    }
+
+    /// Returns the event for a send that failed before any part of its answer was delivered.
+    pub(super) fn failed_send(&self, failure: SendFailure) -> RequestEvent {
+        match self.stalled {
+            Some(_) => RequestEvent::ReplacementFailed(failure),
+            None => failed(failure),
+        }
+    }
+
+    /// Records how the answer of an attempt has ended.
+    fn record_attempt_end(&mut self, attempt: &mut Attempt, event: &RequestEvent) {
+        let is_error = attempt.is_error();
+        let Some(open) = attempt.open_answer() else {
+            return;
+        };
+        // If only the end of the connection marks the end of the body, a crash of the worker may have cut it off.
+        let has_explicit_end = open.answer.body.has_explicit_end();
+        let is_complete = match is_error {
+            true => *event == self.failed_send(SendFailure::ErrorAnswer),
+            false => *event == RequestEvent::Completed,
+        };
+        match event {
+            _ if is_complete && has_explicit_end => attempt.guard.record_complete_answer(),
+            RequestEvent::Completed | RequestEvent::DeadlinePassed => {}
+            _ if is_error => {}
+            _ => attempt
+                .guard
+                .set_result(SendResult::Failed, "answer was cut off"),
+        }
+    }
+}
+
+/// Waits for what arrives from the stalled worker, or forever if there is none. An error of the worker is kept for the
+/// case that no other worker answers.
+async fn receive_stalled(stalled: &mut Option<Attempt>) -> Received {
+    match stalled {
+        Some(stalled) if !stalled.is_error() => stalled.receive().await,
+        _ => std::future::pending().await,
+    }
 }
