Failing test: a pause during a prompt read refuses a request

With the retry budget spent, a request whose prompt is read apart is refused with 503 as soon as the reader has been silent for too long, although the reader would go on.

--- a/crates/cli/tests/gateway_platform/silent_workers.rs
+++ b/crates/cli/tests/gateway_platform/silent_workers.rs
@@ -6,15 +6,19 @@
 use tansyhall_testing::{eventually, Link};
 
 use crate::support::{
-    send_request, CallerAnswer, Site, AT_MOST_ONCE, NON_RESUMABLE, REPEATABLE, RESUMABLE,
-    SHORT_OBJECTIVE,
+    send_long_prompt, send_request, CallerAnswer, Site, WorkerSpec, AT_MOST_ONCE, NON_RESUMABLE,
+    REPEATABLE, RESUMABLE, SHORT_OBJECTIVE, SHORT_OBJECTIVE_MODEL,
 };
 
+const READER: WorkerSpec = ("llm", Some("prefill"), ECHO);
+const DECODER: WorkerSpec = ("llm", Some("decode"), ECHO);
 const ECHO: Behaviour = Behaviour::Serve { events: 0 };
 /// Number of events of each stream.
 const EVENTS: u32 = 5;
 /// Longer than a gateway waits for a silent worker before it asks another one.
 const PAUSE_MS: u64 = 1_300;
+/// Longer than a gateway waits for a prompt to be read apart before it lets another worker read it.
+const PROMPT_READ_PAUSE_MS: u64 = 6_000;
 /// Longer than the deadline of callers.
 const ENDLESS_PAUSE_MS: u64 = 60_000;
 /// Maximum number of requests that a test sends in order to spend the retry budget.
@@ -99,11 +103,13 @@
 }
 
 /// Sends failing requests until the retry budget allows no further send.
-async fn spend_retry_budget(site: &Site) {
-    set_behaviours(site, [Behaviour::Fail; 2]);
+async fn spend_retry_budget(site: &Site, path: &str) {
+    for worker in &site.workers {
+        worker.worker.set_behaviour(Behaviour::Fail);
+    }
     for number in 0..MAX_SPENDING_REQUESTS {
         let id = format!("failing-{number}");
-        send_request(&site.gateways[0], &id, REPEATABLE, b"x").await;
+        send_request(&site.gateways[0], &id, path, b"x").await;
         if site.runs_of(&id) == 1 {
             return;
         }
@@ -141,7 +147,7 @@
 #[actix_rt::test]
 async fn a_stream_continues_after_a_pause_although_the_retry_budget_is_spent() {
     let site = Site::start(&[("app", None, ECHO); 2], 1).await;
-    spend_retry_budget(&site).await;
+    spend_retry_budget(&site, REPEATABLE).await;
     set_behaviours(&site, [pausing_after(2); 2]);
     let answer = send_request(&site.gateways[0], "r", RESUMABLE, b"x").await;
     assert_stream_is_complete(&answer);
@@ -279,3 +285,21 @@
         }
     }
 }
+
+// Guards against refusing a request because the worker that reads its prompt pauses while the retry budget is spent.
+#[actix_rt::test]
+async fn a_prompt_is_read_after_a_pause_although_the_retry_budget_is_spent() {
+    let workers = [READER, DECODER, DECODER];
+    let site = Site::start(&workers, 1).await;
+    spend_retry_budget(&site, SHORT_OBJECTIVE_MODEL).await;
+    let reader = &site.workers[0].worker;
+    let delay_ms = PROMPT_READ_PAUSE_MS;
+    reader.set_behaviour(Behaviour::Delayed { delay_ms });
+    for decoder in &site.workers[1..] {
+        decoder.worker.set_behaviour(ECHO);
+    }
+    let answer = send_long_prompt(&site.gateways[0], "r", SHORT_OBJECTIVE_MODEL).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body, b"prompt");
+    assert_eq!(reader.prompts_read(), 1);
+}
--- a/crates/cli/tests/gateway_platform/support/caller.rs
+++ b/crates/cli/tests/gateway_platform/support/caller.rs
@@ -59,15 +59,15 @@
     send_with_prompt(gateway, id, format!("{number:x}:{LONG_PROMPT_TOKENS}")).await
 }
 
+/// Sends a model request with a long prompt, on a route with this path.
+pub async fn send_long_prompt(gateway: &SiteGateway, id: &str, path: &str) -> CallerAnswer {
+    let prompt = format!("e5:{LONG_PROMPT_TOKENS}");
+    send_with_headers(gateway, id, path, b"prompt", &[(PROMPT_PARTS, prompt)]).await
+}
+
 async fn send_with_prompt(gateway: &SiteGateway, id: &str, prompt: String) -> CallerAnswer {
-    send_with_headers(
-        gateway,
-        id,
-        MODEL_PATH,
-        b"prompt",
-        &[(PROMPT_PARTS, prompt)],
-    )
-    .await
+    let headers = [(PROMPT_PARTS, prompt)];
+    send_with_headers(gateway, id, MODEL_PATH, b"prompt", &headers).await
 }
 
 async fn send_with_headers(
--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -19,8 +19,8 @@
 };
 
 pub use caller::{
-    send_prompt, send_prompt_with_body, send_request, send_unique_prompt, send_with_key,
-    CallerAnswer,
+    send_long_prompt, send_prompt, send_prompt_with_body, send_request, send_unique_prompt,
+    send_with_key, CallerAnswer,
 };
 
 /// The deployed template of the gateway's settings.
@@ -45,9 +45,11 @@
 pub const RESUMABLE: &str = "/resume/x";
 /// Path of streams that may not be resumed.
 pub const NON_RESUMABLE: &str = "/stream/x";
+/// Path of repeatable model requests with a short latency objective.
+pub const SHORT_OBJECTIVE_MODEL: &str = "/swift-model/x";
 /// Latency objective of most routes, in milliseconds.
 const OBJECTIVE_MS: u64 = 5_000;
-/// Latency objective of the route of [`SHORT_OBJECTIVE`], in milliseconds.
+/// Latency objective of the routes of [`SHORT_OBJECTIVE`] and [`SHORT_OBJECTIVE_MODEL`], in milliseconds.
 const SHORT_OBJECTIVE_MS: u64 = 300;
 /// Prefix of the keys under which gateways announce themselves in the store.
 const GATEWAYS_PREFIX: &str = "tansyhall/gateways/";
@@ -447,12 +449,13 @@
         service,
         objective_ms: OBJECTIVE_MS,
     };
-    let short_objective = RoutePlan {
+    let short_objective = |name, prefix, service| RoutePlan {
         objective_ms: SHORT_OBJECTIVE_MS,
-        ..route("swift", "/swift/", "idempotent", false, 2, "app")
+        ..route(name, prefix, "idempotent", false, 2, service)
     };
     vec![
-        short_objective,
+        short_objective("swift", "/swift/", "app"),
+        short_objective("swift-model", "/swift-model/", "llm"),
         route("repeat", "/repeat/", "idempotent", false, 2, "app"),
         route("once", "/once/", "non_idempotent", false, 1, "app"),
         route("resume", "/resume/", "streaming", true, 2, "app"),
