Wait for a silent prompt reader while the retry budget is spent

What callers saw: 503 ("not run") for a request whose prompt was being read apart, as soon as the reader had been silent for too long.

Cause: the read was abandoned before it was known whether the request may continue without it, which needs one retry of the budget.

Evidence: a_prompt_is_read_after_a_pause_although_the_retry_budget_is_spent failed before with 503 in place of 200.

Change: a silent read is abandoned only if the budget has a retry; the budget is looked at again after each further time of silence, until the deadline.

Result: the test passes, and so do the other tests of silent_workers, roles and schedulers (18 of 18).

Cost: while readers are silent for good and the budget stays spent, such requests are refused later than before, at their deadline at the latest.

--- a/crates/gateway/src/exchange/prompt.rs
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -61,9 +61,7 @@
             return RequestEvent::PromptNotRead(PromptReadFailure::NotSent);
         };
         let mut guard = self.begin_send(&worker, RequestKind::ReadPrompt, Need::ReadPrompt);
-        let prompt_read = self.try_read_prompt(&worker, &guard);
-        let limit = self.silence_deadline(&guard).min(self.deadline());
-        let Ok(result) = timeout_at(limit, prompt_read).await else {
+        let Some(result) = self.await_prompt_read(&worker, &guard).await else {
             let destination = self.shared.destination(&worker);
             let losses = &self.shared.connections.losses;
             losses.report(Loss::Silent, &destination);
@@ -83,6 +81,26 @@
         }
     }
 
+    /// Reads the prompt, or returns `None` if the worker is silent for too long. Without a retry in the budget the request
+    /// could not continue at another worker, so a silent worker is then waited for until the deadline.
+    async fn await_prompt_read(
+        &self,
+        worker: &Worker,
+        guard: &SendGuard,
+    ) -> Option<Result<PromptHandle, FailedPromptRead>> {
+        let deadline = self.deadline();
+        let mut prompt_read = std::pin::pin!(self.try_read_prompt(worker, guard));
+        loop {
+            let limit = self.silence_deadline(guard).min(deadline);
+            if let Ok(result) = timeout_at(limit, &mut prompt_read).await {
+                return Some(result);
+            }
+            if limit >= deadline || self.retries_left(self.shared.now()) > 0 {
+                return None;
+            }
+        }
+    }
+
     async fn try_read_prompt(
         &self,
         worker: &Worker,
