Test that a removed service and a reload end no request in progress

Requests of all four kinds that run while their route and service leave the configuration and SIGHUP reloads the settings are answered completely.

--- a/crates/cli/tests/gateway_platform/requests.rs
+++ b/crates/cli/tests/gateway_platform/requests.rs
@@ -5,6 +5,7 @@
 use crate::support::{
     self, send_request, Site, AT_MOST_ONCE, NON_RESUMABLE, REPEATABLE, RESUMABLE,
 };
+use futures_util::future::{join, join_all};
 use tansyhall_platform_standin::{Behaviour, StoreFault};
 use tansyhall_testing::eventually;
 
@@ -228,3 +229,35 @@
     }
     assert_eq!(site.workers[0].worker.runs().len(), 600);
 }
+
+// Guards against changes that end requests in progress: their route and service are removed, and settings are reloaded.
+#[actix_rt::test]
+async fn requests_in_progress_are_answered_after_their_service_is_removed_and_settings_are_reloaded(
+) {
+    let paced = Behaviour::Paced {
+        events: 20,
+        pause_ms: 100,
+    };
+    let site = Site::start(&[("app", None, paced)], 1).await;
+    let paths = [RESUMABLE, NON_RESUMABLE, REPEATABLE, AT_MOST_ONCE];
+    let change = async {
+        for path in paths {
+            site.wait_for_runs(path, 1).await;
+        }
+        site.gateways[0].process.signal("HUP");
+        site.configure_without("app").await;
+        site.wait_for_ready_workers(0, 0.0).await;
+        let refused = send_request(&site.gateways[0], "later", REPEATABLE, b"x").await;
+        assert_eq!(refused.status, 404);
+    };
+    let requests = paths.map(|path| send_request(&site.gateways[0], path, path, b"x"));
+    let (answers, ()) = join(join_all(requests), change).await;
+    let expected: String = (1..=20)
+        .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
+        .collect();
+    for answer in answers {
+        assert_eq!(answer.status, 200);
+        assert!(answer.is_complete);
+        assert_eq!(String::from_utf8_lossy(&answer.body), expected);
+    }
+}
--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -387,6 +387,16 @@
         version
     }
 
+    /// Writes the next configuration, without a service and its routes, and waits until it is in force at all gateways.
+    pub async fn configure_without(&self, service: &str) {
+        let version = self.version.get() + 3;
+        self.version.set(version);
+        let mut remaining = routes();
+        remaining.retain(|route| route.service != service);
+        self.operator.configure(version, &remaining);
+        self.wait_until_in_force(version).await;
+    }
+
     /// Writes the next configuration, with these tenants, and waits until it is in force at all gateways.
     pub async fn configure_tenants(&self, tenants: &[TenantPlan]) {
         let version = self.version.get() + 3;
