--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,6 +23,7 @@
     ConnectFailure, DirectOutcome, IdleRule, RateToken, Unavailable, WorkerId,
 };
 use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::time::Instant;
 
 use crate::answer_body::{AnswerBody, BorrowedConnection};
 use crate::connection_losses::{ConnectionLosses, Loss};
@@ -94,18 +95,27 @@
     pub body: AnswerBody,
 }
 
-/// The relay of the connection that carries a request.
+/// How far the send of a request has come.
 #[derive(Debug, Default)]
-pub struct UsedRelay(Mutex<Option<Arc<str>>>);
+pub struct SendProgress {
+    relay: Mutex<Option<Arc<str>>>,
+    sent_at: OnceLock<Instant>,
+}
+
+impl SendProgress {
+    /// Returns the name of the gateway that relays the connection; `None` for a direct connection.
+    pub fn relay(&self) -> Option<Arc<str>> {
+        self.relay.lock().clone()
+    }
 
-impl UsedRelay {
-    /// Returns the name of the relaying gateway; `None` for a direct connection.
-    pub fn name(&self) -> Option<Arc<str>> {
-        self.0.lock().clone()
+    /// Returns when the request was first passed to an open connection.
+    pub fn sent_at(&self) -> Option<Instant> {
+        self.sent_at.get().copied()
     }
 
-    fn set(&self, connection: &Connection) {
-        *self.0.lock() = connection.relay.as_ref().map(|relay| relay.name.clone());
+    fn record_sent(&self, connection: &Connection) {
+        *self.relay.lock() = connection.relay.as_ref().map(|relay| relay.name.clone());
+        self.sent_at.get_or_init(Instant::now);
     }
 }
 
@@ -158,23 +168,23 @@
         destination: &Destination,
         request: &WorkerRequest,
     ) -> Result<WorkerAnswer, SendError> {
-        self.send_recording_relay(destination, request, &UsedRelay::default())
+        self.send_with_progress(destination, request, &SendProgress::default())
             .await
     }
 
-    /// Sends a request as [`Connections::send`] does, and records the relay of the connection that carries it.
-    pub async fn send_recording_relay(
+    /// Sends a request like [`Connections::send`], and records in `progress` when it is passed to a connection.
+    pub async fn send_with_progress(
         self: &Arc<Self>,
         destination: &Destination,
         request: &WorkerRequest,
-        used_relay: &UsedRelay,
+        progress: &SendProgress,
     ) -> Result<WorkerAnswer, SendError> {
         self.notices
             .check_permitted(&destination.worker, request.kind)?;
         let http_request = build(destination, request)?;
         let token = self.notices.take_rate_token(&destination.worker, request)?;
         let sent = self
-            .send_http_request(destination, request, http_request, used_relay)
+            .send_http_request(destination, request, http_request, progress)
             .await;
         if let (RateToken::Taken, Err(SendError::NotSent(_))) = (token, &sent) {
             self.notices.return_rate_token(&destination.worker);
@@ -188,13 +198,13 @@
         destination: &Destination,
         request: &WorkerRequest,
         mut http_request: hyper::Request<Full<Bytes>>,
-        used_relay: &UsedRelay,
+        progress: &SendProgress,
     ) -> Result<WorkerAnswer, SendError> {
         let id = self.correlation.id_of(request);
         while let Some(connection) =
             id.and_then(|id| self.take_idle(&destination.worker, id, request.kind))
         {
-            used_relay.set(&connection);
+            progress.record_sent(&connection);
             match self
                 .send_on(destination, connection, request, http_request)
                 .await
@@ -205,10 +215,10 @@
             }
         }
         let connection = self.connect(destination, request.kind).await?;
-        used_relay.set(&connection);
         // A notice of the worker may have arrived while the connection was being established.
         self.notices
             .check_permitted(&destination.worker, request.kind)?;
+        progress.record_sent(&connection);
         match self
             .send_on(destination, connection, request, http_request)
             .await
