Fault soak: partitions of gateways from all workers, and workers that fall silent

Change: each gateway connects to workers from its own address. Two actions, each drawn from a random generator of its own: one gateway, or several but not all, are partitioned from all workers for 1 to 6 s in three variants; a worker sends nothing for 0.8 to 1.8 s, before an answer or in the middle of one. Judges RECOVER and LOST, with tests of constructed evidence for what they accept, detect and excuse. REST and RATE_LIMIT leave out times of partitions, as they do for faults of links to workers. A back-off is recorded when it is sent, since a silence may come before.

--- a/crates/cli/tests/fault_soak.rs
+++ b/crates/cli/tests/fault_soak.rs
@@ -8,9 +8,41 @@
 const SEED: u64 = 1;
 /// How long faults are injected.
 const DURATION: Duration = Duration::from_secs(10);
+/// Length of a partition after which requests at the gateway are judged, in milliseconds.
+const JUDGED_PARTITION_MS: u64 = 3_500;
 /// Minimum number of complete successful answers that callers must receive.
 const MIN_SUCCESSES: usize = 300;
 
+/// A seed that partitions gateways from all workers for long enough to be judged.
+const PARTITIONS_SEED: u64 = 3;
+
+#[actix_rt::test]
+async fn gateways_recover_from_partitions_and_silent_workers_lose_no_answer() {
+    let plan = EpisodePlan {
+        min_successes: MIN_SUCCESSES,
+        crashing_requests: 0,
+        only_partitions_and_silences: true,
+        ..EpisodePlan::new(PARTITIONS_SEED, DURATION)
+    };
+    let episode = run_episode(plan)
+        .await
+        .expect("episode should run to its end");
+    assert!(episode.successes() >= MIN_SUCCESSES);
+    let partitions = &episode.evidence.partitions;
+    assert!(
+        partitions
+            .iter()
+            .any(|period| period.to_ms - period.from_ms > JUDGED_PARTITION_MS),
+        "no partition lasted long enough: {partitions:?}"
+    );
+    assert!(
+        !episode.evidence.silences.is_empty(),
+        "no worker was silent"
+    );
+    let violations = serde_json::to_string_pretty(&episode.violations).expect("violations as JSON");
+    assert!(episode.violations.is_empty(), "{violations}");
+}
+
 #[actix_rt::test]
 async fn a_short_soak_violates_no_rule() {
     let plan = EpisodePlan {
--- a/crates/fault-soak/src/caller/mod.rs
+++ b/crates/fault-soak/src/caller/mod.rs
@@ -71,7 +71,7 @@
     while !caller.plan.is_over.get() {
         caller.sent += 1;
         let id = format!("{name}-{}", caller.sent);
-        caller.send(&request.with_id(id)).await;
+        caller.send(&request.with_id(id), caller.sent == 1).await;
         let pause_ms = caller.random.random_range(CRASHING_REQUEST_PAUSE_MS);
         sleep(Duration::from_millis(pause_ms)).await;
     }
@@ -108,8 +108,8 @@
             _ => unique_name.clone(),
         };
         let mut request = CallerRequest::draw(id, &unique_name, &mut self.random);
-        for _ in 0..MAX_TRIES {
-            let outcome = self.send(&request).await;
+        for number in 0..MAX_TRIES {
+            let outcome = self.send(&request, number == 0).await;
             let retries = self.random.random_ratio(RETRIED_PERCENT, 100);
             match request.next_try(&outcome).filter(|_| retries) {
                 Some(next) => request = next,
@@ -119,7 +119,7 @@
         self.last_id = Some(request.key.id);
     }
 
-    async fn send(&mut self, request: &CallerRequest) -> Outcome {
+    async fn send(&mut self, request: &CallerRequest, is_first_try: bool) -> Outcome {
         if !self.random.random_ratio(SAME_GATEWAY_PERCENT, 100) {
             self.gateway = self.random.random_range(0..self.plan.gateways.len());
         }
@@ -148,6 +148,8 @@
             after_event: request.after_event,
             gateway,
             at_ms,
+            is_first_try,
+            patience_ms: answer_timeout.min(request.timeout).as_millis() as u64,
             ended_ms: recorder.now_ms(),
             outcome: outcome.clone(),
         };
--- a/crates/fault-soak/src/episode.rs
+++ b/crates/fault-soak/src/episode.rs
@@ -40,6 +40,8 @@
     /// Whether to include what gateways are known not to withstand: unsolved faults, and callers that send requests
     /// before the gateways know each other.
     pub include_unsolved: bool,
+    /// Whether gateways are partitioned and workers fall silent, but nothing else is disturbed.
+    pub only_partitions_and_silences: bool,
     /// Mechanisms of the gateways that are disabled, by their names in the settings. Without a mechanism, the judge for
     /// it must find violations.
     pub disabled_mechanisms: Vec<String>,
@@ -48,7 +50,7 @@
 }
 
 /// Rules that the build in production does not implement. They are not checked if another build runs alongside.
-const RULES_UNKNOWN_IN_PRODUCTION: [Rule; 1] = [Rule::Configuration];
+const RULES_UNKNOWN_IN_PRODUCTION: [Rule; 3] = [Rule::Configuration, Rule::Recover, Rule::Lost];
 
 impl EpisodePlan {
     /// Creates a plan with this seed and duration, and defaults for the rest.
@@ -61,6 +63,7 @@
             crashing_requests: 2,
             min_successes: 100,
             include_unsolved: false,
+            only_partitions_and_silences: false,
             disabled_mechanisms: Vec::new(),
             other_build: None,
         }
@@ -94,7 +97,10 @@
 pub async fn run_episode(plan: EpisodePlan) -> Result<Episode> {
     let logs = tempfile::tempdir()?;
     let faults = Fault::enabled(plan.include_unsolved);
-    let schedule = Schedule::from_seed(plan.seed, WORKERS.len(), plan.duration, &faults);
+    let mut schedule = Schedule::from_seed(plan.seed, WORKERS.len(), plan.duration, &faults);
+    if plan.only_partitions_and_silences {
+        schedule.retain_partitions_and_silences();
+    }
     let mixes = &schedule.first_mixes;
     let site = Site::start(&plan, mixes, logs.path()).await?;
     if !plan.include_unsolved {
--- a/crates/fault-soak/src/evidence.rs
+++ b/crates/fault-soak/src/evidence.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use serde::{Serialize, Serializer};
+use tansyhall_testing::Partition;
 
 use crate::identity::{Mark, RequestKey};
 use crate::routes::RouteKind;
@@ -33,6 +34,14 @@
     pub troubles: Vec<GatewayFaultPeriod>,
     /// Periods in which the link to a worker had a fault.
     pub worker_troubles: Vec<WorkerLinkFaultPeriod>,
+    /// Periods in which a gateway was partitioned from all workers.
+    pub partitions: Vec<PartitionPeriod>,
+    /// Periods in which the link between callers and a gateway had a fault.
+    pub caller_link_troubles: Vec<GatewayFaultPeriod>,
+    /// Periods in which a worker sent nothing and went on afterwards.
+    pub silences: Vec<WorkerSilencePeriod>,
+    /// Answers that workers did not send as they should have.
+    pub broken_answers: Vec<BrokenAnswer>,
     /// Unexpected exits of gateway processes, with name and exit status.
     pub ended: Vec<String>,
     /// Gateways that did not apply the last configuration in time.
@@ -65,6 +74,11 @@
     pub gateway: usize,
     /// Milliseconds from the start of the episode.
     pub at_ms: u64,
+    /// Whether the caller had not sent the request before.
+    pub is_first_try: bool,
+    /// How long the caller waits for the answer, in milliseconds. This is less than the deadline if it abandons the
+    /// request.
+    pub patience_ms: u64,
     /// When its outcome was known, in milliseconds from the start of the episode.
     pub ended_ms: u64,
     /// Its outcome.
@@ -215,11 +229,26 @@
     pub at_ms: u64,
 }
 
-/// A period in which a gateway was stopped, frozen or killed, or its link to the store had a fault.
+/// What is done to a gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum GatewayFault {
+    /// Its process is stopped gracefully and started anew.
+    Stop,
+    /// Its process is killed and started anew.
+    Kill,
+    /// Its process is frozen.
+    Freeze,
+    /// One of its links has a fault.
+    Link,
+}
+
+/// A period in which a gateway was stopped, frozen or killed, or one of its links had a fault.
 #[derive(Debug, Clone, Serialize)]
 pub struct GatewayFaultPeriod {
     /// The gateway.
     pub gateway: usize,
+    /// What was done to it.
+    pub fault: GatewayFault,
     /// Its start, in milliseconds from the start of the episode.
     pub from_ms: u64,
     /// Its end, in milliseconds from the start of the episode.
@@ -237,6 +266,41 @@
     pub to_ms: u64,
 }
 
+/// A period in which a gateway was partitioned from all workers.
+#[derive(Debug, Clone, Serialize)]
+pub struct PartitionPeriod {
+    /// The gateway.
+    pub gateway: usize,
+    /// What happened to its connections to workers.
+    pub partition: Partition,
+    /// Its start, in milliseconds from the start of the episode.
+    pub from_ms: u64,
+    /// Its end, in milliseconds from the start of the episode.
+    pub to_ms: u64,
+}
+
+/// A period in which a worker sent nothing and went on afterwards.
+#[derive(Debug, Clone, Serialize)]
+pub struct WorkerSilencePeriod {
+    /// The worker's incarnation at the start of the period.
+    pub worker: String,
+    /// Its start, in milliseconds from the start of the episode.
+    pub from_ms: u64,
+    /// Its end, in milliseconds from the start of the episode.
+    pub to_ms: u64,
+}
+
+/// An answer that a worker broke off or did not send, or that other bytes preceded or replaced.
+#[derive(Debug, Clone, Serialize)]
+pub struct BrokenAnswer {
+    /// The worker.
+    pub worker: String,
+    /// The id of the request, or `None` if this concerns all answers of the worker.
+    pub id: Option<String>,
+    /// Milliseconds from the start of the episode.
+    pub at_ms: u64,
+}
+
 /// A request to a worker that is no caller's: a report, an order, a health check or the release of a KV cache.
 #[derive(Debug, Clone, Serialize)]
 pub struct Call {
--- a/crates/fault-soak/src/faults.rs
+++ b/crates/fault-soak/src/faults.rs
@@ -106,6 +106,20 @@
         }
     }
 
+    /// Returns whether the gateway cannot receive the whole answer as the worker's answer.
+    pub fn breaks_answer(self) -> bool {
+        matches!(
+            self,
+            Self::CutShort
+                | Self::CutThenWhole
+                | Self::Reset
+                | Self::Close
+                | Self::Hang
+                | Self::NoLengthTwice
+                | Self::NoLengthReset
+        )
+    }
+
     /// Returns the maximum probability of the fault. Faults that delay callers are rare.
     fn max_probability(self) -> f64 {
         match self {
--- a/crates/fault-soak/src/gateways.rs
+++ b/crates/fault-soak/src/gateways.rs
@@ -1,7 +1,7 @@
 //! The gateway processes of an episode. No other processes receive signals.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -44,6 +44,12 @@
     }
 }
 
+/// Returns the address from which the gateway with this number connects to workers.
+fn source_address(number: usize) -> IpAddr {
+    let last = u8::try_from(number + 2).expect("fewer than 254 gateways");
+    IpAddr::V4(Ipv4Addr::new(127, 0, 0, last))
+}
+
 /// A gateway that keeps its links while its process is restarted.
 pub struct GatewaySlot {
     /// Between callers and the gateway.
@@ -87,6 +93,11 @@
         self.config.name()
     }
 
+    /// Returns the address from which the gateway connects to workers.
+    pub fn source_address(&self) -> IpAddr {
+        source_address(self.config.number)
+    }
+
     /// Returns the addresses on which the process listens, or `None` without a process.
     pub fn addresses(&self) -> Option<GatewayAddresses> {
         self.process.borrow().as_ref().map(|p| p.addresses)
@@ -231,6 +242,8 @@
         };
         let settings = fields.render(TEMPLATE);
         let settings = settings.map_err(|error| anyhow::anyhow!("{error:?}"))?;
+        let workers = format!("[workers]\nsource_address = \"{}\"", self.source_address());
+        let settings = settings.replace("[workers]", &workers);
         Ok(settings + &self.decisions_section())
     }
 }
@@ -257,7 +270,8 @@
 
 impl<'a> BusyGuard<'a> {
     fn take(is_busy: &'a Cell<bool>) -> Option<Self> {
-        (!is_busy.replace(true)).then_some(Self(is_busy))
+        // `then_some` would create, drop and so release the guard of an action in progress.
+        (!is_busy.replace(true)).then(|| Self(is_busy))
     }
 }
 
--- a/crates/fault-soak/src/judges/mod.rs
+++ b/crates/fault-soak/src/judges/mod.rs
@@ -5,9 +5,11 @@
 mod configuration;
 mod ended;
 mod leaving;
+mod lost;
 mod mixed;
 mod order;
 mod rate_limit;
+mod recover;
 mod refused;
 mod rest;
 mod senders;
@@ -25,9 +27,11 @@
 pub use configuration::check_configuration;
 pub use ended::check_ended;
 pub use leaving::check_leaving;
+pub use lost::check_lost;
 pub use mixed::check_mixed;
 pub use order::check_order;
 pub use rate_limit::check_rate_limit;
+pub use recover::check_recover;
 pub use refused::check_refused;
 pub use rest::check_rest;
 pub use twice::check_twice;
@@ -61,6 +65,11 @@
     Configuration,
     /// No gateway process exits unless it is told to.
     Ended,
+    /// A gateway that is partitioned from all workers serves its callers, as long as another gateway reaches workers.
+    Recover,
+    /// A caller whose request reached a worker gets a complete answer or one that says what happened, although the
+    /// worker was silent for a while.
+    Lost,
 }
 
 /// A violation of a rule.
@@ -108,6 +117,8 @@
         check_rate_limit,
         check_configuration,
         check_ended,
+        check_recover,
+        check_lost,
     ];
     judges.iter().flat_map(|judge| judge(evidence)).collect()
 }
--- a/crates/fault-soak/src/judges/rate_limit.rs
+++ b/crates/fault-soak/src/judges/rate_limit.rs
@@ -77,8 +77,8 @@
     counted_arrivals
 }
 
-/// Returns the requests in the window with the most of them. Windows in which the link to the worker had a fault are
-/// left out, since requests that a link delays arrive in a burst.
+/// Returns the requests in the window with the most of them. Windows in which the link to the worker had a fault, or
+/// a gateway was partitioned from workers, are left out, since requests that a link delays arrive in a burst.
 fn busiest_window<'a>(
     evidence: &Evidence,
     limit: &AnnouncedRateLimit,
@@ -93,7 +93,9 @@
                 from_ms: first.at_ms.saturating_sub(WINDOW_MS),
                 to_ms,
             };
-            if evidence.has_worker_link_fault(&limit.worker, span) {
+            if evidence.has_worker_link_fault(&limit.worker, span)
+                || evidence.has_any_partition(span)
+            {
                 return None;
             }
             let end = counted_arrivals.partition_point(|arrival| arrival.at_ms < to_ms);
--- a/crates/fault-soak/src/judges/rest.rs
+++ b/crates/fault-soak/src/judges/rest.rs
@@ -45,6 +45,7 @@
         ..span
     };
     let is_excused = evidence.has_gateway_fault(refused.gateway, span_with_grace)
+        || evidence.has_partition(refused.gateway, span_with_grace)
         || evidence.has_worker_link_fault(&backoff.worker, span_with_grace);
     if !is_answered || is_excused {
         return None;
--- a/crates/fault-soak/src/judges/senders.rs
+++ b/crates/fault-soak/src/judges/senders.rs
@@ -15,7 +15,8 @@
 }
 
 impl Span {
-    fn overlaps(self, from_ms: u64, to_ms: u64) -> bool {
+    /// Returns whether the span has a moment in common with this one.
+    pub(super) fn overlaps(self, from_ms: u64, to_ms: u64) -> bool {
         from_ms <= self.to_ms && to_ms >= self.from_ms
     }
 }
@@ -50,6 +51,26 @@
             .any(|period| period.gateway == gateway && span.overlaps(period.from_ms, period.to_ms))
     }
 
+    /// Returns whether the link between callers and a gateway had a fault within this span.
+    pub(super) fn has_caller_link_fault(&self, gateway: usize, span: Span) -> bool {
+        let mut periods = self.caller_link_troubles.iter();
+        periods
+            .any(|period| period.gateway == gateway && span.overlaps(period.from_ms, period.to_ms))
+    }
+
+    /// Returns whether a gateway was partitioned from all workers within this span.
+    pub(super) fn has_partition(&self, gateway: usize, span: Span) -> bool {
+        self.partitions
+            .iter()
+            .any(|period| period.gateway == gateway && span.overlaps(period.from_ms, period.to_ms))
+    }
+
+    /// Returns whether any gateway was partitioned from all workers within this span.
+    pub(super) fn has_any_partition(&self, span: Span) -> bool {
+        let mut periods = self.partitions.iter();
+        periods.any(|period| span.overlaps(period.from_ms, period.to_ms))
+    }
+
     /// Returns whether the link to a worker had a fault within this span.
     pub(super) fn has_worker_link_fault(&self, worker: &str, span: Span) -> bool {
         self.worker_troubles
--- a/crates/fault-soak/src/lib.rs
+++ b/crates/fault-soak/src/lib.rs
@@ -19,14 +19,16 @@
 mod regressions;
 mod routes;
 mod schedule;
+mod schedule_of_partitions;
 mod site;
 mod worker;
 
 pub use episode::{run_episode, Episode, EpisodePlan};
 pub use evidence::{
-    AnnouncedRateLimit, Arrival, BackoffRequest, Call, CallerAnswer, Evidence, GatewayFaultPeriod,
-    InvalidBytes, Outcome, Prefill, Run, RunBody, SentRequest, StaleConfiguration, StrayBytes,
-    WorkerCrash, WorkerLinkFaultPeriod,
+    AnnouncedRateLimit, Arrival, BackoffRequest, BrokenAnswer, Call, CallerAnswer, Evidence,
+    GatewayFault, GatewayFaultPeriod, InvalidBytes, Outcome, PartitionPeriod, Prefill, Run,
+    RunBody, SentRequest, StaleConfiguration, StrayBytes, WorkerCrash, WorkerLinkFaultPeriod,
+    WorkerSilencePeriod,
 };
 pub use faults::{Fault, FaultCounts, FaultMix};
 pub use http::{Framing, Head, ReadError, Reader};
--- a/crates/fault-soak/src/link.rs
+++ b/crates/fault-soak/src/link.rs
@@ -3,7 +3,7 @@
 //! A graceful close is forwarded as a graceful close, and a broken connection as a reset, so that the link itself
 //! never makes a truncated answer look complete.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -83,28 +83,40 @@
     target: Arc<Mutex<SocketAddr>>,
     fault: watch::Sender<LinkFault>,
     is_open: watch::Sender<bool>,
-    partitions: Partitions,
     task: actix_rt::task::JoinHandle<()>,
 }
 
 impl Link {
     /// Opens a link to `target` on a free port.
     pub async fn open(target: SocketAddr) -> std::io::Result<Self> {
-        Self::from_listener(TcpListener::bind("127.0.0.1:0").await?, target)
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::from_listener(listener, target, &Partitions::default())
     }
 
     /// Opens a link at this address, so that it can be closed and reopened there. The port should not be one that the
-    /// system assigns to outgoing connections, because such a port can be taken while the link is closed.
-    pub fn open_at(listen_address: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
-        Self::from_listener(listen_on_reused_address(listen_address)?, target)
+    /// system assigns to outgoing connections, because such a port can be taken while the link is closed. `partitions`
+    /// says which clients are partitioned from the target.
+    pub fn open_at(
+        listen_address: SocketAddr,
+        target: SocketAddr,
+        partitions: &Partitions,
+    ) -> std::io::Result<Self> {
+        Self::from_listener(
+            listen_on_reused_address(listen_address)?,
+            target,
+            partitions,
+        )
     }
 
-    fn from_listener(listener: TcpListener, target: SocketAddr) -> std::io::Result<Self> {
+    fn from_listener(
+        listener: TcpListener,
+        target: SocketAddr,
+        partitions: &Partitions,
+    ) -> std::io::Result<Self> {
         let listen_address = listener.local_addr()?;
         let target = Arc::new(Mutex::new(target));
         let (fault, fault_receiver) = watch::channel(LinkFault::None);
         let (is_open, open_receiver) = watch::channel(true);
-        let partitions = Partitions::default();
         let state = LinkState {
             target: Arc::clone(&target),
             fault: fault_receiver,
@@ -117,7 +129,6 @@
             target,
             fault,
             is_open,
-            partitions,
             task,
         })
     }
@@ -141,11 +152,6 @@
     pub fn set_fault(&self, fault: LinkFault) {
         self.fault.send_replace(fault);
     }
-
-    /// Partitions the clients with this source address from the target, or heals their partition with `None`.
-    pub fn set_partition(&self, client: IpAddr, partition: Option<Partition>) {
-        self.partitions.set(client, partition);
-    }
 }
 
 impl Drop for Link {
--- a/crates/fault-soak/src/schedule.rs
+++ b/crates/fault-soak/src/schedule.rs
@@ -5,9 +5,11 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
+use tansyhall_testing::Partition;
 
 use crate::faults::{Fault, FaultMix};
 use crate::link::LinkFault;
+use crate::schedule_of_partitions::{draw_partitions, draw_silences};
 
 /// Mean time between two actions.
 const MEAN_PAUSE_MS: u64 = 250;
@@ -140,6 +142,25 @@
     },
     /// Restores the store from a backup.
     Restore(Restore),
+    /// Partitions gateways from all workers for a limited time.
+    Partition {
+        /// The first of the gateways.
+        first: usize,
+        /// The number of further gateways, modulo the number of gateways that can be partitioned besides the first so
+        /// that at least one is not.
+        further: usize,
+        /// What happens to their connections.
+        partition: Partition,
+        /// Duration in milliseconds.
+        for_ms: u64,
+    },
+    /// Makes a worker send nothing for a limited time, and go on afterwards.
+    Silence {
+        /// The worker.
+        worker: usize,
+        /// Duration in milliseconds.
+        for_ms: u64,
+    },
 }
 
 /// How the store is restored from an earlier backup of itself.
@@ -196,12 +217,23 @@
         actions.extend(draw_rate_limits(seed, duration));
         actions.extend(draw_restores(seed, duration));
         actions.extend(draw_peer_link_faults(seed, duration));
+        actions.extend(draw_partitions(seed, duration));
+        actions.extend(draw_silences(seed, duration));
         actions.sort_by_key(|scheduled| scheduled.at_ms);
         Self {
             first_mixes,
             actions,
         }
     }
+
+    /// Removes everything but partitions of gateways and silences of workers.
+    pub fn retain_partitions_and_silences(&mut self) {
+        self.first_mixes.fill(FaultMix::default());
+        self.actions.retain(|scheduled| {
+            let action = &scheduled.action;
+            matches!(action, Action::Partition { .. } | Action::Silence { .. })
+        });
+    }
 }
 
 /// Draws the actions that make workers leave or ask for back-off. They have a separate random number generator, so
--- a/crates/fault-soak/src/site.rs
+++ b/crates/fault-soak/src/site.rs
@@ -10,12 +10,14 @@
 use serde_json::json;
 use tansyhall_gateway::presence;
 use tansyhall_platform_standin::{Operations, Operator, Store, StoreFault, WORKER_ENTRY_PREFIX};
-use tansyhall_testing::{eventually, get_metric};
+use tansyhall_testing::{eventually, get_metric, Partition, Partitions};
 use tokio::time::sleep;
 
 use crate::caller::HOST;
 use crate::episode::EpisodePlan;
-use crate::evidence::{GatewayFaultPeriod, StaleConfiguration, WorkerLinkFaultPeriod};
+use crate::evidence::{
+    GatewayFault, GatewayFaultPeriod, PartitionPeriod, StaleConfiguration, WorkerLinkFaultPeriod,
+};
 use crate::faults::FaultMix;
 use crate::gateways::{ActionResult, GatewayConfig, GatewaySlot};
 use crate::link::{Link, LinkFault};
@@ -77,6 +79,8 @@
     operator: Operator,
     gateways: Vec<GatewaySlot>,
     workers: RefCell<Vec<Rc<Worker>>>,
+    /// The gateways that are partitioned from all workers.
+    partitions: Partitions,
     version: Cell<u64>,
     seed: u64,
 }
@@ -92,6 +96,7 @@
             store,
             gateways: Vec::new(),
             workers: RefCell::default(),
+            partitions: Partitions::default(),
             version: Cell::new(0),
             seed: plan.seed,
         };
@@ -138,35 +143,45 @@
     /// Performs an action and waits until it is complete.
     pub async fn perform(&self, action: Action) -> Result<()> {
         let from_ms = self.recorder.now_ms();
-        let gateway = self.disturbed_gateway(&action);
+        let disturbed = self.disturbed_gateway(&action);
+        let is_caller_link = matches!(
+            action,
+            Action::Harm {
+                edge: Edge::Callers,
+                ..
+            }
+        );
         let result = self.perform_unrecorded(action).await;
-        if let Some(gateway) = gateway {
+        if let Some((gateway, fault)) = disturbed {
             let to_ms = self.recorder.now_ms();
             let trouble = GatewayFaultPeriod {
                 gateway,
+                fault,
                 from_ms,
                 to_ms,
             };
-            self.recorder
-                .record(|evidence| evidence.troubles.push(trouble));
+            self.recorder.record(|evidence| match is_caller_link {
+                true => evidence.caller_link_troubles.push(trouble),
+                false => evidence.troubles.push(trouble),
+            });
         }
         result
     }
 
-    /// Returns the gateway that an action disturbs.
-    fn disturbed_gateway(&self, action: &Action) -> Option<usize> {
-        let gateway = match action {
-            Action::Freeze { gateway, .. }
-            | Action::Kill { gateway }
-            | Action::Stop { gateway }
-            | Action::Harm {
-                edge: Edge::Store,
+    /// Returns the gateway that an action disturbs, other than by a partition.
+    fn disturbed_gateway(&self, action: &Action) -> Option<(usize, GatewayFault)> {
+        let (gateway, fault) = match action {
+            Action::Freeze { gateway, .. } => (gateway, GatewayFault::Freeze),
+            Action::Kill { gateway } => (gateway, GatewayFault::Kill),
+            Action::Stop { gateway } => (gateway, GatewayFault::Stop),
+            Action::Harm {
+                edge: Edge::Store | Edge::Callers,
                 index: gateway,
                 ..
-            } => *gateway,
+            } => (gateway, GatewayFault::Link),
             _ => return None,
         };
-        Some(gateway % self.gateways.len())
+        Some((gateway % self.gateways.len(), fault))
     }
 
     async fn perform_unrecorded(&self, action: Action) -> Result<()> {
@@ -217,6 +232,21 @@
                 worker.set_backoff(None);
             }
             Action::Restore(restore) => self.restore(restore).await,
+            Action::Partition {
+                first,
+                further,
+                partition,
+                for_ms,
+            } => {
+                let gateways = self.partitioned_gateways(first, further);
+                let duration = Duration::from_millis(for_ms);
+                self.partition(&gateways, partition, duration).await;
+            }
+            Action::Silence { worker, for_ms } => {
+                self.recorder.count_fault("worker silent");
+                let duration = Duration::from_millis(for_ms);
+                self.worker(worker).fall_silent(duration).await;
+            }
             Action::Limit {
                 worker,
                 millirequests,
@@ -372,7 +402,8 @@
 
     async fn add_worker(&self, plan: WorkerPlan, mix: FaultMix) -> Result<()> {
         let seed = self.seed ^ self.workers.borrow().len() as u64;
-        let worker = Worker::start(&self.store, &self.recorder, plan, seed).await?;
+        let worker =
+            Worker::start(&self.store, &self.recorder, plan, &self.partitions, seed).await?;
         worker.set_mix(mix);
         self.workers.borrow_mut().push(Rc::new(worker));
         Ok(())
@@ -414,6 +445,44 @@
         }
     }
 
+    /// Returns the gateways that a partition concerns: at least one, and not all unless there is only one.
+    fn partitioned_gateways(&self, first: usize, further: usize) -> Vec<usize> {
+        let all = self.gateways.len();
+        let further = match all {
+            1 => 0,
+            _ => further % (all - 1),
+        };
+        let gateways = (first..=first + further).map(|gateway| gateway % all);
+        gateways.collect()
+    }
+
+    /// Partitions gateways from all workers for a while.
+    async fn partition(&self, gateways: &[usize], partition: Partition, duration: Duration) {
+        let of_all = format!("{} of {}", gateways.len(), self.gateways.len());
+        self.recorder
+            .count_fault(format!("partition {partition:?} of {of_all}"));
+        let set = |partition| {
+            for gateway in gateways {
+                let address = self.gateways[*gateway].source_address();
+                self.partitions.set(address, partition);
+            }
+        };
+        let from_ms = self.recorder.now_ms();
+        set(Some(partition));
+        sleep(duration).await;
+        set(None);
+        let to_ms = self.recorder.now_ms();
+        self.recorder.record(|evidence| {
+            let periods = gateways.iter().map(|gateway| PartitionPeriod {
+                gateway: *gateway,
+                partition,
+                from_ms,
+                to_ms,
+            });
+            evidence.partitions.extend(periods);
+        });
+    }
+
     /// Replaces a worker: starts another one of the same kind without faults, and shuts the old one down gracefully.
     /// The old worker announces for `announced_in_answers` only in its answers that it is leaving, before it drains.
     async fn replace(&self, index: usize, announced_in_answers: Duration) -> Result<()> {
--- a/crates/fault-soak/src/worker/connection.rs
+++ b/crates/fault-soak/src/worker/connection.rs
@@ -68,6 +68,7 @@
     let mut connection = Connection {
         reader: Reader::new(stream),
         late: VecDeque::new(),
+        has_surplus: false,
         worker,
     };
     if let ConnectionEnd::Reset = connection.run().await {
@@ -78,6 +79,8 @@
 struct Connection {
     reader: Reader<TcpStream>,
     late: VecDeque<LateAnswer>,
+    /// Whether bytes that belong to no request have been sent, or will be.
+    has_surplus: bool,
     worker: Arc<WorkerState>,
 }
 
@@ -182,10 +185,15 @@
     ) -> std::io::Result<()> {
         let has_no_late_answers = self.late.is_empty();
         self.send_late_before_answer().await?;
+        self.worker.wait_while_silent().await;
+        let at_ms = self.worker.recorder.now_ms();
         self.write(&reply.steps(BodyFraming::Explicit).concat())
             .await?;
         if has_no_late_answers {
-            self.worker.record_backoff(backoff.clone());
+            self.worker.record_backoff(BackoffRequest {
+                at_ms,
+                ..backoff.clone()
+            });
         }
         Ok(())
     }
@@ -194,6 +202,9 @@
     async fn deliver(&mut self, reply: &Reply) -> Option<ConnectionEnd> {
         let fault = self.worker.draw_fault(Aspect::Delivery);
         let trailing_fault = self.worker.draw_fault(Aspect::Trailing);
+        if self.has_surplus || fault.is_some_and(Fault::breaks_answer) {
+            self.worker.record_broken_answer(reply.request_id());
+        }
         if let Some(fault) = fault {
             let name = format!("worker {fault:?}");
             self.worker.recorder.count_fault(name);
@@ -264,6 +275,7 @@
 
     /// Sends further bytes after a complete answer, immediately or later.
     async fn send_trailing(&mut self, reply: &Reply, fault: Fault) -> std::io::Result<()> {
+        self.has_surplus = true;
         self.worker
             .recorder
             .count_fault(format!("worker {fault:?}"));
@@ -294,8 +306,19 @@
         Ok(())
     }
 
+    /// Writes bytes. If the worker is silent, a part of them, possibly an empty one, is written before the silence and
+    /// the rest after it.
     async fn write(&mut self, bytes: &[u8]) -> std::io::Result<()> {
-        self.reader.source().write_all(bytes).await
+        if !self.worker.is_silent() || bytes.is_empty() {
+            return self.reader.source().write_all(bytes).await;
+        }
+        let length = self.worker.draw(|random| {
+            let is_midway = random.random_bool(0.5);
+            random.random_range(0..bytes.len()) * usize::from(is_midway)
+        });
+        self.reader.source().write_all(&bytes[..length]).await?;
+        self.worker.wait_while_silent().await;
+        self.reader.source().write_all(&bytes[length..]).await
     }
 
     async fn write_paced(&mut self, steps: &[Bytes], pause: Duration) -> std::io::Result<()> {
--- a/crates/fault-soak/src/worker/mod.rs
+++ b/crates/fault-soak/src/worker/mod.rs
@@ -15,7 +15,7 @@
 use rand::RngExt;
 use serde_json::json;
 use tansyhall_platform_standin::Store;
-use tansyhall_testing::free_peer_address;
+use tansyhall_testing::{free_peer_address, Partitions};
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
@@ -58,15 +58,16 @@
 }
 
 impl Worker {
-    /// Starts a worker and announces it as ready.
+    /// Starts a worker and announces it as ready. `partitions` says which gateways are partitioned from it.
     pub async fn start(
         store: &Store,
         recorder: &Recorder,
         plan: WorkerPlan,
+        partitions: &Partitions,
         seed: u64,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let link = Link::open_at(free_peer_address(), listener.local_addr()?)?;
+        let link = Link::open_at(free_peer_address(), listener.local_addr()?, partitions)?;
         let link = Rc::new(link);
         let state = WorkerState::new(
             next_id(),
@@ -118,6 +119,12 @@
         self.incarnation.borrow().set_rate_limit(millirequests);
     }
 
+    /// Makes the current incarnation send nothing for this time, and go on afterwards.
+    pub async fn fall_silent(&self, duration: Duration) {
+        let state = Arc::clone(&self.incarnation.borrow());
+        state.fall_silent(duration).await;
+    }
+
     /// Announces in the store that the worker is draining before it leaves.
     pub fn drain(&self) {
         self.is_leaving.set(true);
@@ -137,6 +144,7 @@
 
 impl Drop for Worker {
     fn drop(&mut self) {
+        self.incarnation.borrow().record_broken_answer(None);
         self.task.abort();
     }
 }
--- a/crates/fault-soak/src/worker/reply.rs
+++ b/crates/fault-soak/src/worker/reply.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use tansyhall_platform_standin::REQUEST_ID;
 
 use crate::evidence::BackoffRequest;
 use crate::identity::RequestKey;
@@ -77,6 +78,12 @@
         self
     }
 
+    /// Returns the id of the request.
+    pub(super) fn request_id(&self) -> Option<&str> {
+        let id = self.headers.iter().find(|(name, _)| *name == REQUEST_ID);
+        id.map(|(_, id)| id.as_str())
+    }
+
     /// Returns the bytes of the answer, divided into the steps in which they are written. The first step is the head.
     pub(super) fn steps(&self, framing: BodyFraming) -> Vec<Bytes> {
         let chunked = self.is_stream && framing == BodyFraming::Explicit;
--- a/crates/fault-soak/src/worker/state.rs
+++ b/crates/fault-soak/src/worker/state.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use rand::SeedableRng;
@@ -11,11 +11,12 @@
 use serde::Deserialize;
 use tansyhall_platform_standin::{Store, WORKER_ENTRY_PREFIX};
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use super::{worker_entry, WorkerPlan};
 use crate::evidence::{
-    AnnouncedRateLimit, Arrival, BackoffRequest, Call, Evidence, InvalidBytes, Prefill, Run,
-    WorkerCrash,
+    AnnouncedRateLimit, Arrival, BackoffRequest, BrokenAnswer, Call, Evidence, InvalidBytes,
+    Prefill, Run, WorkerCrash, WorkerSilencePeriod,
 };
 use crate::faults::{Aspect, Fault, FaultCounts, FaultMix};
 use crate::identity::RequestKey;
@@ -144,6 +145,8 @@
     plan: WorkerPlan,
     store: Store,
     crashed: watch::Sender<bool>,
+    /// The number of silences in progress.
+    silences: watch::Sender<u32>,
     mutable: Mutex<MutableState>,
 }
 
@@ -175,6 +178,7 @@
             plan,
             store,
             crashed: watch::Sender::new(false),
+            silences: watch::Sender::new(0),
             mutable: Mutex::new(mutable),
         }
     }
@@ -194,6 +198,7 @@
             worker: self.id.clone(),
             at_ms: self.recorder.now_ms(),
         };
+        self.record_broken_answer(None);
         self.recorder.count_fault("worker ended by a request");
         self.recorder
             .record(|evidence| evidence.worker_ends.push(end));
@@ -207,6 +212,44 @@
         let _ = crashed.wait_for(|crashed| *crashed).await;
     }
 
+    /// Sends nothing for this time, and goes on afterwards.
+    pub(super) async fn fall_silent(&self, duration: Duration) {
+        let from_ms = self.recorder.now_ms();
+        self.silences.send_modify(|silences| *silences += 1);
+        sleep(duration).await;
+        self.silences.send_modify(|silences| *silences -= 1);
+        let period = WorkerSilencePeriod {
+            worker: self.id.clone(),
+            from_ms,
+            to_ms: self.recorder.now_ms(),
+        };
+        self.recorder
+            .record(|evidence| evidence.silences.push(period));
+    }
+
+    /// Returns whether the worker currently sends nothing.
+    pub(super) fn is_silent(&self) -> bool {
+        *self.silences.borrow() > 0
+    }
+
+    /// Waits until the worker is not silent.
+    pub(super) async fn wait_while_silent(&self) {
+        let mut silences = self.silences.subscribe();
+        // `wait_for` cannot fail: the sender outlives this borrow.
+        let _ = silences.wait_for(|silences| *silences == 0).await;
+    }
+
+    /// Records that the worker does not send the answer to a request as it should, or none of its answers.
+    pub(super) fn record_broken_answer(&self, id: Option<&str>) {
+        let broken = BrokenAnswer {
+            worker: self.id.clone(),
+            id: id.map(str::to_owned),
+            at_ms: self.recorder.now_ms(),
+        };
+        self.recorder
+            .record(|evidence| evidence.broken_answers.push(broken));
+    }
+
     /// Whether the worker is listed in the store, or was until it crashed.
     pub(super) fn is_listed(&self) -> bool {
         self.mutable.lock().is_listed
--- a/crates/fault-soak/tests/judges.rs
+++ b/crates/fault-soak/tests/judges/main.rs
@@ -1,12 +1,13 @@
 //! Each judge accepts correct evidence and detects violations of its rule. Without these tests, a judge that never
 //! finds anything would go unnoticed.
 
+mod partitions;
 mod records;
 
 use bytes::Bytes;
 use records::{
-    answer, arrival, event, evidence, key, plain_run, reading, sent, stream_answer, stream_run,
-    with_outcome,
+    answer, arrival, broken_answer, event, evidence, key, plain_run, reading, sent, stream_answer,
+    stream_run, with_outcome,
 };
 use tansyhall_fault_soak::judges::{
     check_barred, check_budget, check_configuration, check_ended, check_leaving, check_mixed,
@@ -14,8 +15,9 @@
     BASE_RETRIES, BUDGET_WINDOW_S,
 };
 use tansyhall_fault_soak::{
-    judge, AnnouncedRateLimit, BackoffRequest, Evidence, GatewayFaultPeriod, InvalidBytes, Outcome,
-    RouteKind, Rule, StaleConfiguration, StrayBytes, WorkerCrash, WorkerLinkFaultPeriod,
+    judge, AnnouncedRateLimit, BackoffRequest, Evidence, GatewayFault, GatewayFaultPeriod,
+    InvalidBytes, Outcome, RouteKind, Rule, StaleConfiguration, StrayBytes, WorkerCrash,
+    WorkerLinkFaultPeriod,
 };
 
 fn rules(evidence: &Evidence) -> Vec<Rule> {
@@ -71,6 +73,7 @@
     let truncated = [(1, 1)];
     let mut evidence = stream_evidence(RouteKind::FinalStream, &truncated, false);
     evidence.runs.truncate(1);
+    evidence.broken_answers.push(broken_answer("s"));
     assert!(rules(&evidence).is_empty());
 }
 
@@ -81,6 +84,7 @@
         answer.body.truncate(4);
         answer.is_whole = false;
     });
+    evidence.broken_answers.push(broken_answer("a"));
     assert!(rules(&evidence).is_empty());
 }
 
@@ -408,6 +412,7 @@
     let mut evidence = evidence_with_crashes(&[1, 2, 3], &[13_001, 13_002, 13_003, 13_004]);
     let fault_period = |gateway, to_ms| GatewayFaultPeriod {
         gateway,
+        fault: GatewayFault::Freeze,
         from_ms: 9_000,
         to_ms,
     };
@@ -450,6 +455,7 @@
     let mut excused = evidence_with_leaving_worker(0, 3_001);
     excused.troubles.push(GatewayFaultPeriod {
         gateway: 0,
+        fault: GatewayFault::Freeze,
         from_ms: 2_000,
         to_ms: 2_010,
     });
@@ -547,6 +553,7 @@
     let mut excused = evidence_with_rate_limit(0, &nine);
     excused.troubles.push(GatewayFaultPeriod {
         gateway: 0,
+        fault: GatewayFault::Freeze,
         from_ms: 1_600,
         to_ms: 1_610,
     });
--- a/crates/fault-soak/tests/records/mod.rs
+++ b/crates/fault-soak/tests/judges/records.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use tansyhall_fault_soak::{
-    Arrival, CallerAnswer, Evidence, Mark, Outcome, Prefill, RequestKey, RouteKind, Run, RunBody,
-    SentRequest,
+    Arrival, BrokenAnswer, CallerAnswer, Evidence, Mark, Outcome, Prefill, RequestKey, RouteKind,
+    Run, RunBody, SentRequest,
 };
 
 const PROMPT: &str = "- - -";
@@ -35,6 +35,8 @@
         after_event: None,
         gateway: 0,
         at_ms: 0,
+        is_first_try: true,
+        patience_ms: 2_000,
         ended_ms: 0,
         outcome: Outcome::NoAnswer { why: "cut".into() },
     }
@@ -125,3 +127,12 @@
         at_ms: 0,
     }
 }
+
+/// Returns the record of an answer that its worker broke off.
+pub fn broken_answer(id: &str) -> BrokenAnswer {
+    BrokenAnswer {
+        worker: WORKER.into(),
+        id: Some(id.into()),
+        at_ms: 0,
+    }
+}
--- a/crates/fault-soak/tests/parts.rs
+++ b/crates/fault-soak/tests/parts.rs
@@ -8,7 +8,7 @@
     load_regressions, Fault, Framing, Link, LinkFault, Mark, ReadError, Reader, RequestKey,
     Schedule,
 };
-use tansyhall_testing::Partition;
+use tansyhall_testing::{free_peer_address, Partition, Partitions};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::timeout;
@@ -145,10 +145,11 @@
             });
         }
     });
-    let link = Link::open(target).await.expect("open link");
+    let partitions = Partitions::default();
+    let link = Link::open_at(free_peer_address(), target, &partitions).expect("open link");
     let (client, other) = (Ipv4Addr::new(127, 0, 0, 2), Ipv4Addr::new(127, 0, 0, 3));
     for partition in Partition::ALL {
-        link.set_partition(client.into(), Some(partition));
+        partitions.set(client.into(), Some(partition));
         let echoed = timeout(Duration::from_millis(300), echo_through(&link, client)).await;
         match partition {
             Partition::Silence => assert!(echoed.is_err(), "{echoed:?}"),
@@ -156,7 +157,7 @@
         }
         let echoed = echo_through(&link, other).await;
         echoed.expect("an echo for another client");
-        link.set_partition(client.into(), None);
+        partitions.set(client.into(), None);
         let echoed = echo_through(&link, client).await;
         echoed.expect("an echo after healing");
     }
--- a/crates/lab/src/fault_soak.rs
+++ b/crates/lab/src/fault_soak.rs
@@ -21,7 +21,7 @@
 USAGE:
   tansyhall-lab fault-soak --minutes N | --seconds N [--seed S] [--seeds N] [--unsolved]
                            [--gateways N] [--deadly N] [--off NAME]... [--beside PROGRAM]
-                           [--keep DIR] [--json]
+                           [--only-partitions] [--keep DIR] [--json]
   tansyhall-lab fault-soak --regressions [--keep DIR] [--json]
 
 OPTIONS:
@@ -35,6 +35,7 @@
                   requests before the gateways know each other
   --gateways N    number of gateway processes (default: 3)
   --deadly N      number of requests that crash each worker that starts to run them (default: 2)
+  --only-partitions  partition gateways from workers and make workers fall silent, but disturb nothing else
   --off NAME      disable a mechanism of the gateways, named as under [decisions] in their settings
   --beside PROGRAM  executable of another build: gateways alternate between the two builds at each start, as
                   during an upgrade and a rollback of a fleet; behaviour that the build in production does
@@ -55,6 +56,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     let include_unsolved = arguments.contains("--unsolved");
+    let only_partitions = arguments.contains("--only-partitions");
     let plans = plans(&mut arguments)?;
     let gateways: Option<usize> = arguments.opt_value_from_str("--gateways")?;
     let crashing_requests: Option<usize> = arguments.opt_value_from_str("--deadly")?;
@@ -70,6 +72,7 @@
     let mut code = ExitCode::SUCCESS;
     for mut plan in plans {
         plan.include_unsolved = include_unsolved;
+        plan.only_partitions_and_silences = only_partitions;
         plan.gateways = gateways.unwrap_or(plan.gateways);
         plan.crashing_requests = crashing_requests.unwrap_or(plan.crashing_requests);
         plan.disabled_mechanisms.clone_from(&disabled_mechanisms);
--- a/crates/testing/src/partition.rs
+++ b/crates/testing/src/partition.rs
@@ -3,10 +3,11 @@
 use std::collections::HashMap;
 use std::net::IpAddr;
 
+use serde::Serialize;
 use tokio::sync::watch;
 
 /// What happens to the connections of a partitioned client.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
 pub enum Partition {
     /// Open connections are reset, and new ones are reset at once.
     Reset,
