--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -41,10 +41,12 @@
 use crate::state::Shared;
 use crate::store_contact::StoreContact;
 use crate::usage::Usage;
+use crate::worker_connect::TcpConnector;
 use crate::worker_notices::WorkerNotices;
+use crate::worker_relay::WorkerRelays;
 use crate::{
     cache_recovery, ingress, load_exchange, peers, presence, quarantine, readiness, role_orders,
-    usage, worker_ends, worker_entries, worker_orders,
+    usage, worker_ends, worker_entries, worker_orders, worker_relay,
 };
 
 /// Time after which idle connections of callers are closed.
@@ -110,6 +112,8 @@
     ));
     actix_rt::spawn(peers::poll_while_stale(Arc::clone(&shared)));
     shared.datagrams.bind(settings.listen.load).await?;
+    worker_relay::server::serve(&shared.worker_relays, settings.listen.load).await;
+    actix_rt::spawn(worker_relay::probes::run(Arc::clone(&shared.worker_relays)));
     actix_rt::spawn(load_exchange::run(Arc::clone(&shared)));
     actix_rt::spawn(placement::send_notices(Arc::clone(&shared)));
     actix_rt::spawn(cache_recovery::run(Arc::clone(&shared)));
@@ -211,7 +215,18 @@
         metrics.worker_notices.clone(),
     );
     let source_address = settings.workers.source_address;
-    let connections = Connections::new(clock, correlation, notices, source_address);
+    let worker_relays = WorkerRelays::new(
+        clock,
+        settings.node.zone.clone(),
+        Arc::clone(&directory),
+        Arc::clone(&log),
+        &metrics,
+    );
+    let connector = Arc::new(TcpConnector::from_address(source_address));
+    let worker_relays = Arc::new(worker_relays.with_connector(connector));
+    worker_relays.set_enabled(settings.decisions.worker_relays);
+    let connections = Connections::new(clock, correlation, notices, source_address)
+        .with_relays(Arc::clone(&worker_relays));
     Ok(Arc::new(Shared {
         settings: RwLock::new(Arc::new(settings)),
         clock,
@@ -236,6 +251,7 @@
         sends: Mutex::default(),
         quarantine: Mutex::default(),
         connections: Arc::new(connections),
+        worker_relays,
         usage,
         log,
         metrics,
@@ -333,6 +349,7 @@
         shared
             .connections
             .prune(|worker| shared.directory.lock().get(worker).is_some());
+        shared.worker_relays.prune();
         mirror_refresh::update_budget_shares(&shared);
         let now = shared.now();
         shared.directory.lock().expire_notices(now);
@@ -373,6 +390,9 @@
             directory.set_decisions(settings.decisions);
             directory.set_drain_time(settings.drain_time());
             drop(directory);
+            shared
+                .worker_relays
+                .set_enabled(settings.decisions.worker_relays);
             *shared.settings.write() = Arc::new(settings);
             "applied".to_owned()
         }
@@ -385,12 +405,14 @@
 /// Waits for requests in progress. New callers are served until the load balancer has noticed that this gateway is
 /// stopping.
 async fn stop(shared: &Shared) {
-    let in_flight = || shared.in_flight.load(Ordering::Relaxed);
+    let relayed = || shared.worker_relays.server.relayed() as u64;
+    let in_flight = || shared.in_flight.load(Ordering::Relaxed) + relayed();
     let since = *shared.stopping_since.get_or_init(|| shared.now());
     let event = Event::Stopping {
         in_flight: in_flight(),
     };
     shared.log.record(Priority::Important, &event);
+    shared.worker_relays.server.leave();
     let plan = shared.stop_plan();
     while !plan.may_exit(shared.now().since(since), in_flight()) {
         sleep(STOP_CHECK_INTERVAL).await;
