--- a/crates/cli/tests/gateway_platform/partitions.rs
+++ b/crates/cli/tests/gateway_platform/partitions.rs
@@ -6,7 +6,7 @@
 
 use futures_util::stream::{self, StreamExt};
 use tansyhall_platform_standin::Behaviour;
-use tansyhall_testing::{eventually, Link, Partition};
+use tansyhall_testing::{eventually, get_metric_sum, Link, Partition};
 
 use crate::support::{
     send_request, source_address, CallerAnswer, Site, SiteGateway, WorkerSpec, AT_MOST_ONCE,
@@ -176,6 +176,35 @@
             rounds.iter().flatten().all(is_served).then_some(())
         })
         .await;
+        self.check_relays_are_unused().await;
+    }
+
+    /// Waits until no gateway considers itself partitioned, and checks that nothing is relayed from then on.
+    async fn check_relays_are_unused(&self) {
+        eventually("no gateway uses relays", || async {
+            for gateway in &self.site.gateways {
+                if gateway.metric("gateway_partitioned").await? > 0.0 {
+                    return None;
+                }
+            }
+            Some(())
+        })
+        .await;
+        let before = self.relayed_connections().await;
+        let rounds = self.send_to_all().await;
+        assert!(rounds.iter().flatten().all(Answered::is_served));
+        assert_eq!(self.relayed_connections().await, before);
+    }
+
+    /// Returns the number of connections that gateways asked each other to relay.
+    async fn relayed_connections(&self) -> f64 {
+        let mut count = 0.0;
+        for gateway in &self.site.gateways {
+            let metrics = gateway.addresses.metrics;
+            let of_gateway = get_metric_sum(metrics, "gateway_relayed_connections_total").await;
+            count += of_gateway.unwrap_or(0.0);
+        }
+        count
     }
 
     /// Partitions gateways, and checks that callers are served at all gateways once the partition has lasted for
@@ -190,6 +219,10 @@
         for round in &rounds {
             self.check_runs(round);
         }
+        assert!(
+            self.relayed_connections().await > 0.0,
+            "nothing was relayed"
+        );
         for gateway in 0..GATEWAYS {
             if partitioned.contains(&gateway) {
                 assert!(
