--- a/crates/cli/tests/gateway_platform/silent_workers.rs
+++ b/crates/cli/tests/gateway_platform/silent_workers.rs
@@ -1,25 +1,34 @@
 //! Workers that send nothing for a second or so and then go on: no answer is lost because of the silence, whether
 //! another worker can run the request or not.
 
-use futures_util::future::join;
+use futures_util::future::{join, join_all};
 use tansyhall_platform_standin::{Behaviour, Run};
 use tansyhall_testing::{eventually, Link};
 
 use crate::support::{
-    send_request, CallerAnswer, Site, AT_MOST_ONCE, NON_RESUMABLE, REPEATABLE, RESUMABLE,
-    SHORT_OBJECTIVE,
+    send_long_prompt, send_request, CallerAnswer, Site, WorkerSpec, AT_MOST_ONCE, NON_RESUMABLE,
+    REPEATABLE, RESUMABLE, SHORT_OBJECTIVE, SHORT_OBJECTIVE_MODEL,
 };
 
+const READER: WorkerSpec = ("llm", Some("prefill"), ECHO);
+const DECODER: WorkerSpec = ("llm", Some("decode"), ECHO);
 const ECHO: Behaviour = Behaviour::Serve { events: 0 };
 /// Number of events of each stream.
 const EVENTS: u32 = 5;
 /// Longer than a gateway waits for a silent worker before it asks another one.
 const PAUSE_MS: u64 = 1_300;
+/// Longer than a gateway waits for a prompt to be read apart before it lets another worker read it.
+const PROMPT_READ_PAUSE_MS: u64 = 6_000;
 /// Longer than the deadline of callers.
 const ENDLESS_PAUSE_MS: u64 = 60_000;
 /// Maximum number of requests that a test sends in order to spend the retry budget.
 const MAX_SPENDING_REQUESTS: usize = 400;
 
+/// Pauses around the time at which a gateway asks another worker.
+const PAUSES_MS: [u64; 5] = [900, 1_000, 1_150, 1_300, 1_700];
+/// Number of concurrent requests for each pause.
+const CONCURRENT_REQUESTS: usize = 6;
+
 /// A stream with a pause after this event.
 const fn pausing_after(event: u32) -> Behaviour {
     Behaviour::Pausing {
@@ -29,6 +38,15 @@
     }
 }
 
+/// A stream that stops after this event.
+const fn stopping_after(event: u32) -> Behaviour {
+    Behaviour::Pausing {
+        events: EVENTS,
+        after: event,
+        pause_ms: ENDLESS_PAUSE_MS,
+    }
+}
+
 fn expected_stream() -> String {
     (1..=EVENTS)
         .map(|n| format!("id: {n}\ndata: piece {n}\n\n"))
@@ -78,12 +96,20 @@
         .0
 }
 
+fn assert_both_were_asked(site: &Site) {
+    for worker in &site.workers {
+        assert!(!worker.worker.work_arrivals().is_empty());
+    }
+}
+
 /// Sends failing requests until the retry budget allows no further send.
-async fn spend_retry_budget(site: &Site) {
-    set_behaviours(site, [Behaviour::Fail; 2]);
+async fn spend_retry_budget(site: &Site, path: &str) {
+    for worker in &site.workers {
+        worker.worker.set_behaviour(Behaviour::Fail);
+    }
     for number in 0..MAX_SPENDING_REQUESTS {
         let id = format!("failing-{number}");
-        send_request(&site.gateways[0], &id, REPEATABLE, b"x").await;
+        send_request(&site.gateways[0], &id, path, b"x").await;
         if site.runs_of(&id) == 1 {
             return;
         }
@@ -121,7 +147,7 @@
 #[actix_rt::test]
 async fn a_stream_continues_after_a_pause_although_the_retry_budget_is_spent() {
     let site = Site::start(&[("app", None, ECHO); 2], 1).await;
-    spend_retry_budget(&site).await;
+    spend_retry_budget(&site, REPEATABLE).await;
     set_behaviours(&site, [pausing_after(2); 2]);
     let answer = send_request(&site.gateways[0], "r", RESUMABLE, b"x").await;
     assert_stream_is_complete(&answer);
@@ -130,16 +156,15 @@
 // Guards against ending a paused stream because the worker that should resume it refuses, fails or breaks off.
 #[actix_rt::test]
 async fn a_stream_continues_after_a_pause_although_the_other_worker_does_not_resume_it() {
-    let site = Site::start(&[("app", None, ECHO); 2], 1).await;
     for other in [
         Behaviour::NotRun,
         Behaviour::Fail,
         Behaviour::AbortAnswer { events: 0 },
     ] {
-        set_behaviours(&site, [pausing_after(2); 2]);
-        let id = format!("{other:?}");
-        let answer = send_and_change_the_other(&site, &id, RESUMABLE, other).await;
+        let site = Site::start(&[("app", None, pausing_after(2)); 2], 1).await;
+        let answer = send_and_change_the_other(&site, "r", RESUMABLE, other).await;
         assert_stream_is_complete(&answer);
+        assert_both_were_asked(&site);
     }
 }
 
@@ -147,12 +172,7 @@
 #[actix_rt::test]
 async fn a_stream_continues_after_a_pause_of_the_last_worker_that_may_run_it() {
     let site = Site::start(&[("app", None, ECHO); 2], 1).await;
-    let silent = Behaviour::Pausing {
-        events: EVENTS,
-        after: 1,
-        pause_ms: ENDLESS_PAUSE_MS,
-    };
-    set_behaviours(&site, [silent; 2]);
+    set_behaviours(&site, [stopping_after(1); 2]);
     let answer = send_and_change_the_other(&site, "r", RESUMABLE, pausing_after(3)).await;
     assert_stream_is_complete(&answer);
     assert_eq!(site.runs_of("r"), 2);
@@ -180,18 +200,18 @@
 // Guards against answering that a request is lost because the other worker refuses or fails it during a pause.
 #[actix_rt::test]
 async fn an_answer_arrives_after_a_pause_although_the_other_worker_does_not_answer() {
-    let site = Site::start(&[("app", None, ECHO); 2], 1).await;
     let delayed = Behaviour::Delayed { delay_ms: PAUSE_MS };
     for (behaviour, expected) in [
         (delayed, "x".to_owned()),
         (pausing_after(2), expected_stream()),
     ] {
         for other in [Behaviour::NotRun, Behaviour::Fail, Behaviour::MismatchedId] {
-            set_behaviours(&site, [behaviour; 2]);
-            let id = format!("{behaviour:?}-{other:?}");
-            let answer = send_and_change_the_other(&site, &id, SHORT_OBJECTIVE, other).await;
-            assert_eq!(answer.status, 200, "{id}");
-            assert_eq!(String::from_utf8_lossy(&answer.body), expected, "{id}");
+            let site = Site::start(&[("app", None, behaviour); 2], 1).await;
+            let answer = send_and_change_the_other(&site, "r", SHORT_OBJECTIVE, other).await;
+            let case = format!("{behaviour:?}, {other:?}");
+            assert_eq!(answer.status, 200, "{case}");
+            assert_eq!(String::from_utf8_lossy(&answer.body), expected, "{case}");
+            assert_both_were_asked(&site);
         }
     }
 }
@@ -208,23 +228,12 @@
     }
 }
 
-// Guards against a worker that still runs a stream while another one has resumed it.
-#[actix_rt::test]
-async fn a_silent_worker_is_left_as_soon_as_another_one_has_resumed_its_stream() {
+/// Lets a worker stop within a stream, and asserts that its connection is closed while the other one runs the request.
+async fn assert_silent_worker_is_left(other: Behaviour) {
     let site = Site::start(&[("app", None, ECHO); 2], 1).await;
     let links = site.link_workers().await;
-    let silent = Behaviour::Pausing {
-        events: EVENTS,
-        after: 1,
-        pause_ms: ENDLESS_PAUSE_MS,
-    };
-    let resuming = Behaviour::Pausing {
-        events: EVENTS,
-        after: 3,
-        pause_ms: ENDLESS_PAUSE_MS,
-    };
-    set_behaviours(&site, [silent; 2]);
-    let request = send_and_change_the_other(&site, "r", RESUMABLE, resuming);
+    set_behaviours(&site, [stopping_after(1); 2]);
+    let request = send_and_change_the_other(&site, "r", RESUMABLE, other);
     let left = async {
         let runner = wait_for_runner(&site, "r").await;
         site.wait_for_runs("r", 2).await;
@@ -240,3 +249,57 @@
         () = left => {}
     }
 }
+
+// Guards against a worker that still runs a stream while another one has resumed it.
+#[actix_rt::test]
+async fn a_silent_worker_is_left_as_soon_as_another_one_has_resumed_its_stream() {
+    assert_silent_worker_is_left(stopping_after(3)).await;
+}
+
+// Guards against two workers that run a request for long because the second one does not answer either.
+#[actix_rt::test]
+async fn a_silent_worker_is_left_although_the_other_one_does_not_answer() {
+    assert_silent_worker_is_left(Behaviour::Hang).await;
+}
+
+// Guards against answers that lack or repeat a part because both a paused worker and its replacement answer.
+#[actix_rt::test]
+async fn an_answer_is_complete_whichever_of_two_pausing_workers_goes_on_first() {
+    let site = Site::start(&[("app", None, ECHO); 2], 1).await;
+    for pause_ms in PAUSES_MS {
+        let pausing = Behaviour::Pausing {
+            events: EVENTS,
+            after: 2,
+            pause_ms,
+        };
+        set_behaviours(&site, [pausing; 2]);
+        for path in [RESUMABLE, SHORT_OBJECTIVE] {
+            let ids: Vec<String> = (0..CONCURRENT_REQUESTS)
+                .map(|number| format!("{path}-{pause_ms}-{number}"))
+                .collect();
+            let requests = ids.iter();
+            let requests = requests.map(|id| send_request(&site.gateways[0], id, path, b"x"));
+            for answer in join_all(requests).await {
+                assert_stream_is_complete(&answer);
+            }
+        }
+    }
+}
+
+// Guards against refusing a request because the worker that reads its prompt pauses while the retry budget is spent.
+#[actix_rt::test]
+async fn a_prompt_is_read_after_a_pause_although_the_retry_budget_is_spent() {
+    let workers = [READER, DECODER, DECODER];
+    let site = Site::start(&workers, 1).await;
+    spend_retry_budget(&site, SHORT_OBJECTIVE_MODEL).await;
+    let reader = &site.workers[0].worker;
+    let delay_ms = PROMPT_READ_PAUSE_MS;
+    reader.set_behaviour(Behaviour::Delayed { delay_ms });
+    for decoder in &site.workers[1..] {
+        decoder.worker.set_behaviour(ECHO);
+    }
+    let answer = send_long_prompt(&site.gateways[0], "r", SHORT_OBJECTIVE_MODEL).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.body, b"prompt");
+    assert_eq!(reader.prompts_read(), 1);
+}
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -10,7 +10,7 @@
     WorkerId,
 };
 
-use crate::connections::{NotSentReason, UsedRelay};
+use crate::connections::{NotSentReason, SendProgress};
 use crate::events::{Event, Priority};
 use crate::placement::OpenPlacement;
 use crate::state::{saturating_millis, Shared};
@@ -69,8 +69,8 @@
     is_answer_complete: bool,
     detail: String,
     head_latency: Option<Duration>,
-    /// The relay of the connection that carries the request.
-    pub used_relay: Arc<UsedRelay>,
+    /// How far the send has come.
+    pub progress: Arc<SendProgress>,
     /// The pauses of the stream that the worker answers with.
     pub pause: StreamPause,
 }
@@ -116,7 +116,7 @@
             result: SendResult::Abandoned { silent: true },
             detail: String::new(),
             head_latency: None,
-            used_relay: Arc::default(),
+            progress: Arc::default(),
             pause: StreamPause::default(),
         }
     }
@@ -245,7 +245,7 @@
             SendResult::Answered { .. } => Priority::Routine,
             _ => Priority::Important,
         };
-        let relay = self.used_relay.name();
+        let relay = self.progress.relay();
         let event = Event::Send {
             request: &self.details.request_id,
             fingerprint: &self.details.fingerprint.to_string(),
