Count the workers when a direct connection fails

Change: workers are counted when a direct connection fails. Without a relay's proof, a gateway never doubts its path because of one worker.

--- a/crates/forwarding/src/worker_paths.rs
+++ b/crates/forwarding/src/worker_paths.rs
@@ -267,7 +267,7 @@
 
     /// Returns whether this gateway is partitioned, or fails to reach several workers and does not know why.
     pub fn may_be_partitioned(&self, now: Timestamp) -> bool {
-        self.is_partitioned() || self.recent_failures(now).count() >= self.partition_threshold()
+        self.is_partitioned() || self.recent_failures(now).count() >= PARTITION_WORKERS
     }
 
     /// Returns whether a direct connection may end at once after it was established, as others have failed.
@@ -392,7 +392,7 @@
 
     /// Several workers that end at the same time must not look like a path that fails.
     fn no_path_threshold(&self) -> usize {
-        (self.known_workers / 2 + 1).min(MAX_NO_PATH_WORKERS)
+        (self.known_workers / 2 + 1).clamp(PARTITION_WORKERS, MAX_NO_PATH_WORKERS)
     }
 
     fn recent_failures(&self, now: Timestamp) -> impl Iterator<Item = &DirectFailure> {
--- a/crates/gateway/src/worker_relay/mod.rs
+++ b/crates/gateway/src/worker_relay/mod.rs
@@ -172,7 +172,6 @@
     pub fn prune(&self) {
         let mut paths = self.paths.lock();
         let directory = self.directory.lock();
-        paths.set_known_workers(directory.announced_workers().count());
         paths.prune(self.clock.now(), |worker| directory.get(worker).is_some());
     }
 
@@ -203,8 +202,18 @@
         if !self.is_enabled() {
             return;
         }
+        // Only failures depend on the number of workers, which may have grown since they were last counted.
+        let known_workers = match outcome {
+            DirectOutcome::Connected => None,
+            _ => Some(self.directory.lock().announced_workers().count()),
+        };
         let now = self.clock.now();
-        let change = self.paths.lock().record_direct(now, worker, outcome);
+        let mut paths = self.paths.lock();
+        if let Some(known_workers) = known_workers {
+            paths.set_known_workers(known_workers);
+        }
+        let change = paths.record_direct(now, worker, outcome);
+        drop(paths);
         self.report(worker, change);
     }
 
--- a/crates/gateway/tests/worker_relay.rs
+++ b/crates/gateway/tests/worker_relay.rs
@@ -87,6 +87,7 @@
 struct Gateway {
     member: Member,
     network: Arc<Network>,
+    directory: Arc<Mutex<Directory>>,
     relays: Arc<WorkerRelays>,
 }
 
@@ -112,11 +113,12 @@
         let address = free_address();
         let mut directory = Directory::new(GatewayKey(1));
         directory.announce(workers.to_vec());
+        let directory = Arc::new(Mutex::new(directory));
         let network = Arc::<Network>::default();
         let relays = WorkerRelays::new(
             MonotonicClock::start(),
             ZoneName::new(zone),
-            Arc::new(Mutex::new(directory)),
+            Arc::clone(&directory),
             Arc::new(EventLog::new(name, 64, 64)),
             &Metrics::new().expect("metrics"),
         );
@@ -135,6 +137,7 @@
                     .with_max_relayed(max_relayed),
             ),
             network,
+            directory,
         }
     }
 
@@ -570,6 +573,23 @@
     assert_eq!(relay, "usable");
 }
 
+/// Guards against a gateway that has counted its workers before it knew them, and takes the end of one for a missing path.
+#[actix_rt::test]
+async fn one_of_several_workers_that_is_gone_is_not_a_missing_path() {
+    let gone = worker_at("w-1", free_address());
+    let workers = [gone.clone(), echoing_worker("w-2").await];
+    let own = Gateway::start("g-1", "a", &[]).await;
+    let other = Gateway::start("g-2", "a", &[]).await;
+    introduce(&[&own, &other]);
+    for gateway in [&own, &other] {
+        gateway.relays.prune();
+        gateway.directory.lock().announce(workers.to_vec());
+    }
+    let failure = own.connect(&gone).await.err();
+    assert_eq!(failure, Some(ConnectFailure::WorkerRefused));
+    assert!(!own.relays.may_be_partitioned());
+}
+
 #[actix_rt::test]
 async fn gateways_that_all_reach_no_worker_do_not_ask_in_circles() {
     let workers = [echoing_worker("w-1").await, echoing_worker("w-2").await];
