A refused connection is evidence about the path until it is corroborated

What callers saw: while some gateways were partitioned from all workers, with connections reset and new ones refused, requests that ran at several workers were barred and their callers answered 500, some of them at a gateway that was not partitioned. No worker had ended.

Cause: a refused connection to the address of a worker that the store announces as ready counted as proof of its end. Three such ends under one request bar it in the whole fleet. The same refusal told all gateways, and the scheduler that had placed the request, that the worker was absent.

Change: - forwarding::worker_evidence decides, without clocks and sockets, what a refusal means from what other gateways and connections to up to three other workers find. If another gateway reaches the worker, or this gateway reaches none of the compared ones and some refuse, the path is at fault. Workers that have ended are not compared with, so that a request that ends worker after worker is still recognised, also by a single gateway. - gateway::refused_connections collects the findings; worker_ends counts an end only after that. The evidence of the store counts by itself as before. - Only a worker that has ended is reported as absent. A refusal leads to a local avoidance as before (send result connection_refused, so far absent), and tells a scheduler nothing about the worker. - New: log line refused_connection, gateway_refused_connections_total by cause.

Other gateways are not asked yet: gateways have no way to ask. Until then a single refusing worker counts as ended if this gateway reaches another one.

--- a/crates/forwarding/src/directory/membership.rs
+++ b/crates/forwarding/src/directory/membership.rs
@@ -81,6 +81,13 @@
         self.tracked(id).map(|tracked| &tracked.worker)
     }
 
+    /// Iterates over the workers that are announced as ready.
+    pub fn ready(&self) -> impl Iterator<Item = &Worker> {
+        let announced = self.workers.values().filter(|tracked| tracked.announced);
+        let workers = announced.map(|tracked| &tracked.worker);
+        workers.filter(|worker| worker.state == WorkerState::Ready)
+    }
+
     pub(super) fn tracked(&self, id: &WorkerId) -> Option<&TrackedWorker> {
         self.workers.get(&WorkerKey::of(id))
     }
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -382,7 +382,7 @@
             self.reporter.record_absence(tracked.key);
         }
         let result = match (result, self.decisions.absence) {
-            (SendResult::Absent, false) => SendResult::Unreachable,
+            (SendResult::Absent | SendResult::ConnectionRefused, false) => SendResult::Unreachable,
             (result, _) => result,
         };
         let service = tracked.worker.service.clone();
--- a/crates/forwarding/src/directory/sharing.rs
+++ b/crates/forwarding/src/directory/sharing.rs
@@ -34,6 +34,18 @@
             .flush(now, rate_limits, shares, || demands.own(now))
     }
 
+    /// Records that a worker is proved not to exist, and reports it to the other gateways.
+    pub fn record_absence(&mut self, now: Timestamp, worker: &WorkerId) {
+        let key = WorkerKey::of(worker);
+        let Some(tracked) = self.workers.get_mut(&key) else {
+            return;
+        };
+        if self.decisions.absence {
+            tracked.mark_absent(now);
+        }
+        self.reporter.record_absence(key);
+    }
+
     /// Applies another gateway's report.
     pub fn receive_report(&mut self, now: Timestamp, report: &LoadReport) {
         let last = self.last_sequences.entry(report.sender).or_default();
--- a/crates/forwarding/src/directory/tracked.rs
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -63,8 +63,10 @@
     Withheld,
     /// The worker could not be reached.
     Unreachable,
-    /// The worker is proved not to exist: nothing listens at its address, or another worker answers
-    /// there.
+    /// The worker's address refused the connection. The worker has ended, or the path from this gateway to it is
+    /// faulty.
+    ConnectionRefused,
+    /// The worker is proved not to exist: another worker answers at its address.
     Absent,
     /// The caller disconnected or the time ran out. This says nothing about the worker unless it
     /// was silent.
@@ -300,7 +302,7 @@
                 self.pause_until = now + self.unreachable_pause;
                 self.unreachable_pause = (self.unreachable_pause * 2).min(MAX_UNREACHABLE_PAUSE);
             }
-            SendResult::Absent => self.mark_absent(now),
+            SendResult::ConnectionRefused | SendResult::Absent => self.mark_absent(now),
             SendResult::Withheld | SendResult::Abandoned { silent: false } => {}
         }
     }
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod tenants;
 pub mod urgency;
 pub mod worker;
+pub mod worker_evidence;
 pub mod worker_notice;
 
 pub use cache_view::{CacheView, PartKey};
@@ -82,4 +83,7 @@
 pub use tenants::{ApiKey, AuthenticatedTenant, Tenant, TenantError, TenantTable};
 pub use urgency::UrgencyGroup;
 pub use worker::{Worker, WorkerId, WorkerKind, WorkerState};
+pub use worker_evidence::{
+    ComparableWorker, ConnectionRefusalCause, ConnectionRefusalStep, Reachability, WorkerEvidence,
+};
 pub use worker_notice::{WorkerNotice, MAX_BACKOFF};
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -116,8 +116,7 @@
     pub ready: bool,
 }
 
-/// An announced worker that is absent: nothing listens at its address, or a different worker answers
-/// there.
+/// An announced worker that is absent: it has ended, or a different worker answers at its address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Absence {
     /// The worker.
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -460,6 +460,25 @@
     }
 }
 
+/// The failure: gateways that were separated from all workers told the others that these were absent.
+#[test]
+fn a_refused_connection_is_not_told_to_other_gateways_before_the_end_of_the_worker_is_known() {
+    let caller = Caller::new();
+    let mut finder = directory(vec![worker("near", "z", None), worker("far", "y", None)]);
+    let mut informed = directory(vec![worker("near", "z", None), worker("far", "y", None)]);
+    let ticket = begin_send(&mut finder, "near", &[], &Need::Run);
+    finder.end_send(NOW, &ticket, &[], SendResult::ConnectionRefused);
+    assert_eq!(finder.report_due(NOW), None);
+    let chosen = caller.choose(&finder, &[], &Need::Run);
+    assert_eq!(chosen, Some("far".into()), "this gateway avoids it");
+    finder.record_absence(NOW, &"near".into());
+    let mut report = finder.report_due(NOW).expect("a report");
+    report.sender = GatewayKey(2);
+    informed.receive_report(NOW, &report);
+    let chosen = caller.choose(&informed, &[], &Need::Run);
+    assert_eq!(chosen, Some("far".into()));
+}
+
 #[test]
 fn a_worker_that_is_absent_is_still_tried_if_there_is_no_other() {
     let caller = Caller::new();
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -33,7 +33,7 @@
 use crate::worker_request::WorkerRequest;
 
 /// Maximum time to establish a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time after which the system closes a connection whose sent bytes are not acknowledged.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long an idle connection is kept if the worker names no time-out.
@@ -66,8 +66,8 @@
 /// Why a request was not sent to a worker.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum NotSentReason {
-    /// The worker's address refuses connections: no process listens there.
-    #[error("connection refused: no process listens at the worker's address")]
+    /// The worker's address refuses connections from this gateway.
+    #[error("connection to the worker's address was refused")]
     ConnectionRefused,
     /// This gateway has the maximum number of connections open to the worker.
     #[error("maximum number of connections to the worker is open")]
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -152,6 +152,19 @@
         /// The fingerprints of the first of these requests.
         fingerprints: &'a [String],
     },
+    /// It was found out why a worker's address refuses connections.
+    RefusedConnection {
+        /// The worker.
+        worker: &'a str,
+        /// The cause: `worker_ended` or `path_fault`.
+        cause: &'static str,
+        /// Whether other gateways reach the worker: `connected`, `refused` or `unknown`.
+        by_gateways: &'static str,
+        /// Number of other workers that this gateway tried to reach.
+        compared: usize,
+        /// Number of those that it reached.
+        reached: usize,
+    },
     /// A request was barred: no worker gets it any more, because it crashes workers.
     Barred {
         /// The request's fingerprint.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod protocol;
 pub mod quarantine;
 pub mod readiness;
+pub mod refused_connections;
 pub mod role_orders;
 pub mod run;
 pub mod second_answer;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,8 @@
     pub worker_notices: IntCounterVec,
     /// Workers that ended while they ran requests of this gateway.
     pub worker_ends: IntCounter,
+    /// Examined workers whose addresses refused connections, by cause.
+    pub refused_connections: IntCounterVec,
     /// Requests that are not sent to workers because they crash workers.
     pub barred_requests: IntGauge,
     /// Placement requests to schedulers, by outcome.
@@ -136,6 +138,13 @@
                 "gateway_worker_ends_total",
                 "Workers that ended under requests",
             )?,
+            refused_connections: IntCounterVec::new(
+                Opts::new(
+                    "gateway_refused_connections_total",
+                    "Workers whose addresses refused connections, by cause",
+                ),
+                &["cause"],
+            )?,
             barred_requests: IntGauge::new(
                 "gateway_barred_requests",
                 "Requests that workers may get no more",
@@ -260,6 +269,8 @@
         self.registry
             .register(Box::new(self.worker_notices.clone()))?;
         self.registry.register(Box::new(self.worker_ends.clone()))?;
+        self.registry
+            .register(Box::new(self.refused_connections.clone()))?;
         self.registry
             .register(Box::new(self.barred_requests.clone()))?;
         self.registry.register(Box::new(self.placements.clone()))?;
--- a/crates/gateway/src/placement/codec.rs
+++ b/crates/gateway/src/placement/codec.rs
@@ -61,7 +61,10 @@
             SendResult::Unreachable => NoticeKind::Unreachable,
             SendResult::Absent => NoticeKind::Absent,
             SendResult::Abandoned { silent: true } => NoticeKind::AbandonedSilent,
-            SendResult::Withheld | SendResult::Abandoned { silent: false } => NoticeKind::Abandoned,
+            // The path from this gateway may be at fault. The scheduler learns of a worker that has ended from a load report.
+            SendResult::ConnectionRefused
+            | SendResult::Withheld
+            | SendResult::Abandoned { silent: false } => NoticeKind::Abandoned,
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/refused_connections.rs
@@ -0,0 +1,206 @@
+//! Finds out why a worker's address refuses connections: the worker has ended, or the path to it is faulty.
+//! [`tansyhall_forwarding::worker_evidence`] defines the rules.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures_util::future::{BoxFuture, FutureExt};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use parking_lot::Mutex;
+use rand::seq::IteratorRandom;
+use tansyhall_core::time::MonotonicClock;
+use tansyhall_forwarding::{
+    ComparableWorker, ConnectionRefusalCause, ConnectionRefusalStep, Reachability, Worker,
+    WorkerEvidence, WorkerId,
+};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::connections::{Destination, CONNECT_TIMEOUT};
+use crate::events::{Event, Priority};
+use crate::state::Shared;
+
+/// Maximum number of workers of the same zone, and of any zone, that are candidates for a comparison. Some of them may
+/// have ended.
+const MAX_CANDIDATES: usize = 16;
+
+/// Returns why a worker's address refuses connections, or `None` if the refusal is not examined. Other gateways are told
+/// of a worker that has ended.
+pub async fn examine(
+    shared: &Arc<Shared>,
+    destination: &Destination,
+) -> Option<ConnectionRefusalCause> {
+    let worker = &destination.worker;
+    let step = shared
+        .worker_evidence
+        .lock()
+        .record_refusal(shared.now(), worker, || candidates(shared, worker));
+    let compared = match step {
+        ConnectionRefusalStep::Examine(compared) => compared,
+        ConnectionRefusalStep::Known(cause) => return Some(cause),
+        ConnectionRefusalStep::Ignore => return None,
+    };
+    let examination = Examination {
+        evidence: &shared.worker_evidence,
+        clock: shared.clock,
+        worker,
+    };
+    let by_gateways = ask_other_gateways(shared, destination);
+    let connect = |other: WorkerId| {
+        let address = address_of(shared, &other);
+        async move { (other, reachability_of(address).await) }
+    };
+    let findings = examination
+        .run(by_gateways, compared.into_iter().map(connect))
+        .await?;
+    record_findings(shared, worker, &findings);
+    Some(findings.cause)
+}
+
+fn record_findings(shared: &Shared, worker: &WorkerId, findings: &Findings) {
+    if findings.cause == ConnectionRefusalCause::WorkerEnded {
+        let mut directory = shared.directory.lock();
+        directory.record_absence(shared.now(), worker);
+    }
+    let cause = cause_name(findings.cause);
+    let metric = &shared.metrics.refused_connections;
+    metric.with_label_values(&[cause]).inc();
+    let event = Event::RefusedConnection {
+        worker: worker.as_str(),
+        cause,
+        by_gateways: reachability_name(findings.by_gateways),
+        compared: findings.compared,
+        reached: findings.reached,
+    };
+    shared.log.record(Priority::Important, &event);
+}
+
+/// Returns a random selection of ready workers, those of the same zone first.
+fn candidates(shared: &Shared, worker: &WorkerId) -> Vec<ComparableWorker> {
+    let directory = shared.directory.lock();
+    let zone = directory.last_announced(worker).map(|worker| &worker.zone);
+    let is_same_zone = |other: &&Worker| Some(&other.zone) == zone;
+    let (mut rng, others) = (rand::rng(), || directory.ready());
+    let same_zone = others().filter(is_same_zone);
+    let mut selected = same_zone.sample(&mut rng, MAX_CANDIDATES);
+    let elsewhere = others().filter(|other| !is_same_zone(other));
+    selected.extend(elsewhere.sample(&mut rng, MAX_CANDIDATES));
+    let comparable = selected.into_iter().map(|other| ComparableWorker {
+        worker: other.id.clone(),
+        is_same_zone: is_same_zone(&other),
+    });
+    comparable.collect()
+}
+
+fn address_of(shared: &Shared, worker: &WorkerId) -> Option<SocketAddr> {
+    let directory = shared.directory.lock();
+    directory.get(worker).map(|worker| worker.address)
+}
+
+/// Asks other gateways whether they reach a worker.
+async fn ask_other_gateways(_shared: &Shared, _destination: &Destination) -> Reachability {
+    Reachability::Unknown
+}
+
+/// Returns whether connections to an address can be established; unknown without an address.
+pub async fn reachability_of(address: Option<SocketAddr>) -> Reachability {
+    let Some(address) = address else {
+        return Reachability::Unknown;
+    };
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Reachability::Connected,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            Reachability::Refused
+        }
+        _ => Reachability::Unknown,
+    }
+}
+
+/// What an examination has found out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Findings {
+    /// Why the worker's address refuses connections.
+    pub cause: ConnectionRefusalCause,
+    /// Whether other gateways reach the worker; unknown if they had not answered when the cause was known.
+    pub by_gateways: Reachability,
+    /// Number of other workers that were compared.
+    pub compared: usize,
+    /// Number of those that this gateway has reached.
+    pub reached: usize,
+}
+
+/// An examination that has begun.
+pub struct Examination<'a> {
+    /// The evidence, in which the examination has begun.
+    pub evidence: &'a Mutex<WorkerEvidence>,
+    /// The clock.
+    pub clock: MonotonicClock,
+    /// The worker whose address refuses connections.
+    pub worker: &'a WorkerId,
+}
+
+enum Finding {
+    ByGateways(Reachability),
+    Comparison(WorkerId, Reachability),
+}
+
+impl Examination<'_> {
+    /// Collects findings until the cause is known.
+    pub async fn run<'f, Comparison>(
+        &self,
+        by_gateways: impl Future<Output = Reachability> + Send + 'f,
+        comparisons: impl IntoIterator<Item = Comparison>,
+    ) -> Option<Findings>
+    where
+        Comparison: Future<Output = (WorkerId, Reachability)> + Send + 'f,
+    {
+        let mut pending = FuturesUnordered::<BoxFuture<'f, Finding>>::new();
+        pending.push(by_gateways.map(Finding::ByGateways).boxed());
+        let comparison_of = |(other, reachability): (WorkerId, Reachability)| {
+            Finding::Comparison(other, reachability)
+        };
+        let comparisons = comparisons.into_iter();
+        pending.extend(comparisons.map(|comparison| comparison.map(comparison_of).boxed()));
+        let (mut known_by_gateways, mut compared, mut reached) = (Reachability::Unknown, 0, 0);
+        while let Some(finding) = pending.next().await {
+            let now = self.clock.now();
+            let mut evidence = self.evidence.lock();
+            let cause = match finding {
+                Finding::ByGateways(reachability) => {
+                    known_by_gateways = reachability;
+                    evidence.record_gateways_finding(now, self.worker, reachability)
+                }
+                Finding::Comparison(other, reachability) => {
+                    compared += 1;
+                    reached += usize::from(reachability == Reachability::Connected);
+                    evidence.record_comparison(now, self.worker, &other, reachability)
+                }
+            };
+            if let Some(cause) = cause {
+                return Some(Findings {
+                    cause,
+                    by_gateways: known_by_gateways,
+                    compared,
+                    reached,
+                });
+            }
+        }
+        None
+    }
+}
+
+fn cause_name(cause: ConnectionRefusalCause) -> &'static str {
+    match cause {
+        ConnectionRefusalCause::WorkerEnded => "worker_ended",
+        ConnectionRefusalCause::PathFault => "path_fault",
+    }
+}
+
+fn reachability_name(reachability: Reachability) -> &'static str {
+    match reachability {
+        Reachability::Connected => "connected",
+        Reachability::Refused => "refused",
+        Reachability::Unknown => "unknown",
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -232,6 +232,7 @@
         retries: Mutex::new(retries),
         store_contact: StoreContact::default(),
         sends: Mutex::default(),
+        worker_evidence: Mutex::default(),
         quarantine: Mutex::default(),
         connections: Arc::new(Connections::new(clock, correlation, notices)),
         usage,
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -20,7 +20,7 @@
 /// Returns the result of a send that failed before anything was sent.
 pub fn unsent_result(reason: &NotSentReason) -> SendResult {
     match reason {
-        NotSentReason::ConnectionRefused => SendResult::Absent,
+        NotSentReason::ConnectionRefused => SendResult::ConnectionRefused,
         NotSentReason::WorkerUnavailable(Unavailable::RateLimited) => SendResult::Withheld,
         NotSentReason::TooManyConnections | NotSentReason::WorkerUnavailable(_) => {
             SendResult::Refused
@@ -164,6 +164,7 @@
             SendResult::Refused
                 | SendResult::Withheld
                 | SendResult::Unreachable
+                | SendResult::ConnectionRefused
                 | SendResult::Absent
         );
         !self.is_answer_complete && !is_unsent
@@ -267,6 +268,7 @@
         SendResult::Refused => "refused",
         SendResult::Withheld => "withheld",
         SendResult::Unreachable => "unreachable",
+        SendResult::ConnectionRefused => "connection_refused",
         SendResult::Absent => "absent",
         SendResult::Abandoned { silent: true } => "abandoned_silent",
         SendResult::Abandoned { silent: false } => "abandoned",
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,7 +12,7 @@
 use tansyhall_forwarding::{
     ApiKey, AuthenticatedTenant, CombinedRanks, Configuration, Directory, GrantedPlacements,
     LapsedWorkers, Limits, Mirror, Position, Quarantine, RetryShares, Route, RouteTable,
-    SendTracker, StopPlan, TenantTable, Urgency, Worker,
+    SendTracker, StopPlan, TenantTable, Urgency, Worker, WorkerEvidence,
 };
 use tokio::sync::watch;
 
@@ -80,6 +80,8 @@
     pub store_contact: StoreContact,
     /// Sent requests that workers may be running.
     pub sends: Mutex<SendTracker>,
+    /// Evidence about workers whose addresses refuse connections. Locked before `directory` where both are locked.
+    pub worker_evidence: Mutex<WorkerEvidence>,
     /// Requests that crash workers.
     pub quarantine: Mutex<Quarantine>,
     /// Connections to workers.
--- a/crates/gateway/src/worker_ends.rs
+++ b/crates/gateway/src/worker_ends.rs
@@ -3,12 +3,12 @@
 //! A lost connection alone proves nothing: network links fail, and a faulty worker may close connections and continue to
 //! run. The worker is therefore watched for a while. It has ended if the store announces it as ready and
 //!
-//! - its address refuses connections, or
+//! - its address refuses connections and [`refused_connections`] finds no fault of the path, or
 //! - its entry disappears, or says that the worker has restarted, and another incarnation of it or another worker is
 //!   announced at its address: it returned before this gateway, which may have been frozen, could check the address.
 //!
 //! A worker that leaves as planned announces it first, in the store or in an answer, or its entry disappears before its
-//! connections do. A worker that is unreachable because of the network does not refuse connections.
+//! connections do.
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -17,19 +17,17 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tansyhall_forwarding::{Fingerprint, WorkerId, WorkerState};
+use tansyhall_forwarding::{ConnectionRefusalCause, Fingerprint, WorkerId, WorkerState};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use crate::connection_losses::Loss;
-use crate::connections::Destination;
+use crate::connections::{Destination, CONNECT_TIMEOUT};
 use crate::events::{Event, Priority};
-use crate::quarantine;
 use crate::state::Shared;
+use crate::{quarantine, refused_connections};
 
-/// Maximum time for a running worker to accept a connection, or for the machine of an ended one to refuse it.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a worker is watched. This is longer than the time after which an entry expires: three missed refreshes, about
 /// 4 s.
 const WATCH_WINDOW: Duration = Duration::from_secs(5);
@@ -49,8 +47,14 @@
     while let Some((loss, destination)) = shared.connections.losses.next().await {
         match (announced_state(&shared, &destination), loss) {
             (AnnouncedState::Leaving | AnnouncedState::Gone | AnnouncedState::Replaced, _) => {}
-            (AnnouncedState::Restarted, _) | (AnnouncedState::Ready, Loss::ConnectionRefused) => {
-                record_end(&shared, &destination.worker);
+            (AnnouncedState::Restarted, _) => record_end(&shared, &destination.worker),
+            (AnnouncedState::Ready, Loss::ConnectionRefused) => {
+                let shared = Arc::clone(&shared);
+                actix_rt::spawn(async move {
+                    if has_ended_with_refusal(&shared, &destination).await {
+                        record_end(&shared, &destination.worker);
+                    }
+                });
             }
             (AnnouncedState::Ready, Loss::Broken | Loss::Silent) => {
                 watch_worker(&shared, &watched, loss, destination);
@@ -88,7 +92,7 @@
 /// Watches a worker and returns whether it has ended. A worker that is only silent is usually busy, and connection
 /// attempts would keep it from its work: its state in the store is checked instead.
 async fn has_ended(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     loss: Loss,
     destination: &Destination,
     lost_again: &Notify,
@@ -96,7 +100,10 @@
     let began = shared.now();
     let mut should_connect = loss == Loss::Broken;
     while shared.now().since(began) < WATCH_WINDOW {
-        if should_connect && refuses_connections(destination.address).await {
+        if should_connect
+            && refuses_connections(destination.address).await
+            && has_ended_with_refusal(shared, destination).await
+        {
             return true;
         }
         match announced_state(shared, destination) {
@@ -110,6 +117,17 @@
     false
 }
 
+/// Returns whether a worker whose address refuses connections has ended. It has not if it has announced in the meantime
+/// that it is leaving.
+async fn has_ended_with_refusal(shared: &Arc<Shared>, destination: &Destination) -> bool {
+    let cause = refused_connections::examine(shared, destination).await;
+    let is_leaving = matches!(
+        announced_state(shared, destination),
+        AnnouncedState::Leaving
+    );
+    cause == Some(ConnectionRefusalCause::WorkerEnded) && !is_leaving
+}
+
 async fn refuses_connections(address: SocketAddr) -> bool {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -237,6 +237,28 @@
     assert!(answer.decode_answer().is_err());
 }
 
+/// A scheduler must not avoid a worker for all gateways because the path of one of them is faulty.
+#[test]
+fn a_refused_connection_tells_the_scheduler_nothing_about_the_worker() {
+    let ended = |result| {
+        MessageToScheduler::from(&PlacementMessage {
+            sender: GatewayKey(1),
+            sequence: 2,
+            open: Vec::new(),
+            notices: vec![PlacementNotice::Ended {
+                id: PlacementId(7),
+                result,
+                worker_notice: WorkerNotice::default(),
+                rate_limit: None,
+                pause: None,
+            }],
+            request: None,
+        })
+    };
+    let refused = ended(SendResult::ConnectionRefused);
+    assert_eq!(refused, ended(SendResult::Abandoned { silent: false }));
+}
+
 /// Guards against a peer whose impossible pause is learned, or makes its whole message invalid.
 #[test]
 fn an_impossible_pause_is_ignored_and_the_rest_of_its_message_applies() {
