Test harness: test processes at the same time use different ports

Seen: in one run of gateway_platform beside other runs of the tests, six gateways ended with "listen.callers = 127.0.0.1:...: Address already in use"; four tests failed by timeouts.

Cause: a port is found free and bound later, by the program that is started. The first ports of two test processes were 1,009 apart for consecutive process ids (modulo 16,000), so 144 apart for ids that differ by 16, while one run of gateway_platform allocates more than 1,009 ports.

Change: a test process claims blocks of 250 ports by listening at the first port of each; no other process allocates from them. It claims up to eight and then uses its oldest one again. Gateways of gateway_platform whose address is taken nevertheless are started at other addresses, and one that ends for another reason fails its test at once with its message.

--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -14,8 +14,8 @@
     WorkerPlan,
 };
 use tansyhall_testing::{
-    eventually, free_peer_address, get_metric, start_gateway, GatewayAddresses, GatewayProcess,
-    Link,
+    eventually, free_peer_address, get_metric, start_gateway_at_free_addresses, GatewayAddresses,
+    GatewayProcess, Link,
 };
 
 pub use caller::{
@@ -217,11 +217,11 @@
     fn start_gateway_with_fault(&mut self, number: usize, fault: StoreFault) {
         let endpoint = self.store.open_endpoint().expect("a free port");
         endpoint.set_fault(fault);
-        let addresses = GatewayAddresses::free();
         let name = format!("gateway-{number}");
         let store = self.store_address(&endpoint);
-        let settings = self.settings(&name, &addresses, store);
-        let process = start_gateway(self._directory.path(), &name, &settings, addresses);
+        let settings = |addresses: &GatewayAddresses| self.settings(&name, addresses, store);
+        let directory = self._directory.path();
+        let process = start_gateway_at_free_addresses(directory, &name, settings);
         self.gateways.push(SiteGateway(process));
         self.store_endpoints.push(endpoint);
     }
--- a/crates/testing/src/gateway.rs
+++ b/crates/testing/src/gateway.rs
@@ -71,6 +71,29 @@
     )
 }
 
+/// Starts a gateway at free addresses, which `settings` must contain. It is started at others while it ends because one
+/// of them is taken.
+pub fn start_gateway_at_free_addresses(
+    directory: &Path,
+    name: &str,
+    settings: impl Fn(&GatewayAddresses) -> String,
+) -> GatewayProcess {
+    let file = directory.join(format!("{name}.toml"));
+    let path = file.to_str().expect("a UTF-8 path");
+    let arguments = ["gateway", "--settings", path];
+    let mut prepared = None;
+    let process = Process::spawn_until_listening(program_path("tansyhall"), &arguments, || {
+        let addresses = GatewayAddresses::free();
+        std::fs::write(&file, settings(&addresses)).expect("the settings file is written");
+        prepared = Some(addresses);
+    });
+    GatewayProcess {
+        process,
+        addresses: prepared.expect("the process was prepared"),
+        settings: file.clone(),
+    }
+}
+
 /// Starts a gateway from the program at this path, such as one of another build. `settings` must contain
 /// `addresses`.
 pub fn start_gateway_program(
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -10,7 +10,10 @@
 mod ports;
 
 pub use fleet::{Fleet, NodeOptions};
-pub use gateway::{start_gateway, start_gateway_program, GatewayAddresses, GatewayProcess};
+pub use gateway::{
+    start_gateway, start_gateway_at_free_addresses, start_gateway_program, GatewayAddresses,
+    GatewayProcess,
+};
 pub use link::Link;
 pub use ports::free_peer_address;
 
@@ -53,10 +56,15 @@
     }
 
     /// Starts a program, and starts it again while it ends because one of its addresses is taken. Another process may
-    /// bind a port after the port was found free.
-    fn spawn_until_listening(program: PathBuf, arguments: &[&str]) -> Self {
+    /// bind a port after the port was found free. `prepare` is called before each start.
+    fn spawn_until_listening(
+        program: PathBuf,
+        arguments: &[&str],
+        mut prepare: impl FnMut(),
+    ) -> Self {
         let started = Instant::now();
         loop {
+            prepare();
             let mut command = Command::new(&program);
             command.args(arguments).stderr(Stdio::piped());
             let mut process = Self::spawn_command(&mut command);
@@ -283,7 +291,7 @@
     std::fs::write(&file, settings).expect("the settings are written");
     let file = file.to_str().expect("a UTF-8 path");
     let arguments = ["node", "--settings", file];
-    let mut process = Process::spawn_until_listening(program_path("tansyhall"), &arguments);
+    let mut process = Process::spawn_until_listening(program_path("tansyhall"), &arguments, || {});
     process.close_output();
     let words: Vec<&str> = process.first_line.split_whitespace().collect();
     let callers = words[1].parse().expect("an address");
--- a/crates/testing/src/ports.rs
+++ b/crates/testing/src/ports.rs
@@ -1,32 +1,91 @@
 //! Ports for the processes of a test.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Mutex, PoisonError};
-
-/// First port of the range from which [`free_peer_address`] allocates. The range lies below the ephemeral
-/// ports, so that no outgoing connection takes a node's port while the node restarts.
-const FIRST_PEER_PORT: u32 = 16_000;
-/// Number of ports in the range from which [`free_peer_address`] allocates.
-const PEER_PORT_COUNT: u32 = 16_000;
-/// Distance between the first ports of two test processes with consecutive process ids. It is larger than the
-/// number of ports that the fault soak allocates in a minute, because another process may bind a port after
-/// it was found free and before it is used.
-const PROCESS_PORT_STRIDE: u32 = 1_009;
-/// Number of ports that this process has tried.
-static ALLOCATED_PEER_PORTS: AtomicU32 = AtomicU32::new(0);
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::ops::Range;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use crate::{ADDRESS_RETRY_INTERVAL, CONDITION_TIMEOUT};
+
+/// Range from which [`free_peer_address`] allocates. It lies below the ephemeral ports, so that no outgoing
+/// connection takes a node's port while the node restarts.
+const PEER_PORTS: Range<u16> = 16_000..32_000;
+/// Number of ports in a block, including the first one, whose listener marks the block as claimed.
+const BLOCK_PORTS: u16 = 250;
+/// Maximum number of blocks that a process claims. After that, it uses its oldest block again.
+const MAX_CLAIMED_BLOCKS: usize = 8;
+/// The blocks of this process.
+static BLOCKS: Mutex<ClaimedBlocks> = Mutex::new(ClaimedBlocks::NONE);
 /// Held while a port is bound to find out whether it is free, and while a process starts. A process that is started
 /// meanwhile inherits the socket and keeps the port bound until it executes its program.
 static OPEN_PROBE: Mutex<()> = Mutex::new(());
 
-/// Returns a loopback address whose port is free for both UDP and TCP.
+/// Blocks of ports that no other test process allocates from. Each port is used much later than it is found free, so
+/// that two processes with the same ports would take them from each other.
+struct ClaimedBlocks {
+    /// The listeners at the first ports of the blocks.
+    claims: Vec<TcpListener>,
+    /// The index of the block in use.
+    current: usize,
+    /// The number of ports of this block that were allocated.
+    allocated: u16,
+}
+
+impl ClaimedBlocks {
+    const NONE: Self = Self {
+        claims: Vec::new(),
+        current: 0,
+        allocated: BLOCK_PORTS,
+    };
+
+    fn next_port(&mut self) -> u16 {
+        if self.allocated + 1 >= BLOCK_PORTS {
+            self.begin_block();
+        }
+        self.allocated += 1;
+        let claim = self.claims[self.current].local_addr();
+        claim.expect("a bound address").port() + self.allocated
+    }
+
+    /// Claims another block, or goes on with the oldest one.
+    fn begin_block(&mut self) {
+        let started = Instant::now();
+        self.allocated = 0;
+        while self.claims.len() < MAX_CLAIMED_BLOCKS {
+            if let Some(claim) = claim_block() {
+                self.claims.push(claim);
+                self.current = self.claims.len() - 1;
+                return;
+            }
+            if !self.claims.is_empty() {
+                break;
+            }
+            assert!(
+                started.elapsed() < CONDITION_TIMEOUT,
+                "all blocks of ports are claimed by other test processes"
+            );
+            std::thread::sleep(ADDRESS_RETRY_INTERVAL);
+        }
+        self.current = (self.current + 1) % self.claims.len();
+    }
+}
+
+/// Claims a block. The search begins at another block in each process, so that few processes try the same ones.
+fn claim_block() -> Option<TcpListener> {
+    let firsts: Vec<u16> = PEER_PORTS.step_by(usize::from(BLOCK_PORTS)).collect();
+    let offset = std::process::id() as usize % firsts.len();
+    let mut in_order = firsts.iter().cycle().skip(offset).take(firsts.len());
+    in_order.find_map(|first| TcpListener::bind(loopback(*first)).ok())
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+/// Returns a loopback address whose port is free for both UDP and TCP. Other test processes do not use it.
 pub fn free_peer_address() -> SocketAddr {
-    let first = std::process::id().wrapping_mul(PROCESS_PORT_STRIDE);
     loop {
-        let next = ALLOCATED_PEER_PORTS.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PEER_PORT + first.wrapping_add(next) % PEER_PORT_COUNT;
-        let port = u16::try_from(port).expect("ports are below 32,000");
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let address = loopback(lock(&BLOCKS).next_port());
         if is_free(address) {
             return address;
         }
@@ -40,6 +99,10 @@
 
 /// Runs a function while no other thread binds a port to find out whether it is free.
 pub(crate) fn without_open_probes<T>(run: impl FnOnce() -> T) -> T {
-    let _guard = OPEN_PROBE.lock().unwrap_or_else(PoisonError::into_inner);
+    let _guard = lock(&OPEN_PROBE);
     run()
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
