Refused connections: more workers are compared, and not at the same instant

Seen: three copies of gateway_platform at once. With up to three compared workers, 3 of 6 runs of the tests in path_faults counted ends: the test closed the paths one after another, so that a worker was still reached.

Change: other workers are compared 50 ms after the refusal, and up to eight instead of three. The tests close all paths while the gateways are stopped, so that the fault is simultaneous for them; what they expect is unchanged.

--- a/crates/cli/tests/gateway_platform/path_faults.rs
+++ b/crates/cli/tests/gateway_platform/path_faults.rs
@@ -3,9 +3,11 @@
 //! The failure: gateways took such refusals for the ends of the workers, barred the requests that these workers ran, and
 //! told the other gateways.
 
+use std::net::{SocketAddr, TcpStream};
+
 use futures_util::future::join_all;
 use tansyhall_platform_standin::Behaviour;
-use tansyhall_testing::eventually;
+use tansyhall_testing::{eventually, Link};
 use tokio::time::sleep;
 
 use crate::crashing_requests::UPDATE_TIME_LIMIT;
@@ -24,6 +26,23 @@
         .count()
 }
 
+/// Closes all links at the same time, as far as the gateways observe it.
+async fn break_paths(site: &Site, links: Vec<Link>) {
+    for gateway in &site.gateways {
+        gateway.process.signal("STOP");
+    }
+    let addresses: Vec<SocketAddr> = links.iter().map(|link| link.listen_address).collect();
+    drop(links);
+    eventually("all paths refuse connections", || async {
+        let refuses = |address: &SocketAddr| TcpStream::connect(*address).is_err();
+        addresses.iter().all(refuses).then_some(())
+    })
+    .await;
+    for gateway in &site.gateways {
+        gateway.process.signal("CONT");
+    }
+}
+
 async fn assert_a_fault_of_all_paths_is_not_an_end(gateways: usize) {
     let site = Site::start(&[RUNNING; WORKERS], gateways).await;
     let links = site.link_workers().await;
@@ -37,7 +56,7 @@
             (running_workers(&site).await == WORKERS).then_some(())
         })
         .await;
-        drop(links);
+        break_paths(&site, links).await;
     };
     let (answers, ()) = futures_util::join!(join_all(requests), fault);
     sleep(UPDATE_TIME_LIMIT).await;
--- a/crates/forwarding/src/worker_evidence.rs
+++ b/crates/forwarding/src/worker_evidence.rs
@@ -19,8 +19,9 @@
 
 use crate::worker::WorkerId;
 
-/// Maximum number of other workers that a gateway connects to in one examination.
-const MAX_COMPARED_WORKERS: usize = 3;
+/// Maximum number of other workers that a gateway connects to in one examination. A request may end several of them at
+/// almost the same time.
+const MAX_COMPARED_WORKERS: usize = 8;
 /// Maximum number of examinations in progress. More would add load when the paths to many workers fail together.
 pub const MAX_EXAMINATIONS: usize = 16;
 /// How long a result applies to further refusals by the same worker.
--- a/crates/gateway/src/refused_connections.rs
+++ b/crates/gateway/src/refused_connections.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use futures_util::future::{BoxFuture, FutureExt};
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -15,7 +16,7 @@
     WorkerEvidence, WorkerId,
 };
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::connections::{Destination, CONNECT_TIMEOUT};
 use crate::events::{Event, Priority};
@@ -25,6 +26,10 @@
 /// have ended.
 const MAX_CANDIDATES: usize = 16;
 
+/// Time after a refusal at which other workers are compared. A fault may reach the paths to them a little later than that to
+/// the first worker.
+const SETTLING_TIME: Duration = Duration::from_millis(50);
+
 /// Returns why a worker's address refuses connections, or `None` if the refusal is not examined. Other gateways are told
 /// of a worker that has ended.
 pub async fn examine(
@@ -49,7 +54,10 @@
     let by_gateways = ask_other_gateways(shared, destination);
     let connect = |other: WorkerId| {
         let address = address_of(shared, &other);
-        async move { (other, reachability_of(address).await) }
+        async move {
+            sleep(SETTLING_TIME).await;
+            (other, reachability_of(address).await)
+        }
     };
     let findings = examination
         .run(by_gateways, compared.into_iter().map(connect))
