--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod worker;
 pub mod worker_evidence;
 pub mod worker_notice;
+pub mod worker_paths;
 
 pub use cache_view::{CacheView, PartKey};
 pub use combined_ranks::{CombinedRanks, Urgency};
@@ -87,3 +88,7 @@
     ComparableWorker, ConnectionRefusalCause, ConnectionRefusalStep, Reachability, WorkerEvidence,
 };
 pub use worker_notice::{WorkerNotice, MAX_BACKOFF};
+pub use worker_paths::{
+    ConnectFailure, DirectOutcome, IdleRule, PathChange, Probe, RelayOutcome, RelayPeer,
+    WorkerPath, WorkerPaths,
+};
--- a/crates/gateway/src/refused_connections.rs
+++ b/crates/gateway/src/refused_connections.rs
@@ -2,25 +2,24 @@
 //! [`tansyhall_forwarding::worker_evidence`] defines the rules.
 
 use std::future::Future;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::{BoxFuture, FutureExt};
+use futures_util::future::{FutureExt, LocalBoxFuture};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use parking_lot::Mutex;
 use rand::seq::IteratorRandom;
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_forwarding::{
-    ComparableWorker, ConnectionRefusalCause, ConnectionRefusalStep, Reachability, Worker,
-    WorkerEvidence, WorkerId,
+    ComparableWorker, ConnectFailure, ConnectionRefusalCause, ConnectionRefusalStep, Reachability,
+    Worker, WorkerEvidence, WorkerId,
 };
-use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use crate::connections::{Destination, CONNECT_TIMEOUT};
+use crate::connections::Destination;
 use crate::events::{Event, Priority};
 use crate::state::Shared;
+use crate::worker_relay::RelayedCheck;
 
 /// Maximum number of workers of the same zone, and of any zone, that are candidates for a comparison. Some of them may
 /// have ended.
@@ -52,12 +51,10 @@
         worker,
     };
     let by_gateways = ask_other_gateways(shared, destination);
-    let connect = |other: WorkerId| {
-        let address = address_of(shared, &other);
-        async move {
-            sleep(SETTLING_TIME).await;
-            (other, reachability_of(address).await)
-        }
+    let connect = |other: WorkerId| async move {
+        sleep(SETTLING_TIME).await;
+        let reachability = connect_to(shared, &other).await;
+        (other, reachability)
     };
     let findings = examination
         .run(by_gateways, compared.into_iter().map(connect))
@@ -101,27 +98,30 @@
     comparable.collect()
 }
 
-fn address_of(shared: &Shared, worker: &WorkerId) -> Option<SocketAddr> {
-    let directory = shared.directory.lock();
-    directory.get(worker).map(|worker| worker.address)
-}
-
 /// Asks other gateways whether they reach a worker.
-async fn ask_other_gateways(_shared: &Shared, _destination: &Destination) -> Reachability {
-    Reachability::Unknown
+async fn ask_other_gateways(shared: &Shared, destination: &Destination) -> Reachability {
+    let Destination {
+        worker, address, ..
+    } = destination;
+    let relays = &shared.worker_relays;
+    match relays.check_through_relays(worker, *address).await {
+        RelayedCheck::Connected => Reachability::Connected,
+        RelayedCheck::Refused => Reachability::Refused,
+        RelayedCheck::Unknown => Reachability::Unknown,
+    }
 }
 
-/// Returns whether connections to an address can be established; unknown without an address.
-pub async fn reachability_of(address: Option<SocketAddr>) -> Reachability {
-    let Some(address) = address else {
+/// Returns whether this gateway reaches a worker directly.
+async fn connect_to(shared: &Shared, worker: &WorkerId) -> Reachability {
+    let announced = shared.directory.lock().get(worker).map(|it| it.address);
+    let Some(address) = announced else {
         return Reachability::Unknown;
     };
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Reachability::Connected,
-        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-            Reachability::Refused
-        }
-        _ => Reachability::Unknown,
+    let connected = shared.worker_relays.connect_directly(worker, address).await;
+    match connected.map_err(|error| error.failure) {
+        Ok(_) => Reachability::Connected,
+        Err(ConnectFailure::WorkerRefused) => Reachability::Refused,
+        Err(_) => Reachability::Unknown,
     }
 }
 
@@ -157,19 +157,19 @@
     /// Collects findings until the cause is known.
     pub async fn run<'f, Comparison>(
         &self,
-        by_gateways: impl Future<Output = Reachability> + Send + 'f,
+        by_gateways: impl Future<Output = Reachability> + 'f,
         comparisons: impl IntoIterator<Item = Comparison>,
     ) -> Option<Findings>
     where
-        Comparison: Future<Output = (WorkerId, Reachability)> + Send + 'f,
+        Comparison: Future<Output = (WorkerId, Reachability)> + 'f,
     {
-        let mut pending = FuturesUnordered::<BoxFuture<'f, Finding>>::new();
-        pending.push(by_gateways.map(Finding::ByGateways).boxed());
+        let mut pending = FuturesUnordered::<LocalBoxFuture<'f, Finding>>::new();
+        pending.push(by_gateways.map(Finding::ByGateways).boxed_local());
         let comparison_of = |(other, reachability): (WorkerId, Reachability)| {
             Finding::Comparison(other, reachability)
         };
         let comparisons = comparisons.into_iter();
-        pending.extend(comparisons.map(|comparison| comparison.map(comparison_of).boxed()));
+        pending.extend(comparisons.map(|comparison| comparison.map(comparison_of).boxed_local()));
         let (mut known_by_gateways, mut compared, mut reached) = (Reachability::Unknown, 0, 0);
         while let Some(finding) = pending.next().await {
             let now = self.clock.now();
--- a/crates/gateway/src/worker_ends.rs
+++ b/crates/gateway/src/worker_ends.rs
@@ -12,20 +12,20 @@
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use tansyhall_forwarding::{ConnectionRefusalCause, Fingerprint, WorkerId, WorkerState};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use crate::connection_losses::Loss;
-use crate::connections::{Destination, CONNECT_TIMEOUT};
+use crate::connections::Destination;
 use crate::events::{Event, Priority};
 use crate::state::Shared;
+use crate::worker_connect::{self, CONNECT_TIMEOUT};
 use crate::{quarantine, refused_connections};
 
 /// How long a worker is watched. This is longer than the time after which an entry expires: three missed refreshes, about
@@ -98,10 +98,11 @@
     lost_again: &Notify,
 ) -> bool {
     let began = shared.now();
+    let source = shared.connections.source_address;
     let mut should_connect = loss == Loss::Broken;
     while shared.now().since(began) < WATCH_WINDOW {
         if should_connect
-            && refuses_connections(destination.address).await
+            && refuses_connections(destination.address, source).await
             && has_ended_with_refusal(shared, destination).await
         {
             return true;
@@ -128,8 +129,8 @@
     cause == Some(ConnectionRefusalCause::WorkerEnded) && !is_leaving
 }
 
-async fn refuses_connections(address: SocketAddr) -> bool {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+async fn refuses_connections(address: SocketAddr, source: Option<IpAddr>) -> bool {
+    let connected = timeout(CONNECT_TIMEOUT, worker_connect::connect(address, source)).await;
     matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
--- a/crates/gateway/tests/refused_connections.rs
+++ b/crates/gateway/tests/refused_connections.rs
@@ -9,8 +9,8 @@
     ComparableWorker, ConnectionRefusalCause, ConnectionRefusalStep, Reachability, WorkerEvidence,
     WorkerId,
 };
-use tansyhall_gateway::refused_connections::{reachability_of, Examination, Findings};
-use tokio::net::TcpListener;
+use tansyhall_gateway::refused_connections::{Examination, Findings};
+use tokio::net::{TcpListener, TcpStream};
 
 /// Returns an address that refuses connections.
 async fn refusing_address() -> SocketAddr {
@@ -18,6 +18,13 @@
     listener.local_addr().expect("a bound address")
 }
 
+async fn connect_to(address: SocketAddr) -> Reachability {
+    match TcpStream::connect(address).await {
+        Ok(_) => Reachability::Connected,
+        Err(_) => Reachability::Refused,
+    }
+}
+
 fn worker(number: usize) -> WorkerId {
     WorkerId::from(format!("w-{number}").as_str())
 }
@@ -40,8 +47,8 @@
     let expected = (1..=compared.len()).map(worker).collect();
     assert_eq!(step, ConnectionRefusalStep::Examine(expected));
     let comparisons = compared.iter().enumerate().map(|(index, address)| {
-        let address = Some(*address);
-        async move { (worker(index + 1), reachability_of(address).await) }
+        let address = *address;
+        async move { (worker(index + 1), connect_to(address).await) }
     });
     let examination = Examination {
         evidence,
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod gateway;
 mod link;
+mod partition;
 mod ports;
 
 pub use fleet::{Fleet, NodeOptions};
@@ -15,6 +16,7 @@
     GatewayProcess,
 };
 pub use link::Link;
+pub use partition::{ClientPartition, Partition, PartitionView, Partitions};
 pub use ports::free_peer_address;
 
 use std::fs::OpenOptions;
