--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -171,8 +171,6 @@
         worker: &'a str,
         /// The cause: `worker_ended` or `path_fault`.
         cause: &'static str,
-        /// Whether other gateways reach the worker: `connected`, `refused` or `unknown`.
-        by_gateways: &'static str,
         /// Number of other workers that this gateway tried to reach.
         compared: usize,
         /// Number of those that it reached.
--- a/crates/gateway/src/placement/codec.rs
+++ b/crates/gateway/src/placement/codec.rs
@@ -58,13 +58,11 @@
             SendResult::Answered { .. } => NoticeKind::Answered,
             SendResult::Failed => NoticeKind::Failed,
             SendResult::Refused => NoticeKind::Refused,
-            SendResult::Unreachable => NoticeKind::Unreachable,
+            // The path from this gateway may be at fault. The scheduler learns of a worker that has ended from a load report.
+            SendResult::Unreachable | SendResult::ConnectionRefused => NoticeKind::Unreachable,
             SendResult::Absent => NoticeKind::Absent,
             SendResult::Abandoned { silent: true } => NoticeKind::AbandonedSilent,
-            // The path from this gateway may be at fault. The scheduler learns of a worker that has ended from a load report.
-            SendResult::ConnectionRefused
-            | SendResult::Withheld
-            | SendResult::Abandoned { silent: false } => NoticeKind::Abandoned,
+            SendResult::Withheld | SendResult::Abandoned { silent: false } => NoticeKind::Abandoned,
         }
     }
 }
--- a/crates/gateway/src/refused_connections.rs
+++ b/crates/gateway/src/refused_connections.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::future::{FutureExt, LocalBoxFuture};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use parking_lot::Mutex;
 use rand::seq::IteratorRandom;
@@ -19,14 +18,13 @@
 use crate::connections::Destination;
 use crate::events::{Event, Priority};
 use crate::state::Shared;
-use crate::worker_relay::RelayedCheck;
 
 /// Maximum number of workers of the same zone, and of any zone, that are candidates for a comparison. Some of them may
 /// have ended.
 const MAX_CANDIDATES: usize = 16;
 
-/// Time after a refusal at which other workers are compared. A fault may reach the paths to them a little later than that to
-/// the first worker.
+/// Time after which other workers are compared if no other gateway has answered. A fault may reach the paths to them a
+/// little later than that to the first worker.
 const SETTLING_TIME: Duration = Duration::from_millis(50);
 
 /// Returns why a worker's address refuses connections, or `None` if the refusal is not examined. Other gateways are told
@@ -50,9 +48,10 @@
         clock: shared.clock,
         worker,
     };
-    let by_gateways = ask_other_gateways(shared, destination);
+    // A send reports a refusal only after relays were asked. To ask them again would add failures to what they know: a relay
+    // that fails to reach two workers and has reached no other since refuses to relay.
+    let by_gateways = std::future::ready(Reachability::Unknown);
     let connect = |other: WorkerId| async move {
-        sleep(SETTLING_TIME).await;
         let reachability = connect_to(shared, &other).await;
         (other, reachability)
     };
@@ -74,7 +73,6 @@
     let event = Event::RefusedConnection {
         worker: worker.as_str(),
         cause,
-        by_gateways: reachability_name(findings.by_gateways),
         compared: findings.compared,
         reached: findings.reached,
     };
@@ -98,19 +96,6 @@
     comparable.collect()
 }
 
-/// Asks other gateways whether they reach a worker.
-async fn ask_other_gateways(shared: &Shared, destination: &Destination) -> Reachability {
-    let Destination {
-        worker, address, ..
-    } = destination;
-    let relays = &shared.worker_relays;
-    match relays.check_through_relays(worker, *address).await {
-        RelayedCheck::Connected => Reachability::Connected,
-        RelayedCheck::Refused => Reachability::Refused,
-        RelayedCheck::Unknown => Reachability::Unknown,
-    }
-}
-
 /// Returns whether this gateway reaches a worker directly.
 async fn connect_to(shared: &Shared, worker: &WorkerId) -> Reachability {
     let announced = shared.directory.lock().get(worker).map(|it| it.address);
@@ -130,7 +115,7 @@
 pub struct Findings {
     /// Why the worker's address refuses connections.
     pub cause: ConnectionRefusalCause,
-    /// Whether other gateways reach the worker; unknown if they had not answered when the cause was known.
+    /// Whether other gateways reach the worker.
     pub by_gateways: Reachability,
     /// Number of other workers that were compared.
     pub compared: usize,
@@ -148,53 +133,41 @@
     pub worker: &'a WorkerId,
 }
 
-enum Finding {
-    ByGateways(Reachability),
-    Comparison(WorkerId, Reachability),
-}
-
 impl Examination<'_> {
     /// Collects findings until the cause is known.
-    pub async fn run<'f, Comparison>(
+    pub async fn run<Comparison>(
         &self,
-        by_gateways: impl Future<Output = Reachability> + 'f,
+        by_gateways: impl Future<Output = Reachability>,
         comparisons: impl IntoIterator<Item = Comparison>,
     ) -> Option<Findings>
     where
-        Comparison: Future<Output = (WorkerId, Reachability)> + 'f,
+        Comparison: Future<Output = (WorkerId, Reachability)>,
     {
-        let mut pending = FuturesUnordered::<LocalBoxFuture<'f, Finding>>::new();
-        pending.push(by_gateways.map(Finding::ByGateways).boxed_local());
-        let comparison_of = |(other, reachability): (WorkerId, Reachability)| {
-            Finding::Comparison(other, reachability)
-        };
-        let comparisons = comparisons.into_iter();
-        pending.extend(comparisons.map(|comparison| comparison.map(comparison_of).boxed_local()));
-        let (mut known_by_gateways, mut compared, mut reached) = (Reachability::Unknown, 0, 0);
-        while let Some(finding) = pending.next().await {
+        let by_gateways = by_gateways.await;
+        let mut cause = self.evidence.lock().record_gateways_finding(
+            self.clock.now(),
+            self.worker,
+            by_gateways,
+        );
+        if by_gateways == Reachability::Unknown && cause.is_none() {
+            sleep(SETTLING_TIME).await;
+        }
+        let mut pending = comparisons.into_iter().collect::<FuturesUnordered<_>>();
+        let (mut compared, mut reached) = (0, 0);
+        while cause.is_none() {
+            let (other, reachability) = pending.next().await?;
+            compared += 1;
+            reached += usize::from(reachability == Reachability::Connected);
             let now = self.clock.now();
             let mut evidence = self.evidence.lock();
-            let cause = match finding {
-                Finding::ByGateways(reachability) => {
-                    known_by_gateways = reachability;
-                    evidence.record_gateways_finding(now, self.worker, reachability)
-                }
-                Finding::Comparison(other, reachability) => {
-                    compared += 1;
-                    reached += usize::from(reachability == Reachability::Connected);
-                    evidence.record_comparison(now, self.worker, &other, reachability)
-                }
-            };
-            if let Some(cause) = cause {
-                return Some(Findings {
-                    cause,
-                    by_gateways: known_by_gateways,
-                    compared,
-                    reached,
-                });
-            }
+            cause = evidence.record_comparison(now, self.worker, &other, reachability);
         }
-        None
+        cause.map(|cause| Findings {
+            cause,
+            by_gateways,
+            compared,
+            reached,
+        })
     }
 }
 
@@ -204,11 +177,3 @@
         ConnectionRefusalCause::PathFault => "path_fault",
     }
 }
-
-fn reachability_name(reachability: Reachability) -> &'static str {
-    match reachability {
-        Reachability::Connected => "connected",
-        Reachability::Refused => "refused",
-        Reachability::Unknown => "unknown",
-    }
-}
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -237,9 +237,9 @@
     assert!(answer.decode_answer().is_err());
 }
 
-/// A scheduler must not avoid a worker for all gateways because the path of one of them is faulty.
+/// A scheduler must not take a worker for absent because the path of one gateway is faulty.
 #[test]
-fn a_refused_connection_tells_the_scheduler_nothing_about_the_worker() {
+fn a_scheduler_is_told_of_a_refused_connection_as_of_an_unreachable_worker() {
     let ended = |result| {
         MessageToScheduler::from(&PlacementMessage {
             sender: GatewayKey(1),
@@ -256,7 +256,7 @@
         })
     };
     let refused = ended(SendResult::ConnectionRefused);
-    assert_eq!(refused, ended(SendResult::Abandoned { silent: false }));
+    assert_eq!(refused, ended(SendResult::Unreachable));
 }
 
 /// Guards against a peer whose impossible pause is learned, or makes its whole message invalid.
