--- a/crates/forwarding/src/worker_evidence.rs
+++ b/crates/forwarding/src/worker_evidence.rs
@@ -1,8 +1,8 @@
 //! Decides whether a worker whose address refuses connections has ended, or only this gateway's path to it is faulty.
 //!
 //! A refused connection alone proves neither: a device on the path may refuse connections in the place of a worker that
-//! runs. Each refusal is examined before it counts. Other gateways are asked whether the worker accepts connections from
-//! them, and this gateway connects to a few other workers, preferably of the same zone:
+//! runs. Each refusal is examined before it counts. This gateway connects to a few other workers, preferably of the same
+//! zone, and other gateways may say whether the worker accepts connections from them:
 //!
 //! - The path is faulty if another gateway reaches the worker.
 //! - Otherwise the worker has ended if this gateway reaches another worker, or if there is no worker to compare with.
@@ -61,7 +61,7 @@
 /// What to do about a refusal.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ConnectionRefusalStep {
-    /// Ask other gateways about the worker, and connect to these other workers.
+    /// Find out whether other gateways reach the worker, and connect to these other workers.
     Examine(Vec<WorkerId>),
     /// The cause is known from a recent examination.
     Known(ConnectionRefusalCause),
