--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -66,8 +66,8 @@
 /// Why a request was not sent to a worker.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum NotSentReason {
-    /// The worker's address refuses connections: no process listens there.
-    #[error("connection refused: no process listens at the worker's address")]
+    /// The worker's address refuses connections from this gateway.
+    #[error("connection to the worker's address was refused")]
     ConnectionRefused,
     /// This gateway is partitioned from its workers, and no relay is usable.
     #[error("no path to workers: neither direct nor through a relay")]
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -237,6 +237,28 @@
     assert!(answer.decode_answer().is_err());
 }
 
+/// A scheduler must not take a worker for absent because the path of one gateway is faulty.
+#[test]
+fn a_scheduler_is_told_of_a_refused_connection_as_of_an_unreachable_worker() {
+    let ended = |result| {
+        MessageToScheduler::from(&PlacementMessage {
+            sender: GatewayKey(1),
+            sequence: 2,
+            open: Vec::new(),
+            notices: vec![PlacementNotice::Ended {
+                id: PlacementId(7),
+                result,
+                worker_notice: WorkerNotice::default(),
+                rate_limit: None,
+                pause: None,
+            }],
+            request: None,
+        })
+    };
+    let refused = ended(SendResult::ConnectionRefused);
+    assert_eq!(refused, ended(SendResult::Unreachable));
+}
+
 /// Guards against a peer whose impossible pause is learned, or makes its whole message invalid.
 #[test]
 fn an_impossible_pause_is_ignored_and_the_rest_of_its_message_applies() {
