A relay at which a few workers have ended stays usable

Cause, read in the code and shown by the test: a relay counted itself as partitioned after two workers that it did not reach within 10 s, also if these had ended. Gateways that asked it passed it over for a second.

Change: a relay says that it is partitioned only if it reaches most of the announced workers no more, as a gateway does before it refuses a request. In doubt it says that the worker is unreachable, not that its process is gone.

Evidence: a_relay_at_which_a_few_workers_have_ended_stays_usable failed before (RelayPartitioned) and passes; all 51 tests of worker_relay and worker_paths pass.

--- a/crates/forwarding/src/worker_paths.rs
+++ b/crates/forwarding/src/worker_paths.rs
@@ -275,6 +275,13 @@
         self.path_to(worker) != WorkerPath::DirectFirst || self.recent_failures(now).count() > 0
     }
 
+    /// Returns whether this gateway is partitioned, or fails to reach most of the announced workers. Several workers that
+    /// end at the same time must not look like a path that fails.
+    pub fn reaches_no_worker(&self, now: Timestamp) -> bool {
+        let threshold = (self.known_workers / 2 + 1).clamp(PARTITION_WORKERS, MAX_NO_PATH_WORKERS);
+        self.is_partitioned() || self.recent_failures(now).count() >= threshold
+    }
+
     /// Returns which idle connections to a worker may still be used.
     pub fn idle_rule(&self, worker: &WorkerId) -> IdleRule {
         let hanging = self.partition.filter(|partition| !partition.by_refusal);
@@ -390,11 +397,6 @@
         self.known_workers.clamp(1, PARTITION_WORKERS)
     }
 
-    /// Several workers that end at the same time must not look like a path that fails.
-    fn no_path_threshold(&self) -> usize {
-        (self.known_workers / 2 + 1).clamp(PARTITION_WORKERS, MAX_NO_PATH_WORKERS)
-    }
-
     fn recent_failures(&self, now: Timestamp) -> impl Iterator<Item = &DirectFailure> {
         let failures = self.failures.values();
         failures.filter(move |failure| now.since(failure.last_at) < FAILURE_MEMORY)
@@ -478,8 +480,8 @@
         let is_relay_usable =
             has(RelayOutcome::WorkerUnreachable) || has(RelayOutcome::UnknownWorker);
         let is_peer_partitioned = now < self.peer_partitioned_until;
-        let reaches_none = self.recent_failures(now).count() >= self.no_path_threshold();
-        let has_no_path = self.is_partitioned() || (is_peer_partitioned && reaches_none);
+        let has_no_path =
+            self.is_partitioned() || (is_peer_partitioned && self.reaches_no_worker(now));
         if has_no_path && !is_relay_usable {
             return ConnectFailure::NoPath;
         }
--- a/crates/gateway/src/worker_relay/mod.rs
+++ b/crates/gateway/src/worker_relay/mod.rs
@@ -185,6 +185,11 @@
         self.paths.lock().may_be_partitioned(self.clock.now())
     }
 
+    /// Returns whether this gateway is partitioned, or fails to reach most of the announced workers.
+    pub fn reaches_no_worker(&self) -> bool {
+        self.paths.lock().reaches_no_worker(self.clock.now())
+    }
+
     /// Returns which idle connections to a worker may still be used.
     pub fn idle_rule(&self, worker: &WorkerId) -> IdleRule {
         self.paths.lock().idle_rule(worker)
--- a/crates/gateway/src/worker_relay/server.rs
+++ b/crates/gateway/src/worker_relay/server.rs
@@ -179,8 +179,8 @@
         relays.record_direct(&worker, outcome);
     }
     connected.map_err(|_| match outcome {
-        _ if relays.may_be_partitioned() => OpenResult::RelayPartitioned,
-        DirectOutcome::Refused => OpenResult::WorkerRefused,
+        _ if relays.reaches_no_worker() => OpenResult::RelayPartitioned,
+        DirectOutcome::Refused if !relays.may_be_partitioned() => OpenResult::WorkerRefused,
         _ => OpenResult::WorkerUnreachable,
     })
 }
--- a/crates/gateway/tests/worker_relay.rs
+++ b/crates/gateway/tests/worker_relay.rs
@@ -590,6 +590,27 @@
     assert!(!own.relays.may_be_partitioned());
 }
 
+/// Guards against a relay that takes the end of a few workers for a partition of its own, so that it is not asked.
+#[actix_rt::test]
+async fn a_relay_at_which_a_few_workers_have_ended_stays_usable() {
+    let mut workers = Vec::new();
+    for number in 0..6 {
+        workers.push(echoing_worker(&format!("w-{number}")).await);
+    }
+    let ended = ["e-1", "e-2"].map(|name| worker_at(name, free_address()));
+    workers.extend(ended.clone());
+    let own = Gateway::start("g-1", "a", &workers).await;
+    let relay = Gateway::start("g-2", "a", &workers).await;
+    introduce(&[&own, &relay]);
+    own.network.set(REFUSING);
+    for worker in &ended {
+        let opened = open(&relay, worker).await.err();
+        assert_ne!(opened, Some(RelayOutcome::RelayPartitioned));
+    }
+    let (_, used) = own.connect_relayed(&workers[0]).await;
+    assert_eq!(used, "g-2");
+}
+
 #[actix_rt::test]
 async fn gateways_that_all_reach_no_worker_do_not_ask_in_circles() {
     let workers = [echoing_worker("w-1").await, echoing_worker("w-2").await];
