--- a/crates/fault-soak/src/link.rs
+++ b/crates/fault-soak/src/link.rs
@@ -12,6 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use tansyhall_platform_standin::listen_on_reused_address;
+use tansyhall_testing::{ClientPartition, Partition, PartitionView, Partitions};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -88,16 +89,30 @@
 impl Link {
     /// Opens a link to `target` on a free port.
     pub async fn open(target: SocketAddr) -> std::io::Result<Self> {
-        Self::from_listener(TcpListener::bind("127.0.0.1:0").await?, target)
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::from_listener(listener, target, &Partitions::default())
     }
 
     /// Opens a link at this address, so that it can be closed and reopened there. The port should not be one that the
-    /// system assigns to outgoing connections, because such a port can be taken while the link is closed.
-    pub fn open_at(listen_address: SocketAddr, target: SocketAddr) -> std::io::Result<Self> {
-        Self::from_listener(listen_on_reused_address(listen_address)?, target)
+    /// system assigns to outgoing connections, because such a port can be taken while the link is closed. `partitions`
+    /// says which clients are partitioned from the target.
+    pub fn open_at(
+        listen_address: SocketAddr,
+        target: SocketAddr,
+        partitions: &Partitions,
+    ) -> std::io::Result<Self> {
+        Self::from_listener(
+            listen_on_reused_address(listen_address)?,
+            target,
+            partitions,
+        )
     }
 
-    fn from_listener(listener: TcpListener, target: SocketAddr) -> std::io::Result<Self> {
+    fn from_listener(
+        listener: TcpListener,
+        target: SocketAddr,
+        partitions: &Partitions,
+    ) -> std::io::Result<Self> {
         let listen_address = listener.local_addr()?;
         let target = Arc::new(Mutex::new(target));
         let (fault, fault_receiver) = watch::channel(LinkFault::None);
@@ -106,6 +121,7 @@
             target: Arc::clone(&target),
             fault: fault_receiver,
             is_open: open_receiver,
+            partitions: partitions.view(),
         };
         let task = actix_rt::spawn(forward_connections(listener, state));
         Ok(Self {
@@ -155,6 +171,7 @@
     target: Arc<Mutex<SocketAddr>>,
     fault: watch::Receiver<LinkFault>,
     is_open: watch::Receiver<bool>,
+    partitions: PartitionView,
 }
 
 /// Forwards connections, and stops listening while the link is closed.
@@ -175,8 +192,9 @@
 async fn accept_while_open(listener: TcpListener, mut state: LinkState) {
     let shared = state.clone();
     let accepting = async {
-        while let Ok((client, _)) = listener.accept().await {
-            actix_rt::spawn(forward_connection(client, shared.clone()));
+        while let Ok((client, address)) = listener.accept().await {
+            let partition = shared.partitions.of(address.ip());
+            actix_rt::spawn(forward_connection(client, partition, shared.clone()));
         }
     };
     tokio::select! {
@@ -185,12 +203,24 @@
     }
 }
 
-async fn forward_connection(mut client: TcpStream, state: LinkState) {
+async fn forward_connection(
+    mut client: TcpStream,
+    mut partition: ClientPartition,
+    state: LinkState,
+) {
     let LinkState {
         target,
         mut fault,
         mut is_open,
+        ..
     } = state;
+    partition.wait_while_silent().await;
+    if partition
+        .current()
+        .is_some_and(Partition::resets_new_connections)
+    {
+        return reset_on_close(&client);
+    }
     let target = *target.lock();
     let _ = client.set_nodelay(true);
     let Ok(mut server) = TcpStream::connect(target).await else {
@@ -200,8 +230,8 @@
     let ended = {
         let (client_read, client_write) = client.split();
         let (server_read, server_write) = server.split();
-        let forward = forward_bytes(client_read, server_write, fault.clone());
-        let backward = forward_bytes(server_read, client_write, fault.clone());
+        let forward = forward_bytes(client_read, server_write, fault.clone(), partition.clone());
+        let backward = forward_bytes(server_read, client_write, fault.clone(), partition.clone());
         let both = async {
             futures_util::future::try_join(forward, backward)
                 .await
@@ -211,6 +241,7 @@
             ended = both => ended,
             _ = fault.wait_for(|fault| *fault == LinkFault::Reset) => Err(Broken),
             _ = is_open.wait_for(|is_open| !is_open) => Err(Broken),
+            () = partition.wait_for_reset() => Err(Broken),
         }
     };
     if ended.is_err() {
@@ -226,11 +257,13 @@
     mut from: ReadHalf<'_>,
     mut to: WriteHalf<'_>,
     mut fault: watch::Receiver<LinkFault>,
+    mut partition: ClientPartition,
 ) -> Result<(), Broken> {
     let mut random = ChaCha8Rng::seed_from_u64(rand::rng().next_u64());
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let count = from.read(&mut buffer).await.map_err(|_| Broken)?;
+        partition.wait_while_silent().await;
         let current = fault.wait_for(|fault| *fault != LinkFault::Silence).await;
         let active_fault = current.map(|fault| *fault).unwrap_or(LinkFault::None);
         if count == 0 {
--- a/crates/forwarding/tests/request_machine.rs
+++ b/crates/forwarding/tests/request_machine.rs
@@ -178,6 +178,24 @@
     assert!(was_refused);
 }
 
+/// Guards against connection attempts to one worker after the other while the gateway reaches none of them.
+#[test]
+fn a_request_whose_gateway_reaches_no_worker_is_refused_at_once() {
+    let mut machine = running_machine(Repeatability::AtMostOnce, 3);
+    let action = machine.step(RequestEvent::Failed(SendFailure::NoPath));
+    assert_eq!(action, Action::Finish(Conclusion::Refused));
+    assert_eq!(machine.sends(), 0);
+}
+
+#[test]
+fn a_prompt_whose_gateway_reaches_no_worker_is_refused_at_once() {
+    let mut machine = machine(NON_RESUMABLE_STREAM, 1, true);
+    machine.step(RequestEvent::Arrived);
+    machine.step(selected("p"));
+    let no_path = RequestEvent::PromptNotRead(PromptReadFailure::NoPath);
+    assert_eq!(machine.step(no_path), Action::Finish(Conclusion::Refused));
+}
+
 /// Guards against losing the KV cache of a prompt when the worker that should fetch it was not reached: the KV cache is
 /// still available to the next worker.
 #[test]
@@ -368,6 +386,7 @@
 enum SendOutcome {
     Stalled(bool),
     NotSent,
+    NoPath,
     NotRun,
     MayHaveRun,
     ErrorAnswer,
@@ -380,6 +399,7 @@
     prop_oneof![
         any::<bool>().prop_map(SendOutcome::Stalled),
         Just(SendOutcome::NotSent),
+        Just(SendOutcome::NoPath),
         Just(SendOutcome::NotRun),
         Just(SendOutcome::MayHaveRun),
         Just(SendOutcome::ErrorAnswer),
@@ -407,6 +427,7 @@
     match send_outcome {
         SendOutcome::Stalled(with_event) => stalled(with_event.then_some("7")),
         SendOutcome::NotSent => failed(SendFailure::NotSent),
+        SendOutcome::NoPath => failed(SendFailure::NoPath),
         SendOutcome::NotRun => failed(SendFailure::NotRun),
         SendOutcome::MayHaveRun => failed(SendFailure::MayHaveRun),
         SendOutcome::ErrorAnswer => failed(SendFailure::ErrorAnswer),
@@ -418,6 +439,14 @@
     }
 }
 
+/// Returns whether the send proves that its worker did not run the request.
+fn is_unrun(outcome: &SendOutcome) -> bool {
+    matches!(
+        outcome,
+        SendOutcome::NotSent | SendOutcome::NoPath | SendOutcome::NotRun
+    )
+}
+
 /// Seed of the property tests.
 const SEED: u64 = 20_261_202;
 
@@ -450,7 +479,7 @@
                     prop_assert!(!(runs_at_most_once && may_have_run > 0));
                     prop_assert!(may_have_run < max_attempts);
                     let send_outcome = send_outcomes.next().unwrap_or(&SendOutcome::Completed);
-                    may_have_run += u32::from(!matches!(send_outcome, SendOutcome::NotSent | SendOutcome::NotRun));
+                    may_have_run += u32::from(!is_unrun(send_outcome));
                     deadline_passed = matches!(send_outcome, SendOutcome::Deadline);
                     let event = event_of(send_outcome, has_stalled);
                     has_stalled = matches!(
@@ -463,7 +492,7 @@
                     prop_assert!(has_stalled);
                     let send_outcome = send_outcomes.next().unwrap_or(&SendOutcome::Completed);
                     deadline_passed = matches!(send_outcome, SendOutcome::Deadline);
-                    may_have_run -= u32::from(matches!(send_outcome, SendOutcome::NotSent | SendOutcome::NotRun));
+                    may_have_run -= u32::from(is_unrun(send_outcome));
                     let event = event_of(send_outcome, false);
                     has_stalled = matches!(event, RequestEvent::Stalled { .. });
                     event
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -1,6 +1,6 @@
 //! One send of a caller's request to a worker, from its start to the end of the answer.
 
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -22,8 +22,6 @@
     pub(super) destination: Destination,
     /// How long the worker may be silent before its answer begins, and within an answer that is not a stream.
     max_silence: Duration,
-    /// When the request was passed to an open connection.
-    sent_at: Arc<OnceLock<Instant>>,
     stage: Stage,
     /// Whether it is waited for until the deadline because nothing replaces it. It ends when the worker goes on.
     pub(super) is_awaited: bool,
@@ -86,21 +84,16 @@
     ) -> Self {
         let connections = Arc::clone(connections);
         let to = destination.clone();
-        let sent_at = Arc::new(OnceLock::new());
-        let sent = Arc::clone(&sent_at);
+        let progress = Arc::clone(&guard.progress);
         let sending = async move {
-            let record_sent = || {
-                sent.get_or_init(Instant::now);
-            };
             connections
-                .send_and_report(&to, &request, &record_sent)
+                .send_with_progress(&to, &request, &progress)
                 .await
         };
         Self {
             guard,
             destination,
             max_silence,
-            sent_at,
             stage: Stage::Sending(sending.boxed_local()),
             is_awaited: false,
         }
@@ -184,7 +177,7 @@
 
     /// Returns when the request was passed to an open connection.
     pub(super) fn sent_at(&self) -> Option<Instant> {
-        self.sent_at.get().copied()
+        self.guard.progress.sent_at()
     }
 
     /// Ends the attempt because another worker answers in its place.
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -13,7 +13,7 @@
 use super::attempt::{Attempt, Received, ReceivedBody};
 use super::{failed, Exchange};
 use crate::connection_losses::Loss;
-use crate::connections::{SendError, WorkerAnswer};
+use crate::connections::{NotSentReason, SendError, WorkerAnswer};
 use crate::protocol::{AnswerKind, Work};
 use crate::send_guard::unsent_result;
 use crate::worker_request::RequestKind;
@@ -168,7 +168,9 @@
                     }
                     if let Some(limit) = silence_limit.filter(|_| now >= silence_end) {
                         if silent_since == began {
-                            self.shared.connections.close_silent_connections(limit);
+                            let connections = &self.shared.connections;
+                            connections.close_silent_connections(limit);
+                            connections.want_path_probe(&attempt.destination.worker);
                         }
                         if is_replaceable && self.has_replacement(attempt) {
                             return Waited::Silent;
@@ -306,7 +308,13 @@
             SendError::NotSent(reason) => {
                 let result = unsent_result(&reason);
                 attempt.guard.set_result(result, reason.to_string());
-                self.failed_send(SendFailure::NotSent)
+                match reason {
+                    NotSentReason::NoPath => {
+                        self.record_no_path();
+                        self.failed_send(SendFailure::NoPath)
+                    }
+                    _ => self.failed_send(SendFailure::NotSent),
+                }
             }
             SendError::NoAnswer(reason) => {
                 self.count_unanswered_usage(attempt);
