Keep a stalled attempt open until its replacement begins to answer

Callers saw a resumable stream cut after the last event before a pause, and 502 for a repeatable request, although the paused worker went on: the other worker refused the request 450 ms after it was asked.

Cause: the stalled attempt was closed 300 ms after the request was sent to the other worker, which may still refuse or fail, or never answer.

Change: the limit counts from the head of the replacement's successful answer, with which a model worker begins to run the request. A whole answer still ends the stalled attempt with its head. SendProgress keeps only whether the request has been sent.

Tests: an_answer_arrives_after_a_pause_although_the_other_worker_refuses_late and a_stream_continues_after_a_pause_although_the_other_worker_hangs failed before (stream cut after event 2) and pass. The test that required a silent worker to be left while the other one sends nothing at all demanded the fault; a_silent_worker_is_left_although_the_other_one_sends_only_the_head_of_its_answer replaces it and requires the same of a worker that has begun to answer. The stand-in gets a late refusal and a break after a pause.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -7,7 +7,8 @@
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, OnceLock};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,7 +24,6 @@
     ConnectFailure, DirectOutcome, IdleRule, RateToken, Unavailable, WorkerId,
 };
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::time::Instant;
 
 use crate::answer_body::{AnswerBody, BorrowedConnection};
 use crate::connection_losses::{ConnectionLosses, Loss};
@@ -99,7 +99,7 @@
 #[derive(Debug, Default)]
 pub struct SendProgress {
     relay: Mutex<Option<Arc<str>>>,
-    sent_at: OnceLock<Instant>,
+    is_sent: AtomicBool,
 }
 
 impl SendProgress {
@@ -108,14 +108,14 @@
         self.relay.lock().clone()
     }
 
-    /// Returns when the request was first passed to an open connection.
-    pub fn sent_at(&self) -> Option<Instant> {
-        self.sent_at.get().copied()
+    /// Returns whether the request has been passed to an open connection.
+    pub fn is_sent(&self) -> bool {
+        self.is_sent.load(Ordering::Relaxed)
     }
 
     fn record_sent(&self, connection: &Connection) {
         *self.relay.lock() = connection.relay.as_ref().map(|relay| relay.name.clone());
-        self.sent_at.get_or_init(Instant::now);
+        self.is_sent.store(true, Ordering::Relaxed);
     }
 }
 
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -23,7 +23,8 @@
     /// How long the worker may be silent before its answer begins, and within an answer that is not a stream.
     max_silence: Duration,
     stage: Stage,
-    /// Whether it is waited for until the deadline because nothing replaces it. It ends when the worker goes on.
+    /// Whether it is waited for until the deadline because nothing replaces it. `Exchange::await_stalled` sets it, and
+    /// `Exchange::wait` clears it when anything arrives from the worker.
     pub(super) is_awaited: bool,
     /// The accounting of the send. It ends after the connection is closed.
     pub(super) guard: SendGuard,
@@ -39,6 +40,7 @@
 /// An answer that is being received, with what has been received and not delivered.
 pub(super) struct OpenAnswer {
     pub(super) answer: WorkerAnswer,
+    began_at: Instant,
     pub(super) body: ReceivedBody,
 }
 
@@ -121,7 +123,11 @@
 
     /// Continues with the body of the answer whose head has been received.
     pub(super) fn begin_body(&mut self, answer: WorkerAnswer, body: ReceivedBody) {
-        self.stage = Stage::Answering(Box::new(OpenAnswer { answer, body }));
+        self.stage = Stage::Answering(Box::new(OpenAnswer {
+            answer,
+            began_at: Instant::now(),
+            body,
+        }));
     }
 
     /// Returns the answer that is being received, if its head has arrived.
@@ -139,7 +145,7 @@
         }
     }
 
-    /// Returns whether the worker has not begun to answer.
+    /// Returns whether no answer is open: the worker has not begun one, or its head or error has just been received.
     pub(super) fn awaits_head(&self) -> bool {
         self.body().is_none()
     }
@@ -175,9 +181,12 @@
         }
     }
 
-    /// Returns when the request was passed to an open connection.
-    pub(super) fn sent_at(&self) -> Option<Instant> {
-        self.guard.progress.sent_at()
+    /// Returns when the worker began a successful answer, if it has.
+    pub(super) fn answering_since(&self) -> Option<Instant> {
+        match &self.stage {
+            Stage::Answering(open) if !self.is_error() => Some(open.began_at),
+            _ => None,
+        }
     }
 
     /// Ends the attempt because another worker answers in its place.
@@ -197,9 +206,9 @@
 
     /// Ends the attempt because the worker that it should replace goes on.
     pub(super) fn end_as_unneeded(mut self) {
-        let result = match self.sent_at() {
-            Some(_) => SendResult::Abandoned { silent: false },
-            None => SendResult::Withheld,
+        let result = match self.guard.progress.is_sent() {
+            true => SendResult::Abandoned { silent: false },
+            false => SendResult::Withheld,
         };
         self.guard
             .set_result(result, "the worker that it should replace went on");
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -18,8 +18,8 @@
 use crate::send_guard::unsent_result;
 use crate::worker_request::RequestKind;
 
-/// How long a silent worker may work on a request that has been sent to another one. Refusals and failed connections
-/// are usually known by then.
+/// How long the attempt of a silent worker stays open after another worker has sent the head of a successful stream. A
+/// model worker begins to run a request with its first token, and its head comes then.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
 /// Result of waiting for an attempt.
@@ -163,7 +163,7 @@
                     if now >= deadline {
                         return Waited::DeadlinePassed;
                     }
-                    if attempt.sent_at().is_some_and(|sent_at| now >= sent_at + MAX_OVERLAP) {
+                    if overlap_end.is_some_and(|end| now >= end) {
                         self.replace_stalled();
                     }
                     if let Some(limit) = silence_limit.filter(|_| now >= silence_end) {
@@ -182,11 +182,11 @@
         }
     }
 
-    /// Returns when the attempt of the stalled worker, if there is one, ends although `attempt`, which should replace
-    /// it, has not answered. Until the request has been sent, this time moves on.
+    /// Returns when the attempt of the stalled worker, if there is one, ends because `attempt` has begun to answer in its
+    /// place, although no complete event has arrived.
     fn overlap_end(&self, attempt: &Attempt) -> Option<Instant> {
-        let sent_at = attempt.sent_at().unwrap_or_else(Instant::now);
-        self.stalled.as_ref().map(|_| sent_at + MAX_OVERLAP)
+        let answering_since = attempt.answering_since()?;
+        self.stalled.as_ref().map(|_| answering_since + MAX_OVERLAP)
     }
 
     /// Puts the attempt of the stalled worker in the place of the one that should replace it. Returns whether there is
