Let a stalled worker go on only with something that can be delivered

Callers saw a resumable stream cut, or 502 for a repeatable request, although a sound replacement was about to answer: the stalled worker sent part of an event or of its answer, and broke off.

Cause: any bytes of the stalled worker, the head of its answer or an end within an event counted as going on and ended the replacement.

Change: the stalled attempt takes over with a complete event, the end of a stream after complete events, the complete whole answer, or a whole answer that exceeds MAX_BUFFERED_BYTES and is delivered in parts. Until then its bytes are kept in its own buffer or framer, within their limits. If it breaks off, only the stalled attempt ends.

Tests: a_replacement_goes_on_if_the_paused_worker_breaks_off failed before (stream cut after event 2) and passes; the property test of the framer also checks is_completed_by.

--- a/crates/cli/tests/gateway_platform/silent_workers.rs
+++ b/crates/cli/tests/gateway_platform/silent_workers.rs
@@ -213,6 +213,29 @@
     assert_both_were_asked(&site);
 }
 
+// Guards against ending a sound replacement because the paused worker sends a part of its answer and breaks off.
+#[actix_rt::test]
+async fn a_replacement_goes_on_if_the_paused_worker_breaks_off() {
+    let breaking = |events, pause_ms| Behaviour::AbortAfterPause { events, pause_ms };
+    let resuming = Behaviour::Pausing {
+        events: EVENTS,
+        after: 2,
+        pause_ms: 280,
+    };
+    let answering = Behaviour::Delayed { delay_ms: 500 };
+    for (path, breaking, other, expected) in [
+        (RESUMABLE, breaking(2, 1_100), resuming, expected_stream()),
+        (SHORT_OBJECTIVE, breaking(0, 750), answering, "x".to_owned()),
+    ] {
+        let site = Site::start(&[("app", None, breaking); 2], 1).await;
+        let answer = send_and_change_the_other(&site, "r", path, other).await;
+        assert_eq!(answer.status, 200, "{path}");
+        assert_eq!(String::from_utf8_lossy(&answer.body), expected, "{path}");
+        assert!(answer.is_complete, "{path}");
+        assert_eq!(site.runs_of("r"), 2, "{path}");
+    }
+}
+
 // Guards against ending a stream because the last worker that the route allows pauses.
 #[actix_rt::test]
 async fn a_stream_continues_after_a_pause_of_the_last_worker_that_may_run_it() {
--- a/crates/forwarding/src/event_stream.rs
+++ b/crates/forwarding/src/event_stream.rs
@@ -42,6 +42,13 @@
         Ok(parse_events(complete))
     }
 
+    /// Returns whether an event would be complete after these next bytes of the stream.
+    pub fn is_completed_by(&self, bytes: &[u8]) -> bool {
+        let search_start = self.pending.len().saturating_sub(3);
+        let tail = [&self.pending[search_start..], bytes].concat();
+        find_last_boundary(&tail, 0).is_some()
+    }
+
     /// Returns the number of buffered bytes of an incomplete event.
     pub fn pending_bytes(&self) -> usize {
         self.pending.len()
--- a/crates/forwarding/tests/streams.rs
+++ b/crates/forwarding/tests/streams.rs
@@ -44,7 +44,9 @@
             let length = (*chunk_sizes.next().expect("a cycle")).min(remaining.len());
             let (chunk, after) = remaining.split_at(length);
             remaining = after;
+            let completes_event = framer.is_completed_by(chunk);
             let events = framer.push(chunk).expect("an event below the maximum size");
+            prop_assert_eq!(completes_event, !events.bytes.is_empty());
             prop_assert!(events.bytes.is_empty() || events.bytes.ends_with(b"\n\n"));
             delivered.extend_from_slice(&events.bytes);
             event_count += events.count;
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -13,6 +13,9 @@
 use crate::send_guard::SendGuard;
 use crate::worker_request::WorkerRequest;
 
+/// Answers up to this length are buffered until they are complete, so that another worker's answer can replace one that
+/// breaks off.
+pub(super) const MAX_BUFFERED_BYTES: usize = 256 << 10;
 /// A resumable stream may be continued by another worker after its worker was silent for this long.
 const STREAM_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -189,6 +192,36 @@
         }
     }
 
+    /// Returns whether a part of the answer, or its end, can be delivered with what arrived next. `has_begun` says whether
+    /// the caller's answer has begun.
+    pub(super) fn is_deliverable_with(&self, received: &Received, has_begun: bool) -> bool {
+        match (self.body(), received) {
+            (Some(ReceivedBody::Whole(buffered)), Received::Bytes(bytes)) => {
+                buffered.len() + bytes.len() > MAX_BUFFERED_BYTES
+            }
+            (Some(ReceivedBody::Whole(_)), Received::End) => true,
+            (Some(ReceivedBody::Events { framer, .. }), Received::Bytes(bytes)) => {
+                framer.is_completed_by(bytes)
+            }
+            (Some(ReceivedBody::Events { framer, .. }), Received::End) => {
+                has_begun && framer.pending_bytes() == 0
+            }
+            _ => false,
+        }
+    }
+
+    /// Keeps bytes with which nothing can be delivered yet. Returns whether they can be kept.
+    pub(super) fn buffer(&mut self, bytes: &Bytes) -> bool {
+        match self.open_answer().map(|open| &mut open.body) {
+            Some(ReceivedBody::Whole(buffered)) => {
+                buffered.extend_from_slice(bytes);
+                true
+            }
+            Some(ReceivedBody::Events { framer, .. }) => framer.push(bytes).is_ok(),
+            _ => false,
+        }
+    }
+
     /// Ends the attempt because another worker answers in its place.
     pub(super) fn end_as_replaced(mut self) {
         match self.awaits_head() {
--- a/crates/gateway/src/exchange/deliver.rs
+++ b/crates/gateway/src/exchange/deliver.rs
@@ -4,16 +4,12 @@
 use tansyhall_forwarding::{RequestEvent, SendFailure};
 use tokio::time::timeout_at;
 
-use super::attempt::{Attempt, ReceivedBody};
+use super::attempt::{Attempt, ReceivedBody, MAX_BUFFERED_BYTES};
 use super::Exchange;
 use crate::answer::{Answer, AnswerHead};
 use crate::headers::HeaderList;
 use crate::send_guard::SendGuard;
 
-/// Answers up to this length are buffered until they are complete, so that another worker's answer can replace one that
-/// breaks off.
-const MAX_BUFFERED_BYTES: usize = 256 << 10;
-
 impl Exchange {
     /// Handles the next bytes of a body. Returns the event if the attempt ends with them.
     pub(super) async fn handle_bytes(
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -149,10 +149,11 @@
             tokio::select! {
                 biased;
                 received = receive_stalled(&mut self.stalled) => {
-                    if self.has_gone_on(&received) && self.continue_stalled(attempt) {
-                        return Waited::Received(received);
+                    if let Some(received) = self.handle_stalled(received) {
+                        if self.continue_stalled(attempt) {
+                            return Waited::Received(received);
+                        }
                     }
-                    self.end_stalled(received);
                 }
                 received = attempt.receive() => {
                     attempt.is_awaited = false;
@@ -206,34 +207,31 @@
             && self.select_locally(&Need::Run, &tried).is_some()
     }
 
-    /// Returns whether the stalled worker goes on with its answer.
-    fn has_gone_on(&self, received: &Received) -> bool {
-        match received {
-            Received::Head(answer) => {
-                let protocol = &self.shared.protocol;
-                protocol.answer_kind(answer.status, &answer.headers) == AnswerKind::Success
-            }
-            Received::Bytes(_) | Received::End => true,
-            Received::Failed(_) => false,
+    /// Handles what arrived from the stalled worker. Returns it if a part of the answer can be delivered with it, so that
+    /// the worker needs no replacement any more.
+    fn handle_stalled(&mut self, received: Received) -> Option<Received> {
+        let mut stalled = self.stalled.take()?;
+        if stalled.is_deliverable_with(&received, self.sink.has_begun()) {
+            self.stalled = Some(stalled);
+            return Some(received);
         }
-    }
-
-    /// Ends the attempt of the stalled worker because it has failed.
-    fn end_stalled(&mut self, received: Received) {
-        let Some(mut stalled) = self.stalled.take() else {
-            return;
-        };
-        match received {
-            Received::Head(answer) => {
-                let _ = self.handle_head(&mut stalled, *answer);
-            }
+        let is_open = match received {
+            Received::Head(answer) => self.handle_head(&mut stalled, *answer).is_ok(),
+            Received::Bytes(bytes) => stalled.buffer(&bytes),
             Received::Failed(error) if stalled.awaits_head() => {
                 self.handle_failed(&mut stalled, error);
+                false
             }
-            _ => stalled
+            Received::End | Received::Failed(_) => false,
+        };
+        match is_open {
+            true => self.stalled = Some(stalled),
+            false if stalled.awaits_head() || stalled.is_error() => {}
+            false => stalled
                 .guard
                 .set_result(SendResult::Failed, "answer was cut off"),
         }
+        None
     }
 
     /// Handles the head of an answer. Returns the event if the attempt ends with it.
