Wait for the stalled worker of a request that became barred

Callers got 500, or a cut stream, although the paused worker that had their request could still answer: the request was found to crash workers just before it would have been sent to a replacement.

Cause: the request machine ended a barred request at once, also with a stalled worker.

Change: a barred request with a stalled worker waits for it until the deadline, and is sent to no further worker. The send that was not made counts neither as a send nor as a run.

Tests: a_stalled_worker_is_awaited_if_the_request_is_barred and a_barred_request_is_not_sent_again_after_its_stalled_worker failed before (Finish(Barred) instead of AwaitStalled) and pass. The random histories contain barred sends.

--- a/crates/forwarding/src/request/mod.rs
+++ b/crates/forwarding/src/request/mod.rs
@@ -12,7 +12,8 @@
 //! - Every send after the first that may reach a worker needs permission from the retry budget.
 //!   Reading a prompt needs none if a worker started to read it.
 //! - The client receives "not run" only if no send may have run.
-//! - A request that crashes workers is not sent to any further worker.
+//! - A request that crashes workers is not sent to any further worker. If a stalled worker has it, the request waits for
+//!   that worker.
 //! - A worker that is silent in the middle of its work is replaced like one that failed, but its answer stays open until
 //!   the replacement answers. If no worker replaces it, the request waits for it until the deadline.
 //!
@@ -63,6 +64,8 @@
     answer_started: bool,
     /// Whether the answer of a stalled worker is open while a replacement is sought or has not answered yet.
     has_stalled_worker: bool,
+    /// Whether no further worker may get the request because it crashes workers.
+    is_barred: bool,
     last_event: Option<EventId>,
     source: Option<PromptHandle>,
     current_source: Option<PromptHandle>,
@@ -84,6 +87,7 @@
             error_answer: false,
             answer_started: false,
             has_stalled_worker: false,
+            is_barred: false,
             last_event: None,
             source: None,
             current_source: None,
@@ -141,7 +145,8 @@
 
     /// Returns whether another worker may get the request if the current one fails.
     pub fn may_retry_on_another_worker(&self) -> bool {
-        self.policy.repeatability.allows_second_run() && self.runs < self.policy.max_attempts
+        let second_run_allowed = self.policy.repeatability.allows_second_run();
+        !self.is_barred && second_run_allowed && self.runs < self.policy.max_attempts
     }
 
     fn handle_arrival(&mut self) -> Action {
@@ -250,7 +255,7 @@
         self.sends = self.sends.saturating_sub(1);
         self.source = self.current_source.take();
         self.undelivered_sends += 1;
-        match self.undelivered_sends > MAX_UNDELIVERED_SENDS {
+        match self.is_barred || self.undelivered_sends > MAX_UNDELIVERED_SENDS {
             true => self.give_up_sending(),
             false => self.select_worker(),
         }
@@ -296,7 +301,7 @@
     fn retry_if_allowed(&mut self) -> Action {
         let second_run_allowed = self.policy.repeatability.allows_second_run();
         let may_send = !self.may_have_run || second_run_allowed;
-        if !may_send || self.runs >= self.policy.max_attempts {
+        if self.is_barred || !may_send || self.runs >= self.policy.max_attempts {
             return self.give_up_sending();
         }
         self.phase = Phase::CheckingRetryBudget;
@@ -317,24 +322,29 @@
             self.may_have_run = true;
         }
         let conclusion = match self.failure_conclusion() {
-            Conclusion::Lost => Conclusion::TimedOut,
+            Conclusion::Lost | Conclusion::Barred => Conclusion::TimedOut,
             other => other,
         };
         self.finish(conclusion)
     }
 
+    /// Ends the request, or waits for the stalled worker if there is one. The send that was about to begin is not made.
     fn handle_barred(&mut self) -> Action {
-        let conclusion = match self.answer_started {
-            true => Conclusion::Broken,
-            false => Conclusion::Barred,
-        };
-        self.finish(conclusion)
+        self.is_barred = true;
+        if self.phase == Phase::Running {
+            self.sends = self.sends.saturating_sub(1);
+            self.runs = self.runs.saturating_sub(1);
+        }
+        self.give_up_sending()
     }
 
     fn failure_conclusion(&self) -> Conclusion {
         if self.answer_started {
             return Conclusion::Broken;
         }
+        if self.is_barred {
+            return Conclusion::Barred;
+        }
         if self.error_answer {
             return Conclusion::WorkerError;
         }
--- a/crates/forwarding/tests/request_machine.rs
+++ b/crates/forwarding/tests/request_machine.rs
@@ -370,6 +370,40 @@
     assert_eq!(action, Action::Finish(Conclusion::Broken));
 }
 
+/// Guards against ending a request that crashes workers while a stalled worker may still answer it.
+#[test]
+fn a_stalled_worker_is_awaited_if_the_request_is_barred() {
+    for repeatability in [Repeatability::Repeatable, RESUMABLE] {
+        let mut machine = machine_with_replacement(repeatability, 3);
+        assert_eq!(machine.step(RequestEvent::Barred), Action::AwaitStalled);
+        assert_eq!(machine.sends(), 1);
+        let action = machine.step(RequestEvent::Completed);
+        assert_eq!(action, Action::Finish(Conclusion::Delivered));
+    }
+}
+
+/// Guards against sending a barred request again when the awaited worker stalls again, breaks off or fails.
+#[test]
+fn a_barred_request_is_not_sent_again_after_its_stalled_worker() {
+    let barred = |repeatability| {
+        let mut machine = machine_with_replacement(repeatability, 3);
+        assert_eq!(machine.step(RequestEvent::Barred), Action::AwaitStalled);
+        assert!(!machine.may_retry_on_another_worker());
+        machine
+    };
+    let mut broken = barred(Repeatability::Repeatable);
+    let action = broken.step(RequestEvent::Failed(SendFailure::MayHaveRun));
+    assert_eq!(action, Action::Finish(Conclusion::Barred));
+    let mut interrupted = barred(RESUMABLE);
+    let action = interrupted.step(RequestEvent::Interrupted(Some("4".into())));
+    assert_eq!(action, Action::Finish(Conclusion::Broken));
+    let mut stalled_again = barred(RESUMABLE);
+    assert_eq!(stalled_again.step(stalled(Some("4"))), Action::AwaitStalled);
+    let mut late = barred(Repeatability::Repeatable);
+    let action = late.step(RequestEvent::DeadlinePassed);
+    assert_eq!(action, Action::Finish(Conclusion::TimedOut));
+}
+
 #[test]
 fn an_awaited_worker_ends_the_request_when_it_breaks_off_or_the_deadline_passes() {
     let mut machine = running_machine(Repeatability::Repeatable, 1);
@@ -393,6 +427,7 @@
     Interrupted(bool),
     Completed,
     Deadline,
+    Barred,
 }
 
 fn send_outcome() -> impl Strategy<Value = SendOutcome> {
@@ -406,6 +441,7 @@
         any::<bool>().prop_map(SendOutcome::Interrupted),
         Just(SendOutcome::Completed),
         Just(SendOutcome::Deadline),
+        Just(SendOutcome::Barred),
     ]
 }
 
@@ -436,14 +472,15 @@
         }
         SendOutcome::Completed => RequestEvent::Completed,
         SendOutcome::Deadline => RequestEvent::DeadlinePassed,
+        SendOutcome::Barred => RequestEvent::Barred,
     }
 }
 
-/// Returns whether the send proves that its worker did not run the request.
+/// Returns whether the send was not made, or proves that its worker did not run the request.
 fn is_unrun(outcome: &SendOutcome) -> bool {
     matches!(
         outcome,
-        SendOutcome::NotSent | SendOutcome::NoPath | SendOutcome::NotRun
+        SendOutcome::NotSent | SendOutcome::NoPath | SendOutcome::NotRun | SendOutcome::Barred
     )
 }
 
@@ -455,7 +492,7 @@
 
     /// For any outcomes of the sends: the request finishes; no more workers may have run it than its route allows; a
     /// request that runs at most once is not sent again after it may have run; the caller receives "not run" only if no
-    /// send may have run; and a request does not end while a stalled worker may go on, except at its deadline.
+    /// send may have run; a barred request is not sent again; and a request does not end while a stalled worker may go on, except at its deadline.
     #[test]
     fn guarantees_hold_for_any_outcomes_of_sends(
         repeatability in repeatability(),
@@ -469,6 +506,7 @@
         let mut may_have_run = 0;
         let mut has_stalled = false;
         let mut deadline_passed = false;
+        let mut is_barred = false;
         let mut action = machine.step(RequestEvent::Arrived);
         for _ in 0..64 {
             let event = match &action {
@@ -478,19 +516,24 @@
                     let runs_at_most_once = !repeatability.allows_second_run();
                     prop_assert!(!(runs_at_most_once && may_have_run > 0));
                     prop_assert!(may_have_run < max_attempts);
+                    prop_assert!(!is_barred);
                     let send_outcome = send_outcomes.next().unwrap_or(&SendOutcome::Completed);
                     may_have_run += u32::from(!is_unrun(send_outcome));
                     deadline_passed = matches!(send_outcome, SendOutcome::Deadline);
+                    is_barred = matches!(send_outcome, SendOutcome::Barred);
                     let event = event_of(send_outcome, has_stalled);
-                    has_stalled = matches!(
-                        event,
-                        RequestEvent::Stalled { .. } | RequestEvent::ReplacementFailed(_)
-                    );
+                    has_stalled = match event {
+                        RequestEvent::Stalled { .. } | RequestEvent::ReplacementFailed(_) => true,
+                        RequestEvent::Barred => has_stalled,
+                        _ => false,
+                    };
                     event
                 }
                 Action::AwaitStalled => {
                     prop_assert!(has_stalled);
-                    let send_outcome = send_outcomes.next().unwrap_or(&SendOutcome::Completed);
+                    let send_outcome = send_outcomes
+                        .find(|outcome| !matches!(outcome, SendOutcome::Barred))
+                        .unwrap_or(&SendOutcome::Completed);
                     deadline_passed = matches!(send_outcome, SendOutcome::Deadline);
                     may_have_run -= u32::from(is_unrun(send_outcome));
                     let event = event_of(send_outcome, false);
