Take no retry for a pause without a worker that may replace the silent one

A stream with pauses of 1.3 s whose only other worker had refused it used a retry in each pause and sent nothing: 8 of the service's retries for one second send (retries_left 27 to 19 in a review). Other requests lack these retries.

Cause: a silent worker counted as replaceable if any worker but itself was available, also one that had failed the request and must not be selected. After a failed replacement, the budget was asked before the selection.

Change: the workers that the request avoids are excluded, and with a stalled worker the budget is asked only if another worker is available.

Test: a_pause_uses_no_retry_if_all_other_workers_have_refused_the_request failed before and passes.

--- a/crates/cli/tests/gateway_platform/silent_workers.rs
+++ b/crates/cli/tests/gateway_platform/silent_workers.rs
@@ -2,6 +2,7 @@
 //! another worker can run the request or not.
 
 use futures_util::future::{join, join_all};
+use serde_json::Value;
 use tansyhall_platform_standin::{Behaviour, Run};
 use tansyhall_testing::{eventually, Link};
 
@@ -236,6 +237,30 @@
     }
 }
 
+// Guards against spending the retry budget in each pause although no other worker is left to ask.
+#[actix_rt::test]
+async fn a_pause_uses_no_retry_if_all_other_workers_have_refused_the_request() {
+    let paced = Behaviour::Paced {
+        events: EVENTS,
+        pause_ms: PAUSE_MS,
+    };
+    let mut site = Site::start(&[("app", None, ECHO); 2], 1).await;
+    send_request(&site.gateways[0], "before", RESUMABLE, b"x").await;
+    set_behaviours(&site, [paced; 2]);
+    let answer = send_and_change_the_other(&site, "r", RESUMABLE, Behaviour::NotRun).await;
+    assert_stream_is_complete(&answer);
+    let lines = site.gateways.remove(0).stop_and_read();
+    let retries_left = |id: &str| {
+        let is_request = |line: &&Value| line["event"] == "request" && line["request"] == id;
+        let line = lines
+            .iter()
+            .find(is_request)
+            .expect("a line of the request");
+        line["retries_left"].as_u64().expect("a number of retries")
+    };
+    assert!(retries_left("r") + 1 >= retries_left("before"));
+}
+
 // Guards against ending a stream because the last worker that the route allows pauses.
 #[actix_rt::test]
 async fn a_stream_continues_after_a_pause_of_the_last_worker_that_may_run_it() {
--- a/crates/forwarding/src/request/mod.rs
+++ b/crates/forwarding/src/request/mod.rs
@@ -143,6 +143,11 @@
         self.may_have_run
     }
 
+    /// Returns the workers that failed this request and must not get it again.
+    pub fn avoided_workers(&self) -> &[WorkerId] {
+        &self.avoid
+    }
+
     /// Returns whether another worker may get the request if the current one fails.
     pub fn may_retry_on_another_worker(&self) -> bool {
         let second_run_allowed = self.policy.repeatability.allows_second_run();
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 
 use self::attempt::Attempt;
+use self::run::ReplacementRule;
 use crate::answer::{Answer, AnswerHead, AnswerSink, GatewayAnswer};
 use crate::events::{Event, Priority};
 use crate::headers::HeaderList;
@@ -170,6 +171,13 @@
                     }
                     RequestEvent::Selected(selected)
                 }
+                Action::CheckRetryBudget
+                    if self.stalled.is_some()
+                        && !self.has_available_worker(machine.avoided_workers()) =>
+                {
+                    self.record_no_worker(&Need::Run);
+                    RequestEvent::RetryAllowed(false)
+                }
                 Action::CheckRetryBudget => {
                     let allowed = self.check_retry_budget();
                     if !allowed {
@@ -186,13 +194,13 @@
                     source,
                     resume_after,
                 } => {
-                    let is_replaceable = machine.may_retry_on_another_worker();
-                    self.run_on(&worker, source, resume_after, is_replaceable)
+                    let replacement = ReplacementRule::of(&machine);
+                    self.run_on(&worker, source, resume_after, &replacement)
                         .await
                 }
                 Action::AwaitStalled => {
-                    let is_replaceable = machine.may_retry_on_another_worker();
-                    self.await_stalled(is_replaceable).await
+                    let replacement = ReplacementRule::of(&machine);
+                    self.await_stalled(&replacement).await
                 }
                 Action::Finish(conclusion) => {
                     if conclusion == Conclusion::Delivered {
--- a/crates/gateway/src/exchange/placing.rs
+++ b/crates/gateway/src/exchange/placing.rs
@@ -155,6 +155,11 @@
         Some(worker.id.clone())
     }
 
+    /// Returns whether a worker outside `avoid` is available to run the request, as far as this gateway knows.
+    pub(super) fn has_available_worker(&self, avoid: &[WorkerId]) -> bool {
+        self.select_locally(&Need::Run, avoid).is_some()
+    }
+
     /// Records that this gateway reaches no worker. The caller is asked to retry after the direct path has been probed a
     /// few times; a random part is added, so that not all callers retry at once.
     pub(super) fn record_no_path(&mut self) {
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use tansyhall_forwarding::{
-    EventFramer, EventId, Need, PromptHandle, RequestEvent, SendFailure, SendResult, WorkerId,
+    EventFramer, EventId, Need, PromptHandle, RequestEvent, RequestMachine, SendFailure,
+    SendResult, WorkerId,
 };
 use tokio::time::{sleep_until, Instant};
 
@@ -22,6 +23,21 @@
 /// model worker begins to run a request with its first token, and its head comes then.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
+/// Which workers may replace the one that runs a request.
+pub(super) struct ReplacementRule {
+    is_allowed: bool,
+    avoid: Vec<WorkerId>,
+}
+
+impl ReplacementRule {
+    pub(super) fn of(machine: &RequestMachine) -> Self {
+        Self {
+            is_allowed: machine.may_retry_on_another_worker(),
+            avoid: machine.avoided_workers().to_vec(),
+        }
+    }
+}
+
 /// Result of waiting for an attempt.
 enum Waited {
     Received(Received),
@@ -32,26 +48,26 @@
 
 impl Exchange {
     /// Sends the request to a worker and delivers the answer as far as possible. If the worker is silent for too long
-    /// and the request `is_replaceable`, another worker may get it.
+    /// and `replacement` allows it, another worker may get the request.
     pub(super) async fn run_on(
         &mut self,
         id: &WorkerId,
         source: Option<PromptHandle>,
         resume_after: Option<EventId>,
-        is_replaceable: bool,
+        replacement: &ReplacementRule,
     ) -> RequestEvent {
         match self.begin_attempt(id, source, resume_after) {
-            Some(attempt) => self.follow(attempt, is_replaceable).await,
+            Some(attempt) => self.follow(attempt, replacement).await,
             None => self.failed_send(SendFailure::NotSent),
         }
     }
 
     /// Waits for the stalled worker, which no other worker replaces.
-    pub(super) async fn await_stalled(&mut self, is_replaceable: bool) -> RequestEvent {
+    pub(super) async fn await_stalled(&mut self, replacement: &ReplacementRule) -> RequestEvent {
         match self.stalled.take() {
             Some(mut attempt) => {
                 attempt.is_awaited = true;
-                self.follow(attempt, is_replaceable).await
+                self.follow(attempt, replacement).await
             }
             None => failed(SendFailure::MayHaveRun),
         }
@@ -89,9 +105,13 @@
 
     /// Delivers the answer of an attempt until it ends or the worker stalls. If a stalled worker goes on before this
     /// attempt has answered in its place, its answer is delivered instead.
-    async fn follow(&mut self, mut attempt: Attempt, is_replaceable: bool) -> RequestEvent {
+    async fn follow(
+        &mut self,
+        mut attempt: Attempt,
+        replacement: &ReplacementRule,
+    ) -> RequestEvent {
         loop {
-            let ended = match self.wait(&mut attempt, is_replaceable).await {
+            let ended = match self.wait(&mut attempt, replacement).await {
                 Waited::Received(Received::Head(answer)) => {
                     self.handle_head(&mut attempt, *answer).err()
                 }
@@ -134,12 +154,12 @@
 
     /// Waits for what happens next in an attempt, or in that of the stalled worker. If the stalled worker goes on, its
     /// attempt takes the place of `attempt`, which ends.
-    async fn wait(&mut self, attempt: &mut Attempt, is_replaceable: bool) -> Waited {
+    async fn wait(&mut self, attempt: &mut Attempt, replacement: &ReplacementRule) -> Waited {
         let deadline = self.deadline();
         let began = Instant::now();
         let mut silent_since = began;
         loop {
-            let silence_limit = attempt.silence_limit(is_replaceable);
+            let silence_limit = attempt.silence_limit(replacement.is_allowed);
             let silence_end = silence_limit.map_or(deadline, |limit| silent_since + limit);
             let overlap_end = self.overlap_end(attempt);
             let wake_at = overlap_end
@@ -173,7 +193,7 @@
                             connections.close_silent_connections(limit);
                             connections.want_path_probe(&attempt.destination.worker);
                         }
-                        if is_replaceable && self.has_replacement(attempt) {
+                        if replacement.is_allowed && self.has_replacement(attempt, &replacement.avoid) {
                             return Waited::Silent;
                         }
                         silent_since = now;
@@ -201,10 +221,10 @@
     }
 
     /// Returns whether another worker is available to replace this one, and the retry budget allows it.
-    fn has_replacement(&self, attempt: &Attempt) -> bool {
-        let tried = [attempt.destination.worker.clone()];
-        self.retries_left(self.shared.now()) > 0
-            && self.select_locally(&Need::Run, &tried).is_some()
+    fn has_replacement(&self, attempt: &Attempt, avoid: &[WorkerId]) -> bool {
+        let mut avoid = avoid.to_vec();
+        avoid.push(attempt.destination.worker.clone());
+        self.retries_left(self.shared.now()) > 0 && self.has_available_worker(&avoid)
     }
 
     /// Handles what arrived from the stalled worker. Returns it if a part of the answer can be delivered with it, so that
