--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -70,7 +70,7 @@
                     _ => continue,
                 },
                 Some(Err(error)) => {
-                    self.report_loss(Loss::Broken);
+                    self.report_broken();
                     return Err(SendError::NoAnswer(error.to_string()));
                 }
             }
@@ -101,7 +101,7 @@
         }
         match self.has_explicit_end {
             true => self.return_connection(),
-            false => self.report_loss(Loss::Broken),
+            false => self.report_broken(),
         }
         Ok(None)
     }
@@ -116,22 +116,12 @@
         Ok(bytes)
     }
 
-    /// Stops waiting for the body because its worker has been silent for too long.
-    pub fn give_up(&mut self) {
-        self.report_loss(Loss::Silent);
-    }
-
-    /// Reports that the connection is lost, and does not reuse it.
-    fn report_loss(&mut self, loss: Loss) {
-        if let Some(borrowed) = self.borrowed.take() {
-            if loss == Loss::Silent {
-                let worker = &borrowed.destination.worker;
-                borrowed.connections.want_path_probe(worker);
-            }
-            if loss == Loss::Silent || borrowed.connection.fails_at_worker() {
-                let losses = &borrowed.connections.losses;
-                losses.report(loss, &borrowed.destination);
-            }
+    /// Reports that the connection is broken, and does not reuse it.
+    fn report_broken(&mut self) {
+        let broken = self.borrowed.take();
+        if let Some(borrowed) = broken.filter(|borrowed| borrowed.connection.fails_at_worker()) {
+            let losses = &borrowed.connections.losses;
+            losses.report(Loss::Broken, &borrowed.destination);
         }
     }
 
--- a/crates/gateway/src/connection_losses.rs
+++ b/crates/gateway/src/connection_losses.rs
@@ -14,7 +14,7 @@
 pub enum Loss {
     /// A connection ended before the answer on it was complete.
     Broken,
-    /// The worker sent nothing for so long that the request no longer waits for it.
+    /// The worker sent nothing for so long that the request turns to another one. Its connection may still be open.
     Silent,
     /// A new connection to the worker's address was refused.
     ConnectionRefused,
