--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use tansyhall_forwarding::{
-    EventFramer, EventId, Need, PromptHandle, RequestEvent, SendFailure, SendResult, WorkerId,
+    EventFramer, EventId, Need, PromptHandle, RequestEvent, RequestMachine, SendFailure,
+    SendResult, WorkerId,
 };
 use tokio::time::{sleep_until, Instant};
 
@@ -18,10 +19,25 @@
 use crate::send_guard::unsent_result;
 use crate::worker_request::RequestKind;
 
-/// How long a silent worker may work on a request that has been sent to another one. Refusals and failed connections
-/// are usually known by then.
+/// How long the attempt of a silent worker stays open after another worker has sent the head of a successful stream. A
+/// model worker begins to run a request with its first token, and its head comes then.
 const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
+/// Which workers may replace the one that runs a request.
+pub(super) struct ReplacementRule {
+    is_allowed: bool,
+    avoid: Vec<WorkerId>,
+}
+
+impl ReplacementRule {
+    pub(super) fn of(machine: &RequestMachine) -> Self {
+        Self {
+            is_allowed: machine.may_retry_on_another_worker(),
+            avoid: machine.avoided_workers().to_vec(),
+        }
+    }
+}
+
 /// Result of waiting for an attempt.
 enum Waited {
     Received(Received),
@@ -32,26 +48,26 @@
 
 impl Exchange {
     /// Sends the request to a worker and delivers the answer as far as possible. If the worker is silent for too long
-    /// and the request `is_replaceable`, another worker may get it.
+    /// and `replacement` allows it, another worker may get the request.
     pub(super) async fn run_on(
         &mut self,
         id: &WorkerId,
         source: Option<PromptHandle>,
         resume_after: Option<EventId>,
-        is_replaceable: bool,
+        replacement: &ReplacementRule,
     ) -> RequestEvent {
         match self.begin_attempt(id, source, resume_after) {
-            Some(attempt) => self.follow(attempt, is_replaceable).await,
+            Some(attempt) => self.follow(attempt, replacement).await,
             None => self.failed_send(SendFailure::NotSent),
         }
     }
 
     /// Waits for the stalled worker, which no other worker replaces.
-    pub(super) async fn await_stalled(&mut self, is_replaceable: bool) -> RequestEvent {
+    pub(super) async fn await_stalled(&mut self, replacement: &ReplacementRule) -> RequestEvent {
         match self.stalled.take() {
             Some(mut attempt) => {
                 attempt.is_awaited = true;
-                self.follow(attempt, is_replaceable).await
+                self.follow(attempt, replacement).await
             }
             None => failed(SendFailure::MayHaveRun),
         }
@@ -89,9 +105,13 @@
 
     /// Delivers the answer of an attempt until it ends or the worker stalls. If a stalled worker goes on before this
     /// attempt has answered in its place, its answer is delivered instead.
-    async fn follow(&mut self, mut attempt: Attempt, is_replaceable: bool) -> RequestEvent {
+    async fn follow(
+        &mut self,
+        mut attempt: Attempt,
+        replacement: &ReplacementRule,
+    ) -> RequestEvent {
         loop {
-            let ended = match self.wait(&mut attempt, is_replaceable).await {
+            let ended = match self.wait(&mut attempt, replacement).await {
                 Waited::Received(Received::Head(answer)) => {
                     self.handle_head(&mut attempt, *answer).err()
                 }
@@ -134,12 +154,12 @@
 
     /// Waits for what happens next in an attempt, or in that of the stalled worker. If the stalled worker goes on, its
     /// attempt takes the place of `attempt`, which ends.
-    async fn wait(&mut self, attempt: &mut Attempt, is_replaceable: bool) -> Waited {
+    async fn wait(&mut self, attempt: &mut Attempt, replacement: &ReplacementRule) -> Waited {
         let deadline = self.deadline();
         let began = Instant::now();
         let mut silent_since = began;
         loop {
-            let silence_limit = attempt.silence_limit(is_replaceable);
+            let silence_limit = attempt.silence_limit(replacement.is_allowed);
             let silence_end = silence_limit.map_or(deadline, |limit| silent_since + limit);
             let overlap_end = self.overlap_end(attempt);
             let wake_at = overlap_end
@@ -149,10 +169,11 @@
             tokio::select! {
                 biased;
                 received = receive_stalled(&mut self.stalled) => {
-                    if self.has_gone_on(&received) && self.continue_stalled(attempt) {
-                        return Waited::Received(received);
+                    if let Some(received) = self.handle_stalled(received) {
+                        if self.continue_stalled(attempt) {
+                            return Waited::Received(received);
+                        }
                     }
-                    self.end_stalled(received);
                 }
                 received = attempt.receive() => {
                     attempt.is_awaited = false;
@@ -163,7 +184,7 @@
                     if now >= deadline {
                         return Waited::DeadlinePassed;
                     }
-                    if attempt.sent_at().is_some_and(|sent_at| now >= sent_at + MAX_OVERLAP) {
+                    if overlap_end.is_some_and(|end| now >= end) {
                         self.replace_stalled();
                     }
                     if let Some(limit) = silence_limit.filter(|_| now >= silence_end) {
@@ -172,7 +193,7 @@
                             connections.close_silent_connections(limit);
                             connections.want_path_probe(&attempt.destination.worker);
                         }
-                        if is_replaceable && self.has_replacement(attempt) {
+                        if replacement.is_allowed && self.has_replacement(attempt, &replacement.avoid) {
                             return Waited::Silent;
                         }
                         silent_since = now;
@@ -182,11 +203,11 @@
         }
     }
 
-    /// Returns when the attempt of the stalled worker, if there is one, ends although `attempt`, which should replace
-    /// it, has not answered. Until the request has been sent, this time moves on.
+    /// Returns when the attempt of the stalled worker, if there is one, ends because `attempt` has begun to answer in its
+    /// place, although no complete event has arrived.
     fn overlap_end(&self, attempt: &Attempt) -> Option<Instant> {
-        let sent_at = attempt.sent_at().unwrap_or_else(Instant::now);
-        self.stalled.as_ref().map(|_| sent_at + MAX_OVERLAP)
+        let answering_since = attempt.answering_since()?;
+        self.stalled.as_ref().map(|_| answering_since + MAX_OVERLAP)
     }
 
     /// Puts the attempt of the stalled worker in the place of the one that should replace it. Returns whether there is
@@ -200,40 +221,37 @@
     }
 
     /// Returns whether another worker is available to replace this one, and the retry budget allows it.
-    fn has_replacement(&self, attempt: &Attempt) -> bool {
-        let tried = [attempt.destination.worker.clone()];
-        self.retries_left(self.shared.now()) > 0
-            && self.select_locally(&Need::Run, &tried).is_some()
+    fn has_replacement(&self, attempt: &Attempt, avoid: &[WorkerId]) -> bool {
+        let mut avoid = avoid.to_vec();
+        avoid.push(attempt.destination.worker.clone());
+        self.retries_left(self.shared.now()) > 0 && self.has_available_worker(&avoid)
     }
 
-    /// Returns whether the stalled worker goes on with its answer.
-    fn has_gone_on(&self, received: &Received) -> bool {
-        match received {
-            Received::Head(answer) => {
-                let protocol = &self.shared.protocol;
-                protocol.answer_kind(answer.status, &answer.headers) == AnswerKind::Success
-            }
-            Received::Bytes(_) | Received::End => true,
-            Received::Failed(_) => false,
+    /// Handles what arrived from the stalled worker. Returns it if a part of the answer can be delivered with it, so that
+    /// the worker needs no replacement any more.
+    fn handle_stalled(&mut self, received: Received) -> Option<Received> {
+        let mut stalled = self.stalled.take()?;
+        if stalled.is_deliverable_with(&received, self.sink.has_begun()) {
+            self.stalled = Some(stalled);
+            return Some(received);
         }
-    }
-
-    /// Ends the attempt of the stalled worker because it has failed.
-    fn end_stalled(&mut self, received: Received) {
-        let Some(mut stalled) = self.stalled.take() else {
-            return;
-        };
-        match received {
-            Received::Head(answer) => {
-                let _ = self.handle_head(&mut stalled, *answer);
-            }
+        let is_open = match received {
+            Received::Head(answer) => self.handle_head(&mut stalled, *answer).is_ok(),
+            Received::Bytes(bytes) => stalled.buffer(&bytes),
             Received::Failed(error) if stalled.awaits_head() => {
                 self.handle_failed(&mut stalled, error);
+                false
             }
-            _ => stalled
+            Received::End | Received::Failed(_) => false,
+        };
+        match is_open {
+            true => self.stalled = Some(stalled),
+            false if stalled.awaits_head() || stalled.is_error() => {}
+            false => stalled
                 .guard
                 .set_result(SendResult::Failed, "answer was cut off"),
         }
+        None
     }
 
     /// Handles the head of an answer. Returns the event if the attempt ends with it.
