--- a/crates/gateway/src/refused_connections.rs
+++ b/crates/gateway/src/refused_connections.rs
@@ -48,8 +48,8 @@
         clock: shared.clock,
         worker,
     };
-    // A send reports a refusal only after relays were asked. To ask them again would add failures to what they know: a relay
-    // that fails to reach two workers and has reached no other since refuses to relay.
+    // A send reports a refusal only after relays were asked. To ask them again would add failures to what they know of their
+    // own paths.
     let by_gateways = std::future::ready(Reachability::Unknown);
     let connect = |other: WorkerId| async move {
         let reachability = connect_to(shared, &other).await;
--- a/crates/gateway/src/worker_relay/tunnel.rs
+++ b/crates/gateway/src/worker_relay/tunnel.rs
@@ -97,9 +97,9 @@
                     worker.record_first(&received);
                 }
                 match received {
-                Ok(0) => Frame::of_kind(FrameKind::End),
-                Ok(count) => Frame::bytes(Bytes::copy_from_slice(&buffer[..count])),
-                Err(_) => Frame::of_kind(FrameKind::Reset),
+                    Ok(0) => Frame::of_kind(FrameKind::End),
+                    Ok(count) => Frame::bytes(Bytes::copy_from_slice(&buffer[..count])),
+                    Err(_) => Frame::of_kind(FrameKind::Reset),
                 }
             }
             _ = is_leaving.wait_for(|is_leaving| *is_leaving), if !has_left => {
