A relay that restarts is asked again after a second

Cause: a gateway that restarts refuses connections, and was taken for an older build, which was passed over for ten seconds.

Change: every unavailable peer is passed over for one second. An older build costs one refused connection a second while a path fails.

--- a/crates/forwarding/src/worker_paths.rs
+++ b/crates/forwarding/src/worker_paths.rs
@@ -23,10 +23,9 @@
 pub const MAX_NO_PATH_WORKERS: usize = 8;
 /// Shortest time between two probes of the direct path.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
-/// How long a peer is not asked after it was unavailable.
+/// How long a peer is not asked after it was unavailable. Builds without relays refuse connections, and so does a gateway
+/// that restarts, which must not be passed over for long.
 pub const UNAVAILABLE_PAUSE: Duration = Duration::from_secs(1);
-/// How long a peer is not asked after it refused the connection, as builds without relays do.
-pub const UNSUPPORTED_PAUSE: Duration = Duration::from_secs(10);
 /// How long the peers of other zones are preferred after one of this zone was partitioned.
 pub const ZONE_CUT_MEMORY: Duration = Duration::from_secs(5);
 /// Age at which a failed direct connection no longer counts towards a partition.
@@ -361,12 +360,12 @@
                     self.zone_cut_until = now + ZONE_CUT_MEMORY;
                 }
                 self.peer_partitioned_until = now + UNAVAILABLE_PAUSE;
-                self.pause_peer(now, peer, UNAVAILABLE_PAUSE);
+                self.pause_peer(now, peer);
             }
-            RelayOutcome::AtLimit | RelayOutcome::Leaving | RelayOutcome::Unavailable => {
-                self.pause_peer(now, peer, UNAVAILABLE_PAUSE);
-            }
-            RelayOutcome::Unsupported => self.pause_peer(now, peer, UNSUPPORTED_PAUSE),
+            RelayOutcome::AtLimit
+            | RelayOutcome::Leaving
+            | RelayOutcome::Unavailable
+            | RelayOutcome::Unsupported => self.pause_peer(now, peer),
             RelayOutcome::WorkerRefused => {
                 self.relayed.remove(worker);
             }
@@ -384,12 +383,13 @@
         self.detect_partition(now)
     }
 
-    fn pause_peer(&mut self, now: Timestamp, peer: &RelayPeer, pause: Duration) {
+    fn pause_peer(&mut self, now: Timestamp, peer: &RelayPeer) {
         if self.paused_peers.len() >= MAX_PAUSED_PEERS {
             self.paused_peers.retain(|_, until| *until > now);
         }
         if self.paused_peers.len() < MAX_PAUSED_PEERS {
-            self.paused_peers.insert(peer.name.clone(), now + pause);
+            let until = now + UNAVAILABLE_PAUSE;
+            self.paused_peers.insert(peer.name.clone(), until);
         }
     }
 
