Fault soak: an arrival belongs to the later of two tries in the same millisecond

Cause: the judge counts a request as lost if it reached a worker. The arrival was that of the caller's next try at another gateway, in the millisecond in which the first one ended; no gateway logged the first.

Change: an arrival at or after the beginning of a later try of the same request counts for that one.

--- a/crates/fault-soak/src/judges/lost.rs
+++ b/crates/fault-soak/src/judges/lost.rs
@@ -23,11 +23,13 @@
 
 /// Finds requests that reached a worker and whose callers got no answer, or an incomplete one, without an excuse.
 pub fn check_lost(evidence: &Evidence) -> Vec<Violation> {
-    let mut arrivals: Arrivals<'_> = HashMap::new();
+    let mut all_arrivals: Arrivals<'_> = HashMap::new();
     for arrival in &evidence.arrivals {
-        arrivals.entry(&arrival.key).or_default().push(arrival);
+        all_arrivals.entry(&arrival.key).or_default().push(arrival);
     }
     let lost = evidence.sent.iter().filter_map(|sent| {
+        loss_of(sent, &all_arrivals)?;
+        let arrivals = without_later_tries(evidence, sent, &all_arrivals);
         let what = loss_of(sent, &arrivals)?;
         let silences = silences_of(evidence, sent, &arrivals);
         let violation = || Violation::new(Rule::Lost, what, (sent, silences));
@@ -36,6 +38,26 @@
     lost.collect()
 }
 
+/// Returns the arrivals of a request without those that a later try of its caller explains: a request that is cut off and
+/// sent to another gateway in the same millisecond has arrived through that one.
+fn without_later_tries<'a>(
+    evidence: &Evidence,
+    sent: &SentRequest,
+    arrivals: &Arrivals<'a>,
+) -> Arrivals<'a> {
+    let tries = evidence.sent.iter().filter(|other| other.key == sent.key);
+    let later = tries.filter(|other| {
+        other.at_ms >= sent.ended_ms && (other.gateway, other.at_ms) != (sent.gateway, sent.at_ms)
+    });
+    let next_try_at = later.map(|other| other.at_ms).min();
+    let Some((key, all)) = arrivals.get_key_value(&sent.key) else {
+        return Arrivals::new();
+    };
+    let is_earlier = |arrival: &&&Arrival| next_try_at.is_none_or(|next| arrival.at_ms < next);
+    let earlier = all.iter().filter(is_earlier).copied().collect();
+    HashMap::from([(*key, earlier)])
+}
+
 /// Returns how a request was lost, if it was.
 fn loss_of(sent: &SentRequest, arrivals: &Arrivals<'_>) -> Option<&'static str> {
     match &sent.outcome {
--- a/crates/fault-soak/tests/judges/partitions.rs
+++ b/crates/fault-soak/tests/judges/partitions.rs
@@ -179,6 +179,29 @@
     assert!(check_lost(&unread).is_empty());
 }
 
+/// Guards against taking the arrival of a caller's next try at another gateway, in the same millisecond, for one of the
+/// request that was cut off before.
+#[test]
+fn lost_attributes_an_arrival_to_the_later_try() {
+    let mut evidence = lost_evidence(false);
+    let mut later = evidence.sent[0].clone();
+    later.gateway = 1;
+    later.at_ms = evidence.sent[0].ended_ms;
+    later.ended_ms = later.at_ms + 50;
+    later.outcome = Outcome::Garbage {
+        bytes: String::new(),
+    };
+    evidence.arrivals[0].at_ms = later.at_ms;
+    evidence.sent.push(later);
+    assert!(check_lost(&evidence).is_empty());
+    evidence.arrivals[0].at_ms -= 1;
+    assert_eq!(
+        check_lost(&evidence).len(),
+        1,
+        "arrived before the later try"
+    );
+}
+
 #[test]
 fn lost_excuses_the_deadline() {
     let mut evidence = lost_evidence(true);
