Log what marks the end of an answer's body

The record of the unframed streams cannot show whether an answer ended with its connection. Lines of sends now say whether a length, the last chunk or only the end of the connection marked the end.

--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -12,12 +12,43 @@
 use crate::headers::HeaderList;
 use crate::second_answer::SecondAnswerSearch;
 
+/// What marks the end of a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// Its length, which may be 0.
+    Length,
+    /// The last chunk.
+    Chunks,
+    /// The end of the connection.
+    Connection,
+}
+
+impl Framing {
+    fn of(incoming: &Incoming, headers: &HeaderList) -> Self {
+        let has = |name: &str| headers.get(name).is_some();
+        match () {
+            () if has("transfer-encoding") => Self::Chunks,
+            () if has("content-length") || incoming.is_end_stream() => Self::Length,
+            () => Self::Connection,
+        }
+    }
+
+    /// Returns the name used in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// The body of an answer.
 #[derive(Debug)]
 pub struct AnswerBody {
     incoming: Incoming,
     borrowed: Option<BorrowedConnection>,
-    has_explicit_end: bool,
+    framing: Framing,
     /// `None` for a request without an id.
     search: Option<SecondAnswerSearch>,
 }
@@ -44,20 +75,23 @@
         borrowed: BorrowedConnection,
         search: Option<SecondAnswerSearch>,
     ) -> Self {
-        let framing = ["content-length", "transfer-encoding"];
-        let has_framing = framing.iter().any(|name| headers.get(name).is_some());
         Self {
-            has_explicit_end: has_framing || incoming.is_end_stream(),
+            framing: Framing::of(&incoming, headers),
             incoming,
             borrowed: Some(borrowed),
             search,
         }
     }
 
+    /// Returns what marks the end of the body.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// Returns whether the end of the body is marked by its length or by chunked encoding, not by the end of the
     /// connection. Otherwise a body that was cut off by the end of the worker's process looks complete.
     pub fn has_explicit_end(&self) -> bool {
-        self.has_explicit_end
+        self.framing != Framing::Connection
     }
 
     /// Returns the next bytes, or `None` after the last. An error means that the body is incomplete.
@@ -99,7 +133,7 @@
             self.borrowed = None;
             return Err(second_answer_error());
         }
-        match self.has_explicit_end {
+        match self.has_explicit_end() {
             true => self.return_connection(),
             false => self.report_broken(),
         }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -213,6 +213,8 @@
         took_ms: u64,
         /// The longest pause between two events of its stream in milliseconds; 0 if there was none.
         pause_ms: u64,
+        /// What marks the end of the answer's body: `length`, `chunks` or `connection`; empty without an answer.
+        framing: &'a str,
     },
     /// An answer was received that does not match the request sent before it on the same connection.
     ForeignAnswer {
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -263,6 +263,7 @@
         let protocol = &self.shared.protocol;
         let kind = protocol.answer_kind(answer.status, &answer.headers);
         let detail = format!("status {}", answer.status);
+        attempt.guard.record_framing(answer.body.framing());
         let is_stream_route = self.route().repeatability.is_stream();
         match kind {
             AnswerKind::Unusable => {
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -10,6 +10,7 @@
     WorkerId,
 };
 
+use crate::answer_body::Framing;
 use crate::connections::{NotSentReason, SendProgress};
 use crate::events::{Event, Priority};
 use crate::placement::OpenPlacement;
@@ -69,6 +70,8 @@
     is_answer_complete: bool,
     detail: String,
     head_latency: Option<Duration>,
+    /// What marks the end of the answer's body; `None` before the head has arrived.
+    framing: Option<Framing>,
     /// How far the send has come.
     pub progress: Arc<SendProgress>,
     /// The pauses of the stream that the worker answers with.
@@ -116,6 +119,7 @@
             result: SendResult::Abandoned { silent: true },
             detail: String::new(),
             head_latency: None,
+            framing: None,
             progress: Arc::default(),
             pause: StreamPause::default(),
         }
@@ -200,6 +204,11 @@
         self.result = SendResult::Answered { latency };
     }
 
+    /// Records what marks the end of the answer's body.
+    pub fn record_framing(&mut self, framing: Framing) {
+        self.framing = Some(framing);
+    }
+
     /// Records that the worker has answered completely, even with an error.
     pub fn record_complete_answer(&mut self) {
         self.is_answer_complete = true;
@@ -262,6 +271,7 @@
             head_ms: self.head_latency.map_or(0, saturating_millis),
             took_ms: saturating_millis(now.since(self.started_at)),
             pause_ms: pause.map_or(0, saturating_millis),
+            framing: self.framing.map_or("", Framing::name),
         };
         self.shared.log.record(priority, &event);
     }
