--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -19,6 +19,7 @@
 mod silent_workers;
 mod support;
 mod tenants;
+mod unframed_streams;
 mod usage;
 mod worker_incarnations;
 mod worker_orders;
