A stream that its worker's connection ends inside an event is not complete

Seen: callers of streams that cannot be resumed received a proper end after a part of an event. Their workers had crashed while answering with neither a length nor chunks, and the connection closed without a reset.

Cause: the end of the connection was taken for the end of the body. Only resumable streams were split at events, so for all others nothing looked at what the last bytes were. A stream without any event counted as complete as well, also as the continuation of another one.

Change: AnswerBody, which all readers of workers' bodies share, knows whether it reads an event stream, by its type or its route, and returns an error if the stream ends inside an event, or if a connection ends it before its first event. The exchange then treats it like any answer that breaks off: a stream that may be resumed goes on elsewhere, any other ends without a final chunk.

--- a/crates/forwarding/tests/streams.rs
+++ b/crates/forwarding/tests/streams.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use tansyhall_fixed_cases::config_with_seed;
-use tansyhall_forwarding::EventFramer;
+use tansyhall_forwarding::{EventFramer, StreamEnd};
 
 #[test]
 fn an_incomplete_event_is_held_back() {
@@ -56,4 +56,25 @@
         prop_assert_eq!(event_count as usize, count);
         prop_assert_eq!(last_id, Some((count - 1).to_string()));
     }
+
+    /// For any end of a stream and any split into chunks, the end is inside an event exactly if the framer holds bytes back.
+    #[test]
+    fn the_end_of_a_stream_is_inside_an_event_if_bytes_are_held_back(
+        count in 0_usize..5,
+        line_end in prop::sample::select(vec!["\n", "\r\n"]),
+        length in 0_usize..200,
+        chunk_size in 1_usize..12,
+    ) {
+        let event = |n: usize| format!("id: {n}{line_end}data: {n}{line_end}{line_end}");
+        let stream: String = (0..count).map(event).collect();
+        let received = &stream.as_bytes()[..length.min(stream.len())];
+        let mut framer = EventFramer::default();
+        let mut end = StreamEnd::default();
+        for chunk in received.chunks(chunk_size) {
+            framer.push(chunk).expect("an event below the maximum size");
+            end.push(chunk);
+        }
+        prop_assert_eq!(end.is_empty(), received.is_empty());
+        prop_assert_eq!(end.is_inside_event(), framer.pending_bytes() > 0);
+    }
 }
--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use tansyhall_forwarding::StreamEnd;
 
 use crate::connection_losses::Loss;
 use crate::connection_pool::Connection;
@@ -49,6 +50,9 @@
     incoming: Incoming,
     borrowed: Option<BorrowedConnection>,
     framing: Framing,
+    has_content_type: bool,
+    /// How the stream ends; `None` for a body that is not an event stream.
+    stream_end: Option<StreamEnd>,
     /// `None` for a request without an id.
     search: Option<SecondAnswerSearch>,
 }
@@ -77,6 +81,8 @@
     ) -> Self {
         Self {
             framing: Framing::of(&incoming, headers),
+            has_content_type: headers.get("content-type").is_some(),
+            stream_end: is_event_stream(headers).then(StreamEnd::default),
             incoming,
             borrowed: Some(borrowed),
             search,
@@ -94,6 +100,14 @@
         self.framing != Framing::Connection
     }
 
+    /// Declares that the body is an event stream unless its headers name another type. Must be called before the first
+    /// bytes are read.
+    pub fn expect_events(&mut self) {
+        if !self.has_content_type {
+            self.stream_end.get_or_insert_default();
+        }
+    }
+
     /// Returns the next bytes, or `None` after the last. An error means that the body is incomplete.
     pub async fn next(&mut self) -> Result<Option<Bytes>, SendError> {
         loop {
@@ -123,7 +137,8 @@
         Some(body.freeze())
     }
 
-    /// Handles the end of the body. Returns an error if the body ends inside the head of a second answer.
+    /// Handles the end of the body. Returns an error if the body ends inside the head of a second answer, or if it is a
+    /// stream that was cut off.
     fn handle_end(&mut self) -> Result<Option<Bytes>, SendError> {
         if self
             .search
@@ -133,11 +148,29 @@
             self.borrowed = None;
             return Err(second_answer_error());
         }
+        let problem = self.cut_off();
         match self.has_explicit_end() {
-            true => self.return_connection(),
+            true if problem.is_none() => self.return_connection(),
+            true => self.borrowed = None,
             false => self.report_broken(),
         }
-        Ok(None)
+        match problem {
+            Some(problem) => Err(SendError::NoAnswer(problem.into())),
+            None => Ok(None),
+        }
+    }
+
+    /// Returns how the end of the body shows that it is a stream that was cut off. The end of a connection is not enough
+    /// to mark the end of a stream: it may be that of the worker's process.
+    fn cut_off(&self) -> Option<&'static str> {
+        let end = self.stream_end.as_ref()?;
+        match () {
+            () if end.is_inside_event() => Some("stream ended inside an event"),
+            () if end.is_empty() && !self.has_explicit_end() => {
+                Some("stream ended before its first event")
+            }
+            () => None,
+        }
     }
 
     /// Returns the bytes unchanged, or an error if a second answer begins in them.
@@ -147,6 +180,9 @@
             self.borrowed = None;
             return Err(second_answer_error());
         }
+        if let Some(end) = &mut self.stream_end {
+            end.push(&bytes);
+        }
         Ok(bytes)
     }
 
@@ -168,6 +204,13 @@
     }
 }
 
+fn is_event_stream(headers: &HeaderList) -> bool {
+    let media_type = headers
+        .get("content-type")
+        .and_then(|value| value.split(';').next());
+    media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case("text/event-stream"))
+}
+
 fn second_answer_error() -> SendError {
     SendError::NoAnswer("body contains a second answer".into())
 }
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -258,7 +258,7 @@
     fn handle_head(
         &mut self,
         attempt: &mut Attempt,
-        answer: WorkerAnswer,
+        mut answer: WorkerAnswer,
     ) -> Result<(), RequestEvent> {
         let protocol = &self.shared.protocol;
         let kind = protocol.answer_kind(answer.status, &answer.headers);
@@ -292,9 +292,12 @@
             AnswerKind::Success => {
                 self.unused_handle = None;
                 attempt.guard.record_answer_start();
-                if !is_stream_route {
-                    self.count_usage(attempt.guard.started_at());
-                    self.replace_stalled();
+                match is_stream_route {
+                    true => answer.body.expect_events(),
+                    false => {
+                        self.count_usage(attempt.guard.started_at());
+                        self.replace_stalled();
+                    }
                 }
                 attempt.begin_body(answer, self.success_body());
                 Ok(())
