A node's event streams that are cut off are not complete either

The same cause as at the gateway: an application worker's event stream that its connection ended inside an event, or before its first event, was passed on with a proper end and counted as completed.

Change: the rule of how a stream may end moved to the core crate, and WorkerBody applies it. Streams of engines were not affected: they end with a chunk that says so.

Evidence: an_interrupted_answer_closes_the_connection_and_is_counted, with two more answers, failed before with 'a partial answer looks complete' and passes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod id;
 pub mod role;
 pub mod sharded;
+pub mod stream_end;
 pub mod time;
 pub mod verdict;
 
@@ -18,5 +19,6 @@
 };
 pub use role::Role;
 pub use sharded::Sharded;
+pub use stream_end::StreamEnd;
 pub use time::{Duration, Timestamp};
 pub use verdict::Verdict;
--- a/crates/forwarding/src/event_stream.rs
+++ b/crates/forwarding/src/event_stream.rs
@@ -1,6 +1,8 @@
 //! Splits a server-sent event stream at event boundaries, so that a stream that another worker resumes never contains a
 //! part of an event twice.
 
+use tansyhall_core::stream_end::ends_event;
+
 /// Maximum size of an event that is buffered until it is complete.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -55,41 +57,6 @@
     }
 }
 
-/// Length of the longest sequence of bytes that ends an event.
-const MAX_BOUNDARY_BYTES: usize = 3;
-
-/// Tells whether a stream has ended after a complete event, without buffering its events.
-#[derive(Debug, Default)]
-pub struct StreamEnd {
-    /// The last bytes of the stream.
-    tail: Vec<u8>,
-}
-
-impl StreamEnd {
-    /// Adds the next bytes of the stream.
-    pub fn push(&mut self, bytes: &[u8]) {
-        let new = &bytes[bytes.len().saturating_sub(MAX_BOUNDARY_BYTES)..];
-        self.tail.extend_from_slice(new);
-        let surplus = self.tail.len().saturating_sub(MAX_BOUNDARY_BYTES);
-        self.tail.drain(..surplus);
-    }
-
-    /// Returns whether nothing has been received.
-    pub fn is_empty(&self) -> bool {
-        self.tail.is_empty()
-    }
-
-    /// Returns whether the bytes received end inside an event.
-    pub fn is_inside_event(&self) -> bool {
-        !self.is_empty() && !ends_event(&self.tail)
-    }
-}
-
-/// Returns whether these bytes end with a blank line.
-fn ends_event(bytes: &[u8]) -> bool {
-    bytes.ends_with(b"\n\n") || bytes.ends_with(b"\n\r\n")
-}
-
 /// Returns the end of the last blank line that ends after `from`.
 fn find_last_boundary(bytes: &[u8], from: usize) -> Option<usize> {
     let is_boundary = |end: &usize| ends_event(&bytes[..*end]);
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -50,7 +50,7 @@
     Admission, Demand, Directory, EngineLoad, FirstAdmission, FirstAvailable, NoticeChanges,
     Objectives, RateToken, RefusalCause, SendResult, SendTicket, Unavailable, MAX_STREAM_PAUSE,
 };
-pub use event_stream::{CompleteEvents, EventFramer, StreamEnd};
+pub use event_stream::{CompleteEvents, EventFramer};
 pub use fleet_tenants::{
     OwnTenants, ReportedTenants, ServiceTenants, TenantRates, TenantRotation, WorkRates,
 };
--- a/crates/forwarding/tests/streams.rs
+++ b/crates/forwarding/tests/streams.rs
@@ -1,8 +1,9 @@
 //! Event streams are split at event boundaries, independent of how their bytes arrive.
 
 use proptest::prelude::*;
+use tansyhall_core::StreamEnd;
 use tansyhall_fixed_cases::config_with_seed;
-use tansyhall_forwarding::{EventFramer, StreamEnd};
+use tansyhall_forwarding::EventFramer;
 
 #[test]
 fn an_incomplete_event_is_held_back() {
--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -5,7 +5,8 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use tansyhall_forwarding::StreamEnd;
+use tansyhall_core::stream_end::is_event_stream;
+use tansyhall_core::StreamEnd;
 
 use crate::connection_losses::Loss;
 use crate::connection_pool::Connection;
@@ -79,10 +80,13 @@
         borrowed: BorrowedConnection,
         search: Option<SecondAnswerSearch>,
     ) -> Self {
+        let content_type = headers.get("content-type");
         Self {
             framing: Framing::of(&incoming, headers),
-            has_content_type: headers.get("content-type").is_some(),
-            stream_end: is_event_stream(headers).then(StreamEnd::default),
+            has_content_type: content_type.is_some(),
+            stream_end: content_type
+                .is_some_and(is_event_stream)
+                .then(StreamEnd::default),
             incoming,
             borrowed: Some(borrowed),
             search,
@@ -148,7 +152,8 @@
             self.borrowed = None;
             return Err(second_answer_error());
         }
-        let problem = self.cut_off();
+        let end = self.stream_end.take();
+        let problem = end.and_then(|end| end.cut_off(self.has_explicit_end()));
         match self.has_explicit_end() {
             true if problem.is_none() => self.return_connection(),
             true => self.borrowed = None,
@@ -160,19 +165,6 @@
         }
     }
 
-    /// Returns how the end of the body shows that it is a stream that was cut off. The end of a connection is not enough
-    /// to mark the end of a stream: it may be that of the worker's process.
-    fn cut_off(&self) -> Option<&'static str> {
-        let end = self.stream_end.as_ref()?;
-        match () {
-            () if end.is_inside_event() => Some("stream ended inside an event"),
-            () if end.is_empty() && !self.has_explicit_end() => {
-                Some("stream ended before its first event")
-            }
-            () => None,
-        }
-    }
-
     /// Returns the bytes unchanged, or an error if a second answer begins in them.
     fn check_bytes(&mut self, bytes: Bytes) -> Result<Bytes, SendError> {
         let search = self.search.as_mut();
@@ -204,13 +196,6 @@
     }
 }
 
-fn is_event_stream(headers: &HeaderList) -> bool {
-    let media_type = headers
-        .get("content-type")
-        .and_then(|value| value.split(';').next());
-    media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case("text/event-stream"))
-}
-
 fn second_answer_error() -> SendError {
     SendError::NoAnswer("body contains a second answer".into())
 }
--- a/crates/node/src/callers/application.rs
+++ b/crates/node/src/callers/application.rs
@@ -19,7 +19,8 @@
 use tansyhall_admission::{BreakerDecision, BreakerEvent};
 use tansyhall_config::settings::Limits;
 use tansyhall_config::Backend;
-use tansyhall_core::{EngineName, ServiceName, TenantName, Verdict};
+use tansyhall_core::stream_end::is_event_stream;
+use tansyhall_core::{EngineName, ServiceName, StreamEnd, TenantName, Verdict};
 use tansyhall_engine::transport::{build_connector, never_sent};
 
 use super::admit::{
@@ -339,7 +340,11 @@
         .headers()
         .get(header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok()?.parse().ok());
+    let header = |name| response.headers().get(name)?.to_str().ok();
+    let is_stream = header(header::CONTENT_TYPE).is_some_and(is_event_stream);
     let body = WorkerBody {
+        is_framed: length.is_some() || header(header::TRANSFER_ENCODING).is_some(),
+        stream_end: is_stream.then(StreamEnd::default),
         response,
         in_progress,
         remaining_bytes: length,
@@ -358,6 +363,10 @@
     in_progress: Arc<InProgress>,
     /// Number of bytes still expected, if the worker sent a content length.
     remaining_bytes: Option<u64>,
+    /// Whether a length or the last chunk, and not the end of the connection, marks the end of the body.
+    is_framed: bool,
+    /// How the stream ends; `None` for a body that is not an event stream.
+    stream_end: Option<StreamEnd>,
 }
 
 type BodyItem = Result<Bytes, std::io::Error>;
@@ -367,22 +376,32 @@
         let mut body = state?;
         match body.response.next().await {
             Some(Ok(bytes)) => {
+                if let Some(end) = &mut body.stream_end {
+                    end.push(&bytes);
+                }
                 body.count_bytes(bytes.len() as u64);
                 Some((Ok(bytes), Some(body)))
             }
-            Some(Err(error)) => {
-                let message = format!("the worker's answer broke off: {error}");
-                let failure = Failure::may_have_run(StatusCode::BAD_GATEWAY, message.clone());
-                body.in_progress.end(RequestOutcome::Failed(failure));
-                Some((Err(std::io::Error::other(message)), None))
-            }
+            Some(Err(error)) => Some(body.break_off(&error.to_string())),
             None => {
+                let end = body.stream_end.take();
+                if let Some(problem) = end.and_then(|end| end.cut_off(body.is_framed)) {
+                    return Some(body.break_off(problem));
+                }
                 body.in_progress.end(RequestOutcome::Completed);
                 None
             }
         }
     }
 
+    /// Ends the request as failed and returns an error, which closes the caller's connection.
+    fn break_off(self, problem: &str) -> (BodyItem, Option<Self>) {
+        let message = format!("the worker's answer broke off: {problem}");
+        let failure = Failure::may_have_run(StatusCode::BAD_GATEWAY, message.clone());
+        self.in_progress.end(RequestOutcome::Failed(failure));
+        (Err(std::io::Error::other(message)), None)
+    }
+
     /// Ends the request with the last byte: the body may not be polled again after it.
     fn count_bytes(&mut self, bytes: u64) {
         self.remaining_bytes = self
--- a/crates/node/tests/applications.rs
+++ b/crates/node/tests/applications.rs
@@ -160,10 +160,12 @@
 
 #[actix_rt::test]
 async fn an_interrupted_answer_closes_the_connection_and_is_counted() {
-    let parts: [&[u8]; 3] = [
+    let parts: [&[u8]; 5] = [
         b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nfive ",
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfive \r\n",
         b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfiv",
+        b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: 1\n\ndata",
+        b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n",
     ];
     for part in parts {
         let (node, address) = start_node(&[], &[start_interrupting_worker(part)], "");
