--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -24,4 +24,5 @@
 mod worker_incarnations;
 mod worker_orders;
 mod worker_relays;
+mod worker_versions;
 mod workers_leaving_in_a_shortage;
--- a/crates/cli/tests/gateway_platform/support/caller.rs
+++ b/crates/cli/tests/gateway_platform/support/caller.rs
@@ -3,7 +3,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper_util::rt::TokioIo;
-use tansyhall_platform_standin::{API_KEY, DEADLINE, PROMPT_PARTS, REQUEST_ID, SEAL, TENANT};
+use tansyhall_platform_standin::{
+    API_KEY, DEADLINE, LAST_EVENT, PROMPT_PARTS, REQUEST_ID, RESUMES, SEAL, TENANT,
+};
 use tokio::net::TcpStream;
 
 use super::{SiteGateway, HOST, REPEATABLE};
@@ -37,6 +39,21 @@
     send_with_headers(gateway, id, path, body, &[]).await
 }
 
+/// Takes a stream up whose first event the attempt `first_attempt` brought, after the event with the id `last_event`.
+pub async fn take_up(
+    gateway: &SiteGateway,
+    id: &str,
+    path: &str,
+    first_attempt: &str,
+    last_event: &str,
+) -> CallerAnswer {
+    let headers = [
+        (RESUMES, first_attempt.to_owned()),
+        (LAST_EVENT, last_event.to_owned()),
+    ];
+    send_with_headers(gateway, id, path, b"x", &headers).await
+}
+
 /// Sends a request with an API key and a forged tenant name.
 pub async fn send_with_key(gateway: &SiteGateway, id: &str, key: &str) -> CallerAnswer {
     let headers = [(API_KEY, key.to_owned()), (TENANT, "forged".to_owned())];
--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -20,7 +20,7 @@
 
 pub use caller::{
     send_long_prompt, send_prompt, send_prompt_with_body, send_request, send_unique_prompt,
-    send_with_key, CallerAnswer,
+    send_with_key, take_up, CallerAnswer,
 };
 
 /// The deployed template of the gateway's settings.
@@ -33,6 +33,8 @@
 const TAKEOVER_PAUSE_MS: u64 = 300;
 /// The host of all routes.
 pub const HOST: &str = "site.example";
+/// The software version of workers without another one.
+pub const FIRST_VERSION: &str = "v1";
 const ZONE: &str = "kalimati";
 const OTHER_ZONE: &str = "balkhu";
 /// Path of repeatable requests.
@@ -350,6 +352,25 @@
         worker
     }
 
+    /// Adds a worker of a service with this software version, and waits until all gateways know it.
+    pub async fn add_worker_of_version(
+        &mut self,
+        service: &'static str,
+        version: &'static str,
+        behaviour: Behaviour,
+    ) {
+        let plan = WorkerPlan {
+            version,
+            ..worker_plan(service, ZONE, None)
+        };
+        let worker = Worker::start(&self.store, plan, behaviour).expect("a free port");
+        self.workers.push(SiteWorker { worker });
+        for index in 0..self.gateways.len() {
+            self.wait_for_announced_workers(index, self.workers.len() as f64)
+                .await;
+        }
+    }
+
     /// Starts workers of a service that crash while running such requests, and waits until all gateways know them. They
     /// have another name in each incarnation.
     pub async fn add_crashing_workers(
@@ -477,6 +498,7 @@
         incarnation: None,
         service,
         zone,
+        version: FIRST_VERSION,
         stage,
         spot: false,
         duplicates_answers: false,
