Workers' software versions are known, and logged with each send

The record of the streams that continued at another version shows neither the versions of workers nor which requests take streams up. Lines of sends now name the worker's version, and lines of requests the attempt that a caller resumes. The directory can limit a choice to a version; nothing asks for it yet.

--- a/crates/forwarding/src/directory/choice.rs
+++ b/crates/forwarding/src/directory/choice.rs
@@ -16,7 +16,7 @@
 use crate::selection::{affinity_part, Need, PromptPart};
 use crate::tenant_shares::TenantKey;
 use crate::urgency::UrgencyGroup;
-use crate::worker::{Worker, WorkerId};
+use crate::worker::{SoftwareVersion, Worker, WorkerId};
 
 /// Engines count as nearly equal if they differ by less than this many seconds
 /// plus [`NEARLY_EQUAL_FRACTION`] of the best engine's time.
@@ -47,11 +47,23 @@
     pub zone: &'a ZoneName,
     /// Workers that must not be chosen.
     pub avoid: &'a [WorkerId],
+    /// The only software version whose workers may be chosen: that of the stream to continue.
+    pub version: Option<&'a SoftwareVersion>,
     /// A random number that determines which workers are compared, and which of several nearly
     /// equal engines is chosen.
     pub draw: u64,
 }
 
+impl Demand<'_> {
+    /// Returns whether this demand allows a worker.
+    pub(super) fn allows(&self, worker: &Worker) -> bool {
+        let has_version = self
+            .version
+            .is_none_or(|version| worker.version == *version);
+        has_version && !self.avoid.contains(&worker.id)
+    }
+}
+
 /// Key of a route in tables.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(super) struct RouteKey(u64);
@@ -136,7 +148,9 @@
         let drawn = drawn_positions(demand.draw, count, serving.len());
         let drawn = drawn.filter_map(|position| self.workers.get(&serving[position]));
         let is_preferred = |tracked: &&TrackedWorker| {
-            self.is_preferred(now, tracked) && self.is_allowed(now, tracked, demand.avoid)
+            self.is_preferred(now, tracked)
+                && self.is_allowed(now, tracked)
+                && demand.allows(&tracked.worker)
         };
         let compared: BTreeMap<WorkerKey, &TrackedWorker> = drawn
             .chain(holders)
@@ -186,7 +200,7 @@
         for tracked in tracked {
             self.count_examined();
             all += 1;
-            let is_usable = self.is_preferred(now, tracked) && self.is_allowed(now, tracked, &[]);
+            let is_usable = self.is_preferred(now, tracked) && self.is_allowed(now, tracked);
             usable += usize::from(is_usable);
         }
         match usable {
@@ -195,17 +209,11 @@
         }
     }
 
-    /// Returns whether a worker is not to be avoided, is not backing off and is below its rate
-    /// limit.
-    pub(super) fn is_allowed(
-        &self,
-        now: Timestamp,
-        tracked: &TrackedWorker,
-        avoid: &[WorkerId],
-    ) -> bool {
+    /// Returns whether a worker is not backing off and is below its rate limit.
+    pub(super) fn is_allowed(&self, now: Timestamp, tracked: &TrackedWorker) -> bool {
         let is_backing_off = self.notices.backoff_until(now, tracked.key).is_some();
         let has_token = self.rate_limits.wait(now, tracked.key).is_zero();
-        !is_backing_off && has_token && !avoid.contains(&tracked.worker.id)
+        !is_backing_off && has_token
     }
 
     /// Returns whether a worker is neither paused nor absent nor at its maximum of trial requests.
@@ -226,7 +234,7 @@
         let allowed: Vec<&TrackedWorker> = serving
             .inspect(|_| self.count_examined())
             .filter_map(|key| self.workers.get(key))
-            .filter(|tracked| self.is_allowed(now, tracked, demand.avoid))
+            .filter(|tracked| demand.allows(&tracked.worker) && self.is_allowed(now, tracked))
             .collect();
         let is_preferred = |tracked: &&TrackedWorker| self.is_preferred(now, tracked);
         let preferred: Vec<&TrackedWorker> = allowed.iter().copied().filter(is_preferred).collect();
--- a/crates/forwarding/src/directory/leaving.rs
+++ b/crates/forwarding/src/directory/leaving.rs
@@ -106,6 +106,8 @@
             Admission::Refused { cause, .. } => cause == RefusalCause::Overload,
             Admission::Admitted { .. } => {
                 self.eligible.serving(demand.service, &Need::Run).is_empty()
+                    || demand.version.is_some()
+                        && self.candidates(now, demand, &Need::Run).is_empty()
             }
         };
         let leaving_worker = match is_short && may_use_leaving {
@@ -169,7 +171,8 @@
             && tracked.announced
             && !self.notices.is_leaving(tracked.key)
             && self.is_preferred(now, tracked)
-            && self.is_allowed(now, tracked, demand.avoid)
+            && self.is_allowed(now, tracked)
+            && demand.allows(worker)
     }
 
     /// Returns what a demand is expected to take at a worker; `None` if no stream of the service has ended yet, so that
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -83,7 +83,7 @@
 pub use tenant_shares::{TenantKey, TenantShares, WorkOutcome};
 pub use tenants::{ApiKey, AuthenticatedTenant, Tenant, TenantError, TenantTable};
 pub use urgency::UrgencyGroup;
-pub use worker::{Worker, WorkerId, WorkerKind, WorkerState};
+pub use worker::{SoftwareVersion, Worker, WorkerId, WorkerKind, WorkerState};
 pub use worker_evidence::{
     ComparableWorker, ConnectionRefusalCause, ConnectionRefusalStep, Reachability, WorkerEvidence,
 };
--- a/crates/forwarding/src/placement/granted.rs
+++ b/crates/forwarding/src/placement/granted.rs
@@ -145,6 +145,7 @@
         request: PlacementRequest,
     ) -> PlacementAnswer {
         let mut demand = Demand {
+            version: None,
             service: &request.service,
             prompt: &request.prompt,
             route: &request.route,
--- a/crates/forwarding/src/worker.rs
+++ b/crates/forwarding/src/worker.rs
@@ -104,6 +104,23 @@
     }
 }
 
+/// The version of a worker's software. What workers of two versions write does not fit together.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SoftwareVersion(Arc<str>);
+
+impl SoftwareVersion {
+    /// Returns the version as the worker states it.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for SoftwareVersion {
+    fn from(version: &str) -> Self {
+        Self(Arc::from(version))
+    }
+}
+
 /// One incarnation of a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Worker {
@@ -123,4 +140,6 @@
     pub role: Option<Role>,
     /// Its pricing class.
     pub kind: WorkerKind,
+    /// The version of its software.
+    pub version: SoftwareVersion,
 }
--- a/crates/forwarding/tests/decoding/mod.rs
+++ b/crates/forwarding/tests/decoding/mod.rs
@@ -176,6 +176,7 @@
             false => Need::Run,
         };
         let demand = Demand {
+            version: None,
             service: &self.service,
             prompt: &prompt,
             route: if traffic.is_read { "long" } else { "short" },
@@ -322,6 +323,7 @@
 /// Returns a directory of a reader and `d0`, `d1` and so on, which decode.
 pub fn directory(decoders: usize, decisions: Decisions) -> Directory {
     let engine = |id: String, role| Worker {
+        version: "v1".into(),
         id: WorkerId::from(id.as_str()),
         service: ServiceName::new("s"),
         address: "10.0.0.1:80".parse().expect("an address"),
--- a/crates/forwarding/tests/directory.rs
+++ b/crates/forwarding/tests/directory.rs
@@ -67,6 +67,7 @@
 
     fn demand<'a>(&'a self, prompt: &'a [PromptPart]) -> Demand<'a> {
         Demand {
+            version: None,
             service: &self.service,
             prompt,
             route: "route",
--- a/crates/forwarding/tests/directory_growth.rs
+++ b/crates/forwarding/tests/directory_growth.rs
@@ -27,6 +27,7 @@
         _ => Role::Decode,
     };
     Worker {
+        version: "v1".into(),
         id: WorkerId::from(format!("e-{number}").as_str()),
         service: service(),
         address: ([10, 0, (number >> 8) as u8, number as u8], 80).into(),
@@ -85,6 +86,7 @@
         let prompt = prompt(number);
         let zone = ZoneName::new("z-0");
         let demand = Demand {
+            version: None,
             service: &service(),
             prompt: &prompt,
             route: "r",
--- a/crates/forwarding/tests/overload/mod.rs
+++ b/crates/forwarding/tests/overload/mod.rs
@@ -165,6 +165,7 @@
             tokens: PROMPT_TOKENS,
         }];
         let demand = Demand {
+            version: None,
             service: &self.service,
             prompt: &prompt,
             route: "route",
@@ -251,6 +252,7 @@
 
 fn directory(decisions: Decisions) -> Directory {
     let engine = |number: usize| Worker {
+        version: "v1".into(),
         id: WorkerId::from(format!("e-{number}").as_str()),
         service: ServiceName::new("s"),
         address: "10.0.0.1:80".parse().expect("an address"),
--- a/crates/forwarding/tests/placements.rs
+++ b/crates/forwarding/tests/placements.rs
@@ -27,6 +27,7 @@
 
 fn engine(number: usize, zones: usize) -> Worker {
     Worker {
+        version: "v1".into(),
         id: WorkerId::from(format!("e-{number}").as_str()),
         service: service(),
         address: "10.0.0.1:80".parse().expect("an address"),
@@ -418,6 +419,7 @@
     for number in 0..REQUESTS {
         let request = request(PlacementId(number as u64 + 1), PlacementNeed::Admission);
         let demand = Demand {
+            version: None,
             service: &request.service,
             prompt: &request.prompt,
             route: "route",
--- a/crates/forwarding/tests/rate_limits.rs
+++ b/crates/forwarding/tests/rate_limits.rs
@@ -180,6 +180,7 @@
 
 fn demand<'a>(service: &'a ServiceName, zone: &'a ZoneName) -> Demand<'a> {
     Demand {
+        version: None,
         service,
         prompt: &[],
         route: "route",
--- a/crates/forwarding/tests/stream_pauses.rs
+++ b/crates/forwarding/tests/stream_pauses.rs
@@ -58,6 +58,7 @@
 
     fn demand<'a>(&'a self, prompt: &'a [PromptPart], draw: u64) -> Demand<'a> {
         Demand {
+            version: None,
             service: &self.service,
             prompt,
             route: "route",
--- a/crates/forwarding/tests/tenant_placements.rs
+++ b/crates/forwarding/tests/tenant_placements.rs
@@ -21,6 +21,7 @@
 
 fn engine() -> Worker {
     Worker {
+        version: "v1".into(),
         id: WorkerId::from("engine"),
         service: ServiceName::new("s"),
         address: "10.0.0.1:80".parse().expect("an address"),
--- a/crates/forwarding/tests/urgency/mod.rs
+++ b/crates/forwarding/tests/urgency/mod.rs
@@ -285,6 +285,7 @@
     draw: u64,
 ) -> Demand<'a> {
     Demand {
+        version: None,
         service,
         prompt,
         route: load.name,
@@ -300,6 +301,7 @@
 /// Creates a directory in which the first engines only read prompts.
 fn directory(prefill_engines: usize, decisions: Decisions) -> Directory {
     let engine = |number: usize| Worker {
+        version: "v1".into(),
         id: WorkerId::from(format!("e-{number}").as_str()),
         service: ServiceName::new("s"),
         address: "10.0.0.1:80".parse().expect("an address"),
--- a/crates/forwarding/tests/urgent_first.rs
+++ b/crates/forwarding/tests/urgent_first.rs
@@ -168,6 +168,7 @@
 
 fn engine(id: &str) -> Worker {
     Worker {
+        version: "v1".into(),
         id: WorkerId::from(id),
         service: ServiceName::new("s"),
         address: "10.0.0.1:80".parse().expect("an address"),
@@ -208,6 +209,7 @@
     }];
     let (service, zone) = (ServiceName::new("s"), ZoneName::new("z"));
     let demand = Demand {
+        version: None,
         service: &service,
         prompt: &prompt,
         route: "r",
@@ -260,6 +262,7 @@
         }];
         let (service, zone) = (ServiceName::new("s"), ZoneName::new("z"));
         let demand = Demand {
+            version: None,
             service: &service,
             prompt: &prompt,
             route: "r",
--- a/crates/forwarding/tests/withdrawal/mod.rs
+++ b/crates/forwarding/tests/withdrawal/mod.rs
@@ -249,6 +249,7 @@
     draw: u64,
 ) -> Demand<'a> {
     Demand {
+        version: None,
         service,
         prompt,
         route,
@@ -264,6 +265,7 @@
 /// Returns the decode engine with this number.
 pub fn engine(number: usize) -> Worker {
     Worker {
+        version: "v1".into(),
         id: WorkerId::from(format!("e-{number}").as_str()),
         service: ServiceName::new("s"),
         address: "10.0.0.1:80".parse().expect("an address"),
--- a/crates/forwarding/tests/worker_notices.rs
+++ b/crates/forwarding/tests/worker_notices.rs
@@ -70,6 +70,7 @@
 
     fn demand(&self) -> Demand<'_> {
         Demand {
+            version: None,
             service: &self.service,
             prompt: &[],
             route: "route",
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -213,6 +213,8 @@
         took_ms: u64,
         /// The longest pause between two events of its stream in milliseconds; 0 if there was none.
         pause_ms: u64,
+        /// The software version of the worker.
+        version: &'a str,
         /// What marks the end of the answer's body: `length`, `chunks` or `connection`; empty without an answer.
         framing: &'a str,
     },
@@ -281,6 +283,8 @@
         gateways: u64,
         /// Milliseconds since the store last answered.
         store_age_ms: u64,
+        /// The attempt that brought the first event of the stream that it takes up; empty if it takes none up.
+        resumes: &'a str,
     },
     /// This gateway acquired or lost the authority over roles.
     Authority {
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -231,6 +231,12 @@
         self.request.terms.request_id.as_deref().unwrap_or_default()
     }
 
+    /// Returns the attempt that brought the first event of the stream that the caller takes up, if it names one.
+    fn first_attempt(&self) -> Option<&str> {
+        let resumed = self.request.terms.resumed.as_ref()?;
+        resumed.first_attempt.as_deref()
+    }
+
     fn policy(&self, read_apart: bool) -> AttemptPolicy {
         AttemptPolicy {
             repeatability: self.route().repeatability,
@@ -281,6 +287,7 @@
             max_pause: self.route().pause_objective,
             worker: worker.id.clone(),
             service: worker.service.clone(),
+            version: worker.version.clone(),
             kind,
             prompt: self.request.terms.prompt.clone(),
             need,
@@ -412,6 +419,7 @@
             retries_left: self.retries_left(now),
             store_age_ms: self.shared.store_age_ms(),
             gateways: self.shared.gateways.load(Ordering::Relaxed),
+            resumes: self.first_attempt().unwrap_or_default(),
         };
         self.shared.log.record(priority, &event);
     }
--- a/crates/gateway/src/exchange/placing.rs
+++ b/crates/gateway/src/exchange/placing.rs
@@ -66,6 +66,7 @@
 
     fn demand<'a>(&'a self, zone: &'a ZoneName, avoid: &'a [WorkerId]) -> Demand<'a> {
         Demand {
+            version: None,
             service: &self.request.routed.service,
             prompt: &self.request.terms.prompt,
             route: &self.route().name,
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -21,10 +21,19 @@
     pub timeout: Option<Duration>,
     /// The parts of the prompt, for requests to model engines.
     pub prompt: Vec<PromptPart>,
+    /// The stream that the request takes up, if it does.
+    pub resumed: Option<ResumedStream>,
     /// The API key that identifies the caller. It is not forwarded to workers.
     pub key: Option<ApiKey>,
 }
 
+/// A stream that a caller takes up after it broke off.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// The id of the caller's attempt that brought the first event; `None` if the caller does not name it.
+    pub first_attempt: Option<String>,
+}
+
 /// A header of a request is invalid.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("header {header}: {reason}")]
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -6,8 +6,8 @@
 
 use tansyhall_core::{ServiceName, Timestamp};
 use tansyhall_forwarding::{
-    Demand, Fingerprint, Need, Placement, PromptPart, SendId, SendResult, SendTicket, Unavailable,
-    WorkerId,
+    Demand, Fingerprint, Need, Placement, PromptPart, SendId, SendResult, SendTicket,
+    SoftwareVersion, Unavailable, WorkerId,
 };
 
 use crate::answer_body::Framing;
@@ -47,6 +47,8 @@
     pub worker: WorkerId,
     /// The service of the worker.
     pub service: ServiceName,
+    /// The software version of the worker.
+    pub version: SoftwareVersion,
     /// The kind of the request to the worker: running the request, or reading its prompt.
     pub kind: RequestKind,
     /// The prompt of a request to a model engine.
@@ -88,6 +90,7 @@
         let now = shared.now();
         let zone = shared.zone();
         let demand = Demand {
+            version: None,
             service: &details.service,
             prompt: &details.prompt,
             route: &details.route,
@@ -271,6 +274,7 @@
             head_ms: self.head_latency.map_or(0, saturating_millis),
             took_ms: saturating_millis(now.since(self.started_at)),
             pause_ms: pause.map_or(0, saturating_millis),
+            version: self.details.version.as_str(),
             framing: self.framing.map_or("", Framing::name),
         };
         self.shared.log.record(priority, &event);
--- a/crates/gateway/tests/worker_relay.rs
+++ b/crates/gateway/tests/worker_relay.rs
@@ -183,6 +183,7 @@
 
 fn worker_at(name: &str, address: SocketAddr) -> Worker {
     Worker {
+        version: "v1".into(),
         id: WorkerId::from(name),
         service: ServiceName::new("s"),
         address,
