A stream continues only at the software version that began it

Seen: during releases, streams that broke off were continued by workers of another version, within one answer and when their callers took them up at any gateway. Their events did not fit together.

Cause: nothing in a gateway knew the version of a worker, or at which version a stream had begun.

Change: the exchange keeps the version of the worker whose first event it delivers, and chooses only workers of this version from then on. A stream whose version nobody can say, or whose version no longer serves, is refused as not run with a time to come back. Schedulers are not asked for such a stream, and earlier builds ignore the new datagrams.

The fault soak's callers now name their first attempt.

--- a/crates/fault-soak/src/caller/requests.rs
+++ b/crates/fault-soak/src/caller/requests.rs
@@ -5,7 +5,7 @@
 use rand::seq::IndexedRandom;
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
-use tansyhall_platform_standin::{DEADLINE, LAST_EVENT, PROMPT_PARTS, REQUEST_ID};
+use tansyhall_platform_standin::{DEADLINE, LAST_EVENT, PROMPT_PARTS, REQUEST_ID, RESUMES};
 
 use crate::evidence::Outcome;
 use crate::identity::{body_hash, RequestKey, CRASH_BODY_PREFIX};
@@ -131,6 +131,7 @@
         }
         if let Some(event) = self.after_event {
             header(LAST_EVENT, &event.to_string());
+            header(RESUMES, &self.key.id);
         }
         if !self.is_chunked {
             header("Content-Length", &self.body.len().to_string());
--- a/crates/forwarding/src/configuration.rs
+++ b/crates/forwarding/src/configuration.rs
@@ -215,6 +215,18 @@
         ranks.min().unwrap_or(route.rank)
     }
 
+    /// Returns the longest timeout of a route whose streams may be resumed; zero without such a route.
+    pub fn longest_resumable_stream(&self) -> Duration {
+        let is_resumable =
+            |route: &&Route| route.repeatability == Repeatability::Stream { resumable: true };
+        let timeouts = self
+            .routes
+            .iter()
+            .filter(is_resumable)
+            .map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Returns the service with this name.
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.services.iter().find(|service| service.name == *name)
--- /dev/null
+++ b/crates/forwarding/src/stream_versions.rs
@@ -0,0 +1,291 @@
+//! The software version at which each stream began.
+//!
+//! A stream that breaks off may only go on at the version of the worker that began it. Its caller may take it up at any
+//! gateway, so gateways tell each other of the streams that they began, unless they can testify that one version alone
+//! has served for as long as a caller may return. See `docs/design/stream-versions.md`.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+use tansyhall_core::{ServiceName, Timestamp};
+use xxhash_rust::xxh3::Xxh3Default;
+
+use crate::tenant_shares::TenantKey;
+use crate::worker::SoftwareVersion;
+
+/// How long the version of a stream is kept after it was recorded or asked for. No caller returns later.
+pub const RETENTION: Duration = Duration::from_secs(120);
+/// Maximum number of streams whose version is kept; the oldest give way.
+const MAX_STREAMS: usize = 65_536;
+
+/// Identifies a caller's attempt that brought the first event of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptKey(pub u64);
+
+impl AttemptKey {
+    /// Returns the key of an attempt. Ids are chosen by callers, so those of two services or tenants may be equal.
+    pub fn of(service: &ServiceName, tenant: Option<TenantKey>, attempt: &str) -> Self {
+        let mut hash = Xxh3Default::new();
+        hash.update(service.as_str().as_bytes());
+        hash.update(&[0]);
+        hash.update(&tenant.map_or(0, |tenant| tenant.0).to_le_bytes());
+        hash.update(attempt.as_bytes());
+        Self(hash.digest())
+    }
+}
+
+/// What a gateway can say about the version of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Testimony {
+    /// The stream began at this version.
+    Known(SoftwareVersion),
+    /// The stream is not known, and this version alone has served for as long as a caller may return.
+    Only(SoftwareVersion),
+    /// The stream is not known, and several versions have served in this time.
+    Several,
+    /// The stream is not known, and the gateway has not watched the service for that long, or not lately.
+    Unsure,
+}
+
+/// The streams whose version a gateway knows, and the versions that it has seen.
+#[derive(Debug, Default)]
+pub struct StreamVersions {
+    streams: HashMap<AttemptKey, RecordedStream>,
+    /// When streams were recorded or asked for, in this order.
+    uses: VecDeque<(Timestamp, AttemptKey)>,
+    /// Streams that no other gateway has been told of, by service, in the order of their beginning.
+    untold: BTreeMap<ServiceName, VecDeque<AttemptKey>>,
+    services: BTreeMap<ServiceName, VersionHistory>,
+}
+
+#[derive(Debug)]
+struct RecordedStream {
+    version: SoftwareVersion,
+    used_at: Timestamp,
+}
+
+/// The versions of a service that a gateway has seen.
+#[derive(Debug)]
+struct VersionHistory {
+    watched_since: Timestamp,
+    last_seen: BTreeMap<SoftwareVersion, Timestamp>,
+}
+
+impl StreamVersions {
+    /// Records that a worker of this version is announced.
+    pub fn observe(&mut self, now: Timestamp, service: &ServiceName, version: &SoftwareVersion) {
+        let history = match self.services.get_mut(service) {
+            Some(history) => history,
+            None => self
+                .services
+                .entry(service.clone())
+                .or_insert(VersionHistory {
+                    watched_since: now,
+                    last_seen: BTreeMap::new(),
+                }),
+        };
+        match history.last_seen.get_mut(version) {
+            Some(last_seen) => *last_seen = now,
+            None => {
+                history.last_seen.insert(version.clone(), now);
+            }
+        }
+    }
+
+    /// Records that the gateway does not learn of new workers now: it may have missed a version.
+    pub fn interrupt_watch(&mut self, now: Timestamp) {
+        for history in self.services.values_mut() {
+            history.watched_since = now;
+        }
+    }
+
+    /// Records that a stream of this gateway begins at this version. Returns whether other gateways must be told at once,
+    /// because this one cannot testify that no other version serves. Otherwise they are told later, if it no longer can
+    /// (see [`Self::take_untold`]).
+    pub fn begin(
+        &mut self,
+        now: Timestamp,
+        (service, attempt): (&ServiceName, AttemptKey),
+        version: &SoftwareVersion,
+        watch: Watch,
+    ) -> bool {
+        self.record(now, attempt, version.clone());
+        let can_testify = matches!(self.testimony_on(now, service, watch), Testimony::Only(_));
+        if can_testify {
+            let untold = self.untold.entry(service.clone()).or_default();
+            untold.push_back(attempt);
+        }
+        !can_testify
+    }
+
+    /// Records the version of a stream, of which another gateway has told.
+    pub fn record(&mut self, now: Timestamp, attempt: AttemptKey, version: SoftwareVersion) {
+        let used_at = now;
+        self.streams
+            .insert(attempt, RecordedStream { version, used_at });
+        self.uses.push_back((now, attempt));
+        self.expire(now);
+    }
+
+    /// Returns what this gateway can say about a stream, or about any stream of the service if the attempt is not named.
+    pub fn testimony(
+        &mut self,
+        now: Timestamp,
+        (service, attempt): (&ServiceName, Option<AttemptKey>),
+        watch: Watch,
+    ) -> Testimony {
+        self.expire(now);
+        let recorded = attempt.and_then(|attempt| Some((attempt, self.streams.get_mut(&attempt)?)));
+        match recorded {
+            Some((attempt, stream)) => {
+                stream.used_at = now;
+                self.uses.push_back((now, attempt));
+                Testimony::Known(stream.version.clone())
+            }
+            None => self.testimony_on(now, service, watch),
+        }
+    }
+
+    /// Returns the streams that other gateways must be told of, because this one can no longer testify that one version
+    /// alone serves.
+    pub fn take_untold(
+        &mut self,
+        now: Timestamp,
+        watch: Watch,
+    ) -> Vec<(AttemptKey, SoftwareVersion)> {
+        self.expire(now);
+        let mut due = Vec::new();
+        for (service, mut attempts) in std::mem::take(&mut self.untold) {
+            match self.testimony_on(now, &service, watch) {
+                Testimony::Only(_) => {
+                    let is_kept = |attempt: &AttemptKey| self.streams.contains_key(attempt);
+                    let first_kept = attempts.iter().position(is_kept);
+                    attempts.drain(..first_kept.unwrap_or(attempts.len()));
+                    self.untold.insert(service, attempts);
+                }
+                _ => due.extend(attempts),
+            }
+        }
+        let version_of = |attempt: AttemptKey| {
+            let stream = self.streams.get(&attempt)?;
+            Some((attempt, stream.version.clone()))
+        };
+        due.into_iter().filter_map(version_of).collect()
+    }
+
+    /// Returns the number of streams whose version is kept.
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Returns whether no stream is kept.
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
+    }
+
+    fn testimony_on(&self, now: Timestamp, service: &ServiceName, watch: Watch) -> Testimony {
+        let Some(history) = self.services.get(service) else {
+            return Testimony::Unsure;
+        };
+        let in_window = |last_seen: &Timestamp| now.since(*last_seen) <= watch.window;
+        let mut versions = history
+            .last_seen
+            .iter()
+            .filter(|(_, last_seen)| in_window(last_seen));
+        match (versions.next(), versions.next()) {
+            (_, Some(_)) => Testimony::Several,
+            (Some((version, _)), None)
+                if watch.is_current && now.since(history.watched_since) >= watch.window =>
+            {
+                Testimony::Only(version.clone())
+            }
+            _ => Testimony::Unsure,
+        }
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        while let Some((used_at, attempt)) = self.uses.front().copied() {
+            let is_old = now.since(used_at) > RETENTION;
+            if !is_old && self.uses.len() <= MAX_STREAMS {
+                break;
+            }
+            self.uses.pop_front();
+            let stream = self.streams.get(&attempt);
+            if stream.is_some_and(|stream| stream.used_at == used_at) {
+                self.streams.remove(&attempt);
+            }
+        }
+        for history in self.services.values_mut() {
+            history
+                .last_seen
+                .retain(|_, last_seen| now.since(*last_seen) <= RETENTION);
+        }
+        self.services
+            .retain(|_, history| !history.last_seen.is_empty());
+    }
+}
+
+/// How a gateway watches a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Watch {
+    /// How long ago a stream that a caller takes up may have begun.
+    pub window: Duration,
+    /// Whether the gateway learns of new workers now: the store has answered lately.
+    pub is_current: bool,
+}
+
+impl Watch {
+    /// Returns the watch for streams that last no longer than `timeout`. Their callers return within as long again.
+    pub fn new(timeout: Duration, is_current: bool) -> Self {
+        Self {
+            window: timeout.saturating_mul(2).min(RETENTION),
+            is_current,
+        }
+    }
+}
+
+/// What several gateways say about the version of one stream.
+#[derive(Debug, Default)]
+pub struct VersionEvidence {
+    known: BTreeSet<SoftwareVersion>,
+    only: BTreeSet<SoftwareVersion>,
+    has_several: bool,
+    only_count: usize,
+}
+
+impl VersionEvidence {
+    /// Adds what a gateway says.
+    pub fn add(&mut self, testimony: Testimony) {
+        match testimony {
+            Testimony::Known(version) => {
+                self.known.insert(version);
+            }
+            Testimony::Only(version) => {
+                self.only_count += 1;
+                self.only.insert(version);
+            }
+            Testimony::Several => self.has_several = true,
+            Testimony::Unsure => {}
+        }
+    }
+
+    /// Returns whether a gateway knows the stream.
+    pub fn is_known(&self) -> bool {
+        !self.known.is_empty()
+    }
+
+    /// Returns how many gateways testify that one version alone serves.
+    pub fn only_count(&self) -> usize {
+        self.only_count
+    }
+
+    /// Returns the version at which the stream began, or `None` if that does not follow from what was said.
+    pub fn version(&self) -> Option<&SoftwareVersion> {
+        let candidates = match (self.is_known(), self.has_several) {
+            (true, _) => &self.known,
+            (false, false) => &self.only,
+            (false, true) => return None,
+        };
+        candidates.first().filter(|_| candidates.len() == 1)
+    }
+}
--- /dev/null
+++ b/crates/forwarding/tests/stream_versions.rs
@@ -0,0 +1,164 @@
+//! What gateways conclude about the software version at which a stream began.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use tansyhall_core::{ServiceName, Timestamp};
+use tansyhall_fixed_cases::config_with_seed;
+use tansyhall_forwarding::{
+    AttemptKey, SoftwareVersion, StreamVersions, Testimony, VersionEvidence, Watch,
+};
+
+const SEED: u64 = 20_261_203;
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// Longer than a caller may take to return.
+const LONG: u64 = 11;
+
+fn second(seconds: u64) -> Timestamp {
+    Timestamp(seconds * 1_000_000)
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("llm")
+}
+
+fn version(name: &str) -> SoftwareVersion {
+    SoftwareVersion::from(name)
+}
+
+fn key(attempt: &str) -> AttemptKey {
+    AttemptKey::of(&service(), None, attempt)
+}
+
+fn current() -> Watch {
+    Watch::new(TIMEOUT, true)
+}
+
+/// A gateway that has seen these versions in each second of a time.
+fn watcher(seconds: std::ops::RangeInclusive<u64>, versions: &[&str]) -> StreamVersions {
+    let mut watcher = StreamVersions::default();
+    for now in seconds {
+        for name in versions {
+            watcher.observe(second(now), &service(), &version(name));
+        }
+    }
+    watcher
+}
+
+fn ask(gateway: &mut StreamVersions, now: u64, attempt: &str) -> Testimony {
+    let stream = (&service(), Some(key(attempt)));
+    gateway.testimony(second(now), stream, current())
+}
+
+#[test]
+fn a_gateway_testifies_for_the_only_version_after_it_has_watched_long_enough() {
+    let mut gateway = watcher(0..=LONG, &["v1"]);
+    assert_eq!(ask(&mut gateway, 9, "a"), Testimony::Unsure);
+    assert_eq!(ask(&mut gateway, LONG, "a"), Testimony::Only(version("v1")));
+}
+
+#[test]
+fn a_gateway_without_contact_to_the_store_does_not_testify() {
+    let mut gateway = watcher(0..=LONG, &["v1"]);
+    let cut_off = Watch::new(TIMEOUT, false);
+    let stream = (&service(), Some(key("a")));
+    let testimony = gateway.testimony(second(LONG), stream, cut_off);
+    assert_eq!(testimony, Testimony::Unsure);
+    gateway.interrupt_watch(second(LONG));
+    gateway.observe(second(LONG + 5), &service(), &version("v1"));
+    assert_eq!(ask(&mut gateway, LONG + 5, "a"), Testimony::Unsure);
+}
+
+#[test]
+fn a_version_counts_until_its_callers_can_no_longer_return() {
+    let mut gateway = watcher(0..=LONG, &["v1"]);
+    gateway.observe(second(LONG), &service(), &version("v2"));
+    for now in LONG..=LONG + 20 {
+        gateway.observe(second(now), &service(), &version("v2"));
+    }
+    assert_eq!(ask(&mut gateway, LONG + 9, "a"), Testimony::Several);
+    let only = Testimony::Only(version("v2"));
+    assert_eq!(ask(&mut gateway, LONG + 20, "a"), only);
+}
+
+#[test]
+fn streams_are_told_at_once_only_without_a_testimony() {
+    let mut gateway = watcher(0..=LONG, &["v1"]);
+    let begin = |gateway: &mut StreamVersions, attempt| {
+        let stream = (&service(), key(attempt));
+        gateway.begin(second(LONG), stream, &version("v1"), current())
+    };
+    assert!(!begin(&mut gateway, "before"));
+    assert!(gateway.take_untold(second(LONG), current()).is_empty());
+    gateway.observe(second(LONG), &service(), &version("v2"));
+    let untold = gateway.take_untold(second(LONG), current());
+    assert_eq!(untold, [(key("before"), version("v1"))]);
+    assert!(gateway.take_untold(second(LONG), current()).is_empty());
+    assert!(begin(&mut gateway, "after"));
+}
+
+#[test]
+fn a_question_keeps_a_stream_known() {
+    let mut gateway = StreamVersions::default();
+    gateway.record(second(0), key("a"), version("v1"));
+    gateway.record(second(0), key("b"), version("v1"));
+    assert_eq!(ask(&mut gateway, 100, "a"), Testimony::Known(version("v1")));
+    assert_eq!(ask(&mut gateway, 200, "a"), Testimony::Known(version("v1")));
+    assert_eq!(ask(&mut gateway, 200, "b"), Testimony::Unsure);
+    assert_eq!(gateway.len(), 1);
+}
+
+#[test]
+fn the_number_of_streams_is_bounded() {
+    let mut gateway = StreamVersions::default();
+    for number in 0..100_000 {
+        gateway.record(second(0), AttemptKey(number), version("v1"));
+    }
+    assert!(gateway.len() <= 65_536);
+    let newest = (&service(), Some(AttemptKey(99_999)));
+    let testimony = gateway.testimony(second(0), newest, current());
+    assert_eq!(testimony, Testimony::Known(version("v1")));
+}
+
+#[test]
+fn attempts_of_other_services_and_tenants_are_different() {
+    let other = AttemptKey::of(&ServiceName::new("app"), None, "a");
+    assert_ne!(key("a"), other);
+    assert_ne!(key("a"), key("b"));
+}
+
+fn testimonies() -> impl Strategy<Value = Testimony> {
+    let name = prop::sample::select(vec!["v1", "v2"]);
+    (0..4, name).prop_map(|(kind, name)| match kind {
+        0 => Testimony::Known(version(name)),
+        1 => Testimony::Only(version(name)),
+        2 => Testimony::Several,
+        _ => Testimony::Unsure,
+    })
+}
+
+proptest! {
+    #![proptest_config(config_with_seed(SEED))]
+
+    /// A version is concluded only if nobody says anything else, or from those who know the stream.
+    #[test]
+    fn a_version_is_never_guessed(said in prop::collection::vec(testimonies(), 0..6)) {
+        let mut evidence = VersionEvidence::default();
+        said.iter().cloned().for_each(|testimony| evidence.add(testimony));
+        let known: Vec<_> = said.iter().filter(|t| matches!(t, Testimony::Known(_))).collect();
+        match evidence.version() {
+            Some(version) if known.is_empty() => {
+                let agrees = |t: &Testimony| *t == Testimony::Only(version.clone()) || *t == Testimony::Unsure;
+                prop_assert!(said.iter().all(agrees));
+                prop_assert!(said.contains(&Testimony::Only(version.clone())));
+            }
+            Some(version) => {
+                prop_assert!(known.iter().all(|t| **t == Testimony::Known(version.clone())));
+            }
+            None => {
+                let is_unanimous = known.first().is_some_and(|first| known.iter().all(|t| t == first));
+                prop_assert!(!is_unanimous);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -1,5 +1,5 @@
 //! The socket for datagrams between gateways: load reports, placement messages to schedulers and their
-//! answers, counts of usage, and updates of the quarantine. A lost datagram is compensated by later ones.
+//! answers, counts of usage, updates of the quarantine, and the software versions at which streams began. A lost datagram is compensated by later ones.
 
 use std::net::SocketAddr;
 use std::sync::OnceLock;
@@ -11,6 +11,9 @@
 use crate::load_messages::ReportMessage;
 use crate::placement::{MessageToScheduler, SchedulerAnswerMessage};
 use crate::quarantine::QuarantineUpdateMessage;
+use crate::stream_versions::message::{
+    StreamsMessage, VersionAnswerMessage, VersionQuestionMessage,
+};
 use crate::usage::{AcknowledgementMessage, UsageMessage};
 
 /// Longest datagram that is received.
@@ -37,6 +40,15 @@
     /// An update of the quarantine of requests that crash workers.
     #[prost(message, optional, tag = "6")]
     pub quarantine: Option<QuarantineUpdateMessage>,
+    /// Streams that have begun. Gateways of earlier versions ignore this and the following fields.
+    #[prost(message, optional, tag = "7")]
+    pub streams: Option<StreamsMessage>,
+    /// A question at which software version a stream began.
+    #[prost(message, optional, tag = "8")]
+    pub version_question: Option<VersionQuestionMessage>,
+    /// The answer to such a question.
+    #[prost(message, optional, tag = "9")]
+    pub version_answer: Option<VersionAnswerMessage>,
 }
 
 impl Datagram {
@@ -80,6 +92,30 @@
         }
     }
 
+    /// Creates a datagram that tells of streams.
+    pub fn streams(streams: StreamsMessage) -> Self {
+        Self {
+            streams: Some(streams),
+            ..Self::default()
+        }
+    }
+
+    /// Creates a datagram that asks at which version a stream began.
+    pub fn version_question(question: VersionQuestionMessage) -> Self {
+        Self {
+            version_question: Some(question),
+            ..Self::default()
+        }
+    }
+
+    /// Creates a datagram that answers such a question.
+    pub fn version_answer(answer: VersionAnswerMessage) -> Self {
+        Self {
+            version_answer: Some(answer),
+            ..Self::default()
+        }
+    }
+
     /// Creates a datagram with a scheduler's answer.
     pub fn answer(answer: SchedulerAnswerMessage) -> Self {
         Self {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -257,7 +257,7 @@
         /// Its outcome.
         outcome: &'a str,
         /// Why it was not sent, or not retried: `overload`, `tenant_share`, `rate_limit`, `no_worker`,
-        /// `workers_rest`, `no_path`, `retry_budget`, or empty.
+        /// `workers_rest`, `no_path`, `retry_budget`, `unknown_version`, `no_worker_of_version`, or empty.
         cause: &'a str,
         /// The group that it belongs to, `urgent` or `less_urgent`: a refused request would have waited for its own group
         /// or for all requests.
--- a/crates/gateway/src/exchange/deliver.rs
+++ b/crates/gateway/src/exchange/deliver.rs
@@ -154,6 +154,7 @@
             return Ok(());
         }
         self.replace_stalled();
+        self.bind_version(attempt.guard.version());
         self.record_received(&mut attempt.guard);
         self.begin_streamed(attempt);
         if let Some(ReceivedBody::Events {
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -6,6 +6,7 @@
 mod placing;
 mod prompt;
 mod run;
+mod version;
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -15,7 +16,8 @@
 use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{
     Action, Admission, AttemptPolicy, Conclusion, Fingerprint, Need, PromptHandle, RefusalCause,
-    RequestEvent, RequestMachine, Route, SendFailure, UrgencyGroup, Worker, WorkerId, WorkerState,
+    RequestEvent, RequestMachine, Route, SendFailure, SoftwareVersion, UrgencyGroup, Worker,
+    WorkerId, WorkerState,
 };
 use tokio::time::Instant;
 
@@ -89,6 +91,9 @@
     usage_counted: bool,
     /// Random number that determines which workers are compared, and which of several nearly equal engines is chosen.
     draw: u64,
+    /// The software version of the worker that began the stream, once that is known. Only workers of this version may
+    /// continue it.
+    version: Option<SoftwareVersion>,
     _in_flight: InFlightGuard,
 }
 
@@ -112,6 +117,7 @@
             pause: StreamPause::default(),
             usage_counted: false,
             draw: rand::random(),
+            version: None,
         }
     }
 
@@ -144,6 +150,9 @@
         if self.is_barred() {
             return (Conclusion::Barred, 0);
         }
+        if !self.find_version().await {
+            return (Conclusion::Refused, 0);
+        }
         let read_apart = match self.admit(now).await {
             Admission::Admitted { read_apart, draw } => {
                 self.draw = draw;
@@ -231,12 +240,6 @@
         self.request.terms.request_id.as_deref().unwrap_or_default()
     }
 
-    /// Returns the attempt that brought the first event of the stream that the caller takes up, if it names one.
-    fn first_attempt(&self) -> Option<&str> {
-        let resumed = self.request.terms.resumed.as_ref()?;
-        resumed.first_attempt.as_deref()
-    }
-
     fn policy(&self, read_apart: bool) -> AttemptPolicy {
         AttemptPolicy {
             repeatability: self.route().repeatability,
--- a/crates/gateway/src/exchange/placing.rs
+++ b/crates/gateway/src/exchange/placing.rs
@@ -66,7 +66,7 @@
 
     fn demand<'a>(&'a self, zone: &'a ZoneName, avoid: &'a [WorkerId]) -> Demand<'a> {
         Demand {
-            version: None,
+            version: self.version.as_ref(),
             service: &self.request.routed.service,
             prompt: &self.request.terms.prompt,
             route: &self.route().name,
@@ -79,7 +79,7 @@
         }
     }
 
-    fn tenant_key(&self) -> Option<TenantKey> {
+    pub(super) fn tenant_key(&self) -> Option<TenantKey> {
         self.request.routed.tenant.as_ref().map(TenantKey::of)
     }
 
@@ -96,6 +96,10 @@
         need: PlacementNeed,
         tried: &[WorkerId],
     ) -> Option<SchedulerAnswer> {
+        if self.version.is_some() {
+            // Requests for placement name no version.
+            return None;
+        }
         let now = self.shared.now();
         let mut avoid = self.shared.directory.lock().unavailable_workers(now);
         avoid.extend_from_slice(tried);
@@ -173,6 +177,9 @@
     /// at their rate limits, the caller is asked to retry when the first one is available again. A random part
     /// is added to that time, so that not all callers retry at once.
     pub(super) fn record_no_worker(&mut self, need: &Need) {
+        if self.version.is_some() {
+            return self.record_no_version("no_worker_of_version");
+        }
         let now = self.shared.now();
         let service = &self.request.routed.service;
         let directory = self.shared.directory.lock();
--- /dev/null
+++ b/crates/gateway/src/exchange/version.rs
@@ -0,0 +1,68 @@
+//! The software version at which a stream began. Only workers of this version may continue it.
+
+use std::time::Duration;
+
+use tansyhall_forwarding::{AttemptKey, Repeatability, SoftwareVersion};
+
+use super::Exchange;
+use crate::stream_versions;
+
+/// Time after which a caller should retry whose stream cannot be continued now: about the time that a worker takes to
+/// restart.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Maximum random addition to this time, as a fraction of it.
+const MAX_RETRY_JITTER: f64 = 0.5;
+
+impl Exchange {
+    /// Finds out at which version a stream began that the caller takes up. Returns false if the request must be refused
+    /// because nobody knows.
+    pub(super) async fn find_version(&mut self) -> bool {
+        let is_resumable = self.route().repeatability == Repeatability::Stream { resumable: true };
+        if !is_resumable || self.request.terms.resumed.is_none() {
+            return true;
+        }
+        let attempt = self.first_attempt().map(|id| self.attempt_key(id));
+        let service = self.request.routed.service.clone();
+        let found = stream_versions::find(&self.shared, &service, attempt).await;
+        let Some(version) = found else {
+            self.record_no_version("unknown_version");
+            return false;
+        };
+        if let Some(attempt) = attempt {
+            stream_versions::record_beginning(&self.shared, &service, attempt, &version);
+        }
+        self.version = Some(version);
+        true
+    }
+
+    /// Records that the first event of the stream is about to be delivered, from a worker of this version.
+    pub(super) fn bind_version(&mut self, version: &SoftwareVersion) {
+        if self.version.is_some() {
+            return;
+        }
+        self.version = Some(version.clone());
+        let id = self.request_id();
+        if !id.is_empty() {
+            let attempt = self.attempt_key(id);
+            let service = &self.request.routed.service;
+            stream_versions::record_beginning(&self.shared, service, attempt, version);
+        }
+    }
+
+    /// Returns the attempt that brought the first event of the stream that the caller takes up, if it names one.
+    pub(super) fn first_attempt(&self) -> Option<&str> {
+        let resumed = self.request.terms.resumed.as_ref()?;
+        resumed.first_attempt.as_deref()
+    }
+
+    /// Records that no worker may continue the stream now.
+    pub(super) fn record_no_version(&mut self, cause: &'static str) {
+        let jitter = rand::random_range(0.0..MAX_RETRY_JITTER);
+        self.cause = cause;
+        self.retry_after = RETRY_AFTER.mul_f64(1.0 + jitter);
+    }
+
+    fn attempt_key(&self, id: &str) -> AttemptKey {
+        AttemptKey::of(&self.request.routed.service, self.tenant_key(), id)
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod store_call;
 pub mod store_contact;
 pub mod stream_pause;
+pub mod stream_versions;
 pub mod tenant_messages;
 pub mod update_cache;
 pub mod update_message;
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -16,6 +16,7 @@
 use crate::placement;
 use crate::quarantine;
 use crate::state::Shared;
+use crate::stream_versions;
 use crate::usage;
 
 /// Pause between two reports in a fleet whose number of schedulers does not require a longer one.
@@ -160,6 +161,15 @@
         if let Some(message) = datagram.usage_acknowledged {
             usage::receive_acknowledgement(shared, &message);
         }
+        if let Some(message) = datagram.streams {
+            stream_versions::receive_streams(shared, &message);
+        }
+        if let Some(question) = datagram.version_question {
+            stream_versions::receive_question(shared, sender, &question);
+        }
+        if let Some(answer) = datagram.version_answer {
+            stream_versions::receive_answer(shared, sender, &answer);
+        }
         if let Some(answer) = datagram.answer {
             match answer.decode_answer() {
                 Ok((id, answer)) => shared.placements.receive_answer(id, answer),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -40,6 +40,7 @@
 use crate::settings::GatewaySettings;
 use crate::state::Shared;
 use crate::store_contact::StoreContact;
+use crate::stream_versions::{self, StreamVersionExchange};
 use crate::usage::Usage;
 use crate::worker_connect::TcpConnector;
 use crate::worker_notices::WorkerNotices;
@@ -117,6 +118,7 @@
     actix_rt::spawn(load_exchange::run(Arc::clone(&shared)));
     actix_rt::spawn(placement::send_notices(Arc::clone(&shared)));
     actix_rt::spawn(cache_recovery::run(Arc::clone(&shared)));
+    actix_rt::spawn(stream_versions::maintain(Arc::clone(&shared)));
     actix_rt::spawn(worker_ends::watch(Arc::clone(&shared)));
     actix_rt::spawn(quarantine::maintain_store_list(
         Arc::clone(&shared),
@@ -251,6 +253,7 @@
         sends: Mutex::default(),
         worker_evidence: Mutex::default(),
         quarantine: Mutex::default(),
+        stream_versions: StreamVersionExchange::default(),
         connections: Arc::new(connections),
         worker_relays,
         usage,
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -163,6 +163,11 @@
         self.details.kind
     }
 
+    /// Returns the software version of the worker.
+    pub fn version(&self) -> &SoftwareVersion {
+        &self.details.version
+    }
+
     /// Returns when the send began.
     pub fn started_at(&self) -> Timestamp {
         self.started_at
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
 use crate::protocol::{Protocol, StoreSchema};
 use crate::settings::GatewaySettings;
 use crate::store_contact::StoreContact;
+use crate::stream_versions::StreamVersionExchange;
 use crate::update_cache::UpdateCache;
 use crate::usage::Usage;
 use crate::worker_entries::{LoggedWorkers, WorkerEntries};
@@ -85,6 +86,8 @@
     pub worker_evidence: Mutex<WorkerEvidence>,
     /// Requests that crash workers.
     pub quarantine: Mutex<Quarantine>,
+    /// The software versions at which streams began.
+    pub stream_versions: StreamVersionExchange,
     /// Connections to workers.
     pub connections: Arc<Connections>,
     /// Connections to workers through other gateways.
@@ -112,6 +115,8 @@
     routes: Mutex<RouteTable>,
     /// `None` if every caller may use every route.
     tenants: Option<TenantTable>,
+    /// The longest time that a stream which may be resumed can take.
+    pub stream_timeout: Duration,
     /// The rank of the most urgent requests for each service.
     most_urgent_ranks: HashMap<ServiceName, u8>,
     combined_ranks: CombinedRanks,
@@ -160,11 +165,13 @@
         let tenants = configuration.tenants.as_deref().map(TenantTable::new);
         let most_urgent_ranks = configuration.most_urgent_ranks();
         let combined_ranks = CombinedRanks::new(&configuration);
+        let stream_timeout = configuration.longest_resumable_stream();
         Self {
             configuration,
             written,
             routes,
             tenants,
+            stream_timeout,
             most_urgent_ranks,
             combined_ranks,
         }
--- a/crates/gateway/src/worker_entries.rs
+++ b/crates/gateway/src/worker_entries.rs
@@ -269,6 +269,11 @@
         true => directory.announce_one(worker.clone()),
         false => directory.withdraw(&worker.id),
     }
+    drop(directory);
+    if is_known_service {
+        let mut versions = shared.stream_versions.versions.lock();
+        versions.observe(shared.now(), &worker.service, &worker.version);
+    }
     is_known_service
 }
 
