--- a/crates/gateway/src/stream_versions/mod.rs
+++ b/crates/gateway/src/stream_versions/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod message;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -136,7 +136,8 @@
 ) {
     let mut open = OpenQuestion::new(&shared.stream_versions);
     let key = attempt.map_or(open.number, |attempt| attempt.0);
-    let mut unanswered = other_gateways(shared, key, ASKED_GATEWAYS);
+    let asked = other_gateways(shared, key, ASKED_GATEWAYS);
+    let mut answered = BTreeSet::new();
     let question = Datagram::version_question(VersionQuestionMessage {
         number: open.number,
         service: service.as_str().to_owned(),
@@ -144,16 +145,14 @@
     });
     let began = Instant::now();
     for end in [began + REPEAT_DELAY, began + ANSWER_TIMEOUT] {
-        for address in &unanswered {
+        for address in asked.iter().filter(|address| !answered.contains(*address)) {
             shared.datagrams.send(*address, &question);
         }
-        while !unanswered.is_empty() {
+        while answered.len() < asked.len() {
             let Ok(Some((sender, testimony))) = timeout_at(end, open.answers.recv()).await else {
                 break;
             };
-            let count = unanswered.len();
-            unanswered.retain(|address| *address != sender);
-            if unanswered.len() == count {
+            if !answered.insert(sender) {
                 continue;
             }
             evidence.add(testimony);
