Fault soak: workers of two software versions, and a judge for them

Half of the workers of each service run another version from the start, and a stream whose events come from two versions violates ORDER, in one answer and over its caller's tries.

--- a/crates/fault-soak/src/evidence.rs
+++ b/crates/fault-soak/src/evidence.rs
@@ -148,6 +148,8 @@
     pub mark: Mark,
     /// The HTTP method of the request.
     pub method: String,
+    /// The software version of the worker.
+    pub version: String,
     /// The signature on its answer.
     pub seal: String,
     /// The values of the headers for model, token counts and prompt, separated by spaces.
--- a/crates/fault-soak/src/judges/mod.rs
+++ b/crates/fault-soak/src/judges/mod.rs
@@ -16,6 +16,7 @@
 mod stream_events;
 mod twice;
 mod unasked;
+mod versions;
 
 use serde::Serialize;
 use serde_json::Value;
@@ -36,6 +37,7 @@
 pub use rest::check_rest;
 pub use twice::check_twice;
 pub use unasked::check_unasked;
+pub use versions::check_versions;
 
 /// A rule that the gateways must keep, whatever faults are injected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
@@ -110,6 +112,7 @@
         check_refused,
         check_unasked,
         check_order,
+        check_versions,
         check_budget,
         check_barred,
         check_leaving,
--- a/crates/fault-soak/src/site.rs
+++ b/crates/fault-soak/src/site.rs
@@ -51,25 +51,31 @@
     service: &'static str,
     zone: &'static str,
     stage: Option<&'static str>,
+    version: &'static str,
 ) -> WorkerPlan {
     WorkerPlan {
         service,
         zone,
         stage,
+        version,
     }
 }
 
-/// The initial workers of a site.
+/// The software versions that serve side by side.
+const OLD: &str = "v1";
+const NEW: &str = "v2";
+
+/// The initial workers of a site. Two of each version run the requests of each service, or at least one of its engines.
 pub const WORKERS: [WorkerPlan; 9] = [
-    worker(APPLICATION_SERVICE, LOCAL_ZONE, None),
-    worker(APPLICATION_SERVICE, LOCAL_ZONE, None),
-    worker(APPLICATION_SERVICE, LOCAL_ZONE, None),
-    worker(APPLICATION_SERVICE, OTHER_ZONE, None),
-    worker(ENGINE_SERVICE, LOCAL_ZONE, Some("prefill")),
-    worker(ENGINE_SERVICE, LOCAL_ZONE, Some("prefill")),
-    worker(ENGINE_SERVICE, LOCAL_ZONE, Some("decode")),
-    worker(ENGINE_SERVICE, LOCAL_ZONE, Some("decode")),
-    worker(ENGINE_SERVICE, OTHER_ZONE, Some("decode")),
+    worker(APPLICATION_SERVICE, LOCAL_ZONE, None, OLD),
+    worker(APPLICATION_SERVICE, LOCAL_ZONE, None, NEW),
+    worker(APPLICATION_SERVICE, LOCAL_ZONE, None, OLD),
+    worker(APPLICATION_SERVICE, OTHER_ZONE, None, NEW),
+    worker(ENGINE_SERVICE, LOCAL_ZONE, Some("prefill"), OLD),
+    worker(ENGINE_SERVICE, LOCAL_ZONE, Some("prefill"), NEW),
+    worker(ENGINE_SERVICE, LOCAL_ZONE, Some("decode"), OLD),
+    worker(ENGINE_SERVICE, LOCAL_ZONE, Some("decode"), NEW),
+    worker(ENGINE_SERVICE, OTHER_ZONE, Some("decode"), OLD),
 ];
 
 /// The running site of an episode.
--- a/crates/fault-soak/src/worker/answers.rs
+++ b/crates/fault-soak/src/worker/answers.rs
@@ -268,6 +268,7 @@
         let header = |name| request.head.get(name);
         Run {
             method: request.method().to_owned(),
+            version: self.plan.version.to_owned(),
             seal: format!("{}.{run_number}", self.id),
             prompt: prompt_text(&request.head),
             after_event: header(LAST_EVENT).and_then(|id| id.parse().ok()),
--- a/crates/fault-soak/src/worker/mod.rs
+++ b/crates/fault-soak/src/worker/mod.rs
@@ -37,6 +37,8 @@
     pub zone: &'static str,
     /// The stage of an engine; `None` for other workers.
     pub stage: Option<&'static str>,
+    /// The version of the worker's software.
+    pub version: &'static str,
 }
 
 /// How long the entry of a crashed worker stays in the store. A crashed worker does not remove its entry, so the
@@ -230,7 +232,7 @@
         "service": plan.service,
         "address": address.to_string(),
         "zone": plan.zone,
-        "version": "v1",
+        "version": plan.version,
         "slots": 8,
         "state": state,
         "cold_left_ms": 0,
--- a/crates/fault-soak/src/worker/state.rs
+++ b/crates/fault-soak/src/worker/state.rs
@@ -142,7 +142,7 @@
     pub(super) id: String,
     pub(super) address: SocketAddr,
     pub(super) recorder: Recorder,
-    plan: WorkerPlan,
+    pub(super) plan: WorkerPlan,
     store: Store,
     crashed: watch::Sender<bool>,
     /// The number of silences in progress.
--- a/crates/fault-soak/tests/judges/main.rs
+++ b/crates/fault-soak/tests/judges/main.rs
@@ -12,7 +12,7 @@
 use tansyhall_fault_soak::judges::{
     check_barred, check_budget, check_configuration, check_ended, check_leaving, check_mixed,
     check_order, check_rate_limit, check_refused, check_rest, check_twice, check_unasked,
-    BASE_RETRIES, BUDGET_WINDOW_S,
+    check_versions, BASE_RETRIES, BUDGET_WINDOW_S,
 };
 use tansyhall_fault_soak::{
     judge, AnnouncedRateLimit, BackoffRequest, Evidence, GatewayFault, GatewayFaultPeriod,
@@ -296,6 +296,29 @@
     assert!(check_order(&evidence).is_empty());
 }
 
+/// The second run is at another version: in the same answer, in the answer to the next try, and in a stream that began anew.
+#[test]
+fn versions_detects_a_stream_that_goes_on_at_another_version() {
+    let route = RouteKind::ResumableStream;
+    let within = stream_evidence_of_two_versions(route, &[(1, 1), (2, 2)]);
+    assert_eq!(check_versions(&within).len(), 1);
+    assert!(check_versions(&stream_evidence(route, &[(1, 1), (2, 2)], true)).is_empty());
+    let mut tries = stream_evidence_of_two_versions(route, &[(1, 1)]);
+    let mut next = stream_evidence(route, &[(2, 2)], true).sent.remove(0);
+    next.at_ms = 1;
+    next.after_event = Some(1);
+    tries.sent.push(next);
+    assert_eq!(check_versions(&tries).len(), 1);
+    tries.sent[1].after_event = None;
+    assert!(check_versions(&tries).is_empty());
+}
+
+fn stream_evidence_of_two_versions(route: RouteKind, events: &[(u32, u64)]) -> Evidence {
+    let mut evidence = stream_evidence(route, events, false);
+    evidence.runs[1].version = "v2".into();
+    evidence
+}
+
 #[test]
 fn ended_detects_a_process_that_exited_unexpectedly() {
     let mut evidence = plain_evidence();
--- a/crates/fault-soak/tests/judges/records.rs
+++ b/crates/fault-soak/tests/judges/records.rs
@@ -69,6 +69,7 @@
 fn run(mark: Mark, body: RunBody, after_event: Option<u32>) -> Run {
     Run {
         method: "POST".into(),
+        version: "v1".into(),
         seal: format!("seal.{}", mark.run),
         prompt: PROMPT.into(),
         after_event,
