--- a/crates/fault-soak/src/episode.rs
+++ b/crates/fault-soak/src/episode.rs
@@ -50,7 +50,12 @@
 }
 
 /// Rules that the build in production does not implement. They are not checked if another build runs alongside.
-const RULES_UNKNOWN_IN_PRODUCTION: [Rule; 3] = [Rule::Configuration, Rule::Recover, Rule::Lost];
+const RULES_UNKNOWN_IN_PRODUCTION: [Rule; 4] = [
+    Rule::Configuration,
+    Rule::Recover,
+    Rule::Lost,
+    Rule::Version,
+];
 
 impl EpisodePlan {
     /// Creates a plan with this seed and duration, and defaults for the rest.
--- a/crates/fault-soak/src/judges/mod.rs
+++ b/crates/fault-soak/src/judges/mod.rs
@@ -52,6 +52,8 @@
     Unasked,
     /// The events of a stream arrive exactly once and in order, up to the last one.
     Order,
+    /// A stream holds events of workers of one software version, in one answer and over its caller's tries.
+    Version,
     /// Retries stay within the fleet's retry budget, and a request does not run on more workers than its route allows.
     Budget,
     /// A request that crashes workers is no longer sent to any worker.
--- a/crates/fault-soak/src/judges/versions.rs
+++ b/crates/fault-soak/src/judges/versions.rs
@@ -34,7 +34,7 @@
             for version in of_events {
                 if *began_at.get_or_insert(version) != version {
                     let what = "stream went on at another software version";
-                    violations.push(Violation::for_request(Rule::Order, what, sent, None));
+                    violations.push(Violation::for_request(Rule::Version, what, sent, None));
                     break;
                 }
             }
