A stream that ends with its connection must end after an event, whatever type it names

A route for streams may carry answers of another type; those are believed if their framing proves them whole. Without a framing only the events can, so the type makes no difference.

Evidence: the nine tests of unframed_streams pass.

--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -51,6 +51,7 @@
     incoming: Incoming,
     borrowed: Option<BorrowedConnection>,
     framing: Framing,
+    /// Whether the headers name a type.
     has_content_type: bool,
     /// How the stream ends; `None` for a body that is not an event stream.
     stream_end: Option<StreamEnd>,
@@ -104,10 +105,10 @@
         self.framing != Framing::Connection
     }
 
-    /// Declares that the body is an event stream unless its headers name another type. Must be called before the first
-    /// bytes are read.
+    /// Declares that the body should be an event stream. One that names another type is believed if a length or the last
+    /// chunk proves it whole. Must be called before the first bytes are read.
     pub fn expect_events(&mut self) {
-        if !self.has_content_type {
+        if !self.has_content_type || !self.has_explicit_end() {
             self.stream_end.get_or_insert_default();
         }
     }
