An answer whose framing proves it whole is not judged by its events

Cause: the check of streams' ends also judged answers with a length or chunks, although only the end of a connection proves nothing.

Change: only an event stream without a length or chunks is judged by its end.

--- a/crates/core/src/stream_end.rs
+++ b/crates/core/src/stream_end.rs
@@ -29,12 +29,12 @@
         !self.is_empty() && !ends_event(&self.tail)
     }
 
-    /// Returns how this end shows that the stream was cut off. The end of a connection is not enough to mark the end of a
-    /// stream, since it may be that of the worker's process; `is_framed` says whether a length or a last chunk marked it.
-    pub fn cut_off(&self, is_framed: bool) -> Option<&'static str> {
+    /// Returns how this end shows that a stream was cut off of which nothing but the end of the connection marks the end.
+    /// The connection may have ended with the worker's process.
+    pub fn cut_off(&self) -> Option<&'static str> {
         match () {
             () if self.is_inside_event() => Some("stream ended inside an event"),
-            () if self.is_empty() && !is_framed => Some("stream ended before its first event"),
+            () if self.is_empty() => Some("stream ended before its first event"),
             () => None,
         }
     }
--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -51,9 +51,7 @@
     incoming: Incoming,
     borrowed: Option<BorrowedConnection>,
     framing: Framing,
-    /// Whether the headers name a type.
-    has_content_type: bool,
-    /// How the stream ends; `None` for a body that is not an event stream.
+    /// How the body ends, if it is an event stream whose framing does not prove it whole.
     stream_end: Option<StreamEnd>,
     /// `None` for a request without an id.
     search: Option<SecondAnswerSearch>,
@@ -81,17 +79,17 @@
         borrowed: BorrowedConnection,
         search: Option<SecondAnswerSearch>,
     ) -> Self {
-        let content_type = headers.get("content-type");
-        Self {
+        let mut body = Self {
             framing: Framing::of(&incoming, headers),
-            has_content_type: content_type.is_some(),
-            stream_end: content_type
-                .is_some_and(is_event_stream)
-                .then(StreamEnd::default),
+            stream_end: None,
             incoming,
             borrowed: Some(borrowed),
             search,
+        };
+        if headers.get("content-type").is_some_and(is_event_stream) {
+            body.expect_events();
         }
+        body
     }
 
     /// Returns what marks the end of the body.
@@ -105,10 +103,10 @@
         self.framing != Framing::Connection
     }
 
-    /// Declares that the body should be an event stream. One that names another type is believed if a length or the last
-    /// chunk proves it whole. Must be called before the first bytes are read.
+    /// Declares that the body is an event stream, whatever type its headers name. Must be called before the first bytes are
+    /// read.
     pub fn expect_events(&mut self) {
-        if !self.has_content_type || !self.has_explicit_end() {
+        if !self.has_explicit_end() {
             self.stream_end.get_or_insert_default();
         }
     }
@@ -154,13 +152,11 @@
             return Err(second_answer_error());
         }
         let end = self.stream_end.take();
-        let problem = end.and_then(|end| end.cut_off(self.has_explicit_end()));
         match self.has_explicit_end() {
-            true if problem.is_none() => self.return_connection(),
-            true => self.borrowed = None,
+            true => self.return_connection(),
             false => self.report_broken(),
         }
-        match problem {
+        match end.and_then(|end| end.cut_off()) {
             Some(problem) => Err(SendError::NoAnswer(problem.into())),
             None => Ok(None),
         }
--- a/crates/node/src/callers/application.rs
+++ b/crates/node/src/callers/application.rs
@@ -342,9 +342,9 @@
         .and_then(|value| value.to_str().ok()?.parse().ok());
     let header = |name| response.headers().get(name)?.to_str().ok();
     let is_stream = header(header::CONTENT_TYPE).is_some_and(is_event_stream);
+    let is_framed = length.is_some() || header(header::TRANSFER_ENCODING).is_some();
     let body = WorkerBody {
-        is_framed: length.is_some() || header(header::TRANSFER_ENCODING).is_some(),
-        stream_end: is_stream.then(StreamEnd::default),
+        stream_end: (is_stream && !is_framed).then(StreamEnd::default),
         response,
         in_progress,
         remaining_bytes: length,
@@ -363,9 +363,7 @@
     in_progress: Arc<InProgress>,
     /// Number of bytes still expected, if the worker sent a content length.
     remaining_bytes: Option<u64>,
-    /// Whether a length or the last chunk, and not the end of the connection, marks the end of the body.
-    is_framed: bool,
-    /// How the stream ends; `None` for a body that is not an event stream.
+    /// How the body ends, if it is an event stream whose framing does not prove it whole.
     stream_end: Option<StreamEnd>,
 }
 
@@ -385,7 +383,7 @@
             Some(Err(error)) => Some(body.break_off(&error.to_string())),
             None => {
                 let end = body.stream_end.take();
-                if let Some(problem) = end.and_then(|end| end.cut_off(body.is_framed)) {
+                if let Some(problem) = end.and_then(|end| end.cut_off()) {
                     return Some(body.break_off(problem));
                 }
                 body.in_progress.end(RequestOutcome::Completed);
