A gateway's retries add up over lives and gateways

Cause: a gateway used the ratio of its requests in the window that ends now. At the start of an outage it spent the ratio of the requests before it; its next life, or the gateway that its callers moved to, spent the ratio of those that followed. Each life also had the whole part of the fixed number, and a gateway whose announcement is missing kept its part while others took it over.

Process test: four lives within a window, 180 retries, 150 allowed.

Change: for each window that ends now, a gateway stays within half of the ratio of its requests in that window and the one before it, which adds up to at most the larger of the two for the fleet. It has a part of the fixed number only while it is announced, counts others for one more window after theirs, and its part grows within a window if an earlier life may have used it. A gateway that stops leaves a withdrawn announcement to lapse, so that its next life knows.

The test of four lives failed before (180 of 150) and passes. The property of moving callers fails with the earlier rule (88 of 87). The test of gateways that stop expected too many retries without the kept parts; the budget is now held without them, so it checks the sum of the parts itself instead.

--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod departure;
 pub mod directory;
 pub mod event_stream;
+pub mod fixed_share;
 pub mod fleet_tenants;
 pub mod lapsed_workers;
 pub mod load_exchange;
@@ -52,6 +53,7 @@
     Objectives, RateToken, RefusalCause, SendResult, SendTicket, Unavailable, MAX_STREAM_PAUSE,
 };
 pub use event_stream::{CompleteEvents, EventFramer};
+pub use fixed_share::SharingGateways;
 pub use fleet_tenants::{
     OwnTenants, ReportedTenants, ServiceTenants, TenantRates, TenantRotation, WorkRates,
 };
@@ -76,7 +78,7 @@
     Action, AttemptPolicy, Conclusion, EventId, PromptHandle, PromptReadFailure, RequestEvent,
     RequestMachine, SendFailure,
 };
-pub use retry_share::{sharing_gateways, RetryShare, RetryShareSettings, RetryShares};
+pub use retry_share::{sharing_gateways, RetryShareSettings, RetryShares};
 pub use route_table::RouteTable;
 pub use scheduler_plan::{SchedulerCandidate, SchedulerPlan};
 pub use selection::{affinity_part, prompt_tokens, Need, PromptPart};
--- a/crates/forwarding/src/retry_share.rs
+++ b/crates/forwarding/src/retry_share.rs
@@ -1,22 +1,30 @@
 //! One gateway's shares of the fleet's retry budgets. Each service has its own budget.
 //!
-//! A budget bounds the retries to a service in any window, which are all sends after the first one of each request.
-//! The bound is a fixed number for the whole fleet plus a ratio of the requests for that service. Each gateway stays
-//! within the ratio of its own requests plus its share of the fixed number, so the bound holds for the fleet without
-//! messages between gateways, even while they are partitioned from each other. Only half of the fixed number is
-//! divided among gateways: the other half covers gateways that restart with an empty window or join unnoticed.
+//! A budget bounds the retries to a service in any window, which are all sends after the first one of each request. The
+//! bound is a fixed number for the whole fleet plus a ratio of the requests for that service, in the window or in the one
+//! before it.
+//!
+//! Each gateway stays within its [share of the fixed number](crate::fixed_share) plus half of the ratio of its own
+//! requests in both windows together, at any time for every window that ends then. Requests are counted by one gateway and
+//! by one life of it each, so the sum over all gateways and lives is within half of the ratio of the fleet's requests in
+//! both windows, and therefore within the budget. This holds without messages between gateways, when they restart, and
+//! when callers move from one gateway to another. With the whole ratio of the requests in one window that follows the
+//! time, a gateway could use it for the requests before a window, and its next life or another gateway for those in it.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use tansyhall_core::{ServiceName, Timestamp};
 
-/// Number of buckets that a window is divided into.
-const BUCKETS_PER_WINDOW: u32 = 10;
-/// Fraction of the fixed number that is divided among gateways.
-const DIVIDED_FRACTION: f64 = 0.5;
-/// Fraction of the ratio that is used. The remainder covers windows that start in the middle of a bucket.
-const USED_RATIO_FRACTION: f64 = 0.8;
+use crate::fixed_share::{FixedShare, SharingGateways};
+
+/// Time that one bucket covers.
+const BUCKET_WIDTH: Duration = Duration::from_millis(500);
+/// The longest time between the permission for a retry and its arrival at a worker, in buckets.
+const MAX_ARRIVAL_DELAY: u64 = 1;
+/// Fraction of the ratio that is used. The remainder covers requests that gateways and callers attribute to different
+/// services while the configuration changes.
+const USED_RATIO_FRACTION: f64 = 0.9;
 
 /// Returns the number of gateways that a gateway must assume to share the fleet's budgets, when it knew of `known`
 /// gateways before and `announced` are announced now. A gateway that stops is no longer announced, but still serves the
@@ -46,16 +54,16 @@
 #[derive(Debug)]
 pub struct RetryShares {
     settings: RetryShareSettings,
-    gateways: u32,
-    services: HashMap<ServiceName, RetryShare>,
+    fixed: FixedShare,
+    services: HashMap<ServiceName, RetryCounts>,
 }
 
 impl RetryShares {
-    /// Creates shares with empty windows. Initially, `gateways` gateways share the fixed number.
-    pub fn new(settings: RetryShareSettings, gateways: u32) -> Self {
+    /// Creates the shares of a gateway that is not announced yet.
+    pub fn new(settings: RetryShareSettings) -> Self {
         Self {
             settings,
-            gateways,
+            fixed: FixedShare::new(settings.window),
             services: HashMap::new(),
         }
     }
@@ -63,118 +71,106 @@
     /// Changes the settings of the budgets. Retries already spent in the window still count.
     pub fn set_settings(&mut self, settings: RetryShareSettings) {
         self.settings = settings;
-        for share in self.services.values_mut() {
-            share.settings = settings;
-        }
+        self.fixed.set_window(settings.window);
     }
 
-    /// Sets the number of gateways that share the budgets.
-    pub fn set_gateways(&mut self, gateways: u32) {
-        self.gateways = gateways;
-        for share in self.services.values_mut() {
-            share.set_gateways(gateways);
-        }
+    /// Sets the gateways that share the budgets, or `None` while the others do not count this one.
+    pub fn set_gateways(&mut self, now: Timestamp, sharing: Option<SharingGateways>) {
+        self.fixed.set_gateways(now, sharing);
     }
 
     /// Counts a request for a service.
     pub fn record_request(&mut self, now: Timestamp, service: &ServiceName) {
-        self.share_mut(service).record_request(now);
+        self.counts_mut(service).current_bucket(now).requests += 1;
     }
 
     /// Returns whether one more send to a service is allowed, and counts it if so.
     pub fn try_retry(&mut self, now: Timestamp, service: &ServiceName) -> bool {
-        self.share_mut(service).try_retry(now)
+        let allowed = self.remaining(now, service) >= 1.0;
+        if allowed {
+            self.counts_mut(service).current_bucket(now).retries += 1;
+        }
+        allowed
     }
 
-    /// Returns the number of retries to a service that are still allowed in the current window.
+    /// Returns the number of retries to a service that are allowed now.
     pub fn remaining(&mut self, now: Timestamp, service: &ServiceName) -> f64 {
-        self.share_mut(service).remaining(now)
+        let settings = self.settings;
+        let fixed = settings.fleet_extra * self.fixed.fraction(now);
+        self.counts_mut(service).remaining(now, settings, fixed)
     }
 
-    /// Returns the number of retries that are still allowed, for each service.
+    /// Returns the number of retries that are allowed now, for each service.
     pub fn remaining_by_service(&mut self, now: Timestamp) -> Vec<(ServiceName, f64)> {
+        let settings = self.settings;
+        let fixed = settings.fleet_extra * self.fixed.fraction(now);
         let services = self.services.iter_mut();
         services
-            .map(|(service, share)| (service.clone(), share.remaining(now)))
+            .map(|(service, counts)| (service.clone(), counts.remaining(now, settings, fixed)))
             .collect()
     }
 
-    fn share_mut(&mut self, service: &ServiceName) -> &mut RetryShare {
-        let (settings, gateways) = (self.settings, self.gateways);
-        self.services
-            .entry(service.clone())
-            .or_insert_with(|| RetryShare::new(settings, gateways))
+    fn counts_mut(&mut self, service: &ServiceName) -> &mut RetryCounts {
+        self.services.entry(service.clone()).or_default()
     }
 }
 
-/// Sliding-window counts of requests and retries, and the share that follows from them.
-#[derive(Debug)]
-pub struct RetryShare {
-    settings: RetryShareSettings,
-    gateways: u32,
+/// Recent requests for a service and their retries.
+#[derive(Debug, Default)]
+struct RetryCounts {
     buckets: VecDeque<Bucket>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Bucket {
-    start: Timestamp,
+    /// Number of the bucket since time zero.
+    number: u64,
     requests: u32,
     retries: u32,
 }
 
-impl RetryShare {
-    /// Creates a share with an empty window. Initially, `gateways` gateways share the fixed number.
-    pub fn new(settings: RetryShareSettings, gateways: u32) -> Self {
-        Self {
-            settings,
-            gateways: gateways.max(1),
-            buckets: VecDeque::new(),
+impl RetryCounts {
+    /// Returns the number of retries that are allowed now, of which `fixed` do not depend on the number of requests.
+    fn remaining(&mut self, now: Timestamp, settings: RetryShareSettings, fixed: f64) -> f64 {
+        let current = self.current_bucket(now).number;
+        let window = buckets_in(settings.window);
+        let earliest_start = current.saturating_sub(window + MAX_ARRIVAL_DELAY);
+        let ratio = settings.ratio * USED_RATIO_FRACTION / 2.0;
+        let mut retries = 0;
+        let mut remaining = f64::INFINITY;
+        for start in self.buckets.iter().rev() {
+            if start.number < earliest_start {
+                break;
+            }
+            retries += start.retries;
+            let requests = self.requests_for_window(start.number, window);
+            remaining = remaining.min(ratio * f64::from(requests) - f64::from(retries));
         }
+        self.remove_older_than(earliest_start.saturating_sub(window));
+        remaining + fixed
     }
 
-    /// Sets the number of gateways that share the budget.
-    pub fn set_gateways(&mut self, gateways: u32) {
-        self.gateways = gateways.max(1);
+    /// Returns the number of requests in the window before any that starts in the bucket `start`, and since then.
+    fn requests_for_window(&self, start: u64, window: u64) -> u32 {
+        let first = (start + 1 + MAX_ARRIVAL_DELAY).saturating_sub(window);
+        let buckets = self.buckets.iter().rev();
+        let counted = buckets.take_while(|bucket| bucket.number >= first);
+        counted.map(|bucket| bucket.requests).sum()
     }
 
-    /// Counts a request.
-    pub fn record_request(&mut self, now: Timestamp) {
-        self.current_bucket(now).requests += 1;
-    }
-
-    /// Returns whether one more send is allowed, and counts it if so.
-    pub fn try_retry(&mut self, now: Timestamp) -> bool {
-        let allowed = self.remaining(now) >= 1.0;
-        if allowed {
-            self.current_bucket(now).retries += 1;
+    fn remove_older_than(&mut self, number: u64) {
+        let is_older = |bucket: &Bucket| bucket.number < number;
+        while self.buckets.front().is_some_and(is_older) {
+            self.buckets.pop_front();
         }
-        allowed
-    }
-
-    /// Returns the number of retries that are still allowed in the current window.
-    pub fn remaining(&mut self, now: Timestamp) -> f64 {
-        self.current_bucket(now);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let from_requests = self.settings.ratio * USED_RATIO_FRACTION * f64::from(requests);
-        let from_fleet_extra =
-            self.settings.fleet_extra * DIVIDED_FRACTION / f64::from(self.gateways);
-        from_requests + from_fleet_extra - f64::from(retries)
     }
 
     fn current_bucket(&mut self, now: Timestamp) -> &mut Bucket {
-        let width = self.settings.window / BUCKETS_PER_WINDOW;
-        let expired = |bucket: &Bucket| now.since(bucket.start) > self.settings.window + width;
-        while self.buckets.front().is_some_and(expired) {
-            self.buckets.pop_front();
-        }
-        let is_current = self
-            .buckets
-            .back()
-            .is_some_and(|bucket| now.since(bucket.start) < width);
-        if !is_current {
+        let elapsed = now.since(Timestamp::default());
+        let number = (elapsed.as_micros() / BUCKET_WIDTH.as_micros()) as u64;
+        if self.buckets.back().is_none_or(|last| last.number < number) {
             self.buckets.push_back(Bucket {
-                start: now,
+                number,
                 requests: 0,
                 retries: 0,
             });
@@ -183,3 +179,8 @@
         &mut self.buckets[last]
     }
 }
+
+/// Returns the number of buckets that cover a window.
+fn buckets_in(window: Duration) -> u64 {
+    window.as_micros().div_ceil(BUCKET_WIDTH.as_micros()) as u64
+}
--- a/crates/gateway/src/lease.rs
+++ b/crates/gateway/src/lease.rs
@@ -44,6 +44,8 @@
     /// The latest epoch of the store in which the lease is known to exist.
     confirmed_epoch: Arc<Mutex<StoreEpoch>>,
     wanted: Arc<AtomicBool>,
+    /// Whether the lease is revoked when the gateway stops. Otherwise it lapses.
+    is_revoked_at_stop: bool,
 }
 
 impl NodeLease {
@@ -54,9 +56,16 @@
             holder: Arc::new(Mutex::new(LeaseHolder::new(timing))),
             confirmed_epoch: Arc::default(),
             wanted: Arc::new(AtomicBool::new(wanted)),
+            is_revoked_at_stop: true,
         }
     }
 
+    /// Lets the lease lapse when the gateway stops, instead of revoking it.
+    pub fn lapsing_at_stop(mut self) -> Self {
+        self.is_revoked_at_stop = false;
+        self
+    }
+
     /// Sets whether the lease is requested and renewed from now on. A lease that is no longer wanted lapses.
     pub fn set_wanted(&self, wanted: bool) {
         self.wanted.store(wanted, Ordering::Relaxed);
@@ -73,7 +82,7 @@
         self.holder.lock().is_valid(lease, now)
     }
 
-    /// Obtains and renews the lease until the gateway stops, then revokes it.
+    /// Obtains and renews the lease until the gateway stops, then revokes it or lets it lapse.
     pub async fn maintain(self, shared: Arc<Shared>, store: Rc<dyn KeyValueStore>) {
         while !shared.is_stopping() {
             if self.wanted.load(Ordering::Relaxed) {
@@ -81,6 +90,9 @@
             }
             sleep(CHECK_INTERVAL).await;
         }
+        if !self.is_revoked_at_stop {
+            return;
+        }
         if self.existence_in(&shared, store.epoch()) != Existence::Exists {
             self.mark_lapsed(&shared);
         }
--- a/crates/gateway/src/mirror_refresh.rs
+++ b/crates/gateway/src/mirror_refresh.rs
@@ -6,12 +6,14 @@
 use std::sync::Arc;
 
 use tansyhall_core::ServiceName;
-use tansyhall_forwarding::{sharing_gateways, Configuration, EngineCapacity, Item, Touched};
+use tansyhall_forwarding::{
+    sharing_gateways, Configuration, EngineCapacity, Item, SharingGateways, Touched,
+};
 
 use crate::desired_roles::{self, DesiredRoles};
 use crate::events::{Event, Priority};
 use crate::fleet::Fleet;
-use crate::presence;
+use crate::presence::{self, Announcement};
 use crate::quarantine;
 use crate::state::{ConfigurationInForce, Shared};
 use crate::worker_entries;
@@ -75,11 +77,19 @@
     let was_restored = contact.was_restored_within(shared.now(), presence::REANNOUNCEMENT_WINDOW);
     let known_gateways = shared.gateways.load(Ordering::Relaxed);
     // Gateways that start at the same time find no other gateway announced; each would use the whole budget.
-    let is_unannounced = !presence::is_announced(shared);
-    let may_be_missing = shared.is_stopping() || was_restored || is_unannounced;
+    let announcement = presence::own_announcement(shared);
+    let is_unannounced = announcement.is_none();
+    let is_stopping = shared.is_stopping();
+    let may_be_missing = is_stopping || was_restored || is_unannounced;
     let sharing_count = sharing_gateways(announced, known_gateways, may_be_missing);
     shared.gateways.store(sharing_count, Ordering::Relaxed);
-    shared.retries.lock().set_gateways(sharing_count as u32);
+    // The others still count a gateway that has withdrawn its announcement because it stops.
+    let is_counted = is_stopping || !is_unannounced;
+    let sharing = is_counted.then_some(SharingGateways {
+        count: sharing_count,
+        has_earlier_life: announcement != Some(Announcement::First),
+    });
+    shared.retries.lock().set_gateways(shared.now(), sharing);
     shared.metrics.gateways.set(announced as i64);
 }
 
--- a/crates/gateway/src/presence.rs
+++ b/crates/gateway/src/presence.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,6 +23,8 @@
 /// Time in which gateways whose announcements were lost in a restore have announced themselves again. Each learns of
 /// the restore at the next renewal of its lease, and then makes two calls, one of which may have to be retried.
 pub const REANNOUNCEMENT_WINDOW: Duration = Duration::from_secs(8);
+/// The announcement of a gateway that stops. It names no addresses, so that no gateway decodes it as a member.
+const WITHDRAWN: &str = "withdrawn";
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Largest plausible processor time of a gateway, in cores.
 const MAX_CORES: f64 = 1e6;
@@ -48,10 +51,27 @@
     format!("{PREFIX}{name}")
 }
 
-/// Returns whether the mirror contains this gateway's announcement, and therefore all earlier ones.
-pub fn is_announced(shared: &Shared) -> bool {
-    let key = key(&shared.settings.read().node.name);
-    shared.mirror.lock().get(&key).is_some()
+/// What the mirror contains under a gateway's own key. It contains all earlier announcements as well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Announcement {
+    /// The first announcement since the last one has lapsed.
+    First,
+    /// An announcement that has replaced another one, or is itself of an earlier life.
+    Repeated,
+}
+
+/// Returns this gateway's announcement in the mirror, if there is one.
+pub fn own_announcement(shared: &Shared) -> Option<Announcement> {
+    let settings = shared.settings.read().clone();
+    let mirror = shared.mirror.lock();
+    let item = mirror.get(&key(&settings.node.name))?;
+    decode_member(&item.key, &item.value)?;
+    let is_first =
+        item.created == item.written.revision && shared.announced.load(Ordering::Relaxed);
+    Some(match is_first {
+        true => Announcement::First,
+        false => Announcement::Repeated,
+    })
 }
 
 /// Returns the gateways that are announced in the mirror.
@@ -98,27 +118,38 @@
     while !shared.is_stopping() {
         let held = lease.held();
         match held {
-            Some(lease) if announced != held => match publish(&shared, &*store, lease).await {
-                Ok(()) => announced = held,
-                Err(_) => sleep(RETRY_DELAY).await,
-            },
+            Some(lease) if announced != held => {
+                let announcement = announcement(&shared.settings.read());
+                match publish(&shared, &*store, lease, announcement).await {
+                    Ok(()) => announced = held,
+                    Err(_) => sleep(RETRY_DELAY).await,
+                }
+            }
             _ => sleep(LEASE_CHECK_INTERVAL).await,
         }
     }
+    // The key stays until the lease lapses, so that the next life knows of this one.
+    if let Some(lease) = announced {
+        let _ = publish(&shared, &*store, lease, WITHDRAWN.to_owned()).await;
+    }
+}
+
+/// Returns the announcement of a gateway with these settings.
+fn announcement(settings: &GatewaySettings) -> String {
+    let listen = &settings.listen;
+    let zone = &settings.node.zone;
+    let capacity = settings.node.capacity();
+    format!("{} {} {zone} {capacity}", listen.peers, listen.load)
 }
 
 async fn publish(
     shared: &Shared,
     store: &dyn KeyValueStore,
     Lease(lease): Lease,
+    announcement: String,
 ) -> Result<(), StoreError> {
-    let settings = shared.settings.read().clone();
-    let listen = &settings.listen;
-    let zone = &settings.node.zone;
-    let capacity = settings.node.capacity();
-    let announcement = format!("{} {} {zone} {capacity}", listen.peers, listen.load);
     let put = Operation::Put {
-        key: key(&settings.node.name),
+        key: key(&shared.settings.read().node.name),
         value: announcement.into_bytes(),
         lease: Some(LeaseId(lease)),
     };
@@ -126,6 +157,7 @@
         compare: Vec::new(),
         operations: vec![put],
     };
+    shared.announced.store(true, Ordering::Relaxed);
     with_timeout(store.transact(&transaction)).await?;
     Ok(())
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -151,7 +151,7 @@
 fn spawn_lease_tasks(shared: &Arc<Shared>, adapter: &Adapter) {
     let store = &adapter.store;
     let own_key = presence::key(&shared.settings.read().node.name);
-    let presence = NodeLease::new(&own_key, lease::PRESENCE_TIMING, true);
+    let presence = NodeLease::new(&own_key, lease::PRESENCE_TIMING, true).lapsing_at_stop();
     let authority = NodeLease::new(authority_claim::KEY, lease::AUTHORITY_TIMING, false);
     for lease in [&presence, &authority] {
         let renewal = lease.clone().maintain(Arc::clone(shared), Rc::clone(store));
@@ -201,7 +201,7 @@
         };
         Usage::new(source, timing)
     });
-    let retries = RetryShares::new(settings.retry_share(), ASSUMED_GATEWAY_COUNT);
+    let retries = RetryShares::new(settings.retry_share());
     let metrics = Metrics::new()?;
     let correlation = Correlation::new(
         Arc::clone(&adapter.protocol),
@@ -259,6 +259,7 @@
         usage,
         log,
         metrics,
+        announced: AtomicBool::new(false),
         gateways: AtomicU64::new(u64::from(ASSUMED_GATEWAY_COUNT)),
         stopping_since: OnceLock::new(),
         in_flight: AtomicU64::new(0),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -98,6 +98,8 @@
     pub log: Arc<EventLog>,
     /// Metrics.
     pub metrics: Metrics,
+    /// Whether this gateway has begun to announce itself.
+    pub announced: AtomicBool,
     /// Number of gateways that share the fleet's budgets, including this one.
     pub gateways: AtomicU64,
     /// When SIGTERM was received.
