Requests with a prompt part that crashes workers are no longer sent

What callers saw: engines crashed one after another, came back after some seconds and crashed again; most requests found no engine.

Cause: the quarantine knows a request as a whole, so each of them was another suspect, and hardly any reached three ends. Requests with one body had one fingerprint, whatever their prompts, so sound ones among them were barred.

The shared parts of the prompts at an ended worker are suspected; a part is barred if three ends count against it that no part with more ends explains. Answers clear parts at all gateways. A barred part is tried once, so that one which was barred by mistake is served again.

--- a/crates/cli/tests/gateway_platform/crashing_requests.rs
+++ b/crates/cli/tests/gateway_platform/crashing_requests.rs
@@ -32,7 +32,7 @@
 };
 const CRASH_TEXT: &[u8] = b"deadly";
 pub const SILENT_CRASH: CrashTrigger = CrashTrigger {
-    body_text: CRASH_TEXT,
+    text: CRASH_TEXT,
     partial_answer: PartialAnswer::None,
     delay: Duration::from_millis(10),
 };
--- a/crates/cli/tests/gateway_platform/support/caller.rs
+++ b/crates/cli/tests/gateway_platform/support/caller.rs
@@ -66,6 +66,18 @@
     send_with_headers(gateway, id, MODEL_PATH, body, &[(PROMPT_PARTS, prompt)]).await
 }
 
+/// Sends a request whose prompt has parts with these ids, of ten tokens each.
+pub async fn send_with_parts(
+    gateway: &SiteGateway,
+    id: &str,
+    path: &str,
+    body: &[u8],
+    parts: &[&str],
+) -> CallerAnswer {
+    let parts: Vec<String> = parts.iter().map(|part| format!("{part}:10")).collect();
+    send_with_headers(gateway, id, path, body, &[(PROMPT_PARTS, parts.join(","))]).await
+}
+
 /// Sends a model request with a prompt of this many tokens.
 pub async fn send_prompt(gateway: &SiteGateway, id: &str, tokens: u64) -> CallerAnswer {
     send_with_prompt(gateway, id, format!("a1:{tokens},b2:100")).await
--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -20,7 +20,7 @@
 
 pub use caller::{
     send_long_prompt, send_prompt, send_prompt_with_body, send_request, send_unique_prompt,
-    send_with_key, take_up, CallerAnswer,
+    send_with_key, send_with_parts, take_up, CallerAnswer,
 };
 
 /// The deployed template of the gateway's settings.
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod lapsed_workers;
 pub mod load_exchange;
 pub mod mirror;
+pub mod part_quarantine;
 pub mod placement;
 pub mod position;
 pub mod quarantine;
@@ -63,14 +64,15 @@
     PartRead, ServiceKey, WorkerKey,
 };
 pub use mirror::{Item, Mirror, MirrorChange, MirrorUpdate, Snapshot, Touched};
+pub use part_quarantine::{shared_parts, PartQuarantine, PartVerdict, TrialTurns};
 pub use placement::{
     GrantedPlacements, Placement, PlacementAnswer, PlacementId, PlacementMessage, PlacementNeed,
     PlacementNotice, PlacementRequest, RequestedPlacements,
 };
 pub use position::Position;
 pub use quarantine::{
-    AppliedUpdate, Audience, Fingerprint, OutgoingUpdate, Quarantine, QuarantineUpdate,
-    RequestContent, SendId, SendTracker, UnlistedRequest, WorkerEnds,
+    AppliedUpdate, Audience, EndedRequests, Fingerprint, OutgoingUpdate, Quarantine,
+    QuarantineUpdate, RequestContent, SendId, SendTracker, UnlistedRequest, WorkerEnds,
 };
 pub use rate_limit::{LimitSharers, RateLimit, StatedLimit};
 pub use relay_plan::{RelayCandidate, RelayPlan, StoreReadState, Upstream};
--- a/crates/forwarding/src/quarantine/answers.rs
+++ b/crates/forwarding/src/quarantine/answers.rs
@@ -14,14 +14,14 @@
 
 /// Times of recent answers by request, and the order in which they arrived.
 #[derive(Debug, Default)]
-pub(super) struct RecentAnswers {
+pub(crate) struct RecentAnswers {
     latest: HashMap<Fingerprint, Timestamp>,
     order: VecDeque<(Timestamp, Fingerprint)>,
 }
 
 impl RecentAnswers {
     /// Records an answer.
-    pub(super) fn record(&mut self, now: Timestamp, fingerprint: Fingerprint) {
+    pub(crate) fn record(&mut self, now: Timestamp, fingerprint: Fingerprint) {
         self.latest.insert(fingerprint, now);
         self.order.push_back((now, fingerprint));
         if self.order.len() > MAX_ANSWERS {
@@ -30,13 +30,13 @@
     }
 
     /// Returns whether a request was answered recently, and removes its answers.
-    pub(super) fn take(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
+    pub(crate) fn take(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
         let answered = self.latest.remove(&fingerprint);
         answered.is_some_and(|at| now.since(at) <= ANSWER_TTL)
     }
 
     /// Removes answers older than [`ANSWER_TTL`].
-    pub(super) fn expire(&mut self, now: Timestamp) {
+    pub(crate) fn expire(&mut self, now: Timestamp) {
         while self
             .order
             .front()
--- a/crates/forwarding/src/quarantine/mod.rs
+++ b/crates/forwarding/src/quarantine/mod.rs
@@ -17,9 +17,9 @@
 //! The store also lists barred requests, for gateways that start. Nothing depends on that list or on agreement
 //! between gateways: each gateway bars requests by what it knows.
 
-mod answers;
+pub(crate) mod answers;
 mod fingerprint;
-mod outbox;
+pub(crate) mod outbox;
 mod send_tracker;
 mod suspect;
 
@@ -32,7 +32,7 @@
 
 pub use fingerprint::{Fingerprint, RequestContent};
 pub use outbox::{Audience, OutgoingUpdate};
-pub use send_tracker::{SendId, SendTracker};
+pub use send_tracker::{EndedRequests, SendId, SendTracker};
 
 use answers::RecentAnswers;
 use outbox::{Outbox, Topic, FEW_REPEATS, MANY_REPEATS};
@@ -48,13 +48,19 @@
 /// each other's requests; barred requests are evicted last.
 const MAX_SUSPECTS: usize = 4_096;
 
-/// Workers that ended while running a request.
+/// Workers that ended while running a request, or requests with a prompt part.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WorkerEnds {
-    /// The request.
+    /// The request or the part.
     pub fingerprint: Fingerprint,
     /// The ended workers.
     pub workers: Vec<WorkerKey>,
+    /// Whether the sender bars the part. It is not set for requests.
+    pub is_barred: bool,
+    /// Whether a gateway has begun a trial of the part. It is not set for requests.
+    pub is_tried: bool,
+    /// Whether a trial of the part has ended its worker. It is not set for requests.
+    pub is_confirmed: bool,
 }
 
 /// An update that gateways send each other.
@@ -108,6 +114,13 @@
         suspect.is_some_and(Suspect::is_barred)
     }
 
+    /// Returns the workers whose ends count against a request.
+    pub fn counted_ends(&self, fingerprint: Fingerprint) -> Vec<WorkerKey> {
+        let suspect = self.suspects.get(&fingerprint);
+        let ends = suspect.map(|suspect| suspect.worker_ends(fingerprint).workers);
+        ends.unwrap_or_default()
+    }
+
     /// Returns the number of barred requests.
     pub fn barred_count(&self) -> usize {
         let suspects = self.suspects.values();
--- a/crates/forwarding/src/quarantine/outbox.rs
+++ b/crates/forwarding/src/quarantine/outbox.rs
@@ -18,9 +18,9 @@
     Duration::from_millis(1_000),
 ];
 /// Number of repeats of an important message.
-pub(super) const MANY_REPEATS: usize = REPEAT_DELAYS.len();
+pub(crate) const MANY_REPEATS: usize = REPEAT_DELAYS.len();
 /// Number of repeats for a first worker end, which bars nothing yet, and for a bar that other gateways report too.
-pub(super) const FEW_REPEATS: usize = 1;
+pub(crate) const FEW_REPEATS: usize = 1;
 /// Maximum number of requests in one message, so that it fits into one packet.
 const MAX_REQUESTS_PER_MESSAGE: usize = 14;
 
@@ -36,7 +36,7 @@
 
 /// What a message says about a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Topic {
+pub(crate) enum Topic {
     /// Workers ended while running the request.
     WorkerEnds,
     /// A worker has answered the request.
@@ -62,13 +62,13 @@
 
 /// Messages that wait to be sent for the first time or again.
 #[derive(Debug, Default)]
-pub(super) struct Outbox {
+pub(crate) struct Outbox {
     pending: BTreeMap<Fingerprint, PendingMessage>,
 }
 
 impl Outbox {
     /// Queues a message about a request. It replaces the queued message about the same request, if any.
-    pub(super) fn enqueue(
+    pub(crate) fn enqueue(
         &mut self,
         now: Timestamp,
         fingerprint: Fingerprint,
@@ -88,7 +88,7 @@
     }
 
     /// Returns the messages to send now. `worker_ends` returns the worker ends known for a request.
-    pub(super) fn take_due(
+    pub(crate) fn take_due(
         &mut self,
         now: Timestamp,
         worker_ends: impl Fn(Fingerprint) -> Option<WorkerEnds>,
--- a/crates/forwarding/src/quarantine/send_tracker.rs
+++ b/crates/forwarding/src/quarantine/send_tracker.rs
@@ -1,6 +1,7 @@
 //! Requests that this gateway has sent to workers and that the workers may still be running.
 
 use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tansyhall_core::Timestamp;
@@ -17,10 +18,20 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SendId(u64);
 
+/// What an ended worker may have been running.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct EndedRequests {
+    /// The requests.
+    pub requests: BTreeSet<Fingerprint>,
+    /// The shared parts of their prompts.
+    pub parts: BTreeSet<Fingerprint>,
+}
+
 #[derive(Debug)]
 struct OpenSend {
     id: SendId,
     fingerprint: Fingerprint,
+    parts: Arc<[Fingerprint]>,
     abandoned_at: Option<Timestamp>,
 }
 
@@ -32,14 +43,20 @@
 }
 
 impl SendTracker {
-    /// Records the start of a send.
-    pub fn begin(&mut self, worker: &WorkerId, fingerprint: Fingerprint) -> SendId {
+    /// Records the start of a send of a request whose prompt has these shared parts.
+    pub fn begin(
+        &mut self,
+        worker: &WorkerId,
+        fingerprint: Fingerprint,
+        parts: Arc<[Fingerprint]>,
+    ) -> SendId {
         self.last_id += 1;
         let id = SendId(self.last_id);
         let sends = self.workers.entry(worker.clone()).or_default();
         sends.push(OpenSend {
             id,
             fingerprint,
+            parts,
             abandoned_at: None,
         });
         id
@@ -62,14 +79,14 @@
     }
 
     /// Removes a worker that has ended, and returns the requests that it may have been running, each once.
-    pub fn remove_ended_worker(
-        &mut self,
-        now: Timestamp,
-        worker: &WorkerId,
-    ) -> BTreeSet<Fingerprint> {
+    pub fn remove_ended_worker(&mut self, now: Timestamp, worker: &WorkerId) -> EndedRequests {
         let sends = self.workers.remove(worker).unwrap_or_default();
-        let open = sends.iter().filter(|send| send.may_run(now));
-        open.map(|send| send.fingerprint).collect()
+        let mut ended = EndedRequests::default();
+        for send in sends.iter().filter(|send| send.may_run(now)) {
+            ended.requests.insert(send.fingerprint);
+            ended.parts.extend(send.parts.iter().copied());
+        }
+        ended
     }
 
     /// Removes sends that were abandoned more than `ABANDONED_SEND_TTL` ago.
--- a/crates/forwarding/src/quarantine/suspect.rs
+++ b/crates/forwarding/src/quarantine/suspect.rs
@@ -106,6 +106,9 @@
         WorkerEnds {
             fingerprint,
             workers: counting.map(|end| end.worker).collect(),
+            is_barred: false,
+            is_tried: false,
+            is_confirmed: false,
         }
     }
 
--- a/crates/forwarding/tests/quarantine.rs
+++ b/crates/forwarding/tests/quarantine.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 
 use tansyhall_core::{TenantName, Timestamp};
-use tansyhall_forwarding::{Fingerprint, PromptPart, RequestContent, SendTracker, WorkerId};
+use tansyhall_forwarding::{
+    Fingerprint, PromptPart, RequestContent, SendId, SendTracker, WorkerId,
+};
 
 const NO_REQUESTS: BTreeSet<Fingerprint> = BTreeSet::new();
 
@@ -25,6 +27,10 @@
     }
 }
 
+fn begin(tracker: &mut SendTracker, worker: &WorkerId, request: Fingerprint) -> SendId {
+    tracker.begin(worker, request, [].into())
+}
+
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
 }
@@ -65,19 +71,21 @@
     let worker = WorkerId::from("w");
     let [answered, broken, running, abandoned_long_ago] = [1, 2, 3, 4].map(Fingerprint);
     let sends = [answered, broken, running, abandoned_long_ago];
-    let numbers = sends.map(|fingerprint| tracker.begin(&worker, fingerprint));
-    tracker.begin(&worker, running);
+    let numbers = sends.map(|fingerprint| begin(&mut tracker, &worker, fingerprint));
+    begin(&mut tracker, &worker, running);
     tracker.abandon(at(0), &worker, numbers[3]);
     tracker.finish(&worker, numbers[0]);
     tracker.abandon(at(9_000), &worker, numbers[1]);
     assert_eq!(
-        tracker.remove_ended_worker(at(9_100), &WorkerId::from("another")),
+        tracker
+            .remove_ended_worker(at(9_100), &WorkerId::from("another"))
+            .requests,
         NO_REQUESTS
     );
-    let may_have_run = tracker.remove_ended_worker(at(9_100), &worker);
+    let may_have_run = tracker.remove_ended_worker(at(9_100), &worker).requests;
     assert_eq!(may_have_run, BTreeSet::from([broken, running]));
     assert_eq!(
-        tracker.remove_ended_worker(at(9_100), &worker),
+        tracker.remove_ended_worker(at(9_100), &worker).requests,
         NO_REQUESTS,
         "the worker was removed already"
     );
@@ -87,10 +95,10 @@
 fn abandoned_sends_expire_and_running_ones_do_not() {
     let mut tracker = SendTracker::default();
     let worker = WorkerId::from("w");
-    let lost = tracker.begin(&worker, Fingerprint(1));
-    tracker.begin(&worker, Fingerprint(2));
+    let lost = begin(&mut tracker, &worker, Fingerprint(1));
+    begin(&mut tracker, &worker, Fingerprint(2));
     tracker.abandon(at(0), &worker, lost);
     tracker.expire(at(60_000));
-    let may_have_run = tracker.remove_ended_worker(at(60_000), &worker);
+    let may_have_run = tracker.remove_ended_worker(at(60_000), &worker).requests;
     assert_eq!(may_have_run, BTreeSet::from([Fingerprint(2)]));
 }
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -49,6 +49,9 @@
     /// The answer to such a question.
     #[prost(message, optional, tag = "9")]
     pub version_answer: Option<VersionAnswerMessage>,
+    /// An update of the quarantine of prompt parts that crash workers. Its fingerprints are those of parts.
+    #[prost(message, optional, tag = "10")]
+    pub part_quarantine: Option<QuarantineUpdateMessage>,
 }
 
 impl Datagram {
@@ -76,6 +79,14 @@
         }
     }
 
+    /// Creates a datagram with an update of the quarantine of prompt parts.
+    pub fn part_quarantine(update: QuarantineUpdateMessage) -> Self {
+        Self {
+            part_quarantine: Some(update),
+            ..Self::default()
+        }
+    }
+
     /// Creates a datagram with usage counts.
     pub fn usage(usage: UsageMessage) -> Self {
         Self {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -164,6 +164,15 @@
         requests: usize,
         /// The fingerprints of the first of these requests.
         fingerprints: &'a [String],
+        /// The fingerprints of the first of the prompt parts that they share with others.
+        parts: &'a [String],
+    },
+    /// A request was sent although its prompt holds barred parts, to find out whether they crash workers.
+    PartsTried {
+        /// The id that the caller gave the request.
+        request: &'a str,
+        /// The fingerprints of its shared parts.
+        parts: &'a [String],
     },
     /// It was found out why a worker's address refuses connections.
     RefusedConnection {
@@ -176,9 +185,11 @@
         /// Number of those that it reached.
         reached: usize,
     },
-    /// A request was barred: no worker gets it any more, because it crashes workers.
+    /// A request, or all requests with a prompt part, were barred: no worker gets them any more, because they crash workers.
     Barred {
-        /// The request's fingerprint.
+        /// What is barred: `request` or `prompt_part`.
+        subject: &'a str,
+        /// The fingerprint of the request or the part.
         fingerprint: &'a str,
         /// The source of this knowledge: `worker` (one ended while it ran a request of this gateway), `gateway` or `store`.
         source: &'a str,
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -2,6 +2,7 @@
 //! actions that the [`RequestMachine`] returns and passes their results back to it.
 
 mod attempt;
+mod barring;
 mod deliver;
 mod placing;
 mod prompt;
@@ -22,6 +23,7 @@
 use tokio::time::Instant;
 
 use self::attempt::Attempt;
+use self::barring::TrialState;
 use self::run::ReplacementRule;
 use crate::answer::{Answer, AnswerHead, AnswerSink, GatewayAnswer};
 use crate::events::{Event, Priority};
@@ -58,6 +60,8 @@
     pub body: Bytes,
     /// Identifies the content of the request; it is equal for all attempts.
     pub fingerprint: Fingerprint,
+    /// The fingerprints of the parts of its prompt that other requests may share.
+    pub shared_parts: Arc<[Fingerprint]>,
     /// The conditions that the caller's headers and body state.
     pub terms: CallerTerms,
     /// The matching route and its service.
@@ -94,6 +98,7 @@
     /// The software version of the worker that began the stream, once that is known. Only workers of this version may
     /// continue it.
     version: Option<SoftwareVersion>,
+    trial: TrialState,
     _in_flight: InFlightGuard,
 }
 
@@ -118,6 +123,7 @@
             usage_counted: false,
             draw: rand::random(),
             version: None,
+            trial: TrialState::Unneeded,
         }
     }
 
@@ -141,14 +147,15 @@
             None => self.record("caller_left", 0, Priority::Routine),
         }
         self.release_unused_handle();
+        self.cancel_unused_trial();
     }
 
     async fn drive(&mut self) -> (Conclusion, u32) {
         let now = self.shared.now();
         let service = &self.request.routed.service;
         self.shared.retries.lock().record_request(now, service);
-        if self.is_barred() {
-            return (Conclusion::Barred, 0);
+        if let Some(conclusion) = self.check_barred() {
+            return (conclusion, 0);
         }
         if !self.find_version().await {
             return (Conclusion::Refused, 0);
@@ -204,8 +211,11 @@
                     resume_after,
                 } => {
                     let replacement = ReplacementRule::of(&machine);
-                    self.run_on(&worker, source, resume_after, &replacement)
-                        .await
+                    let event = self
+                        .run_on(&worker, source, resume_after, &replacement)
+                        .await;
+                    self.record_trial_send(&event);
+                    event
                 }
                 Action::AwaitStalled => {
                     let replacement = ReplacementRule::of(&machine);
@@ -248,17 +258,6 @@
         }
     }
 
-    /// Returns whether the request is barred because it crashes workers, as far as this gateway knows now.
-    fn is_barred(&self) -> bool {
-        let is_enabled = self.shared.settings.read().decisions.quarantine;
-        is_enabled
-            && self
-                .shared
-                .quarantine
-                .lock()
-                .is_barred(self.request.fingerprint)
-    }
-
     fn check_retry_budget(&self) -> bool {
         let now = self.shared.now();
         let service = &self.request.routed.service;
@@ -285,6 +284,7 @@
         let sent = SendDetails {
             request_id: self.request_id().to_owned(),
             fingerprint: self.request.fingerprint,
+            shared_parts: Arc::clone(&self.request.shared_parts),
             route: self.route().name.clone(),
             yields: self.request.routed.yields,
             max_pause: self.route().pause_objective,
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -9,7 +9,7 @@
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
-use tansyhall_forwarding::{Fingerprint, RequestContent};
+use tansyhall_forwarding::{shared_parts, Fingerprint, RequestContent};
 use tokio::time::timeout;
 
 use crate::answer::{self, Answer, AnswerHead, AnswerSource, AnswerTruncated, GatewayAnswer};
@@ -95,12 +95,14 @@
         body: &body,
         prompt: &terms.prompt,
     });
+    let shared_parts = shared_parts(&routed.service, routed.tenant.as_ref(), &terms.prompt);
     Ok(CallerRequest {
         method: request.method().as_str().to_owned(),
         target,
         headers,
         body,
         fingerprint,
+        shared_parts: shared_parts.into(),
         terms,
         routed,
         arrived,
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -155,6 +155,9 @@
         if let Some(message) = datagram.quarantine {
             quarantine::receive_update(shared, sender, message);
         }
+        if let Some(message) = datagram.part_quarantine {
+            quarantine::receive_part_update(shared, sender, message);
+        }
         if let Some(message) = datagram.usage {
             usage::receive_counts(shared, sender, message);
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,8 @@
     pub refused_connections: IntCounterVec,
     /// Requests that are not sent to workers because they crash workers.
     pub barred_requests: IntGauge,
+    /// Prompt parts whose requests are not sent to workers because they crash workers.
+    pub barred_parts: IntGauge,
     /// Placement requests to schedulers, by outcome.
     pub placements: IntCounterVec,
     /// The version of the configuration in force.
@@ -155,6 +157,10 @@
                 "gateway_barred_requests",
                 "Requests that workers may get no more",
             )?,
+            barred_parts: IntGauge::new(
+                "gateway_barred_parts",
+                "Prompt parts whose requests workers may get no more",
+            )?,
             placements: IntCounterVec::new(
                 Opts::new(
                     "gateway_placements_total",
@@ -294,6 +300,8 @@
             .register(Box::new(self.refused_connections.clone()))?;
         self.registry
             .register(Box::new(self.barred_requests.clone()))?;
+        self.registry
+            .register(Box::new(self.barred_parts.clone()))?;
         self.registry.register(Box::new(self.placements.clone()))?;
         self.registry
             .register(Box::new(self.configuration_version.clone()))?;
--- a/crates/gateway/src/mirror_refresh.rs
+++ b/crates/gateway/src/mirror_refresh.rs
@@ -31,8 +31,10 @@
             .set_desired_roles(desired.into_roles());
     }
     worker_entries::refresh(shared, touched, services_changed);
-    if touched.covers_any_with_prefix(quarantine::PREFIX) {
-        quarantine::read_store_list(shared);
+    for subject in quarantine::Subject::ALL {
+        if touched.covers_any_with_prefix(subject.key_prefix()) {
+            quarantine::read_store_list(shared, subject);
+        }
     }
     let position = shared.mirror.lock().position();
     shared.mirror_position.send_replace(position);
--- a/crates/gateway/src/quarantine/exchange.rs
+++ b/crates/gateway/src/quarantine/exchange.rs
@@ -1,49 +1,63 @@
-//! Sends other gateways updates about requests that crash workers, and applies the updates that they send.
+//! Sends other gateways updates about requests and prompt parts that crash workers, and applies the updates that they
+//! send.
 
 use std::net::SocketAddr;
 
 use prost::Message;
-use tansyhall_forwarding::{Audience, Fingerprint, OutgoingUpdate, WorkerId, WorkerKey};
+use tansyhall_forwarding::{
+    AppliedUpdate, Audience, EndedRequests, OutgoingUpdate, QuarantineUpdate, WorkerId, WorkerKey,
+};
 
 use super::message::QuarantineUpdateMessage;
-use super::record_barred;
+use super::{record_barred, Subject};
 use crate::datagrams::Datagram;
 use crate::fleet::Fleet;
 use crate::state::Shared;
 
 /// Records that a worker has ended while it may have been running these requests of this gateway.
-pub fn record_worker_end(
-    shared: &Shared,
-    worker: &WorkerId,
-    requests: impl IntoIterator<Item = Fingerprint>,
-) {
+pub fn record_worker_end(shared: &Shared, worker: &WorkerId, ended: EndedRequests) {
     let now = shared.now();
     let worker = WorkerKey::of(worker);
-    let barred = shared
-        .quarantine
-        .lock()
-        .record_worker_end(now, worker, requests);
-    record_barred(shared, &barred, "worker");
+    let EndedRequests { requests, parts } = ended;
+    let mut quarantine = shared.quarantine.lock();
+    let barred = quarantine.record_worker_end(now, worker, requests);
+    drop(quarantine);
+    record_barred(shared, Subject::Request, &barred, "worker");
+    let mut part_quarantine = shared.part_quarantine.lock();
+    let barred = part_quarantine.record_worker_end(now, worker, parts);
+    drop(part_quarantine);
+    record_barred(shared, Subject::PromptPart, &barred, "worker");
     send_due_updates(shared);
 }
 
 /// Sends the updates that are due.
 pub fn send_due_updates(shared: &Shared) {
-    let outgoing = shared.quarantine.lock().take_due_updates(shared.now());
+    let now = shared.now();
+    let of_requests = shared.quarantine.lock().take_due_updates(now);
+    send_updates(shared, &of_requests, Datagram::quarantine);
+    let of_parts = shared.part_quarantine.lock().take_due_updates(now);
+    send_updates(shared, &of_parts, Datagram::part_quarantine);
+}
+
+fn send_updates(
+    shared: &Shared,
+    outgoing: &[OutgoingUpdate],
+    datagram: fn(QuarantineUpdateMessage) -> Datagram,
+) {
     if outgoing.is_empty() {
         return;
     }
     let fleet = shared.fleet.read().clone();
-    for message in &outgoing {
-        send_update(shared, &fleet, message);
+    for message in outgoing {
+        let update = QuarantineUpdateMessage::from(&message.update);
+        send_to(shared, &fleet, message.audience, &datagram(update));
     }
 }
 
-fn send_update(shared: &Shared, fleet: &Fleet, message: &OutgoingUpdate) {
+fn send_to(shared: &Shared, fleet: &Fleet, audience: Audience, datagram: &Datagram) {
     let own_name = shared.settings.read().node.name.clone();
-    let datagram =
-        Datagram::quarantine(QuarantineUpdateMessage::from(&message.update)).encode_to_vec();
-    let recipients: Vec<&str> = match message.audience {
+    let datagram = datagram.encode_to_vec();
+    let recipients: Vec<&str> = match audience {
         Audience::Listeners => fleet.plan.listeners().collect(),
         Audience::All => fleet.names().collect(),
     };
@@ -53,21 +67,44 @@
     }
 }
 
-/// Applies an update from another gateway.
+/// Applies an update about requests from another gateway.
 pub fn receive_update(shared: &Shared, sender: SocketAddr, message: QuarantineUpdateMessage) {
-    let relays = {
-        let name = &shared.settings.read().node.name;
-        shared.fleet.read().plan.is_listener(name)
-    };
-    let update = message.into();
-    let applied = shared
-        .quarantine
-        .lock()
-        .apply_update(shared.now(), &update, relays);
+    let update = QuarantineUpdate::from(message);
+    let relays = relays_updates(shared);
+    let mut quarantine = shared.quarantine.lock();
+    let applied = quarantine.apply_update(shared.now(), &update, relays);
+    drop(quarantine);
+    let reply = Datagram::quarantine(QuarantineUpdateMessage::from(&applied.reply));
+    conclude_update(shared, sender, Subject::Request, &applied, &reply);
+}
+
+/// Applies an update about prompt parts from another gateway.
+pub fn receive_part_update(shared: &Shared, sender: SocketAddr, message: QuarantineUpdateMessage) {
+    let update = QuarantineUpdate::from(message);
+    let relays = relays_updates(shared);
+    let mut quarantine = shared.part_quarantine.lock();
+    let applied = quarantine.apply_update(shared.now(), &update, relays);
+    drop(quarantine);
+    let reply = Datagram::part_quarantine(QuarantineUpdateMessage::from(&applied.reply));
+    conclude_update(shared, sender, Subject::PromptPart, &applied, &reply);
+}
+
+fn conclude_update(
+    shared: &Shared,
+    sender: SocketAddr,
+    subject: Subject,
+    applied: &AppliedUpdate,
+    reply: &Datagram,
+) {
     if !applied.reply.is_empty() {
-        let reply = QuarantineUpdateMessage::from(&applied.reply);
-        shared.datagrams.send(sender, &Datagram::quarantine(reply));
+        shared.datagrams.send(sender, reply);
     }
-    record_barred(shared, &applied.barred, "gateway");
+    record_barred(shared, subject, &applied.barred, "gateway");
     send_due_updates(shared);
 }
+
+/// Returns whether this gateway passes new bars on to all others.
+fn relays_updates(shared: &Shared) -> bool {
+    let name = &shared.settings.read().node.name;
+    shared.fleet.read().plan.is_listener(name)
+}
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -37,6 +37,8 @@
     metrics.relaying.set(gauge(relayed as u64));
     let barred = shared.quarantine.lock().barred_count();
     metrics.barred_requests.set(gauge(barred as u64));
+    let barred_parts = shared.part_quarantine.lock().barred_count();
+    metrics.barred_parts.set(gauge(barred_parts as u64));
     metrics.workers.reset();
     for (service, state) in shared.directory.lock().worker_states() {
         let state = match state {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -253,6 +253,7 @@
         sends: Mutex::default(),
         worker_evidence: Mutex::default(),
         quarantine: Mutex::default(),
+        part_quarantine: Mutex::default(),
         stream_versions: StreamVersionExchange::default(),
         connections: Arc::new(connections),
         worker_relays,
@@ -360,6 +361,7 @@
         shared.directory.lock().expire_notices(now);
         shared.sends.lock().expire(now);
         shared.quarantine.lock().expire(now);
+        shared.part_quarantine.lock().expire(now);
     }
 }
 
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -37,6 +37,8 @@
     pub request_id: String,
     /// The fingerprint of the request's content.
     pub fingerprint: Fingerprint,
+    /// The fingerprints of the shared parts of its prompt.
+    pub shared_parts: Arc<[Fingerprint]>,
     /// The name of its route.
     pub route: String,
     /// Whether its service has more urgent routes.
@@ -104,10 +106,11 @@
         let mut directory = shared.directory.lock();
         let ticket = directory.begin_send(now, &details.worker, demand, &details.need);
         drop(directory);
-        let send_id = shared
-            .sends
-            .lock()
-            .begin(&details.worker, details.fingerprint);
+        let send_id = shared.sends.lock().begin(
+            &details.worker,
+            details.fingerprint,
+            Arc::clone(&details.shared_parts),
+        );
         let scheduled = placement.as_ref().map(OpenPlacement::placement);
         let planned_tokens = scheduled.map(|placement| placement.reading_tokens);
         Self {
@@ -224,6 +227,12 @@
             let now = self.shared.now();
             let mut quarantine = self.shared.quarantine.lock();
             quarantine.record_answer(now, self.details.fingerprint);
+            drop(quarantine);
+            // A worker may answer with an error before it starts the work that crashes it.
+            if matches!(self.result, SendResult::Answered { .. }) {
+                let parts = &self.details.shared_parts;
+                self.shared.part_quarantine.lock().record_answer(now, parts);
+            }
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,8 +11,8 @@
 use tansyhall_core::{ServiceName, TenantName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
     ApiKey, AuthenticatedTenant, CombinedRanks, Configuration, Directory, GrantedPlacements,
-    LapsedWorkers, Limits, Mirror, Position, Quarantine, RetryShares, Route, RouteTable,
-    SendTracker, StopPlan, TenantTable, Urgency, Worker, WorkerEvidence,
+    LapsedWorkers, Limits, Mirror, PartQuarantine, Position, Quarantine, RetryShares, Route,
+    RouteTable, SendTracker, StopPlan, TenantTable, Urgency, Worker, WorkerEvidence,
 };
 use tokio::sync::watch;
 
@@ -86,6 +86,8 @@
     pub worker_evidence: Mutex<WorkerEvidence>,
     /// Requests that crash workers.
     pub quarantine: Mutex<Quarantine>,
+    /// Prompt parts that crash workers.
+    pub part_quarantine: Mutex<PartQuarantine>,
     /// The software versions at which streams began.
     pub stream_versions: StreamVersionExchange,
     /// Connections to workers.
--- a/crates/gateway/src/worker_ends.rs
+++ b/crates/gateway/src/worker_ends.rs
@@ -10,14 +10,16 @@
 //! A worker that leaves as planned announces it first, in the store or in an answer, or its entry disappears before its
 //! connections do.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tansyhall_forwarding::{ConnectionRefusalCause, Fingerprint, WorkerId, WorkerState};
+use tansyhall_forwarding::{
+    ConnectionRefusalCause, EndedRequests, Fingerprint, WorkerId, WorkerState,
+};
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
@@ -35,8 +37,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Minimum time between two connection attempts to a worker that repeatedly loses connections.
 const MIN_CONNECT_INTERVAL: Duration = Duration::from_millis(50);
-/// Maximum number of requests that a log line lists.
-const MAX_LOGGED_REQUESTS: usize = 16;
+/// Maximum number of requests, and of prompt parts, that a log line lists.
+const MAX_LOGGED_FINGERPRINTS: usize = 16;
 
 /// Workers that are being watched, each with the notification that another of its connections was lost.
 type WatchedWorkers = Arc<Mutex<HashMap<WorkerId, Arc<Notify>>>>;
@@ -167,32 +169,28 @@
 }
 
 fn record_end(shared: &Shared, worker: &WorkerId) {
-    let requests = shared
+    let ended = shared
         .sends
         .lock()
         .remove_ended_worker(shared.now(), worker);
-    if requests.is_empty() {
+    if ended.requests.is_empty() {
         return;
     }
     shared.metrics.worker_ends.inc();
-    log_end(shared, worker, requests.iter());
-    quarantine::record_worker_end(shared, worker, requests);
+    log_end(shared, worker, &ended);
+    quarantine::record_worker_end(shared, worker, ended);
 }
 
-fn log_end<'a>(
-    shared: &Shared,
-    worker: &WorkerId,
-    requests: impl ExactSizeIterator<Item = &'a Fingerprint>,
-) {
-    let count = requests.len();
-    let fingerprints: Vec<String> = requests
-        .take(MAX_LOGGED_REQUESTS)
-        .map(Fingerprint::to_string)
-        .collect();
+fn log_end(shared: &Shared, worker: &WorkerId, ended: &EndedRequests) {
+    let first = |fingerprints: &BTreeSet<Fingerprint>| -> Vec<String> {
+        let first = fingerprints.iter().take(MAX_LOGGED_FINGERPRINTS);
+        first.map(Fingerprint::to_string).collect()
+    };
     let event = Event::WorkerEnded {
         worker: worker.as_str(),
-        requests: count,
-        fingerprints: &fingerprints,
+        requests: ended.requests.len(),
+        fingerprints: &first(&ended.requests),
+        parts: &first(&ended.parts),
     };
     shared.log.record(Priority::Important, &event);
 }
