Only parts that a request itself held explain its worker ends

Cause: a barred part explained the ends of any request that had been under way at the same workers. Parts of requests beside the crashing one were barred for a moment and lifted its bar.

Change: a part explains ends of a request only if a request with the same fingerprint held it when its worker ended, and this one does not.

Measured: a test of the decision; the process tests of crashing requests and of crashing parts pass.

--- a/crates/forwarding/src/part_quarantine/mod.rs
+++ b/crates/forwarding/src/part_quarantine/mod.rs
@@ -17,7 +17,7 @@
 mod suspect;
 mod trial;
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use tansyhall_core::{ServiceName, TenantName, Timestamp};
 use xxhash_rust::xxh3::Xxh3Default;
@@ -38,6 +38,8 @@
 
 /// Maximum number of stored parts with worker ends. Barred parts are evicted last.
 const MAX_SUSPECTS: usize = 2_048;
+/// Maximum number of requests whose parts are stored.
+const MAX_REQUESTS: usize = 2_048;
 /// Separator between fields that are hashed one after another. No service, tenant or part contains it.
 const SEPARATOR: &[u8] = &[0];
 
@@ -70,6 +72,8 @@
     suspects: HashMap<Fingerprint, Suspect>,
     answers: RecentAnswers,
     outbox: Outbox,
+    /// Shared parts of requests under which workers ended.
+    parts_by_request: BTreeMap<Fingerprint, BTreeSet<Fingerprint>>,
 }
 
 impl PartQuarantine {
@@ -79,9 +83,27 @@
         suspect.is_some_and(Suspect::is_barred)
     }
 
-    /// Returns whether barred parts explain so many of these worker ends that the others bar nothing.
-    pub fn explains(&self, ends: &[WorkerKey]) -> bool {
-        let barred = self.suspects.values().filter(|suspect| suspect.is_barred());
+    /// Records which shared parts the prompt of a request had when its worker ended.
+    pub fn record_parts_of_request(
+        &mut self,
+        request: Fingerprint,
+        parts: impl IntoIterator<Item = Fingerprint>,
+    ) {
+        let is_new = !self.parts_by_request.contains_key(&request);
+        if is_new && self.parts_by_request.len() >= MAX_REQUESTS {
+            self.parts_by_request.pop_first();
+        }
+        let known = self.parts_by_request.entry(request).or_default();
+        known.extend(parts);
+    }
+
+    /// Returns whether barred parts explain so many worker ends of a request that the others do not bar it. Only parts
+    /// that another prompt of a request with the same fingerprint held count, and that this one (`held`) does not.
+    pub fn explains(&self, request: Fingerprint, held: &[Fingerprint], ends: &[WorkerKey]) -> bool {
+        let parts = self.parts_by_request.get(&request).into_iter().flatten();
+        let elsewhere = parts.filter(|part| !held.contains(part));
+        let suspects = elsewhere.filter_map(|part| self.suspects.get(part));
+        let barred = suspects.filter(|suspect| suspect.is_barred());
         let explained: HashSet<WorkerKey> = barred.flat_map(Suspect::counted_workers).collect();
         let unexplained = ends.iter().filter(|worker| !explained.contains(worker));
         !ends.is_empty() && unexplained.count() < WORKER_ENDS_TO_BAR
--- a/crates/forwarding/src/quarantine/send_tracker.rs
+++ b/crates/forwarding/src/quarantine/send_tracker.rs
@@ -1,6 +1,6 @@
 //! Requests that this gateway has sent to workers and that the workers may still be running.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,10 +21,20 @@
 /// What an ended worker may have been running.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct EndedRequests {
-    /// The requests.
-    pub requests: BTreeSet<Fingerprint>,
-    /// The shared parts of their prompts.
-    pub parts: BTreeSet<Fingerprint>,
+    /// The requests, each with the shared parts of its prompt. Requests with the same body may have different parts.
+    pub parts_by_request: BTreeMap<Fingerprint, BTreeSet<Fingerprint>>,
+}
+
+impl EndedRequests {
+    /// Returns the requests.
+    pub fn requests(&self) -> BTreeSet<Fingerprint> {
+        self.parts_by_request.keys().copied().collect()
+    }
+
+    /// Returns the shared parts of their prompts.
+    pub fn parts(&self) -> BTreeSet<Fingerprint> {
+        self.parts_by_request.values().flatten().copied().collect()
+    }
 }
 
 #[derive(Debug)]
@@ -83,8 +93,8 @@
         let sends = self.workers.remove(worker).unwrap_or_default();
         let mut ended = EndedRequests::default();
         for send in sends.iter().filter(|send| send.may_run(now)) {
-            ended.requests.insert(send.fingerprint);
-            ended.parts.extend(send.parts.iter().copied());
+            let parts = ended.parts_by_request.entry(send.fingerprint);
+            parts.or_default().extend(send.parts.iter().copied());
         }
         ended
     }
--- a/crates/forwarding/tests/part_quarantine.rs
+++ b/crates/forwarding/tests/part_quarantine.rs
@@ -294,14 +294,31 @@
 // Guards against requests with one body, some of which hold the guilty part: they have one fingerprint as a whole.
 #[test]
 fn a_barred_part_explains_the_ends_of_requests_beside_it() {
+    const REQUEST: Fingerprint = Fingerprint(90);
     let mut gateway = PartQuarantine::default();
     let ends = [1, 2, 3, 4].map(WorkerKey);
     for worker in ends {
         gateway.record_worker_end(at(0), worker, [GUILTY]);
     }
-    assert!(gateway.explains(&ends));
-    assert!(!gateway.explains(&[5, 6, 7].map(WorkerKey)));
-    assert!(!gateway.explains(&[]));
+    gateway.record_parts_of_request(REQUEST, [GUILTY, SHARED]);
+    assert!(gateway.explains(REQUEST, &[SHARED], &ends));
+    assert!(!gateway.explains(REQUEST, &[SHARED], &[5, 6, 7].map(WorkerKey)));
+    assert!(!gateway.explains(REQUEST, &[SHARED], &[]));
+    assert!(!gateway.explains(REQUEST, &[GUILTY, SHARED], &ends));
+}
+
+// Guards against a request that crashes workers and is sent again, because parts of requests beside it are barred.
+#[test]
+fn a_barred_part_of_other_requests_explains_nothing() {
+    const REQUEST: Fingerprint = Fingerprint(90);
+    let mut gateway = PartQuarantine::default();
+    let ends = [1, 2, 3].map(WorkerKey);
+    for worker in ends {
+        gateway.record_worker_end(at(0), worker, [SHARED]);
+    }
+    gateway.record_parts_of_request(REQUEST, [OTHER]);
+    assert!(gateway.is_barred(SHARED));
+    assert!(!gateway.explains(REQUEST, &[OTHER], &ends));
 }
 
 proptest! {
--- a/crates/forwarding/tests/quarantine.rs
+++ b/crates/forwarding/tests/quarantine.rs
@@ -79,13 +79,13 @@
     assert_eq!(
         tracker
             .remove_ended_worker(at(9_100), &WorkerId::from("another"))
-            .requests,
+            .requests(),
         NO_REQUESTS
     );
-    let may_have_run = tracker.remove_ended_worker(at(9_100), &worker).requests;
+    let may_have_run = tracker.remove_ended_worker(at(9_100), &worker).requests();
     assert_eq!(may_have_run, BTreeSet::from([broken, running]));
     assert_eq!(
-        tracker.remove_ended_worker(at(9_100), &worker).requests,
+        tracker.remove_ended_worker(at(9_100), &worker).requests(),
         NO_REQUESTS,
         "the worker was removed already"
     );
@@ -99,6 +99,6 @@
     begin(&mut tracker, &worker, Fingerprint(2));
     tracker.abandon(at(0), &worker, lost);
     tracker.expire(at(60_000));
-    let may_have_run = tracker.remove_ended_worker(at(60_000), &worker).requests;
+    let may_have_run = tracker.remove_ended_worker(at(60_000), &worker).requests();
     assert_eq!(may_have_run, BTreeSet::from([Fingerprint(2)]));
 }
--- a/crates/gateway/src/exchange/barring.rs
+++ b/crates/gateway/src/exchange/barring.rs
@@ -89,10 +89,14 @@
         if !quarantine.is_barred(self.request.fingerprint) {
             return false;
         }
-        let ends = quarantine.counted_ends(self.request.fingerprint);
+        let request = self.request.fingerprint;
+        let ends = quarantine.counted_ends(request);
         drop(quarantine);
-        let holds_barred_part = verdict != PartVerdict::Allowed;
-        holds_barred_part || !self.shared.part_quarantine.lock().explains(&ends)
+        if verdict != PartVerdict::Allowed {
+            return true;
+        }
+        let part_quarantine = self.shared.part_quarantine.lock();
+        !part_quarantine.explains(request, &self.request.shared_parts, &ends)
     }
 
     /// Returns whether worker ends count against the request as a whole.
--- a/crates/gateway/src/quarantine/exchange.rs
+++ b/crates/gateway/src/quarantine/exchange.rs
@@ -18,13 +18,15 @@
 pub fn record_worker_end(shared: &Shared, worker: &WorkerId, ended: EndedRequests) {
     let now = shared.now();
     let worker = WorkerKey::of(worker);
-    let EndedRequests { requests, parts } = ended;
     let mut quarantine = shared.quarantine.lock();
-    let barred = quarantine.record_worker_end(now, worker, requests);
+    let barred = quarantine.record_worker_end(now, worker, ended.requests());
     drop(quarantine);
     record_barred(shared, Subject::Request, &barred, "worker");
     let mut part_quarantine = shared.part_quarantine.lock();
-    let barred = part_quarantine.record_worker_end(now, worker, parts);
+    let barred = part_quarantine.record_worker_end(now, worker, ended.parts());
+    for (request, parts) in ended.parts_by_request {
+        part_quarantine.record_parts_of_request(request, parts);
+    }
     drop(part_quarantine);
     record_barred(shared, Subject::PromptPart, &barred, "worker");
     send_due_updates(shared);
--- a/crates/gateway/src/worker_ends.rs
+++ b/crates/gateway/src/worker_ends.rs
@@ -173,7 +173,7 @@
         .sends
         .lock()
         .remove_ended_worker(shared.now(), worker);
-    if ended.requests.is_empty() {
+    if ended.parts_by_request.is_empty() {
         return;
     }
     shared.metrics.worker_ends.inc();
@@ -188,9 +188,9 @@
     };
     let event = Event::WorkerEnded {
         worker: worker.as_str(),
-        requests: ended.requests.len(),
-        fingerprints: &first(&ended.requests),
-        parts: &first(&ended.parts),
+        requests: ended.parts_by_request.len(),
+        fingerprints: &first(&ended.requests()),
+        parts: &first(&ended.parts()),
     };
     shared.log.record(Priority::Important, &event);
 }
