A gateway may use connections to workers that the others do not

What callers saw: a gateway that got most new connections refused two of three requests that it read, while workers had free slots.

Cause: the connections that a worker accepts were divided by the number of gateways, whether they used them or not.

Change: gateways that hear each other's loads use what the others leave, less a reserve, and no longer use their part while others occupy it. Loads at application workers are reported for this; they decide nothing else.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod caches;
+mod concentrated_connections;
 mod crashing_prompt_parts;
 mod crashing_requests;
 mod leaving_and_backoff;
--- a/crates/forwarding/src/directory/mod.rs
+++ b/crates/forwarding/src/directory/mod.rs
@@ -430,9 +430,10 @@
     }
 }
 
-/// Reports the load of a model engine to the other gateways.
+/// Reports the load of a worker to the other gateways.
 fn report_load(reporter: &mut LoadReporter, tracked: &TrackedWorker) {
-    if tracked.worker.role.is_some() {
-        reporter.record_load(tracked.key, tracked.own_load);
+    match tracked.worker.role {
+        Some(_) => reporter.record_load(tracked.key, tracked.own_load),
+        None => reporter.record_application_load(tracked.key, tracked.own_load),
     }
 }
--- a/crates/forwarding/src/directory/sharing.rs
+++ b/crates/forwarding/src/directory/sharing.rs
@@ -4,6 +4,7 @@
 
 use tansyhall_core::Timestamp;
 
+use super::tracked::TrackedWorker;
 use super::Directory;
 use crate::cache_view::PartKey;
 use crate::decisions::Decisions;
@@ -63,7 +64,7 @@
         for entry in report.loads.iter().filter(|_| reported_load) {
             if let Some(tracked) = self.workers.get_mut(&entry.worker) {
                 tracked.receive_load(now, report.sender, entry.load);
-                if stream_pauses {
+                if stream_pauses && tracked.worker.role.is_some() {
                     tracked.record_activity(now);
                 }
                 self.loaded_by_others.insert(entry.worker);
@@ -87,6 +88,12 @@
         }
     }
 
+    /// Returns the number of requests that other gateways have in flight at a worker, as far as they have reported.
+    pub fn sends_of_others(&self, worker: &WorkerId) -> u32 {
+        let tracked = self.workers.get(&WorkerKey::of(worker));
+        tracked.map_or(0, TrackedWorker::sends_of_others)
+    }
+
     /// Drops loads that other gateways have not repeated. Only workers with reported load are
     /// examined.
     fn drop_stale_loads(&mut self, now: Timestamp) {
--- a/crates/forwarding/src/directory/tracked.rs
+++ b/crates/forwarding/src/directory/tracked.rs
@@ -166,9 +166,17 @@
         self.pause_until > now
     }
 
-    /// Returns the load of all gateways at this worker.
+    /// Returns the load of all gateways at this worker. Of application workers, only this gateway's load counts.
     pub(super) fn load(&self) -> Load {
-        self.own_load.plus(self.others_total)
+        match self.worker.role {
+            Some(_) => self.own_load.plus(self.others_total),
+            None => self.own_load,
+        }
+    }
+
+    /// Returns the number of requests that other gateways have in flight at this worker, as far as they have reported.
+    pub(super) fn sends_of_others(&self) -> u32 {
+        self.others_total.sends
     }
 
     /// Records the load that another gateway reports for this worker.
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cache_view;
 pub mod combined_ranks;
 pub mod configuration;
+pub mod connection_limit;
 pub mod cost_model;
 pub mod decisions;
 pub mod demand_shares;
@@ -47,6 +48,7 @@
     Configuration, ConfigurationError, EngineCapacity, Limits, Repeatability, Route, Service,
     Target, WorkerScaling,
 };
+pub use connection_limit::{connection_limit, KnownRequests};
 pub use decisions::Decisions;
 pub use departure::Departure;
 pub use directory::{
--- a/crates/forwarding/src/load_exchange.rs
+++ b/crates/forwarding/src/load_exchange.rs
@@ -1,6 +1,6 @@
-//! Reports in which gateways inform each other of the load that they put on model engines.
+//! Reports in which gateways inform each other of the load that they put on workers.
 //!
-//! A report contains the requests and prompt tokens that its sender has in flight at each engine, and
+//! A report contains the requests and prompt tokens that its sender has in flight at each worker, and
 //! the prompt parts that engines have recently read for it. Loads are absolute, so that the next
 //! report makes up for a lost one. A change of many tokens is reported at the next flush. A change
 //! of the number of requests alone is reported at a longer interval. Loads other than zero are
@@ -163,6 +163,8 @@
     loads: BTreeMap<WorkerKey, Load>,
     urgent_changes: BTreeSet<WorkerKey>,
     small_changes: BTreeSet<WorkerKey>,
+    /// Application workers whose loads have not been reported since they were zero.
+    unreported_applications: BTreeSet<WorkerKey>,
     parts: Vec<PartRead>,
     absences: Vec<Absence>,
     tenants: Vec<ServiceTenants>,
@@ -179,6 +181,7 @@
             loads: BTreeMap::new(),
             urgent_changes: BTreeSet::new(),
             small_changes: BTreeSet::new(),
+            unreported_applications: BTreeSet::new(),
             parts: Vec::new(),
             absences: Vec::new(),
             tenants: Vec::new(),
@@ -197,6 +200,19 @@
         };
     }
 
+    /// Records the load that this gateway now has in flight at an application worker. Its requests are short: a load that
+    /// ends before it was reported is not reported.
+    pub fn record_application_load(&mut self, worker: WorkerKey, load: Load) {
+        if !self.loads.contains_key(&worker) {
+            self.unreported_applications.insert(worker);
+        }
+        self.record_load(worker, load);
+        if load == Load::default() && self.unreported_applications.remove(&worker) {
+            self.loads.remove(&worker);
+            self.small_changes.remove(&worker);
+        }
+    }
+
     /// Records that a worker has read or is reading a part.
     pub fn record_part(&mut self, part: PartRead) {
         self.parts.push(part);
@@ -244,6 +260,8 @@
             load: self.loads.get(worker).copied().unwrap_or_default(),
         });
         let loads = loads.collect();
+        self.unreported_applications
+            .retain(|worker| !due_loads.contains(worker));
         self.loads.retain(|_, load| *load != Load::default());
         self.sequence += 1;
         Some(LoadReport {
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -26,6 +26,7 @@
 use self::barring::TrialState;
 use self::run::ReplacementRule;
 use crate::answer::{Answer, AnswerHead, AnswerSink, GatewayAnswer};
+use crate::connections::Destination;
 use crate::events::{Event, Priority};
 use crate::headers::HeaderList;
 use crate::placement::OpenPlacement;
@@ -298,6 +299,13 @@
         SendGuard::begin(&self.shared, sent, placement)
     }
 
+    fn destination(&self, worker: &Worker, guard: &SendGuard) -> Destination {
+        match guard.is_placed() {
+            true => self.shared.placed_destination(worker),
+            false => self.shared.destination(worker),
+        }
+    }
+
     fn time_left(&self) -> Duration {
         self.request.deadline.since(self.shared.now())
     }
--- a/crates/gateway/src/exchange/prompt.rs
+++ b/crates/gateway/src/exchange/prompt.rs
@@ -113,7 +113,7 @@
         worker: &Worker,
         guard: &SendGuard,
     ) -> Result<PromptHandle, FailedPromptRead> {
-        let destination = self.shared.destination(worker);
+        let destination = self.destination(worker, guard);
         let request = self.worker_request(worker, Work::ReadPrompt, guard);
         let connections = &self.shared.connections;
         let sent = connections
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -92,7 +92,7 @@
             resume_after,
         };
         let request = self.worker_request(&worker, work, &guard);
-        let destination = self.shared.destination(&worker);
+        let destination = self.destination(&worker, &guard);
         let max_silence = self.max_silence(&guard);
         Some(Attempt::new(
             &self.shared.connections,
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -153,6 +153,11 @@
             .is_some_and(|placement| placement.has_rate_token)
     }
 
+    /// Returns whether a scheduler has placed it.
+    pub fn is_placed(&self) -> bool {
+        self.scheduled_placement().is_some()
+    }
+
     /// Returns the latency of the answer that was expected when the send began.
     pub fn expected_latency(&self) -> Duration {
         match self.scheduled_placement() {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,9 +10,10 @@
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::{ServiceName, TenantName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    ApiKey, AuthenticatedTenant, CombinedRanks, Configuration, Directory, GrantedPlacements,
-    LapsedWorkers, Limits, Mirror, PartQuarantine, Position, Quarantine, RetryShares, Route,
-    RouteTable, SendTracker, StopPlan, TenantTable, Urgency, Worker, WorkerEvidence,
+    connection_limit, ApiKey, AuthenticatedTenant, CombinedRanks, Configuration, Directory,
+    GrantedPlacements, KnownRequests, LapsedWorkers, Limits, Mirror, PartQuarantine, Position,
+    Quarantine, RetryShares, Route, RouteTable, SendTracker, StopPlan, TenantTable, Urgency,
+    Worker, WorkerEvidence,
 };
 use tokio::sync::watch;
 
@@ -32,12 +33,6 @@
 use crate::worker_entries::{LoggedWorkers, WorkerEntries};
 use crate::worker_relay::WorkerRelays;
 
-/// The share of a worker's connections that all gateways together may use. The rest is left for health checks
-/// and for gateways that are not known yet.
-const GATEWAY_CONNECTION_SHARE: f64 = 0.8;
-/// Lower bound of a gateway's connection limit for one worker.
-const MIN_WORKER_CONNECTIONS: u32 = 4;
-
 /// The shared state of a gateway.
 pub struct Shared {
     /// Settings, replaced on reload.
@@ -286,8 +281,21 @@
             .is_none_or(|elapsed| self.stop_plan().accepts(elapsed))
     }
 
-    /// Returns the address of a worker and this gateway's share of its connections.
+    /// Returns the address of a worker, and how many connections to it this gateway may have open.
     pub fn destination(&self, worker: &Worker) -> Destination {
+        let known = match self.hears_all_gateways() {
+            true => KnownRequests::All(self.directory.lock().sends_of_others(&worker.id)),
+            false => KnownRequests::None,
+        };
+        self.destination_with(worker, known)
+    }
+
+    /// Returns the destination of a request that a scheduler has placed at a worker.
+    pub fn placed_destination(&self, worker: &Worker) -> Destination {
+        self.destination_with(worker, KnownRequests::Placed)
+    }
+
+    fn destination_with(&self, worker: &Worker, known: KnownRequests) -> Destination {
         let worker_connections = self
             .in_force()
             .and_then(|in_force| {
@@ -295,14 +303,20 @@
                 Some(service.max_connections)
             })
             .unwrap_or(worker.slots);
-        let gateways = self.gateways.load(Ordering::Relaxed).max(1) as f64;
-        let share = (f64::from(worker_connections) * GATEWAY_CONNECTION_SHARE / gateways) as u32;
+        let gateways = self.gateways.load(Ordering::Relaxed);
         Destination {
             worker: worker.id.clone(),
             address: worker.address,
-            max_connections: share.max(MIN_WORKER_CONNECTIONS),
+            max_connections: connection_limit(worker_connections, gateways, known),
         }
     }
+
+    /// Returns whether all gateways place their own requests and report them to each other.
+    fn hears_all_gateways(&self) -> bool {
+        let fleet = self.fleet.read();
+        let uses_schedulers = self.settings.read().decisions.schedulers;
+        !uses_schedulers || fleet.plan.scheduler_count() == fleet.len()
+    }
 }
 
 /// Counts a request as in progress until it is dropped.
