--- a/crates/forwarding/src/quarantine/mod.rs
+++ b/crates/forwarding/src/quarantine/mod.rs
@@ -88,10 +88,10 @@
     pub reply: QuarantineUpdate,
 }
 
-/// A barred request that the store does not list.
+/// A barred request or prompt part that the store does not list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UnlistedRequest {
-    /// The request.
+    /// The request or the part.
     pub fingerprint: Fingerprint,
     /// When it was barred.
     pub since: Timestamp,
