Gateways that do not hear of all ends adopt the bars of prompt parts

Found by reading: in a fleet with schedulers, a gateway is told of a bar with the latest eight ends, and sees many ends of other parts itself. The guilty part then had fewer than half of the ends that it knew, and its bar was lifted.

Change: a gateway that does not get all reports keeps a bar that others have told it of, until they tell that it is lifted or cleared. Lifted bars are told to all gateways.

--- a/crates/forwarding/src/part_quarantine/blame.rs
+++ b/crates/forwarding/src/part_quarantine/blame.rs
@@ -20,7 +20,7 @@
 /// Returns the parts that are blamed, each with the time of its last end that no other part explains.
 ///
 /// A part is blamed for its ends that no blamed part with more ends explains. Parts with equally many ends are not told
-/// apart.
+/// apart. A part that is barred by gateways which hear of more ends needs no share of those that this one knows.
 pub(super) fn blamed_parts(
     now: Timestamp,
     suspects: &HashMap<Fingerprint, Suspect>,
@@ -54,7 +54,8 @@
             let is_settled = suspect
                 .barred_since()
                 .is_some_and(|since| now.since(since) > SETTLING_TIME);
-            if has_enough && (is_settled || is_frequent()) {
+            let is_decided = is_settled || suspect.is_barred_by_others();
+            if has_enough && (is_decided || is_frequent()) {
                 blamed.insert(*part, last);
                 newly_explained.extend(suspect.counted_workers());
             }
--- a/crates/forwarding/src/part_quarantine/mod.rs
+++ b/crates/forwarding/src/part_quarantine/mod.rs
@@ -148,7 +148,8 @@
         }
     }
 
-    /// Applies an update from another gateway. If `relays` is set, new bars are passed on to all gateways.
+    /// Applies an update from another gateway. If `relays` is set, this gateway hears of all ends, and passes new bars on to
+    /// all gateways. Otherwise it adopts what the others have decided.
     pub fn apply_update(
         &mut self,
         now: Timestamp,
@@ -158,6 +159,9 @@
         let mut applied = AppliedUpdate::default();
         for worker_ends in &update.worker_ends {
             self.apply_worker_ends(now, worker_ends, &mut applied);
+            if let Some(suspect) = self.suspects.get_mut(&worker_ends.fingerprint) {
+                suspect.set_barred_by_others(!relays && worker_ends.is_barred);
+            }
         }
         for part in &update.cleared {
             if let Some(suspect) = self.suspects.get_mut(part) {
@@ -259,7 +263,7 @@
     /// Determines which parts are barred, and returns those that are newly barred.
     fn settle(&mut self, now: Timestamp) -> Vec<Fingerprint> {
         let blamed = blame::blamed_parts(now, &self.suspects);
-        let mut barred = Vec::new();
+        let (mut barred, mut lifted) = (Vec::new(), Vec::new());
         for (part, suspect) in &mut self.suspects {
             match blamed.get(part) {
                 Some(last_end) => {
@@ -268,9 +272,13 @@
                     }
                     suspect.record_end_of_trial(*last_end);
                 }
-                None => suspect.lift_bar(),
+                None if suspect.lift_bar() => lifted.push(*part),
+                None => {}
             }
         }
+        for part in lifted {
+            self.tell_all(now, part, MANY_REPEATS);
+        }
         barred.sort_unstable();
         barred
     }
--- a/crates/forwarding/src/part_quarantine/suspect.rs
+++ b/crates/forwarding/src/part_quarantine/suspect.rs
@@ -50,6 +50,8 @@
     is_listed: bool,
     /// Whether the bar that the store still lists has been lifted.
     is_lifted: bool,
+    /// Whether gateways that hear of more ends than this one bar the part.
+    is_barred_by_others: bool,
     trial: Trial,
 }
 
@@ -62,6 +64,7 @@
             barred_since: None,
             is_listed: false,
             is_lifted: false,
+            is_barred_by_others: false,
             trial: Trial::None,
         }
     }
@@ -91,14 +94,26 @@
         !was_barred
     }
 
-    /// Lifts a bar that follows from worker ends. A part that only the store lists stays barred.
-    pub(super) fn lift_bar(&mut self) {
-        if self.barred_since.take().is_some() {
+    /// Lifts a bar that follows from worker ends, and returns whether there was one. A part that only the store lists stays
+    /// barred.
+    pub(super) fn lift_bar(&mut self) -> bool {
+        let was_barred = self.barred_since.take().is_some();
+        if was_barred {
             self.is_lifted = self.is_listed;
             if self.trial != Trial::Failed {
                 self.trial = Trial::None;
             }
         }
+        was_barred
+    }
+
+    /// Sets whether gateways that hear of more ends than this one bar the part.
+    pub(super) fn set_barred_by_others(&mut self, is_barred: bool) {
+        self.is_barred_by_others = is_barred;
+    }
+
+    pub(super) fn is_barred_by_others(&self) -> bool {
+        self.is_barred_by_others
     }
 
     /// Marks all ends as cleared and lifts the bar. Returns whether any end counted or the part was barred.
@@ -109,6 +124,7 @@
         }
         self.barred_since = None;
         self.is_lifted = self.is_listed;
+        self.is_barred_by_others = false;
         self.trial = Trial::None;
         counted
     }
--- a/crates/forwarding/tests/part_quarantine.rs
+++ b/crates/forwarding/tests/part_quarantine.rs
@@ -181,6 +181,24 @@
     assert_eq!(fleet.gateways_barring(SHARED), 0);
 }
 
+// Guards against gateways of large fleets that hear of few ends of the guilty part and of many others, and go on sending it.
+#[test]
+fn a_gateway_that_does_not_hear_of_all_ends_adopts_the_bars_of_others() {
+    let mut listener = PartQuarantine::default();
+    for worker in 0..30 {
+        listener.record_worker_end(at(worker), WorkerKey(worker), [GUILTY]);
+    }
+    let mut other = PartQuarantine::default();
+    for outgoing in listener.take_due_updates(at(40)) {
+        other.apply_update(at(40), &outgoing.update, false);
+    }
+    for worker in 0..30 {
+        let seen = [Fingerprint(100 + worker)];
+        other.record_worker_end(at(50 + worker), WorkerKey(worker), seen);
+    }
+    assert!(other.is_barred(GUILTY));
+}
+
 #[test]
 fn an_answer_at_any_gateway_clears_a_part() {
     let mut fleet = Fleet::new();
