--- a/review/standins/src/bin/lost_streams.rs
+++ b/review/standins/src/bin/lost_streams.rs
@@ -22,6 +22,7 @@
     lease_ms: 3_000,
     drain_ms: 2_000,
     retry_extra: 54,
+    duties: None,
 };
 const SERVICE: &str = "sahayak-llm";
 const HOST: &str = "site.example";
--- a/review/standins/src/bin/stale_fence.rs
+++ b/review/standins/src/bin/stale_fence.rs
@@ -24,6 +24,7 @@
     lease_ms: 3_000,
     drain_ms: 2_000,
     retry_extra: 56,
+    duties: None,
 };
 const CONTACT: Duration = Duration::from_millis(3_000);
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -20,6 +20,16 @@
     pub lease_ms: u64,
     pub drain_ms: u64,
     pub retry_extra: u32,
+    /// Where the platform's operations are called, if there are any, with the windows of usage reports.
+    pub duties: Option<Duties>,
+}
+
+/// The platform's operations and the windows of usage reports.
+#[derive(Debug, Clone, Copy)]
+pub struct Duties {
+    pub address: SocketAddr,
+    pub report_window_s: u64,
+    pub usage_late_s: u64,
 }
 
 /// One machine of the system and its gateway.
@@ -94,7 +104,7 @@
             let name = format!("front-{zone}-{}", machine + 1);
             let address = |port| SocketAddr::new(ip(machine), port);
             let endpoint = store.open_endpoint().map_err(|error| error.to_string())?;
-            let fields = json!({
+            let mut fields = json!({
                 "node": name,
                 "role": "gateway",
                 "machine_class": "front",
@@ -120,6 +130,11 @@
                 },
                 "provider": { "address": endpoint.address.to_string(), "form": "kv" },
             });
+            if let Some(duties) = bounds.duties {
+                fields["cloud"] = json!({ "address": duties.address.to_string() });
+                fields["bounds"]["report_window_s"] = json!(duties.report_window_s);
+                fields["bounds"]["usage_late_s"] = json!(duties.usage_late_s);
+            }
             let text = render(&template, &fields).map_err(|error| format!("{error:?}"))?;
             let settings = directory.join(format!("{name}.toml"));
             fs::write(&settings, text).map_err(|error| error.to_string())?;
