--- a/review/standins/src/bin/lost_streams.rs
+++ b/review/standins/src/bin/lost_streams.rs
@@ -5,7 +5,7 @@
 use std::process::exit;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use review_standins::client::{send, Answer, Attempt, Part};
 use review_standins::fleet::{Bounds, Fleet};
@@ -63,6 +63,8 @@
     record: Record,
     tally: Mutex<Tally>,
     fronts: Vec<std::net::SocketAddr>,
+    /// The beginning of all ids of this run. It decides by chance which gateways are told of which stream.
+    run: String,
     /// The gateway that is not killed.
     survivor: usize,
     /// The software version of each worker, by its seal.
@@ -105,6 +107,7 @@
         tally: Mutex::default(),
         versions: workers.iter().map(|(worker, version)| (format!("seal-of-{}", worker.id), *version)).collect(),
         fronts: fleet.gateways.iter().map(|gateway| gateway.front).collect(),
+        run: format!("{:x}", run_number()),
         survivor: 0,
         breaks: AtomicBool::new(false),
     });
@@ -165,6 +168,12 @@
     }
 }
 
+/// Returns another number in each run.
+fn run_number() -> u128 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.unwrap_or_default().as_nanos()
+}
+
 fn configure(store: &Store) {
     let document = json!({
         "version": 5,
@@ -235,7 +244,7 @@
 
 /// A client that reads a stream, and takes it up if it breaks off.
 async fn stream(world: Arc<World>, gateway: usize, number: usize) {
-    let first = format!("first-{gateway}-{number}");
+    let first = format!("{}-first-{gateway}-{number}", world.run);
     let began = Instant::now();
     world.record.line(format!("client sends {first} to gateway {gateway}"));
     let Ok(mut answer) = send(world.fronts[gateway], &attempt(&first, DEADLINE, None)).await else {
@@ -288,7 +297,7 @@
 
 /// A client that begins a stream at the gateway that is left.
 async fn new_stream(world: Arc<World>, number: usize) {
-    let id = format!("new-{number}");
+    let id = format!("{}-new-{number}", world.run);
     world.record.line(format!("client sends {id} to gateway {}", world.survivor));
     let sent = send(world.fronts[world.survivor], &attempt(&id, DEADLINE, None)).await;
     let mut has_begun = false;
