--- a/review/standins/src/bin/lost_streams.rs
+++ b/review/standins/src/bin/lost_streams.rs
@@ -16,7 +16,9 @@
 use tokio::time::{sleep, timeout};
 
 /// The machines of the site.
-const ZONES: [&str; 7] = ["kalimati", "kalimati", "balkhu", "balkhu", "thimi", "thimi", "chobhar"];
+const ZONES: [&str; 7] = [
+    "kalimati", "kalimati", "balkhu", "balkhu", "thimi", "thimi", "chobhar",
+];
 const BOUNDS: Bounds = Bounds {
     grace_s: 8,
     lease_ms: 3_000,
@@ -83,7 +85,12 @@
     let store = Store::default();
     configure(&store);
     let mut workers = Vec::new();
-    for (number, version) in VERSIONS.iter().cycle().take(2 * WORKERS_PER_VERSION).enumerate() {
+    for (number, version) in VERSIONS
+        .iter()
+        .cycle()
+        .take(2 * WORKERS_PER_VERSION)
+        .enumerate()
+    {
         let plan = WorkerPlan {
             incarnation: None,
             service: SERVICE,
@@ -93,9 +100,15 @@
             spot: false,
             duplicates_answers: false,
         };
-        let behaviour = Behaviour::Paced { events: EVENTS, pause_ms: PAUSE_MS };
+        let behaviour = Behaviour::Paced {
+            events: EVENTS,
+            pause_ms: PAUSE_MS,
+        };
         let worker = Worker::start(&store, plan, behaviour).map_err(|error| error.to_string())?;
-        record.line(format!("worker {} of version {version} serves at {}", worker.id, worker.address));
+        record.line(format!(
+            "worker {} of version {version} serves at {}",
+            worker.id, worker.address
+        ));
         workers.push((worker, *version));
     }
     let mut fleet = Fleet::start(&record, &store, &ZONES, BOUNDS)?;
@@ -105,7 +118,10 @@
     let world = Arc::new(World {
         record: record.clone(),
         tally: Mutex::default(),
-        versions: workers.iter().map(|(worker, version)| (format!("seal-of-{}", worker.id), *version)).collect(),
+        versions: workers
+            .iter()
+            .map(|(worker, version)| (format!("seal-of-{}", worker.id), *version))
+            .collect(),
         fronts: fleet.gateways.iter().map(|gateway| gateway.front).collect(),
         run: format!("{:x}", run_number()),
         survivor: 0,
@@ -123,7 +139,11 @@
         for index in (0..ZONES.len()).filter(|index| *index != world.survivor) {
             fleet.signal(index, "KILL");
         }
-        record.say(format!("{} of {} gateways are killed", ZONES.len() - 1, ZONES.len()));
+        record.say(format!(
+            "{} of {} gateways are killed",
+            ZONES.len() - 1,
+            ZONES.len()
+        ));
     } else {
         world.breaks.store(true, Ordering::Relaxed);
         record.say("no gateway is killed; the clients break their connections");
@@ -143,7 +163,10 @@
     drop(fleet);
     for (worker, version) in &workers {
         for run in worker.runs() {
-            record.line(format!("worker {} ({version}) ran {} after event {:?}", worker.id, run.request_id, run.last_event));
+            record.line(format!(
+                "worker {} ({version}) ran {} after event {:?}",
+                worker.id, run.request_id, run.last_event
+            ));
         }
     }
     let tally = world.tally.lock().map_err(|_| "a lock is poisoned")?;
@@ -217,7 +240,11 @@
 }
 
 /// Reads events until the stream ends, and returns the number of the last whole one.
-async fn read_events(answer: &mut Answer, mut last: u32, breaks: Option<&AtomicBool>) -> (u32, Ended) {
+async fn read_events(
+    answer: &mut Answer,
+    mut last: u32,
+    breaks: Option<&AtomicBool>,
+) -> (u32, Ended) {
     let mut text = Vec::new();
     loop {
         if breaks.is_some_and(|breaks| breaks.load(Ordering::Relaxed)) {
@@ -231,7 +258,9 @@
         }
         let whole = String::from_utf8_lossy(&text).into_owned();
         if let Some(end) = whole.rfind("\n\n") {
-            let ids = whole[..end].lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
+            let ids = whole[..end]
+                .lines()
+                .filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
             last = ids.max().unwrap_or(last);
             text = whole.as_bytes()[end + 2..].to_vec();
         }
@@ -239,29 +268,44 @@
 }
 
 fn seal(answer: &Answer) -> String {
-    answer.head.get("X-Response-Seal").unwrap_or_default().to_owned()
+    answer
+        .head
+        .get("X-Response-Seal")
+        .unwrap_or_default()
+        .to_owned()
 }
 
 /// A client that reads a stream, and takes it up if it breaks off.
 async fn stream(world: Arc<World>, gateway: usize, number: usize) {
     let first = format!("{}-first-{gateway}-{number}", world.run);
     let began = Instant::now();
-    world.record.line(format!("client sends {first} to gateway {gateway}"));
+    world
+        .record
+        .line(format!("client sends {first} to gateway {gateway}"));
     let Ok(mut answer) = send(world.fronts[gateway], &attempt(&first, DEADLINE, None)).await else {
         return world.record.line(format!("{first}: no answer"));
     };
     let first_seal = seal(&answer);
-    world.record.line(format!("{first}: status {} from {first_seal}", answer.head.status));
+    world.record.line(format!(
+        "{first}: status {} from {first_seal}",
+        answer.head.status
+    ));
     let (last, ended) = read_events(&mut answer, 0, Some(&world.breaks)).await;
     drop(answer);
-    world.record.line(format!("{first}: {ended:?} after event {last}"));
+    world
+        .record
+        .line(format!("{first}: {ended:?} after event {last}"));
     if ended == Ended::Complete || last == 0 {
         return;
     }
     world.tally.lock().expect("a lock").broken_off += 1;
     // The platform leads the client to another machine. Those that are killed refuse the connection, which counts
     // nowhere, so the client is led to the one that is left at once.
-    let next = if has_trouble() { world.survivor } else { (gateway + 1) % ZONES.len() };
+    let next = if has_trouble() {
+        world.survivor
+    } else {
+        (gateway + 1) % ZONES.len()
+    };
     let (mut counted, mut went_on, mut mixed) = (false, false, false);
     for number in 0..TAKE_UPS {
         let left = DEADLINE.saturating_sub(began.elapsed());
@@ -269,20 +313,36 @@
             break;
         }
         let id = format!("again-{first}-{number}");
-        world.record.line(format!("client sends {id} to gateway {next}, Resumes {first}, Last-Event-Id {last}"));
-        let Ok(mut answer) = send(world.fronts[next], &attempt(&id, left, Some((&first, last)))).await else {
+        world.record.line(format!(
+            "client sends {id} to gateway {next}, Resumes {first}, Last-Event-Id {last}"
+        ));
+        let Ok(mut answer) = send(
+            world.fronts[next],
+            &attempt(&id, left, Some((&first, last))),
+        )
+        .await
+        else {
             world.record.line(format!("{id}: no answer"));
             continue;
         };
         counted = true;
         let status = answer.head.status;
-        let pause = answer.head.get("Retry-After").and_then(|text| text.parse::<f64>().ok());
-        world.record.line(format!("{id}: status {status}, Retry-After {pause:?}, {}", seal(&answer)));
+        let pause = answer
+            .head
+            .get("Retry-After")
+            .and_then(|text| text.parse::<f64>().ok());
+        world.record.line(format!(
+            "{id}: status {status}, Retry-After {pause:?}, {}",
+            seal(&answer)
+        ));
         if status == 200 {
             let (reached, ended) = read_events(&mut answer, last, None).await;
-            world.record.line(format!("{id}: {ended:?} after event {reached}"));
+            world
+                .record
+                .line(format!("{id}: {ended:?} after event {reached}"));
             went_on = reached > last;
-            mixed = went_on && world.versions.get(&first_seal) != world.versions.get(&seal(&answer));
+            mixed =
+                went_on && world.versions.get(&first_seal) != world.versions.get(&seal(&answer));
             break;
         }
         let left = DEADLINE.saturating_sub(began.elapsed());
@@ -298,13 +358,18 @@
 /// A client that begins a stream at the gateway that is left.
 async fn new_stream(world: Arc<World>, number: usize) {
     let id = format!("{}-new-{number}", world.run);
-    world.record.line(format!("client sends {id} to gateway {}", world.survivor));
+    world
+        .record
+        .line(format!("client sends {id} to gateway {}", world.survivor));
     let sent = send(world.fronts[world.survivor], &attempt(&id, DEADLINE, None)).await;
     let mut has_begun = false;
     if let Ok(mut answer) = sent {
         let (last, ended) = read_events(&mut answer, 0, None).await;
         has_begun = answer.head.status == 200 && last > 0;
-        world.record.line(format!("{id}: status {}, {ended:?} after event {last}", answer.head.status));
+        world.record.line(format!(
+            "{id}: status {}, {ended:?} after event {last}",
+            answer.head.status
+        ));
     }
     let mut tally = world.tally.lock().expect("a lock");
     tally.new += 1;
--- a/review/standins/src/bin/stale_fence.rs
+++ b/review/standins/src/bin/stale_fence.rs
@@ -67,7 +67,14 @@
 
 async fn serve(request: HttpRequest, body: Bytes, data: EngineData) -> HttpResponse {
     let (engine, world) = &**data;
-    let header = |name: &str| request.headers().get(name)?.to_str().ok().map(str::to_owned);
+    let header = |name: &str| {
+        request
+            .headers()
+            .get(name)?
+            .to_str()
+            .ok()
+            .map(str::to_owned)
+    };
     if header("X-Target-Instance").is_some_and(|target| target != engine.id) {
         return HttpResponse::MisdirectedRequest().finish();
     }
@@ -110,7 +117,9 @@
         actix_rt::spawn(async move {
             sleep(LATE_ORDER).await;
             let is_taken = carry_out(&engine, count, &stage);
-            world.record.line(format!("engine {} late order taken: {is_taken}", engine.id));
+            world
+                .record
+                .line(format!("engine {} late order taken: {is_taken}", engine.id));
         });
         sleep(Duration::from_secs(600)).await;
         return HttpResponse::InternalServerError().finish();
@@ -142,7 +151,9 @@
     });
     let data: EngineData = web::Data::new((Arc::clone(&engine), Arc::clone(world)));
     let server = HttpServer::new(move || {
-        App::new().app_data(data.clone()).default_service(web::to(serve))
+        App::new()
+            .app_data(data.clone())
+            .default_service(web::to(serve))
     })
     .workers(1)
     .disable_signals()
@@ -216,7 +227,11 @@
     }
     let write_all = {
         let (store, engines) = (store.clone(), engines.clone());
-        move |beat| engines.iter().for_each(|(engine, address)| write_entry(&store, engine, address, beat))
+        move |beat| {
+            engines
+                .iter()
+                .for_each(|(engine, address)| write_entry(&store, engine, address, beat))
+        }
     };
     write_all(0);
     let is_away = Arc::new(Mutex::new(false));
@@ -231,9 +246,14 @@
     });
     let mut fleet = Fleet::start(&record, &store, &ZONES, BOUNDS)?;
     fleet.wait_until_ready(Duration::from_secs(15)).await?;
-    let leader = wait_for_leader(&store).await.and_then(|name| fleet.index_of(&name));
+    let leader = wait_for_leader(&store)
+        .await
+        .and_then(|name| fleet.index_of(&name));
     let first = leader.ok_or("no gateway has taken the authority")?;
-    record.say(format!("{} leads: it has written to the store under a condition", fleet.gateways[first].name));
+    record.say(format!(
+        "{} leads: it has written to the store under a condition",
+        fleet.gateways[first].name
+    ));
     let calm_again = match has_trouble() {
         false => {
             sleep(Duration::from_secs(12)).await;
@@ -248,7 +268,13 @@
             record.say("the store is copied");
             let name = fleet.gateways[first].name.clone();
             let mut tries = 0;
-            while !world.arrivals.lock().expect("a lock").iter().any(|order| order.holder != name) {
+            while !world
+                .arrivals
+                .lock()
+                .expect("a lock")
+                .iter()
+                .any(|order| order.holder != name)
+            {
                 sleep(Duration::from_millis(20)).await;
                 tries += 1;
                 if tries > 1_000 {
@@ -257,7 +283,9 @@
             }
             sleep(Duration::from_millis(300)).await;
             record.say("drill: the store is away; the processes of all other machines are killed");
-            let others: Vec<usize> = (0..fleet.gateways.len()).filter(|index| *index != first).collect();
+            let others: Vec<usize> = (0..fleet.gateways.len())
+                .filter(|index| *index != first)
+                .collect();
             for other in &others {
                 fleet.signal(*other, "KILL");
             }
@@ -299,13 +327,19 @@
     let (mut all, mut counted) = (0, 0);
     for order in arrivals {
         let before = highest.get(&order.engine).copied();
-        if let Some(before) = before.filter(|before| before.fence > order.fence && before.holder != order.holder) {
+        if let Some(before) =
+            before.filter(|before| before.fence > order.fence && before.holder != order.holder)
+        {
             all += 1;
             let is_counted = order.at > calm_again + CONTACT;
             counted += usize::from(is_counted);
             record.say(format!(
                 "engine i-{:08x}: fence {} of {} after fence {} of {}{}",
-                order.engine, order.fence, order.holder, before.fence, before.holder,
+                order.engine,
+                order.fence,
+                order.holder,
+                before.fence,
+                before.holder,
                 if is_counted { ", all in touch" } else { "" },
             ));
         }
@@ -313,7 +347,10 @@
             highest.insert(order.engine, order);
         }
     }
-    record.say(format!("{} orders; {all} with a lower fence after a higher one, {counted} of them counted", arrivals.len()));
+    record.say(format!(
+        "{} orders; {all} with a lower fence after a higher one, {counted} of them counted",
+        arrivals.len()
+    ));
     if arrivals.is_empty() {
         return COULD_NOT_RUN;
     }
--- a/review/standins/src/bin/usage_twice.rs
+++ b/review/standins/src/bin/usage_twice.rs
@@ -46,11 +46,11 @@
     let store = Store::default();
     configure(&store);
     let mut workers = Vec::new();
-    for number in 0..3 {
+    for zone in &ZONES[..3] {
         let plan = WorkerPlan {
             incarnation: None,
             service: SERVICE,
-            zone: ZONES[number],
+            zone,
             version: "1",
             stage: None,
             spot: false,
@@ -77,7 +77,12 @@
     let clients: Vec<_> = (0..ZONES.len())
         .map(|gateway| {
             let front = fleet.gateways[gateway].front;
-            actix_rt::spawn(send_requests(record.clone(), front, gateway, Arc::clone(&is_over)))
+            actix_rt::spawn(send_requests(
+                record.clone(),
+                front,
+                gateway,
+                Arc::clone(&is_over),
+            ))
         })
         .collect();
     let outcome = disrupt(&record, &store, &operations, &mut fleet, &workers).await;
@@ -93,7 +98,11 @@
     outcome?;
     let calls = operations.usage_calls();
     for worker in &workers {
-        record.line(format!("worker {} ran {} requests", worker.id, worker.runs().len()));
+        record.line(format!(
+            "worker {} ran {} requests",
+            worker.id,
+            worker.runs().len()
+        ));
     }
     Ok(judge(&record, &calls))
 }
@@ -107,7 +116,10 @@
     workers: &[Worker],
 ) -> Result<(), String> {
     let first = wait_for("a first report", Duration::from_secs(25), || {
-        operations.usage_calls().into_iter().find(|call| !call.counts.is_empty())
+        operations
+            .usage_calls()
+            .into_iter()
+            .find(|call| !call.counts.is_empty())
     })
     .await?;
     record.say(format!("{} reports usage", first.holder));
@@ -119,13 +131,22 @@
     let window = first.window + 2;
     let mut copies: VecDeque<(Backup, Duration)> = VecDeque::new();
     let report = wait_for("the report of the window", Duration::from_secs(20), || {
-        if copies.back().is_none_or(|(_, at)| record.now() - *at >= COPY_PAUSE) {
+        if copies
+            .back()
+            .is_none_or(|(_, at)| record.now() - *at >= COPY_PAUSE)
+        {
             copies.push_back((store.back_up(), record.now()));
         }
-        while copies.get(1).is_some_and(|(_, at)| record.now() - *at >= COPY_AGE) {
+        while copies
+            .get(1)
+            .is_some_and(|(_, at)| record.now() - *at >= COPY_AGE)
+        {
             copies.pop_front();
         }
-        operations.usage_calls().into_iter().find(|call| call.window == window)
+        operations
+            .usage_calls()
+            .into_iter()
+            .find(|call| call.window == window)
     })
     .await?;
     let (copy, copied_at) = copies.pop_front().ok_or("no copy of the store")?;
@@ -135,17 +156,25 @@
     for index in 0..fleet.gateways.len() {
         fleet.signal(index, "KILL");
     }
-    record.say(format!("{} has reported window {window}: {:?}", report.holder, report.counts));
+    record.say(format!(
+        "{} has reported window {window}: {:?}",
+        report.holder, report.counts
+    ));
     record.say("drill: the store is away; all processes are killed");
     sleep(AWAY).await;
     let age = record.now() - copied_at;
     store.restore(&copy);
     configure(store);
-    workers.iter().for_each(|worker| worker.write_entry("ready"));
+    workers
+        .iter()
+        .for_each(|worker| worker.write_entry("ready"));
     for gateway in &fleet.gateways {
         gateway.store.set_fault(StoreFault::None);
     }
-    record.say(format!("the store is back from a copy {:.1} s old", age.as_secs_f64()));
+    record.say(format!(
+        "the store is back from a copy {:.1} s old",
+        age.as_secs_f64()
+    ));
     sleep(DOWN - AWAY).await;
     for index in 0..fleet.gateways.len() {
         fleet.start_process(index)?;
@@ -153,7 +182,11 @@
     Ok(())
 }
 
-async fn wait_for<T>(what: &str, limit: Duration, mut check: impl FnMut() -> Option<T>) -> Result<T, String> {
+async fn wait_for<T>(
+    what: &str,
+    limit: Duration,
+    mut check: impl FnMut() -> Option<T>,
+) -> Result<T, String> {
     let step = Duration::from_millis(5);
     for _ in 0..limit.as_millis() / step.as_millis() {
         if let Some(found) = check() {
@@ -174,11 +207,20 @@
         ));
         windows.entry(call.window).or_default().insert(&call.counts);
     }
-    let twice: Vec<_> = windows.iter().filter(|(_, counts)| counts.len() > 1).collect();
+    let twice: Vec<_> = windows
+        .iter()
+        .filter(|(_, counts)| counts.len() > 1)
+        .collect();
     for (window, counts) in &twice {
-        record.say(format!("window {window} is reported with different counts: {counts:?}"));
+        record.say(format!(
+            "window {window} is reported with different counts: {counts:?}"
+        ));
     }
-    record.say(format!("{} windows reported, {} of them with different counts", windows.len(), twice.len()));
+    record.say(format!(
+        "{} windows reported, {} of them with different counts",
+        windows.len(),
+        twice.len()
+    ));
     match (windows.is_empty(), twice.is_empty()) {
         (true, _) => COULD_NOT_RUN,
         (false, true) => HELD,
@@ -187,7 +229,12 @@
 }
 
 /// Clients of one gateway, which send one request after the other.
-async fn send_requests(record: Record, front: std::net::SocketAddr, gateway: usize, is_over: Arc<AtomicBool>) {
+async fn send_requests(
+    record: Record,
+    front: std::net::SocketAddr,
+    gateway: usize,
+    is_over: Arc<AtomicBool>,
+) {
     let mut number = 0;
     while !is_over.load(Ordering::Relaxed) {
         number += 1;
@@ -215,8 +262,10 @@
 }
 
 fn configure(store: &Store) {
-    let tenants: Vec<_> =
-        TENANTS.iter().map(|(name, key)| json!({ "name": name, "api_keys": [key] })).collect();
+    let tenants: Vec<_> = TENANTS
+        .iter()
+        .map(|(name, key)| json!({ "name": name, "api_keys": [key] }))
+        .collect();
     let document = json!({
         "version": 5,
         "routes": [{
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -27,7 +27,10 @@
 impl Head {
     /// Returns the value of a header.
     pub fn get(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 }
@@ -80,14 +83,21 @@
     };
     let head = parse_head(&buffer[..end])?;
     buffer.drain(..end + 4);
-    let length = head.get("content-length").and_then(|text| text.parse().ok());
+    let length = head
+        .get("content-length")
+        .and_then(|text| text.parse().ok());
     let is_chunked = head.get("transfer-encoding").is_some();
     let left = match (is_chunked, length) {
         (true, _) => Left::Chunk(0),
         (false, Some(length)) => Left::Bytes(length),
         (false, None) => Left::Done,
     };
-    Ok(Answer { head, stream, buffer, left })
+    Ok(Answer {
+        head,
+        stream,
+        buffer,
+        left,
+    })
 }
 
 impl Answer {
@@ -166,7 +176,10 @@
 }
 
 fn encode(attempt: &Attempt) -> Vec<u8> {
-    let mut text = format!("{} {} HTTP/1.1\r\nHost: {}\r\n", attempt.method, attempt.path, attempt.host);
+    let mut text = format!(
+        "{} {} HTTP/1.1\r\nHost: {}\r\n",
+        attempt.method, attempt.path, attempt.host
+    );
     for (name, value) in &attempt.headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
@@ -182,7 +195,9 @@
 fn parse_head(bytes: &[u8]) -> std::io::Result<Head> {
     let text = String::from_utf8_lossy(bytes);
     let mut lines = text.split("\r\n");
-    let status = lines.next().and_then(|line| line.split(' ').nth(1)?.parse().ok());
+    let status = lines
+        .next()
+        .and_then(|line| line.split(' ').nth(1)?.parse().ok());
     let headers = lines.filter_map(|line| line.split_once(':'));
     Ok(Head {
         status: status.ok_or(std::io::ErrorKind::InvalidData)?,
@@ -200,5 +215,7 @@
 }
 
 fn find(bytes: &[u8], needle: &[u8]) -> Option<usize> {
-    bytes.windows(needle.len()).position(|window| window == needle)
+    bytes
+        .windows(needle.len())
+        .position(|window| window == needle)
 }
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -60,7 +60,9 @@
         let second = 20 + start.wrapping_add(offset) % 200;
         let is_free = |machine: usize| {
             let ip = Ipv4Addr::new(127, second, 7, machine as u8 + 1);
-            PORTS.iter().all(|port| TcpListener::bind((ip, *port)).is_ok())
+            PORTS
+                .iter()
+                .all(|port| TcpListener::bind((ip, *port)).is_ok())
         };
         if (0..machines).all(is_free) {
             return Ok([127, second, 7]);
@@ -163,7 +165,10 @@
             let _ = ended.wait();
         }
         let gateway = &mut self.gateways[index];
-        let log = fs::OpenOptions::new().create(true).append(true).open(&gateway.log);
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&gateway.log);
         let log = log.map_err(|error| error.to_string())?;
         let started = Command::new(&program)
             .arg("gateway")
@@ -176,7 +181,8 @@
             .spawn();
         gateway.process = Some(started.map_err(|error| format!("{}: {error}", program.display()))?);
         gateway.last_disturbed = Instant::now();
-        self.record.line(format!("start process of {}", gateway.name));
+        self.record
+            .line(format!("start process of {}", gateway.name));
         Ok(())
     }
 
@@ -195,7 +201,9 @@
     /// Returns whether the process of a gateway has ended.
     pub fn has_ended(&mut self, index: usize) -> bool {
         let process = &mut self.gateways[index].process;
-        process.as_mut().is_none_or(|process| !matches!(process.try_wait(), Ok(None)))
+        process
+            .as_mut()
+            .is_none_or(|process| !matches!(process.try_wait(), Ok(None)))
     }
 
     /// Waits until all gateways say that they are ready.
@@ -214,7 +222,9 @@
 
     /// Returns the index of the gateway with this name.
     pub fn index_of(&self, name: &str) -> Option<usize> {
-        self.gateways.iter().position(|gateway| gateway.name == name)
+        self.gateways
+            .iter()
+            .position(|gateway| gateway.name == name)
     }
 }
 
@@ -237,6 +247,9 @@
 
 fn repository_root() -> Result<PathBuf, String> {
     let current = std::env::current_dir().map_err(|error| error.to_string())?;
-    let root = current.ancestors().find(|path| path.join("deploy/node.toml").exists());
-    root.map(PathBuf::from).ok_or_else(|| "run it inside the repository".into())
+    let root = current
+        .ancestors()
+        .find(|path| path.join("deploy/node.toml").exists());
+    root.map(PathBuf::from)
+        .ok_or_else(|| "run it inside the repository".into())
 }
