Logs tell when a gateway learned of a departure, and what it knew when it sent

The users' report of requests to a worker after its departure could not tell three hypotheses apart: no line said when a gateway learned of a departure and from whom, how old its information was, whether the worker had an entry, or when the first byte went out.

New: the events worker_departed and store_contact_regained, the fields entry, store_age_ms and sent_ms of send, and the gauge gateway_lapsed_workers. No decision changes.

--- a/crates/forwarding/src/lapsed_workers.rs
+++ b/crates/forwarding/src/lapsed_workers.rs
@@ -20,7 +20,7 @@
 /// be a different incarnation.
 #[derive(Debug, Default)]
 pub struct LapsedWorkers {
-    awaited: BTreeMap<String, WorkerId>,
+    awaited: BTreeMap<String, Worker>,
 }
 
 impl LapsedWorkers {
@@ -36,7 +36,7 @@
             worker.state == WorkerState::Ready && has_just_returned(now, store_returned_at);
         if is_usable {
             let name = worker.id.as_str().to_owned();
-            self.awaited.insert(name, worker.id.clone());
+            self.awaited.insert(name, worker.clone());
         }
         is_usable
     }
@@ -44,7 +44,7 @@
     /// Records that a worker with this name has an entry again. Returns the incarnation that was usable without an
     /// entry, if any.
     pub fn record_returned_entry(&mut self, name: &str) -> Option<WorkerId> {
-        self.awaited.remove(name)
+        self.awaited.remove(name).map(|worker| worker.id)
     }
 
     /// Removes and returns the workers whose time to return has passed; they are considered gone.
@@ -52,17 +52,27 @@
         &mut self,
         now: Timestamp,
         store_returned_at: Option<Timestamp>,
-    ) -> Vec<WorkerId> {
+    ) -> Vec<Worker> {
         match has_just_returned(now, store_returned_at) {
             true => Vec::new(),
             false => std::mem::take(&mut self.awaited).into_values().collect(),
         }
     }
 
-    /// Returns whether any worker remains usable without an entry. Such a worker becomes unusable by the passage of
-    /// time alone.
-    pub fn has_awaited_workers(&self) -> bool {
-        !self.awaited.is_empty()
+    /// Returns whether this worker remains usable without an entry.
+    pub fn contains(&self, worker: &WorkerId) -> bool {
+        let awaited = self.awaited.get(worker.as_str());
+        awaited.is_some_and(|awaited| awaited.id == *worker)
+    }
+
+    /// Returns the number of workers that remain usable without an entry.
+    pub fn len(&self) -> usize {
+        self.awaited.len()
+    }
+
+    /// Returns whether no worker remains usable without an entry.
+    pub fn is_empty(&self) -> bool {
+        self.awaited.is_empty()
     }
 }
 
--- a/crates/forwarding/tests/lapsed_workers.rs
+++ b/crates/forwarding/tests/lapsed_workers.rs
@@ -27,8 +27,8 @@
     STORE_RETURNED_AT + Duration::from_millis(300)
 }
 
-fn ids(overdue: &[WorkerId]) -> Vec<&str> {
-    overdue.iter().map(WorkerId::as_str).collect()
+fn ids(overdue: &[Worker]) -> Vec<&str> {
+    overdue.iter().map(|worker| worker.id.as_str()).collect()
 }
 
 #[test]
@@ -37,19 +37,19 @@
     for id in ["b", "c"] {
         assert!(lapsed.record_missing_entry(shortly_after(), Some(STORE_RETURNED_AT), &ready(id)));
     }
-    assert!(lapsed.has_awaited_workers());
+    assert!(!lapsed.is_empty());
     assert_eq!(lapsed.record_returned_entry("b"), Some(WorkerId::from("b")));
     assert_eq!(lapsed.record_returned_entry("a"), None);
     assert!(lapsed
         .take_overdue(shortly_after(), Some(STORE_RETURNED_AT))
         .is_empty());
-    assert!(lapsed.has_awaited_workers());
+    assert!(!lapsed.is_empty());
     let overdue = lapsed.take_overdue(
         STORE_RETURNED_AT + REREGISTRATION_WINDOW,
         Some(STORE_RETURNED_AT),
     );
     assert_eq!(ids(&overdue), ["c"]);
-    assert!(!lapsed.has_awaited_workers());
+    assert!(lapsed.is_empty());
 }
 
 #[test]
@@ -57,7 +57,7 @@
     let mut lapsed = LapsedWorkers::default();
     let leaving = worker("a", WorkerState::Draining);
     assert!(!lapsed.record_missing_entry(shortly_after(), Some(STORE_RETURNED_AT), &leaving));
-    assert!(!lapsed.has_awaited_workers());
+    assert!(lapsed.is_empty());
 }
 
 #[test]
@@ -66,7 +66,7 @@
     assert!(!lapsed.record_missing_entry(shortly_after(), None, &ready("b")));
     let long_before = Some(Timestamp::from_millis(1_000));
     assert!(!lapsed.record_missing_entry(shortly_after(), long_before, &ready("a")));
-    assert!(!lapsed.has_awaited_workers());
+    assert!(lapsed.is_empty());
 }
 
 #[test]
@@ -78,5 +78,5 @@
     };
     assert!(lapsed.record_missing_entry(shortly_after(), Some(STORE_RETURNED_AT), &before));
     assert_eq!(lapsed.record_returned_entry("a"), Some(before.id));
-    assert!(!lapsed.has_awaited_workers());
+    assert!(lapsed.is_empty());
 }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -7,7 +7,6 @@
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -99,7 +98,7 @@
 #[derive(Debug, Default)]
 pub struct SendProgress {
     relay: Mutex<Option<Arc<str>>>,
-    is_sent: AtomicBool,
+    sent_at: Mutex<Option<Timestamp>>,
 }
 
 impl SendProgress {
@@ -110,12 +109,17 @@
 
     /// Returns whether the request has been passed to an open connection.
     pub fn is_sent(&self) -> bool {
-        self.is_sent.load(Ordering::Relaxed)
+        self.sent_at().is_some()
     }
 
-    fn record_sent(&self, connection: &Connection) {
+    /// Returns when the request was last passed to an open connection.
+    pub fn sent_at(&self) -> Option<Timestamp> {
+        *self.sent_at.lock()
+    }
+
+    fn record_sent(&self, now: Timestamp, connection: &Connection) {
         *self.relay.lock() = connection.relay.as_ref().map(|relay| relay.name.clone());
-        self.is_sent.store(true, Ordering::Relaxed);
+        *self.sent_at.lock() = Some(now);
     }
 }
 
@@ -204,7 +208,7 @@
         while let Some(connection) =
             id.and_then(|id| self.take_idle(&destination.worker, id, request.kind))
         {
-            progress.record_sent(&connection);
+            progress.record_sent(self.clock.now(), &connection);
             match self
                 .send_on(destination, connection, request, http_request)
                 .await
@@ -218,7 +222,7 @@
         // A notice of the worker may have arrived while the connection was being established.
         self.notices
             .check_permitted(&destination.worker, request.kind)?;
-        progress.record_sent(&connection);
+        progress.record_sent(self.clock.now(), &connection);
         match self
             .send_on(destination, connection, request, http_request)
             .await
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -79,6 +79,28 @@
         /// The store's revision.
         revision: u64,
     },
+    /// The store announced that a worker which accepted requests no longer does.
+    WorkerDeparted {
+        /// The worker.
+        worker: &'a str,
+        /// `draining`: its entry says so; `removed`: its entry is gone; `lapsed`: its entry is gone after an outage of the
+        /// store, and the worker remains usable for now; `overdue`: a lapsed entry has not returned; `restarted`: another
+        /// incarnation has the entry.
+        cause: &'static str,
+        /// The address of the gateway that sent this gateway the change; empty for the store itself.
+        heard_from: &'a str,
+        /// The revision of this gateway's mirror.
+        revision: u64,
+        /// How many milliseconds ago the store may have accepted the change, at most.
+        delay_ms: u64,
+    },
+    /// The store's answers reach this gateway again, directly or through another gateway, after a gap.
+    StoreContactRegained {
+        /// The gateway that passed the answer on; empty for the store itself.
+        heard_from: &'a str,
+        /// Milliseconds between the store's answers before and after the gap.
+        gap_ms: u64,
+    },
     /// The store, or the peers in its place, became unreachable or reachable again; or a scheduler has not answered in
     /// time.
     Dependency {
@@ -228,6 +250,13 @@
         version: &'a str,
         /// What marks the end of the answer's body: `length`, `chunks` or `connection`; empty without an answer.
         framing: &'a str,
+        /// What this gateway knew of the worker's entry when the send began: `ready`, `draining`, `lapsed` or `none`.
+        entry: &'a str,
+        /// Milliseconds since the store had last answered when the send began.
+        store_age_ms: u64,
+        /// Milliseconds from the start of the send until the request was passed to a connection; absent if it was not.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        sent_ms: Option<u64>,
     },
     /// An answer was received that does not match the request sent before it on the same connection.
     ForeignAnswer {
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -24,6 +24,7 @@
 use crate::presence::{self, Member};
 use crate::state::Shared;
 use crate::store_call::with_timeout;
+use crate::store_contact::log_regained_contact;
 
 mod first_copy;
 
@@ -255,10 +256,7 @@
     }
 
     fn record_contact(&mut self, epoch: u64) {
-        let now = self.shared.now();
-        self.shared
-            .store_contact
-            .record_answer(now, Duration::ZERO, epoch);
+        record_store_answer(&self.shared, epoch);
         if std::mem::take(&mut self.is_store_lost) {
             self.record_dependency("regained", "");
         }
@@ -303,6 +301,15 @@
     }
 }
 
+/// Records that the store has answered this gateway itself.
+fn record_store_answer(shared: &Shared, epoch: u64) {
+    let now = shared.now();
+    let recorded = shared
+        .store_contact
+        .record_answer(now, Duration::ZERO, epoch, None);
+    log_regained_contact(shared, recorded, None);
+}
+
 /// Reads a snapshot of the store page by page, and replaces the contents of the mirror with it. A refused page is
 /// requested again, so that many gateways that start together all succeed with a store that serves only some of them
 /// at a time.
@@ -330,8 +337,7 @@
         items: items.collect(),
         position: Position::new(epoch.0, revision),
     };
-    let contact = &shared.store_contact;
-    contact.record_answer(shared.now(), Duration::ZERO, epoch.0);
+    record_store_answer(shared, epoch.0);
     record_store_revision(shared, revision);
     let touched = shared.mirror.lock().replace(snapshot);
     if touched.has_changes() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -42,6 +42,8 @@
     pub configuration_version: IntGauge,
     /// Workers that accept requests.
     pub ready_workers: IntGauge,
+    /// Workers that are used although they have no entry, because the store was unavailable.
+    pub lapsed_workers: IntGauge,
     /// The revision of the mirror of the store.
     pub mirror_revision: IntGauge,
     /// The epoch of the mirror of the store.
@@ -177,6 +179,10 @@
                 "Version of the configuration in force",
             )?,
             ready_workers: IntGauge::new("gateway_ready_workers", "Workers that take requests")?,
+            lapsed_workers: IntGauge::new(
+                "gateway_lapsed_workers",
+                "Workers that are used without an entry after an outage of the store",
+            )?,
             mirror_revision: IntGauge::new(
                 "gateway_mirror_revision",
                 "Revision of the copy of the store",
@@ -322,6 +328,8 @@
             .register(Box::new(self.configuration_version.clone()))?;
         self.registry
             .register(Box::new(self.ready_workers.clone()))?;
+        self.registry
+            .register(Box::new(self.lapsed_workers.clone()))?;
         self.registry
             .register(Box::new(self.mirror_revision.clone()))?;
         self.registry
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -26,6 +26,7 @@
 use crate::mirror_refresh::refresh;
 use crate::presence::Member;
 use crate::state::Shared;
+use crate::store_contact::log_regained_contact;
 use crate::update_cache::UpdateAnswer;
 use crate::update_message::{ReceivedUpdate, UpdateHead, UpdateMessage};
 
@@ -143,8 +144,12 @@
 ) -> anyhow::Result<Duration> {
     let after = shared.mirror.lock().position();
     let ReceivedUpdate { update, epoch, age } = fetch_update(client, peer, after, wait).await?;
-    let is_current_epoch = shared.store_contact.record_answer(shared.now(), age, epoch);
-    if !is_current_epoch {
+    let heard_from = Some(peer);
+    let recorded = shared
+        .store_contact
+        .record_answer(shared.now(), age, epoch, heard_from);
+    log_regained_contact(shared, recorded, heard_from);
+    if !recorded.is_current_epoch {
         return Ok(OBSOLETE_AGE);
     }
     if let Some(update) = update {
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -7,7 +7,7 @@
 use tansyhall_core::{ServiceName, Timestamp};
 use tansyhall_forwarding::{
     Demand, Fingerprint, Need, Placement, PromptPart, SendId, SendResult, SendTicket,
-    SoftwareVersion, Unavailable, WorkerId,
+    SoftwareVersion, Unavailable, WorkerId, WorkerState,
 };
 
 use crate::answer_body::Framing;
@@ -68,6 +68,10 @@
     placement: Option<OpenPlacement>,
     planned_tokens: u64,
     started_at: Timestamp,
+    /// What was known of the worker's entry at the start.
+    entry: &'static str,
+    /// Milliseconds since the store's last answer at the start.
+    store_age_ms: u64,
     send_id: SendId,
     result: SendResult,
     /// Whether the worker has answered completely and therefore no longer runs the request.
@@ -105,7 +109,9 @@
         };
         let mut directory = shared.directory.lock();
         let ticket = directory.begin_send(now, &details.worker, demand, &details.need);
+        let entry = directory.get(&details.worker).map(|worker| worker.state);
         drop(directory);
+        let is_lapsed = shared.lapsed_workers.lock().contains(&details.worker);
         let send_id = shared.sends.lock().begin(
             &details.worker,
             details.fingerprint,
@@ -120,6 +126,8 @@
             ticket,
             placement,
             started_at: now,
+            entry: entry_name(entry, is_lapsed),
+            store_age_ms: shared.store_age_ms(),
             send_id,
             is_answer_complete: false,
             result: SendResult::Abandoned { silent: true },
@@ -295,11 +303,27 @@
             pause_ms: pause.map_or(0, saturating_millis),
             version: self.details.version.as_str(),
             framing: self.framing.map_or("", Framing::name),
+            entry: self.entry,
+            store_age_ms: self.store_age_ms,
+            sent_ms: self
+                .progress
+                .sent_at()
+                .map(|sent_at| saturating_millis(sent_at.since(self.started_at))),
         };
         self.shared.log.record(priority, &event);
     }
 }
 
+/// Returns the name of a worker's entry in logs, from the state that it announces.
+fn entry_name(state: Option<WorkerState>, is_lapsed: bool) -> &'static str {
+    match state {
+        _ if is_lapsed => "lapsed",
+        Some(WorkerState::Ready) => "ready",
+        Some(WorkerState::Draining) => "draining",
+        None => "none",
+    }
+}
+
 fn outcome_name(result: SendResult) -> &'static str {
     match result {
         SendResult::Answered { .. } => "answered",
--- a/crates/gateway/src/store_contact.rs
+++ b/crates/gateway/src/store_contact.rs
@@ -1,14 +1,27 @@
 //! Records when the store last answered, and in which epoch.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use tansyhall_core::Timestamp;
 
+use crate::events::{Event, Priority};
+use crate::state::{saturating_millis, Shared};
+
 /// Time without an answer after which the store counts as having been unavailable. Slightly longer than the time
 /// between two answers of the store to a relay that follows it.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1_500);
 
+/// What the record of an answer has shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecordedAnswer {
+    /// Whether the answer belongs to the latest epoch known. An answer of an earlier epoch is not recorded.
+    pub is_current_epoch: bool,
+    /// The time without an answer that this one ends, if it counts as an outage of the store.
+    pub gap: Option<Duration>,
+}
+
 /// When the store gave the answer that this gateway's information is based on.
 #[derive(Debug, Default)]
 pub struct StoreContact(Mutex<Contact>);
@@ -23,22 +36,35 @@
     /// When a later epoch than before was first seen.
     last_restore: Option<Timestamp>,
     epoch: Option<u64>,
+    /// The gateway that passed the last answer on; `None` for the store itself.
+    heard_from: Option<SocketAddr>,
 }
 
 impl StoreContact {
-    /// Records that the store gave an answer in this epoch `age` ago, to this gateway or to one that passed it on.
-    /// Returns whether the epoch is the latest one known. An answer of an earlier epoch is not recorded.
-    pub fn record_answer(&self, now: Timestamp, age: Duration, epoch: u64) -> bool {
+    /// Records that the store gave an answer in this epoch `age` ago, to this gateway or to the one at `heard_from` that
+    /// passed it on.
+    pub fn record_answer(
+        &self,
+        now: Timestamp,
+        age: Duration,
+        epoch: u64,
+        heard_from: Option<SocketAddr>,
+    ) -> RecordedAnswer {
         let mut contact = self.0.lock();
         let known_epoch = contact.epoch.unwrap_or(epoch);
         if epoch < known_epoch {
-            return false;
+            return RecordedAnswer {
+                is_current_epoch: false,
+                gap: None,
+            };
         }
         contact.epoch = Some(epoch);
         let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
         let answered = Timestamp(now.0.saturating_sub(age));
         let is_restored = epoch > known_epoch;
-        if is_restored || answered.since(contact.last_answer) > OUTAGE_THRESHOLD {
+        let gap = answered.since(contact.last_answer);
+        let gap = (gap > OUTAGE_THRESHOLD).then_some(gap);
+        if is_restored || gap.is_some() {
             contact.last_return = Some(answered);
         }
         if is_restored {
@@ -47,7 +73,16 @@
         // A relay may answer with older information than the answer before.
         contact.previous_answer = contact.last_answer.min(answered);
         contact.last_answer = contact.last_answer.max(answered);
-        true
+        contact.heard_from = heard_from;
+        RecordedAnswer {
+            is_current_epoch: true,
+            gap,
+        }
+    }
+
+    /// Returns the gateway that passed the last answer on, or `None` if it came from the store itself.
+    pub fn heard_from(&self) -> Option<SocketAddr> {
+        self.0.lock().heard_from
     }
 
     /// Returns when the store last answered again after it was unavailable or restored, or `None` if it never was.
@@ -72,3 +107,22 @@
         now.since(self.0.lock().last_answer)
     }
 }
+
+/// Logs that the store's answers have reached this gateway again after a gap.
+pub fn log_regained_contact(
+    shared: &Shared,
+    recorded: RecordedAnswer,
+    heard_from: Option<SocketAddr>,
+) {
+    let Some(gap) = recorded.gap else { return };
+    let event = Event::StoreContactRegained {
+        heard_from: &name_of_source(heard_from),
+        gap_ms: saturating_millis(gap),
+    };
+    shared.log.record(Priority::Important, &event);
+}
+
+/// Returns the name of a source of the store's answers in logs.
+pub fn name_of_source(heard_from: Option<SocketAddr>) -> String {
+    heard_from.map_or_else(String::new, |gateway| gateway.to_string())
+}
--- a/crates/gateway/src/worker_entries.rs
+++ b/crates/gateway/src/worker_entries.rs
@@ -17,7 +17,8 @@
 use crate::departed_workers::DepartedWorkers;
 use crate::events::{Event, Priority};
 use crate::mirror_refresh::record_refused_item;
-use crate::state::Shared;
+use crate::state::{saturating_millis, Shared};
+use crate::store_contact::name_of_source;
 
 /// Minimum time between two log lines about changes of the workers.
 const CHANGE_LOG_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -168,9 +169,15 @@
     };
     let ended_incarnation = ended_incarnation(shared, previous.as_ref(), worker.as_ref());
     let announced_previously = previous.filter(|entry| entry.is_announced);
-    if let Some(gone) = announced_previously.and_then(|entry| entry.worker) {
-        if worker.as_ref().is_none_or(|worker| worker.id != gone.id) {
-            shared.directory.lock().withdraw(&gone.id);
+    if let Some(known) = announced_previously.and_then(|entry| entry.worker) {
+        let same = worker.as_ref().filter(|worker| worker.id == known.id);
+        match same.map(|worker| worker.state) {
+            Some(WorkerState::Ready) => {}
+            Some(WorkerState::Draining) => log_departure(shared, &known, "draining"),
+            None => {
+                log_departure(shared, &known, "restarted");
+                shared.directory.lock().withdraw(&known.id);
+            }
         }
     }
     if worker.as_ref().map(|worker| &worker.id) == written_by.as_ref() {
@@ -282,12 +289,30 @@
     let is_leaving = shared.directory.lock().has_stated_leaving(&worker.id);
     let mut lapsed = shared.lapsed_workers.lock();
     let is_usable = !is_leaving && lapsed.record_missing_entry(shared.now(), returned, worker);
+    shared.metrics.lapsed_workers.set(lapsed.len() as i64);
     drop(lapsed);
+    log_departure(shared, worker, if is_usable { "lapsed" } else { "removed" });
     if !is_usable {
         shared.directory.lock().withdraw(&worker.id);
     }
 }
 
+/// Logs that the store no longer announces a worker as ready. `worker` is the worker as it was known before.
+fn log_departure(shared: &Shared, worker: &Worker, cause: &'static str) {
+    if worker.state != WorkerState::Ready {
+        return;
+    }
+    let contact = &shared.store_contact;
+    let event = Event::WorkerDeparted {
+        worker: worker.id.as_str(),
+        cause,
+        heard_from: &name_of_source(contact.heard_from()),
+        revision: shared.mirror.lock().position().revision,
+        delay_ms: saturating_millis(contact.longest_delay(shared.now())),
+    };
+    shared.log.record(Priority::Important, &event);
+}
+
 /// Announces all workers again after the services of the configuration have changed.
 fn announce_all(shared: &Shared) {
     let mut known = shared.worker_entries.lock();
@@ -307,9 +332,12 @@
         let returned = shared.store_contact.last_return();
         let now = shared.now();
         let overdue = shared.lapsed_workers.lock().take_overdue(now, returned);
-        let mut directory = shared.directory.lock();
-        overdue.iter().for_each(|worker| directory.withdraw(worker));
-        drop(directory);
+        overdue.iter().for_each(|worker| {
+            log_departure(&shared, worker, "overdue");
+            shared.directory.lock().withdraw(&worker.id);
+        });
+        let lapsed = shared.lapsed_workers.lock().len();
+        shared.metrics.lapsed_workers.set(lapsed as i64);
         let trusted_again = shared.worker_entries.lock().expire(now);
         trusted_again
             .iter()
--- a/crates/gateway/tests/store_contact.rs
+++ b/crates/gateway/tests/store_contact.rs
@@ -13,13 +13,13 @@
 fn a_change_may_be_as_old_as_the_answer_before_the_last_one() {
     let contact = StoreContact::default();
     let at = Timestamp::from_millis;
-    contact.record_answer(at(10_000), Duration::ZERO, EPOCH);
-    contact.record_answer(at(10_100), Duration::ZERO, EPOCH);
+    contact.record_answer(at(10_000), Duration::ZERO, EPOCH, None);
+    contact.record_answer(at(10_100), Duration::ZERO, EPOCH, None);
     assert_eq!(
         contact.longest_delay(at(10_100)),
         Duration::from_millis(100)
     );
-    contact.record_answer(at(14_000), Duration::ZERO, EPOCH);
+    contact.record_answer(at(14_000), Duration::ZERO, EPOCH, None);
     assert_eq!(
         contact.longest_delay(at(14_000)),
         Duration::from_millis(3_900)
@@ -31,8 +31,8 @@
 fn a_change_from_a_relay_may_be_as_old_as_what_the_relay_knew_before() {
     let contact = StoreContact::default();
     let at = Timestamp::from_millis;
-    contact.record_answer(at(10_000), Duration::from_millis(700), EPOCH);
-    contact.record_answer(at(10_100), Duration::from_millis(50), EPOCH);
+    contact.record_answer(at(10_000), Duration::from_millis(700), EPOCH, None);
+    contact.record_answer(at(10_100), Duration::from_millis(50), EPOCH, None);
     assert_eq!(
         contact.longest_delay(at(10_100)),
         Duration::from_millis(800)
