Failing tests: departures while the store does not answer some or all gateways

Gateway processes and workers that leave, half of them without saying so in the store. While the store ignores one gateway or one zone, requests of the ignored gateways reach a worker up to 7.1 s after its entry was removed; after an outage, 2.3 to 2.6 s after the store's return.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -6,6 +6,7 @@
 mod concentrated_connections;
 mod crashing_prompt_parts;
 mod crashing_requests;
+mod departures;
 mod leaving_and_backoff;
 mod logs;
 mod mismatched_answers;
--- a/crates/cli/tests/gateway_platform/relays.rs
+++ b/crates/cli/tests/gateway_platform/relays.rs
@@ -12,7 +12,7 @@
 const CONFIGURATIONS: usize = 3;
 
 /// Returns the gateways that request changes from the store itself.
-async fn find_relays(site: &Site) -> Vec<usize> {
+pub async fn find_relays(site: &Site) -> Vec<usize> {
     let mut relays = Vec::new();
     for (index, gateway) in site.gateways.iter().enumerate() {
         if gateway.metric("gateway_follows_store").await == Some(1.0) {
@@ -23,7 +23,7 @@
 }
 
 /// Waits until exactly one gateway, other than `former`, requests changes from the store, and returns its index.
-async fn wait_for_single_relay(site: &Site, former: Option<usize>) -> usize {
+pub async fn wait_for_single_relay(site: &Site, former: Option<usize>) -> usize {
     eventually("one gateway follows the store", || async {
         match find_relays(site).await.as_slice() {
             [relay] if Some(*relay) != former => Some(*relay),
--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -134,6 +134,8 @@
     tolerated_zones: u32,
     /// Whether each gateway connects to workers from its own [`source_address`].
     has_source_addresses: bool,
+    /// The number of gateways in the first zone; all others are in the other zone.
+    first_zone_gateways: usize,
 }
 
 impl Default for SiteOptions {
@@ -143,6 +145,7 @@
             has_store_links: false,
             tolerated_zones: 0,
             has_source_addresses: false,
+            first_zone_gateways: usize::MAX,
         }
     }
 }
@@ -206,6 +209,20 @@
         Self::start_with_options(workers, gateways, options).await
     }
 
+    /// Starts a site with gateways in two zones. The workers are in the first one.
+    pub async fn start_in_two_zones(
+        workers: &[WorkerSpec],
+        first_zone_gateways: usize,
+        other_zone_gateways: usize,
+    ) -> Self {
+        let options = SiteOptions {
+            first_zone_gateways,
+            ..SiteOptions::default()
+        };
+        let gateways = first_zone_gateways + other_zone_gateways;
+        Self::start_with_options(workers, gateways, options).await
+    }
+
     async fn start_with_options(
         workers: &[WorkerSpec],
         gateways: usize,
@@ -557,7 +574,10 @@
     fn settings(&self, number: usize, addresses: &GatewayAddresses, store: SocketAddr) -> String {
         let fields = GatewayFields {
             node: gateway_name(number),
-            zone: ZONE,
+            zone: match number < self.options.first_zone_gateways {
+                true => ZONE,
+                false => OTHER_ZONE,
+            },
             callers: addresses.callers,
             ready: addresses.ready,
             peers: addresses.peers,
