The entry of a worker is checked again before the first byte of work for it

What callers could see: a request that was assigned to a worker before its departure, and reached it after: the question to a scheduler, a connection (400 ms) and a relay lie between choice and first byte. What a worker states in an answer was checked again there, what the store announces of it was not.

Now work of callers is sent only to workers that are announced as ready, or as leaving and may still get requests in a shortage. A request that is withheld goes to another worker without a retry, as one that a notice withholds. A gateway also declines the placement of a scheduler that has not heard of the departure.

--- a/crates/forwarding/src/directory/leaving.rs
+++ b/crates/forwarding/src/directory/leaving.rs
@@ -91,6 +91,16 @@
         };
     }
 
+    /// Returns whether a worker is announced as ready, or as leaving and may still get requests.
+    pub(super) fn accepts_work(&self, now: Timestamp, id: &WorkerId) -> bool {
+        let Some(worker) = self.get(id) else {
+            return false;
+        };
+        let departure = self.leaving.departures.get(&WorkerKey::of(id));
+        worker.state == WorkerState::Ready
+            || departure.is_some_and(|departure| departure.permits_sends(now))
+    }
+
     /// Decides on a request that has not been sent to any worker, like [`Self::admit`]. If no other worker has time for
     /// it, it is admitted to a leaving worker that has. `may_use_leaving` states whether it may run there: requests
     /// other than streams that run at most once may not.
--- a/crates/forwarding/src/directory/notices.rs
+++ b/crates/forwarding/src/directory/notices.rs
@@ -46,6 +46,9 @@
     /// It has stated that it is leaving.
     #[error("worker is leaving")]
     Leaving,
+    /// The store announces that it is leaving, or no longer announces it.
+    #[error("worker is no longer announced as ready")]
+    Unannounced,
     /// It has asked to back off.
     #[error("worker is backing off")]
     BackingOff,
@@ -220,6 +223,13 @@
         }
     }
 
+    /// Returns the reason why no work of callers may be sent to a worker, if there is one: what it has stated, or what the
+    /// store announces. Rate limits are not considered.
+    pub fn unavailable_for_work(&self, now: Timestamp, id: &WorkerId) -> Option<Unavailable> {
+        let by_notice = self.unavailable(now, id);
+        by_notice.or_else(|| (!self.accepts_work(now, id)).then_some(Unavailable::Unannounced))
+    }
+
     /// Returns workers to which nothing may be sent although the store may still announce them as
     /// ready, for a scheduler that may not know of their notices. At most `MAX_NAMED_WORKERS` are
     /// returned.
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -74,7 +74,7 @@
     /// This gateway has the maximum number of connections open to the worker.
     #[error("maximum number of connections to the worker is open")]
     TooManyConnections,
-    /// The worker has stated that it accepts no further requests for now.
+    /// The worker or its entry in the store states that it accepts no further requests for now.
     #[error("{0}")]
     WorkerUnavailable(Unavailable),
     /// The request could not be built, or the connection could not be established in time, or it was closed
@@ -166,7 +166,7 @@
     }
 
     /// Sends a request and waits for the head of its answer. Everything that is sent to workers passes through this
-    /// function, so that their notices apply to all of it, no matter who selected the worker and when.
+    /// function, so that their notices and entries apply to all of it, no matter who selected the worker and when.
     pub async fn send(
         self: &Arc<Self>,
         destination: &Destination,
@@ -219,7 +219,7 @@
             }
         }
         let connection = self.connect(destination, request.kind).await?;
-        // A notice of the worker may have arrived while the connection was being established.
+        // A notice of the worker, or a change of its entry, may have arrived while the connection was being established.
         self.notices
             .check_permitted(&destination.worker, request.kind)?;
         progress.record_sent(self.clock.now(), &connection);
--- a/crates/gateway/src/exchange/placing.rs
+++ b/crates/gateway/src/exchange/placing.rs
@@ -188,7 +188,9 @@
         self.cause = match first.map(|first| first.blocked_by) {
             None => "no_worker",
             Some(Unavailable::RateLimited) => "rate_limit",
-            Some(Unavailable::BackingOff | Unavailable::Leaving) => "workers_rest",
+            Some(Unavailable::BackingOff | Unavailable::Leaving | Unavailable::Unannounced) => {
+                "workers_rest"
+            }
         };
         if let Some(first) = first {
             let jitter = rand::random_range(0.0..MAX_RETRY_JITTER);
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -106,15 +106,15 @@
         });
     }
 
-    /// Returns whether no notice of the worker forbids this gateway to send to it. A rate limit forbids it if the
-    /// scheduler has not taken a token for the request.
+    /// Returns whether neither a notice of the worker nor its entry in the store forbids this gateway to send to it. A rate
+    /// limit forbids it if the scheduler has not taken a token for the request.
     pub fn is_available(&self) -> bool {
         let now = self.shared.now();
         let worker = &self.placement.worker;
         let directory = self.shared.directory.lock();
         let lacks_rate_token =
             directory.rate_limit_of(worker).is_some() && !self.placement.has_rate_token;
-        directory.unavailable(now, worker).is_none() && !lacks_rate_token
+        directory.unavailable_for_work(now, worker).is_none() && !lacks_rate_token
     }
 
     fn queue_notice(&self, notice: PlacementNotice) {
--- a/crates/gateway/src/worker_notices.rs
+++ b/crates/gateway/src/worker_notices.rs
@@ -170,11 +170,16 @@
         self.directory.lock().return_rate_token(now, worker);
     }
 
-    /// Checks whether the worker's notices permit a request of this kind. A worker that is leaving still frees the KV
-    /// caches that it keeps for requests which continued on other workers.
+    /// Checks whether the worker's notices, and for work of callers also its entry in the store, permit a request of this
+    /// kind. A worker that is leaving still frees the KV caches that it keeps for requests which continued on other workers.
     pub fn check_permitted(&self, worker: &WorkerId, kind: RequestKind) -> Result<(), SendError> {
         let now = self.clock.now();
-        match self.directory.lock().unavailable(now, worker) {
+        let directory = self.directory.lock();
+        let unavailable = match kind.is_caller_work() {
+            true => directory.unavailable_for_work(now, worker),
+            false => directory.unavailable(now, worker),
+        };
+        match unavailable {
             None => Ok(()),
             Some(Unavailable::Leaving) if kind == RequestKind::Release => Ok(()),
             Some(unavailable) => Err(SendError::NotSent(NotSentReason::WorkerUnavailable(
