A gateway that follows the store asks another zone as soon as the store is overdue

Cause: a gateway that follows the store waits 1.4 s for a call that hangs. Only from an age of 1.5 s did it ask other gateways, mostly of its own zone, which know no more than it does. With the news 1.5 to 1.75 s old when it came, little or nothing was left of the 2 s.

Change: a gateway whose last request went to the store asks a gateway of another zone, or of its own if there is none, as soon as its information is 0.7 s old: the store answers within half a second.

--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -301,10 +302,11 @@
             Upstream::Relay(name) => name.as_str(),
             Upstream::Store | Upstream::Unavailable => "",
         };
-        self.shared
-            .metrics
-            .follows_store
-            .set(i64::from(relay.is_empty()));
+        let follows_store = relay.is_empty();
+        let shared = &self.shared;
+        shared.follows_store.store(follows_store, Ordering::Relaxed);
+        let gauge = &shared.metrics.follows_store;
+        gauge.set(i64::from(follows_store));
         let event = Event::Upstream {
             relay,
             store_age_ms: self.shared.store_age_ms(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::num::NonZeroU64;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use prost::Message;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, IteratorRandom};
 use rand::RngExt;
 use serde::Deserialize;
 use tansyhall_core::Timestamp;
@@ -32,6 +33,9 @@
 
 /// Age of the mirror's information from which any gateway is polled.
 const STALE_AFTER: Duration = Duration::from_millis(1_500);
+/// The same for a gateway that follows the store itself. The store answers such a gateway within half a second, and gateways
+/// of its zone know no more than it does until they ask the store themselves.
+const OVERDUE_AFTER: Duration = Duration::from_millis(700);
 /// Until this time after the start, the follower obtains the first snapshot, and no other gateway is asked for one.
 const FIRST_SNAPSHOT_DEADLINE: Timestamp = Timestamp::from_millis(6_000);
 /// One in this many requests goes to a gateway of any zone instead of the own zone.
@@ -277,10 +281,15 @@
         }
         let is_awaiting_first_snapshot =
             shared.mirror.lock().position().is_start() && shared.now() < FIRST_SNAPSHOT_DEADLINE;
-        if !is_stale || is_awaiting_first_snapshot {
+        let is_overdue = age > OVERDUE_AFTER && shared.follows_store.load(Ordering::Relaxed);
+        if !(is_stale || is_overdue) || is_awaiting_first_snapshot {
             continue;
         }
-        let Some(peer) = pick(&shared) else { continue };
+        let picked = match is_stale {
+            true => pick(&shared),
+            false => pick_from_other_zone(&shared).or_else(|| pick(&shared)),
+        };
+        let Some(peer) = picked else { continue };
         if let Err(error) = pull_update(&mut client, peer, Duration::ZERO, &shared).await {
             log::debug!("no update from peer {peer}: {error:#}");
         }
@@ -300,6 +309,16 @@
     shared.log.record(Priority::Important, &event);
 }
 
+fn pick_from_other_zone(shared: &Shared) -> Option<SocketAddr> {
+    let zone = shared.zone();
+    let fleet = shared.fleet.read().clone();
+    let is_elsewhere = |member: &&Member| member.zone.as_ref() != Some(&zone);
+    let elsewhere = fleet.members().filter(is_elsewhere);
+    elsewhere
+        .map(|member| member.peer_address)
+        .choose(&mut rand::rng())
+}
+
 fn pick(shared: &Shared) -> Option<SocketAddr> {
     let settings = shared.settings.read().clone();
     let fleet = shared.fleet.read().clone();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -261,6 +261,7 @@
         caches_recovered: AtomicBool::new(false),
         retries: Mutex::new(retries),
         store_contact: StoreContact::default(),
+        follows_store: AtomicBool::new(false),
         sends: Mutex::default(),
         worker_evidence: Mutex::default(),
         quarantine: Mutex::default(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -75,6 +75,8 @@
     pub retries: Mutex<RetryShares>,
     /// When the store last answered, directly or through a relay.
     pub store_contact: StoreContact,
+    /// Whether this gateway requests changes from the store itself and not from a relay.
+    pub follows_store: AtomicBool,
     /// Sent requests that workers may be running.
     pub sends: Mutex<SendTracker>,
     /// Evidence about workers whose addresses refuse connections. Locked before `directory` where both are locked.
