A late write of a worker's entry does not take its departure back

What callers could see: requests to a worker seconds after the store has acknowledged that it is draining. The store may apply a call that it left unanswered seconds later: an entry that says ready then follows the one that says draining, and stays until the worker writes again.

Cause: the last entry that the store accepted was taken for the worker's last word.

Change: an entry of the same incarnation with fewer heartbeats than the one that announced the departure does not revoke it.

Evidence: the new test a_worker_that_is_leaving_is_not_ready_again_by_an_earlier_write failed before (the worker got the request) and passes.

--- a/crates/cli/tests/gateway_platform/departures.rs
+++ b/crates/cli/tests/gateway_platform/departures.rs
@@ -7,7 +7,8 @@
 
 use futures_util::future::join_all;
 use futures_util::join;
-use tansyhall_platform_standin::{Behaviour, StoreFault};
+use serde_json::{json, Value};
+use tansyhall_platform_standin::{Behaviour, StoreFault, WORKER_ENTRY_PREFIX};
 use tansyhall_testing::eventually;
 use tokio::time::sleep;
 
@@ -181,3 +182,23 @@
     let what = "after the store's return";
     assert_nothing_later(lapsed, returned, REREGISTRATION, what);
 }
+
+/// Guards against an entry that a worker wrote before it said that it leaves, and that the store applies after that.
+#[actix_rt::test]
+async fn a_worker_that_is_leaving_is_not_ready_again_by_an_earlier_write() {
+    let site = Site::start(&[APP], 1).await;
+    let gateway = &site.gateways[0];
+    let leaving = &site.workers[0].worker;
+    let key = format!("{WORKER_ENTRY_PREFIX}{}", leaving.id);
+    let (ready, _) = site.store.get(&key).expect("the worker's entry");
+    let mut entry: Value = serde_json::from_slice(&ready).expect("JSON");
+    entry["state"] = json!("draining");
+    entry["seq"] = json!(entry["seq"].as_u64().expect("a number") + 1);
+    site.store.put(&key, &entry);
+    site.wait_for_ready_workers(0, 0.0).await;
+    site.store.put_bytes(&key, ready);
+    site.wait_until_in_force(site.configure_next()).await;
+    let answer = send_request(gateway, "later", REPEATABLE, b"x").await;
+    assert_eq!(answer.status, 503);
+    assert_eq!(leaving.runs().len(), 0);
+}
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -175,4 +175,7 @@
     /// Returns how long a worker whose entry says that it is leaving remains, if the entry states it. The time is not
     /// part of [`Worker`], because it changes with each write of the entry.
     fn decode_remaining_time(&self, value: &[u8]) -> Option<Duration>;
+    /// Returns the number of heartbeats that a worker had written with an entry, which orders the entries of one
+    /// incarnation: the store may apply an earlier write later. `None` if the entry does not state it.
+    fn decode_heartbeats(&self, value: &[u8]) -> Option<u64>;
 }
--- a/crates/gateway/src/worker_entries.rs
+++ b/crates/gateway/src/worker_entries.rs
@@ -38,6 +38,8 @@
     written: Position,
     /// The worker that it describes, if it describes a usable one.
     worker: Option<Worker>,
+    /// The number of heartbeats that the worker had written with it.
+    heartbeats: Option<u64>,
     /// Whether the worker was announced to the directory: its service is part of the configuration.
     is_announced: bool,
     /// The previous incarnation, if it ended without notice: it was ready until this one started.
@@ -50,6 +52,12 @@
         let worker = self.worker.as_ref();
         worker.is_some_and(|worker| worker.id == *id && worker.state == WorkerState::Draining)
     }
+
+    /// Returns whether it describes the same incarnation as another entry.
+    fn describes_same(&self, other: Option<&Worker>) -> bool {
+        let id = |worker: &Worker| worker.id.clone();
+        self.worker.is_some() && self.worker.as_ref().map(id) == other.map(id)
+    }
 }
 
 impl WorkerEntries {
@@ -155,20 +163,32 @@
 ) -> WorkerEntry {
     let decoded = shared.store_schema.decode_worker(name, &item.value);
     let written_by = decoded.as_ref().ok().map(|worker| worker.id.clone());
+    let heartbeats = shared.store_schema.decode_heartbeats(&item.value);
     let worker = decoded.map_err(|error| record_refused_item(shared, item, &error));
     let worker = worker.map(|worker| {
+        let is_late = previous.as_ref().is_some_and(|previous| {
+            previous.says_leaving(&worker.id) && heartbeats < previous.heartbeats
+        });
         let departed = &mut known.departed;
-        match is_still_leaving(
-            departed,
-            shared.now(),
-            &worker,
-            item.written,
-            previous.as_ref(),
-        ) {
+        let is_still_leaving = is_late
+            || is_still_leaving(
+                departed,
+                shared.now(),
+                &worker,
+                item.written,
+                previous.as_ref(),
+            );
+        match is_still_leaving {
             true => as_leaving(worker),
             false => worker,
         }
     });
+    let heartbeats = match &previous {
+        Some(previous) if previous.describes_same(worker.as_ref().ok()) => {
+            heartbeats.max(previous.heartbeats)
+        }
+        _ => heartbeats,
+    };
     let previous_worker = previous.as_ref().and_then(|entry| entry.worker.as_ref());
     let worker = match (worker.ok(), previous_worker) {
         // A late write by an earlier incarnation: the later one remains.
@@ -201,6 +221,7 @@
     WorkerEntry {
         written: item.written,
         worker,
+        heartbeats,
         is_announced,
         ended_incarnation,
     }
