Answers of other gateways without end cost bounded time and connections

The body of a gateway's list of caches had no timeout, so that one gateway could keep another from ever recovering its caches. After a failed request for changes the connection stayed open in the client's pool, with the rest of the answer still arriving. A poll while the information is stale could last ten seconds, in which no other gateway was asked.

Change: a timeout for that body, a new client after each failed request, and one second for a poll.

The list of caches and the poll's limit are changed by reading, without a test of their own.

--- a/crates/gateway/src/cache_recovery.rs
+++ b/crates/gateway/src/cache_recovery.rs
@@ -164,7 +164,9 @@
 
 async fn query_gateway(client: &Client, gateway: SocketAddr) -> Option<CachesMessage> {
     let call = client.get(format!("http://{gateway}/caches"));
-    let mut response = call.send().await.ok()?;
+    let response = call.send().await.ok()?;
+    // The client's timeout does not cover the body.
+    let mut response = response.timeout(GATEWAY_QUERY_TIMEOUT);
     let body = response.body().limit(MAX_ANSWER_BYTES).await.ok()?;
     CachesMessage::decode(body).ok()
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -51,6 +51,9 @@
 const BODY_CHUNK_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Longest time for the complete body of an answer.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time for a request to any gateway, after which another one is asked. A gateway that has no items yet waits
+/// for [`BODY_TIMEOUT`].
+const POLL_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long a relay may wait for changes before it answers a request.
 pub const MAX_RELAY_WAIT: Duration = Duration::from_millis(300);
 /// Longest wait for changes that a request may ask for.
@@ -196,12 +199,26 @@
 
 /// Requests from a gateway the update after a position. The answer must carry the number of this request:
 /// the first answer on a reused connection may be a late answer to an earlier request, and its age would be
-/// mistaken for the current one. The connections of a client that received such an answer are not used again.
+/// mistaken for the current one. After a failure, no connection of the client is used again or kept open: the rest of an
+/// answer may still arrive on one of them, without end.
 pub async fn fetch_update(
     client: &mut Client,
     peer: SocketAddr,
     after: Position,
     wait: Duration,
+) -> anyhow::Result<ReceivedUpdate> {
+    let result = try_fetch_update(client, peer, after, wait).await;
+    if result.is_err() {
+        *client = self::client();
+    }
+    result
+}
+
+async fn try_fetch_update(
+    client: &Client,
+    peer: SocketAddr,
+    after: Position,
+    wait: Duration,
 ) -> anyhow::Result<ReceivedUpdate> {
     let wait_ms = wait.as_millis();
     let number = rand::random::<NonZeroU64>().get();
@@ -215,10 +232,10 @@
     let head = parse_head(response.headers(), after)?;
     let body = read_body(response.timeout(BODY_TIMEOUT)).await?;
     let message = UpdateMessage::decode(body)?;
-    if !message.may_answer(number) {
-        *client = self::client();
-        anyhow::bail!("mismatched answer: it belongs to another request");
-    }
+    anyhow::ensure!(
+        message.may_answer(number),
+        "mismatched answer: it belongs to another request"
+    );
     Ok(message.into_update(head)?)
 }
 
@@ -290,7 +307,16 @@
             false => pick_from_other_zone(&shared).or_else(|| pick(&shared)),
         };
         let Some(peer) = picked else { continue };
-        if let Err(error) = pull_update(&mut client, peer, Duration::ZERO, &shared).await {
+        let limit = match shared.mirror.lock().position().is_start() {
+            true => BODY_TIMEOUT,
+            false => POLL_TIMEOUT,
+        };
+        let pulled = timeout(
+            limit,
+            pull_update(&mut client, peer, Duration::ZERO, &shared),
+        )
+        .await;
+        if let Err(error) = pulled.unwrap_or_else(|elapsed| Err(elapsed.into())) {
             log::debug!("no update from peer {peer}: {error:#}");
         }
     }
