A worker that always has more to send does not keep a request beyond its deadline

What callers saw: an answer without end at full speed went on after the deadline, until the caller closed. Interim answers without end occupied the thread of the gateway, so that its timers were late.

Cause: what arrives from a worker is taken before the deadline is looked at, so that it was never reached while something arrived. The HTTP library skips any number of interim answers, and processes all that a fast sender sends up to the scheduler's budget.

Change: the deadline is checked before each wait.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -7,6 +7,7 @@
 mod crashing_prompt_parts;
 mod crashing_requests;
 mod departures;
+mod endless_answers;
 mod leaving_and_backoff;
 mod logs;
 mod mismatched_answers;
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -13,16 +13,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use hyper::ext::ReasonPhrase;
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{
     ConnectFailure, DirectOutcome, IdleRule, RateToken, Unavailable, WorkerId,
 };
-use tokio::io::{AsyncRead, AsyncWrite};
 
 use crate::answer_body::{AnswerBody, BorrowedConnection};
 use crate::connection_losses::{ConnectionLosses, Loss};
@@ -31,6 +28,7 @@
 use crate::headers::HeaderList;
 use crate::second_answer::SecondAnswerSearch;
 use crate::worker_connect::{self, TcpConnector, WorkerConnector};
+use crate::worker_http::{self, InterimAnswers};
 use crate::worker_notices::WorkerNotices;
 use crate::worker_relay::{ConnectError, WorkerRelays, WorkerStream};
 use crate::worker_request::{RequestKind, WorkerRequest};
@@ -292,13 +290,14 @@
         let stream = self.open_stream(destination, kind).await;
         let stream = stream.map_err(|error| self.connect_error(destination, kind, error))?;
         let (sender, relay) = match stream {
-            WorkerStream::Direct(stream) => (start_http(stream).await?, None),
+            WorkerStream::Direct(stream) => (worker_http::start(stream).await, None),
             WorkerStream::Relayed(stream, name) => {
                 let status = stream.status;
-                let sender = start_http(stream.io).await?;
+                let sender = worker_http::start(stream.io).await;
                 (sender, Some(Relay { name, status }))
             }
         };
+        let sender = sender.map_err(not_sent)?;
         Ok(Connection::new(sender, relay, open, self.clock.now()))
     }
 
@@ -357,10 +356,19 @@
         destination: &Destination,
         mut connection: Connection,
         request: &WorkerRequest,
-        http_request: hyper::Request<Full<Bytes>>,
+        mut http_request: hyper::Request<Full<Bytes>>,
     ) -> Result<WorkerAnswer, AttemptError> {
         let sent_at = self.clock.now();
-        let response = match connection.sender.try_send_request(http_request).await {
+        let interim_answers = InterimAnswers::count_for(&mut http_request);
+        let sending = connection.sender.try_send_request(http_request);
+        let sent = tokio::select! {
+            sent = sending => sent,
+            () = interim_answers.exceed_limit() => {
+                let reason = "too many interim answers".into();
+                return Err(AttemptError::Failed(SendError::NoAnswer(reason)));
+            }
+        };
+        let response = match sent {
             Ok(response) => response,
             Err(mut error) => {
                 return Err(match error.take_message() {
@@ -471,21 +479,6 @@
     }
 }
 
-/// Starts the HTTP connection on a stream to a worker.
-async fn start_http<S>(stream: S) -> Result<SendRequest<Full<Bytes>>, SendError>
-where
-    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
-{
-    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-    let (sender, driver) = handshake.map_err(not_sent)?;
-    actix_rt::spawn(async move {
-        if let Err(error) = driver.await {
-            log::debug!("connection to a worker failed: {error}");
-        }
-    });
-    Ok(sender)
-}
-
 fn not_sent(reason: impl std::fmt::Display) -> SendError {
     SendError::NotSent(NotSentReason::Failed(reason.to_string()))
 }
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -155,6 +155,10 @@
     /// Waits for what happens next in an attempt, or in that of the stalled worker. If the stalled worker goes on, its
     /// attempt takes the place of `attempt`, which ends.
     async fn wait(&mut self, attempt: &mut Attempt, replacement: &ReplacementRule) -> Waited {
+        // A worker that always has more to send would otherwise be received from beyond the deadline.
+        if self.time_left().is_zero() {
+            return Waited::DeadlinePassed;
+        }
         let deadline = self.deadline();
         let began = Instant::now();
         let mut silent_since = began;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod worker_connect;
 pub mod worker_ends;
 pub mod worker_entries;
+pub mod worker_http;
 pub mod worker_notices;
 pub mod worker_orders;
 pub mod worker_relay;
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -132,6 +132,16 @@
         self.unread_stdout = None;
     }
 
+    /// Returns the largest amount of memory that it has occupied, in bytes.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the status of the process");
+        let mut lines = status.lines();
+        let peak = lines.find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|peak| peak.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+        kilobytes.expect("a number of kilobytes") << 10
+    }
+
     /// Sends a signal by name, such as `TERM` or `STOP`.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
