Another gateway's testimony takes an assumed outage of the store back

Cause: a gap that the store itself ends, and in which calls of this gateway failed, was an outage for good. Nobody else was asked.

Change: while workers are used without an entry, other gateways are asked. One that had answers of the store throughout takes the outage back, and one that has had them since some time moves the store's return to then. Gateways testify only to what answers prove.

Unit tests for each case.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -299,12 +299,14 @@
         let is_awaiting_first_snapshot =
             shared.mirror.lock().position().is_start() && shared.now() < FIRST_SNAPSHOT_DEADLINE;
         let is_overdue = age > OVERDUE_AFTER && shared.follows_store.load(Ordering::Relaxed);
-        if !(is_stale || is_overdue) || is_awaiting_first_snapshot {
+        // Another gateway may know that the store was available, so that missing entries have not lapsed.
+        let needs_testimony = !shared.lapsed_workers.lock().is_empty();
+        if !(is_stale || is_overdue || needs_testimony) || is_awaiting_first_snapshot {
             continue;
         }
-        let picked = match is_stale {
-            true => pick(&shared),
-            false => pick_from_other_zone(&shared).or_else(|| pick(&shared)),
+        let picked = match is_overdue && !is_stale {
+            true => pick_from_other_zone(&shared).or_else(|| pick(&shared)),
+            false => pick(&shared),
         };
         let Some(peer) = picked else { continue };
         let limit = match shared.mirror.lock().position().is_start() {
--- a/crates/gateway/src/store_contact.rs
+++ b/crates/gateway/src/store_contact.rs
@@ -60,8 +60,8 @@
 /// When the store gave the answer that this gateway's information is based on.
 ///
 /// A time without answers is not necessarily an outage of the store, which may serve all others meanwhile. It counts as
-/// one if a call of this gateway has failed in it, or if the gateway that passes the next answer on does not testify that
-/// the store was available throughout.
+/// one if a call of this gateway has failed in it, unless another gateway testifies that the store was available to it: by
+/// the answer that ends this time, or later.
 #[derive(Debug, Default)]
 pub struct StoreContact(Mutex<Contact>);
 
@@ -70,12 +70,11 @@
     last_answer: Timestamp,
     /// When the store gave the answer before the last one.
     previous_answer: Timestamp,
-    /// Since when the store has been available, as far as known; `None` before the first answer.
+    /// Since when the store has been available, as far as proven; `None` before the first answer.
     available_since: Option<Timestamp>,
     /// When the last call that failed began.
     last_failure: Option<Timestamp>,
-    /// The earliest time at which the store may have been available again after an outage or a restore.
-    last_return: Option<Timestamp>,
+    last_return: Option<Return>,
     /// When a later epoch than before was first seen.
     last_restore: Option<Timestamp>,
     epoch: Option<u64>,
@@ -83,23 +82,76 @@
     heard_from: Option<SocketAddr>,
 }
 
+/// The end of an outage of the store, or a restore.
+#[derive(Debug, Clone, Copy)]
+struct Return {
+    /// The earliest time at which the store may have been available again.
+    at: Timestamp,
+    /// The last answer before the outage; `None` for a restore.
+    last_answer_before: Option<Timestamp>,
+}
+
 impl Contact {
-    /// Returns the earliest time at which the store may have been available again, if it was unavailable between the last
-    /// answer and one that it gave at `answered`.
-    fn return_before(&self, answered: Timestamp, answer: &StoreAnswer) -> Option<Timestamp> {
-        if answered.since(self.last_answer) <= OUTAGE_THRESHOLD {
+    /// Records an answer that the store gave at `answered`. Returns the gap that it ends.
+    fn record(&mut self, answered: Timestamp, answer: &StoreAnswer) -> Option<Gap> {
+        let proven_since = answer.available_for.map(|time| before(answered, time));
+        if let Some(proven_since) = proven_since {
+            self.learn_availability(proven_since);
+        }
+        let length = answered.since(self.last_answer);
+        if self.available_since.is_none() || length <= OUTAGE_THRESHOLD {
+            self.available_since
+                .get_or_insert(proven_since.unwrap_or(answered));
             return None;
         }
+        let is_available_throughout = proven_since.is_some_and(|since| since <= self.last_answer);
+        if is_available_throughout {
+            return Some(Gap {
+                length,
+                is_outage: false,
+            });
+        }
         let is_in_gap = |at: &Timestamp| *at > self.last_answer;
-        match (answer.heard_from, answer.available_for) {
-            (None, _) => self.last_failure.filter(is_in_gap),
-            (Some(_), Some(available_for)) => {
-                Some(before(answered, available_for)).filter(is_in_gap)
-            }
-            // An earlier version of the program testifies nothing.
-            (Some(_), None) => Some(self.last_failure.filter(is_in_gap).unwrap_or(answered)),
+        let failure = self.last_failure.filter(is_in_gap);
+        let is_relayed = answer.heard_from.is_some();
+        // A gateway of an earlier version testifies nothing.
+        let latest = is_relayed.then_some(proven_since.unwrap_or(answered));
+        let returned = failure.into_iter().chain(latest).min();
+        self.available_since = Some(proven_since.unwrap_or(answered));
+        if let Some(at) = returned {
+            self.last_return = Some(Return {
+                at,
+                last_answer_before: Some(self.last_answer),
+            });
+        }
+        Some(Gap {
+            length,
+            is_outage: returned.is_some(),
+        })
+    }
+
+    /// Corrects the end of the last outage: another gateway testifies that the store has been available since `since`.
+    fn learn_availability(&mut self, since: Timestamp) {
+        let Some(Return {
+            at,
+            last_answer_before: Some(last_answer_before),
+        }) = &mut self.last_return
+        else {
+            return;
+        };
+        *at = since.min(*at);
+        if since <= *last_answer_before {
+            self.last_return = None;
         }
-        .map(|returned| returned.min(answered))
+    }
+
+    fn record_restore(&mut self, now: Timestamp, answered: Timestamp) {
+        self.last_restore = Some(now);
+        self.available_since = Some(answered);
+        self.last_return = Some(Return {
+            at: answered,
+            last_answer_before: None,
+        });
     }
 }
 
@@ -116,28 +168,9 @@
         }
         contact.epoch = Some(answer.epoch);
         let answered = before(now, answer.age);
-        let Some(available_since) = contact.available_since else {
-            contact.available_since =
-                Some(before(answered, answer.available_for.unwrap_or_default()));
-            contact.last_answer = answered;
-            contact.heard_from = answer.heard_from;
-            return RecordedAnswer {
-                is_current_epoch: true,
-                gap: None,
-            };
-        };
-        let length = answered.since(contact.last_answer);
-        let returned = contact.return_before(answered, &answer);
-        let gap = (length > OUTAGE_THRESHOLD).then_some(Gap {
-            length,
-            is_outage: returned.is_some(),
-        });
-        let is_restored = answer.epoch > known_epoch;
-        let returned = returned.or(is_restored.then_some(answered));
-        contact.available_since = Some(returned.unwrap_or(available_since));
-        contact.last_return = returned.or(contact.last_return);
-        if is_restored {
-            contact.last_restore = Some(now);
+        let gap = contact.record(answered, &answer);
+        if answer.epoch > known_epoch {
+            contact.record_restore(now, answered);
         }
         // A relay may answer with older information than the answer before.
         contact.previous_answer = contact.last_answer.min(answered);
@@ -169,7 +202,8 @@
     /// Returns the earliest time at which the store may have been available again after it was unavailable or restored, or
     /// `None` if it never was.
     pub fn last_return(&self) -> Option<Timestamp> {
-        self.0.lock().last_return
+        let last_return = self.0.lock().last_return;
+        last_return.map(|last_return| last_return.at)
     }
 
     /// Returns whether the store is known to have been restored less than `time` ago.
--- a/crates/gateway/tests/store_contact.rs
+++ b/crates/gateway/tests/store_contact.rs
@@ -91,6 +91,45 @@
     let recorded = contact.record_answer(Timestamp::from_millis(NEXT_ANSWER_MS), answer(0));
     assert!(!recorded.gap.expect("a gap").is_outage);
     assert_eq!(contact.last_return(), None);
+    // It proves nothing to others.
+    assert_eq!(contact.available_for(), Duration::ZERO);
+}
+
+/// Guards against a gateway that hears of its error and keeps to it.
+#[test]
+fn a_later_testimony_takes_an_outage_back() {
+    let contact = contact_before_gap();
+    contact.record_failure(Timestamp::from_millis(FAILED_CALL_MS));
+    contact.record_answer(Timestamp::from_millis(NEXT_ANSWER_MS), answer(0));
+    let later = Timestamp::from_millis(NEXT_ANSWER_MS + 300);
+    contact.record_answer(later, passed_on(Some(60_000)));
+    assert_eq!(contact.last_return(), None);
+}
+
+/// Another gateway that has started in the gap proves that the store was available since then.
+#[test]
+fn a_later_testimony_moves_the_return_of_the_store_forward() {
+    let contact = contact_before_gap();
+    contact.record_failure(Timestamp::from_millis(NEXT_ANSWER_MS - 100));
+    contact.record_answer(Timestamp::from_millis(NEXT_ANSWER_MS), answer(0));
+    let later = Timestamp::from_millis(NEXT_ANSWER_MS + 300);
+    contact.record_answer(later, passed_on(Some(1_000)));
+    let proven = Timestamp::from_millis(NEXT_ANSWER_MS + 300 - 100 - 1_000);
+    assert_eq!(contact.last_return(), Some(proven));
+}
+
+/// After a restore entries are missing although the store is available.
+#[test]
+fn no_testimony_takes_a_restore_back() {
+    let contact = contact_before_gap();
+    let restored = Timestamp::from_millis(LAST_ANSWER_MS + 100);
+    contact.record_answer(restored, StoreAnswer::direct(Duration::ZERO, EPOCH + 1));
+    let testimony = StoreAnswer {
+        epoch: EPOCH + 1,
+        ..passed_on(Some(60_000))
+    };
+    contact.record_answer(restored + Duration::from_millis(200), testimony);
+    assert_eq!(contact.last_return(), Some(restored));
 }
 
 /// Guards against a time to wait for lapsed entries that begins later than the store's return.
@@ -102,7 +141,8 @@
     let recorded = contact.record_answer(Timestamp::from_millis(NEXT_ANSWER_MS), answer(0));
     assert!(recorded.gap.expect("a gap").is_outage);
     assert_eq!(contact.last_return(), Some(failed));
-    assert_eq!(contact.available_for(), Duration::from_millis(2_200));
+    // Only the answer is proof for others.
+    assert_eq!(contact.available_for(), Duration::ZERO);
 }
 
 #[test]
