--- a/crates/fault-soak/src/episode.rs
+++ b/crates/fault-soak/src/episode.rs
@@ -13,7 +13,7 @@
 use crate::evidence::{Evidence, Outcome};
 use crate::faults::{Fault, FaultCounts};
 use crate::judges::{judge, Rule, Violation};
-use crate::schedule::Schedule;
+use crate::schedule::{Focus, Schedule};
 use crate::site::{Site, WORKERS};
 use crate::worker::Recorder;
 
@@ -40,8 +40,8 @@
     /// Whether to include what gateways are known not to withstand: unsolved faults, and callers that send requests
     /// before the gateways know each other.
     pub include_unsolved: bool,
-    /// Whether gateways are partitioned and workers fall silent, but nothing else is disturbed.
-    pub only_partitions_and_silences: bool,
+    /// Which faults are injected.
+    pub focus: Focus,
     /// Mechanisms of the gateways that are disabled, by their names in the settings. Without a mechanism, the judge for
     /// it must find violations.
     pub disabled_mechanisms: Vec<String>,
@@ -50,7 +50,8 @@
 }
 
 /// Rules that the build in production does not implement. They are not checked if another build runs alongside.
-const RULES_UNKNOWN_IN_PRODUCTION: [Rule; 4] = [
+const RULES_UNKNOWN_IN_PRODUCTION: [Rule; 5] = [
+    Rule::Drain,
     Rule::Configuration,
     Rule::Recover,
     Rule::Lost,
@@ -68,7 +69,7 @@
             crashing_requests: 2,
             min_successes: 100,
             include_unsolved: false,
-            only_partitions_and_silences: false,
+            focus: Focus::Everything,
             disabled_mechanisms: Vec::new(),
             other_build: None,
         }
@@ -102,10 +103,8 @@
 pub async fn run_episode(plan: EpisodePlan) -> Result<Episode> {
     let logs = tempfile::tempdir()?;
     let faults = Fault::enabled(plan.include_unsolved);
-    let mut schedule = Schedule::from_seed(plan.seed, WORKERS.len(), plan.duration, &faults);
-    if plan.only_partitions_and_silences {
-        schedule.retain_partitions_and_silences();
-    }
+    let schedule = Schedule::from_seed(plan.seed, WORKERS.len(), plan.duration, &faults);
+    let schedule = schedule.focused_on(plan.focus, plan.seed, plan.duration);
     let mixes = &schedule.first_mixes;
     let site = Site::start(&plan, mixes, logs.path()).await?;
     if !plan.include_unsolved {
--- a/crates/fault-soak/src/evidence.rs
+++ b/crates/fault-soak/src/evidence.rs
@@ -30,6 +30,10 @@
     pub rate_limits: Vec<AnnouncedRateLimit>,
     /// Workers that a request crashed.
     pub worker_ends: Vec<WorkerCrash>,
+    /// Departures of workers whose answers do not tell.
+    pub departures: Vec<Departure>,
+    /// Periods in which the store ignored a gateway.
+    pub ignored: Vec<IgnoredPeriod>,
     /// Periods in which a gateway was stopped, frozen or killed, or its link to the store had a fault.
     pub troubles: Vec<GatewayFaultPeriod>,
     /// Periods in which the link to a worker had a fault.
@@ -231,6 +235,26 @@
     pub at_ms: u64,
 }
 
+/// A departure that the store has accepted: a worker's entry says that it is leaving, or was removed.
+#[derive(Debug, Clone, Serialize)]
+pub struct Departure {
+    /// The worker.
+    pub worker: String,
+    /// Milliseconds from the start of the episode.
+    pub at_ms: u64,
+}
+
+/// A period in which the store refused the calls of a gateway or did not answer them.
+#[derive(Debug, Clone, Serialize)]
+pub struct IgnoredPeriod {
+    /// The gateway.
+    pub gateway: usize,
+    /// Its start, in milliseconds from the start of the episode.
+    pub from_ms: u64,
+    /// Its end, in milliseconds from the start of the episode.
+    pub to_ms: u64,
+}
+
 /// What is done to a gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub enum GatewayFault {
--- a/crates/fault-soak/src/judges/mod.rs
+++ b/crates/fault-soak/src/judges/mod.rs
@@ -3,6 +3,7 @@
 mod barred;
 mod budget;
 mod configuration;
+mod drain;
 mod ended;
 mod leaving;
 mod lost;
@@ -26,6 +27,7 @@
 pub use barred::check_barred;
 pub use budget::{check_budget, BASE_RETRIES, BUDGET_WINDOW_S, RETRY_RATIO};
 pub use configuration::check_configuration;
+pub use drain::check_drain;
 pub use ended::check_ended;
 pub use leaving::check_leaving;
 pub use lost::check_lost;
@@ -58,6 +60,8 @@
     Budget,
     /// A request that crashes workers is no longer sent to any worker.
     Barred,
+    /// A worker whose departure the store has accepted gets no more requests after the drain time.
+    Drain,
     /// A worker that said in an answer that it is leaving gets no more requests from the gateway that forwarded the
     /// answer.
     Leaving,
@@ -117,6 +121,7 @@
         check_versions,
         check_budget,
         check_barred,
+        check_drain,
         check_leaving,
         check_rest,
         check_rate_limit,
--- a/crates/fault-soak/src/lib.rs
+++ b/crates/fault-soak/src/lib.rs
@@ -19,16 +19,17 @@
 mod regressions;
 mod routes;
 mod schedule;
+mod schedule_of_departures;
 mod schedule_of_partitions;
 mod site;
 mod worker;
 
 pub use episode::{run_episode, Episode, EpisodePlan};
 pub use evidence::{
-    AnnouncedRateLimit, Arrival, BackoffRequest, BrokenAnswer, Call, CallerAnswer, Evidence,
-    GatewayFault, GatewayFaultPeriod, InvalidBytes, Outcome, PartitionPeriod, Prefill, Run,
-    RunBody, SentRequest, StaleConfiguration, StrayBytes, WorkerCrash, WorkerLinkFaultPeriod,
-    WorkerSilencePeriod,
+    AnnouncedRateLimit, Arrival, BackoffRequest, BrokenAnswer, Call, CallerAnswer, Departure,
+    Evidence, GatewayFault, GatewayFaultPeriod, IgnoredPeriod, InvalidBytes, Outcome,
+    PartitionPeriod, Prefill, Run, RunBody, SentRequest, StaleConfiguration, StrayBytes,
+    WorkerCrash, WorkerLinkFaultPeriod, WorkerSilencePeriod,
 };
 pub use faults::{Fault, FaultCounts, FaultMix};
 pub use http::{Framing, Head, ReadError, Reader};
@@ -38,4 +39,4 @@
 pub use link::{Link, LinkFault};
 pub use regressions::{load_regressions, Regression};
 pub use routes::RouteKind;
-pub use schedule::{Action, Schedule, ScheduledAction};
+pub use schedule::{Action, Focus, Schedule, ScheduledAction};
--- a/crates/fault-soak/src/schedule.rs
+++ b/crates/fault-soak/src/schedule.rs
@@ -9,6 +9,7 @@
 
 use crate::faults::{Fault, FaultMix};
 use crate::link::LinkFault;
+use crate::schedule_of_departures::draw_departures_while_ignored;
 use crate::schedule_of_partitions::{draw_partitions, draw_silences};
 
 /// Mean time between two actions.
@@ -53,6 +54,17 @@
 /// Number of workers out of ten that repeat answers.
 const REPEATING_WORKERS_OF_TEN: u32 = 8;
 
+/// Which faults an episode injects.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum Focus {
+    /// All, except that workers depart only in ways that their answers tell.
+    Everything,
+    /// Gateways are partitioned from workers, and workers fall silent.
+    PartitionsAndSilences,
+    /// Workers depart while the store ignores some gateways and others stop, restart or stand still.
+    Departures,
+}
+
 /// The kind of link that a fault is injected into.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub enum Edge {
@@ -154,6 +166,24 @@
         /// Duration in milliseconds.
         for_ms: u64,
     },
+    /// Starts another worker, and makes this one leave. Its answers do not tell.
+    Depart {
+        /// The worker.
+        worker: usize,
+        /// Whether its entry in the store says that it is leaving before it is removed.
+        says_draining: bool,
+    },
+    /// Makes the store ignore some gateways for a limited time, but never all.
+    Ignore {
+        /// The first of the gateways.
+        first: usize,
+        /// The number of further gateways, modulo the number of gateways that can be ignored besides the first.
+        further: usize,
+        /// Whether the store refuses their calls. Otherwise it does not answer them.
+        refuses: bool,
+        /// Duration in milliseconds.
+        for_ms: u64,
+    },
     /// Makes a worker send nothing for a limited time, and go on afterwards.
     Silence {
         /// The worker.
@@ -226,13 +256,20 @@
         }
     }
 
-    /// Removes everything but partitions of gateways and silences of workers.
-    pub fn retain_partitions_and_silences(&mut self) {
-        self.first_mixes.fill(FaultMix::default());
-        self.actions.retain(|scheduled| {
-            let action = &scheduled.action;
-            matches!(action, Action::Partition { .. } | Action::Silence { .. })
-        });
+    /// Returns the schedule with the faults of this focus alone.
+    pub fn focused_on(mut self, focus: Focus, seed: u64, duration: Duration) -> Self {
+        if focus != Focus::Everything {
+            self.first_mixes.fill(FaultMix::default());
+        }
+        match focus {
+            Focus::Everything => {}
+            Focus::PartitionsAndSilences => self.actions.retain(|scheduled| {
+                let action = &scheduled.action;
+                matches!(action, Action::Partition { .. } | Action::Silence { .. })
+            }),
+            Focus::Departures => self.actions = draw_departures_while_ignored(seed, duration),
+        }
+        self
     }
 }
 
--- a/crates/fault-soak/src/site.rs
+++ b/crates/fault-soak/src/site.rs
@@ -16,7 +16,8 @@
 use crate::caller::HOST;
 use crate::episode::EpisodePlan;
 use crate::evidence::{
-    GatewayFault, GatewayFaultPeriod, PartitionPeriod, StaleConfiguration, WorkerLinkFaultPeriod,
+    Departure, GatewayFault, GatewayFaultPeriod, IgnoredPeriod, PartitionPeriod,
+    StaleConfiguration, WorkerLinkFaultPeriod,
 };
 use crate::faults::FaultMix;
 use crate::gateways::{ActionResult, GatewayConfig, GatewaySlot};
@@ -34,6 +35,8 @@
 const DRAIN_DURATION: Duration = Duration::from_millis(800);
 /// How long a worker continues to serve requests after its entry has been removed.
 const SERVING_AFTER_REMOVAL: Duration = Duration::from_millis(1_500);
+/// The same for a worker whose answers do not say that it is leaving. Requests may reach it for two seconds.
+const SERVING_AFTER_DEPARTURE: Duration = Duration::from_millis(4_500);
 
 /// Interval at which announcements of gateways in the store are checked.
 const ANNOUNCEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -248,6 +251,20 @@
                 let duration = Duration::from_millis(for_ms);
                 self.partition(&gateways, partition, duration).await;
             }
+            Action::Depart {
+                worker,
+                says_draining,
+            } => self.depart(worker, says_draining).await?,
+            Action::Ignore {
+                first,
+                further,
+                refuses,
+                for_ms,
+            } => {
+                let gateways = self.partitioned_gateways(first, further);
+                let duration = Duration::from_millis(for_ms);
+                self.ignore(&gateways, refuses, duration).await;
+            }
             Action::Silence { worker, for_ms } => {
                 self.recorder.count_fault("worker silent");
                 let duration = Duration::from_millis(for_ms);
@@ -489,6 +506,65 @@
         });
     }
 
+    /// Makes the store ignore gateways for a while.
+    async fn ignore(&self, gateways: &[usize], refuses: bool, duration: Duration) {
+        let fault = match refuses {
+            true => StoreFault::Refuse,
+            false => StoreFault::Silent,
+        };
+        let of_all = format!("{} of {}", gateways.len(), self.gateways.len());
+        self.recorder
+            .count_fault(format!("store {fault:?} for {of_all}"));
+        let set = |fault| {
+            for gateway in gateways {
+                self.gateways[*gateway].set_store_fault(fault);
+            }
+        };
+        let from_ms = self.recorder.now_ms();
+        set(fault);
+        sleep(duration).await;
+        set(StoreFault::None);
+        let to_ms = self.recorder.now_ms();
+        self.recorder.record(|evidence| {
+            let periods = gateways.iter().map(|gateway| IgnoredPeriod {
+                gateway: *gateway,
+                from_ms,
+                to_ms,
+            });
+            evidence.ignored.extend(periods);
+        });
+    }
+
+    /// Starts another worker of the same kind, and makes this one leave. Its answers do not tell. It serves long enough
+    /// for requests that come too late to be seen.
+    async fn depart(&self, index: usize, says_draining: bool) -> Result<()> {
+        let leaving = {
+            let mut workers = self.workers.borrow_mut();
+            let index = index % workers.len();
+            workers.remove(index)
+        };
+        self.recorder.count_fault("worker departed");
+        self.add_worker(leaving.plan, FaultMix::default()).await?;
+        if says_draining {
+            leaving.drain();
+            self.record_departure(&leaving);
+            sleep(DRAIN_DURATION).await;
+        }
+        leaving.remove_entry();
+        self.record_departure(&leaving);
+        sleep(SERVING_AFTER_DEPARTURE).await;
+        Ok(())
+    }
+
+    fn record_departure(&self, worker: &Worker) {
+        let departure = Departure {
+            worker: worker.id(),
+            at_ms: self.recorder.now_ms(),
+        };
+        self.recorder
+            .record(|evidence| evidence.departures.push(departure));
+    }
+
     /// Replaces a worker: starts another one of the same kind without faults, and shuts the old one down gracefully.
     /// The old worker announces for `announced_in_answers` only in its answers that it is leaving, before it drains.
     async fn replace(&self, index: usize, announced_in_answers: Duration) -> Result<()> {
--- a/crates/fault-soak/tests/judges/main.rs
+++ b/crates/fault-soak/tests/judges/main.rs
@@ -1,6 +1,7 @@
 //! Each judge accepts correct evidence and detects violations of its rule. Without these tests, a judge that never
 //! finds anything would go unnoticed.
 
+mod departures;
 mod partitions;
 mod records;
 
@@ -313,6 +314,24 @@
     assert!(check_versions(&tries).is_empty());
 }
 
+/// A caller that takes a stream up names it by its id, which another stream had before.
+#[test]
+fn versions_cannot_tell_two_streams_with_the_same_id_apart() {
+    let route = RouteKind::ResumableStream;
+    let mut tries = stream_evidence_of_two_versions(route, &[(1, 1)]);
+    tries.sent[0].key.target = "/other".into();
+    let mut next = stream_evidence(route, &[(1, 1)], false).sent.remove(0);
+    next.at_ms = 1;
+    tries.sent.push(next);
+    let mut last = stream_evidence(route, &[(2, 2)], true).sent.remove(0);
+    last.at_ms = 2;
+    last.after_event = Some(1);
+    tries.sent.push(last);
+    assert!(check_versions(&tries).is_empty());
+    tries.sent.remove(0);
+    assert_eq!(check_versions(&tries).len(), 1);
+}
+
 fn stream_evidence_of_two_versions(route: RouteKind, events: &[(u32, u64)]) -> Evidence {
     let mut evidence = stream_evidence(route, events, false);
     evidence.runs[1].version = "v2".into();
--- a/crates/lab/src/fault_soak.rs
+++ b/crates/lab/src/fault_soak.rs
@@ -10,7 +10,7 @@
 use futures_util::future::{select, Either};
 use pico_args::Arguments;
 use tansyhall_fault_soak::{
-    load_regressions, run_episode, save_episode, Episode, EpisodePlan, FaultCounts,
+    load_regressions, run_episode, save_episode, Episode, EpisodePlan, FaultCounts, Focus,
     DEFAULT_OUTPUT_DIRECTORY,
 };
 
@@ -21,7 +21,7 @@
 USAGE:
   tansyhall-lab fault-soak --minutes N | --seconds N [--seed S] [--seeds N] [--unsolved]
                            [--gateways N] [--deadly N] [--off NAME]... [--beside PROGRAM]
-                           [--only-partitions] [--keep DIR] [--json]
+                           [--only-partitions | --departures] [--keep DIR] [--json]
   tansyhall-lab fault-soak --regressions [--keep DIR] [--json]
 
 OPTIONS:
@@ -36,6 +36,7 @@
   --gateways N    number of gateway processes (default: 3)
   --deadly N      number of requests that crash each worker that starts to run them (default: 2)
   --only-partitions  partition gateways from workers and make workers fall silent, but disturb nothing else
+  --departures    workers depart while the store ignores some gateways and others stop or stand still
   --off NAME      disable a mechanism of the gateways, named as under [decisions] in their settings
   --beside PROGRAM  executable of another build: gateways alternate between the two builds at each start, as
                   during an upgrade and a rollback of a fleet; behaviour that the build in production does
@@ -56,7 +57,15 @@
         return Ok(ExitCode::SUCCESS);
     }
     let include_unsolved = arguments.contains("--unsolved");
-    let only_partitions = arguments.contains("--only-partitions");
+    let focus = match (
+        arguments.contains("--only-partitions"),
+        arguments.contains("--departures"),
+    ) {
+        (true, true) => bail!("--only-partitions and --departures exclude each other"),
+        (true, false) => Focus::PartitionsAndSilences,
+        (false, true) => Focus::Departures,
+        (false, false) => Focus::Everything,
+    };
     let plans = plans(&mut arguments)?;
     let gateways: Option<usize> = arguments.opt_value_from_str("--gateways")?;
     let crashing_requests: Option<usize> = arguments.opt_value_from_str("--deadly")?;
@@ -72,7 +81,7 @@
     let mut code = ExitCode::SUCCESS;
     for mut plan in plans {
         plan.include_unsolved = include_unsolved;
-        plan.only_partitions_and_silences = only_partitions;
+        plan.focus = focus;
         plan.gateways = gateways.unwrap_or(plan.gateways);
         plan.crashing_requests = crashing_requests.unwrap_or(plan.crashing_requests);
         plan.disabled_mechanisms.clone_from(&disabled_mechanisms);
