Gateways that the store ignores hear of departures from whoever knows, and in time

What callers saw: the same as before, from gateways of a fleet most of which the store ignores: requests up to 3.7 s after a worker's departure.

A wait for lapsed entries began at the first answer to the gateway that it was heard from, if the own call still hung.

Change: the first two successors of a late relay follow the store for 3 s after it has answered them. Two gateways are polled at a time, and one whose information is recent is polled again. A testimony says both since when answers prove the store available and since when it may have been; a call in progress counts like one that has failed.

--- a/crates/forwarding/src/relay_plan.rs
+++ b/crates/forwarding/src/relay_plan.rs
@@ -12,6 +12,7 @@
 //! 2. A relay sends changes with their age: the time since the store answered it. A gateway whose mirror becomes older
 //!    than its maximum age queries the store itself. This maximum grows with the rank, so that the successor of a
 //!    relay that is cut off queries it first and serves the others.
+//!    The first successors then stay with the store for a while, since their relay is likely to be late again.
 //! 3. A relay that does not answer, or sends outdated changes, is skipped for a while. If it was the first of the
 //!    ranking, the next gateway takes its place.
 //! 4. While the store does not answer a gateway, that gateway queries another gateway between its attempts.
@@ -41,6 +42,11 @@
 /// however many there are. When all of them queried it at once, a store that had not answered for a second received
 /// requests for a snapshot from 986 gateways, and answered none of them in time.
 const LATER_SUCCESSOR_STEP: Duration = Duration::from_millis(400);
+/// Number of successors that stay with the store for [`STAND_IN_TIME`] after it has answered them. There are two, because
+/// the store may ignore one of them as well.
+const STAND_INS: usize = 2;
+/// How long a successor of a relay follows the store after it had to query it.
+const STAND_IN_TIME: Duration = Duration::from_secs(3);
 /// How long a gateway that did not answer is skipped.
 const UNRESPONSIVE_RELAY_BACKOFF: Duration = Duration::from_secs(3);
 /// How long a gateway that sent outdated changes is skipped.
@@ -78,6 +84,8 @@
     zone: ZoneName,
     skipped_until: HashMap<String, Timestamp>,
     store_failed_at: Option<Timestamp>,
+    /// Until when this gateway follows the store in place of a relay.
+    stands_in_until: Option<Timestamp>,
 }
 
 /// The gateways that are not skipped, as ranked by this gateway.
@@ -96,6 +104,7 @@
             zone: zone.clone(),
             skipped_until: HashMap::new(),
             store_failed_at: None,
+            stands_in_until: None,
         }
     }
 
@@ -108,9 +117,13 @@
         age: Duration,
     ) -> Upstream {
         self.skipped_until.retain(|_, until| *until > now);
+        if self.becomes_stand_in(members, age) {
+            self.stands_in_until = Some(now + STAND_IN_TIME);
+        }
         let ranking = self.rank(members);
         let follows_store = ranking.own_rank == 0;
-        let asks_store = follows_store || age > max_copy_age(&ranking);
+        let stands_in = self.stands_in_until.is_some_and(|until| now < until);
+        let asks_store = follows_store || stands_in || age > max_copy_age(&ranking);
         let backoff = match follows_store {
             true => FOLLOWER_STORE_BACKOFF,
             false => SUBSCRIBER_STORE_BACKOFF,
@@ -128,6 +141,16 @@
         }
     }
 
+    /// Returns whether this gateway is among the first successors of a relay that is late.
+    fn becomes_stand_in(&self, members: &[RelayCandidate<'_>], age: Duration) -> bool {
+        if age <= MAX_COPY_AGE {
+            return false;
+        }
+        let ranking = self.rank(members);
+        let is_successor = ranking.own_rank > 0 && successors_before(&ranking) < STAND_INS;
+        is_successor && age > max_copy_age(&ranking)
+    }
+
     /// Records that the store has answered.
     pub fn record_store_answer(&mut self) {
         self.store_failed_at = None;
@@ -136,6 +159,7 @@
     /// Records that the store has not answered or has refused the request.
     pub fn record_store_failure(&mut self, now: Timestamp) {
         self.store_failed_at = Some(now);
+        self.stands_in_until = None;
     }
 
     /// Records that a relay has answered, and the age of its mirror.
@@ -193,8 +217,12 @@
     }
 }
 
+fn successors_before(ranking: &Ranking<'_>) -> usize {
+    ranking.own_rank.saturating_sub(ranking.relays)
+}
+
 fn max_copy_age(ranking: &Ranking<'_>) -> Duration {
-    let successors_before = ranking.own_rank.saturating_sub(ranking.relays);
+    let successors_before = successors_before(ranking);
     let early = successors_before.min(EARLY_SUCCESSORS);
     let later = successors_before - early;
     MAX_COPY_AGE + EARLY_SUCCESSOR_STEP * early as u32 + LATER_SUCCESSOR_STEP * later as u32
--- a/crates/forwarding/tests/relay_plan.rs
+++ b/crates/forwarding/tests/relay_plan.rs
@@ -259,3 +259,30 @@
         assert!((2..=max_asking).contains(&asking), "{asking} of {count}");
     }
 }
+
+/// Guards against a zone that hears of changes only each time its copies are too old, while the store ignores the relay.
+#[test]
+fn the_first_successors_of_a_late_relay_follow_the_store_for_a_while() {
+    let names = names(6);
+    let members = candidates(&names);
+    let mut stand_ins = 0;
+    for plan in &mut plans(&names) {
+        if plan.upstream(at(0), &members, FRESH_AGE) == Upstream::Store {
+            continue;
+        }
+        assert_eq!(plan.upstream(at(10), &members, STALE_AGE), Upstream::Store);
+        let is_stand_in = plan.upstream(at(200), &members, FRESH_AGE) == Upstream::Store;
+        stand_ins += usize::from(is_stand_in);
+        let later = plan.upstream(at(10 * SECOND_MS), &members, FRESH_AGE);
+        assert_ne!(later, Upstream::Store);
+        plan.upstream(at(11 * SECOND_MS), &members, STALE_AGE);
+        plan.record_store_failure(at(11 * SECOND_MS + 100));
+        let after_failure = plan.upstream(at(13 * SECOND_MS), &members, FRESH_AGE);
+        assert_ne!(
+            after_failure,
+            Upstream::Store,
+            "the store ignores it as well"
+        );
+    }
+    assert_eq!(stand_ins, 2);
+}
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -11,7 +11,6 @@
 use awc::Client;
 use futures_util::StreamExt;
 use tansyhall_admission::Backoff;
-use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{
     Item, MirrorChange, Position, RelayCandidate, RelayPlan, Snapshot, StoreReadState, Upstream,
 };
@@ -151,7 +150,8 @@
     }
 
     async fn request_from_store(&mut self) {
-        let began = self.shared.now();
+        let shared = Arc::clone(&self.shared);
+        shared.store_contact.begin_call(shared.now());
         match self.apply_changes().await {
             Ok(()) => {
                 self.failures = 0;
@@ -160,10 +160,11 @@
             }
             // The store has answered, so a short pause is enough.
             Err(StoreError::Restored) => {
+                self.shared.store_contact.end_call(true);
                 self.require_snapshot();
                 sleep(MIN_RETRY_PAUSE).await;
             }
-            Err(error) => self.handle_store_failure(began, &error).await,
+            Err(error) => self.handle_store_failure(&error).await,
         }
     }
 
@@ -173,16 +174,16 @@
         self.read_state.record_history_lost();
     }
 
-    /// Handles the failure of a call that began at `began`.
-    async fn handle_store_failure(&mut self, began: Timestamp, error: &StoreError) {
+    async fn handle_store_failure(&mut self, error: &StoreError) {
         let now = self.shared.now();
         let contact = &self.shared.store_contact;
-        match error {
-            StoreError::Compacted => self.require_snapshot(),
-            _ => {
+        let is_answered = matches!(error, StoreError::Compacted);
+        contact.end_call(is_answered);
+        match is_answered {
+            true => self.require_snapshot(),
+            false => {
                 self.watch = None;
                 self.read_state.record_store_failure(contact.age(now));
-                contact.record_failure(began);
             }
         }
         self.plan.record_store_failure(now);
@@ -318,6 +319,7 @@
 /// Records that the store gave this gateway itself an answer `age` ago.
 fn record_store_answer(shared: &Shared, age: Duration, epoch: u64) {
     let answer = StoreAnswer::direct(age, epoch);
+    shared.store_contact.end_call(true);
     let recorded = shared.store_contact.record_answer(shared.now(), answer);
     log_regained_contact(shared, recorded, None);
 }
--- a/crates/gateway/src/follower/first_copy.rs
+++ b/crates/gateway/src/follower/first_copy.rs
@@ -28,13 +28,12 @@
 impl Follower {
     /// Obtains a snapshot, or pauses after a failure.
     pub(super) async fn obtain_first_copy(&mut self) {
-        let began = self.shared.now();
         match self.first_copy().await {
             Ok(()) => {
                 self.failures = 0;
                 self.plan.record_store_answer();
             }
-            Err(error) => self.handle_store_failure(began, &error).await,
+            Err(error) => self.handle_store_failure(&error).await,
         }
     }
 
--- a/crates/gateway/src/mirror_refresh.rs
+++ b/crates/gateway/src/mirror_refresh.rs
@@ -12,7 +12,6 @@
 
 use crate::desired_roles::{self, DesiredRoles};
 use crate::events::{Event, Priority};
-use crate::fleet::Fleet;
 use crate::presence::{self, Announcement};
 use crate::quarantine;
 use crate::state::{ConfigurationInForce, Shared};
@@ -59,7 +58,8 @@
     }
     if !shared.fleet.read().has_members(&members) {
         shared.worker_relays.set_members(&own_name, &members);
-        *shared.fleet.write() = Arc::new(Fleet::new(members));
+        let mut fleet = shared.fleet.write();
+        *fleet = Arc::new(fleet.succeeded_by(shared.now(), members));
     }
     share_budgets(shared, announced);
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,6 +14,7 @@
 use awc::http::header::HeaderMap;
 use awc::{Client, ClientResponse};
 use bytes::{Bytes, BytesMut};
+use futures_util::future::join_all;
 use futures_util::{Stream, StreamExt};
 use prost::Message;
 use rand::seq::{IndexedRandom, IteratorRandom};
@@ -27,7 +28,7 @@
 use crate::mirror_refresh::refresh;
 use crate::presence::Member;
 use crate::state::{saturating_millis, Shared};
-use crate::store_contact::{log_regained_contact, StoreAnswer};
+use crate::store_contact::{log_regained_contact, StoreAnswer, Testimony};
 use crate::update_cache::UpdateAnswer;
 use crate::update_message::{ReceivedUpdate, UpdateHead, UpdateMessage};
 
@@ -64,9 +65,10 @@
 const EPOCH_HEADER: HeaderName = HeaderName::from_static("tansyhall-store-epoch");
 /// Header of an answer whose changes span a gap. Older versions do not send it.
 const GAP_HEADER: HeaderName = HeaderName::from_static("tansyhall-store-gap");
-/// Header of an answer with the milliseconds for which the store had been available to the sender when it gave the answer
-/// that the sender's information is based on. Older versions do not send it.
+/// Header of an answer with the milliseconds of [`Testimony::available_for`]. Older versions do not send it.
 const AVAILABLE_HEADER: HeaderName = HeaderName::from_static("tansyhall-store-available-ms");
+/// Header of an answer with the milliseconds of [`Testimony::returned_before`], if the store has returned.
+const RETURNED_HEADER: HeaderName = HeaderName::from_static("tansyhall-store-returned-ms");
 /// Age that is reported for information from an earlier epoch.
 const OBSOLETE_AGE: Duration = Duration::MAX;
 
@@ -107,8 +109,11 @@
     message.question = query.number;
     let mut answer = HttpResponse::Ok();
     answer.insert_header((EPOCH_HEADER, head.epoch));
-    if let Some(available_for) = head.available_for {
-        answer.insert_header((AVAILABLE_HEADER, saturating_millis(available_for)));
+    if let Some(testimony) = head.testimony {
+        answer.insert_header((AVAILABLE_HEADER, saturating_millis(testimony.available_for)));
+        if let Some(returned_before) = testimony.returned_before {
+            answer.insert_header((RETURNED_HEADER, saturating_millis(returned_before)));
+        }
     }
     if head.spans_gap {
         answer.insert_header((GAP_HEADER, "true"));
@@ -140,7 +145,7 @@
     let head = UpdateHead {
         epoch,
         spans_gap,
-        available_for: Some(shared.store_contact.available_for()),
+        testimony: Some(shared.store_contact.testimony()),
     };
     (head, message)
 }
@@ -165,13 +170,13 @@
         update,
         epoch,
         age,
-        available_for,
+        testimony,
     } = fetch_update(client, peer, after, wait).await?;
     let answer = StoreAnswer {
         age,
         epoch,
         heard_from: Some(peer),
-        available_for,
+        testimony,
     };
     let recorded = shared.store_contact.record_answer(shared.now(), answer);
     log_regained_contact(shared, recorded, answer.heard_from);
@@ -243,14 +248,16 @@
 /// which has not ended as far as that gateway knows.
 fn parse_head(headers: &HeaderMap, requested_after: Position) -> anyhow::Result<UpdateHead> {
     let epoch = headers.get(EPOCH_HEADER).map(parse_number).transpose()?;
-    let available_for = headers
-        .get(AVAILABLE_HEADER)
-        .map(parse_number)
-        .transpose()?;
+    let milliseconds = |name: HeaderName| headers.get(name).map(parse_number).transpose();
+    let available_for = milliseconds(AVAILABLE_HEADER)?.map(Duration::from_millis);
+    let returned_before = milliseconds(RETURNED_HEADER)?.map(Duration::from_millis);
     Ok(UpdateHead {
         epoch: epoch.unwrap_or(requested_after.epoch),
         spans_gap: headers.contains_key(GAP_HEADER),
-        available_for: available_for.map(Duration::from_millis),
+        testimony: available_for.map(|available_for| Testimony {
+            available_for,
+            returned_before,
+        }),
     })
 }
 
@@ -284,9 +291,10 @@
     Ok(body.freeze())
 }
 
-/// Polls any gateway while neither the store nor a relay sends updates.
+/// Polls other gateways while neither the store nor a relay sends updates, two at a time: the store may ignore several
+/// gateways.
 pub async fn poll_while_stale(shared: Arc<Shared>) {
-    let mut client = client();
+    let mut pollers = [Poller::new(), Poller::new()];
     let mut relies_on_peers = false;
     loop {
         sleep(POLL_INTERVAL).await;
@@ -304,22 +312,48 @@
         if !(is_stale || is_overdue || needs_testimony) || is_awaiting_first_snapshot {
             continue;
         }
-        let picked = match is_overdue && !is_stale {
-            true => pick_from_other_zone(&shared).or_else(|| pick(&shared)),
-            false => pick(&shared),
+        let prefers_other_zone = is_overdue && !is_stale;
+        let polls = pollers.iter_mut();
+        join_all(polls.map(|poller| poller.poll(&shared, prefers_other_zone))).await;
+    }
+}
+
+/// Polls one gateway after the other.
+struct Poller {
+    client: Client,
+    /// The gateway that was polled last, if its information was recent. It is polled again.
+    informed: Option<SocketAddr>,
+}
+
+impl Poller {
+    fn new() -> Self {
+        Self {
+            client: client(),
+            informed: None,
+        }
+    }
+
+    async fn poll(&mut self, shared: &Arc<Shared>, prefers_other_zone: bool) {
+        let informed = self.informed.take();
+        let preferred = informed.or_else(|| match prefers_other_zone {
+            true => pick_from_other_zone(shared),
+            false => None,
+        });
+        let Some(peer) = preferred.or_else(|| pick(shared)) else {
+            return;
         };
-        let Some(peer) = picked else { continue };
         let limit = match shared.mirror.lock().position().is_start() {
             true => BODY_TIMEOUT,
             false => POLL_TIMEOUT,
         };
-        let pulled = timeout(
-            limit,
-            pull_update(&mut client, peer, Duration::ZERO, &shared),
-        )
-        .await;
-        if let Err(error) = pulled.unwrap_or_else(|elapsed| Err(elapsed.into())) {
-            log::debug!("no update from peer {peer}: {error:#}");
+        let pull = pull_update(&mut self.client, peer, Duration::ZERO, shared);
+        match timeout(limit, pull).await {
+            Ok(Ok(age)) => self.informed = Some(peer).filter(|_| age <= OVERDUE_AFTER),
+            Ok(Err(error)) => log::debug!("no update from peer {peer}: {error:#}"),
+            Err(_) => {
+                log::debug!("no update from peer {peer} in time");
+                self.client = client();
+            }
         }
     }
 }
@@ -341,7 +375,7 @@
     let zone = shared.zone();
     let fleet = shared.fleet.read().clone();
     let is_elsewhere = |member: &&Member| member.zone.as_ref() != Some(&zone);
-    let elsewhere = fleet.members().filter(is_elsewhere);
+    let elsewhere = fleet.recent_members().filter(is_elsewhere);
     elsewhere
         .map(|member| member.peer_address)
         .choose(&mut rand::rng())
@@ -353,7 +387,7 @@
     let is_other = |peer: &SocketAddr| *peer != settings.listen.peers;
     let is_in_zone = |member: &&Member| member.zone.as_ref() == Some(&settings.node.zone);
     let zone_peers = fleet
-        .members()
+        .recent_members()
         .filter(is_in_zone)
         .map(|member| member.peer_address);
     let zone_peers: Vec<SocketAddr> = zone_peers.filter(is_other).collect();
@@ -362,7 +396,10 @@
     if !zone_peers.is_empty() && !rand::rng().random_ratio(1, ANY_ZONE_RATIO) {
         return zone_peers.choose(&mut rand::rng()).copied();
     }
-    let mut peers: Vec<SocketAddr> = fleet.members().map(|member| member.peer_address).collect();
+    let mut peers: Vec<SocketAddr> = fleet
+        .recent_members()
+        .map(|member| member.peer_address)
+        .collect();
     peers.extend(&settings.store.seeds);
     peers.retain(is_other);
     peers.choose(&mut rand::rng()).copied()
--- a/crates/gateway/src/store_contact.rs
+++ b/crates/gateway/src/store_contact.rs
@@ -22,9 +22,18 @@
     pub epoch: u64,
     /// The gateway that passed it on; `None` for the store itself.
     pub heard_from: Option<SocketAddr>,
-    /// For how long before this answer the store had been available to the gateway that passed it on. `None` if that is
-    /// not known.
-    pub available_for: Option<Duration>,
+    /// What the gateway that passed it on says of the time before; `None` if it says nothing.
+    pub testimony: Option<Testimony>,
+}
+
+/// What a gateway says of the store's availability before an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Testimony {
+    /// For how long before the answer the store had been available, as answers prove.
+    pub available_for: Duration,
+    /// The longest time before the answer at which the store may have been available again after its last outage, if
+    /// there was one recently.
+    pub returned_before: Option<Duration>,
 }
 
 impl StoreAnswer {
@@ -34,7 +43,7 @@
             age,
             epoch,
             heard_from: None,
-            available_for: None,
+            testimony: None,
         }
     }
 }
@@ -57,6 +66,10 @@
     pub is_outage: bool,
 }
 
+/// A longer time in which this gateway asked nobody is not proof that the store was available: it may have stood still. In
+/// a shorter one no entry expires.
+const MAX_UNASKED_GAP: Duration = Duration::from_millis(2_500);
+
 /// When the store gave the answer that this gateway's information is based on.
 ///
 /// A time without answers is not necessarily an outage of the store, which may serve all others meanwhile. It counts as
@@ -72,6 +85,8 @@
     previous_answer: Timestamp,
     /// Since when the store has been available, as far as proven; `None` before the first answer.
     available_since: Option<Timestamp>,
+    /// When the call began that is in progress.
+    pending_call: Option<Timestamp>,
     /// When the last call that failed began.
     last_failure: Option<Timestamp>,
     last_return: Option<Return>,
@@ -94,7 +109,8 @@
 impl Contact {
     /// Records an answer that the store gave at `answered`. Returns the gap that it ends.
     fn record(&mut self, answered: Timestamp, answer: &StoreAnswer) -> Option<Gap> {
-        let proven_since = answer.available_for.map(|time| before(answered, time));
+        let testimony = answer.testimony;
+        let proven_since = testimony.map(|given| before(answered, given.available_for));
         if let Some(proven_since) = proven_since {
             self.learn_availability(proven_since);
         }
@@ -112,12 +128,16 @@
             });
         }
         let is_in_gap = |at: &Timestamp| *at > self.last_answer;
-        let failure = self.last_failure.filter(is_in_gap);
+        let unanswered = self.pending_call.max(self.last_failure).filter(is_in_gap);
+        let stated = testimony.and_then(|given| given.returned_before);
+        let stated = stated.map(|time| before(answered, time)).filter(is_in_gap);
         let is_relayed = answer.heard_from.is_some();
         // A gateway of an earlier version testifies nothing.
         let latest = is_relayed.then_some(proven_since.unwrap_or(answered));
-        let returned = failure.into_iter().chain(latest).min();
-        self.available_since = Some(proven_since.unwrap_or(answered));
+        let returned = [unanswered, stated, latest].into_iter().flatten().min();
+        if returned.is_some() || length > MAX_UNASKED_GAP {
+            self.available_since = Some(proven_since.unwrap_or(answered));
+        }
         if let Some(at) = returned {
             self.last_return = Some(Return {
                 at,
@@ -182,16 +202,30 @@
         }
     }
 
-    /// Records that a call of the store that began at `began` has failed.
-    pub fn record_failure(&self, began: Timestamp) {
-        self.0.lock().last_failure = Some(began);
+    /// Records that this gateway begins a call of the store.
+    pub fn begin_call(&self, now: Timestamp) {
+        self.0.lock().pending_call = Some(now);
     }
 
-    /// Returns for how long the store had been available when it gave its last answer, as far as known.
-    pub fn available_for(&self) -> Duration {
+    /// Records that the call in progress is over, and whether the store has answered it.
+    pub fn end_call(&self, is_answered: bool) {
+        let mut contact = self.0.lock();
+        let began = contact.pending_call.take();
+        if !is_answered {
+            contact.last_failure = began.or(contact.last_failure);
+        }
+    }
+
+    /// Returns the testimony for gateways that this one passes the last answer on to.
+    pub fn testimony(&self) -> Testimony {
         let contact = self.0.lock();
         let since = contact.available_since.unwrap_or(contact.last_answer);
-        contact.last_answer.since(since)
+        let returned = contact.last_return;
+        let returned = returned.filter(|returned| returned.last_answer_before.is_some());
+        Testimony {
+            available_for: contact.last_answer.since(since),
+            returned_before: returned.map(|returned| contact.last_answer.since(returned.at)),
+        }
     }
 
     /// Returns the gateway that passed the last answer on, or `None` if it came from the store itself.
--- a/crates/gateway/src/update_message.rs
+++ b/crates/gateway/src/update_message.rs
@@ -7,6 +7,7 @@
 use tansyhall_forwarding::{Item, MirrorChange, MirrorUpdate, Position, Snapshot};
 
 use crate::deflated_values::{deflate, inflate, DeflatedValues};
+use crate::store_contact::Testimony;
 use crate::update_cache::DeflatedUpdate;
 
 /// A mirror update on the wire.
@@ -101,9 +102,8 @@
     pub epoch: u64,
     /// Whether the changes span a gap, see [`MirrorUpdate::Changes`].
     pub spans_gap: bool,
-    /// For how long the store had been available to the sender when it gave the answer that the sender's information is
-    /// based on. Older versions do not send it.
-    pub available_for: Option<Duration>,
+    /// What the sender says of the store's availability. Older versions say nothing.
+    pub testimony: Option<Testimony>,
 }
 
 /// A received update.
@@ -115,8 +115,8 @@
     pub epoch: u64,
     /// Time since the store last answered the sender or the gateway that the sender follows.
     pub age: Duration,
-    /// For how long the store had been available to the sender at that answer; `None` if it does not tell.
-    pub available_for: Option<Duration>,
+    /// What the sender says of the store's availability before that answer.
+    pub testimony: Option<Testimony>,
 }
 
 impl UpdateMessage {
@@ -174,7 +174,7 @@
         let UpdateHead {
             epoch,
             spans_gap,
-            available_for,
+            testimony,
         } = head;
         if !self.complete && !self.deflated_complete {
             return Err(Incomplete);
@@ -200,7 +200,7 @@
             update,
             epoch,
             age: Duration::from_millis(self.age_ms),
-            available_for,
+            testimony,
         })
     }
 }
