--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -41,8 +41,12 @@
 const FIRST_SNAPSHOT_DEADLINE: Timestamp = Timestamp::from_millis(6_000);
 /// One in this many requests goes to a gateway of any zone instead of the own zone.
 const ANY_ZONE_RATIO: u32 = 4;
-/// Pause between two requests to any gateway.
+/// Number of gateways that are polled at a time.
+const CONCURRENT_POLLS: usize = 4;
+/// Pause between two polls.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// The same after a poll in which no gateway had recent information.
+const RETRY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of one request, not counting the time that the answering gateway waits for changes.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Replaces [`CALL_TIMEOUT`] for a snapshot, which the answering gateway may have to deflate first: an
@@ -291,13 +295,14 @@
     Ok(body.freeze())
 }
 
-/// Polls other gateways while neither the store nor a relay sends updates, two at a time: the store may ignore several
+/// Polls other gateways while neither the store nor a relay sends updates, some at a time: the store may ignore most
 /// gateways.
 pub async fn poll_while_stale(shared: Arc<Shared>) {
-    let mut pollers = [Poller::new(), Poller::new()];
+    let mut pollers: [Poller; CONCURRENT_POLLS] = std::array::from_fn(|_| Poller::new());
     let mut relies_on_peers = false;
+    let mut interval = POLL_INTERVAL;
     loop {
-        sleep(POLL_INTERVAL).await;
+        sleep(std::mem::replace(&mut interval, POLL_INTERVAL)).await;
         let age = shared.store_contact.age(shared.now());
         let is_stale = age > STALE_AFTER;
         if is_stale != relies_on_peers {
@@ -315,6 +320,9 @@
         let prefers_other_zone = is_overdue && !is_stale;
         let polls = pollers.iter_mut();
         join_all(polls.map(|poller| poller.poll(&shared, prefers_other_zone))).await;
+        if pollers.iter().all(|poller| poller.informed.is_none()) {
+            interval = RETRY_POLL_INTERVAL;
+        }
     }
 }
 
