Gateways are polled independently of each other

Four polls at a time waited for the slowest of them: one gateway that does not answer delayed the next four by 0.7 s. Each poller now goes on by itself, and waits 0.4 s for a head, since a poll asks for no delay.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,7 +14,7 @@
 use awc::http::header::HeaderMap;
 use awc::{Client, ClientResponse};
 use bytes::{Bytes, BytesMut};
-use futures_util::future::join_all;
+use futures_util::future::{join, join_all};
 use futures_util::{Stream, StreamExt};
 use prost::Message;
 use rand::seq::{IndexedRandom, IteratorRandom};
@@ -41,11 +41,11 @@
 const FIRST_SNAPSHOT_DEADLINE: Timestamp = Timestamp::from_millis(6_000);
 /// One in this many requests goes to a gateway of any zone instead of the own zone.
 const ANY_ZONE_RATIO: u32 = 4;
-/// Number of gateways that are polled at a time.
+/// Number of gateways that are polled at the same time.
 const CONCURRENT_POLLS: usize = 4;
-/// Pause between two polls.
+/// Pause of a poller between two polls.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
-/// The same after a poll in which no gateway had recent information.
+/// The same after a poll of a gateway that had no recent information.
 const RETRY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of one request, not counting the time that the answering gateway waits for changes.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -235,7 +235,11 @@
     let url = format!(
         "http://{peer}/changes?after={revision}&epoch={epoch}&wait_ms={wait_ms}&number={number}&deflated=true"
     );
-    let call = client.get(url).timeout(head_timeout(after)).send().await;
+    let call = client
+        .get(url)
+        .timeout(head_timeout(after, wait))
+        .send()
+        .await;
     let response = call.map_err(|error| anyhow::anyhow!("{error}"))?;
     anyhow::ensure!(response.status() == 200, "status {}", response.status());
     let head = parse_head(response.headers(), after)?;
@@ -269,12 +273,12 @@
     Ok(value.to_str()?.parse()?)
 }
 
-/// Returns the timeout for the head of an answer. A gateway that has no items yet requests a snapshot, which the
-/// answering gateway may have to deflate first.
-fn head_timeout(after: Position) -> Duration {
+/// Returns the timeout for the head of an answer, for which the answering gateway may wait. A gateway that has no items yet
+/// requests a snapshot, which the answering gateway may have to deflate first.
+fn head_timeout(after: Position, wait: Duration) -> Duration {
     match after.is_start() {
-        true => MAX_RELAY_WAIT + SNAPSHOT_TIMEOUT,
-        false => MAX_RELAY_WAIT + CALL_TIMEOUT,
+        true => wait + SNAPSHOT_TIMEOUT,
+        false => wait + CALL_TIMEOUT,
     }
 }
 
@@ -295,66 +299,82 @@
     Ok(body.freeze())
 }
 
-/// Polls other gateways while neither the store nor a relay sends updates, some at a time: the store may ignore most
-/// gateways.
+/// Polls other gateways while neither the store nor a relay sends updates. The store may ignore most gateways, and some may
+/// not answer, so that several are polled independently of each other.
 pub async fn poll_while_stale(shared: Arc<Shared>) {
-    let mut pollers: [Poller; CONCURRENT_POLLS] = std::array::from_fn(|_| Poller::new());
+    let pollers = (0..CONCURRENT_POLLS).map(|_| Poller::new(&shared).run());
+    join(watch_reliance(&shared), join_all(pollers)).await;
+}
+
+/// Logs when this gateway begins and ceases to rely on other gateways.
+async fn watch_reliance(shared: &Shared) {
     let mut relies_on_peers = false;
-    let mut interval = POLL_INTERVAL;
     loop {
-        sleep(std::mem::replace(&mut interval, POLL_INTERVAL)).await;
-        let age = shared.store_contact.age(shared.now());
-        let is_stale = age > STALE_AFTER;
+        sleep(POLL_INTERVAL).await;
+        let is_stale = shared.store_contact.age(shared.now()) > STALE_AFTER;
         if is_stale != relies_on_peers {
             relies_on_peers = is_stale;
-            record_reliance(&shared, relies_on_peers);
-        }
-        let is_awaiting_first_snapshot =
-            shared.mirror.lock().position().is_start() && shared.now() < FIRST_SNAPSHOT_DEADLINE;
-        let is_overdue = age > OVERDUE_AFTER && shared.follows_store.load(Ordering::Relaxed);
-        // Another gateway may know that the store was available, so that missing entries have not lapsed.
-        let needs_testimony = !shared.lapsed_workers.lock().is_empty();
-        if !(is_stale || is_overdue || needs_testimony) || is_awaiting_first_snapshot {
-            continue;
-        }
-        let prefers_other_zone = is_overdue && !is_stale;
-        let polls = pollers.iter_mut();
-        join_all(polls.map(|poller| poller.poll(&shared, prefers_other_zone))).await;
-        if pollers.iter().all(|poller| poller.informed.is_none()) {
-            interval = RETRY_POLL_INTERVAL;
+            record_reliance(shared, relies_on_peers);
         }
     }
 }
 
 /// Polls one gateway after the other.
 struct Poller {
+    shared: Arc<Shared>,
     client: Client,
     /// The gateway that was polled last, if its information was recent. It is polled again.
     informed: Option<SocketAddr>,
 }
 
 impl Poller {
-    fn new() -> Self {
+    fn new(shared: &Arc<Shared>) -> Self {
         Self {
+            shared: Arc::clone(shared),
             client: client(),
             informed: None,
         }
     }
 
-    async fn poll(&mut self, shared: &Arc<Shared>, prefers_other_zone: bool) {
-        let informed = self.informed.take();
-        let preferred = informed.or_else(|| match prefers_other_zone {
-            true => pick_from_other_zone(shared),
-            false => None,
-        });
-        let Some(peer) = preferred.or_else(|| pick(shared)) else {
-            return;
-        };
-        let limit = match shared.mirror.lock().position().is_start() {
+    async fn run(mut self) {
+        let mut interval = POLL_INTERVAL;
+        loop {
+            sleep(interval).await;
+            interval = POLL_INTERVAL;
+            if let Some(peer) = self.next_peer() {
+                self.poll(peer).await;
+                if self.informed.is_none() {
+                    interval = RETRY_POLL_INTERVAL;
+                }
+            }
+        }
+    }
+
+    /// Returns the gateway to poll now, or `None` if no poll is needed.
+    fn next_peer(&mut self) -> Option<SocketAddr> {
+        let shared = &self.shared;
+        let now = shared.now();
+        let age = shared.store_contact.age(now);
+        let is_stale = age > STALE_AFTER;
+        let is_overdue = age > OVERDUE_AFTER && shared.follows_store.load(Ordering::Relaxed);
+        // Another gateway may know that the store was available, so that missing entries have not lapsed.
+        let needs_testimony = !shared.lapsed_workers.lock().is_empty();
+        let is_awaiting_first_snapshot =
+            shared.mirror.lock().position().is_start() && now < FIRST_SNAPSHOT_DEADLINE;
+        if !(is_stale || is_overdue || needs_testimony) || is_awaiting_first_snapshot {
+            return None;
+        }
+        let elsewhere = || pick_from_other_zone(shared).filter(|_| is_overdue && !is_stale);
+        let preferred = self.informed.take().or_else(elsewhere);
+        preferred.or_else(|| pick(shared))
+    }
+
+    async fn poll(&mut self, peer: SocketAddr) {
+        let limit = match self.shared.mirror.lock().position().is_start() {
             true => BODY_TIMEOUT,
             false => POLL_TIMEOUT,
         };
-        let pull = pull_update(&mut self.client, peer, Duration::ZERO, shared);
+        let pull = pull_update(&mut self.client, peer, Duration::ZERO, &self.shared);
         match timeout(limit, pull).await {
             Ok(Ok(age)) => self.informed = Some(peer).filter(|_| age <= OVERDUE_AFTER),
             Ok(Err(error)) => log::debug!("no update from peer {peer}: {error:#}"),
