--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -399,6 +399,7 @@
     shared.log.record(Priority::Important, &event);
 }
 
+/// Returns a random gateway of another zone.
 fn pick_from_other_zone(shared: &Shared) -> Option<SocketAddr> {
     let zone = shared.zone();
     let fleet = shared.fleet.read().clone();
@@ -409,6 +410,7 @@
         .choose(&mut rand::rng())
 }
 
+/// Returns a random gateway, mostly of the own zone.
 fn pick(shared: &Shared) -> Option<SocketAddr> {
     let settings = shared.settings.read().clone();
     let fleet = shared.fleet.read().clone();
--- a/crates/gateway/src/store_contact.rs
+++ b/crates/gateway/src/store_contact.rs
@@ -12,6 +12,9 @@
 /// Time without an answer after which the store may have been unavailable. Slightly longer than the time between two
 /// answers of the store to a relay that follows it.
 const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1_500);
+/// Time without an answer, although no call failed, after which this gateway no longer testifies that the store was
+/// available: the gateway may have stood still. Workers whose heartbeats are missing for a shorter time keep their entries.
+const MAX_UNASKED_GAP: Duration = Duration::from_millis(2_500);
 
 /// An answer of the store that has reached this gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -66,10 +69,6 @@
     pub is_outage: bool,
 }
 
-/// A longer time in which this gateway asked nobody is not proof that the store was available: it may have stood still. In
-/// a shorter one no entry expires.
-const MAX_UNASKED_GAP: Duration = Duration::from_millis(2_500);
-
 /// When the store gave the answer that this gateway's information is based on.
 ///
 /// A time without answers is not necessarily an outage of the store, which may serve all others meanwhile. It counts as
@@ -127,14 +126,18 @@
                 is_outage: false,
             });
         }
+        // The earliest of the times at which the store may have returned, as far as known.
         let is_in_gap = |at: &Timestamp| *at > self.last_answer;
         let unanswered = self.pending_call.max(self.last_failure).filter(is_in_gap);
         let stated = testimony.and_then(|given| given.returned_before);
         let stated = stated.map(|time| before(answered, time)).filter(is_in_gap);
+        // A gateway of an earlier version testifies nothing: its answer itself is the first proof.
         let is_relayed = answer.heard_from.is_some();
-        // A gateway of an earlier version testifies nothing.
-        let latest = is_relayed.then_some(proven_since.unwrap_or(answered));
-        let returned = [unanswered, stated, latest].into_iter().flatten().min();
+        let first_proof = is_relayed.then_some(proven_since.unwrap_or(answered));
+        let returned = [unanswered, stated, first_proof]
+            .into_iter()
+            .flatten()
+            .min();
         if returned.is_some() || length > MAX_UNASKED_GAP {
             self.available_since = Some(proven_since.unwrap_or(answered));
         }
@@ -278,7 +281,7 @@
     Timestamp(at.0.saturating_sub(time))
 }
 
-/// Returns the name of a source of the store's answers in logs.
+/// Returns the name in logs of a gateway that has passed answers of the store on; it is empty for the store itself.
 pub fn name_of_source(heard_from: Option<SocketAddr>) -> String {
     heard_from.map_or_else(String::new, |gateway| gateway.to_string())
 }
--- a/crates/gateway/src/worker_entries.rs
+++ b/crates/gateway/src/worker_entries.rs
@@ -166,11 +166,12 @@
     let heartbeats = shared.store_schema.decode_heartbeats(&item.value);
     let worker = decoded.map_err(|error| record_refused_item(shared, item, &error));
     let worker = worker.map(|worker| {
-        let is_late = previous.as_ref().is_some_and(|previous| {
+        // The store may apply a write after a later one.
+        let is_late_write = previous.as_ref().is_some_and(|previous| {
             previous.says_leaving(&worker.id) && heartbeats < previous.heartbeats
         });
         let departed = &mut known.departed;
-        let is_still_leaving = is_late
+        let is_still_leaving = is_late_write
             || is_still_leaving(
                 departed,
                 shared.now(),
