The log says what the version of a stream follows from

The event `stream_version` names the version at which a stream goes on, what the gateway knew itself and how many others answered. It does not say whether the version is a fact on this stream, from another gateway or the store, or is concluded from gateways that testify that one version alone has served. A stream joined from two versions by a wrong testimony could thus not be told from one that was recorded at the wrong version. The new field `ground` is `known`, `only` or empty.

--- a/crates/forwarding/src/stream_versions.rs
+++ b/crates/forwarding/src/stream_versions.rs
@@ -347,6 +347,15 @@
         !self.known.is_empty()
     }
 
+    /// Returns the name of the kind of testimony that the version follows from, `known` or `only`; empty without a version.
+    pub fn ground(&self) -> &'static str {
+        match (self.version(), self.is_known()) {
+            (None, _) => "",
+            (Some(_), true) => "known",
+            (Some(_), false) => "only",
+        }
+    }
+
     /// Returns how many gateways testify that one version alone serves.
     pub fn only_count(&self) -> usize {
         self.only_count
--- a/crates/forwarding/tests/stream_versions.rs
+++ b/crates/forwarding/tests/stream_versions.rs
@@ -204,9 +204,11 @@
                 let agrees = |t: &Testimony| *t == Testimony::Only(version.clone()) || *t == Testimony::Unsure;
                 prop_assert!(said.iter().all(agrees));
                 prop_assert!(said.contains(&Testimony::Only(version.clone())));
+                prop_assert_eq!(evidence.ground(), "only");
             }
             Some(version) => {
                 prop_assert!(known.iter().all(|t| **t == Testimony::Known(version.clone())));
+                prop_assert_eq!(evidence.ground(), "known");
             }
             None => {
                 let is_unanimous = known.first().is_some_and(|first| known.iter().all(|t| t == first));
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -336,6 +336,9 @@
         resumes: &'a str,
         /// The version; empty if it is not known.
         version: &'a str,
+        /// What the version follows from: `known` (a gateway or the store knows the stream), `only` (gateways testify that
+        /// this version alone has served), or empty if it is not known.
+        ground: &'a str,
         /// What this gateway knew before it asked: `known`, `only`, `several` or `unsure`.
         own: &'a str,
         /// Number of other gateways that were asked.
--- a/crates/gateway/src/exchange/version.rs
+++ b/crates/gateway/src/exchange/version.rs
@@ -45,6 +45,7 @@
             request: self.request_id(),
             resumes: self.first_attempt().unwrap_or_default(),
             version: version.unwrap_or_default(),
+            ground: found.ground,
             own: found.own,
             asked: found.asked,
             answered: found.answered,
--- a/crates/gateway/src/stream_versions/search.rs
+++ b/crates/gateway/src/stream_versions/search.rs
@@ -41,6 +41,8 @@
 pub struct FoundVersion {
     /// The version, or `None` if nobody can say.
     pub version: Option<SoftwareVersion>,
+    /// The name of the kind of testimony that it follows from; empty if nobody can say.
+    pub ground: &'static str,
     /// The name of what this gateway could say itself.
     pub own: &'static str,
     /// Number of other gateways that were asked.
@@ -140,6 +142,7 @@
     if let Testimony::Known(version) = own {
         return FoundVersion {
             version: Some(version),
+            ground: "known",
             ..found
         };
     }
@@ -147,6 +150,7 @@
     search.run().await;
     FoundVersion {
         version: search.evidence.version().cloned(),
+        ground: search.evidence.ground(),
         asked: search.asked.len(),
         answered: search.answered.len(),
         stored: search.store.name(),
