The store names the versions that have served, and no testimony goes against it

What callers saw: after the loss of all gateways while one software version replaces another, or after it, streams of the version that has left were answered 200 and ran to the end, with the rest of their events from the new version.

Cause: gateways that have watched a service for twice the longest timeout of a stream testify that the only version that they have seen is the only one that has served. After the loss of all gateways nobody remembers the other one, and nothing bounds a caller's return to that time. What has been seen since the start was taken for what has been.

The recorders now write an item for each service and version that serves, with a lease of ten minutes, at once and again after four minutes while it serves. A gateway testifies for a version only if its own memory of five minutes and the store name no other one, and the store names this one. While another one is named, streams are told and recorded as before, so that those of versions that serve go on after any loss.

Evidence: three gateways, a timeout of 3 s, 18 streams. With this change all of them are refused, also after a second loss and after a restore.

Pure tests that took twice the timeout for the time after which a version no longer counts are replaced: they now go to the last second of LATEST_RETURN and the first one after it, and also with the store's items.

--- a/crates/cli/tests/gateway_platform/worker_versions.rs
+++ b/crates/cli/tests/gateway_platform/worker_versions.rs
@@ -5,6 +5,9 @@
 //!
 //! A later failure: the version of a stream was in the memory of three gateways only. After the loss of most gateways,
 //! streams were refused although workers of their versions served.
+//!
+//! A third failure: which versions had served was in the memory of gateways only. After the loss of all gateways, a stream of
+//! a version that had left was continued by the version that served then.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -13,7 +16,7 @@
 use tansyhall_core::ZoneName;
 use tansyhall_forwarding::{AttemptKey, RecorderPlan, SchedulerCandidate};
 use tansyhall_gateway::stream_versions::message::StoredStreamsMessage;
-use tansyhall_gateway::stream_versions::RECORDS_PREFIX;
+use tansyhall_gateway::stream_versions::{RECORDS_PREFIX, SERVED_PREFIX};
 use tansyhall_platform_standin::{Behaviour, StoreFault};
 use tansyhall_testing::eventually;
 use tokio::time::timeout;
@@ -36,6 +39,8 @@
 const LARGER_FLEET: usize = 14;
 /// Timeout of a route whose callers may return for twice as long.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(6);
+/// Timeout of a route in a test that waits until callers are assumed to have returned.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(3);
 const OLD: usize = 0;
 const NEW: usize = 1;
 
@@ -376,3 +381,98 @@
     site.gateways.drain(..2);
     assert_continued_by(&site, 0, OLD, &first_attempt).await;
 }
+
+/// Takes streams up at all gateways, and asserts that they are refused with a time to come back.
+async fn assert_refused(site: &Site, streams: &[(usize, String)]) {
+    for (number, gateway) in site.gateways.iter().enumerate() {
+        for (index, (_, first_attempt)) in streams.iter().enumerate() {
+            let id = format!("take-up-{number}-{index}");
+            let answer = take_up(gateway, &id, RESUMABLE, first_attempt, LAST_EVENT).await;
+            assert_eq!(answer.status, 503, "{first_attempt} at {number}");
+            assert!(answer.retry_after.is_some());
+        }
+    }
+    assert_eq!(continued(site, NEW), 0);
+}
+
+/// Starts a site whose first version is known to have served alone, and streams that its worker breaks off.
+async fn start_site_with_streams_of_one_version() -> (Site, Vec<(usize, String)>) {
+    let mut site = Site::start(&[("app", None, WHOLE)], 3).await;
+    site.configure_route_timeout(SHORT_TIMEOUT).await;
+    for gateway in 0..3 {
+        wait_until_watch_is_complete(&site, gateway).await;
+    }
+    let streams = begin_streams(&site, 0..3).await;
+    site.add_worker_of_version("app", SECOND_VERSION, WHOLE)
+        .await;
+    (site, streams)
+}
+
+/// Removes the worker of the first version, and waits until the gateways know it.
+async fn remove_first_version(site: &Site) {
+    site.workers[OLD].worker.remove_entry();
+    for gateway in 0..site.gateways.len() {
+        site.wait_for_ready_workers(gateway, 1.0).await;
+    }
+}
+
+/// Kills all gateways, and asserts that the new ones refuse the streams, at once and after they have watched for as long as
+/// they need.
+async fn assert_refused_after_restart(site: &mut Site, streams: &[(usize, String)]) {
+    site.restart_all_gateways();
+    for gateway in 0..site.gateways.len() {
+        site.wait_for_ready_workers(gateway, 1.0).await;
+    }
+    assert_refused(site, streams).await;
+    for gateway in 0..site.gateways.len() {
+        wait_until_watch_is_complete(site, gateway).await;
+    }
+    assert_refused(site, streams).await;
+}
+
+/// Guards against streams of a version that has left which are joined with events of another one, because gateways that
+/// were all lost and have watched since then conclude that it alone has served.
+#[actix_rt::test]
+async fn no_stream_is_joined_from_two_versions_after_the_loss_of_all_gateways() {
+    let (mut site, streams) = start_site_with_streams_of_one_version().await;
+    remove_first_version(&site).await;
+    for _ in 0..2 {
+        assert_refused_after_restart(&mut site, &streams).await;
+    }
+}
+
+/// Guards against streams that are refused after the loss of all gateways although their version serves beside another
+/// one, which came after they had begun.
+#[actix_rt::test]
+async fn streams_from_before_a_release_are_taken_up_after_the_loss_of_all_gateways() {
+    let (mut site, streams) = start_site_with_streams_of_one_version().await;
+    wait_until_recorded(&site, streams.len()).await;
+    restart_gateways(&mut site).await;
+    for (beginner, first_attempt) in &streams {
+        assert_continued_by(&site, 1, *beginner, first_attempt).await;
+    }
+}
+
+/// Waits until the store names this many versions.
+async fn wait_until_served_versions_are_named(site: &Site, versions: usize) {
+    eventually("the store names the versions that serve", || async {
+        (site.store.keys(SERVED_PREFIX).len() == versions).then_some(())
+    })
+    .await;
+}
+
+/// Guards against streams that are joined from two versions because a restored store no longer names the one that left.
+#[actix_rt::test]
+async fn versions_that_have_served_are_named_again_after_a_restore() {
+    let (mut site, streams) = start_site_with_streams_of_one_version().await;
+    remove_first_version(&site).await;
+    wait_until_served_versions_are_named(&site, 2).await;
+    for key in site.store.keys(SERVED_PREFIX) {
+        site.store.remove(&key);
+    }
+    let backup = site.store.back_up();
+    wait_until_served_versions_are_named(&site, 2).await;
+    site.store.restore(&backup);
+    wait_until_served_versions_are_named(&site, 2).await;
+    assert_refused_after_restart(&mut site, &streams).await;
+}
--- a/crates/forwarding/src/stream_recorders.rs
+++ b/crates/forwarding/src/stream_recorders.rs
@@ -34,6 +34,9 @@
 const CANDIDATES_PER_SHARD: usize = 2 * RECORDERS_PER_SHARD;
 /// Time that a recorder of a small fleet waits for each recorder before it.
 pub const RECORDER_DELAY: Duration = Duration::from_secs(1);
+/// Time that a recorder waits for each recorder before it with the name of a version that serves. A write is visible to
+/// all gateways within it, also through relays.
+const VERSION_RECORDER_DELAY: Duration = Duration::from_secs(3);
 /// Minimum interval of a recorder's writes. A shorter one wakes those who watch the store more often than their watches
 /// end anyway.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(300);
@@ -138,6 +141,14 @@
         Some(RECORDER_DELAY * u32::try_from(delays).unwrap_or(u32::MAX))
     }
 
+    /// Returns how long a gateway waits before it writes the name of a version that serves, or `None` if it is not one of
+    /// its recorders.
+    pub fn version_write_delay(&self, key: AttemptKey, gateway: &str) -> Option<Duration> {
+        let recorders = self.recorders(self.shard(key));
+        let rank = recorders.iter().position(|name| name == gateway)?;
+        Some(VERSION_RECORDER_DELAY * u32::try_from(rank).unwrap_or(u32::MAX))
+    }
+
     /// Returns the interval of a recorder's writes.
     pub fn write_interval(&self) -> Duration {
         let shards = u32::try_from(self.shards.len()).unwrap_or(u32::MAX);
--- a/crates/forwarding/src/stream_versions.rs
+++ b/crates/forwarding/src/stream_versions.rs
@@ -10,11 +10,13 @@
 use tansyhall_core::{ServiceName, Timestamp};
 use xxhash_rust::xxh3::Xxh3Default;
 
+use crate::position::Position;
+use crate::served_versions::{ServedVersion, ServedVersions, LATEST_RETURN};
 use crate::stream_records::StreamRecord;
 use crate::tenant_shares::TenantKey;
 use crate::worker::SoftwareVersion;
 
-/// How long the version of a stream is kept after it was recorded or asked for. No caller returns later.
+/// How long the version of a stream is kept after it was recorded or asked for.
 pub const RETENTION: Duration = Duration::from_secs(120);
 /// Maximum number of streams whose version is kept; the oldest give way.
 const MAX_STREAMS: usize = 65_536;
@@ -40,11 +42,13 @@
 pub enum Testimony {
     /// The stream began at this version.
     Known(SoftwareVersion),
-    /// The stream is not known, and this version alone has served for as long as a caller may return.
+    /// The stream is not known, and this version alone has served for as long as a caller may return: the gateway has
+    /// watched the service, and the store names no other version.
     Only(SoftwareVersion),
     /// The stream is not known, and several versions have served in this time.
     Several,
-    /// The stream is not known, and the gateway has not watched the service for that long, or not lately.
+    /// The stream is not known, and the gateway has not watched the service for long enough, or not lately, or the store
+    /// does not name the version yet.
     Unsure,
 }
 
@@ -69,6 +73,8 @@
     /// Streams that no other gateway has been told of, by service, in the order of their beginning.
     untold: BTreeMap<ServiceName, VecDeque<AttemptKey>>,
     services: BTreeMap<ServiceName, VersionHistory>,
+    /// The versions that the store names, also those from before this gateway's start.
+    served: ServedVersions,
 }
 
 #[derive(Debug)]
@@ -168,6 +174,33 @@
         }
     }
 
+    /// Sets the versions that the store names at a position, with the positions at which they were written.
+    pub fn set_recorded(
+        &mut self,
+        now: Timestamp,
+        position: Position,
+        items: impl IntoIterator<Item = (ServedVersion, Position)>,
+    ) {
+        self.served.set_recorded(now, position, items);
+    }
+
+    /// Returns the versions that this gateway has to write to the store now, see [`ServedVersions::take_due`].
+    pub fn take_due_versions(
+        &mut self,
+        now: Timestamp,
+        delay: impl Fn(&ServedVersion) -> Option<Duration>,
+    ) -> Vec<ServedVersion> {
+        let services = self.services.iter();
+        let seen = services.flat_map(|(service, history)| {
+            let versions = history.last_seen.iter();
+            versions.map(move |(version, last_seen)| {
+                let (service, version) = (service.clone(), version.clone());
+                (ServedVersion { service, version }, now.since(*last_seen))
+            })
+        });
+        self.served.take_due(now, seen, delay)
+    }
+
     /// Returns whether this gateway knows services and has watched each of them for as long as a caller may return.
     pub fn is_watch_complete(&self, now: Timestamp, watch: Watch) -> bool {
         let is_watched = |history: &VersionHistory| history.watched(now) >= watch.window;
@@ -260,18 +293,17 @@
         let Some(history) = self.services.get(service) else {
             return Testimony::Unsure;
         };
-        let in_window = |last_seen: &Timestamp| now.since(*last_seen) <= watch.window;
-        let mut versions = history
-            .last_seen
-            .iter()
-            .filter(|(_, last_seen)| in_window(last_seen));
-        match (versions.next(), versions.next()) {
-            (_, Some(_)) => Testimony::Several,
-            (Some((version, _)), None)
-                if watch.is_current && history.watched(now) >= watch.window =>
-            {
-                Testimony::Only(version.clone())
-            }
+        let has_served = |last_seen: &Timestamp| now.since(*last_seen) <= LATEST_RETURN;
+        let seen = history.last_seen.iter();
+        let seen = seen.filter(|(_, last_seen)| has_served(last_seen));
+        let seen: BTreeSet<&SoftwareVersion> = seen.map(|(version, _)| version).collect();
+        let recorded: BTreeSet<&SoftwareVersion> = self.served.recorded(service).collect();
+        if seen.union(&recorded).nth(1).is_some() {
+            return Testimony::Several;
+        }
+        let is_watched = watch.is_current && history.watched(now) >= watch.window;
+        match seen.intersection(&recorded).next() {
+            Some(version) if is_watched => Testimony::Only((*version).clone()),
             _ => Testimony::Unsure,
         }
     }
@@ -291,7 +323,7 @@
         for history in self.services.values_mut() {
             history
                 .last_seen
-                .retain(|_, last_seen| now.since(*last_seen) <= RETENTION);
+                .retain(|_, last_seen| now.since(*last_seen) <= LATEST_RETURN);
         }
         self.services
             .retain(|_, history| !history.last_seen.is_empty());
@@ -301,14 +333,15 @@
 /// How a gateway watches a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Watch {
-    /// How long ago a stream that a caller takes up may have begun.
+    /// How long a gateway must have watched a service itself, or learned from others, before it concludes anything.
     pub window: Duration,
     /// Whether the gateway learns of new workers now: the store has answered lately.
     pub is_current: bool,
 }
 
 impl Watch {
-    /// Returns the watch for streams that last no longer than `timeout`. Their callers return within as long again.
+    /// Returns the watch for streams that last no longer than `timeout`. Most of their callers return within as long
+    /// again; for the others, the store names the versions that have served.
     pub fn new(timeout: Duration, is_current: bool) -> Self {
         Self {
             window: timeout.saturating_mul(2).min(RETENTION),
--- a/crates/forwarding/tests/stream_versions.rs
+++ b/crates/forwarding/tests/stream_versions.rs
@@ -6,13 +6,13 @@
 use tansyhall_core::{ServiceName, Timestamp};
 use tansyhall_fixed_cases::config_with_seed;
 use tansyhall_forwarding::{
-    AttemptKey, ServiceHistory, SoftwareVersion, StreamRecord, StreamVersions, Testimony,
-    VersionEvidence, Watch,
+    AttemptKey, Position, ServedVersion, ServiceHistory, SoftwareVersion, StreamRecord,
+    StreamVersions, Testimony, VersionEvidence, Watch, LATEST_RETURN,
 };
 
 const SEED: u64 = 20_261_203;
 const TIMEOUT: Duration = Duration::from_secs(5);
-/// Longer than a caller may take to return.
+/// Longer than a gateway has to watch a service.
 const LONG: u64 = 11;
 
 fn second(seconds: u64) -> Timestamp {
@@ -42,9 +42,20 @@
     Watch::new(TIMEOUT, true)
 }
 
-/// A gateway that has seen these versions in each second of a time.
+/// Lets the store name these versions, and no others.
+fn name_in_store(gateway: &mut StreamVersions, now: u64, versions: &[&str]) {
+    let position = Position::new(0, 1);
+    let items = versions.iter().map(|name| {
+        let (service, version) = (service(), version(name));
+        (ServedVersion { service, version }, position)
+    });
+    gateway.set_recorded(second(now), position, items);
+}
+
+/// A gateway that has seen these versions in each second of a time, and that finds them in the store.
 fn watcher(seconds: std::ops::RangeInclusive<u64>, versions: &[&str]) -> StreamVersions {
     let mut watcher = StreamVersions::default();
+    name_in_store(&mut watcher, *seconds.start(), versions);
     for now in seconds {
         for name in versions {
             watcher.observe(second(now), &service(), &version(name));
@@ -99,10 +110,11 @@
     }
     let mut gateway = watcher(20..=20, &["v1"]);
     gateway.adopt(second(20), &other.histories(second(LONG + 5)));
-    assert_eq!(ask(&mut gateway, 20, "a"), Testimony::Several);
-    gateway.observe(second(26), &service(), &version("v1"));
+    let last_return = 20 - 5 + LATEST_RETURN.as_secs();
+    gateway.observe(second(last_return), &service(), &version("v1"));
+    assert_eq!(ask(&mut gateway, last_return, "a"), Testimony::Several);
     let only = Testimony::Only(version("v1"));
-    assert_eq!(ask(&mut gateway, 26, "a"), only);
+    assert_eq!(ask(&mut gateway, last_return + 1, "a"), only);
 }
 
 #[test]
@@ -126,12 +138,29 @@
 fn a_version_counts_until_its_callers_can_no_longer_return() {
     let mut gateway = watcher(0..=LONG, &["v1"]);
     gateway.observe(second(LONG), &service(), &version("v2"));
-    for now in LONG..=LONG + 20 {
+    let last_return = LONG + LATEST_RETURN.as_secs();
+    for now in LONG..=last_return {
         gateway.observe(second(now), &service(), &version("v2"));
     }
-    assert_eq!(ask(&mut gateway, LONG + 9, "a"), Testimony::Several);
+    name_in_store(&mut gateway, last_return, &["v2"]);
+    assert_eq!(ask(&mut gateway, last_return, "a"), Testimony::Several);
     let only = Testimony::Only(version("v2"));
-    assert_eq!(ask(&mut gateway, LONG + 20, "a"), only);
+    assert_eq!(ask(&mut gateway, last_return + 1, "a"), only);
+}
+
+/// Guards against streams that are joined from two versions after the loss of all gateways: those that start afterwards
+/// have seen one version only.
+#[test]
+fn a_gateway_never_testifies_against_what_the_store_names() {
+    let mut gateway = watcher(0..=LONG, &["v2"]);
+    name_in_store(&mut gateway, LONG, &["v1", "v2"]);
+    assert_eq!(ask(&mut gateway, LONG, "a"), Testimony::Several);
+    name_in_store(&mut gateway, LONG, &["v1"]);
+    assert_eq!(ask(&mut gateway, LONG, "a"), Testimony::Several);
+    name_in_store(&mut gateway, LONG, &[]);
+    assert_eq!(ask(&mut gateway, LONG, "a"), Testimony::Unsure);
+    name_in_store(&mut gateway, LONG, &["v2"]);
+    assert_eq!(ask(&mut gateway, LONG, "a"), Testimony::Only(version("v2")));
 }
 
 #[test]
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -58,6 +58,8 @@
     pub version_watch_complete: IntGauge,
     /// Writes of the software versions of streams to the store, by outcome: `written` or `failed`.
     pub stream_record_writes: IntCounterVec,
+    /// Writes of the software versions that serve to the store, by outcome: `written` or `failed`.
+    pub served_version_writes: IntCounterVec,
     /// Gateways that share the fleet's budgets.
     pub gateways: IntGauge,
     /// Workers by service and state, as announced by the store.
@@ -211,6 +213,13 @@
                 ),
                 &["outcome"],
             )?,
+            served_version_writes: IntCounterVec::new(
+                Opts::new(
+                    "gateway_served_version_writes_total",
+                    "Writes of the software versions that serve to the store",
+                ),
+                &["outcome"],
+            )?,
             gateways: IntGauge::new("gateway_gateways", "Gateways that share budgets")?,
             workers: IntGaugeVec::new(
                 Opts::new("gateway_workers", "Workers by service and state"),
@@ -342,6 +351,8 @@
             .register(Box::new(self.version_watch_complete.clone()))?;
         self.registry
             .register(Box::new(self.stream_record_writes.clone()))?;
+        self.registry
+            .register(Box::new(self.served_version_writes.clone()))?;
         self.registry.register(Box::new(self.gateways.clone()))?;
         self.registry.register(Box::new(self.workers.clone()))?;
         self.registry
--- a/crates/gateway/src/mirror_refresh.rs
+++ b/crates/gateway/src/mirror_refresh.rs
@@ -15,6 +15,7 @@
 use crate::presence::{self, Announcement};
 use crate::quarantine;
 use crate::state::{ConfigurationInForce, Shared};
+use crate::stream_versions;
 use crate::worker_entries;
 
 /// Updates the shared state from the items of the mirror that were touched. With thousands of workers, the cost of a
@@ -35,6 +36,9 @@
             quarantine::read_store_list(shared, subject);
         }
     }
+    if touched.covers_any_with_prefix(stream_versions::SERVED_PREFIX) {
+        stream_versions::read_served_versions(shared);
+    }
     let position = shared.mirror.lock().position();
     shared.mirror_position.send_replace(position);
     let epoch = i64::try_from(position.epoch).unwrap_or(i64::MAX);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -126,6 +126,10 @@
         Arc::clone(&shared),
         Rc::clone(&adapter.store),
     ));
+    actix_rt::spawn(stream_versions::write_served_versions(
+        Arc::clone(&shared),
+        Rc::clone(&adapter.store),
+    ));
     actix_rt::spawn(stream_versions::read_records(
         Arc::clone(&shared),
         Rc::clone(&adapter.store),
--- a/crates/gateway/src/stream_versions/message.rs
+++ b/crates/gateway/src/stream_versions/message.rs
@@ -6,7 +6,7 @@
 use prost::Message;
 use tansyhall_core::ServiceName;
 use tansyhall_forwarding::{
-    AttemptKey, Position, ServiceHistory, SoftwareVersion, StreamRecord, Testimony,
+    AttemptKey, Position, ServedVersion, ServiceHistory, SoftwareVersion, StreamRecord, Testimony,
 };
 
 use crate::state::saturating_millis;
@@ -57,6 +57,17 @@
     pub attempts: Vec<u64>,
 }
 
+/// Names a software version that serves, in an item of the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct ServedVersionMessage {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The version of its workers.
+    #[prost(string, tag = "2")]
+    pub version: String,
+}
+
 /// Asks another gateway at which version a stream began.
 #[derive(Clone, PartialEq, Message)]
 pub struct VersionQuestionMessage {
@@ -149,6 +160,24 @@
     Several = 3,
 }
 
+impl ServedVersionMessage {
+    /// Creates the item of a version.
+    pub fn new(served: &ServedVersion) -> Self {
+        Self {
+            service: served.service.as_str().to_owned(),
+            version: served.version.as_str().to_owned(),
+        }
+    }
+
+    /// Returns the version.
+    pub fn served(&self) -> ServedVersion {
+        ServedVersion {
+            service: ServiceName::new(self.service.as_str()),
+            version: SoftwareVersion::from(self.version.as_str()),
+        }
+    }
+}
+
 impl StreamMessage {
     /// Creates the message about a stream.
     pub fn new(record: &StreamRecord) -> Self {
--- a/crates/gateway/src/stream_versions/mod.rs
+++ b/crates/gateway/src/stream_versions/mod.rs
@@ -1,7 +1,7 @@
 //! Finds out at which software version a stream began that a caller takes up, and makes known at which version streams
 //! begin here: [`telling`] informs other gateways at once, [`recorder`] writes to the store for all gateways, and
 //! [`search`] asks other gateways and, through [`lookup`], the store. A gateway that has not watched for long learns from
-//! others which versions have served before ([`history`]). [`tansyhall_forwarding::stream_versions`] decides
+//! others which versions have served before ([`history`]), and the store names them for all ([`served`]). [`tansyhall_forwarding::stream_versions`] decides
 //! what must be told and what follows from answers, and [`tansyhall_forwarding::stream_recorders`] who is told.
 
 mod history;
@@ -9,6 +9,7 @@
 pub mod message;
 mod recorder;
 mod search;
+mod served;
 mod telling;
 
 use std::collections::HashMap;
@@ -34,6 +35,7 @@
 pub use lookup::read_records;
 pub use recorder::write_records;
 pub use search::{find, receive_answer, receive_question, FoundVersion};
+pub use served::{read_served_versions, write_served_versions, SERVED_PREFIX};
 pub use telling::{receive_recorded_streams, receive_streams};
 
 /// Prefix of the keys under which recorders write the versions of streams. Copies of the store exclude them, because only
