Versions of streams are recorded until the last of three retries

What callers would see: a caller with three retries, each with the whole timeout of its route and a pause, begins the last one after more than three timeouts. After the loss of all gateways, only the store knows the version of its stream, but records lived for two to four timeouts, so that a late take-up was refused although its version served.

Records are now kept for four to six timeouts, at most three minutes, apart from the two timeouts for which a gateway watches a service. Leases are granted as often as before.

The pure test holds the retention against three timeouts and pauses; two timeouts, as before, would fail it. By reading, no process test shows the late refusal.

--- a/crates/forwarding/src/stream_handover.rs
+++ b/crates/forwarding/src/stream_handover.rs
@@ -61,7 +61,7 @@
     }
 
     /// Returns the streams that are to be handed to another recorder now, ordered by attempt. `window` is how long after
-    /// its beginning a stream may be taken up.
+    /// its beginning the version of a stream is recorded.
     pub fn take_overdue(&mut self, now: Timestamp, window: Duration) -> Vec<OverdueStream> {
         self.unconfirmed
             .retain(|_, handed| now.since(handed.first_handed) <= window);
--- a/crates/forwarding/src/stream_records.rs
+++ b/crates/forwarding/src/stream_records.rs
@@ -84,7 +84,7 @@
     }
 
     /// Returns the streams that are to be written now, those that are due for longest first. `window` is how long after
-    /// its beginning a stream may be taken up.
+    /// its beginning the version of a stream is recorded.
     pub fn due(&mut self, now: Timestamp, window: Duration) -> Vec<StreamRecord> {
         self.expire(now, window);
         let pending = self.pending.iter();
--- a/crates/forwarding/src/stream_versions.rs
+++ b/crates/forwarding/src/stream_versions.rs
@@ -20,6 +20,9 @@
 pub const RETENTION: Duration = Duration::from_secs(120);
 /// Maximum number of streams whose version is kept; the oldest give way.
 const MAX_STREAMS: usize = 65_536;
+/// Number of timeouts of a stream for which its version is recorded: a caller that makes three retries, each with the whole
+/// timeout, begins the last one after three timeouts and three pauses.
+const RECORDED_TIMEOUTS: u32 = 4;
 
 /// Identifies a caller's attempt that brought the first event of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -335,6 +338,8 @@
 pub struct Watch {
     /// How long a gateway must have watched a service itself, or learned from others, before it concludes anything.
     pub window: Duration,
+    /// How long after its beginning the version of a stream is recorded for its caller.
+    pub record_retention: Duration,
     /// Whether the gateway learns of new workers now: the store has answered lately.
     pub is_current: bool,
 }
@@ -345,6 +350,7 @@
     pub fn new(timeout: Duration, is_current: bool) -> Self {
         Self {
             window: timeout.saturating_mul(2).min(RETENTION),
+            record_retention: timeout.saturating_mul(RECORDED_TIMEOUTS).min(RETENTION),
             is_current,
         }
     }
--- a/crates/forwarding/tests/stream_versions.rs
+++ b/crates/forwarding/tests/stream_versions.rs
@@ -202,6 +202,16 @@
     assert_eq!(testimony, Testimony::Known(version("v1")));
 }
 
+/// Guards against streams that are refused because their records end before the last retry of their callers.
+#[test]
+fn streams_are_recorded_until_the_last_of_three_retries() {
+    for timeout in [1, 3, 20].map(Duration::from_secs) {
+        let pause = Duration::from_millis(750).min(timeout / 4);
+        let last_retry = 3 * (timeout + pause);
+        assert!(Watch::new(timeout, true).record_retention >= last_retry);
+    }
+}
+
 #[test]
 fn attempts_of_other_services_and_tenants_are_different() {
     let other = AttemptKey::of(&ServiceName::new("app"), None, "a");
--- a/crates/gateway/src/stream_versions/mod.rs
+++ b/crates/gateway/src/stream_versions/mod.rs
@@ -126,7 +126,7 @@
     metric.set(i64::from(is_complete));
     history::ask_others(shared, watch, is_complete);
     telling::tell(shared, &untold);
-    telling::hand_over_overdue(shared, watch.window);
+    telling::hand_over_overdue(shared, watch.record_retention);
 }
 
 /// Records the versions of all announced workers.
--- a/crates/gateway/src/stream_versions/recorder.rs
+++ b/crates/gateway/src/stream_versions/recorder.rs
@@ -72,18 +72,18 @@
     async fn write_due(&mut self) {
         self.observe_epoch();
         let shared = Arc::clone(&self.shared);
-        let window = watch(&shared).window;
+        let retention = watch(&shared).record_retention;
         let records = shared
             .stream_versions
             .records
             .lock()
-            .due(shared.now(), window);
+            .due(shared.now(), retention);
         if records.is_empty() {
             return;
         }
         let shards = group_by_shard(&shared, &records);
         let writes = &shared.metrics.stream_record_writes;
-        match self.write(&shards, window.max(MIN_RETENTION)).await {
+        match self.write(&shards, retention.max(MIN_RETENTION)).await {
             Ok(_) => {
                 writes.with_label_values(&["written"]).inc();
                 let written = records.iter().map(|record| record.attempt);
@@ -132,14 +132,14 @@
         result
     }
 
-    /// Returns a lease that lasts for at least this time, and for up to twice as long.
+    /// Returns a lease that lasts for at least this time, and for up to half as long again.
     async fn lease(&mut self, retention: Duration) -> Result<LeaseId, StoreError> {
         let now = self.shared.now();
         if let Some(lease) = self.lease.filter(|lease| now < lease.used_until) {
             return Ok(lease.id);
         }
-        let id = with_timeout(self.store.grant_lease(retention * 2)).await?;
-        let used_until = now + retention;
+        let id = with_timeout(self.store.grant_lease(retention + retention / 2)).await?;
+        let used_until = now + retention / 2;
         self.lease = Some(RecordLease { id, used_until });
         Ok(id)
     }
--- a/crates/gateway/src/stream_versions/telling.rs
+++ b/crates/gateway/src/stream_versions/telling.rs
@@ -46,10 +46,10 @@
 }
 
 /// Hands streams to the next recorder that the previous one has not confirmed in time.
-pub(super) fn hand_over_overdue(shared: &Shared, window: Duration) {
+pub(super) fn hand_over_overdue(shared: &Shared, retention: Duration) {
     let now = shared.now();
     let mut handover = shared.stream_versions.handover.lock();
-    let overdue = handover.take_overdue(now, window);
+    let overdue = handover.take_overdue(now, retention);
     drop(handover);
     if overdue.is_empty() {
         return;
