Streams whose end nothing proves are counted and named in the logs

An answer may come with neither a length nor chunks and end with its connection. If it is an event stream and ends after an event, the end of the worker's process looks the same as the end of the stream. Logs told such an answer by its framing, but not that its end proves nothing, and no metric counted it, so that a stream that lost its last events this way could not be told from a whole one afterwards.

The line of such a send now says in `detail` what was concluded from the end, and `gateway_unproven_stream_ends_total` counts the ends by service and conclusion. Nothing is examined yet, so the only conclusion is `unknown`.

--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -103,6 +103,12 @@
         self.framing != Framing::Connection
     }
 
+    /// Returns whether the body is an event stream of which nothing but the end of the connection marks the end. After an
+    /// event, the end of the worker's process looks the same.
+    pub fn is_unframed_stream(&self) -> bool {
+        self.stream_end.is_some()
+    }
+
     /// Declares that the body is an event stream, whatever type its headers name. Must be called before the first bytes are
     /// read.
     pub fn expect_events(&mut self) {
@@ -151,12 +157,11 @@
             self.borrowed = None;
             return Err(second_answer_error());
         }
-        let end = self.stream_end.take();
         match self.has_explicit_end() {
             true => self.return_connection(),
             false => self.report_broken(),
         }
-        match end.and_then(|end| end.cut_off()) {
+        match self.stream_end.as_ref().and_then(StreamEnd::cut_off) {
             Some(problem) => Err(SendError::NoAnswer(problem.into())),
             None => Ok(None),
         }
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -386,6 +386,9 @@
             true => *event == self.failed_send(SendFailure::ErrorAnswer),
             false => *event == RequestEvent::Completed,
         };
+        if *event == RequestEvent::Completed && open.answer.body.is_unframed_stream() {
+            attempt.guard.record_unproven_end("unknown");
+        }
         match event {
             _ if is_complete && has_explicit_end => attempt.guard.record_complete_answer(),
             RequestEvent::Completed | RequestEvent::DeadlinePassed => {}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,9 @@
     pub long_stream_pauses: IntCounterVec,
     /// Sends to workers that are announced as leaving, by service.
     pub leaving_worker_sends: IntCounterVec,
+    /// Event streams of which nothing but the end of the connection, after an event, marked the end, by service and by
+    /// what was concluded from it.
+    pub unproven_stream_ends: IntCounterVec,
     /// Answers that do not match the request sent before them, by kind of request.
     pub mismatched_answers: IntCounterVec,
     /// New notices of workers, by kind: `leaving`, `rest` (back-off) or `rate_limit`.
@@ -129,6 +132,13 @@
                 ),
                 &["route"],
             )?,
+            unproven_stream_ends: IntCounterVec::new(
+                Opts::new(
+                    "gateway_unproven_stream_ends_total",
+                    "Event streams that ended after an event with only the end of the connection to mark it",
+                ),
+                &["service", "conclusion"],
+            )?,
             leaving_worker_sends: IntCounterVec::new(
                 Opts::new(
                     "gateway_leaving_worker_sends_total",
@@ -316,6 +326,8 @@
         self.registry.register(Box::new(self.latency.clone()))?;
         self.registry
             .register(Box::new(self.leaving_worker_sends.clone()))?;
+        self.registry
+            .register(Box::new(self.unproven_stream_ends.clone()))?;
         self.registry.register(Box::new(self.sends.clone()))?;
         self.registry
             .register(Box::new(self.stream_pause.clone()))?;
--- a/crates/gateway/src/send_guard.rs
+++ b/crates/gateway/src/send_guard.rs
@@ -233,6 +233,14 @@
         self.framing = Some(framing);
     }
 
+    /// Records what was concluded from the end of an event stream that only the end of the connection marks.
+    pub fn record_unproven_end(&mut self, conclusion: &str) {
+        let ends = &self.shared.metrics.unproven_stream_ends;
+        let service = self.details.service.as_str();
+        ends.with_label_values(&[service, conclusion]).inc();
+        self.detail = format!("stream ended with its connection: {conclusion}");
+    }
+
     /// Records that the worker has answered completely, even with an error.
     pub fn record_complete_answer(&mut self) {
         self.is_answer_complete = true;
