A stream is not whole because its worker's process died between two events

An event stream may come with neither a length nor chunks and end with its connection. A worker's process that is killed closes its connections without a reset, and since it writes an event with one call, nearly always between two events. The gateway took this for the end of the stream: callers got 200, a proper last chunk, and a stream without its last events. Resumable streams were not continued either.

The class is that the end of a channel is taken for the end of the message. The end of an event stream that nothing but its connection marks is now passed on only after 10 ms and an attempt to connect to the worker, by the path of a request and without a slot. If the worker accepts, the stream is whole. If it refuses, and the examination that every refusal gets says that it has ended, or if its entry says that it has restarted, the stream is cut off: it goes on at another worker after the last event delivered, or ends without a last chunk. A leaving worker may refuse connections while it finishes its streams: a resumable stream of it is continued elsewhere, which shows whether anything was left, and gets its end if nobody can continue it; another one gets its end. Faults of the path leave a stream as whole as before.

The stand-in's unframed streams may now end with their worker's process: its listener closes, and then the connection.

--- a/crates/cli/tests/gateway_platform/unframed_streams.rs
+++ b/crates/cli/tests/gateway_platform/unframed_streams.rs
@@ -3,25 +3,42 @@
 //! The failure: workers crashed in the middle of such streams, and their connections closed without a reset. The gateway
 //! took the end of the connection for the end of the stream, also inside an event, and gave callers a proper end.
 
-use tansyhall_platform_standin::{Behaviour, Run};
+use std::cell::Cell;
 
-use crate::support::{send_request, CallerAnswer, Site, NON_RESUMABLE, REPEATABLE, RESUMABLE};
+use tansyhall_platform_standin::{Behaviour, Run, UnframedEnd};
+use tansyhall_testing::{eventually, Partition};
+
+use crate::support::{
+    send_request, source_address, CallerAnswer, Site, NON_RESUMABLE, REPEATABLE, RESUMABLE,
+};
 
 const WHOLE: Behaviour = Behaviour::Unframed {
     events: 3,
-    ends_inside_event: false,
+    end: UnframedEnd::AfterEvent,
 };
 const ENDS_INSIDE_THIRD_EVENT: Behaviour = Behaviour::Unframed {
     events: 2,
-    ends_inside_event: true,
+    end: UnframedEnd::InsideEvent,
+};
+const PROCESS_ENDS_AFTER_SECOND_EVENT: Behaviour = Behaviour::Unframed {
+    events: 2,
+    end: UnframedEnd::WithProcess,
+};
+const LEAVING_PROCESS_ENDS_AFTER_SECOND_EVENT: Behaviour = Behaviour::Unframed {
+    events: 2,
+    end: UnframedEnd::WithLeavingProcess,
+};
+const LEAVING_PROCESS_ENDS_AFTER_THIRD_EVENT: Behaviour = Behaviour::Unframed {
+    events: 3,
+    end: UnframedEnd::WithLeavingProcess,
 };
 const ENDS_INSIDE_FIRST_EVENT: Behaviour = Behaviour::Unframed {
     events: 0,
-    ends_inside_event: true,
+    end: UnframedEnd::InsideEvent,
 };
 const ENDS_BEFORE_FIRST_EVENT: Behaviour = Behaviour::Unframed {
     events: 0,
-    ends_inside_event: false,
+    end: UnframedEnd::AfterEvent,
 };
 /// Maximum number of requests until one has been run by both workers in the wanted order.
 const MAX_REQUESTS: usize = 50;
@@ -126,3 +143,99 @@
     assert_eq!((answer.status, answer.is_complete), (200, true));
     assert_eq!(answer.body, THREE_EVENTS);
 }
+
+// Guards against a stream that looks whole although its worker's process died between two events.
+#[actix_rt::test]
+async fn a_stream_that_cannot_be_resumed_and_whose_worker_dies_between_two_events_has_no_proper_end(
+) {
+    let answer = answer_of(PROCESS_ENDS_AFTER_SECOND_EVENT, NON_RESUMABLE).await;
+    assert_eq!((answer.status, answer.is_complete), (200, false));
+    assert_eq!(answer.body, TWO_EVENTS);
+}
+
+// Guards against a stream without its last events because its worker's process died between two events.
+#[actix_rt::test]
+async fn a_resumable_stream_whose_worker_dies_between_two_events_is_continued_elsewhere() {
+    let answer = answer_of_both((PROCESS_ENDS_AFTER_SECOND_EVENT, WHOLE), Some("2")).await;
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(answer.body, THREE_EVENTS);
+}
+
+// Guards against a stream without its last events because a leaving worker was killed before it had finished.
+#[actix_rt::test]
+async fn a_resumable_stream_whose_leaving_worker_dies_between_two_events_is_continued_elsewhere() {
+    let answer = answer_of_both((LEAVING_PROCESS_ENDS_AFTER_SECOND_EVENT, WHOLE), Some("2")).await;
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(answer.body, THREE_EVENTS);
+}
+
+// Guards against a buffered event stream that looks whole although its worker's process died between two events.
+#[actix_rt::test]
+async fn an_event_stream_whose_worker_dies_between_two_events_is_incomplete_on_any_route() {
+    let answer = answer_of(PROCESS_ENDS_AFTER_SECOND_EVENT, REPEATABLE).await;
+    assert_eq!(answer.status, 502);
+}
+
+// Guards against cutting off whole streams of leaving workers, which refuse connections while they finish.
+#[actix_rt::test]
+async fn whole_streams_of_a_leaving_worker_that_refuses_connections_are_complete() {
+    for path in [NON_RESUMABLE, RESUMABLE] {
+        let answer = answer_of(LEAVING_PROCESS_ENDS_AFTER_THIRD_EVENT, path).await;
+        assert_eq!((answer.status, answer.is_complete), (200, true), "{path}");
+        assert_eq!(answer.body, THREE_EVENTS);
+    }
+}
+
+// Guards against taking the empty answer of a worker that has nothing left to send for a broken stream.
+#[actix_rt::test]
+async fn a_whole_stream_of_a_leaving_worker_is_complete_if_another_worker_has_nothing_left() {
+    for second in [Behaviour::Serve { events: 3 }, WHOLE] {
+        let behaviours = (LEAVING_PROCESS_ENDS_AFTER_THIRD_EVENT, second);
+        let answer = answer_of_both(behaviours, Some("3")).await;
+        assert_eq!((answer.status, answer.is_complete), (200, true));
+        assert_eq!(answer.body, THREE_EVENTS);
+    }
+}
+
+// Guards against taking a fault of the path for the end of a worker whose streams come through relays.
+#[actix_rt::test]
+async fn whole_streams_that_come_through_a_relay_are_complete() {
+    let site = Site::start_with_source_addresses(&[("app", None, WHOLE); 3], 3).await;
+    let links = site.link_workers().await;
+    site.wait_until_gateways_know_each_other().await;
+    for link in &links {
+        link.set_partition(source_address(0), Some(Partition::Reset));
+    }
+    let gateway = &site.gateways[0];
+    let sent = Cell::new(0);
+    eventually("the gateway is partitioned", || async {
+        sent.set(sent.get() + 1);
+        send_request(gateway, &format!("cut-{}", sent.get()), RESUMABLE, b"x").await;
+        let partitioned = gateway.metric("gateway_partitioned").await?;
+        (partitioned == 1.0).then_some(())
+    })
+    .await;
+    for path in [NON_RESUMABLE, RESUMABLE] {
+        let answer = send_request(gateway, &format!("relayed{path}"), path, b"x").await;
+        assert_eq!((answer.status, answer.is_complete), (200, true), "{path}");
+        assert_eq!(answer.body, THREE_EVENTS);
+    }
+}
+
+// Guards against ends that nothing proves and that neither logs nor metrics tell.
+#[actix_rt::test]
+async fn what_follows_from_the_end_of_an_unframed_stream_is_counted() {
+    for (behaviour, conclusion) in [
+        (WHOLE, "whole"),
+        (PROCESS_ENDS_AFTER_SECOND_EVENT, "cut_off"),
+        (LEAVING_PROCESS_ENDS_AFTER_THIRD_EVENT, "doubtful"),
+    ] {
+        let site = Site::start(&[("app", None, behaviour)], 1).await;
+        send_request(&site.gateways[0], "unframed-1", NON_RESUMABLE, b"x").await;
+        let metric = format!(
+            "gateway_unproven_stream_ends_total{{conclusion=\"{conclusion}\",service=\"app\"}}"
+        );
+        let counted = site.gateways[0].metric(&metric).await;
+        assert_eq!(counted, Some(1.0), "{conclusion}");
+    }
+}
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod stream_versions;
 pub mod tenant_shares;
 pub mod tenants;
+pub mod unproven_end;
 pub mod urgency;
 pub mod worker;
 pub mod worker_evidence;
@@ -102,6 +103,7 @@
 };
 pub use tenant_shares::{TenantKey, TenantShares, WorkOutcome};
 pub use tenants::{ApiKey, AuthenticatedTenant, Tenant, TenantError, TenantTable};
+pub use unproven_end::{EndConclusion, EndEvidence, WorkerStanding};
 pub use urgency::UrgencyGroup;
 pub use worker::{SoftwareVersion, Worker, WorkerId, WorkerKind, WorkerState};
 pub use worker_evidence::{
--- a/crates/forwarding/src/worker_evidence.rs
+++ b/crates/forwarding/src/worker_evidence.rs
@@ -118,10 +118,8 @@
         others: impl FnOnce() -> Vec<ComparableWorker>,
     ) -> ConnectionRefusalStep {
         self.expire(now);
-        if let Some((cause, found_at)) = self.results.get(worker) {
-            if now.since(*found_at) < RESULT_TTL {
-                return ConnectionRefusalStep::Known(*cause);
-            }
+        if let Some(cause) = self.recent_cause(now, worker) {
+            return ConnectionRefusalStep::Known(cause);
         }
         if self.examinations.contains_key(worker) || self.examinations.len() >= MAX_EXAMINATIONS {
             return ConnectionRefusalStep::Ignore;
@@ -135,6 +133,16 @@
         ConnectionRefusalStep::Examine(compared)
     }
 
+    /// Returns why a worker's address refuses connections, if this was found out recently.
+    pub fn recent_cause(
+        &self,
+        now: Timestamp,
+        worker: &WorkerId,
+    ) -> Option<ConnectionRefusalCause> {
+        let (cause, found_at) = self.results.get(worker)?;
+        (now.since(*found_at) < RESULT_TTL).then_some(*cause)
+    }
+
     /// Records what other gateways found out about a worker that is being examined. Returns the cause once it is known.
     pub fn record_gateways_finding(
         &mut self,
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -18,7 +18,7 @@
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{
-    ConnectFailure, DirectOutcome, IdleRule, RateToken, Unavailable, WorkerId,
+    ConnectFailure, DirectOutcome, IdleRule, RateToken, Reachability, Unavailable, WorkerId,
 };
 
 use crate::answer_body::{AnswerBody, BorrowedConnection};
@@ -301,6 +301,19 @@
         Ok(Connection::new(sender, relay, open, self.clock.now()))
     }
 
+    /// Returns whether a worker accepts connections, directly or through relays. The connection is closed at once and does
+    /// not count as open.
+    pub async fn probe(&self, destination: &Destination) -> Reachability {
+        let kind = RequestKind::Run;
+        let Err(error) = self.open_stream(destination, kind).await else {
+            return Reachability::Connected;
+        };
+        match self.connect_error(destination, kind, error) {
+            SendError::NotSent(NotSentReason::ConnectionRefused) => Reachability::Refused,
+            _ => Reachability::Unknown,
+        }
+    }
+
     async fn open_stream(
         &self,
         destination: &Destination,
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Drops the answer that is being received. The result of the send stays as it is.
+    pub(super) fn close_answer(&mut self) {
+        self.stage = Stage::Taken;
+    }
+
     fn body(&self) -> Option<&ReceivedBody> {
         match &self.stage {
             Stage::Answering(open) => Some(&open.body),
--- a/crates/gateway/src/exchange/deliver.rs
+++ b/crates/gateway/src/exchange/deliver.rs
@@ -153,6 +153,7 @@
         if events.bytes.is_empty() {
             return Ok(());
         }
+        self.has_doubtful_end = false;
         self.replace_stalled();
         self.bind_version(attempt.guard.version());
         self.record_received(&mut attempt.guard);
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod barring;
 mod deliver;
+mod ending;
 mod placing;
 mod prompt;
 mod run;
@@ -81,6 +82,8 @@
     error_answer: Option<(AnswerHead, Bytes)>,
     /// The attempt of a silent worker, until another worker has answered in its place.
     stalled: Option<Attempt>,
+    /// Whether the stream may have ended with the last event delivered, and another worker is asked to continue it.
+    has_doubtful_end: bool,
     unused_handle: Option<PromptHandle>,
     /// The placement of the next send, if a scheduler has chosen its worker.
     placed: Option<OpenPlacement>,
@@ -113,6 +116,7 @@
             sink,
             error_answer: None,
             stalled: None,
+            has_doubtful_end: false,
             unused_handle: None,
             placed: None,
             leaving_worker: None,
@@ -223,6 +227,7 @@
                     self.await_stalled(&replacement).await
                 }
                 Action::Finish(conclusion) => {
+                    let conclusion = self.settle_doubtful_end(conclusion).await;
                     if conclusion == Conclusion::Delivered {
                         // The cause says why a stalled worker was not replaced.
                         self.cause = "";
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -118,7 +118,7 @@
                 Waited::Received(Received::Bytes(bytes)) => {
                     self.handle_bytes(&mut attempt, bytes).await.err()
                 }
-                Waited::Received(Received::End) => Some(self.handle_end(&mut attempt).await),
+                Waited::Received(Received::End) => Some(self.handle_body_end(&mut attempt).await),
                 Waited::Received(Received::Failed(error)) => {
                     Some(self.handle_failed(&mut attempt, error))
                 }
@@ -386,9 +386,6 @@
             true => *event == self.failed_send(SendFailure::ErrorAnswer),
             false => *event == RequestEvent::Completed,
         };
-        if *event == RequestEvent::Completed && open.answer.body.is_unframed_stream() {
-            attempt.guard.record_unproven_end("unknown");
-        }
         match event {
             _ if is_complete && has_explicit_end => attempt.guard.record_complete_answer(),
             RequestEvent::Completed | RequestEvent::DeadlinePassed => {}
--- a/crates/gateway/src/worker_ends.rs
+++ b/crates/gateway/src/worker_ends.rs
@@ -18,7 +18,7 @@
 
 use parking_lot::Mutex;
 use tansyhall_forwarding::{
-    ConnectionRefusalCause, EndedRequests, Fingerprint, WorkerId, WorkerState,
+    ConnectionRefusalCause, EndedRequests, Fingerprint, WorkerId, WorkerStanding, WorkerState,
 };
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -168,6 +168,17 @@
     }
 }
 
+/// Returns what a worker has announced.
+pub fn standing(shared: &Shared, destination: &Destination) -> WorkerStanding {
+    match announced_state(shared, destination) {
+        AnnouncedState::Ready => WorkerStanding::Serving,
+        AnnouncedState::Restarted => WorkerStanding::Restarted,
+        AnnouncedState::Leaving | AnnouncedState::Gone | AnnouncedState::Replaced => {
+            WorkerStanding::Departing
+        }
+    }
+}
+
 fn record_end(shared: &Shared, worker: &WorkerId) {
     let ended = shared
         .sends
