An application worker's answer without a length or chunks is an error, not an empty answer

A node's HTTP client does not read bodies that end with their connection: it takes the body of such an answer of HTTP/1.1 for empty. Callers got 200 with the verdict `completed`, a proper end and no body, whatever the worker had sent. Event streams of this kind, and answers of HTTP/1.0, ended as broken off, so that the check of how such a stream ends, which the node had as well, was never reached.

The class is that of the gateway's streams: an end that proves nothing passes for the end of the answer. An answer with neither a length nor chunks, whose method and status allow a body, is now 502 with the verdict `may-have-run`, as its body cannot be had; the check that was not reached is removed.

--- a/crates/node/src/callers/application.rs
+++ b/crates/node/src/callers/application.rs
@@ -19,8 +19,7 @@
 use tansyhall_admission::{BreakerDecision, BreakerEvent};
 use tansyhall_config::settings::Limits;
 use tansyhall_config::Backend;
-use tansyhall_core::stream_end::is_event_stream;
-use tansyhall_core::{EngineName, ServiceName, StreamEnd, TenantName, Verdict};
+use tansyhall_core::{EngineName, ServiceName, TenantName, Verdict};
 use tansyhall_engine::transport::{build_connector, never_sent};
 
 use super::admit::{
@@ -115,7 +114,8 @@
         params,
         record,
     };
-    match forwarding.run().await {
+    let answered = forwarding.run().await;
+    match answered.and_then(|(response, worker)| forwarding.check_framing(response, worker)) {
         Ok((response, worker)) => Ok(respond(response, worker, in_progress)),
         Err(failure) => {
             in_progress.end(RequestOutcome::Failed(failure.clone()));
@@ -182,6 +182,23 @@
         }
     }
 
+    /// Returns an error for an answer whose body ends with its connection. The client reads no such body, and its end would
+    /// not show whether the worker's process has ended with it.
+    fn check_framing(
+        &self,
+        response: ClientResponse,
+        worker: SocketAddr,
+    ) -> Result<(ClientResponse, SocketAddr), Failure> {
+        let has = |name| response.headers().contains_key(name);
+        let is_framed = has(header::CONTENT_LENGTH) || has(header::TRANSFER_ENCODING);
+        if is_framed || has_no_body(self.http.method(), response.status()) {
+            return Ok((response, worker));
+        }
+        self.observe(worker, BreakerEvent::Success);
+        let message = "the worker's answer has neither a length nor chunks";
+        Err(Failure::may_have_run(StatusCode::BAD_GATEWAY, message))
+    }
+
     async fn send(&self, address: SocketAddr) -> Result<ClientResponse, SendRequestError> {
         let http = self.http;
         let url = format!("http://{address}{}", http.uri());
@@ -307,6 +324,11 @@
     }
 }
 
+/// Returns whether an answer to this method, with this status, never has a body.
+fn has_no_body(method: &Method, status: StatusCode) -> bool {
+    *method == Method::HEAD || [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status)
+}
+
 /// Returns whether the status means that a worker can be reached but cannot do its work.
 fn is_worker_fault(status: StatusCode) -> bool {
     matches!(
@@ -340,11 +362,7 @@
         .headers()
         .get(header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok()?.parse().ok());
-    let header = |name| response.headers().get(name)?.to_str().ok();
-    let is_stream = header(header::CONTENT_TYPE).is_some_and(is_event_stream);
-    let is_framed = length.is_some() || header(header::TRANSFER_ENCODING).is_some();
     let body = WorkerBody {
-        stream_end: (is_stream && !is_framed).then(StreamEnd::default),
         response,
         in_progress,
         remaining_bytes: length,
@@ -363,8 +381,6 @@
     in_progress: Arc<InProgress>,
     /// Number of bytes still expected, if the worker sent a content length.
     remaining_bytes: Option<u64>,
-    /// How the body ends, if it is an event stream whose framing does not prove it whole.
-    stream_end: Option<StreamEnd>,
 }
 
 type BodyItem = Result<Bytes, std::io::Error>;
@@ -374,18 +390,11 @@
         let mut body = state?;
         match body.response.next().await {
             Some(Ok(bytes)) => {
-                if let Some(end) = &mut body.stream_end {
-                    end.push(&bytes);
-                }
                 body.count_bytes(bytes.len() as u64);
                 Some((Ok(bytes), Some(body)))
             }
             Some(Err(error)) => Some(body.break_off(&error.to_string())),
             None => {
-                let end = body.stream_end.take();
-                if let Some(problem) = end.and_then(|end| end.cut_off()) {
-                    return Some(body.break_off(problem));
-                }
                 body.in_progress.end(RequestOutcome::Completed);
                 None
             }
--- a/crates/node/tests/applications.rs
+++ b/crates/node/tests/applications.rs
@@ -186,6 +186,31 @@
     }
 }
 
+// Guards against answers without a body that look complete, although the worker's answer has one that ends with its
+// connection.
+#[actix_rt::test]
+async fn an_answer_with_neither_a_length_nor_chunks_is_an_error() {
+    let answers: [&[u8]; 3] = [
+        b"HTTP/1.1 200 OK\r\n\r\nfive ",
+        b"HTTP/1.0 200 OK\r\n\r\nfive ",
+        b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: 1\n\n",
+    ];
+    for answer in answers {
+        let (_node, address) = start_node(&[], &[start_interrupting_worker(answer)], "");
+        let response = send(address, Method::GET, "").await;
+        assert_eq!(response.status(), 502);
+        assert_eq!(header(&response, "tansyhall-verdict"), "may-have-run");
+    }
+}
+
+#[actix_rt::test]
+async fn an_answer_that_has_no_body_needs_no_length() {
+    let worker = start_interrupting_worker(b"HTTP/1.1 204 No Content\r\n\r\n");
+    let (_node, address) = start_node(&[], &[worker], "");
+    let response = send(address, Method::GET, "").await;
+    assert_eq!(response.status(), 204);
+}
+
 #[actix_rt::test]
 async fn a_redirect_reaches_the_caller() {
     let (listener, worker) = bind_listener();
