Events whose ids do not rise are logged and counted

The ids of a stream's events rise, but nothing in the logs or metrics said when they did not: a worker that repeats events, or begins a stream anew that it should continue, looked like any other.

EventOrder holds the last id of an answer, over all its attempts, beginning with the id that the caller names when it takes a stream up. Ids that are whole numbers must rise, with or without gaps; of others only a repetition of the last one is recognized, and events without an id are not checked. The first event of a part that is out of order is logged as `misordered_event` and counted in `gateway_misordered_events_total`. What callers get is unchanged.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -11,6 +11,7 @@
 mod leaving_and_backoff;
 mod logs;
 mod mismatched_answers;
+mod misordered_events;
 mod partitions;
 mod path_faults;
 mod rate_limits;
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod demand_shares;
 pub mod departure;
 pub mod directory;
+pub mod event_order;
 pub mod event_stream;
 pub mod fixed_share;
 pub mod fleet_tenants;
@@ -61,6 +62,7 @@
     Admission, Demand, Directory, EngineLoad, FirstAdmission, FirstAvailable, NoticeChanges,
     Objectives, RateToken, RefusalCause, SendResult, SendTicket, Unavailable, MAX_STREAM_PAUSE,
 };
+pub use event_order::{EventOrder, MisorderedEvent};
 pub use event_stream::{CompleteEvents, EventFramer};
 pub use fixed_share::SharingGateways;
 pub use fleet_tenants::{
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -328,6 +328,17 @@
         /// The attempt that brought the first event of the stream that it takes up; empty if it takes none up.
         resumes: &'a str,
     },
+    /// The id of a stream's event did not rise.
+    MisorderedEvent {
+        /// The id that the caller gave the request.
+        request: &'a str,
+        /// The worker that sent the event.
+        worker: &'a str,
+        /// The id of the event.
+        id: &'a str,
+        /// The id of the last event before it in the answer, or that the caller has named.
+        after: &'a str,
+    },
     /// The software version was looked for at which a stream began that a caller takes up.
     StreamVersion {
         /// The id that the caller gave the request.
--- a/crates/gateway/src/exchange/deliver.rs
+++ b/crates/gateway/src/exchange/deliver.rs
@@ -125,6 +125,7 @@
         let is_stream = matches!(body, Some(ReceivedBody::Parts { is_stream: true }));
         if is_stream {
             self.record_received(&mut attempt.guard);
+            let _ = self.check_order(&attempt.destination.worker, &part);
         }
         if !self.send_part(part).await {
             return Err(RequestEvent::Interrupted(None));
@@ -154,6 +155,7 @@
             return Ok(());
         }
         self.has_doubtful_end = false;
+        let _ = self.check_order(&attempt.destination.worker, &events.bytes);
         self.replace_stalled();
         self.bind_version(attempt.guard.version());
         self.record_received(&mut attempt.guard);
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -5,6 +5,7 @@
 mod barring;
 mod deliver;
 mod ending;
+mod order;
 mod placing;
 mod prompt;
 mod run;
@@ -17,9 +18,9 @@
 use bytes::Bytes;
 use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{
-    Action, Admission, AttemptPolicy, Conclusion, Fingerprint, Need, PromptHandle, RefusalCause,
-    RequestEvent, RequestMachine, Route, SendFailure, SoftwareVersion, UrgencyGroup, Worker,
-    WorkerId, WorkerState,
+    Action, Admission, AttemptPolicy, Conclusion, EventOrder, Fingerprint, Need, PromptHandle,
+    RefusalCause, RequestEvent, RequestMachine, Route, SendFailure, SoftwareVersion, UrgencyGroup,
+    Worker, WorkerId, WorkerState,
 };
 use tokio::time::Instant;
 
@@ -93,6 +94,8 @@
     waiting: Duration,
     cause: &'static str,
     answer_started_after: Option<Duration>,
+    /// The order of the events of the answer, whichever workers send them.
+    order: EventOrder,
     /// The pauses of the stream, including those between two workers' answers.
     pause: StreamPause,
     /// Whether the request has been counted in its tenant's usage.
@@ -112,6 +115,7 @@
         Self {
             _in_flight: InFlightGuard::begin(shared),
             shared: Arc::clone(shared),
+            order: order::order_of_answer(&request),
             request,
             sink,
             error_answer: None,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -22,6 +22,8 @@
     pub stream_pause: HistogramVec,
     /// Streams that paused for longer than their route allows, by route.
     pub long_stream_pauses: IntCounterVec,
+    /// Events whose ids did not rise, by service.
+    pub misordered_events: IntCounterVec,
     /// Sends to workers that are announced as leaving, by service.
     pub leaving_worker_sends: IntCounterVec,
     /// Event streams of which nothing but the end of the connection, after an event, marked the end, by service and by
@@ -139,6 +141,13 @@
                 ),
                 &["service", "conclusion"],
             )?,
+            misordered_events: IntCounterVec::new(
+                Opts::new(
+                    "gateway_misordered_events_total",
+                    "Events of streams whose ids did not rise",
+                ),
+                &["service"],
+            )?,
             leaving_worker_sends: IntCounterVec::new(
                 Opts::new(
                     "gateway_leaving_worker_sends_total",
@@ -333,6 +342,8 @@
             .register(Box::new(self.stream_pause.clone()))?;
         self.registry
             .register(Box::new(self.long_stream_pauses.clone()))?;
+        self.registry
+            .register(Box::new(self.misordered_events.clone()))?;
         self.registry
             .register(Box::new(self.mismatched_answers.clone()))?;
         self.registry
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use tansyhall_core::{Role, TenantName};
 use tansyhall_forwarding::{
-    ApiKey, Configuration, PromptHandle, PromptPart, Worker, WorkerId, WorkerNotice,
+    ApiKey, Configuration, EventId, PromptHandle, PromptPart, Worker, WorkerId, WorkerNotice,
 };
 
 use crate::headers::HeaderList;
@@ -30,6 +30,8 @@
 /// A stream that a caller takes up after it broke off.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ResumedStream {
+    /// The id of the last event that the caller has received.
+    pub last_event: EventId,
     /// The id of the caller's attempt that brought the first event; `None` if the caller does not name it.
     pub first_attempt: Option<String>,
 }
