Events whose ids do not rise are no longer delivered

Callers received events twice, and parts of two runs in one answer with a proper end. The cause: neither the delivery nor the continuation of a stream compared an event's id with the last one delivered. A worker that ignores Last-Event-Id begins the stream anew, and one that errs sends an event again; both were passed on, in answers to take-ups too.

An event whose id does not rise now ends the attempt like an answer that broke off, after the events before it are delivered. A resumable stream goes on at another worker after the last event delivered, or at a stalled worker that is still open; without one, and if it may not be resumed, its answer is cut. Events that a worker repeats are not skipped, as its run need not fit together with the one before. Streams that may not be resumed are still passed on in parts, but the blank line that would end a misordered event is held back with all that follows.

--- a/crates/cli/tests/gateway_platform/misordered_events.rs
+++ b/crates/cli/tests/gateway_platform/misordered_events.rs
@@ -1,4 +1,7 @@
 //! Workers that send an event again, or begin a stream anew that they should continue.
+//!
+//! The failure: gateways compared no event's id with the last one delivered, so that callers received events twice and
+//! parts of two runs, in answers with a proper end.
 
 use serde_json::{json, Value};
 use tansyhall_platform_standin::Behaviour;
@@ -10,6 +13,8 @@
 type Ids = &'static [&'static str];
 
 const BEGUN: Ids = &["1", "2"];
+const ANEW: Ids = &["1", "2", "3"];
+const CONTINUED: Ids = &["3", "4"];
 const METRIC: &str = "gateway_misordered_events_total";
 
 fn stream_of(ids: &[&str]) -> String {
@@ -53,6 +58,47 @@
     );
 }
 
+// Guards against answers that join the parts of two runs because a worker ignores the last event.
+#[actix_rt::test]
+async fn a_stream_that_a_worker_begins_anew_has_no_proper_end() {
+    let site = start_site(BEGUN, true, ANEW).await;
+    let answer = send_request(&site.gateways[0], "r", RESUMABLE, b"x").await;
+    assert_stream(&answer, BEGUN, false);
+    assert_eq!(site.runs_of("r"), 2);
+}
+
+// Guards against events that a caller has received in an earlier attempt and gets again.
+#[actix_rt::test]
+async fn a_stream_that_is_taken_up_and_begun_anew_by_its_workers_is_lost() {
+    let site = start_site(BEGUN, false, ANEW).await;
+    let gateway = &site.gateways[0];
+    send_request(gateway, "first", RESUMABLE, b"x").await;
+    let answer = take_up(gateway, "second", RESUMABLE, "first", "2").await;
+    assert_eq!((answer.status, site.runs_of("second")), (502, 2));
+}
+
+// Guards against events that come twice or out of order within the answer of one worker.
+#[actix_rt::test]
+async fn a_resumable_stream_whose_worker_sends_an_event_again_is_continued_elsewhere() {
+    for begun in [&["1", "2", "2", "3"], &["1", "2", "1", "2"]] {
+        let site = start_site(begun, false, CONTINUED).await;
+        let answer = send_request(&site.gateways[0], "r", RESUMABLE, b"x").await;
+        assert_stream(&answer, &["1", "2", "3", "4"], true);
+        assert_eq!(site.runs_of("r"), 2);
+    }
+}
+
+// Guards against a proper end of streams that cannot be resumed and whose worker sends an event again.
+#[actix_rt::test]
+async fn a_stream_that_cannot_be_resumed_is_cut_before_an_event_that_comes_again() {
+    for begun in [&["1", "2", "2", "3"], &["1", "2", "1", "2"]] {
+        let site = start_site(begun, false, CONTINUED).await;
+        let answer = send_request(&site.gateways[0], "r", NON_RESUMABLE, b"x").await;
+        assert_stream(&answer, BEGUN, false);
+        assert_eq!(site.runs_of("r"), 1);
+    }
+}
+
 // Guards against ending streams whose ids are legal, and streams whose workers need not heed a caller's last event.
 #[actix_rt::test]
 async fn streams_with_gaps_between_ids_and_with_other_ids_than_numbers_are_complete() {
--- a/crates/cli/tests/gateway_platform/silent_workers.rs
+++ b/crates/cli/tests/gateway_platform/silent_workers.rs
@@ -34,6 +34,13 @@
 /// Number of concurrent requests for each pause.
 const CONCURRENT_REQUESTS: usize = 6;
 
+/// A worker that begins each stream anew that it should resume.
+const BEGINNING_ANEW: Behaviour = Behaviour::Scripted {
+    begun: &[],
+    breaks_off: false,
+    resumed: &["1", "2", "3", "4", "5"],
+};
+
 /// A stream with a pause after this event.
 const fn pausing_after(event: u32) -> Behaviour {
     Behaviour::Pausing {
@@ -158,13 +165,14 @@
     assert_stream_is_complete(&answer);
 }
 
-// Guards against ending a paused stream because the worker that should resume it refuses, fails or breaks off.
+// Guards against ending a paused stream because the worker that should resume it refuses, fails, breaks off or begins anew.
 #[actix_rt::test]
 async fn a_stream_continues_after_a_pause_although_the_other_worker_does_not_resume_it() {
     for other in [
         Behaviour::NotRun,
         Behaviour::Fail,
         Behaviour::AbortAnswer { events: 0 },
+        BEGINNING_ANEW,
     ] {
         let site = Site::start(&[("app", None, pausing_after(2)); 2], 1).await;
         let answer = send_and_change_the_other(&site, "r", RESUMABLE, other).await;
--- a/crates/forwarding/src/event_stream.rs
+++ b/crates/forwarding/src/event_stream.rs
@@ -17,6 +17,15 @@
     pub count: u32,
 }
 
+impl CompleteEvents {
+    /// Keeps the events within the first `length` bytes, which must end with an event.
+    pub fn truncate(&mut self, length: usize) {
+        let mut bytes = std::mem::take(&mut self.bytes);
+        bytes.truncate(length);
+        *self = parse_events(bytes);
+    }
+}
+
 /// An event is longer than the maximum that a gateway buffers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("server-sent event exceeds the maximum of {MAX_EVENT_BYTES} bytes")]
--- a/crates/forwarding/tests/streams.rs
+++ b/crates/forwarding/tests/streams.rs
@@ -22,6 +22,17 @@
     assert_eq!(events.last_id.as_deref(), Some("2"));
 }
 
+/// Guards against continuing after an event that was not delivered because it is out of order.
+#[test]
+fn the_last_id_and_the_count_are_those_of_the_events_that_are_kept() {
+    let mut framer = EventFramer::default();
+    let events = framer.push(b"id: 1\n\nid: 2\n\nid: 1\n\n");
+    let mut events = events.expect("events below the maximum size");
+    events.truncate(14);
+    assert_eq!(events.bytes, b"id: 1\n\nid: 2\n\n");
+    assert_eq!((events.last_id.as_deref(), events.count), (Some("2"), 2));
+}
+
 /// Returns the id of the first event that is out of order in a stream after this event, and the bytes before it.
 fn first_misordered(after: Option<&str>, stream: &str) -> Option<(String, usize)> {
     let mut order = after.map_or_else(EventOrder::default, |id| EventOrder::after(id.to_owned()));
--- a/crates/gateway/src/exchange/deliver.rs
+++ b/crates/gateway/src/exchange/deliver.rs
@@ -1,7 +1,7 @@
 //! Delivery of an answer's body to the caller, at once or in parts.
 
 use bytes::Bytes;
-use tansyhall_forwarding::{RequestEvent, SendFailure};
+use tansyhall_forwarding::{CompleteEvents, RequestEvent, SendFailure};
 use tokio::time::timeout_at;
 
 use super::attempt::{Attempt, ReceivedBody, MAX_BUFFERED_BYTES};
@@ -119,15 +119,19 @@
     async fn deliver_part(
         &mut self,
         attempt: &mut Attempt,
-        part: Bytes,
+        mut part: Bytes,
     ) -> Result<(), RequestEvent> {
+        let mut is_in_order = true;
         let body = attempt.open_answer().map(|open| &open.body);
         let is_stream = matches!(body, Some(ReceivedBody::Parts { is_stream: true }));
         if is_stream {
             self.record_received(&mut attempt.guard);
-            let _ = self.check_order(&attempt.destination.worker, &part);
+            if let Err(misordered) = self.check_order(&attempt.destination.worker, &part) {
+                part.truncate(misordered.bytes_before);
+                is_in_order = false;
+            }
         }
-        if !self.send_part(part).await {
+        if !part.is_empty() && !self.send_part(part).await || !is_in_order {
             return Err(RequestEvent::Interrupted(None));
         }
         if is_stream {
@@ -136,7 +140,8 @@
         Ok(())
     }
 
-    /// Delivers only complete events, so that another worker can continue after the last one delivered.
+    /// Delivers only complete events, so that another worker can continue after the last one delivered. An answer whose
+    /// next event is out of order has failed: the worker may have begun anew, and events of two runs need not fit together.
     async fn deliver_events(
         &mut self,
         attempt: &mut Attempt,
@@ -148,14 +153,25 @@
         else {
             return Ok(());
         };
-        let Ok(events) = framer.push(bytes) else {
+        let Ok(mut events) = framer.push(bytes) else {
             return Err(self.broken_answer(attempt));
         };
-        if events.bytes.is_empty() {
-            return Ok(());
+        let checked = self.check_order(&attempt.destination.worker, &events.bytes);
+        if let Err(misordered) = &checked {
+            events.truncate(misordered.bytes_before);
         }
+        if !events.bytes.is_empty() {
+            self.deliver_complete_events(attempt, events).await?;
+        }
+        checked.map_err(|_| self.broken_answer(attempt))
+    }
+
+    async fn deliver_complete_events(
+        &mut self,
+        attempt: &mut Attempt,
+        events: CompleteEvents,
+    ) -> Result<(), RequestEvent> {
         self.has_doubtful_end = false;
-        let _ = self.check_order(&attempt.destination.worker, &events.bytes);
         self.replace_stalled();
         self.bind_version(attempt.guard.version());
         self.record_received(&mut attempt.guard);
