A replacement without an event does not end the stream of a silent worker

Callers got the proper end of a stream before its last event: a worker fell silent after its second of five events, the worker asked in its place ended its answer at once without an event, and this passed for the end of the stream although the silent worker was still open and went on later.

The end of such a replacement now counts as a failed replacement if the silent worker has delivered events in the same answer and is still open: that worker is waited for, or another one is asked. If the silent worker has delivered nothing, its silence says nothing about the end, and the replacement's end counts as before.

Before the change, a_stream_continues_after_a_pause_although_the_other_worker_does_not_resume_it fails with two of five events and a proper end, if the other worker ends at once.

--- a/crates/cli/tests/gateway_platform/silent_workers.rs
+++ b/crates/cli/tests/gateway_platform/silent_workers.rs
@@ -34,6 +34,12 @@
 /// Number of concurrent requests for each pause.
 const CONCURRENT_REQUESTS: usize = 6;
 
+/// A worker that ends each stream at once that it should resume.
+const ENDING_AT_ONCE: Behaviour = Behaviour::Scripted {
+    begun: &[],
+    breaks_off: false,
+    resumed: &[],
+};
 /// A worker that begins each stream anew that it should resume.
 const BEGINNING_ANEW: Behaviour = Behaviour::Scripted {
     begun: &[],
@@ -165,7 +171,7 @@
     assert_stream_is_complete(&answer);
 }
 
-// Guards against ending a paused stream because the worker that should resume it refuses, fails, breaks off or begins anew.
+// Guards against ending a paused stream because the worker that should resume it refuses, fails, breaks off, begins anew or ends it at once.
 #[actix_rt::test]
 async fn a_stream_continues_after_a_pause_although_the_other_worker_does_not_resume_it() {
     for other in [
@@ -173,6 +179,7 @@
         Behaviour::Fail,
         Behaviour::AbortAnswer { events: 0 },
         BEGINNING_ANEW,
+        ENDING_AT_ONCE,
     ] {
         let site = Site::start(&[("app", None, pausing_after(2)); 2], 1).await;
         let answer = send_and_change_the_other(&site, "r", RESUMABLE, other).await;
--- a/crates/gateway/src/exchange/deliver.rs
+++ b/crates/gateway/src/exchange/deliver.rs
@@ -71,7 +71,10 @@
             }
             ReceivedBody::Parts { .. } => self.sink.end().await,
             ReceivedBody::Events { framer, .. } => {
-                if framer.pending_bytes() > 0 || !self.sink.has_begun() {
+                // A replacement that sends no event cannot end the stream of a worker that has not ended it.
+                let stalled = self.stalled.as_ref();
+                let has_unended = stalled.is_some_and(|stalled| stalled.delivered().0);
+                if framer.pending_bytes() > 0 || !self.sink.has_begun() || has_unended {
                     return self.broken_answer(attempt);
                 }
                 self.replace_stalled();
