A worker that has restarted with other software continues no stream

Callers got streams joined from two software versions: a worker restarted under its name and address with newer software, its new entry was not yet known, and a gateway let it continue a stream of its earlier version, or recorded a stream that it began at that version. The cause: the version of a send is that of the entry, and nothing told which incarnation answers.

A process that ends loses its connections. After a lost or refused connection the gateway asks the worker once for its start, when the worker has sent the first event of a resumable stream and before it is delivered. The incarnations at an address follow each other, so if the announced one answers then, it has begun the stream. If another one answers, the attempt counts as one that broke off and the announced incarnation as absent. Without an answer within half a second the stream goes on as before. Without losses nothing is asked.

Not covered: a gateway that had no request at the worker as it ended, and sent none while it was away.

The stand-in's plan of a worker and the site's functions that add workers move into files of their own.

--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod observations;
+mod workers;
 
 use std::cell::Cell;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -10,13 +11,11 @@
 
 use serde_json::{json, Value};
 use tansyhall_platform_standin::{
-    Behaviour, CrashTrigger, CrashingWorker, GatewayFields, Operations, Operator, RoutePlan,
-    ScalingPlan, Store, StoreEndpoint, StoreFault, TenantPlan, Worker, WorkerIncarnation,
-    WorkerPlan, WORKER_ENTRY_PREFIX,
+    Behaviour, GatewayFields, Operations, Operator, RoutePlan, ScalingPlan, Store, StoreEndpoint,
+    StoreFault, TenantPlan, Worker, WorkerPlan, WORKER_ENTRY_PREFIX,
 };
 use tansyhall_testing::{
-    eventually, free_peer_address, get_metric, start_gateway_at_free_addresses, GatewayAddresses,
-    GatewayProcess, Link,
+    eventually, get_metric, start_gateway_at_free_addresses, GatewayAddresses, GatewayProcess, Link,
 };
 
 pub use caller::{
@@ -26,8 +25,6 @@
 
 /// The deployed template of the gateway's settings.
 const TEMPLATE: &str = include_str!("../../../../../deploy/node.toml");
-/// Time of the first start of workers that announce their start time, in milliseconds since the Unix epoch.
-const FIRST_START_UNIX_MS: u64 = 1_700_000_000_000;
 /// Number of unrelated keys in the store, so that it is read in several pages.
 const UNRELATED_KEYS: usize = 130;
 /// Time for which a new holder of the authority waits before it sends orders, in milliseconds.
@@ -356,112 +353,6 @@
         }
     }
 
-    /// Adds a worker in another zone, and waits until the first gateway knows it. Gateways prefer equal workers of their
-    /// own zone.
-    pub async fn add_worker(
-        &self,
-        service: &'static str,
-        stage: Option<&'static str>,
-        behaviour: Behaviour,
-    ) -> SiteWorker {
-        let worker = start_worker(&self.store, OTHER_ZONE, &(service, stage, behaviour));
-        self.wait_for_announced_workers(0, self.workers.len() as f64 + 1.0)
-            .await;
-        worker
-    }
-
-    /// Adds a worker of a service with this software version, and waits until all gateways know it.
-    pub async fn add_worker_of_version(
-        &mut self,
-        service: &'static str,
-        version: &'static str,
-        behaviour: Behaviour,
-    ) {
-        let plan = WorkerPlan {
-            version,
-            ..worker_plan(service, ZONE, None)
-        };
-        let worker = Worker::start(&self.store, plan, behaviour).expect("a free port");
-        self.workers.push(SiteWorker { worker });
-        for index in 0..self.gateways.len() {
-            self.wait_for_announced_workers(index, self.workers.len() as f64)
-                .await;
-        }
-    }
-
-    /// Starts workers of a service that crash while running such requests, and waits until all gateways know them. They
-    /// have another name in each incarnation.
-    pub async fn add_crashing_workers(
-        &self,
-        count: usize,
-        spec: WorkerSpec,
-        trigger: CrashTrigger,
-    ) -> Vec<CrashingWorker> {
-        let incarnations = vec![None; count];
-        self.start_crashing_workers(incarnations, spec, trigger)
-            .await
-    }
-
-    /// Starts workers like [`Site::add_crashing_workers`], but with names that they keep when they restart.
-    pub async fn add_named_crashing_workers(
-        &self,
-        names: &[&str],
-        spec: WorkerSpec,
-        trigger: CrashTrigger,
-    ) -> Vec<CrashingWorker> {
-        let incarnation = |name: &&str| {
-            Some(WorkerIncarnation {
-                name: (*name).to_owned(),
-                started_at_ms: FIRST_START_UNIX_MS,
-            })
-        };
-        let incarnations = names.iter().map(incarnation).collect();
-        self.start_crashing_workers(incarnations, spec, trigger)
-            .await
-    }
-
-    async fn start_crashing_workers(
-        &self,
-        incarnations: Vec<Option<WorkerIncarnation>>,
-        (service, stage, behaviour): WorkerSpec,
-        trigger: CrashTrigger,
-    ) -> Vec<CrashingWorker> {
-        let count = incarnations.len();
-        let plan = worker_plan(service, ZONE, stage);
-        let mut workers = Vec::new();
-        for incarnation in incarnations {
-            let address = free_peer_address();
-            let plan = WorkerPlan {
-                incarnation,
-                ..plan.clone()
-            };
-            let started = CrashingWorker::start(&self.store, address, plan, behaviour, trigger);
-            workers.push(started.expect("a free port"));
-        }
-        for index in 0..self.gateways.len() {
-            let all = self.workers.len() + count;
-            self.wait_for_announced_workers(index, all as f64).await;
-        }
-        workers
-    }
-
-    /// Starts a worker that sends each answer a second time, late, and waits until the first gateway knows it.
-    pub async fn add_duplicating_worker(
-        &self,
-        service: &'static str,
-        stage: Option<&'static str>,
-        behaviour: Behaviour,
-    ) -> SiteWorker {
-        let plan = WorkerPlan {
-            duplicates_answers: true,
-            ..worker_plan(service, ZONE, stage)
-        };
-        let worker = Worker::start(&self.store, plan, behaviour).expect("a free port");
-        self.wait_for_announced_workers(0, self.workers.len() as f64 + 1.0)
-            .await;
-        SiteWorker { worker }
-    }
-
     /// Writes the next configuration to the store and returns its version.
     pub fn configure_next(&self) -> u64 {
         let version = self.version.get() + 3;
--- a/crates/cli/tests/gateway_platform/worker_versions.rs
+++ b/crates/cli/tests/gateway_platform/worker_versions.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use futures_util::future::join;
 use prost::Message;
 use tansyhall_core::ZoneName;
 use tansyhall_forwarding::{AttemptKey, RecorderPlan, SchedulerCandidate};
@@ -25,8 +26,19 @@
 
 const SECOND_VERSION: &str = "v2";
 const WHOLE: Behaviour = Behaviour::Serve { events: 4 };
+const ENDLESS: Behaviour = Behaviour::Pausing {
+    events: 4,
+    after: 2,
+    pause_ms: 60_000,
+};
 /// Breaks off within the third event.
 const BROKEN: Behaviour = Behaviour::AbortAnswer { events: 2 };
+/// Breaks new streams off within the third event, and continues others.
+const BROKEN_OR_RESUMED: Behaviour = Behaviour::Scripted {
+    begun: &["1", "2"],
+    breaks_off: true,
+    resumed: &["3", "4"],
+};
 const LAST_EVENT: &str = "2";
 const FIRST_EVENTS: &[u8] = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
 const LAST_EVENTS: &[u8] = b"id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n";
@@ -476,3 +488,48 @@
     wait_until_served_versions_are_named(&site, 2).await;
     assert_refused_after_restart(&mut site, &streams).await;
 }
+
+/// Guards against streams joined from two versions because a worker has restarted under its name with newer software and the
+/// gateway knows only its earlier entry.
+#[actix_rt::test]
+async fn a_worker_that_has_restarted_with_another_version_continues_no_stream() {
+    let site = Site::start(&[("app", None, Behaviour::NotRun)], 1).await;
+    let worker = site.add_named_worker("steady-1", "app", ENDLESS).await;
+    let gateway = &site.gateways[0];
+    let stop = async {
+        eventually("the stream runs", || async {
+            (!worker.runs().is_empty()).then_some(())
+        })
+        .await;
+        site.store_endpoints[0].set_fault(StoreFault::Refuse);
+        worker.stop().await;
+        worker
+            .restart(SECOND_VERSION)
+            .expect("the worker's port is free")
+    };
+    let (_, worker) = join(send_request(gateway, "r", RESUMABLE, b"x"), stop).await;
+    site.workers[0].worker.set_behaviour(BROKEN_OR_RESUMED);
+    worker.set_behaviour(BROKEN_OR_RESUMED);
+    for number in 0..REQUESTS {
+        let id = format!("stream-{number}");
+        let answer = send_request(gateway, &id, RESUMABLE, b"x").await;
+        assert_eq!(answer.body, FIRST_EVENTS, "{number}");
+        assert_eq!((answer.status, answer.is_complete), (200, false));
+    }
+}
+
+/// Guards against ending streams because a worker that has lost a connection is taken for one that has restarted.
+#[actix_rt::test]
+async fn a_worker_that_has_lost_a_connection_and_not_restarted_continues_streams() {
+    let site = Site::start(&[("app", None, BROKEN_OR_RESUMED)], 1).await;
+    let worker = site
+        .add_named_worker("steady-1", "app", BROKEN_OR_RESUMED)
+        .await;
+    for number in 0..REQUESTS {
+        let id = format!("stream-{number}");
+        let answer = send_request(&site.gateways[0], &id, RESUMABLE, b"x").await;
+        assert_eq!((answer.status, answer.is_complete), (200, true));
+        assert_eq!(answer.body, [FIRST_EVENTS, LAST_EVENTS].concat());
+    }
+    assert!(worker.runs().iter().any(|run| run.last_event.is_none()));
+}
--- /dev/null
+++ b/crates/forwarding/src/incarnation_doubts.rs
@@ -0,0 +1,55 @@
+//! Workers that may have restarted since their entries were written. A worker that restarts loses its connections, and may
+//! run other software under the same name and address before its new entry is known.
+
+use std::collections::HashMap;
+
+use crate::worker::WorkerId;
+
+/// Whether a worker still is the incarnation that its entry describes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// A connection to it was lost. Losses are numbered, so that an answer about one does not settle a later one.
+    ConnectionLost(u64),
+    /// Another incarnation has answered at its address.
+    Ended,
+}
+
+/// Doubts about the incarnations of workers. No doubt is kept of workers without a start time: their incarnations differ in
+/// their names.
+#[derive(Debug, Default)]
+pub struct IncarnationDoubts {
+    doubts: HashMap<WorkerId, Doubt>,
+    losses: u64,
+}
+
+impl IncarnationDoubts {
+    /// Records that a connection to a worker was lost, or that its address refused one.
+    pub fn record_loss(&mut self, worker: &WorkerId) {
+        if worker.started_at().is_none() || self.doubt(worker) == Some(Doubt::Ended) {
+            return;
+        }
+        self.losses += 1;
+        let doubt = Doubt::ConnectionLost(self.losses);
+        self.doubts.insert(worker.clone(), doubt);
+    }
+
+    /// Returns the doubt about a worker, if there is one.
+    pub fn doubt(&self, worker: &WorkerId) -> Option<Doubt> {
+        self.doubts.get(worker).copied()
+    }
+
+    /// Records when the incarnation at the worker's address has started, as asked for because of this doubt. A worker that
+    /// does not say it is not asked again before another loss.
+    pub fn settle(&mut self, worker: &WorkerId, doubt: Doubt, started_at: Option<u64>) {
+        if started_at.is_some() && started_at != worker.started_at() {
+            self.doubts.insert(worker.clone(), Doubt::Ended);
+        } else if self.doubt(worker) == Some(doubt) {
+            self.doubts.remove(worker);
+        }
+    }
+
+    /// Forgets workers that are no longer known.
+    pub fn prune(&mut self, is_known: impl Fn(&WorkerId) -> bool) {
+        self.doubts.retain(|worker, _| is_known(worker));
+    }
+}
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod event_stream;
 pub mod fixed_share;
 pub mod fleet_tenants;
+pub mod incarnation_doubts;
 pub mod lapsed_workers;
 pub mod load_exchange;
 pub mod mirror;
@@ -68,6 +69,7 @@
 pub use fleet_tenants::{
     OwnTenants, ReportedTenants, ServiceTenants, TenantRates, TenantRotation, WorkRates,
 };
+pub use incarnation_doubts::{Doubt, IncarnationDoubts};
 pub use lapsed_workers::LapsedWorkers;
 pub use load_exchange::{
     Absence, EngineDemand, GatewayKey, LimitStatement, Load, LoadEntry, LoadReport, LoadReporter,
--- a/crates/forwarding/src/worker.rs
+++ b/crates/forwarding/src/worker.rs
@@ -44,6 +44,11 @@
         name == other_name && started_at < other_started_at
     }
 
+    /// Returns when the incarnation has started, in milliseconds since the Unix epoch, if the worker reports it.
+    pub fn started_at(&self) -> Option<u64> {
+        self.name_and_start().1
+    }
+
     fn name_and_start(&self) -> (&str, Option<u64>) {
         match self.qualified_name.split_once(START_SEPARATOR) {
             None => (&self.qualified_name, None),
--- a/crates/gateway/src/connection_losses.rs
+++ b/crates/gateway/src/connection_losses.rs
@@ -1,6 +1,10 @@
 //! Connections to workers that were lost or abandoned during a request, and addresses that refuse connections. Both are
 //! signs that a worker's process may have ended or may be about to end.
 
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use tansyhall_forwarding::{IncarnationDoubts, WorkerId};
 use tokio::sync::{mpsc, Mutex};
 
 use crate::connections::Destination;
@@ -25,6 +29,10 @@
 pub struct ConnectionLosses {
     sender: mpsc::Sender<(Loss, Destination)>,
     receiver: Mutex<mpsc::Receiver<(Loss, Destination)>>,
+    /// Whether workers have restarted, as far as it follows from losses.
+    pub doubts: parking_lot::Mutex<IncarnationDoubts>,
+    /// Workers that are being asked when they have started.
+    asked: parking_lot::Mutex<HashMap<WorkerId, Arc<Mutex<()>>>>,
 }
 
 impl Default for ConnectionLosses {
@@ -33,6 +41,8 @@
         Self {
             sender,
             receiver: Mutex::new(receiver),
+            doubts: parking_lot::Mutex::default(),
+            asked: parking_lot::Mutex::default(),
         }
     }
 }
@@ -40,6 +50,9 @@
 impl ConnectionLosses {
     /// Reports a loss. It is dropped if the queue is full.
     pub fn report(&self, loss: Loss, destination: &Destination) {
+        if loss != Loss::Silent {
+            self.doubts.lock().record_loss(&destination.worker);
+        }
         if self.sender.try_send((loss, destination.clone())).is_err() {
             log::debug!(
                 "queue of connection losses is full; dropped a loss at worker {}",
@@ -48,6 +61,17 @@
         }
     }
 
+    /// Returns the lock under which one request at a time asks a worker when it has started.
+    pub fn turn_to_ask(&self, worker: &WorkerId) -> Arc<Mutex<()>> {
+        Arc::clone(self.asked.lock().entry(worker.clone()).or_default())
+    }
+
+    /// Forgets workers that are no longer known.
+    pub fn prune(&self, is_known: impl Fn(&WorkerId) -> bool) {
+        self.doubts.lock().prune(&is_known);
+        self.asked.lock().retain(|worker, _| is_known(worker));
+    }
+
     /// Waits for the next loss.
     pub async fn next(&self) -> Option<(Loss, Destination)> {
         self.receiver.lock().await.recv().await
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -240,6 +240,7 @@
             pool.prune(now, self.idle_rule(worker));
             is_known(worker) || pool.has_open()
         });
+        self.losses.prune(is_known);
     }
 
     /// Closes idle connections to all workers that have received nothing for the time `silence`. Connections usually go
@@ -387,6 +388,7 @@
                 return Err(match error.take_message() {
                     Some(unsent) => {
                         self.record_reset(destination, &connection);
+                        self.losses.doubts.lock().record_loss(&destination.worker);
                         AttemptError::Unsent(Box::new(unsent))
                     }
                     None => {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -328,6 +328,17 @@
         /// The attempt that brought the first event of the stream that it takes up; empty if it takes none up.
         resumes: &'a str,
     },
+    /// A worker was asked whether it is the incarnation that its entry describes.
+    Incarnation {
+        /// The id that the caller gave the request whose stream the worker has begun to send.
+        request: &'a str,
+        /// The name of the worker.
+        worker: &'a str,
+        /// The start of the incarnation that the entry describes, in milliseconds since the Unix epoch.
+        announced_ms: Option<u64>,
+        /// The start of the one that has answered; missing if none has said it.
+        answered_ms: Option<u64>,
+    },
     /// The id of a stream's event did not rise.
     MisorderedEvent {
         /// The id that the caller gave the request.
--- a/crates/gateway/src/exchange/deliver.rs
+++ b/crates/gateway/src/exchange/deliver.rs
@@ -159,6 +159,13 @@
         let Ok(mut events) = framer.push(bytes) else {
             return Err(self.broken_answer(attempt));
         };
+        if events.bytes.is_empty() {
+            return Ok(());
+        }
+        let (has_delivered, _) = attempt.delivered();
+        if !has_delivered && !self.is_announced_incarnation(&attempt.destination).await {
+            return Err(self.broken_answer(attempt));
+        }
         let checked = self.check_order(&attempt.destination.worker, &events.bytes);
         if let Err(misordered) = &checked {
             events.truncate(misordered.bytes_before);
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -5,6 +5,7 @@
 mod barring;
 mod deliver;
 mod ending;
+mod incarnation;
 mod order;
 mod placing;
 mod prompt;
--- a/crates/gateway/src/protocol.rs
+++ b/crates/gateway/src/protocol.rs
@@ -156,6 +156,9 @@
     fn engine_report_call(&self) -> WorkerCall;
     /// Decodes an engine's report.
     fn decode_engine_report(&self, body: &[u8]) -> anyhow::Result<EngineReport>;
+    /// Returns when the incarnation of a worker that has sent this report has started, in milliseconds since the Unix
+    /// epoch, if the report says it.
+    fn decode_start(&self, body: &[u8]) -> Option<u64>;
     /// Returns the call that requests the list of an engine's cache contents.
     fn cache_list_call(&self) -> WorkerCall;
     /// Decodes the list of an engine's cache contents.
