A test holds streams open beyond the grace of a planned stop

Hypothesis 6 of the misordered streams: a gateway that ends writes the last chunk of a stream that is not complete.

--- a/crates/cli/tests/gateway_platform/requests.rs
+++ b/crates/cli/tests/gateway_platform/requests.rs
@@ -192,6 +192,32 @@
     );
 }
 
+// Guards against a last chunk for streams that are still open when a gateway exits at the end of its grace.
+#[actix_rt::test]
+async fn streams_that_outlast_a_planned_stop_have_no_proper_end() {
+    let longer_than_the_grace = Behaviour::Paced {
+        events: 1_000,
+        pause_ms: 20,
+    };
+    let site = Site::start(&[("app", None, longer_than_the_grace)], 1).await;
+    let gateway = &site.gateways[0];
+    let paths = [NON_RESUMABLE, RESUMABLE].into_iter().cycle().take(6);
+    let streams = paths.enumerate().map(|(number, path)| async move {
+        let id = format!("outlasting-{number}");
+        send_request(gateway, &id, path, b"").await
+    });
+    let stop = async {
+        site.wait_for_runs("outlasting-0", 1).await;
+        gateway.process.signal("TERM");
+        gateway.process.signal("TERM");
+    };
+    let (answers, ()) = join(join_all(streams), stop).await;
+    for answer in answers {
+        assert_eq!((answer.status, answer.is_complete), (200, false));
+        assert!(answer.body.starts_with(b"id: 1\n"));
+    }
+}
+
 #[actix_rt::test]
 async fn a_reload_with_damaged_settings_changes_nothing() {
     let site = Site::start(&[("app", None, ECHO)], 1).await;
