Requests in progress at the end of a planned stop are answered

Callers saw: a gateway that received SIGTERM accepted requests for up to 2.9 s, and those that were still running 0.3 s before the end of the grace period lost their connection without a byte of an answer, among them requests that may not be repeated.

Cause: StopPlan knew only when the process may exit. Nothing ended the requests in progress before that, so the exit closed their connections.

The request machine then handles the end like a passed deadline, so the caller gets 504 if the request may have run, 503 if it certainly did not, the worker's own error if there is one, and a truncated stream if its answer has begun. The process exits afterwards, when the answers have been sent. Logs name the cause `stop`.

Test: on the code before, planned_stops.rs fails: "early-0: None, not one of [502, 504]" (grace 3 s, a worker that never answers, requests before and after SIGTERM on four kinds of routes). With the change it passes.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -14,6 +14,7 @@
 mod misordered_events;
 mod partitions;
 mod path_faults;
+mod planned_stops;
 mod rate_limits;
 mod relays;
 mod requests;
--- a/crates/cli/tests/gateway_platform/support/caller.rs
+++ b/crates/cli/tests/gateway_platform/support/caller.rs
@@ -39,6 +39,16 @@
     send_with_headers(gateway, id, path, body, &[]).await
 }
 
+/// Sends a request to a gateway like [`send_request`]. Returns `None` if the connection ends without an answer.
+pub async fn try_request(
+    gateway: &SiteGateway,
+    id: &str,
+    path: &str,
+    body: &[u8],
+) -> Option<CallerAnswer> {
+    try_with_headers(gateway, id, path, body, &[]).await
+}
+
 /// Takes a stream up whose first event the attempt `first_attempt` brought, after the event with the id `last_event`.
 pub async fn take_up(
     gateway: &SiteGateway,
@@ -106,6 +116,17 @@
     body: &[u8],
     headers: &[(&str, String)],
 ) -> CallerAnswer {
+    let answer = try_with_headers(gateway, id, path, body, headers).await;
+    answer.expect("an answer")
+}
+
+async fn try_with_headers(
+    gateway: &SiteGateway,
+    id: &str,
+    path: &str,
+    body: &[u8],
+    headers: &[(&str, String)],
+) -> Option<CallerAnswer> {
     let stream = TcpStream::connect(gateway.addresses.callers).await;
     let stream = TokioIo::new(stream.expect("a connection"));
     let (mut sender, connection) = hyper::client::conn::http1::handshake(stream)
@@ -121,7 +142,7 @@
     }
     let request = request.body(Full::new(Bytes::copy_from_slice(body)));
     let response = sender.send_request(request.expect("a request")).await;
-    let (head, mut incoming) = response.expect("an answer").into_parts();
+    let (head, mut incoming) = response.ok()?.into_parts();
     let header = |name: &str| {
         let value = head.headers.get(name)?.to_str().ok()?;
         Some(value.to_owned())
@@ -138,11 +159,11 @@
             }
         }
     }
-    CallerAnswer {
+    Some(CallerAnswer {
         status: head.status.as_u16(),
         body: received,
         is_complete,
         seal: header(SEAL),
         retry_after: header("Retry-After").and_then(|value| value.parse().ok()),
-    }
+    })
 }
--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod observations;
+mod settings;
 mod workers;
 
 use std::cell::Cell;
@@ -11,8 +12,8 @@
 
 use serde_json::{json, Value};
 use tansyhall_platform_standin::{
-    Behaviour, GatewayFields, Operations, Operator, RoutePlan, ScalingPlan, Store, StoreEndpoint,
-    StoreFault, TenantPlan, Worker, WorkerPlan, WORKER_ENTRY_PREFIX,
+    Behaviour, Operations, Operator, RoutePlan, ScalingPlan, Store, StoreEndpoint, StoreFault,
+    TenantPlan, Worker, WorkerPlan, WORKER_ENTRY_PREFIX,
 };
 use tansyhall_testing::{
     eventually, get_metric, start_gateway_at_free_addresses, GatewayAddresses, GatewayProcess, Link,
@@ -20,11 +21,9 @@
 
 pub use caller::{
     send_long_prompt, send_prompt, send_prompt_with_body, send_request, send_unique_prompt,
-    send_with_key, send_with_parts, take_up, CallerAnswer,
+    send_with_key, send_with_parts, take_up, try_request, CallerAnswer,
 };
 
-/// The deployed template of the gateway's settings.
-const TEMPLATE: &str = include_str!("../../../../../deploy/node.toml");
 /// Number of unrelated keys in the store, so that it is read in several pages.
 const UNRELATED_KEYS: usize = 130;
 /// Time for which a new holder of the authority waits before it sends orders, in milliseconds.
@@ -133,6 +132,8 @@
     has_source_addresses: bool,
     /// The number of gateways in the first zone; all others are in the other zone.
     first_zone_gateways: usize,
+    /// Time from SIGTERM to SIGKILL of gateways, in seconds.
+    grace_s: u64,
 }
 
 impl Default for SiteOptions {
@@ -143,6 +144,7 @@
             tolerated_zones: 0,
             has_source_addresses: false,
             first_zone_gateways: usize::MAX,
+            grace_s: 8,
         }
     }
 }
@@ -206,6 +208,15 @@
         Self::start_with_options(workers, gateways, options).await
     }
 
+    /// Starts a site whose gateways are killed after this number of seconds when they are stopped.
+    pub async fn start_with_grace(workers: &[WorkerSpec], gateways: usize, grace_s: u64) -> Self {
+        let options = SiteOptions {
+            grace_s,
+            ..SiteOptions::default()
+        };
+        Self::start_with_options(workers, gateways, options).await
+    }
+
     /// Starts a site with gateways in two zones. The workers are in the first one.
     pub async fn start_in_two_zones(
         workers: &[WorkerSpec],
@@ -460,35 +471,3 @@
         route("model", "/model/", "non_idempotent", false, 1, "llm"),
     ]
 }
-
-impl Site {
-    fn settings(&self, number: usize, addresses: &GatewayAddresses, store: SocketAddr) -> String {
-        let fields = GatewayFields {
-            node: gateway_name(number),
-            zone: match number < self.options.first_zone_gateways {
-                true => ZONE,
-                false => OTHER_ZONE,
-            },
-            callers: addresses.callers,
-            ready: addresses.ready,
-            peers: addresses.peers,
-            load: addresses.load,
-            metrics: addresses.metrics,
-            store,
-            operations: self.operations.address,
-            retry_ratio: 0.2,
-            retry_extra: 54,
-            retry_window_s: 10,
-            grace_s: 8,
-            takeover_pause_ms: self.options.takeover_pause_ms,
-        };
-        let settings = fields.render(TEMPLATE).expect("a template");
-        let tolerated = format!("[tolerance]\nzones = {}", self.options.tolerated_zones);
-        let settings = settings.replace("[tolerance]\nzones = 0", &tolerated);
-        if !self.options.has_source_addresses {
-            return settings;
-        }
-        let workers = format!("[workers]\nsource_address = \"{}\"", source_address(number));
-        settings.replace("[workers]", &workers)
-    }
-}
--- a/crates/forwarding/tests/stop_plan.rs
+++ b/crates/forwarding/tests/stop_plan.rs
@@ -30,3 +30,19 @@
     assert!(!plan.accepts(Duration::from_millis(900)));
     assert!(plan.may_exit(Duration::from_millis(1_750), 3));
 }
+
+/// Guards against callers whose connections are closed without an answer when the process exits.
+#[test]
+fn requests_end_before_the_exit_with_time_to_send_their_answers() {
+    for seconds in [1, 2, 8, 600] {
+        let plan = StopPlan::new(Duration::from_secs(seconds));
+        let end = plan.end_of_requests();
+        assert!(!plan.may_exit(end, 1));
+        assert!(plan.flush_time_left(end) > Duration::ZERO);
+        assert!(plan.may_exit(end + plan.flush_time_left(end), 1));
+        assert_eq!(
+            plan.flush_time_left(Duration::from_secs(seconds)),
+            Duration::ZERO
+        );
+    }
+}
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -44,6 +44,8 @@
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(150);
 /// The longest time after which a caller that is refused at admission should retry.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// The cause in logs and metrics of requests that end because the gateway is about to exit.
+const STOP_CAUSE: &str = "stop";
 /// The rank of requests that workers serve before all others.
 const MOST_URGENT_RANK: u8 = 0;
 /// A silent worker is abandoned after this multiple of the latency objective if another worker may run the request,
@@ -189,57 +191,74 @@
         let mut machine = RequestMachine::new(self.policy(read_apart));
         let mut event = RequestEvent::Arrived;
         loop {
-            event = match machine.step(event) {
-                Action::Select { need, avoid } => {
-                    let selected = self.select(need.clone(), avoid).await;
-                    if selected.is_none() && need != Need::ReadPrompt {
-                        self.record_no_worker(&need);
-                    }
-                    RequestEvent::Selected(selected)
+            let action = machine.step(event);
+            if let Action::Finish(conclusion) = action {
+                let conclusion = self.settle_doubtful_end(conclusion).await;
+                if conclusion == Conclusion::Delivered {
+                    // The cause says why a stalled worker was not replaced.
+                    self.cause = "";
                 }
-                Action::CheckRetryBudget
-                    if self.stalled.is_some()
-                        && !self.has_available_worker(machine.avoided_workers()) =>
-                {
-                    self.record_no_worker(&Need::Run);
-                    RequestEvent::RetryAllowed(false)
-                }
-                Action::CheckRetryBudget => {
-                    let allowed = self.check_retry_budget();
-                    if !allowed {
-                        self.cause = "retry_budget";
-                    }
-                    RequestEvent::RetryAllowed(allowed)
-                }
-                Action::ReadPrompt { .. } | Action::Run { .. } if self.is_barred() => {
-                    RequestEvent::Barred
-                }
-                Action::ReadPrompt { worker } => self.read_prompt(&worker).await,
-                Action::Run {
-                    worker,
-                    source,
-                    resume_after,
-                } => {
-                    let replacement = ReplacementRule::of(&machine);
-                    let event = self
-                        .run_on(&worker, source, resume_after, &replacement)
-                        .await;
-                    self.record_trial_send(&event);
-                    event
-                }
-                Action::AwaitStalled => {
-                    let replacement = ReplacementRule::of(&machine);
-                    self.await_stalled(&replacement).await
+                return (conclusion, machine.sends());
+            }
+            let shared = Arc::clone(&self.shared);
+            let performed = tokio::select! {
+                biased;
+                event = self.perform(action, &machine) => Some(event),
+                () = shared.end_of_requests() => None,
+            };
+            event = performed.unwrap_or_else(|| {
+                self.cause = STOP_CAUSE;
+                RequestEvent::DeadlinePassed
+            });
+        }
+    }
+
+    /// Performs an action of the machine and returns its result.
+    async fn perform(&mut self, action: Action, machine: &RequestMachine) -> RequestEvent {
+        match action {
+            Action::Select { need, avoid } => {
+                let selected = self.select(need.clone(), avoid).await;
+                if selected.is_none() && need != Need::ReadPrompt {
+                    self.record_no_worker(&need);
                 }
-                Action::Finish(conclusion) => {
-                    let conclusion = self.settle_doubtful_end(conclusion).await;
-                    if conclusion == Conclusion::Delivered {
-                        // The cause says why a stalled worker was not replaced.
-                        self.cause = "";
-                    }
-                    return (conclusion, machine.sends());
+                RequestEvent::Selected(selected)
+            }
+            Action::CheckRetryBudget
+                if self.stalled.is_some()
+                    && !self.has_available_worker(machine.avoided_workers()) =>
+            {
+                self.record_no_worker(&Need::Run);
+                RequestEvent::RetryAllowed(false)
+            }
+            Action::CheckRetryBudget => {
+                let allowed = self.check_retry_budget();
+                if !allowed {
+                    self.cause = "retry_budget";
                 }
-            };
+                RequestEvent::RetryAllowed(allowed)
+            }
+            Action::ReadPrompt { .. } | Action::Run { .. } if self.is_barred() => {
+                RequestEvent::Barred
+            }
+            Action::ReadPrompt { worker } => self.read_prompt(&worker).await,
+            Action::Run {
+                worker,
+                source,
+                resume_after,
+            } => {
+                let replacement = ReplacementRule::of(machine);
+                let event = self
+                    .run_on(&worker, source, resume_after, &replacement)
+                    .await;
+                self.record_trial_send(&event);
+                event
+            }
+            Action::AwaitStalled => {
+                let replacement = ReplacementRule::of(machine);
+                self.await_stalled(&replacement).await
+            }
+            // A finished machine has no further action.
+            Action::Finish(_) => RequestEvent::DeadlinePassed,
         }
     }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -279,6 +279,7 @@
         announced: AtomicBool::new(false),
         gateways: AtomicU64::new(u64::from(ASSUMED_GATEWAY_COUNT)),
         stopping_since: OnceLock::new(),
+        ends_requests: watch::Sender::default(),
         in_flight: AtomicU64::new(0),
     }))
 }
@@ -425,8 +426,8 @@
     shared.log.record(Priority::Important, &event);
 }
 
-/// Waits for requests in progress. New callers are served until the load balancer has noticed that this gateway is
-/// stopping.
+/// Waits for requests in progress, and ends them shortly before the exit. New callers are served until the load balancer
+/// has noticed that this gateway is stopping.
 async fn stop(shared: &Shared) {
     let relayed = || shared.worker_relays.server.relayed() as u64;
     let in_flight = || shared.in_flight.load(Ordering::Relaxed) + relayed();
@@ -437,12 +438,16 @@
     shared.log.record(Priority::Important, &event);
     shared.worker_relays.server.leave();
     let plan = shared.stop_plan();
-    while !plan.may_exit(shared.now().since(since), in_flight()) {
+    let elapsed = || shared.now().since(since);
+    while !plan.may_exit(elapsed(), in_flight()) {
+        if elapsed() >= plan.end_of_requests() {
+            shared.ends_requests.send_replace(true);
+        }
         sleep(STOP_CHECK_INTERVAL).await;
     }
     let event = Event::Stopped {
         in_flight: in_flight(),
     };
     shared.log.record(Priority::Important, &event);
-    sleep(STOP_CHECK_INTERVAL).await;
+    sleep(plan.flush_time_left(elapsed()).max(STOP_CHECK_INTERVAL)).await;
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -103,6 +103,8 @@
     pub gateways: AtomicU64,
     /// When SIGTERM was received.
     pub stopping_since: OnceLock<Timestamp>,
+    /// Whether requests in progress end now because the process is about to exit.
+    pub ends_requests: watch::Sender<bool>,
     /// Number of requests in progress.
     pub in_flight: AtomicU64,
 }
@@ -283,6 +285,13 @@
             .is_none_or(|elapsed| self.stop_plan().accepts(elapsed))
     }
 
+    /// Waits until requests in progress end because the process is about to exit.
+    pub async fn end_of_requests(&self) {
+        let mut ends = self.ends_requests.subscribe();
+        // The sender is a part of `self` and therefore not closed.
+        let _ = ends.wait_for(|ends| *ends).await;
+    }
+
     /// Returns the address of a worker, and how many connections to it this gateway may have open.
     pub fn destination(&self, worker: &Worker) -> Destination {
         let known = match self.hears_all_gateways() {
