A stopping gateway refuses requests that usually outlast its process

Callers saw: during the first 2.9 s after SIGTERM every request was accepted, also where its kind takes longer than the process still lives. Such a request got no useful answer, although another gateway could have served it; one that may not be repeated was lost.

Cause: StopPlan::accepts goes by the time since SIGTERM alone.

Change: AnswerTimes keeps how long the last 64 requests of each route took, from arrival to the end of the answer, and says what nine of ten took at most. After SIGTERM a request is refused as not run, with the short Retry-After of a leaving gateway and Connection: close, if that time, or its own deadline or route timeout if shorter, ends after requests in progress are ended. A route without ended requests, and a gateway without others, accept as before.

Test: on the code before, planned_stops.rs fails: no answer at all (grace 3 s, work of 3 s that has been seen once, two gateways); with only the end of requests answered, it fails with 504 after a run instead of 503 without one. With the change it passes.

--- a/crates/cli/tests/gateway_platform/planned_stops.rs
+++ b/crates/cli/tests/gateway_platform/planned_stops.rs
@@ -5,7 +5,8 @@
 use tansyhall_testing::eventually;
 
 use crate::support::{
-    try_request, CallerAnswer, Site, AT_MOST_ONCE, NON_RESUMABLE, REPEATABLE, RESUMABLE,
+    send_request, try_request, CallerAnswer, Site, AT_MOST_ONCE, NON_RESUMABLE, REPEATABLE,
+    RESUMABLE,
 };
 
 /// Time from SIGTERM to SIGKILL in seconds.
@@ -53,3 +54,21 @@
     }
     assert!(early.iter().all(|(id, _)| site.runs_of(id) == 1));
 }
+
+/// Guards against a stopping gateway that accepts a request although such requests take longer than its process will live.
+#[actix_rt::test]
+async fn a_request_that_usually_takes_longer_than_the_rest_of_the_grace_period_is_refused_as_not_run(
+) {
+    let delay_ms = GRACE_S * 1_000;
+    let worker = ("app", None, Behaviour::Delayed { delay_ms });
+    let site = Site::start_with_grace(&[worker], 2, GRACE_S).await;
+    site.wait_until_gateways_know_each_other().await;
+    let gateway = &site.gateways[0];
+    let first = send_request(gateway, "first", AT_MOST_ONCE, b"x").await;
+    assert_eq!(first.status, 200);
+    gateway.process.signal("TERM");
+    wait_until_stopping(&site).await;
+    let late = send_request(gateway, "late", AT_MOST_ONCE, b"x").await;
+    assert_eq!((late.status, site.runs_of("late")), (503, 0));
+    assert!(late.retry_after.is_some_and(|seconds| seconds < 1.0));
+}
--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod answer_times;
 pub mod cache_view;
 pub mod combined_ranks;
 pub mod configuration;
@@ -50,6 +51,7 @@
 pub mod worker_notice;
 pub mod worker_paths;
 
+pub use answer_times::AnswerTimes;
 pub use cache_view::{CacheView, PartKey};
 pub use combined_ranks::{CombinedRanks, Urgency};
 pub use configuration::{
--- a/crates/forwarding/src/stop_plan.rs
+++ b/crates/forwarding/src/stop_plan.rs
@@ -2,8 +2,8 @@
 //! its process may exit.
 //!
 //! A load balancer needs some seconds to detect that a gateway is shutting down, so new requests are still served for a
-//! while. After that, a request is refused immediately, because it might not end before the process is killed. A
-//! refused request has not run, and another gateway can serve it.
+//! while. After that, a request is refused immediately, because it might not end before the process is killed. So is a
+//! request that usually takes longer than what is left, if another gateway can serve it. A refused request has not run.
 //! Requests that are still in progress shortly before the exit are ended, so that their callers receive an answer.
 
 use std::time::Duration;
@@ -33,11 +33,16 @@
         Self { grace }
     }
 
-    /// Returns whether a request that arrives `elapsed` after SIGTERM is served.
+    /// Returns whether a request that arrives `elapsed` after SIGTERM is served, if nothing is known of its length.
     pub fn accepts(&self, elapsed: Duration) -> bool {
         elapsed < MAX_ACCEPT_TIME.min(self.grace.mul_f64(MAX_ACCEPT_FRACTION))
     }
 
+    /// Returns whether a request that takes `length` from now, `elapsed` after SIGTERM, ends before the process exits.
+    pub fn can_finish(&self, elapsed: Duration, length: Duration) -> bool {
+        elapsed.saturating_add(length) < self.end_of_requests()
+    }
+
     /// Returns the time after SIGTERM at which requests in progress are ended and answered.
     pub fn end_of_requests(&self) -> Duration {
         self.latest_exit().saturating_sub(self.flush_time())
--- a/crates/forwarding/tests/stop_plan.rs
+++ b/crates/forwarding/tests/stop_plan.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tansyhall_forwarding::StopPlan;
+use tansyhall_forwarding::{AnswerTimes, StopPlan};
 
 const GRACE_PERIOD: Duration = Duration::from_secs(8);
 
@@ -46,3 +46,26 @@
         );
     }
 }
+
+/// Guards against accepting a request that the end of the process will cut off.
+#[test]
+fn a_request_can_finish_if_its_usual_time_ends_before_requests_are_ended() {
+    let plan = StopPlan::new(GRACE_PERIOD);
+    let mut times = AnswerTimes::default();
+    assert_eq!(times.usual_maximum("route"), None);
+    let mut record = |seconds, count| {
+        for _ in 0..count {
+            times.record("route", Duration::from_secs(seconds));
+        }
+        times.usual_maximum("route").expect("recorded times")
+    };
+    record(1, 58);
+    assert_eq!(record(8, 6), Duration::from_secs(1), "one of ten takes 8 s");
+    let usual = record(8, 1);
+    assert_eq!(usual, Duration::from_secs(8));
+    assert!(!plan.can_finish(Duration::ZERO, usual));
+    assert!(plan.can_finish(Duration::from_secs(2), Duration::from_secs(5)));
+    assert!(!plan.can_finish(Duration::from_millis(2_800), Duration::from_secs(5)));
+    times.retain(|route| route != "route");
+    assert_eq!(times.usual_maximum("route"), None);
+}
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -398,6 +398,14 @@
             Conclusion::Barred => ("barred", Some(GatewayAnswer::Barred)),
             Conclusion::Broken => ("broken", None),
         };
+        if matches!(
+            conclusion,
+            Conclusion::Delivered | Conclusion::WorkerError | Conclusion::TimedOut
+        ) {
+            let took = self.shared.now().since(self.request.arrived);
+            let mut answer_times = self.shared.answer_times.lock();
+            answer_times.record(&self.route().name, took);
+        }
         let priority = match conclusion {
             Conclusion::Delivered | Conclusion::WorkerError => Priority::Routine,
             _ => Priority::Important,
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -86,6 +86,9 @@
     let body = timeout(time_limit, read_body(payload, limits.body_bytes))
         .await
         .map_err(|_| Refusal::BodyTimeout)??;
+    if !shared.can_finish(&routed.route.name, time_limit) {
+        return Err(Refusal::Leaving);
+    }
     let target = target(request);
     let fingerprint = Fingerprint::of(&RequestContent {
         method: request.method().as_str(),
--- a/crates/gateway/src/mirror_refresh.rs
+++ b/crates/gateway/src/mirror_refresh.rs
@@ -1,7 +1,7 @@
 //! Updates the state that this gateway bases its decisions on from the mirror of the store: the
 //! configuration in force, the workers, their desired roles, and the size of the fleet.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
@@ -143,6 +143,14 @@
             shared.metrics.configuration_version.set(version);
             let engines = engine_capacities(&configuration);
             shared.directory.lock().set_engines(engines);
+            let routes: HashSet<&str> = configuration
+                .routes
+                .iter()
+                .map(|route| route.name.as_str())
+                .collect();
+            let mut answer_times = shared.answer_times.lock();
+            answer_times.retain(|route| routes.contains(route));
+            drop(answer_times);
             let in_force = ConfigurationInForce::new(configuration, item.written);
             let services_changed =
                 previous.is_none_or(|previous| !previous.names_same_services(&in_force));
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -263,6 +263,7 @@
         fleet: RwLock::new(Arc::new(fleet)),
         datagrams: Datagrams::default(),
         caches_recovered: AtomicBool::new(false),
+        answer_times: Mutex::default(),
         retries: Mutex::new(retries),
         store_contact: StoreContact::default(),
         follows_store: AtomicBool::new(false),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,10 +10,10 @@
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_core::{ServiceName, TenantName, Timestamp, ZoneName};
 use tansyhall_forwarding::{
-    connection_limit, ApiKey, AuthenticatedTenant, CombinedRanks, Configuration, Directory,
-    GrantedPlacements, KnownRequests, LapsedWorkers, Limits, Mirror, PartQuarantine, Position,
-    Quarantine, RetryShares, Route, RouteTable, SendTracker, StopPlan, TenantTable, Urgency,
-    Worker, WorkerEvidence,
+    connection_limit, AnswerTimes, ApiKey, AuthenticatedTenant, CombinedRanks, Configuration,
+    Directory, GrantedPlacements, KnownRequests, LapsedWorkers, Limits, Mirror, PartQuarantine,
+    Position, Quarantine, RetryShares, Route, RouteTable, SendTracker, StopPlan, TenantTable,
+    Urgency, Worker, WorkerEvidence,
 };
 use tokio::sync::watch;
 
@@ -71,6 +71,8 @@
     pub datagrams: Datagrams,
     /// Whether the engines' cache contents from before this gateway's start have been recovered.
     pub caches_recovered: AtomicBool,
+    /// How long recent requests took.
+    pub answer_times: Mutex<AnswerTimes>,
     /// The retry budget of each service.
     pub retries: Mutex<RetryShares>,
     /// When the store last answered, directly or through a relay.
@@ -285,6 +287,21 @@
             .is_none_or(|elapsed| self.stop_plan().accepts(elapsed))
     }
 
+    /// Returns whether a request that has been received is sent to a worker. `time_limit` is the longest time that it can
+    /// take. A gateway without others serves any request that it accepts, since nobody else can.
+    pub fn can_finish(&self, route: &str, time_limit: Duration) -> bool {
+        let Some(elapsed) = self.time_since_sigterm() else {
+            return true;
+        };
+        let usual = self.answer_times.lock().usual_maximum(route);
+        let is_alone = self.fleet.read().len() <= 1;
+        is_alone
+            || usual.is_none_or(|usual| {
+                let plan = self.stop_plan();
+                plan.can_finish(elapsed, usual.min(time_limit))
+            })
+    }
+
     /// Waits until requests in progress end because the process is about to exit.
     pub async fn end_of_requests(&self) {
         let mut ends = self.ends_requests.subscribe();
