A response counts as in progress until its body has been sent

Callers saw: an answer of 8 MB that its caller read slowly ended without its last megabytes when the gateway was stopped; the log said "delivered".

Cause: a request stopped to count as in progress when its answer had been passed to the HTTP server, which still held up to some megabytes of it. A stopping process found nothing in progress and exited.

Change: the body of each response to a caller holds its count until the server has taken all of it. The body is passed on in pieces of 32 KB, and the server takes the next one only when about as much is unsent, so at most some 64 KB remain, which are sent in the flush time before the exit. The count ends early if the caller disconnects, and the latest exit stays.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -17,6 +17,7 @@
 use crate::exchange::{CallerRequest, Exchange};
 use crate::headers::HeaderList;
 use crate::protocol::CallerTerms;
+use crate::response_body::count_until_sent;
 use crate::state::{ConfigurationInForce, InFlightGuard, RoutedRequest, RoutingError, Shared};
 
 /// Retry time for callers of a gateway that cannot serve requests yet. A gateway that started together with hundreds of
@@ -56,8 +57,7 @@
             refusal_response(&refusal)
         }
     };
-    drop(in_flight);
-    close_if_stopping(response, shared)
+    count_until_sent(close_if_stopping(response, shared), in_flight)
 }
 
 async fn read_request(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod quarantine;
 pub mod readiness;
 pub mod refused_connections;
+mod response_body;
 pub mod role_orders;
 pub mod run;
 pub mod second_answer;
