A line of a watch without end is scanned once

Found by a test of answers without end: a watch of the key-value service whose answer brings a line in small chunks occupied its thread for longer than 5 s, before the limit of 64 MB on a line ended it.

Cause: LineDecoder searched its whole buffer for the end of the line again at each chunk, and moved the rest of the buffer after each line, so the work grew with the square of the bytes.

Change: it remembers how far it has searched, like the decoder of events of engines, and removes all complete lines of a chunk at once.

All other calls were bounded in bytes and time before.

--- a/crates/store/src/etcd.rs
+++ b/crates/store/src/etcd.rs
@@ -348,6 +348,8 @@
 #[derive(Default)]
 struct LineDecoder {
     buffer: Vec<u8>,
+    /// Number of bytes at the start of `buffer` that contain no end of a line.
+    scanned_bytes: usize,
 }
 
 impl LineDecoder {
@@ -357,12 +359,21 @@
             return Err(StoreError::Unknown("a watch line is too long".into()));
         }
         let mut events = Vec::new();
-        while let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
-            let line: Vec<u8> = self.buffer.drain(..=end).collect();
+        let mut line_start = 0;
+        while let Some(offset) = self.buffer[self.scanned_bytes..]
+            .iter()
+            .position(|byte| *byte == b'\n')
+        {
+            let line_end = self.scanned_bytes + offset;
+            let line = &self.buffer[line_start..line_end];
             if !line.trim_ascii().is_empty() {
-                decode_watch_line(&line, &mut events)?;
+                decode_watch_line(line, &mut events)?;
             }
+            line_start = line_end + 1;
+            self.scanned_bytes = line_start;
         }
+        self.buffer.drain(..line_start);
+        self.scanned_bytes = self.buffer.len();
         Ok(events)
     }
 }
