The memory of a gateway's machine is a setting

limits.memory_mb is read, validated and documented, and rendered from the platform's field of that name; nothing uses it yet. The stand-in of the platform renders it, and can configure another limit for bodies.

--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -32,6 +32,8 @@
 pub const HOST: &str = "site.example";
 /// The software version of workers without another one.
 pub const FIRST_VERSION: &str = "v1";
+/// The memory of most gateways' machines, in MB.
+const MEMORY_MB: u64 = 260;
 const ZONE: &str = "kalimati";
 const OTHER_ZONE: &str = "balkhu";
 /// Path of repeatable requests.
@@ -130,6 +132,8 @@
     tolerated_zones: u32,
     /// Whether each gateway connects to workers from its own [`source_address`].
     has_source_addresses: bool,
+    /// The memory of each gateway's machine, in MB.
+    memory_mb: u64,
     /// The number of gateways in the first zone; all others are in the other zone.
     first_zone_gateways: usize,
     /// Time from SIGTERM to SIGKILL of gateways, in seconds.
@@ -145,6 +149,7 @@
             has_source_addresses: false,
             first_zone_gateways: usize::MAX,
             grace_s: 8,
+            memory_mb: MEMORY_MB,
         }
     }
 }
@@ -199,6 +204,27 @@
         Self::start_with_options(workers, gateways, options).await
     }
 
+    /// Starts a site with one gateway, whose machine has this memory in MB, and waits until bodies of up to
+    /// `max_body_bytes` are allowed.
+    #[allow(dead_code)] // Used by the test binary `memory_limits`.
+    pub async fn start_with_memory(
+        workers: &[WorkerSpec],
+        memory_mb: u64,
+        max_body_bytes: usize,
+    ) -> Self {
+        let options = SiteOptions {
+            memory_mb,
+            ..SiteOptions::default()
+        };
+        let site = Self::start_with_options(workers, 1, options).await;
+        let version = site.version.get() + 3;
+        site.version.set(version);
+        site.operator
+            .configure_body_limit(version, &routes(), max_body_bytes);
+        site.wait_until_in_force(version).await;
+        site
+    }
+
     /// Starts a site whose gateways each connect to workers from their own [`source_address`].
     pub async fn start_with_source_addresses(workers: &[WorkerSpec], gateways: usize) -> Self {
         let options = SiteOptions {
--- a/crates/cli/tests/gateway_platform/support/settings.rs
+++ b/crates/cli/tests/gateway_platform/support/settings.rs
@@ -31,6 +31,7 @@
             metrics: addresses.metrics,
             store,
             operations: self.operations.address,
+            memory_mb: self.options.memory_mb,
             retry_ratio: 0.2,
             retry_extra: 54,
             retry_window_s: 10,
--- a/crates/fault-soak/src/gateways.rs
+++ b/crates/fault-soak/src/gateways.rs
@@ -14,6 +14,8 @@
 use crate::link::Link;
 use crate::site::{LOCAL_ZONE, TAKEOVER_PAUSE_MS};
 
+/// The memory of each gateway's machine, in MB.
+const MEMORY_MB: u64 = 260;
 /// The settings template used in deployments.
 const TEMPLATE: &str = include_str!("../../../deploy/node.toml");
 /// Maximum duration of a graceful stop, in seconds.
@@ -234,6 +236,7 @@
             metrics: addresses.metrics,
             store: self.store.listen_address,
             operations: self.config.operations,
+            memory_mb: MEMORY_MB,
             retry_ratio: RETRY_RATIO,
             retry_extra: BASE_RETRIES,
             retry_window_s: BUDGET_WINDOW_S,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,6 +11,8 @@
 
 /// Maximum number of zones whose loss a deployment may have to bear.
 const MAX_TOLERATED_ZONES: u32 = 64;
+/// The allowed sizes of a machine's memory in MB.
+const MEMORY_MB_RANGE: std::ops::RangeInclusive<u64> = 64..=1_048_576;
 
 /// The settings file.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -37,6 +39,9 @@
     /// The losses that the deployment has to bear.
     #[serde(default)]
     pub tolerance: ToleranceSection,
+    /// The limits of the machine.
+    #[serde(default)]
+    pub limits: LimitsSection,
     /// The event log.
     #[serde(default)]
     pub log: LogSection,
@@ -155,6 +160,20 @@
     pub zones: u32,
 }
 
+/// The limits of the machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct LimitsSection {
+    /// The memory that the process may occupy, in MB of 1,000,000 bytes, 64 to 1048576.
+    pub memory_mb: u64,
+}
+
+impl Default for LimitsSection {
+    fn default() -> Self {
+        Self { memory_mb: 1_024 }
+    }
+}
+
 /// The event log.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(default)]
@@ -312,6 +331,13 @@
             "must be 0 to 64",
             zones_fit,
         )?;
+        let memory = self.limits.memory_mb;
+        check_range(
+            "limits.memory_mb",
+            memory.to_string(),
+            "must be 64 to 1048576",
+            MEMORY_MB_RANGE.contains(&memory),
+        )?;
         let lines = self.log.queue_lines;
         let lines_fit = (16..=1_000_000).contains(&lines);
         check_range(
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -43,6 +43,7 @@
 fn complete_settings_and_unknown_keys_are_accepted() {
     let settings = GatewaySettings::parse("gateway.toml", SETTINGS).expect("valid settings");
     assert_eq!(settings.grace().as_millis(), 8_000);
+    assert_eq!(settings.limits.memory_mb, 1_024);
     let unknown = format!("{SETTINGS}\n[later]\nkey = 1\n");
     assert!(GatewaySettings::parse("gateway.toml", &unknown).is_ok());
 }
@@ -71,6 +72,11 @@
 #[test]
 fn errors_name_the_key_the_value_and_the_allowed_range() {
     let cases = [
+        (
+            "[orders]",
+            "[limits]\nmemory_mb = 63\n[orders]",
+            "limits.memory_mb = 63: must be 64 to 1048576",
+        ),
         (
             "threads = 1",
             "threads = 0",
