--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -142,6 +142,21 @@
         kilobytes.expect("a number of kilobytes") << 10
     }
 
+    /// Returns whether the process has not ended.
+    pub fn is_running(&self) -> bool {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let state = status.lines().find_map(|line| line.strip_prefix("State:"));
+        state.is_some_and(|state| !state.trim().starts_with(['Z', 'X']))
+    }
+
+    /// Returns the number of its open descriptors.
+    pub fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        let entries = std::fs::read_dir(path).expect("the descriptors of the process");
+        entries.count()
+    }
+
     /// Sends a signal by name, such as `TERM` or `STOP`.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
