Callers' bodies take their memory from a budget of the process

Cause: nothing bounded the sum of the bodies that a gateway held. Each connection could hold a body of the legal size until its route's timeout, complete or not, and again while its request waited for a worker.

Callers saw their requests lost when the process ran out of memory: 48 connections whose bodies of 4 MiB stop a byte short took 246 MB on a machine of 120 MB, in chunks of 64 KiB 247 MB, complete before a silent worker 248 MB.

The new crate memory-budget reserves bytes before they are read and releases them when their holder is dropped. A body with a length reserves it before its first byte is read, a chunked one in steps, and the reservation lasts until the exchange ends. A request that finds the budget spent is answered 503 with Retry-After, has not run, and its connection is closed; a quarter of the budget is kept for requests of up to 64 KiB. While more than half is taken, bodies that gain less than 16 KiB in a second are refused, so that a body that never ends does not hold its memory until its route's timeout. The server no longer reads the rest of a refused chunked body for as long as its caller stays connected.

--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -23,6 +23,7 @@
     RefusalCause, RequestEvent, RequestMachine, Route, SendFailure, SoftwareVersion, UrgencyGroup,
     Worker, WorkerId, WorkerState,
 };
+use tansyhall_memory_budget::Reservation;
 use tokio::time::Instant;
 
 use self::attempt::Attempt;
@@ -64,6 +65,8 @@
     pub headers: HeaderList,
     /// The complete body.
     pub body: Bytes,
+    /// The memory reserved for the request.
+    pub memory: Reservation,
     /// Identifies the content of the request; it is equal for all attempts.
     pub fingerprint: Fingerprint,
     /// The fingerprints of the parts of its prompt that other requests may share.
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -1,9 +1,11 @@
 //! The callers' side of the gateway: reads a request, runs it in an [`Exchange`] and sends the answer to the caller.
 
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use actix_web::body::BodyStream;
+use actix_web::body::{BodySize, BodyStream, BoxBody, MessageBody};
 use actix_web::http::{StatusCode, Version};
 use actix_web::web::{self, Payload};
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
@@ -13,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::answer::{self, Answer, AnswerHead, AnswerSource, AnswerTruncated, GatewayAnswer};
+use crate::caller_body::{self, BodyError, BodyLength};
 use crate::events::{Event, Priority};
 use crate::exchange::{CallerRequest, Exchange};
 use crate::headers::HeaderList;
@@ -27,6 +30,9 @@
 /// Retry time for callers of a gateway that is shutting down. Another gateway accepts the request immediately.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(10);
 
+/// Retry time for callers whose requests found no memory. Bodies that make no progress release theirs within this time.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Maximum length of a streamed answer that is buffered for a caller that does not support chunked encoding.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
 
@@ -37,24 +43,29 @@
     NoRoute,
     UnknownKey,
     BadRequest(String),
-    BodyTooLong,
-    BodyIncomplete,
+    Body(BodyError),
     BodyTimeout,
 }
 
+impl From<BodyError> for Refusal {
+    fn from(error: BodyError) -> Self {
+        Self::Body(error)
+    }
+}
+
 /// Handles one request of a caller.
 pub async fn serve(
     request: HttpRequest,
-    payload: Payload,
+    mut payload: Payload,
     shared: web::Data<Arc<Shared>>,
 ) -> HttpResponse {
     let shared: &Arc<Shared> = &shared;
     let in_flight = InFlightGuard::begin(shared);
-    let response = match read_request(&request, payload, shared).await {
+    let response = match read_request(&request, &mut payload, shared).await {
         Ok(caller_request) => forward(shared, caller_request, request.version()).await,
         Err(refusal) => {
             record_refusal(&request, &refusal, shared);
-            refusal_response(&refusal)
+            keep_unread(refusal_response(&refusal), payload)
         }
     };
     count_until_sent(close_if_stopping(response, shared), in_flight)
@@ -62,7 +73,7 @@
 
 async fn read_request(
     request: &HttpRequest,
-    payload: Payload,
+    payload: &mut Payload,
     shared: &Arc<Shared>,
 ) -> Result<CallerRequest, Refusal> {
     let arrived = shared.now();
@@ -83,7 +94,9 @@
     let limits = in_force.limits();
     let caller_timeout = terms.timeout.unwrap_or(routed.route.timeout);
     let time_limit = caller_timeout.min(routed.route.timeout);
-    let body = timeout(time_limit, read_body(payload, limits.body_bytes))
+    let length = BodyLength::of(request);
+    let read = caller_body::read(payload, length, limits.body_bytes, &shared.memory);
+    let (body, memory) = timeout(time_limit, read)
         .await
         .map_err(|_| Refusal::BodyTimeout)??;
     if !shared.can_finish(&routed.route.name, time_limit) {
@@ -104,6 +117,7 @@
         target,
         headers,
         body,
+        memory,
         fingerprint,
         shared_parts: shared_parts.into(),
         terms,
@@ -147,16 +161,37 @@
     headers
 }
 
-async fn read_body(mut payload: Payload, limit: usize) -> Result<Bytes, Refusal> {
-    let mut body = BytesMut::new();
-    while let Some(part) = payload.next().await {
-        let part = part.map_err(|_| Refusal::BodyIncomplete)?;
-        if body.len() + part.len() > limit {
-            return Err(Refusal::BodyTooLong);
+/// Keeps a request's body unread until its answer has been sent. The server then closes the connection. It would
+/// otherwise read the rest of a chunked body for as long as the caller keeps the connection open.
+fn keep_unread(response: HttpResponse, payload: Payload) -> HttpResponse {
+    response.map_body(|_, body| {
+        UnreadBody {
+            body,
+            _payload: payload,
         }
-        body.extend_from_slice(&part);
+        .boxed()
+    })
+}
+
+/// The body of an answer to a request whose own body has not been read.
+struct UnreadBody {
+    body: BoxBody,
+    _payload: Payload,
+}
+
+impl MessageBody for UnreadBody {
+    type Error = <BoxBody as MessageBody>::Error;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Pin::new(&mut self.body).poll_next(context)
     }
-    Ok(body.freeze())
 }
 
 async fn forward(shared: &Arc<Shared>, request: CallerRequest, version: Version) -> HttpResponse {
@@ -244,6 +279,12 @@
 }
 
 fn record_refusal(request: &HttpRequest, refusal: &Refusal, shared: &Shared) {
+    let memory_refusals = &shared.metrics.memory_refusals;
+    match refusal {
+        Refusal::Body(BodyError::NoMemory) => memory_refusals.with_label_values(&["body"]).inc(),
+        Refusal::Body(BodyError::Slow) => memory_refusals.with_label_values(&["slow_body"]).inc(),
+        _ => {}
+    }
     let terms = shared.protocol.parse_caller_terms(&caller_headers(request));
     let request_id = terms.ok().and_then(|terms| terms.request_id);
     let in_force = shared.in_force();
@@ -264,8 +305,10 @@
             Refusal::NoRoute => "no_route",
             Refusal::UnknownKey => "unknown_key",
             Refusal::BadRequest(_) => "bad_request",
-            Refusal::BodyTooLong => "body_too_long",
-            Refusal::BodyIncomplete => "body_broken",
+            Refusal::Body(BodyError::TooLong) => "body_too_long",
+            Refusal::Body(BodyError::Incomplete) => "body_broken",
+            Refusal::Body(BodyError::NoMemory) => "no_memory",
+            Refusal::Body(BodyError::Slow) => "body_slow",
             Refusal::BodyTimeout => "body_late",
         }
     }
@@ -280,12 +323,25 @@
         Refusal::NoRoute => HttpResponse::NotFound().body("no route for this host and path\n"),
         Refusal::UnknownKey => HttpResponse::Unauthorized().body("a key that is known is needed\n"),
         Refusal::BadRequest(reason) => HttpResponse::BadRequest().body(format!("{reason}\n")),
-        Refusal::BodyTooLong => HttpResponse::PayloadTooLarge().body("the body is too long\n"),
-        Refusal::BodyIncomplete => HttpResponse::BadRequest().body("the body broke off\n"),
+        Refusal::Body(error) => body_error_response(*error),
         Refusal::BodyTimeout => HttpResponse::RequestTimeout().body("the body came too late\n"),
     }
 }
 
+fn body_error_response(error: BodyError) -> HttpResponse {
+    match error {
+        BodyError::TooLong => HttpResponse::PayloadTooLarge().body("the body is too long\n"),
+        BodyError::Incomplete => HttpResponse::BadRequest().body("the body broke off\n"),
+        BodyError::NoMemory => {
+            not_run_response(NO_MEMORY_RETRY_AFTER, "no memory is left for its body")
+        }
+        BodyError::Slow => not_run_response(
+            NO_MEMORY_RETRY_AFTER,
+            "its body came too slowly while memory was short",
+        ),
+    }
+}
+
 /// Closes the connection if the gateway is stopping: the caller's next connection reaches another gateway.
 fn close_if_stopping(mut response: HttpResponse, shared: &Shared) -> HttpResponse {
     if shared.is_stopping() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod authority;
 pub mod authority_claim;
 pub mod cache_recovery;
+pub mod caller_body;
 pub mod connection_losses;
 pub mod connection_pool;
 pub mod connections;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -95,6 +95,12 @@
     pub relaying: IntGauge,
     /// Whether this gateway is partitioned from its workers.
     pub partitioned: IntGauge,
+    /// Bytes that may be held for callers.
+    pub memory_budget: IntGauge,
+    /// Bytes that are held for callers.
+    pub memory_held: IntGauge,
+    /// Refusals because of too little memory, by what was refused: `body`, `slow_body`, `connection` or `head`.
+    pub memory_refusals: IntCounterVec,
     /// Requests in progress.
     pub in_flight: IntGauge,
 }
@@ -308,6 +314,21 @@
                 "gateway_partitioned",
                 "Whether this gateway reaches its workers only through other gateways",
             )?,
+            memory_budget: IntGauge::new(
+                "gateway_memory_budget_bytes",
+                "Bytes that may be held for callers",
+            )?,
+            memory_held: IntGauge::new(
+                "gateway_memory_held_bytes",
+                "Bytes that are held for callers",
+            )?,
+            memory_refusals: IntCounterVec::new(
+                Opts::new(
+                    "gateway_memory_refusals_total",
+                    "Refusals because of too little memory, by what was refused",
+                ),
+                &["what"],
+            )?,
             in_flight: IntGauge::new("gateway_in_flight", "Requests under way")?,
             registry,
         };
@@ -402,6 +423,11 @@
             .register(Box::new(self.relayed_connections.clone()))?;
         self.registry.register(Box::new(self.relaying.clone()))?;
         self.registry.register(Box::new(self.partitioned.clone()))?;
+        self.registry
+            .register(Box::new(self.memory_budget.clone()))?;
+        self.registry.register(Box::new(self.memory_held.clone()))?;
+        self.registry
+            .register(Box::new(self.memory_refusals.clone()))?;
         self.registry.register(Box::new(self.in_flight.clone()))
     }
 }
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -28,6 +28,10 @@
 
 /// Updates the gauges of values that change too often to be set at each change.
 fn update_gauges(shared: &Shared) {
+    let memory = &shared.memory;
+    let bytes = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
+    shared.metrics.memory_budget.set(bytes(memory.capacity()));
+    shared.metrics.memory_held.set(bytes(memory.held()));
     let metrics = &shared.metrics;
     let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
     metrics.store_age_ms.set(gauge(shared.store_age_ms()));
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -15,6 +15,7 @@
 use socket2::SockRef;
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_forwarding::{Directory, GatewayKey, GrantedPlacements, Mirror, RetryShares};
+use tansyhall_memory_budget::MemoryBudget;
 use tansyhall_store::KeyValueStore;
 use tansyhall_usage::Source;
 use tokio::net::TcpStream;
@@ -244,7 +245,9 @@
     worker_relays.set_enabled(settings.decisions.worker_relays);
     let connections = Connections::new(clock, correlation, notices, source_address)
         .with_relays(Arc::clone(&worker_relays));
+    let memory = MemoryBudget::for_machine(settings.memory_bytes());
     Ok(Arc::new(Shared {
+        memory,
         settings: RwLock::new(Arc::new(settings)),
         clock,
         protocol: Arc::clone(&adapter.protocol),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -375,6 +375,11 @@
         Duration::from_secs_f64(self.workers.drain_seconds)
     }
 
+    /// Returns the memory that the process may occupy, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        self.limits.memory_mb * 1_000_000
+    }
+
     /// Returns the time from SIGTERM to SIGKILL.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.stop.grace_seconds)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,6 +15,7 @@
     Position, Quarantine, RetryShares, Route, RouteTable, SendTracker, StopPlan, TenantTable,
     Urgency, Worker, WorkerEvidence,
 };
+use tansyhall_memory_budget::MemoryBudget;
 use tokio::sync::watch;
 
 use crate::connections::{Connections, Destination};
@@ -35,6 +36,8 @@
 
 /// The shared state of a gateway.
 pub struct Shared {
+    /// The memory that may be held for callers.
+    pub memory: MemoryBudget,
     /// Settings, replaced on reload.
     pub settings: RwLock<Arc<GatewaySettings>>,
     /// Clock for all timestamps of this process.
