A caller's connection is read only as its requests advance

Cause: the server library reads up to 128 KiB of every connection and turns all of it into requests and parts of bodies before anything else bounds it. Some thousand short requests ahead take 2.8 KiB each once parsed, a chunk of one byte takes an entry of 32 bytes in a queue that never shrinks, and an incomplete head takes all 128 KiB. The operator's max_header_bytes and header_timeout_ms were not used, and the number of connections was bounded by descriptors alone.

Callers lost their requests with the process.

The callers' server is now the library's HTTP service on a stream of our own, which hands over bytes as ReadAhead, a pure state machine in memory-budget, allows: heads 2 KiB at a time and up to max_header_bytes, bodies up to a window beyond what has been taken, and 2 KiB beyond a request in progress, so that callers that disconnect are still noticed. The rest waits in the socket. A connection takes 20 KiB of the memory budget, and more for a long head; without budget it is closed. Heads must be complete within header_timeout_ms, on any request of the connection and not only on the first.

New tests of gateway_platform: requests ahead are answered in order, long heads are refused, a second head that never ends closes its connection.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -3,6 +3,7 @@
 
 mod budget;
 mod caches;
+mod caller_connections;
 mod concentrated_connections;
 mod crashing_prompt_parts;
 mod crashing_requests;
--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -1,6 +1,7 @@
 //! A site: gateways as processes, with stand-ins for workers, the store and the platform's operations.
 
 mod caller;
+mod memory;
 mod observations;
 mod settings;
 mod workers;
@@ -204,27 +205,6 @@
         Self::start_with_options(workers, gateways, options).await
     }
 
-    /// Starts a site with one gateway, whose machine has this memory in MB, and waits until bodies of up to
-    /// `max_body_bytes` are allowed.
-    #[allow(dead_code)] // Used by the test binary `memory_limits`.
-    pub async fn start_with_memory(
-        workers: &[WorkerSpec],
-        memory_mb: u64,
-        max_body_bytes: usize,
-    ) -> Self {
-        let options = SiteOptions {
-            memory_mb,
-            ..SiteOptions::default()
-        };
-        let site = Self::start_with_options(workers, 1, options).await;
-        let version = site.version.get() + 3;
-        site.version.set(version);
-        site.operator
-            .configure_body_limit(version, &routes(), max_body_bytes);
-        site.wait_until_in_force(version).await;
-        site
-    }
-
     /// Starts a site whose gateways each connect to workers from their own [`source_address`].
     pub async fn start_with_source_addresses(workers: &[WorkerSpec], gateways: usize) -> Self {
         let options = SiteOptions {
--- a/crates/gateway/src/caller_body.rs
+++ b/crates/gateway/src/caller_body.rs
@@ -1,15 +1,19 @@
 //! Reads the bodies of callers' requests. Memory is reserved before bytes are read.
 
+use std::future::poll_fn;
 use std::time::Duration;
 
+use actix_web::error::PayloadError;
 use actix_web::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_web::web::Payload;
 use actix_web::HttpRequest;
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use tansyhall_memory_budget::{BodyPace, Exhausted, MemoryBudget, Reservation, Use};
+use tansyhall_memory_budget::{BodyLength, BodyPace, Exhausted, MemoryBudget, Reservation, Use};
 use tokio::time::{interval_at, Instant, MissedTickBehavior};
 
+use crate::caller_stream::Reading;
+
 /// Memory that a request in progress needs in addition to its body.
 const REQUEST_BYTES: usize = 16 << 10;
 /// The first reservation for a body of unknown length.
@@ -17,26 +21,15 @@
 /// Interval at which the progress of a body is checked.
 const PACE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How the length of a body is announced.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum BodyLength {
-    /// The length is known. It is 0 if there is no body.
-    Known(usize),
-    /// The body is sent in chunks.
-    Chunked,
-}
-
-impl BodyLength {
-    /// Returns how a request announces the length of its body.
-    pub fn of(request: &HttpRequest) -> Self {
-        let headers = request.headers();
-        if headers.contains_key(TRANSFER_ENCODING) {
-            return Self::Chunked;
-        }
-        let length = headers.get(CONTENT_LENGTH);
-        let length = length.and_then(|length| length.to_str().ok()?.trim().parse().ok());
-        Self::Known(length.unwrap_or(0))
+/// Returns the length of a request's body as it is announced.
+pub fn announced_length(request: &HttpRequest) -> BodyLength {
+    let headers = request.headers();
+    if headers.contains_key(TRANSFER_ENCODING) {
+        return BodyLength::Chunked;
     }
+    let length = headers.get(CONTENT_LENGTH);
+    let length = length.and_then(|length| length.to_str().ok()?.trim().parse().ok());
+    BodyLength::Known(length.unwrap_or(0))
 }
 
 /// Why a body cannot be read.
@@ -68,6 +61,7 @@
     length: BodyLength,
     limit: usize,
     budget: &MemoryBudget,
+    reading: &Reading,
 ) -> Result<(Bytes, Reservation), BodyError> {
     let first = match length {
         BodyLength::Known(length) if length > limit => return Err(BodyError::TooLong),
@@ -78,11 +72,13 @@
     let mut body = BodyBuffer {
         bytes: BytesMut::new(),
         memory,
+        length,
         limit,
     };
     if first > 0 {
         body.bytes.reserve(first);
-        body.read_to_end(payload, budget).await?;
+        body.read_to_end(payload, budget, reading).await?;
+        reading.expect_body(BodyLength::Known(0));
     }
     Ok((body.bytes.freeze(), body.memory))
 }
@@ -90,6 +86,7 @@
 struct BodyBuffer {
     bytes: BytesMut,
     memory: Reservation,
+    length: BodyLength,
     limit: usize,
 }
 
@@ -98,6 +95,7 @@
         &mut self,
         payload: &mut Payload,
         budget: &MemoryBudget,
+        reading: &Reading,
     ) -> Result<(), BodyError> {
         let mut pace = BodyPace::default();
         let mut checks = interval_at(Instant::now() + PACE_INTERVAL, PACE_INTERVAL);
@@ -105,7 +103,7 @@
         loop {
             let part = tokio::select! {
                 biased;
-                part = payload.next() => part,
+                part = self.next_part(payload, reading) => part,
                 _ = checks.tick() => {
                     if !pace.may_continue(self.bytes.len(), budget.is_short()) {
                         return Err(BodyError::Slow);
@@ -121,6 +119,29 @@
         }
     }
 
+    /// Waits for the next part. Once all parts so far have been taken, more of the body is read.
+    async fn next_part(
+        &self,
+        payload: &mut Payload,
+        reading: &Reading,
+    ) -> Option<Result<Bytes, PayloadError>> {
+        poll_fn(|context| {
+            let part = payload.poll_next_unpin(context);
+            if part.is_pending() {
+                reading.expect_body(self.rest());
+            }
+            part
+        })
+        .await
+    }
+
+    fn rest(&self) -> BodyLength {
+        match self.length {
+            BodyLength::Known(length) => BodyLength::Known(length.saturating_sub(self.bytes.len())),
+            BodyLength::Chunked => BodyLength::Chunked,
+        }
+    }
+
     fn push(&mut self, part: &[u8]) -> Result<(), BodyError> {
         let length = self.bytes.len() + part.len();
         if length > self.limit {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -1,6 +1,7 @@
 //! The callers' side of the gateway: reads a request, runs it in an [`Exchange`] and sends the answer to the caller.
 
 use std::pin::Pin;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -15,7 +16,8 @@
 use tokio::time::timeout;
 
 use crate::answer::{self, Answer, AnswerHead, AnswerSource, AnswerTruncated, GatewayAnswer};
-use crate::caller_body::{self, BodyError, BodyLength};
+use crate::caller_body::{self, BodyError};
+use crate::caller_stream::{Reading, RequestInProgress};
 use crate::events::{Event, Priority};
 use crate::exchange::{CallerRequest, Exchange};
 use crate::headers::HeaderList;
@@ -61,19 +63,35 @@
 ) -> HttpResponse {
     let shared: &Arc<Shared> = &shared;
     let in_flight = InFlightGuard::begin(shared);
-    let response = match read_request(&request, &mut payload, shared).await {
-        Ok(caller_request) => forward(shared, caller_request, request.version()).await,
+    let reading = request.conn_data::<Rc<Reading>>().cloned();
+    let length = caller_body::announced_length(&request);
+    let in_progress = RequestInProgress::begin(reading.unwrap_or_default(), length);
+    let read = read_request(&request, &mut payload, in_progress.reading(), shared).await;
+    let (response, unread) = match read {
+        Ok(caller_request) => {
+            let response = forward(shared, caller_request, request.version()).await;
+            (response, None)
+        }
         Err(refusal) => {
             record_refusal(&request, &refusal, shared);
-            keep_unread(refusal_response(&refusal), payload)
+            (refusal_response(&refusal), Some(payload))
         }
     };
-    count_until_sent(close_if_stopping(response, shared), in_flight)
+    let response = close_if_stopping(response, shared).map_body(|_, body| {
+        let body = AnswerBody {
+            body,
+            _request: in_progress,
+            _unread: unread,
+        };
+        body.boxed()
+    });
+    count_until_sent(response, in_flight)
 }
 
 async fn read_request(
     request: &HttpRequest,
     payload: &mut Payload,
+    reading: &Reading,
     shared: &Arc<Shared>,
 ) -> Result<CallerRequest, Refusal> {
     let arrived = shared.now();
@@ -94,8 +112,8 @@
     let limits = in_force.limits();
     let caller_timeout = terms.timeout.unwrap_or(routed.route.timeout);
     let time_limit = caller_timeout.min(routed.route.timeout);
-    let length = BodyLength::of(request);
-    let read = caller_body::read(payload, length, limits.body_bytes, &shared.memory);
+    let length = caller_body::announced_length(request);
+    let read = caller_body::read(payload, length, limits.body_bytes, &shared.memory, reading);
     let (body, memory) = timeout(time_limit, read)
         .await
         .map_err(|_| Refusal::BodyTimeout)??;
@@ -161,25 +179,16 @@
     headers
 }
 
-/// Keeps a request's body unread until its answer has been sent. The server then closes the connection. It would
-/// otherwise read the rest of a chunked body for as long as the caller keeps the connection open.
-fn keep_unread(response: HttpResponse, payload: Payload) -> HttpResponse {
-    response.map_body(|_, body| {
-        UnreadBody {
-            body,
-            _payload: payload,
-        }
-        .boxed()
-    })
-}
-
-/// The body of an answer to a request whose own body has not been read.
-struct UnreadBody {
+/// The body of an answer. The next request of the connection is read after it has been sent.
+struct AnswerBody {
     body: BoxBody,
-    _payload: Payload,
+    _request: RequestInProgress,
+    /// The unread body of a refused request. While it exists, the server considers the request unread and closes the
+    /// connection. Otherwise it would read a chunked body for as long as the caller keeps the connection open.
+    _unread: Option<Payload>,
 }
 
-impl MessageBody for UnreadBody {
+impl MessageBody for AnswerBody {
     type Error = <BoxBody as MessageBody>::Error;
 
     fn size(&self) -> BodySize {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod authority_claim;
 pub mod cache_recovery;
 pub mod caller_body;
+pub mod caller_server;
+pub mod caller_stream;
 pub mod connection_losses;
 pub mod connection_pool;
 pub mod connections;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,5 @@
 //! Assembles a gateway and runs it until it receives a signal to stop.
 
-use std::any::Any;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -12,19 +11,18 @@
 use actix_web::{web, App, HttpServer};
 use anyhow::{Context, Result};
 use parking_lot::{Mutex, RwLock};
-use socket2::SockRef;
 use tansyhall_core::time::MonotonicClock;
 use tansyhall_forwarding::{Directory, GatewayKey, GrantedPlacements, Mirror, RetryShares};
 use tansyhall_memory_budget::MemoryBudget;
 use tansyhall_store::KeyValueStore;
 use tansyhall_usage::Source;
-use tokio::net::TcpStream;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::authority::Authority;
 use crate::authority_claim;
+use crate::caller_server;
 use crate::connections::Connections;
 use crate::correlation::Correlation;
 use crate::datagrams::Datagrams;
@@ -47,20 +45,10 @@
 use crate::worker_notices::WorkerNotices;
 use crate::worker_relay::WorkerRelays;
 use crate::{
-    cache_recovery, ingress, load_exchange, peers, presence, quarantine, readiness, role_orders,
-    usage, worker_ends, worker_entries, worker_orders, worker_relay,
+    cache_recovery, load_exchange, peers, presence, quarantine, readiness, role_orders, usage,
+    worker_ends, worker_entries, worker_orders, worker_relay,
 };
 
-/// Time after which idle connections of callers are closed.
-const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(75);
-/// Maximum time to receive the head of a request.
-const CALLER_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time after which a caller that acknowledges none of the bytes sent to it is considered gone without having closed its
-/// connection. Nothing else closes such a connection: while the server waits to write, it checks nothing else. Callers
-/// usually wait at most 5 s, and a caller that reads slowly still acknowledges some bytes from time to time.
-const CALLER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum number of connections that wait to be accepted.
-const ACCEPT_BACKLOG: u32 = 1024;
 /// Interval at which a stopping gateway checks whether requests are in progress.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which idle connections and other expired state are removed.
@@ -108,7 +96,7 @@
         .context("cannot start the log writer thread")?;
     let shared = create_shared_state(settings, &adapter, log)?;
     let settings = shared.settings.read().clone();
-    serve_callers(&shared, &settings)?;
+    spawn_server(caller_server::start(&shared, &settings)?);
     serve_peers(&shared, settings.listen.peers)?;
     serve_readiness_and_metrics(&shared, settings.listen.ready, settings.listen.metrics)?;
     actix_rt::spawn(follower::follow(
@@ -288,36 +276,6 @@
     }))
 }
 
-fn serve_callers(shared: &Arc<Shared>, settings: &GatewaySettings) -> Result<()> {
-    let data = web::Data::new(Arc::clone(shared));
-    let server = HttpServer::new(move || {
-        App::new()
-            .app_data(data.clone())
-            .default_service(web::to(ingress::serve))
-    })
-    .workers(settings.node.threads)
-    .backlog(ACCEPT_BACKLOG)
-    .keep_alive(CALLER_IDLE_TIMEOUT)
-    .client_request_timeout(CALLER_HEAD_TIMEOUT)
-    .h1_allow_half_closed(false)
-    .on_connect(|connection, _| set_stall_timeout(connection))
-    .disable_signals()
-    .bind(settings.listen.callers)
-    .with_context(|| format!("listen.callers = {}", settings.listen.callers))?;
-    spawn_server(server.run());
-    Ok(())
-}
-
-fn set_stall_timeout(connection: &dyn Any) {
-    let Some(stream) = connection.downcast_ref::<TcpStream>() else {
-        return;
-    };
-    let result = SockRef::from(stream).set_tcp_user_timeout(Some(CALLER_STALL_TIMEOUT));
-    if let Err(error) = result {
-        log::warn!("cannot limit the time that a silent caller holds its connection: {error}");
-    }
-}
-
 fn serve_peers(shared: &Arc<Shared>, address: SocketAddr) -> Result<()> {
     let data = web::Data::new(Arc::clone(shared));
     let server = HttpServer::new(move || {
