A late end without an event no longer ends the stream of a silent worker

Callers got the proper end of a stream before its last event. 300 ms after the head of a replacement, the gateway drops the attempt of the silent worker. handle_end looked only at an attempt that is still open, so that a replacement which ended without an event after these 300 ms ended the stream, although the silent worker had not.

The exchange now remembers that the worker which delivered the last event went silent without an end, until another event is delivered. Only a worker that has delivered an event itself may end such a stream.

--- a/crates/cli/tests/gateway_platform/silent_workers.rs
+++ b/crates/cli/tests/gateway_platform/silent_workers.rs
@@ -411,3 +411,18 @@
     assert_eq!(answer.body, b"prompt");
     assert_eq!(reader.prompts_read(), 1);
 }
+
+// Guards against ending a paused stream because the worker asked in its place ends its answer late and without an event.
+#[actix_rt::test]
+async fn a_stream_is_not_complete_because_a_replacement_ends_late_without_an_event() {
+    let pausing = |events, pause_ms| Behaviour::Pausing {
+        events,
+        after: 2,
+        pause_ms,
+    };
+    let site = Site::start(&[("app", None, pausing(EVENTS, 2_500)); 2], 1).await;
+    let answer = send_and_change_the_other(&site, "r", RESUMABLE, pausing(2, 600)).await;
+    assert_both_were_asked(&site);
+    let body = String::from_utf8_lossy(&answer.body);
+    assert!(!answer.is_complete || body == expected_stream(), "{body}");
+}
--- a/crates/gateway/src/exchange/deliver.rs
+++ b/crates/gateway/src/exchange/deliver.rs
@@ -70,11 +70,14 @@
                 self.sink.end().await;
             }
             ReceivedBody::Parts { .. } => self.sink.end().await,
-            ReceivedBody::Events { framer, .. } => {
+            ReceivedBody::Events {
+                framer,
+                has_delivered,
+                ..
+            } => {
                 // A replacement that sends no event cannot end the stream of a worker that has not ended it.
-                let stalled = self.stalled.as_ref();
-                let has_unended = stalled.is_some_and(|stalled| stalled.delivered().0);
-                if framer.pending_bytes() > 0 || !self.sink.has_begun() || has_unended {
+                let is_unended = self.has_silent_deliverer && !*has_delivered;
+                if framer.pending_bytes() > 0 || !self.sink.has_begun() || is_unended {
                     return self.broken_answer(attempt);
                 }
                 self.replace_stalled();
@@ -182,6 +185,7 @@
         events: CompleteEvents,
     ) -> Result<(), RequestEvent> {
         self.has_doubtful_end = false;
+        self.has_silent_deliverer = false;
         self.replace_stalled();
         self.bind_version(attempt.guard.version());
         self.record_received(&mut attempt.guard);
--- a/crates/gateway/src/exchange/mod.rs
+++ b/crates/gateway/src/exchange/mod.rs
@@ -89,6 +89,8 @@
     error_answer: Option<(AnswerHead, Bytes)>,
     /// The attempt of a silent worker, until another worker has answered in its place.
     stalled: Option<Attempt>,
+    /// Whether the worker that delivered the last event went silent without an end. Its attempt may have been dropped.
+    has_silent_deliverer: bool,
     /// Whether the stream may have ended with the last event delivered, and another worker is asked to continue it.
     has_doubtful_end: bool,
     unused_handle: Option<PromptHandle>,
@@ -126,6 +128,7 @@
             sink,
             error_answer: None,
             stalled: None,
+            has_silent_deliverer: false,
             has_doubtful_end: false,
             unused_handle: None,
             placed: None,
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -138,6 +138,7 @@
         losses.report(Loss::Silent, &attempt.destination);
         let (answer_started, last_event) = attempt.delivered();
         self.replace_stalled();
+        self.has_silent_deliverer |= answer_started;
         self.stalled = Some(attempt);
         RequestEvent::Stalled {
             answer_started,
