A doubtful end is no end once another worker has begun the next event

Callers got the proper end of a stream before its last event. The end of a leaving worker's stream is doubtful, and another worker is asked. It began the next event, which shows that something was left, and broke off. The doubt was only dropped with a complete event, so that settle_doubtful_end ended the stream as whole.

The doubt is now dropped with the first bytes of an incomplete event, too. Complete events out of order still do not count. The beginning of an event that turns out to be out of order does count, since its id is not known yet.

--- a/crates/cli/tests/gateway_platform/unframed_streams.rs
+++ b/crates/cli/tests/gateway_platform/unframed_streams.rs
@@ -239,3 +239,21 @@
         assert_eq!(counted, Some(1.0), "{conclusion}");
     }
 }
+
+// Guards against a stream of a leaving worker that looks whole although another worker has begun to send its next event.
+#[actix_rt::test]
+async fn a_stream_whose_next_event_another_worker_has_begun_is_not_whole() {
+    let leaving = LEAVING_PROCESS_ENDS_AFTER_SECOND_EVENT;
+    let breaking = Behaviour::AbortAnswer { events: 2 };
+    for _ in 0..MAX_REQUESTS {
+        let site = Site::start(&[("app", None, leaving), ("app", None, breaking)], 1).await;
+        let answer = send_request(&site.gateways[0], "r", RESUMABLE, b"x").await;
+        // The leaving worker has run the request first.
+        let has_begun = site.workers[1].worker.runs()[0].last_event.is_some();
+        if has_begun {
+            assert_eq!((answer.status, answer.is_complete), (200, false));
+            return;
+        }
+    }
+    panic!("the leaving worker has run no request first");
+}
--- a/crates/gateway/src/exchange/deliver.rs
+++ b/crates/gateway/src/exchange/deliver.rs
@@ -162,7 +162,10 @@
         let Ok(mut events) = framer.push(bytes) else {
             return Err(self.broken_answer(attempt));
         };
+        let has_begun_next = framer.pending_bytes() > 0;
         if events.bytes.is_empty() {
+            // Something was left of a stream whose end was doubtful.
+            self.has_doubtful_end &= !has_begun_next;
             return Ok(());
         }
         let (has_delivered, _) = attempt.delivered();
