A doubt about a worker is kept while it has open connections

Callers got streams joined from two versions. A worker restarts with other software, and the gateway, which has lost a connection to it, sends a stream by the earlier entry. The new entry arrives before the first event. The maintenance task then forgot the doubt with the earlier incarnation, and is_announced_incarnation found none: the stream was bound to the earlier version, and a worker of that version continued it.

A doubt, and the lock under which the worker is asked, now stay as long as connections to the incarnation are open, like its pool. A connection that is established after the entry is gone is not used, so no stream is left whose doubt is forgotten.

A stream sent to a restarted worker of which the gateway has lost no connection is still believed.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -19,6 +19,7 @@
 mod rate_limits;
 mod relays;
 mod requests;
+mod restarted_versions;
 mod restored_store;
 mod roles;
 mod schedulers;
--- /dev/null
+++ b/crates/cli/tests/gateway_platform/restarted_versions.rs
@@ -0,0 +1,79 @@
+//! Workers that restart under their names and addresses with another version.
+//!
+//! The failure: streams that the new incarnation began were taken for streams of the earlier version, and were continued by
+//! workers of that version.
+
+use std::time::Duration;
+
+use futures_util::future::join;
+use tansyhall_platform_standin::{Behaviour, StoreFault, Worker};
+use tansyhall_testing::eventually;
+use tokio::time::sleep;
+
+use crate::support::{send_request, Site, RESUMABLE};
+
+const SECOND_VERSION: &str = "v2";
+const ENDLESS: Behaviour = Behaviour::Pausing {
+    events: 4,
+    after: 2,
+    pause_ms: 60_000,
+};
+/// Breaks new streams off within the third event, and continues others.
+const BROKEN_OR_RESUMED: Behaviour = Behaviour::Scripted {
+    begun: &["1", "2"],
+    breaks_off: true,
+    resumed: &["3", "4"],
+};
+/// Time from the arrival of a request until its worker has sent the first event and not the second.
+const AFTER_FIRST_EVENT: Duration = Duration::from_millis(1_400);
+
+/// Starts a site with a worker in another zone, and a nearer one that the gateway has lost and that has restarted with
+/// another version. The store answers the gateway no more, so that it knows only the earlier entry.
+async fn start_site_with_restarted_worker() -> (Site, Worker) {
+    let mut site = Site::start(&[("app", None, Behaviour::NotRun)], 1).await;
+    let other = site.add_worker("app", None, Behaviour::NotRun).await;
+    site.workers.push(other);
+    let worker = site.add_named_worker("steady-1", "app", ENDLESS).await;
+    let stop = async {
+        wait_for_run(&worker).await;
+        site.store_endpoints[0].set_fault(StoreFault::Refuse);
+        worker.stop().await;
+        worker
+            .restart(SECOND_VERSION)
+            .expect("the worker's port is free")
+    };
+    let request = send_request(&site.gateways[0], "r", RESUMABLE, b"x");
+    let (_, worker) = join(request, stop).await;
+    (site, worker)
+}
+
+/// Guards against a stream of a restarted worker that is joined with events of its earlier version, because the new entry
+/// arrives between the send and the first event, and the doubt about the worker is forgotten with the old entry.
+#[actix_rt::test]
+async fn a_stream_is_not_bound_to_an_incarnation_whose_entry_was_replaced_before_the_first_event() {
+    let (site, worker) = start_site_with_restarted_worker().await;
+    let gateway = &site.gateways[0];
+    let other = &site.workers[1].worker;
+    other.set_behaviour(BROKEN_OR_RESUMED);
+    worker.set_behaviour(Behaviour::Paced {
+        events: 2,
+        pause_ms: 950,
+    });
+    let learn = async {
+        wait_for_run(&worker).await;
+        site.store_endpoints[0].set_fault(StoreFault::None);
+        sleep(AFTER_FIRST_EVENT).await;
+        worker.stop().await;
+    };
+    let (answer, ()) = join(send_request(gateway, "s", RESUMABLE, b"x"), learn).await;
+    let runs = other.runs();
+    let body = String::from_utf8_lossy(&answer.body);
+    assert!(runs.iter().all(|run| run.last_event.is_none()), "{body}");
+}
+
+async fn wait_for_run(worker: &Worker) {
+    eventually("the stream runs", || async {
+        (!worker.runs().is_empty()).then_some(())
+    })
+    .await;
+}
--- a/crates/forwarding/src/incarnation_doubts.rs
+++ b/crates/forwarding/src/incarnation_doubts.rs
@@ -48,8 +48,8 @@
         }
     }
 
-    /// Forgets workers that are no longer known.
-    pub fn prune(&mut self, is_known: impl Fn(&WorkerId) -> bool) {
-        self.doubts.retain(|worker, _| is_known(worker));
+    /// Forgets all workers except those that are needed: the announced ones, and those with open connections.
+    pub fn prune(&mut self, is_needed: impl Fn(&WorkerId) -> bool) {
+        self.doubts.retain(|worker, _| is_needed(worker));
     }
 }
--- a/crates/gateway/src/connection_losses.rs
+++ b/crates/gateway/src/connection_losses.rs
@@ -66,10 +66,10 @@
         Arc::clone(self.asked.lock().entry(worker.clone()).or_default())
     }
 
-    /// Forgets workers that are no longer known.
-    pub fn prune(&self, is_known: impl Fn(&WorkerId) -> bool) {
-        self.doubts.lock().prune(&is_known);
-        self.asked.lock().retain(|worker, _| is_known(worker));
+    /// Forgets all workers except those that are needed.
+    pub fn prune(&self, is_needed: impl Fn(&WorkerId) -> bool) {
+        self.doubts.lock().prune(&is_needed);
+        self.asked.lock().retain(|worker, _| is_needed(worker));
     }
 
     /// Waits for the next loss.
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -5,7 +5,7 @@
 //! complete answer is not reused. Every answer that this module returns was matched to its request as described in
 //! [`crate::correlation`].
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -234,13 +234,18 @@
     }
 
     /// Closes idle connections that are too old for reuse, and forgets workers that are gone and have no open connection.
+    /// Answers on open connections may still have to be attributed to an incarnation after another one is announced.
     pub fn prune(&self, is_known: impl Fn(&WorkerId) -> bool) {
         let now = self.clock.now();
-        self.pools.lock().retain(|worker, pool| {
+        let mut pools = self.pools.lock();
+        pools.retain(|worker, pool| {
             pool.prune(now, self.idle_rule(worker));
             is_known(worker) || pool.has_open()
         });
-        self.losses.prune(is_known);
+        let has_pool: HashSet<WorkerId> = pools.keys().cloned().collect();
+        drop(pools);
+        self.losses
+            .prune(|worker| is_known(worker) || has_pool.contains(worker));
     }
 
     /// Closes idle connections to all workers that have received nothing for the time `silence`. Connections usually go
