Streams of workers that die together are cut off

Callers got the proper end of streams before their last event. The examination of a refused connection compares other workers. If all of them refused, too, it concluded a fault of the path, and the end of an unframed stream was unknown, which passed for whole. A loss of all workers of a site, or of a service on one machine, thus ended their streams as whole.

A serving worker that refuses connections now cuts its streams off unless the gateway knows that it is partitioned from its workers. A resumable stream goes on elsewhere. A refusal is still only seen if no relay reaches the worker. The price: a whole stream is cut off if a device on the path refuses connections, no relay helps, and the partition is not known yet. Not covered: relays that fail to reach several workers do not confirm a refusal, so that the end stays unknown there.

The test of two workers whose processes end at once failed before the change (both streams had a proper end) and passes with it. The cases of unproven_end.rs keep their expectations, for a partitioned gateway; the new test has the other cases.

--- a/crates/cli/tests/gateway_platform/unframed_streams.rs
+++ b/crates/cli/tests/gateway_platform/unframed_streams.rs
@@ -5,6 +5,7 @@
 
 use std::cell::Cell;
 
+use futures_util::future::join;
 use tansyhall_platform_standin::{Behaviour, Run, UnframedEnd};
 use tansyhall_testing::{eventually, Partition};
 
@@ -257,3 +258,21 @@
     }
     panic!("the leaving worker has run no request first");
 }
+
+// Guards against streams that look whole because all workers of a site died at once between two events.
+#[actix_rt::test]
+async fn streams_of_workers_that_die_together_between_two_events_have_no_proper_end() {
+    for path in [NON_RESUMABLE, RESUMABLE] {
+        let site = Site::start(&[("app", None, PROCESS_ENDS_AFTER_SECOND_EVENT); 2], 1).await;
+        let gateway = &site.gateways[0];
+        let (first, second) = join(
+            send_request(gateway, "first", path, b"x"),
+            send_request(gateway, "second", path, b"x"),
+        )
+        .await;
+        let runs = site.workers.iter().map(|it| it.worker.runs().len());
+        let runs: Vec<usize> = runs.collect();
+        let complete = [first, second].map(|answer| answer.is_complete);
+        assert_eq!(complete, [false, false], "{path}, runs {runs:?}");
+    }
+}
--- a/crates/forwarding/src/unproven_end.rs
+++ b/crates/forwarding/src/unproven_end.rs
@@ -26,6 +26,8 @@
     pub reachability: Reachability,
     /// Why it refuses connections, if it does and this has been found out.
     pub refusal: Option<ConnectionRefusalCause>,
+    /// Whether this gateway knows that it is partitioned from its workers.
+    pub is_partitioned: bool,
 }
 
 /// What the end of a stream means.
@@ -56,7 +58,9 @@
 impl EndEvidence {
     /// Returns what follows from the evidence.
     pub fn conclusion(self) -> EndConclusion {
-        let has_ended = self.refusal == Some(ConnectionRefusalCause::WorkerEnded);
+        // Workers that end together look like a fault of the path: only a known partition excuses a refusal.
+        let has_ended =
+            self.refusal == Some(ConnectionRefusalCause::WorkerEnded) || !self.is_partitioned;
         match (self.standing, self.reachability) {
             (WorkerStanding::Restarted, _) => EndConclusion::CutOff,
             (_, Reachability::Connected) => EndConclusion::Whole,
--- a/crates/forwarding/tests/unproven_end.rs
+++ b/crates/forwarding/tests/unproven_end.rs
@@ -13,10 +13,25 @@
         standing,
         reachability,
         refusal,
+        is_partitioned: true,
     };
     evidence.conclusion()
 }
 
+// Guards against streams that look whole because all workers ended at once, which looks like a fault of the path.
+#[test]
+fn a_refusal_cuts_streams_off_unless_the_gateway_is_partitioned() {
+    for refusal in [None, Some(ConnectionRefusalCause::PathFault)] {
+        let evidence = EndEvidence {
+            standing: WorkerStanding::Serving,
+            reachability: Reachability::Refused,
+            refusal,
+            is_partitioned: false,
+        };
+        assert_eq!(evidence.conclusion(), EndConclusion::CutOff, "{refusal:?}");
+    }
+}
+
 // Guards against streams that look whole although the process of their worker has ended.
 #[test]
 fn only_a_worker_that_has_ended_cuts_its_streams_off() {
--- a/crates/gateway/src/exchange/ending.rs
+++ b/crates/gateway/src/exchange/ending.rs
@@ -5,6 +5,7 @@
 
 use tansyhall_forwarding::{
     Conclusion, ConnectionRefusalCause, EndConclusion, EndEvidence, Reachability, RequestEvent,
+    WorkerStanding,
 };
 use tokio::time::{sleep, timeout, timeout_at};
 
@@ -76,10 +77,11 @@
         standing: worker_ends::standing(shared, destination),
         reachability,
         refusal,
+        is_partitioned: shared.worker_relays.is_partitioned(),
     };
-    let conclusion = evidence(None).conclusion();
-    if (reachability, conclusion) != (Reachability::Refused, EndConclusion::Unknown) {
-        return conclusion;
+    let first = evidence(None);
+    if (first.standing, reachability) != (WorkerStanding::Serving, Reachability::Refused) {
+        return first.conclusion();
     }
     let refusal = timeout(EXAMINATION_TIMEOUT, refusal_cause(shared, destination)).await;
     evidence(refusal.ok()).conclusion()
