The end of a silent worker's process no longer drops its replacement

Callers got a stream without its end although a sound worker was about to continue it. An unframed stream went silent, and another worker was asked. Then the silent worker's process ended, between two events. Its end counted as deliverable, so that continue_stalled dropped the replacement before the end was examined. The end turned out to be cut off, both workers were avoided by then, and the stream ended as broken.

The end is now examined first. If it is cut off or doubtful, the replacement goes on, as it does if a framed stream breaks off. After a doubtful end, a replacement that has nothing left to send ends the stream.

The stand-in can pause before its process ends.

--- a/crates/cli/tests/gateway_platform/silent_workers.rs
+++ b/crates/cli/tests/gateway_platform/silent_workers.rs
@@ -3,7 +3,7 @@
 
 use futures_util::future::{join, join_all};
 use serde_json::Value;
-use tansyhall_platform_standin::{Behaviour, Run};
+use tansyhall_platform_standin::{Behaviour, Run, UnframedEnd};
 use tansyhall_testing::{eventually, Link};
 
 use crate::support::{
@@ -426,3 +426,21 @@
     let body = String::from_utf8_lossy(&answer.body);
     assert!(!answer.is_complete || body == expected_stream(), "{body}");
 }
+
+// Guards against leaving the worker that takes the place of a paused one because the process of the paused one ends.
+#[actix_rt::test]
+async fn a_replacement_goes_on_if_the_process_of_the_paused_worker_ends() {
+    let ending = Behaviour::Unframed {
+        events: 2,
+        end: UnframedEnd::WithPausedProcess { pause_ms: 1_100 },
+    };
+    let resuming = Behaviour::Pausing {
+        events: EVENTS,
+        after: 2,
+        pause_ms: 280,
+    };
+    let site = Site::start(&[("app", None, ending); 2], 1).await;
+    let answer = send_and_change_the_other(&site, "r", RESUMABLE, resuming).await;
+    assert_stream_is_complete(&answer);
+    assert_eq!(site.runs_of("r"), 2);
+}
--- a/crates/gateway/src/exchange/ending.rs
+++ b/crates/gateway/src/exchange/ending.rs
@@ -49,6 +49,18 @@
         Conclusion::Delivered
     }
 
+    /// Returns whether the end of a stalled worker's body does not show that the stream is whole, so that the replacement
+    /// has to go on.
+    pub(super) async fn is_stalled_end_unproven(&mut self, stalled: &mut Attempt) -> bool {
+        let conclusion = self.conclude_from_end(stalled).await;
+        if conclusion == Some(EndConclusion::Doubtful) {
+            self.has_doubtful_end = true;
+            self.has_silent_deliverer = false;
+        }
+        let unproven = [EndConclusion::CutOff, EndConclusion::Doubtful];
+        conclusion.is_some_and(|conclusion| unproven.contains(&conclusion))
+    }
+
     /// Returns what follows from the end of a body, or `None` if its framing marks the end.
     async fn conclude_from_end(&mut self, attempt: &mut Attempt) -> Option<EndConclusion> {
         let is_error = attempt.is_error();
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -174,7 +174,7 @@
             tokio::select! {
                 biased;
                 received = receive_stalled(&mut self.stalled) => {
-                    if let Some(received) = self.handle_stalled(received) {
+                    if let Some(received) = self.handle_stalled(received).await {
                         if self.continue_stalled(attempt) {
                             return Waited::Received(received);
                         }
@@ -234,9 +234,11 @@
 
     /// Handles what arrived from the stalled worker. Returns it if a part of the answer can be delivered with it, so that
     /// the worker needs no replacement any more.
-    fn handle_stalled(&mut self, received: Received) -> Option<Received> {
+    async fn handle_stalled(&mut self, received: Received) -> Option<Received> {
         let mut stalled = self.stalled.take()?;
-        if stalled.is_deliverable_with(&received, self.sink.has_begun()) {
+        let is_deliverable = stalled.is_deliverable_with(&received, self.sink.has_begun());
+        let is_end = matches!(received, Received::End);
+        if is_deliverable && !(is_end && self.is_stalled_end_unproven(&mut stalled).await) {
             self.stalled = Some(stalled);
             return Some(received);
         }
