A restarted worker that cannot be asked for its start is not believed

Callers got streams joined from two versions. The question for the start of a worker needs a connection of its own. If streams held all connections that the gateway may open to the worker, it failed at once, and settle() took this for a worker that does not say when it has started: the doubt was removed, and all these streams were bound to the version of the entry. The same happened to a question that a notice of the worker ruled out, or whose connection failed.

A question that is not sent, or whose connection fails, now leaves the doubt and fails the attempt before its first event. The question may use one connection more than the gateway's share; only one at a time is sent to a worker.

--- a/crates/cli/tests/gateway_platform/restarted_versions.rs
+++ b/crates/cli/tests/gateway_platform/restarted_versions.rs
@@ -5,14 +5,15 @@
 
 use std::time::Duration;
 
-use futures_util::future::join;
+use futures_util::future::{join, join_all};
 use tansyhall_platform_standin::{Behaviour, StoreFault, Worker};
 use tansyhall_testing::eventually;
 use tokio::time::sleep;
 
-use crate::support::{send_request, Site, RESUMABLE};
+use crate::support::{send_request, take_up, Site, RESUMABLE};
 
 const SECOND_VERSION: &str = "v2";
+const WHOLE: Behaviour = Behaviour::Serve { events: 4 };
 const ENDLESS: Behaviour = Behaviour::Pausing {
     events: 4,
     after: 2,
@@ -26,6 +27,10 @@
 };
 /// Time from the arrival of a request until its worker has sent the first event and not the second.
 const AFTER_FIRST_EVENT: Duration = Duration::from_millis(1_400);
+const LAST_EVENT: &str = "2";
+const FIRST_EVENTS: &[u8] = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
+/// More than twice as many as the connections that a gateway may open to a worker.
+const MORE_THAN_ALL_CONNECTIONS: usize = 200;
 
 /// Starts a site with a worker in another zone, and a nearer one that the gateway has lost and that has restarted with
 /// another version. The store answers the gateway no more, so that it knows only the earlier entry.
@@ -77,3 +82,38 @@
     })
     .await;
 }
+
+/// Guards against streams of a restarted worker that are taken for those of its earlier version, because they hold all the
+/// connections that the gateway may open, so that the worker cannot be asked for its start.
+#[actix_rt::test]
+async fn a_restarted_worker_is_asked_for_its_start_although_all_its_connections_are_in_use() {
+    let (site, worker) = start_site_with_restarted_worker().await;
+    let gateway = &site.gateways[0];
+    site.workers[1].worker.set_behaviour(WHOLE);
+    worker.set_behaviour(Behaviour::Pausing {
+        events: 2,
+        after: 0,
+        pause_ms: 700,
+    });
+    let ids: Vec<String> = (0..MORE_THAN_ALL_CONNECTIONS)
+        .map(|number| format!("stream-{number}"))
+        .collect();
+    let requests = ids
+        .iter()
+        .map(|id| send_request(gateway, id, RESUMABLE, b"x"));
+    let answers = join_all(requests).await;
+    // Only the restarted worker ends its streams after two events.
+    let joined = ids
+        .iter()
+        .zip(&answers)
+        .find(|(_, answer)| answer.body == FIRST_EVENTS && answer.is_complete);
+    worker.set_behaviour(Behaviour::NotRun);
+    if let Some((first_attempt, _)) = joined {
+        let answer = take_up(gateway, "again", RESUMABLE, first_attempt, LAST_EVENT).await;
+        let body = String::from_utf8_lossy(&answer.body);
+        panic!(
+            "{first_attempt} goes on at the first version: {} {body}",
+            answer.status
+        );
+    }
+}
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -1,5 +1,5 @@
 //! Connections to workers. They are kept open between requests and carry one request at a time. Their number never
-//! exceeds this gateway's share of the connections that a worker accepts.
+//! exceeds this gateway's share of the connections that a worker accepts, except by one that asks for the worker's start.
 //!
 //! Errors say whether the request may have reached the worker. A connection that received anything other than one
 //! complete answer is not reused. Every answer that this module returns was matched to its request as described in
--- a/crates/gateway/src/exchange/incarnation.rs
+++ b/crates/gateway/src/exchange/incarnation.rs
@@ -7,7 +7,7 @@
 use tokio::time::timeout;
 
 use super::Exchange;
-use crate::connections::Destination;
+use crate::connections::{Destination, SendError};
 use crate::events::{Event, Priority};
 use crate::worker_request::{RequestKind, WorkerRequest};
 
@@ -19,7 +19,8 @@
 impl Exchange {
     /// Returns whether the worker is the incarnation that its entry describes, as far as can be found out. A worker is
     /// asked only after a loss of a connection. The incarnations at an address follow each other: if the announced one
-    /// answers after the stream has begun, it has begun the stream.
+    /// answers after the stream has begun, it has begun the stream. One that cannot be asked is not believed, and is asked
+    /// again before the next stream.
     pub(super) async fn is_announced_incarnation(&self, destination: &Destination) -> bool {
         let worker = &destination.worker;
         let losses = &self.shared.connections.losses;
@@ -34,7 +35,13 @@
             Some(Doubt::Ended) => return false,
             Some(lost) => lost,
         };
-        let started_at = self.ask_start(destination).await;
+        let started_at = match self.ask_start(destination).await {
+            Ok(started_at) => started_at,
+            Err(error) => {
+                log::debug!("worker {worker} could not be asked when it has started: {error}");
+                return false;
+            }
+        };
         losses.doubts.lock().settle(worker, lost, started_at);
         let is_announced = started_at.is_none() || started_at == worker.started_at();
         if !is_announced {
@@ -45,16 +52,27 @@
         is_announced
     }
 
-    /// Asks for the start of the incarnation at a worker's address, in milliseconds since the Unix epoch.
-    async fn ask_start(&self, destination: &Destination) -> Option<u64> {
+    /// Asks for the start of the incarnation at a worker's address, in milliseconds since the Unix epoch. The result is
+    /// `None` if the worker does not say it in time.
+    ///
+    /// # Errors
+    ///
+    /// The question was not sent, or its connection failed.
+    async fn ask_start(&self, destination: &Destination) -> Result<Option<u64>, SendError> {
         let protocol = &self.shared.protocol;
         let request = WorkerRequest::from_call(RequestKind::Report, protocol.engine_report_call());
+        // The streams in doubt may hold all permitted connections. Only one question at a time is sent to a worker.
+        let destination = Destination {
+            max_connections: destination.max_connections.saturating_add(1),
+            ..destination.clone()
+        };
         let answered = async {
-            let sent = self.shared.connections.send(destination, &request).await;
-            let body = sent.ok()?.body.read_whole(MAX_REPORT_BYTES).await?;
-            protocol.decode_start(&body)
+            let mut sent = self.shared.connections.send(&destination, &request).await?;
+            let body = sent.body.read_whole(MAX_REPORT_BYTES).await;
+            Ok(body.and_then(|body| protocol.decode_start(&body)))
         };
-        timeout(REPORT_TIMEOUT, answered).await.ok().flatten()
+        let in_time = timeout(REPORT_TIMEOUT, answered).await;
+        in_time.unwrap_or(Ok(None))
     }
 
     fn record_incarnation(
