One body of a response holds what must outlive its sending

The body of a response was wrapped twice, once to count it as in progress and once to hold the next request of its connection back. ResponseBody does both.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -1,12 +1,10 @@
 //! The callers' side of the gateway: reads a request, runs it in an [`Exchange`] and sends the answer to the caller.
 
-use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use actix_web::body::{BodySize, BodyStream, BoxBody, MessageBody};
+use actix_web::body::{BodyStream, MessageBody};
 use actix_web::http::{StatusCode, Version};
 use actix_web::web::{self, Payload};
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
@@ -22,7 +20,7 @@
 use crate::exchange::{CallerRequest, Exchange};
 use crate::headers::HeaderList;
 use crate::protocol::CallerTerms;
-use crate::response_body::count_until_sent;
+use crate::response_body::ResponseBody;
 use crate::state::{ConfigurationInForce, InFlightGuard, RoutedRequest, RoutingError, Shared};
 
 /// Retry time for callers of a gateway that cannot serve requests yet. A gateway that started together with hundreds of
@@ -77,15 +75,8 @@
             (refusal_response(&refusal), Some(payload))
         }
     };
-    let response = close_if_stopping(response, shared).map_body(|_, body| {
-        let body = AnswerBody {
-            body,
-            _request: in_progress,
-            _unread: unread,
-        };
-        body.boxed()
-    });
-    count_until_sent(response, in_flight)
+    close_if_stopping(response, shared)
+        .map_body(|_, body| ResponseBody::new(body, in_flight, in_progress, unread).boxed())
 }
 
 async fn read_request(
@@ -179,30 +170,6 @@
     headers
 }
 
-/// The body of an answer. The next request of the connection is read after it has been sent.
-struct AnswerBody {
-    body: BoxBody,
-    _request: RequestInProgress,
-    /// The unread body of a refused request. While it exists, the server considers the request unread and closes the
-    /// connection. Otherwise it would read a chunked body for as long as the caller keeps the connection open.
-    _unread: Option<Payload>,
-}
-
-impl MessageBody for AnswerBody {
-    type Error = <BoxBody as MessageBody>::Error;
-
-    fn size(&self) -> BodySize {
-        self.body.size()
-    }
-
-    fn poll_next(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        Pin::new(&mut self.body).poll_next(context)
-    }
-}
-
 async fn forward(shared: &Arc<Shared>, request: CallerRequest, version: Version) -> HttpResponse {
     let (sink, source) = answer::channel();
     let arrived = request.arrived;
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -1,12 +1,14 @@
-//! The body of a response to a caller, which counts as in progress until the server has sent it.
+//! The body of a response to a caller. Until the server has sent it, the response counts as in progress, and the next
+//! request of its connection is not read.
 
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 
 use actix_web::body::{BodySize, BoxBody, MessageBody};
-use actix_web::HttpResponse;
+use actix_web::web::Payload;
 use bytes::Bytes;
 
+use crate::caller_stream::RequestInProgress;
 use crate::state::InFlightGuard;
 
 /// Maximum length of a piece that is passed to the server. The server buffers about as much before it waits for the
@@ -14,23 +16,33 @@
 const MAX_PIECE_BYTES: usize = 32 << 10;
 
 /// A body that is passed to the server in pieces.
-struct ResponseBody {
+pub struct ResponseBody {
     inner: BoxBody,
     /// What is left of the last bytes of `inner`.
     rest: Bytes,
     _in_flight: InFlightGuard,
+    _request: RequestInProgress,
+    _unread: Option<Payload>,
 }
 
-/// Counts a response as in progress until its body has been sent or its caller has disconnected.
-pub fn count_until_sent(response: HttpResponse, in_flight: InFlightGuard) -> HttpResponse {
-    response.map_body(|_, inner| {
-        let body = ResponseBody {
+impl ResponseBody {
+    /// Wraps the body of a response. `unread` is the unread body of a refused request: while it exists, the server
+    /// considers the request unread and closes the connection. Otherwise it would read a chunked body for as long as the
+    /// caller keeps the connection open.
+    pub fn new(
+        inner: BoxBody,
+        in_flight: InFlightGuard,
+        request: RequestInProgress,
+        unread: Option<Payload>,
+    ) -> Self {
+        Self {
             inner,
             rest: Bytes::new(),
             _in_flight: in_flight,
-        };
-        body.boxed()
-    })
+            _request: request,
+            _unread: unread,
+        }
+    }
 }
 
 impl MessageBody for ResponseBody {
