--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -363,6 +363,12 @@
         ground: &'a str,
         /// What this gateway knew before it asked: `known`, `only`, `several` or `unsure`.
         own: &'a str,
+        /// What it knew when the search ended, in the same words.
+        own_at_end: &'a str,
+        /// Age in milliseconds of the store's last answer, when the search began.
+        store_age_ms: u64,
+        /// Revision of this gateway's mirror of the store, when the search began.
+        mirror_revision: u64,
         /// Number of other gateways that were asked.
         asked: usize,
         /// Number of other gateways that answered.
--- a/crates/gateway/src/stream_versions/search.rs
+++ b/crates/gateway/src/stream_versions/search.rs
@@ -43,8 +43,14 @@
     pub version: Option<SoftwareVersion>,
     /// The name of the kind of testimony that it follows from; empty if nobody can say.
     pub ground: &'static str,
-    /// The name of what this gateway could say itself.
+    /// The name of what this gateway could say itself when the search began.
     pub own: &'static str,
+    /// The name of what it could say when the search ended.
+    pub own_at_end: &'static str,
+    /// Age in milliseconds of the store's last answer when the search began.
+    pub store_age_ms: u64,
+    /// Revision of the mirror when the search began.
+    pub mirror_revision: u64,
     /// Number of other gateways that were asked.
     pub asked: usize,
     /// Number of other gateways that have answered.
@@ -136,6 +142,9 @@
     let own = own_testimony(shared, service, attempt);
     let found = FoundVersion {
         own: own.name(),
+        own_at_end: own.name(),
+        store_age_ms: shared.store_age_ms(),
+        mirror_revision: shared.mirror.lock().position().revision,
         stored: "unread",
         ..FoundVersion::default()
     };
@@ -154,6 +163,7 @@
         asked: search.asked.len(),
         answered: search.answered.len(),
         stored: search.store.name(),
+        own_at_end: own_testimony(shared, service, attempt).name(),
         ..found
     }
 }
