Tests of gateways that are out of step in a release, failing

A gateway that is cut off from the others and the store, or stands still, does not learn that workers of another version have joined. Streams that these begin through other gateways and that are taken up there go on at the version that it knows.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -9,6 +9,7 @@
 mod crashing_requests;
 mod departures;
 mod endless_answers;
+mod gateways_out_of_step;
 mod leaving_and_backoff;
 mod logs;
 mod mismatched_answers;
--- a/crates/cli/tests/gateway_platform/support/mod.rs
+++ b/crates/cli/tests/gateway_platform/support/mod.rs
@@ -342,17 +342,8 @@
     /// waits until all gateways know the links' addresses.
     pub async fn link_gateways(&self) -> Vec<Link> {
         let link = |gateway: &SiteGateway| {
-            let peers = gateway.addresses.peers.to_string();
             let link = Link::open(gateway.addresses.peers);
-            let entrance = link.listen_address.to_string();
-            for key in self.store.keys(GATEWAYS_PREFIX) {
-                let (entry, _) = self.store.get(&key).expect("the gateway's entry");
-                let entry = String::from_utf8(entry).expect("UTF-8");
-                if entry.starts_with(&peers) {
-                    let linked = entry.replacen(&peers, &entrance, 1);
-                    self.store.put_bytes(&key, linked.into_bytes());
-                }
-            }
+            self.announce_at(gateway.addresses.peers, link.listen_address);
             link
         };
         let links = self.gateways.iter().map(link).collect();
@@ -360,6 +351,35 @@
         links
     }
 
+    /// Announces all gateways with this address instead of their own ones.
+    pub fn announce_gateways_at(&self, address: SocketAddr) {
+        for gateway in &self.gateways {
+            self.announce_at(gateway.addresses.peers, address);
+            self.announce_at(gateway.addresses.load, address);
+        }
+    }
+
+    /// Replaces an address in the announcements of gateways.
+    fn announce_at(&self, own: SocketAddr, announced: SocketAddr) {
+        let (own, announced) = (own.to_string(), announced.to_string());
+        for key in self.store.keys(GATEWAYS_PREFIX) {
+            let (entry, _) = self.store.get(&key).expect("the gateway's entry");
+            let entry = String::from_utf8(entry).expect("UTF-8");
+            let words: Vec<&str> = entry.split(' ').collect();
+            if words.contains(&own.as_str()) {
+                let replace = |word: &&str| {
+                    if *word == own {
+                        announced.clone()
+                    } else {
+                        word.to_string()
+                    }
+                };
+                let words: Vec<String> = words.iter().map(replace).collect();
+                self.store.put_bytes(&key, words.join(" ").into_bytes());
+            }
+        }
+    }
+
     /// Kills all gateways, and starts the same number of new ones.
     pub fn restart_all_gateways(&mut self) {
         let count = self.gateways.len();
--- a/crates/cli/tests/gateway_platform/support/workers.rs
+++ b/crates/cli/tests/gateway_platform/support/workers.rs
@@ -31,6 +31,20 @@
         service: &'static str,
         version: &'static str,
         behaviour: Behaviour,
+    ) {
+        self.start_worker_of_version(service, version, behaviour);
+        for index in 0..self.gateways.len() {
+            self.wait_for_announced_workers(index, self.workers.len() as f64)
+                .await;
+        }
+    }
+
+    /// Adds a worker of a service with this software version.
+    pub fn start_worker_of_version(
+        &mut self,
+        service: &'static str,
+        version: &'static str,
+        behaviour: Behaviour,
     ) {
         let plan = WorkerPlan {
             version,
@@ -38,10 +52,6 @@
         };
         let worker = Worker::start(&self.store, plan, behaviour).expect("a free port");
         self.workers.push(SiteWorker { worker });
-        for index in 0..self.gateways.len() {
-            self.wait_for_announced_workers(index, self.workers.len() as f64)
-                .await;
-        }
     }
 
     /// Adds a worker of a service that keeps this name when it restarts, and waits until the first gateway knows it.
--- a/crates/cli/tests/gateway_platform/worker_versions.rs
+++ b/crates/cli/tests/gateway_platform/worker_versions.rs
@@ -24,24 +24,24 @@
 
 use crate::support::{send_request, take_up, Site, FIRST_VERSION, RESUMABLE};
 
-const SECOND_VERSION: &str = "v2";
-const WHOLE: Behaviour = Behaviour::Serve { events: 4 };
+pub const SECOND_VERSION: &str = "v2";
+pub const WHOLE: Behaviour = Behaviour::Serve { events: 4 };
 const ENDLESS: Behaviour = Behaviour::Pausing {
     events: 4,
     after: 2,
     pause_ms: 60_000,
 };
 /// Breaks off within the third event.
-const BROKEN: Behaviour = Behaviour::AbortAnswer { events: 2 };
+pub const BROKEN: Behaviour = Behaviour::AbortAnswer { events: 2 };
 /// Breaks new streams off within the third event, and continues others.
 const BROKEN_OR_RESUMED: Behaviour = Behaviour::Scripted {
     begun: &["1", "2"],
     breaks_off: true,
     resumed: &["3", "4"],
 };
-const LAST_EVENT: &str = "2";
-const FIRST_EVENTS: &[u8] = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
-const LAST_EVENTS: &[u8] = b"id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n";
+pub const LAST_EVENT: &str = "2";
+pub const FIRST_EVENTS: &[u8] = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
+pub const LAST_EVENTS: &[u8] = b"id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n";
 const REQUESTS: usize = 10;
 /// Number of times that the same stream is taken up.
 const TAKE_UPS: usize = 4;
@@ -52,9 +52,9 @@
 /// Timeout of a route whose callers may return for twice as long.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(6);
 /// Timeout of a route in a test that waits until callers are assumed to have returned.
-const SHORT_TIMEOUT: Duration = Duration::from_secs(3);
-const OLD: usize = 0;
-const NEW: usize = 1;
+pub const SHORT_TIMEOUT: Duration = Duration::from_secs(3);
+pub const OLD: usize = 0;
+pub const NEW: usize = 1;
 
 /// Starts a site with a worker of each version.
 async fn start_site(gateways: usize, behaviour: Behaviour) -> Site {
@@ -65,13 +65,13 @@
 }
 
 /// Returns the number of streams that a worker has continued.
-fn continued(site: &Site, worker: usize) -> usize {
+pub fn continued(site: &Site, worker: usize) -> usize {
     let runs = site.workers[worker].worker.runs();
     runs.iter().filter(|run| run.last_event.is_some()).count()
 }
 
 /// Lets a worker begin a stream for the first gateway and break off. Returns the id of the attempt.
-async fn begin_stream(site: &Site, beginner: usize) -> String {
+pub async fn begin_stream(site: &Site, beginner: usize) -> String {
     for (index, other) in site.workers.iter().enumerate() {
         let is_beginner = index == beginner;
         let behaviour = if is_beginner {
@@ -120,7 +120,7 @@
 }
 
 /// Waits until the versions of this many streams are recorded in the store.
-async fn wait_until_recorded(site: &Site, streams: usize) {
+pub async fn wait_until_recorded(site: &Site, streams: usize) {
     eventually("the versions of streams are recorded", || async {
         let items = site.store.values_with_prefix(RECORDS_PREFIX);
         let decode =
@@ -134,7 +134,7 @@
 }
 
 /// Waits until a gateway knows which versions have served for as long as a caller may return.
-async fn wait_until_watch_is_complete(site: &Site, gateway: usize) {
+pub async fn wait_until_watch_is_complete(site: &Site, gateway: usize) {
     eventually("the gateway knows which versions have served", || async {
         let metric = site.gateways[gateway].metric("gateway_version_watch_complete");
         (metric.await? == 1.0).then_some(())
