One version alone is concluded only after a read of the store

Callers saw streams joined from two software versions: begun at a worker that had joined during a release, taken up at a gateway that was cut off or stood still, and continued by a worker of the other version.

Cause: a gateway testified that one version alone served as long as the store's last answer was less than 3 s old, and concluded from that when nobody contradicted. The worker of a new version needs less time to begin streams. Log of the failing tests: own testimony `only` at both ends of the search, no answers, age of the store's answer 1165 and 2086 ms.

Now a conclusion from `only` needs a read of the store that began after the take-up, and the mirror brought up to its revision. Each worker that can have begun the stream is in the store by then. The conclusion is about the past and stays true however late it is used, so that no limit of time is involved. A gateway that the store does not answer lets two others read it. Old builds answer such a question as before, without the new field, and are not taken for confirmed.

The property test of the evidence now demands the confirmation as well.

--- a/crates/cli/tests/duty_counterexamples.rs
+++ b/crates/cli/tests/duty_counterexamples.rs
@@ -231,6 +231,7 @@
         };
         Ok(RangeOutcome {
             entries: vec![entry],
+            epoch: self.epoch(),
             revision: Revision(self.store.revision.get()),
         })
     }
--- a/crates/forwarding/src/stream_versions.rs
+++ b/crates/forwarding/src/stream_versions.rs
@@ -292,21 +292,39 @@
         self.streams.is_empty()
     }
 
+    /// Returns the versions of a service that this gateway has seen lately or that the store names.
+    pub fn served(&self, now: Timestamp, service: &ServiceName) -> BTreeSet<SoftwareVersion> {
+        let recorded = self.served.recorded(service);
+        let served = self.seen(now, service).chain(recorded);
+        served.cloned().collect()
+    }
+
+    /// Returns the versions of a service that have been seen since a caller of their streams can still return.
+    fn seen(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &SoftwareVersion> {
+        let history = self.services.get(service).into_iter();
+        let seen = history.flat_map(|history| &history.last_seen);
+        let seen = seen.filter(move |(_, last_seen)| now.since(**last_seen) <= LATEST_RETURN);
+        seen.map(|(version, _)| version)
+    }
+
     fn testimony_on(&self, now: Timestamp, service: &ServiceName, watch: Watch) -> Testimony {
         let Some(history) = self.services.get(service) else {
             return Testimony::Unsure;
         };
-        let has_served = |last_seen: &Timestamp| now.since(*last_seen) <= LATEST_RETURN;
-        let seen = history.last_seen.iter();
-        let seen = seen.filter(|(_, last_seen)| has_served(last_seen));
-        let seen: BTreeSet<&SoftwareVersion> = seen.map(|(version, _)| version).collect();
-        let recorded: BTreeSet<&SoftwareVersion> = self.served.recorded(service).collect();
-        if seen.union(&recorded).nth(1).is_some() {
+        if self.served(now, service).len() > 1 {
             return Testimony::Several;
         }
         let is_watched = watch.is_current && history.watched(now) >= watch.window;
-        match seen.intersection(&recorded).next() {
-            Some(version) if is_watched => Testimony::Only((*version).clone()),
+        let recorded: BTreeSet<&SoftwareVersion> = self.served.recorded(service).collect();
+        let mut named = self
+            .seen(now, service)
+            .filter(|version| recorded.contains(version));
+        match named.next() {
+            Some(version) if is_watched => Testimony::Only(version.clone()),
             _ => Testimony::Unsure,
         }
     }
@@ -357,12 +375,19 @@
 }
 
 /// What several gateways say about the version of one stream.
+///
+/// That one version alone serves is concluded only after a gateway has read the store since the caller took the stream up.
+/// What was heard before that, however lately, does not exclude that another version has begun the stream since then. What
+/// has been concluded holds however late it is used, because it is a fact of the past.
 #[derive(Debug, Default)]
 pub struct VersionEvidence {
     known: BTreeSet<SoftwareVersion>,
     only: BTreeSet<SoftwareVersion>,
     has_several: bool,
     only_count: usize,
+    /// The versions that have served before the stream was taken up, by gateways that have read the store since then;
+    /// `None` if none has.
+    confirmed: Option<BTreeSet<SoftwareVersion>>,
 }
 
 impl VersionEvidence {
@@ -381,11 +406,26 @@
         }
     }
 
+    /// Adds the versions that have served according to a gateway that has read the store since the stream was taken up.
+    pub fn confirm(&mut self, served: impl IntoIterator<Item = SoftwareVersion>) {
+        self.confirmed.get_or_insert_default().extend(served);
+    }
+
     /// Returns whether a gateway knows the stream.
     pub fn is_known(&self) -> bool {
         !self.known.is_empty()
     }
 
+    /// Returns whether a gateway has read the store since the stream was taken up.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed.is_some()
+    }
+
+    /// Returns whether the version follows as soon as a gateway confirms it.
+    pub fn lacks_confirmation(&self) -> bool {
+        !self.is_known() && !self.has_several && self.only.len() == 1 && !self.is_confirmed()
+    }
+
     /// Returns the name of the kind of testimony that the version follows from, `known` or `only`; empty without a version.
     pub fn ground(&self) -> &'static str {
         match (self.version(), self.is_known()) {
@@ -402,11 +442,15 @@
 
     /// Returns the version at which the stream began, or `None` if that does not follow from what was said.
     pub fn version(&self) -> Option<&SoftwareVersion> {
-        let candidates = match (self.is_known(), self.has_several) {
-            (true, _) => &self.known,
-            (false, false) => &self.only,
-            (false, true) => return None,
-        };
-        candidates.first().filter(|_| candidates.len() == 1)
+        if self.is_known() {
+            return single(&self.known);
+        }
+        let only = single(&self.only).filter(|_| !self.has_several)?;
+        let served = self.confirmed.as_ref()?;
+        served.iter().all(|version| version == only).then_some(only)
     }
 }
+
+fn single(versions: &BTreeSet<SoftwareVersion>) -> Option<&SoftwareVersion> {
+    versions.first().filter(|_| versions.len() == 1)
+}
--- a/crates/forwarding/tests/stream_versions.rs
+++ b/crates/forwarding/tests/stream_versions.rs
@@ -232,17 +232,24 @@
 proptest! {
     #![proptest_config(config_with_seed(SEED))]
 
-    /// A version is concluded only if nobody says anything else, or from those who know the stream.
+    /// A version is concluded only from those who know the stream, or if nobody says anything else and a gateway that has
+    /// read the store since the stream was taken up knows no other one.
     #[test]
-    fn a_version_is_never_guessed(said in prop::collection::vec(testimonies(), 0..6)) {
+    fn a_version_is_never_guessed(
+        said in prop::collection::vec(testimonies(), 0..6),
+        confirmed in prop::option::of(prop::collection::vec(prop::sample::select(vec!["v1", "v2"]), 0..3)),
+    ) {
         let mut evidence = VersionEvidence::default();
         said.iter().cloned().for_each(|testimony| evidence.add(testimony));
+        let confirmed: Option<Vec<_>> = confirmed.map(|names| names.into_iter().map(version).collect());
+        confirmed.iter().for_each(|served| evidence.confirm(served.clone()));
         let known: Vec<_> = said.iter().filter(|t| matches!(t, Testimony::Known(_))).collect();
         match evidence.version() {
             Some(version) if known.is_empty() => {
                 let agrees = |t: &Testimony| *t == Testimony::Only(version.clone()) || *t == Testimony::Unsure;
                 prop_assert!(said.iter().all(agrees));
                 prop_assert!(said.contains(&Testimony::Only(version.clone())));
+                prop_assert!(confirmed.is_some_and(|served| served.iter().all(|other| other == version)));
                 prop_assert_eq!(evidence.ground(), "only");
             }
             Some(version) => {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -375,6 +375,9 @@
         answered: usize,
         /// What the store said: `known`, `unknown`, `failed`, `silent`, or `unread` if it was not asked.
         stored: &'a str,
+        /// Who has read the store since the search began, without which `only` is not concluded: `store` (this gateway),
+        /// `gateway` (another one), or empty.
+        confirmed_by: &'a str,
         /// Milliseconds that the search took.
         took_ms: u64,
     },
--- a/crates/gateway/src/exchange/version.rs
+++ b/crates/gateway/src/exchange/version.rs
@@ -53,6 +53,7 @@
             asked: found.asked,
             answered: found.answered,
             stored: found.stored,
+            confirmed_by: found.confirmed_by,
             took_ms: saturating_millis(took),
         };
         let priority = match version {
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -215,15 +215,7 @@
         self.watch = Some(watch);
         record_store_answer(&self.shared, Duration::ZERO, known.epoch);
         self.record_regained();
-        let changes = events.into_iter().map(|event| change(event, known.epoch));
-        let changes: Vec<MirrorChange> = changes.collect();
-        let position = changes.iter().map(MirrorChange::position).max();
-        let mut mirror = self.shared.mirror.lock();
-        let touched = mirror.apply(changes, position.unwrap_or_default());
-        drop(mirror);
-        if touched.has_changes() {
-            refresh(&self.shared, &touched);
-        }
+        apply_events(&self.shared, events, known.epoch);
         Ok(())
     }
 
@@ -316,6 +308,40 @@
     }
 }
 
+/// Applies the events of a watch to the mirror.
+fn apply_events(shared: &Arc<Shared>, events: Vec<WatchEvent>, epoch: u64) {
+    let changes = events.into_iter().map(|event| change(event, epoch));
+    let changes: Vec<MirrorChange> = changes.collect();
+    let position = changes.iter().map(MirrorChange::position).max();
+    let mut mirror = shared.mirror.lock();
+    let touched = mirror.apply(changes, position.unwrap_or_default());
+    drop(mirror);
+    if touched.has_changes() {
+        refresh(shared, &touched);
+    }
+}
+
+/// Brings the mirror up to a position of the store, with a watch of its own if it is behind. Returns whether it has reached
+/// the position.
+pub async fn catch_up(shared: &Arc<Shared>, store: &dyn KeyValueStore, target: Position) -> bool {
+    let known = shared.mirror.lock().position();
+    if known >= target {
+        return true;
+    }
+    if known.is_start() || known.epoch != target.epoch {
+        return false;
+    }
+    let events = with_timeout(async {
+        let mut watch = store.watch(ALL_KEYS, Revision(known.revision + 1)).await?;
+        watch.next().await.transpose()
+    });
+    match events.await {
+        Ok(events) => apply_events(shared, events.unwrap_or_default(), known.epoch),
+        Err(error) => log::debug!("the mirror was not brought up to date: {error}"),
+    }
+    shared.mirror.lock().position() >= target
+}
+
 /// Records that the store gave this gateway itself an answer `age` ago.
 fn record_store_answer(shared: &Shared, age: Duration, epoch: u64) {
     let answer = StoreAnswer::direct(age, epoch);
--- a/crates/gateway/src/load_exchange.rs
+++ b/crates/gateway/src/load_exchange.rs
@@ -139,7 +139,7 @@
     MIN_REPORT_INTERVAL * u32::try_from(factor).unwrap_or(u32::MAX)
 }
 
-async fn receive(shared: &Shared) {
+async fn receive(shared: &Arc<Shared>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let Some((datagram, sender)) = shared.datagrams.receive(&mut buffer).await else {
--- a/crates/gateway/src/stream_versions/lookup.rs
+++ b/crates/gateway/src/stream_versions/lookup.rs
@@ -1,5 +1,8 @@
 //! Reads the versions of streams that are recorded in the store, for requests whose streams no gateway knows. All
 //! requests that wait when a read begins share it.
+//!
+//! The read also brings the mirror up to the store's revision. What the mirror contains then includes everything that was
+//! written before the requests arrived, whatever this gateway has missed.
 
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
@@ -9,8 +12,8 @@
 use futures_util::future::try_join_all;
 use parking_lot::Mutex;
 use prost::Message;
-use tansyhall_forwarding::{AttemptKey, ReadBudget, SoftwareVersion, StreamShard};
-use tansyhall_store::{KeyValue, KeyValueStore, StoreError};
+use tansyhall_forwarding::{AttemptKey, Position, ReadBudget, SoftwareVersion, StreamShard};
+use tansyhall_store::{KeyValue, KeyValueStore, RangeOutcome, StoreError};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::sleep;
 
@@ -18,17 +21,29 @@
 use super::recorder::shard_prefix;
 use super::RECORDS_PREFIX;
 use crate::fleet::Fleet;
+use crate::follower::catch_up;
 use crate::state::Shared;
 use crate::store_call::with_timeout;
 
 /// Pause between two reads.
 const READ_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after a restore of the store in which workers write their entries again.
+const RESTORE_RECOVERY: Duration = Duration::from_secs(3);
 /// Maximum number of requests that wait for a read. Further ones get no answer.
 const MAX_WAITING: usize = 4_096;
 
 /// The recorded versions of a stream: none if it is not recorded, and normally not more than one.
 pub type RecordedVersions = BTreeSet<SoftwareVersion>;
 
+/// What the store says about a stream.
+#[derive(Debug, Clone, Default)]
+pub struct StoredStream {
+    /// The versions at which it is recorded.
+    pub versions: RecordedVersions,
+    /// Whether the mirror contains everything that was written before the stream was looked for.
+    pub is_mirror_current: bool,
+}
+
 /// The streams that requests look for in the store.
 #[derive(Debug, Default)]
 pub struct Lookups {
@@ -38,13 +53,14 @@
 
 #[derive(Debug)]
 struct Lookup {
-    attempt: AttemptKey,
-    answer: oneshot::Sender<RecordedVersions>,
+    /// The attempt that brought the first event, if the caller names it.
+    attempt: Option<AttemptKey>,
+    answer: oneshot::Sender<StoredStream>,
 }
 
 impl Lookups {
     /// Looks for a stream in the store. Without an answer of the store, the sender is dropped.
-    pub fn request(&self, attempt: AttemptKey) -> oneshot::Receiver<RecordedVersions> {
+    pub fn request(&self, attempt: Option<AttemptKey>) -> oneshot::Receiver<StoredStream> {
         let (answer, receiver) = oneshot::channel();
         let mut waiting = self.waiting.lock();
         if waiting.len() < MAX_WAITING {
@@ -82,11 +98,17 @@
             continue;
         }
         let prefixes = prefixes(&fleet, &waiting);
-        budget.record_calls(shared.now(), fleet.len(), prefixes.len());
+        // One more call may be needed to bring the mirror up to date.
+        budget.record_calls(shared.now(), fleet.len(), prefixes.len() + 1);
         match read(&*store, &prefixes, &waiting).await {
-            Ok(mut found) => {
+            Ok((found, position)) => {
+                let is_mirror_current = is_mirror_current(&shared, &*store, position).await;
                 for Lookup { attempt, answer } in waiting {
-                    let _ = answer.send(found.remove(&attempt).unwrap_or_default());
+                    let versions = attempt.and_then(|attempt| found.get(&attempt).cloned());
+                    let _ = answer.send(StoredStream {
+                        versions: versions.unwrap_or_default(),
+                        is_mirror_current,
+                    });
                 }
             }
             Err(error) => {
@@ -98,24 +120,39 @@
     }
 }
 
+/// Brings the mirror up to a position of the store. Returns whether it contains everything that was written before. A store
+/// that was restored lately may lack entries that are about to be written again.
+async fn is_mirror_current(
+    shared: &Arc<Shared>,
+    store: &dyn KeyValueStore,
+    position: Position,
+) -> bool {
+    let is_current = catch_up(shared, store, position).await;
+    let contact = &shared.store_contact;
+    is_current && !contact.was_restored_within(shared.now(), RESTORE_RECOVERY)
+}
+
+/// Reads the records. Returns the versions of the streams and the position of the store.
 async fn read(
     store: &dyn KeyValueStore,
     prefixes: &BTreeSet<String>,
     lookups: &[Lookup],
-) -> Result<HashMap<AttemptKey, RecordedVersions>, StoreError> {
+) -> Result<(HashMap<AttemptKey, RecordedVersions>, Position), StoreError> {
     let ranges = prefixes
         .iter()
         .map(|prefix| with_timeout(store.range(prefix)));
     let ranges = try_join_all(ranges).await?;
+    let position_of = |range: &RangeOutcome| Position::new(range.epoch.0, range.revision.0);
+    let position = ranges.iter().map(position_of).max();
     let entries = ranges.into_iter().flat_map(|range| range.entries);
     let mut found: HashMap<AttemptKey, RecordedVersions> = lookups
         .iter()
-        .map(|lookup| (lookup.attempt, RecordedVersions::new()))
+        .filter_map(|lookup| Some((lookup.attempt?, RecordedVersions::new())))
         .collect();
     for entry in entries {
         add_matches(&entry, &mut found);
     }
-    Ok(found)
+    Ok((found, position.unwrap_or_default()))
 }
 
 /// Returns the prefixes of the records that may contain these streams. A large fleet may have been small when they began.
@@ -123,10 +160,9 @@
     if !fleet.recorders.is_divided() {
         return BTreeSet::from([RECORDS_PREFIX.to_owned()]);
     }
-    let parts = lookups
-        .iter()
-        .map(|lookup| StreamShard::part_of(lookup.attempt));
-    let shards = parts.chain([StreamShard::Whole]);
+    let attempts = lookups.iter().filter_map(|lookup| lookup.attempt);
+    let shards = attempts.map(StreamShard::part_of);
+    let shards = shards.chain([StreamShard::Whole]);
     shards.map(shard_prefix).collect()
 }
 
--- a/crates/gateway/src/stream_versions/message.rs
+++ b/crates/gateway/src/stream_versions/message.rs
@@ -80,6 +80,9 @@
     /// Key of the attempt that brought its first event, if the caller names one.
     #[prost(fixed64, optional, tag = "3")]
     pub attempt: Option<u64>,
+    /// Whether the gateway is to read the store before it answers. Gateways of earlier versions answer at once.
+    #[prost(bool, tag = "4")]
+    pub confirms: bool,
 }
 
 /// The answer to [`VersionQuestionMessage`].
@@ -94,6 +97,9 @@
     /// The version that it names, if it names one.
     #[prost(string, tag = "3")]
     pub version: String,
+    /// Whether the gateway has read the store since it was asked.
+    #[prost(bool, tag = "4")]
+    pub confirmed: bool,
 }
 
 /// Asks another gateway which versions it has seen.
@@ -245,7 +251,7 @@
 
 impl VersionAnswerMessage {
     /// Creates the answer to the question with this number.
-    pub fn new(number: u64, testimony: &Testimony) -> Self {
+    pub fn new(number: u64, testimony: &Testimony, confirmed: bool) -> Self {
         let (kind, version) = match testimony {
             Testimony::Known(version) => (TestimonyKind::Known, version.as_str()),
             Testimony::Only(version) => (TestimonyKind::Only, version.as_str()),
@@ -256,6 +262,7 @@
             number,
             kind: kind as i32,
             version: version.to_owned(),
+            confirmed,
         }
     }
 
--- a/crates/gateway/src/stream_versions/mod.rs
+++ b/crates/gateway/src/stream_versions/mod.rs
@@ -13,7 +13,6 @@
 mod telling;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,8 +20,7 @@
 use parking_lot::Mutex;
 use tansyhall_core::ServiceName;
 use tansyhall_forwarding::{
-    AttemptKey, SoftwareVersion, StreamHandover, StreamRecord, StreamRecords, StreamVersions,
-    Testimony, Watch,
+    AttemptKey, SoftwareVersion, StreamHandover, StreamRecord, StreamRecords, StreamVersions, Watch,
 };
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -30,6 +28,7 @@
 use crate::state::Shared;
 use history::OpenHistoryQuestion;
 use lookup::Lookups;
+use search::VersionAnswer;
 
 pub use history::{receive_history_answer, receive_history_question};
 pub use lookup::read_records;
@@ -61,7 +60,7 @@
     lookups: Lookups,
     /// The question which versions have served before this gateway began to watch.
     history_question: Mutex<Option<OpenHistoryQuestion>>,
-    questions: Mutex<HashMap<u64, mpsc::UnboundedSender<(SocketAddr, Testimony)>>>,
+    questions: Mutex<HashMap<u64, mpsc::UnboundedSender<VersionAnswer>>>,
     next_question: AtomicU64,
 }
 
--- a/crates/gateway/tests/stream_version_messages.rs
+++ b/crates/gateway/tests/stream_version_messages.rs
@@ -41,10 +41,13 @@
         Testimony::Unsure,
     ];
     for testimony in testimonies {
-        let answer = VersionAnswerMessage::new(7, &testimony);
-        let received = sent(&Datagram::version_answer(answer)).version_answer;
-        let received = received.expect("an answer");
-        assert_eq!((received.number, received.testimony()), (7, testimony));
+        for confirmed in [false, true] {
+            let answer = VersionAnswerMessage::new(7, &testimony, confirmed);
+            let received = sent(&Datagram::version_answer(answer)).version_answer;
+            let received = received.expect("an answer");
+            assert_eq!((received.number, received.confirmed), (7, confirmed));
+            assert_eq!(received.testimony(), testimony);
+        }
     }
 }
 
@@ -54,6 +57,7 @@
         number: 7,
         kind: 9,
         version: "v1".into(),
+        confirmed: false,
     };
     assert_eq!(answer.testimony(), Testimony::Unsure);
 }
@@ -66,6 +70,7 @@
         number: 7,
         service: "llm".into(),
         attempt: Some(5),
+        confirms: false,
     };
     let told = Datagram::streams(StreamsMessage { streams });
     let received = sent(&told).streams.expect("streams");
--- a/crates/node/tests/configuration_store.rs
+++ b/crates/node/tests/configuration_store.rs
@@ -149,6 +149,7 @@
         entries.sort_by(|left, right| left.key.cmp(&right.key));
         Ok(RangeOutcome {
             entries,
+            epoch: self.epoch(),
             revision: service.revision,
         })
     }
--- a/crates/store/src/etcd.rs
+++ b/crates/store/src/etcd.rs
@@ -273,6 +273,7 @@
             .collect();
         Ok(RangeOutcome {
             entries: entries?,
+            epoch: self.epoch(),
             revision: Revision(answer.header.revision),
         })
     }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -89,6 +89,8 @@
 pub struct RangeOutcome {
     /// The entries, in the order of their keys.
     pub entries: Vec<KeyValue>,
+    /// The epoch of the store at the read.
+    pub epoch: StoreEpoch,
     /// The store's revision at the read.
     pub revision: Revision,
 }
@@ -162,7 +164,7 @@
             .retain(|entry| after.is_none_or(|after| entry.key.as_str() > after));
         Ok(RangePage {
             entries: range.entries,
-            epoch: self.epoch(),
+            epoch: range.epoch,
             revision: range.revision,
             has_more: false,
         })
