Gateways that know the same dead workers do not refuse the living ones

What callers saw: 503 `no_path` for all requests at both of two gateways while a worker that would have served them was never tried.

Cause: a gateway took failed connections to most of the announced workers (eight in a large fleet) for a missing path. The gateway that it asks for a relay connects to the same dead workers, counts the same failures and answers that it is partitioned, so that each confirmed the other's doubt. Nothing but a first answer on a new connection ends this, and no request gets that far.

Change: failures of connections for requests no longer prove a missing path. A gateway that fails to reach two workers connects to a random sample of all workers at the same time, 16 or all of a smaller fleet, instead of to one every 500 ms. It refuses for lack of a path, or tells others that it is partitioned, only if it reached none of the sample and no connection has succeeded since. Until then, requests go on to other workers, within the limit of undelivered sends.

Tests: `some_workers_that_end_together_are_not_a_missing_path` and `a_relay_at_which_a_few_workers_have_ended_stays_usable` now demand the same where all but one have ended. `gateways_that_all_reach_no_worker_do_not_ask_in_circles` and `two_gateways_that_reach_no_worker_refuse_requests_and_blame_no_worker` let the gateways take their sample before they expect `NoPath`, as that is now the proof; what they check is unchanged.

--- a/crates/cli/tests/gateway_platform/path_faults.rs
+++ b/crates/cli/tests/gateway_platform/path_faults.rs
@@ -14,6 +14,7 @@
 use crate::support::{send_request, Site, WorkerSpec, REPEATABLE};
 
 const RUNNING: WorkerSpec = ("app", None, Behaviour::Hang);
+const SERVING: WorkerSpec = ("app", None, Behaviour::Serve { events: 0 });
 const WORKERS: usize = 5;
 /// Number of identical requests, enough to run at several workers at the same time.
 const REQUESTS: usize = 4 * WORKERS;
@@ -80,3 +81,23 @@
 async fn gateways_whose_paths_to_all_workers_are_refused_count_no_ends() {
     assert_a_fault_of_all_paths_is_not_an_end(3).await;
 }
+
+/// Guards against two gateways that refuse each other the only living worker, which neither has tried, because both fail
+/// to reach the same dead ones.
+#[actix_rt::test]
+async fn gateways_that_both_know_dead_workers_serve_from_the_only_living_one() {
+    for dead in [2, 4, 8] {
+        let site = Site::start(&[SERVING].repeat(1 + dead), 2).await;
+        site.wait_until_gateways_know_each_other().await;
+        for worker in &site.workers[1..] {
+            worker.worker.stop().await;
+        }
+        let mut statuses = Vec::new();
+        for number in 0..REQUESTS {
+            let gateway = &site.gateways[number % 2];
+            let answer = send_request(gateway, &format!("r-{number}"), REPEATABLE, BODY).await;
+            statuses.push(answer.status);
+        }
+        assert_eq!(statuses, [200; REQUESTS], "{dead} dead workers");
+    }
+}
--- a/crates/forwarding/src/worker_paths.rs
+++ b/crates/forwarding/src/worker_paths.rs
@@ -7,6 +7,10 @@
 //!
 //! While any worker is reached through relays, the direct path is probed. The first direct connection that succeeds ends
 //! a partition.
+//!
+//! Several workers that have ended look like a path that fails, also to a relay, which connects to the same ones. So a
+//! gateway that fails to reach several workers connects to a random sample of all of them, and refuses requests, or
+//! calls itself partitioned, only if it reaches none of the sample.
 
 use std::collections::{BTreeSet, HashMap};
 use std::ops::Bound;
@@ -18,9 +22,8 @@
 
 /// Number of distinct workers that are unreachable before this gateway counts as partitioned, if it knows as many.
 pub const PARTITION_WORKERS: usize = 2;
-/// Largest number of distinct workers that have to be unreachable before a gateway that no relay has helped refuses
-/// requests; in a small fleet, most of the workers.
-pub const MAX_NO_PATH_WORKERS: usize = 8;
+/// Maximum number of workers in a sample. A smaller fleet is sampled completely.
+pub const MAX_SAMPLED_WORKERS: usize = 16;
 /// Shortest time between two probes of the direct path.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a peer is not asked after it was unavailable. Builds without relays refuse connections, and so does a gateway
@@ -166,8 +169,8 @@
     RelayedWorker(WorkerId),
     /// A worker that was silent.
     SilentWorker(WorkerId),
-    /// Any worker.
-    AnyWorker,
+    /// A random sample of up to [`MAX_SAMPLED_WORKERS`] workers.
+    Sample,
 }
 
 /// A gateway that may be asked to relay connections.
@@ -202,6 +205,10 @@
     known_workers: usize,
     /// Workers that direct connections did not reach since the last one that succeeded.
     failures: HashMap<WorkerId, DirectFailure>,
+    /// When the connections of the last sample that reached no worker began.
+    unreached_sample_at: Timestamp,
+    /// When the newest direct connection that has succeeded was opened.
+    last_reached_at: Timestamp,
     partition: Option<Partition>,
     /// Workers that a relay reaches and this gateway does not.
     relayed: BTreeSet<WorkerId>,
@@ -222,6 +229,8 @@
             zone,
             known_workers: PARTITION_WORKERS,
             failures: HashMap::new(),
+            unreached_sample_at: Timestamp::default(),
+            last_reached_at: Timestamp::default(),
             partition: None,
             relayed: BTreeSet::new(),
             paused_peers: HashMap::new(),
@@ -274,11 +283,20 @@
         self.path_to(worker) != WorkerPath::DirectFirst || self.recent_failures(now).count() > 0
     }
 
-    /// Returns whether this gateway is partitioned, or fails to reach most of the announced workers. Several workers that
-    /// end at the same time must not look like a path that fails.
+    /// Returns whether this gateway is partitioned, or has reached no worker of a sample and none since. Failures of
+    /// connections for requests do not suffice: they are no random choice, and a worker that was not tried may be
+    /// reachable.
     pub fn reaches_no_worker(&self, now: Timestamp) -> bool {
-        let threshold = (self.known_workers / 2 + 1).clamp(PARTITION_WORKERS, MAX_NO_PATH_WORKERS);
-        self.is_partitioned() || self.recent_failures(now).count() >= threshold
+        let is_recent = now.since(self.unreached_sample_at) < FAILURE_MEMORY;
+        let is_unreached = is_recent && self.unreached_sample_at > self.last_reached_at;
+        self.is_partitioned() || is_unreached
+    }
+
+    /// Records that no direct connection to the workers of a sample has succeeded. The connections began at `began_at`.
+    pub fn record_unreached_sample(&mut self, began_at: Timestamp, workers: usize) {
+        if workers >= PARTITION_WORKERS {
+            self.unreached_sample_at = began_at;
+        }
     }
 
     /// Returns which idle connections to a worker may still be used.
@@ -327,6 +345,7 @@
         worker: &WorkerId,
         opened_at: Timestamp,
     ) -> Option<PathChange> {
+        self.last_reached_at = self.last_reached_at.max(opened_at);
         self.failures
             .retain(|_, failure| failure.last_at > opened_at);
         let is_ended = |partition: &mut Partition| partition.detected_at <= opened_at;
@@ -513,7 +532,7 @@
 
     fn next_probe(&mut self, now: Timestamp) -> Option<Probe> {
         if self.may_be_partitioned(now) {
-            return Some(Probe::AnyWorker);
+            return Some(Probe::Sample);
         }
         if let Some(worker) = self.wanted_probe.take() {
             return Some(Probe::SilentWorker(worker));
--- a/crates/forwarding/tests/worker_paths.rs
+++ b/crates/forwarding/tests/worker_paths.rs
@@ -6,7 +6,9 @@
 use proptest::prelude::*;
 use tansyhall_core::{Timestamp, ZoneName};
 use tansyhall_fixed_cases::config_with_seed;
-use tansyhall_forwarding::worker_paths::{MAX_FAILURES, PROBE_INTERVAL, UNAVAILABLE_PAUSE};
+use tansyhall_forwarding::worker_paths::{
+    FAILURE_MEMORY, MAX_FAILURES, PROBE_INTERVAL, UNAVAILABLE_PAUSE,
+};
 use tansyhall_forwarding::{
     ConnectFailure, DirectOutcome, PathChange, Probe, RelayOutcome, RelayPeer, WorkerId,
     WorkerPath, WorkerPaths,
@@ -284,6 +286,7 @@
     for number in 0..=WORKERS / 2 {
         paths.record_direct(at(2), &worker(number), refused);
     }
+    paths.record_unreached_sample(at(2), WORKERS);
     paths.record_relayed(at(2), &peer(1), &worker(1), outcome);
     // The peer is not asked again for a while, and what it said still counts.
     for relayed in [vec![outcome], vec![]] {
@@ -292,23 +295,36 @@
     }
 }
 
-/// Guards against a gateway that refuses requests because a few workers have ended at the same time.
+/// Guards against a gateway that refuses requests because most workers have ended and a relay may be partitioned.
 #[test]
-fn some_workers_that_end_together_are_not_a_missing_path() {
+fn workers_that_end_together_are_not_a_missing_path() {
     let mut paths = paths();
     let refused = DirectOutcome::Refused;
-    for number in 0..WORKERS / 2 {
+    for number in 0..WORKERS - 1 {
         paths.record_direct(at(1), &worker(number), refused);
     }
     let outcome = RelayOutcome::RelayPartitioned;
     paths.record_relayed(at(1), &peer(1), &worker(0), outcome);
     let classified = paths.classify_failure(at(1), Some(refused), &[outcome]);
     assert_eq!(classified, ConnectFailure::WorkerUnreachable);
-    assert_eq!(paths.take_due_probe(at(1)), Some(Probe::AnyWorker));
+    assert_eq!(paths.take_due_probe(at(1)), Some(Probe::Sample));
     paths.record_direct(at(2), &worker(WORKERS - 1), DirectOutcome::Connected);
     assert!(!paths.may_be_partitioned(at(2)));
 }
 
+#[test]
+fn a_sample_proves_nothing_once_a_later_connection_has_succeeded() {
+    let mut paths = paths();
+    paths.record_unreached_sample(at(5), 1);
+    assert!(!paths.reaches_no_worker(at(6)), "a sample of one worker");
+    paths.record_unreached_sample(at(5), WORKERS);
+    paths.record_answered(&worker(0), at(4));
+    assert!(paths.reaches_no_worker(at(6)));
+    assert!(!paths.reaches_no_worker(at(5) + FAILURE_MEMORY));
+    paths.record_answered(&worker(0), at(5));
+    assert!(!paths.reaches_no_worker(at(6)));
+}
+
 #[test]
 fn no_probe_is_due_while_no_path_fails() {
     let mut paths = paths();
--- a/crates/gateway/src/worker_relay/probes.rs
+++ b/crates/gateway/src/worker_relay/probes.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
+use rand::seq::IteratorRandom;
+use tansyhall_forwarding::worker_paths::MAX_SAMPLED_WORKERS;
 use tansyhall_forwarding::{Probe, WorkerId};
 use tokio::time::sleep;
 
@@ -21,7 +24,7 @@
             Some(Probe::RelayedWorker(worker)) => {
                 is_reached(&relays, &worker).await;
             }
-            Some(Probe::AnyWorker) => probe_any_worker(&relays, None).await,
+            Some(Probe::Sample) => probe_sample(&relays).await,
             None => {}
         }
     }
@@ -38,28 +41,28 @@
     }
     let checked = relays.check_through_relays(worker, address).await;
     if checked == RelayedCheck::Connected && !relays.is_partitioned() {
-        probe_any_worker(relays, Some(worker)).await;
+        if let Some(other) = random_workers(relays, 1, Some(worker)).first() {
+            is_reached(relays, other).await;
+        }
     }
 }
 
-async fn probe_any_worker(relays: &WorkerRelays, except: Option<&WorkerId>) {
-    if let Some(worker) = random_worker(relays, except) {
-        is_reached(relays, &worker).await;
+/// Probes a random sample of the workers at the same time.
+async fn probe_sample(relays: &WorkerRelays) {
+    let began_at = relays.clock.now();
+    let sample = random_workers(relays, MAX_SAMPLED_WORKERS, None);
+    let reached = join_all(sample.iter().map(|worker| is_reached(relays, worker))).await;
+    if !reached.contains(&true) {
+        let mut paths = relays.paths.lock();
+        paths.record_unreached_sample(began_at, sample.len());
     }
 }
 
-fn random_worker(relays: &WorkerRelays, except: Option<&WorkerId>) -> Option<WorkerId> {
+fn random_workers(relays: &WorkerRelays, count: usize, except: Option<&WorkerId>) -> Vec<WorkerId> {
     let directory = relays.directory.lock();
-    let candidates = || {
-        let announced = directory.announced_workers();
-        announced.filter(|worker| Some(&worker.id) != except)
-    };
-    let count = candidates().count();
-    if count == 0 {
-        return None;
-    }
-    let worker = candidates().nth(rand::random_range(0..count))?;
-    Some(worker.id.clone())
+    let announced = directory.announced_workers().map(|worker| &worker.id);
+    let candidates = announced.filter(|worker| Some(*worker) != except);
+    candidates.cloned().sample(&mut rand::rng(), count)
 }
 
 async fn is_reached(relays: &WorkerRelays, worker: &WorkerId) -> bool {
--- a/crates/gateway/tests/worker_relay.rs
+++ b/crates/gateway/tests/worker_relay.rs
@@ -591,14 +591,13 @@
     assert!(!own.relays.may_be_partitioned());
 }
 
-/// Guards against a relay that takes the end of a few workers for a partition of its own, so that it is not asked.
+/// Guards against a relay that takes the end of most workers for a partition of its own, so that it is not asked.
 #[actix_rt::test]
-async fn a_relay_at_which_a_few_workers_have_ended_stays_usable() {
-    let mut workers = Vec::new();
-    for number in 0..6 {
-        workers.push(echoing_worker(&format!("w-{number}")).await);
-    }
-    let ended = ["e-1", "e-2"].map(|name| worker_at(name, free_address()));
+async fn a_relay_at_which_most_workers_have_ended_stays_usable() {
+    let mut workers = vec![echoing_worker("w-1").await];
+    let ended: Vec<Worker> = (0..7)
+        .map(|number| worker_at(&format!("e-{number}"), free_address()))
+        .collect();
     workers.extend(ended.clone());
     let own = Gateway::start("g-1", "a", &workers).await;
     let relay = Gateway::start("g-2", "a", &workers).await;
@@ -625,6 +624,11 @@
             assert!(gateway.connect(worker).await.is_err());
         }
     }
+    for gateway in [&first, &second] {
+        let probing = actix_rt::spawn(probes::run(Arc::clone(&gateway.relays)));
+        eventually("a sample", || gateway.relays.reaches_no_worker()).await;
+        probing.abort();
+    }
     let attempts =
         || [&first, &second].map(|gateway| gateway.network.attempts.load(Ordering::SeqCst));
     let before = attempts();
