The age of an answer includes the time for which it lay unread

Seen: a gateway that stood still with a call of the store in progress stated an age of 30 and 49 ms when the store had been silent for 366 and 455 ms; a subscriber with an unread answer of its relay stated 173 ms after 364 ms. By the code, the age could be too low by up to the time-outs of these calls, 1.4 and 0.7 s, and while the body of a gateway's answer arrives slowly by up to 10 s.

Cause: the age was counted from the reading of the answer.

Ruled out: counting all the time since the request. The store and relays wait up to 400 and 300 ms for a change, so a follower would state up to 0.9 s and a subscriber 1.2 s in calm, beyond the thresholds of 0.7 s (other gateways are polled) and 1.2 s (the store is asked instead of the relay).

Change: the time since the request, less the wait, counts towards the age. Gateways state their wait in the new header tansyhall-waited-ms. The store does not, nor do gateways of earlier builds: the longest wait that was asked for is assumed, so that an answer with a change may still be taken for up to 0.4 s too new. Gaps and testimonies are still counted from what an answer proves, so that a slow store is not taken for one that is unavailable.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -29,6 +29,7 @@
 mod support;
 mod tenants;
 mod unframed_streams;
+mod unread_answers;
 mod usage;
 mod worker_incarnations;
 mod worker_orders;
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -11,6 +11,7 @@
 use awc::Client;
 use futures_util::StreamExt;
 use tansyhall_admission::Backoff;
+use tansyhall_core::Timestamp;
 use tansyhall_forwarding::{
     Item, MirrorChange, Position, RelayCandidate, RelayPlan, Snapshot, StoreReadState, Upstream,
 };
@@ -24,7 +25,7 @@
 use crate::peers::{self, MAX_RELAY_WAIT};
 use crate::presence::{self, Member};
 use crate::state::Shared;
-use crate::store_call::with_timeout;
+use crate::store_call::{with_timeout, MAX_STORE_WAIT};
 use crate::store_contact::{log_regained_contact, StoreAnswer};
 
 mod first_copy;
@@ -206,6 +207,7 @@
             None if self.can_watch_from(known) => self.watch_after(known.revision).await?,
             None => return self.read_snapshot(None).await,
         };
+        let requested = self.shared.now();
         let result = with_timeout(async { watch.next().await.transpose() }).await;
         self.count_read(&result);
         self.record_epoch();
@@ -213,7 +215,10 @@
             return Err(StoreError::NotApplied("the store ended the watch".into()));
         };
         self.watch = Some(watch);
-        record_store_answer(&self.shared, Duration::ZERO, known.epoch);
+        let now = self.shared.now();
+        let transit = now.since(requested).saturating_sub(MAX_STORE_WAIT);
+        let answer = StoreAnswer::direct(Duration::ZERO, transit, known.epoch);
+        record_store_answer(&self.shared, now, answer);
         self.record_regained();
         apply_events(&self.shared, events, known.epoch);
         Ok(())
@@ -342,28 +347,51 @@
     shared.mirror.lock().position() >= target
 }
 
-/// Records that the store gave this gateway itself an answer `age` ago.
-fn record_store_answer(shared: &Shared, age: Duration, epoch: u64) {
-    let answer = StoreAnswer::direct(age, epoch);
+/// Records an answer that the store gave this gateway itself.
+fn record_store_answer(shared: &Shared, now: Timestamp, answer: StoreAnswer) {
     shared.store_contact.end_call(true);
-    let recorded = shared.store_contact.record_answer(shared.now(), answer);
+    let recorded = shared.store_contact.record_answer(now, answer);
     log_regained_contact(shared, recorded, None);
 }
 
+/// The first page of a snapshot of the store. What changes while the other pages are read need not be in the snapshot.
+struct FirstPage {
+    page: RangePage,
+    /// The longest time for which it may have been on its way.
+    transit: Duration,
+    read_at: Timestamp,
+}
+
+impl FirstPage {
+    async fn read(shared: &Shared, store: &dyn KeyValueStore) -> Result<Self, StoreError> {
+        let requested = shared.now();
+        let page = read_page(store, None).await?;
+        let read_at = shared.now();
+        Ok(Self {
+            page,
+            transit: read_at.since(requested),
+            read_at,
+        })
+    }
+}
+
 /// Reads a snapshot of the store page by page, and replaces the contents of the mirror with it. A refused page is
 /// requested again, so that many gateways that start together all succeed with a store that serves only some of them
 /// at a time.
 async fn read_all_pages(
     shared: &Arc<Shared>,
     store: &dyn KeyValueStore,
-    first_page: Option<RangePage>,
+    first_page: Option<FirstPage>,
 ) -> Result<(), StoreError> {
-    let mut page = match first_page {
-        Some(page) => page,
-        None => read_page(store, None).await?,
+    let first_page = match first_page {
+        Some(first_page) => first_page,
+        None => FirstPage::read(shared, store).await?,
     };
-    // What changes while the other pages are read need not be in the snapshot.
-    let read_at = shared.now();
+    let FirstPage {
+        mut page,
+        transit,
+        read_at,
+    } = first_page;
     let (epoch, revision) = (page.epoch, page.revision.0);
     let mut entries = page.entries;
     while let (true, Some(last)) = (page.has_more, entries.last()) {
@@ -379,8 +407,9 @@
         items: items.collect(),
         position: Position::new(epoch.0, revision),
     };
-    let age = shared.now().since(read_at);
-    record_store_answer(shared, age, epoch.0);
+    let now = shared.now();
+    let answer = StoreAnswer::direct(now.since(read_at), transit, epoch.0);
+    record_store_answer(shared, now, answer);
     record_store_revision(shared, revision);
     let touched = shared.mirror.lock().replace(snapshot);
     if touched.has_changes() {
--- a/crates/gateway/src/follower/first_copy.rs
+++ b/crates/gateway/src/follower/first_copy.rs
@@ -11,11 +11,11 @@
 use tansyhall_core::Timestamp;
 use tansyhall_forwarding::relay_plan::GATEWAYS_PER_RELAY;
 use tansyhall_forwarding::{RelayCandidate, Upstream};
-use tansyhall_store::{RangePage, StoreError};
+use tansyhall_store::StoreError;
 use tokio::time::sleep;
 
 use super::{
-    candidate, read_all_pages, read_page, Follower, MIN_RETRY_PAUSE, START_ANNOUNCEMENT_TIME,
+    candidate, read_all_pages, FirstPage, Follower, MIN_RETRY_PAUSE, START_ANNOUNCEMENT_TIME,
 };
 use crate::peers::{self, MAX_RELAY_WAIT};
 use crate::presence::{self, Member};
@@ -40,9 +40,9 @@
     async fn first_copy(&mut self) -> Result<(), StoreError> {
         let mut listed = self.list_gateways().await?;
         if listed.len() <= GATEWAYS_PER_RELAY {
-            let page = read_page(&*self.store, None).await?;
-            if !page.has_more {
-                return self.read_snapshot(Some(page)).await;
+            let first_page = FirstPage::read(&self.shared, &*self.store).await?;
+            if !first_page.page.has_more {
+                return self.read_snapshot(Some(first_page)).await;
             }
         }
         if !self.is_announced(&listed) {
@@ -149,7 +149,7 @@
     /// Reads a snapshot of the store. `first_page` is its first page if that has been read already.
     pub(super) async fn read_snapshot(
         &mut self,
-        first_page: Option<RangePage>,
+        first_page: Option<FirstPage>,
     ) -> Result<(), StoreError> {
         let result = read_all_pages(&self.shared, &*self.store, first_page).await;
         self.record_epoch();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -73,6 +73,8 @@
 const AVAILABLE_HEADER: HeaderName = HeaderName::from_static("tansyhall-store-available-ms");
 /// Header of an answer with the milliseconds of [`Testimony::returned_before`], if the store has returned.
 const RETURNED_HEADER: HeaderName = HeaderName::from_static("tansyhall-store-returned-ms");
+/// Header of an answer with the milliseconds for which the sender waited for changes. Older versions do not send it.
+const WAITED_HEADER: HeaderName = HeaderName::from_static("tansyhall-waited-ms");
 /// Age that is reported for information from an earlier epoch.
 const OBSOLETE_AGE: Duration = Duration::MAX;
 
@@ -105,11 +107,12 @@
     query: web::Query<ChangesQuery>,
     shared: web::Data<Arc<Shared>>,
 ) -> HttpResponse {
+    let received = shared.now();
     let wait = Duration::from_millis(query.wait_ms).min(MAX_CHANGES_WAIT);
     let mut position = shared.mirror_position.subscribe();
     let changed = position.wait_for(|position| *position > query.position(position.epoch));
     let _ = timeout(wait, changed).await;
-    let (head, mut message) = update_for(&shared, &query);
+    let (head, mut message) = update_for(&shared, &query, received);
     message.question = query.number;
     let mut answer = HttpResponse::Ok();
     answer.insert_header((EPOCH_HEADER, head.epoch));
@@ -119,14 +122,22 @@
             answer.insert_header((RETURNED_HEADER, saturating_millis(returned_before)));
         }
     }
+    if let Some(waited) = head.waited {
+        answer.insert_header((WAITED_HEADER, saturating_millis(waited)));
+    }
     if head.spans_gap {
         answer.insert_header((GAP_HEADER, "true"));
     }
     answer.body(message.encode_to_vec())
 }
 
-fn update_for(shared: &Shared, query: &ChangesQuery) -> (UpdateHead, UpdateMessage) {
-    let age = shared.store_contact.age(shared.now());
+fn update_for(
+    shared: &Shared,
+    query: &ChangesQuery,
+    received: Timestamp,
+) -> (UpdateHead, UpdateMessage) {
+    let now = shared.now();
+    let age = shared.store_contact.age(now);
     let plain_message =
         |update| UpdateMessage::new(update, age, &mut shared.deflated_values.lock());
     let mut cache = shared.update_cache.lock();
@@ -150,6 +161,7 @@
         epoch,
         spans_gap,
         testimony: Some(shared.store_contact.testimony()),
+        waited: Some(now.since(received)),
     };
     (head, message)
 }
@@ -161,8 +173,8 @@
         .finish()
 }
 
-/// Requests an update from a gateway, applies it, and returns the age of the gateway's information. An update of an
-/// earlier epoch is obsolete and is not applied.
+/// Requests an update from a gateway, applies it, and returns the age of the gateway's information when it answered. An
+/// update of an earlier epoch is obsolete and is not applied.
 pub async fn pull_update(
     client: &mut Client,
     peer: SocketAddr,
@@ -170,19 +182,23 @@
     shared: &Arc<Shared>,
 ) -> anyhow::Result<Duration> {
     let after = shared.mirror.lock().position();
+    let requested = shared.now();
     let ReceivedUpdate {
         update,
         epoch,
         age,
+        waited,
         testimony,
     } = fetch_update(client, peer, after, wait).await?;
+    let now = shared.now();
     let answer = StoreAnswer {
         age,
+        transit: now.since(requested).saturating_sub(waited.unwrap_or(wait)),
         epoch,
         heard_from: Some(peer),
         testimony,
     };
-    let recorded = shared.store_contact.record_answer(shared.now(), answer);
+    let recorded = shared.store_contact.record_answer(now, answer);
     log_regained_contact(shared, recorded, answer.heard_from);
     if !recorded.is_current_epoch {
         return Ok(OBSOLETE_AGE);
@@ -259,6 +275,7 @@
     let milliseconds = |name: HeaderName| headers.get(name).map(parse_number).transpose();
     let available_for = milliseconds(AVAILABLE_HEADER)?.map(Duration::from_millis);
     let returned_before = milliseconds(RETURNED_HEADER)?.map(Duration::from_millis);
+    let waited = milliseconds(WAITED_HEADER)?.map(Duration::from_millis);
     Ok(UpdateHead {
         epoch: epoch.unwrap_or(requested_after.epoch),
         spans_gap: headers.contains_key(GAP_HEADER),
@@ -266,6 +283,7 @@
             available_for,
             returned_before,
         }),
+        waited,
     })
 }
 
--- a/crates/gateway/src/store_call.rs
+++ b/crates/gateway/src/store_call.rs
@@ -9,6 +9,9 @@
 /// Timeout of one call, including the wait of a watch.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long the store may wait for a change before it answers a watch.
+pub const MAX_STORE_WAIT: Duration = Duration::from_millis(400);
+
 /// Returns the result of the call, or [`StoreError::Unknown`] if there was no answer in time.
 pub async fn with_timeout<T>(
     call: impl Future<Output = Result<T, StoreError>>,
--- a/crates/gateway/src/store_contact.rs
+++ b/crates/gateway/src/store_contact.rs
@@ -19,8 +19,10 @@
 /// An answer of the store that has reached this gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreAnswer {
-    /// Time since the store gave it.
+    /// Time since the store gave it, without `transit`.
     pub age: Duration,
+    /// The longest time for which it may have been on its way, or have lain unread.
+    pub transit: Duration,
     /// The epoch of the store.
     pub epoch: u64,
     /// The gateway that passed it on; `None` for the store itself.
@@ -40,10 +42,11 @@
 }
 
 impl StoreAnswer {
-    /// Returns an answer that the store itself gave `age` ago.
-    pub fn direct(age: Duration, epoch: u64) -> Self {
+    /// Returns an answer that this gateway got from the store itself, and read `age` ago.
+    pub fn direct(age: Duration, transit: Duration, epoch: u64) -> Self {
         Self {
             age,
+            transit,
             epoch,
             heard_from: None,
             testimony: None,
@@ -79,9 +82,12 @@
 
 #[derive(Debug, Default)]
 struct Contact {
+    /// The earliest time at which the store may have given the last answer.
     last_answer: Timestamp,
-    /// When the store gave the answer before the last one.
+    /// The same of the answer before the last one.
     previous_answer: Timestamp,
+    /// The latest time at which the store may have given the last answer, as far as known: it was available then.
+    last_proof: Timestamp,
     /// Since when the store has been available, as far as proven; `None` before the first answer.
     available_since: Option<Timestamp>,
     /// When the call began that is in progress.
@@ -106,20 +112,20 @@
 }
 
 impl Contact {
-    /// Records an answer that the store gave at `answered`. Returns the gap that it ends.
+    /// Records an answer that the store gave at `answered` at the latest. Returns the gap that it ends.
     fn record(&mut self, answered: Timestamp, answer: &StoreAnswer) -> Option<Gap> {
         let testimony = answer.testimony;
         let proven_since = testimony.map(|given| before(answered, given.available_for));
         if let Some(proven_since) = proven_since {
             self.learn_availability(proven_since);
         }
-        let length = answered.since(self.last_answer);
+        let length = answered.since(self.last_proof);
         if self.available_since.is_none() || length <= OUTAGE_THRESHOLD {
             self.available_since
                 .get_or_insert(proven_since.unwrap_or(answered));
             return None;
         }
-        let is_available_throughout = proven_since.is_some_and(|since| since <= self.last_answer);
+        let is_available_throughout = proven_since.is_some_and(|since| since <= self.last_proof);
         if is_available_throughout {
             return Some(Gap {
                 length,
@@ -127,7 +133,7 @@
             });
         }
         // The earliest of the times at which the store may have returned, as far as known.
-        let is_in_gap = |at: &Timestamp| *at > self.last_answer;
+        let is_in_gap = |at: &Timestamp| *at > self.last_proof;
         let unanswered = self.pending_call.max(self.last_failure).filter(is_in_gap);
         let stated = testimony.and_then(|given| given.returned_before);
         let stated = stated.map(|time| before(answered, time)).filter(is_in_gap);
@@ -144,7 +150,7 @@
         if let Some(at) = returned {
             self.last_return = Some(Return {
                 at,
-                last_answer_before: Some(self.last_answer),
+                last_answer_before: Some(self.last_proof),
             });
         }
         Some(Gap {
@@ -196,6 +202,8 @@
             contact.record_restore(now, answered);
         }
         // A relay may answer with older information than the answer before.
+        contact.last_proof = contact.last_proof.max(answered);
+        let answered = before(answered, answer.transit);
         contact.previous_answer = contact.last_answer.min(answered);
         contact.last_answer = contact.last_answer.max(answered);
         contact.heard_from = answer.heard_from;
--- a/crates/gateway/src/update_message.rs
+++ b/crates/gateway/src/update_message.rs
@@ -104,6 +104,8 @@
     pub spans_gap: bool,
     /// What the sender says of the store's availability. Older versions say nothing.
     pub testimony: Option<Testimony>,
+    /// How long the sender waited for changes before it answered. Older versions do not say it.
+    pub waited: Option<Duration>,
 }
 
 /// A received update.
@@ -113,8 +115,10 @@
     pub update: Option<MirrorUpdate>,
     /// The epoch of the sender's mirror.
     pub epoch: u64,
-    /// Time since the store last answered the sender or the gateway that the sender follows.
+    /// Time from the answer of the store that the sender's mirror is based on until the sender answered.
     pub age: Duration,
+    /// How long the sender waited for changes before it answered, if it says so.
+    pub waited: Option<Duration>,
     /// What the sender says of the store's availability before that answer.
     pub testimony: Option<Testimony>,
 }
@@ -175,6 +179,7 @@
             epoch,
             spans_gap,
             testimony,
+            waited,
         } = head;
         if !self.complete && !self.deflated_complete {
             return Err(Incomplete);
@@ -200,6 +205,7 @@
             update,
             epoch,
             age: Duration::from_millis(self.age_ms),
+            waited,
             testimony,
         })
     }
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -19,6 +19,7 @@
     epoch: EPOCH,
     spans_gap: true,
     testimony: Some(TESTIMONY),
+    waited: Some(Duration::from_millis(210)),
 };
 
 fn at(revision: u64) -> Position {
@@ -69,6 +70,7 @@
             update: update.clone(),
             epoch: EPOCH,
             age: AGE,
+            waited: HEAD.waited,
             testimony: HEAD.testimony,
         };
         assert_eq!(transported(update), Ok(received));
--- a/crates/gateway/tests/store_contact.rs
+++ b/crates/gateway/tests/store_contact.rs
@@ -9,7 +9,7 @@
 
 /// Returns an answer that the store itself gave this many milliseconds ago.
 fn answer(age_ms: u64) -> StoreAnswer {
-    StoreAnswer::direct(Duration::from_millis(age_ms), EPOCH)
+    StoreAnswer::direct(Duration::from_millis(age_ms), Duration::ZERO, EPOCH)
 }
 
 /// Guards against an old entry that counts as new, because the gateway learns of it when the store is
@@ -44,6 +44,40 @@
     );
 }
 
+/// Returns an answer that the store itself gave, and that may have been on its way for this many milliseconds.
+fn late_answer(transit_ms: u64) -> StoreAnswer {
+    let transit = Duration::from_millis(transit_ms);
+    StoreAnswer::direct(Duration::ZERO, transit, EPOCH)
+}
+
+/// Guards against a gateway that stood still and takes an answer that lay unread for a new one.
+#[test]
+fn an_answer_is_as_old_as_it_may_have_been_on_its_way() {
+    let contact = StoreContact::default();
+    let at = Timestamp::from_millis;
+    contact.record_answer(at(10_000), late_answer(300));
+    contact.record_answer(at(11_000), late_answer(900));
+    assert_eq!(contact.age(at(11_200)), Duration::from_millis(1_100));
+    let longest_delay = contact.longest_delay(at(11_000));
+    assert_eq!(longest_delay, Duration::from_millis(1_300));
+}
+
+/// Guards against a slow store that counts as unavailable between its answers.
+#[test]
+fn late_answers_are_no_gap() {
+    let contact = StoreContact::default();
+    for number in 0..4 {
+        let read = Timestamp::from_millis(10_000 + 1_200 * number);
+        fail_call(&contact, 10_000 + 1_200 * number - 100);
+        let recorded = contact.record_answer(read, late_answer(700));
+        assert_eq!(recorded.gap, None);
+    }
+    assert_eq!(contact.last_return(), None);
+    // Only an answer that has been read proves that the store was available.
+    let proven = Duration::from_millis(3 * 1_200 - 700);
+    assert_eq!(contact.testimony().available_for, proven);
+}
+
 /// A time without answers, and a call in it that fails, in milliseconds.
 const LAST_ANSWER_MS: u64 = 10_000;
 const FAILED_CALL_MS: u64 = 10_400;
@@ -148,7 +182,10 @@
 fn no_testimony_takes_a_restore_back() {
     let contact = contact_before_gap();
     let restored = Timestamp::from_millis(LAST_ANSWER_MS + 100);
-    contact.record_answer(restored, StoreAnswer::direct(Duration::ZERO, EPOCH + 1));
+    contact.record_answer(
+        restored,
+        StoreAnswer::direct(Duration::ZERO, Duration::ZERO, EPOCH + 1),
+    );
     let testimony = StoreAnswer {
         epoch: EPOCH + 1,
         ..passed_on(Some(60_000))
