A worker is asked for its start whenever it goes on with a stream

Callers who took a stream up got events of two software versions if a worker of the stream's version had restarted under its name and address with another one, and the gateway had had no connection to it: it knew only the earlier entry, and no loss of a connection made it ask the worker. Test: two gateways, two versions in service, six streams begun through the first gateway, both cut off from the store, the worker restarted, take-ups at the second.

A continuation now always raises the doubt that a lost connection raises. New streams are not asked for: a stream that a restarted worker begins is still bound to its earlier version.

--- a/crates/cli/tests/gateway_platform/restarted_versions.rs
+++ b/crates/cli/tests/gateway_platform/restarted_versions.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::support::{send_request, take_up, Site, RESUMABLE};
+use crate::worker_versions::{BROKEN, FIRST_EVENTS};
 
 const SECOND_VERSION: &str = "v2";
 const WHOLE: Behaviour = Behaviour::Serve { events: 4 };
@@ -28,9 +29,9 @@
 /// Time from the arrival of a request until its worker has sent the first event and not the second.
 const AFTER_FIRST_EVENT: Duration = Duration::from_millis(1_400);
 const LAST_EVENT: &str = "2";
-const FIRST_EVENTS: &[u8] = b"id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n";
 /// More than twice as many as the connections that a gateway may open to a worker.
 const MORE_THAN_ALL_CONNECTIONS: usize = 200;
+const STREAMS: usize = 6;
 
 /// Starts a site with a worker in another zone, and a nearer one that the gateway has lost and that has restarted with
 /// another version. The store answers the gateway no more, so that it knows only the earlier entry.
@@ -117,3 +118,35 @@
         );
     }
 }
+
+/// Guards against streams that are joined from two versions when they are taken up at a gateway that knows at which version
+/// they began, but not that a worker of this version has restarted with another one: it had no connection to that worker.
+#[actix_rt::test]
+async fn a_restarted_worker_continues_no_stream_for_a_gateway_without_connections_to_it() {
+    let mut site = Site::start(&[("app", None, Behaviour::NotRun)], 2).await;
+    site.add_worker_of_version("app", SECOND_VERSION, Behaviour::NotRun)
+        .await;
+    let worker = site.add_named_worker("steady-1", "app", BROKEN).await;
+    site.wait_for_announced_workers(1, 3.0).await;
+    site.wait_until_gateways_know_each_other().await;
+    let ids: Vec<String> = (0..STREAMS).map(|n| format!("stream-{n}")).collect();
+    for id in &ids {
+        let answer = send_request(&site.gateways[0], id, RESUMABLE, b"x").await;
+        assert_eq!(answer.body, FIRST_EVENTS);
+    }
+    for endpoint in &site.store_endpoints {
+        endpoint.set_fault(StoreFault::Refuse);
+    }
+    worker.stop().await;
+    let worker = worker
+        .restart(SECOND_VERSION)
+        .expect("the worker's port is free");
+    worker.set_behaviour(WHOLE);
+    for id in &ids {
+        let take_up_id = format!("take-up-{id}");
+        let gateway = &site.gateways[1];
+        let answer = take_up(gateway, &take_up_id, RESUMABLE, id, LAST_EVENT).await;
+        let body = String::from_utf8_lossy(&answer.body);
+        assert_ne!(answer.status, 200, "{body}");
+    }
+}
--- a/crates/forwarding/src/incarnation_doubts.rs
+++ b/crates/forwarding/src/incarnation_doubts.rs
@@ -5,11 +5,12 @@
 
 use crate::worker::WorkerId;
 
-/// Whether a worker still is the incarnation that its entry describes.
+/// Why a worker may not be the incarnation that its entry describes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Doubt {
-    /// A connection to it was lost. Losses are numbered, so that an answer about one does not settle a later one.
-    ConnectionLost(u64),
+    /// A connection to it was lost, or it goes on with a stream that another worker may have begun. The causes are numbered,
+    /// so that an answer about one does not settle a later one.
+    Open(u64),
     /// Another incarnation has answered at its address.
     Ended,
 }
@@ -19,17 +20,27 @@
 #[derive(Debug, Default)]
 pub struct IncarnationDoubts {
     doubts: HashMap<WorkerId, Doubt>,
-    losses: u64,
+    causes: u64,
 }
 
 impl IncarnationDoubts {
     /// Records that a connection to a worker was lost, or that its address refused one.
     pub fn record_loss(&mut self, worker: &WorkerId) {
+        self.record_cause(worker);
+    }
+
+    /// Records that a worker has begun to go on with a stream. It may have restarted before without the loss of a connection
+    /// to this gateway, which then knows only its earlier entry.
+    pub fn record_continuation(&mut self, worker: &WorkerId) {
+        self.record_cause(worker);
+    }
+
+    fn record_cause(&mut self, worker: &WorkerId) {
         if worker.started_at().is_none() || self.doubt(worker) == Some(Doubt::Ended) {
             return;
         }
-        self.losses += 1;
-        let doubt = Doubt::ConnectionLost(self.losses);
+        self.causes += 1;
+        let doubt = Doubt::Open(self.causes);
         self.doubts.insert(worker.clone(), doubt);
     }
 
--- a/crates/gateway/src/exchange/incarnation.rs
+++ b/crates/gateway/src/exchange/incarnation.rs
@@ -18,12 +18,16 @@
 
 impl Exchange {
     /// Returns whether the worker is the incarnation that its entry describes, as far as can be found out. A worker is
-    /// asked only after a loss of a connection. The incarnations at an address follow each other: if the announced one
-    /// answers after the stream has begun, it has begun the stream. One that cannot be asked is not believed, and is asked
-    /// again before the next stream.
+    /// asked after a loss of a connection, and whenever it goes on with a stream: it may have restarted while this gateway
+    /// had no connection to it, and the entry may be out of date. The incarnations at an address follow each other: if the
+    /// announced one answers after the stream has begun, it has begun the stream. One that cannot be asked is not believed,
+    /// and is asked again before the next stream.
     pub(super) async fn is_announced_incarnation(&self, destination: &Destination) -> bool {
         let worker = &destination.worker;
         let losses = &self.shared.connections.losses;
+        if self.version.is_some() {
+            losses.doubts.lock().record_continuation(worker);
+        }
         if losses.doubts.lock().doubt(worker).is_none() {
             return true;
         }
