A mirror is caught up by as many answers of a watch as it takes

Take-ups of streams were to be refused whenever the first answer of the watch that brings the mirror up to date does not reach the store's revision; the protocol does not promise that one answer holds all changes. By reading; no run has shown it.

The watch is now continued until the position is reached, within the time of one call. A watch also belongs to the latest epoch that any call has seen, so its changes are no longer taken for changes of the mirror's earlier epoch if the store was restored between the read and the watch.

--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -333,18 +333,26 @@
     if known >= target {
         return true;
     }
-    if known.is_start() || known.epoch != target.epoch {
+    // A watch belongs to the latest epoch, in which revisions after the mirror's may have been assigned again.
+    let is_latest_epoch = known.epoch == target.epoch && known.epoch == store.epoch().0;
+    if known.is_start() || !is_latest_epoch {
         return false;
     }
-    let events = with_timeout(async {
+    let position = || shared.mirror.lock().position();
+    let applied = with_timeout(async {
         let mut watch = store.watch(ALL_KEYS, Revision(known.revision + 1)).await?;
-        watch.next().await.transpose()
+        while position() < target {
+            match watch.next().await.transpose()? {
+                Some(events) if !events.is_empty() => apply_events(shared, events, known.epoch),
+                _ => break,
+            }
+        }
+        Ok(())
     });
-    match events.await {
-        Ok(events) => apply_events(shared, events.unwrap_or_default(), known.epoch),
-        Err(error) => log::debug!("the mirror was not brought up to date: {error}"),
+    if let Err(error) = applied.await {
+        log::debug!("the mirror was not brought up to date: {error}");
     }
-    shared.mirror.lock().position() >= target
+    position() >= target
 }
 
 /// Records an answer that the store gave this gateway itself.
