A stream that is recorded at two versions is confirmed at neither

A gateway that confirms for another one took the first of several recorded versions for the fact and answered `known`, so the stream could go on at the wrong one. A gateway that reads the records itself refuses such a stream. Records of two versions come about only if a gateway of an earlier build has continued a stream at another version. By reading; no run has shown it.

--- a/crates/gateway/src/stream_versions/search.rs
+++ b/crates/gateway/src/stream_versions/search.rs
@@ -431,6 +431,10 @@
     let Ok(Ok(stored)) = timeout(SEARCH_TIMEOUT, stored).await else {
         return;
     };
+    // A stream that is recorded at several versions is not known at any of them.
+    if stored.versions.len() > 1 {
+        return;
+    }
     if let (Some(attempt), Some(version)) = (attempt, stored.versions.first().cloned()) {
         let now = shared.now();
         let mut versions = shared.stream_versions.versions.lock();
