A gateway whose mirror has skipped changes testifies for no version

The gateway's watch counted as uninterrupted. A read of the store after the take-up does not help: nothing of the version is in the store any more.

Streams that the gateway began are told at once. A read of the store counts as a confirmation only if the gateway that has read it can testify itself: one that has just started has not seen what came and left before.

--- a/crates/cli/tests/gateway_platform/gateways_out_of_step.rs
+++ b/crates/cli/tests/gateway_platform/gateways_out_of_step.rs
@@ -9,6 +9,7 @@
 use futures_util::future::{join, join_all};
 use serde_json::json;
 use tansyhall_platform_standin::{Behaviour, StoreFault};
+use tansyhall_testing::eventually;
 use tokio::time::sleep;
 
 use crate::support::{send_request, take_up, CallerAnswer, Site, RESUMABLE};
@@ -69,6 +70,15 @@
     join_all(take_ups).await
 }
 
+/// Waits until the gateway that is out of step has the revision of the others.
+async fn wait_until_mirrors_are_equal(site: &Site) {
+    eventually("the mirrors are equal", || async {
+        let revision = |gateway: usize| site.gateways[gateway].metric("gateway_mirror_revision");
+        (revision(0).await? == revision(OUT_OF_STEP).await?).then_some(())
+    })
+    .await;
+}
+
 fn assert_refused(site: &Site, answers: &[CallerAnswer]) {
     let statuses: Vec<u16> = answers.iter().map(|answer| answer.status).collect();
     assert_eq!(statuses, vec![503; answers.len()]);
@@ -138,3 +148,20 @@
     assert_eq!((answer.status, answer.is_complete), (200, true));
     assert_eq!(answer.body, LAST_EVENTS);
 }
+
+/// Guards against streams that are joined from two versions at a gateway that has missed a version: it came and left while
+/// the gateway was cut off, the store's history of that time is gone, and the store does not name the version.
+#[actix_rt::test]
+async fn no_stream_is_joined_from_two_versions_at_a_gateway_that_has_missed_one() {
+    let (mut site, _silent) = start_site_of_separate_gateways().await;
+    for endpoint in &site.store_endpoints[..OUT_OF_STEP] {
+        endpoint.set_fault(StoreFault::RefuseLeases);
+    }
+    site.store_endpoints[OUT_OF_STEP].set_fault(StoreFault::Silent);
+    let streams = begin_streams_at_new_version(&mut site).await;
+    site.workers[NEW].worker.remove_entry();
+    site.store_endpoints[OUT_OF_STEP].set_fault(StoreFault::Compacted);
+    wait_until_mirrors_are_equal(&site).await;
+    let answers = take_all_up(&site, &streams).await;
+    assert_refused(&site, &answers);
+}
--- a/crates/forwarding/src/mirror.rs
+++ b/crates/forwarding/src/mirror.rs
@@ -109,6 +109,19 @@
     Snapshot(Snapshot),
 }
 
+impl MirrorUpdate {
+    /// Returns whether it contains every state that an item had between the two positions.
+    pub fn is_gapless(&self) -> bool {
+        matches!(
+            self,
+            Self::Changes {
+                spans_gap: false,
+                ..
+            }
+        )
+    }
+}
+
 /// The items of a mirror that a change has touched.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Touched {
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -27,6 +27,7 @@
 use crate::state::Shared;
 use crate::store_call::{with_timeout, MAX_STORE_WAIT};
 use crate::store_contact::{log_regained_contact, StoreAnswer};
+use crate::stream_versions;
 
 mod first_copy;
 
@@ -421,6 +422,7 @@
     record_store_revision(shared, revision);
     let touched = shared.mirror.lock().replace(snapshot);
     if touched.has_changes() {
+        stream_versions::interrupt_watch(shared);
         refresh(shared, &touched);
     }
     Ok(())
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -29,6 +29,7 @@
 use crate::presence::Member;
 use crate::state::{saturating_millis, Shared};
 use crate::store_contact::{log_regained_contact, StoreAnswer, Testimony};
+use crate::stream_versions;
 use crate::update_cache::UpdateAnswer;
 use crate::update_message::{ReceivedUpdate, UpdateHead, UpdateMessage};
 
@@ -204,8 +205,12 @@
         return Ok(OBSOLETE_AGE);
     }
     if let Some(update) = update {
+        let is_gapless = update.is_gapless();
         let touched = apply_update(shared, after, update);
         if touched.has_changes() {
+            if !is_gapless {
+                stream_versions::interrupt_watch(shared);
+            }
             refresh(shared, &touched);
         }
     }
--- a/crates/gateway/src/stream_versions/mod.rs
+++ b/crates/gateway/src/stream_versions/mod.rs
@@ -128,6 +128,15 @@
     telling::hand_over_overdue(shared, watch.record_retention);
 }
 
+/// Records that the mirror has skipped changes: a version may have come and left in between. Answers to a question from
+/// before that would join watches that do not overlap.
+pub fn interrupt_watch(shared: &Shared) {
+    let now = shared.now();
+    *shared.stream_versions.history_question.lock() = None;
+    let mut versions = shared.stream_versions.versions.lock();
+    versions.interrupt_watch(now);
+}
+
 /// Records the versions of all announced workers.
 fn review_workers(shared: &Shared) {
     let now = shared.now();
--- a/crates/gateway/src/stream_versions/search.rs
+++ b/crates/gateway/src/stream_versions/search.rs
@@ -357,9 +357,11 @@
         if !stored.is_mirror_current {
             return;
         }
-        self.confirmed_by = "store";
-        self.evidence.confirm(self.served());
-        self.add_own_testimony();
+        // Without a watch of its own, this gateway may have missed a version that has come and left.
+        if self.add_own_testimony() == "only" {
+            self.confirmed_by = "store";
+            self.evidence.confirm(self.served());
+        }
     }
 
     /// Returns the versions that have served as far as this gateway knows now.
