Take-ups share the reads of a gateway that has used up much of its share

Most streams of many lost gateways were refused.

Requests now gather before a read for up to 300 ms, in proportion to the used part of the burst, and the call that catches the mirror up is counted only if it is made. The test follows the same loop in the pure part.

--- a/crates/forwarding/src/read_budget.rs
+++ b/crates/forwarding/src/read_budget.rs
@@ -9,6 +9,8 @@
 const FLEET_CALL_INTERVAL: Duration = Duration::from_millis(10);
 /// Number of calls that a gateway may make at once after it made none for a while.
 const BURST: u32 = 20;
+/// Longest time for which requests are gathered before a read that they share.
+const MAX_GATHERING: Duration = Duration::from_millis(300);
 
 /// The calls of one gateway.
 #[derive(Debug, Default)]
@@ -24,6 +26,15 @@
         advance.saturating_sub(call_interval(gateways) * (BURST - 1))
     }
 
+    /// Returns how long the gateway should let requests gather before its next read. The time grows with the part of the
+    /// burst that is used up, so that the rest is enough for many requests that come one after the other.
+    pub fn gathering(&self, now: Timestamp, gateways: usize) -> Duration {
+        let advance = self.used_until.since(now).as_secs_f64();
+        let burst = (call_interval(gateways) * BURST).as_secs_f64();
+        let gathering = MAX_GATHERING.mul_f64((advance / burst).min(1.0));
+        gathering.max(self.wait(now, gateways))
+    }
+
     /// Records a number of calls.
     pub fn record_calls(&mut self, now: Timestamp, gateways: usize, calls: usize) {
         let calls = u32::try_from(calls).unwrap_or(u32::MAX);
--- a/crates/forwarding/tests/read_budget.rs
+++ b/crates/forwarding/tests/read_budget.rs
@@ -48,3 +48,44 @@
     let later = START + Duration::from_secs(200);
     assert_eq!(budget.wait(later, 986), Duration::ZERO);
 }
+
+/// Returns how many of the requests that arrive at these times share a read that begins within the time for which they
+/// wait, if each read takes three calls.
+fn requests_with_a_read(gateways: usize, arrivals: &[Duration]) -> usize {
+    const CALLS: usize = 3;
+    const READ_TIME: Duration = Duration::from_millis(70);
+    const PATIENCE: Duration = Duration::from_millis(500);
+    let mut budget = ReadBudget::default();
+    let mut now = START;
+    let mut served = 0;
+    let mut arrivals = arrivals.iter().map(|arrival| START + *arrival).peekable();
+    while let Some(first) = arrivals.next() {
+        now = now.max(first);
+        now = now + budget.gathering(now, gateways);
+        let mut waiting = vec![first];
+        while let Some(arrival) = arrivals.next_if(|arrival| *arrival <= now) {
+            waiting.push(arrival);
+        }
+        waiting.retain(|arrival| now.since(*arrival) <= PATIENCE);
+        if waiting.is_empty() {
+            continue;
+        }
+        budget.record_calls(now, gateways, CALLS);
+        served += waiting.len();
+        now = now + READ_TIME;
+    }
+    served
+}
+
+/// Guards against refusing streams that are taken up after the loss of many gateways, because the first of them have used up
+/// the reads that a gateway of a large fleet may make.
+#[test]
+fn streams_of_many_lost_gateways_share_the_reads_of_a_gateway() {
+    let arrivals: Vec<Duration> = (0..22)
+        .map(|number| Duration::from_millis(70) * number)
+        .collect();
+    for gateways in [3, 73, 395, 986] {
+        let served = requests_with_a_read(gateways, &arrivals);
+        assert!(served >= 20, "{gateways}: {served}");
+    }
+}
--- a/crates/gateway/src/stream_versions/lookup.rs
+++ b/crates/gateway/src/stream_versions/lookup.rs
@@ -92,16 +92,18 @@
     loop {
         lookups.requested.notified().await;
         let fleet = shared.fleet.read().clone();
-        sleep(budget.wait(shared.now(), fleet.len())).await;
+        sleep(budget.gathering(shared.now(), fleet.len())).await;
         let waiting = lookups.take();
         if waiting.is_empty() {
             continue;
         }
         let prefixes = prefixes(&fleet, &waiting);
-        // One more call may be needed to bring the mirror up to date.
-        budget.record_calls(shared.now(), fleet.len(), prefixes.len() + 1);
+        budget.record_calls(shared.now(), fleet.len(), prefixes.len());
         match read(&*store, &prefixes, &waiting).await {
             Ok((found, position)) => {
+                if shared.mirror.lock().position() < position {
+                    budget.record_calls(shared.now(), fleet.len(), 1);
+                }
                 let is_mirror_current = is_mirror_current(&shared, &*store, position).await;
                 for Lookup { attempt, answer } in waiting {
                     let versions = attempt.and_then(|attempt| found.get(&attempt).cloned());
