The end of an idle connection is a loss of a connection

Callers got answers of two software versions in one: a worker restarted under its name with another version while the gateway had only idle connections to it and its new entry was late. The pool dropped the closed connections without a word, so that no doubt about the worker arose; the stream that the new process began counted as one of the earlier version, and a worker of that version continued it. The design says that a process that ends loses its connections, but only those in use counted.

An idle connection that the worker has closed before it became too old for reuse now raises the same doubt. The price is one question for each worker that closes connections earlier than it announces, before its next resumable stream.

--- a/crates/cli/tests/gateway_platform/restarted_versions.rs
+++ b/crates/cli/tests/gateway_platform/restarted_versions.rs
@@ -32,6 +32,8 @@
 /// More than twice as many as the connections that a gateway may open to a worker.
 const MORE_THAN_ALL_CONNECTIONS: usize = 200;
 const STREAMS: usize = 6;
+/// Time within which a gateway notices that a worker has closed a connection.
+const CLOSING_TIME: Duration = Duration::from_millis(300);
 
 /// Starts a site with a worker in another zone, and a nearer one that the gateway has lost and that has restarted with
 /// another version. The store answers the gateway no more, so that it knows only the earlier entry.
@@ -150,3 +152,31 @@
         assert_ne!(answer.status, 200, "{body}");
     }
 }
+
+/// Guards against a stream of a restarted worker that is joined with events of its earlier version, because the gateway had
+/// only idle connections to the worker, whose end it did not count as a loss.
+#[actix_rt::test]
+async fn a_worker_that_has_closed_idle_connections_is_asked_for_its_start() {
+    let mut site = Site::start(&[("app", None, Behaviour::NotRun)], 1).await;
+    let other = site.add_worker("app", None, Behaviour::NotRun).await;
+    site.workers.push(other);
+    let worker = site.add_named_worker("steady-1", "app", WHOLE).await;
+    let gateway = &site.gateways[0];
+    let answer = send_request(gateway, "whole", RESUMABLE, b"x").await;
+    assert!(answer.is_complete);
+    site.store_endpoints[0].set_fault(StoreFault::Refuse);
+    worker.stop().await;
+    let worker = worker
+        .restart(SECOND_VERSION)
+        .expect("the worker's port is free");
+    worker.set_behaviour(BROKEN);
+    let other = &site.workers[1].worker;
+    other.set_behaviour(BROKEN_OR_RESUMED);
+    sleep(CLOSING_TIME).await;
+    for number in 0..STREAMS {
+        let answer = send_request(gateway, &format!("s-{number}"), RESUMABLE, b"x").await;
+        let body = String::from_utf8_lossy(&answer.body);
+        let runs = other.runs();
+        assert!(runs.iter().all(|run| run.last_event.is_none()), "{body}");
+    }
+}
--- a/crates/gateway/src/connection_pool.rs
+++ b/crates/gateway/src/connection_pool.rs
@@ -93,6 +93,11 @@
         self.relay.is_none() && self.carried_ids.count() == 0
     }
 
+    /// Returns whether the worker, or its end, has closed it before it became too old for reuse.
+    fn is_lost(&self, now: Timestamp) -> bool {
+        self.usable_until > now && self.sender.is_closed() && self.fails_at_worker()
+    }
+
     fn is_usable(&self, now: Timestamp) -> bool {
         let is_relay_leaving = self
             .relay
@@ -116,6 +121,8 @@
     open: Arc<AtomicU32>,
     /// The time before which no connection is kept for reuse.
     reuse_paused_until: Timestamp,
+    /// Whether the worker has closed an idle connection.
+    has_lost: bool,
 }
 
 impl Pool {
@@ -149,6 +156,11 @@
         Some(self.idle.remove(position))
     }
 
+    /// Returns whether the worker has closed an idle connection since this was asked last.
+    pub fn take_lost(&mut self) -> bool {
+        std::mem::take(&mut self.has_lost)
+    }
+
     /// Keeps a connection for reuse after a complete answer.
     pub fn put(&mut self, now: Timestamp, connection: Connection) {
         let is_reusable = connection.is_usable(now) && !connection.carried_ids.is_full();
@@ -171,6 +183,7 @@
 
     /// Closes idle connections that are closed by the worker, too old for reuse, or not kept by `rule`.
     pub fn prune(&mut self, now: Timestamp, rule: IdleRule) {
+        self.has_lost |= self.idle.iter().any(|connection| connection.is_lost(now));
         self.idle
             .retain(|connection| connection.is_usable(now) && connection.is_kept_by(rule));
     }
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -240,6 +240,9 @@
         let mut pools = self.pools.lock();
         pools.retain(|worker, pool| {
             pool.prune(now, self.idle_rule(worker));
+            if pool.take_lost() {
+                self.losses.doubts.lock().record_loss(worker);
+            }
             is_known(worker) || pool.has_open()
         });
         let has_pool: HashSet<WorkerId> = pools.keys().cloned().collect();
@@ -270,7 +273,13 @@
             rule: self.idle_rule(worker),
             allows_relayed: kind.allows_relay(),
         };
-        self.pools.lock().get_mut(worker)?.take(now, id, reuse)
+        let mut pools = self.pools.lock();
+        let pool = pools.get_mut(worker)?;
+        let connection = pool.take(now, id, reuse);
+        if pool.take_lost() {
+            self.losses.doubts.lock().record_loss(worker);
+        }
+        connection
     }
 
     fn idle_rule(&self, worker: &WorkerId) -> IdleRule {
