All gateways that have answered are asked to read the store

Streams of the only version were refused at gateways that the store does not answer, if it does not answer the two gateways with the lowest addresses either, although it answers another one. The two were always the same ones.

--- a/crates/cli/tests/gateway_platform/gateways_out_of_step.rs
+++ b/crates/cli/tests/gateway_platform/gateways_out_of_step.rs
@@ -21,6 +21,8 @@
 /// Number of streams that each other gateway begins.
 const STREAMS: usize = 6;
 const OUT_OF_STEP: usize = 2;
+/// Number of gateways of a fleet in which the store may answer one alone.
+const GATEWAYS: usize = 5;
 /// Shorter than the time for which a gateway may testify after the store's last answer.
 const STANDSTILL: Duration = Duration::from_millis(1_600);
 const SHORT_PAUSE: Duration = Duration::from_millis(200);
@@ -165,3 +167,25 @@
     let answers = take_all_up(&site, &streams).await;
     assert_refused(&site, &answers);
 }
+
+/// Guards against streams of the only version that are refused because the store answers none of the first gateways that are
+/// asked to read it.
+#[actix_rt::test]
+async fn a_stream_of_the_only_version_is_taken_up_while_the_store_answers_one_gateway() {
+    let mut site = Site::start(&[("app", None, WHOLE)], GATEWAYS).await;
+    site.configure_route_timeout(SHORT_TIMEOUT).await;
+    wait_until_all_watches_are_complete(&site).await;
+    let first_attempt = begin_stream(&site, OLD).await;
+    drop(site.gateways.remove(0));
+    let ranked = |gateway: &usize| site.gateways[*gateway].addresses.load;
+    let served = (0..site.gateways.len()).max_by_key(ranked);
+    let asked = (0..site.gateways.len()).min_by_key(ranked);
+    let (served, asked) = (served.expect("a gateway"), asked.expect("a gateway"));
+    for gateway in (0..site.gateways.len()).filter(|gateway| *gateway != served) {
+        site.store_endpoints[gateway + 1].set_fault(StoreFault::Refuse);
+    }
+    let gateway = &site.gateways[asked];
+    let answer = take_up(gateway, "take-up", RESUMABLE, &first_attempt, LAST_EVENT).await;
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(answer.body, LAST_EVENTS);
+}
--- a/crates/gateway/src/stream_versions/search.rs
+++ b/crates/gateway/src/stream_versions/search.rs
@@ -31,8 +31,6 @@
 const STORE_DELAY: Duration = Duration::from_millis(50);
 /// Time after which other gateways are asked to read the store, if it has not answered this one.
 const CONFIRMATION_DELAY: Duration = Duration::from_millis(200);
-/// Number of gateways that are asked to read the store. There are two, because the store may not answer one of them either.
-const ASKED_TO_CONFIRM: usize = 2;
 /// Time after which the gateways that have not answered are asked again: a datagram may have been lost.
 const REPEAT_DELAY: Duration = Duration::from_millis(100);
 /// Maximum time to wait for the answers of gateways.
@@ -313,7 +311,7 @@
         }
     }
 
-    /// Asks some of the gateways that have answered to read the store, if this one has not been able to.
+    /// Asks the gateways that have answered to read the store, if this one has not been able to. It may answer few of them.
     fn ask_to_confirm(&mut self) {
         if self.has_asked_to_confirm || !self.evidence.lacks_confirmation() {
             return;
@@ -323,8 +321,7 @@
             confirms: true,
             ..self.question.clone()
         });
-        let asked = self.answered.iter().take(ASKED_TO_CONFIRM);
-        self.asked_to_confirm.extend(asked);
+        self.asked_to_confirm.clone_from(&self.answered);
         for address in &self.asked_to_confirm {
             self.shared.datagrams.send(*address, &question);
         }
