A claim that names another gateway is not one's own

In the one run whose log was read, it had acquired the fence of the other one (2282) and reported usage with it. Two machines with one fence break rule ONE, and the fence stops neither of them.

Cause: a claim counted as one's own if it names the lease that one holds. The stand-in of the store gives the identifier of the last lease out again after it has lapsed, which the protocol does not rule out: the next holder's lease had the identifier of the one that had lapsed. The first call after the standstill renewed it. Whether the platform's store gives identifiers out again is not known. Ruled out: the lease's validity, which counts from the sending of the renewal and had ended.

Change: the claim's value names its holder, and it must be this gateway. Values of builds that name none count as before.

Left: until its mirror shows the claim of the other gateway, the gateway takes the renewed lease for its own and may use its earlier fence. The lease of its announcement is renewed in the same way, so that it may stay unannounced after a standstill of more than 12 s.

--- a/crates/gateway/src/authority.rs
+++ b/crates/gateway/src/authority.rs
@@ -123,18 +123,24 @@
         }
     }
 
-    /// Returns the current claim, if there is one, and the lease that this gateway holds.
+    /// Returns the current claim, if there is one, and the lease that this gateway holds. There is no such lease if another
+    /// gateway has made the claim: the store may give the identifier of a lease that has lapsed to the next holder, before
+    /// this gateway notices that its own lease has lapsed.
     fn observe(&self) -> (Option<ClaimRecord>, Option<Lease>) {
-        let lease = self.authority.lease.held();
+        let own_name = self.shared.settings.read().node.name.clone();
         let mirror = self.shared.mirror.lock();
-        let record = mirror.get(authority_claim::KEY).and_then(|item| {
-            let claim = AuthorityClaim::decode(&item.value)?;
-            Some(ClaimRecord {
-                lease: claim.lease,
-                epoch: authority_claim::fence(item),
-            })
-        });
-        (record, lease)
+        let item = mirror.get(authority_claim::KEY);
+        let claim = item.and_then(|item| Some((item, AuthorityClaim::decode(&item.value)?)));
+        let Some((item, claim)) = claim else {
+            return (None, self.authority.lease.held());
+        };
+        let record = ClaimRecord {
+            lease: claim.lease,
+            epoch: authority_claim::fence(item),
+        };
+        let is_own = claim.holder.is_none_or(|holder| holder == own_name);
+        let lease = is_own.then(|| self.authority.lease.held()).flatten();
+        (Some(record), lease)
     }
 
     /// Returns whether no gateway held the authority before. After a restore this is never assumed, because the
