Answers with an unsupported transfer coding are errors of their worker

Callers got a 200 with a proper end for an answer whose Transfer-Encoding was anything but "chunked": cut streams looked whole, a Content-Length beside it was not kept, a run could continue from a KV cache handle in such an answer, and bytes of another coding arrived without the header that names it.

Cause: the HTTP library reads such a body to the end of its connection, whatever length the head states. The gateway took every Transfer-Encoding for chunks, so the end of the connection counted as an explicit end, and neither the check of events nor the examination of the worker applied. It is the class of unframed streams, "the end of a channel is taken for the end of the message".

Change: Framing::of knows "chunked" alone. Any other coding, or two of them, is an error before the body is read: the request may have run.

Test: 135 invalid answers (statuses, framings, cut heads, each also behind interim answers) on four kinds of routes, on new and used connections, direct and through a relay, and as answers to prompt reads.

--- a/crates/cli/tests/gateway_platform/endless_answers.rs
+++ b/crates/cli/tests/gateway_platform/endless_answers.rs
@@ -6,7 +6,6 @@
 use futures_util::future::join_all;
 use http_body_util::{BodyExt, Empty};
 use hyper_util::rt::TokioIo;
-use serde_json::json;
 use tansyhall_endless_answers::{EndlessAnswer, EndlessServer, Pace};
 use tansyhall_platform_standin::{Behaviour, DEADLINE, REQUEST_ID, SEAL, WORKER_ENTRY_PREFIX};
 use tokio::net::TcpStream;
@@ -50,18 +49,7 @@
         format!("{id}\r\n{SEAL}: seal\r\n")
     };
     let worker = EndlessServer::start(answer, pace, headers);
-    let entry = json!({
-        "service": "app",
-        "address": worker.address.to_string(),
-        "zone": "kalimati",
-        "version": "v1",
-        "slots": 64,
-        "state": "ready",
-        "cold_left_ms": 0,
-        "seq": 1,
-    });
-    site.store
-        .put(&format!("{WORKER_ENTRY_PREFIX}endless"), &entry);
+    site.announce_worker("endless", ("app", None), worker.address);
     site.wait_for_ready_workers(0, 1.0).await;
     worker
 }
--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -10,6 +10,7 @@
 mod departures;
 mod endless_answers;
 mod gateways_out_of_step;
+mod invalid_answers;
 mod leaving_and_backoff;
 mod logs;
 mod mismatched_answers;
--- a/crates/cli/tests/gateway_platform/support/workers.rs
+++ b/crates/cli/tests/gateway_platform/support/workers.rs
@@ -1,11 +1,17 @@
 //! Workers that a test adds to its site.
 
+use std::net::SocketAddr;
+
+use serde_json::json;
 use tansyhall_platform_standin::{
     Behaviour, CrashTrigger, CrashingWorker, Worker, WorkerIncarnation, WorkerPlan,
+    WORKER_ENTRY_PREFIX,
 };
 use tansyhall_testing::free_peer_address;
 
-use super::{start_worker, worker_plan, Site, SiteWorker, WorkerSpec, OTHER_ZONE, ZONE};
+use super::{
+    start_worker, worker_plan, Site, SiteWorker, WorkerSpec, FIRST_VERSION, OTHER_ZONE, ZONE,
+};
 
 /// Time of the first start of workers that announce their start time, in milliseconds since the Unix epoch.
 const FIRST_START_UNIX_MS: u64 = 1_700_000_000_000;
@@ -25,6 +31,30 @@
         worker
     }
 
+    /// Writes the entry of a ready worker that the test serves itself, of this service and stage.
+    pub fn announce_worker(
+        &self,
+        id: &str,
+        (service, stage): (&str, Option<&str>),
+        address: SocketAddr,
+    ) {
+        let mut entry = json!({
+            "service": service,
+            "address": address.to_string(),
+            "zone": ZONE,
+            "version": FIRST_VERSION,
+            "slots": 64,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+        });
+        if let Some(stage) = stage {
+            entry["stage"] = json!(stage);
+        }
+        self.store
+            .put(&format!("{WORKER_ENTRY_PREFIX}{id}"), &entry);
+    }
+
     /// Adds a worker of a service with this software version, and waits until all gateways know it.
     pub async fn add_worker_of_version(
         &mut self,
--- a/crates/gateway/src/answer_body.rs
+++ b/crates/gateway/src/answer_body.rs
@@ -26,12 +26,23 @@
 }
 
 impl Framing {
-    fn of(incoming: &Incoming, headers: &HeaderList) -> Self {
-        let has = |name: &str| headers.get(name).is_some();
-        match () {
-            () if has("transfer-encoding") => Self::Chunks,
-            () if has("content-length") || incoming.is_end_stream() => Self::Length,
-            () => Self::Connection,
+    /// Returns an error for a transfer coding other than `chunked`. The HTTP library doesn't decode it and reads such a body
+    /// to the end of its connection, whatever length the headers state.
+    fn of(incoming: &Incoming, headers: &HeaderList) -> Result<Self, SendError> {
+        if incoming.is_end_stream() {
+            return Ok(Self::Length);
+        }
+        let mut codings = headers
+            .iter()
+            .filter(|header| header.name.eq_ignore_ascii_case("transfer-encoding"))
+            .map(|header| header.value.trim_ascii());
+        match (codings.next(), codings.next()) {
+            (None, _) if headers.get("content-length").is_some() => Ok(Self::Length),
+            (None, _) => Ok(Self::Connection),
+            (Some(coding), None) if coding.eq_ignore_ascii_case(b"chunked") => Ok(Self::Chunks),
+            _ => Err(SendError::NoAnswer(
+                "body has an unsupported transfer coding".into(),
+            )),
         }
     }
 
@@ -73,14 +84,15 @@
 
 impl AnswerBody {
     /// Creates the body of an answer that is still to be read from a connection. `search` looks for a second answer in it.
+    /// Returns an error if its end would not be recognized.
     pub fn new(
         incoming: Incoming,
         headers: &HeaderList,
         borrowed: BorrowedConnection,
         search: Option<SecondAnswerSearch>,
-    ) -> Self {
+    ) -> Result<Self, SendError> {
         let mut body = Self {
-            framing: Framing::of(&incoming, headers),
+            framing: Framing::of(&incoming, headers)?,
             stream_end: None,
             incoming,
             borrowed: Some(borrowed),
@@ -89,7 +101,7 @@
         if headers.get("content-type").is_some_and(is_event_stream) {
             body.expect_events();
         }
-        body
+        Ok(body)
     }
 
     /// Returns what marks the end of the body.
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -472,7 +472,7 @@
             is_reusable: usable_until.is_some(),
         };
         let search = id.map(|id| SecondAnswerSearch::new(id, &headers));
-        let body = AnswerBody::new(incoming, &headers, borrowed, search);
+        let body = AnswerBody::new(incoming, &headers, borrowed, search)?;
         Ok(WorkerAnswer {
             status,
             headers,
