A node's answers of applications with the identity coding are not taken for empty ones

Callers of a node got an empty 200 with a proper end and the verdict "completed" for an answer of an application worker with "Transfer-Encoding: identity" and no length.

Cause: such a body ends with its connection, and the client library reads none of it. The check of the framing took any Transfer-Encoding for chunks.

Change: only chunks or a length count as framing; the rest is 502 with "may-have-run", as without the header. Other codings are refused by the library.

Measured: the new row of an_answer_with_neither_a_length_nor_chunks_is_an_error gave 200 before and gives 502 after.

--- a/crates/node/src/callers/application.rs
+++ b/crates/node/src/callers/application.rs
@@ -11,7 +11,7 @@
 use actix_rt::time::{sleep, timeout};
 use actix_web::body::SizedStream;
 use actix_web::http::{header, Method, StatusCode};
-use actix_web::{web, HttpRequest, HttpResponse};
+use actix_web::{web, HttpMessage, HttpRequest, HttpResponse};
 use awc::error::SendRequestError;
 use awc::ClientResponse;
 use bytes::Bytes;
@@ -189,8 +189,8 @@
         response: ClientResponse,
         worker: SocketAddr,
     ) -> Result<(ClientResponse, SocketAddr), Failure> {
-        let has = |name| response.headers().contains_key(name);
-        let is_framed = has(header::CONTENT_LENGTH) || has(header::TRANSFER_ENCODING);
+        let has_length = response.headers().contains_key(header::CONTENT_LENGTH);
+        let is_framed = has_length || response.chunked().unwrap_or(false);
         if is_framed || has_no_body(self.http.method(), response.status()) {
             return Ok((response, worker));
         }
--- a/crates/node/tests/applications.rs
+++ b/crates/node/tests/applications.rs
@@ -190,8 +190,9 @@
 // connection.
 #[actix_rt::test]
 async fn an_answer_with_neither_a_length_nor_chunks_is_an_error() {
-    let answers: [&[u8]; 3] = [
+    let answers: [&[u8]; 4] = [
         b"HTTP/1.1 200 OK\r\n\r\nfive ",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nfive ",
         b"HTTP/1.0 200 OK\r\n\r\nfive ",
         b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: 1\n\n",
     ];
