Only final statuses of applications reach callers of a node

A status of 100 to 199 with a length, or of 600 to 999, reached callers of a node with the verdict "completed".

Cause: the client library accepts all statuses from 100 to 999 and returns interim answers like final ones; the node passed on what it got.

Change: an answer with a status outside 200 to 599 is 502 with "may-have-run" and counts against its worker.

Measured: an_answer_with_an_invalid_status_or_a_cut_head_is_an_error failed before at status 100, and passes after. Its rows of statuses 000, 099 and 2000 and of cut heads show errors of the library.

--- a/crates/node/src/callers/application.rs
+++ b/crates/node/src/callers/application.rs
@@ -5,6 +5,7 @@
 //! so that a late or repeated answer cannot reach another caller.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -46,6 +47,9 @@
     header::HOST,
 ];
 
+/// The statuses of final answers.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Returns the HTTP client of one worker thread, with its pool of connections to application
 /// workers.
 pub fn client(limits: &Limits) -> awc::Client {
@@ -115,7 +119,10 @@
         record,
     };
     let answered = forwarding.run().await;
-    match answered.and_then(|(response, worker)| forwarding.check_framing(response, worker)) {
+    let checked = answered
+        .and_then(|(response, worker)| forwarding.check_status(response, worker))
+        .and_then(|(response, worker)| forwarding.check_framing(response, worker));
+    match checked {
         Ok((response, worker)) => Ok(respond(response, worker, in_progress)),
         Err(failure) => {
             in_progress.end(RequestOutcome::Failed(failure.clone()));
@@ -182,6 +189,21 @@
         }
     }
 
+    /// Returns an error for an answer whose status is not a final one. The client also returns interim answers.
+    fn check_status(
+        &self,
+        response: ClientResponse,
+        worker: SocketAddr,
+    ) -> Result<(ClientResponse, SocketAddr), Failure> {
+        let status = response.status().as_u16();
+        if FINAL_STATUSES.contains(&status) {
+            return Ok((response, worker));
+        }
+        self.observe(worker, BreakerEvent::Failure);
+        let message = format!("the worker's answer has the status {status}");
+        Err(Failure::may_have_run(StatusCode::BAD_GATEWAY, message))
+    }
+
     /// Returns an error for an answer whose body ends with its connection. The client reads no such body, and its end would
     /// not show whether the worker's process has ended with it.
     fn check_framing(
--- a/crates/node/tests/applications.rs
+++ b/crates/node/tests/applications.rs
@@ -204,6 +204,33 @@
     }
 }
 
+// Guards against a status that is none, or an answer without a whole head, that reaches the caller.
+#[actix_rt::test]
+async fn an_answer_with_an_invalid_status_or_a_cut_head_is_an_error() {
+    let answers: [&[u8]; 12] = [
+        b"HTTP/1.1 000 x\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 099 x\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 100 x\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 101 x\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 199 x\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 600 x\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 999 x\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 2000 x\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 20",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r",
+        b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+    ];
+    for answer in answers {
+        let (_node, address) = start_node(&[], &[start_interrupting_worker(answer)], "");
+        let response = send(address, Method::POST, "x").await;
+        let answer = String::from_utf8_lossy(answer);
+        assert_eq!(response.status(), 502, "{answer}");
+        let verdict = header(&response, "tansyhall-verdict");
+        assert_eq!(verdict, "may-have-run", "{answer}");
+    }
+}
+
 #[actix_rt::test]
 async fn an_answer_that_has_no_body_needs_no_length() {
     let worker = start_interrupting_worker(b"HTTP/1.1 204 No Content\r\n\r\n");
