Bound the decompressed usage counts of one store entry

Callers saw: the holder of the authority, and then each gateway that follows it as holder, takes gigabytes and is killed, again and again, once another writer has left one entry under tansyhall/usage/rows/.

Cause: up to 64 MiB of decompressed counts were decoded, and messages without content take 40 times their encoded size. Longer counts were cut off silently.

Change: an entry with more than 2 MiB of decompressed counts is refused. By calculation, those of 64 gateways that each start 40 requests a second take less than a fifth of it.

Test: usage_messages.

--- a/crates/gateway/src/usage/message.rs
+++ b/crates/gateway/src/usage/message.rs
@@ -11,8 +11,10 @@
 use tansyhall_core::TenantName;
 use tansyhall_usage::{Collection, Source, SourceUsage, TenantCounts, UnixMillis, WindowNumber};
 
-/// Maximum size of the decompressed counts of one store entry.
-const MAX_ROWS_BYTES: u64 = 64 << 20;
+/// Maximum size of the decompressed counts of one store entry: those of 64 gateways that each start 40 requests a second
+/// take a fifth of it. Anyone may write an entry, and messages without content take up to 40 times their size when
+/// decoded, so that a longer entry could occupy the whole memory of a gateway.
+const MAX_ROWS_BYTES: u64 = 2 << 20;
 
 /// The counts of a source.
 #[derive(Clone, PartialEq, Message)]
@@ -148,13 +150,17 @@
     ///
     /// # Errors
     ///
-    /// Fails if `value` is not a compressed collection; `collection` is then unchanged.
+    /// Fails if `value` is not a compressed collection, or too long; `collection` is then unchanged.
     pub fn decode_into(value: &[u8], collection: &mut Collection) -> anyhow::Result<()> {
         let mut inflated = Vec::new();
         DeflateDecoder::new(value)
-            .take(MAX_ROWS_BYTES)
+            .take(MAX_ROWS_BYTES + 1)
             .read_to_end(&mut inflated)
             .context("usage counts are not valid deflate data")?;
+        anyhow::ensure!(
+            inflated.len() as u64 <= MAX_ROWS_BYTES,
+            "usage counts exceed the maximum length"
+        );
         let rows = Self::decode(inflated.as_slice()).context("failed to decode usage counts")?;
         for source in rows.sources {
             collection.merge(source.into_usage());
--- a/crates/gateway/tests/usage_messages.rs
+++ b/crates/gateway/tests/usage_messages.rs
@@ -2,7 +2,10 @@
 //! neither panics nor adds counts.
 
 use std::collections::BTreeMap;
+use std::io::Write;
 
+use flate2::write::DeflateEncoder;
+use flate2::Compression;
 use proptest::prelude::*;
 use prost::Message;
 use tansyhall_core::TenantName;
@@ -40,6 +43,21 @@
     )
 }
 
+/// Guards against an entry of a few kilobytes that takes gigabytes when it is decoded.
+#[test]
+fn an_entry_with_too_many_counts_is_refused() {
+    let empty_source = [0x0a, 0x00];
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::best());
+    encoder
+        .write_all(&empty_source.repeat(2 << 20))
+        .expect("deflated");
+    let entry = encoder.finish().expect("an entry");
+    assert!(entry.len() < 10_000);
+    let mut collection = Collection::default();
+    assert!(RowsMessage::decode_into(&entry, &mut collection).is_err());
+    assert!(collection.is_empty());
+}
+
 proptest! {
     #![proptest_config(config_with_seed(SEED))]
 
