Ignore entries about usage windows that have not ended

Callers saw: usage is no longer reported once another writer has left entries that name a window of the future, such as 2^64-1, and gateways that read them may hang.

Cause: the store's entries about decided and closed windows were believed whatever window they name. A window of the future is never overdue, so that its report was sent again and again before all others; a closed window of the future closes all before it; with both, the search for the first undecided window never ends, since the number after the last one is the last one.

Change: gateways decide and close a window only after its end, so entries that name a later one are ignored. The sum of counts in the log saturates.

Ruled out: a bound on the search alone, which would still report nothing.

--- a/crates/cli/tests/gateway_platform/usage.rs
+++ b/crates/cli/tests/gateway_platform/usage.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde_json::json;
 use tansyhall_platform_standin::{Behaviour, OperationsFault, TenantPlan, UsageCall};
 use tansyhall_testing::eventually;
 
@@ -104,6 +105,23 @@
     wait_until_reported(&site, 8, 4).await;
 }
 
+/// Guards against an entry of another writer that names a window which has not begun: the holder of the authority reported
+/// it again and again instead of the others, took all windows for closed, or searched for an undecided window without end.
+#[actix_rt::test]
+async fn windows_are_reported_although_the_store_names_windows_of_the_future() {
+    let site = Site::start(&[("app", None, ECHO)], 2).await;
+    site.configure_tenants(&tenants()).await;
+    for window in ["999999999999", "18446744073709551615"] {
+        let counts = json!({ "depot": u64::MAX, "desk": u64::MAX });
+        site.store
+            .put(&format!("tansyhall/usage/reports/{window}"), &counts);
+    }
+    site.store
+        .put("tansyhall/usage/closed", &json!(u64::MAX - 1));
+    send_rounds(&site, "first", 2).await;
+    wait_until_reported(&site, 4, 2).await;
+}
+
 /// Time after which an unanswered call is carried out, in milliseconds. It is longer than the caller's time-out, and
 /// longer than the lease of a killed holder lasts.
 const LATE_MS: u64 = 5_000;
--- a/crates/gateway/src/usage/reporter.rs
+++ b/crates/gateway/src/usage/reporter.rs
@@ -72,8 +72,11 @@
         };
         // Also without the authority: a store that was restored may have lost decisions by the time this gateway holds
         // the authority again.
-        self.read_decisions();
-        let (Some(epoch), Some(time)) = (self.calls.fence(), usage.time(shared.now())) else {
+        let Some(time) = usage.time(shared.now()) else {
+            return;
+        };
+        self.read_decisions(usage, time);
+        let Some(epoch) = self.calls.fence() else {
             return;
         };
         match next_step(&usage.timing, time, &self.known) {
@@ -97,14 +100,18 @@
         }
     }
 
-    /// Reads earlier decisions from the mirror of the store.
-    fn read_decisions(&mut self) {
+    /// Reads earlier decisions from the mirror of the store. Gateways decide a window only after its end, so entries
+    /// that name a later one are another writer's.
+    fn read_decisions(&mut self, usage: &Usage, time: UnixMillis) {
+        let has_ended = |window: WindowNumber| usage.timing.end_of(window) <= time;
         let mirror = self.shared.mirror.lock();
         let item = mirror.get(CLOSED_KEY);
         let closed = item.and_then(|item| parse_window(&item.value));
+        let closed = closed.filter(|window| has_ended(*window));
         self.closed_at = item.map(|item| Revision(item.written.revision));
         self.known.closed_through = self.known.closed_through.max(closed);
-        for (window, counts) in decided_windows(&mirror) {
+        let decided = decided_windows(&mirror).into_iter();
+        for (window, counts) in decided.filter(|(window, _)| has_ended(*window)) {
             self.decided.entry(window).or_insert(counts);
         }
         drop(mirror);
--- a/crates/usage/src/counts.rs
+++ b/crates/usage/src/counts.rs
@@ -63,6 +63,7 @@
 
     /// Returns the number of requests of all tenants.
     pub fn total(&self) -> u64 {
-        self.0.values().sum()
+        let counts = self.0.values();
+        counts.fold(0, |total, count| total.saturating_add(*count))
     }
 }
