Bound the numbers of tokens and requests in messages from outside

Callers saw: after one datagram with tokens near 2^64, a gateway that checks for overflow (debug builds) no longer takes any datagrams from the others. Without the check, and for a caller's prompt with such tokens, sums of tokens wrap.

Cause: numbers were taken from load reports, placement messages, callers' prompts and engines' cache lists as they are, and then summed.

Change: tokens are bounded by 2^40 and the requests of a gateway at a worker by a million where the messages are decoded, so that no sum overflows.

--- a/crates/forwarding/src/lib.rs
+++ b/crates/forwarding/src/lib.rs
@@ -98,7 +98,7 @@
 pub use retry_share::{sharing_gateways, RetryShareSettings, RetryShares};
 pub use route_table::RouteTable;
 pub use scheduler_plan::{SchedulerCandidate, SchedulerPlan};
-pub use selection::{affinity_part, prompt_tokens, Need, PromptPart};
+pub use selection::{affinity_part, prompt_tokens, Need, PromptPart, MAX_PART_TOKENS};
 pub use served_versions::{ServedVersion, ServedVersions, LATEST_RETURN, RECORD_LIFETIME};
 pub use stop_plan::StopPlan;
 pub use stream_handover::{OverdueStream, StreamHandover};
--- a/crates/forwarding/src/selection.rs
+++ b/crates/forwarding/src/selection.rs
@@ -2,6 +2,10 @@
 
 use crate::worker::WorkerId;
 
+/// Upper bound for the tokens of a part in messages from outside. No prompt is this long, and sums of such numbers do not
+/// overflow.
+pub const MAX_PART_TOKENS: u64 = 1 << 40;
+
 /// A part of a prompt. Equal parts at the same position in their prompts share their KV cache.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/gateway/src/load_messages.rs
+++ b/crates/gateway/src/load_messages.rs
@@ -6,12 +6,16 @@
 use prost::Message;
 use tansyhall_forwarding::{
     Absence, EngineDemand, GatewayKey, LimitStatement, Load, LoadEntry, LoadReport, PartKey,
-    PartRead, RateLimit, ServiceKey, StatedLimit, WorkerKey,
+    PartRead, RateLimit, ServiceKey, StatedLimit, WorkerKey, MAX_PART_TOKENS,
 };
 
 use crate::share_messages::{self, SharesMessage};
 use crate::tenant_messages::{decode_tenants, encode_tenants, ServiceTenantsMessage};
 
+/// Upper bound for the requests of one gateway at one worker. No gateway has this many, and sums of such numbers do not
+/// overflow.
+const MAX_SENDS: u32 = 1_000_000;
+
 /// A load report on the wire.
 #[derive(Clone, PartialEq, Message)]
 pub struct ReportMessage {
@@ -180,15 +184,17 @@
 }
 
 fn decode_load(message: &LoadMessage) -> LoadEntry {
+    let sends = message.sends.min(MAX_SENDS);
+    let reading_tokens = message.reading_tokens.min(MAX_PART_TOKENS);
     LoadEntry {
         worker: WorkerKey(message.worker),
         load: Load {
-            sends: message.sends,
-            reading_tokens: message.reading_tokens,
-            urgent_sends: urgent_part::decode(message.urgent_sends, message.sends),
+            sends,
+            reading_tokens,
+            urgent_sends: urgent_part::decode(message.urgent_sends, sends),
             urgent_reading_tokens: urgent_part::decode(
                 message.urgent_reading_tokens,
-                message.reading_tokens,
+                reading_tokens,
             ),
         },
     }
@@ -260,7 +266,7 @@
     PartRead {
         worker: WorkerKey(message.worker),
         part: PartKey(message.part),
-        tokens: message.tokens,
+        tokens: message.tokens.min(MAX_PART_TOKENS),
         ready: message.ready,
     }
 }
--- a/crates/gateway/src/placement/codec.rs
+++ b/crates/gateway/src/placement/codec.rs
@@ -7,7 +7,7 @@
 use tansyhall_forwarding::{
     GatewayKey, Need, Objectives, Placement, PlacementAnswer, PlacementId, PlacementMessage,
     PlacementNeed, PlacementNotice, PlacementRequest, PromptPart, RefusalCause, SendResult,
-    StatedLimit, TenantKey, WorkerId, WorkerNotice, MAX_BACKOFF, MAX_STREAM_PAUSE,
+    StatedLimit, TenantKey, WorkerId, WorkerNotice, MAX_BACKOFF, MAX_PART_TOKENS, MAX_STREAM_PAUSE,
 };
 
 use crate::load_messages::StatedLimitMessage;
@@ -200,7 +200,7 @@
         };
         let part = |part: PromptPartMessage| PromptPart {
             id: part.id,
-            tokens: part.tokens,
+            tokens: part.tokens.min(MAX_PART_TOKENS),
         };
         Ok(Self {
             id: PlacementId(message.id),
@@ -303,7 +303,7 @@
             worker: WorkerId::from(self.worker.as_str()),
             read_apart: self.read_apart,
             fetch_from,
-            reading_tokens: self.reading_tokens,
+            reading_tokens: self.reading_tokens.min(MAX_PART_TOKENS),
             short_reading: self.short_reading,
             expected_latency: Duration::from_micros(self.expected_micros),
             has_rate_token: self.has_rate_token,
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -9,5 +9,5 @@
 pub use client::{
     request_placement, send_notices, OpenPlacement, PlacementClient, SchedulerAnswer,
 };
-pub use message::{MessageToScheduler, SchedulerAnswerMessage};
+pub use message::{MessageToScheduler, PromptPartMessage, RequestMessage, SchedulerAnswerMessage};
 pub use server::{expire, handle_message};
--- a/crates/gateway/tests/placement_messages.rs
+++ b/crates/gateway/tests/placement_messages.rs
@@ -10,14 +10,16 @@
 use tansyhall_forwarding::demand_shares::leadership::Vote;
 use tansyhall_forwarding::demand_shares::{Grant, LimitDemand, MemberKey, ShareReport};
 use tansyhall_forwarding::{
-    GatewayKey, LimitStatement, LoadReport, Need, Objectives, Placement, PlacementAnswer,
-    PlacementId, PlacementMessage, PlacementNeed, PlacementNotice, PlacementRequest, PromptPart,
-    RateLimit, RefusalCause, SendResult, StatedLimit, TenantKey, WorkerId, WorkerKey, WorkerNotice,
-    MAX_STREAM_PAUSE,
+    prompt_tokens, GatewayKey, LimitStatement, LoadReport, Need, Objectives, Placement,
+    PlacementAnswer, PlacementId, PlacementMessage, PlacementNeed, PlacementNotice,
+    PlacementRequest, PromptPart, RateLimit, RefusalCause, SendResult, StatedLimit, TenantKey,
+    WorkerId, WorkerKey, WorkerNotice, MAX_STREAM_PAUSE,
 };
 use tansyhall_gateway::datagrams::Datagram;
-use tansyhall_gateway::load_messages::{decode, encode};
-use tansyhall_gateway::placement::{MessageToScheduler, SchedulerAnswerMessage};
+use tansyhall_gateway::load_messages::{decode, encode, LoadMessage, PartMessage, ReportMessage};
+use tansyhall_gateway::placement::{
+    MessageToScheduler, PromptPartMessage, RequestMessage, SchedulerAnswerMessage,
+};
 use tansyhall_gateway::share_messages;
 
 /// Seed of the property tests.
@@ -334,6 +336,40 @@
     assert_eq!(decoded(&impossible), shares);
 }
 
+/// Guards against numbers whose sum overflows: the task that receives datagrams ended, or the sum was a small number.
+#[test]
+fn impossible_numbers_of_requests_and_tokens_are_bounded() {
+    let load = LoadMessage {
+        sends: u32::MAX,
+        reading_tokens: u64::MAX,
+        ..LoadMessage::default()
+    };
+    let part = PartMessage {
+        tokens: u64::MAX,
+        ..PartMessage::default()
+    };
+    let report = decode(ReportMessage {
+        loads: vec![load],
+        parts: vec![part],
+        ..ReportMessage::default()
+    });
+    let load = report.loads[0].load;
+    assert!(load.sends.checked_mul(1_000).is_some(), "{load:?}");
+    let parts = [u64::MAX; 2].map(|tokens| PromptPartMessage {
+        id: "p".into(),
+        tokens,
+    });
+    let request = RequestMessage {
+        prompt: parts.into(),
+        ..RequestMessage::default()
+    };
+    let request = PlacementRequest::try_from(request).expect("a request");
+    let summed = prompt_tokens(&request.prompt);
+    for tokens in [load.reading_tokens, report.parts[0].tokens, summed] {
+        assert!(tokens.checked_mul(1_000_000).is_some(), "{tokens}");
+    }
+}
+
 #[test]
 fn reported_rate_limits_keep_their_content() {
     let statement = |limit: Option<u64>| LimitStatement {
