Log lines about refused entries are bounded; a test with odd entries

Callers saw: an odd entry fills the log of each gateway: a line as long as the entry's value for each write, and for some keys the same line again 2.5 times a second for as long as the entry stands.

Cause: the reason of a refusal quotes the value. Decided usage and planned workers are decoded at each check, with a warning at each.

Change: reasons are cut to 300 characters; the warnings of each check are debug lines.

The test covers the users' report: two gateway processes with 13 odd values (nested deeply, numbers too large, ports out of range, broken messages) under 13 keys and prefixes that gateways read, and nine entries of workers that are valid but for one field. The gateways continue to follow the store, know the workers and serve, and so does one that starts afterwards. That held before as well.

--- a/crates/cli/tests/gateway_platform/main.rs
+++ b/crates/cli/tests/gateway_platform/main.rs
@@ -15,6 +15,7 @@
 mod logs;
 mod mismatched_answers;
 mod misordered_events;
+mod odd_entries;
 mod partitions;
 mod path_faults;
 mod planned_stops;
--- a/crates/gateway/src/mirror_refresh.rs
+++ b/crates/gateway/src/mirror_refresh.rs
@@ -18,6 +18,9 @@
 use crate::stream_versions;
 use crate::worker_entries;
 
+/// Longest reason in a log line about an item that cannot be used. Reasons quote values, which may be long.
+const MAX_REASON_CHARACTERS: usize = 300;
+
 /// Updates the shared state from the items of the mirror that were touched. With thousands of workers, the cost of a
 /// batch of changes thus depends on the number of changes and not on the size of the store.
 pub fn refresh(shared: &Arc<Shared>, touched: &Touched) {
@@ -174,10 +177,12 @@
 
 /// Logs an item that cannot be used.
 pub fn record_refused_item(shared: &Shared, item: &Item, error: &anyhow::Error) {
+    let reason = format!("{error:#}");
+    let reason: String = reason.chars().take(MAX_REASON_CHARACTERS).collect();
     let event = Event::ItemRefused {
         key: &item.key,
         revision: item.written.revision,
-        reason: &format!("{error:#}"),
+        reason: &reason,
     };
     shared.log.record(Priority::Important, &event);
 }
--- a/crates/gateway/src/usage/reporter.rs
+++ b/crates/gateway/src/usage/reporter.rs
@@ -322,7 +322,7 @@
         match serde_json::from_slice(&item.value) {
             Ok(counts) => Some((WindowNumber(window), counts)),
             Err(error) => {
-                log::warn!("ignoring invalid decided usage at {}: {error}", item.key);
+                log::debug!("ignoring invalid decided usage at {}: {error}", item.key);
                 None
             }
         }
--- a/crates/gateway/src/worker_orders/mod.rs
+++ b/crates/gateway/src/worker_orders/mod.rs
@@ -144,7 +144,7 @@
             return (PlannedWorkers::new(), None);
         };
         let planned = serde_json::from_slice(&item.value).unwrap_or_else(|error| {
-            log::warn!("ignoring invalid value of {PLANNED_WORKERS_KEY}: {error}");
+            log::debug!("ignoring invalid value of {PLANNED_WORKERS_KEY}: {error}");
             PlannedWorkers::new()
         });
         (planned, Some(item.written.revision))
