A gateway that starts while the store is away is announced soon after, not four seconds later

Cause: a gateway requests the lease of its announcement at its start and, if the store does not answer, again after the renewal interval of 4 s.

Change: an unanswered request for a new lease is repeated after 250 ms, then after twice as long each time up to the renewal interval. Renewals stay as they were.

--- a/crates/authority/src/lease.rs
+++ b/crates/authority/src/lease.rs
@@ -8,6 +8,12 @@
 
 use tansyhall_core::{Duration, Timestamp};
 
+/// Time after an unanswered request for a new lease until the next one. It doubles with each further one, up to the
+/// renewal interval.
+const FIRST_GRANT_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Number of doublings after which the delay stays as it is.
+const MAX_DOUBLINGS: u32 = 8;
+
 /// The store's identifier of a lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Lease(pub i64);
@@ -106,6 +112,8 @@
     lease: Option<Lease>,
     request_sent_at: Option<Timestamp>,
     next_request_at: Timestamp,
+    /// Number of requests for a new lease in a row that were not answered.
+    unanswered_grants: u32,
     stopped: bool,
 }
 
@@ -118,6 +126,7 @@
             lease: None,
             request_sent_at: None,
             next_request_at: Timestamp::default(),
+            unanswered_grants: 0,
             stopped: false,
         }
     }
@@ -151,7 +160,7 @@
             } => self.apply_grant(lease, time_to_live),
             LeaseEvent::Renewed { time_to_live } => self.apply_renewal(time_to_live),
             LeaseEvent::Lapsed => self.apply_lapse(),
-            LeaseEvent::NoAnswer => {}
+            LeaseEvent::NoAnswer => self.apply_no_answer(now),
         }
         self.request_sent_at = None;
         LeaseAction::Wait
@@ -174,9 +183,22 @@
             return;
         }
         self.lease = Some(lease);
+        self.unanswered_grants = 0;
         self.apply_renewal(time_to_live);
     }
 
+    /// Repeats an unanswered request for a new lease sooner than a renewal, which has the time to live to succeed: a node
+    /// without a lease is unknown to the others.
+    fn apply_no_answer(&mut self, now: Timestamp) {
+        if self.lease.is_some() {
+            return;
+        }
+        let doublings = self.unanswered_grants.min(MAX_DOUBLINGS);
+        let delay = FIRST_GRANT_RETRY_DELAY * 2_u32.pow(doublings);
+        self.next_request_at = now + delay.min(self.timing.renewal_interval);
+        self.unanswered_grants = doublings + 1;
+    }
+
     fn apply_renewal(&mut self, time_to_live: Duration) {
         if let (Some(sent_at), false) = (self.request_sent_at, self.stopped) {
             self.validity.record_renewal(sent_at, time_to_live);
