A read of a slow store does not hold up the next one

Streams of the only version were refused while the store was slow: each take-up needs a read and, if the mirror is behind, a watch after it, and reads were made one after the other, so that a request waited for two of them in the 600 ms that it has.

Reads begin 50 ms apart, up to eight at a time. What a read has to do is the same, and so is the budget.

--- a/crates/cli/tests/gateway_platform/gateways_out_of_step.rs
+++ b/crates/cli/tests/gateway_platform/gateways_out_of_step.rs
@@ -23,6 +23,10 @@
 const OUT_OF_STEP: usize = 2;
 /// Number of gateways of a fleet in which the store may answer one alone.
 const GATEWAYS: usize = 5;
+/// Number of streams that are taken up one after the other while the store is slow.
+const TAKE_UPS: u32 = 24;
+/// Time that each call of a slow store takes, in milliseconds.
+const CALL_DELAY_MS: u64 = 230;
 /// Shorter than the time for which a gateway may testify after the store's last answer.
 const STANDSTILL: Duration = Duration::from_millis(1_600);
 const SHORT_PAUSE: Duration = Duration::from_millis(200);
@@ -189,3 +193,33 @@
     assert_eq!((answer.status, answer.is_complete), (200, true));
     assert_eq!(answer.body, LAST_EVENTS);
 }
+
+/// Guards against streams that are refused one after the other because each read of a slow store waits for the one before.
+#[actix_rt::test]
+async fn streams_of_the_only_version_are_taken_up_while_the_store_is_slow() {
+    let site = Site::start(&[("app", None, WHOLE)], 1).await;
+    site.configure_route_timeout(SHORT_TIMEOUT).await;
+    wait_until_watch_is_complete(&site, 0).await;
+    site.store_endpoints[0].set_fault(StoreFault::Slow(CALL_DELAY_MS));
+    let site = &site;
+    let take_ups = (0..TAKE_UPS).map(|number| async move {
+        sleep(SHORT_PAUSE / 2 * number).await;
+        site.store.put("other/unrelated", &json!(number));
+        let id = format!("take-up-{number}");
+        let first_attempt = format!("stream-{number}");
+        take_up(
+            &site.gateways[0],
+            &id,
+            RESUMABLE,
+            &first_attempt,
+            LAST_EVENT,
+        )
+        .await
+    });
+    let answers = join_all(take_ups).await;
+    let statuses: Vec<u16> = answers.iter().map(|answer| answer.status).collect();
+    assert!(
+        statuses.iter().filter(|status| **status == 200).count() > statuses.len() / 2,
+        "{statuses:?}"
+    );
+}
--- a/crates/gateway/src/follower.rs
+++ b/crates/gateway/src/follower.rs
@@ -329,6 +329,9 @@
 
 /// Brings the mirror up to a position of the store, with a watch of its own if it is behind. Returns whether it has reached
 /// the position.
+///
+/// All changes of the mirror are applied and refreshed by tasks of one thread without a pause in between. If the position is
+/// reached, the state that is derived from the mirror is up to date as well.
 pub async fn catch_up(shared: &Arc<Shared>, store: &dyn KeyValueStore, target: Position) -> bool {
     let known = shared.mirror.lock().position();
     if known >= target {
--- a/crates/gateway/src/stream_versions/lookup.rs
+++ b/crates/gateway/src/stream_versions/lookup.rs
@@ -4,6 +4,7 @@
 //! The read also brings the mirror up to the store's revision. What the mirror contains then includes everything that was
 //! written before the requests arrived, whatever this gateway has missed.
 
+use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -14,7 +15,7 @@
 use prost::Message;
 use tansyhall_forwarding::{AttemptKey, Position, ReadBudget, SoftwareVersion, StreamShard};
 use tansyhall_store::{KeyValue, KeyValueStore, RangeOutcome, StoreError};
-use tokio::sync::{oneshot, Notify};
+use tokio::sync::{oneshot, Notify, Semaphore};
 use tokio::time::sleep;
 
 use super::message::StoredStreamsMessage;
@@ -25,7 +26,9 @@
 use crate::state::Shared;
 use crate::store_call::with_timeout;
 
-/// Pause between two reads.
+/// Maximum number of reads in progress. A silent store holds each for the whole timeout of a call.
+const MAX_READS: usize = 8;
+/// Time between the beginnings of two reads.
 const READ_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after a restore of the store in which workers write their entries again.
 const RESTORE_RECOVERY: Duration = Duration::from_secs(3);
@@ -85,24 +88,66 @@
     }
 }
 
-/// Reads the store when streams are looked for; runs forever.
+/// Reads the store when streams are looked for; runs forever. A read does not wait for the one before, which may be slow.
 pub async fn read_records(shared: Arc<Shared>, store: Rc<dyn KeyValueStore>) {
     let lookups = &shared.stream_versions.lookups;
-    let mut budget = ReadBudget::default();
+    let budget = Rc::new(RefCell::new(ReadBudget::default()));
+    let reads = Arc::new(Semaphore::new(MAX_READS));
     loop {
         lookups.requested.notified().await;
+        let Ok(permit) = Arc::clone(&reads).acquire_owned().await else {
+            return;
+        };
         let fleet = shared.fleet.read().clone();
-        sleep(budget.gathering(shared.now(), fleet.len())).await;
+        let gathering = budget.borrow().gathering(shared.now(), fleet.len());
+        sleep(gathering).await;
         let waiting = lookups.take();
         if waiting.is_empty() {
             continue;
         }
         let prefixes = prefixes(&fleet, &waiting);
-        budget.record_calls(shared.now(), fleet.len(), prefixes.len());
+        budget
+            .borrow_mut()
+            .record_calls(shared.now(), fleet.len(), prefixes.len());
+        let read = StoreRead {
+            shared: Arc::clone(&shared),
+            store: Rc::clone(&store),
+            budget: Rc::clone(&budget),
+            prefixes,
+            waiting,
+        };
+        actix_rt::spawn(async move {
+            read.answer().await;
+            drop(permit);
+        });
+        sleep(READ_INTERVAL).await;
+    }
+}
+
+/// A read of the store, and the requests that wait for it.
+struct StoreRead {
+    shared: Arc<Shared>,
+    store: Rc<dyn KeyValueStore>,
+    budget: Rc<RefCell<ReadBudget>>,
+    prefixes: BTreeSet<String>,
+    waiting: Vec<Lookup>,
+}
+
+impl StoreRead {
+    /// Answers the requests, or makes them wait for the next read if this one fails.
+    async fn answer(self) {
+        let Self {
+            shared,
+            store,
+            budget,
+            prefixes,
+            waiting,
+        } = self;
         match read(&*store, &prefixes, &waiting).await {
             Ok((found, position)) => {
                 if shared.mirror.lock().position() < position {
-                    budget.record_calls(shared.now(), fleet.len(), 1);
+                    let gateways = shared.fleet.read().len();
+                    budget.borrow_mut().record_calls(shared.now(), gateways, 1);
                 }
                 let is_mirror_current = is_mirror_current(&shared, &*store, position).await;
                 for Lookup { attempt, answer } in waiting {
@@ -115,10 +160,9 @@
             }
             Err(error) => {
                 log::debug!("failed to read the versions of streams: {error}");
-                lookups.put_back(waiting);
+                shared.stream_versions.lookups.put_back(waiting);
             }
         }
-        sleep(READ_INTERVAL).await;
     }
 }
 
