A worker without connections is asked for its start while the store is silent

Callers got answers of two software versions in one: a worker restarted under its name with another version while its gateway was cut off from the store and had no connection to the worker. The stream that the new process began counted as one of the earlier version, and a worker of that version continued it.

A resumable stream that is sent to a worker without an open connection, later than 1.5 s after the store's last answer, raises the doubt that a lost connection raises. Within these 1.5 s, a gateway still believes an entry that is late; asking before each first connection would cost a call for nearly each stream in a fleet whose pairs of gateways and workers meet rarely.

--- a/crates/cli/tests/gateway_platform/restarted_versions.rs
+++ b/crates/cli/tests/gateway_platform/restarted_versions.rs
@@ -32,6 +32,8 @@
 /// More than twice as many as the connections that a gateway may open to a worker.
 const MORE_THAN_ALL_CONNECTIONS: usize = 200;
 const STREAMS: usize = 6;
+/// Longer than the time between two answers of the store in calm.
+const SILENCE_OF_STORE: Duration = Duration::from_millis(1_800);
 /// Time within which a gateway notices that a worker has closed a connection.
 const CLOSING_TIME: Duration = Duration::from_millis(300);
 
@@ -180,3 +182,31 @@
         assert!(runs.iter().all(|run| run.last_event.is_none()), "{body}");
     }
 }
+
+/// Guards against a stream of a restarted worker that is joined with events of its earlier version, because the gateway had no
+/// connection to the worker and has not heard from the store since.
+#[actix_rt::test]
+async fn a_worker_without_connections_is_asked_for_its_start_while_the_store_is_silent() {
+    let mut site = Site::start(&[("app", None, Behaviour::NotRun)], 1).await;
+    let other = site.add_worker("app", None, BROKEN_OR_RESUMED).await;
+    site.workers.push(other);
+    let worker = site.add_named_worker("steady-1", "app", BROKEN).await;
+    let gateway = &site.gateways[0];
+    site.store_endpoints[0].set_fault(StoreFault::Refuse);
+    sleep(SILENCE_OF_STORE).await;
+    worker.stop().await;
+    let worker = worker
+        .restart(SECOND_VERSION)
+        .expect("the worker's port is free");
+    worker.set_behaviour(BROKEN);
+    let other = &site.workers[1].worker;
+    for number in 0..STREAMS {
+        let answer = send_request(gateway, &format!("s-{number}"), RESUMABLE, b"x").await;
+        let body = String::from_utf8_lossy(&answer.body);
+        let runs = other.runs();
+        assert!(
+            runs.iter().all(|run| run.last_event.is_none()),
+            "{number}: {body}"
+        );
+    }
+}
--- a/crates/forwarding/src/incarnation_doubts.rs
+++ b/crates/forwarding/src/incarnation_doubts.rs
@@ -8,8 +8,8 @@
 /// Why a worker may not be the incarnation that its entry describes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Doubt {
-    /// A connection to it was lost, or it goes on with a stream that another worker may have begun. The causes are numbered,
-    /// so that an answer about one does not settle a later one.
+    /// A connection to it was lost or is its first one, or it goes on with a stream that another worker may have begun. The
+    /// causes are numbered, so that an answer about one does not settle a later one.
     Open(u64),
     /// Another incarnation has answered at its address.
     Ended,
@@ -35,6 +35,11 @@
         self.record_cause(worker);
     }
 
+    /// Records that a connection to a worker is about to be opened, that there is none, and that its entry may be out of date.
+    pub fn record_first_connection(&mut self, worker: &WorkerId) {
+        self.record_cause(worker);
+    }
+
     fn record_cause(&mut self, worker: &WorkerId) {
         if worker.started_at().is_none() || self.doubt(worker) == Some(Doubt::Ended) {
             return;
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -267,6 +267,12 @@
         }
     }
 
+    /// Returns whether any connection to a worker is open, in use or idle.
+    pub fn has_open(&self, worker: &WorkerId) -> bool {
+        let pools = self.pools.lock();
+        pools.get(worker).is_some_and(Pool::has_open)
+    }
+
     fn take_idle(&self, worker: &WorkerId, id: &str, kind: RequestKind) -> Option<Connection> {
         let now = self.clock.now();
         let reuse = Reuse {
--- a/crates/gateway/src/exchange/incarnation.rs
+++ b/crates/gateway/src/exchange/incarnation.rs
@@ -3,12 +3,13 @@
 
 use std::time::Duration;
 
-use tansyhall_forwarding::Doubt;
+use tansyhall_forwarding::{Doubt, Repeatability, WorkerId};
 use tokio::time::timeout;
 
 use super::Exchange;
 use crate::connections::{Destination, SendError};
 use crate::events::{Event, Priority};
+use crate::store_contact::OUTAGE_THRESHOLD;
 use crate::worker_request::{RequestKind, WorkerRequest};
 
 /// How long a worker may take to say when it has started.
@@ -56,6 +57,18 @@
         is_announced
     }
 
+    /// Records a doubt about a worker before a send, if it may have restarted unnoticed: no connection to it is open, and the
+    /// store has not answered lately.
+    pub(super) fn doubt_unseen_incarnation(&self, worker: &WorkerId) {
+        let connections = &self.shared.connections;
+        let is_resumable = self.route().repeatability == Repeatability::Stream { resumable: true };
+        let age = self.shared.store_contact.age(self.shared.now());
+        if is_resumable && age > OUTAGE_THRESHOLD && !connections.has_open(worker) {
+            let mut doubts = connections.losses.doubts.lock();
+            doubts.record_first_connection(worker);
+        }
+    }
+
     /// Asks for the start of the incarnation at a worker's address, in milliseconds since the Unix epoch. The result is
     /// `None` if the worker does not say it in time.
     ///
--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -80,6 +80,7 @@
         resume_after: Option<EventId>,
     ) -> Option<Attempt> {
         let worker = self.worker(id)?;
+        self.doubt_unseen_incarnation(id);
         let need = match &source {
             Some(source) => Need::Continue {
                 reader: source.worker.clone(),
--- a/crates/gateway/src/store_contact.rs
+++ b/crates/gateway/src/store_contact.rs
@@ -11,7 +11,7 @@
 
 /// Time without an answer after which the store may have been unavailable. Slightly longer than the time between two
 /// answers of the store to a relay that follows it.
-const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1_500);
+pub const OUTAGE_THRESHOLD: Duration = Duration::from_millis(1_500);
 /// Time without an answer, although no call failed, after which this gateway no longer testifies that the store was
 /// available: the gateway may have stood still. Workers whose heartbeats are missing for a shorter time keep their entries.
 const MAX_UNASKED_GAP: Duration = Duration::from_millis(2_500);
