A worker whose entry changes its version before the send gets no stream of another one

An attempt took the worker's entry again as it began, without a look at its version. If the entry changes under the same name between the choice of the worker and the attempt, a stream could go on at a worker of another version. By reading, in the review of gateways out of step; no run has shown it. The attempt now counts as one whose worker is gone.

--- a/crates/gateway/src/exchange/run.rs
+++ b/crates/gateway/src/exchange/run.rs
@@ -79,7 +79,8 @@
         source: Option<PromptHandle>,
         resume_after: Option<EventId>,
     ) -> Option<Attempt> {
-        let worker = self.worker(id)?;
+        // The entry may have changed since the worker was chosen.
+        let worker = self.worker(id).filter(|worker| self.may_run_at(worker))?;
         self.doubt_unseen_incarnation(id);
         let need = match &source {
             Some(source) => Need::Continue {
--- a/crates/gateway/src/exchange/version.rs
+++ b/crates/gateway/src/exchange/version.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tansyhall_forwarding::{AttemptKey, Repeatability, SoftwareVersion};
+use tansyhall_forwarding::{AttemptKey, Repeatability, SoftwareVersion, Worker};
 
 use super::Exchange;
 use crate::events::{Event, Priority};
@@ -90,6 +90,12 @@
         self.retry_after = RETRY_AFTER.mul_f64(1.0 + jitter);
     }
 
+    /// Returns whether a worker has the version that the stream is bound to, if it is bound.
+    pub(super) fn may_run_at(&self, worker: &Worker) -> bool {
+        let mut bound = self.version.iter();
+        bound.all(|version| *version == worker.version)
+    }
+
     fn attempt_key(&self, id: &str) -> AttemptKey {
         AttemptKey::of(&self.request.routed.service, self.tenant_key(), id)
     }
