The test of answers without end limits those without pauses by their bytes

A watch whose line does not end reads up to 64 MiB, and ends by that limit alone. The test gave it 5 s as well. So the time measured the machine.

Such a call now fails the test as soon as more bytes are sent than the limit allows, or if it does not end within 5 s after the last byte. Slow answers, which end by time, still have 5 s.

--- a/crates/store/tests/endless_answers.rs
+++ b/crates/store/tests/endless_answers.rs
@@ -11,7 +11,7 @@
 
 /// Timeout of calls, except of watches, whose answers may stay open without bytes.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Within this time each call has ended and its connection is closed.
+/// Within this time each call has ended, unless bytes keep arriving without pauses, and its connection is closed after it.
 const END_LIMIT: Duration = Duration::from_secs(5);
 /// Bytes that may be sent: the longest answer that is read, which the lengths of its chunks make longer by a fifth, and
 /// what sockets hold.
@@ -37,11 +37,28 @@
     Machines,
 }
 
+/// Waits until a call that has not ended has had too much time or too many bytes. An answer without pauses is limited by its
+/// bytes, which a slow machine takes longer to read.
+async fn excess(server: &EndlessServer, pace: Pace) -> &'static str {
+    let mut sent = 0;
+    let mut limit = Instant::now() + END_LIMIT;
+    while Instant::now() < limit {
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+        let sent_before = std::mem::replace(&mut sent, server.sent_bytes());
+        if sent > MAX_SENT_BYTES {
+            return "too many bytes are sent";
+        }
+        if pace == Pace::Full && sent > sent_before {
+            limit = Instant::now() + END_LIMIT;
+        }
+    }
+    "the call does not end"
+}
+
 /// Makes a call to a server whose answer does not end, and returns what is wrong with the way in which it ends.
 async fn problem_of(call: Call, answer: EndlessAnswer, pace: Pace) -> Option<String> {
     let server = EndlessServer::start(answer, pace, |_| String::new());
     let store = EtcdStore::new(server.address, CALL_TIMEOUT);
-    let began = Instant::now();
     let made = async {
         match call {
             Call::Range => drop(store.range("a").await),
@@ -54,13 +71,15 @@
             }
         }
     };
-    if tokio::time::timeout(END_LIMIT, made).await.is_err() {
-        return Some(format!(
-            "{call:?}, {answer:?}, {pace:?}: the call does not end"
-        ));
+    tokio::select! {
+        () = made => {}
+        problem = excess(&server, pace) => {
+            return Some(format!("{call:?}, {answer:?}, {pace:?}: {problem}"));
+        }
     }
+    let ended = Instant::now();
     while server.open_connections() > 0 {
-        if began.elapsed() > END_LIMIT {
+        if ended.elapsed() > END_LIMIT {
             return Some(format!(
                 "{call:?}, {answer:?}, {pace:?}: the connection is open"
             ));
