Workers of tests that restart under their name listen at ports that no outgoing connection gets

The worker listened at a port of the system's range for outgoing connections, and stopped; before it restarted, another connection had taken the port.

Named workers now listen at a port of the blocks that other restarting servers of tests use. What the tests check is unchanged.

--- a/crates/cli/tests/gateway_platform/support/workers.rs
+++ b/crates/cli/tests/gateway_platform/support/workers.rs
@@ -95,7 +95,10 @@
             incarnation: Some(incarnation(name)),
             ..worker_plan(service, ZONE, None)
         };
-        let worker = Worker::start(&self.store, plan, behaviour).expect("a free port");
+        // The system gives such a port to no outgoing connection while the worker is stopped.
+        let address = free_peer_address();
+        let worker = Worker::start_at_address(&self.store, address, plan, behaviour);
+        let worker = worker.expect("a free port");
         self.wait_for_announced_workers(0, self.workers.len() as f64 + 1.0)
             .await;
         worker
