--- a/crates/cli/tests/gateway_platform/odd_entries.rs
+++ b/crates/cli/tests/gateway_platform/odd_entries.rs
@@ -1,7 +1,7 @@
 //! Odd entries of other writers in the store.
 
 use serde_json::{json, Value};
-use tansyhall_platform_standin::{Behaviour, WORKER_ENTRY_PREFIX};
+use tansyhall_platform_standin::{Behaviour, CONFIGURATION_KEY, WORKER_ENTRY_PREFIX};
 use tansyhall_testing::eventually;
 
 use crate::support::{send_request, Site, REPEATABLE};
@@ -15,7 +15,7 @@
 const MAX_LINE_BYTES: usize = 2_000;
 /// Keys that gateways read one by one.
 const KEYS: [&str; 5] = [
-    "op/config",
+    CONFIGURATION_KEY,
     "tansyhall/authority/first",
     "tansyhall/roles",
     "tansyhall/usage/closed",
