--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -8,7 +8,7 @@
 use crate::client::{call, Seen};
 use crate::record::Record;
 use crate::site::{Site, WorkerProcess};
-use crate::worker::{event, plain_body, EVENTS, LONG_EVENTS};
+use crate::worker::{event, plain_body, short_body, EVENTS, LONG_EVENTS};
 
 const HELD: i32 = 0;
 const BROKEN: i32 = 1;
@@ -23,6 +23,7 @@
     let result = match number {
         "crash-inside-plain-answer" => crash_inside_plain_answer(&record, has_trouble).await,
         "stream-ends-inside-event" => stream_ends_inside_event(&record, has_trouble).await,
+        "failure-inside-plain-answer" => failure_inside_plain_answer(&record, has_trouble).await,
         "leaving-worker-gone" => leaving_worker_gone(&record, has_trouble).await,
         _ => None,
     };
@@ -105,14 +106,7 @@
     let mut broken = 0;
     for batch in 0..60 {
         if batch == 10 && has_trouble {
-            // The busier half, so that enough answers are affected.
-            let served = |worker: &WorkerProcess| worker.lines.try_iter().count();
-            let mut by_load: Vec<(usize, usize)> = workers.iter().map(served).zip(0..).collect();
-            by_load.sort_by_key(|(served, _)| std::cmp::Reverse(*served));
-            for (_, index) in &by_load[..2] {
-                workers[*index].tell("break");
-                record.line(format!("worker {} breaks off x = 0.02 of its answers from now on", workers[*index].id));
-            }
+            break_at_busier_half(record, &mut workers);
         }
         let mut callers = Vec::new();
         for number in 0..16 {
@@ -173,3 +167,50 @@
     }
     Some(broken)
 }
+
+/// Lets half of the workers break off answers: the busier half, so that enough answers are affected.
+fn break_at_busier_half(record: &Record, workers: &mut [WorkerProcess]) {
+    let served = |worker: &WorkerProcess| worker.lines.try_iter().count();
+    let mut by_load: Vec<(usize, usize)> = workers.iter().map(served).zip(0..).collect();
+    by_load.sort_by_key(|(served, _)| std::cmp::Reverse(*served));
+    for (_, index) in &by_load[..workers.len() / 2] {
+        workers[*index].tell("break");
+        record.line(format!("worker {} breaks off x = 0.02 of its answers from now on", workers[*index].id));
+    }
+}
+
+/// Half of the workers cut one plain answer in fifty short: they fail inside it and say so in another answer.
+async fn failure_inside_plain_answer(record: &Record, has_trouble: bool) -> Option<usize> {
+    let mut site = Site::start(2, record).await?;
+    let mut workers = Vec::new();
+    for _ in 0..4 {
+        workers.push(site.start_worker("plain")?);
+    }
+    site.wait().await.then_some(())?;
+    let mut broken = 0;
+    for batch in 0..60 {
+        if batch == 10 && has_trouble {
+            break_at_busier_half(record, &mut workers);
+        }
+        let mut callers = Vec::new();
+        for number in 0..16 {
+            let gateway = site.gateways[number % 2];
+            let route = ["ration-slip", "load-manifest"][number / 8];
+            let id = format!("{batch:02}-{number:02}");
+            let path = format!("/{route}/{batch}");
+            record.line(format!("sent {id} ({route}) to {gateway}"));
+            callers.push((id.clone(), spawn_blocking(move || call(gateway, &path, &id, Duration::from_secs(1)))));
+        }
+        for (id, caller) in callers {
+            let seen = caller.await.ok()?;
+            let is_whole = seen.body == short_body(&id);
+            note(record, &id, &seen, is_whole);
+            if seen.is_success() && !is_whole {
+                broken += 1;
+                let end = String::from_utf8_lossy(&seen.body[seen.body.len().saturating_sub(90)..]).into_owned();
+                record.line(format!("MIXED: {id} got a success whose body is not the worker's; it ends in {end:?}"));
+            }
+        }
+    }
+    Some(broken)
+}
--- a/review/standins-2/src/worker.rs
+++ b/review/standins-2/src/worker.rs
@@ -114,6 +114,7 @@
                 stream.shutdown(Shutdown::Both).ok()?;
                 return Some(());
             }
+            "plain" => plain(&mut stream, &head, &id, BREAKS.load(Ordering::Relaxed))?,
             _ => chunked(&mut stream, &head, &id, BREAKS.load(Ordering::Relaxed))?,
         }
     }
@@ -141,3 +142,34 @@
     say(format!("{} {id}", if breaks_off { "broken-off" } else { "done" }));
     Some(())
 }
+
+/// Length of a short plain answer, as on the sheet, and how much of it a worker sends before it fails.
+const SHORT_BYTES: usize = 800;
+const SENT_BYTES: usize = 720;
+
+/// Returns the whole body of the answer to a short plain request.
+pub fn short_body(id: &str) -> Vec<u8> {
+    let part = format!("{id};");
+    part.bytes().cycle().take(SHORT_BYTES).collect()
+}
+
+/// Sends a plain answer with its length. A worker that `breaks` cuts one in [`BREAKS_ONE_IN`] short: it fails inside the
+/// body, sends an answer that says so, and closes the connection.
+fn plain(stream: &mut TcpStream, head: &str, id: &str, breaks: bool) -> Option<()> {
+    static ANSWERS: AtomicUsize = AtomicUsize::new(0);
+    let number = ANSWERS.fetch_add(1, Ordering::Relaxed);
+    let body = short_body(id);
+    std::thread::sleep(SHORT_PAUSE);
+    stream.write_all(format!("{head}Content-Type: text/plain\r\nContent-Length: {SHORT_BYTES}\r\n\r\n").as_bytes()).ok()?;
+    if !breaks || number % BREAKS_ONE_IN != BREAKS_ONE_IN / 2 {
+        stream.write_all(&body).ok()?;
+        say(format!("done {id}"));
+        return Some(());
+    }
+    stream.write_all(&body[..SENT_BYTES]).ok()?;
+    let failure = format!("HTTP/1.1 500 Internal Server Error\r\nConnection: close\r\nContent-Type: text/plain\r\nX-Request-Id: {id}\r\nContent-Length: 6\r\n\r\nfailed");
+    stream.write_all(failure.as_bytes()).ok()?;
+    say(format!("broken-off {id}"));
+    stream.shutdown(Shutdown::Both).ok()?;
+    None
+}
