--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -19,6 +19,10 @@
 /// Interval at which workers write their entries.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
+/// Number of times that a gateway is started at most, and the time after which it is checked that it runs.
+const MAX_STARTS: usize = 5;
+const START_CHECK: Duration = Duration::from_millis(300);
+
 /// A process that is killed when it is dropped.
 pub struct Process(pub Child);
 
@@ -73,9 +77,10 @@
     next_worker: usize,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+/// Returns addresses that are free now, all different.
+fn free_addresses() -> [SocketAddr; 5] {
+    let listeners = [(); 5].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("an address"))
 }
 
 fn route(
@@ -140,14 +145,15 @@
             next_worker: 1,
         };
         for number in 0..gateways {
-            site.start_gateway(number, &template)?;
+            // Another process may have taken a port that was free a moment before.
+            (0..MAX_STARTS).find_map(|_| site.start_gateway(number, &template))?;
         }
         Some(site)
     }
 
     fn start_gateway(&mut self, number: usize, template: &str) -> Option<()> {
         let endpoint = self.store.open_endpoint().ok()?;
-        let [front, ready, control, load, metrics] = [(); 5].map(|()| free_address());
+        let [front, ready, control, load, metrics] = free_addresses();
         let fields = json!({
             "node": format!("front-{number}"), "zone": "kalimati", "ip": "127.0.0.1",
             "limits": { "cores": 1, "cpu_share": 1.0, "memory_mb": 260 },
@@ -173,7 +179,12 @@
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(errors);
-        self._processes.push(Process(command.spawn().ok()?));
+        let mut process = Process(command.spawn().ok()?);
+        std::thread::sleep(START_CHECK);
+        if matches!(process.0.try_wait(), Ok(Some(_))) {
+            return None;
+        }
+        self._processes.push(process);
         self.gateways.push(front);
         self.record
             .line(format!("gateway front-{number} started at {front}"));
