--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,11 +4,14 @@
 cd "$folder/../.." || exit 2
 standin=target/review-2/release/review-standins-2
 [ -x "$standin" ] && [ -x target/release/tansyhall ] || exit 2
-timeout -k 2 115 "$standin" case stream-ends-inside-event "$folder" &
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+timeout -k 2 100 "$standin" case stream-ends-inside-event "$folder" &
 pid=$!
-# The signal goes to all processes that were started.
-trap 'kill -TERM "$pid" 2>/dev/null; wait "$pid"; exit 2' TERM INT HUP
+# All processes end with the program.
+trap 'kill -TERM "$pid" 2>/dev/null; wait "$pid"; rm -rf "$TMPDIR"; exit 2' TERM INT HUP
 wait "$pid"
 code=$?
+rm -rf "$TMPDIR"
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -14,6 +14,7 @@
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let code = match words[..] {
         ["worker", id, kind] => worker::run(id, kind),
+        ["guard", settings] => site::guard(settings),
         ["case", number, folder] => cases::run(number, folder).await,
         _ => 2,
     };
